Set down the fold: records, slices and the pure state

Cause: the log is the only referee, so what decides must be one pure function that every instance runs alike. Change: fleet/ holds a package for each noun (record, budget, pool, host, jobs, wave, lease, quota), the fold over them (ledger), the questions (query), the planner's decisions (plan) and, apart from all of them, the encodings (codec) and the platform's messages (plat). Conclusion: decisions know no encoding, so another front end can use them.

--- /dev/null
+++ b/fleet/client/client.go
@@ -0,0 +1,276 @@
+// Package client speaks to an entry over HTTP on behalf of operators and callers.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/fault"
+	"carawaymux.dev/fleet/query"
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+)
+
+// maxAnswer is the largest answer that is read, in bytes.
+const maxAnswer = 256 << 20
+
+// Client speaks to one entry. Its fields are set by [New] and never change.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// Option changes how a client is built.
+type Option func(*Client)
+
+// WithKey sets the key that is shown to the entry.
+func WithKey(key string) Option { return func(c *Client) { c.key = key } }
+
+// WithHTTP sets the HTTP client.
+func WithHTTP(h *http.Client) Option { return func(c *Client) { c.http = h } }
+
+// New builds a client for an entry's base URL, as in http://127.0.0.1:7000.
+func New(base string, opts ...Option) *Client {
+	c := &Client{base: strings.TrimSuffix(base, "/"), http: http.DefaultClient}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Error is an answer of the entry that is no success.
+type Error struct {
+	// Status is the HTTP status.
+	Status int
+	// Refusal is what the entry said.
+	Refusal wire.Refusal
+}
+
+// Error returns the status and what the entry said.
+func (e *Error) Error() string { return fmt.Sprintf("%s (status %d)", e.Refusal.Error, e.Status) }
+
+// Publish appends a record and returns the verdict on it. A record that the fold
+// rejects gives an [Error] that holds the verdict.
+func (c *Client) Publish(ctx context.Context, r record.Record) (record.Verdict, error) {
+	raw, err := codec.EncodeRecord(r)
+	if err != nil {
+		return record.Verdict{}, err
+	}
+	return c.PublishRaw(ctx, raw)
+}
+
+// PublishRaw appends a record that is encoded already.
+func (c *Client) PublishRaw(ctx context.Context, raw []byte) (record.Verdict, error) {
+	var out wire.Published
+	err := c.call(ctx, http.MethodPost, wire.PathRecords, nil, raw, &out)
+	return out.Verdict, err
+}
+
+// Objects lists the objects of a kind in a schema version; 0 stands for the newest.
+func (c *Client) Objects(ctx context.Context, k record.Kind, schema int) (wire.Objects, error) {
+	var out wire.Objects
+	err := c.call(ctx, http.MethodGet, wire.PathObjects+url.PathEscape(string(k)), schemaQuery(schema), nil, &out)
+	return out, err
+}
+
+// Object returns one object in a schema version; 0 stands for the newest.
+func (c *Client) Object(ctx context.Context, k record.Kind, name string, schema int) (wire.Object, error) {
+	var out wire.Objects
+	path := wire.PathObjects + url.PathEscape(string(k)) + "/" + url.PathEscape(name)
+	if err := c.call(ctx, http.MethodGet, path, schemaQuery(schema), nil, &out); err != nil {
+		return wire.Object{}, err
+	}
+	if len(out.Objects) != 1 {
+		return wire.Object{}, fault.New("look-up", c.base, "%d objects named %q", len(out.Objects), name)
+	}
+	return out.Objects[0], nil
+}
+
+func schemaQuery(schema int) url.Values {
+	if schema == 0 {
+		return nil
+	}
+	return url.Values{"schema": {strconv.Itoa(schema)}}
+}
+
+// Explain says what was done with an object and why.
+func (c *Client) Explain(ctx context.Context, k record.Kind, name string) (wire.Explained, error) {
+	var out wire.Explained
+	path := wire.PathExplain + url.PathEscape(string(k)) + "/" + url.PathEscape(name)
+	err := c.call(ctx, http.MethodGet, path, nil, nil, &out)
+	return out, err
+}
+
+// Members lists the entries as seen from this one.
+func (c *Client) Members(ctx context.Context) ([]wire.Member, error) {
+	var out wire.Members
+	err := c.call(ctx, http.MethodGet, wire.PathMembers, nil, nil, &out)
+	return out.Members, err
+}
+
+// Status tells how the entry is.
+func (c *Client) Status(ctx context.Context) (wire.Overview, error) {
+	var out wire.Overview
+	err := c.call(ctx, http.MethodGet, wire.PathStatus, nil, nil, &out)
+	return out, err
+}
+
+// Ready reports whether the entry takes requests.
+func (c *Client) Ready(ctx context.Context) error {
+	return c.call(ctx, http.MethodGet, wire.PathReady, nil, nil, nil)
+}
+
+// Carry asks what can be carried, once an offset is in force at the entry.
+func (c *Client) Carry(ctx context.Context, q query.Carry, minOffset uint64) (query.Carried, error) {
+	return ask[query.Carry, query.Carried](ctx, c, wire.PathCarry, q, minOffset)
+}
+
+// Leave asks which hosts may leave, once an offset is in force at the entry.
+func (c *Client) Leave(ctx context.Context, q query.Leave, minOffset uint64) (query.Left, error) {
+	return ask[query.Leave, query.Left](ctx, c, wire.PathLeave, q, minOffset)
+}
+
+func ask[Q, A any](ctx context.Context, c *Client, path string, q Q, minOffset uint64) (A, error) {
+	var out A
+	raw, err := json.Marshal(q)
+	if err != nil {
+		return out, err
+	}
+	var params url.Values
+	if minOffset > 0 {
+		params = url.Values{wire.QueryMinOffset: {strconv.FormatUint(minOffset, 10)}}
+	}
+	err = c.call(ctx, http.MethodPost, path, params, raw, &out)
+	return out, err
+}
+
+// Stream returns records from an offset on, waiting for the first one.
+func (c *Client) Stream(ctx context.Context, from uint64, wait time.Duration) (wire.Stream, error) {
+	var out wire.Stream
+	params := url.Values{
+		"from":    {strconv.FormatUint(from, 10)},
+		"wait-ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	err := c.call(ctx, http.MethodGet, wire.PathRecords, params, nil, &out)
+	return out, err
+}
+
+// Ticket returns an ID for one non-idempotent request of a kind.
+func (c *Client) Ticket(ctx context.Context, kind string) (string, error) {
+	var out wire.Ticket
+	err := c.call(ctx, http.MethodGet, wire.PathTickets, url.Values{"kind": {kind}}, nil, &out)
+	return out.ID, err
+}
+
+// Request is a caller's request.
+type Request struct {
+	Kind       string
+	ID         string
+	Urgency    string
+	Idempotent bool
+	// Deadline is how long the caller waits; 0 leaves it to the entry.
+	Deadline time.Duration
+	Body     []byte
+}
+
+// Answer is what became of a request.
+type Answer struct {
+	Outcome wire.Outcome
+	Status  int
+	Body    []byte
+	Target  string
+	Entry   string
+	Reason  string
+	// RetryAfter is when another try may be worth it; 0 says nothing.
+	RetryAfter time.Duration
+}
+
+// Do sends a request and reads the whole answer. When the connection fails, the
+// outcome is unknown and the error says why.
+func (c *Client) Do(ctx context.Context, r Request) (Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+wire.PathRequests+url.PathEscape(r.Kind),
+		bytes.NewReader(r.Body))
+	if err != nil {
+		return Answer{Outcome: wire.NotRun}, fault.At("request", c.base, err)
+	}
+	req.Header.Set(wire.HeaderID, r.ID)
+	req.Header.Set(wire.HeaderIdempotent, strconv.FormatBool(r.Idempotent))
+	if r.Urgency != "" {
+		req.Header.Set(wire.HeaderUrgency, r.Urgency)
+	}
+	if r.Deadline > 0 {
+		req.Header.Set(wire.HeaderDeadline, strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Answer{Outcome: wire.Unknown, Reason: err.Error()}, fault.At("request", c.base, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return Answer{Outcome: wire.Unknown, Reason: err.Error()}, fault.At("read-answer", c.base, err)
+	}
+	h := resp.Header
+	seconds, _ := strconv.Atoi(h.Get("Retry-After"))
+	return Answer{
+		Outcome: wire.Outcome(h.Get(wire.HeaderOutcome)), Status: resp.StatusCode, Body: body,
+		Target: h.Get(wire.HeaderTarget), Entry: h.Get(wire.HeaderEntry), Reason: h.Get(wire.HeaderReason),
+		RetryAfter: time.Duration(seconds) * time.Second,
+	}, nil
+}
+
+func (c *Client) call(ctx context.Context, method, path string, params url.Values, body []byte, out any) error {
+	target := c.base + path
+	if len(params) > 0 {
+		target += "?" + params.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return fault.At("call", c.base, err)
+	}
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fault.At("call", c.base, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fault.At("read-answer", c.base, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		e := &Error{Status: resp.StatusCode}
+		if json.Unmarshal(raw, &e.Refusal) != nil || e.Refusal.Error == "" {
+			e.Refusal.Error = strings.TrimSpace(string(raw))
+		}
+		return fault.At("call", c.base, e)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return fault.At("read-answer", c.base, errors.Join(errors.New("the answer is no JSON"), err))
+	}
+	return nil
+}
+
+// NewRecord builds an operator's record in the newest schema version of its kind.
+func NewRecord(author, object string, base uint64, body record.Body) record.Record {
+	return record.Record{
+		ID: record.NewID(), Schema: codec.Newest(body.Kind()), Author: author, Object: object, Base: base,
+		At: time.Now().UnixMilli(), Body: body,
+	}
+}
--- /dev/null
+++ b/fleet/jobs/jobs.go
@@ -0,0 +1,232 @@
+// Package jobs defines jobs: tasks of a size that a pool's hosts must hold.
+package jobs
+
+import (
+	"fmt"
+
+	"carawaymux.dev/fleet/host"
+	"carawaymux.dev/fleet/record"
+)
+
+// Limits on a job's fields.
+const (
+	// MaxTasks is the largest number of tasks of one job.
+	MaxTasks = 1024
+	// MaxRunSeconds is the longest declared run time, in seconds.
+	MaxRunSeconds = 90 * 24 * 3600
+)
+
+// Urgency orders jobs and requests.
+type Urgency string
+
+// The urgency classes, least first.
+const (
+	Low    Urgency = "low"
+	Normal Urgency = "normal"
+	Urgent Urgency = "urgent"
+)
+
+// Urgencies lists the classes, most urgent first.
+var Urgencies = [...]Urgency{Urgent, Normal, Low}
+
+// Rank is 0 for the most urgent class; unknown classes rank last.
+func (u Urgency) Rank() int {
+	for i, known := range Urgencies {
+		if u == known {
+			return i
+		}
+	}
+	return len(Urgencies) - 1
+}
+
+// Known reports whether the class is one of [Urgencies].
+func (u Urgency) Known() bool { return u == Low || u == Normal || u == Urgent }
+
+// Spec is a job in schema version 2.
+type Spec struct {
+	// Pool is the pool whose hosts run the tasks.
+	Pool string `json:"pool"`
+	// Team is the team whose quota the tasks count against; empty for none.
+	Team string `json:"team,omitempty"`
+	// Size is what each task declares to need. It may be far off the truth.
+	Size host.Size `json:"size"`
+	// Tasks is the number of tasks.
+	Tasks int `json:"tasks"`
+	// RunSeconds is the declared run time in seconds; 0 means that the tasks
+	// run until the job is cancelled.
+	RunSeconds int64 `json:"run-seconds,omitempty"`
+	// Urgency orders placing.
+	Urgency Urgency `json:"urgency"`
+	// Spread asks for tasks in different racks where there are enough.
+	Spread bool `json:"spread,omitempty"`
+}
+
+// SpecV1 is schema version 1: processors and memory only.
+type SpecV1 struct {
+	// Pool is the pool whose hosts run the tasks.
+	Pool string `json:"pool"`
+	// Cores is the number of cores that each task declares to need.
+	Cores int64 `json:"cores"`
+	// MemoryMiB is the memory that each task declares to need, in MiB.
+	MemoryMiB int64 `json:"memory-mib"`
+	// Tasks is the number of tasks.
+	Tasks int `json:"tasks"`
+}
+
+// Upgrade returns the job in schema version 2.
+func (s SpecV1) Upgrade() Spec {
+	return Spec{
+		Pool:    s.Pool,
+		Size:    host.Size{Cores: s.Cores, MemoryMiB: s.MemoryMiB},
+		Tasks:   s.Tasks,
+		Urgency: Normal,
+	}
+}
+
+// Downgrade returns the job in schema version 1. It fails when the job says
+// something that version 1 cannot hold.
+func (s Spec) Downgrade() (SpecV1, error) {
+	if s.Size.Accelerators != 0 || s.Team != "" || s.RunSeconds != 0 || s.Spread || s.Urgency != Normal {
+		return SpecV1{}, fmt.Errorf("schema 1 holds no accelerators, team, run-seconds, spread or urgency")
+	}
+	return SpecV1{Pool: s.Pool, Cores: s.Size.Cores, MemoryMiB: s.Size.MemoryMiB, Tasks: s.Tasks}, nil
+}
+
+// Kind returns [record.KindJob].
+func (Spec) Kind() record.Kind { return record.KindJob }
+
+// Check reports faults in the fields.
+func (s Spec) Check() record.Problems {
+	var p record.Problems
+	p.Name("pool", s.Pool)
+	if s.Team != "" {
+		p.Name("team", s.Team)
+	}
+	CheckSize(&p, s.Size)
+	p.Range("tasks", int64(s.Tasks), 1, MaxTasks)
+	p.Range("run-seconds", s.RunSeconds, 0, MaxRunSeconds)
+	if !s.Urgency.Known() {
+		p.Add("urgency", fmt.Sprintf("%q", s.Urgency), "low, normal or urgent")
+	}
+	return p
+}
+
+// CheckSize reports faults in the size of a task.
+func CheckSize(p *record.Problems, s host.Size) {
+	p.Range("size.cores", s.Cores, 0, host.MaxCores)
+	p.Range("size.memory-mib", s.MemoryMiB, 0, host.MaxMemoryMiB)
+	p.Range("size.accelerators", s.Accelerators, 0, host.MaxAccelerators)
+	if s == (host.Size{}) {
+		p.Add("size", "", "more than nothing in one dimension")
+	}
+}
+
+// Cancel ends jobs. Jobs that are unknown or ended already are passed over, so
+// that a cancellation can be repeated.
+type Cancel struct {
+	// Jobs names the jobs.
+	Jobs []string `json:"jobs"`
+}
+
+// Kind returns [record.KindCancel].
+func (Cancel) Kind() record.Kind { return record.KindCancel }
+
+// Check reports faults in the fields.
+func (c Cancel) Check() record.Problems {
+	var p record.Problems
+	p.Range("jobs", int64(len(c.Jobs)), 1, record.MaxBatch)
+	for _, name := range c.Jobs {
+		p.Name("jobs", name)
+	}
+	return p
+}
+
+// Act is what a placement item does to a task.
+type Act string
+
+// The acts.
+const (
+	// ActStart puts a task on a host.
+	ActStart Act = "start"
+	// ActStop takes a task off its host; it will be placed again.
+	ActStop Act = "stop"
+	// ActFinish ends a task for good.
+	ActFinish Act = "finish"
+)
+
+// Item is one step for one task.
+type Item struct {
+	// Job and Task name the task; Task counts from 0.
+	Job  string `json:"job"`
+	Task int    `json:"task"`
+	// Act is what is done.
+	Act Act `json:"act"`
+	// Host is the host that the task starts on; empty for other acts.
+	Host string `json:"host,omitempty"`
+}
+
+// Placement is a batch of steps, proposed by the planner. Each item is judged by
+// itself: one that no longer fits does not hold up the others.
+type Placement struct {
+	// Items are the steps, in order.
+	Items []Item `json:"items"`
+}
+
+// Kind returns [record.KindPlacement].
+func (Placement) Kind() record.Kind { return record.KindPlacement }
+
+// Check reports faults in the fields.
+func (b Placement) Check() record.Problems {
+	var p record.Problems
+	p.Range("items", int64(len(b.Items)), 1, record.MaxBatch)
+	for _, it := range b.Items {
+		p.Name("items.job", it.Job)
+		p.Range("items.task", int64(it.Task), 0, MaxTasks-1)
+		switch it.Act {
+		case ActStart:
+			p.Name("items.host", it.Host)
+		case ActStop, ActFinish:
+		default:
+			p.Add("items.act", fmt.Sprintf("%q", it.Act), "start, stop or finish")
+		}
+	}
+	return p
+}
+
+// Task is a task in force.
+type Task struct {
+	// Host is where the task is placed; empty while it is not.
+	Host string `json:"host,omitempty"`
+	// Fence is the version of the placement that put the task on its host. The
+	// platform gets it, so that a lapsed placement starts nothing.
+	Fence uint64 `json:"fence,omitempty"`
+	// Finished says that the task has ended for good.
+	Finished bool `json:"finished,omitempty"`
+}
+
+// Job is a job in force.
+type Job struct {
+	// Published is the specification with its version.
+	Published record.Versioned[Spec] `json:"published"`
+	// Tasks has one element a task.
+	Tasks []Task `json:"tasks"`
+	// Cancelled says that the job was cancelled; its tasks are then unplaced.
+	Cancelled bool `json:"cancelled,omitempty"`
+	// Never names the dimension for which no host of the pool can ever hold a
+	// task; empty when some host can.
+	Never string `json:"never,omitempty"`
+}
+
+// Waiting is the number of tasks that are neither placed nor finished.
+func (j *Job) Waiting() int {
+	if j.Cancelled || j.Never != "" {
+		return 0
+	}
+	n := 0
+	for _, t := range j.Tasks {
+		if t.Host == "" && !t.Finished {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fleet/ledger/apply.go
@@ -0,0 +1,234 @@
+package ledger
+
+import (
+	"fmt"
+
+	"carawaymux.dev/fleet/budget"
+	"carawaymux.dev/fleet/host"
+	"carawaymux.dev/fleet/jobs"
+	"carawaymux.dev/fleet/lease"
+	"carawaymux.dev/fleet/pool"
+	"carawaymux.dev/fleet/quota"
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wave"
+)
+
+// GapError reports an entry that does not follow the folded ones.
+type GapError struct {
+	// Want is the next offset to fold, Got the offset of the entry.
+	Want, Got uint64
+}
+
+// Error names both offsets.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("fold: offset %d is next, got %d", e.Want, e.Got)
+}
+
+// refusal says why a record is not in force.
+type refusal struct {
+	reason       string
+	winner       uint64
+	winnerAuthor string
+	kept         bool
+}
+
+func refuse(format string, args ...any) *refusal {
+	return &refusal{reason: fmt.Sprintf(format, args...)}
+}
+
+// Apply folds one entry. The state changes only when the verdict is accepted,
+// save for Offset, IDs and Unread. An entry below Offset has been folded before
+// and changes nothing; one above it is a [GapError].
+func (s *State) Apply(e record.Entry) (record.Verdict, error) {
+	v := record.Verdict{Offset: e.Offset, ID: e.Record.ID, Result: record.Duplicate}
+	if e.Offset < s.Offset {
+		return v, nil
+	}
+	if e.Offset > s.Offset {
+		return v, &GapError{Want: s.Offset, Got: e.Offset}
+	}
+	s.Offset++
+	if e.Fault != "" {
+		v.Result, v.Reason = record.Rejected, e.Fault
+		return v, nil
+	}
+	if first, seen := s.IDs[e.Record.ID]; seen {
+		v.Reason = fmt.Sprintf("id was folded at offset %d", first)
+		return v, nil
+	}
+	if problems := e.Record.CheckEnvelope(); len(problems) > 0 {
+		v.Result, v.Reason = record.Rejected, problems.Error()
+		return v, nil
+	}
+	s.IDs[e.Record.ID] = e.Offset
+	no := s.judge(e)
+	if no == nil {
+		v.Result = record.Accepted
+		return v, nil
+	}
+	v.Result, v.Reason = record.Rejected, no.reason
+	v.Winner, v.WinnerAuthor = no.winner, no.winnerAuthor
+	if no.kept {
+		v.Result = record.Kept
+	}
+	return v, nil
+}
+
+// judge checks and applies the body.
+func (s *State) judge(e record.Entry) *refusal {
+	r := &e.Record
+	if no := s.checkReadable(e); no != nil {
+		return no
+	}
+	if problems := r.Body.Check(); len(problems) > 0 {
+		return refuse("%s", problems.Error())
+	}
+	if no := s.checkFence(r); no != nil {
+		return no
+	}
+	version := record.Version(e.Offset)
+	switch body := r.Body.(type) {
+	case budget.Spec:
+		return publish(s.Budgets, r, version, body)
+	case pool.Spec:
+		return s.applyPool(r, version, body)
+	case quota.Spec:
+		return publish(s.Quotas, r, version, body)
+	case host.Spec:
+		return s.applyHost(r, version, body)
+	case host.Move:
+		return s.applyMove(r, version, body)
+	case host.Change:
+		return s.applyHostChange(r, version, body)
+	case wave.Spec:
+		return s.applyWave(r, version, body)
+	case wave.Change:
+		return s.applyWaveChange(r, version, body)
+	case jobs.Spec:
+		return s.applyJob(r, version, body)
+	case jobs.Cancel:
+		return s.applyCancel(body)
+	case jobs.Placement:
+		return s.applyPlacement(version, body)
+	case lease.Claim:
+		return s.applyLease(r, version, body)
+	case Checkpoint:
+		return s.applyCheckpoint(body)
+	case Gate:
+		return s.applyGate(body)
+	case Retire:
+		return s.applyRetire(r, body)
+	}
+	return refuse("kind %q: no rule folds it", r.Body.Kind())
+}
+
+// checkReadable keeps records that are not understood or whose schema version is
+// not open yet.
+func (s *State) checkReadable(e record.Entry) *refusal {
+	r := &e.Record
+	if u, ok := r.Body.(record.Unread); ok {
+		s.Unread[e.Offset] = u
+		no := refuse("kind %q in schema %d is not understood; kept whole", u.Name, u.Version)
+		no.kept = true
+		return no
+	}
+	if open := s.Open(r.Body.Kind()); r.Schema > open {
+		s.Unread[e.Offset] = record.Unread{Name: r.Body.Kind(), Version: r.Schema, Raw: e.Raw}
+		no := refuse("schema %d of kind %q is not open yet (open: %d); kept whole",
+			r.Schema, r.Body.Kind(), open)
+		no.kept = true
+		return no
+	}
+	return nil
+}
+
+// checkFence rejects the planner's records that were not proposed under the lease
+// in force.
+func (s *State) checkFence(r *record.Record) *refusal {
+	switch body := r.Body.(type) {
+	case host.Change, jobs.Placement, Checkpoint:
+	case wave.Change:
+		if body.Event == wave.EventCancel {
+			return nil
+		}
+	default:
+		return nil
+	}
+	if s.Lease.Holder != "" && r.Fence == s.Lease.Fence {
+		return nil
+	}
+	return refuse("fence %d is stale: %q holds the planner lease under fence %d",
+		r.Fence, s.Lease.Holder, s.Lease.Fence)
+}
+
+// publish creates or replaces a specification, first in the log wins.
+func publish[T any](
+	objects map[string]*record.Versioned[T], r *record.Record, version uint64, spec T,
+) *refusal {
+	if r.Object == "" {
+		return refuse("object: must name the %s", r.Body.Kind())
+	}
+	if old := objects[r.Object]; old != nil {
+		if no := checkBase(r, old.Version, old.Author); no != nil {
+			return no
+		}
+	} else if r.Base != 0 {
+		return refuse("base %d: %s %q does not exist", r.Base, r.Body.Kind(), r.Object)
+	}
+	objects[r.Object] = versioned(r, version, spec)
+	return nil
+}
+
+func versioned[T any](r *record.Record, version uint64, spec T) *record.Versioned[T] {
+	return &record.Versioned[T]{
+		Name: r.Object, Version: version, Author: r.Author, At: r.At, Schema: r.Schema, Spec: spec,
+	}
+}
+
+// checkBase compares the version that a change was based on with the one in force.
+func checkBase(r *record.Record, inForce uint64, author string) *refusal {
+	if r.Base == inForce {
+		return nil
+	}
+	no := refuse("%s %q is at version %d by %s; this change was based on %d",
+		r.Body.Kind(), r.Object, inForce, author, r.Base)
+	no.winner, no.winnerAuthor = inForce, author
+	return no
+}
+
+func (s *State) applyPool(r *record.Record, version uint64, spec pool.Spec) *refusal {
+	if s.Budgets[spec.Budget] == nil {
+		return refuse("budget: there is no budget %q; publish it first", spec.Budget)
+	}
+	for _, k := range spec.Kinds {
+		if other := s.index.poolOf[k]; other != "" && other != r.Object {
+			return refuse("kinds: %q is served by pool %q already", k, other)
+		}
+	}
+	var before []string
+	if old := s.Pools[r.Object]; old != nil {
+		before = old.Spec.Kinds
+	}
+	if no := publish(s.Pools, r, version, spec); no != nil {
+		return no
+	}
+	for _, k := range before {
+		delete(s.index.poolOf, k)
+	}
+	for _, k := range spec.Kinds {
+		s.index.poolOf[k] = r.Object
+	}
+	s.changed.Routing = true
+	return nil
+}
+
+func (s *State) applyLease(r *record.Record, version uint64, c lease.Claim) *refusal {
+	if r.Base != s.Lease.Version {
+		no := refuse("the planner lease is at version %d, held by %q; the claim was based on %d",
+			s.Lease.Version, s.Lease.Holder, r.Base)
+		no.winner, no.winnerAuthor = s.Lease.Version, s.Lease.Holder
+		return no
+	}
+	s.Lease = s.Lease.Grant(c, version)
+	return nil
+}
--- /dev/null
+++ b/fleet/ledger/keep.go
@@ -0,0 +1,206 @@
+package ledger
+
+import (
+	"fmt"
+
+	"carawaymux.dev/fleet/host"
+	"carawaymux.dev/fleet/record"
+)
+
+// Checkpoint says what the state's hash was at an offset, and below which offset
+// the log keeps no records any more.
+type Checkpoint struct {
+	// AsOf is the offset that the hash was taken at.
+	AsOf uint64 `json:"as-of"`
+	// Hash is the state's hash at AsOf, in hexadecimal.
+	Hash string `json:"hash"`
+	// First is the first offset that the log holds; IDs below it are forgotten.
+	First uint64 `json:"first"`
+}
+
+// Kind returns [record.KindCheckpoint].
+func (Checkpoint) Kind() record.Kind { return record.KindCheckpoint }
+
+// Check reports faults in the fields.
+func (c Checkpoint) Check() record.Problems {
+	var p record.Problems
+	if len(c.Hash) != hashDigits {
+		p.Add("hash", fmt.Sprintf("%q", c.Hash), fmt.Sprintf("%d hexadecimal digits", hashDigits))
+	}
+	if c.First > c.AsOf {
+		p.Add("first", fmt.Sprint(c.First), fmt.Sprintf("at most as-of, %d", c.AsOf))
+	}
+	return p
+}
+
+// hashDigits is the length of a state hash: 64 bits in hexadecimal.
+const hashDigits = 16
+
+func (s *State) applyCheckpoint(c Checkpoint) *refusal {
+	if c.AsOf > s.Offset {
+		return refuse("as-of: %d is past the offset %d", c.AsOf, s.Offset)
+	}
+	if c.First <= s.Floor {
+		return nil
+	}
+	s.Floor = c.First
+	for id, offset := range s.IDs {
+		if offset < s.Floor {
+			delete(s.IDs, id)
+		}
+	}
+	for offset := range s.Unread {
+		if offset < s.Floor {
+			delete(s.Unread, offset)
+		}
+	}
+	return nil
+}
+
+// Gate opens the next schema version of a kind. It is published once every live
+// instance says that it knows the version.
+type Gate struct {
+	// Of is the kind.
+	Of record.Kind `json:"of"`
+	// Schema is the version to open, one above the present one.
+	Schema int `json:"schema"`
+}
+
+// Kind returns [record.KindGate].
+func (Gate) Kind() record.Kind { return record.KindGate }
+
+// Check reports faults in the fields.
+func (g Gate) Check() record.Problems {
+	var p record.Problems
+	p.Name("of", string(g.Of))
+	p.Range("schema", int64(g.Schema), 2, 1000)
+	return p
+}
+
+func (s *State) applyGate(g Gate) *refusal {
+	if open := s.Open(g.Of); g.Schema != open+1 {
+		return refuse("schema: %d is open for %q, so only %d can be opened", open, g.Of, open+1)
+	}
+	s.Gates[g.Of] = g.Schema
+	return nil
+}
+
+// Retire removes an object that nothing depends on. The record's object names it.
+type Retire struct {
+	// Of is the kind of the object.
+	Of record.Kind `json:"of"`
+}
+
+// Kind returns [record.KindRetire].
+func (Retire) Kind() record.Kind { return record.KindRetire }
+
+// Check reports faults in the fields.
+func (x Retire) Check() record.Problems {
+	var p record.Problems
+	switch x.Of {
+	case record.KindBudget, record.KindPool, record.KindHost, record.KindJob, record.KindQuota:
+	default:
+		p.Add("of", fmt.Sprintf("%q", x.Of), "budget, pool, host, job or quota")
+	}
+	return p
+}
+
+func (s *State) applyRetire(r *record.Record, x Retire) *refusal {
+	switch x.Of {
+	case record.KindBudget:
+		for name, p := range s.Pools {
+			if p.Spec.Budget == r.Object {
+				return refuse("budget %q is used by pool %q", r.Object, name)
+			}
+		}
+		return retire(s.Budgets, r, x.Of)
+	case record.KindPool:
+		return s.retirePool(r, x)
+	case record.KindQuota:
+		for name, j := range s.Jobs {
+			if j.Published.Spec.Team == r.Object {
+				return refuse("quota %q is used by job %q", r.Object, name)
+			}
+		}
+		return retire(s.Quotas, r, x.Of)
+	case record.KindJob:
+		return s.retireJob(r)
+	}
+	return s.retireHost(r)
+}
+
+// retire removes a versioned object.
+func retire[T any](objects map[string]*record.Versioned[T], r *record.Record, k record.Kind) *refusal {
+	old := objects[r.Object]
+	if old == nil {
+		return refuse("object: there is no %s %q", k, r.Object)
+	}
+	if no := checkBase(r, old.Version, old.Author); no != nil {
+		return no
+	}
+	delete(objects, r.Object)
+	return nil
+}
+
+func (s *State) retirePool(r *record.Record, x Retire) *refusal {
+	if n := len(s.HostsOf(r.Object)); n > 0 {
+		return refuse("pool %q still has %d hosts", r.Object, n)
+	}
+	for name, h := range s.Hosts {
+		if h.MoveTo == r.Object {
+			return refuse("host %q is on its way to pool %q", name, r.Object)
+		}
+	}
+	for name, j := range s.Jobs {
+		if j.Published.Spec.Pool == r.Object {
+			return refuse("pool %q is used by job %q", r.Object, name)
+		}
+	}
+	old := s.Pools[r.Object]
+	if no := retire(s.Pools, r, x.Of); no != nil {
+		return no
+	}
+	for _, k := range old.Spec.Kinds {
+		delete(s.index.poolOf, k)
+	}
+	s.changed.Routing = true
+	return nil
+}
+
+func (s *State) retireJob(r *record.Record) *refusal {
+	j := s.Jobs[r.Object]
+	if j == nil {
+		return refuse("object: there is no job %q", r.Object)
+	}
+	if no := checkBase(r, j.Published.Version, j.Published.Author); no != nil {
+		return no
+	}
+	if s.placed(j) {
+		return refuse("job %q still has tasks placed", r.Object)
+	}
+	delete(s.Jobs, r.Object)
+	return nil
+}
+
+func (s *State) retireHost(r *record.Record) *refusal {
+	h := s.Hosts[r.Object]
+	if h == nil {
+		return refuse("object: there is no host %q", r.Object)
+	}
+	if no := checkBase(r, h.Version, lastAuthor(h)); no != nil {
+		return no
+	}
+	if h.Phase != host.Failed {
+		return refuse("host %q is %s; only a failed host can be retired", r.Object, h.Phase)
+	}
+	if n := s.TasksOn(r.Object); n > 0 {
+		return refuse("host %q still holds %d tasks", r.Object, n)
+	}
+	s.index.remove(r.Object, h)
+	delete(s.Hosts, r.Object)
+	for _, w := range s.Waves {
+		w.Drop(r.Object)
+	}
+	s.changed.Routing = true
+	return nil
+}
--- /dev/null
+++ b/fleet/ledger/state.go
@@ -0,0 +1,229 @@
+// Package ledger folds the platform's log into the state of the fleet.
+//
+// Every instance folds the same stream with the same function, [State.Apply],
+// which uses no clock, no randomness and no I/O. What would break an availability
+// budget, the rule of one pool per host, or the fence of the planner lease is
+// rejected here, so no race between operators or planners can break them.
+package ledger
+
+import (
+	"slices"
+
+	"carawaymux.dev/fleet/budget"
+	"carawaymux.dev/fleet/host"
+	"carawaymux.dev/fleet/jobs"
+	"carawaymux.dev/fleet/lease"
+	"carawaymux.dev/fleet/pool"
+	"carawaymux.dev/fleet/quota"
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wave"
+)
+
+// State is the fleet as of an offset. It belongs to one task; the maps are read
+// by others only through that task.
+type State struct {
+	// Offset is the next offset to fold; every record below it is folded.
+	Offset uint64
+	// Floor is the offset below which record IDs have been forgotten.
+	Floor uint64
+	// IDs maps every record ID folded at Floor or later to its offset.
+	IDs map[record.ID]uint64
+	// Budgets, Pools and Quotas are what operators published, by name.
+	Budgets map[string]*record.Versioned[budget.Spec]
+	Pools   map[string]*record.Versioned[pool.Spec]
+	Quotas  map[string]*record.Versioned[quota.Spec]
+	// Hosts are the hosts by name; each belongs to exactly one pool.
+	Hosts map[string]*host.Host
+	// Waves are the maintenance waves by name, ended ones included.
+	Waves map[string]*wave.Wave
+	// Jobs are the jobs by name, cancelled ones included until retired.
+	Jobs map[string]*jobs.Job
+	// Lease is the planner lease.
+	Lease lease.Lease
+	// Gates holds the highest open schema version of each kind where it is
+	// above the one that the project began with.
+	Gates map[record.Kind]int
+	// Unread are the records that were kept without being understood, by offset.
+	Unread map[uint64]record.Unread
+
+	index    index
+	hostLife *host.Life
+	waveLife *wave.Life
+	changed  Changed
+}
+
+// Changed says which parts of the state a record touched.
+type Changed struct {
+	// Routing is set when requests may have to be routed otherwise.
+	Routing bool
+}
+
+// index is derived from the state and never encoded.
+type index struct {
+	// byPool holds the sorted host names of each pool.
+	byPool map[string][]string
+	// tally counts each pool's hosts.
+	tally map[string]budget.Tally
+	// poolOf maps a request kind to the pool that serves it.
+	poolOf map[string]string
+	// used is what placed tasks hold on each host.
+	used map[string]host.Size
+	// tasks is the number of tasks placed on each host.
+	tasks map[string]int
+	// teamUsed is what placed tasks hold for each team.
+	teamUsed map[string]host.Size
+}
+
+// New returns the state before the first record.
+func New() *State {
+	s := &State{
+		IDs:     make(map[record.ID]uint64),
+		Budgets: make(map[string]*record.Versioned[budget.Spec]),
+		Pools:   make(map[string]*record.Versioned[pool.Spec]),
+		Quotas:  make(map[string]*record.Versioned[quota.Spec]),
+		Hosts:   make(map[string]*host.Host),
+		Waves:   make(map[string]*wave.Wave),
+		Jobs:    make(map[string]*jobs.Job),
+		Gates:   make(map[record.Kind]int),
+		Unread:  make(map[uint64]record.Unread),
+	}
+	s.prepare()
+	return s
+}
+
+// prepare builds what is derived from the exported fields.
+func (s *State) prepare() {
+	s.hostLife = host.NewLife()
+	s.waveLife = wave.NewLife()
+	s.index = index{
+		byPool:   make(map[string][]string),
+		tally:    make(map[string]budget.Tally),
+		poolOf:   make(map[string]string),
+		used:     make(map[string]host.Size),
+		tasks:    make(map[string]int),
+		teamUsed: make(map[string]host.Size),
+	}
+	for name, p := range s.Pools {
+		for _, k := range p.Spec.Kinds {
+			s.index.poolOf[k] = name
+		}
+	}
+	for name, h := range s.Hosts {
+		s.index.add(name, h)
+	}
+	for _, names := range s.index.byPool {
+		slices.Sort(names)
+	}
+	for _, j := range s.Jobs {
+		for _, t := range j.Tasks {
+			if t.Host != "" {
+				s.index.place(j, t.Host)
+			}
+		}
+	}
+}
+
+func (x *index) add(name string, h *host.Host) {
+	p := h.Spec.Pool
+	x.byPool[p] = append(x.byPool[p], name)
+	t := x.tally[p]
+	t.Size++
+	if h.Phase == host.Serving {
+		t.Serving++
+	}
+	x.tally[p] = t
+}
+
+// insert adds a host and keeps the pool's names sorted.
+func (x *index) insert(name string, h *host.Host) {
+	x.add(name, h)
+	slices.Sort(x.byPool[h.Spec.Pool])
+}
+
+func (x *index) remove(name string, h *host.Host) {
+	p := h.Spec.Pool
+	if i, found := slices.BinarySearch(x.byPool[p], name); found {
+		x.byPool[p] = slices.Delete(x.byPool[p], i, i+1)
+	}
+	t := x.tally[p]
+	t.Size--
+	if h.Phase == host.Serving {
+		t.Serving--
+	}
+	x.tally[p] = t
+}
+
+func (x *index) place(j *jobs.Job, on string) {
+	x.used[on] = x.used[on].Add(j.Published.Spec.Size)
+	x.tasks[on]++
+	team := j.Published.Spec.Team
+	x.teamUsed[team] = x.teamUsed[team].Add(j.Published.Spec.Size)
+}
+
+func (x *index) unplace(j *jobs.Job, from string) {
+	x.used[from] = x.used[from].Sub(j.Published.Spec.Size)
+	x.tasks[from]--
+	team := j.Published.Spec.Team
+	x.teamUsed[team] = x.teamUsed[team].Sub(j.Published.Spec.Size)
+}
+
+// HostsOf returns the sorted names of a pool's hosts. The slice belongs to the
+// state; callers must not change it.
+func (s *State) HostsOf(poolName string) []string { return s.index.byPool[poolName] }
+
+// Tally counts a pool's hosts.
+func (s *State) Tally(poolName string) budget.Tally { return s.index.tally[poolName] }
+
+// PoolOf returns the pool that serves a request kind, or "".
+func (s *State) PoolOf(kind string) string { return s.index.poolOf[kind] }
+
+// Used is what placed tasks hold on a host.
+func (s *State) Used(hostName string) host.Size { return s.index.used[hostName] }
+
+// TasksOn is the number of tasks placed on a host.
+func (s *State) TasksOn(hostName string) int { return s.index.tasks[hostName] }
+
+// TeamUsed is what placed tasks hold for a team.
+func (s *State) TeamUsed(team string) host.Size { return s.index.teamUsed[team] }
+
+// Room is how many more hosts of a pool may leave service under its budget.
+func (s *State) Room(poolName string) int {
+	p := s.Pools[poolName]
+	if p == nil {
+		return 0
+	}
+	return s.Budgets[p.Spec.Budget].Spec.Room(s.Tally(poolName))
+}
+
+// Figures describes a pool's budget and its hosts.
+func (s *State) Figures(poolName string) string {
+	p := s.Pools[poolName]
+	if p == nil {
+		return "no such pool"
+	}
+	return s.Budgets[p.Spec.Budget].Spec.Figures(s.Tally(poolName))
+}
+
+// Open is the highest schema version of a kind that is in force.
+func (s *State) Open(k record.Kind) int {
+	if open := s.Gates[k]; open > 0 {
+		return open
+	}
+	return firstSchema(k)
+}
+
+// firstSchema is the highest schema version that the project began with.
+func firstSchema(k record.Kind) int {
+	switch k {
+	case record.KindBudget, record.KindPool, record.KindJob:
+		return 2
+	}
+	return 1
+}
+
+// Changes returns what was touched since the last call.
+func (s *State) Changes() Changed {
+	c := s.changed
+	s.changed = Changed{}
+	return c
+}
