--- /dev/null
+++ b/entry/cmd/carawayd/main.go
@@ -0,0 +1,28 @@
+// Command carawayd is the daemon of an entry host.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/entry/config"
+	"carawaymux.dev/entry/server"
+	"carawaymux.dev/fleet/build"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:           "carawayd",
+		Short:         "Run an entry of carawaymux",
+		Version:       build.Version(),
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(server.NewServe(os.Stderr, nil), config.New(os.Stdout))
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "carawayd:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/entry/link/link.go
@@ -0,0 +1,178 @@
+// Package link carries typed frames between two entries over a WebSocket, encoded
+// as CBOR. A link's tasks own its socket: one reads, one writes.
+package link
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/fault"
+	"carawaymux.dev/fleet/task"
+)
+
+const (
+	// MaxFrame is the largest frame, in bytes.
+	MaxFrame = 8 << 20
+	// writeTimeout bounds the writing of one frame.
+	writeTimeout = 5 * time.Second
+	// dialTimeout bounds the opening of a link.
+	dialTimeout = 2 * time.Second
+	// outbox is the number of frames that wait to be written.
+	outbox = 256
+)
+
+// Conn is a link whose frames are of type F.
+type Conn[F any] struct {
+	peer   string
+	ws     *websocket.Conn
+	writer *task.Task[outgoing[F]]
+	reader *task.Task[struct{}]
+	// broken is done when the link can no longer be used; its cause says why.
+	broken context.Context
+	fail   context.CancelCauseFunc
+}
+
+// outgoing is a frame to be written, or a mark that tells how far the writer is.
+type outgoing[F any] struct {
+	frame   F
+	reached chan<- struct{}
+}
+
+// Dialer opens links to peers.
+type Dialer struct {
+	// Client makes the opening request; it holds the TLS settings.
+	Client *http.Client
+	// Scheme is ws or wss.
+	Scheme string
+	// Token returns the key that proves who dials; empty for none. It is asked
+	// at each opening, so that keys can be changed.
+	Token func() string
+}
+
+// Dial opens a link to a peer's address and path. Each frame that comes is handed
+// to onFrame, one after another.
+func Dial[F any](ctx context.Context, d *Dialer, address, path string, onFrame func(F)) (*Conn[F], error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	opts := &websocket.DialOptions{HTTPClient: d.Client, HTTPHeader: http.Header{}}
+	if token := d.Token(); token != "" {
+		opts.HTTPHeader.Set("Authorization", "Bearer "+token)
+	}
+	ws, _, err := websocket.Dial(ctx, d.Scheme+"://"+address+path, opts)
+	if err != nil {
+		return nil, fault.At("dial", address, err)
+	}
+	return start(ws, address, onFrame), nil
+}
+
+// Accept turns an HTTP request of a peer into a link.
+func Accept[F any](w http.ResponseWriter, r *http.Request, peer string, onFrame func(*Conn[F], F)) (*Conn[F], error) {
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, fault.At("accept", peer, err)
+	}
+	ready := make(chan struct{})
+	var c *Conn[F]
+	c = start(ws, peer, func(f F) {
+		<-ready
+		onFrame(c, f)
+	})
+	close(ready)
+	return c, nil
+}
+
+func start[F any](ws *websocket.Conn, peer string, onFrame func(F)) *Conn[F] {
+	ws.SetReadLimit(MaxFrame)
+	c := &Conn[F]{peer: peer, ws: ws}
+	c.broken, c.fail = context.WithCancelCause(context.Background())
+	c.writer = task.Start(c.write, task.WithInbox(outbox))
+	c.reader = task.Start(func(ctx context.Context, _ <-chan struct{}) { c.read(ctx, onFrame) })
+	return c
+}
+
+// Send queues a frame. It returns an error when the link is broken.
+func (c *Conn[F]) Send(ctx context.Context, f F) error {
+	if c.broken.Err() != nil {
+		return fault.At("send", c.peer, context.Cause(c.broken))
+	}
+	return fault.At("send", c.peer, c.writer.Send(ctx, outgoing[F]{frame: f}))
+}
+
+// Flush waits until everything queued before has been written.
+func (c *Conn[F]) Flush(ctx context.Context) error {
+	_, err := task.Call(ctx, c.writer, func(reply chan<- struct{}) outgoing[F] {
+		return outgoing[F]{reached: reply}
+	})
+	return fault.At("flush", c.peer, err)
+}
+
+// TrySend queues a frame if there is room at once, and reports whether it did.
+func (c *Conn[F]) TrySend(f F) bool {
+	return c.broken.Err() == nil && c.writer.TrySend(outgoing[F]{frame: f})
+}
+
+// Broken is closed when the link can no longer be used.
+func (c *Conn[F]) Broken() <-chan struct{} { return c.broken.Done() }
+
+// Close closes the link and waits for its tasks.
+func (c *Conn[F]) Close() {
+	c.fail(task.ErrClosed)
+	c.writer.Close()
+	c.ws.CloseNow()
+	c.reader.Close()
+}
+
+func (c *Conn[F]) write(ctx context.Context, inbox <-chan outgoing[F]) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.broken.Done():
+			return
+		case out := <-inbox:
+			if out.reached != nil {
+				out.reached <- struct{}{}
+				continue
+			}
+			if err := c.writeFrame(ctx, out.frame); err != nil {
+				c.fail(err)
+				c.ws.CloseNow()
+				return
+			}
+		}
+	}
+}
+
+func (c *Conn[F]) writeFrame(ctx context.Context, f F) error {
+	raw, err := codec.EncodeFrame(f)
+	if err != nil {
+		return err
+	}
+	if len(raw) > MaxFrame {
+		return fault.New("write", c.peer, "frame of %d bytes, at most %d", len(raw), MaxFrame)
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return c.ws.Write(ctx, websocket.MessageBinary, raw)
+}
+
+func (c *Conn[F]) read(ctx context.Context, onFrame func(F)) {
+	for {
+		_, raw, err := c.ws.Read(ctx)
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		f, err := codec.DecodeFrame[F](raw)
+		if err != nil {
+			c.fail(fault.At("read", c.peer, err))
+			c.ws.CloseNow()
+			return
+		}
+		onFrame(f)
+	}
+}
--- /dev/null
+++ b/entry/member/member.go
@@ -0,0 +1,182 @@
+// Package member keeps track of the entries: which ones are live, in which zone,
+// up to which offset they have the configuration in force, and what they are still
+// busy with.
+//
+// Entries of one zone tell each other everything. Across zones one entry of each
+// zone, the speaker, passes its zone's rows on, so that the cost for an entry grows
+// with its zone and not with the fleet.
+package member
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"carawaymux.dev/entry/follow"
+	"carawaymux.dev/entry/link"
+	"carawaymux.dev/fleet/plat"
+	"carawaymux.dev/fleet/task"
+)
+
+const (
+	// defaultTick is the time between two heartbeats.
+	defaultTick = 250 * time.Millisecond
+	// silentTicks is the number of heartbeats after which an entry that was not
+	// heard of counts as silent.
+	silentTicks = 6
+)
+
+// Row is what an entry tells of itself.
+type Row struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Incarnation grows with every start of the entry.
+	Incarnation uint64 `json:"incarnation"`
+	// Beat grows with every change of the row within one incarnation.
+	Beat uint64 `json:"beat"`
+	// Offset is the offset up to which the configuration is in force for the
+	// entry's requests; 0 while the entry routes nothing.
+	Offset uint64 `json:"offset"`
+	// Busy names the hosts out of service on which the entry still has requests
+	// in flight.
+	Busy []string `json:"busy,omitempty"`
+	// Failing names the hosts that fail what the entry sends them.
+	Failing []string `json:"failing,omitempty"`
+	// Room is the number of free slots for each pool.
+	Room map[string]int `json:"room,omitempty"`
+	// Stopping says that the entry takes no new work.
+	Stopping bool `json:"stopping,omitempty"`
+	// Left says that the entry has handed everything over and ended.
+	Left bool `json:"left,omitempty"`
+}
+
+// newer reports whether r replaces old.
+func (r Row) newer(old Row) bool {
+	if r.Incarnation != old.Incarnation {
+		return r.Incarnation > old.Incarnation
+	}
+	return r.Beat > old.Beat
+}
+
+// State says what is thought of an entry.
+type State string
+
+// The states.
+const (
+	// Live entries were heard of lately.
+	Live State = "live"
+	// Silent entries were not heard of lately; they may still be running.
+	Silent State = "silent"
+	// Left entries ended in good order.
+	Left State = "left"
+	// Gone entries are gone for good by the platform's list.
+	Gone State = "gone"
+)
+
+// Peer is an entry as seen from here.
+type Peer struct {
+	Row
+	// Address is where the entry listens for peers.
+	Address string
+	State   State
+	// Silence is how long the entry has not been heard of.
+	Silence time.Duration
+}
+
+// Report is what the entry's own tasks say for its row.
+type Report struct {
+	Offset  uint64
+	Busy    []string
+	Failing []string
+	Room    map[string]int
+}
+
+// Known names another entry by the settings.
+type Known struct{ Name, Zone, Address string }
+
+// Member keeps track of the entries. Use [New] to build it.
+type Member struct {
+	self     Row
+	known    []Known
+	dialer   *link.Dialer
+	follower func() *follow.Follower
+	logger   *slog.Logger
+	tick     time.Duration
+	core     *task.Task[message]
+}
+
+// Option changes how a member is built.
+type Option func(*Member)
+
+// WithLogger sets the logger.
+func WithLogger(l *slog.Logger) Option { return func(m *Member) { m.logger = l } }
+
+// WithTick sets the time between two heartbeats.
+func WithTick(d time.Duration) Option { return func(m *Member) { m.tick = d } }
+
+// WithFollower sets where records for peers are taken from.
+func WithFollower(f func() *follow.Follower) Option { return func(m *Member) { m.follower = f } }
+
+// New starts to keep track of the known entries.
+func New(self Row, known []Known, dialer *link.Dialer, opts ...Option) *Member {
+	m := &Member{self: self, known: known, dialer: dialer, logger: slog.Default(), tick: defaultTick}
+	for _, opt := range opts {
+		opt(m)
+	}
+	m.core = task.Start(m.run)
+	return m
+}
+
+// Close stops the member and waits for its links.
+func (m *Member) Close() { m.core.Close() }
+
+// Peers lists all entries, this one included, sorted by name.
+func (m *Member) Peers(ctx context.Context) ([]Peer, error) {
+	return task.Call(ctx, m.core, func(reply chan<- []Peer) message { return list{reply} })
+}
+
+// Tell sets what the entry says of itself.
+func (m *Member) Tell(r Report) { m.core.TrySend(tell(r)) }
+
+// Stopping says that the entry takes no new work.
+func (m *Member) Stopping(ctx context.Context) error {
+	return m.core.Send(ctx, stopping{})
+}
+
+// Leave tells all reachable peers that the entry has ended in good order, and
+// waits until that has been sent.
+func (m *Member) Leave(ctx context.Context) error {
+	_, err := task.Call(ctx, m.core, func(reply chan<- struct{}) message { return leave{reply} })
+	return err
+}
+
+// Listed takes over the platform's list.
+func (m *Member) Listed(l plat.Listing) { m.core.TrySend(listed(l)) }
+
+// Find returns the live entries of a zone that take work, most room for the pool
+// first.
+func (m *Member) Find(ctx context.Context, zone, pool string) ([]Peer, error) {
+	peers, err := m.Peers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	peers = slices.DeleteFunc(peers, func(p Peer) bool {
+		return p.Zone != zone || p.State != Live || p.Stopping || p.Name == m.self.Name
+	})
+	slices.SortStableFunc(peers, func(a, b Peer) int { return b.Room[pool] - a.Room[pool] })
+	return peers, nil
+}
+
+// Get returns an entry by its name, and false when it is not known.
+func (m *Member) Get(ctx context.Context, name string) (Peer, bool) {
+	peers, err := m.Peers(ctx)
+	if err != nil {
+		return Peer{}, false
+	}
+	i := slices.IndexFunc(peers, func(p Peer) bool { return p.Name == name })
+	if i < 0 {
+		return Peer{}, false
+	}
+	return peers[i], true
+}
--- /dev/null
+++ b/entry/watch/watch.go
@@ -0,0 +1,108 @@
+// Package watch follows the platform's list of machines, which lags and may be out
+// of reach.
+package watch
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"carawaymux.dev/fleet/plat"
+	"carawaymux.dev/fleet/task"
+)
+
+// Seen is a list and when it was read.
+type Seen struct {
+	Listing plat.Listing
+	// At is when the list was read; the zero time when it never was.
+	At time.Time
+}
+
+// Watcher follows the list. Use [New] to build it.
+type Watcher struct {
+	client   *plat.Client
+	interval time.Duration
+	logger   *slog.Logger
+	observe  []func(plat.Listing)
+	core     *task.Task[chan<- Seen]
+	reader   *task.Task[struct{}]
+	arrived  chan Seen
+}
+
+// Option changes how a watcher is built.
+type Option func(*Watcher)
+
+// WithInterval sets the time between two looks at the list.
+func WithInterval(d time.Duration) Option { return func(w *Watcher) { w.interval = d } }
+
+// WithLogger sets the logger.
+func WithLogger(l *slog.Logger) Option { return func(w *Watcher) { w.logger = l } }
+
+// WithObserver adds a function that is told each list. It must not block for long.
+func WithObserver(f func(plat.Listing)) Option {
+	return func(w *Watcher) { w.observe = append(w.observe, f) }
+}
+
+// New starts a watcher.
+func New(client *plat.Client, opts ...Option) *Watcher {
+	w := &Watcher{client: client, interval: time.Second, logger: slog.Default(), arrived: make(chan Seen)}
+	for _, opt := range opts {
+		opt(w)
+	}
+	w.core = task.Start(w.keep)
+	w.reader = task.Start(w.read)
+	return w
+}
+
+// Close stops the watcher and waits for its tasks.
+func (w *Watcher) Close() {
+	w.reader.Close()
+	w.core.Close()
+}
+
+// Latest returns the newest list.
+func (w *Watcher) Latest(ctx context.Context) (Seen, error) {
+	return task.Call(ctx, w.core, func(reply chan<- Seen) chan<- Seen { return reply })
+}
+
+// keep owns the newest list.
+func (w *Watcher) keep(ctx context.Context, inbox <-chan chan<- Seen) {
+	var newest Seen
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case newest = <-w.arrived:
+		case reply := <-inbox:
+			reply <- newest
+		}
+	}
+}
+
+func (w *Watcher) read(ctx context.Context, _ <-chan struct{}) {
+	tick := time.NewTicker(w.interval)
+	defer tick.Stop()
+	failing := false
+	for {
+		l, err := w.client.Hosts(ctx)
+		if err == nil {
+			select {
+			case w.arrived <- Seen{Listing: l, At: time.Now()}:
+			case <-ctx.Done():
+				return
+			}
+			for _, f := range w.observe {
+				f(l)
+			}
+		}
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = err != nil
+			w.logger.Warn("platform's list", "reachable", !failing, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
