Show the main job in separate processes on loopback

Cause: a stranger has to see the job done with one command. Change: trial/ holds small stand-ins for the log service, the host service and targets, each a process, and the demo that drives four entries in two zones.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Go and make are all that these targets need.
+MODULES := fleet entry oper trial
+PACKAGES := $(MODULES:%=./%/...)
+BIN := bin
+
+.PHONY: all build demo check format vet lint test bench measure tidy clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./entry/cmd/carawayd ./oper/cmd/caraway ./trial/cmd/trial
+
+# The main job in separate processes on loopback.
+demo: build
+	$(BIN)/trial demo --bin $(BIN)
+
+# Everything that must hold before a change lands.
+check: format vet lint test
+
+format:
+	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
+
+vet:
+	go vet $(PACKAGES)
+
+lint:
+	go tool -modfile=trial/go.mod staticcheck $(PACKAGES)
+
+test: build
+	go test $(PACKAGES)
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/trial/hostd/http.go
@@ -0,0 +1,117 @@
+package hostd
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"carawaymux.dev/fleet/plat"
+	"carawaymux.dev/fleet/task"
+)
+
+// Handler serves the calls of docs/PLATFORM.md.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, r *http.Request) {
+		l, err := task.Call(r.Context(), s.task, func(reply chan<- plat.Listing) message { return list{reply} })
+		answer(w, l, err)
+	})
+	mux.HandleFunc("GET /usage", func(w http.ResponseWriter, r *http.Request) {
+		u, err := task.Call(r.Context(), s.task, func(reply chan<- plat.Report) message { return usage{reply} })
+		answer(w, u, err)
+	})
+	mux.HandleFunc("POST /hosts/{host}/drain", s.fenced("drain"))
+	mux.HandleFunc("POST /hosts/{host}/reboot", s.fenced("reboot"))
+	mux.HandleFunc("PUT /hosts/{host}/tasks/{job}/{task}", s.startTask)
+	mux.HandleFunc("DELETE /hosts/{host}/tasks/{job}/{task}", s.stopTask)
+	mux.HandleFunc("POST /control/machines/{name}", s.setMachine)
+	mux.HandleFunc("POST /control/jobs/{job}/scale", s.scaleJob)
+	mux.HandleFunc("GET /control/stats", func(w http.ResponseWriter, r *http.Request) {
+		x, err := task.Call(r.Context(), s.task, func(reply chan<- Stats) message { return stats{reply} })
+		answer(w, x, err)
+	})
+	return s.faults.Wrap(mux)
+}
+
+func answer(w http.ResponseWriter, body any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// settle answers a call that either works or is refused.
+func (s *Service) settle(w http.ResponseWriter, build func(reply chan<- error) message) {
+	refused, err := task.Call(context.Background(), s.task, build)
+	if err == nil && refused != nil {
+		http.Error(w, refused.Error(), http.StatusConflict)
+		return
+	}
+	answer(w, struct{}{}, err)
+}
+
+func (s *Service) fenced(verb string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		fence, err := strconv.ParseUint(r.URL.Query().Get("fence"), 10, 64)
+		if err != nil {
+			http.Error(w, "fence: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.settle(w, func(reply chan<- error) message {
+			return fenced{verb, r.PathValue("host"), fence, reply}
+		})
+	}
+}
+
+func (s *Service) startTask(w http.ResponseWriter, r *http.Request) {
+	var what plat.TaskStart
+	n, err := strconv.Atoi(r.PathValue("task"))
+	if err == nil {
+		err = json.NewDecoder(r.Body).Decode(&what)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.settle(w, func(reply chan<- error) message {
+		return start{r.PathValue("host"), r.PathValue("job"), n, what, reply}
+	})
+}
+
+func (s *Service) stopTask(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.Atoi(r.PathValue("task"))
+	var fence uint64
+	if err == nil {
+		fence, err = strconv.ParseUint(r.URL.Query().Get("fence"), 10, 64)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.settle(w, func(reply chan<- error) message {
+		return stop{r.PathValue("host"), r.PathValue("job"), n, fence, reply}
+	})
+}
+
+func (s *Service) setMachine(w http.ResponseWriter, r *http.Request) {
+	var m plat.Machine
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.settle(w, func(reply chan<- error) message { return set{r.PathValue("name"), m.State, reply} })
+}
+
+func (s *Service) scaleJob(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Factor float64 `json:"factor"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.settle(w, func(reply chan<- error) message { return scale{r.PathValue("job"), body.Factor, reply} })
+}
