Give operators and callers a command line

Cause: operators drive the system by publishing records and reading back what is in force; there was no way to do so but HTTP. Change: oper/ holds a package for each noun and a file for each verb. Each verb is an options struct, a constructor on shared dependencies and a run function. Lists are tables on a terminal, tab-separated in a pipe, and JSON with chosen fields. Exit codes tell bad input, refused, unreachable and not yet everywhere apart.

--- /dev/null
+++ b/oper/cmd/caraway/main.go
@@ -0,0 +1,11 @@
+// Command caraway is the command line of operators and callers.
+package main
+
+import (
+	"os"
+
+	"carawaymux.dev/oper/deps"
+	"carawaymux.dev/oper/root"
+)
+
+func main() { os.Exit(root.Run(deps.System(), os.Args[1:])) }
--- /dev/null
+++ b/oper/host/host.go
@@ -0,0 +1,29 @@
+// Package host holds the commands about hosts.
+package host
+
+import (
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/oper/deps"
+	"carawaymux.dev/oper/object"
+)
+
+// New builds the host command and its subcommands.
+func New(f *deps.Factory) *cobra.Command {
+	cmd := &cobra.Command{Use: "host", Short: "Work with hosts"}
+	columns := object.Columns(pool, phase, object.Spec("zone"), object.Spec("rack"), object.Spec("address"))
+	cmd.AddCommand(
+		NewCreate(f, nil), NewMove(f, nil),
+		object.NewList(f, record.KindHost, columns, nil),
+		object.NewShow(f, record.KindHost, nil),
+		object.NewExplain(f, record.KindHost, nil), object.NewRetire(f, record.KindHost, nil),
+	)
+	return cmd
+}
+
+var (
+	pool  = object.Status("pool", func(s wire.Status) any { return s.Pool })
+	phase = object.Status("phase", func(s wire.Status) any { return s.Phase })
+)
--- /dev/null
+++ b/oper/jobs/jobs.go
@@ -0,0 +1,30 @@
+// Package jobs holds the commands about jobs.
+package jobs
+
+import (
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/oper/deps"
+	"carawaymux.dev/oper/object"
+)
+
+// New builds the job command and its subcommands.
+func New(f *deps.Factory) *cobra.Command {
+	cmd := &cobra.Command{Use: "job", Short: "Work with jobs"}
+	columns := object.Columns(object.Spec("pool"), object.Spec("urgency"), tasks, waiting, never)
+	cmd.AddCommand(
+		NewCreate(f, nil), NewCancel(f, nil),
+		object.NewList(f, record.KindJob, columns, nil),
+		object.NewShow(f, record.KindJob, nil),
+		object.NewExplain(f, record.KindJob, nil), object.NewRetire(f, record.KindJob, nil),
+	)
+	return cmd
+}
+
+var (
+	tasks   = object.Status("tasks", func(s wire.Status) any { return s.Tasks })
+	waiting = object.Status("waiting", func(s wire.Status) any { return s.Waiting })
+	never   = object.Status("never", func(s wire.Status) any { return s.Never })
+)
--- /dev/null
+++ b/oper/object/object.go
@@ -0,0 +1,331 @@
+// Package object holds what the commands of all kinds of objects have in common:
+// publishing a record and waiting for it, listing, showing and explaining.
+package object
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/fleet/client"
+	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/oper/deps"
+	"carawaymux.dev/oper/exits"
+	"carawaymux.dev/oper/table"
+)
+
+// Publisher publishes one record. Commands embed it in their options.
+type Publisher struct {
+	*deps.Factory
+	// Schema is the schema version to write; 0 stands for the newest.
+	Schema int
+	// Base is the version that the change is based on; 0 creates.
+	Base uint64
+	// Wait waits until the record is in force on every entry.
+	Wait bool
+	// ID repeats an earlier record under its ID; empty for a new one.
+	ID string
+}
+
+// Bind adds the flags of publishing to a command.
+func (p *Publisher) Bind(cmd *cobra.Command) {
+	cmd.Flags().IntVar(&p.Schema, "schema", 0, "schema `version` to write; 0 stands for the newest")
+	cmd.Flags().BoolVar(&p.Wait, "wait", false, "wait until the record is in force on every entry")
+	cmd.Flags().StringVar(&p.ID, "id", "", "record `id`, to repeat a publication whose answer was lost")
+}
+
+// Publish publishes a body and prints the verdict.
+func (p *Publisher) Publish(ctx context.Context, name string, body record.Body) error {
+	settings, err := p.Settings()
+	if err != nil {
+		return err
+	}
+	r := client.NewRecord(settings.Author, name, p.Base, body)
+	if p.Schema != 0 {
+		r.Schema = p.Schema
+	}
+	if p.ID != "" {
+		if err := r.ID.UnmarshalText([]byte(p.ID)); err != nil {
+			return exits.With(exits.Usage, fmt.Errorf("--id: %w", err))
+		}
+	}
+	problems := append(r.CheckEnvelope(), body.Check()...)
+	if err := problems.Err(); err != nil {
+		return err
+	}
+	raw, err := codec.EncodeRecord(r)
+	if err != nil {
+		return exits.With(exits.Usage, err)
+	}
+	return p.PublishRaw(ctx, raw, fmt.Sprintf("%s %s", body.Kind(), name), r.ID.String())
+}
+
+// PublishRaw publishes an encoded record and prints the verdict.
+func (p *Publisher) PublishRaw(ctx context.Context, raw []byte, what, id string) error {
+	settings, err := p.Settings()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, settings.Timeout)
+	defer cancel()
+	c, err := p.Client(ctx)
+	if err != nil {
+		return err
+	}
+	v, err := c.PublishRaw(ctx, raw)
+	if err != nil {
+		if exits.Code(err) == exits.Unreachable {
+			return exits.With(exits.Unreachable, fmt.Errorf("%w\nrepeat it safely with --id %s", err, id))
+		}
+		return err
+	}
+	fmt.Fprintf(p.Streams.Out, "%s accepted at offset %d\n", what, v.Offset)
+	if !p.Wait {
+		return nil
+	}
+	return p.waitEverywhere(ctx, c, record.Version(v.Offset))
+}
+
+// waitPause is the time between two looks at the entries.
+const waitPause = 100 * time.Millisecond
+
+// waitEverywhere waits until every entry has an offset in force, and names those that
+// have not.
+func (p *Publisher) waitEverywhere(ctx context.Context, c *client.Client, offset uint64) error {
+	var behind []string
+	for {
+		members, err := c.Members(ctx)
+		if err == nil {
+			if behind = Behind(members, offset); len(behind) == 0 {
+				fmt.Fprintf(p.Streams.Out, "in force on all %d entries\n", len(members))
+				return nil
+			}
+		}
+		t := time.NewTimer(waitPause)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return exits.With(exits.NotEverywhere, fmt.Errorf("accepted, but not known to be in force on: %s", strings.Join(behind, ", ")))
+		}
+	}
+}
+
+// Behind names the entries that are not known to have an offset in force. Entries that
+// have ended are left out.
+func Behind(members []wire.Member, offset uint64) []string {
+	var out []string
+	for _, m := range members {
+		if m.State == "left" || m.State == "gone" || m.State == "live" && m.Offset >= offset {
+			continue
+		}
+		out = append(out, fmt.Sprintf("%s (%s, at %d)", m.Name, m.State, m.Offset))
+	}
+	return out
+}
+
+// Current returns an object's specification and version, as a base for a change.
+func Current[S any](ctx context.Context, f *deps.Factory, k record.Kind, name string) (S, uint64, error) {
+	var spec S
+	c, err := f.Client(ctx)
+	if err != nil {
+		return spec, 0, err
+	}
+	o, err := c.Object(ctx, k, name, 0)
+	if err != nil {
+		return spec, 0, err
+	}
+	err = json.Unmarshal(o.Spec, &spec)
+	return spec, o.Version, err
+}
+
+// field reads a field of an object's specification.
+func field(o wire.Object, name string) any {
+	var spec map[string]any
+	if json.Unmarshal(o.Spec, &spec) != nil {
+		return nil
+	}
+	return spec[name]
+}
+
+// Spec is a column that shows a field of the specification.
+func Spec(name string) table.Column[wire.Object] {
+	return table.Column[wire.Object]{Name: name, Value: func(o wire.Object) any {
+		switch v := field(o, name).(type) {
+		case nil:
+			return ""
+		case []any:
+			parts := make([]string, len(v))
+			for i, one := range v {
+				parts[i] = fmt.Sprint(one)
+			}
+			return parts
+		case float64:
+			return int64(v)
+		default:
+			return v
+		}
+	}}
+}
+
+// Columns puts the columns of a kind between the name and the version.
+func Columns(own ...table.Column[wire.Object]) []table.Column[wire.Object] {
+	out := []table.Column[wire.Object]{{Name: "name", Value: func(o wire.Object) any { return o.Name }}}
+	out = append(out, own...)
+	return append(out,
+		table.Column[wire.Object]{Name: "version", Value: func(o wire.Object) any { return o.Version }},
+		table.Column[wire.Object]{Name: "author", Value: func(o wire.Object) any { return o.Author }},
+	)
+}
+
+// Lister lists the objects of a kind.
+type Lister struct {
+	*deps.Factory
+	Kind    record.Kind
+	Columns []table.Column[wire.Object]
+	JSON    *table.JSONFlag
+	Schema  int
+}
+
+// NewList builds the list command of a kind.
+func NewList(f *deps.Factory, k record.Kind, columns []table.Column[wire.Object], run func(context.Context, *Lister) error) *cobra.Command {
+	l := &Lister{Factory: f, Kind: k, Columns: columns}
+	cmd := &cobra.Command{
+		Use:     "list",
+		Short:   fmt.Sprintf("List the %ss that are in force", k),
+		Example: fmt.Sprintf("  caraway %[1]s list\n  caraway %[1]s list --json name,version", k),
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if run != nil {
+				return run(cmd.Context(), l)
+			}
+			return List(cmd.Context(), l)
+		},
+	}
+	l.JSON = table.Bind(cmd, columns)
+	cmd.Flags().IntVar(&l.Schema, "schema", 0, "schema `version` to read in; 0 stands for the newest")
+	return cmd
+}
+
+// List prints the objects of a kind.
+func List(ctx context.Context, l *Lister) error {
+	c, err := l.Client(ctx)
+	if err != nil {
+		return err
+	}
+	got, err := c.Objects(ctx, l.Kind, l.Schema)
+	if err != nil {
+		return err
+	}
+	if err := table.Print(l.Streams, l.JSON, l.Columns, got.Objects); err != nil {
+		return err
+	}
+	if l.Streams.Terminal {
+		fmt.Fprintf(l.Streams.Err, "as of offset %d, %d ms old\n", got.Offset, got.AgeMS)
+	}
+	return nil
+}
+
+// Named is a command on one object.
+type Named struct {
+	*deps.Factory
+	Kind   record.Kind
+	Name   string
+	Schema int
+}
+
+// NewShow builds the show command of a kind.
+func NewShow(f *deps.Factory, k record.Kind, run func(context.Context, *Named) error) *cobra.Command {
+	n := &Named{Factory: f, Kind: k}
+	cmd := &cobra.Command{
+		Use:     "show NAME",
+		Short:   fmt.Sprintf("Show a %s as it is in force, as JSON", k),
+		Example: fmt.Sprintf("  caraway %s show NAME --schema 1", k),
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			n.Name = args[0]
+			if run != nil {
+				return run(cmd.Context(), n)
+			}
+			return Show(cmd.Context(), n)
+		},
+	}
+	cmd.Flags().IntVar(&n.Schema, "schema", 0, "schema `version` to read in; 0 stands for the newest")
+	return cmd
+}
+
+// Show prints one object as JSON.
+func Show(ctx context.Context, n *Named) error {
+	c, err := n.Client(ctx)
+	if err != nil {
+		return err
+	}
+	o, err := c.Object(ctx, n.Kind, n.Name, n.Schema)
+	if err != nil {
+		return err
+	}
+	raw, err := json.MarshalIndent(o, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(n.Streams.Out, string(raw))
+	return err
+}
+
+// NewExplain builds the explain command of a kind.
+func NewExplain(f *deps.Factory, k record.Kind, run func(context.Context, *Named) error) *cobra.Command {
+	n := &Named{Factory: f, Kind: k}
+	return &cobra.Command{
+		Use:     "explain NAME",
+		Short:   fmt.Sprintf("Say what was done with a %s, when, by which rule and on which figures", k),
+		Example: fmt.Sprintf("  caraway %s explain NAME", k),
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			n.Name = args[0]
+			if run != nil {
+				return run(cmd.Context(), n)
+			}
+			return Explain(cmd.Context(), n)
+		},
+	}
+}
+
+// timeForm is how times are shown.
+const timeForm = "2006-01-02 15:04:05.000"
+
+// Explain prints what is known of an object's past and present.
+func Explain(ctx context.Context, n *Named) error {
+	c, err := n.Client(ctx)
+	if err != nil {
+		return err
+	}
+	e, err := c.Explain(ctx, n.Kind, n.Name)
+	if err != nil {
+		return err
+	}
+	out := n.Streams.Out
+	fmt.Fprintf(out, "%s %s at version %d, published by %s, as of offset %d\n",
+		e.Object.Kind, e.Object.Name, e.Object.Version, e.Object.Author, e.Offset)
+	for _, line := range e.Why {
+		fmt.Fprintf(out, "- %s\n", line)
+	}
+	for _, s := range e.Steps {
+		fmt.Fprintf(out, "%s  offset %d  %s by %s", time.UnixMilli(s.At).UTC().Format(timeForm), s.Offset, s.Event, s.Author)
+		if s.Rule != "" {
+			fmt.Fprintf(out, "  rule %s (%s)", s.Rule, s.Figures)
+		}
+		fmt.Fprintln(out)
+	}
+	return nil
+}
+
+// Status is a column that shows a part of an object's status.
+func Status(name string, value func(wire.Status) any) table.Column[wire.Object] {
+	return table.Column[wire.Object]{Name: name, Value: func(o wire.Object) any { return value(o.Status) }}
+}
--- /dev/null
+++ b/oper/object/retire.go
@@ -0,0 +1,53 @@
+package object
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/fleet/ledger"
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/oper/deps"
+)
+
+// Retirer removes an object that nothing depends on.
+type Retirer struct {
+	Publisher
+	Kind record.Kind
+	Name string
+}
+
+// NewRetire builds the retire command of a kind.
+func NewRetire(f *deps.Factory, k record.Kind, run func(context.Context, *Retirer) error) *cobra.Command {
+	o := &Retirer{Publisher: Publisher{Factory: f}, Kind: k}
+	cmd := &cobra.Command{
+		Use:     "retire NAME",
+		Short:   fmt.Sprintf("Remove a %s that nothing depends on", k),
+		Example: fmt.Sprintf("  caraway %s retire NAME", k),
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			o.Name = args[0]
+			if run != nil {
+				return run(cmd.Context(), o)
+			}
+			return Retire(cmd.Context(), o)
+		},
+	}
+	o.Bind(cmd)
+	return cmd
+}
+
+// Retire publishes the removal on the version that is in force now.
+func Retire(ctx context.Context, o *Retirer) error {
+	c, err := o.Client(ctx)
+	if err != nil {
+		return err
+	}
+	current, err := c.Object(ctx, o.Kind, o.Name, 0)
+	if err != nil {
+		return err
+	}
+	o.Base = current.Version
+	return o.Publish(ctx, o.Name, ledger.Retire{Of: o.Kind})
+}
--- /dev/null
+++ b/oper/pool/pool.go
@@ -0,0 +1,30 @@
+// Package pool holds the commands about pools of hosts.
+package pool
+
+import (
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/oper/deps"
+	"carawaymux.dev/oper/object"
+)
+
+// New builds the pool command and its subcommands.
+func New(f *deps.Factory) *cobra.Command {
+	cmd := &cobra.Command{Use: "pool", Short: "Work with pools of hosts"}
+	columns := object.Columns(object.Spec("budget"), object.Spec("kinds"), object.Spec("spare"), size, serving, room)
+	cmd.AddCommand(
+		NewCreate(f, nil), NewEdit(f, nil),
+		object.NewList(f, record.KindPool, columns, nil),
+		object.NewShow(f, record.KindPool, nil),
+		object.NewExplain(f, record.KindPool, nil), object.NewRetire(f, record.KindPool, nil),
+	)
+	return cmd
+}
+
+var (
+	size    = object.Status("size", func(s wire.Status) any { return s.Size })
+	serving = object.Status("serving", func(s wire.Status) any { return s.Serving })
+	room    = object.Status("room", func(s wire.Status) any { return s.Room })
+)
--- /dev/null
+++ b/oper/record/record.go
@@ -0,0 +1,15 @@
+// Package record holds the commands about records themselves.
+package record
+
+import (
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/oper/deps"
+)
+
+// New builds the record command and its subcommands.
+func New(f *deps.Factory) *cobra.Command {
+	cmd := &cobra.Command{Use: "record", Short: "Publish records from files and watch the stream"}
+	cmd.AddCommand(NewPublish(f, nil), NewWatch(f, nil))
+	return cmd
+}
--- /dev/null
+++ b/oper/record/watch.go
@@ -0,0 +1,102 @@
+package record
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/oper/deps"
+)
+
+// WatchOptions are the options of the watch command.
+type WatchOptions struct {
+	*deps.Factory
+	// From is the first offset to show.
+	From uint64
+	// Follow goes on with new records.
+	Follow bool
+	// Raw prints records and verdicts as JSON lines.
+	Raw bool
+}
+
+// NewWatch builds the watch command.
+func NewWatch(f *deps.Factory, run func(context.Context, *WatchOptions) error) *cobra.Command {
+	o := &WatchOptions{Factory: f}
+	cmd := &cobra.Command{
+		Use:   "watch",
+		Short: "Show the stream of records with the verdicts on them",
+		Example: "  caraway record watch --from 0\n" +
+			"  caraway record watch --follow --raw",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if run != nil {
+				return run(cmd.Context(), o)
+			}
+			return Watch(cmd.Context(), o)
+		},
+	}
+	cmd.Flags().Uint64Var(&o.From, "from", 0, "first `offset` to show")
+	cmd.Flags().BoolVar(&o.Follow, "follow", false, "go on with new records until interrupted")
+	cmd.Flags().BoolVar(&o.Raw, "raw", false, "print JSON lines")
+	return cmd
+}
+
+// followWait is how long one call waits for new records.
+const followWait = 10 * time.Second
+
+// Watch prints records from an offset on.
+func Watch(ctx context.Context, o *WatchOptions) error {
+	c, err := o.Client(ctx)
+	if err != nil {
+		return err
+	}
+	wait := time.Duration(0)
+	if o.Follow {
+		wait = followWait
+	}
+	for from := o.From; ; {
+		page, err := c.Stream(ctx, from, wait)
+		if err != nil {
+			return err
+		}
+		for _, w := range page.Records {
+			if err := o.print(w); err != nil {
+				return err
+			}
+		}
+		if !o.Follow && len(page.Records) == 0 {
+			return nil
+		}
+		from = page.Next
+	}
+}
+
+func (o *WatchOptions) print(w wire.Watched) error {
+	if o.Raw {
+		raw, err := json.Marshal(w)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintln(o.Streams.Out, string(raw))
+		return err
+	}
+	var r struct {
+		Kind   string `json:"kind"`
+		Schema int    `json:"schema"`
+		Author string `json:"author"`
+		Object string `json:"object"`
+	}
+	if err := json.Unmarshal(w.Record, &r); err != nil {
+		r.Kind = "unreadable"
+	}
+	line := fmt.Sprintf("%d\t%s\t%s v%d\t%s\t%s", w.Offset, w.Verdict.Result, r.Kind, r.Schema, r.Object, r.Author)
+	if w.Verdict.Reason != "" {
+		line += "\t" + w.Verdict.Reason
+	}
+	_, err := fmt.Fprintln(o.Streams.Out, line)
+	return err
+}
--- /dev/null
+++ b/oper/wave/wave.go
@@ -0,0 +1,30 @@
+// Package wave holds the commands about maintenance waves.
+package wave
+
+import (
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/oper/deps"
+	"carawaymux.dev/oper/object"
+)
+
+// New builds the wave command and its subcommands.
+func New(f *deps.Factory) *cobra.Command {
+	cmd := &cobra.Command{Use: "wave", Short: "Work with maintenance waves"}
+	columns := object.Columns(object.Spec("pools"), phase, left, total)
+	cmd.AddCommand(
+		NewStart(f, nil), NewCancel(f, nil), NewWatch(f, nil),
+		object.NewList(f, record.KindWave, columns, nil),
+		object.NewShow(f, record.KindWave, nil),
+		object.NewExplain(f, record.KindWave, nil),
+	)
+	return cmd
+}
+
+var (
+	phase = object.Status("phase", func(s wire.Status) any { return s.Phase })
+	left  = object.Status("left", func(s wire.Status) any { return s.Left })
+	total = object.Status("total", func(s wire.Status) any { return s.Total })
+)
