--- a/fleet/ledger/snapshot.go
+++ b/fleet/ledger/snapshot.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"slices"
 
@@ -66,15 +67,58 @@
 	keep(&s.Jobs, n.Jobs)
 	keep(&s.Gates, n.Gates)
 	keep(&s.Unread, n.Unread)
-	for name, p := range s.Pools {
-		if p == nil || s.Budgets[p.Spec.Budget] == nil {
-			return nil, fmt.Errorf("snapshot: pool %q has no budget", name)
-		}
+	if err := s.checkWhole(); err != nil {
+		return nil, err
 	}
 	s.prepare()
 	return s, nil
 }
 
+// checkWhole reports what would make a decoded state unusable.
+func (s *State) checkWhole() error {
+	if err := errors.Join(
+		noNil("budget", s.Budgets), noNil("pool", s.Pools), noNil("quota", s.Quotas),
+		noNil("host", s.Hosts), noNil("wave", s.Waves), noNil("job", s.Jobs),
+	); err != nil {
+		return err
+	}
+	for name, p := range s.Pools {
+		if s.Budgets[p.Spec.Budget] == nil {
+			return fmt.Errorf("snapshot: pool %q has no budget", name)
+		}
+	}
+	for name, h := range s.Hosts {
+		if s.Pools[h.Spec.Pool] == nil {
+			return fmt.Errorf("snapshot: host %q has no pool", name)
+		}
+	}
+	for name, w := range s.Waves {
+		for _, h := range w.Todo {
+			if s.Hosts[h] == nil {
+				return fmt.Errorf("snapshot: wave %q names host %q, which does not exist", name, h)
+			}
+		}
+	}
+	for name, j := range s.Jobs {
+		for _, t := range j.Tasks {
+			if t.Host != "" && s.Hosts[t.Host] == nil {
+				return fmt.Errorf("snapshot: job %q is on host %q, which does not exist", name, t.Host)
+			}
+		}
+	}
+	return nil
+}
+
+// noNil reports an object that a snapshot names without holding it.
+func noNil[T any](kind string, objects map[string]*T) error {
+	for name, o := range objects {
+		if o == nil {
+			return fmt.Errorf("snapshot: %s %q is empty", kind, name)
+		}
+	}
+	return nil
+}
+
 // keep takes over a decoded map; an empty one may have been decoded as nil.
 func keep[K comparable, V any](to *map[K]V, from map[K]V) {
 	if from != nil {
--- a/fleet/plan/tasks.go
+++ b/fleet/plan/tasks.go
@@ -18,8 +18,8 @@
 // elsewhere, for the platform's clock.
 const lapseMargin = time.Second
 
-// renewals is how many times a lease is renewed within its term.
-const renewals = 3
+// Renewals is how many times the lease of a task is renewed within its term.
+const Renewals = 3
 
 // placeTasks drafts one batch of placements and the calls that go with it.
 func (r *round) placeTasks() {
