--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	go vet $(PACKAGES)
 
 lint:
-	go tool -modfile=trial/go.mod staticcheck $(PACKAGES)
+	go tool staticcheck $(PACKAGES)
 
 test: build
 	go test $(PACKAGES)
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -83,7 +83,7 @@
 		FailAfter: l.settings.FailAfter, ReturnAfter: l.settings.ReturnAfter,
 		ReplaceAfter: l.settings.ReplaceAfter, GiveBackAfter: l.settings.GiveBackAfter,
 		CutAfter: l.settings.Term, QuarantineFor: quarantineFor, TaskTerm: l.settings.TaskTerm,
-		RepeatAfter: min(repeatCall, l.settings.TaskTerm/3),
+		RepeatAfter: min(repeatCall, l.settings.TaskTerm/plan.Renewals),
 	}, plan.ByRack{}, plan.Hold{ReplaceAfter: l.settings.ReplaceAfter, GiveBackAfter: l.settings.GiveBackAfter})
 }
 
--- a/entry/member/link.go
+++ b/entry/member/link.go
@@ -61,7 +61,6 @@
 	rows    []Row
 	fetch   *fetch
 	reply   chan<- fetched
-	answer  *fetched
 	flushed chan<- struct{}
 }
 
@@ -255,7 +254,7 @@
 	if err != nil {
 		return follow.Fetched{}, err
 	}
-	var last error = fault.New("fetch", "", "no peer is known")
+	last := fault.New("fetch", "", "no peer is known")
 	var confirmed *follow.Fetched
 	for _, s := range sources {
 		f, err := s.out.fetch(ctx, from)
--- a/trial/logsvc/logsvc.go
+++ b/trial/logsvc/logsvc.go
@@ -90,9 +90,9 @@
 	waiting []read
 }
 
-func (st *stream) next() uint64 { return st.first + uint64(len(st.records)) }
+func (one *stream) next() uint64 { return one.first + uint64(len(one.records)) }
 
-func (st *stream) bounds() plat.Bounds { return plat.Bounds{First: st.first, Next: st.next()} }
+func (one *stream) bounds() plat.Bounds { return plat.Bounds{First: one.first, Next: one.next()} }
 
 // state is the state of the task.
 type state struct {
