--- /dev/null
+++ b/trial/integ/main_test.go
@@ -0,0 +1,291 @@
+// Package integ tests whole deployments: real processes behind a fault-injecting proxy.
+package integ
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/budget"
+	"carawaymux.dev/fleet/client"
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/trial/procs"
+	"carawaymux.dev/trial/site"
+)
+
+// seed is the seed of all loads.
+const seed = 20261204
+
+// bin holds the programs under test.
+var bin string
+
+// TestMain builds the programs once.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "caraway-integ-")
+	if err != nil {
+		panic(err)
+	}
+	bin = filepath.Join(dir, "bin")
+	build := exec.Command("go", "build", "-o", bin+"/", "./entry/cmd/carawayd", "./oper/cmd/caraway", "./trial/cmd/trial")
+	build.Dir = "../.."
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v: %s", err, out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// rig is a deployment whose links can be cut.
+type rig struct {
+	*site.Site
+	t     *testing.T
+	ctx   context.Context
+	links map[string]*cable
+}
+
+// cable is a proxied link from an entry to a peer or to the platform.
+type cable struct {
+	from, to string
+	proxy    *toxiproxy.Proxy
+}
+
+const (
+	zoneA = "tp-a"
+	zoneB = "tp-b"
+)
+
+// one lets one host of a pool go.
+var one = budget.Spec{MaxUnavailable: 1, MinAvailable: 1}
+
+// twoZones is a small deployment: two zones, two entries each, two pools and a spare.
+func twoZones() site.Plan {
+	each := map[string]int{zoneA: 2, zoneB: 2}
+	return site.Plan{
+		Zones: []string{zoneA, zoneB}, EntriesPerZone: 2, Lag: 100 * time.Millisecond, Reboot: 300 * time.Millisecond,
+		Pools: []site.Pool{
+			{Name: "documents", Zones: each, Budget: one, RunTime: 5 * time.Millisecond},
+			{Name: "remittances", Zones: each, Budget: one, RunTime: 5 * time.Millisecond},
+			{Name: "inquiries", Zones: each, Budget: one, Spare: true, Guard: 8, RunTime: 5 * time.Millisecond},
+		},
+	}
+}
+
+// start starts a deployment behind proxies and publishes its records.
+func start(t *testing.T, p site.Plan) *rig {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	t.Cleanup(cancel)
+	r := &rig{t: t, ctx: ctx, links: make(map[string]*cable)}
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	s, err := site.New(p, bin, t.TempDir(), site.WithProxy(func(from, to, address string) (string, error) {
+		key := from + ">" + to
+		if r.links[key] == nil {
+			proxy := toxiproxy.NewProxy(server, key, "127.0.0.1:0", address)
+			if err := proxy.Start(); err != nil {
+				return "", err
+			}
+			r.links[key] = &cable{from: from, to: to, proxy: proxy}
+		}
+		return r.links[key].proxy.Listen, nil
+	}))
+	require.NoError(t, err)
+	r.Site = s
+	t.Cleanup(func() {
+		s.Close()
+		for _, c := range r.links {
+			c.proxy.Stop()
+		}
+		if t.Failed() {
+			r.dumpLogs()
+		}
+	})
+	require.NoError(t, s.Start(ctx))
+	require.NoError(t, s.Publish(ctx))
+	r.settled()
+	return r
+}
+
+// settled waits until everything published is in force everywhere.
+func (r *rig) settled() {
+	r.t.Helper()
+	status, err := r.Entries[0].Client.Status(r.ctx)
+	require.NoError(r.t, err)
+	require.NoError(r.t, r.WaitInForce(r.ctx, status.Offset))
+}
+
+// dumpLogs prints the last lines of the entries' logs.
+func (r *rig) dumpLogs() {
+	for _, e := range r.Entries {
+		raw, err := os.ReadFile(filepath.Join(r.Dir, e.Name+".log"))
+		if err != nil {
+			continue
+		}
+		lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
+		r.t.Logf("%s:\n%s", e.Name, strings.Join(lines[max(0, len(lines)-25):], "\n"))
+	}
+}
+
+// cut stops the links that match without closing them, as a partition does; heal lets
+// them go on with new connections.
+func (r *rig) cut(match func(from, to string) bool) (heal func()) {
+	r.t.Helper()
+	var cables []*cable
+	for _, c := range r.links {
+		if !match(c.from, c.to) {
+			continue
+		}
+		for _, direction := range []string{"upstream", "downstream"} {
+			toxic := fmt.Sprintf(`{"name":"cut-%s","type":"timeout","stream":"%s","attributes":{"timeout":0}}`, direction, direction)
+			_, err := c.proxy.Toxics.AddToxicJson(strings.NewReader(toxic))
+			require.NoError(r.t, err)
+		}
+		cables = append(cables, c)
+	}
+	return func() {
+		for _, c := range cables {
+			c.proxy.Toxics.ResetToxics(r.ctx)
+			c.proxy.Stop()
+			require.NoError(r.t, c.proxy.Start())
+		}
+	}
+}
+
+// cutZone cuts a zone off from the other zones and from the platform.
+func (r *rig) cutZone(zone string) (heal func()) {
+	return r.cut(func(from, to string) bool {
+		return r.zoneOf(from) != r.zoneOf(to) && (r.zoneOf(from) == zone || r.zoneOf(to) == zone)
+	})
+}
+
+// cutLog cuts all entries off from the log.
+func (r *rig) cutLog() (heal func()) {
+	return r.cut(func(_, to string) bool { return to == "log" })
+}
+
+func (r *rig) zoneOf(name string) string {
+	for _, e := range r.Entries {
+		if e.Name == name {
+			return e.Zone
+		}
+	}
+	return "platform"
+}
+
+func (r *rig) entry(name string) *site.Entry {
+	for _, e := range r.Entries {
+		if e.Name == name {
+			return e
+		}
+	}
+	r.t.Fatalf("no entry %s", name)
+	return nil
+}
+
+func (r *rig) target(name string) *site.Target {
+	for _, t := range r.Targets {
+		if t.Name == name {
+			return t
+		}
+	}
+	r.t.Fatalf("no target %s", name)
+	return nil
+}
+
+// publish publishes a record that has to be accepted, through an entry.
+func (r *rig) publish(e *site.Entry, object string, base uint64, body record.Body) record.Verdict {
+	r.t.Helper()
+	v, err := e.Client.Publish(r.ctx, client.NewRecord("ana", object, base, body))
+	require.NoError(r.t, err)
+	return v
+}
+
+// object returns an object as an entry has it in force.
+func (r *rig) object(e *site.Entry, k record.Kind, name string) wire.Object {
+	r.t.Helper()
+	o, err := e.Client.Object(r.ctx, k, name, 0)
+	require.NoError(r.t, err)
+	return o
+}
+
+// eventually waits until check returns nil.
+func (r *rig) eventually(what string, within time.Duration, check func(ctx context.Context) error) {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(r.ctx, within)
+	defer cancel()
+	require.NoError(r.t, procs.WaitFor(ctx, what, check))
+}
+
+// phase waits until an object has a phase at an entry.
+func (r *rig) phase(e *site.Entry, k record.Kind, name, phase string, within time.Duration) {
+	r.t.Helper()
+	r.eventually(fmt.Sprintf("%s %s is %s", k, name, phase), within, func(ctx context.Context) error {
+		o, err := e.Client.Object(ctx, k, name, 0)
+		if err != nil {
+			return err
+		}
+		if o.Status.Phase != phase {
+			return fmt.Errorf("it is %s", o.Status.Phase)
+		}
+		return nil
+	})
+}
+
+// holder returns the entry that holds the planner lease.
+func (r *rig) holder() *site.Entry {
+	r.t.Helper()
+	var found *site.Entry
+	r.eventually("a planner", 20*time.Second, func(ctx context.Context) error {
+		for _, e := range r.Entries {
+			status, err := e.Client.Status(ctx)
+			if err != nil {
+				continue
+			}
+			name, _, _ := strings.Cut(status.Lease.Holder, ":")
+			if name != "" {
+				found = r.entry(name)
+				return nil
+			}
+		}
+		return fmt.Errorf("nobody holds the lease")
+	})
+	return found
+}
+
+// request sends one idempotent request through an entry.
+func (r *rig) request(e *site.Entry, kind string) client.Answer {
+	r.t.Helper()
+	a, err := e.Client.Do(r.ctx, client.Request{
+		Kind: kind, ID: record.NewID().String(), Idempotent: true, Deadline: 3 * time.Second, Body: []byte("x"),
+	})
+	require.NoError(r.t, err)
+	return a
+}
+
+// replace kills an entry's process and starts a new incarnation on the same address.
+func (r *rig) replace(e *site.Entry) {
+	r.t.Helper()
+	e.Proc.Kill()
+	require.NoError(r.t, r.StartEntry(e))
+}
+
+// reachable reports whether an address takes connections.
+func reachable(address string) bool {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
--- /dev/null
+++ b/trial/integ/witness_test.go
@@ -0,0 +1,24 @@
+package integ
+
+import (
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/client"
+	"carawaymux.dev/fleet/ledger"
+	"carawaymux.dev/fleet/record"
+)
+
+// witness folds the log beside the entries.
+type witness struct{ state *ledger.State }
+
+func newWitness() *witness { return &witness{state: ledger.New()} }
+
+func (w *witness) fold(t require.TestingT, e record.Entry) record.Verdict {
+	v, err := w.state.Apply(e)
+	require.NoError(t, err)
+	return v
+}
+
+func newRecord(object string, base uint64, body record.Body) record.Record {
+	return client.NewRecord("ana", object, base, body)
+}
