--- a/fleet/host/host.go
+++ b/fleet/host/host.go
@@ -107,6 +107,8 @@
 type Move struct {
 	// To is the pool that the host shall belong to.
 	To string `json:"to"`
+	// Loan leaves the host's home as it is, so that it is given back.
+	Loan bool `json:"loan,omitempty"`
 }
 
 // Kind returns [record.KindMove].
@@ -181,8 +183,13 @@
 	Phase Phase `json:"phase"`
 	// Wave is the wave for which the host is out of service; empty otherwise.
 	Wave string `json:"wave,omitempty"`
+	// Home is the pool that the host was published for or moved to for good. It
+	// differs from Spec.Pool while the host is on loan.
+	Home string `json:"home"`
 	// MoveTo is the pool that the host is on its way to; empty otherwise.
 	MoveTo string `json:"move-to,omitempty"`
+	// Loan says that the move under way is a loan.
+	Loan bool `json:"loan,omitempty"`
 	// Cordon is the version at which the host was last cordoned.
 	Cordon uint64 `json:"cordon,omitempty"`
 	// Boot is the version at which the last reboot was decided. The platform
--- a/fleet/ledger/hosts.go
+++ b/fleet/ledger/hosts.go
@@ -21,7 +21,7 @@
 		if r.Base != 0 {
 			return refuse("base %d: host %q does not exist", r.Base, r.Object)
 		}
-		h = &host.Host{Spec: spec, Version: version, Phase: host.Serving}
+		h = &host.Host{Spec: spec, Version: version, Phase: host.Serving, Home: spec.Pool}
 		h.Remember(step(r, version, host.EventJoin))
 		s.Hosts[r.Object] = h
 		s.index.insert(r.Object, h)
@@ -78,7 +78,7 @@
 	if h.Phase != host.Serving {
 		return refuse("host %q is %s; only a serving host can be moved", r.Object, h.Phase)
 	}
-	h.MoveTo, h.Version = m.To, version
+	h.MoveTo, h.Loan, h.Version = m.To, m.Loan, version
 	h.Remember(step(r, version, host.EventMove))
 	return nil
 }
@@ -225,7 +225,10 @@
 	case host.EventReboot:
 		h.Boot = version
 	case host.EventAssign:
-		h.Spec.Pool, h.MoveTo = h.MoveTo, ""
+		if !h.Loan {
+			h.Home = h.MoveTo
+		}
+		h.Spec.Pool, h.MoveTo, h.Loan = h.MoveTo, "", false
 	case host.EventReturn:
 		s.finishHost(name, h, from)
 	}
--- a/fleet/ledger/keep.go
+++ b/fleet/ledger/keep.go
@@ -150,6 +150,9 @@
 		if h.MoveTo == r.Object {
 			return refuse("host %q is on its way to pool %q", name, r.Object)
 		}
+		if h.Home == r.Object {
+			return refuse("host %q is on loan from pool %q", name, r.Object)
+		}
 	}
 	for name, j := range s.Jobs {
 		if j.Published.Spec.Pool == r.Object {
--- a/fleet/plan/moves.go
+++ b/fleet/plan/moves.go
@@ -23,12 +23,17 @@
 	Room int
 	// Below and Above are for how long the pool has been below or above its floor.
 	Below, Above time.Duration
+	// Loans names the homes of the hosts that the pool has on loan, each host
+	// once, sorted.
+	Loans []string
 }
 
 // Transfer moves one host from a pool to another.
 type Transfer struct {
 	From, To string
-	Reason   record.Reason
+	// Loan says that the host is to be given back later.
+	Loan   bool
+	Reason record.Reason
 }
 
 // Mover decides which pools give hosts to which.
@@ -36,50 +41,49 @@
 	Transfers(pools []PoolView) []Transfer
 }
 
-// Hold moves hosts only to replace lost ones and to give them back, each after a
-// wait, so that short shifts move nothing.
+// Hold lends hosts of spare pools to pools that have lost theirs, and gives them back
+// when those are well again, each after a wait, so that short shifts move nothing.
 type Hold struct {
 	// ReplaceAfter and GiveBackAfter are the waits.
 	ReplaceAfter, GiveBackAfter time.Duration
 }
 
-// Transfers fills pools that have long been below their floor from spare pools above
-// theirs, and refills spare pools the same way.
+// Transfers fills pools that have long been below their floor, and gives hosts on loan
+// back from pools that have long been above it.
 func (m Hold) Transfers(pools []PoolView) []Transfer {
 	var out []Transfer
 	for _, p := range pools {
-		wait, rule := m.ReplaceAfter, "replace-lost-host"
-		if p.Spare {
-			wait, rule = m.GiveBackAfter, "give-host-back"
+		switch {
+		case p.Floor > 0 && p.Well < p.Floor && p.Below >= m.ReplaceAfter:
+			out = append(out, m.replace(pools, p)...)
+		case len(p.Loans) > 0 && p.Well > p.Floor && p.Above >= m.GiveBackAfter && p.Room > 0:
+			out = append(out, Transfer{From: p.Name, To: p.Loans[0], Reason: record.Reason{
+				Rule: "give-host-back",
+				Figures: fmt.Sprintf("%s has had more than %d hosts for %v; room %d",
+					p.Name, p.Floor, p.Above.Round(time.Second), p.Room),
+			}})
 		}
-		if p.Floor == 0 || p.Well >= p.Floor || p.Below < wait {
-			continue
-		}
-		i := slices.IndexFunc(pools, func(from PoolView) bool { return m.gives(from, p) })
-		if i < 0 {
-			continue
-		}
-		out = append(out, Transfer{From: pools[i].Name, To: p.Name, Reason: record.Reason{
-			Rule: rule,
-			Figures: fmt.Sprintf("%s has %d of %d hosts for %v; %s has %d of %d, room %d",
-				p.Name, p.Well, p.Floor, p.Below.Round(time.Second), pools[i].Name, pools[i].Well, pools[i].Floor, pools[i].Room),
-		}})
-		pools[i].Well--
-		pools[i].Room--
 	}
 	return out
 }
 
-// gives reports whether a pool gives a host: a spare pool to any other, another pool
-// only back to a spare one once it has been above its floor for long.
-func (m Hold) gives(from, to PoolView) bool {
-	if from.Name == to.Name || from.Well <= from.Floor || from.Room < 1 {
-		return false
+// replace takes a host from the first spare pool that can give one.
+func (m Hold) replace(pools []PoolView, p PoolView) []Transfer {
+	i := slices.IndexFunc(pools, func(from PoolView) bool {
+		return from.Spare && from.Name != p.Name && from.Well > from.Floor && from.Room > 0
+	})
+	if i < 0 {
+		return nil
 	}
-	if from.Spare {
-		return true
-	}
-	return to.Spare && from.Floor > 0 && from.Above >= m.GiveBackAfter
+	from := &pools[i]
+	t := Transfer{From: from.Name, To: p.Name, Loan: true, Reason: record.Reason{
+		Rule: "replace-lost-host",
+		Figures: fmt.Sprintf("%s has %d of %d hosts for %v; %s has %d of %d, room %d",
+			p.Name, p.Well, p.Floor, p.Below.Round(time.Second), from.Name, from.Well, from.Floor, from.Room),
+	}}
+	from.Well--
+	from.Room--
+	return []Transfer{t}
 }
 
 // repair drafts the moves that the policy wants, one a pool at a time.
@@ -90,12 +94,13 @@
 		v := PoolView{Name: name, Spare: spec.Spare, Floor: spec.Floor, Well: r.well(name), Room: r.room[name]}
 		v.Below = r.since.held("below/"+name, v.Floor > 0 && v.Well < v.Floor, r.in.Now)
 		v.Above = r.since.held("above/"+name, v.Floor > 0 && v.Well > v.Floor, r.in.Now)
+		v.Loans = r.loans(name)
 		pools = append(pools, v)
 	}
 	for _, t := range p.mover.Transfers(pools) {
-		if name := r.giver(t.From); name != "" {
+		if name := r.giver(t); name != "" {
 			r.out.Drafts = append(r.out.Drafts, Draft{
-				Object: name, Base: r.s.Hosts[name].Version, Body: host.Move{To: t.To}, Reason: t.Reason,
+				Object: name, Base: r.s.Hosts[name].Version, Body: host.Move{To: t.To, Loan: t.Loan}, Reason: t.Reason,
 			})
 		}
 	}
@@ -116,13 +121,30 @@
 	return n
 }
 
-// giver picks the host of a pool that is cheapest to move: serving, with the fewest
-// tasks, in no wave's way.
-func (r *round) giver(pool string) string {
-	best := ""
+// loans names the homes of a pool's hosts that are on loan and not on their way back.
+func (r *round) loans(pool string) []string {
+	var out []string
 	for _, name := range r.s.HostsOf(pool) {
+		if h := r.s.Hosts[name]; h.Home != pool && h.MoveTo == "" {
+			out = append(out, h.Home)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// giver picks the host that is cheapest to move: serving, with the fewest tasks, in no
+// wave's way. A loan takes a host that is at home, a return one whose home is the other
+// pool.
+func (r *round) giver(t Transfer) string {
+	home := t.To
+	if t.Loan {
+		home = t.From
+	}
+	best := ""
+	for _, name := range r.s.HostsOf(t.From) {
 		h := r.s.Hosts[name]
-		if h.Phase != host.Serving || h.MoveTo != "" || r.zone(h.Spec.Zone).silent || r.drafted(name) {
+		if h.Phase != host.Serving || h.MoveTo != "" || h.Home != home || r.zone(h.Spec.Zone).silent || r.drafted(name) {
 			continue
 		}
 		if best == "" || r.s.TasksOn(name) < r.s.TasksOn(best) {
