Test the slices one by one, and measure the entry's path

Cause: rules that only show in whole deployments are slow to find wrong. Found and mended: an entry with a queue of length 0 refused requests that found a free slot (the benchmark of refusals met it; it has a test now).

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,10 @@
 lint:
 	go tool staticcheck $(PACKAGES)
 
+# Timings live here and never decide about a change.
+bench:
+	go test -run NONE -bench . -benchtime 1s ./fleet/ledger ./fleet/query ./trial/bench
+
 test: build
 	go test $(PACKAGES)
 
--- /dev/null
+++ b/entry/relay/relay_test.go
@@ -0,0 +1,126 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"carawaymux.dev/entry/link"
+	"carawaymux.dev/entry/relay"
+	"carawaymux.dev/entry/work"
+	"carawaymux.dev/fleet/jobs"
+	"carawaymux.dev/fleet/wire"
+)
+
+const incarnation = 7
+
+// pair starts a relay server with a handler and a client that dials it.
+func pair(t *testing.T, handle work.Handler) (*relay.Client, relay.Peer, *httptest.Server) {
+	server := relay.NewServer(handle, incarnation, 1<<20, slog.New(slog.DiscardHandler))
+	listener := httptest.NewServer(server)
+	client := relay.NewClient(&link.Dialer{Client: http.DefaultClient, Scheme: "ws", Token: func() string { return "" }}, 1<<20)
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+		listener.Close()
+	})
+	return client, relay.Peer{Name: "e", Address: strings.TrimPrefix(listener.URL, "http://"), Incarnation: incarnation}, listener
+}
+
+func request(id string) work.Request {
+	return work.Request{ID: id, Kind: "docs", Urgency: jobs.Normal, Deadline: time.Now().Add(5 * time.Second), Idempotent: true}
+}
+
+// echo answers with the request's body, later for some so that answers come out of order.
+func echo(_ context.Context, r work.Request) work.Answer {
+	body, _ := r.Load()
+	if len(r.ID)%2 == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return work.Answer{Outcome: wire.Done, Status: 200, Body: append([]byte(r.ID+":"), body...)}
+}
+
+func TestEachCallerGetsItsOwnWholeAnswer(t *testing.T) {
+	client, peer, _ := pair(t, echo)
+	var group errgroup.Group
+	for i := range 60 {
+		group.Go(func() error {
+			id := strings.Repeat("i", 1+i%7) + fmt.Sprint(i)
+			body := bytes.Repeat([]byte{byte('a' + i%26)}, i*5000)
+			a, err := client.Do(context.Background(), peer, "docs", request(id), body)
+			require.NoError(t, err)
+			require.Equal(t, wire.Done, a.Outcome, a.Reason)
+			require.Equal(t, id+":"+string(body), string(a.Body))
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+}
+
+func TestWhatWasNotSentIsToldApartFromWhatMayHaveRun(t *testing.T) {
+	began := make(chan struct{})
+	client, peer, listener := pair(t, func(ctx context.Context, _ work.Request) work.Answer {
+		close(began)
+		<-ctx.Done()
+		return work.Unknown("cancelled")
+	})
+	_, err := client.Do(context.Background(), relay.Peer{Address: "127.0.0.1:1"}, "docs", request("x"), nil)
+	require.ErrorIs(t, err, relay.ErrNotSent)
+	answer := make(chan work.Answer, 1)
+	go func() {
+		a, _ := client.Do(context.Background(), peer, "docs", request("y"), []byte("b"))
+		answer <- a
+	}()
+	<-began
+	listener.CloseClientConnections()
+	require.Equal(t, wire.Unknown, (<-answer).Outcome)
+}
+
+func TestAbandonedRequestIsCancelledAndItsLateAnswerDropped(t *testing.T) {
+	cancelled := make(chan struct{})
+	client, peer, _ := pair(t, func(ctx context.Context, _ work.Request) work.Answer {
+		<-ctx.Done()
+		close(cancelled)
+		return work.Answer{Outcome: wire.Done, Body: []byte("late")}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	a, err := client.Do(ctx, peer, "docs", request("x"), nil)
+	require.NoError(t, err)
+	require.Equal(t, wire.Unknown, a.Outcome)
+	<-cancelled
+	require.Eventually(t, func() bool { return client.Dropped() > 0 }, 5*time.Second, 10*time.Millisecond)
+}
+
+func TestOtherIncarnationRunsNothing(t *testing.T) {
+	client, peer, _ := pair(t, func(context.Context, work.Request) work.Answer {
+		t.Error("it ran")
+		return work.Answer{}
+	})
+	peer.Incarnation++
+	r := request("x")
+	a, err := client.Do(context.Background(), peer, "docs", r, nil)
+	require.NoError(t, err)
+	require.Equal(t, wire.NotRun, a.Outcome)
+	r.Idempotent = false
+	a, err = client.Do(context.Background(), peer, "docs", r, nil)
+	require.NoError(t, err)
+	require.Equal(t, wire.Unknown, a.Outcome, "an earlier copy may have run in the incarnation before")
+}
+
+func TestBodyOverTheLimitIsRefused(t *testing.T) {
+	client, peer, _ := pair(t, echo)
+	a, err := client.Do(context.Background(), peer, "docs", request("x"), make([]byte, 2<<20))
+	require.NoError(t, err)
+	require.Equal(t, wire.NotRun, a.Outcome)
+	require.Contains(t, a.Reason, "limit")
+}
--- a/entry/route/pool.go
+++ b/entry/route/pool.go
@@ -265,6 +265,9 @@
 	if slots == 0 && len(s.lenders) == 0 {
 		return Reply{Refused: "no target takes requests", RetryAfter: time.Second, Full: true}
 	}
+	if l.length == 0 && s.free() > 0 {
+		return Reply{}
+	}
 	wait := s.expectedWait(l, slots)
 	switch {
 	case l.length >= s.pool.limits.Queue:
@@ -287,9 +290,6 @@
 
 // expectedWait is how long a new request of a kind would wait for a slot.
 func (s *poolState) expectedWait(l *lane, slots int) time.Duration {
-	if l.length == 0 && s.free() > 0 {
-		return 0
-	}
 	slots = max(1, slots+s.lentIn)
 	waiting := 1
 	for _, other := range s.turns {
--- /dev/null
+++ b/entry/setup/setup_test.go
@@ -0,0 +1,65 @@
+package setup_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/entry/setup"
+	"carawaymux.dev/fleet/conf"
+)
+
+const good = `
+[entry]
+name = e1
+zone = tp-a
+[listen]
+http = 127.0.0.1:7000
+peer = 127.0.0.1:7100
+clear = yes
+[platform]
+log = http://127.0.0.1:7900
+hosts = http://127.0.0.1:7901
+[peers]
+e2 = tp-a 127.0.0.1:7101
+e3 = tp-b 127.0.0.1:7102
+[auth]
+open = yes
+`
+
+func TestGoodSettings(t *testing.T) {
+	s, err := setup.Parse("e1.ini", []byte(good))
+	require.NoError(t, err)
+	require.Equal(t, []setup.Peer{{"e2", "tp-a", "127.0.0.1:7101"}, {"e3", "tp-b", "127.0.0.1:7102"}}, s.Peers)
+	require.Equal(t, 2*time.Second, s.DrainDelay)
+	require.Equal(t, 256, s.Limits.Queue)
+}
+
+func TestClearListeningAndOpenDoorsMustBeAskedFor(t *testing.T) {
+	_, err := setup.Parse("e1.ini", []byte(`
+[entry]
+name = e1
+zone = tp-a
+[listen]
+http = 127.0.0.1:7000
+peer = 127.0.0.1:7100
+[platform]
+log = http://127.0.0.1:7900
+hosts = http://127.0.0.1:7901/path
+[peers]
+e1 = tp-a 127.0.0.1:7100
+e4 = tp-a
+[trace]
+exporter = file
+`))
+	var faults conf.Faults
+	require.ErrorAs(t, err, &faults)
+	var places []string
+	for _, f := range faults {
+		places = append(places, f.Section+"."+f.Key)
+	}
+	require.ElementsMatch(t, []string{
+		"listen.tls-cert", "platform.hosts", "peers.e1", "peers.e4", "auth.key-file", "trace.file",
+	}, places)
+}
--- /dev/null
+++ b/fleet/query/query_test.go
@@ -0,0 +1,150 @@
+package query_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/budget"
+	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/host"
+	"carawaymux.dev/fleet/jobs"
+	"carawaymux.dev/fleet/lease"
+	"carawaymux.dev/fleet/ledger"
+	"carawaymux.dev/fleet/pool"
+	"carawaymux.dev/fleet/query"
+	"carawaymux.dev/fleet/record"
+)
+
+// put folds a record that has to be accepted.
+func put(t testing.TB, s *ledger.State, object string, body record.Body) {
+	t.Helper()
+	v, err := s.Apply(record.Entry{Offset: s.Offset, Record: record.Record{
+		ID: record.NewID(), Schema: codec.Newest(body.Kind()), Author: "t", Object: object, Fence: s.Lease.Fence, Body: body,
+	}})
+	require.NoError(t, err)
+	require.Equal(t, record.Accepted, v.Result, v.Reason)
+}
+
+// fleetOf makes pools of equal hosts, one of which may be out.
+func fleetOf(t testing.TB, pools, hosts int) *ledger.State {
+	s := ledger.New()
+	put(t, s, "one", budget.Spec{MaxUnavailable: 1})
+	put(t, s, "", lease.Claim{Holder: "a", TermMS: 1000})
+	for p := range pools {
+		name := fmt.Sprintf("p%03d", p)
+		put(t, s, name, pool.Spec{Budget: "one", Kinds: []string{name}})
+		for h := range hosts {
+			put(t, s, fmt.Sprintf("%s-h%02d", name, h), host.Spec{
+				Pool: name, Zone: fmt.Sprintf("z%d", h%7), Rack: fmt.Sprintf("r%d", h), Address: "10.0.0.1:80",
+				Size: host.Size{Cores: 16, MemoryMiB: 65536, Accelerators: int64(h % 3)}, Slots: 8, Connections: 64,
+			})
+		}
+	}
+	return s
+}
+
+func TestCarryNamesTheFirstShortDimension(t *testing.T) {
+	s := fleetOf(t, 1, 4)
+	for name, c := range map[string]struct {
+		carry query.Carry
+		short string
+	}{
+		"fits":         {query.Carry{Pool: "p000", Jobs: []query.Demand{{Name: "j", Size: host.Size{Cores: 16}, Tasks: 3}}}, ""},
+		"budget":       {query.Carry{Pool: "p000", Jobs: []query.Demand{{Name: "j", Size: host.Size{Cores: 16}, Tasks: 4}}}, "budget"},
+		"cores":        {query.Carry{Pool: "p000", Jobs: []query.Demand{{Name: "j", Size: host.Size{Cores: 17}, Tasks: 1}}}, "cores"},
+		"memory":       {query.Carry{Jobs: []query.Demand{{Name: "j", Size: host.Size{MemoryMiB: 65537}, Tasks: 1}}}, "memory-mib"},
+		"accelerators": {query.Carry{Jobs: []query.Demand{{Name: "j", Size: host.Size{Accelerators: 3}, Tasks: 1}}}, "accelerators"},
+		"slots":        {query.Carry{Pool: "p000", Slots: 33}, "slots"},
+		"some slots":   {query.Carry{Pool: "p000", Slots: 24}, ""},
+	} {
+		got, err := query.AskCarry(s, c.carry)
+		require.NoError(t, err, name)
+		require.Equal(t, c.short, got.Short, "%s: %s", name, got.Why)
+		require.Equal(t, c.short == "", got.Fits, name)
+	}
+	_, err := query.AskCarry(s, query.Carry{Pool: "none", Slots: 1})
+	require.ErrorContains(t, err, "pool")
+}
+
+func TestCarryPlacementHolds(t *testing.T) {
+	s := fleetOf(t, 2, 6)
+	got, err := query.AskCarry(s, query.Carry{Jobs: []query.Demand{
+		{Name: "a", Size: host.Size{Cores: 5, MemoryMiB: 1000}, Tasks: 12},
+		{Name: "b", Size: host.Size{Cores: 3, Accelerators: 1}, Tasks: 4, Spread: true},
+	}})
+	require.NoError(t, err)
+	require.True(t, got.Fits, got.Why)
+	sizes := map[string]host.Size{"a": {Cores: 5, MemoryMiB: 1000}, "b": {Cores: 3, Accelerators: 1}}
+	held := make(map[string]host.Size)
+	for _, p := range got.Placements {
+		held[p.Host] = held[p.Host].Add(sizes[p.Job])
+	}
+	for name, size := range held {
+		require.Empty(t, s.Hosts[name].Spec.Size.Short(size), name)
+	}
+	require.Len(t, got.Placements, 16)
+}
+
+func TestLeaveSaysWhatStopsEachHost(t *testing.T) {
+	s := fleetOf(t, 1, 3)
+	put(t, s, "big", jobs.Spec{Pool: "p000", Size: host.Size{Cores: 16}, Tasks: 3, Urgency: jobs.Normal})
+	put(t, s, "", jobs.Placement{Items: []jobs.Item{
+		{Job: "big", Task: 0, Act: jobs.ActStart, Host: "p000-h00"}, {Job: "big", Task: 1, Act: jobs.ActStart, Host: "p000-h01"},
+	}})
+	got, err := query.AskLeave(s, query.Leave{})
+	require.NoError(t, err)
+	require.True(t, got.Hosts[0].May, "its task finds room on the idle host")
+	put(t, s, "", jobs.Placement{Items: []jobs.Item{{Job: "big", Task: 2, Act: jobs.ActStart, Host: "p000-h02"}}})
+	got, err = query.AskLeave(s, query.Leave{Pool: "p000"})
+	require.NoError(t, err)
+	require.Contains(t, got.Hosts[0].Blocker, "task 0 of job big finds no other host: short of cores")
+	put(t, s, "", host.Change{Event: host.EventFail, Hosts: []string{"p000-h02"}})
+	got, err = query.AskLeave(s, query.Leave{Host: "p000-h00"})
+	require.NoError(t, err)
+	require.Contains(t, got.Hosts[0].Blocker, "budget of pool p000")
+	got, err = query.AskLeave(s, query.Leave{Host: "p000-h02"})
+	require.NoError(t, err)
+	require.Equal(t, "host is failed", got.Hosts[0].Blocker)
+}
+
+// The size to come: 2,400 hosts in 172 pools.
+const (
+	benchPools = 172
+	benchHosts = 14
+)
+
+func BenchmarkCarryPool(b *testing.B) {
+	s := fleetOf(b, benchPools, benchHosts)
+	q := query.Carry{Pool: "p100", Jobs: []query.Demand{{Name: "j", Size: host.Size{Cores: 4, MemoryMiB: 8192}, Tasks: 10}}}
+	b.ResetTimer()
+	for range b.N {
+		_, _ = query.AskCarry(s, q)
+	}
+}
+
+func BenchmarkCarryFleet(b *testing.B) {
+	s := fleetOf(b, benchPools, benchHosts)
+	q := query.Carry{Jobs: []query.Demand{{Name: "j", Size: host.Size{Cores: 4, MemoryMiB: 8192}, Tasks: 10}}}
+	b.ResetTimer()
+	for range b.N {
+		_, _ = query.AskCarry(s, q)
+	}
+}
+
+func BenchmarkLeavePool(b *testing.B) {
+	s := fleetOf(b, benchPools, benchHosts)
+	b.ResetTimer()
+	for range b.N {
+		_, _ = query.AskLeave(s, query.Leave{Pool: "p100"})
+	}
+}
+
+func BenchmarkLeaveFleet(b *testing.B) {
+	s := fleetOf(b, benchPools, benchHosts)
+	b.ResetTimer()
+	for range b.N {
+		_, _ = query.AskLeave(s, query.Leave{})
+	}
+}
--- /dev/null
+++ b/fleet/queue/queue_test.go
@@ -0,0 +1,59 @@
+package queue_test
+
+import (
+	"flag"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"carawaymux.dev/fleet/queue"
+)
+
+// TestMain fixes the seed: the same steps are drawn every time.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	m.Run()
+}
+
+// TestListAgainstASlice compares the list with a slice under random steps.
+func TestListAgainstASlice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l queue.List[int]
+		var places []*queue.Item[int]
+		var want []int
+		for n := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				places = append(places, l.Push(n))
+				want = append(want, n)
+			case 1:
+				v, ok := l.Pop()
+				require.Equal(t, len(want) > 0, ok)
+				if ok {
+					require.Equal(t, want[0], v)
+					want, places = want[1:], places[1:]
+				}
+			case 2:
+				if len(places) > 0 {
+					i := rapid.IntRange(0, len(places)-1).Draw(t, "place")
+					require.True(t, places[i].Remove())
+					require.False(t, places[i].Remove(), "an item can be removed once")
+					want = append(want[:i:i], want[i+1:]...)
+					places = append(places[:i:i], places[i+1:]...)
+				}
+			}
+			require.Equal(t, len(want), l.Len())
+			i := 0
+			for it := l.First(); it != nil; it = it.Next() {
+				require.Equal(t, want[i], it.Value)
+				i++
+			}
+			require.Equal(t, len(want), i)
+		}
+	})
+}
--- /dev/null
+++ b/trial/bench/path_test.go
@@ -0,0 +1,204 @@
+// Package bench measures the entry's whole path against a bare relay and a direct call,
+// in one process and one run.
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/entry/daemon"
+	"carawaymux.dev/entry/setup"
+	"carawaymux.dev/fleet/budget"
+	"carawaymux.dev/fleet/client"
+	"carawaymux.dev/fleet/host"
+	"carawaymux.dev/fleet/pool"
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/trial/hostd"
+	"carawaymux.dev/trial/load"
+	"carawaymux.dev/trial/logsvc"
+	"carawaymux.dev/trial/procs"
+)
+
+// bodyBytes is the size of each body, both ways.
+const bodyBytes = 1 << 10
+
+// target answers with what it got, at once.
+func target() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body)
+	})
+}
+
+// relayTo is the baseline: one handler and one client, nothing decided.
+func relayTo(url string) http.Handler {
+	c := load.HTTP()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		req, _ := http.NewRequestWithContext(r.Context(), http.MethodPost, url, bytes.NewReader(body))
+		resp, err := c.Do(req)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		defer resp.Body.Close()
+		answer, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		_, _ = w.Write(answer)
+	})
+}
+
+// entry starts a whole entry in this process, with one pool of one target.
+func entry(b *testing.B, targetURL string, slots int) string {
+	platform := logsvc.New()
+	hosts := hostd.New([]hostd.Machine{{Name: "h1"}})
+	logServer, hostServer := httptest.NewServer(platform.Handler()), httptest.NewServer(hosts.Handler())
+	ports, err := procs.FreePorts(2)
+	require.NoError(b, err)
+	s, err := setup.Parse("bench.ini", fmt.Appendf(nil, `
+[entry]
+name = e1
+zone = z1
+drain-delay = 0s
+[listen]
+http = %s
+peer = %s
+clear = yes
+[platform]
+log = %s
+hosts = %s
+[auth]
+open = yes
+[limits]
+queue = 0
+[log]
+level = error
+`, ports[0], ports[1], logServer.URL, hostServer.URL))
+	require.NoError(b, err)
+	d, err := daemon.Start(s, daemon.WithLogs(io.Discard))
+	require.NoError(b, err)
+	b.Cleanup(func() {
+		d.Close()
+		logServer.CloseClientConnections()
+		logServer.Close()
+		hostServer.Close()
+		platform.Close()
+		hosts.Close()
+	})
+	c := client.New("http://" + ports[0])
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	require.NoError(b, procs.WaitFor(ctx, "ready", c.Ready))
+	for _, r := range []record.Record{
+		client.NewRecord("b", "one", 0, budget.Spec{MaxUnavailable: 1}),
+		client.NewRecord("b", "docs", 0, pool.Spec{Budget: "one", Kinds: []string{"docs"}}),
+		client.NewRecord("b", "h1", 0, host.Spec{
+			Pool: "docs", Zone: "z1", Rack: "r1", Address: strings.TrimPrefix(targetURL, "http://"),
+			Size: host.Size{Cores: 16, MemoryMiB: 65536}, Slots: slots, Connections: host.MaxConnections,
+		}),
+	} {
+		_, err := c.Publish(ctx, r)
+		require.NoError(b, err)
+	}
+	require.NoError(b, procs.WaitFor(ctx, "routed", func(ctx context.Context) error {
+		a, err := c.Do(ctx, client.Request{Kind: "docs", ID: "probe", Idempotent: true})
+		if err == nil && a.Outcome != wire.Done && slots > 1 {
+			err = fmt.Errorf("outcome %s: %s", a.Outcome, a.Reason)
+		}
+		return err
+	}))
+	return "http://" + ports[0]
+}
+
+// post sends requests from as many callers as there are processors.
+func post(b *testing.B, url string, want int) {
+	c := load.HTTP()
+	body := bytes.Repeat([]byte("x"), bodyBytes)
+	var n atomic.Int64
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			req, _ := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+			req.Header.Set(wire.HeaderID, strconv.FormatInt(n.Add(1), 10))
+			req.Header.Set(wire.HeaderIdempotent, "true")
+			resp, err := c.Do(req)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode != want {
+				b.Error(resp.StatusCode, resp.Header.Get(wire.HeaderReason))
+				return
+			}
+		}
+	})
+}
+
+// manySlots is more slots than there are callers.
+const manySlots = 1024
+
+func BenchmarkDirect(b *testing.B) {
+	t := httptest.NewServer(target())
+	defer t.Close()
+	post(b, t.URL+"/run/docs", http.StatusOK)
+}
+
+func BenchmarkBareRelay(b *testing.B) {
+	t := httptest.NewServer(target())
+	defer t.Close()
+	r := httptest.NewServer(relayTo(t.URL + "/run/docs"))
+	defer r.Close()
+	post(b, r.URL, http.StatusOK)
+}
+
+func BenchmarkEntry(b *testing.B) {
+	t := httptest.NewServer(target())
+	b.Cleanup(t.Close)
+	post(b, entry(b, t.URL, manySlots)+wire.PathRequests+"docs", http.StatusOK)
+}
+
+// BenchmarkRefusal sends requests to a pool whose one slot is taken and whose queue is
+// closed.
+func BenchmarkRefusal(b *testing.B) {
+	hold := make(chan struct{})
+	t := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		if r.Header.Get(wire.HeaderID) == "hold" {
+			<-hold
+		}
+	}))
+	b.Cleanup(t.Close)
+	url := entry(b, t.URL, 1)
+	held := make(chan struct{})
+	go func() {
+		defer close(held)
+		_, _ = client.New(url).Do(context.Background(), client.Request{Kind: "docs", ID: "hold", Idempotent: true, Deadline: 5 * time.Minute})
+	}()
+	time.Sleep(200 * time.Millisecond)
+	post(b, url+wire.PathRequests+"docs", http.StatusServiceUnavailable)
+	b.StopTimer()
+	close(hold)
+	<-held
+}
