Take the users' four measures on real processes

Cause: nobody could see what each policy is worth. Change: trial measure runs both users' fleets (50 targets, 8 and 9 entries, each a process) and gives flood, buffer, wave and move figures as JSON lines, a table and pictures, each beside its bound, its computed limit and baselines. The target stand-in now flushes the half of an answer that it cuts short: with the length check taken out the test had passed, since the half never left the buffer; it fails now (done, but the answer is not its own). A test holds that no host is rebooted under a request in flight; with the barrier taken out it fails (outcome unknown, EOF).

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,11 @@
 lint:
 	go tool staticcheck $(PACKAGES)
 
+# The users' four measures: JSON lines on standard output, a table on standard error,
+# pictures in out/.
+measure: build
+	$(BIN)/trial measure --bin $(BIN) --out out
+
 # Timings live here and never decide about a change.
 bench:
 	go test -run NONE -bench . -benchtime 1s ./fleet/ledger ./fleet/query ./trial/bench
--- a/trial/cmd/trial/main.go
+++ b/trial/cmd/trial/main.go
@@ -10,6 +10,7 @@
 
 	"carawaymux.dev/fleet/build"
 	"carawaymux.dev/trial/demo"
+	"carawaymux.dev/trial/gauge"
 	"carawaymux.dev/trial/stand"
 )
 
@@ -21,7 +22,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(stand.NewLog(), stand.NewHosts(), stand.NewTarget(), demo.New(os.Stdout))
+	root.AddCommand(stand.NewLog(), stand.NewHosts(), stand.NewTarget(), demo.New(os.Stdout), gauge.New(os.Stdout, os.Stderr))
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "trial:", err)
 		os.Exit(1)
--- /dev/null
+++ b/trial/gauge/gauge.go
@@ -0,0 +1,207 @@
+// Package gauge takes the users' four measures on real processes and small stand-ins:
+// what the other work keeps under a flood, buffer cost, roll-out time and host moves.
+package gauge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/fleet/budget"
+	"carawaymux.dev/trial/site"
+)
+
+// Row is one figure.
+type Row struct {
+	Deployment string  `json:"deployment"`
+	Measure    string  `json:"measure"`
+	Policy     string  `json:"policy"`
+	Value      float64 `json:"value"`
+	Unit       string  `json:"unit"`
+	// Bound is what the design asks for; 0 where the row is a baseline or a limit.
+	Bound float64 `json:"bound,omitempty"`
+	// Note says what was scaled, and what the figure rests on.
+	Note string `json:"note,omitempty"`
+}
+
+// Options are the options of the measure command.
+type Options struct {
+	// Bin is the folder with the programs, Out the one for pictures.
+	Bin, Out string
+	// Only names one deployment or one measure; empty for all.
+	Only string
+	// Lines is where JSON lines go, Human where the table goes.
+	Lines, Human io.Writer
+}
+
+// New builds the measure command.
+func New(lines, human io.Writer) *cobra.Command {
+	o := &Options{Lines: lines, Human: human}
+	cmd := &cobra.Command{
+		Use:     "measure",
+		Short:   "Take the users' four measures on real processes",
+		Example: "  trial measure --bin bin --out out\n  trial measure --bin bin --only flood",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return Run(ctx, o)
+		},
+	}
+	cmd.Flags().StringVar(&o.Bin, "bin", "bin", "`folder` with the programs")
+	cmd.Flags().StringVar(&o.Out, "out", "out", "`folder` for pictures")
+	cmd.Flags().StringVar(&o.Only, "only", "", "one `measure`: flood, buffer, wave or moves")
+	return cmd
+}
+
+// deployment is one of the users' fleets.
+type deployment struct {
+	name  string
+	zones []string
+	// services are the pools, the spare one last.
+	services []string
+	// entries is the number of entries in each zone.
+	entries int
+}
+
+// deployments are the users' fleets at today's size: 50 workers, five services. The
+// Archive has 8 entries over three zones; 9 are run here, three in each.
+var deployments = []deployment{
+	{
+		name: "bureau", zones: []string{"tp-a", "tp-b", "tp-c", "tp-d"}, entries: 2,
+		services: []string{"documents", "berths", "contracts", "remittances", "inquiries"},
+	},
+	{
+		name: "archive", zones: []string{"wa-a", "wa-b", "wa-c"}, entries: 3,
+		services: []string{"logs", "casings", "licences", "extracts", "invoicing"},
+	},
+}
+
+const (
+	// hostsPerPool is the number of workers of each service.
+	hostsPerPool = 10
+	slotsPerHost = 8
+	// runTime is how long each request runs on a target.
+	runTime = 200 * time.Millisecond
+	// guardSlots is what the spare pool keeps for itself.
+	guardSlots = 24
+)
+
+// plan lays a deployment out.
+func (d deployment) plan() site.Plan {
+	p := site.Plan{
+		Zones: d.zones, EntriesPerZone: d.entries, Slots: slotsPerHost, Lag: 200 * time.Millisecond, Reboot: rebootTime,
+		Settings: map[string][]string{
+			"limits": {"queue = 64"}, "log": {"level = warn"},
+			"planner": {"tick = 100ms", "term = 3s", "fail-after = 300ms", "return-after = 100ms", "replace-after = 1s", "give-back-after = 1s"},
+		},
+	}
+	for i, name := range d.services {
+		zones := make(map[string]int)
+		for h := range hostsPerPool {
+			// Pools begin in different zones, so that the zones are equally full.
+			zones[d.zones[(h+i)%len(d.zones)]]++
+		}
+		pool := site.Pool{
+			Name: name, Zones: zones, RunTime: runTime,
+			Budget: budget.Spec{MaxUnavailable: 2, MinAvailable: 6},
+		}
+		if i == len(d.services)-1 {
+			pool.Spare, pool.Guard = true, guardSlots
+		}
+		p.Pools = append(p.Pools, pool)
+	}
+	return p
+}
+
+// taker takes measures and prints them.
+type taker struct {
+	o    *Options
+	dir  string
+	rows []Row
+}
+
+func (t *taker) add(r Row) {
+	t.rows = append(t.rows, r)
+	raw, err := json.Marshal(r)
+	if err == nil {
+		fmt.Fprintln(t.o.Lines, string(raw))
+	}
+}
+
+// withSite runs a deployment for one measure.
+func (t *taker) withSite(ctx context.Context, name string, p site.Plan, measure func(*site.Site) error) error {
+	bin, err := filepath.Abs(t.o.Bin)
+	if err != nil {
+		return err
+	}
+	s, err := site.New(p, bin, filepath.Join(t.dir, name))
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if err := s.Start(ctx); err != nil {
+		return err
+	}
+	if err := s.Publish(ctx); err != nil {
+		return err
+	}
+	status, err := s.Entries[0].Client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.WaitInForce(ctx, status.Offset); err != nil {
+		return err
+	}
+	return measure(s)
+}
+
+// Run takes all measures of all deployments.
+func Run(ctx context.Context, o *Options) error {
+	dir, err := os.MkdirTemp("", "caraway-measure-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	if err := os.MkdirAll(o.Out, 0o755); err != nil {
+		return err
+	}
+	t := &taker{o: o, dir: dir}
+	for _, d := range deployments {
+		for _, m := range []struct {
+			name string
+			take func(context.Context, deployment) error
+		}{{"moves", t.moves}, {"buffer", t.buffer}, {"wave", t.wave}, {"flood", t.flood}} {
+			if o.Only != "" && o.Only != m.name && o.Only != d.name {
+				continue
+			}
+			if err := m.take(ctx, d); err != nil {
+				return fmt.Errorf("%s of %s: %w", m.name, d.name, err)
+			}
+		}
+	}
+	return t.table()
+}
+
+// table prints all rows for humans.
+func (t *taker) table() error {
+	w := tabwriter.NewWriter(t.o.Human, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "DEPLOYMENT\tMEASURE\tPOLICY\tVALUE\tUNIT\tBOUND\tNOTE")
+	for _, r := range t.rows {
+		bound := ""
+		if r.Bound != 0 {
+			bound = fmt.Sprintf("%.3g", r.Bound)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.4g\t%s\t%s\t%s\n", r.Deployment, r.Measure, r.Policy, r.Value, r.Unit, bound, r.Note)
+	}
+	return w.Flush()
+}
--- a/trial/integ/wave_test.go
+++ b/trial/integ/wave_test.go
@@ -18,6 +18,7 @@
 	"carawaymux.dev/fleet/wave"
 	"carawaymux.dev/fleet/wire"
 	"carawaymux.dev/trial/faulty"
+	"carawaymux.dev/trial/load"
 	"carawaymux.dev/trial/site"
 	"carawaymux.dev/trial/target"
 )
@@ -295,3 +296,19 @@
 func newMove(name string, base uint64, to string) record.Record {
 	return newRecord(name, base, host.Move{To: to})
 }
+
+func TestNoHostIsRebootedUnderRequestsInFlight(t *testing.T) {
+	p := twoZones()
+	p.Pools[1].RunTime = time.Second
+	r := start(t, p)
+	e := r.Entries[0]
+	streams := []load.Stream{{Kind: "remittances", Rate: 12, Deadline: 8 * time.Second}}
+	results := r.during(12*time.Second, r.fixed(), streams, func() {
+		r.publish(e, "w", 0, wave.Spec{Pools: []string{"remittances"}})
+		r.phase(e, record.KindWave, "w", "done", 40*time.Second)
+	})
+	r.keepsPromises(results)
+	for _, one := range results {
+		require.Equal(t, wire.Done, one.Last().Outcome, "%+v", one.Tries)
+	}
+}
--- a/trial/load/load.go
+++ b/trial/load/load.go
@@ -3,6 +3,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -19,7 +20,10 @@
 
 // Stream is the requests of one kind.
 type Stream struct {
-	Kind    string
+	Kind string
+	// SendAs is the kind that the requests are sent as; empty for Kind. It lets
+	// several streams share one queue.
+	SendAs  string
 	Urgency string
 	// Rate is the mean number of requests a second over the whole run.
 	Rate float64
@@ -162,9 +166,10 @@
 
 func (r *Runner) one(ctx context.Context, s Stream, n int, start time.Time, due time.Duration) Result {
 	out := Result{Kind: s.Kind, Idempotent: s.Idempotent, Due: due, ID: fmt.Sprintf("%s-%d-%d", s.Kind, r.seed, n)}
+	kind := cmp.Or(s.SendAs, s.Kind)
 	body := fmt.Sprintf("%s/%s", out.ID, strings.Repeat("x", s.BodyBytes))
 	if !s.Idempotent {
-		id, err := r.balancer.Pick(n).Ticket(ctx, s.Kind)
+		id, err := r.balancer.Pick(n).Ticket(ctx, kind)
 		if err != nil {
 			out.Tries = []Try{{Outcome: wire.NotRun, Reason: "no id: " + err.Error()}}
 			return out
@@ -173,7 +178,7 @@
 	}
 	for try := 0; ; try++ {
 		a, err := r.balancer.Pick(n+try).Do(ctx, client.Request{
-			Kind: s.Kind, ID: out.ID, Urgency: s.Urgency, Idempotent: s.Idempotent, Deadline: s.Deadline, Body: []byte(body),
+			Kind: kind, ID: out.ID, Urgency: s.Urgency, Idempotent: s.Idempotent, Deadline: s.Deadline, Body: []byte(body),
 		})
 		if err != nil {
 			a.Reason = err.Error()
--- a/trial/target/target.go
+++ b/trial/target/target.go
@@ -222,6 +222,8 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
 	if mode == Short {
 		_, _ = w.Write(out[:len(out)/2])
+		// Without this the half would never leave the buffer.
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(out)
