Answer carry without sorting and copying the fleet

Change: racks are plain structs, the hosts that a budget may let go are found by their maximum, lists have their size from the start, racks are counted only for spread jobs.

--- a/fleet/place/place.go
+++ b/fleet/place/place.go
@@ -6,12 +6,15 @@
 	"carawaymux.dev/fleet/host"
 )
 
+// Rack names a failure domain.
+type Rack struct{ Zone, Name string }
+
 // Candidate is a host that may take a task.
 type Candidate struct {
 	// Name is the host's name.
 	Name string
 	// Rack is the host's failure domain.
-	Rack string
+	Rack Rack
 	// Free is what the host can still hold; no dimension is negative.
 	Free host.Size
 	// Mates is the number of tasks of the same job in the rack.
@@ -78,9 +81,14 @@
 	return -1, short
 }
 
-// Take books a task on a candidate and counts it in its rack.
+// Take books a task on a candidate.
 func Take(candidates []Candidate, chosen int, need host.Size) {
 	candidates[chosen].Free = candidates[chosen].Free.Sub(need)
+}
+
+// TakeSpread books a task on a candidate and counts it in its rack.
+func TakeSpread(candidates []Candidate, chosen int, need host.Size) {
+	Take(candidates, chosen, need)
 	rack := candidates[chosen].Rack
 	for i := range candidates {
 		if candidates[i].Rack == rack {
--- a/fleet/plan/tasks.go
+++ b/fleet/plan/tasks.go
@@ -155,7 +155,7 @@
 			if chosen < 0 {
 				break // Later tasks of the job are no smaller.
 			}
-			place.Take(free[spec.Pool], chosen, need)
+			place.TakeSpread(free[spec.Pool], chosen, need)
 			quota[spec.Team] = quota[spec.Team].Add(spec.Size)
 			items = append(items, jobs.Item{Job: name, Task: i, Act: jobs.ActStart, Host: free[spec.Pool][chosen].Name})
 		}
@@ -188,7 +188,7 @@
 			continue
 		}
 		out = append(out, place.Candidate{
-			Name: name, Rack: h.Spec.Zone + "/" + h.Spec.Rack,
+			Name: name, Rack: place.Rack{Zone: h.Spec.Zone, Name: h.Spec.Rack},
 			Free: h.Spec.Size.Sub(r.s.Used(name)).Sub(extra[name]),
 		})
 	}
@@ -197,10 +197,10 @@
 
 // mates counts the tasks of a job in each candidate's rack.
 func mates(r *round, free []place.Candidate, j *jobs.Job) {
-	inRack := make(map[string]int)
+	inRack := make(map[place.Rack]int)
 	for _, t := range j.Tasks {
 		if h := r.s.Hosts[t.Host]; h != nil {
-			inRack[h.Spec.Zone+"/"+h.Spec.Rack]++
+			inRack[place.Rack{Zone: h.Spec.Zone, Name: h.Spec.Rack}]++
 		}
 	}
 	for i := range free {
--- a/fleet/query/query.go
+++ b/fleet/query/query.go
@@ -112,26 +112,31 @@
 		return Carried{}, record.Problems{{
 			Field: "pool", Got: fmt.Sprintf("%q", c.Pool), Allowed: "the name of a pool"}}
 	}
-	var serving, sure []candidate
+	hosts := 0
 	for _, name := range pools {
-		list := servingHosts(s, name)
-		serving = append(serving, list...)
-		sure = append(sure, withoutLargest(list, s.Room(name))...)
+		hosts += len(s.HostsOf(name))
 	}
+	serving, sure := make([]candidate, 0, hosts), make([]candidate, 0, hosts)
+	for _, name := range pools {
+		from := len(serving)
+		serving = appendServing(serving, s, name)
+		sure = appendSure(sure, serving[from:], s.Room(name))
+	}
+	remain := len(sure)
 	answer := fit(sure, c)
 	if answer.Fits {
 		return answer, nil
 	}
 	if fit(serving, c).Fits {
 		answer.Why = fmt.Sprintf("fits on the %d serving hosts, but not on the %d that remain "+
-			"when the budgets let go what they may (short of %s)", len(serving), len(sure), answer.Short)
+			"when the budgets let go what they may (short of %s)", len(serving), remain, answer.Short)
 		answer.Short = "budget"
 	}
 	return answer, nil
 }
 
-func servingHosts(s *ledger.State, poolName string) []candidate {
-	var list []candidate
+// appendServing appends the serving hosts of a pool.
+func appendServing(list []candidate, s *ledger.State, poolName string) []candidate {
 	for _, name := range s.HostsOf(poolName) {
 		h := s.Hosts[name]
 		if h.Phase != host.Serving {
@@ -139,7 +144,7 @@
 		}
 		list = append(list, candidate{
 			Candidate: place.Candidate{
-				Name: name, Rack: h.Spec.Zone + "/" + h.Spec.Rack, Free: h.Spec.Size.Sub(s.Used(name)),
+				Name: name, Rack: place.Rack{Zone: h.Spec.Zone, Name: h.Spec.Rack}, Free: h.Spec.Size.Sub(s.Used(name)),
 			},
 			slots: h.Spec.Slots,
 		})
@@ -147,48 +152,55 @@
 	return list
 }
 
-// withoutLargest drops the n hosts with the most free room: whichever hosts the
-// budget lets go, no more than this is lost.
-func withoutLargest(list []candidate, n int) []candidate {
-	if n <= 0 {
-		return list
-	}
+// appendSure appends a pool's hosts but for the n with the most free room: whichever
+// hosts the budget lets go, no more than this is lost.
+func appendSure(to, list []candidate, n int) []candidate {
 	if n >= len(list) {
-		return nil
-	}
-	sorted := slices.Clone(list)
-	slices.SortStableFunc(sorted, func(a, b candidate) int {
-		d := place.BestFit{}.Rank(a.Candidate, host.Size{}) - place.BestFit{}.Rank(b.Candidate, host.Size{})
-		switch {
-		case d < 0:
-			return -1
-		case d > 0:
-			return 1
+		return to
+	}
+	from := len(to)
+	to = append(to, list...)
+	for range n {
+		rest := to[from:]
+		most := 0
+		for i := range rest {
+			if idle(rest[i]) > idle(rest[most]) {
+				most = i
+			}
 		}
-		return 0
-	})
-	return sorted[:len(sorted)-n]
+		to = slices.Delete(to, from+most, from+most+1)
+	}
+	return to
 }
 
+// idle ranks a candidate by what it has free.
+func idle(c candidate) int64 { return place.BestFit{}.Rank(c.Candidate, host.Size{}) }
+
 // fit tries to place everything that is asked for on the given hosts.
 func fit(list []candidate, c Carry) Carried {
 	slots := 0
 	free := make([]place.Candidate, len(list))
-	for i, h := range list {
-		slots += h.slots
-		free[i] = h.Candidate
+	for i := range list {
+		slots += list[i].slots
+		free[i] = list[i].Candidate
 	}
 	var out Carried
 	for _, d := range c.Jobs {
-		for i := range free {
-			free[i].Mates = 0
+		if d.Spread {
+			for i := range free {
+				free[i].Mates = 0
+			}
 		}
 		for task := range d.Tasks {
 			chosen, short := pick(free, d)
 			if chosen < 0 {
 				return refusal(d, task, short, len(list))
 			}
-			place.Take(free, chosen, d.Size)
+			if d.Spread {
+				place.TakeSpread(free, chosen, d.Size)
+			} else {
+				place.Take(free, chosen, d.Size)
+			}
 			out.Placements = append(out.Placements, Placed{Job: d.Name, Task: task, Host: free[chosen].Name})
 		}
 	}
