Look pools up only when a question needs them

Cause: carry over the whole fleet still took 2.4 ms, most of it building the lists of 172 pools of which one or two give the answer. Change: candidates are looked up pool by pool; a pool that has no room for one task has none for the next. Jobs that are spread still look at all racks.

--- a/fleet/query/leave.go
+++ b/fleet/query/leave.go
@@ -117,9 +117,9 @@
 		return ""
 	}
 	var free []place.Candidate
-	for _, c := range appendServing(nil, s, s.Hosts[name].Spec.Pool) {
+	for _, c := range servingHosts(s, s.Hosts[name].Spec.Pool) {
 		if c.Name != name {
-			free = append(free, c.Candidate)
+			free = append(free, c)
 		}
 	}
 	for _, t := range tasks {
--- a/fleet/query/query.go
+++ b/fleet/query/query.go
@@ -3,6 +3,7 @@
 package query
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -97,12 +98,6 @@
 	Why string `json:"why,omitempty"`
 }
 
-// candidate is a serving host with its slots.
-type candidate struct {
-	place.Candidate
-	slots int
-}
-
 // AskCarry answers a [Carry]. It returns an error when the pool does not exist.
 func AskCarry(s *ledger.State, c Carry) (Carried, error) {
 	pools := []string{c.Pool}
@@ -112,105 +107,164 @@
 		return Carried{}, record.Problems{{
 			Field: "pool", Got: fmt.Sprintf("%q", c.Pool), Allowed: "the name of a pool"}}
 	}
-	hosts := 0
-	for _, name := range pools {
-		hosts += len(s.HostsOf(name))
-	}
-	serving, sure := make([]candidate, 0, hosts), make([]candidate, 0, hosts)
-	for _, name := range pools {
-		from := len(serving)
-		serving = appendServing(serving, s, name)
-		sure = appendSure(sure, serving[from:], s.Room(name))
-	}
-	remain := len(sure)
-	answer := fit(sure, c)
+	sure := newStock(s, pools, true)
+	answer := sure.fit(c)
 	if answer.Fits {
 		return answer, nil
 	}
-	if fit(serving, c).Fits {
+	serving := newStock(s, pools, false)
+	if serving.fit(c).Fits {
 		answer.Why = fmt.Sprintf("fits on the %d serving hosts, but not on the %d that remain "+
-			"when the budgets let go what they may (short of %s)", len(serving), remain, answer.Short)
+			"when the budgets let go what they may (short of %s)", serving.hosts(), sure.hosts(), answer.Short)
 		answer.Short = "budget"
 	}
 	return answer, nil
 }
 
-// appendServing appends the serving hosts of a pool.
-func appendServing(list []candidate, s *ledger.State, poolName string) []candidate {
-	for _, name := range s.HostsOf(poolName) {
+// stock is what hosts have free, pool by pool. A pool's hosts are looked up when they
+// are first needed, so that a question which few pools answer costs little.
+type stock struct {
+	s     *ledger.State
+	pools []string
+	// sure leaves out what the budgets may let go.
+	sure bool
+	// free holds each pool's candidates, nil until looked up.
+	free [][]place.Candidate
+}
+
+func newStock(s *ledger.State, pools []string, sure bool) *stock {
+	return &stock{s: s, pools: pools, sure: sure, free: make([][]place.Candidate, len(pools))}
+}
+
+// candidates returns what the hosts of a pool have free.
+func (k *stock) candidates(i int) []place.Candidate {
+	if k.free[i] == nil {
+		list := servingHosts(k.s, k.pools[i])
+		if k.sure {
+			list = withoutLargest(list, k.s.Room(k.pools[i]))
+		}
+		k.free[i] = list
+	}
+	return k.free[i]
+}
+
+// hosts counts the candidates of all pools.
+func (k *stock) hosts() int {
+	n := 0
+	for i := range k.pools {
+		n += len(k.candidates(i))
+	}
+	return n
+}
+
+// slots counts the request slots of all pools.
+func (k *stock) slots() int {
+	n := 0
+	for i := range k.pools {
+		for _, c := range k.candidates(i) {
+			n += k.s.Hosts[c.Name].Spec.Slots
+		}
+	}
+	return n
+}
+
+// merge makes one list of all pools, for jobs that are spread over all racks.
+func (k *stock) merge() {
+	all := make([]place.Candidate, 0, len(k.s.Hosts))
+	for i := range k.pools {
+		all = append(all, k.candidates(i)...)
+	}
+	k.pools, k.free = k.pools[:1], [][]place.Candidate{all}
+}
+
+func servingHosts(s *ledger.State, poolName string) []place.Candidate {
+	names := s.HostsOf(poolName)
+	list := make([]place.Candidate, 0, len(names))
+	for _, name := range names {
 		h := s.Hosts[name]
 		if h.Phase != host.Serving {
 			continue
 		}
-		list = append(list, candidate{
-			Candidate: place.Candidate{
-				Name: name, Rack: place.Rack{Zone: h.Spec.Zone, Name: h.Spec.Rack}, Free: h.Spec.Size.Sub(s.Used(name)),
-			},
-			slots: h.Spec.Slots,
+		list = append(list, place.Candidate{
+			Name: name, Rack: place.Rack{Zone: h.Spec.Zone, Name: h.Spec.Rack}, Free: h.Spec.Size.Sub(s.Used(name)),
 		})
 	}
 	return list
 }
 
-// appendSure appends a pool's hosts but for the n with the most free room: whichever
-// hosts the budget lets go, no more than this is lost.
-func appendSure(to, list []candidate, n int) []candidate {
+// withoutLargest drops the n hosts with the most free room: whichever hosts the budget
+// lets go, no more than this is lost.
+func withoutLargest(list []place.Candidate, n int) []place.Candidate {
 	if n >= len(list) {
-		return to
+		return list[:0]
 	}
-	from := len(to)
-	to = append(to, list...)
 	for range n {
-		rest := to[from:]
 		most := 0
-		for i := range rest {
-			if idle(rest[i]) > idle(rest[most]) {
+		for i := range list {
+			if idle(list[i]) > idle(list[most]) {
 				most = i
 			}
 		}
-		to = slices.Delete(to, from+most, from+most+1)
+		list = slices.Delete(list, most, most+1)
 	}
-	return to
+	return list
 }
 
 // idle ranks a candidate by what it has free.
-func idle(c candidate) int64 { return place.BestFit{}.Rank(c.Candidate, host.Size{}) }
+func idle(c place.Candidate) int64 { return place.BestFit{}.Rank(c, host.Size{}) }
 
-// fit tries to place everything that is asked for on the given hosts.
-func fit(list []candidate, c Carry) Carried {
-	slots := 0
-	free := make([]place.Candidate, len(list))
-	for i := range list {
-		slots += list[i].slots
-		free[i] = list[i].Candidate
-	}
+// fit tries to place everything that is asked for.
+func (k *stock) fit(c Carry) Carried {
 	var out Carried
-	for _, d := range c.Jobs {
-		if d.Spread {
-			for i := range free {
-				free[i].Mates = 0
-			}
-		}
-		for task := range d.Tasks {
-			chosen, short := pick(free, d)
-			if chosen < 0 {
-				return refusal(d, task, short, len(list))
-			}
-			if d.Spread {
-				place.TakeSpread(free, chosen, d.Size)
-			} else {
-				place.Take(free, chosen, d.Size)
-			}
-			out.Placements = append(out.Placements, Placed{Job: d.Name, Task: task, Host: free[chosen].Name})
+	if c.Slots > 0 {
+		if there := k.slots(); there < c.Slots {
+			return Carried{Short: "slots", Why: fmt.Sprintf("%d slots asked for, %d there", c.Slots, there)}
 		}
 	}
-	if slots < c.Slots {
-		return Carried{Short: "slots", Why: fmt.Sprintf("%d slots asked for, %d there", c.Slots, slots)}
+	for _, d := range c.Jobs {
+		placed, no := k.fitJob(d)
+		if no != nil {
+			return *no
+		}
+		out.Placements = append(out.Placements, placed...)
 	}
 	out.Fits = true
 	return out
 }
 
+// fitJob places the tasks of one job, pool by pool: a pool that has no room for one task
+// has none for the next, which is as large.
+func (k *stock) fitJob(d Demand) ([]Placed, *Carried) {
+	if d.Spread {
+		k.merge()
+		for i := range k.free[0] {
+			k.free[0][i].Mates = 0
+		}
+	}
+	var placed []Placed
+	short := ""
+	for pool := 0; len(placed) < d.Tasks; {
+		if pool == len(k.pools) {
+			no := refusal(d, len(placed), short, k.hosts())
+			return nil, &no
+		}
+		free := k.candidates(pool)
+		chosen, dimension := pick(free, d)
+		if chosen < 0 {
+			short = cmp.Or(dimension, short)
+			pool++
+			continue
+		}
+		if d.Spread {
+			place.TakeSpread(free, chosen, d.Size)
+		} else {
+			place.Take(free, chosen, d.Size)
+		}
+		placed = append(placed, Placed{Job: d.Name, Task: len(placed), Host: free[chosen].Name})
+	}
+	return placed, nil
+}
+
 func pick(free []place.Candidate, d Demand) (int, string) {
 	if d.Spread {
 		return place.Pick(place.Spread{}, free, d.Size)
--- a/fleet/query/query_test.go
+++ b/fleet/query/query_test.go
@@ -133,6 +133,16 @@
 	}
 }
 
+// BenchmarkCarryFleetRefused asks for what no host can hold: every pool is looked at.
+func BenchmarkCarryFleetRefused(b *testing.B) {
+	s := fleetOf(b, benchPools, benchHosts)
+	q := query.Carry{Jobs: []query.Demand{{Name: "j", Size: host.Size{Cores: 17}, Tasks: 1}}}
+	b.ResetTimer()
+	for range b.N {
+		_, _ = query.AskCarry(s, q)
+	}
+}
+
 func BenchmarkLeavePool(b *testing.B) {
 	s := fleetOf(b, benchPools, benchHosts)
 	b.ResetTimer()
