--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -109,7 +109,7 @@
 	}
 	now := time.Now()
 	if pool.Zones[v.zone] == 0 {
-		if p, found := v.elsewhere(ctx, pool); found {
+		if p, found := v.elsewhere(pool); found {
 			return once.NewID(p.Name, p.Incarnation, now).String(), nil
 		}
 	}
@@ -200,25 +200,33 @@
 		a.Bad = errors.Is(err, route.ErrUnknownKind)
 		return a, false
 	}
-	if pool.Zones[v.zone] == 0 && r.Hops == 0 {
-		if p, found := v.elsewhere(ctx, pool); found {
+	if r.Hops > 0 {
+		return v.local(ctx, r, false)
+	}
+	if pool.Zones[v.zone] == 0 {
+		if p, found := v.elsewhere(pool); found {
 			return v.passOn(ctx, r, p)
 		}
+		return v.local(ctx, r, false)
 	}
-	a, retry := v.local(ctx, r)
-	if a.Full && r.Hops == 0 {
-		if p, found := v.elsewhere(ctx, pool); found && p.Room[pool.Name] > 0 {
-			return v.passOn(ctx, r, p)
+	// A free slot of another entry goes before a place in this one's queue.
+	a, retry := v.local(ctx, r, true)
+	if !a.Full {
+		return a, retry
+	}
+	if p, found := v.elsewhere(pool); found && p.Room[pool.Name] > 0 {
+		if a, retry = v.passOn(ctx, r, p); !a.Full {
+			return a, retry
 		}
 	}
-	return a, retry
+	return v.local(ctx, r, false)
 }
 
-// local waits for a slot of this zone and uses it.
-func (v *Invoker) local(ctx context.Context, r work.Request) (work.Answer, bool) {
+// local uses a slot of this entry; with noWait only one that is free.
+func (v *Invoker) local(ctx context.Context, r work.Request, noWait bool) (work.Answer, bool) {
 	ticket, err := v.router.Submit(ctx, route.Ask{
 		Kind: r.Kind, Urgency: r.Urgency, Deadline: r.Deadline, Size: max(r.Size, 0),
-		Hold: r.Size < 0 || r.Size > holdAbove,
+		Hold: r.Size < 0 || r.Size > holdAbove, NoWait: noWait,
 	})
 	if err != nil {
 		return work.NotRun("submit: " + err.Error()), false
@@ -285,21 +293,22 @@
 	return out.answer, out.retry
 }
 
-// elsewhere finds an entry of another zone that can send requests of a pool to
-// targets, the one with the most room first.
-func (v *Invoker) elsewhere(ctx context.Context, pool route.PoolTable) (member.Peer, bool) {
+// elsewhere finds another entry that can send requests of a pool to targets: one of this
+// zone if it has room, else the one with the most room.
+func (v *Invoker) elsewhere(pool route.PoolTable) (member.Peer, bool) {
+	if pool.Zones[v.zone] > 0 {
+		if p, found := v.members.Roomiest(v.zone, pool.Name); found && p.Room[pool.Name] > 0 {
+			return p, true
+		}
+	}
 	var best member.Peer
 	found := false
 	for zone, serving := range pool.Zones {
 		if zone == v.zone || serving == 0 {
 			continue
 		}
-		peers, err := v.members.Find(ctx, zone, pool.Name)
-		if err != nil || len(peers) == 0 {
-			continue
-		}
-		p := peers[0]
-		if !found || p.Room[pool.Name] > best.Room[pool.Name] {
+		p, live := v.members.Roomiest(zone, pool.Name)
+		if live && (!found || p.Room[pool.Name] > best.Room[pool.Name]) {
 			best, found = p, true
 		}
 	}
--- a/entry/member/core.go
+++ b/entry/member/core.go
@@ -204,6 +204,7 @@
 func (c *core) beat() {
 	c.self.Beat++
 	peers := c.peers()
+	c.m.seen.Store(&peers)
 	c.logChanges(peers)
 	own := []Row{c.self}
 	speaker := c.self.Name == speakerOf(peers, c.self.Zone)
--- a/entry/member/member.go
+++ b/entry/member/member.go
@@ -11,6 +11,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"carawaymux.dev/entry/follow"
@@ -130,6 +131,8 @@
 	logger   *slog.Logger
 	tick     time.Duration
 	core     *task.Task[message]
+	// seen is what the core last published; it is never changed afterwards.
+	seen atomic.Pointer[[]Peer]
 }
 
 // Option changes how a member is built.
@@ -150,6 +153,7 @@
 	for _, opt := range opts {
 		opt(m)
 	}
+	m.seen.Store(&[]Peer{})
 	m.core = task.Start(m.run)
 	return m
 }
@@ -180,18 +184,21 @@
 // Listed takes over the platform's list.
 func (m *Member) Listed(l plat.Listing) { m.core.TrySend(listed(l)) }
 
-// Find returns the live entries of a zone that take work, most room for the pool
-// first.
-func (m *Member) Find(ctx context.Context, zone, pool string) ([]Peer, error) {
-	peers, err := m.Peers(ctx)
-	if err != nil {
-		return nil, err
+// Roomiest returns the live entry of a zone that takes work and has the most free slots
+// of a pool, as of the last heartbeat; false when there is none. It costs no message,
+// since it is asked for each request that finds no slot.
+func (m *Member) Roomiest(zone, pool string) (Peer, bool) {
+	var best Peer
+	found := false
+	for _, p := range *m.seen.Load() {
+		if p.Zone != zone || p.State != Live || p.Stopping || p.Name == m.self.Name {
+			continue
+		}
+		if !found || p.Room[pool] > best.Room[pool] {
+			best, found = p, true
+		}
 	}
-	peers = slices.DeleteFunc(peers, func(p Peer) bool {
-		return p.Zone != zone || p.State != Live || p.Stopping || p.Name == m.self.Name
-	})
-	slices.SortStableFunc(peers, func(a, b Peer) int { return b.Room[pool] - a.Room[pool] })
-	return peers, nil
+	return best, found
 }
 
 // Get returns an entry by its name, and false when it is not known.
--- a/entry/route/pool.go
+++ b/entry/route/pool.go
@@ -254,7 +254,9 @@
 	t := m.ticket
 	l := s.lane(t.ask.Kind)
 	if refused := s.admit(l, t.ask); refused.Refused != "" {
-		l.refused++
+		if !t.ask.NoWait {
+			l.refused++
+		}
 		t.reply <- refused
 		return
 	}
@@ -282,6 +284,8 @@
 	}
 	wait := s.expectedWait(l, slots)
 	switch {
+	case a.NoWait:
+		return Reply{Refused: "no slot is free", RetryAfter: wait, Full: true}
 	case l.length >= s.pool.limits.Queue:
 		return Reply{
 			Refused: fmt.Sprintf("queue: %d requests wait, the limit", l.length), RetryAfter: wait, Full: true,
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -17,6 +17,9 @@
 	Size int
 	// Hold keeps the request from being granted until [Ticket.Ready].
 	Hold bool
+	// NoWait refuses the request when it would have to wait, so that another
+	// entry can be tried first.
+	NoWait bool
 }
 
 // Reply is the routing's answer to an ask. Exactly one of its states holds.
--- a/trial/integ/request_test.go
+++ b/trial/integ/request_test.go
@@ -250,3 +250,24 @@
 	require.Equal(t, 400, a.Status)
 	require.Contains(t, a.Reason, "/v1/ids")
 }
+
+func TestFreeSlotsOfAnotherEntryGoBeforeTheQueue(t *testing.T) {
+	p := twoZones()
+	p.Pools[0].RunTime = 2 * time.Second
+	r := start(t, p)
+	// The entry has 8 of its zone's 16 slots; the callers ask it for 14 at once.
+	time.Sleep(time.Second) // Free slots are told by heartbeats.
+	answers := make(chan client.Answer, 14)
+	for range cap(answers) {
+		go func() { answers <- r.request(r.Entries[0], "documents") }()
+	}
+	through := make(map[string]int)
+	for range cap(answers) {
+		a := <-answers
+		require.Equal(t, wire.Done, a.Outcome, a.Reason)
+		through[a.Entry]++
+	}
+	require.LessOrEqual(t, through[r.Entries[0].Name], 8, "%v", through)
+	require.Equal(t, cap(answers)-through[r.Entries[0].Name], through[r.Entries[1].Name], "the rest went through the other entry of the zone: %v", through)
+	require.Zero(t, r.Totals(r.ctx).Refused)
+}
