--- a/entry/front/operate.go
+++ b/entry/front/operate.go
@@ -42,14 +42,11 @@
 		})
 		return
 	}
-	switch v.Result {
-	case record.Accepted:
-		f.answer(w, http.StatusOK, wire.Published{Verdict: v})
-	case record.Duplicate:
-		f.refuse(w, http.StatusConflict, wire.Refusal{Error: v.Reason, Verdict: &v})
-	default:
+	if v.Result != record.Accepted {
 		f.refuse(w, http.StatusConflict, wire.Refusal{Error: v.Reason, Verdict: &v})
+		return
 	}
+	f.answer(w, http.StatusOK, wire.Published{Verdict: v})
 }
 
 // checkRecord refuses what the fold would refuse by the record alone.
--- /dev/null
+++ b/trial/integ/tls_test.go
@@ -0,0 +1,106 @@
+package integ
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/budget"
+	"carawaymux.dev/fleet/client"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/trial/site"
+)
+
+const (
+	peerKey  = "peer-key-0123456789"
+	anasKey  = "operator-key-0123456789"
+	newerKey = "operator-key-9876543210"
+)
+
+// writeCerts makes a certificate that signs itself, for 127.0.0.1, and returns the pool
+// that it is checked against.
+func writeCerts(t *testing.T, dir string) *x509.CertPool {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "caraway"}, NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	cert := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "cert.pem"), cert, 0o600))
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "key.pem"), pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}), 0o600))
+	pool := x509.NewCertPool()
+	require.True(t, pool.AppendCertsFromPEM(cert))
+	return pool
+}
+
+func TestTLSAndKeysEverywhere(t *testing.T) {
+	dir := t.TempDir()
+	roots := writeCerts(t, dir)
+	keyFile := filepath.Join(dir, "keys")
+	require.NoError(t, os.WriteFile(keyFile, []byte("peer "+peerKey+"\noperator site "+anasKey+"\n"), 0o600))
+	cert := filepath.Join(dir, "cert.pem")
+	p := twoZones()
+	p.Pools[1].Zones = map[string]int{zoneB: 2}
+	p.Settings = map[string][]string{
+		"listen": {"clear = no", "tls-cert = " + cert, "tls-key = " + filepath.Join(dir, "key.pem"), "tls-ca = " + cert},
+		"auth":   {"open = no", "key-file = " + keyFile},
+	}
+	with := func(key string) func(string) *client.Client {
+		return func(address string) *client.Client {
+			secure := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}}}
+			return client.New("https://"+address, client.WithKey(key), client.WithHTTP(secure))
+		}
+	}
+	r := start(t, p, site.WithClients(with(anasKey)))
+	a := r.request(r.Entries[0], "remittances")
+	require.Equal(t, wire.Done, a.Outcome, a.Reason)
+	require.Equal(t, zoneB, r.zoneOf(a.Entry), "it went through an entry of the other zone, over TLS")
+
+	publish := func(key, object string) error {
+		_, err := with(key)(r.Entries[0].HTTP).Publish(r.ctx, client.NewRecord(site.Author, object, 0, budget.Spec{}))
+		return err
+	}
+	for _, key := range []string{"", peerKey, newerKey} {
+		var refused *client.Error
+		require.ErrorAs(t, publish(key, "no"), &refused)
+		require.Equal(t, http.StatusUnauthorized, refused.Status)
+	}
+	require.Error(t, func() error {
+		_, err := with(anasKey)(r.Entries[0].HTTP).Publish(r.ctx, client.NewRecord("someone-else", "no", 0, budget.Spec{}))
+		return err
+	}(), "a key signs for its owner only")
+	// A peer without a certificate gets no further than the handshake.
+	conn, err := tls.Dial("tcp", r.Entries[0].Peer, &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13})
+	if err == nil {
+		_, err = conn.Read(make([]byte, 1))
+		conn.Close()
+	}
+	require.Error(t, err)
+	var timeout net.Error
+	require.False(t, errors.As(err, &timeout) && timeout.Timeout())
+
+	require.NoError(t, os.WriteFile(keyFile, []byte("peer "+peerKey+"\noperator site "+newerKey+"\n"), 0o600))
+	require.Eventually(t, func() bool { return publish(newerKey, "yes") == nil }, 10*time.Second, 100*time.Millisecond)
+	require.Error(t, publish(anasKey, "no"))
+}
--- a/trial/site/site.go
+++ b/trial/site/site.go
@@ -94,6 +94,7 @@
 	LogURL  string
 	HostURL string
 	proxy   Proxy
+	clients func(address string) *client.Client
 	procs   []*procs.Proc
 }
 
@@ -103,9 +104,18 @@
 // WithProxy puts proxies between entries, and between entries and the platform.
 func WithProxy(p Proxy) Option { return func(s *Site) { s.proxy = p } }
 
+// WithClients sets how entries are spoken to; the address is that of their HTTP listener.
+func WithClients(f func(address string) *client.Client) Option {
+	return func(s *Site) { s.clients = f }
+}
+
 // New lays a deployment out: bin holds the programs, dir takes settings and logs.
 func New(p Plan, bin, dir string, opts ...Option) (*Site, error) {
-	s := &Site{Plan: p, Bin: bin, Dir: dir, proxy: func(_, _, address string) (string, error) { return address, nil }}
+	s := &Site{
+		Plan: p, Bin: bin, Dir: dir,
+		proxy:   func(_, _, address string) (string, error) { return address, nil },
+		clients: func(address string) *client.Client { return client.New("http://" + address) },
+	}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -128,7 +138,7 @@
 	}
 	for _, e := range s.Entries {
 		e.HTTP, e.Peer, ports = ports[0], ports[1], ports[2:]
-		e.Client = client.New("http://" + e.HTTP)
+		e.Client = s.clients(e.HTTP)
 	}
 	return s, os.MkdirAll(dir, 0o755)
 }
