--- /dev/null
+++ b/trial/gauge/cost.go
@@ -0,0 +1,102 @@
+package gauge
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"carawaymux.dev/fleet/budget"
+	"carawaymux.dev/fleet/client"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/trial/load"
+	"carawaymux.dev/trial/procs"
+	"carawaymux.dev/trial/site"
+	"carawaymux.dev/trial/target"
+)
+
+const (
+	// costRequests is the number of requests that a cost is taken over.
+	costRequests = 8000
+	// costCallers is the number of callers that send them.
+	costCallers = 4
+	// refusalBound is the bound on a refusal's cost over a served request's.
+	refusalBound = 0.4
+)
+
+// cost measures the entry's own processor time for a served request and for a refusal,
+// the entry being a process of its own.
+func (t *taker) cost(ctx context.Context, d deployment) error {
+	if d.name != deployments[0].name {
+		return nil
+	}
+	const zone, kind = "z", "docs"
+	p := site.Plan{
+		Zones: []string{zone}, EntriesPerZone: 1, Slots: slotsPerHost,
+		Pools:    []site.Pool{{Name: kind, Zones: map[string]int{zone: 1}, Budget: budget.Spec{MaxUnavailable: 1}}},
+		Settings: map[string][]string{"limits": {"queue = 0"}, "log": {"level = error"}},
+	}
+	return t.withSite(ctx, "cost", p, func(s *site.Site) error {
+		e := s.Entries[0]
+		c := client.New("http://"+e.HTTP, client.WithHTTP(load.HTTP()))
+		served, err := costOf(ctx, e, c, kind, wire.Done)
+		if err != nil {
+			return err
+		}
+		if err := s.Behave(ctx, s.Targets[0], target.Behaviour{Mode: target.Hang}); err != nil {
+			return err
+		}
+		held, release := context.WithCancel(ctx)
+		defer release()
+		for i := range slotsPerHost {
+			go func() {
+				_, _ = c.Do(held, client.Request{Kind: kind, ID: fmt.Sprintf("held-%d", i), Idempotent: true, Deadline: time.Minute})
+			}()
+		}
+		time.Sleep(time.Second)
+		refused, err := costOf(ctx, e, c, kind, wire.NotRun)
+		if err != nil {
+			return err
+		}
+		note := fmt.Sprintf("%d requests of 1 KiB each; the entry's own processor time", costRequests)
+		us := func(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+		t.add(Row{"control", "served-request", "entry", us(served), "us", 0, note})
+		t.add(Row{"control", "refusal", "entry", us(refused), "us", refusalBound * us(served), note})
+		return nil
+	})
+}
+
+// costOf sends requests that must all have one outcome, and returns the entry's processor
+// time for each.
+func costOf(ctx context.Context, e *site.Entry, c *client.Client, kind string, want wire.Outcome) (time.Duration, error) {
+	send := func(n int) error {
+		var group errgroup.Group
+		for caller := range costCallers {
+			group.Go(func() error {
+				for i := range n / costCallers {
+					a, err := c.Do(ctx, client.Request{
+						Kind: kind, ID: fmt.Sprintf("%s-%d-%d", want, caller, i), Idempotent: true, Body: make([]byte, 1<<10),
+					})
+					if err != nil || a.Outcome != want {
+						return fmt.Errorf("outcome %s, want %s: %s: %w", a.Outcome, want, a.Reason, err)
+					}
+				}
+				return nil
+			})
+		}
+		return group.Wait()
+	}
+	if err := send(costRequests / 10); err != nil {
+		return 0, err
+	}
+	before, err := procs.CPU(e.Proc.PID())
+	if err != nil {
+		return 0, err
+	}
+	if err := send(costRequests); err != nil {
+		return 0, err
+	}
+	after, err := procs.CPU(e.Proc.PID())
+	return (after - before) / costRequests, err
+}
--- a/trial/gauge/gauge.go
+++ b/trial/gauge/gauge.go
@@ -59,7 +59,7 @@
 	}
 	cmd.Flags().StringVar(&o.Bin, "bin", "bin", "`folder` with the programs")
 	cmd.Flags().StringVar(&o.Out, "out", "out", "`folder` for pictures")
-	cmd.Flags().StringVar(&o.Only, "only", "", "one `measure` (flood, buffer, wave, moves, control) or deployment")
+	cmd.Flags().StringVar(&o.Only, "only", "", "one `measure` (flood, buffer, wave, moves, control, cost) or deployment")
 	return cmd
 }
 
@@ -182,7 +182,7 @@
 		for _, m := range []struct {
 			name string
 			take func(context.Context, deployment) error
-		}{{"moves", t.moves}, {"buffer", t.buffer}, {"wave", t.wave}, {"flood", t.flood}, {"control", t.control}} {
+		}{{"moves", t.moves}, {"buffer", t.buffer}, {"wave", t.wave}, {"flood", t.flood}, {"control", t.control}, {"cost", t.cost}} {
 			if o.Only != "" && o.Only != m.name && o.Only != d.name {
 				continue
 			}
