Look each pool's hosts up once for a question

Cause: a refusal of carry over the whole fleet looked every host up twice, once with and once without what the budgets may let go. Change: both looks share one lookup.

--- a/fleet/query/query.go
+++ b/fleet/query/query.go
@@ -107,12 +107,13 @@
 		return Carried{}, record.Problems{{
 			Field: "pool", Got: fmt.Sprintf("%q", c.Pool), Allowed: "the name of a pool"}}
 	}
-	sure := newStock(s, pools, true)
+	look := &lookup{s: s, pools: pools, found: make([][]place.Candidate, len(pools))}
+	sure := newStock(look, true)
 	answer := sure.fit(c)
 	if answer.Fits {
 		return answer, nil
 	}
-	serving := newStock(s, pools, false)
+	serving := newStock(look, false)
 	if serving.fit(c).Fits {
 		answer.Why = fmt.Sprintf("fits on the %d serving hosts, but not on the %d that remain "+
 			"when the budgets let go what they may (short of %s)", serving.hosts(), sure.hosts(), answer.Short)
@@ -121,25 +122,38 @@
 	return answer, nil
 }
 
-// stock is what hosts have free, pool by pool. A pool's hosts are looked up when they
-// are first needed, so that a question which few pools answer costs little.
-type stock struct {
+// lookup finds the serving hosts of pools, each pool once and only when it is needed, so
+// that a question which few pools answer costs little.
+type lookup struct {
 	s     *ledger.State
 	pools []string
+	found [][]place.Candidate
+}
+
+func (l *lookup) serving(i int) []place.Candidate {
+	if l.found[i] == nil {
+		l.found[i] = servingHosts(l.s, l.pools[i])
+	}
+	return l.found[i]
+}
+
+// stock is what hosts have free, pool by pool, as tasks are booked on them.
+type stock struct {
+	*lookup
 	// sure leaves out what the budgets may let go.
 	sure bool
-	// free holds each pool's candidates, nil until looked up.
+	// free holds each pool's candidates, nil until they are needed.
 	free [][]place.Candidate
 }
 
-func newStock(s *ledger.State, pools []string, sure bool) *stock {
-	return &stock{s: s, pools: pools, sure: sure, free: make([][]place.Candidate, len(pools))}
+func newStock(l *lookup, sure bool) *stock {
+	return &stock{lookup: l, sure: sure, free: make([][]place.Candidate, len(l.pools))}
 }
 
 // candidates returns what the hosts of a pool have free.
 func (k *stock) candidates(i int) []place.Candidate {
 	if k.free[i] == nil {
-		list := servingHosts(k.s, k.pools[i])
+		list := slices.Clone(k.serving(i))
 		if k.sure {
 			list = withoutLargest(list, k.s.Room(k.pools[i]))
 		}
@@ -151,7 +165,7 @@
 // hosts counts the candidates of all pools.
 func (k *stock) hosts() int {
 	n := 0
-	for i := range k.pools {
+	for i := range k.free {
 		n += len(k.candidates(i))
 	}
 	return n
@@ -160,7 +174,7 @@
 // slots counts the request slots of all pools.
 func (k *stock) slots() int {
 	n := 0
-	for i := range k.pools {
+	for i := range k.free {
 		for _, c := range k.candidates(i) {
 			n += k.s.Hosts[c.Name].Spec.Slots
 		}
@@ -171,10 +185,10 @@
 // merge makes one list of all pools, for jobs that are spread over all racks.
 func (k *stock) merge() {
 	all := make([]place.Candidate, 0, len(k.s.Hosts))
-	for i := range k.pools {
+	for i := range k.free {
 		all = append(all, k.candidates(i)...)
 	}
-	k.pools, k.free = k.pools[:1], [][]place.Candidate{all}
+	k.free = [][]place.Candidate{all}
 }
 
 func servingHosts(s *ledger.State, poolName string) []place.Candidate {
@@ -244,7 +258,7 @@
 	var placed []Placed
 	short := ""
 	for pool := 0; len(placed) < d.Tasks; {
-		if pool == len(k.pools) {
+		if pool == len(k.free) {
 			no := refusal(d, len(placed), short, k.hosts())
 			return nil, &no
 		}
