--- /dev/null
+++ b/trial/integ/retain_test.go
@@ -0,0 +1,72 @@
+package integ
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"carawaymux.dev/fleet/budget"
+	"carawaymux.dev/fleet/client"
+	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/ledger"
+	"carawaymux.dev/fleet/plat"
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/trial/site"
+)
+
+// TestStateOutlivesTheLogsRetention replaces all entries at once, when the log no longer
+// holds the records that made the fleet: only its snapshots do.
+func TestStateOutlivesTheLogsRetention(t *testing.T) {
+	p := twoZones()
+	p.Retain = 150
+	r := start(t, p)
+	r.holder()
+	var group errgroup.Group
+	group.SetLimit(8)
+	for i := range 400 {
+		group.Go(func() error {
+			_, err := r.Entries[i%4].Client.Publish(r.ctx, client.NewRecord(site.Author, fmt.Sprintf("extra-%d", i), 0, budget.Spec{MaxUnavailable: i}))
+			return err
+		})
+	}
+	require.NoError(t, group.Wait())
+	r.eventually("a snapshot that reaches what the log still holds", 20*time.Second, func(ctx context.Context) error {
+		items, err := r.Items(ctx, plat.StreamMain)
+		if err != nil {
+			return err
+		}
+		for _, it := range items {
+			check, ok := codec.DecodeEntry(it.Offset, it.Data).Record.Body.(ledger.Checkpoint)
+			if ok && check.AsOf >= items[0].Offset && items[0].Offset > 0 {
+				return nil
+			}
+		}
+		return errors.New("none yet")
+	})
+	before, err := r.Entries[0].Client.Status(r.ctx)
+	require.NoError(t, err)
+	for _, e := range r.Entries {
+		e.Proc.Kill()
+	}
+	for _, e := range r.Entries {
+		require.NoError(t, r.StartEntry(e))
+	}
+	require.NoError(t, r.WaitReady(r.ctx))
+	for _, e := range r.Entries {
+		after, err := e.Client.Status(r.ctx)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, after.Offset, before.Offset)
+		require.Equal(t, before.Hosts, after.Hosts)
+		for _, name := range []string{"extra-0", "extra-399", "documents"} {
+			require.Equal(t, name, r.object(e, record.KindBudget, name).Name)
+		}
+	}
+	require.Equal(t, wire.Done, r.request(r.Entries[0], "documents").Outcome)
+	r.publish(r.Entries[1], "after", 0, budget.Spec{})
+}
--- a/trial/integ/tls_test.go
+++ b/trial/integ/tls_test.go
@@ -100,6 +100,17 @@
 	var timeout net.Error
 	require.False(t, errors.As(err, &timeout) && timeout.Timeout())
 
+	// One with a certificate but without the key gets no further either.
+	own, err := tls.LoadX509KeyPair(cert, filepath.Join(dir, "key.pem"))
+	require.NoError(t, err)
+	stranger := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{
+		RootCAs: roots, MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{own},
+	}}}
+	resp, err := stranger.Get("https://" + r.Entries[0].Peer + "/peer/control")
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusUnauthorized, resp.StatusCode)
+
 	require.NoError(t, os.WriteFile(keyFile, []byte("peer "+peerKey+"\noperator site "+newerKey+"\n"), 0o600))
 	require.Eventually(t, func() bool { return publish(newerKey, "yes") == nil }, 10*time.Second, 100*time.Millisecond)
 	require.Error(t, publish(anasKey, "no"))
