--- a/entry/follow/core.go
+++ b/entry/follow/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"carawaymux.dev/fleet/codec"
@@ -41,6 +42,8 @@
 		next uint64
 		// trusted is set for the log and for peers of the same zone.
 		trusted bool
+		// fromLog is set for the log: it says that the log can be reached.
+		fromLog bool
 		reply   chan<- uint64
 	}
 	// adopt offers a whole state; it is taken only when it is newer.
@@ -167,7 +170,7 @@
 		c.progress.Configured = true
 		c.progress.Trusted = c.progress.Trusted || m.trusted
 	}
-	if m.trusted {
+	if m.fromLog {
 		c.progress.LogError = ""
 	}
 	c.settle()
@@ -290,18 +293,6 @@
 
 // dropWaiters forgets waiters whose callers gave up.
 func (c *core) dropWaiters() {
-	byOffset := c.byOffset[:0]
-	for _, w := range c.byOffset {
-		if w.ctx.Err() == nil {
-			byOffset = append(byOffset, w)
-		}
-	}
-	c.byOffset = byOffset
-	byID := c.byID[:0]
-	for _, w := range c.byID {
-		if w.ctx.Err() == nil {
-			byID = append(byID, w)
-		}
-	}
-	c.byID = byID
+	c.byOffset = slices.DeleteFunc(c.byOffset, func(w waitOffset) bool { return w.ctx.Err() != nil })
+	c.byID = slices.DeleteFunc(c.byID, func(w waitVerdict) bool { return w.ctx.Err() != nil })
 }
--- a/entry/follow/reader.go
+++ b/entry/follow/reader.go
@@ -36,7 +36,7 @@
 			f.report(ctx, fault.New("read", "log", "next offset %d is below the folded %d", page.Next, offset))
 		case err == nil && page.First <= offset:
 			pause.Reset()
-			offset = f.deliver(ctx, page.Items, page.Next, true)
+			offset = f.deliver(ctx, page.Items, page.Next)
 			continue
 		case errors.As(err, &gone) || err == nil:
 			offset = f.recover(ctx, offset)
@@ -78,9 +78,9 @@
 }
 
 // deliver hands records to the core and returns the next offset to read.
-func (f *Follower) deliver(ctx context.Context, items []plat.Item, next uint64, trusted bool) uint64 {
+func (f *Follower) deliver(ctx context.Context, items []plat.Item, next uint64) uint64 {
 	offset, err := task.Call(ctx, f.core, func(reply chan<- uint64) message {
-		return batch{items: items, next: next, trusted: trusted, reply: reply}
+		return batch{items: items, next: next, trusted: true, fromLog: true, reply: reply}
 	})
 	if err != nil {
 		return next
@@ -173,7 +173,7 @@
 
 func (f *Follower) fromPeer(ctx context.Context, got Fetched) uint64 {
 	offset, err := task.Call(ctx, f.core, func(reply chan<- uint64) message {
-		return peerBatch{batch{items: got.Items, next: got.Next, trusted: got.SameZone, reply: reply}}
+		return batch{items: got.Items, next: got.Next, trusted: got.SameZone, reply: reply}
 	})
 	if err != nil {
 		return got.Next
@@ -181,15 +181,6 @@
 	return offset
 }
 
-// peerBatch is a batch that came from a peer: it does not say that the log is up.
-type peerBatch struct{ batch }
-
-func (m peerBatch) handle(c *core) {
-	logError := c.progress.LogError
-	m.batch.handle(c)
-	c.progress.LogError = logError
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/entry/keys/keys.go
+++ b/entry/keys/keys.go
@@ -109,9 +109,6 @@
 	return known && id.Role == role
 }
 
-// IsOpen reports whether everyone is let in.
-func (s *Store) IsOpen() bool { return s.open }
-
 // PeerKey returns the key that this entry shows to peers.
 func (s *Store) PeerKey() string {
 	ring, err := s.ring(context.Background())
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -81,7 +81,6 @@
 func (l *Leader) newPlanner() *policy {
 	return plan.New(plan.Times{
 		FailAfter: l.settings.FailAfter, ReturnAfter: l.settings.ReturnAfter,
-		ReplaceAfter: l.settings.ReplaceAfter, GiveBackAfter: l.settings.GiveBackAfter,
 		CutAfter: l.settings.Term, QuarantineFor: quarantineFor, TaskTerm: l.settings.TaskTerm,
 		RepeatAfter: min(repeatCall, l.settings.TaskTerm/plan.Renewals),
 	}, plan.ByRack{}, plan.Hold{ReplaceAfter: l.settings.ReplaceAfter, GiveBackAfter: l.settings.GiveBackAfter})
--- a/entry/member/member.go
+++ b/entry/member/member.go
@@ -181,8 +181,9 @@
 	return err
 }
 
-// Listed takes over the platform's list.
-func (m *Member) Listed(l plat.Listing) { m.core.TrySend(listed(l)) }
+// Listed takes over the platform's list. It waits for room, since a list is told only
+// when it has changed.
+func (m *Member) Listed(l plat.Listing) { _ = m.core.Send(context.Background(), listed(l)) }
 
 // Roomiest returns the live entry of a zone that takes work and has the most free slots
 // of a pool, as of the last heartbeat; false when there is none. It costs no message,
--- a/entry/watch/watch.go
+++ b/entry/watch/watch.go
@@ -38,7 +38,7 @@
 // WithLogger sets the logger.
 func WithLogger(l *slog.Logger) Option { return func(w *Watcher) { w.logger = l } }
 
-// WithObserver adds a function that is told each list. It must not block for long.
+// WithObserver adds a function that is told each list that differs from the one before. It must not block for long.
 func WithObserver(f func(plat.Listing)) Option {
 	return func(w *Watcher) { w.observe = append(w.observe, f) }
 }
@@ -79,14 +79,6 @@
 	}
 }
 
-// observers are those to be told: none when the list has not changed.
-func (w *Watcher) observers(changed bool) []func(plat.Listing) {
-	if !changed {
-		return nil
-	}
-	return w.observe
-}
-
 func (w *Watcher) read(ctx context.Context, _ <-chan struct{}) {
 	tick := time.NewTicker(w.interval)
 	defer tick.Stop()
@@ -95,8 +87,11 @@
 	var tag string
 	for {
 		next, nextTag, changed, err := w.client.Hosts(ctx, tag)
-		if changed && err == nil {
+		if err == nil && changed {
 			l, tag = next, nextTag
+			for _, f := range w.observe {
+				f(l)
+			}
 		}
 		if err == nil {
 			select {
@@ -104,9 +99,6 @@
 			case <-ctx.Done():
 				return
 			}
-			for _, f := range w.observers(changed) {
-				f(l)
-			}
 		}
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
--- a/fleet/fault/fault.go
+++ b/fleet/fault/fault.go
@@ -2,11 +2,7 @@
 // arose.
 package fault
 
-import (
-	"errors"
-
-	"github.com/rotisserie/eris"
-)
+import "github.com/rotisserie/eris"
 
 // Error is an error with the place where it arose.
 type Error struct {
@@ -41,15 +37,3 @@
 func New(step, peer, format string, args ...any) error {
 	return &Error{Step: step, Peer: peer, Err: eris.Errorf(format, args...)}
 }
-
-// Place returns the innermost step and peer that err carries.
-func Place(err error) (step, peer string) {
-	for {
-		var at *Error
-		if !errors.As(err, &at) {
-			return step, peer
-		}
-		step, peer = at.Step, at.Peer
-		err = at.Err
-	}
-}
--- a/fleet/host/host.go
+++ b/fleet/host/host.go
@@ -45,11 +45,6 @@
 	return Size{s.Cores - o.Cores, s.MemoryMiB - o.MemoryMiB, s.Accelerators - o.Accelerators}
 }
 
-// Times returns the size n times over.
-func (s Size) Times(n int64) Size {
-	return Size{s.Cores * n, s.MemoryMiB * n, s.Accelerators * n}
-}
-
 // Short returns the first dimension in which s is less than need, or "".
 func (s Size) Short(need Size) string {
 	switch {
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -94,12 +94,6 @@
 	// ReturnAfter is how long a returning host must be live before it serves.
 	// Each failure that is still remembered doubles it, up to maxDamping times.
 	ReturnAfter time.Duration
-	// ReplaceAfter is how long a pool must be below its floor before a host is
-	// moved into it.
-	ReplaceAfter time.Duration
-	// GiveBackAfter is how long the spare pool must be below its floor while
-	// another pool is above its own before a host is moved back.
-	GiveBackAfter time.Duration
 	// CutAfter is how long an entry must be silent before cordoned hosts of its
 	// zone are given back.
 	CutAfter time.Duration
--- a/fleet/plan/plan_test.go
+++ b/fleet/plan/plan_test.go
@@ -32,7 +32,7 @@
 func newBench(t *testing.T) *bench {
 	hold := plan.Hold{ReplaceAfter: time.Second, GiveBackAfter: time.Second}
 	b := &bench{t: t, s: ledger.New(), planner: plan.New(plan.Times{
-		FailAfter: time.Second, ReturnAfter: time.Second, ReplaceAfter: time.Second, GiveBackAfter: time.Second,
+		FailAfter: time.Second, ReturnAfter: time.Second,
 		CutAfter: 3 * time.Second, QuarantineFor: time.Minute, TaskTerm: 5 * time.Second, RepeatAfter: time.Second,
 	}, plan.ByRack{}, hold)}
 	b.in = plan.Input{Now: time.Unix(1_000_000, 0), Machines: make(map[string]plat.Machine)}
--- a/trial/faulty/faulty.go
+++ b/trial/faulty/faulty.go
@@ -100,3 +100,13 @@
 		next.ServeHTTP(w, r)
 	}
 }
+
+// Answer writes a stand-in's answer as JSON, or status 503 with the error.
+func Answer(w http.ResponseWriter, body any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/trial/hostd/http.go
+++ b/trial/hostd/http.go
@@ -11,6 +11,7 @@
 
 	"carawaymux.dev/fleet/plat"
 	"carawaymux.dev/fleet/task"
+	"carawaymux.dev/trial/faulty"
 )
 
 // Handler serves the calls of docs/PLATFORM.md.
@@ -24,11 +25,11 @@
 			w.WriteHeader(http.StatusNotModified)
 			return
 		}
-		answer(w, l, err)
+		faulty.Answer(w, l, err)
 	})
 	mux.HandleFunc("GET /usage", func(w http.ResponseWriter, r *http.Request) {
 		u, err := task.Call(r.Context(), s.task, func(reply chan<- plat.Report) message { return usage{reply} })
-		answer(w, u, err)
+		faulty.Answer(w, u, err)
 	})
 	mux.HandleFunc("POST /hosts/{host}/drain", s.fenced("drain"))
 	mux.HandleFunc("POST /hosts/{host}/reboot", s.fenced("reboot"))
@@ -38,7 +39,7 @@
 	mux.HandleFunc("POST /control/jobs/{job}/scale", s.scaleJob)
 	mux.HandleFunc("GET /control/stats", func(w http.ResponseWriter, r *http.Request) {
 		x, err := task.Call(r.Context(), s.task, func(reply chan<- Stats) message { return stats{reply} })
-		answer(w, x, err)
+		faulty.Answer(w, x, err)
 	})
 	return s.faults.Wrap(mux)
 }
@@ -52,15 +53,6 @@
 	return fmt.Sprintf(`"%016x"`, xxhash.Sum64(raw))
 }
 
-func answer(w http.ResponseWriter, body any, err error) {
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
-}
-
 // settle answers a call that either works or is refused.
 func (s *Service) settle(w http.ResponseWriter, build func(reply chan<- error) message) {
 	refused, err := task.Call(context.Background(), s.task, build)
@@ -68,7 +60,7 @@
 		http.Error(w, refused.Error(), http.StatusConflict)
 		return
 	}
-	answer(w, struct{}{}, err)
+	faulty.Answer(w, struct{}{}, err)
 }
 
 func (s *Service) fenced(verb string) http.HandlerFunc {
--- a/trial/logsvc/logsvc.go
+++ b/trial/logsvc/logsvc.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -208,14 +207,14 @@
 	offset, err := task.Call(context.Background(), s.task, func(reply chan<- uint64) message {
 		return appendTo{r.PathValue("stream"), data, reply}
 	})
-	answer(w, map[string]uint64{"offset": offset}, err)
+	faulty.Answer(w, map[string]uint64{"offset": offset}, err)
 }
 
 func (s *Service) bounds(w http.ResponseWriter, r *http.Request) {
 	b, err := task.Call(r.Context(), s.task, func(reply chan<- plat.Bounds) message {
 		return bounds{r.PathValue("stream"), reply}
 	})
-	answer(w, b, err)
+	faulty.Answer(w, b, err)
 }
 
 func (s *Service) trim(w http.ResponseWriter, r *http.Request) {
@@ -227,7 +226,7 @@
 	b, err := task.Call(r.Context(), s.task, func(reply chan<- plat.Bounds) message {
 		return trim{r.PathValue("stream"), first, reply}
 	})
-	answer(w, b, err)
+	faulty.Answer(w, b, err)
 }
 
 func (s *Service) read(w http.ResponseWriter, r *http.Request) {
@@ -250,14 +249,5 @@
 		http.Error(w, fmt.Sprintf("offset %d is no longer kept", from), http.StatusGone)
 		return
 	}
-	answer(w, p.Page, err)
-}
-
-func answer(w http.ResponseWriter, body any, err error) {
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
+	faulty.Answer(w, p.Page, err)
 }
