--- a/oper/jobs/create.go
+++ b/oper/jobs/create.go
@@ -13,48 +13,39 @@
 )
 
 // CreateOptions are the options of the create command.
-type CreateOptions struct {
-	object.Publisher
-	Name string
-	Spec jobs.Spec
-}
+type CreateOptions = object.Creation[jobs.Spec]
 
 // NewCreate builds the create command.
 func NewCreate(f *deps.Factory, run func(context.Context, *CreateOptions) error) *cobra.Command {
-	o := &CreateOptions{Publisher: object.Publisher{Factory: f}}
-	urgency := string(jobs.Normal)
-	cmd := &cobra.Command{
+	if run == nil {
+		run = Create
+	}
+	cmd, _ := object.NewCreate(f, &cobra.Command{
 		Use:   "create NAME",
 		Short: "Create a job whose tasks a pool's hosts run",
 		Example: "  caraway job create match --pool contracts --cores 4 --memory-mib 8192 --tasks 10\n" +
 			"  caraway job create settle --pool remittances --cores 1 --memory-mib 1024 --urgency urgent --spread",
-		Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			o.Name, o.Spec.Urgency = args[0], jobs.Urgency(urgency)
-			if run != nil {
-				return run(cmd.Context(), o)
-			}
-			return Create(cmd.Context(), o)
-		},
-	}
-	flags := cmd.Flags()
-	flags.StringVar(&o.Spec.Pool, "pool", "", "`pool` whose hosts run the tasks")
-	flags.StringVar(&o.Spec.Team, "team", "", "`team` whose quota the tasks count against")
-	flags.Int64Var(&o.Spec.Size.Cores, "cores", 1, "processor cores of each task")
-	flags.Int64Var(&o.Spec.Size.MemoryMiB, "memory-mib", 1024, "memory of each task in MiB")
-	flags.Int64Var(&o.Spec.Size.Accelerators, "accelerators", 0, "accelerators of each task")
-	flags.IntVar(&o.Spec.Tasks, "tasks", 1, "number of tasks")
-	flags.Int64Var(&o.Spec.RunSeconds, "run-seconds", 0, "declared run time in seconds; 0 for no end")
-	flags.StringVar(&urgency, "urgency", urgency, "low, normal or urgent")
-	flags.BoolVar(&o.Spec.Spread, "spread", false, "spread the tasks over racks")
+	}, bindSpec, run)
 	_ = cmd.MarkFlagRequired("pool")
-	o.Bind(cmd)
 	return cmd
 }
 
+func bindSpec(cmd *cobra.Command, s *jobs.Spec) {
+	flags := cmd.Flags()
+	flags.StringVar(&s.Pool, "pool", "", "`pool` whose hosts run the tasks")
+	flags.StringVar(&s.Team, "team", "", "`team` whose quota the tasks count against")
+	flags.Int64Var(&s.Size.Cores, "cores", 1, "processor cores of each task")
+	flags.Int64Var(&s.Size.MemoryMiB, "memory-mib", 1024, "memory of each task in MiB")
+	flags.Int64Var(&s.Size.Accelerators, "accelerators", 0, "accelerators of each task")
+	flags.IntVar(&s.Tasks, "tasks", 1, "number of tasks")
+	flags.Int64Var(&s.RunSeconds, "run-seconds", 0, "declared run time in seconds; 0 for no end")
+	flags.StringVar((*string)(&s.Urgency), "urgency", string(jobs.Normal), "low, normal or urgent")
+	flags.BoolVar(&s.Spread, "spread", false, "spread the tasks over racks")
+}
+
 // Create publishes the job, and says so at once when it can never run.
 func Create(ctx context.Context, o *CreateOptions) error {
-	if err := o.Publish(ctx, o.Name, o.Spec); err != nil {
+	if err := o.Run(ctx); err != nil {
 		return err
 	}
 	c, err := o.Client(ctx)
--- a/oper/pool/create.go
+++ b/oper/pool/create.go
@@ -11,33 +11,18 @@
 )
 
 // CreateOptions are the options of the create command.
-type CreateOptions struct {
-	object.Publisher
-	Name string
-	Spec pool.Spec
-}
+type CreateOptions = object.Creation[pool.Spec]
 
 // NewCreate builds the create command.
 func NewCreate(f *deps.Factory, run func(context.Context, *CreateOptions) error) *cobra.Command {
-	o := &CreateOptions{Publisher: object.Publisher{Factory: f}}
-	cmd := &cobra.Command{
+	cmd, _ := object.NewCreate(f, &cobra.Command{
 		Use:   "create NAME",
 		Short: "Create a pool of hosts",
 		Long:  "Create a pool of hosts. Its availability budget must have been created before.",
 		Example: "  caraway pool create documents --budget documents --kind documents\n" +
 			"  caraway pool create inquiries --budget inquiries --kind inquiries --spare --guard 16",
-		Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			o.Name = args[0]
-			if run != nil {
-				return run(cmd.Context(), o)
-			}
-			return Create(cmd.Context(), o)
-		},
-	}
-	bindSpec(cmd, &o.Spec)
+	}, bindSpec, run)
 	_ = cmd.MarkFlagRequired("budget")
-	o.Bind(cmd)
 	return cmd
 }
 
@@ -48,6 +33,3 @@
 	cmd.Flags().IntVar(&s.Guard, "guard", 0, "`slots` that a spare pool keeps free when it lends")
 	cmd.Flags().IntVar(&s.Floor, "floor", 0, "`hosts` below which lost hosts are replaced; 0 for never")
 }
-
-// Create publishes the pool.
-func Create(ctx context.Context, o *CreateOptions) error { return o.Publish(ctx, o.Name, o.Spec) }
--- a/oper/quota/create.go
+++ b/oper/quota/create.go
@@ -11,35 +11,21 @@
 )
 
 // CreateOptions are the options of the create command.
-type CreateOptions struct {
-	object.Publisher
-	Team string
-	Spec quota.Spec
-}
+type CreateOptions = object.Creation[quota.Spec]
 
 // NewCreate builds the create command.
 func NewCreate(f *deps.Factory, run func(context.Context, *CreateOptions) error) *cobra.Command {
-	o := &CreateOptions{Publisher: object.Publisher{Factory: f}}
-	cmd := &cobra.Command{
+	cmd, o := object.NewCreate(f, &cobra.Command{
 		Use:     "create TEAM",
 		Short:   "Set the quota of a team",
 		Example: "  caraway quota create berths --cores 200 --memory-mib 800000",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			o.Team = args[0]
-			if run != nil {
-				return run(cmd.Context(), o)
-			}
-			return Create(cmd.Context(), o)
-		},
-	}
-	cmd.Flags().Int64Var(&o.Spec.Cores, "cores", 0, "processor cores")
-	cmd.Flags().Int64Var(&o.Spec.MemoryMiB, "memory-mib", 0, "memory in MiB")
-	cmd.Flags().Int64Var(&o.Spec.Accelerators, "accelerators", 0, "accelerators")
+	}, bindSpec, run)
 	cmd.Flags().Uint64Var(&o.Base, "base", 0, "`version` that is replaced; 0 creates")
-	o.Bind(cmd)
 	return cmd
 }
 
-// Create publishes the quota.
-func Create(ctx context.Context, o *CreateOptions) error { return o.Publish(ctx, o.Team, o.Spec) }
+func bindSpec(cmd *cobra.Command, s *quota.Spec) {
+	cmd.Flags().Int64Var(&s.Cores, "cores", 0, "processor cores")
+	cmd.Flags().Int64Var(&s.MemoryMiB, "memory-mib", 0, "memory in MiB")
+	cmd.Flags().Int64Var(&s.Accelerators, "accelerators", 0, "accelerators")
+}
--- /dev/null
+++ b/oper/root/root_test.go
@@ -0,0 +1,178 @@
+package root_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/spf13/cobra"
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/oper/deps"
+	"carawaymux.dev/oper/exits"
+	"carawaymux.dev/oper/root"
+)
+
+// console runs commands against an entry that is made up by a test.
+type console struct {
+	t        *testing.T
+	url      string
+	terminal bool
+	in       string
+	out, err bytes.Buffer
+	// published are the records that came.
+	published []map[string]any
+}
+
+// newConsole starts an entry with a pool; answer gives the status and the body for each
+// record that is published.
+func newConsole(t *testing.T, answer func() (int, any)) *console {
+	c := &console{t: t}
+	mux := http.NewServeMux()
+	reply := func(w http.ResponseWriter, status int, body any) {
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body)
+	}
+	mux.HandleFunc("GET "+wire.PathMembers, func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, 200, wire.Members{Members: []wire.Member{
+			{Name: "e1", Zone: "a", State: "live", Offset: 8}, {Name: "e2", Zone: "b", State: "silent", Offset: 3},
+		}})
+	})
+	mux.HandleFunc("GET "+wire.PathObjects+"{kind}", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, 200, wire.Objects{Objects: []wire.Object{{
+			Kind: record.Kind(r.PathValue("kind")), Name: "docs", Version: 5, Author: "ana",
+			Spec: json.RawMessage(`{"budget":"b","kinds":["x","y"]}`), Status: wire.Status{Size: 3, Serving: 2, Room: 1},
+		}}})
+	})
+	mux.HandleFunc("GET "+wire.PathObjects+"{kind}/{name}", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, 200, wire.Objects{Objects: []wire.Object{{
+			Kind: "budget", Name: "b", Version: 5, Spec: json.RawMessage(`{"max-unavailable":4,"min-available":2}`),
+		}}})
+	})
+	mux.HandleFunc("POST "+wire.PathRecords, func(w http.ResponseWriter, r *http.Request) {
+		var got map[string]any
+		require.NoError(t, json.NewDecoder(r.Body).Decode(&got))
+		c.published = append(c.published, got)
+		status, body := answer()
+		reply(w, status, body)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	c.url = server.URL
+	return c
+}
+
+func accepted() (int, any) { return 200, wire.Published{Verdict: record.Verdict{Offset: 7}} }
+
+// run runs a command line and returns its exit code.
+func (c *console) run(args ...string) int {
+	c.out.Reset()
+	c.err.Reset()
+	s := &deps.Streams{In: strings.NewReader(c.in), Out: &c.out, Err: &c.err, Terminal: c.terminal}
+	return root.Run(s, append([]string{"--entry", c.url, "--author", "ana"}, args...))
+}
+
+func TestListsAreTablesTabsOrJSON(t *testing.T) {
+	c := newConsole(t, accepted)
+	require.Equal(t, exits.OK, c.run("pool", "list"))
+	require.Equal(t, "docs\tb\tx,y\t\t3\t2\t1\t5\tana\n", c.out.String())
+	c.terminal = true
+	require.Equal(t, exits.OK, c.run("pool", "list"))
+	require.Contains(t, c.out.String(), "NAME  BUDGET  KINDS")
+	require.Equal(t, exits.OK, c.run("pool", "list", "--json", "name,kinds,room"))
+	require.JSONEq(t, `[{"name":"docs","kinds":["x","y"],"room":1}]`, c.out.String())
+	require.Equal(t, exits.Usage, c.run("pool", "list", "--json", "colour"))
+	require.Contains(t, c.err.String(), "unknown field")
+}
+
+func TestPublishedRecordSaysWhatWasTyped(t *testing.T) {
+	c := newConsole(t, accepted)
+	require.Equal(t, exits.OK, c.run("budget", "create", "b", "--max-unavailable", "2", "--schema", "1"))
+	require.Equal(t, "budget b accepted at offset 7\n", c.out.String())
+	got := c.published[0]
+	require.Equal(t, "ana", got["author"])
+	require.EqualValues(t, 1, got["schema"])
+	require.Equal(t, map[string]any{"max-unavailable": 2.0}, got["body"])
+	require.Equal(t, exits.OK, c.run("budget", "edit", "b", "--max-unavailable", "1"))
+	require.EqualValues(t, 5, c.published[1]["base"], "an edit is based on what is in force")
+	require.Equal(t, map[string]any{"max-unavailable": 1.0, "min-available": 2.0}, c.published[1]["body"])
+}
+
+func TestExitCodesTellFailuresApart(t *testing.T) {
+	status, body := 409, any(wire.Refusal{Error: "budget \"b\" is at version 9 by bo"})
+	c := newConsole(t, func() (int, any) { return status, body })
+	require.Equal(t, exits.Refused, c.run("budget", "create", "b", "--max-unavailable", "2"))
+	require.Contains(t, c.err.String(), "at version 9 by bo")
+	status, body = 503, wire.Refusal{Error: "log down"}
+	require.Equal(t, exits.Unreachable, c.run("budget", "create", "b", "--max-unavailable", "2"))
+	require.Contains(t, c.err.String(), "repeat it safely with --id")
+	require.Equal(t, exits.Usage, c.run("budget", "create", "b", "--max-unavailable", "-1"))
+	require.Equal(t, exits.Usage, c.run("budget", "create", "Bad Name", "--max-unavailable", "1"))
+	require.Equal(t, exits.Usage, c.run("budget", "create", "b", "--max-unavailable", "many"))
+	require.Equal(t, exits.Usage, c.run("budget", "create", "b"))
+	require.Equal(t, exits.Usage, c.run("budget", "edit", "b"))
+	require.Equal(t, exits.Usage, c.run("bugdet"))
+	c.url = "http://127.0.0.1:1"
+	require.Equal(t, exits.Unreachable, c.run("budget", "list"))
+	c.url = "not a url"
+	require.Equal(t, exits.Usage, c.run("budget", "list"))
+}
+
+func TestWaitNamesEntriesThatAreBehind(t *testing.T) {
+	c := newConsole(t, accepted)
+	config := filepath.Join(t.TempDir(), "c.ini")
+	require.NoError(t, os.WriteFile(config, []byte("[client]\ntimeout = 300ms\n"), 0o600))
+	require.Equal(t, exits.NotEverywhere, c.run("--config", config, "budget", "create", "b", "--max-unavailable", "2", "--wait"))
+	require.Contains(t, c.err.String(), "e2 (silent, at 3)")
+	require.NotContains(t, c.err.String(), "e1")
+}
+
+func TestRecordFromAFileIsCompletedAndChecked(t *testing.T) {
+	c := newConsole(t, accepted)
+	c.in = `{"kind":"budget","schema":1,"object":"b","body":{"max-unavailable":2}}`
+	require.Equal(t, exits.OK, c.run("record", "publish", "-F", "-"))
+	require.NotEmpty(t, c.published[0]["id"])
+	for _, bad := range []string{
+		`nope`, `{"kind":"comet","schema":1,"body":{}}`, `{"kind":"budget","schema":9,"body":{}}`,
+		`{"kind":"job","schema":1,"object":"j","body":{"pool":"p","cores":-1,"memory-mib":1,"tasks":1}}`,
+	} {
+		c.in = bad
+		require.Equal(t, exits.Usage, c.run("record", "publish", "-F", "-"), bad)
+	}
+	require.Len(t, c.published, 1, "nothing bad was sent")
+}
+
+func TestBadSettingsAreAllNamed(t *testing.T) {
+	c := newConsole(t, accepted)
+	config := filepath.Join(t.TempDir(), "c.ini")
+	require.NoError(t, os.WriteFile(config, []byte("[client]\ntimeout = soon\ncolour = red\n"), 0o600))
+	require.Equal(t, exits.Usage, c.run("--config", config, "budget", "list"))
+	require.Contains(t, c.err.String(), "[client] timeout = soon")
+	require.Contains(t, c.err.String(), "[client] colour = red: unknown key")
+}
+
+// TestEveryCommandHasHelpWithAnExample walks the whole tree.
+func TestEveryCommandHasHelpWithAnExample(t *testing.T) {
+	var walk func(cmd *cobra.Command)
+	walk = func(cmd *cobra.Command) {
+		if cmd.Name() == "completion" || cmd.Name() == "help" {
+			return
+		}
+		require.NotEmpty(t, cmd.Short, cmd.CommandPath())
+		if cmd.Runnable() {
+			require.Contains(t, cmd.Example, "caraway ", cmd.CommandPath())
+		}
+		for _, sub := range cmd.Commands() {
+			walk(sub)
+		}
+	}
+	walk(root.New(&deps.Streams{In: strings.NewReader(""), Out: io.Discard, Err: io.Discard}))
+}
