--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Go and make are all that these targets need.
-MODULES := fleet entry oper trial
+MODULES := fleet entry oper platform trial
 PACKAGES := $(MODULES:%=./%/...)
 BIN := bin
 
--- /dev/null
+++ b/entry/agent/agent.go
@@ -0,0 +1,133 @@
+// Package agent carries orders to one host. Its lanes own the connections: one
+// holds the lease and listens for ends, the others give orders.
+package agent
+
+import (
+	"context"
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
+	"carawaymux.dev/fleet/task"
+)
+
+const (
+	// orderLanes is the number of orders that are under way to a host at once.
+	orderLanes = 2
+	// orderTimeout bounds one order; one that takes longer counts as unanswered.
+	orderTimeout = 900 * time.Millisecond
+	// holdTimeout bounds the answer to a hold beyond the time that it is to wait.
+	holdTimeout = 900 * time.Millisecond
+	// laneInbox is the number of orders that wait in a lane.
+	laneInbox = 256
+)
+
+// Order is an order with what the owner adds at the time of sending.
+type Order struct {
+	shard.Order
+	Token    int64
+	Deadline int64
+	Ticket   string
+}
+
+// Hold asks a host to go on and to say what it runs.
+type Hold struct {
+	Deadline, Token, Seen int64
+	Wait                  time.Duration
+}
+
+// Held is the outcome of a hold.
+type Held struct {
+	Host    string
+	Sent    time.Time
+	Listing port.Listing
+	Err     error
+}
+
+// Done is the outcome of an order.
+type Done struct {
+	Order shard.Order
+	Clock int64
+	Err   error
+}
+
+// Agent speaks to one host. Use [Open] to build it.
+type Agent struct {
+	host   string
+	worker port.Worker
+	hold   *task.Task[Hold]
+	lanes  [orderLanes]*task.Task[Order]
+}
+
+// Open starts an agent for a host. Outcomes are handed to onHeld and onDone, which
+// may block until their reader has room.
+func Open(h port.Host, workers port.Workers, onHeld func(context.Context, Held), onDone func(context.Context, Done)) *Agent {
+	a := &Agent{host: h.ID, worker: workers.Open(h)}
+	a.hold = task.Start(func(ctx context.Context, inbox <-chan Hold) {
+		serve(ctx, inbox, func(m Hold) { onHeld(ctx, a.carryHold(ctx, m)) })
+	}, task.WithInbox(1))
+	for i := range a.lanes {
+		a.lanes[i] = task.Start(func(ctx context.Context, inbox <-chan Order) {
+			serve(ctx, inbox, func(m Order) { onDone(ctx, a.carry(ctx, m)) })
+		}, task.WithInbox(laneInbox))
+	}
+	return a
+}
+
+func serve[M any](ctx context.Context, inbox <-chan M, handle func(M)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-inbox:
+			handle(m)
+		}
+	}
+}
+
+// Hold sends a hold. Only one may be under way.
+func (a *Agent) Hold(h Hold) bool { return a.hold.TrySend(h) }
+
+// Do sends an order, and reports false when too many wait. Orders for one work unit
+// go through one lane, so that they keep their order.
+func (a *Agent) Do(o Order) bool {
+	lane := (o.Ref.Index + o.Ref.Step) % orderLanes
+	return a.lanes[lane].TrySend(o)
+}
+
+// Close stops the lanes and gives up the connections.
+func (a *Agent) Close() {
+	a.hold.Close()
+	for _, l := range a.lanes {
+		l.Close()
+	}
+	a.worker.Close()
+}
+
+func (a *Agent) carryHold(ctx context.Context, h Hold) Held {
+	ctx, cancel := context.WithTimeout(ctx, h.Wait+holdTimeout)
+	defer cancel()
+	out := Held{Host: a.host, Sent: time.Now()}
+	out.Listing, out.Err = a.worker.Hold(ctx, h.Deadline, h.Token, h.Seen, h.Wait)
+	return out
+}
+
+func (a *Agent) carry(ctx context.Context, o Order) Done {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	out := Done{Order: o.Order}
+	unit := batch.Ref.String(o.Ref)
+	switch o.Kind {
+	case shard.OrderStart:
+		out.Clock, out.Err = a.worker.Start(ctx, port.Start{
+			Unit: unit, Run: o.Run, Text: o.Text, Deadline: o.Deadline, Token: o.Token,
+			Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+		})
+	case shard.OrderStop:
+		out.Clock, out.Err = a.worker.Stop(ctx, unit, o.Run, o.Token)
+	case shard.OrderPace:
+		out.Err = a.worker.Pace(ctx, unit, o.Run, o.Percent, o.Token)
+	}
+	return out
+}
--- /dev/null
+++ b/entry/intake/intake.go
@@ -0,0 +1,162 @@
+// Package intake takes requests of callers about jobs to the owner of the pool,
+// wherever it is.
+package intake
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"carawaymux.dev/entry/duties"
+	"carawaymux.dev/entry/owner"
+	"carawaymux.dev/entry/peers"
+	"carawaymux.dev/entry/roster"
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/port"
+)
+
+const (
+	// ownerPatience is how long a submission looks for the pool's owner before it
+	// is left in the inbox.
+	ownerPatience = 300 * time.Millisecond
+	// lookPatience is how long other requests look for it.
+	lookPatience = 2 * time.Second
+	// retryPause is the time between looks for the owner.
+	retryPause = 60 * time.Millisecond
+	// inboxTimeout bounds the writing to the inbox.
+	inboxTimeout = 900 * time.Millisecond
+	// noOwnerRetry is what callers are told while a pool has no owner.
+	noOwnerRetry = time.Second
+)
+
+// Intake finds the owners of pools and asks them.
+type Intake struct {
+	Local  *duties.Duties
+	Roster *roster.Roster
+	Peers  *peers.Client
+	Log    port.Log
+	Logger *slog.Logger
+	// Parts is the number of partitions of a topic of the store.
+	Parts int
+}
+
+// Elsewhere says that the entry that was asked does not own the pool.
+const Elsewhere owner.Outcome = "elsewhere"
+
+// Serve answers a question of another entry from an owner that runs here.
+func (n *Intake) Serve(ctx context.Context, a peers.Ask) owner.Answer {
+	o := n.Local.Local(a.Pool)
+	if o == nil {
+		return owner.Answer{Outcome: Elsewhere}
+	}
+	switch a.Verb {
+	case peers.VerbSubmit:
+		if a.Spec == nil {
+			return owner.Answer{Outcome: owner.Refused, Why: "no specification"}
+		}
+		return o.Submit(ctx, a.Queue, a.Subject, *a.Spec)
+	case peers.VerbLook:
+		return o.Look(ctx, a.Subject)
+	case peers.VerbCancel:
+		return o.Cancel(ctx, a.Subject)
+	case peers.VerbPending:
+		return o.Pending(ctx, a.Queue.Name)
+	case peers.VerbVacate:
+		return o.Vacate(ctx, a.Subject)
+	}
+	return owner.Answer{Outcome: owner.Refused, Why: "verb not known"}
+}
+
+// Ask asks the owner of a pool once. It reports false when no owner could be asked;
+// the question may have reached one all the same.
+func (n *Intake) Ask(ctx context.Context, a peers.Ask) (owner.Answer, bool) {
+	if n.Local.Local(a.Pool) != nil {
+		out := n.Serve(ctx, a)
+		return out, out.Outcome != Elsewhere
+	}
+	o, ok := n.Roster.View().Owners[a.Pool]
+	if !ok {
+		return owner.Answer{}, false
+	}
+	out, err := n.Peers.Ask(ctx, o.Address, a)
+	if err != nil {
+		n.Logger.Debug("owner not reached", "pool", a.Pool, "owner", o.Name, "err", err)
+		return owner.Answer{}, false
+	}
+	return out, out.Outcome != Elsewhere
+}
+
+// Submit hands a job in.
+func (n *Intake) Submit(ctx context.Context, q port.Queue, id string, spec batch.Spec) owner.Answer {
+	ask := peers.Ask{Pool: q.Pool, Verb: peers.VerbSubmit, Subject: id, Queue: q, Spec: &spec}
+	until := time.Now().Add(ownerPatience)
+	for {
+		a, ok := n.Ask(ctx, ask)
+		if ok && a.Outcome != owner.Unknown {
+			return a
+		}
+		if ctx.Err() != nil {
+			return owner.Answer{Outcome: owner.Unknown, Why: "no answer in time"}
+		}
+		if time.Now().After(until) {
+			return n.leave(ctx, q, id, spec)
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// leave puts a submission into the pool's inbox, from where its owner takes it.
+func (n *Intake) leave(ctx context.Context, q port.Queue, id string, spec batch.Spec) owner.Answer {
+	ctx, cancel := context.WithTimeout(ctx, inboxTimeout)
+	defer cancel()
+	value, err := codec.EncodeFrame(spec)
+	if err != nil {
+		return owner.Answer{Outcome: owner.Refused, Why: err.Error()}
+	}
+	entry := port.Entry{Key: q.Pool + "/" + id, Value: value}
+	_, err = n.Log.Append(ctx, owner.Inbox(q.Pool, n.Parts), []port.Entry{entry}, nil, -1)
+	if err == nil {
+		n.Logger.Info("job left in the inbox", "job", id, "pool", q.Pool)
+		return owner.Answer{Outcome: owner.Accepted}
+	}
+	// An earlier try may have reached an owner, so "not run" would be a guess.
+	n.Logger.Warn("job not left in the inbox", "job", id, "pool", q.Pool, "err", err)
+	return owner.Answer{Outcome: owner.Unknown, Why: "neither the owner nor the store could be reached"}
+}
+
+// Look asks for a job's phase.
+func (n *Intake) Look(ctx context.Context, q port.Queue, id string) owner.Answer {
+	return n.patient(ctx, peers.Ask{Pool: q.Pool, Verb: peers.VerbLook, Subject: id, Queue: q})
+}
+
+// Cancel cancels a job.
+func (n *Intake) Cancel(ctx context.Context, q port.Queue, id string) owner.Answer {
+	return n.patient(ctx, peers.Ask{Pool: q.Pool, Verb: peers.VerbCancel, Subject: id, Queue: q})
+}
+
+// Pending counts the jobs of a queue of which nothing has started.
+func (n *Intake) Pending(ctx context.Context, q port.Queue) owner.Answer {
+	return n.patient(ctx, peers.Ask{Pool: q.Pool, Verb: peers.VerbPending, Queue: q})
+}
+
+// patient asks until an owner answers or its patience ends.
+func (n *Intake) patient(ctx context.Context, ask peers.Ask) owner.Answer {
+	until := time.Now().Add(lookPatience)
+	for {
+		if a, ok := n.Ask(ctx, ask); ok && a.Outcome != owner.Unknown {
+			return a
+		}
+		if ctx.Err() != nil || time.Now().After(until) {
+			return owner.Answer{Outcome: owner.Refused, RetryAfter: noOwnerRetry, Why: "the pool's owner could not be asked"}
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/entry/owner/owner.go
@@ -0,0 +1,172 @@
+// Package owner is the task that owns a pool: it takes jobs in, writes their progress
+// to the platform's store, and gives orders to the pool's hosts. The decisions are
+// made by package shard.
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"carawaymux.dev/entry/claim"
+	"carawaymux.dev/entry/feed"
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
+	"carawaymux.dev/fleet/task"
+)
+
+// Outcome is what an owner says to a request of a caller.
+type Outcome string
+
+// The outcomes.
+const (
+	// Accepted says that the store has what the caller asked for.
+	Accepted Outcome = "accepted"
+	// Refused says that nothing was done and nothing will be.
+	Refused Outcome = "refused"
+	// Unknown says that the request may have been carried out or may yet be.
+	Unknown Outcome = "unknown"
+	// Missing says that there is no such job.
+	Missing Outcome = "missing"
+	// Found goes with an answer to a question.
+	Found Outcome = "found"
+)
+
+// Answer is an owner's answer.
+type Answer struct {
+	Outcome Outcome `cbor:"1,keyasint"`
+	// Phase is the job's phase, and Begun says that some of it has started.
+	Phase shard.Phase `cbor:"2,keyasint,omitempty"`
+	Begun bool        `cbor:"3,keyasint,omitempty"`
+	// Pending is the number of jobs of a queue of which nothing has started.
+	Pending int `cbor:"4,keyasint,omitempty"`
+	// RetryAfter is when a refused caller should come again.
+	RetryAfter time.Duration `cbor:"5,keyasint,omitempty"`
+	// Why is the reason, for logs.
+	Why string `cbor:"6,keyasint,omitempty"`
+	// Vacant says that nothing runs on a host and nothing will be started there.
+	Vacant bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Settings are what an owner is told at the start.
+type Settings struct {
+	// Entry and Life name the process that owns the pool.
+	Entry string
+	Life  int64
+	// Parts is the number of partitions of a topic.
+	Parts  int
+	Timing shard.Timing
+	// HoldWait is how long a host may wait for an end before it answers.
+	HoldWait time.Duration
+}
+
+// Deps are the services that an owner uses.
+type Deps struct {
+	Log     port.Log
+	Workers port.Workers
+	Adviser port.Adviser
+	Logger  *slog.Logger
+}
+
+// Owner owns one pool. Use [Start] to build it.
+type Owner struct {
+	pool string
+	task *task.Task[message]
+	// lost is closed when a newer owner has been seen.
+	lost chan struct{}
+}
+
+type message interface{ handle(c *core) }
+
+type (
+	submit struct {
+		queue port.Queue
+		id    string
+		spec  batch.Spec
+		reply chan<- Answer
+	}
+	look struct {
+		id    string
+		reply chan<- Answer
+	}
+	cancelJob struct {
+		id    string
+		reply chan<- Answer
+	}
+	pending struct {
+		queue string
+		reply chan<- Answer
+	}
+	vacate struct {
+		host  string
+		reply chan<- Answer
+	}
+	configured struct{ config *port.Config }
+	listed     struct{ changes []feed.Change[port.Host] }
+)
+
+// Start builds the owner of a pool from a claim that was won and from what earlier
+// owners have kept. The hosts and the configuration are those known now.
+func Start(s Settings, d Deps, won *claim.Claim, kept *Kept, config *port.Config, hosts []port.Host) *Owner {
+	o := &Owner{pool: won.Name, lost: make(chan struct{})}
+	c := newCore(o, s, d, won)
+	c.restore(kept, config, hosts)
+	o.task = task.Start(c.run, task.WithInbox(ownerInbox))
+	return o
+}
+
+// ownerInbox is the number of messages that wait for an owner.
+const ownerInbox = 2048
+
+// Lost is closed when a newer owner has shut this one out.
+func (o *Owner) Lost() <-chan struct{} { return o.lost }
+
+// Submit hands a job in and waits until the store has it.
+func (o *Owner) Submit(ctx context.Context, q port.Queue, id string, spec batch.Spec) Answer {
+	return o.call(ctx, Unknown, func(reply chan<- Answer) message { return submit{q, id, spec, reply} })
+}
+
+// Look asks for a job's phase.
+func (o *Owner) Look(ctx context.Context, id string) Answer {
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return look{id, reply} })
+}
+
+// Cancel cancels a job and waits until the store knows.
+func (o *Owner) Cancel(ctx context.Context, id string) Answer {
+	return o.call(ctx, Unknown, func(reply chan<- Answer) message { return cancelJob{id, reply} })
+}
+
+// Pending counts the jobs of a queue of which nothing has started.
+func (o *Owner) Pending(ctx context.Context, queue string) Answer {
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return pending{queue, reply} })
+}
+
+// Vacate asks that a host be emptied. It has to be asked again until the answer says
+// that the host is vacant, and lapses when it is not.
+func (o *Owner) Vacate(ctx context.Context, host string) Answer {
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return vacate{host, reply} })
+}
+
+// Configure puts a configuration in force.
+func (o *Owner) Configure(ctx context.Context, c *port.Config) error {
+	return o.task.Send(ctx, configured{c})
+}
+
+// List hands in changes of the platform's list of hosts.
+func (o *Owner) List(ctx context.Context, changes []feed.Change[port.Host]) error {
+	return o.task.Send(ctx, listed{changes})
+}
+
+// Close stops the owner, after what it has decided is written as far as the store
+// answers soon.
+func (o *Owner) Close() { o.task.Close() }
+
+// call asks the task; an owner that stops leaves the outcome that is given.
+func (o *Owner) call(ctx context.Context, otherwise Outcome, build func(chan<- Answer) message) Answer {
+	a, err := task.Call(ctx, o.task, build)
+	if err != nil {
+		return Answer{Outcome: otherwise, Why: err.Error()}
+	}
+	return a
+}
--- /dev/null
+++ b/fleet/batch/batch.go
@@ -0,0 +1,251 @@
+// Package batch defines the jobs that callers submit: steps of work units with an
+// order between them.
+package batch
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Limits on a job.
+const (
+	// MaxText is the largest specification text, in bytes.
+	MaxText = 4000
+	// MaxSteps is the largest number of steps of one job.
+	MaxSteps = 256
+	// MaxUnits is the largest number of work units of one occurrence.
+	MaxUnits = 4096
+	// MaxTurns is the largest number of occurrences.
+	MaxTurns = 1024
+	// idLength is the length of a job's ID, in hexadecimal digits.
+	idLength = 16
+)
+
+// Size is an amount of a host's resources. No dimension is negative in a [Step].
+type Size struct {
+	// MilliCores is processor capacity in thousandths of a core.
+	MilliCores int64 `cbor:"1,keyasint,omitempty"`
+	// MemoryMB is memory in megabytes.
+	MemoryMB int64 `cbor:"2,keyasint,omitempty"`
+	// Accelerators is a number of accelerators.
+	Accelerators int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Add returns the sum of two sizes.
+func (s Size) Add(o Size) Size {
+	return Size{s.MilliCores + o.MilliCores, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
+}
+
+// Sub returns what is left of s without o; dimensions may become negative.
+func (s Size) Sub(o Size) Size {
+	return Size{s.MilliCores - o.MilliCores, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
+}
+
+// Times returns n times the size.
+func (s Size) Times(n int64) Size {
+	return Size{s.MilliCores * n, s.MemoryMB * n, s.Accelerators * n}
+}
+
+// Fits reports whether o fits into s.
+func (s Size) Fits(o Size) bool {
+	return o.MilliCores <= s.MilliCores && o.MemoryMB <= s.MemoryMB && o.Accelerators <= s.Accelerators
+}
+
+// Step is a number of equal work units of a job.
+type Step struct {
+	// Count is the number of work units, at least 1.
+	Count int `cbor:"1,keyasint"`
+	// Need is what one work unit asks for. A step that fills takes no processor
+	// capacity from others, whatever it asks for.
+	Need Size `cbor:"2,keyasint"`
+	// Estimate is a rough estimate of a work unit's run time; it may be half off.
+	Estimate time.Duration `cbor:"3,keyasint,omitempty"`
+	// After holds the numbers of earlier steps that must be done first.
+	After []int `cbor:"4,keyasint,omitempty"`
+	// Checkpoints says that a work unit saves its progress.
+	Checkpoints bool `cbor:"5,keyasint,omitempty"`
+	// Gang says that the work units only run all together.
+	Gang bool `cbor:"6,keyasint,omitempty"`
+	// SameRack says that the work units are slow when they run on several racks.
+	SameRack bool `cbor:"7,keyasint,omitempty"`
+	// Requires is a label that the host must have; empty for none.
+	Requires string `cbor:"8,keyasint,omitempty"`
+	// Rack is where the data is; work units are slow elsewhere. Empty for anywhere.
+	Rack string `cbor:"9,keyasint,omitempty"`
+	// PerHost is the largest number of work units on one host; 0 for no limit.
+	PerHost int `cbor:"10,keyasint,omitempty"`
+	// Copies says that copies of a work unit may run at the same time.
+	Copies bool `cbor:"11,keyasint,omitempty"`
+	// Lasting says that the work units run until the job is cancelled.
+	Lasting bool `cbor:"12,keyasint,omitempty"`
+	// Image names what the work units run; units of one image behave alike.
+	Image string `cbor:"13,keyasint,omitempty"`
+	// Tail is the bound on the tail latency of what a lasting work unit serves; 0
+	// for none.
+	Tail time.Duration `cbor:"14,keyasint,omitempty"`
+	// Fills says that the work units only use capacity that others leave.
+	Fills bool `cbor:"15,keyasint,omitempty"`
+	// MayMiss is how many work units may be away at once by the system's acts.
+	MayMiss int `cbor:"16,keyasint,omitempty"`
+}
+
+// Room is what a work unit takes from a host's capacity.
+func (s *Step) Room() Size {
+	if s.Fills {
+		return Size{MemoryMB: s.Need.MemoryMB, Accelerators: s.Need.Accelerators}
+	}
+	return s.Need
+}
+
+// Spec is a job as it was submitted.
+type Spec struct {
+	// Queue is the name of the queue that accepted the job.
+	Queue string `cbor:"1,keyasint"`
+	// Text is handed to each work unit, at most [MaxText] bytes.
+	Text string `cbor:"2,keyasint,omitempty"`
+	// Steps has at least one element; a step comes after those in its After.
+	Steps []Step `cbor:"3,keyasint"`
+	// Turns is the number of timed occurrences; 0 for a job that runs once, now.
+	Turns int `cbor:"4,keyasint,omitempty"`
+	// First is when the first occurrence is due, in milliseconds since 1970.
+	First int64 `cbor:"5,keyasint,omitempty"`
+	// Every is the time between occurrences.
+	Every time.Duration `cbor:"6,keyasint,omitempty"`
+	// Accepted is when the job was accepted, in milliseconds since 1970.
+	Accepted int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Occurrences is the number of times that the steps run.
+func (s *Spec) Occurrences() int { return max(s.Turns, 1) }
+
+// Units is the number of work units of one occurrence.
+func (s *Spec) Units() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
+// Lasting reports whether some step runs until the job is cancelled.
+func (s *Spec) Lasting() bool {
+	for i := range s.Steps {
+		if s.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// Chain is the longest chain of estimated run times.
+func (s *Spec) Chain() time.Duration {
+	var longest time.Duration
+	ends := make([]time.Duration, len(s.Steps))
+	for i := range s.Steps {
+		var start time.Duration
+		for _, a := range s.Steps[i].After {
+			start = max(start, ends[a])
+		}
+		ends[i] = start + s.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Check reports the first fault in the job, or nil.
+func (s *Spec) Check() error {
+	if len(s.Text) > MaxText {
+		return fmt.Errorf("specification of %d bytes, at most %d", len(s.Text), MaxText)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return fmt.Errorf("%d steps, from 1 to %d", len(s.Steps), MaxSteps)
+	}
+	if s.Turns < 0 || s.Turns > MaxTurns {
+		return fmt.Errorf("%d repetitions, from 0 to %d", s.Turns, MaxTurns)
+	}
+	if s.Every < 0 || s.First < 0 {
+		return fmt.Errorf("times of repetitions are negative")
+	}
+	units := 0
+	for i := range s.Steps {
+		if err := s.Steps[i].check(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		units += s.Steps[i].Count
+	}
+	if units > MaxUnits {
+		return fmt.Errorf("%d work units, at most %d", units, MaxUnits)
+	}
+	return nil
+}
+
+func (s *Step) check(number int) error {
+	if s.Count < 1 || s.Count > MaxUnits {
+		return fmt.Errorf("count %d, from 1 to %d", s.Count, MaxUnits)
+	}
+	if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
+		return fmt.Errorf("a size is negative")
+	}
+	if s.Estimate < 0 || s.Tail < 0 || s.PerHost < 0 || s.MayMiss < 0 {
+		return fmt.Errorf("a time or limit is negative")
+	}
+	for _, a := range s.After {
+		// Only earlier steps can be named, so the order has no cycle.
+		if a < 0 || a >= number {
+			return fmt.Errorf("after names step %d, which is not an earlier one", a)
+		}
+	}
+	return nil
+}
+
+// CheckID reports a fault in a job's ID, or nil.
+func CheckID(id string) error {
+	if len(id) != idLength {
+		return fmt.Errorf("ID of %d characters, %d expected", len(id), idLength)
+	}
+	for _, c := range id {
+		if !strings.ContainsRune("0123456789abcdefABCDEF", c) {
+			return fmt.Errorf("ID holds %q, hexadecimal digits expected", c)
+		}
+	}
+	return nil
+}
+
+// Ref names a work unit.
+type Ref struct {
+	// Job is the job's ID.
+	Job string
+	// Turn is the occurrence, Step the step and Index the work unit in the step;
+	// all count from 0.
+	Turn, Step, Index int
+}
+
+// String returns JOB.TURN.STEP.INDEX.
+func (r Ref) String() string {
+	b := make([]byte, 0, len(r.Job)+12)
+	b = append(b, r.Job...)
+	for _, n := range [...]int{r.Turn, r.Step, r.Index} {
+		b = append(b, '.')
+		b = strconv.AppendInt(b, int64(n), 10)
+	}
+	return string(b)
+}
+
+// ParseRef is the inverse of [Ref.String].
+func ParseRef(s string) (Ref, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return Ref{}, fmt.Errorf("work unit %q: JOB.TURN.STEP.INDEX expected", s)
+	}
+	var n [3]int
+	for i, p := range parts[1:] {
+		v, err := strconv.Atoi(p)
+		if err != nil || v < 0 {
+			return Ref{}, fmt.Errorf("work unit %q: %q is no number", s, p)
+		}
+		n[i] = v
+	}
+	return Ref{Job: parts[0], Turn: n[0], Step: n[1], Index: n[2]}, nil
+}
--- /dev/null
+++ b/fleet/deal/deal.go
@@ -0,0 +1,77 @@
+// Package deal decides which entry should own which pool. A deal is a hint: who owns
+// a pool is settled by the claim in the platform's store.
+package deal
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is an entry that may own pools.
+type Member struct {
+	Name string
+	Zone string
+	// Load is the number of pools that it owns; it is not negative.
+	Load int
+}
+
+// Policy ranks the members for a pool; the lowest rank is chosen.
+type Policy interface {
+	// Less reports whether a suits the pool better than b.
+	Less(pool string, a, b Member, zones map[string]int) bool
+}
+
+// Level gives a pool to the member with the fewest pools, in the zone with the
+// fewest, so that a zone's loss takes few pools with it.
+type Level struct{}
+
+// Less implements [Policy].
+func (Level) Less(pool string, a, b Member, zones map[string]int) bool {
+	if c := cmp.Compare(a.Load, b.Load); c != 0 {
+		return c < 0
+	}
+	if c := cmp.Compare(zones[a.Zone], zones[b.Zone]); c != 0 {
+		return c < 0
+	}
+	return rendezvous(pool, a.Name) < rendezvous(pool, b.Name)
+}
+
+// Hashed gives each pool to a member by hash alone. It is the baseline.
+type Hashed struct{}
+
+// Less implements [Policy].
+func (Hashed) Less(pool string, a, b Member, _ map[string]int) bool {
+	return rendezvous(pool, a.Name) < rendezvous(pool, b.Name)
+}
+
+func rendezvous(pool, member string) uint64 { return xxhash.Sum64String(pool + "\x00" + member) }
+
+// Deal returns the member that should claim each pool that nobody owns. Members that
+// own pools keep them.
+func Deal[P Policy](policy P, unowned []string, members []Member) map[string]string {
+	if len(members) == 0 {
+		return nil
+	}
+	members = slices.Clone(members)
+	zones := map[string]int{}
+	for _, m := range members {
+		zones[m.Zone] += m.Load
+	}
+	pools := slices.Clone(unowned)
+	slices.Sort(pools)
+	out := make(map[string]string, len(pools))
+	for _, pool := range pools {
+		best := 0
+		for i := range members {
+			if policy.Less(pool, members[i], members[best], zones) {
+				best = i
+			}
+		}
+		out[pool] = members[best].Name
+		members[best].Load++
+		zones[members[best].Zone]++
+	}
+	return out
+}
--- /dev/null
+++ b/fleet/shard/hosts.go
@@ -0,0 +1,219 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/port"
+)
+
+// Host is a host of the pool, as the owner knows it.
+type Host struct {
+	port.Host
+	// Listed says that the platform's list names the host now; LastListed is when
+	// it last did.
+	Listed     bool
+	LastListed time.Time
+	// Stored says that the store knows that the host may run work of the pool.
+	Stored bool
+	// Confirmed says that this life of the host has answered under the owner's
+	// token, so that no order of an earlier owner can take effect there.
+	Confirmed bool
+	// Life is when the life that was last heard began; 0 when not said.
+	Life int64
+	// Clock is the host's clock, in milliseconds, in the answer that came at Heard.
+	Clock int64
+	Heard time.Time
+	// Granted is the latest deadline that was sent, on the host's clock; 0 for none.
+	Granted int64
+	// Seen is the highest end that was counted and Acked the highest whose effect
+	// the store has; Acked is at most Seen.
+	Seen, Acked int64
+	// Assigned holds the units that run, may run or are being stopped there.
+	Assigned map[batch.Ref]*Unit
+	// Strays is the number of runs there that belong to no known unit.
+	Strays int
+	// Cordoned is until when the host takes no new work, by request.
+	Cordoned time.Time
+	// Unwell is until when the host takes no new work, by what it was seen to do.
+	Unwell time.Time
+	// Full is until when no start is tried, after the host refused one for room.
+	Full time.Time
+	// streak counts failed runs of different jobs without a success between.
+	streak  int
+	lastBad string
+	spells  int
+}
+
+const (
+	// clockMargin is added to the time at which a lease is taken to have run out;
+	// it covers timers that fire late.
+	clockMargin = 100 * time.Millisecond
+	// badStreak is the number of jobs in a row that fail on a host before it is
+	// taken for unwell.
+	badStreak = 3
+	// unwellFor is how long a host that fails its work is left alone at first.
+	unwellFor = 3 * time.Second
+	// maxSpells bounds the doubling of that time.
+	maxSpells = 3
+	// fullFor is how long a host that had no room is not asked again.
+	fullFor = 60 * time.Millisecond
+	// busyFor is how long a host that said it was not well is not asked again.
+	busyFor = 500 * time.Millisecond
+)
+
+// See takes in what the platform's list says of a host of the pool.
+func (s *State) See(h port.Host, now time.Time) *Host {
+	one := s.Hosts[h.ID]
+	if one == nil {
+		one = &Host{Host: h, Assigned: map[batch.Ref]*Unit{}}
+		s.Hosts[h.ID] = one
+	}
+	one.Host, one.Listed, one.LastListed = h, true, now
+	return one
+}
+
+// Remember takes in a host that an earlier owner may have given work to.
+func (s *State) Remember(h port.Host) {
+	if s.Hosts[h.ID] == nil {
+		s.Hosts[h.ID] = &Host{Host: h, Assigned: map[batch.Ref]*Unit{}, Stored: true}
+	}
+	s.Hosts[h.ID].Stored = true
+}
+
+// Unlist says that the platform's list does not name a host any more.
+func (s *State) Unlist(id string) {
+	if h := s.Hosts[id]; h != nil {
+		h.Listed = false
+	}
+}
+
+// Deadline is the lease's end to grant now, on the host's clock; 0 when none may be
+// granted.
+func (s *State) Deadline(h *Host, now time.Time) int64 {
+	if h.Clock == 0 || now.Sub(s.Confirmed) > s.Timing.Grace {
+		return 0
+	}
+	d := h.Clock + now.Sub(h.Heard).Milliseconds() + s.Timing.Lease.Milliseconds()
+	h.Granted = max(h.Granted, d)
+	return d
+}
+
+// LapsedBy is the time from which nothing that was started on the host before can
+// still run there, if it does not answer.
+func (s *State) LapsedBy(h *Host) time.Time {
+	if !h.Confirmed {
+		longest := s.Timing.Grace + time.Duration(float64(s.Timing.Lease)*ClockDrift)
+		return s.Claimed.Add(longest + clockMargin)
+	}
+	left := time.Duration(max(h.Granted-h.Clock, 0)) * time.Millisecond
+	return h.Heard.Add(time.Duration(float64(left)*ClockDrift) + clockMargin)
+}
+
+// unsure reports whether some host that an earlier owner may have used has neither
+// answered nor run out of its lease.
+func (s *State) unsure(now time.Time) bool {
+	for _, h := range s.Hosts {
+		if h.Stored && !h.Confirmed && now.Before(s.LapsedBy(h)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Sweep frees what ran on hosts whose lease has run out, and returns the hosts that
+// are gone for good.
+func (s *State) Sweep(now time.Time) []string {
+	var gone []string
+	for id, h := range s.Hosts {
+		if now.Before(s.LapsedBy(h)) {
+			continue
+		}
+		if h.Confirmed || len(h.Assigned) > 0 {
+			s.lose(h, now)
+		}
+		if !h.Listed {
+			gone = append(gone, id)
+			delete(s.Hosts, id)
+		}
+	}
+	return gone
+}
+
+// lose frees all units of a host on which nothing can run any more.
+func (s *State) lose(h *Host, now time.Time) {
+	for r, u := range h.Assigned {
+		_, g, _ := s.unit(r)
+		if g == nil {
+			delete(h.Assigned, r)
+			continue
+		}
+		s.free(g, u, r, now)
+		s.breakGang(r, u.Run, "a member's host is gone")
+	}
+}
+
+// newLife empties a host that has started anew. Starts without an answer stay in
+// doubt: the order may still reach the new life.
+func (s *State) newLife(h *Host, now time.Time) {
+	for r, u := range h.Assigned {
+		_, g, _ := s.unit(r)
+		if g == nil {
+			delete(h.Assigned, r)
+			continue
+		}
+		if u.Status == Sent || u.Status == Doubt {
+			u.Status = Doubt
+			s.orders = append(s.orders, Order{Kind: OrderStop, Host: h.ID, Ref: r, Run: u.Run, Why: "host started anew"})
+			continue
+		}
+		s.free(g, u, r, now)
+		s.breakGang(r, u.Run, "a member's host started anew")
+	}
+	h.Seen, h.Acked, h.Granted, h.Strays = 0, 0, 0, 0
+}
+
+// Usable reports whether new work may be started on the host.
+func (s *State) Usable(h *Host, now time.Time) bool {
+	return h.Listed && h.Stored && h.Confirmed && !h.Draining &&
+		now.After(h.Cordoned) && now.After(h.Unwell) && now.After(h.Full) &&
+		now.Sub(h.Heard) < s.Timing.Lease/2 && (s.Guarded || h.Strays == 0) && h.Capacity != (batch.Size{})
+}
+
+// HasLabel reports whether the host has a label.
+func HasLabel(h *port.Host, label string) bool {
+	return slices.Contains(h.Labels, label)
+}
+
+// judge counts a run's end for the host's health.
+func (s *State) judge(h *Host, job string, failed bool, now time.Time) {
+	if !failed {
+		h.streak, h.lastBad, h.spells = 0, "", 0
+		return
+	}
+	if job == h.lastBad {
+		return
+	}
+	h.lastBad = job
+	h.streak++
+	if h.streak < badStreak || s.unwell(now)*2 >= len(s.Hosts) {
+		return
+	}
+	h.Unwell = now.Add(unwellFor << h.spells)
+	h.spells = min(h.spells+1, maxSpells)
+	// One more failure after the pause is enough.
+	h.streak = badStreak - 1
+	h.lastBad = ""
+}
+
+// unwell is the number of hosts that are left alone for their failures.
+func (s *State) unwell(now time.Time) int {
+	n := 0
+	for _, h := range s.Hosts {
+		if now.Before(h.Unwell) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fleet/shard/jobs.go
@@ -0,0 +1,143 @@
+package shard
+
+import (
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/port"
+)
+
+// Verdict is the answer to a submission.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Accept says that the job is new; callers hear yes once the store has it.
+	Accept Verdict = iota
+	// Known says that the job was accepted before.
+	Known
+	// Never says that no host can run the job, now or later.
+	Never
+)
+
+// Configure puts the queues of a configuration in force. Queues that are gone keep
+// their rules for the jobs that they have accepted.
+func (s *State) Configure(c *port.Config) {
+	for _, q := range c.Queues {
+		s.Queues[q.Name] = q
+	}
+	for _, p := range c.Pools {
+		if p.Name == s.Pool {
+			s.Guarded = p.Guarded
+		}
+	}
+}
+
+// Submit takes a job in. The spec must have passed its check.
+func (s *State) Submit(id string, spec batch.Spec, now time.Time) (*Job, Verdict) {
+	if j := s.Jobs[id]; j != nil {
+		return j, Known
+	}
+	j := &Job{ID: id, Spec: spec, Phase: Open, Shown: Open, TurnsLeft: spec.Occurrences(), Accepted: now}
+	j.Objective = s.objective(j)
+	s.Jobs[id] = j
+	s.open[id] = j
+	return j, Accept
+}
+
+// objective is the stretched chain of work and the queue's target, from acceptance.
+func (s *State) objective(j *Job) time.Time {
+	q := s.Queues[j.Spec.Queue]
+	chain := float64(j.Spec.Chain()) * max(q.Stretch, 1)
+	return j.Accepted.Add(time.Duration(chain) + q.Target)
+}
+
+// Stored says that the store has a submitted job.
+func (s *State) Stored(j *Job) { j.Stored = true }
+
+// Forget drops a job that the store has refused, so that it never runs.
+func (s *State) Forget(id string) {
+	if j := s.Jobs[id]; j != nil && !j.Stored {
+		delete(s.Jobs, id)
+		delete(s.open, id)
+	}
+}
+
+// Cancel ends a job. It reports whether the job is known.
+func (s *State) Cancel(id string, now time.Time) (*Job, bool) {
+	j := s.Jobs[id]
+	if j == nil {
+		return nil, false
+	}
+	if j.Phase == Open {
+		s.end(j, Cancelled, now)
+	}
+	return j, true
+}
+
+// end decides a job's last phase and stops what still runs of it.
+func (s *State) end(j *Job, p Phase, now time.Time) {
+	j.Phase, j.Closed = p, now
+	delete(s.open, j.ID)
+	s.touch(j)
+	for t := range j.Turns {
+		for g := range j.Turns[t].Stages {
+			for i := range j.Turns[t].Stages[g].Units {
+				u := &j.Turns[t].Stages[g].Units[i]
+				s.stop(batch.Ref{Job: j.ID, Turn: t, Step: g, Index: i}, u, "job "+string(p))
+			}
+		}
+	}
+}
+
+// stop orders the end of a unit's run, if there is one.
+func (s *State) stop(r batch.Ref, u *Unit, why string) {
+	if u.Status != Sent && u.Status != Live {
+		return
+	}
+	// A start without an answer stays in doubt until the stop is confirmed.
+	if u.Status == Sent {
+		u.Status = Doubt
+	} else {
+		u.Status = Stopping
+	}
+	u.Ordered = true
+	s.orders = append(s.orders, Order{Kind: OrderStop, Host: u.Host, Ref: r, Run: u.Run, Why: why})
+}
+
+// Pending is the number of accepted jobs of a queue of which nothing has started.
+func (s *State) Pending(queue string) int {
+	n := 0
+	for _, j := range s.open {
+		if j.Stored && !j.Begun && j.Spec.Queue == queue {
+			n++
+		}
+	}
+	return n
+}
+
+// Expired returns the jobs whose state need not be kept any longer, and drops them.
+func (s *State) Expired(now time.Time) []string {
+	var out []string
+	for id, j := range s.Jobs {
+		if j.Phase != Open && j.Shown == j.Phase && now.Sub(j.Closed) > s.Timing.Keep && !s.busy(j) {
+			out = append(out, id)
+			delete(s.Jobs, id)
+		}
+	}
+	return out
+}
+
+// busy reports whether some run of the job has not ended.
+func (s *State) busy(j *Job) bool {
+	for t := range j.Turns {
+		for g := range j.Turns[t].Stages {
+			for i := range j.Turns[t].Stages[g].Units {
+				if j.Turns[t].Stages[g].Units[i].Status != Idle {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/fleet/shard/runs.go
@@ -0,0 +1,373 @@
+package shard
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/port"
+)
+
+// endsPerAnswer is the number of ends that a host lists at once; more wait.
+const endsPerAnswer = 500
+
+// Ending is a run's end that was counted, for logs.
+type Ending struct {
+	Ref    batch.Ref
+	Run    int64
+	Host   string
+	Result port.Result
+	// Took is how long the run took as the owner saw it; 0 when it did not.
+	Took time.Duration
+}
+
+// Listed takes in what a host says of itself. It returns the ends that were new.
+func (s *State) Listed(id string, l *port.Listing, now time.Time) []Ending {
+	h := s.Hosts[id]
+	if h == nil {
+		return nil
+	}
+	if h.Confirmed && (l.Born != h.Life || l.Clock < h.Clock) {
+		s.newLife(h, now)
+	}
+	first := !h.Confirmed
+	h.Confirmed, h.Life, h.Clock, h.Heard = true, l.Born, l.Clock, now
+	var out []Ending
+	for i := range l.Ended {
+		e := &l.Ended[i]
+		if e.Number <= h.Seen {
+			continue
+		}
+		h.Seen = e.Number
+		if ending, ok := s.ended(h, e, now); ok {
+			out = append(out, ending)
+		}
+	}
+	s.running(h, l, first, now)
+	return out
+}
+
+// running compares the runs that a host lists with those that it should have.
+func (s *State) running(h *Host, l *port.Listing, first bool, now time.Time) {
+	whole := len(l.Ended) < endsPerAnswer
+	h.Strays = 0
+	there := make(map[batch.Ref]int64, len(l.Running))
+	for i := range l.Running {
+		r := &l.Running[i]
+		ref, err := batch.ParseRef(r.Unit)
+		if err != nil {
+			h.Strays++
+			continue
+		}
+		if !s.present(h, ref, r, now) {
+			h.Strays++
+			s.orders = append(s.orders, Order{Kind: OrderStop, Host: h.ID, Ref: ref, Run: r.Run, Why: "not wanted there"})
+			continue
+		}
+		there[ref] = r.Run
+	}
+	for ref, u := range h.Assigned {
+		_, g, _ := s.unit(ref)
+		if there[ref] == u.Run || g == nil || u.Status == Sent || u.Status == Doubt {
+			continue
+		}
+		// The end of a run that was answered is listed until it is acknowledged, so
+		// a run that is in neither list of a later answer has gone with a life that
+		// was not told apart.
+		if whole && u.Clock > 0 && l.Clock > u.Clock && !first {
+			s.free(g, u, ref, now)
+			s.breakGang(ref, u.Run, "a member is gone")
+		}
+	}
+}
+
+// present takes in one running run, and reports whether it is wanted there.
+func (s *State) present(h *Host, ref batch.Ref, r *port.Running, now time.Time) bool {
+	j, g, u := s.unit(ref)
+	if j != nil && g == nil && j.Phase == Open && j.Stored && ref.Turn >= len(j.Turns) && ref.Turn < j.Spec.Occurrences() {
+		// An earlier owner had opened this occurrence.
+		for len(j.Turns) <= ref.Turn {
+			s.openTurn(j)
+		}
+		_, g, u = s.unit(ref)
+	}
+	if g == nil || j.Phase != Open || u.Done {
+		return u != nil && u.Host == h.ID && u.Run == r.Run && u.Status != Idle
+	}
+	switch {
+	case u.Status != Idle && u.Host == h.ID && u.Run == r.Run:
+		if u.Status == Sent {
+			u.Status = Live
+		}
+	case u.Status == Idle && r.Run > u.Noted && r.Run >= u.Run && j.Inherited:
+		// A run that an earlier owner started goes on.
+		u.Status, u.Host, u.Run, u.Began, u.Moved, u.Clock = Live, h.ID, r.Run, now, now, h.Clock
+		u.Pace = 100
+		g.idle--
+		h.Assigned[ref] = u
+		j.Begun = true
+	default:
+		return false
+	}
+	if u.Clock == 0 {
+		u.Clock = h.Clock
+	}
+	if r.Percent != u.Percent {
+		u.Moved = now
+	}
+	u.Percent, u.Load = r.Percent, r.Load
+	if r.Saved != "" {
+		u.Saved = r.Saved
+	}
+	return true
+}
+
+// ended counts one end. It reports whether the end concerned a known run.
+func (s *State) ended(h *Host, e *port.Ended, now time.Time) (Ending, bool) {
+	ref, err := batch.ParseRef(e.Unit)
+	if err != nil {
+		return Ending{}, false
+	}
+	j, g, u := s.unit(ref)
+	if j != nil && g == nil && j.Phase == Open && ref.Turn >= len(j.Turns) && ref.Turn < j.Spec.Occurrences() {
+		for len(j.Turns) <= ref.Turn {
+			s.openTurn(j)
+		}
+		_, g, u = s.unit(ref)
+	}
+	if g == nil {
+		return Ending{}, false
+	}
+	out := Ending{Ref: ref, Run: e.Run, Host: h.ID, Result: e.Result}
+	if u.Status != Idle && u.Host == h.ID && u.Run == e.Run {
+		out.Took = now.Sub(u.Began)
+		s.free(g, u, ref, now)
+	}
+	if e.Run <= u.Noted {
+		return out, true
+	}
+	u.Noted = e.Run
+	u.Run = max(u.Run, e.Run)
+	if e.Saved != "" {
+		u.Saved = e.Saved
+	}
+	if j.Phase != Open {
+		return out, true
+	}
+	s.touch(j)
+	step := &j.Spec.Steps[ref.Step]
+	if e.Result == port.ResultDone || e.Result == port.ResultFailed {
+		s.judge(h, ref.Job, e.Result == port.ResultFailed, now)
+	}
+	switch e.Result {
+	case port.ResultDone:
+		if step.Lasting {
+			break
+		}
+		s.learn(j, step, out.Took)
+		if step.Gang {
+			s.gangDone(j, ref, now)
+			break
+		}
+		s.unitDone(j, ref, u, now)
+	case port.ResultFailed:
+		u.Fails++
+		u.Avoid = h.ID
+		s.breakGang(ref, e.Run, "a member failed")
+		if s.spent(j, ref, u) {
+			s.end(j, Failed, now)
+		}
+	case port.ResultBroken, port.ResultAlone:
+		s.breakGang(ref, e.Run, "a member ended")
+	}
+	return out, true
+}
+
+// spent reports whether a work unit may not be tried again.
+func (s *State) spent(j *Job, ref batch.Ref, u *Unit) bool {
+	most := s.Queues[j.Spec.Queue].MaxAttempts
+	step := &j.Spec.Steps[ref.Step]
+	if most <= 0 || step.Lasting {
+		return false
+	}
+	if !step.Gang {
+		return u.Fails >= most
+	}
+	// The members of a gang fail together, so their failures count as one each.
+	fails := 0
+	for i := range j.Turns[ref.Turn].Stages[ref.Step].Units {
+		fails += j.Turns[ref.Turn].Stages[ref.Step].Units[i].Fails
+	}
+	return fails >= most
+}
+
+// unitDone marks a work unit as done for good.
+func (s *State) unitDone(j *Job, ref batch.Ref, u *Unit, now time.Time) {
+	if u.Done {
+		return
+	}
+	t := &j.Turns[ref.Turn]
+	g := &t.Stages[ref.Step]
+	// A later run that was started meanwhile is of no use.
+	if u.Status == Idle {
+		g.idle--
+	} else {
+		s.stop(ref, u, "already done")
+	}
+	u.Done = true
+	g.Left--
+	if g.Left > 0 {
+		return
+	}
+	if t.Left--; t.Left > 0 {
+		return
+	}
+	if j.TurnsLeft--; j.TurnsLeft == 0 {
+		s.end(j, Completed, now)
+	}
+}
+
+// gangDone marks all members as done: one end stands for all.
+func (s *State) gangDone(j *Job, ref batch.Ref, now time.Time) {
+	units := j.Turns[ref.Turn].Stages[ref.Step].Units
+	for i := range units {
+		member := ref
+		member.Index = i
+		s.unitDone(j, member, &units[i], now)
+	}
+}
+
+// breakGang stops the other members of a run that can no longer be whole.
+func (s *State) breakGang(ref batch.Ref, run int64, why string) {
+	j, g, _ := s.unit(ref)
+	if g == nil || j.Phase != Open || !j.Spec.Steps[ref.Step].Gang {
+		return
+	}
+	for i := range g.Units {
+		if u := &g.Units[i]; u.Run == run {
+			member := ref
+			member.Index = i
+			s.stop(member, u, why)
+		}
+	}
+}
+
+// Started takes in the answer to a start. It reports false when a newer owner has
+// shut this one out.
+func (s *State) Started(o *Order, clock int64, err error, now time.Time) bool {
+	j, g, u := s.unit(o.Ref)
+	if g == nil || u.Host != o.Host || u.Run != o.Run {
+		return true
+	}
+	h := s.Hosts[o.Host]
+	var refused *port.RefusedError
+	switch {
+	case err == nil:
+		if u.Status == Sent {
+			u.Status = Live
+		}
+		u.Clock = max(clock, 1)
+		j.Begun = true
+		return true
+	case !errors.As(err, &refused):
+		s.stop(o.Ref, u, "start not answered")
+		return true
+	}
+	// Nothing was done. A unit that is to be stopped needs no stop any more.
+	s.free(g, u, o.Ref, now)
+	s.breakGang(o.Ref, o.Run, "a member was refused")
+	if h == nil {
+		return true
+	}
+	switch refused.Reason {
+	case port.RefusedFence:
+		return false
+	case port.RefusedRoom:
+		h.Full = now.Add(fullFor)
+	case port.RefusedOrder, port.RefusedHealth, port.RefusedLife, port.RefusedTicket:
+		h.Full = now.Add(busyFor)
+	}
+	return true
+}
+
+// Stopped takes in the answer to a stop. It reports false when a newer owner has
+// shut this one out.
+func (s *State) Stopped(o *Order, clock int64, err error, now time.Time) bool {
+	_, g, u := s.unit(o.Ref)
+	var refused *port.RefusedError
+	if errors.As(err, &refused) && refused.Reason == port.RefusedFence {
+		return false
+	}
+	mine := g != nil && u.Status != Idle && u.Host == o.Host && u.Run == o.Run
+	if !mine {
+		return true
+	}
+	if err != nil {
+		// The host may not have heard it. The lease ends the run if it never does.
+		u.Retry = now.Add(stopRetry)
+		return true
+	}
+	if u.Status == Doubt {
+		// From here on the host refuses the run if it has not begun; if it has, its
+		// end is listed by an answer that is later than this one.
+		u.Status, u.Clock = Stopping, max(clock, 1)
+	}
+	return true
+}
+
+// stopRetry is the pause before a stop that was not answered is sent again.
+const stopRetry = 300 * time.Millisecond
+
+// Retry sends stops again that were not answered.
+func (s *State) Retry(now time.Time) {
+	for id, h := range s.Hosts {
+		for ref, u := range h.Assigned {
+			if (u.Status == Doubt || u.Status == Stopping) && !u.Retry.IsZero() && now.After(u.Retry) {
+				u.Retry = time.Time{}
+				s.orders = append(s.orders, Order{Kind: OrderStop, Host: id, Ref: ref, Run: u.Run, Why: "not answered"})
+			}
+		}
+	}
+}
+
+// learn remembers how long a work unit took, to correct later estimates.
+func (s *State) learn(j *Job, step *batch.Step, took time.Duration) {
+	if took <= 0 || step.Estimate <= 0 {
+		return
+	}
+	key := j.Spec.Queue
+	if s.durations[key] == nil {
+		s.durations[key] = &sample{}
+	}
+	s.durations[key].add(float64(took) / float64(step.Estimate))
+}
+
+// sampleSize is the number of newest run times that are kept of each queue.
+const sampleSize = 64
+
+// sample is a ring of the newest ratios of run time to estimate.
+type sample struct {
+	values []float64
+	next   int
+}
+
+func (p *sample) add(v float64) {
+	if len(p.values) < sampleSize {
+		p.values = append(p.values, v)
+		return
+	}
+	p.values[p.next] = v
+	p.next = (p.next + 1) % sampleSize
+}
+
+// median is the middle ratio; 1 when there are too few.
+func (p *sample) median() float64 {
+	const enough = 8
+	if p == nil || len(p.values) < enough {
+		return 1
+	}
+	sorted := slices.Clone(p.values)
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2]
+}
--- /dev/null
+++ b/fleet/shard/shard.go
@@ -0,0 +1,260 @@
+// Package shard holds what the owner of a pool knows and decides: which jobs it has
+// accepted, what runs on which host, and which orders to give next. It does no I/O
+// and reads no clock; the owner task feeds it with what happened and carries its
+// orders out.
+package shard
+
+import (
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/port"
+)
+
+// Timing holds the times that the decisions rest on.
+type Timing struct {
+	// Lease is how long a host may run work without hearing from the owner. It is
+	// positive and at most what the platform allows.
+	Lease time.Duration
+	// Grace is how long an owner goes on extending leases after the store last
+	// confirmed its claim.
+	Grace time.Duration
+	// Keep is how long the state of an ended job is kept.
+	Keep time.Duration
+	// Far times the run time is what a work unit takes away from its data.
+	Far float64
+	// Notice is how long a lasting work unit may be away before it counts.
+	Notice time.Duration
+	// Restore is what resuming from a checkpoint takes.
+	Restore time.Duration
+	// Impact is how long a work unit that serves may be disturbed.
+	Impact time.Duration
+	// Stop is the longest time that a host takes to end a run.
+	Stop time.Duration
+}
+
+// ClockDrift is how much slower than true time a host's clock may be, as a factor
+// on spans of its time; the platform says 2 %.
+const ClockDrift = 1.02
+
+// runsPerEpoch is the number of starts of one work unit under one owner. A new
+// owner's run numbers lie above all that earlier owners can have given.
+const runsPerEpoch = 1000
+
+// Phase is where a job is in its life.
+type Phase string
+
+// The phases of a job.
+const (
+	Open      Phase = "open"
+	Completed Phase = "completed"
+	Failed    Phase = "failed"
+	Cancelled Phase = "cancelled"
+)
+
+// Status is where a work unit is.
+type Status uint8
+
+// The statuses of a work unit.
+const (
+	// Idle units run nowhere.
+	Idle Status = iota
+	// Sent units have been ordered to start, and the host has not answered.
+	Sent
+	// Doubt units may run or start to run: the order to start was not answered. A
+	// stop of that run has to be confirmed before another may start.
+	Doubt
+	// Live units run.
+	Live
+	// Stopping units have been ordered to stop.
+	Stopping
+)
+
+// Unit is a work unit of an occurrence.
+type Unit struct {
+	// Status says whether it runs; Host and Run are set unless it is Idle.
+	Status Status
+	Host   string
+	// Run is the highest run number that was given out or seen.
+	Run int64
+	// Noted is the highest run whose end has been counted; at most Run.
+	Noted int64
+	// Fails is the number of counted runs that failed.
+	Fails int
+	// Done is set for good by the first counted end that is a success.
+	Done bool
+	// Saved is the newest checkpoint.
+	Saved string
+	// Percent and Load are what the host said last.
+	Percent, Load float64
+	// Pace is the share that a unit that fills was last told to use, in percent.
+	Pace int
+	// Clock is the host's clock when it answered the start; 0 before.
+	Clock int64
+	// Began is when the run was ordered, Moved when its progress last changed and
+	// Ended when the last run ended.
+	Began, Moved, Ended time.Time
+	// Retry is when a stop that was not answered is sent again; zero when none is
+	// due.
+	Retry time.Time
+	// Avoid is a host on which the unit failed or stood still.
+	Avoid string
+	// Ordered says that the last run was ended by an order of ours.
+	Ordered bool
+}
+
+// Stage is a step of an occurrence.
+type Stage struct {
+	// Units has as many elements as the step has work units.
+	Units []Unit
+	// Left is the number of units that are not done.
+	Left int
+	// idle is the number of units that are Idle and not done.
+	idle int
+}
+
+// Turn is an occurrence of a job.
+type Turn struct {
+	// Stages has one element a step; it is empty once the occurrence is done.
+	Stages []Stage
+	// Left is the number of stages that are not done.
+	Left int
+}
+
+// Job is an accepted job.
+type Job struct {
+	ID   string
+	Spec batch.Spec
+	// Phase is decided; Shown is the newest phase that the store has, which is
+	// what callers are told.
+	Phase, Shown Phase
+	// Turns holds the occurrences that have become due, in order.
+	Turns []Turn
+	// TurnsLeft is the number of occurrences that are not done, due or not.
+	TurnsLeft int
+	// Stored says that the store has the job; nothing starts before.
+	Stored bool
+	// Begun says that some work unit has started.
+	Begun bool
+	// Inherited says that an earlier owner may have started work units that this
+	// owner does not know of.
+	Inherited bool
+	// Accepted is when the job came; Closed is when its phase was decided.
+	Accepted, Closed time.Time
+	// Objective is the time by which the job should be complete.
+	Objective time.Time
+	// dirty says that the progress differs from what the store has or will have;
+	// changes counts them.
+	dirty   bool
+	changes int
+}
+
+// State is all that the owner of one pool knows.
+type State struct {
+	Pool string
+	// Epoch is the claim's number and the fencing token of all orders.
+	Epoch int64
+	// Claimed is when the claim was confirmed.
+	Claimed time.Time
+	// Confirmed is when the newest call that the store answered was sent.
+	Confirmed time.Time
+	Timing    Timing
+	Queues    map[string]port.Queue
+	Guarded   bool
+	Jobs      map[string]*Job
+	Hosts     map[string]*Host
+
+	orders []Order
+	dirty  []*Job
+	// open holds the jobs in phase Open, in no order.
+	open map[string]*Job
+	// durations holds what runs took, by image or queue.
+	durations map[string]*sample
+}
+
+// New builds the state of a pool whose claim was confirmed at a time.
+func New(pool string, epoch int64, t Timing, now time.Time) *State {
+	return &State{
+		Pool: pool, Epoch: epoch, Claimed: now, Confirmed: now, Timing: t,
+		Queues: map[string]port.Queue{}, Jobs: map[string]*Job{}, Hosts: map[string]*Host{},
+		open: map[string]*Job{}, durations: map[string]*sample{},
+	}
+}
+
+// Kind is what an order does.
+type Kind uint8
+
+// The kinds of orders.
+const (
+	OrderStart Kind = iota
+	OrderStop
+	OrderPace
+)
+
+// Order is to be carried out on a host. The outcome has to be reported back.
+type Order struct {
+	Kind Kind
+	Host string
+	Ref  batch.Ref
+	Run  int64
+	// Text and Checkpoint go with a start; Percent goes with a pace.
+	Text, Checkpoint string
+	Percent          int
+	// Why is the reason, for logs.
+	Why string
+}
+
+// TakeOrders returns the orders that were decided since the last call.
+func (s *State) TakeOrders() []Order {
+	out := s.orders
+	s.orders = nil
+	return out
+}
+
+// unit returns a work unit, or nil when the job or the unit is not known.
+func (s *State) unit(r batch.Ref) (*Job, *Stage, *Unit) {
+	j := s.Jobs[r.Job]
+	if j == nil || r.Turn >= len(j.Turns) {
+		return j, nil, nil
+	}
+	t := &j.Turns[r.Turn]
+	if r.Step >= len(t.Stages) || r.Index >= len(t.Stages[r.Step].Units) {
+		return j, nil, nil
+	}
+	g := &t.Stages[r.Step]
+	return j, g, &g.Units[r.Index]
+}
+
+// touch marks a job's progress as changed.
+func (s *State) touch(j *Job) {
+	j.changes++
+	if !j.dirty {
+		j.dirty = true
+		s.dirty = append(s.dirty, j)
+	}
+}
+
+// free makes a unit idle, after a run that ended or never began.
+func (s *State) free(g *Stage, u *Unit, r batch.Ref, now time.Time) {
+	if u.Status == Idle {
+		return
+	}
+	if h := s.Hosts[u.Host]; h != nil {
+		delete(h.Assigned, r)
+	}
+	u.Status, u.Host, u.Percent, u.Load, u.Clock = Idle, "", 0, 0, 0
+	u.Ended = now
+	if !u.Done {
+		g.idle++
+	}
+}
+
+// open an occurrence whose time has come.
+func (s *State) openTurn(j *Job) {
+	t := Turn{Stages: make([]Stage, len(j.Spec.Steps)), Left: len(j.Spec.Steps)}
+	for i := range t.Stages {
+		n := j.Spec.Steps[i].Count
+		t.Stages[i] = Stage{Units: make([]Unit, n), Left: n, idle: n}
+	}
+	j.Turns = append(j.Turns, t)
+}
