Run waves of maintenance; let leases of silent hosts run out

Change: the mover, with a claim of its own, empties machines through their pools' owners and takes them down; an owner grants nothing to a host that has been silent for 1.6 s.

--- a/entry/claim/claim.go
+++ b/entry/claim/claim.go
@@ -181,23 +181,12 @@
 	return err
 }
 
-// Try is one outcome of an append that is not yet settled.
-type Try struct {
-	// Sent is when the call was sent.
-	Sent time.Time
-	Err  error
-	// Refused says that this call did nothing.
-	Refused bool
-}
-
 // Append writes entries under the claim, all or none, and tries again until the
 // store has answered for certain. It returns when the answering call was sent, or
-// [ErrLost] when a newer owner has written. Each failed try is handed to onTry,
-// which may be nil; while no call has left the outcome open, it may return false to
-// give up. Only one append may run at a time.
-func (c *Claim) Append(ctx context.Context, entries []port.Entry, onTry func(t Try, open bool) bool) (time.Time, error) {
+// [ErrLost] when a newer owner has written. Only one append may run at a time, and
+// none after one that was given up.
+func (c *Claim) Append(ctx context.Context, entries []port.Entry) (time.Time, error) {
 	next := c.sequence + 1
-	open := false
 	for {
 		sent := time.Now()
 		err := c.call(ctx, entries, next)
@@ -209,11 +198,6 @@
 		case errors.Is(err, port.ErrFenced), errors.As(err, &sequence):
 			return sent, fault.At("append", c.Name, ErrLost)
 		}
-		refused := errors.Is(err, port.ErrBusy) || errors.Is(err, port.ErrFull)
-		open = open || !refused
-		if onTry != nil && !onTry(Try{Sent: sent, Err: err, Refused: refused}, open) && !open {
-			return sent, fault.At("append", c.Name, err)
-		}
 		if !pause(ctx, retryPause) {
 			return sent, fault.At("append", c.Name, ctx.Err())
 		}
--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -12,7 +12,6 @@
 
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/entry/feed"
-	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/entry/roster"
 	"carawaymux.dev/fleet/deal"
 	"carawaymux.dev/fleet/port"
@@ -22,15 +21,46 @@
 // claimTimeout bounds the taking over of a pool; another entry may try after it.
 const claimTimeout = 4 * time.Second
 
+// Holder is a task that does the work of something that is owned here.
+type Holder interface {
+	// Configure puts a configuration in force.
+	Configure(ctx context.Context, c *port.Config) error
+	// List hands in changes of the platform's list of hosts.
+	List(ctx context.Context, changes []feed.Change[port.Host]) error
+	// Lost is closed when a newer owner has been seen.
+	Lost() <-chan struct{}
+	// Close stops the task and waits for its end.
+	Close()
+}
+
+// Begin starts a holder with the configuration and the hosts that are known.
+type Begin func(config *port.Config, hosts []port.Host) Holder
+
+// Starter prepares what a claim has won; it may read from the store.
+type Starter func(ctx context.Context, won *claim.Claim) (Begin, error)
+
+// Settings are what the task is told at the start.
+type Settings struct {
+	// Entry and Life name this process.
+	Entry string
+	Life  int64
+	// Parts is the number of partitions of a topic of the store.
+	Parts int
+	// Pools starts the owner of a pool; Special starts the holders of other things
+	// by their names, which no pool has.
+	Pools   Starter
+	Special map[string]Starter
+}
+
 // Duties is the task that keeps this entry's pools. Use [Start] to build it.
 type Duties struct {
-	settings owner.Settings
-	deps     owner.Deps
+	settings Settings
+	log      port.Log
 	logger   *slog.Logger
 	task     *task.Task[message]
-	// local holds the owners that run here; it is replaced, never changed.
-	local atomic.Pointer[map[string]*owner.Owner]
-	// own tells the other entries which pools are owned here.
+	// local holds what runs here; it is replaced, never changed.
+	local atomic.Pointer[map[string]Holder]
+	// own tells the other entries what is owned here.
 	own func(map[string]int64)
 }
 
@@ -46,18 +76,18 @@
 	won        struct {
 		pool  string
 		claim *claim.Claim
-		kept  *owner.Kept
+		begin Begin
 		err   error
 	}
 	lost struct {
-		pool  string
-		owner *owner.Owner
+		pool   string
+		holder Holder
 	}
 )
 
 // holding is a pool that is owned here.
 type holding struct {
-	owner *owner.Owner
+	Holder
 	epoch int64
 }
 
@@ -71,10 +101,10 @@
 	leaving bool
 }
 
-// Start starts the task. It hands the pools that are owned here to own.
-func Start(s owner.Settings, d owner.Deps, own func(map[string]int64)) *Duties {
-	t := &Duties{settings: s, deps: d, logger: d.Logger, own: own}
-	t.local.Store(&map[string]*owner.Owner{})
+// Start starts the task. It hands what is owned here to own.
+func Start(s Settings, log port.Log, logger *slog.Logger, own func(map[string]int64)) *Duties {
+	t := &Duties{settings: s, log: log, logger: logger, own: own}
+	t.local.Store(&map[string]Holder{})
 	c := &core{d: t, hosts: map[string]port.Host{}, holds: map[string]holding{}, claims: map[string]context.CancelFunc{}}
 	t.task = task.Start(c.run, task.WithInbox(inboxSize))
 	return t
@@ -83,8 +113,8 @@
 // inboxSize is the number of messages that wait for the task.
 const inboxSize = 512
 
-// Local returns the owner of a pool if it runs here, or nil.
-func (t *Duties) Local(pool string) *owner.Owner { return (*t.local.Load())[pool] }
+// Local returns the holder of a pool or another thing if it runs here, or nil.
+func (t *Duties) Local(name string) Holder { return (*t.local.Load())[name] }
 
 // View hands in a new view of the entries.
 func (t *Duties) View(ctx context.Context, v *roster.View) error { return t.task.Send(ctx, viewed{v}) }
@@ -125,7 +155,7 @@
 		cancel()
 	}
 	for _, h := range c.holds {
-		h.owner.Close()
+		h.Close()
 	}
 	c.holds = map[string]holding{}
 	c.publish()
@@ -139,10 +169,10 @@
 
 // publish tells the rest of this entry, and the other entries, what is owned here.
 func (c *core) publish() {
-	local := make(map[string]*owner.Owner, len(c.holds))
+	local := make(map[string]Holder, len(c.holds))
 	epochs := make(map[string]int64, len(c.holds))
 	for pool, h := range c.holds {
-		local[pool], epochs[pool] = h.owner, h.epoch
+		local[pool], epochs[pool] = h.Holder, h.epoch
 	}
 	c.d.local.Store(&local)
 	c.d.own(epochs)
@@ -151,7 +181,7 @@
 func (m configured) handle(ctx context.Context, c *core) {
 	c.config = m.config
 	for pool, h := range c.holds {
-		if err := h.owner.Configure(ctx, m.config); err != nil {
+		if err := h.Configure(ctx, m.config); err != nil {
 			c.d.logger.Debug("configuration not handed on", "pool", pool, "err", err)
 		}
 	}
@@ -166,7 +196,7 @@
 		}
 	}
 	for pool, h := range c.holds {
-		if err := h.owner.List(ctx, m.changes); err != nil {
+		if err := h.List(ctx, m.changes); err != nil {
 			c.d.logger.Debug("hosts not handed on", "pool", pool, "err", err)
 		}
 	}
@@ -221,9 +251,12 @@
 	return out
 }
 
-// pools lists the pools that some queue sends work to.
+// pools lists the pools that some queue sends work to, and what else is owned.
 func (c *core) pools() []string {
 	set := map[string]bool{}
+	for name := range c.d.settings.Special {
+		set[name] = true
+	}
 	for _, q := range c.config.Queues {
 		set[q.Pool] = true
 	}
@@ -237,11 +270,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	c.claims[pool] = cancel
-	s, d := c.d.settings, c.d.deps
+	s, log := c.d.settings, c.d.log
+	start := s.Special[pool]
+	if start == nil {
+		start = s.Pools
+	}
 	go func() {
 		m := won{pool: pool}
-		if m.claim, m.err = claim.Take(ctx, d.Log, pool, s.Entry, s.Life, s.Parts); m.err == nil {
-			m.kept, m.err = owner.Load(ctx, m.claim)
+		if m.claim, m.err = claim.Take(ctx, log, pool, s.Entry, s.Life, s.Parts); m.err == nil {
+			m.begin, m.err = start(ctx, m.claim)
 		}
 		if err := c.d.task.Send(context.WithoutCancel(ctx), m); err != nil {
 			c.d.logger.Debug("message after the end", "err", err)
@@ -259,13 +296,13 @@
 	if c.leaving {
 		return
 	}
-	o := owner.Start(c.d.settings, c.d.deps, m.claim, m.kept, c.config, slices.Collect(maps.Values(c.hosts)))
-	c.holds[m.pool] = holding{owner: o, epoch: m.claim.Epoch}
+	h := m.begin(c.config, slices.Collect(maps.Values(c.hosts)))
+	c.holds[m.pool] = holding{Holder: h, epoch: m.claim.Epoch}
 	c.publish()
 	go func() {
 		select {
-		case <-o.Lost():
-			if err := c.d.task.Send(ctx, lost{m.pool, o}); err != nil {
+		case <-h.Lost():
+			if err := c.d.task.Send(ctx, lost{m.pool, h}); err != nil {
 				c.d.logger.Debug("message after the end", "err", err)
 			}
 		case <-ctx.Done():
@@ -274,13 +311,13 @@
 }
 
 func (m lost) handle(_ context.Context, c *core) {
-	if h, ok := c.holds[m.pool]; ok && h.owner == m.owner {
+	if h, ok := c.holds[m.pool]; ok && h.Holder == m.holder {
 		c.release(m.pool)
 	}
 }
 
 func (c *core) release(pool string) {
-	c.holds[pool].owner.Close()
+	c.holds[pool].Close()
 	delete(c.holds, pool)
 	c.publish()
 }
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -46,8 +46,8 @@
 
 // Serve answers a question of another entry from an owner that runs here.
 func (n *Intake) Serve(ctx context.Context, a peers.Ask) owner.Answer {
-	o := n.Local.Local(a.Pool)
-	if o == nil {
+	o, ok := n.Local.Local(a.Pool).(*owner.Owner)
+	if !ok {
 		return owner.Answer{Outcome: Elsewhere}
 	}
 	switch a.Verb {
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -8,9 +8,7 @@
 	"carawaymux.dev/entry/agent"
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/entry/feed"
-	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
-	"carawaymux.dev/fleet/task"
 )
 
 const (
@@ -30,7 +28,7 @@
 	claim    *claim.Claim
 	state    *shard.State
 	agents   map[string]*link
-	writer   *task.Task[[]port.Entry]
+	writer   *claim.Writer
 	inbox    *feed.Feed[[]byte]
 	journal  journal
 	// out is cancelled when the owner stops; messages to its own inbox use it.
@@ -61,7 +59,7 @@
 
 func (c *core) run(ctx context.Context, inbox <-chan message) {
 	c.out = ctx
-	c.startWriter()
+	c.writer = claim.NewWriter(c.claim, func(ctx context.Context, w claim.Written) { c.post(ctx, wrote{w}) })
 	c.startInbox()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -123,6 +123,9 @@
 		c.resign("host "+id, err)
 		return
 	}
+	if refused != nil && refused.Reason == port.RefusedLife {
+		c.state.Gone(id, now)
+	}
 	if !l.failing {
 		l.failing = true
 		c.logger.Warn("host lost", "host", id, "err", err)
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"carawaymux.dev/entry/claim"
+	"carawaymux.dev/entry/duties"
 	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
@@ -49,11 +50,19 @@
 	Vacant bool `cbor:"7,keyasint,omitempty"`
 }
 
+// Starter reads what earlier owners have kept and returns how to start the owner of
+// a pool.
+func Starter(s Settings, d Deps) duties.Starter {
+	return func(ctx context.Context, won *claim.Claim) (duties.Begin, error) {
+		kept, err := Load(ctx, won)
+		return func(config *port.Config, hosts []port.Host) duties.Holder {
+			return Start(s, d, won, kept, config, hosts)
+		}, err
+	}
+}
+
 // Settings are what an owner is told at the start.
 type Settings struct {
-	// Entry and Life name the process that owns the pool.
-	Entry string
-	Life  int64
 	// Parts is the number of partitions of a topic.
 	Parts  int
 	Timing shard.Timing
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -11,7 +11,6 @@
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
-	"carawaymux.dev/fleet/task"
 )
 
 const (
@@ -118,10 +117,7 @@
 	seen map[string]int64
 }
 
-type wrote struct {
-	sent time.Time
-	err  error
-}
+type wrote struct{ claim.Written }
 
 func (c *core) restore(k *Kept, config *port.Config, hosts []port.Host) {
 	c.journal.waiting = map[string][]waiter{}
@@ -148,20 +144,6 @@
 	c.logger.Info("pool taken over", "jobs", len(k.Specs), "hosts", len(c.state.Hosts))
 }
 
-func (c *core) startWriter() {
-	c.writer = task.Start(func(ctx context.Context, inbox <-chan []port.Entry) {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case entries := <-inbox:
-				sent, err := c.claim.Append(ctx, entries, nil)
-				c.post(ctx, wrote{sent, err})
-			}
-		}
-	}, task.WithInbox(1))
-}
-
 // flush starts the next append, when there is something to write and none is under
 // way.
 func (c *core) flush(now time.Time) {
@@ -184,7 +166,7 @@
 		entries = []port.Entry{{Key: c.state.Pool + keyRenew, Value: []byte{1}}}
 	}
 	b.flight, b.last = f, now
-	c.writer.TrySend(entries)
+	c.writer.Write(entries)
 }
 
 // collect takes what waits to be written.
@@ -230,9 +212,9 @@
 	b := &c.journal
 	f := b.flight
 	b.flight = nil
-	if m.err != nil {
+	if m.Err != nil {
 		if c.out.Err() == nil {
-			c.resign("store", m.err)
+			c.resign("store", m.Err)
 		}
 		return
 	}
@@ -240,7 +222,7 @@
 		b.away = false
 		c.logger.Info("store regained")
 	}
-	c.state.Confirmed = m.sent
+	c.state.Confirmed = m.Sent
 	for _, h := range f.hosts {
 		if one := c.state.Hosts[h.ID]; one != nil {
 			one.Stored = true
--- a/fleet/port/worker.go
+++ b/fleet/port/worker.go
@@ -153,6 +153,11 @@
 	Upkeep(ctx context.Context, machine string, wave int64, holder string, token int64) (OrderOutcome, error)
 }
 
+// Operators hears how far waves have come.
+type Operators interface {
+	ReportWave(ctx context.Context, wave int64, completed bool) error
+}
+
 // Permit allows a host to run a step.
 type Permit struct {
 	Host   string
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -34,8 +34,9 @@
 	Assigned map[batch.Ref]*Unit
 	// Strays is the number of runs there that belong to no known unit.
 	Strays int
-	// Cordoned is until when the host takes no new work, by request.
-	Cordoned time.Time
+	// Cordoned is until when the host takes no new work, by request; CordonedAt is
+	// when that began.
+	Cordoned, CordonedAt time.Time
 	// Unwell is until when the host takes no new work, by what it was seen to do.
 	Unwell time.Time
 	// Full is until when no start is tried, after the host refused one for room.
@@ -59,6 +60,9 @@
 	maxSpells = 3
 	// fullFor is how long a host that had no room is not asked again.
 	fullFor = 60 * time.Millisecond
+	// silentAfter is the time without an answer after which a host is taken for
+	// silent; an answer is due every second.
+	silentAfter = 1600 * time.Millisecond
 	// busyFor is how long a host that said it was not well is not asked again.
 	busyFor = 500 * time.Millisecond
 )
@@ -90,9 +94,10 @@
 }
 
 // Deadline is the lease's end to grant now, on the host's clock; 0 when none may be
-// granted.
+// granted. A host that has fallen silent is granted no more, so that its lease runs
+// out even if what is sent to it arrives late.
 func (s *State) Deadline(h *Host, now time.Time) int64 {
-	if h.Clock == 0 || now.Sub(s.Confirmed) > s.Timing.Grace {
+	if h.Clock == 0 || now.Sub(s.Confirmed) > s.Timing.Grace || now.Sub(h.Heard) > silentAfter {
 		return 0
 	}
 	d := h.Clock + now.Sub(h.Heard).Milliseconds() + s.Timing.Lease.Milliseconds()
@@ -141,6 +146,15 @@
 	return gone
 }
 
+// Gone says that another life answers where the host was, so that nothing of it can
+// run there any more.
+func (s *State) Gone(id string, now time.Time) {
+	if h := s.Hosts[id]; h != nil {
+		s.lose(h, now)
+		h.Confirmed, h.Granted, h.Heard = true, 0, time.Time{}
+	}
+}
+
 // lose frees all units of a host on which nothing can run any more.
 func (s *State) lose(h *Host, now time.Time) {
 	for r, u := range h.Assigned {
@@ -178,7 +192,7 @@
 func (s *State) Usable(h *Host, now time.Time) bool {
 	return h.Listed && h.Stored && h.Confirmed && !h.Draining &&
 		now.After(h.Cordoned) && now.After(h.Unwell) && now.After(h.Full) &&
-		now.Sub(h.Heard) < s.Timing.Lease/2 && (s.Guarded || h.Strays == 0) && h.Capacity != (batch.Size{})
+		now.Sub(h.Heard) < silentAfter && (s.Guarded || h.Strays == 0) && h.Capacity != (batch.Size{})
 }
 
 // HasLabel reports whether the host has a label.
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -6,17 +6,34 @@
 	"carawaymux.dev/fleet/batch"
 )
 
+const (
+	// saveAfter is how long a host that is to be emptied keeps work that can resume
+	// from a checkpoint; most work ends by itself before.
+	saveAfter = 1500 * time.Millisecond
+	// stopAfter is how long it keeps other work.
+	stopAfter = 6 * time.Second
+)
+
 // Vacate keeps new work from a host for a time, and moves away what can be moved
 // without breaking a bound. It reports whether the host is empty.
 func (s *State) Vacate(h *Host, now time.Time, cordon time.Duration) bool {
+	if now.After(h.Cordoned) {
+		h.CordonedAt = now
+	}
 	h.Cordoned = now.Add(cordon)
+	waited := now.Sub(h.CordonedAt)
 	for r, u := range h.Assigned {
 		j, g, _ := s.unit(r)
 		if g == nil || u.Status != Live {
 			continue
 		}
 		step := &j.Spec.Steps[r.Step]
-		if step.Lasting && s.mayStop(step, g, now) {
+		switch {
+		case step.Lasting:
+			if s.mayStop(step, g) {
+				s.stop(r, u, "host to be emptied")
+			}
+		case step.Checkpoints && waited > saveAfter, waited > stopAfter:
 			s.stop(r, u, "host to be emptied")
 		}
 	}
@@ -24,15 +41,15 @@
 }
 
 // mayStop reports whether one more unit of a lasting step may be ended by an order.
-func (s *State) mayStop(step *batch.Step, g *Stage, now time.Time) bool {
-	return s.away(g, now) < max(step.MayMiss, 1)
+func (s *State) mayStop(step *batch.Step, g *Stage) bool {
+	return g.away() < max(step.MayMiss, 1)
 }
 
 // atWork is the percentage at which a lasting unit serves.
 const atWork = 100
 
 // away is the number of units of a lasting step that are not at work.
-func (s *State) away(g *Stage, _ time.Time) int {
+func (g *Stage) away() int {
 	n := 0
 	for i := range g.Units {
 		if u := &g.Units[i]; u.Status != Live || u.Percent < atWork {
--- /dev/null
+++ b/fleet/upkeep/upkeep.go
@@ -0,0 +1,169 @@
+// Package upkeep decides which machines of a maintenance wave to empty next.
+package upkeep
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"carawaymux.dev/fleet/port"
+)
+
+// Wave is a wave as far as it has come.
+type Wave struct {
+	port.Wave
+	// Seen is when the wave was first seen.
+	Seen time.Time
+	// Begun holds the machines whose maintenance has begun, and those that are not
+	// there any more.
+	Begun map[string]bool
+	// Emptying holds the machines that are being emptied, and since when.
+	Emptying map[string]time.Time
+	// Down holds the machines whose maintenance has begun and which have not been
+	// seen up since, and when it began.
+	Down map[string]time.Time
+	// Completed says that all machines have begun.
+	Completed bool
+}
+
+// NewWave builds the state of a wave that was seen at a time.
+func NewWave(w port.Wave, now time.Time) *Wave {
+	return &Wave{Wave: w, Seen: now, Begun: map[string]bool{}, Emptying: map[string]time.Time{}, Down: map[string]time.Time{}}
+}
+
+// Listed takes in a list of machines that was asked for at a time: machines that it
+// shows up again are not down any more.
+func (w *Wave) Listed(machines map[string]port.Machine, asked time.Time) {
+	for id, since := range w.Down {
+		if m, ok := machines[id]; asked.After(since) && (!ok || m.State == port.MachineUp) {
+			delete(w.Down, id)
+		}
+	}
+}
+
+// Left lists the machines whose maintenance has not begun, in the wave's order.
+func (w *Wave) Left() []string {
+	var out []string
+	for _, m := range w.Machines {
+		if !w.Begun[m] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Policy ranks the machines of a wave; the lowest rank goes first.
+type Policy interface {
+	Rank(m *port.Machine, p *Pool) int
+}
+
+// Pool is what a policy knows of a pool.
+type Pool struct {
+	// Machines is the number of machines, and Out the number of those that do not
+	// work or are being emptied.
+	Machines, Out int
+	Standby       bool
+}
+
+// IdleFirst takes machines on standby first, then those of the pools that have the
+// largest share at work.
+type IdleFirst struct{}
+
+// Rank implements [Policy].
+func (IdleFirst) Rank(_ *port.Machine, p *Pool) int {
+	if p.Standby {
+		return -1
+	}
+	return p.Out * rankScale / max(p.Machines, 1)
+}
+
+// rankScale makes whole numbers of shares.
+const rankScale = 1000
+
+// InOrder takes machines in the order of the wave. It is the baseline.
+type InOrder struct{}
+
+// Rank implements [Policy].
+func (InOrder) Rank(*port.Machine, *Pool) int { return 0 }
+
+const (
+	// perMachine is about how long a machine takes to be emptied and maintained.
+	perMachine = 8 * time.Second
+	// calmShare is the share of a pool that may be out for a wave while there is
+	// time.
+	calmShare = 4
+	// spareTime is the part of a wave's time that is planned with; the rest is kept
+	// for what goes wrong.
+	spareTime = 0.7
+)
+
+// Next chooses machines to empty now. Machines that do not work for another reason
+// count against their pool.
+func Next[P Policy](policy P, w *Wave, machines map[string]port.Machine, standby map[string]bool, now time.Time) []string {
+	pools := map[string]*Pool{}
+	down := len(w.Down)
+	for id, m := range machines {
+		p := pools[m.Pool]
+		if p == nil {
+			p = &Pool{Standby: standby[m.Pool]}
+			pools[m.Pool] = p
+		}
+		p.Machines++
+		_, emptying := w.Emptying[id]
+		if m.State != port.MachineUp || emptying {
+			p.Out++
+		}
+		if _, counted := w.Down[id]; !counted && m.State == port.MachineUpkeep && slices.Contains(w.Machines, id) {
+			// An earlier holder has taken it down.
+			down++
+		}
+	}
+	left := w.Left()
+	room := w.Cap - down - len(w.Emptying)
+	var out []string
+	for room > 0 {
+		m := best(policy, w, left, out, machines, pools, urgency(w, len(left), now))
+		if m == "" {
+			return out
+		}
+		pools[machines[m].Pool].Out++
+		out = append(out, m)
+		room--
+	}
+	return out
+}
+
+// urgency is how many machines have to be on their way at once to end in time.
+func urgency(w *Wave, left int, now time.Time) int {
+	rest := time.Duration(float64(w.Within)*spareTime) - now.Sub(w.Seen)
+	if rest <= perMachine {
+		return left
+	}
+	return int(time.Duration(left)*perMachine/rest) + 1
+}
+
+func best[P Policy](
+	policy P, w *Wave, left, chosen []string, machines map[string]port.Machine, pools map[string]*Pool, urgent int,
+) string {
+	pick, rank := "", 0
+	for _, id := range left {
+		m, ok := machines[id]
+		if _, emptying := w.Emptying[id]; !ok || emptying || m.State != port.MachineUp || slices.Contains(chosen, id) {
+			continue
+		}
+		p := pools[m.Pool]
+		if !p.Standby && p.Out >= allowed(p, len(pools), urgent) {
+			continue
+		}
+		if r := policy.Rank(&m, p); pick == "" || cmp.Less(r, rank) {
+			pick, rank = id, r
+		}
+	}
+	return pick
+}
+
+// allowed is how many machines of a pool may be out at once.
+func allowed(p *Pool, pools, urgent int) int {
+	share := max(p.Machines/calmShare, 1)
+	return max(share, (urgent+pools-1)/pools)
+}
