Restart a silent host's work only once the claim was confirmed after its lease

Cause: an owner inside a cut zone took the leases of hosts outside for run out, while the owner outside, who had taken over, went on extending them: two runs of one unit. Change: a lease counts as run out only if the store has confirmed the claim since.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -116,11 +116,19 @@
 	return h.Heard.Add(time.Duration(float64(left)*ClockDrift) + clockMargin)
 }
 
+// lapsed reports whether nothing can run on a host that does not answer. A newer
+// owner could have extended the host's lease, so the store has to have confirmed the
+// claim since the lease ran out.
+func (s *State) lapsed(h *Host, now time.Time) bool {
+	by := s.LapsedBy(h)
+	return now.After(by) && s.Confirmed.After(by)
+}
+
 // unsure reports whether some host that an earlier owner may have used has neither
 // answered nor run out of its lease.
 func (s *State) unsure(now time.Time) bool {
 	for _, h := range s.Hosts {
-		if h.Stored && !h.Confirmed && now.Before(s.LapsedBy(h)) {
+		if h.Stored && !h.Confirmed && !s.lapsed(h, now) {
 			return true
 		}
 	}
@@ -132,7 +140,7 @@
 func (s *State) Sweep(now time.Time) []string {
 	var gone []string
 	for id, h := range s.Hosts {
-		if now.Before(s.LapsedBy(h)) {
+		if !s.lapsed(h, now) {
 			continue
 		}
 		if h.Confirmed || len(h.Assigned) > 0 {
