Do not wait for hosts that the platform lists as ended

Cause: after a take-over all inherited work waited 11 s for hosts that had crashed, and a crashed host's own work 6.5 s; entries that had just started were given pools and then waited 1.5 s to settle. Change: while a host is silent its owner looks at the list of machines (at most every 0.5 s); a host that is no machine's any more has ended. An entry settles after two heartbeats. Units on silent hosts count as away before another is stopped.

--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -9,6 +9,7 @@
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/fleet/shard"
+	"carawaymux.dev/fleet/task"
 )
 
 const (
@@ -30,6 +31,9 @@
 	agents   map[string]*link
 	writer   *claim.Writer
 	inbox    *feed.Feed[[]byte]
+	census   *task.Task[struct{}]
+	counting bool
+	counted  time.Time
 	journal  journal
 	// out is cancelled when the owner stops; messages to its own inbox use it.
 	out      context.Context
@@ -61,6 +65,7 @@
 	c.out = ctx
 	c.writer = claim.NewWriter(c.claim, func(ctx context.Context, w claim.Written) { c.post(ctx, wrote{w}) })
 	c.startInbox()
+	c.startCensus()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	c.act()
@@ -119,6 +124,7 @@
 		c.journal.drop = append(c.journal.drop, c.state.Expired(now)...)
 	}
 	c.refuseWaiting(now)
+	c.count(now)
 }
 
 // scanInterval is the time between looks for jobs whose state need not be kept.
@@ -129,6 +135,7 @@
 func (c *core) finish() {
 	c.inbox.Close()
 	c.writer.Close()
+	c.census.Close()
 	for _, l := range c.agents {
 		l.agent.Close()
 	}
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -118,6 +118,7 @@
 
 func (c *core) holdFailed(id string, l *link, err error, now time.Time) {
 	l.again = now.Add(holdPause)
+	c.state.Hosts[id].Failing = true
 	var refused *port.RefusedError
 	if errors.As(err, &refused) && refused.Reason == port.RefusedFence {
 		c.resign("host "+id, err)
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -72,10 +72,11 @@
 
 // Deps are the services that an owner uses.
 type Deps struct {
-	Log     port.Log
-	Workers port.Workers
-	Adviser port.Adviser
-	Logger  *slog.Logger
+	Log      port.Log
+	Workers  port.Workers
+	Machines port.Machines
+	Adviser  port.Adviser
+	Logger   *slog.Logger
 }
 
 // Owner owns one pool. Use [Start] to build it.
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -22,6 +22,9 @@
 	deadAfter = 1500 * time.Millisecond
 	// callTimeout bounds one call to the store.
 	callTimeout = 900 * time.Millisecond
+	// settleAfter is the time in which every live entry shows up that starts at the
+	// same time.
+	settleAfter = 2 * beatInterval
 	// forgetAfter is how long the row of a dead entry is kept.
 	forgetAfter = time.Minute
 )
@@ -215,7 +218,7 @@
 	}
 	c.last = now
 	v := &View{Alive: map[string]Beat{}, Owners: map[string]Owner{}, Fresh: now}
-	v.Settled = now.Sub(c.since) >= deadAfter
+	v.Settled = now.Sub(c.since) >= settleAfter
 	for name, r := range c.rows {
 		silent := now.Sub(later(r.changed, c.since))
 		if silent > forgetAfter {
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -25,6 +25,8 @@
 	// Clock is the host's clock, in milliseconds, in the answer that came at Heard.
 	Clock int64
 	Heard time.Time
+	// Failing says that the last try to reach the host failed.
+	Failing bool
 	// Granted is the latest deadline that was sent, on the host's clock; 0 for none.
 	Granted int64
 	// Seen is the highest end that was counted and Acked the highest whose effect
@@ -154,12 +156,27 @@
 	return gone
 }
 
-// Gone says that another life answers where the host was, so that nothing of it can
-// run there any more.
+// Silent lists the hosts that do not answer and on which something may run.
+func (s *State) Silent(now time.Time) []string {
+	var out []string
+	for id, h := range s.Hosts {
+		since := h.Heard
+		if !h.Confirmed {
+			since = s.Claimed
+		}
+		if (h.Failing || now.Sub(since) > quietAfter) && (len(h.Assigned) > 0 || (h.Stored && !h.Confirmed)) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Gone says that this life of a host has ended, so that nothing of it can run any
+// more.
 func (s *State) Gone(id string, now time.Time) {
 	if h := s.Hosts[id]; h != nil {
 		s.lose(h, now)
-		h.Confirmed, h.Granted, h.Heard = true, 0, time.Time{}
+		h.Confirmed, h.Failing, h.Granted, h.Heard = true, false, 0, time.Time{}
 	}
 }
 
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -32,7 +32,7 @@
 		s.newLife(h, now)
 	}
 	first := !h.Confirmed
-	h.Confirmed, h.Life, h.Clock, h.Heard = true, l.Born, l.Clock, now
+	h.Confirmed, h.Failing, h.Life, h.Clock, h.Heard = true, false, l.Born, l.Clock, now
 	var out []Ending
 	for i := range l.Ended {
 		e := &l.Ended[i]
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -30,7 +30,7 @@
 		step := &j.Spec.Steps[r.Step]
 		switch {
 		case step.Lasting:
-			if s.mayStop(step, g) {
+			if s.mayStop(step, g, now) {
 				s.stop(r, u, "host to be emptied")
 			}
 		case step.Checkpoints && waited > saveAfter, waited > stopAfter:
@@ -41,18 +41,24 @@
 }
 
 // mayStop reports whether one more unit of a lasting step may be ended by an order.
-func (s *State) mayStop(step *batch.Step, g *Stage) bool {
-	return g.away() < max(step.MayMiss, 1)
+func (s *State) mayStop(step *batch.Step, g *Stage, now time.Time) bool {
+	return s.away(g, now) < max(step.MayMiss, 1)
 }
 
 // atWork is the percentage at which a lasting unit serves.
 const atWork = 100
 
-// away is the number of units of a lasting step that are not at work.
-func (g *Stage) away() int {
+// quietAfter is the time without an answer after which a host may be lost; an answer
+// is due every second.
+const quietAfter = 1200 * time.Millisecond
+
+// away is the number of units of a lasting step that are not known to be at work.
+func (s *State) away(g *Stage, now time.Time) int {
 	n := 0
 	for i := range g.Units {
-		if u := &g.Units[i]; u.Status != Live || u.Percent < atWork {
+		u := &g.Units[i]
+		h := s.Hosts[u.Host]
+		if u.Status != Live || u.Percent < atWork || h == nil || now.Sub(h.Heard) > quietAfter {
 			n++
 		}
 	}
