Size pools by what waits, runs and comes in; keep cancels that overtake

Cause: each queue asks in turn for more than its pool holds while others idle, and eight machines on standby were never used. Change: owners report their load, the mover moves machines to where work waits and parks what is spare (policy sizing.Drain, baselines Static and OnDemand). A cancel of an unknown job is stored, so that a later submission does not run.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -64,6 +64,8 @@
 		return o.Pending(ctx, a.Queue.Name)
 	case peers.VerbVacate:
 		return o.Vacate(ctx, a.Subject)
+	case peers.VerbLoad:
+		return o.Load(ctx)
 	}
 	return owner.Answer{Outcome: owner.Refused, Why: "verb not known"}
 }
--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -16,6 +16,7 @@
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/sizing"
 	"carawaymux.dev/fleet/task"
 	"carawaymux.dev/fleet/upkeep"
 )
@@ -24,10 +25,8 @@
 const Name = "*machines"
 
 const (
-	// roundInterval is the time between rounds while there is something to do, and
-	// idleInterval while there is not.
+	// roundInterval is the time between rounds.
 	roundInterval = 250 * time.Millisecond
-	idleInterval  = time.Second
 	// listInterval is the shortest time between two looks at the list of machines.
 	listInterval = 500 * time.Millisecond
 	// callTimeout bounds one call.
@@ -54,6 +53,8 @@
 	// Vacate asks the owner of a pool to empty a host, and reports false when it
 	// could not be asked.
 	Vacate func(ctx context.Context, pool, host string) (owner.Answer, bool)
+	// Load asks the owner of a pool what it has to do.
+	Load func(ctx context.Context, pool string) (owner.Answer, bool)
 }
 
 // Settings are what the mover is told at the start.
@@ -95,10 +96,13 @@
 	waves     map[int64]*upkeep.Wave
 	reported  map[int64]time.Time
 	standby   map[string]bool
+	pools     []string
 	machines  map[string]port.Machine
 	listed    time.Time
 	shutOut   bool
 	cloudDown bool
+	sizes     *sizing.State
+	moving    map[string]move
 }
 
 // Starter returns how to start the mover from a claim that was won.
@@ -120,6 +124,7 @@
 		mover: m, settings: s, deps: d, claim: won, begun: begun, confirmed: won.At,
 		logger: d.Logger.With("holder", s.Holder, "epoch", won.Epoch),
 		waves:  map[int64]*upkeep.Wave{}, reported: map[int64]time.Time{}, standby: map[string]bool{},
+		sizes: sizing.NewState(), moving: map[string]move{},
 	}
 	if won.Epoch > 1 {
 		c.notBefore = time.Now().Add(s.Term + callTimeout)
@@ -169,9 +174,10 @@
 }
 
 func (m configured) handle(c *core) {
-	c.standby = map[string]bool{}
+	c.standby, c.pools = map[string]bool{}, nil
 	for _, p := range m.config.Pools {
 		c.standby[p.Name] = p.Standby
+		c.pools = append(c.pools, p.Name)
 	}
 }
 
@@ -215,9 +221,6 @@
 			open = append(open, w)
 		}
 	}
-	if len(open) == 0 {
-		return idleInterval
-	}
 	if err := c.list(ctx, now); err != nil {
 		if !c.cloudDown {
 			c.logger.Warn("machines lost", "err", err)
@@ -232,6 +235,7 @@
 	for _, w := range open {
 		c.advance(ctx, w, now)
 	}
+	c.resize(ctx, open, now)
 	return roundInterval
 }
 
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -154,7 +154,7 @@
 
 func (m look) handle(c *core) {
 	j := c.state.Jobs[m.id]
-	if j == nil {
+	if j == nil || j.Unseen {
 		m.reply <- Answer{Outcome: Missing, Why: "no such job"}
 		return
 	}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -14,6 +14,7 @@
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
+	"carawaymux.dev/fleet/sizing"
 	"carawaymux.dev/fleet/task"
 )
 
@@ -48,6 +49,8 @@
 	Why string `cbor:"6,keyasint,omitempty"`
 	// Vacant says that nothing runs on a host and nothing will be started there.
 	Vacant bool `cbor:"7,keyasint,omitempty"`
+	// Load is set in an answer to a question for it.
+	Load *sizing.Load `cbor:"8,keyasint,omitempty"`
 }
 
 // Starter reads what earlier owners have kept and returns how to start the owner of
@@ -108,6 +111,7 @@
 		queue string
 		reply chan<- Answer
 	}
+	loadOf struct{ reply chan<- Answer }
 	vacate struct {
 		host  string
 		reply chan<- Answer
@@ -152,6 +156,11 @@
 	return o.call(ctx, Refused, func(reply chan<- Answer) message { return pending{queue, reply} })
 }
 
+// Load asks what the pool has to do.
+func (o *Owner) Load(ctx context.Context) Answer {
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return loadOf{reply} })
+}
+
 // Vacate asks that a host be emptied. It has to be asked again until the answer says
 // that the host is vacant, and lapses when it is not.
 func (o *Owner) Vacate(ctx context.Context, host string) Answer {
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -132,6 +132,11 @@
 		}
 		c.state.Restore(id, spec, n, now)
 	}
+	for id := range k.Notes {
+		if _, ok := k.Specs[id]; !ok {
+			c.state.RestoreCancelled(id, now)
+		}
+	}
 	for _, h := range k.Hosts {
 		c.state.Remember(h)
 		c.openAgent(h)
@@ -243,6 +248,8 @@
 			c.logger.Info("job ended", "job", ch.Job.ID, "phase", string(ch.Note.Phase),
 				"took-ms", time.Since(ch.Job.Accepted).Milliseconds(), "late", time.Now().After(ch.Job.Objective))
 			c.answer(ch.Job.ID, true, Answer{Outcome: Accepted, Phase: ch.Note.Phase})
+			// A submission that came after its own cancellation waits as well.
+			c.answer(ch.Job.ID, false, Answer{Outcome: Accepted, Phase: ch.Note.Phase})
 		}
 	}
 	c.emptyInbox(f.jobs)
@@ -283,7 +290,7 @@
 		return
 	}
 	j, verdict := c.state.Submit(m.id, m.spec, time.Now())
-	if verdict == shard.Known && j.Stored {
+	if verdict == shard.Known && (j.Stored || j.Shown != shard.Open) {
 		m.reply <- Answer{Outcome: Accepted, Phase: j.Shown}
 		return
 	}
@@ -295,11 +302,7 @@
 }
 
 func (m cancelJob) handle(c *core) {
-	j, ok := c.state.Cancel(m.id, time.Now())
-	if !ok {
-		m.reply <- Answer{Outcome: Missing, Why: "no such job"}
-		return
-	}
+	j := c.state.Cancel(m.id, time.Now())
 	if j.Shown != shard.Open {
 		m.reply <- Answer{Outcome: Accepted, Phase: j.Shown}
 		return
@@ -370,7 +373,7 @@
 	var drop []port.Entry
 	var rest []string
 	for _, id := range c.journal.inbox {
-		if j := c.state.Jobs[id]; j != nil && !j.Stored {
+		if j := c.state.Jobs[id]; j != nil && !j.Stored && j.Shown == shard.Open {
 			rest = append(rest, id)
 			continue
 		}
--- a/entry/owner/vacate.go
+++ b/entry/owner/vacate.go
@@ -15,3 +15,8 @@
 	vacant := c.state.Vacate(h, time.Now(), cordonFor)
 	m.reply <- Answer{Outcome: Found, Vacant: vacant}
 }
+
+func (m loadOf) handle(c *core) {
+	l := c.state.Load(time.Now())
+	m.reply <- Answer{Outcome: Found, Load: &l}
+}
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -29,6 +29,7 @@
 	VerbCancel  Verb = "cancel"
 	VerbPending Verb = "pending"
 	VerbVacate  Verb = "vacate"
+	VerbLoad    Verb = "load"
 )
 
 // Ask is a question to the owner of a pool.
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -36,12 +36,14 @@
 // Submit takes a job in. The spec must have passed its check.
 func (s *State) Submit(id string, spec batch.Spec, now time.Time) (*Job, Verdict) {
 	if j := s.Jobs[id]; j != nil {
+		j.Unseen = false
 		return j, Known
 	}
 	j := &Job{ID: id, Spec: spec, Phase: Open, Shown: Open, TurnsLeft: spec.Occurrences(), Accepted: now}
 	j.Objective = s.objective(j)
 	s.Jobs[id] = j
 	s.open[id] = j
+	s.arrive(j, now)
 	return j, Accept
 }
 
@@ -63,16 +65,18 @@
 	}
 }
 
-// Cancel ends a job. It reports whether the job is known.
-func (s *State) Cancel(id string, now time.Time) (*Job, bool) {
+// Cancel ends a job. A job that is not known is remembered as cancelled, since its
+// submission may still be on its way.
+func (s *State) Cancel(id string, now time.Time) *Job {
 	j := s.Jobs[id]
 	if j == nil {
-		return nil, false
+		j = &Job{ID: id, Phase: Open, Shown: Open, Accepted: now, Unseen: true}
+		s.Jobs[id] = j
 	}
 	if j.Phase == Open {
 		s.end(j, Cancelled, now)
 	}
-	return j, true
+	return j
 }
 
 // end decides a job's last phase and stops what still runs of it.
--- a/fleet/shard/note.go
+++ b/fleet/shard/note.go
@@ -103,6 +103,11 @@
 	return n
 }
 
+// RestoreCancelled takes in a job of which only the cancellation is stored.
+func (s *State) RestoreCancelled(id string, now time.Time) {
+	s.Jobs[id] = &Job{ID: id, Phase: Cancelled, Shown: Cancelled, Accepted: now, Closed: now, Unseen: true, Stored: true}
+}
+
 // Restore takes a job in as an earlier owner stored it. The note is nil when no
 // progress was stored.
 func (s *State) Restore(id string, spec batch.Spec, n *Note, now time.Time) {
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -134,6 +134,9 @@
 	TurnsLeft int
 	// Stored says that the store has the job; nothing starts before.
 	Stored bool
+	// Unseen says that the job was cancelled and no submission has come; its spec is
+	// then empty.
+	Unseen bool
 	// Begun says that some work unit has started.
 	Begun bool
 	// Inherited says that an earlier owner may have started work units that this
@@ -168,6 +171,8 @@
 	dirty  []*Job
 	// open holds the jobs in phase Open, in no order.
 	open map[string]*Job
+	// arrivals holds the work that has come lately.
+	arrivals []arrival
 	// durations holds what runs took, by image or queue.
 	durations map[string]*sample
 }
--- /dev/null
+++ b/fleet/sizing/sizing.go
@@ -0,0 +1,277 @@
+// Package sizing decides how many hosts each pool should have, and which machines to
+// move between pools: from pools that have more than they need to those that wait,
+// and to standby, where a machine costs nothing.
+package sizing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"carawaymux.dev/fleet/port"
+)
+
+// Load is what the owner of a pool says of its work. Capacities are in thousandths of
+// a core.
+type Load struct {
+	// Hosts is the number of hosts that may take work, and PerHost the mean
+	// capacity of one.
+	Hosts   int   `cbor:"1,keyasint,omitempty"`
+	PerHost int64 `cbor:"2,keyasint,omitempty"`
+	// Lasting is what work that lasts takes, and Spread the number of hosts that it
+	// has to be spread over.
+	Lasting int64 `cbor:"3,keyasint,omitempty"`
+	Spread  int   `cbor:"4,keyasint,omitempty"`
+	// Running is what other work takes now.
+	Running int64 `cbor:"5,keyasint,omitempty"`
+	// Waiting is the work that could start now if there were room, times its run
+	// time, in thousandths of a core-second; Later is work whose turn has not come.
+	Waiting int64 `cbor:"6,keyasint,omitempty"`
+	Later   int64 `cbor:"7,keyasint,omitempty"`
+	// Inflow is the work that has come in a second, in thousandths of a core.
+	Inflow int64 `cbor:"8,keyasint,omitempty"`
+	// Vacant lists hosts on which nothing runs, and Light hosts on which only
+	// lasting work runs that may be moved.
+	Vacant []string `cbor:"9,keyasint,omitempty"`
+	Light  []string `cbor:"10,keyasint,omitempty"`
+}
+
+// Policy says how many hosts a pool should have.
+type Policy interface {
+	Want(l *Load) int
+}
+
+// Static keeps every pool as it is. It is a baseline.
+type Static struct{}
+
+// Want implements [Policy].
+func (Static) Want(l *Load) int { return l.Hosts }
+
+// OnDemand gives a pool what it uses now. It is a baseline.
+type OnDemand struct{}
+
+// Want implements [Policy].
+func (OnDemand) Want(l *Load) int {
+	return hosts(l, l.Lasting+l.Running+l.Waiting)
+}
+
+// Drain gives a pool what it needs to work off what waits within a time, and a
+// reserve.
+type Drain struct {
+	// Within is the time in which waiting work should have started; it is positive.
+	Within time.Duration
+	// Fill is the share of a host that can be used in practice, from 0 to 1.
+	Fill float64
+	// Reserve is the number of hosts kept beyond the need.
+	Reserve int
+}
+
+// Want implements [Policy].
+func (d Drain) Want(l *Load) int {
+	backlog := float64(l.Waiting+l.Later/laterShare) / d.Within.Seconds()
+	need := float64(l.Lasting) + max(float64(l.Running)+backlog, float64(l.Inflow))
+	return max(hosts(l, int64(need/d.Fill)), l.Spread) + d.Reserve
+}
+
+// laterShare is the part of the work whose turn has not come that is counted.
+const laterShare = 3
+
+func hosts(l *Load, milliCores int64) int {
+	if l.PerHost <= 0 {
+		return l.Hosts
+	}
+	return int((milliCores + l.PerHost - 1) / l.PerHost)
+}
+
+// Move puts a machine into another pool.
+type Move struct {
+	Machine string
+	// Host is the host that the machine is now; empty for a machine on standby.
+	Host     string
+	From, To string
+}
+
+// State remembers what lets moves wait: surpluses have to last.
+type State struct {
+	// Surplus is since when each pool has had more than it wants.
+	Surplus map[string]time.Time
+	// Refused holds the pairs of pools between which a machine could not be moved.
+	Refused map[Move]bool
+}
+
+// NewState builds an empty memory.
+func NewState() *State {
+	return &State{Surplus: map[string]time.Time{}, Refused: map[Move]bool{}}
+}
+
+// Refuse remembers that a move between two pools is not possible.
+func (s *State) Refuse(m Move) { s.Refused[Move{From: m.From, To: m.To}] = true }
+
+// Input is what a round of planning goes by.
+type Input struct {
+	// Loads holds the load of each pool whose owner has answered.
+	Loads map[string]Load
+	// Machines are the machines as the platform lists them.
+	Machines map[string]port.Machine
+	// Standby names the pools whose machines are switched off.
+	Standby map[string]bool
+	// Moving holds the moves that are under way, by machine.
+	Moving map[string]Move
+	// Busy holds machines that are not to be moved.
+	Busy map[string]bool
+}
+
+const (
+	// surplusFor is how long a pool has to have more than it wants before it gives
+	// a machine to standby; a move there and back takes about as long.
+	surplusFor = 1500 * time.Millisecond
+	// movesAtOnce bounds the moves that are under way.
+	movesAtOnce = 16
+)
+
+// pool is a pool in a round of planning.
+type pool struct {
+	name string
+	load Load
+	// have counts machines that work, and those that are on their way.
+	have, want int
+	// spare lists the machines that could go, the cheapest first.
+	spare []port.Machine
+}
+
+// Plan decides which moves to begin now.
+func Plan[P Policy](s *State, policy P, in *Input, now time.Time) []Move {
+	pools, standby := survey(policy, in)
+	var out []Move
+	room := movesAtOnce - len(in.Moving)
+	add := func(m Move) bool {
+		if room <= 0 || s.Refused[Move{From: m.From, To: m.To}] {
+			return false
+		}
+		room--
+		out = append(out, m)
+		return true
+	}
+	// The pool that waits most is served first.
+	slices.SortFunc(pools, func(a, b *pool) int {
+		return cmp.Or(cmp.Compare(b.want-b.have, a.want-a.have), cmp.Compare(a.name, b.name))
+	})
+	for _, p := range pools {
+		for p.have < p.want {
+			if !s.feed(p, pools, &standby, add) {
+				break
+			}
+			p.have++
+		}
+	}
+	out = append(out, s.park(pools, in, now, room)...)
+	return out
+}
+
+// survey counts what each pool has and wants.
+func survey[P Policy](policy P, in *Input) (pools []*pool, standby []port.Machine) {
+	byName := map[string]*pool{}
+	for name, l := range in.Loads {
+		if in.Standby[name] {
+			continue
+		}
+		p := &pool{name: name, load: l, want: policy.Want(&l)}
+		byName[name] = p
+		pools = append(pools, p)
+	}
+	byHost := map[string]port.Machine{}
+	for id, m := range in.Machines {
+		if to, moving := in.Moving[id]; moving {
+			if p := byName[to.To]; p != nil {
+				p.have++
+			}
+			continue
+		}
+		p := byName[m.Pool]
+		switch {
+		case m.State == port.MachineMoving || m.State == port.MachineUpkeep:
+			// It will be there soon.
+			if p != nil && m.State == port.MachineMoving {
+				p.have++
+			}
+		case m.State != port.MachineUp:
+		case in.Standby[m.Pool]:
+			if !in.Busy[id] {
+				standby = append(standby, m)
+			}
+		case p != nil:
+			p.have++
+			if !in.Busy[id] {
+				byHost[m.Host] = m
+			}
+		}
+	}
+	for _, p := range pools {
+		for _, h := range slices.Concat(p.load.Vacant, p.load.Light) {
+			if m, ok := byHost[h]; ok && m.Pool == p.name {
+				p.spare = append(p.spare, m)
+			}
+		}
+	}
+	slices.SortFunc(standby, func(a, b port.Machine) int { return cmp.Compare(a.ID, b.ID) })
+	return pools, standby
+}
+
+// feed finds a machine for a pool: one on standby, or one that another pool can
+// spare.
+func (s *State) feed(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
+	for i, m := range *standby {
+		if add(Move{Machine: m.ID, From: m.Pool, To: p.name}) {
+			*standby = slices.Delete(*standby, i, i+1)
+			return true
+		}
+	}
+	for _, q := range slices.Backward(pools) {
+		if q == p || q.have <= q.want || len(q.spare) == 0 {
+			continue
+		}
+		m := q.spare[0]
+		if add(Move{Machine: m.ID, Host: m.Host, From: q.name, To: p.name}) {
+			q.spare = q.spare[1:]
+			q.have--
+			return true
+		}
+	}
+	return false
+}
+
+// park sends machines to standby that have been too many for a while.
+func (s *State) park(pools []*pool, in *Input, now time.Time, room int) []Move {
+	to := ""
+	for name, standby := range in.Standby {
+		if standby && (to == "" || name < to) {
+			to = name
+		}
+	}
+	if to == "" {
+		return nil
+	}
+	var out []Move
+	for _, p := range pools {
+		if p.have <= p.want {
+			delete(s.Surplus, p.name)
+			continue
+		}
+		since, ok := s.Surplus[p.name]
+		if !ok {
+			s.Surplus[p.name] = now
+			continue
+		}
+		if now.Sub(since) < surplusFor || s.Refused[Move{From: p.name, To: to}] {
+			continue
+		}
+		for p.have > p.want && len(p.spare) > 0 && room > 0 {
+			m := p.spare[0]
+			p.spare = p.spare[1:]
+			p.have--
+			room--
+			out = append(out, Move{Machine: m.ID, Host: m.Host, From: p.name, To: to})
+		}
+	}
+	return out
+}
