Keep a host in each pool while others are emptied; reopen silent links

Change: at most all but one machine of a pool are out for a wave; machines being emptied do not count as hosts when pools are sized; a lasting unit is stopped only if another host has room; a link between entries that brings nothing for 0.8 s while questions wait is opened anew.

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -47,7 +47,7 @@
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
 	// callTimeout bounds a call beyond the time that it is to wait.
-	callTimeout = time.Second
+	callTimeout = 1500 * time.Millisecond
 )
 
 // Start follows a stream. Changes are handed to onChange in the order of the store.
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -55,6 +55,9 @@
 	dialTimeout = 600 * time.Millisecond
 	// redialAfter is the pause after a link could not be opened.
 	redialAfter = 300 * time.Millisecond
+	// silentAfter is how long a link may bring nothing while a question waits; then
+	// it is taken for dead, since a link can go silent without breaking.
+	silentAfter = 800 * time.Millisecond
 	// answerTimeout bounds the work on a question of a peer.
 	answerTimeout = 5 * time.Second
 )
@@ -93,7 +96,10 @@
 	err  error
 }
 
-type broken struct{ lane *lane }
+type broken struct {
+	lane *lane
+	conn *link.Conn[Frame]
+}
 
 // lane is a link to one entry, with the questions that wait on it.
 type lane struct {
@@ -104,6 +110,9 @@
 	retry   time.Time
 	next    uint64
 	waiting map[uint64]call
+	// asked is when the first question was sent since a frame last came; zero when
+	// none was.
+	asked time.Time
 }
 
 // core is the state of the client's task.
@@ -164,6 +173,10 @@
 		l = &lane{address: m.address, waiting: map[uint64]call{}}
 		k.lanes[m.address] = l
 	}
+	if l.conn != nil && !l.asked.IsZero() && time.Since(l.asked) > silentAfter {
+		k.client.logger.Warn("peer silent", "peer", l.address, "waiting", len(l.waiting))
+		l.drop()
+	}
 	if l.conn == nil && !l.opening {
 		if time.Now().Before(l.retry) {
 			m.reply <- result{err: fault.New("dial", m.address, "not reachable a moment ago")}
@@ -180,6 +193,9 @@
 }
 
 func (k *core) send(l *lane, id uint64, m call) {
+	if l.asked.IsZero() {
+		l.asked = time.Now()
+	}
 	if !l.conn.TrySend(Frame{ID: id, Ask: &m.ask}) {
 		delete(l.waiting, id)
 		m.reply <- result{err: fault.New("send", l.address, "the link is full or broken")}
@@ -199,7 +215,7 @@
 	}
 	select {
 	case <-conn.Broken():
-		k.post(ctx, broken{l})
+		k.post(ctx, broken{l, conn})
 	case <-ctx.Done():
 	}
 }
@@ -226,11 +242,18 @@
 }
 
 func (m broken) handle(_ context.Context, k *core) {
-	l := m.lane
+	if m.lane.conn == m.conn {
+		m.lane.drop()
+	}
+}
+
+// drop gives the link up; those who wait may ask again.
+func (l *lane) drop() {
 	if l.conn != nil {
-		l.conn.Close()
+		go l.conn.Close()
 		l.conn = nil
 	}
+	l.asked = time.Time{}
 	l.failAll(fault.New("link", l.address, "the link broke"))
 }
 
@@ -242,6 +265,7 @@
 }
 
 func (m frameFrom) handle(_ context.Context, _ *core) {
+	m.lane.asked = time.Time{}
 	c, ok := m.lane.waiting[m.frame.ID]
 	if !ok || m.frame.Answer == nil {
 		return
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -30,7 +30,7 @@
 		step := &j.Spec.Steps[r.Step]
 		switch {
 		case step.Lasting:
-			if s.mayStop(step, g, now) {
+			if s.mayStop(step, g, now) && s.elsewhere(step, g, u, now) {
 				s.stop(r, u, "host to be emptied")
 			}
 		case step.Checkpoints && waited > saveAfter, waited > stopAfter:
@@ -40,6 +40,12 @@
 	return len(h.Assigned) == 0 && h.Strays == 0
 }
 
+// elsewhere reports whether some other host has room for a unit.
+func (s *State) elsewhere(step *batch.Step, g *Stage, u *Unit, now time.Time) bool {
+	room := s.room(now)
+	return s.pick(step, g, u, room) >= 0
+}
+
 // mayStop reports whether one more unit of a lasting step may be ended by an order.
 func (s *State) mayStop(step *batch.Step, g *Stage, now time.Time) bool {
 	return s.away(g, now) < max(step.MayMiss, 1)
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -199,11 +199,10 @@
 			if !in.Busy[id] {
 				standby = append(standby, m)
 			}
-		case p != nil:
+		case p != nil && !in.Busy[id]:
+			// A machine that is being emptied does not count: its work needs room.
 			p.have++
-			if !in.Busy[id] {
-				byHost[m.Host] = m
-			}
+			byHost[m.Host] = m
 		}
 	}
 	for _, p := range pools {
--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -162,8 +162,9 @@
 	return pick
 }
 
-// allowed is how many machines of a pool may be out at once.
+// allowed is how many machines of a pool may be out at once. One has to stay for the
+// work of the others, unless there is only one.
 func allowed(p *Pool, pools, urgent int) int {
-	share := max(p.Machines/calmShare, 1)
-	return max(share, (urgent+pools-1)/pools)
+	share := max(p.Machines/calmShare, (urgent+pools-1)/pools)
+	return max(min(share, p.Machines-1), 1)
 }
