A new holder of the machines waits only for those the last one may have ordered

Change: a holder writes which machines it may order before it orders them; its successor leaves just those alone for a term. Questions to owners take 0.25 s at most.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -6,6 +6,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,8 +31,10 @@
 	roundInterval = 250 * time.Millisecond
 	// listInterval is the shortest time between two looks at the list of machines.
 	listInterval = 500 * time.Millisecond
-	// callTimeout bounds one call.
+	// callTimeout bounds one call to the platform, and askTimeout one question to
+	// the owner of a pool, which must not hold up the others.
 	callTimeout = 900 * time.Millisecond
+	askTimeout  = 250 * time.Millisecond
 	// renewAfter is how long the claim goes without a write that confirms it.
 	renewAfter = 800 * time.Millisecond
 	// reportAgain is the time before a report is written again that was not
@@ -38,8 +42,9 @@
 	reportAgain = time.Second
 	// keyBegun begins the keys of machines whose maintenance has begun.
 	keyBegun = "/b/"
-	// keyRenew is written when there is nothing else to write.
-	keyRenew = "/r"
+	// keyArmed holds the machines that the holder may have ordered lately. It also
+	// confirms the claim when there is nothing else to write.
+	keyArmed = "/o"
 )
 
 // Deps are the services that the mover uses.
@@ -86,49 +91,68 @@
 	logger   *slog.Logger
 	claim    *claim.Claim
 	writer   *claim.Writer
-	// notBefore is from when on machines may be ordered about: an earlier holder's
-	// orders have to be a term old.
+	// notBefore is from when on the machines may be ordered about that an earlier
+	// holder has armed: its orders have to be a term old.
 	notBefore time.Time
-	confirmed time.Time
-	writing   bool
-	pending   []port.Entry
-	begun     map[string]bool
-	waves     map[int64]*upkeep.Wave
-	reported  map[int64]time.Time
-	standby   map[string]bool
-	pools     []string
-	machines  map[string]port.Machine
-	listed    time.Time
-	shutOut   bool
-	cloudDown bool
-	sizes     *sizing.State
-	moving    map[string]move
+	earlier   map[string]bool
+	// armed holds the machines that the store knows may be ordered, and when they
+	// were last wanted; arming holds those of the write under way.
+	armed, arming map[string]time.Time
+	confirmed     time.Time
+	writing       bool
+	pending       []port.Entry
+	begun         map[string]bool
+	waves         map[int64]*upkeep.Wave
+	reported      map[int64]time.Time
+	standby       map[string]bool
+	pools         []string
+	machines      map[string]port.Machine
+	listed        time.Time
+	shutOut       bool
+	cloudDown     bool
+	rearmed       bool
+	toArm         []string
+	sizes         *sizing.State
+	moving        map[string]move
 }
 
 // Starter returns how to start the mover from a claim that was won.
 func Starter(s Settings, d Deps) duties.Starter {
 	return func(ctx context.Context, won *claim.Claim) (duties.Begin, error) {
-		begun := map[string]bool{}
+		k := kept{begun: map[string]bool{}, armed: map[string]bool{}}
 		err := won.Load(ctx, func(e port.Entry) {
 			if rest, ok := strings.CutPrefix(e.Key, Name+keyBegun); ok {
-				begun[rest] = true
+				k.begun[rest] = true
+			}
+			if e.Key == Name+keyArmed {
+				for _, m := range strings.Split(string(e.Value), armedSeparator) {
+					k.armed[m] = true
+				}
 			}
 		})
-		return func(config *port.Config, _ []port.Host) duties.Holder { return start(s, d, won, begun, config) }, err
+		return func(config *port.Config, _ []port.Host) duties.Holder { return start(s, d, won, k, config) }, err
 	}
 }
 
-func start(s Settings, d Deps, won *claim.Claim, begun map[string]bool, config *port.Config) *Mover {
+// armedSeparator stands between the machines of the record of armed machines.
+const armedSeparator = " "
+
+// kept is what earlier holders have stored.
+type kept struct {
+	// begun holds the machines of waves whose maintenance has begun, and armed those
+	// that the last holder may have ordered lately.
+	begun, armed map[string]bool
+}
+
+func start(s Settings, d Deps, won *claim.Claim, k kept, config *port.Config) *Mover {
 	m := &Mover{lost: make(chan struct{})}
 	c := &core{
-		mover: m, settings: s, deps: d, claim: won, begun: begun, confirmed: won.At,
+		mover: m, settings: s, deps: d, claim: won, begun: k.begun, earlier: k.armed, confirmed: won.At,
 		logger: d.Logger.With("holder", s.Holder, "epoch", won.Epoch),
 		waves:  map[int64]*upkeep.Wave{}, reported: map[int64]time.Time{}, standby: map[string]bool{},
-		sizes: sizing.NewState(), moving: map[string]move{},
-	}
-	if won.Epoch > 1 {
-		c.notBefore = time.Now().Add(s.Term + callTimeout)
+		armed: map[string]time.Time{}, sizes: sizing.NewState(), moving: map[string]move{},
 	}
+	c.notBefore = time.Now().Add(s.Term + callTimeout)
 	if config != nil {
 		configured{config}.handle(c)
 	}
@@ -165,6 +189,11 @@
 			return
 		case m := <-inbox:
 			m.handle(c)
+			if c.rearmed {
+				// What waited to be armed need not wait for the next round.
+				c.rearmed = false
+				timer.Reset(0)
+			}
 		case <-timer.C:
 			timer.Reset(c.round(ctx))
 		}
@@ -188,26 +217,49 @@
 		return
 	}
 	c.confirmed = m.Sent
+	if c.arming != nil {
+		c.rearmed = len(c.arming) > len(c.armed)
+		c.armed, c.arming = c.arming, nil
+	}
 }
 
 // write keeps the claim confirmed and writes what has begun.
 func (c *core) write() {
 	now := time.Now()
-	if c.writing || (len(c.pending) == 0 && now.Sub(c.confirmed) < renewAfter) {
+	if c.writing || (len(c.pending)+len(c.toArm) == 0 && now.Sub(c.confirmed) < renewAfter) {
 		return
 	}
-	entries := c.pending
-	c.pending = nil
-	if len(entries) == 0 {
-		entries = []port.Entry{{Key: Name + keyRenew, Value: []byte{1}}}
+	c.arming = map[string]time.Time{}
+	for id, at := range c.armed {
+		if now.Sub(at) < c.settings.Term+callTimeout {
+			c.arming[id] = at
+		}
+	}
+	for _, id := range c.toArm {
+		c.arming[id] = now
 	}
+	names := strings.Join(slices.Sorted(maps.Keys(c.arming)), armedSeparator)
+	entries := append(c.pending, port.Entry{Key: Name + keyArmed, Value: []byte(names + armedSeparator)})
+	c.pending, c.toArm = nil, nil
 	c.writing = c.writer.Write(entries)
 }
 
-// mayOrder reports whether machines may be ordered about: the claim has to be
-// confirmed so lately that no other holder can be past its wait.
-func (c *core) mayOrder(now time.Time) bool {
-	return now.After(c.notBefore) && now.Sub(c.confirmed) < c.settings.Term-callTimeout
+// mayOrder reports whether a machine may be ordered about. The claim has to be
+// confirmed so lately that no other holder can be past its wait, and the store has to
+// know that this holder may order the machine. A machine that is not armed will be.
+func (c *core) mayOrder(machine string, now time.Time) bool {
+	if now.Sub(c.confirmed) > c.settings.Term-callTimeout || (c.earlier[machine] && now.Before(c.notBefore)) {
+		return false
+	}
+	_, ok := c.armed[machine]
+	return ok
+}
+
+// arm wants machines to be armed.
+func (c *core) arm(machine string, now time.Time) {
+	if at, ok := c.armed[machine]; !ok || now.Sub(at) > renewAfter {
+		c.toArm = append(c.toArm, machine)
+	}
 }
 
 // round does what is to be done now, and returns the time until the next.
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -61,7 +61,7 @@
 
 // loads asks the owners of all pools that work.
 func (c *core) loads(ctx context.Context) map[string]sizing.Load {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	type answer struct {
 		pool string
@@ -92,13 +92,12 @@
 
 // moveAll takes all moves that are under way further, at the same time.
 func (c *core) moveAll(ctx context.Context, now time.Time) {
-	if !c.mayOrder(now) {
-		return
-	}
 	results := make(chan moved, len(c.moving))
 	var all sync.WaitGroup
-	for _, m := range c.moving {
-		all.Go(func() { results <- c.moveOne(ctx, m.Move) })
+	for id, m := range c.moving {
+		c.arm(id, now)
+		may := c.mayOrder(id, now)
+		all.Go(func() { results <- c.moveOne(ctx, m.Move, may) })
 	}
 	all.Wait()
 	close(results)
@@ -108,15 +107,13 @@
 }
 
 // moveOne asks for a machine to be emptied, and moves it when it is.
-func (c *core) moveOne(ctx context.Context, m sizing.Move) moved {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+func (c *core) moveOne(ctx context.Context, m sizing.Move, may bool) moved {
 	out := moved{machine: m.Machine}
-	if m.Host != "" && !c.standby[m.From] {
-		if a, ok := c.deps.Vacate(ctx, m.From, m.Host); !ok || !a.Vacant {
-			return out
-		}
+	if !c.vacate(ctx, m.From, m.Host) || !may {
+		return out
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	out.outcome, out.err = c.deps.Machines.Move(ctx, m.Machine, m.To, c.settings.Holder, c.claim.Epoch)
 	return out
 }
--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -13,7 +13,6 @@
 type step struct {
 	machine string
 	vacant  bool
-	why     string
 	outcome port.OrderOutcome
 	err     error
 }
@@ -41,9 +40,10 @@
 	steps := make([]step, 0, len(w.Emptying))
 	results := make(chan step, len(w.Emptying))
 	var all sync.WaitGroup
-	may := c.mayOrder(now)
 	for id := range w.Emptying {
 		m := c.machines[id]
+		c.arm(id, now)
+		may := c.mayOrder(id, now)
 		all.Go(func() { results <- c.try(ctx, w.Number, m, may) })
 	}
 	all.Wait()
@@ -56,23 +56,27 @@
 
 // try asks for a machine to be emptied, and takes it down when it is.
 func (c *core) try(ctx context.Context, wave int64, m port.Machine, may bool) step {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	out := step{machine: m.ID}
-	if m.Host != "" && !c.standby[m.Pool] {
-		a, ok := c.deps.Vacate(ctx, m.Pool, m.Host)
-		if !ok || !a.Vacant {
-			return out
-		}
-		out.why = a.Why
-	}
-	out.vacant = true
-	if may {
-		out.outcome, out.err = c.deps.Machines.Upkeep(ctx, m.ID, wave, c.settings.Holder, c.claim.Epoch)
+	if out.vacant = c.vacate(ctx, m.Pool, m.Host); !out.vacant || !may {
+		return out
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	out.outcome, out.err = c.deps.Machines.Upkeep(ctx, m.ID, wave, c.settings.Holder, c.claim.Epoch)
 	return out
 }
 
+// vacate asks for a host to be emptied, and reports whether it is.
+func (c *core) vacate(ctx context.Context, pool, host string) bool {
+	if host == "" || c.standby[pool] {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a, ok := c.deps.Vacate(ctx, pool, host)
+	return ok && a.Vacant
+}
+
 // settle takes in what came of a look.
 func (c *core) settle(w *upkeep.Wave, s step) {
 	if s.err != nil {
@@ -81,7 +85,7 @@
 	}
 	switch s.outcome {
 	case port.OrderDone, port.OrderUnknown, port.OrderNotInWave:
-		c.logger.Info("maintenance begun", "wave", w.Number, "machine", s.machine, "outcome", string(s.outcome), "why", s.why)
+		c.logger.Info("maintenance begun", "wave", w.Number, "machine", s.machine, "outcome", string(s.outcome))
 		if s.outcome == port.OrderDone {
 			w.Down[s.machine] = time.Now()
 		}
