--- /dev/null
+++ b/fleet/sizing/sizing_test.go
@@ -0,0 +1,196 @@
+package sizing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/sizing"
+)
+
+const (
+	perHost = 16_000
+	step    = 250 * time.Millisecond
+	moves   = 1500 * time.Millisecond
+)
+
+var standby = map[string]bool{"spare": true}
+
+// site plays pools, a load and moves without a network. Work is a flow of
+// thousandths of a core-second; what is not done waits.
+type site struct {
+	machines map[string]port.Machine
+	arrive   map[string]time.Time
+	waiting  map[string]float64
+	demand   func(pool string, at time.Duration) float64
+}
+
+// result is what callers got and what it cost.
+type result struct {
+	// Waited is the mean of the work that waited, in core-seconds, and Worst its
+	// highest; Hosts is the mean number of hosts that worked.
+	Waited, Worst, Hosts float64
+	Moves                int
+}
+
+func newSite(demand func(string, time.Duration) float64) *site {
+	s := &site{machines: map[string]port.Machine{}, arrive: map[string]time.Time{}, waiting: map[string]float64{}, demand: demand}
+	for pool, n := range map[string]int{"a": 8, "b": 9, "c": 11, "d": 12, "spare": 8} {
+		for i := range n {
+			id := fmt.Sprintf("%s-%d", pool, i)
+			s.machines[id] = port.Machine{ID: id, Pool: pool, State: port.MachineUp, Host: "h-" + id}
+		}
+	}
+	return s
+}
+
+func (s *site) load(pool string, inflow float64) sizing.Load {
+	l := sizing.Load{PerHost: perHost, Spread: 3, Inflow: int64(inflow)}
+	var hosts []string
+	for _, m := range s.machines {
+		if m.Pool == pool && m.State == port.MachineUp {
+			l.Hosts++
+			hosts = append(hosts, m.Host)
+		}
+	}
+	capacity := float64(l.Hosts * perHost)
+	l.Running = int64(min(capacity, s.waiting[pool]/step.Seconds()))
+	l.Waiting = int64(max(s.waiting[pool]-capacity*step.Seconds(), 0))
+	busy := int(l.Running+perHost-1) / perHost
+	l.Vacant = hosts[min(busy, len(hosts)):]
+	return l
+}
+
+func play[P sizing.Policy](policy P, demand func(string, time.Duration) float64, length time.Duration) result {
+	s := newSite(demand)
+	state := sizing.NewState()
+	var r result
+	now := time.Unix(1_700_000_000, 0)
+	rounds := 0
+	for at := time.Duration(0); at < length; at += step {
+		now = now.Add(step)
+		rounds++
+		in := &sizing.Input{Loads: map[string]sizing.Load{}, Machines: s.machines, Standby: standby}
+		for id, back := range s.arrive {
+			if !now.Before(back) {
+				m := s.machines[id]
+				m.State = port.MachineUp
+				s.machines[id] = m
+				delete(s.arrive, id)
+			}
+		}
+		waited := 0.0
+		for _, pool := range []string{"a", "b", "c", "d"} {
+			flow := demand(pool, at)
+			s.waiting[pool] += flow * step.Seconds()
+			l := s.load(pool, flow)
+			in.Loads[pool] = l
+			s.waiting[pool] -= float64(l.Running) * step.Seconds()
+			waited += float64(l.Waiting) / 1000
+			r.Hosts += float64(l.Hosts)
+		}
+		r.Waited += waited
+		r.Worst = max(r.Worst, waited)
+		for _, m := range sizing.Plan(state, policy, in, now) {
+			one := s.machines[m.Machine]
+			one.Pool, one.State = m.To, port.MachineMoving
+			s.machines[m.Machine] = one
+			s.arrive[m.Machine] = now.Add(moves)
+			r.Moves++
+		}
+	}
+	r.Waited /= float64(rounds)
+	r.Hosts /= float64(rounds)
+	return r
+}
+
+var drain = sizing.Drain{Within: 1200 * time.Millisecond, Fill: 0.85, Reserve: 1}
+
+// turns lets each pool in its turn ask for more than it holds, the others for little.
+func turns(period time.Duration) func(string, time.Duration) float64 {
+	return func(pool string, at time.Duration) float64 {
+		if int(at/period)%4 == int(pool[0]-'a') {
+			return 200_000
+		}
+		return 3_000
+	}
+}
+
+func TestTurnsAreServedWithFewerHosts(t *testing.T) {
+	for _, period := range []time.Duration{4500 * time.Millisecond, 7 * time.Second, 20 * time.Second} {
+		static := play(sizing.Static{}, turns(period), 2*time.Minute)
+		sized := play(drain, turns(period), 2*time.Minute)
+		require.Less(t, sized.Waited, static.Waited, "period %v", period)
+		require.Less(t, sized.Hosts, static.Hosts, "period %v", period)
+	}
+}
+
+func TestASteadyLoadMovesNothingAfterASettledStart(t *testing.T) {
+	steady := func(string, time.Duration) float64 { return 60_000 }
+	short, long := play(drain, steady, 20*time.Second), play(drain, steady, 5*time.Minute)
+	require.Equal(t, short.Moves, long.Moves)
+	require.Less(t, long.Worst, 200.0)
+}
+
+func TestOneLastingShiftIsFollowedOnce(t *testing.T) {
+	shift := func(pool string, at time.Duration) float64 {
+		if (pool == "a") == (at > 30*time.Second) {
+			return 180_000
+		}
+		return 5_000
+	}
+	early, late := play(drain, shift, time.Minute), play(drain, shift, 5*time.Minute)
+	require.Equal(t, early.Moves, late.Moves)
+	require.Less(t, late.Waited, play(sizing.Static{}, shift, 5*time.Minute).Waited)
+}
+
+func TestAFloodTakesNoHostFromWorkThatNeedsIt(t *testing.T) {
+	flood := func(pool string, _ time.Duration) float64 {
+		if pool == "a" {
+			return 2_000_000
+		}
+		return 100_000
+	}
+	s := newSite(flood)
+	state := sizing.NewState()
+	now := time.Unix(1_700_000_000, 0)
+	in := &sizing.Input{Loads: map[string]sizing.Load{}, Machines: s.machines, Standby: standby}
+	for _, pool := range []string{"a", "b", "c", "d"} {
+		s.waiting[pool] = flood(pool, 0)
+		in.Loads[pool] = s.load(pool, flood(pool, 0))
+	}
+	for _, m := range sizing.Plan(state, drain, in, now) {
+		require.Equal(t, "spare", m.From)
+	}
+}
+
+func TestFewerMovesThanOnDemand(t *testing.T) {
+	noisy := func(pool string, at time.Duration) float64 {
+		// Short gaps in a steady load are no reason to send hosts away.
+		if int(at/step)%4 == 0 {
+			return 20_000
+		}
+		return 90_000
+	}
+	require.LessOrEqual(t, play(drain, noisy, time.Minute).Moves, play(sizing.OnDemand{}, noisy, time.Minute).Moves)
+}
+
+func TestMachinesThatAreBusyOrRefusedStay(t *testing.T) {
+	s := newSite(turns(time.Second))
+	in := &sizing.Input{
+		Loads:    map[string]sizing.Load{"a": {Hosts: 1, PerHost: perHost, Waiting: 100_000}},
+		Machines: map[string]port.Machine{"spare-0": s.machines["spare-0"]},
+		Standby:  standby, Busy: map[string]bool{"spare-0": true},
+	}
+	now := time.Unix(1_700_000_000, 0)
+	state := sizing.NewState()
+	require.Empty(t, sizing.Plan(state, drain, in, now))
+	in.Busy = nil
+	planned := sizing.Plan(state, drain, in, now)
+	require.Len(t, planned, 1)
+	state.Refuse(planned[0])
+	require.Empty(t, sizing.Plan(state, drain, in, now))
+}
--- /dev/null
+++ b/fleet/upkeep/upkeep_test.go
@@ -0,0 +1,109 @@
+package upkeep_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/upkeep"
+)
+
+var began = time.Unix(1_700_000_000, 0)
+
+// fleet is machines by pool, all up.
+func fleet(pools map[string]int) map[string]port.Machine {
+	out := map[string]port.Machine{}
+	for pool, n := range pools {
+		for i := range n {
+			id := fmt.Sprintf("%s-%d", pool, i)
+			out[id] = port.Machine{ID: id, Pool: pool, State: port.MachineUp}
+		}
+	}
+	return out
+}
+
+func wave(machines map[string]port.Machine, limit int) *upkeep.Wave {
+	w := port.Wave{Number: 1, Cap: limit, Within: 30 * time.Second}
+	for id := range machines {
+		w.Machines = append(w.Machines, id)
+	}
+	return upkeep.NewWave(w, began)
+}
+
+func TestStandbyGoesFirstAndTheCapHolds(t *testing.T) {
+	machines := fleet(map[string]int{"a": 8, "spare": 4})
+	w := wave(machines, 3)
+	next := upkeep.Next(upkeep.IdleFirst{}, w, machines, map[string]bool{"spare": true}, began)
+	require.Len(t, next, 3)
+	for _, id := range next {
+		require.Equal(t, "spare", machines[id].Pool)
+	}
+}
+
+// A pool that had shrunk to three hosts had all of them emptied at once.
+func TestAPoolKeepsAHostForItsWork(t *testing.T) {
+	for size := 2; size <= 6; size++ {
+		machines := fleet(map[string]int{"a": size})
+		w := wave(machines, 10)
+		late := began.Add(w.Within)
+		require.Less(t, len(upkeep.Next(upkeep.IdleFirst{}, w, machines, nil, late)), size)
+	}
+	machines := fleet(map[string]int{"a": 1})
+	require.Len(t, upkeep.Next(upkeep.IdleFirst{}, wave(machines, 10), machines, nil, began), 1)
+}
+
+// Machines that had just gone down did not count until the next list, and the cap
+// was passed.
+func TestMachinesCountAsDownUntilTheyAreSeenUp(t *testing.T) {
+	machines := fleet(map[string]int{"a": 20})
+	w := wave(machines, 2)
+	for _, id := range []string{"a-0", "a-1"} {
+		w.Begun[id] = true
+		w.Down[id] = began
+	}
+	require.Empty(t, upkeep.Next(upkeep.IdleFirst{}, w, machines, nil, began))
+	w.Listed(machines, began.Add(-time.Second))
+	require.Empty(t, upkeep.Next(upkeep.IdleFirst{}, w, machines, nil, began), "a list from before says nothing")
+	w.Listed(machines, began.Add(time.Second))
+	require.Len(t, upkeep.Next(upkeep.IdleFirst{}, w, machines, nil, began), 2)
+	// What an earlier holder took down shows in the list only.
+	m := machines["a-3"]
+	m.State = port.MachineUpkeep
+	machines["a-3"] = m
+	require.Len(t, upkeep.Next(upkeep.IdleFirst{}, w, machines, nil, began), 1)
+}
+
+func TestAWaveInAHurryTakesMoreOfAPool(t *testing.T) {
+	machines := fleet(map[string]int{"a": 12})
+	w := wave(machines, 12)
+	calm := len(upkeep.Next(upkeep.IdleFirst{}, w, machines, nil, began))
+	hurry := len(upkeep.Next(upkeep.IdleFirst{}, w, machines, nil, began.Add(25*time.Second)))
+	require.Greater(t, hurry, calm)
+}
+
+// play runs a whole wave in steps of a second; emptying a machine takes three.
+func play[P upkeep.Policy](policy P, machines map[string]port.Machine, limit int) time.Duration {
+	w := wave(machines, limit)
+	now := began
+	for ; len(w.Left()) > 0 && now.Sub(began) < time.Hour; now = now.Add(time.Second) {
+		w.Listed(machines, now)
+		for _, id := range upkeep.Next(policy, w, machines, map[string]bool{"spare": true}, now) {
+			w.Emptying[id] = now
+		}
+		for id, since := range w.Emptying {
+			if now.Sub(since) >= 3*time.Second || machines[id].Pool == "spare" {
+				delete(w.Emptying, id)
+				w.Begun[id], w.Down[id] = true, now
+			}
+		}
+	}
+	return now.Sub(began)
+}
+
+func TestAWaveOfHalfTheFleetEndsInTime(t *testing.T) {
+	machines := fleet(map[string]int{"a": 4, "b": 4, "c": 5, "d": 6, "spare": 4})
+	require.Less(t, play(upkeep.IdleFirst{}, machines, 10), 25*time.Second)
+}
