--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -45,9 +45,9 @@
 const (
 	// firstPause and longestPause bound the pause after a call that failed.
 	firstPause   = 100 * time.Millisecond
-	longestPause = time.Second
+	longestPause = 400 * time.Millisecond
 	// callTimeout bounds a call beyond the time that it is to wait.
-	callTimeout = 1500 * time.Millisecond
+	callTimeout = 700 * time.Millisecond
 )
 
 // Start follows a stream. Changes are handed to onChange in the order of the store.
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -123,7 +123,7 @@
 		c.nextScan = now.Add(scanInterval)
 		c.journal.drop = append(c.journal.drop, c.state.Expired(now)...)
 	}
-	c.refuseWaiting(now)
+	c.refuseWaiting()
 	c.count(now)
 }
 
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"carawaymux.dev/entry/claim"
@@ -312,17 +313,23 @@
 }
 
 // refuseWaiting refuses submissions that no append has carried while the store is
-// away: nothing of them can have been kept.
-func (c *core) refuseWaiting(time.Time) {
+// away: nothing of them can have been kept. What came by the inbox was accepted and
+// stays.
+func (c *core) refuseWaiting() {
 	if !c.journal.away {
 		return
 	}
+	var stay []*shard.Job
 	for _, j := range c.journal.jobs {
+		if slices.Contains(c.journal.inbox, j.ID) {
+			stay = append(stay, j)
+			continue
+		}
 		c.state.Forget(j.ID)
 		c.logger.Info("job refused", "job", j.ID, "why", "store away")
 		c.answer(j.ID, false, Answer{Outcome: Refused, RetryAfter: retryAfter, Why: "the store is away"})
 	}
-	c.journal.jobs = nil
+	c.journal.jobs = stay
 }
 
 // Inbox is where entries leave submissions that cannot reach a pool's owner.
@@ -332,8 +339,9 @@
 	return s
 }
 
-// inboxWait is how long one look into the inbox may take.
-const inboxWait = 15 * time.Second
+// inboxWait is how long one look into the inbox may take; a store that falls silent
+// meanwhile is noticed no sooner.
+const inboxWait = 2 * time.Second
 
 type arrived struct{ changes []feed.Change[[]byte] }
 
