Keep two hosts in reserve in each pool

Cause: a burst has to wait about two seconds for its first additional host. Change: reserve of two hosts instead of one. Conclusion: reserve 2 is kept; what binds is the time until a host is there.

--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -17,7 +17,7 @@
 	// fillShare is the share of a host that work of uneven sizes fills in practice.
 	fillShare = 0.85
 	// reserveHosts is kept in each pool for what comes before a move can help.
-	reserveHosts = 1
+	reserveHosts = 2
 	// moveTimeout is how long a machine may take to be emptied for a move.
 	moveTimeout = 4 * time.Second
 )
