--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -16,6 +16,7 @@
 	"carawaymux.dev/entry/duties"
 	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/entry/owner"
+	"carawaymux.dev/entry/stats"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/sizing"
@@ -52,6 +53,8 @@
 	Machines  port.Machines
 	Operators port.Operators
 	Logger    *slog.Logger
+	// Stats may be nil.
+	Stats *stats.Set
 	// Waves returns the waves that operators have published; the list is never
 	// changed once returned.
 	Waves func() []port.Wave
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -127,6 +127,7 @@
 	}
 	switch r.outcome {
 	case port.OrderDone:
+		c.deps.Stats.Add("moves", 1, "from", m.From, "to", m.To)
 		c.logger.Info("machine moved", "machine", r.machine, "from", m.From, "to", m.To,
 			"after-ms", now.Sub(m.since).Milliseconds())
 		// Until the next look at the list it counts as on its way.
--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -85,6 +85,7 @@
 	}
 	switch s.outcome {
 	case port.OrderDone, port.OrderUnknown, port.OrderNotInWave:
+		c.deps.Stats.Add("maintenance", 1, "outcome", string(s.outcome))
 		c.logger.Info("maintenance begun", "wave", w.Number, "machine", s.machine, "outcome", string(s.outcome))
 		if s.outcome == port.OrderDone {
 			w.Down[s.machine] = time.Now()
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -111,6 +111,7 @@
 		c.logger.Info("host regained", "host", m.Host)
 	}
 	for _, e := range c.state.Listed(m.Host, &m.Listing, now) {
+		c.deps.Stats.Add("runs-ended", 1, "pool", c.state.Pool, "result", string(e.Result))
 		c.logger.Info("run ended", "unit", e.Ref.String(), "run", e.Run, "host", e.Host,
 			"result", string(e.Result), "took-ms", e.Took.Milliseconds())
 	}
@@ -129,6 +130,7 @@
 	}
 	if !l.failing {
 		l.failing = true
+		c.deps.Stats.Add("hosts-lost", 1, "pool", c.state.Pool)
 		c.logger.Warn("host lost", "host", id, "err", err)
 	}
 }
@@ -159,6 +161,7 @@
 		c.settle(o, 0, &port.RefusedError{Reason: port.RefusedHealth}, now)
 		return
 	}
+	c.deps.Stats.Add("orders", 1, "pool", c.state.Pool, "kind", orderNames[o.Kind])
 	c.logger.Info(orderNames[o.Kind], "unit", o.Ref.String(), "run", o.Run, "host", o.Host, "why", o.Why)
 }
 
@@ -168,6 +171,7 @@
 
 func (m done) handle(c *core) {
 	if m.Err != nil {
+		c.deps.Stats.Add("orders-failed", 1, "pool", c.state.Pool, "kind", orderNames[m.Order.Kind])
 		c.logger.Info("order failed", "unit", m.Order.Ref.String(), "run", m.Order.Run, "host", m.Order.Host,
 			"order", orderNames[m.Order.Kind], "err", m.Err)
 	}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -11,6 +11,7 @@
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/entry/duties"
 	"carawaymux.dev/entry/feed"
+	"carawaymux.dev/entry/stats"
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
@@ -78,8 +79,9 @@
 	Log      port.Log
 	Workers  port.Workers
 	Machines port.Machines
-	Adviser  port.Adviser
 	Logger   *slog.Logger
+	// Stats may be nil.
+	Stats *stats.Set
 }
 
 // Owner owns one pool. Use [Start] to build it.
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 
 	"carawaymux.dev/entry/claim"
@@ -147,6 +148,7 @@
 			c.seeHost(h)
 		}
 	}
+	c.deps.Stats.Add("pools-taken-over", 1, "pool", c.state.Pool)
 	c.logger.Info("pool taken over", "jobs", len(k.Specs), "hosts", len(c.state.Hosts))
 }
 
@@ -228,6 +230,7 @@
 		b.away = false
 		c.logger.Info("store regained")
 	}
+	c.deps.Stats.Observe("store-append", time.Since(f.began), "pool", c.state.Pool)
 	c.state.Confirmed = m.Sent
 	for _, h := range f.hosts {
 		if one := c.state.Hosts[h.ID]; one != nil {
@@ -246,8 +249,11 @@
 	for _, ch := range f.changes {
 		c.state.Written(ch)
 		if ch.Note.Phase != shard.Open {
+			late := time.Now().After(ch.Job.Objective)
+			c.deps.Stats.Add("jobs-ended", 1, "pool", c.state.Pool, "phase", string(ch.Note.Phase), "late", strconv.FormatBool(late))
+			c.deps.Stats.Observe("job", time.Since(ch.Job.Accepted), "pool", c.state.Pool)
 			c.logger.Info("job ended", "job", ch.Job.ID, "phase", string(ch.Note.Phase),
-				"took-ms", time.Since(ch.Job.Accepted).Milliseconds(), "late", time.Now().After(ch.Job.Objective))
+				"took-ms", time.Since(ch.Job.Accepted).Milliseconds(), "late", late)
 			c.answer(ch.Job.ID, true, Answer{Outcome: Accepted, Phase: ch.Note.Phase})
 			// A submission that came after its own cancellation waits as well.
 			c.answer(ch.Job.ID, false, Answer{Outcome: Accepted, Phase: ch.Note.Phase})
@@ -286,6 +292,7 @@
 		c.state.Queues[m.queue.Name] = m.queue
 	}
 	if c.journal.away && c.state.Jobs[m.id] == nil {
+		c.deps.Stats.Add("jobs-refused", 1, "pool", c.state.Pool, "why", "store away")
 		c.logger.Info("job refused", "job", m.id, "why", "store away")
 		m.reply <- Answer{Outcome: Refused, RetryAfter: retryAfter, Why: "the store is away"}
 		return
@@ -297,6 +304,7 @@
 	}
 	if verdict == shard.Accept {
 		c.journal.jobs = append(c.journal.jobs, j)
+		c.deps.Stats.Add("jobs-submitted", 1, "pool", c.state.Pool, "queue", m.queue.Name)
 		c.logger.Info("job submitted", "job", m.id, "queue", m.queue.Name, "units", m.spec.Units(), "open", len(c.state.Jobs))
 	}
 	c.journal.waiting[m.id] = append(c.journal.waiting[m.id], waiter{reply: m.reply})
@@ -326,6 +334,7 @@
 			continue
 		}
 		c.state.Forget(j.ID)
+		c.deps.Stats.Add("jobs-refused", 1, "pool", c.state.Pool, "why", "store away")
 		c.logger.Info("job refused", "job", j.ID, "why", "store away")
 		c.answer(j.ID, false, Answer{Outcome: Refused, RetryAfter: retryAfter, Why: "the store is away"})
 	}
--- /dev/null
+++ b/entry/stats/stats.go
@@ -0,0 +1,140 @@
+// Package stats counts what an entry does and how long it takes, and serves both as
+// text.
+package stats
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"carawaymux.dev/fleet/task"
+)
+
+const (
+	// longest is the longest time that a histogram tells apart, in microseconds.
+	longest = int64(60 * time.Second / time.Microsecond)
+	// digits is the number of significant digits of a histogram.
+	digits = 2
+	// inbox is the number of observations that wait; more are not counted.
+	inbox = 1024
+	// renderWithin bounds the wait for the histograms.
+	renderWithin = time.Second
+)
+
+// Set is the counters and histograms of one entry. Its methods may be called from any
+// task, and on a nil set do nothing.
+type Set struct {
+	counts *expvar.Map
+	task   *task.Task[message]
+}
+
+type message interface {
+	handle(h map[string]*hdrhistogram.Histogram)
+}
+
+type observe struct {
+	name string
+	took time.Duration
+}
+
+type render struct{ reply chan<- []string }
+
+// New starts an empty set.
+func New() *Set {
+	s := &Set{counts: new(expvar.Map).Init()}
+	s.task = task.Start(func(ctx context.Context, in <-chan message) {
+		h := map[string]*hdrhistogram.Histogram{}
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case m := <-in:
+				m.handle(h)
+			}
+		}
+	}, task.WithInbox(inbox))
+	return s
+}
+
+// Close stops the set.
+func (s *Set) Close() { s.task.Close() }
+
+// Add counts. Labels are pairs of name and value.
+func (s *Set) Add(name string, n int64, labels ...string) {
+	if s != nil {
+		s.counts.Add(series(name, labels), n)
+	}
+}
+
+// Observe takes in how long something took.
+func (s *Set) Observe(name string, took time.Duration, labels ...string) {
+	if s != nil {
+		s.task.TrySend(observe{series(name, labels), took})
+	}
+}
+
+// series is a name with its labels, as it is served.
+func series(name string, labels []string) string {
+	if len(labels) < 2 {
+		return name
+	}
+	var b strings.Builder
+	b.WriteString(name)
+	for i := 0; i+1 < len(labels); i += 2 {
+		sep := byte(',')
+		if i == 0 {
+			sep = '{'
+		}
+		b.WriteByte(sep)
+		fmt.Fprintf(&b, "%s=%q", labels[i], labels[i+1])
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+func (m observe) handle(h map[string]*hdrhistogram.Histogram) {
+	if h[m.name] == nil {
+		h[m.name] = hdrhistogram.New(1, longest, digits)
+	}
+	// Values are clamped to the histogram's range, so recording cannot fail.
+	_ = h[m.name].RecordValue(min(max(m.took.Microseconds(), 1), longest))
+}
+
+func (m render) handle(h map[string]*hdrhistogram.Histogram) {
+	var out []string
+	for name, one := range h {
+		base, labels := name, ""
+		if i := strings.IndexByte(name, '{'); i >= 0 {
+			base, labels = name[:i], name[i:]
+		}
+		out = append(out, fmt.Sprintf("%s-count%s %d", base, labels, one.TotalCount()))
+		for _, q := range []float64{50, 99, 100} {
+			ms := float64(one.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
+			out = append(out, fmt.Sprintf("%s-p%.0f-ms%s %.2f", base, q, labels, ms))
+		}
+	}
+	m.reply <- out
+}
+
+// Handler serves the set, one line a series, sorted.
+func (s *Set) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), renderWithin)
+		defer cancel()
+		lines, err := task.Call(ctx, s.task, func(reply chan<- []string) message { return render{reply} })
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		s.counts.Do(func(v expvar.KeyValue) { lines = append(lines, v.Key+" "+v.Value.String()) })
+		slices.Sort(lines)
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		fmt.Fprintln(w, strings.Join(lines, "\n"))
+	})
+}
