What fills gives way to work that serves; operations page; a tour of the platform path

Cause: work that fills was never paced, so it could hold work that serves over its tail latency; nothing showed the platform path in two commands; an engineer had no way written down from an ID to its cause.

--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,11 @@
 all: build
 
 build:
-	go build -o $(BIN)/ ./entry/cmd/carawayd ./oper/cmd/caraway ./trial/cmd/trial
+	go build -o $(BIN)/ ./entry/cmd/carawayd ./oper/cmd/caraway ./trial/cmd/trial ./platform/cmd/carawaymux
 
 # The main job in separate processes on loopback.
 demo: build
+	$(BIN)/trial tour --bin $(BIN)
 	$(BIN)/trial demo --bin $(BIN)
 
 # Everything that must hold before a change lands.
@@ -33,7 +34,7 @@
 
 # Timings live here and never decide about a change.
 bench:
-	go test -run NONE -bench . -benchtime 1s ./fleet/ledger ./fleet/query ./trial/bench
+	go test -run NONE -bench . -benchtime 1s ./fleet/ledger ./fleet/query ./fleet/shard ./trial/bench
 
 test: build
 	go test -count=1 $(PACKAGES)
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -186,6 +186,8 @@
 		ok = c.state.Started(&o, clock, err, now)
 	case shard.OrderStop:
 		ok = c.state.Stopped(&o, clock, err, now)
+	case shard.OrderPace:
+		c.state.Paced(&o, err)
 	}
 	if !ok {
 		c.resign("host "+o.Host, err)
--- /dev/null
+++ b/fleet/shard/bench_test.go
@@ -0,0 +1,58 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
+)
+
+// BenchmarkRound times a round of planning in which one work unit ends and the next
+// starts.
+func BenchmarkRound(b *testing.B) {
+	for _, hosts := range []int{10, 100, 350} {
+		for _, waiting := range []int{100, 1000, 10_000} {
+			b.Run(fmt.Sprintf("hosts-%d-waiting-%d", hosts, waiting), func(b *testing.B) { round(b, hosts, waiting) })
+		}
+	}
+}
+
+func round(b *testing.B, hosts, waiting int) {
+	now := time.Unix(1_700_000_000, 0)
+	s := shard.New("pool", 1, timing, now)
+	s.Configure(&port.Config{
+		Queues: []port.Queue{{Name: "q", Pool: "pool", Stretch: 2}}, Pools: []port.Pool{{Name: "pool", Guarded: true}},
+	})
+	for i := range hosts {
+		id := fmt.Sprint(i)
+		s.See(port.Host{ID: id, Pool: "pool", Capacity: batch.Size{MilliCores: 8000, MemoryMB: 8000}}, now).Stored = true
+		s.Listed(id, &port.Listing{Clock: 1}, now)
+	}
+	now = now.Add(time.Millisecond)
+	s.Confirmed = now
+	for i := range waiting/10 + hosts {
+		j, _ := s.Submit(fmt.Sprint(i), batch.Spec{Queue: "q", Steps: []batch.Step{small(10)}}, now)
+		s.Stored(j)
+	}
+	shard.Plan(s, shard.BySlack{}, now, now.UnixMilli())
+	started := s.TakeOrders()
+	number := int64(0)
+	b.ResetTimer()
+	for i := 0; b.Loop(); i++ {
+		if len(started) == 0 {
+			b.Skip("all work has ended")
+		}
+		o := started[0]
+		started = started[1:]
+		number++
+		s.Started(&o, 2, nil, now)
+		s.Listed(o.Host, &port.Listing{Clock: 3, Ended: []port.Ended{{
+			Number: number, Unit: o.Ref.String(), Run: o.Run, Result: port.ResultStopped,
+		}}}, now)
+		shard.Plan(s, shard.BySlack{}, now, now.UnixMilli())
+		started = append(started, s.TakeOrders()...)
+	}
+}
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -43,6 +43,9 @@
 	Cordoned, CordonedAt time.Time
 	// Unwell is until when the host takes no new work, by what it was seen to do.
 	Unwell time.Time
+	// Strained is when work that serves there was last disturbed, or what fills last
+	// came back a step.
+	Strained time.Time
 	// Full is until when no start is tried, after the host refused one for room.
 	Full time.Time
 	// streak counts failed runs of different jobs without a success between.
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -49,6 +49,7 @@
 		}
 	}
 	s.running(h, l, first, now)
+	s.pace(h, now)
 	return out
 }
 
--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -603,3 +603,39 @@
 	require.Len(t, orders, 1)
 	require.Equal(t, "c1", orders[0].Checkpoint)
 }
+
+func TestWhatFillsGivesWayToWorkThatServes(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	serves := lasting(1, 0, 1)
+	serves.Tail = 100 * time.Millisecond
+	fills := lasting(1, 0, 1)
+	fills.Fills = true
+	o.submit("job", serves, fills)
+	s := o.start()
+	require.Len(t, s, 2)
+	look := func(tail float64) []shard.Order {
+		o.pass(time.Second)
+		server, filler := running(s[0], 100), running(s[1], 100)
+		server.Load = tail
+		o.list("a", server, filler)
+		return o.TakeOrders()
+	}
+	require.Empty(t, look(50))
+	down := look(120)
+	require.Len(t, down, 1)
+	require.Equal(t, shard.OrderPace, down[0].Kind)
+	require.Equal(t, s[1].Ref, down[0].Ref)
+	require.Zero(t, down[0].Percent)
+	require.Empty(t, look(120), "it is paced already")
+	// An order without an answer is given again.
+	o.Paced(&down[0], errSilent)
+	require.Len(t, look(120), 1)
+	require.Empty(t, look(80), "between the bounds nothing changes")
+	var back []int
+	for range 20 {
+		for _, up := range look(40) {
+			back = append(back, up.Percent)
+		}
+	}
+	require.Equal(t, []int{25, 50, 75, 100}, back)
+}
--- a/trial/cmd/trial/main.go
+++ b/trial/cmd/trial/main.go
@@ -12,6 +12,7 @@
 	"carawaymux.dev/trial/demo"
 	"carawaymux.dev/trial/gauge"
 	"carawaymux.dev/trial/stand"
+	"carawaymux.dev/trial/tour"
 )
 
 func main() {
@@ -22,7 +23,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(stand.NewLog(), stand.NewHosts(), stand.NewTarget(), demo.New(os.Stdout), gauge.New(os.Stdout, os.Stderr))
+	root.AddCommand(stand.NewLog(), stand.NewHosts(), stand.NewTarget(), demo.New(os.Stdout), gauge.New(os.Stdout, os.Stderr),
+		tour.New(os.Stdout, nil))
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "trial:", err)
 		os.Exit(1)
--- /dev/null
+++ b/trial/system/page_test.go
@@ -0,0 +1,80 @@
+package system
+
+import (
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/trial/world"
+)
+
+// linesOf returns all log lines that name an ID.
+func (r *rig) linesOf(id string) string {
+	var out strings.Builder
+	for _, e := range r.Entries {
+		for line := range strings.Lines(r.Logs(e)) {
+			if strings.Contains(line, id) {
+				out.WriteString(line)
+			}
+		}
+	}
+	return out.String()
+}
+
+// The page's way from an ID to its cause is walked with real failures.
+func TestTheOperationsPageLeadsFromAnIDToItsCause(t *testing.T) {
+	r := start(t, 2)
+	failing := r.accepted("docs", world.TextFail, world.StepSpec{Count: 1, MS: 50})
+	r.waitState("docs", failing, "failed")
+	require.Regexp(t, `"msg":"run ended".*"result":"failed"`, r.linesOf(failing.ID))
+	require.Regexp(t, `"msg":"job ended".*"phase":"failed"`, r.linesOf(failing.ID))
+
+	r.SetStore(world.StoreFaults{Busy: true})
+	time.Sleep(time.Second)
+	status, unknown := r.Submit(r.ctx, r.Entries[0], "docs", r.id(), "50", world.StepSpec{Count: 1})
+	for status != http.StatusServiceUnavailable {
+		require.NoError(t, r.ctx.Err())
+		status, unknown = r.Submit(r.ctx, r.Entries[0], "docs", r.id(), "50", world.StepSpec{Count: 1})
+	}
+	require.Regexp(t, `"msg":"request answered".*"outcome":"refused","why":"the store is away"`, r.linesOf(unknown.ID))
+	require.Contains(t, r.Logs(r.owner("docs")), `"msg":"store lost"`)
+	r.SetStore(world.StoreFaults{})
+
+	// Every message that the page names is one that the code writes.
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	written := sources(t)
+	for _, m := range []string{
+		"request answered", "job refused", "store lost", "store regained", "pool taken over", "pool given up",
+		"job submitted", "job left in the inbox", "job came by the inbox", "job ended", "run ended", "run ordered",
+		"machine to be moved", "machine to be emptied", "host lost", "host has ended", "order failed", "log lines dropped",
+	} {
+		require.Contains(t, string(page), "`"+m+"`")
+		require.Contains(t, written, `"`+m+`"`)
+	}
+	r.sound()
+}
+
+// sources is the text of the packages that log.
+func sources(t *testing.T) string {
+	t.Helper()
+	var out strings.Builder
+	name := regexp.MustCompile(`^[a-z]+\.go$`)
+	for _, dir := range []string{"owner", "mover", "intake", "roster", "feed", "sink", "../platform/front"} {
+		files, err := os.ReadDir("../../entry/" + dir)
+		require.NoError(t, err)
+		for _, f := range files {
+			if name.MatchString(f.Name()) {
+				raw, err := os.ReadFile("../../entry/" + dir + "/" + f.Name())
+				require.NoError(t, err)
+				out.Write(raw)
+			}
+		}
+	}
+	return out.String()
+}
--- /dev/null
+++ b/trial/tour/tour.go
@@ -0,0 +1,173 @@
+// Package tour shows the path on the users' platform: entries as processes on the
+// stand-in, jobs, a lost entry, a wave of maintenance.
+package tour
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/fleet/fault"
+	"carawaymux.dev/trial/procs"
+	"carawaymux.dev/trial/world"
+)
+
+// Options are the options of the tour command.
+type Options struct {
+	Out io.Writer
+	// Bin is the folder of the programs.
+	Bin string
+}
+
+// tourTimeout bounds the whole tour.
+const tourTimeout = time.Minute
+
+// New builds the tour command.
+func New(out io.Writer, run func(context.Context, *Options) error) *cobra.Command {
+	o := &Options{Out: out}
+	cmd := &cobra.Command{
+		Use:     "tour",
+		Short:   "Show jobs and maintenance on a stand-in of the users' platform",
+		Example: "  trial tour --bin bin",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if run != nil {
+				return run(cmd.Context(), o)
+			}
+			return Run(cmd.Context(), o)
+		},
+	}
+	cmd.Flags().StringVar(&o.Bin, "bin", "bin", "`folder` of the programs")
+	return cmd
+}
+
+// shape is two pools of work and one on standby.
+var shape = world.Shape{
+	Pools:   map[string]int{"documents": 4, "remittances": 4, "spare": 3},
+	Standby: "spare",
+	Rules: world.Rules{
+		Lease: 10 * time.Second, Move: 300 * time.Millisecond, Upkeep: 400 * time.Millisecond, Beat: 300 * time.Millisecond,
+	},
+}
+
+// Run shows the path and reports the first thing that went wrong.
+func Run(ctx context.Context, o *Options) error {
+	ctx, cancel := context.WithTimeout(ctx, tourTimeout)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "caraway-tour-")
+	if err != nil {
+		return fault.At("tour", "", err)
+	}
+	defer os.RemoveAll(dir)
+	w, err := world.New(shape)
+	if err != nil {
+		return fault.At("tour", "", err)
+	}
+	defer w.Close()
+	s, err := world.NewSite(w, o.Bin, dir, 3)
+	if err != nil {
+		return fault.At("tour", "", err)
+	}
+	defer s.StopAll()
+	t := &tour{Site: s, out: o.Out}
+	for i, part := range []struct {
+		title string
+		show  func(context.Context) error
+	}{
+		{"start 3 entries on a stand-in of the platform: store, machines and 8 hosts", t.start},
+		{"submit 20 jobs of two steps through all entries", t.submit},
+		{"kill the owner of the pool while they run; another entry takes over", t.lose},
+		{"take six machines through a wave of maintenance, two at a time", t.maintain},
+	} {
+		fmt.Fprintf(o.Out, "%2d  %s\n", i+1, part.title)
+		if err := part.show(ctx); err != nil {
+			return fault.At(part.title, "", err)
+		}
+	}
+	if broken := w.Violations(); len(broken) > 0 {
+		return fault.New("tour", "", "promises broken: %v", broken)
+	}
+	fmt.Fprintln(o.Out, "tour: ok")
+	return nil
+}
+
+// tour is a running site with what was submitted.
+type tour struct {
+	*world.Site
+	out  io.Writer
+	jobs []*world.Job
+}
+
+func (t *tour) say(format string, args ...any) { fmt.Fprintf(t.out, "    "+format+"\n", args...) }
+
+func (t *tour) start(ctx context.Context) error {
+	if err := t.Publish("config", world.Config(1, shape)); err != nil {
+		return err
+	}
+	if err := t.StartAll(ctx); err != nil {
+		return err
+	}
+	return procs.WaitFor(ctx, "owners", func(context.Context) error {
+		for _, pool := range []string{"documents", "remittances"} {
+			if t.Owner(pool) == nil {
+				return fault.New("owner", pool, "none yet")
+			}
+		}
+		t.say("documents is owned by %s, remittances by %s", t.Owner("documents").Name, t.Owner("remittances").Name)
+		return nil
+	})
+}
+
+func (t *tour) submit(ctx context.Context) error {
+	for i := range 20 {
+		steps := []world.StepSpec{{Count: 2, MS: 400}, {Count: 1, MS: 400, After: []int{0}}}
+		status, j := t.Submit(ctx, t.Entries[i%len(t.Entries)], "documents", fmt.Sprintf("%016x", i+1), "400", steps...)
+		if status != http.StatusOK {
+			return fault.New("submit", j.ID, "status %d", status)
+		}
+		t.jobs = append(t.jobs, j)
+	}
+	t.say("%d accepted", len(t.jobs))
+	return nil
+}
+
+func (t *tour) lose(ctx context.Context) error {
+	owner := t.Owner("documents")
+	owner.Proc().Kill()
+	t.say("%s killed", owner.Name)
+	for _, j := range t.jobs {
+		if err := procs.WaitFor(ctx, j.ID+" completed", func(ctx context.Context) error {
+			for _, e := range t.Entries {
+				if state, err := t.State(ctx, e, "documents", j.ID); err == nil && state == "completed" {
+					return nil
+				}
+			}
+			return fault.New("state", j.ID, "not completed yet")
+		}); err != nil {
+			return err
+		}
+	}
+	t.say("all completed, documents is owned by %s", t.Owner("documents").Name)
+	return t.Start(owner)
+}
+
+func (t *tour) maintain(ctx context.Context) error {
+	machines := []string{"m-documents-0", "m-documents-1", "m-documents-2", "m-remittances-0", "m-remittances-1", "m-spare-0"}
+	began := time.Now()
+	if err := t.Publish("wave/1", map[string]any{"wave": 1, "machines": machines, "duration_s": 30, "cap": 2}); err != nil {
+		return err
+	}
+	err := procs.WaitFor(ctx, "wave completed", func(context.Context) error {
+		if s := t.Status("wave/1"); s != `{"state":"completed"}` {
+			return fault.New("wave", "1", "%d of %d begun", t.Upkept(1), len(machines))
+		}
+		return nil
+	})
+	t.say("%d of %d done after %.1f s", t.Upkept(1), len(machines), time.Since(began).Seconds())
+	return err
+}
