Refuse starts that would be carried out late

A list of machines that was asked for before a host's life began could also name it as ended. Change: a start carries a bound of 1.5 s on the host's clock; the lease is extended by holds alone. Lists older than a life say nothing of it.

--- a/entry/owner/census.go
+++ b/entry/owner/census.go
@@ -63,6 +63,11 @@
 	}
 	now := time.Now()
 	for _, id := range c.state.Silent(now) {
+		h := c.state.Hosts[id]
+		if h.Since.After(m.asked) || h.Heard.After(m.asked) {
+			// The list may be older than this life.
+			continue
+		}
 		if !alive[id] {
 			c.logger.Info("host has ended", "host", id, "by", "list of machines")
 			c.state.Gone(id, now)
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -152,7 +152,7 @@
 	}
 	out := agent.Order{Order: o, Token: c.state.Epoch}
 	if o.Kind == shard.OrderStart {
-		if out.Deadline = c.state.Deadline(h, now); out.Deadline == 0 {
+		if out.Deadline = c.state.StartBy(h, now); out.Deadline == 0 {
 			c.settle(o, 0, &port.RefusedError{Reason: port.RefusedLate}, now)
 			return
 		}
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -70,6 +70,10 @@
 	// silentAfter is the time without an answer after which a host is taken for
 	// silent; an answer is due every second.
 	silentAfter = 1600 * time.Millisecond
+	// startWithin is how late a start may be carried out: longer than an order waits
+	// for its answer, shorter than the two seconds from which the platform may carry
+	// an order out that it has not answered.
+	startWithin = 1500 * time.Millisecond
 	// busyFor is how long a host that said it was not well is not asked again.
 	busyFor = 500 * time.Millisecond
 )
@@ -112,6 +116,16 @@
 	return d
 }
 
+// StartBy is the host's time until which it may carry out a start that is sent now; 0
+// when none may be sent. It is well before the lease's end, so that an order that is
+// carried out late is refused: deadlines never shorten a lease.
+func (s *State) StartBy(h *Host, now time.Time) int64 {
+	if s.Deadline(h, now) == 0 {
+		return 0
+	}
+	return h.Clock + now.Sub(h.Heard).Milliseconds() + startWithin.Milliseconds()
+}
+
 // LapsedBy is the time from which nothing that was started on the host before can
 // still run there, if it does not answer.
 func (s *State) LapsedBy(h *Host) time.Time {
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -340,7 +340,7 @@
 	w.tell("owner %d orders %d %s run %d on %s: %s", o.s.Epoch, order.Kind, order.Ref, order.Run, order.Host, order.Why)
 	switch order.Kind {
 	case shard.OrderStart:
-		deadline := time.Duration(o.s.Deadline(h, w.now)) * time.Millisecond
+		deadline := time.Duration(o.s.StartBy(h, w.now)) * time.Millisecond
 		if deadline == 0 {
 			o.s.Started(&order, 0, &port.RefusedError{Reason: port.RefusedLate}, w.now)
 			return
--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -253,6 +253,20 @@
 	require.Len(t, o.plan(), 1)
 }
 
+// A start was carried out two seconds after it was sent, when the unit's earlier run
+// had turned out to be done.
+func TestAStartIsNotCarriedOutLate(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	h := o.Hosts["a"]
+	// The host's clock may be 2 % slow; two seconds later it has to be past the bound.
+	late := o.clock + int64(2000*98/100)
+	require.Less(t, o.StartBy(h, o.now), late)
+	require.Greater(t, o.Deadline(h, o.now), late, "the lease itself is longer")
+	o.pass(timing.Grace + time.Second)
+	o.Confirmed = o.now.Add(-timing.Grace - time.Second)
+	require.Zero(t, o.StartBy(h, o.now))
+}
+
 func TestNoLeaseIsGrantedLongAfterTheClaimWasConfirmed(t *testing.T) {
 	o := newOwner(t, 1, "a")
 	confirmed := o.Confirmed
