--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -28,7 +28,6 @@
 	shard.Order
 	Token    int64
 	Deadline int64
-	Ticket   string
 }
 
 // Hold asks a host to go on and to say what it runs.
@@ -89,7 +88,7 @@
 // Hold sends a hold. Only one may be under way.
 func (a *Agent) Hold(h Hold) bool { return a.hold.TrySend(h) }
 
-// Do sends an order, and reports false when too many wait. Orders for one work unit
+// Do sends an order, and reports false when too many wait. Orders for one task
 // go through one lane, so that they keep their order.
 func (a *Agent) Do(o Order) bool {
 	lane := (o.Ref.Index + o.Ref.Step) % orderLanes
@@ -122,7 +121,7 @@
 	case shard.OrderStart:
 		out.Clock, out.Err = a.worker.Start(ctx, port.Start{
 			Unit: unit, Run: o.Run, Text: o.Text, Deadline: o.Deadline, Token: o.Token,
-			Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+			Checkpoint: o.Checkpoint,
 		})
 	case shard.OrderStop:
 		out.Clock, out.Err = a.worker.Stop(ctx, unit, o.Run, o.Token)
--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -99,6 +100,8 @@
 	holds   map[string]holding
 	claims  map[string]context.CancelFunc
 	leaving bool
+	// beside counts what runs beside the task and ends with it.
+	beside sync.WaitGroup
 }
 
 // Start starts the task. It hands what is owned here to own.
@@ -143,6 +146,7 @@
 		select {
 		case <-ctx.Done():
 			c.giveUpAll()
+			c.beside.Wait()
 			return
 		case m := <-inbox:
 			m.handle(ctx, c)
@@ -275,7 +279,7 @@
 	if start == nil {
 		start = s.Pools
 	}
-	go func() {
+	c.beside.Go(func() {
 		m := won{pool: pool}
 		if m.claim, m.err = claim.Take(ctx, log, pool, s.Entry, s.Life, s.Parts); m.err == nil {
 			m.begin, m.err = start(ctx, m.claim)
@@ -283,7 +287,7 @@
 		if err := c.d.task.Send(context.WithoutCancel(ctx), m); err != nil {
 			c.d.logger.Debug("message after the end", "err", err)
 		}
-	}()
+	})
 }
 
 func (m won) handle(ctx context.Context, c *core) {
@@ -299,7 +303,7 @@
 	h := m.begin(c.config, slices.Collect(maps.Values(c.hosts)))
 	c.holds[m.pool] = holding{Holder: h, epoch: m.claim.Epoch}
 	c.publish()
-	go func() {
+	c.beside.Go(func() {
 		select {
 		case <-h.Lost():
 			if err := c.d.task.Send(ctx, lost{m.pool, h}); err != nil {
@@ -307,7 +311,7 @@
 			}
 		case <-ctx.Done():
 		}
-	}()
+	})
 }
 
 func (m lost) handle(_ context.Context, c *core) {
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"carawaymux.dev/entry/agent"
@@ -39,6 +40,8 @@
 	out      context.Context
 	shutOut  bool
 	nextScan time.Time
+	// beside counts what runs beside the task and ends with it.
+	beside sync.WaitGroup
 }
 
 // link is an agent with what the owner knows of its lease call.
@@ -139,6 +142,7 @@
 	for _, l := range c.agents {
 		l.agent.Close()
 	}
+	c.beside.Wait()
 	c.answerAll(Answer{Outcome: Unknown, Why: "the pool changes its owner"})
 	c.logger.Info("pool given up", "jobs", len(c.state.Jobs), "shut-out", c.shutOut)
 }
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -259,7 +259,7 @@
 			c.answer(ch.Job.ID, false, Answer{Outcome: Accepted, Phase: ch.Note.Phase})
 		}
 	}
-	c.emptyInbox(f.jobs)
+	c.emptyInbox()
 }
 
 // answer tells those who wait for a job.
@@ -383,7 +383,7 @@
 }
 
 // emptyInbox drops submissions from the inbox that the pool's own records now hold.
-func (c *core) emptyInbox([]*shard.Job) {
+func (c *core) emptyInbox() {
 	if len(c.journal.inbox) == 0 {
 		return
 	}
@@ -401,12 +401,12 @@
 		return
 	}
 	stream := Inbox(c.state.Pool, c.settings.Parts)
-	go func() {
+	c.beside.Go(func() {
 		ctx, cancel := context.WithTimeout(c.out, awayAfter)
 		defer cancel()
 		if _, err := c.deps.Log.Append(ctx, stream, drop, nil, -1); err != nil {
 			// They are found again, and known, by the next owner.
 			c.logger.Warn("inbox not emptied", "err", err)
 		}
-	}()
+	})
 }
--- a/fleet/batch/batch.go
+++ b/fleet/batch/batch.go
@@ -1,4 +1,4 @@
-// Package batch defines the jobs that callers submit: steps of work units with an
+// Package batch defines the jobs that callers submit: steps of tasks with an
 // order between them.
 package batch
 
@@ -15,7 +15,7 @@
 	MaxText = 4000
 	// MaxSteps is the largest number of steps of one job.
 	MaxSteps = 256
-	// MaxUnits is the largest number of work units of one occurrence.
+	// MaxUnits is the largest number of tasks of one occurrence.
 	MaxUnits = 4096
 	// MaxTurns is the largest number of occurrences.
 	MaxTurns = 1024
@@ -53,45 +53,45 @@
 	return o.MilliCores <= s.MilliCores && o.MemoryMB <= s.MemoryMB && o.Accelerators <= s.Accelerators
 }
 
-// Step is a number of equal work units of a job.
+// Step is a number of equal tasks of a job.
 type Step struct {
-	// Count is the number of work units, at least 1.
+	// Count is the number of tasks, at least 1.
 	Count int `cbor:"1,keyasint"`
-	// Need is what one work unit asks for. A step that fills takes no processor
+	// Need is what one task asks for. A step that fills takes no processor
 	// capacity from others, whatever it asks for.
 	Need Size `cbor:"2,keyasint"`
-	// Estimate is a rough estimate of a work unit's run time; it may be half off.
+	// Estimate is a rough estimate of a task's run time; it may be half off.
 	Estimate time.Duration `cbor:"3,keyasint,omitempty"`
 	// After holds the numbers of earlier steps that must be done first.
 	After []int `cbor:"4,keyasint,omitempty"`
-	// Checkpoints says that a work unit saves its progress.
+	// Checkpoints says that a task saves its progress.
 	Checkpoints bool `cbor:"5,keyasint,omitempty"`
-	// Gang says that the work units only run all together.
+	// Gang says that the tasks only run all together.
 	Gang bool `cbor:"6,keyasint,omitempty"`
-	// SameRack says that the work units are slow when they run on several racks.
+	// SameRack says that the tasks are slow when they run on several racks.
 	SameRack bool `cbor:"7,keyasint,omitempty"`
 	// Requires is a label that the host must have; empty for none.
 	Requires string `cbor:"8,keyasint,omitempty"`
-	// Rack is where the data is; work units are slow elsewhere. Empty for anywhere.
+	// Rack is where the data is; tasks are slow elsewhere. Empty for anywhere.
 	Rack string `cbor:"9,keyasint,omitempty"`
-	// PerHost is the largest number of work units on one host; 0 for no limit.
+	// PerHost is the largest number of tasks on one host; 0 for no limit.
 	PerHost int `cbor:"10,keyasint,omitempty"`
-	// Copies says that copies of a work unit may run at the same time.
+	// Copies says that copies of a task may run at the same time.
 	Copies bool `cbor:"11,keyasint,omitempty"`
-	// Lasting says that the work units run until the job is cancelled.
+	// Lasting says that the tasks run until the job is cancelled.
 	Lasting bool `cbor:"12,keyasint,omitempty"`
-	// Image names what the work units run; units of one image behave alike.
+	// Image names what the tasks run; units of one image behave alike.
 	Image string `cbor:"13,keyasint,omitempty"`
-	// Tail is the bound on the tail latency of what a lasting work unit serves; 0
+	// Tail is the bound on the tail latency of what a lasting task serves; 0
 	// for none.
 	Tail time.Duration `cbor:"14,keyasint,omitempty"`
-	// Fills says that the work units only use capacity that others leave.
+	// Fills says that the tasks only use capacity that others leave.
 	Fills bool `cbor:"15,keyasint,omitempty"`
-	// MayMiss is how many work units may be away at once by the system's acts.
+	// MayMiss is how many tasks may be away at once by the system's acts.
 	MayMiss int `cbor:"16,keyasint,omitempty"`
 }
 
-// Room is what a work unit takes from a host's capacity.
+// Room is what a task takes from a host's capacity.
 func (s *Step) Room() Size {
 	if s.Fills {
 		return Size{MemoryMB: s.Need.MemoryMB, Accelerators: s.Need.Accelerators}
@@ -103,7 +103,7 @@
 type Spec struct {
 	// Queue is the name of the queue that accepted the job.
 	Queue string `cbor:"1,keyasint"`
-	// Text is handed to each work unit, at most [MaxText] bytes.
+	// Text is handed to each task, at most [MaxText] bytes.
 	Text string `cbor:"2,keyasint,omitempty"`
 	// Steps has at least one element; a step comes after those in its After.
 	Steps []Step `cbor:"3,keyasint"`
@@ -120,7 +120,7 @@
 // Occurrences is the number of times that the steps run.
 func (s *Spec) Occurrences() int { return max(s.Turns, 1) }
 
-// Units is the number of work units of one occurrence.
+// Units is the number of tasks of one occurrence.
 func (s *Spec) Units() int {
 	n := 0
 	for i := range s.Steps {
@@ -176,7 +176,7 @@
 		units += s.Steps[i].Count
 	}
 	if units > MaxUnits {
-		return fmt.Errorf("%d work units, at most %d", units, MaxUnits)
+		return fmt.Errorf("%d tasks, at most %d", units, MaxUnits)
 	}
 	return nil
 }
@@ -213,11 +213,11 @@
 	return nil
 }
 
-// Ref names a work unit.
+// Ref names a task.
 type Ref struct {
 	// Job is the job's ID.
 	Job string
-	// Turn is the occurrence, Step the step and Index the work unit in the step;
+	// Turn is the occurrence, Step the step and Index the task in the step;
 	// all count from 0.
 	Turn, Step, Index int
 }
@@ -237,13 +237,13 @@
 func ParseRef(s string) (Ref, error) {
 	parts := strings.Split(s, ".")
 	if len(parts) != 4 {
-		return Ref{}, fmt.Errorf("work unit %q: JOB.TURN.STEP.INDEX expected", s)
+		return Ref{}, fmt.Errorf("task %q: JOB.TURN.STEP.INDEX expected", s)
 	}
 	var n [3]int
 	for i, p := range parts[1:] {
 		v, err := strconv.Atoi(p)
 		if err != nil || v < 0 {
-			return Ref{}, fmt.Errorf("work unit %q: %q is no number", s, p)
+			return Ref{}, fmt.Errorf("task %q: %q is no number", s, p)
 		}
 		n[i] = v
 	}
--- a/fleet/port/port.go
+++ b/fleet/port/port.go
@@ -33,7 +33,7 @@
 	Pool string
 	// Priority orders queues of a pool, 0 first.
 	Priority int
-	// MaxAttempts is how often a work unit may fail; 0 for no limit given.
+	// MaxAttempts is how often a task may fail; 0 for no limit given.
 	MaxAttempts int
 	// Stretch times the longest chain of work, and Target more, is the objective.
 	Stretch float64
--- a/fleet/port/worker.go
+++ b/fleet/port/worker.go
@@ -13,7 +13,7 @@
 const (
 	// ResultDone is a success.
 	ResultDone Result = "done"
-	// ResultFailed is a failure of the work unit or of its host; it counts as an
+	// ResultFailed is a failure of the task or of its host; it counts as an
 	// attempt. The others do not.
 	ResultFailed Result = "failed"
 	// ResultStopped is an ordered end.
@@ -28,15 +28,15 @@
 
 // Running is a run that a host has now.
 type Running struct {
-	// Unit names the work unit, as JOB.TURN.STEP.INDEX.
+	// Unit names the task, as JOB.TURN.STEP.INDEX.
 	Unit string
-	// Run numbers the starts of a work unit.
+	// Run numbers the starts of a task.
 	Run int64
 	// Saved is the newest checkpoint; empty for none.
 	Saved string
 	// Percent is how far the run is; a lasting one is at work at 100.
 	Percent float64
-	// Load is the tail latency in milliseconds for a work unit that serves, else
+	// Load is the tail latency in milliseconds for a task that serves, else
 	// the processor capacity in use in thousandths of a core.
 	Load float64
 }
@@ -79,8 +79,6 @@
 	Token    int64
 	// Checkpoint is where the run resumes; empty for the beginning.
 	Checkpoint string
-	// Ticket is the policy service's permission; empty for none.
-	Ticket string
 }
 
 // Refusal is why a host refused an order. Nothing was done.
@@ -94,7 +92,7 @@
 	RefusedOld Refusal = "old"
 	// RefusedLate says that the deadline has passed.
 	RefusedLate Refusal = "late"
-	// RefusedRoom says that the work unit does not fit.
+	// RefusedRoom says that the task does not fit.
 	RefusedRoom Refusal = "room"
 	// RefusedTicket says that the ticket does not hold.
 	RefusedTicket Refusal = "ticket"
@@ -164,14 +162,3 @@
 type Operators interface {
 	ReportWave(ctx context.Context, wave int64, completed bool) error
 }
-
-// Permit allows a host to run a step.
-type Permit struct {
-	Host   string
-	Ticket string
-}
-
-// Adviser is the policy service.
-type Adviser interface {
-	Advise(ctx context.Context, step string, hosts []string) ([]Permit, time.Duration, error)
-}
--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -10,7 +10,7 @@
 	"carawaymux.dev/fleet/shard"
 )
 
-// BenchmarkRound times a round of planning in which one work unit ends and the next
+// BenchmarkRound times a round of planning in which one task ends and the next
 // starts.
 func BenchmarkRound(b *testing.B) {
 	for _, hosts := range []int{10, 100, 350} {
--- a/fleet/shard/note.go
+++ b/fleet/shard/note.go
@@ -7,7 +7,7 @@
 	"carawaymux.dev/fleet/batch"
 )
 
-// UnitNote is what the store keeps of a work unit.
+// UnitNote is what the store keeps of a task.
 type UnitNote struct {
 	// Noted is the highest run whose end has been counted.
 	Noted int64 `cbor:"1,keyasint,omitempty"`
@@ -22,7 +22,7 @@
 type TurnNote struct {
 	// Done says that all steps are done; Stages is then empty.
 	Done bool `cbor:"1,keyasint,omitempty"`
-	// Stages has one element a step, each with one element a work unit, or none
+	// Stages has one element a step, each with one element a task, or none
 	// when all of the step's units are done.
 	Stages [][]UnitNote `cbor:"2,keyasint,omitempty"`
 }
--- a/fleet/shard/pace.go
+++ b/fleet/shard/pace.go
@@ -51,7 +51,7 @@
 	return strained, calm
 }
 
-// step is the step of a work unit, or nil when the job is not known.
+// step is the step of a task, or nil when the job is not known.
 func (s *State) step(r batch.Ref) *batch.Step {
 	j := s.Jobs[r.Job]
 	if j == nil || r.Step >= len(j.Spec.Steps) {
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -9,7 +9,7 @@
 	"carawaymux.dev/fleet/place"
 )
 
-// Demand is a step of an occurrence with work units that could start now.
+// Demand is a step of an occurrence with tasks that could start now.
 type Demand struct {
 	Job  *Job
 	Turn int
@@ -130,7 +130,7 @@
 	return next
 }
 
-// demands lists the steps with work units that could start now.
+// demands lists the steps with tasks that could start now.
 func (s *State) demands(now time.Time) []Demand {
 	unsure := s.unsure(now)
 	var out []Demand
@@ -237,7 +237,7 @@
 	return true
 }
 
-// startAll orders the start of as many work units of a demand as fit.
+// startAll orders the start of as many tasks of a demand as fit.
 func (s *State) startAll(d *Demand, room rooms, now time.Time) {
 	step := &d.Job.Spec.Steps[d.Step]
 	g := &d.Job.Turns[d.Turn].Stages[d.Step]
@@ -263,7 +263,7 @@
 // nextRun is a run number above all that any owner has given to the unit.
 func (s *State) nextRun(u *Unit) int64 { return max(u.Run, (s.Epoch-1)*runsPerEpoch) + 1 }
 
-// start books a work unit on a host and orders its run.
+// start books a task on a host and orders its run.
 func (s *State) start(j *Job, ref batch.Ref, g *Stage, u *Unit, k *slot, run int64, now time.Time) {
 	step := &j.Spec.Steps[ref.Step]
 	u.Status, u.Host, u.Run = Sent, k.host.ID, run
@@ -292,7 +292,7 @@
 	fillWeight = 1 << 18
 )
 
-// pick chooses a host for a work unit; -1 when none fits. Lasting work is spread,
+// pick chooses a host for a task; -1 when none fits. Lasting work is spread,
 // other work is packed.
 func (s *State) pick(step *batch.Step, g *Stage, u *Unit, room rooms) int {
 	best, bestRank := -1, int64(0)
@@ -315,7 +315,7 @@
 	return best
 }
 
-// rank is lower for hosts that suit a work unit better.
+// rank is lower for hosts that suit a task better.
 func (s *State) rank(step *batch.Step, g *Stage, u *Unit, c *slot) int64 {
 	left := c.free.Sub(step.Room())
 	rank := left.MilliCores
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -204,7 +204,7 @@
 	return e.Run <= u.Noted
 }
 
-// spent reports whether a work unit may not be tried again.
+// spent reports whether a task may not be tried again.
 func (s *State) spent(j *Job, ref batch.Ref, u *Unit) bool {
 	most := s.Queues[j.Spec.Queue].MaxAttempts
 	step := &j.Spec.Steps[ref.Step]
@@ -222,7 +222,7 @@
 	return fails >= most
 }
 
-// unitDone marks a work unit as done for good.
+// unitDone marks a task as done for good.
 func (s *State) unitDone(j *Job, ref batch.Ref, u *Unit, now time.Time) {
 	if u.Done {
 		return
@@ -351,7 +351,7 @@
 	}
 }
 
-// learn remembers how long a work unit took, to correct later estimates.
+// learn remembers how long a task took, to correct later estimates.
 func (s *State) learn(j *Job, step *batch.Step, took time.Duration) {
 	if took <= 0 || step.Estimate <= 0 {
 		return
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -21,13 +21,13 @@
 	Grace time.Duration
 	// Keep is how long the state of an ended job is kept.
 	Keep time.Duration
-	// Far times the run time is what a work unit takes away from its data.
+	// Far times the run time is what a task takes away from its data.
 	Far float64
-	// Notice is how long a lasting work unit may be away before it counts.
+	// Notice is how long a lasting task may be away before it counts.
 	Notice time.Duration
 	// Restore is what resuming from a checkpoint takes.
 	Restore time.Duration
-	// Impact is how long a work unit that serves may be disturbed.
+	// Impact is how long a task that serves may be disturbed.
 	Impact time.Duration
 	// Stop is the longest time that a host takes to end a run.
 	Stop time.Duration
@@ -37,7 +37,7 @@
 // on spans of its time; the platform says 2 %.
 const ClockDrift = 1.02
 
-// runsPerEpoch is the number of starts of one work unit under one owner. A new
+// runsPerEpoch is the number of starts of one task under one owner. A new
 // owner's run numbers lie above all that earlier owners can have given.
 const runsPerEpoch = 1000
 
@@ -52,10 +52,10 @@
 	Cancelled Phase = "cancelled"
 )
 
-// Status is where a work unit is.
+// Status is where a task is.
 type Status uint8
 
-// The statuses of a work unit.
+// The statuses of a task.
 const (
 	// Idle units run nowhere.
 	Idle Status = iota
@@ -70,7 +70,7 @@
 	Stopping
 )
 
-// Unit is a work unit of an occurrence.
+// Unit is a task of an occurrence.
 type Unit struct {
 	// Status says whether it runs; Host and Run are set unless it is Idle.
 	Status Status
@@ -107,7 +107,7 @@
 
 // Stage is a step of an occurrence.
 type Stage struct {
-	// Units has as many elements as the step has work units.
+	// Units has as many elements as the step has tasks.
 	Units []Unit
 	// Left is the number of units that are not done.
 	Left int
@@ -139,9 +139,9 @@
 	// Unseen says that the job was cancelled and no submission has come; its spec is
 	// then empty.
 	Unseen bool
-	// Begun says that some work unit has started.
+	// Begun says that some task has started.
 	Begun bool
-	// Inherited says that an earlier owner may have started work units that this
+	// Inherited says that an earlier owner may have started tasks that this
 	// owner does not know of.
 	Inherited bool
 	// Accepted is when the job came; Closed is when its phase was decided.
@@ -218,7 +218,7 @@
 	return out
 }
 
-// unit returns a work unit, or nil when the job or the unit is not known.
+// unit returns a task, or nil when the job or the unit is not known.
 func (s *State) unit(r batch.Ref) (*Job, *Stage, *Unit) {
 	j := s.Jobs[r.Job]
 	if j == nil || r.Turn >= len(j.Turns) {
--- a/trial/world/host.go
+++ b/trial/world/host.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Specifications of work units that the stand-in's hosts understand: a duration in
+// Specifications of tasks that the stand-in's hosts understand: a duration in
 // milliseconds, or one of these.
 const (
 	// TextFail makes each run fail, and TextLast makes it last.
@@ -358,5 +358,5 @@
 	})
 }
 
-// job is the ID of a work unit's job.
+// job is the ID of a task's job.
 func job(unit string) string { return unit[:strings.IndexByte(unit, '.')] }
--- a/trial/world/ledger.go
+++ b/trial/world/ledger.go
@@ -6,10 +6,10 @@
 	"carawaymux.dev/fleet/batch"
 )
 
-// unitCores is what a work unit of the tests asks for, in thousandths of a core.
+// unitCores is what a task of the tests asks for, in thousandths of a core.
 const unitCores = 1000
 
-// ledger is what the hosts have seen of all work units.
+// ledger is what the hosts have seen of all tasks.
 type ledger struct {
 	// running holds the runs of each unit that are under way.
 	running map[string]map[int64]bool
@@ -108,7 +108,7 @@
 // Mark changes what the world knows of a job.
 func (w *World) Mark(change func()) { w.do(func(*state) { change() }) }
 
-// AllDone reports whether every work unit of a job has ended well.
+// AllDone reports whether every task of a job has ended well.
 func (w *World) AllDone(j *Job) bool {
 	return ask(w, func(s *state) bool {
 		for step, count := range j.Count {
