Wait for log lines that are written beside the answer

The logs that the failed test printed a moment later hold the line (13:26:01.090). Change: the test waits for the same lines, with the test's own limit. Conclusion: the check is as strict; only its moment has changed.

--- a/trial/system/page_test.go
+++ b/trial/system/page_test.go
@@ -1,6 +1,8 @@
 package system
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"regexp"
@@ -10,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"carawaymux.dev/trial/procs"
 	"carawaymux.dev/trial/world"
 )
 
@@ -26,13 +29,25 @@
 	return out.String()
 }
 
+// says waits until some log line that names an ID matches: lines are written beside
+// the answer that they tell of.
+func (r *rig) says(id, pattern string) {
+	r.t.Helper()
+	require.NoError(r.t, procs.WaitFor(r.ctx, pattern, func(context.Context) error {
+		if !regexp.MustCompile(pattern).MatchString(r.linesOf(id)) {
+			return fmt.Errorf("no such line of %s", id)
+		}
+		return nil
+	}))
+}
+
 // The page's way from an ID to its cause is walked with real failures.
 func TestTheOperationsPageLeadsFromAnIDToItsCause(t *testing.T) {
 	r := start(t, 2)
 	failing := r.accepted("docs", world.TextFail, world.StepSpec{Count: 1, MS: 50})
 	r.waitState("docs", failing, "failed")
-	require.Regexp(t, `"msg":"run ended".*"result":"failed"`, r.linesOf(failing.ID))
-	require.Regexp(t, `"msg":"job ended".*"phase":"failed"`, r.linesOf(failing.ID))
+	r.says(failing.ID, `"msg":"run ended".*"result":"failed"`)
+	r.says(failing.ID, `"msg":"job ended".*"phase":"failed"`)
 
 	r.SetStore(world.StoreFaults{Busy: true})
 	time.Sleep(time.Second)
@@ -41,8 +56,8 @@
 		require.NoError(t, r.ctx.Err())
 		status, unknown = r.Submit(r.ctx, r.Entries[0], "docs", r.id(), "50", world.StepSpec{Count: 1})
 	}
-	require.Regexp(t, `"msg":"request answered".*"outcome":"refused","why":"the store is away"`, r.linesOf(unknown.ID))
-	require.Contains(t, r.Logs(r.owner("docs")), `"msg":"store lost"`)
+	r.says(unknown.ID, `"msg":"request answered".*"outcome":"refused","why":"the store is away"`)
+	r.says(`"pool":"docs"`, `"msg":"store lost"`)
 	r.SetStore(world.StoreFaults{})
 
 	// Every message that the page names is one that the code writes.
