Wait until an earlier owner's stops show before lasting work is stopped

Change: a task on a host that has answered this owner for less than a stop and a look take counts as away. The new test fails without the mechanism.

--- a/fleet/shard/hosts_test.go
+++ b/fleet/shard/hosts_test.go
@@ -65,6 +65,32 @@
 	require.Empty(t, o.TakeOrders())
 }
 
+// A unit that the last owner had ordered to stop still showed at work, and the new
+// owner stopped another one of its step.
+func TestANewOwnerStopsNoLastingWorkUntilEarlierStopsShow(t *testing.T) {
+	o := newOwner(t, 2, "a", "b", "c")
+	o.submit("job", lasting(2, 1, 1))
+	s := o.start()
+	for _, one := range s {
+		o.list(one.Host, running(one, 100))
+		o.Hosts[one.Host].Since = o.now
+	}
+	o.Vacate(o.Hosts[s[1].Host], o.now, time.Second)
+	require.Empty(t, o.TakeOrders())
+	o.pass(timing.Stop + 1300*time.Millisecond)
+	for _, id := range []string{"a", "b", "c"} {
+		var rows []any
+		for _, one := range s {
+			if one.Host == id {
+				rows = append(rows, running(one, 100))
+			}
+		}
+		o.list(id, rows...)
+	}
+	o.Vacate(o.Hosts[s[1].Host], o.now, time.Second)
+	require.Len(t, o.TakeOrders(), 1)
+}
+
 func TestEmptyingStopsNoLastingWorkThatHasNowhereToGo(t *testing.T) {
 	o := newOwner(t, 1, "a")
 	o.submit("job", lasting(1, 0, 1))
--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -47,6 +47,8 @@
 		Capacity: batch.Size{MilliCores: 4000, MemoryMB: 4000},
 	}, o.now).Stored = true
 	o.list(id)
+	// The host has been there for long, unless a test says otherwise.
+	o.Hosts[id].Since = o.now.Add(-time.Minute)
 	o.pass(time.Millisecond)
 }
 
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -66,6 +66,11 @@
 		h := s.Hosts[u.Host]
 		if u.Status != Live || u.Percent < atWork || h == nil || now.Sub(h.Heard) > quietAfter {
 			n++
+			continue
+		}
+		if now.Sub(h.Since) < s.Timing.Stop+quietAfter {
+			// A stop that an earlier owner has ordered may not show yet.
+			n++
 		}
 	}
 	return n
