Remove state that nothing reads

Cause: reading the whole change again. Change: when and by whom a task's last run was ended, serials of changes, the time of a view, a sum and a test of sizes and jobs: written, never read. Conclusion: behaviour unchanged. Left: three loops page through the newest keys (claim.find, claim.Pages, feed.Reader), which one function could serve.

--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -12,7 +12,6 @@
 // step is what came of one look at a machine that is being emptied.
 type step struct {
 	machine string
-	vacant  bool
 	outcome port.OrderOutcome
 	err     error
 }
@@ -57,7 +56,7 @@
 // try asks for a machine to be emptied, and takes it down when it is.
 func (c *core) try(ctx context.Context, wave int64, m port.Machine, may bool) step {
 	out := step{machine: m.ID}
-	if out.vacant = c.vacate(ctx, m.Pool, m.Host); !out.vacant || !may {
+	if !c.vacate(ctx, m.Pool, m.Host) || !may {
 		return out
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -62,8 +62,6 @@
 	Owners map[string]Owner
 	// Settled says that every entry that is alive has had time to be seen.
 	Settled bool
-	// Fresh is when the view was last read from the store.
-	Fresh time.Time
 }
 
 // Roster is the task that keeps the view. Use [Start] to build it.
@@ -217,7 +215,7 @@
 		c.since = now
 	}
 	c.last = now
-	v := &View{Alive: map[string]Beat{}, Owners: map[string]Owner{}, Fresh: now}
+	v := &View{Alive: map[string]Beat{}, Owners: map[string]Owner{}}
 	v.Settled = now.Sub(c.since) >= settleAfter
 	for name, r := range c.rows {
 		silent := now.Sub(later(r.changed, c.since))
--- a/fleet/batch/batch.go
+++ b/fleet/batch/batch.go
@@ -43,11 +43,6 @@
 	return Size{s.MilliCores - o.MilliCores, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
-// Times returns n times the size.
-func (s Size) Times(n int64) Size {
-	return Size{s.MilliCores * n, s.MemoryMB * n, s.Accelerators * n}
-}
-
 // Fits reports whether o fits into s.
 func (s Size) Fits(o Size) bool {
 	return o.MilliCores <= s.MilliCores && o.MemoryMB <= s.MemoryMB && o.Accelerators <= s.Accelerators
@@ -129,16 +124,6 @@
 	return n
 }
 
-// Lasting reports whether some step runs until the job is cancelled.
-func (s *Spec) Lasting() bool {
-	for i := range s.Steps {
-		if s.Steps[i].Lasting {
-			return true
-		}
-	}
-	return false
-}
-
 // Chain is the longest chain of estimated run times.
 func (s *Spec) Chain() time.Duration {
 	var longest time.Duration
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -207,7 +207,7 @@
 			delete(h.Assigned, r)
 			continue
 		}
-		s.free(g, u, r, now)
+		s.free(g, u, r)
 		s.breakGang(r, u.Run, "a member's host is gone")
 	}
 }
@@ -229,7 +229,7 @@
 			s.orders = append(s.orders, Order{Kind: OrderStop, Host: h.ID, Ref: r, Run: u.Run, Why: "host started anew"})
 			continue
 		}
-		s.free(g, u, r, now)
+		s.free(g, u, r)
 		s.breakGang(r, u.Run, "a member's host started anew")
 	}
 	h.Seen, h.Acked, h.Granted, h.Strays = 0, 0, 0, 0
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -105,7 +105,6 @@
 	} else {
 		u.Status = Stopping
 	}
-	u.Ordered = true
 	s.orders = append(s.orders, Order{Kind: OrderStop, Host: u.Host, Ref: r, Run: u.Run, Why: why})
 }
 
--- a/fleet/shard/note.go
+++ b/fleet/shard/note.go
@@ -37,8 +37,6 @@
 type Change struct {
 	Job  *Job
 	Note Note
-	// Serial tells whether the job has changed again since.
-	Serial int
 }
 
 // TakeChanges returns the progress of all jobs that changed since the last call.
@@ -46,7 +44,7 @@
 	out := make([]Change, 0, len(s.dirty))
 	for _, j := range s.dirty {
 		j.dirty = false
-		out = append(out, Change{Job: j, Note: note(j), Serial: j.changes})
+		out = append(out, Change{Job: j, Note: note(j)})
 	}
 	s.dirty = s.dirty[:0]
 	return out
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -268,7 +268,6 @@
 	step := &j.Spec.Steps[ref.Step]
 	u.Status, u.Host, u.Run = Sent, k.host.ID, run
 	u.Began, u.Moved, u.Clock, u.Pace, u.Percent, u.Load = now, now, 0, 100, 0, 0
-	u.Ordered = false
 	g.idle--
 	k.host.Assigned[ref] = u
 	k.free = k.free.Sub(step.Room())
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -81,7 +81,7 @@
 		// a run that is in neither list of a later answer has gone with a life that
 		// was not told apart.
 		if whole && u.Clock > 0 && l.Clock > u.Clock && !first {
-			s.free(g, u, ref, now)
+			s.free(g, u, ref)
 			s.breakGang(ref, u.Run, "a member is gone")
 		}
 	}
@@ -147,7 +147,7 @@
 	out := Ending{Ref: ref, Run: e.Run, Host: h.ID, Result: e.Result}
 	if u.Status != Idle && u.Host == h.ID && u.Run == e.Run {
 		out.Took = now.Sub(u.Began)
-		s.free(g, u, ref, now)
+		s.free(g, u, ref)
 	}
 	step := &j.Spec.Steps[ref.Step]
 	if counted(step, u, e) {
@@ -295,7 +295,7 @@
 		return true
 	}
 	// Nothing was done. A unit that is to be stopped needs no stop any more.
-	s.free(g, u, o.Ref, now)
+	s.free(g, u, o.Ref)
 	s.breakGang(o.Ref, o.Run, "a member was refused")
 	if h == nil {
 		return true
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -93,16 +93,13 @@
 	Pace int
 	// Clock is the host's clock when it answered the start; 0 before.
 	Clock int64
-	// Began is when the run was ordered, Moved when its progress last changed and
-	// Ended when the last run ended.
-	Began, Moved, Ended time.Time
+	// Began is when the run was ordered, and Moved when its progress last changed.
+	Began, Moved time.Time
 	// Retry is when a stop that was not answered is sent again; zero when none is
 	// due.
 	Retry time.Time
 	// Avoid is a host on which the unit failed or stood still.
 	Avoid string
-	// Ordered says that the last run was ended by an order of ours.
-	Ordered bool
 }
 
 // Stage is a step of an occurrence.
@@ -148,10 +145,8 @@
 	Accepted, Closed time.Time
 	// Objective is the time by which the job should be complete.
 	Objective time.Time
-	// dirty says that the progress differs from what the store has or will have;
-	// changes counts them.
-	dirty   bool
-	changes int
+	// dirty says that the progress differs from what the store has or will have.
+	dirty bool
 }
 
 // State is all that the owner of one pool knows.
@@ -234,7 +229,6 @@
 
 // touch marks a job's progress as changed.
 func (s *State) touch(j *Job) {
-	j.changes++
 	if !j.dirty {
 		j.dirty = true
 		s.dirty = append(s.dirty, j)
@@ -242,7 +236,7 @@
 }
 
 // free makes a unit idle, after a run that ended or never began.
-func (s *State) free(g *Stage, u *Unit, r batch.Ref, now time.Time) {
+func (s *State) free(g *Stage, u *Unit, r batch.Ref) {
 	if u.Status == Idle {
 		return
 	}
@@ -250,7 +244,6 @@
 		delete(h.Assigned, r)
 	}
 	u.Status, u.Host, u.Percent, u.Load, u.Clock = Idle, "", 0, 0, 0
-	u.Ended = now
 	if !u.Done {
 		g.idle++
 	}
