Wait for the claim to be confirmed before lost work starts again

Cause: an owner in a zone that had been cut off asked for the list of machines as soon as the cut healed, took hosts that had ended meanwhile for lost, and started their work again on hosts of its own zone, which had not yet seen the newer owner's token. Change: a unit whose run is gone without a known end starts again only once the store has confirmed the claim after that moment; the confirming write goes out at once. A newer owner claims before it asks any host, so the store would refuse.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -165,7 +165,7 @@
 			continue
 		}
 		if h.Confirmed || len(h.Assigned) > 0 {
-			s.lose(h, now)
+			s.lose(h, s.LapsedBy(h))
 		}
 		if !h.Listed {
 			gone = append(gone, id)
@@ -199,15 +199,15 @@
 	}
 }
 
-// lose frees all units of a host on which nothing can run any more.
-func (s *State) lose(h *Host, now time.Time) {
+// lose frees all units of a host on which nothing can run any more since a time.
+func (s *State) lose(h *Host, since time.Time) {
 	for r, u := range h.Assigned {
 		_, g, _ := s.unit(r)
 		if g == nil {
 			delete(h.Assigned, r)
 			continue
 		}
-		s.free(g, u, r)
+		s.miss(g, u, r, since)
 		s.breakGang(r, u.Run, "a member's host is gone")
 	}
 }
@@ -229,14 +229,18 @@
 			s.orders = append(s.orders, Order{Kind: OrderStop, Host: h.ID, Ref: r, Run: u.Run, Why: "host started anew"})
 			continue
 		}
-		s.free(g, u, r)
+		s.miss(g, u, r, now)
 		s.breakGang(r, u.Run, "a member's host started anew")
 	}
 	h.Seen, h.Acked, h.Granted, h.Strays = 0, 0, 0, 0
 }
 
-// Unconfirmed reports whether some host waits for a confirmation of the claim.
+// Unconfirmed reports whether some host or lost unit waits for a confirmation of the
+// claim.
 func (s *State) Unconfirmed() bool {
+	if !s.lost.IsZero() && !s.Confirmed.After(s.lost) {
+		return true
+	}
 	for _, h := range s.Hosts {
 		if h.Listed && h.Confirmed && !s.Confirmed.After(h.Since) {
 			return true
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -304,7 +304,13 @@
 			o.blind[h] = w.r.IntN(2) == 0
 		}
 		w.post(1500*time.Millisecond, w.takeOver)
-		w.post(time.Duration(2000+w.r.IntN(8000))*time.Millisecond, func() { o.cut = false; o.blind = map[string]bool{} })
+		w.post(time.Duration(2000+w.r.IntN(8000))*time.Millisecond, func() {
+			o.blind = map[string]bool{}
+			// The list of machines may answer before the store refuses this owner.
+			w.census(o)
+			w.act(o)
+			o.cut = false
+		})
 	case n < 18: // a host cannot be reached for a while
 		o.blind[id] = true
 		w.tell("owner %d does not reach %s", o.s.Epoch, id)
@@ -323,6 +329,23 @@
 			w.tell("%s is back", id)
 			h.born++
 		})
+		w.post(time.Duration(300+w.r.IntN(1500))*time.Millisecond, func() {
+			for _, o := range w.owners {
+				if !o.cut && !o.gone {
+					w.census(o)
+				}
+			}
+		})
+	}
+}
+
+// census tells an owner which hosts the platform knows to have ended.
+func (w *world) census(o *simOwner) {
+	for _, id := range w.names {
+		if w.hosts[id].down && o.s.Hosts[id] != nil {
+			w.tell("owner %d hears that %s has ended", o.s.Epoch, id)
+			o.s.Gone(id, w.now)
+		}
 	}
 }
 
@@ -385,8 +408,10 @@
 //
 //   - 436, 1704, 5988: a unit was taken for lost that the host's new life had taken;
 //   - 1015, 1245: failures that two hosts listed in the other order counted once;
+//   - 2870: work of a host that had ended was started again by an owner that had been
+//     replaced;
 //   - 3107: a new life of a host took orders of an owner that had been replaced.
-var kept = []uint64{436, 1015, 1245, 1704, 3107, 5988}
+var kept = []uint64{436, 1015, 1245, 1704, 2870, 3107, 5988}
 
 func TestOwnersAndHostsKeepThePromisesWhateverIsLostOrLate(t *testing.T) {
 	seeds := slices.Clone(kept)
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -247,7 +247,7 @@
 	}
 	for i := range g.Units {
 		u := &g.Units[i]
-		if u.Status != Idle || u.Done {
+		if u.Status != Idle || u.Done || !s.settled(u) {
 			continue
 		}
 		ref := batch.Ref{Job: d.Job.ID, Turn: d.Turn, Step: d.Step, Index: i}
@@ -268,6 +268,7 @@
 	step := &j.Spec.Steps[ref.Step]
 	u.Status, u.Host, u.Run = Sent, k.host.ID, run
 	u.Began, u.Moved, u.Clock, u.Pace, u.Percent, u.Load = now, now, 0, 100, 0, 0
+	u.Lost = time.Time{}
 	g.idle--
 	k.host.Assigned[ref] = u
 	k.free = k.free.Sub(step.Room())
@@ -374,7 +375,7 @@
 // startGang orders the start of all members at once, or of none.
 func (s *State) startGang(d *Demand, step *batch.Step, g *Stage, room rooms, now time.Time) {
 	for i := range g.Units {
-		if g.Units[i].Status != Idle {
+		if g.Units[i].Status != Idle || !s.settled(&g.Units[i]) {
 			return
 		}
 	}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -81,7 +81,12 @@
 		// a run that is in neither list of a later answer has gone with a life that
 		// was not told apart.
 		if whole && u.Clock > 0 && l.Clock > u.Clock && !first {
-			s.free(g, u, ref)
+			if l.Born != 0 {
+				// It is the life that the stop was confirmed by: the run never began.
+				s.free(g, u, ref)
+			} else {
+				s.miss(g, u, ref, now)
+			}
 			s.breakGang(ref, u.Run, "a member is gone")
 		}
 	}
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -98,6 +98,10 @@
 	// Retry is when a stop that was not answered is sent again; zero when none is
 	// due.
 	Retry time.Time
+	// Lost is when a run was found to have gone without its end having been heard;
+	// zero when the last run's end is known. A newer owner may have counted the end
+	// before, so the claim has to be confirmed after it before another run starts.
+	Lost time.Time
 	// Avoid is a host on which the unit failed or stood still.
 	Avoid string
 }
@@ -166,6 +170,8 @@
 
 	orders []Order
 	dirty  []*Job
+	// lost is the latest time at which a unit was lost.
+	lost time.Time
 	// open holds the jobs in phase Open, in no order.
 	open map[string]*Job
 	// arrivals holds the work that has come lately.
@@ -249,6 +255,22 @@
 	}
 }
 
+// miss makes a unit idle whose run has gone without a known end, at a time.
+func (s *State) miss(g *Stage, u *Unit, r batch.Ref, at time.Time) {
+	if u.Status == Idle {
+		return
+	}
+	s.free(g, u, r)
+	u.Lost = at
+	if at.After(s.lost) {
+		s.lost = at
+	}
+}
+
+// settled reports whether no newer owner can have counted an end of the unit that is
+// not known here.
+func (s *State) settled(u *Unit) bool { return u.Lost.IsZero() || s.Confirmed.After(u.Lost) }
+
 // open an occurrence whose time has come.
 func (s *State) openTurn(j *Job) {
 	t := Turn{Stages: make([]Stage, len(j.Spec.Steps)), Left: len(j.Spec.Steps)}
