Hand back starts that waited in a lane

A start decided at 19.27 s was sent at 21.51 s, 1.06 s after the owner had noted the unit's end on the host that it had taken for lost (its lease had run out; the host was heard again at 20.26 s). The stop that followed waited in the same lane. Change: a lane hands back a start that is older than 250 ms, as one that was not sent.

--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -21,6 +21,9 @@
 	holdTimeout = 900 * time.Millisecond
 	// laneInbox is the number of orders that wait in a lane.
 	laneInbox = 256
+	// startWait is how long a start may wait in a lane before it is handed back. What
+	// it rests on may have changed since; a host that answers is done far sooner.
+	startWait = 250 * time.Millisecond
 )
 
 // Order is an order with what the owner adds at the time of sending.
@@ -28,6 +31,8 @@
 	shard.Order
 	Token    int64
 	Deadline int64
+	// decided is when the order was handed in.
+	decided time.Time
 }
 
 // Hold asks a host to go on and to say what it runs.
@@ -91,6 +96,7 @@
 // Do sends an order, and reports false when too many wait. Orders for one task
 // go through one lane, so that they keep their order.
 func (a *Agent) Do(o Order) bool {
+	o.decided = time.Now()
 	lane := (o.Ref.Index + o.Ref.Step) % orderLanes
 	return a.lanes[lane].TrySend(o)
 }
@@ -113,9 +119,13 @@
 }
 
 func (a *Agent) carry(ctx context.Context, o Order) Done {
+	out := Done{Order: o.Order}
+	if o.Kind == shard.OrderStart && time.Since(o.decided) > startWait {
+		out.Err = &port.RefusedError{Reason: port.RefusedLate}
+		return out
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	out := Done{Order: o.Order}
 	unit := batch.Ref.String(o.Ref)
 	switch o.Kind {
 	case shard.OrderStart:
