Take a repeated append as confirming no more than its first call

Cause: found while tracing the restarts of lost work: a claim counted as confirmed when the last call was sent, also when the store may have carried out an earlier one and only repeats its answer; whether it looks at the epoch first is not said. Change: the first call that may have been carried out counts; refused calls do not.

--- a/entry/claim/claim.go
+++ b/entry/claim/claim.go
@@ -182,24 +182,30 @@
 }
 
 // Append writes entries under the claim, all or none, and tries again until the
-// store has answered for certain. It returns when the answering call was sent, or
+// store has answered for certain. It returns when the first call was sent that may
+// have been carried out, since the store repeats its answer to a call that was; or
 // [ErrLost] when a newer owner has written. Only one append may run at a time, and
 // none after one that was given up.
 func (c *Claim) Append(ctx context.Context, entries []port.Entry) (time.Time, error) {
 	next := c.sequence + 1
+	// first is when the first call was sent that may have been carried out.
+	var first time.Time
 	for {
 		sent := time.Now()
 		err := c.call(ctx, entries, next)
+		if nothingDone := errors.Is(err, port.ErrBusy) || errors.Is(err, port.ErrFull); first.IsZero() && !nothingDone {
+			first = sent
+		}
 		var sequence *port.SequenceError
 		switch {
 		case err == nil, errors.As(err, &sequence) && sequence.Expected == next+1:
 			c.sequence = next
-			return sent, nil
+			return first, nil
 		case errors.Is(err, port.ErrFenced), errors.As(err, &sequence):
-			return sent, fault.At("append", c.Name, ErrLost)
+			return first, fault.At("append", c.Name, ErrLost)
 		}
 		if !pause(ctx, retryPause) {
-			return sent, fault.At("append", c.Name, ctx.Err())
+			return first, fault.At("append", c.Name, ctx.Err())
 		}
 	}
 }
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -310,7 +310,7 @@
 		return false
 	case port.RefusedRoom:
 		h.Full = now.Add(fullFor)
-	case port.RefusedOrder, port.RefusedHealth, port.RefusedLife, port.RefusedTicket:
+	case port.RefusedOrder, port.RefusedHealth, port.RefusedLife, port.RefusedTicket, port.RefusedLate:
 		h.Full = now.Add(busyFor)
 	}
 	return true
