Refuse at once while cut off, and leave the rotation

Change: a question that was not sent is told apart from one without an answer; with the store known to be away and nothing sent, the caller hears 503 with Retry-After at once. An entry that reaches neither the store nor an owner is not ready, so that the balancer takes callers to zones that can serve; one that misses only the store stays.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"carawaymux.dev/entry/duties"
@@ -26,21 +28,52 @@
 	retryPause = 60 * time.Millisecond
 	// inboxTimeout bounds the writing to the inbox.
 	inboxTimeout = 900 * time.Millisecond
-	// noOwnerRetry is what callers are told while a pool has no owner.
+	// noOwnerRetry is what callers are told while a pool has no owner, and while this
+	// entry is cut off; other entries may do better.
 	noOwnerRetry = time.Second
 )
 
+// Holders finds what is owned here.
+type Holders interface {
+	// Local returns the holder of a pool, or nil when it does not run here.
+	Local(name string) duties.Holder
+}
+
+// Views knows the entries and what they own.
+type Views interface{ View() *roster.View }
+
+// Asker asks other entries. Errors that are [peers.ErrUnsent] say that nothing was
+// asked.
+type Asker interface {
+	Ask(ctx context.Context, address string, a peers.Ask) (owner.Answer, error)
+}
+
 // Intake finds the owners of pools and asks them.
 type Intake struct {
-	Local  *duties.Duties
-	Roster *roster.Roster
-	Peers  *peers.Client
+	Local  Holders
+	Roster Views
+	Peers  Asker
 	Log    port.Log
 	Logger *slog.Logger
 	// Parts is the number of partitions of a topic of the store.
 	Parts int
+
+	// missed is when an owner could last not be reached, in nanoseconds since 1970.
+	missed atomic.Int64
 }
 
+// reach is how far a question got.
+type reach uint8
+
+const (
+	// unsent questions have reached no owner.
+	unsent reach = iota
+	// sent questions may have reached one.
+	sent
+	// answered questions have an owner's answer.
+	answered
+)
+
 // Elsewhere says that the entry that was asked does not own the pool.
 const Elsewhere owner.Outcome = "elsewhere"
 
@@ -73,43 +106,82 @@
 // Ask asks the owner of a pool once. It reports false when no owner could be asked;
 // the question may have reached one all the same.
 func (n *Intake) Ask(ctx context.Context, a peers.Ask) (owner.Answer, bool) {
+	out, how := n.try(ctx, a)
+	return out, how == answered
+}
+
+// try asks the owner of a pool once.
+func (n *Intake) try(ctx context.Context, a peers.Ask) (owner.Answer, reach) {
 	if n.Local.Local(a.Pool) != nil {
 		out := n.Serve(ctx, a)
-		return out, out.Outcome != Elsewhere
+		return out, reachOf(out)
 	}
 	o, ok := n.Roster.View().Owners[a.Pool]
 	if !ok {
-		return owner.Answer{}, false
+		return owner.Answer{}, unsent
 	}
 	out, err := n.Peers.Ask(ctx, o.Address, a)
 	if err != nil {
+		n.missed.Store(time.Now().UnixNano())
 		n.Logger.Debug("owner not reached", "pool", a.Pool, "owner", o.Name, "err", err)
-		return owner.Answer{}, false
+		if errors.Is(err, peers.ErrUnsent) {
+			return owner.Answer{}, unsent
+		}
+		return owner.Answer{}, sent
+	}
+	return out, reachOf(out)
+}
+
+func reachOf(a owner.Answer) reach {
+	switch a.Outcome {
+	case Elsewhere:
+		return unsent
+	case owner.Unknown:
+		return sent
 	}
-	return out, out.Outcome != Elsewhere
+	return answered
+}
+
+// CutOff reports whether this entry reaches neither the store nor the owner of a pool
+// that it was asked for, so that callers are better served by others.
+func (n *Intake) CutOff() bool {
+	lost := n.Roster.View().Lost
+	return !lost.IsZero() && n.missed.Load() > lost.UnixNano()
 }
 
 // Submit hands a job in.
 func (n *Intake) Submit(ctx context.Context, q port.Queue, id string, spec batch.Spec) owner.Answer {
 	ask := peers.Ask{Pool: q.Pool, Verb: peers.VerbSubmit, Subject: id, Queue: q, Spec: &spec}
 	until := time.Now().Add(ownerPatience)
+	clean := true
 	for {
-		a, ok := n.Ask(ctx, ask)
-		if ok && a.Outcome != owner.Unknown {
+		a, how := n.try(ctx, ask)
+		if how == answered {
 			return a
 		}
-		if ctx.Err() != nil {
+		clean = clean && how == unsent
+		switch {
+		case clean && !n.Roster.View().Lost.IsZero():
+			return refuse("neither the owner nor the store can be reached")
+		case ctx.Err() != nil && clean:
+			return refuse("the pool's owner could not be asked in time")
+		case ctx.Err() != nil:
 			return owner.Answer{Outcome: owner.Unknown, Why: "no answer in time"}
-		}
-		if time.Now().After(until) {
-			return n.leave(ctx, q, id, spec)
+		case time.Now().After(until):
+			return n.leave(ctx, q, id, spec, clean)
 		}
 		pause(ctx, retryPause)
 	}
 }
 
-// leave puts a submission into the pool's inbox, from where its owner takes it.
-func (n *Intake) leave(ctx context.Context, q port.Queue, id string, spec batch.Spec) owner.Answer {
+// refuse says that nothing was done and nothing will be.
+func refuse(why string) owner.Answer {
+	return owner.Answer{Outcome: owner.Refused, RetryAfter: noOwnerRetry, Why: why}
+}
+
+// leave puts a submission into the pool's inbox, from where its owner takes it. It is
+// clean if no owner can have seen it.
+func (n *Intake) leave(ctx context.Context, q port.Queue, id string, spec batch.Spec, clean bool) owner.Answer {
 	ctx, cancel := context.WithTimeout(ctx, inboxTimeout)
 	defer cancel()
 	value, err := codec.EncodeFrame(spec)
@@ -122,8 +194,11 @@
 		n.Logger.Info("job left in the inbox", "job", id, "pool", q.Pool)
 		return owner.Answer{Outcome: owner.Accepted}
 	}
-	// An earlier try may have reached an owner, so "not run" would be a guess.
 	n.Logger.Warn("job not left in the inbox", "job", id, "pool", q.Pool, "err", err)
+	if clean && (errors.Is(err, port.ErrBusy) || errors.Is(err, port.ErrFull)) {
+		return refuse("the owner cannot be reached and the store takes nothing")
+	}
+	// The owner or the store may yet act on it, so "not run" would be a guess.
 	return owner.Answer{Outcome: owner.Unknown, Why: "neither the owner nor the store could be reached"}
 }
 
@@ -146,11 +221,11 @@
 func (n *Intake) patient(ctx context.Context, ask peers.Ask) owner.Answer {
 	until := time.Now().Add(lookPatience)
 	for {
-		if a, ok := n.Ask(ctx, ask); ok && a.Outcome != owner.Unknown {
+		if a, how := n.try(ctx, ask); how == answered {
 			return a
 		}
-		if ctx.Err() != nil || time.Now().After(until) {
-			return owner.Answer{Outcome: owner.Refused, RetryAfter: noOwnerRetry, Why: "the pool's owner could not be asked"}
+		if ctx.Err() != nil || time.Now().After(until) || n.CutOff() {
+			return refuse("the pool's owner could not be asked")
 		}
 		pause(ctx, retryPause)
 	}
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"time"
@@ -62,6 +63,9 @@
 	answerTimeout = 5 * time.Second
 )
 
+// ErrUnsent says that a question was not sent, so that nobody can have acted on it.
+var ErrUnsent = errors.New("the question was not sent")
+
 // Client asks other entries.
 type Client struct {
 	dialer *link.Dialer
@@ -179,7 +183,7 @@
 	}
 	if l.conn == nil && !l.opening {
 		if time.Now().Before(l.retry) {
-			m.reply <- result{err: fault.New("dial", m.address, "not reachable a moment ago")}
+			m.reply <- result{err: fault.At("dial", m.address, ErrUnsent)}
 			return
 		}
 		l.opening = true
@@ -198,7 +202,7 @@
 	}
 	if !l.conn.TrySend(Frame{ID: id, Ask: &m.ask}) {
 		delete(l.waiting, id)
-		m.reply <- result{err: fault.New("send", l.address, "the link is full or broken")}
+		m.reply <- result{err: fault.At("send", l.address, ErrUnsent)}
 	}
 }
 
@@ -232,7 +236,7 @@
 	if m.err != nil {
 		k.client.logger.Warn("peer not reached", "peer", l.address, "err", m.err)
 		l.retry = time.Now().Add(redialAfter)
-		l.failAll(m.err)
+		l.failAll(fault.At("dial", l.address, ErrUnsent))
 		return
 	}
 	l.conn = m.conn
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -62,6 +62,9 @@
 	Owners map[string]Owner
 	// Settled says that every entry that is alive has had time to be seen.
 	Settled bool
+	// Lost is since when the store has not taken this entry's heartbeats or not
+	// answered its reads; zero while it does.
+	Lost time.Time
 }
 
 // Roster is the task that keeps the view. Use [Start] to build it.
@@ -96,6 +99,8 @@
 	// since is from when on reads have succeeded without a longer gap.
 	since, last time.Time
 	down        bool
+	// lost is the view's Lost.
+	lost time.Time
 }
 
 // Start starts the task for the entry that a heartbeat describes. Each new view is
@@ -149,8 +154,14 @@
 }
 
 func (c *core) round(ctx context.Context) {
-	c.beat(ctx)
+	began := time.Now()
+	if c.beat(ctx) {
+		c.lost = time.Time{}
+	} else {
+		c.lose(began)
+	}
 	if err := c.read(ctx); err != nil {
+		c.lose(began)
 		if !c.down {
 			c.r.logger.Warn("entries: store lost", "err", err)
 		}
@@ -164,19 +175,33 @@
 	c.publish(time.Now())
 }
 
-// beat writes the heartbeat. A failure only makes this entry look older.
-func (c *core) beat(ctx context.Context) {
+// lose publishes since when the store is away.
+func (c *core) lose(at time.Time) {
+	if !c.lost.IsZero() {
+		return
+	}
+	c.lost = at
+	v := *c.r.view.Load()
+	v.Lost = at
+	c.r.view.Store(&v)
+}
+
+// beat writes the heartbeat, and reports whether the store has it. A failure only
+// makes this entry look older.
+func (c *core) beat(ctx context.Context) bool {
 	c.mine.Number++
 	value, err := codec.EncodeFrame(c.mine)
 	if err != nil {
 		c.r.logger.Error("heartbeat not encoded", "err", err)
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if _, err := c.r.log.Append(ctx, stream, []port.Entry{{Key: c.mine.Name, Value: value}}, nil, -1); err != nil {
 		c.r.logger.Debug("heartbeat not written", "err", err)
+		return false
 	}
+	return true
 }
 
 // read takes in all heartbeats since the last read.
@@ -215,7 +240,7 @@
 		c.since = now
 	}
 	c.last = now
-	v := &View{Alive: map[string]Beat{}, Owners: map[string]Owner{}}
+	v := &View{Alive: map[string]Beat{}, Owners: map[string]Owner{}, Lost: c.lost}
 	v.Settled = now.Sub(c.since) >= settleAfter
 	for name, r := range c.rows {
 		silent := now.Sub(later(r.changed, c.since))
