Let the holder of machines wait for nothing, and drop moves that are out of date

(2) One owner that did not answer held every round up by 250 ms, every move by as much again. (3) After a hand-over all machines that the last holder was armed for were planned with and then waited for 3.9 s, while others stood on standby. Change: calls run beside the task and post their outcomes; the plan is made when the owners have answered, or after 60 ms. A move is dropped when the newest list shows the machine elsewhere, and a machine that an earlier holder may have ordered is ordered only once a list shows what it did. A holder that stops records the age of its last orders. Machines that may be ordered at once go first, those due for maintenance last.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -6,10 +6,8 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
-	"slices"
 	"strconv"
-	"strings"
+	"sync"
 	"time"
 
 	"carawaymux.dev/entry/claim"
@@ -17,7 +15,6 @@
 	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/entry/stats"
-	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/sizing"
 	"carawaymux.dev/fleet/task"
@@ -30,22 +27,24 @@
 const (
 	// roundInterval is the time between rounds.
 	roundInterval = 250 * time.Millisecond
+	// answersWithin is how long a plan waits for the owners of pools; one that
+	// does not answer holds up no others. Answers take a few milliseconds.
+	answersWithin = 60 * time.Millisecond
 	// listInterval is the shortest time between two looks at the list of machines.
 	listInterval = 500 * time.Millisecond
 	// callTimeout bounds one call to the platform, and askTimeout one question to
 	// the owner of a pool, which must not hold up the others.
 	callTimeout = 900 * time.Millisecond
 	askTimeout  = 250 * time.Millisecond
+	// lateOrders is the part of the wait for an earlier holder's orders after which
+	// none of them can still be carried out: a holder that has not been confirmed for
+	// a term less callTimeout begins none.
+	lateOrders = callTimeout - askTimeout
 	// renewAfter is how long the claim goes without a write that confirms it.
 	renewAfter = 800 * time.Millisecond
 	// reportAgain is the time before a report is written again that was not
 	// answered.
 	reportAgain = time.Second
-	// keyBegun begins the keys of machines whose maintenance has begun.
-	keyBegun = "/b/"
-	// keyArmed holds the machines that the holder may have ordered lately. It also
-	// confirms the claim when there is nothing else to write.
-	keyArmed = "/o"
 )
 
 // Deps are the services that the mover uses.
@@ -84,6 +83,12 @@
 type (
 	configured struct{ config *port.Config }
 	written    struct{ claim.Written }
+	// reported is what came of telling operators of a wave.
+	reported struct {
+		wave *upkeep.Wave
+		done bool
+		err  error
+	}
 )
 
 // core is the state of the task.
@@ -94,10 +99,9 @@
 	logger   *slog.Logger
 	claim    *claim.Claim
 	writer   *claim.Writer
-	// notBefore is from when on the machines may be ordered about that an earlier
-	// holder has armed: its orders have to be a term old.
-	notBefore time.Time
-	earlier   map[string]bool
+	// earlier holds from when on the machines may be ordered about that an earlier
+	// holder may have ordered: its orders have to be a term old.
+	earlier map[string]time.Time
 	// armed holds the machines that the store knows may be ordered, and when they
 	// were last wanted; arming holds those of the write under way.
 	armed, arming map[string]time.Time
@@ -106,63 +110,69 @@
 	pending       []port.Entry
 	begun         map[string]bool
 	waves         map[int64]*upkeep.Wave
-	reported      map[int64]time.Time
-	standby       map[string]bool
-	pools         []string
-	machines      map[string]port.Machine
-	listed        time.Time
-	shutOut       bool
-	cloudDown     bool
-	rearmed       bool
-	toArm         []string
-	sizes         *sizing.State
-	moving        map[string]move
+	// told holds when operators were last told of a wave in vain; the zero time once
+	// they know that it runs. telling holds the waves that they are being told of.
+	told    map[int64]time.Time
+	telling map[int64]bool
+	standby map[string]bool
+	pools   []string
+	// machines is the newest list with what has been ordered since; listed is when
+	// it was asked for.
+	machines map[string]port.Machine
+	listed   time.Time
+	listing  bool
+	// changed holds when a machine was last ordered into another state; older lists
+	// do not show it.
+	changed   map[string]time.Time
+	shutOut   bool
+	cloudDown bool
+	rearmed   bool
+	toArm     []string
+	sizes     *sizing.State
+	moving    map[string]move
+	// stepping holds the machines that are being looked at beside the task.
+	stepping map[string]bool
+	// waiting says that the plan of this round has not been made yet.
+	waiting bool
+	// loads holds what the owners have last said; asking holds the pools whose owner
+	// is being asked.
+	loads  map[string]loaded
+	asking map[string]bool
+	// sent holds when a machine was last ordered about.
+	sent map[string]time.Time
+	// beside counts what runs beside the task and ends with it.
+	beside sync.WaitGroup
 }
 
 // Starter returns how to start the mover from a claim that was won.
 func Starter(s Settings, d Deps) duties.Starter {
 	return func(ctx context.Context, won *claim.Claim) (duties.Begin, error) {
-		k := kept{begun: map[string]bool{}, armed: map[string]bool{}}
-		err := won.Load(ctx, func(e port.Entry) {
-			if rest, ok := strings.CutPrefix(e.Key, Name+keyBegun); ok {
-				k.begun[rest] = true
-			}
-			if e.Key == Name+keyArmed {
-				for _, m := range strings.Split(string(e.Value), armedSeparator) {
-					k.armed[m] = true
-				}
-			}
-		})
+		k, err := load(ctx, won)
 		return func(config *port.Config, _ []port.Host) duties.Holder { return start(s, d, won, k, config) }, err
 	}
 }
 
-// armedSeparator stands between the machines of the record of armed machines.
-const armedSeparator = " "
-
-// kept is what earlier holders have stored.
-type kept struct {
-	// begun holds the machines of waves whose maintenance has begun, and armed those
-	// that the last holder may have ordered lately.
-	begun, armed map[string]bool
-}
-
 func start(s Settings, d Deps, won *claim.Claim, k kept, config *port.Config) *Mover {
 	m := &Mover{lost: make(chan struct{})}
 	c := &core{
-		mover: m, settings: s, deps: d, claim: won, begun: k.begun, earlier: k.armed, confirmed: won.At,
-		logger: d.Logger.With("holder", s.Holder, "epoch", won.Epoch),
-		waves:  map[int64]*upkeep.Wave{}, reported: map[int64]time.Time{}, standby: map[string]bool{},
-		armed: map[string]time.Time{}, sizes: sizing.NewState(), moving: map[string]move{},
+		mover: m, settings: s, deps: d, claim: won, begun: k.begun, confirmed: won.At,
+		earlier: k.free(time.Now(), s.Term+callTimeout),
+		logger:  d.Logger.With("holder", s.Holder, "epoch", won.Epoch),
+		waves:   map[int64]*upkeep.Wave{}, told: map[int64]time.Time{}, telling: map[int64]bool{},
+		standby: map[string]bool{}, armed: map[string]time.Time{}, changed: map[string]time.Time{},
+		sizes: sizing.NewState(), moving: map[string]move{}, stepping: map[string]bool{},
+		loads: map[string]loaded{}, asking: map[string]bool{}, sent: map[string]time.Time{},
 	}
-	c.notBefore = time.Now().Add(s.Term + callTimeout)
 	if config != nil {
 		configured{config}.handle(c)
 	}
-	m.task = task.Start(c.run)
+	m.task = task.Start(c.run, task.WithInbox(moverInbox))
 	return m
 }
 
+// moverInbox is the number of messages that wait for the mover.
+const moverInbox = 256
+
 // Configure implements [duties.Holder].
 func (m *Mover) Configure(ctx context.Context, c *port.Config) error {
 	return m.task.Send(ctx, configured{c})
@@ -178,31 +188,60 @@
 func (m *Mover) Close() { m.task.Close() }
 
 func (c *core) run(ctx context.Context, inbox <-chan message) {
-	c.writer = claim.NewWriter(c.claim, func(ctx context.Context, w claim.Written) {
-		if err := c.mover.task.Send(ctx, written{w}); err != nil && ctx.Err() == nil {
-			c.logger.Debug("message after the end", "err", err)
-		}
-	})
-	defer c.writer.Close()
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for !c.shutOut {
+	ctx, cancel := context.WithCancel(ctx)
+	c.writer = claim.NewWriter(c.claim, func(ctx context.Context, w claim.Written) { c.post(ctx, written{w}) })
+	round, answers := time.NewTimer(0), time.NewTimer(0)
+	defer round.Stop()
+	defer answers.Stop()
+	for !c.shutOut && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			return
 		case m := <-inbox:
 			m.handle(c)
 			if c.rearmed {
 				// What waited to be armed need not wait for the next round.
 				c.rearmed = false
-				timer.Reset(0)
+				c.step(ctx, time.Now())
 			}
-		case <-timer.C:
-			timer.Reset(c.round(ctx))
+			if c.waiting && len(c.asking) == 0 {
+				c.plan(ctx)
+			}
+		case <-answers.C:
+			if c.waiting {
+				c.plan(ctx)
+			}
+		case <-round.C:
+			c.round(ctx)
+			round.Reset(roundInterval)
+			answers.Reset(answersWithin)
 		}
 		c.write()
 	}
-	close(c.mover.lost)
+	cancel()
+	c.beside.Wait()
+	c.writer.Close()
+	if c.shutOut {
+		close(c.mover.lost)
+		return
+	}
+	c.leave()
+}
+
+// post puts a message into the mover's own inbox; it waits for room.
+func (c *core) post(ctx context.Context, m message) {
+	if err := c.mover.task.Send(ctx, m); err != nil && ctx.Err() == nil {
+		c.logger.Debug("message after the end", "err", err)
+	}
+}
+
+// call runs something beside the task, bounded in time, and posts its outcome.
+func (c *core) call(ctx context.Context, bound time.Duration, do func(context.Context) message) {
+	c.beside.Go(func() {
+		call, cancel := context.WithTimeout(ctx, bound)
+		m := do(call)
+		cancel()
+		c.post(ctx, m)
+	})
 }
 
 func (m configured) handle(c *core) {
@@ -241,8 +280,7 @@
 	for _, id := range c.toArm {
 		c.arming[id] = now
 	}
-	names := strings.Join(slices.Sorted(maps.Keys(c.arming)), armedSeparator)
-	entries := append(c.pending, port.Entry{Key: Name + keyArmed, Value: []byte(names + armedSeparator)})
+	entries := append(c.pending, armedEntry(c.arming))
 	c.pending, c.toArm = nil, nil
 	c.writing = c.writer.Write(entries)
 }
@@ -250,8 +288,12 @@
 // mayOrder reports whether a machine may be ordered about. The claim has to be
 // confirmed so lately that no other holder can be past its wait, and the store has to
 // know that this holder may order the machine. A machine that is not armed will be.
+// The list has to show all that an earlier holder has ordered.
 func (c *core) mayOrder(machine string, now time.Time) bool {
-	if now.Sub(c.confirmed) > c.settings.Term-callTimeout || (c.earlier[machine] && now.Before(c.notBefore)) {
+	if now.Sub(c.confirmed) > c.settings.Term-callTimeout {
+		return false
+	}
+	if free, ok := c.earlier[machine]; ok && (now.Before(free) || c.listed.Before(free.Add(-lateOrders))) {
 		return false
 	}
 	_, ok := c.armed[machine]
@@ -265,33 +307,69 @@
 	}
 }
 
-// round does what is to be done now, and returns the time until the next.
-func (c *core) round(ctx context.Context) time.Duration {
+// round asks for what the next plan goes by. It waits for nothing: calls run beside the
+// task.
+func (c *core) round(ctx context.Context) {
 	now := time.Now()
 	c.takeWaves(now)
-	var open []*upkeep.Wave
 	for _, w := range c.waves {
 		c.report(ctx, w, now)
+	}
+	c.list(ctx, now)
+	c.ask(ctx)
+	c.waiting = true
+}
+
+// plan decides what to do with the machines, and begins it.
+func (c *core) plan(ctx context.Context) {
+	c.waiting = false
+	if c.cloudDown || c.machines == nil {
+		return
+	}
+	now := time.Now()
+	for _, w := range c.open() {
+		c.advance(w, now)
+	}
+	c.resize(now)
+	c.step(ctx, now)
+}
+
+// open lists the waves that are not completed.
+func (c *core) open() []*upkeep.Wave {
+	var out []*upkeep.Wave
+	for _, w := range c.waves {
 		if !w.Completed {
-			open = append(open, w)
+			out = append(out, w)
 		}
 	}
-	if err := c.list(ctx, now); err != nil {
-		if !c.cloudDown {
-			c.logger.Warn("machines lost", "err", err)
+	return out
+}
+
+// step takes the machines further that are to be moved or maintained.
+func (c *core) step(ctx context.Context, now time.Time) {
+	for _, w := range c.open() {
+		for id := range w.Emptying {
+			c.maintain(ctx, w, c.machines[id], now)
 		}
-		c.cloudDown = true
-		return roundInterval
 	}
-	if c.cloudDown {
-		c.cloudDown = false
-		c.logger.Info("machines regained")
+	for _, m := range c.moving {
+		c.move(ctx, m.Move, now)
+	}
+}
+
+// begin says that a machine is looked at from now on, and whether it may be ordered
+// about. It reports false while it is already being looked at.
+func (c *core) begin(machine string, now time.Time) (may, ok bool) {
+	if c.stepping[machine] {
+		return false, false
 	}
-	for _, w := range open {
-		c.advance(ctx, w, now)
+	c.stepping[machine] = true
+	c.arm(machine, now)
+	may = c.mayOrder(machine, now)
+	if may {
+		c.sent[machine] = now
 	}
-	c.resize(ctx, open, now)
-	return roundInterval
+	return may, true
 }
 
 // takeWaves takes in waves that were published.
@@ -318,48 +396,31 @@
 // report tells operators of a wave, once running and once completed.
 func (c *core) report(ctx context.Context, w *upkeep.Wave, now time.Time) {
 	done := len(w.Left()) == 0 && c.storedAll()
-	at, told := c.reported[w.Number]
-	if told && !at.IsZero() && now.Sub(at) < reportAgain {
+	at, told := c.told[w.Number]
+	running := told && at.IsZero()
+	if w.Completed || c.telling[w.Number] || (running && !done) || (told && !running && now.Sub(at) < reportAgain) {
 		return
 	}
-	if (told && at.IsZero() && !done) || w.Completed {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := c.deps.Operators.ReportWave(ctx, w.Number, done); err != nil {
-		c.reported[w.Number] = now
-		c.logger.Warn("wave not reported", "wave", w.Number, "err", err)
+	c.telling[w.Number] = true
+	c.call(ctx, callTimeout, func(ctx context.Context) message {
+		return reported{w, done, c.deps.Operators.ReportWave(ctx, w.Number, done)}
+	})
+}
+
+func (m reported) handle(c *core) {
+	w := m.wave
+	delete(c.telling, w.Number)
+	if m.err != nil {
+		c.told[w.Number] = time.Now()
+		c.logger.Warn("wave not reported", "wave", w.Number, "err", m.err)
 		return
 	}
-	c.reported[w.Number] = time.Time{}
-	w.Completed = done
-	if done {
-		c.logger.Info("wave completed", "wave", w.Number, "took-ms", now.Sub(w.Seen).Milliseconds())
+	c.told[w.Number] = time.Time{}
+	w.Completed = m.done
+	if m.done {
+		c.logger.Info("wave completed", "wave", w.Number, "took-ms", time.Since(w.Seen).Milliseconds())
 	}
 }
 
 // storedAll reports whether the store knows all that has begun.
 func (c *core) storedAll() bool { return len(c.pending) == 0 && !c.writing }
-
-// list looks at the machines.
-func (c *core) list(ctx context.Context, now time.Time) error {
-	if now.Sub(c.listed) < listInterval {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	machines, err := c.deps.Machines.List(ctx)
-	if err != nil {
-		return fault.At("list", "machines", err)
-	}
-	c.listed = now
-	c.machines = make(map[string]port.Machine, len(machines))
-	for _, m := range machines {
-		c.machines[m.ID] = m
-	}
-	for _, w := range c.waves {
-		w.Listed(c.machines, now)
-	}
-	return nil
-}
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/sizing"
-	"carawaymux.dev/fleet/upkeep"
 )
 
 const (
@@ -20,6 +18,8 @@
 	reserveHosts = 2
 	// moveTimeout is how long a machine may take to be emptied for a move.
 	moveTimeout = 4 * time.Second
+	// loadKeep is how long what an owner has said is gone by.
+	loadKeep = time.Second
 )
 
 // move is a move that is under way.
@@ -28,99 +28,112 @@
 	since time.Time
 }
 
-// moved is what came of one look at a move.
-type moved struct {
-	machine string
-	outcome port.OrderOutcome
-	err     error
+type (
+	// loaded is what the owner of a pool has said of its work; the load is nil when
+	// it could not be asked.
+	loaded struct {
+		pool string
+		load *sizing.Load
+		at   time.Time
+	}
+	// moved is what came of one look at a move.
+	moved struct {
+		machine string
+		outcome port.OrderOutcome
+		err     error
+	}
+)
+
+// ask asks the owners of all pools that work, unless they are being asked.
+func (c *core) ask(ctx context.Context) {
+	for _, p := range c.pools {
+		if c.standby[p] || c.asking[p] {
+			continue
+		}
+		c.asking[p] = true
+		c.call(ctx, askTimeout, func(ctx context.Context) message {
+			out := loaded{pool: p, at: time.Now()}
+			if a, ok := c.deps.Load(ctx, p); ok {
+				out.load = a.Load
+			}
+			return out
+		})
+	}
+}
+
+func (m loaded) handle(c *core) {
+	delete(c.asking, m.pool)
+	if m.load == nil {
+		delete(c.loads, m.pool)
+		return
+	}
+	c.loads[m.pool] = m
 }
 
-// resize plans moves and takes those under way further.
-func (c *core) resize(ctx context.Context, open []*upkeep.Wave, now time.Time) {
-	loads := c.loads(ctx)
+// resize plans moves.
+func (c *core) resize(now time.Time) {
 	in := &sizing.Input{
-		Loads: loads, Machines: c.machines, Standby: c.standby,
-		Moving: map[string]sizing.Move{}, Busy: map[string]bool{},
+		Loads: map[string]sizing.Load{}, Machines: c.machines, Standby: c.standby,
+		Moving: map[string]sizing.Move{}, Busy: map[string]bool{}, Held: map[string]bool{},
+		Due: map[string]bool{},
+	}
+	for pool, l := range c.loads {
+		if now.Sub(l.at) < loadKeep {
+			in.Loads[pool] = *l.load
+		}
 	}
 	for id, m := range c.moving {
 		in.Moving[id] = m.Move
 	}
-	for _, w := range open {
+	for id, free := range c.earlier {
+		in.Held[id] = now.Before(free)
+	}
+	for _, w := range c.open() {
 		for id := range w.Emptying {
 			in.Busy[id] = true
 		}
+		for _, id := range w.Left() {
+			in.Due[id] = true
+		}
 	}
 	policy := sizing.Drain{Within: drainWithin, Fill: fillShare, Reserve: reserveHosts}
 	for _, m := range sizing.Plan(c.sizes, policy, in, now) {
 		c.moving[m.Machine] = move{m, now}
+		to := in.Loads[m.To]
 		c.logger.Info("machine to be moved", "machine", m.Machine, "from", m.From, "to", m.To, "host", m.Host,
-			"waiting", loads[m.To].Waiting, "inflow", loads[m.To].Inflow, "hosts", loads[m.To].Hosts)
+			"waiting", to.Waiting, "inflow", to.Inflow, "hosts", to.Hosts, "held", in.Held[m.Machine])
 	}
-	c.moveAll(ctx, now)
 }
 
-// loads asks the owners of all pools that work.
-func (c *core) loads(ctx context.Context) map[string]sizing.Load {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	type answer struct {
-		pool string
-		load *sizing.Load
+// move asks for a machine to be emptied, and moves it when it is.
+func (c *core) move(ctx context.Context, m sizing.Move, now time.Time) {
+	if one := c.machines[m.Machine]; !c.stepping[m.Machine] && (one.Pool != m.From || one.Host != m.Host) {
+		// An earlier holder has moved it, or it has started anew.
+		delete(c.moving, m.Machine)
+		c.logger.Info("move dropped", "machine", m.Machine, "from", m.From, "to", m.To, "now-in", one.Pool)
+		return
 	}
-	answers := make(chan answer, len(c.pools))
-	var all sync.WaitGroup
-	for _, p := range c.pools {
-		if c.standby[p] {
-			continue
-		}
-		all.Go(func() {
-			if a, ok := c.deps.Load(ctx, p); ok {
-				answers <- answer{p, a.Load}
-			}
-		})
+	may, ok := c.begin(m.Machine, now)
+	if !ok {
+		return
 	}
-	all.Wait()
-	close(answers)
-	out := map[string]sizing.Load{}
-	for a := range answers {
-		if a.load != nil {
-			out[a.pool] = *a.load
+	empty := c.emptier(m.From, m.Host)
+	c.call(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
+		out := moved{machine: m.Machine}
+		if empty(ctx) && may {
+			out.outcome, out.err = c.deps.Machines.Move(ctx, m.Machine, m.To, c.settings.Holder, c.claim.Epoch)
 		}
-	}
-	return out
-}
-
-// moveAll takes all moves that are under way further, at the same time.
-func (c *core) moveAll(ctx context.Context, now time.Time) {
-	results := make(chan moved, len(c.moving))
-	var all sync.WaitGroup
-	for id, m := range c.moving {
-		c.arm(id, now)
-		may := c.mayOrder(id, now)
-		all.Go(func() { results <- c.moveOne(ctx, m.Move, may) })
-	}
-	all.Wait()
-	close(results)
-	for r := range results {
-		c.settleMove(r, now)
-	}
-}
-
-// moveOne asks for a machine to be emptied, and moves it when it is.
-func (c *core) moveOne(ctx context.Context, m sizing.Move, may bool) moved {
-	out := moved{machine: m.Machine}
-	if !c.vacate(ctx, m.From, m.Host) || !may {
 		return out
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	out.outcome, out.err = c.deps.Machines.Move(ctx, m.Machine, m.To, c.settings.Holder, c.claim.Epoch)
-	return out
+	})
 }
 
-// settleMove takes in what came of a look.
-func (c *core) settleMove(r moved, now time.Time) {
-	m := c.moving[r.machine]
+func (r moved) handle(c *core) {
+	delete(c.stepping, r.machine)
+	m, ok := c.moving[r.machine]
+	if !ok {
+		return
+	}
+	now := time.Now()
 	if r.err != nil {
 		c.logger.Warn("move not answered", "machine", r.machine, "to", m.To, "err", r.err)
 		return
@@ -134,6 +147,7 @@
 		one := c.machines[r.machine]
 		one.Pool, one.State, one.Host = m.To, port.MachineMoving, ""
 		c.machines[r.machine] = one
+		c.changed[r.machine] = now
 		delete(c.moving, r.machine)
 	case port.OrderFenced:
 		c.logger.Warn("a newer holder was seen", "machine", r.machine)
--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -2,22 +2,22 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/upkeep"
 )
 
-// step is what came of one look at a machine that is being emptied.
-type step struct {
+// maintained is what came of one look at a machine that is being emptied for a wave.
+type maintained struct {
+	wave    *upkeep.Wave
 	machine string
 	outcome port.OrderOutcome
 	err     error
 }
 
-// advance takes a wave as far as it goes now.
-func (c *core) advance(ctx context.Context, w *upkeep.Wave, now time.Time) {
+// advance chooses the machines of a wave that are to be emptied next.
+func (c *core) advance(w *upkeep.Wave, now time.Time) {
 	for _, id := range w.Left() {
 		if _, ok := c.machines[id]; !ok && len(c.machines) > 0 {
 			// The machine has gone for good.
@@ -29,55 +29,41 @@
 		w.Emptying[id] = now
 		c.logger.Info("machine to be emptied", "wave", w.Number, "machine", id, "pool", c.machines[id].Pool)
 	}
-	for _, s := range c.tryAll(ctx, w, now) {
-		c.settle(w, s)
-	}
 }
 
-// tryAll looks at all machines that are being emptied, at the same time.
-func (c *core) tryAll(ctx context.Context, w *upkeep.Wave, now time.Time) []step {
-	steps := make([]step, 0, len(w.Emptying))
-	results := make(chan step, len(w.Emptying))
-	var all sync.WaitGroup
-	for id := range w.Emptying {
-		m := c.machines[id]
-		c.arm(id, now)
-		may := c.mayOrder(id, now)
-		all.Go(func() { results <- c.try(ctx, w.Number, m, may) })
-	}
-	all.Wait()
-	close(results)
-	for s := range results {
-		steps = append(steps, s)
+// maintain asks for a machine to be emptied, and takes it down when it is.
+func (c *core) maintain(ctx context.Context, w *upkeep.Wave, m port.Machine, now time.Time) {
+	may, ok := c.begin(m.ID, now)
+	if !ok {
+		return
 	}
-	return steps
-}
-
-// try asks for a machine to be emptied, and takes it down when it is.
-func (c *core) try(ctx context.Context, wave int64, m port.Machine, may bool) step {
-	out := step{machine: m.ID}
-	if !c.vacate(ctx, m.Pool, m.Host) || !may {
+	empty := c.emptier(m.Pool, m.Host)
+	c.call(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
+		out := maintained{wave: w, machine: m.ID}
+		if empty(ctx) && may {
+			out.outcome, out.err = c.deps.Machines.Upkeep(ctx, m.ID, w.Number, c.settings.Holder, c.claim.Epoch)
+		}
 		return out
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	out.outcome, out.err = c.deps.Machines.Upkeep(ctx, m.ID, wave, c.settings.Holder, c.claim.Epoch)
-	return out
+	})
 }
 
-// vacate asks for a host to be emptied, and reports whether it is.
-func (c *core) vacate(ctx context.Context, pool, host string) bool {
-	if host == "" || c.standby[pool] {
-		return true
+// emptier returns how to ask for a host to be emptied; it reports whether it is.
+func (c *core) emptier(pool, host string) func(context.Context) bool {
+	standby := c.standby[pool]
+	return func(ctx context.Context) bool {
+		if host == "" || standby {
+			return true
+		}
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		a, ok := c.deps.Vacate(ctx, pool, host)
+		return ok && a.Vacant
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	a, ok := c.deps.Vacate(ctx, pool, host)
-	return ok && a.Vacant
 }
 
-// settle takes in what came of a look.
-func (c *core) settle(w *upkeep.Wave, s step) {
+func (s maintained) handle(c *core) {
+	delete(c.stepping, s.machine)
+	w := s.wave
 	if s.err != nil {
 		c.logger.Warn("maintenance not answered", "wave", w.Number, "machine", s.machine, "err", s.err)
 		return
@@ -87,7 +73,11 @@
 		c.deps.Stats.Add("maintenance", 1, "outcome", string(s.outcome))
 		c.logger.Info("maintenance begun", "wave", w.Number, "machine", s.machine, "outcome", string(s.outcome))
 		if s.outcome == port.OrderDone {
-			w.Down[s.machine] = time.Now()
+			now := time.Now()
+			w.Down[s.machine] = now
+			one := c.machines[s.machine]
+			one.State, one.Host = port.MachineUpkeep, ""
+			c.machines[s.machine], c.changed[s.machine] = one, now
 		}
 		c.mark(w, s.machine)
 	case port.OrderFenced:
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -117,8 +117,11 @@
 	Standby map[string]bool
 	// Moving holds the moves that are under way, by machine.
 	Moving map[string]Move
-	// Busy holds machines that are not to be moved.
-	Busy map[string]bool
+	// Busy holds machines that are not to be moved, and Held those that cannot be
+	// moved at once.
+	Busy, Held map[string]bool
+	// Due holds machines that are due for maintenance. It costs least on standby.
+	Due map[string]bool
 }
 
 const (
@@ -206,16 +209,37 @@
 		}
 	}
 	for _, p := range pools {
-		for _, h := range slices.Concat(p.load.Vacant, p.load.Light) {
-			if m, ok := byHost[h]; ok && m.Pool == p.name {
-				p.spare = append(p.spare, m)
+		for _, hosts := range [][]string{p.load.Vacant, p.load.Light} {
+			var due, others []port.Machine
+			for _, h := range hosts {
+				switch m, ok := byHost[h]; {
+				case !ok || m.Pool != p.name:
+				case in.Due[m.ID]:
+					due = append(due, m)
+				default:
+					others = append(others, m)
+				}
 			}
+			p.spare = slices.Concat(p.spare, due, others)
 		}
 	}
-	slices.SortFunc(standby, func(a, b port.Machine) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(standby, func(a, b port.Machine) int {
+		return cmp.Or(cmp.Compare(rank(in, a), rank(in, b)), cmp.Compare(a.ID, b.ID))
+	})
 	return pools, standby
 }
 
+// rank is lower for machines on standby that should go to work first.
+func rank(in *Input, m port.Machine) int {
+	switch {
+	case in.Held[m.ID]:
+		return 2
+	case in.Due[m.ID]:
+		return 1
+	}
+	return 0
+}
+
 // feed finds a machine for a pool: one on standby, or one that another pool can
 // spare.
 func (s *State) feed(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
--- a/fleet/sizing/sizing_test.go
+++ b/fleet/sizing/sizing_test.go
@@ -194,3 +194,36 @@
 	state.Refuse(planned[0])
 	require.Empty(t, sizing.Plan(state, drain, in, now))
 }
+
+func TestMachinesThatMayGoAtOnceGoFirstAndThoseDueForMaintenanceLast(t *testing.T) {
+	machines := map[string]port.Machine{}
+	for _, id := range []string{"m-1", "m-2", "m-3"} {
+		machines[id] = port.Machine{ID: id, Pool: "spare", State: port.MachineUp}
+	}
+	in := &sizing.Input{
+		Loads:    map[string]sizing.Load{"a": {PerHost: perHost, Running: perHost}},
+		Machines: machines, Standby: standby,
+		Held: map[string]bool{"m-1": true}, Due: map[string]bool{"m-2": true},
+	}
+	var order []string
+	for _, m := range sizing.Plan(sizing.NewState(), drain, in, time.Unix(1_700_000_000, 0)) {
+		order = append(order, m.Machine)
+	}
+	require.Equal(t, []string{"m-3", "m-2", "m-1"}, order)
+}
+
+func TestMachinesDueForMaintenanceAreParkedFirst(t *testing.T) {
+	machines := map[string]port.Machine{}
+	for _, id := range []string{"m-1", "m-2", "m-3"} {
+		machines[id] = port.Machine{ID: id, Pool: "a", State: port.MachineUp, Host: "h-" + id}
+	}
+	in := &sizing.Input{
+		Loads:    map[string]sizing.Load{"a": {Hosts: 3, PerHost: perHost, Running: perHost / 2, Vacant: []string{"h-m-1", "h-m-2", "h-m-3"}}},
+		Machines: machines, Standby: standby, Due: map[string]bool{"m-2": true},
+	}
+	state, now := sizing.NewState(), time.Unix(1_700_000_000, 0)
+	require.Empty(t, sizing.Plan(state, drain, in, now))
+	parked := sizing.Plan(state, drain, in, now.Add(2*time.Second))
+	require.Len(t, parked, 1)
+	require.Equal(t, "m-2", parked[0].Machine)
+}
