Give empty hosts to pools whose work waits

Change: a policy also says what a pool needs for work that could run now; beyond that, its empty hosts go to pools whose work waits. Load it answers: two pools in a burst at once. Test: fleet/sizing, fails without the second pass.

--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -38,7 +38,11 @@
 
 // Policy says how many hosts a pool should have.
 type Policy interface {
+	// Want is how many hosts it should have when there are enough.
 	Want(l *Load) int
+	// Need is how many it needs for the work that could run now; at most what it
+	// wants. Beyond that, its empty hosts may go to pools that need them.
+	Need(l *Load) int
 }
 
 // Static keeps every pool as it is. It is a baseline.
@@ -47,6 +51,9 @@
 // Want implements [Policy].
 func (Static) Want(l *Load) int { return l.Hosts }
 
+// Need implements [Policy].
+func (Static) Need(l *Load) int { return l.Hosts }
+
 // OnDemand gives a pool what it uses now. It is a baseline.
 type OnDemand struct{}
 
@@ -55,6 +62,9 @@
 	return hosts(l, l.Lasting+l.Running+l.Waiting)
 }
 
+// Need implements [Policy].
+func (o OnDemand) Need(l *Load) int { return o.Want(l) }
+
 // Drain gives a pool what it needs to work off what waits within a time, and a
 // reserve.
 type Drain struct {
@@ -73,6 +83,15 @@
 	return max(hosts(l, int64(need/d.Fill)), l.Spread) + d.Reserve
 }
 
+// Need implements [Policy].
+func (d Drain) Need(l *Load) int {
+	now := float64(l.Lasting) + float64(l.Running) + float64(l.Waiting)/d.Within.Seconds()
+	return min(max(hosts(l, int64(now/d.Fill)), l.Spread)+needReserve, d.Want(l))
+}
+
+// needReserve is the number of hosts that a pool keeps beyond its need.
+const needReserve = 1
+
 // laterShare is the part of the work whose turn has not come that is counted.
 const laterShare = 3
 
@@ -138,8 +157,12 @@
 	load Load
 	// have counts machines that work, and those that are on their way.
 	have, want int
-	// spare lists the machines that could go, the cheapest first.
-	spare []port.Machine
+	// need is the part of want for work that could run now.
+	need int
+	// spare lists the machines that could go, the cheapest first; vacant is the
+	// number of those on which nothing runs.
+	spare  []port.Machine
+	vacant int
 }
 
 // Plan decides which moves to begin now.
@@ -178,7 +201,7 @@
 		if in.Standby[name] {
 			continue
 		}
-		p := &pool{name: name, load: l, want: policy.Want(&l)}
+		p := &pool{name: name, load: l, want: policy.Want(&l), need: policy.Need(&l)}
 		byName[name] = p
 		pools = append(pools, p)
 	}
@@ -209,7 +232,7 @@
 		}
 	}
 	for _, p := range pools {
-		for _, hosts := range [][]string{p.load.Vacant, p.load.Light} {
+		for i, hosts := range [][]string{p.load.Vacant, p.load.Light} {
 			var due, others []port.Machine
 			for _, h := range hosts {
 				switch m, ok := byHost[h]; {
@@ -220,6 +243,9 @@
 					others = append(others, m)
 				}
 			}
+			if i == 0 {
+				p.vacant = len(due) + len(others)
+			}
 			p.spare = slices.Concat(p.spare, due, others)
 		}
 	}
@@ -250,19 +276,34 @@
 		}
 	}
 	for _, q := range slices.Backward(pools) {
-		if q == p || q.have <= q.want || len(q.spare) == 0 {
-			continue
+		if q.have > q.want && s.take(p, q, add) {
+			return true
 		}
-		m := q.spare[0]
-		if add(Move{Machine: m.ID, Host: m.Host, From: q.name, To: p.name}) {
-			q.spare = q.spare[1:]
-			q.have--
+	}
+	// What waits now goes before what another pool expects.
+	for _, q := range slices.Backward(pools) {
+		if p.load.Waiting > 0 && p.have < p.need && q.have > q.need && q.vacant > 0 && s.take(p, q, add) {
 			return true
 		}
 	}
 	return false
 }
 
+// take moves the machine to a pool that another can spare most cheaply.
+func (s *State) take(p, q *pool, add func(Move) bool) bool {
+	if q == p || len(q.spare) == 0 {
+		return false
+	}
+	m := q.spare[0]
+	if !add(Move{Machine: m.ID, Host: m.Host, From: q.name, To: p.name}) {
+		return false
+	}
+	q.spare = q.spare[1:]
+	q.have--
+	q.vacant--
+	return true
+}
+
 // park sends machines to standby that have been too many for a while.
 func (s *State) park(pools []*pool, in *Input, now time.Time, room int) []Move {
 	to := ""
--- a/fleet/sizing/sizing_test.go
+++ b/fleet/sizing/sizing_test.go
@@ -227,3 +227,33 @@
 	require.Len(t, parked, 1)
 	require.Equal(t, "m-2", parked[0].Machine)
 }
+
+// A pool held ten empty hosts for steps that were to come, while the work of another
+// waited and no machine was on standby.
+func TestWorkThatWaitsGoesBeforeWorkThatIsExpected(t *testing.T) {
+	machines := map[string]port.Machine{}
+	var empty []string
+	for i := range 8 {
+		id := fmt.Sprintf("a-%d", i)
+		machines[id] = port.Machine{ID: id, Pool: "a", State: port.MachineUp, Host: "h-" + id}
+		empty = append(empty, "h-"+id)
+	}
+	machines["b-0"] = port.Machine{ID: "b-0", Pool: "b", State: port.MachineUp, Host: "h-b-0"}
+	in := &sizing.Input{
+		Loads: map[string]sizing.Load{
+			"a": {Hosts: 8, PerHost: perHost, Running: 2 * perHost, Inflow: 12 * perHost, Vacant: empty[3:]},
+			"b": {Hosts: 1, PerHost: perHost, Running: perHost, Waiting: 2 * perHost},
+		},
+		Machines: machines, Standby: standby,
+	}
+	moves := sizing.Plan(sizing.NewState(), drain, in, time.Unix(1_700_000_000, 0))
+	require.NotEmpty(t, moves)
+	for _, m := range moves {
+		require.Equal(t, "b", m.To)
+		require.Contains(t, empty[3:], m.Host)
+	}
+	// The pool keeps what its own work needs, and nothing moves for mere expectations.
+	require.LessOrEqual(t, len(moves), 4)
+	in.Loads["b"] = sizing.Load{Hosts: 1, PerHost: perHost, Running: perHost / 4, Inflow: 8 * perHost}
+	require.Empty(t, sizing.Plan(sizing.NewState(), drain, in, time.Unix(1_700_000_000, 0)))
+}
