Let views of the entries settle sooner

Change: heartbeats every 100 ms until the view has settled, after 400 ms; entries start within 300 ms of one another.

--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -23,8 +23,10 @@
 	// callTimeout bounds one call to the store.
 	callTimeout = 900 * time.Millisecond
 	// settleAfter is the time in which every live entry shows up that starts at the
-	// same time.
-	settleAfter = 2 * beatInterval
+	// same time; the platform starts all of them within 300 ms.
+	settleAfter = 400 * time.Millisecond
+	// startInterval is the time between heartbeats until the view has settled.
+	startInterval = 100 * time.Millisecond
 	// forgetAfter is how long the row of a dead entry is kept.
 	forgetAfter = time.Minute
 )
@@ -129,9 +131,8 @@
 func (r *Roster) Close() { r.task.Close() }
 
 func (c *core) run(ctx context.Context, inbox <-chan message) {
-	tick := time.NewTicker(beatInterval)
+	tick := time.NewTimer(0)
 	defer tick.Stop()
-	c.round(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -141,10 +142,19 @@
 			c.beat(ctx)
 		case <-tick.C:
 			c.round(ctx)
+			tick.Reset(c.interval())
 		}
 	}
 }
 
+// interval is the time until the next heartbeat.
+func (c *core) interval() time.Duration {
+	if !c.down && !c.r.View().Settled {
+		return startInterval
+	}
+	return beatInterval
+}
+
 func (m owns) handle(c *core) { c.mine.Pools = m.pools }
 
 func (m leaves) handle(c *core) {
--- /dev/null
+++ b/entry/roster/roster_test.go
@@ -0,0 +1,90 @@
+package roster_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/entry/roster"
+	"carawaymux.dev/fleet/port"
+)
+
+// shelf is a keyed topic that answers at once, unless it is away.
+type shelf struct {
+	mu      sync.Mutex
+	entries []port.Entry
+	away    bool
+}
+
+func (s *shelf) set(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+func (s *shelf) Append(_ context.Context, _ port.Stream, entries []port.Entry, _ *port.Writer, _ int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return 0, port.ErrBusy
+	}
+	for _, e := range entries {
+		e.Offset = int64(len(s.entries))
+		s.entries = append(s.entries, e)
+	}
+	return int64(len(s.entries)), nil
+}
+
+func (s *shelf) Read(_ context.Context, _ port.Stream, from int64, _ time.Duration) (port.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return port.Page{}, port.ErrBusy
+	}
+	return port.Page{Entries: append([]port.Entry(nil), s.entries[from:]...), End: int64(len(s.entries))}, nil
+}
+
+func (s *shelf) Newest(context.Context, port.Stream, string) (port.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return port.Page{}, port.ErrBusy
+	}
+	return port.Page{Entries: append([]port.Entry(nil), s.entries...), End: int64(len(s.entries))}, nil
+}
+
+func begin(t *testing.T, s *shelf, name string) *roster.Roster {
+	r := roster.Start(s, roster.Beat{Name: name, Zone: "z", Address: name, Life: 1},
+		slog.New(slog.NewJSONHandler(io.Discard, nil)), func(*roster.View) {})
+	t.Cleanup(r.Close)
+	return r
+}
+
+// After the loss of all entries each tenth of a second without owners is lost to
+// callers.
+func TestEntriesThatStartTogetherSettleSoonAndSeeOneAnother(t *testing.T) {
+	s := &shelf{}
+	a := begin(t, s, "a")
+	time.Sleep(300 * time.Millisecond)
+	b := begin(t, s, "b")
+	require.Eventually(t, func() bool { return a.View().Settled }, 300*time.Millisecond, 5*time.Millisecond)
+	require.Contains(t, a.View().Alive, "b")
+	require.Eventually(t, func() bool { return b.View().Settled }, 600*time.Millisecond, 5*time.Millisecond)
+}
+
+func TestTheViewSaysThatTheStoreIsAway(t *testing.T) {
+	s := &shelf{}
+	a := begin(t, s, "a")
+	require.Eventually(t, func() bool { return a.View().Settled }, time.Second, 5*time.Millisecond)
+	require.Zero(t, a.View().Lost)
+	s.set(true)
+	require.Eventually(t, func() bool { return !a.View().Lost.IsZero() }, time.Second, 5*time.Millisecond)
+	require.Contains(t, a.View().Alive, "a", "what was known stays known")
+	s.set(false)
+	require.Eventually(t, func() bool { return a.View().Lost.IsZero() }, time.Second, 5*time.Millisecond)
+}
