Leave submissions in the inbox that their pool's owner cannot store

Change: such a refusal says that it is the store; an entry whose own last answer of the store is younger than a heartbeat leaves the job in the pool's inbox, from where the next owner takes it. While the store is away for all, the refusal stands.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -28,6 +28,10 @@
 	retryPause = 60 * time.Millisecond
 	// inboxTimeout bounds the writing to the inbox.
 	inboxTimeout = 900 * time.Millisecond
+	// storeFresh is how old the store's last answer may be that shows it to be there:
+	// a heartbeat's interval and little more, about as long as an owner takes to
+	// notice that it is away.
+	storeFresh = 450 * time.Millisecond
 	// noOwnerRetry is what callers are told while a pool has no owner, and while this
 	// entry is cut off; other entries may do better.
 	noOwnerRetry = time.Second
@@ -156,6 +160,9 @@
 	clean := true
 	for {
 		a, how := n.try(ctx, ask)
+		if how == answered && a.StoreAway && n.reachesStore() {
+			return n.leave(ctx, q, id, spec, clean)
+		}
 		if how == answered {
 			return a
 		}
@@ -174,6 +181,13 @@
 	}
 }
 
+// reachesStore reports whether the store has answered this entry so lately that an
+// owner's loss of it is the owner's alone.
+func (n *Intake) reachesStore() bool {
+	v := n.Roster.View()
+	return v.Lost.IsZero() && time.Since(v.At) < storeFresh
+}
+
 // refuse says that nothing was done and nothing will be.
 func refuse(why string) owner.Answer {
 	return owner.Answer{Outcome: owner.Refused, RetryAfter: noOwnerRetry, Why: why}
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -25,10 +25,10 @@
 func (nothing) Local(string) duties.Holder { return nil }
 
 // view is what is known of the entries.
-type view struct{ lost time.Time }
+type view struct{ lost, at time.Time }
 
 func (v view) View() *roster.View {
-	return &roster.View{Lost: v.lost, Owners: map[string]roster.Owner{"pool": {Name: "other", Address: "other:1", Epoch: 1}}}
+	return &roster.View{Lost: v.lost, At: v.at, Owners: map[string]roster.Owner{"pool": {Name: "other", Address: "other:1", Epoch: 1}}}
 }
 
 // asker answers every question in one way.
@@ -122,3 +122,21 @@
 	require.Equal(t, owner.Refused, a.Outcome)
 	require.False(t, n.CutOff())
 }
+
+// The owner of a pool was turned away by the store while other entries were served; it
+// refused all submissions until it was replaced.
+func TestASubmissionThatTheOwnerCannotStoreIsLeftInTheInbox(t *testing.T) {
+	away := asker{answer: owner.Answer{Outcome: owner.Refused, RetryAfter: 2 * time.Second, StoreAway: true}}
+	s := &store{}
+	a, _ := submit(newIntake(view{at: time.Now()}, away, s))
+	require.Equal(t, owner.Accepted, a.Outcome)
+	require.Equal(t, 1, s.count)
+	// While nobody reaches the store, what it may carry out later must not be sent.
+	for _, v := range []view{{at: time.Now().Add(-time.Second)}, {at: time.Now(), lost: time.Now()}} {
+		s = &store{silent: true}
+		a, took := submit(newIntake(v, away, s))
+		require.Equal(t, owner.Refused, a.Outcome)
+		require.Zero(t, s.count)
+		require.Less(t, took, 200*time.Millisecond)
+	}
+}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -50,6 +50,8 @@
 	Why string `cbor:"6,keyasint,omitempty"`
 	// Vacant says that nothing runs on a host and nothing will be started there.
 	Vacant bool `cbor:"7,keyasint,omitempty"`
+	// StoreAway goes with a refusal: the owner cannot reach the store, others may.
+	StoreAway bool `cbor:"9,keyasint,omitempty"`
 	// Load is set in an answer to a question for it.
 	Load *sizing.Load `cbor:"8,keyasint,omitempty"`
 }
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -31,6 +31,9 @@
 	recordsPerWrite = 256
 )
 
+// storeAway refuses a submission of which nothing has been written.
+var storeAway = Answer{Outcome: Refused, RetryAfter: retryAfter, Why: "the store is away", StoreAway: true}
+
 // Key prefixes of the records of a pool; each stands after the pool's name.
 const (
 	keySpec  = "/j/"
@@ -294,7 +297,7 @@
 	if c.journal.away && c.state.Jobs[m.id] == nil {
 		c.deps.Stats.Add("jobs-refused", 1, "pool", c.state.Pool, "why", "store away")
 		c.logger.Info("job refused", "job", m.id, "why", "store away")
-		m.reply <- Answer{Outcome: Refused, RetryAfter: retryAfter, Why: "the store is away"}
+		m.reply <- storeAway
 		return
 	}
 	j, verdict := c.state.Submit(m.id, m.spec, time.Now())
@@ -336,7 +339,7 @@
 		c.state.Forget(j.ID)
 		c.deps.Stats.Add("jobs-refused", 1, "pool", c.state.Pool, "why", "store away")
 		c.logger.Info("job refused", "job", j.ID, "why", "store away")
-		c.answer(j.ID, false, Answer{Outcome: Refused, RetryAfter: retryAfter, Why: "the store is away"})
+		c.answer(j.ID, false, storeAway)
 	}
 	c.journal.jobs = stay
 }
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -67,6 +67,8 @@
 	// Lost is since when the store has not taken this entry's heartbeats or not
 	// answered its reads; zero while it does.
 	Lost time.Time
+	// At is when the calls to the store began that this view rests on.
+	At time.Time
 }
 
 // Roster is the task that keeps the view. Use [Start] to build it.
@@ -182,7 +184,7 @@
 		c.r.logger.Info("entries: store regained")
 	}
 	c.down = false
-	c.publish(time.Now())
+	c.publish(time.Now(), began)
 }
 
 // lose publishes since when the store is away.
@@ -244,13 +246,13 @@
 	}
 }
 
-func (c *core) publish(now time.Time) {
+func (c *core) publish(now, began time.Time) {
 	if c.since.IsZero() || now.Sub(c.last) > deadAfter/2 {
 		// Silence while nothing could be read is no silence of the entries.
 		c.since = now
 	}
 	c.last = now
-	v := &View{Alive: map[string]Beat{}, Owners: map[string]Owner{}, Lost: c.lost}
+	v := &View{Alive: map[string]Beat{}, Owners: map[string]Owner{}, Lost: c.lost, At: began}
 	v.Settled = now.Sub(c.since) >= settleAfter
 	for name, r := range c.rows {
 		silent := now.Sub(later(r.changed, c.since))
