Ask the policy service, and start work with its tickets

Cause: a queue may need advice; its starts carried no tickets, so hosts would have refused all of its work. Change: a step whose queue needs advice asks about up to thirty hosts with the most room, one question at a time for each owner, the most urgent first; tickets hold for their time and for one life of a host; hosts that may not run a step are not asked about again. The stand-in serves the policy and checks tickets. Tests: fleet/shard (asking, expiry, a new life, refusals, gangs), platform/advice, trial/system (fails without the mechanism: nothing starts).

--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -131,7 +131,7 @@
 	case shard.OrderStart:
 		out.Clock, out.Err = a.worker.Start(ctx, port.Start{
 			Unit: unit, Run: o.Run, Text: o.Text, Deadline: o.Deadline, Token: o.Token,
-			Checkpoint: o.Checkpoint,
+			Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 		})
 	case shard.OrderStop:
 		out.Clock, out.Err = a.worker.Stop(ctx, unit, o.Run, o.Token)
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -35,7 +35,10 @@
 	census   *task.Task[struct{}]
 	counting bool
 	counted  time.Time
-	journal  journal
+	// adviser asks the policy service; asking says that it has a question.
+	adviser *task.Task[shard.Question]
+	asking  bool
+	journal journal
 	// out is cancelled when the owner stops; messages to its own inbox use it.
 	out      context.Context
 	shutOut  bool
@@ -61,6 +64,7 @@
 		state:  shard.New(won.Name, won.Epoch, s.Timing, time.Now()),
 	}
 	c.state.Confirmed = won.At
+	c.state.Advises = d.Adviser != nil
 	return c
 }
 
@@ -69,6 +73,7 @@
 	c.writer = claim.NewWriter(c.claim, func(ctx context.Context, w claim.Written) { c.post(ctx, wrote{w}) })
 	c.startInbox()
 	c.startCensus()
+	c.startAdvice()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	c.act()
@@ -113,6 +118,7 @@
 	for id, l := range c.agents {
 		c.hold(id, l, now)
 	}
+	c.ask(now)
 	c.flush(now)
 }
 
@@ -139,6 +145,7 @@
 	c.inbox.Close()
 	c.writer.Close()
 	c.census.Close()
+	c.adviser.Close()
 	for _, l := range c.agents {
 		l.agent.Close()
 	}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -81,7 +81,9 @@
 	Log      port.Log
 	Workers  port.Workers
 	Machines port.Machines
-	Logger   *slog.Logger
+	// Adviser is nil where there is no policy service.
+	Adviser port.Adviser
+	Logger  *slog.Logger
 	// Stats may be nil.
 	Stats *stats.Set
 }
--- a/fleet/port/worker.go
+++ b/fleet/port/worker.go
@@ -79,6 +79,9 @@
 	Token    int64
 	// Checkpoint is where the run resumes; empty for the beginning.
 	Checkpoint string
+	// Ticket is the policy service's leave for the step on this host; empty where
+	// none is needed.
+	Ticket string
 }
 
 // Refusal is why a host refused an order. Nothing was done.
@@ -135,6 +138,22 @@
 	Open(h Host) Worker
 }
 
+// Approval is the policy service's answer about a step.
+type Approval struct {
+	// Tickets holds a ticket for each host that may run the step; hosts that were
+	// asked about and are not in it may not, ever.
+	Tickets map[string]string
+	// Valid is how long the tickets hold.
+	Valid time.Duration
+}
+
+// Adviser is the policy service. It answers the questions of an entry one by one;
+// [ErrBusy] says that too many wait.
+type Adviser interface {
+	// Advise asks which of some hosts may run a step, named JOB.TURN.STEP.
+	Advise(ctx context.Context, step string, hosts []string) (Approval, error)
+}
+
 // OrderOutcome is the answer to an order for a machine.
 type OrderOutcome string
 
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -83,6 +83,7 @@
 func (s *State) end(j *Job, p Phase, now time.Time) {
 	j.Phase, j.Closed = p, now
 	delete(s.open, j.ID)
+	s.dropPermits(j)
 	s.touch(j)
 	for t := range j.Turns {
 		for g := range j.Turns[t].Stages {
--- /dev/null
+++ b/fleet/shard/permit_test.go
@@ -0,0 +1,148 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
+)
+
+// newAdvised builds an owner whose queue needs advice.
+func newAdvised(t *testing.T, hosts ...string) *owner {
+	t.Helper()
+	o := newOwner(t, 1, hosts...)
+	o.Advises = true
+	o.Configure(&port.Config{
+		Queues: []port.Queue{{
+			Name: "q", Pool: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second,
+			Advice: &port.Advice{Decision: 10 * time.Millisecond, PerHost: time.Millisecond, Valid: 3 * time.Second},
+		}},
+		Pools: []port.Pool{{Name: "pool", Guarded: true}},
+	})
+	return o
+}
+
+// advise asks, and answers that some hosts may run the step.
+func (o *owner) advise(tickets map[string]string) shard.Question {
+	o.t.Helper()
+	require.Empty(o.t, o.plan(), "nothing can start yet")
+	q, ok := shard.Ask(o.State, shard.BySlack{}, o.now)
+	require.True(o.t, ok)
+	o.Advised(q, port.Approval{Tickets: tickets, Valid: 3 * time.Second}, nil, o.now)
+	return q
+}
+
+func TestWorkThatNeedsAdviceStartsOnApprovedHostsWithTheirTickets(t *testing.T) {
+	o := newAdvised(t, "a", "b")
+	o.submit("job", small(2))
+	require.Empty(t, o.plan(), "no host is known to be approved")
+	q := o.advise(map[string]string{"b": "t-b"})
+	require.ElementsMatch(t, []string{"a", "b"}, q.Hosts)
+	orders := o.plan()
+	require.Len(t, orders, 2)
+	for _, s := range orders {
+		require.Equal(t, "b", s.Host)
+		require.Equal(t, "t-b", s.Ticket)
+	}
+	o.pass(time.Second)
+	_, ok := shard.Ask(o.State, shard.BySlack{}, o.now)
+	require.False(t, ok, "nothing waits")
+}
+
+func TestATicketHoldsForItsTimeAndItsLife(t *testing.T) {
+	o := newAdvised(t, "a")
+	o.submit("job", small(1))
+	o.advise(map[string]string{"a": "t-1"})
+	o.pass(2900 * time.Millisecond)
+	o.list("a")
+	require.Empty(t, o.plan(), "it runs out before a start can be carried out")
+	require.Equal(t, []string{"a"}, o.advise(map[string]string{"a": "t-2"}).Hosts)
+	o.Listed("a", &port.Listing{Clock: 1, Born: 2}, o.now)
+	o.pass(time.Second)
+	o.list("a")
+	o.Listed("a", &port.Listing{Clock: 1000, Born: 2}, o.now)
+	o.pass(time.Millisecond)
+	require.Empty(t, o.plan(), "the host has started anew")
+	o.advise(map[string]string{"a": "t-3"})
+	orders := o.plan()
+	require.Len(t, orders, 1)
+	require.Equal(t, "t-3", orders[0].Ticket)
+}
+
+func TestAHostThatMayNotRunAStepIsNotAskedAboutAgain(t *testing.T) {
+	o := newAdvised(t, "a", "b")
+	o.submit("job", small(8))
+	o.advise(map[string]string{"b": "t-b"})
+	require.Len(t, o.start(), 4, "what fits on the approved host")
+	o.pass(time.Second)
+	o.list("a")
+	_, ok := shard.Ask(o.State, shard.BySlack{}, o.now)
+	require.False(t, ok)
+	o.addHost("c")
+	require.Equal(t, []string{"c"}, o.advise(map[string]string{"c": "t-c"}).Hosts)
+	require.Len(t, o.start(), 4)
+}
+
+func TestAQuestionWithoutAnAnswerIsPutAgainAfterAPause(t *testing.T) {
+	o := newAdvised(t, "a")
+	o.submit("job", small(1))
+	require.Empty(t, o.plan())
+	q, ok := shard.Ask(o.State, shard.BySlack{}, o.now)
+	require.True(t, ok)
+	_, ok = shard.Ask(o.State, shard.BySlack{}, o.now)
+	require.False(t, ok, "one question at a time")
+	o.Advised(q, port.Approval{}, port.ErrBusy, o.now)
+	_, ok = shard.Ask(o.State, shard.BySlack{}, o.now)
+	require.False(t, ok)
+	o.pass(400 * time.Millisecond)
+	o.advise(map[string]string{"a": "t-a"})
+	require.Len(t, o.plan(), 1)
+}
+
+func TestATicketThatTheHostRefusesIsAskedForAgain(t *testing.T) {
+	o := newAdvised(t, "a")
+	o.submit("job", small(1))
+	o.advise(map[string]string{"a": "t-1"})
+	orders := o.plan()
+	require.Len(t, orders, 1)
+	require.True(t, o.Started(&orders[0], o.clock, &port.RefusedError{Reason: port.RefusedTicket}, o.now))
+	require.Empty(t, o.plan())
+	o.pass(time.Second)
+	o.list("a")
+	o.advise(map[string]string{"a": "t-2"})
+	orders = o.plan()
+	require.Len(t, orders, 1)
+	require.Equal(t, "t-2", orders[0].Ticket)
+}
+
+func TestWithoutAPolicyServiceWorkStartsWithoutTickets(t *testing.T) {
+	o := newAdvised(t, "a")
+	o.Advises = false
+	o.submit("job", small(1))
+	orders := o.plan()
+	require.Len(t, orders, 1)
+	require.Empty(t, orders[0].Ticket)
+}
+
+func TestAGangNeedsATicketForEachHost(t *testing.T) {
+	o := newAdvised(t, "a", "b", "c")
+	gang := small(6)
+	gang.Gang = true
+	o.submit("job", gang)
+	o.advise(map[string]string{"a": "t-a"})
+	require.Empty(t, o.plan(), "four of six members fit")
+	o.addHost("d")
+	o.pass(time.Second)
+	for _, h := range []string{"a", "b", "c", "d"} {
+		o.list(h)
+	}
+	require.Equal(t, []string{"d"}, o.advise(map[string]string{"d": "t-d"}).Hosts)
+	orders := o.plan()
+	require.Len(t, orders, 6)
+	for _, s := range orders {
+		require.Equal(t, "t-"+s.Host, s.Ticket)
+	}
+}
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -241,8 +241,9 @@
 func (s *State) startAll(d *Demand, room rooms, now time.Time) {
 	step := &d.Job.Spec.Steps[d.Step]
 	g := &d.Job.Turns[d.Turn].Stages[d.Step]
+	may := s.may(batch.Ref{Job: d.Job.ID, Turn: d.Turn, Step: d.Step}, now)
 	if step.Gang {
-		s.startGang(d, step, g, room, now)
+		s.startGang(d, step, g, room, may, now)
 		return
 	}
 	for i := range g.Units {
@@ -251,7 +252,7 @@
 			continue
 		}
 		ref := batch.Ref{Job: d.Job.ID, Turn: d.Turn, Step: d.Step, Index: i}
-		k := s.pick(step, g, u, room)
+		k := s.pick(step, g, u, room, may)
 		if k < 0 {
 			s.keep(d, step, room, now)
 			return
@@ -276,7 +277,8 @@
 		k.lasting++
 	}
 	s.orders = append(s.orders, Order{
-		Kind: OrderStart, Host: k.host.ID, Ref: ref, Run: run, Text: j.Spec.Text, Checkpoint: u.Saved, Why: "its turn",
+		Kind: OrderStart, Host: k.host.ID, Ref: ref, Run: run, Text: j.Spec.Text, Checkpoint: u.Saved,
+		Ticket: s.ticket(ref, k.host.ID), Why: "its turn",
 	})
 }
 
@@ -292,14 +294,14 @@
 	fillWeight = 1 << 18
 )
 
-// pick chooses a host for a task; -1 when none fits. Lasting work is spread,
-// other work is packed.
-func (s *State) pick(step *batch.Step, g *Stage, u *Unit, room rooms) int {
+// pick chooses a host for a task among those that may run it; -1 when none fits. With
+// may nil, all may. Lasting work is spread, other work is packed.
+func (s *State) pick(step *batch.Step, g *Stage, u *Unit, room rooms, may func(*Host) bool) int {
 	best, bestRank := -1, int64(0)
 	need := step.Room()
 	for k := range room {
 		c := &room[k]
-		if c.kept || !c.free.Fits(need) {
+		if c.kept || !c.free.Fits(need) || (may != nil && !may(c.host)) {
 			continue
 		}
 		if step.Requires != "" && !HasLabel(&c.host.Host, step.Requires) {
@@ -373,13 +375,15 @@
 const keepAfter = 2 * time.Second
 
 // startGang orders the start of all members at once, or of none.
-func (s *State) startGang(d *Demand, step *batch.Step, g *Stage, room rooms, now time.Time) {
+func (s *State) startGang(
+	d *Demand, step *batch.Step, g *Stage, room rooms, may func(*Host) bool, now time.Time,
+) {
 	for i := range g.Units {
 		if g.Units[i].Status != Idle || !s.settled(&g.Units[i]) {
 			return
 		}
 	}
-	chosen := s.gangRooms(step, g, room)
+	chosen := s.gangRooms(step, g, room, may)
 	if chosen == nil {
 		s.keep(d, step, room, now)
 		return
@@ -402,23 +406,25 @@
 
 // gangRooms chooses a host for each member, on one rack where that matters and is
 // possible; nil when they do not all fit.
-func (s *State) gangRooms(step *batch.Step, g *Stage, room rooms) []int {
+func (s *State) gangRooms(step *batch.Step, g *Stage, room rooms, may func(*Host) bool) []int {
 	if step.SameRack {
 		racks := map[place.Rack]bool{}
 		for k := range room {
 			if !racks[room[k].rack] {
 				racks[room[k].rack] = true
-				if chosen := s.fitAll(step, g, room, &room[k].rack); chosen != nil {
+				if chosen := s.fitAll(step, g, room, may, &room[k].rack); chosen != nil {
 					return chosen
 				}
 			}
 		}
 	}
-	return s.fitAll(step, g, room, nil)
+	return s.fitAll(step, g, room, may, nil)
 }
 
 // fitAll chooses a host for each member, on one rack if it is given.
-func (s *State) fitAll(step *batch.Step, g *Stage, room rooms, rack *place.Rack) []int {
+func (s *State) fitAll(
+	step *batch.Step, g *Stage, room rooms, may func(*Host) bool, rack *place.Rack,
+) []int {
 	free := make([]batch.Size, len(room))
 	taken := make([]int, len(room))
 	for k := range room {
@@ -430,7 +436,7 @@
 		best := -1
 		for k := range room {
 			c := &room[k]
-			if c.kept || !free[k].Fits(need) || (rack != nil && c.rack != *rack) ||
+			if c.kept || !free[k].Fits(need) || (may != nil && !may(c.host)) || (rack != nil && c.rack != *rack) ||
 				(step.Requires != "" && !HasLabel(&c.host.Host, step.Requires)) ||
 				(step.PerHost > 0 && taken[k] >= step.PerHost) {
 				continue
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -245,6 +245,7 @@
 	if g.Left > 0 {
 		return
 	}
+	delete(s.permits, stepOf(ref))
 	if t.Left--; t.Left > 0 {
 		return
 	}
@@ -310,7 +311,11 @@
 		return false
 	case port.RefusedRoom:
 		h.Full = now.Add(fullFor)
-	case port.RefusedOrder, port.RefusedHealth, port.RefusedLife, port.RefusedTicket, port.RefusedLate:
+	case port.RefusedTicket:
+		if p := s.permits[stepOf(o.Ref)]; p != nil {
+			delete(p.tickets, o.Host)
+		}
+	case port.RefusedOrder, port.RefusedHealth, port.RefusedLife, port.RefusedLate:
 		h.Full = now.Add(busyFor)
 	}
 	return true
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -167,9 +167,13 @@
 	Guarded   bool
 	Jobs      map[string]*Job
 	Hosts     map[string]*Host
+	// Advises says that there is a policy service to ask.
+	Advises bool
 
-	orders []Order
-	dirty  []*Job
+	// permits holds what the policy service has said, by step.
+	permits map[batch.Ref]*permit
+	orders  []Order
+	dirty   []*Job
 	// lost is the latest time at which a unit was lost.
 	lost time.Time
 	// open holds the jobs in phase Open, in no order.
@@ -185,7 +189,7 @@
 	return &State{
 		Pool: pool, Epoch: epoch, Claimed: now, Confirmed: now, Timing: t,
 		Queues: map[string]port.Queue{}, Jobs: map[string]*Job{}, Hosts: map[string]*Host{},
-		open: map[string]*Job{}, durations: map[string]*sample{},
+		open: map[string]*Job{}, durations: map[string]*sample{}, permits: map[batch.Ref]*permit{},
 	}
 }
 
@@ -205,9 +209,9 @@
 	Host string
 	Ref  batch.Ref
 	Run  int64
-	// Text and Checkpoint go with a start; Percent goes with a pace.
-	Text, Checkpoint string
-	Percent          int
+	// Text, Checkpoint and Ticket go with a start; Percent goes with a pace.
+	Text, Checkpoint, Ticket string
+	Percent                  int
 	// Why is the reason, for logs.
 	Why string
 }
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -30,7 +30,7 @@
 		step := &j.Spec.Steps[r.Step]
 		switch {
 		case step.Lasting:
-			if s.mayStop(step, g, now) && s.elsewhere(step, g, u, now) {
+			if s.mayStop(step, g, now) && s.elsewhere(r, step, g, u, now) {
 				s.stop(r, u, "host to be emptied")
 			}
 		case step.Checkpoints && waited > saveAfter, waited > stopAfter:
@@ -41,9 +41,9 @@
 }
 
 // elsewhere reports whether some other host has room for a unit.
-func (s *State) elsewhere(step *batch.Step, g *Stage, u *Unit, now time.Time) bool {
+func (s *State) elsewhere(r batch.Ref, step *batch.Step, g *Stage, u *Unit, now time.Time) bool {
 	room := s.room(now)
-	return s.pick(step, g, u, room) >= 0
+	return s.pick(step, g, u, room, s.may(r, now)) >= 0
 }
 
 // mayStop reports whether one more unit of a lasting step may be ended by an order.
--- a/trial/system/system_test.go
+++ b/trial/system/system_test.go
@@ -57,6 +57,12 @@
 
 // start runs entries on a fresh world.
 func start(t *testing.T, entries int) *rig {
+	t.Helper()
+	return startOn(t, shape, entries)
+}
+
+// startOn runs entries on a fresh world of a shape.
+func startOn(t *testing.T, shape world.Shape, entries int) *rig {
 	t.Helper()
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
@@ -401,3 +407,20 @@
 	require.NoError(t, r.Start(e))
 	r.finished("docs", jobs)
 }
+
+func TestWorkThatNeedsAdviceRunsWhereItMayWithTickets(t *testing.T) {
+	advised := shape
+	advised.Advised = "docs"
+	r := startOn(t, advised, 2)
+	var jobs []*world.Job
+	for range 6 {
+		jobs = append(jobs, r.accepted("docs", "80", world.StepSpec{Count: 3, MS: 80}, world.StepSpec{Count: 2, MS: 80, After: []int{0}}))
+	}
+	other := r.accepted("wages", "80", world.StepSpec{Count: 2, MS: 80})
+	for _, j := range jobs {
+		r.waitState("docs", j, "completed")
+	}
+	r.waitState("wages", other, "completed")
+	require.Zero(t, r.Unticketed())
+	r.sound()
+}
--- a/trial/world/host.go
+++ b/trial/world/host.go
@@ -180,6 +180,7 @@
 	Token    int64  `json:"fencing_token"`
 	Seen     int64  `json:"last_seen"`
 	Wait     int64  `json:"wait_ms"`
+	Ticket   string `json:"ticket"`
 }
 
 // reply is a host's answer.
@@ -288,6 +289,10 @@
 	if o.Run <= h.barred[o.Task] {
 		return refuse("old")
 	}
+	if h.pool == s.advised && (!approves(h.machine) || o.Ticket != ticketFor(stepOf(o.Task), h.id)) {
+		s.unticketed++
+		return refuse("ticket")
+	}
 	if len(h.running) >= hostCores/unitCores {
 		return refuse("room")
 	}
--- a/trial/world/site.go
+++ b/trial/world/site.go
@@ -65,6 +65,7 @@
 // settings is the platform's file for an entry.
 func (w *World) settings(e *Entry, zone, peer string) string {
 	return fmt.Sprintf(`node_name = %q
+advice = %q
 ip = "127.0.0.1"
 zone = %q
 internal_port_range = [%s, %s]
@@ -91,7 +92,7 @@
 request_bytes = 2097152
 [cloud_api]
 address = %q
-`, e.Name, zone, peer, peer, e.Callers, e.Ready, w.Store, w.Machines)
+`, e.Name, w.Advice, zone, peer, peer, e.Callers, e.Ready, w.Store, w.Machines)
 }
 
 // Start starts an entry, or starts it again.
@@ -201,10 +202,16 @@
 		if pool == shape.Standby {
 			continue
 		}
-		routes = append(routes, map[string]any{
+		route := map[string]any{
 			"name": "q-" + pool, "host": Host, "path_prefix": Prefix(pool), "service": pool, "timeout_ms": 3000,
 			"target_latency_ms": 600, "priority": 0, "max_attempts": maxAttempts, "stretch": 1.6,
-		})
+		}
+		if pool == shape.Advised {
+			route["advice"] = map[string]any{
+				"decision_ms": adviceTakes.Milliseconds(), "per_item_ms": 1, "validity_ms": adviceFor.Milliseconds(),
+			}
+		}
+		routes = append(routes, route)
 	}
 	return map[string]any{
 		"version": version, "routes": routes, "services": services,
--- a/trial/world/world.go
+++ b/trial/world/world.go
@@ -22,9 +22,9 @@
 type World struct {
 	task    *task.Task[func(*state)]
 	servers []*http.Server
-	// Store and Machines are the addresses of the services.
-	Store, Machines string
-	hosts           map[string]string
+	// Store, Machines and Advice are the addresses of the services.
+	Store, Machines, Advice string
+	hosts                   map[string]string
 }
 
 // state is the state of the world's task.
@@ -39,6 +39,10 @@
 	seen       ledger
 	rules      Rules
 	wave       *waveState
+	// advised is the pool whose work needs tickets; unticketed counts the starts that
+	// were refused for want of one.
+	advised    string
+	unticketed int
 }
 
 // Rules are the figures that the stand-in goes by.
@@ -57,6 +61,8 @@
 	// machines are switched off.
 	Pools   map[string]int
 	Standby string
+	// Advised names a pool whose work needs advice; empty for none.
+	Advised string
 	Rules   Rules
 }
 
@@ -65,7 +71,7 @@
 	w := &World{hosts: map[string]string{}}
 	st := &state{
 		began: time.Now(), store: newStore(), hosts: map[string]*host{}, machines: map[string]*machine{},
-		seen: newLedger(), rules: s.Rules,
+		seen: newLedger(), rules: s.Rules, advised: s.Advised,
 	}
 	w.task = task.Start(func(ctx context.Context, inbox <-chan func(*state)) {
 		t := time.NewTicker(tick)
@@ -88,6 +94,9 @@
 	if w.Machines, err = w.serve(w.machinesHandler()); err != nil {
 		return nil, err
 	}
+	if w.Advice, err = w.serve(w.adviceHandler()); err != nil {
+		return nil, err
+	}
 	return w, w.populate(s)
 }
 
