Leave slow hosts alone and move their work

Cause: work on a host on which it stood still or ran at a sixth of the speed was waited for; with a tenth of a pool slow, two of three jobs have a unit there and are late. Change: each unit's speed is measured from its progress and compared with the mean of its step, which cancels what the estimate is off by; a host whose median is under two fifths of its pool's takes no new work for 1.5 s (doubling), and units that end sooner elsewhere are stopped and started there, as far as there is room. When half of the pool is unwell, no host is. Tests: fleet/shard slow_test.go.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -48,6 +48,11 @@
 	Strained time.Time
 	// Full is until when no start is tried, after the host refused one for room.
 	Full time.Time
+	// Speed is the median speed of the units there, as of Gauged.
+	Speed  float64
+	Gauged time.Time
+	// slowSpells counts how often in a row the host was left alone for its speed.
+	slowSpells int
 	// streak counts failed runs of different jobs without a success between.
 	streak  int
 	lastBad string
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -268,8 +268,8 @@
 func (s *State) start(j *Job, ref batch.Ref, g *Stage, u *Unit, k *slot, run int64, now time.Time) {
 	step := &j.Spec.Steps[ref.Step]
 	u.Status, u.Host, u.Run = Sent, k.host.ID, run
-	u.Began, u.Moved, u.Clock, u.Pace, u.Percent, u.Load = now, now, 0, 100, 0, 0
-	u.Lost = time.Time{}
+	u.Began, u.Clock, u.Pace, u.Percent, u.Load = now, 0, 100, 0, 0
+	u.Lost, u.Gauge = time.Time{}, Gauge{}
 	g.idle--
 	k.host.Assigned[ref] = u
 	k.free = k.free.Sub(step.Room())
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -49,6 +49,8 @@
 		}
 	}
 	s.running(h, l, first, now)
+	s.gauge(h, now)
+	s.compare(h, now)
 	s.pace(h, now)
 	return out
 }
@@ -112,8 +114,8 @@
 		}
 	case u.Status == Idle && r.Run > u.Noted && r.Run >= u.Run && j.Inherited:
 		// A run that an earlier owner started goes on.
-		u.Status, u.Host, u.Run, u.Began, u.Moved, u.Clock = Live, h.ID, r.Run, now, now, h.Clock
-		u.Pace = 100
+		u.Status, u.Host, u.Run, u.Began, u.Clock = Live, h.ID, r.Run, now, h.Clock
+		u.Pace, u.Gauge = 100, Gauge{}
 		g.idle--
 		h.Assigned[ref] = u
 		j.Begun = true
@@ -123,9 +125,6 @@
 	if u.Clock == 0 {
 		u.Clock = h.Clock
 	}
-	if r.Percent != u.Percent {
-		u.Moved = now
-	}
 	u.Percent, u.Load = r.Percent, r.Load
 	if r.Saved != "" {
 		u.Saved = r.Saved
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -93,8 +93,10 @@
 	Pace int
 	// Clock is the host's clock when it answered the start; 0 before.
 	Clock int64
-	// Began is when the run was ordered, and Moved when its progress last changed.
-	Began, Moved time.Time
+	// Began is when the run was ordered.
+	Began time.Time
+	// Gauge is how fast it runs.
+	Gauge Gauge
 	// Retry is when a stop that was not answered is sent again; zero when none is
 	// due.
 	Retry time.Time
@@ -114,6 +116,9 @@
 	Left int
 	// idle is the number of units that are Idle and not done.
 	idle int
+	// speed is the mean speed of the units' runs, of so many measurements.
+	speed    float64
+	measured int
 }
 
 // Turn is an occurrence of a job.
--- /dev/null
+++ b/fleet/shard/slow_test.go
@@ -0,0 +1,122 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
+)
+
+// work starts units of two seconds that fill the hosts, and returns them by host.
+func (o *owner) work(hosts int) map[string][]shard.Order {
+	o.t.Helper()
+	step := small(4 * hosts)
+	step.Estimate = 2 * time.Second
+	o.submit("job", step)
+	out := map[string][]shard.Order{}
+	for _, s := range o.start() {
+		out[s.Host] = append(out[s.Host], s)
+	}
+	require.Len(o.t, out, hosts)
+	return out
+}
+
+// progress lets time pass and all hosts list their runs, each at its speed.
+func (o *owner) progress(work map[string][]shard.Order, percent map[string]float64) {
+	o.pass(500 * time.Millisecond)
+	for host, orders := range work {
+		var rows []any
+		for _, s := range orders {
+			rows = append(rows, running(s, percent[host]))
+		}
+		o.list(host, rows...)
+	}
+}
+
+func stops(orders []shard.Order) []shard.Order {
+	var out []shard.Order
+	for _, s := range orders {
+		if s.Kind == shard.OrderStop {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Work on a host on which it stood still, or ran at a sixth of the speed, was waited for
+// until the host recovered, and each job that had a unit there was late.
+func TestWorkOnASlowHostGoesElsewhereWhereThereIsRoom(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c", "d")
+	work := o.work(4)
+	o.addHost("e")
+	at := func(slow, usual float64) map[string]float64 {
+		return map[string]float64{"a": slow, "b": usual, "c": usual, "d": usual}
+	}
+	o.progress(work, at(0, 10))
+	o.progress(work, at(4, 35))
+	o.progress(work, at(8, 60))
+	moved := stops(o.plan())
+	require.Len(t, moved, 4, "as many as fit on the free host")
+	for _, s := range moved {
+		require.Equal(t, "a", s.Host)
+	}
+	require.False(t, o.Usable(o.Hosts["a"], o.now), "no new work goes there")
+	// The units start elsewhere once their ends are known.
+	var rows []any
+	for i, s := range moved {
+		rows = append(rows, port.Ended{Number: int64(i + 1), Unit: s.Ref.String(), Run: s.Run, Result: port.ResultStopped})
+	}
+	o.list("a", rows...)
+	for _, s := range o.plan() {
+		require.Equal(t, "e", s.Host)
+	}
+}
+
+func TestWorkStaysWhereThereIsNoRoomElsewhere(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c", "d")
+	work := o.work(4)
+	for _, p := range []float64{0, 25, 50} {
+		o.progress(work, map[string]float64{"a": 0, "b": p, "c": p, "d": p})
+	}
+	require.Empty(t, stops(o.plan()))
+}
+
+// Estimates may be off for all; a pool that is slow as a whole has no slow host.
+func TestAPoolThatIsSlowAsAWholeKeepsItsHosts(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c", "d")
+	work := o.work(4)
+	o.addHost("e")
+	for _, p := range []float64{0, 3, 6, 9} {
+		o.progress(work, map[string]float64{"a": p, "b": p, "c": p, "d": p})
+	}
+	require.Empty(t, stops(o.plan()))
+	for _, h := range []string{"a", "b", "c", "d"} {
+		require.True(t, o.Usable(o.Hosts[h], o.now))
+	}
+}
+
+func TestWorkThatIsNearlyDoneIsNotMoved(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c", "d")
+	work := o.work(4)
+	o.addHost("e")
+	for i, p := range []float64{40, 65, 90} {
+		o.progress(work, map[string]float64{"a": 85 + 4*float64(i), "b": p, "c": p, "d": p})
+	}
+	require.Empty(t, stops(o.plan()))
+}
+
+func TestAHostThatRecoversIsUsedAgain(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c", "d")
+	work := o.work(4)
+	for _, p := range []float64{0, 15, 30} {
+		o.progress(work, map[string]float64{"a": 0, "b": p, "c": p, "d": p})
+	}
+	require.False(t, o.Usable(o.Hosts["a"], o.now))
+	for _, p := range []float64{40, 50, 60, 70, 80} {
+		o.progress(work, map[string]float64{"a": p - 30, "b": p, "c": p, "d": p})
+	}
+	require.True(t, o.Usable(o.Hosts["a"], o.now))
+}
