Keep the age of a wave when its holder changes

Waves at full speed had hidden it. Change: the first holder records when it saw a wave; later ones plan with what is left of its time. Test: entry/mover, fails without the record.

--- a/entry/mover/kept.go
+++ b/entry/mover/kept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strconv"
@@ -9,12 +10,16 @@
 	"time"
 
 	"carawaymux.dev/entry/claim"
+	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/port"
 )
 
 const (
 	// keyBegun begins the keys of machines whose maintenance has begun.
 	keyBegun = "/b/"
+	// keySeen begins the keys of waves, with when the first holder saw them, in
+	// milliseconds since 1970.
+	keySeen = "/s/"
 	// keyArmed holds the machines that the holder may have ordered lately. It also
 	// confirms the claim when there is nothing else to write.
 	keyArmed = "/o"
@@ -30,14 +35,20 @@
 type kept struct {
 	// begun holds the machines of waves whose maintenance has begun.
 	begun map[string]bool
+	// seen holds when waves were first seen, by number, in milliseconds since 1970.
+	seen map[int64]int64
 	// armed holds the machines that the last holder may have ordered lately, and the
 	// least age of its last order; 0 when the holder may have gone on.
 	armed map[string]time.Duration
 }
 
 func load(ctx context.Context, won *claim.Claim) (kept, error) {
-	k := kept{begun: map[string]bool{}, armed: map[string]time.Duration{}}
+	k := kept{begun: map[string]bool{}, seen: map[int64]int64{}, armed: map[string]time.Duration{}}
+	var bad error
 	err := won.Load(ctx, func(e port.Entry) {
+		if rest, ok := strings.CutPrefix(e.Key, Name+keySeen); ok {
+			bad = errors.Join(bad, k.takeSeen(rest, string(e.Value)))
+		}
 		if rest, ok := strings.CutPrefix(e.Key, Name+keyBegun); ok {
 			k.begun[rest] = true
 		}
@@ -45,7 +56,32 @@
 			k.armed = readArmed(string(e.Value))
 		}
 	})
-	return k, err
+	return k, errors.Join(err, bad)
+}
+
+func (k kept) takeSeen(wave, at string) error {
+	number, err := strconv.ParseInt(wave, 10, 64)
+	if err != nil {
+		return fault.At("load", Name, err)
+	}
+	k.seen[number], err = strconv.ParseInt(at, 10, 64)
+	return fault.At("load", Name, err)
+}
+
+// age is how long ago a wave was first seen, and whether some holder has recorded it.
+// The clocks of entries differ, so it is only as good as they are.
+func (k kept) age(w *port.Wave, now time.Time) (time.Duration, bool) {
+	at, ok := k.seen[w.Number]
+	age := time.Duration(now.UnixMilli()-at) * time.Millisecond
+	return max(min(age, w.Within), 0), ok
+}
+
+// seenEntry records when a wave was first seen.
+func seenEntry(w *port.Wave, now time.Time) port.Entry {
+	return port.Entry{
+		Key:   Name + keySeen + strconv.FormatInt(w.Number, 10),
+		Value: []byte(strconv.FormatInt(now.UnixMilli(), 10)),
+	}
 }
 
 func readArmed(value string) map[string]time.Duration {
--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -108,7 +108,7 @@
 	confirmed     time.Time
 	writing       bool
 	pending       []port.Entry
-	begun         map[string]bool
+	kept          kept
 	waves         map[int64]*upkeep.Wave
 	// told holds when operators were last told of a wave in vain; the zero time once
 	// they know that it runs. telling holds the waves that they are being told of.
@@ -155,7 +155,7 @@
 func start(s Settings, d Deps, won *claim.Claim, k kept, config *port.Config) *Mover {
 	m := &Mover{lost: make(chan struct{})}
 	c := &core{
-		mover: m, settings: s, deps: d, claim: won, begun: k.begun, confirmed: won.At,
+		mover: m, settings: s, deps: d, claim: won, kept: k, confirmed: won.At,
 		earlier: k.free(time.Now(), s.Term+callTimeout),
 		logger:  d.Logger.With("holder", s.Holder, "epoch", won.Epoch),
 		waves:   map[int64]*upkeep.Wave{}, told: map[int64]time.Time{}, telling: map[int64]bool{},
@@ -378,14 +378,20 @@
 		if c.waves[w.Number] != nil {
 			continue
 		}
-		one := upkeep.NewWave(w, now)
+		age, recorded := c.kept.age(&w, now)
+		if !recorded {
+			age = 0
+			c.pending = append(c.pending, seenEntry(&w, now))
+		}
+		one := upkeep.NewWave(w, now.Add(-age))
 		for _, m := range w.Machines {
-			if c.begun[begunKey(w.Number, m)] {
+			if c.kept.begun[begunKey(w.Number, m)] {
 				one.Begun[m] = true
 			}
 		}
 		c.waves[w.Number] = one
-		c.logger.Info("wave seen", "wave", w.Number, "machines", len(w.Machines), "cap", w.Cap, "begun", len(one.Begun))
+		c.logger.Info("wave seen", "wave", w.Number, "machines", len(w.Machines), "cap", w.Cap, "begun", len(one.Begun),
+			"age-ms", age.Milliseconds())
 	}
 }
 
--- a/entry/mover/mover_test.go
+++ b/entry/mover/mover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"sync"
@@ -121,11 +122,32 @@
 // begin starts a holder of the machines on what earlier ones have kept in the store.
 func begin(t *testing.T, m memory, y yard, load func(context.Context, string) (owner.Answer, bool)) duties.Holder {
 	t.Helper()
-	start := mover.Starter(mover.Settings{Holder: "h", Term: term}, mover.Deps{
+	return beginWith(t, m, mover.Deps{
 		Machines: y, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Load: load,
-		Waves:  func() []port.Wave { return nil },
-		Vacate: func(context.Context, string, string) (owner.Answer, bool) { return owner.Answer{Vacant: true}, true },
+		Waves: func() []port.Wave { return nil },
 	})
+}
+
+// beginWave starts a holder that has a wave to do, and lets it see and record it.
+func beginWave(t *testing.T, m memory, y yard, logs *slog.Logger, w port.Wave) duties.Holder {
+	t.Helper()
+	h := beginWith(t, m, mover.Deps{
+		Machines: y, Logger: logs, Load: busy(0), Operators: deaf{},
+		Waves: func() []port.Wave { return []port.Wave{w} },
+	})
+	time.Sleep(100 * time.Millisecond)
+	return h
+}
+
+// deaf takes reports of waves.
+type deaf struct{}
+
+func (deaf) ReportWave(context.Context, int64, bool) error { return nil }
+
+func beginWith(t *testing.T, m memory, d mover.Deps) duties.Holder {
+	t.Helper()
+	d.Vacate = func(context.Context, string, string) (owner.Answer, bool) { return owner.Answer{Vacant: true}, true }
+	start := mover.Starter(mover.Settings{Holder: "h", Term: term}, d)
 	won, err := claim.Take(t.Context(), m, mover.Name, "h", time.Now().UnixNano(), 4)
 	require.NoError(t, err)
 	build, err := start(t.Context(), won)
@@ -225,3 +247,33 @@
 	case <-time.After(term + late):
 	}
 }
+
+// Each new holder took a wave for new, and a wave that changed hands three times was
+// late.
+func TestAWaveKeepsItsAgeWhenItChangesHands(t *testing.T) {
+	m := newMemory(t)
+	y := newYard("m-1", "m-2", "m-3", "m-4", "m-5", "m-6", "m-7", "m-8")
+	w := port.Wave{Number: 7, Machines: y.names, Within: 4 * time.Second, Cap: 1}
+	ages := make(chan int64, 8)
+	logs := slog.New(slog.NewJSONHandler(ageReader{ages}, nil))
+	for range 2 {
+		beginWave(t, m, y, logs, w).Close()
+		time.Sleep(600 * time.Millisecond)
+	}
+	require.Zero(t, <-ages)
+	require.GreaterOrEqual(t, <-ages, int64(600))
+}
+
+// ageReader hands on the ages of waves that are logged.
+type ageReader struct{ ages chan int64 }
+
+func (r ageReader) Write(line []byte) (int, error) {
+	var v struct {
+		Message string `json:"msg"`
+		Age     int64  `json:"age-ms"`
+	}
+	if json.Unmarshal(line, &v) == nil && v.Message == "wave seen" {
+		r.ages <- v.Age
+	}
+	return len(line), nil
+}
--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -93,6 +93,6 @@
 	w.Begun[machine] = true
 	delete(w.Emptying, machine)
 	key := begunKey(w.Number, machine)
-	c.begun[key] = true
+	c.kept.begun[key] = true
 	c.pending = append(c.pending, port.Entry{Key: Name + keyBegun + key, Value: []byte{1}})
 }
