Serve the jobs with the least work left first while a pool does not keep up

Change: when what waits would take all hosts a second, the jobs that can make it go in the order of the work that is left of them; else by slack as before. Late work stays last.

--- a/entry/owner/advice.go
+++ b/entry/owner/advice.go
@@ -49,7 +49,7 @@
 	if c.asking || !c.state.Advises {
 		return
 	}
-	if q, ok := shard.Ask(c.state, shard.BySlack{}, now); ok {
+	if q, ok := shard.Ask(c.state, shard.ByPressure{Pressed: c.state.Pressed}, now); ok {
 		c.asking = c.adviser.TrySend(q)
 	}
 }
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -111,7 +111,7 @@
 func (c *core) act() {
 	now := time.Now()
 	c.state.Retry(now)
-	shard.Plan(c.state, shard.BySlack{}, now, now.UnixMilli())
+	shard.Plan(c.state, shard.ByPressure{Pressed: c.state.Pressed}, now, now.UnixMilli())
 	for _, o := range c.state.TakeOrders() {
 		c.order(o, now)
 	}
--- /dev/null
+++ b/fleet/shard/order_test.go
@@ -0,0 +1,129 @@
+package shard_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
+)
+
+// served is what callers got of a load.
+type served struct{ inTime, late int }
+
+// serve plays a load against the decision code: jobs of uneven size come at a rate for
+// some seconds, four hosts of four cores run them, and estimates are off by up to a half.
+func serve(t *testing.T, rank func(*shard.State) shard.Ranking, perSecond float64, seed uint64) served {
+	t.Helper()
+	const step, comes, lasts = 20 * time.Millisecond, 5 * time.Second, 40 * time.Second
+	r := rand.New(rand.NewPCG(seed, 3))
+	o := newOwner(t, 1, "a", "b", "c", "d")
+	began := o.now
+	type run struct {
+		order shard.Order
+		ends  time.Time
+	}
+	var runs []run
+	ended := map[string][]port.Ended{}
+	number := map[string]int64{}
+	objective := map[string]time.Time{}
+	var out served
+	due := 0.0
+	for o.now.Sub(began) < lasts {
+		o.pass(step)
+		if o.now.Sub(began) < comes {
+			for due += perSecond * step.Seconds(); due >= 1; due-- {
+				id := fmt.Sprintf("j%d", len(objective))
+				first, second := small(1+r.IntN(6)), small(1+r.IntN(4))
+				first.Estimate = time.Duration(300+r.IntN(600)) * time.Millisecond
+				second.Estimate, second.After = first.Estimate, []int{0}
+				o.submit(id, first, second)
+				objective[id] = o.Jobs[id].Objective
+			}
+		}
+		var left []run
+		for _, u := range runs {
+			if o.now.Before(u.ends) {
+				left = append(left, u)
+				continue
+			}
+			h := u.order.Host
+			number[h]++
+			ended[h] = append(ended[h], done(number[h], u.order))
+		}
+		runs = left
+		for _, h := range []string{"a", "b", "c", "d"} {
+			var rows []any
+			for _, u := range runs {
+				if u.order.Host == h {
+					rows = append(rows, running(u.order, 50))
+				}
+			}
+			for _, e := range ended[h] {
+				rows = append(rows, e)
+			}
+			o.list(h, rows...)
+			o.Hosts[h].Acked, ended[h] = o.Hosts[h].Seen, nil
+		}
+		for _, c := range o.TakeChanges() {
+			o.Written(c)
+			if c.Note.Phase == shard.Completed {
+				if o.now.After(objective[c.Job.ID]) {
+					out.late++
+				} else {
+					out.inTime++
+				}
+			}
+		}
+		shard.Plan(o.State, anyRanking{rank(o.State)}, o.now, o.now.UnixMilli())
+		for _, s := range o.TakeOrders() {
+			require.Equal(t, shard.OrderStart, s.Kind)
+			o.clock++
+			require.True(t, o.Started(&s, o.clock, nil, o.now))
+			estimate := o.Jobs[s.Ref.Job].Spec.Steps[s.Ref.Step].Estimate
+			took := time.Duration(float64(estimate) * (0.5 + r.Float64()))
+			runs = append(runs, run{s, o.now.Add(took)})
+		}
+	}
+	require.Equal(t, len(objective), out.inTime+out.late, "all jobs are served in the end")
+	return out
+}
+
+// anyRanking lets a load choose its ranking each round.
+type anyRanking struct{ shard.Ranking }
+
+func bySlack(*shard.State) shard.Ranking { return shard.BySlack{} }
+
+func byPressure(s *shard.State) shard.Ranking { return shard.ByPressure{Pressed: s.Pressed} }
+
+func byAge(*shard.State) shard.Ranking { return shard.ByAge{} }
+
+func total(t *testing.T, rank func(*shard.State) shard.Ranking, perSecond float64) served {
+	var sum served
+	for seed := range uint64(8) {
+		one := serve(t, rank, perSecond, seed)
+		sum.inTime += one.inTime
+		sum.late += one.late
+	}
+	return sum
+}
+
+// Three times what the pool can run comes for five seconds. In the order of slack most
+// jobs were begun when it was nearly too late for them, and were late.
+func TestMoreJobsAreInTimeWhenAPoolDoesNotKeepUp(t *testing.T) {
+	slack, pressure, age := total(t, bySlack, 14), total(t, byPressure, 14), total(t, byAge, 14)
+	t.Logf("in time: by slack %d, by pressure %d, by age %d of %d", slack.inTime, pressure.inTime, age.inTime, age.inTime+age.late)
+	require.Greater(t, pressure.inTime, slack.inTime)
+	require.Greater(t, pressure.inTime, age.inTime)
+}
+
+// While the pool keeps up, the order by slack serves all but a few in time, and nothing
+// changes.
+func TestAPoolThatKeepsUpServesInTheOrderOfSlack(t *testing.T) {
+	slack, pressure := total(t, bySlack, 3), total(t, byPressure, 3)
+	require.Equal(t, slack, pressure)
+}
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -14,12 +14,14 @@
 	Job  *Job
 	Turn int
 	Step int
-	// Lasting, Priority, Objective and Left order demands; Left is the chain of
-	// work from this step on.
+	// Lasting, Priority, Objective, Left and Work order demands; Left is the chain
+	// of work from this step on.
 	Lasting   bool
 	Priority  int
 	Objective time.Time
 	Left      time.Duration
+	// Work is what is left of the occurrence, in thousandths of a core-second.
+	Work int64
 }
 
 // Ranking orders demands. It is a policy: implementations hold no state.
@@ -55,6 +57,52 @@
 	return cmp.Compare(a.Job.ID, b.Job.ID)
 }
 
+// LeastWork starts lasting work first, then work that can still meet its objective,
+// what is nearest to its end first, then the rest, oldest first. When not all can make
+// it, more do than in the order of their slack, where each is begun when it is nearly
+// too late.
+type LeastWork struct{}
+
+// Compare implements [Ranking].
+func (LeastWork) Compare(a, b *Demand, now time.Time) int {
+	lateA, lateB := a.slack(now) < 0, b.slack(now) < 0
+	if a.Lasting != b.Lasting || lateA != lateB || lateA || a.Priority != b.Priority || a.Work == b.Work {
+		return BySlack{}.Compare(a, b, now)
+	}
+	return cmp.Compare(a.Work, b.Work)
+}
+
+// ByPressure orders by slack while a pool keeps up, and by least work while it does not.
+type ByPressure struct{ Pressed bool }
+
+// Compare implements [Ranking].
+func (p ByPressure) Compare(a, b *Demand, now time.Time) int {
+	if p.Pressed {
+		return LeastWork{}.Compare(a, b, now)
+	}
+	return BySlack{}.Compare(a, b, now)
+}
+
+// pressedAfter is the time that all hosts would need for what waits from which on a
+// pool does not keep up; objectives leave about as much beyond the work itself.
+const pressedAfter = time.Second
+
+// press notes whether the pool keeps up.
+func (s *State) press(demands []Demand, room rooms) {
+	var waiting, capacity int64
+	for i := range demands {
+		d := &demands[i]
+		if !d.Lasting {
+			scale := s.durations[d.Job.Spec.Queue].median()
+			waiting += stepWork(&d.Job.Spec.Steps[d.Step], d.Job.Turns[d.Turn].Stages[d.Step].idle, scale)
+		}
+	}
+	for i := range room {
+		capacity += room[i].host.Capacity.MilliCores
+	}
+	s.Pressed = waiting > int64(float64(capacity)*pressedAfter.Seconds())
+}
+
 // ByAge starts the oldest work first. It is the baseline.
 type ByAge struct{}
 
@@ -83,10 +131,12 @@
 	s.openDue(wall)
 	demands := s.demands(now)
 	if len(demands) == 0 {
+		s.Pressed = false
 		return
 	}
-	slices.SortFunc(demands, func(a, b Demand) int { return ranking.Compare(&a, &b, now) })
 	room := s.room(now)
+	s.press(demands, room)
+	slices.SortFunc(demands, func(a, b Demand) int { return ranking.Compare(&a, &b, now) })
 	for i := range demands {
 		s.startAll(&demands[i], room, now)
 		if room.empty() {
@@ -145,13 +195,14 @@
 			if turn.Left == 0 {
 				continue
 			}
+			work := workLeft(&j.Spec, turn, scale)
 			for g := range turn.Stages {
 				if turn.Stages[g].idle <= 0 || !turn.ready(&j.Spec, g) {
 					continue
 				}
 				d := Demand{
 					Job: j, Turn: t, Step: g, Lasting: j.Spec.Steps[g].Lasting, Priority: q.Priority,
-					Objective: j.Objective, Left: time.Duration(float64(chainFrom(&j.Spec, g)) * scale),
+					Objective: j.Objective, Left: time.Duration(float64(chainFrom(&j.Spec, g)) * scale), Work: work,
 				}
 				if j.Spec.Turns > 0 {
 					late := time.Duration(s.due(j, t)-j.Spec.Accepted) * time.Millisecond
@@ -164,6 +215,15 @@
 	return out
 }
 
+// workLeft is the work of the tasks of an occurrence that are not done.
+func workLeft(spec *batch.Spec, t *Turn, scale float64) int64 {
+	var sum int64
+	for g := range t.Stages {
+		sum += stepWork(&spec.Steps[g], t.Stages[g].Left, scale)
+	}
+	return sum
+}
+
 // ready reports whether all steps that a step comes after are done.
 func (t *Turn) ready(spec *batch.Spec, step int) bool {
 	for _, a := range spec.Steps[step].After {
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -172,6 +172,8 @@
 	Guarded   bool
 	Jobs      map[string]*Job
 	Hosts     map[string]*Host
+	// Pressed says that the pool did not keep up with its work in the last round.
+	Pressed bool
 	// Advises says that there is a policy service to ask.
 	Advises bool
 
