Keep the pace of heartbeats while the store is slow

Cause: found in reading: since heartbeats are paced by a timer that starts after the round, a slow store stretched them to the pause plus two calls (0.9 s at 240 ms a call), closer to the silence after which an entry is taken for dead. Change: the pause counts from the round's start. Test: entry/roster, a store of 300 ms a call; it passes without the change too, since each read still finds a newer heartbeat, and is kept as a promise.

--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -143,13 +143,15 @@
 			m.handle(c)
 			c.beat(ctx)
 		case <-tick.C:
+			began := time.Now()
 			c.round(ctx)
-			tick.Reset(c.interval())
+			tick.Reset(max(c.interval()-time.Since(began), 0))
 		}
 	}
 }
 
-// interval is the time until the next heartbeat.
+// interval is the time from one heartbeat to the next; a store that is slow does not
+// stretch it.
 func (c *core) interval() time.Duration {
 	if !c.down && !c.r.View().Settled {
 		return startInterval
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -19,6 +19,8 @@
 	mu      sync.Mutex
 	entries []port.Entry
 	away    bool
+	// slow is how long each call takes; it is set before the first.
+	slow time.Duration
 }
 
 func (s *shelf) set(away bool) {
@@ -28,6 +30,7 @@
 }
 
 func (s *shelf) Append(_ context.Context, _ port.Stream, entries []port.Entry, _ *port.Writer, _ int64) (int64, error) {
+	time.Sleep(s.slow)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
@@ -41,6 +44,7 @@
 }
 
 func (s *shelf) Read(_ context.Context, _ port.Stream, from int64, _ time.Duration) (port.Page, error) {
+	time.Sleep(s.slow)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
@@ -50,6 +54,7 @@
 }
 
 func (s *shelf) Newest(context.Context, port.Stream, string) (port.Page, error) {
+	time.Sleep(s.slow)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
@@ -88,3 +93,17 @@
 	s.set(false)
 	require.Eventually(t, func() bool { return a.View().Lost.IsZero() }, time.Second, 5*time.Millisecond)
 }
+
+// While the store is slow a heartbeat and a read take longer than the pause between
+// heartbeats; entries must not be taken for dead for that.
+func TestASlowStoreIsNoSilence(t *testing.T) {
+	s := &shelf{slow: 300 * time.Millisecond}
+	a, b := begin(t, s, "a"), begin(t, s, "b")
+	a.Own(map[string]int64{"pool": 1})
+	owned := func() bool { return b.View().Owners["pool"].Name == "a" }
+	require.Eventually(t, owned, 5*time.Second, 10*time.Millisecond)
+	for range 400 {
+		require.True(t, owned())
+		time.Sleep(10 * time.Millisecond)
+	}
+}
