--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -157,6 +157,7 @@
 func (n *Intake) Submit(ctx context.Context, q port.Queue, id string, spec batch.Spec) owner.Answer {
 	ask := peers.Ask{Pool: q.Pool, Verb: peers.VerbSubmit, Subject: id, Queue: q, Spec: &spec}
 	until := time.Now().Add(ownerPatience)
+	// clean says that no owner can have seen the job.
 	clean := true
 	for {
 		a, how := n.try(ctx, ask)
