Do not sort run times and list demands again for nothing

Change: the median is kept when a run ends; Ask returns at once while no queue has needed advice. Permits of a job are dropped whether or not its queue still needs advice.

--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -292,7 +292,7 @@
 
 func (m submit) handle(c *core) {
 	if _, ok := c.state.Queues[m.queue.Name]; !ok {
-		c.state.Queues[m.queue.Name] = m.queue
+		c.state.Know(m.queue)
 	}
 	if c.journal.away && c.state.Jobs[m.id] == nil {
 		c.deps.Stats.Add("jobs-refused", 1, "pool", c.state.Pool, "why", "store away")
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -24,7 +24,7 @@
 // their rules for the jobs that they have accepted.
 func (s *State) Configure(c *port.Config) {
 	for _, q := range c.Queues {
-		s.Queues[q.Name] = q
+		s.Know(q)
 	}
 	for _, p := range c.Pools {
 		if p.Name == s.Pool {
@@ -33,6 +33,12 @@
 	}
 }
 
+// Know takes in the rules of a queue.
+func (s *State) Know(q port.Queue) {
+	s.Queues[q.Name] = q
+	s.advice = s.advice || q.Advice != nil
+}
+
 // Submit takes a job in. The spec must have passed its check.
 func (s *State) Submit(id string, spec batch.Spec, now time.Time) (*Job, Verdict) {
 	if j := s.Jobs[id]; j != nil {
--- a/fleet/shard/permit.go
+++ b/fleet/shard/permit.go
@@ -82,7 +82,7 @@
 // Ask returns the question that is most urgent now, if the service has to be asked.
 // The outcome of each question has to be handed to [State.Advised].
 func Ask[R Ranking](s *State, ranking R, now time.Time) (Question, bool) {
-	if !s.Advises {
+	if !s.Advises || !s.advice {
 		return Question{}, false
 	}
 	var wanted []Demand
@@ -158,7 +158,7 @@
 
 // dropPermits forgets what was said about the steps of a job that has ended.
 func (s *State) dropPermits(j *Job) {
-	if !s.advised(j.Spec.Queue) {
+	if len(s.permits) == 0 {
 		return
 	}
 	for t := range j.Turns {
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -375,28 +375,34 @@
 // sampleSize is the number of newest run times that are kept of each queue.
 const sampleSize = 64
 
-// sample is a ring of the newest ratios of run time to estimate.
+// sample is a ring of the newest ratios of run time to estimate. The median is read
+// far more often than a run ends.
 type sample struct {
 	values []float64
 	next   int
+	// middle is the median of the values; 0 when there are too few.
+	middle float64
 }
 
 func (p *sample) add(v float64) {
+	const enough = 8
 	if len(p.values) < sampleSize {
 		p.values = append(p.values, v)
-		return
+	} else {
+		p.values[p.next] = v
+		p.next = (p.next + 1) % sampleSize
+	}
+	if len(p.values) >= enough {
+		sorted := slices.Clone(p.values)
+		slices.Sort(sorted)
+		p.middle = sorted[len(sorted)/2]
 	}
-	p.values[p.next] = v
-	p.next = (p.next + 1) % sampleSize
 }
 
 // median is the middle ratio; 1 when there are too few.
 func (p *sample) median() float64 {
-	const enough = 8
-	if p == nil || len(p.values) < enough {
+	if p == nil || p.middle == 0 {
 		return 1
 	}
-	sorted := slices.Clone(p.values)
-	slices.Sort(sorted)
-	return sorted[len(sorted)/2]
+	return p.middle
 }
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -177,6 +177,8 @@
 	// Advises says that there is a policy service to ask.
 	Advises bool
 
+	// advice says that some queue needs advice, or did.
+	advice bool
 	// permits holds what the policy service has said, by step.
 	permits map[batch.Ref]*permit
 	orders  []Order
