--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -87,9 +87,8 @@
 func (InOrder) Rank(*port.Machine, *Pool) int { return 0 }
 
 const (
-	// perMachine is about how long a machine takes to be emptied and maintained: three
-	// seconds for what runs there, two for the maintenance itself.
-	perMachine = 5 * time.Second
+	// perMachine is about how long a machine takes to be emptied and maintained.
+	perMachine = 8 * time.Second
 	// calmShare is the share of a pool that may be out for a wave while there is
 	// time.
 	calmShare = 4
@@ -121,8 +120,7 @@
 	}
 	left := w.Left()
 	urgent := urgency(w, len(left), now)
-	// A machine that is down is missing when a pool needs more than it holds.
-	room := min(w.Cap, urgent) - down - len(w.Emptying)
+	room := w.Cap - down - len(w.Emptying)
 	var out []string
 	for room > 0 {
 		m := best(policy, w, left, out, machines, pools, urgent)
