--- a/fleet/shard/slow.go
+++ b/fleet/shard/slow.go
@@ -24,6 +24,8 @@
 	stageWeight = 0.1
 	// slowFor is how long a slow host takes no new work at first.
 	slowFor = 1500 * time.Millisecond
+	// leastSpeed stands for the speed of a host on which work stands still.
+	leastSpeed = 0.01
 	// moveGain is how much sooner a unit has to end elsewhere to be worth the move;
 	// stopping and starting takes about as long.
 	moveGain = 600 * time.Millisecond
@@ -151,6 +153,5 @@
 	if step.Checkpoints && u.Saved != "" {
 		again = left/usual + s.Timing.Restore.Seconds()
 	}
-	const stopped = 0.01
-	return left/max(speed, stopped) > again+moveGain.Seconds()
+	return left/max(speed, leastSpeed) > again+moveGain.Seconds()
 }
--- /dev/null
+++ b/oper/logs/explain.go
@@ -0,0 +1,90 @@
+package logs
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/fault"
+	"carawaymux.dev/oper/deps"
+	"carawaymux.dev/oper/exits"
+	"carawaymux.dev/oper/table"
+)
+
+// ExplainOptions are the options of the explain command.
+type ExplainOptions struct {
+	Factory *deps.Factory
+	JSON    *table.JSONFlag
+	// Job is the job's ID.
+	Job string
+	// Files are the logs of all entries, "-" for the standard input.
+	Files []string
+}
+
+var columns = []table.Column[Event]{
+	{Name: "time", Value: func(e Event) any { return e.Time.Format("15:04:05.000") }},
+	{Name: "entry", Value: func(e Event) any { return e.Entry }},
+	{Name: "event", Value: func(e Event) any { return e.Message }},
+	{Name: "detail", Value: func(e Event) any { return e.Detail }},
+}
+
+// NewExplain builds the explain command.
+func NewExplain(f *deps.Factory, run func(*ExplainOptions) error) *cobra.Command {
+	o := &ExplainOptions{Factory: f}
+	cmd := &cobra.Command{
+		Use:   "explain JOB FILE...",
+		Short: "Tell a job's story from the logs of entries",
+		Long: `Tell a job's story from the logs of entries.
+
+Lists every line about the job and its tasks in the order of time, and what happened
+meanwhile to its pool, to the hosts that its tasks ran on, and to the store.`,
+		Example: "  caraway log explain 5c0e7a21d94b36f8 entry-*.log",
+		Args:    cobra.MinimumNArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error {
+			o.Job, o.Files = args[0], args[1:]
+			if run != nil {
+				return run(o)
+			}
+			return Explain(o)
+		},
+	}
+	o.JSON = table.Bind(cmd, columns)
+	return cmd
+}
+
+// Explain reads the logs and prints the story.
+func Explain(o *ExplainOptions) error {
+	if err := batch.CheckID(o.Job); err != nil {
+		return exits.With(exits.Usage, err)
+	}
+	s := o.Factory.Streams
+	t := NewTrail(o.Job)
+	for _, name := range o.Files {
+		if err := read(t, s.In, name); err != nil {
+			return exits.With(exits.Failed, fault.At("read", name, err))
+		}
+	}
+	if t.Skipped > 0 {
+		fmt.Fprintf(s.Err, "%d lines could not be read and are left out\n", t.Skipped)
+	}
+	events := t.Events()
+	if len(events) == 0 {
+		return exits.With(exits.Failed, fmt.Errorf("no line is about job %s", o.Job))
+	}
+	return table.Print(s, o.JSON, columns, events)
+}
+
+func read(t *Trail, in io.Reader, name string) error {
+	if name == "-" {
+		return t.Read(in)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return t.Read(f)
+}
--- /dev/null
+++ b/oper/logs/trail.go
@@ -0,0 +1,138 @@
+package logs
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLine bounds a line of a log, in bytes; entries write far shorter ones.
+const maxLine = 1 << 20
+
+// Event is a line of a log that belongs to a job's story.
+type Event struct {
+	Time    time.Time
+	Entry   string
+	Message string
+	// Detail holds the other fields that say something.
+	Detail string
+	// pool and host are what the line is about; either may be empty.
+	pool, host string
+}
+
+// Trail gathers the lines that are about a job, and those that may explain them. Use
+// [NewTrail] to build it.
+type Trail struct {
+	// Skipped counts lines that could not be read.
+	Skipped int
+
+	job string
+	// own are the job's lines, around those about pools, hosts and the store.
+	own, around []Event
+}
+
+// NewTrail builds an empty trail of a job.
+func NewTrail(job string) *Trail { return &Trail{job: job} }
+
+// around names the events that may explain what happened to a job: a change of its
+// pool's owner, a loss of the store or of a host, and machines on the move.
+var around = map[string]bool{
+	"pool taken over": true, "pool given up": true, "a newer owner was seen": true, "pool has a newer owner": true,
+	"store lost": true, "store regained": true, "host lost": true, "host regained": true, "host has ended": true,
+	"machine to be moved": true, "machine to be emptied": true,
+}
+
+// hidden are fields that a row shows otherwise, or that say nothing about one job.
+var hidden = map[string]bool{
+	"time": true, "level": true, "msg": true, "entry": true, "zone": true, "job": true, "address": true, "topic": true,
+}
+
+// Read takes in a log. Text before a line's first brace is passed over.
+func (t *Trail) Read(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		line := lines.Bytes()
+		if brace := bytes.IndexByte(line, '{'); brace >= 0 {
+			t.take(line[brace:])
+		} else if len(bytes.TrimSpace(line)) > 0 {
+			t.Skipped++
+		}
+	}
+	return lines.Err()
+}
+
+func (t *Trail) take(line []byte) {
+	var fields map[string]any
+	if err := json.Unmarshal(line, &fields); err != nil {
+		t.Skipped++
+		return
+	}
+	text := func(name string) string { s, _ := fields[name].(string); return s }
+	at, err := time.Parse(time.RFC3339Nano, text("time"))
+	if err != nil {
+		t.Skipped++
+		return
+	}
+	e := Event{Time: at, Entry: text("entry"), Message: text("msg"), pool: text("pool"), host: text("host")}
+	if e.pool == "" {
+		// The holder of machines names the pool that a machine goes to.
+		e.pool = text("to")
+	}
+	e.Detail = detail(fields)
+	switch {
+	case text("job") == t.job, strings.HasPrefix(text("unit"), t.job+"."), strings.HasPrefix(text("step"), t.job+"."):
+		t.own = append(t.own, e)
+	case around[e.Message]:
+		t.around = append(t.around, e)
+	}
+}
+
+// detail lists the fields of a line as name=value, in the order of their names.
+func detail(fields map[string]any) string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		if v := fields[name]; !hidden[name] && v != "" && v != nil {
+			out = append(out, fmt.Sprintf("%s=%v", name, v))
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// Events returns the job's lines in the order of time, with what happened meanwhile to
+// its pool, to the hosts that its tasks were ordered to, and to the store.
+func (t *Trail) Events() []Event {
+	byTime := func(a, b Event) int { return a.Time.Compare(b.Time) }
+	slices.SortStableFunc(t.own, byTime)
+	if len(t.own) == 0 {
+		return nil
+	}
+	first, last := t.own[0].Time, t.own[len(t.own)-1].Time
+	pools, hosts := map[string]bool{}, map[string]bool{}
+	for _, e := range t.own {
+		pools[e.pool], hosts[e.host] = true, true
+	}
+	out := slices.Clone(t.own)
+	for _, e := range t.around {
+		if e.Time.Before(first) || e.Time.After(last) {
+			continue
+		}
+		if e.host != "" && strings.HasPrefix(e.Message, "host ") {
+			if hosts[e.host] {
+				out = append(out, e)
+			}
+			continue
+		}
+		if e.pool == "" || pools[e.pool] {
+			out = append(out, e)
+		}
+	}
+	slices.SortStableFunc(out, byTime)
+	return out
+}
--- a/oper/root/root.go
+++ b/oper/root/root.go
@@ -15,6 +15,7 @@
 	"carawaymux.dev/oper/exits"
 	"carawaymux.dev/oper/host"
 	"carawaymux.dev/oper/jobs"
+	"carawaymux.dev/oper/logs"
 	"carawaymux.dev/oper/pool"
 	"carawaymux.dev/oper/query"
 	"carawaymux.dev/oper/quota"
@@ -49,7 +50,7 @@
 	cmd.PersistentFlags().StringVar(&flags.Entry, "entry", "", "base `URLs` of entries, separated by commas")
 	cmd.PersistentFlags().StringVar(&flags.Author, "author", "", "`name` that signs records")
 	cmd.AddCommand(
-		budget.New(f), pool.New(f), host.New(f), jobs.New(f), quota.New(f), wave.New(f),
+		budget.New(f), pool.New(f), host.New(f), jobs.New(f), quota.New(f), wave.New(f), logs.New(f),
 		record.New(f), query.New(f), call.New(f), entry.New(f), status.New(f, nil),
 	)
 	return cmd
--- a/trial/system/page_test.go
+++ b/trial/system/page_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -41,6 +43,20 @@
 	}))
 }
 
+// explain lets the command line tell a job's story from the logs of all entries.
+func (r *rig) explain(id string) string {
+	r.t.Helper()
+	var logs strings.Builder
+	for _, e := range r.Entries {
+		logs.WriteString(r.Logs(e))
+	}
+	cmd := exec.CommandContext(r.ctx, filepath.Join(bin, "caraway"), "log", "explain", id, "-")
+	cmd.Stdin = strings.NewReader(logs.String())
+	out, err := cmd.CombinedOutput()
+	require.NoError(r.t, err, string(out))
+	return string(out)
+}
+
 // The page's way from an ID to its cause is walked with real failures.
 func TestTheOperationsPageLeadsFromAnIDToItsCause(t *testing.T) {
 	r := start(t, 2)
@@ -48,6 +64,7 @@
 	r.waitState("docs", failing, "failed")
 	r.says(failing.ID, `"msg":"run ended".*"result":"failed"`)
 	r.says(failing.ID, `"msg":"job ended".*"phase":"failed"`)
+	require.Regexp(t, `(?s)(job submitted|job came by the inbox).*run ordered.*run ended.*result=failed.*job ended.*phase=failed`, r.explain(failing.ID))
 
 	r.SetStore(world.StoreFaults{Busy: true})
 	time.Sleep(time.Second)
@@ -68,6 +85,7 @@
 		"request answered", "job refused", "store lost", "store regained", "pool taken over", "pool given up",
 		"job submitted", "job left in the inbox", "job came by the inbox", "job ended", "run ended", "run ordered",
 		"machine to be moved", "machine to be emptied", "host lost", "host has ended", "order failed", "log lines dropped",
+		"move dropped", "advice taken", "entries: store lost", "stop ordered",
 	} {
 		require.Contains(t, string(page), "`"+m+"`")
 		require.Contains(t, written, `"`+m+`"`)
