Measure how late the owner of a pool is

Each message carries the time at which it was posted, each order how long it waited before it was sent and how long the call took. 'order failed' says how long the order waited.

--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -61,6 +61,9 @@
 	Order     shard.Order
 	HostClock int64
 	Err       error
+	// Waited is how long the order waited in its queue. Took is how long the call took; it is 0
+	// when the order was not sent.
+	Waited, Took time.Duration
 }
 
 // Agent communicates with one host. Use [Open] to create it.
@@ -128,8 +131,9 @@
 }
 
 func (a *Agent) sendOrder(ctx context.Context, o Order) OrderResult {
-	result := OrderResult{Order: o.Order}
-	if o.Kind == shard.OrderStart && time.Since(o.queuedAt) > maxStartDelay {
+	sent := time.Now()
+	result := OrderResult{Order: o.Order, Waited: sent.Sub(o.queuedAt)}
+	if o.Kind == shard.OrderStart && result.Waited > maxStartDelay {
 		result.Err = &port.RefusedError{Reason: port.RefusedDeadline}
 		return result
 	}
@@ -147,5 +151,6 @@
 	case shard.OrderThrottle:
 		result.Err = a.client.Throttle(ctx, unit, o.Run, o.Percent, o.Token)
 	}
+	result.Took = time.Since(sent)
 	return result
 }
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -50,6 +50,8 @@
 	fenced bool
 	// nextExpiryScan is the earliest time of the next scan for expired jobs.
 	nextExpiryScan time.Time
+	// delays measures how late this owner is.
+	delays *delayMeter
 	// background counts the goroutines that the task has started and waits for when it stops.
 	background sync.WaitGroup
 }
@@ -73,10 +75,11 @@
 	}
 	c.state.ConfirmedAt = acquired.ConfirmedAt
 	c.state.HasPolicyService = d.Adviser != nil
+	c.delays = newDelayMeter(acquired.Name, d.Stats, c.logger, time.Now())
 	return c
 }
 
-func (c *core) run(ctx context.Context, inbox <-chan message) {
+func (c *core) run(ctx context.Context, inbox <-chan queued) {
 	c.runCtx = ctx
 	c.writer = claim.NewWriter(c.claim, func(ctx context.Context, w claim.WriteResult) { c.post(ctx, writeResult{w}) })
 	c.startInbox()
@@ -93,7 +96,7 @@
 		case <-tick.C:
 			c.tick()
 		case m := <-inbox:
-			m.handle(c)
+			c.handle(m)
 			c.drainInbox(inbox)
 		}
 		c.act()
@@ -102,13 +105,19 @@
 	c.shutdown()
 }
 
+// handle handles one message from the inbox.
+func (c *core) handle(m queued) {
+	c.delays.recordMessage(time.Since(m.postedAt))
+	m.message.handle(c)
+}
+
 // drainInbox handles the messages that are already queued, so that one round of planning covers
 // all of them.
-func (c *core) drainInbox(inbox <-chan message) {
+func (c *core) drainInbox(inbox <-chan queued) {
 	for range maxDrainedMessages {
 		select {
 		case m := <-inbox:
-			m.handle(c)
+			c.handle(m)
 		default:
 			return
 		}
@@ -129,6 +138,7 @@
 	}
 	c.askAdviser(now)
 	c.flush(now)
+	c.delays.recordRound(time.Since(now))
 }
 
 // tick applies changes that depend on time alone.
@@ -143,6 +153,7 @@
 	}
 	c.refuseUnwritten()
 	c.listMachines(now)
+	c.delays.endInterval(now)
 }
 
 // expiryScanInterval is the time between scans for jobs whose retention period has ended.
@@ -165,7 +176,7 @@
 
 // post puts a message into the owner's own inbox and waits until there is room.
 func (c *core) post(ctx context.Context, m message) {
-	if err := c.owner.task.Send(ctx, m); err != nil && ctx.Err() == nil {
+	if err := c.owner.task.Send(ctx, queued{m, time.Now()}); err != nil && ctx.Err() == nil {
 		c.logger.Debug("message dropped: the owner of the pool has stopped", "err", err)
 	}
 }
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -179,10 +179,11 @@
 }
 
 func (m orderResult) handle(c *core) {
+	c.delays.recordOrder(&m.OrderResult)
 	if m.Err != nil {
 		c.deps.Stats.Add("orders-failed", 1, "pool", c.state.Pool, "kind", orderNames[m.Order.Kind])
 		c.logger.Info("order failed", "unit", m.Order.Ref.String(), "run", m.Order.Run, "host", m.Order.Host,
-			"order", orderNames[m.Order.Kind], "err", m.Err)
+			"order", orderNames[m.Order.Kind], "waited-ms", m.Waited.Milliseconds(), "err", m.Err)
 	}
 	c.recordOutcome(m.Order, m.HostClock, m.Err, time.Now())
 }
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -93,7 +93,7 @@
 // Owner owns one pool. Use [Start] to build it.
 type Owner struct {
 	pool string
-	task *task.Task[message]
+	task *task.Task[queued]
 	// lost is closed when a newer owner has been seen.
 	lost chan struct{}
 }
@@ -177,12 +177,12 @@
 
 // Configure applies a configuration.
 func (o *Owner) Configure(ctx context.Context, c *port.Config) error {
-	return o.task.Send(ctx, configChange{c})
+	return o.task.Send(ctx, queued{configChange{c}, time.Now()})
 }
 
 // UpdateHosts applies changes of the platform's list of hosts.
 func (o *Owner) UpdateHosts(ctx context.Context, changes []feed.Change[port.Host]) error {
-	return o.task.Send(ctx, hostChanges{changes})
+	return o.task.Send(ctx, queued{hostChanges{changes}, time.Now()})
 }
 
 // Close stops the owner and waits until it has stopped. An append in flight is abandoned, so
@@ -192,7 +192,7 @@
 // call sends a request to the task and waits for the answer. If there is none, because the
 // owner stops or the caller's time runs out, the outcome is onFailure.
 func (o *Owner) call(ctx context.Context, onFailure Outcome, build func(chan<- Answer) message) Answer {
-	a, err := task.Call(ctx, o.task, build)
+	a, err := task.Call(ctx, o.task, func(reply chan<- Answer) queued { return queued{build(reply), time.Now()} })
 	if err != nil {
 		return Answer{Outcome: onFailure, Reason: err.Error()}
 	}
