Assign pools to entries by what their hosts can carry

Cause: owners.LeastLoaded compares the number of pools only, on hosts of 0.192 to 0.8 of a core. Most entries are on weak hosts, so most pools fall to them. Change: owners.WeightedLeastLoaded compares (load+1)/capacity, then zones, then rendezvous hashing; LeastLoaded stays as its baseline. An unknown capacity counts as the lowest known one. The speed of the link is left out: no measurement shows it to limit an owner. Check: with LeastLoaded in place of the new policy, TestPoolsGoToIdleStrongMembers, TestZoneSpreadDoesNotPreferWeakMembers and TestSharesFollowCapacity fail; the tests that were there pass unchanged. Not measured on a deployment in this commit.

--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -4,6 +4,7 @@
 package duties
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"maps"
@@ -244,18 +245,8 @@
 	if len(unowned) == 0 {
 		return nil
 	}
-	var members []owners.Member
-	for name, heartbeat := range v.Alive {
-		members = append(members, owners.Member{Name: name, Zone: heartbeat.Zone, Load: len(heartbeat.Pools)})
-	}
-	slices.SortFunc(members, func(a, b owners.Member) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
 	var out []string
-	for pool, name := range owners.Assign(owners.LeastLoaded{}, unowned, members) {
+	for pool, name := range owners.Assign(owners.WeightedLeastLoaded{}, unowned, members(v)) {
 		if name == c.duties.settings.Entry {
 			out = append(out, pool)
 		}
@@ -263,6 +254,16 @@
 	return out
 }
 
+// members returns the live entries, sorted by name.
+func members(v *roster.View) []owners.Member {
+	out := make([]owners.Member, 0, len(v.Alive))
+	for name, heartbeat := range v.Alive {
+		out = append(out, owners.Member{Name: name, Zone: heartbeat.Zone, Load: len(heartbeat.Pools), Capacity: heartbeat.Capacity})
+	}
+	slices.SortFunc(out, func(a, b owners.Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // allPools returns the pools that are used by a queue, and the singletons.
 func (c *core) allPools() []string {
 	names := map[string]bool{}
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -49,6 +49,9 @@
 	Pools map[string]int64 `cbor:"6,keyasint,omitempty"`
 	// Leaving reports that the entry is about to stop and takes no pools.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// Capacity is the processor capacity of the entry in thousandths of a core. Zero means unknown;
+	// versions before the field write none.
+	Capacity int `cbor:"8,keyasint,omitempty"`
 }
 
 // Owner is an entry that owns a pool.
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"carawaymux.dev/entry/roster"
+	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/port"
 )
 
@@ -107,3 +108,38 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// olderHeartbeat is [roster.Heartbeat] as versions before the capacity wrote it.
+type olderHeartbeat struct {
+	Name        string           `cbor:"1,keyasint"`
+	Zone        string           `cbor:"2,keyasint"`
+	Address     string           `cbor:"3,keyasint"`
+	Incarnation int64            `cbor:"4,keyasint"`
+	Seq         int64            `cbor:"5,keyasint"`
+	Pools       map[string]int64 `cbor:"6,keyasint,omitempty"`
+	Leaving     bool             `cbor:"7,keyasint,omitempty"`
+}
+
+func TestHeartbeatsOfOlderAndNewerVersionsAreUnderstood(t *testing.T) {
+	s := &fakeStore{}
+	older := olderHeartbeat{Name: "old", Zone: "z", Address: "old", Incarnation: 1, Seq: 1, Pools: map[string]int64{"pool": 3}}
+	value, err := codec.EncodeFrame(older)
+	require.NoError(t, err)
+	_, err = s.Append(t.Context(), port.Stream{}, []port.Record{{Key: "old", Value: value}}, nil, -1)
+	require.NoError(t, err)
+	r := roster.Start(s, roster.Heartbeat{Name: "new", Zone: "z", Address: "new", Incarnation: 1, Capacity: 800},
+		slog.New(slog.NewJSONHandler(io.Discard, nil)), func(*roster.View) {})
+	t.Cleanup(r.Close)
+	require.Eventually(t, func() bool { return len(r.View().Alive) == 2 }, time.Second, 5*time.Millisecond)
+	view := r.View()
+	require.Equal(t, "old", view.Owners["pool"].Name)
+	require.Zero(t, view.Alive["old"].Capacity)
+	require.Equal(t, 800, view.Alive["new"].Capacity)
+
+	value, err = codec.EncodeFrame(roster.Heartbeat{Name: "old", Zone: "z", Address: "old", Incarnation: 1, Seq: 1,
+		Pools: map[string]int64{"pool": 3}, Capacity: 800})
+	require.NoError(t, err)
+	got, err := codec.DecodeFrame[olderHeartbeat](value)
+	require.NoError(t, err)
+	require.Equal(t, older, got)
+}
--- a/fleet/owners/owners.go
+++ b/fleet/owners/owners.go
@@ -15,6 +15,9 @@
 	Zone string
 	// Load is the number of pools that it owns; it is not negative.
 	Load int
+	// Capacity is the processor capacity in thousandths of a core. Zero or less means unknown;
+	// [Assign] then uses the lowest known capacity of the members.
+	Capacity int
 }
 
 // Policy compares how well members suit a pool. The member that suits it best is chosen.
@@ -24,9 +27,25 @@
 	Less(pool string, a, b Member, poolsByZone map[string]int) bool
 }
 
-// LeastLoaded gives a pool to the member with the fewest pools. Among equals it prefers the zone
-// with the fewest pools, so that the loss of a zone affects few pools, and then uses rendezvous
-// hashing.
+// WeightedLeastLoaded gives a pool to the member that has the fewest pools relative to its capacity
+// after taking it. Among equals it prefers the zone with the fewest pools, so that the loss of a zone
+// affects few pools, and then uses rendezvous hashing.
+type WeightedLeastLoaded struct{}
+
+// Less implements [Policy].
+func (WeightedLeastLoaded) Less(pool string, a, b Member, poolsByZone map[string]int) bool {
+	// (a.Load+1)/a.Capacity < (b.Load+1)/b.Capacity, without rounding.
+	if c := cmp.Compare((a.Load+1)*b.Capacity, (b.Load+1)*a.Capacity); c != 0 {
+		return c < 0
+	}
+	if c := cmp.Compare(poolsByZone[a.Zone], poolsByZone[b.Zone]); c != 0 {
+		return c < 0
+	}
+	return rendezvous(pool, a.Name) < rendezvous(pool, b.Name)
+}
+
+// LeastLoaded gives a pool to the member with the fewest pools, whatever its capacity. Ties are
+// broken as in [WeightedLeastLoaded]. It is the baseline of that policy.
 type LeastLoaded struct{}
 
 // Less implements [Policy].
@@ -51,13 +70,31 @@
 // rendezvous returns the hash of a pool and a member. The member with the lowest hash is chosen.
 func rendezvous(pool, member string) uint64 { return xxhash.Sum64String(pool + "\x00" + member) }
 
+// withKnownCapacities returns a copy of members in which each unknown capacity is the lowest known
+// one, or 1 if none is known.
+func withKnownCapacities(members []Member) []Member {
+	lowest := 0
+	for _, m := range members {
+		if m.Capacity > 0 && (lowest == 0 || m.Capacity < lowest) {
+			lowest = m.Capacity
+		}
+	}
+	out := slices.Clone(members)
+	for i := range out {
+		if out[i].Capacity <= 0 {
+			out[i].Capacity = max(lowest, 1)
+		}
+	}
+	return out
+}
+
 // Assign returns the member that should claim each pool without an owner. Members keep the
 // pools that they own.
 func Assign[P Policy](policy P, unowned []string, members []Member) map[string]string {
 	if len(members) == 0 {
 		return nil
 	}
-	members = slices.Clone(members)
+	members = withKnownCapacities(members)
 	poolsByZone := map[string]int{}
 	for _, m := range members {
 		poolsByZone[m.Zone] += m.Load
--- a/fleet/owners/owners_test.go
+++ b/fleet/owners/owners_test.go
@@ -64,3 +64,91 @@
 		require.Equal(t, "e1", name)
 	}
 }
+
+const strong, weak = 800, 192
+
+// mixed returns strong and weak members in turn over four zones. The weak ones come first by name.
+func mixed(nStrong, nWeak int) []owners.Member {
+	out := members(nWeak)
+	for i := range out {
+		out[i].Capacity = weak
+	}
+	for i := range nStrong {
+		out = append(out, owners.Member{Name: fmt.Sprintf("s%d", i), Zone: fmt.Sprintf("z%d", i%4), Capacity: strong})
+	}
+	return out
+}
+
+// count returns the number of pools of each member.
+func count(assigned map[string]string) map[string]int {
+	out := map[string]int{}
+	for _, m := range assigned {
+		out[m]++
+	}
+	return out
+}
+
+// Owners of busy pools starved on weak hosts while strong ones were idle.
+func TestPoolsGoToIdleStrongMembers(t *testing.T) {
+	all := mixed(8, 23)
+	zones := map[string]string{}
+	for _, m := range all {
+		zones[m.Name] = m.Zone
+	}
+	perZone := map[string]int{}
+	for member, n := range count(owners.Assign(owners.WeightedLeastLoaded{}, pools(6), all)) {
+		require.Equal(t, byte('s'), member[0], member)
+		require.Equal(t, 1, n, member)
+		perZone[zones[member]]++
+	}
+	require.Len(t, perZone, 4)
+	for zone, n := range perZone {
+		require.LessOrEqual(t, n, 2, zone)
+	}
+}
+
+// The loss of a zone must hit few pools, but a zone without pools must not draw a pool to a weak member.
+func TestZoneSpreadDoesNotPreferWeakMembers(t *testing.T) {
+	all := []owners.Member{
+		{Name: "s0", Zone: "z0", Load: 1, Capacity: strong},
+		{Name: "s1", Zone: "z0", Capacity: strong},
+		{Name: "w", Zone: "z1", Capacity: weak},
+	}
+	require.Equal(t, map[string]string{"p": "s1"}, owners.Assign(owners.WeightedLeastLoaded{}, []string{"p"}, all))
+}
+
+func TestSharesFollowCapacity(t *testing.T) {
+	const nPools, nStrong, nWeak = 172, 8, 23
+	all := mixed(nStrong, nWeak)
+	got := count(owners.Assign(owners.WeightedLeastLoaded{}, pools(nPools), all))
+	total := nStrong*strong + nWeak*weak
+	for _, m := range all {
+		require.InDelta(t, float64(nPools*m.Capacity)/float64(total), got[m.Name], 1, m.Name)
+		for _, other := range all {
+			require.LessOrEqual(t, got[m.Name]*other.Capacity, (got[other.Name]+1)*m.Capacity,
+				"a pool of %s would be better off at %s", m.Name, other.Name)
+		}
+	}
+}
+
+func TestEqualCapacitiesAreAssignedByLoad(t *testing.T) {
+	all := members(8)
+	all[2].Load, all[5].Load = 3, 1
+	want := owners.Assign(owners.LeastLoaded{}, pools(40), all)
+	for _, capacity := range []int{0, weak, strong} {
+		for i := range all {
+			all[i].Capacity = capacity
+		}
+		require.Equal(t, want, owners.Assign(owners.WeightedLeastLoaded{}, pools(40), all), capacity)
+	}
+}
+
+// Entries of older versions do not report a capacity.
+func TestUnknownCapacityCountsAsTheLowestKnown(t *testing.T) {
+	all := mixed(2, 2)
+	want := owners.Assign(owners.WeightedLeastLoaded{}, pools(30), all)
+	require.Equal(t, weak, all[0].Capacity)
+	all[0].Capacity = 0
+	require.Equal(t, want, owners.Assign(owners.WeightedLeastLoaded{}, pools(30), all))
+	require.Zero(t, all[0].Capacity, "the members of the caller are not modified")
+}
