Measure rounds of planning in a full pool

BenchmarkFullPool: 80 hosts with 8 tasks each, 1,000 and 10,000 jobs of one task waiting, fresh and for 5 s, with no room left and with a remainder that fits nothing; one task ends and one starts, or nothing changes.

--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -55,3 +55,91 @@
 		started = append(started, s.TakeOrders()...)
 	}
 }
+
+// BenchmarkFullPool measures rounds of a pool without room for the tasks that wait. Each job has one
+// task.
+func BenchmarkFullPool(b *testing.B) {
+	const hosts, perHost = 80, 8
+	for _, remainder := range []int64{0, 500} {
+		for _, waiting := range []int{1000, 10_000} {
+			for _, age := range []time.Duration{0, 5 * time.Second} {
+				suffix := fmt.Sprintf("remainder-%d-waiting-%d-age-%s", remainder, waiting, age)
+				b.Run("one-end-"+suffix, func(b *testing.B) {
+					p := newFullPool(hosts, perHost, perHost*1000+remainder, waiting, age)
+					b.ResetTimer()
+					for b.Loop() {
+						p.endOne()
+						p.round()
+					}
+				})
+				b.Run("no-change-"+suffix, func(b *testing.B) {
+					p := newFullPool(hosts, perHost, perHost*1000+remainder, waiting, age)
+					b.ResetTimer()
+					for b.Loop() {
+						p.round()
+					}
+				})
+			}
+		}
+	}
+}
+
+// fullPool is a pool in which a task waits for each that ends.
+type fullPool struct {
+	state   *shard.State
+	now     time.Time
+	jobs    int
+	ends    int64
+	started []shard.Order
+}
+
+func newFullPool(hosts, perHost int, capacity int64, waiting int, age time.Duration) *fullPool {
+	p := &fullPool{now: time.Unix(1_700_000_000, 0)}
+	p.state = shard.New("pool", 1, timing, p.now)
+	p.state.Configure(&port.Config{
+		Queues: []port.Queue{{Name: "q", Pool: "pool", Stretch: 2, Target: time.Minute}}, Pools: []port.Pool{{Name: "pool", EnforcesCapacity: true}},
+	})
+	for range waiting + hosts*perHost {
+		p.submit()
+	}
+	p.now = p.now.Add(age)
+	for i := range hosts {
+		id := fmt.Sprint(i)
+		p.state.UpdateHost(port.Host{ID: id, Pool: "pool", Capacity: batch.Size{MilliCores: capacity, MemoryMB: 8000}}, p.now).Stored = true
+		p.state.HandleReport(id, &port.HostReport{Clock: 1}, p.now)
+	}
+	p.now = p.now.Add(time.Millisecond)
+	p.state.ConfirmedAt = p.now
+	p.round()
+	return p
+}
+
+func (p *fullPool) submit() {
+	p.jobs++
+	j, _ := p.state.Submit(fmt.Sprint(p.jobs), batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(1)}}, p.now)
+	p.state.MarkStored(j)
+}
+
+// endOne ends the oldest run and submits a job in its place.
+func (p *fullPool) endOne() {
+	o := p.started[0]
+	p.started = p.started[1:]
+	p.ends++
+	p.state.HandleStartResult(&o, 2, nil, p.now)
+	p.state.HandleReport(o.Host, &port.HostReport{Clock: 3, Finished: []port.FinishedRun{{
+		Number: p.ends, Unit: o.Ref.String(), Run: o.Run, Result: port.ResultDone,
+	}}}, p.now)
+	p.submit()
+	for _, c := range p.state.TakeChanges() {
+		p.state.MarkWritten(c)
+	}
+}
+
+// round makes the calls that an owner makes after each batch of messages.
+func (p *fullPool) round() {
+	p.state.RetryStops(p.now)
+	shard.Plan(p.state, shard.ByLoad{Overloaded: p.state.Overloaded}, p.now, p.now.UnixMilli())
+	p.started = append(p.started, p.state.TakeOrders()...)
+	p.state.NeedsFlush()
+	p.state.NeedsConfirmation()
+}
