Plan from an index of what waits instead of all jobs and hosts

An owner plans after every batch of messages. A round built and sorted the demands of all open jobs, summed the assigned tasks of all hosts, and tried every waiting step on every host, also when nothing had room.

- The waiting steps are kept in a backlog, which the changes of idle, Left and the phase update.
Critical paths and the remaining work of an occurrence are cached.
- Used capacity and the number of long-running tasks are kept for each host.
- A round ends at once when no host has room for the least need of any waiting step.
Otherwise it leaves out the steps that can neither start nor reserve a host, takes the others from a heap, and stops when no host has room.
- The sum of waiting work stops at the limit with which it is compared.
- Questions for the policy service use the same index, and one list of hosts for all steps.

Decisions are the same: TestPlanDecidesLikeTheReference drives a pool with random events and compares each round with the former code, which is kept in reference_test.go. Rankings leave the order of the steps of one job open, so the test completes them to a total order; retried stops are compared in sorted order, since they come from a map.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -1,10 +1,13 @@
 package shard
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/place"
 	"carawaymux.dev/fleet/port"
 )
 
@@ -37,6 +40,10 @@
 	CountedEnd, StoredEnd int64
 	// Assigned holds the tasks that run, may run or are being stopped there.
 	Assigned map[batch.Ref]*Task
+	// used is the capacity that the assigned tasks take, and longRunning the number of the
+	// long-running ones.
+	used        batch.Size
+	longRunning int
 	// UnknownRuns is the number of runs that the host reports but that are not assigned to it.
 	UnknownRuns int
 	// CordonedUntil is until when the host takes no new work because it is being emptied.
@@ -94,6 +101,7 @@
 	if host == nil {
 		host = &Host{Host: h, Assigned: map[batch.Ref]*Task{}}
 		s.Hosts[h.ID] = host
+		s.hostList = nil
 	}
 	host.Host, host.Listed, host.LastListed = h, true, now
 	return host
@@ -103,6 +111,7 @@
 func (s *State) RestoreHost(h port.Host) {
 	if s.Hosts[h.ID] == nil {
 		s.Hosts[h.ID] = &Host{Host: h, Assigned: map[batch.Ref]*Task{}, Stored: true}
+		s.hostList = nil
 	}
 	s.Hosts[h.ID].Stored = true
 }
@@ -155,10 +164,47 @@
 	return now.After(expiry) && s.ConfirmedAt.After(expiry)
 }
 
+// sortedHosts returns the hosts by ID. The result is shared.
+func (s *State) sortedHosts() []*Host {
+	if s.hostList == nil {
+		s.hostList = slices.SortedFunc(maps.Values(s.Hosts), func(a, b *Host) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return s.hostList
+}
+
+// free returns the capacity that no task takes. Tasks that are being stopped take theirs.
+func (h *Host) free() batch.Size { return h.Capacity.Sub(h.used) }
+
+// rack returns the rack of the host.
+func (h *Host) rack() place.Rack { return place.Rack{Zone: h.Zone, Name: h.Rack} }
+
+// assign records that a task runs, may run or is being stopped on a host.
+func (s *State) assign(h *Host, r batch.Ref, task *Task) {
+	h.Assigned[r] = task
+	step := s.step(r)
+	h.used = h.used.Add(step.Reservation())
+	if step.LongRunning {
+		h.longRunning++
+	}
+}
+
+// unassign is the inverse of assign.
+func (s *State) unassign(h *Host, r batch.Ref) {
+	if h.Assigned[r] == nil {
+		return
+	}
+	delete(h.Assigned, r)
+	step := s.step(r)
+	h.used = h.used.Sub(step.Reservation())
+	if step.LongRunning {
+		h.longRunning--
+	}
+}
+
 // hasUnconfirmedHost reports whether some host that an earlier owner may have used has not
 // answered yet and may still hold a lease.
 func (s *State) hasUnconfirmedHost(now time.Time) bool {
-	for _, h := range s.Hosts {
+	for _, h := range s.sortedHosts() {
 		if h.Stored && !h.Confirmed && !s.leaseExpired(h, now) {
 			return true
 		}
@@ -180,6 +226,7 @@
 		if !h.Listed {
 			dropped = append(dropped, id)
 			delete(s.Hosts, id)
+			s.hostList = nil
 		}
 	}
 	return dropped
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -49,6 +49,7 @@
 	j.Objective = s.objective(j)
 	s.Jobs[id] = j
 	s.openJobs[id] = j
+	s.backlog.addJob(j)
 	s.recordArrival(j, now)
 	return j, Accepted
 }
@@ -69,6 +70,7 @@
 	if j := s.Jobs[id]; j != nil && !j.Stored {
 		delete(s.Jobs, id)
 		delete(s.openJobs, id)
+		s.backlog.dropJob(j)
 	}
 }
 
@@ -90,6 +92,7 @@
 func (s *State) closeJob(j *Job, p Phase, now time.Time) {
 	j.Phase, j.EndedAt = p, now
 	delete(s.openJobs, j.ID)
+	s.backlog.dropJob(j)
 	s.dropPermits(j)
 	s.markDirty(j)
 	for oi := range j.Occurrences {
--- a/fleet/shard/permit.go
+++ b/fleet/shard/permit.go
@@ -90,48 +90,49 @@
 	if !s.HasPolicyService || !s.needsAdvice {
 		return Question{}, false
 	}
-	var wanted []Demand
-	for _, d := range s.demands(now) {
-		if s.needsTicket(d.Job.Spec.Queue) {
-			wanted = append(wanted, d)
+	ranked := newRanked(s, ranking, now, func(w *waitingStep) bool {
+		return s.needsTicket(w.job.Spec.Queue) && s.permits[w.ref()].mayAsk(now)
+	})
+	var hosts candidates
+	for w := ranked.pop(); w != nil; w = ranked.pop() {
+		if hosts == nil {
+			hosts = s.candidates(now)
 		}
-	}
-	slices.SortFunc(wanted, func(a, b Demand) int { return ranking.Compare(&a, &b, now) })
-	for i := range wanted {
-		if q, ok := s.questionFor(&wanted[i], now); ok {
+		if q, ok := s.questionFor(w, hosts, now); ok {
 			return q, true
 		}
 	}
 	return Question{}, false
 }
 
+// mayAsk reports whether a question about the step may be asked now.
+func (p *permit) mayAsk(now time.Time) bool {
+	return p == nil || (!p.asking && now.Sub(p.askedAt) >= questionInterval)
+}
+
 // questionFor asks about the hosts with the most free capacity among those without a valid ticket
 // or a denial.
-func (s *State) questionFor(d *Demand, now time.Time) (Question, bool) {
-	key := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}
+func (s *State) questionFor(w *waitingStep, hosts candidates, now time.Time) (Question, bool) {
+	key := w.ref()
 	p := s.permits[key]
 	if p == nil {
 		p = &permit{denied: map[string]int64{}, tickets: map[string]Ticket{}}
 		s.permits[key] = p
 	}
-	if p.asking || now.Sub(p.askedAt) < questionInterval {
-		return Question{}, false
-	}
-	step := &d.Job.Spec.Steps[d.Step]
 	var unknown candidates
-	for _, c := range s.candidates(now) {
+	for _, c := range hosts {
 		instance, denied := p.denied[c.host.ID]
-		if (denied && instance == c.host.Instance) || p.valid(c.host, now) || !c.host.Capacity.Fits(step.Reservation()) {
+		if (denied && instance == c.host.Instance) || p.valid(c.host, now) || !c.host.Capacity.Fits(w.shape.need) {
 			continue
 		}
-		if step.RequiredLabel == "" || HasLabel(&c.host.Host, step.RequiredLabel) {
+		if w.shape.hasLabel(c.host) {
 			unknown = append(unknown, c)
 		}
 	}
 	if len(unknown) == 0 {
 		return Question{}, false
 	}
-	slices.SortStableFunc(unknown, func(a, b candidate) int { return cmp.Compare(b.free.MilliCores, a.free.MilliCores) })
+	slices.SortStableFunc(unknown, func(a, b *candidate) int { return cmp.Compare(b.free.MilliCores, a.free.MilliCores) })
 	q := Question{Step: key}
 	p.asking, p.askedAt, p.instances = true, now, map[string]int64{}
 	for _, c := range unknown[:min(len(unknown), hostsPerQuestion)] {
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -1,8 +1,6 @@
 package shard
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"carawaymux.dev/fleet/batch"
@@ -11,42 +9,39 @@
 
 // Plan opens the occurrences that are due and orders the starts that are possible now. The
 // argument wall is the time of day in milliseconds since 1970.
+//
+// Steps go in the order of the ranking. Those that can neither start nor reserve a host are left
+// out, and planning ends once no host has room for any of the others.
 func Plan[R Ranking](s *State, ranking R, now time.Time, wall int64) {
 	s.openDue(wall)
-	demands := s.demands(now)
-	if len(demands) == 0 {
-		s.Overloaded = false
+	s.updateOverloaded(now)
+	least := s.backlog.leastNeed()
+	if len(s.backlog.steps) == 0 || !s.hasRoom(least, now) {
 		return
 	}
 	hosts := s.candidates(now)
-	s.updateOverloaded(demands, hosts)
-	slices.SortFunc(demands, func(a, b Demand) int { return ranking.Compare(&a, &b, now) })
-	for i := range demands {
-		s.startTasks(&demands[i], hosts, now)
-		if hosts.empty() {
-			return
+	roomy := hosts.withRoom(least)
+	s.backlog.findFits(roomy)
+	if hosts.empty() {
+		// Only the first step is tried.
+		if first := newRanked(s, ranking, now, func(*waitingStep) bool { return true }).pop(); first != nil {
+			s.startTasks(first, hosts, roomy, now)
 		}
+		return
 	}
-}
-
-// openDue opens the occurrences that are due. An inherited job may have more open occurrences than
-// are due by the clock of this owner.
-func (s *State) openDue(wall int64) {
-	for _, j := range s.openJobs {
-		if j.Spec.Repetitions == 0 {
-			if len(j.Occurrences) == 0 {
-				s.openOccurrence(j)
-			}
+	ranked := newRanked(s, ranking, now, func(w *waitingStep) bool { return w.shape.fits || w.reserves(now) })
+	for w := ranked.pop(); w != nil; w = ranked.pop() {
+		if !s.startTasks(w, hosts, roomy, now) {
 			continue
 		}
-		for len(j.Occurrences) < j.Spec.Repetitions && s.dueAt(j, len(j.Occurrences)) <= wall {
-			s.openOccurrence(j)
+		if roomy = roomy.withRoom(least); len(roomy) == 0 || hosts.empty() {
+			return
 		}
 	}
 }
 
 // dueAt returns when an occurrence may start, in milliseconds since 1970.
-func (s *State) dueAt(j *Job, occurrence int) int64 {
+func (j *Job) dueAt(occurrence int) int64 {
 	return j.Spec.FirstDueMS + int64(occurrence)*j.Spec.Interval.Milliseconds()
 }
 
@@ -54,9 +49,9 @@
 // when there is none.
 func (s *State) NextDue() int64 {
 	var next int64
-	for _, j := range s.openJobs {
+	for _, j := range s.backlog.unopened {
 		if len(j.Occurrences) < j.Spec.Repetitions {
-			if d := s.dueAt(j, len(j.Occurrences)); next == 0 || d < next {
+			if d := j.dueAt(len(j.Occurrences)); next == 0 || d < next {
 				next = d
 			}
 		}
@@ -64,113 +59,50 @@
 	return next
 }
 
-// demands returns the steps with tasks that could start now.
-func (s *State) demands(now time.Time) []Demand {
-	unconfirmed := s.hasUnconfirmedHost(now)
-	var out []Demand
-	for _, j := range s.openJobs {
-		if !j.Stored || (j.Inherited && unconfirmed) {
-			continue
-		}
-		q := s.Queues[j.Spec.Queue]
-		scale := s.durationRatios[j.Spec.Queue].median()
-		for oi := range j.Occurrences {
-			occ := &j.Occurrences[oi]
-			if occ.Left == 0 {
-				continue
-			}
-			work := workLeft(&j.Spec, occ, scale)
-			for si := range occ.Stages {
-				if occ.Stages[si].idle <= 0 || !occ.ready(&j.Spec, si) {
-					continue
-				}
-				d := Demand{
-					Job: j, Occurrence: oi, Step: si, LongRunning: j.Spec.Steps[si].LongRunning, Priority: q.Priority,
-					Objective: j.Objective, CriticalPath: time.Duration(float64(criticalPathFrom(&j.Spec, si)) * scale), RemainingWork: work,
-				}
-				if j.Spec.Repetitions > 0 {
-					offset := time.Duration(s.dueAt(j, oi)-j.Spec.AcceptedMS) * time.Millisecond
-					d.Objective = d.Objective.Add(offset)
-				}
-				out = append(out, d)
-			}
-		}
-	}
-	return out
-}
-
-// workLeft returns the work of the tasks of an occurrence that are not done.
-func workLeft(spec *batch.Spec, occ *Occurrence, scale float64) int64 {
-	var sum int64
-	for si := range occ.Stages {
-		sum += stepWork(&spec.Steps[si], occ.Stages[si].Left, scale)
-	}
-	return sum
-}
-
-// ready reports whether all predecessors of a step are done.
-func (o *Occurrence) ready(spec *batch.Spec, step int) bool {
-	for _, a := range spec.Steps[step].After {
-		if o.Stages[a].Left > 0 {
-			return false
+// hasRoom reports whether some schedulable host has room for a need.
+func (s *State) hasRoom(need batch.Size, now time.Time) bool {
+	for _, h := range s.sortedHosts() {
+		if h.free().Fits(need) && s.Schedulable(h, now) {
+			return true
 		}
 	}
-	return true
-}
-
-// criticalPathFrom returns the longest sum of estimated run times along dependent steps, from a
-// step on.
-func criticalPathFrom(spec *batch.Spec, step int) time.Duration {
-	var next time.Duration
-	for later := step + 1; later < len(spec.Steps); later++ {
-		if slices.Contains(spec.Steps[later].After, step) {
-			next = max(next, criticalPathFrom(spec, later))
-		}
-	}
-	return spec.Steps[step].Estimate + next
+	return false
 }
 
 // candidate is a host that may get work in a round of planning.
 type candidate struct {
 	host *Host
-	rack place.Rack
 	free batch.Size
 	// reserved reports whether the free capacity is reserved for a demand that does not fit yet.
 	reserved bool
-	// longRunning is the number of long-running tasks on the host.
-	longRunning int
 }
 
-type candidates []candidate
+// candidates holds hosts in the order of their IDs.
+type candidates []*candidate
 
 // candidates returns the schedulable hosts with their free capacity.
 func (s *State) candidates(now time.Time) candidates {
-	var out candidates
-	for _, h := range s.Hosts {
-		if !s.Schedulable(h, now) {
-			continue
-		}
-		c := candidate{host: h, rack: place.Rack{Zone: h.Zone, Name: h.Rack}, free: h.Capacity.Sub(s.usedCapacity(h))}
-		for r := range h.Assigned {
-			if j := s.Jobs[r.Job]; j != nil && j.Spec.Steps[r.Step].LongRunning {
-				c.longRunning++
-			}
+	hosts := s.sortedHosts()
+	all := make([]candidate, 0, len(hosts))
+	out := make(candidates, 0, len(hosts))
+	for _, h := range hosts {
+		if s.Schedulable(h, now) {
+			all = append(all, candidate{host: h, free: h.free()})
+			out = append(out, &all[len(all)-1])
 		}
-		out = append(out, c)
 	}
-	slices.SortFunc(out, func(a, b candidate) int { return cmp.Compare(a.host.ID, b.host.ID) })
 	return out
 }
 
-// usedCapacity returns the capacity that runs take, including those that are being stopped.
-func (s *State) usedCapacity(h *Host) batch.Size {
-	var sum batch.Size
-	for r := range h.Assigned {
-		if j := s.Jobs[r.Job]; j != nil {
-			sum = sum.Add(j.Spec.Steps[r.Step].Reservation())
+// withRoom returns the hosts that are not reserved and have room for a need.
+func (c candidates) withRoom(need batch.Size) candidates {
+	var out candidates
+	for _, host := range c {
+		if !host.reserved && host.free.Fits(need) {
+			out = append(out, host)
 		}
 	}
-	return sum
+	return out
 }
 
 // empty reports whether no host has free capacity that is not reserved.
@@ -183,28 +115,33 @@
 	return true
 }
 
-// startTasks orders the start of as many tasks of a demand as fit.
-func (s *State) startTasks(d *Demand, hosts candidates, now time.Time) {
-	step := &d.Job.Spec.Steps[d.Step]
-	stage := &d.Job.Occurrences[d.Occurrence].Stages[d.Step]
-	permitted := s.permitFilter(batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}, now)
+// startTasks orders the start of as many tasks of a step as fit. All hosts with room have to be in
+// roomy. It reports whether it has started a task or reserved a host.
+func (s *State) startTasks(w *waitingStep, hosts, roomy candidates, now time.Time) bool {
+	step, stage := w.step, w.stage
+	permitted := s.permitFilter(w.ref(), now)
 	if step.Gang {
-		s.startGang(d, step, stage, hosts, permitted, now)
-		return
+		return s.startGang(w, hosts, permitted, now)
 	}
+	started := false
 	for i := range stage.Tasks {
 		task := &stage.Tasks[i]
 		if task.Status != Idle || task.Done || !s.confirmedSinceLost(task) {
 			continue
 		}
-		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
-		k := s.pickHost(step, stage, task, hosts, permitted)
-		if k < 0 {
-			s.reserveHost(d, step, hosts, now)
-			return
+		host := s.pickHost(step, stage, task, roomy, permitted)
+		if host == nil {
+			// What a round takes or reserves is not given back before its end, so no later step of
+			// this shape finds a host either.
+			w.shape.fits = w.shape.fits && (permitted != nil || step.PerHost > 0)
+			return s.reserveHost(w, hosts, now) || started
 		}
-		s.startTask(d.Job, ref, stage, task, &hosts[k], s.nextRun(task), now)
+		ref := w.ref()
+		ref.Index = i
+		s.startTask(w.job, ref, stage, task, host, s.nextRun(task), now)
+		started = true
 	}
+	return started
 }
 
 // nextRun returns a run number above all that any owner has given to the task.
@@ -217,11 +154,9 @@
 	task.OrderedAt, task.StartClock, task.ThrottlePercent, task.Percent, task.Load = now, 0, 100, 0, 0
 	task.LostAt, task.Meter = time.Time{}, SpeedMeter{}
 	stage.idle--
-	c.host.Assigned[ref] = task
+	s.backlog.update(j, ref.Occurrence, ref.Step)
+	s.assign(c.host, ref, task)
 	c.free = c.free.Sub(step.Reservation())
-	if step.LongRunning {
-		c.longRunning++
-	}
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Host: c.host.ID, Ref: ref, Run: run, Specification: j.Spec.Text, Checkpoint: task.Checkpoint,
 		Ticket: s.ticket(ref, c.host.ID), Reason: "scheduled",
@@ -241,14 +176,13 @@
 	longRunningWeight = 1 << 18
 )
 
-// pickHost chooses a host for a task among the permitted ones, and returns its index, or -1 when
-// none fits. All hosts are permitted when the filter is nil. Long-running work is spread, other
-// work is packed.
-func (s *State) pickHost(step *batch.Step, stage *Stage, task *Task, hosts candidates, permitted func(*Host) bool) int {
-	best, bestCost := -1, int64(0)
+// pickHost chooses a host for a task among the permitted ones, and returns nil when none fits. All
+// hosts are permitted when the filter is nil. Long-running work is spread, other work is packed.
+func (s *State) pickHost(step *batch.Step, stage *Stage, task *Task, hosts candidates, permitted func(*Host) bool) *candidate {
+	var best *candidate
+	var bestCost int64
 	need := step.Reservation()
-	for k := range hosts {
-		c := &hosts[k]
+	for _, c := range hosts {
 		if c.reserved || !c.free.Fits(need) || (permitted != nil && !permitted(c.host)) {
 			continue
 		}
@@ -258,8 +192,8 @@
 		if step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost {
 			continue
 		}
-		if cost := s.placementCost(step, stage, task, c); best < 0 || cost < bestCost {
-			best, bestCost = k, cost
+		if cost := s.placementCost(step, stage, task, c); best == nil || cost < bestCost {
+			best, bestCost = c, cost
 		}
 	}
 	return best
@@ -269,7 +203,7 @@
 func (s *State) placementCost(step *batch.Step, stage *Stage, task *Task, c *candidate) int64 {
 	left := c.free.Sub(step.Reservation())
 	cost := left.MilliCores
-	if step.DataRack != "" && c.rack.Name != step.DataRack {
+	if step.DataRack != "" && c.host.Rack != step.DataRack {
 		cost += rackWeight
 	}
 	if task.AvoidHost == c.host.ID {
@@ -277,10 +211,10 @@
 	}
 	switch {
 	case step.BestEffort:
-		cost = longRunningWeight*int64(c.longRunning) - left.MilliCores
+		cost = longRunningWeight*int64(c.host.longRunning) - left.MilliCores
 	case step.LongRunning:
 		cost += spreadWeight * int64(tasksOnHost(stage, c.host.ID))
-		cost += int64(c.longRunning) * longRunningWeight
+		cost += int64(c.host.longRunning) * longRunningWeight
 		cost -= 2 * left.MilliCores
 	}
 	return cost
@@ -297,45 +231,53 @@
 	return n
 }
 
-// reserveHost reserves the host with the most free capacity for a demand that does not fit, so
-// that smaller demands do not starve it.
-func (s *State) reserveHost(d *Demand, step *batch.Step, hosts candidates, now time.Time) {
-	if !d.LongRunning && now.Sub(d.Job.AcceptedAt) < reserveAfter {
-		return
+// reserveHost reserves the host with the most free capacity for a step that does not fit, so that
+// smaller steps do not starve it. It reports whether it has reserved a host.
+func (s *State) reserveHost(w *waitingStep, hosts candidates, now time.Time) bool {
+	if w.shape.unreservable || !w.reserves(now) {
+		return false
 	}
-	need := step.Reservation()
-	best := -1
-	for k := range hosts {
-		c := &hosts[k]
-		if c.reserved || !c.host.Capacity.Fits(need) || (step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) {
+	var best *candidate
+	for _, c := range hosts {
+		if c.reserved || !c.host.Capacity.Fits(w.shape.need) || !w.shape.hasLabel(c.host) {
 			continue
 		}
-		if best < 0 || c.free.MilliCores > hosts[best].free.MilliCores {
-			best = k
+		if best == nil || c.free.MilliCores > best.free.MilliCores {
+			best = c
 		}
 	}
-	if best >= 0 {
-		hosts[best].reserved = true
+	if best == nil {
+		w.shape.unreservable = true
+		return false
 	}
+	best.reserved = true
+	return true
+}
+
+// reserves reports whether a host is reserved for a step that does not fit.
+func (w *waitingStep) reserves(now time.Time) bool {
+	return w.step.LongRunning || now.Sub(w.job.AcceptedAt) >= reserveAfter
 }
 
 // reserveAfter is how long after its acceptance a job waits before a host is reserved for its work.
 // Long-running work does not wait.
 const reserveAfter = 2 * time.Second
 
-// startGang orders the start of all members of a gang, or of none.
-func (s *State) startGang(
-	d *Demand, step *batch.Step, stage *Stage, hosts candidates, permitted func(*Host) bool, now time.Time,
-) {
+// startGang orders the start of all members of a gang, or of none. It reports whether it has started
+// the gang or reserved a host.
+func (s *State) startGang(w *waitingStep, hosts candidates, permitted func(*Host) bool, now time.Time) bool {
+	step, stage := w.step, w.stage
 	for i := range stage.Tasks {
 		if stage.Tasks[i].Status != Idle || !s.confirmedSinceLost(&stage.Tasks[i]) {
-			return
+			return false
 		}
 	}
-	chosen := s.placeGang(step, stage, hosts, permitted)
+	var chosen []int
+	if w.shape.fits {
+		chosen = s.placeGang(step, stage, hosts, permitted)
+	}
 	if chosen == nil {
-		s.reserveHost(d, step, hosts, now)
-		return
+		return s.reserveHost(w, hosts, now)
 	}
 	var run int64
 	checkpoint := ""
@@ -348,9 +290,11 @@
 	for i := range stage.Tasks {
 		task := &stage.Tasks[i]
 		task.Checkpoint = checkpoint
-		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
-		s.startTask(d.Job, ref, stage, task, &hosts[chosen[i]], run, now)
+		ref := w.ref()
+		ref.Index = i
+		s.startTask(w.job, ref, stage, task, hosts[chosen[i]], run, now)
 	}
+	return true
 }
 
 // placeGang chooses a host for each member, on one rack if the step asks for it and it is
@@ -359,9 +303,10 @@
 	if step.SameRack {
 		racks := map[place.Rack]bool{}
 		for k := range hosts {
-			if !racks[hosts[k].rack] {
-				racks[hosts[k].rack] = true
-				if chosen := s.placeMembers(step, stage, hosts, permitted, &hosts[k].rack); chosen != nil {
+			rack := hosts[k].host.rack()
+			if !racks[rack] {
+				racks[rack] = true
+				if chosen := s.placeMembers(step, stage, hosts, permitted, &rack); chosen != nil {
 					return chosen
 				}
 			}
@@ -384,8 +329,8 @@
 	for range stage.Tasks {
 		best := -1
 		for k := range hosts {
-			c := &hosts[k]
-			if c.reserved || !free[k].Fits(need) || (permitted != nil && !permitted(c.host)) || (rack != nil && c.rack != *rack) ||
+			c := hosts[k]
+			if c.reserved || !free[k].Fits(need) || (permitted != nil && !permitted(c.host)) || (rack != nil && c.host.rack() != *rack) ||
 				(step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) ||
 				(step.PerHost > 0 && taken[k] >= step.PerHost) {
 				continue
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -119,7 +119,7 @@
 	if stored != nil {
 		j.Phase = stored.Phase
 		for oi := range stored.Occurrences {
-			s.restoreOccurrence(j, &stored.Occurrences[oi])
+			restoreOccurrence(j, &stored.Occurrences[oi])
 		}
 		j.Started = len(stored.Occurrences) > 0 && j.hasCountedEnds()
 	}
@@ -128,14 +128,15 @@
 	s.Jobs[id] = j
 	if j.Phase == Open {
 		s.openJobs[id] = j
+		s.backlog.addJob(j)
 		return
 	}
 	// The time since its end is unknown, so the job is kept for the whole retention time again.
 	j.EndedAt = now
 }
 
-func (s *State) restoreOccurrence(j *Job, stored *OccurrenceProgress) {
-	s.openOccurrence(j)
+func restoreOccurrence(j *Job, stored *OccurrenceProgress) {
+	j.addOccurrence()
 	occ := &j.Occurrences[len(j.Occurrences)-1]
 	if stored.Done {
 		occ.Stages, occ.Left = nil, 0
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -86,19 +86,85 @@
 const overloadThreshold = time.Second
 
 // updateOverloaded sets Overloaded from the waiting work and the capacity of the hosts.
-func (s *State) updateOverloaded(demands []Demand, hosts candidates) {
-	var waiting, capacity int64
-	for i := range demands {
-		d := &demands[i]
-		if !d.LongRunning {
-			scale := s.durationRatios[d.Job.Spec.Queue].median()
-			waiting += stepWork(&d.Job.Spec.Steps[d.Step], d.Job.Occurrences[d.Occurrence].Stages[d.Step].idle, scale)
+func (s *State) updateOverloaded(now time.Time) {
+	var capacity int64
+	for _, h := range s.sortedHosts() {
+		if s.Schedulable(h, now) {
+			capacity += h.Capacity.MilliCores
 		}
 	}
-	for i := range hosts {
-		capacity += hosts[i].host.Capacity.MilliCores
+	limit := int64(float64(capacity) * overloadThreshold.Seconds())
+	s.backlog.updateQueues(s)
+	unconfirmed := s.hasUnconfirmedHost(now)
+	var waiting int64
+	for _, w := range s.backlog.steps {
+		if !w.step.LongRunning && w.job.mayStart(unconfirmed) {
+			if waiting += stepWork(w.step, w.stage.idle, w.queue.scale); waiting > limit {
+				break
+			}
+		}
+	}
+	s.Overloaded = waiting > limit
+}
+
+// ranked holds waiting steps of which the first of a ranking can be taken. It is a binary heap,
+// since a round seldom gets beyond the first few.
+type ranked[R Ranking] struct {
+	ranking R
+	now     time.Time
+	steps   []*waitingStep
+}
+
+// newRanked returns the waiting steps that could start now and are wanted.
+func newRanked[R Ranking](s *State, ranking R, now time.Time, wanted func(*waitingStep) bool) *ranked[R] {
+	s.backlog.updateQueues(s)
+	unconfirmed := s.hasUnconfirmedHost(now)
+	r := &ranked[R]{ranking: ranking, now: now}
+	for _, w := range s.backlog.steps {
+		if w.job.mayStart(unconfirmed) && wanted(w) {
+			w.updateDemand()
+			r.steps = append(r.steps, w)
+		}
+	}
+	for i := len(r.steps)/2 - 1; i >= 0; i-- {
+		r.sink(i)
 	}
-	s.Overloaded = waiting > int64(float64(capacity)*overloadThreshold.Seconds())
+	return r
+}
+
+// pop removes the first step and returns it, or nil when there is none.
+func (r *ranked[R]) pop() *waitingStep {
+	last := len(r.steps) - 1
+	if last < 0 {
+		return nil
+	}
+	first := r.steps[0]
+	r.steps[0] = r.steps[last]
+	r.steps = r.steps[:last]
+	r.sink(0)
+	return first
+}
+
+// sink moves a step down until it goes before its children.
+func (r *ranked[R]) sink(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(r.steps) {
+			return
+		}
+		if other := child + 1; other < len(r.steps) && r.before(other, child) {
+			child = other
+		}
+		if !r.before(child, i) {
+			return
+		}
+		r.steps[i], r.steps[child] = r.steps[child], r.steps[i]
+		i = child
+	}
+}
+
+func (r *ranked[R]) before(i, k int) bool {
+	return r.ranking.Compare(&r.steps[i].demand, &r.steps[k].demand, r.now) < 0
 }
 
 // ByAge puts the oldest work first. It is the baseline for comparisons.
--- /dev/null
+++ b/fleet/shard/reference_test.go
@@ -0,0 +1,487 @@
+package shard
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/place"
+)
+
+// The functions in this file plan without indexes or counters: each round looks at all hosts and
+// all that waits. [Plan] has to make the same decisions.
+
+// cloneState returns a deep copy of what the decisions read, without indexes.
+func cloneState(s *State) *State {
+	out := New(s.Pool, s.Epoch, s.Timing, s.ClaimedAt)
+	out.ConfirmedAt, out.EnforcesCapacity, out.Overloaded = s.ConfirmedAt, s.EnforcesCapacity, s.Overloaded
+	out.HasPolicyService, out.needsAdvice, out.latestLost = s.HasPolicyService, s.needsAdvice, s.latestLost
+	out.Queues, out.durationRatios = maps.Clone(s.Queues), s.durationRatios
+	for id, j := range s.Jobs {
+		copied := *j
+		copied.Occurrences = slices.Clone(j.Occurrences)
+		for oi := range copied.Occurrences {
+			occ := &copied.Occurrences[oi]
+			occ.Stages = slices.Clone(occ.Stages)
+			for si := range occ.Stages {
+				occ.Stages[si].Tasks = slices.Clone(occ.Stages[si].Tasks)
+			}
+		}
+		out.Jobs[id] = &copied
+		if s.openJobs[id] == j {
+			out.openJobs[id] = &copied
+		}
+	}
+	for id, h := range s.Hosts {
+		copied := *h
+		copied.Assigned = map[batch.Ref]*Task{}
+		for r := range h.Assigned {
+			_, _, copied.Assigned[r] = out.task(r)
+		}
+		out.Hosts[id] = &copied
+	}
+	for r, p := range s.permits {
+		copied := *p
+		copied.denied, copied.tickets, copied.instances = maps.Clone(p.denied), maps.Clone(p.tickets), maps.Clone(p.instances)
+		out.permits[r] = &copied
+	}
+	return out
+}
+
+func referencePlan[R Ranking](s *State, ranking R, now time.Time, wall int64) {
+	referenceOpenDue(s, wall)
+	demands := referenceDemands(s, now)
+	if len(demands) == 0 {
+		s.Overloaded = false
+		return
+	}
+	hosts := referenceCandidates(s, now)
+	referenceUpdateOverloaded(s, demands, hosts)
+	slices.SortFunc(demands, func(a, b Demand) int { return ranking.Compare(&a, &b, now) })
+	for i := range demands {
+		hosts.startTasks(s, &demands[i], now)
+		if hosts.empty() {
+			return
+		}
+	}
+}
+
+func referenceOpenDue(s *State, wall int64) {
+	for _, j := range s.openJobs {
+		if j.Spec.Repetitions == 0 {
+			if len(j.Occurrences) == 0 {
+				referenceOpenOccurrence(j)
+			}
+			continue
+		}
+		for len(j.Occurrences) < j.Spec.Repetitions && j.dueAt(len(j.Occurrences)) <= wall {
+			referenceOpenOccurrence(j)
+		}
+	}
+}
+
+func referenceOpenOccurrence(j *Job) {
+	occ := Occurrence{Stages: make([]Stage, len(j.Spec.Steps)), Left: len(j.Spec.Steps)}
+	for i := range occ.Stages {
+		count := j.Spec.Steps[i].Count
+		occ.Stages[i] = Stage{Tasks: make([]Task, count), Left: count, idle: count}
+	}
+	j.Occurrences = append(j.Occurrences, occ)
+}
+
+func referenceHasUnconfirmedHost(s *State, now time.Time) bool {
+	for _, h := range s.Hosts {
+		if h.Stored && !h.Confirmed && !s.leaseExpired(h, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func referenceNeedsConfirmation(s *State) bool {
+	if !s.latestLost.IsZero() && !s.ConfirmedAt.After(s.latestLost) {
+		return true
+	}
+	for _, h := range s.Hosts {
+		if h.Listed && h.Confirmed && !s.ConfirmedAt.After(h.FirstAnswer) {
+			return true
+		}
+	}
+	return false
+}
+
+func referenceNeedsFlush(s *State) bool {
+	for _, j := range s.dirty {
+		if j.Phase != j.StoredPhase {
+			return true
+		}
+	}
+	return false
+}
+
+func referenceRetryStops(s *State, now time.Time) []Order {
+	var out []Order
+	for id, h := range s.Hosts {
+		for ref, task := range h.Assigned {
+			if (task.Status == Uncertain || task.Status == Stopping) && !task.RetryStopAt.IsZero() && now.After(task.RetryStopAt) {
+				out = append(out, Order{Kind: OrderStop, Host: id, Ref: ref, Run: task.Run, Reason: "earlier stop not answered"})
+			}
+		}
+	}
+	return out
+}
+
+func referenceMedianSpeed(s *State, now time.Time) float64 {
+	var speeds []float64
+	for _, h := range s.Hosts {
+		if now.Sub(h.SpeedMeasuredAt) < speedMaxAge {
+			speeds = append(speeds, h.Speed)
+		}
+	}
+	if len(speeds) < minSpeeds {
+		return 0
+	}
+	slices.Sort(speeds)
+	return speeds[len(speeds)/2]
+}
+
+func referenceDemands(s *State, now time.Time) []Demand {
+	unconfirmed := referenceHasUnconfirmedHost(s, now)
+	var out []Demand
+	for _, j := range s.openJobs {
+		if !j.Stored || (j.Inherited && unconfirmed) {
+			continue
+		}
+		q := s.Queues[j.Spec.Queue]
+		scale := s.durationRatios[j.Spec.Queue].median()
+		for oi := range j.Occurrences {
+			occ := &j.Occurrences[oi]
+			if occ.Left == 0 {
+				continue
+			}
+			work := referenceWorkLeft(&j.Spec, occ, scale)
+			for si := range occ.Stages {
+				if occ.Stages[si].idle <= 0 || !occ.ready(&j.Spec, si) {
+					continue
+				}
+				path := time.Duration(float64(referenceCriticalPath(&j.Spec, si)) * scale)
+				d := Demand{
+					Job: j, Occurrence: oi, Step: si, LongRunning: j.Spec.Steps[si].LongRunning, Priority: q.Priority,
+					Objective: j.Objective, CriticalPath: path, RemainingWork: work,
+				}
+				if j.Spec.Repetitions > 0 {
+					offset := time.Duration(j.dueAt(oi)-j.Spec.AcceptedMS) * time.Millisecond
+					d.Objective = d.Objective.Add(offset)
+				}
+				out = append(out, d)
+			}
+		}
+	}
+	return out
+}
+
+func referenceWorkLeft(spec *batch.Spec, occ *Occurrence, scale float64) int64 {
+	var sum int64
+	for si := range occ.Stages {
+		sum += stepWork(&spec.Steps[si], occ.Stages[si].Left, scale)
+	}
+	return sum
+}
+
+func referenceCriticalPath(spec *batch.Spec, step int) time.Duration {
+	var next time.Duration
+	for later := step + 1; later < len(spec.Steps); later++ {
+		if slices.Contains(spec.Steps[later].After, step) {
+			next = max(next, referenceCriticalPath(spec, later))
+		}
+	}
+	return spec.Steps[step].Estimate + next
+}
+
+func referenceUpdateOverloaded(s *State, demands []Demand, hosts referenceHosts) {
+	var waiting, capacity int64
+	for i := range demands {
+		d := &demands[i]
+		if !d.LongRunning {
+			scale := s.durationRatios[d.Job.Spec.Queue].median()
+			waiting += stepWork(&d.Job.Spec.Steps[d.Step], d.Job.Occurrences[d.Occurrence].Stages[d.Step].idle, scale)
+		}
+	}
+	for i := range hosts {
+		capacity += hosts[i].host.Capacity.MilliCores
+	}
+	s.Overloaded = waiting > int64(float64(capacity)*overloadThreshold.Seconds())
+}
+
+type referenceHost struct {
+	host        *Host
+	rack        place.Rack
+	free        batch.Size
+	reserved    bool
+	longRunning int
+}
+
+type referenceHosts []referenceHost
+
+func referenceUsed(s *State, h *Host) (used batch.Size, longRunning int) {
+	for r := range h.Assigned {
+		if j := s.Jobs[r.Job]; j != nil {
+			used = used.Add(j.Spec.Steps[r.Step].Reservation())
+			if j.Spec.Steps[r.Step].LongRunning {
+				longRunning++
+			}
+		}
+	}
+	return used, longRunning
+}
+
+func referenceCandidates(s *State, now time.Time) referenceHosts {
+	var out referenceHosts
+	for _, h := range s.Hosts {
+		if !s.Schedulable(h, now) {
+			continue
+		}
+		used, longRunning := referenceUsed(s, h)
+		out = append(out, referenceHost{
+			host: h, rack: place.Rack{Zone: h.Zone, Name: h.Rack}, free: h.Capacity.Sub(used), longRunning: longRunning,
+		})
+	}
+	slices.SortFunc(out, func(a, b referenceHost) int { return cmp.Compare(a.host.ID, b.host.ID) })
+	return out
+}
+
+func (hosts referenceHosts) empty() bool {
+	for i := range hosts {
+		if !hosts[i].reserved && hosts[i].free.MilliCores > 0 && hosts[i].free.MemoryMB > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (hosts referenceHosts) startTasks(s *State, d *Demand, now time.Time) {
+	step := &d.Job.Spec.Steps[d.Step]
+	stage := &d.Job.Occurrences[d.Occurrence].Stages[d.Step]
+	permitted := s.permitFilter(batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}, now)
+	if step.Gang {
+		hosts.startGang(s, d, step, stage, permitted, now)
+		return
+	}
+	for i := range stage.Tasks {
+		task := &stage.Tasks[i]
+		if task.Status != Idle || task.Done || !s.confirmedSinceLost(task) {
+			continue
+		}
+		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
+		k := hosts.pick(step, stage, task, permitted)
+		if k < 0 {
+			hosts.reserve(d, step, now)
+			return
+		}
+		hosts[k].start(s, d.Job, ref, stage, task, s.nextRun(task), now)
+	}
+}
+
+func (c *referenceHost) start(s *State, j *Job, ref batch.Ref, stage *Stage, task *Task, run int64, now time.Time) {
+	step := &j.Spec.Steps[ref.Step]
+	task.Status, task.Host, task.Run = Starting, c.host.ID, run
+	task.OrderedAt, task.StartClock, task.ThrottlePercent, task.Percent, task.Load = now, 0, 100, 0, 0
+	task.LostAt, task.Meter = time.Time{}, SpeedMeter{}
+	stage.idle--
+	c.host.Assigned[ref] = task
+	c.free = c.free.Sub(step.Reservation())
+	if step.LongRunning {
+		c.longRunning++
+	}
+	s.orders = append(s.orders, Order{
+		Kind: OrderStart, Host: c.host.ID, Ref: ref, Run: run, Specification: j.Spec.Text, Checkpoint: task.Checkpoint,
+		Ticket: s.ticket(ref, c.host.ID), Reason: "scheduled",
+	})
+}
+
+func (hosts referenceHosts) pick(step *batch.Step, stage *Stage, task *Task, permitted func(*Host) bool) int {
+	best, bestCost := -1, int64(0)
+	need := step.Reservation()
+	for k := range hosts {
+		c := &hosts[k]
+		if c.reserved || !c.free.Fits(need) || (permitted != nil && !permitted(c.host)) {
+			continue
+		}
+		if step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel) {
+			continue
+		}
+		if step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost {
+			continue
+		}
+		if cost := c.cost(step, stage, task); best < 0 || cost < bestCost {
+			best, bestCost = k, cost
+		}
+	}
+	return best
+}
+
+func (c *referenceHost) cost(step *batch.Step, stage *Stage, task *Task) int64 {
+	left := c.free.Sub(step.Reservation())
+	cost := left.MilliCores
+	if step.DataRack != "" && c.rack.Name != step.DataRack {
+		cost += rackWeight
+	}
+	if task.AvoidHost == c.host.ID {
+		cost += avoidWeight
+	}
+	switch {
+	case step.BestEffort:
+		cost = longRunningWeight*int64(c.longRunning) - left.MilliCores
+	case step.LongRunning:
+		cost += spreadWeight * int64(tasksOnHost(stage, c.host.ID))
+		cost += int64(c.longRunning) * longRunningWeight
+		cost -= 2 * left.MilliCores
+	}
+	return cost
+}
+
+func (hosts referenceHosts) reserve(d *Demand, step *batch.Step, now time.Time) {
+	if !d.LongRunning && now.Sub(d.Job.AcceptedAt) < reserveAfter {
+		return
+	}
+	need := step.Reservation()
+	best := -1
+	for k := range hosts {
+		c := &hosts[k]
+		if c.reserved || !c.host.Capacity.Fits(need) || (step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) {
+			continue
+		}
+		if best < 0 || c.free.MilliCores > hosts[best].free.MilliCores {
+			best = k
+		}
+	}
+	if best >= 0 {
+		hosts[best].reserved = true
+	}
+}
+
+func (hosts referenceHosts) startGang(s *State, d *Demand, step *batch.Step, stage *Stage, permitted func(*Host) bool, now time.Time) {
+	for i := range stage.Tasks {
+		if stage.Tasks[i].Status != Idle || !s.confirmedSinceLost(&stage.Tasks[i]) {
+			return
+		}
+	}
+	chosen := hosts.placeGang(step, stage, permitted)
+	if chosen == nil {
+		hosts.reserve(d, step, now)
+		return
+	}
+	var run int64
+	checkpoint := ""
+	for i := range stage.Tasks {
+		run = max(run, s.nextRun(&stage.Tasks[i]))
+		if stage.Tasks[i].Checkpoint != "" {
+			checkpoint = stage.Tasks[i].Checkpoint
+		}
+	}
+	for i := range stage.Tasks {
+		task := &stage.Tasks[i]
+		task.Checkpoint = checkpoint
+		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
+		hosts[chosen[i]].start(s, d.Job, ref, stage, task, run, now)
+	}
+}
+
+func (hosts referenceHosts) placeGang(step *batch.Step, stage *Stage, permitted func(*Host) bool) []int {
+	if step.SameRack {
+		racks := map[place.Rack]bool{}
+		for k := range hosts {
+			if !racks[hosts[k].rack] {
+				racks[hosts[k].rack] = true
+				if chosen := hosts.placeMembers(step, stage, permitted, &hosts[k].rack); chosen != nil {
+					return chosen
+				}
+			}
+		}
+	}
+	return hosts.placeMembers(step, stage, permitted, nil)
+}
+
+func (hosts referenceHosts) placeMembers(step *batch.Step, stage *Stage, permitted func(*Host) bool, rack *place.Rack) []int {
+	free := make([]batch.Size, len(hosts))
+	taken := make([]int, len(hosts))
+	for k := range hosts {
+		free[k] = hosts[k].free
+	}
+	need := step.Reservation()
+	chosen := make([]int, 0, len(stage.Tasks))
+	for range stage.Tasks {
+		best := -1
+		for k := range hosts {
+			c := &hosts[k]
+			if c.reserved || !free[k].Fits(need) || (permitted != nil && !permitted(c.host)) || (rack != nil && c.rack != *rack) ||
+				(step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) ||
+				(step.PerHost > 0 && taken[k] >= step.PerHost) {
+				continue
+			}
+			if best < 0 || free[k].MilliCores < free[best].MilliCores {
+				best = k
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		free[best] = free[best].Sub(need)
+		taken[best]++
+		chosen = append(chosen, best)
+	}
+	return chosen
+}
+
+func referenceNextQuestion[R Ranking](s *State, ranking R, now time.Time) (Question, bool) {
+	if !s.HasPolicyService || !s.needsAdvice {
+		return Question{}, false
+	}
+	var wanted []Demand
+	for _, d := range referenceDemands(s, now) {
+		if s.needsTicket(d.Job.Spec.Queue) {
+			wanted = append(wanted, d)
+		}
+	}
+	slices.SortFunc(wanted, func(a, b Demand) int { return ranking.Compare(&a, &b, now) })
+	for i := range wanted {
+		if q, ok := referenceQuestionFor(s, &wanted[i], now); ok {
+			return q, true
+		}
+	}
+	return Question{}, false
+}
+
+func referenceQuestionFor(s *State, d *Demand, now time.Time) (Question, bool) {
+	key := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}
+	p := s.permits[key]
+	if p == nil {
+		p = &permit{denied: map[string]int64{}, tickets: map[string]Ticket{}}
+		s.permits[key] = p
+	}
+	if p.asking || now.Sub(p.askedAt) < questionInterval {
+		return Question{}, false
+	}
+	step := &d.Job.Spec.Steps[d.Step]
+	var unknown referenceHosts
+	for _, c := range referenceCandidates(s, now) {
+		instance, denied := p.denied[c.host.ID]
+		if (denied && instance == c.host.Instance) || p.valid(c.host, now) || !c.host.Capacity.Fits(step.Reservation()) {
+			continue
+		}
+		if step.RequiredLabel == "" || HasLabel(&c.host.Host, step.RequiredLabel) {
+			unknown = append(unknown, c)
+		}
+	}
+	if len(unknown) == 0 {
+		return Question{}, false
+	}
+	slices.SortStableFunc(unknown, func(a, b referenceHost) int { return cmp.Compare(b.free.MilliCores, a.free.MilliCores) })
+	q := Question{Step: key}
+	for _, c := range unknown[:min(len(unknown), hostsPerQuestion)] {
+		q.Hosts = append(q.Hosts, c.host.ID)
+	}
+	return q, true
+}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -123,7 +123,8 @@
 		task.Status, task.Host, task.Run, task.OrderedAt, task.StartClock = Running, h.ID, r.Run, now, h.Clock
 		task.ThrottlePercent, task.Meter = 100, SpeedMeter{}
 		stage.idle--
-		h.Assigned[ref] = task
+		s.assign(h, ref, task)
+		s.backlog.update(j, ref.Occurrence, ref.Step)
 		j.Started = true
 	default:
 		return false
@@ -247,9 +248,13 @@
 	}
 	task.Done = true
 	stage.Left--
+	occ.work.valid = false
 	if stage.Left > 0 {
+		s.backlog.update(j, ref.Occurrence, ref.Step)
 		return
 	}
+	// The steps after this one may be ready now.
+	s.backlog.updateOccurrence(j, ref.Occurrence)
 	delete(s.permits, stepRef(ref))
 	if occ.Left--; occ.Left > 0 {
 		return
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -121,6 +121,8 @@
 	Left int
 	// idle is the number of tasks that are Idle and not done.
 	idle int
+	// waiting is the step's entry in the backlog, or nil.
+	waiting *waitingStep
 	// meanSpeed is the running mean of the speeds of the tasks, over speedCount measurements.
 	meanSpeed  float64
 	speedCount int
@@ -133,6 +135,7 @@
 	Stages []Stage
 	// Left is the number of stages that are not done.
 	Left int
+	work workSum
 }
 
 // Job is an accepted job.
@@ -197,6 +200,10 @@
 	latestLost time.Time
 	// openJobs holds the jobs in phase Open.
 	openJobs map[string]*Job
+	// backlog holds the work of the open jobs that waits.
+	backlog backlog
+	// hostList holds the hosts by ID. It is nil after the set of hosts has changed.
+	hostList []*Host
 	// arrivals holds the work that has arrived within arrivalWindow.
 	arrivals []arrival
 	// durationRatios holds the ratios of run time to estimate, by queue.
@@ -209,6 +216,7 @@
 		Pool: pool, Epoch: epoch, ClaimedAt: now, ConfirmedAt: now, Timing: t,
 		Queues: map[string]port.Queue{}, Jobs: map[string]*Job{}, Hosts: map[string]*Host{},
 		openJobs: map[string]*Job{}, durationRatios: map[string]*sample{}, permits: map[batch.Ref]*permit{},
+		backlog: newBacklog(),
 	}
 }
 
@@ -272,11 +280,12 @@
 		return
 	}
 	if h := s.Hosts[task.Host]; h != nil {
-		delete(h.Assigned, r)
+		s.unassign(h, r)
 	}
 	task.Status, task.Host, task.Percent, task.Load, task.StartClock = Idle, "", 0, 0, 0
 	if !task.Done {
 		stage.idle++
+		s.backlog.update(s.Jobs[r.Job], r.Occurrence, r.Step)
 	}
 }
 
@@ -298,8 +307,17 @@
 	return task.LostAt.IsZero() || s.ConfirmedAt.After(task.LostAt)
 }
 
-// openOccurrence adds the next occurrence of a job that has become due.
+// openOccurrence adds the next occurrence of an open job that has become due.
 func (s *State) openOccurrence(j *Job) {
+	j.addOccurrence()
+	if len(j.Occurrences) >= j.Spec.Occurrences() {
+		delete(s.backlog.unopened, j.ID)
+	}
+	s.backlog.updateOccurrence(j, len(j.Occurrences)-1)
+}
+
+// addOccurrence adds an occurrence of which nothing has started.
+func (j *Job) addOccurrence() {
 	occ := Occurrence{Stages: make([]Stage, len(j.Spec.Steps)), Left: len(j.Spec.Steps)}
 	for i := range occ.Stages {
 		count := j.Spec.Steps[i].Count
--- a/fleet/shard/speed.go
+++ b/fleet/shard/speed.go
@@ -137,11 +137,11 @@
 		if step.LongRunning || step.Gang || !s.soonerElsewhere(j, step, task, h.Speed, poolSpeed) {
 			continue
 		}
-		k := s.pickHost(step, stage, task, hosts, s.permitFilter(r, now))
-		if k < 0 {
+		other := s.pickHost(step, stage, task, hosts, s.permitFilter(r, now))
+		if other == nil {
 			continue
 		}
-		hosts[k].free = hosts[k].free.Sub(step.Reservation())
+		other.free = other.free.Sub(step.Reservation())
 		task.AvoidHost = h.ID
 		s.orderStop(r, task, "host is slow")
 	}
