Compute the slack of a waiting step once a round

Rankings computed the slack of both steps anew in each comparison, up to four times. Demand now holds it, so a comparison needs no time. The former rankings are in reference_test.go, and TestPlanDecidesLikeTheReference compares with them.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -150,10 +150,9 @@
 }
 
 // updateDemand updates the fields of the demand that change with time.
-func (w *waitingStep) updateDemand() {
+func (w *waitingStep) updateDemand(now time.Time) {
 	w.demand.Priority = w.queue.priority
-	w.demand.Objective = w.job.Objective.Add(w.objectiveOffset)
-	w.demand.CriticalPath = time.Duration(float64(w.criticalPath) * w.queue.scale)
+	w.demand.Slack = w.job.Objective.Sub(now) + w.objectiveOffset - time.Duration(float64(w.criticalPath)*w.queue.scale)
 	w.demand.RemainingWork = w.job.Occurrences[w.demand.Occurrence].workLeft(&w.job.Spec, w.queue.scale)
 }
 
--- a/fleet/shard/equal_test.go
+++ b/fleet/shard/equal_test.go
@@ -22,8 +22,8 @@
 // open, so that it would depend on the sort.
 type byStep[R Ranking] struct{ ranking R }
 
-func (b byStep[R]) Compare(x, y *Demand, now time.Time) int {
-	return cmp.Or(b.ranking.Compare(x, y, now), cmp.Compare(x.Job.ID, y.Job.ID),
+func (b byStep[R]) Compare(x, y *Demand) int {
+	return cmp.Or(b.ranking.Compare(x, y), cmp.Compare(x.Job.ID, y.Job.ID),
 		cmp.Compare(x.Occurrence, y.Occurrence), cmp.Compare(x.Step, y.Step))
 }
 
@@ -356,7 +356,7 @@
 }
 
 // round plans, asks the policy service, and compares the decisions with those of the reference.
-func round[R Ranking](p *poolDriver, ranking R) {
+func round[R Ranking](p *poolDriver, ranking R, compare compareDemands) {
 	s := p.state
 	p.carryOut()
 	p.checkCounters()
@@ -372,7 +372,7 @@
 	p.stops = append(p.stops, actual...)
 
 	expected := cloneState(s)
-	referencePlan(expected, byStep[R]{ranking}, p.now, p.now.UnixMilli())
+	referencePlan(expected, compare, p.now, p.now.UnixMilli())
 	Plan(s, byStep[R]{ranking}, p.now, p.now.UnixMilli())
 	p.requireEqual("orders", expected.orders, s.orders)
 	p.requireEqual("overloaded", expected.Overloaded, s.Overloaded)
@@ -381,7 +381,7 @@
 		require.Len(p.t, j.Occurrences, len(expected.Jobs[id].Occurrences), id)
 	}
 
-	wanted, ok := referenceNextQuestion(cloneState(s), byStep[R]{ranking}, p.now)
+	wanted, ok := referenceNextQuestion(cloneState(s), compare, p.now)
 	q, asked := NextQuestion(s, byStep[R]{ranking}, p.now)
 	p.requireEqual("has question", ok, asked)
 	p.requireEqual("question", wanted, q)
@@ -477,13 +477,17 @@
 			}
 			switch p.draw(4) {
 			case 0:
-				round(p, ByAge{})
+				round(p, ByAge{}, referenceByAge)
 			case 1:
-				round(p, ByRemainingWork{})
+				round(p, ByRemainingWork{}, referenceByRemainingWork)
 			case 2:
-				round(p, BySlack{})
+				round(p, BySlack{}, referenceBySlack)
 			default:
-				round(p, ByLoad{Overloaded: p.state.Overloaded})
+				compare := referenceBySlack
+				if p.state.Overloaded {
+					compare = referenceByRemainingWork
+				}
+				round(p, ByLoad{Overloaded: p.state.Overloaded}, compare)
 			}
 		}
 		starts += p.starts
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -10,13 +10,12 @@
 	Job        *Job
 	Occurrence int
 	Step       int
-	// LongRunning, Priority, Objective, CriticalPath and RemainingWork are what rankings compare.
-	// The lowest Priority goes first. CriticalPath is the longest sum of expected run times along
-	// dependent steps, from this step on.
-	LongRunning  bool
-	Priority     int
-	Objective    time.Time
-	CriticalPath time.Duration
+	// LongRunning, Priority, Slack and RemainingWork are what rankings compare. The lowest Priority
+	// goes first. Slack is how long the step can still wait without missing the objective; it is
+	// negative if the step is late.
+	LongRunning bool
+	Priority    int
+	Slack       time.Duration
 	// RemainingWork is the work of the occurrence that is not done, in thousandths of a
 	// core-second.
 	RemainingWork int64
@@ -25,7 +24,7 @@
 // Ranking orders demands. Implementations hold no state.
 type Ranking interface {
 	// Compare is negative when a goes before b.
-	Compare(a, b *Demand, now time.Time) int
+	Compare(a, b *Demand) int
 }
 
 // BySlack puts long-running work first, then work that can still meet its objective in the order
@@ -33,19 +32,19 @@
 type BySlack struct{}
 
 // Compare implements [Ranking].
-func (BySlack) Compare(a, b *Demand, now time.Time) int {
+func (BySlack) Compare(a, b *Demand) int {
 	if a.LongRunning != b.LongRunning {
 		return firstIf(a.LongRunning)
 	}
-	lateA, lateB := a.slack(now) < 0, b.slack(now) < 0
+	lateA, lateB := a.Slack < 0, b.Slack < 0
 	if lateA != lateB {
 		return firstIf(lateB)
 	}
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 && !lateA {
-		return c
-	}
 	if !lateA {
-		if c := cmp.Compare(a.slack(now), b.slack(now)); c != 0 {
+		if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(a.Slack, b.Slack); c != 0 {
 			return c
 		}
 	}
@@ -61,10 +60,10 @@
 type ByRemainingWork struct{}
 
 // Compare implements [Ranking].
-func (ByRemainingWork) Compare(a, b *Demand, now time.Time) int {
-	lateA, lateB := a.slack(now) < 0, b.slack(now) < 0
+func (ByRemainingWork) Compare(a, b *Demand) int {
+	lateA, lateB := a.Slack < 0, b.Slack < 0
 	if a.LongRunning != b.LongRunning || lateA != lateB || lateA || a.Priority != b.Priority || a.RemainingWork == b.RemainingWork {
-		return BySlack{}.Compare(a, b, now)
+		return BySlack{}.Compare(a, b)
 	}
 	return cmp.Compare(a.RemainingWork, b.RemainingWork)
 }
@@ -73,11 +72,11 @@
 type ByLoad struct{ Overloaded bool }
 
 // Compare implements [Ranking].
-func (p ByLoad) Compare(a, b *Demand, now time.Time) int {
+func (p ByLoad) Compare(a, b *Demand) int {
 	if p.Overloaded {
-		return ByRemainingWork{}.Compare(a, b, now)
+		return ByRemainingWork{}.Compare(a, b)
 	}
-	return BySlack{}.Compare(a, b, now)
+	return BySlack{}.Compare(a, b)
 }
 
 // overloadThreshold is the longest time that all hosts together may need for the waiting work
@@ -111,7 +110,6 @@
 // since a round seldom gets beyond the first few.
 type ranked[R Ranking] struct {
 	ranking R
-	now     time.Time
 	steps   []*waitingStep
 }
 
@@ -119,10 +117,10 @@
 func newRanked[R Ranking](s *State, ranking R, now time.Time, wanted func(*waitingStep) bool) *ranked[R] {
 	s.backlog.updateQueues(s)
 	unconfirmed := s.hasUnconfirmedHost(now)
-	r := &ranked[R]{ranking: ranking, now: now}
+	r := &ranked[R]{ranking: ranking}
 	for _, w := range s.backlog.steps {
 		if w.job.mayStart(unconfirmed) && wanted(w) {
-			w.updateDemand()
+			w.updateDemand(now)
 			r.steps = append(r.steps, w)
 		}
 	}
@@ -164,14 +162,14 @@
 }
 
 func (r *ranked[R]) before(i, k int) bool {
-	return r.ranking.Compare(&r.steps[i].demand, &r.steps[k].demand, r.now) < 0
+	return r.ranking.Compare(&r.steps[i].demand, &r.steps[k].demand) < 0
 }
 
 // ByAge puts the oldest work first. It is the baseline for comparisons.
 type ByAge struct{}
 
 // Compare implements [Ranking].
-func (ByAge) Compare(a, b *Demand, _ time.Time) int {
+func (ByAge) Compare(a, b *Demand) int {
 	if c := a.Job.AcceptedAt.Compare(b.Job.AcceptedAt); c != 0 {
 		return c
 	}
@@ -186,8 +184,3 @@
 	}
 	return 1
 }
-
-// slack returns how long the step can still wait without missing the objective.
-func (d *Demand) slack(now time.Time) time.Duration {
-	return d.Objective.Sub(now) - d.CriticalPath
-}
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -50,7 +50,7 @@
 	return out
 }
 
-func referencePlan[R Ranking](s *State, ranking R, now time.Time, wall int64) {
+func referencePlan(s *State, compare compareDemands, now time.Time, wall int64) {
 	referenceOpenDue(s, wall)
 	demands := referenceDemands(s, now)
 	if len(demands) == 0 {
@@ -59,7 +59,7 @@
 	}
 	hosts := referenceCandidates(s, now)
 	referenceUpdateOverloaded(s, demands, hosts)
-	slices.SortFunc(demands, func(a, b Demand) int { return ranking.Compare(&a, &b, now) })
+	slices.SortFunc(demands, func(a, b referenceDemand) int { return compare(&a, &b, now) })
 	for i := range demands {
 		hosts.startTasks(s, &demands[i], now)
 		if hosts.empty() {
@@ -91,6 +91,56 @@
 	j.Occurrences = append(j.Occurrences, occ)
 }
 
+type referenceDemand struct {
+	Job           *Job
+	Occurrence    int
+	Step          int
+	LongRunning   bool
+	Priority      int
+	Objective     time.Time
+	CriticalPath  time.Duration
+	RemainingWork int64
+}
+
+func (d *referenceDemand) slack(now time.Time) time.Duration {
+	return d.Objective.Sub(now) - d.CriticalPath
+}
+
+type compareDemands func(a, b *referenceDemand, now time.Time) int
+
+func referenceBySlack(a, b *referenceDemand, now time.Time) int {
+	if a.LongRunning != b.LongRunning {
+		return firstIf(a.LongRunning)
+	}
+	lateA, lateB := a.slack(now) < 0, b.slack(now) < 0
+	if lateA != lateB {
+		return firstIf(lateB)
+	}
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 && !lateA {
+		return c
+	}
+	if !lateA {
+		if c := cmp.Compare(a.slack(now), b.slack(now)); c != 0 {
+			return c
+		}
+	}
+	return referenceByAge(a, b, now)
+}
+
+func referenceByRemainingWork(a, b *referenceDemand, now time.Time) int {
+	lateA, lateB := a.slack(now) < 0, b.slack(now) < 0
+	if a.LongRunning != b.LongRunning || lateA != lateB || lateA || a.Priority != b.Priority || a.RemainingWork == b.RemainingWork {
+		return referenceBySlack(a, b, now)
+	}
+	return cmp.Compare(a.RemainingWork, b.RemainingWork)
+}
+
+// referenceByAge leaves no order open, unlike [ByAge], since the result would depend on the sort.
+func referenceByAge(a, b *referenceDemand, _ time.Time) int {
+	return cmp.Or(a.Job.AcceptedAt.Compare(b.Job.AcceptedAt), cmp.Compare(a.Job.ID, b.Job.ID),
+		cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
+}
+
 func referenceHasUnconfirmedHost(s *State, now time.Time) bool {
 	for _, h := range s.Hosts {
 		if h.Stored && !h.Confirmed && !s.leaseExpired(h, now) {
@@ -147,9 +197,9 @@
 	return speeds[len(speeds)/2]
 }
 
-func referenceDemands(s *State, now time.Time) []Demand {
+func referenceDemands(s *State, now time.Time) []referenceDemand {
 	unconfirmed := referenceHasUnconfirmedHost(s, now)
-	var out []Demand
+	var out []referenceDemand
 	for _, j := range s.openJobs {
 		if !j.Stored || (j.Inherited && unconfirmed) {
 			continue
@@ -167,7 +217,7 @@
 					continue
 				}
 				path := time.Duration(float64(referenceCriticalPath(&j.Spec, si)) * scale)
-				d := Demand{
+				d := referenceDemand{
 					Job: j, Occurrence: oi, Step: si, LongRunning: j.Spec.Steps[si].LongRunning, Priority: q.Priority,
 					Objective: j.Objective, CriticalPath: path, RemainingWork: work,
 				}
@@ -200,7 +250,7 @@
 	return spec.Steps[step].Estimate + next
 }
 
-func referenceUpdateOverloaded(s *State, demands []Demand, hosts referenceHosts) {
+func referenceUpdateOverloaded(s *State, demands []referenceDemand, hosts referenceHosts) {
 	var waiting, capacity int64
 	for i := range demands {
 		d := &demands[i]
@@ -261,7 +311,7 @@
 	return true
 }
 
-func (hosts referenceHosts) startTasks(s *State, d *Demand, now time.Time) {
+func (hosts referenceHosts) startTasks(s *State, d *referenceDemand, now time.Time) {
 	step := &d.Job.Spec.Steps[d.Step]
 	stage := &d.Job.Occurrences[d.Occurrence].Stages[d.Step]
 	permitted := s.permitFilter(batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}, now)
@@ -342,7 +392,7 @@
 	return cost
 }
 
-func (hosts referenceHosts) reserve(d *Demand, step *batch.Step, now time.Time) {
+func (hosts referenceHosts) reserve(d *referenceDemand, step *batch.Step, now time.Time) {
 	if !d.LongRunning && now.Sub(d.Job.AcceptedAt) < reserveAfter {
 		return
 	}
@@ -362,7 +412,7 @@
 	}
 }
 
-func (hosts referenceHosts) startGang(s *State, d *Demand, step *batch.Step, stage *Stage, permitted func(*Host) bool, now time.Time) {
+func (hosts referenceHosts) startGang(s *State, d *referenceDemand, step *batch.Step, stage *Stage, permitted func(*Host) bool, now time.Time) {
 	for i := range stage.Tasks {
 		if stage.Tasks[i].Status != Idle || !s.confirmedSinceLost(&stage.Tasks[i]) {
 			return
@@ -435,17 +485,17 @@
 	return chosen
 }
 
-func referenceNextQuestion[R Ranking](s *State, ranking R, now time.Time) (Question, bool) {
+func referenceNextQuestion(s *State, compare compareDemands, now time.Time) (Question, bool) {
 	if !s.HasPolicyService || !s.needsAdvice {
 		return Question{}, false
 	}
-	var wanted []Demand
+	var wanted []referenceDemand
 	for _, d := range referenceDemands(s, now) {
 		if s.needsTicket(d.Job.Spec.Queue) {
 			wanted = append(wanted, d)
 		}
 	}
-	slices.SortFunc(wanted, func(a, b Demand) int { return ranking.Compare(&a, &b, now) })
+	slices.SortFunc(wanted, func(a, b referenceDemand) int { return compare(&a, &b, now) })
 	for i := range wanted {
 		if q, ok := referenceQuestionFor(s, &wanted[i], now); ok {
 			return q, true
@@ -454,7 +504,7 @@
 	return Question{}, false
 }
 
-func referenceQuestionFor(s *State, d *Demand, now time.Time) (Question, bool) {
+func referenceQuestionFor(s *State, d *referenceDemand, now time.Time) (Question, bool) {
 	key := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}
 	p := s.permits[key]
 	if p == nil {
