Keep the times of a waiting step with it

Ranking read the job and its times for each waiting step, and for each pair of steps that are equal otherwise. The backlog holds the times of a step since the claim, and only steps of jobs that are stored. The buffer of the heap is reused.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -7,11 +7,15 @@
 	"carawaymux.dev/fleet/batch"
 )
 
-// backlog indexes the steps of the open jobs with tasks that wait for a host. Whoever changes
-// Stage.idle, Stage.Left or the phase of a job updates it.
+// backlog indexes the steps of the open and stored jobs with tasks that wait for a host. Whoever
+// changes Stage.idle, Stage.Left, Job.Stored or the phase of a job updates it.
 type backlog struct {
+	// origin is the time from which the times of the steps count.
+	origin time.Time
 	// steps holds all waiting steps, in no particular order.
 	steps []*waitingStep
+	// ranked is the buffer of the last ranking.
+	ranked []*waitingStep
 	// shapes holds the shapes of the waiting steps. Each has at least one step.
 	shapes map[shapeKey]*shape
 	// queues holds the rules of the queues that have had waiting steps, by name.
@@ -32,8 +36,11 @@
 	demand Demand
 	// position is the index in backlog.steps.
 	position int
-	// objectiveOffset is added to the objective of the job.
-	objectiveOffset time.Duration
+	// accepted and objective are times of the job and of the occurrence, counted from when the pool
+	// was claimed.
+	accepted, objective time.Duration
+	// inherited is Job.Inherited.
+	inherited bool
 	// criticalPath is the longest sum of estimates along dependent steps, from this step on.
 	criticalPath time.Duration
 }
@@ -41,6 +48,8 @@
 // queueRules is what the waiting steps of a queue share.
 type queueRules struct {
 	priority int
+	// needsTicket reports whether hosts need a ticket for the work.
+	needsTicket bool
 	// scale is the expected ratio of run time to estimate.
 	scale float64
 }
@@ -61,15 +70,15 @@
 	fits, unreservable bool
 }
 
-func newBacklog() backlog {
-	return backlog{shapes: map[shapeKey]*shape{}, queues: map[string]*queueRules{}, unopened: map[string]*Job{}}
+func newBacklog(origin time.Time) backlog {
+	return backlog{origin: origin, shapes: map[shapeKey]*shape{}, queues: map[string]*queueRules{}, unopened: map[string]*Job{}}
 }
 
 // update adds a step to the backlog or removes it from there.
 func (b *backlog) update(j *Job, occurrence, step int) {
 	occ := &j.Occurrences[occurrence]
 	stage := &occ.Stages[step]
-	waits := j.Phase == Open && stage.idle > 0 && occ.ready(&j.Spec, step)
+	waits := j.Phase == Open && j.Stored && stage.idle > 0 && occ.ready(&j.Spec, step)
 	switch {
 	case waits && stage.waiting == nil:
 		b.add(j, occurrence, step, stage)
@@ -111,14 +120,15 @@
 	step := &j.Spec.Steps[number]
 	w := &waitingStep{
 		job: j, step: step, stage: stage, position: len(b.steps), criticalPath: criticalPathFrom(&j.Spec, number),
-		demand: Demand{Job: j, Occurrence: occurrence, Step: number, LongRunning: step.LongRunning},
+		demand:   Demand{Job: j, Occurrence: occurrence, Step: number, LongRunning: step.LongRunning},
+		accepted: j.AcceptedAt.Sub(b.origin), objective: j.Objective.Sub(b.origin), inherited: j.Inherited,
 	}
 	if w.queue = b.queues[j.Spec.Queue]; w.queue == nil {
 		w.queue = &queueRules{}
 		b.queues[j.Spec.Queue] = w.queue
 	}
 	if j.Spec.Repetitions > 0 {
-		w.objectiveOffset = time.Duration(j.dueAt(occurrence)-j.Spec.AcceptedMS) * time.Millisecond
+		w.objective += time.Duration(j.dueAt(occurrence)-j.Spec.AcceptedMS) * time.Millisecond
 	}
 	key := shapeKey{need: step.Reservation(), label: step.RequiredLabel}
 	if w.shape = b.shapes[key]; w.shape == nil {
@@ -145,14 +155,15 @@
 // updateQueues updates the rules of the queues.
 func (b *backlog) updateQueues(s *State) {
 	for name, q := range b.queues {
-		q.priority, q.scale = s.Queues[name].Priority, s.durationRatios[name].median()
+		q.priority, q.scale, q.needsTicket = s.Queues[name].Priority, s.durationRatios[name].median(), s.needsTicket(name)
 	}
 }
 
-// updateDemand updates the fields of the demand that change with time.
-func (w *waitingStep) updateDemand(now time.Time) {
-	w.demand.Priority = w.queue.priority
-	w.demand.Slack = w.job.Objective.Sub(now) + w.objectiveOffset - time.Duration(float64(w.criticalPath)*w.queue.scale)
+// updateDemand updates the fields of the demand that change with time. The argument now counts from
+// when the pool was claimed.
+func (w *waitingStep) updateDemand(now time.Duration) {
+	w.demand.Priority, w.demand.Age = w.queue.priority, now-w.accepted
+	w.demand.Slack = w.objective - now - time.Duration(float64(w.criticalPath)*w.queue.scale)
 	w.demand.RemainingWork = w.job.Occurrences[w.demand.Occurrence].workLeft(&w.job.Spec, w.queue.scale)
 }
 
@@ -161,9 +172,6 @@
 	return batch.Ref{Job: w.job.ID, Occurrence: w.demand.Occurrence, Step: w.demand.Step}
 }
 
-// mayStart reports whether tasks of the job may start, given whether some host is unconfirmed.
-func (j *Job) mayStart(unconfirmed bool) bool { return j.Stored && !(j.Inherited && unconfirmed) }
-
 // findFits begins a round of planning with the hosts that have room for the least need.
 func (b *backlog) findFits(roomy candidates) {
 	for _, sh := range b.shapes {
--- a/fleet/shard/equal_test.go
+++ b/fleet/shard/equal_test.go
@@ -411,7 +411,7 @@
 		for oi := range j.Occurrences {
 			for si := range j.Occurrences[oi].Stages {
 				stage := &j.Occurrences[oi].Stages[si]
-				if stage.idle <= 0 || !j.Occurrences[oi].ready(&j.Spec, si) {
+				if !j.Stored || stage.idle <= 0 || !j.Occurrences[oi].ready(&j.Spec, si) {
 					continue
 				}
 				waiting++
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -63,7 +63,18 @@
 }
 
 // MarkStored records that the store has a submitted job.
-func (s *State) MarkStored(j *Job) { j.Stored = true }
+func (s *State) MarkStored(j *Job) {
+	if j.Stored {
+		return
+	}
+	j.Stored = true
+	if s.openJobs[j.ID] != j {
+		return
+	}
+	for occurrence := range j.Occurrences {
+		s.backlog.updateOccurrence(j, occurrence)
+	}
+}
 
 // DropRejected drops a job that the store has refused, so that it never runs.
 func (s *State) DropRejected(id string) {
--- a/fleet/shard/permit.go
+++ b/fleet/shard/permit.go
@@ -91,7 +91,7 @@
 		return Question{}, false
 	}
 	ranked := newRanked(s, ranking, now, func(w *waitingStep) bool {
-		return s.needsTicket(w.job.Spec.Queue) && s.permits[w.ref()].mayAsk(now)
+		return w.queue.needsTicket && s.permits[w.ref()].mayAsk(now)
 	})
 	var hosts candidates
 	for w := ranked.pop(); w != nil; w = ranked.pop() {
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -29,7 +29,7 @@
 		}
 		return
 	}
-	ranked := newRanked(s, ranking, now, func(w *waitingStep) bool { return w.shape.fits || w.reserves(now) })
+	ranked := newRanked(s, ranking, now, func(w *waitingStep) bool { return w.shape.fits || w.reserves() })
 	for w := ranked.pop(); w != nil; w = ranked.pop() {
 		if !s.startTasks(w, hosts, roomy, now) {
 			continue
@@ -134,7 +134,7 @@
 			// What a round takes or reserves is not given back before its end, so no later step of
 			// this shape finds a host either.
 			w.shape.fits = w.shape.fits && (permitted != nil || step.PerHost > 0)
-			return s.reserveHost(w, hosts, now) || started
+			return s.reserveHost(w, hosts) || started
 		}
 		ref := w.ref()
 		ref.Index = i
@@ -233,8 +233,8 @@
 
 // reserveHost reserves the host with the most free capacity for a step that does not fit, so that
 // smaller steps do not starve it. It reports whether it has reserved a host.
-func (s *State) reserveHost(w *waitingStep, hosts candidates, now time.Time) bool {
-	if w.shape.unreservable || !w.reserves(now) {
+func (s *State) reserveHost(w *waitingStep, hosts candidates) bool {
+	if w.shape.unreservable || !w.reserves() {
 		return false
 	}
 	var best *candidate
@@ -255,8 +255,8 @@
 }
 
 // reserves reports whether a host is reserved for a step that does not fit.
-func (w *waitingStep) reserves(now time.Time) bool {
-	return w.step.LongRunning || now.Sub(w.job.AcceptedAt) >= reserveAfter
+func (w *waitingStep) reserves() bool {
+	return w.demand.LongRunning || w.demand.Age >= reserveAfter
 }
 
 // reserveAfter is how long after its acceptance a job waits before a host is reserved for its work.
@@ -277,7 +277,7 @@
 		chosen = s.placeGang(step, stage, hosts, permitted)
 	}
 	if chosen == nil {
-		return s.reserveHost(w, hosts, now)
+		return s.reserveHost(w, hosts)
 	}
 	var run int64
 	checkpoint := ""
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -10,12 +10,12 @@
 	Job        *Job
 	Occurrence int
 	Step       int
-	// LongRunning, Priority, Slack and RemainingWork are what rankings compare. The lowest Priority
-	// goes first. Slack is how long the step can still wait without missing the objective; it is
-	// negative if the step is late.
+	// LongRunning, Priority, Age, Slack and RemainingWork are what rankings compare. The lowest
+	// Priority goes first. Age is the time since the job was accepted. Slack is how long the step
+	// can still wait without missing the objective; it is negative if the step is late.
 	LongRunning bool
 	Priority    int
-	Slack       time.Duration
+	Age, Slack  time.Duration
 	// RemainingWork is the work of the occurrence that is not done, in thousandths of a
 	// core-second.
 	RemainingWork int64
@@ -48,7 +48,7 @@
 			return c
 		}
 	}
-	if c := a.Job.AcceptedAt.Compare(b.Job.AcceptedAt); c != 0 {
+	if c := cmp.Compare(b.Age, a.Age); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.Job.ID, b.Job.ID)
@@ -97,7 +97,7 @@
 	unconfirmed := s.hasUnconfirmedHost(now)
 	var waiting int64
 	for _, w := range s.backlog.steps {
-		if !w.step.LongRunning && w.job.mayStart(unconfirmed) {
+		if !w.demand.LongRunning && !(w.inherited && unconfirmed) {
 			if waiting += stepWork(w.step, w.stage.idle, w.queue.scale); waiting > limit {
 				break
 			}
@@ -117,13 +117,18 @@
 func newRanked[R Ranking](s *State, ranking R, now time.Time, wanted func(*waitingStep) bool) *ranked[R] {
 	s.backlog.updateQueues(s)
 	unconfirmed := s.hasUnconfirmedHost(now)
-	r := &ranked[R]{ranking: ranking}
+	age := now.Sub(s.backlog.origin)
+	r := &ranked[R]{ranking: ranking, steps: s.backlog.ranked[:0]}
 	for _, w := range s.backlog.steps {
-		if w.job.mayStart(unconfirmed) && wanted(w) {
-			w.updateDemand(now)
+		if w.inherited && unconfirmed {
+			continue
+		}
+		w.updateDemand(age)
+		if wanted(w) {
 			r.steps = append(r.steps, w)
 		}
 	}
+	s.backlog.ranked = r.steps
 	for i := len(r.steps)/2 - 1; i >= 0; i-- {
 		r.sink(i)
 	}
@@ -170,7 +175,7 @@
 
 // Compare implements [Ranking].
 func (ByAge) Compare(a, b *Demand) int {
-	if c := a.Job.AcceptedAt.Compare(b.Job.AcceptedAt); c != 0 {
+	if c := cmp.Compare(b.Age, a.Age); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.Job.ID, b.Job.ID)
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -216,7 +216,7 @@
 		Pool: pool, Epoch: epoch, ClaimedAt: now, ConfirmedAt: now, Timing: t,
 		Queues: map[string]port.Queue{}, Jobs: map[string]*Job{}, Hosts: map[string]*Host{},
 		openJobs: map[string]*Job{}, durationRatios: map[string]*sample{}, permits: map[batch.Ref]*permit{},
-		backlog: newBacklog(),
+		backlog: newBacklog(now),
 	}
 }
 
