--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -10,13 +10,12 @@
 	Job        *Job
 	Occurrence int
 	Step       int
-	// LongRunning, Priority, Objective, CriticalPath and RemainingWork are what rankings compare.
-	// The lowest Priority goes first. CriticalPath is the longest sum of expected run times along
-	// dependent steps, from this step on.
-	LongRunning  bool
-	Priority     int
-	Objective    time.Time
-	CriticalPath time.Duration
+	// LongRunning, Priority, Age, Slack and RemainingWork are what rankings compare. The lowest
+	// Priority goes first. Age is the time since the job was accepted. Slack is how long the step
+	// can still wait without missing the objective; it is negative if the step is late.
+	LongRunning bool
+	Priority    int
+	Age, Slack  time.Duration
 	// RemainingWork is the work of the occurrence that is not done, in thousandths of a
 	// core-second.
 	RemainingWork int64
@@ -25,7 +24,7 @@
 // Ranking orders demands. Implementations hold no state.
 type Ranking interface {
 	// Compare is negative when a goes before b.
-	Compare(a, b *Demand, now time.Time) int
+	Compare(a, b *Demand) int
 }
 
 // BySlack puts long-running work first, then work that can still meet its objective in the order
@@ -33,23 +32,23 @@
 type BySlack struct{}
 
 // Compare implements [Ranking].
-func (BySlack) Compare(a, b *Demand, now time.Time) int {
+func (BySlack) Compare(a, b *Demand) int {
 	if a.LongRunning != b.LongRunning {
 		return firstIf(a.LongRunning)
 	}
-	lateA, lateB := a.slack(now) < 0, b.slack(now) < 0
+	lateA, lateB := a.Slack < 0, b.Slack < 0
 	if lateA != lateB {
 		return firstIf(lateB)
 	}
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 && !lateA {
-		return c
-	}
 	if !lateA {
-		if c := cmp.Compare(a.slack(now), b.slack(now)); c != 0 {
+		if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(a.Slack, b.Slack); c != 0 {
 			return c
 		}
 	}
-	if c := a.Job.AcceptedAt.Compare(b.Job.AcceptedAt); c != 0 {
+	if c := cmp.Compare(b.Age, a.Age); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.Job.ID, b.Job.ID)
@@ -61,10 +60,10 @@
 type ByRemainingWork struct{}
 
 // Compare implements [Ranking].
-func (ByRemainingWork) Compare(a, b *Demand, now time.Time) int {
-	lateA, lateB := a.slack(now) < 0, b.slack(now) < 0
+func (ByRemainingWork) Compare(a, b *Demand) int {
+	lateA, lateB := a.Slack < 0, b.Slack < 0
 	if a.LongRunning != b.LongRunning || lateA != lateB || lateA || a.Priority != b.Priority || a.RemainingWork == b.RemainingWork {
-		return BySlack{}.Compare(a, b, now)
+		return BySlack{}.Compare(a, b)
 	}
 	return cmp.Compare(a.RemainingWork, b.RemainingWork)
 }
@@ -73,11 +72,11 @@
 type ByLoad struct{ Overloaded bool }
 
 // Compare implements [Ranking].
-func (p ByLoad) Compare(a, b *Demand, now time.Time) int {
+func (p ByLoad) Compare(a, b *Demand) int {
 	if p.Overloaded {
-		return ByRemainingWork{}.Compare(a, b, now)
+		return ByRemainingWork{}.Compare(a, b)
 	}
-	return BySlack{}.Compare(a, b, now)
+	return BySlack{}.Compare(a, b)
 }
 
 // overloadThreshold is the longest time that all hosts together may need for the waiting work
@@ -86,27 +85,97 @@
 const overloadThreshold = time.Second
 
 // updateOverloaded sets Overloaded from the waiting work and the capacity of the hosts.
-func (s *State) updateOverloaded(demands []Demand, hosts candidates) {
-	var waiting, capacity int64
-	for i := range demands {
-		d := &demands[i]
-		if !d.LongRunning {
-			scale := s.durationRatios[d.Job.Spec.Queue].median()
-			waiting += stepWork(&d.Job.Spec.Steps[d.Step], d.Job.Occurrences[d.Occurrence].Stages[d.Step].idle, scale)
+func (s *State) updateOverloaded(now time.Time) {
+	var capacity int64
+	for _, h := range s.sortedHosts() {
+		if s.Schedulable(h, now) {
+			capacity += h.Capacity.MilliCores
+		}
+	}
+	limit := int64(float64(capacity) * overloadThreshold.Seconds())
+	s.backlog.updateQueues(s)
+	unconfirmed := s.hasUnconfirmedHost(now)
+	var waiting int64
+	for _, w := range s.backlog.steps {
+		if !w.demand.LongRunning && !(w.inherited && unconfirmed) {
+			if waiting += stepWork(w.step, w.stage.idle, w.queue.scale); waiting > limit {
+				break
+			}
+		}
+	}
+	s.Overloaded = waiting > limit
+}
+
+// ranked holds waiting steps of which the first of a ranking can be taken. It is a binary heap,
+// since a round seldom gets beyond the first few.
+type ranked[R Ranking] struct {
+	ranking R
+	steps   []*waitingStep
+}
+
+// newRanked returns the waiting steps that could start now and are wanted.
+func newRanked[R Ranking](s *State, ranking R, now time.Time, wanted func(*waitingStep) bool) *ranked[R] {
+	s.backlog.updateQueues(s)
+	unconfirmed := s.hasUnconfirmedHost(now)
+	age := now.Sub(s.backlog.origin)
+	r := &ranked[R]{ranking: ranking, steps: s.backlog.ranked[:0]}
+	for _, w := range s.backlog.steps {
+		if w.inherited && unconfirmed {
+			continue
+		}
+		w.updateDemand(age)
+		if wanted(w) {
+			r.steps = append(r.steps, w)
 		}
 	}
-	for i := range hosts {
-		capacity += hosts[i].host.Capacity.MilliCores
+	s.backlog.ranked = r.steps
+	for i := len(r.steps)/2 - 1; i >= 0; i-- {
+		r.sink(i)
 	}
-	s.Overloaded = waiting > int64(float64(capacity)*overloadThreshold.Seconds())
+	return r
+}
+
+// pop removes the first step and returns it, or nil when there is none.
+func (r *ranked[R]) pop() *waitingStep {
+	last := len(r.steps) - 1
+	if last < 0 {
+		return nil
+	}
+	first := r.steps[0]
+	r.steps[0] = r.steps[last]
+	r.steps = r.steps[:last]
+	r.sink(0)
+	return first
+}
+
+// sink moves a step down until it goes before its children.
+func (r *ranked[R]) sink(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(r.steps) {
+			return
+		}
+		if other := child + 1; other < len(r.steps) && r.before(other, child) {
+			child = other
+		}
+		if !r.before(child, i) {
+			return
+		}
+		r.steps[i], r.steps[child] = r.steps[child], r.steps[i]
+		i = child
+	}
+}
+
+func (r *ranked[R]) before(i, k int) bool {
+	return r.ranking.Compare(&r.steps[i].demand, &r.steps[k].demand) < 0
 }
 
 // ByAge puts the oldest work first. It is the baseline for comparisons.
 type ByAge struct{}
 
 // Compare implements [Ranking].
-func (ByAge) Compare(a, b *Demand, _ time.Time) int {
-	if c := a.Job.AcceptedAt.Compare(b.Job.AcceptedAt); c != 0 {
+func (ByAge) Compare(a, b *Demand) int {
+	if c := cmp.Compare(b.Age, a.Age); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.Job.ID, b.Job.ID)
@@ -120,8 +189,3 @@
 	}
 	return 1
 }
-
-// slack returns how long the step can still wait without missing the objective.
-func (d *Demand) slack(now time.Time) time.Duration {
-	return d.Objective.Sub(now) - d.CriticalPath
-}
