--- a/fleet/shard/lost_test.go
+++ b/fleet/shard/lost_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 )
 
 // Guards against starting work again that has ended. A newer owner may have counted the end
@@ -41,3 +42,64 @@
 	o.advance(time.Millisecond)
 	require.Len(t, o.plan(), 1)
 }
+
+// Guards against two runs of one task at once. The new instance of a host that had ended carried
+// out a start that was still under way, while the task was started on another host.
+func TestATaskWhoseStartIsUnderWayToAnEndedHostIsNotStartedElsewhere(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	o.submit("job", smallStep(1))
+	starts := o.plan()
+	require.Len(t, starts, 1)
+	o.HostEnded(starts[0].Host, o.now)
+	o.advance(50 * time.Millisecond)
+	o.ExpireLeases(o.now)
+	require.Empty(t, o.plan(), "the outcome of the start is unknown")
+
+	o.HandleStartResult(&starts[0], 0, errNoAnswer, o.now)
+	o.TakeOrders()
+	o.advance(50 * time.Millisecond)
+	o.ExpireLeases(o.now)
+	require.Len(t, o.plan(), 1, "the host has ended, so no stop has to be confirmed")
+}
+
+// Guards against two runs of one task at once. A host was taken for ended and ran on, or its new
+// instance carried out an order of the earlier one. The task was started elsewhere while the stop
+// of the run that the host reported was under way.
+func TestATaskWithAnUnknownRunIsNotStartedElsewhereBeforeThatRunIsGone(t *testing.T) {
+	for name, gone := range map[string]func(o *owner, host string, run shard.Order){
+		"ended": func(o *owner, host string, run shard.Order) {
+			o.report(host, port.FinishedRun{Number: 1, Unit: run.Ref.String(), Run: run.Run, Result: port.ResultStopped})
+		},
+		"not listed any more": func(o *owner, host string, _ shard.Order) { o.report(host) },
+		"host ended":          func(o *owner, host string, _ shard.Order) { o.HostEnded(host, o.now) },
+		"lease expired": func(o *owner, host string, _ shard.Order) {
+			other := map[string]string{"a": "b", "b": "a"}[host]
+			for range 8 {
+				o.advance(time.Second)
+				o.report(other)
+			}
+			o.ExpireLeases(o.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newOwner(t, 1, "a", "b")
+			o.submit("job", smallStep(1))
+			starts := o.start()
+			require.Len(t, starts, 1)
+			host := starts[0].Host
+			o.report(host, runningRow(starts[0], 10))
+			o.HostEnded(host, o.now)
+			o.advance(time.Millisecond)
+			o.report(host, runningRow(starts[0], 20))
+			o.report(map[string]string{"a": "b", "b": "a"}[host])
+			orders := o.plan()
+			require.Len(t, orders, 1)
+			require.Equal(t, shard.OrderStop, orders[0].Kind)
+			gone(o, host, starts[0])
+			o.advance(time.Millisecond)
+			orders = o.plan()
+			require.Len(t, orders, 1)
+			require.Equal(t, shard.OrderStart, orders[0].Kind)
+		})
+	}
+}
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -46,9 +46,14 @@
 	acked     map[string]bool
 	cancelled map[string]time.Time
 	failures  map[string]int
-	starts    int
+	// listed holds when the success of a task was first in an answer of its host, for answers that
+	// the network did not lose. It is recorded in runs with late owners only.
+	listed map[string]time.Time
+	starts int
 	// trace holds the events, and is shown for a seed that fails.
 	trace []string
+	// onlyLateOwners leaves out all faults of the network and the hosts.
+	onlyLateOwners bool
 }
 
 func (w *simulation) logf(format string, args ...any) {
@@ -61,7 +66,7 @@
 		t: t, rand: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_700_000_000, 0),
 		hosts: map[string]*simHost{}, specs: map[string]batch.Spec{}, progress: map[string]shard.Progress{},
 		storedHosts: map[string]bool{}, done: map[string]bool{}, acked: map[string]bool{},
-		cancelled: map[string]time.Time{}, failures: map[string]int{},
+		cancelled: map[string]time.Time{}, failures: map[string]int{}, listed: map[string]time.Time{},
 	}
 	for i := range 4 {
 		id := fmt.Sprintf("h%d", i)
@@ -111,6 +116,8 @@
 	case o.unreachable[id]:
 		w.schedule(800*time.Millisecond, unanswered)
 		return
+	case w.onlyLateOwners:
+		lost = w.now.Before(o.lateUntil) && w.rand.IntN(20) > 0
 	case n < 4: // carried out late, without an answer
 		delay, lost = 2*time.Second+time.Duration(w.rand.IntN(10_000))*time.Millisecond, true
 	case n < 7:
@@ -179,6 +186,9 @@
 		}
 	}
 	require.Falsef(w.t, w.acked[task], "%s started after its end was acknowledged", task)
+	if at, ok := w.listed[task]; ok {
+		require.LessOrEqualf(w.t, w.now.Sub(at), listedGrace, "%s started although its host had listed its success", task)
+	}
 	if at, ok := w.cancelled[order.Ref.Job]; ok {
 		require.Lessf(w.t, w.now.Sub(at), 13*time.Second, "%s started more than 13 s after its cancel", task)
 	}
@@ -282,6 +292,7 @@
 			w.ackEnds(h, acked)
 		}
 		report := &port.HostReport{Clock: h.clock.Milliseconds(), Born: h.instance, Finished: slices.Clone(h.ended)}
+		w.recordListed(h)
 		for _, task := range sortedKeys(h.running) {
 			report.Running = append(report.Running, port.ActiveRun{Unit: task, Run: h.running[task].run, ProgressPercent: 50})
 		}
@@ -289,6 +300,37 @@
 	}, func() { o.holding[id] = false })
 }
 
+// listedGrace is the time after which an end that a host has listed counts as noted, whether or
+// not the owner has read the answer.
+const listedGrace = 100 * time.Millisecond
+
+// recordListed records the successes in an answer of a host.
+func (w *simulation) recordListed(h *simHost) {
+	if !w.onlyLateOwners {
+		return
+	}
+	for _, e := range h.ended {
+		if _, ok := w.listed[e.Unit]; !ok && e.Result == port.ResultDone && e.Number > h.expiredEnd {
+			w.listed[e.Unit] = w.now
+		}
+	}
+}
+
+// injectLateOwner makes the owner late now and then: hosts answer it in time, but its process
+// reads few of the answers. Such an owner may be replaced, and goes on until the store fences it.
+func (w *simulation) injectLateOwner() {
+	o := w.current()
+	switch n := w.rand.IntN(1000); {
+	case n < 12 && !w.now.Before(o.lateUntil):
+		o.lateUntil = w.now.Add(time.Duration(1000+w.rand.IntN(11_000)) * time.Millisecond)
+		w.logf("owner %d is late until %v", o.state.Epoch, o.lateUntil.Sub(w.now))
+	case n < 16 && w.now.Before(o.lateUntil):
+		o.partitioned = true
+		w.takeOver()
+		w.schedule(time.Duration(w.rand.IntN(3000))*time.Millisecond, func() { o.partitioned = false })
+	}
+}
+
 // injectFault causes one of the faults now and then.
 func (w *simulation) injectFault() {
 	o := w.current()
@@ -394,7 +436,11 @@
 		for _, id := range w.hostIDs {
 			w.runHost(w.hosts[id])
 		}
-		if faults {
+		switch {
+		case faults && w.onlyLateOwners:
+			w.injectLateOwner()
+			w.runCallers()
+		case faults:
 			w.injectFault()
 			w.runCallers()
 		}
@@ -436,3 +482,28 @@
 		})
 	}
 }
+
+// Guards against an owner that takes its own lateness for the silence of its hosts. It did not read
+// the answers that listed the ends of runs, counted the leases as expired and ran the tasks again.
+func TestALateOwnerRunsNoTaskTwice(t *testing.T) {
+	for seed := range uint64(lateSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newSimulation(t, seed)
+			w.onlyLateOwners = true
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Log(strings.Join(w.trace[max(len(w.trace)-traceLines, 0):], "\n"))
+				}
+			})
+			w.run(simSteps, true)
+			w.run(1200, false)
+			require.NotZero(t, w.starts)
+			for id, j := range w.current().state.Jobs {
+				require.NotEqualf(t, shard.Open, j.Phase, "%s is still open", id)
+			}
+		})
+	}
+}
+
+// lateSeeds is the number of seeds with late owners.
+const lateSeeds = 100
--- a/fleet/shard/sim_test.go
+++ b/fleet/shard/sim_test.go
@@ -43,6 +43,8 @@
 	// unreachable holds the hosts that the owner cannot reach.
 	unreachable map[string]bool
 	stopped     bool
+	// lateUntil is until when the owner's process reads few of the answers that hosts send.
+	lateUntil time.Time
 }
 
 // simMessage is a message that is being sent, or its answer. It takes effect at the time at.
