Do not take an owner's own lateness for the silence of its hosts

Callers saw work that must run once run twice: hosts had listed the end of a run in an answer, and the owner started the task on another host.

Cause: the lease of a host counted as expired when the owner had handled no answer for long enough. An owner whose process does not get to run reads no answers: the timer of a heartbeat fires before the goroutine that would read the answer has run, the answer is dropped, and after some of these in a row the owner releases the host's tasks although the host has answered all along.

A lease now expires only if the last heartbeat shows that the host is silent. A heartbeat in flight may be answered already. One that failed more than 100 ms after its timeout says that this process was late, and is repeated. The last 100 ms of a timeout start only once its first part has fired, so that answers that waited while the process did not run are read. Timeouts stay as long as they were.

Cost: none for a host that refuses connections, as its heartbeats fail at once. For a host that drops packets the expiry waits for the heartbeat in flight, at most 900 ms; by the cycle of 900 ms timeout and 150 ms backoff 386 ms on average (computed, not measured). A host that is lost to an owner that stays late is given up when the list of machines shows that it ended, or when a heartbeat fails in time.

--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -22,6 +22,9 @@
 	// heartbeatTimeout bounds the answer to a heartbeat, in addition to the time that the host
 	// may wait.
 	heartbeatTimeout = 900 * time.Millisecond
+	// readMargin is the part of a timeout that this process has to be running for. It bounds how
+	// late a timer may fire before the process counts as late.
+	readMargin = 100 * time.Millisecond
 	// orderQueueSize is the maximum number of orders that wait in one queue.
 	orderQueueSize = 256
 	// maxStartDelay is how long a start may wait in a queue before it is returned unsent,
@@ -54,6 +57,9 @@
 	Sent   time.Time
 	Report port.HostReport
 	Err    error
+	// Late reports whether this process, and not the host, may be the cause of the error: the
+	// failure took so long that an answer may have arrived and not been read.
+	Late bool
 }
 
 // OrderResult is the outcome of an order.
@@ -119,11 +125,27 @@
 	a.client.Close()
 }
 
+// withReadMargin returns a context that ends after the timeout. If this process did not run for a
+// while, the timer fires together with the arrival of answers that have waited, so the end of the
+// timeout leaves readMargin to read them.
+func withReadMargin(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	timer := time.AfterFunc(timeout-readMargin, func() {
+		time.AfterFunc(readMargin, func() { cancel(context.DeadlineExceeded) })
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
 func (a *Agent) sendHeartbeat(ctx context.Context, h Heartbeat) HeartbeatResult {
-	ctx, cancel := context.WithTimeout(ctx, h.Wait+heartbeatTimeout)
+	timeout := h.Wait + heartbeatTimeout
+	ctx, cancel := withReadMargin(ctx, timeout)
 	defer cancel()
 	result := HeartbeatResult{Host: a.host, Sent: time.Now()}
 	result.Report, result.Err = a.client.Heartbeat(ctx, h.Deadline, h.Token, h.Acked, h.Wait)
+	result.Late = result.Err != nil && time.Since(result.Sent) > timeout+readMargin
 	return result
 }
 
@@ -133,7 +155,7 @@
 		result.Err = &port.RefusedError{Reason: port.RefusedDeadline}
 		return result
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := withReadMargin(ctx, orderTimeout)
 	defer cancel()
 	unit := batch.Ref.String(o.Ref)
 	switch o.Kind {
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -66,3 +66,31 @@
 	require.Empty(t, h.starts)
 	require.Equal(t, first.String(), <-h.stops)
 }
+
+// lateHost lets a heartbeat return some time after the call was given up.
+type lateHost struct {
+	unresponsiveHost
+	delay time.Duration
+}
+
+func (h lateHost) Open(port.Host) port.HostClient { return h }
+
+func (h lateHost) Heartbeat(ctx context.Context, _, _, _ int64, _ time.Duration) (port.HostReport, error) {
+	<-ctx.Done()
+	time.Sleep(h.delay)
+	return port.HostReport{}, context.Cause(ctx)
+}
+
+// Guards against taking the lateness of this process for the silence of a host, whose lease then
+// counted as expired although its answers had arrived.
+func TestAHeartbeatThatFailsLongAfterItsTimeoutIsMarkedAsLate(t *testing.T) {
+	outcomes := make(chan agent.HeartbeatResult, 1)
+	a := agent.Open(port.Host{ID: "a"}, lateHost{delay: 300 * time.Millisecond},
+		func(_ context.Context, r agent.HeartbeatResult) { outcomes <- r },
+		func(context.Context, agent.OrderResult) {})
+	defer a.Close()
+	require.True(t, a.SendHeartbeat(agent.Heartbeat{}))
+	late := <-outcomes
+	require.ErrorIs(t, late.Err, context.DeadlineExceeded)
+	require.True(t, late.Late)
+}
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -95,6 +95,9 @@
 		wait = 0
 	}
 	l.heartbeatInFlight = l.agent.SendHeartbeat(agent.Heartbeat{Deadline: deadline, Token: c.state.Epoch, Acked: h.StoredEnd, Wait: wait})
+	if l.heartbeatInFlight {
+		c.state.HeartbeatSent(id)
+	}
 	l.nextHeartbeat = now.Add(minHeartbeatInterval)
 }
 
@@ -110,7 +113,7 @@
 	l.heartbeatInFlight = false
 	now := time.Now()
 	if m.Err != nil {
-		c.heartbeatFailed(m.Host, l, m.Err, now)
+		c.heartbeatFailed(l, m.HeartbeatResult, now)
 		return
 	}
 	if l.failing {
@@ -124,9 +127,10 @@
 	}
 }
 
-func (c *core) heartbeatFailed(id string, l *hostLink, err error, now time.Time) {
+func (c *core) heartbeatFailed(l *hostLink, m agent.HeartbeatResult, now time.Time) {
+	id, err := m.Host, m.Err
 	l.nextHeartbeat = now.Add(heartbeatBackoff)
-	c.state.Hosts[id].Unreachable = true
+	c.state.HeartbeatFailed(id, m.Late, now)
 	var refused *port.RefusedError
 	if errors.As(err, &refused) && refused.Reason == port.RefusedFence {
 		c.resign("host "+id, err)
@@ -138,7 +142,7 @@
 	if !l.failing {
 		l.failing = true
 		c.deps.Stats.Add("hosts-lost", 1, "pool", c.state.Pool)
-		c.logger.Warn("host lost", "host", id, "err", err)
+		c.logger.Warn("host lost", "host", id, "err", err, "late", m.Late)
 	}
 }
 
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"carawaymux.dev/entry/agent"
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
@@ -121,7 +122,7 @@
 	c.dropAgent("h")
 	c.openAgent(testHost)
 	l = c.agents["h"]
-	c.heartbeatFailed("h", l, errors.New("connection reset"), now)
+	c.heartbeatFailed(l, agent.HeartbeatResult{Host: "h", Err: errors.New("connection reset")}, now)
 	c.sendHeartbeat("h", l, now.Add(heartbeatBackoff))
 	require.Zero(t, <-host.acked)
 }
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -29,6 +29,12 @@
 	LastAnswer time.Time
 	// Unreachable reports whether the last attempt to reach the host failed.
 	Unreachable bool
+	// AnswerPending reports whether the host may have answered a heartbeat although the owner has
+	// not handled the answer: a heartbeat is in flight, or the last one failed while the owner was
+	// late.
+	AnswerPending bool
+	// UnansweredAt is when the last heartbeat failed that shows the host to be silent.
+	UnansweredAt time.Time
 	// GrantedUntil is the latest lease deadline that was sent, on the host's clock in
 	// milliseconds. It is 0 when none was sent.
 	GrantedUntil int64
@@ -149,10 +155,32 @@
 
 // leaseExpired reports whether nothing can be running on a host that does not answer. A newer
 // owner could have extended the host's lease, so the store has to have confirmed the claim since
-// the lease expired.
+// the lease expired. An answer that the owner has not handled yet may list the ends of runs, so the
+// last heartbeat has to have shown that the host is silent.
 func (s *State) leaseExpired(h *Host, now time.Time) bool {
 	expiry := s.LeaseExpiry(h)
-	return now.After(expiry) && s.ConfirmedAt.After(expiry)
+	silent := !h.AnswerPending || h.UnansweredAt.After(expiry)
+	return silent && now.After(expiry) && s.ConfirmedAt.After(expiry)
+}
+
+// HeartbeatSent records that a heartbeat was sent to a host.
+func (s *State) HeartbeatSent(id string) {
+	if h := s.Hosts[id]; h != nil {
+		h.AnswerPending = true
+	}
+}
+
+// HeartbeatFailed records that a heartbeat failed. If the owner was late, the host may have
+// answered it.
+func (s *State) HeartbeatFailed(id string, ownerLate bool, now time.Time) {
+	h := s.Hosts[id]
+	if h == nil {
+		return
+	}
+	h.Unreachable, h.AnswerPending = true, ownerLate
+	if !ownerLate {
+		h.UnansweredAt = now
+	}
 }
 
 // hasUnconfirmedHost reports whether some host that an earlier owner may have used has not
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -281,7 +281,8 @@
 	}
 	o.holding[id] = true
 	deadline := time.Duration(o.state.LeaseDeadline(h, w.now)) * time.Millisecond
-	acked, sentInstance := h.StoredEnd, h.Instance
+	acked, sentInstance, sentAt := h.StoredEnd, h.Instance, w.now
+	o.state.HeartbeatSent(id)
 	w.send(o, id, func(h *simHost) func() {
 		if o.state.Epoch < h.token {
 			return func() { o.stopped = true }
@@ -297,7 +298,10 @@
 			report.Running = append(report.Running, port.ActiveRun{Unit: task, Run: h.running[task].run, ProgressPercent: 50})
 		}
 		return func() { o.holding[id] = false; o.state.HandleReport(id, report, w.now) }
-	}, func() { o.holding[id] = false })
+	}, func() {
+		o.holding[id] = false
+		o.state.HeartbeatFailed(id, sentAt.Before(o.lateUntil), w.now)
+	})
 }
 
 // listedGrace is the time after which an end that a host has listed counts as noted, whether or
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -39,6 +39,7 @@
 		h.FirstAnswer = now
 	}
 	h.Confirmed, h.Unreachable, h.Instance, h.Clock, h.LastAnswer = true, false, report.Born, report.Clock, now
+	h.AnswerPending = false
 	var out []RunEnd
 	for i := range report.Finished {
 		e := &report.Finished[i]
