Extend leases while the owner, and not the host, is late

Long-running work was lost on hosts that had answered all along: their leases lapsed, because an owner that had handled no answer of a host for 1.6 s stopped extending its lease. A late owner cannot know that the host is silent. After a heartbeat that failed late the lease is now extended until the last answer is a whole lease old. The deadline takes the host's clock as 2 % slow, so that after the longer silence it still ends within the time that the next owner waits.

TestALateOwnerGoesOnExtendingLeases failed before. No effect on hosts that do not answer an owner that is in time.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -124,10 +124,19 @@
 // 0 when none may be granted. A host that does not answer gets no extension, so that its lease
 // expires even if messages to it arrive late.
 func (s *State) LeaseDeadline(h *Host, now time.Time) int64 {
-	if h.Clock == 0 || now.Sub(s.ConfirmedAt) > s.Timing.Grace || now.Sub(h.LastAnswer) > answerTimeout {
+	limit := answerTimeout
+	if h.AnswerPending {
+		// An owner that is late cannot tell that the host is silent.
+		limit = max(limit, s.Timing.Lease)
+	}
+	silence := now.Sub(h.LastAnswer)
+	if h.Clock == 0 || now.Sub(s.ConfirmedAt) > s.Timing.Grace || silence > limit {
 		return 0
 	}
-	d := h.Clock + now.Sub(h.LastAnswer).Milliseconds() + s.Timing.Lease.Milliseconds()
+	// The host's clock may be slow. A later deadline would outlast the time for which the next owner
+	// waits.
+	passed := time.Duration(float64(silence) / ClockDrift)
+	d := h.Clock + passed.Milliseconds() + s.Timing.Lease.Milliseconds()
 	h.GrantedUntil = max(h.GrantedUntil, d)
 	return d
 }
--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -234,6 +234,25 @@
 	require.Equal(t, other, next[0].Host)
 }
 
+// Guards against leases that lapse while hosts answer: an owner that was late read no answer for
+// 1.6 s and stopped extending them.
+func TestALateOwnerGoesOnExtendingLeases(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	h := o.Hosts["a"]
+	o.HeartbeatSent("a")
+	o.advance(2 * time.Second)
+	o.HeartbeatFailed("a", true, o.now)
+	d := o.LeaseDeadline(h, o.now)
+	require.NotZero(t, d)
+	require.LessOrEqual(t, d, h.Clock+int64(2000*98/100)+1+timing.Lease.Milliseconds(), "the host's clock may be 2 % slow")
+
+	o.HeartbeatFailed("a", false, o.now)
+	require.Zero(t, o.LeaseDeadline(h, o.now), "the host is silent")
+	o.HeartbeatFailed("a", true, o.now)
+	o.advance(timing.Lease)
+	require.Zero(t, o.LeaseDeadline(h, o.now), "a host that is lost to a late owner is given up in the end")
+}
+
 // Guards against two runs of one task: an owner that was cut off counted the leases of hosts as
 // expired while its successor went on extending them.
 func TestALeaseExpiresOnlyIfTheClaimWasConfirmedSince(t *testing.T) {
