Start no task of which a host reports an unknown run

Callers would see one task run on two hosts at once. A host that had been taken for ended ran on, or its new instance had carried out an order of the earlier one. Its next report listed a run that was not assigned to it; the owner ordered a stop of that run and in the same round started the task elsewhere. A stop takes up to a second to end a run.

A task now starts only when no host reports a run of it that is not assigned there: the run's end is listed, a later report does not list it, or the host has ended or its lease has expired.

Cost: none for tasks without unknown runs; for the others the time until the stop shows in a report.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -44,7 +44,10 @@
 	// Assigned holds the tasks that run, may run or are being stopped there.
 	Assigned map[batch.Ref]*Task
 	// UnknownRuns is the number of runs that the host reports but that are not assigned to it.
-	UnknownRuns int
+	// unknownTasks holds those of their tasks that exist. Nothing of these starts elsewhere until
+	// the host no longer reports the run, or nothing can be running there.
+	UnknownRuns  int
+	unknownTasks []*Task
 	// CordonedUntil is until when the host takes no new work because it is being emptied.
 	// CordonedAt is when that began.
 	CordonedUntil, CordonedAt time.Time
@@ -248,6 +251,7 @@
 // releaseAll releases all tasks of a host on which nothing can have been running after time
 // since.
 func (s *State) releaseAll(h *Host, since time.Time) {
+	h.clearUnknown()
 	for r, task := range h.Assigned {
 		_, stage, _ := s.task(r)
 		if stage == nil {
@@ -279,7 +283,24 @@
 		s.releaseLost(stage, task, r, now)
 		s.stopGang(r, task.Run, "host of a gang member restarted")
 	}
-	h.CountedEnd, h.StoredEnd, h.GrantedUntil, h.UnknownRuns = 0, 0, 0, 0
+	h.CountedEnd, h.StoredEnd, h.GrantedUntil = 0, 0, 0
+}
+
+// addUnknown records a run that the host reports although it is not assigned to it.
+func (h *Host) addUnknown(task *Task) {
+	h.UnknownRuns++
+	if task != nil {
+		task.unknownRuns++
+		h.unknownTasks = append(h.unknownTasks, task)
+	}
+}
+
+// clearUnknown forgets the runs that are not assigned to the host.
+func (h *Host) clearUnknown() {
+	for _, task := range h.unknownTasks {
+		task.unknownRuns--
+	}
+	h.UnknownRuns, h.unknownTasks = 0, nil
 }
 
 // NeedsConfirmation reports whether some host or some task whose run was lost has to wait until
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -194,7 +194,7 @@
 	}
 	for i := range stage.Tasks {
 		task := &stage.Tasks[i]
-		if task.Status != Idle || task.Done || !s.confirmedSinceLost(task) {
+		if task.Status != Idle || task.Done || !s.mayStart(task) {
 			continue
 		}
 		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
@@ -328,7 +328,7 @@
 	d *Demand, step *batch.Step, stage *Stage, hosts candidates, permitted func(*Host) bool, now time.Time,
 ) {
 	for i := range stage.Tasks {
-		if stage.Tasks[i].Status != Idle || !s.confirmedSinceLost(&stage.Tasks[i]) {
+		if stage.Tasks[i].Status != Idle || !s.mayStart(&stage.Tasks[i]) {
 			return
 		}
 	}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -62,17 +62,18 @@
 // the unknown runs, and releases the tasks whose runs are gone.
 func (s *State) reconcile(h *Host, report *port.HostReport, firstReport bool, now time.Time) {
 	complete := len(report.Finished) < maxEndsPerAnswer
-	h.UnknownRuns = 0
+	h.clearUnknown()
 	running := make(map[batch.Ref]int64, len(report.Running))
 	for i := range report.Running {
 		r := &report.Running[i]
 		ref, err := batch.ParseRef(r.Unit)
 		if err != nil {
-			h.UnknownRuns++
+			h.addUnknown(nil)
 			continue
 		}
 		if !s.acceptRunning(h, ref, r, now) {
-			h.UnknownRuns++
+			_, _, task := s.task(ref)
+			h.addUnknown(task)
 			s.orders = append(s.orders, Order{Kind: OrderStop, Host: h.ID, Ref: ref, Run: r.Run, Reason: "run is not assigned to this host"})
 			continue
 		}
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -109,6 +109,9 @@
 	// when the end of the last run is known. A newer owner may have counted the end before, so
 	// the store has to confirm the claim after this time before another run starts.
 	LostAt time.Time
+	// unknownRuns is the number of hosts that report a run of the task that is not assigned to
+	// them.
+	unknownRuns int
 	// AvoidHost is a host on which the task failed or ran too slowly.
 	AvoidHost string
 }
@@ -292,10 +295,10 @@
 	}
 }
 
-// confirmedSinceLost reports whether no newer owner can have counted an end of the task that is
-// unknown here.
-func (s *State) confirmedSinceLost(task *Task) bool {
-	return task.LostAt.IsZero() || s.ConfirmedAt.After(task.LostAt)
+// mayStart reports whether an idle task may start: no host reports a run of it, and no newer owner
+// can have counted an end of it that is unknown here.
+func (s *State) mayStart(task *Task) bool {
+	return task.unknownRuns == 0 && (task.LostAt.IsZero() || s.ConfirmedAt.After(task.LostAt))
 }
 
 // openOccurrence adds the next occurrence of a job that has become due.
