Wait for the outcome of a start before its task leaves an ended host

Callers would see one task run on two hosts at once. When the list of machines showed that a host had ended, its tasks were released, also those whose start was under way. If the host came back under its name and address within the second that a call may take, its new instance, which has seen no token, carried out the start while the task was started elsewhere.

A task whose start is under way now keeps its host until the outcome is known. If the start was not answered, the task is released at the next tick, as nothing of the ended instance has to be stopped. If it was carried out, the first report of the new instance decides.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -35,6 +35,8 @@
 	AnswerPending bool
 	// UnansweredAt is when the last heartbeat failed that shows the host to be silent.
 	UnansweredAt time.Time
+	// EndedAt is when this instance was known to have ended. It is zero while a newer one answers.
+	EndedAt time.Time
 	// GrantedUntil is the latest lease deadline that was sent, on the host's clock in
 	// milliseconds. It is 0 when none was sent.
 	GrantedUntil int64
@@ -157,6 +159,9 @@
 // LeaseExpiry returns the time after which nothing that was started on the host can still be
 // running there if it does not answer.
 func (s *State) LeaseExpiry(h *Host) time.Time {
+	if !h.EndedAt.IsZero() {
+		return h.EndedAt
+	}
 	if !h.Confirmed {
 		longest := s.Timing.Grace + time.Duration(float64(s.Timing.Lease)*ClockDrift)
 		return s.ClaimedAt.Add(longest + clockMargin)
@@ -217,7 +222,7 @@
 		if h.Confirmed || len(h.Assigned) > 0 {
 			s.releaseAll(h, s.LeaseExpiry(h))
 		}
-		if !h.Listed {
+		if !h.Listed && len(h.Assigned) == 0 {
 			dropped = append(dropped, id)
 			delete(s.Hosts, id)
 		}
@@ -244,12 +249,13 @@
 func (s *State) HostEnded(id string, now time.Time) {
 	if h := s.Hosts[id]; h != nil {
 		s.releaseAll(h, now)
-		h.Confirmed, h.Unreachable, h.GrantedUntil, h.LastAnswer = true, false, 0, time.Time{}
+		h.Confirmed, h.Unreachable, h.GrantedUntil, h.LastAnswer, h.EndedAt = true, false, 0, time.Time{}, now
 	}
 }
 
-// releaseAll releases all tasks of a host on which nothing can have been running after time
-// since.
+// releaseAll releases the tasks of a host on which nothing can have been running after time since.
+// A start that is under way may still be carried out by a new instance, so its outcome is waited
+// for.
 func (s *State) releaseAll(h *Host, since time.Time) {
 	h.clearUnknown()
 	for r, task := range h.Assigned {
@@ -258,6 +264,9 @@
 			delete(h.Assigned, r)
 			continue
 		}
+		if task.Status == Starting {
+			continue
+		}
 		s.releaseLost(stage, task, r, since)
 		s.stopGang(r, task.Run, "host of a gang member was lost")
 	}
--- a/fleet/shard/lost_test.go
+++ b/fleet/shard/lost_test.go
@@ -103,3 +103,24 @@
 		})
 	}
 }
+
+func TestAStartThatANewInstanceCarriesOutIsNotTakenForLost(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	o.submit("job", smallStep(1))
+	starts := o.plan()
+	host := starts[0].Host
+	o.HostEnded(host, o.now)
+	o.HeartbeatSent(host)
+	o.advance(50 * time.Millisecond)
+	o.HeartbeatFailed(host, false, o.now)
+	o.HandleStartResult(&starts[0], 20, nil, o.now)
+	o.advance(50 * time.Millisecond)
+	o.ExpireLeases(o.now)
+	require.Empty(t, o.plan())
+
+	o.HandleReport(host, &port.HostReport{Clock: 40, Born: 2, Running: []port.ActiveRun{runningRow(starts[0], 10)}}, o.now)
+	o.advance(50 * time.Millisecond)
+	o.ExpireLeases(o.now)
+	require.Empty(t, o.plan())
+	require.Equal(t, shard.Running, o.Jobs["job"].Occurrences[0].Stages[0].Tasks[0].Status)
+}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -39,7 +39,7 @@
 		h.FirstAnswer = now
 	}
 	h.Confirmed, h.Unreachable, h.Instance, h.Clock, h.LastAnswer = true, false, report.Born, report.Clock, now
-	h.AnswerPending = false
+	h.AnswerPending, h.EndedAt = false, time.Time{}
 	var out []RunEnd
 	for i := range report.Finished {
 		e := &report.Finished[i]
@@ -302,6 +302,10 @@
 		}
 		task.StartClock = max(clock, 1)
 		j.Started = true
+		if h != nil && !h.EndedAt.IsZero() {
+			// A new instance has carried out the start. Its first report follows.
+			h.AnswerPending, h.EndedAt, h.UnansweredAt = true, now, time.Time{}
+		}
 		return true
 	case !errors.As(err, &refused):
 		s.orderStop(o.Ref, task, "start not answered")
