Stop the starts that were under way when a host's address changed

A task was never started again: it counted as starting for good. When a host was listed at another address, the connection to it was replaced, and the outcomes of the orders under way were lost with it. The owner now takes such starts for unanswered and sends stops again.

--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -42,6 +42,7 @@
 	old := c.state.Hosts[h.ID]
 	if old != nil && old.Address != h.Address {
 		c.dropAgent(h.ID)
+		c.state.OrdersLost(h.ID, now)
 	}
 	if old == nil || old.Draining != h.Draining {
 		c.logger.Info("host added or its drain state changed", "host", h.ID, "address", h.Address, "draining", h.Draining)
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -253,6 +253,23 @@
 	}
 }
 
+// OrdersLost records that the outcomes of the orders to a host are lost, because the connection to
+// it was replaced.
+func (s *State) OrdersLost(id string, now time.Time) {
+	h := s.Hosts[id]
+	if h == nil {
+		return
+	}
+	for r, task := range h.Assigned {
+		switch task.Status {
+		case Starting:
+			s.orderStop(r, task, "start not answered")
+		case Uncertain, Stopping:
+			task.RetryStopAt = now
+		}
+	}
+}
+
 // releaseAll releases the tasks of a host on which nothing can have been running after time since.
 // A start that is under way may still be carried out by a new instance, so its outcome is waited
 // for.
