Ignore failed heartbeats to an earlier address of a host

Work of a host that runs was released and started elsewhere: another service had taken over the earlier address of the host and refused a heartbeat there, and the owner handled this refusal after it had replaced the connection. The outcome of a heartbeat now names the link it came over; failures over an earlier link have no effect.

TestARefusalFromAnEarlierAddressDoesNotEndTheHost fails without the check.

--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -19,8 +19,11 @@
 	unackedBackoff = 150 * time.Millisecond
 )
 
-// heartbeatResult is the outcome of a heartbeat.
-type heartbeatResult struct{ agent.HeartbeatResult }
+// heartbeatResult is the outcome of a heartbeat over a link.
+type heartbeatResult struct {
+	agent.HeartbeatResult
+	link *hostLink
+}
 
 // orderResult is the outcome of an order.
 type orderResult struct{ agent.OrderResult }
@@ -58,10 +61,11 @@
 	if c.agents[h.ID] != nil {
 		return
 	}
-	a := agent.Open(h, c.deps.HostClients,
-		func(ctx context.Context, r agent.HeartbeatResult) { c.post(ctx, heartbeatResult{r}) },
+	l := &hostLink{}
+	l.agent = agent.Open(h, c.deps.HostClients,
+		func(ctx context.Context, r agent.HeartbeatResult) { c.post(ctx, heartbeatResult{r, l}) },
 		func(ctx context.Context, r agent.OrderResult) { c.post(ctx, orderResult{r}) })
-	c.agents[h.ID] = &hostLink{agent: a}
+	c.agents[h.ID] = l
 }
 
 func (c *core) dropAgent(id string) {
@@ -106,13 +110,13 @@
 const minHeartbeatInterval = 10 * time.Millisecond
 
 func (m heartbeatResult) handle(c *core) {
-	l := c.agents[m.Host]
-	h := c.state.Hosts[m.Host]
-	if l == nil || h == nil {
+	l, now := m.link, time.Now()
+	l.heartbeatInFlight = false
+	// Another service may answer at an earlier address of a host, so only reports count from there.
+	current := l == c.agents[m.Host]
+	if c.state.Hosts[m.Host] == nil || (m.Err != nil && !current) {
 		return
 	}
-	l.heartbeatInFlight = false
-	now := time.Now()
 	if m.Err != nil {
 		c.heartbeatFailed(l, m.HeartbeatResult, now)
 		return
@@ -126,6 +130,10 @@
 		c.logger.Info("run ended", "unit", e.Ref.String(), "run", e.Run, "host", e.Host,
 			"result", string(e.Result), "took-ms", e.Took.Milliseconds())
 	}
+	if !current {
+		// The answer over the current link is still to come.
+		c.state.HeartbeatSent(m.Host)
+	}
 }
 
 func (c *core) heartbeatFailed(l *hostLink, m agent.HeartbeatResult, now time.Time) {
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -219,3 +219,20 @@
 	require.Len(t, orders, 1)
 	require.Equal(t, shard.OrderStop, orders[0].Kind)
 }
+
+// Guards against releasing the work of a host that runs. Another service answered at the earlier
+// address of the host, and its refusal was handled after the host had been listed at its new one.
+func TestARefusalFromAnEarlierAddressDoesNotEndTheHost(t *testing.T) {
+	c := newTestCore(t, idleHost{acked: make(chan int64, 8)})
+	c.addHost(testHost)
+	earlier := c.agents["h"]
+	moved := testHost
+	moved.Address = "h:2"
+	c.addHost(moved)
+	c.state.HandleReport("h", &port.HostReport{Clock: 1000, Born: 1}, time.Now())
+	refused := agent.HeartbeatResult{Host: "h", Err: &port.RefusedError{Reason: port.RefusedInstance}}
+	heartbeatResult{refused, earlier}.handle(c)
+	require.Zero(t, c.state.Hosts["h"].EndedAt)
+	heartbeatResult{refused, c.agents["h"]}.handle(c)
+	require.NotZero(t, c.state.Hosts["h"].EndedAt)
+}
