Acknowledge no ends in a heartbeat that a new instance may answer

The next owner could run tasks again whose ends it did not know. The number up to which a heartbeat acknowledges ends belongs to one instance of a host. After a restart under the same name the numbers start again, and the first heartbeat to the new instance still carried the number of the earlier one, so the host forgot ends that nobody had read. Heartbeats now acknowledge ends only if the previous one over the same connection was answered; a host that restarts breaks its connections.

TestAHeartbeatAfterAFailedOneAcknowledgesNothing failed before. Cost: the first heartbeat after a failed one has the unacknowledged ends listed once more.

--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -61,6 +61,8 @@
 	// the earliest time of the next one.
 	heartbeatInFlight bool
 	nextHeartbeat     time.Time
+	// answered reports whether the last heartbeat was answered.
+	answered bool
 	// failing reports whether the last heartbeat failed, that is, was refused or not answered.
 	failing bool
 }
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -99,7 +99,12 @@
 	if !h.Confirmed || deadline == 0 {
 		wait = 0
 	}
-	l.heartbeatInFlight = l.agent.SendHeartbeat(agent.Heartbeat{Deadline: deadline, Token: c.state.Epoch, Acked: h.StoredEnd, Wait: wait})
+	var acked int64
+	if l.answered {
+		// Otherwise a new instance may answer, which numbers its ends from 1 again.
+		acked = h.StoredEnd
+	}
+	l.heartbeatInFlight = l.agent.SendHeartbeat(agent.Heartbeat{Deadline: deadline, Token: c.state.Epoch, Acked: acked, Wait: wait})
 	if l.heartbeatInFlight {
 		c.state.HeartbeatSent(id)
 	}
@@ -121,6 +126,7 @@
 		c.heartbeatFailed(l, m.HeartbeatResult, now)
 		return
 	}
+	l.answered = true
 	if l.failing {
 		l.failing = false
 		c.logger.Info("host regained", "host", m.Host)
@@ -138,7 +144,7 @@
 
 func (c *core) heartbeatFailed(l *hostLink, m agent.HeartbeatResult, now time.Time) {
 	id, err := m.Host, m.Err
-	l.nextHeartbeat = now.Add(heartbeatBackoff)
+	l.nextHeartbeat, l.answered = now.Add(heartbeatBackoff), false
 	c.state.HeartbeatFailed(id, m.Late, now)
 	var refused *port.RefusedError
 	if errors.As(err, &refused) && refused.Reason == port.RefusedFence {
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -113,15 +113,22 @@
 	c := newTestCore(t, host)
 	c.addHost(testHost)
 	now := time.Now()
-	c.state.HandleReport("h", &port.HostReport{Clock: 1000, Born: 1, Finished: finished(1, 2)}, now)
-	c.state.Hosts["h"].StoredEnd = 2
 	l := c.agents["h"]
-	c.sendHeartbeat("h", l, now)
+	report := port.HostReport{Clock: 1000, Born: 1, Finished: finished(1, 2)}
+	heartbeatResult{agent.HeartbeatResult{Host: "h", Report: report}, l}.handle(c)
+	c.state.Hosts["h"].StoredEnd = 2
+	c.sendHeartbeat("h", l, now.Add(unackedBackoff))
 	require.EqualValues(t, 2, <-host.acked)
 
 	c.dropAgent("h")
 	c.openAgent(testHost)
 	l = c.agents["h"]
+	c.sendHeartbeat("h", l, now.Add(unackedBackoff))
+	require.Zero(t, <-host.acked, "nothing has answered over the new connection")
+	c.dropAgent("h")
+	c.openAgent(testHost)
+	l = c.agents["h"]
+	l.answered = true
 	c.heartbeatFailed(l, agent.HeartbeatResult{Host: "h", Err: errors.New("connection reset")}, now)
 	c.sendHeartbeat("h", l, now.Add(heartbeatBackoff))
 	require.Zero(t, <-host.acked)
