Acknowledge the ends of the instance that an append covers

The next owner could run tasks again whose ends had been acknowledged. An append acknowledges the ends that were counted when it began. After a restart of the host the numbers start again; if the new instance had listed as many ends by the time the append was answered, its ends were acknowledged although the store did not have them. With a crash of the owner before the next append they were lost. An append now names the instance whose ends it covers.

TestAnAppendFromBeforeAHostRestartAcknowledgesNoEndOfTheNewInstance failed before.

--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -120,10 +120,16 @@
 	jobs      []*shard.Job
 	changes   []shard.Change
 	hosts     []port.Host
-	// ackOnWrite holds, by host, the highest number of an ended run that was counted when the
-	// append was collected. Once the append is written, the host's ends up to that number are
-	// acknowledged.
-	ackOnWrite map[string]int64
+	// ackOnWrite holds, by host, the ends that were counted when the append was collected. They
+	// are acknowledged once the append is written.
+	ackOnWrite map[string]countedEnds
+}
+
+// countedEnds are the ends of one instance of a host up to a number.
+type countedEnds struct {
+	number int64
+	// firstAnswer is when the instance first answered. It tells the instances of the host apart.
+	firstAnswer time.Time
 }
 
 // writeResult is the outcome of an append.
@@ -189,7 +195,7 @@
 // collect takes the changes that wait to be written and encodes them.
 func (c *core) collect(now time.Time) ([]port.Record, *appendInFlight) {
 	journal, pool := &c.journal, c.state.Pool
-	content := &appendInFlight{startedAt: now, ackOnWrite: map[string]int64{}}
+	content := &appendInFlight{startedAt: now, ackOnWrite: map[string]countedEnds{}}
 	var records []port.Record
 	put := func(key string, v any) {
 		value, err := codec.EncodeFrame(v)
@@ -213,7 +219,7 @@
 		put(pool+keyProgress+ch.Job.ID, ch.Progress)
 	}
 	for id, h := range c.state.Hosts {
-		content.ackOnWrite[id] = h.CountedEnd
+		content.ackOnWrite[id] = countedEnds{h.CountedEnd, h.FirstAnswer}
 	}
 	for _, id := range journal.removedHosts {
 		records = append(records, port.Record{Key: pool + keyHost + id})
@@ -247,10 +253,8 @@
 		}
 	}
 	for id, counted := range written.ackOnWrite {
-		// If the host has restarted since the append began, CountedEnd has been reset, and the
-		// counted ends are those of the earlier instance.
-		if h := c.state.Hosts[id]; h != nil && h.CountedEnd >= counted {
-			h.StoredEnd = max(h.StoredEnd, counted)
+		if h := c.state.Hosts[id]; h != nil && h.FirstAnswer.Equal(counted.firstAnswer) {
+			h.StoredEnd = max(h.StoredEnd, counted.number)
 		}
 	}
 	for _, j := range written.jobs {
