Keep the record of a host that is dropped and listed again

A host ran work of a pool and the next owner did not know it, so it started inherited tasks without waiting for that host: two runs of a task. When a host was dropped and listed again before the next append, the append wrote its record and then deleted it, and the owner took the host for stored. A host is now either to be written or to be deleted, as decided last.

TestAHostThatIsDroppedAndListedAgainStaysStored failed before.

--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -52,7 +52,7 @@
 	}
 	known := c.state.UpdateHost(h, now)
 	if !known.Stored {
-		c.journal.newHosts = append(c.journal.newHosts, h)
+		c.journal.addHost(h)
 	}
 	c.openAgent(h)
 }
@@ -78,7 +78,7 @@
 // dropHost removes a host that is gone for good, from memory and from the store.
 func (c *core) dropHost(id string) {
 	c.dropAgent(id)
-	c.journal.removedHosts = append(c.journal.removedHosts, id)
+	c.journal.removeHost(id)
 	c.logger.Info("host removed from the pool", "host", id)
 }
 
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -93,7 +93,8 @@
 type journal struct {
 	// newJobs are submissions that have not been part of an append yet.
 	newJobs []*shard.Job
-	// newHosts are to be written; removedHosts and expiredJobs are IDs to be deleted.
+	// newHosts are to be written; removedHosts and expiredJobs are IDs to be deleted. A host is in
+	// one of them at most.
 	newHosts     []port.Host
 	removedHosts []string
 	expiredJobs  []string
@@ -108,6 +109,24 @@
 	unavailable bool
 }
 
+// addHost notes that the record of a host is to be written.
+func (j *journal) addHost(h port.Host) {
+	j.forgetHost(h.ID)
+	j.newHosts = append(j.newHosts, h)
+}
+
+// removeHost notes that the record of a host is to be deleted.
+func (j *journal) removeHost(id string) {
+	j.forgetHost(id)
+	j.removedHosts = append(j.removedHosts, id)
+}
+
+// forgetHost drops what was noted about the record of a host.
+func (j *journal) forgetHost(id string) {
+	j.newHosts = slices.DeleteFunc(j.newHosts, func(h port.Host) bool { return h.ID == id })
+	j.removedHosts = slices.DeleteFunc(j.removedHosts, func(removed string) bool { return removed == id })
+}
+
 // waiter is a caller that waits for the store.
 type waiter struct {
 	cancel bool
