Keep a job until its submission is deleted from the inbox

A job would run a second time after its retention time. Its submission stayed in the inbox when deleting it had failed once, as it was never tried again; the job's record expired, and the next owner, which reads the inbox from its start, took the submission for a new job.

A failed deletion is now repeated after the next append, and the job is kept until its submission is known to be deleted.

TestAJobIsKeptUntilItsSubmissionIsDeletedFromTheInbox failed before.

--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -98,8 +98,9 @@
 	newHosts     []port.Host
 	removedHosts []string
 	expiredJobs  []string
-	// inboxJobs holds the IDs of jobs that arrived through the inbox and are still in it.
-	inboxJobs []string
+	// inboxJobs holds the IDs of jobs that arrived through the inbox and are still in it. trimming
+	// holds those that are being deleted from it.
+	inboxJobs, trimming []string
 	// waiters holds, by job ID, the callers that wait for a submission or a cancellation.
 	waiters map[string][]waiter
 	// inFlight is the append in flight. It is nil if there is none.
@@ -411,6 +412,7 @@
 		}
 		id := ch.Key[len(prefix):]
 		j, verdict := c.state.Submit(id, spec, time.Now())
+		j.InInbox = true
 		c.logger.Info("job came by the inbox", "job", id, "known", verdict == shard.Duplicate)
 		c.journal.inboxJobs = append(c.journal.inboxJobs, id)
 		if verdict == shard.Accepted {
@@ -419,21 +421,26 @@
 	}
 }
 
+// inboxTrimmed is the outcome of the deletion of submissions from the inbox.
+type inboxTrimmed struct{ err error }
+
 // trimInbox deletes submissions from the inbox once the pool's own records hold them.
 func (c *core) trimInbox() {
-	if len(c.journal.inboxJobs) == 0 {
+	journal := &c.journal
+	if len(journal.inboxJobs) == 0 || len(journal.trimming) > 0 {
 		return
 	}
 	var drop []port.Record
 	var rest []string
-	for _, id := range c.journal.inboxJobs {
+	for _, id := range journal.inboxJobs {
 		if j := c.state.Jobs[id]; j != nil && !j.Stored && j.StoredPhase == shard.Open {
 			rest = append(rest, id)
 			continue
 		}
+		journal.trimming = append(journal.trimming, id)
 		drop = append(drop, port.Record{Key: c.state.Pool + "/" + id})
 	}
-	c.journal.inboxJobs = rest
+	journal.inboxJobs = rest
 	if len(drop) == 0 {
 		return
 	}
@@ -441,10 +448,24 @@
 	c.background.Go(func() {
 		ctx, cancel := context.WithTimeout(c.runCtx, unavailableAfter)
 		defer cancel()
-		if _, err := c.deps.Log.Append(ctx, stream, drop, nil, -1); err != nil {
-			// The next owner reads the submissions again, finds that their jobs are known, and
-			// deletes them.
-			c.logger.Warn("stored submissions not deleted from the inbox; the next owner deletes them", "err", err)
-		}
+		_, err := c.deps.Log.Append(ctx, stream, drop, nil, -1)
+		c.post(c.runCtx, inboxTrimmed{err})
 	})
 }
+
+func (m inboxTrimmed) handle(c *core) {
+	journal := &c.journal
+	trimmed := journal.trimming
+	journal.trimming = nil
+	if m.err != nil {
+		c.logger.Warn("stored submissions not deleted from the inbox; they are deleted after the next append", "err", m.err)
+		journal.inboxJobs = append(journal.inboxJobs, trimmed...)
+		return
+	}
+	for _, id := range trimmed {
+		// The submission may have been left in the inbox again.
+		if j := c.state.Jobs[id]; j != nil {
+			j.InInbox = slices.Contains(journal.inboxJobs, id)
+		}
+	}
+}
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -12,7 +12,9 @@
 
 	"carawaymux.dev/entry/agent"
 	"carawaymux.dev/entry/claim"
+	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/task"
@@ -182,9 +184,10 @@
 	c := newTestCore(t, idleHost{})
 	c.deps.Log = log
 	now := time.Now()
-	j, _ := c.state.Submit("job", batch.Spec{Queue: "q", Steps: []batch.Step{{Count: 1}}}, now)
-	c.state.MarkStored(j)
-	c.journal.inboxJobs = []string{"job"}
+	value, err := codec.EncodeFrame(batch.Spec{Queue: "q", Steps: []batch.Step{{Count: 1}}})
+	require.NoError(t, err)
+	inboxChanges{[]feed.Change[[]byte]{{Key: "pool/job", Value: value, Present: true}}}.handle(c)
+	c.state.MarkStored(c.state.Jobs["job"])
 	c.state.Cancel("job", now)
 	for _, ch := range c.state.TakeChanges() {
 		c.state.MarkWritten(ch)
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -131,7 +131,7 @@
 func (s *State) DropExpired(now time.Time) []string {
 	var out []string
 	for id, j := range s.Jobs {
-		if j.Phase != Open && j.StoredPhase == j.Phase && now.Sub(j.EndedAt) > s.Timing.Retention && !s.hasRuns(j) {
+		if j.Phase != Open && j.StoredPhase == j.Phase && !j.InInbox && now.Sub(j.EndedAt) > s.Timing.Retention && !s.hasRuns(j) {
 			out = append(out, id)
 			delete(s.Jobs, id)
 		}
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -155,6 +155,9 @@
 	// Unsubmitted is true if the job was cancelled and its submission has not arrived. Its spec is
 	// then empty.
 	Unsubmitted bool
+	// InInbox reports whether the inbox may still hold the submission. The job is then kept beyond
+	// its retention time, so that the next owner does not take the submission for a new job.
+	InInbox bool
 	// Started reports whether any task is known to have started.
 	Started bool
 	// Inherited is true if an earlier owner may have started tasks that this owner has no record
