--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -37,21 +37,27 @@
 
 func (idleHost) Close() {}
 
-// newTestCore returns the state of an owner whose task does not run.
-func newTestCore(t *testing.T, host idleHost) *core {
+// testCore is the state of an owner whose task does not run. The tests handle its messages.
+type testCore struct {
+	*core
+	delivered chan message
+}
+
+func newTestCore(t *testing.T, host idleHost) *testCore {
 	c := newCore(&Owner{lost: make(chan struct{})},
 		Settings{Partitions: 1, Timing: shard.Timing{Lease: 5 * time.Second, Grace: 6 * time.Second}},
 		Deps{HostClients: host, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))},
 		&claim.Claim{Name: "pool", Epoch: 1, ConfirmedAt: time.Now()})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.runCtx = ctx
+	delivered := make(chan message, 64)
 	c.owner.task = task.Start(func(ctx context.Context, inbox <-chan message) {
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case m := <-inbox:
-				m.handle(c)
+				delivered <- m
 			}
 		}
 	})
@@ -64,20 +70,24 @@
 		c.background.Wait()
 		c.owner.task.Close()
 	})
-	return c
+	return &testCore{c, delivered}
 }
 
-// settled is a message that closes its channel when it is handled.
-type settled chan struct{}
+// lastMessage marks the end of the messages that settle handles.
+type lastMessage struct{}
 
-func (m settled) handle(*core) { close(m) }
+func (lastMessage) handle(*core) {}
 
-// settle waits for the background work of the owner and until its results are handled.
-func settle(c *core) {
+// settle waits for the background work of the owner and handles its results.
+func (c *testCore) settle() {
 	c.background.Wait()
-	done := make(settled)
-	c.post(c.runCtx, done)
-	<-done
+	c.post(c.runCtx, lastMessage{})
+	for m := range c.delivered {
+		if _, ok := m.(lastMessage); ok {
+			return
+		}
+		m.handle(c.core)
+	}
 }
 
 var testHost = port.Host{ID: "h", Address: "h:1", Pool: "pool", Capacity: batch.Size{MilliCores: 1000, MemoryMB: 1000}}
@@ -100,11 +110,11 @@
 	c.state.HandleReport("h", &port.HostReport{Clock: 1000, Born: 1, Finished: finished(1, 2)}, now)
 	_, c.journal.inFlight = c.collect(now)
 	c.state.HandleReport("h", &port.HostReport{Clock: 10, Born: 2, Finished: finished(1, 2, 3)}, now.Add(time.Second))
-	writeResult{claim.WriteResult{Sent: now}}.handle(c)
+	writeResult{claim.WriteResult{Sent: now}}.handle(c.core)
 	require.Zero(t, c.state.Hosts["h"].StoredEnd)
 
 	_, c.journal.inFlight = c.collect(now)
-	writeResult{claim.WriteResult{Sent: now}}.handle(c)
+	writeResult{claim.WriteResult{Sent: now}}.handle(c.core)
 	require.EqualValues(t, 3, c.state.Hosts["h"].StoredEnd)
 }
 
@@ -117,7 +127,7 @@
 	now := time.Now()
 	l := c.agents["h"]
 	report := port.HostReport{Clock: 1000, Born: 1, Finished: finished(1, 2)}
-	heartbeatResult{agent.HeartbeatResult{Host: "h", Report: report}, l}.handle(c)
+	heartbeatResult{agent.HeartbeatResult{Host: "h", Report: report}, l}.handle(c.core)
 	c.state.Hosts["h"].StoredEnd = 2
 	c.sendHeartbeat("h", l, now.Add(unackedBackoff))
 	require.EqualValues(t, 2, <-host.acked)
@@ -186,21 +196,21 @@
 	now := time.Now()
 	value, err := codec.EncodeFrame(batch.Spec{Queue: "q", Steps: []batch.Step{{Count: 1}}})
 	require.NoError(t, err)
-	inboxChanges{[]feed.Change[[]byte]{{Key: "pool/job", Value: value, Present: true}}}.handle(c)
+	inboxChanges{[]feed.Change[[]byte]{{Key: "pool/job", Value: value, Present: true}}}.handle(c.core)
 	c.state.MarkStored(c.state.Jobs["job"])
 	c.state.Cancel("job", now)
 	for _, ch := range c.state.TakeChanges() {
 		c.state.MarkWritten(ch)
 	}
 	c.trimInbox()
-	settle(c)
+	c.settle()
 	c.state.Timing.Retention = -time.Second
 	c.tick()
 	require.NotNil(t, c.state.Jobs["job"])
 
 	log.failing = false
 	c.trimInbox()
-	settle(c)
+	c.settle()
 	require.Equal(t, []string{"pool/job"}, log.deleted)
 	c.nextExpiryScan = time.Time{}
 	c.tick()
@@ -241,8 +251,8 @@
 	c.addHost(moved)
 	c.state.HandleReport("h", &port.HostReport{Clock: 1000, Born: 1}, time.Now())
 	refused := agent.HeartbeatResult{Host: "h", Err: &port.RefusedError{Reason: port.RefusedInstance}}
-	heartbeatResult{refused, earlier}.handle(c)
+	heartbeatResult{refused, earlier}.handle(c.core)
 	require.Zero(t, c.state.Hosts["h"].EndedAt)
-	heartbeatResult{refused, c.agents["h"]}.handle(c)
+	heartbeatResult{refused, c.agents["h"]}.handle(c.core)
 	require.NotZero(t, c.state.Hosts["h"].EndedAt)
 }
