Start an owner's background work after its task is assigned

An owner that had just started could end the process: its background work sends messages to the owner's task, and the field that holds the task was assigned while that work was running already. The race detector reports it in TestInboxJobsAreKeptWhileTheStoreIsUnavailable on every run tried before this change, and no longer after it.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -134,7 +134,13 @@
 	o := &Owner{pool: acquired.Name, lost: make(chan struct{})}
 	c := newCore(o, s, d, acquired)
 	c.restore(stored, config, hosts)
-	o.task = task.Start(c.run, task.WithInbox(inboxSize))
+	assigned := make(chan struct{})
+	o.task = task.Start(func(ctx context.Context, inbox <-chan message) {
+		// What the owner starts sends messages to o.task.
+		<-assigned
+		c.run(ctx, inbox)
+	}, task.WithInbox(inboxSize))
+	close(assigned)
 	return o
 }
 
