Ask an ended host once more if a start to it was not answered

Two runs of one task, if the answer of the new instance of a host is lost: the start was under way when the host ended, the new instance carried it out, and the owner released the task because a heartbeat that it had sent before had failed. Only a heartbeat sent after the outcome of the start now shows that no new instance is there.

The simulation lets orders wait up to 500 ms for a connection and reach the next instance, and gets a test with hosts that restart within 600 ms.

Cost: for a host that ended with an unanswered start one heartbeat, up to 150 ms where connections are refused and 1,050 ms where packets are dropped.

--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -106,7 +106,7 @@
 	}
 	l.heartbeatInFlight = l.agent.SendHeartbeat(agent.Heartbeat{Deadline: deadline, Token: c.state.Epoch, Acked: acked, Wait: wait})
 	if l.heartbeatInFlight {
-		c.state.HeartbeatSent(id)
+		c.state.HeartbeatSent(id, now)
 	}
 	l.nextHeartbeat = now.Add(minHeartbeatInterval)
 }
@@ -138,7 +138,7 @@
 	}
 	if !current {
 		// The answer over the current link is still to come.
-		c.state.HeartbeatSent(m.Host)
+		c.state.HeartbeatSent(m.Host, now)
 	}
 }
 
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -33,6 +33,9 @@
 	// not handled the answer: a heartbeat is in flight, or the last one failed while the owner was
 	// late.
 	AnswerPending bool
+	// heartbeatSentAt is when the last heartbeat was sent. Heartbeats sent before newInstanceAt do not
+	// show that the host is silent, because a new instance may have received a start since.
+	heartbeatSentAt, newInstanceAt time.Time
 	// UnansweredAt is when the last heartbeat failed that shows the host to be silent.
 	UnansweredAt time.Time
 	// EndedAt is when this instance was known to have ended. It is zero while a newer one answers.
@@ -181,9 +184,9 @@
 }
 
 // HeartbeatSent records that a heartbeat was sent to a host.
-func (s *State) HeartbeatSent(id string) {
+func (s *State) HeartbeatSent(id string, now time.Time) {
 	if h := s.Hosts[id]; h != nil {
-		h.AnswerPending = true
+		h.AnswerPending, h.heartbeatSentAt = true, now
 	}
 }
 
@@ -194,8 +197,9 @@
 	if h == nil {
 		return
 	}
-	h.Unreachable, h.AnswerPending = true, ownerLate
-	if !ownerLate {
+	proven := !ownerLate && !h.heartbeatSentAt.Before(h.newInstanceAt)
+	h.Unreachable, h.AnswerPending = true, !proven
+	if proven {
 		h.UnansweredAt = now
 	}
 }
@@ -270,6 +274,14 @@
 	}
 }
 
+// expectInstance records that a new instance of a host that has ended may have carried out a start.
+// A heartbeat that is sent from now on decides whether there is one.
+func (h *Host) expectInstance(now time.Time) {
+	if !h.EndedAt.IsZero() {
+		h.AnswerPending, h.EndedAt, h.newInstanceAt, h.UnansweredAt = true, now, now, time.Time{}
+	}
+}
+
 // releaseAll releases the tasks of a host on which nothing can have been running after time since.
 // A start that is under way may still be carried out by a new instance, so its outcome is waited
 // for.
--- a/fleet/shard/lost_test.go
+++ b/fleet/shard/lost_test.go
@@ -59,6 +59,11 @@
 	o.TakeOrders()
 	o.advance(50 * time.Millisecond)
 	o.ExpireLeases(o.now)
+	require.Empty(t, o.plan(), "a new instance may have carried out the start")
+	o.HeartbeatSent(starts[0].Host, o.now)
+	o.advance(50 * time.Millisecond)
+	o.HeartbeatFailed(starts[0].Host, false, o.now)
+	o.ExpireLeases(o.now)
 	require.Len(t, o.plan(), 1, "the host has ended, so no stop has to be confirmed")
 }
 
@@ -110,7 +115,7 @@
 	starts := o.plan()
 	host := starts[0].Host
 	o.HostEnded(host, o.now)
-	o.HeartbeatSent(host)
+	o.HeartbeatSent(host, o.now)
 	o.advance(50 * time.Millisecond)
 	o.HeartbeatFailed(host, false, o.now)
 	o.HandleStartResult(&starts[0], 20, nil, o.now)
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -54,6 +54,8 @@
 	trace []string
 	// onlyLateOwners leaves out all faults of the network and the hosts.
 	onlyLateOwners bool
+	// restartRange is the range of the time that a crashed host is down, in milliseconds.
+	restartRange int
 }
 
 func (w *simulation) logf(format string, args ...any) {
@@ -67,6 +69,7 @@
 		hosts: map[string]*simHost{}, specs: map[string]batch.Spec{}, progress: map[string]shard.Progress{},
 		storedHosts: map[string]bool{}, done: map[string]bool{}, acked: map[string]bool{},
 		cancelled: map[string]time.Time{}, failures: map[string]int{}, listed: map[string]time.Time{},
+		restartRange: slowRestart,
 	}
 	for i := range 4 {
 		id := fmt.Sprintf("h%d", i)
@@ -124,18 +127,26 @@
 		lost = true
 	}
 	answered := false
-	// An order ends with the process that has received it.
-	instance := w.hosts[id].instance
-	w.schedule(delay, func() {
+	// An order ends with the process that has received it. One that waits for its connection may
+	// reach the next instance of the host.
+	instance, sentAt := w.hosts[id].instance, w.now
+	received := delay >= 2*time.Second
+	var arrive func()
+	arrive = func() {
 		h := w.hosts[id]
-		if h.down || h.instance != instance {
+		if h.down && !received && w.now.Sub(sentAt) < dialTimeout {
+			w.schedule(simStep, arrive)
+			return
+		}
+		if h.down || (received && h.instance != instance) {
 			return
 		}
 		back := order(h)
 		if !lost {
 			w.schedule(time.Duration(w.rand.IntN(40))*time.Millisecond, func() { answered = true; back() })
 		}
-	})
+	}
+	w.schedule(delay, arrive)
 	w.schedule(900*time.Millisecond, func() {
 		if !answered {
 			unanswered()
@@ -147,6 +158,16 @@
 	w.messages = append(w.messages, simMessage{w.now.Add(after), do})
 }
 
+// The ranges of the time that a crashed host is down. After a fast restart, an order that waits for
+// its connection reaches the new instance.
+const (
+	slowRestart = 6000
+	fastRestart = 400
+)
+
+// dialTimeout is how long an order waits for a connection.
+const dialTimeout = 500 * time.Millisecond
+
 // executeStart carries out a start on a host.
 func (w *simulation) executeStart(h *simHost, o *simOwner, order shard.Order, deadline time.Duration, clockOut *int64) error {
 	*clockOut = h.clock.Milliseconds()
@@ -282,7 +303,7 @@
 	o.holding[id] = true
 	deadline := time.Duration(o.state.LeaseDeadline(h, w.now)) * time.Millisecond
 	acked, sentInstance, sentAt := h.StoredEnd, h.Instance, w.now
-	o.state.HeartbeatSent(id)
+	o.state.HeartbeatSent(id, w.now)
 	w.send(o, id, func(h *simHost) func() {
 		if o.state.Epoch < h.token {
 			return func() { o.stopped = true }
@@ -369,13 +390,13 @@
 		h.down = true
 		w.logf("host %s crashes", id)
 		h.running, h.ended, h.highestEnded = map[string]*simRun{}, nil, map[string]int64{}
-		w.schedule(time.Duration(200+w.rand.IntN(6000))*time.Millisecond, func() {
+		w.schedule(time.Duration(200+w.rand.IntN(w.restartRange))*time.Millisecond, func() {
 			h.down, h.token, h.number, h.deadline, h.expiredEnd = false, 0, 0, 0, 0
 			h.clock = 10 * time.Millisecond
 			w.logf("host %s restarts", id)
 			h.instance++
 		})
-		w.schedule(time.Duration(300+w.rand.IntN(1500))*time.Millisecond, func() {
+		w.schedule(time.Duration(w.restartRange/20+w.rand.IntN(w.restartRange/4))*time.Millisecond, func() {
 			for _, o := range w.owners {
 				if !o.partitioned && !o.stopped {
 					w.reportEnded(o)
@@ -468,9 +489,28 @@
 	for seed := range uint64(simSeeds) {
 		seeds = append(seeds, seed)
 	}
+	testInvariants(t, seeds, slowRestart)
+}
+
+// Guards against two runs of one task: the new instance of a host that came back at once carried
+// out orders of the earlier one, and the lease that it had been granted by the clock of the earlier
+// one was longer than the owner knew.
+func TestInvariantsHoldIfHostsRestartFast(t *testing.T) {
+	var seeds []uint64
+	for seed := range uint64(fastRestartSeeds) {
+		seeds = append(seeds, seed)
+	}
+	testInvariants(t, seeds, fastRestart)
+}
+
+// fastRestartSeeds is the number of seeds with fast restarts of hosts.
+const fastRestartSeeds = 200
+
+func testInvariants(t *testing.T, seeds []uint64, restartRange int) {
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newSimulation(t, seed)
+			w.restartRange = restartRange
 			t.Cleanup(func() {
 				if t.Failed() {
 					t.Log(strings.Join(w.trace[max(len(w.trace)-traceLines, 0):], "\n"))
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -302,12 +302,14 @@
 		}
 		task.StartClock = max(clock, 1)
 		j.Started = true
-		if h != nil && !h.EndedAt.IsZero() {
-			// A new instance has carried out the start. Its first report follows.
-			h.AnswerPending, h.EndedAt, h.UnansweredAt = true, now, time.Time{}
+		if h != nil {
+			h.expectInstance(now)
 		}
 		return true
 	case !errors.As(err, &refused):
+		if h != nil {
+			h.expectInstance(now)
+		}
 		s.orderStop(o.Ref, task, "start not answered")
 		return true
 	}
--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -239,7 +239,7 @@
 func TestALateOwnerGoesOnExtendingLeases(t *testing.T) {
 	o := newOwner(t, 1, "a")
 	h := o.Hosts["a"]
-	o.HeartbeatSent("a")
+	o.HeartbeatSent("a", o.now)
 	o.advance(2 * time.Second)
 	o.HeartbeatFailed("a", true, o.now)
 	d := o.LeaseDeadline(h, o.now)
