--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -19,8 +19,11 @@
 	unackedBackoff = 150 * time.Millisecond
 )
 
-// heartbeatResult is the outcome of a heartbeat.
-type heartbeatResult struct{ agent.HeartbeatResult }
+// heartbeatResult is the outcome of a heartbeat over a link.
+type heartbeatResult struct {
+	agent.HeartbeatResult
+	link *hostLink
+}
 
 // orderResult is the outcome of an order.
 type orderResult struct{ agent.OrderResult }
@@ -42,13 +45,14 @@
 	old := c.state.Hosts[h.ID]
 	if old != nil && old.Address != h.Address {
 		c.dropAgent(h.ID)
+		c.state.OrdersLost(h.ID, now)
 	}
 	if old == nil || old.Draining != h.Draining {
 		c.logger.Info("host added or its drain state changed", "host", h.ID, "address", h.Address, "draining", h.Draining)
 	}
 	known := c.state.UpdateHost(h, now)
 	if !known.Stored {
-		c.journal.newHosts = append(c.journal.newHosts, h)
+		c.journal.addHost(h)
 	}
 	c.openAgent(h)
 }
@@ -57,10 +61,11 @@
 	if c.agents[h.ID] != nil {
 		return
 	}
-	a := agent.Open(h, c.deps.HostClients,
-		func(ctx context.Context, r agent.HeartbeatResult) { c.post(ctx, heartbeatResult{r}) },
+	l := &hostLink{}
+	l.agent = agent.Open(h, c.deps.HostClients,
+		func(ctx context.Context, r agent.HeartbeatResult) { c.post(ctx, heartbeatResult{r, l}) },
 		func(ctx context.Context, r agent.OrderResult) { c.post(ctx, orderResult{r}) })
-	c.agents[h.ID] = &hostLink{agent: a}
+	c.agents[h.ID] = l
 }
 
 func (c *core) dropAgent(id string) {
@@ -73,7 +78,7 @@
 // dropHost removes a host that is gone for good, from memory and from the store.
 func (c *core) dropHost(id string) {
 	c.dropAgent(id)
-	c.journal.removedHosts = append(c.journal.removedHosts, id)
+	c.journal.removeHost(id)
 	c.logger.Info("host removed from the pool", "host", id)
 }
 
@@ -94,7 +99,15 @@
 	if !h.Confirmed || deadline == 0 {
 		wait = 0
 	}
-	l.heartbeatInFlight = l.agent.SendHeartbeat(agent.Heartbeat{Deadline: deadline, Token: c.state.Epoch, Acked: h.StoredEnd, Wait: wait})
+	var acked int64
+	if l.answered {
+		// Otherwise a new instance may answer, which numbers its ends from 1 again.
+		acked = h.StoredEnd
+	}
+	l.heartbeatInFlight = l.agent.SendHeartbeat(agent.Heartbeat{Deadline: deadline, Token: c.state.Epoch, Acked: acked, Wait: wait})
+	if l.heartbeatInFlight {
+		c.state.HeartbeatSent(id, now)
+	}
 	l.nextHeartbeat = now.Add(minHeartbeatInterval)
 }
 
@@ -102,17 +115,18 @@
 const minHeartbeatInterval = 10 * time.Millisecond
 
 func (m heartbeatResult) handle(c *core) {
-	l := c.agents[m.Host]
-	h := c.state.Hosts[m.Host]
-	if l == nil || h == nil {
+	l, now := m.link, time.Now()
+	l.heartbeatInFlight = false
+	// Another service may answer at an earlier address of a host, so only reports count from there.
+	current := l == c.agents[m.Host]
+	if c.state.Hosts[m.Host] == nil || (m.Err != nil && !current) {
 		return
 	}
-	l.heartbeatInFlight = false
-	now := time.Now()
 	if m.Err != nil {
-		c.heartbeatFailed(m.Host, l, m.Err, now)
+		c.heartbeatFailed(l, m.HeartbeatResult, now)
 		return
 	}
+	l.answered = true
 	if l.failing {
 		l.failing = false
 		c.logger.Info("host regained", "host", m.Host)
@@ -122,11 +136,16 @@
 		c.logger.Info("run ended", "unit", e.Ref.String(), "run", e.Run, "host", e.Host,
 			"result", string(e.Result), "took-ms", e.Took.Milliseconds())
 	}
+	if !current {
+		// The answer over the current link is still to come.
+		c.state.HeartbeatSent(m.Host, now)
+	}
 }
 
-func (c *core) heartbeatFailed(id string, l *hostLink, err error, now time.Time) {
-	l.nextHeartbeat = now.Add(heartbeatBackoff)
-	c.state.Hosts[id].Unreachable = true
+func (c *core) heartbeatFailed(l *hostLink, m agent.HeartbeatResult, now time.Time) {
+	id, err := m.Host, m.Err
+	l.nextHeartbeat, l.answered = now.Add(heartbeatBackoff), false
+	c.state.HeartbeatFailed(id, m.Late, now)
 	var refused *port.RefusedError
 	if errors.As(err, &refused) && refused.Reason == port.RefusedFence {
 		c.resign("host "+id, err)
@@ -138,7 +157,7 @@
 	if !l.failing {
 		l.failing = true
 		c.deps.Stats.Add("hosts-lost", 1, "pool", c.state.Pool)
-		c.logger.Warn("host lost", "host", id, "err", err)
+		c.logger.Warn("host lost", "host", id, "err", err, "late", m.Late)
 	}
 }
 
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -126,7 +126,7 @@
 	started := false
 	for i := range stage.Tasks {
 		task := &stage.Tasks[i]
-		if task.Status != Idle || task.Done || !s.confirmedSinceLost(task) {
+		if task.Status != Idle || task.Done || !s.mayStart(task) {
 			continue
 		}
 		host := s.pickHost(step, stage, task, roomy, permitted)
@@ -268,7 +268,7 @@
 func (s *State) startGang(w *waitingStep, hosts candidates, permitted func(*Host) bool, now time.Time) bool {
 	step, stage := w.step, w.stage
 	for i := range stage.Tasks {
-		if stage.Tasks[i].Status != Idle || !s.confirmedSinceLost(&stage.Tasks[i]) {
+		if stage.Tasks[i].Status != Idle || !s.mayStart(&stage.Tasks[i]) {
 			return false
 		}
 	}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -39,6 +39,7 @@
 		h.FirstAnswer = now
 	}
 	h.Confirmed, h.Unreachable, h.Instance, h.Clock, h.LastAnswer = true, false, report.Born, report.Clock, now
+	h.AnswerPending, h.EndedAt = false, time.Time{}
 	var out []RunEnd
 	for i := range report.Finished {
 		e := &report.Finished[i]
@@ -61,17 +62,18 @@
 // the unknown runs, and releases the tasks whose runs are gone.
 func (s *State) reconcile(h *Host, report *port.HostReport, firstReport bool, now time.Time) {
 	complete := len(report.Finished) < maxEndsPerAnswer
-	h.UnknownRuns = 0
+	h.clearUnknown()
 	running := make(map[batch.Ref]int64, len(report.Running))
 	for i := range report.Running {
 		r := &report.Running[i]
 		ref, err := batch.ParseRef(r.Unit)
 		if err != nil {
-			h.UnknownRuns++
+			h.addUnknown(nil)
 			continue
 		}
 		if !s.acceptRunning(h, ref, r, now) {
-			h.UnknownRuns++
+			_, _, task := s.task(ref)
+			h.addUnknown(task)
 			s.orders = append(s.orders, Order{Kind: OrderStop, Host: h.ID, Ref: ref, Run: r.Run, Reason: "run is not assigned to this host"})
 			continue
 		}
@@ -305,8 +307,14 @@
 		}
 		task.StartClock = max(clock, 1)
 		j.Started = true
+		if h != nil {
+			h.expectInstance(now)
+		}
 		return true
 	case !errors.As(err, &refused):
+		if h != nil {
+			h.expectInstance(now)
+		}
 		s.orderStop(o.Ref, task, "start not answered")
 		return true
 	}
