Count the lease that a new instance of a host may have been granted

An end was acknowledged after the task had been started again: the lease of a restarted host counted as expired while it ran. Before the owner knows of a restart, it sends deadlines by the clock of the earlier instance. On the clock of the new one, which starts near 0, such a deadline is far away and gives the longest lease that the host accepts, twice the usual one. The owner forgot all deadlines when it saw the restart. It now keeps the latest, limited to the longest lease from the first answer of the new instance.

Cost: none while the host answers. If it falls silent within the first five seconds after a restart (with a longest lease of 10 s), its work waits up to five seconds longer.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -41,7 +41,8 @@
 	// EndedAt is when this instance was known to have ended. It is zero while a newer one answers.
 	EndedAt time.Time
 	// GrantedUntil is the latest lease deadline that was sent, on the host's clock in
-	// milliseconds. It is 0 when none was sent.
+	// milliseconds. It is 0 when none was sent. A new instance may have received one that was meant
+	// for the clock of the earlier one.
 	GrantedUntil int64
 	// CountedEnd is the number of the highest end that was counted. StoredEnd is the highest
 	// whose effect is in the store; it is at most CountedEnd.
@@ -253,7 +254,7 @@
 func (s *State) HostEnded(id string, now time.Time) {
 	if h := s.Hosts[id]; h != nil {
 		s.releaseAll(h, now)
-		h.Confirmed, h.Unreachable, h.GrantedUntil, h.LastAnswer, h.EndedAt = true, false, 0, time.Time{}, now
+		h.Confirmed, h.Unreachable, h.LastAnswer, h.EndedAt = true, false, time.Time{}, now
 	}
 }
 
@@ -321,7 +322,8 @@
 		s.releaseLost(stage, task, r, now)
 		s.stopGang(r, task.Run, "host of a gang member restarted")
 	}
-	h.CountedEnd, h.StoredEnd, h.GrantedUntil = 0, 0, 0
+	h.CountedEnd, h.StoredEnd = 0, 0
+	h.GrantedUntil = min(h.GrantedUntil, report.Clock+s.Timing.MaxLease.Milliseconds())
 }
 
 // addUnknown records a run that the host reports although it is not assigned to it.
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -181,7 +181,7 @@
 		return &port.RefusedError{Reason: port.RefusedStaleRun}
 	}
 	h.token = o.state.Epoch
-	h.deadline = max(h.deadline, deadline)
+	h.extendLease(deadline)
 	if r := h.running[task]; r != nil {
 		if r.run == order.Run {
 			return nil
@@ -309,7 +309,7 @@
 			return func() { o.stopped = true }
 		}
 		h.token = o.state.Epoch
-		h.deadline = max(h.deadline, deadline)
+		h.extendLease(deadline)
 		if h.instance == sentInstance {
 			w.ackEnds(h, acked)
 		}
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -17,6 +17,8 @@
 	// Lease is how long a host may run work without contact to the owner. It is positive and at
 	// most what the platform allows.
 	Lease time.Duration
+	// MaxLease is the longest lease that a host accepts; a longer one is shortened to it.
+	MaxLease time.Duration
 	// Grace is how long an owner goes on extending leases after the store last confirmed its
 	// claim.
 	Grace time.Duration
--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -14,7 +14,7 @@
 
 // timing is what the tests run with: a lease of 5 s and a grace of 6 s.
 var timing = shard.Timing{
-	Lease: 5 * time.Second, Grace: 6 * time.Second, Retention: time.Minute, RemoteFactor: 2,
+	Lease: 5 * time.Second, MaxLease: 10 * time.Second, Grace: 6 * time.Second, Retention: time.Minute, RemoteFactor: 2,
 	AbsenceLimit: 4 * time.Second, StopTimeout: time.Second, DisruptionLimit: 4 * time.Second,
 }
 
--- a/fleet/shard/sim_test.go
+++ b/fleet/shard/sim_test.go
@@ -53,6 +53,11 @@
 	do func()
 }
 
+// extendLease extends the lease up to a deadline, which is shortened to the longest lease.
+func (h *simHost) extendLease(deadline time.Duration) {
+	h.deadline = max(h.deadline, min(deadline, h.clock+timing.MaxLease))
+}
+
 // endRun ends a run and reports its end.
 func (w *simulation) endRun(h *simHost, task string, result port.Result) {
 	r := h.running[task]
