Look at the hosts once a round, and scan for the first step

A round checked which hosts are schedulable up to three times and allocated the list of candidates. It made a heap of all waiting steps although most rounds take one. Now the list of candidates is built once, in a buffer, the first step is found by a scan, and the heap is made when a second step is taken.

--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -14,22 +14,27 @@
 // out, and planning ends once no host has room for any of the others.
 func Plan[R Ranking](s *State, ranking R, now time.Time, wall int64) {
 	s.openDue(wall)
-	s.updateOverloaded(now)
-	least := s.backlog.leastNeed()
-	if len(s.backlog.steps) == 0 || !s.hasRoom(least, now) {
+	if len(s.backlog.steps) == 0 {
+		s.Overloaded = false
 		return
 	}
 	hosts := s.candidates(now)
+	unconfirmed := s.hasUnconfirmedHost(now)
+	s.updateOverloaded(hosts, unconfirmed)
+	least := s.backlog.leastNeed()
 	roomy := hosts.withRoom(least)
+	if len(roomy) == 0 {
+		return
+	}
 	s.backlog.findFits(roomy)
 	if hosts.empty() {
 		// Only the first step is tried.
-		if first := newRanked(s, ranking, now, func(*waitingStep) bool { return true }).pop(); first != nil {
+		if first := newRanked(s, ranking, now, unconfirmed, func(*waitingStep) bool { return true }).pop(); first != nil {
 			s.startTasks(first, hosts, roomy, now)
 		}
 		return
 	}
-	ranked := newRanked(s, ranking, now, func(w *waitingStep) bool { return w.shape.fits || w.reserves() })
+	ranked := newRanked(s, ranking, now, unconfirmed, func(w *waitingStep) bool { return w.shape.fits || w.reserves() })
 	for w := ranked.pop(); w != nil; w = ranked.pop() {
 		if !s.startTasks(w, hosts, roomy, now) {
 			continue
@@ -59,16 +64,6 @@
 	return next
 }
 
-// hasRoom reports whether some schedulable host has room for a need.
-func (s *State) hasRoom(need batch.Size, now time.Time) bool {
-	for _, h := range s.sortedHosts() {
-		if h.free().Fits(need) && s.Schedulable(h, now) {
-			return true
-		}
-	}
-	return false
-}
-
 // candidate is a host that may get work in a round of planning.
 type candidate struct {
 	host *Host
@@ -80,15 +75,18 @@
 // candidates holds hosts in the order of their IDs.
 type candidates []*candidate
 
-// candidates returns the schedulable hosts with their free capacity.
+// candidates returns the schedulable hosts with their free capacity. The result is valid until the
+// next call.
 func (s *State) candidates(now time.Time) candidates {
 	hosts := s.sortedHosts()
-	all := make([]candidate, 0, len(hosts))
-	out := make(candidates, 0, len(hosts))
+	for len(s.candidateBuffer) < len(hosts) {
+		s.candidateBuffer = append(s.candidateBuffer, &candidate{})
+	}
+	out := s.candidateBuffer[:0]
 	for _, h := range hosts {
 		if s.Schedulable(h, now) {
-			all = append(all, candidate{host: h, free: h.free()})
-			out = append(out, &all[len(all)-1])
+			out = out[:len(out)+1]
+			*out[len(out)-1] = candidate{host: h, free: h.free()}
 		}
 	}
 	return out
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -85,16 +85,13 @@
 const overloadThreshold = time.Second
 
 // updateOverloaded sets Overloaded from the waiting work and the capacity of the hosts.
-func (s *State) updateOverloaded(now time.Time) {
+func (s *State) updateOverloaded(hosts candidates, unconfirmed bool) {
 	var capacity int64
-	for _, h := range s.sortedHosts() {
-		if s.Schedulable(h, now) {
-			capacity += h.Capacity.MilliCores
-		}
+	for _, c := range hosts {
+		capacity += c.host.Capacity.MilliCores
 	}
 	limit := int64(float64(capacity) * overloadThreshold.Seconds())
 	s.backlog.updateQueues(s)
-	unconfirmed := s.hasUnconfirmedHost(now)
 	var waiting int64
 	for _, w := range s.backlog.steps {
 		if !w.demand.LongRunning && !(w.inherited && unconfirmed) {
@@ -106,17 +103,19 @@
 	s.Overloaded = waiting > limit
 }
 
-// ranked holds waiting steps of which the first of a ranking can be taken. It is a binary heap,
-// since a round seldom gets beyond the first few.
+// ranked holds waiting steps of which the first of a ranking can be taken. Most rounds take one, for
+// which it scans them, and few take more than some, for which it makes them a binary heap.
 type ranked[R Ranking] struct {
 	ranking R
 	steps   []*waitingStep
+	// taken is the number of steps that were taken.
+	taken int
 }
 
-// newRanked returns the waiting steps that could start now and are wanted.
-func newRanked[R Ranking](s *State, ranking R, now time.Time, wanted func(*waitingStep) bool) *ranked[R] {
+// newRanked returns the waiting steps that could start now and are wanted. Inherited ones can
+// start once no host is unconfirmed.
+func newRanked[R Ranking](s *State, ranking R, now time.Time, unconfirmed bool, wanted func(*waitingStep) bool) *ranked[R] {
 	s.backlog.updateQueues(s)
-	unconfirmed := s.hasUnconfirmedHost(now)
 	age := now.Sub(s.backlog.origin)
 	r := &ranked[R]{ranking: ranking, steps: s.backlog.ranked[:0]}
 	for _, w := range s.backlog.steps {
@@ -129,9 +128,6 @@
 		}
 	}
 	s.backlog.ranked = r.steps
-	for i := len(r.steps)/2 - 1; i >= 0; i-- {
-		r.sink(i)
-	}
 	return r
 }
 
@@ -141,11 +137,27 @@
 	if last < 0 {
 		return nil
 	}
-	first := r.steps[0]
-	r.steps[0] = r.steps[last]
+	first := 0
+	switch r.taken {
+	case 0:
+		for i := range r.steps {
+			if r.before(i, first) {
+				first = i
+			}
+		}
+	case 1:
+		for i := len(r.steps)/2 - 1; i >= 0; i-- {
+			r.sink(i)
+		}
+	}
+	r.taken++
+	w := r.steps[first]
+	r.steps[first] = r.steps[last]
 	r.steps = r.steps[:last]
-	r.sink(0)
-	return first
+	if r.taken > 1 {
+		r.sink(0)
+	}
+	return w
 }
 
 // sink moves a step down until it goes before its children.
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -208,6 +208,8 @@
 	latestFirstAnswer time.Time
 	// endUnstored is true if some dirty job may have an end that is not in the store.
 	endUnstored bool
+	// candidateBuffer is the buffer of candidates.
+	candidateBuffer candidates
 	// hostList holds the hosts by ID. It is nil after the set of hosts has changed.
 	hostList []*Host
 	// arrivals holds the work that has arrived within arrivalWindow.
