--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -118,7 +118,9 @@
 
 func (p *fullPool) submit() {
 	p.jobs++
-	j, _ := p.state.Submit(fmt.Sprint(p.jobs), batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(1)}}, p.now)
+	step := smallStep(1)
+	step.Estimate += time.Duration(p.jobs%97) * 10 * time.Millisecond
+	j, _ := p.state.Submit(fmt.Sprint(p.jobs), batch.Spec{Queue: "q", Steps: []batch.Step{step}}, p.now)
 	p.state.MarkStored(j)
 }
 
@@ -173,3 +175,25 @@
 		})
 	}
 }
+
+// BenchmarkBurst measures rounds of a full pool in which some tasks end and as many start. Estimates
+// differ from job to job, and run times from estimates.
+func BenchmarkBurst(b *testing.B) {
+	const hosts, perHost = 80, 8
+	for _, waiting := range []int{1000, 10_000} {
+		for _, ends := range []int{1, 32} {
+			b.Run(fmt.Sprintf("waiting-%d-ends-%d", waiting, ends), func(b *testing.B) {
+				p := newFullPool(hosts, perHost, perHost*1000, waiting, 0)
+				b.ResetTimer()
+				for b.Loop() {
+					p.now = p.now.Add(time.Duration(ends) * time.Millisecond)
+					p.state.ConfirmedAt = p.now
+					for range ends {
+						p.endOne()
+					}
+					p.round()
+				}
+			})
+		}
+	}
+}
