Build the names of metric series without fmt

Cause: each count and each duration built its series name with fmt.Fprintf for every label; an owner counts every order and every ended run. Change: the name is appended into one buffer. Names stay the same (the quoting of %q is that of strconv.AppendQuote).

Check: go test ./entry/stats ./entry/sink.

--- a/entry/stats/stats.go
+++ b/entry/stats/stats.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -25,6 +26,8 @@
 	// inboxSize is the maximum number of observations that wait. Observations above it are not
 	// counted.
 	inboxSize = 1024
+	// usualNameBytes is enough for most names with their labels.
+	usualNameBytes = 128
 	// renderTimeout bounds the wait for the values of the histograms.
 	renderTimeout = time.Second
 )
@@ -87,18 +90,19 @@
 	if len(labels) < 2 {
 		return name
 	}
-	var b strings.Builder
-	b.WriteString(name)
+	b := make([]byte, 0, usualNameBytes)
+	b = append(b, name...)
 	for i := 0; i+1 < len(labels); i += 2 {
 		sep := byte(',')
 		if i == 0 {
 			sep = '{'
 		}
-		b.WriteByte(sep)
-		fmt.Fprintf(&b, "%s=%q", labels[i], labels[i+1])
+		b = append(b, sep)
+		b = append(b, labels[i]...)
+		b = append(b, '=')
+		b = strconv.AppendQuote(b, labels[i+1])
 	}
-	b.WriteByte('}')
-	return b.String()
+	return string(append(b, '}'))
 }
 
 func (m observation) handle(histograms map[string]*hdrhistogram.Histogram) {
