Hand pools over from weak entries to stronger ones that are free

Cause: a pool stays with its owner for as long as that entry lives. Weak entries that took pools over while strong ones were away keep them, and starve (the incident of owners starved of processor time). Change: owners.NextHandover finds the entry with the highest load per capacity that has a stronger entry to give a pool to: one of higher capacity that has at most half of that load per capacity after taking the pool. owners.Rebalancer lets it happen after 6 s in which it was possible and no stronger entry came, went or restarted. Only one entry hands over at a time, only in a settled view in which every pool has an owner, and not while the store is lost. The pool is released as by an entry that stops; the stronger entry claims it as a pool without an owner. Entries of equal capacity hand nothing over, so nothing changes for them. Singletons stay. Why hand-overs end: a pool goes to a higher capacity only, so the new owner has no reason to return it.

--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -25,6 +25,10 @@
 // claimed again, by this entry or another one.
 const claimTimeout = 4 * time.Second
 
+// handoverWait is the time for which a stronger entry must have been free before a pool is handed
+// over to it. It is long enough for the next entry to go down in a rolling restart.
+const handoverWait = 6 * time.Second
+
 // Holder is a task that does the work of a pool, or of a singleton, that this entry owns.
 type Holder interface {
 	// Configure applies a configuration.
@@ -106,6 +110,8 @@
 	holdings map[string]holding
 	claims   map[string]context.CancelFunc
 	leaving  bool
+	// rebalancer decides when a pool is handed over to a stronger entry.
+	rebalancer owners.Rebalancer[owners.WeightedLeastLoaded]
 	// background counts the goroutines that the task has started and waits for when it stops.
 	background sync.WaitGroup
 }
@@ -115,6 +121,7 @@
 	t := &Duties{settings: s, log: log, logger: logger, announce: announce}
 	t.local.Store(&map[string]Holder{})
 	c := &core{duties: t, hosts: map[string]port.Host{}, holdings: map[string]holding{}, claims: map[string]context.CancelFunc{}}
+	c.rebalancer.Wait = handoverWait
 	t.task = task.Start(c.run, task.WithInbox(inboxSize))
 	return t
 }
@@ -214,8 +221,8 @@
 	}
 }
 
-// handle releases the pools that have a newer owner, and claims the pools that are assigned to this
-// entry.
+// handle releases the pools that have a newer owner, claims the pools that are assigned to this
+// entry, and hands a pool over if a stronger entry is free.
 func (m viewUpdate) handle(ctx context.Context, c *core) {
 	v := m.view
 	for pool, h := range c.holdings {
@@ -230,6 +237,44 @@
 	for _, pool := range c.poolsToClaim(v) {
 		c.claimPool(ctx, pool)
 	}
+	c.handOver(v)
+}
+
+// handOver releases a pool if a stronger entry should have it. That entry then claims the pool as one
+// without an owner.
+func (c *core) handOver(v *roster.View) {
+	if len(c.holdings) == 0 || len(c.claims) > 0 || !v.StoreLostSince.IsZero() || !c.isShownIn(v) {
+		return
+	}
+	ownerByPool := map[string]string{}
+	for _, pool := range c.allPools() {
+		owner, owned := v.Owners[pool]
+		if !owned {
+			return
+		}
+		// A change of the holder of a singleton delays its work, which takes little processor time.
+		if c.duties.settings.Singletons[pool] == nil {
+			ownerByPool[pool] = owner.Name
+		}
+	}
+	if h, ok := c.rebalancer.Next(time.Now(), c.duties.settings.Entry, ownerByPool, members(v)); ok {
+		c.duties.logger.Info("pool handed over to a stronger entry", "pool", h.Pool, "to", h.To)
+		c.release(h.Pool)
+	}
+}
+
+// isShownIn reports whether a view shows just the pools that this entry owns as owned by it.
+func (c *core) isShownIn(v *roster.View) bool {
+	shown := v.Alive[c.duties.settings.Entry].Pools
+	if len(shown) != len(c.holdings) {
+		return false
+	}
+	for pool, h := range c.holdings {
+		if shown[pool] != h.epoch {
+			return false
+		}
+	}
+	return true
 }
 
 // poolsToClaim returns the pools and singletons without an owner that are assigned to this entry.
@@ -258,7 +303,10 @@
 func members(v *roster.View) []owners.Member {
 	out := make([]owners.Member, 0, len(v.Alive))
 	for name, heartbeat := range v.Alive {
-		out = append(out, owners.Member{Name: name, Zone: heartbeat.Zone, Load: len(heartbeat.Pools), Capacity: heartbeat.Capacity})
+		out = append(out, owners.Member{
+			Name: name, Zone: heartbeat.Zone, Incarnation: heartbeat.Incarnation,
+			Load: len(heartbeat.Pools), Capacity: heartbeat.Capacity,
+		})
 	}
 	slices.SortFunc(out, func(a, b owners.Member) int { return cmp.Compare(a.Name, b.Name) })
 	return out
--- a/fleet/owners/owners.go
+++ b/fleet/owners/owners.go
@@ -13,6 +13,8 @@
 type Member struct {
 	Name string
 	Zone string
+	// Incarnation distinguishes the processes of a member.
+	Incarnation int64
 	// Load is the number of pools that it owns; it is not negative.
 	Load int
 	// Capacity is the processor capacity in thousandths of a core. Zero or less means unknown;
--- a/trial/fake/deployment.go
+++ b/trial/fake/deployment.go
@@ -55,7 +55,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := os.WriteFile(e.settingsPath, []byte(fp.renderSettings(e, zones[i%len(zones)], peer)), 0o600); err != nil {
+		limits := "memory_mb = 284"
+		if i < len(fp.entryCores) {
+			limits += fmt.Sprintf("\ncpu_share = %g\ncores = 1", fp.entryCores[i])
+		}
+		if err := os.WriteFile(e.settingsPath, []byte(fp.renderSettings(e, zones[i%len(zones)], peer, limits)), 0o600); err != nil {
 			return nil, err
 		}
 		d.Entries = append(d.Entries, e)
@@ -65,7 +69,7 @@
 
 // renderSettings returns the settings file that the platform provides for an entry. It contains a
 // field that entries do not know, which they must ignore.
-func (fp *Platform) renderSettings(e *Entry, zone, peer string) string {
+func (fp *Platform) renderSettings(e *Entry, zone, peer, limits string) string {
 	return fmt.Sprintf(`node_name = %q
 advice = %q
 ip = "127.0.0.1"
@@ -76,7 +80,7 @@
 frontend = %q
 ready = %q
 [limits]
-memory_mb = 284
+%s
 [bounds]
 max_hold_ms = 10000
 grace_period_s = 6
@@ -94,7 +98,7 @@
 request_bytes = 2097152
 [cloud_api]
 address = %q
-`, e.Name, fp.AdviceAddress, zone, peer, peer, e.CallerAddress, e.ReadyAddress, fp.StoreAddress, fp.MachinesAddress)
+`, e.Name, fp.AdviceAddress, zone, peer, peer, e.CallerAddress, e.ReadyAddress, limits, fp.StoreAddress, fp.MachinesAddress)
 }
 
 // Start starts the process of an entry, for the first time or again.
--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -26,6 +26,8 @@
 	// the machines API and the policy service.
 	StoreAddress, MachinesAddress, AdviceAddress string
 	hosts                                        map[string]string
+	// entryCores is the value of Layout.EntryCores.
+	entryCores []float64
 }
 
 // state is the state that the platform's task owns.
@@ -65,12 +67,15 @@
 	StandbyPool string
 	// AdvisedPool names the pool whose tasks need tickets of the policy service; empty for none.
 	AdvisedPool string
-	Timing      Timing
+	// EntryCores holds the processor capacity that the settings state for each entry, in cores. They
+	// state none for the entries beyond it.
+	EntryCores []float64
+	Timing     Timing
 }
 
 // New starts a simulated platform on loopback.
 func New(layout Layout) (*Platform, error) {
-	fp := &Platform{hosts: map[string]string{}}
+	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores}
 	st := &state{
 		startedAt: time.Now(), store: newStore(), hosts: map[string]*host{}, machines: map[string]*machine{},
 		checker: newChecker(), timing: layout.Timing, advisedPool: layout.AdvisedPool,
--- a/trial/system/system_test.go
+++ b/trial/system/system_test.go
@@ -416,6 +416,35 @@
 	f.requireLoadCompleted("docs", load)
 }
 
+// While the strong entry is away, weak ones take its pools over. They must not keep them for as long as
+// they live.
+func TestPoolsReturnToAStrongEntryUnderLoad(t *testing.T) {
+	mixed := layout
+	mixed.EntryCores = []float64{0.1, 0.8, 0.1}
+	f := startWith(t, mixed, 3)
+	docs, wages := f.startLoad("docs", 80, 150*time.Millisecond), f.startLoad("wages", 80, 150*time.Millisecond)
+	strong := f.Entries[1]
+	require.NoError(t, strong.Proc().Stop())
+	waitForOwners := func(what string, want func(*fake.Entry) bool) {
+		require.NoError(t, procs.WaitFor(f.ctx, what, func(context.Context) error {
+			for _, pool := range []string{"docs", "wages"} {
+				if owner := f.Owner(pool); owner == nil || !want(owner) {
+					return fmt.Errorf("owner of %s is %+v", pool, owner)
+				}
+			}
+			return nil
+		}))
+	}
+	waitForOwners("weak entries own the pools", func(e *fake.Entry) bool { return e != strong })
+	require.NoError(t, f.Start(strong))
+	waitForOwners("the strong entry owns the pools", func(e *fake.Entry) bool { return e == strong })
+	f.requireLoadCompleted("docs", docs)
+	f.requireLoadCompleted("wages", wages)
+	for _, pool := range []string{"docs", "wages"} {
+		require.Equal(t, strong, f.Owner(pool), pool)
+	}
+}
+
 func TestTasksThatNeedAdviceStartOnlyWithTickets(t *testing.T) {
 	advised := layout
 	advised.AdvisedPool = "docs"
