Weigh pools by their hosts when owners are assigned

Cause: an owner's work grows with the hosts of its pool, but each pool counted the same, as did the claim on the machines. Change: owners.WithWeights sets the weight of a pool; the default is 1. The load of a member is the weight of its pools, and policies compare loads that include the pool in question. Duties weighs a pool by its hosts in the platform's list, at least 1. While an entry is alive that reports no capacity, each pool has the weight 1: the version before counts pools, and two versions that weigh pools differently could leave a pool to each other. Pools are still assigned in the order of their names, so that entries whose lists of hosts differ for a moment agree as long as there are idle members of equal capacity. The heaviest pool that gains is handed over first.

--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -105,6 +105,8 @@
 	duties *Duties
 	config *port.Config
 	hosts  map[string]port.Host
+	// hostCounts holds the number of hosts of each pool.
+	hostCounts map[string]int
 	// holdings holds what this entry owns, by name. claims holds the claims in progress, by name,
 	// with the function that cancels each.
 	holdings map[string]holding
@@ -120,7 +122,7 @@
 func Start(s Settings, log port.Log, logger *slog.Logger, announce func(map[string]int64)) *Duties {
 	t := &Duties{settings: s, log: log, logger: logger, announce: announce}
 	t.local.Store(&map[string]Holder{})
-	c := &core{duties: t, hosts: map[string]port.Host{}, holdings: map[string]holding{}, claims: map[string]context.CancelFunc{}}
+	c := &core{duties: t, hosts: map[string]port.Host{}, hostCounts: map[string]int{}, holdings: map[string]holding{}, claims: map[string]context.CancelFunc{}}
 	c.rebalancer.Wait = handoverWait
 	t.task = task.Start(c.run, task.WithInbox(inboxSize))
 	return t
@@ -208,8 +210,12 @@
 
 func (m hostsUpdate) handle(ctx context.Context, c *core) {
 	for _, ch := range m.changes {
+		if old, ok := c.hosts[ch.Key]; ok {
+			c.hostCounts[old.Pool]--
+		}
 		if ch.Present {
 			c.hosts[ch.Key] = ch.Value
+			c.hostCounts[ch.Value.Pool]++
 		} else {
 			delete(c.hosts, ch.Key)
 		}
@@ -257,7 +263,8 @@
 			ownerByPool[pool] = owner.Name
 		}
 	}
-	if h, ok := c.rebalancer.Next(time.Now(), c.duties.settings.Entry, ownerByPool, members(v)); ok {
+	h, ok := c.rebalancer.Next(time.Now(), c.duties.settings.Entry, ownerByPool, c.members(v), owners.WithWeights(c.weightOf(v)))
+	if ok {
 		c.duties.logger.Info("pool handed over to a stronger entry", "pool", h.Pool, "to", h.To)
 		c.release(h.Pool)
 	}
@@ -291,7 +298,7 @@
 		return nil
 	}
 	var out []string
-	for pool, name := range owners.Assign(owners.WeightedLeastLoaded{}, unowned, members(v)) {
+	for pool, name := range owners.Assign(owners.WeightedLeastLoaded{}, unowned, c.members(v), owners.WithWeights(c.weightOf(v))) {
 		if name == c.duties.settings.Entry {
 			out = append(out, pool)
 		}
@@ -299,13 +306,29 @@
 	return out
 }
 
+// weightOf returns the function that returns the weight of a pool: its number of hosts, at least 1.
+// Versions that report no capacity count pools. While such an entry is alive, each pool has the weight
+// 1, because two versions that weigh pools differently could leave a pool to each other.
+func (c *core) weightOf(v *roster.View) func(pool string) int {
+	for _, heartbeat := range v.Alive {
+		if heartbeat.Capacity == 0 {
+			return func(string) int { return 1 }
+		}
+	}
+	return func(pool string) int { return max(c.hostCounts[pool], 1) }
+}
+
 // members returns the live entries, sorted by name.
-func members(v *roster.View) []owners.Member {
+func (c *core) members(v *roster.View) []owners.Member {
+	weight := c.weightOf(v)
 	out := make([]owners.Member, 0, len(v.Alive))
 	for name, heartbeat := range v.Alive {
+		load := 0
+		for pool := range heartbeat.Pools {
+			load += weight(pool)
+		}
 		out = append(out, owners.Member{
-			Name: name, Zone: heartbeat.Zone, Incarnation: heartbeat.Incarnation,
-			Load: len(heartbeat.Pools), Capacity: heartbeat.Capacity,
+			Name: name, Zone: heartbeat.Zone, Incarnation: heartbeat.Incarnation, Load: load, Capacity: heartbeat.Capacity,
 		})
 	}
 	slices.SortFunc(out, func(a, b owners.Member) int { return cmp.Compare(a.Name, b.Name) })
--- a/fleet/owners/handover.go
+++ b/fleet/owners/handover.go
@@ -17,30 +17,34 @@
 // that have one, and reports whether there is any. All members that know the same state choose the
 // same hand-over. The map holds the owner of each pool that may move. Pools move only to members
 // with a higher capacity, so a sequence of hand-overs ends.
-func NextHandover[P Policy](policy P, ownerByPool map[string]string, members []Member) (Handover, bool) {
+func NextHandover[P Policy](policy P, ownerByPool map[string]string, members []Member, opts ...Option) (Handover, bool) {
 	members = withKnownCapacities(members)
-	pools := firstPools(ownerByPool)
+	s := newSettings(opts)
+	pools := poolsByOwner(ownerByPool, s)
 	var next Handover
 	var from Member
 	for _, m := range members {
-		pool, ok := pools[m.Name]
-		if !ok || next.Pool != "" && !isBusier(m, from) {
+		if next.Pool != "" && !isBusier(m, from) {
 			continue
 		}
-		if to, ok := handoverTarget(policy, pool, m, members); ok {
-			next, from = Handover{pool, m.Name, to}, m
+		for _, pool := range pools[m.Name] {
+			if to, ok := handoverTarget(policy, pool, s.weight(pool), m, members); ok {
+				next, from = Handover{pool, m.Name, to}, m
+				break
+			}
 		}
 	}
 	return next, next.Pool != ""
 }
 
-// firstPools returns the first pool by name of each owner.
-func firstPools(ownerByPool map[string]string) map[string]string {
-	out := map[string]string{}
+// poolsByOwner returns the pools of each owner, the heaviest first and then by name.
+func poolsByOwner(ownerByPool map[string]string, s settings) map[string][]string {
+	out := map[string][]string{}
 	for pool, owner := range ownerByPool {
-		if first, ok := out[owner]; !ok || pool < first {
-			out[owner] = pool
-		}
+		out[owner] = append(out[owner], pool)
+	}
+	for _, pools := range out {
+		slices.SortFunc(pools, func(a, b string) int { return cmp.Or(cmp.Compare(s.weight(b), s.weight(a)), cmp.Compare(a, b)) })
 	}
 	return out
 }
@@ -52,16 +56,16 @@
 
 // handoverTarget returns the member that claims a pool once its owner has released it, and reports
 // whether that is worth a hand-over. The capacities of the members are known.
-func handoverTarget[P Policy](policy P, pool string, owner Member, members []Member) (string, bool) {
+func handoverTarget[P Policy](policy P, pool string, weight int, owner Member, members []Member) (string, bool) {
 	members = slices.Clone(members)
 	for i := range members {
 		if members[i].Name == owner.Name {
-			members[i].Load--
+			members[i].Load -= weight
 		}
 	}
-	name := Assign(policy, []string{pool}, members)[pool]
+	name := Assign(policy, []string{pool}, members, WithWeights(func(string) int { return weight }))[pool]
 	to := members[slices.IndexFunc(members, func(m Member) bool { return m.Name == name })]
-	gain := owner.Load*to.Capacity >= handoverGain*(to.Load+1)*owner.Capacity
+	gain := owner.Load*to.Capacity >= handoverGain*(to.Load+weight)*owner.Capacity
 	return name, gain && to.Capacity > owner.Capacity
 }
 
@@ -88,7 +92,7 @@
 
 // Next returns the hand-over that the named member should carry out now, if any. The state must be
 // one in which every pool has an owner. Each hand-over that it returns starts a new wait.
-func (r *Rebalancer[P]) Next(now time.Time, self string, ownerByPool map[string]string, members []Member) (Handover, bool) {
+func (r *Rebalancer[P]) Next(now time.Time, self string, ownerByPool map[string]string, members []Member, opts ...Option) (Handover, bool) {
 	missed := now.Sub(r.lastAt) > r.Wait/2
 	r.lastAt = now
 	stronger := strongerThan(self, members)
@@ -96,7 +100,7 @@
 		r.since = time.Time{}
 	}
 	r.stronger = stronger
-	if len(stronger) == 0 || !canHandOver(r.Policy, self, ownerByPool, members) {
+	if len(stronger) == 0 || !canHandOver(r.Policy, self, ownerByPool, members, opts) {
 		r.since = time.Time{}
 		return Handover{}, false
 	}
@@ -107,7 +111,7 @@
 		return Handover{}, false
 	}
 	// Only one member hands over at a time, because others would count on the same idle member.
-	next, _ := NextHandover(r.Policy, ownerByPool, members)
+	next, _ := NextHandover(r.Policy, ownerByPool, members, opts...)
 	if next.From != self {
 		return Handover{}, false
 	}
@@ -116,14 +120,14 @@
 }
 
 // canHandOver reports whether a member has a hand-over, regardless of those of other members.
-func canHandOver[P Policy](policy P, name string, ownerByPool map[string]string, members []Member) bool {
+func canHandOver[P Policy](policy P, name string, ownerByPool map[string]string, members []Member, opts []Option) bool {
 	own := map[string]string{}
 	for pool, owner := range ownerByPool {
 		if owner == name {
 			own[pool] = owner
 		}
 	}
-	_, ok := NextHandover(policy, own, members)
+	_, ok := NextHandover(policy, own, members, opts...)
 	return ok
 }
 
--- a/fleet/owners/handover_test.go
+++ b/fleet/owners/handover_test.go
@@ -21,11 +21,18 @@
 type fleet struct {
 	members     []owners.Member
 	ownerByPool map[string]string
+	// weights holds the weights of the pools; the others have the weight 1.
+	weights map[string]int
 }
 
+func (f *fleet) weight(pool string) int { return max(f.weights[pool], 1) }
+
 // state returns the members with their loads.
 func (f *fleet) state() []owners.Member {
-	loads := count(f.ownerByPool)
+	loads := map[string]int{}
+	for pool, owner := range f.ownerByPool {
+		loads[owner] += f.weight(pool)
+	}
 	out := slices.Clone(f.members)
 	for i := range out {
 		out[i].Load = loads[out[i].Name]
@@ -35,7 +42,7 @@
 
 // claim gives the pools without an owner to members.
 func (f *fleet) claim(unowned ...string) {
-	for pool, name := range owners.Assign(policy, unowned, f.state()) {
+	for pool, name := range owners.Assign(policy, unowned, f.state(), owners.WithWeights(f.weight)) {
 		f.ownerByPool[pool] = name
 	}
 }
@@ -44,14 +51,17 @@
 	return f.members[slices.IndexFunc(f.members, func(m owners.Member) bool { return m.Name == name })].Capacity
 }
 
-// randomFleet returns a fleet of members of random capacities, in which each pool has a random owner.
+// randomFleet returns a fleet of members of random capacities and pools of random weights, in which each
+// pool has a random owner. In half of the fleets, all weights are 1.
 func randomFleet(r *rand.Rand) *fleet {
-	f := &fleet{members: members(2 + r.IntN(12)), ownerByPool: map[string]string{}}
+	f := &fleet{members: members(2 + r.IntN(12)), ownerByPool: map[string]string{}, weights: map[string]int{}}
+	maxWeight := []int{1, 90}[r.IntN(2)]
 	for i := range f.members {
 		f.members[i].Capacity = []int{192, 400, 800}[r.IntN(3)]
 	}
 	for _, pool := range pools(1 + r.IntN(30)) {
 		f.ownerByPool[pool] = f.members[r.IntN(len(f.members))].Name
+		f.weights[pool] = 1 + r.IntN(maxWeight)
 	}
 	return f
 }
@@ -91,13 +101,28 @@
 	}
 }
 
+func TestTheHeaviestPoolThatGainsIsHandedOverFirst(t *testing.T) {
+	weights := owners.WithWeights(func(pool string) int { return map[string]int{"a": 1, "b": 60, "c": 20}[pool] })
+	ownerByPool := map[string]string{"a": "e0", "b": "e0", "c": "e0"}
+	all := mixed(1, 1)
+	all[0].Load = 81
+	next, ok := owners.NextHandover(policy, ownerByPool, all, weights)
+	require.True(t, ok)
+	require.Equal(t, "b", next.Pool)
+	// 81/192 is less than twice 170/800 but more than twice 130/800.
+	all[1].Load = 110
+	next, ok = owners.NextHandover(policy, ownerByPool, all, weights)
+	require.True(t, ok)
+	require.Equal(t, "c", next.Pool)
+}
+
 func TestHandoversEndAndNoneIsReverted(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 1))
 	for range 2000 {
 		f := randomFleet(r)
 		// Each hand-over goes to a higher one of three capacities.
 		for left := 2 * len(f.ownerByPool); ; left-- {
-			next, ok := owners.NextHandover(policy, f.ownerByPool, f.state())
+			next, ok := owners.NextHandover(policy, f.ownerByPool, f.state(), owners.WithWeights(f.weight))
 			if !ok {
 				break
 			}
@@ -126,7 +151,7 @@
 						own[pool] = owner
 					}
 				}
-				if next, ok := owners.NextHandover(policy, own, f.state()); ok {
+				if next, ok := owners.NextHandover(policy, own, f.state(), owners.WithWeights(f.weight)); ok {
 					released = append(released, next.Pool)
 				}
 			}
--- a/fleet/owners/owners.go
+++ b/fleet/owners/owners.go
@@ -15,7 +15,7 @@
 	Zone string
 	// Incarnation distinguishes the processes of a member.
 	Incarnation int64
-	// Load is the number of pools that it owns; it is not negative.
+	// Load is the total weight of the pools that it owns; it is not negative.
 	Load int
 	// Capacity is the processor capacity in thousandths of a core. Zero or less means unknown;
 	// [Assign] then uses the lowest known capacity of the members.
@@ -24,38 +24,59 @@
 
 // Policy compares how well members suit a pool. The member that suits it best is chosen.
 type Policy interface {
-	// Less reports whether a suits the pool better than b. The map holds the number of pools
-	// owned in each zone.
-	Less(pool string, a, b Member, poolsByZone map[string]int) bool
+	// Less reports whether a suits the pool better than b. The loads of a and b include the pool. The
+	// map holds the load of each zone without it.
+	Less(pool string, a, b Member, loadByZone map[string]int) bool
 }
 
-// WeightedLeastLoaded gives a pool to the member that has the fewest pools relative to its capacity
-// after taking it. Among equals it prefers the zone with the fewest pools, so that the loss of a zone
-// affects few pools, and then uses rendezvous hashing.
+// Option changes how pools are assigned.
+type Option func(*settings)
+
+type settings struct {
+	weight func(pool string) int
+}
+
+// WithWeights sets the function that returns the weight of a pool, which is positive. Without it, each
+// pool has the weight 1.
+func WithWeights(weight func(pool string) int) Option {
+	return func(s *settings) { s.weight = weight }
+}
+
+func newSettings(opts []Option) settings {
+	s := settings{weight: func(string) int { return 1 }}
+	for _, opt := range opts {
+		opt(&s)
+	}
+	return s
+}
+
+// WeightedLeastLoaded gives a pool to the member with the lowest load relative to its capacity after
+// taking it. Among equals it prefers the zone with the lowest load, so that the loss of a zone affects
+// few pools, and then uses rendezvous hashing.
 type WeightedLeastLoaded struct{}
 
 // Less implements [Policy].
-func (WeightedLeastLoaded) Less(pool string, a, b Member, poolsByZone map[string]int) bool {
-	// (a.Load+1)/a.Capacity < (b.Load+1)/b.Capacity, without rounding.
-	if c := cmp.Compare((a.Load+1)*b.Capacity, (b.Load+1)*a.Capacity); c != 0 {
+func (WeightedLeastLoaded) Less(pool string, a, b Member, loadByZone map[string]int) bool {
+	// a.Load/a.Capacity < b.Load/b.Capacity, without rounding.
+	if c := cmp.Compare(a.Load*b.Capacity, b.Load*a.Capacity); c != 0 {
 		return c < 0
 	}
-	if c := cmp.Compare(poolsByZone[a.Zone], poolsByZone[b.Zone]); c != 0 {
+	if c := cmp.Compare(loadByZone[a.Zone], loadByZone[b.Zone]); c != 0 {
 		return c < 0
 	}
 	return rendezvous(pool, a.Name) < rendezvous(pool, b.Name)
 }
 
-// LeastLoaded gives a pool to the member with the fewest pools, whatever its capacity. Ties are
+// LeastLoaded gives a pool to the member with the lowest load, whatever its capacity. Ties are
 // broken as in [WeightedLeastLoaded]. It is the baseline of that policy.
 type LeastLoaded struct{}
 
 // Less implements [Policy].
-func (LeastLoaded) Less(pool string, a, b Member, poolsByZone map[string]int) bool {
+func (LeastLoaded) Less(pool string, a, b Member, loadByZone map[string]int) bool {
 	if c := cmp.Compare(a.Load, b.Load); c != 0 {
 		return c < 0
 	}
-	if c := cmp.Compare(poolsByZone[a.Zone], poolsByZone[b.Zone]); c != 0 {
+	if c := cmp.Compare(loadByZone[a.Zone], loadByZone[b.Zone]); c != 0 {
 		return c < 0
 	}
 	return rendezvous(pool, a.Name) < rendezvous(pool, b.Name)
@@ -92,28 +113,36 @@
 
 // Assign returns the member that should claim each pool without an owner. Members keep the
 // pools that they own.
-func Assign[P Policy](policy P, unowned []string, members []Member) map[string]string {
+func Assign[P Policy](policy P, unowned []string, members []Member, opts ...Option) map[string]string {
 	if len(members) == 0 {
 		return nil
 	}
 	members = withKnownCapacities(members)
-	poolsByZone := map[string]int{}
+	s := newSettings(opts)
+	loadByZone := map[string]int{}
 	for _, m := range members {
-		poolsByZone[m.Zone] += m.Load
+		loadByZone[m.Zone] += m.Load
 	}
 	pools := slices.Clone(unowned)
 	slices.Sort(pools)
 	out := make(map[string]string, len(pools))
 	for _, pool := range pools {
+		weight := s.weight(pool)
 		best := 0
 		for i := range members {
-			if policy.Less(pool, members[i], members[best], poolsByZone) {
+			if policy.Less(pool, withLoad(members[i], weight), withLoad(members[best], weight), loadByZone) {
 				best = i
 			}
 		}
 		out[pool] = members[best].Name
-		members[best].Load++
-		poolsByZone[members[best].Zone]++
+		members[best].Load += weight
+		loadByZone[members[best].Zone] += weight
 	}
 	return out
 }
+
+// withLoad returns a member with an additional load.
+func withLoad(m Member, load int) Member {
+	m.Load += load
+	return m
+}
--- a/fleet/owners/owners_test.go
+++ b/fleet/owners/owners_test.go
@@ -131,6 +131,25 @@
 	}
 }
 
+// A member with one pool of many hosts may be busier than one with several small pools.
+func TestPoolsAreAssignedByWeight(t *testing.T) {
+	weight := func(pool string) int { return map[string]int{"a": 80, "b": 30, "c": 30, "d": 10}[pool] }
+	assigned := owners.Assign(owners.WeightedLeastLoaded{}, []string{"a", "b", "c", "d"}, members(2), owners.WithWeights(weight))
+	require.NotEqual(t, assigned["a"], assigned["b"])
+	require.Equal(t, assigned["b"], assigned["c"])
+	require.Equal(t, assigned["b"], assigned["d"])
+}
+
+// A strong member takes a heavy pool beside a light one before a weak member takes it.
+func TestWeightsAreWeighedAgainstCapacity(t *testing.T) {
+	all := mixed(1, 1)
+	all[1].Load = 100
+	weights := owners.WithWeights(func(string) int { return 60 })
+	require.Equal(t, map[string]string{"p": "s0"}, owners.Assign(owners.WeightedLeastLoaded{}, []string{"p"}, all, weights))
+	all[1].Load = 250
+	require.Equal(t, map[string]string{"p": "e0"}, owners.Assign(owners.WeightedLeastLoaded{}, []string{"p"}, all, weights))
+}
+
 func TestEqualCapacitiesAreAssignedByLoad(t *testing.T) {
 	all := members(8)
 	all[2].Load, all[5].Load = 3, 1
