Count the lease that an earlier owner granted a host

Two runs of one task could start after a change of owner: the lease of a host counted as expired 100 ms after its first answer, if the host fell silent before the new owner had granted it a lease itself. The earlier owner had granted up to a whole lease shortly before. The first answer of a host now counts as granted a whole lease.

TestANewOwnerCountsTheLeaseThatAnEarlierOneGranted failed before. In the owner's task the order of its messages mostly hid this, as the first round after the answer grants a lease unless ends wait to be stored. Cost: none beyond that.

--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -37,6 +37,8 @@
 	firstReport := !h.Confirmed
 	if firstReport {
 		h.FirstAnswer = now
+		// An earlier owner may have granted a lease shortly before.
+		h.GrantedUntil = max(h.GrantedUntil, report.Clock+s.Timing.Lease.Milliseconds())
 	}
 	h.Confirmed, h.Unreachable, h.Instance, h.Clock, h.LastAnswer = true, false, report.Born, report.Clock, now
 	h.AnswerPending, h.EndedAt = false, time.Time{}
--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -343,6 +343,28 @@
 	require.Len(t, o.plan(), 1)
 }
 
+// Guards against two runs of one task: a host fell silent right after its first answer to a new
+// owner, which counted only the lease that it had granted itself.
+func TestANewOwnerCountsTheLeaseThatAnEarlierOneGranted(t *testing.T) {
+	o := newOwner(t, 2)
+	for _, id := range []string{"a", "b"} {
+		h := port.Host{ID: id, Pool: "pool", Capacity: batch.Size{MilliCores: 4000, MemoryMB: 4000}}
+		o.RestoreHost(h)
+		o.UpdateHost(h, o.now)
+	}
+	o.Restore("old", batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(1)}}, nil, o.now)
+	o.report("a", port.ActiveRun{Unit: "old.0.0.0", Run: 1, ProgressPercent: 30})
+	for waited := time.Duration(0); waited <= timing.Lease; waited += time.Second {
+		o.report("b")
+		o.ExpireLeases(o.now)
+		require.Empty(t, o.plan(), "after %v", waited)
+		o.advance(time.Second)
+	}
+	o.report("b")
+	o.ExpireLeases(o.now)
+	require.Len(t, o.plan(), 1)
+}
+
 func TestAHostThatThePlatformKnowsToHaveEndedIsNotWaitedFor(t *testing.T) {
 	o := newOwner(t, 2)
 	for _, id := range []string{"a", "silent"} {
