Count deadlines from the arrival of an answer

Hosts refused starts as late, and leases lapsed early, while the owner handled their answers late. Deadlines are on the host's clock, which the owner knows from the last answer; it took that clock as of the time at which it handled the answer. An answer that had waited 1.5 s made every start too late for its host, and shortened each extension of a lease by the time that it had waited. The agent now notes when an answer arrives, and deadlines count from then.

TestDeadlinesCountFromTheArrivalOfAnAnswer failed before (a start's deadline 1,460 ms before the host's clock, after an answer that waited 2 s). The time at which a host counts as silent is still the handling of its last answer.

--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -145,6 +145,7 @@
 	defer cancel()
 	result := HeartbeatResult{Host: a.host, Sent: time.Now()}
 	result.Report, result.Err = a.client.Heartbeat(ctx, h.Deadline, h.Token, h.Acked, h.Wait)
+	result.Report.ReceivedAt = time.Now()
 	result.Late = result.Err != nil && time.Since(result.Sent) > timeout+readMargin
 	return result
 }
--- a/fleet/port/worker.go
+++ b/fleet/port/worker.go
@@ -56,6 +56,8 @@
 type HostReport struct {
 	// Clock is the host's monotonic clock, in milliseconds.
 	Clock int64
+	// ReceivedAt is when the report arrived; zero means when it is handled.
+	ReceivedAt time.Time
 	// Born is the start time of the instance, in milliseconds since 1970; 0 means not reported.
 	Born    int64
 	Running []ActiveRun
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -24,9 +24,10 @@
 	// report it. FirstAnswer is when this instance first answered the owner.
 	Instance    int64
 	FirstAnswer time.Time
-	// Clock is the host's clock, in milliseconds, in the answer that arrived at LastAnswer.
-	Clock      int64
-	LastAnswer time.Time
+	// Clock is the host's clock, in milliseconds, in the last answer. ClockAt is when that answer
+	// arrived, and LastAnswer when it was handled.
+	Clock               int64
+	ClockAt, LastAnswer time.Time
 	// Unreachable reports whether the last attempt to reach the host failed.
 	Unreachable bool
 	// AnswerPending reports whether the host may have answered a heartbeat although the owner has
@@ -138,18 +139,20 @@
 		// An owner that is late cannot tell that the host is silent.
 		limit = max(limit, s.Timing.Lease)
 	}
-	silence := now.Sub(h.LastAnswer)
-	if h.Clock == 0 || now.Sub(s.ConfirmedAt) > s.Timing.Grace || silence > limit {
+	if h.Clock == 0 || now.Sub(s.ConfirmedAt) > s.Timing.Grace || now.Sub(h.LastAnswer) > limit {
 		return 0
 	}
-	// The host's clock may be slow. A later deadline would outlast the time for which the next owner
-	// waits.
-	passed := time.Duration(float64(silence) / ClockDrift)
-	d := h.Clock + passed.Milliseconds() + s.Timing.Lease.Milliseconds()
+	d := h.clockAt(now) + s.Timing.Lease.Milliseconds()
 	h.GrantedUntil = max(h.GrantedUntil, d)
 	return d
 }
 
+// clockAt returns the host's clock at a time, in milliseconds. The clock may be slow; it is not
+// before the returned time, so that no lease outlasts the time for which the next owner waits.
+func (h *Host) clockAt(now time.Time) int64 {
+	return h.Clock + time.Duration(float64(now.Sub(h.ClockAt))/ClockDrift).Milliseconds()
+}
+
 // StartDeadline returns the time on the host's clock until which the host may carry out a start
 // that is sent now, and 0 when none may be sent. It is well before the end of the lease, so that
 // an order that is carried out late is refused. Deadlines never shorten a lease.
@@ -157,7 +160,7 @@
 	if s.LeaseDeadline(h, now) == 0 {
 		return 0
 	}
-	return h.Clock + now.Sub(h.LastAnswer).Milliseconds() + startWindow.Milliseconds()
+	return h.clockAt(now) + startWindow.Milliseconds()
 }
 
 // LeaseExpiry returns the time after which nothing that was started on the host can still be
@@ -171,7 +174,7 @@
 		return s.ClaimedAt.Add(longest + clockMargin)
 	}
 	left := time.Duration(max(h.GrantedUntil-h.Clock, 0)) * time.Millisecond
-	return h.LastAnswer.Add(time.Duration(float64(left)*ClockDrift) + clockMargin)
+	return h.ClockAt.Add(time.Duration(float64(left)*ClockDrift) + clockMargin)
 }
 
 // leaseExpired reports whether nothing can be running on a host that does not answer. A newer
--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -289,6 +289,22 @@
 	require.Zero(t, o.StartDeadline(h, o.now))
 }
 
+// Guards against starts that hosts refuse as late and against leases that lapse early: deadlines
+// counted from the time at which the owner handled an answer, not from its arrival.
+func TestDeadlinesCountFromTheArrivalOfAnAnswer(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	const waited = 2 * time.Second
+	o.now = o.now.Add(waited)
+	o.ConfirmedAt = o.now
+	o.HandleReport("a", &port.HostReport{Clock: 5000, Born: 1, ReceivedAt: o.now.Add(-waited)}, o.now)
+	h := o.Hosts["a"]
+	clock := int64(5000 + 2000*98/100)
+	require.Greater(t, o.StartDeadline(h, o.now), clock+1000)
+	require.GreaterOrEqual(t, o.LeaseDeadline(h, o.now), clock+timing.Lease.Milliseconds())
+	longest := time.Duration(float64(timing.Lease)*shard.ClockDrift) + 200*time.Millisecond
+	require.LessOrEqual(t, o.LeaseExpiry(h).Sub(o.now), longest)
+}
+
 func TestNoLeaseIsGrantedLongAfterTheClaimWasConfirmed(t *testing.T) {
 	o := newOwner(t, 1, "a")
 	confirmed := o.ConfirmedAt
