Let the simulation's late owners handle some answers seconds after they came

Answers of hosts that wait up to 4 s before the owner handles them come in addition to those that it never reads.

--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -115,12 +115,17 @@
 func (w *simulation) send(o *simOwner, id string, order func(h *simHost) func(), unanswered func()) {
 	delay := time.Duration(w.rand.IntN(40)) * time.Millisecond
 	lost := false
+	// queued is how long the answer waits until the owner handles it.
+	var queued time.Duration
 	switch n := w.rand.IntN(100); {
 	case o.unreachable[id]:
 		w.schedule(800*time.Millisecond, unanswered)
 		return
 	case w.onlyLateOwners:
-		lost = w.now.Before(o.lateUntil) && w.rand.IntN(20) > 0
+		if w.now.Before(o.lateUntil) {
+			lost = w.rand.IntN(20) > 0
+			queued = time.Duration(w.rand.IntN(4000)) * time.Millisecond
+		}
 	case n < 4: // carried out late, without an answer
 		delay, lost = 2*time.Second+time.Duration(w.rand.IntN(10_000))*time.Millisecond, true
 	case n < 7:
@@ -143,7 +148,14 @@
 		}
 		back := order(h)
 		if !lost {
-			w.schedule(time.Duration(w.rand.IntN(40))*time.Millisecond, func() { answered = true; back() })
+			w.schedule(time.Duration(w.rand.IntN(40))*time.Millisecond, func() {
+				answered = true
+				if queued > 0 {
+					w.schedule(queued, back)
+					return
+				}
+				back()
+			})
 		}
 	}
 	w.schedule(delay, arrive)
@@ -313,7 +325,7 @@
 		if h.instance == sentInstance {
 			w.ackEnds(h, acked)
 		}
-		report := &port.HostReport{Clock: h.clock.Milliseconds(), Born: h.instance, Finished: slices.Clone(h.ended)}
+		report := &port.HostReport{Clock: h.clock.Milliseconds(), Born: h.instance, ReceivedAt: w.now, Finished: slices.Clone(h.ended)}
 		w.recordListed(h)
 		for _, task := range sortedKeys(h.running) {
 			report.Running = append(report.Running, port.ActiveRun{Unit: task, Run: h.running[task].run, ProgressPercent: 50})
@@ -342,7 +354,7 @@
 }
 
 // injectLateOwner makes the owner late now and then: hosts answer it in time, but its process
-// reads few of the answers. Such an owner may be replaced, and goes on until the store fences it.
+// reads few of the answers, and those late. Such an owner may be replaced, and goes on until the store fences it.
 func (w *simulation) injectLateOwner() {
 	o := w.current()
 	switch n := w.rand.IntN(1000); {
