--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -289,6 +289,22 @@
 	require.Zero(t, o.StartDeadline(h, o.now))
 }
 
+// Guards against starts that hosts refuse as late and against leases that lapse early: deadlines
+// counted from the time at which the owner handled an answer, not from its arrival.
+func TestDeadlinesCountFromTheArrivalOfAnAnswer(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	const waited = 2 * time.Second
+	o.now = o.now.Add(waited)
+	o.ConfirmedAt = o.now
+	o.HandleReport("a", &port.HostReport{Clock: 5000, Born: 1, ReceivedAt: o.now.Add(-waited)}, o.now)
+	h := o.Hosts["a"]
+	clock := int64(5000 + 2000*98/100)
+	require.Greater(t, o.StartDeadline(h, o.now), clock+1000)
+	require.GreaterOrEqual(t, o.LeaseDeadline(h, o.now), clock+timing.Lease.Milliseconds())
+	longest := time.Duration(float64(timing.Lease)*shard.ClockDrift) + 200*time.Millisecond
+	require.LessOrEqual(t, o.LeaseExpiry(h).Sub(o.now), longest)
+}
+
 func TestNoLeaseIsGrantedLongAfterTheClaimWasConfirmed(t *testing.T) {
 	o := newOwner(t, 1, "a")
 	confirmed := o.ConfirmedAt
@@ -343,6 +359,28 @@
 	require.Len(t, o.plan(), 1)
 }
 
+// Guards against two runs of one task: a host fell silent right after its first answer to a new
+// owner, which counted only the lease that it had granted itself.
+func TestANewOwnerCountsTheLeaseThatAnEarlierOneGranted(t *testing.T) {
+	o := newOwner(t, 2)
+	for _, id := range []string{"a", "b"} {
+		h := port.Host{ID: id, Pool: "pool", Capacity: batch.Size{MilliCores: 4000, MemoryMB: 4000}}
+		o.RestoreHost(h)
+		o.UpdateHost(h, o.now)
+	}
+	o.Restore("old", batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(1)}}, nil, o.now)
+	o.report("a", port.ActiveRun{Unit: "old.0.0.0", Run: 1, ProgressPercent: 30})
+	for waited := time.Duration(0); waited <= timing.Lease; waited += time.Second {
+		o.report("b")
+		o.ExpireLeases(o.now)
+		require.Empty(t, o.plan(), "after %v", waited)
+		o.advance(time.Second)
+	}
+	o.report("b")
+	o.ExpireLeases(o.now)
+	require.Len(t, o.plan(), 1)
+}
+
 func TestAHostThatThePlatformKnowsToHaveEndedIsNotWaitedFor(t *testing.T) {
 	o := newOwner(t, 2)
 	for _, id := range []string{"a", "silent"} {
