Keep the work of each step that is left with the occurrence

The remaining work of an occurrence was summed from its job, steps and stages for each waiting step whenever the ratio of run times to estimates had changed, that is, after most ends. The terms are now cached until a task is done. A step whose hosts need a ticket is not tried on any host while it has none.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -29,6 +29,7 @@
 	job   *Job
 	step  *batch.Step
 	stage *Stage
+	work  *workLeft
 	queue *queueRules
 	shape *shape
 	// demand is what rankings compare. Some of its fields change with time, so it has to be updated
@@ -120,6 +121,7 @@
 	step := &j.Spec.Steps[number]
 	w := &waitingStep{
 		job: j, step: step, stage: stage, position: len(b.steps), criticalPath: criticalPathFrom(&j.Spec, number),
+		work:     j.Occurrences[occurrence].work,
 		demand:   Demand{Job: j, Occurrence: occurrence, Step: number, LongRunning: step.LongRunning},
 		accepted: j.AcceptedAt.Sub(b.origin), objective: j.Objective.Sub(b.origin), inherited: j.Inherited,
 	}
@@ -164,7 +166,10 @@
 func (w *waitingStep) updateDemand(now time.Duration) {
 	w.demand.Priority, w.demand.Age = w.queue.priority, now-w.accepted
 	w.demand.Slack = w.objective - now - time.Duration(float64(w.criticalPath)*w.queue.scale)
-	w.demand.RemainingWork = w.job.Occurrences[w.demand.Occurrence].workLeft(&w.job.Spec, w.queue.scale)
+	if len(w.work.terms) == 0 {
+		w.work.reset(&w.job.Spec, w.job.Occurrences[w.demand.Occurrence].Stages)
+	}
+	w.demand.RemainingWork = w.work.at(w.queue.scale)
 }
 
 // ref returns the reference of the step.
@@ -225,24 +230,32 @@
 	return true
 }
 
-// workLeft returns the work of the tasks of an occurrence that are not done.
-func (o *Occurrence) workLeft(spec *batch.Spec, scale float64) int64 {
-	if o.work.valid && o.work.scale == scale {
-		return o.work.left
-	}
-	var sum int64
-	for si := range o.Stages {
-		sum += stepWork(&spec.Steps[si], o.Stages[si].Left, scale)
+// workLeft is the work of the tasks of an occurrence that are not done.
+type workLeft struct {
+	// terms holds the work of each step by the estimates. It is empty after a task was done.
+	terms []float64
+	// sum is the work at a scale. The scale is 0 before it was summed up.
+	sum   int64
+	scale float64
+}
+
+// reset sets the terms.
+func (l *workLeft) reset(spec *batch.Spec, stages []Stage) {
+	l.scale = 0
+	for si := range stages {
+		l.terms = append(l.terms, estimatedWork(&spec.Steps[si], stages[si].Left))
 	}
-	o.work = workSum{left: sum, scale: scale, valid: true}
-	return sum
 }
 
-// workSum is a cached sum of work. It is valid until a task is done or the scale changes.
-type workSum struct {
-	left  int64
-	scale float64
-	valid bool
+// at returns the work with estimates scaled. The terms have to be set.
+func (l *workLeft) at(scale float64) int64 {
+	if l.scale != scale {
+		l.sum, l.scale = 0, scale
+		for _, term := range l.terms {
+			l.sum += int64(term * scale)
+		}
+	}
+	return l.sum
 }
 
 // openDue opens the occurrences that are due. An inherited job may have more open occurrences than
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -32,7 +32,12 @@
 
 // stepWork returns the work of a number of tasks of a step, in thousandths of a core-second.
 func stepWork(step *batch.Step, tasks int, scale float64) int64 {
-	return int64(float64(step.Reservation().MilliCores) * float64(tasks) * step.Estimate.Seconds() * scale)
+	return int64(estimatedWork(step, tasks) * scale)
+}
+
+// estimatedWork is like stepWork, but goes by the estimate and is not rounded.
+func estimatedWork(step *batch.Step, tasks int) float64 {
+	return float64(step.Reservation().MilliCores) * float64(tasks) * step.Estimate.Seconds()
 }
 
 // Load sums up the work of the pool for sizing.
--- a/fleet/shard/permit.go
+++ b/fleet/shard/permit.go
@@ -75,6 +75,15 @@
 	return func(h *Host) bool { return p != nil && p.valid(h, now) }
 }
 
+// mayHaveTicket reports whether some host may have a ticket for a step, if hosts need one.
+func (s *State) mayHaveTicket(w *waitingStep) bool {
+	if !w.queue.needsTicket {
+		return true
+	}
+	p := s.permits[w.ref()]
+	return p != nil && len(p.tickets) > 0
+}
+
 // ticket returns the ticket that the start of a task on a host carries. It is empty when none is
 // needed.
 func (s *State) ticket(r batch.Ref, host string) string {
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -127,7 +127,10 @@
 		if task.Status != Idle || task.Done || !s.confirmedSinceLost(task) {
 			continue
 		}
-		host := s.pickHost(step, stage, task, roomy, permitted)
+		var host *candidate
+		if w.shape.fits && s.mayHaveTicket(w) {
+			host = s.pickHost(step, stage, task, roomy, permitted)
+		}
 		if host == nil {
 			// What a round takes or reserves is not given back before its end, so no later step of
 			// this shape finds a host either.
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -143,7 +143,7 @@
 	j.addOccurrence()
 	occ := &j.Occurrences[len(j.Occurrences)-1]
 	if stored.Done {
-		occ.Stages, occ.Left = nil, 0
+		occ.Stages, occ.work, occ.Left = nil, nil, 0
 		j.OccurrencesLeft--
 		return
 	}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -248,7 +248,7 @@
 	}
 	task.Done = true
 	stage.Left--
-	occ.work.valid = false
+	occ.work.terms = occ.work.terms[:0]
 	if stage.Left > 0 {
 		s.backlog.update(j, ref.Occurrence, ref.Step)
 		return
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -135,7 +135,8 @@
 	Stages []Stage
 	// Left is the number of stages that are not done.
 	Left int
-	work workSum
+	// work caches the work that is left. It is nil if Stages is empty.
+	work *workLeft
 }
 
 // Job is an accepted job.
@@ -326,7 +327,7 @@
 
 // addOccurrence adds an occurrence of which nothing has started.
 func (j *Job) addOccurrence() {
-	occ := Occurrence{Stages: make([]Stage, len(j.Spec.Steps)), Left: len(j.Spec.Steps)}
+	occ := Occurrence{Stages: make([]Stage, len(j.Spec.Steps)), Left: len(j.Spec.Steps), work: &workLeft{}}
 	for i := range occ.Stages {
 		count := j.Spec.Steps[i].Count
 		occ.Stages[i] = Stage{Tasks: make([]Task, count), Left: count, idle: count}
