--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -67,7 +67,7 @@
 			for _, age := range []time.Duration{0, 5 * time.Second} {
 				suffix := fmt.Sprintf("remainder-%d-waiting-%d-age-%s", remainder, waiting, age)
 				b.Run("one-end-"+suffix, func(b *testing.B) {
-					p := newFullPool(hosts, perHost, perHost*1000+remainder, waiting, age)
+					p := newFullPool(hosts, perHost, perHost*1000+remainder, waiting, age, 1)
 					b.ResetTimer()
 					for b.Loop() {
 						p.endOne()
@@ -75,7 +75,7 @@
 					}
 				})
 				b.Run("no-change-"+suffix, func(b *testing.B) {
-					p := newFullPool(hosts, perHost, perHost*1000+remainder, waiting, age)
+					p := newFullPool(hosts, perHost, perHost*1000+remainder, waiting, age, 1)
 					b.ResetTimer()
 					for b.Loop() {
 						p.round()
@@ -90,18 +90,19 @@
 type fullPool struct {
 	state   *shard.State
 	now     time.Time
+	perJob  int
 	jobs    int
 	ends    int64
 	started []shard.Order
 }
 
-func newFullPool(hosts, perHost int, capacity int64, waiting int, age time.Duration) *fullPool {
-	p := &fullPool{now: time.Unix(1_700_000_000, 0)}
+func newFullPool(hosts, perHost int, capacity int64, waiting int, age time.Duration, perJob int) *fullPool {
+	p := &fullPool{now: time.Unix(1_700_000_000, 0), perJob: perJob}
 	p.state = shard.New("pool", 1, timing, p.now)
 	p.state.Configure(&port.Config{
 		Queues: []port.Queue{{Name: "q", Pool: "pool", Stretch: 2, Target: time.Minute}}, Pools: []port.Pool{{Name: "pool", EnforcesCapacity: true}},
 	})
-	for range waiting + hosts*perHost {
+	for range (waiting + hosts*perHost) / perJob {
 		p.submit()
 	}
 	p.now = p.now.Add(age)
@@ -118,13 +119,13 @@
 
 func (p *fullPool) submit() {
 	p.jobs++
-	step := smallStep(1)
+	step := smallStep(p.perJob)
 	step.Estimate += time.Duration(p.jobs%97) * 10 * time.Millisecond
 	j, _ := p.state.Submit(fmt.Sprint(p.jobs), batch.Spec{Queue: "q", Steps: []batch.Step{step}}, p.now)
 	p.state.MarkStored(j)
 }
 
-// endOne ends the oldest run and submits a job in its place.
+// endOne ends the oldest run and submits a job whenever as many tasks have ended.
 func (p *fullPool) endOne() {
 	o := p.started[0]
 	p.started = p.started[1:]
@@ -133,7 +134,9 @@
 	p.state.HandleReport(o.Host, &port.HostReport{Clock: 3, Finished: []port.FinishedRun{{
 		Number: p.ends, Unit: o.Ref.String(), Run: o.Run, Result: port.ResultDone,
 	}}}, p.now)
-	p.submit()
+	if p.ends%int64(p.perJob) == 0 {
+		p.submit()
+	}
 	for _, c := range p.state.TakeChanges() {
 		p.state.MarkWritten(c)
 	}
@@ -153,7 +156,7 @@
 	const perHost = 8
 	for _, hosts := range []int{80, 350} {
 		b.Run(fmt.Sprintf("hosts-%d", hosts), func(b *testing.B) {
-			p := newFullPool(hosts, perHost, perHost*1000, 0, 0)
+			p := newFullPool(hosts, perHost, perHost*1000, 0, 0, 1)
 			reports := make([]port.HostReport, hosts)
 			for _, o := range p.started {
 				p.state.HandleStartResult(&o, 2, nil, p.now)
@@ -182,18 +185,20 @@
 	const hosts, perHost = 80, 8
 	for _, waiting := range []int{1000, 10_000} {
 		for _, ends := range []int{1, 32} {
-			b.Run(fmt.Sprintf("waiting-%d-ends-%d", waiting, ends), func(b *testing.B) {
-				p := newFullPool(hosts, perHost, perHost*1000, waiting, 0)
-				b.ResetTimer()
-				for b.Loop() {
-					p.now = p.now.Add(time.Duration(ends) * time.Millisecond)
-					p.state.ConfirmedAt = p.now
-					for range ends {
-						p.endOne()
+			for _, perJob := range []int{1, 400} {
+				b.Run(fmt.Sprintf("waiting-%d-ends-%d-per-job-%d", waiting, ends, perJob), func(b *testing.B) {
+					p := newFullPool(hosts, perHost, perHost*1000, waiting, 0, perJob)
+					b.ResetTimer()
+					for b.Loop() {
+						p.now = p.now.Add(time.Duration(ends) * time.Millisecond)
+						p.state.ConfirmedAt = p.now
+						for range ends {
+							p.endOne()
+						}
+						p.round()
 					}
-					p.round()
-				}
-			})
+				})
+			}
 		}
 	}
 }
