--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -49,6 +49,7 @@
 	j.Objective = s.objective(j)
 	s.Jobs[id] = j
 	s.openJobs[id] = j
+	s.backlog.addJob(j)
 	s.recordArrival(j, now)
 	return j, Accepted
 }
@@ -62,13 +63,25 @@
 }
 
 // MarkStored records that the store has a submitted job.
-func (s *State) MarkStored(j *Job) { j.Stored = true }
+func (s *State) MarkStored(j *Job) {
+	if j.Stored {
+		return
+	}
+	j.Stored = true
+	if s.openJobs[j.ID] != j {
+		return
+	}
+	for occurrence := range j.Occurrences {
+		s.backlog.updateOccurrence(j, occurrence)
+	}
+}
 
 // DropRejected drops a job that the store has refused, so that it never runs.
 func (s *State) DropRejected(id string) {
 	if j := s.Jobs[id]; j != nil && !j.Stored {
 		delete(s.Jobs, id)
 		delete(s.openJobs, id)
+		s.backlog.dropJob(j)
 	}
 }
 
@@ -90,6 +103,7 @@
 func (s *State) closeJob(j *Job, p Phase, now time.Time) {
 	j.Phase, j.EndedAt = p, now
 	delete(s.openJobs, j.ID)
+	s.backlog.dropJob(j)
 	s.dropPermits(j)
 	s.markDirty(j)
 	for oi := range j.Occurrences {
