Plan within limits on the starts

PlanWithin orders at most a given number of starts in a round; tasks beyond it stay idle and are ranked anew in the next round. A gang is ordered whole if any start is left, so one that is larger than the limit starts as well. A host with a given number of unanswered starts gets no further one, and a task waits for such a host rather than start away from its data. Plan has no limits, as before.

--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -1,40 +1,64 @@
 package shard
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/place"
 )
 
-// Plan opens the occurrences that are due and orders the starts that are possible now. The
-// argument wall is the time of day in milliseconds since 1970.
+// Limits bounds the starts of one round of planning. What is beyond a limit stays idle and is ranked
+// anew in the next round.
+type Limits struct {
+	// Starts is the number of starts that may be ordered. A gang is ordered whole if any start is
+	// left.
+	Starts int
+	// StartsPerHost is the number of starts of a host that may be unanswered. A gang may exceed it.
+	StartsPerHost int
+}
+
+// NoLimits allows any number of starts.
+var NoLimits = Limits{Starts: math.MaxInt, StartsPerHost: math.MaxInt}
+
+// Plan is [PlanWithin] without limits.
+func Plan[R Ranking](s *State, ranking R, now time.Time, wall int64) {
+	PlanWithin(s, ranking, NoLimits, now, wall)
+}
+
+// PlanWithin opens the occurrences that are due and orders the starts that are possible now, within
+// the limits. The argument wall is the time of day in milliseconds since 1970.
 //
 // Steps go in the order of the ranking. Those that can neither start nor reserve a host are left
-// out, and planning ends once no host has room for any of the others.
-func Plan[R Ranking](s *State, ranking R, now time.Time, wall int64) {
+// out, and planning ends once no host has room for any of the others or the limit is reached.
+func PlanWithin[R Ranking](s *State, ranking R, limits Limits, now time.Time, wall int64) {
 	s.openDue(wall)
 	s.updateOverloaded(now)
 	least := s.backlog.leastNeed()
-	if len(s.backlog.steps) == 0 || !s.hasRoom(least, now) {
+	if len(s.backlog.steps) == 0 || limits.Starts <= 0 || !s.hasRoom(least, now) {
 		return
 	}
 	hosts := s.candidates(now)
 	roomy := hosts.withRoom(least)
+	roomy.markBusy(limits.StartsPerHost)
+	if roomy.allBusy() {
+		return
+	}
 	s.backlog.findFits(roomy)
 	if hosts.empty() {
 		// Only the first step is tried.
 		if first := newRanked(s, ranking, now, func(*waitingStep) bool { return true }).pop(); first != nil {
-			s.startTasks(first, hosts, roomy, now)
+			s.startTasks(first, hosts, roomy, &limits, now)
 		}
 		return
 	}
 	ranked := newRanked(s, ranking, now, func(w *waitingStep) bool { return w.shape.fits || w.reserves() })
 	for w := ranked.pop(); w != nil; w = ranked.pop() {
-		if !s.startTasks(w, hosts, roomy, now) {
+		if !s.startTasks(w, hosts, roomy, &limits, now) {
 			continue
 		}
-		if roomy = roomy.withRoom(least); len(roomy) == 0 || hosts.empty() {
+		if roomy = roomy.withRoom(least); roomy.allBusy() || hosts.empty() || limits.Starts <= 0 {
 			return
 		}
 	}
@@ -75,6 +99,10 @@
 	free batch.Size
 	// reserved reports whether the free capacity is reserved for a demand that does not fit yet.
 	reserved bool
+	// unanswered is the number of starts that the host has not answered. The host is busy if it may
+	// get no further one in this round. Both are kept for hosts with room only.
+	unanswered int
+	busy       bool
 }
 
 // candidates holds hosts in the order of their IDs.
@@ -105,6 +133,26 @@
 	return out
 }
 
+// markBusy marks the hosts on which a number of starts are unanswered.
+func (c candidates) markBusy(limit int) {
+	if limit == math.MaxInt {
+		return
+	}
+	for _, host := range c {
+		for _, task := range host.host.Assigned {
+			if task.Status == Starting || task.Status == Uncertain {
+				host.unanswered++
+			}
+		}
+		host.busy = host.unanswered >= limit
+	}
+}
+
+// allBusy reports whether no host may get a start.
+func (c candidates) allBusy() bool {
+	return !slices.ContainsFunc(c, func(host *candidate) bool { return !host.busy })
+}
+
 // empty reports whether no host has free capacity that is not reserved.
 func (c candidates) empty() bool {
 	for i := range c {
@@ -117,14 +165,17 @@
 
 // startTasks orders the start of as many tasks of a step as fit. All hosts with room have to be in
 // roomy. It reports whether it has started a task or reserved a host.
-func (s *State) startTasks(w *waitingStep, hosts, roomy candidates, now time.Time) bool {
+func (s *State) startTasks(w *waitingStep, hosts, roomy candidates, limits *Limits, now time.Time) bool {
 	step, stage := w.step, w.stage
 	permitted := s.permitFilter(w.ref(), now)
 	if step.Gang {
-		return s.startGang(w, hosts, permitted, now)
+		return s.startGang(w, hosts, permitted, limits, now)
 	}
 	started := false
 	for i := range stage.Tasks {
+		if limits.Starts <= 0 {
+			break
+		}
 		task := &stage.Tasks[i]
 		if task.Status != Idle || task.Done || !s.confirmedSinceLost(task) {
 			continue
@@ -136,9 +187,12 @@
 			w.shape.fits = w.shape.fits && (permitted != nil || step.PerHost > 0)
 			return s.reserveHost(w, hosts) || started
 		}
+		if host.busy {
+			break
+		}
 		ref := w.ref()
 		ref.Index = i
-		s.startTask(w.job, ref, stage, task, host, s.nextRun(task), now)
+		s.startTask(w.job, ref, stage, task, host, s.nextRun(task), limits, now)
 		started = true
 	}
 	return started
@@ -148,7 +202,9 @@
 func (s *State) nextRun(task *Task) int64 { return max(task.Run, (s.Epoch-1)*runsPerEpoch) + 1 }
 
 // startTask assigns a task to a host and orders its start.
-func (s *State) startTask(j *Job, ref batch.Ref, stage *Stage, task *Task, c *candidate, run int64, now time.Time) {
+func (s *State) startTask(
+	j *Job, ref batch.Ref, stage *Stage, task *Task, c *candidate, run int64, limits *Limits, now time.Time,
+) {
 	step := &j.Spec.Steps[ref.Step]
 	task.Status, task.Host, task.Run = Starting, c.host.ID, run
 	task.OrderedAt, task.StartClock, task.ThrottlePercent, task.Percent, task.Load = now, 0, 100, 0, 0
@@ -157,6 +213,9 @@
 	s.backlog.update(j, ref.Occurrence, ref.Step)
 	s.assign(c.host, ref, task)
 	c.free = c.free.Sub(step.Reservation())
+	limits.Starts--
+	c.unanswered++
+	c.busy = c.unanswered >= limits.StartsPerHost
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Host: c.host.ID, Ref: ref, Run: run, Specification: j.Spec.Text, Checkpoint: task.Checkpoint,
 		Ticket: s.ticket(ref, c.host.ID), Reason: "scheduled",
@@ -174,6 +233,9 @@
 	// longRunningWeight keeps best-effort work off hosts with long-running tasks, and spreads
 	// long-running tasks.
 	longRunningWeight = 1 << 18
+	// busyWeight keeps work off busy hosts. It is below rackWeight, so work waits for a busy host
+	// rather than start away from its data.
+	busyWeight = 1 << 19
 )
 
 // pickHost chooses a host for a task among the permitted ones, and returns nil when none fits. All
@@ -217,6 +279,9 @@
 		cost += int64(c.host.longRunning) * longRunningWeight
 		cost -= 2 * left.MilliCores
 	}
+	if c.busy {
+		cost += busyWeight
+	}
 	return cost
 }
 
@@ -265,7 +330,9 @@
 
 // startGang orders the start of all members of a gang, or of none. It reports whether it has started
 // the gang or reserved a host.
-func (s *State) startGang(w *waitingStep, hosts candidates, permitted func(*Host) bool, now time.Time) bool {
+func (s *State) startGang(
+	w *waitingStep, hosts candidates, permitted func(*Host) bool, limits *Limits, now time.Time,
+) bool {
 	step, stage := w.step, w.stage
 	for i := range stage.Tasks {
 		if stage.Tasks[i].Status != Idle || !s.confirmedSinceLost(&stage.Tasks[i]) {
@@ -292,7 +359,7 @@
 		task.Checkpoint = checkpoint
 		ref := w.ref()
 		ref.Index = i
-		s.startTask(w.job, ref, stage, task, hosts[chosen[i]], run, now)
+		s.startTask(w.job, ref, stage, task, hosts[chosen[i]], run, limits, now)
 	}
 	return true
 }
