--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -25,6 +25,10 @@
 // claimed again, by this entry or another one.
 const claimTimeout = 4 * time.Second
 
+// handoverWait is the time for which a stronger entry must have been free before a pool is handed
+// over to it. It is long enough for the next entry to go down in a rolling restart.
+const handoverWait = 6 * time.Second
+
 // Holder is a task that does the work of a pool, or of a singleton, that this entry owns.
 type Holder interface {
 	// Configure applies a configuration.
@@ -101,11 +105,15 @@
 	duties *Duties
 	config *port.Config
 	hosts  map[string]port.Host
+	// hostCounts holds the number of hosts of each pool.
+	hostCounts map[string]int
 	// holdings holds what this entry owns, by name. claims holds the claims in progress, by name,
 	// with the function that cancels each.
 	holdings map[string]holding
 	claims   map[string]context.CancelFunc
 	leaving  bool
+	// rebalancer decides when a pool is handed over to a stronger entry.
+	rebalancer owners.Rebalancer[owners.WeightedLeastLoaded]
 	// background counts the goroutines that the task has started and waits for when it stops.
 	background sync.WaitGroup
 }
@@ -114,7 +122,8 @@
 func Start(s Settings, log port.Log, logger *slog.Logger, announce func(map[string]int64)) *Duties {
 	t := &Duties{settings: s, log: log, logger: logger, announce: announce}
 	t.local.Store(&map[string]Holder{})
-	c := &core{duties: t, hosts: map[string]port.Host{}, holdings: map[string]holding{}, claims: map[string]context.CancelFunc{}}
+	c := &core{duties: t, hosts: map[string]port.Host{}, hostCounts: map[string]int{}, holdings: map[string]holding{}, claims: map[string]context.CancelFunc{}}
+	c.rebalancer.Wait = handoverWait
 	t.task = task.Start(c.run, task.WithInbox(inboxSize))
 	return t
 }
@@ -201,8 +210,12 @@
 
 func (m hostsUpdate) handle(ctx context.Context, c *core) {
 	for _, ch := range m.changes {
+		if old, ok := c.hosts[ch.Key]; ok {
+			c.hostCounts[old.Pool]--
+		}
 		if ch.Present {
 			c.hosts[ch.Key] = ch.Value
+			c.hostCounts[ch.Value.Pool]++
 		} else {
 			delete(c.hosts, ch.Key)
 		}
@@ -214,8 +227,8 @@
 	}
 }
 
-// handle releases the pools that have a newer owner, and claims the pools that are assigned to this
-// entry.
+// handle releases the pools that have a newer owner, claims the pools that are assigned to this
+// entry, and hands a pool over if a stronger entry is free.
 func (m viewUpdate) handle(ctx context.Context, c *core) {
 	v := m.view
 	for pool, h := range c.holdings {
@@ -230,6 +243,45 @@
 	for _, pool := range c.poolsToClaim(v) {
 		c.claimPool(ctx, pool)
 	}
+	c.handOver(v)
+}
+
+// handOver releases a pool if a stronger entry should have it. That entry then claims the pool as one
+// without an owner.
+func (c *core) handOver(v *roster.View) {
+	if len(c.holdings) == 0 || len(c.claims) > 0 || !v.StoreLostSince.IsZero() || !c.isShownIn(v) {
+		return
+	}
+	ownerByPool := map[string]string{}
+	for _, pool := range c.allPools() {
+		owner, owned := v.Owners[pool]
+		if !owned {
+			return
+		}
+		// A change of the holder of a singleton delays its work, which takes little processor time.
+		if c.duties.settings.Singletons[pool] == nil {
+			ownerByPool[pool] = owner.Name
+		}
+	}
+	h, ok := c.rebalancer.Next(time.Now(), c.duties.settings.Entry, ownerByPool, c.members(v), owners.WithWeights(c.weightOf(v)))
+	if ok {
+		c.duties.logger.Info("pool handed over to a stronger entry", "pool", h.Pool, "to", h.To)
+		c.release(h.Pool)
+	}
+}
+
+// isShownIn reports whether a view shows just the pools that this entry owns as owned by it.
+func (c *core) isShownIn(v *roster.View) bool {
+	shown := v.Alive[c.duties.settings.Entry].Pools
+	if len(shown) != len(c.holdings) {
+		return false
+	}
+	for pool, h := range c.holdings {
+		if shown[pool] != h.epoch {
+			return false
+		}
+	}
+	return true
 }
 
 // poolsToClaim returns the pools and singletons without an owner that are assigned to this entry.
@@ -246,7 +298,7 @@
 		return nil
 	}
 	var out []string
-	for pool, name := range owners.Assign(owners.WeightedLeastLoaded{}, unowned, members(v)) {
+	for pool, name := range owners.Assign(owners.WeightedLeastLoaded{}, unowned, c.members(v), owners.WithWeights(c.weightOf(v))) {
 		if name == c.duties.settings.Entry {
 			out = append(out, pool)
 		}
@@ -254,11 +306,30 @@
 	return out
 }
 
+// weightOf returns the function that returns the weight of a pool: its number of hosts, at least 1.
+// Versions that report no capacity count pools. While such an entry is alive, each pool has the weight
+// 1, because two versions that weigh pools differently could leave a pool to each other.
+func (c *core) weightOf(v *roster.View) func(pool string) int {
+	for _, heartbeat := range v.Alive {
+		if heartbeat.Capacity == 0 {
+			return func(string) int { return 1 }
+		}
+	}
+	return func(pool string) int { return max(c.hostCounts[pool], 1) }
+}
+
 // members returns the live entries, sorted by name.
-func members(v *roster.View) []owners.Member {
+func (c *core) members(v *roster.View) []owners.Member {
+	weight := c.weightOf(v)
 	out := make([]owners.Member, 0, len(v.Alive))
 	for name, heartbeat := range v.Alive {
-		out = append(out, owners.Member{Name: name, Zone: heartbeat.Zone, Load: len(heartbeat.Pools), Capacity: heartbeat.Capacity})
+		load := 0
+		for pool := range heartbeat.Pools {
+			load += weight(pool)
+		}
+		out = append(out, owners.Member{
+			Name: name, Zone: heartbeat.Zone, Incarnation: heartbeat.Incarnation, Load: load, Capacity: heartbeat.Capacity,
+		})
 	}
 	slices.SortFunc(out, func(a, b owners.Member) int { return cmp.Compare(a.Name, b.Name) })
 	return out
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -93,12 +93,14 @@
 type journal struct {
 	// newJobs are submissions that have not been part of an append yet.
 	newJobs []*shard.Job
-	// newHosts are to be written; removedHosts and expiredJobs are IDs to be deleted.
+	// newHosts are to be written; removedHosts and expiredJobs are IDs to be deleted. A host is in
+	// one of them at most.
 	newHosts     []port.Host
 	removedHosts []string
 	expiredJobs  []string
-	// inboxJobs holds the IDs of jobs that arrived through the inbox and are still in it.
-	inboxJobs []string
+	// inboxJobs holds the IDs of jobs that arrived through the inbox and are still in it. trimming
+	// holds those that are being deleted from it.
+	inboxJobs, trimming []string
 	// waiters holds, by job ID, the callers that wait for a submission or a cancellation.
 	waiters map[string][]waiter
 	// inFlight is the append in flight. It is nil if there is none.
@@ -108,6 +110,24 @@
 	unavailable bool
 }
 
+// addHost notes that the record of a host is to be written.
+func (j *journal) addHost(h port.Host) {
+	j.forgetHost(h.ID)
+	j.newHosts = append(j.newHosts, h)
+}
+
+// removeHost notes that the record of a host is to be deleted.
+func (j *journal) removeHost(id string) {
+	j.forgetHost(id)
+	j.removedHosts = append(j.removedHosts, id)
+}
+
+// forgetHost drops what was noted about the record of a host.
+func (j *journal) forgetHost(id string) {
+	j.newHosts = slices.DeleteFunc(j.newHosts, func(h port.Host) bool { return h.ID == id })
+	j.removedHosts = slices.DeleteFunc(j.removedHosts, func(removed string) bool { return removed == id })
+}
+
 // waiter is a caller that waits for the store.
 type waiter struct {
 	cancel bool
@@ -120,10 +140,16 @@
 	jobs      []*shard.Job
 	changes   []shard.Change
 	hosts     []port.Host
-	// ackOnWrite holds, by host, the highest number of an ended run that was counted when the
-	// append was collected. Once the append is written, the host's ends up to that number are
-	// acknowledged.
-	ackOnWrite map[string]int64
+	// ackOnWrite holds, by host, the ends that were counted when the append was collected. They
+	// are acknowledged once the append is written.
+	ackOnWrite map[string]countedEnds
+}
+
+// countedEnds are the ends of one instance of a host up to a number.
+type countedEnds struct {
+	number int64
+	// firstAnswer is when the instance first answered. It tells the instances of the host apart.
+	firstAnswer time.Time
 }
 
 // writeResult is the outcome of an append.
@@ -189,7 +215,7 @@
 // collect takes the changes that wait to be written and encodes them.
 func (c *core) collect(now time.Time) ([]port.Record, *appendInFlight) {
 	journal, pool := &c.journal, c.state.Pool
-	content := &appendInFlight{startedAt: now, ackOnWrite: map[string]int64{}}
+	content := &appendInFlight{startedAt: now, ackOnWrite: map[string]countedEnds{}}
 	var records []port.Record
 	put := func(key string, v any) {
 		value, err := codec.EncodeFrame(v)
@@ -213,7 +239,7 @@
 		put(pool+keyProgress+ch.Job.ID, ch.Progress)
 	}
 	for id, h := range c.state.Hosts {
-		content.ackOnWrite[id] = h.CountedEnd
+		content.ackOnWrite[id] = countedEnds{h.CountedEnd, h.FirstAnswer}
 	}
 	for _, id := range journal.removedHosts {
 		records = append(records, port.Record{Key: pool + keyHost + id})
@@ -247,10 +273,8 @@
 		}
 	}
 	for id, counted := range written.ackOnWrite {
-		// If the host has restarted since the append began, CountedEnd has been reset, and the
-		// counted ends are those of the earlier instance.
-		if h := c.state.Hosts[id]; h != nil && h.CountedEnd >= counted {
-			h.StoredEnd = max(h.StoredEnd, counted)
+		if h := c.state.Hosts[id]; h != nil && h.FirstAnswer.Equal(counted.firstAnswer) {
+			h.StoredEnd = max(h.StoredEnd, counted.number)
 		}
 	}
 	for _, j := range written.jobs {
@@ -388,6 +412,7 @@
 		}
 		id := ch.Key[len(prefix):]
 		j, verdict := c.state.Submit(id, spec, time.Now())
+		j.InInbox = true
 		c.logger.Info("job came by the inbox", "job", id, "known", verdict == shard.Duplicate)
 		c.journal.inboxJobs = append(c.journal.inboxJobs, id)
 		if verdict == shard.Accepted {
@@ -396,21 +421,26 @@
 	}
 }
 
+// inboxTrimmed is the outcome of the deletion of submissions from the inbox.
+type inboxTrimmed struct{ err error }
+
 // trimInbox deletes submissions from the inbox once the pool's own records hold them.
 func (c *core) trimInbox() {
-	if len(c.journal.inboxJobs) == 0 {
+	journal := &c.journal
+	if len(journal.inboxJobs) == 0 || len(journal.trimming) > 0 {
 		return
 	}
 	var drop []port.Record
 	var rest []string
-	for _, id := range c.journal.inboxJobs {
+	for _, id := range journal.inboxJobs {
 		if j := c.state.Jobs[id]; j != nil && !j.Stored && j.StoredPhase == shard.Open {
 			rest = append(rest, id)
 			continue
 		}
+		journal.trimming = append(journal.trimming, id)
 		drop = append(drop, port.Record{Key: c.state.Pool + "/" + id})
 	}
-	c.journal.inboxJobs = rest
+	journal.inboxJobs = rest
 	if len(drop) == 0 {
 		return
 	}
@@ -418,10 +448,24 @@
 	c.background.Go(func() {
 		ctx, cancel := context.WithTimeout(c.runCtx, unavailableAfter)
 		defer cancel()
-		if _, err := c.deps.Log.Append(ctx, stream, drop, nil, -1); err != nil {
-			// The next owner reads the submissions again, finds that their jobs are known, and
-			// deletes them.
-			c.logger.Warn("stored submissions not deleted from the inbox; the next owner deletes them", "err", err)
-		}
+		_, err := c.deps.Log.Append(ctx, stream, drop, nil, -1)
+		c.post(c.runCtx, inboxTrimmed{err})
 	})
 }
+
+func (m inboxTrimmed) handle(c *core) {
+	journal := &c.journal
+	trimmed := journal.trimming
+	journal.trimming = nil
+	if m.err != nil {
+		c.logger.Warn("stored submissions not deleted from the inbox; they are deleted after the next append", "err", m.err)
+		journal.inboxJobs = append(journal.inboxJobs, trimmed...)
+		return
+	}
+	for _, id := range trimmed {
+		// The submission may have been left in the inbox again.
+		if j := c.state.Jobs[id]; j != nil {
+			j.InInbox = slices.Contains(journal.inboxJobs, id)
+		}
+	}
+}
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -10,8 +10,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"carawaymux.dev/entry/agent"
 	"carawaymux.dev/entry/claim"
+	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/task"
@@ -34,21 +37,27 @@
 
 func (idleHost) Close() {}
 
-// newTestCore returns the state of an owner whose task does not run.
-func newTestCore(t *testing.T, host idleHost) *core {
+// testCore is the state of an owner whose task does not run. The tests handle its messages.
+type testCore struct {
+	*core
+	delivered chan queued
+}
+
+func newTestCore(t *testing.T, host idleHost) *testCore {
 	c := newCore(&Owner{lost: make(chan struct{})},
 		Settings{Partitions: 1, Timing: shard.Timing{Lease: 5 * time.Second, Grace: 6 * time.Second}},
 		Deps{HostClients: host, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))},
 		&claim.Claim{Name: "pool", Epoch: 1, ConfirmedAt: time.Now()})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.runCtx = ctx
+	delivered := make(chan queued, 64)
 	c.owner.task = task.Start(func(ctx context.Context, inbox <-chan queued) {
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case m := <-inbox:
-				m.handle(c)
+				delivered <- m
 			}
 		}
 	})
@@ -61,20 +70,24 @@
 		c.background.Wait()
 		c.owner.task.Close()
 	})
-	return c
+	return &testCore{c, delivered}
 }
 
-// settled is a message that closes its channel when it is handled.
-type settled chan struct{}
+// lastMessage marks the end of the messages that settle handles.
+type lastMessage struct{}
 
-func (m settled) handle(*core) { close(m) }
+func (lastMessage) handle(*core) {}
 
-// settle waits for the background work of the owner and until its results are handled.
-func settle(c *core) {
+// settle waits for the background work of the owner and handles its results.
+func (c *testCore) settle() {
 	c.background.Wait()
-	done := make(settled)
-	c.post(c.runCtx, done)
-	<-done
+	c.post(c.runCtx, lastMessage{})
+	for m := range c.delivered {
+		if _, ok := m.message.(lastMessage); ok {
+			return
+		}
+		m.message.handle(c.core)
+	}
 }
 
 var testHost = port.Host{ID: "h", Address: "h:1", Pool: "pool", Capacity: batch.Size{MilliCores: 1000, MemoryMB: 1000}}
@@ -97,11 +110,11 @@
 	c.state.HandleReport("h", &port.HostReport{Clock: 1000, Born: 1, Finished: finished(1, 2)}, now)
 	_, c.journal.inFlight = c.collect(now)
 	c.state.HandleReport("h", &port.HostReport{Clock: 10, Born: 2, Finished: finished(1, 2, 3)}, now.Add(time.Second))
-	writeResult{claim.WriteResult{Sent: now}}.handle(c)
+	writeResult{claim.WriteResult{Sent: now}}.handle(c.core)
 	require.Zero(t, c.state.Hosts["h"].StoredEnd)
 
 	_, c.journal.inFlight = c.collect(now)
-	writeResult{claim.WriteResult{Sent: now}}.handle(c)
+	writeResult{claim.WriteResult{Sent: now}}.handle(c.core)
 	require.EqualValues(t, 3, c.state.Hosts["h"].StoredEnd)
 }
 
@@ -112,16 +125,23 @@
 	c := newTestCore(t, host)
 	c.addHost(testHost)
 	now := time.Now()
-	c.state.HandleReport("h", &port.HostReport{Clock: 1000, Born: 1, Finished: finished(1, 2)}, now)
-	c.state.Hosts["h"].StoredEnd = 2
 	l := c.agents["h"]
-	c.sendHeartbeat("h", l, now)
+	report := port.HostReport{Clock: 1000, Born: 1, Finished: finished(1, 2)}
+	heartbeatResult{agent.HeartbeatResult{Host: "h", Report: report}, l}.handle(c.core)
+	c.state.Hosts["h"].StoredEnd = 2
+	c.sendHeartbeat("h", l, now.Add(unackedBackoff))
 	require.EqualValues(t, 2, <-host.acked)
 
 	c.dropAgent("h")
 	c.openAgent(testHost)
 	l = c.agents["h"]
-	c.heartbeatFailed("h", l, errors.New("connection reset"), now)
+	c.sendHeartbeat("h", l, now.Add(unackedBackoff))
+	require.Zero(t, <-host.acked, "nothing has answered over the new connection")
+	c.dropAgent("h")
+	c.openAgent(testHost)
+	l = c.agents["h"]
+	l.answered = true
+	c.heartbeatFailed(l, agent.HeartbeatResult{Host: "h", Err: errors.New("connection reset")}, now)
 	c.sendHeartbeat("h", l, now.Add(heartbeatBackoff))
 	require.Zero(t, <-host.acked)
 }
@@ -174,22 +194,23 @@
 	c := newTestCore(t, idleHost{})
 	c.deps.Log = log
 	now := time.Now()
-	j, _ := c.state.Submit("job", batch.Spec{Queue: "q", Steps: []batch.Step{{Count: 1}}}, now)
-	c.state.MarkStored(j)
-	c.journal.inboxJobs = []string{"job"}
+	value, err := codec.EncodeFrame(batch.Spec{Queue: "q", Steps: []batch.Step{{Count: 1}}})
+	require.NoError(t, err)
+	inboxChanges{[]feed.Change[[]byte]{{Key: "pool/job", Value: value, Present: true}}}.handle(c.core)
+	c.state.MarkStored(c.state.Jobs["job"])
 	c.state.Cancel("job", now)
 	for _, ch := range c.state.TakeChanges() {
 		c.state.MarkWritten(ch)
 	}
 	c.trimInbox()
-	settle(c)
+	c.settle()
 	c.state.Timing.Retention = -time.Second
 	c.tick()
 	require.NotNil(t, c.state.Jobs["job"])
 
 	log.failing = false
 	c.trimInbox()
-	settle(c)
+	c.settle()
 	require.Equal(t, []string{"pool/job"}, log.deleted)
 	c.nextExpiryScan = time.Time{}
 	c.tick()
@@ -218,3 +239,20 @@
 	require.Len(t, orders, 1)
 	require.Equal(t, shard.OrderStop, orders[0].Kind)
 }
+
+// Guards against releasing the work of a host that runs. Another service answered at the earlier
+// address of the host, and its refusal was handled after the host had been listed at its new one.
+func TestARefusalFromAnEarlierAddressDoesNotEndTheHost(t *testing.T) {
+	c := newTestCore(t, idleHost{acked: make(chan int64, 8)})
+	c.addHost(testHost)
+	earlier := c.agents["h"]
+	moved := testHost
+	moved.Address = "h:2"
+	c.addHost(moved)
+	c.state.HandleReport("h", &port.HostReport{Clock: 1000, Born: 1}, time.Now())
+	refused := agent.HeartbeatResult{Host: "h", Err: &port.RefusedError{Reason: port.RefusedInstance}}
+	heartbeatResult{refused, earlier}.handle(c.core)
+	require.Zero(t, c.state.Hosts["h"].EndedAt)
+	heartbeatResult{refused, c.agents["h"]}.handle(c.core)
+	require.NotZero(t, c.state.Hosts["h"].EndedAt)
+}
--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
@@ -116,7 +118,9 @@
 
 func (p *fullPool) submit() {
 	p.jobs++
-	j, _ := p.state.Submit(fmt.Sprint(p.jobs), batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(1)}}, p.now)
+	step := smallStep(1)
+	step.Estimate += time.Duration(p.jobs%97) * 10 * time.Millisecond
+	j, _ := p.state.Submit(fmt.Sprint(p.jobs), batch.Spec{Queue: "q", Steps: []batch.Step{step}}, p.now)
 	p.state.MarkStored(j)
 }
 
@@ -143,3 +147,53 @@
 	p.state.NeedsFlush()
 	p.state.NeedsConfirmation()
 }
+
+// BenchmarkReport measures a report of a host on which eight tasks make progress.
+func BenchmarkReport(b *testing.B) {
+	const perHost = 8
+	for _, hosts := range []int{80, 350} {
+		b.Run(fmt.Sprintf("hosts-%d", hosts), func(b *testing.B) {
+			p := newFullPool(hosts, perHost, perHost*1000, 0, 0)
+			reports := make([]port.HostReport, hosts)
+			for _, o := range p.started {
+				p.state.HandleStartResult(&o, 2, nil, p.now)
+				var host int
+				_, err := fmt.Sscan(o.Host, &host)
+				require.NoError(b, err)
+				reports[host].Running = append(reports[host].Running, port.ActiveRun{Unit: o.Ref.String(), Run: o.Run})
+			}
+			b.ResetTimer()
+			for i := 0; b.Loop(); i++ {
+				report := &reports[i%hosts]
+				p.now = p.now.Add(time.Second / time.Duration(hosts))
+				report.Clock = int64(i + 10)
+				for k := range report.Running {
+					report.Running[k].ProgressPercent++
+				}
+				p.state.HandleReport(fmt.Sprint(i%hosts), report, p.now)
+			}
+		})
+	}
+}
+
+// BenchmarkBurst measures rounds of a full pool in which some tasks end and as many start. Estimates
+// differ from job to job, and run times from estimates.
+func BenchmarkBurst(b *testing.B) {
+	const hosts, perHost = 80, 8
+	for _, waiting := range []int{1000, 10_000} {
+		for _, ends := range []int{1, 32} {
+			b.Run(fmt.Sprintf("waiting-%d-ends-%d", waiting, ends), func(b *testing.B) {
+				p := newFullPool(hosts, perHost, perHost*1000, waiting, 0)
+				b.ResetTimer()
+				for b.Loop() {
+					p.now = p.now.Add(time.Duration(ends) * time.Millisecond)
+					p.state.ConfirmedAt = p.now
+					for range ends {
+						p.endOne()
+					}
+					p.round()
+				}
+			})
+		}
+	}
+}
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -32,8 +32,20 @@
 	LastAnswer time.Time
 	// Unreachable reports whether the last attempt to reach the host failed.
 	Unreachable bool
+	// AnswerPending reports whether the host may have answered a heartbeat although the owner has
+	// not handled the answer: a heartbeat is in flight, or the last one failed while the owner was
+	// late.
+	AnswerPending bool
+	// heartbeatSentAt is when the last heartbeat was sent. Heartbeats sent before newInstanceAt do not
+	// show that the host is silent, because a new instance may have received a start since.
+	heartbeatSentAt, newInstanceAt time.Time
+	// UnansweredAt is when the last heartbeat failed that shows the host to be silent.
+	UnansweredAt time.Time
+	// EndedAt is when this instance was known to have ended. It is zero while a newer one answers.
+	EndedAt time.Time
 	// GrantedUntil is the latest lease deadline that was sent, on the host's clock in
-	// milliseconds. It is 0 when none was sent.
+	// milliseconds. It is 0 when none was sent. A new instance may have received one that was meant
+	// for the clock of the earlier one.
 	GrantedUntil int64
 	// CountedEnd is the number of the highest end that was counted. StoredEnd is the highest
 	// whose effect is in the store; it is at most CountedEnd.
@@ -45,7 +57,10 @@
 	used        batch.Size
 	longRunning int
 	// UnknownRuns is the number of runs that the host reports but that are not assigned to it.
-	UnknownRuns int
+	// unknownTasks holds those of their tasks that exist. Nothing of these starts elsewhere until
+	// the host no longer reports the run, or nothing can be running there.
+	UnknownRuns  int
+	unknownTasks []*Task
 	// CordonedUntil is until when the host takes no new work because it is being emptied.
 	// CordonedAt is when that began.
 	CordonedUntil, CordonedAt time.Time
@@ -127,10 +142,19 @@
 // 0 when none may be granted. A host that does not answer gets no extension, so that its lease
 // expires even if messages to it arrive late.
 func (s *State) LeaseDeadline(h *Host, now time.Time) int64 {
-	if h.Clock == 0 || now.Sub(s.ConfirmedAt) > s.Timing.Grace || now.Sub(h.LastAnswer) > answerTimeout {
+	limit := answerTimeout
+	if h.AnswerPending {
+		// An owner that is late cannot tell that the host is silent.
+		limit = max(limit, s.Timing.Lease)
+	}
+	silence := now.Sub(h.LastAnswer)
+	if h.Clock == 0 || now.Sub(s.ConfirmedAt) > s.Timing.Grace || silence > limit {
 		return 0
 	}
-	d := h.Clock + now.Sub(h.LastAnswer).Milliseconds() + s.Timing.Lease.Milliseconds()
+	// The host's clock may be slow. A later deadline would outlast the time for which the next owner
+	// waits.
+	passed := time.Duration(float64(silence) / ClockDrift)
+	d := h.Clock + passed.Milliseconds() + s.Timing.Lease.Milliseconds()
 	h.GrantedUntil = max(h.GrantedUntil, d)
 	return d
 }
@@ -148,6 +172,9 @@
 // LeaseExpiry returns the time after which nothing that was started on the host can still be
 // running there if it does not answer.
 func (s *State) LeaseExpiry(h *Host) time.Time {
+	if !h.EndedAt.IsZero() {
+		return h.EndedAt
+	}
 	if !h.Confirmed {
 		longest := s.Timing.Grace + time.Duration(float64(s.Timing.Lease)*ClockDrift)
 		return s.ClaimedAt.Add(longest + clockMargin)
@@ -158,10 +185,33 @@
 
 // leaseExpired reports whether nothing can be running on a host that does not answer. A newer
 // owner could have extended the host's lease, so the store has to have confirmed the claim since
-// the lease expired.
+// the lease expired. An answer that the owner has not handled yet may list the ends of runs, so the
+// last heartbeat has to have shown that the host is silent.
 func (s *State) leaseExpired(h *Host, now time.Time) bool {
 	expiry := s.LeaseExpiry(h)
-	return now.After(expiry) && s.ConfirmedAt.After(expiry)
+	silent := !h.AnswerPending || h.UnansweredAt.After(expiry)
+	return silent && now.After(expiry) && s.ConfirmedAt.After(expiry)
+}
+
+// HeartbeatSent records that a heartbeat was sent to a host.
+func (s *State) HeartbeatSent(id string, now time.Time) {
+	if h := s.Hosts[id]; h != nil {
+		h.AnswerPending, h.heartbeatSentAt = true, now
+	}
+}
+
+// HeartbeatFailed records that a heartbeat failed. If the owner was late, the host may have
+// answered it.
+func (s *State) HeartbeatFailed(id string, ownerLate bool, now time.Time) {
+	h := s.Hosts[id]
+	if h == nil {
+		return
+	}
+	proven := !ownerLate && !h.heartbeatSentAt.Before(h.newInstanceAt)
+	h.Unreachable, h.AnswerPending = true, !proven
+	if proven {
+		h.UnansweredAt = now
+	}
 }
 
 // sortedHosts returns the hosts by ID. The result is shared.
@@ -223,7 +273,7 @@
 		if h.Confirmed || len(h.Assigned) > 0 {
 			s.releaseAll(h, s.LeaseExpiry(h))
 		}
-		if !h.Listed {
+		if !h.Listed && len(h.Assigned) == 0 {
 			dropped = append(dropped, id)
 			delete(s.Hosts, id)
 			s.hostList = nil
@@ -251,19 +301,49 @@
 func (s *State) HostEnded(id string, now time.Time) {
 	if h := s.Hosts[id]; h != nil {
 		s.releaseAll(h, now)
-		h.Confirmed, h.Unreachable, h.GrantedUntil, h.LastAnswer = true, false, 0, time.Time{}
+		h.Confirmed, h.Unreachable, h.LastAnswer, h.EndedAt = true, false, time.Time{}, now
+	}
+}
+
+// OrdersLost records that the outcomes of the orders to a host are lost, because the connection to
+// it was replaced.
+func (s *State) OrdersLost(id string, now time.Time) {
+	h := s.Hosts[id]
+	if h == nil {
+		return
+	}
+	for r, task := range h.Assigned {
+		switch task.Status {
+		case Starting:
+			s.orderStop(r, task, "start not answered")
+		case Uncertain, Stopping:
+			task.RetryStopAt = now
+		}
+	}
+}
+
+// expectInstance records that a new instance of a host that has ended may have carried out a start.
+// A heartbeat that is sent from now on decides whether there is one.
+func (h *Host) expectInstance(now time.Time) {
+	if !h.EndedAt.IsZero() {
+		h.AnswerPending, h.EndedAt, h.newInstanceAt, h.UnansweredAt = true, now, now, time.Time{}
 	}
 }
 
-// releaseAll releases all tasks of a host on which nothing can have been running after time
-// since.
+// releaseAll releases the tasks of a host on which nothing can have been running after time since.
+// A start that is under way may still be carried out by a new instance, so its outcome is waited
+// for.
 func (s *State) releaseAll(h *Host, since time.Time) {
+	h.clearUnknown()
 	for r, task := range h.Assigned {
 		_, stage, _ := s.task(r)
 		if stage == nil {
 			delete(h.Assigned, r)
 			continue
 		}
+		if task.Status == Starting {
+			continue
+		}
 		s.releaseLost(stage, task, r, since)
 		s.stopGang(r, task.Run, "host of a gang member was lost")
 	}
@@ -289,7 +369,25 @@
 		s.releaseLost(stage, task, r, now)
 		s.stopGang(r, task.Run, "host of a gang member restarted")
 	}
-	h.CountedEnd, h.StoredEnd, h.GrantedUntil, h.UnknownRuns = 0, 0, 0, 0
+	h.CountedEnd, h.StoredEnd = 0, 0
+	h.GrantedUntil = min(h.GrantedUntil, report.Clock+s.Timing.MaxLease.Milliseconds())
+}
+
+// addUnknown records a run that the host reports although it is not assigned to it.
+func (h *Host) addUnknown(task *Task) {
+	h.UnknownRuns++
+	if task != nil {
+		task.unknownRuns++
+		h.unknownTasks = append(h.unknownTasks, task)
+	}
+}
+
+// clearUnknown forgets the runs that are not assigned to the host.
+func (h *Host) clearUnknown() {
+	for _, task := range h.unknownTasks {
+		task.unknownRuns--
+	}
+	h.UnknownRuns, h.unknownTasks = 0, nil
 }
 
 // NeedsConfirmation reports whether some host or some task whose run was lost has to wait until
@@ -298,7 +396,10 @@
 	if !s.latestLost.IsZero() && !s.ConfirmedAt.After(s.latestLost) {
 		return true
 	}
-	for _, h := range s.Hosts {
+	if s.ConfirmedAt.After(s.latestFirstAnswer) {
+		return false
+	}
+	for _, h := range s.sortedHosts() {
 		if h.Listed && h.Confirmed && !s.ConfirmedAt.After(h.FirstAnswer) {
 			return true
 		}
@@ -346,7 +447,7 @@
 // unhealthyHosts returns the number of hosts that get no new work because they are unhealthy.
 func (s *State) unhealthyHosts(now time.Time) int {
 	n := 0
-	for _, h := range s.Hosts {
+	for _, h := range s.sortedHosts() {
 		if now.Before(h.UnhealthyUntil) {
 			n++
 		}
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -106,6 +106,7 @@
 	s.backlog.dropJob(j)
 	s.dropPermits(j)
 	s.markDirty(j)
+	s.endUnstored = true
 	for oi := range j.Occurrences {
 		for si := range j.Occurrences[oi].Stages {
 			for i := range j.Occurrences[oi].Stages[si].Tasks {
@@ -145,7 +146,7 @@
 func (s *State) DropExpired(now time.Time) []string {
 	var out []string
 	for id, j := range s.Jobs {
-		if j.Phase != Open && j.StoredPhase == j.Phase && now.Sub(j.EndedAt) > s.Timing.Retention && !s.hasRuns(j) {
+		if j.Phase != Open && j.StoredPhase == j.Phase && !j.InInbox && now.Sub(j.EndedAt) > s.Timing.Retention && !s.hasRuns(j) {
 			out = append(out, id)
 			delete(s.Jobs, id)
 		}
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -321,7 +321,7 @@
 	}
 	for i := range stage.Tasks {
 		task := &stage.Tasks[i]
-		if task.Status != Idle || task.Done || !s.confirmedSinceLost(task) {
+		if task.Status != Idle || task.Done || !s.mayStart(task) {
 			continue
 		}
 		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
@@ -414,7 +414,7 @@
 
 func (hosts referenceHosts) startGang(s *State, d *referenceDemand, step *batch.Step, stage *Stage, permitted func(*Host) bool, now time.Time) {
 	for i := range stage.Tasks {
-		if stage.Tasks[i].Status != Idle || !s.confirmedSinceLost(&stage.Tasks[i]) {
+		if stage.Tasks[i].Status != Idle || !s.mayStart(&stage.Tasks[i]) {
 			return
 		}
 	}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -32,13 +32,14 @@
 	}
 	if h.Confirmed && (report.Born != h.Instance || report.Clock < h.Clock) {
 		s.handleRestart(h, report, now)
-		h.FirstAnswer = now
+		h.FirstAnswer, s.latestFirstAnswer = now, now
 	}
 	firstReport := !h.Confirmed
 	if firstReport {
-		h.FirstAnswer = now
+		h.FirstAnswer, s.latestFirstAnswer = now, now
 	}
 	h.Confirmed, h.Unreachable, h.Instance, h.Clock, h.LastAnswer = true, false, report.Born, report.Clock, now
+	h.AnswerPending, h.EndedAt = false, time.Time{}
 	var out []RunEnd
 	for i := range report.Finished {
 		e := &report.Finished[i]
@@ -61,17 +62,18 @@
 // the unknown runs, and releases the tasks whose runs are gone.
 func (s *State) reconcile(h *Host, report *port.HostReport, firstReport bool, now time.Time) {
 	complete := len(report.Finished) < maxEndsPerAnswer
-	h.UnknownRuns = 0
+	h.clearUnknown()
 	running := make(map[batch.Ref]int64, len(report.Running))
 	for i := range report.Running {
 		r := &report.Running[i]
 		ref, err := batch.ParseRef(r.Unit)
 		if err != nil {
-			h.UnknownRuns++
+			h.addUnknown(nil)
 			continue
 		}
 		if !s.acceptRunning(h, ref, r, now) {
-			h.UnknownRuns++
+			_, _, task := s.task(ref)
+			h.addUnknown(task)
 			s.orders = append(s.orders, Order{Kind: OrderStop, Host: h.ID, Ref: ref, Run: r.Run, Reason: "run is not assigned to this host"})
 			continue
 		}
@@ -305,8 +307,14 @@
 		}
 		task.StartClock = max(clock, 1)
 		j.Started = true
+		if h != nil {
+			h.expectInstance(now)
+		}
 		return true
 	case !errors.As(err, &refused):
+		if h != nil {
+			h.expectInstance(now)
+		}
 		s.orderStop(o.Ref, task, "start not answered")
 		return true
 	}
@@ -347,6 +355,7 @@
 		// The stop may not have reached the host, so it is sent again. If it never arrives, the
 		// run ends with the lease.
 		task.RetryStopAt = now.Add(stopRetryDelay)
+		s.unansweredStops[o.Ref] = struct{}{}
 		return true
 	}
 	if task.Status == Uncertain {
@@ -362,12 +371,15 @@
 
 // RetryStops sends stops again that were not answered.
 func (s *State) RetryStops(now time.Time) {
-	for id, h := range s.Hosts {
-		for ref, task := range h.Assigned {
-			if (task.Status == Uncertain || task.Status == Stopping) && !task.RetryStopAt.IsZero() && now.After(task.RetryStopAt) {
-				task.RetryStopAt = time.Time{}
-				s.orders = append(s.orders, Order{Kind: OrderStop, Host: id, Ref: ref, Run: task.Run, Reason: "earlier stop not answered"})
-			}
+	for ref := range s.unansweredStops {
+		j, _, task := s.task(ref)
+		switch {
+		case task == nil || task.RetryStopAt.IsZero() || (task.Status == Idle && (task.Done || j.Phase != Open)):
+			delete(s.unansweredStops, ref)
+		case (task.Status == Uncertain || task.Status == Stopping) && now.After(task.RetryStopAt):
+			task.RetryStopAt = time.Time{}
+			delete(s.unansweredStops, ref)
+			s.orders = append(s.orders, Order{Kind: OrderStop, Host: task.Host, Ref: ref, Run: task.Run, Reason: "earlier stop not answered"})
 		}
 	}
 }
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -17,6 +17,8 @@
 	// Lease is how long a host may run work without contact to the owner. It is positive and at
 	// most what the platform allows.
 	Lease time.Duration
+	// MaxLease is the longest lease that a host accepts; a longer one is shortened to it.
+	MaxLease time.Duration
 	// Grace is how long an owner goes on extending leases after the store last confirmed its
 	// claim.
 	Grace time.Duration
@@ -109,6 +111,9 @@
 	// when the end of the last run is known. A newer owner may have counted the end before, so
 	// the store has to confirm the claim after this time before another run starts.
 	LostAt time.Time
+	// unknownRuns is the number of hosts that report a run of the task that is not assigned to
+	// them.
+	unknownRuns int
 	// AvoidHost is a host on which the task failed or ran too slowly.
 	AvoidHost string
 }
@@ -155,6 +160,9 @@
 	// Unsubmitted is true if the job was cancelled and its submission has not arrived. Its spec is
 	// then empty.
 	Unsubmitted bool
+	// InInbox reports whether the inbox may still hold the submission. The job is then kept beyond
+	// its retention time, so that the next owner does not take the submission for a new job.
+	InInbox bool
 	// Started reports whether any task is known to have started.
 	Started bool
 	// Inherited is true if an earlier owner may have started tasks that this owner has no record
@@ -202,6 +210,14 @@
 	openJobs map[string]*Job
 	// backlog holds the work of the open jobs that waits.
 	backlog backlog
+	// unansweredStops holds the tasks whose RetryStopAt may be set.
+	unansweredStops map[batch.Ref]struct{}
+	// latestFirstAnswer is the latest FirstAnswer of any host.
+	latestFirstAnswer time.Time
+	// endUnstored is true if some dirty job may have an end that is not in the store.
+	endUnstored bool
+	// candidateBuffer is the buffer of candidates.
+	candidateBuffer candidates
 	// hostList holds the hosts by ID. It is nil after the set of hosts has changed.
 	hostList []*Host
 	// arrivals holds the work that has arrived within arrivalWindow.
@@ -216,7 +232,7 @@
 		Pool: pool, Epoch: epoch, ClaimedAt: now, ConfirmedAt: now, Timing: t,
 		Queues: map[string]port.Queue{}, Jobs: map[string]*Job{}, Hosts: map[string]*Host{},
 		openJobs: map[string]*Job{}, durationRatios: map[string]*sample{}, permits: map[batch.Ref]*permit{},
-		backlog: newBacklog(now),
+		backlog: newBacklog(now), unansweredStops: map[batch.Ref]struct{}{},
 	}
 }
 
@@ -301,10 +317,10 @@
 	}
 }
 
-// confirmedSinceLost reports whether no newer owner can have counted an end of the task that is
-// unknown here.
-func (s *State) confirmedSinceLost(task *Task) bool {
-	return task.LostAt.IsZero() || s.ConfirmedAt.After(task.LostAt)
+// mayStart reports whether an idle task may start: no host reports a run of it, and no newer owner
+// can have counted an end of it that is unknown here.
+func (s *State) mayStart(task *Task) bool {
+	return task.unknownRuns == 0 && (task.LostAt.IsZero() || s.ConfirmedAt.After(task.LostAt))
 }
 
 // openOccurrence adds the next occurrence of an open job that has become due.
