Bound the starts that an owner has in flight

What callers saw: on entries with 0.192 of a core, half of all starts came back unsent and were ordered again; jobs waited for seconds for their first start, and heartbeats were late.

Cause: an owner ordered as many starts as its hosts had room for, whatever it could send. The orders waited in their agents and for the processor, all behind each other and before the heartbeats. Those that waited over 250 ms were returned unsent, planned again and waited again.

Change: starts go through a window (package window), so the owner orders a start when an earlier one has been answered, and no more than it gets answered in time. A host with an unanswered start gets no further one until it answers: its orders share two queues, in which a second start may wait behind the first. After the answer to a heartbeat, an owner whose starts take over 40 ms pauses for a random time of up to 500 ms, which grows with that delay, and asks the host to wait that much shorter; so ends come in batches, and an answer is due every second as before.

--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -11,6 +11,7 @@
 	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/task"
+	"carawaymux.dev/fleet/window"
 )
 
 const (
@@ -20,6 +21,9 @@
 	// maxDrainedMessages is the maximum number of queued messages that are handled before the
 	// next round of planning.
 	maxDrainedMessages = 256
+	// startsPerHost is the number of starts of a host that may be unanswered. Orders of a host
+	// share queues, so a second start could wait until the first is answered.
+	startsPerHost = 1
 )
 
 // core is the state of the owner's task.
@@ -31,8 +35,10 @@
 	claim    *claim.Claim
 	state    *shard.State
 	agents   map[string]*hostLink
-	writer   *claim.Writer
-	inbox    *feed.Feed[[]byte]
+	// starts holds the starts that have not been answered.
+	starts *window.Window[startKey, window.Adaptive]
+	writer *claim.Writer
+	inbox  *feed.Feed[[]byte]
 	// machineLister requests the list of machines. listedAt is when it was last asked to.
 	machineLister *task.Task[struct{}]
 	listInFlight  bool
@@ -60,9 +66,10 @@
 type hostLink struct {
 	agent *agent.Agent
 	// heartbeatInFlight reports whether a heartbeat has not been answered yet. nextHeartbeat is
-	// the earliest time of the next one.
+	// the earliest time of the next one, and pause is what was added to it for a late owner.
 	heartbeatInFlight bool
 	nextHeartbeat     time.Time
+	pause             time.Duration
 	// answered reports whether the last heartbeat was answered.
 	answered bool
 	// failing reports whether the last heartbeat failed, that is, was refused or not answered.
@@ -74,6 +81,7 @@
 		owner: o, settings: s, deps: d, claim: acquired, agents: map[string]*hostLink{},
 		logger: d.Logger.With("pool", acquired.Name, "epoch", acquired.Epoch),
 		state:  shard.New(acquired.Name, acquired.Epoch, s.Timing, time.Now()),
+		starts: window.New[startKey](window.Adaptive{}),
 	}
 	c.state.ConfirmedAt = acquired.ConfirmedAt
 	c.state.HasPolicyService = d.Adviser != nil
@@ -131,7 +139,8 @@
 func (c *core) act() {
 	now := time.Now()
 	c.state.RetryStops(now)
-	shard.Plan(c.state, shard.ByLoad{Overloaded: c.state.Overloaded}, now, now.UnixMilli())
+	limits := shard.Limits{Starts: c.starts.Room(now), StartsPerHost: startsPerHost}
+	shard.PlanWithin(c.state, shard.ByLoad{Overloaded: c.state.Overloaded}, limits, now, now.UnixMilli())
 	for _, o := range c.state.TakeOrders() {
 		c.sendOrder(o, now)
 	}
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"carawaymux.dev/entry/agent"
+	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 )
@@ -28,6 +30,12 @@
 // orderResult is the outcome of an order.
 type orderResult struct{ agent.OrderResult }
 
+// startKey identifies the start of a run.
+type startKey struct {
+	ref batch.Ref
+	run int64
+}
+
 func (m hostChanges) handle(c *core) {
 	for _, ch := range m.changes {
 		if !ch.Present || ch.Value.Pool != c.state.Pool {
@@ -92,7 +100,7 @@
 	if h.CountedEnd > h.StoredEnd && now.Sub(h.LastAnswer) < unackedBackoff {
 		return
 	}
-	wait := c.settings.HeartbeatWait
+	wait := max(c.settings.HeartbeatWait-l.pause, 0)
 	deadline := c.state.LeaseDeadline(h, now)
 	// A host that has not confirmed this owner, or whose lease cannot be extended, is to answer
 	// at once.
@@ -111,12 +119,35 @@
 	l.nextHeartbeat = now.Add(minHeartbeatInterval)
 }
 
-// minHeartbeatInterval is the minimum time between the starts of two heartbeats to one host.
-const minHeartbeatInterval = 10 * time.Millisecond
+const (
+	// minHeartbeatInterval is the minimum time between the starts of two heartbeats to one host.
+	minHeartbeatInterval = 10 * time.Millisecond
+	// promptDelay is the delay of starts up to which an owner is not late.
+	promptDelay = 40 * time.Millisecond
+	// pauseFactor is the ratio of the longest pause between heartbeats to the delay beyond
+	// promptDelay. maxHeartbeatPause bounds the pause; it is well below the time within which a
+	// host has to answer.
+	pauseFactor       = 20
+	maxHeartbeatPause = 500 * time.Millisecond
+)
+
+// heartbeatPause returns the time between the answer to a heartbeat and the next one to the same
+// host, for an owner whose starts are answered after a delay. A late owner sends fewer heartbeats,
+// each of which returns more ends. The time is random, so that the heartbeats to hosts that
+// answered together spread out.
+func heartbeatPause(delay time.Duration) time.Duration {
+	if delay <= promptDelay {
+		return 0
+	}
+	return rand.N(min(pauseFactor*(delay-promptDelay), maxHeartbeatPause))
+}
 
 func (m heartbeatResult) handle(c *core) {
 	l, now := m.link, time.Now()
-	l.heartbeatInFlight = false
+	l.heartbeatInFlight, l.pause = false, heartbeatPause(c.starts.Delay(now))
+	if next := now.Add(l.pause); next.After(l.nextHeartbeat) {
+		l.nextHeartbeat = next
+	}
 	// Another service may answer at an earlier address of a host, so only reports count from there.
 	current := l == c.agents[m.Host]
 	if c.state.Hosts[m.Host] == nil || (m.Err != nil && !current) {
@@ -188,6 +219,9 @@
 		c.recordOutcome(o, 0, &port.RefusedError{Reason: port.RefusedUnhealthy}, now)
 		return
 	}
+	if o.Kind == shard.OrderStart {
+		c.starts.Add(startKey{o.Ref, o.Run}, now)
+	}
 	c.deps.Stats.Add("orders", 1, "pool", c.state.Pool, "kind", orderNames[o.Kind])
 	c.logger.Info(orderNames[o.Kind], "unit", o.Ref.String(), "run", o.Run, "host", o.Host, "why", o.Reason)
 }
@@ -204,7 +238,11 @@
 		c.logger.Info("order failed", "unit", m.Order.Ref.String(), "run", m.Order.Run, "host", m.Order.Host,
 			"order", orderNames[m.Order.Kind], "waited-ms", m.Waited.Milliseconds(), "err", m.Err)
 	}
-	c.recordOutcome(m.Order, m.HostClock, m.Err, time.Now())
+	now := time.Now()
+	if m.Order.Kind == shard.OrderStart {
+		c.starts.Answered(startKey{m.Order.Ref, m.Order.Run}, now)
+	}
+	c.recordOutcome(m.Order, m.HostClock, m.Err, now)
 }
 
 // recordOutcome passes the outcome of an order to the state.
