Take a start and a report of the same millisecond as unordered

Two runs of one task: the first report of a restarted host carried the same time as its answer to a start, and had been made before. The owner took the run for lost. Only a report with a later time shows that a run is not there.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -317,7 +317,7 @@
 		if report.Contains(r.String(), task.Run) {
 			continue
 		}
-		if task.Status == Starting || task.Status == Uncertain || task.StartClock > report.Clock {
+		if task.Status == Starting || task.Status == Uncertain || task.StartClock >= report.Clock {
 			task.Status = Uncertain
 			s.orders = append(s.orders, Order{Kind: OrderStop, Host: h.ID, Ref: r, Run: task.Run, Reason: "host restarted"})
 			continue
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -508,7 +508,8 @@
 // out orders of the earlier one, and the lease that it had been granted by the clock of the earlier
 // one was longer than the owner knew.
 func TestInvariantsHoldIfHostsRestartFast(t *testing.T) {
-	var seeds []uint64
+	// Seed 485: the first report of an instance and its answer to a start carried the same time.
+	seeds := []uint64{485}
 	for seed := range uint64(fastRestartSeeds) {
 		seeds = append(seeds, seed)
 	}
