End a round when no waiting step fits on any host

A round went on while some host had room for the least cores and the least memory of any waiting steps, even if these were needs of different steps; it then ranked all steps that would reserve a host. Now it ends when no step fits. The buffer of the ranking is cleared after a round, so that it keeps no ended job.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -177,14 +177,28 @@
 	return batch.Ref{Job: w.job.ID, Occurrence: w.demand.Occurrence, Step: w.demand.Step}
 }
 
-// findFits begins a round of planning with the hosts that have room for the least need.
+// findFits begins a round of planning. All hosts with room for the least need have to be in roomy.
 func (b *backlog) findFits(roomy candidates) {
 	for _, sh := range b.shapes {
-		sh.unreservable = false
-		sh.fits = slices.ContainsFunc(roomy, func(c *candidate) bool { return c.free.Fits(sh.need) && sh.hasLabel(c.host) })
+		sh.fits, sh.unreservable = sh.fitsOn(roomy), false
 	}
 }
 
+// anyFits reports whether some host has room for a waiting step, after hosts were taken or reserved.
+func (b *backlog) anyFits(roomy candidates) bool {
+	for _, sh := range b.shapes {
+		if sh.fits = sh.fits && sh.fitsOn(roomy); sh.fits {
+			return true
+		}
+	}
+	return false
+}
+
+// fitsOn reports whether one of some hosts has room for the shape.
+func (sh *shape) fitsOn(roomy candidates) bool {
+	return slices.ContainsFunc(roomy, func(c *candidate) bool { return c.free.Fits(sh.need) && sh.hasLabel(c.host) })
+}
+
 // hasLabel reports whether a host has the label that the shape requires.
 func (sh *shape) hasLabel(h *Host) bool {
 	return sh.label == "" || HasLabel(&h.Host, sh.label)
--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -202,3 +202,29 @@
 		}
 	}
 }
+
+// BenchmarkMixedNeeds measures rounds in which every host has room for the cores of some waiting
+// tasks and for the memory of others, but for no task. The tasks have waited for 5 s.
+func BenchmarkMixedNeeds(b *testing.B) {
+	const hosts, perHost = 80, 8
+	for _, waiting := range []int{1000, 10_000} {
+		b.Run(fmt.Sprintf("waiting-%d", waiting), func(b *testing.B) {
+			p := newFullPool(hosts, perHost, perHost*1000+500, waiting/2, 0, 1)
+			for i := range waiting / 2 {
+				step := batch.Step{Count: 1, Need: batch.Size{MilliCores: 250, MemoryMB: 7500}, Estimate: time.Minute}
+				j, _ := p.state.Submit(fmt.Sprint("large-", i), batch.Spec{Queue: "q", Steps: []batch.Step{step}}, p.now)
+				p.state.MarkStored(j)
+			}
+			p.now = p.now.Add(5 * time.Second)
+			for i := range hosts {
+				p.state.Hosts[fmt.Sprint(i)].LastAnswer = p.now
+			}
+			p.state.ConfirmedAt = p.now
+			b.ResetTimer()
+			for b.Loop() {
+				p.endOne()
+				p.round()
+			}
+		})
+	}
+}
--- a/fleet/shard/permit.go
+++ b/fleet/shard/permit.go
@@ -102,6 +102,7 @@
 	ranked := newRanked(s, ranking, now, s.hasUnconfirmedHost(now), func(w *waitingStep) bool {
 		return w.queue.needsTicket && s.permits[w.ref()].mayAsk(now)
 	})
+	defer ranked.release()
 	var hosts candidates
 	for w := ranked.pop(); w != nil; w = ranked.pop() {
 		if hosts == nil {
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -23,23 +23,20 @@
 	s.updateOverloaded(hosts, unconfirmed)
 	least := s.backlog.leastNeed()
 	roomy := hosts.withRoom(least)
-	if len(roomy) == 0 {
-		return
-	}
 	s.backlog.findFits(roomy)
-	if hosts.empty() {
-		// Only the first step is tried.
-		if first := newRanked(s, ranking, now, unconfirmed, func(*waitingStep) bool { return true }).pop(); first != nil {
-			s.startTasks(first, hosts, roomy, now)
-		}
+	if !s.backlog.anyFits(roomy) {
 		return
 	}
-	ranked := newRanked(s, ranking, now, unconfirmed, func(w *waitingStep) bool { return w.shape.fits || w.reserves() })
+	// When no host has both cores and memory left, only the first step is tried.
+	firstOnly := hosts.empty()
+	ranked := newRanked(s, ranking, now, unconfirmed, func(w *waitingStep) bool { return firstOnly || w.shape.fits || w.reserves() })
+	defer ranked.release()
 	for w := ranked.pop(); w != nil; w = ranked.pop() {
-		if !s.startTasks(w, hosts, roomy, now) {
-			continue
+		changed := s.startTasks(w, hosts, roomy, now)
+		if changed {
+			roomy = roomy.withRoom(least)
 		}
-		if roomy = roomy.withRoom(least); len(roomy) == 0 || hosts.empty() {
+		if firstOnly || (changed && (hosts.empty() || !s.backlog.anyFits(roomy))) {
 			return
 		}
 	}
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -110,6 +110,8 @@
 	steps   []*waitingStep
 	// taken is the number of steps that were taken.
 	taken int
+	// buffer is what steps was at the begin.
+	buffer []*waitingStep
 }
 
 // newRanked returns the waiting steps that could start now and are wanted. Inherited ones can
@@ -127,7 +129,7 @@
 			r.steps = append(r.steps, w)
 		}
 	}
-	s.backlog.ranked = r.steps
+	r.buffer, s.backlog.ranked = r.steps, r.steps
 	return r
 }
 
@@ -160,6 +162,9 @@
 	return w
 }
 
+// release clears the buffer, which is used again, so that it keeps no ended job in memory.
+func (r *ranked[R]) release() { clear(r.buffer) }
+
 // sink moves a step down until it goes before its children.
 func (r *ranked[R]) sink(i int) {
 	for {
