Weigh the network link of a host when pools are assigned

Cause: owners were assigned by processor capacity alone. Change: heartbeats carry the speed of the link (limits.link_mbps, key 9); the capacity of an entry is that of the scarcer of processor and link, each as a share of the best entry's. Unknown speeds count as the slowest known one, so entries of earlier versions are weighed as before among themselves. Evidence: TestPoolsGoToMembersWithBothProcessorAndLink fails with the link left out of the comparison.

--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -328,7 +328,8 @@
 			load += weight(pool)
 		}
 		out = append(out, owners.Member{
-			Name: name, Zone: heartbeat.Zone, Incarnation: heartbeat.Incarnation, Load: load, Capacity: heartbeat.Capacity,
+			Name: name, Zone: heartbeat.Zone, Incarnation: heartbeat.Incarnation, Load: load,
+			Capacity: heartbeat.Capacity, Link: heartbeat.Link,
 		})
 	}
 	slices.SortFunc(out, func(a, b owners.Member) int { return cmp.Compare(a.Name, b.Name) })
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -52,6 +52,8 @@
 	// Capacity is the processor capacity of the entry in thousandths of a core. Zero means unknown;
 	// versions before the field write none.
 	Capacity int `cbor:"8,keyasint,omitempty"`
+	// Link is the speed of the entry's network link in Mbit/s. Zero means unknown.
+	Link int `cbor:"9,keyasint,omitempty"`
 }
 
 // Owner is an entry that owns a pool.
--- a/fleet/owners/owners.go
+++ b/fleet/owners/owners.go
@@ -20,6 +20,8 @@
 	// Capacity is the processor capacity in thousandths of a core. Zero or less means unknown;
 	// [Assign] then uses the lowest known capacity of the members.
 	Capacity int
+	// Link is the speed of the network link in Mbit/s. Zero or less means unknown, as above.
+	Link int
 }
 
 // Policy compares how well members suit a pool. The member that suits it best is chosen.
@@ -93,24 +95,40 @@
 // rendezvous returns the hash of a pool and a member. The member with the lowest hash is chosen.
 func rendezvous(pool, member string) uint64 { return xxhash.Sum64String(pool + "\x00" + member) }
 
-// withKnownCapacities returns a copy of members in which each unknown capacity is the lowest known
-// one, or 1 if none is known.
+// withKnownCapacities returns a copy of members in which each unknown capacity and link is the lowest
+// known one. Capacities are scaled to the scarcer of the two, as a share of the best member's, and
+// all links are then equal.
 func withKnownCapacities(members []Member) []Member {
-	lowest := 0
-	for _, m := range members {
-		if m.Capacity > 0 && (lowest == 0 || m.Capacity < lowest) {
-			lowest = m.Capacity
-		}
-	}
 	out := slices.Clone(members)
+	bestCapacity := fillUnknown(out, func(m *Member) *int { return &m.Capacity })
+	bestLink := fillUnknown(out, func(m *Member) *int { return &m.Link })
 	for i := range out {
-		if out[i].Capacity <= 0 {
-			out[i].Capacity = max(lowest, 1)
-		}
+		// min(Capacity/bestCapacity, Link/bestLink), without rounding.
+		out[i].Capacity, out[i].Link = min(out[i].Capacity*bestLink, out[i].Link*bestCapacity), 1
 	}
 	return out
 }
 
+// fillUnknown sets the values of a field that are not positive to the lowest positive one, or to 1
+// if there is none. It returns the highest value.
+func fillUnknown(members []Member, field func(*Member) *int) int {
+	lowest, highest := 0, 1
+	for i := range members {
+		if v := *field(&members[i]); v > 0 {
+			highest = max(highest, v)
+			if lowest == 0 || v < lowest {
+				lowest = v
+			}
+		}
+	}
+	for i := range members {
+		if v := field(&members[i]); *v <= 0 {
+			*v = max(lowest, 1)
+		}
+	}
+	return highest
+}
+
 // Assign returns the member that should claim each pool without an owner. Members keep the
 // pools that they own.
 func Assign[P Policy](policy P, unowned []string, members []Member, opts ...Option) map[string]string {
--- a/fleet/owners/owners_test.go
+++ b/fleet/owners/owners_test.go
@@ -171,3 +171,29 @@
 	require.Equal(t, want, owners.Assign(owners.WeightedLeastLoaded{}, pools(30), all))
 	require.Zero(t, all[0].Capacity, "the members of the caller are not modified")
 }
+
+// An owner on a fast processor with a slow link sent its orders late.
+func TestPoolsGoToMembersWithBothProcessorAndLink(t *testing.T) {
+	m := []owners.Member{
+		{Name: "fast-link", Zone: "a", Capacity: 192, Link: 200},
+		{Name: "fast-processor", Zone: "b", Capacity: 800, Link: 10},
+		{Name: "both", Zone: "c", Capacity: 600, Link: 150},
+	}
+	// The scarcer resources are 0.24, 0.05 and 0.75 of the best.
+	for pool, name := range owners.Assign(owners.WeightedLeastLoaded{}, pools(3), m) {
+		require.Equal(t, "both", name, pool)
+	}
+	assigned := owners.Assign(owners.WeightedLeastLoaded{}, pools(5), m)
+	count := map[string]int{}
+	for _, name := range assigned {
+		count[name]++
+	}
+	require.Equal(t, map[string]int{"both": 4, "fast-link": 1}, count)
+}
+
+func TestUnknownLinkCountsAsTheSlowestKnown(t *testing.T) {
+	m := []owners.Member{{Name: "a", Capacity: 800}, {Name: "b", Capacity: 400, Link: 100}, {Name: "c", Capacity: 100, Link: 10}}
+	require.Equal(t, map[string]string{"p000": "b"}, owners.Assign(owners.WeightedLeastLoaded{}, pools(1), m))
+	m[1].Link, m[2].Link = 0, 0
+	require.Equal(t, map[string]string{"p000": "a"}, owners.Assign(owners.WeightedLeastLoaded{}, pools(1), m))
+}
