Wait for the lease of a new instance that has carried out a start

Two runs of one task: a host that had ended came back, its new instance carried out a start that was under way and answered it, and then could not be reached. One failed heartbeat was enough to release the task, as the host counted as ended. The answer to the start now counts as the first answer of the new instance, whose lease is waited for.

Cost: only for hosts that have answered a start after their end.

Not covered: the same if the answer to the start is lost as well. The host then counts as ended after one failed heartbeat, as most hosts that end stay away.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -281,9 +281,15 @@
 // expectInstance records that a new instance of a host that has ended may have carried out a start.
 // A heartbeat that is sent from now on decides whether there is one.
 func (h *Host) expectInstance(now time.Time) {
-	if !h.EndedAt.IsZero() {
-		h.AnswerPending, h.EndedAt, h.newInstanceAt, h.UnansweredAt = true, now, now, time.Time{}
-	}
+	h.AnswerPending, h.EndedAt, h.newInstanceAt, h.UnansweredAt = true, now, now, time.Time{}
+}
+
+// meetInstance records that a new instance of a host that has ended has carried out a start, when
+// its clock read a number of milliseconds. It has a lease, like any host that answers.
+func (s *State) meetInstance(h *Host, clock int64, now time.Time) {
+	h.expectInstance(now)
+	granted := min(h.GrantedUntil, clock+s.Timing.MaxLease.Milliseconds()) - clock
+	h.EndedAt, h.FirstAnswer, h.ClockAt, h.GrantedUntil = time.Time{}, now, now, h.Clock+max(granted, 0)
 }
 
 // releaseAll releases the tasks of a host on which nothing can have been running after time since.
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -509,7 +509,8 @@
 // one was longer than the owner knew.
 func TestInvariantsHoldIfHostsRestartFast(t *testing.T) {
 	// Seed 485: the first report of an instance and its answer to a start carried the same time.
-	seeds := []uint64{485}
+	// Seed 1067: a new instance that had carried out a start could not be reached after that.
+	seeds := []uint64{485, 1067}
 	for seed := range uint64(fastRestartSeeds) {
 		seeds = append(seeds, seed)
 	}
