Answer not-run only if no attempt of a request may have run

Seen: an idempotent request whose first attempt broke off after the target had run it, or that the target had answered with status 500, was answered not-run when the next attempts reached no target (TestConnectionResetsDuringForwardedBodies, once: "every answer was not-run ..., but it ran 2 times").

Cause: the invoker returned the answer of the last attempt, whatever the earlier ones had shown.

Change: Answer.After combines the answers of attempts in one place. An attempt that has not run does not replace the answer of one that may have run. So not-run is answered only if every attempt is known not to have run, however many attempts there are.

--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -167,16 +167,17 @@
 // run attempts a request until it has a final answer, maxAttempts or the retry budget is used up, or
 // the deadline has passed. Another attempt is made only if the request has not run or is idempotent.
 func (v *Invoker) run(ctx context.Context, r work.Request) work.Answer {
-	backoff := firstBackoff
+	answer, backoff := work.NotRun("no attempt was made"), firstBackoff
 	for try := 1; ; try++ {
 		a, retry := v.attempt(ctx, r)
-		safe := a.Outcome == wire.NotRun || r.Idempotent
+		answer = a.After(answer)
+		safe := answer.Outcome == wire.NotRun || r.Idempotent
 		if !retry || !safe || try == maxAttempts || !v.router.TakeRetry(ctx, r.Kind) {
-			return a
+			return answer
 		}
 		// Full jitter keeps retries of different requests from being synchronized.
 		if !sleep(ctx, rand.N(2*backoff)) {
-			return a
+			return answer
 		}
 		backoff *= 2
 	}
--- /dev/null
+++ b/entry/invoke/invoke_test.go
@@ -0,0 +1,108 @@
+package invoke_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/entry/dedup"
+	"carawaymux.dev/entry/invoke"
+	"carawaymux.dev/entry/route"
+	"carawaymux.dev/entry/work"
+	"carawaymux.dev/fleet/jobs"
+	"carawaymux.dev/fleet/wire"
+)
+
+// fakeTarget handles its first request with a function and then accepts no more connections.
+type fakeTarget struct {
+	*httptest.Server
+	runs atomic.Int64
+}
+
+func newFakeTarget(t *testing.T, first http.HandlerFunc) *fakeTarget {
+	target := &fakeTarget{}
+	target.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		target.runs.Add(1)
+		require.NoError(t, target.Listener.Close())
+		first(w, r)
+	}))
+	t.Cleanup(target.Close)
+	return target
+}
+
+// breakConnection closes the connection of a request without a response.
+func breakConnection(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		conn.Close()
+	}
+}
+
+// failRequest answers that the request failed on the target. The connection is not used again.
+func failRequest(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+// newInvoker returns an invoker for a pool with one target that serves the kind docs.
+func newInvoker(t *testing.T, address string) *invoke.Invoker {
+	router := route.New(route.Limits{Queue: 10, BodyMemory: 1 << 20, RetryShare: 0.1})
+	registry := dedup.New()
+	invoker := invoke.New("self", "z", 1, invoke.Dependencies{Router: router, Registry: registry})
+	t.Cleanup(func() {
+		invoker.Close()
+		registry.Close()
+		router.Close()
+	})
+	pool := route.PoolTable{
+		Name: "docs", Kinds: []string{"docs"}, Zones: map[string]int{"z": 1},
+		Targets: []route.Target{{Host: "h", Address: address, Slots: 2, Serving: true}},
+	}
+	router.Apply(&route.Table{Offset: 1, Pools: map[string]route.PoolTable{"docs": pool}, Kinds: map[string]string{"docs": "docs"}})
+	require.Eventually(t, func() bool {
+		s, err := router.Summary(context.Background())
+		return err == nil && s.Offset >= 1
+	}, 5*time.Second, 5*time.Millisecond)
+	return invoker
+}
+
+func run(v *invoke.Invoker) work.Answer {
+	deadline := time.Now().Add(5 * time.Second)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	r := work.Request{ID: "x", Kind: "docs", Urgency: jobs.Normal, Deadline: deadline, Idempotent: true}
+	return v.Do(ctx, r.WithBody([]byte("body")))
+}
+
+// Guards against not-run for a request that ran. The connection broke after the target had begun to
+// run the request, and no later attempt reached a target.
+func TestARequestThatMayHaveRunIsNotAnsweredAsNotRunAfterALaterAttempt(t *testing.T) {
+	target := newFakeTarget(t, breakConnection)
+	a := run(newInvoker(t, target.Listener.Addr().String()))
+	require.EqualValues(t, 1, target.runs.Load())
+	require.Equal(t, wire.Unknown, a.Outcome, a.Reason)
+}
+
+// Guards against not-run for a request that a target has answered with a server error, when no later
+// attempt reached a target.
+func TestAFailedRequestKeepsTheAnswerOfItsTargetWhenNoLaterAttemptRuns(t *testing.T) {
+	target := newFakeTarget(t, failRequest)
+	a := run(newInvoker(t, target.Listener.Addr().String()))
+	require.EqualValues(t, 1, target.runs.Load())
+	require.Equal(t, wire.Done, a.Outcome, a.Reason)
+	require.Equal(t, http.StatusInternalServerError, a.Status)
+}
+
+func TestARequestThatNoAttemptSendsIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	a := run(newInvoker(t, l.Addr().String()))
+	require.Equal(t, wire.NotRun, a.Outcome)
+}
--- a/entry/work/work.go
+++ b/entry/work/work.go
@@ -60,6 +60,19 @@
 // Unknown returns the answer for a request that may have run.
 func Unknown(reason string) Answer { return Answer{Outcome: wire.Unknown, Reason: reason} }
 
+// After returns the answer to a request whose previous attempts were answered with earlier and whose
+// last one with a. The request has not run only if no attempt has run, so an attempt that has not run
+// does not replace an answer of one that may have.
+func (a Answer) After(earlier Answer) Answer {
+	if a.Outcome != wire.NotRun || earlier.Outcome == wire.NotRun {
+		return a
+	}
+	if earlier.Outcome == wire.Unknown {
+		earlier.Reason += "; a later attempt did not run: " + a.Reason
+	}
+	return earlier
+}
+
 // Handler runs a request and returns its answer.
 type Handler func(ctx context.Context, r Request) Answer
 
