Answer unknown when the owner of a request's ID is not asked

Seen by a test only: a caller that repeats a non-idempotent request, with the same ID and by another entry, could be told not-run although the first copy had run. It was told so if the owner of the ID had been taken out of the settings, the body could not be read, the kind had been removed, or the deadline had passed.

Cause: forwardToOwner answered not-run for what kept it from asking the owner. Only the owner's registry knows whether a copy has run.

Evidence: four of the five cases of the new test failed before ("expected: unknown, actual: not-run"); an owner that cannot be reached was already answered correctly.

Change: an answer that does not come from the owner is unknown.

--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -146,20 +146,18 @@
 	}
 	owner, known := v.members.Get(ctx, id.Owner)
 	if !known {
-		a := work.NotRun("the id names entry " + id.Owner + ", which does not exist")
-		a.Invalid = true
-		return a
+		return work.Unknown("entry " + id.Owner + ", which issued the id, is not known")
 	}
 	if owner.Incarnation != 0 && owner.Incarnation != id.Incarnation {
 		return work.Unknown("entry " + id.Owner + ", which issued the id, has been replaced")
 	}
 	body, err := r.ReadBody()
 	if err != nil {
-		return bodyNotRead(err)
+		return work.Unknown("body: " + err.Error())
 	}
 	a, err := v.forward(ctx, r, relay.Peer{Name: owner.Name, Address: owner.Address, Incarnation: id.Incarnation}, body)
 	if err != nil {
-		return work.Unknown("entry " + id.Owner + ", which issued the id, cannot be reached")
+		return work.Unknown("entry " + id.Owner + ", which issued the id, was not asked: " + err.Error())
 	}
 	return a
 }
@@ -333,10 +331,11 @@
 	return a, a.Outcome == wire.Unknown
 }
 
+// forward sends a request to another entry. An error means that the entry has not received it.
 func (v *Invoker) forward(ctx context.Context, r work.Request, p relay.Peer, body []byte) (work.Answer, error) {
 	pool, err := v.router.Lookup(r.Kind)
 	if err != nil {
-		return work.NotRun(err.Error()), nil
+		return work.Answer{}, err
 	}
 	span := v.tracer.Start(r.TraceParent, "relay", "peer", p.Name)
 	r.TraceParent = span.TraceParent
--- a/entry/invoke/invoke_test.go
+++ b/entry/invoke/invoke_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +15,9 @@
 
 	"carawaymux.dev/entry/dedup"
 	"carawaymux.dev/entry/invoke"
+	"carawaymux.dev/entry/link"
+	"carawaymux.dev/entry/member"
+	"carawaymux.dev/entry/relay"
 	"carawaymux.dev/entry/route"
 	"carawaymux.dev/entry/work"
 	"carawaymux.dev/fleet/jobs"
@@ -54,9 +59,15 @@
 func newInvoker(t *testing.T, address string) *invoke.Invoker {
 	router := route.New(route.Limits{Queue: 10, BodyMemory: 1 << 20, RetryShare: 0.1})
 	registry := dedup.New()
-	invoker := invoke.New("self", "z", 1, invoke.Dependencies{Router: router, Registry: registry})
+	dialer := &link.Dialer{Client: http.DefaultClient, Scheme: "ws", Token: func() string { return "" }}
+	members := member.New(member.Row{Name: "self", Zone: "z", Incarnation: 1},
+		[]member.PeerConfig{{Name: "peer", Zone: "z", Address: "127.0.0.1:1"}}, dialer, member.WithLogger(slog.New(slog.DiscardHandler)))
+	client := relay.NewClient(dialer, 1<<20)
+	invoker := invoke.New("self", "z", 1, invoke.Dependencies{Router: router, Registry: registry, Members: members, Relay: client})
 	t.Cleanup(func() {
 		invoker.Close()
+		client.Close()
+		members.Close()
 		registry.Close()
 		router.Close()
 	})
@@ -106,3 +117,35 @@
 	a := run(newInvoker(t, l.Addr().String()))
 	require.Equal(t, wire.NotRun, a.Outcome)
 }
+
+// Guards against not-run for a copy of a non-idempotent request that does not reach the owner of its
+// ID, although an earlier copy may have run there.
+func TestACopyThatDoesNotReachTheOwnerOfItsIDHasAnUnknownOutcome(t *testing.T) {
+	invoker := newInvoker(t, "127.0.0.1:1")
+	deadline := time.Now().Add(5 * time.Second)
+	request := func(owner string) work.Request {
+		id := dedup.NewID(owner, 1, time.Now()).String()
+		return work.Request{ID: id, Kind: "docs", Urgency: jobs.Normal, Deadline: deadline}.WithBody(nil)
+	}
+	unreadable := request("peer")
+	unreadable.ReadBody = func() ([]byte, error) { return nil, errors.New("the caller has gone") }
+	unknownKind := request("peer")
+	unknownKind.Kind = "letters"
+	for name, r := range map[string]work.Request{
+		"the owner cannot be reached":                request("peer"),
+		"the owner is no longer in the settings":     request("removed"),
+		"the body cannot be read":                    unreadable,
+		"the kind is no longer in the configuration": unknownKind,
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := invoker.Do(t.Context(), r)
+			require.Equal(t, wire.Unknown, a.Outcome, a.Reason)
+		})
+	}
+	t.Run("the deadline has passed", func(t *testing.T) {
+		expired, cancel := context.WithCancel(t.Context())
+		cancel()
+		a := invoker.Do(expired, request("peer"))
+		require.Equal(t, wire.Unknown, a.Outcome, a.Reason)
+	})
+}
