Answer unknown when a peer refuses a copy of a non-idempotent request

Seen by a test only: the owner of an ID refuses a request that another entry forwards if its body exceeds the limit, does not have the announced length, or too many requests are open on the link. The caller was told not-run, although an earlier copy may have run at the owner.

Cause: refuse answers before the registry of IDs is asked. Only the refusal of a request for another incarnation took account of earlier copies.

Evidence: the new test of entry/relay failed before ("expected: unknown, actual: not-run").

Change: one function refuses, by the rule that held for another incarnation: not-run for idempotent and deduplicated requests, otherwise unknown.

--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -125,3 +125,19 @@
 	require.Equal(t, wire.NotRun, a.Outcome)
 	require.Contains(t, a.Reason, "limit")
 }
+
+// Guards against not-run for a copy of a non-idempotent request that the owner of its ID refuses before
+// it looks for an earlier copy, which may have run.
+func TestRefusedCopyOfANonIdempotentRequestHasAnUnknownOutcome(t *testing.T) {
+	client, peer, _ := newPair(t, echo)
+	r := request("x")
+	r.Idempotent = false
+	a, err := client.Do(context.Background(), peer, "docs", r, make([]byte, 2<<20))
+	require.NoError(t, err)
+	require.Equal(t, wire.Unknown, a.Outcome)
+	require.Contains(t, a.Reason, "limit")
+	r.Deduplicated = true
+	a, err = client.Do(context.Background(), peer, "docs", r, make([]byte, 2<<20))
+	require.NoError(t, err)
+	require.Equal(t, wire.NotRun, a.Outcome, "the sender has ensured that there is no other copy")
+}
--- a/entry/relay/server.go
+++ b/entry/relay/server.go
@@ -132,7 +132,7 @@
 	default:
 		request.body = append(request.body, f.Chunk...)
 		if len(request.body) > request.header.Length {
-			st.refuse(f.Stream, request.header.ID, "body: longer than announced in the header of the request")
+			st.refuse(f.Stream, request.header, "body: longer than announced in the header of the request")
 		}
 	}
 }
@@ -140,37 +140,32 @@
 func (st *serverState) begin(f frame) {
 	switch {
 	case f.Request.Incarnation != st.server.incarnation:
-		st.refuseOtherIncarnation(f)
+		st.refuse(f.Stream, f.Request, "the request was sent to another incarnation of the entry")
 	case f.Request.Length > st.server.maxBodyBytes:
-		st.refuse(f.Stream, f.Request.ID, "body: larger than the limit of the receiving entry")
+		st.refuse(f.Stream, f.Request, "body: larger than the limit of the receiving entry")
 	case len(st.requests) >= maxStreams:
-		st.refuse(f.Stream, f.Request.ID, "too many open requests on one link between entries")
+		st.refuse(f.Stream, f.Request, "too many open requests on one link between entries")
 	default:
 		st.requests[f.Stream] = &incomingRequest{header: f.Request}
 	}
 }
 
-// refuseOtherIncarnation refuses a request that was sent to another incarnation of this entry. The
-// outcome of a non-idempotent request is unknown, since a copy of it may have run in that incarnation.
-// A deduplicated request has no other copy, so it has not run; an idempotent one may run again.
-func (st *serverState) refuseOtherIncarnation(f frame) {
-	const why = "the request was sent to another incarnation of the entry"
-	if f.Request.Idempotent || f.Request.Deduplicated {
-		st.refuse(f.Stream, f.Request.ID, why)
-		return
-	}
-	go st.sendAnswer(f.Stream, f.Request.ID, work.Unknown(why))
-}
-
-func (st *serverState) refuse(stream uint64, id, why string) {
+// refuse answers a request that this entry does not run. The outcome of a non-idempotent request is
+// unknown, since a copy of it may have run in this or an earlier incarnation. A deduplicated request has
+// no other copy, so it has not run; an idempotent one may run again.
+func (st *serverState) refuse(stream uint64, h *requestHeader, why string) {
 	delete(st.requests, stream)
-	go st.sendAnswer(stream, id, work.NotRun(why))
+	a := work.Unknown(why)
+	if h.Idempotent || h.Deduplicated {
+		a = work.NotRun(why)
+	}
+	go st.sendAnswer(stream, h.ID, a)
 }
 
 // execute runs a request whose body has arrived.
 func (st *serverState) execute(stream uint64, request *incomingRequest) {
 	if len(request.body) != request.header.Length {
-		st.refuse(stream, request.header.ID, "body: shorter than announced in the header of the request")
+		st.refuse(stream, request.header, "body: shorter than announced in the header of the request")
 		return
 	}
 	r := request.header.workRequest(request.body, time.Now())
