Answer unknown for a cancellation that may have reached the owner

Seen by a test only: a caller whose DELETE reached the owner of the pool, but whose answer was lost, got status 503 with Retry-After, which says that nothing was done; the job may have been cancelled.

Cause: askUntilAnswered gave up with a refusal, whether or not an attempt may have been delivered.

Evidence: the new test failed before ("expected: unknown, actual: refused") for a broken link.

Change: it remembers whether an attempt may have been delivered, as Submit does. A cancellation then ends as unknown (504). Requests that change nothing are still refused.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -239,14 +239,21 @@
 }
 
 // askUntilAnswered sends a request until an owner answers. It gives up after queryTimeout, when the
-// context is done, or when this entry is isolated.
+// context is done, or when this entry is isolated. The outcome of a cancellation is then unknown if it may
+// have reached an owner; requests that change nothing are refused.
 func (n *Intake) askUntilAnswered(ctx context.Context, r peers.Request) owner.Answer {
 	deadline := time.Now().Add(queryTimeout)
+	unseen := true
 	for {
-		if a, delivered := n.askOnce(ctx, r); delivered == answered {
+		a, delivered := n.askOnce(ctx, r)
+		if delivered == answered {
 			return a
 		}
+		unseen = unseen && delivered == notDelivered
 		if ctx.Err() != nil || time.Now().After(deadline) || n.Isolated() {
+			if r.Verb == peers.VerbCancel && !unseen {
+				return owner.Answer{Outcome: owner.Unknown, Reason: "the owner of the pool did not answer"}
+			}
 			return refuse("the owner of the pool could not be reached or did not answer")
 		}
 		sleep(ctx, retryInterval)
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -145,3 +145,17 @@
 		require.Less(t, took, 200*time.Millisecond)
 	}
 }
+
+// Guards against status 503, as if nothing had happened, for a cancellation that the owner may have
+// carried out.
+func TestCancelThatMayHaveReachedOwnerIsUnknown(t *testing.T) {
+	cancel := func(client fakePeers) owner.Answer {
+		ctx, stop := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer stop()
+		return newIntake(fakeView{}, client, &fakeLog{}).Cancel(ctx, queue, "0123456789abcdef")
+	}
+	require.Equal(t, owner.Unknown, cancel(fakePeers{err: errLinkBroken}).Outcome)
+	require.Equal(t, owner.Unknown, cancel(fakePeers{answer: owner.Answer{Outcome: owner.Unknown}}).Outcome)
+	require.Equal(t, owner.Refused, cancel(fakePeers{err: peers.ErrUnsent}).Outcome)
+	require.Equal(t, owner.Refused, cancel(fakePeers{answer: owner.Answer{Outcome: intake.NotOwner}}).Outcome)
+}
