Keep an owner's appends and records below the store's limits

Seen by a test only: after an outage an owner put all that had waited into one append: 11,871,599 bytes where the store takes 2,097,152. The store refuses it with a status that says nothing to the owner, which repeats the same append without end: it confirms its claim no more, and the next owner meets the same records again. Callers would see a pool that accepts nothing. A single record above the limit, the progress of a job with 4,096 checkpoints for example, has the same effect. A record that could not be encoded was left out, but counted as written: the hosts' ends in it were acknowledged and lost with the owner.

Cause: the settings request_bytes and record_bytes were read and used nowhere; collect counted only the submissions (256) of an append.

Change: collect offers records to an append until one does not fit, and leaves the rest to the next one. Ends of hosts are acknowledged by the append that holds the last of the progress, since the next owner needs either the progress or the hosts' own reports. Deletions come first, so that a deferred deletion cannot follow a newer record of its key. A job that the store cannot hold is refused. Progress that it cannot hold is not counted as written, and hosts keep their ends until the progress can be stored again or the job has ended. Deletions from the inbox keep to the same limit.

--- /dev/null
+++ b/entry/owner/append.go
@@ -0,0 +1,137 @@
+package owner
+
+import (
+	"errors"
+	"time"
+
+	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/port"
+)
+
+// recordOverheadBytes is at least what the store counts for a record in addition to its key and value.
+const recordOverheadBytes = 16
+
+var (
+	// errNoRoom means that an append has no room for further records.
+	errNoRoom = errors.New("the append has no room for the record")
+	// errTooLarge means that the store takes a record in no append.
+	errTooLarge = errors.New("the record exceeds the limit of the store")
+)
+
+// appendBuilder collects the records of one append within the limits of the store.
+type appendBuilder struct {
+	maxRecordBytes, maxRequestBytes int
+	records                         []port.Record
+	bytes                           int
+	// full is set once records did not fit. Nothing is added after that, so records are written
+	// in the order in which they were offered.
+	full bool
+}
+
+func (c *core) newAppend() *appendBuilder {
+	return &appendBuilder{maxRecordBytes: c.settings.MaxRecordBytes, maxRequestBytes: c.settings.MaxRequestBytes}
+}
+
+// add adds all of the records or none.
+func (b *appendBuilder) add(records ...port.Record) error {
+	size := 0
+	for _, r := range records {
+		n := recordOverheadBytes + len(r.Key) + len(r.Value)
+		if b.maxRecordBytes > 0 && n > b.maxRecordBytes {
+			return errTooLarge
+		}
+		size += n
+	}
+	if b.full || b.maxRequestBytes > 0 && b.bytes+size > b.maxRequestBytes {
+		b.full = true
+		return errNoRoom
+	}
+	b.records, b.bytes = append(b.records, records...), b.bytes+size
+	return nil
+}
+
+// put encodes a value and adds it.
+func (b *appendBuilder) put(key string, v any) error {
+	if b.full {
+		return errNoRoom
+	}
+	value, err := codec.EncodeFrame(v)
+	if err != nil {
+		return err
+	}
+	return b.add(port.Record{Key: key, Value: value})
+}
+
+// collect takes the changes that wait to be written and encodes them. What exceeds the limits of one
+// append waits for the next one. Deletions come first, so they never follow a newer record of their key.
+func (c *core) collect(now time.Time) ([]port.Record, *appendInFlight) {
+	journal, pool, b := &c.journal, c.state.Pool, c.newAppend()
+	content := &appendInFlight{startedAt: now, ackOnWrite: map[string]countedEnds{}}
+	for len(journal.removedHosts) > 0 && b.add(port.Record{Key: pool + keyHost + journal.removedHosts[0]}) == nil {
+		journal.removedHosts = journal.removedHosts[1:]
+	}
+	for len(journal.expiredJobs) > 0 {
+		id := journal.expiredJobs[0]
+		if b.add(port.Record{Key: pool + keySpec + id}, port.Record{Key: pool + keyProgress + id}) != nil {
+			break
+		}
+		journal.expiredJobs = journal.expiredJobs[1:]
+	}
+	for len(journal.newHosts) > 0 {
+		h := journal.newHosts[0]
+		err := b.put(pool+keyHost+h.ID, h)
+		if errors.Is(err, errNoRoom) {
+			break
+		}
+		journal.newHosts = journal.newHosts[1:]
+		if err != nil {
+			c.logger.Error("record of a host cannot be stored; the host gets no work", "host", h.ID, "err", err)
+			continue
+		}
+		content.hosts = append(content.hosts, h)
+	}
+	for len(journal.newJobs) > 0 && len(content.jobs) < maxJobsPerAppend {
+		j := journal.newJobs[0]
+		err := b.put(pool+keySpec+j.ID, j.Spec)
+		if errors.Is(err, errNoRoom) {
+			break
+		}
+		journal.newJobs = journal.newJobs[1:]
+		if err != nil {
+			c.logger.Error("job cannot be stored and is refused", "job", j.ID, "err", err)
+			c.state.DropRejected(j.ID)
+			c.answer(j.ID, false, Answer{Outcome: Refused, Reason: err.Error()})
+			continue
+		}
+		content.jobs = append(content.jobs, j)
+	}
+	if c.collectChanges(b, content) {
+		for id, h := range c.state.Hosts {
+			content.ackOnWrite[id] = countedEnds{h.CountedEnd, h.FirstAnswer}
+		}
+	}
+	return b.records, content
+}
+
+// collectChanges takes the progress of jobs. It reports whether the store has all progress once the append
+// is written. Until then hosts have to keep their ends, since the next owner may need them.
+func (c *core) collectChanges(b *appendBuilder, content *appendInFlight) bool {
+	changes := c.state.TakeChanges()
+	for i, ch := range changes {
+		err := b.put(c.state.Pool+keyProgress+ch.Job.ID, ch.Progress)
+		if errors.Is(err, errNoRoom) {
+			c.state.Requeue(changes[i:])
+			return false
+		}
+		if err != nil {
+			if !c.journal.unstorable[ch.Job] {
+				c.logger.Error("progress of a job cannot be stored; hosts keep the ends of runs until it can", "job", ch.Job.ID, "err", err)
+			}
+			c.journal.unstorable[ch.Job] = true
+			continue
+		}
+		delete(c.journal.unstorable, ch.Job)
+		content.changes = append(content.changes, ch)
+	}
+	return len(c.journal.unstorable) == 0
+}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -71,7 +71,10 @@
 type Settings struct {
 	// Partitions is the number of partitions of each topic of the store.
 	Partitions int
-	Timing     shard.Timing
+	// MaxRecordBytes and MaxRequestBytes are the store's limits on a record and on all records of
+	// one append. 0 means no limit.
+	MaxRecordBytes, MaxRequestBytes int
+	Timing                          shard.Timing
 	// HeartbeatWait is how long a host may delay its answer to a heartbeat while it waits for a
 	// run to end.
 	HeartbeatWait time.Duration
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -101,6 +101,8 @@
 	// inboxJobs holds the IDs of jobs that arrived through the inbox and are still in it. trimming
 	// holds those that are being deleted from it.
 	inboxJobs, trimming []string
+	// unstorable holds the jobs whose newest progress cannot be stored.
+	unstorable map[*shard.Job]bool
 	// waiters holds, by job ID, the callers that wait for a submission or a cancellation.
 	waiters map[string][]waiter
 	// inFlight is the append in flight. It is nil if there is none.
@@ -158,7 +160,7 @@
 // restore rebuilds the state from what earlier owners have stored, and opens agents for all
 // hosts that may run work.
 func (c *core) restore(stored *StoredState, config *port.Config, hosts []port.Host) {
-	c.journal.waiters = map[string][]waiter{}
+	c.journal.waiters, c.journal.unstorable = map[string][]waiter{}, map[*shard.Job]bool{}
 	now := time.Now()
 	if config != nil {
 		c.state.Configure(config)
@@ -212,45 +214,6 @@
 	c.writer.Write(records)
 }
 
-// collect takes the changes that wait to be written and encodes them.
-func (c *core) collect(now time.Time) ([]port.Record, *appendInFlight) {
-	journal, pool := &c.journal, c.state.Pool
-	content := &appendInFlight{startedAt: now, ackOnWrite: map[string]countedEnds{}}
-	var records []port.Record
-	put := func(key string, v any) {
-		value, err := codec.EncodeFrame(v)
-		if err != nil {
-			c.logger.Error("record could not be encoded and is left out of the append", "key", key, "err", err)
-			return
-		}
-		records = append(records, port.Record{Key: key, Value: value})
-	}
-	n := min(len(journal.newJobs), maxJobsPerAppend)
-	content.jobs, journal.newJobs = journal.newJobs[:n:n], journal.newJobs[n:]
-	for _, j := range content.jobs {
-		put(pool+keySpec+j.ID, j.Spec)
-	}
-	content.hosts, journal.newHosts = journal.newHosts, nil
-	for _, h := range content.hosts {
-		put(pool+keyHost+h.ID, h)
-	}
-	content.changes = c.state.TakeChanges()
-	for _, ch := range content.changes {
-		put(pool+keyProgress+ch.Job.ID, ch.Progress)
-	}
-	for id, h := range c.state.Hosts {
-		content.ackOnWrite[id] = countedEnds{h.CountedEnd, h.FirstAnswer}
-	}
-	for _, id := range journal.removedHosts {
-		records = append(records, port.Record{Key: pool + keyHost + id})
-	}
-	for _, id := range journal.expiredJobs {
-		records = append(records, port.Record{Key: pool + keySpec + id}, port.Record{Key: pool + keyProgress + id})
-	}
-	journal.removedHosts, journal.expiredJobs = nil, nil
-	return records, content
-}
-
 func (m writeResult) handle(c *core) {
 	journal := &c.journal
 	written := journal.inFlight
@@ -430,25 +393,26 @@
 	if len(journal.inboxJobs) == 0 || len(journal.trimming) > 0 {
 		return
 	}
-	var drop []port.Record
+	drop := c.newAppend()
 	var rest []string
 	for _, id := range journal.inboxJobs {
-		if j := c.state.Jobs[id]; j != nil && !j.Stored && j.StoredPhase == shard.Open {
+		j := c.state.Jobs[id]
+		unstored := j != nil && !j.Stored && j.StoredPhase == shard.Open
+		if unstored || drop.add(port.Record{Key: c.state.Pool + "/" + id}) != nil {
 			rest = append(rest, id)
 			continue
 		}
 		journal.trimming = append(journal.trimming, id)
-		drop = append(drop, port.Record{Key: c.state.Pool + "/" + id})
 	}
 	journal.inboxJobs = rest
-	if len(drop) == 0 {
+	if len(drop.records) == 0 {
 		return
 	}
 	stream := InboxStream(c.state.Pool, c.settings.Partitions)
 	c.background.Go(func() {
 		ctx, cancel := context.WithTimeout(c.runCtx, unavailableAfter)
 		defer cancel()
-		_, err := c.deps.Log.Append(ctx, stream, drop, nil, -1)
+		_, err := c.deps.Log.Append(ctx, stream, drop.records, nil, -1)
 		c.post(c.runCtx, inboxTrimmed{err})
 	})
 }
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -256,3 +258,101 @@
 	heartbeatResult{refused, c.agents["h"]}.handle(c.core)
 	require.NotZero(t, c.state.Hosts["h"].EndedAt)
 }
+
+const (
+	testRecordBytes  = 256 << 10
+	testRequestBytes = 2 << 20
+)
+
+// collectAppends collects and completes appends until nothing waits to be written. It returns the records
+// of each and, for each, up to which end of the host the store then holds the ends.
+func (c *testCore) collectAppends(t *testing.T) (appends [][]port.Record, storedEnds []int64) {
+	for range 100 {
+		now := time.Now()
+		records, content := c.collect(now)
+		if len(records) == 0 {
+			return appends, storedEnds
+		}
+		c.journal.inFlight = content
+		writeResult{claim.WriteResult{Sent: now}}.handle(c.core)
+		appends, storedEnds = append(appends, records), append(storedEnds, c.state.Hosts["h"].StoredEnd)
+	}
+	require.Fail(t, "the changes are not written within 100 appends")
+	return nil, nil
+}
+
+// Guards against an owner that writes nothing more. What waited during an outage of the store made one
+// append that exceeded the store's limit; it was refused and repeated until the pool changed hands, and
+// the next owner got into the same state.
+func TestAnAppendStaysBelowTheLimitOfTheStore(t *testing.T) {
+	c := newTestCore(t, idleHost{acked: make(chan int64, 8)})
+	c.settings.MaxRecordBytes, c.settings.MaxRequestBytes = testRecordBytes, testRequestBytes
+	c.addHost(testHost)
+	now := time.Now()
+	tasks := make([]shard.TaskProgress, 2000)
+	for i := range tasks {
+		tasks[i].Counted = 1 << 40
+	}
+	progress := shard.Progress{Phase: shard.Open, Occurrences: []shard.OccurrenceProgress{{Stages: [][]shard.TaskProgress{tasks}}}}
+	var changed []shard.Change
+	for i := range 400 {
+		submitJob{port.Queue{Name: "q", Pool: "pool"}, fmt.Sprintf("job-%03d", i),
+			batch.Spec{Queue: "q", Text: strings.Repeat("x", 8000), Steps: []batch.Step{{Count: 1}}}, make(chan Answer, 1)}.handle(c.core)
+		id := fmt.Sprintf("stored-%03d", i)
+		spec := batch.Spec{Queue: "q", Steps: []batch.Step{{Count: len(tasks), Need: batch.Size{MilliCores: 1, MemoryMB: 1}}}}
+		c.state.Restore(id, spec, &progress, now)
+		changed = append(changed, shard.Change{Job: c.state.Jobs[id]})
+	}
+	c.state.Requeue(changed)
+	for i := range 20_000 {
+		c.journal.expiredJobs = append(c.journal.expiredJobs, fmt.Sprintf("expired-%05d", i))
+	}
+	c.state.HandleReport("h", &port.HostReport{Clock: 1000, Born: 1, Finished: finished(1, 2)}, now)
+
+	appends, storedEnds := c.collectAppends(t)
+	keys := map[string]int{}
+	for i, records := range appends {
+		size := 0
+		for _, r := range records {
+			size += 5 + len(r.Key) + len(r.Value)
+			keys[r.Key]++
+		}
+		require.LessOrEqual(t, size, testRequestBytes, "append %d", i)
+		if i < len(appends)-1 {
+			require.Zero(t, storedEnds[i], "append %d does not hold all progress", i)
+		}
+	}
+	require.EqualValues(t, 2, storedEnds[len(storedEnds)-1])
+	require.Len(t, keys, 1+400+400+2*20_000, "each record is written")
+}
+
+// Guards against losing the ends of runs, and against an owner that writes nothing more, when a record
+// exceeds the store's limit. The progress counted as written, and hosts could forget the ends in it.
+func TestARecordThatExceedsTheLimitOfTheStoreIsNotCountedAsWritten(t *testing.T) {
+	c := newTestCore(t, idleHost{acked: make(chan int64, 8)})
+	c.settings.MaxRecordBytes, c.settings.MaxRequestBytes = testRecordBytes, testRequestBytes
+	c.addHost(testHost)
+	now := time.Now()
+	reply := make(chan Answer, 1)
+	submitJob{port.Queue{Name: "q", Pool: "pool"}, "large",
+		batch.Spec{Queue: "q", Text: strings.Repeat("x", testRecordBytes), Steps: []batch.Step{{Count: 1}}}, reply}.handle(c.core)
+	tasks := make([]shard.TaskProgress, batch.MaxTasks)
+	for i := range tasks {
+		tasks[i].Checkpoint = strings.Repeat("c", 100)
+	}
+	progress := shard.Progress{Phase: shard.Open, Occurrences: []shard.OccurrenceProgress{{Stages: [][]shard.TaskProgress{tasks}}}}
+	c.state.Restore("job", batch.Spec{Queue: "q", Steps: []batch.Step{{Count: len(tasks)}}}, &progress, now)
+	c.state.Requeue([]shard.Change{{Job: c.state.Jobs["job"]}})
+	c.state.HandleReport("h", &port.HostReport{Clock: 1000, Born: 1, Finished: finished(1, 2)}, now)
+
+	appends, storedEnds := c.collectAppends(t)
+	require.Len(t, appends, 1)
+	require.True(t, len(appends[0]) == 1 && appends[0][0].Key == "pool"+keyHost+"h", "%d records, only that of the host is within the limit", len(appends[0]))
+	require.Zero(t, storedEnds[0])
+	require.Equal(t, Refused, (<-reply).Outcome)
+	require.Nil(t, c.state.Jobs["large"])
+
+	c.state.Cancel("job", now)
+	_, storedEnds = c.collectAppends(t)
+	require.EqualValues(t, 2, storedEnds[0], "the progress of the ended job is stored")
+}
