Run the invariants of package shard with limited starts

TestInvariantsHoldWithLimitedStarts: 100 seeds with one start a round and one unanswered start a host. No invariant is broken, and all accepted jobs end once there are no faults. The other tests run without limits, as before.

--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -50,6 +50,8 @@
 	// the network did not lose. It is recorded in runs with late owners only.
 	listed map[string]time.Time
 	starts int
+	// limits bounds the starts of each round of planning.
+	limits shard.Limits
 	// trace holds the events, and is shown for a seed that fails.
 	trace []string
 	// onlyLateOwners leaves out all faults of the network and the hosts.
@@ -69,7 +71,7 @@
 		hosts: map[string]*simHost{}, specs: map[string]batch.Spec{}, progress: map[string]shard.Progress{},
 		storedHosts: map[string]bool{}, done: map[string]bool{}, acked: map[string]bool{},
 		cancelled: map[string]time.Time{}, failures: map[string]int{}, listed: map[string]time.Time{},
-		restartRange: slowRestart,
+		restartRange: slowRestart, limits: shard.NoLimits,
 	}
 	for i := range 4 {
 		id := fmt.Sprintf("h%d", i)
@@ -246,7 +248,7 @@
 	}
 	o.state.ExpireLeases(w.now)
 	o.state.RetryStops(w.now)
-	shard.Plan(o.state, shard.BySlack{}, w.now, w.now.UnixMilli())
+	shard.PlanWithin(o.state, shard.BySlack{}, w.limits, w.now, w.now.UnixMilli())
 	for _, order := range o.state.TakeOrders() {
 		w.deliver(o, order)
 	}
@@ -501,7 +503,7 @@
 	for seed := range uint64(simSeeds) {
 		seeds = append(seeds, seed)
 	}
-	testInvariants(t, seeds, slowRestart)
+	testInvariants(t, seeds, slowRestart, shard.NoLimits)
 }
 
 // Guards against two runs of one task: the new instance of a host that came back at once carried
@@ -513,17 +515,30 @@
 	for seed := range uint64(fastRestartSeeds) {
 		seeds = append(seeds, seed)
 	}
-	testInvariants(t, seeds, fastRestart)
+	testInvariants(t, seeds, fastRestart, shard.NoLimits)
 }
 
 // fastRestartSeeds is the number of seeds with fast restarts of hosts.
 const fastRestartSeeds = 200
 
-func testInvariants(t *testing.T, seeds []uint64, restartRange int) {
+// Guards against work that never starts because its hosts or the limit count starts that no longer
+// count.
+func TestInvariantsHoldWithLimitedStarts(t *testing.T) {
+	var seeds []uint64
+	for seed := range uint64(limitedSeeds) {
+		seeds = append(seeds, seed)
+	}
+	testInvariants(t, seeds, slowRestart, shard.Limits{Starts: 1, StartsPerHost: 1})
+}
+
+// limitedSeeds is the number of seeds with limited starts.
+const limitedSeeds = 100
+
+func testInvariants(t *testing.T, seeds []uint64, restartRange int, limits shard.Limits) {
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newSimulation(t, seed)
-			w.restartRange = restartRange
+			w.restartRange, w.limits = restartRange, limits
 			t.Cleanup(func() {
 				if t.Failed() {
 					t.Log(strings.Join(w.trace[max(len(w.trace)-traceLines, 0):], "\n"))
