--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -51,19 +51,19 @@
 		return
 	}
 	s.backlog.findFits(roomy)
-	if hosts.empty() {
-		// Only the first step is tried.
-		if first := newRanked(s, ranking, now, unconfirmed, func(*waitingStep) bool { return true }).pop(); first != nil {
-			s.startTasks(first, hosts, roomy, &limits, now)
-		}
+	if !s.backlog.anyFits(roomy) {
 		return
 	}
-	ranked := newRanked(s, ranking, now, unconfirmed, func(w *waitingStep) bool { return w.shape.fits || w.reserves() })
+	// When no host has both cores and memory left, only the first step is tried.
+	firstOnly := hosts.empty()
+	ranked := newRanked(s, ranking, now, unconfirmed, func(w *waitingStep) bool { return firstOnly || w.shape.fits || w.reserves() })
+	defer ranked.release()
 	for w := ranked.pop(); w != nil; w = ranked.pop() {
-		if !s.startTasks(w, hosts, roomy, &limits, now) {
-			continue
+		changed := s.startTasks(w, hosts, roomy, &limits, now)
+		if changed {
+			roomy = roomy.withRoom(least)
 		}
-		if roomy = roomy.withRoom(least); roomy.allBusy() || hosts.empty() || limits.Starts <= 0 {
+		if firstOnly || (changed && (limits.Starts <= 0 || roomy.allBusy() || hosts.empty() || !s.backlog.anyFits(roomy))) {
 			return
 		}
 	}
