Start the mover's background work after its task is assigned

Seen with -race only: data races in four tests of entry/mover.

Cause: the task's goroutine starts its requests at once, and task.Start returns the task later.

Evidence: go test -race ./entry/mover failed before the change in both runs (TestHandOverDelaysOnlyRecentlyOrderedMachines, TestCrashDelaysAllAuthorizedMachines, TestMachineMovedByEarlierHolderIsNotMovedAgain, TestWaveKeepsItsAgeAcrossHolders); it passes now.

Change: the goroutine waits until the field is assigned, as the owner's does.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -185,7 +185,13 @@
 	if config != nil {
 		configChange{config}.handle(c)
 	}
-	m.task = task.Start(c.run, task.WithInbox(inboxSize))
+	assigned := make(chan struct{})
+	m.task = task.Start(func(ctx context.Context, inbox <-chan message) {
+		// What the mover starts sends messages to m.task.
+		<-assigned
+		c.run(ctx, inbox)
+	}, task.WithInbox(inboxSize))
+	close(assigned)
 	return m
 }
 
