Read the task of an accepted link only once it is assigned

Seen with -race only: go test -race ./entry/relay reported a read of linkTask in the task's goroutine during its assignment in ServeHTTP. Nothing used the value that was read.

Cause: the state was filled in before the goroutine waited for the assignment, and filled in again after.

Evidence: the race was reported before the change; go test -race ./entry/relay passes now.

Change: the goroutine waits first.

--- a/entry/relay/server.go
+++ b/entry/relay/server.go
@@ -57,9 +57,8 @@
 	}
 	defer conn.Close()
 	linkTask = task.Start(func(ctx context.Context, inbox <-chan serverMessage) {
-		st := &serverState{server: s, conn: conn, linkTask: linkTask, requests: make(map[uint64]*incomingRequest)}
 		<-ready
-		st.linkTask = linkTask
+		st := &serverState{server: s, conn: conn, linkTask: linkTask, requests: make(map[uint64]*incomingRequest)}
 		st.run(ctx, inbox)
 	}, task.WithInbox(1024))
 	close(ready)
