Abandon a move whose orders are not answered within the time limit

Seen by a test only: while the platform did not answer the orders to move one machine, the move stayed in progress without end. Its machine counted as on the way to the pool, so the pool got no other one.

Cause: moveResult returned on an error before it checked the time limit.

Change: both cases check the limit in one function. An unanswered order that is carried out later shows in the list of machines.

--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -138,7 +138,8 @@
 	}
 	now := time.Now()
 	if r.err != nil {
-		c.logger.Warn("move order not answered; it is repeated", "machine", r.machine, "to", m.To, "err", r.err)
+		c.logger.Warn("move order not answered", "machine", r.machine, "to", m.To, "err", r.err)
+		c.abandonLateMove(m, now)
 		return
 	}
 	switch r.outcome {
@@ -162,10 +163,17 @@
 		c.logger.Info("machine cannot be moved: the platform does not know the machine or the pool",
 			"machine", r.machine, "from", m.From, "to", m.To)
 	default:
-		if now.Sub(m.since) > moveTimeout {
-			delete(c.moves, r.machine)
-			c.logger.Info("move abandoned: the machine was not emptied and moved within the time limit",
-				"machine", r.machine, "from", m.From, "to", m.To)
-		}
+		c.abandonLateMove(m, now)
+	}
+}
+
+// abandonLateMove abandons a move that has exceeded moveTimeout. An order that was not answered may still
+// be carried out; the list of machines then shows it.
+func (c *core) abandonLateMove(m move, now time.Time) {
+	if now.Sub(m.since) <= moveTimeout {
+		return
 	}
+	delete(c.moves, m.Machine)
+	c.logger.Info("move abandoned: the machine was not emptied and moved within the time limit",
+		"machine", m.Machine, "from", m.From, "to", m.To)
 }
