Announce the last change of owned pools even if the roster is busy

Seen by a test only: an entry went on to announce a pool that it had released, and not the one that it had taken over, until its pools changed again. Other entries would send requests to the wrong owner and take the pool for owned.

Cause: SetPools sent the pools in a message, which was dropped while the inbox (64 messages) was full. The task handles no message during a call of the store, which takes up to 0.9 s.

A change after Leave was announced too; readers of heartbeats ignore it.

Change: SetPools stores the pools where each heartbeat takes them from. The message only has one written at once; if it is dropped, the next heartbeat follows within 0.4 s. SetPools still does not block, since the task may itself wait for the caller.

--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -81,12 +81,15 @@
 	logger *slog.Logger
 	task   *task.Task[message]
 	view   atomic.Pointer[View]
+	// pools holds the pools that this entry owns, with their epochs. A stored map is never modified.
+	pools  atomic.Pointer[map[string]int64]
 	onView func(*View)
 }
 
 type message interface{ handle(c *core) }
 
-type setPools struct{ pools map[string]int64 }
+// poolsChanged has the task write a heartbeat at once.
+type poolsChanged struct{}
 
 type leave struct{ reply chan<- struct{} }
 
@@ -118,6 +121,7 @@
 func Start(log port.Log, self Heartbeat, logger *slog.Logger, onView func(*View)) *Roster {
 	r := &Roster{log: log, logger: logger, onView: onView}
 	r.view.Store(&View{})
+	r.pools.Store(&self.Pools)
 	c := &core{roster: r, self: self, rows: map[string]*row{}, reader: feed.NewReader(log, stream, callTimeout)}
 	r.task = task.Start(c.run)
 	return r
@@ -126,9 +130,13 @@
 // View returns the newest view.
 func (r *Roster) View() *View { return r.view.Load() }
 
-// SetPools sets the pools that this entry owns, with their epochs, and writes a heartbeat at once.
-// The update is dropped while the task's inbox is full.
-func (r *Roster) SetPools(pools map[string]int64) { r.task.TrySend(setPools{pools}) }
+// SetPools sets the pools that this entry owns, with their epochs, and writes a heartbeat at once, or
+// with the next round if the task's inbox is full. It never blocks, because the task may wait for the
+// caller in onView.
+func (r *Roster) SetPools(pools map[string]int64) {
+	r.pools.Store(&pools)
+	r.task.TrySend(poolsChanged{})
+}
 
 // Leave announces that this entry is about to stop. It waits until that heartbeat has been written or
 // has failed.
@@ -167,10 +175,10 @@
 	return heartbeatInterval
 }
 
-func (m setPools) handle(c *core) { c.self.Pools = m.pools }
+func (poolsChanged) handle(*core) {}
 
 func (m leave) handle(c *core) {
-	c.self.Leaving, c.self.Pools = true, nil
+	c.self.Leaving = true
 	c.writeHeartbeat(context.Background())
 	m.reply <- struct{}{}
 }
@@ -212,6 +220,10 @@
 // the other entries see the previous heartbeat until the next write succeeds.
 func (c *core) writeHeartbeat(ctx context.Context) bool {
 	c.self.Seq++
+	c.self.Pools = *c.roster.pools.Load()
+	if c.self.Leaving {
+		c.self.Pools = nil
+	}
 	value, err := codec.EncodeFrame(c.self)
 	if err != nil {
 		c.roster.logger.Error("heartbeat could not be encoded and is not written", "err", err)
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -143,3 +143,50 @@
 	require.NoError(t, err)
 	require.Equal(t, older, got)
 }
+
+// blockedStore is a store whose appends wait until the channel is closed.
+type blockedStore struct {
+	*fakeStore
+	unblocked chan struct{}
+}
+
+func (s blockedStore) Append(ctx context.Context, stream port.Stream, records []port.Record, w *port.Writer, end int64) (int64, error) {
+	select {
+	case <-s.unblocked:
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	return s.fakeStore.Append(ctx, stream, records, w, end)
+}
+
+// Guards against an entry that announces a pool that it has released. The change arrived while the inbox
+// of the roster was full, during a slow call of the store, and was dropped.
+func TestTheLastChangeOfOwnedPoolsIsAnnouncedAfterTheStoreWasSlow(t *testing.T) {
+	s := blockedStore{&fakeStore{}, make(chan struct{})}
+	r := roster.Start(s, roster.Heartbeat{Name: "a", Zone: "z", Address: "a", Incarnation: 1},
+		slog.New(slog.NewJSONHandler(io.Discard, nil)), func(*roster.View) {})
+	t.Cleanup(r.Close)
+	for epoch := range 200 {
+		r.SetPools(map[string]int64{"pool": int64(epoch + 1)})
+	}
+	r.SetPools(map[string]int64{"other": 1})
+	close(s.unblocked)
+	announced := func() map[string]int64 { return r.View().Alive["a"].Pools }
+	require.Eventually(t, func() bool { return announced()["other"] == 1 }, 2*time.Second, 10*time.Millisecond)
+	require.NotContains(t, announced(), "pool")
+}
+
+func TestAnEntryThatLeavesAnnouncesNoPools(t *testing.T) {
+	s := &fakeStore{}
+	r := startRoster(t, s, "a")
+	r.SetPools(map[string]int64{"pool": 1})
+	require.NoError(t, r.Leave(t.Context()))
+	r.SetPools(map[string]int64{"pool": 2})
+	time.Sleep(500 * time.Millisecond)
+	page, err := s.Read(t.Context(), port.Stream{}, 0, 0)
+	require.NoError(t, err)
+	hb, err := codec.DecodeFrame[roster.Heartbeat](page.Records[len(page.Records)-1].Value)
+	require.NoError(t, err)
+	require.True(t, hb.Leaving)
+	require.Empty(t, hb.Pools)
+}
