Answer unknown for a job that is refused after it may have reached the owner

Seen by a test only: a submission whose link broke is sent again; if the owner refuses the second copy, for want of the store, the caller was told that the job does not run. The owner may still handle the first copy, which waits in a connection, once the store is back.

Cause: Submit returned the answer to the last copy, whatever may have become of the earlier ones.

Change: one function decides what a refusal means after earlier copies; Submit and Cancel use it. A refusal stands if no earlier copy may have reached an owner.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -170,7 +170,7 @@
 			return n.submitToInbox(ctx, q, id, spec, unseen)
 		}
 		if delivered == answered {
-			return a
+			return afterEarlier(a, unseen)
 		}
 		unseen = unseen && delivered == notDelivered
 		switch {
@@ -187,6 +187,16 @@
 	}
 }
 
+// afterEarlier returns the answer to a request of which earlier copies have been sent. A refusal says
+// nothing about a copy that an owner may have received or may still receive; unseen is true if there is
+// none.
+func afterEarlier(a owner.Answer, unseen bool) owner.Answer {
+	if unseen || a.Outcome != owner.Refused {
+		return a
+	}
+	return owner.Answer{Outcome: owner.Unknown, Reason: "an earlier copy of the request may take effect; the last one was refused: " + a.Reason}
+}
+
 // storeReachable reports whether the store has answered this entry recently. If an owner cannot
 // reach the store at the same time, only that owner is affected.
 func (n *Intake) storeReachable() bool {
@@ -251,10 +261,11 @@
 		}
 		unseen = unseen && delivered == notDelivered
 		if ctx.Err() != nil || time.Now().After(deadline) || n.Isolated() {
-			if r.Verb == peers.VerbCancel && !unseen {
-				return owner.Answer{Outcome: owner.Unknown, Reason: "the owner of the pool did not answer"}
+			a = refuse("the owner of the pool could not be reached or did not answer")
+			if r.Verb == peers.VerbCancel {
+				return afterEarlier(a, unseen)
 			}
-			return refuse("the owner of the pool could not be reached or did not answer")
+			return a
 		}
 		sleep(ctx, retryInterval)
 	}
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -159,3 +159,33 @@
 	require.Equal(t, owner.Refused, cancel(fakePeers{err: peers.ErrUnsent}).Outcome)
 	require.Equal(t, owner.Refused, cancel(fakePeers{answer: owner.Answer{Outcome: intake.NotOwner}}).Outcome)
 }
+
+// sequencePeers breaks the link during the first request and returns the answer to the others.
+type sequencePeers struct {
+	answer owner.Answer
+	asked  *int
+}
+
+func (p sequencePeers) Ask(context.Context, string, peers.Request) (owner.Answer, error) {
+	*p.asked++
+	if *p.asked == 1 {
+		return owner.Answer{}, errLinkBroken
+	}
+	return p.answer, nil
+}
+
+// Guards against a refusal of a job that may run: the first copy of its submission, whose link broke, may
+// be handled after the second copy has been refused.
+func TestSubmitThatIsRefusedAfterItMayHaveReachedOwnerIsUnknown(t *testing.T) {
+	refused := owner.Answer{Outcome: owner.Refused, RetryAfter: time.Second}
+	n := newIntake(fakeView{}, fakePeers{}, &fakeLog{})
+	n.Peers = sequencePeers{refused, new(int)}
+	a, _ := submit(n)
+	require.Equal(t, owner.Unknown, a.Outcome)
+	n.Peers = fakePeers{answer: refused}
+	a, _ = submit(n)
+	require.Equal(t, refused, a)
+	n.Peers = sequencePeers{owner.Answer{Outcome: owner.Accepted}, new(int)}
+	a, _ = submit(n)
+	require.Equal(t, owner.Accepted, a.Outcome)
+}
