Judge the delay of orders by the shortest one of late

Found by review: an order counted as late above 50 ms, wherever its host is. With answers that always take 55 ms the window shrank to 8 orders and stayed there (146 starts a second instead of thousands), and ends were fetched up to half a second late: a distant or slow zone, or a pool of slow hosts, would have been served too little. Change: an order is late above twice the shortest time of the last ten to twenty seconds, and between 50 and 200 ms; agents return starts after 250 ms. Pauses between heartbeats go by the same time. Evidence: TestDistantHostsAreNotTakenForOverload failed before (round trip of 55 ms). TestOrdersOfAnOverloadedServerAreAnsweredInTime and TestOverloadedOwnerKeepsLeasesAndSendsWhatItOrders pass as before.

--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -122,29 +122,31 @@
 const (
 	// minHeartbeatInterval is the minimum time between the starts of two heartbeats to one host.
 	minHeartbeatInterval = 10 * time.Millisecond
-	// promptDelay is the delay of starts up to which an owner is not late.
-	promptDelay = 40 * time.Millisecond
-	// pauseFactor is the ratio of the longest pause between heartbeats to the delay beyond
-	// promptDelay. maxHeartbeatPause bounds the pause; it is well below the time within which a
-	// host has to answer.
+	// promptShare is the share of the window's target time up to which the delay of starts does not
+	// make an owner late.
+	promptShare = 0.8
+	// pauseFactor is the ratio of the longest pause between heartbeats to the delay beyond that.
+	// maxHeartbeatPause bounds the pause; it is well below the time within which a host has to
+	// answer.
 	pauseFactor       = 20
 	maxHeartbeatPause = 500 * time.Millisecond
 )
 
 // heartbeatPause returns the time between the answer to a heartbeat and the next one to the same
-// host, for an owner whose starts are answered after a delay. A late owner sends fewer heartbeats,
-// each of which returns more ends. The time is random, so that the heartbeats to hosts that
-// answered together spread out.
-func heartbeatPause(delay time.Duration) time.Duration {
-	if delay <= promptDelay {
+// host, for an owner whose starts are answered after a delay, and in time if that is within target. A
+// late owner sends fewer heartbeats, each of which returns more ends. The time is random, so that the
+// heartbeats to hosts that answered together spread out.
+func heartbeatPause(delay, target time.Duration) time.Duration {
+	prompt := time.Duration(promptShare * float64(target))
+	if delay <= prompt {
 		return 0
 	}
-	return rand.N(min(pauseFactor*(delay-promptDelay), maxHeartbeatPause))
+	return rand.N(min(pauseFactor*(delay-prompt), maxHeartbeatPause))
 }
 
 func (m heartbeatResult) handle(c *core) {
 	l, now := m.link, time.Now()
-	l.heartbeatInFlight, l.pause = false, heartbeatPause(c.starts.Delay(now))
+	l.heartbeatInFlight, l.pause = false, heartbeatPause(c.starts.Delay(now), c.starts.Target())
 	if next := now.Add(l.pause); next.After(l.nextHeartbeat) {
 		l.nextHeartbeat = next
 	}
--- a/fleet/window/policy.go
+++ b/fleet/window/policy.go
@@ -17,17 +17,22 @@
 	minLimit = 8
 	// growth is what the limit grows by in one round.
 	growth = 4
-	// targetTime is the time between the decision on an order and its answer above which the order
-	// counts as late. The last order of a burst waits about twice as long as the median one, and
-	// an agent returns starts that waited for 250 ms.
-	targetTime = 50 * time.Millisecond
+	// minTarget and maxTarget bound the time between the decision on an order and its answer above
+	// which the order counts as late. The last order of a burst waits about twice as long as the
+	// median one, and an agent returns starts that waited for 250 ms.
+	minTarget, maxTarget = 50 * time.Millisecond, 200 * time.Millisecond
+	// baseFactor is the ratio of that time to the shortest one of late. It leaves room for hosts
+	// that are farther away than others.
+	baseFactor = 2
 )
 
 // Initial implements [Policy].
 func (Adaptive) Initial() int { return initialLimit }
 
 // Target implements [Policy].
-func (Adaptive) Target() time.Duration { return targetTime }
+func (Adaptive) Target(shortest time.Duration) time.Duration {
+	return min(max(baseFactor*shortest, minTarget), maxTarget)
+}
 
 // Adjust implements [Policy]. A limit that has not been reached does not grow.
 func (Adaptive) Adjust(limit int, r Round) (int, bool) {
@@ -50,7 +55,7 @@
 func (Unlimited) Initial() int { return math.MaxInt }
 
 // Target implements [Policy].
-func (Unlimited) Target() time.Duration { return math.MaxInt64 }
+func (Unlimited) Target(time.Duration) time.Duration { return math.MaxInt64 }
 
 // Adjust implements [Policy].
 func (Unlimited) Adjust(limit int, _ Round) (int, bool) { return limit, false }
--- a/fleet/window/window.go
+++ b/fleet/window/window.go
@@ -17,6 +17,9 @@
 	delaySamples = 15
 	// delayTimeout is how long the delay of the last answers is taken for the present one.
 	delayTimeout = time.Second
+	// shortestInterval is the time over which the shortest delay is kept, at least once and at most
+	// twice.
+	shortestInterval = 10 * time.Second
 )
 
 // Round describes the orders that were decided since the limit last changed.
@@ -32,8 +35,9 @@
 type Policy interface {
 	// Initial returns the limit before any order has been answered.
 	Initial() int
-	// Target returns the time within which an order is answered if the owner keeps up.
-	Target() time.Duration
+	// Target returns the time within which an order is answered if the owner keeps up, given the
+	// shortest time that an order took lately, which is 0 if none is known.
+	Target(shortest time.Duration) time.Duration
 	// Adjust returns the next limit. It reports false if the round is too short for a decision.
 	Adjust(limit int, r Round) (next int, ok bool)
 }
@@ -52,6 +56,10 @@
 	delays    []time.Duration
 	nextDelay int
 	delayAt   time.Time
+	// shortest is the shortest delay since shortestSince, and before the shortest one of the interval
+	// before that. They are 0 if none was measured.
+	shortest, before time.Duration
+	shortestSince    time.Time
 }
 
 // New returns an empty window.
@@ -74,7 +82,26 @@
 	return sorted[len(sorted)/2]
 }
 
+// Target returns the time above which an order counts as late now.
+func (w *Window[K, P]) Target() time.Duration {
+	shortest := w.shortest
+	if w.before > 0 && (shortest == 0 || w.before < shortest) {
+		shortest = w.before
+	}
+	return w.policy.Target(shortest)
+}
+
+func (w *Window[K, P]) recordShortest(delay time.Duration, now time.Time) {
+	if now.Sub(w.shortestSince) > shortestInterval {
+		w.shortest, w.before, w.shortestSince = 0, w.shortest, now
+	}
+	if w.shortest == 0 || delay < w.shortest {
+		w.shortest = delay
+	}
+}
+
 func (w *Window[K, P]) recordDelay(delay time.Duration, now time.Time) {
+	w.recordShortest(delay, now)
 	if now.Sub(w.delayAt) > delayTimeout {
 		w.delays, w.nextDelay = w.delays[:0], 0
 	}
@@ -116,7 +143,7 @@
 	if decided.Before(w.roundStart) {
 		return
 	}
-	if now.Sub(decided) > w.policy.Target() {
+	if now.Sub(decided) > w.Target() {
 		w.round.Late++
 	} else {
 		w.round.Prompt++
--- a/fleet/window/window_test.go
+++ b/fleet/window/window_test.go
@@ -167,3 +167,26 @@
 		})
 	}
 }
+
+// Hosts that are far away answer late however few orders are in flight. Their owner sent a hundred
+// orders a second, since the limit shrank to its minimum and stayed there.
+func TestDistantHostsAreNotTakenForOverload(t *testing.T) {
+	for _, roundTrip := range []time.Duration{10 * time.Millisecond, 45 * time.Millisecond, 55 * time.Millisecond, 80 * time.Millisecond} {
+		w := window.New[int](window.Adaptive{})
+		initial := w.Limit()
+		now, key := start, 0
+		for range 40 {
+			var keys []int
+			for range w.Room(now) {
+				key++
+				w.Add(key, now)
+				keys = append(keys, key)
+			}
+			now = now.Add(roundTrip)
+			for _, k := range keys {
+				w.Answered(k, now)
+			}
+		}
+		require.Greater(t, w.Limit(), initial, "round trip of %v", roundTrip)
+	}
+}
