Wait for the claim when a new instance confirms the stop of an earlier run

Found by review: a host restarts under its ID, its clock starts anew, so the start of a run seems to be under way to the new instance. Once that had confirmed the stop, the task counted as never begun and was started elsewhere at once, though a newer owner may have counted its end (TWICE). Change: a run that a restart has ended counts as lost also while its stop is confirmed, so the next start waits until the store has confirmed the claim. Evidence: TestWorkOfAnEarlierInstanceWaitsForTheClaimAlsoAfterItsStopIsConfirmed failed before. The test beside it did not cover this: its new instance has a clock past the start. Cost: one write to the store, a few milliseconds.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -376,6 +376,7 @@
 		}
 		if task.Status == Starting || task.Status == Uncertain || task.StartClock >= report.Clock {
 			task.Status = Uncertain
+			s.markLost(task, now)
 			s.orders = append(s.orders, Order{Kind: OrderStop, Host: h.ID, Ref: r, Run: task.Run, Reason: "host restarted"})
 			continue
 		}
--- a/fleet/shard/lost_test.go
+++ b/fleet/shard/lost_test.go
@@ -129,3 +129,27 @@
 	require.Empty(t, o.plan())
 	require.Equal(t, shard.Running, o.Jobs["job"].Occurrences[0].Stages[0].Tasks[0].Status)
 }
+
+// Guards against starting work again whose end a newer owner has counted. The clock of a new instance
+// starts anew, so the start of the run seems to be under way to it; once it confirmed the stop, the
+// task was started elsewhere at once.
+func TestWorkOfAnEarlierInstanceWaitsForTheClaimAlsoAfterItsStopIsConfirmed(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	o.submit("job", smallStep(1))
+	starts := o.start()
+	host := starts[0].Host
+	other := map[string]string{"a": "b", "b": "a"}[host]
+	o.report(host, runningRow(starts[0], 10))
+	o.now = o.now.Add(2 * time.Second)
+	o.report(other)
+	o.HandleReport(host, &port.HostReport{Clock: 1, Born: 2}, o.now)
+	stops := o.plan()
+	require.Len(t, stops, 1)
+	require.Equal(t, shard.OrderStop, stops[0].Kind)
+	require.True(t, o.HandleStopResult(&stops[0], 2, nil, o.now))
+	o.HandleReport(host, &port.HostReport{Clock: 3, Born: 2}, o.now)
+	require.Empty(t, o.plan(), "the claim was confirmed before the host restarted")
+	require.True(t, o.NeedsConfirmation(), "the next write is not delayed")
+	o.advance(time.Millisecond)
+	require.Len(t, o.plan(), 1)
+}
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -312,6 +312,11 @@
 		return
 	}
 	s.release(stage, task, r)
+	s.markLost(task, at)
+}
+
+// markLost records that the end of a task's run may be unknown from a time on.
+func (s *State) markLost(task *Task, at time.Time) {
 	task.LostAt = at
 	if at.After(s.latestLost) {
 		s.latestLost = at
