Give up a dead host also while the owner is late

Found by review: since an owner no longer takes its own lateness for the silence of its hosts, one that was late at each failed heartbeat never gave a dead host up: its work stayed away (over 60 s in the review's run), and after a take-over one such host held up all inherited work. Change: a lease that has been over for another lease counts as expired, whatever the last heartbeat shows. Evidence: TestADeadHostIsGivenUpByAnOwnerThatStaysLate failed before (no start 12.8 s after the first lease was over). TestALateOwnerRunsNoTaskTwice passes as before: its owners are late for up to 12 s, less than the three leases that now pass after the last answer.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -189,10 +189,11 @@
 // leaseExpired reports whether nothing can be running on a host that does not answer. A newer
 // owner could have extended the host's lease, so the store has to have confirmed the claim since
 // the lease expired. An answer that the owner has not handled yet may list the ends of runs, so the
-// last heartbeat has to have shown that the host is silent.
+// last heartbeat has to have shown that the host is silent. An owner that stays late gives the host
+// up after another lease, since the host may be dead.
 func (s *State) leaseExpired(h *Host, now time.Time) bool {
 	expiry := s.LeaseExpiry(h)
-	silent := !h.AnswerPending || h.UnansweredAt.After(expiry)
+	silent := !h.AnswerPending || h.UnansweredAt.After(expiry) || now.After(expiry.Add(s.Timing.Lease))
 	return silent && now.After(expiry) && s.ConfirmedAt.After(expiry)
 }
 
--- a/fleet/shard/lost_test.go
+++ b/fleet/shard/lost_test.go
@@ -153,3 +153,28 @@
 	o.advance(time.Millisecond)
 	require.Len(t, o.plan(), 1)
 }
+
+// Guards against work that is never started again: its host was dead, and the owner was late each
+// time that a heartbeat to it failed.
+func TestADeadHostIsGivenUpByAnOwnerThatStaysLate(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	o.submit("job", smallStep(1))
+	starts := o.start()
+	host := starts[0].Host
+	other := map[string]string{"a": "b", "b": "a"}[host]
+	o.report(host, runningRow(starts[0], 10))
+	granted := o.LeaseExpiry(o.Hosts[host])
+	for o.now.Before(granted.Add(timing.MaxLease + 2*time.Second)) {
+		o.HeartbeatSent(host, o.now)
+		o.LeaseDeadline(o.Hosts[host], o.now)
+		o.advance(time.Second)
+		o.HeartbeatFailed(host, true, o.now)
+		o.report(other)
+		o.ExpireLeases(o.now)
+		if orders := o.plan(); len(orders) > 0 {
+			require.Equal(t, other, orders[0].Host)
+			return
+		}
+	}
+	t.Fatalf("the work was not started again %v after the first lease had expired", o.now.Sub(granted))
+}
