--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -35,7 +35,7 @@
 	return int64(estimatedWork(step, tasks) * scale)
 }
 
-// estimatedWork is like stepWork, but goes by the estimate and is not rounded.
+// estimatedWork is like stepWork, but uses the estimate and is not rounded.
 func estimatedWork(step *batch.Step, tasks int) float64 {
 	return float64(step.Reservation().MilliCores) * float64(tasks) * step.Estimate.Seconds()
 }
