Store a task in its field before it runs

The owner of a pool and the mover each had their own channel to keep the task's goroutine from using a field that was not assigned yet. task.StartInto does it in one place. Two names and two comments of package shard say what is meant. No behaviour changes. Check: go test -race ./entry/owner ./entry/mover ./fleet/task.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -185,13 +185,7 @@
 	if config != nil {
 		configChange{config}.handle(c)
 	}
-	assigned := make(chan struct{})
-	m.task = task.Start(func(ctx context.Context, inbox <-chan message) {
-		// What the mover starts sends messages to m.task.
-		<-assigned
-		c.run(ctx, inbox)
-	}, task.WithInbox(inboxSize))
-	close(assigned)
+	task.StartInto(&m.task, c.run, task.WithInbox(inboxSize))
 	return m
 }
 
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -137,13 +137,7 @@
 	o := &Owner{pool: acquired.Name, lost: make(chan struct{})}
 	c := newCore(o, s, d, acquired)
 	c.restore(stored, config, hosts)
-	assigned := make(chan struct{})
-	o.task = task.Start(func(ctx context.Context, inbox <-chan queued) {
-		// What the owner starts sends messages to o.task.
-		<-assigned
-		c.run(ctx, inbox)
-	}, task.WithInbox(inboxSize))
-	close(assigned)
+	task.StartInto(&o.task, c.run, task.WithInbox(inboxSize))
 	return o
 }
 
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -326,16 +326,16 @@
 	}
 }
 
-// expectInstance records that a new instance of a host that has ended may have carried out a start.
+// expectNewInstance records that a new instance of a host that has ended may have carried out a start.
 // A heartbeat that is sent from now on decides whether there is one.
-func (h *Host) expectInstance(now time.Time) {
+func (h *Host) expectNewInstance(now time.Time) {
 	h.AnswerPending, h.EndedAt, h.newInstanceAt, h.UnansweredAt = true, now, now, time.Time{}
 }
 
-// meetInstance records that a new instance of a host that has ended has carried out a start, when
+// recordNewInstance records that a new instance of a host that has ended has carried out a start, when
 // its clock read a number of milliseconds. It has a lease, like any host that answers.
-func (s *State) meetInstance(h *Host, clock int64, now time.Time) {
-	h.expectInstance(now)
+func (s *State) recordNewInstance(h *Host, clock int64, now time.Time) {
+	h.expectNewInstance(now)
 	granted := min(h.GrantedUntil, clock+s.Timing.MaxLease.Milliseconds()) - clock
 	h.EndedAt, h.ClockAt, h.GrantedUntil = time.Time{}, now, h.Clock+max(granted, 0)
 	s.setFirstAnswer(h, now)
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -103,14 +103,14 @@
 	s.Overloaded = waiting > limit
 }
 
-// ranked holds waiting steps of which the first of a ranking can be taken. Most rounds take one, for
-// which it scans them, and few take more than some, for which it makes them a binary heap.
+// ranked returns waiting steps in the order of a ranking. Most rounds take one step only, which a scan
+// finds; from the second one on, the steps are a binary heap.
 type ranked[R Ranking] struct {
 	ranking R
 	steps   []*waitingStep
 	// taken is the number of steps that were taken.
 	taken int
-	// buffer is what steps was at the begin.
+	// buffer holds the steps before any was taken.
 	buffer []*waitingStep
 }
 
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -313,12 +313,12 @@
 		task.StartClock = max(clock, 1)
 		j.Started = true
 		if h != nil && !h.EndedAt.IsZero() {
-			s.meetInstance(h, clock, now)
+			s.recordNewInstance(h, clock, now)
 		}
 		return true
 	case !errors.As(err, &refused):
 		if h != nil && !h.EndedAt.IsZero() {
-			h.expectInstance(now)
+			h.expectNewInstance(now)
 		}
 		s.orderStop(o.Ref, task, "start not answered")
 		return true
--- a/fleet/task/task.go
+++ b/fleet/task/task.go
@@ -38,6 +38,14 @@
 // Start runs body in a new goroutine. The body must return soon after ctx is done. Messages that are
 // still in the inbox are then dropped.
 func Start[M any](body func(ctx context.Context, inbox <-chan M), opts ...Option) *Task[M] {
+	var t *Task[M]
+	StartInto(&t, body, opts...)
+	return t
+}
+
+// StartInto is like [Start], but stores the task in a field before body runs, for bodies that use the
+// field to send messages to their own task.
+func StartInto[M any](field **Task[M], body func(ctx context.Context, inbox <-chan M), opts ...Option) {
 	s := settings{inbox: defaultInbox}
 	for _, opt := range opts {
 		opt(&s)
@@ -49,11 +57,11 @@
 		closed: ctx.Done(),
 		done:   make(chan struct{}),
 	}
+	*field = t
 	go func() {
 		defer close(t.done)
 		body(ctx, t.inbox)
 	}()
-	return t
 }
 
 // Send puts a message into the inbox. If the inbox is full, it waits until ctx is done. It returns
