Send a stop again whose outcome was lost with its connection

Found by reading the whole change: when a host is listed at another address, the stops under way to it are to be sent again. Since stops to be repeated are kept in an index, this place set the time and not the index, so the stop was never repeated: callers would have seen a cancelled or moved task run on, or a task that never starts again, as long as the host answers. Evidence: TestAStopWhoseOutcomeIsLostIsSentAgain failed before (no order). Change: one method sets the time and the index, for both places.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -321,7 +321,7 @@
 		case Starting:
 			s.orderStop(r, task, "start not answered")
 		case Uncertain, Stopping:
-			task.RetryStopAt = now
+			s.retryStop(r, task, now)
 		}
 	}
 }
--- a/fleet/shard/lost_test.go
+++ b/fleet/shard/lost_test.go
@@ -178,3 +178,22 @@
 	}
 	t.Fatalf("the work was not started again %v after the first lease had expired", o.now.Sub(granted))
 }
+
+// Guards against a run that is never stopped: the outcome of its stop was lost when the connection to
+// its host was replaced, and the stop was not sent again.
+func TestAStopWhoseOutcomeIsLostIsSentAgain(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	o.submit("job", smallStep(1))
+	starts := o.start()
+	host := starts[0].Host
+	o.report(host, runningRow(starts[0], 10))
+	o.Cancel("job", o.now)
+	require.Len(t, o.TakeOrders(), 1)
+	o.OrdersLost(host, o.now)
+	o.advance(time.Millisecond)
+	o.RetryStops(o.now)
+	orders := o.TakeOrders()
+	require.Len(t, orders, 1)
+	require.Equal(t, shard.OrderStop, orders[0].Kind)
+	require.Equal(t, host, orders[0].Host)
+}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -359,8 +359,7 @@
 	if err != nil {
 		// The stop may not have reached the host, so it is sent again. If it never arrives, the
 		// run ends with the lease.
-		task.RetryStopAt = now.Add(stopRetryDelay)
-		s.unansweredStops[o.Ref] = struct{}{}
+		s.retryStop(o.Ref, task, now.Add(stopRetryDelay))
 		return true
 	}
 	if task.Status == Uncertain {
@@ -374,6 +373,12 @@
 // stopRetryDelay is the pause before a stop that was not answered is sent again.
 const stopRetryDelay = 300 * time.Millisecond
 
+// retryStop has the stop of a task sent again after a time.
+func (s *State) retryStop(r batch.Ref, task *Task, at time.Time) {
+	task.RetryStopAt = at
+	s.unansweredStops[r] = struct{}{}
+}
+
 // RetryStops sends stops again that were not answered.
 func (s *State) RetryStops(now time.Time) {
 	for ref := range s.unansweredStops {
