--- a/fleet/owners/owners.go
+++ b/fleet/owners/owners.go
@@ -63,10 +63,7 @@
 	if c := cmp.Compare(a.Load*b.Capacity, b.Load*a.Capacity); c != 0 {
 		return c < 0
 	}
-	if c := cmp.Compare(loadByZone[a.Zone], loadByZone[b.Zone]); c != 0 {
-		return c < 0
-	}
-	return rendezvous(pool, a.Name) < rendezvous(pool, b.Name)
+	return winsTie(pool, a, b, loadByZone)
 }
 
 // LeastLoaded gives a pool to the member with the lowest load, whatever its capacity. Ties are
@@ -78,6 +75,12 @@
 	if c := cmp.Compare(a.Load, b.Load); c != 0 {
 		return c < 0
 	}
+	return winsTie(pool, a, b, loadByZone)
+}
+
+// winsTie reports whether a suits a pool better than b, which suits it as well otherwise: its zone has
+// the lower load, or the hash decides.
+func winsTie(pool string, a, b Member, loadByZone map[string]int) bool {
 	if c := cmp.Compare(loadByZone[a.Zone], loadByZone[b.Zone]); c != 0 {
 		return c < 0
 	}
