Limit moves by what the machine service accepts

Cause: sizing let 16 moves be in progress, whatever the size of the fleet. That number was made at 48 hosts; 1,100 hosts took 14 s for a change of demand that lasts 4.5 to 8.5 s. The limit protects the machine service, whose rate the settings state (duty_per_s), so a plan may now begin four fifths of that rate, and what a second of plans could have begun at once. The rest is left for maintenance. Ruled out: a larger constant, which would hold at one size only; a share of the pool, since idle hosts are what moves and a wrong move costs 1.5 s of an idle host.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/entry/duties"
 	"carawaymux.dev/entry/feed"
@@ -76,6 +78,9 @@
 	// Term is the time that has to pass after the last call of one holder that may order a
 	// machine before another holder may send orders to that machine.
 	Term time.Duration
+	// OrdersPerSecond is the number of orders that the machine service accepts per second from all
+	// entries together. It is 0 if the service states none.
+	OrdersPerSecond float64
 }
 
 // Mover sends orders for machines. Use [Starter] to create it.
@@ -146,6 +151,8 @@
 	// toAuthorize holds the machines to authorize with the next write.
 	toAuthorize []string
 	sizing      *sizing.State
+	// orders limits the moves that begin to what the machine service accepts.
+	orders *rate.Limiter
 	// moves holds the moves in progress by machine.
 	moves map[string]move
 	// stepInFlight holds the machines with a step in flight, that is, a request to empty the
@@ -179,7 +186,7 @@
 		logger:      d.Logger.With("holder", s.Holder, "epoch", acquired.Epoch),
 		waves:       map[int64]*upkeep.Wave{}, reportFailedAt: map[int64]time.Time{}, reportInFlight: map[int64]bool{},
 		standby: map[string]bool{}, authorized: map[string]time.Time{}, orderedStateAt: map[string]time.Time{},
-		sizing: sizing.NewState(), moves: map[string]move{}, stepInFlight: map[string]bool{},
+		sizing: sizing.NewState(), orders: newOrderLimit(s.OrdersPerSecond), moves: map[string]move{}, stepInFlight: map[string]bool{},
 		loadAnswers: map[string]loadAnswer{}, loadInFlight: map[string]bool{}, orderedAt: map[string]time.Time{},
 	}
 	if config != nil {
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/sizing"
 )
@@ -20,6 +22,11 @@
 	// moveTimeout is the time after the decision to move a machine after which the move is
 	// abandoned if it has not been carried out.
 	moveTimeout = 4 * time.Second
+	// moveShare is the share of the orders that the machine service accepts that is used for moves.
+	// The rest is left for maintenance.
+	moveShare = 0.8
+	// defaultOrderRate is the number of orders per second where the platform states no limit.
+	defaultOrderRate = 64
 	// loadTTL is how long the load that an owner has reported is used.
 	loadTTL = time.Second
 )
@@ -30,6 +37,16 @@
 	since time.Time
 }
 
+// newOrderLimit limits the moves to the share of the orders per second that the machine service accepts.
+// Moves that the plans of a second could have begun may begin at once.
+func newOrderLimit(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		perSecond = defaultOrderRate
+	}
+	moves := perSecond * moveShare
+	return rate.NewLimiter(rate.Limit(moves), max(int(moves), 1))
+}
+
 type (
 	// loadAnswer is the load of a pool as its owner reported it when asked at the time at. The
 	// load is nil if the owner did not report one.
@@ -78,7 +95,7 @@
 	in := &sizing.Input{
 		Loads: map[string]sizing.Load{}, Machines: c.machines, Standby: c.standby,
 		Moving: map[string]sizing.Move{}, Emptying: map[string]bool{}, Held: map[string]bool{},
-		MaintenanceDue: map[string]bool{},
+		MaintenanceDue: map[string]bool{}, Budget: int(c.orders.TokensAt(now)),
 	}
 	for pool, l := range c.loadAnswers {
 		if now.Sub(l.at) < loadTTL {
@@ -100,7 +117,9 @@
 		}
 	}
 	policy := sizing.ClearBacklog{Within: queueDrainTarget, Utilization: fillShare, Reserve: reserveHosts}
-	for _, m := range sizing.Plan(c.sizing, policy, in, now) {
+	moves := sizing.Plan(c.sizing, policy, in, now)
+	c.orders.ReserveN(now, len(moves))
+	for _, m := range moves {
 		c.moves[m.Machine] = move{m, now}
 		to := in.Loads[m.To]
 		c.logger.Info("machine to be moved", "machine", m.Machine, "from", m.From, "to", m.To, "host", m.Host,
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -148,15 +148,13 @@
 	// MaintenanceDue holds machines that are due for maintenance, which costs least while they
 	// are on standby.
 	MaintenanceDue map[string]bool
+	// Budget is the number of moves that may begin now. It is not negative.
+	Budget int
 }
 
-const (
-	// surplusDelay is how long a pool must have more hosts than desired before it gives a
-	// machine to standby. A move to standby and back takes about as long.
-	surplusDelay = 1500 * time.Millisecond
-	// maxConcurrentMoves limits the moves in progress.
-	maxConcurrentMoves = 16
-)
+// surplusDelay is how long a pool must have more hosts than desired before it gives a machine to
+// standby. A move to standby and back takes about as long.
+const surplusDelay = 1500 * time.Millisecond
 
 // pool is the state of a pool in a round of planning.
 type pool struct {
@@ -176,7 +174,7 @@
 func Plan[P Policy](s *State, policy P, in *Input, now time.Time) []Move {
 	pools, standby := surveyPools(policy, in)
 	var out []Move
-	movesLeft := maxConcurrentMoves - len(in.Moving)
+	movesLeft := in.Budget
 	add := func(m Move) bool {
 		if movesLeft <= 0 || s.Refused[Move{From: m.From, To: m.To}] {
 			return false
