Size pools ahead of the turns of their callers

Cause: a pool grew when its work already waited. Change: fleet/demand learns turns from the rates at which work arrives: when turns begin after one another, and after how many turns of others a pool has its own. It has no period, order or size built in, says how likely a turn is, and knows Laplace's rule only while it has seen nothing. sizing keeps a share of a pool's hosts for a likely turn and moves hosts ahead of a very likely one; work that is there now goes first and takes what others only keep. Nothing moves before any work came: operators' provision stands. The history is stored with the claim on the machines, for the next holder and for a restart of everything.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -18,6 +18,7 @@
 	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/entry/stats"
+	"carawaymux.dev/fleet/demand"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/sizing"
 	"carawaymux.dev/fleet/task"
@@ -78,6 +79,8 @@
 	// Term is the time that has to pass after the last call of one holder that may order a
 	// machine before another holder may send orders to that machine.
 	Term time.Duration
+	// MoveTime is the time that the platform takes to move a machine to another pool.
+	MoveTime time.Duration
 	// OrdersPerSecond is the number of orders that the machine service accepts per second from all
 	// entries together. It is 0 if the service states none.
 	OrdersPerSecond float64
@@ -151,6 +154,8 @@
 	// toAuthorize holds the machines to authorize with the next write.
 	toAuthorize []string
 	sizing      *sizing.State
+	// forecast forecasts the load of the pools.
+	forecast *sizing.Forecast[demand.InOrder]
 	// orders limits the moves that begin to what the machine service accepts.
 	orders *rate.Limiter
 	// moves holds the moves in progress by machine.
@@ -186,7 +191,7 @@
 		logger:      d.Logger.With("holder", s.Holder, "epoch", acquired.Epoch),
 		waves:       map[int64]*upkeep.Wave{}, reportFailedAt: map[int64]time.Time{}, reportInFlight: map[int64]bool{},
 		standby: map[string]bool{}, authorized: map[string]time.Time{}, orderedStateAt: map[string]time.Time{},
-		sizing: sizing.NewState(), orders: newOrderLimit(s.OrdersPerSecond), moves: map[string]move{}, stepInFlight: map[string]bool{},
+		sizing: sizing.NewState(), forecast: newForecast(stored.turns), orders: newOrderLimit(s.OrdersPerSecond), moves: map[string]move{}, stepInFlight: map[string]bool{},
 		loadAnswers: map[string]loadAnswer{}, loadInFlight: map[string]bool{}, orderedAt: map[string]time.Time{},
 	}
 	if config != nil {
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/time/rate"
 
+	"carawaymux.dev/fleet/demand"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/sizing"
 )
@@ -19,6 +20,9 @@
 	// reserveHosts is the number of hosts kept free in each pool for work that arrives before a
 	// move can take effect.
 	reserveHosts = 2
+	// serviceDelay is the time from a decision to its order, and from the end of a move to the first
+	// start on the host.
+	serviceDelay = time.Second
 	// moveTimeout is the time after the decision to move a machine after which the move is
 	// abandoned if it has not been carried out.
 	moveTimeout = 4 * time.Second
@@ -37,6 +41,33 @@
 	since time.Time
 }
 
+// newForecast returns a forecast that goes on from what earlier holders have observed, which may be nil.
+func newForecast(observed *demand.History) *sizing.Forecast[demand.InOrder] {
+	if observed == nil {
+		observed = demand.NewHistory()
+	}
+	return &sizing.Forecast[demand.InOrder]{
+		Sizer:   sizing.ClearBacklog{Within: queueDrainTarget, Utilization: fillShare, Reserve: reserveHosts},
+		History: observed,
+	}
+}
+
+// observeLoads records the loads for the forecast, and has its history stored when turns have begun or
+// ended.
+func (c *core) observeLoads(loads map[string]sizing.Load, now time.Time) {
+	turns := c.forecast.History.Turns
+	c.forecast.Observe(loads, now)
+	if c.forecast.History.Turns == turns {
+		return
+	}
+	record, err := forecastRecord(c.forecast.History)
+	if err != nil {
+		c.logger.Error("turns of the pools could not be encoded and are not stored", "err", err)
+		return
+	}
+	c.unwritten = append(c.unwritten, record)
+}
+
 // newOrderLimit limits the moves to the share of the orders per second that the machine service accepts.
 // Moves that the plans of a second could have begun may begin at once.
 func newOrderLimit(perSecond float64) *rate.Limiter {
@@ -116,8 +147,13 @@
 			in.MaintenanceDue[id] = true
 		}
 	}
-	policy := sizing.ClearBacklog{Within: queueDrainTarget, Utilization: fillShare, Reserve: reserveHosts}
-	moves := sizing.Plan(c.sizing, policy, in, now)
+	c.observeLoads(in.Loads, now)
+	if c.forecast.History.WorkSince.IsZero() {
+		// Nothing is known about the load, so the pools stay as operators have provided them.
+		return
+	}
+	in.Expected = c.forecast.Expected(in.Loads, now, c.settings.MoveTime+serviceDelay)
+	moves := sizing.Plan(c.sizing, c.forecast.Sizer, in, now)
 	c.orders.ReserveN(now, len(moves))
 	for _, m := range moves {
 		c.moves[m.Machine] = move{m, now}
--- a/entry/mover/stored.go
+++ b/entry/mover/stored.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"carawaymux.dev/entry/claim"
+	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/demand"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/port"
 )
@@ -24,6 +26,8 @@
 	// orders recently. Writing the record also confirms the claim when there is nothing else to
 	// write.
 	keyAuthorized = "/o"
+	// keyForecast is the key of the record of the turns that the forecast has observed.
+	keyForecast = "/f"
 	// machineSeparator separates the machines of that record. ageSeparator separates a machine
 	// from the age of its last order, in milliseconds. Only a holder that sends no more orders
 	// writes ages.
@@ -43,6 +47,8 @@
 	// the minimum age of the last order to each. The age is 0 if the holder may have sent orders
 	// until its end.
 	authorized map[string]time.Duration
+	// turns is what earlier holders have observed of the turns of the pools, or nil.
+	turns *demand.History
 }
 
 // readStored reads what earlier holders have stored.
@@ -59,6 +65,12 @@
 		if e.Key == ClaimName+keyAuthorized {
 			stored.authorized = parseAuthorized(string(e.Value))
 		}
+		if e.Key == ClaimName+keyForecast {
+			// Without a history, the forecast learns anew.
+			if snapshot, err := codec.DecodeFrame[demand.Snapshot](e.Value); err == nil {
+				stored.turns = snapshot.History()
+			}
+		}
 	})
 	return stored, errors.Join(err, decodeErr)
 }
@@ -120,6 +132,12 @@
 	return port.Record{Key: ClaimName + keyAuthorized, Value: []byte(names + machineSeparator)}
 }
 
+// forecastRecord returns the record of what was observed of the turns of the pools.
+func forecastRecord(h *demand.History) (port.Record, error) {
+	value, err := codec.EncodeFrame(h.Snapshot())
+	return port.Record{Key: ClaimName + keyForecast, Value: value}, err
+}
+
 // lastOrdersRecord records the age of the last order to each machine, for a holder that sends no
 // more orders. Orders older than interval are left out.
 func lastOrdersRecord(orderedAt map[string]time.Time, now time.Time, interval time.Duration) port.Record {
--- /dev/null
+++ b/fleet/demand/demand.go
@@ -0,0 +1,268 @@
+// Package demand forecasts which pools will soon have much more work than now. Callers of different
+// kinds often take turns: a kind brings several times its mean for a while, and then very little. The
+// package learns the turns from the rates at which work arrives. It has no period, order or size of
+// turns built in, reads no clock and does no I/O.
+package demand
+
+import (
+	"math"
+	"time"
+)
+
+// History holds what was observed of the turns of all pools. Use [NewHistory] to build it.
+type History struct {
+	// Pools holds the pools by name.
+	Pools map[string]*Pool
+	// WorkSince is when the pools had work for the first time, or the zero time before that. Callers of
+	// Observe set it.
+	WorkSince time.Time
+	// LastStart is when the newest turn of any pool began, or the zero time before the first one.
+	LastStart time.Time
+	// Intervals holds the times between the starts of consecutive turns, the newest last. There are
+	// at most maxIntervals.
+	Intervals []time.Duration
+	// Returns counts, by the number of turns of other pools since the own last turn, how often a pool
+	// had the next turn, and Chances how often it could have had it. Both have the same length.
+	Returns, Chances []float64
+	// Turns counts the turns that have begun or ended since the history was built.
+	Turns int
+}
+
+// Pool holds the turns of one pool.
+type Pool struct {
+	// Hosts is the number of hosts that the pool had before work arrived for the first time, or when it
+	// was first observed if that was later.
+	Hosts int
+	// Capacity is what these hosts can carry, in thousandths of a core.
+	Capacity int64
+	// Peak is the rate at which work arrived at the height of its turns, in thousandths of a core, and
+	// 0 before the end of the first one.
+	Peak int64
+	// InTurn reports whether the pool is in a turn now. Highest is the highest rate of that turn, and
+	// Sum the sum of the Count observed rates that were at least half of the highest one until then.
+	InTurn       bool
+	Highest, Sum int64
+	Count        int64
+	// StartedAt is when the last turn began, or the zero time before the first one.
+	StartedAt time.Time
+	// Passed is the number of turns of other pools that have begun since the own last one, or since
+	// the pool was first observed.
+	Passed int
+}
+
+// Rate is the rate at which work arrives in a pool.
+type Rate struct {
+	// Arriving is the work that arrives per second, in thousandths of a core, and Arrivals the number of
+	// jobs from which it was measured.
+	Arriving int64
+	Arrivals int
+	// Provided is the number of hosts of the pool, and Capacity what they can carry in thousandths of
+	// a core.
+	Provided int
+	Capacity int64
+}
+
+// Expectation is what a pool may need soon.
+type Expectation struct {
+	// Probability is how likely it is that a turn of the pool begins in time, from 0 to 1.
+	Probability float64
+	// Arriving is the rate at which work will then arrive, in thousandths of a core. It is 0 if the
+	// pool has had no turn yet; Hosts is then the number of hosts that operators have provided, and 0
+	// otherwise.
+	Arriving int64
+	Hosts    int
+}
+
+// Policy forecasts the next turn.
+type Policy interface {
+	// Expect returns what a pool that is not in a turn may need within a time from now.
+	Expect(h *History, pool string, now time.Time, within time.Duration) Expectation
+}
+
+const (
+	// startShare is the share of the height of earlier turns at which a turn begins, and endShare the
+	// share of its own height at which it ends.
+	startShare, endShare = 0.4, 0.2
+	// minArrivals is the number of jobs from which on a rate shows a turn, and not a few large jobs.
+	minArrivals = 4
+	// maxIntervals bounds the intervals that are kept, so that old ones are forgotten.
+	maxIntervals = 12
+	// forget is the factor by which older returns and chances lose weight with each turn.
+	forget = 0.95
+)
+
+// NewHistory returns an empty history.
+func NewHistory() *History { return &History{Pools: map[string]*Pool{}} }
+
+// Observe records the rates of the pools at a time. Calls must not go back in time.
+func (h *History) Observe(rates map[string]Rate, now time.Time) {
+	for name, r := range rates {
+		p := h.Pools[name]
+		if p == nil {
+			p = &Pool{}
+			h.Pools[name] = p
+		}
+		if h.WorkSince.IsZero() || p.Capacity == 0 {
+			p.Hosts, p.Capacity = max(p.Hosts, r.Provided), max(p.Capacity, r.Capacity)
+		}
+		if p.endsTurn(r) {
+			h.Turns++
+		}
+	}
+	for name, r := range rates {
+		if p := h.Pools[name]; !p.InTurn && p.beginsTurn(r) {
+			h.startTurn(p, r, now)
+		}
+	}
+}
+
+// beginsTurn reports whether work arrives at a rate of a turn. Before the first turn, operators' provision
+// stands for its height.
+func (p *Pool) beginsTurn(r Rate) bool {
+	height := p.Peak
+	if height == 0 {
+		height = p.Capacity
+	}
+	return height > 0 && r.Arrivals >= minArrivals && float64(r.Arriving) >= startShare*float64(height)
+}
+
+// addRate records a rate of the present turn.
+func (p *Pool) addRate(rate int64) {
+	p.Highest = max(p.Highest, rate)
+	if 2*rate >= p.Highest {
+		p.Sum += rate
+		p.Count++
+	}
+}
+
+// endsTurn records a rate, and ends the present turn if the rate is low. It reports whether it did.
+func (p *Pool) endsTurn(r Rate) bool {
+	if !p.InTurn {
+		return false
+	}
+	p.addRate(r.Arriving)
+	if float64(r.Arriving) >= endShare*float64(p.Highest) {
+		return false
+	}
+	p.InTurn = false
+	height := p.Sum / p.Count
+	if p.Peak > 0 {
+		height = (height + p.Peak) / 2
+	}
+	p.Peak = height
+	return true
+}
+
+// startTurn records that a turn of a pool begins.
+func (h *History) startTurn(p *Pool, r Rate, now time.Time) {
+	if !h.LastStart.IsZero() {
+		h.Intervals = append(h.Intervals, now.Sub(h.LastStart))
+		h.Intervals = h.Intervals[max(len(h.Intervals)-maxIntervals, 0):]
+	}
+	for i := range h.Returns {
+		h.Returns[i] *= forget
+		h.Chances[i] *= forget
+	}
+	for _, q := range h.Pools {
+		if !q.InTurn && !q.StartedAt.IsZero() {
+			h.countChance(q.Passed, q == p)
+		}
+		q.Passed++
+	}
+	h.LastStart = now
+	h.Turns++
+	p.InTurn, p.Highest, p.Sum, p.Count, p.StartedAt, p.Passed = true, 0, 0, 0, now, 0
+	p.addRate(r.Arriving)
+}
+
+func (h *History) countChance(passed int, returned bool) {
+	for len(h.Chances) <= passed {
+		h.Chances, h.Returns = append(h.Chances, 0), append(h.Returns, 0)
+	}
+	h.Chances[passed]++
+	if returned {
+		h.Returns[passed]++
+	}
+}
+
+// Never expects no turns. It is the baseline.
+type Never struct{}
+
+// Expect implements [Policy].
+func (Never) Expect(*History, string, time.Time, time.Duration) Expectation { return Expectation{} }
+
+// InOrder expects turns after the times that usually lie between them, and of the pools that usually
+// have theirs after as many turns of other pools. The fewer turns it has seen, the less sure it is.
+type InOrder struct{}
+
+// Expect implements [Policy].
+func (InOrder) Expect(h *History, pool string, now time.Time, within time.Duration) Expectation {
+	p := h.Pools[pool]
+	if p == nil || p.InTurn {
+		return Expectation{}
+	}
+	e := Expectation{Arriving: p.Peak}
+	if p.Peak == 0 {
+		e.Hosts = p.Hosts
+	}
+	if h.WorkSince.IsZero() {
+		// Nothing is known yet, so operators' provision stands.
+		e.Probability = 1
+		return e
+	}
+	total := 0.0
+	for _, q := range h.Pools {
+		if !q.InTurn {
+			total += h.weight(q)
+		}
+	}
+	e.Probability = h.weight(p) / total * h.beginsWithin(now, within)
+	return e
+}
+
+const (
+	// priorReturns and priorChances stand for turns that pools had after being passed over a number of
+	// times, before any are known.
+	priorReturns, priorChances = 0.1, 1.0
+	// newPool is the weight of a pool that has had no turn yet, and newPoolDecay the factor by which it
+	// falls with each turn of another pool.
+	newPool, newPoolDecay = 0.5, 0.9
+	// intervalTolerance is by how much an interval may differ from an earlier one, as a share of it.
+	intervalTolerance = 0.15
+)
+
+// weight returns how likely a pool is to have the next turn, relative to other pools.
+func (h *History) weight(p *Pool) float64 {
+	if p.StartedAt.IsZero() {
+		return newPool * math.Pow(newPoolDecay, float64(p.Passed))
+	}
+	returns, chances := priorReturns, priorChances
+	if p.Passed < len(h.Chances) {
+		returns, chances = returns+h.Returns[p.Passed], chances+h.Chances[p.Passed]
+	}
+	return returns / chances
+}
+
+// beginsWithin returns the probability that the next turn of any pool begins within a time from now.
+func (h *History) beginsWithin(now time.Time, within time.Duration) float64 {
+	last := h.LastStart
+	if last.IsZero() {
+		last = h.WorkSince
+	}
+	age := now.Sub(last)
+	// Without earlier intervals, an event that has not come for a time comes within another one with the
+	// ratio of the two (Laplace's rule).
+	hits := float64(within) / float64(age+within)
+	count := 1.0
+	for _, d := range h.Intervals {
+		tolerance := time.Duration(intervalTolerance * float64(d))
+		if age > d+tolerance {
+			continue
+		}
+		count++
+		if age+within >= d-tolerance {
+			hits++
+		}
+	}
+	return hits / count
+}
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -8,15 +8,6 @@
 	"carawaymux.dev/fleet/sizing"
 )
 
-// arrivalWindow is the time over which arriving work is averaged.
-const arrivalWindow = 2 * time.Second
-
-// arrival is an amount of work that arrived at a time.
-type arrival struct {
-	at   time.Time
-	work int64
-}
-
 // recordArrival adds the work of a job to the arrivals. Long-running work is left out.
 func (s *State) recordArrival(j *Job, now time.Time) {
 	scale := s.durationRatios[j.Spec.Queue].median()
@@ -27,7 +18,7 @@
 			work += stepWork(step, step.Count, scale)
 		}
 	}
-	s.arrivals = append(s.arrivals, arrival{now, work})
+	s.arrivals.Add(work, now)
 }
 
 // stepWork returns the work of a number of tasks of a step, in thousandths of a core-second.
@@ -67,11 +58,8 @@
 			}
 		}
 	}
-	s.arrivals = slices.DeleteFunc(s.arrivals, func(a arrival) bool { return now.Sub(a.at) > arrivalWindow })
-	for _, a := range s.arrivals {
-		l.ArrivalRate += a.work
-	}
-	l.ArrivalRate = int64(float64(l.ArrivalRate) / arrivalWindow.Seconds())
+	l.ArrivalRate = s.arrivals.Rate(now)
+	l.Arrivals = s.arrivals.Count()
 	return l
 }
 
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/demand"
 	"carawaymux.dev/fleet/port"
 )
 
@@ -221,8 +222,8 @@
 	candidateBuffer candidates
 	// hostList holds the hosts by ID. It is nil after the set of hosts has changed.
 	hostList []*Host
-	// arrivals holds the work that has arrived within arrivalWindow.
-	arrivals []arrival
+	// arrivals measures the rate at which work arrives.
+	arrivals demand.Meter
 	// durationRatios holds the ratios of run time to estimate, by queue.
 	durationRatios map[string]*sample
 }
--- /dev/null
+++ b/fleet/sizing/forecast.go
@@ -0,0 +1,72 @@
+package sizing
+
+import (
+	"time"
+
+	"carawaymux.dev/fleet/demand"
+)
+
+const (
+	// keepProbability is the probability of a turn from which on a pool keeps the hosts that it will
+	// need. It is low, since the work that a missing host leaves undone is worth many times what an idle
+	// host costs for the same time.
+	keepProbability = 0.05
+	// fullProbability is the probability from which on it keeps all of them. Below that it keeps a
+	// share, since the first hosts do the most of the work that comes before others can be moved.
+	fullProbability = 0.3
+	// fillProbability is the probability from which on hosts are moved to a pool ahead of its turn.
+	fillProbability = 0.4
+)
+
+// Forecast sizes pools ahead of their need.
+type Forecast[P demand.Policy] struct {
+	Policy P
+	// Sizer turns rates into numbers of hosts.
+	Sizer ClearBacklog
+	// History holds what was observed.
+	History *demand.History
+}
+
+// Observe records the loads of the pools at a time. Pools on standby must not be among them.
+func (f *Forecast[P]) Observe(loads map[string]Load, now time.Time) {
+	if f.History.WorkSince.IsZero() && hasWork(loads) {
+		f.History.WorkSince = now
+	}
+	rates := make(map[string]demand.Rate, len(loads))
+	for name, l := range loads {
+		rates[name] = demand.Rate{
+			Arriving: l.ArrivalRate, Arrivals: l.Arrivals, Provided: l.Hosts, Capacity: int64(float64(l.Hosts)*float64(l.HostCapacity)*f.Sizer.Utilization) - l.LongRunning,
+		}
+	}
+	f.History.Observe(rates, now)
+}
+
+func hasWork(loads map[string]Load) bool {
+	for _, l := range loads {
+		if l.LongRunning+l.Running+l.Backlog+l.FutureWork+l.ArrivalRate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Expected returns how many hosts the pools may need within a time from now.
+func (f *Forecast[P]) Expected(loads map[string]Load, now time.Time, within time.Duration) map[string]Expected {
+	out := make(map[string]Expected, len(loads))
+	for name, l := range loads {
+		e := f.Policy.Expect(f.History, name, now, within)
+		hosts := e.Hosts
+		if e.Arriving > 0 {
+			hosts = f.Sizer.HostsFor(&l, e.Arriving)
+		}
+		x := Expected{Probability: e.Probability}
+		if e.Probability >= keepProbability {
+			x.Keep = int(float64(hosts) * min(e.Probability/fullProbability, 1))
+		}
+		if e.Probability >= fillProbability {
+			x.Fill = hosts
+		}
+		out[name] = x
+	}
+	return out
+}
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -29,8 +29,10 @@
 	// the same unit.
 	Backlog    int64 `cbor:"6,keyasint,omitempty"`
 	FutureWork int64 `cbor:"7,keyasint,omitempty"`
-	// ArrivalRate is the work that arrives per second, in thousandths of a core.
+	// ArrivalRate is the work that arrives per second, in thousandths of a core, and Arrivals the number
+	// of jobs from which it was measured.
 	ArrivalRate int64 `cbor:"8,keyasint,omitempty"`
+	Arrivals    int   `cbor:"11,keyasint,omitempty"`
 	// IdleHosts lists hosts on which nothing runs. MovableHosts lists hosts that only run
 	// long-running tasks, which may be moved, those with the fewest tasks first.
 	IdleHosts    []string `cbor:"9,keyasint,omitempty"`
@@ -91,6 +93,12 @@
 	return min(max(hostsFor(l, int64(now/c.Utilization)), l.SpreadHosts)+requiredReserve, c.Desired(l))
 }
 
+// HostsFor returns the number of hosts that a pool should have while work arrives at a rate, in
+// thousandths of a core.
+func (c ClearBacklog) HostsFor(l *Load, rate int64) int {
+	return max(hostsFor(l, int64(float64(l.LongRunning+rate)/c.Utilization)), l.SpreadHosts) + c.Reserve
+}
+
 // requiredReserve is the number of hosts that a pool keeps in addition to those that its
 // present work needs.
 const requiredReserve = 1
@@ -132,6 +140,15 @@
 // Refuse records that a move between two pools is not possible.
 func (s *State) Refuse(m Move) { s.Refused[Move{From: m.From, To: m.To}] = true }
 
+// Expected is the number of hosts that a pool may need soon, in addition to its present need.
+type Expected struct {
+	// Fill is the number of hosts to move to the pool ahead of the need. Keep is the number up to which
+	// the pool keeps the hosts that it has, as long as no other pool needs them now.
+	Fill, Keep int
+	// Probability is how likely the need is, from 0 to 1.
+	Probability float64
+}
+
 // Input holds the observations that a round of planning uses.
 type Input struct {
 	// Loads holds the load of each pool whose owner has answered.
@@ -148,6 +165,8 @@
 	// MaintenanceDue holds machines that are due for maintenance, which costs least while they
 	// are on standby.
 	MaintenanceDue map[string]bool
+	// Expected holds, by pool, what the forecast of its demand asks for.
+	Expected map[string]Expected
 	// Budget is the number of moves that may begin now. It is not negative.
 	Budget int
 }
@@ -160,8 +179,11 @@
 type pool struct {
 	name string
 	load Load
-	// current counts machines in service and machines on their way to the pool.
-	current, desired int
+	// current counts machines in service and machines on their way to the pool. desired is the number
+	// for the present load, and expected the number for the load that is forecast, at least desired.
+	current, desired, expected int
+	// probability is how likely the forecast load is.
+	probability float64
 	// required is the part of desired for work that could run now.
 	required int
 	// removable lists the machines that may leave, the cheapest to move first. idle is the
@@ -188,10 +210,12 @@
 		return cmp.Or(cmp.Compare(b.desired-b.current, a.desired-a.current), cmp.Compare(a.name, b.name))
 	})
 	for _, p := range pools {
-		for p.current < p.desired {
-			if !s.fillPool(p, pools, &standby, add) {
-				break
-			}
+		for p.current < p.desired && s.fillPool(p, pools, &standby, add) {
+			p.current++
+		}
+	}
+	for _, p := range pools {
+		for p.current < p.expected && s.fillAhead(p, pools, &standby, add) {
 			p.current++
 		}
 	}
@@ -239,6 +263,9 @@
 		}
 	}
 	for _, p := range pools {
+		expected := in.Expected[p.name]
+		p.expected = max(p.desired, expected.Fill, min(p.current, expected.Keep))
+		p.probability = expected.Probability
 		for i, hosts := range [][]string{p.load.IdleHosts, p.load.MovableHosts} {
 			var due, others []port.Machine
 			for _, h := range hosts {
@@ -274,8 +301,9 @@
 	return 0
 }
 
-// fillPool finds a machine for a pool: one on standby, or one that another pool can spare.
-func (s *State) fillPool(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
+// fillAhead finds a machine for the expected load of a pool: one on standby, or one that another pool is
+// not expected to need.
+func (s *State) fillAhead(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
 	for i, m := range *standby {
 		if add(Move{Machine: m.ID, From: m.Pool, To: p.name}) {
 			*standby = slices.Delete(*standby, i, i+1)
@@ -283,7 +311,25 @@
 		}
 	}
 	for _, q := range slices.Backward(pools) {
-		if q.current > q.desired && s.takeFrom(p, q, add) {
+		if q.current > q.expected && s.takeFrom(p, q, add) {
+			return true
+		}
+	}
+	return false
+}
+
+// fillPool finds a machine for the present load of a pool: one that fillAhead finds, or one that
+// another pool keeps for a load that is less certain.
+func (s *State) fillPool(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
+	if s.fillAhead(p, pools, standby, add) {
+		return true
+	}
+	// The pool whose load is the least likely gives first, and of equal ones the pool that keeps the most.
+	keepers := slices.SortedFunc(slices.Values(pools), func(a, b *pool) int {
+		return cmp.Or(cmp.Compare(a.probability, b.probability), cmp.Compare(b.current-b.desired, a.current-a.desired))
+	})
+	for _, q := range keepers {
+		if q.current > q.desired && q.idle > 0 && s.takeFrom(p, q, add) {
 			return true
 		}
 	}
@@ -325,7 +371,7 @@
 	}
 	var out []Move
 	for _, p := range pools {
-		if p.current <= p.desired {
+		if p.current <= p.expected {
 			delete(s.SurplusSince, p.name)
 			continue
 		}
@@ -337,7 +383,7 @@
 		if now.Sub(since) < surplusDelay || s.Refused[Move{From: p.name, To: to}] {
 			continue
 		}
-		for p.current > p.desired && len(p.removable) > 0 && movesLeft > 0 {
+		for p.current > p.expected && len(p.removable) > 0 && movesLeft > 0 {
 			m := p.removable[0]
 			p.removable = p.removable[1:]
 			p.current--
--- /dev/null
+++ b/trial/model/model.go
@@ -0,0 +1,351 @@
+// Package model plays a load on pools of hosts without a network. It measures what callers get and what
+// the hosts cost while a policy sizes the pools.
+package model
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"carawaymux.dev/fleet/demand"
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/sizing"
+)
+
+// Kind is a kind of jobs and its pool.
+type Kind struct {
+	// Pool is the name of the pool, and Hosts the number of hosts that it begins with.
+	Pool  string
+	Hosts int
+	// Rate is the mean number of jobs per second, Worth what a job in time is worth.
+	Rate, Worth float64
+	// Steps is the number of steps of a job, one after the other. Each takes Cores for Duration.
+	Steps    int
+	Cores    float64
+	Duration time.Duration
+}
+
+// Shape is a load: the factor by which the rate of each kind differs from its mean.
+type Shape struct {
+	Name string
+	// Factor returns the factor of a kind by its index, at a time since the start.
+	Factor func(kind int, at time.Duration) float64
+	// Length is how long work arrives.
+	Length time.Duration
+}
+
+// Fleet is a fleet with its kinds of jobs.
+type Fleet struct {
+	Kinds []Kind
+	// Standby is the number of hosts that are switched off at the start.
+	Standby int
+	// OrdersPerSecond is the number of moves that the machine service accepts per second.
+	OrdersPerSecond int
+}
+
+// Result is what callers got and what it cost.
+type Result struct {
+	Shape  string `json:"shape"`
+	Policy string `json:"policy"`
+	// Served is the worth of the jobs that ended in time, as a share of all. Late is the share of the
+	// jobs that ended late or not at all.
+	Served float64 `json:"served"`
+	Late   float64 `json:"late"`
+	// WorstKind is the share of the worth that the worst kind got.
+	WorstKind float64 `json:"worst-kind"`
+	// HostSeconds is the time that hosts were in service or on their way there, in multiples of the
+	// time that the work itself takes.
+	HostSeconds float64 `json:"host-seconds"`
+	Moves       int     `json:"moves"`
+}
+
+// Sizer is what a run needs of a policy: the hosts that pools may need soon.
+type Sizer interface {
+	Expected(loads map[string]sizing.Load, now time.Time) map[string]sizing.Expected
+}
+
+const (
+	tick = 50 * time.Millisecond
+	// planInterval is the time between two plans of moves.
+	planInterval = 250 * time.Millisecond
+	// moveTime is the time from the decision on a move to the first start on the host.
+	moveTime = 2100 * time.Millisecond
+	// leadTime is the time before the load, in which pools are at rest.
+	leadTime = 14 * time.Second
+	// hostCores is the number of cores of a host, of which usable can be filled in practice.
+	hostCores, usable = 16.0, 0.9
+	// stretch and allowance make up the time in which a job should end: stretch times its own length,
+	// and the allowance.
+	stretch, allowance = 1.6, 600 * time.Millisecond
+	standbyPool        = "standby"
+	// rounding is the amount of cores below which a rest counts as none.
+	rounding = 1e-6
+)
+
+// job is an accepted job.
+type job struct {
+	kind      int
+	arrived   time.Duration
+	objective time.Duration
+	worth     float64
+	// left is the number of steps that have not ended. cores is what one step takes, of which waiting
+	// has not started and active is running.
+	left                   int
+	cores, waiting, active float64
+}
+
+// running is a part of a step that runs.
+type running struct {
+	ends  time.Duration
+	cores float64
+	job   *job
+}
+
+type pool struct {
+	meter   demand.Meter
+	queue   []*job
+	running []running
+	used    float64
+}
+
+type run struct {
+	fleet    Fleet
+	shape    Shape
+	random   *rand.Rand
+	pools    []*pool
+	machines map[string]port.Machine
+	arriving map[string]time.Duration
+	inTime   []float64
+	owed     []float64
+	// late counts the jobs that ended late, unfinished those that have not ended.
+	late, unfinished, jobs int
+	hostTime               float64
+	work                   float64
+	moves                  int
+}
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// Play plays a shape on a fleet with a sizing policy.
+func Play[P sizing.Policy, S Sizer](f Fleet, s Shape, policy P, sizer S, seed uint64) Result {
+	r := &run{
+		fleet: f, shape: s, random: rand.New(rand.NewPCG(seed, 1)), machines: map[string]port.Machine{},
+		arriving: map[string]time.Duration{}, inTime: make([]float64, len(f.Kinds)), owed: make([]float64, len(f.Kinds)),
+	}
+	add := func(name string, n int) {
+		for i := range n {
+			id := fmt.Sprintf("%s-%04d", name, i)
+			r.machines[id] = port.Machine{ID: id, Pool: name, State: port.MachineUp, Host: "h-" + id}
+		}
+	}
+	for _, k := range f.Kinds {
+		add(k.Pool, k.Hosts)
+		r.pools = append(r.pools, &pool{})
+	}
+	add(standbyPool, f.Standby)
+	state := sizing.NewState()
+	budget := f.OrdersPerSecond / int(time.Second/planInterval)
+	for at := -leadTime; at < s.Length+5*time.Second; at += tick {
+		r.land(at)
+		r.submit(at)
+		for i := range r.pools {
+			r.end(i, at)
+			r.start(i, at)
+		}
+		if at >= 0 && at < s.Length {
+			r.countHosts()
+		}
+		if at%planInterval == 0 {
+			loads := r.loads(at)
+			in := &sizing.Input{
+				Loads: loads, Machines: r.machines, Standby: map[string]bool{standbyPool: true}, Budget: budget,
+				Expected: sizer.Expected(loads, epoch.Add(at)),
+			}
+			for _, m := range sizing.Plan(state, policy, in, epoch.Add(at)) {
+				machine := r.machines[m.Machine]
+				machine.Pool, machine.State, machine.Host = m.To, port.MachineMoving, ""
+				r.machines[m.Machine], r.arriving[m.Machine] = machine, at+moveTime
+				r.moves++
+			}
+		}
+	}
+	return r.result()
+}
+
+func (r *run) result() Result {
+	out := Result{Shape: r.shape.Name, HostSeconds: r.hostTime / r.work, Moves: r.moves, WorstKind: 1}
+	var inTime, owed float64
+	for i := range r.owed {
+		inTime, owed = inTime+r.inTime[i], owed+r.owed[i]
+		if r.owed[i] > 0 {
+			out.WorstKind = min(out.WorstKind, r.inTime[i]/r.owed[i])
+		}
+	}
+	out.Served = inTime / owed
+	out.Late = float64(r.late+r.unfinished) / float64(max(r.jobs, 1))
+	return out
+}
+
+// land puts moved machines into service.
+func (r *run) land(at time.Duration) {
+	for id, due := range r.arriving {
+		if at >= due {
+			m := r.machines[id]
+			m.State, m.Host = port.MachineUp, "h-"+id
+			r.machines[id] = m
+			delete(r.arriving, id)
+		}
+	}
+}
+
+// submit adds the jobs that arrive in a tick.
+func (r *run) submit(at time.Duration) {
+	if at < 0 || at >= r.shape.Length {
+		return
+	}
+	for i, k := range r.fleet.Kinds {
+		expected := k.Rate * r.shape.Factor(i, at) * tick.Seconds()
+		for range poisson(r.random, expected) {
+			size := math.Exp(r.random.NormFloat64()*0.6 - 0.18)
+			length := time.Duration(k.Steps) * k.Duration
+			j := &job{kind: i, arrived: at, objective: at + time.Duration(stretch*float64(length)) + allowance, left: k.Steps, cores: k.Cores * size}
+			j.waiting, j.worth = j.cores, k.Worth*(0.3+0.7*size)
+			r.pools[i].queue = append(r.pools[i].queue, j)
+			work := j.cores * length.Seconds()
+			r.pools[i].meter.Add(int64(work*1000), epoch.Add(at))
+			r.owed[i] += j.worth
+			r.work += work / hostCores
+			r.jobs++
+			r.unfinished++
+		}
+	}
+}
+
+func poisson(random *rand.Rand, mean float64) int {
+	limit, n := math.Exp(-mean), 0
+	for product := random.Float64(); product > limit; product *= random.Float64() {
+		n++
+	}
+	return n
+}
+
+// end ends the work that is due, and makes the next steps ready.
+func (r *run) end(i int, at time.Duration) {
+	p := r.pools[i]
+	var ended []*job
+	p.running = slices.DeleteFunc(p.running, func(w running) bool {
+		if w.ends > at {
+			return false
+		}
+		p.used -= w.cores
+		w.job.active -= w.cores
+		if w.job.waiting <= rounding && w.job.active <= rounding {
+			ended = append(ended, w.job)
+		}
+		return true
+	})
+	for _, j := range ended {
+		j.left--
+		j.active = 0
+		if j.left > 0 {
+			j.waiting = j.cores
+			p.queue = append(p.queue, j)
+			continue
+		}
+		r.unfinished--
+		if at > j.objective {
+			r.late++
+			continue
+		}
+		r.inTime[i] += j.worth
+	}
+}
+
+// start starts work in the order of its slack, or the smallest jobs first while the pool is overloaded.
+func (r *run) start(i int, at time.Duration) {
+	p, k := r.pools[i], &r.fleet.Kinds[i]
+	room := float64(r.hosts(k.Pool))*hostCores*usable - p.used
+	if len(p.queue) == 0 || room <= 0 {
+		return
+	}
+	waiting := 0.0
+	for _, j := range p.queue {
+		waiting += j.waiting * k.Duration.Seconds()
+	}
+	overloaded := waiting > float64(r.hosts(k.Pool))*hostCores
+	slices.SortStableFunc(p.queue, func(a, b *job) int {
+		lateA, lateB := r.isLate(a, at), r.isLate(b, at)
+		if lateA != lateB {
+			if lateA {
+				return 1
+			}
+			return -1
+		}
+		if overloaded {
+			return cmp.Compare(a.waiting*float64(a.left), b.waiting*float64(b.left))
+		}
+		return cmp.Compare(a.objective-time.Duration(a.left)*k.Duration, b.objective-time.Duration(b.left)*k.Duration)
+	})
+	for _, j := range p.queue {
+		n := min(j.waiting, room)
+		if n <= 0 {
+			break
+		}
+		j.waiting -= n
+		j.active += n
+		room -= n
+		p.used += n
+		p.running = append(p.running, running{at + k.Duration, n, j})
+	}
+	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.waiting <= rounding })
+}
+
+func (r *run) isLate(j *job, at time.Duration) bool {
+	return at+time.Duration(j.left)*r.fleet.Kinds[j.kind].Duration > j.objective
+}
+
+// hosts returns the number of hosts in service in a pool.
+func (r *run) hosts(name string) int {
+	n := 0
+	for _, m := range r.machines {
+		if m.Pool == name && m.State == port.MachineUp {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *run) countHosts() {
+	for _, m := range r.machines {
+		if m.Pool != standbyPool {
+			r.hostTime += tick.Seconds()
+		}
+	}
+}
+
+// loads returns what the owners of the pools report.
+func (r *run) loads(at time.Duration) map[string]sizing.Load {
+	out := map[string]sizing.Load{}
+	for i, k := range r.fleet.Kinds {
+		p := r.pools[i]
+		l := sizing.Load{HostCapacity: hostCores * 1000, ArrivalRate: p.meter.Rate(epoch.Add(at)), Running: int64(p.used * 1000)}
+		for _, j := range p.queue {
+			l.Backlog += int64(j.waiting * k.Duration.Seconds() * 1000)
+		}
+		var hosts []string
+		for _, m := range r.machines {
+			if m.Pool == k.Pool && m.State == port.MachineUp {
+				hosts = append(hosts, m.Host)
+			}
+		}
+		slices.Sort(hosts)
+		l.Hosts, l.Arrivals = len(hosts), p.meter.Count()
+		busy := int(math.Ceil(p.used / (hostCores * usable)))
+		l.IdleHosts = hosts[min(busy, len(hosts)):]
+		out[k.Pool] = l
+	}
+	return out
+}
