Let a few strong entries of each zone write heartbeats

Cause: every entry wrote a heartbeat to the store 2.5 times a second, read those of all others as often, and read the list of hosts six times a second whether or not it owned anything. Weighed (a take-over; a zone cut off; the store down; a rolling restart): a delegate for each zone passes views on by links: a dead delegate adds its own detection to every take-over, and a cut zone's delegate knows nothing that its entries do not. Gossip with suspicion: the links are what a cut takes first, and it cannot tell a late reader from a dead peer by what the store says. Long polls on heartbeats: they return at once, 45 times a second. Views pushed by owners: an owner's death is what must be noticed. Few members: a take-over is as before, since owners are members and members read as before; a cut leaves the members of other zones; the store down and restarts are as before, and an entry that sees too few members in its zone becomes one within a read. Change: the strongest entries of each zone write heartbeats and may own pools: three a zone, eight at least, one for four pools. The others read every 1.2 s, and at once when an owner did not answer, so that a request does not wait for the next read. The list of hosts is read fast by owners, once a second by members, by no one else. Eight entries or fewer: nothing changes but the reads after a failed request. Not done: entry/member, the membership of the product's own interface, still runs by links; that path has no keyed store to carry heartbeats.

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -26,6 +27,9 @@
 	decode func(key string, value []byte) (T, error)
 	logger *slog.Logger
 	settings
+	// pace is the interval between calls in nanoseconds, negative while the feed pauses.
+	pace atomic.Int64
+	// task receives a message when the pace has changed.
 	task *task.Task[struct{}]
 }
 
@@ -46,9 +50,9 @@
 	// minBackoff and maxBackoff limit the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
-	// callTimeout limits a call to the store, in addition to the time that it waits for a
+	// CallTimeout limits a call to the store, in addition to the time that it waits for a
 	// change.
-	callTimeout = 700 * time.Millisecond
+	CallTimeout = 700 * time.Millisecond
 )
 
 // Start starts a feed of a stream. It calls onChange with the changes in the order of the store.
@@ -56,24 +60,44 @@
 	log port.Log, stream port.Stream, decode func(key string, value []byte) (T, error),
 	logger *slog.Logger, onChange func([]Change[T]), opts ...Option,
 ) *Feed[T] {
-	f := &Feed[T]{name: stream.Topic, reader: NewReader(log, stream, callTimeout), decode: decode, logger: logger}
+	f := &Feed[T]{name: stream.Topic, reader: NewReader(log, stream, CallTimeout), decode: decode, logger: logger}
 	for _, opt := range opts {
 		opt(&f.settings)
 	}
-	f.task = task.Start(func(ctx context.Context, _ <-chan struct{}) { f.run(ctx, onChange) })
+	f.pace.Store(int64(f.interval))
+	f.task = task.Start(func(ctx context.Context, inbox <-chan struct{}) { f.run(ctx, inbox, onChange) })
 	return f
 }
 
+// Pause is the interval of a feed that pauses.
+const Pause = time.Duration(-1)
+
+// SetInterval sets the pause between calls. The next call follows at once if the interval has changed.
+// After a [Pause], the feed passes on the newest values of all keys.
+func (f *Feed[T]) SetInterval(d time.Duration) {
+	if f.pace.Swap(int64(d)) != int64(d) {
+		f.task.TrySend(struct{}{})
+	}
+}
+
 // Close stops the task.
 func (f *Feed[T]) Close() { f.task.Close() }
 
-func (f *Feed[T]) run(ctx context.Context, onChange func([]Change[T])) {
+func (f *Feed[T]) run(ctx context.Context, inbox <-chan struct{}, onChange func([]Change[T])) {
 	retryBackoff := backoff.NewExponentialBackOff()
 	retryBackoff.InitialInterval, retryBackoff.MaxInterval = minBackoff, maxBackoff
 	storeLost := false
 	for ctx.Err() == nil {
+		if f.pace.Load() < 0 {
+			select {
+			case <-ctx.Done():
+			case <-inbox:
+				f.reader.Reset()
+			}
+			continue
+		}
 		records, err := f.reader.Poll(ctx, f.wait)
-		delay := f.interval
+		delay := time.Duration(f.pace.Load())
 		switch {
 		case err != nil:
 			if !storeLost && ctx.Err() == nil {
@@ -91,7 +115,8 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(delay):
+		case <-inbox:
+		case <-time.After(max(delay, 0)):
 		}
 	}
 }
--- /dev/null
+++ b/entry/feed/feed_test.go
@@ -0,0 +1,61 @@
+package feed_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/entry/feed"
+	"carawaymux.dev/fleet/port"
+)
+
+// log is a stream whose only key gets a new value with each record. It counts the calls.
+type log struct {
+	port.Log
+	end, calls atomic.Int64
+}
+
+func (l *log) Newest(context.Context, port.Stream, string) (port.Page, error) {
+	l.calls.Add(1)
+	end := l.end.Load()
+	return port.Page{Records: []port.Record{{Key: "k", Value: []byte{byte(end)}, Offset: end - 1}}, End: end}, nil
+}
+
+func (l *log) Read(_ context.Context, _ port.Stream, from int64, _ time.Duration) (port.Page, error) {
+	l.calls.Add(1)
+	page := port.Page{End: l.end.Load()}
+	for at := from; at < page.End; at++ {
+		page.Records = append(page.Records, port.Record{Key: "k", Value: []byte{byte(at + 1)}, Offset: at})
+	}
+	return page, nil
+}
+
+func TestPausedFeedMakesNoCallsAndGoesOnFromTheNewestValues(t *testing.T) {
+	l := &log{}
+	l.end.Store(1)
+	changes := make(chan feed.Change[byte], 100)
+	f := feed.Start(l, port.Stream{}, func(_ string, v []byte) (byte, error) { return v[0], nil },
+		slog.New(slog.NewJSONHandler(io.Discard, nil)),
+		func(all []feed.Change[byte]) {
+			for _, c := range all {
+				changes <- c
+			}
+		}, feed.WithInterval(time.Hour))
+	t.Cleanup(f.Close)
+	require.EqualValues(t, 1, (<-changes).Value)
+	f.SetInterval(feed.Pause)
+	time.Sleep(100 * time.Millisecond)
+	calls := l.calls.Load()
+	l.end.Store(50)
+	time.Sleep(100 * time.Millisecond)
+	require.Equal(t, calls, l.calls.Load())
+	f.SetInterval(time.Millisecond)
+	require.EqualValues(t, 50, (<-changes).Value, "the values between are left out")
+	l.end.Store(51)
+	require.EqualValues(t, 51, (<-changes).Value)
+}
--- a/entry/feed/reader.go
+++ b/entry/feed/reader.go
@@ -57,6 +57,10 @@
 	return page.Records, nil
 }
 
+// Reset makes the next poll read the newest record of each key, in place of all records since the last
+// one.
+func (r *Reader) Reset() { r.loaded = false }
+
 // track updates liveKeys.
 func (r *Reader) track(e port.Record) {
 	if e.Value == nil {
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -25,13 +25,14 @@
 	submitTimeout = 300 * time.Millisecond
 	// queryTimeout limits the time that other requests try to reach the owner.
 	queryTimeout = 2 * time.Second
-	// retryInterval is the time between attempts to reach the owner.
-	retryInterval = 60 * time.Millisecond
+	// retryInterval is the time between attempts to reach the owner. refreshTimeout limits the wait for a
+	// new view before the next attempt.
+	retryInterval  = 60 * time.Millisecond
+	refreshTimeout = 100 * time.Millisecond
 	// inboxTimeout limits the time to write to the inbox.
 	inboxTimeout = 900 * time.Millisecond
 	// storeFreshness is the maximum age of the last answer of the store for the store to count
-	// as reachable. It is slightly longer than the interval at which entries write heartbeats to
-	// the store, and about the time that an owner needs to detect that the store is unavailable.
+	// as reachable. It is about the time that an owner needs to detect that the store is unavailable.
 	storeFreshness = 450 * time.Millisecond
 	// noOwnerRetryAfter is the retry time that callers get while a pool has no owner or this entry is
 	// isolated. Another entry may be able to serve the retry.
@@ -44,8 +45,13 @@
 	Holder(name string) duties.Holder
 }
 
-// ViewSource returns the current view of the entries and the pools that they own.
-type ViewSource interface{ View() *roster.View }
+// ViewSource returns the view of the entries and the pools that they own.
+type ViewSource interface {
+	// View returns the newest view.
+	View() *roster.View
+	// Refresh returns a view that has just been read, or the newest one when ctx ends.
+	Refresh(ctx context.Context) *roster.View
+}
 
 // PeerClient sends requests to other entries. The error [peers.ErrUnsent] means that the request was
 // not sent.
@@ -166,7 +172,7 @@
 	unseen := true
 	for {
 		a, delivered := n.askOnce(ctx, r)
-		if delivered == answered && a.StoreUnavailable && n.storeReachable() {
+		if delivered == answered && a.StoreUnavailable && n.storeReachable(ctx) {
 			return n.submitToInbox(ctx, q, id, spec, unseen)
 		}
 		if delivered == answered {
@@ -184,6 +190,7 @@
 			return n.submitToInbox(ctx, q, id, spec, unseen)
 		}
 		sleep(ctx, retryInterval)
+		n.refresh(ctx)
 	}
 }
 
@@ -199,11 +206,21 @@
 
 // storeReachable reports whether the store has answered this entry recently. If an owner cannot
 // reach the store at the same time, only that owner is affected.
-func (n *Intake) storeReachable() bool {
+func (n *Intake) storeReachable(ctx context.Context) bool {
 	v := n.Roster.View()
+	if time.Since(v.AsOf) >= storeFreshness {
+		v = n.refresh(ctx)
+	}
 	return v.StoreLostSince.IsZero() && time.Since(v.AsOf) < storeFreshness
 }
 
+// refresh returns a new view, unless the store takes long to answer.
+func (n *Intake) refresh(ctx context.Context) *roster.View {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	return n.Roster.Refresh(ctx)
+}
+
 // refuse returns a refusal that tells the caller when to try again.
 func refuse(reason string) owner.Answer {
 	return owner.Answer{Outcome: owner.Refused, RetryAfter: noOwnerRetryAfter, Reason: reason}
@@ -268,6 +285,7 @@
 			return a
 		}
 		sleep(ctx, retryInterval)
+		n.refresh(ctx)
 	}
 }
 
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -32,6 +32,8 @@
 	return &roster.View{StoreLostSince: v.lost, AsOf: v.at, Owners: map[string]roster.Owner{"pool": {Name: "other", Address: "other:1", Epoch: 1}}}
 }
 
+func (v fakeView) Refresh(context.Context) *roster.View { return v.View() }
+
 // fakePeers returns the same answer and error for every request.
 type fakePeers struct {
 	answer owner.Answer
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -11,6 +11,7 @@
 
 	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/owners"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/task"
 )
@@ -29,6 +30,15 @@
 	// startupInterval is the time between heartbeats until the view is settled. It is short: an entry
 	// takes no pools before that, so after a restart of all entries callers have to wait for it.
 	startupInterval = 100 * time.Millisecond
+	// guestInterval is the time between the reads of an entry that may not own pools.
+	guestInterval = 1200 * time.Millisecond
+	// readMargin is how much later than planned a read may be before silence counts anew.
+	readMargin = 350 * time.Millisecond
+	// refreshInterval is the minimum time between two rounds.
+	refreshInterval = 150 * time.Millisecond
+	// stepDownRounds is the number of rounds in a row for which enough stronger members have to be
+	// alive before an entry stops being one.
+	stepDownRounds = 3
 	// evictAfter is the time without a new heartbeat after which the row of an entry is removed.
 	evictAfter = time.Minute
 )
@@ -47,7 +57,7 @@
 	Seq int64 `cbor:"5,keyasint"`
 	// Pools holds the epoch of each pool that the entry owns, by pool name.
 	Pools map[string]int64 `cbor:"6,keyasint,omitempty"`
-	// Leaving reports that the entry is about to stop and takes no pools.
+	// Leaving reports that the entry takes no pools: it is about to stop, or is no longer a member.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
 	// Capacity is the processor capacity of the entry in thousandths of a core. Zero means unknown;
 	// versions before the field write none.
@@ -64,6 +74,8 @@
 
 // View is the known state of the entries. A published view is never modified.
 type View struct {
+	// Member reports whether this entry is one that may own pools.
+	Member bool
 	// Alive holds the newest heartbeat of each live entry by name.
 	Alive map[string]Heartbeat
 	// Owners holds, by pool name, the live owner with the highest epoch.
@@ -84,16 +96,23 @@
 	task   *task.Task[message]
 	view   atomic.Pointer[View]
 	// pools holds the pools that this entry owns, with their epochs. A stored map is never modified.
-	pools  atomic.Pointer[map[string]int64]
-	onView func(*View)
+	pools atomic.Pointer[map[string]int64]
+	// poolCount is the number of pools that need an owner.
+	poolCount atomic.Int64
+	onView    func(*View)
 }
 
-type message interface{ handle(c *core) }
-
-// poolsChanged has the task write a heartbeat at once.
-type poolsChanged struct{}
+type message interface {
+	handle(ctx context.Context, c *core)
+}
 
-type leave struct{ reply chan<- struct{} }
+type (
+	// poolsChanged has the task write a heartbeat at once.
+	poolsChanged struct{}
+	leave        struct{ reply chan<- struct{} }
+	// refresh has the task run a round now, unless one has just ended.
+	refresh struct{ reply chan<- struct{} }
+)
 
 // row is the known state of one entry.
 type row struct {
@@ -105,11 +124,19 @@
 // core is the state of the roster's task.
 type core struct {
 	roster *Roster
-	self   Heartbeat
-	rows   map[string]*row
+	// member reports whether this entry writes heartbeats and may own pools. outranked is the number of
+	// rounds in a row in which enough stronger members were alive.
+	member    bool
+	outranked int
+	// leaving is set when the entry is about to stop.
+	leaving bool
+	// lastRound is when the last round ended.
+	lastRound time.Time
+	self      Heartbeat
+	rows      map[string]*row
 	// reader reads the heartbeats of all entries.
 	reader *feed.Reader
-	// readingSince is the time since which reads have succeeded with no gap above deadAfter/2.
+	// readingSince is the time since which each read has succeeded at most readMargin after its time.
 	// lastRead is the time of the last successful read.
 	readingSince, lastRead time.Time
 	// storeDown is set while reads of the store fail.
@@ -124,7 +151,7 @@
 	r := &Roster{log: log, logger: logger, onView: onView}
 	r.view.Store(&View{})
 	r.pools.Store(&self.Pools)
-	c := &core{roster: r, self: self, rows: map[string]*row{}, reader: feed.NewReader(log, stream, callTimeout)}
+	c := &core{roster: r, self: self, member: true, rows: map[string]*row{}, reader: feed.NewReader(log, stream, callTimeout)}
 	r.task = task.Start(c.run)
 	return r
 }
@@ -140,6 +167,19 @@
 	r.task.TrySend(poolsChanged{})
 }
 
+// SetPoolCount sets the number of pools that need an owner. The number of entries that may own pools
+// depends on it.
+func (r *Roster) SetPoolCount(pools int) { r.poolCount.Store(int64(pools)) }
+
+// Refresh returns a view that has just been read, or the newest one if the store does not answer before
+// ctx ends.
+func (r *Roster) Refresh(ctx context.Context) *View {
+	if _, err := task.Call(ctx, r.task, func(reply chan<- struct{}) message { return refresh{reply} }); err != nil && ctx.Err() == nil {
+		r.logger.Debug("view not refreshed: the roster has stopped", "err", err)
+	}
+	return r.View()
+}
+
 // Leave announces that this entry is about to stop. It waits until that heartbeat has been written or
 // has failed.
 func (r *Roster) Leave(ctx context.Context) error {
@@ -158,8 +198,7 @@
 		case <-ctx.Done():
 			return
 		case m := <-inbox:
-			m.handle(c)
-			c.writeHeartbeat(ctx)
+			m.handle(ctx, c)
 		case <-tick.C:
 			began := time.Now()
 			c.round(ctx)
@@ -168,29 +207,50 @@
 	}
 }
 
-// interval returns the time from the start of one heartbeat to the start of the next. A slow store
-// does not add to it, unless the calls take longer than the interval.
+// interval returns the time from the start of one round to the start of the next. A slow store does
+// not add to it, unless the calls take longer than the interval.
 func (c *core) interval() time.Duration {
-	if !c.storeDown && !c.roster.View().Settled {
+	switch {
+	case c.storeDown:
+		return heartbeatInterval
+	case !c.roster.View().Settled:
 		return startupInterval
+	case !c.member:
+		return guestInterval
 	}
 	return heartbeatInterval
 }
 
-func (poolsChanged) handle(*core) {}
+func (poolsChanged) handle(ctx context.Context, c *core) {
+	if len(*c.roster.pools.Load()) > 0 {
+		// A claim that was under way when the entry stopped being a member has succeeded.
+		c.member, c.outranked = true, 0
+	}
+	if c.member {
+		c.writeHeartbeat(ctx)
+	}
+}
 
-func (m leave) handle(c *core) {
-	c.self.Leaving = true
+func (m leave) handle(_ context.Context, c *core) {
+	c.leaving = true
 	c.writeHeartbeat(context.Background())
 	m.reply <- struct{}{}
 }
 
+func (m refresh) handle(ctx context.Context, c *core) {
+	if time.Since(c.lastRound) >= refreshInterval {
+		c.round(ctx)
+	}
+	m.reply <- struct{}{}
+}
+
 func (c *core) round(ctx context.Context) {
 	began := time.Now()
-	if c.writeHeartbeat(ctx) {
-		c.storeLostSince = time.Time{}
-	} else {
+	defer func() { c.lastRound = time.Now() }()
+	if c.member && !c.writeHeartbeat(ctx) {
 		c.markStoreLost(began)
+	} else {
+		c.storeLostSince = time.Time{}
 	}
 	if err := c.readHeartbeats(ctx); err != nil {
 		c.markStoreLost(began)
@@ -205,6 +265,41 @@
 	}
 	c.storeDown = false
 	c.publishView(time.Now(), began)
+	c.updateMembership(ctx)
+}
+
+// updateMembership decides whether this entry is one of those that may own pools. The strongest entries
+// of each availability zone are, as long as they are alive.
+func (c *core) updateMembership(ctx context.Context) {
+	v := c.roster.View()
+	if !v.Settled || c.leaving {
+		return
+	}
+	members := make([]owners.Member, 0, len(v.Alive))
+	for _, h := range v.Alive {
+		members = append(members, h.candidate())
+	}
+	mayOwn := owners.MayOwn(c.self.candidate(), members, int(c.roster.poolCount.Load()))
+	c.outranked++
+	if mayOwn || len(*c.roster.pools.Load()) > 0 {
+		c.outranked = 0
+	}
+	switch {
+	case mayOwn && !c.member:
+		c.member = true
+		c.roster.logger.Info("entry may own pools", "members", len(members))
+	case c.member && c.outranked >= stepDownRounds:
+		c.member = false
+		c.roster.logger.Info("entry owns no pools: enough stronger ones are alive in its zone", "members", len(members))
+	default:
+		return
+	}
+	c.writeHeartbeat(ctx)
+}
+
+// candidate returns the entry as one that may own pools.
+func (h Heartbeat) candidate() owners.Member {
+	return owners.Member{Name: h.Name, Zone: h.Zone, Incarnation: h.Incarnation, Capacity: h.Capacity, Link: h.Link}
 }
 
 // markStoreLost publishes the time since which the store is unavailable, unless it is already marked.
@@ -222,7 +317,7 @@
 // the other entries see the previous heartbeat until the next write succeeds.
 func (c *core) writeHeartbeat(ctx context.Context) bool {
 	c.self.Seq++
-	c.self.Pools = *c.roster.pools.Load()
+	c.self.Pools, c.self.Leaving = *c.roster.pools.Load(), c.leaving || !c.member
 	if c.self.Leaving {
 		c.self.Pools = nil
 	}
@@ -273,12 +368,12 @@
 }
 
 func (c *core) publishView(now, began time.Time) {
-	if c.readingSince.IsZero() || now.Sub(c.lastRead) > deadAfter/2 {
+	if c.readingSince.IsZero() || now.Sub(c.lastRead) > c.interval()+readMargin {
 		// While nothing could be read, missing heartbeats do not show that entries are dead.
 		c.readingSince = now
 	}
 	c.lastRead = now
-	v := &View{Alive: map[string]Heartbeat{}, Owners: map[string]Owner{}, StoreLostSince: c.storeLostSince, AsOf: began}
+	v := &View{Member: c.member, Alive: map[string]Heartbeat{}, Owners: map[string]Owner{}, StoreLostSince: c.storeLostSince, AsOf: began}
 	v.Settled = now.Sub(c.readingSince) >= settleAfter
 	for name, r := range c.rows {
 		silence := now.Sub(later(r.changedAt, c.readingSince))
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -190,3 +191,91 @@
 	require.True(t, hb.Leaving)
 	require.Empty(t, hb.Pools)
 }
+
+// appends returns the number of heartbeats that each entry has written.
+func (s *fakeStore) appends() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for _, r := range s.records {
+		out[r.Key]++
+	}
+	return out
+}
+
+// startZone starts a number of entries in one zone. Those with the lowest names are the strongest.
+func startZone(t *testing.T, s *fakeStore, count int) map[string]*roster.Roster {
+	out := map[string]*roster.Roster{}
+	for i := range count {
+		name := string(rune('a' + i))
+		out[name] = roster.Start(s, roster.Heartbeat{Name: name, Zone: "z", Address: name, Incarnation: 1, Capacity: 800 - 10*i, Link: 100},
+			slog.New(slog.NewJSONHandler(io.Discard, nil)), func(*roster.View) {})
+		t.Cleanup(out[name].Close)
+	}
+	return out
+}
+
+func members(entries map[string]*roster.Roster) []string {
+	var out []string
+	for name, r := range entries {
+		if r.View().Member {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Each entry wrote a heartbeat and read those of all others 2.5 times a second, so bytes grew with the
+// square of the entries.
+func TestOnlyTheStrongestEntriesWriteHeartbeats(t *testing.T) {
+	s := &fakeStore{}
+	entries := startZone(t, s, 12)
+	want := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	require.Eventually(t, func() bool { return slices.Equal(members(entries), want) }, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	before := s.appends()
+	time.Sleep(1500 * time.Millisecond)
+	after := s.appends()
+	for name := range entries {
+		require.Equal(t, slices.Contains(want, name), after[name] > before[name], name)
+		require.Len(t, entries[name].View().Alive, len(want), "%s sees the members and no others", name)
+	}
+}
+
+func TestEntriesThatOwnPoolsStayMembers(t *testing.T) {
+	s := &fakeStore{}
+	entries := startZone(t, s, 10)
+	entries["j"].SetPools(map[string]int64{"pool": 1})
+	require.Eventually(t, func() bool { return len(members(entries)) == 9 }, 5*time.Second, 10*time.Millisecond)
+	for range 100 {
+		require.Equal(t, "j", entries["a"].View().Owners["pool"].Name)
+		time.Sleep(10 * time.Millisecond)
+	}
+	entries["j"].SetPools(nil)
+	require.Eventually(t, func() bool { return len(members(entries)) == 8 }, 5*time.Second, 10*time.Millisecond)
+}
+
+func TestOtherEntriesBecomeMembersWhenAllMembersDie(t *testing.T) {
+	s := &fakeStore{}
+	entries := startZone(t, s, 12)
+	require.Eventually(t, func() bool { return len(members(entries)) == 8 }, 5*time.Second, 10*time.Millisecond)
+	for _, name := range members(entries) {
+		entries[name].Close()
+		delete(entries, name)
+	}
+	require.Eventually(t, func() bool { return len(members(entries)) == 4 }, 5*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return len(entries["l"].View().Alive) == 4 }, 5*time.Second, 10*time.Millisecond)
+}
+
+// An entry that reads seldom has to see a new owner at once when it asks for a new view.
+func TestRefreshReadsAtOnce(t *testing.T) {
+	s := &fakeStore{}
+	entries := startZone(t, s, 12)
+	require.Eventually(t, func() bool { return len(members(entries)) == 8 }, 5*time.Second, 10*time.Millisecond)
+	for epoch := range int64(5) {
+		entries["a"].SetPools(map[string]int64{"pool": epoch + 1})
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, epoch+1, entries["l"].Refresh(t.Context()).Owners["pool"].Epoch)
+	}
+}
