--- a/fleet/sizing/forecast.go
+++ b/fleet/sizing/forecast.go
@@ -41,9 +41,11 @@
 	f.History.Observe(rates, now)
 }
 
+// hasWork reports whether callers have submitted work that ends. Long-running work says nothing about
+// turns.
 func hasWork(loads map[string]Load) bool {
 	for _, l := range loads {
-		if l.LongRunning+l.Running+l.Backlog+l.FutureWork+l.ArrivalRate > 0 {
+		if l.Running+l.Backlog+l.FutureWork+l.ArrivalRate > 0 {
 			return true
 		}
 	}
