Send calls again whose answers do not come

Cause: a lost answer cost the whole time-out of its call. A heartbeat waits a second for an end and 0.9 s more for the answer, so one lost answer (or an order that a host carries out late) hid the ends of all work on a host for two seconds, and their jobs were late; a start that was not answered was stopped after 0.9 s and run again 1.5 s after its order. With a copy out, a refusal is no proof that nothing ran: it counts as unanswered, unless it is of the fence or of another instance. Heartbeats to hosts with work that ends wait 0.4 s in place of 1 s.

--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"carawaymux.dev/entry/hedge"
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
@@ -25,6 +27,9 @@
 	// readMargin is the part of a timeout that this process has to be running for. It bounds how
 	// late a timer may fire before the process counts as late.
 	readMargin = 100 * time.Millisecond
+	// lostAfter is the time after which the answer to an order, or to a heartbeat whose wait has ended,
+	// is taken to be lost. Answers take a few milliseconds.
+	lostAfter = 150 * time.Millisecond
 	// orderQueueSize is the maximum number of orders that wait in one queue.
 	orderQueueSize = 256
 	// maxStartDelay is how long a start may wait in a queue before it is returned unsent,
@@ -74,16 +79,33 @@
 
 // Agent communicates with one host. Use [Open] to create it.
 type Agent struct {
-	host       string
-	client     port.HostClient
+	host   string
+	client port.HostClient
+	// copies limits the calls that are sent again because their answers may have been lost.
+	copies     *hedge.Budget
 	heartbeats *task.Task[Heartbeat]
 	queues     [orderQueues]*task.Task[Order]
 }
 
+// Option configures an [Agent].
+type Option func(*Agent)
+
+// WithCopies sets the budget for calls that are sent again, which agents may share. Without it, an agent
+// has one of its own.
+func WithCopies(b *hedge.Budget) Option { return func(a *Agent) { a.copies = b } }
+
 // Open starts an agent for a host. It passes outcomes to onHeartbeat and onOrder, which may
 // block until their receiver has room.
-func Open(h port.Host, clients port.HostClients, onHeartbeat func(context.Context, HeartbeatResult), onOrder func(context.Context, OrderResult)) *Agent {
+func Open(
+	h port.Host, clients port.HostClients, onHeartbeat func(context.Context, HeartbeatResult), onOrder func(context.Context, OrderResult), opts ...Option,
+) *Agent {
 	a := &Agent{host: h.ID, client: clients.Open(h)}
+	for _, opt := range opts {
+		opt(a)
+	}
+	if a.copies == nil {
+		a.copies = hedge.NewBudget()
+	}
 	a.heartbeats = task.Start(func(ctx context.Context, inbox <-chan Heartbeat) {
 		serve(ctx, inbox, func(m Heartbeat) { onHeartbeat(ctx, a.sendHeartbeat(ctx, m)) })
 	}, task.WithInbox(1))
@@ -147,7 +169,12 @@
 	ctx, cancel := withReadMargin(ctx, timeout)
 	defer cancel()
 	result := HeartbeatResult{Host: a.host, Sent: time.Now()}
-	result.Report, result.Err = a.client.Heartbeat(ctx, h.Deadline, h.Token, h.Acked, h.Wait)
+	heartbeat := func(wait time.Duration) func(context.Context) (port.HostReport, error) {
+		return func(ctx context.Context) (port.HostReport, error) {
+			return a.client.Heartbeat(ctx, h.Deadline, h.Token, h.Acked, wait)
+		}
+	}
+	result.Report, result.Err = hedge.Do(ctx, h.Wait+lostAfter, a.copies, isConclusive, heartbeat(h.Wait), heartbeat(0))
 	result.Report.ReceivedAt = time.Now()
 	result.Late = result.Err != nil && time.Since(result.Sent) > timeout+readMargin
 	return result
@@ -165,15 +192,29 @@
 	unit := batch.Ref.String(o.Ref)
 	switch o.Kind {
 	case shard.OrderStart:
-		result.HostClock, result.Err = a.client.Start(ctx, port.StartOrder{
+		start := port.StartOrder{
 			Unit: unit, Run: o.Run, Specification: o.Specification, Deadline: o.Deadline, Token: o.Token,
 			Checkpoint: o.Checkpoint, Ticket: o.Ticket,
-		})
+		}
+		result.HostClock, result.Err = a.sendTwice(ctx, func(ctx context.Context) (int64, error) { return a.client.Start(ctx, start) })
 	case shard.OrderStop:
-		result.HostClock, result.Err = a.client.Stop(ctx, unit, o.Run, o.Token)
+		result.HostClock, result.Err = a.sendTwice(ctx, func(ctx context.Context) (int64, error) { return a.client.Stop(ctx, unit, o.Run, o.Token) })
 	case shard.OrderThrottle:
 		result.Err = a.client.Throttle(ctx, unit, o.Run, o.Percent, o.Token)
 	}
 	result.Took = time.Since(sent)
 	return result
 }
+
+// sendTwice sends an order, and a copy of it if its answer may have been lost. A host takes a run that it
+// has started or ended for the same run, however often and late the order arrives.
+func (a *Agent) sendTwice(ctx context.Context, order func(context.Context) (int64, error)) (int64, error) {
+	return hedge.Do(ctx, lostAfter, a.copies, isConclusive, order, order)
+}
+
+// isConclusive reports whether a refusal holds for all copies of a call: a newer owner has sent orders, or
+// the instance of the host that the call was meant for has ended.
+func isConclusive(err error) bool {
+	var refused *port.RefusedError
+	return errors.As(err, &refused) && (refused.Reason == port.RefusedFence || refused.Reason == port.RefusedInstance)
+}
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -9,6 +9,7 @@
 	"carawaymux.dev/entry/agent"
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/entry/feed"
+	"carawaymux.dev/entry/hedge"
 	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/task"
 	"carawaymux.dev/fleet/window"
@@ -41,6 +42,8 @@
 	agents   map[string]*hostLink
 	// starts holds the starts that have not been answered.
 	starts *window.Window[startKey, window.Adaptive]
+	// copies limits the calls to hosts that are sent again because their answers may have been lost.
+	copies *hedge.Budget
 	writer *claim.Writer
 	inbox  *feed.Feed[[]byte]
 	// machineLister requests the list of machines. listedAt is when it was last asked to.
@@ -87,7 +90,7 @@
 		owner: o, settings: s, deps: d, claim: acquired, agents: map[string]*hostLink{},
 		logger: d.Logger.With("pool", acquired.Name, "epoch", acquired.Epoch),
 		state:  shard.New(acquired.Name, acquired.Epoch, s.Timing, time.Now()),
-		starts: window.New[startKey](window.Adaptive{}),
+		starts: window.New[startKey](window.Adaptive{}), copies: hedge.NewBudget(),
 	}
 	c.state.ConfirmedAt = acquired.ConfirmedAt
 	c.state.HasPolicyService = d.Adviser != nil
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -15,6 +15,9 @@
 const (
 	// heartbeatBackoff is the time between a failed heartbeat and the next one to the same host.
 	heartbeatBackoff = 150 * time.Millisecond
+	// busyHeartbeatWait is the longest wait of a heartbeat to a host with work that ends. Such a host
+	// mostly answers sooner, because runs end.
+	busyHeartbeatWait = 400 * time.Millisecond
 	// unackedBackoff is the time between heartbeats to a host that has reported ended runs
 	// which the store does not have yet. Without it the host would answer at once each time,
 	// because those ends are not acknowledged.
@@ -72,7 +75,7 @@
 	l := &hostLink{}
 	l.agent = agent.Open(h, c.deps.HostClients,
 		func(ctx context.Context, r agent.HeartbeatResult) { c.post(ctx, heartbeatResult{r, l}) },
-		func(ctx context.Context, r agent.OrderResult) { c.post(ctx, orderResult{r}) })
+		func(ctx context.Context, r agent.OrderResult) { c.post(ctx, orderResult{r}) }, agent.WithCopies(c.copies))
 	c.agents[h.ID] = l
 }
 
@@ -101,6 +104,10 @@
 		return
 	}
 	wait := max(c.settings.HeartbeatWait-l.pause, 0)
+	if c.state.IsBusy(h) {
+		// An end is known late by the rest of the wait if the answer that reports it is lost.
+		wait = min(wait, busyHeartbeatWait)
+	}
 	deadline := c.state.LeaseDeadline(h, now)
 	// A host that has not confirmed this owner, or whose lease cannot be extended, is to answer
 	// at once.
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -128,6 +128,8 @@
 	// rounds in a row in which enough stronger members were alive.
 	member    bool
 	outranked int
+	// decided is set once the entry has decided whether it is a member.
+	decided bool
 	// leaving is set when the entry is about to stop.
 	leaving bool
 	// lastRound is when the last round ended.
@@ -264,16 +266,14 @@
 		c.roster.logger.Info("entries: store regained")
 	}
 	c.storeDown = false
-	c.publishView(time.Now(), began)
-	c.updateMembership(ctx)
+	c.publishView(ctx, time.Now(), began)
 }
 
-// updateMembership decides whether this entry is one of those that may own pools. The strongest entries
-// of each availability zone are, as long as they are alive.
-func (c *core) updateMembership(ctx context.Context) {
-	v := c.roster.View()
+// updateMembership decides whether this entry is one of those that may own pools, and reports whether
+// that has changed. The strongest entries of each availability zone are, as long as they are alive.
+func (c *core) updateMembership(v *View) bool {
 	if !v.Settled || c.leaving {
-		return
+		return false
 	}
 	members := make([]owners.Member, 0, len(v.Alive))
 	for _, h := range v.Alive {
@@ -284,17 +284,20 @@
 	if mayOwn || len(*c.roster.pools.Load()) > 0 {
 		c.outranked = 0
 	}
+	// The first settled view shows all entries that have started together.
+	first := !c.decided
+	c.decided = true
 	switch {
 	case mayOwn && !c.member:
 		c.member = true
 		c.roster.logger.Info("entry may own pools", "members", len(members))
-	case c.member && c.outranked >= stepDownRounds:
+		return true
+	case c.member && c.outranked > 0 && (first || c.outranked >= stepDownRounds):
 		c.member = false
 		c.roster.logger.Info("entry owns no pools: enough stronger ones are alive in its zone", "members", len(members))
-	default:
-		return
+		return true
 	}
-	c.writeHeartbeat(ctx)
+	return false
 }
 
 // candidate returns the entry as one that may own pools.
@@ -367,13 +370,13 @@
 	}
 }
 
-func (c *core) publishView(now, began time.Time) {
+func (c *core) publishView(ctx context.Context, now, began time.Time) {
 	if c.readingSince.IsZero() || now.Sub(c.lastRead) > c.interval()+readMargin {
 		// While nothing could be read, missing heartbeats do not show that entries are dead.
 		c.readingSince = now
 	}
 	c.lastRead = now
-	v := &View{Member: c.member, Alive: map[string]Heartbeat{}, Owners: map[string]Owner{}, StoreLostSince: c.storeLostSince, AsOf: began}
+	v := &View{Alive: map[string]Heartbeat{}, Owners: map[string]Owner{}, StoreLostSince: c.storeLostSince, AsOf: began}
 	v.Settled = now.Sub(c.readingSince) >= settleAfter
 	for name, r := range c.rows {
 		silence := now.Sub(later(r.changedAt, c.readingSince))
@@ -390,8 +393,13 @@
 			}
 		}
 	}
+	changed := c.updateMembership(v)
+	v.Member = c.member && c.decided
 	c.roster.view.Store(v)
 	c.roster.onView(v)
+	if changed {
+		c.writeHeartbeat(ctx)
+	}
 }
 
 func later(a, b time.Time) time.Time {
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -243,6 +243,29 @@
 	}
 }
 
+// When a fleet restarts, entries that are not members must not do the work of members until they notice.
+func TestTheFirstSettledViewShowsWhetherAnEntryIsAMember(t *testing.T) {
+	s := &fakeStore{}
+	type seen struct{ settled, member bool }
+	views := make([]chan seen, 12)
+	for i := range views {
+		views[i] = make(chan seen, 1000)
+		name := string(rune('a' + i))
+		r := roster.Start(s, roster.Heartbeat{Name: name, Zone: "z", Address: name, Incarnation: 1, Capacity: 800 - 10*i, Link: 100},
+			slog.New(slog.NewJSONHandler(io.Discard, nil)), func(v *roster.View) { views[i] <- seen{v.Settled, v.Member} })
+		t.Cleanup(r.Close)
+	}
+	for i := range views {
+		for v := range views[i] {
+			if v.settled {
+				require.Equal(t, i < 8, v.member, "entry %d", i)
+				break
+			}
+			require.False(t, v.member)
+		}
+	}
+}
+
 func TestEntriesThatOwnPoolsStayMembers(t *testing.T) {
 	s := &fakeStore{}
 	entries := startZone(t, s, 10)
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -255,6 +255,9 @@
 	}
 }
 
+// IsBusy reports whether work that ends is assigned to a host.
+func (s *State) IsBusy(h *Host) bool { return len(h.Assigned) > h.longRunning }
+
 // hasUnconfirmedHost reports whether some host that an earlier owner may have used has not
 // answered yet and may still hold a lease.
 func (s *State) hasUnconfirmedHost(now time.Time) bool {
