Refuse damaged messages without harm to their pool

A record of a pool that could not be read failed every take-over, so the pool had no owner any more. Change: the owner checks each job that it did not decode itself and refuses it; unreadable records are skipped, counted and logged with their keys, those of waves as well. Evidence: TestInvalidSubmissionsTakeNoOwnerDown (panic: index out of range before), TestAnUnreadableRecordDoesNotKeepAPoolWithoutOwner. Not covered: settings, machine lists, logs that caraway reads, links between entries; a panic in a task still ends the process.

--- a/entry/mover/stored.go
+++ b/entry/mover/stored.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"strconv"
@@ -12,7 +11,6 @@
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/demand"
-	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/port"
 )
 
@@ -54,10 +52,9 @@
 // readStored reads what earlier holders have stored.
 func readStored(ctx context.Context, acquired *claim.Claim) (storedState, error) {
 	stored := storedState{started: map[string]bool{}, seenAt: map[int64]int64{}, authorized: map[string]time.Duration{}}
-	var decodeErr error
 	err := acquired.Load(ctx, func(e port.Record) {
 		if rest, ok := strings.CutPrefix(e.Key, ClaimName+keySeen); ok {
-			decodeErr = errors.Join(decodeErr, stored.addSeen(rest, string(e.Value)))
+			stored.addSeen(rest, string(e.Value))
 		}
 		if rest, ok := strings.CutPrefix(e.Key, ClaimName+keyStarted); ok {
 			stored.started[rest] = true
@@ -72,16 +69,17 @@
 			}
 		}
 	})
-	return stored, errors.Join(err, decodeErr)
+	return stored, err
 }
 
-func (s storedState) addSeen(wave, at string) error {
+// addSeen records when a wave was first seen. A wave whose record cannot be read counts as not seen
+// before, so that the machines still get a holder.
+func (s storedState) addSeen(wave, at string) {
 	number, err := strconv.ParseInt(wave, 10, 64)
-	if err != nil {
-		return fault.At("load", ClaimName, err)
+	seenAt, atErr := strconv.ParseInt(at, 10, 64)
+	if err == nil && atErr == nil {
+		s.seenAt[number] = seenAt
 	}
-	s.seenAt[number], err = strconv.ParseInt(at, 10, 64)
-	return fault.At("load", ClaimName, err)
 }
 
 // waveAge returns how long ago a wave was first seen, and whether a holder has recorded that.
--- a/entry/owner/inbox_test.go
+++ b/entry/owner/inbox_test.go
@@ -92,3 +92,85 @@
 	require.Eventually(t, func() bool { return o.Submit(ctx, queue, "again", spec).Outcome == owner.Accepted }, 10*time.Second, 50*time.Millisecond)
 	require.Equal(t, owner.Accepted, o.Submit(ctx, queue, "by-inbox", spec).Outcome)
 }
+
+// invalidSpecs are submissions that no caller's entry lets through, as another writer or a damaged message
+// may contain them.
+var invalidSpecs = map[string]batch.Spec{
+	"step after a step that does not exist": {Queue: "q", Steps: []batch.Step{{Count: 1, After: []int{7}}}},
+	"step after itself":                     {Queue: "q", Steps: []batch.Step{{Count: 1, After: []int{0}}}},
+	"negative count":                        {Queue: "q", Steps: []batch.Step{{Count: -1}}},
+	"too many tasks":                        {Queue: "q", Steps: []batch.Step{{Count: 1 << 40}}},
+	"no steps":                              {Queue: "q"},
+}
+
+// An invalid submission panicked in the owner's task and took the entry down, and again each entry that
+// took the pool over, since it stayed in the inbox.
+func TestInvalidSubmissionsTakeNoOwnerDown(t *testing.T) {
+	for name, spec := range invalidSpecs {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			store := &partialStore{inbox: make(chan port.Record, 3)}
+			acquired, err := claim.Acquire(ctx, store, "pool", "e", 1, 24)
+			require.NoError(t, err)
+			config := &port.Config{Queues: []port.Queue{{Name: "q", Pool: "pool"}}, Pools: []port.Pool{{Name: "pool"}}}
+			o := owner.Start(
+				owner.Settings{Partitions: 24, Timing: shard.Timing{Lease: 5 * time.Second, Grace: 6 * time.Second}},
+				owner.Deps{Log: store, Machines: noMachines{}, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))},
+				acquired, &owner.StoredState{}, config, nil)
+			defer o.Close()
+			require.Equal(t, owner.Refused, o.Submit(ctx, config.Queues[0], "invalid-1", spec).Outcome)
+			value, err := codec.EncodeFrame(spec)
+			require.NoError(t, err)
+			store.inbox <- port.Record{Key: "pool/invalid-2", Value: value}
+			store.inbox <- port.Record{Key: "pool/invalid-3", Value: []byte{0xff}}
+			value, err = codec.EncodeFrame(batch.Spec{Queue: "q", Steps: []batch.Step{{Count: 1}}})
+			require.NoError(t, err)
+			store.inbox <- port.Record{Key: "pool/valid", Value: value}
+			require.Eventually(t, func() bool { return o.JobStatus(ctx, "valid").Outcome == owner.Found }, 5*time.Second, 10*time.Millisecond)
+			for _, id := range []string{"invalid-1", "invalid-2", "invalid-3"} {
+				require.Equal(t, owner.Missing, o.JobStatus(ctx, id).Outcome, id)
+			}
+		})
+	}
+}
+
+// storedRecords is a store in which an earlier owner has left records.
+type storedRecords struct {
+	partialStore
+	records []port.Record
+}
+
+func (s *storedRecords) Newest(_ context.Context, stream port.Stream, _ string) (port.Page, error) {
+	if strings.HasPrefix(stream.Topic, "keyed.work") {
+		return port.Page{Records: s.records}, nil
+	}
+	return port.Page{}, nil
+}
+
+// A record that could not be read failed each take-over, so that the pool had no owner any more.
+func TestAnUnreadableRecordDoesNotKeepAPoolWithoutOwner(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	good, err := codec.EncodeFrame(batch.Spec{Queue: "q", Steps: []batch.Step{{Count: 1}}})
+	require.NoError(t, err)
+	bad, err := codec.EncodeFrame(invalidSpecs["step after itself"])
+	require.NoError(t, err)
+	store := &storedRecords{records: []port.Record{
+		{Key: "pool/j/bad", Value: []byte{0xff, 0x00}}, {Key: "pool/j/invalid", Value: bad}, {Key: "pool/n/good", Value: []byte{0xff}},
+		{Key: "pool/h/host", Value: []byte("{")}, {Key: "pool/j/good", Value: good}, {Key: "pool/", Value: good},
+	}}
+	acquired, err := claim.Acquire(ctx, store, "pool", "e", 1, 24)
+	require.NoError(t, err)
+	stored, err := owner.ReadState(ctx, acquired)
+	require.NoError(t, err)
+	require.Contains(t, stored.Specs, "good")
+	require.Len(t, stored.Specs, 1)
+	require.Len(t, stored.Unreadable, 4)
+	config := &port.Config{Queues: []port.Queue{{Name: "q", Pool: "pool"}}, Pools: []port.Pool{{Name: "pool"}}}
+	o := owner.Start(
+		owner.Settings{Partitions: 24, Timing: shard.Timing{Lease: 5 * time.Second, Grace: 6 * time.Second}},
+		owner.Deps{Log: store, Machines: noMachines{}, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))}, acquired, stored, config, nil)
+	defer o.Close()
+	require.Equal(t, owner.Found, o.JobStatus(ctx, "good").Outcome)
+}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -147,8 +147,12 @@
 // Lost returns a channel that is closed when a newer owner has replaced this one.
 func (o *Owner) Lost() <-chan struct{} { return o.lost }
 
-// Submit submits a job and waits until the store has it.
+// Submit submits a job and waits until the store has it. An invalid job is refused: entries check jobs
+// before they send them, but a message may be damaged or come from another version.
 func (o *Owner) Submit(ctx context.Context, q port.Queue, id string, spec batch.Spec) Answer {
+	if err := spec.Check(); err != nil {
+		return Answer{Outcome: Refused, Reason: "the job is invalid: " + err.Error()}
+	}
 	return o.call(ctx, Unknown, func(reply chan<- Answer) message { return submitJob{q, id, spec, reply} })
 }
 
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -50,14 +49,20 @@
 	Specs    map[string]batch.Spec
 	Progress map[string]shard.Progress
 	Hosts    []port.Host
+	// Unreadable holds the errors of the records that could not be read, by key.
+	Unreadable map[string]error
 }
 
 // ReadState reads what earlier owners of a pool have stored.
 func ReadState(ctx context.Context, acquired *claim.Claim) (*StoredState, error) {
-	stored := &StoredState{Specs: map[string]batch.Spec{}, Progress: map[string]shard.Progress{}}
-	var decodeErr error
-	err := acquired.Load(ctx, func(e port.Record) { decodeErr = errors.Join(decodeErr, stored.add(acquired.Name, e)) })
-	return stored, errors.Join(err, decodeErr)
+	stored := &StoredState{Specs: map[string]batch.Spec{}, Progress: map[string]shard.Progress{}, Unreadable: map[string]error{}}
+	err := acquired.Load(ctx, func(e port.Record) {
+		if err := stored.add(acquired.Name, e); err != nil {
+			// Without the record, the pool still needs an owner.
+			stored.Unreadable[e.Key] = err
+		}
+	})
+	return stored, err
 }
 
 func (s *StoredState) add(pool string, e port.Record) error {
@@ -68,7 +73,7 @@
 	id := key[len(keySpec):]
 	switch key[:len(keySpec)] {
 	case keySpec:
-		v, err := codec.DecodeFrame[batch.Spec](e.Value)
+		v, err := decodeSpec(e.Value)
 		if err != nil {
 			return err
 		}
@@ -89,6 +94,15 @@
 	return nil
 }
 
+// decodeSpec decodes the specification of a job and checks it.
+func decodeSpec(raw []byte) (batch.Spec, error) {
+	spec, err := codec.DecodeFrame[batch.Spec](raw)
+	if err != nil {
+		return spec, err
+	}
+	return spec, spec.Check()
+}
+
 // journal holds the changes that wait to be written and those of the append in flight.
 type journal struct {
 	// newJobs are submissions that have not been part of an append yet.
@@ -186,6 +200,10 @@
 			c.addHost(h)
 		}
 	}
+	for key, err := range stored.Unreadable {
+		c.deps.Stats.Add("unreadable-records", 1, "pool", c.state.Pool)
+		c.logger.Error("stored record cannot be read; skipped", "key", key, "err", err)
+	}
 	c.deps.Stats.Add("pools-taken-over", 1, "pool", c.state.Pool)
 	c.logger.Info("pool taken over", "jobs", len(stored.Specs), "hosts", len(c.state.Hosts))
 }
@@ -368,9 +386,10 @@
 		if !ch.Present || len(ch.Key) <= len(prefix) || ch.Key[:len(prefix)] != prefix {
 			continue
 		}
-		spec, err := codec.DecodeFrame[batch.Spec](ch.Value)
+		spec, err := decodeSpec(ch.Value)
 		if err != nil {
-			c.logger.Error("submission in the inbox could not be decoded; skipped", "key", ch.Key, "err", err)
+			c.deps.Stats.Add("unreadable-records", 1, "pool", c.state.Pool)
+			c.logger.Error("submission in the inbox could not be decoded or is invalid; skipped", "key", ch.Key, "err", err)
 			continue
 		}
 		id := ch.Key[len(prefix):]
