Take a flood during another pool's turn for no turn

Cause: a flood of one kind during the turn of another counted as its turn. Change: a turn that begins while a counted one goes on counts only if that one ends within 1.5 s; rates follow the load with a delay. Pools are looked at in the order of their names, so that the same rates give the same forecast.

--- a/fleet/demand/demand.go
+++ b/fleet/demand/demand.go
@@ -5,7 +5,9 @@
 package demand
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -38,12 +40,15 @@
 	// Peak is the rate at which work arrived at the height of its turns, in thousandths of a core, and
 	// 0 before the end of the first one.
 	Peak int64
-	// InTurn reports whether the pool is in a turn now. Highest is the highest rate of that turn, and
-	// Sum the sum of the Count observed rates that were at least half of the highest one until then.
-	InTurn       bool
-	Highest, Sum int64
-	Count        int64
-	// StartedAt is when the last turn began, or the zero time before the first one.
+	// InTurn reports whether the pool is in a turn now, which began at Began. Counted reports whether
+	// the turn is one of a sequence: work that floods a pool during the turn of another one is none. While
+	// Pending is set, that is not decided.
+	InTurn, Counted, Pending bool
+	Began                    time.Time
+	// Highest is the highest rate of the present turn, and Sum the sum of the Count observed rates that
+	// were at least half of the highest one until then.
+	Highest, Sum, Count int64
+	// StartedAt is when the last counted turn began, or the zero time before the first one.
 	StartedAt time.Time
 	// Passed is the number of turns of other pools that have begun since the own last one, or since
 	// the pool was first observed.
@@ -83,6 +88,9 @@
 	// startShare is the share of the height of earlier turns at which a turn begins, and endShare the
 	// share of its own height at which it ends.
 	startShare, endShare = 0.4, 0.2
+	// overlapTolerance is how long a turn may begin before the last one ends: rates follow the load with
+	// a delay.
+	overlapTolerance = 1500 * time.Millisecond
 	// minArrivals is the number of jobs from which on a rate shows a turn, and not a few large jobs.
 	minArrivals = 4
 	// maxIntervals bounds the intervals that are kept, so that old ones are forgotten.
@@ -109,13 +117,34 @@
 			h.Turns++
 		}
 	}
-	for name, r := range rates {
-		if p := h.Pools[name]; !p.InTurn && p.beginsTurn(r) {
-			h.startTurn(p, r, now)
+	for _, name := range h.names() {
+		p := h.Pools[name]
+		if r, ok := rates[name]; ok && !p.InTurn && p.beginsTurn(r) {
+			p.InTurn, p.Counted, p.Pending, p.Began = true, false, true, now
+			p.Highest, p.Sum, p.Count = 0, 0, 0
+			p.addRate(r.Arriving)
+		}
+		if p.InTurn && p.Pending {
+			h.decide(p, now)
 		}
 	}
 }
 
+// names returns the names of the pools, sorted, so that the same rates give the same history.
+func (h *History) names() []string { return slices.Sorted(maps.Keys(h.Pools)) }
+
+// decide counts a turn once no other counted turn is left, and none that lasts on beside one.
+func (h *History) decide(p *Pool, now time.Time) {
+	for _, q := range h.Pools {
+		if q != p && q.InTurn && q.Counted {
+			p.Pending = now.Sub(p.Began) <= overlapTolerance
+			return
+		}
+	}
+	p.Counted, p.Pending = true, false
+	h.countTurn(p)
+}
+
 // beginsTurn reports whether work arrives at a rate of a turn. Before the first turn, operators' provision
 // stands for its height.
 func (p *Pool) beginsTurn(r Rate) bool {
@@ -144,7 +173,10 @@
 	if float64(r.Arriving) >= endShare*float64(p.Highest) {
 		return false
 	}
-	p.InTurn = false
+	p.InTurn, p.Pending = false, false
+	if !p.Counted {
+		return false
+	}
 	height := p.Sum / p.Count
 	if p.Peak > 0 {
 		height = (height + p.Peak) / 2
@@ -153,10 +185,10 @@
 	return true
 }
 
-// startTurn records that a turn of a pool begins.
-func (h *History) startTurn(p *Pool, r Rate, now time.Time) {
+// countTurn records a turn of a pool as one of the sequence.
+func (h *History) countTurn(p *Pool) {
 	if !h.LastStart.IsZero() {
-		h.Intervals = append(h.Intervals, now.Sub(h.LastStart))
+		h.Intervals = append(h.Intervals, p.Began.Sub(h.LastStart))
 		h.Intervals = h.Intervals[max(len(h.Intervals)-maxIntervals, 0):]
 	}
 	for i := range h.Returns {
@@ -164,15 +196,14 @@
 		h.Chances[i] *= forget
 	}
 	for _, q := range h.Pools {
-		if !q.InTurn && !q.StartedAt.IsZero() {
+		if (q == p || !q.InTurn) && !q.StartedAt.IsZero() {
 			h.countChance(q.Passed, q == p)
 		}
 		q.Passed++
 	}
-	h.LastStart = now
+	h.LastStart = p.Began
 	h.Turns++
-	p.InTurn, p.Highest, p.Sum, p.Count, p.StartedAt, p.Passed = true, 0, 0, 0, now, 0
-	p.addRate(r.Arriving)
+	p.StartedAt, p.Passed = p.Began, 0
 }
 
 func (h *History) countChance(passed int, returned bool) {
@@ -211,8 +242,8 @@
 		return e
 	}
 	total := 0.0
-	for _, q := range h.Pools {
-		if !q.InTurn {
+	for _, name := range h.names() {
+		if q := h.Pools[name]; !q.InTurn {
 			total += h.weight(q)
 		}
 	}
--- a/fleet/demand/demand_test.go
+++ b/fleet/demand/demand_test.go
@@ -118,6 +118,48 @@
 	require.False(t, h.Pools["d"].InTurn)
 }
 
+// A flood of work during the turn of another pool counted as a turn. The pool was then not expected to have
+// its own turn, which came 17 s later.
+func TestAFloodDuringATurnIsNoTurn(t *testing.T) {
+	h := demand.NewHistory()
+	const length = 10 * time.Second
+	for at := time.Duration(0); at < 3*length-time.Second; at += step {
+		rates := map[string]demand.Rate{}
+		for i, p := range pools {
+			rates[p] = demand.Rate{Arriving: low, Arrivals: 5, Provided: 20, Capacity: 272_000}
+			flood := p == "d" && at >= 13*time.Second && at < 17*time.Second
+			if int(at/length) == i || flood {
+				rates[p] = demand.Rate{Arriving: high, Arrivals: 50, Provided: 20, Capacity: 272_000}
+			}
+		}
+		h.WorkSince = start
+		h.Observe(rates, start.Add(at))
+	}
+	e := expect(h, "d", 3*length-time.Second)
+	require.Greater(t, e.Probability, 0.4)
+	require.Equal(t, 20, e.Hosts, "its peak is not known")
+	require.Equal(t, []time.Duration{length, length}, h.Intervals)
+}
+
+// The rate of the last turn falls some time after the next one has begun.
+func TestATurnThatBeginsJustBeforeTheLastOneEndsCounts(t *testing.T) {
+	h := demand.NewHistory()
+	const length = 5 * time.Second
+	for at := time.Duration(0); at < 19*time.Second; at += step {
+		rates := map[string]demand.Rate{}
+		for i, p := range pools {
+			rates[p] = demand.Rate{Arriving: low, Arrivals: 5, Provided: 20, Capacity: 272_000}
+			if from := time.Duration(i) * length; at >= from && at < from+length+time.Second {
+				rates[p] = demand.Rate{Arriving: high, Arrivals: 50, Provided: 20, Capacity: 272_000}
+			}
+		}
+		h.WorkSince = start
+		h.Observe(rates, start.Add(at))
+	}
+	require.Equal(t, []time.Duration{length, length, length}, h.Intervals)
+	require.Greater(t, expect(h, "a", 19*time.Second).Probability, 0.4)
+}
+
 func TestSteadyLoadHasNoTurns(t *testing.T) {
 	h := demand.NewHistory()
 	for at := time.Duration(0); at < time.Minute; at += step {
--- a/fleet/demand/snapshot.go
+++ b/fleet/demand/snapshot.go
@@ -27,6 +27,9 @@
 	Count     int64 `cbor:"7,keyasint"`
 	StartedAt int64 `cbor:"8,keyasint"`
 	Passed    int   `cbor:"9,keyasint"`
+	Began     int64 `cbor:"10,keyasint"`
+	Counted   bool  `cbor:"11,keyasint"`
+	Pending   bool  `cbor:"12,keyasint"`
 }
 
 // Snapshot returns a copy of the history for the store.
@@ -36,7 +39,10 @@
 		Intervals: slices.Clone(h.Intervals), Returns: slices.Clone(h.Returns), Chances: slices.Clone(h.Chances),
 	}
 	for name, p := range h.Pools {
-		s.Pools[name] = PoolSnapshot{p.Hosts, p.Capacity, p.Peak, p.InTurn, p.Highest, p.Sum, p.Count, millis(p.StartedAt), p.Passed}
+		s.Pools[name] = PoolSnapshot{
+			Hosts: p.Hosts, Capacity: p.Capacity, Peak: p.Peak, InTurn: p.InTurn, Highest: p.Highest, Sum: p.Sum, Count: p.Count,
+			StartedAt: millis(p.StartedAt), Passed: p.Passed, Began: millis(p.Began), Counted: p.Counted, Pending: p.Pending,
+		}
 	}
 	return s
 }
@@ -55,7 +61,10 @@
 			return NewHistory()
 		}
 		// A turn has at least one rate.
-		h.Pools[name] = &Pool{p.Hosts, p.Capacity, p.Peak, p.InTurn && p.Count > 0, p.Highest, p.Sum, p.Count, fromMillis(p.StartedAt), p.Passed}
+		h.Pools[name] = &Pool{
+			Hosts: p.Hosts, Capacity: p.Capacity, Peak: p.Peak, InTurn: p.InTurn && p.Count > 0, Highest: p.Highest, Sum: p.Sum, Count: p.Count,
+			StartedAt: fromMillis(p.StartedAt), Passed: p.Passed, Began: fromMillis(p.Began), Counted: p.Counted, Pending: p.Pending,
+		}
 	}
 	return h
 }
