Compare sizing policies on loads of several shapes with a command

trial experiment plays static pools, on demand, the policy without a forecast, the forecast and an oracle on twelve shapes of load, and prints a table or JSON lines with the distance from the oracle, and a plot.

--- a/trial/cmd/trial/main.go
+++ b/trial/cmd/trial/main.go
@@ -1,4 +1,4 @@
-// Command trial runs the stand-ins of the platform, the demo, the tour and the measures of
+// Command trial runs the stand-ins of the platform, the demo, the tour, the measures and the experiments of
 // carawaymux. It is not part of a production deployment.
 package main
 
@@ -11,6 +11,7 @@
 	"carawaymux.dev/fleet/build"
 	"carawaymux.dev/trial/demo"
 	"carawaymux.dev/trial/gauge"
+	"carawaymux.dev/trial/model"
 	"carawaymux.dev/trial/runner"
 	"carawaymux.dev/trial/tour"
 )
@@ -24,7 +25,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(runner.NewLogCommand(), runner.NewHostsCommand(), runner.NewTargetCommand(), demo.New(os.Stdout), gauge.New(os.Stdout, os.Stderr),
-		tour.New(os.Stdout, nil))
+		tour.New(os.Stdout, nil), model.New(os.Stdout, os.Stderr))
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "trial:", err)
 		os.Exit(1)
--- a/trial/model/shapes.go
+++ b/trial/model/shapes.go
@@ -120,10 +120,12 @@
 func Shapes(kinds int, seed uint64) []Shape {
 	const turn, length = 4500 * time.Millisecond, 41 * time.Second
 	turns := Turns("turns", kinds, turn, length)
+	floods := Flood(Flood(Single(kinds, length, seed), kinds-1, 2500*time.Millisecond, 6*time.Second, 2), 0, 13*time.Second, 4*time.Second, 1.8)
+	floods.Name = "single-turns-floods"
 	return []Shape{
 		Single(kinds, 34*time.Second, seed),
 		turns,
-		Flood(Flood(Single(kinds, 41*time.Second, seed), kinds-1, 2500*time.Millisecond, 6*time.Second, 2), 0, 13*time.Second, 4*time.Second, 1.8),
+		floods,
 		Turns("turns-9s", kinds, 2*turn, 2*length),
 		Turns("turns-2.5s", kinds, 2500*time.Millisecond, length),
 		UnevenTurns("uneven-turns", kinds, turn, 2*length, true, seed),
