Keep the time of a lost store, and send appends without a number once

An entry that writes no heartbeats took each round for a success until its read failed, so the time since which the store is lost moved on with each round: an isolated entry would have reported itself ready again between two reads, and callers would have gone there. And a copy of an append without a sequence number (a wave's status, a deletion from an inbox) that is carried out seconds later would undo what followed. Change: the time is cleared only after a successful read; only numbered appends and reads of what is new are sent again.

--- a/entry/hedge/log.go
+++ b/entry/hedge/log.go
@@ -12,8 +12,9 @@
 // milliseconds.
 const lostAfter = 200 * time.Millisecond
 
-// Log is a store whose calls are sent again when their answers do not come. Appends on a condition are
-// sent once, because the copy of one that was carried out finds its condition no longer met. Reads of
+// Log is a store whose calls are sent again when their answers do not come. Appends without a sequence
+// number are sent once, because a copy that is carried out late would overwrite what followed, and appends
+// on a condition, because the copy of one that was carried out finds the condition no longer met. Reads of
 // whole topics are sent once, because they take long when many entries start together, and copies would
 // take the store's bandwidth from the others.
 type Log struct {
@@ -24,11 +25,10 @@
 // NewLog returns a log that makes its calls to another one.
 func NewLog(l port.Log) *Log { return &Log{l, NewBudget()} }
 
-// Append implements [port.Log]. The store appends a sequence number once, and records without a writer
-// have keys, so that a second one changes nothing.
+// Append implements [port.Log]. The store appends a sequence number once.
 func (l *Log) Append(ctx context.Context, s port.Stream, records []port.Record, w *port.Writer, expectedEnd int64) (int64, error) {
 	call := func(ctx context.Context) (int64, error) { return l.log.Append(ctx, s, records, w, expectedEnd) }
-	if expectedEnd >= 0 {
+	if w == nil || expectedEnd >= 0 {
 		return call(ctx)
 	}
 	return Do(ctx, lostAfter, l.copies, isConclusive, call, call)
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -249,10 +249,9 @@
 func (c *core) round(ctx context.Context) {
 	began := time.Now()
 	defer func() { c.lastRound = time.Now() }()
-	if c.member && !c.writeHeartbeat(ctx) {
+	written := !c.member || c.writeHeartbeat(ctx)
+	if !written {
 		c.markStoreLost(began)
-	} else {
-		c.storeLostSince = time.Time{}
 	}
 	if err := c.readHeartbeats(ctx); err != nil {
 		c.markStoreLost(began)
@@ -266,6 +265,9 @@
 		c.roster.logger.Info("entries: store regained")
 	}
 	c.storeDown = false
+	if written {
+		c.storeLostSince = time.Time{}
+	}
 	c.publishView(ctx, time.Now(), began)
 }
 
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -291,6 +291,26 @@
 	require.Eventually(t, func() bool { return len(entries["l"].View().Alive) == 4 }, 5*time.Second, 10*time.Millisecond)
 }
 
+// The time since which the store is lost tells whether an owner could not be reached since then. An entry
+// that writes no heartbeats moved it on with each read that failed, and reported itself ready in between.
+func TestTheTimeOfTheLossOfTheStoreStays(t *testing.T) {
+	s := &fakeStore{}
+	entries := startZone(t, s, 12)
+	require.Eventually(t, func() bool { return len(members(entries)) == 8 }, 5*time.Second, 10*time.Millisecond)
+	s.setUnavailable(true)
+	for _, name := range []string{"a", "l"} {
+		r := entries[name]
+		require.Eventually(t, func() bool { return !r.View().StoreLostSince.IsZero() }, 3*time.Second, 5*time.Millisecond, name)
+		lost := r.View().StoreLostSince
+		for range 100 {
+			require.Equal(t, lost, r.View().StoreLostSince, name)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	s.setUnavailable(false)
+	require.Eventually(t, func() bool { return entries["l"].View().StoreLostSince.IsZero() }, 3*time.Second, 5*time.Millisecond)
+}
+
 // An entry that reads seldom has to see a new owner at once when it asks for a new view.
 func TestRefreshReadsAtOnce(t *testing.T) {
 	s := &fakeStore{}
