--- a/entry/owner/inbox_test.go
+++ b/entry/owner/inbox_test.go
@@ -57,22 +57,32 @@
 
 func (noMachines) List(context.Context) ([]port.Machine, error) { return nil, nil }
 
+// startOwner starts an owner of a pool without hosts.
+func startOwner(ctx context.Context, t *testing.T, store port.Log) *owner.Owner {
+	acquired, err := claim.Acquire(ctx, store, "pool", "e", 1, 24)
+	require.NoError(t, err)
+	return startStored(t, store, acquired, &owner.StoredState{})
+}
+
+// startStored is like startOwner, for a pool of which an earlier owner has stored something.
+func startStored(t *testing.T, store port.Log, acquired *claim.Claim, stored *owner.StoredState) *owner.Owner {
+	o := owner.Start(
+		owner.Settings{Partitions: 24, Timing: shard.Timing{Lease: 5 * time.Second, Grace: 6 * time.Second}},
+		owner.Deps{Log: store, Machines: noMachines{}, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))},
+		acquired, stored, &port.Config{Queues: []port.Queue{{Name: "q", Pool: "pool"}}, Pools: []port.Pool{{Name: "pool"}}}, nil)
+	t.Cleanup(o.Close)
+	return o
+}
+
 // Jobs that arrived through the inbox count as accepted. This test guards against dropping them
 // together with the submissions that are refused while the store is unavailable.
 func TestInboxJobsAreKeptWhileTheStoreIsUnavailable(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	store := &partialStore{inbox: make(chan port.Record, 1)}
-	acquired, err := claim.Acquire(ctx, store, "pool", "e", 1, 24)
-	require.NoError(t, err)
-	config := &port.Config{Queues: []port.Queue{{Name: "q", Pool: "pool"}}, Pools: []port.Pool{{Name: "pool"}}}
-	o := owner.Start(
-		owner.Settings{Partitions: 24, Timing: shard.Timing{Lease: 5 * time.Second, Grace: 6 * time.Second}},
-		owner.Deps{Log: store, Machines: noMachines{}, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))},
-		acquired, &owner.StoredState{}, config, nil)
-	defer o.Close()
+	o := startOwner(ctx, t, store)
 	spec := batch.Spec{Queue: "q", Steps: []batch.Step{{Count: 1}}}
-	queue := config.Queues[0]
+	queue := port.Queue{Name: "q", Pool: "pool"}
 	require.Equal(t, owner.Accepted, o.Submit(ctx, queue, "first", spec).Outcome)
 
 	store.poolUnavailable.Store(true)
@@ -111,15 +121,8 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
 			store := &partialStore{inbox: make(chan port.Record, 3)}
-			acquired, err := claim.Acquire(ctx, store, "pool", "e", 1, 24)
-			require.NoError(t, err)
-			config := &port.Config{Queues: []port.Queue{{Name: "q", Pool: "pool"}}, Pools: []port.Pool{{Name: "pool"}}}
-			o := owner.Start(
-				owner.Settings{Partitions: 24, Timing: shard.Timing{Lease: 5 * time.Second, Grace: 6 * time.Second}},
-				owner.Deps{Log: store, Machines: noMachines{}, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))},
-				acquired, &owner.StoredState{}, config, nil)
-			defer o.Close()
-			require.Equal(t, owner.Refused, o.Submit(ctx, config.Queues[0], "invalid-1", spec).Outcome)
+			o := startOwner(ctx, t, store)
+			require.Equal(t, owner.Refused, o.Submit(ctx, port.Queue{Name: "q", Pool: "pool"}, "invalid-1", spec).Outcome)
 			value, err := codec.EncodeFrame(spec)
 			require.NoError(t, err)
 			store.inbox <- port.Record{Key: "pool/invalid-2", Value: value}
@@ -167,10 +170,6 @@
 	require.Contains(t, stored.Specs, "good")
 	require.Len(t, stored.Specs, 1)
 	require.Len(t, stored.Unreadable, 4)
-	config := &port.Config{Queues: []port.Queue{{Name: "q", Pool: "pool"}}, Pools: []port.Pool{{Name: "pool"}}}
-	o := owner.Start(
-		owner.Settings{Partitions: 24, Timing: shard.Timing{Lease: 5 * time.Second, Grace: 6 * time.Second}},
-		owner.Deps{Log: store, Machines: noMachines{}, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))}, acquired, stored, config, nil)
-	defer o.Close()
+	o := startStored(t, store, acquired, stored)
 	require.Equal(t, owner.Found, o.JobStatus(ctx, "good").Outcome)
 }
