Start no job again whose progress cannot be read

Found by reading the whole change: with its progress record skipped, a job would have begun anew although some of it may have run. Evidence: TestAnUnreadableRecordDoesNotKeepAPoolWithoutOwner has the case (failed before).

--- a/entry/owner/inbox_test.go
+++ b/entry/owner/inbox_test.go
@@ -160,7 +160,7 @@
 	bad, err := codec.EncodeFrame(invalidSpecs["step after itself"])
 	require.NoError(t, err)
 	store := &storedRecords{records: []port.Record{
-		{Key: "pool/j/bad", Value: []byte{0xff, 0x00}}, {Key: "pool/j/invalid", Value: bad}, {Key: "pool/n/good", Value: []byte{0xff}},
+		{Key: "pool/j/bad", Value: []byte{0xff, 0x00}}, {Key: "pool/j/invalid", Value: bad}, {Key: "pool/j/begun", Value: good}, {Key: "pool/n/begun", Value: []byte{0xff}},
 		{Key: "pool/h/host", Value: []byte("{")}, {Key: "pool/j/good", Value: good}, {Key: "pool/", Value: good},
 	}}
 	acquired, err := claim.Acquire(ctx, store, "pool", "e", 1, 24)
@@ -168,6 +168,7 @@
 	stored, err := owner.ReadState(ctx, acquired)
 	require.NoError(t, err)
 	require.Contains(t, stored.Specs, "good")
+	require.NotContains(t, stored.Specs, "begun", "it may have run")
 	require.Len(t, stored.Specs, 1)
 	require.Len(t, stored.Unreadable, 4)
 	o := startStored(t, store, acquired, stored)
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"carawaymux.dev/entry/claim"
@@ -62,6 +63,12 @@
 			stored.Unreadable[e.Key] = err
 		}
 	})
+	for key := range stored.Unreadable {
+		if id, ok := strings.CutPrefix(key, acquired.Name+keyProgress); ok {
+			// Some of the job may have run, so nothing of it is started again.
+			delete(stored.Specs, id)
+		}
+	}
 	return stored, err
 }
 
