Call no host empty that has not answered its new owner

An owner lost the store and its pool was taken over while machines of a wave were being emptied. The new owner was asked whether a host is empty before the host had answered it, knew of no task there and said yes; the machine went into maintenance, which ended the long-running work on it. Change: a host that an earlier owner may have given work to counts as empty only once it has answered, or its lease has certainly expired.

--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -16,7 +16,8 @@
 
 // Vacate cordons a host for a time, and stops the tasks there that can be moved. It stops no more
 // tasks of a long-running step than may be unavailable, and other tasks after a delay in which
-// most of them end. It reports whether the host is empty.
+// most of them end. It reports whether the host is empty. A host that an earlier owner may have given work
+// to is not known to be empty before it has answered or its lease has expired.
 func (s *State) Vacate(h *Host, now time.Time, cordon time.Duration) bool {
 	if now.After(h.CordonedUntil) {
 		h.CordonedAt = now
@@ -38,7 +39,8 @@
 			s.orderStop(r, task, "host is being emptied")
 		}
 	}
-	return len(h.Assigned) == 0 && h.UnknownRuns == 0
+	known := h.Confirmed || !h.Stored || s.leaseExpired(h, now)
+	return known && len(h.Assigned) == 0 && h.UnknownRuns == 0
 }
 
 // fitsElsewhere reports whether some other host has room for a task.
