Compute the hosts that carry a load in one place

Found by reading the whole change: the forecast's number of hosts repeated the formula of the present need. ShapeNames dropped names that stand twice, while the experiment uses its positions as those of the shapes; the names are unique, so it now just lists them. No behaviour changes: make static, go test ./fleet/sizing ./entry/mover ./trial/model pass.

--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -84,7 +84,7 @@
 func (c ClearBacklog) Desired(l *Load) int {
 	backlog := float64(l.Backlog+l.FutureWork/futureWorkDivisor) / c.Within.Seconds()
 	required := float64(l.LongRunning) + max(float64(l.Running)+backlog, float64(l.ArrivalRate))
-	return max(hostsFor(l, int64(required/c.Utilization)), l.SpreadHosts) + c.Reserve
+	return c.hostsToCarry(l, required)
 }
 
 // Required implements [Policy].
@@ -96,7 +96,13 @@
 // HostsFor returns the number of hosts that a pool should have while work arrives at a rate, in
 // thousandths of a core.
 func (c ClearBacklog) HostsFor(l *Load, rate int64) int {
-	return max(hostsFor(l, int64(float64(l.LongRunning+rate)/c.Utilization)), l.SpreadHosts) + c.Reserve
+	return c.hostsToCarry(l, float64(l.LongRunning+rate))
+}
+
+// hostsToCarry returns the number of hosts that carry work of a capacity in thousandths of a core, with the
+// reserve.
+func (c ClearBacklog) hostsToCarry(l *Load, milliCores float64) int {
+	return max(hostsFor(l, int64(milliCores/c.Utilization)), l.SpreadHosts) + c.Reserve
 }
 
 // requiredReserve is the number of hosts that a pool keeps in addition to those that its
--- a/trial/model/policy.go
+++ b/trial/model/policy.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"carawaymux.dev/fleet/demand"
@@ -91,13 +90,11 @@
 	return out
 }
 
-// ShapeNames returns the names of the shapes, each once.
+// ShapeNames returns the names of shapes, in their order.
 func ShapeNames(shapes []Shape) []string {
-	var out []string
-	for _, s := range shapes {
-		if !slices.Contains(out, s.Name) {
-			out = append(out, s.Name)
-		}
+	out := make([]string, len(shapes))
+	for i, s := range shapes {
+		out[i] = s.Name
 	}
 	return out
 }
