Log and count each request that a stop cuts off

The log had one line "requests cut off" without an ID, also when only connections without a request were open, so it could not tell what the requests had waited for.

entry/drain tracks the open requests of callers in a task. A stop that cuts requests logs each with its path, its age, the step and the time since the stop began, and counts it in requests-cut.

--- /dev/null
+++ b/entry/drain/drain.go
@@ -0,0 +1,187 @@
+// Package drain tracks the requests of callers that an entry is answering. When the entry stops, the
+// tracker reports those that are cut off.
+package drain
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"carawaymux.dev/entry/stats"
+	"carawaymux.dev/fleet/task"
+)
+
+// Request is a request of a caller.
+type Request struct {
+	Verb string
+	// Path is the path of the URL. It identifies the queue and the job.
+	Path string
+}
+
+// Step is what a request waits for.
+type Step string
+
+// The steps.
+const (
+	// Body is the body of the request.
+	Body Step = "body"
+	// View is a view that shows an entry that owns the pool.
+	View Step = "view"
+	// Owner is the answer of the owner of the pool.
+	Owner Step = "owner"
+	// Inbox is the store, which writes the submission to the inbox of the pool.
+	Inbox Step = "inbox"
+)
+
+// LocalOwner stands for the name of the entry if the owner runs in this entry.
+const LocalOwner = "local"
+
+// wait is a step that a request has reached. It is never modified.
+type wait struct {
+	step Step
+	// on is the name of the entry that was asked, if any.
+	on    string
+	since time.Time
+}
+
+// Open is a request without a complete answer.
+type Open struct {
+	request   Request
+	tracker   *Tracker
+	startedAt time.Time
+	// wait is replaced with each step.
+	wait atomic.Pointer[wait]
+}
+
+// Tracker is the task that owns the set of open requests. Use [Start] to create it. The methods Begin
+// and StopStarted work on a nil tracker.
+type Tracker struct {
+	logger *slog.Logger
+	stats  *stats.Set
+	task   *task.Task[message]
+	// stopStarted is nil until the entry stops.
+	stopStarted atomic.Pointer[time.Time]
+}
+
+type message interface{ handle(c *core) }
+
+type (
+	begun     struct{ open *Open }
+	ended     struct{ open *Open }
+	reportCut struct{ reply chan<- int }
+)
+
+// core is the state of the task.
+type core struct {
+	tracker *Tracker
+	open    map[*Open]struct{}
+}
+
+// inboxSize is the capacity of the inbox of the task, in messages.
+const inboxSize = 512
+
+// Start starts a tracker. The set may be nil.
+func Start(logger *slog.Logger, set *stats.Set) *Tracker {
+	t := &Tracker{logger: logger, stats: set}
+	c := &core{tracker: t, open: map[*Open]struct{}{}}
+	t.task = task.Start(c.run, task.WithInbox(inboxSize))
+	return t
+}
+
+func (c *core) run(ctx context.Context, inbox <-chan message) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-inbox:
+			m.handle(c)
+		}
+	}
+}
+
+// BeginStop records that the entry starts to stop.
+func (t *Tracker) BeginStop() {
+	now := time.Now()
+	t.stopStarted.CompareAndSwap(nil, &now)
+}
+
+// StopStarted returns when the entry started to stop. It returns false if it has not.
+func (t *Tracker) StopStarted() (time.Time, bool) {
+	if t == nil || t.stopStarted.Load() == nil {
+		return time.Time{}, false
+	}
+	return *t.stopStarted.Load(), true
+}
+
+// ReportCut logs and counts the open requests, which are about to be cut off, and returns their number.
+func (t *Tracker) ReportCut(ctx context.Context) int {
+	n, err := task.Call(ctx, t.task, func(reply chan<- int) message { return reportCut{reply} })
+	if err != nil {
+		t.logger.Warn("requests that are cut off could not be reported", "err", err)
+	}
+	return n
+}
+
+// Close stops the task.
+func (t *Tracker) Close() { t.task.Close() }
+
+// openKey is the key of the context value that holds the open request.
+type openKey struct{}
+
+// Begin records that a request has arrived. The caller must call End on it. The context passes the
+// request to [Waiting].
+func (t *Tracker) Begin(ctx context.Context, r Request) (context.Context, *Open) {
+	if t == nil {
+		return ctx, nil
+	}
+	o := &Open{request: r, tracker: t, startedAt: time.Now()}
+	t.send(begun{o})
+	return context.WithValue(ctx, openKey{}, o), o
+}
+
+// End records that the request has been answered. It does nothing on nil.
+func (o *Open) End() {
+	if o != nil {
+		o.tracker.send(ended{o})
+	}
+}
+
+func (t *Tracker) send(m message) {
+	if err := t.task.Send(context.Background(), m); err != nil {
+		t.logger.Debug("request not tracked: the tracker has stopped", "err", err)
+	}
+}
+
+// Waiting records what the request of a context waits for, and on which entry if any.
+func Waiting(ctx context.Context, step Step, on string) {
+	if o, ok := ctx.Value(openKey{}).(*Open); ok {
+		o.wait.Store(&wait{step, on, time.Now()})
+	}
+}
+
+func (m begun) handle(c *core) { c.open[m.open] = struct{}{} }
+
+func (m ended) handle(c *core) { delete(c.open, m.open) }
+
+func (m reportCut) handle(c *core) {
+	now := time.Now()
+	for o := range c.open {
+		c.tracker.reportCut(o, now)
+	}
+	m.reply <- len(c.open)
+}
+
+func (t *Tracker) reportCut(o *Open, now time.Time) {
+	fields := []any{"verb", o.request.Verb, "path", o.request.Path, "took-ms", now.Sub(o.startedAt).Milliseconds()}
+	if since, ok := t.StopStarted(); ok {
+		fields = append(fields, "stopping-ms", now.Sub(since).Milliseconds())
+	}
+	step := Step("none")
+	if w := o.wait.Load(); w != nil {
+		step = w.step
+		fields = append(fields, "on", w.on, "waited-ms", now.Sub(w.since).Milliseconds())
+	}
+	t.logger.Error("request cut off without an answer", append(fields, "waits-for", string(step))...)
+	t.stats.Add("requests-cut", 1, "verb", o.request.Verb, "waits-for", string(step))
+}
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"carawaymux.dev/entry/drain"
 	"carawaymux.dev/entry/duties"
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/entry/peers"
@@ -126,13 +127,16 @@
 // askOnce sends a request to the owner of a pool once.
 func (n *Intake) askOnce(ctx context.Context, r peers.Request) (owner.Answer, delivery) {
 	if n.Local.Holder(r.Pool) != nil {
+		drain.Waiting(ctx, drain.Owner, drain.LocalOwner)
 		a := n.Serve(ctx, r)
 		return a, deliveryOf(a)
 	}
 	o, ok := n.Roster.View().Owners[r.Pool]
 	if !ok {
+		drain.Waiting(ctx, drain.View, "")
 		return owner.Answer{}, notDelivered
 	}
+	drain.Waiting(ctx, drain.Owner, o.Name)
 	a, err := n.Peers.Ask(ctx, o.Address, r)
 	if err != nil {
 		n.ownerUnreachableAt.Store(time.Now().UnixNano())
@@ -229,6 +233,7 @@
 // submitToInbox writes a submission to the inbox of the pool, which the owner of the pool reads.
 // unseen is true if no owner can have received the submission.
 func (n *Intake) submitToInbox(ctx context.Context, q port.Queue, id string, spec batch.Spec, unseen bool) owner.Answer {
+	drain.Waiting(ctx, drain.Inbox, "")
 	ctx, cancel := context.WithTimeout(ctx, inboxTimeout)
 	defer cancel()
 	value, err := codec.EncodeFrame(spec)
