Answer all requests before a stopping entry closes its connections

Cause: answers were given a deadline later than the end of what gives them. Each request may take 2 to 2.85 s, whenever it is taken; a stopping entry took requests for 0.55 of its grace period of 6 s and closed their connections at 0.75. A request taken 2.9 s after the SIGTERM may end at 4.9 s or later, while the connection is closed at 4.5 s. It shows when an owner does not answer or a pool has no owner, for which requests wait the longest. Besides, http.Server.Shutdown drops a request that arrives on an open connection once it has begun: the server reads it and closes the connection.

Change: package drain plans the stop. Requests are taken for 0.5 of the grace period; later ones are refused at once, before their body is read. At 0.55 the time of all requests ends: the tracker's task ends their contexts, so each is answered, refused with 503 and Retry-After if nothing was sent, otherwise with 504 as unknown. Connections are closed once no request has been open for 100 ms, at 0.75 at the latest, without http.Server.Shutdown; only the listener is closed before.

Why it works: the end of a request no longer depends on when it was taken, and lies 1.2 s before the latest close (grace period of 6 s), for entries that are short of processor time. An idle connection that never carries a request no longer delays the stop until 0.75 either.

--- a/entry/drain/drain.go
+++ b/entry/drain/drain.go
@@ -1,9 +1,10 @@
 // Package drain tracks the requests of callers that an entry is answering. When the entry stops, the
-// tracker reports those that are cut off.
+// tracker ends their time before connections are closed, and reports those that are cut off all the same.
 package drain
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,9 @@
 	"carawaymux.dev/fleet/task"
 )
 
+// ErrStopping is the cause of the end of a request whose time ended because the entry is stopping.
+var ErrStopping = errors.New("the entry is stopping")
+
 // Request is a request of a caller.
 type Request struct {
 	Verb string
@@ -50,32 +54,48 @@
 	request   Request
 	tracker   *Tracker
 	startedAt time.Time
+	// end ends the context of the request.
+	end context.CancelCauseFunc
 	// wait is replaced with each step.
 	wait atomic.Pointer[wait]
 }
 
-// Tracker is the task that owns the set of open requests. Use [Start] to create it. The methods Begin
-// and StopStarted work on a nil tracker.
+// Tracker is the task that owns the set of open requests. Use [Start] to create it. The methods Begin,
+// StopStarted and Refusing work on a nil tracker.
 type Tracker struct {
 	logger *slog.Logger
 	stats  *stats.Set
 	task   *task.Task[message]
-	// stopStarted is nil until the entry stops.
-	stopStarted atomic.Pointer[time.Time]
+	// stop is nil until the entry stops.
+	stop atomic.Pointer[stop]
+}
+
+// stop is a stop that has started. It is never modified.
+type stop struct {
+	startedAt time.Time
+	plan      Plan
 }
 
+func (s *stop) answerBy() time.Time { return s.startedAt.Add(s.plan.Answer) }
+
 type message interface{ handle(c *core) }
 
 type (
-	begun     struct{ open *Open }
-	ended     struct{ open *Open }
-	reportCut struct{ reply chan<- int }
+	begun       struct{ open *Open }
+	ended       struct{ open *Open }
+	stopBegun   struct{}
+	awaitAnswer struct{ reply chan<- struct{} }
+	reportCut   struct{ reply chan<- int }
 )
 
 // core is the state of the task.
 type core struct {
 	tracker *Tracker
 	open    map[*Open]struct{}
+	// lastOpen is when a request was last open.
+	lastOpen time.Time
+	// waiting holds the callers of WaitAnswered.
+	waiting []chan<- struct{}
 }
 
 // inboxSize is the capacity of the inbox of the task, in messages.
@@ -90,28 +110,84 @@
 }
 
 func (c *core) run(ctx context.Context, inbox <-chan message) {
+	next := time.NewTimer(0)
+	defer next.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-inbox:
 			m.handle(c)
+		case <-next.C:
+		}
+		if wait := c.advance(time.Now()); wait > 0 {
+			next.Reset(wait)
 		}
 	}
 }
 
-// BeginStop records that the entry starts to stop.
-func (t *Tracker) BeginStop() {
-	now := time.Now()
-	t.stopStarted.CompareAndSwap(nil, &now)
+// advance does what is due in a stop. It returns the time until something else is due, or 0 if that
+// depends on messages.
+func (c *core) advance(now time.Time) time.Duration {
+	s := c.tracker.stop.Load()
+	if s == nil {
+		return 0
+	}
+	if wait := s.answerBy().Sub(now); wait > 0 {
+		return wait
+	}
+	for o := range c.open {
+		o.end(ErrStopping)
+	}
+	if len(c.open) > 0 || len(c.waiting) == 0 {
+		return 0
+	}
+	if wait := settleTime - now.Sub(later(c.lastOpen, s.answerBy())); wait > 0 {
+		return wait
+	}
+	for _, reply := range c.waiting {
+		reply <- struct{}{}
+	}
+	c.waiting = nil
+	return 0
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// BeginStop starts a stop. Later calls do nothing.
+func (t *Tracker) BeginStop(p Plan) {
+	if t.stop.CompareAndSwap(nil, &stop{time.Now(), p}) {
+		t.send(stopBegun{})
+	}
 }
 
 // StopStarted returns when the entry started to stop. It returns false if it has not.
 func (t *Tracker) StopStarted() (time.Time, bool) {
-	if t == nil || t.stopStarted.Load() == nil {
+	if t == nil || t.stop.Load() == nil {
 		return time.Time{}, false
 	}
-	return *t.stopStarted.Load(), true
+	return t.stop.Load().startedAt, true
+}
+
+// Refusing reports whether further requests are to be refused.
+func (t *Tracker) Refusing() bool {
+	if t == nil {
+		return false
+	}
+	s := t.stop.Load()
+	return s != nil && time.Since(s.startedAt) >= s.plan.Take
+}
+
+// WaitAnswered waits until the time of open requests has ended and all that have arrived are answered. It
+// returns early if ctx ends.
+func (t *Tracker) WaitAnswered(ctx context.Context) error {
+	_, err := task.Call(ctx, t.task, func(reply chan<- struct{}) message { return awaitAnswer{reply} })
+	return err
 }
 
 // ReportCut logs and counts the open requests, which are about to be cut off, and returns their number.
@@ -130,19 +206,21 @@
 type openKey struct{}
 
 // Begin records that a request has arrived. The caller must call End on it. The context passes the
-// request to [Waiting].
+// request to [Waiting]. It ends when the request does, or with [ErrStopping] when its time ends.
 func (t *Tracker) Begin(ctx context.Context, r Request) (context.Context, *Open) {
 	if t == nil {
 		return ctx, nil
 	}
-	o := &Open{request: r, tracker: t, startedAt: time.Now()}
+	ctx, end := context.WithCancelCause(ctx)
+	o := &Open{request: r, tracker: t, startedAt: time.Now(), end: end}
 	t.send(begun{o})
 	return context.WithValue(ctx, openKey{}, o), o
 }
 
-// End records that the request has been answered. It does nothing on nil.
+// End records that the answer has been sent. It does nothing on nil.
 func (o *Open) End() {
 	if o != nil {
+		o.end(nil)
 		o.tracker.send(ended{o})
 	}
 }
@@ -162,7 +240,14 @@
 
 func (m begun) handle(c *core) { c.open[m.open] = struct{}{} }
 
-func (m ended) handle(c *core) { delete(c.open, m.open) }
+func (m ended) handle(c *core) {
+	delete(c.open, m.open)
+	c.lastOpen = time.Now()
+}
+
+func (stopBegun) handle(*core) {}
+
+func (m awaitAnswer) handle(c *core) { c.waiting = append(c.waiting, m.reply) }
 
 func (m reportCut) handle(c *core) {
 	now := time.Now()
--- a/entry/drain/drain_test.go
+++ b/entry/drain/drain_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -25,7 +26,7 @@
 	drain.Waiting(ctx, drain.Inbox, "")
 	drain.Waiting(ctx, drain.Owner, "entry-3")
 	answered.End()
-	tracker.BeginStop()
+	tracker.BeginStop(drain.NewPlan(time.Minute))
 	require.Equal(t, 1, tracker.ReportCut(t.Context()))
 	var line map[string]any
 	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
@@ -50,4 +51,37 @@
 	open.End()
 	_, stopping := none.StopStarted()
 	require.False(t, stopping)
+	require.False(t, none.Refusing())
+}
+
+func TestOpenRequestsEndBeforeConnectionsAreClosed(t *testing.T) {
+	tracker := drain.Start(slog.New(slog.DiscardHandler), nil)
+	defer tracker.Close()
+	start := time.Now()
+	early, open := tracker.Begin(t.Context(), drain.Request{Verb: "look"})
+	plan := drain.Plan{Take: 50 * time.Millisecond, Answer: 100 * time.Millisecond, Close: time.Minute}
+	tracker.BeginStop(plan)
+	require.False(t, tracker.Refusing())
+	<-early.Done()
+	require.Equal(t, drain.ErrStopping, context.Cause(early))
+	require.GreaterOrEqual(t, time.Since(start), plan.Answer)
+	require.True(t, tracker.Refusing())
+	// A request that was read late ends at once.
+	late, lateOpen := tracker.Begin(t.Context(), drain.Request{Verb: "look"})
+	<-late.Done()
+	require.Equal(t, drain.ErrStopping, context.Cause(late))
+	open.End()
+	short, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, tracker.WaitAnswered(short), context.DeadlineExceeded, "a request is open")
+	lateOpen.End()
+	require.NoError(t, tracker.WaitAnswered(t.Context()))
+	require.Zero(t, tracker.ReportCut(t.Context()))
+}
+
+func TestPlanLeavesTimeForLateAnswers(t *testing.T) {
+	p := drain.NewPlan(6 * time.Second)
+	require.Less(t, p.Take, p.Answer)
+	require.GreaterOrEqual(t, p.Close-p.Answer, time.Second)
+	require.GreaterOrEqual(t, 6*time.Second-p.Close, time.Second)
 }
