Log why work waits beside hosts that have room

The log has the orders and the ends of runs, but not why a task that waits is not started: whether its last run is not known to be over, no host may get work, hosts are reserved for others, or other steps go first. Change: Explain, a function of the state, names the reason for a task. An owner whose oldest waiting job is over three seconds old logs `work waits` once a second: the hosts by what keeps them from new work, those with room and those reserved, the starts that may be sent, and the reasons of the 32 oldest steps. Schedulable now is the host without an obstacle, so that the line and the decision cannot differ. Evidence: TestExplainNamesWhatATaskWaitsFor (a case for each reason), TestWaitingCountsHostsByObstacleAndStepsByReason, TestAnOwnerLogsOnceASecondWhyWorkWaits; the tests of fleet/shard and entry/owner pass. No decision changes.

--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -65,6 +65,8 @@
 	nextExpiryScan time.Time
 	// nextRound is the earliest time of the next round of planning.
 	nextRound time.Time
+	// nextWaitingLog is the earliest time of the next log line about work that waits.
+	nextWaitingLog time.Time
 	// delays measures how late this owner is.
 	delays *delayMeter
 	// background counts the goroutines that the task has started and waits for when it stops.
@@ -187,6 +189,7 @@
 	}
 	c.refuseUnwritten()
 	c.listMachines(now)
+	c.logWaiting(now)
 	c.delays.endInterval(now)
 }
 
--- /dev/null
+++ b/fleet/shard/explain.go
@@ -0,0 +1,199 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+)
+
+// Obstacle is why a host gets no new work.
+type Obstacle uint8
+
+// The obstacles. Of several, the first one is given.
+const (
+	// NoObstacle means that work may be started on the host.
+	NoObstacle Obstacle = iota
+	// Unlisted hosts are not in the platform's list, or the store has no record of them.
+	Unlisted
+	// Unconfirmed hosts have not answered this owner, or the store has not confirmed the claim
+	// since.
+	Unconfirmed
+	// Leaving hosts drain or are being emptied.
+	Leaving
+	// Unhealthy hosts failed their work, were slow or refused a start.
+	Unhealthy
+	// Silent hosts have not answered for longer than answerTimeout.
+	Silent
+	// Occupied hosts run work that is not assigned to them.
+	Occupied
+	// Incapable hosts have no capacity.
+	Incapable
+	obstacles
+)
+
+// ObstacleTo returns why a host gets no new work.
+func (s *State) ObstacleTo(h *Host, now time.Time) Obstacle {
+	switch {
+	case !h.Listed || !h.Stored:
+		return Unlisted
+	case !h.Confirmed || !s.ConfirmedAt.After(h.FirstAnswer):
+		return Unconfirmed
+	case h.Draining || !now.After(h.CordonedUntil):
+		return Leaving
+	case !now.After(h.UnhealthyUntil) || !now.After(h.FullUntil):
+		return Unhealthy
+	case now.Sub(h.LastAnswer) >= answerTimeout:
+		return Silent
+	case !s.EnforcesCapacity && h.UnknownRuns > 0:
+		return Occupied
+	case h.Capacity == (batch.Size{}):
+		return Incapable
+	}
+	return NoObstacle
+}
+
+// Reason is why a task has not been started, for logs.
+type Reason string
+
+// The reasons. Of several, the first one is given.
+const (
+	Unknown      Reason = "the task is unknown"
+	Ended        Reason = "the task or its job has ended"
+	NotStored    Reason = "the job is not stored"
+	NotReady     Reason = "an earlier step is not done"
+	Assigned     Reason = "the task is starting or running"
+	Unanswered   Reason = "the stop of the last run is not confirmed"
+	EarlierOwner Reason = "a host of an earlier owner has not answered"
+	RunReported  Reason = "a host reports a run of the task"
+	EndUnknown   Reason = "the store has not confirmed the claim since the last run was lost"
+	NoHost       Reason = "no host may get work"
+	NoLabel      Reason = "no host has the label"
+	NoTicket     Reason = "no host has a ticket"
+	NoRoom       Reason = "no host has room"
+	Spread       Reason = "the hosts with room have as many tasks of the step as allowed"
+	Members      Reason = "the members of the gang do not fit together"
+	Outranked    Reason = "hosts have room, and other steps go first"
+)
+
+// Explain returns why a task has not been started.
+func (s *State) Explain(ref batch.Ref, now time.Time) Reason {
+	j, stage, task := s.task(ref)
+	switch {
+	case task == nil:
+		return Unknown
+	case task.Done || j.Phase != Open:
+		return Ended
+	case !j.Stored:
+		return NotStored
+	case !j.Occurrences[ref.Occurrence].ready(&j.Spec, ref.Step):
+		return NotReady
+	case task.Status == Uncertain || task.Status == Stopping:
+		return Unanswered
+	case task.Status != Idle:
+		return Assigned
+	case j.Inherited && s.hasUnconfirmedHost(now):
+		return EarlierOwner
+	case task.unknownRuns > 0:
+		return RunReported
+	case !s.mayStart(task):
+		return EndUnknown
+	}
+	return s.explainPlacement(&j.Spec.Steps[ref.Step], stage, task, ref, now)
+}
+
+// explainPlacement returns why no host gets a task that may start. It takes no host as reserved.
+func (s *State) explainPlacement(step *batch.Step, stage *Stage, task *Task, ref batch.Ref, now time.Time) Reason {
+	hosts := s.candidates(now)
+	if len(hosts) == 0 {
+		return NoHost
+	}
+	permitted := s.permitFilter(ref, now)
+	var labelled, allowed, roomy candidates
+	for _, c := range hosts {
+		if step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel) {
+			continue
+		}
+		labelled = append(labelled, c)
+		if permitted != nil && !permitted(c.host) {
+			continue
+		}
+		allowed = append(allowed, c)
+		if c.free.Fits(step.Reservation()) {
+			roomy = append(roomy, c)
+		}
+	}
+	switch {
+	case len(labelled) == 0:
+		return NoLabel
+	case len(allowed) == 0:
+		return NoTicket
+	case len(roomy) == 0:
+		return NoRoom
+	case step.Gang && s.placeGang(step, stage, hosts, permitted) == nil:
+		return Members
+	case !step.Gang && s.pickHost(step, stage, task, roomy, permitted) == nil:
+		return Spread
+	}
+	return Outranked
+}
+
+// explainedSteps is the largest number of waiting steps that one summary explains.
+const explainedSteps = 32
+
+// Waiting describes the work that waits for a host, for logs.
+type Waiting struct {
+	// Steps and Tasks count what waits. LongRunning is the part of Tasks that is long-running.
+	Steps, Tasks, LongRunning int
+	// Hosts counts the hosts by their obstacles.
+	Hosts [obstacles]int
+	// Roomy is the number of hosts that may get work and have room for the least need. Reserved is
+	// the number of hosts that the last round of planning reserved.
+	Roomy, Reserved int
+	// Oldest is an idle task of the step that has waited longest, and Age the time since its job was
+	// accepted.
+	Oldest batch.Ref
+	Age    time.Duration
+	// Reasons counts the explainedSteps oldest steps by the reason why their first idle task
+	// waits. OldestReason is that of Oldest.
+	Reasons      map[Reason]int
+	OldestReason Reason
+}
+
+// Waiting sums up the work that waits.
+func (s *State) Waiting(now time.Time) Waiting {
+	w := Waiting{Steps: len(s.backlog.steps), Reserved: s.reserved, Reasons: map[Reason]int{}}
+	if w.Steps == 0 {
+		return w
+	}
+	for _, h := range s.sortedHosts() {
+		w.Hosts[s.ObstacleTo(h, now)]++
+	}
+	w.Roomy = len(s.candidates(now).withRoom(s.backlog.leastNeed()))
+	steps := slices.Clone(s.backlog.steps)
+	slices.SortFunc(steps, func(a, b *waitingStep) int { return cmp.Compare(a.accepted, b.accepted) })
+	for i, step := range steps {
+		w.Tasks += step.stage.idle
+		if step.step.LongRunning {
+			w.LongRunning += step.stage.idle
+		}
+		if i >= explainedSteps {
+			continue
+		}
+		ref := step.firstIdle()
+		reason := s.Explain(ref, now)
+		w.Reasons[reason]++
+		if i == 0 {
+			w.Oldest, w.Age, w.OldestReason = ref, now.Sub(step.job.AcceptedAt), reason
+		}
+	}
+	return w
+}
+
+// firstIdle returns the first idle task of the step.
+func (w *waitingStep) firstIdle() batch.Ref {
+	ref := w.ref()
+	ref.Index = max(slices.IndexFunc(w.stage.Tasks, func(t Task) bool { return t.Status == Idle && !t.Done }), 0)
+	return ref
+}
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -430,9 +430,7 @@
 // confirm the claim after the first answer of the instance. A host with unknown runs gets new work
 // only if the hosts enforce their capacity, since the capacity that such runs use is unknown.
 func (s *State) Schedulable(h *Host, now time.Time) bool {
-	return h.Listed && h.Stored && h.Confirmed && s.ConfirmedAt.After(h.FirstAnswer) && !h.Draining &&
-		now.After(h.CordonedUntil) && now.After(h.UnhealthyUntil) && now.After(h.FullUntil) &&
-		now.Sub(h.LastAnswer) < answerTimeout && (s.EnforcesCapacity || h.UnknownRuns == 0) && h.Capacity != (batch.Size{})
+	return s.ObstacleTo(h, now) == NoObstacle
 }
 
 // HasLabel reports whether the host has a label.
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -34,6 +34,7 @@
 // out, and planning ends once no host has room for any of the others or the limit is reached.
 func PlanWithin[R Ranking](s *State, ranking R, limits Limits, now time.Time, wall int64) {
 	s.openDue(wall)
+	s.reserved = 0
 	if len(s.backlog.steps) == 0 {
 		s.Overloaded = false
 		return
@@ -317,6 +318,7 @@
 		return false
 	}
 	best.reserved = true
+	s.reserved++
 	return true
 }
 
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -220,6 +220,8 @@
 	endUnstored bool
 	// candidateBuffer is the buffer of candidates.
 	candidateBuffer candidates
+	// reserved is the number of hosts that the last round of planning reserved.
+	reserved int
 	// hostList holds the hosts by ID. It is nil after the set of hosts has changed.
 	hostList []*Host
 	// arrivals measures the rate at which work arrives.
