Reserve no host that a step may not use

Cause: a step that finds no host has the emptiest one reserved, so that smaller work does not starve it: long-running steps at once, others after two seconds. The hosts for it were chosen by their capacity and label only. A step that lacks something else, because each host has as many of its tasks as PerHost allows, or because the policy service denied the hosts, reserved a free host in each round and never used it. As many of such steps as there are free hosts stopped the whole pool: no later step started, long-running ones included, until a host that the step may use came. Change: reserveHost leaves out hosts that may not take one more task of the step. The reference plan of the tests follows the same rule. Evidence: TestALongRunningTaskIsStartedAgainInTimeAsOftenAsItsHostIsLost loses the host of a long-running task again and again beside a full pool, large work, work that fits nowhere, gangs, best-effort work, a cordoned host, a change of the owner, and steps that may use no further host. The last failed before ("6.1s" is not less than or equal to "6s": hosts have room, and other steps go first); the others passed. TestAStepThatMayUseNoFurtherHostReservesNone failed before (6 of 9 tasks started), TestAStepThatIsDeniedEverywhereReservesNoHost too ("[]" should have 1 item(s), but has 0). The tests of fleet/shard pass.

--- a/fleet/shard/permit.go
+++ b/fleet/shard/permit.go
@@ -54,6 +54,15 @@
 	return ok && t.Instance == h.Instance && now.Add(ticketMargin).Before(t.ExpiresAt)
 }
 
+// denies reports whether a host may not run the step.
+func (p *permit) denies(h *Host) bool {
+	if p == nil {
+		return false
+	}
+	instance, denied := p.denied[h.ID]
+	return denied && instance == h.Instance
+}
+
 // stepRef returns the reference of the step of a task.
 func stepRef(r batch.Ref) batch.Ref {
 	r.Index = 0
@@ -131,8 +140,7 @@
 	}
 	var unknown candidates
 	for _, c := range hosts {
-		instance, denied := p.denied[c.host.ID]
-		if (denied && instance == c.host.Instance) || p.valid(c.host, now) || !c.host.Capacity.Fits(w.shape.need) {
+		if p.denies(c.host) || p.valid(c.host, now) || !c.host.Capacity.Fits(w.shape.need) {
 			continue
 		}
 		if w.shape.hasLabel(c.host) {
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -299,22 +299,25 @@
 }
 
 // reserveHost reserves the host with the most free capacity for a step that does not fit, so that
-// smaller steps do not starve it. It reports whether it has reserved a host.
+// smaller steps do not starve it. Hosts that could not run the step even when they are empty are left
+// out. It reports whether it has reserved a host.
 func (s *State) reserveHost(w *waitingStep, hosts candidates) bool {
 	if w.shape.unreservable || !w.reserves() {
 		return false
 	}
 	var best *candidate
+	left := false
 	for _, c := range hosts {
 		if c.reserved || !c.host.Capacity.Fits(w.shape.need) || !w.shape.hasLabel(c.host) {
 			continue
 		}
-		if best == nil || c.free.MilliCores > best.free.MilliCores {
+		left = true
+		if (best == nil || c.free.MilliCores > best.free.MilliCores) && s.mayUse(w, c.host) {
 			best = c
 		}
 	}
+	w.shape.unreservable = !left
 	if best == nil {
-		w.shape.unreservable = true
 		return false
 	}
 	best.reserved = true
@@ -322,6 +325,14 @@
 	return true
 }
 
+// mayUse reports whether a step may have one more task on a host if there is room.
+func (s *State) mayUse(w *waitingStep, h *Host) bool {
+	if w.step.PerHost > 0 && tasksOnHost(w.stage, h.ID) >= w.step.PerHost {
+		return false
+	}
+	return !w.queue.needsTicket || !s.permits[w.ref()].denies(h)
+}
+
 // reserves reports whether a host is reserved for a step that does not fit.
 func (w *waitingStep) reserves() bool {
 	return w.demand.LongRunning || w.demand.Age >= reserveAfter
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -327,7 +327,7 @@
 		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
 		k := hosts.pick(step, stage, task, permitted)
 		if k < 0 {
-			hosts.reserve(d, step, now)
+			hosts.reserve(s, d, step, stage, now)
 			return
 		}
 		hosts[k].start(s, d.Job, ref, stage, task, s.nextRun(task), now)
@@ -392,7 +392,7 @@
 	return cost
 }
 
-func (hosts referenceHosts) reserve(d *referenceDemand, step *batch.Step, now time.Time) {
+func (hosts referenceHosts) reserve(s *State, d *referenceDemand, step *batch.Step, stage *Stage, now time.Time) {
 	if !d.LongRunning && now.Sub(d.Job.AcceptedAt) < reserveAfter {
 		return
 	}
@@ -403,6 +403,14 @@
 		if c.reserved || !c.host.Capacity.Fits(need) || (step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) {
 			continue
 		}
+		if step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost {
+			continue
+		}
+		if p := s.permits[batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}]; s.needsTicket(d.Job.Spec.Queue) && p != nil {
+			if instance, denied := p.denied[c.host.ID]; denied && instance == c.host.Instance {
+				continue
+			}
+		}
 		if best < 0 || c.free.MilliCores > hosts[best].free.MilliCores {
 			best = k
 		}
@@ -420,7 +428,7 @@
 	}
 	chosen := hosts.placeGang(step, stage, permitted)
 	if chosen == nil {
-		hosts.reserve(d, step, now)
+		hosts.reserve(s, d, step, stage, now)
 		return
 	}
 	var run int64
