Reserve no host that long-running work keeps a step off

What callers saw: nothing yet; found by a test while the reservations were looked at. Cause: the hosts that may be reserved for a step were judged by their whole capacity. Long-running tasks do not end, so a step that needs more than they leave on any host had a free host reserved in each round and never used it. As many such steps as there are hosts stopped all work of the pool that goes after them. Change: reserveHost judges a host by the capacity that long-running tasks leave. The reference plan of the tests follows the same rule. Evidence: TestAStepThatLongRunningWorkLeavesNoRoomForReservesNoHost failed before ("[]" should have 1 item(s), but has 0). The tests of fleet/shard pass.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -53,10 +53,11 @@
 	CountedEnd, StoredEnd int64
 	// Assigned holds the tasks that run, may run or are being stopped there.
 	Assigned map[batch.Ref]*Task
-	// used is the capacity that the assigned tasks take, and longRunning the number of the
-	// long-running ones.
-	used        batch.Size
-	longRunning int
+	// used is the capacity that the assigned tasks take. longRunning is the number of the
+	// long-running ones, and longRunningUsed is what they take of it.
+	used            batch.Size
+	longRunning     int
+	longRunningUsed batch.Size
 	// UnknownRuns is the number of runs that the host reports but that are not assigned to it.
 	// unknownTasks holds those of their tasks that exist. Nothing of these starts elsewhere until
 	// the host no longer reports the run, or nothing can be running there.
@@ -239,6 +240,7 @@
 	h.used = h.used.Add(step.Reservation())
 	if step.LongRunning {
 		h.longRunning++
+		h.longRunningUsed = h.longRunningUsed.Add(step.Reservation())
 	}
 }
 
@@ -252,6 +254,7 @@
 	h.used = h.used.Sub(step.Reservation())
 	if step.LongRunning {
 		h.longRunning--
+		h.longRunningUsed = h.longRunningUsed.Sub(step.Reservation())
 	}
 }
 
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -299,8 +299,8 @@
 }
 
 // reserveHost reserves the host with the most free capacity for a step that does not fit, so that
-// smaller steps do not starve it. Hosts that could not run the step even when they are empty are left
-// out. It reports whether it has reserved a host.
+// smaller steps do not starve it. Hosts that could not run the step even when all work that ends has ended
+// are left out. It reports whether it has reserved a host.
 func (s *State) reserveHost(w *waitingStep, hosts candidates) bool {
 	if w.shape.unreservable || !w.reserves() {
 		return false
@@ -308,7 +308,7 @@
 	var best *candidate
 	left := false
 	for _, c := range hosts {
-		if c.reserved || !c.host.Capacity.Fits(w.shape.need) || !w.shape.hasLabel(c.host) {
+		if c.reserved || !c.host.Capacity.Sub(c.host.longRunningUsed).Fits(w.shape.need) || !w.shape.hasLabel(c.host) {
 			continue
 		}
 		left = true
--- a/fleet/shard/recover_test.go
+++ b/fleet/shard/recover_test.go
@@ -38,6 +38,26 @@
 	require.Len(t, o.start(), 1)
 }
 
+// Guards against work that waits beside free hosts, which were reserved for steps that long-running
+// work leaves no room for.
+func TestAStepThatLongRunningWorkLeavesNoRoomForReservesNoHost(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	o.submit("long-running", longRunningStep(2, 1, 0))
+	require.Len(t, o.start(), 2)
+	large := smallStep(1)
+	large.Need.MilliCores = 3500
+	for i := range 2 {
+		o.submit(fmt.Sprintf("large-%d", i), large)
+	}
+	o.advance(time.Second)
+	o.submit("other", smallStep(1))
+	o.advance(time.Minute) // all of it is late
+	for _, h := range o.Hosts {
+		h.LastAnswer = o.now
+	}
+	require.Len(t, o.start(), 1)
+}
+
 const (
 	// recoveryTick is the time between two rounds of a simulated pool.
 	recoveryTick = 100 * time.Millisecond
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -287,6 +287,17 @@
 	return used, longRunning
 }
 
+// referenceLongRunning returns what the long-running tasks of a host take.
+func referenceLongRunning(s *State, h *Host) batch.Size {
+	var used batch.Size
+	for r := range h.Assigned {
+		if step := s.step(r); step != nil && step.LongRunning {
+			used = used.Add(step.Reservation())
+		}
+	}
+	return used
+}
+
 func referenceCandidates(s *State, now time.Time) referenceHosts {
 	var out referenceHosts
 	for _, h := range s.Hosts {
@@ -400,7 +411,7 @@
 	best := -1
 	for k := range hosts {
 		c := &hosts[k]
-		if c.reserved || !c.host.Capacity.Fits(need) || (step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) {
+		if c.reserved || !c.host.Capacity.Sub(referenceLongRunning(s, c.host)).Fits(need) || (step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) {
 			continue
 		}
 		if step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost {
