--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -53,10 +53,11 @@
 	CountedEnd, StoredEnd int64
 	// Assigned holds the tasks that run, may run or are being stopped there.
 	Assigned map[batch.Ref]*Task
-	// used is the capacity that the assigned tasks take, and longRunning the number of the
-	// long-running ones.
-	used        batch.Size
-	longRunning int
+	// used is the capacity that the assigned tasks take. longRunning is the number of the
+	// long-running ones, and longRunningUsed is what they take of it.
+	used            batch.Size
+	longRunning     int
+	longRunningUsed batch.Size
 	// UnknownRuns is the number of runs that the host reports but that are not assigned to it.
 	// unknownTasks holds those of their tasks that exist. Nothing of these starts elsewhere until
 	// the host no longer reports the run, or nothing can be running there.
@@ -239,6 +240,7 @@
 	h.used = h.used.Add(step.Reservation())
 	if step.LongRunning {
 		h.longRunning++
+		h.longRunningUsed = h.longRunningUsed.Add(step.Reservation())
 	}
 }
 
@@ -252,6 +254,7 @@
 	h.used = h.used.Sub(step.Reservation())
 	if step.LongRunning {
 		h.longRunning--
+		h.longRunningUsed = h.longRunningUsed.Sub(step.Reservation())
 	}
 }
 
@@ -430,9 +433,7 @@
 // confirm the claim after the first answer of the instance. A host with unknown runs gets new work
 // only if the hosts enforce their capacity, since the capacity that such runs use is unknown.
 func (s *State) Schedulable(h *Host, now time.Time) bool {
-	return h.Listed && h.Stored && h.Confirmed && s.ConfirmedAt.After(h.FirstAnswer) && !h.Draining &&
-		now.After(h.CordonedUntil) && now.After(h.UnhealthyUntil) && now.After(h.FullUntil) &&
-		now.Sub(h.LastAnswer) < answerTimeout && (s.EnforcesCapacity || h.UnknownRuns == 0) && h.Capacity != (batch.Size{})
+	return s.ObstacleTo(h, now) == NoObstacle
 }
 
 // HasLabel reports whether the host has a label.
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -287,6 +287,17 @@
 	return used, longRunning
 }
 
+// referenceLongRunning returns what the long-running tasks of a host take.
+func referenceLongRunning(s *State, h *Host) batch.Size {
+	var used batch.Size
+	for r := range h.Assigned {
+		if step := s.step(r); step != nil && step.LongRunning {
+			used = used.Add(step.Reservation())
+		}
+	}
+	return used
+}
+
 func referenceCandidates(s *State, now time.Time) referenceHosts {
 	var out referenceHosts
 	for _, h := range s.Hosts {
@@ -327,7 +338,7 @@
 		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
 		k := hosts.pick(step, stage, task, permitted)
 		if k < 0 {
-			hosts.reserve(d, step, now)
+			hosts.reserve(s, d, step, stage, now)
 			return
 		}
 		hosts[k].start(s, d.Job, ref, stage, task, s.nextRun(task), now)
@@ -392,7 +403,7 @@
 	return cost
 }
 
-func (hosts referenceHosts) reserve(d *referenceDemand, step *batch.Step, now time.Time) {
+func (hosts referenceHosts) reserve(s *State, d *referenceDemand, step *batch.Step, stage *Stage, now time.Time) {
 	if !d.LongRunning && now.Sub(d.Job.AcceptedAt) < reserveAfter {
 		return
 	}
@@ -400,9 +411,17 @@
 	best := -1
 	for k := range hosts {
 		c := &hosts[k]
-		if c.reserved || !c.host.Capacity.Fits(need) || (step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) {
+		if c.reserved || !c.host.Capacity.Sub(referenceLongRunning(s, c.host)).Fits(need) || (step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) {
 			continue
 		}
+		if step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost {
+			continue
+		}
+		if p := s.permits[batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}]; s.needsTicket(d.Job.Spec.Queue) && p != nil {
+			if instance, denied := p.denied[c.host.ID]; denied && instance == c.host.Instance {
+				continue
+			}
+		}
 		if best < 0 || c.free.MilliCores > hosts[best].free.MilliCores {
 			best = k
 		}
@@ -420,7 +439,7 @@
 	}
 	chosen := hosts.placeGang(step, stage, permitted)
 	if chosen == nil {
-		hosts.reserve(d, step, now)
+		hosts.reserve(s, d, step, stage, now)
 		return
 	}
 	var run int64
