Start best-effort work when no processor is free

What callers saw: nothing yet; found by a test while the reasons were looked at for which long-running work may wait beside room. Cause: a round of planning ended after its first step when no host had both processor and memory left. Best-effort work reserves memory only. Behind a step that needs a processor it was not tried, however long the processors stayed taken. Change: the round no longer looks at processor and memory apart from what waits: that some waiting step fits was checked already, and the round still ends once none fits. The reference plan of the tests follows the same rule. Evidence: TestBestEffortWorkStartsOnHostsWithoutAFreeProcessor failed before ("[]" should have 1 item(s), but has 0). The tests of fleet/shard pass, among them the comparison of random pools with the reference.

--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -55,16 +55,14 @@
 	if !s.backlog.anyFits(roomy) {
 		return
 	}
-	// When no host has both cores and memory left, only the first step is tried.
-	firstOnly := hosts.empty()
-	ranked := newRanked(s, ranking, now, unconfirmed, func(w *waitingStep) bool { return firstOnly || w.shape.fits || w.reserves() })
+	ranked := newRanked(s, ranking, now, unconfirmed, func(w *waitingStep) bool { return w.shape.fits || w.reserves() })
 	defer ranked.release()
 	for w := ranked.pop(); w != nil; w = ranked.pop() {
 		changed := s.startTasks(w, hosts, roomy, &limits, now)
 		if changed {
 			roomy = roomy.withRoom(least)
 		}
-		if firstOnly || (changed && (limits.Starts <= 0 || roomy.allBusy() || hosts.empty() || !s.backlog.anyFits(roomy))) {
+		if changed && (limits.Starts <= 0 || roomy.allBusy() || !s.backlog.anyFits(roomy)) {
 			return
 		}
 	}
@@ -152,16 +150,6 @@
 	return !slices.ContainsFunc(c, func(host *candidate) bool { return !host.busy })
 }
 
-// empty reports whether no host has free capacity that is not reserved.
-func (c candidates) empty() bool {
-	for i := range c {
-		if !c[i].reserved && c[i].free.MilliCores > 0 && c[i].free.MemoryMB > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // startTasks orders the start of as many tasks of a step as fit. All hosts with room have to be in
 // roomy. It reports whether it has started a task or reserved a host.
 func (s *State) startTasks(w *waitingStep, hosts, roomy candidates, limits *Limits, now time.Time) bool {
--- a/fleet/shard/recover_test.go
+++ b/fleet/shard/recover_test.go
@@ -58,6 +58,20 @@
 	require.Len(t, o.start(), 1)
 }
 
+// Guards against best-effort work that waits behind a step that needs processors, while the hosts have
+// memory left and no processor.
+func TestBestEffortWorkStartsOnHostsWithoutAFreeProcessor(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	o.submit("full", longRunningStep(8, 0, 0))
+	require.Len(t, o.start(), 8)
+	o.submit("first", longRunningStep(1, 0, 0))
+	o.advance(time.Millisecond)
+	bestEffort := longRunningStep(1, 0, 0)
+	bestEffort.BestEffort = true
+	o.submit("best-effort", bestEffort)
+	require.Len(t, o.start(), 1)
+}
+
 const (
 	// recoveryTick is the time between two rounds of a simulated pool.
 	recoveryTick = 100 * time.Millisecond
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -62,9 +62,6 @@
 	slices.SortFunc(demands, func(a, b referenceDemand) int { return compare(&a, &b, now) })
 	for i := range demands {
 		hosts.startTasks(s, &demands[i], now)
-		if hosts.empty() {
-			return
-		}
 	}
 }
 
@@ -313,15 +310,6 @@
 	return out
 }
 
-func (hosts referenceHosts) empty() bool {
-	for i := range hosts {
-		if !hosts[i].reserved && hosts[i].free.MilliCores > 0 && hosts[i].free.MemoryMB > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 func (hosts referenceHosts) startTasks(s *State, d *referenceDemand, now time.Time) {
 	step := &d.Job.Spec.Steps[d.Step]
 	stage := &d.Job.Occurrences[d.Occurrence].Stages[d.Step]
