--- a/trial/system/stop_test.go
+++ b/trial/system/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,6 +48,11 @@
 			return nil
 		})
 	}
+	callers.Go(func() error {
+		time.Sleep(time.Until(stop.Add(time.Second)))
+		// A second signal must not cut the stop short.
+		return e.Proc().Signal(syscall.SIGTERM)
+	})
 	time.Sleep(time.Until(stop))
 	require.NoError(t, e.Proc().Stop())
 	require.Less(t, time.Since(stop), 6*time.Second, "within the grace period")
