Give a retry time with refusals of an owner that stops or does not answer

The owner's failure to answer carried no retry time; other refusals do. The answer now has the one second that callers get while a pool has no owner.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -196,12 +196,15 @@
 // its changes may or may not be stored.
 func (o *Owner) Close() { o.task.Close() }
 
+// noAnswerRetryAfter is the retry time that callers get if the owner has stopped or did not answer in time.
+const noAnswerRetryAfter = time.Second
+
 // call sends a request to the task and waits for the answer. If there is none, because the
 // owner stops or the caller's time runs out, the outcome is onFailure.
 func (o *Owner) call(ctx context.Context, onFailure Outcome, build func(chan<- Answer) message) Answer {
 	a, err := task.Call(ctx, o.task, func(reply chan<- Answer) queued { return queued{build(reply), time.Now()} })
 	if err != nil {
-		return Answer{Outcome: onFailure, Reason: err.Error()}
+		return Answer{Outcome: onFailure, RetryAfter: noAnswerRetryAfter, Reason: err.Error()}
 	}
 	return a
 }
