Answer no job as missing before the owner has read the inbox

Cause: an entry that does not reach the owner writes a submission to the inbox of the pool and answers 200. The next owner starts with the pool's own records and reads the inbox beside its work, so for a while it answers requests for these jobs with "no such job".

Evidence: "job left in the inbox" at 19.496 s, "pool taken over" (epoch 2, 10263 jobs) at 24.330 s, "outcome":"missing" at 24.502 s, in this order in the logs.

Change: requests for jobs that the owner does not know wait until it has read the inbox once. The first read returns all that the inbox holds, so what is unknown after it is missing.

--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -46,6 +46,10 @@
 	copies *hedge.Budget
 	writer *claim.Writer
 	inbox  *feed.Feed[[]byte]
+	// inboxRead is set once the inbox has been read. Until then, earlyLooks holds the requests for jobs that
+	// are not known, since these may be in the inbox.
+	inboxRead  bool
+	earlyLooks []jobStatus
 	// machineLister requests the list of machines. listedAt is when it was last asked to.
 	machineLister *task.Task[struct{}]
 	listInFlight  bool
@@ -219,6 +223,10 @@
 
 func (m jobStatus) handle(c *core) {
 	j := c.state.Jobs[m.id]
+	if j == nil && !c.inboxRead {
+		c.earlyLooks = append(c.earlyLooks, m)
+		return
+	}
 	if j == nil || j.Unsubmitted {
 		m.reply <- Answer{Outcome: Missing, Reason: "no such job"}
 		return
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -408,6 +408,12 @@
 			c.journal.newJobs = append(c.journal.newJobs, j)
 		}
 	}
+	// The first changes are all that the inbox holds.
+	early := c.earlyLooks
+	c.inboxRead, c.earlyLooks = true, nil
+	for _, look := range early {
+		look.handle(c)
+	}
 }
 
 // inboxTrimmed is the outcome of the deletion of submissions from the inbox.
