Count hosts that have not answered a start in the log of waiting work

No decision changes. Evidence: the case "busy" of TestExplainNamesWhatATaskWaitsFor; the tests of fleet/shard and entry/owner that cover the line pass.

--- a/entry/owner/waiting.go
+++ b/entry/owner/waiting.go
@@ -41,6 +41,6 @@
 		reasons = append(reasons, slog.Int(string(reason), count))
 	}
 	c.logger.Info("work waits", "steps", w.Steps, "units", w.Tasks, "long-running", w.LongRunning, slog.Group("hosts", hosts...),
-		"roomy", w.Roomy, "reserved", w.Reserved, "starts-left", c.starts.Room(now), "starts-limit", c.starts.Limit(),
+		"roomy", w.Roomy, "busy", w.Busy, "reserved", w.Reserved, "starts-left", c.starts.Room(now), "starts-limit", c.starts.Limit(),
 		slog.Group("reasons", reasons...), "oldest", w.Oldest.String(), "age-ms", w.Age.Milliseconds(), "why", string(w.OldestReason))
 }
--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -72,6 +72,7 @@
 	NoLabel      Reason = "no host has the label"
 	NoTicket     Reason = "no host has a ticket"
 	NoRoom       Reason = "no host has room"
+	Busy         Reason = "the hosts with room have not answered a start"
 	Spread       Reason = "the hosts with room have as many tasks of the step as allowed"
 	Members      Reason = "the members of the gang do not fit together"
 	Outranked    Reason = "hosts have room, and other steps go first"
@@ -135,10 +136,24 @@
 		return Members
 	case !step.Gang && s.pickHost(step, stage, task, roomy, permitted) == nil:
 		return Spread
+	case !step.Gang && s.pickHost(step, stage, task, roomy.answered(), permitted) == nil:
+		return Busy
 	}
 	return Outranked
 }
 
+// answered returns the hosts that have answered all starts.
+func (c candidates) answered() candidates {
+	c.markBusy(1)
+	var out candidates
+	for _, host := range c {
+		if !host.busy {
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
 // explainedSteps is the largest number of waiting steps that one summary explains.
 const explainedSteps = 32
 
@@ -148,9 +163,10 @@
 	Steps, Tasks, LongRunning int
 	// Hosts counts the hosts by their obstacles.
 	Hosts [obstacles]int
-	// Roomy is the number of hosts that may get work and have room for the least need. Reserved is
-	// the number of hosts that the last round of planning reserved.
-	Roomy, Reserved int
+	// Roomy is the number of hosts that may get work and have room for the least need. Busy is the
+	// part of them that has not answered a start. Reserved is the number of hosts that the last
+	// round of planning reserved.
+	Roomy, Busy, Reserved int
 	// Oldest is an idle task of the step that has waited longest, and Age the time since its job was
 	// accepted.
 	Oldest batch.Ref
@@ -170,7 +186,8 @@
 	for _, h := range s.sortedHosts() {
 		w.Hosts[s.ObstacleTo(h, now)]++
 	}
-	w.Roomy = len(s.candidates(now).withRoom(s.backlog.leastNeed()))
+	roomy := s.candidates(now).withRoom(s.backlog.leastNeed())
+	w.Roomy, w.Busy = len(roomy), len(roomy)-len(roomy.answered())
 	steps := slices.Clone(s.backlog.steps)
 	slices.SortFunc(steps, func(a, b *waitingStep) int { return cmp.Compare(a.accepted, b.accepted) })
 	for i, step := range steps {
--- a/fleet/shard/explain_test.go
+++ b/fleet/shard/explain_test.go
@@ -90,6 +90,12 @@
 			o.submit("job", gang)
 			o.plan()
 		}, first, shard.Members},
+		"busy": {func(o *owner) {
+			o.submit("other", smallStep(1))
+			o.plan()
+			o.submit("job", smallStep(1))
+			o.open()
+		}, first, shard.Busy},
 		"outranked": {func(o *owner) {
 			o.submit("job", smallStep(1))
 			o.open()
