Reserve no host for a gang that the pool could not run

Whether the pool could run the gang at all was not asked: one with more members than fit on the hosts, each by itself or beside long-running work, reserved a free host in each round and never used it. As many such gangs as there are hosts stopped all work of the pool that goes after them. Change: reserveHost counts how many members fit on the hosts once all work that ends has ended there, and reserves nothing for a gang with more. The reference plan of the tests places the members on emptied hosts instead of counting them. Evidence: TestAGangWithMoreMembersThanFitReservesNoHost (three cases) failed before ("[]" should have 1 item(s), but has 0). The tests of fleet/shard pass, among them the comparison of random pools with the reference.

--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -288,9 +288,9 @@
 
 // reserveHost reserves the host with the most free capacity for a step that does not fit, so that
 // smaller steps do not starve it. Hosts that could not run the step even when all work that ends has ended
-// are left out. It reports whether it has reserved a host.
+// are left out, and so is a gang for which all hosts together could not. It reports whether it has reserved a host.
 func (s *State) reserveHost(w *waitingStep, hosts candidates) bool {
-	if w.shape.unreservable || !w.reserves() {
+	if w.shape.unreservable || !w.reserves() || (w.step.Gang && !s.gangCouldFit(w, hosts)) {
 		return false
 	}
 	var best *candidate
@@ -313,6 +313,38 @@
 	return true
 }
 
+// gangCouldFit reports whether all members of a gang would fit on some hosts if all work that ends had
+// ended there.
+func (s *State) gangCouldFit(w *waitingStep, hosts candidates) bool {
+	members := int64(len(w.stage.Tasks))
+	for _, c := range hosts {
+		if !w.shape.hasLabel(c.host) || !s.mayUse(w, c.host) {
+			continue
+		}
+		fitting := min(timesFits(c.host.Capacity.Sub(c.host.longRunningUsed), w.shape.need), members)
+		if w.step.PerHost > 0 {
+			fitting = min(fitting, int64(w.step.PerHost))
+		}
+		if members -= fitting; members <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// timesFits returns how often a need fits into a size.
+func timesFits(size, need batch.Size) int64 {
+	times := int64(math.MaxInt64)
+	for _, d := range [...]struct{ size, need int64 }{
+		{size.MilliCores, need.MilliCores}, {size.MemoryMB, need.MemoryMB}, {size.Accelerators, need.Accelerators},
+	} {
+		if d.need > 0 {
+			times = min(times, max(d.size, 0)/d.need)
+		}
+	}
+	return times
+}
+
 // mayUse reports whether a step may have one more task on a host if there is room.
 func (s *State) mayUse(w *waitingStep, h *Host) bool {
 	if w.step.PerHost > 0 && tasksOnHost(w.stage, h.ID) >= w.step.PerHost {
--- a/fleet/shard/recover_test.go
+++ b/fleet/shard/recover_test.go
@@ -58,6 +58,37 @@
 	require.Len(t, o.start(), 1)
 }
 
+// Guards against work that waits beside free hosts, which were reserved for gangs with more members than
+// the hosts have room for.
+func TestAGangWithMoreMembersThanFitReservesNoHost(t *testing.T) {
+	for name, change := range map[string]func(o *owner, gang *batch.Step){
+		"too large":              func(_ *owner, gang *batch.Step) { gang.Need.MilliCores = 3000 },
+		"too many for each host": func(_ *owner, gang *batch.Step) { gang.PerHost = 1 },
+		"beside long-running work": func(o *owner, gang *batch.Step) {
+			gang.Need.MilliCores = 2000
+			o.submit("long-running", longRunningStep(2, 1, 0))
+			require.Len(o.t, o.start(), 2)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newOwner(t, 1, "a", "b")
+			gang := smallStep(3)
+			gang.Gang = true
+			change(o, &gang)
+			for i := range 2 {
+				o.submit(fmt.Sprintf("gang-%d", i), gang)
+			}
+			o.advance(time.Second)
+			o.submit("other", smallStep(1))
+			o.advance(time.Minute) // all of it is late
+			for _, h := range o.Hosts {
+				h.LastAnswer = o.now
+			}
+			require.Len(t, o.start(), 1)
+		})
+	}
+}
+
 // Guards against best-effort work that waits behind a step that needs processors, while the hosts have
 // memory left and no processor.
 func TestBestEffortWorkStartsOnHostsWithoutAFreeProcessor(t *testing.T) {
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -396,20 +396,18 @@
 		return
 	}
 	need := step.Reservation()
+	if step.Gang && !hosts.gangCouldFit(s, d, step, stage) {
+		return
+	}
 	best := -1
 	for k := range hosts {
 		c := &hosts[k]
 		if c.reserved || !c.host.Capacity.Sub(referenceLongRunning(s, c.host)).Fits(need) || (step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) {
 			continue
 		}
-		if step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost {
+		if (step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost) || referenceDenied(s, d, c.host) {
 			continue
 		}
-		if p := s.permits[batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}]; s.needsTicket(d.Job.Spec.Queue) && p != nil {
-			if instance, denied := p.denied[c.host.ID]; denied && instance == c.host.Instance {
-				continue
-			}
-		}
 		if best < 0 || c.free.MilliCores > hosts[best].free.MilliCores {
 			best = k
 		}
@@ -419,6 +417,28 @@
 	}
 }
 
+// referenceDenied reports whether the policy service allows no task of a step on a host.
+func referenceDenied(s *State, d *referenceDemand, h *Host) bool {
+	p := s.permits[batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}]
+	if p == nil || !s.needsTicket(d.Job.Spec.Queue) {
+		return false
+	}
+	instance, denied := p.denied[h.ID]
+	return denied && instance == h.Instance
+}
+
+// gangCouldFit places the members on hosts that have long-running work only.
+func (hosts referenceHosts) gangCouldFit(s *State, d *referenceDemand, step *batch.Step, stage *Stage) bool {
+	var emptied referenceHosts
+	for _, c := range hosts {
+		if !referenceDenied(s, d, c.host) {
+			c.free, c.reserved = c.host.Capacity.Sub(referenceLongRunning(s, c.host)), false
+			emptied = append(emptied, c)
+		}
+	}
+	return emptied.placeMembers(step, stage, nil, nil) != nil
+}
+
 func (hosts referenceHosts) startGang(s *State, d *referenceDemand, step *batch.Step, stage *Stage, permitted func(*Host) bool, now time.Time) {
 	for i := range stage.Tasks {
 		if stage.Tasks[i].Status != Idle || !s.mayStart(&stage.Tasks[i]) {
