Check the counters of idle tasks and of long-running capacity against the tasks

A task is offered to the plan only while the counter of its step says that some task is idle, so a wrong counter would keep a task from its start for ever. The comparison of random pools with the reference now checks this counter, and the capacity that long-running tasks take, in each step.

--- a/fleet/shard/equal_test.go
+++ b/fleet/shard/equal_test.go
@@ -406,6 +406,7 @@
 		used, longRunning := referenceUsed(s, h)
 		p.requireEqual("used capacity of "+id, used, h.used)
 		p.requireEqual("long-running tasks on "+id, longRunning, h.longRunning)
+		p.requireEqual("capacity that long-running tasks take of "+id, referenceLongRunning(s, h), h.longRunningUsed)
 	}
 	p.requireEqual("has an unconfirmed host", referenceHasUnconfirmedHost(s, p.now), s.hasUnconfirmedHost(p.now))
 	require.Len(p.t, s.sortedHosts(), len(s.Hosts))
@@ -419,6 +420,13 @@
 		for oi := range j.Occurrences {
 			for si := range j.Occurrences[oi].Stages {
 				stage := &j.Occurrences[oi].Stages[si]
+				idle := 0
+				for i := range stage.Tasks {
+					if stage.Tasks[i].Status == Idle && !stage.Tasks[i].Done {
+						idle++
+					}
+				}
+				p.requireEqual("idle tasks of "+id, idle, stage.idle)
 				if !j.Stored || stage.idle <= 0 || !j.Occurrences[oi].ready(&j.Spec, si) {
 					continue
 				}
