Answer requests of carawayd before a stop cuts them off

Callers saw: the connection closed with no answer (EOF) when the entry got SIGTERM and their request was still running at the end of the stop. A request may wait until its own deadline (up to 10 minutes), the stop waited for 2 minutes; nothing ended the requests before the process did. The limit of the stop was a constant, so it could not be set below the time after which a supervisor kills the process either. Change: the setting stop-timeout (2m by default, at least twice drain-delay). After three quarters of it the requests' contexts are cancelled with the cause work.ErrStopping: a request that waits for a slot is answered not-run, one that a target runs unknown, both with the reason. Errors of tasks carry the cause of the context. Evidence: TestAStoppingEntryAnswersRequestsWhoseDeadlineIsLaterThanTheStop. With the daemon before and its constant at 2 s it failed: Post ".../v1/requests/documents": EOF. Waits for an offset or for records were answered before too, by the end of the task that they wait for.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"carawaymux.dev/entry/trace"
 	"carawaymux.dev/entry/vars"
 	"carawaymux.dev/entry/watch"
+	"carawaymux.dev/entry/work"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/ledger"
 	"carawaymux.dev/fleet/plat"
@@ -39,9 +40,9 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout is how long an idle connection of a caller is kept open.
 	idleTimeout = 2 * time.Minute
-	// stopTimeout bounds the announcements, the drain delay and the wait for requests in flight
-	// when the entry stops.
-	stopTimeout = 2 * time.Minute
+	// answerShare is the share of the stop timeout after which requests in flight are cancelled. The
+	// rest is left to answer them and to stop the tasks.
+	answerShare = 0.75
 )
 
 // Daemon is a running entry.
@@ -64,6 +65,11 @@
 	invoker     *invoke.Invoker
 	front       *front.Front
 
+	// requests is the parent of the contexts of callers' requests. A stop cancels it with
+	// [work.ErrStopping].
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
+
 	callerServer, peerServer http.Server
 	serveGroup               errgroup.Group
 }
@@ -79,6 +85,7 @@
 // Start starts an entry. It returns once both listeners are open.
 func Start(s *setup.Settings, opts ...Option) (*Daemon, error) {
 	d := &Daemon{settings: s, logger: slog.Default(), incarnation: uint64(time.Now().UnixNano())}
+	d.requests, d.cancelRequests = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -240,7 +247,8 @@
 func (d *Daemon) serve(callers, peers net.Listener) {
 	d.callerServer = http.Server{
 		Handler: d.front.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: d.settings.Limits.Header, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: d.settings.Limits.Header, BaseContext: func(net.Listener) context.Context { return d.requests },
+		ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
 	}
 	d.peerServer = http.Server{
 		Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout,
@@ -271,16 +279,19 @@
 
 // Close stops the entry gracefully and waits until it has stopped. It announces the stop to the
 // load balancer and the peers, waits for requests in flight to be answered, and then stops the
-// tasks.
+// tasks. Requests that take longer than the stop allows are cancelled, so that they are answered too.
 func (d *Daemon) Close() {
-	d.logger.Info("entry is stopping", "drain-delay", d.settings.DrainDelay.String())
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	limit := d.settings.StopTimeout
+	d.logger.Info("entry is stopping", "drain-delay", d.settings.DrainDelay.String(), "stop-timeout", limit.String())
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	answerTimer := time.AfterFunc(time.Duration(answerShare*float64(limit)), func() { d.cancelRequests(work.ErrStopping) })
+	defer answerTimer.Stop()
 	d.front.MarkStopping()
 	_ = d.members.AnnounceStop(ctx)
 	sleep(ctx, d.settings.DrainDelay)
 	if err := d.callerServer.Shutdown(ctx); err != nil {
-		d.logger.Error("HTTP server for callers did not shut down cleanly; requests in flight may be cut off", "error", err)
+		d.logger.Error("HTTP server for callers did not shut down cleanly; requests in flight are cut off", "error", err)
 	}
 	d.relayServer.Close()
 	d.leader.Close()
--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -237,7 +237,7 @@
 	reply, err := ticket.Next(ctx)
 	if err != nil {
 		ticket.Cancel()
-		return work.NotRun("deadline: passed before the router answered"), false
+		return work.NotRun(work.EndReason(ctx, "before the router answered")), false
 	}
 	if reply.Refused != "" {
 		return refusal(reply), false
@@ -253,7 +253,7 @@
 		}
 		if reply, err = ticket.Next(ctx); err != nil {
 			ticket.Cancel()
-			return work.NotRun("deadline: passed while the request waited for a slot"), false
+			return work.NotRun(work.EndReason(ctx, "while the request waited for a slot")), false
 		}
 		if reply.Refused != "" {
 			return refusal(reply), false
--- a/entry/relay/client.go
+++ b/entry/relay/client.go
@@ -65,7 +65,7 @@
 		return ended.answer, ended.err
 	case <-ctx.Done():
 		_ = l.task.Send(context.Background(), linkMessage{abandon: ex})
-		return work.Unknown("deadline: passed while the request was forwarded to another entry"), nil
+		return work.Unknown(work.EndReason(ctx, "while the request was forwarded to another entry")), nil
 	case <-l.task.Done():
 		return work.Unknown("the entry is stopping"), nil
 	}
--- a/entry/setup/setup.go
+++ b/entry/setup/setup.go
@@ -31,6 +31,8 @@
 	// DrainDelay is how long a stopping entry still accepts requests after its readiness check has
 	// begun to fail. The load balancer needs this time to notice.
 	DrainDelay time.Duration
+	// StopTimeout is how long a stopping entry may take to end. It is at least twice DrainDelay.
+	StopTimeout time.Duration
 }
 
 // Listen holds the addresses that the entry listens on and its TLS files.
@@ -146,16 +148,20 @@
 
 func readSettings(f *conf.File) *Settings {
 	s := &Settings{
-		Name:       f.Name("entry", "name"),
-		Zone:       f.Name("entry", "zone"),
-		DrainDelay: f.Duration("entry", "drain-delay", 2*time.Second, 0, time.Minute),
-		Listen:     readListen(f),
-		Platform:   readPlatform(f),
-		Auth:       readAuth(f),
-		Limits:     readLimits(f),
-		Planner:    readPlanner(f),
-		Trace:      readTrace(f),
-		LogLevel:   f.OneOf("log", "level", "info", "debug", "info", "warn", "error"),
+		Name:        f.Name("entry", "name"),
+		Zone:        f.Name("entry", "zone"),
+		DrainDelay:  f.Duration("entry", "drain-delay", 2*time.Second, 0, time.Minute),
+		StopTimeout: f.Duration("entry", "stop-timeout", 2*time.Minute, time.Second, 15*time.Minute),
+		Listen:      readListen(f),
+		Platform:    readPlatform(f),
+		Auth:        readAuth(f),
+		Limits:      readLimits(f),
+		Planner:     readPlanner(f),
+		Trace:       readTrace(f),
+		LogLevel:    f.OneOf("log", "level", "info", "debug", "info", "warn", "error"),
+	}
+	if s.StopTimeout < 2*s.DrainDelay {
+		f.AddProblem("entry", "stop-timeout", s.StopTimeout.String(), "must be at least twice drain-delay")
 	}
 	s.Peers = readPeers(f, s.Name)
 	return s
--- a/entry/setup/setup_test.go
+++ b/entry/setup/setup_test.go
@@ -1,6 +1,7 @@
 package setup_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -65,3 +66,9 @@
 		"listen.tls-cert", "platform.hosts", "peers.e1", "peers.e4", "auth.key-file", "trace.file",
 	}, keys)
 }
+
+func TestStopTimeoutLeavesTimeAfterTheDrainDelay(t *testing.T) {
+	text := strings.Replace(validSettings, "zone = tp-a", "zone = tp-a\ndrain-delay = 2s\nstop-timeout = 3s", 1)
+	_, err := setup.Parse("e1.ini", []byte(text))
+	require.ErrorContains(t, err, "stop-timeout")
+}
--- a/entry/work/work.go
+++ b/entry/work/work.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"carawaymux.dev/fleet/jobs"
@@ -73,6 +74,18 @@
 	return earlier
 }
 
+// ErrStopping is the cause with which a stopping entry cancels the requests that it has not answered.
+var ErrStopping = errors.New("the entry is stopping")
+
+// EndReason returns why a request whose context is done ended during an activity, such as "while it
+// waited for a slot".
+func EndReason(ctx context.Context, activity string) string {
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return "stop: the entry stopped " + activity
+	}
+	return "deadline: passed " + activity
+}
+
 // Handler runs a request and returns its answer.
 type Handler func(ctx context.Context, r Request) Answer
 
--- a/fleet/task/task.go
+++ b/fleet/task/task.go
@@ -64,8 +64,8 @@
 	}()
 }
 
-// Send puts a message into the inbox. If the inbox is full, it waits until ctx is done. It returns
-// [ErrClosed] if the task is closed.
+// Send puts a message into the inbox. If the inbox is full, it waits until ctx is done and then
+// returns its cause. It returns [ErrClosed] if the task is closed.
 func (t *Task[M]) Send(ctx context.Context, m M) error {
 	select {
 	case <-t.closed:
@@ -78,7 +78,7 @@
 	case <-t.closed:
 		return ErrClosed
 	case <-ctx.Done():
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 }
 
@@ -126,6 +126,6 @@
 			return zero, ErrClosed
 		}
 	case <-ctx.Done():
-		return zero, ctx.Err()
+		return zero, context.Cause(ctx)
 	}
 }
--- /dev/null
+++ b/trial/integ/stop_test.go
@@ -0,0 +1,77 @@
+package integ
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/budget"
+	"carawaymux.dev/fleet/client"
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/trial/load"
+	"carawaymux.dev/trial/site"
+	"carawaymux.dev/trial/target"
+)
+
+// oneEntry returns a plan with one entry and one host, whose requests hang, and a short stop.
+func oneEntry() site.Plan {
+	return site.Plan{
+		Zones: []string{zoneA}, EntriesPerZone: 1, ListLag: 100 * time.Millisecond,
+		Pools: []site.Pool{{
+			Name: "documents", Zones: map[string]int{zoneA: 1}, Budget: budget.Spec{MaxUnavailable: 1},
+			RunTime: 5 * time.Millisecond,
+		}},
+		Settings: map[string][]string{"entry": {"drain-delay = 500ms", "stop-timeout = 2s"}},
+	}
+}
+
+// Guards against a connection that is closed with no answer when the deadline of its request is later
+// than the end of the entry.
+func TestAStoppingEntryAnswersRequestsWhoseDeadlineIsLaterThanTheStop(t *testing.T) {
+	f := start(t, oneEntry())
+	for _, host := range f.hostsOf("documents", "") {
+		require.NoError(t, f.SetBehaviour(f.ctx, host, target.Behaviour{Mode: target.Hang}))
+	}
+	entry := f.Entries[0]
+	caller := client.New("http://"+entry.HTTP, client.WithHTTP(load.NewHTTPClient()))
+	// The host has eight slots, so some of the requests wait in the queue.
+	const count = 12
+	type answer struct {
+		client.Response
+		err error
+	}
+	answers := make(chan answer, count)
+	for range count {
+		go func() {
+			a, err := caller.Do(f.ctx, client.Request{
+				Kind: "documents", ID: record.NewID().String(), Idempotent: true, Deadline: time.Minute, Body: []byte("x"),
+			})
+			answers <- answer{a, err}
+		}()
+	}
+	f.eventually("requests run and wait", 10*time.Second, func(ctx context.Context) error {
+		s, err := entry.Client.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if len(s.Kinds) != 1 || s.Kinds[0].Running != 8 || s.Kinds[0].Queued != count-8 {
+			return fmt.Errorf("kinds: %+v", s.Kinds)
+		}
+		return nil
+	})
+	stopped := make(chan error, 1)
+	go func() { stopped <- entry.Proc.Stop() }()
+	outcomes := make(map[wire.Outcome]int)
+	for range count {
+		a := <-answers
+		require.NoError(t, a.err)
+		require.Contains(t, a.Reason, "stop")
+		outcomes[a.Outcome]++
+	}
+	require.Equal(t, map[wire.Outcome]int{wire.Unknown: 8, wire.NotRun: count - 8}, outcomes)
+	require.NoError(t, <-stopped)
+}
