Bound the wait for forwarded requests when carawayd stops

Callers saw: requests that another entry had forwarded to a stopping entry were answered unknown by the loss of the link; the entry itself did not end until the last deadline (up to 10 minutes) or until its supervisor killed it. Change: the server's requests have the same parent context as callers' requests. Close makes each link refuse new and incomplete requests, and waits for the links; a link closes once all of its answers, refusals included, have been sent. Links are counted by a task of the server, so Close also waits for a link that opens at the same moment.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -65,8 +65,8 @@
 	invoker     *invoke.Invoker
 	front       *front.Front
 
-	// requests is the parent of the contexts of callers' requests. A stop cancels it with
-	// [work.ErrStopping].
+	// requests is the parent of the contexts of callers' and peers' requests. A stop cancels it
+	// with [work.ErrStopping].
 	requests       context.Context
 	cancelRequests context.CancelCauseFunc
 
@@ -140,7 +140,7 @@
 	d.invoker = invoke.New(s.Name, s.Zone, d.incarnation, invoke.Dependencies{
 		Router: d.router, Members: d.members, Relay: d.relayClient, Registry: d.idRegistry, Tracer: d.tracer,
 	}, invoke.WithAnswerLimit(s.Limits.Answer))
-	d.relayServer = relay.NewServer(d.invoker.Do, d.incarnation, s.Limits.Body, d.logger)
+	d.relayServer = relay.NewServer(d.invoker.Do, d.incarnation, s.Limits.Body, d.logger, relay.WithBaseContext(d.requests))
 	d.front = front.New(s, d.incarnation, front.Dependencies{
 		Follower: d.follower, Members: d.members, Router: d.router, Invoker: d.invoker, Metrics: metrics,
 		Keys: d.keys, Logger: d.logger,
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -26,11 +26,17 @@
 // newPair starts a relay server with a handler, and a client for it.
 func newPair(t *testing.T, handle work.Handler) (*relay.Client, relay.Peer, *httptest.Server) {
 	server := relay.NewServer(handle, incarnation, 1<<20, slog.New(slog.DiscardHandler))
+	client, peer, listener := connect(t, server)
+	t.Cleanup(server.Close)
+	return client, peer, listener
+}
+
+// connect starts a client for a server. The caller closes the server.
+func connect(t *testing.T, server *relay.Server) (*relay.Client, relay.Peer, *httptest.Server) {
 	listener := httptest.NewServer(server)
 	client := relay.NewClient(&link.Dialer{Client: http.DefaultClient, Scheme: "ws", Token: func() string { return "" }}, 1<<20)
 	t.Cleanup(func() {
 		client.Close()
-		server.Close()
 		listener.Close()
 	})
 	return client, relay.Peer{Name: "e", Address: strings.TrimPrefix(listener.URL, "http://"), Incarnation: incarnation}, listener
--- a/entry/relay/server.go
+++ b/entry/relay/server.go
@@ -25,58 +25,128 @@
 	incarnation  uint64
 	maxBodyBytes int
 	logger       *slog.Logger
-	// unanswered counts the running requests whose answers have not been sent.
-	unanswered sync.WaitGroup
-	stop       chan struct{}
+	// requests is the parent of the contexts of all requests.
+	requests context.Context
+	// links counts the links, so that Close can wait for their ends.
+	links    *task.Task[linkChange]
+	stopping chan struct{}
 }
 
-// NewServer builds a server. Request bodies may have at most maxBodyBytes.
-func NewServer(handler work.Handler, incarnation uint64, maxBodyBytes int, logger *slog.Logger) *Server {
-	return &Server{handler: handler, incarnation: incarnation, maxBodyBytes: maxBodyBytes, logger: logger, stop: make(chan struct{})}
+// ServerOption changes how a server is built.
+type ServerOption func(*Server)
+
+// WithBaseContext sets the parent of the contexts of all requests.
+func WithBaseContext(ctx context.Context) ServerOption {
+	return func(s *Server) { s.requests = ctx }
 }
 
-// Close waits until all answers have been sent and then closes all links. Peers must have been told
-// before that the entry takes no new requests.
+// NewServer starts a server. Request bodies may have at most maxBodyBytes.
+func NewServer(handler work.Handler, incarnation uint64, maxBodyBytes int, logger *slog.Logger, opts ...ServerOption) *Server {
+	s := &Server{
+		handler: handler, incarnation: incarnation, maxBodyBytes: maxBodyBytes, logger: logger,
+		requests: context.Background(), stopping: make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.links = task.Start(countLinks)
+	return s
+}
+
+// Close refuses new requests, waits until all answers have been sent and closes all links. Peers must
+// have been told before that the entry takes no new requests. Cancelling the base context ends the
+// requests that are still running, and so the wait.
 func (s *Server) Close() {
-	s.unanswered.Wait()
-	close(s.stop)
+	close(s.stopping)
+	_, _ = task.Call(context.Background(), s.links, func(reply chan<- struct{}) linkChange {
+		return linkChange{ended: reply}
+	})
+	s.links.Close()
 }
 
-// ServeHTTP accepts a link from a peer and serves it until it is lost or the server is closed. Then it
-// cancels the requests that are still open on the link.
+// linkChange is a message to the task that counts links. At most one field is set; if none is, a link
+// has ended.
+type linkChange struct {
+	// opened asks whether a new link may be served.
+	opened chan<- bool
+	// ended asks for a reply once all links have ended. No new link is served after it.
+	ended chan<- struct{}
+}
+
+func countLinks(ctx context.Context, inbox <-chan linkChange) {
+	links := 0
+	var ended chan<- struct{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-inbox:
+			switch {
+			case m.opened != nil && ended == nil:
+				links++
+				m.opened <- true
+			case m.opened != nil:
+				m.opened <- false
+			case m.ended != nil:
+				ended = m.ended
+			default:
+				links--
+			}
+			if ended != nil && links == 0 {
+				ended <- struct{}{}
+				return
+			}
+		}
+	}
+}
+
+// ServeHTTP accepts a link from a peer and serves it until it is lost or the server is closed. If the
+// link is lost, the requests that are still open on it are cancelled.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var linkTask *task.Task[serverMessage]
+	opened, err := task.Call(context.Background(), s.links, func(reply chan<- bool) linkChange {
+		return linkChange{opened: reply}
+	})
+	if err != nil || !opened {
+		http.Error(w, work.ErrStopping.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { _ = s.links.Send(context.Background(), linkChange{}) }()
+	st := &serverState{server: s, requests: make(map[uint64]*incomingRequest), drained: make(chan struct{})}
 	ready := make(chan struct{})
 	conn, err := link.Accept(w, r, r.RemoteAddr, func(_ *link.Conn[frame], f frame) {
 		<-ready
-		_ = linkTask.Send(r.Context(), serverMessage{received: &f})
+		_ = st.linkTask.Send(r.Context(), serverMessage{received: &f})
 	})
 	if err != nil {
 		s.logger.Warn("link for forwarded requests could not be accepted", "error", err)
 		return
 	}
 	defer conn.Close()
-	linkTask = task.Start(func(ctx context.Context, inbox <-chan serverMessage) {
-		<-ready
-		st := &serverState{server: s, conn: conn, linkTask: linkTask, requests: make(map[uint64]*incomingRequest)}
-		st.run(ctx, inbox)
-	}, task.WithInbox(1024))
+	st.conn = conn
+	task.StartInto(&st.linkTask, st.run, task.WithInbox(1024))
 	close(ready)
-	defer linkTask.Close()
+	defer st.answers.Wait()
+	defer st.linkTask.Close()
 	select {
 	case <-conn.Broken():
-	case <-s.stop:
-		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
-		defer cancel()
-		_ = conn.Flush(ctx)
+	case <-s.stopping:
+		st.drain()
 	}
 }
 
 // serverMessage is a message to the task of an accepted link. Exactly one field is set.
 type serverMessage struct {
 	received *frame
-	// doneStream is the stream number of a request whose answer has been sent.
-	doneStream uint64
+	// answered is set when the answer on a stream has been sent.
+	answered *answeredStream
+	// stop makes the link refuse new requests.
+	stop bool
+}
+
+// answeredStream names the request that an answer was for. It is nil if the request was refused.
+type answeredStream struct {
+	stream  uint64
+	request *incomingRequest
 }
 
 // incomingRequest is a request that a peer forwards.
@@ -92,6 +162,27 @@
 	conn     *link.Conn[frame]
 	linkTask *task.Task[serverMessage]
 	requests map[uint64]*incomingRequest
+	// stopping is set once new requests are refused. unanswered is the number of answers that have not
+	// been sent; drained is closed when there are none and the link is stopping.
+	stopping   bool
+	unanswered int
+	drained    chan struct{}
+	// answers counts the goroutines that send answers. Only the task adds to it.
+	answers sync.WaitGroup
+}
+
+// drain refuses new requests and waits until the answers to the others have been sent.
+func (st *serverState) drain() {
+	if st.linkTask.Send(context.Background(), serverMessage{stop: true}) != nil {
+		return
+	}
+	select {
+	case <-st.conn.Broken():
+	case <-st.drained:
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		defer cancel()
+		_ = st.conn.Flush(ctx)
+	}
 }
 
 func (st *serverState) run(ctx context.Context, inbox <-chan serverMessage) {
@@ -105,11 +196,34 @@
 			}
 			return
 		case m := <-inbox:
-			if m.received == nil {
-				delete(st.requests, m.doneStream)
-				continue
+			st.handle(m)
+		}
+	}
+}
+
+func (st *serverState) handle(m serverMessage) {
+	switch {
+	case m.received != nil:
+		st.handleFrame(*m.received)
+		return
+	case m.answered != nil:
+		st.unanswered--
+		if request := m.answered.request; request != nil && st.requests[m.answered.stream] == request {
+			delete(st.requests, m.answered.stream)
+		}
+	case m.stop:
+		st.stopping = true
+		for stream, request := range st.requests {
+			if request.cancel == nil {
+				st.refuse(stream, request.header, work.ErrStopping.Error())
 			}
-			st.handleFrame(*m.received)
+		}
+	}
+	if st.stopping && st.unanswered == 0 {
+		select {
+		case <-st.drained:
+		default:
+			close(st.drained)
 		}
 	}
 }
@@ -138,6 +252,8 @@
 
 func (st *serverState) begin(f frame) {
 	switch {
+	case st.stopping:
+		st.refuse(f.Stream, f.Request, work.ErrStopping.Error())
 	case f.Request.Incarnation != st.server.incarnation:
 		st.refuse(f.Stream, f.Request, "the request was sent to another incarnation of the entry")
 	case f.Request.Length > st.server.maxBodyBytes:
@@ -158,7 +274,16 @@
 	if h.Idempotent || h.Deduplicated {
 		a = work.NotRun(why)
 	}
-	go st.sendAnswer(stream, h.ID, a)
+	st.answer(answeredStream{stream: stream}, func() { st.sendAnswer(stream, h.ID, a) })
+}
+
+// answer calls a function that sends an answer, and keeps the link open until it has returned.
+func (st *serverState) answer(to answeredStream, send func()) {
+	st.unanswered++
+	st.answers.Go(func() {
+		send()
+		_ = st.linkTask.Send(context.Background(), serverMessage{answered: &to})
+	})
 }
 
 // execute runs a request whose body has arrived.
@@ -168,15 +293,12 @@
 		return
 	}
 	r := request.header.workRequest(request.body, time.Now())
-	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	ctx, cancel := context.WithDeadline(st.server.requests, r.Deadline)
 	request.cancel, request.body = cancel, nil
-	st.server.unanswered.Add(1)
-	go func() {
-		defer st.server.unanswered.Done()
+	st.answer(answeredStream{stream, request}, func() {
 		defer cancel()
 		st.sendAnswer(stream, r.ID, st.server.handler(ctx, r))
-		_ = st.linkTask.Send(context.Background(), serverMessage{doneStream: stream})
-	}()
+	})
 }
 
 // sendAnswer sends an answer: its header, then its body in chunks.
--- a/trial/integ/stop_test.go
+++ b/trial/integ/stop_test.go
@@ -75,3 +75,35 @@
 	require.Equal(t, map[wire.Outcome]int{wire.Unknown: 8, wire.NotRun: count - 8}, outcomes)
 	require.NoError(t, <-stopped)
 }
+
+// Guards against an entry that ends later than its stop timeout because of a request that another entry
+// has forwarded to it.
+func TestAStoppingEntryEndsInTimeWithForwardedRequestsInFlight(t *testing.T) {
+	p := oneEntry()
+	p.Zones = []string{zoneA, zoneB}
+	f := start(t, p)
+	for _, host := range f.hostsOf("documents", "") {
+		require.NoError(t, f.SetBehaviour(f.ctx, host, target.Behaviour{Mode: target.Hang}))
+	}
+	// Documents run in zone A only, so the entry of zone B forwards its requests.
+	owner, other := f.entry(zoneA+"-e1"), f.entry(zoneB+"-e1")
+	answered := make(chan client.Response, 1)
+	go func() {
+		a, _ := other.Client.Do(f.ctx, client.Request{
+			Kind: "documents", ID: record.NewID().String(), Idempotent: true, Deadline: time.Minute, Body: []byte("x"),
+		})
+		answered <- a
+	}()
+	f.eventually("the request runs", 10*time.Second, func(ctx context.Context) error {
+		s, err := owner.Client.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if len(s.Kinds) != 1 || s.Kinds[0].Running != 1 {
+			return fmt.Errorf("kinds: %+v", s.Kinds)
+		}
+		return nil
+	})
+	require.NoError(t, owner.Proc.Stop())
+	require.Equal(t, wire.Unknown, (<-answered).Outcome)
+}
