End the reading of a body with its request or the stop

Callers saw: no answer at the deadline of a request whose body arrived slowly, and a closed connection when the entry stopped meanwhile. A request with a body of up to 64 KiB held a slot of a host for all of that time. The read of a body was bounded by neither the deadline nor the stop: the end of a request's context does not end a read from its connection. Change: the end of the context sets the read deadline of the connection, so the request is answered not-run with the reason. The connection is closed after the answer, since the server would cancel the context of the next request on it.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"carawaymux.dev/entry/route"
 	"carawaymux.dev/entry/setup"
 	"carawaymux.dev/entry/vars"
+	"carawaymux.dev/entry/work"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/record"
 	"carawaymux.dev/fleet/wire"
@@ -169,9 +171,25 @@
 
 var errNotFound = errors.New("not found")
 
-// readBody reads the whole body. It fails if the body is larger than limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, error) {
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+// readBody reads the whole body. It fails if the body is larger than limit bytes or has not arrived
+// when ctx is done.
+func readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int) ([]byte, error) {
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		close(interrupted)
+	})
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	if stop() {
+		return raw, err
+	}
+	<-interrupted
+	// The server would cancel the next request on a connection whose read deadline has passed.
+	w.Header().Set("Connection", "close")
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errors.New(work.EndReason(ctx, "before the body had arrived"))
+	}
+	return raw, err
 }
 
 // uintParam reads a whole number from the query of the URL. It returns the fallback if the
--- a/entry/front/operate.go
+++ b/entry/front/operate.go
@@ -23,7 +23,7 @@
 
 // publish appends an operator's record to the log and answers with the verdict on it.
 func (f *Front) publish(w http.ResponseWriter, r *http.Request) {
-	raw, err := readBody(w, r, record.MaxBytes)
+	raw, err := readBody(r.Context(), w, r, record.MaxBytes)
 	if err != nil {
 		f.handleError(w, err)
 		return
@@ -184,7 +184,7 @@
 	f *Front, w http.ResponseWriter, r *http.Request,
 	answer func(*ledger.State, Q) (A, error), setView func(*A, query.View),
 ) {
-	raw, err := readBody(w, r, record.MaxBytes)
+	raw, err := readBody(r.Context(), w, r, record.MaxBytes)
 	if err != nil {
 		f.handleError(w, err)
 		return
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -31,18 +31,18 @@
 		f.writeError(w, http.StatusRequestEntityTooLarge, wire.ErrorBody{Error: reason})
 		return
 	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
 	var body []byte
 	var bodyErr error
 	loaded := false
 	req.ReadBody = func() ([]byte, error) {
 		if !loaded {
-			body, bodyErr = readBody(w, r, f.settings.Limits.Body)
+			body, bodyErr = readBody(ctx, w, r, f.settings.Limits.Body)
 			loaded = true
 		}
 		return body, bodyErr
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
-	defer cancel()
 	answer := f.Invoker.Do(ctx, req)
 	f.Metrics.Request(req.Kind, answer.Outcome)
 	f.writeAnswer(w, answer, bodyErr)
