Close callers' connections after their answers while carawayd stops

Callers may see: EOF for a request that they send on a kept connection at the moment at which a stopping entry closes it. Read from the code, not seen in a run: http.Server.Shutdown closes connections without a request, also when one is on its way, and answers during the drain delay let callers keep their connections until then. Change: answers of a stopping entry carry Connection: close, so callers open new connections, which the balancer directs to other entries. A connection that is not used during the drain delay can still be closed in this way.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -61,7 +61,7 @@
 
 // Handler returns the handler of all paths.
 func (f *Front) Handler() http.Handler {
-	common := alice.New(f.recoverPanics)
+	common := alice.New(f.recoverPanics, f.closeWhileStopping)
 	operators := common.Append(f.operatorsOnly)
 	mux := http.NewServeMux()
 	mux.Handle("POST "+wire.PathRequests+"{kind}", common.ThenFunc(f.runRequest))
@@ -97,6 +97,17 @@
 	})
 }
 
+// closeWhileStopping makes callers open new connections, which the load balancer directs to other
+// entries, before the server closes the connections that it believes to be idle.
+func (f *Front) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // operatorsOnly rejects requests without an operator key, unless the settings allow access without
 // keys.
 func (f *Front) operatorsOnly(next http.Handler) http.Handler {
