Give up a task of carawayd's ledger after three hosts crashed under it

Operators saw: a task that crashes its host is placed on the next one, without an end. The loss of a host was recorded as a stop, like any other reason to take a task off a host, and no act on a task was counted. Change: placements of schema 2 have the act crash, which the planner uses when the host has failed within five minutes of the task's start, unless the platform lists the machine as gone. The fold counts crashes in a row and refuses the start after the third; publishing the job again clears the count. Suspect tasks are kept apart from each other and from others, so tasks on the same host as the one that crashed it are not given up with it. Records of schema 1 mean what they meant; nothing is counted until a gate opens schema 2, since entries of the version before would fold another state. The fixtures of tests write the highest open schema; the model test draws the gate, crashes and times. Not covered: a host that is live again before fail-after (3 s) is not seen to fail, so the platform may start the task there again.

--- a/entry/front/status.go
+++ b/entry/front/status.go
@@ -81,19 +81,22 @@
 }
 
 func jobInfo(s *ledger.State, j *jobs.Job) objectInfo {
-	finished := 0
+	finished, givenUp := 0, 0
 	tasksOn := make(map[string]int)
 	for _, t := range j.Tasks {
 		if t.Finished {
 			finished++
 		}
+		if t.GivenUp() {
+			givenUp++
+		}
 		if t.Host != "" {
 			tasksOn[t.Host]++
 		}
 	}
 	o := objectMetadata(record.KindJob, &j.Published)
 	o.Status = wire.ObjectStatus{
-		Pool: j.Published.Spec.Pool, Tasks: len(j.Tasks), Waiting: j.Waiting(), Finished: finished,
+		Pool: j.Published.Spec.Pool, Tasks: len(j.Tasks), Waiting: j.Waiting(), Finished: finished, GivenUp: givenUp,
 		UnplaceableFor: j.UnplaceableFor, Cancelled: j.Cancelled,
 	}
 	info := objectInfo{object: o, spec: j.Published.Spec}
@@ -103,6 +106,9 @@
 	case j.UnplaceableFor != "":
 		info.reasons = append(info.reasons, fmt.Sprintf("no host of pool %s is large enough for one task: short of %s", j.Published.Spec.Pool, j.UnplaceableFor))
 	}
+	if givenUp > 0 {
+		info.reasons = append(info.reasons, fmt.Sprintf("%d tasks are given up: %d hosts crashed under each", givenUp, jobs.MaxCrashes))
+	}
 	for _, name := range s.HostsOf(j.Published.Spec.Pool) {
 		if n := tasksOn[name]; n > 0 {
 			info.reasons = append(info.reasons, fmt.Sprintf("%d tasks on host %s", n, name))
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -206,7 +206,7 @@
 
 func (l *Leader) publish(ctx context.Context, draft plan.Draft, fence uint64) {
 	v, err := l.Follower.Publish(ctx, record.Record{
-		ID: record.NewID(), Schema: 1, Author: l.holder, Object: draft.Object, Base: draft.Base, Fence: fence,
+		ID: record.NewID(), Schema: max(1, draft.Schema), Author: l.holder, Object: draft.Object, Base: draft.Base, Fence: fence,
 		At: time.Now().UnixMilli(), Reason: draft.Reason, Body: draft.Body,
 	})
 	level := slog.LevelInfo
--- a/fleet/codec/record.go
+++ b/fleet/codec/record.go
@@ -92,7 +92,7 @@
 	record.KindLease:      {currentSchema[lease.Claim]()},
 	record.KindHostChange: {currentSchema[host.Change]()},
 	record.KindWaveChange: {currentSchema[wave.Change]()},
-	record.KindPlacement:  {currentSchema[jobs.Placement]()},
+	record.KindPlacement:  {olderSchema[jobs.PlacementV1, jobs.Placement](), currentSchema[jobs.Placement]()},
 	record.KindCheckpoint: {currentSchema[ledger.Checkpoint]()},
 }
 
--- a/fleet/jobs/jobs.go
+++ b/fleet/jobs/jobs.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"carawaymux.dev/fleet/host"
 	"carawaymux.dev/fleet/record"
@@ -15,8 +16,19 @@
 	MaxTasks = 1024
 	// MaxRunSeconds is the longest declared run time.
 	MaxRunSeconds = 90 * 24 * 3600
+	// MaxCrashes is the number of hosts that may crash under a task before it is given up.
+	MaxCrashes = 3
+	// CrashWindow is how soon after the start of a task a host has to fail for the task to be suspected
+	// of having crashed it.
+	CrashWindow = 5 * time.Minute
+	// SuspectTime is how long a task under which a host has crashed is kept apart from other tasks after
+	// each start. It is below CrashWindow, so that tasks which wait for a host of their own get one soon.
+	SuspectTime = time.Minute
 )
 
+// CrashSchema is the schema version of [Placement] from which on crashes are counted.
+const CrashSchema = 2
+
 // Urgency is the priority class of a job or request.
 type Urgency string
 
@@ -153,6 +165,9 @@
 	ActStop Act = "stop"
 	// ActFinish ends a task permanently.
 	ActFinish Act = "finish"
+	// ActCrash takes a task off a host that failed within [CrashWindow] of the task's start. The task
+	// will be placed again, unless this has happened [MaxCrashes] times in a row.
+	ActCrash Act = "crash"
 )
 
 // PlacementItem is a change to one task.
@@ -186,14 +201,34 @@
 		switch it.Act {
 		case ActStart:
 			p.CheckName("items.host", it.Host)
-		case ActStop, ActFinish:
+		case ActStop, ActFinish, ActCrash:
 		default:
-			p.Add("items.act", fmt.Sprintf("%q", it.Act), "start, stop or finish")
+			p.Add("items.act", fmt.Sprintf("%q", it.Act), "start, stop, finish or crash")
 		}
 	}
 	return p
 }
 
+// PlacementV1 is schema version 1, which has no [ActCrash].
+type PlacementV1 struct {
+	// Items are the changes, in order.
+	Items []PlacementItem `json:"items"`
+}
+
+// Upgrade returns the batch in schema version 2.
+func (b PlacementV1) Upgrade() Placement { return Placement(b) }
+
+// Downgrade returns the batch in schema version 1. It fails if an item uses an act that version 1 does
+// not have.
+func (b Placement) Downgrade() (PlacementV1, error) {
+	for _, it := range b.Items {
+		if it.Act == ActCrash {
+			return PlacementV1{}, fmt.Errorf("placement cannot be written in schema 1: it has the act %q", it.Act)
+		}
+	}
+	return PlacementV1(b), nil
+}
+
 // Task is the state of a task.
 type Task struct {
 	// Host is the host on which the task is placed; empty while it has none.
@@ -203,6 +238,40 @@
 	Fence uint64 `json:"fence,omitempty"`
 	// Finished means that the task has ended permanently.
 	Finished bool `json:"finished,omitempty"`
+	// StartedAt is when the task was placed on its host by the planner's clock, in Unix milliseconds;
+	// 0 if it has no host or was placed under schema version 1 of [Placement].
+	StartedAt int64 `json:"started,omitempty"`
+	// Crashes counts the hosts in a row that failed within [CrashWindow] of the task's start.
+	Crashes int `json:"crashes,omitempty"`
+}
+
+// GivenUp reports that the task is not placed again, because [MaxCrashes] hosts crashed under it.
+func (t Task) GivenUp() bool { return t.Crashes >= MaxCrashes }
+
+// Suspect reports whether a host may crash under the task, as one has done before: it has no host, or
+// has not run for [SuspectTime] on its present one.
+func (t Task) Suspect(now time.Time) bool {
+	return t.Crashes > 0 && !t.ranFor(SuspectTime, now.UnixMilli())
+}
+
+// LastStart reports whether the next crash gives the task up.
+func (t Task) LastStart() bool { return t.Crashes == MaxCrashes-1 }
+
+// ranFor reports whether the task has run for d on its host.
+func (t Task) ranFor(d time.Duration, atMS int64) bool {
+	return t.StartedAt > 0 && atMS-t.StartedAt >= d.Milliseconds()
+}
+
+// Remove takes the task off its host at a time in Unix milliseconds and counts a crash.
+func (t *Task) Remove(act Act, atMS int64) {
+	switch {
+	case act == ActCrash:
+		t.Crashes++
+	case t.ranFor(CrashWindow, atMS):
+		t.Crashes = 0
+	}
+	t.Host, t.Fence, t.StartedAt = "", 0, 0
+	t.Finished = t.Finished || act == ActFinish
 }
 
 // Job is the state of a job.
@@ -221,14 +290,14 @@
 }
 
 // Waiting returns the number of tasks that wait for a host: those that are neither placed nor
-// finished. It is 0 if the job is cancelled or its tasks fit on no host.
+// finished nor given up. It is 0 if the job is cancelled or its tasks fit on no host.
 func (j *Job) Waiting() int {
 	if j.Cancelled || j.UnplaceableFor != "" {
 		return 0
 	}
 	n := 0
 	for _, t := range j.Tasks {
-		if t.Host == "" && !t.Finished {
+		if t.Host == "" && !t.Finished && !t.GivenUp() {
 			n++
 		}
 	}
--- a/fleet/ledger/apply.go
+++ b/fleet/ledger/apply.go
@@ -110,7 +110,7 @@
 	case jobs.Cancel:
 		return s.applyCancel(body)
 	case jobs.Placement:
-		return s.applyPlacement(version, body)
+		return s.applyPlacement(r, version, body)
 	case lease.Claim:
 		return s.applyLease(r, version, body)
 	case Checkpoint:
--- a/fleet/ledger/model_test.go
+++ b/fleet/ledger/model_test.go
@@ -90,7 +90,11 @@
 			Pool: pick(poolNames), Size: host.Resources{Cores: rapid.Int64Range(1, 5).Draw(t, "cores")}, Tasks: 2, Urgency: jobs.Normal,
 		}, name, base
 	case 6:
-		act := rapid.SampledFrom([]jobs.Act{jobs.ActStart, jobs.ActStart, jobs.ActStop, jobs.ActFinish}).Draw(t, "act")
+		acts := []jobs.Act{jobs.ActStart, jobs.ActStart, jobs.ActStop, jobs.ActFinish}
+		if s.OpenSchema(record.KindPlacement) >= jobs.CrashSchema {
+			acts = append(acts, jobs.ActCrash)
+		}
+		act := rapid.SampledFrom(acts).Draw(t, "act")
 		return jobs.Placement{Items: []jobs.PlacementItem{{
 			Job: pick(jobNames), Task: rapid.IntRange(0, 2).Draw(t, "task"), Act: act, Host: pick(hostNames),
 		}}}, "", 0
@@ -141,8 +145,9 @@
 		} else {
 			body, object, base := drawBody(t, s)
 			r = record.Record{
-				ID: record.NewID(), Schema: codec.NewestSchema(body.Kind()), Author: "t", Object: object, Base: base,
-				Fence: s.Lease.Fence, Body: body,
+				ID: record.NewID(), Schema: min(codec.NewestSchema(body.Kind()), s.OpenSchema(body.Kind())), Author: "t",
+				Object: object, Base: base, Fence: s.Lease.Fence, Body: body,
+				At: rapid.Int64Range(0, 2*jobs.CrashWindow.Milliseconds()).Draw(t, "at"),
 			}
 			if rapid.IntRange(0, 9).Draw(t, "stale") == 0 {
 				r.Base += uint64(rapid.IntRange(1, 3).Draw(t, "by"))
@@ -192,6 +197,9 @@
 	mustAccept("j1", jobs.Spec{Pool: "docs", Size: host.Resources{Cores: 3}, Tasks: 2, Urgency: jobs.Normal})
 	mustAccept("j2", jobs.Spec{Pool: "docs", Size: host.Resources{Cores: 2}, Tasks: 2, Urgency: jobs.Normal})
 	mustAccept("", lease.Claim{Holder: "a", TermMS: 1000})
+	if rapid.Bool().Draw(t, "crashes-counted") {
+		mustAccept("", ledger.Gate{RecordKind: record.KindPlacement, Schema: jobs.CrashSchema})
+	}
 	return stream
 }
 
@@ -259,6 +267,7 @@
 		for _, task := range j.Tasks {
 			if task.Host != "" {
 				require.False(t, task.Finished, "a finished task is placed")
+				require.False(t, task.GivenUp(), "a task that is given up is placed")
 				used[task.Host] = used[task.Host].Add(j.Published.Spec.Size)
 			}
 		}
--- a/fleet/ledger/rules_test.go
+++ b/fleet/ledger/rules_test.go
@@ -32,7 +32,7 @@
 		r.ID = record.NewID()
 	}
 	if r.Schema == 0 {
-		r.Schema = codec.NewestSchema(r.Body.Kind())
+		r.Schema = min(codec.NewestSchema(r.Body.Kind()), f.state.OpenSchema(r.Body.Kind()))
 	}
 	if r.Author == "" {
 		r.Author = "ana"
--- a/fleet/ledger/tasks.go
+++ b/fleet/ledger/tasks.go
@@ -86,11 +86,11 @@
 
 // applyPlacement applies each item on its own. The record is rejected only if no item can be
 // applied.
-func (s *State) applyPlacement(version uint64, placement jobs.Placement) *rejection {
+func (s *State) applyPlacement(r *record.Record, version uint64, placement jobs.Placement) *rejection {
 	var first *rejection
 	applied := 0
 	for _, item := range placement.Items {
-		rejected := s.applyItem(version, item)
+		rejected := s.applyItem(r, version, item)
 		if rejected == nil {
 			applied++
 		} else if first == nil {
@@ -103,7 +103,7 @@
 	return nil
 }
 
-func (s *State) applyItem(version uint64, item jobs.PlacementItem) *rejection {
+func (s *State) applyItem(r *record.Record, version uint64, item jobs.PlacementItem) *rejection {
 	j := s.Jobs[item.Job]
 	if j == nil {
 		return reject("items: there is no job %q", item.Job)
@@ -113,13 +113,21 @@
 	}
 	t := &j.Tasks[item.Task]
 	if item.Act == jobs.ActStart {
-		return s.startTask(version, item, j, t)
+		rejected := s.startTask(version, item, j, t)
+		// The start time is not set by schema version 1, so that entries which know only that version
+		// have the same state.
+		if rejected == nil && r.Schema >= jobs.CrashSchema {
+			t.StartedAt = r.At
+		}
+		return rejected
+	}
+	if item.Act == jobs.ActCrash && (r.Schema < jobs.CrashSchema || t.Host == "") {
+		return reject("items: task %d of job %q has no host that could have crashed", item.Task, item.Job)
 	}
 	if t.Host != "" {
 		s.index.removeTask(j, t.Host)
 	}
-	t.Host, t.Fence = "", 0
-	t.Finished = t.Finished || item.Act == jobs.ActFinish
+	t.Remove(item.Act, r.At)
 	return nil
 }
 
@@ -130,6 +138,8 @@
 		return reject("items: job %q is cancelled", item.Job)
 	case t.Finished:
 		return reject("items: task %d of job %q has finished", item.Task, item.Job)
+	case t.GivenUp():
+		return reject("items: task %d of job %q is given up: %d hosts crashed under it", item.Task, item.Job, t.Crashes)
 	case t.Host != "":
 		return reject("items: task %d of job %q is on host %q", item.Task, item.Job, t.Host)
 	case h == nil:
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -58,6 +58,8 @@
 type Draft struct {
 	Object string
 	Base   uint64
+	// Schema is the schema version of the record; 0 selects version 1.
+	Schema int
 	Body   record.Body
 	Reason record.Reason
 }
@@ -171,6 +173,8 @@
 	hostNames []string
 	// cordoned and returned name the hosts that this round takes out of service or returns.
 	cordoned, returned map[string]bool
+	// taskHosts names the hosts with tasks, including those that this round places.
+	taskHosts taskHosts
 }
 
 // zoneView combines the reports of the entries of one zone.
--- a/fleet/plan/plan_test.go
+++ b/fleet/plan/plan_test.go
@@ -60,8 +60,8 @@
 func (f *fixture) mustApply(d plan.Draft) {
 	f.t.Helper()
 	v, err := f.state.Apply(record.Entry{Offset: f.state.NextOffset, Record: record.Record{
-		ID: record.NewID(), Schema: codec.NewestSchema(d.Body.Kind()), Author: "t", Object: d.Object, Base: d.Base,
-		Fence: f.state.Lease.Fence, Reason: d.Reason, Body: d.Body,
+		ID: record.NewID(), Schema: min(codec.NewestSchema(d.Body.Kind()), f.state.OpenSchema(d.Body.Kind())), Author: "t", Object: d.Object, Base: d.Base,
+		Fence: f.state.Lease.Fence, At: f.input.Now.UnixMilli(), Reason: d.Reason, Body: d.Body,
 	}})
 	require.NoError(f.t, err)
 	require.Equal(f.t, record.Accepted, v.Result, "%+v: %s", d, v.Reason)
--- a/fleet/plan/tasks.go
+++ b/fleet/plan/tasks.go
@@ -47,7 +47,8 @@
 		return
 	}
 	r.output.Drafts = append(r.output.Drafts, Draft{
-		Body: jobs.Placement{Items: items},
+		Schema: min(r.state.OpenSchema(record.KindPlacement), jobs.CrashSchema),
+		Body:   jobs.Placement{Items: items},
 		Reason: record.Reason{
 			Rule: "place-tasks", Figures: fmt.Sprintf("%d steps for tasks, sizes corrected by usage", len(items)),
 		},
@@ -67,13 +68,13 @@
 	case reported && u.State == plat.TaskFinished:
 		return jobs.ActFinish
 	case reported && u.State == plat.TaskFailed:
-		return jobs.ActStop
+		return r.removalAct(t)
 	case r.input.StoppedTasks[key] == t.Fence:
-		return jobs.ActStop
+		return r.removalAct(t)
 	case h.Phase == host.Failed:
 		// The lease is no longer renewed; after its term the platform has stopped the task.
 		if failedFor > r.timing.TaskLeaseTerm+leaseMargin {
-			return jobs.ActStop
+			return r.removalAct(t)
 		}
 	case h.Phase != host.Serving || j.Cancelled || oversized[key]:
 		r.output.Calls = append(r.output.Calls, Call{Verb: VerbStop, Host: t.Host, Fence: t.Fence, Task: key})
@@ -89,6 +90,21 @@
 	return ""
 }
 
+// removalAct returns the act that takes a task off its host: ActCrash if the host failed soon after the
+// task had been placed there. The loss of a machine that the platform has removed is no crash.
+func (r *round) removalAct(t jobs.Task) jobs.Act {
+	if r.state.OpenSchema(record.KindPlacement) < jobs.CrashSchema || r.input.Machines[t.Host].State == plat.MachineGone {
+		return jobs.ActStop
+	}
+	for _, entry := range r.state.Hosts[t.Host].History {
+		failedAfter := time.Duration(entry.At-t.StartedAt) * time.Millisecond
+		if entry.Event == host.EventFail && entry.Offset >= t.Fence && failedAfter < jobs.CrashWindow {
+			return jobs.ActCrash
+		}
+	}
+	return jobs.ActStop
+}
+
 // oversizedTasks returns, for each host whose tasks use more memory than it has, the task that
 // exceeds its declared memory the most. This task has to stop.
 func (r *round) oversizedTasks(usage map[TaskKey]plat.TaskUsage) map[TaskKey]bool {
@@ -134,6 +150,7 @@
 			cmp.Compare(x.Spec.Urgency.Rank(), y.Spec.Urgency.Rank()),
 			cmp.Compare(x.Version, y.Version), cmp.Compare(a, b))
 	})
+	r.taskHosts = r.findTaskHosts()
 	candidates := make(map[string][]place.Candidate)
 	teamStarts := make(map[string]host.Resources)
 	var items []jobs.PlacementItem
@@ -145,26 +162,97 @@
 		}
 		countRackPeers(r, candidates[spec.Pool], j)
 		for i, t := range j.Tasks {
-			if t.Host != "" || t.Finished || len(items) >= limit {
+			if t.Host != "" || t.Finished || t.GivenUp() || len(items) >= limit {
 				continue
 			}
 			need := maxSize(spec.Size, usage[TaskKey{name, i}].Used)
 			if r.state.ExceededQuota(spec.Team, teamStarts[spec.Team].Add(spec.Size)) != "" {
 				break
 			}
-			chosen := pickHost(candidates[spec.Pool], need, spec.Spread)
+			chosen := r.pickHost(candidates[spec.Pool], need, spec.Spread, t)
+			if chosen < 0 && t.Suspect(r.input.Now) {
+				continue
+			}
 			if chosen < 0 {
 				break // The other tasks of the job have the same declared size.
 			}
+			chosenName := candidates[spec.Pool][chosen].Name
+			r.taskHosts.add(chosenName, t, r.input.Now)
 			place.ReserveSpread(candidates[spec.Pool], chosen, need)
 			teamStarts[spec.Team] = teamStarts[spec.Team].Add(spec.Size)
-			items = append(items, jobs.PlacementItem{Job: name, Task: i, Act: jobs.ActStart, Host: candidates[spec.Pool][chosen].Name})
+			items = append(items, jobs.PlacementItem{Job: name, Task: i, Act: jobs.ActStart, Host: chosenName})
 		}
 	}
 	return items
 }
 
-func pickHost(candidates []place.Candidate, need host.Resources, spread bool) int {
+// taskHosts names the hosts with tasks of each kind.
+type taskHosts struct {
+	// occupied hosts have a task, suspects a suspect one, lastStarts a suspect one that the next crash
+	// gives up.
+	occupied, suspects, lastStarts map[string]bool
+}
+
+func (r *round) findTaskHosts() taskHosts {
+	h := taskHosts{occupied: make(map[string]bool), suspects: make(map[string]bool), lastStarts: make(map[string]bool)}
+	for _, j := range r.state.Jobs {
+		for _, t := range j.Tasks {
+			if t.Host != "" {
+				h.add(t.Host, t, r.input.Now)
+			}
+		}
+	}
+	return h
+}
+
+func (h taskHosts) add(name string, t jobs.Task, now time.Time) {
+	h.occupied[name] = true
+	if t.Suspect(now) {
+		h.suspects[name] = true
+		if t.LastStart() {
+			h.lastStarts[name] = true
+		}
+	}
+}
+
+// pickHost picks the host of a task. Suspect tasks are kept apart from each other and from other tasks
+// as far as there are hosts. A task that the next crash gives up waits for a host without another
+// suspect, so that it is not given up for a crash of another task.
+func (r *round) pickHost(candidates []place.Candidate, need host.Resources, spread bool, t jobs.Task) int {
+	h := r.taskHosts
+	tiers := []map[string]bool{h.suspects, h.lastStarts, nil}
+	if t.Suspect(r.input.Now) {
+		tiers = []map[string]bool{h.occupied, h.suspects}
+		if !t.LastStart() {
+			tiers = append(tiers, h.lastStarts)
+		}
+	}
+	for _, excluded := range tiers {
+		if chosen := pickCandidate(withoutHosts(candidates, excluded), need, spread); chosen >= 0 {
+			return chosen
+		}
+		if len(excluded) == 0 {
+			break
+		}
+	}
+	return -1
+}
+
+// withoutHosts returns the candidates with no free capacity on the given hosts.
+func withoutHosts(candidates []place.Candidate, hosts map[string]bool) []place.Candidate {
+	if len(hosts) == 0 {
+		return candidates
+	}
+	out := slices.Clone(candidates)
+	for i := range out {
+		if hosts[out[i].Name] {
+			out[i].Free = host.Resources{}
+		}
+	}
+	return out
+}
+
+func pickCandidate(candidates []place.Candidate, need host.Resources, spread bool) int {
 	if spread {
 		chosen, _ := place.Pick(place.Spread{}, candidates, need)
 		return chosen
--- a/fleet/query/query_test.go
+++ b/fleet/query/query_test.go
@@ -21,7 +21,7 @@
 func mustAccept(t testing.TB, s *ledger.State, object string, body record.Body) {
 	t.Helper()
 	v, err := s.Apply(record.Entry{Offset: s.NextOffset, Record: record.Record{
-		ID: record.NewID(), Schema: codec.NewestSchema(body.Kind()), Author: "t", Object: object, Fence: s.Lease.Fence, Body: body,
+		ID: record.NewID(), Schema: min(codec.NewestSchema(body.Kind()), s.OpenSchema(body.Kind())), Author: "t", Object: object, Fence: s.Lease.Fence, Body: body,
 	}})
 	require.NoError(t, err)
 	require.Equal(t, record.Accepted, v.Result, v.Reason)
--- a/fleet/wire/wire.go
+++ b/fleet/wire/wire.go
@@ -121,11 +121,12 @@
 	// Total counts the hosts that a wave started with, Remaining those that are not maintained yet.
 	Total     int `json:"total,omitempty"`
 	Remaining int `json:"left,omitempty"`
-	// Tasks counts the tasks of a job, or those on a host. Waiting and Finished count the tasks of a
-	// job.
+	// Tasks counts the tasks of a job, or those on a host. Waiting, Finished and GivenUp count the
+	// tasks of a job.
 	Tasks    int `json:"tasks,omitempty"`
 	Waiting  int `json:"waiting,omitempty"`
 	Finished int `json:"finished,omitempty"`
+	GivenUp  int `json:"given-up,omitempty"`
 	// UnplaceableFor is set if no host of the pool could hold a task of the job, even when empty. It
 	// names a dimension in which the task is too large.
 	UnplaceableFor string `json:"never,omitempty"`
--- a/trial/integ/jobs_test.go
+++ b/trial/integ/jobs_test.go
@@ -12,6 +12,7 @@
 
 	"carawaymux.dev/fleet/host"
 	"carawaymux.dev/fleet/jobs"
+	"carawaymux.dev/fleet/ledger"
 	"carawaymux.dev/fleet/plat"
 	"carawaymux.dev/fleet/record"
 	"carawaymux.dev/fleet/wave"
@@ -162,3 +163,33 @@
 	})
 	f.requireNoDuplicateStarts()
 }
+
+// Guards against a task that is started on one host after the other, each of which it crashes.
+func TestATaskUnderWhichThreeHostsCrashIsGivenUp(t *testing.T) {
+	f := start(t, shortTaskLeases())
+	e := f.Entries[0]
+	f.publish(e, "", 0, ledger.Gate{RecordKind: record.KindPlacement, Schema: jobs.CrashSchema})
+	f.publish(e, "deadly", 0, jobs.Spec{
+		Pool: "documents", Size: host.Resources{Cores: 2, MemoryMiB: 1024}, Tasks: 1, Urgency: jobs.Normal,
+	})
+	for range jobs.MaxCrashes {
+		on := f.waitForTasks("deadly", 1, 30*time.Second)[0]
+		require.NoError(t, f.SetMachineState(f.ctx, on, plat.MachineDown))
+		f.eventually("the task is taken off the host", 30*time.Second, func(context.Context) error {
+			if n := f.object(e, record.KindHost, on).Status.Tasks; n != 0 {
+				return fmt.Errorf("%d tasks are on %s", n, on)
+			}
+			return nil
+		})
+		require.NoError(t, f.SetMachineState(f.ctx, on, plat.MachineLive))
+	}
+	for _, entry := range f.Entries {
+		f.eventually("the task is given up", 20*time.Second, func(context.Context) error {
+			if s := f.object(entry, record.KindJob, "deadly").Status; s.GivenUp != 1 || s.Waiting != 0 {
+				return fmt.Errorf("status %+v", s)
+			}
+			return nil
+		})
+	}
+	f.requireNoDuplicateStarts()
+}
