Send no request to a fourth target after three were lost under it

Callers saw: a request that takes down the target that runs it was sent to nine targets: three attempts of the entry, each forwarded to an entry that made three attempts itself. Requests beside it on a lost target were answered unknown or not-run, since their further attempts went to the same target, which refused connections. Each entry counted its own attempts only, and a target that had just lost its connections looked like the least loaded one. Change: requests and answers between entries carry the number of targets whose connection was lost under the request; after three it is answered unknown. Targets that are silent, answer or refuse connections do not count. A request that is tried again after a loss goes to a target without other requests if there is one, and waits rather than spend an attempt on a target whose connection was refused or lost within two seconds. Only idempotent requests are sent again, as before.

--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -20,6 +20,9 @@
 const (
 	// maxAttempts is the largest number of attempts to run a request.
 	maxAttempts = 3
+	// maxLostTargets is the largest number of targets whose connection may be lost under a request,
+	// over all entries that attempt it.
+	maxLostTargets = 3
 	// firstBackoff is the mean delay before the second attempt. It doubles with each
 	// further attempt.
 	firstBackoff = 10 * time.Millisecond
@@ -162,15 +165,18 @@
 	return a
 }
 
-// run attempts a request until it has a final answer, maxAttempts or the retry budget is used up, or
-// the deadline has passed. Another attempt is made only if the request has not run or is idempotent.
+// run attempts a request until it has a final answer, maxAttempts, maxLostTargets or the retry budget
+// is used up, or the deadline has passed. Another attempt is made only if the request has not run or is
+// idempotent.
 func (v *Invoker) run(ctx context.Context, r work.Request) work.Answer {
 	answer, backoff := work.NotRun("no attempt was made"), firstBackoff
 	for try := 1; ; try++ {
 		a, retry := v.attempt(ctx, r)
+		r.LostTargets = max(r.LostTargets, a.LostTargets)
 		answer = a.After(answer)
+		answer.LostTargets = r.LostTargets
 		safe := answer.Outcome == wire.NotRun || r.Idempotent
-		if !retry || !safe || try == maxAttempts || !v.router.TakeRetry(ctx, r.Kind) {
+		if !retry || !safe || try == maxAttempts || r.LostTargets >= maxLostTargets || !v.router.TakeRetry(ctx, r.Kind) {
 			return answer
 		}
 		// Full jitter keeps retries of different requests from being synchronized.
@@ -229,7 +235,7 @@
 func (v *Invoker) runLocally(ctx context.Context, r work.Request, noWait bool) (work.Answer, bool) {
 	ticket, err := v.router.Submit(ctx, route.SlotRequest{
 		Kind: r.Kind, Urgency: r.Urgency, Deadline: r.Deadline, BodyBytes: max(r.BodySize, 0),
-		Hold: r.BodySize < 0 || r.BodySize > holdAboveBytes, NoWait: noWait,
+		Hold: r.BodySize < 0 || r.BodySize > holdAboveBytes, NoWait: noWait, Suspect: r.LostTargets > 0,
 	})
 	if err != nil {
 		return work.NotRun("submit: " + err.Error()), false
--- a/entry/invoke/target.go
+++ b/entry/invoke/target.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"carawaymux.dev/entry/route"
@@ -48,13 +49,18 @@
 	// retry is set if another attempt may succeed. Whether it is safe depends on the
 	// request.
 	retry bool
+	// lost is set if the connection was lost while the target had the request.
+	lost bool
 }
 
 // send sends a request to a target and reads the whole response.
 func (t *targets) send(ctx context.Context, g *route.Grant, r work.Request, body []byte, parent string) sendResult {
 	start := time.Now()
 	result := t.exchange(ctx, g, r, body, parent)
-	result.answer.Target = g.Host
+	result.answer.Target, result.answer.LostTargets = g.Host, r.LostTargets
+	if result.lost {
+		result.answer.LostTargets++
+	}
 	result.slotResult.Duration = time.Since(start)
 	return result
 }
@@ -88,10 +94,18 @@
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return sendResult{answer: work.NotRun(reason),
-			slotResult: route.Result{Attempted: true, Failed: true}, retry: true}
+			slotResult: route.Result{Attempted: true, Failed: true, Disconnected: true}, retry: true}
 	}
+	lost := connectionLost(err)
 	return sendResult{answer: work.Unknown(reason),
-		slotResult: route.Result{Attempted: true, Failed: true}, retry: true}
+		slotResult: route.Result{Attempted: true, Failed: true, Disconnected: lost}, retry: true, lost: lost}
+}
+
+// connectionLost reports whether the target has closed or reset the connection, as a target that
+// crashes does. A target that is silent or slow does not.
+func connectionLost(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // readAnswer reads the target's response. An incomplete response is a failure.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -41,6 +41,7 @@
 	ContentType  string       `json:"content-type,omitempty"`
 	TraceParent  string       `json:"trace,omitempty"`
 	Hops         int          `json:"hops"`
+	LostTargets  int          `json:"lost,omitempty"`
 	Length       int          `json:"length"`
 	// Incarnation is the peer's incarnation as known to the client.
 	Incarnation uint64 `json:"incarnation"`
@@ -57,6 +58,7 @@
 	Reason       string       `json:"reason,omitempty"`
 	RetryAfterMS int64        `json:"retry-after-ms,omitempty"`
 	NoCapacity   bool         `json:"full,omitempty"`
+	LostTargets  int          `json:"lost,omitempty"`
 	Length       int          `json:"length"`
 }
 
@@ -64,7 +66,7 @@
 	return &requestHeader{
 		ID: r.ID, Kind: r.Kind, Urgency: r.Urgency, RemainingMS: r.Deadline.Sub(now).Milliseconds(),
 		Idempotent: r.Idempotent, Deduplicated: r.Deduplicated, ContentType: r.ContentType,
-		TraceParent: r.TraceParent, Hops: r.Hops + 1, Length: length, Incarnation: incarnation,
+		TraceParent: r.TraceParent, Hops: r.Hops + 1, LostTargets: r.LostTargets, Length: length, Incarnation: incarnation,
 	}
 }
 
@@ -73,7 +75,7 @@
 		ID: h.ID, Kind: h.Kind, Urgency: h.Urgency,
 		Deadline:   now.Add(time.Duration(h.RemainingMS) * time.Millisecond),
 		Idempotent: h.Idempotent, Deduplicated: h.Deduplicated, ContentType: h.ContentType,
-		TraceParent: h.TraceParent, Hops: h.Hops,
+		TraceParent: h.TraceParent, Hops: h.Hops, LostTargets: h.LostTargets,
 	}.WithBody(body)
 }
 
@@ -81,7 +83,7 @@
 	return &answerHeader{
 		ID: id, Outcome: a.Outcome, Status: a.Status, ContentType: a.ContentType, Target: a.Target,
 		Entry: a.Entry, Reason: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), NoCapacity: a.NoCapacity,
-		Length: len(a.Body),
+		LostTargets: a.LostTargets, Length: len(a.Body),
 	}
 }
 
@@ -89,7 +91,7 @@
 	return work.Answer{
 		Outcome: h.Outcome, Status: h.Status, ContentType: h.ContentType, Body: body, Target: h.Target,
 		Entry: h.Entry, Reason: h.Reason, RetryAfter: time.Duration(h.RetryAfterMS) * time.Millisecond,
-		NoCapacity: h.NoCapacity,
+		NoCapacity: h.NoCapacity, LostTargets: h.LostTargets,
 	}
 }
 
--- a/entry/route/grant.go
+++ b/entry/route/grant.go
@@ -17,12 +17,18 @@
 		if t == nil {
 			break
 		}
-		chosen := s.pickTarget()
+		suspect := t.request.Suspect
+		chosen := s.pickTarget(suspect)
 		if chosen == nil {
 			break
 		}
 		chosen.inUse++
-		s.grant(q, t, &Grant{Host: chosen.Host, Address: chosen.Address, owner: s.pool, requester: s.pool})
+		if suspect {
+			chosen.suspects++
+		}
+		s.grant(q, t, &Grant{
+			Host: chosen.Host, Address: chosen.Address, owner: s.pool, requester: s.pool, suspect: suspect,
+		})
 	}
 	s.lend()
 	s.announceDemand()
@@ -99,7 +105,7 @@
 	lendable := s.freeSlots() - s.table.Guard
 	for lendable > 0 && len(s.demands) > 0 {
 		for borrower, n := range s.demands {
-			chosen := s.pickTarget()
+			chosen := s.pickTarget(false)
 			if lendable <= 0 || chosen == nil {
 				return
 			}
--- a/entry/route/health.go
+++ b/entry/route/health.go
@@ -21,6 +21,9 @@
 	// maxEjectedShare is the largest share of a pool's targets that may be excluded at the
 	// same time. One target may always be.
 	maxEjectedShare = 1.0 / 3
+	// reconnectDelay is how long other targets are preferred to one whose connection was refused or
+	// lost.
+	reconnectDelay = 2 * time.Second
 )
 
 // health tracks the results of a target and whether it is excluded.
@@ -38,10 +41,16 @@
 	// failing is set from an ejection until enough results show that the target has
 	// recovered.
 	failing bool
+	// disconnectedAt is when a connection to the target was last refused or lost; the zero time if none
+	// was.
+	disconnectedAt time.Time
 }
 
 func (h *health) available(now time.Time) bool { return !now.Before(h.excludedUntil) }
 
+// connected reports whether no connection to the target was refused or lost within reconnectDelay.
+func (h *health) connected(now time.Time) bool { return now.Sub(h.disconnectedAt) >= reconnectDelay }
+
 func (h *health) record(failed bool) {
 	h.failed[h.next] = failed
 	h.next = (h.next + 1) % resultWindow
--- a/entry/route/pool.go
+++ b/entry/route/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -68,6 +67,7 @@
 		kind       string
 		result     Result
 		ownRequest bool
+		suspect    bool
 	}
 	// releaseBorrowed tells this pool that its request on a borrowed slot has ended.
 	releaseBorrowed struct {
@@ -132,14 +132,6 @@
 	Retried int64
 }
 
-// target is the pool's state of one host.
-type target struct {
-	Target
-	inUse   int
-	inTable bool
-	health  health
-}
-
 // kindQueue holds the waiting requests and figures of one kind.
 type kindQueue struct {
 	kind           string
@@ -351,6 +343,12 @@
 		return
 	}
 	t.inUse--
+	if m.suspect {
+		t.suspects--
+	}
+	if m.result.Disconnected {
+		t.health.disconnectedAt = s.now
+	}
 	if m.ownRequest {
 		s.recordCompletion(m.kind, m.result)
 	} else {
@@ -487,29 +485,3 @@
 		s.expiryScheduled = true
 	}
 }
-
-// pickTarget returns the less loaded of two targets drawn at random from those with a
-// free slot. It returns nil if no target has one.
-func (s *poolState) pickTarget() *target {
-	var chosen *target
-	seen := 0
-	for _, t := range s.tableTargets {
-		if t.inUse >= t.Slots || !s.accepts(t) {
-			continue
-		}
-		seen++
-		// Each target with a free slot is equally likely to be one of the two drawn.
-		switch {
-		case seen == 1:
-			chosen = t
-		case rand.IntN(seen) < 2 && t.load() < chosen.load():
-			chosen = t
-		case t.load() == chosen.load() && rand.IntN(seen) == 0:
-			chosen = t
-		}
-	}
-	return chosen
-}
-
-// load returns the share of the target's slots that are in use.
-func (t *target) load() float64 { return float64(t.inUse) / float64(t.Slots) }
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -21,6 +21,8 @@
 	// NoWait refuses the request if it would have to wait, so that the caller can try
 	// another entry first.
 	NoWait bool
+	// Suspect is set if the connection to a target was lost while the target had the request.
+	Suspect bool
 }
 
 // Reply answers a slot request. Exactly one of Queued, Refused and Grant is set.
@@ -77,6 +79,8 @@
 	// owner is the pool that the slot belongs to, requester the pool of the request.
 	owner, requester *Pool
 	kind             string
+	// suspect is set if the target counts the request among its suspect ones.
+	suspect bool
 }
 
 // Lent reports whether the slot belongs to a pool other than that of the request.
@@ -89,6 +93,9 @@
 	Attempted bool
 	// Failed is set if the target failed the request or could not be reached.
 	Failed bool
+	// Disconnected is set if no connection to the target could be opened, or if it was lost before the
+	// answer was complete.
+	Disconnected bool
 	// Leaving is set if the target announced that it takes no new requests.
 	Leaving bool
 	// Duration is how long the slot was in use.
@@ -101,5 +108,5 @@
 	if g.Lent() {
 		_ = g.requester.task.Send(ctx, releaseBorrowed{kind: g.kind, result: r})
 	}
-	_ = g.owner.task.Send(ctx, release{host: g.Host, kind: g.kind, result: r, ownRequest: !g.Lent()})
+	_ = g.owner.task.Send(ctx, release{host: g.Host, kind: g.kind, result: r, ownRequest: !g.Lent(), suspect: g.suspect})
 }
--- a/entry/work/work.go
+++ b/entry/work/work.go
@@ -32,6 +32,8 @@
 	// Deduplicated is set if the request is not idempotent and the entry that owns its ID has
 	// ensured that this is the only copy.
 	Deduplicated bool
+	// LostTargets is the number of targets whose connection was lost while they had the request.
+	LostTargets int
 }
 
 // Answer is the result of a request.
@@ -53,6 +55,9 @@
 	NoCapacity bool
 	// Invalid is set if the request itself is invalid; Reason explains what is wrong with it.
 	Invalid bool
+	// LostTargets is the number of targets whose connection was lost while they had the request, over
+	// all attempts.
+	LostTargets int
 }
 
 // NotRun returns the answer for a request that no target has started to run.
--- a/trial/integ/request_test.go
+++ b/trial/integ/request_test.go
@@ -274,3 +274,56 @@
 	require.Equal(t, cap(answers)-through[f.Entries[0].Name], through[f.Entries[1].Name], "not all other requests went through the other entry of the zone: %v", through)
 	require.Zero(t, f.Totals(f.ctx).Refused)
 }
+
+// Guards against a request that is carried to target after target, through every entry that it reaches,
+// while each of them is lost under it.
+func TestARequestUnderWhichTargetsAreLostReachesThreeTargetsAtMost(t *testing.T) {
+	p := twoZones()
+	p.Pools = p.Pools[:1]
+	p.Pools[0].Zones = map[string]int{zoneB: 10}
+	f := start(t, p)
+	for _, host := range f.hostsOf("documents", "") {
+		require.NoError(t, f.SetBehaviour(f.ctx, host, target.Behaviour{Mode: target.Truncate}))
+	}
+	// Documents run in zone B only, so the entry of zone A forwards the request with each attempt.
+	a := f.request(f.entry(zoneA+"-e1"), "documents")
+	require.Equal(t, wire.Unknown, a.Outcome, a.Reason)
+	runs := 0
+	for _, n := range f.Totals(f.ctx).Runs {
+		runs += n
+	}
+	require.Equal(t, 3, runs)
+}
+
+// Guards against giving up requests that share a target with the one that takes it down.
+func TestRequestsOnATargetThatIsLostRunOnOthers(t *testing.T) {
+	p := twoZones()
+	p.Pools = p.Pools[:1]
+	p.Pools[0].RunTime = 500 * time.Millisecond
+	f := start(t, p)
+	entry := f.entry(zoneA + "-e1")
+	const count = 6
+	answers := make(chan client.Response, count)
+	for range count {
+		go func() {
+			a, _ := entry.Client.Do(f.ctx, client.Request{
+				Kind: "documents", ID: record.NewID().String(), Idempotent: true, Deadline: 10 * time.Second, Body: []byte("x"),
+			})
+			answers <- a
+		}()
+	}
+	lost := f.hostsOf("documents", zoneA)[0]
+	f.eventually("requests run on the target", 5*time.Second, func(ctx context.Context) error {
+		stats, err := f.TargetStats(ctx, lost)
+		if err == nil && len(stats.Runs) == 0 {
+			err = fmt.Errorf("none runs")
+		}
+		return err
+	})
+	require.NoError(t, f.SetBehaviour(f.ctx, lost, target.Behaviour{Mode: target.Normal, DownMS: 5000}))
+	for range count {
+		a := <-answers
+		require.Equal(t, wire.Done, a.Outcome, a.Reason)
+		require.NotEqual(t, lost.Name, a.Target)
+	}
+}
