Await the answer to a request until its deadline in caraway

The HTTP timeout of the client (the setting timeout and one minute) could be earlier than the deadline that the command sends with the request. Change: the HTTP timeout of a request is at least its deadline and 10 s.

--- a/fleet/client/client.go
+++ b/fleet/client/client.go
@@ -21,8 +21,12 @@
 	"carawaymux.dev/fleet/wire"
 )
 
-// maxResponse limits how much of a response is read, in bytes.
-const maxResponse = 256 << 20
+const (
+	// maxResponse limits how much of a response is read, in bytes.
+	maxResponse = 256 << 20
+	// answerMargin is how long after the deadline of a request its answer may arrive.
+	answerMargin = 10 * time.Second
+)
 
 // Client calls one entry. Its fields do not change after [New].
 type Client struct {
@@ -214,7 +218,7 @@
 	if r.Deadline > 0 {
 		req.Header.Set(wire.HeaderDeadline, strconv.FormatInt(r.Deadline.Milliseconds(), 10))
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.patientHTTP(r.Deadline).Do(req)
 	if err != nil {
 		return Response{Outcome: wire.Unknown, Reason: err.Error()}, fault.At("request", c.base, err)
 	}
@@ -232,6 +236,16 @@
 	}, nil
 }
 
+// patientHTTP returns an HTTP client whose timeout is later than the deadline of a request.
+func (c *Client) patientHTTP(deadline time.Duration) *http.Client {
+	if c.http.Timeout == 0 || deadline == 0 {
+		return c.http
+	}
+	patient := *c.http
+	patient.Timeout = max(patient.Timeout, deadline+answerMargin)
+	return &patient
+}
+
 func (c *Client) call(ctx context.Context, method, path string, params url.Values, body []byte, out any) error {
 	target := c.base + path
 	if len(params) > 0 {
--- a/oper/deps/deps.go
+++ b/oper/deps/deps.go
@@ -52,7 +52,7 @@
 	// Key is the operator's key. It is empty if the entries do not require a key.
 	Key string
 	// Timeout limits the publication of a record, including the wait of --wait. The HTTP timeout
-	// of every call is one minute longer.
+	// of every call is one minute longer, and that of a request later than its deadline.
 	Timeout time.Duration
 }
 
