Count a crash of a host that is back before it counts as failed

Operators saw: a task that crashes its host is started again on it without an end, when the host is back within fail-after (3 s by default, up to an hour). In the planner's model: 299 starts in 300 rounds. The planner went on renewing the task's lease on the host, and the platform starts a task that it does not run; neither the host's failure nor the loss of the task was recorded. Change: a task that the usage report does not list as running while the platform lists its host as down is noted as lost. Its lease is not renewed; it is stopped, taken off the host with the act crash, and placed again within the bound.

--- a/fleet/plan/crash_test.go
+++ b/fleet/plan/crash_test.go
@@ -125,3 +125,38 @@
 	crashes, _ := f.crashHosts("deadly")
 	require.Equal(t, 1, crashes)
 }
+
+// Guards against a task that crashes its host without an end, because the host is back before it counts
+// as failed.
+func TestACrashOfAHostThatReturnsAtOnceIsCounted(t *testing.T) {
+	f := newCrashFixture(t)
+	f.mustAccept("deadly", smallTasks(1))
+	f.input.StoppedTasks = make(map[plan.TaskKey]uint64)
+	starts := 0
+	for range crashRounds {
+		f.input.Usage = []plat.TaskUsage{}
+		for name := range f.input.Machines {
+			f.input.Machines[name] = plat.Machine{Name: name, State: plat.MachineLive}
+		}
+		for _, c := range f.round().Calls {
+			switch c.Verb {
+			case plan.VerbStart:
+				starts++
+				f.input.Machines[c.Host] = plat.Machine{Name: c.Host, State: plat.MachineDown}
+				f.input.Usage = []plat.TaskUsage{}
+				for _, later := range f.round().Calls {
+					if later.Verb == plan.VerbStop {
+						f.input.StoppedTasks[later.Task] = later.Fence
+					}
+				}
+			case plan.VerbStop:
+				f.input.StoppedTasks[c.Task] = c.Fence
+			}
+		}
+	}
+	require.Equal(t, jobs.MaxCrashes, starts)
+	require.True(t, f.state.Jobs["deadly"].Tasks[0].GivenUp())
+	for name, h := range f.state.Hosts {
+		require.Equal(t, host.Serving, h.Phase, "host %s was never down for long enough to fail", name)
+	}
+}
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -123,12 +123,15 @@
 	conditions conditionTimes
 	// lastCalls holds the time at which each call was last made.
 	lastCalls map[Call]time.Time
+	// lostTasks holds the fences of placed tasks that did not run when their host was seen down.
+	lostTasks map[TaskKey]uint64
 }
 
 // New builds a planner.
 func New[O HostOrder, M Mover](timing Timing, order O, mover M) *Planner[O, M] {
 	return &Planner[O, M]{
 		timing: timing, order: order, mover: mover, conditions: make(conditionTimes), lastCalls: make(map[Call]time.Time),
+		lostTasks: make(map[TaskKey]uint64),
 	}
 }
 
@@ -164,6 +167,7 @@
 	input      Input
 	timing     Timing
 	conditions conditionTimes
+	lostTasks  map[TaskKey]uint64
 	output     Output
 	// headroom is what remains of each pool's budget after the drafts of this round so far.
 	headroom map[string]int
@@ -193,7 +197,7 @@
 
 // Round plans one round. It does not modify the state.
 func (p *Planner[O, M]) Round(s *ledger.State, in Input) Output {
-	r := &round{state: s, input: in, timing: p.timing, conditions: p.conditions, headroom: make(map[string]int), zones: zoneViews(in),
+	r := &round{state: s, input: in, timing: p.timing, conditions: p.conditions, lostTasks: p.lostTasks, headroom: make(map[string]int), zones: zoneViews(in),
 		hostNames: slices.Sorted(maps.Keys(s.Hosts)), cordoned: make(map[string]bool), returned: make(map[string]bool),
 	}
 	for name := range s.Pools {
--- a/fleet/plan/tasks.go
+++ b/fleet/plan/tasks.go
@@ -27,6 +27,10 @@
 	for _, u := range r.input.Usage {
 		usage[TaskKey{u.Job, u.Task}] = u
 	}
+	maps.DeleteFunc(r.lostTasks, func(key TaskKey, fence uint64) bool {
+		j := r.state.Jobs[key.Job]
+		return j == nil || key.Task >= len(j.Tasks) || j.Tasks[key.Task].Fence != fence
+	})
 	oversized := r.oversizedTasks(usage)
 	var items []jobs.PlacementItem
 	for _, name := range slices.Sorted(maps.Keys(r.state.Jobs)) {
@@ -63,20 +67,21 @@
 	h := r.state.Hosts[t.Host]
 	u, reported := usage[key]
 	reported = reported && u.Fence == t.Fence
+	r.observeLoss(key, t, reported && u.State == plat.TaskRunning)
 	failedFor := r.conditions.heldFor(condition{"host failed", key.Job, key.Task}, h.Phase == host.Failed, r.input.Now)
 	switch {
 	case reported && u.State == plat.TaskFinished:
 		return jobs.ActFinish
 	case reported && u.State == plat.TaskFailed:
-		return r.removalAct(t)
+		return r.removalAct(key, t)
 	case r.input.StoppedTasks[key] == t.Fence:
-		return r.removalAct(t)
+		return r.removalAct(key, t)
 	case h.Phase == host.Failed:
 		// The lease is no longer renewed; after its term the platform has stopped the task.
 		if failedFor > r.timing.TaskLeaseTerm+leaseMargin {
-			return r.removalAct(t)
+			return r.removalAct(key, t)
 		}
-	case h.Phase != host.Serving || j.Cancelled || oversized[key]:
+	case h.Phase != host.Serving || j.Cancelled || oversized[key] || r.lostTasks[key] == t.Fence:
 		r.output.Calls = append(r.output.Calls, Call{Verb: VerbStop, Host: t.Host, Fence: t.Fence, Task: key})
 	default:
 		r.output.Calls = append(r.output.Calls, Call{
@@ -90,21 +95,41 @@
 	return ""
 }
 
+// observeLoss notes a task that does not run while its host is down. The host may return before it
+// counts as failed; the platform would then start the task there again when its lease is renewed, and
+// the crash would not be counted.
+func (r *round) observeLoss(key TaskKey, t jobs.Task, running bool) {
+	if r.countsCrashes() && r.down(t.Host) && r.input.Usage != nil && !running {
+		r.lostTasks[key] = t.Fence
+	}
+}
+
+// countsCrashes reports whether every entry knows the act ActCrash.
+func (r *round) countsCrashes() bool {
+	return r.state.OpenSchema(record.KindPlacement) >= jobs.CrashSchema
+}
+
 // removalAct returns the act that takes a task off its host: ActCrash if the host failed soon after the
 // task had been placed there. The loss of a machine that the platform has removed is no crash.
-func (r *round) removalAct(t jobs.Task) jobs.Act {
-	if r.state.OpenSchema(record.KindPlacement) < jobs.CrashSchema || r.input.Machines[t.Host].State == plat.MachineGone {
+func (r *round) removalAct(key TaskKey, t jobs.Task) jobs.Act {
+	if !r.countsCrashes() || r.input.Machines[t.Host].State == plat.MachineGone {
 		return jobs.ActStop
 	}
+	if r.lostTasks[key] == t.Fence && withinCrashWindow(t, r.input.Now.UnixMilli()) {
+		return jobs.ActCrash
+	}
 	for _, entry := range r.state.Hosts[t.Host].History {
-		failedAfter := time.Duration(entry.At-t.StartedAt) * time.Millisecond
-		if entry.Event == host.EventFail && entry.Offset >= t.Fence && failedAfter < jobs.CrashWindow {
+		if entry.Event == host.EventFail && entry.Offset >= t.Fence && withinCrashWindow(t, entry.At) {
 			return jobs.ActCrash
 		}
 	}
 	return jobs.ActStop
 }
 
+func withinCrashWindow(t jobs.Task, atMS int64) bool {
+	return time.Duration(atMS-t.StartedAt)*time.Millisecond < jobs.CrashWindow
+}
+
 // oversizedTasks returns, for each host whose tasks use more memory than it has, the task that
 // exceeds its declared memory the most. This task has to stop.
 func (r *round) oversizedTasks(usage map[TaskKey]plat.TaskUsage) map[TaskKey]bool {
