Issue IDs of another entry while carawayd stops

Callers saw: a request with an ID that they got from a stopping entry was answered unknown by every entry once it had ended, and never ran, although nothing had been sent before. An ID is good for 15 minutes, the entry that owns it for the rest of its stop. Change: a stopping entry issues IDs that another live entry owns, one of its availability zone if there is one. IDs that it has issued before the stop are answered unknown after its end, as before.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -288,6 +288,7 @@
 	answerTimer := time.AfterFunc(time.Duration(answerShare*float64(limit)), func() { d.cancelRequests(work.ErrStopping) })
 	defer answerTimer.Stop()
 	d.front.MarkStopping()
+	d.invoker.MarkStopping()
 	_ = d.members.AnnounceStop(ctx)
 	sleep(ctx, d.settings.DrainDelay)
 	if err := d.callerServer.Shutdown(ctx); err != nil {
--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"carawaymux.dev/entry/dedup"
@@ -42,6 +43,8 @@
 	registry    *dedup.Registry
 	targets     *targets
 	tracer      *trace.Tracer
+	// stopping makes the invoker issue IDs that other entries own.
+	stopping atomic.Bool
 }
 
 // Dependencies holds the components that an invoker uses.
@@ -87,6 +90,9 @@
 // Close closes idle connections to targets.
 func (v *Invoker) Close() { v.targets.Close() }
 
+// MarkStopping tells the invoker that the entry stops. Requests that still arrive are run.
+func (v *Invoker) MarkStopping() { v.stopping.Store(true) }
+
 // Do runs a request and returns its answer. It is a [work.Handler].
 func (v *Invoker) Do(ctx context.Context, r work.Request) work.Answer {
 	span := v.tracer.Start(r.TraceParent, "entry", "kind", r.Kind, "id", r.ID, "entry", v.self)
@@ -105,17 +111,24 @@
 }
 
 // IssueID issues an ID for a non-idempotent request of a kind. The owner of the ID is an entry that
-// can send the request to a target itself: this one, if the pool serves in its zone.
+// can send the request to a target itself: this one, if the pool serves in its zone and the entry is
+// not stopping.
 func (v *Invoker) IssueID(ctx context.Context, kind string) (string, error) {
 	pool, err := v.router.Lookup(kind)
 	if err != nil {
 		return "", err
 	}
 	now := time.Now()
-	if pool.Zones[v.zone] == 0 {
-		if p, found := v.findPeer(pool); found {
-			return dedup.NewID(p.Name, p.Incarnation, now).String(), nil
-		}
+	var owner member.Peer
+	found, stopping := false, v.stopping.Load()
+	if stopping && pool.Zones[v.zone] > 0 {
+		owner, found = v.members.MostFreeSlots(v.zone, pool.Name)
+	}
+	if !found && (stopping || pool.Zones[v.zone] == 0) {
+		owner, found = v.findPeer(pool)
+	}
+	if found {
+		return dedup.NewID(owner.Name, owner.Incarnation, now).String(), nil
 	}
 	return dedup.NewID(v.self, v.incarnation, now).String(), nil
 }
--- a/trial/integ/stop_test.go
+++ b/trial/integ/stop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -107,3 +109,33 @@
 	require.NoError(t, owner.Proc.Stop())
 	require.Equal(t, wire.Unknown, (<-answered).Outcome)
 }
+
+// Guards against an ID that cannot be used once the stopping entry that has issued it has ended.
+func TestAnIDIssuedByAStoppingEntryCanBeUsedAfterItsEnd(t *testing.T) {
+	p := oneEntry()
+	p.EntriesPerZone = 2
+	p.Settings = map[string][]string{"entry": {"drain-delay = 2s"}}
+	f := start(t, p)
+	stopping, other := f.Entries[0], f.Entries[1]
+	f.eventually("the entries know each other", 5*time.Second, func(ctx context.Context) error {
+		members, err := stopping.Client.Members(ctx)
+		if err == nil && !slices.ContainsFunc(members, func(m wire.Member) bool { return m.Name == other.Name && m.State == "live" }) {
+			err = fmt.Errorf("members: %+v", members)
+		}
+		return err
+	})
+	stopped := make(chan error, 1)
+	go func() { stopped <- stopping.Proc.Stop() }()
+	f.eventually("the entry is stopping", 5*time.Second, func(ctx context.Context) error {
+		if stopping.Client.Ready(ctx) == nil {
+			return errors.New("it is ready")
+		}
+		return nil
+	})
+	id, err := stopping.Client.IssueID(f.ctx, "documents")
+	require.NoError(t, err)
+	require.NoError(t, <-stopped)
+	a, err := other.Client.Do(f.ctx, client.Request{Kind: "documents", ID: id, Deadline: 3 * time.Second, Body: []byte("x")})
+	require.NoError(t, err)
+	require.Equal(t, wire.Done, a.Outcome, a.Reason)
+}
