Log the runs on a host that ends without notice

The log said that a host had ended, but not which tasks it took along, so a task that crashes its hosts could not be told from its neighbours. A crash is the end of an instance that was neither draining nor being emptied. Lines 'host crashed' have the runs with their ages; hosts-crashed counts them. No decision changes. go test ./fleet/shard ./entry/owner: ok.

--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -188,6 +188,7 @@
 		c.journal.expiredJobs = append(c.journal.expiredJobs, c.state.DropExpired(now)...)
 	}
 	c.refuseUnwritten()
+	c.logCrashes()
 	c.listMachines(now)
 	c.logWaiting(now)
 	c.delays.endInterval(now)
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -42,6 +42,9 @@
 	heartbeatSentAt, newInstanceAt time.Time
 	// UnansweredAt is when the last heartbeat failed that shows the host to be silent.
 	UnansweredAt time.Time
+	// unreachableSince is when the first of the heartbeats failed that have not been answered since. It
+	// is zero while the host answers.
+	unreachableSince time.Time
 	// EndedAt is when this instance was known to have ended. It is zero while a newer one answers.
 	EndedAt time.Time
 	// GrantedUntil is the latest lease deadline that was sent, on the host's clock in
@@ -214,6 +217,9 @@
 	}
 	proven := !ownerLate && !h.heartbeatSentAt.Before(h.newInstanceAt)
 	h.Unreachable, h.AnswerPending = true, !proven
+	if h.unreachableSince.IsZero() {
+		h.unreachableSince = now
+	}
 	if proven {
 		h.UnansweredAt = now
 	}
@@ -310,6 +316,7 @@
 // HostEnded records that this instance of a host has ended, so that nothing can be running in it.
 func (s *State) HostEnded(id string, now time.Time) {
 	if h := s.Hosts[id]; h != nil {
+		s.recordCrash(h, nil, now)
 		s.releaseAll(h, now)
 		h.Confirmed, h.Unreachable, h.LastAnswer, h.EndedAt = true, false, time.Time{}, now
 	}
@@ -372,6 +379,9 @@
 // handleRestart releases the tasks of a host that has restarted. A task whose start the new
 // instance may have carried out, or may yet carry out, becomes uncertain.
 func (s *State) handleRestart(h *Host, report *port.HostReport, now time.Time) {
+	if report.Born != h.Instance {
+		s.recordCrash(h, report, now)
+	}
 	for r, task := range h.Assigned {
 		_, stage, _ := s.task(r)
 		if stage == nil {
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -41,7 +41,7 @@
 		h.GrantedUntil = max(h.GrantedUntil, report.Clock+s.Timing.Lease.Milliseconds())
 	}
 	h.Confirmed, h.Unreachable, h.Instance, h.Clock, h.LastAnswer = true, false, report.Born, report.Clock, now
-	h.AnswerPending, h.EndedAt, h.ClockAt = false, time.Time{}, now
+	h.AnswerPending, h.EndedAt, h.ClockAt, h.unreachableSince = false, time.Time{}, now, time.Time{}
 	if !report.ReceivedAt.IsZero() {
 		h.ClockAt = report.ReceivedAt
 	}
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -117,6 +117,8 @@
 	unknownRuns int
 	// AvoidHost is a host on which the task failed or ran too slowly.
 	AvoidHost string
+	// crashedRun is the highest run whose host has crashed.
+	crashedRun int64
 }
 
 // Stage is the state of one step in an occurrence.
@@ -205,6 +207,7 @@
 	// permits holds the answers of the policy service, by step.
 	permits map[batch.Ref]*permit
 	orders  []Order
+	crashes []Crash
 	dirty   []*Job
 	// latestLost is the latest LostAt of any task.
 	latestLost time.Time
