Let tasks of the simulated platform crash their hosts and hosts change their capacity

Change: a job can state that a seeded share of its tasks crash each host that starts them, before the response, at once or late; the host is back after its downtime as a new instance, under the same or a new ID, and its record expires after three heartbeat intervals unless it is back before. Hosts can change their capacity, which their next record states; pools can accept tasks beyond it. Crashed hosts' records now expire in the existing tests too; they were removed at once. The checker has three more checks: a task that crashes its hosts is started fewer than three times after three crashes; a host that accepts tasks beyond its capacity does not get them, where a capacity that has shrunk counts 3 s and one heartbeat later and runs that are being stopped take their room; a job is shown as failed only after the last attempt of a task, or after two hosts have crashed under a task that crashes its hosts.

--- /dev/null
+++ b/trial/fake/capacity.go
@@ -0,0 +1,78 @@
+package fake
+
+import "time"
+
+// Capacity is the room of a host for tasks.
+type Capacity struct {
+	// Cores is processor capacity in thousandths of a core, MemoryMB memory in megabytes.
+	Cores, MemoryMB int
+}
+
+// machineCapacity is the capacity of every machine, and of every host at its boot.
+var machineCapacity = Capacity{Cores: 4000, MemoryMB: 16000}
+
+// tasksNeed returns what a number of tasks take.
+func tasksNeed(tasks int) Capacity {
+	return Capacity{Cores: tasks * taskCores, MemoryMB: tasks * taskMemory}
+}
+
+// fits reports whether a need is within the capacity.
+func (c Capacity) fits(need Capacity) bool {
+	return need.Cores <= c.Cores && need.MemoryMB <= c.MemoryMB
+}
+
+// wire returns the capacity as records and lists contain it.
+func (c Capacity) wire() map[string]int {
+	return map[string]int{"cpu": c.Cores, "memory_request_mb": c.MemoryMB, "gpu": 0}
+}
+
+// formerCapacity is a capacity that a host had until a time.
+type formerCapacity struct {
+	Capacity
+	until time.Time
+}
+
+// setCapacity changes the capacity of a host. Its runs continue, and its next record states the new
+// capacity.
+func (h *host) setCapacity(c Capacity, now time.Time) {
+	h.formerCapacities = append(h.formerCapacities, formerCapacity{h.capacity, now})
+	h.capacity = c
+}
+
+// contactTime is the time without disturbances after which entries have to keep to time bounds.
+const contactTime = 3 * time.Second
+
+// mayHold reports whether an entry may take a host to have room for a need: the host has it, or had
+// it until so lately that the entry may not know better.
+func (h *host) mayHold(need Capacity, now time.Time, heartbeat time.Duration) bool {
+	if h.capacity.fits(need) {
+		return true
+	}
+	for _, former := range h.formerCapacities {
+		if former.fits(need) && now.Sub(former.until) <= contactTime+heartbeat {
+			return true
+		}
+	}
+	return false
+}
+
+// checkCapacity checks the start of a task on a host that accepts tasks beyond its capacity. Runs
+// that are being stopped take their room until they have ended.
+func (c *checker) checkCapacity(s *state, h *host, task string, now time.Time) {
+	need := tasksNeed(len(h.running) + 1)
+	if s.unguardedPools[h.pool] && !h.mayHold(need, now, s.timing.HeartbeatInterval) {
+		s.addViolation("task %s started on host %s, which then holds %+v and has a capacity of %+v", task, h.id, need, h.capacity)
+	}
+}
+
+// SetCapacity changes the capacity of up to count hosts of a pool, in the order of their IDs.
+func (fp *Platform) SetCapacity(pool string, count int, c Capacity) {
+	fp.do(func(s *state) {
+		for _, id := range sortedKeys(s.hosts) {
+			if h := s.hosts[id]; h.pool == pool && count > 0 {
+				count--
+				h.setCapacity(c, time.Now())
+			}
+		}
+	})
+}
--- a/trial/fake/checker.go
+++ b/trial/fake/checker.go
@@ -6,8 +6,8 @@
 	"carawaymux.dev/fleet/batch"
 )
 
-// taskCores is what each task of the tests requests, in thousandths of a core.
-const taskCores = 1000
+// taskCores and taskMemory are what each task of the tests requests, in thousandths of a core and in MB.
+const taskCores, taskMemory = 1000, 100
 
 // checker records the starts and ends of all tasks on all hosts and checks them against the
 // guarantees of the entries.
@@ -20,7 +20,12 @@
 	acknowledged map[string]bool
 	failures     map[string]int
 	starts       map[string]int
-	jobs         map[string]*Job
+	// failedRuns counts the runs of each task that have failed, acknowledged or not.
+	failedRuns map[string]int
+	// crashes counts the hosts that have crashed under each task, and startsAfterCrashes its starts
+	// after the first crashLimit of them.
+	crashes, startsAfterCrashes map[string]int
+	jobs                        map[string]*Job
 }
 
 // Job is a job as its caller has submitted it.
@@ -32,6 +37,8 @@
 	TaskCounts []int
 	// AcceptedAt and CancelledAt are when the caller received the confirmation; zero before.
 	AcceptedAt, CancelledAt time.Time
+	// Crash describes the tasks of the job that crash their hosts; nil for none.
+	Crash *Crash
 	// Refused is set when every attempt to submit the job was refused.
 	Refused bool
 }
@@ -39,7 +46,8 @@
 func newChecker() checker {
 	return checker{
 		running: map[string]map[int64]bool{}, done: map[string]bool{}, acknowledged: map[string]bool{},
-		failures: map[string]int{}, starts: map[string]int{}, jobs: map[string]*Job{},
+		failures: map[string]int{}, starts: map[string]int{}, failedRuns: map[string]int{},
+		crashes: map[string]int{}, startsAfterCrashes: map[string]int{}, jobs: map[string]*Job{},
 	}
 }
 
@@ -52,7 +60,7 @@
 const cancelGrace = 3 * time.Second
 
 // checkStart records the start of a task and checks it against the guarantees.
-func (c *checker) checkStart(s *state, h *host, o *hostOrder) {
+func (c *checker) checkStart(s *state, h *host, o *hostOrder, now time.Time) {
 	ref, err := batch.ParseRef(o.Task)
 	j := c.jobs[ref.Job]
 	switch {
@@ -75,6 +83,8 @@
 	if c.failures[o.Task] >= maxAttempts && j.Specification != SpecRunUntilStopped {
 		s.addViolation("task %s started again after %d failures", o.Task, c.failures[o.Task])
 	}
+	c.checkCrashBudget(s, o.Task)
+	c.checkCapacity(s, h, o.Task, now)
 	for _, step := range j.After[ref.Step] {
 		for i := range j.TaskCounts[step] {
 			if dependency := (batch.Ref{Job: ref.Job, Step: step, Index: i}).String(); !c.done[dependency] {
@@ -118,11 +128,9 @@
 // AllDone reports whether every task of a job has succeeded.
 func (fp *Platform) AllDone(j *Job) bool {
 	return query(fp, func(s *state) bool {
-		for step, count := range j.TaskCounts {
-			for i := range count {
-				if !s.checker.done[(batch.Ref{Job: j.ID, Step: step, Index: i}).String()] {
-					return false
-				}
+		for _, task := range j.tasks() {
+			if !s.checker.done[task] {
+				return false
 			}
 		}
 		return true
--- a/trial/fake/deployment.go
+++ b/trial/fake/deployment.go
@@ -204,7 +204,7 @@
 	routes, services := []map[string]any{}, []map[string]any{}
 	for _, pool := range sortedKeys(layout.Pools) {
 		services = append(services, map[string]any{
-			"name": pool, "admission_check": true, "standby": pool == layout.StandbyPool,
+			"name": pool, "admission_check": !layout.UnguardedPools[pool], "standby": pool == layout.StandbyPool,
 		})
 		if pool == layout.StandbyPool {
 			continue
@@ -240,15 +240,20 @@
 // Submit registers a job with the checker and submits it at an entry. It returns the HTTP status,
 // or 0 if there was no response.
 func (d *Deployment) Submit(ctx context.Context, e *Entry, pool, id, specification string, steps ...StepSpec) (int, *Job) {
-	j := &Job{ID: id, Specification: specification, After: map[int][]int{}}
+	j := &Job{ID: id, Specification: specification}
+	return d.SubmitJob(ctx, e, pool, j, steps...), j
+}
+
+// SubmitJob is like Submit, for a job whose ID, specification and crash are set.
+func (d *Deployment) SubmitJob(ctx context.Context, e *Entry, pool string, j *Job, steps ...StepSpec) int {
+	j.After = map[int][]int{}
 	for i := range steps {
-		steps[i].CPU, steps[i].MemoryMB = taskCores, 100
+		steps[i].CPU, steps[i].MemoryMB = taskCores, taskMemory
 		j.After[i] = steps[i].After
 		j.TaskCounts = append(j.TaskCounts, steps[i].Count)
 	}
 	d.RegisterJob(j)
-	status := d.Resubmit(ctx, e, pool, j, steps...)
-	return status, j
+	return d.Resubmit(ctx, e, pool, j, steps...)
 }
 
 // Resubmit submits a registered job again.
@@ -285,7 +290,11 @@
 	var out struct {
 		State string `json:"state"`
 	}
-	return out.State, json.Unmarshal(raw, &out)
+	if err := json.Unmarshal(raw, &out); err != nil {
+		return "", err
+	}
+	d.do(func(s *state) { s.checker.checkShownState(s, id, out.State) })
+	return out.State, nil
 }
 
 // PendingJobs returns the number of jobs of a pool's queue of which no task has started, as an
--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -38,10 +38,14 @@
 	machines  map[string]*machine
 	// hostsIssued counts the host IDs that have been assigned.
 	hostsIssued int
-	violations  []string
-	checker     checker
-	timing      Timing
-	wave        *publishedWave
+	// recordExpiry holds when the records of crashed hosts are removed, by host ID.
+	recordExpiry map[string]time.Time
+	// unguardedPools holds the pools whose hosts accept tasks beyond their capacity.
+	unguardedPools map[string]bool
+	violations     []string
+	checker        checker
+	timing         Timing
+	wave           *publishedWave
 	// advisedPool is the pool whose tasks need tickets; refusedForTicket counts the starts that
 	// were refused because the ticket was missing or wrong.
 	advisedPool      string
@@ -67,6 +71,8 @@
 	StandbyPool string
 	// AdvisedPool names the pool whose tasks need tickets of the policy service; empty for none.
 	AdvisedPool string
+	// UnguardedPools holds the pools whose hosts accept tasks beyond their capacity.
+	UnguardedPools map[string]bool
 	// EntryCores holds the processor capacity that the settings state for each entry, in cores. They
 	// state none for the entries beyond it.
 	EntryCores []float64
@@ -76,10 +82,7 @@
 // New starts a simulated platform on loopback.
 func New(layout Layout) (*Platform, error) {
 	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores}
-	st := &state{
-		startedAt: time.Now(), store: newStore(), hosts: map[string]*host{}, machines: map[string]*machine{},
-		checker: newChecker(), timing: layout.Timing, advisedPool: layout.AdvisedPool,
-	}
+	st := newState(layout)
 	fp.task = task.Start(func(ctx context.Context, inbox <-chan func(*state)) {
 		t := time.NewTicker(advanceInterval)
 		defer t.Stop()
@@ -107,6 +110,14 @@
 	return fp, fp.addMachines(layout)
 }
 
+func newState(layout Layout) *state {
+	return &state{
+		startedAt: time.Now(), store: newStore(), hosts: map[string]*host{}, machines: map[string]*machine{},
+		recordExpiry: map[string]time.Time{}, unguardedPools: layout.UnguardedPools,
+		checker: newChecker(), timing: layout.Timing, advisedPool: layout.AdvisedPool,
+	}
+}
+
 // addMachines gives each machine its own address and boots the machines outside the standby pool.
 func (fp *Platform) addMachines(layout Layout) error {
 	for _, pool := range sortedKeys(layout.Pools) {
@@ -204,6 +215,7 @@
 	for _, id := range sortedKeys(s.machines) {
 		s.machines[id].advance(s, now)
 	}
+	s.expireRecords(now)
 }
 
 func (s *state) addViolation(format string, args ...any) {
--- a/trial/fake/host.go
+++ b/trial/fake/host.go
@@ -23,8 +23,6 @@
 	failDuration = 60 * time.Millisecond
 	// stopDuration is how long a host takes to stop a run.
 	stopDuration = 40 * time.Millisecond
-	// hostCores and hostMemory are a host's capacity in thousandths of a core and in MB.
-	hostCores, hostMemory = 4000, 16000
 )
 
 // run is an execution of a task that is under way on a host.
@@ -53,6 +51,9 @@
 	machine  *machine
 	bootedAt time.Time
 	token    int64
+	capacity Capacity
+	// formerCapacities holds the capacities that the host had before, oldest first.
+	formerCapacities []formerCapacity
 	// leaseEnd is when the host's lease expires and the host ends all runs.
 	leaseEnd time.Time
 	running  map[string]*run
@@ -75,24 +76,34 @@
 
 // boot starts a new incarnation of a machine.
 func (s *state) boot(m *machine, now time.Time) {
-	s.hostsIssued++
+	id := m.nextHostID
+	if id == "" {
+		s.hostsIssued++
+		id = fmt.Sprintf("i-%04d", s.hostsIssued)
+	}
 	h := &host{
-		id: fmt.Sprintf("i-%04d", s.hostsIssued), pool: m.pool, machine: m, bootedAt: now, running: map[string]*run{},
+		id: id, pool: m.pool, machine: m, bootedAt: now, capacity: machineCapacity, running: map[string]*run{},
 		closedRuns: map[string]int64{}, changed: make(chan struct{}),
 	}
-	m.host, m.state = h, stateUp
+	m.host, m.state, m.nextHostID = h, stateUp, ""
+	delete(s.recordExpiry, id)
 	s.hosts[h.id] = h
 }
 
-// removeHost ends an incarnation of a machine, with all its runs.
+// removeHost ends an incarnation of a machine, with all its runs, and removes its record.
 func (s *state) removeHost(h *host) {
+	s.endHost(h)
+	s.store.partition("keyed.servers", "0").put(h.id, nil)
+}
+
+// endHost ends an incarnation of a machine, with all its runs.
+func (s *state) endHost(h *host) {
 	for task, r := range h.running {
 		s.checker.runEnded(task, r.number)
 	}
 	h.running = map[string]*run{}
 	h.notify()
 	delete(s.hosts, h.id)
-	s.store.partition("keyed.servers", "0").put(h.id, nil)
 	h.machine.host = nil
 }
 
@@ -101,8 +112,13 @@
 	h.changed = make(chan struct{})
 }
 
-// advance ends runs that are due, applies the end of the lease and writes the heartbeat record.
+// advance crashes the host if a run causes it, ends runs that are due, applies the end of the lease and
+// writes the heartbeat record.
 func (h *host) advance(s *state, now time.Time) {
+	if crash := h.crashDue(s, now); crash != nil {
+		s.crash(h, crash.Downtime, crash.KeepID, now)
+		return
+	}
 	leaseExpired := now.After(h.leaseEnd)
 	if leaseExpired {
 		for _, e := range h.finished {
@@ -151,8 +167,11 @@
 	h.closedRuns[task] = max(h.closedRuns[task], r.number)
 	h.finished = append(h.finished, &finishedRun{number: h.lastFinished, task: task, run: r.number, result: result})
 	s.checker.runEnded(task, r.number)
-	if result == "done" {
+	switch result {
+	case "done":
 		s.checker.done[task] = true
+	case "failed":
+		s.checker.failedRuns[task]++
 	}
 	h.notify()
 }
@@ -167,7 +186,7 @@
 	raw, err := json.Marshal(map[string]any{
 		"service": h.pool, "address": h.machine.address, "zone": h.machine.zone, "version": "v1", "slots": 8,
 		"state": state, "sequence": h.sequence, "born": h.bootedAt.UnixMilli(), "clock_ms": h.clock(now),
-		"capacity": map[string]int{"cpu": hostCores, "memory_request_mb": hostMemory, "gpu": 0},
+		"capacity": h.capacity.wire(),
 		"labels":   []string{"a", h.machine.rack},
 	})
 	if err != nil {
@@ -189,7 +208,7 @@
 	Ticket        string `json:"ticket"`
 }
 
-// reply is a host's response.
+// reply is a host's response. It is not sent if the status is 0.
 type reply struct {
 	status int
 	body   map[string]any
@@ -237,6 +256,10 @@
 				return
 			}
 			current := f(s, h, o, time.Now())
+			if current.status == 0 {
+				unreachable = true
+				return
+			}
 			if timedOut || current.status != http.StatusOK || len(h.finished) > 0 {
 				response = &current
 			}
@@ -300,11 +323,15 @@
 		s.refusedForTicket++
 		return refuse("ticket")
 	}
-	if len(h.running) >= hostCores/taskCores {
+	if !s.unguardedPools[h.pool] && !h.capacity.fits(tasksNeed(len(h.running)+1)) {
 		return refuse("room")
 	}
-	s.checker.checkStart(s, h, o)
+	s.checker.checkStart(s, h, o, now)
 	h.running[o.Task] = &run{number: o.Run, specification: o.Specification, startedAt: now}
+	if crash := h.crashDue(s, now); crash != nil && crash.Delay == 0 {
+		s.crash(h, crash.Downtime, crash.KeepID, now)
+		return reply{}
+	}
 	return ok
 }
 
@@ -344,16 +371,14 @@
 	}}
 }
 
-// CrashHosts removes up to count hosts of a pool without notice; their machines boot again after
-// downtime.
+// CrashHosts crashes up to count hosts of a pool; their machines boot again after downtime, each with a
+// new host.
 func (fp *Platform) CrashHosts(pool string, count int, downtime time.Duration) {
 	fp.do(func(s *state) {
 		for _, id := range sortedKeys(s.hosts) {
 			if h := s.hosts[id]; h.pool == pool && count > 0 {
 				count--
-				m := h.machine
-				s.removeHost(h)
-				m.state, m.awayUntil = stateDown, time.Now().Add(downtime)
+				s.crash(h, downtime, false, time.Now())
 			}
 		}
 	})
--- a/trial/fake/machine.go
+++ b/trial/fake/machine.go
@@ -21,7 +21,9 @@
 	host                                 *host
 	// awayUntil is when a machine that is offline comes back.
 	awayUntil time.Time
-	standby   bool
+	// nextHostID is the ID of the host that the machine boots next; empty for a new one.
+	nextHostID string
+	standby    bool
 	// token and holder are those of the last order; orderedAt is when it was received.
 	token     int64
 	holder    string
@@ -104,7 +106,7 @@
 		m := s.machines[id]
 		item := row{
 			ID: id, Pool: m.pool, State: m.state, Zone: m.zone, Labels: []string{"a", m.rack},
-			Capacity: map[string]int{"cpu": hostCores, "memory_request_mb": hostMemory},
+			Capacity: machineCapacity.wire(),
 		}
 		if m.host != nil {
 			item.Host = m.host.id
@@ -140,7 +142,7 @@
 	if m.host != nil {
 		s.removeHost(m.host)
 	}
-	m.state, m.awayUntil = state, time.Now().Add(d)
+	m.state, m.awayUntil, m.nextHostID = state, time.Now().Add(d), ""
 }
 
 // move moves a machine to another pool; an order for its own pool is a repeated one.
--- a/trial/system/system_test.go
+++ b/trial/system/system_test.go
@@ -104,16 +104,21 @@
 // submitUntilAccepted submits a job at one entry after the other until one accepts it or the
 // test's context is done.
 func (f *fixture) submitUntilAccepted(pool, specification string, steps ...fake.StepSpec) (*fake.Job, error) {
-	e := f.Entries[f.lastID%len(f.Entries)]
-	status, j := f.Submit(f.ctx, e, pool, f.nextID(), specification, steps...)
+	j := &fake.Job{ID: f.nextID(), Specification: specification}
+	return j, f.submitJob(pool, j, steps...)
+}
+
+// submitJob is like submitUntilAccepted, for a job that the test has built.
+func (f *fixture) submitJob(pool string, j *fake.Job, steps ...fake.StepSpec) error {
+	status := f.SubmitJob(f.ctx, f.Entries[f.lastID%len(f.Entries)], pool, j, steps...)
 	for try := 1; status != http.StatusOK; try++ {
 		if err := f.ctx.Err(); err != nil {
-			return nil, err
+			return err
 		}
 		time.Sleep(100 * time.Millisecond)
 		status = f.Resubmit(f.ctx, f.Entries[try%len(f.Entries)], pool, j, steps...)
 	}
-	return j, nil
+	return nil
 }
 
 // waitForOwner waits until an entry owns a pool and returns the entry.
