Start nothing on a restarted host by the record of its earlier instance

A host that crashes can be back under its ID. Its new instance answers, and gets work, before the record that it has written is read, so that its capacity and labels are those of the earlier instance: on a host that accepts tasks beyond its capacity, a start can exceed it, and a step that requires a label can start on a host without it.

Cause: the start time of the instance was decoded from the record, and never compared with the one in the host's answers. Change: a host gets new work only if the instance that answered last has written the record. If either start time is unknown, nothing changes.

Evidence: before, go test ./fleet/shard failed TestHostThatIsBackUnderItsIDGetsNoWorkByItsOldRecord and TestRecordOfANewInstanceWaitsForItsAnswer ("Should be empty, but was [{0 a job.0.0.0 1 ...", four starts each); now both pass, as do all tests of ./fleet and ./entry/owner.

--- a/fleet/shard/capacity_test.go
+++ b/fleet/shard/capacity_test.go
@@ -133,6 +133,35 @@
 	require.Len(t, o.plan(), 1)
 }
 
+// Guards against a start on a host that is back under its ID, decided by the capacity and the labels of its
+// earlier instance.
+func TestHostThatIsBackUnderItsIDGetsNoWorkByItsOldRecord(t *testing.T) {
+	o := newUnguardedOwner(t, "a")
+	record := o.Hosts["a"].Host
+	record.Born = 1
+	o.UpdateHost(record, o.now)
+	o.submit("job", smallStep(4))
+	o.HandleReport("a", &port.HostReport{Clock: 1, Born: 2}, o.now)
+	o.advance(time.Millisecond)
+	require.Empty(t, o.plan(), "the record is the one of the earlier instance")
+	record.Born, record.Capacity.MilliCores = 2, 2000
+	o.UpdateHost(record, o.now)
+	require.Len(t, o.plan(), 2)
+}
+
+// A record can be read before the new instance has answered.
+func TestRecordOfANewInstanceWaitsForItsAnswer(t *testing.T) {
+	o := newUnguardedOwner(t, "a")
+	record := o.Hosts["a"].Host
+	record.Born = 2
+	o.UpdateHost(record, o.now)
+	o.submit("job", smallStep(4))
+	require.Empty(t, o.plan(), "the earlier instance has answered last")
+	o.HandleReport("a", &port.HostReport{Clock: 1, Born: 2}, o.now)
+	o.advance(time.Millisecond)
+	require.Len(t, o.plan(), 4)
+}
+
 // Work that fits no shrunk host must neither keep smaller work from starting nor be forgotten.
 func TestWorkTooLargeForShrunkHostsWaitsAndBlocksNoOtherWork(t *testing.T) {
 	for name, lasting := range map[string]bool{"ends": false, "long-running": true} {
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -430,11 +430,17 @@
 // confirm the claim after the first answer of the instance. A host with unknown runs gets new work
 // only if the hosts enforce their capacity, since the capacity that such runs use is unknown.
 func (s *State) Schedulable(h *Host, now time.Time) bool {
-	return h.Listed && h.Stored && h.Confirmed && s.ConfirmedAt.After(h.FirstAnswer) && !h.Draining &&
+	return h.Listed && h.Stored && h.Confirmed && h.recordIsCurrent() && s.ConfirmedAt.After(h.FirstAnswer) && !h.Draining &&
 		now.After(h.CordonedUntil) && now.After(h.UnhealthyUntil) && now.After(h.FullUntil) &&
 		now.Sub(h.LastAnswer) < answerTimeout && (s.EnforcesCapacity || h.UnknownRuns == 0) && h.Capacity != (batch.Size{})
 }
 
+// recordIsCurrent reports whether the instance that answered last has written the host's record. An instance
+// under the same ID may have another capacity and other labels.
+func (h *Host) recordIsCurrent() bool {
+	return h.Born == 0 || h.Instance == 0 || h.Born == h.Instance
+}
+
 // HasLabel reports whether the host has a label.
 func HasLabel(h *port.Host, label string) bool {
 	return slices.Contains(h.Labels, label)
