Give a pool a larger host for work that fits none of its hosts any more

Callers of a job whose task is larger than the present capacity of every host of its pool, because hosts have shrunk, wait until a host grows again, however many machines are on standby.

Cause: a pool's number of hosts follows from its work over the mean capacity of a host. Four hosts of two cores are enough for one task of three cores, so the pool asked for no other. Change: the load of a pool names the smallest waiting work that no host of the pool can hold. While no host is on its way, the pool gets one machine whose listed capacity can hold it, from standby or from a pool that has more than it expects to need. Work that no machine can hold, or whose label no host of the pool has, moves none.

--- a/fleet/shard/capacity_test.go
+++ b/fleet/shard/capacity_test.go
@@ -185,6 +185,51 @@
 	}
 }
 
+// Guards against work that waits for ever, in a pool that has as many hosts as its load asks for, because all of
+// them have shrunk.
+func TestLoadTellsOfWorkThatWaitsForHostsThatHaveShrunk(t *testing.T) {
+	for name, change := range map[string]func(*batch.Step){
+		"ends": func(*batch.Step) {}, "long-running": func(step *batch.Step) { step.LongRunning = true },
+		"gang":  func(step *batch.Step) { step.Gang, step.Count = true, 2 },
+		"label": func(step *batch.Step) { step.RequiredLabel = "fast" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newUnguardedOwner(t, "a", "b")
+			o.Hosts["b"].Labels = []string{"fast"}
+			large := batch.Step{Count: 1, Need: batch.Size{MilliCores: 3000, MemoryMB: 100}, Estimate: time.Second}
+			change(&large)
+			o.setCapacity("a", 2000, 4000)
+			o.setCapacity("b", 2000, 4000)
+			o.submit("large", large)
+			require.Empty(t, o.plan())
+			require.Equal(t, large.Need, o.Load(o.now).Oversized)
+			o.setCapacity("b", 4000, 50)
+			require.Equal(t, large.Need, o.Load(o.now).Oversized, "its memory does not suffice")
+			o.setCapacity("b", 4000, 4000)
+			require.Zero(t, o.Load(o.now).Oversized)
+		})
+	}
+}
+
+func TestLoadNamesTheSmallestWorkThatIsTooLarge(t *testing.T) {
+	o := newUnguardedOwner(t, "a")
+	for _, milliCores := range []int64{9000, 5000, 7000, 3000} {
+		o.submit(fmt.Sprint(milliCores), batch.Step{Count: 1, Need: batch.Size{MilliCores: milliCores, MemoryMB: 100}, Estimate: time.Second})
+	}
+	o.start()
+	require.EqualValues(t, 5000, o.Load(o.now).Oversized.MilliCores)
+	o.submit("missing", batch.Step{Count: 1, Need: batch.Size{MilliCores: 4500, MemoryMB: 100}, RequiredLabel: "label of no host"})
+	require.Empty(t, o.plan())
+	require.EqualValues(t, 5000, o.Load(o.now).Oversized.MilliCores)
+}
+
+func TestLoadOfShrunkHostsStatesTheirPresentCapacity(t *testing.T) {
+	o := newUnguardedOwner(t, "a", "b")
+	require.EqualValues(t, 4000, o.Load(o.now).HostCapacity)
+	o.setCapacity("a", 1000, 4000)
+	require.EqualValues(t, 2500, o.Load(o.now).HostCapacity)
+}
+
 // A step for which a host is reserved must not start there after the host has shrunk below its need.
 func TestReservationOfAHostThatShrinksGoesToAnother(t *testing.T) {
 	o := newUnguardedOwner(t, "a", "b")
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -58,11 +58,42 @@
 			}
 		}
 	}
+	l.Oversized = s.oversized()
 	l.ArrivalRate = s.arrivals.Rate(now)
 	l.Arrivals = s.arrivals.Count()
 	return l
 }
 
+// oversized returns the smallest need of a task that waits and that no host of the pool can hold at its present
+// capacity, or zero. Work that requires a label is left out unless some host has the label, since it may
+// be one that no machine has.
+func (s *State) oversized() batch.Size {
+	var smallest batch.Size
+	for key, sh := range s.backlog.shapes {
+		if smallest != (batch.Size{}) && key.need.MilliCores >= smallest.MilliCores {
+			continue
+		}
+		if s.isOversized(sh) {
+			smallest = key.need
+		}
+	}
+	return smallest
+}
+
+func (s *State) isOversized(sh *shape) bool {
+	suitable := false
+	for _, h := range s.sortedHosts() {
+		if !h.Listed || h.Draining || !sh.hasLabel(h) {
+			continue
+		}
+		suitable = true
+		if h.Capacity.Fits(sh.need) {
+			return false
+		}
+	}
+	return suitable
+}
+
 // addHostLoad adds the schedulable hosts, the work that runs on them, and the hosts that could
 // leave the pool.
 func (s *State) addHostLoad(l *sizing.Load, now time.Time) {
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
 )
 
@@ -33,6 +34,9 @@
 	// of jobs from which it was measured.
 	ArrivalRate int64 `cbor:"8,keyasint,omitempty"`
 	Arrivals    int   `cbor:"11,keyasint,omitempty"`
+	// Oversized is what a task takes that waits and is too large for the present capacity of every host of
+	// the pool; the smallest one if there are several. It is zero if there is none.
+	Oversized batch.Size `cbor:"12,keyasint,omitzero"`
 	// IdleHosts lists hosts on which nothing runs. MovableHosts lists hosts that only run
 	// long-running tasks, which may be moved, those with the fewest tasks first.
 	IdleHosts    []string `cbor:"9,keyasint,omitempty"`
@@ -215,6 +219,13 @@
 	slices.SortFunc(pools, func(a, b *pool) int {
 		return cmp.Or(cmp.Compare(b.desired-b.current, a.desired-a.current), cmp.Compare(a.name, b.name))
 	})
+	for _, p := range pools {
+		// A host that is on its way may be the one that can hold the work.
+		if p.load.Oversized != (batch.Size{}) && p.current <= p.load.Hosts && s.fillOversized(p, pools, &standby, add) {
+			p.current++
+			p.expected = max(p.expected, p.current)
+		}
+	}
 	for _, p := range pools {
 		for p.current < p.desired && s.fillPool(p, pools, &standby, add) {
 			p.current++
@@ -348,6 +359,33 @@
 	return false
 }
 
+// fillOversized finds a machine that can hold the work that is too large for all hosts of a pool: one on
+// standby, or one that another pool is not expected to need.
+func (s *State) fillOversized(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
+	for i, m := range *standby {
+		if m.Capacity.Fits(p.load.Oversized) && add(Move{Machine: m.ID, From: m.Pool, To: p.name}) {
+			*standby = slices.Delete(*standby, i, i+1)
+			return true
+		}
+	}
+	for _, q := range slices.Backward(pools) {
+		if q == p || q.current <= q.expected {
+			continue
+		}
+		for i, m := range q.removable {
+			if m.Capacity.Fits(p.load.Oversized) && add(Move{Machine: m.ID, Host: m.Host, From: q.name, To: p.name}) {
+				q.removable = slices.Delete(q.removable, i, i+1)
+				q.current--
+				if i < q.idle {
+					q.idle--
+				}
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // takeFrom moves the machine of q that is cheapest to move to p. It returns false when q has none
 // that may be moved.
 func (s *State) takeFrom(p, q *pool, add func(Move) bool) bool {
--- a/fleet/sizing/sizing_test.go
+++ b/fleet/sizing/sizing_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/sizing"
 )
@@ -260,3 +261,52 @@
 	in.Loads["b"] = sizing.Load{Hosts: 1, HostCapacity: hostCapacity, Running: hostCapacity / 4, ArrivalRate: 8 * hostCapacity}
 	require.Empty(t, sizing.Plan(sizing.NewState(), clearBacklog, in, time.Unix(1_700_000_000, 0)))
 }
+
+// shrunkPool returns the input for pool "a" with four hosts, pool "b" with as many that are idle, and two
+// machines on standby, and a load of pool "a".
+func shrunkPool(l sizing.Load) *sizing.Input {
+	in := &sizing.Input{Loads: map[string]sizing.Load{}, Machines: map[string]port.Machine{}, Standby: standby, Budget: budget}
+	other := sizing.Load{HostCapacity: hostCapacity, Hosts: 4}
+	for _, pool := range []string{"a", "b"} {
+		for i := range 4 {
+			id := fmt.Sprintf("%s-%d", pool, i)
+			in.Machines[id] = port.Machine{ID: id, Pool: pool, State: port.MachineUp, Host: "h-" + id, Capacity: batch.Size{MilliCores: hostCapacity}}
+			if pool == "b" {
+				other.IdleHosts = append(other.IdleHosts, "h-"+id)
+			}
+		}
+	}
+	for i, milliCores := range []int64{2000, hostCapacity} {
+		id := fmt.Sprintf("spare-%d", i)
+		in.Machines[id] = port.Machine{ID: id, Pool: "spare", State: port.MachineUp, Capacity: batch.Size{MilliCores: milliCores}}
+	}
+	l.Hosts = 4
+	in.Loads["a"], in.Loads["b"] = l, other
+	return in
+}
+
+// Guards against work that waits for ever because it fits no host of its pool any more.
+func TestPoolGetsOneMoreHostForWorkTooLargeForItsHosts(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	l := sizing.Load{HostCapacity: 2000, Backlog: 3000, Oversized: batch.Size{MilliCores: 3000}}
+	in := shrunkPool(l)
+	moves := sizing.Plan(sizing.NewState(), clearBacklog, in, now)
+	require.Equal(t, []sizing.Move{{Machine: "spare-1", From: "spare", To: "a"}}, moves)
+	in.Moving = map[string]sizing.Move{moves[0].Machine: moves[0]}
+	require.Empty(t, sizing.Plan(sizing.NewState(), clearBacklog, in, now), "a host is on its way")
+	in = shrunkPool(l)
+	delete(in.Machines, "spare-1")
+	moves = sizing.Plan(sizing.NewState(), clearBacklog, in, now)
+	require.Len(t, moves, 1, "another pool has more hosts than it needs")
+	require.Equal(t, "b", moves[0].From)
+	l.Oversized.MilliCores = 2 * hostCapacity
+	require.Empty(t, sizing.Plan(sizing.NewState(), clearBacklog, shrunkPool(l), now), "no machine can hold it")
+}
+
+func TestPoolWhoseHostsHaveShrunkGetsMoreHosts(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	l := sizing.Load{HostCapacity: hostCapacity, ArrivalRate: 2 * hostCapacity}
+	require.Empty(t, sizing.Plan(sizing.NewState(), clearBacklog, shrunkPool(l), now))
+	l.HostCapacity /= 2
+	require.Len(t, sizing.Plan(sizing.NewState(), clearBacklog, shrunkPool(l), now), 2)
+}
