--- a/entry/owner/waiting.go
+++ b/entry/owner/waiting.go
@@ -16,7 +16,7 @@
 
 // obstacleNames holds the log keys of the obstacles.
 var obstacleNames = [...]string{
-	shard.NoObstacle: "schedulable", shard.Unlisted: "unlisted", shard.Unconfirmed: "unconfirmed", shard.Leaving: "leaving",
+	shard.NoObstacle: "schedulable", shard.Unlisted: "unlisted", shard.Unconfirmed: "unconfirmed", shard.Outdated: "outdated", shard.Leaving: "leaving",
 	shard.Unhealthy: "unhealthy", shard.Silent: "silent", shard.Occupied: "occupied", shard.Incapable: "incapable",
 }
 
--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -20,6 +20,8 @@
 	// Unconfirmed hosts have not answered this owner, or the store has not confirmed the claim
 	// since.
 	Unconfirmed
+	// Outdated hosts have a record of an earlier instance.
+	Outdated
 	// Leaving hosts drain or are being emptied.
 	Leaving
 	// Unhealthy hosts failed their work, were slow or refused a start.
@@ -40,6 +42,8 @@
 		return Unlisted
 	case !h.Confirmed || !s.ConfirmedAt.After(h.FirstAnswer):
 		return Unconfirmed
+	case !h.recordIsCurrent():
+		return Outdated
 	case h.Draining || !now.After(h.CordonedUntil):
 		return Leaving
 	case !now.After(h.UnhealthyUntil) || !now.After(h.FullUntil):
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -446,6 +446,12 @@
 	return s.ObstacleTo(h, now) == NoObstacle
 }
 
+// recordIsCurrent reports whether the instance that answered last has written the host's record. An instance
+// under the same ID may have another capacity and other labels.
+func (h *Host) recordIsCurrent() bool {
+	return h.Born == 0 || h.Instance == 0 || h.Born == h.Instance
+}
+
 // HasLabel reports whether the host has a label.
 func HasLabel(h *port.Host, label string) bool {
 	return slices.Contains(h.Labels, label)
