--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -187,6 +187,7 @@
 		c.nextExpiryScan = now.Add(expiryScanInterval)
 		c.journal.expiredJobs = append(c.journal.expiredJobs, c.state.DropExpired(now)...)
 	}
+	c.state.SettleSuspects(now)
 	c.refuseUnwritten()
 	c.logCrashes()
 	c.listMachines(now)
--- a/entry/owner/crash.go
+++ b/entry/owner/crash.go
@@ -17,12 +17,20 @@
 	}
 }
 
-// describeRuns returns a text for each of the first runs: the task, the number of the run and its age.
+// describeRuns returns a text for each of the first runs: the task, the number of the run, its age, and whether it
+// is suspected or its job was given up.
 func describeRuns(runs []shard.CrashedRun) []string {
 	runs = runs[:min(len(runs), maxLoggedRuns)]
 	out := make([]string, 0, len(runs))
 	for _, r := range runs {
-		out = append(out, fmt.Sprintf("%s run %d age-ms %d", r.Ref, r.Run, r.Age.Milliseconds()))
+		text := fmt.Sprintf("%s run %d age-ms %d", r.Ref, r.Run, r.Age.Milliseconds())
+		switch {
+		case r.GivenUp:
+			text += " given up"
+		case r.Suspected:
+			text += " suspected"
+		}
+		out = append(out, text)
 	}
 	return out
 }
--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -14,6 +15,8 @@
 	Host string
 	// Runs holds the runs that may have been on the host, by task.
 	Runs []CrashedRun
+	// suspects is the number of suspected runs.
+	suspects int
 }
 
 // CrashedRun is a run that may have been on a host when the host crashed.
@@ -22,6 +25,8 @@
 	Run int64
 	// Age is the time from the order of the run until the host was first seen not to answer.
 	Age time.Duration
+	// Suspected reports whether the run may have caused the crash, and GivenUp whether its job was given up.
+	Suspected, GivenUp bool
 }
 
 // TakeCrashes returns the crashes that were found since the last call.
@@ -31,11 +36,26 @@
 	return out
 }
 
+const (
+	// settleTime is the time on a host after which a run is not suspected of a crash while a younger one
+	// is there. Tasks that crash their hosts mostly do so soon after their start.
+	settleTime = 2 * time.Second
+	// startSpan is the time before a crash within which all runs that were started are the first to be
+	// suspected. Several starts of a host may be answered before the first one takes effect.
+	startSpan = 50 * time.Millisecond
+	// maxCrashes is the number of crashes after which a task is given up if it was alone on one of the
+	// hosts, and maxSharedCrashes the number after which it is given up in any case. Tasks that have
+	// crashed three hosts may be started twice more.
+	maxCrashes, maxSharedCrashes = 3, 5
+)
+
 // recordCrash records that an instance of a host has ended. An end that was announced, or that
-// follows a request to empty the host, is no crash.
+// follows a request to empty the host, is no crash. The tasks that may have caused the crash are
+// suspected of it: they are kept apart until they are done or given up.
 //
-// The argument survived holds the runs that the next instance reports; nil means none.
-func (s *State) recordCrash(h *Host, survived *port.HostReport, now time.Time) {
+// The argument next is the report of the next instance, which may have carried out some of the
+// starts; nil means that there is none.
+func (s *State) recordCrash(h *Host, next *port.HostReport, now time.Time) {
 	if h.Draining || now.Before(h.CordonedUntil) || len(h.Assigned) == 0 {
 		return
 	}
@@ -44,22 +64,131 @@
 		at = h.unreachableSince
 	}
 	crash := Crash{Host: h.ID}
+	youngest := time.Duration(math.MaxInt64)
 	for ref, task := range h.Assigned {
-		if s.countsCrash(ref, task) && (survived == nil || !survived.Contains(ref.String(), task.Run)) {
-			crash.Runs = append(crash.Runs, CrashedRun{Ref: ref, Run: task.Run, Age: at.Sub(task.OrderedAt)})
+		age := at.Sub(task.OrderedAt)
+		neverThere := age < 0 && task.StartClock == 0
+		if neverThere || !s.countsCrash(ref, task) || (next != nil && next.Contains(ref.String(), task.Run)) {
+			continue
 		}
+		crash.Runs = append(crash.Runs, CrashedRun{Ref: ref, Run: task.Run, Age: age})
+		youngest = min(youngest, age)
 	}
 	if len(crash.Runs) == 0 {
 		return
 	}
 	slices.SortFunc(crash.Runs, func(a, b CrashedRun) int { return compareRefs(a.Ref, b.Ref) })
-	for _, run := range crash.Runs {
+	for i := range crash.Runs {
+		run := &crash.Runs[i]
 		_, _, task := s.task(run.Ref)
 		task.crashedRun = run.Run
+		run.Suspected = run.Age <= max(youngest, settleTime)
+		crash.suspects += count(run.Suspected)
+	}
+	for i := range crash.Runs {
+		if run := &crash.Runs[i]; run.Suspected {
+			run.GivenUp = s.suspect(run.Ref, crash.suspects == 1, run.Age <= max(youngest, startSpan), now)
+		}
 	}
 	s.crashes = append(s.crashes, crash)
 }
 
+// suspect counts a crash for a task. The argument alone is true if no other task is suspected of the crash,
+// and first if the task is among the first to be suspected. It reports whether the job is given up.
+func (s *State) suspect(ref batch.Ref, alone, first bool, now time.Time) bool {
+	j, _, task := s.task(ref)
+	if j.Phase != Open {
+		return true
+	}
+	task.Crashes.Hosts++
+	task.Crashes.Alone += count(alone)
+	task.Crashes.Isolated = task.Crashes.Isolated || first || task.Crashes.Hosts >= isolateAfter
+	s.suspects[ref] = task
+	s.markDirty(j)
+	if !task.Crashes.exhausted() {
+		return false
+	}
+	s.closeJob(j, Failed, now)
+	return true
+}
+
+// Crashes counts the hosts that have crashed under a task.
+type Crashes struct {
+	// Hosts is the number of hosts of whose crash the task was suspected. Alone is the number of those
+	// of which no other task was; it is at most Hosts.
+	Hosts int `cbor:"1,keyasint,omitempty"`
+	Alone int `cbor:"2,keyasint,omitempty"`
+	// Isolated reports whether the task runs apart from others.
+	Isolated bool `cbor:"3,keyasint,omitempty"`
+}
+
+// exhausted reports whether a task has crashed so many hosts that it is given up.
+func (c *Crashes) exhausted() bool {
+	return (c.Hosts >= maxCrashes && c.Alone > 0) || c.Hosts >= maxSharedCrashes
+}
+
+// countVanished counts the runs that an earlier owner had ordered and that no host reports, once each host has
+// answered or its lease has expired. Such a run was lost with its host. Only if the task is suspected already, or
+// if some host ended while there was no owner, is that taken for a crash.
+func (s *State) countVanished(now time.Time) {
+	if len(s.startedEarlier) == 0 || s.hasUnconfirmedHost(now) {
+		return
+	}
+	for ref := range s.startedEarlier {
+		_, stage, task := s.task(ref)
+		if stage != nil && !task.Done && task.startedEarlier && (task.Crashes.Hosts > 0 || s.hostEndedUnseen) {
+			s.suspect(ref, task.Crashes.Isolated, task.Crashes.Hosts > 0, now)
+		}
+		if stage != nil {
+			task.startedEarlier = false
+		}
+	}
+	clear(s.startedEarlier)
+}
+
+// count returns 1 if the condition holds, and 0 otherwise.
+func count(condition bool) int {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
+// SettleSuspects clears the suspicion of long-running tasks that have been on their host long enough, and
+// forgets the suspects that are done or whose job has ended.
+func (s *State) SettleSuspects(now time.Time) {
+	for ref, task := range s.suspects {
+		j, stage, current := s.task(ref)
+		if stage == nil || current != task || j.Phase != Open || task.Done {
+			delete(s.suspects, ref)
+			continue
+		}
+		if j.Spec.Steps[ref.Step].LongRunning && task.settled(now) {
+			task.Crashes = Crashes{}
+			delete(s.suspects, ref)
+			s.markDirty(j)
+		}
+	}
+}
+
+// addRestored adds the suspects and the started tasks of a job that an earlier owner has stored.
+func (s *State) addRestored(j *Job) {
+	for oi := range j.Occurrences {
+		for si := range j.Occurrences[oi].Stages {
+			tasks := j.Occurrences[oi].Stages[si].Tasks
+			for i := range tasks {
+				ref := batch.Ref{Job: j.ID, Occurrence: oi, Step: si, Index: i}
+				if tasks[i].Crashes.Hosts > 0 && !tasks[i].Done {
+					s.suspects[ref] = &tasks[i]
+				}
+				if tasks[i].startedEarlier {
+					s.startedEarlier[ref] = struct{}{}
+				}
+			}
+		}
+	}
+}
+
 // countsCrash reports whether the crash of a task's host counts for the task: it is not done, and no
 // earlier crash was recorded for its run.
 func (s *State) countsCrash(ref batch.Ref, task *Task) bool {
--- /dev/null
+++ b/fleet/shard/crash_test.go
@@ -0,0 +1,361 @@
+package shard_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
+)
+
+// crashPool is a pool in which some tasks crash each host that starts them. Hosts that have crashed come
+// back at once under a new name. Other tasks are done after a second.
+type crashPool struct {
+	*owner
+	// deadly reports whether a task crashes its host; those in late do so a second after their start.
+	deadly, late func(ref batch.Ref) bool
+	// running holds the runs by host, with the time of their start.
+	running map[string]map[shard.Order]time.Time
+	ends    map[string]int64
+	// crashes and starts count by task, and startsAfter counts the starts after the third crash.
+	crashes, starts, startsAfter map[batch.Ref]int
+	hostCount                    int
+}
+
+func newCrashPool(t *testing.T, hosts int, deadly func(ref batch.Ref) bool) *crashPool {
+	p := &crashPool{
+		owner: newOwner(t, 1), deadly: deadly, late: func(batch.Ref) bool { return false }, running: map[string]map[shard.Order]time.Time{}, ends: map[string]int64{},
+		crashes: map[batch.Ref]int{}, starts: map[batch.Ref]int{}, startsAfter: map[batch.Ref]int{},
+	}
+	for range hosts {
+		p.add()
+	}
+	return p
+}
+
+func (p *crashPool) add() {
+	id := fmt.Sprintf("h%03d", p.hostCount)
+	p.hostCount++
+	p.addHost(id)
+	p.running[id] = map[shard.Order]time.Time{}
+}
+
+// crash ends a host and lets another one come.
+func (p *crashPool) crash(id string) {
+	for order := range p.running[id] {
+		p.crashes[order.Ref]++
+	}
+	delete(p.running, id)
+	p.HeartbeatFailed(id, false, p.now)
+	p.advance(100 * time.Millisecond)
+	p.HostEnded(id, p.now)
+	p.UnlistHost(id)
+	p.add()
+}
+
+// step plans once and lets 10 ms pass.
+func (p *crashPool) step() {
+	for _, order := range p.plan() {
+		if p.running[order.Host] == nil {
+			p.loseOrder(order)
+			continue
+		}
+		switch order.Kind {
+		case shard.OrderStart:
+			if p.crashes[order.Ref] >= 3 {
+				p.startsAfter[order.Ref]++
+			}
+			p.starts[order.Ref]++
+			p.clock++
+			require.True(p.t, p.HandleStartResult(&order, p.clock, nil, p.now))
+			order.Reason, order.Checkpoint = "", ""
+			p.running[order.Host][order] = p.now
+			if p.deadly(order.Ref) {
+				p.advance(10 * time.Millisecond)
+				p.crash(order.Host)
+			}
+		case shard.OrderStop:
+			p.clock++
+			p.HandleStopResult(&order, p.clock, nil, p.now)
+			maps.DeleteFunc(p.running[order.Host], func(r shard.Order, _ time.Time) bool {
+				if r.Ref == order.Ref {
+					p.end(order.Host, r, port.ResultStopped)
+				}
+				return r.Ref == order.Ref
+			})
+		}
+	}
+	p.advance(10 * time.Millisecond)
+	for _, id := range slices.Sorted(maps.Keys(p.running)) {
+		p.endRuns(id)
+	}
+	p.SettleSuspects(p.now)
+	p.RetryStops(p.now)
+	p.ExpireLeases(p.now)
+}
+
+// loseOrder leaves an order unanswered.
+func (p *crashPool) loseOrder(order shard.Order) {
+	if order.Kind == shard.OrderStart {
+		p.HandleStartResult(&order, 0, errNoAnswer, p.now)
+		return
+	}
+	p.HandleStopResult(&order, 0, errNoAnswer, p.now)
+}
+
+// endRuns ends the runs on a host that have lasted a second, and reports those that go on.
+func (p *crashPool) endRuns(id string) {
+	var rows []any
+	for order, since := range p.running[id] {
+		switch {
+		case p.now.Sub(since) < time.Second || p.Jobs[order.Ref.Job].Spec.Steps[order.Ref.Step].LongRunning && !p.late(order.Ref):
+			rows = append(rows, runningRow(order, 100))
+		case p.late(order.Ref):
+			p.crash(id)
+			return
+		default:
+			delete(p.running[id], order)
+			p.end(id, order, port.ResultDone)
+		}
+	}
+	p.report(id, rows...)
+}
+
+func (p *crashPool) end(id string, order shard.Order, result port.Result) {
+	p.ends[id]++
+	row := port.FinishedRun{Number: p.ends[id], Unit: order.Ref.String(), Run: order.Run, Result: result}
+	others := []any{row}
+	for other := range p.running[id] {
+		if other.Ref != order.Ref {
+			others = append(others, runningRow(other, 100))
+		}
+	}
+	p.report(id, others...)
+}
+
+func (p *crashPool) run(d time.Duration) {
+	for end := p.now.Add(d); p.now.Before(end); {
+		p.step()
+	}
+}
+
+// requireBounded checks that no task that crashes its hosts was started three times more after three crashes.
+func (p *crashPool) requireBounded() {
+	p.t.Helper()
+	for ref, n := range p.startsAfter {
+		if !p.deadly(ref) && !p.late(ref) {
+			continue
+		}
+		require.Lessf(p.t, n, 3, "%s was started %d times after three hosts had crashed under it", ref, n)
+	}
+}
+
+func TestATaskThatCrashesHostAfterHostIsGivenUp(t *testing.T) {
+	for name, late := range map[string]bool{"at its start": false, "a second after its start": true} {
+		t.Run(name, func(t *testing.T) {
+			guilty := batch.Ref{Job: "guilty", Index: 2}
+			p := newCrashPool(t, 6, func(ref batch.Ref) bool { return !late && ref == guilty })
+			p.late = func(ref batch.Ref) bool { return late && ref == guilty }
+			for i := range 4 {
+				p.submit(fmt.Sprint("before", i), smallStep(4))
+			}
+			p.submit("guilty", smallStep(4))
+			for i := range 4 {
+				p.submit(fmt.Sprint("after", i), smallStep(4))
+			}
+			p.run(30 * time.Second)
+			p.requireBounded()
+			require.Equal(t, shard.Failed, p.Jobs["guilty"].Phase)
+			for id, j := range p.Jobs {
+				if id != "guilty" {
+					require.Equal(t, shard.Completed, j.Phase, id)
+				}
+			}
+		})
+	}
+}
+
+func TestManyTasksThatCrashTheirHostsLeaveTheOthersDone(t *testing.T) {
+	p := newCrashPool(t, 8, func(ref batch.Ref) bool { return ref.Job[0] == 'g' && ref.Index == 0 })
+	for round := range 8 {
+		p.submit(fmt.Sprint("guilty", round), smallStep(4))
+		for i := range 4 {
+			p.submit(fmt.Sprint("innocent", round, "-", i), smallStep(3))
+		}
+		p.run(2 * time.Second)
+	}
+	p.run(30 * time.Second)
+	p.requireBounded()
+	for id, j := range p.Jobs {
+		want := shard.Completed
+		if id[0] == 'g' {
+			want = shard.Failed
+		}
+		require.Equal(t, want, j.Phase, id)
+	}
+}
+
+func TestALongRunningTaskBesideThoseThatCrashHostsRunsOn(t *testing.T) {
+	p := newCrashPool(t, 8, func(ref batch.Ref) bool { return ref.Job[0] == 'g' })
+	p.submit("lasting", longRunningStep(6, 0, 1))
+	for i := range 12 {
+		p.submit(fmt.Sprint("guilty", i), smallStep(1))
+		p.run(2 * time.Second)
+		require.Equal(t, shard.Open, p.Jobs["lasting"].Phase)
+	}
+	p.run(6 * time.Second)
+	p.requireBounded()
+	for _, task := range p.Jobs["lasting"].Occurrences[0].Stages[0].Tasks {
+		require.Equal(t, shard.Running, task.Status)
+	}
+}
+
+func TestALongRunningTaskThatCrashesHostAfterHostIsGivenUp(t *testing.T) {
+	p := newCrashPool(t, 6, func(ref batch.Ref) bool { return ref.Job == "guilty" && ref.Index == 1 })
+	for i := range 4 {
+		p.submit(fmt.Sprint("innocent", i), smallStep(4))
+	}
+	p.submit("lasting", longRunningStep(3, 0, 1))
+	p.submit("guilty", longRunningStep(3, 0, 1))
+	p.run(20 * time.Second)
+	p.requireBounded()
+	require.Equal(t, shard.Failed, p.Jobs["guilty"].Phase)
+	require.Equal(t, shard.Open, p.Jobs["lasting"].Phase)
+}
+
+func TestAGangThatCrashesItsHostsIsGivenUp(t *testing.T) {
+	p := newCrashPool(t, 6, func(ref batch.Ref) bool { return ref.Job == "guilty" && ref.Index == 1 })
+	gang := smallStep(3)
+	gang.Gang = true
+	p.submit("guilty", gang)
+	p.submit("innocent", smallStep(6))
+	p.run(30 * time.Second)
+	p.requireBounded()
+	require.Equal(t, shard.Failed, p.Jobs["guilty"].Phase)
+	require.Equal(t, shard.Completed, p.Jobs["innocent"].Phase)
+}
+
+func TestTheCountOfCrashesSurvivesAChangeOfTheOwner(t *testing.T) {
+	spec := batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(1)}}
+	var stored *shard.Progress
+	starts := 0
+	for epoch := int64(1); epoch <= 10; epoch++ {
+		o := newOwner(t, epoch, "a", "b")
+		o.Restore("job", spec, stored, o.now)
+		orders := o.start()
+		if len(orders) == 0 {
+			break
+		}
+		starts++
+		o.advance(10 * time.Millisecond)
+		o.HostEnded(orders[0].Host, o.now)
+		changes := o.TakeChanges()
+		require.Len(t, changes, 1)
+		stored = &changes[0].Progress
+	}
+	require.Equal(t, 3, starts)
+	require.Equal(t, shard.Failed, stored.Phase)
+}
+
+// The next start waits for a write that is sent after the crash was counted.
+func TestATaskWaitsUntilItsCrashIsStored(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	o.submit("job", smallStep(1))
+	starts := o.start()
+	o.HostEnded(starts[0].Host, o.now)
+	require.Empty(t, o.plan())
+	require.Len(t, o.TakeChanges(), 1)
+	o.advance(time.Millisecond)
+	require.Len(t, o.plan(), 1)
+}
+
+func TestAnInstanceThatIsReplacedUnderOneNameCountsAsACrash(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.submit("job", smallStep(1))
+	for born := int64(2); born <= 4; born++ {
+		starts := o.start()
+		require.Len(t, starts, 1)
+		o.clock = 0
+		o.HandleReport("a", &port.HostReport{Clock: 1, Born: born}, o.now)
+		for _, stop := range o.TakeOrders() {
+			require.True(t, o.HandleStopResult(&stop, 2, nil, o.now))
+		}
+		o.HandleReport("a", &port.HostReport{Clock: 3, Born: born}, o.now)
+		o.clock = 10
+		o.advance(time.Millisecond)
+	}
+	require.Equal(t, shard.Failed, o.Jobs["job"].Phase)
+}
+
+// Guards against giving up tasks for the ends of hosts that are no crashes.
+func TestEndsOfHostsThatAreNoCrashesDoNotCount(t *testing.T) {
+	for name, end := range map[string]func(o *owner, host string){
+		"the lease of a silent host expires": func(o *owner, host string) {
+			for range 8 {
+				o.HeartbeatSent(host, o.now)
+				o.advance(time.Second)
+				o.HeartbeatFailed(host, false, o.now)
+				o.ExpireLeases(o.now)
+			}
+		},
+		"the host was draining": func(o *owner, host string) {
+			listed := o.Hosts[host].Host
+			listed.Draining = true
+			o.UpdateHost(listed, o.now)
+			o.HostEnded(host, o.now)
+		},
+		"the host was being emptied": func(o *owner, host string) {
+			o.Vacate(o.Hosts[host], o.now, time.Second)
+			o.advance(500 * time.Millisecond)
+			o.HostEnded(host, o.now)
+		},
+		"the platform says twice that the host has ended": func(o *owner, host string) {
+			o.Hosts[host].Draining = true
+			o.HostEnded(host, o.now)
+			o.HostEnded(host, o.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newOwner(t, 1)
+			o.submit("job", smallStep(1))
+			for i := range 8 {
+				o.addHost(fmt.Sprint(i))
+				starts := o.start()
+				require.Len(t, starts, 1)
+				end(o, starts[0].Host)
+				o.UnlistHost(starts[0].Host)
+				o.TakeOrders()
+				o.advance(time.Millisecond)
+			}
+			require.Equal(t, shard.Open, o.Jobs["job"].Phase)
+			require.Zero(t, o.Jobs["job"].Occurrences[0].Stages[0].Tasks[0].Crashes.Hosts)
+			require.Empty(t, o.TakeCrashes())
+		})
+	}
+}
+
+// The runs on a host are in the log line of its crash, with the ones that are suspected.
+func TestACrashTellsWhichRunsAreSuspected(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.submit("old", longRunningStep(1, 0, 1))
+	starts := o.start()
+	o.advance(5 * time.Second)
+	o.report("a", runningRow(starts[0], 100))
+	o.submit("young", smallStep(1))
+	require.Len(t, o.start(), 1)
+	o.advance(10 * time.Millisecond)
+	o.HostEnded("a", o.now)
+	crashes := o.TakeCrashes()
+	require.Len(t, crashes, 1)
+	require.Equal(t, []shard.CrashedRun{
+		{Ref: batch.Ref{Job: "old"}, Run: 1, Age: 5010 * time.Millisecond},
+		{Ref: batch.Ref{Job: "young"}, Run: 1, Age: 10 * time.Millisecond, Suspected: true},
+	}, crashes[0].Runs)
+	require.Empty(t, o.TakeCrashes())
+}
--- a/fleet/shard/equal_test.go
+++ b/fleet/shard/equal_test.go
@@ -380,6 +380,8 @@
 	p.requireEqual("retried stops", retried, actual)
 	p.stops = append(p.stops, actual...)
 
+	s.countVanished(p.now)
+	p.stops = append(p.stops, s.TakeOrders()...)
 	expected := cloneState(s)
 	referencePlan(expected, compare, p.now, p.now.UnixMilli())
 	Plan(s, byStep[R]{ranking}, p.now, p.now.UnixMilli())
--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -77,6 +77,7 @@
 	NoTicket     Reason = "no host has a ticket"
 	NoRoom       Reason = "no host has room"
 	Spread       Reason = "the hosts with room have as many tasks of the step as allowed"
+	Apart        Reason = "hosts have crashed under the task, and no host is free to keep it apart"
 	Members      Reason = "the members of the gang do not fit together"
 	Outranked    Reason = "hosts have room, and other steps go first"
 )
@@ -137,7 +138,9 @@
 		return NoRoom
 	case step.Gang && s.placeGang(step, stage, hosts, permitted) == nil:
 		return Members
-	case !step.Gang && s.pickHost(step, stage, task, roomy, permitted) == nil:
+	case !step.Gang && task.Crashes.Hosts > 0 && s.pickHost(step, stage, task, roomy, permitted, now) == nil:
+		return Apart
+	case !step.Gang && s.pickHost(step, stage, task, roomy, permitted, now) == nil:
 		return Spread
 	}
 	return Outranked
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -27,6 +27,8 @@
 	// report it. FirstAnswer is when this instance first answered the owner.
 	Instance    int64
 	FirstAnswer time.Time
+	// restoredBorn is the start time of the instance that an earlier owner stored, and 0 when it is not known.
+	restoredBorn int64
 	// Clock is the host's clock, in milliseconds, in the last answer. ClockAt is when that answer
 	// arrived, and LastAnswer when it was handled.
 	Clock               int64
@@ -130,7 +132,7 @@
 // RestoreHost adds a host that an earlier owner may have given work to.
 func (s *State) RestoreHost(h port.Host) {
 	if s.Hosts[h.ID] == nil {
-		s.Hosts[h.ID] = &Host{Host: h, Assigned: map[batch.Ref]*Task{}, Stored: true}
+		s.Hosts[h.ID] = &Host{Host: h, Assigned: map[batch.Ref]*Task{}, Stored: true, restoredBorn: h.Born}
 		s.hostList = nil
 	}
 	s.Hosts[h.ID].Stored = true
@@ -317,6 +319,7 @@
 func (s *State) HostEnded(id string, now time.Time) {
 	if h := s.Hosts[id]; h != nil {
 		s.recordCrash(h, nil, now)
+		s.hostEndedUnseen = s.hostEndedUnseen || (h.Stored && !h.Confirmed)
 		s.releaseAll(h, now)
 		h.Confirmed, h.Unreachable, h.LastAnswer, h.EndedAt = true, false, time.Time{}, now
 	}
--- /dev/null
+++ b/fleet/shard/isolate.go
@@ -0,0 +1,104 @@
+package shard
+
+import (
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+)
+
+const (
+	// isolateAfter is the number of crashes after which a task runs apart from others.
+	isolateAfter = 2
+	// maxSuspectsPerHost is the number of tasks with one crash that may be on a host.
+	maxSuspectsPerHost = 8
+	// maxIsolatedShare is the share of the hosts of a pool that may be kept for tasks that run apart.
+	maxIsolatedShare = 0.25
+	// isolationPatience is the time after which a long-running task no longer waits for a host of its
+	// own. It is well below the time within which such a task has to be started again.
+	isolationPatience = 2 * time.Second
+)
+
+// settled reports whether a task has run on its host for long enough not to be suspected of a crash.
+func (t *Task) settled(now time.Time) bool {
+	return t.Status == Running && t.StartClock > 0 && now.Sub(t.OrderedAt) > settleTime
+}
+
+// isolation is what the suspects on a host demand of it.
+type isolation struct {
+	// isolated reports whether a task runs there that is kept apart.
+	isolated bool
+	// suspects is the number of suspects there.
+	suspects int
+	// unsettled is the number of tasks there that are or could yet be suspected of a crash.
+	unsettled int
+}
+
+// markIsolation sets what the suspects demand of the hosts on which they are.
+func (s *State) markIsolation(hosts candidates, now time.Time) {
+	s.isolatedHosts = 0
+	if len(s.suspects) == 0 {
+		return
+	}
+	for _, c := range hosts {
+		for _, task := range c.host.Assigned {
+			c.unsettled += count(!task.settled(now))
+			c.suspects += count(task.Crashes.Hosts > 0)
+			c.isolated = c.isolated || task.Crashes.Isolated
+		}
+		s.isolatedHosts += count(c.isolated)
+	}
+	s.maxIsolatedHosts = max(int(maxIsolatedShare*float64(len(hosts))), 1)
+}
+
+// admits reports whether a task may be placed on a host beside the tasks there, as far as crashes of hosts
+// are concerned.
+func (s *State) admits(c *candidate, step *batch.Step, task *Task, now time.Time) bool {
+	switch {
+	case c.isolated:
+		return false
+	case task.Crashes.Hosts == 0:
+		return true
+	case !task.Crashes.Isolated:
+		return c.suspects < maxSuspectsPerHost
+	case step.LongRunning:
+		return c.unsettled == 0 || now.Sub(task.LostAt) > isolationPatience
+	}
+	return c.unsettled == 0 && s.isolatedHosts < s.maxIsolatedHosts
+}
+
+// recordPlacement updates what the suspects demand of a host after a task was placed there.
+func (s *State) recordPlacement(c *candidate, task *Task) {
+	c.unsettled++
+	if task.Crashes.Hosts == 0 {
+		return
+	}
+	c.suspects++
+	if task.Crashes.Isolated && !c.isolated {
+		c.isolated = true
+		s.isolatedHosts++
+	}
+}
+
+// reserveIsolated reserves the host with the fewest tasks that are not settled for a task that has to run
+// apart, so that the host empties. It reports whether it has reserved one.
+func (s *State) reserveIsolated(w *waitingStep, hosts candidates) bool {
+	if s.isolatedHosts >= s.maxIsolatedHosts || !w.reserves() {
+		return false
+	}
+	var best *candidate
+	for _, c := range hosts {
+		if c.reserved || c.isolated || !c.host.Capacity.Sub(c.host.longRunningUsed).Fits(w.shape.need) || !w.shape.hasLabel(c.host) {
+			continue
+		}
+		if (best == nil || c.unsettled < best.unsettled) && s.mayUse(w, c.host) {
+			best = c
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.reserved = true
+	s.reserved++
+	s.isolatedHosts++
+	return true
+}
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -37,7 +37,7 @@
 	epoch       int64
 	specs       map[string]batch.Spec
 	progress    map[string]shard.Progress
-	storedHosts map[string]bool
+	storedHosts map[string]port.Host
 	messages    []simMessage
 	jobCount    int
 	// done holds the tasks that have succeeded, acked those whose success the owner has
@@ -56,6 +56,10 @@
 	trace []string
 	// onlyLateOwners leaves out all faults of the network and the hosts.
 	onlyLateOwners bool
+	// deadly reports whether a task crashes each host that starts it; nil means that none does. crashes counts
+	// the hosts that have crashed under such a task, and startsAfter its starts after the third crash.
+	deadly               func(task string) bool
+	crashes, startsAfter map[string]int
 	// restartRange is the range of the time that a crashed host is down, in milliseconds.
 	restartRange int
 }
@@ -69,9 +73,9 @@
 	w := &simulation{
 		t: t, rand: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_700_000_000, 0),
 		hosts: map[string]*simHost{}, specs: map[string]batch.Spec{}, progress: map[string]shard.Progress{},
-		storedHosts: map[string]bool{}, done: map[string]bool{}, acked: map[string]bool{},
+		storedHosts: map[string]port.Host{}, done: map[string]bool{}, acked: map[string]bool{},
 		cancelled: map[string]time.Time{}, failures: map[string]int{}, listed: map[string]time.Time{},
-		restartRange: slowRestart, limits: shard.NoLimits,
+		crashes: map[string]int{}, startsAfter: map[string]int{}, restartRange: slowRestart, limits: shard.NoLimits,
 	}
 	for i := range 4 {
 		id := fmt.Sprintf("h%d", i)
@@ -99,8 +103,8 @@
 		o.state.Restore(id, spec, stored, w.now)
 	}
 	for _, id := range w.hostIDs {
-		if w.storedHosts[id] {
-			o.state.RestoreHost(w.listEntry(id))
+		if stored, ok := w.storedHosts[id]; ok {
+			o.state.RestoreHost(stored)
 		}
 		o.state.UpdateHost(w.listEntry(id), w.now)
 	}
@@ -108,7 +112,7 @@
 }
 
 func (w *simulation) listEntry(id string) port.Host {
-	return port.Host{ID: id, Pool: "pool", Rack: id, Capacity: batch.Size{MilliCores: 2000, MemoryMB: 4000}}
+	return port.Host{ID: id, Pool: "pool", Rack: id, Capacity: batch.Size{MilliCores: 2000, MemoryMB: 4000}, Born: w.hosts[id].instance}
 }
 
 func (w *simulation) current() *simOwner { return w.owners[len(w.owners)-1] }
@@ -207,6 +211,14 @@
 	}
 	w.checkStart(h, order)
 	h.running[task] = &simRun{run: order.Run, left: 300*time.Millisecond + time.Duration(w.rand.IntN(1500))*time.Millisecond}
+	if w.deadly != nil && w.deadly(task) {
+		if w.crashes[task] >= 3 && !o.partitioned {
+			w.startsAfter[task]++
+		}
+		require.Lessf(w.t, w.startsAfter[task], 3, "%s was started three times more after three hosts had crashed under it", task)
+		w.crashes[task]++
+		w.schedule(simStep, func() { w.crashHost(h) })
+	}
 	return nil
 }
 
@@ -247,6 +259,7 @@
 		return
 	}
 	o.state.ExpireLeases(w.now)
+	o.state.SettleSuspects(w.now)
 	o.state.RetryStops(w.now)
 	shard.PlanWithin(o.state, shard.BySlack{}, w.limits, w.now, w.now.UnixMilli())
 	for _, order := range o.state.TakeOrders() {
@@ -265,7 +278,9 @@
 	}
 	for _, id := range w.hostIDs {
 		if h := o.state.Hosts[id]; h != nil {
-			w.storedHosts[id] = true
+			if _, ok := w.storedHosts[id]; !ok {
+				w.storedHosts[id] = h.Host
+			}
 			h.Stored, h.StoredEnd = true, h.CountedEnd
 		}
 	}
@@ -397,27 +412,34 @@
 		w.logf("owner %d cannot reach %s", o.state.Epoch, id)
 		w.schedule(time.Duration(500+w.rand.IntN(9000))*time.Millisecond, func() { o.unreachable[id] = false })
 	case n < 24: // a host crashes, and restarts under its name
-		h := w.hosts[id]
-		if h.down {
-			return
+		w.crashHost(w.hosts[id])
+	}
+}
+
+// crashHost ends an instance of a host. The host restarts under its name after a while.
+func (w *simulation) crashHost(h *simHost) {
+	if h.down {
+		return
+	}
+	h.down = true
+	w.logf("host %s crashes", h.id)
+	h.running, h.ended, h.highestEnded = map[string]*simRun{}, nil, map[string]int64{}
+	w.schedule(time.Duration(200+w.rand.IntN(w.restartRange))*time.Millisecond, func() {
+		h.down, h.token, h.number, h.deadline, h.expiredEnd = false, 0, 0, 0, 0
+		h.clock = 10 * time.Millisecond
+		w.logf("host %s restarts", h.id)
+		h.instance++
+		for _, o := range w.owners {
+			o.state.UpdateHost(w.listEntry(h.id), w.now)
 		}
-		h.down = true
-		w.logf("host %s crashes", id)
-		h.running, h.ended, h.highestEnded = map[string]*simRun{}, nil, map[string]int64{}
-		w.schedule(time.Duration(200+w.rand.IntN(w.restartRange))*time.Millisecond, func() {
-			h.down, h.token, h.number, h.deadline, h.expiredEnd = false, 0, 0, 0, 0
-			h.clock = 10 * time.Millisecond
-			w.logf("host %s restarts", id)
-			h.instance++
-		})
-		w.schedule(time.Duration(w.restartRange/20+w.rand.IntN(w.restartRange/4))*time.Millisecond, func() {
-			for _, o := range w.owners {
-				if !o.partitioned && !o.stopped {
-					w.reportEnded(o)
-				}
+	})
+	w.schedule(time.Duration(w.restartRange/20+w.rand.IntN(w.restartRange/4))*time.Millisecond, func() {
+		for _, o := range w.owners {
+			if !o.partitioned && !o.stopped {
+				w.reportEnded(o)
 			}
-		})
-	}
+		}
+	})
 }
 
 // reportEnded tells an owner which hosts have ended according to the platform.
@@ -540,22 +562,45 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newSimulation(t, seed)
 			w.restartRange, w.limits = restartRange, limits
-			t.Cleanup(func() {
-				if t.Failed() {
-					t.Log(strings.Join(w.trace[max(len(w.trace)-traceLines, 0):], "\n"))
-				}
-			})
-			w.run(simSteps, true)
-			// Without faults, all accepted jobs complete.
-			w.run(1200, false)
-			require.NotZero(t, w.starts)
-			for id, j := range w.current().state.Jobs {
-				require.NotEqualf(t, shard.Open, j.Phase, "%s is still open", id)
+			w.requireInvariants()
+		})
+	}
+}
+
+// Guards against a task that crashes host after host under lost messages and changes of the owner.
+func TestTasksThatCrashTheirHostsAreNotStartedWithoutEnd(t *testing.T) {
+	for seed := range uint64(deadlySeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newSimulation(t, seed)
+			for id, h := range w.hosts {
+				h.instance = 1 // The platform tells instances apart.
+				w.current().state.UpdateHost(w.listEntry(id), w.now)
 			}
+			w.deadly = func(task string) bool { return strings.HasPrefix(task, "job") && strings.HasSuffix(task, "7.0.0.0") }
+			w.requireInvariants()
 		})
 	}
 }
 
+// deadlySeeds is the number of seeds with tasks that crash their hosts.
+const deadlySeeds = 100
+
+// requireInvariants runs the simulation with faults, and then without until all jobs have ended.
+func (w *simulation) requireInvariants() {
+	w.t.Cleanup(func() {
+		if w.t.Failed() {
+			w.t.Log(strings.Join(w.trace[max(len(w.trace)-traceLines, 0):], "\n"))
+		}
+	})
+	w.run(simSteps, true)
+	// Without faults, all accepted jobs end.
+	w.run(1200, false)
+	require.NotZero(w.t, w.starts)
+	for id, j := range w.current().state.Jobs {
+		require.NotEqualf(w.t, shard.Open, j.Phase, "%s is still open", id)
+	}
+}
+
 // Guards against an owner that takes its own lateness for the silence of its hosts. It did not read
 // the answers that listed the ends of runs, counted the leases as expired and ran the tasks again.
 func TestALateOwnerRunsNoTaskTwice(t *testing.T) {
@@ -563,17 +608,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newSimulation(t, seed)
 			w.onlyLateOwners = true
-			t.Cleanup(func() {
-				if t.Failed() {
-					t.Log(strings.Join(w.trace[max(len(w.trace)-traceLines, 0):], "\n"))
-				}
-			})
-			w.run(simSteps, true)
-			w.run(1200, false)
-			require.NotZero(t, w.starts)
-			for id, j := range w.current().state.Jobs {
-				require.NotEqualf(t, shard.Open, j.Phase, "%s is still open", id)
-			}
+			w.requireInvariants()
 		})
 	}
 }
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -34,6 +34,7 @@
 // out, and planning ends once no host has room for any of the others or the limit is reached.
 func PlanWithin[R Ranking](s *State, ranking R, limits Limits, now time.Time, wall int64) {
 	s.openDue(wall)
+	s.countVanished(now)
 	s.reserved = 0
 	if len(s.backlog.steps) == 0 {
 		s.Overloaded = false
@@ -97,6 +98,7 @@
 	// get no further one in this round. Both are kept for hosts with room only.
 	unanswered int
 	busy       bool
+	isolation
 }
 
 // candidates holds hosts in the order of their IDs.
@@ -116,6 +118,7 @@
 			*out[len(out)-1] = candidate{host: h, free: h.free()}
 		}
 	}
+	s.markIsolation(out, now)
 	return out
 }
 
@@ -158,7 +161,7 @@
 	if step.Gang {
 		return s.startGang(w, hosts, permitted, limits, now)
 	}
-	started := false
+	changed, suspectWaits := false, false
 	for i := range stage.Tasks {
 		if limits.Starts <= 0 {
 			break
@@ -169,13 +172,22 @@
 		}
 		var host *candidate
 		if w.shape.fits && s.mayHaveTicket(w) {
-			host = s.pickHost(step, stage, task, roomy, permitted)
+			host = s.pickHost(step, stage, task, roomy, permitted, now)
+		}
+		if host == nil && task.Crashes.Hosts > 0 {
+			// The other tasks of the step may run on hosts on which this one may not.
+			if task.Crashes.Isolated {
+				changed = s.reserveIsolated(w, hosts) || changed
+			} else {
+				suspectWaits = true
+			}
+			continue
 		}
 		if host == nil {
 			// What a round takes or reserves is not given back before its end, so no later step of
 			// this shape finds a host either.
 			w.shape.fits = w.shape.fits && (permitted != nil || step.PerHost > 0)
-			return s.reserveHost(w, hosts) || started
+			return s.reserveHost(w, hosts) || changed
 		}
 		if host.busy {
 			break
@@ -183,9 +195,12 @@
 		ref := w.ref()
 		ref.Index = i
 		s.startTask(w.job, ref, stage, task, host, s.nextRun(task), limits, now)
-		started = true
+		changed = true
 	}
-	return started
+	if suspectWaits && s.reserveHost(w, hosts) {
+		changed = true
+	}
+	return changed
 }
 
 // nextRun returns a run number above all that any owner has given to the task.
@@ -203,6 +218,9 @@
 	s.backlog.update(j, ref.Occurrence, ref.Step)
 	s.assign(c.host, ref, task)
 	c.free = c.free.Sub(step.Reservation())
+	s.recordPlacement(c, task)
+	// The next owner has to know that the run began, since it cannot tell a crash from a task that waits.
+	s.markDirty(j)
 	limits.Starts--
 	c.unanswered++
 	c.busy = c.unanswered >= limits.StartsPerHost
@@ -230,7 +248,9 @@
 
 // pickHost chooses a host for a task among the permitted ones, and returns nil when none fits. All
 // hosts are permitted when the filter is nil. Long-running work is spread, other work is packed.
-func (s *State) pickHost(step *batch.Step, stage *Stage, task *Task, hosts candidates, permitted func(*Host) bool) *candidate {
+func (s *State) pickHost(
+	step *batch.Step, stage *Stage, task *Task, hosts candidates, permitted func(*Host) bool, now time.Time,
+) *candidate {
 	var best *candidate
 	var bestCost int64
 	need := step.Reservation()
@@ -244,6 +264,9 @@
 		if step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost {
 			continue
 		}
+		if len(s.suspects) > 0 && !s.admits(c, step, task, now) {
+			continue
+		}
 		if cost := s.placementCost(step, stage, task, c); best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -399,7 +422,7 @@
 		best := -1
 		for k := range hosts {
 			c := hosts[k]
-			if c.reserved || !free[k].Fits(need) || (permitted != nil && !permitted(c.host)) || (rack != nil && c.host.rack() != *rack) ||
+			if c.reserved || c.isolated || !free[k].Fits(need) || (permitted != nil && !permitted(c.host)) || (rack != nil && c.host.rack() != *rack) ||
 				(step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) ||
 				(step.PerHost > 0 && taken[k] >= step.PerHost) {
 				continue
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -16,6 +16,10 @@
 	Done       bool    `cbor:"3,keyasint,omitempty"`
 	// Checkpoint is the newest checkpoint at the time of writing.
 	Checkpoint string `cbor:"4,keyasint,omitempty"`
+	// Crashes is nil if no host has crashed under the task.
+	Crashes *Crashes `cbor:"5,keyasint,omitempty"`
+	// Started reports whether a run was ordered whose end has not been counted.
+	Started bool `cbor:"6,keyasint,omitempty"`
 }
 
 // OccurrenceProgress is the stored progress of an occurrence.
@@ -100,6 +104,11 @@
 			for i := range tasks {
 				task := &occ.Stages[si].Tasks[i]
 				tasks[i] = TaskProgress{Counted: task.Counted, FailedRuns: slices.Clone(task.FailedRuns), Done: task.Done, Checkpoint: task.Checkpoint}
+				tasks[i].Started = task.startedEarlier || task.Status != Idle
+				if task.Crashes.Hosts > 0 {
+					crashes := task.Crashes
+					tasks[i].Crashes = &crashes
+				}
 			}
 			progress.Stages[si] = tasks
 		}
@@ -133,6 +142,7 @@
 	if j.Phase == Open {
 		s.openJobs[id] = j
 		s.backlog.addJob(j)
+		s.addRestored(j)
 		return
 	}
 	// The time since its end is unknown, so the job is kept for the whole retention time again.
@@ -163,7 +173,10 @@
 			continue
 		}
 		for i, p := range tasks {
-			stage.Tasks[i] = Task{Run: p.Counted, Counted: p.Counted, FailedRuns: slices.Clone(p.FailedRuns), Done: p.Done, Checkpoint: p.Checkpoint}
+			stage.Tasks[i] = Task{Run: p.Counted, Counted: p.Counted, FailedRuns: slices.Clone(p.FailedRuns), Done: p.Done, Checkpoint: p.Checkpoint, startedEarlier: p.Started}
+			if p.Crashes != nil {
+				stage.Tasks[i].Crashes = *p.Crashes
+			}
 			if p.Done {
 				stage.Left--
 				stage.idle--
--- a/fleet/shard/recover_test.go
+++ b/fleet/shard/recover_test.go
@@ -75,6 +75,9 @@
 const (
 	// recoveryTick is the time between two rounds of a simulated pool.
 	recoveryTick = 100 * time.Millisecond
+	// lossAge is the age of a run at which its host is lost. A task that has crashed several hosts soon after its
+	// start is given up.
+	lossAge = 3 * time.Second
 	// recoveryLimit is how long a long-running task may be without a run where there is room.
 	recoveryLimit = 6 * time.Second
 )
@@ -120,6 +123,7 @@
 		s.HandleReport(id, report, s.now)
 	}
 	s.ExpireLeases(s.now)
+	s.SettleSuspects(s.now)
 	s.RetryStops(s.now)
 	s.ConfirmedAt = s.now.Add(time.Millisecond)
 	shard.PlanWithin(s.State, shard.ByLoad{Overloaded: s.Overloaded}, shard.Limits{Starts: 32, StartsPerHost: 1}, s.now, s.now.UnixMilli())
@@ -222,7 +226,7 @@
 				task := &s.Jobs["watched"].Occurrences[0].Stages[0].Tasks[0]
 				if task.Status == shard.Running {
 					lastRun = s.now
-					if s.now.Sub(task.OrderedAt) >= time.Second && len(restarts) == 0 {
+					if s.now.Sub(task.OrderedAt) >= lossAge && len(restarts) == 0 {
 						host := task.Host
 						s.crash(host)
 						restarts[host] = s.now.Add(2 * time.Second)
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -42,6 +42,9 @@
 		}
 		out.Hosts[id] = &copied
 	}
+	for r := range s.suspects {
+		_, _, out.suspects[r] = out.task(r)
+	}
 	for r, p := range s.permits {
 		copied := *p
 		copied.denied, copied.tickets, copied.instances = maps.Clone(p.denied), maps.Clone(p.tickets), maps.Clone(p.instances)
@@ -268,6 +271,10 @@
 	free        batch.Size
 	reserved    bool
 	longRunning int
+	// isolated, suspects and unsettled are as in isolation. reservedToIsolate is set if the host is reserved for
+	// a task that runs apart.
+	isolated, reservedToIsolate bool
+	suspects, unsettled         int
 }
 
 type referenceHosts []referenceHost
@@ -302,9 +309,22 @@
 			continue
 		}
 		used, longRunning := referenceUsed(s, h)
-		out = append(out, referenceHost{
+		c := referenceHost{
 			host: h, rack: place.Rack{Zone: h.Zone, Name: h.Rack}, free: h.Capacity.Sub(used), longRunning: longRunning,
-		})
+		}
+		for _, task := range h.Assigned {
+			if len(s.suspects) == 0 {
+				break
+			}
+			if task.Status != Running || task.StartClock == 0 || now.Sub(task.OrderedAt) <= settleTime {
+				c.unsettled++
+			}
+			if task.Crashes.Hosts > 0 {
+				c.suspects++
+			}
+			c.isolated = c.isolated || task.Crashes.Isolated
+		}
+		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b referenceHost) int { return cmp.Compare(a.host.ID, b.host.ID) })
 	return out
@@ -318,19 +338,67 @@
 		hosts.startGang(s, d, step, stage, permitted, now)
 		return
 	}
+	suspectWaits := false
 	for i := range stage.Tasks {
 		task := &stage.Tasks[i]
 		if task.Status != Idle || task.Done || !s.mayStart(task) {
 			continue
 		}
 		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
-		k := hosts.pick(step, stage, task, permitted)
+		k := hosts.pick(step, stage, task, permitted, now)
+		if k < 0 && task.Crashes.Hosts > 0 {
+			if task.Crashes.Isolated {
+				hosts.reserveIsolated(s, d, step, stage, now)
+			} else {
+				suspectWaits = true
+			}
+			continue
+		}
 		if k < 0 {
 			hosts.reserve(s, d, step, stage, now)
 			return
 		}
 		hosts[k].start(s, d.Job, ref, stage, task, s.nextRun(task), now)
 	}
+	if suspectWaits {
+		hosts.reserve(s, d, step, stage, now)
+	}
+}
+
+// mayIsolate reports whether a further host may be kept for tasks that run apart.
+func (hosts referenceHosts) mayIsolate() bool {
+	isolated := 0
+	for i := range hosts {
+		if hosts[i].isolated || hosts[i].reservedToIsolate {
+			isolated++
+		}
+	}
+	return isolated < max(len(hosts)/4, 1)
+}
+
+// admits reports whether crashes of hosts allow a task to run beside the tasks of a host.
+func (hosts referenceHosts) admits(c *referenceHost, step *batch.Step, task *Task, now time.Time) bool {
+	if c.isolated {
+		return false
+	}
+	if task.Crashes.Isolated && step.LongRunning {
+		return c.unsettled == 0 || now.Sub(task.LostAt) > 2*time.Second
+	}
+	if task.Crashes.Isolated {
+		return c.unsettled == 0 && hosts.mayIsolate()
+	}
+	return task.Crashes.Hosts == 0 || c.suspects < 8
+}
+
+func (hosts referenceHosts) reserveIsolated(s *State, d *referenceDemand, step *batch.Step, stage *Stage, now time.Time) {
+	if !hosts.mayIsolate() {
+		return
+	}
+	if k := hosts.reserveBy(s, d, step, stage, now, func(c, best *referenceHost) bool {
+		return !c.isolated && (best == nil || c.unsettled < best.unsettled)
+	}); k >= 0 {
+		hosts[k].reservedToIsolate = true
+	}
 }
 
 func (c *referenceHost) start(s *State, j *Job, ref batch.Ref, stage *Stage, task *Task, run int64, now time.Time) {
@@ -341,6 +409,11 @@
 	stage.idle--
 	c.host.Assigned[ref] = task
 	c.free = c.free.Sub(step.Reservation())
+	c.unsettled++
+	if task.Crashes.Hosts > 0 {
+		c.suspects++
+	}
+	c.isolated = c.isolated || task.Crashes.Isolated
 	if step.LongRunning {
 		c.longRunning++
 	}
@@ -350,7 +423,7 @@
 	})
 }
 
-func (hosts referenceHosts) pick(step *batch.Step, stage *Stage, task *Task, permitted func(*Host) bool) int {
+func (hosts referenceHosts) pick(step *batch.Step, stage *Stage, task *Task, permitted func(*Host) bool, now time.Time) int {
 	best, bestCost := -1, int64(0)
 	need := step.Reservation()
 	for k := range hosts {
@@ -364,6 +437,9 @@
 		if step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost {
 			continue
 		}
+		if !hosts.admits(c, step, task, now) {
+			continue
+		}
 		if cost := c.cost(step, stage, task); best < 0 || cost < bestCost {
 			best, bestCost = k, cost
 		}
@@ -392,11 +468,22 @@
 }
 
 func (hosts referenceHosts) reserve(s *State, d *referenceDemand, step *batch.Step, stage *Stage, now time.Time) {
+	hosts.reserveBy(s, d, step, stage, now, func(c, best *referenceHost) bool {
+		return best == nil || c.free.MilliCores > best.free.MilliCores
+	})
+}
+
+// reserveBy reserves a host and returns its index, or -1 if there is none. The function better reports whether a host
+// is to be reserved rather than the best one so far, which is nil for the first.
+func (hosts referenceHosts) reserveBy(
+	s *State, d *referenceDemand, step *batch.Step, stage *Stage, now time.Time, better func(c, best *referenceHost) bool,
+) int {
 	if !d.LongRunning && now.Sub(d.Job.AcceptedAt) < reserveAfter {
-		return
+		return -1
 	}
 	need := step.Reservation()
-	best := -1
+	var best *referenceHost
+	chosen := -1
 	for k := range hosts {
 		c := &hosts[k]
 		if c.reserved || !c.host.Capacity.Sub(referenceLongRunning(s, c.host)).Fits(need) || (step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) {
@@ -410,13 +497,14 @@
 				continue
 			}
 		}
-		if best < 0 || c.free.MilliCores > hosts[best].free.MilliCores {
-			best = k
+		if better(c, best) {
+			best, chosen = c, k
 		}
 	}
-	if best >= 0 {
-		hosts[best].reserved = true
+	if best != nil {
+		best.reserved = true
 	}
+	return chosen
 }
 
 func (hosts referenceHosts) startGang(s *State, d *referenceDemand, step *batch.Step, stage *Stage, permitted func(*Host) bool, now time.Time) {
@@ -473,7 +561,7 @@
 		best := -1
 		for k := range hosts {
 			c := &hosts[k]
-			if c.reserved || !free[k].Fits(need) || (permitted != nil && !permitted(c.host)) || (rack != nil && c.rack != *rack) ||
+			if c.reserved || c.isolated || !free[k].Fits(need) || (permitted != nil && !permitted(c.host)) || (rack != nil && c.rack != *rack) ||
 				(step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) ||
 				(step.PerHost > 0 && taken[k] >= step.PerHost) {
 				continue
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -37,6 +37,7 @@
 	firstReport := !h.Confirmed
 	if firstReport {
 		s.setFirstAnswer(h, now)
+		s.hostEndedUnseen = s.hostEndedUnseen || (h.restoredBorn != 0 && h.restoredBorn != report.Born)
 		// An earlier owner may have granted a lease shortly before.
 		h.GrantedUntil = max(h.GrantedUntil, report.Clock+s.Timing.Lease.Milliseconds())
 	}
@@ -132,7 +133,7 @@
 		stage.idle--
 		s.assign(h, ref, task)
 		s.backlog.update(j, ref.Occurrence, ref.Step)
-		j.Started = true
+		j.Started, task.startedEarlier = true, false
 	default:
 		return false
 	}
@@ -176,6 +177,7 @@
 	}
 	task.Counted = max(task.Counted, e.Run)
 	task.Run = max(task.Run, e.Run)
+	task.startedEarlier = false
 	if j.Phase != Open {
 		return out, true
 	}
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -117,8 +117,13 @@
 	unknownRuns int
 	// AvoidHost is a host on which the task failed or ran too slowly.
 	AvoidHost string
-	// crashedRun is the highest run whose host has crashed.
+	// Crashes counts the hosts that have crashed under the task. crashedRun is the highest run whose host
+	// has crashed.
+	Crashes    Crashes
 	crashedRun int64
+	// startedEarlier reports whether an earlier owner had ordered a run of which neither the end nor the host is
+	// known.
+	startedEarlier bool
 }
 
 // Stage is the state of one step in an occurrence.
@@ -208,7 +213,16 @@
 	permits map[batch.Ref]*permit
 	orders  []Order
 	crashes []Crash
-	dirty   []*Job
+	// suspects holds the tasks of open jobs that are suspected of a crash. It may also hold some that are done.
+	suspects map[batch.Ref]*Task
+	// startedEarlier holds the tasks whose startedEarlier was set when they were restored.
+	startedEarlier map[batch.Ref]struct{}
+	// hostEndedUnseen reports whether a host of an earlier owner ended before it answered this one.
+	hostEndedUnseen bool
+	// isolatedHosts is the number of hosts that are kept for isolated tasks in the current round of planning,
+	// and maxIsolatedHosts the limit for it.
+	isolatedHosts, maxIsolatedHosts int
+	dirty                           []*Job
 	// latestLost is the latest LostAt of any task.
 	latestLost time.Time
 	// openJobs holds the jobs in phase Open.
@@ -240,6 +254,7 @@
 		Queues: map[string]port.Queue{}, Jobs: map[string]*Job{}, Hosts: map[string]*Host{},
 		openJobs: map[string]*Job{}, durationRatios: map[string]*sample{}, permits: map[batch.Ref]*permit{},
 		backlog: newBacklog(now), unansweredStops: map[batch.Ref]struct{}{},
+		suspects: map[batch.Ref]*Task{}, startedEarlier: map[batch.Ref]struct{}{},
 	}
 }
 
--- a/fleet/shard/speed.go
+++ b/fleet/shard/speed.go
@@ -161,7 +161,7 @@
 		if step.LongRunning || step.Gang || !s.soonerElsewhere(j, step, task, h.Speed, poolSpeed) {
 			continue
 		}
-		other := s.pickHost(step, stage, task, hosts, s.permitFilter(r, now))
+		other := s.pickHost(step, stage, task, hosts, s.permitFilter(r, now), now)
 		if other == nil {
 			continue
 		}
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -46,7 +46,7 @@
 // fitsElsewhere reports whether some other host has room for a task.
 func (s *State) fitsElsewhere(r batch.Ref, step *batch.Step, stage *Stage, task *Task, now time.Time) bool {
 	hosts := s.candidates(now)
-	return s.pickHost(step, stage, task, hosts, s.permitFilter(r, now)) != nil
+	return s.pickHost(step, stage, task, hosts, s.permitFilter(r, now), now) != nil
 }
 
 // mayStop reports whether one more task of a long-running step may be stopped by an order. One task
