Keep no task waiting for a host of its own in an idle pool

Cause: tasks that run apart may have a quarter of the pool's hosts, also while nothing else waits; the pool counted their own work only, so its machines went to others while they waited (22 hosts fell to 7 with 57 such tasks waiting). And too many tasks had to run apart: all that were started in the last 50 ms before a crash, up to fifteen on a host that had just come.

Change: the share holds while other work waits. The load of a pool counts the whole host for each task that waits to run apart. Of the tasks on a host that crashes, the four youngest run apart at once.

Before, TestTasksThatRunApartUseAllHostsUnlessOtherWorkWaits got 2 of 8 hosts, and TestTheLoadOfTasksThatRunApartIsThatOfWholeHosts 1,000 in place of 4,000.

--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -40,9 +39,9 @@
 	// settleTime is the time on a host after which a run is not suspected of a crash while a younger one
 	// is there. Tasks that crash their hosts mostly do so soon after their start.
 	settleTime = 2 * time.Second
-	// startSpan is the time before a crash within which all runs that were started are the first to be
-	// suspected. Several starts of a host may be answered before the first one takes effect.
-	startSpan = 50 * time.Millisecond
+	// firstSuspects is the number of the youngest runs that are the first to be suspected. Several starts of a
+	// host may be answered before the first one takes effect.
+	firstSuspects = 4
 	// maxCrashes is the number of crashes after which a task is given up if it was alone on one of the
 	// hosts, and maxSharedCrashes the number after which it is given up in any case. Tasks that have
 	// crashed three hosts may be started twice more.
@@ -64,7 +63,7 @@
 		at = h.unreachableSince
 	}
 	crash := Crash{Host: h.ID}
-	youngest := time.Duration(math.MaxInt64)
+	var ages []time.Duration
 	for ref, task := range h.Assigned {
 		age := at.Sub(task.OrderedAt)
 		neverThere := age < 0 && task.StartClock == 0
@@ -72,11 +71,13 @@
 			continue
 		}
 		crash.Runs = append(crash.Runs, CrashedRun{Ref: ref, Run: task.Run, Age: age})
-		youngest = min(youngest, age)
+		ages = append(ages, age)
 	}
 	if len(crash.Runs) == 0 {
 		return
 	}
+	slices.Sort(ages)
+	youngest, first := ages[0], ages[min(firstSuspects, len(ages))-1]
 	slices.SortFunc(crash.Runs, func(a, b CrashedRun) int { return compareRefs(a.Ref, b.Ref) })
 	for i := range crash.Runs {
 		run := &crash.Runs[i]
@@ -87,7 +88,7 @@
 	}
 	for i := range crash.Runs {
 		if run := &crash.Runs[i]; run.Suspected {
-			run.GivenUp = s.suspect(run.Ref, crash.suspects == 1, run.Age <= max(youngest, startSpan), now)
+			run.GivenUp = s.suspect(run.Ref, crash.suspects == 1, run.Age <= first, now)
 		}
 	}
 	s.crashes = append(s.crashes, crash)
--- a/fleet/shard/crash_test.go
+++ b/fleet/shard/crash_test.go
@@ -359,3 +359,52 @@
 	}, crashes[0].Runs)
 	require.Empty(t, o.TakeCrashes())
 }
+
+// Guards against tasks that wait for a host of their own in a pool that is idle otherwise.
+func TestTasksThatRunApartUseAllHostsUnlessOtherWorkWaits(t *testing.T) {
+	restore := func() *owner {
+		o := newOwner(t, 2, "a", "b", "c", "d", "e", "f", "g", "h")
+		var tasks []shard.TaskProgress
+		for range 12 {
+			tasks = append(tasks, shard.TaskProgress{Crashes: &shard.Crashes{Hosts: 2, Isolated: true}})
+		}
+		stored := &shard.Progress{Phase: shard.Open, Occurrences: []shard.OccurrenceProgress{{Stages: [][]shard.TaskProgress{tasks}}}}
+		o.Restore("suspects", batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(12)}}, stored, o.now)
+		return o
+	}
+	hosts := func(orders []shard.Order, job string) map[string]int {
+		out := map[string]int{}
+		for _, o := range orders {
+			if o.Ref.Job == job {
+				out[o.Host]++
+			}
+		}
+		return out
+	}
+	idle := hosts(restore().plan(), "suspects")
+	require.Len(t, idle, 8)
+	for host, tasks := range idle {
+		require.Equal(t, 1, tasks, host)
+	}
+
+	o := restore()
+	o.submit("others", smallStep(4))
+	orders := o.plan()
+	apart := hosts(orders, "suspects")
+	require.Len(t, apart, 2)
+	for host := range hosts(orders, "others") {
+		require.NotContains(t, apart, host)
+	}
+}
+
+// Guards against a pool that loses its hosts to others while tasks wait for a host of their own.
+func TestTheLoadOfTasksThatRunApartIsThatOfWholeHosts(t *testing.T) {
+	load := func(crashes *shard.Crashes) int64 {
+		o := newOwner(t, 2, "a")
+		stored := &shard.Progress{Phase: shard.Open, Occurrences: []shard.OccurrenceProgress{{Stages: [][]shard.TaskProgress{{{Crashes: crashes}}}}}}
+		o.Restore("job", batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(1)}}, stored, o.now)
+		return o.Load(o.now).Backlog
+	}
+	require.EqualValues(t, 1000, load(nil))
+	require.EqualValues(t, 4000, load(&shard.Crashes{Hosts: 2, Isolated: true}))
+}
--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -11,7 +11,8 @@
 	isolateAfter = 2
 	// maxSuspectsPerHost is the number of tasks with one crash that may be on a host.
 	maxSuspectsPerHost = 8
-	// maxIsolatedShare is the share of the hosts of a pool that may be kept for tasks that run apart.
+	// maxIsolatedShare is the share of the hosts of a pool that may be kept for tasks that run apart while other
+	// work waits.
 	maxIsolatedShare = 0.25
 	// isolationPatience is the time after which a long-running task no longer waits for a host of its
 	// own. It is well below the time within which such a task has to be started again.
@@ -47,7 +48,39 @@
 		}
 		s.isolatedHosts += count(c.isolated)
 	}
-	s.maxIsolatedHosts = max(int(maxIsolatedShare*float64(len(hosts))), 1)
+	s.maxIsolatedHosts = len(hosts)
+	if s.othersWait() {
+		s.maxIsolatedHosts = max(int(maxIsolatedShare*float64(len(hosts))), 1)
+	}
+}
+
+// othersWait reports whether a task waits that does not have to run apart.
+func (s *State) othersWait() bool {
+	waiting := 0
+	for _, w := range s.backlog.steps {
+		waiting += w.stage.idle
+	}
+	for ref, task := range s.suspects {
+		_, stage, _ := s.task(ref)
+		waiting -= count(task.Crashes.Isolated && task.Status == Idle && stage != nil && stage.waiting != nil && !task.Done)
+	}
+	return waiting > 0
+}
+
+// isolatedWork returns the work that the capacity of the hosts amounts to which are kept for tasks that run apart
+// and wait, beyond the tasks' own work, in thousandths of a core-second.
+func (s *State) isolatedWork(hostCores int64) int64 {
+	var work int64
+	for ref, task := range s.suspects {
+		j, stage, _ := s.task(ref)
+		if stage == nil || stage.waiting == nil || !task.Crashes.Isolated || task.Status != Idle || task.Done {
+			continue
+		}
+		step := &j.Spec.Steps[ref.Step]
+		rest := max(hostCores-step.Reservation().MilliCores, 0)
+		work += int64(float64(rest) * step.Estimate.Seconds() * s.durationRatios[j.Spec.Queue].median())
+	}
+	return work
 }
 
 // admits reports whether a task may be placed on a host beside the tasks there, as far as crashes of hosts
