--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -550,7 +550,7 @@
 	var emptied referenceHosts
 	for _, c := range hosts {
 		if !referenceDenied(s, d, c.host) {
-			c.free, c.reserved = c.host.Capacity.Sub(referenceLongRunning(s, c.host)), false
+			c.free, c.reserved, c.isolated = c.host.Capacity.Sub(referenceLongRunning(s, c.host)), false, false
 			emptied = append(emptied, c)
 		}
 	}
