--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -20,6 +20,8 @@
 	// Unconfirmed hosts have not answered this owner, or the store has not confirmed the claim
 	// since.
 	Unconfirmed
+	// Outdated hosts have a record of an earlier instance.
+	Outdated
 	// Leaving hosts drain or are being emptied.
 	Leaving
 	// Unhealthy hosts failed their work, were slow or refused a start.
@@ -40,6 +42,8 @@
 		return Unlisted
 	case !h.Confirmed || !s.ConfirmedAt.After(h.FirstAnswer):
 		return Unconfirmed
+	case !h.recordIsCurrent():
+		return Outdated
 	case h.Draining || !now.After(h.CordonedUntil):
 		return Leaving
 	case !now.After(h.UnhealthyUntil) || !now.After(h.FullUntil):
@@ -74,6 +78,7 @@
 	NoRoom       Reason = "no host has room"
 	Busy         Reason = "the hosts with room have not answered a start"
 	Spread       Reason = "the hosts with room have as many tasks of the step as allowed"
+	Apart        Reason = "hosts have crashed under the task, and no host is free to keep it apart"
 	Members      Reason = "the members of the gang do not fit together"
 	Outranked    Reason = "hosts have room, and other steps go first"
 )
@@ -134,9 +139,11 @@
 		return NoRoom
 	case step.Gang && s.placeGang(step, stage, hosts, permitted) == nil:
 		return Members
-	case !step.Gang && s.pickHost(step, stage, task, roomy, permitted) == nil:
+	case !step.Gang && task.Crashes.Hosts > 0 && s.pickHost(step, stage, task, roomy, permitted, now) == nil:
+		return Apart
+	case !step.Gang && s.pickHost(step, stage, task, roomy, permitted, now) == nil:
 		return Spread
-	case !step.Gang && s.pickHost(step, stage, task, roomy.answered(), permitted) == nil:
+	case !step.Gang && s.pickHost(step, stage, task, roomy.answered(), permitted, now) == nil:
 		return Busy
 	}
 	return Outranked
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -27,6 +27,8 @@
 	// report it. FirstAnswer is when this instance first answered the owner.
 	Instance    int64
 	FirstAnswer time.Time
+	// restoredBorn is the start time of the instance that an earlier owner stored, and 0 when it is not known.
+	restoredBorn int64
 	// Clock is the host's clock, in milliseconds, in the last answer. ClockAt is when that answer
 	// arrived, and LastAnswer when it was handled.
 	Clock               int64
@@ -42,6 +44,9 @@
 	heartbeatSentAt, newInstanceAt time.Time
 	// UnansweredAt is when the last heartbeat failed that shows the host to be silent.
 	UnansweredAt time.Time
+	// unreachableSince is when the first of the heartbeats failed that have not been answered since. It
+	// is zero while the host answers.
+	unreachableSince time.Time
 	// EndedAt is when this instance was known to have ended. It is zero while a newer one answers.
 	EndedAt time.Time
 	// GrantedUntil is the latest lease deadline that was sent, on the host's clock in
@@ -127,7 +132,7 @@
 // RestoreHost adds a host that an earlier owner may have given work to.
 func (s *State) RestoreHost(h port.Host) {
 	if s.Hosts[h.ID] == nil {
-		s.Hosts[h.ID] = &Host{Host: h, Assigned: map[batch.Ref]*Task{}, Stored: true}
+		s.Hosts[h.ID] = &Host{Host: h, Assigned: map[batch.Ref]*Task{}, Stored: true, restoredBorn: h.Born}
 		s.hostList = nil
 	}
 	s.Hosts[h.ID].Stored = true
@@ -214,6 +219,9 @@
 	}
 	proven := !ownerLate && !h.heartbeatSentAt.Before(h.newInstanceAt)
 	h.Unreachable, h.AnswerPending = true, !proven
+	if h.unreachableSince.IsZero() {
+		h.unreachableSince = now
+	}
 	if proven {
 		h.UnansweredAt = now
 	}
@@ -310,6 +318,8 @@
 // HostEnded records that this instance of a host has ended, so that nothing can be running in it.
 func (s *State) HostEnded(id string, now time.Time) {
 	if h := s.Hosts[id]; h != nil {
+		s.recordCrash(h, nil, now)
+		s.hostEndedUnseen = s.hostEndedUnseen || (h.Stored && !h.Confirmed)
 		s.releaseAll(h, now)
 		h.Confirmed, h.Unreachable, h.LastAnswer, h.EndedAt = true, false, time.Time{}, now
 	}
@@ -372,6 +382,9 @@
 // handleRestart releases the tasks of a host that has restarted. A task whose start the new
 // instance may have carried out, or may yet carry out, becomes uncertain.
 func (s *State) handleRestart(h *Host, report *port.HostReport, now time.Time) {
+	if report.Born != h.Instance {
+		s.recordCrash(h, report, now)
+	}
 	for r, task := range h.Assigned {
 		_, stage, _ := s.task(r)
 		if stage == nil {
@@ -436,6 +449,12 @@
 	return s.ObstacleTo(h, now) == NoObstacle
 }
 
+// recordIsCurrent reports whether the instance that answered last has written the host's record. An instance
+// under the same ID may have another capacity and other labels.
+func (h *Host) recordIsCurrent() bool {
+	return h.Born == 0 || h.Instance == 0 || h.Born == h.Instance
+}
+
 // HasLabel reports whether the host has a label.
 func HasLabel(h *port.Host, label string) bool {
 	return slices.Contains(h.Labels, label)
