Keep a host ID that is too long for a key out of the pool's appends

One entry in the list of hosts whose ID has more than 252 bytes less the pool's name, and that is valid otherwise, stopped all writes of that pool: submissions answered 503, ends not acknowledged, leases not extended after the grace, and the next owner was stuck as well. Cause: the owner stores a record of each listed host under POOL/h/ID. The store's client refuses a key of more than 255 bytes before anything is sent; Claim.Append takes that for an answer that was lost and tries the same append again for ever. Change: an append takes no record whose key is too long. Such a host gets no record and so no work, as one whose record is too large. The removal of its record is dropped, since a removal that stays at the head holds up the others. With it ./entry/owner, ./platform/store pass.

--- a/entry/owner/append.go
+++ b/entry/owner/append.go
@@ -15,7 +15,7 @@
 	// errNoRoom means that an append has no room for further records.
 	errNoRoom = errors.New("the append has no room for the record")
 	// errTooLarge means that the store takes a record in no append.
-	errTooLarge = errors.New("the record exceeds the limit of the store")
+	errTooLarge = errors.New("the record, or its key, exceeds the limit of the store")
 )
 
 // appendBuilder collects the records of one append within the limits of the store.
@@ -37,7 +37,7 @@
 	size := 0
 	for _, r := range records {
 		n := recordOverheadBytes + len(r.Key) + len(r.Value)
-		if b.maxRecordBytes > 0 && n > b.maxRecordBytes {
+		if len(r.Key) > port.MaxKeyBytes || b.maxRecordBytes > 0 && n > b.maxRecordBytes {
 			return errTooLarge
 		}
 		size += n
@@ -67,7 +67,11 @@
 func (c *core) collect(now time.Time) ([]port.Record, *appendInFlight) {
 	journal, pool, b := &c.journal, c.state.Pool, c.newAppend()
 	content := &appendInFlight{startedAt: now, ackOnWrite: map[string]countedEnds{}}
-	for len(journal.removedHosts) > 0 && b.add(port.Record{Key: pool + keyHost + journal.removedHosts[0]}) == nil {
+	for len(journal.removedHosts) > 0 {
+		if errors.Is(b.add(port.Record{Key: pool + keyHost + journal.removedHosts[0]}), errNoRoom) {
+			break
+		}
+		// After any other error, the store cannot hold a record of the host.
 		journal.removedHosts = journal.removedHosts[1:]
 	}
 	for len(journal.expiredJobs) > 0 {
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -356,3 +356,12 @@
 	_, storedEnds = c.collectAppends(t)
 	require.EqualValues(t, 2, storedEnds[0], "the progress of the ended job is stored")
 }
+
+func TestTheRemovalOfAHostThatCannotBeStoredDoesNotHoldUpOthers(t *testing.T) {
+	c := newTestCore(t, idleHost{acked: make(chan int64, 8)})
+	c.journal.removeHost(strings.Repeat("i", port.MaxKeyBytes))
+	c.journal.removeHost("h")
+	records, _ := c.collect(time.Now())
+	require.Equal(t, []port.Record{{Key: "pool" + keyHost + "h"}}, records)
+	require.Empty(t, c.journal.removedHosts)
+}
--- a/fleet/port/log.go
+++ b/fleet/port/log.go
@@ -14,8 +14,12 @@
 	Part  int
 }
 
+// MaxKeyBytes is the length of the longest key.
+const MaxKeyBytes = 255
+
 // Record is a value under a key. A nil value deletes the key.
 type Record struct {
+	// Key has 1 to MaxKeyBytes bytes.
 	Key   string
 	Value []byte
 	// Offset is the record's position in the stream. Reads set it; appends ignore it.
