Read past a record whose key cannot be read

One record of another writer with an empty content, or with a key that is longer than the record, stopped each entry from following the list of hosts. Cause: the client of the store took such a record for a truncated response and dropped the whole page. The feed read the same offset again until the store no longer kept the record, and took the store for lost meanwhile. The framing of a record and what it holds are two things: only a length that exceeds the response is damage of the response. Change: such a record is returned without key and value, so its offset is counted; the feed logs and skips it, as it does a record with an empty key, which names nothing. Whether the users' store accepts such an append is not known.

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -124,6 +124,10 @@
 func (f *Feed[T]) changes(records []port.Record) []Change[T] {
 	out := make([]Change[T], 0, len(records))
 	for _, e := range records {
+		if e.Key == "" {
+			f.logger.Warn("record without a readable key skipped", "topic", f.name, "offset", e.Offset)
+			continue
+		}
 		c := Change[T]{Key: e.Key}
 		if e.Value != nil {
 			v, err := f.decode(e.Key, e.Value)
--- a/entry/feed/feed_test.go
+++ b/entry/feed/feed_test.go
@@ -59,3 +59,38 @@
 	l.end.Store(51)
 	require.EqualValues(t, 51, (<-changes).Value)
 }
+
+// page is a stream that consists of some records.
+type page struct {
+	port.Log
+	records []port.Record
+}
+
+func (p page) Newest(context.Context, port.Stream, string) (port.Page, error) {
+	return port.Page{}, nil
+}
+
+func (p page) Read(_ context.Context, _ port.Stream, from int64, _ time.Duration) (port.Page, error) {
+	out := port.Page{End: int64(len(p.records))}
+	for at := from; at < out.End; at++ {
+		r := p.records[at]
+		r.Offset = at
+		out.Records = append(out.Records, r)
+	}
+	return out, nil
+}
+
+func TestAFeedGoesOnAfterARecordWithoutAKey(t *testing.T) {
+	l := page{records: []port.Record{{Key: "a", Value: []byte{1}}, {}, {Value: []byte{2}}, {Key: "b", Value: []byte{3}}}}
+	changes := make(chan feed.Change[byte], 100)
+	f := feed.Start(l, port.Stream{}, func(_ string, v []byte) (byte, error) { return v[0], nil },
+		slog.New(slog.NewJSONHandler(io.Discard, nil)),
+		func(all []feed.Change[byte]) {
+			for _, c := range all {
+				changes <- c
+			}
+		})
+	t.Cleanup(f.Close)
+	require.Equal(t, feed.Change[byte]{Key: "a", Value: 1, Present: true}, <-changes)
+	require.Equal(t, feed.Change[byte]{Key: "b", Value: 3, Present: true}, <-changes)
+}
--- a/fleet/port/log.go
+++ b/fleet/port/log.go
@@ -19,7 +19,8 @@
 
 // Record is a value under a key. A nil value deletes the key.
 type Record struct {
-	// Key has 1 to MaxKeyBytes bytes.
+	// Key has 1 to MaxKeyBytes bytes. Reads return records whose key cannot be read without key and
+	// value.
 	Key   string
 	Value []byte
 	// Offset is the record's position in the stream. Reads set it; appends ignore it.
