Cut off the text of errors about records that cannot be decoded

A record of the list of hosts with a number of a million digits makes a log line as long, in each entry and with each update of the record. Cause: errors of decoders quote the value that they could not decode, and the feed logged them as they are. Change: the feed logs the first 256 bytes. The key and the offset name the record. Evidence: before, TestALogLineAboutARecordThatCannotBeDecodedIsShort failed ("1048804" is not less than "1024"); it passes now, with -race as well. That a process ran out of memory by it was not shown.

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -132,7 +133,7 @@
 		if e.Value != nil {
 			v, err := f.decode(e.Key, e.Value)
 			if err != nil {
-				f.logger.Warn("record cannot be decoded; its key counts as removed", "topic", f.name, "key", e.Key, "offset", e.Offset, "err", err)
+				f.logger.Warn("record cannot be decoded; its key counts as removed", "topic", f.name, "key", e.Key, "offset", e.Offset, "err", reason(err))
 			} else {
 				c.Value, c.Present = v, true
 			}
@@ -141,3 +142,15 @@
 	}
 	return out
 }
+
+// maxReasonBytes limits the text of an error in a log line.
+const maxReasonBytes = 256
+
+// reason returns the text of an error. Errors of decoders may quote the value, which is cut off.
+func reason(err error) string {
+	text := err.Error()
+	if len(text) <= maxReasonBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxReasonBytes], "") + "..."
+}
--- a/entry/feed/feed_test.go
+++ b/entry/feed/feed_test.go
@@ -1,9 +1,12 @@
 package feed_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -94,3 +97,20 @@
 	require.Equal(t, feed.Change[byte]{Key: "a", Value: 1, Present: true}, <-changes)
 	require.Equal(t, feed.Change[byte]{Key: "b", Value: 3, Present: true}, <-changes)
 }
+
+func TestALogLineAboutARecordThatCannotBeDecodedIsShort(t *testing.T) {
+	l := page{records: []port.Record{{Key: "k", Value: []byte(`{"cpu":` + strings.Repeat("9", 1<<20) + `}`)}}}
+	var out bytes.Buffer
+	changes := make(chan []feed.Change[int64], 100)
+	f := feed.Start(l, port.Stream{}, func(_ string, v []byte) (int64, error) {
+		var in struct {
+			MilliCores int64 `json:"cpu"`
+		}
+		return in.MilliCores, json.Unmarshal(v, &in)
+	}, slog.New(slog.NewJSONHandler(&out, nil)), func(all []feed.Change[int64]) { changes <- all })
+	require.Empty(t, <-changes)
+	require.Equal(t, []feed.Change[int64]{{Key: "k"}}, <-changes)
+	f.Close()
+	require.Contains(t, out.String(), "record cannot be decoded")
+	require.Less(t, out.Len(), 1<<10)
+}
