Test odd records of hosts with entries as processes

Three entries, the simulated platform, twelve odd records beside those of the hosts and one in place of each: nested 100,000 levels deep, numbers beyond float64 and int64, a negative one, bytes, a port out of range, keys that are no UTF-8, with a line break and of 255 bytes, 50,000 labels, a host that is not there. The owner of the pool is killed meanwhile. No entry ends, and all work is done.

--- a/trial/system/record_test.go
+++ b/trial/system/record_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"regexp"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/trial/fake"
 	"carawaymux.dev/trial/procs"
 )
@@ -59,3 +61,42 @@
 		return nil
 	}
 }
+
+func TestOddRecordsAmongGoodOnesEndNoEntryAndStopNoWork(t *testing.T) {
+	f := start(t, 3)
+	longRunning := f.submitAccepted("docs", fake.SpecRunUntilStopped, fake.StepSpec{Count: 3, LongRunning: true, MayMiss: 1})
+	require.NoError(t, procs.WaitFor(f.ctx, "all tasks", f.runsTasks(longRunning, 3)))
+	load := f.startLoad("docs", 30, 100*time.Millisecond)
+	valid := `{"service":"docs","address":"127.0.0.1:1","zone":"zone-a","state":"ready","capacity":{"cpu":%s,"memory_request_mb":32000},"labels":%s}`
+	deep := strings.Repeat("[", 100_000)
+	odd := map[string]string{
+		"deep": deep, "deep-labels": fmt.Sprintf(valid, "8000", deep+strings.Repeat("]", 100_000)), "large": fmt.Sprintf(valid, "1e400", "[]"),
+		"int64": fmt.Sprintf(valid, "9223372036854775807", "[]"), "negative": fmt.Sprintf(valid, "-1", "[]"), "bytes": "\xff\x00",
+		"port": strings.Replace(fmt.Sprintf(valid, "8000", "[]"), ":1", ":70000", 1), "key\xff": fmt.Sprintf(valid, "8000", "[]"),
+		"line\r\nbreak": fmt.Sprintf(valid, "8000", "[]"), strings.Repeat("k", port.MaxKeyBytes): fmt.Sprintf(valid, "8000", "[]"),
+		"many-labels": fmt.Sprintf(valid, "8000", `["a"`+strings.Repeat(`,"a"`, 50_000)+`]`), "no-host-there": fmt.Sprintf(valid, "8000", "[]"),
+	}
+	write := func() {
+		for id, value := range odd {
+			f.WriteHostRecord(id, []byte(value))
+		}
+		for id := range f.HostRecords("docs") {
+			f.WriteHostRecord(id, []byte(odd["large"]))
+		}
+	}
+	write()
+	time.Sleep(time.Second)
+	owner := f.waitForOwner("docs")
+	owner.Proc().Kill()
+	for range 30 {
+		write()
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.requireLoadCompleted("docs", load)
+	require.NoError(t, procs.WaitFor(f.ctx, "all tasks", f.runsTasks(longRunning, 3)))
+	for _, e := range f.Entries {
+		if e != owner {
+			require.NoError(t, e.Proc().CheckRunning(), e.Name)
+		}
+	}
+}
