End the load of a stream at a page that does not lead on

With more keys that are no UTF-8 in the list of hosts than one page holds, an entry never got the list, read the same page without a pause until its time was over, and kept each copy until then. Cause: the store's answer holds keys as JSON, in which bytes that are no UTF-8 become U+FFFD. The key after which the next page begins then sorts before all of them, and each page is the same. Change: the load ends with a page that has no new key. What sorts after it is left out; IDs that can be stored sort before it. Evidence: TestAFeedLoadsAStreamWithManyKeysThatCannotBePagedOver failed before ("the stream is not loaded" after 3 s); its first form, whose store answered at once and paid no heed to deadlines, was killed by the system after 198 s, since the copies filled the memory. It passes now, with -race; ./entry/roster passes. That the users' store encodes such keys so is an assumption.

--- a/entry/feed/feed_test.go
+++ b/entry/feed/feed_test.go
@@ -114,3 +114,41 @@
 	require.Contains(t, out.String(), "record cannot be decoded")
 	require.Less(t, out.Len(), 1<<10)
 }
+
+// oddKeys is a stream whose first page consists of the key "a" and many keys that are no UTF-8. The store
+// encodes keys as JSON, so the key after which the next page begins sorts before all of them.
+type oddKeys struct{ port.Log }
+
+func (oddKeys) Newest(ctx context.Context, _ port.Stream, after string) (port.Page, error) {
+	select {
+	case <-ctx.Done():
+		return port.Page{}, ctx.Err()
+	case <-time.After(4 * time.Millisecond):
+	}
+	out := port.Page{End: 1, More: true}
+	if after < "a" {
+		out.Records = append(out.Records, port.Record{Key: "a", Value: []byte{1}})
+	}
+	for range 10 {
+		out.Records = append(out.Records, port.Record{Key: "\ufffd", Value: []byte{2}})
+	}
+	return out, nil
+}
+
+func (oddKeys) Read(ctx context.Context, _ port.Stream, from int64, _ time.Duration) (port.Page, error) {
+	<-ctx.Done()
+	return port.Page{}, ctx.Err()
+}
+
+func TestAFeedLoadsAStreamWithManyKeysThatCannotBePagedOver(t *testing.T) {
+	changes := make(chan []feed.Change[byte], 100)
+	f := feed.Start(oddKeys{}, port.Stream{}, func(_ string, v []byte) (byte, error) { return v[0], nil },
+		slog.New(slog.NewJSONHandler(io.Discard, nil)), func(all []feed.Change[byte]) { changes <- all })
+	t.Cleanup(f.Close)
+	select {
+	case all := <-changes:
+		require.Equal(t, feed.Change[byte]{Key: "a", Value: 1, Present: true}, all[0])
+	case <-time.After(3 * time.Second):
+		require.Fail(t, "the stream is not loaded")
+	}
+}
--- a/entry/feed/reader.go
+++ b/entry/feed/reader.go
@@ -83,12 +83,14 @@
 		if nextOffset < 0 {
 			nextOffset = page.End
 		}
+		known := len(seen)
 		for _, e := range page.Records {
 			out = append(out, e)
 			seen[e.Key] = e.Value != nil
 			after = e.Key
 		}
-		if !page.More || len(page.Records) == 0 {
+		// Keys that are not UTF-8 arrive changed, so a page of them does not lead to the next one.
+		if !page.More || len(seen) == known {
 			break
 		}
 	}
