--- a/fleet/codec/codec_test.go
+++ b/fleet/codec/codec_test.go
@@ -1,6 +1,8 @@
 package codec_test
 
 import (
+	"bytes"
+	"io"
 	"strings"
 	"testing"
 
@@ -160,3 +162,14 @@
 		}
 	})
 }
+
+func TestDecodeFrameLimitsNestingAndLengths(t *testing.T) {
+	_, err := codec.DecodeFrame[any](bytes.Repeat([]byte{0x81}, 1<<20))
+	require.ErrorContains(t, err, "nested level")
+	_, err = codec.DecodeFrame[[]int]([]byte{0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	require.ErrorContains(t, err, "number of elements")
+	for _, truncated := range [][]byte{{0x9a, 0x00, 0x0f, 0xff, 0xff}, {0x7b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}} {
+		_, err = codec.DecodeFrame[any](truncated)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+}
