Count only hosts that answer when hosts become unhealthy

No further host of a pool becomes unhealthy once half of its hosts are. Entries of hosts that do not exist, or that are gone, counted among the half: with one of them beside four hosts, three of the four got no new work while all runs failed; with 20, all four. Cause: the limit was taken from all hosts of the state, also those that never answered. Change: it is taken from the hosts that are listed and answer. This only lowers the limit: no host becomes unhealthy that did not before. Evidence: TestHostsThatNeverAnsweredDoNotLetMoreOfTheOthersBecomeUnhealthy failed before (expected 2, actual 3, beside 1; trial: 4 beside 20); it and ./fleet/shard pass now.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -440,8 +440,8 @@
 	return slices.Contains(h.Labels, label)
 }
 
-// recordOutcome counts the end of a run for the health of its host. When half of the hosts are
-// unhealthy already, no further host becomes unhealthy for failures.
+// recordOutcome counts the end of a run for the health of its host. When half of the hosts that answer
+// are unhealthy already, no further host becomes unhealthy for failures.
 func (s *State) recordOutcome(h *Host, job string, failed bool, now time.Time) {
 	if !failed {
 		h.failureStreak, h.lastFailedJob, h.unhealthyCount = 0, "", 0
@@ -452,7 +452,7 @@
 	}
 	h.lastFailedJob = job
 	h.failureStreak++
-	if h.failureStreak < unhealthyFailures || s.unhealthyHosts(now)*2 >= len(s.Hosts) {
+	if h.failureStreak < unhealthyFailures || !s.mayBecomeUnhealthy(now) {
 		return
 	}
 	h.UnhealthyUntil = now.Add(unhealthyBackoff << h.unhealthyCount)
@@ -462,13 +462,17 @@
 	h.lastFailedJob = ""
 }
 
-// unhealthyHosts returns the number of hosts that get no new work because they are unhealthy.
-func (s *State) unhealthyHosts(now time.Time) int {
-	n := 0
+// mayBecomeUnhealthy reports whether a further host may become unhealthy, that is, whether fewer hosts
+// are unhealthy than half of those that answer.
+func (s *State) mayBecomeUnhealthy(now time.Time) bool {
+	unhealthy, answering := 0, 0
 	for _, h := range s.sortedHosts() {
 		if now.Before(h.UnhealthyUntil) {
-			n++
+			unhealthy++
+		}
+		if h.Listed && h.Confirmed && !h.Unreachable {
+			answering++
 		}
 	}
-	return n
+	return unhealthy*2 < answering
 }
--- a/fleet/shard/speed.go
+++ b/fleet/shard/speed.go
@@ -131,8 +131,8 @@
 }
 
 // handleSlowHost marks a host that is much slower than its pool as unhealthy, and stops the tasks
-// there that would end sooner on another host. When half of the hosts are unhealthy already, no
-// further host is marked.
+// there that would end sooner on another host. When half of the hosts that answer are unhealthy
+// already, no further host is marked.
 func (s *State) handleSlowHost(h *Host, now time.Time) {
 	if h.SpeedMeasuredAt != now || now.Before(h.UnhealthyUntil) {
 		return
@@ -146,7 +146,7 @@
 		return
 	}
 	poolSpeed := s.medianSpeed(now)
-	if s.unhealthyHosts(now)*2 >= len(s.Hosts) {
+	if !s.mayBecomeUnhealthy(now) {
 		return
 	}
 	h.UnhealthyUntil = now.Add(slowBackoff << h.slowCount)
