Send no waiting request when the stop of carawayd ends the others

Callers saw: unknown instead of not-run for requests that waited for a slot when a stop ended the requests in flight. Cause: the requests that were ended first released their slots, and the pool granted them to waiting ones that had not seen their end yet; these were then taken for sent. Change: nothing is sent once the parent of the requests' contexts is done. The parent is done before the contexts themselves.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -139,7 +139,7 @@
 	d.relayClient = relay.NewClient(dialer, s.Limits.Answer)
 	d.invoker = invoke.New(s.Name, s.Zone, d.incarnation, invoke.Dependencies{
 		Router: d.router, Members: d.members, Relay: d.relayClient, Registry: d.idRegistry, Tracer: d.tracer,
-	}, invoke.WithAnswerLimit(s.Limits.Answer))
+	}, invoke.WithAnswerLimit(s.Limits.Answer), invoke.WithBaseContext(d.requests))
 	d.relayServer = relay.NewServer(d.invoker.Do, d.incarnation, s.Limits.Body, d.logger, relay.WithBaseContext(d.requests))
 	d.front = front.New(s, d.incarnation, front.Dependencies{
 		Follower: d.follower, Members: d.members, Router: d.router, Invoker: d.invoker, Metrics: metrics,
--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -43,6 +43,8 @@
 	registry    *dedup.Registry
 	targets     *targets
 	tracer      *trace.Tracer
+	// requests is the parent of the contexts of all requests.
+	requests context.Context
 	// stopping makes the invoker issue IDs that other entries own.
 	stopping atomic.Bool
 }
@@ -62,8 +64,12 @@
 
 type settings struct {
 	maxAnswerBytes, maxConnections int
+	requests                       context.Context
 }
 
+// WithBaseContext sets the parent of the contexts of all requests. Nothing is sent once it is done.
+func WithBaseContext(ctx context.Context) Option { return func(s *settings) { s.requests = ctx } }
+
 // WithAnswerLimit sets the largest size of an answer's body, in bytes.
 func WithAnswerLimit(n int) Option { return func(s *settings) { s.maxAnswerBytes = n } }
 
@@ -77,13 +83,16 @@
 
 // New builds an invoker for an entry.
 func New(self, zone string, incarnation uint64, deps Dependencies, opts ...Option) *Invoker {
-	s := settings{maxAnswerBytes: defaultMaxAnswerBytes, maxConnections: defaultMaxConnections}
+	s := settings{
+		maxAnswerBytes: defaultMaxAnswerBytes, maxConnections: defaultMaxConnections, requests: context.Background(),
+	}
 	for _, opt := range opts {
 		opt(&s)
 	}
 	return &Invoker{
 		self: self, zone: zone, incarnation: incarnation, router: deps.Router, members: deps.Members, relay: deps.Relay,
 		registry: deps.Registry, tracer: deps.Tracer, targets: newTargets(s.maxAnswerBytes, s.maxConnections),
+		requests: s.requests,
 	}
 }
 
@@ -308,6 +317,10 @@
 		g.Release(route.Result{})
 		return work.NotRun("the entry was paused after it had got a slot; the slot was released unused"), true
 	}
+	if ended := v.ended(ctx); ended != "" {
+		g.Release(route.Result{})
+		return work.NotRun(ended), false
+	}
 	span := v.tracer.Start(r.TraceParent, "target", "host", g.Host)
 	result := v.targets.send(ctx, g, r, body, span.TraceParent)
 	g.Release(result.slotResult)
@@ -315,6 +328,17 @@
 	return result.answer, result.retry
 }
 
+// ended returns why a request must not be sent any more, or "". The base context is done before those
+// of its requests, so a slot that one of them releases is not used for another.
+func (v *Invoker) ended(ctx context.Context) string {
+	for _, c := range []context.Context{v.requests, ctx} {
+		if c.Err() != nil {
+			return work.EndReason(c, "before the request was sent")
+		}
+	}
+	return ""
+}
+
 // findPeer returns another entry that can send requests of a pool to targets: an entry of this zone
 // if it has a free slot, otherwise the entry with the most free slots in another zone.
 func (v *Invoker) findPeer(pool route.PoolTable) (member.Peer, bool) {
@@ -343,6 +367,9 @@
 	if err != nil {
 		return bodyNotRead(err), false
 	}
+	if ended := v.ended(ctx); ended != "" {
+		return work.NotRun(ended), false
+	}
 	a, err := v.forward(ctx, r, relay.Peer{Name: p.Name, Address: p.Address, Incarnation: p.Incarnation}, body)
 	if err != nil {
 		return work.NotRun(err.Error()), true
--- a/entry/invoke/invoke_test.go
+++ b/entry/invoke/invoke_test.go
@@ -56,14 +56,14 @@
 }
 
 // newInvoker returns an invoker for a pool with one target that serves the kind docs.
-func newInvoker(t *testing.T, address string) *invoke.Invoker {
+func newInvoker(t *testing.T, address string, opts ...invoke.Option) *invoke.Invoker {
 	router := route.New(route.Limits{Queue: 10, BodyMemory: 1 << 20, RetryShare: 0.1})
 	registry := dedup.New()
 	dialer := &link.Dialer{Client: http.DefaultClient, Scheme: "ws", Token: func() string { return "" }}
 	members := member.New(member.Row{Name: "self", Zone: "z", Incarnation: 1},
 		[]member.PeerConfig{{Name: "peer", Zone: "z", Address: "127.0.0.1:1"}}, dialer, member.WithLogger(slog.New(slog.DiscardHandler)))
 	client := relay.NewClient(dialer, 1<<20)
-	invoker := invoke.New("self", "z", 1, invoke.Dependencies{Router: router, Registry: registry, Members: members, Relay: client})
+	invoker := invoke.New("self", "z", 1, invoke.Dependencies{Router: router, Registry: registry, Members: members, Relay: client}, opts...)
 	t.Cleanup(func() {
 		invoker.Close()
 		client.Close()
@@ -149,3 +149,41 @@
 		require.Equal(t, wire.Unknown, a.Outcome, a.Reason)
 	})
 }
+
+// Guards against an unknown outcome of a request that waits for a slot when the entry stops: a slot that
+// a cancelled request releases must not be used for it.
+func TestARequestThatWaitsWhenTheEntryStopsIsNotRun(t *testing.T) {
+	var runs atomic.Int64
+	running := make(chan struct{}, 4)
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		running <- struct{}{}
+		<-r.Context().Done()
+	}))
+	defer target.Close()
+	base, stop := context.WithCancelCause(t.Context())
+	invoker := newInvoker(t, target.Listener.Addr().String(), invoke.WithBaseContext(base))
+	do := func(ctx context.Context, answers chan<- work.Answer) {
+		r := work.Request{ID: "x", Kind: "docs", Urgency: jobs.Normal, Deadline: time.Now().Add(time.Minute), Idempotent: true}
+		answers <- invoker.Do(ctx, r.WithBody(nil))
+	}
+	// The target has two slots.
+	cancelled, cancel := context.WithCancel(t.Context())
+	lost, answer := make(chan work.Answer, 2), make(chan work.Answer, 1)
+	for range 2 {
+		go do(cancelled, lost)
+		<-running
+	}
+	// The context of this request is not done yet when the slots are released.
+	later, end := context.WithTimeout(t.Context(), 5*time.Second)
+	defer end()
+	go do(later, answer)
+	stop(work.ErrStopping)
+	cancel()
+	require.Equal(t, wire.Unknown, (<-lost).Outcome)
+	require.Equal(t, wire.Unknown, (<-lost).Outcome)
+	a := <-answer
+	require.Equal(t, wire.NotRun, a.Outcome, a.Reason)
+	require.Contains(t, a.Reason, "the entry stopped")
+	require.EqualValues(t, 2, runs.Load())
+}
