Keep a test of the feed from blocking the feed that it closes

TestALogLineAboutARecordThatCannotBeDecodedIsShort hung once in a run of ./entry/... (600 s, then the time limit of go test): its stream answered reads without records at once, so the feed passed on changes until the test's channel was full, and could not be closed. The fault was in the test's stream, which now waits, as the store does. What the test checks is unchanged.

--- a/entry/feed/feed_test.go
+++ b/entry/feed/feed_test.go
@@ -63,7 +63,7 @@
 	require.EqualValues(t, 51, (<-changes).Value)
 }
 
-// page is a stream that consists of some records.
+// page is a stream that consists of some records and gets no others.
 type page struct {
 	port.Log
 	records []port.Record
@@ -73,8 +73,12 @@
 	return port.Page{}, nil
 }
 
-func (p page) Read(_ context.Context, _ port.Stream, from int64, _ time.Duration) (port.Page, error) {
+func (p page) Read(ctx context.Context, _ port.Stream, from int64, _ time.Duration) (port.Page, error) {
 	out := port.Page{End: int64(len(p.records))}
+	if from == out.End {
+		<-ctx.Done()
+		return port.Page{}, ctx.Err()
+	}
 	for at := from; at < out.End; at++ {
 		r := p.records[at]
 		r.Offset = at
