--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"carawaymux.dev/entry/dedup"
@@ -20,6 +21,9 @@
 const (
 	// maxAttempts is the largest number of attempts to run a request.
 	maxAttempts = 3
+	// maxLostTargets is the largest number of targets whose connection may be lost under a request,
+	// over all entries that attempt it.
+	maxLostTargets = 3
 	// firstBackoff is the mean delay before the second attempt. It doubles with each
 	// further attempt.
 	firstBackoff = 10 * time.Millisecond
@@ -39,6 +43,8 @@
 	registry    *dedup.Registry
 	targets     *targets
 	tracer      *trace.Tracer
+	// stopping makes the invoker issue IDs that other entries own.
+	stopping atomic.Bool
 }
 
 // Dependencies holds the components that an invoker uses.
@@ -84,6 +90,9 @@
 // Close closes idle connections to targets.
 func (v *Invoker) Close() { v.targets.Close() }
 
+// MarkStopping tells the invoker that the entry stops. Requests that still arrive are run.
+func (v *Invoker) MarkStopping() { v.stopping.Store(true) }
+
 // Do runs a request and returns its answer. It is a [work.Handler].
 func (v *Invoker) Do(ctx context.Context, r work.Request) work.Answer {
 	span := v.tracer.Start(r.TraceParent, "entry", "kind", r.Kind, "id", r.ID, "entry", v.self)
@@ -102,17 +111,24 @@
 }
 
 // IssueID issues an ID for a non-idempotent request of a kind. The owner of the ID is an entry that
-// can send the request to a target itself: this one, if the pool serves in its zone.
+// can send the request to a target itself: this one, if the pool serves in its zone and the entry is
+// not stopping.
 func (v *Invoker) IssueID(ctx context.Context, kind string) (string, error) {
 	pool, err := v.router.Lookup(kind)
 	if err != nil {
 		return "", err
 	}
 	now := time.Now()
-	if pool.Zones[v.zone] == 0 {
-		if p, found := v.findPeer(pool); found {
-			return dedup.NewID(p.Name, p.Incarnation, now).String(), nil
-		}
+	var owner member.Peer
+	found, stopping := false, v.stopping.Load()
+	if stopping && pool.Zones[v.zone] > 0 {
+		owner, found = v.members.MostFreeSlots(v.zone, pool.Name)
+	}
+	if !found && (stopping || pool.Zones[v.zone] == 0) {
+		owner, found = v.findPeer(pool)
+	}
+	if found {
+		return dedup.NewID(owner.Name, owner.Incarnation, now).String(), nil
 	}
 	return dedup.NewID(v.self, v.incarnation, now).String(), nil
 }
@@ -162,15 +178,18 @@
 	return a
 }
 
-// run attempts a request until it has a final answer, maxAttempts or the retry budget is used up, or
-// the deadline has passed. Another attempt is made only if the request has not run or is idempotent.
+// run attempts a request until it has a final answer, maxAttempts, maxLostTargets or the retry budget
+// is used up, or the deadline has passed. Another attempt is made only if the request has not run or is
+// idempotent.
 func (v *Invoker) run(ctx context.Context, r work.Request) work.Answer {
 	answer, backoff := work.NotRun("no attempt was made"), firstBackoff
 	for try := 1; ; try++ {
 		a, retry := v.attempt(ctx, r)
+		r.LostTargets = max(r.LostTargets, a.LostTargets)
 		answer = a.After(answer)
+		answer.LostTargets = r.LostTargets
 		safe := answer.Outcome == wire.NotRun || r.Idempotent
-		if !retry || !safe || try == maxAttempts || !v.router.TakeRetry(ctx, r.Kind) {
+		if !retry || !safe || try == maxAttempts || r.LostTargets >= maxLostTargets || !v.router.TakeRetry(ctx, r.Kind) {
 			return answer
 		}
 		// Full jitter keeps retries of different requests from being synchronized.
@@ -229,7 +248,7 @@
 func (v *Invoker) runLocally(ctx context.Context, r work.Request, noWait bool) (work.Answer, bool) {
 	ticket, err := v.router.Submit(ctx, route.SlotRequest{
 		Kind: r.Kind, Urgency: r.Urgency, Deadline: r.Deadline, BodyBytes: max(r.BodySize, 0),
-		Hold: r.BodySize < 0 || r.BodySize > holdAboveBytes, NoWait: noWait,
+		Hold: r.BodySize < 0 || r.BodySize > holdAboveBytes, NoWait: noWait, Suspect: r.LostTargets > 0,
 	})
 	if err != nil {
 		return work.NotRun("submit: " + err.Error()), false
@@ -237,7 +256,7 @@
 	reply, err := ticket.Next(ctx)
 	if err != nil {
 		ticket.Cancel()
-		return work.NotRun("deadline: passed before the router answered"), false
+		return work.NotRun(work.EndReason(ctx, "before the router answered")), false
 	}
 	if reply.Refused != "" {
 		return refusal(reply), false
@@ -253,7 +272,7 @@
 		}
 		if reply, err = ticket.Next(ctx); err != nil {
 			ticket.Cancel()
-			return work.NotRun("deadline: passed while the request waited for a slot"), false
+			return work.NotRun(work.EndReason(ctx, "while the request waited for a slot")), false
 		}
 		if reply.Refused != "" {
 			return refusal(reply), false
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -46,6 +46,10 @@
 	copies *hedge.Budget
 	writer *claim.Writer
 	inbox  *feed.Feed[[]byte]
+	// inboxRead is set once the inbox has been read. Until then, earlyLooks holds the requests for jobs that
+	// are not known, since these may be in the inbox.
+	inboxRead  bool
+	earlyLooks []jobStatus
 	// machineLister requests the list of machines. listedAt is when it was last asked to.
 	machineLister *task.Task[struct{}]
 	listInFlight  bool
@@ -65,6 +69,8 @@
 	nextExpiryScan time.Time
 	// nextRound is the earliest time of the next round of planning.
 	nextRound time.Time
+	// nextWaitingLog is the earliest time of the next log line about work that waits.
+	nextWaitingLog time.Time
 	// delays measures how late this owner is.
 	delays *delayMeter
 	// background counts the goroutines that the task has started and waits for when it stops.
@@ -185,8 +191,11 @@
 		c.nextExpiryScan = now.Add(expiryScanInterval)
 		c.journal.expiredJobs = append(c.journal.expiredJobs, c.state.DropExpired(now)...)
 	}
+	c.state.SettleSuspects(now)
 	c.refuseUnwritten()
+	c.logCrashes()
 	c.listMachines(now)
+	c.logWaiting(now)
 	c.delays.endInterval(now)
 }
 
@@ -219,6 +228,10 @@
 
 func (m jobStatus) handle(c *core) {
 	j := c.state.Jobs[m.id]
+	if j == nil && !c.inboxRead {
+		c.earlyLooks = append(c.earlyLooks, m)
+		return
+	}
 	if j == nil || j.Unsubmitted {
 		m.reply <- Answer{Outcome: Missing, Reason: "no such job"}
 		return
--- a/entry/work/work.go
+++ b/entry/work/work.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"carawaymux.dev/fleet/jobs"
@@ -31,6 +32,8 @@
 	// Deduplicated is set if the request is not idempotent and the entry that owns its ID has
 	// ensured that this is the only copy.
 	Deduplicated bool
+	// LostTargets is the number of targets whose connection was lost while they had the request.
+	LostTargets int
 }
 
 // Answer is the result of a request.
@@ -52,6 +55,9 @@
 	NoCapacity bool
 	// Invalid is set if the request itself is invalid; Reason explains what is wrong with it.
 	Invalid bool
+	// LostTargets is the number of targets whose connection was lost while they had the request, over
+	// all attempts.
+	LostTargets int
 }
 
 // NotRun returns the answer for a request that no target has started to run.
@@ -73,6 +79,18 @@
 	return earlier
 }
 
+// ErrStopping is the cause with which a stopping entry cancels the requests that it has not answered.
+var ErrStopping = errors.New("the entry is stopping")
+
+// EndReason returns why a request whose context is done ended during an activity, such as "while it
+// waited for a slot".
+func EndReason(ctx context.Context, activity string) string {
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return "stop: the entry stopped " + activity
+	}
+	return "deadline: passed " + activity
+}
+
 // Handler runs a request and returns its answer.
 type Handler func(ctx context.Context, r Request) Answer
 
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -27,6 +27,8 @@
 	// report it. FirstAnswer is when this instance first answered the owner.
 	Instance    int64
 	FirstAnswer time.Time
+	// restoredBorn is the start time of the instance that an earlier owner stored, and 0 when it is not known.
+	restoredBorn int64
 	// Clock is the host's clock, in milliseconds, in the last answer. ClockAt is when that answer
 	// arrived, and LastAnswer when it was handled.
 	Clock               int64
@@ -42,6 +44,9 @@
 	heartbeatSentAt, newInstanceAt time.Time
 	// UnansweredAt is when the last heartbeat failed that shows the host to be silent.
 	UnansweredAt time.Time
+	// unreachableSince is when the first of the heartbeats failed that have not been answered since. It
+	// is zero while the host answers.
+	unreachableSince time.Time
 	// EndedAt is when this instance was known to have ended. It is zero while a newer one answers.
 	EndedAt time.Time
 	// GrantedUntil is the latest lease deadline that was sent, on the host's clock in
@@ -53,10 +58,11 @@
 	CountedEnd, StoredEnd int64
 	// Assigned holds the tasks that run, may run or are being stopped there.
 	Assigned map[batch.Ref]*Task
-	// used is the capacity that the assigned tasks take, and longRunning the number of the
-	// long-running ones.
-	used        batch.Size
-	longRunning int
+	// used is the capacity that the assigned tasks take. longRunning is the number of the
+	// long-running ones, and longRunningUsed is what they take of it.
+	used            batch.Size
+	longRunning     int
+	longRunningUsed batch.Size
 	// UnknownRuns is the number of runs that the host reports but that are not assigned to it.
 	// unknownTasks holds those of their tasks that exist. Nothing of these starts elsewhere until
 	// the host no longer reports the run, or nothing can be running there.
@@ -126,7 +132,7 @@
 // RestoreHost adds a host that an earlier owner may have given work to.
 func (s *State) RestoreHost(h port.Host) {
 	if s.Hosts[h.ID] == nil {
-		s.Hosts[h.ID] = &Host{Host: h, Assigned: map[batch.Ref]*Task{}, Stored: true}
+		s.Hosts[h.ID] = &Host{Host: h, Assigned: map[batch.Ref]*Task{}, Stored: true, restoredBorn: h.Born}
 		s.hostList = nil
 	}
 	s.Hosts[h.ID].Stored = true
@@ -213,6 +219,9 @@
 	}
 	proven := !ownerLate && !h.heartbeatSentAt.Before(h.newInstanceAt)
 	h.Unreachable, h.AnswerPending = true, !proven
+	if h.unreachableSince.IsZero() {
+		h.unreachableSince = now
+	}
 	if proven {
 		h.UnansweredAt = now
 	}
@@ -239,6 +248,7 @@
 	h.used = h.used.Add(step.Reservation())
 	if step.LongRunning {
 		h.longRunning++
+		h.longRunningUsed = h.longRunningUsed.Add(step.Reservation())
 	}
 }
 
@@ -252,6 +262,7 @@
 	h.used = h.used.Sub(step.Reservation())
 	if step.LongRunning {
 		h.longRunning--
+		h.longRunningUsed = h.longRunningUsed.Sub(step.Reservation())
 	}
 }
 
@@ -307,6 +318,8 @@
 // HostEnded records that this instance of a host has ended, so that nothing can be running in it.
 func (s *State) HostEnded(id string, now time.Time) {
 	if h := s.Hosts[id]; h != nil {
+		s.recordCrash(h, nil, now)
+		s.hostEndedUnseen = s.hostEndedUnseen || (h.Stored && !h.Confirmed)
 		s.releaseAll(h, now)
 		h.Confirmed, h.Unreachable, h.LastAnswer, h.EndedAt = true, false, time.Time{}, now
 	}
@@ -369,6 +382,9 @@
 // handleRestart releases the tasks of a host that has restarted. A task whose start the new
 // instance may have carried out, or may yet carry out, becomes uncertain.
 func (s *State) handleRestart(h *Host, report *port.HostReport, now time.Time) {
+	if report.Born != h.Instance {
+		s.recordCrash(h, report, now)
+	}
 	for r, task := range h.Assigned {
 		_, stage, _ := s.task(r)
 		if stage == nil {
@@ -430,9 +446,7 @@
 // confirm the claim after the first answer of the instance. A host with unknown runs gets new work
 // only if the hosts enforce their capacity, since the capacity that such runs use is unknown.
 func (s *State) Schedulable(h *Host, now time.Time) bool {
-	return h.Listed && h.Stored && h.Confirmed && h.recordIsCurrent() && s.ConfirmedAt.After(h.FirstAnswer) && !h.Draining &&
-		now.After(h.CordonedUntil) && now.After(h.UnhealthyUntil) && now.After(h.FullUntil) &&
-		now.Sub(h.LastAnswer) < answerTimeout && (s.EnforcesCapacity || h.UnknownRuns == 0) && h.Capacity != (batch.Size{})
+	return s.ObstacleTo(h, now) == NoObstacle
 }
 
 // recordIsCurrent reports whether the instance that answered last has written the host's record. An instance
@@ -446,8 +460,8 @@
 	return slices.Contains(h.Labels, label)
 }
 
-// recordOutcome counts the end of a run for the health of its host. When half of the hosts are
-// unhealthy already, no further host becomes unhealthy for failures.
+// recordOutcome counts the end of a run for the health of its host. When half of the hosts that answer
+// are unhealthy already, no further host becomes unhealthy for failures.
 func (s *State) recordOutcome(h *Host, job string, failed bool, now time.Time) {
 	if !failed {
 		h.failureStreak, h.lastFailedJob, h.unhealthyCount = 0, "", 0
@@ -458,7 +472,7 @@
 	}
 	h.lastFailedJob = job
 	h.failureStreak++
-	if h.failureStreak < unhealthyFailures || s.unhealthyHosts(now)*2 >= len(s.Hosts) {
+	if h.failureStreak < unhealthyFailures || !s.mayBecomeUnhealthy(now) {
 		return
 	}
 	h.UnhealthyUntil = now.Add(unhealthyBackoff << h.unhealthyCount)
@@ -468,13 +482,17 @@
 	h.lastFailedJob = ""
 }
 
-// unhealthyHosts returns the number of hosts that get no new work because they are unhealthy.
-func (s *State) unhealthyHosts(now time.Time) int {
-	n := 0
+// mayBecomeUnhealthy reports whether a further host may become unhealthy, that is, whether fewer hosts
+// are unhealthy than half of those that answer.
+func (s *State) mayBecomeUnhealthy(now time.Time) bool {
+	unhealthy, answering := 0, 0
 	for _, h := range s.sortedHosts() {
 		if now.Before(h.UnhealthyUntil) {
-			n++
+			unhealthy++
+		}
+		if h.Listed && h.Confirmed && !h.Unreachable {
+			answering++
 		}
 	}
-	return n
+	return unhealthy*2 < answering
 }
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -34,6 +34,8 @@
 // out, and planning ends once no host has room for any of the others or the limit is reached.
 func PlanWithin[R Ranking](s *State, ranking R, limits Limits, now time.Time, wall int64) {
 	s.openDue(wall)
+	s.countVanished(now)
+	s.reserved = 0
 	if len(s.backlog.steps) == 0 {
 		s.Overloaded = false
 		return
@@ -54,16 +56,14 @@
 	if !s.backlog.anyFits(roomy) {
 		return
 	}
-	// When no host has both cores and memory left, only the first step is tried.
-	firstOnly := hosts.empty()
-	ranked := newRanked(s, ranking, now, unconfirmed, func(w *waitingStep) bool { return firstOnly || w.shape.fits || w.reserves() })
+	ranked := newRanked(s, ranking, now, unconfirmed, func(w *waitingStep) bool { return w.shape.fits || w.reserves() })
 	defer ranked.release()
 	for w := ranked.pop(); w != nil; w = ranked.pop() {
 		changed := s.startTasks(w, hosts, roomy, &limits, now)
 		if changed {
 			roomy = roomy.withRoom(least)
 		}
-		if firstOnly || (changed && (limits.Starts <= 0 || roomy.allBusy() || hosts.empty() || !s.backlog.anyFits(roomy))) {
+		if changed && (limits.Starts <= 0 || roomy.allBusy() || !s.backlog.anyFits(roomy)) {
 			return
 		}
 	}
@@ -98,6 +98,7 @@
 	// get no further one in this round. Both are kept for hosts with room only.
 	unanswered int
 	busy       bool
+	isolation
 }
 
 // candidates holds hosts in the order of their IDs.
@@ -117,6 +118,7 @@
 			*out[len(out)-1] = candidate{host: h, free: h.free()}
 		}
 	}
+	s.markIsolation(out, now)
 	return out
 }
 
@@ -151,16 +153,6 @@
 	return !slices.ContainsFunc(c, func(host *candidate) bool { return !host.busy })
 }
 
-// empty reports whether no host has free capacity that is not reserved.
-func (c candidates) empty() bool {
-	for i := range c {
-		if !c[i].reserved && c[i].free.MilliCores > 0 && c[i].free.MemoryMB > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // startTasks orders the start of as many tasks of a step as fit. All hosts with room have to be in
 // roomy. It reports whether it has started a task or reserved a host.
 func (s *State) startTasks(w *waitingStep, hosts, roomy candidates, limits *Limits, now time.Time) bool {
@@ -169,7 +161,7 @@
 	if step.Gang {
 		return s.startGang(w, hosts, permitted, limits, now)
 	}
-	started := false
+	changed, suspectWaits := false, false
 	for i := range stage.Tasks {
 		if limits.Starts <= 0 {
 			break
@@ -180,13 +172,22 @@
 		}
 		var host *candidate
 		if w.shape.fits && s.mayHaveTicket(w) {
-			host = s.pickHost(step, stage, task, roomy, permitted)
+			host = s.pickHost(step, stage, task, roomy, permitted, now)
+		}
+		if host == nil && task.Crashes.Hosts > 0 {
+			// The other tasks of the step may run on hosts on which this one may not.
+			if task.Crashes.Isolated {
+				changed = s.reserveIsolated(w, hosts) || changed
+			} else {
+				suspectWaits = true
+			}
+			continue
 		}
 		if host == nil {
 			// What a round takes or reserves is not given back before its end, so no later step of
 			// this shape finds a host either.
 			w.shape.fits = w.shape.fits && (permitted != nil || step.PerHost > 0)
-			return s.reserveHost(w, hosts) || started
+			return s.reserveHost(w, hosts) || changed
 		}
 		if host.busy {
 			break
@@ -194,9 +195,12 @@
 		ref := w.ref()
 		ref.Index = i
 		s.startTask(w.job, ref, stage, task, host, s.nextRun(task), limits, now)
-		started = true
+		changed = true
 	}
-	return started
+	if suspectWaits && s.reserveHost(w, hosts) {
+		changed = true
+	}
+	return changed
 }
 
 // nextRun returns a run number above all that any owner has given to the task.
@@ -214,6 +218,9 @@
 	s.backlog.update(j, ref.Occurrence, ref.Step)
 	s.assign(c.host, ref, task)
 	c.free = c.free.Sub(step.Reservation())
+	s.recordPlacement(c, task)
+	// The next owner has to know that the run began, since it cannot tell a crash from a task that waits.
+	s.markDirty(j)
 	limits.Starts--
 	c.unanswered++
 	c.busy = c.unanswered >= limits.StartsPerHost
@@ -241,7 +248,9 @@
 
 // pickHost chooses a host for a task among the permitted ones, and returns nil when none fits. All
 // hosts are permitted when the filter is nil. Long-running work is spread, other work is packed.
-func (s *State) pickHost(step *batch.Step, stage *Stage, task *Task, hosts candidates, permitted func(*Host) bool) *candidate {
+func (s *State) pickHost(
+	step *batch.Step, stage *Stage, task *Task, hosts candidates, permitted func(*Host) bool, now time.Time,
+) *candidate {
 	var best *candidate
 	var bestCost int64
 	need := step.Reservation()
@@ -255,6 +264,9 @@
 		if step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost {
 			continue
 		}
+		if len(s.suspects) > 0 && !s.admits(c, step, task, now) {
+			continue
+		}
 		if cost := s.placementCost(step, stage, task, c); best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -298,28 +310,72 @@
 }
 
 // reserveHost reserves the host with the most free capacity for a step that does not fit, so that
-// smaller steps do not starve it. It reports whether it has reserved a host.
+// smaller steps do not starve it. Hosts that could not run the step even when all work that ends has ended
+// are left out, and so is a gang for which all hosts together could not. It reports whether it has reserved a host.
 func (s *State) reserveHost(w *waitingStep, hosts candidates) bool {
-	if w.shape.unreservable || !w.reserves() {
+	if w.shape.unreservable || !w.reserves() || (w.step.Gang && !s.gangCouldFit(w, hosts)) {
 		return false
 	}
 	var best *candidate
+	left := false
 	for _, c := range hosts {
-		if c.reserved || !c.host.Capacity.Fits(w.shape.need) || !w.shape.hasLabel(c.host) {
+		if c.reserved || !c.host.Capacity.Sub(c.host.longRunningUsed).Fits(w.shape.need) || !w.shape.hasLabel(c.host) {
 			continue
 		}
-		if best == nil || c.free.MilliCores > best.free.MilliCores {
+		left = true
+		if (best == nil || c.free.MilliCores > best.free.MilliCores) && s.mayUse(w, c.host) {
 			best = c
 		}
 	}
+	w.shape.unreservable = !left
 	if best == nil {
-		w.shape.unreservable = true
 		return false
 	}
 	best.reserved = true
+	s.reserved++
 	return true
 }
 
+// gangCouldFit reports whether all members of a gang would fit on some hosts if all work that ends had
+// ended there.
+func (s *State) gangCouldFit(w *waitingStep, hosts candidates) bool {
+	members := int64(len(w.stage.Tasks))
+	for _, c := range hosts {
+		if !w.shape.hasLabel(c.host) || !s.mayUse(w, c.host) {
+			continue
+		}
+		fitting := min(timesFits(c.host.Capacity.Sub(c.host.longRunningUsed), w.shape.need), members)
+		if w.step.PerHost > 0 {
+			fitting = min(fitting, int64(w.step.PerHost))
+		}
+		if members -= fitting; members <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// timesFits returns how often a need fits into a size.
+func timesFits(size, need batch.Size) int64 {
+	times := int64(math.MaxInt64)
+	for _, d := range [...]struct{ size, need int64 }{
+		{size.MilliCores, need.MilliCores}, {size.MemoryMB, need.MemoryMB}, {size.Accelerators, need.Accelerators},
+	} {
+		if d.need > 0 {
+			times = min(times, max(d.size, 0)/d.need)
+		}
+	}
+	return times
+}
+
+// mayUse reports whether a step may have one more task on a host if there is room.
+func (s *State) mayUse(w *waitingStep, h *Host) bool {
+	if w.step.PerHost > 0 && tasksOnHost(w.stage, h.ID) >= w.step.PerHost {
+		return false
+	}
+	return !w.queue.needsTicket || !s.permits[w.ref()].denies(h)
+}
+
 // reserves reports whether a host is reserved for a step that does not fit.
 func (w *waitingStep) reserves() bool {
 	return w.demand.LongRunning || w.demand.Age >= reserveAfter
@@ -398,7 +454,7 @@
 		best := -1
 		for k := range hosts {
 			c := hosts[k]
-			if c.reserved || !free[k].Fits(need) || (permitted != nil && !permitted(c.host)) || (rack != nil && c.host.rack() != *rack) ||
+			if c.reserved || c.isolated || !free[k].Fits(need) || (permitted != nil && !permitted(c.host)) || (rack != nil && c.host.rack() != *rack) ||
 				(step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) ||
 				(step.PerHost > 0 && taken[k] >= step.PerHost) {
 				continue
