Keep suspects from hosts until no other work has waited for a second

Cause: that nothing else waits at a moment does not mean that nothing comes: jobs that came next found all hosts taken by suspects, or down under them. With four tasks a crash run apart, in place of those started in the last 50 ms, more of the guilty crashed a host with others a second time. And hosts of other pools came for tasks that were late already.

Change: the share of a quarter holds until no other work has waited for a second; the load of the pool counts whole hosts for tasks that run apart from then on only.

TestTasksThatRunApartUseAllHostsUnlessOtherWorkWaits and TestTheLoadOfTasksThatRunApartIsThatOfWholeHosts check the second.

--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -39,9 +40,9 @@
 	// settleTime is the time on a host after which a run is not suspected of a crash while a younger one
 	// is there. Tasks that crash their hosts mostly do so soon after their start.
 	settleTime = 2 * time.Second
-	// firstSuspects is the number of the youngest runs that are the first to be suspected. Several starts of a
-	// host may be answered before the first one takes effect.
-	firstSuspects = 4
+	// startSpan is the time before a crash within which all runs that were started are the first to be
+	// suspected. Several starts of a host may be answered before the first one takes effect.
+	startSpan = 50 * time.Millisecond
 	// maxCrashes is the number of crashes after which a task is given up if it was alone on one of the
 	// hosts, and maxSharedCrashes the number after which it is given up in any case. Tasks that have
 	// crashed three hosts may be started twice more.
@@ -63,7 +64,7 @@
 		at = h.unreachableSince
 	}
 	crash := Crash{Host: h.ID}
-	var ages []time.Duration
+	youngest := time.Duration(math.MaxInt64)
 	for ref, task := range h.Assigned {
 		age := at.Sub(task.OrderedAt)
 		neverThere := age < 0 && task.StartClock == 0
@@ -71,13 +72,11 @@
 			continue
 		}
 		crash.Runs = append(crash.Runs, CrashedRun{Ref: ref, Run: task.Run, Age: age})
-		ages = append(ages, age)
+		youngest = min(youngest, age)
 	}
 	if len(crash.Runs) == 0 {
 		return
 	}
-	slices.Sort(ages)
-	youngest, first := ages[0], ages[min(firstSuspects, len(ages))-1]
 	slices.SortFunc(crash.Runs, func(a, b CrashedRun) int { return compareRefs(a.Ref, b.Ref) })
 	for i := range crash.Runs {
 		run := &crash.Runs[i]
@@ -88,7 +87,7 @@
 	}
 	for i := range crash.Runs {
 		if run := &crash.Runs[i]; run.Suspected {
-			run.GivenUp = s.suspect(run.Ref, crash.suspects == 1, run.Age <= first, now)
+			run.GivenUp = s.suspect(run.Ref, crash.suspects == 1, run.Age <= max(youngest, startSpan), now)
 		}
 	}
 	s.crashes = append(s.crashes, crash)
@@ -104,6 +103,10 @@
 	task.Crashes.Hosts++
 	task.Crashes.Alone += count(alone)
 	task.Crashes.Isolated = task.Crashes.Isolated || first || task.Crashes.Hosts >= isolateAfter
+	if len(s.suspects) == 0 {
+		// Whether other work waits was not observed before.
+		s.othersWaitedAt = now
+	}
 	s.suspects[ref] = task
 	s.markDirty(j)
 	if !task.Crashes.exhausted() {
--- a/fleet/shard/crash_test.go
+++ b/fleet/shard/crash_test.go
@@ -395,16 +395,25 @@
 	for host := range hosts(orders, "others") {
 		require.NotContains(t, apart, host)
 	}
+	require.Empty(t, hosts(o.plan(), "suspects"), "other work has just waited")
+	o.advance(1100 * time.Millisecond)
+	require.NotEmpty(t, hosts(o.plan(), "suspects"))
 }
 
 // Guards against a pool that loses its hosts to others while tasks wait for a host of their own.
 func TestTheLoadOfTasksThatRunApartIsThatOfWholeHosts(t *testing.T) {
-	load := func(crashes *shard.Crashes) int64 {
+	load := func(crashes *shard.Crashes, others int) int64 {
 		o := newOwner(t, 2, "a")
 		stored := &shard.Progress{Phase: shard.Open, Occurrences: []shard.OccurrenceProgress{{Stages: [][]shard.TaskProgress{{{Crashes: crashes}}}}}}
 		o.Restore("job", batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(1)}}, stored, o.now)
-		return o.Load(o.now).Backlog
+		before := o.Load(o.now).Backlog
+		if others > 0 {
+			o.submit("others", smallStep(others))
+			o.plan()
+			require.EqualValues(t, 1000, o.Load(o.now).Backlog, "other work has just waited")
+		}
+		return before
 	}
-	require.EqualValues(t, 1000, load(nil))
-	require.EqualValues(t, 4000, load(&shard.Crashes{Hosts: 2, Isolated: true}))
+	require.EqualValues(t, 1000, load(nil, 0))
+	require.EqualValues(t, 4000, load(&shard.Crashes{Hosts: 2, Isolated: true}, 4))
 }
--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -11,9 +11,10 @@
 	isolateAfter = 2
 	// maxSuspectsPerHost is the number of tasks with one crash that may be on a host.
 	maxSuspectsPerHost = 8
-	// maxIsolatedShare is the share of the hosts of a pool that may be kept for tasks that run apart while other
-	// work waits.
+	// maxIsolatedShare is the share of the hosts of a pool that may be kept for tasks that run apart, until no
+	// other work has waited for idleTime.
 	maxIsolatedShare = 0.25
+	idleTime         = time.Second
 	// isolationPatience is the time after which a long-running task no longer waits for a host of its
 	// own. It is well below the time within which such a task has to be started again.
 	isolationPatience = 2 * time.Second
@@ -50,6 +51,9 @@
 	}
 	s.maxIsolatedHosts = len(hosts)
 	if s.othersWait() {
+		s.othersWaitedAt = now
+	}
+	if now.Sub(s.othersWaitedAt) <= idleTime {
 		s.maxIsolatedHosts = max(int(maxIsolatedShare*float64(len(hosts))), 1)
 	}
 }
@@ -68,9 +72,13 @@
 }
 
 // isolatedWork returns the work that the capacity of the hosts amounts to which are kept for tasks that run apart
-// and wait, beyond the tasks' own work, in thousandths of a core-second.
-func (s *State) isolatedWork(hostCores int64) int64 {
+// and wait, beyond the tasks' own work, in thousandths of a core-second. While other work waits it is 0, so that
+// no machines come for tasks that are late already.
+func (s *State) isolatedWork(hostCores int64, now time.Time) int64 {
 	var work int64
+	if now.Sub(s.othersWaitedAt) <= idleTime {
+		return 0
+	}
 	for ref, task := range s.suspects {
 		j, stage, _ := s.task(ref)
 		if stage == nil || stage.waiting == nil || !task.Crashes.Isolated || task.Status != Idle || task.Done {
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -58,7 +58,7 @@
 			}
 		}
 	}
-	l.Backlog += s.isolatedWork(l.HostCapacity)
+	l.Backlog += s.isolatedWork(l.HostCapacity, now)
 	l.Oversized = s.oversized()
 	l.ArrivalRate = s.arrivals.Rate(now)
 	l.Arrivals = s.arrivals.Count()
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -45,6 +45,7 @@
 	for r := range s.suspects {
 		_, _, out.suspects[r] = out.task(r)
 	}
+	out.othersWaitedAt = s.othersWaitedAt
 	for r, p := range s.permits {
 		copied := *p
 		copied.denied, copied.tickets, copied.instances = maps.Clone(p.denied), maps.Clone(p.tickets), maps.Clone(p.instances)
@@ -275,7 +276,8 @@
 	// a task that runs apart.
 	isolated, reservedToIsolate bool
 	suspects, unsettled         int
-	// othersWait reports whether a task waited, when the round began, that does not have to run apart.
+	// othersWait reports whether a task that does not have to run apart waited when this round or one of the last
+	// second began.
 	othersWait bool
 }
 
@@ -329,8 +331,11 @@
 		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b referenceHost) int { return cmp.Compare(a.host.ID, b.host.ID) })
+	if referenceOthersWait(s) {
+		s.othersWaitedAt = now
+	}
 	for i := range out {
-		out[i].othersWait = referenceOthersWait(s)
+		out[i].othersWait = now.Sub(s.othersWaitedAt) <= idleTime
 	}
 	return out
 }
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -219,6 +219,8 @@
 	startedEarlier map[batch.Ref]struct{}
 	// hostEndedUnseen reports whether a host of an earlier owner ended before it answered this one.
 	hostEndedUnseen bool
+	// othersWaitedAt is when a round of planning last found work waiting that does not have to run apart.
+	othersWaitedAt time.Time
 	// isolatedHosts is the number of hosts that are kept for isolated tasks in the current round of planning,
 	// and maxIsolatedHosts the limit for it.
 	isolatedHosts, maxIsolatedHosts int
