Suspect tasks that crash their hosts long after their start

Cause: a run older than two seconds is not suspected while a younger one is there, so the short tasks were suspected each time.

Change: such crashes count for a task that ends by themselves. After two, the task runs apart, and the next crash has one suspect. Long-running tasks stay long on a host and share its crashes, so they are left out; one that crashes its host late beside shorter ones is still open.

--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -86,9 +86,12 @@
 		crash.suspects += count(run.Suspected)
 	}
 	for i := range crash.Runs {
-		if run := &crash.Runs[i]; run.Suspected {
-			run.GivenUp = s.suspect(run.Ref, crash.suspects == 1, run.Age <= max(youngest, startSpan), now)
+		run := &crash.Runs[i]
+		if !run.Suspected {
+			s.suspectLate(run.Ref)
+			continue
 		}
+		run.GivenUp = s.suspect(run.Ref, crash.suspects == 1, run.Age <= max(youngest, startSpan), now)
 	}
 	s.crashes = append(s.crashes, crash)
 }
@@ -116,6 +119,21 @@
 	return true
 }
 
+// suspectLate counts a crash for a task that younger ones are suspected of. A task that ends runs apart after
+// isolateAfter of them, so that the next crash has one suspect. Long-running tasks are on a host for so long
+// that they share the crashes of others.
+func (s *State) suspectLate(ref batch.Ref) {
+	j, _, task := s.task(ref)
+	if j.Phase != Open || j.Spec.Steps[ref.Step].LongRunning {
+		return
+	}
+	s.markDirty(j)
+	if task.Crashes.Late++; task.Crashes.Late >= isolateAfter {
+		task.Crashes.Hosts, task.Crashes.Isolated = max(task.Crashes.Hosts, task.Crashes.Late), true
+		s.suspects[ref] = task
+	}
+}
+
 // Crashes counts the hosts that have crashed under a task.
 type Crashes struct {
 	// Hosts is the number of hosts of whose crash the task was suspected. Alone is the number of those
@@ -124,6 +142,9 @@
 	Alone int `cbor:"2,keyasint,omitempty"`
 	// Isolated reports whether the task runs apart from others.
 	Isolated bool `cbor:"3,keyasint,omitempty"`
+	// Late is the number of hosts that crashed after the task had been on them for settleTime, and of
+	// whose crash younger tasks were suspected.
+	Late int `cbor:"4,keyasint,omitempty"`
 }
 
 // exhausted reports whether a task has crashed so many hosts that it is given up.
--- a/fleet/shard/crash_test.go
+++ b/fleet/shard/crash_test.go
@@ -18,8 +18,10 @@
 // back at once under a new name. Other tasks are done after a second.
 type crashPool struct {
 	*owner
-	// deadly reports whether a task crashes its host; those in late do so a second after their start.
+	// deadly reports whether a task crashes its host; those in late do so later.
 	deadly, late func(ref batch.Ref) bool
+	// lateAfter is the age at which a late task crashes its host.
+	lateAfter time.Duration
 	// running holds the runs by host, with the time of their start.
 	running map[string]map[shard.Order]time.Time
 	ends    map[string]int64
@@ -30,7 +32,7 @@
 
 func newCrashPool(t *testing.T, hosts int, deadly func(ref batch.Ref) bool) *crashPool {
 	p := &crashPool{
-		owner: newOwner(t, 1), deadly: deadly, late: func(batch.Ref) bool { return false }, running: map[string]map[shard.Order]time.Time{}, ends: map[string]int64{},
+		owner: newOwner(t, 1), deadly: deadly, late: func(batch.Ref) bool { return false }, lateAfter: time.Second, running: map[string]map[shard.Order]time.Time{}, ends: map[string]int64{},
 		crashes: map[batch.Ref]int{}, starts: map[batch.Ref]int{}, startsAfter: map[batch.Ref]int{},
 	}
 	for range hosts {
@@ -114,6 +116,8 @@
 	var rows []any
 	for order, since := range p.running[id] {
 		switch {
+		case p.late(order.Ref) && p.now.Sub(since) < p.lateAfter:
+			rows = append(rows, runningRow(order, 100))
 		case p.now.Sub(since) < time.Second || p.Jobs[order.Ref.Job].Spec.Steps[order.Ref.Step].LongRunning && !p.late(order.Ref):
 			rows = append(rows, runningRow(order, 100))
 		case p.late(order.Ref):
@@ -181,6 +185,27 @@
 	}
 }
 
+// Guards against hosts that crash for ever under a task that does so long after its start, while shorter tasks
+// start beside it and are suspected.
+func TestATaskThatCrashesItsHostsLateBesideShortOnesIsGivenUp(t *testing.T) {
+	p := newCrashPool(t, 3, func(batch.Ref) bool { return false })
+	p.late, p.lateAfter = func(ref batch.Ref) bool { return ref.Job == "guilty" }, 2500*time.Millisecond
+	p.submit("guilty", smallStep(1))
+	for i := range 200 {
+		p.submit(fmt.Sprint("short", i), smallStep(1))
+		p.run(100 * time.Millisecond)
+	}
+	p.run(10 * time.Second)
+	p.requireBounded()
+	for id, j := range p.Jobs {
+		want := shard.Completed
+		if id == "guilty" {
+			want = shard.Failed
+		}
+		require.Equal(t, want, j.Phase, id)
+	}
+}
+
 func TestManyTasksThatCrashTheirHostsLeaveTheOthersDone(t *testing.T) {
 	p := newCrashPool(t, 8, func(ref batch.Ref) bool { return ref.Job[0] == 'g' && ref.Index == 0 })
 	for round := range 8 {
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -105,7 +105,7 @@
 				task := &occ.Stages[si].Tasks[i]
 				tasks[i] = TaskProgress{Counted: task.Counted, FailedRuns: slices.Clone(task.FailedRuns), Done: task.Done, Checkpoint: task.Checkpoint}
 				tasks[i].Started = task.startedEarlier || task.Status != Idle
-				if task.Crashes.Hosts > 0 {
+				if task.Crashes != (Crashes{}) {
 					crashes := task.Crashes
 					tasks[i].Crashes = &crashes
 				}
