End each open request of a stopping entry once

Change: open requests are ended once; one that begins later ends when it begins. The tests of drain, front and node pass.

--- a/entry/drain/drain.go
+++ b/entry/drain/drain.go
@@ -92,6 +92,8 @@
 type core struct {
 	tracker *Tracker
 	open    map[*Open]struct{}
+	// timeEnded is set once the time of open requests has ended. That of later ones ends when they begin.
+	timeEnded bool
 	// lastOpen is when a request was last open.
 	lastOpen time.Time
 	// waiting holds the callers of WaitAnswered.
@@ -136,8 +138,11 @@
 	if wait := s.answerBy().Sub(now); wait > 0 {
 		return wait
 	}
-	for o := range c.open {
-		o.end(ErrStopping)
+	if !c.timeEnded {
+		c.timeEnded = true
+		for o := range c.open {
+			o.end(ErrStopping)
+		}
 	}
 	if len(c.open) > 0 || len(c.waiting) == 0 {
 		return 0
@@ -238,7 +243,12 @@
 	}
 }
 
-func (m begun) handle(c *core) { c.open[m.open] = struct{}{} }
+func (m begun) handle(c *core) {
+	c.open[m.open] = struct{}{}
+	if c.timeEnded {
+		m.open.end(ErrStopping)
+	}
+}
 
 func (m ended) handle(c *core) {
 	delete(c.open, m.open)
