--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -46,10 +46,10 @@
 	copies *hedge.Budget
 	writer *claim.Writer
 	inbox  *feed.Feed[[]byte]
-	// inboxRead is set once the inbox has been read. Until then, earlyLooks holds the requests for jobs that
-	// are not known, since these may be in the inbox.
-	inboxRead  bool
-	earlyLooks []jobStatus
+	// inboxRead is set once the inbox has been read. Until then, early holds the requests whose answers
+	// depend on it.
+	inboxRead bool
+	early     []message
 	// machineLister requests the list of machines. listedAt is when it was last asked to.
 	machineLister *task.Task[struct{}]
 	listInFlight  bool
@@ -229,7 +229,7 @@
 func (m jobStatus) handle(c *core) {
 	j := c.state.Jobs[m.id]
 	if j == nil && !c.inboxRead {
-		c.earlyLooks = append(c.earlyLooks, m)
+		c.early = append(c.early, m)
 		return
 	}
 	if j == nil || j.Unsubmitted {
@@ -240,5 +240,9 @@
 }
 
 func (m pendingCount) handle(c *core) {
+	if !c.inboxRead {
+		c.early = append(c.early, m)
+		return
+	}
 	m.reply <- Answer{Outcome: Found, Pending: c.state.Pending(m.queue)}
 }
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -409,10 +409,10 @@
 		}
 	}
 	// The first changes are all that the inbox holds.
-	early := c.earlyLooks
-	c.inboxRead, c.earlyLooks = true, nil
-	for _, look := range early {
-		look.handle(c)
+	early := c.early
+	c.inboxRead, c.early = true, nil
+	for _, request := range early {
+		request.handle(c)
 	}
 }
 
