Limit the time of each page of a stream, not that of all

Found by the review: all pages of a topic were read under the time limit of one poll, and from the first one again when it passed. An inbox of thirty pages of 0.1 s was never read, so its jobs never ran, and requests for them waited.

Change: each page has the time limit of a call.

--- a/entry/feed/reader.go
+++ b/entry/feed/reader.go
@@ -33,12 +33,12 @@
 // last call, Poll returns the newest value of each key, and a record without a value for each key
 // that has been removed.
 func (r *Reader) Poll(ctx context.Context, wait time.Duration) ([]port.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+r.timeout)
-	defer cancel()
 	if !r.loaded {
 		return r.load(ctx)
 	}
-	page, err := r.log.Read(ctx, r.stream, r.next, wait)
+	readCtx, cancel := context.WithTimeout(ctx, wait+r.timeout)
+	defer cancel()
+	page, err := r.log.Read(readCtx, r.stream, r.next, wait)
 	var gone *port.GoneError
 	if errors.As(err, &gone) {
 		return r.load(ctx)
@@ -70,13 +70,20 @@
 	r.liveKeys[e.Key] = true
 }
 
-// load reads the newest value of each key, page by page.
+// newest reads one page.
+func (r *Reader) newest(ctx context.Context, after string) (port.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	return r.log.Newest(ctx, r.stream, after)
+}
+
+// load reads the newest value of each key, page by page. The time of each page is limited, not that of all.
 func (r *Reader) load(ctx context.Context) ([]port.Record, error) {
 	var out []port.Record
 	seen := map[string]bool{}
 	nextOffset := int64(-1)
 	for after := ""; ; {
-		page, err := r.log.Newest(ctx, r.stream, after)
+		page, err := r.newest(ctx, after)
 		if err != nil {
 			return nil, err
 		}
