Lose the host of a long-running task after one second as well

A crash one second after each start is what a task does that crashes its hosts, so the host now leaves after one second, having announced it, in half of the cases, and crashes after three in the other half.

--- a/fleet/shard/recover_test.go
+++ b/fleet/shard/recover_test.go
@@ -106,9 +106,9 @@
 const (
 	// recoveryTick is the time between two rounds of a simulated pool.
 	recoveryTick = 100 * time.Millisecond
-	// lossAge is the age of a run at which its host is lost. A task that has crashed several hosts soon after its
-	// start is given up.
-	lossAge = 3 * time.Second
+	// crashAge is the age of a run at which its host crashes, and leaveAge that at which a host leaves that has
+	// announced it. A task under which hosts crash sooner than that is given up.
+	crashAge, leaveAge = 3 * time.Second, time.Second
 	// recoveryLimit is how long a long-running task may be without a run where there is room.
 	recoveryLimit = 6 * time.Second
 )
@@ -235,38 +235,46 @@
 			}
 		}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			s := newSimulated(t, newOwner(t, 1, "a", "b", "c", "d"))
-			if c.prepare != nil {
-				c.prepare(s)
-			}
-			s.submit("watched", longRunningStep(1, 0, 0))
-			lastRun := s.now
-			restarts := map[string]time.Time{}
-			var instance int64 = 1
-			for tick := range 600 {
-				c.round(s, tick)
-				s.step()
-				for id, at := range restarts {
-					if !s.now.Before(at) {
-						instance++
-						s.restart(id, instance)
-						delete(restarts, id)
-					}
+		for _, leaves := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, host leaves %v", name, leaves), func(t *testing.T) {
+				lossAge := crashAge
+				if leaves {
+					lossAge = leaveAge
+				}
+				s := newSimulated(t, newOwner(t, 1, "a", "b", "c", "d"))
+				if c.prepare != nil {
+					c.prepare(s)
 				}
-				task := &s.Jobs["watched"].Occurrences[0].Stages[0].Tasks[0]
-				if task.Status == shard.Running {
-					lastRun = s.now
-					if s.now.Sub(task.OrderedAt) >= lossAge && len(restarts) == 0 {
-						host := task.Host
-						s.crash(host)
-						restarts[host] = s.now.Add(2 * time.Second)
+				s.submit("watched", longRunningStep(1, 0, 0))
+				lastRun := s.now
+				restarts := map[string]time.Time{}
+				var instance int64 = 1
+				for tick := range 600 {
+					c.round(s, tick)
+					s.step()
+					for id, at := range restarts {
+						if !s.now.Before(at) {
+							instance++
+							s.restart(id, instance)
+							delete(restarts, id)
+						}
 					}
+					task := &s.Jobs["watched"].Occurrences[0].Stages[0].Tasks[0]
+					if task.Status == shard.Running {
+						lastRun = s.now
+						if s.now.Sub(task.OrderedAt) >= lossAge && len(restarts) == 0 {
+							host := task.Host
+							s.Hosts[host].Draining = leaves
+							s.crash(host)
+							s.Hosts[host].Draining = false
+							restarts[host] = s.now.Add(2 * time.Second)
+						}
+					}
+					require.LessOrEqual(t, s.now.Sub(lastRun), recoveryLimit, "%s at tick %d", s.Explain(batch.Ref{Job: "watched"}, s.now), tick)
 				}
-				require.LessOrEqual(t, s.now.Sub(lastRun), recoveryLimit, "%s at tick %d", s.Explain(batch.Ref{Job: "watched"}, s.now), tick)
-			}
-			require.Greater(t, instance, int64(5), "the host of the task was lost too seldom")
-		})
+				require.Greater(t, instance, int64(5), "the host of the task was lost too seldom")
+			})
+		}
 	}
 }
 
