Count crashes that become known after the lease

Found by the review: a crash that is proven only after the lease of the silent host had expired was never counted, since its tasks had been released by then. With the list of machines away for as long as a lease, a task that crashes its hosts was started without limit again.

Change: the runs that are released with a lease are remembered for thirty seconds. If the host turns out to have ended, or another instance answers, they are counted; if the host answers, they are forgotten. The list of machines is asked for such hosts too.

Evidence: TestACrashThatIsKnownOnlyAfterTheLeaseCounts, the reviewer's, failed before in both cases (0 hosts counted); passes now, with all tests of fleet/shard and entry/owner.

--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -61,27 +61,18 @@
 // The argument next is the report of the next instance, which may have carried out some of the
 // starts; nil means that there is none.
 func (s *State) recordCrash(h *Host, next *port.HostReport, now time.Time) {
-	if h.Draining || now.Before(h.CordonedUntil) || len(h.Assigned) == 0 {
+	if h.Draining || now.Before(h.CordonedUntil) {
 		return
 	}
-	at := now
-	if !h.unreachableSince.IsZero() {
-		at = h.unreachableSince
-	}
-	crash := Crash{Host: h.ID}
-	youngest := time.Duration(math.MaxInt64)
-	for ref, task := range h.Assigned {
-		age := at.Sub(task.OrderedAt)
-		neverThere := age < 0 && task.StartClock == 0
-		if neverThere || !s.countsCrash(ref, task) || (next != nil && next.Contains(ref.String(), task.Run)) {
-			continue
-		}
-		crash.Runs = append(crash.Runs, CrashedRun{Ref: ref, Run: task.Run, Age: age, Confirmed: task.StartClock > 0})
-		youngest = min(youngest, age)
-	}
+	crash := Crash{Host: h.ID, Runs: append(s.runsOn(h, next, now), s.uncountedOf(h.lapsed)...)}
+	h.lapsed = nil
 	if len(crash.Runs) == 0 {
 		return
 	}
+	youngest := time.Duration(math.MaxInt64)
+	for _, run := range crash.Runs {
+		youngest = min(youngest, run.Age)
+	}
 	slices.SortFunc(crash.Runs, func(a, b CrashedRun) int { return compareRefs(a.Ref, b.Ref) })
 	for i := range crash.Runs {
 		run := &crash.Runs[i]
@@ -103,6 +94,29 @@
 	s.crashes = append(s.crashes, crash)
 }
 
+// runsOn returns the runs that may be on a host, but for those that its next instance reports.
+func (s *State) runsOn(h *Host, next *port.HostReport, now time.Time) []CrashedRun {
+	at := now
+	if !h.unreachableSince.IsZero() {
+		at = h.unreachableSince
+	}
+	var out []CrashedRun
+	for ref, task := range h.Assigned {
+		age := at.Sub(task.OrderedAt)
+		neverThere := age < 0 && task.StartClock == 0
+		if neverThere || !s.countsCrash(ref, task.Run) || (next != nil && next.Contains(ref.String(), task.Run)) {
+			continue
+		}
+		out = append(out, CrashedRun{Ref: ref, Run: task.Run, Age: age, Confirmed: task.StartClock > 0})
+	}
+	return out
+}
+
+// uncountedOf returns those of some runs for which no crash was counted and that are not known to have ended.
+func (s *State) uncountedOf(runs []CrashedRun) []CrashedRun {
+	return slices.DeleteFunc(runs, func(r CrashedRun) bool { return !s.countsCrash(r.Ref, r.Run) })
+}
+
 // suspicion is what speaks for a task as the cause of a crash.
 type suspicion struct {
 	// alone reports whether no other task is suspected, first whether the task is among the first to be
@@ -231,11 +245,11 @@
 	}
 }
 
-// countsCrash reports whether the crash of a task's host counts for the task: it is not done, and no
-// earlier crash was recorded for its run.
-func (s *State) countsCrash(ref batch.Ref, task *Task) bool {
-	j, stage, _ := s.task(ref)
-	return stage != nil && j.Phase == Open && !task.Done && task.crashedRun < task.Run
+// countsCrash reports whether the crash of the host of a run counts for its task: the task is not done, the end
+// of the run is not known, and no crash was counted for it or a later one.
+func (s *State) countsCrash(ref batch.Ref, run int64) bool {
+	j, stage, task := s.task(ref)
+	return stage != nil && j.Phase == Open && !task.Done && task.Counted < run && task.crashedRun < run
 }
 
 func compareRefs(a, b batch.Ref) int {
--- a/fleet/shard/crash_test.go
+++ b/fleet/shard/crash_test.go
@@ -442,3 +442,28 @@
 	require.EqualValues(t, 1000, load(nil, 0))
 	require.EqualValues(t, 4000, load(&shard.Crashes{Hosts: 2, Isolated: true}, 4))
 }
+
+// Guards against starts without limit while the list of machines cannot be read.
+func TestACrashThatIsKnownOnlyAfterTheLeaseCounts(t *testing.T) {
+	for name, learn := range map[string]func(o *owner, host string){
+		"from the list of machines": func(o *owner, host string) { o.HostEnded(host, o.now) },
+		"from the next instance": func(o *owner, host string) {
+			o.HandleReport(host, &port.HostReport{Clock: 1, Born: 2}, o.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newOwner(t, 1, "a")
+			o.submit("job", smallStep(1))
+			require.Len(t, o.start(), 1)
+			o.advance(10 * time.Millisecond)
+			for range 12 {
+				o.HeartbeatSent("a", o.now)
+				o.advance(time.Second)
+				o.HeartbeatFailed("a", false, o.now)
+				o.ExpireLeases(o.now)
+			}
+			learn(o, "a")
+			require.Equal(t, 1, o.Jobs["job"].Occurrences[0].Stages[0].Tasks[0].Crashes.Hosts)
+		})
+	}
+}
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -42,6 +42,10 @@
 	// heartbeatSentAt is when the last heartbeat was sent. Heartbeats sent before newInstanceAt do not
 	// show that the host is silent, because a new instance may have received a start since.
 	heartbeatSentAt, newInstanceAt time.Time
+	// lapsed holds the runs that were released because the lease of a silent host had expired, until
+	// lapsedUntil. The host may turn out to have crashed.
+	lapsed      []CrashedRun
+	lapsedUntil time.Time
 	// UnansweredAt is when the last heartbeat failed that shows the host to be silent.
 	UnansweredAt time.Time
 	// unreachableSince is when the first of the heartbeats failed that have not been answered since. It
@@ -103,6 +107,8 @@
 	unhealthyBackoff = 3 * time.Second
 	// maxBackoffDoublings limits how often a backoff doubles.
 	maxBackoffDoublings = 3
+	// lapsedTime is how long the runs on a silent host are remembered after its lease has expired.
+	lapsedTime = 30 * time.Second
 	// fullBackoff is how long no start is sent to a host that had no room.
 	fullBackoff = 60 * time.Millisecond
 	// answerTimeout is the time without an answer after which a host gets no lease extension and
@@ -288,10 +294,18 @@
 		if !s.leaseExpired(h, now) {
 			continue
 		}
+		if len(h.Assigned) > 0 && h.EndedAt.IsZero() {
+			// A start that is under way stays assigned.
+			released := slices.DeleteFunc(s.runsOn(h, nil, now), func(r CrashedRun) bool { return h.Assigned[r.Ref].Status == Starting })
+			h.lapsed, h.lapsedUntil = append(h.lapsed, released...), now.Add(lapsedTime)
+		}
+		if now.After(h.lapsedUntil) {
+			h.lapsed = nil
+		}
 		if h.Confirmed || len(h.Assigned) > 0 {
 			s.releaseAll(h, s.LeaseExpiry(h))
 		}
-		if !h.Listed && len(h.Assigned) == 0 {
+		if !h.Listed && len(h.Assigned) == 0 && len(h.lapsed) == 0 {
 			dropped = append(dropped, id)
 			delete(s.Hosts, id)
 			s.hostList = nil
@@ -300,7 +314,8 @@
 	return dropped
 }
 
-// SilentHosts returns the hosts that do not answer and on which something may be running.
+// SilentHosts returns the hosts that do not answer and on which something may be running, or may have been
+// when they crashed.
 func (s *State) SilentHosts(now time.Time) []string {
 	var out []string
 	for id, h := range s.Hosts {
@@ -308,7 +323,7 @@
 		if !h.Confirmed {
 			since = s.ClaimedAt
 		}
-		if (h.Unreachable || now.Sub(since) > silentTimeout) && (len(h.Assigned) > 0 || (h.Stored && !h.Confirmed)) {
+		if (h.Unreachable || now.Sub(since) > silentTimeout) && (len(h.Assigned) > 0 || len(h.lapsed) > 0 || (h.Stored && !h.Confirmed)) {
 			out = append(out, id)
 		}
 	}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -43,6 +43,7 @@
 	}
 	h.Confirmed, h.Unreachable, h.Instance, h.Clock, h.LastAnswer = true, false, report.Born, report.Clock, now
 	h.AnswerPending, h.EndedAt, h.ClockAt, h.unreachableSince = false, time.Time{}, now, time.Time{}
+	h.lapsed = nil
 	if !report.ReceivedAt.IsZero() {
 		h.ClockAt = report.ReceivedAt
 	}
