--- a/entry/drain/drain.go
+++ b/entry/drain/drain.go
@@ -1,5 +1,5 @@
 // Package drain tracks the requests of callers that an entry is answering. When the entry stops, the
-// tracker ends their time before connections are closed, and reports those that are cut off all the same.
+// tracker ends their time before connections are closed, and reports requests that are cut off.
 package drain
 
 import (
--- a/trial/fake/capacity.go
+++ b/trial/fake/capacity.go
@@ -39,7 +39,7 @@
 	h.capacity = c
 }
 
-// contactTime is the time without disturbances after which entries have to keep to time bounds.
+// contactTime is the time without faults after which entries have to keep to time bounds.
 const contactTime = 3 * time.Second
 
 // mayHold reports whether an entry may take a host to have room for a need: the host has it, or had
