--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -5,9 +5,13 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -17,6 +21,7 @@
 
 var cases = map[string]Case{
 	"given-up": givenUp, "orphaned": orphaned, "dropped-rules": droppedRules, "wave-cap": waveCap,
+	"joined-machine": joinedMachine, "hopeless-jobs": hopelessJobs, "moved-queue": movedQueue,
 }
 
 // caseLimit is the longest time that a case may run.
@@ -454,3 +459,153 @@
 	// Both machines get their upkeep in the end.
 	return s.fleet.await(14*time.Second, func() bool { return back.done[wave] && busy.done[wave] && back.state == "up" && busy.state == "up" })
 }
+
+// joinedMachine lets a machine join just before a wave that names it is published.
+func joinedMachine(rec *Recorder, root, dir string, trouble bool) error {
+	s, err := install(rec, root, dir, 4, map[string]int{"docs": 4, "wages": 4, "spare": 2}, route("verify", "docs", 4), route("settle", "wages", 4))
+	if err != nil {
+		return err
+	}
+	for n := int64(1); n <= 6 && len(rec.broken) == 0; n++ {
+		id := fmt.Sprintf("m-new-%d", n)
+		s.fleet.mu.Lock()
+		ip := s.fleet.machines["m-docs-0"].address
+		s.fleet.mu.Unlock()
+		ip, _, _ = net.SplitHostPort(ip)
+		if err := s.fleet.Add(id, "docs", "zone-a", "r9-docs", ip); err != nil {
+			return err
+		}
+		rec.Log("machine %s has joined the pool docs and is listed", id)
+		if trouble {
+			rec.Log("DISRUPTION the operator publishes a wave that names it 100 ms later")
+			time.Sleep(100 * time.Millisecond)
+		} else {
+			time.Sleep(3 * time.Second)
+		}
+		s.fleet.Publish(&Wave{Wave: n, Machines: []string{"m-wages-0", id}, DurationS: 30, Cap: 2})
+		key := fmt.Sprintf("wave/%d", n)
+		if err := until(25*time.Second, func() bool { return strings.Contains(s.store.Get("keyed.status", key), "completed") }); err != nil {
+			return fmt.Errorf("wave %d is not completed: %w", n, err)
+		}
+		s.fleet.mu.Lock()
+		m := s.fleet.machines[id]
+		done, state := m.done[n], m.state
+		s.fleet.mu.Unlock()
+		rec.Log("status/%s is %s; upkeep of %s has begun: %v, state %s", key, s.store.Get("keyed.status", key), id, done, state)
+		if !done && state == "up" {
+			rec.Break("MIXED", "wave %d is said to be completed, and machine %s of it, which is up and listed, has not begun its upkeep", n, id)
+		}
+		time.Sleep(2500 * time.Millisecond)
+	}
+	s.copyLogs(`"msg":"machine of a wave is no longer listed`, `"msg":"wave completed"`)
+	return nil
+}
+
+// movedQueue removes a route and adds it again with another service while a job of it runs, and then sends
+// the consumer's request once more.
+func movedQueue(rec *Recorder, root, dir string, trouble bool) error {
+	verify, settle := route("verify", "docs", 4), route("settle", "wages", 4)
+	s, err := install(rec, root, dir, 4, map[string]int{"docs": 4, "wages": 4, "spare": 2}, verify, settle)
+	if err != nil {
+		return err
+	}
+	const id = "5c0e7a21d94b36f8"
+	path := "/settle/" + id
+	active := map[string][]string{}
+	s.fleet.mu.Lock()
+	s.fleet.onStart = func(st Start) {
+		if len(active[st.Task]) > 0 {
+			rec.Break("TWICE", "run %d of %s starts on %s while a run of it is active on %v", st.Run, st.Task, st.Worker, active[st.Task])
+		}
+		active[st.Task] = append(active[st.Task], st.Worker)
+	}
+	s.fleet.onEnd = func(worker, task string, _ int64, _ string) {
+		active[task] = slices.DeleteFunc(active[task], func(w string) bool { return w == worker })
+	}
+	s.fleet.mu.Unlock()
+	body := job("20000", step{"count": 3, "cpu": 900, "memory_request_mb": 2000, "estimated_ms": 20000})
+	if err := s.Submit(path, body); err != nil {
+		return err
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		rec.Log("DISRUPTION the operator removes the route settle and adds it again with the service docs")
+		s.PublishConfig(11, verify)
+		time.Sleep(2500 * time.Millisecond)
+		s.PublishConfig(14, verify, route("settle", "docs", 4))
+	}
+	time.Sleep(2500 * time.Millisecond)
+	s.AskLogged(s.entries[2], "GET", path, nil)
+	rec.Log("the consumer's request arrives once more")
+	s.AskLogged(s.entries[1], "POST", path, body)
+	time.Sleep(4 * time.Second)
+	s.AskLogged(s.entries[2], "GET", path, nil)
+	s.copyLogs(`"msg":"job submitted"`, `"msg":"job ended"`)
+	return nil
+}
+
+// hopelessJobs sends nine jobs at once that no worker can ever run, again and again, to a queue without other
+// work. Their cores are given in billionths and their estimates in nanoseconds.
+func hopelessJobs(rec *Recorder, root, dir string, trouble bool) error {
+	s, err := install(rec, root, dir, 4, map[string]int{"docs": 4, "wages": 4, "spare": 2}, route("verify", "docs", 4), route("settle", "wages", 4))
+	if err != nil {
+		return err
+	}
+	ends := map[string]int{}
+	sent := 0
+	watch := func(d time.Duration) error {
+		for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+			for _, e := range s.entries {
+				select {
+				case <-e.done:
+					ends[e.name]++
+					rec.Log("process of %s has ended by itself, %v, %d times so far; it starts again", e.name, e.cmd.ProcessState, ends[e.name])
+					time.Sleep(2200 * time.Millisecond)
+					if err := s.Start(e); err != nil {
+						return err
+					}
+				default:
+				}
+			}
+		}
+		return nil
+	}
+	machines := func() int {
+		n := 0
+		for _, count := range ends {
+			if count >= 3 {
+				n++
+			}
+		}
+		return n
+	}
+	for burst := 1; burst <= 12 && machines() < 2 && time.Since(rec.start) < 100*time.Second; burst++ {
+		cpu, estimate := int64(2), int64(4)
+		if trouble {
+			rec.Log("DISRUPTION burst %d of nine jobs that can never be done", burst)
+			cpu, estimate = 2_000_000_000, 4_000_000_000
+		}
+		var group sync.WaitGroup
+		for k := range 9 {
+			sent++
+			path, e := fmt.Sprintf("/verify/5c0e7a21d94b%04x", sent), s.entries[k%4]
+			group.Go(func() {
+				s.AskLogged(e, "POST", path, job("20", step{"count": 75, "cpu": cpu, "memory_request_mb": 10, "estimated_ms": estimate}))
+			})
+		}
+		group.Wait()
+		if err := watch(7500 * time.Millisecond); err != nil {
+			return err
+		}
+	}
+	total := 0
+	for name, n := range ends {
+		rec.Log("%s: process ended by itself %d times", name, n)
+		total += n
+	}
+	s.copyLogs("panic:")
+	if machines() >= 2 {
+		rec.Break("Fault", "processes ended by themselves %d times, three times or more on %d of 4 machines; none was disturbed", total, machines())
+	}
+	return nil
+}
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -394,7 +394,8 @@
 			}
 			running = append(running, []any{task, r.number, "", percent, 1000})
 		}
-		for _, e := range w.finished {
+		// Ends are returned 500 at a time.
+		for _, e := range w.finished[:min(len(w.finished), 500)] {
 			finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
 		}
 		body["running"], body["finished"] = running, finished
