Judge by lists newer than the wave which of its machines are gone

Cause: the holder of the machines compared the wave with a list up to half a second older, took the missing machine for gone and stored that for good.

Change: a wave carries when it was read. Only a list that was requested after that shows a machine as absent; this is not stored, and a machine that is listed later still gets its maintenance, also after the wave was reported as completed. The same holds for a machine that the platform denies. No step is taken for a machine that is not listed.

--- a/entry/mover/list.go
+++ b/entry/mover/list.go
@@ -6,6 +6,7 @@
 
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/upkeep"
 )
 
 // machineList is the answer to a request for the list of machines that was sent at askedAt.
@@ -17,14 +18,15 @@
 
 // listMachines requests the list of machines, unless a request is in flight or the newest list
 // is recent enough.
-func (c *core) listMachines(ctx context.Context, now time.Time) {
-	if c.listInFlight || now.Sub(c.listedAt) < listInterval {
+func (c *core) listMachines(ctx context.Context) {
+	askedAt := time.Now()
+	if c.listInFlight || askedAt.Sub(c.listedAt) < listInterval {
 		return
 	}
 	c.listInFlight = true
 	c.runInBackground(ctx, callTimeout, func(ctx context.Context) message {
 		machines, err := c.deps.Machines.List(ctx)
-		return machineList{machines, now, fault.At("list", "machines", err)}
+		return machineList{machines, askedAt, fault.At("list", "machines", err)}
 	})
 }
 
@@ -54,6 +56,21 @@
 		c.machines[machine.ID] = machine
 	}
 	for _, w := range c.waves {
-		w.ObserveMachines(c.machines, m.askedAt)
+		c.observeWave(w, m.askedAt)
+	}
+}
+
+// observeWave compares the machines of a wave with the list that was requested at the time asked.
+func (c *core) observeWave(w *upkeep.Wave, asked time.Time) {
+	completed := w.Completed
+	gone, back := w.ObserveMachines(c.machines, asked)
+	for _, id := range gone {
+		c.logger.Info("machine of a wave is not listed; the wave goes on without it until it is", "wave", w.Number, "machine", id)
+	}
+	for _, id := range back {
+		c.logger.Info("machine of a wave is listed again; it still needs its maintenance", "wave", w.Number, "machine", id, "completed", completed)
+	}
+	if completed && !w.Completed {
+		delete(c.reportFailedAt, w.Number)
 	}
 }
--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -347,11 +347,11 @@
 // answers, and reports waves to operators.
 func (c *core) startRound(ctx context.Context) {
 	now := time.Now()
-	c.addWaves(now)
+	c.addWaves()
 	for _, w := range c.waves {
 		c.reportWave(ctx, w, now)
 	}
-	c.listMachines(ctx, now)
+	c.listMachines(ctx)
 	c.askLoads(ctx)
 	c.planDue = true
 }
@@ -386,7 +386,9 @@
 func (c *core) stepMachines(ctx context.Context, now time.Time) {
 	for _, w := range c.openWaves() {
 		for id := range w.Emptying {
-			c.stepMaintenance(ctx, w, c.machines[id], now)
+			if m, listed := c.machines[id]; listed {
+				c.stepMaintenance(ctx, w, m, now)
+			}
 		}
 	}
 	for _, m := range c.moves {
@@ -411,8 +413,10 @@
 }
 
 // addWaves adds waves that operators have published.
-func (c *core) addWaves(now time.Time) {
-	for _, w := range c.deps.Waves() {
+func (c *core) addWaves() {
+	published := c.deps.Waves()
+	now := time.Now()
+	for _, w := range published {
 		if c.waves[w.Number] != nil {
 			continue
 		}
@@ -421,7 +425,7 @@
 			age = 0
 			c.unwritten = append(c.unwritten, seenRecord(&w, now))
 		}
-		added := upkeep.NewWave(w, now.Add(-age))
+		added := upkeep.NewWave(w, now, upkeep.WithAge(age))
 		for _, m := range w.Machines {
 			if c.stored.started[startedKey(w.Number, m)] {
 				added.Started[m] = true
@@ -437,9 +441,13 @@
 	return strconv.FormatInt(wave, 10) + "/" + machine
 }
 
-// reportWave reports a wave to operators once when it runs and once when it is completed.
+// reportWave reports a wave to operators once when it runs and once when it is completed. It waits for a
+// list of machines, which shows whether an earlier holder has completed the wave.
 func (c *core) reportWave(ctx context.Context, w *upkeep.Wave, now time.Time) {
-	done := len(w.Remaining()) == 0 && c.allWritten()
+	if !w.Listed {
+		return
+	}
+	done := w.Done() && c.allWritten()
 	failedAt, attempted := c.reportFailedAt[w.Number]
 	runReported := attempted && failedAt.IsZero()
 	if w.Completed || c.reportInFlight[w.Number] || (runReported && !done) || (attempted && !runReported && now.Sub(failedAt) < reportBackoff) {
@@ -459,6 +467,11 @@
 		c.logger.Warn("report on a wave to operators not delivered; it is sent again", "wave", w.Number, "err", m.err)
 		return
 	}
+	if m.done && !w.Done() {
+		// A machine of the wave was listed again while the report was in flight.
+		delete(c.reportFailedAt, w.Number)
+		return
+	}
 	c.reportFailedAt[w.Number] = time.Time{}
 	w.Completed = m.done
 	if m.done {
--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -18,14 +18,6 @@
 
 // chooseMachines selects the machines of a wave to empty next.
 func (c *core) chooseMachines(w *upkeep.Wave, now time.Time) {
-	for _, id := range w.Remaining() {
-		if _, ok := c.machines[id]; !ok && len(c.machines) > 0 {
-			// The machine is gone for good.
-			c.logger.Info("machine of a wave is no longer listed; the wave goes on without it",
-				"wave", w.Number, "machine", id)
-			c.markStarted(w, id)
-		}
-	}
 	for _, id := range upkeep.Next(upkeep.StandbyFirst{}, w, c.machines, c.standby, now) {
 		w.Emptying[id] = now
 		c.logger.Info("machine to be emptied", "wave", w.Number, "machine", id, "pool", c.machines[id].Pool)
@@ -72,7 +64,10 @@
 		return
 	}
 	switch r.outcome {
-	case port.OrderDone, port.OrderUnknown, port.OrderNotInWave:
+	case port.OrderUnknown:
+		c.logger.Info("machine of a wave does not exist; the wave goes on without it", "wave", w.Number, "machine", r.machine)
+		w.MarkAbsent(r.machine, time.Now())
+	case port.OrderDone, port.OrderNotInWave:
 		c.deps.Stats.Add("maintenance", 1, "outcome", string(r.outcome))
 		c.logger.Info("maintenance started or not needed", "wave", w.Number, "machine", r.machine, "outcome", string(r.outcome))
 		if r.outcome == port.OrderDone {
@@ -96,6 +91,7 @@
 func (c *core) markStarted(w *upkeep.Wave, machine string) {
 	w.Started[machine] = true
 	delete(w.Emptying, machine)
+	delete(w.Absent, machine)
 	key := startedKey(w.Number, machine)
 	c.stored.started[key] = true
 	c.unwritten = append(c.unwritten, port.Record{Key: ClaimName + keyStarted + key, Value: []byte{1}})
--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -13,41 +13,93 @@
 // Wave is a maintenance wave with its progress.
 type Wave struct {
 	port.Wave
-	// FirstSeen is when the wave was first seen.
+	// FirstSeen is when the wave was first seen, by this holder or an earlier one.
 	FirstSeen time.Time
-	// Started holds the machines whose maintenance has started, and machines that no longer
-	// exist.
+	// ReadAt is when this holder read the wave. Lists that were requested earlier do not show
+	// which machines of the wave exist.
+	ReadAt time.Time
+	// Listed reports whether a list that was requested after ReadAt has been observed.
+	Listed bool
+	// Started holds the machines whose maintenance has started.
 	Started map[string]bool
+	// Absent holds the machines that do not exist and whose maintenance has not started, with the
+	// time as of which that is known. A machine that is listed later is removed again.
+	Absent map[string]time.Time
 	// Emptying holds the machines that are being emptied, with the time at which that began.
 	Emptying map[string]time.Time
 	// Down holds the machines whose maintenance has started and which have not been listed as
 	// up since, with the time at which it started.
 	Down map[string]time.Time
-	// Completed means that the maintenance of all machines has started.
+	// Completed means that operators have been told that the maintenance of all machines has
+	// started. It is reset when an absent machine of the wave is listed again.
 	Completed bool
 }
 
-// NewWave builds the state of a wave that was first seen at now.
-func NewWave(w port.Wave, now time.Time) *Wave {
-	return &Wave{Wave: w, FirstSeen: now, Started: map[string]bool{}, Emptying: map[string]time.Time{}, Down: map[string]time.Time{}}
+// Option configures a [Wave].
+type Option func(*Wave)
+
+// WithAge sets how long ago an earlier holder first saw the wave.
+func WithAge(age time.Duration) Option { return func(w *Wave) { w.FirstSeen = w.ReadAt.Add(-age) } }
+
+// NewWave builds the state of a wave that was read at now.
+func NewWave(w port.Wave, now time.Time, opts ...Option) *Wave {
+	out := &Wave{
+		Wave: w, FirstSeen: now, ReadAt: now, Started: map[string]bool{}, Absent: map[string]time.Time{},
+		Emptying: map[string]time.Time{}, Down: map[string]time.Time{},
+	}
+	for _, opt := range opts {
+		opt(out)
+	}
+	return out
 }
 
 // ObserveMachines processes a list of machines that was requested at the time asked. Machines
 // whose maintenance started before the request are no longer down when the list shows them as
-// up or no longer contains them.
-func (w *Wave) ObserveMachines(machines map[string]port.Machine, asked time.Time) {
+// up or no longer contains them. It returns the machines that are absent since this list, and
+// those that were absent and are listed again. A list that was requested before the wave was read
+// shows neither.
+func (w *Wave) ObserveMachines(machines map[string]port.Machine, asked time.Time) (gone, back []string) {
 	for id, since := range w.Down {
 		if m, ok := machines[id]; asked.After(since) && (!ok || m.State == port.MachineUp) {
 			delete(w.Down, id)
 		}
 	}
+	if asked.Before(w.ReadAt) || len(machines) == 0 {
+		return nil, nil
+	}
+	w.Listed = true
+	for _, id := range w.Machines {
+		_, listed := machines[id]
+		knownAt, absent := w.Absent[id]
+		switch {
+		case listed && absent && asked.After(knownAt):
+			delete(w.Absent, id)
+			w.Completed = false
+			back = append(back, id)
+		case !listed && !absent && !w.Started[id]:
+			w.MarkAbsent(id, asked)
+			gone = append(gone, id)
+		}
+	}
+	return gone, back
 }
 
-// Remaining lists the machines whose maintenance has not started, in the wave's order.
+// MarkAbsent records that a machine did not exist at a time.
+func (w *Wave) MarkAbsent(machine string, at time.Time) {
+	w.Absent[machine] = at
+	delete(w.Emptying, machine)
+}
+
+// Done reports whether no machine of the wave still needs maintenance, as far as the newest list
+// shows.
+func (w *Wave) Done() bool { return w.Listed && len(w.Remaining()) == 0 }
+
+// Remaining lists the machines that exist and whose maintenance has not started, in the wave's
+// order. Until a list has shown otherwise, a machine counts as existing.
 func (w *Wave) Remaining() []string {
 	var out []string
 	for _, m := range w.Machines {
-		if !w.Started[m] {
+		if _, absent := w.Absent[m]; !absent && !w.Started[m] {
 			out = append(out, m)
 		}
 	}
--- a/fleet/upkeep/upkeep_test.go
+++ b/fleet/upkeep/upkeep_test.go
@@ -84,6 +84,52 @@
 	require.Greater(t, late, early)
 }
 
+// Guards against machines that count as gone by a list that is older than the wave, and against
+// machines that stay out of the wave once they were absent (MIXED).
+func TestOnlyListsAfterTheWaveShowWhichMachinesAreAbsent(t *testing.T) {
+	machines := fleet(map[string]int{"a": 2})
+	w := wave(machines, 2)
+	all := w.Remaining()
+	joined := machines["a-1"]
+	delete(machines, "a-1")
+	w.ObserveMachines(machines, start.Add(-time.Millisecond))
+	require.Equal(t, all, w.Remaining())
+	require.False(t, w.Done())
+
+	gone, _ := w.ObserveMachines(machines, start)
+	require.Equal(t, []string{"a-1"}, gone)
+	require.Equal(t, []string{"a-0"}, w.Remaining())
+	w.Started["a-0"] = true
+	require.True(t, w.Done())
+	w.Completed = true
+
+	machines["a-1"] = joined
+	_, back := w.ObserveMachines(machines, start.Add(time.Second))
+	require.Equal(t, []string{"a-1"}, back)
+	require.Equal(t, []string{"a-1"}, w.Remaining())
+	require.False(t, w.Completed)
+}
+
+// Guards against a list that was requested before the platform denied a machine and still shows it.
+func TestDeniedMachineStaysAbsentUntilALaterListShowsIt(t *testing.T) {
+	machines := fleet(map[string]int{"a": 1})
+	w := wave(machines, 1)
+	denied := start.Add(time.Second)
+	w.MarkAbsent("a-0", denied)
+	w.ObserveMachines(machines, denied.Add(-time.Millisecond))
+	require.Empty(t, w.Remaining())
+	w.ObserveMachines(machines, denied.Add(time.Millisecond))
+	require.Equal(t, []string{"a-0"}, w.Remaining())
+}
+
+// Guards against an empty answer of the machine service that would end all waves.
+func TestEmptyListShowsNoMachineAbsent(t *testing.T) {
+	w := wave(fleet(map[string]int{"a": 1}), 1)
+	w.ObserveMachines(nil, start.Add(time.Second))
+	require.Len(t, w.Remaining(), 1)
+	require.False(t, w.Done())
+}
+
 // simulate runs a whole wave in steps of one second. Emptying a machine takes three seconds.
 func simulate[P upkeep.Policy](policy P, machines map[string]port.Machine, maxDown int) time.Duration {
 	w := wave(machines, maxDown)
