Keep a host empty that joins after a request to empty it

What can happen: the holder of the machines asks the owner of a pool to empty a host that the owner's list does not contain yet. The owner called it empty, which is true then, but noted nothing: a host that joined before the holder's order arrived took work, and the order ended it (AVAIL).

Change: the owner cordons hosts that it does not know yet, for as long as others. No owner has given work to such a host, since hosts get work only once their record is stored, which the next owner reads.

Evidence: TestAHostThatJoinsAfterARequestToEmptyItTakesNoWork fails without the change (a start is ordered 100 ms after the request).

--- a/entry/owner/vacate.go
+++ b/entry/owner/vacate.go
@@ -9,6 +9,9 @@
 func (m vacateHost) handle(c *core) {
 	h := c.state.Hosts[m.host]
 	if h == nil {
+		// The list of hosts may be older than the request. No owner has given work to a host that it
+		// has not stored, so the host is empty, and the cordon keeps it so.
+		c.state.CordonUnlisted(m.host, time.Now(), cordonDuration)
 		m.reply <- Answer{Outcome: Missing, Vacant: true, Reason: "no such host in the pool"}
 		return
 	}
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -130,6 +130,7 @@
 		host = &Host{Host: h, Assigned: map[batch.Ref]*Task{}}
 		s.Hosts[h.ID] = host
 		s.hostList = nil
+		s.applyUnlistedCordon(host, now)
 	}
 	host.Host, host.Listed, host.LastListed = h, true, now
 	return host
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -229,6 +229,9 @@
 	latestLost time.Time
 	// openJobs holds the jobs in phase Open.
 	openJobs map[string]*Job
+	// unlistedCordons holds the hosts that are not known yet and are to be empty, with the time until
+	// which.
+	unlistedCordons map[string]time.Time
 	// backlog holds the work of the open jobs that waits.
 	backlog backlog
 	// unansweredStops holds the tasks whose RetryStopAt may be set.
@@ -254,7 +257,7 @@
 	return &State{
 		Pool: pool, Epoch: epoch, ClaimedAt: now, ConfirmedAt: now, Timing: t,
 		Queues: map[string]port.Queue{}, Jobs: map[string]*Job{}, Hosts: map[string]*Host{},
-		openJobs: map[string]*Job{}, durationRatios: map[string]*sample{}, permits: map[batch.Ref]*permit{},
+		openJobs: map[string]*Job{}, unlistedCordons: map[string]time.Time{}, durationRatios: map[string]*sample{}, permits: map[batch.Ref]*permit{},
 		backlog: newBacklog(now), unansweredStops: map[batch.Ref]struct{}{},
 		suspects: map[batch.Ref]*Task{}, startedEarlier: map[batch.Ref]struct{}{},
 	}
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"time"
 
 	"carawaymux.dev/fleet/batch"
@@ -43,6 +44,21 @@
 	return known && len(h.Assigned) == 0 && h.UnknownRuns == 0
 }
 
+// CordonUnlisted cordons a host that is not known yet. A host that joins before the cordon expires takes no
+// work until then, so that one which was called empty stays empty.
+func (s *State) CordonUnlisted(host string, now time.Time, cordon time.Duration) {
+	maps.DeleteFunc(s.unlistedCordons, func(_ string, until time.Time) bool { return now.After(until) })
+	s.unlistedCordons[host] = now.Add(cordon)
+}
+
+// applyUnlistedCordon cordons a host that has joined after a request to empty it.
+func (s *State) applyUnlistedCordon(h *Host, now time.Time) {
+	if until, ok := s.unlistedCordons[h.ID]; ok {
+		delete(s.unlistedCordons, h.ID)
+		h.CordonedAt, h.CordonedUntil = now, until
+	}
+}
+
 // fitsElsewhere reports whether some other host has room for a task.
 func (s *State) fitsElsewhere(r batch.Ref, step *batch.Step, stage *Stage, task *Task, now time.Time) bool {
 	hosts := s.candidates(now)
--- a/fleet/shard/vacate_test.go
+++ b/fleet/shard/vacate_test.go
@@ -32,3 +32,27 @@
 	unused := s.UpdateHost(port.Host{ID: "new", Pool: "pool"}, now)
 	require.True(t, s.Vacate(unused, now, time.Second), "no owner has given it work")
 }
+
+// Guards against work that starts on a host which was called empty because the list of hosts did not
+// contain it yet (AVAIL).
+func TestAHostThatJoinsAfterARequestToEmptyItTakesNoWork(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := shard.New("pool", 1, shard.Timing{Lease: 3 * time.Second, MaxLease: 6 * time.Second, Grace: 4 * time.Second}, now)
+	s.SetQueue(port.Queue{Name: "q", Pool: "pool"})
+	step := batch.Step{Count: 1, Need: batch.Size{MilliCores: 1000}, Estimate: time.Second}
+	j, _ := s.Submit("0000000000000001", batch.Spec{Queue: "q", Steps: []batch.Step{step}}, now)
+	s.MarkStored(j)
+	const cordon = 3 * time.Second
+	s.CordonUnlisted("h", now, cordon)
+
+	join := func(at time.Time) int {
+		h := s.UpdateHost(port.Host{ID: "h", Pool: "pool", Capacity: batch.Size{MilliCores: 16_000}}, at)
+		h.Stored = true
+		s.HandleReport("h", &port.HostReport{Clock: at.UnixMilli(), ReceivedAt: at}, at)
+		s.ConfirmedAt = at.Add(time.Millisecond)
+		shard.PlanWithin(s, shard.ByLoad{}, shard.Limits{Starts: 10, StartsPerHost: 10}, at, at.UnixMilli())
+		return len(s.TakeOrders())
+	}
+	require.Zero(t, join(now.Add(100*time.Millisecond)))
+	require.Equal(t, 1, join(now.Add(cordon+time.Millisecond)), "the cordon has expired")
+}
