Store the progress of large jobs in parts

Cause: the progress of a job was one record that grew with its tasks. Once it exceeded the store's limit, no end in the pool was acknowledged, and a host lists at most 500 ends that are not.

Change: a job with more than 2,048 open tasks, or whose progress exceeds a record, is stored in parts of 64 tasks, each within a share of the record; only changed parts are written. Ends are acknowledged once the store has the changes that were queued when they were counted, whatever has been queued since. A change that can never be stored ends its own job. At most 65,536 tasks of a job are open at once, and occurrences that are done leave nothing behind.

Taking out the order of the parts before their job, the rule for gangs, the restoring of parts or the condition for the acknowledgement each makes a test fail.

Test replaced: TestARecordThatExceedsTheLimitOfTheStoreIsNotCountedAsWritten asserted that the ends stay unacknowledged until the job is cancelled, which is the fault. It now asserts that no end is acknowledged before the last append that holds the progress, that each record is within the limits, and that the next owner restores all of it.

--- a/entry/owner/append.go
+++ b/entry/owner/append.go
@@ -6,6 +6,7 @@
 
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 )
 
 // recordOverheadBytes is at least what the store counts for a record in addition to its key and value.
@@ -81,6 +82,13 @@
 		}
 		journal.expiredJobs = journal.expiredJobs[1:]
 	}
+	for len(journal.staleParts) > 0 {
+		part := journal.staleParts[0]
+		if b.add(port.Record{Key: partKey(pool, part.Job, part.PartRef)}) != nil {
+			break
+		}
+		journal.staleParts = journal.staleParts[1:]
+	}
 	for len(journal.newHosts) > 0 {
 		h := journal.newHosts[0]
 		err := b.put(pool+keyHost+h.ID, h)
@@ -109,33 +117,54 @@
 		}
 		content.jobs = append(content.jobs, j)
 	}
-	if c.collectChanges(b, content) {
-		for id, h := range c.state.Hosts {
-			content.ackOnWrite[id] = countedEnds{h.CountedEnd, h.FirstAnswer}
-		}
-	}
+	c.collectChanges(b, content)
 	return b.records, content
 }
 
-// collectChanges takes the progress of jobs. It reports whether the store has all progress once the append
-// is written. Until then hosts have to keep their ends, since the next owner may need them.
-func (c *core) collectChanges(b *appendBuilder, content *appendInFlight) bool {
+// collectChanges takes the progress of jobs. Hosts have to keep their ends until the store has all progress
+// that these ends have changed, since the next owner may need them.
+func (c *core) collectChanges(b *appendBuilder, content *appendInFlight) {
+	journal := &c.journal
+	if journal.unacked == nil {
+		journal.unacked = c.snapshotEnds()
+	}
 	changes := c.state.TakeChanges()
 	for i, ch := range changes {
-		err := b.put(c.state.Pool+keyProgress+ch.Job.ID, ch.Progress)
+		err := b.put(c.progressKey(ch), ch.Encodable())
 		if errors.Is(err, errNoRoom) {
 			c.state.Requeue(changes[i:])
-			return false
+			break
 		}
-		if err != nil {
-			if !c.journal.unstorable[ch.Job] {
-				c.logger.Error("progress of a job cannot be stored; hosts keep the ends of runs until it can", "job", ch.Job.ID, "err", err)
-			}
-			c.journal.unstorable[ch.Job] = true
+		if err == nil {
+			content.changes = append(content.changes, ch)
 			continue
 		}
-		delete(c.journal.unstorable, ch.Job)
-		content.changes = append(content.changes, ch)
+		if ch.Part == nil && !ch.Progress.Parted && ch.Progress.Phase == shard.Open {
+			c.logger.Info("progress of a job exceeds a record of the store; it is stored in parts", "job", ch.Job.ID)
+			c.state.Split(ch)
+			continue
+		}
+		c.logger.Error("progress of a job cannot be stored; the job is given up", "job", ch.Job.ID, "err", err)
+		c.state.GiveUp(ch, content.startedAt)
+	}
+	if !c.state.HasChangeUpTo(journal.unacked.newestChange) {
+		content.ackOnWrite, journal.unacked = journal.unacked.ends, nil
+	}
+}
+
+// progressKey returns the key under which a change is stored.
+func (c *core) progressKey(ch shard.Change) string {
+	if ch.Part != nil {
+		return partKey(c.state.Pool, ch.Job.ID, ch.Part.PartRef)
+	}
+	return c.state.Pool + keyProgress + ch.Job.ID
+}
+
+// snapshotEnds returns the ends that are counted now.
+func (c *core) snapshotEnds() *endSnapshot {
+	out := &endSnapshot{ends: make(map[string]countedEnds, len(c.state.Hosts)), newestChange: c.state.NewestChange()}
+	for id, h := range c.state.Hosts {
+		out.ends[id] = countedEnds{h.CountedEnd, h.FirstAnswer}
 	}
-	return len(c.journal.unstorable) == 0
+	return out
 }
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -100,6 +100,7 @@
 	}
 	c.state.ConfirmedAt = acquired.ConfirmedAt
 	c.state.HasPolicyService = d.Adviser != nil
+	c.state.MaxTaskBytes = shard.MaxTaskBytes(s.MaxRecordBytes)
 	c.delays = newDelayMeter(acquired.Name, d.Stats, c.logger, time.Now())
 	return c
 }
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -36,11 +36,12 @@
 var refusedStoreUnavailable = Answer{Outcome: Refused, RetryAfter: unavailableRetryAfter, Reason: "the store is away", StoreUnavailable: true}
 
 // The keys of a pool's records consist of the pool's name, one of these infixes, and the ID of a
-// job or host. The key with keyConfirm has no ID; it is written when a claim is to be confirmed
+// job or host. In the key of a part of a job's progress, partSeparator and the part follow. The key with keyConfirm has no ID; it is written when a claim is to be confirmed
 // and there is nothing else to write.
 const (
 	keySpec     = "/j/"
 	keyProgress = "/n/"
+	keyPart     = "/p/"
 	keyHost     = "/h/"
 	keyConfirm  = "/r"
 )
@@ -49,29 +50,52 @@
 type StoredState struct {
 	Specs    map[string]batch.Spec
 	Progress map[string]shard.Progress
+	Parts    map[string][]shard.Part
 	Hosts    []port.Host
+	// OrphanedParts are parts of jobs that are not stored any more.
+	OrphanedParts []shard.StalePart
 	// Unreadable holds the errors of the records that could not be read, by key.
 	Unreadable map[string]error
 }
 
 // ReadState reads what earlier owners of a pool have stored.
 func ReadState(ctx context.Context, acquired *claim.Claim) (*StoredState, error) {
-	stored := &StoredState{Specs: map[string]batch.Spec{}, Progress: map[string]shard.Progress{}, Unreadable: map[string]error{}}
+	stored := &StoredState{
+		Specs: map[string]batch.Spec{}, Progress: map[string]shard.Progress{}, Parts: map[string][]shard.Part{}, Unreadable: map[string]error{},
+	}
 	err := acquired.Load(ctx, func(e port.Record) {
 		if err := stored.add(acquired.Name, e); err != nil {
 			// Without the record, the pool still needs an owner.
 			stored.Unreadable[e.Key] = err
 		}
 	})
+	stored.findOrphans(acquired.Name)
 	for key := range stored.Unreadable {
+		// Some of the job may have run, so nothing of it is started again.
 		if id, ok := strings.CutPrefix(key, acquired.Name+keyProgress); ok {
-			// Some of the job may have run, so nothing of it is started again.
+			delete(stored.Specs, id)
+		}
+		if part, ok := strings.CutPrefix(key, acquired.Name+keyPart); ok {
+			id, _, _ := strings.Cut(part, partSeparator)
 			delete(stored.Specs, id)
 		}
 	}
 	return stored, err
 }
 
+// findOrphans finds the parts of jobs that are not stored any more.
+func (s *StoredState) findOrphans(pool string) {
+	for id, parts := range s.Parts {
+		_, readable := s.Specs[id]
+		if _, unreadable := s.Unreadable[pool+keySpec+id]; readable || unreadable {
+			continue
+		}
+		for _, p := range parts {
+			s.OrphanedParts = append(s.OrphanedParts, shard.StalePart{Job: id, PartRef: p.PartRef})
+		}
+	}
+}
+
 func (s *StoredState) add(pool string, e port.Record) error {
 	key := e.Key[len(pool):]
 	if len(key) < len(keySpec) {
@@ -86,11 +110,18 @@
 		}
 		s.Specs[id] = v
 	case keyProgress:
-		v, err := codec.DecodeFrame[shard.Progress](e.Value)
+		v, err := decodeProgress(e.Value)
 		if err != nil {
 			return err
 		}
 		s.Progress[id] = v
+	case keyPart:
+		v, err := codec.DecodeFrame[shard.Part](e.Value)
+		if err != nil {
+			return err
+		}
+		id, _, _ = strings.Cut(id, partSeparator)
+		s.Parts[id] = append(s.Parts[id], v)
 	case keyHost:
 		v, err := codec.DecodeFrame[port.Host](e.Value)
 		if err != nil {
@@ -101,6 +132,27 @@
 	return nil
 }
 
+// partSeparator separates the ID of a job from its part.
+const partSeparator = "."
+
+// partKey returns the key of a part of a job's progress.
+func partKey(pool, job string, part shard.PartRef) string {
+	return pool + keyPart + job + partSeparator + part.String()
+}
+
+// decodeProgress decodes the progress of a job, whether its tasks are stored with it or in parts.
+func decodeProgress(raw []byte) (shard.Progress, error) {
+	p, err := codec.DecodeFrame[shard.Progress](raw)
+	if err == nil {
+		return p, nil
+	}
+	parted, partedErr := codec.DecodeFrame[shard.PartedProgress](raw)
+	if partedErr != nil {
+		return p, err
+	}
+	return parted.Progress(), nil
+}
+
 // decodeSpec decodes the specification of a job and checks it.
 func decodeSpec(raw []byte) (batch.Spec, error) {
 	spec, err := codec.DecodeFrame[batch.Spec](raw)
@@ -122,8 +174,10 @@
 	// inboxJobs holds the IDs of jobs that arrived through the inbox and are still in it. trimming
 	// holds those that are being deleted from it.
 	inboxJobs, trimming []string
-	// unstorable holds the jobs whose newest progress cannot be stored.
-	unstorable map[*shard.Job]bool
+	// staleParts are to be deleted.
+	staleParts []shard.StalePart
+	// unacked holds the ends that are acknowledged next. It is nil if there are none.
+	unacked *endSnapshot
 	// waiters holds, by job ID, the callers that wait for a submission or a cancellation.
 	waiters map[string][]waiter
 	// inFlight is the append in flight. It is nil if there is none.
@@ -175,13 +229,20 @@
 	firstAnswer time.Time
 }
 
+// endSnapshot holds the ends of runs that were counted at one time.
+type endSnapshot struct {
+	ends map[string]countedEnds
+	// newestChange is the number of the last change that an end among them can have made.
+	newestChange int64
+}
+
 // writeResult is the outcome of an append.
 type writeResult struct{ claim.WriteResult }
 
 // restore rebuilds the state from what earlier owners have stored, and opens agents for all
 // hosts that may run work.
 func (c *core) restore(stored *StoredState, config *port.Config, hosts []port.Host) {
-	c.journal.waiters, c.journal.unstorable = map[string][]waiter{}, map[*shard.Job]bool{}
+	c.journal.waiters = map[string][]waiter{}
 	now := time.Now()
 	if config != nil {
 		c.state.Configure(config)
@@ -191,13 +252,14 @@
 		if v, ok := stored.Progress[id]; ok {
 			n = &v
 		}
-		c.state.Restore(id, spec, n, now)
+		c.state.Restore(id, spec, n, now, shard.WithParts(stored.Parts[id]))
 	}
 	for id := range stored.Progress {
 		if _, ok := stored.Specs[id]; !ok {
 			c.state.RestoreCancelled(id, now)
 		}
 	}
+	c.journal.staleParts = append(stored.OrphanedParts, c.state.TakeStaleParts()...)
 	for _, h := range stored.Hosts {
 		c.state.RestoreHost(h)
 		c.openAgent(h)
@@ -228,7 +290,8 @@
 	urgent := len(journal.newJobs) > 0 || len(journal.newHosts) > 0 || c.state.NeedsFlush() || c.state.NeedsConfirmation()
 	recent := now.Sub(journal.lastAppend) < groupWindow
 	confirm := now.Sub(c.state.ConfirmedAt) > confirmInterval
-	if !urgent && !confirm && (recent || !(c.state.Dirty() || len(journal.removedHosts)+len(journal.expiredJobs) > 0)) {
+	deletions := len(journal.removedHosts) + len(journal.expiredJobs) + len(journal.staleParts)
+	if !urgent && !confirm && (recent || !(c.state.Dirty() || deletions > 0)) {
 		return
 	}
 	records, content := c.collect(now)
@@ -271,7 +334,7 @@
 	}
 	for _, ch := range written.changes {
 		c.state.MarkWritten(ch)
-		if ch.Progress.Phase != shard.Open {
+		if ch.Part == nil && ch.Progress.Phase != shard.Open {
 			late := time.Now().After(ch.Job.Objective)
 			c.deps.Stats.Add("jobs-ended", 1, "pool", c.state.Pool, "phase", string(ch.Progress.Phase), "late", strconv.FormatBool(late))
 			c.deps.Stats.Observe("job", time.Since(ch.Job.AcceptedAt), "pool", c.state.Pool)
@@ -282,6 +345,7 @@
 			c.answer(ch.Job.ID, false, Answer{Outcome: Accepted, Phase: ch.Progress.Phase})
 		}
 	}
+	journal.staleParts = append(journal.staleParts, c.state.TakeStaleParts()...)
 	c.trimInbox()
 }
 
--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -272,11 +272,26 @@
 	return l.sum
 }
 
+// maxOpenTasks limits the tasks of one job in the occurrences that are open at once. Further occurrences
+// open as earlier ones are done. One occurrence is always open.
+const maxOpenTasks = 65_536
+
+// openOccurrences returns the number of occurrences that are due and not done.
+func (j *Job) openOccurrences() int {
+	return len(j.Occurrences) - (j.Spec.Occurrences() - j.OccurrencesLeft)
+}
+
+// mayOpen reports whether another occurrence of a job may be opened.
+func (j *Job) mayOpen() bool {
+	open := j.openOccurrences()
+	return open == 0 || (open+1)*j.Spec.TaskCount() <= maxOpenTasks
+}
+
 // openDue opens the occurrences that are due. An inherited job may have more open occurrences than
 // are due by the clock of this owner.
 func (s *State) openDue(wall int64) {
 	for _, j := range s.backlog.unopened {
-		for len(j.Occurrences) < j.Spec.Occurrences() && (j.Spec.Repetitions == 0 || j.dueAt(len(j.Occurrences)) <= wall) {
+		for len(j.Occurrences) < j.Spec.Occurrences() && (j.Spec.Repetitions == 0 || j.dueAt(len(j.Occurrences)) <= wall) && j.mayOpen() {
 			s.openOccurrence(j)
 		}
 	}
--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -139,7 +139,7 @@
 		s.othersWaitedAt = now
 	}
 	s.suspects[ref] = task
-	s.markDirty(j)
+	s.markTaskDirty(j, ref)
 	if !task.Crashes.exhausted() {
 		return false
 	}
@@ -155,7 +155,7 @@
 	if j.Phase != Open || j.Spec.Steps[ref.Step].LongRunning {
 		return
 	}
-	s.markDirty(j)
+	s.markTaskDirty(j, ref)
 	if task.Crashes.Late++; task.Crashes.Late >= isolateAfter {
 		task.Crashes.Hosts, task.Crashes.Isolated = max(task.Crashes.Hosts, task.Crashes.Late), true
 		task.Crashes.Confirmed = max(task.Crashes.Confirmed, task.Crashes.Late)
@@ -223,7 +223,7 @@
 		if j.Spec.Steps[ref.Step].LongRunning && task.settled(now) {
 			task.Crashes = Crashes{}
 			delete(s.suspects, ref)
-			s.markDirty(j)
+			s.markTaskDirty(j, ref)
 		}
 	}
 }
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -45,7 +45,8 @@
 		j.Unsubmitted = false
 		return j, Duplicate
 	}
-	j := &Job{ID: id, Spec: spec, Phase: Open, StoredPhase: Open, OccurrencesLeft: spec.Occurrences(), AcceptedAt: now}
+	j := newJob(id, now)
+	j.Spec, j.OccurrencesLeft = spec, spec.Occurrences()
 	j.Objective = s.objective(j)
 	s.Jobs[id] = j
 	s.openJobs[id] = j
@@ -54,6 +55,14 @@
 	return j, Accepted
 }
 
+// newJob returns an open job of which nothing else is known.
+func newJob(id string, acceptedAt time.Time) *Job {
+	return &Job{
+		ID: id, Phase: Open, StoredPhase: Open, AcceptedAt: acceptedAt,
+		dirtyParts: map[PartRef]struct{}{}, storedParts: map[PartRef]struct{}{},
+	}
+}
+
 // objective returns the time by which a job should be complete: its acceptance, plus its critical
 // path times the stretch of the queue, plus the target of the queue.
 func (s *State) objective(j *Job) time.Time {
@@ -90,7 +99,8 @@
 func (s *State) Cancel(id string, now time.Time) *Job {
 	j := s.Jobs[id]
 	if j == nil {
-		j = &Job{ID: id, Phase: Open, StoredPhase: Open, AcceptedAt: now, Unsubmitted: true}
+		j = newJob(id, now)
+		j.Unsubmitted = true
 		s.Jobs[id] = j
 	}
 	if j.Phase == Open {
@@ -157,12 +167,8 @@
 // hasRuns reports whether some run of the job has not ended.
 func (s *State) hasRuns(j *Job) bool {
 	for oi := range j.Occurrences {
-		for si := range j.Occurrences[oi].Stages {
-			for i := range j.Occurrences[oi].Stages[si].Tasks {
-				if j.Occurrences[oi].Stages[si].Tasks[i].Status != Idle {
-					return true
-				}
-			}
+		if j.Occurrences[oi].hasRuns() {
+			return true
 		}
 	}
 	return false
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -220,7 +220,7 @@
 	c.free = c.free.Sub(step.Reservation())
 	s.recordPlacement(c, task)
 	// The next owner has to know that the run began, since it cannot tell a crash from a task that waits.
-	s.markDirty(j)
+	s.markTaskDirty(j, ref)
 	limits.Starts--
 	c.unanswered++
 	c.busy = c.unanswered >= limits.StartsPerHost
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -20,6 +20,8 @@
 	Crashes *Crashes `cbor:"5,keyasint,omitempty"`
 	// Started reports whether a run was ordered whose end has not been counted.
 	Started bool `cbor:"6,keyasint,omitempty"`
+	// FailedEarlier is the number of failed runs in addition to FailedRuns.
+	FailedEarlier int `cbor:"7,keyasint,omitempty"`
 }
 
 // OccurrenceProgress is the stored progress of an occurrence.
@@ -35,33 +37,70 @@
 type Progress struct {
 	Phase       Phase                `cbor:"1,keyasint"`
 	Occurrences []OccurrenceProgress `cbor:"2,keyasint,omitempty"`
+	// Parted reports whether the tasks are stored in parts. The occurrences then only show which
+	// of them are done. It is stored as a [PartedProgress].
+	Parted bool `cbor:"-"`
 }
 
-// Change is the progress of a job that has to be stored.
+// Change is progress that has to be stored: that of a whole job, or one part of it.
 type Change struct {
-	Job      *Job
+	Job *Job
+	// Progress is set unless Part is.
 	Progress Progress
+	Part     *Part
+	// sequence orders the changes by when they began to wait.
+	sequence int64
+}
+
+// unit is progress that waits to be stored. Its part is nil for the progress of a whole job.
+type unit struct {
+	*Job
+	part     *PartRef
+	sequence int64
 }
 
 // TakeChanges returns the progress of all jobs that changed since the last call.
 func (s *State) TakeChanges() []Change {
+	for _, u := range s.dirty {
+		if u.part == nil && !u.parted && u.Phase == Open && u.openOccurrences()*u.Spec.TaskCount() > maxWholeTasks {
+			s.Split(Change{Job: u.Job, sequence: u.sequence})
+		}
+	}
 	out := make([]Change, 0, len(s.dirty))
-	for _, j := range s.dirty {
-		j.dirty = false
-		out = append(out, Change{Job: j, Progress: progressOf(j)})
+	whole := map[*Job]bool{}
+	for _, u := range s.dirty {
+		switch {
+		case u.part != nil && u.Phase == Open && u.Occurrences[u.part.Occurrence].Left > 0:
+			part := s.partProgress(u.Job, *u.part)
+			out = append(out, Change{Job: u.Job, Part: &part, sequence: u.sequence})
+		case !whole[u.Job]:
+			// The record of the job covers the parts of ended jobs and of occurrences that are done.
+			whole[u.Job] = true
+			out = append(out, Change{Job: u.Job, Progress: progressOf(u.Job), sequence: u.sequence})
+		}
+		u.dirty = false
+		clear(u.dirtyParts)
 	}
 	s.dirty, s.endUnstored = s.dirty[:0], false
 	return out
 }
 
+// NewestChange returns a number that is at least that of each change that waits to be stored.
+func (s *State) NewestChange() int64 { return s.changeSequence }
+
+// HasChangeUpTo reports whether a change waits to be stored whose number is at most the given one.
+func (s *State) HasChangeUpTo(number int64) bool {
+	return slices.ContainsFunc(s.dirty, func(u unit) bool { return u.sequence <= number })
+}
+
 // NeedsFlush reports whether the end of some job is not stored yet. The next write should not be
 // delayed then, since callers are told of the end only once it is stored.
 func (s *State) NeedsFlush() bool {
 	if !s.endUnstored {
 		return false
 	}
-	for _, j := range s.dirty {
-		if j.Phase != j.StoredPhase {
+	for _, u := range s.dirty {
+		if u.Phase != u.StoredPhase {
 			return true
 		}
 	}
@@ -72,13 +111,28 @@
 func (s *State) Dirty() bool { return len(s.dirty) > 0 }
 
 // MarkWritten records that the store has a change.
-func (s *State) MarkWritten(c Change) { c.Job.StoredPhase = c.Progress.Phase }
+func (s *State) MarkWritten(c Change) {
+	if c.Part != nil {
+		c.Job.storedParts[c.Part.PartRef] = struct{}{}
+		return
+	}
+	c.Job.StoredPhase = c.Progress.Phase
+	s.dropStaleParts(c.Job, c.Progress)
+}
 
-// Requeue marks jobs as changed again whose changes the store has refused.
+// Requeue marks changes as not stored that had no room in an append. They keep their numbers.
 func (s *State) Requeue(changes []Change) {
+	queued := make([]unit, 0, len(changes)+len(s.dirty))
 	for _, c := range changes {
-		s.markDirty(c.Job)
+		u := unit{Job: c.Job, sequence: c.sequence}
+		if c.Part != nil {
+			u.part = &c.Part.PartRef
+		}
+		if c.Job.setDirty(u.part) {
+			queued = append(queued, u)
+		}
 	}
+	s.dirty = append(queued, s.dirty...)
 	s.endUnstored = true
 }
 
@@ -89,10 +143,11 @@
 		// An ended job needs no details, because nothing of it starts again.
 		return out
 	}
+	out.Parted = j.parted
 	for oi := range j.Occurrences {
 		occ := &j.Occurrences[oi]
-		if occ.Left == 0 {
-			out.Occurrences = append(out.Occurrences, OccurrenceProgress{Done: true})
+		if occ.Left == 0 || j.parted {
+			out.Occurrences = append(out.Occurrences, OccurrenceProgress{Done: occ.Left == 0})
 			continue
 		}
 		progress := OccurrenceProgress{Stages: make([][]TaskProgress, len(occ.Stages))}
@@ -102,13 +157,7 @@
 			}
 			tasks := make([]TaskProgress, len(occ.Stages[si].Tasks))
 			for i := range tasks {
-				task := &occ.Stages[si].Tasks[i]
-				tasks[i] = TaskProgress{Counted: task.Counted, FailedRuns: slices.Clone(task.FailedRuns), Done: task.Done, Checkpoint: task.Checkpoint}
-				tasks[i].Started = task.startedEarlier || task.Status != Idle
-				if task.Crashes != (Crashes{}) {
-					crashes := task.Crashes
-					tasks[i].Crashes = &crashes
-				}
+				tasks[i] = taskProgress(&occ.Stages[si].Tasks[i])
 			}
 			progress.Stages[si] = tasks
 		}
@@ -117,25 +166,62 @@
 	return out
 }
 
+func taskProgress(task *Task) TaskProgress {
+	out := TaskProgress{
+		Counted: task.Counted, FailedRuns: slices.Clone(task.FailedRuns), FailedEarlier: task.FailedEarlier, Done: task.Done,
+		Checkpoint: task.Checkpoint, Started: task.startedEarlier || task.Status != Idle,
+	}
+	if task.Crashes != (Crashes{}) {
+		crashes := task.Crashes
+		out.Crashes = &crashes
+	}
+	return out
+}
+
+func restoreTask(p *TaskProgress) Task {
+	out := Task{
+		Run: p.Counted, Counted: p.Counted, FailedRuns: slices.Clone(p.FailedRuns), FailedEarlier: p.FailedEarlier, Done: p.Done,
+		Checkpoint: p.Checkpoint, startedEarlier: p.Started,
+	}
+	if p.Crashes != nil {
+		out.Crashes = *p.Crashes
+	}
+	return out
+}
+
 // RestoreCancelled adds a job of which only the cancellation is stored.
 func (s *State) RestoreCancelled(id string, now time.Time) {
-	s.Jobs[id] = &Job{ID: id, Phase: Cancelled, StoredPhase: Cancelled, AcceptedAt: now, EndedAt: now, Unsubmitted: true, Stored: true}
+	j := newJob(id, now)
+	j.Phase, j.StoredPhase, j.EndedAt, j.Unsubmitted, j.Stored = Cancelled, Cancelled, now, true, true
+	s.Jobs[id] = j
 }
 
+// RestoreOption configures [State.Restore].
+type RestoreOption func(*restored)
+
+// restored is what is known of a job in addition to its progress.
+type restored struct{ parts []Part }
+
+// WithParts passes the parts of a job that are stored. They are newer than its progress.
+func WithParts(parts []Part) RestoreOption { return func(r *restored) { r.parts = parts } }
+
 // Restore adds a job that an earlier owner has stored. The progress is nil when none was stored.
-func (s *State) Restore(id string, spec batch.Spec, stored *Progress, now time.Time) {
-	age := time.Duration(now.UnixMilli()-spec.AcceptedMS) * time.Millisecond
-	j := &Job{
-		ID: id, Spec: spec, Phase: Open, OccurrencesLeft: spec.Occurrences(), Stored: true, Inherited: true,
-		AcceptedAt: now.Add(-max(age, 0)),
+func (s *State) Restore(id string, spec batch.Spec, stored *Progress, now time.Time, opts ...RestoreOption) {
+	var known restored
+	for _, opt := range opts {
+		opt(&known)
 	}
+	age := time.Duration(now.UnixMilli()-spec.AcceptedMS) * time.Millisecond
+	j := newJob(id, now.Add(-max(age, 0)))
+	j.Spec, j.OccurrencesLeft, j.Stored, j.Inherited = spec, spec.Occurrences(), true, true
 	if stored != nil {
-		j.Phase = stored.Phase
+		j.Phase, j.parted = stored.Phase, stored.Parted
 		for oi := range stored.Occurrences {
-			restoreOccurrence(j, &stored.Occurrences[oi])
+			restoreOccurrence(j, &stored.Occurrences[oi], stored.Parted)
 		}
-		j.Started = len(stored.Occurrences) > 0 && j.hasCountedEnds()
 	}
+	s.restoreParts(j, stored, known.parts)
+	j.Started = len(j.Occurrences) > 0 && j.hasCountedEnds()
 	j.StoredPhase = j.Phase
 	j.Objective = s.objective(j)
 	s.Jobs[id] = j
@@ -143,20 +229,29 @@
 		s.openJobs[id] = j
 		s.backlog.addJob(j)
 		s.addRestored(j)
+		if j.OccurrencesLeft == 0 {
+			s.closeJob(j, Completed, now)
+		}
 		return
 	}
 	// The time since its end is unknown, so the job is kept for the whole retention time again.
 	j.EndedAt = now
 }
 
-func restoreOccurrence(j *Job, stored *OccurrenceProgress) {
+// restoreOccurrence adds an occurrence from the progress of its job. If its tasks are stored in parts, nothing
+// of them is known yet.
+func restoreOccurrence(j *Job, stored *OccurrenceProgress, parted bool) {
 	j.addOccurrence()
 	occ := &j.Occurrences[len(j.Occurrences)-1]
 	if stored.Done {
-		occ.Stages, occ.work, occ.Left = nil, nil, 0
+		occ.forgetTasks()
+		occ.Left = 0
 		j.OccurrencesLeft--
 		return
 	}
+	if parted {
+		return
+	}
 	for si := range occ.Stages {
 		stage := &occ.Stages[si]
 		var tasks []TaskProgress
@@ -172,12 +267,9 @@
 			occ.Left--
 			continue
 		}
-		for i, p := range tasks {
-			stage.Tasks[i] = Task{Run: p.Counted, Counted: p.Counted, FailedRuns: slices.Clone(p.FailedRuns), Done: p.Done, Checkpoint: p.Checkpoint, startedEarlier: p.Started}
-			if p.Crashes != nil {
-				stage.Tasks[i].Crashes = *p.Crashes
-			}
-			if p.Done {
+		for i := range tasks {
+			stage.Tasks[i] = restoreTask(&tasks[i])
+			if tasks[i].Done {
 				stage.Left--
 				stage.idle--
 			}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -182,7 +182,7 @@
 	if j.Phase != Open {
 		return out, true
 	}
-	s.markDirty(j)
+	s.markTaskDirty(j, ref)
 	if e.Result == port.ResultDone || e.Result == port.ResultFailed {
 		s.recordOutcome(h, ref.Job, e.Result == port.ResultFailed, now)
 	}
@@ -233,16 +233,19 @@
 		return false
 	}
 	if !step.Gang {
-		return len(task.FailedRuns) >= limit
+		return task.failures() >= limit
 	}
 	// The members of a gang fail together. Each of their failures counts as one attempt.
 	failures := 0
 	for i := range j.Occurrences[ref.Occurrence].Stages[ref.Step].Tasks {
-		failures += len(j.Occurrences[ref.Occurrence].Stages[ref.Step].Tasks[i].FailedRuns)
+		failures += j.Occurrences[ref.Occurrence].Stages[ref.Step].Tasks[i].failures()
 	}
 	return failures >= limit
 }
 
+// failures is the number of failed runs of a task.
+func (t *Task) failures() int { return t.FailedEarlier + len(t.FailedRuns) }
+
 // completeTask marks a task as done.
 func (s *State) completeTask(j *Job, ref batch.Ref, task *Task, now time.Time) {
 	if task.Done {
@@ -257,6 +260,7 @@
 		s.orderStop(ref, task, "task is already done")
 	}
 	task.Done = true
+	s.markTaskDirty(j, ref)
 	stage.Left--
 	occ.work.terms = occ.work.terms[:0]
 	if stage.Left > 0 {
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -89,6 +89,8 @@
 	// report ends in any order, so the highest counted run does not tell which runs were counted.
 	// It stays empty for long-running work.
 	FailedRuns []int64
+	// FailedEarlier is the number of failed runs before those, of which the numbers are not kept.
+	FailedEarlier int
 	// Done is set by the first counted end that is a success, and never cleared.
 	Done bool
 	// Checkpoint is the newest checkpoint.
@@ -181,8 +183,14 @@
 	AcceptedAt, EndedAt time.Time
 	// Objective is the time by which the job should be complete.
 	Objective time.Time
-	// dirty reports whether the progress has changed since it was last taken for the store.
-	dirty bool
+	// parted reports whether the progress is stored in parts.
+	parted bool
+	// dirty reports whether the progress has changed since it was last taken for the store. For a job
+	// in parts, dirtyParts holds the parts of which that is true.
+	dirty      bool
+	dirtyParts map[PartRef]struct{}
+	// storedParts holds the parts that the store has, or may have.
+	storedParts map[PartRef]struct{}
 }
 
 // State is the scheduling state of one pool.
@@ -224,7 +232,15 @@
 	// isolatedHosts is the number of hosts that are kept for isolated tasks in the current round of planning,
 	// and maxIsolatedHosts the limit for it.
 	isolatedHosts, maxIsolatedHosts int
-	dirty                           []*Job
+	// MaxTaskBytes limits the stored progress of one task of a job that is stored in parts; 0 means no
+	// limit.
+	MaxTaskBytes int
+	// dirty holds the progress that waits to be stored, and changeSequence the number of the change that
+	// was queued last.
+	dirty          []unit
+	changeSequence int64
+	// staleParts holds the stored parts that are to be deleted.
+	staleParts []StalePart
 	// latestLost is the latest LostAt of any task.
 	latestLost time.Time
 	// openJobs holds the jobs in phase Open.
@@ -310,11 +326,37 @@
 }
 
 // markDirty marks the progress of a job as changed.
-func (s *State) markDirty(j *Job) {
-	if !j.dirty {
+func (s *State) markDirty(j *Job) { s.queueChange(unit{Job: j}) }
+
+// markTaskDirty marks the progress of a task as changed.
+func (s *State) markTaskDirty(j *Job, r batch.Ref) {
+	if !j.parted {
+		s.markDirty(j)
+		return
+	}
+	part := j.partOf(r.Occurrence, r.Step, r.Index)
+	s.queueChange(unit{Job: j, part: &part})
+}
+
+func (s *State) queueChange(u unit) {
+	if !u.setDirty(u.part) {
+		return
+	}
+	s.changeSequence++
+	u.sequence = s.changeSequence
+	s.dirty = append(s.dirty, u)
+}
+
+// setDirty marks the job, or a part of it, as changed. It reports whether it was not marked before.
+func (j *Job) setDirty(part *PartRef) bool {
+	if part == nil {
+		was := j.dirty
 		j.dirty = true
-		s.dirty = append(s.dirty, j)
+		return !was
 	}
+	_, was := j.dirtyParts[*part]
+	j.dirtyParts[*part] = struct{}{}
+	return !was
 }
 
 // release makes a task idle after its run has ended, or once it is known that it never began.
