Bound the history of turns of a pool that has no more of them

What can happen: the holder of the machines writes nothing more, so waves and moves stop. Its record of the turns grew by one entry with each turn while some pool had none; at 18 bytes a turn it exceeds a record of 262,144 bytes after some 14,500 turns (computed).

Change: turns of other pools since the own last one are told apart up to 255.

--- a/fleet/demand/demand.go
+++ b/fleet/demand/demand.go
@@ -95,6 +95,9 @@
 	minArrivals = 4
 	// maxIntervals bounds the intervals that are kept, so that old ones are forgotten.
 	maxIntervals = 12
+	// maxPassed bounds the turns of other pools since the own last one that are told apart, so that the
+	// history of a pool that has no more turns does not grow.
+	maxPassed = 255
 	// forget is the factor by which older returns and chances lose weight with each turn.
 	forget = 0.95
 )
@@ -207,6 +210,7 @@
 }
 
 func (h *History) countChance(passed int, returned bool) {
+	passed = min(passed, maxPassed)
 	for len(h.Chances) <= passed {
 		h.Chances, h.Returns = append(h.Chances, 0), append(h.Returns, 0)
 	}
@@ -268,8 +272,8 @@
 		return newPool * math.Pow(newPoolDecay, float64(p.Passed))
 	}
 	returns, chances := priorReturns, priorChances
-	if p.Passed < len(h.Chances) {
-		returns, chances = returns+h.Returns[p.Passed], chances+h.Chances[p.Passed]
+	if passed := min(p.Passed, maxPassed); passed < len(h.Chances) {
+		returns, chances = returns+h.Returns[passed], chances+h.Chances[passed]
 	}
 	return returns / chances
 }
--- a/fleet/demand/demand_test.go
+++ b/fleet/demand/demand_test.go
@@ -219,6 +219,30 @@
 	require.Equal(t, h.Snapshot(), restored.Snapshot())
 }
 
+// Guards against a holder of the machines that can write nothing more: its record of the turns grew with each
+// turn while some pool had none, until it exceeded a record of the store.
+func TestHistoryDoesNotGrowWhileAPoolHasNoTurns(t *testing.T) {
+	h := demand.NewHistory()
+	rate := func(arriving int64) demand.Rate {
+		return demand.Rate{Arrivals: 10, Arriving: arriving, Capacity: 1000, Provided: 1}
+	}
+	turn := func(pool string, at time.Time) {
+		h.Observe(map[string]demand.Rate{pool: rate(1000)}, at)
+		h.Observe(map[string]demand.Rate{pool: rate(0)}, at.Add(4*time.Second))
+	}
+	turn("idle", start)
+	size := func() int {
+		s := h.Snapshot()
+		return len(s.Returns) + len(s.Chances) + len(s.Intervals)
+	}
+	const turns = 20_000
+	for i := range turns {
+		turn("busy", start.Add(time.Duration(i+1)*10*time.Second))
+		require.LessOrEqual(t, size(), 600, "after %d turns", i+1)
+	}
+	require.GreaterOrEqual(t, h.Turns, turns)
+}
+
 func TestSnapshotsThatContradictThemselvesAreDropped(t *testing.T) {
 	for _, s := range []demand.Snapshot{
 		{Returns: []float64{1}},
