Choose the machines of a large wave in less time

Cause: for each machine chosen, each waiting machine was looked up in the list of those chosen before, so a wave of n machines took n^3 steps.

The choices are the same.

--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -176,13 +176,14 @@
 	concurrency := requiredConcurrency(w, len(waiting), now)
 	slots := w.MaxDown - down - len(w.Emptying)
 	var out []string
+	chosen := map[string]bool{}
 	for slots > 0 {
-		m := bestMachine(policy, w, waiting, out, machines, pools, concurrency)
+		m := bestMachine(policy, w, waiting, chosen, machines, pools, concurrency)
 		if m == "" {
 			return out
 		}
 		pools[machines[m].Pool].Unavailable++
-		out = append(out, m)
+		out, chosen[m] = append(out, m), true
 		slots--
 	}
 	return out
@@ -201,12 +202,12 @@
 // bestMachine returns the waiting machine with the lowest rank among those whose pools may have
 // one more machine unavailable, or "" when there is none.
 func bestMachine[P Policy](
-	policy P, w *Wave, waiting, chosen []string, machines map[string]port.Machine, pools map[string]*Pool, concurrency int,
+	policy P, w *Wave, waiting []string, chosen map[string]bool, machines map[string]port.Machine, pools map[string]*Pool, concurrency int,
 ) string {
 	best, rank := "", 0
 	for _, id := range waiting {
 		m, ok := machines[id]
-		if _, emptying := w.Emptying[id]; !ok || emptying || m.State != port.MachineUp || slices.Contains(chosen, id) {
+		if _, emptying := w.Emptying[id]; !ok || emptying || m.State != port.MachineUp || chosen[id] {
 			continue
 		}
 		p := pools[m.Pool]
