Keep the records of the holder of the machines within the store's limits

What can happen: the holder's record of the machines that it may order grows with the fleet, and is part of each of its appends. Over a record of the store the holder writes nothing more, so moves and waves stop.

Change: machines that do not fit wait to be authorized until others no longer need to be recorded. An append takes as many records as it has room for, and a record that can never be stored is dropped and logged. Ages of the last orders that do not fit are left out, so that the next holder waits longer.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -79,6 +79,9 @@
 	// Term is the time that has to pass after the last call of one holder that may order a
 	// machine before another holder may send orders to that machine.
 	Term time.Duration
+	// MaxRecordBytes and MaxRequestBytes are the store's limits on a record and on all records of
+	// one append. 0 means no limit.
+	MaxRecordBytes, MaxRequestBytes int
 	// MoveTime is the time that the platform takes to move a machine to another pool.
 	MoveTime time.Duration
 	// OrdersPerSecond is the number of orders that the machine service accepts per second from all
@@ -311,14 +314,44 @@
 			c.authorizing[id] = at
 		}
 	}
+	var later []string
 	for _, id := range c.toAuthorize {
+		if _, renewed := c.authorizing[id]; !renewed && !c.fitsRecord(authorizedBytes(c.authorizing)+len(id)+len(machineSeparator)) {
+			later = append(later, id)
+			continue
+		}
 		c.authorizing[id] = now
 	}
-	records := append(c.unwritten, authorizedRecord(c.authorizing))
-	c.unwritten, c.toAuthorize = nil, nil
+	c.toAuthorize = later
+	authorized := authorizedRecord(c.authorizing)
+	records := append(c.takeUnwritten(authorized.StoredBytes()), authorized)
 	c.writeInFlight = c.writer.Write(records)
 }
 
+// fitsRecord reports whether the store accepts a record of a number of bytes.
+func (c *core) fitsRecord(bytes int) bool {
+	return c.settings.MaxRecordBytes <= 0 || bytes <= c.settings.MaxRecordBytes
+}
+
+// takeUnwritten takes the records that fit into one append beside a number of bytes, in their order. Records
+// that the store can never accept are dropped.
+func (c *core) takeUnwritten(bytes int) []port.Record {
+	var taken []port.Record
+	for len(c.unwritten) > 0 {
+		r := c.unwritten[0]
+		if !c.fitsRecord(r.StoredBytes()) {
+			c.logger.Error("record exceeds the limit of the store; dropped", "key", r.Key, "bytes", r.StoredBytes())
+			c.unwritten = c.unwritten[1:]
+			continue
+		}
+		if bytes += r.StoredBytes(); c.settings.MaxRequestBytes > 0 && bytes > c.settings.MaxRequestBytes {
+			break
+		}
+		taken, c.unwritten = append(taken, r), c.unwritten[1:]
+	}
+	return taken
+}
+
 // mayOrder reports whether an order may be sent to a machine. Three conditions have to hold.
 // The claim has been confirmed recently enough that no other holder can have finished its wait.
 // If an earlier holder may have ordered the machine, the wait for its orders has ended, and the
--- a/entry/mover/mover_test.go
+++ b/entry/mover/mover_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,10 +30,14 @@
 
 // memoryStore is a store that keeps the newest value of each key. Only the goroutine that reads
 // the requests accesses its state.
-type memoryStore struct{ requests chan func(map[string][]byte) }
+type memoryStore struct {
+	requests chan func(map[string][]byte)
+	// largest is the size of the largest record that was appended.
+	largest *atomic.Int64
+}
 
 func newMemoryStore(t *testing.T) memoryStore {
-	m := memoryStore{make(chan func(map[string][]byte))}
+	m := memoryStore{make(chan func(map[string][]byte)), new(atomic.Int64)}
 	go func() {
 		values := map[string][]byte{}
 		for do := range m.requests {
@@ -48,6 +53,7 @@
 	m.requests <- func(values map[string][]byte) {
 		for _, e := range records {
 			values[s.Topic+e.Key] = e.Value
+			m.largest.Store(max(m.largest.Load(), int64(e.StoredBytes())))
 		}
 		close(done)
 	}
@@ -147,9 +153,14 @@
 func (discardReports) ReportWave(context.Context, int64, bool) error { return nil }
 
 func startMoverWith(t *testing.T, m memoryStore, d mover.Deps) duties.Holder {
+	t.Helper()
+	return startMoverWithin(t, m, d, mover.Settings{Holder: "h", Term: term})
+}
+
+func startMoverWithin(t *testing.T, m memoryStore, d mover.Deps, s mover.Settings) duties.Holder {
 	t.Helper()
 	d.Vacate = func(context.Context, string, string) (owner.Answer, bool) { return owner.Answer{Vacant: true}, true }
-	start := mover.Starter(mover.Settings{Holder: "h", Term: term}, d)
+	start := mover.Starter(s, d)
 	acquired, err := claim.Acquire(t.Context(), m, mover.ClaimName, "h", time.Now().UnixNano(), 4)
 	require.NoError(t, err)
 	build, err := start(t.Context(), acquired)
--- a/entry/mover/stored.go
+++ b/entry/mover/stored.go
@@ -130,6 +130,16 @@
 	return port.Record{Key: ClaimName + keyAuthorized, Value: []byte(names + machineSeparator)}
 }
 
+// authorizedBytes is what the store counts for the record of authorized machines.
+func authorizedBytes(authorized map[string]time.Time) int {
+	empty := authorizedRecord(nil)
+	size := empty.StoredBytes()
+	for id := range authorized {
+		size += len(id) + len(machineSeparator)
+	}
+	return size
+}
+
 // forecastRecord returns the record of what was observed of the turns of the pools.
 func forecastRecord(h *demand.History) (port.Record, error) {
 	value, err := codec.EncodeFrame(h.Snapshot())
@@ -167,7 +177,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
-	if _, err := c.claim.Append(ctx, append(c.unwritten, lastOrdersRecord(c.orderedAt, now, interval))); err != nil {
+	records := c.takeUnwritten(0)
+	if ages := lastOrdersRecord(c.orderedAt, now, interval); c.fitsRecord(ages.StoredBytes()) {
+		records = append(records, ages)
+	}
+	if _, err := c.claim.Append(ctx, records); err != nil {
 		c.logger.Warn("ages of the last orders not recorded; the next holder waits longer before it sends orders",
 			"err", err)
 	}
--- a/entry/owner/append.go
+++ b/entry/owner/append.go
@@ -9,9 +9,6 @@
 	"carawaymux.dev/fleet/shard"
 )
 
-// recordOverheadBytes is at least what the store counts for a record in addition to its key and value.
-const recordOverheadBytes = 16
-
 var (
 	// errNoRoom means that an append has no room for further records.
 	errNoRoom = errors.New("the append has no room for the record")
@@ -37,7 +34,7 @@
 func (b *appendBuilder) add(records ...port.Record) error {
 	size := 0
 	for _, r := range records {
-		n := recordOverheadBytes + len(r.Key) + len(r.Value)
+		n := r.StoredBytes()
 		if len(r.Key) > port.MaxKeyBytes || b.maxRecordBytes > 0 && n > b.maxRecordBytes {
 			return errTooLarge
 		}
--- a/fleet/port/log.go
+++ b/fleet/port/log.go
@@ -27,6 +27,12 @@
 	Offset int64
 }
 
+// recordOverheadBytes is at least what the store counts for a record in addition to its key and value.
+const recordOverheadBytes = 16
+
+// StoredBytes is at least what the store counts for the record.
+func (r *Record) StoredBytes() int { return recordOverheadBytes + len(r.Key) + len(r.Value) }
+
 // Writer fences appends. The store refuses an append whose epoch is lower than one it has seen for
 // the same name, and does not append a repeated sequence number again.
 type Writer struct {
