Refuse a submission at once that the store can never hold

What callers saw: a job over a record of the store that reached no owner was answered with 504 after the store had refused it, so callers repeated it.

Change: the entry compares the record with the store's limit before it writes to the inbox, and refuses with the reason. Owners did so already.

Evidence: TestJobOverTheLimitOfTheStoreIsRefusedAtOnce; without the check the job of 1,000 bytes of text is accepted under a limit of 1,000 bytes by the stand-in.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,8 @@
 	Logger *slog.Logger
 	// Partitions is the number of partitions of each topic of the store.
 	Partitions int
+	// MaxRecordBytes is the store's limit on a record. 0 means no limit.
+	MaxRecordBytes int
 
 	// ownerUnreachableAt is the time of the last failed attempt to reach an owner, in
 	// nanoseconds since 1970.
@@ -241,6 +244,11 @@
 		return owner.Answer{Outcome: owner.Refused, Reason: err.Error()}
 	}
 	record := port.Record{Key: q.Pool + "/" + id, Value: value}
+	if n.MaxRecordBytes > 0 && record.StoredBytes() > n.MaxRecordBytes {
+		// No owner can store the job either.
+		return owner.Answer{Outcome: owner.Refused, Reason: fmt.Sprintf(
+			"the job takes %d bytes in the store, at most %d are allowed", record.StoredBytes(), n.MaxRecordBytes)}
+	}
 	_, err = n.Log.Append(ctx, owner.InboxStream(q.Pool, n.Partitions), []port.Record{record}, nil, -1)
 	if err == nil {
 		n.Logger.Info("job left in the inbox", "job", id, "pool", q.Pool)
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,6 +100,27 @@
 	require.Equal(t, owner.Unknown, a.Outcome)
 }
 
+// Guards against callers that repeat a job which the store can never hold: its outcome counted as unknown.
+func TestJobOverTheLimitOfTheStoreIsRefusedAtOnce(t *testing.T) {
+	const maxRecordBytes = 1000
+	for _, c := range []struct {
+		text    int
+		outcome owner.Outcome
+		appends int
+	}{{800, owner.Accepted, 1}, {1000, owner.Refused, 0}} {
+		log := &fakeLog{}
+		n := newIntake(fakeView{}, fakePeers{err: peers.ErrUnsent}, log)
+		n.MaxRecordBytes = maxRecordBytes
+		spec := batch.Spec{Queue: "q", Text: strings.Repeat("x", c.text)}
+		a := n.Submit(t.Context(), queue, "0123456789abcdef", spec)
+		require.Equal(t, c.outcome, a.Outcome)
+		require.Equal(t, c.appends, log.count)
+		if a.Outcome == owner.Refused {
+			require.Contains(t, a.Reason, "at most 1000 are allowed")
+		}
+	}
+}
+
 func TestSubmitIsUnknownWhenStoreTimesOut(t *testing.T) {
 	n := newIntake(fakeView{}, fakePeers{err: peers.ErrUnsent}, &fakeLog{silent: true})
 	a, _ := submit(n)
