Count what an earlier holder of the machines may still order

What operators saw: two machines of a wave with a cap of 1 were down at once.

Cause: a holder may order for Term - Call (2.1 s) after its last confirmed write. Its successor started 1.3 s after that and did not count the machines that the holder had recorded.

Until a list that was requested after SettledAfter, the successor counts the recorded machines against the cap and their pool, and keeps them in its own record for a third holder. A machine counts as ordered by whoever a list shows to have done it.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -42,11 +43,6 @@
 	// of a pool, which must not delay the other pools.
 	callTimeout = 900 * time.Millisecond
 	askTimeout  = 250 * time.Millisecond
-	// lateOrderMargin is the last part of the wait for an earlier holder's orders, in which
-	// none of them can still be carried out. A holder begins no step that may order a machine
-	// once its claim has not been confirmed for a term less callTimeout, and a step takes at
-	// most askTimeout and callTimeout.
-	lateOrderMargin = callTimeout - askTimeout
 	// confirmInterval is the maximum time for which the claim goes without a write that
 	// confirms it.
 	confirmInterval = 800 * time.Millisecond
@@ -116,13 +112,12 @@
 	logger   *slog.Logger
 	claim    *claim.Claim
 	writer   *claim.Writer
-	// orderableAt holds the machines to which an earlier holder may have sent orders, and the
-	// time from which this holder may send them orders. By then the last order of the earlier
-	// holder is at least Term plus callTimeout old.
-	orderableAt map[string]time.Time
+	timing   upkeep.Timing
+	// earlier holds the machines to which an earlier holder may have sent orders.
+	earlier map[string]earlierOrders
 	// authorized holds the machines that the store records as ones to which this holder may
-	// send orders, and when each was last added to a write. authorizing is what replaces it
-	// once the write in flight is answered.
+	// send orders, and when each was last added to a write. The write in flight keeps all of
+	// them. authorizing is what replaces it once that write is answered.
 	authorized, authorizing map[string]time.Time
 	// confirmedAt is when the newest answered write was sent; the claim is confirmed as of that
 	// time. unwritten holds the records of the next write.
@@ -190,9 +185,9 @@
 	m := &Mover{lost: make(chan struct{})}
 	c := &core{
 		mover: m, settings: s, deps: d, claim: acquired, stored: stored, confirmedAt: acquired.ConfirmedAt,
-		orderableAt: stored.orderableAt(time.Now(), s.Term+callTimeout),
-		logger:      d.Logger.With("holder", s.Holder, "epoch", acquired.Epoch),
-		waves:       map[int64]*upkeep.Wave{}, reportFailedAt: map[int64]time.Time{}, reportInFlight: map[int64]bool{},
+		timing: orderTiming(s.Term), earlier: stored.earlierOrders(time.Now(), orderTiming(s.Term)),
+		logger: d.Logger.With("holder", s.Holder, "epoch", acquired.Epoch),
+		waves:  map[int64]*upkeep.Wave{}, reportFailedAt: map[int64]time.Time{}, reportInFlight: map[int64]bool{},
 		standby: map[string]bool{}, authorized: map[string]time.Time{}, orderedStateAt: map[string]time.Time{},
 		sizing: sizing.NewState(), forecast: newForecast(stored.turns), orders: newOrderLimit(s.OrdersPerSecond), moves: map[string]move{}, stepInFlight: map[string]bool{},
 		loadAnswers: map[string]loadAnswer{}, loadInFlight: map[string]bool{}, orderedAt: map[string]time.Time{},
@@ -308,22 +303,28 @@
 	if c.writeInFlight || (len(c.unwritten)+len(c.toAuthorize) == 0 && now.Sub(c.confirmedAt) < confirmInterval) {
 		return
 	}
-	c.authorizing = map[string]time.Time{}
-	for id, at := range c.authorized {
-		if now.Sub(at) < c.settings.Term+callTimeout {
-			c.authorizing[id] = at
+	maps.DeleteFunc(c.authorized, func(_ string, at time.Time) bool { return now.Sub(at) >= c.timing.OrderableAfter() })
+	c.authorizing = maps.Clone(c.authorized)
+	recorded := map[string]bool{}
+	for id := range c.authorized {
+		recorded[id] = true
+	}
+	for id, e := range c.earlier {
+		if now.Before(e.settledAt) {
+			// A successor has to expect orders of the earlier holder too.
+			recorded[id] = true
 		}
 	}
 	var later []string
 	for _, id := range c.toAuthorize {
-		if _, renewed := c.authorizing[id]; !renewed && !c.fitsRecord(authorizedBytes(c.authorizing)+len(id)+len(machineSeparator)) {
+		if !recorded[id] && !c.fitsRecord(authorizedBytes(recorded)+len(id)+len(machineSeparator)) {
 			later = append(later, id)
 			continue
 		}
-		c.authorizing[id] = now
+		c.authorizing[id], recorded[id] = now, true
 	}
 	c.toAuthorize = later
-	authorized := authorizedRecord(c.authorizing)
+	authorized := authorizedRecord(recorded)
 	records := append(c.takeUnwritten(authorized.StoredBytes()), authorized)
 	c.writeInFlight = c.writer.Write(records)
 }
@@ -358,10 +359,10 @@
 // list of machines was requested late enough to show them. The store has recorded that this
 // holder may send orders to the machine.
 func (c *core) mayOrder(machine string, now time.Time) bool {
-	if now.Sub(c.confirmedAt) > c.settings.Term-callTimeout {
+	if now.Sub(c.confirmedAt) > c.timing.BeginWithin() {
 		return false
 	}
-	if at, ok := c.orderableAt[machine]; ok && (now.Before(at) || c.listedAt.Before(at.Add(-lateOrderMargin))) {
+	if e, ok := c.earlier[machine]; ok && (now.Before(e.orderableAt) || !e.settled(c.listedAt)) {
 		return false
 	}
 	_, ok := c.authorized[machine]
--- a/entry/mover/mover_test.go
+++ b/entry/mover/mover_test.go
@@ -157,9 +157,11 @@
 	return startMoverWithin(t, m, d, mover.Settings{Holder: "h", Term: term})
 }
 
-func startMoverWithin(t *testing.T, m memoryStore, d mover.Deps, s mover.Settings) duties.Holder {
+func startMoverWithin(t *testing.T, m port.Log, d mover.Deps, s mover.Settings) duties.Holder {
 	t.Helper()
-	d.Vacate = func(context.Context, string, string) (owner.Answer, bool) { return owner.Answer{Vacant: true}, true }
+	if d.Vacate == nil {
+		d.Vacate = func(context.Context, string, string) (owner.Answer, bool) { return owner.Answer{Vacant: true}, true }
+	}
 	start := mover.Starter(s, d)
 	acquired, err := claim.Acquire(t.Context(), m, mover.ClaimName, "h", time.Now().UnixNano(), 4)
 	require.NoError(t, err)
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -136,8 +136,8 @@
 	for id, m := range c.moves {
 		in.Moving[id] = m.Move
 	}
-	for id, orderableAt := range c.orderableAt {
-		in.Held[id] = now.Before(orderableAt)
+	for id, e := range c.earlier {
+		in.Held[id] = now.Before(e.orderableAt)
 	}
 	for _, w := range c.openWaves() {
 		for id := range w.Emptying {
@@ -175,12 +175,12 @@
 	if !ok {
 		return
 	}
-	isEmpty := c.emptyCheck(m.From, m.Host)
+	s := step{began: now, mayOrder: mayOrder, isEmpty: c.emptyCheck(m.From, m.Host)}
 	c.runInBackground(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
 		result := moveResult{machine: m.Machine}
-		if isEmpty(ctx) && mayOrder {
-			result.outcome, result.err = c.deps.Machines.Move(ctx, m.Machine, m.To, c.settings.Holder, c.claim.Epoch)
-		}
+		result.outcome, result.err = s.run(ctx, c.timing, func(ctx context.Context) (port.OrderOutcome, error) {
+			return c.deps.Machines.Move(ctx, m.Machine, m.To, c.settings.Holder, c.claim.Epoch)
+		})
 		return result
 	})
 }
--- a/entry/mover/stored.go
+++ b/entry/mover/stored.go
@@ -12,6 +12,7 @@
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/demand"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/upkeep"
 )
 
 const (
@@ -41,17 +42,23 @@
 	started map[string]bool
 	// seenAt holds, by wave number, when a wave was first seen, in milliseconds since 1970.
 	seenAt map[int64]int64
-	// authorized holds the machines to which the last holder may have sent orders recently, and
-	// the minimum age of the last order to each. The age is 0 if the holder may have sent orders
-	// until its end.
-	authorized map[string]time.Duration
+	// authorized holds the machines to which the last holder may have sent orders recently.
+	authorized map[string]lastOrder
 	// turns is what earlier holders have observed of the turns of the pools, or nil.
 	turns *demand.History
 }
 
+// lastOrder is what a holder has recorded of its orders to a machine.
+type lastOrder struct {
+	// age is the minimum age of the last order. It is 0 if the holder may have sent orders until its end.
+	age time.Duration
+	// final reports whether neither that holder nor one before it can send further orders.
+	final bool
+}
+
 // readStored reads what earlier holders have stored.
 func readStored(ctx context.Context, acquired *claim.Claim) (storedState, error) {
-	stored := storedState{started: map[string]bool{}, seenAt: map[int64]int64{}, authorized: map[string]time.Duration{}}
+	stored := storedState{started: map[string]bool{}, seenAt: map[int64]int64{}, authorized: map[string]lastOrder{}}
 	err := acquired.Load(ctx, func(e port.Record) {
 		if rest, ok := strings.CutPrefix(e.Key, ClaimName+keySeen); ok {
 			stored.addSeen(rest, string(e.Value))
@@ -99,39 +106,41 @@
 }
 
 // parseAuthorized decodes the record of authorized machines.
-func parseAuthorized(value string) map[string]time.Duration {
-	out := map[string]time.Duration{}
+func parseAuthorized(value string) map[string]lastOrder {
+	out := map[string]lastOrder{}
 	for _, row := range strings.Fields(value) {
 		machine, age, _ := strings.Cut(row, ageSeparator)
-		// A machine without a readable age counts as ordered just now.
+		// A machine without a readable age counts as one that is still being ordered.
 		ms, err := strconv.ParseInt(age, 10, 64)
 		if err != nil {
 			ms = 0
 		}
-		out[machine] = time.Duration(ms) * time.Millisecond
+		out[machine] = lastOrder{age: time.Duration(ms) * time.Millisecond, final: err == nil}
 	}
 	return out
 }
 
-// orderableAt returns, for each authorized machine, the time from which a holder that starts
-// now may send orders to it. Interval is the time that has to pass after an order of an earlier
-// holder.
-func (s storedState) orderableAt(now time.Time, interval time.Duration) map[string]time.Time {
-	out := make(map[string]time.Time, len(s.authorized))
-	for machine, age := range s.authorized {
-		out[machine] = now.Add(interval - age)
+// earlierOrders returns what a holder that starts now knows of the authorized machines.
+func (s storedState) earlierOrders(now time.Time, t upkeep.Timing) map[string]earlierOrders {
+	out := make(map[string]earlierOrders, len(s.authorized))
+	for machine, last := range s.authorized {
+		e := earlierOrders{orderableAt: now.Add(t.OrderableAfter() - last.age)}
+		if !last.final {
+			e.settledAt = now.Add(t.SettledAfter())
+		}
+		out[machine] = e
 	}
 	return out
 }
 
-// authorizedRecord records the machines to which the holder may send orders from now on.
-func authorizedRecord(authorized map[string]time.Time) port.Record {
+// authorizedRecord records the machines to which the holder, or one before it, may send orders from now on.
+func authorizedRecord(authorized map[string]bool) port.Record {
 	names := strings.Join(slices.Sorted(maps.Keys(authorized)), machineSeparator)
 	return port.Record{Key: ClaimName + keyAuthorized, Value: []byte(names + machineSeparator)}
 }
 
 // authorizedBytes is what the store counts for the record of authorized machines.
-func authorizedBytes(authorized map[string]time.Time) int {
+func authorizedBytes(authorized map[string]bool) int {
 	empty := authorizedRecord(nil)
 	size := empty.StoredBytes()
 	for id := range authorized {
@@ -147,10 +156,14 @@
 }
 
 // lastOrdersRecord records the age of the last order to each machine, for a holder that sends no
-// more orders. Orders older than interval are left out.
-func lastOrdersRecord(orderedAt map[string]time.Time, now time.Time, interval time.Duration) port.Record {
-	var rows []string
+// more orders. Orders older than interval are left out. Machines that a holder before it may still order are
+// recorded without an age.
+func lastOrdersRecord(orderedAt map[string]time.Time, unsettled map[string]bool, now time.Time, interval time.Duration) port.Record {
+	rows := slices.Sorted(maps.Keys(unsettled))
 	for _, machine := range slices.Sorted(maps.Keys(orderedAt)) {
+		if unsettled[machine] {
+			continue
+		}
 		// orderedAt is when the host was asked to become empty. The order itself may have
 		// followed up to askTimeout later.
 		if age := now.Sub(orderedAt[machine]) - askTimeout; age < interval {
@@ -168,17 +181,21 @@
 		return
 	}
 	now := time.Now()
-	interval := c.settings.Term + callTimeout
+	interval := c.timing.OrderableAfter()
 	// Orders of the previous holder may be just as recent.
-	for machine, orderableAt := range c.orderableAt {
-		if at := orderableAt.Add(-interval); at.After(c.orderedAt[machine]) {
+	unsettled := map[string]bool{}
+	for machine, e := range c.earlier {
+		if at := e.orderableAt.Add(-interval); at.After(c.orderedAt[machine]) {
 			c.orderedAt[machine] = at
 		}
+		if now.Before(e.settledAt) {
+			unsettled[machine] = true
+		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	records := c.takeUnwritten(0)
-	if ages := lastOrdersRecord(c.orderedAt, now, interval); c.fitsRecord(ages.StoredBytes()) {
+	if ages := lastOrdersRecord(c.orderedAt, unsettled, now, interval); c.fitsRecord(ages.StoredBytes()) {
 		records = append(records, ages)
 	}
 	if _, err := c.claim.Append(ctx, records); err != nil {
--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -18,7 +18,7 @@
 
 // chooseMachines selects the machines of a wave to empty next.
 func (c *core) chooseMachines(w *upkeep.Wave, now time.Time) {
-	for _, id := range upkeep.Next(upkeep.StandbyFirst{}, w, c.machines, c.standby, now) {
+	for _, id := range upkeep.Next(upkeep.StandbyFirst{}, w, c.machines, c.standby, c.contested(), now) {
 		w.Emptying[id] = now
 		c.logger.Info("machine to be emptied", "wave", w.Number, "machine", id, "pool", c.machines[id].Pool)
 	}
@@ -31,12 +31,12 @@
 	if !ok {
 		return
 	}
-	isEmpty := c.emptyCheck(m.Pool, m.Host)
+	s := step{began: now, mayOrder: mayOrder && w.MayStart(m.ID, c.machines, c.stepInFlight), isEmpty: c.emptyCheck(m.Pool, m.Host)}
 	c.runInBackground(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
 		result := maintenanceResult{wave: w, machine: m.ID}
-		if isEmpty(ctx) && mayOrder {
-			result.outcome, result.err = c.deps.Machines.StartMaintenance(ctx, m.ID, w.Number, c.settings.Holder, c.claim.Epoch)
-		}
+		result.outcome, result.err = s.run(ctx, c.timing, func(ctx context.Context) (port.OrderOutcome, error) {
+			return c.deps.Machines.StartMaintenance(ctx, m.ID, w.Number, c.settings.Holder, c.claim.Epoch)
+		})
 		return result
 	})
 }
--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -152,10 +152,14 @@
 )
 
 // Next chooses the machines to empty now. Machines that are unavailable for another reason
-// count against their pool.
-func Next[P Policy](policy P, w *Wave, machines map[string]port.Machine, standby map[string]bool, now time.Time) []string {
+// count against their pool. The contested machines are those that an earlier holder may still order: they
+// count as down, and go first, since they take no further slot.
+func Next[P Policy](
+	policy P, w *Wave, machines map[string]port.Machine, standby, contested map[string]bool, now time.Time,
+) []string {
 	pools := map[string]*Pool{}
 	down := len(w.Down)
+	var taken []string
 	for id, m := range machines {
 		p := pools[m.Pool]
 		if p == nil {
@@ -164,19 +168,31 @@
 		}
 		p.Machines++
 		_, emptying := w.Emptying[id]
-		if m.State != port.MachineUp || emptying {
+		if m.State != port.MachineUp || emptying || contested[id] {
 			p.Unavailable++
 		}
-		if _, counted := w.Down[id]; !counted && m.State == port.MachineMaintenance && slices.Contains(w.Machines, id) {
-			// An earlier holder of the wave has started its maintenance.
+		_, counted := w.Down[id]
+		if counted || !(m.State == port.MachineMaintenance || contested[id]) || !slices.Contains(w.Machines, id) {
+			continue
+		}
+		switch {
+		case m.State == port.MachineMaintenance:
+			// Another holder of the wave has started its maintenance.
 			down++
+		case !emptying && !w.Started[id]:
+			taken = append(taken, id)
 		}
 	}
 	waiting := w.Remaining()
-	concurrency := requiredConcurrency(w, len(waiting), now)
 	slots := w.MaxDown - down - len(w.Emptying)
-	var out []string
+	out := nextContested(w, waiting, taken, machines, slots)
+	// Those that are not chosen may be ordered all the same.
+	slots -= len(taken)
 	chosen := map[string]bool{}
+	for _, id := range out {
+		chosen[id] = true
+	}
+	concurrency := requiredConcurrency(w, len(waiting), now)
 	for slots > 0 {
 		m := bestMachine(policy, w, waiting, chosen, machines, pools, concurrency)
 		if m == "" {
@@ -189,6 +205,32 @@
 	return out
 }
 
+// MayStart reports whether the maintenance of a machine may start now. While no other holder orders machines of
+// the wave, it may as soon as Next has chosen the machine. The machines that are being ordered are in flight.
+func (w *Wave) MayStart(machine string, machines map[string]port.Machine, inFlight map[string]bool) bool {
+	others := 0
+	for _, id := range w.Machines {
+		_, down := w.Down[id]
+		_, emptying := w.Emptying[id]
+		if id != machine && (down || machines[id].State == port.MachineMaintenance || (emptying && inFlight[id])) {
+			others++
+		}
+	}
+	return others < w.MaxDown
+}
+
+// nextContested returns the contested machines of a wave that need maintenance, at most as many as there are
+// slots.
+func nextContested(w *Wave, waiting, contested []string, machines map[string]port.Machine, slots int) []string {
+	var out []string
+	for _, id := range waiting {
+		if len(out) < slots && machines[id].State == port.MachineUp && slices.Contains(contested, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // requiredConcurrency returns how many machines must be emptied or maintained at once so that the
 // wave ends in time.
 func requiredConcurrency(w *Wave, waiting int, now time.Time) int {
--- a/fleet/upkeep/upkeep_test.go
+++ b/fleet/upkeep/upkeep_test.go
@@ -36,7 +36,7 @@
 func TestStandbyGoesFirstWithinMaxDown(t *testing.T) {
 	machines := fleet(map[string]int{"a": 8, "spare": 4})
 	w := wave(machines, 3)
-	next := upkeep.Next(upkeep.StandbyFirst{}, w, machines, map[string]bool{"spare": true}, start)
+	next := upkeep.Next(upkeep.StandbyFirst{}, w, machines, map[string]bool{"spare": true}, nil, start)
 	require.Len(t, next, 3)
 	for _, id := range next {
 		require.Equal(t, "spare", machines[id].Pool)
@@ -49,10 +49,10 @@
 		machines := fleet(map[string]int{"a": size})
 		w := wave(machines, 10)
 		late := start.Add(w.TimeLimit)
-		require.Less(t, len(upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, late)), size)
+		require.Less(t, len(upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, nil, late)), size)
 	}
 	machines := fleet(map[string]int{"a": 1})
-	require.Len(t, upkeep.Next(upkeep.StandbyFirst{}, wave(machines, 10), machines, nil, start), 1)
+	require.Len(t, upkeep.Next(upkeep.StandbyFirst{}, wave(machines, 10), machines, nil, nil, start), 1)
 }
 
 // Guards against more machines down than MaxDown: machines that had just gone down were not
@@ -64,23 +64,23 @@
 		w.Started[id] = true
 		w.Down[id] = start
 	}
-	require.Empty(t, upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, start))
+	require.Empty(t, upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, nil, start))
 	w.ObserveMachines(machines, start.Add(-time.Second))
-	require.Empty(t, upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, start), "a list requested before the maintenance started is ignored")
+	require.Empty(t, upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, nil, start), "a list requested before the maintenance started is ignored")
 	w.ObserveMachines(machines, start.Add(time.Second))
-	require.Len(t, upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, start), 2)
+	require.Len(t, upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, nil, start), 2)
 	// A machine taken down by an earlier holder shows in the list only.
 	m := machines["a-3"]
 	m.State = port.MachineMaintenance
 	machines["a-3"] = m
-	require.Len(t, upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, start), 1)
+	require.Len(t, upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, nil, start), 1)
 }
 
 func TestLateWaveTakesMoreOfPool(t *testing.T) {
 	machines := fleet(map[string]int{"a": 12})
 	w := wave(machines, 12)
-	early := len(upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, start))
-	late := len(upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, start.Add(25*time.Second)))
+	early := len(upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, nil, start))
+	late := len(upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, nil, start.Add(25*time.Second)))
 	require.Greater(t, late, early)
 }
 
@@ -130,13 +130,50 @@
 	require.False(t, w.Done())
 }
 
+// Guards against more machines down than MaxDown: those that an earlier holder may still order were not counted.
+func TestContestedMachinesCountAsDownAndGoFirst(t *testing.T) {
+	machines := fleet(map[string]int{"a": 20})
+	w := wave(machines, 3)
+	contested := map[string]bool{"a-4": true, "a-9": true, "elsewhere": true}
+	next := upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, contested, start)
+	require.Len(t, next, 3)
+	require.ElementsMatch(t, []string{"a-4", "a-9"}, next[:2])
+	for _, id := range next {
+		w.Emptying[id] = start
+	}
+	require.Empty(t, upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, contested, start))
+
+	w = wave(machines, 1)
+	next = upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, contested, start)
+	require.Len(t, next, 1)
+	require.True(t, contested[next[0]], "no slot is left for others")
+	w.Started["a-4"], w.Started["a-9"] = true, true
+	next = upkeep.Next(upkeep.StandbyFirst{}, w, machines, nil, contested, start)
+	require.Len(t, next, 1, "machines whose maintenance has started are ordered no more")
+}
+
+// Guards against an order for a chosen machine while another holder has taken a machine of the wave down.
+func TestMaintenanceStartsOnlyWhileASlotIsFree(t *testing.T) {
+	machines := fleet(map[string]int{"a": 4})
+	w := wave(machines, 2)
+	w.Emptying["a-0"], w.Emptying["a-1"] = start, start
+	require.True(t, w.MayStart("a-0", machines, map[string]bool{"a-0": true, "a-1": true}))
+	other := machines["a-3"]
+	other.State = port.MachineMaintenance
+	machines["a-3"] = other
+	require.True(t, w.MayStart("a-0", machines, map[string]bool{"a-0": true}))
+	require.False(t, w.MayStart("a-0", machines, map[string]bool{"a-0": true, "a-1": true}))
+	w.Down["a-2"] = start
+	require.False(t, w.MayStart("a-0", machines, map[string]bool{"a-0": true}))
+}
+
 // simulate runs a whole wave in steps of one second. Emptying a machine takes three seconds.
 func simulate[P upkeep.Policy](policy P, machines map[string]port.Machine, maxDown int) time.Duration {
 	w := wave(machines, maxDown)
 	now := start
 	for ; len(w.Remaining()) > 0 && now.Sub(start) < time.Hour; now = now.Add(time.Second) {
 		w.ObserveMachines(machines, now)
-		for _, id := range upkeep.Next(policy, w, machines, map[string]bool{"spare": true}, now) {
+		for _, id := range upkeep.Next(policy, w, machines, map[string]bool{"spare": true}, nil, now) {
 			w.Emptying[id] = now
 		}
 		for id, since := range w.Emptying {
