Log which owner answered a request, and how old its inbox was

What was missing: a job that was accepted was answered with 410, and the line "request answered" did not say which entry and epoch had answered, nor how old the reading of the inbox was on which "no such job" rests.

Change: answers carry the epoch of the owner and the age of its reading of the inbox; the line shows them with the name of the owner's entry.

A test that compares a whole answer now expects the name of the entry too.

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -36,6 +36,8 @@
 
 type settings struct {
 	wait, interval time.Duration
+	// onRead is called before the changes of a call are passed on. It may be nil.
+	onRead func(requestedAt time.Time)
 }
 
 // Option configures a [Feed].
@@ -47,6 +49,10 @@
 // WithInterval sets a pause between calls, so that one call returns several changes.
 func WithInterval(d time.Duration) Option { return func(s *settings) { s.interval = d } }
 
+// WithReadTime calls a function with the time at which a call was sent, before the changes that the call
+// has returned are passed on.
+func WithReadTime(f func(requestedAt time.Time)) Option { return func(s *settings) { s.onRead = f } }
+
 const (
 	// minBackoff and maxBackoff limit the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
@@ -97,6 +103,7 @@
 			}
 			continue
 		}
+		requestedAt := time.Now()
 		records, err := f.reader.Poll(ctx, f.wait)
 		delay := time.Duration(f.pace.Load())
 		switch {
@@ -112,6 +119,9 @@
 			}
 			storeLost = false
 			retryBackoff.Reset()
+			if f.onRead != nil {
+				f.onRead(requestedAt)
+			}
 			onChange(f.changes(records))
 		}
 		select {
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -132,6 +132,7 @@
 	if n.Local.Holder(r.Pool) != nil {
 		drain.Waiting(ctx, drain.Owner, drain.LocalOwner)
 		a := n.Serve(ctx, r)
+		a.Entry = owner.LocalEntry
 		return a, deliveryOf(a)
 	}
 	o, ok := n.Roster.View().Owners[r.Pool]
@@ -149,6 +150,7 @@
 		}
 		return owner.Answer{}, maybeDelivered
 	}
+	a.Entry = o.Name
 	return a, deliveryOf(a)
 }
 
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -208,6 +208,7 @@
 	require.Equal(t, owner.Unknown, a.Outcome)
 	n.Peers = fakePeers{answer: refused}
 	a, _ = submit(n)
+	refused.Entry = "other"
 	require.Equal(t, refused, a)
 	n.Peers = sequencePeers{owner.Answer{Outcome: owner.Accepted}, new(int)}
 	a, _ = submit(n)
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -50,6 +50,8 @@
 	// depend on it.
 	inboxRead bool
 	early     []message
+	// inboxAsOf is when the newest reading of the inbox was requested.
+	inboxAsOf time.Time
 	// machineLister requests the list of machines. listedAt is when it was last asked to.
 	machineLister *task.Task[struct{}]
 	listInFlight  bool
@@ -234,10 +236,16 @@
 		return
 	}
 	if j == nil || j.Unsubmitted {
-		m.reply <- Answer{Outcome: Missing, Reason: "no such job"}
+		m.reply <- c.restingOnInbox(Answer{Outcome: Missing, Reason: "no such job"})
 		return
 	}
-	m.reply <- Answer{Outcome: Found, Phase: j.StoredPhase, Started: j.Started}
+	m.reply <- Answer{Outcome: Found, Phase: j.StoredPhase, Started: j.Started, Epoch: c.state.Epoch}
+}
+
+// restingOnInbox completes an answer that rests on what the inbox holds.
+func (c *core) restingOnInbox(a Answer) Answer {
+	a.Epoch, a.InboxAge = c.state.Epoch, time.Since(c.inboxAsOf)
+	return a
 }
 
 func (m pendingCount) handle(c *core) {
@@ -245,5 +253,5 @@
 		c.early = append(c.early, m)
 		return
 	}
-	m.reply <- Answer{Outcome: Found, Pending: c.state.Pending(m.queue)}
+	m.reply <- c.restingOnInbox(Answer{Outcome: Found, Pending: c.state.Pending(m.queue)})
 }
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -54,8 +54,18 @@
 	StoreUnavailable bool `cbor:"9,keyasint,omitempty"`
 	// Load is the pool's load. It is set in answers to load requests only.
 	Load *sizing.Load `cbor:"8,keyasint,omitempty"`
+	// Epoch is the epoch of the owner that gave the answer, and Entry the name of its entry, or
+	// [LocalEntry]. The epoch is 0 if the answer is not from an owner.
+	Epoch int64  `cbor:"10,keyasint,omitempty"`
+	Entry string `cbor:"-"`
+	// InboxAge is how long before the answer the owner requested its newest reading of the inbox. It is
+	// set if the answer rests on what the inbox holds.
+	InboxAge time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
+// LocalEntry stands for the entry that logs an answer.
+const LocalEntry = "local"
+
 // Starter returns a function that reads the stored state of a pool and prepares the start of
 // its owner.
 func Starter(s Settings, d Deps) duties.PrepareFunc {
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -441,14 +441,19 @@
 // answering during a read is not detected before the end of this wait.
 const inboxReadWait = 2 * time.Second
 
-// inboxChanges are submissions that other entries have left in the inbox.
-type inboxChanges struct{ changes []feed.Change[[]byte] }
+// inboxChanges are submissions that other entries have left in the inbox, as of a time.
+type inboxChanges struct {
+	changes []feed.Change[[]byte]
+	asOf    time.Time
+}
 
 // startInbox starts to follow the pool's inbox.
 func (c *core) startInbox() {
 	raw := func(_ string, value []byte) ([]byte, error) { return value, nil }
+	var asOf time.Time
 	c.inbox = feed.Start(c.deps.Log, InboxStream(c.state.Pool, c.settings.Partitions), raw, c.logger,
-		func(changes []feed.Change[[]byte]) { c.post(c.runCtx, inboxChanges{changes}) }, feed.WithLongPoll(inboxReadWait))
+		func(changes []feed.Change[[]byte]) { c.post(c.runCtx, inboxChanges{changes, asOf}) },
+		feed.WithLongPoll(inboxReadWait), feed.WithReadTime(func(requestedAt time.Time) { asOf = requestedAt }))
 }
 
 func (m inboxChanges) handle(c *core) {
@@ -474,7 +479,7 @@
 	}
 	// The first changes are all that the inbox holds.
 	early := c.early
-	c.inboxRead, c.early = true, nil
+	c.inboxRead, c.inboxAsOf, c.early = true, m.asOf, nil
 	for _, request := range early {
 		request.handle(c)
 	}
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -198,7 +198,7 @@
 	now := time.Now()
 	value, err := codec.EncodeFrame(batch.Spec{Queue: "q", Steps: []batch.Step{{Count: 1}}})
 	require.NoError(t, err)
-	inboxChanges{[]feed.Change[[]byte]{{Key: "pool/job", Value: value, Present: true}}}.handle(c.core)
+	inboxChanges{changes: []feed.Change[[]byte]{{Key: "pool/job", Value: value, Present: true}}}.handle(c.core)
 	c.state.MarkStored(c.state.Jobs["job"])
 	c.state.Cancel("job", now)
 	for _, ch := range c.state.TakeChanges() {
