Answer that a job does not exist only as of the request

Cause, suspected: "no such job" rested on the owner's memory. It lacks a job that another entry has left in the inbox while the owner's reads hang, and one that a later owner has accepted.

Change: a look at an unknown job waits until the inbox has been read and the claim confirmed by calls sent after the look; otherwise the answer is 503 with Retry-After, at once if the store is known to be away. The number of pending jobs is as of 2 s ago at most. Looks that come together share their calls.

Test changed: TestInboxJobsAreKeptWhileTheStoreIsUnavailable asserted "missing" for a refused job while the store was away, which is the fault. It now asserts "refused" then, and "missing" once the store answers.

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -30,8 +30,11 @@
 	settings
 	// pace is the interval between calls in nanoseconds, negative while the feed pauses.
 	pace atomic.Int64
-	// task receives a message when the pace has changed.
+	// task receives a message when the pace has changed or a read is due at once.
 	task *task.Task[struct{}]
+	// refresh is set while a read is due at once. cancelRead cancels the read in flight.
+	refresh    atomic.Bool
+	cancelRead atomic.Pointer[context.CancelFunc]
 }
 
 type settings struct {
@@ -87,6 +90,27 @@
 	}
 }
 
+// Refresh ends a read that waits for a change, or hangs, and reads at once.
+func (f *Feed[T]) Refresh() {
+	f.refresh.Store(true)
+	if cancel := f.cancelRead.Load(); cancel != nil {
+		(*cancel)()
+	}
+	f.task.TrySend(struct{}{})
+}
+
+// poll reads once, without waiting for a change if a read is due at once.
+func (f *Feed[T]) poll(ctx context.Context) ([]port.Record, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.cancelRead.Store(&cancel)
+	wait := f.wait
+	if f.refresh.Swap(false) {
+		wait = 0
+	}
+	return f.reader.Poll(ctx, wait)
+}
+
 // Close stops the task.
 func (f *Feed[T]) Close() { f.task.Close() }
 
@@ -104,9 +128,11 @@
 			continue
 		}
 		requestedAt := time.Now()
-		records, err := f.reader.Poll(ctx, f.wait)
+		records, err := f.poll(ctx)
 		delay := time.Duration(f.pace.Load())
 		switch {
+		case err != nil && f.refresh.Load():
+			delay = 0
 		case err != nil:
 			if !storeLost && ctx.Err() == nil {
 				f.logger.Warn("store lost", "topic", f.name, "err", err)
--- /dev/null
+++ b/entry/feed/refresh_test.go
@@ -0,0 +1,57 @@
+package feed_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/entry/feed"
+	"carawaymux.dev/fleet/port"
+)
+
+// waitingLog is a stream whose reads wait for as long as they are asked to.
+type waitingLog struct {
+	port.Log
+	reads atomic.Int64
+}
+
+func (l *waitingLog) Newest(context.Context, port.Stream, string) (port.Page, error) {
+	return port.Page{}, nil
+}
+
+func (l *waitingLog) Read(ctx context.Context, _ port.Stream, from int64, wait time.Duration) (port.Page, error) {
+	l.reads.Add(1)
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return port.Page{}, ctx.Err()
+	}
+	return port.Page{End: from}, nil
+}
+
+// Guards against a read that is due at once and waits for a change that does not come.
+func TestARefreshEndsAReadThatWaits(t *testing.T) {
+	l := &waitingLog{}
+	read := make(chan time.Time, 100)
+	f := feed.Start(l, port.Stream{}, func(_ string, v []byte) (byte, error) { return v[0], nil },
+		slog.New(slog.NewJSONHandler(io.Discard, nil)), func([]feed.Change[byte]) {},
+		feed.WithLongPoll(time.Minute), feed.WithReadTime(func(at time.Time) { read <- at }))
+	t.Cleanup(f.Close)
+	<-read
+	for range 20 {
+		asked := time.Now()
+		f.Refresh()
+		for at := range read {
+			if !at.Before(asked) {
+				break
+			}
+		}
+		require.Less(t, time.Since(asked), time.Second)
+	}
+	require.Less(t, l.reads.Load(), int64(100))
+}
--- /dev/null
+++ b/entry/owner/absent.go
@@ -0,0 +1,112 @@
+package owner
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// absenceTimeout is how long a request waits for the store to confirm what its answer rests on. It does
+	// not count while the owner reads the inbox for the first time.
+	absenceTimeout = time.Second
+	// minRefreshInterval is the minimum time between two reads of the inbox for questions, so that
+	// questions share them.
+	minRefreshInterval = 20 * time.Millisecond
+	// maxPendingAge is the largest age of a number of pending jobs.
+	maxPendingAge = 2 * time.Second
+)
+
+// question is a request whose answer rests on what the store holds besides this owner's state: on the inbox, and
+// on the claim.
+type question interface {
+	// settle answers from the state. It is called when the state is recent enough.
+	settle(c *core)
+	// refuse answers that the request cannot be served now.
+	refuse(a Answer)
+}
+
+// openQuestion is a question that waits for the store.
+type openQuestion struct {
+	question
+	// from is the time as of which the inbox has to be read and the claim confirmed, or later. Otherwise
+	// the state may lack a job that was accepted before the request.
+	from    time.Time
+	askedAt time.Time
+}
+
+// await answers a question once the state is as of a time.
+func (c *core) await(q question, from, now time.Time) {
+	c.questions = append(c.questions, openQuestion{q, from, now})
+	c.settleQuestions(now)
+}
+
+// settleQuestions answers the questions for which the state is recent enough, and refuses those that the store
+// leaves waiting. It has the inbox read for the others.
+func (c *core) settleQuestions(now time.Time) {
+	var newest time.Time
+	c.questions = slices.DeleteFunc(c.questions, func(q openQuestion) bool {
+		switch {
+		case c.inboxRead && !c.inboxAsOf.Before(q.from) && !c.state.ConfirmedAt.Before(q.from):
+			q.settle(c)
+			return true
+		case c.journal.unavailable || (c.inboxRead && now.Sub(q.askedAt) > absenceTimeout && now.Sub(c.inboxReadAt) > absenceTimeout):
+			q.refuse(Answer{
+				Outcome: Refused, RetryAfter: noAnswerRetryAfter, Epoch: c.state.Epoch, InboxAge: now.Sub(c.inboxAsOf),
+				Reason: "the store has not confirmed what the owner of the pool knows",
+			})
+			return true
+		}
+		if q.from.After(newest) {
+			newest = q.from
+		}
+		return false
+	})
+	// One read serves the questions that arrive while it is in flight only if it was requested after them.
+	inFlight := c.refreshedAt.After(c.inboxAsOf)
+	if c.inboxRead && !inFlight && c.inboxAsOf.Before(newest) && now.Sub(c.refreshedAt) >= minRefreshInterval {
+		c.refreshedAt = now
+		c.inbox.Refresh()
+	}
+}
+
+// needsConfirmation reports whether a question waits for the claim to be confirmed.
+func (c *core) needsConfirmation() bool {
+	return slices.ContainsFunc(c.questions, func(q openQuestion) bool { return c.state.ConfirmedAt.Before(q.from) })
+}
+
+func (m jobStatus) handle(c *core) {
+	if j := c.state.Jobs[m.id]; j != nil && !j.Unsubmitted {
+		m.settle(c)
+		return
+	}
+	now := time.Now()
+	c.await(m, now, now)
+}
+
+func (m jobStatus) settle(c *core) {
+	j := c.state.Jobs[m.id]
+	if j == nil || j.Unsubmitted {
+		m.reply <- c.restingOnInbox(Answer{Outcome: Missing, Reason: "no such job"})
+		return
+	}
+	m.reply <- Answer{Outcome: Found, Phase: j.StoredPhase, Started: j.Started, Epoch: c.state.Epoch}
+}
+
+func (m jobStatus) refuse(a Answer) { m.reply <- a }
+
+func (m pendingCount) handle(c *core) {
+	now := time.Now()
+	c.await(m, now.Add(-maxPendingAge), now)
+}
+
+func (m pendingCount) settle(c *core) {
+	m.reply <- c.restingOnInbox(Answer{Outcome: Found, Pending: c.state.Pending(m.queue)})
+}
+
+func (m pendingCount) refuse(a Answer) { m.reply <- a }
+
+// restingOnInbox completes an answer that rests on what the inbox holds.
+func (c *core) restingOnInbox(a Answer) Answer {
+	a.Epoch, a.InboxAge = c.state.Epoch, time.Since(c.inboxAsOf)
+	return a
+}
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -46,12 +46,12 @@
 	copies *hedge.Budget
 	writer *claim.Writer
 	inbox  *feed.Feed[[]byte]
-	// inboxRead is set once the inbox has been read. Until then, early holds the requests whose answers
-	// depend on it.
-	inboxRead bool
-	early     []message
-	// inboxAsOf is when the newest reading of the inbox was requested.
-	inboxAsOf time.Time
+	// inboxRead is set once the inbox has been read, at the time inboxReadAt. inboxAsOf is when the newest
+	// reading of it was requested, and refreshedAt when one was last asked for.
+	inboxRead                           bool
+	inboxReadAt, inboxAsOf, refreshedAt time.Time
+	// questions holds the requests whose answers wait for the store.
+	questions []openQuestion
 	// machineLister requests the list of machines. listedAt is when it was last asked to.
 	machineLister *task.Task[struct{}]
 	listInFlight  bool
@@ -196,6 +196,7 @@
 	}
 	c.state.SettleSuspects(now)
 	c.refuseUnwritten()
+	c.settleQuestions(now)
 	c.logCrashes()
 	c.listMachines(now)
 	c.logWaiting(now)
@@ -228,30 +229,3 @@
 }
 
 func (m configChange) handle(c *core) { c.state.Configure(m.config) }
-
-func (m jobStatus) handle(c *core) {
-	j := c.state.Jobs[m.id]
-	if j == nil && !c.inboxRead {
-		c.early = append(c.early, m)
-		return
-	}
-	if j == nil || j.Unsubmitted {
-		m.reply <- c.restingOnInbox(Answer{Outcome: Missing, Reason: "no such job"})
-		return
-	}
-	m.reply <- Answer{Outcome: Found, Phase: j.StoredPhase, Started: j.Started, Epoch: c.state.Epoch}
-}
-
-// restingOnInbox completes an answer that rests on what the inbox holds.
-func (c *core) restingOnInbox(a Answer) Answer {
-	a.Epoch, a.InboxAge = c.state.Epoch, time.Since(c.inboxAsOf)
-	return a
-}
-
-func (m pendingCount) handle(c *core) {
-	if !c.inboxRead {
-		c.early = append(c.early, m)
-		return
-	}
-	m.reply <- c.restingOnInbox(Answer{Outcome: Found, Pending: c.state.Pending(m.queue)})
-}
--- a/entry/owner/inbox_test.go
+++ b/entry/owner/inbox_test.go
@@ -96,11 +96,13 @@
 	require.Equal(t, owner.Refused, o.Submit(ctx, queue, "refused", spec).Outcome)
 	time.Sleep(300 * time.Millisecond)
 	require.Equal(t, owner.Found, o.JobStatus(ctx, "by-inbox").Outcome)
-	require.Equal(t, owner.Missing, o.JobStatus(ctx, "refused").Outcome)
+	// The store cannot confirm that this owner has not been replaced by one that knows the job.
+	require.Equal(t, owner.Refused, o.JobStatus(ctx, "refused").Outcome)
 
 	store.poolUnavailable.Store(false)
 	require.Eventually(t, func() bool { return o.Submit(ctx, queue, "again", spec).Outcome == owner.Accepted }, 10*time.Second, 50*time.Millisecond)
 	require.Equal(t, owner.Accepted, o.Submit(ctx, queue, "by-inbox", spec).Outcome)
+	require.Equal(t, owner.Missing, o.JobStatus(ctx, "refused").Outcome)
 }
 
 // invalidSpecs are submissions that no caller's entry lets through, as another writer or a damaged message
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -287,7 +287,7 @@
 		}
 		return
 	}
-	urgent := len(journal.newJobs) > 0 || len(journal.newHosts) > 0 || c.state.NeedsFlush() || c.state.NeedsConfirmation()
+	urgent := len(journal.newJobs) > 0 || len(journal.newHosts) > 0 || c.state.NeedsFlush() || c.state.NeedsConfirmation() || c.needsConfirmation()
 	recent := now.Sub(journal.lastAppend) < groupWindow
 	confirm := now.Sub(c.state.ConfirmedAt) > confirmInterval
 	deletions := len(journal.removedHosts) + len(journal.expiredJobs) + len(journal.staleParts)
@@ -318,6 +318,7 @@
 	}
 	c.deps.Stats.Observe("store-append", time.Since(written.startedAt), "pool", c.state.Pool)
 	c.state.ConfirmedAt = m.Sent
+	c.settleQuestions(time.Now())
 	for _, h := range written.hosts {
 		if host := c.state.Hosts[h.ID]; host != nil {
 			host.Stored = true
@@ -477,12 +478,13 @@
 			c.journal.newJobs = append(c.journal.newJobs, j)
 		}
 	}
-	// The first changes are all that the inbox holds.
-	early := c.early
-	c.inboxRead, c.inboxAsOf, c.early = true, m.asOf, nil
-	for _, request := range early {
-		request.handle(c)
+	now := time.Now()
+	if !c.inboxRead {
+		// The first changes are all that the inbox holds.
+		c.inboxRead, c.inboxReadAt = true, now
 	}
+	c.inboxAsOf = m.asOf
+	c.settleQuestions(now)
 }
 
 // inboxTrimmed is the outcome of the deletion of submissions from the inbox.
