--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -172,6 +172,15 @@
 	return !lost.IsZero() && n.ownerUnreachableAt.Load() > lost.UnixNano()
 }
 
+// StoreLostFor returns for how long the store has been lost to this entry; 0 if it is not lost.
+func (n *Intake) StoreLostFor(now time.Time) time.Duration {
+	lost := n.Roster.View().StoreLostSince
+	if lost.IsZero() {
+		return 0
+	}
+	return now.Sub(lost)
+}
+
 // Submit submits a job to the owner of the queue's pool, or to the pool's inbox if no owner can be
 // reached or the owner cannot reach the store.
 func (n *Intake) Submit(ctx context.Context, q port.Queue, id string, spec batch.Spec) owner.Answer {
