--- a/entry/mover/limits_test.go
+++ b/entry/mover/limits_test.go
@@ -1,7 +1,6 @@
 package mover_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -67,9 +66,3 @@
 	require.Eventually(t, func() bool { return store.largest.Load() > machines*80 }, 5*time.Second, 10*time.Millisecond)
 	require.LessOrEqual(t, store.largest.Load(), int64(maxRecordBytes))
 }
-
-var _ port.MachineService = (*changingMachines)(nil)
-
-func (m *changingMachines) Move(context.Context, string, string, string, int64) (port.OrderOutcome, error) {
-	return port.OrderBusy, nil
-}
--- a/entry/mover/wave_test.go
+++ b/entry/mover/wave_test.go
@@ -17,7 +17,6 @@
 // changingMachines is a machine service whose list a test replaces. It passes on the machines whose
 // maintenance is ordered.
 type changingMachines struct {
-	fakeMachines
 	list       atomic.Pointer[[]port.Machine]
 	maintained chan string
 	// held delays answers until it is closed. waiting receives a value for each delayed answer.
@@ -59,6 +58,10 @@
 	return port.OrderDone, nil
 }
 
+func (*changingMachines) Move(context.Context, string, string, string, int64) (port.OrderOutcome, error) {
+	return port.OrderBusy, nil
+}
+
 // waveReports passes on the reports on waves.
 type waveReports chan bool
 
