Let one job of many small tasks starve no others while capacity is spare

Cause: starts were short, not capacity. Late work goes by age, so the older job took all starts; the small jobs were late at once, since the queue's tasks had taken longer than estimated.

Change: while less than half of the processor capacity is in use, late jobs of which nothing has run for 1 s go before other late ones (ranking StarvedFirst).

--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -164,7 +164,10 @@
 	now := time.Now()
 	c.state.RetryStops(now)
 	limits := shard.Limits{Starts: c.starts.Room(now), StartsPerHost: startsPerHost}
-	shard.PlanWithin(c.state, shard.ByLoad{Overloaded: c.state.Overloaded}, limits, now, now.UnixMilli())
+	ranking := shard.StarvedFirst[shard.ByLoad]{
+		Ranking: shard.ByLoad{Overloaded: c.state.Overloaded}, Spare: c.state.HasSpareCapacity(now),
+	}
+	shard.PlanWithin(c.state, ranking, limits, now, now.UnixMilli())
 	for _, o := range c.state.TakeOrders() {
 		c.sendOrder(o, now)
 	}
--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -165,6 +165,10 @@
 // when the pool was claimed.
 func (w *waitingStep) updateDemand(now time.Duration) {
 	w.demand.Priority, w.demand.Age = w.queue.priority, now-w.accepted
+	w.demand.Idle = 0
+	if w.job.assigned == 0 {
+		w.demand.Idle = now - max(w.accepted, w.job.lastStart)
+	}
 	w.demand.Slack = w.objective - now - time.Duration(float64(w.criticalPath)*w.queue.scale)
 	if len(w.work.terms) == 0 {
 		w.work.reset(&w.job.Spec, w.job.Occurrences[w.demand.Occurrence].Stages)
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -219,6 +219,7 @@
 	s.assign(c.host, ref, task)
 	c.free = c.free.Sub(step.Reservation())
 	s.recordPlacement(c, task)
+	j.lastStart = now.Sub(s.backlog.origin)
 	// The next owner has to know that the run began, since it cannot tell a crash from a task that waits.
 	s.markTaskDirty(j, ref)
 	limits.Starts--
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -16,6 +16,9 @@
 	LongRunning bool
 	Priority    int
 	Age, Slack  time.Duration
+	// Idle is the time since a task of the job was started, or the job was accepted; 0 while any is
+	// assigned to a host.
+	Idle time.Duration
 	// RemainingWork is the work of the occurrence that is not done, in thousandths of a
 	// core-second.
 	RemainingWork int64
@@ -79,6 +82,39 @@
 	return BySlack{}.Compare(a, b)
 }
 
+// StarvedFirst orders like another ranking, but while a pool has spare capacity it puts late jobs of which nothing
+// runs before other late ones. What is short then is not capacity but starts, which one job of many small tasks
+// would take for as long as it is the oldest.
+type StarvedFirst[R Ranking] struct {
+	Ranking R
+	Spare   bool
+}
+
+// starvedAfter is how long nothing of a late job has to run for it to count as starved.
+const starvedAfter = time.Second
+
+// Compare implements [Ranking].
+func (p StarvedFirst[R]) Compare(a, b *Demand) int {
+	if p.Spare && a.LongRunning == b.LongRunning && a.Slack < 0 && b.Slack < 0 && a.starved() != b.starved() {
+		return firstIf(a.starved())
+	}
+	return p.Ranking.Compare(a, b)
+}
+
+func (d *Demand) starved() bool { return d.Slack < 0 && d.Idle > starvedAfter }
+
+// HasSpareCapacity reports whether less than half of the processor capacity of the hosts that may get work is in
+// use.
+func (s *State) HasSpareCapacity(now time.Time) bool {
+	var used, capacity int64
+	for _, h := range s.sortedHosts() {
+		if s.Schedulable(h, now) {
+			used, capacity = used+h.used.MilliCores, capacity+h.Capacity.MilliCores
+		}
+	}
+	return 2*used < capacity
+}
+
 // overloadThreshold is the longest time that all hosts together may need for the waiting work
 // before the pool counts as overloaded. Objectives leave about as much time beyond the work
 // itself.
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -183,6 +183,10 @@
 	AcceptedAt, EndedAt time.Time
 	// Objective is the time by which the job should be complete.
 	Objective time.Time
+	// assigned is the number of tasks that are assigned to hosts, and lastStart when the last one was
+	// ordered to start, counted from when the pool was claimed.
+	assigned  int
+	lastStart time.Duration
 	// parted reports whether the progress is stored in parts.
 	parted bool
 	// dirty reports whether the progress has changed since it was last taken for the store. For a job
