Bound the sending of an order by the claim, not by the begin of its step

What a successor relies on is the holder's last confirmed write.

Change: an order is sent at most BeginWithin + Ask after that write, and abandoned Call later; the inequality is the same.

TestAnOrderThatIsLateIsNotSent fails without the bound.

--- a/entry/mover/handover.go
+++ b/entry/mover/handover.go
@@ -40,22 +40,28 @@
 
 // step is one step of a machine: the request to empty its host, and the order that may follow.
 type step struct {
-	began time.Time
-	// mayOrder reports whether the step may order the machine.
+	// mayOrder reports whether the step may order the machine. sendBy is when the order has to be sent.
 	mayOrder bool
+	sendBy   time.Time
 	// isEmpty asks for the host to be emptied and reports whether it is empty.
 	isEmpty func(context.Context) bool
 }
 
-// run carries out a step within the times that a successor of this holder expects: an order is sent within Ask
-// and abandoned Call after that, however late the process gets to run.
+// newStep returns a step that begins now. Its order is sent within Ask of the last moment at which a step may
+// begin, as a successor of this holder expects.
+func (c *core) newStep(mayOrder bool, isEmpty func(context.Context) bool) step {
+	return step{mayOrder: mayOrder, isEmpty: isEmpty, sendBy: c.confirmedAt.Add(c.timing.BeginWithin() + c.timing.Ask)}
+}
+
+// run carries out a step. However late the process gets to run, no order is sent after sendBy, and each is abandoned
+// within Call after that.
 func (s step) run(
 	ctx context.Context, t upkeep.Timing, order func(context.Context) (port.OrderOutcome, error),
 ) (port.OrderOutcome, error) {
-	if !s.isEmpty(ctx) || !s.mayOrder || time.Since(s.began) > t.Ask {
+	if !s.isEmpty(ctx) || !s.mayOrder || time.Now().After(s.sendBy) {
 		return "", nil
 	}
-	ctx, cancel := context.WithDeadline(ctx, s.began.Add(t.Ask+t.Call))
+	ctx, cancel := context.WithDeadline(ctx, s.sendBy.Add(t.Call))
 	defer cancel()
 	return order(ctx)
 }
--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -31,7 +31,7 @@
 	if !ok {
 		return
 	}
-	s := step{began: now, mayOrder: mayOrder && w.MayStart(m.ID, c.machines, c.stepInFlight), isEmpty: c.emptyCheck(m.Pool, m.Host)}
+	s := c.newStep(mayOrder && w.MayStart(m.ID, c.machines, c.stepInFlight), c.emptyCheck(m.Pool, m.Host))
 	c.runInBackground(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
 		result := maintenanceResult{wave: w, machine: m.ID}
 		result.outcome, result.err = s.run(ctx, c.timing, func(ctx context.Context) (port.OrderOutcome, error) {
