Take a read of some records for no reading of the whole inbox

Cause: an answer \"no such job\" rested on a read of the inbox that was sent after the request. The store may return only some of the records that it has then, so the job could still be missing from them.

Change: a read counts as one of the inbox as of its time only if it reached the end of the stream. A holder of the machines that stops keeps its last append within the store's limit, too.

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -39,7 +39,8 @@
 
 type settings struct {
 	wait, interval time.Duration
-	// onRead is called before the changes of a call are passed on. It may be nil.
+	// onRead is called before the changes of a call that has read all records are passed on. It may be
+	// nil.
 	onRead func(requestedAt time.Time)
 }
 
@@ -53,7 +54,7 @@
 func WithInterval(d time.Duration) Option { return func(s *settings) { s.interval = d } }
 
 // WithReadTime calls a function with the time at which a call was sent, before the changes that the call
-// has returned are passed on.
+// has returned are passed on. With these, all records of that time have been passed on.
 func WithReadTime(f func(requestedAt time.Time)) Option { return func(s *settings) { s.onRead = f } }
 
 const (
@@ -145,7 +146,7 @@
 			}
 			storeLost = false
 			retryBackoff.Reset()
-			if f.onRead != nil {
+			if f.onRead != nil && !f.reader.Behind() {
 				f.onRead(requestedAt)
 			}
 			onChange(f.changes(records))
--- a/entry/feed/reader.go
+++ b/entry/feed/reader.go
@@ -18,6 +18,8 @@
 	// next is the offset of the first record that has not been read.
 	next   int64
 	loaded bool
+	// behind reports whether the last read left records of the stream unread.
+	behind bool
 	// liveKeys holds the keys that currently have a value.
 	liveKeys map[string]bool
 }
@@ -54,6 +56,7 @@
 		r.track(e)
 		r.next = e.Offset + 1
 	}
+	r.behind = len(page.Records) > 0 && r.next < page.End
 	return page.Records, nil
 }
 
@@ -61,6 +64,9 @@
 // one.
 func (r *Reader) Reset() { r.loaded = false }
 
+// Behind reports whether the last poll left records unread that the stream had at that time.
+func (r *Reader) Behind() bool { return r.behind }
+
 // track updates liveKeys.
 func (r *Reader) track(e port.Record) {
 	if e.Value == nil {
@@ -111,6 +117,6 @@
 	}
 	// The pages are not a consistent snapshot, so records appended after the first page was read
 	// are read again.
-	r.next, r.loaded = nextOffset, true
+	r.next, r.loaded, r.behind = nextOffset, true, false
 	return out, nil
 }
--- a/entry/feed/refresh_test.go
+++ b/entry/feed/refresh_test.go
@@ -55,3 +55,31 @@
 	}
 	require.Less(t, l.reads.Load(), int64(100))
 }
+
+// pagedLog is a stream whose reads return one record at a time.
+type pagedLog struct{ waitingLog }
+
+func (l *pagedLog) Read(ctx context.Context, stream port.Stream, from int64, wait time.Duration) (port.Page, error) {
+	const end = 3
+	if from >= end {
+		return l.waitingLog.Read(ctx, stream, from, wait)
+	}
+	return port.Page{Records: []port.Record{{Key: "k", Value: []byte{byte(from)}, Offset: from}}, End: end}, nil
+}
+
+// Guards against a read that counts as one of all records, although the store returned only some of them.
+func TestAReadOfSomeRecordsDoesNotShowTheStreamAsOfItsTime(t *testing.T) {
+	seen := make(chan string, 100)
+	f := feed.Start(&pagedLog{}, port.Stream{}, func(_ string, v []byte) (byte, error) { return v[0], nil },
+		slog.New(slog.NewJSONHandler(io.Discard, nil)), func(changes []feed.Change[byte]) {
+			for _, c := range changes {
+				seen <- string('0' + rune(c.Value))
+			}
+		}, feed.WithLongPoll(time.Minute), feed.WithReadTime(func(time.Time) { seen <- "all" }))
+	t.Cleanup(f.Close)
+	var got []string
+	for range 5 {
+		got = append(got, <-seen)
+	}
+	require.Equal(t, []string{"all", "0", "1", "all", "2"}, got)
+}
--- a/entry/mover/stored.go
+++ b/entry/mover/stored.go
@@ -194,8 +194,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
-	records := c.takeUnwritten(0)
-	if ages := lastOrdersRecord(c.orderedAt, unsettled, now, interval); c.fitsRecord(ages.StoredBytes()) {
+	ages := lastOrdersRecord(c.orderedAt, unsettled, now, interval)
+	records := c.takeUnwritten(ages.StoredBytes())
+	if c.fitsRecord(ages.StoredBytes()) {
 		records = append(records, ages)
 	}
 	if _, err := c.claim.Append(ctx, records); err != nil {
--- a/entry/owner/absent.go
+++ b/entry/owner/absent.go
@@ -50,10 +50,9 @@
 			q.settle(c)
 			return true
 		case c.journal.unavailable || (c.inboxRead && now.Sub(q.askedAt) > absenceTimeout && now.Sub(c.inboxReadAt) > absenceTimeout):
-			q.refuse(Answer{
-				Outcome: Refused, RetryAfter: noAnswerRetryAfter, Epoch: c.state.Epoch, InboxAge: now.Sub(c.inboxAsOf),
-				Reason: "the store has not confirmed what the owner of the pool knows",
-			})
+			q.refuse(c.restingOnInbox(Answer{
+				Outcome: Refused, RetryAfter: noAnswerRetryAfter, Reason: "the store has not confirmed what the owner of the pool knows",
+			}))
 			return true
 		}
 		if q.from.After(newest) {
@@ -107,6 +106,9 @@
 
 // restingOnInbox completes an answer that rests on what the inbox holds.
 func (c *core) restingOnInbox(a Answer) Answer {
-	a.Epoch, a.InboxAge = c.state.Epoch, time.Since(c.inboxAsOf)
+	a.Epoch = c.state.Epoch
+	if c.inboxRead {
+		a.InboxAge = time.Since(c.inboxAsOf)
+	}
 	return a
 }
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -36,8 +36,9 @@
 var refusedStoreUnavailable = Answer{Outcome: Refused, RetryAfter: unavailableRetryAfter, Reason: "the store is away", StoreUnavailable: true}
 
 // The keys of a pool's records consist of the pool's name, one of these infixes, and the ID of a
-// job or host. In the key of a part of a job's progress, partSeparator and the part follow. The key with keyConfirm has no ID; it is written when a claim is to be confirmed
-// and there is nothing else to write.
+// job or host. In the key of a part of a job's progress, partSeparator and the part follow. The key
+// with keyConfirm has no ID; it is written when a claim is to be confirmed and there is nothing else to
+// write.
 const (
 	keySpec     = "/j/"
 	keyProgress = "/n/"
