--- a/entry/mover/handover_test.go
+++ b/entry/mover/handover_test.go
@@ -143,16 +143,21 @@
 	return p
 }
 
-// Guards against two holders of the machines that together exceed the cap of a wave. The store turned the first
-// one away, which may order machines for some time after that, and the second one did not count these (LIMIT).
-func TestASuccessorCountsWhatItsPredecessorMayStillOrder(t *testing.T) {
-	p := newWavePair(t)
+// cutFirst starts the first holder and has the store turn it away while it empties the machine at work, since
+// the other one is on its way to standby. That one arrives then.
+func (p *wavePair) cutFirst(t *testing.T) {
 	first := p.first()
-	defer first.Close()
-	// The first holder empties the machine at work, since the other one is on its way to standby.
+	t.Cleanup(first.Close)
 	time.Sleep(1200 * time.Millisecond)
 	p.cut.Store(true)
 	p.machines.setState("m-standby", port.MachineUp)
+}
+
+// Guards against two holders of the machines that together exceed the cap of a wave. The store turned the first
+// one away, which may order machines for some time after that, and the second one did not count these (LIMIT).
+func TestASuccessorCountsWhatItsPredecessorMayStillOrder(t *testing.T) {
+	p := newWavePair(t)
+	p.cutFirst(t)
 	second := p.second()
 	defer second.Close()
 	time.Sleep(800 * time.Millisecond)
@@ -175,11 +180,7 @@
 
 func testThirdHolder(t *testing.T, stops bool) {
 	p := newWavePair(t)
-	first := p.first()
-	defer first.Close()
-	time.Sleep(1200 * time.Millisecond)
-	p.cut.Store(true)
-	p.machines.setState("m-standby", port.MachineUp)
+	p.cutFirst(t)
 	if stops {
 		p.second().Close()
 	} else {
