--- a/entry/mover/handover.go
+++ b/entry/mover/handover.go
@@ -13,7 +13,7 @@
 	return upkeep.Timing{Term: term, Ask: askTimeout, Call: callTimeout}
 }
 
-// earlierOrders is what a holder knows of a machine that an earlier holder may have ordered.
+// earlierOrders are the bounds of a holder for a machine that an earlier holder may have ordered.
 type earlierOrders struct {
 	// orderableAt is the time from which this holder may order the machine, once a list shows what was
 	// done with it.
--- a/entry/mover/stored.go
+++ b/entry/mover/stored.go
@@ -120,7 +120,7 @@
 	return out
 }
 
-// earlierOrders returns what a holder that starts now knows of the authorized machines.
+// earlierOrders returns the bounds of a holder that starts now for the authorized machines.
 func (s storedState) earlierOrders(now time.Time, t upkeep.Timing) map[string]earlierOrders {
 	out := make(map[string]earlierOrders, len(s.authorized))
 	for machine, last := range s.authorized {
--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -113,8 +113,8 @@
 
 // Pool is the view of a pool that a policy receives.
 type Pool struct {
-	// Machines is the number of machines, and Unavailable the number of those that are not up
-	// or are being emptied.
+	// Machines is the number of machines, and Unavailable the number of those that are not up,
+	// are being emptied or may be ordered by an earlier holder.
 	Machines, Unavailable int
 	Standby               bool
 }
@@ -186,7 +186,7 @@
 	waiting := w.Remaining()
 	slots := w.MaxDown - down - len(w.Emptying)
 	out := nextContested(w, waiting, taken, machines, slots)
-	// Those that are not chosen may be ordered all the same.
+	// The earlier holder may order those that are not chosen, too.
 	slots -= len(taken)
 	chosen := map[string]bool{}
 	for _, id := range out {
