Compute less in the writes of the mover and in the rounds of an owner

- The mover measured its whole record again for each machine that it added: a plan of n machines took n^2 steps.
It keeps the size now.
- The machines that an earlier holder may still order were found by the same loop in two places.
- The spare capacity of all hosts was computed in each round of an owner, also when nothing waits and so nothing is ranked.
- Whether the inbox has been read was kept beside the time at which it was.

Evidence: the tests of entry/owner, entry/mover, fleet/shard and fleet/upkeep pass.

--- a/entry/mover/handover.go
+++ b/entry/mover/handover.go
@@ -26,6 +26,17 @@
 // settled reports whether a list that was requested at a time shows all orders of earlier holders.
 func (e earlierOrders) settled(listedAt time.Time) bool { return !listedAt.Before(e.settledAt) }
 
+// unsettled returns the machines that an earlier holder may still order.
+func (c *core) unsettled(now time.Time) map[string]bool {
+	out := map[string]bool{}
+	for id, e := range c.earlier {
+		if now.Before(e.settledAt) {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // contested returns the machines that an earlier holder may still order, or has ordered since the newest list
 // was requested.
 func (c *core) contested() map[string]bool {
--- a/entry/mover/stored.go
+++ b/entry/mover/stored.go
@@ -183,18 +183,14 @@
 	now := time.Now()
 	interval := c.timing.OrderableAfter()
 	// Orders of the previous holder may be just as recent.
-	unsettled := map[string]bool{}
 	for machine, e := range c.earlier {
 		if at := e.orderableAt.Add(-interval); at.After(c.orderedAt[machine]) {
 			c.orderedAt[machine] = at
 		}
-		if now.Before(e.settledAt) {
-			unsettled[machine] = true
-		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
-	ages := lastOrdersRecord(c.orderedAt, unsettled, now, interval)
+	ages := lastOrdersRecord(c.orderedAt, c.unsettled(now), now, interval)
 	records := c.takeUnwritten(ages.StoredBytes())
 	if c.fitsRecord(ages.StoredBytes()) {
 		records = append(records, ages)
--- a/entry/mover/write.go
+++ b/entry/mover/write.go
@@ -31,21 +31,21 @@
 	}
 	maps.DeleteFunc(c.authorized, func(_ string, at time.Time) bool { return now.Sub(at) >= c.timing.OrderableAfter() })
 	c.authorizing = maps.Clone(c.authorized)
-	recorded := map[string]bool{}
+	// A successor has to expect orders of earlier holders too.
+	recorded := c.unsettled(now)
 	for id := range c.authorized {
 		recorded[id] = true
 	}
-	for id, e := range c.earlier {
-		if now.Before(e.settledAt) {
-			// A successor has to expect orders of the earlier holder too.
-			recorded[id] = true
-		}
-	}
 	var later []string
+	bytes := authorizedBytes(recorded)
 	for _, id := range c.toAuthorize {
-		if !recorded[id] && !c.fitsRecord(authorizedBytes(recorded)+len(id)+len(machineSeparator)) {
-			later = append(later, id)
-			continue
+		if !recorded[id] {
+			added := len(id) + len(machineSeparator)
+			if !c.fitsRecord(bytes + added) {
+				later = append(later, id)
+				continue
+			}
+			bytes += added
 		}
 		c.authorizing[id], recorded[id] = now, true
 	}
--- a/entry/owner/absent.go
+++ b/entry/owner/absent.go
@@ -46,10 +46,10 @@
 	var newest time.Time
 	c.questions = slices.DeleteFunc(c.questions, func(q openQuestion) bool {
 		switch {
-		case c.inboxRead && !c.inboxAsOf.Before(q.from) && !c.state.ConfirmedAt.Before(q.from):
+		case c.hasReadInbox() && !c.inboxAsOf.Before(q.from) && !c.state.ConfirmedAt.Before(q.from):
 			q.settle(c)
 			return true
-		case c.journal.unavailable || (c.inboxRead && now.Sub(q.askedAt) > absenceTimeout && now.Sub(c.inboxReadAt) > absenceTimeout):
+		case c.journal.unavailable || (c.hasReadInbox() && now.Sub(q.askedAt) > absenceTimeout && now.Sub(c.inboxReadAt) > absenceTimeout):
 			q.refuse(c.restingOnInbox(Answer{
 				Outcome: Refused, RetryAfter: noAnswerRetryAfter, Reason: "the store has not confirmed what the owner of the pool knows",
 			}))
@@ -62,7 +62,7 @@
 	})
 	// One read serves the questions that arrive while it is in flight only if it was requested after them.
 	inFlight := c.refreshedAt.After(c.inboxAsOf)
-	if c.inboxRead && !inFlight && c.inboxAsOf.Before(newest) && now.Sub(c.refreshedAt) >= minRefreshInterval {
+	if c.hasReadInbox() && !inFlight && c.inboxAsOf.Before(newest) && now.Sub(c.refreshedAt) >= minRefreshInterval {
 		c.refreshedAt = now
 		c.inbox.Refresh()
 	}
@@ -107,7 +107,7 @@
 // restingOnInbox completes an answer that rests on what the inbox holds.
 func (c *core) restingOnInbox(a Answer) Answer {
 	a.Epoch = c.state.Epoch
-	if c.inboxRead {
+	if c.hasReadInbox() {
 		a.InboxAge = time.Since(c.inboxAsOf)
 	}
 	return a
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -46,9 +46,8 @@
 	copies *hedge.Budget
 	writer *claim.Writer
 	inbox  *feed.Feed[[]byte]
-	// inboxRead is set once the inbox has been read, at the time inboxReadAt. inboxAsOf is when the newest
-	// reading of it was requested, and refreshedAt when one was last asked for.
-	inboxRead                           bool
+	// inboxReadAt is when the inbox had been read for the first time; zero before that. inboxAsOf is when
+	// the newest reading of it was requested, and refreshedAt when one was last asked for.
 	inboxReadAt, inboxAsOf, refreshedAt time.Time
 	// questions holds the requests whose answers wait for the store.
 	questions []openQuestion
--- a/entry/owner/inbox.go
+++ b/entry/owner/inbox.go
@@ -60,14 +60,17 @@
 		}
 	}
 	now := time.Now()
-	if !c.inboxRead {
+	if !c.hasReadInbox() {
 		// The first changes are all that the inbox holds.
-		c.inboxRead, c.inboxReadAt = true, now
+		c.inboxReadAt = now
 	}
 	c.inboxAsOf = m.asOf
 	c.settleQuestions(now)
 }
 
+// hasReadInbox reports whether the inbox has been read.
+func (c *core) hasReadInbox() bool { return !c.inboxReadAt.IsZero() }
+
 // inboxTrimmed is the outcome of the deletion of submissions from the inbox.
 type inboxTrimmed struct{ err error }
 
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -104,8 +104,11 @@
 func (d *Demand) starved() bool { return d.Slack < 0 && d.Idle > starvedAfter }
 
 // HasSpareCapacity reports whether less than half of the processor capacity of the hosts that may get work is in
-// use.
+// use. It reports false while nothing waits or is to open, when no ranking needs it.
 func (s *State) HasSpareCapacity(now time.Time) bool {
+	if len(s.backlog.steps)+len(s.backlog.unopened) == 0 {
+		return false
+	}
 	var used, capacity int64
 	for _, h := range s.sortedHosts() {
 		if s.Schedulable(h, now) {
