Give up a long-running task without stopping the others of its job

Cause: after three crashes under one task its job was closed, as for work that ends, and closing a job stops all its runs without asking how many may be unavailable. Nor do three crashes show that the task is at fault while hosts without it crash, too.

Change: a long-running task is given up alone, after four crashes within 250 ms of a confirmed start, or five that no crash of a host without it explains. The others go on, and the job fails once no task is left. Gangs are given up whole, as before.

Evidence: TestALongRunningTaskThatCrashesItsHostsLateIsGivenUpAlone, TestALongRunningTaskIsNotGivenUpWhileHostsCrashWithoutIt and TestALongRunningTaskStaysGivenUpAfterAChangeOfTheOwner fail on the code before. TestALongRunningTaskThatCrashesHostAfterHostIsGivenUp required the job to fail, which the rule on availability forbids; it now requires that the guilty task is never started again, that the others run and that none was started anew.

--- a/entry/owner/crash.go
+++ b/entry/owner/crash.go
@@ -18,7 +18,7 @@
 }
 
 // describeRuns returns a text for each of the first runs: the task, the number of the run, its age, and whether it
-// is suspected or its job was given up.
+// is suspected or its task was given up.
 func describeRuns(runs []shard.CrashedRun) []string {
 	runs = runs[:min(len(runs), maxLoggedRuns)]
 	out := make([]string, 0, len(runs))
--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -27,7 +27,7 @@
 	Age time.Duration
 	// Confirmed reports whether the host had confirmed the start.
 	Confirmed bool
-	// Suspected reports whether the run may have caused the crash, and GivenUp whether its job was given up.
+	// Suspected reports whether the run may have caused the crash, and GivenUp whether its task was given up.
 	Suspected, GivenUp bool
 }
 
@@ -52,8 +52,20 @@
 	// minConfirmed is the number of starts that hosts have to have confirmed before a task is given up after
 	// maxCrashes. A start that was not answered may never have reached its host.
 	minConfirmed = 2
+	// maxPromptCrashes and maxUnexplainedCrashes are the numbers of such crashes in a row after which a long-running
+	// task is given up.
+	maxPromptCrashes, maxUnexplainedCrashes = 4, 5
+	// promptSpan is the age up to which the crash of the host of a run is prompt.
+	promptSpan = 250 * time.Millisecond
 )
 
+// pastCrash is the crash of a host, kept for settleTime.
+type pastCrash struct {
+	at time.Time
+	// runs holds the tasks of the runs that were on the host.
+	runs map[batch.Ref]struct{}
+}
+
 // recordCrash records that an instance of a host has ended. An end that was announced, or that
 // follows a request to empty the host, is no crash. The tasks that may have caused the crash are
 // suspected of it: they are kept apart until they are done or given up.
@@ -66,6 +78,11 @@
 	}
 	crash := Crash{Host: h.ID, Runs: append(s.runsOn(h, next, now), s.uncountedOf(h.lapsed)...)}
 	h.lapsed = nil
+	past := pastCrash{at: now, runs: map[batch.Ref]struct{}{}}
+	for _, run := range crash.Runs {
+		past.runs[run.Ref] = struct{}{}
+	}
+	s.pastCrashes = append(s.pastCrashes, past)
 	if len(crash.Runs) == 0 {
 		return
 	}
@@ -89,6 +106,7 @@
 		}
 		run.GivenUp = s.suspect(run.Ref, suspicion{
 			alone: crash.suspects == 1, first: run.Age <= max(youngest, startSpan), confirmed: run.Confirmed,
+			prompt: run.Confirmed && run.Age <= promptSpan, explained: s.hostsCrashWithout(run.Ref, now),
 		}, now)
 	}
 	s.crashes = append(s.crashes, crash)
@@ -122,9 +140,22 @@
 	// alone reports whether no other task is suspected, first whether the task is among the first to be
 	// suspected, and confirmed whether the host had confirmed its start.
 	alone, first, confirmed bool
+	// prompt reports whether the host crashed within promptSpan of a confirmed start, and explained whether hosts
+	// without the task crashed at that time, too.
+	prompt, explained bool
 }
 
-// suspect counts a crash for a task. It reports whether the job is given up.
+// hostsCrashWithout reports whether a host without a task has crashed within settleTime.
+func (s *State) hostsCrashWithout(ref batch.Ref, now time.Time) bool {
+	s.pastCrashes = slices.DeleteFunc(s.pastCrashes, func(c pastCrash) bool { return now.Sub(c.at) > settleTime })
+	return slices.ContainsFunc(s.pastCrashes, func(c pastCrash) bool {
+		_, aboard := c.runs[ref]
+		return !aboard
+	})
+}
+
+// suspect counts a crash for a task. It reports whether the task is given up. Its job fails with it, unless the
+// task is long-running: then the other tasks of the job go on.
 func (s *State) suspect(ref batch.Ref, why suspicion, now time.Time) bool {
 	j, _, task := s.task(ref)
 	if j.Phase != Open {
@@ -140,6 +171,9 @@
 	}
 	s.suspects[ref] = task
 	s.markTaskDirty(j, ref)
+	if step := &j.Spec.Steps[ref.Step]; step.LongRunning && !step.Gang {
+		return s.suspectLongRunning(j, ref, task, why, now)
+	}
 	if !task.Crashes.exhausted() {
 		return false
 	}
@@ -147,6 +181,44 @@
 	return true
 }
 
+// suspectLongRunning counts a crash for a long-running task. Such a task is on a host all the time, so it is there
+// when hosts crash by themselves, too: only crashes that this does not explain count for giving it up. The job ends
+// once no task of it is left.
+func (s *State) suspectLongRunning(j *Job, ref batch.Ref, task *Task, why suspicion, now time.Time) bool {
+	wasGivenUp := task.Crashes.GivenUp()
+	task.Crashes.Prompt += count(why.prompt)
+	task.Crashes.Unexplained += count(why.confirmed && (why.prompt || !why.explained))
+	if !task.Crashes.GivenUp() {
+		return false
+	}
+	if !wasGivenUp && task.Status == Idle {
+		j.Occurrences[ref.Occurrence].Stages[ref.Step].idle--
+		s.backlog.update(j, ref.Occurrence, ref.Step)
+	}
+	if !j.hasTaskLeft() {
+		s.closeJob(j, Failed, now)
+	}
+	return true
+}
+
+// hasTaskLeft reports whether some task of the job is neither done nor given up, or is not due yet.
+func (j *Job) hasTaskLeft() bool {
+	if len(j.Occurrences) < j.Spec.Occurrences() {
+		return true
+	}
+	for oi := range j.Occurrences {
+		for si := range j.Occurrences[oi].Stages {
+			if slices.ContainsFunc(j.Occurrences[oi].Stages[si].Tasks, func(t Task) bool { return !t.closed() }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// closed reports whether no run of the task is to start any more.
+func (t *Task) closed() bool { return t.Done || t.Crashes.GivenUp() }
+
 // suspectLate counts a crash for a task that younger ones are suspected of. A task that ends runs apart after
 // isolateAfter of them, so that the next crash has one suspect. Long-running tasks are on a host for so long
 // that they share the crashes of others.
@@ -176,6 +248,16 @@
 	// Late is the number of hosts that crashed after the task had been on them for settleTime, and of
 	// whose crash younger tasks were suspected.
 	Late int `cbor:"4,keyasint,omitempty"`
+	// Prompt is the number of hosts that crashed within promptSpan of a start which they had confirmed, and
+	// Unexplained the number of those and of the hosts that had confirmed the start and crashed while no host
+	// without the task did. Both are counted for long-running tasks only, and Prompt is at most Unexplained.
+	Prompt      int `cbor:"6,keyasint,omitempty"`
+	Unexplained int `cbor:"7,keyasint,omitempty"`
+}
+
+// GivenUp reports whether a long-running task is not started any more.
+func (c *Crashes) GivenUp() bool {
+	return c.Prompt >= maxPromptCrashes || c.Unexplained >= maxUnexplainedCrashes
 }
 
 // exhausted reports whether a task has crashed so many hosts that it is given up.
@@ -220,6 +302,10 @@
 			delete(s.suspects, ref)
 			continue
 		}
+		if task.Crashes.GivenUp() && task.Status == Idle {
+			delete(s.suspects, ref)
+			continue
+		}
 		if j.Spec.Steps[ref.Step].LongRunning && task.settled(now) {
 			task.Crashes = Crashes{}
 			delete(s.suspects, ref)
--- a/fleet/shard/crash_test.go
+++ b/fleet/shard/crash_test.go
@@ -250,8 +250,99 @@
 	p.submit("guilty", longRunningStep(3, 0, 1))
 	p.run(20 * time.Second)
 	p.requireBounded()
-	require.Equal(t, shard.Failed, p.Jobs["guilty"].Phase)
 	require.Equal(t, shard.Open, p.Jobs["lasting"].Phase)
+	p.requireOnlyTaskGivenUp(batch.Ref{Job: "guilty", Index: 1}, 10*time.Second)
+}
+
+// requireOnlyTaskGivenUp checks that one task of a long-running job is not started again, that the others serve and
+// that none of them is stopped.
+func (p *crashPool) requireOnlyTaskGivenUp(guilty batch.Ref, during time.Duration) {
+	p.t.Helper()
+	require.Equal(p.t, shard.Open, p.Jobs[guilty.Job].Phase)
+	starts := maps.Clone(p.starts)
+	p.run(during)
+	for i, task := range p.Jobs[guilty.Job].Occurrences[0].Stages[0].Tasks {
+		ref := batch.Ref{Job: guilty.Job, Index: i}
+		require.Equal(p.t, starts[ref], p.starts[ref], "starts of %s", ref)
+		if ref == guilty {
+			require.Equal(p.t, shard.Idle, task.Status)
+			require.Equal(p.t, shard.Ended, p.Explain(ref, p.now))
+		} else {
+			require.Equal(p.t, shard.Running, task.Status)
+		}
+	}
+}
+
+// Guards against stops of tasks that serve since another task of their job has crashed its hosts.
+func TestALongRunningTaskThatCrashesItsHostsLateIsGivenUpAlone(t *testing.T) {
+	guilty := batch.Ref{Job: "guilty", Index: 1}
+	p := newCrashPool(t, 6, func(batch.Ref) bool { return false })
+	p.late = func(ref batch.Ref) bool { return ref == guilty }
+	p.submit("guilty", longRunningStep(3, 0, 1))
+	p.run(30 * time.Second)
+	p.requireBounded()
+	p.requireOnlyTaskGivenUp(guilty, 10*time.Second)
+}
+
+// Guards against long-running tasks that are given up since their hosts crash together with others.
+func TestALongRunningTaskIsNotGivenUpWhileHostsCrashWithoutIt(t *testing.T) {
+	p := newCrashPool(t, 8, func(batch.Ref) bool { return false })
+	p.submit("lasting", longRunningStep(4, 0, 1))
+	p.run(3 * time.Second)
+	followed := batch.Ref{Job: "lasting"}
+	for range 12 {
+		// The host of one task and an idle one crash in each second.
+		p.crash(p.idleHost())
+		p.crash(p.hostOf(followed))
+		p.run(time.Second)
+		require.Equal(t, shard.Open, p.Jobs["lasting"].Phase)
+		require.Equal(t, shard.Running, p.Jobs["lasting"].Occurrences[0].Stages[0].Tasks[0].Status)
+	}
+}
+
+// hostOf returns the host of a task that runs.
+func (p *crashPool) hostOf(ref batch.Ref) string {
+	for id, runs := range p.running {
+		for order := range runs {
+			if order.Ref == ref {
+				return id
+			}
+		}
+	}
+	require.Fail(p.t, "the task does not run", "%s", ref)
+	return ""
+}
+
+// idleHost returns a host without a run.
+func (p *crashPool) idleHost() string {
+	for _, id := range slices.Sorted(maps.Keys(p.running)) {
+		if len(p.running[id]) == 0 {
+			return id
+		}
+	}
+	require.Fail(p.t, "no host is idle")
+	return ""
+}
+
+// Guards against a job that is shown as running although none of its tasks is left.
+func TestAJobWhoseLongRunningTasksAreAllGivenUpFails(t *testing.T) {
+	p := newCrashPool(t, 6, func(ref batch.Ref) bool { return ref.Job == "guilty" })
+	p.submit("guilty", longRunningStep(2, 0, 1))
+	p.run(30 * time.Second)
+	p.requireBounded()
+	require.Equal(t, shard.Failed, p.Jobs["guilty"].Phase)
+}
+
+func TestALongRunningTaskStaysGivenUpAfterAChangeOfTheOwner(t *testing.T) {
+	spec := batch.Spec{Queue: "q", Steps: []batch.Step{longRunningStep(2, 0, 1)}}
+	stored := &shard.Progress{Phase: shard.Open, Occurrences: []shard.OccurrenceProgress{{
+		Stages: [][]shard.TaskProgress{{{Crashes: &shard.Crashes{Hosts: 4, Prompt: 4, Unexplained: 4}}, {}}},
+	}}}
+	o := newOwner(t, 2, "a", "b")
+	o.Restore("job", spec, stored, o.now)
+	starts := o.start()
+	require.Len(t, starts, 1)
+	require.Equal(t, batch.Ref{Job: "job", Index: 1}, starts[0].Ref)
 }
 
 func TestAGangThatCrashesItsHostsIsGivenUp(t *testing.T) {
--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -64,7 +64,7 @@
 // The reasons. Of several, the first one is given.
 const (
 	Unknown      Reason = "the task is unknown"
-	Ended        Reason = "the task or its job has ended"
+	Ended        Reason = "the task or its job has ended or was given up"
 	NotStored    Reason = "the job is not stored"
 	NotReady     Reason = "an earlier step is not done"
 	Assigned     Reason = "the task is starting or running"
@@ -89,7 +89,7 @@
 	switch {
 	case task == nil:
 		return Unknown
-	case task.Done || j.Phase != Open:
+	case task.closed() || j.Phase != Open:
 		return Ended
 	case !j.Stored:
 		return NotStored
@@ -218,6 +218,6 @@
 // firstIdle returns the first idle task of the step.
 func (w *waitingStep) firstIdle() batch.Ref {
 	ref := w.ref()
-	ref.Index = max(slices.IndexFunc(w.stage.Tasks, func(t Task) bool { return t.Status == Idle && !t.Done }), 0)
+	ref.Index = max(slices.IndexFunc(w.stage.Tasks, func(t Task) bool { return t.Status == Idle && !t.closed() }), 0)
 	return ref
 }
--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -85,7 +85,7 @@
 	return func(yield func(batch.Ref) bool) {
 		for ref, task := range s.suspects {
 			_, stage, _ := s.task(ref)
-			waits := stage != nil && stage.waiting != nil && task.Status == Idle && !task.Done
+			waits := stage != nil && stage.waiting != nil && task.Status == Idle && !task.closed()
 			if waits && task.Crashes.Isolated && !yield(ref) {
 				return
 			}
--- a/fleet/shard/parts.go
+++ b/fleet/shard/parts.go
@@ -215,11 +215,11 @@
 				stage.Tasks[i].Done = true
 			}
 		}
-		stage.Left = 0
+		stage.Left, stage.idle = 0, 0
 		for i := range stage.Tasks {
 			stage.Left += count(!stage.Tasks[i].Done)
+			stage.idle += count(!stage.Tasks[i].closed())
 		}
-		stage.idle = stage.Left
 		occ.Left += count(stage.Left > 0)
 	}
 	if occ.Left == 0 {
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -167,7 +167,7 @@
 			break
 		}
 		task := &stage.Tasks[i]
-		if task.Status != Idle || task.Done || !s.mayStart(task) {
+		if task.Status != Idle || task.closed() || !s.mayStart(task) {
 			continue
 		}
 		var host *candidate
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -269,10 +269,8 @@
 		}
 		for i := range tasks {
 			stage.Tasks[i] = restoreTask(&tasks[i])
-			if tasks[i].Done {
-				stage.Left--
-				stage.idle--
-			}
+			stage.Left -= count(tasks[i].Done)
+			stage.idle -= count(stage.Tasks[i].closed())
 		}
 		if stage.Left == 0 {
 			occ.Left--
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -131,7 +131,7 @@
 		// A run that an earlier owner started continues.
 		task.Status, task.Host, task.Run, task.OrderedAt, task.StartClock = Running, h.ID, r.Run, now, h.Clock
 		task.ThrottlePercent, task.Meter = 100, SpeedMeter{}
-		stage.idle--
+		stage.idle -= count(!task.closed())
 		s.assign(h, ref, task)
 		s.backlog.update(j, ref.Occurrence, ref.Step)
 		j.Started, task.startedEarlier = true, false
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -134,7 +134,7 @@
 	Tasks []Task
 	// Left is the number of tasks that are not done.
 	Left int
-	// idle is the number of tasks that are Idle and not done.
+	// idle is the number of tasks that are Idle, not done and not given up.
 	idle int
 	// waiting is the step's entry in the backlog, or nil.
 	waiting *waitingStep
@@ -225,6 +225,8 @@
 	permits map[batch.Ref]*permit
 	orders  []Order
 	crashes []Crash
+	// pastCrashes holds the crashes of hosts, with or without tasks, within settleTime before the last one.
+	pastCrashes []pastCrash
 	// suspects holds the tasks of open jobs that are suspected of a crash. It may also hold some that are done.
 	suspects map[batch.Ref]*Task
 	// startedEarlier holds the tasks whose startedEarlier was set when they were restored.
@@ -372,7 +374,7 @@
 		s.unassign(h, r)
 	}
 	task.Status, task.Host, task.Percent, task.Load, task.StartClock = Idle, "", 0, 0, 0
-	if !task.Done {
+	if !task.closed() {
 		stage.idle++
 		s.backlog.update(s.Jobs[r.Job], r.Occurrence, r.Step)
 	}
