Claim every pool that may hold accepted jobs, not only those of a queue

Callers' accepted jobs never went on (LOST): a configuration had removed the only queue of their pool, then the entry that owned the pool died, and no entry claimed the pool. Its long-running work lapsed with its leases.

Cause: the pools to claim were derived from the queues of the newest configuration. A pool is claimed before its owner accepts the first job, so the topic of claims already names all pools that hold jobs.

A pool that is empty and has no queue keeps an owner.

--- a/entry/claim/claim.go
+++ b/entry/claim/claim.go
@@ -28,8 +28,8 @@
 	maxAttempts = 6
 )
 
-// claimStream holds the newest claim on each name.
-var claimStream = port.Stream{Topic: "keyed.owners"}
+// Stream holds the newest claim on each name, keyed by the name.
+var Stream = port.Stream{Topic: "keyed.owners"}
 
 // ErrLost means that another entry has claimed the name at the same time or later.
 var ErrLost = errors.New("another entry has written a newer claim")
@@ -42,6 +42,11 @@
 	Epoch       int64 `cbor:"3,keyasint"`
 }
 
+// Decode decodes a record of [Stream].
+func Decode(_ string, value []byte) (StoredClaim, error) {
+	return codec.DecodeFrame[StoredClaim](value)
+}
+
 // Claim is an acquired claim.
 type Claim struct {
 	// Name is the claimed name.
@@ -99,7 +104,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err = log.Append(callCtx, claimStream, []port.Record{{Key: name, Value: value}}, nil, end); err == nil {
+	if _, err = log.Append(callCtx, Stream, []port.Record{{Key: name, Value: value}}, nil, end); err == nil {
 		return stored.Epoch, nil
 	}
 	var mismatch *port.EndMismatchError
@@ -123,7 +128,7 @@
 	end, after := int64(-1), ""
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		page, err := log.Newest(callCtx, claimStream, after)
+		page, err := log.Newest(callCtx, Stream, after)
 		cancel()
 		if err != nil {
 			return newest, 0, err
--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 // over to it. It is long enough for the next entry to go down in a rolling restart.
 const handoverWait = 6 * time.Second
 
+// singletonPrefix begins the claim names of singletons, also of those of other releases.
+const singletonPrefix = "*"
+
 // Holder is a task that does the work of a pool, or of a singleton, that this entry owns.
 type Holder interface {
 	// Configure applies a configuration.
@@ -56,7 +60,7 @@
 	// Partitions is the number of partitions of each topic of the store.
 	Partitions int
 	// Pools prepares the owner of a pool. Singletons prepares the tasks that run in one entry
-	// at a time, by claim name; no pool may have such a name.
+	// at a time, by claim name; the names begin with singletonPrefix, and no pool's name does.
 	Pools      PrepareFunc
 	Singletons map[string]PrepareFunc
 }
@@ -81,6 +85,9 @@
 	viewUpdate   struct{ view *roster.View }
 	configUpdate struct{ config *port.Config }
 	hostsUpdate  struct{ changes []feed.Change[port.Host] }
+	claimsUpdate struct {
+		changes []feed.Change[claim.StoredClaim]
+	}
 	leaveRequest struct{ reply chan<- struct{} }
 	claimResult  struct {
 		pool  string
@@ -104,7 +111,10 @@
 type core struct {
 	duties *Duties
 	config *port.Config
-	hosts  map[string]port.Host
+	// claimed holds the pools that have been claimed. They may hold accepted jobs, whether a queue uses them
+	// now or not.
+	claimed map[string]struct{}
+	hosts   map[string]port.Host
 	// hostCounts holds the number of hosts of each pool.
 	hostCounts map[string]int
 	// holdings holds what this entry owns, by name. claims holds the claims in progress, by name,
@@ -122,7 +132,10 @@
 func Start(s Settings, log port.Log, logger *slog.Logger, announce func(map[string]int64)) *Duties {
 	t := &Duties{settings: s, log: log, logger: logger, announce: announce}
 	t.local.Store(&map[string]Holder{})
-	c := &core{duties: t, hosts: map[string]port.Host{}, hostCounts: map[string]int{}, holdings: map[string]holding{}, claims: map[string]context.CancelFunc{}}
+	c := &core{
+		duties: t, claimed: map[string]struct{}{}, hosts: map[string]port.Host{}, hostCounts: map[string]int{},
+		holdings: map[string]holding{}, claims: map[string]context.CancelFunc{},
+	}
 	c.rebalancer.Wait = handoverWait
 	t.task = task.Start(c.run, task.WithInbox(inboxSize))
 	return t
@@ -149,6 +162,11 @@
 	return t.task.Send(ctx, hostsUpdate{changes})
 }
 
+// UpdateClaims sends changes of the claims that the store holds to the task.
+func (t *Duties) UpdateClaims(ctx context.Context, changes []feed.Change[claim.StoredClaim]) error {
+	return t.task.Send(ctx, claimsUpdate{changes})
+}
+
 // Leave releases all pools and stops claiming.
 func (t *Duties) Leave(ctx context.Context) error {
 	_, err := task.Call(ctx, t.task, func(reply chan<- struct{}) message { return leaveRequest{reply} })
@@ -227,6 +245,14 @@
 	}
 }
 
+func (m claimsUpdate) handle(_ context.Context, c *core) {
+	for _, ch := range m.changes {
+		if ch.Present && !strings.HasPrefix(ch.Key, singletonPrefix) {
+			c.claimed[ch.Key] = struct{}{}
+		}
+	}
+}
+
 // handle releases the pools that have a newer owner, claims the pools that are assigned to this
 // entry, and hands a pool over if a stronger entry is free.
 func (m viewUpdate) handle(ctx context.Context, c *core) {
@@ -336,7 +362,8 @@
 	return out
 }
 
-// allPools returns the pools that are used by a queue, and the singletons.
+// allPools returns the pools that are used by a queue or have been claimed, and the singletons. A pool is
+// claimed before its owner accepts the first job, so each pool that holds accepted jobs is among them.
 func (c *core) allPools() []string {
 	names := map[string]bool{}
 	for name := range c.duties.settings.Singletons {
@@ -345,6 +372,9 @@
 	for _, q := range c.config.Queues {
 		names[q.Pool] = true
 	}
+	for pool := range c.claimed {
+		names[pool] = true
+	}
 	return slices.Sorted(maps.Keys(names))
 }
 
