--- a/entry/owner/append.go
+++ b/entry/owner/append.go
@@ -99,6 +99,7 @@
 		}
 		content.hosts = append(content.hosts, h)
 	}
+	c.collectQueues(b)
 	for len(journal.newJobs) > 0 && len(content.jobs) < maxJobsPerAppend {
 		j := journal.newJobs[0]
 		err := b.put(pool+keySpec+j.ID, j.Spec)
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -229,5 +229,3 @@
 		c.logger.Debug("message dropped: the owner of the pool has stopped", "err", err)
 	}
 }
-
-func (m configChange) handle(c *core) { c.state.Configure(m.config) }
--- a/entry/owner/parts_test.go
+++ b/entry/owner/parts_test.go
@@ -42,9 +42,7 @@
 			newest[r.Key] = r.Value
 		}
 	}
-	stored := &StoredState{
-		Specs: map[string]batch.Spec{}, Progress: map[string]shard.Progress{}, Parts: map[string][]shard.Part{}, Unreadable: map[string]error{},
-	}
+	stored := newStoredState()
 	for key, value := range newest {
 		if value != nil {
 			require.NoError(t, stored.add("pool", port.Record{Key: key, Value: value}))
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -35,7 +35,7 @@
 var refusedStoreUnavailable = Answer{Outcome: Refused, RetryAfter: unavailableRetryAfter, Reason: "the store is away", StoreUnavailable: true}
 
 // The keys of a pool's records consist of the pool's name, one of these infixes, and the ID of a
-// job or host. In the key of a part of a job's progress, partSeparator and the part follow. The key
+// job or host, or the name of a queue. In the key of a part of a job's progress, partSeparator and the part follow. The key
 // with keyConfirm has no ID; it is written when a claim is to be confirmed and there is nothing else to
 // write.
 const (
@@ -43,26 +43,35 @@
 	keyProgress = "/n/"
 	keyPart     = "/p/"
 	keyHost     = "/h/"
+	keyQueue    = "/q/"
 	keyConfirm  = "/r"
 )
 
-// StoredState is what earlier owners of a pool have stored. Its maps are keyed by job ID.
+// StoredState is what earlier owners of a pool have stored. Its maps are keyed by job ID where nothing else is
+// said.
 type StoredState struct {
 	Specs    map[string]batch.Spec
 	Progress map[string]shard.Progress
 	Parts    map[string][]shard.Part
 	Hosts    []port.Host
+	// Queues holds the rules of the queues whose jobs the pool may hold, by name.
+	Queues map[string]storedQueue
 	// OrphanedParts are parts of jobs that are not stored any more.
 	OrphanedParts []shard.StalePart
 	// Unreadable holds the errors of the records that could not be read, by key.
 	Unreadable map[string]error
 }
 
+func newStoredState() *StoredState {
+	return &StoredState{
+		Specs: map[string]batch.Spec{}, Progress: map[string]shard.Progress{}, Parts: map[string][]shard.Part{},
+		Queues: map[string]storedQueue{}, Unreadable: map[string]error{},
+	}
+}
+
 // ReadState reads what earlier owners of a pool have stored.
 func ReadState(ctx context.Context, acquired *claim.Claim) (*StoredState, error) {
-	stored := &StoredState{
-		Specs: map[string]batch.Spec{}, Progress: map[string]shard.Progress{}, Parts: map[string][]shard.Part{}, Unreadable: map[string]error{},
-	}
+	stored := newStoredState()
 	err := acquired.Load(ctx, func(e port.Record) {
 		if err := stored.add(acquired.Name, e); err != nil {
 			// Without the record, the pool still needs an owner.
@@ -128,6 +137,12 @@
 			return err
 		}
 		s.Hosts = append(s.Hosts, v)
+	case keyQueue:
+		v, err := codec.DecodeFrame[storedQueue](e.Value)
+		if err != nil {
+			return err
+		}
+		s.Queues[id] = v
 	}
 	return nil
 }
@@ -176,6 +191,9 @@
 	inboxJobs, trimming []string
 	// staleParts are to be deleted.
 	staleParts []shard.StalePart
+	// queues holds the rules of queues that the store has, or will have once dirtyQueues are written.
+	queues      map[string]storedQueue
+	dirtyQueues map[string]struct{}
 	// unacked holds the ends that are acknowledged next. It is nil if there are none.
 	unacked *endSnapshot
 	// waiters holds, by job ID, the callers that wait for a submission or a cancellation.
@@ -244,9 +262,7 @@
 func (c *core) restore(stored *StoredState, config *port.Config, hosts []port.Host) {
 	c.journal.waiters = map[string][]waiter{}
 	now := time.Now()
-	if config != nil {
-		c.state.Configure(config)
-	}
+	c.restoreQueues(stored, config)
 	for id, spec := range stored.Specs {
 		var n *shard.Progress
 		if v, ok := stored.Progress[id]; ok {
@@ -379,6 +395,7 @@
 func (m submitJob) handle(c *core) {
 	if _, ok := c.state.Queues[m.queue.Name]; !ok {
 		c.state.SetQueue(m.queue)
+		c.noteQueue(m.queue.Name)
 	}
 	if c.journal.unavailable && c.state.Jobs[m.id] == nil {
 		c.deps.Stats.Add("jobs-refused", 1, "pool", c.state.Pool, "why", "store away")
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -46,6 +46,11 @@
 }
 
 func newTestCore(t *testing.T, host idleHost) *testCore {
+	return restoreTestCore(t, host, &StoredState{}, &port.Config{Queues: []port.Queue{{Name: "q", Pool: "pool"}}})
+}
+
+// restoreTestCore returns the state of an owner that knows what earlier owners have stored.
+func restoreTestCore(t *testing.T, host idleHost, stored *StoredState, config *port.Config) *testCore {
 	c := newCore(&Owner{lost: make(chan struct{})},
 		Settings{Partitions: 1, Timing: shard.Timing{Lease: 5 * time.Second, Grace: 6 * time.Second}},
 		Deps{HostClients: host, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))},
@@ -63,7 +68,7 @@
 			}
 		}
 	})
-	c.restore(&StoredState{}, &port.Config{Queues: []port.Queue{{Name: "q", Pool: "pool"}}}, nil)
+	c.restore(stored, config, nil)
 	t.Cleanup(func() {
 		cancel()
 		for id := range c.agents {
--- a/fleet/port/port.go
+++ b/fleet/port/port.go
@@ -27,6 +27,8 @@
 type Queue struct {
 	// Name is unique in a configuration.
 	Name string
+	// Version is that of the configuration.
+	Version int64
 	// Host and Prefix (of the path) select the queue of an HTTP request.
 	Host, Prefix string
 	// Pool is the pool whose hosts run the queue's jobs.
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -33,8 +33,11 @@
 	}
 }
 
-// SetQueue sets the rules of a queue.
+// SetQueue sets the rules of a queue, unless newer ones are known.
 func (s *State) SetQueue(q port.Queue) {
+	if s.Queues[q.Name].Version > q.Version {
+		return
+	}
 	s.Queues[q.Name] = q
 	s.needsAdvice = s.needsAdvice || q.Advice != nil
 }
