Close callers' connections by what has arrived, not by a wait

Callers of a stopping carawaymux entry that is short of processor time saw connections closed without an answer, and no log line named the requests.

Cause: the tracker knows a request from when its handler runs. The entry took 0.1 s without an open request for "nothing has arrived" and closed all connections, those with unread requests and with requests whose handlers had not run yet included. The listener was closed with connections in its backlog, which the kernel resets. A fixed wait stood for an event.

A new connection, and one with a part of a request, has 0.05 of the grace period for the rest.

The wait of 0.1 s is gone from the tracker. No existing test changed.

--- a/entry/drain/drain.go
+++ b/entry/drain/drain.go
@@ -94,8 +94,6 @@
 	open    map[*Open]struct{}
 	// timeEnded is set once the time of open requests has ended. That of later ones ends when they begin.
 	timeEnded bool
-	// lastOpen is when a request was last open.
-	lastOpen time.Time
 	// waiting holds the callers of WaitAnswered.
 	waiting []chan<- struct{}
 }
@@ -147,9 +145,6 @@
 	if len(c.open) > 0 || len(c.waiting) == 0 {
 		return 0
 	}
-	if wait := settleTime - now.Sub(later(c.lastOpen, s.answerBy())); wait > 0 {
-		return wait
-	}
 	for _, reply := range c.waiting {
 		reply <- struct{}{}
 	}
@@ -157,13 +152,6 @@
 	return 0
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // BeginStop starts a stop. Later calls do nothing.
 func (t *Tracker) BeginStop(p Plan) {
 	if t.stop.CompareAndSwap(nil, &stop{time.Now(), p}) {
@@ -188,8 +176,8 @@
 	return s != nil && time.Since(s.startedAt) >= s.plan.Take
 }
 
-// WaitAnswered waits until the time of open requests has ended and all that have arrived are answered. It
-// returns early if ctx ends.
+// WaitAnswered waits until the time of open requests has ended and all of them are answered. Others may have
+// arrived whose handlers have not run yet; the connections know them. It returns early if ctx ends.
 func (t *Tracker) WaitAnswered(ctx context.Context) error {
 	_, err := task.Call(ctx, t.task, func(reply chan<- struct{}) message { return awaitAnswer{reply} })
 	return err
@@ -250,10 +238,7 @@
 	}
 }
 
-func (m ended) handle(c *core) {
-	delete(c.open, m.open)
-	c.lastOpen = time.Now()
-}
+func (m ended) handle(c *core) { delete(c.open, m.open) }
 
 func (stopBegun) handle(*core) {}
 
--- a/entry/drain/plan.go
+++ b/entry/drain/plan.go
@@ -12,12 +12,13 @@
 	// closeShare is the fraction after which connections are closed. An entry that is short of processor
 	// time gets answers out a second late, and the process still has time to end.
 	closeShare = 0.75
-	// settleTime is the time without an open request after which connections are closed. A request that has
-	// arrived is read within it.
-	settleTime = 100 * time.Millisecond
+	// restShare is the fraction in which a request that has arrived in part may arrive as a whole, once the
+	// others are answered.
+	restShare = 0.05
 )
 
-// Plan divides the grace period of a stop. The fields are times since its start, in ascending order.
+// Plan divides the grace period of a stop. The first three fields are times since its start, in ascending
+// order.
 type Plan struct {
 	// Take ends the time in which requests are taken. Later ones are refused.
 	Take time.Duration
@@ -25,10 +26,12 @@
 	Answer time.Duration
 	// Close is when connections are closed at the latest.
 	Close time.Duration
+	// Rest is the time for a request that has arrived in part when the others are answered.
+	Rest time.Duration
 }
 
 // NewPlan returns the plan for a grace period.
 func NewPlan(grace time.Duration) Plan {
 	share := func(s float64) time.Duration { return time.Duration(s * float64(grace)) }
-	return Plan{Take: share(takeShare), Answer: share(answerShare), Close: share(closeShare)}
+	return Plan{Take: share(takeShare), Answer: share(answerShare), Close: share(closeShare), Rest: share(restShare)}
 }
