Answer requests that carawayd reads after it has stopped listening

Callers that had opened a connection to a stopping carawayd entry, and sent their request just after it had stopped listening, saw the connection closed without an answer, though the entry had read the whole request.

Cause: http.Server.Shutdown keeps new connections open for 5 s while other requests are in flight, and the server drops each request that it reads meanwhile. Idle connections are closed without a look at what has arrived on them.

The daemon now ends its connections by the package socket, as carawaymux does, and the server stays in service until all are closed or the stop timeout is over. A new connection has 1 s for its request.

Evidence: TestAStoppingEntryAnswersRequestsThatArriveOnNewConnections failed before, three of three runs, with no byte of the request and with 20 bytes sent before the stop (unexpected EOF). It passes, with the other tests of stops and of rolling restarts.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"carawaymux.dev/entry/relay"
 	"carawaymux.dev/entry/route"
 	"carawaymux.dev/entry/setup"
+	"carawaymux.dev/entry/socket"
 	"carawaymux.dev/entry/trace"
 	"carawaymux.dev/entry/vars"
 	"carawaymux.dev/entry/watch"
@@ -43,6 +44,9 @@
 	// answerShare is the share of the stop timeout after which requests in flight are cancelled. The
 	// rest is left to answer them and to stop the tasks.
 	answerShare = 0.75
+	// restTime is how long a request may take to arrive on a connection that was opened before the entry
+	// stopped listening.
+	restTime = time.Second
 )
 
 // Daemon is a running entry.
@@ -70,6 +74,7 @@
 	requests       context.Context
 	cancelRequests context.CancelCauseFunc
 
+	callers                  *socket.Set
 	callerServer, peerServer http.Server
 	serveGroup               errgroup.Group
 }
@@ -245,8 +250,11 @@
 
 // serve starts the HTTP servers for callers and for peers.
 func (d *Daemon) serve(callers, peers net.Listener) {
+	d.callers = socket.Start(callers)
+	callers = d.callers.Listener()
 	d.callerServer = http.Server{
-		Handler: d.front.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnState: d.callers.ConnState,
+		Handler:   d.front.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: d.settings.Limits.Header, BaseContext: func(net.Listener) context.Context { return d.requests },
 		ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
 	}
@@ -291,9 +299,7 @@
 	d.invoker.MarkStopping()
 	_ = d.members.AnnounceStop(ctx)
 	sleep(ctx, d.settings.DrainDelay)
-	if err := d.callerServer.Shutdown(ctx); err != nil {
-		d.logger.Error("HTTP server for callers did not shut down cleanly; requests in flight are cut off", "error", err)
-	}
+	d.closeCallers(ctx)
 	d.relayServer.Close()
 	d.leader.Close()
 	_ = d.members.Leave(ctx)
@@ -303,6 +309,18 @@
 	d.logger.Info("entry stopped")
 }
 
+// closeCallers ends the connections of callers once their requests are answered.
+func (d *Daemon) closeCallers(ctx context.Context) {
+	d.callers.StopAccepting()
+	d.callers.End(restTime)
+	if err := d.callers.WaitClosed(ctx); err != nil {
+		t, _ := d.callers.Totals(context.Background())
+		d.logger.Error("connections of callers are still open; requests in flight are cut off", "connections", t.Open, "error", err)
+	}
+	_ = d.callerServer.Close()
+	d.callers.Close()
+}
+
 func sleep(ctx context.Context, delay time.Duration) {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
--- a/trial/integ/stop_test.go
+++ b/trial/integ/stop_test.go
@@ -1,9 +1,13 @@
 package integ
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -139,3 +143,53 @@
 	require.NoError(t, err)
 	require.Equal(t, wire.Done, a.Outcome, a.Reason)
 }
+
+// Guards against a connection that is closed with no answer under a request which arrives after the entry
+// has stopped listening, on a connection that was opened before.
+func TestAStoppingEntryAnswersRequestsThatArriveOnNewConnections(t *testing.T) {
+	f := start(t, oneEntry())
+	for _, host := range f.hostsOf("documents", "") {
+		require.NoError(t, f.SetBehaviour(f.ctx, host, target.Behaviour{Mode: target.Hang}))
+	}
+	entry := f.Entries[0]
+	// A request in flight keeps the entry from ending at once.
+	go func() {
+		_, _ = entry.Client.Do(f.ctx, client.Request{
+			Kind: "documents", ID: record.NewID().String(), Idempotent: true, Deadline: time.Minute, Body: []byte("x"),
+		})
+	}()
+	f.eventually("the request runs", 10*time.Second, func(ctx context.Context) error {
+		s, err := entry.Client.Status(ctx)
+		if err == nil && (len(s.Kinds) != 1 || s.Kinds[0].Running != 1) {
+			err = fmt.Errorf("kinds: %+v", s.Kinds)
+		}
+		return err
+	})
+	header := "GET " + wire.PathLive + " HTTP/1.1\r\nHost: " + entry.HTTP + "\r\n\r\n"
+	dial := func(sent int) net.Conn {
+		c, err := net.Dial("tcp", entry.HTTP)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		_, err = io.WriteString(c, header[:sent])
+		require.NoError(t, err)
+		return c
+	}
+	conns := map[int]net.Conn{0: dial(0), 20: dial(20)}
+	stopped := make(chan error, 1)
+	go func() { stopped <- entry.Proc.Stop() }()
+	f.eventually("the entry has stopped listening", 5*time.Second, func(context.Context) error {
+		if reachable(entry.HTTP) {
+			return errors.New("it listens")
+		}
+		return nil
+	})
+	for sent, c := range conns {
+		_, err := io.WriteString(c, header[sent:])
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err, "with %d bytes sent before the stop", sent)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.NoError(t, response.Body.Close())
+	}
+	require.NoError(t, <-stopped)
+}
