Close the listener of a stopping entry though callers keep connecting

Callers that connect to a stopping entry every 20 ms or more often kept its listener open for as long as they went on, and their connections kept the entry from closing.

Cause: each connection that was accepted from the backlog began a new wait of 20 ms for the next one, without an end.

The wait is 5 ms, and the backlog is accepted for 0.5 s at most.

--- a/entry/socket/socket.go
+++ b/entry/socket/socket.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// backlogWait is how long the last accept waits. It is only there for accept to be tried.
-	backlogWait = 20 * time.Millisecond
+	// backlogWait is how long an accept waits that looks for a connection in the backlog.
+	backlogWait = 5 * time.Millisecond
+	// backlogTime limits the time to accept the backlog, to which callers may keep adding.
+	backlogTime = 500 * time.Millisecond
 	// inboxSize is the capacity of the inbox of the task, in messages.
 	inboxSize = 512
 )
@@ -36,8 +38,9 @@
 type listener struct {
 	net.Listener
 	set *Set
-	// stopping is set once the listener is to be closed as soon as its backlog is empty.
-	stopping atomic.Bool
+	// closeBy is nil until the listener is to be closed as soon as its backlog is empty. Later, it is when the
+	// listener is closed at the latest.
+	closeBy atomic.Pointer[time.Time]
 }
 
 // deadliner is a listener whose accepts can be ended.
@@ -106,13 +109,8 @@
 // Accept waits for a connection.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-		if d, ok := l.Listener.(deadliner); ok {
-			_ = d.SetDeadline(time.Now().Add(backlogWait))
-		}
-		if c, err = l.Listener.Accept(); errors.Is(err, os.ErrDeadlineExceeded) {
-			err = net.ErrClosed
-		}
+	if by := l.closeBy.Load(); by != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		c, err = l.acceptBacklog(*by)
 	}
 	if err != nil {
 		if errors.Is(err, net.ErrClosed) {
@@ -127,10 +125,24 @@
 	return known, nil
 }
 
+// acceptBacklog accepts a connection that the kernel has accepted. It returns [net.ErrClosed] if there is none.
+func (l *listener) acceptBacklog(by time.Time) (net.Conn, error) {
+	d, ok := l.Listener.(deadliner)
+	if !ok || time.Now().After(by) || d.SetDeadline(time.Now().Add(backlogWait)) != nil {
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = net.ErrClosed
+	}
+	return c, err
+}
+
 // StopAccepting closes the listener once the connections that callers have opened are accepted.
 func (s *Set) StopAccepting() {
 	l := s.listener
-	l.stopping.Store(true)
+	by := time.Now().Add(backlogTime)
+	l.closeBy.Store(&by)
 	d, ok := l.Listener.(deadliner)
 	if !ok || d.SetDeadline(expired) != nil {
 		l.Listener.Close()
--- a/entry/socket/socket_test.go
+++ b/entry/socket/socket_test.go
@@ -203,6 +203,30 @@
 	require.Error(t, err)
 }
 
+// Guards against a listener that stays open because callers keep connecting while it empties its backlog.
+func TestTheListenerIsClosedThoughCallersKeepConnecting(t *testing.T) {
+	l := listen(t)
+	set := socket.Start(l)
+	serve(t, set, set.Listener(), echo)
+	var callers errgroup.Group
+	begin := time.Now()
+	for range 4 {
+		callers.Go(func() error {
+			for time.Since(begin) < 10*time.Second {
+				c, err := net.Dial("tcp", l.Addr().String())
+				if err != nil {
+					return nil
+				}
+				c.Close()
+			}
+			return errors.New("connected 10 s after the stop")
+		})
+	}
+	stop(set, rest)
+	require.NoError(t, callers.Wait())
+	requireAllClosed(t, set)
+}
+
 func TestThousandsOfIdleConnectionsAreClosedAtOnce(t *testing.T) {
 	const connections = 2000
 	set, dial := start(t, echo)
