--- a/entry/socket/socket_test.go
+++ b/entry/socket/socket_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -312,6 +314,33 @@
 	requireAllClosed(t, set)
 }
 
+func TestConnectionsWithTLSAreEndedInTheSameWay(t *testing.T) {
+	set := socket.Start(listen(t))
+	server := httptest.NewUnstartedServer(http.HandlerFunc(echo))
+	server.Listener.Close()
+	server.Listener, server.Config.ConnState = set.Listener(), set.ConnState
+	server.StartTLS()
+	t.Cleanup(func() { server.Close(); set.Close() })
+	dial := func() *caller {
+		c, err := tls.Dial("tcp", server.Listener.Addr().String(), server.Client().Transport.(*http.Transport).TLSClientConfig)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return &caller{c, bufio.NewReader(c)}
+	}
+	idle, begun := dial(), dial()
+	for _, c := range []*caller{idle, begun} {
+		c.send(t, get)
+		c.requireAnswer(t, "")
+	}
+	begun.send(t, post[:10])
+	time.Sleep(50 * time.Millisecond)
+	stop(set, rest)
+	idle.requireClosed(t)
+	begun.send(t, post[10:])
+	begun.requireAnswer(t, "0123456789")
+	requireAllClosed(t, set)
+}
+
 func TestAHandlerCanEndTheReadOfABodyAfterTheEnd(t *testing.T) {
 	entered := make(chan struct{})
 	set, dial := start(t, func(w http.ResponseWriter, r *http.Request) {
