Saturate sums and products of callers' figures

What callers saw: nine jobs at once with cores and estimates of 10^9 ended the entry that holds the machines, again and again; no pool got machines meanwhile.

Cause: the work of a few such jobs exceeds half of the largest number. In demand.addRate, twice the rate wrapped around, so no rate of a turn counted as high, and the end of the turn divided by a count of zero. A job that can never be done is allowed by the protocol, so it is accepted as before.

The work of a step is bounded by 10^12 thousandths of a core-second, so that sums over steps stay in range; rates, times and numbers of hosts saturate. A stored history of turns with negative sums is dropped.

--- a/fleet/batch/batch.go
+++ b/fleet/batch/batch.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"carawaymux.dev/fleet/clamp"
 )
 
 // Limits on a job.
@@ -134,7 +136,7 @@
 		for _, earlier := range s.Steps[i].After {
 			start = max(start, finish[earlier])
 		}
-		finish[i] = start + s.Steps[i].Estimate
+		finish[i] = clamp.Add(start, s.Steps[i].Estimate)
 		longest = max(longest, finish[i])
 	}
 	return longest
--- a/fleet/demand/demand.go
+++ b/fleet/demand/demand.go
@@ -9,6 +9,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"carawaymux.dev/fleet/clamp"
 )
 
 // History holds what was observed of the turns of all pools. Use [NewHistory] to build it.
@@ -160,9 +162,10 @@
 
 // addRate records a rate of the present turn.
 func (p *Pool) addRate(rate int64) {
+	rate = max(rate, 0)
 	p.Highest = max(p.Highest, rate)
-	if 2*rate >= p.Highest {
-		p.Sum += rate
+	if rate >= p.Highest-rate {
+		p.Sum = clamp.Add(p.Sum, rate)
 		p.Count++
 	}
 }
@@ -182,7 +185,7 @@
 	}
 	height := p.Sum / p.Count
 	if p.Peak > 0 {
-		height = (height + p.Peak) / 2
+		height = clamp.Add(height, p.Peak) / 2
 	}
 	p.Peak = height
 	return true
--- a/fleet/demand/demand_test.go
+++ b/fleet/demand/demand_test.go
@@ -1,6 +1,7 @@
 package demand_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -253,3 +254,29 @@
 	h := demand.Snapshot{Pools: map[string]demand.PoolSnapshot{"a": {InTurn: true}}}.History()
 	require.NotPanics(t, func() { h.Observe(map[string]demand.Rate{"a": {}}, start) })
 }
+
+// Rates above half of the largest number ended the process: no rate of the turn counted as high, and the mean was
+// divided by zero.
+func TestTurnsOfAnyRateEnd(t *testing.T) {
+	for _, rate := range []int64{math.MaxInt64, math.MaxInt64 / 2, math.MaxInt64/2 + 1, 2 * (math.MaxInt64 / 5), 1} {
+		h := demand.NewHistory()
+		at := start
+		for range 6 {
+			for k := range 8 {
+				arriving := rate
+				if k >= 4 {
+					arriving = 0
+				}
+				h.Observe(map[string]demand.Rate{"a": {Arriving: arriving, Arrivals: 9, Provided: 1, Capacity: 1}}, at)
+				at = at.Add(step)
+			}
+			require.False(t, h.Pools["a"].InTurn)
+			require.Positive(t, h.Pools["a"].Peak, "rate %d", rate)
+		}
+	}
+	h := demand.NewHistory()
+	h.Pools["a"] = &demand.Pool{Peak: 1}
+	require.NotPanics(t, func() {
+		h.Observe(map[string]demand.Rate{"a": {Arriving: math.MinInt64, Arrivals: 9}}, start)
+	})
+}
--- a/fleet/demand/meter.go
+++ b/fleet/demand/meter.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"carawaymux.dev/fleet/clamp"
 )
 
 const (
@@ -51,5 +53,5 @@
 	}
 	atLeast := mean * (count - math.Sqrt(count)) / shortWindow.Seconds()
 	atMost := mean * (count + deviations*math.Sqrt(count) + 1) / shortWindow.Seconds()
-	return int64(min(max(long/longWindow.Seconds(), atLeast), atMost))
+	return clamp.Int[int64](min(max(long/longWindow.Seconds(), atLeast), atMost))
 }
--- a/fleet/demand/snapshot.go
+++ b/fleet/demand/snapshot.go
@@ -57,7 +57,7 @@
 		Intervals: slices.Clone(s.Intervals), Returns: slices.Clone(s.Returns), Chances: slices.Clone(s.Chances),
 	}
 	for name, p := range maps.All(s.Pools) {
-		if p.Passed < 0 || p.Count < 0 {
+		if min(int64(p.Passed), p.Count, p.Sum, p.Highest, p.Peak) < 0 {
 			return NewHistory()
 		}
 		// A turn has at least one rate.
--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/clamp"
 )
 
 // backlog indexes the steps of the open and stored jobs with tasks that wait for a host. Whoever
@@ -130,7 +131,7 @@
 		b.queues[j.Spec.Queue] = w.queue
 	}
 	if j.Spec.Repetitions > 0 {
-		w.objective += time.Duration(j.dueAt(occurrence)-j.Spec.AcceptedMS) * time.Millisecond
+		w.objective = clamp.Add(w.objective, clamp.Millis(clamp.Sub(j.dueAt(occurrence), j.Spec.AcceptedMS)))
 	}
 	key := shapeKey{need: step.Reservation(), label: step.RequiredLabel}
 	if w.shape = b.shapes[key]; w.shape == nil {
@@ -169,7 +170,7 @@
 	if w.job.assigned == 0 {
 		w.demand.Idle = now - max(w.accepted, w.job.lastStart)
 	}
-	w.demand.Slack = w.objective - now - time.Duration(float64(w.criticalPath)*w.queue.scale)
+	w.demand.Slack = clamp.Sub(w.objective-now, clamp.Int[time.Duration](float64(w.criticalPath)*w.queue.scale))
 	if len(w.work.terms) == 0 {
 		w.work.reset(&w.job.Spec, w.job.Occurrences[w.demand.Occurrence].Stages)
 	}
@@ -230,7 +231,7 @@
 	longest := make([]time.Duration, len(spec.Steps))
 	for i := len(spec.Steps) - 1; i >= step; i-- {
 		// All later steps have added their paths to the steps that they depend on.
-		longest[i] += spec.Steps[i].Estimate
+		longest[i] = clamp.Add(longest[i], spec.Steps[i].Estimate)
 		for _, before := range spec.Steps[i].After {
 			longest[before] = max(longest[before], longest[i])
 		}
@@ -270,7 +271,7 @@
 	if l.scale != scale {
 		l.sum, l.scale = 0, scale
 		for _, term := range l.terms {
-			l.sum += int64(term * scale)
+			l.sum += scaledWork(term, scale)
 		}
 	}
 	return l.sum
--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -105,7 +105,7 @@
 		j := s.Jobs[ref.Job]
 		step := &j.Spec.Steps[ref.Step]
 		rest := max(hostCores-step.Reservation().MilliCores, 0)
-		work += int64(float64(rest) * step.Estimate.Seconds() * s.durationRatios[j.Spec.Queue].median())
+		work += scaledWork(float64(rest)*step.Estimate.Seconds(), s.durationRatios[j.Spec.Queue].median())
 	}
 	return work
 }
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/clamp"
 	"carawaymux.dev/fleet/port"
 )
 
@@ -68,7 +69,7 @@
 func (s *State) objective(j *Job) time.Time {
 	q := s.Queues[j.Spec.Queue]
 	path := float64(j.Spec.CriticalPath()) * max(q.Stretch, 1)
-	return j.AcceptedAt.Add(time.Duration(path) + q.Target)
+	return j.AcceptedAt.Add(clamp.Add(clamp.Int[time.Duration](path), q.Target))
 }
 
 // MarkStored records that the store has a submitted job.
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -23,14 +23,21 @@
 
 // stepWork returns the work of a number of tasks of a step, in thousandths of a core-second.
 func stepWork(step *batch.Step, tasks int, scale float64) int64 {
-	return int64(estimatedWork(step, tasks) * scale)
+	return scaledWork(estimatedWork(step, tasks), scale)
 }
 
-// estimatedWork is like stepWork, but uses the estimate and is not rounded.
+// estimatedWork is like stepWork, but uses the estimate and is neither rounded nor bounded.
 func estimatedWork(step *batch.Step, tasks int) float64 {
 	return float64(step.Reservation().MilliCores) * float64(tasks) * step.Estimate.Seconds()
 }
 
+// maxStepWork bounds the work of a step, in thousandths of a core-second, so that sums over the steps of a
+// pool do not overflow.
+const maxStepWork = 1e12
+
+// scaledWork returns estimated work at a scale, rounded and bounded.
+func scaledWork(estimated, scale float64) int64 { return int64(min(estimated*scale, maxStepWork)) }
+
 // Load sums up the work of the pool for sizing.
 func (s *State) Load(now time.Time) sizing.Load {
 	var l sizing.Load
@@ -46,9 +53,9 @@
 				step, stage := &j.Spec.Steps[si], &occ.Stages[si]
 				switch {
 				case step.LongRunning:
-					l.LongRunning += step.Reservation().MilliCores * int64(stage.Left)
+					l.LongRunning += int64(min(float64(step.Reservation().MilliCores)*float64(stage.Left), maxStepWork))
 					if step.PerHost > 0 {
-						l.SpreadHosts = max(l.SpreadHosts, (step.Count+step.PerHost-1)/step.PerHost)
+						l.SpreadHosts = max(l.SpreadHosts, (step.Count-1)/step.PerHost+1)
 					}
 				case occ.ready(&j.Spec, si):
 					l.Backlog += stepWork(step, stage.idle, scale)
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/clamp"
 	"carawaymux.dev/fleet/place"
 )
 
@@ -71,7 +72,7 @@
 
 // dueAt returns when an occurrence may start, in milliseconds since 1970.
 func (j *Job) dueAt(occurrence int) int64 {
-	return j.Spec.FirstDueMS + int64(occurrence)*j.Spec.Interval.Milliseconds()
+	return clamp.Add(j.Spec.FirstDueMS, int64(occurrence)*j.Spec.Interval.Milliseconds())
 }
 
 // NextDue returns when the next occurrence has to be opened, in milliseconds since 1970, or 0
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/clamp"
 )
 
 // TaskProgress is the stored progress of a task.
@@ -211,7 +212,7 @@
 	for _, opt := range opts {
 		opt(&known)
 	}
-	age := time.Duration(now.UnixMilli()-spec.AcceptedMS) * time.Millisecond
+	age := clamp.Millis(clamp.Sub(now.UnixMilli(), spec.AcceptedMS))
 	j := newJob(id, now.Add(-max(age, 0)))
 	j.Spec, j.OccurrencesLeft, j.Stored, j.Inherited = spec, spec.Occurrences(), true, true
 	if stored != nil {
--- a/fleet/shard/speed.go
+++ b/fleet/shard/speed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/clamp"
 )
 
 const (
@@ -68,7 +69,7 @@
 
 // expected returns the expected run time of a task of a step.
 func (s *State) expected(j *Job, step *batch.Step) time.Duration {
-	return time.Duration(float64(step.Estimate) * s.durationRatios[j.Spec.Queue].median())
+	return clamp.Int[time.Duration](float64(step.Estimate) * s.durationRatios[j.Spec.Queue].median())
 }
 
 // measureHost measures the tasks of a host and sets the speed of the host: the median of the
--- a/fleet/shard/throttle.go
+++ b/fleet/shard/throttle.go
@@ -45,7 +45,7 @@
 		if step == nil || step.TailLatency <= 0 || task.Status != Running || task.Percent < servingPercent {
 			continue
 		}
-		share := task.Load / float64(step.TailLatency.Milliseconds())
+		share := task.Load * float64(time.Millisecond) / float64(step.TailLatency)
 		disturbed = disturbed || share >= throttleAt
 		calm = calm && share < throttleRaiseBelow
 	}
--- a/fleet/sizing/forecast.go
+++ b/fleet/sizing/forecast.go
@@ -45,7 +45,7 @@
 // turns.
 func hasWork(loads map[string]Load) bool {
 	for _, l := range loads {
-		if l.Running+l.Backlog+l.FutureWork+l.ArrivalRate > 0 {
+		if max(l.Running, l.Backlog, l.FutureWork, l.ArrivalRate) > 0 {
 			return true
 		}
 	}
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/clamp"
 	"carawaymux.dev/fleet/port"
 )
 
@@ -66,7 +67,7 @@
 
 // Desired implements [Policy].
 func (OnDemand) Desired(l *Load) int {
-	return hostsFor(l, l.LongRunning+l.Running+l.Backlog)
+	return hostsFor(l, clamp.Add(clamp.Add(l.LongRunning, l.Running), l.Backlog))
 }
 
 // Required implements [Policy].
@@ -86,7 +87,7 @@
 
 // Desired implements [Policy].
 func (c ClearBacklog) Desired(l *Load) int {
-	backlog := float64(l.Backlog+l.FutureWork/futureWorkDivisor) / c.Within.Seconds()
+	backlog := float64(clamp.Add(l.Backlog, l.FutureWork/futureWorkDivisor)) / c.Within.Seconds()
 	required := float64(l.LongRunning) + max(float64(l.Running)+backlog, float64(l.ArrivalRate))
 	return c.hostsToCarry(l, required)
 }
@@ -94,19 +95,19 @@
 // Required implements [Policy].
 func (c ClearBacklog) Required(l *Load) int {
 	now := float64(l.LongRunning) + float64(l.Running) + float64(l.Backlog)/c.Within.Seconds()
-	return min(max(hostsFor(l, int64(now/c.Utilization)), l.SpreadHosts)+requiredReserve, c.Desired(l))
+	return min(max(hostsFor(l, clamp.Int[int64](now/c.Utilization)), l.SpreadHosts)+requiredReserve, c.Desired(l))
 }
 
 // HostsFor returns the number of hosts that a pool should have while work arrives at a rate, in
 // thousandths of a core.
 func (c ClearBacklog) HostsFor(l *Load, rate int64) int {
-	return c.hostsToCarry(l, float64(l.LongRunning+rate))
+	return c.hostsToCarry(l, float64(clamp.Add(l.LongRunning, rate)))
 }
 
 // hostsToCarry returns the number of hosts that carry work of a capacity in thousandths of a core, with the
 // reserve.
 func (c ClearBacklog) hostsToCarry(l *Load, milliCores float64) int {
-	return max(hostsFor(l, int64(milliCores/c.Utilization)), l.SpreadHosts) + c.Reserve
+	return max(hostsFor(l, clamp.Int[int64](milliCores/c.Utilization)), l.SpreadHosts) + c.Reserve
 }
 
 // requiredReserve is the number of hosts that a pool keeps in addition to those that its
@@ -116,13 +117,16 @@
 // futureWorkDivisor divides the work of steps that are not ready: a third of it counts.
 const futureWorkDivisor = 3
 
+// maxHosts bounds the number of hosts that a pool may want.
+const maxHosts = 1 << 30
+
 // hostsFor returns the number of hosts that have the given capacity together. While the capacity
 // of a host is unknown, it returns the present number.
 func hostsFor(l *Load, milliCores int64) int {
 	if l.HostCapacity <= 0 {
 		return l.Hosts
 	}
-	return int((milliCores + l.HostCapacity - 1) / l.HostCapacity)
+	return int(min(clamp.Add(milliCores, l.HostCapacity-1)/l.HostCapacity, maxHosts))
 }
 
 // Move moves a machine into another pool.
