Let the stand-in of the platform report events on hosts, and put proxies on its links

The soak judges promises by what hosts saw: the stand-in passes each boot, start, end and acknowledgement to an observer. Settings and host records may name proxies, the store can be slow, the machines API has the faults of trial/faulty, and a planted fault makes hosts run tasks again that are done. No existing check or bound has changed.

--- a/trial/fake/deployment.go
+++ b/trial/fake/deployment.go
@@ -59,7 +59,11 @@
 		if i < len(fp.entryCores) {
 			limits += fmt.Sprintf("\ncpu_share = %g\ncores = 1", fp.entryCores[i])
 		}
-		if err := os.WriteFile(e.settingsPath, []byte(fp.renderSettings(e, zones[i%len(zones)], peer, limits)), 0o600); err != nil {
+		settings, err := fp.renderSettings(e, zones[i%len(zones)], peer, limits)
+		if err != nil {
+			return nil, err
+		}
+		if err := os.WriteFile(e.settingsPath, []byte(settings), 0o600); err != nil {
 			return nil, err
 		}
 		d.Entries = append(d.Entries, e)
@@ -69,7 +73,15 @@
 
 // renderSettings returns the settings file that the platform provides for an entry. It contains a
 // field that entries do not know, which they must ignore.
-func (fp *Platform) renderSettings(e *Entry, zone, peer, limits string) string {
+func (fp *Platform) renderSettings(e *Entry, zone, peer, limits string) (string, error) {
+	store, err := fp.proxy(e.Name, "store", fp.StoreAddress)
+	if err != nil {
+		return "", err
+	}
+	machines, err := fp.proxy(e.Name, "machines", fp.MachinesAddress)
+	if err != nil {
+		return "", err
+	}
 	return fmt.Sprintf(`node_name = %q
 advice = %q
 ip = "127.0.0.1"
@@ -83,9 +95,9 @@
 %s
 [bounds]
 max_hold_ms = 10000
-grace_period_s = 6
-stop_ms = 900
-status_s = 120
+grace_period_s = %g
+stop_ms = %d
+status_s = %g
 remote_factor = 2
 restore_ms = 600
 notice_ms = 4500
@@ -98,7 +110,8 @@
 request_bytes = 2097152
 [cloud_api]
 address = %q
-`, e.Name, fp.AdviceAddress, zone, peer, peer, e.CallerAddress, e.ReadyAddress, limits, fp.StoreAddress, fp.MachinesAddress)
+`, e.Name, fp.AdviceAddress, zone, peer, peer, e.CallerAddress, e.ReadyAddress, limits,
+		GracePeriod.Seconds(), StopTime.Milliseconds(), StatusTime.Seconds(), store, machines), nil
 }
 
 // Start starts the process of an entry, for the first time or again.
@@ -246,6 +259,18 @@
 
 // SubmitJob is like Submit, for a job whose ID, specification and crash are set.
 func (d *Deployment) SubmitJob(ctx context.Context, e *Entry, pool string, j *Job, steps ...StepSpec) int {
+	d.register(j, steps)
+	return d.Resubmit(ctx, e, pool, j, steps...)
+}
+
+// Register registers a job with the checker, for callers that submit it themselves. It sets what its tasks need.
+func (d *Deployment) Register(id, specification string, steps []StepSpec) *Job {
+	j := &Job{ID: id, Specification: specification}
+	d.register(j, steps)
+	return j
+}
+
+func (d *Deployment) register(j *Job, steps []StepSpec) {
 	j.After = map[int][]int{}
 	for i := range steps {
 		steps[i].CPU, steps[i].MemoryMB = taskCores, taskMemory
@@ -253,7 +278,6 @@
 		j.TaskCounts = append(j.TaskCounts, steps[i].Count)
 	}
 	d.RegisterJob(j)
-	return d.Resubmit(ctx, e, pool, j, steps...)
 }
 
 // Resubmit submits a registered job again.
--- /dev/null
+++ b/trial/fake/events.go
@@ -0,0 +1,63 @@
+package fake
+
+import "time"
+
+// EventKind is what has happened on a host.
+type EventKind string
+
+// The kinds of events.
+const (
+	// HostBooted and HostGone are the begin and the end of an incarnation of a machine. All runs of a host
+	// end with it.
+	HostBooted EventKind = "host-booted"
+	HostGone   EventKind = "host-gone"
+	// RunStarted and RunEnded are the begin and the end of a run. RunAcknowledged means that an entry has
+	// taken note of an end.
+	RunStarted      EventKind = "run-started"
+	RunEnded        EventKind = "run-ended"
+	RunAcknowledged EventKind = "run-acknowledged"
+)
+
+// Event is an event on a host.
+type Event struct {
+	At         time.Time
+	Kind       EventKind
+	Host, Pool string
+	// Task and Run are set for runs, and Specification for starts.
+	Task          string
+	Run           int64
+	Specification string
+	// Result is how a run has ended.
+	Result string
+	// LeaseExpired is set if the host's lease expired between the end of a run and its acknowledgement.
+	LeaseExpired bool
+}
+
+const (
+	// MaxAttempts is the number of failures after which a task is not started again.
+	MaxAttempts = maxAttempts
+	// GracePeriod is the time between SIGTERM and SIGKILL, StopTime the longest time that a host takes to
+	// stop a run, and StatusTime how long the state of a job that has ended stays known.
+	GracePeriod = 6 * time.Second
+	StopTime    = 900 * time.Millisecond
+	StatusTime  = 120 * time.Second
+)
+
+// TasksPerHost returns the number of tasks that a host has room for.
+func TasksPerHost() int {
+	return min(machineCapacity.Cores/taskCores, machineCapacity.MemoryMB/taskMemory)
+}
+
+// notify passes an event on a host to the observer.
+func (s *state) notify(h *host, e Event) {
+	e.At, e.Host, e.Pool = time.Now(), h.id, h.pool
+	s.observe(e)
+}
+
+// rerun starts a task that is done once more, if the layout asks for this fault.
+func (s *state) rerun(h *host, e *finishedRun, now time.Time) {
+	if j := s.checker.jobs[jobOf(e.task)]; s.rerunDone && e.result == "done" && j != nil && h.running[e.task] == nil {
+		h.running[e.task] = &run{number: e.run + 1, specification: j.Specification, startedAt: now}
+		s.notify(h, Event{Kind: RunStarted, Task: e.task, Run: e.run + 1, Specification: j.Specification})
+	}
+}
--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/task"
+	"carawaymux.dev/trial/faulty"
 )
 
 // advanceInterval is the time between two checks for events that only depend on time.
@@ -26,8 +27,11 @@
 	// the machines API and the policy service.
 	StoreAddress, MachinesAddress, AdviceAddress string
 	hosts                                        map[string]string
-	// entryCores is the value of Layout.EntryCores.
+	// entryCores and proxy are the values of Layout.EntryCores and Layout.Proxy.
 	entryCores []float64
+	proxy      Proxy
+	// machineFaults applies the faults of the machines API.
+	machineFaults *faulty.Injector
 }
 
 // state is the state that the platform's task owns.
@@ -50,6 +54,10 @@
 	// were refused because the ticket was missing or wrong.
 	advisedPool      string
 	refusedForTicket int
+	// observe is called with each event on a host.
+	observe func(Event)
+	// rerunDone is the value of Layout.RerunDone.
+	rerunDone bool
 }
 
 // Timing holds the durations of the simulation.
@@ -77,11 +85,24 @@
 	// state none for the entries beyond it.
 	EntryCores []float64
 	Timing     Timing
+	// Proxy sets the proxies on the connections of entries; nil for none.
+	Proxy Proxy
+	// Observe is called with each event on a host, in their order. It must not block; nil for no calls.
+	Observe func(Event)
+	// RerunDone makes hosts start each task again that has succeeded. Tests use it to see checks fail.
+	RerunDone bool
 }
 
+// Proxy returns the address of a proxy for the connections from an entry to a service or to a machine. The name
+// of the entry is empty for proxies that all entries share.
+type Proxy func(from, to, address string) (string, error)
+
 // New starts a simulated platform on loopback.
 func New(layout Layout) (*Platform, error) {
-	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores}
+	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, proxy: layout.Proxy, machineFaults: faulty.New()}
+	if fp.proxy == nil {
+		fp.proxy = func(_, _, address string) (string, error) { return address, nil }
+	}
 	st := newState(layout)
 	fp.task = task.Start(func(ctx context.Context, inbox <-chan func(*state)) {
 		t := time.NewTicker(advanceInterval)
@@ -101,7 +122,7 @@
 	if fp.StoreAddress, err = fp.serve(fp.storeHandler()); err != nil {
 		return nil, err
 	}
-	if fp.MachinesAddress, err = fp.serve(fp.machinesHandler()); err != nil {
+	if fp.MachinesAddress, err = fp.serve(fp.machineFaults.Wrap(fp.machinesHandler())); err != nil {
 		return nil, err
 	}
 	if fp.AdviceAddress, err = fp.serve(fp.adviceHandler()); err != nil {
@@ -111,7 +132,12 @@
 }
 
 func newState(layout Layout) *state {
+	observe := layout.Observe
+	if observe == nil {
+		observe = func(Event) {}
+	}
 	return &state{
+		observe: observe, rerunDone: layout.RerunDone,
 		startedAt: time.Now(), store: newStore(), hosts: map[string]*host{}, machines: map[string]*machine{},
 		recordExpiry: map[string]time.Time{}, unguardedPools: layout.UnguardedPools,
 		checker: newChecker(), timing: layout.Timing, advisedPool: layout.AdvisedPool,
@@ -127,6 +153,9 @@
 			if err != nil {
 				return err
 			}
+			if address, err = fp.proxy("", id, address); err != nil {
+				return err
+			}
 			fp.do(func(st *state) {
 				m := &machine{
 					id: id, pool: pool, state: stateUp, address: address,
@@ -200,6 +229,7 @@
 		s.Close()
 	}
 	fp.task.Close()
+	fp.machineFaults.Close()
 }
 
 // Violations lists the violated guarantees, each with its time in seconds since the start.
--- a/trial/fake/host.go
+++ b/trial/fake/host.go
@@ -88,6 +88,7 @@
 	m.host, m.state, m.nextHostID = h, stateUp, ""
 	delete(s.recordExpiry, id)
 	s.hosts[h.id] = h
+	s.notify(h, Event{Kind: HostBooted})
 }
 
 // removeHost ends an incarnation of a machine, with all its runs, and removes its record.
@@ -102,6 +103,7 @@
 		s.checker.runEnded(task, r.number)
 	}
 	h.running = map[string]*run{}
+	s.notify(h, Event{Kind: HostGone})
 	h.notify()
 	delete(s.hosts, h.id)
 	h.machine.host = nil
@@ -167,6 +169,7 @@
 	h.closedRuns[task] = max(h.closedRuns[task], r.number)
 	h.finished = append(h.finished, &finishedRun{number: h.lastFinished, task: task, run: r.number, result: result})
 	s.checker.runEnded(task, r.number)
+	s.notify(h, Event{Kind: RunEnded, Task: task, Run: r.number, Result: result})
 	switch result {
 	case "done":
 		s.checker.done[task] = true
@@ -328,6 +331,7 @@
 	}
 	s.checker.checkStart(s, h, o, now)
 	h.running[o.Task] = &run{number: o.Run, specification: o.Specification, startedAt: now}
+	s.notify(h, Event{Kind: RunStarted, Task: o.Task, Run: o.Run, Specification: o.Specification})
 	if crash := h.crashDue(s, now); crash != nil && crash.Delay == 0 {
 		s.crash(h, crash.Downtime, crash.KeepID, now)
 		return reply{}
@@ -351,8 +355,11 @@
 		return *refusal
 	}
 	for len(h.finished) > 0 && h.finished[0].number <= o.LastSeen {
-		s.checker.acknowledge(s, h.finished[0])
+		e := h.finished[0]
 		h.finished = h.finished[1:]
+		s.checker.acknowledge(s, e)
+		s.notify(h, Event{Kind: RunAcknowledged, Task: e.task, Run: e.run, Result: e.result, LeaseExpired: e.leaseExpired})
+		s.rerun(h, e, now)
 	}
 	running, finished := [][]any{}, [][]any{}
 	for _, task := range sortedKeys(h.running) {
@@ -384,6 +391,16 @@
 	})
 }
 
+// CrashMachine crashes the host of a machine, if it has one. The machine boots again after downtime with a new
+// host, under the same address.
+func (fp *Platform) CrashMachine(id string, downtime time.Duration) {
+	fp.do(func(s *state) {
+		if m := s.machines[id]; m != nil && m.host != nil {
+			s.crash(m.host, downtime, false, time.Now())
+		}
+	})
+}
+
 // SetUnreachable disconnects up to count hosts of a pool from entries and store, or connects them
 // again. Their runs continue.
 func (fp *Platform) SetUnreachable(pool string, count int, unreachable bool) {
--- a/trial/fake/machine.go
+++ b/trial/fake/machine.go
@@ -1,10 +1,13 @@
 package fake
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
+
+	"carawaymux.dev/trial/faulty"
 )
 
 // The states of a machine.
@@ -58,6 +61,11 @@
 	}
 }
 
+// SetMachineFaults replaces the faults of the machines API.
+func (fp *Platform) SetMachineFaults(ctx context.Context, f faulty.Faults) error {
+	return fp.machineFaults.Set(ctx, f)
+}
+
 func (fp *Platform) machinesHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/machines", func(rw http.ResponseWriter, _ *http.Request) {
@@ -193,6 +201,19 @@
 	})
 }
 
+// Machines lists the machines of a pool, in the order of their IDs.
+func (fp *Platform) Machines(pool string) []string {
+	return query(fp, func(s *state) []string {
+		var out []string
+		for _, id := range sortedKeys(s.machines) {
+			if s.machines[id].pool == pool {
+				out = append(out, id)
+			}
+		}
+		return out
+	})
+}
+
 // MachinesInPool counts the machines of a pool.
 func (fp *Platform) MachinesInPool(pool string) int {
 	return query(fp, func(s *state) int {
--- a/trial/fake/store.go
+++ b/trial/fake/store.go
@@ -41,6 +41,8 @@
 	// LoseEveryNth drops the response to every n-th append although the append is applied; 0 drops
 	// none.
 	LoseEveryNth int
+	// Delay is the time by which each call is delayed.
+	Delay time.Duration
 }
 
 // store is the metadata store; standby is the name of the standby pool.
@@ -121,6 +123,7 @@
 		case f.Busy:
 			writeJSON(rw, http.StatusServiceUnavailable, struct{}{})
 		default:
+			time.Sleep(f.Delay)
 			mux.ServeHTTP(rw, r)
 		}
 	})
--- a/trial/faulty/faulty.go
+++ b/trial/faulty/faulty.go
@@ -76,7 +76,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	_, _ = task.Call(r.Context(), b.task, func(reply chan<- Faults) message { return message{set: &f, reply: reply} })
+	_ = b.Set(r.Context(), f)
+}
+
+// Set replaces the faults.
+func (b *Injector) Set(ctx context.Context, f Faults) error {
+	_, err := task.Call(ctx, b.task, func(reply chan<- Faults) message { return message{set: &f, reply: reply} })
+	return err
 }
 
 func (b *Injector) serve(w http.ResponseWriter, r *http.Request, next http.Handler) {
--- a/trial/load/load.go
+++ b/trial/load/load.go
@@ -115,7 +115,7 @@
 }
 
 func (r *Runner) runStream(ctx context.Context, d time.Duration, s Stream, streamIndex uint64) []Result {
-	times := arrivals(s, d, rand.New(rand.NewPCG(r.seed, streamIndex)))
+	times := Arrivals(s, d, rand.New(rand.NewPCG(r.seed, streamIndex)))
 	results := make([]Result, len(times))
 	start := time.Now()
 	var group errgroup.Group
@@ -133,8 +133,8 @@
 	return results
 }
 
-// arrivals draws the arrival times of a Poisson process whose rate changes with the bursts.
-func arrivals(s Stream, d time.Duration, random *rand.Rand) []time.Duration {
+// Arrivals draws the arrival times of a Poisson process whose rate changes with the bursts.
+func Arrivals(s Stream, d time.Duration, random *rand.Rand) []time.Duration {
 	var out []time.Duration
 	for at := time.Duration(0); ; {
 		rate := s.Rate
--- a/trial/procs/procs.go
+++ b/trial/procs/procs.go
@@ -64,6 +64,12 @@
 // Exited returns a channel that is closed when the process has ended.
 func (p *Proc) Exited() <-chan struct{} { return p.exited }
 
+// Result waits for the end of the process and returns its result, nil for exit code 0.
+func (p *Proc) Result() error {
+	<-p.exited
+	return p.err
+}
+
 // CheckRunning returns nil while the process runs, and an error after it has ended.
 func (p *Proc) CheckRunning() error {
 	select {
