Add a fault soak on real processes

trial soak starts entries as processes, injects faults from a schedule that a seed gives, lets callers submit, follow, cancel and repeat jobs over open connections, and checks 13 promises against the history of callers and hosts. Each check has histories that break the promise and histories close to them that do not; two planted faults show that a run fails when a promise is broken.

--- a/trial/cmd/trial/main.go
+++ b/trial/cmd/trial/main.go
@@ -13,6 +13,7 @@
 	"carawaymux.dev/trial/gauge"
 	"carawaymux.dev/trial/model"
 	"carawaymux.dev/trial/runner"
+	"carawaymux.dev/trial/soak"
 	"carawaymux.dev/trial/tour"
 )
 
@@ -25,7 +26,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(runner.NewLogCommand(), runner.NewHostsCommand(), runner.NewTargetCommand(), demo.New(os.Stdout), gauge.New(os.Stdout, os.Stderr),
-		tour.New(os.Stdout, nil), model.New(os.Stdout, os.Stderr))
+		tour.New(os.Stdout, nil), model.New(os.Stdout, os.Stderr), soak.New(os.Stdout, os.Stderr))
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "trial:", err)
 		os.Exit(1)
--- /dev/null
+++ b/trial/soak/caller.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"carawaymux.dev/trial/fake"
+	"carawaymux.dev/trial/load"
+)
+
+const (
+	// maxSteps, maxTasks and the durations of tasks limit the jobs of callers.
+	maxSteps, maxTasks       = 2, 4
+	minTaskMS, maxTaskMS     = 200, 1500
+	failShare, cancelShare   = 0.04, 0.1
+	repeatShare              = 0.1
+	minRepeat, maxRepeat     = 200 * time.Millisecond, 3 * time.Second
+	minPoll, maxPoll         = 250 * time.Millisecond, 900 * time.Millisecond
+	retryPause               = 250 * time.Millisecond
+	maxIdle                  = 512
+	tasksPerJob, taskSeconds = (1 + maxTasks) / 2.0 * 1.5, (minTaskMS + maxTaskMS) / 2000.0
+)
+
+// crowd are the callers of a run. Each job has a caller of its own; callers share open connections.
+type crowd struct {
+	site  *site
+	names []string
+	idle  map[string]shelf[*conn]
+}
+
+func newCrowd(s *site) *crowd {
+	c := &crowd{site: s, idle: map[string]shelf[*conn]{}}
+	for _, e := range s.deployment.Entries {
+		c.names = append(c.names, e.Name)
+		c.idle[e.Name] = make(shelf[*conn], maxIdle)
+	}
+	return c
+}
+
+// jobsPerSecond is the number of jobs a second that the hosts of a pool can do.
+func jobsPerSecond(hosts int) float64 {
+	return float64(hosts*fake.TasksPerHost()) / (tasksPerJob * taskSeconds)
+}
+
+// run submits jobs during the traffic and follows them until all have ended or ctx is done.
+func (c *crowd) run(ctx context.Context, seed uint64, traffic time.Duration, hosts int) {
+	var group errgroup.Group
+	for stream, pool := range []string{guardedPool, unguardedPool} {
+		group.Go(func() error {
+			random := rand.New(rand.NewPCG(seed, uint64(trafficStream+stream)))
+			var jobs errgroup.Group
+			for n, due := range load.Arrivals(Traffic(seed, stream, traffic, jobsPerSecond(hosts)), traffic, random) {
+				j := drawJob(random, pool, fmt.Sprintf("%04x%04x%08x", seed&0xffff, stream, n+1))
+				p := &caller{crowd: c, job: j, random: rand.New(rand.NewPCG(random.Uint64(), 0)), acceptUntil: c.site.trafficAt + traffic}
+				if !sleep(ctx, c.site.trafficAt+due-c.site.recorder.now()) {
+					break
+				}
+				jobs.Go(func() error {
+					p.run(ctx)
+					return nil
+				})
+			}
+			return jobs.Wait()
+		})
+	}
+	_ = group.Wait()
+}
+
+func drawJob(random *rand.Rand, pool, id string) Job {
+	j := Job{ID: id, Queue: pool, Pool: pool}
+	if pool == guardedPool && random.IntN(3) == 0 {
+		j.Queue = extraQueue
+	}
+	ms := minTaskMS + random.IntN(maxTaskMS-minTaskMS)
+	j.Specification = strconv.Itoa(ms)
+	if random.Float64() < failShare {
+		j.Specification = fake.SpecFail
+	}
+	for i := range 1 + random.IntN(maxSteps) {
+		s := fake.StepSpec{Count: 1 + random.IntN(maxTasks), EstimatedMS: ms}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
+
+// caller submits a job and follows it.
+type caller struct {
+	crowd  *crowd
+	job    Job
+	random *rand.Rand
+	// acceptUntil is when the caller gives up a job that no entry has accepted.
+	acceptUntil time.Duration
+}
+
+func (p *caller) run(ctx context.Context) {
+	r := p.crowd.site.recorder
+	registered := p.crowd.site.deployment.Register(p.job.ID, p.job.Specification, p.job.Steps)
+	r.add(func(h *History) { h.Jobs = append(h.Jobs, p.job) })
+	body, err := json.Marshal(map[string]any{"specification": registered.Specification, "steps": p.job.Steps})
+	if err != nil {
+		return
+	}
+	// The first answer to a submission decides whether the job was accepted.
+	for p.ask(Submit, http.MethodPost, body).status != http.StatusOK {
+		if r.now() > p.acceptUntil || !sleep(ctx, retryPause) {
+			return
+		}
+	}
+	cancel, repeat := p.random.Float64() < cancelShare, p.random.Float64() < repeatShare
+	acceptedAt, later := r.now(), minRepeat+time.Duration(p.random.Int64N(int64(maxRepeat-minRepeat)))
+	for sleep(ctx, minPoll+time.Duration(p.random.Int64N(int64(maxPoll-minPoll)))) {
+		due := r.now() > acceptedAt+later
+		if due && repeat {
+			repeat = p.ask(Submit, http.MethodPost, body).status != http.StatusOK
+			continue
+		}
+		if due && cancel {
+			status := p.ask(Cancel, http.MethodDelete, nil).status
+			cancel = status != http.StatusOK && status != http.StatusGone
+			continue
+		}
+		a := p.ask(Look, http.MethodGet, nil)
+		if ended(stateIn(a)) || a.status == http.StatusGone {
+			return
+		}
+	}
+}
+
+// ended reports whether a state is final.
+func ended(state string) bool {
+	return state == stateCompleted || state == stateFailed || state == stateCancelled
+}
+
+// The final states of a job.
+const (
+	stateCompleted, stateFailed, stateCancelled = "completed", "failed", "cancelled"
+)
+
+// stateIn returns the state in the answer to a look, or "".
+func stateIn(a answer) string {
+	var out struct {
+		State string `json:"state"`
+	}
+	if a.status != http.StatusOK || json.Unmarshal(a.body, &out) != nil {
+		return ""
+	}
+	return out.State
+}
+
+// ask sends a request to some entry, over an open connection if there is one, and records it once its last byte
+// was written.
+func (p *caller) ask(verb Verb, method string, body []byte) answer {
+	name := p.crowd.names[p.random.IntN(len(p.crowd.names))]
+	idle, r := p.crowd.idle[name], p.crowd.site.recorder
+	c, ok := idle.take()
+	if !ok {
+		var err error
+		if c, err = dial(p.crowd.site.addresses[name]); err != nil {
+			return answer{err: err}
+		}
+	}
+	a := c.exchange(method, fake.QueuePath(p.job.Queue)+p.job.ID, body)
+	if a.err != nil || !idle.put(c) {
+		c.net.Close()
+	}
+	if a.sentAt.IsZero() {
+		return a
+	}
+	q := Request{
+		Job: p.job.ID, Queue: p.job.Queue, Verb: verb, Entry: name, SentAt: a.sentAt.Sub(r.startedAt), EndAt: r.now(),
+		Status: a.status, TimedOut: a.timedOut,
+	}
+	if verb == Look {
+		q.State = stateIn(a)
+	}
+	if a.err != nil {
+		q.Error = a.err.Error()
+	}
+	r.add(func(h *History) { h.Requests = append(h.Requests, q) })
+	return a
+}
+
+// close closes all open connections.
+func (c *crowd) close() {
+	for _, idle := range c.idle {
+		for {
+			v, ok := idle.take()
+			if !ok {
+				break
+			}
+			v.net.Close()
+		}
+	}
+}
--- /dev/null
+++ b/trial/soak/conn.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"carawaymux.dev/trial/fake"
+)
+
+// shelf keeps things that are idle for their next use.
+type shelf[T any] chan T
+
+// take returns something idle, if there is any.
+func (s shelf[T]) take() (T, bool) {
+	select {
+	case v := <-s:
+		return v, true
+	default:
+		var zero T
+		return zero, false
+	}
+}
+
+// put keeps something and reports whether there was room for it.
+func (s shelf[T]) put(v T) bool {
+	select {
+	case s <- v:
+		return true
+	default:
+		return false
+	}
+}
+
+// conn is a connection of a caller. It ignores requests to close it and is used until it fails.
+type conn struct {
+	net    net.Conn
+	reader *bufio.Reader
+}
+
+const (
+	// dialTimeout limits the time to connect, and callerDeadline the time that callers wait for an answer.
+	dialTimeout, callerDeadline = time.Second, 3 * time.Second
+)
+
+func dial(address string) (*conn, error) {
+	c, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{c, bufio.NewReader(c)}, nil
+}
+
+// answer is the answer to a request.
+type answer struct {
+	// sentAt is when the last byte of the request was written; zero if that failed.
+	sentAt time.Time
+	// status is 0 if there was no complete answer.
+	status   int
+	body     []byte
+	timedOut bool
+	err      error
+}
+
+// exchange sends a request and waits for the answer. The connection is of no use after an error.
+func (c *conn) exchange(method, path string, body []byte) answer {
+	var a answer
+	if a.err = c.net.SetDeadline(time.Now().Add(callerDeadline)); a.err != nil {
+		return a
+	}
+	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nDeadline: %d\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		method, path, fake.VirtualHost, callerDeadline.Milliseconds(), len(body), body)
+	if _, a.err = io.WriteString(c.net, request); a.err != nil {
+		return a
+	}
+	a.sentAt = time.Now()
+	response, err := http.ReadResponse(c.reader, nil)
+	if err == nil {
+		a.body, err = io.ReadAll(response.Body)
+		response.Body.Close()
+	}
+	if err != nil {
+		a.err, a.timedOut = err, errors.Is(err, os.ErrDeadlineExceeded)
+		return a
+	}
+	a.status = response.StatusCode
+	return a
+}
--- /dev/null
+++ b/trial/soak/keeper.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"carawaymux.dev/fleet/task"
+	"carawaymux.dev/trial/fake"
+)
+
+// keeper is the task that owns the process of an entry: it sends signals to it and starts it again.
+type keeper struct {
+	entry *fake.Entry
+	task  *task.Task[keeperMessage]
+}
+
+// keeperMessage is a fault of the process, or the end of a pause.
+type keeperMessage struct {
+	kind   Kind
+	resume bool
+	// downtime is the time between the end of the process and its next start.
+	downtime time.Duration
+}
+
+// keeperCore is the state of the task.
+type keeperCore struct {
+	recorder *recorder
+	start    func() error
+	entry    *fake.Entry
+	// exited is the channel of the running process, or nil while there is none.
+	exited <-chan struct{}
+	// cause is the fault that ends the process, and signalAt when it was signalled; cause is empty while
+	// the process is to run.
+	cause    Kind
+	signalAt time.Duration
+	overdue  bool
+	downtime time.Duration
+	// pauses counts the pauses that have not ended.
+	pauses int
+	// restart starts the next process, and grace ends the grace period of a stop.
+	restart, grace <-chan time.Time
+}
+
+// crashDowntime is the time before an entry that ended by itself is started again.
+const crashDowntime = time.Second
+
+// startKeeper takes over an entry whose process runs.
+func startKeeper(e *fake.Entry, r *recorder, start func() error) *keeper {
+	c := &keeperCore{recorder: r, start: start, entry: e, exited: e.Proc().Exited()}
+	return &keeper{e, task.Start(c.run)}
+}
+
+func (c *keeperCore) run(ctx context.Context, inbox <-chan keeperMessage) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-inbox:
+			c.handle(m)
+		case <-c.exited:
+			c.processEnded()
+		case <-c.restart:
+			c.startAgain()
+		case <-c.grace:
+			c.overdue, c.grace = true, nil
+			c.signal(syscall.SIGKILL)
+		}
+	}
+}
+
+// signal sends a signal to the process of the entry, if it runs. It can have ended at this moment.
+func (c *keeperCore) signal(s syscall.Signal) {
+	if c.exited != nil {
+		_ = c.entry.Proc().Signal(s)
+	}
+}
+
+func (c *keeperCore) handle(m keeperMessage) {
+	switch {
+	case c.exited == nil:
+		// There is no process to harm.
+	case m.resume:
+		if c.pauses = max(c.pauses-1, 0); c.pauses == 0 {
+			c.signal(syscall.SIGCONT)
+		}
+	case m.kind == Pause:
+		c.pauses++
+		c.signal(syscall.SIGSTOP)
+	case m.kind == Reload:
+		c.signal(syscall.SIGHUP)
+	case m.kind == Term && c.cause == "":
+		c.cause, c.signalAt, c.downtime = Term, c.recorder.now(), m.downtime
+		c.grace = time.After(fake.GracePeriod)
+		c.signal(syscall.SIGTERM)
+	case m.kind == Kill && c.cause != Kill:
+		if c.cause == "" {
+			c.signalAt = c.recorder.now()
+		}
+		c.cause, c.downtime = Kill, m.downtime
+		c.signal(syscall.SIGKILL)
+	}
+}
+
+// processEnded records the end of the process and schedules the next start.
+func (c *keeperCore) processEnded() {
+	e := Exit{Entry: c.entry.Name, At: c.recorder.now(), Cause: c.cause, SignalAt: c.signalAt, Overdue: c.overdue}
+	if err := c.entry.Proc().Result(); err != nil {
+		e.Error = err.Error()
+	}
+	if c.cause == "" {
+		c.downtime = crashDowntime
+	}
+	c.recorder.add(func(h *History) { h.Exits = append(h.Exits, e) })
+	c.exited, c.grace, c.pauses = nil, nil, 0
+	c.restart = time.After(c.downtime)
+}
+
+// startAgain starts the next process and records the window of the fault that ended the last one.
+func (c *keeperCore) startAgain() {
+	if err := c.start(); err != nil {
+		c.restart = time.After(crashDowntime)
+		return
+	}
+	if c.cause != "" {
+		w := Window{Kind: c.cause, Target: c.entry.Name, From: c.signalAt, To: c.recorder.now()}
+		c.recorder.add(func(h *History) { h.Windows = append(h.Windows, w) })
+	}
+	c.exited, c.restart = c.entry.Proc().Exited(), nil
+	c.cause, c.overdue = "", false
+}
+
+// inject passes a fault to the process and returns the function that ends it.
+func (k *keeper) inject(ctx context.Context, f Fault) (heal func(context.Context) error, err error) {
+	if err := k.task.Send(ctx, keeperMessage{kind: f.Kind, downtime: f.For}); err != nil {
+		return nil, err
+	}
+	return func(ctx context.Context) error {
+		if f.Kind != Pause {
+			return nil
+		}
+		return k.task.Send(ctx, keeperMessage{resume: true})
+	}, nil
+}
--- /dev/null
+++ b/trial/soak/plan_test.go
@@ -0,0 +1,57 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var testLayout = Layout{Entries: []string{"entry-0", "entry-1", "entry-2"}, Machines: []string{"m-docs-0"}, Links: []string{"entry-0>store"}}
+
+func TestASeedGivesTheWholeSchedule(t *testing.T) {
+	require.Equal(t, Plan(7, time.Minute, testLayout, Kinds()), Plan(7, time.Minute, testLayout, Kinds()))
+	require.NotEqual(t, Plan(7, time.Minute, testLayout, Kinds()), Plan(8, time.Minute, testLayout, Kinds()))
+}
+
+func TestSchedulesContainAllKindsAndOverlap(t *testing.T) {
+	kinds, overlaps := map[Kind]int{}, 0
+	for seed := range uint64(50) {
+		plan := Plan(seed, time.Minute, testLayout, Kinds())
+		for i, f := range plan {
+			kinds[f.Kind]++
+			require.Less(t, f.At, time.Minute)
+			if i > 0 {
+				require.LessOrEqual(t, plan[i-1].At, f.At)
+			}
+			if i > 0 && plan[i-1].At+plan[i-1].For > f.At {
+				overlaps++
+			}
+		}
+	}
+	for _, k := range Kinds() {
+		require.NotZero(t, kinds[k], k)
+	}
+	require.Greater(t, overlaps, 100)
+}
+
+func TestTheShortestRunHasFaultsWhateverTheSeed(t *testing.T) {
+	for seed := range uint64(200) {
+		for _, k := range Kinds() {
+			shortest := time.Duration(minMinutes * float64(time.Minute))
+			require.NotEmpty(t, Plan(seed, shortest, testLayout, []Kind{k}), fmt.Sprint(seed, k))
+		}
+	}
+}
+
+func TestLoadIsBetweenCalmAndFourTimesWhatHostsCanDo(t *testing.T) {
+	low, high := 1.0, 0.0
+	for seed := range uint64(50) {
+		for _, b := range Traffic(seed, 0, time.Minute, 1).Bursts {
+			low, high = min(low, b.Rate), max(high, b.Rate)
+		}
+	}
+	require.Equal(t, loadFactors[0], low)
+	require.Equal(t, 4.0, high)
+}
--- /dev/null
+++ b/trial/soak/site.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"carawaymux.dev/trial/fake"
+)
+
+const (
+	// guardedPool and unguardedPool are the pools that run tasks. Hosts of the second accept tasks beyond
+	// their capacity.
+	guardedPool, unguardedPool, standbyPool = "docs", "wages", "spare"
+	// extraQueue is a second queue of the guarded pool. Faults remove it.
+	extraQueue = "extra"
+	// callers is the name of the callers' side of links.
+	callers = "callers"
+)
+
+// plant is a fault of the stand-ins that lets checks fail. Only tests set it.
+type plant string
+
+const (
+	// cutAnswers drops the answers of entries from SIGTERM to their next start.
+	cutAnswers plant = "cut-answers"
+	// rerunDone makes hosts start tasks again that are done.
+	rerunDone plant = "rerun-done"
+)
+
+// site is a deployment under faults.
+type site struct {
+	recorder   *recorder
+	proxies    *proxies
+	platform   *fake.Platform
+	deployment *fake.Deployment
+	// keepers holds the keeper of each entry, by its name. It is set before faults begin.
+	keepers map[string]*keeper
+	layout  fake.Layout
+	planted plant
+	// trafficAt is when the traffic and the schedule start, from the start of the history.
+	trafficAt time.Duration
+	// addresses holds the address for callers of each entry.
+	addresses map[string]string
+}
+
+// newSite starts a deployment whose entries write their logs to a folder.
+func newSite(ctx context.Context, o *Options, dir string) (*site, error) {
+	s := &site{
+		recorder: startRecorder(time.Now()), proxies: newProxies(), keepers: map[string]*keeper{}, planted: o.planted,
+		addresses: map[string]string{},
+	}
+	s.layout = fake.Layout{
+		Pools:       map[string]int{guardedPool: o.Hosts, unguardedPool: o.Hosts, standbyPool: (o.Hosts + 1) / 2},
+		StandbyPool: standbyPool, UnguardedPools: map[string]bool{unguardedPool: true},
+		Proxy: s.proxies.add, Observe: s.recorder.observe, RerunDone: o.planted == rerunDone,
+		Timing: fake.Timing{
+			MaxLease: maxLease, MoveDuration: moveDuration, MaintenanceDuration: moveDuration, HeartbeatInterval: heartbeatInterval,
+		},
+	}
+	if err := s.start(ctx, o, dir); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+const (
+	maxLease          = 10 * time.Second
+	moveDuration      = 400 * time.Millisecond
+	heartbeatInterval = 300 * time.Millisecond
+)
+
+func (s *site) start(ctx context.Context, o *Options, dir string) error {
+	var err error
+	if s.platform, err = fake.New(s.layout); err != nil {
+		return err
+	}
+	if err := s.publish(1, true); err != nil {
+		return err
+	}
+	bin, err := filepath.Abs(o.Bin)
+	if err != nil {
+		return err
+	}
+	if s.deployment, err = fake.NewDeployment(s.platform, bin, dir, o.Entries); err != nil {
+		return err
+	}
+	if err := s.deployment.StartAll(ctx); err != nil {
+		return err
+	}
+	for _, e := range s.deployment.Entries {
+		s.addresses[e.Name] = e.CallerAddress
+		startAgain := func() error { return s.deployment.Start(e) }
+		if s.planted == cutAnswers {
+			if s.addresses[e.Name], err = s.proxies.add(callers, e.Name, e.CallerAddress); err != nil {
+				return err
+			}
+			startAgain = func() error {
+				s.proxies.heal(callers, e.Name)
+				return s.deployment.Start(e)
+			}
+		}
+		s.keepers[e.Name] = startKeeper(e, s.recorder, startAgain)
+	}
+	s.trafficAt = s.recorder.now()
+	return nil
+}
+
+// publish publishes a configuration, with or without the extra queue.
+func (s *site) publish(version int, extra bool) error {
+	c := fake.Config(version, s.layout)
+	if routes := c["routes"].([]map[string]any); extra {
+		for _, r := range routes {
+			if r["service"] == guardedPool {
+				second := maps.Clone(r)
+				second["name"], second["path_prefix"] = "q-"+extraQueue, fake.QueuePath(extraQueue)
+				c["routes"] = append(routes, second)
+				break
+			}
+		}
+	}
+	return s.platform.Publish("config", c)
+}
+
+// faultLayout names what faults can hit.
+func (s *site) faultLayout() Layout {
+	var l Layout
+	for _, e := range s.deployment.Entries {
+		l.Entries = append(l.Entries, e.Name)
+	}
+	l.Machines = append(s.platform.Machines(guardedPool), s.platform.Machines(unguardedPool)...)
+	for _, name := range slices.Sorted(maps.Keys(s.proxies.links)) {
+		if from := name[:len(callers)]; from != callers {
+			l.Links = append(l.Links, name)
+		}
+	}
+	return l
+}
+
+const (
+	// probeInterval and probeTimeout are those of the platform's readiness probes.
+	probeInterval, probeTimeout = time.Second, time.Second
+)
+
+// probe sends readiness probes to an entry until ctx is done.
+func (s *site) probe(ctx context.Context, e *fake.Entry) {
+	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for sleep(ctx, probeInterval) {
+		p := Probe{Entry: e.Name, At: s.recorder.now()}
+		response, err := client.Get("http://" + e.ReadyAddress + "/v1/readiness")
+		if err == nil {
+			response.Body.Close()
+			if p.Ready = response.StatusCode == http.StatusOK; !p.Ready {
+				err = fmt.Errorf("status %d", response.StatusCode)
+			}
+		}
+		if err != nil {
+			p.Error = err.Error()
+		}
+		s.recorder.add(func(h *History) { h.Probes = append(h.Probes, p) })
+	}
+}
+
+// close ends all processes, proxies and stand-ins. It does not close the recorder.
+func (s *site) close() {
+	for _, k := range s.keepers {
+		k.task.Close()
+	}
+	if s.deployment != nil {
+		s.deployment.KillAll()
+	}
+	s.proxies.close()
+	if s.platform != nil {
+		s.platform.Close()
+	}
+}
