--- a/trial/procs/procs.go
+++ b/trial/procs/procs.go
@@ -6,12 +6,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -112,41 +109,6 @@
 	}
 }
 
-const (
-	// firstPort and lastPort limit the ports that FreePorts returns. They lie below the
-	// kernel's range for outgoing connections (ephemeral ports).
-	firstPort = 20_000
-	lastPort  = 32_000
-	// portsPerProcess is the distance between the first ports of processes with
-	// consecutive process IDs. It keeps processes that search at the same time apart.
-	portsPerProcess = 500
-)
-
-// nextPort counts the ports that this process has tried.
-var nextPort atomic.Int64
-
-// FreePorts returns n addresses on 127.0.0.1 on which nothing listens. Within one process
-// it returns no port twice.
-func FreePorts(n int) ([]string, error) {
-	const span = lastPort - firstPort
-	start := os.Getpid() * portsPerProcess % span
-	var out []string
-	for range span {
-		port := firstPort + (start+int(nextPort.Add(1)))%span
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		// Dial instead of binding the port: a child process that is being forked at
-		// this moment would inherit the listening socket and keep the port in use.
-		if c, err := net.Dial("tcp", address); err == nil {
-			c.Close()
-			continue
-		}
-		if out = append(out, address); len(out) == n {
-			return out, nil
-		}
-	}
-	return nil, fault.New("find-port", "127.0.0.1", "found %d of %d free ports", len(out), n)
-}
-
 // ErrPermanent ends [WaitFor] at once when a check returns it.
 var ErrPermanent = errors.New("permanent failure, not retried")
 
