Ask a queue's earlier pools before its new pool takes a job

Callers saw 410 for a job that ran, and their repeated request started its tasks a second time (LOST, TWICE): a queue was removed and added again with another pool. A cancellation was confirmed while the job ran on in the earlier pool.

Cause: requests went to the pool of the newest configuration only, and its owner knew nothing of the earlier one. Owners register their pool for each queue in the topic keyed.places now, before they accept the first job of it, and learn of the queue's other pools. An owner that does not know a job asks the earlier owners, which close the queue by that and store it, so that no entry with an older configuration can hand the job to the earlier pool afterwards. Callers of other queues pay no further call; a queue and pool cost an append and a read once.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -107,11 +107,11 @@
 		}
 		return o.Submit(ctx, r.Queue, r.Subject, *r.Spec)
 	case peers.VerbJobStatus:
-		return o.JobStatus(ctx, r.Subject)
+		return o.JobStatus(ctx, r.Subject, owner.OfQueue(r.Queue))
 	case peers.VerbCancel:
-		return o.Cancel(ctx, r.Subject)
+		return o.Cancel(ctx, r.Subject, owner.OfQueue(r.Queue))
 	case peers.VerbPending:
-		return o.Pending(ctx, r.Queue.Name)
+		return o.Pending(ctx, r.Queue.Name, owner.OfQueue(r.Queue))
 	case peers.VerbVacate:
 		return o.Vacate(ctx, r.Subject)
 	case peers.VerbLoad:
--- a/entry/owner/absent.go
+++ b/entry/owner/absent.go
@@ -74,6 +74,9 @@
 }
 
 func (m jobStatus) handle(c *core) {
+	if c.isForeign(&m.queue) {
+		c.closeQueue(&m.queue)
+	}
 	if j := c.state.Jobs[m.id]; j != nil && !j.Unsubmitted {
 		m.settle(c)
 		return
@@ -84,7 +87,14 @@
 
 func (m jobStatus) settle(c *core) {
 	j := c.state.Jobs[m.id]
+	if c.isForeign(&m.queue) {
+		m.settleForeign(c)
+		return
+	}
 	if j == nil || j.Unsubmitted {
+		if m.settleEarlier(c) {
+			return
+		}
 		m.reply <- c.restingOnInbox(Answer{Outcome: Missing, Reason: "no such job"})
 		return
 	}
@@ -99,7 +109,10 @@
 }
 
 func (m pendingCount) settle(c *core) {
-	m.reply <- c.restingOnInbox(Answer{Outcome: Found, Pending: c.state.Pending(m.queue)})
+	a := c.restingOnInbox(Answer{Outcome: Found, Pending: c.state.Pending(m.queue.Name)})
+	if !m.addEarlier(c, a) {
+		m.reply <- a
+	}
 }
 
 func (m pendingCount) refuse(a Answer) { m.reply <- a }
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -61,6 +61,8 @@
 	adviceInFlight bool
 	// journal holds what is to be written to the store.
 	journal journal
+	// placing is the registration of the pool for its queues.
+	placing placing
 	// runCtx is cancelled when the owner stops. It bounds the messages that the owner's
 	// background work posts to the owner's inbox, and that work itself.
 	runCtx context.Context
@@ -98,6 +100,7 @@
 		logger: d.Logger.With("pool", acquired.Name, "epoch", acquired.Epoch),
 		state:  shard.New(acquired.Name, acquired.Epoch, s.Timing, time.Now()),
 		starts: window.New[startKey](window.Adaptive{}), copies: hedge.NewBudget(),
+		placing: newPlacing(),
 	}
 	c.state.ConfirmedAt = acquired.ConfirmedAt
 	c.state.HasPolicyService = d.Adviser != nil
@@ -112,6 +115,7 @@
 	c.startInbox()
 	c.startMachineLister()
 	c.startAdvice()
+	c.register(time.Now())
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	round := time.NewTimer(0)
@@ -195,9 +199,11 @@
 	if now.After(c.nextExpiryScan) {
 		c.nextExpiryScan = now.Add(expiryScanInterval)
 		c.journal.expiredJobs = append(c.journal.expiredJobs, c.state.DropExpired(now)...)
+		c.findEmptyQueues(now)
 	}
 	c.state.SettleSuspects(now)
 	c.refuseUnwritten()
+	c.tickPlacing(now)
 	c.settleQuestions(now)
 	c.logCrashes()
 	c.listMachines(now)
@@ -219,6 +225,7 @@
 		l.agent.Close()
 	}
 	c.background.Wait()
+	c.refuseWaiting(Answer{Outcome: Refused, RetryAfter: noAnswerRetryAfter, Reason: "the owner of the pool stopped before it took the job"})
 	c.answerAll(Answer{Outcome: Unknown, Reason: "the owner of the pool stopped before the store confirmed the request"})
 	c.logger.Info("pool given up", "jobs", len(c.state.Jobs), "shut-out", c.fenced)
 }
--- a/entry/owner/inbox.go
+++ b/entry/owner/inbox.go
@@ -7,6 +7,7 @@
 
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/entry/feed"
+	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 )
@@ -51,13 +52,10 @@
 			continue
 		}
 		id := ch.Key[len(prefix):]
-		j, verdict := c.state.Submit(id, spec, time.Now())
-		j.InInbox = true
-		c.logger.Info("job came by the inbox", "job", id, "known", verdict == shard.Duplicate)
-		c.journal.inboxJobs = append(c.journal.inboxJobs, id)
-		if verdict == shard.Accepted {
-			c.journal.newJobs = append(c.journal.newJobs, j)
+		if c.state.Jobs[id] == nil && !c.admitsFromInbox(id, spec) {
+			continue
 		}
+		c.takeFromInbox(id, spec)
 	}
 	now := time.Now()
 	if !c.hasReadInbox() {
@@ -68,6 +66,19 @@
 	c.settleQuestions(now)
 }
 
+// takeFromInbox accepts a job from the inbox.
+func (c *core) takeFromInbox(id string, spec batch.Spec) {
+	delete(c.placing.unchecked, id)
+	delete(c.placing.empty, spec.Queue)
+	j, verdict := c.state.Submit(id, spec, time.Now())
+	j.InInbox = true
+	c.logger.Info("job came by the inbox", "job", id, "known", verdict == shard.Duplicate)
+	c.journal.inboxJobs = append(c.journal.inboxJobs, id)
+	if verdict == shard.Accepted {
+		c.journal.newJobs = append(c.journal.newJobs, j)
+	}
+}
+
 // hasReadInbox reports whether the inbox has been read.
 func (c *core) hasReadInbox() bool { return !c.inboxReadAt.IsZero() }
 
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -61,6 +61,11 @@
 	// InboxAge is how long before the answer the owner requested its newest reading of the inbox. It is
 	// set if the answer rests on what the inbox holds.
 	InboxAge time.Duration `cbor:"11,keyasint,omitempty"`
+	// QueueClosed reports that the pool will accept no job of the queue, as the owner of the queue's new pool
+	// has asked. It is set in answers to that owner only.
+	QueueClosed bool `cbor:"12,keyasint,omitempty"`
+	// QueueEmpty reports that the pool holds no job of the queue.
+	QueueEmpty bool `cbor:"13,keyasint,omitempty"`
 }
 
 // LocalEntry stands for the entry that logs an answer.
@@ -98,7 +103,10 @@
 	Machines    port.MachineService
 	// Adviser is nil if there is no policy service.
 	Adviser port.Adviser
-	Logger  *slog.Logger
+	// Places and OtherPools are nil if queues keep their pools.
+	Places     PlaceRegistry
+	OtherPools OtherPools
+	Logger     *slog.Logger
 	// Stats may be nil.
 	Stats *stats.Set
 }
@@ -120,16 +128,20 @@
 		spec  batch.Spec
 		reply chan<- Answer
 	}
+	// The queue of the following requests is empty if it is unknown. If it is of another pool, that pool's owner
+	// asks.
 	jobStatus struct {
+		queue port.Queue
 		id    string
 		reply chan<- Answer
 	}
 	cancelJob struct {
+		queue port.Queue
 		id    string
 		reply chan<- Answer
 	}
 	pendingCount struct {
-		queue string
+		queue port.Queue
 		reply chan<- Answer
 	}
 	poolLoad   struct{ reply chan<- Answer }
@@ -166,19 +178,39 @@
 	return o.call(ctx, Unknown, func(reply chan<- Answer) message { return submitJob{q, id, spec, reply} })
 }
 
+// RequestOption configures a request about a job or a queue.
+type RequestOption func(*port.Queue)
+
+// OfQueue says of which queue the request is. If the queue has had other pools, their owners are asked for a job that
+// this owner does not know. If the queue is of another pool, that pool's owner asks: this pool accepts no further job
+// of the queue then.
+func OfQueue(q port.Queue) RequestOption { return func(known *port.Queue) { *known = q } }
+
+func queueOf(opts []RequestOption) port.Queue {
+	var q port.Queue
+	for _, opt := range opts {
+		opt(&q)
+	}
+	return q
+}
+
 // JobStatus returns the phase of a job.
-func (o *Owner) JobStatus(ctx context.Context, id string) Answer {
-	return o.call(ctx, Refused, func(reply chan<- Answer) message { return jobStatus{id, reply} })
+func (o *Owner) JobStatus(ctx context.Context, id string, opts ...RequestOption) Answer {
+	q := queueOf(opts)
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return jobStatus{q, id, reply} })
 }
 
 // Cancel cancels a job and waits until the store has the cancellation.
-func (o *Owner) Cancel(ctx context.Context, id string) Answer {
-	return o.call(ctx, Unknown, func(reply chan<- Answer) message { return cancelJob{id, reply} })
+func (o *Owner) Cancel(ctx context.Context, id string, opts ...RequestOption) Answer {
+	q := queueOf(opts)
+	return o.call(ctx, Unknown, func(reply chan<- Answer) message { return cancelJob{q, id, reply} })
 }
 
 // Pending returns the number of jobs of a queue that have not started.
-func (o *Owner) Pending(ctx context.Context, queue string) Answer {
-	return o.call(ctx, Refused, func(reply chan<- Answer) message { return pendingCount{queue, reply} })
+func (o *Owner) Pending(ctx context.Context, queue string, opts ...RequestOption) Answer {
+	q := queueOf(opts)
+	q.Name = queue
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return pendingCount{q, reply} })
 }
 
 // Load returns the load of the pool.
--- a/entry/owner/queues.go
+++ b/entry/owner/queues.go
@@ -10,7 +10,8 @@
 )
 
 // storedQueue is what the store holds of a queue whose jobs the pool may hold: the newest rules that were in
-// force. The next owner needs them if its configuration does not contain the queue any more.
+// force, which the next owner needs if its configuration does not contain the queue any more, and the other pools of
+// the queue.
 type storedQueue struct {
 	// Version is that of the configuration that the rules are from.
 	Version     int64         `cbor:"1,keyasint,omitempty"`
@@ -19,6 +20,13 @@
 	Stretch     float64       `cbor:"4,keyasint,omitempty"`
 	Target      time.Duration `cbor:"5,keyasint,omitempty"`
 	Advice      *port.Advice  `cbor:"6,keyasint,omitempty"`
+	// Registered reports whether the pool has been registered for the queue. Earlier holds the other pools that
+	// may hold jobs of the queue.
+	Registered bool     `cbor:"7,keyasint,omitempty"`
+	Earlier    []string `cbor:"8,keyasint,omitempty"`
+	// ClosedAt is the version of the configuration by which another pool has taken over the queue; the pool
+	// accepts no further jobs of it, unless a newer one sends it back. 0 means none.
+	ClosedAt int64 `cbor:"9,keyasint,omitempty"`
 }
 
 func storedRules(q *port.Queue) storedQueue {
@@ -52,8 +60,11 @@
 	}
 	for _, spec := range stored.Specs {
 		c.noteQueue(spec.Queue)
+		// A release that registered nothing may have accepted the job.
+		c.wantRegistered(spec.Queue)
 	}
 	c.noteQueues()
+	c.wantAllRegistered()
 }
 
 // noteQueues notes the queues of the pool, and others whose jobs it may hold, that are to be written.
@@ -73,9 +84,11 @@
 		return
 	}
 	rules := storedRules(&q)
-	if old := c.journal.queues[name]; old.hasRulesOf(&rules) {
+	old := c.journal.queues[name]
+	if old.hasRulesOf(&rules) {
 		return
 	}
+	rules.Registered, rules.Earlier, rules.ClosedAt = old.Registered, old.Earlier, old.ClosedAt
 	c.journal.queues[name] = rules
 	c.journal.dirtyQueues[name] = struct{}{}
 }
@@ -98,4 +111,6 @@
 func (m configChange) handle(c *core) {
 	c.state.Configure(m.config)
 	c.noteQueues()
+	c.wantAllRegistered()
+	c.register(time.Now())
 }
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -392,8 +392,12 @@
 	}
 }
 
-func (m submitJob) handle(c *core) {
-	if _, ok := c.state.Queues[m.queue.Name]; !ok {
+func (m submitJob) handle(c *core) { c.submit(m, false) }
+
+// submit accepts a job, unless it is known. checked reports whether no earlier pool of the queue holds the job or
+// will accept it.
+func (c *core) submit(m submitJob, checked bool) {
+	if known, ok := c.state.Queues[m.queue.Name]; !ok || known.Version < m.queue.Version {
 		c.state.SetQueue(m.queue)
 		c.noteQueue(m.queue.Name)
 	}
@@ -403,6 +407,9 @@
 		m.reply <- refusedStoreUnavailable
 		return
 	}
+	if c.state.Jobs[m.id] == nil && !c.admits(m, checked) {
+		return
+	}
 	j, verdict := c.state.Submit(m.id, m.spec, time.Now())
 	if verdict == shard.Duplicate && (j.Stored || j.StoredPhase != shard.Open) {
 		m.reply <- Answer{Outcome: Accepted, Phase: j.StoredPhase}
@@ -417,6 +424,12 @@
 }
 
 func (m cancelJob) handle(c *core) {
+	if !m.cancelEarlier(c) {
+		c.cancel(m)
+	}
+}
+
+func (c *core) cancel(m cancelJob) {
 	j := c.state.Cancel(m.id, time.Now())
 	if j.StoredPhase != shard.Open {
 		m.reply <- Answer{Outcome: Accepted, Phase: j.StoredPhase}
