--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -1,27 +1,46 @@
 package shard
 
 import (
-	"slices"
+	"container/heap"
+	"iter"
+	"math"
 	"time"
 
 	"carawaymux.dev/fleet/batch"
 )
 
-// backlog indexes the steps of the open and stored jobs with tasks that wait for a host. Whoever
-// changes Stage.idle, Stage.Left, Job.Stored or the phase of a job updates it.
+// backlog indexes the steps of the open and stored jobs with tasks that wait for a host, and sums up their work.
+// Whoever changes Stage.idle, Stage.Left, Job.Stored or the phase of a job updates it.
+//
+// Steps are kept in groups of those that a ranking compares alike at any time. What moves a step to another group or
+// to another place there is noted as it happens, or known in advance; [backlog.advance] applies it.
 type backlog struct {
 	// origin is the time from which the times of the steps count.
 	origin time.Time
-	// steps holds all waiting steps, in no particular order.
-	steps []*waitingStep
+	// steps holds all waiting steps, as a binary heap with the oldest first.
+	steps stepHeap
 	// ranked is the buffer of the last ranking.
 	ranked []*waitingStep
-	// shapes holds the shapes of the waiting steps. Each has at least one step.
-	shapes map[shapeKey]*shape
-	// queues holds the rules of the queues that have had waiting steps, by name.
+	// queues holds what the waiting steps of a queue share, by name.
 	queues map[string]*queueRules
-	// unopened holds the open jobs of which some occurrence is not open yet, by ID.
+	// groups holds the steps that are in no other place than touched.
+	groups map[groupKey]*group
+	// keys holds the sort keys that are kept, for the steps that are not late and for those that are.
+	keys [2][sortKeys]bool
+	// touched holds steps that may have to move to another place, and steps in no group.
+	touched []*waitingStep
+	// alarms holds the steps that have to move to another group at some time.
+	alarms alarmHeap
+	// unopened holds the open jobs of which some occurrence is not open yet, by ID. Of those, due holds the
+	// jobs whose next occurrence may be opened once it is due.
 	unopened map[string]*Job
+	due      dueHeap
+	// spreads counts the stages by the number of hosts over which they spread.
+	spreads map[int]int
+	// longRunning is the capacity for the long-running tasks that are not done.
+	longRunning int64
+	// tasks and longRunningTasks count the tasks that wait.
+	tasks, longRunningTasks int
 }
 
 // waitingStep is a step of an occurrence that has idle tasks and whose predecessors are done.
@@ -31,12 +50,13 @@
 	stage *Stage
 	work  *workLeft
 	queue *queueRules
-	shape *shape
+	need  batch.Size
 	// demand is what rankings compare. Some of its fields change with time, so it has to be updated
 	// before use.
 	demand Demand
-	// position is the index in backlog.steps.
-	position int
+	// position is the index in backlog.steps, jobPosition that in Job.waiting, and alarmPosition that in
+	// backlog.alarms, or -1 if the step is not there.
+	position, jobPosition, alarmPosition int
 	// accepted and objective are times of the job and of the occurrence, counted from when the pool
 	// was claimed.
 	accepted, objective time.Duration
@@ -44,6 +64,17 @@
 	inherited bool
 	// criticalPath is the longest sum of estimates along dependent steps, from this step on.
 	criticalPath time.Duration
+	// group is nil if the step is in no group. The fields below were set when it was added to its group, and
+	// do not change while it is there: the time after which the step is late, the remaining work, and the
+	// place in each of the trees of the group.
+	group     *group
+	lateAfter time.Duration
+	remaining int64
+	slots     [sortKeys]slot
+	// alarm is when the step has to move to another group.
+	alarm time.Duration
+	// touched reports whether the step is in backlog.touched.
+	touched bool
 }
 
 // queueRules is what the waiting steps of a queue share.
@@ -53,39 +84,112 @@
 	needsTicket bool
 	// scale is the expected ratio of run time to estimate.
 	scale float64
+	// waiting is the estimated work that waits: of jobs that were submitted to this owner, and of inherited
+	// ones. future is that of the steps that are not ready.
+	waiting [2]int64
+	future  int64
+	// pending is the number of jobs of which nothing has started.
+	pending int
 }
 
-// shapeKey is what decides whether a host can have room for a task.
-type shapeKey struct {
-	need  batch.Size
+// groupKey is what the steps of a group have in common.
+type groupKey struct {
+	queue *queueRules
 	label string
+	// longRunning and inherited are as in the step. exempt reports whether more than the need decides where
+	// the step may run.
+	longRunning, inherited, exempt bool
+	// late, starved and reserves are as in the demand. missed reports whether the objective has passed, so
+	// that the step stays late.
+	late, starved, reserves, missed bool
 }
 
-// shape is a group of waiting steps with the same key.
-type shape struct {
-	shapeKey
-	// steps is the number of waiting steps.
-	steps int
-	// fits is false if no host has room in the current round of planning, and unreservable is true
-	// if none is left to be reserved. Either lasts until the round ends.
-	fits, unreservable bool
+// group is a set of waiting steps that differ in sort keys only.
+type group struct {
+	groupKey
+	size int
+	// trees holds a tree for each sort key that is kept, and nil for others.
+	trees [sortKeys]*needTree
 }
 
 func newBacklog(origin time.Time) backlog {
-	return backlog{origin: origin, shapes: map[shapeKey]*shape{}, queues: map[string]*queueRules{}, unopened: map[string]*Job{}}
+	return backlog{
+		origin: origin, queues: map[string]*queueRules{}, groups: map[groupKey]*group{}, unopened: map[string]*Job{}, spreads: map[int]int{},
+	}
 }
 
-// update adds a step to the backlog or removes it from there.
+// load is what a stage adds to the sums of the backlog.
+type load struct {
+	waiting, future, longRunning   int64
+	tasks, longRunningTasks, hosts int
+}
+
+// update updates the entry of a step.
 func (b *backlog) update(j *Job, occurrence, step int) {
 	occ := &j.Occurrences[occurrence]
 	stage := &occ.Stages[step]
-	waits := j.Phase == Open && j.Stored && stage.idle > 0 && occ.ready(&j.Spec, step)
+	live := j.Phase == Open && j.Stored
+	ready := live && occ.ready(&j.Spec, step)
+	waits := ready && stage.idle > 0
 	switch {
 	case waits && stage.waiting == nil:
 		b.add(j, occurrence, step, stage)
 	case !waits && stage.waiting != nil:
 		b.remove(stage.waiting)
 	}
+	b.sumUp(j, &j.Spec.Steps[step], stage, live, ready)
+}
+
+// sumUp updates what a stage adds to the sums.
+func (b *backlog) sumUp(j *Job, step *batch.Step, stage *Stage, live, ready bool) {
+	if !live && stage.load == (load{}) {
+		return
+	}
+	var now load
+	q := b.queue(j)
+	if live && step.LongRunning {
+		now.longRunning = step.Reservation().MilliCores * int64(stage.Left)
+		if step.PerHost > 0 {
+			now.hosts = (step.Count + step.PerHost - 1) / step.PerHost
+		}
+	}
+	if live && !step.LongRunning {
+		if ready {
+			now.waiting = estimatedWork(step, stage.idle)
+		} else {
+			now.future = estimatedWork(step, stage.Left)
+		}
+	}
+	if ready && stage.idle > 0 {
+		now.tasks = stage.idle
+		if step.LongRunning {
+			now.longRunningTasks = stage.idle
+		}
+	}
+	was := stage.load
+	stage.load = now
+	q.waiting[count(j.Inherited)] += now.waiting - was.waiting
+	q.future += now.future - was.future
+	b.longRunning += now.longRunning - was.longRunning
+	b.tasks += now.tasks - was.tasks
+	b.longRunningTasks += now.longRunningTasks - was.longRunningTasks
+	if now.hosts != was.hosts {
+		b.spreads[now.hosts]++
+		if b.spreads[was.hosts]--; b.spreads[was.hosts] <= 0 {
+			delete(b.spreads, was.hosts)
+		}
+	}
+}
+
+// queue returns the rules of the queue of a job.
+func (b *backlog) queue(j *Job) *queueRules {
+	if j.rules == nil {
+		if j.rules = b.queues[j.Spec.Queue]; j.rules == nil {
+			j.rules = &queueRules{}
+			b.queues[j.Spec.Queue] = j.rules
+		}
+	}
+	return j.rules
 }
 
 // updateOccurrence updates all steps of an occurrence.
@@ -99,65 +203,224 @@
 func (b *backlog) addJob(j *Job) {
 	if len(j.Occurrences) < j.Spec.Occurrences() {
 		b.unopened[j.ID] = j
+		heap.Push(&b.due, dueJob{j, j.nextDue()})
 	}
+	b.updateJob(j)
+}
+
+// updateJob updates all steps of a job.
+func (b *backlog) updateJob(j *Job) {
 	for occurrence := range j.Occurrences {
 		b.updateOccurrence(j, occurrence)
 	}
+	b.updatePending(j)
+}
+
+// updatePending updates whether a job counts as pending.
+func (b *backlog) updatePending(j *Job) {
+	pending := j.Phase == Open && j.Stored && !j.Started
+	if pending != j.pending {
+		j.pending = pending
+		b.queue(j).pending += count(pending) - count(!pending)
+	}
 }
 
-// dropJob removes a job.
+// dropJob removes a job that has ended or is not stored.
 func (b *backlog) dropJob(j *Job) {
 	delete(b.unopened, j.ID)
-	for oi := range j.Occurrences {
-		for si := range j.Occurrences[oi].Stages {
-			if w := j.Occurrences[oi].Stages[si].waiting; w != nil {
-				b.remove(w)
-			}
-		}
-	}
+	b.updateJob(j)
 }
 
 func (b *backlog) add(j *Job, occurrence, number int, stage *Stage) {
 	step := &j.Spec.Steps[number]
 	w := &waitingStep{
-		job: j, step: step, stage: stage, position: len(b.steps), criticalPath: criticalPathFrom(&j.Spec, number),
-		work:     j.Occurrences[occurrence].work,
+		job: j, step: step, stage: stage, need: step.Reservation(), criticalPath: criticalPathFrom(&j.Spec, number),
+		work: j.Occurrences[occurrence].work, queue: b.queue(j),
 		demand:   Demand{Job: j, Occurrence: occurrence, Step: number, LongRunning: step.LongRunning},
 		accepted: j.AcceptedAt.Sub(b.origin), objective: j.Objective.Sub(b.origin), inherited: j.Inherited,
-	}
-	if w.queue = b.queues[j.Spec.Queue]; w.queue == nil {
-		w.queue = &queueRules{}
-		b.queues[j.Spec.Queue] = w.queue
+		jobPosition: len(j.waiting), alarmPosition: -1,
 	}
 	if j.Spec.Repetitions > 0 {
 		w.objective += time.Duration(j.dueAt(occurrence)-j.Spec.AcceptedMS) * time.Millisecond
 	}
-	key := shapeKey{need: step.Reservation(), label: step.RequiredLabel}
-	if w.shape = b.shapes[key]; w.shape == nil {
-		w.shape = &shape{shapeKey: key}
-		b.shapes[key] = w.shape
-	}
-	w.shape.steps++
 	stage.waiting = w
-	b.steps = append(b.steps, w)
+	j.waiting = append(j.waiting, w)
+	heap.Push(&b.steps, w)
+	b.touch(w)
 }
 
 func (b *backlog) remove(w *waitingStep) {
-	last := len(b.steps) - 1
-	b.steps[w.position] = b.steps[last]
-	b.steps[w.position].position = w.position
-	b.steps[last] = nil
-	b.steps = b.steps[:last]
-	if w.shape.steps--; w.shape.steps == 0 {
-		delete(b.shapes, w.shape.shapeKey)
-	}
 	w.stage.waiting = nil
+	heap.Remove(&b.steps, w.position)
+	last := len(w.job.waiting) - 1
+	w.job.waiting[w.jobPosition] = w.job.waiting[last]
+	w.job.waiting[w.jobPosition].jobPosition = w.jobPosition
+	w.job.waiting[last] = nil
+	w.job.waiting = w.job.waiting[:last]
+	w.leaveGroup()
+	b.setAlarm(w, never)
+}
+
+// touch notes that a step may have to move.
+func (b *backlog) touch(w *waitingStep) {
+	if !w.touched {
+		w.touched = true
+		b.touched = append(b.touched, w)
+	}
+}
+
+// touchJob notes that the steps of a job may have to move.
+func (b *backlog) touchJob(j *Job) {
+	for _, w := range j.waiting {
+		b.touch(w)
+	}
+}
+
+// updateQueues updates the rules of the queues, and has the steps moved that depend on them.
+func (s *State) updateQueues() {
+	for name, q := range s.backlog.queues {
+		scale, needsTicket := s.durationRatios[name].median(), s.needsTicket(name)
+		scaled, ticketed := scale != q.scale, needsTicket != q.needsTicket
+		q.priority, q.scale, q.needsTicket = s.Queues[name].Priority, scale, needsTicket
+		if !scaled && !ticketed {
+			continue
+		}
+		for _, g := range s.backlog.groups {
+			if g.queue == q && (ticketed || !g.missed) {
+				for w := range g.all() {
+					s.backlog.touch(w)
+				}
+			}
+		}
+	}
+}
+
+// all returns the steps of the group.
+func (g *group) all() iter.Seq[*waitingStep] {
+	return func(yield func(*waitingStep) bool) {
+		for _, t := range g.trees {
+			if t != nil && t.root != nil {
+				t.root.all(yield)
+				return
+			}
+		}
+	}
+}
+
+// work returns the expected work in thousandths of a core-second for an estimated one.
+func (q *queueRules) work(estimated int64) int64 {
+	return int64(float64(estimated) * q.scale / workUnits)
+}
+
+// advance moves the steps to the places where they belong at a time, counted from when the pool was claimed.
+func (b *backlog) advance(now time.Duration) {
+	for len(b.alarms) > 0 && b.alarms[0].alarm <= now {
+		b.touch(b.alarms[0])
+		b.setAlarm(b.alarms[0], never)
+	}
+	for i, w := range b.touched {
+		w.touched = false
+		if w.stage.waiting == w {
+			b.place(w, now)
+		}
+		b.touched[i] = nil
+	}
+	b.touched = b.touched[:0]
+	for key, g := range b.groups {
+		if g.size == 0 {
+			delete(b.groups, key)
+		}
+	}
+}
+
+// keep has steps kept by a sort key.
+func (b *backlog) keep(late bool, key SortKey) {
+	if b.keys[count(late)][key] {
+		return
+	}
+	b.keys[count(late)][key] = true
+	for _, w := range b.steps {
+		w.leaveGroup()
+		b.touch(w)
+	}
+	clear(b.groups)
+}
+
+// place puts a step into the group to which it belongs at a time.
+func (b *backlog) place(w *waitingStep, now time.Duration) {
+	w.leaveGroup()
+	w.lateAfter = w.objective - time.Duration(float64(w.criticalPath)*w.queue.scale)
+	w.remaining = w.work.left(&w.job.Spec, w.job.Occurrences[w.demand.Occurrence].Stages)
+	key := groupKey{
+		queue: w.queue, label: w.step.RequiredLabel, longRunning: w.step.LongRunning, inherited: w.inherited,
+		exempt:   w.step.Gang || w.step.PerHost > 0 || w.queue.needsTicket || w.stage.suspected,
+		late:     now > w.lateAfter,
+		missed:   now > w.objective,
+		reserves: w.step.LongRunning || now-w.accepted >= reserveAfter,
+	}
+	alarm := never
+	if !key.late {
+		alarm = w.lateAfter + 1
+	}
+	if !key.missed {
+		alarm = min(alarm, w.objective+1)
+	}
+	if !key.reserves {
+		alarm = min(alarm, w.accepted+reserveAfter)
+	}
+	if key.late && w.job.assigned == 0 {
+		starved := max(w.accepted, w.job.lastStart) + starvedAfter + 1
+		if key.starved = now >= starved; !key.starved {
+			alarm = min(alarm, starved)
+		}
+	}
+	b.setAlarm(w, alarm)
+	g := b.groups[key]
+	if g == nil {
+		g = &group{groupKey: key}
+		for k, kept := range b.keys[count(key.late)] {
+			if kept {
+				g.trees[k] = &needTree{key: SortKey(k)}
+			}
+		}
+		b.groups[key] = g
+	}
+	w.group = g
+	g.size++
+	for _, t := range g.trees {
+		if t != nil {
+			t.insert(w)
+		}
+	}
+}
+
+// leaveGroup removes a step from its group.
+func (w *waitingStep) leaveGroup() {
+	if w.group == nil {
+		return
+	}
+	for _, t := range w.group.trees {
+		if t != nil {
+			t.remove(w)
+		}
+	}
+	w.group.size--
+	w.group = nil
 }
 
-// updateQueues updates the rules of the queues.
-func (b *backlog) updateQueues(s *State) {
-	for name, q := range b.queues {
-		q.priority, q.scale, q.needsTicket = s.Queues[name].Priority, s.durationRatios[name].median(), s.needsTicket(name)
+// never is the alarm of a step that needs none.
+const never = time.Duration(math.MaxInt64)
+
+// setAlarm sets when a step has to move.
+func (b *backlog) setAlarm(w *waitingStep, at time.Duration) {
+	w.alarm = at
+	switch {
+	case at == never && w.alarmPosition >= 0:
+		heap.Remove(&b.alarms, w.alarmPosition)
+	case at != never && w.alarmPosition >= 0:
+		heap.Fix(&b.alarms, w.alarmPosition)
+	case at != never:
+		heap.Push(&b.alarms, w)
 	}
 }
 
@@ -170,10 +433,8 @@
 		w.demand.Idle = now - max(w.accepted, w.job.lastStart)
 	}
 	w.demand.Slack = w.objective - now - time.Duration(float64(w.criticalPath)*w.queue.scale)
-	if len(w.work.terms) == 0 {
-		w.work.reset(&w.job.Spec, w.job.Occurrences[w.demand.Occurrence].Stages)
-	}
-	w.demand.RemainingWork = w.work.at(w.queue.scale)
+	estimated := w.work.left(&w.job.Spec, w.job.Occurrences[w.demand.Occurrence].Stages)
+	w.demand.RemainingWork = int64(float64(estimated) * w.queue.scale)
 }
 
 // ref returns the reference of the step.
@@ -181,47 +442,148 @@
 	return batch.Ref{Job: w.job.ID, Occurrence: w.demand.Occurrence, Step: w.demand.Step}
 }
 
-// findFits begins a round of planning. All hosts with room for the least need have to be in roomy.
-func (b *backlog) findFits(roomy candidates) {
-	for _, sh := range b.shapes {
-		sh.fits, sh.unreservable = sh.fitsOn(roomy), false
+// hasLabel reports whether a host has the label that the step requires.
+func (w *waitingStep) hasLabel(h *Host) bool { return labelAllows(h, w.step.RequiredLabel) }
+
+// labelAllows reports whether a host has a label. Each host has the empty one.
+func labelAllows(h *Host, label string) bool { return label == "" || HasLabel(&h.Host, label) }
+
+// needs returns groups of waiting steps with the lowest and highest needs of each.
+func (b *backlog) needs() iter.Seq2[*group, *needNode] {
+	return func(yield func(*group, *needNode) bool) {
+		for _, g := range b.groups {
+			for _, t := range g.trees {
+				if t != nil && t.root != nil {
+					if !yield(g, t.root) {
+						return
+					}
+					break
+				}
+			}
+		}
 	}
 }
 
-// anyFits reports whether some host has room for a waiting step, after hosts were taken or reserved.
-func (b *backlog) anyFits(roomy candidates) bool {
-	for _, sh := range b.shapes {
-		if sh.fits = sh.fits && sh.fitsOn(roomy); sh.fits {
-			return true
+// leastNeed returns the least need of any waiting step in each dimension.
+func (b *backlog) leastNeed() batch.Size {
+	least := batch.Size{MilliCores: math.MaxInt64, MemoryMB: math.MaxInt64, Accelerators: math.MaxInt64}
+	lower := func(need batch.Size) {
+		least.MilliCores = min(least.MilliCores, need.MilliCores)
+		least.MemoryMB = min(least.MemoryMB, need.MemoryMB)
+		least.Accelerators = min(least.Accelerators, need.Accelerators)
+	}
+	for _, n := range b.needs() {
+		lower(n.low)
+	}
+	for _, w := range b.touched {
+		if w.stage.waiting == w {
+			lower(w.need)
 		}
 	}
-	return false
+	return least
 }
 
-// fitsOn reports whether one of some hosts has room for the shape.
-func (sh *shape) fitsOn(roomy candidates) bool {
-	return slices.ContainsFunc(roomy, func(c *candidate) bool { return c.free.Fits(sh.need) && sh.hasLabel(c.host) })
+// stepHeap is a binary heap of waiting steps, the oldest first.
+type stepHeap []*waitingStep
+
+func (h stepHeap) Len() int           { return len(h) }
+func (h stepHeap) Less(i, k int) bool { return h[i].accepted < h[k].accepted }
+func (h stepHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].position, h[k].position = i, k
 }
 
-// hasLabel reports whether a host has the label that the shape requires.
-func (sh *shape) hasLabel(h *Host) bool {
-	return sh.label == "" || HasLabel(&h.Host, sh.label)
+// Push implements [heap.Interface].
+func (h *stepHeap) Push(x any) {
+	w := x.(*waitingStep)
+	w.position = len(*h)
+	*h = append(*h, w)
 }
 
-// leastNeed returns the least need of any waiting step in each dimension.
-func (b *backlog) leastNeed() batch.Size {
-	var least batch.Size
-	first := true
-	for key := range b.shapes {
-		if first {
-			least, first = key.need, false
-			continue
+// Pop implements [heap.Interface].
+func (h *stepHeap) Pop() any {
+	last := len(*h) - 1
+	w := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return w
+}
+
+// oldest returns the oldest steps, up to a number, in the order of their age.
+func (h stepHeap) oldest(limit int) []*waitingStep {
+	var out, next stepHeap
+	if len(h) > 0 {
+		next = stepHeap{h[0]}
+	}
+	for len(next) > 0 && len(out) < limit {
+		// Positions belong to the whole heap, so this one is searched.
+		first := 0
+		for i := range next {
+			if next.Less(i, first) {
+				first = i
+			}
+		}
+		w := next[first]
+		next[first] = next[len(next)-1]
+		next = next[:len(next)-1]
+		out = append(out, w)
+		for child := 2*w.position + 1; child <= 2*w.position+2 && child < len(h); child++ {
+			next = append(next, h[child])
 		}
-		least.MilliCores = min(least.MilliCores, key.need.MilliCores)
-		least.MemoryMB = min(least.MemoryMB, key.need.MemoryMB)
-		least.Accelerators = min(least.Accelerators, key.need.Accelerators)
 	}
-	return least
+	return out
+}
+
+// alarmHeap is a binary heap of waiting steps, the next alarm first.
+type alarmHeap []*waitingStep
+
+func (h alarmHeap) Len() int           { return len(h) }
+func (h alarmHeap) Less(i, k int) bool { return h[i].alarm < h[k].alarm }
+func (h alarmHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].alarmPosition, h[k].alarmPosition = i, k
+}
+
+// Push implements [heap.Interface].
+func (h *alarmHeap) Push(x any) {
+	w := x.(*waitingStep)
+	w.alarmPosition = len(*h)
+	*h = append(*h, w)
+}
+
+// Pop implements [heap.Interface].
+func (h *alarmHeap) Pop() any {
+	last := len(*h) - 1
+	w := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	w.alarmPosition = -1
+	return w
+}
+
+// dueJob is a job with the time at which its next occurrence is due, in milliseconds since 1970.
+type dueJob struct {
+	job *Job
+	at  int64
+}
+
+// dueHeap is a binary heap of jobs, the next due one first.
+type dueHeap []dueJob
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, k int) bool { return h[i].at < h[k].at }
+func (h dueHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
+
+// Push implements [heap.Interface].
+func (h *dueHeap) Push(x any) { *h = append(*h, x.(dueJob)) }
+
+// Pop implements [heap.Interface].
+func (h *dueHeap) Pop() any {
+	last := len(*h) - 1
+	d := (*h)[last]
+	(*h)[last] = dueJob{}
+	*h = (*h)[:last]
+	return d
 }
 
 // criticalPathFrom returns the longest sum of estimated run times along dependent steps, from a
@@ -248,29 +610,19 @@
 	return true
 }
 
-// workLeft is the work of the tasks of an occurrence that are not done.
+// workLeft is the estimated work of the tasks of an occurrence that are not done.
 type workLeft struct {
-	// terms holds the work of each step by the estimates. It is empty after a task was done.
-	terms []float64
-	// sum is the work at a scale. The scale is 0 before it was summed up.
-	sum   int64
-	scale float64
-}
-
-// reset sets the terms.
-func (l *workLeft) reset(spec *batch.Spec, stages []Stage) {
-	l.scale = 0
-	for si := range stages {
-		l.terms = append(l.terms, estimatedWork(&spec.Steps[si], stages[si].Left))
-	}
+	sum int64
+	// known is false after a task was done.
+	known bool
 }
 
-// at returns the work with estimates scaled. The terms have to be set.
-func (l *workLeft) at(scale float64) int64 {
-	if l.scale != scale {
-		l.sum, l.scale = 0, scale
-		for _, term := range l.terms {
-			l.sum += int64(term * scale)
+// left returns the work.
+func (l *workLeft) left(spec *batch.Spec, stages []Stage) int64 {
+	if !l.known {
+		l.sum, l.known = 0, true
+		for si := range stages {
+			l.sum += estimatedWork(&spec.Steps[si], stages[si].Left)
 		}
 	}
 	return l.sum
@@ -291,12 +643,37 @@
 	return open == 0 || (open+1)*j.Spec.TaskCount() <= maxOpenTasks
 }
 
+// nextDue returns when the next occurrence of a job is due, in milliseconds since 1970.
+func (j *Job) nextDue() int64 {
+	if j.Spec.Repetitions == 0 {
+		return math.MinInt64
+	}
+	return j.dueAt(len(j.Occurrences))
+}
+
 // openDue opens the occurrences that are due. An inherited job may have more open occurrences than
 // are due by the clock of this owner.
 func (s *State) openDue(wall int64) {
-	for _, j := range s.backlog.unopened {
-		for len(j.Occurrences) < j.Spec.Occurrences() && (j.Spec.Repetitions == 0 || j.dueAt(len(j.Occurrences)) <= wall) && j.mayOpen() {
+	b := &s.backlog
+	for len(b.due) > 0 && b.due[0].at <= wall {
+		j := heap.Pop(&b.due).(dueJob).job
+		for b.unopened[j.ID] == j && j.nextDue() <= wall && j.mayOpen() {
 			s.openOccurrence(j)
 		}
+		switch {
+		case b.unopened[j.ID] != j:
+		case j.nextDue() <= wall:
+			j.opensLater = true
+		default:
+			heap.Push(&b.due, dueJob{j, j.nextDue()})
+		}
+	}
+}
+
+// resumeOpening has the occurrences of a job opened again that had too many open tasks.
+func (b *backlog) resumeOpening(j *Job) {
+	if j.opensLater {
+		j.opensLater = false
+		heap.Push(&b.due, dueJob{j, j.nextDue()})
 	}
 }
--- /dev/null
+++ b/fleet/shard/cost_test.go
@@ -0,0 +1,138 @@
+package shard_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
+)
+
+// waitingPool is a full pool in which jobs of various sizes wait that arrived over some time.
+type waitingPool struct {
+	*fullPool
+	queues int
+	random *rand.Rand
+}
+
+// arrivalInterval is the time between the arrivals of the jobs that wait at first.
+const arrivalInterval = 5 * time.Millisecond
+
+// newWaitingPool returns a pool in which a number of jobs wait. The last of them arrived just now, and
+// the others one after another before that.
+func newWaitingPool(waiting, perJob int) *waitingPool {
+	const hosts, perHost = 80, 8
+	p := &waitingPool{
+		fullPool: &fullPool{now: time.Unix(1_700_000_000, 0), perJob: perJob}, queues: 3, random: rand.New(rand.NewPCG(1, 2)),
+	}
+	p.state = shard.New("pool", 1, timing, p.now)
+	config := &port.Config{Pools: []port.Pool{{Name: "pool", EnforcesCapacity: true}}}
+	for i := range p.queues {
+		config.Queues = append(config.Queues, port.Queue{
+			Name: fmt.Sprint("q", i), Pool: "pool", Stretch: 2, Target: time.Duration(1+i) * 4 * time.Second, Priority: i,
+		})
+	}
+	p.state.Configure(config)
+	for range hosts * perHost {
+		p.submitSized(1, batch.Size{MilliCores: 1000, MemoryMB: 1000})
+	}
+	for range waiting {
+		p.now = p.now.Add(arrivalInterval)
+		p.submitNext()
+	}
+	for i := range hosts {
+		id := fmt.Sprint(i)
+		p.state.UpdateHost(port.Host{ID: id, Pool: "pool", Capacity: batch.Size{MilliCores: 8000, MemoryMB: 8000}}, p.now).Stored = true
+		p.state.HandleReport(id, &port.HostReport{Clock: 1}, p.now)
+	}
+	p.tick()
+	p.round()
+	return p
+}
+
+// tick lets a millisecond pass in which all hosts answer and the store confirms the claim.
+func (p *waitingPool) tick() {
+	p.now = p.now.Add(time.Millisecond)
+	p.state.ConfirmedAt = p.now
+	for _, h := range p.state.Hosts {
+		h.LastAnswer = p.now
+	}
+}
+
+func (p *waitingPool) submitSized(count int, need batch.Size) {
+	p.jobs++
+	step := batch.Step{Count: count, Need: need, Estimate: time.Duration(500+p.random.IntN(300)) * time.Millisecond}
+	spec := batch.Spec{Queue: fmt.Sprint("q", p.jobs%p.queues), Steps: []batch.Step{step}, AcceptedMS: p.now.UnixMilli()}
+	j, _ := p.state.Submit(fmt.Sprintf("%08d", p.jobs), spec, p.now)
+	p.state.MarkStored(j)
+}
+
+// submitNext submits a job whose size differs from that of most others.
+func (p *waitingPool) submitNext() {
+	p.submitSized(p.perJob, batch.Size{MilliCores: 500 + p.random.Int64N(1000), MemoryMB: 400 + p.random.Int64N(1200)})
+}
+
+// replaceOne ends the oldest run, and submits a job for each that has begun to run whole.
+func (p *waitingPool) replaceOne() {
+	o := p.started[0]
+	p.started = p.started[1:]
+	p.ends++
+	p.state.HandleStartResult(&o, 2, nil, p.now)
+	p.state.HandleReport(o.Host, &port.HostReport{Clock: 3, Finished: []port.FinishedRun{{
+		Number: p.ends, Unit: o.Ref.String(), Run: o.Run, Result: port.ResultDone,
+	}}}, p.now)
+	if p.ends%int64(p.perJob) == 0 {
+		p.submitNext()
+	}
+	for _, c := range p.state.TakeChanges() {
+		p.state.MarkWritten(c)
+	}
+}
+
+var waitingCounts = []int{1000, 10_000, 100_000}
+
+// BenchmarkWaitingRound measures a round after the end of a task, while jobs of various sizes and ages wait.
+func BenchmarkWaitingRound(b *testing.B) {
+	for _, perJob := range []int{1, 400} {
+		for _, waiting := range waitingCounts {
+			b.Run(fmt.Sprintf("per-job-%d-jobs-%d", perJob, waiting), func(b *testing.B) {
+				p := newWaitingPool(waiting, perJob)
+				b.ResetTimer()
+				for b.Loop() {
+					p.tick()
+					p.replaceOne()
+					p.round()
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkWaitingCalls measures the calls that an owner makes beside its rounds.
+func BenchmarkWaitingCalls(b *testing.B) {
+	calls := []struct {
+		name string
+		call func(p *waitingPool)
+	}{
+		{"load", func(p *waitingPool) { p.state.Load(p.now) }},
+		{"pending", func(p *waitingPool) { p.state.Pending("q0") }},
+		{"drop-expired", func(p *waitingPool) { p.state.DropExpired(p.now) }},
+		{"spare-capacity", func(p *waitingPool) { p.state.HasSpareCapacity(p.now) }},
+		{"settle-suspects", func(p *waitingPool) { p.state.SettleSuspects(p.now) }},
+		{"needs-flush", func(p *waitingPool) { p.state.NeedsFlush() }},
+		{"waiting", func(p *waitingPool) { p.state.Waiting(p.now) }},
+	}
+	for _, waiting := range waitingCounts {
+		p := newWaitingPool(waiting, 1)
+		for _, c := range calls {
+			b.Run(fmt.Sprintf("%s-jobs-%d", c.name, waiting), func(b *testing.B) {
+				for b.Loop() {
+					c.call(p)
+				}
+			})
+		}
+	}
+}
--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -138,7 +138,7 @@
 		// Whether other work waits was not observed before.
 		s.othersWaitedAt = now
 	}
-	s.suspects[ref] = task
+	s.addSuspect(ref, task)
 	s.markTaskDirty(j, ref)
 	if !task.Crashes.exhausted() {
 		return false
@@ -159,7 +159,17 @@
 	if task.Crashes.Late++; task.Crashes.Late >= isolateAfter {
 		task.Crashes.Hosts, task.Crashes.Isolated = max(task.Crashes.Hosts, task.Crashes.Late), true
 		task.Crashes.Confirmed = max(task.Crashes.Confirmed, task.Crashes.Late)
-		s.suspects[ref] = task
+		s.addSuspect(ref, task)
+	}
+}
+
+// addSuspect adds a task that is suspected of a crash.
+func (s *State) addSuspect(ref batch.Ref, task *Task) {
+	s.suspects[ref] = task
+	_, stage, _ := s.task(ref)
+	stage.suspected = true
+	if stage.waiting != nil {
+		s.backlog.touch(stage.waiting)
 	}
 }
 
@@ -236,7 +246,7 @@
 			for i := range tasks {
 				ref := batch.Ref{Job: j.ID, Occurrence: oi, Step: si, Index: i}
 				if tasks[i].Crashes.Hosts > 0 && !tasks[i].Done {
-					s.suspects[ref] = &tasks[i]
+					s.addSuspect(ref, &tasks[i])
 				}
 				if tasks[i].startedEarlier {
 					s.startedEarlier[ref] = struct{}{}
--- a/fleet/shard/equal_test.go
+++ b/fleet/shard/equal_test.go
@@ -27,6 +27,9 @@
 		cmp.Compare(x.Occurrence, y.Occurrence), cmp.Compare(x.Step, y.Step))
 }
 
+// SortKey implements [Ranking].
+func (b byStep[R]) SortKey(late bool) SortKey { return b.ranking.SortKey(late) }
+
 // poolDriver drives the state of a pool with random events.
 type poolDriver struct {
 	t     *rapid.T
@@ -325,7 +328,10 @@
 		}
 	}
 	p.state.ExpireLeases(p.now)
-	for _, id := range p.state.DropExpired(p.now) {
+	expired := referenceExpired(p.state, p.now)
+	dropped := p.state.DropExpired(p.now)
+	require.ElementsMatch(p.t, expired, dropped)
+	for _, id := range dropped {
 		delete(p.specs, id)
 		delete(p.progress, id)
 	}
@@ -413,7 +419,7 @@
 	p.requireEqual("has an unconfirmed host", referenceHasUnconfirmedHost(s, p.now), s.hasUnconfirmedHost(p.now))
 	require.Len(p.t, s.sortedHosts(), len(s.Hosts))
 	require.True(p.t, slices.IsSortedFunc(s.sortedHosts(), func(a, b *Host) int { return cmp.Compare(a.ID, b.ID) }))
-	unopened, waiting, shapes := 0, 0, 0
+	unopened, waiting := 0, 0
 	for id, j := range s.openJobs {
 		if len(j.Occurrences) < j.Spec.Occurrences() {
 			unopened++
@@ -439,12 +445,82 @@
 			}
 		}
 	}
-	for _, shape := range s.backlog.shapes {
-		shapes += shape.steps
-	}
 	require.Len(p.t, s.backlog.unopened, unopened)
 	require.Len(p.t, s.backlog.steps, waiting)
-	require.Equal(p.t, waiting, shapes)
+	p.checkGroups()
+	expected, actual := referenceLoad(s, p.now), s.Load(p.now)
+	// Hosts with the same number of tasks are in the order of a map.
+	slices.Sort(expected.MovableHosts)
+	slices.Sort(actual.MovableHosts)
+	// Of several needs with the same cores, any is given.
+	expected.Oversized.MemoryMB, expected.Oversized.Accelerators = actual.Oversized.MemoryMB, actual.Oversized.Accelerators
+	p.requireEqual("load", expected, actual)
+	for _, queue := range []string{"fast", "slow", "advised", "unknown"} {
+		p.requireEqual("pending jobs of "+queue, referencePending(s, queue), s.Pending(queue))
+	}
+	w := s.Waiting(p.now)
+	tasks, longRunning := referenceWaitingTasks(s)
+	p.requireEqual("waiting tasks", []int{tasks, longRunning}, []int{w.Tasks, w.LongRunning})
+}
+
+// checkGroups checks that each waiting step is once in each tree of one group, in its order, or is to be placed.
+func (p *poolDriver) checkGroups() {
+	b := &p.state.backlog
+	grouped := map[*waitingStep]*group{}
+	for key, g := range b.groups {
+		require.Equal(p.t, key, g.groupKey)
+		for sortKey, t := range g.trees {
+			if t == nil || t.root == nil {
+				require.True(p.t, t == nil || g.size == 0)
+				continue
+			}
+			require.Equal(p.t, SortKey(sortKey), t.key)
+			steps := p.checkNode(t, t.root, nil)
+			require.Len(p.t, steps, g.size)
+			for _, w := range steps {
+				require.Same(p.t, g, w.group)
+				grouped[w] = g
+			}
+		}
+	}
+	for _, w := range b.steps {
+		if grouped[w] == nil {
+			require.Nil(p.t, w.group)
+			require.True(p.t, w.touched)
+			continue
+		}
+		require.Same(p.t, w, w.stage.waiting)
+		delete(grouped, w)
+	}
+	require.Empty(p.t, grouped, "no step is kept that does not wait")
+	for _, w := range b.touched {
+		require.True(p.t, w.touched)
+	}
+}
+
+// checkNode checks what a node says of the steps below it, and returns them.
+func (p *poolDriver) checkNode(t *needTree, n, parent *needNode) []*waitingStep {
+	require.Same(p.t, parent, n.parent)
+	steps := n.steps
+	if !n.isLeaf() {
+		require.Empty(p.t, n.steps)
+		for side, child := range n.children {
+			for _, w := range p.checkNode(t, child, n) {
+				require.Equal(p.t, side, childOf(w.need, n.bit))
+				steps = append(steps, w)
+			}
+		}
+	}
+	for i, w := range n.steps {
+		require.Equal(p.t, slot{n, i}, w.slots[t.key])
+	}
+	require.NotEmpty(p.t, steps)
+	for _, w := range steps {
+		require.LessOrEqual(p.t, t.key.compare(n.first, w), 0)
+		require.True(p.t, n.high.Fits(w.need) && w.need.Fits(n.low))
+	}
+	require.True(p.t, slices.Contains(steps, n.first))
+	return steps
 }
 
 func (p *poolDriver) answerQuestions() {
@@ -523,19 +599,23 @@
 			for range 1 + p.draw(3) {
 				p.event()
 			}
-			switch p.draw(4) {
+			compare := referenceBySlack
+			if p.state.Overloaded {
+				compare = referenceByRemainingWork
+			}
+			byLoad := ByLoad{Overloaded: p.state.Overloaded}
+			switch p.draw(5) {
 			case 0:
 				round(p, ByAge{}, referenceByAge)
 			case 1:
 				round(p, ByRemainingWork{}, referenceByRemainingWork)
 			case 2:
 				round(p, BySlack{}, referenceBySlack)
+			case 3:
+				spare := p.chance(2)
+				round(p, StarvedFirst[ByLoad]{byLoad, spare}, referenceStarvedFirst(compare, spare))
 			default:
-				compare := referenceBySlack
-				if p.state.Overloaded {
-					compare = referenceByRemainingWork
-				}
-				round(p, ByLoad{Overloaded: p.state.Overloaded}, compare)
+				round(p, byLoad, compare)
 			}
 		}
 		starts += p.starts
--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -186,7 +185,10 @@
 
 // Waiting sums up the work that waits.
 func (s *State) Waiting(now time.Time) Waiting {
-	w := Waiting{Steps: len(s.backlog.steps), Reserved: s.reserved, Reasons: map[Reason]int{}}
+	w := Waiting{
+		Steps: len(s.backlog.steps), Tasks: s.backlog.tasks, LongRunning: s.backlog.longRunningTasks,
+		Reserved: s.reserved, Reasons: map[Reason]int{},
+	}
 	if w.Steps == 0 {
 		return w
 	}
@@ -195,16 +197,7 @@
 	}
 	roomy := s.candidates(now).withRoom(s.backlog.leastNeed())
 	w.Roomy, w.Busy = len(roomy), len(roomy)-len(roomy.answered())
-	steps := slices.Clone(s.backlog.steps)
-	slices.SortFunc(steps, func(a, b *waitingStep) int { return cmp.Compare(a.accepted, b.accepted) })
-	for i, step := range steps {
-		w.Tasks += step.stage.idle
-		if step.step.LongRunning {
-			w.LongRunning += step.stage.idle
-		}
-		if i >= explainedSteps {
-			continue
-		}
+	for i, step := range s.backlog.steps.oldest(explainedSteps) {
 		ref := step.firstIdle()
 		reason := s.Explain(ref, now)
 		w.Reasons[reason]++
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -251,7 +251,10 @@
 // assign records that a task runs, may run or is being stopped on a host.
 func (s *State) assign(h *Host, r batch.Ref, task *Task) {
 	h.Assigned[r] = task
-	s.Jobs[r.Job].assigned++
+	j := s.Jobs[r.Job]
+	if j.assigned++; j.assigned == 1 {
+		s.backlog.touchJob(j)
+	}
 	step := s.step(r)
 	h.used = h.used.Add(step.Reservation())
 	if step.LongRunning {
@@ -266,7 +269,10 @@
 		return
 	}
 	delete(h.Assigned, r)
-	s.Jobs[r.Job].assigned--
+	j := s.Jobs[r.Job]
+	if j.assigned--; j.assigned == 0 {
+		s.backlog.touchJob(j)
+	}
 	step := s.step(r)
 	h.used = h.used.Sub(step.Reservation())
 	if step.LongRunning {
--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -69,14 +69,26 @@
 		_, stage, _ := s.task(ref)
 		apart[stage]++
 	}
-	couldRun := map[*shape]bool{}
-	for _, sh := range s.backlog.shapes {
-		couldRun[sh] = slices.ContainsFunc(hosts, func(c *candidate) bool {
-			return c.host.Capacity.Fits(sh.need) && sh.hasLabel(c.host)
-		})
-	}
-	return slices.ContainsFunc(s.backlog.steps, func(w *waitingStep) bool {
-		return couldRun[w.shape] && w.stage.idle > apart[w.stage]
+	whole := map[string]frontier{}
+	couldRun := func(label string, need batch.Size) bool {
+		if _, known := whole[label]; !known {
+			var f frontier
+			for _, c := range hosts {
+				if labelAllows(c.host, label) {
+					f.add(c.host.Capacity)
+				}
+			}
+			whole[label] = f
+		}
+		return whole[label].fits(need)
+	}
+	for g, root := range s.backlog.needs() {
+		if root.contains(func(low batch.Size) bool { return couldRun(g.label, low) }, func(w *waitingStep) bool { return w.stage.idle > apart[w.stage] }) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.backlog.touched, func(w *waitingStep) bool {
+		return w.stage.waiting == w && couldRun(w.step.RequiredLabel, w.need) && w.stage.idle > apart[w.stage]
 	})
 }
 
@@ -147,7 +159,7 @@
 	}
 	var best *candidate
 	for _, c := range hosts {
-		if c.reserved || c.isolated || !c.host.Capacity.Sub(c.host.longRunningUsed).Fits(w.shape.need) || !w.shape.hasLabel(c.host) {
+		if c.reserved || c.isolated || !c.host.Capacity.Sub(c.host.longRunningUsed).Fits(w.need) || !w.hasLabel(c.host) {
 			continue
 		}
 		if (best == nil || c.unsettled < best.unsettled) && s.mayUse(w, c.host) {
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"carawaymux.dev/fleet/batch"
@@ -80,9 +81,7 @@
 	if s.openJobs[j.ID] != j {
 		return
 	}
-	for occurrence := range j.Occurrences {
-		s.backlog.updateOccurrence(j, occurrence)
-	}
+	s.backlog.updateJob(j)
 }
 
 // DropRejected drops a job that the store has refused, so that it never runs.
@@ -112,6 +111,7 @@
 // closeJob sets the final phase of a job and stops all its runs.
 func (s *State) closeJob(j *Job, p Phase, now time.Time) {
 	j.Phase, j.EndedAt = p, now
+	s.ended = append(s.ended, j)
 	delete(s.openJobs, j.ID)
 	s.backlog.dropJob(j)
 	s.dropPermits(j)
@@ -143,24 +143,38 @@
 
 // Pending returns the number of accepted jobs of a queue of which nothing has started.
 func (s *State) Pending(queue string) int {
-	n := 0
-	for _, j := range s.openJobs {
-		if j.Stored && !j.Started && j.Spec.Queue == queue {
-			n++
-		}
+	if q := s.backlog.queues[queue]; q != nil {
+		return q.pending
 	}
-	return n
+	return 0
+}
+
+// markStarted records that some work of a job has started.
+func (s *State) markStarted(j *Job) {
+	j.Started = true
+	s.backlog.updatePending(j)
 }
 
 // DropExpired drops the jobs whose retention time is over and returns their IDs.
 func (s *State) DropExpired(now time.Time) []string {
+	over := 0
+	for over < len(s.ended) && now.Sub(s.ended[over].EndedAt) > s.Timing.Retention {
+		over++
+	}
+	retained := append(s.kept, s.ended[:over]...)
+	s.ended = slices.Delete(s.ended, 0, over)
 	var out []string
-	for id, j := range s.Jobs {
-		if j.Phase != Open && j.StoredPhase == j.Phase && !j.InInbox && now.Sub(j.EndedAt) > s.Timing.Retention && !s.hasRuns(j) {
-			out = append(out, id)
-			delete(s.Jobs, id)
+	s.kept = slices.DeleteFunc(retained, func(j *Job) bool {
+		if s.Jobs[j.ID] != j {
+			return true
 		}
-	}
+		drop := j.StoredPhase == j.Phase && !j.InInbox && !s.hasRuns(j)
+		if drop {
+			out = append(out, j.ID)
+			delete(s.Jobs, j.ID)
+		}
+		return drop
+	})
 	return out
 }
 
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -23,40 +23,28 @@
 
 // stepWork returns the work of a number of tasks of a step, in thousandths of a core-second.
 func stepWork(step *batch.Step, tasks int, scale float64) int64 {
-	return int64(estimatedWork(step, tasks) * scale)
+	return int64(float64(estimatedWork(step, tasks)) * scale / workUnits)
 }
 
-// estimatedWork is like stepWork, but uses the estimate and is not rounded.
-func estimatedWork(step *batch.Step, tasks int) float64 {
-	return float64(step.Reservation().MilliCores) * float64(tasks) * step.Estimate.Seconds()
+// workUnits is the number of units of an estimated work in a thousandth of a core-second.
+const workUnits = 1000
+
+// estimatedWork returns the work of a number of tasks of a step by its estimate, in millionths of a core-second.
+func estimatedWork(step *batch.Step, tasks int) int64 {
+	return int64(float64(step.Reservation().MilliCores) * float64(tasks) * step.Estimate.Seconds() * workUnits)
 }
 
 // Load sums up the work of the pool for sizing.
 func (s *State) Load(now time.Time) sizing.Load {
-	var l sizing.Load
+	s.updateQueues()
+	l := sizing.Load{LongRunning: s.backlog.longRunning}
 	s.addHostLoad(&l, now)
-	for _, j := range s.openJobs {
-		if !j.Stored {
-			continue
-		}
-		scale := s.durationRatios[j.Spec.Queue].median()
-		for oi := range j.Occurrences {
-			occ := &j.Occurrences[oi]
-			for si := range occ.Stages {
-				step, stage := &j.Spec.Steps[si], &occ.Stages[si]
-				switch {
-				case step.LongRunning:
-					l.LongRunning += step.Reservation().MilliCores * int64(stage.Left)
-					if step.PerHost > 0 {
-						l.SpreadHosts = max(l.SpreadHosts, (step.Count+step.PerHost-1)/step.PerHost)
-					}
-				case occ.ready(&j.Spec, si):
-					l.Backlog += stepWork(step, stage.idle, scale)
-				default:
-					l.FutureWork += stepWork(step, stage.Left, scale)
-				}
-			}
-		}
+	for _, q := range s.backlog.queues {
+		l.Backlog += q.work(q.waiting[0] + q.waiting[1])
+		l.FutureWork += q.work(q.future)
+	}
+	for hosts := range s.backlog.spreads {
+		l.SpreadHosts = max(l.SpreadHosts, hosts)
 	}
 	l.Backlog += s.isolatedWork(l.HostCapacity, now)
 	l.Oversized = s.oversized()
@@ -69,30 +57,39 @@
 // capacity, or zero. Work that requires a label is left out unless some host has the label, since it may
 // be one that no machine has.
 func (s *State) oversized() batch.Size {
+	capacities := map[string]frontier{}
+	suitable := func(label string) frontier {
+		f, known := capacities[label]
+		if !known {
+			for _, h := range s.sortedHosts() {
+				if h.Listed && !h.Draining && labelAllows(h, label) {
+					f.add(h.Capacity)
+				}
+			}
+			capacities[label] = f
+		}
+		return f
+	}
 	var smallest batch.Size
-	for key, sh := range s.backlog.shapes {
-		if smallest != (batch.Size{}) && key.need.MilliCores >= smallest.MilliCores {
-			continue
+	for g, root := range s.backlog.needs() {
+		if f := suitable(g.label); len(f) > 0 {
+			smallest = root.leastBeyond(f, smallest)
 		}
-		if s.isOversized(sh) {
-			smallest = key.need
+	}
+	for _, w := range s.backlog.touched {
+		if f := suitable(w.step.RequiredLabel); w.stage.waiting == w && len(f) > 0 && !f.fits(w.need) {
+			smallest = smaller(w.need, smallest)
 		}
 	}
 	return smallest
 }
 
-func (s *State) isOversized(sh *shape) bool {
-	suitable := false
-	for _, h := range s.sortedHosts() {
-		if !h.Listed || h.Draining || !sh.hasLabel(h) {
-			continue
-		}
-		suitable = true
-		if h.Capacity.Fits(sh.need) {
-			return false
-		}
+// smaller returns the need with fewer cores. A zero need stands for none.
+func smaller(need, best batch.Size) batch.Size {
+	if best != (batch.Size{}) && need.MilliCores >= best.MilliCores {
+		return best
 	}
-	return suitable
+	return need
 }
 
 // addHostLoad adds the schedulable hosts, the work that runs on them, and the hosts that could
--- a/fleet/shard/permit.go
+++ b/fleet/shard/permit.go
@@ -140,10 +140,10 @@
 	}
 	var unknown candidates
 	for _, c := range hosts {
-		if p.denies(c.host) || p.valid(c.host, now) || !c.host.Capacity.Fits(w.shape.need) {
+		if p.denies(c.host) || p.valid(c.host, now) || !c.host.Capacity.Fits(w.need) {
 			continue
 		}
-		if w.shape.hasLabel(c.host) {
+		if w.hasLabel(c.host) {
 			unknown = append(unknown, c)
 		}
 	}
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -31,7 +31,9 @@
 // the limits. The argument wall is the time of day in milliseconds since 1970.
 //
 // Steps go in the order of the ranking. Those that can neither start nor reserve a host are left
-// out, and planning ends once no host has room for any of the others or the limit is reached.
+// out, and planning ends once no host has room for any of the others or the limit is reached. The time
+// that a round takes depends on the hosts, on the steps that start or reserve a host and on what has
+// changed since the last round, but hardly on the number of steps that wait.
 func PlanWithin[R Ranking](s *State, ranking R, limits Limits, now time.Time, wall int64) {
 	s.openDue(wall)
 	s.countVanished(now)
@@ -43,6 +45,11 @@
 	if limits.Starts <= 0 {
 		return
 	}
+	s.updateQueues()
+	for _, late := range [...]bool{false, true} {
+		s.backlog.keep(late, ranking.SortKey(late))
+	}
+	s.backlog.advance(now.Sub(s.backlog.origin))
 	hosts := s.candidates(now)
 	unconfirmed := s.hasUnconfirmedHost(now)
 	s.updateOverloaded(hosts, unconfirmed)
@@ -52,20 +59,17 @@
 	if roomy.allBusy() {
 		return
 	}
-	s.backlog.findFits(roomy)
-	if !s.backlog.anyFits(roomy) {
-		return
-	}
-	ranked := newRanked(s, ranking, now, unconfirmed, func(w *waitingStep) bool { return w.shape.fits || w.reserves() })
-	defer ranked.release()
-	for w := ranked.pop(); w != nil; w = ranked.pop() {
-		changed := s.startTasks(w, hosts, roomy, &limits, now)
-		if changed {
-			roomy = roomy.withRoom(least)
+	steps := newSelection(s, ranking, hosts, roomy, unconfirmed, now)
+	defer steps.close()
+	for w := steps.next(); w != nil; w = steps.next() {
+		if !s.startTasks(w, hosts, roomy, &limits, now) {
+			continue
 		}
-		if changed && (limits.Starts <= 0 || roomy.allBusy() || !s.backlog.anyFits(roomy)) {
+		roomy = roomy.withRoom(least)
+		if limits.Starts <= 0 || roomy.allBusy() {
 			return
 		}
+		steps.update(roomy)
 	}
 }
 
@@ -80,7 +84,7 @@
 	var next int64
 	for _, j := range s.backlog.unopened {
 		if len(j.Occurrences) < j.Spec.Repetitions {
-			if d := j.dueAt(len(j.Occurrences)); next == 0 || d < next {
+			if d := j.nextDue(); next == 0 || d < next {
 				next = d
 			}
 		}
@@ -159,7 +163,7 @@
 	step, stage := w.step, w.stage
 	permitted := s.permitFilter(w.ref(), now)
 	if step.Gang {
-		return s.startGang(w, hosts, permitted, limits, now)
+		return s.startGang(w, hosts, roomy, permitted, limits, now)
 	}
 	changed, suspectWaits := false, false
 	for i := range stage.Tasks {
@@ -171,7 +175,7 @@
 			continue
 		}
 		var host *candidate
-		if w.shape.fits && s.mayHaveTicket(w) {
+		if s.mayHaveTicket(w) {
 			host = s.pickHost(step, stage, task, roomy, permitted, now)
 		}
 		if host == nil && task.Crashes.Hosts > 0 {
@@ -184,9 +188,6 @@
 			continue
 		}
 		if host == nil {
-			// What a round takes or reserves is not given back before its end, so no later step of
-			// this shape finds a host either.
-			w.shape.fits = w.shape.fits && (permitted != nil || step.PerHost > 0)
 			return s.reserveHost(w, hosts) || changed
 		}
 		if host.busy {
@@ -314,21 +315,18 @@
 // smaller steps do not starve it. Hosts that could not run the step even when all work that ends has ended
 // are left out, and so is a gang for which all hosts together could not. It reports whether it has reserved a host.
 func (s *State) reserveHost(w *waitingStep, hosts candidates) bool {
-	if w.shape.unreservable || !w.reserves() || (w.step.Gang && !s.gangCouldFit(w, hosts)) {
+	if !w.reserves() || (w.step.Gang && !s.gangCouldFit(w, hosts)) {
 		return false
 	}
 	var best *candidate
-	left := false
 	for _, c := range hosts {
-		if c.reserved || !c.host.Capacity.Sub(c.host.longRunningUsed).Fits(w.shape.need) || !w.shape.hasLabel(c.host) {
+		if c.reserved || !c.host.Capacity.Sub(c.host.longRunningUsed).Fits(w.need) || !w.hasLabel(c.host) {
 			continue
 		}
-		left = true
 		if (best == nil || c.free.MilliCores > best.free.MilliCores) && s.mayUse(w, c.host) {
 			best = c
 		}
 	}
-	w.shape.unreservable = !left
 	if best == nil {
 		return false
 	}
@@ -342,10 +340,10 @@
 func (s *State) gangCouldFit(w *waitingStep, hosts candidates) bool {
 	members := int64(len(w.stage.Tasks))
 	for _, c := range hosts {
-		if !w.shape.hasLabel(c.host) || !s.mayUse(w, c.host) {
+		if !w.hasLabel(c.host) || !s.mayUse(w, c.host) {
 			continue
 		}
-		fitting := min(timesFits(c.host.Capacity.Sub(c.host.longRunningUsed), w.shape.need), members)
+		fitting := min(timesFits(c.host.Capacity.Sub(c.host.longRunningUsed), w.need), members)
 		if w.step.PerHost > 0 {
 			fitting = min(fitting, int64(w.step.PerHost))
 		}
@@ -377,6 +375,11 @@
 	return !w.queue.needsTicket || !s.permits[w.ref()].denies(h)
 }
 
+// fitsOn reports whether one of some hosts has room for a task of the step.
+func (w *waitingStep) fitsOn(hosts candidates) bool {
+	return slices.ContainsFunc(hosts, func(c *candidate) bool { return c.free.Fits(w.need) && w.hasLabel(c.host) })
+}
+
 // reserves reports whether a host is reserved for a step that does not fit.
 func (w *waitingStep) reserves() bool {
 	return w.demand.LongRunning || w.demand.Age >= reserveAfter
@@ -389,7 +392,7 @@
 // startGang orders the start of all members of a gang, or of none. It reports whether it has started
 // the gang or reserved a host.
 func (s *State) startGang(
-	w *waitingStep, hosts candidates, permitted func(*Host) bool, limits *Limits, now time.Time,
+	w *waitingStep, hosts, roomy candidates, permitted func(*Host) bool, limits *Limits, now time.Time,
 ) bool {
 	step, stage := w.step, w.stage
 	for i := range stage.Tasks {
@@ -398,7 +401,7 @@
 		}
 	}
 	var chosen []int
-	if w.shape.fits {
+	if w.fitsOn(roomy) {
 		chosen = s.placeGang(step, stage, hosts, permitted)
 	}
 	if chosen == nil {
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -194,6 +194,7 @@
 	j := newJob(id, now)
 	j.Phase, j.StoredPhase, j.EndedAt, j.Unsubmitted, j.Stored = Cancelled, Cancelled, now, true, true
 	s.Jobs[id] = j
+	s.ended = append(s.ended, j)
 }
 
 // RestoreOption configures [State.Restore].
@@ -236,6 +237,7 @@
 	}
 	// The time since its end is unknown, so the job is kept for the whole retention time again.
 	j.EndedAt = now
+	s.ended = append(s.ended, j)
 }
 
 // restoreOccurrence adds an occurrence from the progress of its job. If its tasks are stored in parts, nothing
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -19,8 +19,7 @@
 	// Idle is the time since a task of the job was started, or the job was accepted; 0 while any is
 	// assigned to a host.
 	Idle time.Duration
-	// RemainingWork is the work of the occurrence that is not done, in thousandths of a
-	// core-second.
+	// RemainingWork is the work of the occurrence that is not done, in millionths of a core-second.
 	RemainingWork int64
 }
 
@@ -28,6 +27,9 @@
 type Ranking interface {
 	// Compare is negative when a goes before b.
 	Compare(a, b *Demand) int
+	// SortKey returns the order of the demands of one queue that do not differ in whether they are long-running,
+	// late and starved. Compare agrees with it.
+	SortKey(late bool) SortKey
 }
 
 // BySlack puts long-running work first, then work that can still meet its objective in the order
@@ -57,6 +59,14 @@
 	return cmp.Compare(a.Job.ID, b.Job.ID)
 }
 
+// SortKey implements [Ranking].
+func (BySlack) SortKey(late bool) SortKey {
+	if late {
+		return SortByAge
+	}
+	return SortBySlack
+}
+
 // ByRemainingWork is like [BySlack], but orders work of one priority that can still meet its
 // objective by the remaining work, the least first. When not all jobs can meet their objectives,
 // more of them do than in the order of slack, which starts each job when it is nearly too late.
@@ -71,6 +81,14 @@
 	return cmp.Compare(a.RemainingWork, b.RemainingWork)
 }
 
+// SortKey implements [Ranking].
+func (ByRemainingWork) SortKey(late bool) SortKey {
+	if late {
+		return SortByAge
+	}
+	return SortByRemainingWork
+}
+
 // ByLoad orders by slack while a pool keeps up, and by remaining work while it is overloaded.
 type ByLoad struct{ Overloaded bool }
 
@@ -82,6 +100,14 @@
 	return BySlack{}.Compare(a, b)
 }
 
+// SortKey implements [Ranking].
+func (p ByLoad) SortKey(late bool) SortKey {
+	if p.Overloaded {
+		return ByRemainingWork{}.SortKey(late)
+	}
+	return BySlack{}.SortKey(late)
+}
+
 // StarvedFirst orders like another ranking, but while a pool has spare capacity it puts late jobs of which nothing
 // runs before other late ones. What is short then is not capacity but starts, which one job of many small tasks
 // would take for as long as it is the oldest.
@@ -101,6 +127,9 @@
 	return p.Ranking.Compare(a, b)
 }
 
+// SortKey implements [Ranking].
+func (p StarvedFirst[R]) SortKey(late bool) SortKey { return p.Ranking.SortKey(late) }
+
 func (d *Demand) starved() bool { return d.Slack < 0 && d.Idle > starvedAfter }
 
 // HasSpareCapacity reports whether less than half of the processor capacity of the hosts that may get work is in
@@ -129,17 +158,15 @@
 	for _, c := range hosts {
 		capacity += c.host.Capacity.MilliCores
 	}
-	limit := int64(float64(capacity) * overloadThreshold.Seconds())
-	s.backlog.updateQueues(s)
 	var waiting int64
-	for _, w := range s.backlog.steps {
-		if !w.demand.LongRunning && !(w.inherited && unconfirmed) {
-			if waiting += stepWork(w.step, w.stage.idle, w.queue.scale); waiting > limit {
-				break
-			}
+	for _, q := range s.backlog.queues {
+		estimated := q.waiting[0]
+		if !unconfirmed {
+			estimated += q.waiting[1]
 		}
+		waiting += q.work(estimated)
 	}
-	s.Overloaded = waiting > limit
+	s.Overloaded = waiting > int64(float64(capacity)*overloadThreshold.Seconds())
 }
 
 // ranked returns waiting steps in the order of a ranking. Most rounds take one step only, which a scan
@@ -156,7 +183,7 @@
 // newRanked returns the waiting steps that could start now and are wanted. Inherited ones can
 // start once no host is unconfirmed.
 func newRanked[R Ranking](s *State, ranking R, now time.Time, unconfirmed bool, wanted func(*waitingStep) bool) *ranked[R] {
-	s.backlog.updateQueues(s)
+	s.updateQueues()
 	age := now.Sub(s.backlog.origin)
 	r := &ranked[R]{ranking: ranking, steps: s.backlog.ranked[:0]}
 	for _, w := range s.backlog.steps {
@@ -237,6 +264,9 @@
 	return cmp.Compare(a.Job.ID, b.Job.ID)
 }
 
+// SortKey implements [Ranking].
+func (ByAge) SortKey(bool) SortKey { return SortByAge }
+
 // firstIf returns the result of a comparison that puts a first if the condition holds, and b first
 // otherwise.
 func firstIf(first bool) int {
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -8,6 +8,7 @@
 
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/place"
+	"carawaymux.dev/fleet/sizing"
 )
 
 // The functions in this file plan without indexes or counters: each round looks at all hosts and
@@ -101,6 +102,8 @@
 	Objective     time.Time
 	CriticalPath  time.Duration
 	RemainingWork int64
+	// ClaimedAt is when the pool was claimed.
+	ClaimedAt time.Time
 }
 
 func (d *referenceDemand) slack(now time.Time) time.Duration {
@@ -136,6 +139,24 @@
 	return cmp.Compare(a.RemainingWork, b.RemainingWork)
 }
 
+// referenceStarvedFirst puts the late jobs of which nothing has run for a second before the other late ones while
+// there is spare capacity.
+func referenceStarvedFirst(compare compareDemands, spare bool) compareDemands {
+	starved := func(d *referenceDemand, now time.Time) bool {
+		idleSince := d.Job.AcceptedAt
+		if started := d.ClaimedAt.Add(d.Job.lastStart); started.After(idleSince) {
+			idleSince = started
+		}
+		return d.Job.assigned == 0 && now.Sub(idleSince) > time.Second
+	}
+	return func(a, b *referenceDemand, now time.Time) int {
+		if spare && a.LongRunning == b.LongRunning && a.slack(now) < 0 && b.slack(now) < 0 && starved(a, now) != starved(b, now) {
+			return firstIf(starved(a, now))
+		}
+		return compare(a, b, now)
+	}
+}
+
 // referenceByAge leaves no order open, unlike [ByAge], since the result would depend on the sort.
 func referenceByAge(a, b *referenceDemand, _ time.Time) int {
 	return cmp.Or(a.Job.AcceptedAt.Compare(b.Job.AcceptedAt), cmp.Compare(a.Job.ID, b.Job.ID),
@@ -220,7 +241,7 @@
 				path := time.Duration(float64(referenceCriticalPath(&j.Spec, si)) * scale)
 				d := referenceDemand{
 					Job: j, Occurrence: oi, Step: si, LongRunning: j.Spec.Steps[si].LongRunning, Priority: q.Priority,
-					Objective: j.Objective, CriticalPath: path, RemainingWork: work,
+					Objective: j.Objective, CriticalPath: path, RemainingWork: work, ClaimedAt: s.ClaimedAt,
 				}
 				if j.Spec.Repetitions > 0 {
 					offset := time.Duration(j.dueAt(oi)-j.Spec.AcceptedMS) * time.Millisecond
@@ -236,9 +257,9 @@
 func referenceWorkLeft(spec *batch.Spec, occ *Occurrence, scale float64) int64 {
 	var sum int64
 	for si := range occ.Stages {
-		sum += stepWork(&spec.Steps[si], occ.Stages[si].Left, scale)
+		sum += estimatedWork(&spec.Steps[si], occ.Stages[si].Left)
 	}
-	return sum
+	return int64(float64(sum) * scale)
 }
 
 func referenceCriticalPath(spec *batch.Spec, step int) time.Duration {
@@ -253,13 +274,16 @@
 
 func referenceUpdateOverloaded(s *State, demands []referenceDemand, hosts referenceHosts) {
 	var waiting, capacity int64
+	estimated := map[string]int64{}
 	for i := range demands {
 		d := &demands[i]
 		if !d.LongRunning {
-			scale := s.durationRatios[d.Job.Spec.Queue].median()
-			waiting += stepWork(&d.Job.Spec.Steps[d.Step], d.Job.Occurrences[d.Occurrence].Stages[d.Step].idle, scale)
+			estimated[d.Job.Spec.Queue] += estimatedWork(&d.Job.Spec.Steps[d.Step], d.Job.Occurrences[d.Occurrence].Stages[d.Step].idle)
 		}
 	}
+	for queue, work := range estimated {
+		waiting += referenceScaled(s, queue, work)
+	}
 	for i := range hosts {
 		capacity += hosts[i].host.Capacity.MilliCores
 	}
@@ -698,3 +722,102 @@
 	}
 	return q, true
 }
+
+// referenceScaled returns the expected work of a queue in thousandths of a core-second for an estimated one.
+func referenceScaled(s *State, queue string, estimated int64) int64 {
+	return int64(float64(estimated) * s.durationRatios[queue].median() / 1000)
+}
+
+func referenceLoad(s *State, now time.Time) sizing.Load {
+	var l sizing.Load
+	s.addHostLoad(&l, now)
+	backlog, future := map[string]int64{}, map[string]int64{}
+	for _, j := range s.openJobs {
+		if !j.Stored {
+			continue
+		}
+		for oi := range j.Occurrences {
+			occ := &j.Occurrences[oi]
+			for si := range occ.Stages {
+				step, stage := &j.Spec.Steps[si], &occ.Stages[si]
+				switch {
+				case step.LongRunning:
+					l.LongRunning += step.Reservation().MilliCores * int64(stage.Left)
+					if step.PerHost > 0 {
+						l.SpreadHosts = max(l.SpreadHosts, (step.Count+step.PerHost-1)/step.PerHost)
+					}
+				case occ.ready(&j.Spec, si):
+					backlog[j.Spec.Queue] += estimatedWork(step, stage.idle)
+				default:
+					future[j.Spec.Queue] += estimatedWork(step, stage.Left)
+				}
+				if !occ.ready(&j.Spec, si) || stage.idle == 0 || !referenceOversized(s, step) {
+					continue
+				}
+				if need := step.Reservation(); l.Oversized == (batch.Size{}) || need.MilliCores < l.Oversized.MilliCores {
+					l.Oversized = need
+				}
+			}
+		}
+	}
+	for queue := range s.Queues {
+		l.Backlog += referenceScaled(s, queue, backlog[queue])
+		l.FutureWork += referenceScaled(s, queue, future[queue])
+	}
+	l.Backlog += s.isolatedWork(l.HostCapacity, now)
+	l.ArrivalRate, l.Arrivals = s.arrivals.Rate(now), s.arrivals.Count()
+	return l
+}
+
+// referenceOversized reports whether some host of the pool has the label of a step, and none can hold its tasks.
+func referenceOversized(s *State, step *batch.Step) bool {
+	suitable := false
+	for _, h := range s.Hosts {
+		if !h.Listed || h.Draining || (step.RequiredLabel != "" && !HasLabel(&h.Host, step.RequiredLabel)) {
+			continue
+		}
+		suitable = true
+		if h.Capacity.Fits(step.Reservation()) {
+			return false
+		}
+	}
+	return suitable
+}
+
+func referencePending(s *State, queue string) int {
+	n := 0
+	for _, j := range s.openJobs {
+		if j.Stored && !j.Started && j.Spec.Queue == queue {
+			n++
+		}
+	}
+	return n
+}
+
+func referenceWaitingTasks(s *State) (tasks, longRunning int) {
+	for _, j := range s.openJobs {
+		for oi := range j.Occurrences {
+			occ := &j.Occurrences[oi]
+			for si := range occ.Stages {
+				if !j.Stored || occ.Left == 0 || !occ.ready(&j.Spec, si) {
+					continue
+				}
+				tasks += occ.Stages[si].idle
+				if j.Spec.Steps[si].LongRunning {
+					longRunning += occ.Stages[si].idle
+				}
+			}
+		}
+	}
+	return tasks, longRunning
+}
+
+func referenceExpired(s *State, now time.Time) []string {
+	var out []string
+	for id, j := range s.Jobs {
+		if j.Phase != Open && j.StoredPhase == j.Phase && !j.InInbox && now.Sub(j.EndedAt) > s.Timing.Retention && !s.hasRuns(j) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -134,7 +134,8 @@
 		stage.idle--
 		s.assign(h, ref, task)
 		s.backlog.update(j, ref.Occurrence, ref.Step)
-		j.Started, task.startedEarlier = true, false
+		s.markStarted(j)
+		task.startedEarlier = false
 	default:
 		return false
 	}
@@ -262,7 +263,8 @@
 	task.Done = true
 	s.markTaskDirty(j, ref)
 	stage.Left--
-	occ.work.terms = occ.work.terms[:0]
+	occ.work.known = false
+	s.backlog.touchJob(j)
 	if stage.Left > 0 {
 		s.backlog.update(j, ref.Occurrence, ref.Step)
 		return
@@ -273,6 +275,7 @@
 	if occ.Left--; occ.Left > 0 {
 		return
 	}
+	defer s.backlog.resumeOpening(j)
 	if j.OccurrencesLeft--; j.OccurrencesLeft == 0 {
 		s.closeJob(j, Completed, now)
 	}
@@ -318,7 +321,7 @@
 			task.Status = Running
 		}
 		task.StartClock = max(clock, 1)
-		j.Started = true
+		s.markStarted(j)
 		if h != nil && !h.EndedAt.IsZero() {
 			s.recordNewInstance(h, clock, now)
 		}
--- /dev/null
+++ b/fleet/shard/select.go
@@ -0,0 +1,205 @@
+package shard
+
+import (
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+)
+
+// selection goes through the waiting steps in the order of a ranking in a round of planning. It leaves out those
+// on which the round has no effect: that fit on no host with an answer and for which no host is reserved.
+type selection[R Ranking] struct {
+	state   *State
+	ranking R
+	// age is the time since the pool was claimed.
+	age time.Duration
+	// hosts holds all hosts, and roomy those that have room for the least need.
+	hosts, roomy candidates
+	groups       []candidateGroup
+	rooms        map[roomKey]*rooms
+	// taken holds the steps that were returned. They are in no group until the round has ended.
+	taken []*waitingStep
+}
+
+// candidateGroup is a group with the steps that come next.
+type candidateGroup struct {
+	*group
+	tree  *needTree
+	rooms *rooms
+	// start is the first step that fits on a host now. next is the first one on which the round has an effect.
+	start, next *waitingStep
+}
+
+// roomKey is what decides which hosts have room for a step, beside its need.
+type roomKey struct {
+	label       string
+	longRunning bool
+}
+
+// rooms holds the capacities into which steps with the same roomKey fit.
+type rooms struct {
+	roomKey
+	// stale reports whether hosts have changed since the capacities were collected.
+	stale bool
+	// answered holds what is free on the hosts that admit the steps and may get a start, admitted what is free on
+	// all that admit them, and free what is free on any host. whole holds what hosts that are not reserved
+	// have in all, without long-running tasks.
+	answered, admitted, free, whole frontier
+}
+
+// frontier holds the sizes of a set that fit into no other size of the set.
+type frontier []batch.Size
+
+func (f *frontier) add(size batch.Size) {
+	if f.fits(size) {
+		return
+	}
+	kept := (*f)[:0]
+	for _, known := range *f {
+		if !size.Fits(known) {
+			kept = append(kept, known)
+		}
+	}
+	*f = append(kept, size)
+}
+
+// fits reports whether a need fits into a size of the set.
+func (f frontier) fits(need batch.Size) bool {
+	for i := range f {
+		if f[i].Fits(need) {
+			return true
+		}
+	}
+	return false
+}
+
+// newSelection returns the waiting steps that could start now. Inherited ones can start once no host is
+// unconfirmed. The backlog has to be up to date.
+func newSelection[R Ranking](s *State, ranking R, hosts, roomy candidates, unconfirmed bool, now time.Time) *selection[R] {
+	l := &selection[R]{
+		state: s, ranking: ranking, age: now.Sub(s.backlog.origin), hosts: hosts, roomy: roomy, rooms: map[roomKey]*rooms{},
+	}
+	for _, g := range s.backlog.groups {
+		if g.inherited && unconfirmed {
+			continue
+		}
+		key := roomKey{g.label, g.longRunning}
+		if l.rooms[key] == nil {
+			l.rooms[key] = &rooms{roomKey: key, stale: true}
+		}
+		l.groups = append(l.groups, candidateGroup{group: g, tree: g.trees[ranking.SortKey(g.late)], rooms: l.rooms[key]})
+	}
+	return l
+}
+
+// close has the steps that were taken put back.
+func (l *selection[R]) close() {
+	for _, w := range l.taken {
+		if w.stage.waiting == w {
+			l.state.backlog.touch(w)
+		}
+	}
+}
+
+// next takes the first step on which the round has an effect. It returns nil if no step fits on a host.
+func (l *selection[R]) next() *waitingStep {
+	fits := false
+	for i := range l.groups {
+		g := &l.groups[i]
+		g.rooms.collect(l.hosts, l.roomy)
+		if g.start != nil && (g.start.group != g.group || !g.couldStart(g.start.need, g.start.need)) {
+			g.start = nil
+		}
+		if g.start == nil {
+			g.start = g.tree.find(nil, g.couldStart)
+		}
+		fits = fits || g.start != nil
+	}
+	if !fits {
+		return nil
+	}
+	var first *waitingStep
+	for i := range l.groups {
+		g := &l.groups[i]
+		if g.next != nil && (g.next.group != g.group || !g.couldMatter(g.next.need, g.next.need)) {
+			g.next = nil
+		}
+		if g.next == nil {
+			g.next = g.start
+			if g.reserves {
+				g.next = g.tree.find(g.start, g.couldReserve)
+			}
+		}
+		if g.next == nil {
+			continue
+		}
+		g.next.updateDemand(l.age)
+		if first == nil || l.before(g.next, first) {
+			first = g.next
+		}
+	}
+	first.leaveGroup()
+	l.taken = append(l.taken, first)
+	return first
+}
+
+func (l *selection[R]) before(a, b *waitingStep) bool {
+	if c := l.ranking.Compare(&a.demand, &b.demand); c != 0 {
+		return c < 0
+	}
+	return compareSteps(&a.demand, &b.demand) < 0
+}
+
+// update notes that hosts have got a task or were reserved.
+func (l *selection[R]) update(roomy candidates) {
+	l.roomy = roomy
+	for _, r := range l.rooms {
+		r.stale = true
+	}
+}
+
+// couldStart reports whether a step could start whose need is within bounds.
+func (g *candidateGroup) couldStart(low, _ batch.Size) bool {
+	if g.exempt {
+		return g.rooms.free.fits(low)
+	}
+	return g.rooms.answered.fits(low)
+}
+
+// couldReserve reports whether a host could be reserved for a step whose need is within bounds. None is reserved
+// for one that waits for the answer of a host with room.
+func (g *candidateGroup) couldReserve(low, high batch.Size) bool {
+	return g.rooms.whole.fits(low) && (g.exempt || !g.rooms.admitted.fits(high))
+}
+
+// couldMatter reports whether the round has an effect on a step with a need.
+func (g *candidateGroup) couldMatter(low, high batch.Size) bool {
+	return g.couldStart(low, high) || (g.reserves && g.couldReserve(low, high))
+}
+
+// collect collects the capacities of the hosts.
+func (r *rooms) collect(hosts, roomy candidates) {
+	if !r.stale {
+		return
+	}
+	r.stale = false
+	r.answered, r.admitted, r.free, r.whole = r.answered[:0], r.admitted[:0], r.free[:0], r.whole[:0]
+	for _, c := range roomy {
+		if c.reserved || !labelAllows(c.host, r.label) {
+			continue
+		}
+		r.free.add(c.free)
+		if c.isolated || (c.apart && !r.longRunning) {
+			continue
+		}
+		r.admitted.add(c.free)
+		if !c.busy {
+			r.answered.add(c.free)
+		}
+	}
+	for _, c := range hosts {
+		if !c.reserved && labelAllows(c.host, r.label) {
+			r.whole.add(c.host.Capacity.Sub(c.host.longRunningUsed))
+		}
+	}
+}
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -136,8 +136,11 @@
 	Left int
 	// idle is the number of tasks that are Idle and not done.
 	idle int
-	// waiting is the step's entry in the backlog, or nil.
+	// waiting is the step's entry in the backlog, or nil. load is what the stage adds to the sums there.
 	waiting *waitingStep
+	load    load
+	// suspected reports whether a host has crashed under some task.
+	suspected bool
 	// meanSpeed is the running mean of the speeds of the tasks, over speedCount measurements.
 	meanSpeed  float64
 	speedCount int
@@ -187,6 +190,13 @@
 	// ordered to start, counted from when the pool was claimed.
 	assigned  int
 	lastStart time.Duration
+	// rules is what the backlog knows of the queue, and nil before the backlog has needed it. waiting holds the
+	// entries of the job in the backlog. pending reports whether the backlog counts the job as pending.
+	rules   *queueRules
+	waiting []*waitingStep
+	pending bool
+	// opensLater reports whether an occurrence is due and has to wait until fewer tasks are open.
+	opensLater bool
 	// parted reports whether the progress is stored in parts.
 	parted bool
 	// dirty reports whether the progress has changed since it was last taken for the store. For a job
@@ -249,6 +259,9 @@
 	latestLost time.Time
 	// openJobs holds the jobs in phase Open.
 	openJobs map[string]*Job
+	// ended holds the jobs that have ended, in the order of their ends, and kept those of them that could not be
+	// dropped when their retention time was over.
+	ended, kept []*Job
 	// unlistedCordons holds the hosts that are not known yet and are to be empty, with the time until
 	// which.
 	unlistedCordons map[string]time.Time
