--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -134,7 +135,8 @@
 		stage.idle -= count(!task.closed())
 		s.assign(h, ref, task)
 		s.backlog.update(j, ref.Occurrence, ref.Step)
-		j.Started, task.startedEarlier = true, false
+		s.markStarted(j)
+		task.startedEarlier = false
 	default:
 		return false
 	}
@@ -262,7 +264,8 @@
 	task.Done = true
 	s.markTaskDirty(j, ref)
 	stage.Left--
-	occ.work.terms = occ.work.terms[:0]
+	occ.work.known = false
+	s.backlog.touchJob(j)
 	if stage.Left > 0 {
 		s.backlog.update(j, ref.Occurrence, ref.Step)
 		return
@@ -273,6 +276,7 @@
 	if occ.Left--; occ.Left > 0 {
 		return
 	}
+	defer s.backlog.resumeOpening(j)
 	if j.OccurrencesLeft--; j.OccurrencesLeft == 0 {
 		s.closeJob(j, Completed, now)
 	}
@@ -318,7 +322,7 @@
 			task.Status = Running
 		}
 		task.StartClock = max(clock, 1)
-		j.Started = true
+		s.markStarted(j)
 		if h != nil && !h.EndedAt.IsZero() {
 			s.recordNewInstance(h, clock, now)
 		}
@@ -416,15 +420,18 @@
 // sampleSize is the number of newest run times that are kept for each queue.
 const sampleSize = 64
 
-// sample is a ring of the newest ratios of run time to estimate. The median is cached because it
-// is read far more often than a run ends.
+// sample is a ring of the newest ratios of run time to estimate.
 type sample struct {
 	values []float64
 	next   int
-	// cachedMedian is the median of the values, or 0 when there are too few.
-	cachedMedian float64
+	// steadyMedian is a recent median of the values, or 0 before there was one that differs much from 1.
+	steadyMedian float64
 }
 
+// steadyShare is the share by which the median has to change before it is used. All work of a queue is ranked
+// anew then, and the median of so few values varies by a few percent while nothing changes.
+const steadyShare = 0.125
+
 func (s *sample) add(v float64) {
 	const minRatios = 8
 	if len(s.values) < sampleSize {
@@ -436,14 +443,17 @@
 	if len(s.values) >= minRatios {
 		sorted := slices.Clone(s.values)
 		slices.Sort(sorted)
-		s.cachedMedian = sorted[len(sorted)/2]
+		used, median := s.median(), sorted[len(sorted)/2]
+		if math.Abs(median-used) > steadyShare*used {
+			s.steadyMedian = median
+		}
 	}
 }
 
-// median returns the median ratio, or 1 when there are too few.
+// median returns the median ratio as of its last change by more than steadyShare, or 1 when there are too few.
 func (s *sample) median() float64 {
-	if s == nil || s.cachedMedian == 0 {
+	if s == nil || s.steadyMedian == 0 {
 		return 1
 	}
-	return s.cachedMedian
+	return s.steadyMedian
 }
