--- a/trial/fake/deployment.go
+++ b/trial/fake/deployment.go
@@ -35,6 +35,9 @@
 	http    *http.Client
 }
 
+// EntryName returns the name of an entry.
+func EntryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
 // requestTimeout bounds one request of a caller, and is the deadline that it sends.
 const requestTimeout = 3 * time.Second
 
@@ -48,7 +51,7 @@
 			return nil, err
 		}
 		e := &Entry{
-			Name: fmt.Sprintf("entry-%d", i), CallerAddress: ports[0], ReadyAddress: ports[1],
+			Name: EntryName(i), CallerAddress: ports[0], ReadyAddress: ports[1],
 			settingsPath: filepath.Join(dir, fmt.Sprintf("entry-%d.toml", i)),
 		}
 		_, peer, err := net.SplitHostPort(ports[2])
@@ -74,11 +77,11 @@
 // renderSettings returns the settings file that the platform provides for an entry. It contains a
 // field that entries do not know, which they must ignore.
 func (fp *Platform) renderSettings(e *Entry, zone, peer, limits string) (string, error) {
-	store, err := fp.proxy(e.Name, "store", fp.StoreAddress)
+	store, err := fp.proxy(e.Name, StoreLink, fp.StoreAddress)
 	if err != nil {
 		return "", err
 	}
-	machines, err := fp.proxy(e.Name, "machines", fp.MachinesAddress)
+	machines, err := fp.proxy(e.Name, MachinesLink, fp.MachinesAddress)
 	if err != nil {
 		return "", err
 	}
--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -93,6 +93,15 @@
 	RerunDone bool
 }
 
+// The services that a [Proxy] may be for, beside machines.
+const (
+	StoreLink    = "store"
+	MachinesLink = "machines"
+)
+
+// MachineID returns the ID of a machine of a pool.
+func MachineID(pool string, i int) string { return fmt.Sprintf("m-%s-%d", pool, i) }
+
 // Proxy returns the address of a proxy for the connections from an entry to a service or to a machine. The name
 // of the entry is empty for proxies that all entries share.
 type Proxy func(from, to, address string) (string, error)
@@ -148,7 +157,7 @@
 func (fp *Platform) addMachines(layout Layout) error {
 	for _, pool := range sortedKeys(layout.Pools) {
 		for i := range layout.Pools[pool] {
-			id := fmt.Sprintf("m-%s-%d", pool, i)
+			id := MachineID(pool, i)
 			address, err := fp.serve(fp.hostHandler(id))
 			if err != nil {
 				return err
--- a/trial/fake/machine.go
+++ b/trial/fake/machine.go
@@ -201,19 +201,6 @@
 	})
 }
 
-// Machines lists the machines of a pool, in the order of their IDs.
-func (fp *Platform) Machines(pool string) []string {
-	return query(fp, func(s *state) []string {
-		var out []string
-		for _, id := range sortedKeys(s.machines) {
-			if s.machines[id].pool == pool {
-				out = append(out, id)
-			}
-		}
-		return out
-	})
-}
-
 // MachinesInPool counts the machines of a pool.
 func (fp *Platform) MachinesInPool(pool string) int {
 	return query(fp, func(s *state) int {
--- a/trial/soak/check.go
+++ b/trial/soak/check.go
@@ -36,6 +36,7 @@
 		{"never-unknown", "\"No such job\" is not answered for a job that was accepted (docs/SYSTEM.md, What is stored; RULES, LOST).", checkUnknown},
 		{"state-is-true", "A job is shown as completed only when all its tasks are done, and as failed only with cause (RULES, MIXED and LOST).", checkState},
 		{"accepted-is-done", "A job that was accepted is done, or said to have failed, finish_s after the end of the traffic (RULES, LOST).", checkFinished},
+		{"config-in-time", "A request sent later than config_apply_ms after a configuration is handled as it says, by entries in touch (RULES, CONFIG).", checkConfig},
 		{"ready-again", "An entry that is in touch is ready (RULES, In touch and Duty).", checkReady},
 	}
 }
@@ -541,6 +542,30 @@
 	return ref.Job
 }
 
+func checkConfig(h *History) []string {
+	var out []string
+	for _, r := range h.Requests {
+		if r.Queue != extraQueue || !h.calm(r.SentAt-contactTime, r.EndAt) || !h.untouched(r.Entry, r.SentAt-contactTime, r.EndAt) {
+			continue
+		}
+		// The queue counts as removed only while it has been for configTime, and as there likewise.
+		removed, there := false, true
+		for _, w := range h.Windows {
+			if w.Kind == Queue {
+				removed = removed || (w.From+configTime < r.SentAt && r.EndAt < w.To)
+				there = there && (w.To+configTime < r.SentAt || r.EndAt < w.From)
+			}
+		}
+		switch {
+		case there && r.Status == http.StatusNotFound:
+			out = append(out, fmt.Sprintf("%s of job %s at %s, sent at %s, was answered that there is no such queue", r.Verb, r.Job, r.Entry, seconds(r.SentAt)))
+		case removed && r.Status == http.StatusOK:
+			out = append(out, fmt.Sprintf("%s of job %s at %s, sent at %s, was served though its queue was removed", r.Verb, r.Job, r.Entry, seconds(r.SentAt)))
+		}
+	}
+	return out
+}
+
 func checkReady(h *History) []string {
 	var out []string
 	missed := map[string]int{}
--- a/trial/soak/check_test.go
+++ b/trial/soak/check_test.go
@@ -53,6 +53,12 @@
 	return Request{Job: testJob, Queue: guardedPool, Verb: verb, Entry: "entry-0", SentAt: at(seconds), EndAt: at(seconds + 0.1), Status: status, State: state}
 }
 
+// onExtra moves a request to the extra queue.
+func onExtra(r Request) Request {
+	r.Queue = extraQueue
+	return r
+}
+
 // cut returns a request that got no answer.
 func cut(seconds, duration float64) Request {
 	return Request{Job: testJob, Queue: guardedPool, Verb: Look, Entry: "entry-0", SentAt: at(seconds), EndAt: at(seconds + duration), Error: "EOF"}
@@ -299,6 +305,32 @@
 			},
 		},
 	},
+	"config-in-time": {
+		broken: map[string]func(*History){
+			"not found though it is there": func(h *History) {
+				h.Requests = append(h.Requests, onExtra(asked(12, Look, http.StatusNotFound, "")))
+				h.Windows = append(h.Windows, window(Queue, extraQueue, 6, 9))
+			},
+			"accepted though it was removed": func(h *History) {
+				h.Requests = append(h.Requests, onExtra(asked(12, Submit, http.StatusOK, "")))
+				h.Windows = append(h.Windows, window(Queue, extraQueue, 9, 14))
+			},
+		},
+		allowed: map[string]func(*History){
+			"removed": func(h *History) {
+				h.Requests = append(h.Requests, onExtra(asked(12, Look, http.StatusNotFound, "")))
+				h.Windows = append(h.Windows, window(Queue, extraQueue, 9, 14))
+			},
+			"the configuration is new": func(h *History) {
+				h.Requests = append(h.Requests, onExtra(asked(10, Look, http.StatusNotFound, "")), onExtra(asked(8.5, Look, http.StatusOK, "running")))
+				h.Windows = append(h.Windows, window(Queue, extraQueue, 7, 9))
+			},
+			"a fault beside it": func(h *History) {
+				h.Requests = append(h.Requests, onExtra(asked(12, Look, http.StatusNotFound, "")))
+				h.Windows = append(h.Windows, window(Queue, extraQueue, 6, 9), window(LinkCut, "entry-0>store", 8, 10))
+			},
+		},
+	},
 	"ready-again": {
 		broken: map[string]func(*History){
 			"not ready after its start": func(h *History) {
--- a/trial/soak/event.go
+++ b/trial/soak/event.go
@@ -90,6 +90,9 @@
 	Windows  []Window    `json:"windows"`
 	Probes   []Probe     `json:"probes"`
 	Exits    []Exit      `json:"exits"`
+	// StandIn are the violations that the stand-in of the platform has seen. It judges some promises also beside
+	// faults that excuse a breach, so that they are hints only.
+	StandIn []string `json:"stand-in"`
 	// TrafficEnd is when the last new job was due, End the end of the history.
 	TrafficEnd time.Duration `json:"traffic-end-ns"`
 	End        time.Duration `json:"end-ns"`
--- a/trial/soak/plan_test.go
+++ b/trial/soak/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,16 @@
 
 var testLayout = Layout{Entries: []string{"entry-0", "entry-1", "entry-2"}, Machines: []string{"m-docs-0"}, Links: []string{"entry-0>store"}}
 
+func TestMinimizedSchedulesHoldOnlyWhatIsNeeded(t *testing.T) {
+	schedule := []Fault{{Kind: Term}, {Kind: Pause}, {Kind: StoreBusy}, {Kind: Kill}, {Kind: Reload}}
+	left, err := minimize(schedule, func(f []Fault) (bool, error) {
+		return slices.ContainsFunc(f, func(f Fault) bool { return f.Kind == Pause }) && slices.ContainsFunc(f, func(f Fault) bool { return f.Kind == Kill }), nil
+	})
+	require.NoError(t, err)
+	require.Equal(t, []Fault{{Kind: Pause}, {Kind: Kill}}, left)
+	require.Len(t, schedule, 5)
+}
+
 func TestASeedGivesTheWholeSchedule(t *testing.T) {
 	require.Equal(t, Plan(7, time.Minute, testLayout, Kinds()), Plan(7, time.Minute, testLayout, Kinds()))
 	require.NotEqual(t, Plan(7, time.Minute, testLayout, Kinds()), Plan(8, time.Minute, testLayout, Kinds()))
--- a/trial/soak/report.go
+++ b/trial/soak/report.go
@@ -37,13 +37,15 @@
 	Stops int     `json:"stops"`
 	Calm  float64 `json:"calm"`
 	// Unfinished counts the accepted jobs that had not ended.
-	Unfinished int      `json:"unfinished"`
-	Broken     []Breach `json:"broken"`
+	Unfinished int `json:"unfinished"`
+	// Hints counts the violations that the stand-in of the platform has seen; see History.StandIn.
+	Hints  int      `json:"hints"`
+	Broken []Breach `json:"broken"`
 }
 
 // judge checks all promises against a history.
 func judge(seed uint64, h *History) Row {
-	r := Row{Seed: seed, Faults: map[Kind]int{}, Jobs: len(h.Jobs), Requests: len(h.Requests), Unfinished: len(h.open())}
+	r := Row{Seed: seed, Faults: map[Kind]int{}, Jobs: len(h.Jobs), Requests: len(h.Requests), Unfinished: len(h.open()), Hints: len(h.StandIn)}
 	r.Accepted = len(h.answered(Submit, 200))
 	for _, q := range h.Requests {
 		if q.Status == 0 {
@@ -87,7 +89,7 @@
 }
 
 func (r Row) summary() string {
-	return fmt.Sprintf("%d faults, %d requests, %d runs, %d promises broken, %d jobs unfinished", r.total(), r.Requests, r.Runs, len(r.Broken), r.Unfinished)
+	return fmt.Sprintf("%d faults, %d requests, %d runs, %d promises broken, %d jobs unfinished, %d hints", r.total(), r.Requests, r.Runs, len(r.Broken), r.Unfinished, r.Hints)
 }
 
 // printRows prints the results as JSON lines or as a table.
@@ -102,10 +104,10 @@
 		return nil
 	}
 	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "seed\tfaults\tstops\tcalm\tjobs\taccepted\trequests\tunanswered\truns\tunfinished\tbroken\t")
+	fmt.Fprintln(w, "seed\tfaults\tstops\tcalm\tjobs\taccepted\trequests\tunanswered\truns\tunfinished\thints\tbroken\t")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%d\t%d\t%d\t%.0f%%\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", r.Seed, r.total(), r.Stops, percent*r.Calm, r.Jobs, r.Accepted,
-			r.Requests, r.Unanswered, r.Runs, r.Unfinished, len(r.Broken))
+		fmt.Fprintf(w, "%d\t%d\t%d\t%.0f%%\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", r.Seed, r.total(), r.Stops, percent*r.Calm, r.Jobs, r.Accepted,
+			r.Requests, r.Unanswered, r.Runs, r.Unfinished, r.Hints, len(r.Broken))
 	}
 	return w.Flush()
 }
--- a/trial/soak/site.go
+++ b/trial/soak/site.go
@@ -6,7 +6,6 @@
 	"maps"
 	"net/http"
 	"path/filepath"
-	"slices"
 	"time"
 
 	"carawaymux.dev/trial/fake"
@@ -127,16 +126,18 @@
 	return s.platform.Publish("config", c)
 }
 
-// faultLayout names what faults can hit.
-func (s *site) faultLayout() Layout {
+// faultLayout names what faults can hit in a deployment.
+func faultLayout(o *Options) Layout {
 	var l Layout
-	for _, e := range s.deployment.Entries {
-		l.Entries = append(l.Entries, e.Name)
-	}
-	l.Machines = append(s.platform.Machines(guardedPool), s.platform.Machines(unguardedPool)...)
-	for _, name := range slices.Sorted(maps.Keys(s.proxies.links)) {
-		if from := name[:len(callers)]; from != callers {
-			l.Links = append(l.Links, name)
+	for i := range o.Entries {
+		name := fake.EntryName(i)
+		l.Entries = append(l.Entries, name)
+		l.Links = append(l.Links, linkName(name, fake.StoreLink), linkName(name, fake.MachinesLink))
+	}
+	for _, pool := range []string{guardedPool, unguardedPool} {
+		for i := range o.Hosts {
+			id := fake.MachineID(pool, i)
+			l.Machines, l.Links = append(l.Machines, id), append(l.Links, linkName("", id))
 		}
 	}
 	return l
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -33,6 +33,8 @@
 	Faults []string
 	// Keep is the folder for schedules, histories and logs; empty to keep none.
 	Keep string
+	// Minimize drops faults from schedules that break a promise, as long as they still do.
+	Minimize bool
 	// JSON selects JSON lines in place of a table.
 	JSON bool
 	// Out receives the results, Progress the schedules and the progress.
@@ -74,6 +76,7 @@
 	cmd.Flags().IntVar(&o.Hosts, "hosts", 4, "`number` of hosts of each pool")
 	cmd.Flags().StringSliceVar(&o.Faults, "faults", nil, fmt.Sprintf("`kinds` of faults, of %v (default all)", Kinds()))
 	cmd.Flags().StringVar(&o.Keep, "keep", "", "`folder` for schedules, histories and logs")
+	cmd.Flags().BoolVar(&o.Minimize, "minimize", false, "drop faults one by one from schedules that break a promise, as long as they still do")
 	cmd.Flags().BoolVar(&o.JSON, "json", false, "print JSON lines")
 	return cmd
 }
@@ -86,6 +89,9 @@
 // minMinutes is the shortest traffic that contains a series of faults whatever the seed.
 const minMinutes = 0.25
 
+// traffic returns how long callers submit jobs with each seed.
+func (o *Options) traffic() time.Duration { return time.Duration(o.Minutes * float64(time.Minute)) }
+
 // kinds returns the kinds of faults to inject.
 func (o *Options) kinds() ([]Kind, error) {
 	if len(o.Faults) == 0 {
@@ -156,7 +162,16 @@
 	if o.Keep == "" {
 		defer os.RemoveAll(dir)
 	}
-	h, err := play(ctx, o, seed, kinds, dir)
+	schedule := Plan(seed, o.traffic(), faultLayout(o), kinds)
+	for _, f := range schedule {
+		fmt.Fprintln(o.Progress, "  "+f.String())
+	}
+	if o.Keep != "" {
+		if err := keepSchedule(dir, schedule); err != nil {
+			return Row{}, err
+		}
+	}
+	h, err := play(ctx, o, seed, schedule, dir)
 	if err != nil {
 		return Row{}, err
 	}
@@ -164,6 +179,9 @@
 	if o.Keep != "" {
 		err = keepResult(dir, h, r)
 	}
+	if err == nil && o.Minimize && len(r.Broken) > 0 {
+		err = minimizeSeed(ctx, o, seed, schedule, r.Broken)
+	}
 	return r, err
 }
 
@@ -176,25 +194,15 @@
 	return dir, os.MkdirAll(dir, 0o755)
 }
 
-// play starts a deployment, injects the faults of a seed under load, and returns what was seen.
-func play(ctx context.Context, o *Options, seed uint64, kinds []Kind, dir string) (*History, error) {
+// play starts a deployment, injects the faults of a schedule under the load of a seed, and returns what was seen.
+func play(ctx context.Context, o *Options, seed uint64, schedule []Fault, dir string) (*History, error) {
 	startCtx, stopStart := context.WithTimeout(ctx, startTimeout)
 	defer stopStart()
 	s, err := newSite(startCtx, o, dir)
 	if err != nil {
 		return nil, err
 	}
-	traffic := time.Duration(o.Minutes * float64(time.Minute))
-	schedule := Plan(seed, traffic, s.faultLayout(), kinds)
-	for _, f := range schedule {
-		fmt.Fprintln(o.Progress, "  "+f.String())
-	}
-	if o.Keep != "" {
-		if err := keepSchedule(dir, schedule); err != nil {
-			s.close()
-			return nil, err
-		}
-	}
+	traffic := o.traffic()
 	runCtx, stopRun := context.WithTimeout(ctx, traffic+drainTimeout)
 	defer stopRun()
 	probeCtx, stopProbes := context.WithCancel(ctx)
@@ -223,10 +231,11 @@
 	_ = probes.Wait()
 	h, finishErr := s.recorder.finish()
 	people.close()
+	violations := s.platform.Violations()
 	s.close()
 	if err := errors.Join(err, finishErr); err != nil {
 		return nil, err
 	}
-	h.TrafficEnd = s.trafficAt + traffic
+	h.TrafficEnd, h.StandIn = s.trafficAt+traffic, violations
 	return h, nil
 }
