--- a/trial/soak/report.go
+++ b/trial/soak/report.go
@@ -109,7 +109,21 @@
 		fmt.Fprintf(w, "%d\t%d\t%d\t%.0f%%\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", r.Seed, r.total(), r.Stops, percent*r.Calm, r.Jobs, r.Accepted,
 			r.Requests, r.Unanswered, r.Runs, r.Unfinished, r.Hints, len(r.Broken))
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	byKind := map[Kind]int{}
+	for _, r := range rows {
+		for k, n := range r.Faults {
+			byKind[k] += n
+		}
+	}
+	fmt.Fprint(o.Out, "faults by kind:")
+	for _, k := range Kinds() {
+		fmt.Fprintf(o.Out, " %s %d", k, byKind[k])
+	}
+	_, err := fmt.Fprintln(o.Out)
+	return err
 }
 
 const (
