Do not take a queue for closed that no version has closed

A pool that had not seen the configuration of a queue asked the earlier pool under version 0, and was told that the queue is closed there: it never had been, and 0 is at least 0. Both pools could then accept a job. It takes an entry of an earlier release, whose requests carry no version, and an owner that has not read the newest configuration. Found by reading.

TestAQueueIsNotClosedForAPoolWithoutItsConfiguration fails on the code before.

--- a/entry/owner/empty_test.go
+++ b/entry/owner/empty_test.go
@@ -53,3 +53,15 @@
 	require.True(t, next.Queues["short"].Registered)
 	require.Equal(t, shortQueue.MaxAttempts, next.Queues["short"].MaxAttempts)
 }
+
+// Guards against a job that both pools accept. An owner that has not seen the configuration of the queue, asked by
+// an entry of an earlier release, took an open queue of the earlier pool for closed.
+func TestAQueueIsNotClosedForAPoolWithoutItsConfiguration(t *testing.T) {
+	c := restoreTestCore(t, idleHost{acked: make(chan int64, 8)}, newStoredState(), configOf(3, shortQueue))
+	unversioned := port.Queue{Name: "short", Pool: "docs"}
+	c.closeQueue(&unversioned)
+	c.write(time.Now())
+	reply := make(chan Answer, 1)
+	jobStatus{unversioned, "new", reply}.settleForeign(c.core)
+	require.False(t, (<-reply).QueueClosed)
+}
--- a/entry/owner/moved.go
+++ b/entry/owner/moved.go
@@ -343,7 +343,7 @@
 	_, unwritten := c.journal.dirtyQueues[m.queue.Name]
 	_, empty := c.placing.empty[m.queue.Name]
 	a := c.restingOnInbox(Answer{
-		Outcome: Missing, Reason: "no such job", QueueClosed: q.ClosedAt >= m.queue.Version && !unwritten,
+		Outcome: Missing, Reason: "no such job", QueueClosed: q.ClosedAt > 0 && q.ClosedAt >= m.queue.Version && !unwritten,
 		QueueEmpty: empty && len(c.placing.unchecked) == 0,
 	})
 	switch {
