Leave a pool to the entry that is about to own it

In rolling restarts, a pool with a large state had no owner for long: submissions waited in the inbox, leases lapsed, and no host was added.

Cause: an entry announced a pool once it had read its state, which takes over a second with 24,000 jobs. Until then the pool seemed free, the assignment changed with each entry that came or went, and the entry that it fell to next wrote a newer claim. That fenced off the first one when it had just finished reading, and so on. An entry that was reading could also stop being a member.

Heartbeats now hold the pools that an entry claims or whose state it reads. The others leave these to it while it is alive. They count in the assignment as before, so that it does not depend on when a claim becomes known. An entry with a claim in progress stays a member.

--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -69,8 +69,9 @@
 	task     *task.Task[message]
 	// local holds the holders that run here. The map is replaced and never modified.
 	local atomic.Pointer[map[string]Holder]
-	// announce publishes the epochs of the pools that are owned here to the other entries.
-	announce func(map[string]int64)
+	// announce publishes the epochs of the pools that are owned here, and the pools that are being claimed,
+	// to the other entries.
+	announce func(owned map[string]int64, claimed []string)
 }
 
 type message interface {
@@ -118,8 +119,9 @@
 	background sync.WaitGroup
 }
 
-// Start starts the task. It calls announce with the epochs of the owned pools when they change.
-func Start(s Settings, log port.Log, logger *slog.Logger, announce func(map[string]int64)) *Duties {
+// Start starts the task. It calls announce with the epochs of the owned pools and with the pools that are
+// being claimed when they change.
+func Start(s Settings, log port.Log, logger *slog.Logger, announce func(owned map[string]int64, claimed []string)) *Duties {
 	t := &Duties{settings: s, log: log, logger: logger, announce: announce}
 	t.local.Store(&map[string]Holder{})
 	c := &core{duties: t, hosts: map[string]port.Host{}, hostCounts: map[string]int{}, holdings: map[string]holding{}, claims: map[string]context.CancelFunc{}}
@@ -196,7 +198,7 @@
 		local[pool], epochs[pool] = h.Holder, h.epoch
 	}
 	c.duties.local.Store(&local)
-	c.duties.announce(epochs)
+	c.duties.announce(epochs, slices.Sorted(maps.Keys(c.claims)))
 }
 
 func (m configUpdate) handle(ctx context.Context, c *core) {
@@ -240,8 +242,11 @@
 	if c.leaving || c.config == nil || !v.Settled {
 		return
 	}
-	for _, pool := range c.poolsToClaim(v) {
-		c.claimPool(ctx, pool)
+	if pools := c.poolsToClaim(v); len(pools) > 0 {
+		for _, pool := range pools {
+			c.claimPool(ctx, pool)
+		}
+		c.publish()
 	}
 	c.handOver(v)
 }
@@ -284,7 +289,9 @@
 	return true
 }
 
-// poolsToClaim returns the pools and singletons without an owner that are assigned to this entry.
+// poolsToClaim returns the pools and singletons without an owner that are assigned to this entry. Those that
+// an entry is about to own are left to it: a newer claim would fence it off when it has just read the state.
+// They count in the assignment, so that it does not depend on how soon a claim is known.
 func (c *core) poolsToClaim(v *roster.View) []string {
 	var unowned []string
 	for _, pool := range c.allPools() {
@@ -297,9 +304,15 @@
 	if len(unowned) == 0 {
 		return nil
 	}
+	claimed := map[string]bool{}
+	for _, heartbeat := range v.Alive {
+		for _, pool := range heartbeat.Claims {
+			claimed[pool] = true
+		}
+	}
 	var out []string
 	for pool, name := range owners.Assign(owners.WeightedLeastLoaded{}, unowned, c.members(v), owners.WithWeights(c.weightOf(v))) {
-		if name == c.duties.settings.Entry {
+		if name == c.duties.settings.Entry && !claimed[pool] && c.claims[pool] == nil {
 			out = append(out, pool)
 		}
 	}
@@ -348,12 +361,9 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
-// claimPool claims a pool and reads its state in the background, unless a claim is in progress.
-// The task receives the outcome as a claimResult.
+// claimPool claims a pool and reads its state in the background. The task receives the outcome as a
+// claimResult.
 func (c *core) claimPool(ctx context.Context, pool string) {
-	if c.claims[pool] != nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	c.claims[pool] = cancel
 	s, log := c.duties.settings, c.duties.log
@@ -377,6 +387,7 @@
 	delete(c.claims, m.pool)
 	if m.err != nil {
 		c.duties.logger.Warn("taking over a pool failed; it is claimed again while it has no owner", "pool", m.pool, "err", m.err)
+		c.publish()
 		return
 	}
 	if c.leaving {
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -64,6 +64,9 @@
 	Capacity int `cbor:"8,keyasint,omitempty"`
 	// Link is the speed of the entry's network link in Mbit/s. Zero means unknown.
 	Link int `cbor:"9,keyasint,omitempty"`
+	// Claims holds the pools that the entry is about to own: it claims them or reads their state. Versions
+	// before the field write none.
+	Claims []string `cbor:"10,keyasint,omitempty"`
 }
 
 // Owner is an entry that owns a pool.
@@ -97,6 +100,8 @@
 	view   atomic.Pointer[View]
 	// pools holds the pools that this entry owns, with their epochs. A stored map is never modified.
 	pools atomic.Pointer[map[string]int64]
+	// claims holds the pools that this entry is about to own. A stored slice is never modified.
+	claims atomic.Pointer[[]string]
 	// poolCount is the number of pools that need an owner.
 	poolCount atomic.Int64
 	onView    func(*View)
@@ -153,6 +158,7 @@
 	r := &Roster{log: log, logger: logger, onView: onView}
 	r.view.Store(&View{})
 	r.pools.Store(&self.Pools)
+	r.claims.Store(&self.Claims)
 	c := &core{roster: r, self: self, member: true, rows: map[string]*row{}, reader: feed.NewReader(log, stream, callTimeout)}
 	r.task = task.Start(c.run)
 	return r
@@ -169,6 +175,12 @@
 	r.task.TrySend(poolsChanged{})
 }
 
+// SetDuties is like [Roster.SetPools], and sets the pools that this entry is about to own.
+func (r *Roster) SetDuties(pools map[string]int64, claims []string) {
+	r.claims.Store(&claims)
+	r.SetPools(pools)
+}
+
 // SetPoolCount sets the number of pools that need an owner. The number of entries that may own pools
 // depends on it.
 func (r *Roster) SetPoolCount(pools int) { r.poolCount.Store(int64(pools)) }
@@ -283,7 +295,7 @@
 	}
 	mayOwn := owners.MayOwn(c.self.candidate(), members, int(c.roster.poolCount.Load()))
 	c.outranked++
-	if mayOwn || len(*c.roster.pools.Load()) > 0 {
+	if mayOwn || len(*c.roster.pools.Load()) > 0 || len(*c.roster.claims.Load()) > 0 {
 		c.outranked = 0
 	}
 	// The first settled view shows all entries that have started together.
@@ -322,9 +334,10 @@
 // the other entries see the previous heartbeat until the next write succeeds.
 func (c *core) writeHeartbeat(ctx context.Context) bool {
 	c.self.Seq++
-	c.self.Pools, c.self.Leaving = *c.roster.pools.Load(), c.leaving || !c.member
+	c.self.Pools, c.self.Claims = *c.roster.pools.Load(), *c.roster.claims.Load()
+	c.self.Leaving = c.leaving || !c.member
 	if c.self.Leaving {
-		c.self.Pools = nil
+		c.self.Pools, c.self.Claims = nil, nil
 	}
 	value, err := codec.EncodeFrame(c.self)
 	if err != nil {
