--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -208,7 +208,8 @@
 	}
 	for oi := range j.Occurrences {
 		for si := range j.Occurrences[oi].Stages {
-			if slices.ContainsFunc(j.Occurrences[oi].Stages[si].Tasks, func(t Task) bool { return !t.closed() }) {
+			stage := &j.Occurrences[oi].Stages[si]
+			if stage.Left > len(stage.Tasks) || slices.ContainsFunc(stage.Tasks, func(t Task) bool { return !t.closed() }) {
 				return true
 			}
 		}
--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -86,9 +86,11 @@
 func (s *State) Explain(ref batch.Ref, now time.Time) Reason {
 	j, stage, task := s.task(ref)
 	switch {
+	case j != nil && j.Phase != Open:
+		return Ended
 	case task == nil:
 		return Unknown
-	case task.closed() || j.Phase != Open:
+	case task.closed():
 		return Ended
 	case !j.Stored:
 		return NotStored
