Keep the cases of a soak and repeat them

Schedules are drawn from a seed, so a change of the drawing would lose the cases that failed. Series have 4 to 12 unplanned faults (2 to 6 before), and the store may take up to 250 ms for an append throughout a run, so that requests are open when entries stop.

--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -27,9 +27,10 @@
 	// the machines API and the policy service.
 	StoreAddress, MachinesAddress, AdviceAddress string
 	hosts                                        map[string]string
-	// entryCores and proxy are the values of Layout.EntryCores and Layout.Proxy.
+	// entryCores, proxy and appendTime are the values of the fields of the layout.
 	entryCores []float64
 	proxy      Proxy
+	appendTime time.Duration
 	// machineFaults applies the faults of the machines API.
 	machineFaults *faulty.Injector
 }
@@ -85,6 +86,8 @@
 	// state none for the entries beyond it.
 	EntryCores []float64
 	Timing     Timing
+	// AppendTime is the time that each append to the store takes.
+	AppendTime time.Duration
 	// Proxy sets the proxies on the connections of entries; nil for none.
 	Proxy Proxy
 	// Observe is called with each event on a host, in their order. It must not block; nil for no calls.
@@ -108,7 +111,7 @@
 
 // New starts a simulated platform on loopback.
 func New(layout Layout) (*Platform, error) {
-	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, proxy: layout.Proxy, machineFaults: faulty.New()}
+	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, proxy: layout.Proxy, appendTime: layout.AppendTime, machineFaults: faulty.New()}
 	if fp.proxy == nil {
 		fp.proxy = func(_, _, address string) (string, error) { return address, nil }
 	}
--- a/trial/fake/store.go
+++ b/trial/fake/store.go
@@ -143,6 +143,7 @@
 		a.dropped = a.status == http.StatusOK && n > 0 && s.store.appends%n == 0
 		return a
 	})
+	time.Sleep(fp.appendTime)
 	if response.dropped {
 		hang(r)
 		return
--- a/trial/soak/caller.go
+++ b/trial/soak/caller.go
@@ -50,7 +50,8 @@
 }
 
 // run submits jobs during the traffic and follows them until all have ended or ctx is done.
-func (c *crowd) run(ctx context.Context, seed uint64, traffic time.Duration, hosts int) {
+func (c *crowd) run(ctx context.Context, what Case) {
+	seed, traffic, hosts := what.Seed, what.traffic(), what.Hosts
 	var group errgroup.Group
 	for stream, pool := range []string{guardedPool, unguardedPool} {
 		group.Go(func() error {
--- /dev/null
+++ b/trial/soak/case.go
@@ -0,0 +1,46 @@
+package soak
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"carawaymux.dev/fleet/fault"
+)
+
+// Case is all that a run depends on, for runs that are repeated after schedules are drawn in another way.
+type Case struct {
+	// Cause says in one line why the run once failed; empty for others.
+	Cause string `json:"cause,omitempty"`
+	// Seed gives the load, the callers and the jobs.
+	Seed    uint64  `json:"seed"`
+	Minutes float64 `json:"minutes"`
+	Entries int     `json:"entries"`
+	Hosts   int     `json:"hosts"`
+	// AppendTime is the time that the store takes for an append.
+	AppendTime time.Duration `json:"append-ns"`
+	Schedule   []Fault       `json:"schedule"`
+}
+
+// drawCase draws the case of a seed.
+func drawCase(o *Options, seed uint64, kinds []Kind) Case {
+	return Case{
+		Seed: seed, Minutes: o.Minutes, Entries: o.Entries, Hosts: o.Hosts, AppendTime: AppendTime(seed),
+		Schedule: Plan(seed, trafficTime(o.Minutes), faultLayout(o.Entries, o.Hosts), kinds),
+	}
+}
+
+// readCase reads a case from a file.
+func readCase(path string) (Case, error) {
+	var c Case
+	raw, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(raw, &c)
+	}
+	return c, fault.At("read-case", path, err)
+}
+
+// traffic returns how long callers submit jobs.
+func (c Case) traffic() time.Duration { return trafficTime(c.Minutes) }
+
+func trafficTime(minutes float64) time.Duration { return time.Duration(minutes * float64(time.Minute)) }
--- a/trial/soak/minimize.go
+++ b/trial/soak/minimize.go
@@ -25,26 +25,28 @@
 	return schedule, nil
 }
 
-// minimizeSeed minimizes the schedule of a seed that broke promises and prints the result. A run without a breach is
+// minimizeCase minimizes the schedule of a case that broke promises and prints the result. A run without a breach is
 // not repeated, so that faults which matter only at times may be kept.
-func minimizeSeed(ctx context.Context, o *Options, seed uint64, schedule []Fault, broken []Breach) error {
-	left, err := minimize(schedule, func(shorter []Fault) (bool, error) {
+func minimizeCase(ctx context.Context, o *Options, c Case, broken []Breach) error {
+	left, err := minimize(c.Schedule, func(shorter []Fault) (bool, error) {
 		dir, err := os.MkdirTemp("", "caraway-soak-")
 		if err != nil {
 			return false, err
 		}
 		defer os.RemoveAll(dir)
-		h, err := play(ctx, o, seed, shorter, dir)
+		repeated := c
+		repeated.Schedule = shorter
+		h, err := play(ctx, o, repeated, dir)
 		if err != nil {
 			return false, err
 		}
-		r := judge(seed, h)
-		fmt.Fprintf(o.Progress, "seed %d with %d faults: %s\n", seed, len(shorter), r.summary())
+		r := judge(c.Seed, h)
+		fmt.Fprintf(o.Progress, "seed %d with %d faults: %s\n", c.Seed, len(shorter), r.summary())
 		return slices.ContainsFunc(r.Broken, func(b Breach) bool {
 			return slices.ContainsFunc(broken, func(first Breach) bool { return first.Promise == b.Promise })
 		}), nil
 	})
-	fmt.Fprintf(o.Progress, "seed %d: %d of %d faults are left\n", seed, len(left), len(schedule))
+	fmt.Fprintf(o.Progress, "seed %d: %d of %d faults are left\n", c.Seed, len(left), len(c.Schedule))
 	for _, f := range left {
 		fmt.Fprintln(o.Progress, "  "+f.String())
 	}
--- a/trial/soak/plan.go
+++ b/trial/soak/plan.go
@@ -89,8 +89,8 @@
 	minRound, maxRound = 6 * time.Second, 12 * time.Second
 	// minRest and maxRest limit the pause between two series. Promises with time bounds are judged in it.
 	minRest, maxRest = 4 * time.Second, 8 * time.Second
-	// maxFaults is the largest number of unplanned faults of a series, beside a rolling restart.
-	maxFaults = 6
+	// minFaults and maxFaults limit the number of unplanned faults of a series, beside a rolling restart.
+	minFaults, maxFaults = 4, 12
 	// minFault and maxFault limit the duration of a fault.
 	minFault, maxFault = 200 * time.Millisecond, 5 * time.Second
 	// minGap and maxGap limit the time between two stops of a rolling restart. Stops overlap at times.
@@ -126,7 +126,7 @@
 		if len(unplanned) == 0 || (len(planned) > 0 && p.random.Float64() < plannedShare) {
 			p.addPlanned(at, end, planned)
 		} else {
-			for range 2 + p.random.IntN(maxFaults-1) {
+			for range minFaults + p.random.IntN(maxFaults-minFaults+1) {
 				p.add(unplanned[p.random.IntN(len(unplanned))], p.between(at, end))
 			}
 			if len(planned) > 0 && p.random.Float64() < rollShare {
@@ -192,6 +192,18 @@
 	trafficStream = 1
 )
 
+// appendTimes are the times that the store may take for each append throughout a run. Requests that take long are
+// open when entries stop.
+var appendTimes = []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond}
+
+// appendStream distinguishes the random numbers of the store from others.
+const appendStream = 100
+
+// AppendTime draws the time of appends from a seed.
+func AppendTime(seed uint64) time.Duration {
+	return appendTimes[rand.New(rand.NewPCG(seed, appendStream)).IntN(len(appendTimes))]
+}
+
 // loadFactors are the loads of segments, as multiples of what the hosts can do. Their mean is below 1.
 var loadFactors = []float64{0.1, 0.3, 0.3, 0.5, 0.5, 0.8, 1, 4}
 
--- a/trial/soak/report.go
+++ b/trial/soak/report.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 	"text/tabwriter"
 
 	"carawaymux.dev/trial/fake"
@@ -132,19 +131,7 @@
 	calmStep = contactTime / 30
 )
 
-// keepSchedule writes the schedule of a run beside the logs of the entries.
-func keepSchedule(dir string, schedule []Fault) error {
-	var lines strings.Builder
-	for _, f := range schedule {
-		fmt.Fprintln(&lines, f)
-	}
-	if err := os.WriteFile(filepath.Join(dir, "schedule.txt"), []byte(lines.String()), 0o644); err != nil {
-		return err
-	}
-	return writeJSON(dir, "schedule.json", schedule)
-}
-
-// keepResult writes the history and the result of a run beside its schedule.
+// keepResult writes the history and the result of a run beside its case and the logs of the entries.
 func keepResult(dir string, h *History, r Row) error {
 	if err := writeJSON(dir, "history.json", h); err != nil {
 		return err
--- a/trial/soak/site.go
+++ b/trial/soak/site.go
@@ -48,20 +48,20 @@
 }
 
 // newSite starts a deployment whose entries write their logs to a folder.
-func newSite(ctx context.Context, o *Options, dir string) (*site, error) {
+func newSite(ctx context.Context, o *Options, c Case, dir string) (*site, error) {
 	s := &site{
 		recorder: startRecorder(time.Now()), proxies: newProxies(), keepers: map[string]*keeper{}, planted: o.planted,
 		addresses: map[string]string{},
 	}
 	s.layout = fake.Layout{
-		Pools:       map[string]int{guardedPool: o.Hosts, unguardedPool: o.Hosts, standbyPool: (o.Hosts + 1) / 2},
+		Pools:       map[string]int{guardedPool: c.Hosts, unguardedPool: c.Hosts, standbyPool: standbyHosts(c.Hosts)},
 		StandbyPool: standbyPool, UnguardedPools: map[string]bool{unguardedPool: true},
-		Proxy: s.proxies.add, Observe: s.recorder.observe, RerunDone: o.planted == rerunDone,
+		AppendTime: c.AppendTime, Proxy: s.proxies.add, Observe: s.recorder.observe, RerunDone: o.planted == rerunDone,
 		Timing: fake.Timing{
 			MaxLease: maxLease, MoveDuration: moveDuration, MaintenanceDuration: moveDuration, HeartbeatInterval: heartbeatInterval,
 		},
 	}
-	if err := s.start(ctx, o, dir); err != nil {
+	if err := s.start(ctx, o.Bin, c.Entries, dir); err != nil {
 		s.close()
 		return nil, err
 	}
@@ -74,7 +74,7 @@
 	heartbeatInterval = 300 * time.Millisecond
 )
 
-func (s *site) start(ctx context.Context, o *Options, dir string) error {
+func (s *site) start(ctx context.Context, folder string, entries int, dir string) error {
 	var err error
 	if s.platform, err = fake.New(s.layout); err != nil {
 		return err
@@ -82,11 +82,11 @@
 	if err := s.publish(1, true); err != nil {
 		return err
 	}
-	bin, err := filepath.Abs(o.Bin)
+	bin, err := filepath.Abs(folder)
 	if err != nil {
 		return err
 	}
-	if s.deployment, err = fake.NewDeployment(s.platform, bin, dir, o.Entries); err != nil {
+	if s.deployment, err = fake.NewDeployment(s.platform, bin, dir, entries); err != nil {
 		return err
 	}
 	if err := s.deployment.StartAll(ctx); err != nil {
@@ -127,22 +127,28 @@
 }
 
 // faultLayout names what faults can hit in a deployment.
-func faultLayout(o *Options) Layout {
+func faultLayout(entries, hosts int) Layout {
 	var l Layout
-	for i := range o.Entries {
+	for i := range entries {
 		name := fake.EntryName(i)
 		l.Entries = append(l.Entries, name)
 		l.Links = append(l.Links, linkName(name, fake.StoreLink), linkName(name, fake.MachinesLink))
 	}
 	for _, pool := range []string{guardedPool, unguardedPool} {
-		for i := range o.Hosts {
+		for i := range hosts {
 			id := fake.MachineID(pool, i)
 			l.Machines, l.Links = append(l.Machines, id), append(l.Links, linkName("", id))
 		}
 	}
+	for i := range standbyHosts(hosts) {
+		l.Links = append(l.Links, linkName("", fake.MachineID(standbyPool, i)))
+	}
 	return l
 }
 
+// standbyHosts returns the size of the standby pool beside pools of a size.
+func standbyHosts(hosts int) int { return (hosts + 1) / 2 }
+
 const (
 	// probeInterval and probeTimeout are those of the platform's readiness probes.
 	probeInterval, probeTimeout = time.Second, time.Second
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -33,6 +33,8 @@
 	Faults []string
 	// Keep is the folder for schedules, histories and logs; empty to keep none.
 	Keep string
+	// Case is a file with a case to repeat, in place of seeds; empty for none.
+	Case string
 	// Minimize drops faults from schedules that break a promise, as long as they still do.
 	Minimize bool
 	// JSON selects JSON lines in place of a table.
@@ -60,6 +62,7 @@
 			"The exit code is 0 if all promises were kept, and 1 if one was broken or a run could not be judged.",
 		Example: "  trial soak --bin bin --seed 7\n" +
 			"  trial soak --bin bin --seeds 50 --minutes 0.5 --entries 6 --keep out/soak\n" +
+			"  trial soak --bin bin --case out/soak/seed-7/case.json --minimize\n" +
 			"  trial soak --bin bin --faults term,reload,queue --json",
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -76,6 +79,7 @@
 	cmd.Flags().IntVar(&o.Hosts, "hosts", 4, "`number` of hosts of each pool")
 	cmd.Flags().StringSliceVar(&o.Faults, "faults", nil, fmt.Sprintf("`kinds` of faults, of %v (default all)", Kinds()))
 	cmd.Flags().StringVar(&o.Keep, "keep", "", "`folder` for schedules, histories and logs")
+	cmd.Flags().StringVar(&o.Case, "case", "", "`file` with a case to repeat (case.json of a run with --keep), in place of seeds")
 	cmd.Flags().BoolVar(&o.Minimize, "minimize", false, "drop faults one by one from schedules that break a promise, as long as they still do")
 	cmd.Flags().BoolVar(&o.JSON, "json", false, "print JSON lines")
 	return cmd
@@ -89,9 +93,6 @@
 // minMinutes is the shortest traffic that contains a series of faults whatever the seed.
 const minMinutes = 0.25
 
-// traffic returns how long callers submit jobs with each seed.
-func (o *Options) traffic() time.Duration { return time.Duration(o.Minutes * float64(time.Minute)) }
-
 // kinds returns the kinds of faults to inject.
 func (o *Options) kinds() ([]Kind, error) {
 	if len(o.Faults) == 0 {
@@ -119,14 +120,25 @@
 	if o.Minutes < minMinutes {
 		return errLength
 	}
+	cases := []Case{}
+	if o.Case != "" {
+		c, err := readCase(o.Case)
+		if err != nil {
+			return err
+		}
+		cases = append(cases, c)
+	}
+	for i := 0; o.Case == "" && i < o.Seeds; i++ {
+		cases = append(cases, drawCase(o, o.Seed+uint64(i), kinds))
+	}
 	var rows []Row
-	for i := range o.Seeds {
-		r, err := runSeed(ctx, o, o.Seed+uint64(i), kinds)
+	for i, c := range cases {
+		r, err := runCase(ctx, o, c)
 		if err != nil {
-			return errors.Join(fmt.Errorf("seed %d: %w", o.Seed+uint64(i), err), printRows(o, rows))
+			return errors.Join(fmt.Errorf("seed %d: %w", c.Seed, err), printRows(o, rows))
 		}
 		rows = append(rows, r)
-		fmt.Fprintf(o.Progress, "seed %d (%d of %d): %s\n", r.Seed, i+1, o.Seeds, r.summary())
+		fmt.Fprintf(o.Progress, "seed %d (%d of %d): %s\n", r.Seed, i+1, len(cases), r.summary())
 		for _, b := range r.Broken {
 			fmt.Fprintln(o.Progress, "  "+b.String())
 		}
@@ -153,34 +165,34 @@
 	tail = 8 * time.Second
 )
 
-// runSeed plays one seed.
-func runSeed(ctx context.Context, o *Options, seed uint64, kinds []Kind) (Row, error) {
-	dir, err := runFolder(o, seed)
+// runCase plays a case and judges it.
+func runCase(ctx context.Context, o *Options, c Case) (Row, error) {
+	dir, err := runFolder(o, c.Seed)
 	if err != nil {
 		return Row{}, err
 	}
 	if o.Keep == "" {
 		defer os.RemoveAll(dir)
 	}
-	schedule := Plan(seed, o.traffic(), faultLayout(o), kinds)
-	for _, f := range schedule {
+	fmt.Fprintf(o.Progress, "seed %d: the store takes %v for an append; schedule:\n", c.Seed, c.AppendTime)
+	for _, f := range c.Schedule {
 		fmt.Fprintln(o.Progress, "  "+f.String())
 	}
 	if o.Keep != "" {
-		if err := keepSchedule(dir, schedule); err != nil {
+		if err := writeJSON(dir, "case.json", c); err != nil {
 			return Row{}, err
 		}
 	}
-	h, err := play(ctx, o, seed, schedule, dir)
+	h, err := play(ctx, o, c, dir)
 	if err != nil {
 		return Row{}, err
 	}
-	r := judge(seed, h)
+	r := judge(c.Seed, h)
 	if o.Keep != "" {
 		err = keepResult(dir, h, r)
 	}
 	if err == nil && o.Minimize && len(r.Broken) > 0 {
-		err = minimizeSeed(ctx, o, seed, schedule, r.Broken)
+		err = minimizeCase(ctx, o, c, r.Broken)
 	}
 	return r, err
 }
@@ -194,15 +206,15 @@
 	return dir, os.MkdirAll(dir, 0o755)
 }
 
-// play starts a deployment, injects the faults of a schedule under the load of a seed, and returns what was seen.
-func play(ctx context.Context, o *Options, seed uint64, schedule []Fault, dir string) (*History, error) {
+// play starts a deployment, injects the faults of a case under its load, and returns what was seen.
+func play(ctx context.Context, o *Options, c Case, dir string) (*History, error) {
 	startCtx, stopStart := context.WithTimeout(ctx, startTimeout)
 	defer stopStart()
-	s, err := newSite(startCtx, o, dir)
+	s, err := newSite(startCtx, o, c, dir)
 	if err != nil {
 		return nil, err
 	}
-	traffic := o.traffic()
+	traffic := c.traffic()
 	runCtx, stopRun := context.WithTimeout(ctx, traffic+drainTimeout)
 	defer stopRun()
 	probeCtx, stopProbes := context.WithCancel(ctx)
@@ -216,12 +228,12 @@
 	}
 	people := newCrowd(s)
 	work.Go(func() error {
-		people.run(runCtx, seed, traffic, o.Hosts)
+		people.run(runCtx, c)
 		return nil
 	})
 	work.Go(func() error {
-		c := &conductor{site: s, active: map[Kind]int{}, version: 1}
-		return c.conduct(runCtx, schedule, func(f Fault) { fmt.Fprintf(o.Progress, "seed %d: %s\n", seed, f) })
+		d := &conductor{site: s, active: map[Kind]int{}, version: 1}
+		return d.conduct(runCtx, c.Schedule, func(f Fault) { fmt.Fprintf(o.Progress, "seed %d: %s\n", c.Seed, f) })
 	})
 	err = work.Wait()
 	if err == nil && !sleep(ctx, tail) {
--- a/trial/soak/soak_test.go
+++ b/trial/soak/soak_test.go
@@ -69,7 +69,7 @@
 	require.Empty(t, rows[0].Broken)
 	require.NotZero(t, rows[0].Runs)
 	require.NotZero(t, rows[0].Stops)
-	for _, name := range []string{"schedule.txt", "schedule.json", "history.json", "result.json", "entry-0.log"} {
+	for _, name := range []string{"case.json", "history.json", "result.json", "entry-0.log"} {
 		require.FileExists(t, filepath.Join(dir, fmt.Sprintf("seed-%d", ciSeed), name))
 	}
 }
