Move a waiting step only if its place has changed

Cause: each start and end of a task touched all waiting steps of its job, and each touched step was taken out of its trees and put in again, although mostly nothing about its place had changed.

Change: a touched step stays where it is unless its group or a key that is in use has changed, and the end of a task touches its own occurrence only.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -276,6 +276,15 @@
 	}
 }
 
+// touchOccurrence notes that the steps of an occurrence may have to move.
+func (b *backlog) touchOccurrence(j *Job, occurrence int) {
+	for _, w := range j.waiting {
+		if w.demand.Occurrence == occurrence {
+			b.touch(w)
+		}
+	}
+}
+
 // updateQueues updates the rules of the queues, and has the steps moved that depend on them.
 func (s *State) updateQueues() {
 	for name, q := range s.backlog.queues {
@@ -348,19 +357,18 @@
 
 // place puts a step into the group to which it belongs at a time.
 func (b *backlog) place(w *waitingStep, now time.Duration) {
-	w.leaveGroup()
-	w.lateAfter = w.objective - time.Duration(float64(w.criticalPath)*w.queue.scale)
-	w.remaining = w.work.left(&w.job.Spec, w.job.Occurrences[w.demand.Occurrence].Stages)
+	lateAfter := w.objective - time.Duration(float64(w.criticalPath)*w.queue.scale)
+	remaining := w.work.left(&w.job.Spec, w.job.Occurrences[w.demand.Occurrence].Stages)
 	key := groupKey{
 		queue: w.queue, label: w.step.RequiredLabel, longRunning: w.step.LongRunning, inherited: w.inherited,
 		exempt:   w.step.Gang || w.step.PerHost > 0 || w.queue.needsTicket || w.stage.suspected,
-		late:     now > w.lateAfter,
+		late:     now > lateAfter,
 		missed:   now > w.objective,
 		reserves: w.step.LongRunning || now-w.accepted >= reserveAfter,
 	}
 	alarm := never
 	if !key.late {
-		alarm = w.lateAfter + 1
+		alarm = lateAfter + 1
 	}
 	if !key.missed {
 		alarm = min(alarm, w.objective+1)
@@ -375,11 +383,20 @@
 		}
 	}
 	b.setAlarm(w, alarm)
+	kept := b.keys[count(key.late)]
+	moves := (lateAfter != w.lateAfter && (kept[SortBySlack] || kept[SortByRemainingWork])) ||
+		(remaining != w.remaining && kept[SortByRemainingWork])
+	if w.group != nil && w.group.groupKey == key && !moves {
+		w.lateAfter, w.remaining = lateAfter, remaining
+		return
+	}
+	w.leaveGroup()
+	w.lateAfter, w.remaining = lateAfter, remaining
 	g := b.groups[key]
 	if g == nil {
 		g = &group{groupKey: key}
-		for k, kept := range b.keys[count(key.late)] {
-			if kept {
+		for k := range kept {
+			if kept[k] {
 				g.trees[k] = &needTree{key: SortKey(k)}
 			}
 		}
@@ -413,6 +430,9 @@
 
 // setAlarm sets when a step has to move.
 func (b *backlog) setAlarm(w *waitingStep, at time.Duration) {
+	if w.alarm == at && (at == never) == (w.alarmPosition < 0) {
+		return
+	}
 	w.alarm = at
 	switch {
 	case at == never && w.alarmPosition >= 0:
--- a/fleet/shard/cost_test.go
+++ b/fleet/shard/cost_test.go
@@ -16,7 +16,9 @@
 type waitingPool struct {
 	*fullPool
 	queues int
-	random *rand.Rand
+	// repetitions is the number of occurrences of a job that are due at once; 0 means that jobs do not repeat.
+	repetitions int
+	random      *rand.Rand
 }
 
 // arrivalInterval is the time between the arrivals of the jobs that wait at first.
@@ -24,7 +26,10 @@
 
 // newWaitingPool returns a pool in which a number of jobs wait. The last of them arrived just now, and
 // the others one after another before that.
-func newWaitingPool(waiting, perJob int) *waitingPool {
+func newWaitingPool(waiting, perJob int) *waitingPool { return newRepeatingPool(waiting, perJob, 0) }
+
+// newRepeatingPool is like newWaitingPool, but each job has a number of occurrences that are due at once.
+func newRepeatingPool(waiting, perJob, repetitions int) *waitingPool {
 	const hosts, perHost = 80, 8
 	p := &waitingPool{
 		fullPool: &fullPool{now: time.Unix(1_700_000_000, 0), perJob: perJob}, queues: 3, random: rand.New(rand.NewPCG(1, 2)),
@@ -40,6 +45,7 @@
 	for range hosts * perHost {
 		p.submitSized(1, batch.Size{MilliCores: 1000, MemoryMB: 1000})
 	}
+	p.repetitions = repetitions
 	for range waiting {
 		p.now = p.now.Add(arrivalInterval)
 		p.submitNext()
@@ -67,6 +73,9 @@
 	p.jobs++
 	step := batch.Step{Count: count, Need: need, Estimate: time.Duration(500+p.random.IntN(300)) * time.Millisecond}
 	spec := batch.Spec{Queue: fmt.Sprint("q", p.jobs%p.queues), Steps: []batch.Step{step}, AcceptedMS: p.now.UnixMilli()}
+	if p.repetitions > 0 {
+		spec.Repetitions, spec.FirstDueMS = p.repetitions, p.now.UnixMilli()
+	}
 	j, _ := p.state.Submit(fmt.Sprintf("%08d", p.jobs), spec, p.now)
 	p.state.MarkStored(j)
 }
@@ -157,6 +166,21 @@
 	}
 }
 
+// BenchmarkRepeatingRound is like BenchmarkWaitingRound for jobs of which eight occurrences wait, of eight tasks each.
+func BenchmarkRepeatingRound(b *testing.B) {
+	for _, waiting := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("jobs-%d", waiting), func(b *testing.B) {
+			p := newRepeatingPool(waiting, 8, 8)
+			b.ResetTimer()
+			for b.Loop() {
+				p.tick()
+				p.replaceOne()
+				p.round()
+			}
+		})
+	}
+}
+
 // BenchmarkWaitingCalls measures the calls that an owner makes beside its rounds.
 func BenchmarkWaitingCalls(b *testing.B) {
 	calls := []struct {
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -265,7 +265,7 @@
 	s.markTaskDirty(j, ref)
 	stage.Left--
 	occ.work.known = false
-	s.backlog.touchJob(j)
+	s.backlog.touchOccurrence(j, ref.Occurrence)
 	if stage.Left > 0 {
 		s.backlog.update(j, ref.Occurrence, ref.Step)
 		return
