--- a/entry/duties/claims_test.go
+++ b/entry/duties/claims_test.go
@@ -12,7 +12,6 @@
 
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/entry/duties"
-	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/entry/roster"
 	"carawaymux.dev/fleet/port"
 )
@@ -48,14 +47,6 @@
 	return s.Read(context.Background(), stream, 0, 0)
 }
 
-// idleHolder holds a pool and does nothing.
-type idleHolder struct{ lost chan struct{} }
-
-func (idleHolder) Configure(context.Context, *port.Config) error               { return nil }
-func (idleHolder) UpdateHosts(context.Context, []feed.Change[port.Host]) error { return nil }
-func (h idleHolder) Lost() <-chan struct{}                                     { return h.lost }
-func (idleHolder) Close()                                                      {}
-
 // startEntry starts the duties of an entry with one pool.
 func startEntry(t *testing.T, s *fakeStore, name string, capacity int, prepare duties.PrepareFunc) *roster.Roster {
 	logger := slog.New(slog.DiscardHandler)
@@ -80,16 +71,15 @@
 func TestAPoolIsNotClaimedWhileAnotherEntryReadsItsState(t *testing.T) {
 	s := &fakeStore{streams: map[port.Stream][]port.Record{}}
 	reading, finish, stolen := make(chan struct{}), make(chan struct{}), make(chan struct{}, 16)
-	start := func(*port.Config, []port.Host) duties.Holder { return idleHolder{} }
 	startEntry(t, s, "weak", 400, func(context.Context, *claim.Claim) (duties.StartFunc, error) {
 		close(reading)
 		<-finish
-		return start, nil
+		return startIdle, nil
 	})
 	<-reading
 	strong := startEntry(t, s, "strong", 800, func(context.Context, *claim.Claim) (duties.StartFunc, error) {
 		stolen <- struct{}{}
-		return start, nil
+		return startIdle, nil
 	})
 	require.Eventually(t, func() bool { return strong.View().Settled }, 5*time.Second, 5*time.Millisecond)
 	select {
@@ -115,7 +105,7 @@
 	<-reading
 	startEntry(t, s, "next", 400, func(context.Context, *claim.Claim) (duties.StartFunc, error) {
 		close(taken)
-		return func(*port.Config, []port.Host) duties.Holder { return idleHolder{} }, nil
+		return startIdle, nil
 	})
 	gone.Close()
 	select {
--- a/entry/duties/duties_test.go
+++ b/entry/duties/duties_test.go
@@ -34,15 +34,16 @@
 func (idleHolder) UpdateHosts(context.Context, []feed.Change[port.Host]) error { return nil }
 func (h idleHolder) Lost() <-chan struct{}                                     { return h.lost }
 func (idleHolder) Close()                                                      {}
-func prepareIdle(context.Context, *claim.Claim) (duties.StartFunc, error) {
-	return func(*port.Config, []port.Host) duties.Holder { return idleHolder{make(chan struct{})} }, nil
-}
+
+func startIdle(*port.Config, []port.Host) duties.Holder { return idleHolder{make(chan struct{})} }
+
+func prepareIdle(context.Context, *claim.Claim) (duties.StartFunc, error) { return startIdle, nil }
 
 func startDuties(t *testing.T, config *port.Config) *duties.Duties {
 	t.Helper()
 	d := duties.Start(
 		duties.Settings{Entry: "e", Incarnation: 1, Partitions: 4, Pools: prepareIdle, Singletons: map[string]duties.PrepareFunc{"*machines": prepareIdle}},
-		emptyLog{}, slog.New(slog.NewJSONHandler(io.Discard, nil)), func(map[string]int64) {})
+		emptyLog{}, slog.New(slog.NewJSONHandler(io.Discard, nil)), func(map[string]int64, []string) {})
 	t.Cleanup(d.Close)
 	require.NoError(t, d.Configure(t.Context(), config))
 	return d
