Drop a job that has ended from the occurrences to open

Cause: a job that ended before all its occurrences were open stayed in the heap of openings, and so in memory, until its next occurrence would have been due.

Change: the heap knows the place of each job, and a job leaves it when no further occurrence is to be opened. The check of the indexes in TestPlanDecidesLikeTheReference now covers the heap; it fails on the code before.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -203,7 +203,7 @@
 func (b *backlog) addJob(j *Job) {
 	if len(j.Occurrences) < j.Spec.Occurrences() {
 		b.unopened[j.ID] = j
-		heap.Push(&b.due, dueJob{j, j.nextDue()})
+		b.scheduleOpening(j)
 	}
 	b.updateJob(j)
 }
@@ -227,10 +227,18 @@
 
 // dropJob removes a job that has ended or is not stored.
 func (b *backlog) dropJob(j *Job) {
-	delete(b.unopened, j.ID)
+	b.dropOpening(j)
 	b.updateJob(j)
 }
 
+// dropOpening removes a job of which no further occurrence is to be opened.
+func (b *backlog) dropOpening(j *Job) {
+	delete(b.unopened, j.ID)
+	if j.opening != nil {
+		heap.Remove(&b.due, j.opening.position)
+	}
+}
+
 func (b *backlog) add(j *Job, occurrence, number int, stage *Stage) {
 	step := &j.Spec.Steps[number]
 	w := &waitingStep{
@@ -581,29 +589,39 @@
 	return w
 }
 
-// dueJob is a job with the time at which its next occurrence is due, in milliseconds since 1970.
-type dueJob struct {
+// opening is the next occurrence of a job, which is due at a time in milliseconds since 1970.
+type opening struct {
 	job *Job
 	at  int64
+	// position is the index in backlog.due.
+	position int
 }
 
-// dueHeap is a binary heap of jobs, the next due one first.
-type dueHeap []dueJob
+// dueHeap is a binary heap of openings, the next due one first.
+type dueHeap []*opening
 
 func (h dueHeap) Len() int           { return len(h) }
 func (h dueHeap) Less(i, k int) bool { return h[i].at < h[k].at }
-func (h dueHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
+func (h dueHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].position, h[k].position = i, k
+}
 
 // Push implements [heap.Interface].
-func (h *dueHeap) Push(x any) { *h = append(*h, x.(dueJob)) }
+func (h *dueHeap) Push(x any) {
+	o := x.(*opening)
+	o.position, o.job.opening = len(*h), o
+	*h = append(*h, o)
+}
 
 // Pop implements [heap.Interface].
 func (h *dueHeap) Pop() any {
 	last := len(*h) - 1
-	d := (*h)[last]
-	(*h)[last] = dueJob{}
+	o := (*h)[last]
+	(*h)[last] = nil
 	*h = (*h)[:last]
-	return d
+	o.job.opening = nil
+	return o
 }
 
 // criticalPathFrom returns the longest sum of estimated run times along dependent steps, from a
@@ -676,7 +694,7 @@
 func (s *State) openDue(wall int64) {
 	b := &s.backlog
 	for len(b.due) > 0 && b.due[0].at <= wall {
-		j := heap.Pop(&b.due).(dueJob).job
+		j := heap.Pop(&b.due).(*opening).job
 		for b.unopened[j.ID] == j && j.nextDue() <= wall && j.mayOpen() {
 			s.openOccurrence(j)
 		}
@@ -685,15 +703,18 @@
 		case j.nextDue() <= wall:
 			j.opensLater = true
 		default:
-			heap.Push(&b.due, dueJob{j, j.nextDue()})
+			b.scheduleOpening(j)
 		}
 	}
 }
 
+// scheduleOpening has the next occurrence of a job opened when it is due.
+func (b *backlog) scheduleOpening(j *Job) { heap.Push(&b.due, &opening{job: j, at: j.nextDue()}) }
+
 // resumeOpening has the occurrences of a job opened again that had too many open tasks.
 func (b *backlog) resumeOpening(j *Job) {
 	if j.opensLater {
 		j.opensLater = false
-		heap.Push(&b.due, dueJob{j, j.nextDue()})
+		b.scheduleOpening(j)
 	}
 }
--- a/fleet/shard/equal_test.go
+++ b/fleet/shard/equal_test.go
@@ -499,6 +499,11 @@
 	for _, w := range b.touched {
 		require.True(p.t, w.touched)
 	}
+	for i, o := range b.due {
+		require.Equal(p.t, i, o.position)
+		require.Same(p.t, o, o.job.opening)
+		require.Same(p.t, o.job, b.unopened[o.job.ID], "no job is kept until an occurrence that is not to be opened")
+	}
 }
 
 // checkNode checks what a node says of the steps below it, and returns them.
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -199,6 +199,8 @@
 	pending bool
 	// opensLater reports whether an occurrence is due and has to wait until fewer tasks are open.
 	opensLater bool
+	// opening is the entry of the next occurrence in backlog.due, or nil.
+	opening *opening
 	// parted reports whether the progress is stored in parts.
 	parted bool
 	// dirty reports whether the progress has changed since it was last taken for the store. For a job
@@ -425,7 +427,7 @@
 func (s *State) openOccurrence(j *Job) {
 	j.addOccurrence()
 	if len(j.Occurrences) >= j.Spec.Occurrences() {
-		delete(s.backlog.unopened, j.ID)
+		s.backlog.dropOpening(j)
 	}
 	s.backlog.updateOccurrence(j, len(j.Occurrences)-1)
 }
