--- a/trial/soak/case_test.go
+++ b/trial/soak/case_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Cases that once failed are repeated by hand, with trial soak --case. They must stay readable.
+// Cases that once failed are repeated with trial soak --case. They must stay readable.
 func TestCasesThatOnceFailedCanBeRepeated(t *testing.T) {
 	paths, err := filepath.Glob("cases/*.json")
 	require.NoError(t, err)
--- a/trial/soak/soak_test.go
+++ b/trial/soak/soak_test.go
@@ -78,6 +78,22 @@
 	}
 }
 
+// Cases that once broke a promise keep all of them now.
+func TestKeptCasesBreakNoPromise(t *testing.T) {
+	paths, err := filepath.Glob("cases/*.json")
+	require.NoError(t, err)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			t.Parallel()
+			rows, err := runSoak(t, Options{Case: path, Seeds: 1, Minutes: minMinutes, Entries: 1, Hosts: 1})
+			require.NoError(t, err)
+			require.Len(t, rows, 1)
+			require.Empty(t, rows[0].Broken)
+			require.NotZero(t, rows[0].Runs)
+		})
+	}
+}
+
 // requireBroken requires that a promise was broken in a run.
 func requireBroken(t *testing.T, rows []Row, err error, promise string) {
 	t.Helper()
