Refuse at once what an overloaded pool cannot do in time

Cause: nothing refused work that could not start in time, and an owner gets slower with each job that waits or is looked at.

Now an owner refuses it with 503 and a Retry-After from the pool's rate, spread by the job's ID. It does so once the store has confirmed that neither a newer owner nor the inbox has accepted the job. Entries keep a refusal for half a second at most and ask the owner about many submissions at once, since refusing each took much of its processor. Jobs from the inbox, repeated submissions, long-running, timed, best-effort and labelled work are never refused for load. A submission whose time ends before anything was sent is refused, not answered 504.

Tests: entry/owner, entry/intake, platform/node, platform/front, entry/mover pass.

--- a/entry/owner/inbox.go
+++ b/entry/owner/inbox.go
@@ -57,6 +57,7 @@
 		c.journal.inboxJobs = append(c.journal.inboxJobs, id)
 		if verdict == shard.Accepted {
 			c.journal.newJobs = append(c.journal.newJobs, j)
+			c.take(j, time.Now())
 		}
 	}
 	now := time.Now()
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -61,6 +61,11 @@
 	// InboxAge is how long before the answer the owner requested its newest reading of the inbox. It is
 	// set if the answer rests on what the inbox holds.
 	InboxAge time.Duration `cbor:"11,keyasint,omitempty"`
+	// HoldsFor is for how long the owner refuses jobs of the same kind for its load. It is set in such
+	// refusals only.
+	HoldsFor time.Duration `cbor:"12,keyasint,omitempty"`
+	// Known holds the jobs that the pool knows, of those that a request has named.
+	Known []string `cbor:"13,keyasint,omitempty"`
 }
 
 // LocalEntry stands for the entry that logs an answer.
@@ -128,6 +133,11 @@
 		id    string
 		reply chan<- Answer
 	}
+	// knownJobs asks which of some jobs are known.
+	knownJobs struct {
+		ids   []string
+		reply chan<- Answer
+	}
 	pendingCount struct {
 		queue string
 		reply chan<- Answer
@@ -176,6 +186,11 @@
 	return o.call(ctx, Unknown, func(reply chan<- Answer) message { return cancelJob{id, reply} })
 }
 
+// Known returns which of some jobs the pool knows.
+func (o *Owner) Known(ctx context.Context, ids []string) Answer {
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return knownJobs{ids, reply} })
+}
+
 // Pending returns the number of jobs of a queue that have not started.
 func (o *Owner) Pending(ctx context.Context, queue string) Answer {
 	return o.call(ctx, Refused, func(reply chan<- Answer) message { return pendingCount{queue, reply} })
