--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 // over to it. It is long enough for the next entry to go down in a rolling restart.
 const handoverWait = 6 * time.Second
 
+// singletonPrefix begins the claim names of singletons, also of those of other releases.
+const singletonPrefix = "*"
+
 // Holder is a task that does the work of a pool, or of a singleton, that this entry owns.
 type Holder interface {
 	// Configure applies a configuration.
@@ -56,7 +60,7 @@
 	// Partitions is the number of partitions of each topic of the store.
 	Partitions int
 	// Pools prepares the owner of a pool. Singletons prepares the tasks that run in one entry
-	// at a time, by claim name; no pool may have such a name.
+	// at a time, by claim name; the names begin with singletonPrefix, and no pool's name does.
 	Pools      PrepareFunc
 	Singletons map[string]PrepareFunc
 }
@@ -69,8 +73,9 @@
 	task     *task.Task[message]
 	// local holds the holders that run here. The map is replaced and never modified.
 	local atomic.Pointer[map[string]Holder]
-	// announce publishes the epochs of the pools that are owned here to the other entries.
-	announce func(map[string]int64)
+	// announce publishes the epochs of the pools that are owned here, and the pools that are being claimed,
+	// to the other entries.
+	announce func(owned map[string]int64, claimed []string)
 }
 
 type message interface {
@@ -81,6 +86,9 @@
 	viewUpdate   struct{ view *roster.View }
 	configUpdate struct{ config *port.Config }
 	hostsUpdate  struct{ changes []feed.Change[port.Host] }
+	claimsUpdate struct {
+		changes []feed.Change[claim.StoredClaim]
+	}
 	leaveRequest struct{ reply chan<- struct{} }
 	claimResult  struct {
 		pool  string
@@ -104,7 +112,10 @@
 type core struct {
 	duties *Duties
 	config *port.Config
-	hosts  map[string]port.Host
+	// claimed holds the pools that have been claimed. They may hold accepted jobs, whether a queue uses them
+	// now or not.
+	claimed map[string]struct{}
+	hosts   map[string]port.Host
 	// hostCounts holds the number of hosts of each pool.
 	hostCounts map[string]int
 	// holdings holds what this entry owns, by name. claims holds the claims in progress, by name,
@@ -118,11 +129,15 @@
 	background sync.WaitGroup
 }
 
-// Start starts the task. It calls announce with the epochs of the owned pools when they change.
-func Start(s Settings, log port.Log, logger *slog.Logger, announce func(map[string]int64)) *Duties {
+// Start starts the task. It calls announce with the epochs of the owned pools and with the pools that are
+// being claimed when they change.
+func Start(s Settings, log port.Log, logger *slog.Logger, announce func(owned map[string]int64, claimed []string)) *Duties {
 	t := &Duties{settings: s, log: log, logger: logger, announce: announce}
 	t.local.Store(&map[string]Holder{})
-	c := &core{duties: t, hosts: map[string]port.Host{}, hostCounts: map[string]int{}, holdings: map[string]holding{}, claims: map[string]context.CancelFunc{}}
+	c := &core{
+		duties: t, claimed: map[string]struct{}{}, hosts: map[string]port.Host{}, hostCounts: map[string]int{},
+		holdings: map[string]holding{}, claims: map[string]context.CancelFunc{},
+	}
 	c.rebalancer.Wait = handoverWait
 	t.task = task.Start(c.run, task.WithInbox(inboxSize))
 	return t
@@ -149,6 +164,11 @@
 	return t.task.Send(ctx, hostsUpdate{changes})
 }
 
+// UpdateClaims sends changes of the claims that the store holds to the task.
+func (t *Duties) UpdateClaims(ctx context.Context, changes []feed.Change[claim.StoredClaim]) error {
+	return t.task.Send(ctx, claimsUpdate{changes})
+}
+
 // Leave releases all pools and stops claiming.
 func (t *Duties) Leave(ctx context.Context) error {
 	_, err := task.Call(ctx, t.task, func(reply chan<- struct{}) message { return leaveRequest{reply} })
@@ -196,7 +216,7 @@
 		local[pool], epochs[pool] = h.Holder, h.epoch
 	}
 	c.duties.local.Store(&local)
-	c.duties.announce(epochs)
+	c.duties.announce(epochs, slices.Sorted(maps.Keys(c.claims)))
 }
 
 func (m configUpdate) handle(ctx context.Context, c *core) {
@@ -227,6 +247,14 @@
 	}
 }
 
+func (m claimsUpdate) handle(_ context.Context, c *core) {
+	for _, ch := range m.changes {
+		if ch.Present && !strings.HasPrefix(ch.Key, singletonPrefix) {
+			c.claimed[ch.Key] = struct{}{}
+		}
+	}
+}
+
 // handle releases the pools that have a newer owner, claims the pools that are assigned to this
 // entry, and hands a pool over if a stronger entry is free.
 func (m viewUpdate) handle(ctx context.Context, c *core) {
@@ -240,8 +268,11 @@
 	if c.leaving || c.config == nil || !v.Settled {
 		return
 	}
-	for _, pool := range c.poolsToClaim(v) {
-		c.claimPool(ctx, pool)
+	if pools := c.poolsToClaim(v); len(pools) > 0 {
+		for _, pool := range pools {
+			c.claimPool(ctx, pool)
+		}
+		c.publish()
 	}
 	c.handOver(v)
 }
@@ -284,7 +315,9 @@
 	return true
 }
 
-// poolsToClaim returns the pools and singletons without an owner that are assigned to this entry.
+// poolsToClaim returns the pools and singletons without an owner that are assigned to this entry. Those that
+// an entry is about to own are left to it: a newer claim would fence it off when it has just read the state.
+// They count in the assignment, so that it does not depend on how soon a claim is known.
 func (c *core) poolsToClaim(v *roster.View) []string {
 	var unowned []string
 	for _, pool := range c.allPools() {
@@ -297,9 +330,15 @@
 	if len(unowned) == 0 {
 		return nil
 	}
+	claimed := map[string]bool{}
+	for _, heartbeat := range v.Alive {
+		for _, pool := range heartbeat.Claims {
+			claimed[pool] = true
+		}
+	}
 	var out []string
 	for pool, name := range owners.Assign(owners.WeightedLeastLoaded{}, unowned, c.members(v), owners.WithWeights(c.weightOf(v))) {
-		if name == c.duties.settings.Entry {
+		if name == c.duties.settings.Entry && !claimed[pool] && c.claims[pool] == nil {
 			out = append(out, pool)
 		}
 	}
@@ -336,7 +375,8 @@
 	return out
 }
 
-// allPools returns the pools that are used by a queue, and the singletons.
+// allPools returns the pools that are used by a queue or have been claimed, and the singletons. A pool is
+// claimed before its owner accepts the first job, so each pool that holds accepted jobs is among them.
 func (c *core) allPools() []string {
 	names := map[string]bool{}
 	for name := range c.duties.settings.Singletons {
@@ -345,15 +385,15 @@
 	for _, q := range c.config.Queues {
 		names[q.Pool] = true
 	}
+	for pool := range c.claimed {
+		names[pool] = true
+	}
 	return slices.Sorted(maps.Keys(names))
 }
 
-// claimPool claims a pool and reads its state in the background, unless a claim is in progress.
-// The task receives the outcome as a claimResult.
+// claimPool claims a pool and reads its state in the background. The task receives the outcome as a
+// claimResult.
 func (c *core) claimPool(ctx context.Context, pool string) {
-	if c.claims[pool] != nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	c.claims[pool] = cancel
 	s, log := c.duties.settings, c.duties.log
@@ -377,6 +417,7 @@
 	delete(c.claims, m.pool)
 	if m.err != nil {
 		c.duties.logger.Warn("taking over a pool failed; it is claimed again while it has no owner", "pool", m.pool, "err", m.err)
+		c.publish()
 		return
 	}
 	if c.leaving {
--- a/entry/intake/gate.go
+++ b/entry/intake/gate.go
@@ -21,8 +21,8 @@
 	maxHeld = 256
 )
 
-// AskKnown asks the owner of a pool which of some jobs it knows. It reports false if the owner cannot tell.
-type AskKnown func(ctx context.Context, pool string, ids []string) ([]string, bool)
+// AskKnown asks the owner of a queue's pool which of some jobs of the queue it knows. It reports false if the owner cannot tell.
+type AskKnown func(ctx context.Context, q port.Queue, ids []string) ([]string, bool)
 
 // Gate refuses submissions that the owner of their pool would refuse for its load, for as long as the owner has
 // said. A job that was accepted before is never refused, so the gate asks the owner which ones it knows, about many
@@ -40,7 +40,7 @@
 	ctx   context.Context
 	// shut holds the refusals that hold, by kind of job.
 	shut map[gateKey]refusal
-	// held holds the submissions that wait for a question, by pool.
+	// held holds the submissions that wait for a question, by queue.
 	held map[string][]hold
 	// background counts the questions that are open.
 	background sync.WaitGroup
@@ -66,13 +66,14 @@
 	}
 	// hold asks whether a submission is refused. The reply is nil if it is not.
 	hold struct {
-		pool, id string
-		key      gateKey
-		reply    chan<- *owner.Answer
-		refusal  refusal
+		queue   port.Queue
+		id      string
+		key     gateKey
+		reply   chan<- *owner.Answer
+		refusal refusal
 	}
-	// flush sends the question about the submissions that a pool's owner was not asked about.
-	flush struct{ pool string }
+	// flush sends the question about the submissions of a queue that its pool's owner was not asked about.
+	flush struct{ queue string }
 )
 
 // NewGate starts a gate that asks owners with a function.
@@ -91,7 +92,7 @@
 		return nil
 	}
 	a, err := task.Call(ctx, g.task, func(reply chan<- *owner.Answer) gateMessage {
-		return hold{pool: q.Pool, id: id, key: keyOf(q, spec), reply: reply}
+		return hold{queue: q, id: id, key: keyOf(q, spec), reply: reply}
 	})
 	if ctx.Err() != nil {
 		a := refuse("the pool is overloaded, and the time of the request ended before it was sent to the owner")
@@ -154,25 +155,26 @@
 		return
 	}
 	m.refusal = r
-	g.held[m.pool] = append(g.held[m.pool], m)
-	switch len(g.held[m.pool]) {
+	name := m.queue.Name
+	g.held[name] = append(g.held[name], m)
+	switch len(g.held[name]) {
 	case 1:
 		g.background.Go(func() {
 			sleep(g.ctx, holdInterval)
 			// The task passes what it holds when it stops.
-			_ = g.owner.task.Send(g.ctx, flush{m.pool})
+			_ = g.owner.task.Send(g.ctx, flush{name})
 		})
 	case maxHeld:
-		flush{m.pool}.handle(g)
+		flush{name}.handle(g)
 	}
 }
 
 func (m flush) handle(g *gate) {
-	held := g.held[m.pool]
+	held := g.held[m.queue]
 	if len(held) == 0 {
 		return
 	}
-	delete(g.held, m.pool)
+	delete(g.held, m.queue)
 	g.background.Go(func() {
 		ctx, cancel := context.WithTimeout(g.ctx, knownTimeout)
 		defer cancel()
@@ -180,7 +182,7 @@
 		for i, h := range held {
 			ids[i] = h.id
 		}
-		known, ok := g.owner.ask(ctx, m.pool, ids)
+		known, ok := g.owner.ask(ctx, held[0].queue, ids)
 		if !ok {
 			pass(held)
 			return
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -111,13 +111,13 @@
 		}
 		return o.Submit(ctx, r.Queue, r.Subject, *r.Spec)
 	case peers.VerbJobStatus:
-		return o.JobStatus(ctx, r.Subject)
+		return o.JobStatus(ctx, r.Subject, owner.OfQueue(r.Queue))
 	case peers.VerbCancel:
-		return o.Cancel(ctx, r.Subject)
+		return o.Cancel(ctx, r.Subject, owner.OfQueue(r.Queue))
 	case peers.VerbKnown:
-		return o.Known(ctx, r.Subjects)
+		return o.Known(ctx, r.Queue, r.Subjects)
 	case peers.VerbPending:
-		return o.Pending(ctx, r.Queue.Name)
+		return o.Pending(ctx, r.Queue.Name, owner.OfQueue(r.Queue))
 	case peers.VerbVacate:
 		return o.Vacate(ctx, r.Subject)
 	case peers.VerbLoad:
@@ -240,9 +240,9 @@
 	return a
 }
 
-// Known asks the owner of a pool which of some jobs it knows. It implements [AskKnown].
-func (n *Intake) Known(ctx context.Context, pool string, ids []string) ([]string, bool) {
-	a, ok := n.Ask(ctx, peers.Request{Pool: pool, Verb: peers.VerbKnown, Subjects: ids})
+// Known asks the owner of a queue's pool which of some jobs it knows. It implements [AskKnown].
+func (n *Intake) Known(ctx context.Context, q port.Queue, ids []string) ([]string, bool) {
+	a, ok := n.Ask(ctx, peers.Request{Pool: q.Pool, Verb: peers.VerbKnown, Queue: q, Subjects: ids})
 	return a.Known, ok && a.Outcome == owner.Found
 }
 
--- a/entry/owner/admission.go
+++ b/entry/owner/admission.go
@@ -41,18 +41,18 @@
 	}, true
 }
 
-// admit decides on a job that is not known. If it is refused, the caller is told so once it is certain that the
-// job was not accepted through the inbox or by a newer owner.
-func (c *core) admit(m submitJob, now time.Time) bool {
+// refusesForLoad decides on a job that neither this pool nor an earlier one of its queue knows. If it is refused, the
+// caller is told so once it is certain that the job was not accepted through the inbox or by a newer owner.
+func (c *core) refusesForLoad(m submitJob, now time.Time) bool {
 	job, ok := c.admissible(m.id, &m.spec, now)
 	if !ok {
-		return true
+		return false
 	}
 	f, taken := c.admission.Submit(job, now)
 	if !taken {
 		c.refusals = append(c.refusals, refusal{m, f})
 	}
-	return taken
+	return !taken
 }
 
 // settleRefusals has the store confirm the refusals of the last interval together.
@@ -128,9 +128,14 @@
 }
 
 func (m knownJobs) settle(c *core) {
+	name := m.queue.Name
+	if earlier, known := c.earlierPools(name); !known || len(earlier) > 0 || c.isElsewhere(name) || c.state.Queues[name].Version < m.queue.Version {
+		m.reply <- refusedUnchecked
+		return
+	}
 	a := Answer{Outcome: Found}
 	for _, id := range m.ids {
-		if c.state.Jobs[id] != nil {
+		if _, unchecked := c.placing.unchecked[id]; unchecked || c.state.Jobs[id] != nil {
 			a.Known = append(a.Known, id)
 		}
 	}
@@ -145,6 +150,10 @@
 		m.handle(c)
 		return
 	}
+	if _, unchecked := c.placing.unchecked[m.id]; unchecked {
+		m.reply <- Answer{Outcome: Unknown, Reason: "an earlier pool of the queue has not said whether it holds the job"}
+		return
+	}
 	f := &m.forecast
 	c.deps.Stats.Add("jobs-refused", 1, "pool", c.state.Pool, "why", whyOverloaded)
 	c.deps.Stats.Observe("refused-job-wait", f.Wait, "pool", c.state.Pool)
--- a/entry/owner/admission_test.go
+++ b/entry/owner/admission_test.go
@@ -39,8 +39,8 @@
 	return c
 }
 
-// submit submits a job and returns where the answer comes.
-func (c *testCore) submit(id string, spec batch.Spec) <-chan Answer {
+// offer submits a job and returns where the answer comes.
+func (c *testCore) offer(id string, spec batch.Spec) <-chan Answer {
 	reply := make(chan Answer, 2)
 	submitJob{queue: port.Queue{Name: "q", Pool: "pool"}, id: id, spec: spec, reply: reply}.handle(c.core)
 	return reply
@@ -56,7 +56,7 @@
 
 func TestOverloadedPoolRefusesWhatItCannotDoInTime(t *testing.T) {
 	c := overloadedCore(t)
-	reply := c.submit("late", oneTask())
+	reply := c.offer("late", oneTask())
 	require.Empty(t, reply, "a newer owner may have accepted the job, until the store says otherwise")
 	c.confirm()
 	a := <-reply
@@ -70,13 +70,13 @@
 // A caller whose first request was accepted and not answered has to be told so, whatever the load.
 func TestRepeatedSubmissionOfAnAcceptedJobIsNotRefused(t *testing.T) {
 	c := overloadedCore(t)
-	require.Equal(t, Accepted, (<-c.submit("accepted", oneTask())).Outcome)
+	require.Equal(t, Accepted, (<-c.offer("accepted", oneTask())).Outcome)
 }
 
 // The job may be in the inbox, or be accepted there while its repetition waits for its refusal.
 func TestJobFromTheInboxIsNotRefused(t *testing.T) {
 	c := overloadedCore(t)
-	reply := c.submit("left", oneTask())
+	reply := c.offer("left", oneTask())
 	value, err := codec.EncodeFrame(oneTask())
 	require.NoError(t, err)
 	inboxChanges{changes: []feed.Change[[]byte]{{Key: "pool/left", Value: value, Present: true}}, asOf: time.Now()}.handle(c.core)
@@ -100,7 +100,7 @@
 	} {
 		spec := oneTask()
 		change(&spec)
-		c.submit(id, spec)
+		c.offer(id, spec)
 		require.NotNil(t, c.state.Jobs[id], id)
 	}
 	require.Empty(t, c.refusals)
@@ -109,9 +109,33 @@
 // The outcome is not known if the store cannot say whether another owner has accepted the job.
 func TestRefusalWithoutTheStoreIsNoRefusal(t *testing.T) {
 	c := overloadedCore(t)
-	reply := c.submit("late", oneTask())
+	reply := c.offer("late", oneTask())
 	c.settleRefusals(time.Now())
 	c.journal.unavailable = true
 	c.settleQuestions(time.Now())
 	require.Equal(t, Unknown, (<-reply).Outcome)
 }
+
+// Entries refuse a job that the owner does not know, so the owner must not speak for other pools of the queue.
+func TestOwnerVouchesOnlyForQueuesThatNoOtherPoolHolds(t *testing.T) {
+	c := overloadedCore(t)
+	ask := func() Answer {
+		now := time.Now()
+		c.inboxReadAt, c.inboxAsOf, c.state.ConfirmedAt = now, now.Add(time.Minute), now.Add(time.Minute)
+		reply := make(chan Answer, 1)
+		knownJobs{port.Queue{Name: "q", Pool: "pool"}, []string{"accepted", "unchecked", "new"}, reply}.handle(c.core)
+		return <-reply
+	}
+	c.placing.unchecked["unchecked"] = oneTask()
+	a := ask()
+	require.Equal(t, Found, a.Outcome)
+	require.Equal(t, []string{"accepted", "unchecked"}, a.Known)
+
+	q := c.journal.queues["q"]
+	q.Earlier = []string{"other"}
+	c.journal.queues["q"] = q
+	require.Equal(t, Refused, ask().Outcome, "an earlier pool may hold the job")
+	q.Earlier, q.ClosedAt = nil, 9
+	c.journal.queues["q"] = q
+	require.Equal(t, Refused, ask().Outcome, "a later pool may hold the job")
+}
--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -64,7 +63,7 @@
 // The reasons. Of several, the first one is given.
 const (
 	Unknown      Reason = "the task is unknown"
-	Ended        Reason = "the task or its job has ended"
+	Ended        Reason = "the task or its job has ended or was given up"
 	NotStored    Reason = "the job is not stored"
 	NotReady     Reason = "an earlier step is not done"
 	Assigned     Reason = "the task is starting or running"
@@ -87,9 +86,11 @@
 func (s *State) Explain(ref batch.Ref, now time.Time) Reason {
 	j, stage, task := s.task(ref)
 	switch {
+	case j != nil && j.Phase != Open:
+		return Ended
 	case task == nil:
 		return Unknown
-	case task.Done || j.Phase != Open:
+	case task.closed():
 		return Ended
 	case !j.Stored:
 		return NotStored
@@ -186,7 +187,10 @@
 
 // Waiting sums up the work that waits.
 func (s *State) Waiting(now time.Time) Waiting {
-	w := Waiting{Steps: len(s.backlog.steps), Reserved: s.reserved, Reasons: map[Reason]int{}}
+	w := Waiting{
+		Steps: len(s.backlog.steps), Tasks: s.backlog.tasks, LongRunning: s.backlog.longRunningTasks,
+		Reserved: s.reserved, Reasons: map[Reason]int{},
+	}
 	if w.Steps == 0 {
 		return w
 	}
@@ -195,16 +199,7 @@
 	}
 	roomy := s.candidates(now).withRoom(s.backlog.leastNeed())
 	w.Roomy, w.Busy = len(roomy), len(roomy)-len(roomy.answered())
-	steps := slices.Clone(s.backlog.steps)
-	slices.SortFunc(steps, func(a, b *waitingStep) int { return cmp.Compare(a.accepted, b.accepted) })
-	for i, step := range steps {
-		w.Tasks += step.stage.idle
-		if step.step.LongRunning {
-			w.LongRunning += step.stage.idle
-		}
-		if i >= explainedSteps {
-			continue
-		}
+	for i, step := range s.backlog.steps.oldest(explainedSteps) {
 		ref := step.firstIdle()
 		reason := s.Explain(ref, now)
 		w.Reasons[reason]++
@@ -218,6 +213,6 @@
 // firstIdle returns the first idle task of the step.
 func (w *waitingStep) firstIdle() batch.Ref {
 	ref := w.ref()
-	ref.Index = max(slices.IndexFunc(w.stage.Tasks, func(t Task) bool { return t.Status == Idle && !t.Done }), 0)
+	ref.Index = max(slices.IndexFunc(w.stage.Tasks, func(t Task) bool { return t.Status == Idle && !t.closed() }), 0)
 	return ref
 }
--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -69,14 +69,26 @@
 		_, stage, _ := s.task(ref)
 		apart[stage]++
 	}
-	couldRun := map[*shape]bool{}
-	for _, sh := range s.backlog.shapes {
-		couldRun[sh] = slices.ContainsFunc(hosts, func(c *candidate) bool {
-			return c.host.Capacity.Fits(sh.need) && sh.hasLabel(c.host)
-		})
-	}
-	return slices.ContainsFunc(s.backlog.steps, func(w *waitingStep) bool {
-		return couldRun[w.shape] && w.stage.idle > apart[w.stage]
+	whole := map[string]frontier{}
+	couldRun := func(label string, need batch.Size) bool {
+		if _, known := whole[label]; !known {
+			var f frontier
+			for _, c := range hosts {
+				if labelAllows(c.host, label) {
+					f.add(c.host.Capacity)
+				}
+			}
+			whole[label] = f
+		}
+		return whole[label].fits(need)
+	}
+	for g, root := range s.backlog.needs() {
+		if root.contains(func(low batch.Size) bool { return couldRun(g.label, low) }, func(w *waitingStep) bool { return w.stage.idle > apart[w.stage] }) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.backlog.touched, func(w *waitingStep) bool {
+		return w.stage.waiting == w && couldRun(w.step.RequiredLabel, w.need) && w.stage.idle > apart[w.stage]
 	})
 }
 
@@ -85,7 +97,7 @@
 	return func(yield func(batch.Ref) bool) {
 		for ref, task := range s.suspects {
 			_, stage, _ := s.task(ref)
-			waits := stage != nil && stage.waiting != nil && task.Status == Idle && !task.Done
+			waits := stage != nil && stage.waiting != nil && task.Status == Idle && !task.closed()
 			if waits && task.Crashes.Isolated && !yield(ref) {
 				return
 			}
@@ -105,7 +117,8 @@
 		j := s.Jobs[ref.Job]
 		step := &j.Spec.Steps[ref.Step]
 		rest := max(hostCores-step.Reservation().MilliCores, 0)
-		work += scaledWork(float64(rest)*step.Estimate.Seconds(), s.durationRatios[j.Spec.Queue].median())
+		expected := step.Estimate.Seconds() * s.durationRatios[j.Spec.Queue].median()
+		work += int64(min(float64(rest)*expected, maxStepWork))
 	}
 	return work
 }
@@ -147,7 +160,7 @@
 	}
 	var best *candidate
 	for _, c := range hosts {
-		if c.reserved || c.isolated || !c.host.Capacity.Sub(c.host.longRunningUsed).Fits(w.shape.need) || !w.shape.hasLabel(c.host) {
+		if c.reserved || c.isolated || !c.host.Capacity.Sub(c.host.longRunningUsed).Fits(w.need) || !w.hasLabel(c.host) {
 			continue
 		}
 		if (best == nil || c.unsettled < best.unsettled) && s.mayUse(w, c.host) {
--- a/fleet/shard/parts.go
+++ b/fleet/shard/parts.go
@@ -93,6 +93,7 @@
 	first := 0
 	stages := j.Occurrences[ref.Occurrence].Stages
 	for i := range stages {
+		stages[i].expand()
 		tasks := stages[i].Tasks
 		from, to := ref.Number*partTasks-first, (ref.Number+1)*partTasks-first
 		for k := max(from, 0); k < min(to, len(tasks)); k++ {
@@ -209,17 +210,18 @@
 	occ.Left = 0
 	for si := range occ.Stages {
 		stage := &occ.Stages[si]
+		stage.expand()
 		done := func(t Task) bool { return t.Done }
 		if j.Spec.Steps[si].Gang && slices.ContainsFunc(stage.Tasks, done) {
 			for i := range stage.Tasks {
 				stage.Tasks[i].Done = true
 			}
 		}
-		stage.Left = 0
+		stage.Left, stage.idle = 0, 0
 		for i := range stage.Tasks {
 			stage.Left += count(!stage.Tasks[i].Done)
+			stage.idle += count(!stage.Tasks[i].closed())
 		}
-		stage.idle = stage.Left
 		occ.Left += count(stage.Left > 0)
 	}
 	if occ.Left == 0 {
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -119,6 +119,18 @@
 	}
 	c.Job.StoredPhase = c.Progress.Phase
 	s.dropStaleParts(c.Job, c.Progress)
+	s.compact(c.Job)
+}
+
+// compact drops what is not needed of a job whose end is stored.
+func (s *State) compact(j *Job) {
+	if j.Phase == Open || j.StoredPhase != j.Phase || !j.Stored || s.hasRuns(j) {
+		return
+	}
+	for oi := range j.Occurrences {
+		j.Occurrences[oi].forgetTasks()
+	}
+	j.Spec.Text, j.waiting = "", nil
 }
 
 // Requeue marks changes as not stored that had no room in an append. They keep their numbers.
@@ -156,8 +168,8 @@
 			if occ.Stages[si].Left == 0 {
 				continue
 			}
-			tasks := make([]TaskProgress, len(occ.Stages[si].Tasks))
-			for i := range tasks {
+			tasks := make([]TaskProgress, occ.Stages[si].count)
+			for i := range occ.Stages[si].Tasks {
 				tasks[i] = taskProgress(&occ.Stages[si].Tasks[i])
 			}
 			progress.Stages[si] = tasks
@@ -195,6 +207,7 @@
 	j := newJob(id, now)
 	j.Phase, j.StoredPhase, j.EndedAt, j.Unsubmitted, j.Stored = Cancelled, Cancelled, now, true, true
 	s.Jobs[id] = j
+	s.ended = append(s.ended, j)
 }
 
 // RestoreOption configures [State.Restore].
@@ -237,6 +250,7 @@
 	}
 	// The time since its end is unknown, so the job is kept for the whole retention time again.
 	j.EndedAt = now
+	s.ended = append(s.ended, j)
 }
 
 // restoreOccurrence adds an occurrence from the progress of its job. If its tasks are stored in parts, nothing
@@ -259,7 +273,8 @@
 		if si < len(stored.Stages) {
 			tasks = stored.Stages[si]
 		}
-		if len(tasks) != len(stage.Tasks) {
+		stage.expand()
+		if len(tasks) != stage.count {
 			// A step without details is done.
 			for i := range stage.Tasks {
 				stage.Tasks[i].Done = true
@@ -270,10 +285,8 @@
 		}
 		for i := range tasks {
 			stage.Tasks[i] = restoreTask(&tasks[i])
-			if tasks[i].Done {
-				stage.Left--
-				stage.idle--
-			}
+			stage.Left -= count(tasks[i].Done)
+			stage.idle -= count(stage.Tasks[i].closed())
 		}
 		if stage.Left == 0 {
 			occ.Left--
--- a/fleet/shard/prospect.go
+++ b/fleet/shard/prospect.go
@@ -49,7 +49,7 @@
 func (s *State) TaskWork(spec *batch.Spec, step int) int64 {
 	scale := s.durationRatios[spec.Queue].median()
 	took := min(spec.Steps[step].Estimate.Seconds()*scale, maxCountedTime.Seconds())
-	return scaledWork(float64(spec.Steps[step].Reservation().MilliCores), took)
+	return int64(min(float64(spec.Steps[step].Reservation().MilliCores)*took, maxStepWork))
 }
 
 // fitsSomeHost reports whether some listed host would have room for a task if nothing else ran there.
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -130,14 +130,19 @@
 
 // Stage is the state of one step in an occurrence.
 type Stage struct {
-	// Tasks has one element for each task of the step.
+	// Tasks has one element for each task of the step, or none while all are as at first. count is the number of
+	// tasks.
 	Tasks []Task
+	count int
 	// Left is the number of tasks that are not done.
 	Left int
-	// idle is the number of tasks that are Idle and not done.
+	// idle is the number of tasks that are Idle, not done and not given up.
 	idle int
-	// waiting is the step's entry in the backlog, or nil.
+	// waiting is the step's entry in the backlog, or nil. load is what the stage adds to the sums there.
 	waiting *waitingStep
+	load    load
+	// suspected reports whether a host has crashed under some task.
+	suspected bool
 	// meanSpeed is the running mean of the speeds of the tasks, over speedCount measurements.
 	meanSpeed  float64
 	speedCount int
@@ -187,6 +192,13 @@
 	// ordered to start, counted from when the pool was claimed.
 	assigned  int
 	lastStart time.Duration
+	// rules is what the backlog knows of the queue, and nil before the backlog has needed it. waiting holds the
+	// entries of the job in the backlog. pending reports whether the backlog counts the job as pending.
+	rules   *queueRules
+	waiting []*waitingStep
+	pending bool
+	// opensLater reports whether an occurrence is due and has to wait until fewer tasks are open.
+	opensLater bool
 	// parted reports whether the progress is stored in parts.
 	parted bool
 	// dirty reports whether the progress has changed since it was last taken for the store. For a job
@@ -225,6 +237,8 @@
 	permits map[batch.Ref]*permit
 	orders  []Order
 	crashes []Crash
+	// pastCrashes holds the crashes of hosts, with or without tasks, within settleTime before the last one.
+	pastCrashes []pastCrash
 	// suspects holds the tasks of open jobs that are suspected of a crash. It may also hold some that are done.
 	suspects map[batch.Ref]*Task
 	// startedEarlier holds the tasks whose startedEarlier was set when they were restored.
@@ -249,6 +263,9 @@
 	latestLost time.Time
 	// openJobs holds the jobs in phase Open.
 	openJobs map[string]*Job
+	// ended holds the jobs that have ended, in the order of their ends, and kept those of them that could not be
+	// dropped when their retention time was over.
+	ended, kept []*Job
 	// unlistedCordons holds the hosts that are not known yet and are to be empty, with the time until
 	// which.
 	unlistedCordons map[string]time.Time
@@ -322,10 +339,11 @@
 		return j, nil, nil
 	}
 	occ := &j.Occurrences[r.Occurrence]
-	if r.Step >= len(occ.Stages) || r.Index >= len(occ.Stages[r.Step].Tasks) {
+	if r.Step >= len(occ.Stages) || r.Index >= occ.Stages[r.Step].count {
 		return j, nil, nil
 	}
 	stage := &occ.Stages[r.Step]
+	stage.expand()
 	return j, stage, &stage.Tasks[r.Index]
 }
 
@@ -371,10 +389,14 @@
 	if h := s.Hosts[task.Host]; h != nil {
 		s.unassign(h, r)
 	}
+	j := s.Jobs[r.Job]
 	task.Status, task.Host, task.Percent, task.Load, task.StartClock = Idle, "", 0, 0, 0
-	if !task.Done {
+	if !task.closed() {
 		stage.idle++
-		s.backlog.update(s.Jobs[r.Job], r.Occurrence, r.Step)
+		s.backlog.update(j, r.Occurrence, r.Step)
+	}
+	if j.assigned == 0 {
+		s.compact(j)
 	}
 }
 
@@ -415,7 +437,14 @@
 	occ := Occurrence{Stages: make([]Stage, len(j.Spec.Steps)), Left: len(j.Spec.Steps), work: &workLeft{}}
 	for i := range occ.Stages {
 		count := j.Spec.Steps[i].Count
-		occ.Stages[i] = Stage{Tasks: make([]Task, count), Left: count, idle: count}
+		occ.Stages[i] = Stage{count: count, Left: count, idle: count}
 	}
 	j.Occurrences = append(j.Occurrences, occ)
 }
+
+// expand sets Tasks. Most tasks that wait need no state of their own.
+func (s *Stage) expand() {
+	if s.Tasks == nil {
+		s.Tasks = make([]Task, s.count)
+	}
+}
--- a/trial/fake/machine.go
+++ b/trial/fake/machine.go
@@ -1,10 +1,13 @@
 package fake
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
+
+	"carawaymux.dev/trial/faulty"
 )
 
 // The states of a machine.
@@ -58,6 +61,11 @@
 	}
 }
 
+// SetMachineFaults replaces the faults of the machines API.
+func (fp *Platform) SetMachineFaults(ctx context.Context, f faulty.Faults) error {
+	return fp.machineFaults.Set(ctx, f)
+}
+
 func (fp *Platform) machinesHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/machines", func(rw http.ResponseWriter, _ *http.Request) {
