Revert the admission by the measured rate of a pool

It refused at once what a pool could not do within three times the objective, as foreseen from the measured rate.

Suspected: the rate counts cores only, and refused jobs come back until they are taken late.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -16,7 +16,6 @@
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/entry/peers"
 	"carawaymux.dev/entry/roster"
-	"carawaymux.dev/fleet/admit"
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/port"
@@ -74,9 +73,6 @@
 	// MaxRecordBytes is the store's limit on a record. 0 means no limit.
 	MaxRecordBytes int
 
-	// Gate may be nil. Then all submissions go to the owners.
-	Gate *Gate
-
 	// ownerUnreachableAt is the time of the last failed attempt to reach an owner, in
 	// nanoseconds since 1970.
 	ownerUnreachableAt atomic.Int64
@@ -114,8 +110,6 @@
 		return o.JobStatus(ctx, r.Subject, owner.OfQueue(r.Queue))
 	case peers.VerbCancel:
 		return o.Cancel(ctx, r.Subject, owner.OfQueue(r.Queue))
-	case peers.VerbKnown:
-		return o.Known(ctx, r.Queue, r.Subjects)
 	case peers.VerbPending:
 		return o.Pending(ctx, r.Queue.Name, owner.OfQueue(r.Queue))
 	case peers.VerbVacate:
@@ -190,9 +184,6 @@
 // Submit submits a job to the owner of the queue's pool, or to the pool's inbox if no owner can be
 // reached or the owner cannot reach the store.
 func (n *Intake) Submit(ctx context.Context, q port.Queue, id string, spec batch.Spec) owner.Answer {
-	if a := n.Gate.hold(ctx, q, id, &spec); a != nil {
-		return spread(*a, id)
-	}
 	r := peers.Request{Pool: q.Pool, Verb: peers.VerbSubmit, Subject: id, Queue: q, Spec: &spec}
 	deadline := time.Now().Add(submitTimeout)
 	// unseen is true as long as no owner can have received the submission.
@@ -203,8 +194,7 @@
 			return n.submitToInbox(ctx, q, id, spec, unseen)
 		}
 		if delivered == answered {
-			n.Gate.learn(ctx, q, &spec, a)
-			return afterEarlier(spread(a, id), unseen)
+			return afterEarlier(a, unseen)
 		}
 		unseen = unseen && delivered == notDelivered
 		switch {
@@ -232,20 +222,6 @@
 	return owner.Answer{Outcome: owner.Unknown, Reason: "an earlier copy of the request may take effect; the last one was refused: " + a.Reason}
 }
 
-// spread spreads the retry time of a refusal for load.
-func spread(a owner.Answer, id string) owner.Answer {
-	if a.HoldsFor > 0 {
-		a.RetryAfter = admit.Spread(a.RetryAfter, id)
-	}
-	return a
-}
-
-// Known asks the owner of a queue's pool which of some jobs it knows. It implements [AskKnown].
-func (n *Intake) Known(ctx context.Context, q port.Queue, ids []string) ([]string, bool) {
-	a, ok := n.Ask(ctx, peers.Request{Pool: q.Pool, Verb: peers.VerbKnown, Queue: q, Subjects: ids})
-	return a.Known, ok && a.Outcome == owner.Found
-}
-
 // storeReachable reports whether the store has answered this entry recently. If an owner cannot
 // reach the store at the same time, only that owner is affected.
 func (n *Intake) storeReachable(ctx context.Context) bool {
--- a/entry/owner/append.go
+++ b/entry/owner/append.go
@@ -110,7 +110,6 @@
 		if err != nil {
 			c.logger.Error("job cannot be stored and is refused", "job", j.ID, "err", err)
 			c.state.DropRejected(j.ID)
-			c.admission.Remove(j.ID)
 			c.answer(j.ID, false, Answer{Outcome: Refused, Reason: err.Error()})
 			continue
 		}
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -10,7 +10,6 @@
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/entry/hedge"
-	"carawaymux.dev/fleet/admit"
 	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/task"
 	"carawaymux.dev/fleet/window"
@@ -75,12 +74,6 @@
 	nextRound time.Time
 	// nextWaitingLog is the earliest time of the next log line about work that waits.
 	nextWaitingLog time.Time
-	// admission decides which submissions are taken.
-	admission *admission
-	// refusals holds the submissions that are refused and whose callers have not been told. refusedAt is when the
-	// store was last asked to confirm refusals.
-	refusals  refusals
-	refusedAt time.Time
 	// delays measures how late this owner is.
 	delays *delayMeter
 	// background counts the goroutines that the task has started and waits for when it stops.
@@ -106,7 +99,7 @@
 		owner: o, settings: s, deps: d, claim: acquired, agents: map[string]*hostLink{},
 		logger: d.Logger.With("pool", acquired.Name, "epoch", acquired.Epoch),
 		state:  shard.New(acquired.Name, acquired.Epoch, s.Timing, time.Now()),
-		starts: window.New[startKey](window.Adaptive{}), copies: hedge.NewBudget(), admission: newAdmission(),
+		starts: window.New[startKey](window.Adaptive{}), copies: hedge.NewBudget(),
 		placing: newPlacing(),
 	}
 	c.state.ConfirmedAt = acquired.ConfirmedAt
@@ -179,14 +172,12 @@
 	}
 	shard.PlanWithin(c.state, ranking, limits, now, now.UnixMilli())
 	for _, o := range c.state.TakeOrders() {
-		c.recordStart(&o, now)
 		c.sendOrder(o, now)
 	}
 	for id, l := range c.agents {
 		c.sendHeartbeat(id, l, now)
 	}
 	c.askAdviser(now)
-	c.settleRefusals(now)
 	c.flush(now)
 	end := time.Now()
 	c.delays.recordRound(end.Sub(now))
@@ -212,7 +203,6 @@
 	}
 	c.state.SettleSuspects(now)
 	c.refuseUnwritten()
-	c.admission.Observe(admit.Pool{Capacity: c.state.Capacity(now), Overloaded: c.state.Overloaded}, now)
 	c.tickPlacing(now)
 	c.settleQuestions(now)
 	c.logCrashes()
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -173,7 +173,6 @@
 		c.logger.Info("host regained", "host", m.Host)
 	}
 	for _, e := range c.state.HandleReport(m.Host, &m.Report, now) {
-		c.recordWork(&e, now)
 		c.deps.Stats.Add("runs-ended", 1, "pool", c.state.Pool, "result", string(e.Result))
 		c.logger.Info("run ended", "unit", e.Ref.String(), "run", e.Run, "host", e.Host,
 			"result", string(e.Result), "took-ms", e.Took.Milliseconds())
--- a/entry/owner/inbox.go
+++ b/entry/owner/inbox.go
@@ -76,7 +76,6 @@
 	c.journal.inboxJobs = append(c.journal.inboxJobs, id)
 	if verdict == shard.Accepted {
 		c.journal.newJobs = append(c.journal.newJobs, j)
-		c.take(j, time.Now())
 	}
 }
 
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -66,11 +66,6 @@
 	QueueClosed bool `cbor:"12,keyasint,omitempty"`
 	// QueueEmpty reports that the pool holds no job of the queue.
 	QueueEmpty bool `cbor:"13,keyasint,omitempty"`
-	// HoldsFor is for how long the owner refuses jobs of the same kind for its load. It is set in such
-	// refusals only.
-	HoldsFor time.Duration `cbor:"14,keyasint,omitempty"`
-	// Known holds the jobs that the pool knows, of those that a request has named.
-	Known []string `cbor:"15,keyasint,omitempty"`
 }
 
 // LocalEntry stands for the entry that logs an answer.
@@ -145,12 +140,6 @@
 		id    string
 		reply chan<- Answer
 	}
-	// knownJobs asks which of some jobs are known.
-	knownJobs struct {
-		queue port.Queue
-		ids   []string
-		reply chan<- Answer
-	}
 	pendingCount struct {
 		queue port.Queue
 		reply chan<- Answer
@@ -217,11 +206,6 @@
 	return o.call(ctx, Unknown, func(reply chan<- Answer) message { return cancelJob{q, id, reply} })
 }
 
-// Known returns which of some jobs of a queue the pool knows.
-func (o *Owner) Known(ctx context.Context, q port.Queue, ids []string) Answer {
-	return o.call(ctx, Refused, func(reply chan<- Answer) message { return knownJobs{q, ids, reply} })
-}
-
 // Pending returns the number of jobs of a queue that have not started.
 func (o *Owner) Pending(ctx context.Context, queue string, opts ...RequestOption) Answer {
 	q := queueOf(opts)
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -289,9 +289,6 @@
 		c.deps.Stats.Add("unreadable-records", 1, "pool", c.state.Pool)
 		c.logger.Error("stored record cannot be read; skipped", "key", key, "err", err)
 	}
-	for _, j := range c.state.Jobs {
-		c.take(j, now)
-	}
 	c.deps.Stats.Add("pools-taken-over", 1, "pool", c.state.Pool)
 	c.logger.Info("pool taken over", "jobs", len(stored.Specs), "hosts", len(c.state.Hosts))
 }
@@ -355,7 +352,6 @@
 	for _, ch := range written.changes {
 		c.state.MarkWritten(ch)
 		if ch.Part == nil && ch.Progress.Phase != shard.Open {
-			c.admission.Remove(ch.Job.ID)
 			late := time.Now().After(ch.Job.Objective)
 			c.deps.Stats.Add("jobs-ended", 1, "pool", c.state.Pool, "phase", string(ch.Progress.Phase), "late", strconv.FormatBool(late))
 			c.deps.Stats.Observe("job", time.Since(ch.Job.AcceptedAt), "pool", c.state.Pool)
@@ -411,11 +407,10 @@
 		m.reply <- refusedStoreUnavailable
 		return
 	}
-	now := time.Now()
-	if c.state.Jobs[m.id] == nil && (!c.admits(m, checked) || c.refusesForLoad(m, now)) {
+	if c.state.Jobs[m.id] == nil && !c.admits(m, checked) {
 		return
 	}
-	j, verdict := c.state.Submit(m.id, m.spec, now)
+	j, verdict := c.state.Submit(m.id, m.spec, time.Now())
 	if verdict == shard.Duplicate && (j.Stored || j.StoredPhase != shard.Open) {
 		m.reply <- Answer{Outcome: Accepted, Phase: j.StoredPhase}
 		return
@@ -458,7 +453,6 @@
 			continue
 		}
 		c.state.DropRejected(j.ID)
-		c.admission.Remove(j.ID)
 		c.deps.Stats.Add("jobs-refused", 1, "pool", c.state.Pool, "why", "store away")
 		c.logger.Info("job refused", "job", j.ID, "why", "store away")
 		c.answer(j.ID, false, refusedStoreUnavailable)
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -30,8 +30,6 @@
 	VerbCancel    Verb = "cancel"
 	// VerbPending asks for the number of jobs of a queue that have not started.
 	VerbPending Verb = "pending"
-	// VerbKnown asks which of some jobs the pool knows.
-	VerbKnown Verb = "known"
 	// VerbVacate asks for a host to be emptied.
 	VerbVacate Verb = "vacate"
 	// VerbLoad asks for the load of the pool.
@@ -47,8 +45,6 @@
 	// Queue is the queue of the job, or for VerbPending the queue whose jobs are counted.
 	Queue port.Queue  `cbor:"4,keyasint"`
 	Spec  *batch.Spec `cbor:"5,keyasint,omitempty"`
-	// Subjects holds the IDs of the jobs for VerbKnown.
-	Subjects []string `cbor:"6,keyasint,omitempty"`
 }
 
 // Frame is a message on a link: either a request or an answer.
