Register a queue again that came back while its registration was unanswered

Callers saw 410 for a job that the other pool holds (LOST): a queue moved away and came back while the store had not answered the registration of its first version. The answer counted for the newer version, so the pool learned of no other pool and stayed closed.

An answer now counts only if no newer version is wanted, and the next registration follows at once.

TestAQueueThatComesBackDuringARegistrationFindsTheJobsOfBothPools fails on the code before (missing). Found by a review.

--- a/entry/owner/moved.go
+++ b/entry/owner/moved.go
@@ -155,6 +155,10 @@
 		return
 	}
 	for _, p := range m.places {
+		if c.placing.wanted[p.Queue] != p.Version {
+			// The queue has come back under a newer version meanwhile, so it is registered again.
+			continue
+		}
 		q := c.journal.queues[p.Queue]
 		q.Registered, q.Earlier = true, nil
 		if p.Version > q.ClosedAt {
@@ -181,6 +185,7 @@
 	for _, s := range waiting {
 		s.handle(c)
 	}
+	c.register(now)
 	c.checkInboxJobs(now)
 }
 
