Bound the work of a step by 100,000 core-seconds

The sum of the work that waits wrapped around with 15 jobs of 65,536 occurrences whose estimate is absurd, and a negative backlog makes a pool want no hosts. The sums are in millionths since they are kept, and the bound had not followed.

TestTheSumOfManyHugeJobsDoesNotWrapAround fails on the code before (-). Found by a review.

--- a/fleet/shard/extreme_test.go
+++ b/fleet/shard/extreme_test.go
@@ -86,3 +86,20 @@
 	j.Occurrences = make([]shard.Occurrence, 1)
 	require.EqualValues(t, math.MaxInt64, s.NextDue())
 }
+
+// Guards against a sum of the backlog that wraps around.
+func TestTheSumOfManyHugeJobsDoesNotWrapAround(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	step := smallStep(1)
+	step.Estimate = 1 << 62
+	last := int64(0)
+	for i := range 20 {
+		_, _ = o.Submit(string(rune('a'+i)), batch.Spec{Queue: "q", Repetitions: 65_536, Interval: time.Millisecond, Steps: []batch.Step{step}}, o.now)
+		o.MarkStored(o.Jobs[string(rune('a'+i))])
+		o.now = o.now.Add(time.Millisecond)
+		shard.Plan(o.State, shard.BySlack{}, o.now, 1<<50)
+		now := o.Load(o.now).Backlog
+		require.GreaterOrEqualf(t, now, last, "job %d", i)
+		last = now
+	}
+}
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -32,7 +32,7 @@
 	workUnits = 1000
 	// maxStepWork bounds the work of a step, in thousandths of a core-second, so that sums over the steps of a
 	// pool do not overflow.
-	maxStepWork = 1e10
+	maxStepWork = 1e8
 )
 
 // estimatedWork returns the work of a number of tasks of a step by its estimate, in millionths of a core-second. It
