Keep no machines for long-running tasks that are given up

Cause: the capacity for long-running tasks is summed up from those that are not done, which the given-up ones never are.

A stage counts them, and they are left out of the sum and of the number of hosts over which a step spreads.

TestATaskThatWasGivenUpTakesNoCapacity fails on the code before (2000 in place of 1000). Found by a review.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -149,9 +149,10 @@
 	var now load
 	q := b.queue(j)
 	if live && step.LongRunning {
-		now.longRunning = int64(min(float64(step.Reservation().MilliCores)*float64(stage.Left), maxStepWork))
-		if step.PerHost > 0 {
-			now.hosts = (step.Count-1)/step.PerHost + 1
+		left := stage.Left - stage.givenUp
+		now.longRunning = int64(min(float64(step.Reservation().MilliCores)*float64(left), maxStepWork))
+		if step.PerHost > 0 && left > 0 {
+			now.hosts = (step.Count-stage.givenUp-1)/step.PerHost + 1
 		}
 	}
 	if live && !step.LongRunning {
--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -191,8 +191,10 @@
 	if !task.Crashes.GivenUp() {
 		return false
 	}
-	if !wasGivenUp && task.Status == Idle {
-		j.Occurrences[ref.Occurrence].Stages[ref.Step].idle--
+	if !wasGivenUp {
+		stage := &j.Occurrences[ref.Occurrence].Stages[ref.Step]
+		stage.givenUp++
+		stage.idle -= count(task.Status == Idle)
 		s.backlog.update(j, ref.Occurrence, ref.Step)
 	}
 	if !j.hasTaskLeft() {
@@ -318,7 +320,9 @@
 			continue
 		}
 		if j.Spec.Steps[ref.Step].LongRunning && task.settled(now) {
+			stage.givenUp -= count(task.Crashes.GivenUp())
 			task.Crashes = Crashes{}
+			s.backlog.update(j, ref.Occurrence, ref.Step)
 			delete(s.suspects, ref)
 			s.markTaskDirty(j, ref)
 		}
--- a/fleet/shard/crash_test.go
+++ b/fleet/shard/crash_test.go
@@ -558,3 +558,14 @@
 		})
 	}
 }
+
+// Guards against machines that are held for tasks that are given up.
+func TestATaskThatWasGivenUpTakesNoCapacity(t *testing.T) {
+	load := func(crashes *shard.Crashes) int64 {
+		o := newOwner(t, 2, "a", "b")
+		stored := &shard.Progress{Phase: shard.Open, Occurrences: []shard.OccurrenceProgress{{Stages: [][]shard.TaskProgress{{{Crashes: crashes}, {}}}}}}
+		o.Restore("job", batch.Spec{Queue: "q", Steps: []batch.Step{longRunningStep(2, 0, 1)}}, stored, o.now)
+		return o.Load(o.now).LongRunning
+	}
+	require.Equal(t, load(nil)/2, load(&shard.Crashes{Hosts: 4, Prompt: 4, Unexplained: 4}))
+}
--- a/fleet/shard/parts.go
+++ b/fleet/shard/parts.go
@@ -217,8 +217,9 @@
 				stage.Tasks[i].Done = true
 			}
 		}
-		stage.Left, stage.idle = 0, 0
+		stage.Left, stage.idle, stage.givenUp = 0, 0, 0
 		for i := range stage.Tasks {
+			stage.givenUp += count(stage.Tasks[i].Crashes.GivenUp())
 			stage.Left += count(!stage.Tasks[i].Done)
 			stage.idle += count(!stage.Tasks[i].closed())
 		}
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -287,6 +287,7 @@
 			stage.Tasks[i] = restoreTask(&tasks[i])
 			stage.Left -= count(tasks[i].Done)
 			stage.idle -= count(stage.Tasks[i].closed())
+			stage.givenUp += count(stage.Tasks[i].Crashes.GivenUp())
 		}
 		if stage.Left == 0 {
 			occ.Left--
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -136,8 +136,9 @@
 	count int
 	// Left is the number of tasks that are not done.
 	Left int
-	// idle is the number of tasks that are Idle, not done and not given up.
-	idle int
+	// idle is the number of tasks that are Idle, not done and not given up. givenUp is the number of those that
+	// are given up; they count in Left.
+	idle, givenUp int
 	// waiting is the step's entry in the backlog, or nil. load is what the stage adds to the sums there.
 	waiting *waitingStep
 	load    load
