End a job of which only given-up tasks are left

A job with long-running and other steps stayed running for ever, with nothing left to run, if its other tasks ended after its long-running ones had been given up. It was asked for tasks that are left only when one was given up.

TestAJobEndsOnceOnlyTasksThatWereGivenUpAreLeft fails on the code before (open after 60 s). Found by a review.

--- a/fleet/shard/crash_test.go
+++ b/fleet/shard/crash_test.go
@@ -569,3 +569,14 @@
 	}
 	require.Equal(t, load(nil)/2, load(&shard.Crashes{Hosts: 4, Prompt: 4, Unexplained: 4}))
 }
+
+// Guards against a job that is shown as running although none of its tasks is left.
+func TestAJobEndsOnceOnlyTasksThatWereGivenUpAreLeft(t *testing.T) {
+	p := newCrashPool(t, 6, func(ref batch.Ref) bool { return ref.Step == 0 })
+	slow := smallStep(1)
+	p.submit("blocker", smallStep(1))
+	p.submit("guilty", longRunningStep(1, 0, 1), slow)
+	p.deadly = func(ref batch.Ref) bool { return ref.Job == "guilty" && ref.Step == 0 }
+	p.run(60 * time.Second)
+	require.NotEqual(t, shard.Open, p.Jobs["guilty"].Phase)
+}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -274,6 +274,9 @@
 	s.backlog.updateOccurrence(j, ref.Occurrence)
 	delete(s.permits, stepRef(ref))
 	if occ.Left--; occ.Left > 0 {
+		if !j.hasTaskLeft() {
+			s.closeJob(j, Failed, now)
+		}
 		return
 	}
 	defer s.backlog.resumeOpening(j)
