Give up long-running tasks whose hosts crash before they answer

Callers' hosts crashed without end: a long-running task whose hosts crash before they confirm the start was never given up (3,000 starts in 30 s of a model), and two tasks that crash their hosts late excused one another for ever (47 starts each after the third crash).

Cause: only crashes after a confirmed start counted for giving a long-running task up, and any crash of a host without it explained its own, also one of which another single task had been suspected before.

One counter holds the crashes that nothing else explains, confirmed or not, four at most. A crash under a single suspect that ran apart explains no other. A run that has vanished at a change of the owner counts as explained.

TestALongRunningTaskThatCrashesItsHostsBeforeTheyAnswerIsGivenUp fails on the code before and passes. TestALongRunningTaskIsNotGivenUpWhileHostsCrashWithoutIt still holds.

--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -52,9 +52,8 @@
 	// minConfirmed is the number of starts that hosts have to have confirmed before a task is given up after
 	// maxCrashes. A start that was not answered may never have reached its host.
 	minConfirmed = 2
-	// maxPromptCrashes and maxUnexplainedCrashes are the numbers of such crashes in a row after which a long-running
-	// task is given up.
-	maxPromptCrashes, maxUnexplainedCrashes = 4, 5
+	// maxUnexplainedCrashes is the number of such crashes in a row after which a long-running task is given up.
+	maxUnexplainedCrashes = 4
 	// promptSpan is the age up to which the crash of the host of a run is prompt.
 	promptSpan = 250 * time.Millisecond
 )
@@ -64,6 +63,9 @@
 	at time.Time
 	// runs holds the tasks of the runs that were on the host.
 	runs map[batch.Ref]struct{}
+	// blamed reports whether the one suspect of the crash ran apart since it was suspected before. Its crashes do
+	// not show that hosts crash by themselves.
+	blamed bool
 }
 
 // recordCrash records that an instance of a host has ended. An end that was announced, or that
@@ -82,8 +84,9 @@
 	for _, run := range crash.Runs {
 		past.runs[run.Ref] = struct{}{}
 	}
-	s.pastCrashes = append(s.pastCrashes, past)
+	s.pastCrashes = slices.DeleteFunc(s.pastCrashes, func(c pastCrash) bool { return now.Sub(c.at) > settleTime })
 	if len(crash.Runs) == 0 {
+		s.pastCrashes = append(s.pastCrashes, past)
 		return
 	}
 	youngest := time.Duration(math.MaxInt64)
@@ -97,7 +100,10 @@
 		task.crashedRun = run.Run
 		run.Suspected = run.Age <= max(youngest, settleTime)
 		crash.suspects += count(run.Suspected)
+		past.blamed = past.blamed || (run.Suspected && task.Crashes.Isolated)
 	}
+	past.blamed = past.blamed && crash.suspects == 1
+	s.pastCrashes = append(s.pastCrashes, past)
 	for i := range crash.Runs {
 		run := &crash.Runs[i]
 		if !run.Suspected {
@@ -106,7 +112,7 @@
 		}
 		run.GivenUp = s.suspect(run.Ref, suspicion{
 			alone: crash.suspects == 1, first: run.Age <= max(youngest, startSpan), confirmed: run.Confirmed,
-			prompt: run.Confirmed && run.Age <= promptSpan, explained: s.hostsCrashWithout(run.Ref, now),
+			prompt: run.Confirmed && run.Age <= promptSpan, explained: s.hostsCrashWithout(run.Ref),
 		}, now)
 	}
 	s.crashes = append(s.crashes, crash)
@@ -145,12 +151,12 @@
 	prompt, explained bool
 }
 
-// hostsCrashWithout reports whether a host without a task has crashed within settleTime.
-func (s *State) hostsCrashWithout(ref batch.Ref, now time.Time) bool {
-	s.pastCrashes = slices.DeleteFunc(s.pastCrashes, func(c pastCrash) bool { return now.Sub(c.at) > settleTime })
+// hostsCrashWithout reports whether a host without a task has crashed by itself within settleTime before the last
+// crash, as far as is known.
+func (s *State) hostsCrashWithout(ref batch.Ref) bool {
 	return slices.ContainsFunc(s.pastCrashes, func(c pastCrash) bool {
 		_, aboard := c.runs[ref]
-		return !aboard
+		return !aboard && !c.blamed
 	})
 }
 
@@ -186,8 +192,7 @@
 // once no task of it is left.
 func (s *State) suspectLongRunning(j *Job, ref batch.Ref, task *Task, why suspicion, now time.Time) bool {
 	wasGivenUp := task.Crashes.GivenUp()
-	task.Crashes.Prompt += count(why.prompt)
-	task.Crashes.Unexplained += count(why.confirmed && (why.prompt || !why.explained))
+	task.Crashes.Unexplained += count(why.prompt || !why.explained)
 	if !task.Crashes.GivenUp() {
 		return false
 	}
@@ -261,16 +266,14 @@
 	// Late is the number of hosts that crashed after the task had been on them for settleTime, and of
 	// whose crash younger tasks were suspected.
 	Late int `cbor:"4,keyasint,omitempty"`
-	// Prompt is the number of hosts that crashed within promptSpan of a start which they had confirmed, and
-	// Unexplained the number of those and of the hosts that had confirmed the start and crashed while no host
-	// without the task did. Both are counted for long-running tasks only, and Prompt is at most Unexplained.
-	Prompt      int `cbor:"6,keyasint,omitempty"`
-	Unexplained int `cbor:"7,keyasint,omitempty"`
+	// Unexplained is the number of hosts that crashed within promptSpan of a start which they had confirmed, or
+	// while no other crash explained theirs. It is counted for long-running tasks only and is at most Hosts.
+	Unexplained int `cbor:"6,keyasint,omitempty"`
 }
 
 // GivenUp reports whether a long-running task is not started any more.
 func (c *Crashes) GivenUp() bool {
-	return c.Prompt >= maxPromptCrashes || c.Unexplained >= maxUnexplainedCrashes
+	return c.Unexplained >= maxUnexplainedCrashes
 }
 
 // exhausted reports whether a task has crashed so many hosts that it is given up.
@@ -289,7 +292,7 @@
 		_, stage, task := s.task(ref)
 		if stage != nil && !task.Done && task.startedEarlier && (task.Crashes.Hosts > 0 || s.hostEndedUnseen) {
 			// Whether the host crashed, and what else was on it, is not known.
-			s.suspect(ref, suspicion{first: task.Crashes.Hosts > 0}, now)
+			s.suspect(ref, suspicion{first: task.Crashes.Hosts > 0, explained: true}, now)
 		}
 		if stage != nil {
 			task.startedEarlier = false
