--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -19,7 +19,7 @@
 	// origin is the time from which the times of the steps count.
 	origin time.Time
 	// steps holds all waiting steps, as a binary heap with the oldest first.
-	steps stepHeap
+	steps indexedHeap[*waitingStep, byAge]
 	// ranked is the buffer of the last ranking.
 	ranked []*waitingStep
 	// queues holds what the waiting steps of a queue share, by name.
@@ -31,11 +31,11 @@
 	// touched holds steps that may have to move to another place, and steps in no group.
 	touched []*waitingStep
 	// alarms holds the steps that have to move to another group at some time.
-	alarms alarmHeap
+	alarms indexedHeap[*waitingStep, byAlarm]
 	// unopened holds the open jobs of which some occurrence is not open yet, by ID. Of those, due holds the
 	// jobs whose next occurrence may be opened once it is due.
 	unopened map[string]*Job
-	due      dueHeap
+	due      indexedHeap[*opening, byDueTime]
 	// spreads counts the stages by the number of hosts over which they spread.
 	spreads map[int]int
 	// longRunning is the capacity for the long-running tasks that are not done.
@@ -518,37 +518,12 @@
 	return least
 }
 
-// stepHeap is a binary heap of waiting steps, the oldest first.
-type stepHeap []*waitingStep
-
-func (h stepHeap) Len() int           { return len(h) }
-func (h stepHeap) Less(i, k int) bool { return h[i].accepted < h[k].accepted }
-func (h stepHeap) Swap(i, k int) {
-	h[i], h[k] = h[k], h[i]
-	h[i].position, h[k].position = i, k
-}
-
-// Push implements [heap.Interface].
-func (h *stepHeap) Push(x any) {
-	w := x.(*waitingStep)
-	w.position = len(*h)
-	*h = append(*h, w)
-}
-
-// Pop implements [heap.Interface].
-func (h *stepHeap) Pop() any {
-	last := len(*h) - 1
-	w := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return w
-}
-
-// oldest returns the oldest steps, up to a number, in the order of their age.
-func (h stepHeap) oldest(limit int) []*waitingStep {
-	var out, next stepHeap
+// oldest returns the oldest waiting steps, up to a number, in the order of their age.
+func (b *backlog) oldest(limit int) []*waitingStep {
+	h := b.steps
+	var out, next indexedHeap[*waitingStep, byAge]
 	if len(h) > 0 {
-		next = stepHeap{h[0]}
+		next = append(next, h[0])
 	}
 	for len(next) > 0 && len(out) < limit {
 		// Positions belong to the whole heap, so this one is searched.
@@ -568,160 +543,3 @@
 	}
 	return out
 }
-
-// alarmHeap is a binary heap of waiting steps, the next alarm first.
-type alarmHeap []*waitingStep
-
-func (h alarmHeap) Len() int           { return len(h) }
-func (h alarmHeap) Less(i, k int) bool { return h[i].alarm < h[k].alarm }
-func (h alarmHeap) Swap(i, k int) {
-	h[i], h[k] = h[k], h[i]
-	h[i].alarmPosition, h[k].alarmPosition = i, k
-}
-
-// Push implements [heap.Interface].
-func (h *alarmHeap) Push(x any) {
-	w := x.(*waitingStep)
-	w.alarmPosition = len(*h)
-	*h = append(*h, w)
-}
-
-// Pop implements [heap.Interface].
-func (h *alarmHeap) Pop() any {
-	last := len(*h) - 1
-	w := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	w.alarmPosition = -1
-	return w
-}
-
-// opening is the next occurrence of a job, which is due at a time in milliseconds since 1970.
-type opening struct {
-	job *Job
-	at  int64
-	// position is the index in backlog.due.
-	position int
-}
-
-// dueHeap is a binary heap of openings, the next due one first.
-type dueHeap []*opening
-
-func (h dueHeap) Len() int           { return len(h) }
-func (h dueHeap) Less(i, k int) bool { return h[i].at < h[k].at }
-func (h dueHeap) Swap(i, k int) {
-	h[i], h[k] = h[k], h[i]
-	h[i].position, h[k].position = i, k
-}
-
-// Push implements [heap.Interface].
-func (h *dueHeap) Push(x any) {
-	o := x.(*opening)
-	o.position, o.job.opening = len(*h), o
-	*h = append(*h, o)
-}
-
-// Pop implements [heap.Interface].
-func (h *dueHeap) Pop() any {
-	last := len(*h) - 1
-	o := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	o.job.opening = nil
-	return o
-}
-
-// criticalPathFrom returns the longest sum of estimated run times along dependent steps, from a
-// step on.
-func criticalPathFrom(spec *batch.Spec, step int) time.Duration {
-	longest := make([]time.Duration, len(spec.Steps))
-	for i := len(spec.Steps) - 1; i >= step; i-- {
-		// All later steps have added their paths to the steps that they depend on.
-		longest[i] = clamp.Add(longest[i], spec.Steps[i].Estimate)
-		for _, before := range spec.Steps[i].After {
-			longest[before] = max(longest[before], longest[i])
-		}
-	}
-	return longest[step]
-}
-
-// ready reports whether all predecessors of a step are done.
-func (o *Occurrence) ready(spec *batch.Spec, step int) bool {
-	for _, a := range spec.Steps[step].After {
-		if o.Stages[a].Left > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// workLeft is the estimated work of the tasks of an occurrence that are not done.
-type workLeft struct {
-	sum int64
-	// known is false after a task was done.
-	known bool
-}
-
-// left returns the work.
-func (l *workLeft) left(spec *batch.Spec, stages []Stage) int64 {
-	if !l.known {
-		l.sum, l.known = 0, true
-		for si := range stages {
-			l.sum += estimatedWork(&spec.Steps[si], stages[si].Left)
-		}
-	}
-	return l.sum
-}
-
-// maxOpenTasks limits the tasks of one job in the occurrences that are open at once. Further occurrences
-// open as earlier ones are done. One occurrence is always open.
-const maxOpenTasks = 65_536
-
-// openOccurrences returns the number of occurrences that are due and not done.
-func (j *Job) openOccurrences() int {
-	return len(j.Occurrences) - (j.Spec.Occurrences() - j.OccurrencesLeft)
-}
-
-// mayOpen reports whether another occurrence of a job may be opened.
-func (j *Job) mayOpen() bool {
-	open := j.openOccurrences()
-	return open == 0 || (open+1)*j.Spec.TaskCount() <= maxOpenTasks
-}
-
-// nextDue returns when the next occurrence of a job is due, in milliseconds since 1970.
-func (j *Job) nextDue() int64 {
-	if j.Spec.Repetitions == 0 {
-		return math.MinInt64
-	}
-	return j.dueAt(len(j.Occurrences))
-}
-
-// openDue opens the occurrences that are due. An inherited job may have more open occurrences than
-// are due by the clock of this owner.
-func (s *State) openDue(wall int64) {
-	b := &s.backlog
-	for len(b.due) > 0 && b.due[0].at <= wall {
-		j := heap.Pop(&b.due).(*opening).job
-		for b.unopened[j.ID] == j && j.nextDue() <= wall && j.mayOpen() {
-			s.openOccurrence(j)
-		}
-		switch {
-		case b.unopened[j.ID] != j:
-		case j.nextDue() <= wall:
-			j.opensLater = true
-		default:
-			b.scheduleOpening(j)
-		}
-	}
-}
-
-// scheduleOpening has the next occurrence of a job opened when it is due.
-func (b *backlog) scheduleOpening(j *Job) { heap.Push(&b.due, &opening{job: j, at: j.nextDue()}) }
-
-// resumeOpening has the occurrences of a job opened again that had too many open tasks.
-func (b *backlog) resumeOpening(j *Job) {
-	if j.opensLater {
-		j.opensLater = false
-		b.scheduleOpening(j)
-	}
-}
--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -199,7 +199,7 @@
 	}
 	roomy := s.candidates(now).withRoom(s.backlog.leastNeed())
 	w.Roomy, w.Busy = len(roomy), len(roomy)-len(roomy.answered())
-	for i, step := range s.backlog.steps.oldest(explainedSteps) {
+	for i, step := range s.backlog.oldest(explainedSteps) {
 		ref := step.firstIdle()
 		reason := s.Explain(ref, now)
 		w.Reasons[reason]++
