--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -37,8 +37,8 @@
 	return port.Record{Key: url.PathEscape(p.Queue) + "/" + url.PathEscape(p.Pool), Value: value}, err
 }
 
-// parse returns the place of a record. If the value cannot be read, its version counts as 0: the pool may hold jobs
-// all the same.
+// parse returns the place of a record. If the value cannot be read, its version counts as 0: the pool may
+// still hold jobs.
 func parse(e port.Record) (Place, bool) {
 	queue, pool, ok := strings.Cut(e.Key, "/")
 	if !ok || e.Value == nil {
--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -126,7 +126,10 @@
 }
 
 // endOne ends the oldest run and submits a job whenever as many tasks have ended.
-func (p *fullPool) endOne() {
+func (p *fullPool) endOne() { p.replaceOldest(p.submit) }
+
+// replaceOldest ends the oldest run, and submits a job whenever as many tasks have ended as a job has.
+func (p *fullPool) replaceOldest(submit func()) {
 	o := p.started[0]
 	p.started = p.started[1:]
 	p.ends++
@@ -135,7 +138,7 @@
 		Number: p.ends, Unit: o.Ref.String(), Run: o.Run, Result: port.ResultDone,
 	}}}, p.now)
 	if p.ends%int64(p.perJob) == 0 {
-		p.submit()
+		submit()
 	}
 	for _, c := range p.state.TakeChanges() {
 		p.state.MarkWritten(c)
--- a/fleet/shard/cost_test.go
+++ b/fleet/shard/cost_test.go
@@ -86,24 +86,10 @@
 }
 
 // replaceOne ends the oldest run, and submits a job for each that has begun to run whole.
-func (p *waitingPool) replaceOne() {
-	o := p.started[0]
-	p.started = p.started[1:]
-	p.ends++
-	p.state.HandleStartResult(&o, 2, nil, p.now)
-	p.state.HandleReport(o.Host, &port.HostReport{Clock: 3, Finished: []port.FinishedRun{{
-		Number: p.ends, Unit: o.Ref.String(), Run: o.Run, Result: port.ResultDone,
-	}}}, p.now)
-	if p.ends%int64(p.perJob) == 0 {
-		p.submitNext()
-	}
-	for _, c := range p.state.TakeChanges() {
-		p.state.MarkWritten(c)
-	}
-}
+func (p *waitingPool) replaceOne() { p.replaceOldest(p.submitNext) }
 
-// BenchmarkMemory measures the memory of a job that waits, and of one that has ended. A job is like those of the
-// users' bulk kinds: two steps of eight tasks, of which four occurrences are open.
+// BenchmarkMemory measures the memory of a job that waits, and of one that has ended. A job has two
+// steps of eight tasks, of which four occurrences are open.
 func BenchmarkMemory(b *testing.B) {
 	const jobs = 20_000
 	for b.Loop() {
