Give each job of two loads of a system test an ID of its own

The log has the job submitted to q-docs and to q-wages at 01:39:48.842 and .843, accepted by both: two loads that submit at the same time took the same number from a counter that was not synchronized. The system runs an ID once a queue, so it did what it was asked.

The counter is atomic; no check changed.

--- a/trial/system/system_test.go
+++ b/trial/system/system_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,7 +53,7 @@
 	*fake.Deployment
 	t      *testing.T
 	ctx    context.Context
-	lastID int
+	lastID atomic.Int64
 }
 
 // start starts entries on a new simulated platform with the default layout.
@@ -89,8 +90,7 @@
 }
 
 func (f *fixture) nextID() string {
-	f.lastID++
-	return fmt.Sprintf("%016x", f.lastID)
+	return fmt.Sprintf("%016x", f.lastID.Add(1))
 }
 
 // submitAccepted submits a job until an entry accepts it, and fails the test if none does in time.
@@ -110,7 +110,7 @@
 
 // submitJob is like submitUntilAccepted, for a job that the test has built.
 func (f *fixture) submitJob(pool string, j *fake.Job, steps ...fake.StepSpec) error {
-	status := f.SubmitJob(f.ctx, f.Entries[f.lastID%len(f.Entries)], pool, j, steps...)
+	status := f.SubmitJob(f.ctx, f.Entries[int(f.lastID.Load())%len(f.Entries)], pool, j, steps...)
 	for try := 1; status != http.StatusOK; try++ {
 		if err := f.ctx.Err(); err != nil {
 			return err
