Refuse questions about jobs that the new pool of a queue may hold

What callers saw: status 410 for an accepted job (LOST), a cancellation that was confirmed while the job ran on (UNASKED), and a number of pending jobs without those of the new pool (MIXED), at entries whose configuration is older than that of the entry that accepted the job, or newer than that of the owner they ask.

Cause: such an entry asks the owner of the queue's earlier pool. That owner knows that the queue is closed there, since the new owner asks it before it accepts jobs, but it used this for submissions only and answered everything else as if it were the only pool of the queue.

Evidence: four tests that force the order of events with owners over one store. Before the change they failed: "missing" in place of "refused" (twice), "accepted" for the cancellation, "found" for the count. TestAnEndedJobIsKnownAfterTwoHandOvers passed before: two hand-overs within the retention time lose neither an ended job nor one from the inbox.

Why the fix works: an owner is told that a queue is closed before another pool accepts a job of it, and the store holds that, so it cannot answer for a job that may be elsewhere. It answers 503 with Retry-After until the entry, or the owner, has read the newer configuration.

--- a/entry/owner/moved.go
+++ b/entry/owner/moved.go
@@ -83,6 +83,12 @@
 	return c.isForeign(&q) || (closedAt > 0 && closedAt >= q.Version)
 }
 
+// mayBeElsewhere reports whether the pool that takes the jobs of a queue now may hold a job that this one does not know.
+// The entry that asks may have an older configuration than the one that accepted the job, or a newer one than this owner.
+func (c *core) mayBeElsewhere(asked *port.Queue) bool {
+	return !c.isForeign(asked) && c.isElsewhere(asked.Name)
+}
+
 // earlierPools returns the other pools that may hold jobs of a queue. known is false until the pool has been
 // registered for the queue.
 func (c *core) earlierPools(queue string) (pools []string, known bool) {
@@ -364,12 +370,15 @@
 	m.reply <- a
 }
 
-// settleEarlier answers a question about a job that this owner does not know, for a queue with earlier pools. It
+// settleEarlier answers a question about a job that this owner does not know, for a queue with other pools. It
 // reports false if there are none.
 func (m jobStatus) settleEarlier(c *core) bool {
 	earlier, known := c.earlierPools(m.queue.Name)
 	_, unchecked := c.placing.unchecked[m.id]
 	switch {
+	case c.mayBeElsewhere(&m.queue) && !unchecked:
+		m.reply <- refusedMoved
+		return true
 	case !known:
 		m.reply <- refusedUnregistered
 		return true
@@ -391,12 +400,16 @@
 	return true
 }
 
-// cancelEarlier cancels a job that this owner does not know in the earlier pools of its queue first. It reports
-// false if there are none.
+// cancelEarlier cancels a job that this owner does not know in the earlier pools of its queue first, or refuses if another
+// pool takes the jobs of the queue now. It reports false if there are no other pools.
 func (m cancelJob) cancelEarlier(c *core) bool {
 	if j := c.state.Jobs[m.id]; c.isForeign(&m.queue) || (j != nil && !j.Unsubmitted) {
 		return false
 	}
+	if c.mayBeElsewhere(&m.queue) {
+		m.reply <- refusedMoved
+		return true
+	}
 	earlier, known := c.earlierPools(m.queue.Name)
 	if !known {
 		m.reply <- refusedUnregistered
@@ -423,8 +436,13 @@
 
 func (m cancelledEarlier) handle(c *core) { c.cancel(m.cancelJob) }
 
-// addEarlier adds the pending jobs of earlier pools to an answer and replies. It reports false if there are none.
+// addEarlier adds the pending jobs of earlier pools to an answer and replies, or refuses if another pool takes the jobs
+// of the queue now. It reports false if there are no other pools.
 func (m pendingCount) addEarlier(c *core, a Answer) bool {
+	if c.mayBeElsewhere(&m.queue) {
+		m.reply <- refusedMoved
+		return true
+	}
 	earlier, _ := c.earlierPools(m.queue.Name)
 	if len(earlier) == 0 || c.isForeign(&m.queue) {
 		return false
