Log why long-running work waits

The line "work waits" gave the reasons of the 32 oldest steps. A long-running task whose run has ended mostly waits beside older work, so the line could not say why it did not run.

--- a/entry/owner/waiting.go
+++ b/entry/owner/waiting.go
@@ -31,16 +31,31 @@
 	if w.Age < waitingLogAge {
 		return
 	}
-	var hosts, reasons []any
+	var hosts []any
 	for obstacle, count := range w.Hosts {
 		if count > 0 {
 			hosts = append(hosts, slog.Int(obstacleNames[obstacle], count))
 		}
 	}
-	for reason, count := range w.Reasons {
-		reasons = append(reasons, slog.Int(string(reason), count))
-	}
 	c.logger.Info("work waits", "steps", w.Steps, "units", w.Tasks, "long-running", w.LongRunning, slog.Group("hosts", hosts...),
 		"roomy", w.Roomy, "busy", w.Busy, "reserved", w.Reserved, "starts-left", c.starts.Room(now), "starts-limit", c.starts.Limit(),
-		slog.Group("reasons", reasons...), "oldest", w.Oldest.String(), "age-ms", w.Age.Milliseconds(), "why", string(w.OldestReason))
+		reasonGroup("reasons", w.Reasons), "oldest", w.Oldest.String(), "age-ms", w.Age.Milliseconds(), "why", string(w.OldestReason),
+		reasonGroup("long-running-reasons", w.LongRunningReasons), "long-running-unit", longRunningUnit(&w))
+}
+
+// reasonGroup returns a log group that holds how often each reason applies.
+func reasonGroup(key string, reasons map[shard.Reason]int) slog.Attr {
+	var counts []any
+	for reason, count := range reasons {
+		counts = append(counts, slog.Int(string(reason), count))
+	}
+	return slog.Group(key, counts...)
+}
+
+// longRunningUnit returns the name of a long-running task that waits, or nothing if there is none.
+func longRunningUnit(w *shard.Waiting) string {
+	if w.LongRunning == 0 {
+		return ""
+	}
+	return w.LongRunningTask.String()
 }
--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -183,13 +183,17 @@
 	// waits. OldestReason is that of Oldest.
 	Reasons      map[Reason]int
 	OldestReason Reason
+	// LongRunningReasons counts long-running steps, up to explainedSteps, by the reason why their first idle task
+	// waits. LongRunningTask is such a task; which one is not defined.
+	LongRunningReasons map[Reason]int
+	LongRunningTask    batch.Ref
 }
 
 // Waiting sums up the work that waits.
 func (s *State) Waiting(now time.Time) Waiting {
 	w := Waiting{
 		Steps: len(s.backlog.steps), Tasks: s.backlog.tasks, LongRunning: s.backlog.longRunningTasks,
-		Reserved: s.reserved, Reasons: map[Reason]int{},
+		Reserved: s.reserved, Reasons: map[Reason]int{}, LongRunningReasons: map[Reason]int{},
 	}
 	if w.Steps == 0 {
 		return w
@@ -207,9 +211,28 @@
 			w.Oldest, w.Age, w.OldestReason = ref, now.Sub(step.job.AcceptedAt), reason
 		}
 	}
+	s.explainLongRunning(&w, now)
 	return w
 }
 
+// explainLongRunning sets why long-running work waits. It may wait beside older work.
+func (s *State) explainLongRunning(w *Waiting, now time.Time) {
+	if w.LongRunning == 0 {
+		return
+	}
+	explained := 0
+	for _, step := range s.backlog.steps {
+		if !step.step.LongRunning {
+			continue
+		}
+		w.LongRunningTask = step.firstIdle()
+		w.LongRunningReasons[s.Explain(w.LongRunningTask, now)]++
+		if explained++; explained == explainedSteps {
+			return
+		}
+	}
+}
+
 // firstIdle returns the first idle task of the step.
 func (w *waitingStep) firstIdle() batch.Ref {
 	ref := w.ref()
--- a/fleet/shard/explain_test.go
+++ b/fleet/shard/explain_test.go
@@ -147,6 +147,8 @@
 	require.Equal(t, shard.Spread, w.OldestReason)
 	require.Equal(t, 2*time.Second, w.Age)
 	require.Equal(t, batch.Ref{Job: "old", Index: 1}, w.Oldest)
+	require.Equal(t, map[shard.Reason]int{shard.NoRoom: 1}, w.LongRunningReasons)
+	require.Equal(t, batch.Ref{Job: "new"}, w.LongRunningTask)
 }
 
 // open opens the occurrences that are due, and starts nothing.
