Simulate long-running work beside other work, and list what the simulation finds

The simulation of owners, hosts and a store takes jobs that last, with floods of work that ends, gangs, limits of tasks per host, labels and jobs that fail, while hosts crash, go for good and join, owners are killed and cut off, and the store is silent. After the faults, the platform's rule on long-running tasks is checked: none waits for over 3 s beside room for it twice, 4 s after the last fault or later. The rest of the simulation draws what it drew before.

--- /dev/null
+++ b/fleet/shard/lasting_test.go
@@ -0,0 +1,331 @@
+package shard_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
+)
+
+// lasting is the part of a simulation that concerns long-running work. Jobs of several kinds come and go beside it.
+// Faults act for some time, then none. From calmTime after the last fault on, a long-running task must not wait for
+// longer than maxWait while there is room for it twice.
+type lasting struct {
+	// disturbed reports whether faults act. The network loses and delays messages then.
+	disturbed bool
+	// disturbedAt is the time of the last fault.
+	disturbedAt time.Time
+	// storeSilentUntil is until when the store answers no owner.
+	storeSilentUntil time.Time
+	// listedAt is when the list of machines was last read.
+	listedAt time.Time
+	// waits holds since when each long-running task has waited beside room for it twice.
+	waits map[batch.Ref]time.Time
+	// longest is the longest such time.
+	longest time.Duration
+	// mix is what the callers submit.
+	mix mix
+	// failing holds the jobs whose runs all fail.
+	failing map[string]bool
+}
+
+// mix is what callers submit, drawn for each simulation.
+type mix struct {
+	// cores are the sizes of tasks, in thousandths of a core.
+	cores []int64
+	// longRunning and shortJobs are the numbers of jobs that callers submit at most, and shortRate the probability
+	// in a thousand of a submission of work that ends in a step of the simulation.
+	longRunning, shortJobs, shortRate int
+	// shortTime is the longest run time of work that ends.
+	shortTime time.Duration
+	// badShare is the share of jobs of work that ends whose runs all fail, in a hundred. gangShare is that of gangs.
+	badShare, gangShare int
+	// labels reports whether some long-running work needs a label.
+	labels bool
+	// crashRate is the probability in a thousand that a host crashes in a step of the simulation with faults.
+	crashRate int
+}
+
+const (
+	// calmTime and maxWait are the bounds of the platform's rules.
+	calmTime = 4 * time.Second
+	maxWait  = 3 * time.Second
+	// faultSteps and calmSteps are the numbers of steps with and without faults.
+	faultSteps, calmSteps = 400, 500
+	// lastingSeeds is the number of seeds.
+	lastingSeeds = 200
+	// machineListInterval is the time between two reads of the list of machines.
+	machineListInterval = 500 * time.Millisecond
+	// unlistTime is the time after which a host that is gone is not listed any more.
+	unlistTime = 3 * time.Second
+)
+
+func newLastingSimulation(t *testing.T, seed uint64) *simulation {
+	w := newSimulation(t, seed)
+	r := w.rand
+	sizes := [][]int64{{250, 500}, {1000}, {250, 3500}, {500, 1000, 2000, 3000}, {4000, 250}}
+	w.lasting = &lasting{
+		disturbed: true, disturbedAt: w.now, waits: map[batch.Ref]time.Time{}, failing: map[string]bool{},
+		mix: mix{
+			cores: sizes[r.IntN(len(sizes))], longRunning: 1 + r.IntN(12), shortJobs: 100 * r.IntN(4), shortRate: []int{5, 30, 150}[r.IntN(3)],
+			shortTime: time.Duration(300+r.IntN(7000)) * time.Millisecond, badShare: []int{0, 0, 30, 90}[r.IntN(4)], gangShare: r.IntN(2) * 20,
+			labels: r.IntN(3) == 0, crashRate: []int{5, 20, 60}[r.IntN(3)],
+		},
+	}
+	w.limits = shard.Limits{Starts: 8, StartsPerHost: 1}
+	for range r.IntN(8) {
+		w.addHost()
+	}
+	for _, h := range w.hosts {
+		h.capacity, h.instance = batch.Size{MilliCores: 4000, MemoryMB: 8000}, 1
+		if r.IntN(2) == 0 {
+			h.labels = []string{"fast"}
+		}
+	}
+	w.updateHosts()
+	return w
+}
+
+// addHost adds a host under a new ID.
+func (w *simulation) addHost() {
+	id := fmt.Sprintf("h%d", len(w.hostIDs))
+	w.hostIDs = append(w.hostIDs, id)
+	w.hosts[id] = &simHost{
+		id: id, clockRate: 0.98 + 0.02*w.rand.Float64(), running: map[string]*simRun{}, highestEnded: map[string]int64{}, clock: time.Second,
+		capacity: batch.Size{MilliCores: 4000, MemoryMB: 8000}, instance: 1, labels: []string{"fast"},
+	}
+}
+
+// updateHosts tells all owners the list of hosts.
+func (w *simulation) updateHosts() {
+	for _, o := range w.owners {
+		for _, id := range w.hostIDs {
+			if !w.hosts[id].gone {
+				o.state.UpdateHost(w.listEntry(id), w.now)
+			}
+		}
+	}
+}
+
+// runTime returns the time that a run of a step takes.
+func (w *simulation) runTime(step *batch.Step) time.Duration {
+	if w.lasting == nil {
+		return 300*time.Millisecond + time.Duration(w.rand.IntN(1500))*time.Millisecond
+	}
+	return time.Duration(float64(step.Estimate) * (0.7 + 0.6*w.rand.Float64()))
+}
+
+// failsAtEnd reports whether a run fails that would end now.
+func (w *simulation) failsAtEnd(task string) bool {
+	if w.lasting == nil {
+		return w.rand.IntN(12) == 0
+	}
+	job, _, _ := strings.Cut(task, ".")
+	return w.failing[job] || w.rand.IntN(50) == 0
+}
+
+// lastingFailure is the number of steps of the simulation in which a long-running task fails once on average.
+const lastingFailure = 600
+
+// plan does a round of planning, with the ranking that package owner uses in simulations of long-running work.
+func (w *simulation) plan(o *simOwner) {
+	if w.lasting == nil {
+		shard.PlanWithin(o.state, shard.BySlack{}, w.limits, w.now, w.now.UnixMilli())
+		return
+	}
+	ranking := shard.StarvedFirst[shard.ByLoad]{
+		Ranking: shard.ByLoad{Overloaded: o.state.Overloaded}, Spare: o.state.HasSpareCapacity(w.now),
+	}
+	shard.PlanWithin(o.state, ranking, w.limits, w.now, w.now.UnixMilli())
+}
+
+// stepLasting does what a step of the simulation with long-running work does besides.
+func (w *simulation) stepLasting() {
+	if w.disturbed {
+		w.disturbLasting()
+	}
+	if !w.now.Before(w.storeSilentUntil) {
+		w.submitLasting()
+	}
+	o := w.current()
+	if w.now.Sub(w.listedAt) >= machineListInterval {
+		w.listedAt = w.now
+		for _, id := range o.state.SilentHosts(w.now) {
+			if w.hosts[id].down {
+				o.state.HostEnded(id, w.now)
+			}
+		}
+	}
+	w.checkLasting(o)
+}
+
+// disturbLasting causes one of the faults now and then.
+func (w *simulation) disturbLasting() {
+	o := w.current()
+	id := w.hostIDs[w.rand.IntN(len(w.hostIDs))]
+	if w.rand.IntN(1000) < w.mix.crashRate {
+		for range 1 + w.rand.IntN(3) {
+			w.crashHost(w.hosts[w.hostIDs[w.rand.IntN(len(w.hostIDs))]])
+		}
+	}
+	switch n := w.rand.IntN(1000); {
+	case n < 6:
+		o.stopped = true
+		w.logf("owner %d is killed", o.state.Epoch)
+		w.takeOver()
+	case n < 12:
+		o.partitioned = true
+		w.logf("owner %d is cut off", o.state.Epoch)
+		w.schedule(1500*time.Millisecond, w.takeOver)
+		w.schedule(time.Duration(1500+w.rand.IntN(3000))*time.Millisecond, func() { o.partitioned = false })
+	case n < 18:
+		o.unreachable[id] = true
+		w.schedule(time.Duration(500+w.rand.IntN(5000))*time.Millisecond, func() { o.unreachable[id] = false })
+	case n < 22:
+		w.storeSilentUntil = w.now.Add(time.Duration(500+w.rand.IntN(5000)) * time.Millisecond)
+	case n < 30 && len(w.hostIDs) < 20 && !w.hosts[id].down: // a host is gone for good, and another one joins
+		w.hosts[id].gone = true
+		w.crashHost(w.hosts[id])
+		w.schedule(unlistTime, func() {
+			for _, o := range w.owners {
+				o.state.UnlistHost(id)
+			}
+		})
+		w.schedule(time.Duration(w.rand.IntN(4000))*time.Millisecond, func() { w.addHost(); w.updateHosts() })
+	}
+}
+
+// submitLasting submits jobs.
+func (w *simulation) submitLasting() {
+	o := w.current()
+	if o.partitioned || o.stopped {
+		return
+	}
+	need := batch.Size{MilliCores: w.mix.cores[w.rand.IntN(len(w.mix.cores))], MemoryMB: 100}
+	switch n := w.rand.IntN(1000); {
+	case n < 20 && w.mix.longRunning > 0:
+		w.mix.longRunning--
+		step := batch.Step{Count: 1 + w.rand.IntN(6), Need: need, LongRunning: true, PerHost: w.rand.IntN(3), MaxUnavailable: 1}
+		if w.mix.labels && w.rand.IntN(2) == 0 {
+			step.RequiredLabel = "fast"
+		}
+		w.submitJob("lasts", step)
+	case n < 20+w.mix.shortRate && w.mix.shortJobs > 0:
+		w.mix.shortJobs--
+		step := batch.Step{Count: 1 + w.rand.IntN(20), Need: need, Estimate: w.mix.shortTime/4 + time.Duration(w.rand.Int64N(int64(w.mix.shortTime)))}
+		if w.rand.IntN(100) < w.mix.gangShare {
+			step.Gang, step.Count = true, 2+w.rand.IntN(4)
+		}
+		id := w.submitJob("ends", step)
+		w.failing[id] = w.rand.IntN(100) < w.mix.badShare
+	}
+}
+
+func (w *simulation) submitJob(kind string, step batch.Step) string {
+	w.jobCount++
+	id := fmt.Sprintf("%s%d", kind, w.jobCount)
+	spec := batch.Spec{Queue: "q", Steps: []batch.Step{step}, AcceptedMS: w.now.UnixMilli()}
+	o := w.current()
+	j, _ := o.state.Submit(id, spec, w.now)
+	w.specs[id] = spec
+	o.state.MarkStored(j)
+	w.logf("job %s: %+v", id, step)
+	return id
+}
+
+// checkLasting requires that no long-running task waits too long beside room for it twice.
+func (w *simulation) checkLasting(o *simOwner) {
+	if w.disturbed {
+		w.disturbedAt = w.now
+	}
+	running := map[string]bool{}
+	for _, h := range w.hosts {
+		for task := range h.running {
+			running[task] = running[task] || !h.down
+		}
+	}
+	for id, spec := range w.specs {
+		if !spec.Steps[0].LongRunning {
+			continue
+		}
+		for i := range spec.Steps[0].Count {
+			ref := batch.Ref{Job: id, Index: i}
+			if running[ref.String()] || w.now.Sub(w.disturbedAt) < calmTime || w.roomFor(ref, &spec.Steps[0]) < 2 {
+				delete(w.waits, ref)
+				continue
+			}
+			if _, ok := w.waits[ref]; !ok {
+				w.waits[ref] = w.now
+			}
+			wait := w.now.Sub(w.waits[ref])
+			w.longest = max(w.longest, wait)
+			if wait <= maxWait {
+				continue
+			}
+			var lines []string
+			for _, hid := range w.hostIDs {
+				h := w.hosts[hid]
+				seen := "not known"
+				if s := o.state.Hosts[hid]; s != nil {
+					seen = fmt.Sprintf("obstacle %d, assigned %d", o.state.ObstacleTo(s, w.now), len(s.Assigned))
+				}
+				lines = append(lines, fmt.Sprintf("%s: down %v, free %v, %d runs, labels %v; %s", hid, h.down, h.free(), len(h.running), h.labels, seen))
+			}
+			require.Failf(w.t, "a long-running task waits beside room for it twice", "%s %+v: %s; %+v\n%s",
+				ref, spec.Steps[0], o.state.Explain(ref, w.now), o.state.Waiting(w.now), strings.Join(lines, "\n"))
+		}
+	}
+}
+
+// roomFor returns how many runs of a task its hosts have room for.
+func (w *simulation) roomFor(ref batch.Ref, step *batch.Step) int {
+	room := 0
+	for _, h := range w.hosts {
+		if h.down || (step.RequiredLabel != "" && !shard.HasLabel(&port.Host{Labels: h.labels}, step.RequiredLabel)) {
+			continue
+		}
+		fits := int(h.free().MilliCores / step.Need.MilliCores)
+		if step.PerHost > 0 {
+			there := 0
+			for task := range h.running {
+				other, err := batch.ParseRef(task)
+				require.NoError(w.t, err)
+				if other.Job == ref.Job {
+					there++
+				}
+			}
+			fits = min(fits, step.PerHost-there)
+		}
+		room += max(fits, 0)
+	}
+	return room
+}
+
+// Guards against a long-running task that does not run although there is room for it (LOST).
+func TestLongRunningTasksRunWhereThereIsRoom(t *testing.T) {
+	for seed := range uint64(lastingSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newLastingSimulation(t, seed)
+			w.t.Cleanup(func() {
+				if w.t.Failed() {
+					w.t.Logf("%+v\n%s", w.mix, strings.Join(w.trace[max(len(w.trace)-traceLines, 0):], "\n"))
+				}
+			})
+			w.run(faultSteps, true)
+			w.disturbed, w.storeSilentUntil = false, time.Time{}
+			for _, o := range w.owners {
+				o.unreachable = map[string]bool{}
+				if o != w.current() {
+					o.stopped = true
+				}
+			}
+			w.run(calmSteps, false)
+		})
+	}
+}
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -62,6 +62,8 @@
 	crashes, startsAfter map[string]int
 	// restartRange is the range of the time that a crashed host is down, in milliseconds.
 	restartRange int
+	// lasting is set in simulations of long-running work.
+	*lasting
 }
 
 func (w *simulation) logf(format string, args ...any) {
@@ -80,7 +82,7 @@
 	for i := range 4 {
 		id := fmt.Sprintf("h%d", i)
 		w.hostIDs = append(w.hostIDs, id)
-		w.hosts[id] = &simHost{id: id, clockRate: 0.98 + 0.02*w.rand.Float64(), running: map[string]*simRun{}, highestEnded: map[string]int64{}, clock: time.Second}
+		w.hosts[id] = &simHost{id: id, clockRate: 0.98 + 0.02*w.rand.Float64(), running: map[string]*simRun{}, highestEnded: map[string]int64{}, clock: time.Second, capacity: batch.Size{MilliCores: 2000, MemoryMB: 4000}}
 	}
 	w.takeOver()
 	return w
@@ -112,7 +114,8 @@
 }
 
 func (w *simulation) listEntry(id string) port.Host {
-	return port.Host{ID: id, Pool: "pool", Rack: id, Capacity: batch.Size{MilliCores: 2000, MemoryMB: 4000}, Born: w.hosts[id].instance}
+	h := w.hosts[id]
+	return port.Host{ID: id, Pool: "pool", Rack: id, Capacity: h.capacity, Labels: h.labels, Born: h.instance}
 }
 
 func (w *simulation) current() *simOwner { return w.owners[len(w.owners)-1] }
@@ -127,6 +130,7 @@
 	case o.unreachable[id]:
 		w.schedule(800*time.Millisecond, unanswered)
 		return
+	case w.lasting != nil && !w.disturbed:
 	case w.onlyLateOwners:
 		if w.now.Before(o.lateUntil) {
 			lost = w.rand.IntN(20) > 0
@@ -206,11 +210,12 @@
 		}
 		return &port.RefusedError{Reason: port.RefusedStaleRun}
 	}
-	if len(h.running) >= 2 {
+	step := &w.specs[order.Ref.Job].Steps[order.Ref.Step]
+	if !h.free().Fits(step.Need) {
 		return &port.RefusedError{Reason: port.RefusedCapacity}
 	}
 	w.checkStart(h, order)
-	h.running[task] = &simRun{run: order.Run, left: 300*time.Millisecond + time.Duration(w.rand.IntN(1500))*time.Millisecond}
+	h.running[task] = &simRun{run: order.Run, left: w.runTime(step), need: step.Need, lasts: step.LongRunning}
 	if w.deadly != nil && w.deadly(task) {
 		if w.crashes[task] >= 3 && !o.partitioned {
 			w.startsAfter[task]++
@@ -246,7 +251,9 @@
 			require.Truef(w.t, w.done[before.String()], "%s started before %s was done", task, before)
 		}
 	}
-	require.Lessf(w.t, w.failures[task], 3, "%s started after its last attempt", task)
+	if !spec.Steps[order.Ref.Step].LongRunning {
+		require.Lessf(w.t, w.failures[task], 3, "%s started after its last attempt", task)
+	}
 }
 
 // runOwner does one round of an owner, in the order in which package owner does it.
@@ -261,14 +268,14 @@
 	o.state.ExpireLeases(w.now)
 	o.state.SettleSuspects(w.now)
 	o.state.RetryStops(w.now)
-	shard.PlanWithin(o.state, shard.BySlack{}, w.limits, w.now, w.now.UnixMilli())
+	w.plan(o)
 	for _, order := range o.state.TakeOrders() {
 		w.deliver(o, order)
 	}
 	for _, id := range w.hostIDs {
 		w.hold(o, id)
 	}
-	if o.partitioned {
+	if o.partitioned || (w.lasting != nil && w.now.Before(w.storeSilentUntil)) {
 		return
 	}
 	o.state.ConfirmedAt = w.now
@@ -424,6 +431,9 @@
 	h.down = true
 	w.logf("host %s crashes", h.id)
 	h.running, h.ended, h.highestEnded = map[string]*simRun{}, nil, map[string]int64{}
+	if h.gone {
+		return
+	}
 	w.schedule(time.Duration(200+w.rand.IntN(w.restartRange))*time.Millisecond, func() {
 		h.down, h.token, h.number, h.deadline, h.expiredEnd = false, 0, 0, 0, 0
 		h.clock = 10 * time.Millisecond
@@ -498,6 +508,8 @@
 			w.runHost(w.hosts[id])
 		}
 		switch {
+		case w.lasting != nil:
+			w.stepLasting()
 		case faults && w.onlyLateOwners:
 			w.injectLateOwner()
 			w.runCallers()
--- a/fleet/shard/sim_test.go
+++ b/fleet/shard/sim_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 )
@@ -14,11 +15,16 @@
 type simRun struct {
 	run  int64
 	left time.Duration
+	need batch.Size
+	// lasts reports whether the run does not end by itself, but may fail.
+	lasts bool
 }
 
 // simHost is a host that behaves as the platform specifies.
 type simHost struct {
 	id        string
+	capacity  batch.Size
+	labels    []string
 	clock     time.Duration
 	clockRate float64
 	instance  int64
@@ -30,6 +36,8 @@
 	// highestEnded is the highest run of each task that was stopped or has ended here.
 	highestEnded map[string]int64
 	down         bool
+	// gone reports whether the host is down for good. A host that is replaced is listed under another ID.
+	gone bool
 	// expiredEnd is the highest end number at the last time at which the host's lease had
 	// expired. Ends up to it do not bind the owner.
 	expiredEnd int64
@@ -53,6 +61,15 @@
 	do func()
 }
 
+// free returns the capacity that no run takes.
+func (h *simHost) free() batch.Size {
+	left := h.capacity
+	for _, r := range h.running {
+		left = left.Sub(r.need)
+	}
+	return left
+}
+
 // extendLease extends the lease up to a deadline, which is shortened to the longest lease.
 func (h *simHost) extendLease(deadline time.Duration) {
 	h.deadline = max(h.deadline, min(deadline, h.clock+timing.MaxLease))
@@ -84,7 +101,11 @@
 		switch {
 		case h.clock > h.deadline:
 			w.endRun(h, task, port.ResultLeaseExpired)
-		case r.left <= 0 && w.rand.IntN(12) == 0:
+		case r.lasts:
+			if w.rand.IntN(lastingFailure) == 0 {
+				w.endRun(h, task, port.ResultFailed)
+			}
+		case r.left <= 0 && w.failsAtEnd(task):
 			w.endRun(h, task, port.ResultFailed)
 		case r.left <= 0:
 			w.done[task] = true
