Start long-running work on unhealthy hosts if no other host takes it

What callers saw: a long-running task that does not run, with room for it (LOST).

Cause: a host that counts as unhealthy or slow got no new work at all. Up to half of a pool's hosts may be closed for up to 24 s while the others are full of work that ends, and long-running tasks waited beside their room.

Evidence: TestLongRunningTasksRunOnUnhealthyHostsIfNoOtherTakesThem failed before (no start).

Why the fix works: after the pass through the waiting steps, a second one offers the unhealthy hosts to long-running tasks that no healthy host admits. A task that waits for a healthy host with room to answer a start is left out, so health stays a preference. Work that ends is kept off as before. The plan still decides like the reference (TestPlanDecidesLikeTheReference), which has the same pass.

--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -23,7 +23,8 @@
 	Outdated
 	// Leaving hosts drain or are being emptied.
 	Leaving
-	// Unhealthy hosts failed their work, were slow or refused a start.
+	// Unhealthy hosts failed their work, were slow or refused a start. But for the last, long-running work may be
+	// started there if no other host takes it.
 	Unhealthy
 	// Silent hosts have not answered for longer than answerTimeout.
 	Silent
@@ -35,7 +36,10 @@
 )
 
 // ObstacleTo returns why a host gets no new work.
-func (s *State) ObstacleTo(h *Host, now time.Time) Obstacle {
+func (s *State) ObstacleTo(h *Host, now time.Time) Obstacle { return s.obstacleTo(h, now, false) }
+
+// obstacleTo is ObstacleTo. If unhealthy is true, a host that counts as unhealthy may get work.
+func (s *State) obstacleTo(h *Host, now time.Time, unhealthy bool) Obstacle {
 	switch {
 	case !h.Listed || !h.Stored:
 		return Unlisted
@@ -45,7 +49,7 @@
 		return Outdated
 	case h.Draining || !now.After(h.CordonedUntil):
 		return Leaving
-	case !now.After(h.UnhealthyUntil) || !now.After(h.FullUntil):
+	case (!unhealthy && !now.After(h.UnhealthyUntil)) || !now.After(h.FullUntil):
 		return Unhealthy
 	case now.Sub(h.LastAnswer) >= answerTimeout:
 		return Silent
@@ -113,6 +117,9 @@
 // explainPlacement returns why no host gets a task that may start. It takes no host as reserved.
 func (s *State) explainPlacement(step *batch.Step, stage *Stage, task *Task, ref batch.Ref, now time.Time) Reason {
 	hosts := s.candidates(now)
+	if step.LongRunning && !step.Gang {
+		hosts = slices.Concat(hosts, s.unhealthyCandidates(now))
+	}
 	if len(hosts) == 0 {
 		return NoHost
 	}
--- a/fleet/shard/health_test.go
+++ b/fleet/shard/health_test.go
@@ -66,3 +66,35 @@
 	}
 	require.True(t, o.now.Before(o.Hosts["a"].UnhealthyUntil))
 }
+
+// Guards against a long-running task that does not run, with room for it (LOST): each host with room had failed other
+// work.
+func TestLongRunningTasksRunOnUnhealthyHostsIfNoOtherTakesThem(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c")
+	o.submit("ends", smallStep(8))
+	require.Len(t, o.start(), 8)
+	free := ""
+	for _, id := range []string{"a", "b", "c"} {
+		if len(o.Hosts[id].Assigned) == 0 {
+			free = id
+		}
+	}
+	require.NotEmpty(t, free)
+	o.Hosts[free].UnhealthyUntil = o.now.Add(time.Minute)
+	o.submit("waits", smallStep(1))
+	require.Empty(t, o.start(), "other work waits for a healthy host")
+	o.submit("serves", longRunningStep(1, 0, 0))
+	starts := o.start()
+	require.Len(t, starts, 1)
+	require.Equal(t, free, starts[0].Host)
+	require.Equal(t, "serves", starts[0].Ref.Job)
+
+	o.Cancel("ends", o.now)
+	for _, stop := range o.TakeOrders() {
+		o.report(stop.Host, port.FinishedRun{Number: o.Hosts[stop.Host].CountedEnd + 1, Unit: stop.Ref.String(), Run: stop.Run, Result: port.ResultStopped})
+	}
+	o.submit("healthy", longRunningStep(1, 0, 0))
+	for _, start := range o.start() {
+		require.NotEqual(t, free, start.Host)
+	}
+}
--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -45,12 +45,7 @@
 		return
 	}
 	for _, c := range hosts {
-		for _, task := range c.host.Assigned {
-			c.unsettled += count(!task.settled(now))
-			c.suspects += count(task.Crashes.Hosts > 0)
-			c.isolated = c.isolated || (task.Crashes.Isolated && !task.settled(now))
-			c.apart = c.apart || (task.Crashes.Isolated && task.Crashes.Late >= isolateAfter)
-		}
+		c.markIsolation(s, now)
 		s.isolatedHosts += count(c.isolated)
 	}
 	s.maxIsolatedHosts = len(hosts)
@@ -62,6 +57,19 @@
 	}
 }
 
+// markIsolation sets what the suspects demand of the host.
+func (c *candidate) markIsolation(s *State, now time.Time) {
+	if len(s.suspects) == 0 {
+		return
+	}
+	for _, task := range c.host.Assigned {
+		c.unsettled += count(!task.settled(now))
+		c.suspects += count(task.Crashes.Hosts > 0)
+		c.isolated = c.isolated || (task.Crashes.Isolated && !task.settled(now))
+		c.apart = c.apart || (task.Crashes.Isolated && task.Crashes.Late >= isolateAfter)
+	}
+}
+
 // othersWait reports whether a task waits that does not have to run apart and could run on one of some hosts.
 func (s *State) othersWait(hosts candidates) bool {
 	apart := map[*Stage]int{}
--- a/fleet/shard/lasting_test.go
+++ b/fleet/shard/lasting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -82,7 +83,8 @@
 	for range r.IntN(8) {
 		w.addHost()
 	}
-	for _, h := range w.hosts {
+	for _, id := range w.hostIDs {
+		h := w.hosts[id]
 		h.capacity, h.instance = batch.Size{MilliCores: 4000, MemoryMB: 8000}, 1
 		if r.IntN(2) == 0 {
 			h.labels = []string{"fast"}
@@ -156,7 +158,9 @@
 	o := w.current()
 	if w.now.Sub(w.listedAt) >= machineListInterval {
 		w.listedAt = w.now
-		for _, id := range o.state.SilentHosts(w.now) {
+		silent := o.state.SilentHosts(w.now)
+		slices.Sort(silent)
+		for _, id := range silent {
 			if w.hosts[id].down {
 				o.state.HostEnded(id, w.now)
 			}
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -54,16 +54,39 @@
 	hosts := s.candidates(now)
 	unconfirmed := s.hasUnconfirmedHost(now)
 	s.updateOverloaded(hosts, unconfirmed)
+	planOn(s, ranking, hostSet{hosts: hosts}, &limits, unconfirmed, now)
+	if s.backlog.longRunningTasks == 0 || limits.Starts <= 0 {
+		return
+	}
+	if unhealthy := s.unhealthyCandidates(now); len(unhealthy) > 0 {
+		// Waiting costs long-running work more than a host that fails its work now and then.
+		s.backlog.advance(now.Sub(s.backlog.origin))
+		planOn(s, ranking, hostSet{hosts: unhealthy, preferred: hosts, longRunningOnly: true}, &limits, unconfirmed, now)
+	}
+}
+
+// hostSet is the hosts of one pass through the waiting steps.
+type hostSet struct {
+	hosts candidates
+	// preferred holds the hosts that a task takes or waits for if they admit it; then it gets none of hosts.
+	preferred candidates
+	// longRunningOnly reports whether only long-running tasks that are in no gang may start. No host is reserved
+	// then, since no other work could take it.
+	longRunningOnly bool
+}
+
+// planOn orders the starts that are possible on some hosts.
+func planOn[R Ranking](s *State, ranking R, set hostSet, limits *Limits, unconfirmed bool, now time.Time) {
 	least := s.backlog.leastNeed()
-	roomy := hosts.withRoom(least)
+	roomy := set.hosts.withRoom(least)
 	roomy.markBusy(limits.StartsPerHost)
 	if roomy.allBusy() {
 		return
 	}
-	steps := newSelection(s, ranking, hosts, roomy, unconfirmed, now)
+	steps := newSelection(s, ranking, set, roomy, unconfirmed, now)
 	defer steps.close()
 	for w := steps.next(); w != nil; w = steps.next() {
-		if !s.startTasks(w, hosts, roomy, &limits, now) {
+		if (set.longRunningOnly && w.step.Gang) || !s.startTasks(w, set, roomy, limits, now) {
 			continue
 		}
 		roomy = roomy.withRoom(least)
@@ -127,6 +150,19 @@
 	return out
 }
 
+// unhealthyCandidates returns the hosts that get no new work only because they count as unhealthy.
+func (s *State) unhealthyCandidates(now time.Time) candidates {
+	var out candidates
+	for _, h := range s.sortedHosts() {
+		if !now.After(h.UnhealthyUntil) && s.obstacleTo(h, now, true) == NoObstacle {
+			c := &candidate{host: h, free: h.free()}
+			c.markIsolation(s, now)
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // withRoom returns the hosts that are not reserved and have room for a need.
 func (c candidates) withRoom(need batch.Size) candidates {
 	var out candidates
@@ -160,8 +196,8 @@
 
 // startTasks orders the start of as many tasks of a step as fit. All hosts with room have to be in
 // roomy. It reports whether it has started a task or reserved a host.
-func (s *State) startTasks(w *waitingStep, hosts, roomy candidates, limits *Limits, now time.Time) bool {
-	step, stage := w.step, w.stage
+func (s *State) startTasks(w *waitingStep, set hostSet, roomy candidates, limits *Limits, now time.Time) bool {
+	step, stage, hosts := w.step, w.stage, set.hosts
 	stage.expand()
 	permitted := s.permitFilter(w.ref(), now)
 	if step.Gang {
@@ -176,10 +212,16 @@
 		if task.Status != Idle || task.closed() || !s.mayStart(task) {
 			continue
 		}
+		if len(set.preferred) > 0 && s.pickHost(step, stage, task, set.preferred, permitted, now) != nil {
+			continue
+		}
 		var host *candidate
 		if s.mayHaveTicket(w) {
 			host = s.pickHost(step, stage, task, roomy, permitted, now)
 		}
+		if host == nil && set.longRunningOnly {
+			continue
+		}
 		if host == nil && task.Crashes.Hosts > 0 {
 			// The other tasks of the step may run on hosts on which this one may not.
 			if task.Crashes.Isolated {
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -67,7 +67,13 @@
 	referenceUpdateOverloaded(s, demands, hosts)
 	slices.SortFunc(demands, func(a, b referenceDemand) int { return compare(&a, &b, now) })
 	for i := range demands {
-		hosts.startTasks(s, &demands[i], now)
+		hosts.startTasks(s, &demands[i], now, nil)
+	}
+	unhealthy := referenceUnhealthy(s, now)
+	for i := range demands {
+		if step := &demands[i].Job.Spec.Steps[demands[i].Step]; step.LongRunning && !step.Gang {
+			unhealthy.startTasks(s, &demands[i], now, &hosts)
+		}
 	}
 }
 
@@ -332,9 +338,29 @@
 }
 
 func referenceCandidates(s *State, now time.Time) referenceHosts {
+	out := referenceHostsWhere(s, now, func(h *Host) bool { return s.Schedulable(h, now) })
+	if referenceOthersWait(s, out) {
+		s.othersWaitedAt = now
+	}
+	for i := range out {
+		out[i].othersWait = now.Sub(s.othersWaitedAt) <= idleTime
+	}
+	return out
+}
+
+// referenceUnhealthy returns the hosts that could get work if they were not unhealthy.
+func referenceUnhealthy(s *State, now time.Time) referenceHosts {
+	return referenceHostsWhere(s, now, func(h *Host) bool {
+		healthy := *h
+		healthy.UnhealthyUntil = time.Time{}
+		return !s.Schedulable(h, now) && s.Schedulable(&healthy, now)
+	})
+}
+
+func referenceHostsWhere(s *State, now time.Time, wanted func(*Host) bool) referenceHosts {
 	var out referenceHosts
 	for _, h := range s.Hosts {
-		if !s.Schedulable(h, now) {
+		if !wanted(h) {
 			continue
 		}
 		used, longRunning := referenceUsed(s, h)
@@ -358,12 +384,6 @@
 		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b referenceHost) int { return cmp.Compare(a.host.ID, b.host.ID) })
-	if referenceOthersWait(s, out) {
-		s.othersWaitedAt = now
-	}
-	for i := range out {
-		out[i].othersWait = now.Sub(s.othersWaitedAt) <= idleTime
-	}
 	return out
 }
 
@@ -399,7 +419,9 @@
 	return false
 }
 
-func (hosts referenceHosts) startTasks(s *State, d *referenceDemand, now time.Time) {
+// startTasks starts the tasks of a step. If preferred is not nil, tasks that one of these hosts takes are left out, and no
+// host is reserved.
+func (hosts referenceHosts) startTasks(s *State, d *referenceDemand, now time.Time, preferred *referenceHosts) {
 	step := &d.Job.Spec.Steps[d.Step]
 	stage := &d.Job.Occurrences[d.Occurrence].Stages[d.Step]
 	permitted := s.permitFilter(batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}, now)
@@ -413,8 +435,14 @@
 		if task.Status != Idle || task.closed() || !s.mayStart(task) {
 			continue
 		}
+		if preferred != nil && preferred.pick(step, stage, task, permitted, now) >= 0 {
+			continue
+		}
 		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
 		k := hosts.pick(step, stage, task, permitted, now)
+		if k < 0 && preferred != nil {
+			continue
+		}
 		if k < 0 && task.Crashes.Hosts > 0 {
 			if task.Crashes.Isolated {
 				hosts.reserveIsolated(s, d, step, stage, now)
--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -75,12 +75,12 @@
 
 // newSelection returns the waiting steps that could start now. Inherited ones can start once no host is
 // unconfirmed. The backlog has to be up to date.
-func newSelection[R Ranking](s *State, ranking R, hosts, roomy candidates, unconfirmed bool, now time.Time) *selection[R] {
+func newSelection[R Ranking](s *State, ranking R, set hostSet, roomy candidates, unconfirmed bool, now time.Time) *selection[R] {
 	l := &selection[R]{
-		state: s, ranking: ranking, age: now.Sub(s.backlog.origin), hosts: hosts, roomy: roomy, rooms: map[roomKey]*rooms{},
+		state: s, ranking: ranking, age: now.Sub(s.backlog.origin), hosts: set.hosts, roomy: roomy, rooms: map[roomKey]*rooms{},
 	}
 	for _, g := range s.backlog.groups {
-		if g.inherited && unconfirmed {
+		if (g.inherited && unconfirmed) || (set.longRunningOnly && !g.longRunning) {
 			continue
 		}
 		key := roomKey{g.label, g.longRunning}
