Let no long-running task wait for suspects for longer than two seconds

What callers saw: long-running tasks that do not run, with room for them (LOST).

Cause: when a host crashes, all its tasks that were started together are suspected, after a change of the owner all that ran there, and each runs apart at first. The limit of two seconds for the wait of a long-running task held only on hosts without another suspect that was not settled, and not for the limit of eight suspects on a host. On a pool of few hosts each task kept the others away for two seconds, one after another.

Why the fix works: two seconds after its loss a long-running task goes to any host with room, to those that are kept for suspects last. Within the two seconds, and for work that ends, suspects run apart as before, so a task that crashes its hosts is still told from its neighbours. The plan still decides like the reference, which has the same rule.

--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -17,8 +17,8 @@
 	// other work has waited for idleTime.
 	maxIsolatedShare = 0.25
 	idleTime         = time.Second
-	// isolationPatience is the time after which a long-running task no longer waits for a host of its
-	// own. It is well below the time within which such a task has to be started again.
+	// isolationPatience is the time after its loss after which a long-running task no longer waits because of
+	// suspects. It is well below the time within which such a task has to be started again.
 	isolationPatience = 2 * time.Second
 )
 
@@ -135,6 +135,8 @@
 // are concerned.
 func (s *State) admits(c *candidate, step *batch.Step, task *Task, now time.Time) bool {
 	switch {
+	case step.LongRunning && now.Sub(task.LostAt) > isolationPatience:
+		return true
 	case c.isolated || (c.apart && !step.LongRunning):
 		return false
 	case task.Crashes.Hosts == 0:
@@ -142,7 +144,7 @@
 	case !task.Crashes.Isolated:
 		return c.suspects < maxSuspectsPerHost
 	case step.LongRunning:
-		return c.unsettled == 0 || now.Sub(task.LostAt) > isolationPatience
+		return c.unsettled == 0
 	}
 	return c.unsettled == 0 && s.isolatedHosts < s.maxIsolatedHosts
 }
--- a/fleet/shard/isolate_test.go
+++ b/fleet/shard/isolate_test.go
@@ -107,3 +107,35 @@
 	}
 	require.Equal(t, shard.Open, o.Jobs["job"].Phase)
 }
+
+// Guards against long-running tasks that do not run, with room for them (LOST): each of many that a host had run was kept
+// apart from the others for two seconds, on a pool of few hosts.
+func TestLongRunningTasksOfAHostThatHasCrashedDoNotWaitForOneAnother(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	step := longRunningStep(12, 0, 0)
+	step.Need.MilliCores = 200
+	o.submit("serves", step)
+	starts := o.start()
+	require.Len(t, starts, 12)
+	rows := make([]any, len(starts))
+	for i, start := range starts {
+		rows[i] = runningRow(start, 100)
+	}
+	o.report("a", rows...)
+	o.addHost("b")
+	o.addHost("c")
+	o.advance(10 * time.Second)
+	o.HostEnded("a", o.now)
+	running := map[string][]any{"b": nil, "c": nil}
+	for range 30 {
+		o.advance(100 * time.Millisecond)
+		for host, rows := range running {
+			o.report(host, rows...)
+		}
+		o.SettleSuspects(o.now)
+		for _, start := range o.start() {
+			running[start.Host] = append(running[start.Host], runningRow(start, 100))
+		}
+	}
+	require.Equal(t, 12, len(running["b"])+len(running["c"]), "within 3 s")
+}
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -282,6 +282,8 @@
 	rackWeight = 1 << 20
 	// avoidWeight keeps work off the host where it last failed.
 	avoidWeight = 1 << 24
+	// isolatedWeight keeps long-running work that waits no longer off hosts that are kept for suspects.
+	isolatedWeight = 1 << 25
 	// spreadWeight spreads the long-running tasks of one step over hosts.
 	spreadWeight = 1 << 16
 	// longRunningWeight keeps best-effort work off hosts with long-running tasks, and spreads
@@ -341,6 +343,9 @@
 	if c.busy {
 		cost += busyWeight
 	}
+	if c.isolated {
+		cost += isolatedWeight
+	}
 	return cost
 }
 
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -479,11 +479,14 @@
 
 // admits reports whether crashes of hosts allow a task to run beside the tasks of a host.
 func (hosts referenceHosts) admits(c *referenceHost, step *batch.Step, task *Task, now time.Time) bool {
+	if step.LongRunning && now.Sub(task.LostAt) > 2*time.Second {
+		return true
+	}
 	if c.isolated || (c.apart && !step.LongRunning) {
 		return false
 	}
 	if task.Crashes.Isolated && step.LongRunning {
-		return c.unsettled == 0 || now.Sub(task.LostAt) > 2*time.Second
+		return c.unsettled == 0
 	}
 	if task.Crashes.Isolated {
 		return c.unsettled == 0 && hosts.mayIsolate()
@@ -565,6 +568,9 @@
 		cost += int64(c.longRunning) * longRunningWeight
 		cost -= 2 * left.MilliCores
 	}
+	if c.isolated {
+		cost += isolatedWeight
+	}
 	return cost
 }
 
--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -189,7 +189,7 @@
 			continue
 		}
 		r.free.add(c.free)
-		if c.isolated || (c.apart && !r.longRunning) {
+		if !r.longRunning && (c.isolated || c.apart) {
 			continue
 		}
 		r.admitted.add(c.free)
