--- a/fleet/shard/health_test.go
+++ b/fleet/shard/health_test.go
@@ -36,3 +36,65 @@
 		require.Equal(t, 2, unhealthy, "of four hosts, beside %d that never answered", silent)
 	}
 }
+
+// Guards against hosts that get no new work because long-running tasks, which never end as done, have failed there by
+// themselves over time.
+func TestLongRunningTasksThatFailAfterTheyHaveWorkedDoNotMakeTheirHostUnhealthy(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	for i := range int64(4) {
+		o.submit(fmt.Sprintf("job%d", i), longRunningStep(1, 0, 0))
+		starts := o.start()
+		require.Len(t, starts, 1)
+		o.report("a", runningRow(starts[0], 100))
+		o.advance(10 * time.Second)
+		o.report("a", port.FinishedRun{Number: i + 1, Unit: starts[0].Ref.String(), Run: starts[0].Run, Result: port.ResultFailed})
+		require.False(t, o.now.Before(o.Hosts["a"].UnhealthyUntil), "after the failures of %d jobs", i+1)
+		o.Cancel(starts[0].Ref.Job, o.now)
+	}
+}
+
+// Guards against a host that fails all its work and stays healthy because some of it is long-running.
+func TestLongRunningTasksThatFailAtOnceMakeTheirHostUnhealthy(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	for i := range int64(3) {
+		o.submit(fmt.Sprintf("job%d", i), longRunningStep(1, 0, 0))
+		starts := o.start()
+		require.Len(t, starts, 1)
+		o.advance(time.Second)
+		o.report("a", port.FinishedRun{Number: i + 1, Unit: starts[0].Ref.String(), Run: starts[0].Run, Result: port.ResultFailed})
+		o.Cancel(starts[0].Ref.Job, o.now)
+	}
+	require.True(t, o.now.Before(o.Hosts["a"].UnhealthyUntil))
+}
+
+// Guards against a long-running task that does not run, with room for it (LOST): each host with room had failed other
+// work.
+func TestLongRunningTasksRunOnUnhealthyHostsIfNoOtherTakesThem(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c")
+	o.submit("ends", smallStep(8))
+	require.Len(t, o.start(), 8)
+	free := ""
+	for _, id := range []string{"a", "b", "c"} {
+		if len(o.Hosts[id].Assigned) == 0 {
+			free = id
+		}
+	}
+	require.NotEmpty(t, free)
+	o.Hosts[free].UnhealthyUntil = o.now.Add(time.Minute)
+	o.submit("waits", smallStep(1))
+	require.Empty(t, o.start(), "other work waits for a healthy host")
+	o.submit("serves", longRunningStep(1, 0, 0))
+	starts := o.start()
+	require.Len(t, starts, 1)
+	require.Equal(t, free, starts[0].Host)
+	require.Equal(t, "serves", starts[0].Ref.Job)
+
+	o.Cancel("ends", o.now)
+	for _, stop := range o.TakeOrders() {
+		o.report(stop.Host, port.FinishedRun{Number: o.Hosts[stop.Host].CountedEnd + 1, Unit: stop.Ref.String(), Run: stop.Run, Result: port.ResultStopped})
+	}
+	o.submit("healthy", longRunningStep(1, 0, 0))
+	for _, start := range o.start() {
+		require.NotEqual(t, free, start.Host)
+	}
+}
--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -17,8 +17,8 @@
 	// other work has waited for idleTime.
 	maxIsolatedShare = 0.25
 	idleTime         = time.Second
-	// isolationPatience is the time after which a long-running task no longer waits for a host of its
-	// own. It is well below the time within which such a task has to be started again.
+	// isolationPatience is the time after its loss after which a long-running task no longer waits because of
+	// suspects. It is well below the time within which such a task has to be started again.
 	isolationPatience = 2 * time.Second
 )
 
@@ -45,12 +45,7 @@
 		return
 	}
 	for _, c := range hosts {
-		for _, task := range c.host.Assigned {
-			c.unsettled += count(!task.settled(now))
-			c.suspects += count(task.Crashes.Hosts > 0)
-			c.isolated = c.isolated || (task.Crashes.Isolated && !task.settled(now))
-			c.apart = c.apart || (task.Crashes.Isolated && task.Crashes.Late >= isolateAfter)
-		}
+		c.markIsolation(s, now)
 		s.isolatedHosts += count(c.isolated)
 	}
 	s.maxIsolatedHosts = len(hosts)
@@ -62,6 +57,19 @@
 	}
 }
 
+// markIsolation sets what the suspects demand of the host.
+func (c *candidate) markIsolation(s *State, now time.Time) {
+	if len(s.suspects) == 0 {
+		return
+	}
+	for _, task := range c.host.Assigned {
+		c.unsettled += count(!task.settled(now))
+		c.suspects += count(task.Crashes.Hosts > 0)
+		c.isolated = c.isolated || (task.Crashes.Isolated && !task.settled(now))
+		c.apart = c.apart || (task.Crashes.Isolated && task.Crashes.Late >= isolateAfter)
+	}
+}
+
 // othersWait reports whether a task waits that does not have to run apart and could run on one of some hosts.
 func (s *State) othersWait(hosts candidates) bool {
 	apart := map[*Stage]int{}
@@ -127,6 +135,8 @@
 // are concerned.
 func (s *State) admits(c *candidate, step *batch.Step, task *Task, now time.Time) bool {
 	switch {
+	case step.LongRunning && now.Sub(task.LostAt) > isolationPatience:
+		return true
 	case c.isolated || (c.apart && !step.LongRunning):
 		return false
 	case task.Crashes.Hosts == 0:
@@ -134,7 +144,7 @@
 	case !task.Crashes.Isolated:
 		return c.suspects < maxSuspectsPerHost
 	case step.LongRunning:
-		return c.unsettled == 0 || now.Sub(task.LostAt) > isolationPatience
+		return c.unsettled == 0
 	}
 	return c.unsettled == 0 && s.isolatedHosts < s.maxIsolatedHosts
 }
