Count what puts each promise of the soak to the test

The report counts what was open at stops and at changes of owners, and names promises that nothing put to the test as NOT CHECKED.

--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -27,10 +27,9 @@
 	// the machines API and the policy service.
 	StoreAddress, MachinesAddress, AdviceAddress string
 	hosts                                        map[string]string
-	// entryCores, proxy and appendTime are the values of the fields of the layout.
+	// entryCores and proxy are the values of the fields of the layout.
 	entryCores []float64
 	proxy      Proxy
-	appendTime time.Duration
 	// machineFaults applies the faults of the machines API.
 	machineFaults *faulty.Injector
 }
@@ -86,7 +85,7 @@
 	// state none for the entries beyond it.
 	EntryCores []float64
 	Timing     Timing
-	// AppendTime is the time that each append to the store takes.
+	// AppendTime is the time that each append to the store takes at first.
 	AppendTime time.Duration
 	// Proxy sets the proxies on the connections of entries; nil for none.
 	Proxy Proxy
@@ -111,7 +110,7 @@
 
 // New starts a simulated platform on loopback.
 func New(layout Layout) (*Platform, error) {
-	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, proxy: layout.Proxy, appendTime: layout.AppendTime, machineFaults: faulty.New()}
+	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, proxy: layout.Proxy, machineFaults: faulty.New()}
 	if fp.proxy == nil {
 		fp.proxy = func(_, _, address string) (string, error) { return address, nil }
 	}
@@ -150,7 +149,7 @@
 	}
 	return &state{
 		observe: observe, rerunDone: layout.RerunDone,
-		startedAt: time.Now(), store: newStore(), hosts: map[string]*host{}, machines: map[string]*machine{},
+		startedAt: time.Now(), store: newStore(layout.AppendTime), hosts: map[string]*host{}, machines: map[string]*machine{},
 		recordExpiry: map[string]time.Time{}, unguardedPools: layout.UnguardedPools,
 		checker: newChecker(), timing: layout.Timing, advisedPool: layout.AdvisedPool,
 	}
--- a/trial/fake/store.go
+++ b/trial/fake/store.go
@@ -51,9 +51,13 @@
 	faults  StoreFaults
 	appends int
 	standby string
+	// appendTime is the time that each append takes.
+	appendTime time.Duration
 }
 
-func newStore() store { return store{parts: map[string]*partition{}} }
+func newStore(appendTime time.Duration) store {
+	return store{parts: map[string]*partition{}, appendTime: appendTime}
+}
 
 // partition returns a partition and creates it on first use.
 func (s *store) partition(topic, part string) *partition {
@@ -79,6 +83,9 @@
 // SetStoreFaults replaces the faults of the store.
 func (fp *Platform) SetStoreFaults(f StoreFaults) { fp.do(func(s *state) { s.store.faults = f }) }
 
+// SetAppendTime sets the time that each append to the store takes from now on.
+func (fp *Platform) SetAppendTime(d time.Duration) { fp.do(func(s *state) { s.store.appendTime = d }) }
+
 // Publish writes a value under a key as an operator does.
 func (fp *Platform) Publish(key string, value any) error {
 	raw, err := json.Marshal(value)
@@ -108,6 +115,8 @@
 	status  int
 	body    any
 	dropped bool
+	// takes is the time until it is sent.
+	takes time.Duration
 }
 
 func (fp *Platform) storeHandler() http.Handler {
@@ -141,9 +150,10 @@
 		s.store.appends++
 		n := s.store.faults.LoseEveryNth
 		a.dropped = a.status == http.StatusOK && n > 0 && s.store.appends%n == 0
+		a.takes = s.store.appendTime
 		return a
 	})
-	time.Sleep(fp.appendTime)
+	time.Sleep(response.takes)
 	if response.dropped {
 		hang(r)
 		return
--- a/trial/soak/caller.go
+++ b/trial/soak/caller.go
@@ -103,20 +103,36 @@
 	acceptUntil time.Duration
 }
 
-func (p *caller) run(ctx context.Context) {
-	r := p.crowd.site.recorder
+// register records the job and returns the body that submits it.
+func (p *caller) register() ([]byte, error) {
 	registered := p.crowd.site.deployment.Register(p.job.ID, p.job.Specification, p.job.Steps)
-	r.add(func(h *History) { h.Jobs = append(h.Jobs, p.job) })
-	body, err := json.Marshal(map[string]any{"specification": registered.Specification, "steps": p.job.Steps})
+	p.crowd.site.recorder.add(func(h *History) { h.Jobs = append(h.Jobs, p.job) })
+	return json.Marshal(map[string]any{"specification": registered.Specification, "steps": p.job.Steps})
+}
+
+func (p *caller) run(ctx context.Context) {
+	body, err := p.register()
 	if err != nil {
 		return
 	}
-	// The first answer to a submission decides whether the job was accepted.
+	if p.submitUntilAccepted(ctx, body) {
+		p.follow(ctx, body)
+	}
+}
+
+// submitUntilAccepted submits the job until it is accepted, which it reports, or the caller gives up.
+func (p *caller) submitUntilAccepted(ctx context.Context, body []byte) bool {
 	for p.ask(Submit, http.MethodPost, body).status != http.StatusOK {
-		if r.now() > p.acceptUntil || !sleep(ctx, retryPause) {
-			return
+		if p.crowd.site.recorder.now() > p.acceptUntil || !sleep(ctx, retryPause) {
+			return false
 		}
 	}
+	return true
+}
+
+// follow polls an accepted job until it has ended, and cancels or submits it again at times.
+func (p *caller) follow(ctx context.Context, body []byte) {
+	r := p.crowd.site.recorder
 	cancel, repeat := p.random.Float64() < cancelShare, p.random.Float64() < repeatShare
 	acceptedAt, later := r.now(), minRepeat+time.Duration(p.random.Int64N(int64(maxRepeat-minRepeat)))
 	for sleep(ctx, minPoll+time.Duration(p.random.Int64N(int64(maxPoll-minPoll)))) {
@@ -158,10 +174,13 @@
 	return out.State
 }
 
-// ask sends a request to some entry, over an open connection if there is one, and records it once its last byte
-// was written.
+// ask sends a request to some entry, over an open connection if there is one, and records it.
 func (p *caller) ask(verb Verb, method string, body []byte) answer {
-	name := p.crowd.names[p.random.IntN(len(p.crowd.names))]
+	return p.askAt(p.crowd.names[p.random.IntN(len(p.crowd.names))], verb, method, body, 0)
+}
+
+// askAt sends a request to an entry. If drip is not zero, it sends the body a byte at a time with pauses between the bytes.
+func (p *caller) askAt(name string, verb Verb, method string, body []byte, drip time.Duration) answer {
 	idle, r := p.crowd.idle[name], p.crowd.site.recorder
 	c, ok := idle.take()
 	if !ok {
@@ -170,15 +189,13 @@
 			return answer{err: err}
 		}
 	}
-	a := c.exchange(method, fake.QueuePath(p.job.Queue)+p.job.ID, body)
+	begin := r.now()
+	a := c.exchange(method, fake.QueuePath(p.job.Queue)+p.job.ID, body, drip)
 	if a.err != nil || !idle.put(c) {
 		c.net.Close()
 	}
-	if a.sentAt.IsZero() {
-		return a
-	}
 	q := Request{
-		Job: p.job.ID, Queue: p.job.Queue, Verb: verb, Entry: name, SentAt: a.sentAt.Sub(r.startedAt), EndAt: r.now(),
+		Job: p.job.ID, Queue: p.job.Queue, Verb: verb, Entry: name, BeginAt: begin, EndAt: r.now(),
 		Status: a.status, TimedOut: a.timedOut,
 	}
 	if verb == Look {
@@ -187,6 +204,11 @@
 	if a.err != nil {
 		q.Error = a.err.Error()
 	}
+	if a.sentAt.IsZero() {
+		r.add(func(h *History) { h.Partial = append(h.Partial, q) })
+		return a
+	}
+	q.SentAt = a.sentAt.Sub(r.startedAt)
 	r.add(func(h *History) { h.Requests = append(h.Requests, q) })
 	return a
 }
--- /dev/null
+++ b/trial/soak/cases_test.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/trial/fake"
+)
+
+// tested holds, for each promise, a history that puts it to the test without breaking it.
+var tested = map[string]func(*History){
+	"answers-in-a-stop": func(h *History) {
+		r := asked(10, Look, http.StatusOK, "running")
+		r.EndAt = at(11)
+		h.Requests = append(h.Requests, r)
+		h.Windows = append(h.Windows, window(Term, "entry-0", 10.5, 15))
+	},
+	"stop-in-time": func(h *History) {
+		h.Exits = append(h.Exits, Exit{Entry: "entry-0", At: at(13), SignalAt: at(10), Cause: Term})
+	},
+	"no-run-twice":       func(h *History) { h.Changes = append(h.Changes, Change{guardedPool, "entry-1", at(1.5)}) },
+	"nothing-unasked":    func(*History) {},
+	"order-of-steps":     func(*History) {},
+	"capacity-of-hosts":  func(h *History) { h.Hosts = append(h.Hosts, fullHost()...) },
+	"max-attempts":       func(h *History) { h.Hosts = append(h.Hosts, failures(fake.MaxAttempts)...) },
+	"stays-cancelled":    func(h *History) { h.Requests = append(h.Requests, asked(2.1, Cancel, http.StatusOK, "")) },
+	"refused-is-not-run": func(h *History) { h.Requests = []Request{asked(1, Submit, http.StatusServiceUnavailable, "")} },
+	"never-unknown":      func(h *History) { h.Changes = append(h.Changes, Change{guardedPool, "entry-1", at(1.5)}) },
+	"state-is-true":      func(*History) {},
+	"accepted-is-done":   func(*History) {},
+	"config-in-time": func(h *History) {
+		h.Requests = append(h.Requests, onExtra(asked(12, Look, http.StatusNotFound, "")))
+		h.Windows = append(h.Windows, window(Queue, extraQueue, 9, 14))
+	},
+	"ready-again": func(h *History) {
+		h.Probes = append(h.Probes, Probe{Entry: "entry-0", At: at(20), Ready: true})
+		h.Windows = append(h.Windows, window(Pause, "entry-0", 10, 12))
+	},
+}
+
+func fullHost() []HostEvent {
+	var out []HostEvent
+	for i := range fake.TasksPerHost() {
+		out = append(out, start(3, testTask, int64(i+2)))
+	}
+	return out
+}
+
+func TestPromisesThatWerePutToTheTestAreCounted(t *testing.T) {
+	for _, p := range Promises() {
+		require.NotNil(t, tested[p.Name], p.Name)
+		h := kept()
+		tested[p.Name](h)
+		require.NotZero(t, p.Cases(h), p.Name)
+		require.NotContains(t, judge(1, h).NotChecked, p.Name)
+	}
+}
+
+func TestPromisesThatNothingPutToTheTestAreNotChecked(t *testing.T) {
+	r := judge(1, &History{End: at(30)})
+	require.Len(t, r.NotChecked, len(Promises()))
+	require.Contains(t, r.summary(), "NOT CHECKED: answers-in-a-stop, stop-in-time")
+	stopped := kept()
+	stopped.Windows = append(stopped.Windows, window(Term, "entry-0", 10.5, 15))
+	require.Contains(t, judge(1, stopped).NotChecked, "answers-in-a-stop", "no request was open when the entry stopped")
+	require.Contains(t, judge(1, kept()).NotChecked, "never-unknown", "no pool changed its owner")
+}
+
+func TestRequestsThatAreOpenAtAStopAreCounted(t *testing.T) {
+	h := kept()
+	long, short, upload, partial := asked(10, Submit, http.StatusOK, ""), asked(10.45, Look, http.StatusOK, ""), asked(11, Submit, http.StatusOK, ""), cut(10.1, 1)
+	long.EndAt, upload.BeginAt, partial.BeginAt, partial.SentAt = at(11), at(10), partial.SentAt, 0
+	h.Requests, h.Partial = append(h.Requests, long, short, upload), []Request{partial}
+	h.Windows = append(h.Windows, window(Term, "entry-0", 10.5, 15), window(Term, "entry-1", 10.5, 15))
+	require.Equal(t, Open{Moments: 2, Bare: 1, Whole: 2, Long: 1, Waiting: 1, Uploads: 2}, h.openAtStops())
+}
+
+func TestOnlyEntriesThatRunCountAtAChangeOfOwner(t *testing.T) {
+	h := kept()
+	h.TrafficEnd = at(20)
+	h.Changes = append(h.Changes, Change{guardedPool, "entry-1", at(11)}, Change{guardedPool, "entry-1", at(21)})
+	h.Windows = append(h.Windows, window(Term, "entry-0", 10.5, 15))
+	require.Equal(t, Open{Moments: 1, Bare: 1}, h.openAtChanges([]string{"entry-0", "entry-1"}))
+}
+
+func TestChangesOfOwnersAreReadFromLogs(t *testing.T) {
+	dir, startedAt := t.TempDir(), time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+	log := `{"time":"2026-12-04T09:00:02Z","msg":"pool taken over","entry":"entry-0","pool":"docs"}
+{"time":"2026-12-04T09:00:01Z","msg":"pool given up","pool":"docs"}
+{"time":"2026-12-04T09:00:03Z","msg":"pool tak`
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "entry-0.log"), []byte(log), 0o600))
+	changes, err := readChanges(dir, []*fake.Entry{{Name: "entry-0"}}, startedAt)
+	require.NoError(t, err)
+	require.Equal(t, []Change{{"docs", "entry-0", 2 * time.Second}}, changes)
+}
+
+func TestRequestsAreHeldAroundEachStopAndPause(t *testing.T) {
+	entries := []string{"entry-0", "entry-1"}
+	spans := holdSpans([]Fault{{Term, "entry-0", at(2), at(1)}, {Reload, "entry-1", at(2.5), 0}, {Pause, "entry-1", at(10), at(5)}, {StoreBusy, "", at(20), at(1)}}, entries)
+	require.Equal(t, []span{
+		{at(2) - holdBefore, at(2.5) + holdAfter, entries},
+		{at(10) - holdBefore, at(10) + takeoverTime, entries},
+		{at(15) - holdBefore, at(15) + holdAfter, entries},
+	}, spans)
+	var many []string
+	for i := range 20 {
+		many = append(many, fake.EntryName(i))
+	}
+	held := heldEntries(many, "entry-19")
+	require.Len(t, held, maxHeldEntries)
+	require.Contains(t, held, "entry-19")
+}
--- a/trial/soak/check.go
+++ b/trial/soak/check.go
@@ -19,25 +19,28 @@
 	Sentence string
 	// Check describes each case in which the history breaks the promise.
 	Check func(*History) []string
+	// Cases counts what put the promise to the test: where a system without the mechanism behind the promise would have
+	// broken it. A promise without any counts as not checked.
+	Cases func(*History) int
 }
 
 // Promises lists the promises that are checked.
 func Promises() []Promise {
 	return []Promise{
-		{"answers-in-a-stop", "In a planned stop, each whole request that an entry has read is answered (RULES, LOST; docs/OPERATIONS.md).", checkStopAnswers},
-		{"stop-in-time", "An entry that gets SIGTERM ends by itself within the grace period; no entry ends without a signal (RULES, Fault).", checkExits},
-		{"no-run-twice", "No two runs of a task at the same time, and no start after an end that was done and taken note of (RULES, TWICE).", checkTwice},
-		{"nothing-unasked", "A host starts only what a caller sent, with the specification that the caller sent (RULES, UNASKED).", checkUnasked},
-		{"order-of-steps", "A task starts only after all tasks of the steps before it are done (RULES, ORDER).", checkOrder},
-		{"capacity-of-hosts", "No start brings a host over its capacity (RULES, LIMIT).", checkCapacity},
-		{"max-attempts", "No start after max_attempts runs of a task have failed (RULES, BUDGET).", checkAttempts},
-		{"stays-cancelled", "No task of a job starts later than cancel_ms after its cancelling was confirmed, and none runs on stop_ms after that (RULES, UNASKED).", checkCancelled},
-		{"refused-is-not-run", "A job all of whose submissions were refused never runs (RULES, REFUSED).", checkRefused},
-		{"never-unknown", "\"No such job\" is not answered for a job that was accepted (docs/SYSTEM.md, What is stored; RULES, LOST).", checkUnknown},
-		{"state-is-true", "A job is shown as completed only when all its tasks are done, and as failed only with cause (RULES, MIXED and LOST).", checkState},
-		{"accepted-is-done", "A job that was accepted is done, or said to have failed, finish_s after the end of the traffic (RULES, LOST).", checkFinished},
-		{"config-in-time", "A request sent later than config_apply_ms after a configuration is handled as it says, by entries in touch (RULES, CONFIG).", checkConfig},
-		{"ready-again", "An entry that is in touch is ready (RULES, In touch and Duty).", checkReady},
+		{"answers-in-a-stop", "In a planned stop, each whole request that an entry has read is answered (RULES, LOST; docs/OPERATIONS.md).", checkStopAnswers, countStopAnswers},
+		{"stop-in-time", "An entry that gets SIGTERM ends by itself within the grace period; no entry ends without a signal (RULES, Fault).", checkExits, countExits},
+		{"no-run-twice", "No two runs of a task at the same time, and no start after an end that was done and taken note of (RULES, TWICE).", checkTwice, countTwice},
+		{"nothing-unasked", "A host starts only what a caller sent, with the specification that the caller sent (RULES, UNASKED).", checkUnasked, countUnasked},
+		{"order-of-steps", "A task starts only after all tasks of the steps before it are done (RULES, ORDER).", checkOrder, countOrder},
+		{"capacity-of-hosts", "No start brings a host over its capacity (RULES, LIMIT).", checkCapacity, countCapacity},
+		{"max-attempts", "No start after max_attempts runs of a task have failed (RULES, BUDGET).", checkAttempts, countAttempts},
+		{"stays-cancelled", "No task of a job starts later than cancel_ms after its cancelling was confirmed, and none runs on stop_ms after that (RULES, UNASKED).", checkCancelled, countCancelled},
+		{"refused-is-not-run", "A job all of whose submissions were refused never runs (RULES, REFUSED).", checkRefused, countRefused},
+		{"never-unknown", "\"No such job\" is not answered for a job that was accepted (docs/SYSTEM.md, What is stored; RULES, LOST).", checkUnknown, countUnknown},
+		{"state-is-true", "A job is shown as completed only when all its tasks are done, and as failed only with cause (RULES, MIXED and LOST).", checkState, countState},
+		{"accepted-is-done", "A job that was accepted is done, or said to have failed, finish_s after the end of the traffic (RULES, LOST).", checkFinished, countFinished},
+		{"config-in-time", "A request sent later than config_apply_ms after a configuration is handled as it says, by entries in touch (RULES, CONFIG).", checkConfig, countConfig},
+		{"ready-again", "An entry that is in touch is ready (RULES, In touch and Duty).", checkReady, countReady},
 	}
 }
 
@@ -88,213 +91,53 @@
 
 func seconds(d time.Duration) string { return fmt.Sprintf("%.3fs", d.Seconds()) }
 
+// stopOf returns the planned work in which an entry has to answer a request, if there is any.
+func (h *History) stopOf(r Request) (Window, bool) {
+	if r.TimedOut || r.EndAt-r.SentAt <= lossSlack || !h.calm(r.SentAt-contactTime, r.EndAt) {
+		return Window{}, false
+	}
+	for _, w := range h.Windows {
+		stop := w.Kind == Term && r.EndAt >= w.From && r.EndAt <= w.From+fake.GracePeriod+stopMargin
+		reload := w.Kind == Reload && r.EndAt >= w.From && r.SentAt <= w.From+configTime
+		if w.Target == r.Entry && (stop || reload) {
+			return w, true
+		}
+	}
+	return Window{}, false
+}
+
 func checkStopAnswers(h *History) []string {
 	var out []string
 	for _, r := range h.Requests {
-		if r.Status != 0 || r.TimedOut || r.EndAt-r.SentAt <= lossSlack || !h.calm(r.SentAt-contactTime, r.EndAt) {
+		if r.Status != 0 {
 			continue
 		}
-		for _, w := range h.Windows {
-			if w.Target != r.Entry {
-				continue
-			}
-			stop := w.Kind == Term && r.EndAt >= w.From && r.EndAt <= w.From+fake.GracePeriod+stopMargin
-			reload := w.Kind == Reload && r.EndAt >= w.From && r.SentAt <= w.From+configTime
-			if stop || reload {
-				out = append(out, fmt.Sprintf("%s of job %s at %s, sent at %s, without an answer at %s, %s after %s: %s",
-					r.Verb, r.Job, r.Entry, seconds(r.SentAt), seconds(r.EndAt), seconds(r.EndAt-w.From), w.Kind, r.Error))
-				break
-			}
+		if w, ok := h.stopOf(r); ok {
+			out = append(out, fmt.Sprintf("%s of job %s at %s, sent at %s, without an answer at %s, %s after %s: %s",
+				r.Verb, r.Job, r.Entry, seconds(r.SentAt), seconds(r.EndAt), seconds(r.EndAt-w.From), w.Kind, r.Error))
 		}
 	}
 	return out
 }
 
+// plannedExit reports whether the end of a process is judged as that of a planned stop.
+func (h *History) plannedExit(e Exit) bool {
+	return e.Cause == Term && h.calm(e.SignalAt-contactTime, e.At)
+}
+
 func checkExits(h *History) []string {
 	var out []string
 	for _, e := range h.Exits {
 		switch {
 		case e.Cause == "":
 			out = append(out, fmt.Sprintf("%s ended by itself at %s: %s", e.Entry, seconds(e.At), e.Error))
-		case e.Cause == Term && (e.Overdue || e.Error != "") && h.calm(e.SignalAt-contactTime, e.At):
+		case h.plannedExit(e) && (e.Overdue || e.Error != ""):
 			out = append(out, fmt.Sprintf("%s ended at %s, %s after SIGTERM: %s", e.Entry, seconds(e.At), seconds(e.At-e.SignalAt), e.Error))
 		}
 	}
 	return out
 }
 
-// runKey identifies a run on a host.
-type runKey struct {
-	host, task string
-	run        int64
-}
-
-func keyOf(e HostEvent) runKey { return runKey{e.Host, e.Task, e.Run} }
-
-// acknowledged returns the ends that entries have taken note of, except those whose lease expired before.
-func (h *History) acknowledged() map[runKey]bool {
-	out := map[runKey]bool{}
-	for _, e := range h.Hosts {
-		if e.Kind == fake.RunAcknowledged && !e.LeaseExpired {
-			out[keyOf(e)] = true
-		}
-	}
-	return out
-}
-
-// runs follows the runs that are under way through the events of a history.
-type runs struct {
-	// byTask and byHost hold the same runs.
-	byTask, byHost map[string]map[runKey]bool
-}
-
-func newRuns() runs { return runs{map[string]map[runKey]bool{}, map[string]map[runKey]bool{}} }
-
-func (r runs) apply(e HostEvent) {
-	switch e.Kind {
-	case fake.RunStarted:
-		for _, group := range []struct {
-			runs map[string]map[runKey]bool
-			name string
-		}{{r.byTask, e.Task}, {r.byHost, e.Host}} {
-			if group.runs[group.name] == nil {
-				group.runs[group.name] = map[runKey]bool{}
-			}
-			group.runs[group.name][keyOf(e)] = true
-		}
-	case fake.RunEnded:
-		delete(r.byTask[e.Task], keyOf(e))
-		delete(r.byHost[e.Host], keyOf(e))
-	case fake.HostGone:
-		for k := range r.byHost[e.Host] {
-			delete(r.byTask[k.task], k)
-		}
-		delete(r.byHost, e.Host)
-	}
-}
-
-func checkTwice(h *History) []string {
-	var out []string
-	noted, now, doneAt := h.acknowledged(), newRuns(), map[string]HostEvent{}
-	for _, e := range h.Hosts {
-		if e.Kind == fake.RunStarted {
-			for other := range now.byTask[e.Task] {
-				out = append(out, fmt.Sprintf("task %s: run %d started on %s at %s while run %d is under way on %s", e.Task, e.Run, e.Host, seconds(e.At), other.run, other.host))
-			}
-			if done, ok := doneAt[e.Task]; ok {
-				out = append(out, fmt.Sprintf("task %s: run %d started on %s at %s, but run %d was done at %s", e.Task, e.Run, e.Host, seconds(e.At), done.Run, seconds(done.At)))
-			}
-		}
-		if e.Kind == fake.RunEnded && e.Result == "done" && noted[keyOf(e)] {
-			doneAt[e.Task] = e
-		}
-		now.apply(e)
-	}
-	return out
-}
-
-// jobsByID returns the jobs of a history.
-func (h *History) jobsByID() map[string]Job {
-	out := map[string]Job{}
-	for _, j := range h.Jobs {
-		out[j.ID] = j
-	}
-	return out
-}
-
-// starts calls f for each start with its task and job. Tasks whose names cannot be parsed are passed as zero.
-func (h *History) starts(f func(e HostEvent, ref batch.Ref, j Job)) {
-	jobs := h.jobsByID()
-	for _, e := range h.Hosts {
-		if e.Kind == fake.RunStarted {
-			ref, err := batch.ParseRef(e.Task)
-			if err != nil {
-				ref = batch.Ref{}
-			}
-			f(e, ref, jobs[ref.Job])
-		}
-	}
-}
-
-func checkUnasked(h *History) []string {
-	var out []string
-	h.starts(func(e HostEvent, ref batch.Ref, j Job) {
-		switch {
-		case j.ID == "" || ref.Step >= len(j.Steps) || ref.Index >= j.Steps[ref.Step].Count:
-			out = append(out, fmt.Sprintf("task %s started on %s at %s, but no caller sent it", e.Task, e.Host, seconds(e.At)))
-		case e.Specification != j.Specification:
-			out = append(out, fmt.Sprintf("task %s started on %s at %s with specification %q, not %q", e.Task, e.Host, seconds(e.At), e.Specification, j.Specification))
-		case e.Pool != j.Pool:
-			out = append(out, fmt.Sprintf("task %s started on %s at %s, a host of pool %s, not %s", e.Task, e.Host, seconds(e.At), e.Pool, j.Pool))
-		}
-	})
-	return out
-}
-
-// doneTimes returns when each task was done first.
-func (h *History) doneTimes() map[string]time.Duration {
-	out := map[string]time.Duration{}
-	for _, e := range h.Hosts {
-		if _, ok := out[e.Task]; !ok && e.Kind == fake.RunEnded && e.Result == "done" {
-			out[e.Task] = e.At
-		}
-	}
-	return out
-}
-
-// notDone returns a task of a step that was not done at a time, or "".
-func notDone(j Job, step int, done map[string]time.Duration, at time.Duration) string {
-	for i := range j.Steps[step].Count {
-		task := batch.Ref{Job: j.ID, Step: step, Index: i}.String()
-		if doneAt, ok := done[task]; !ok || doneAt > at {
-			return task
-		}
-	}
-	return ""
-}
-
-func checkOrder(h *History) []string {
-	var out []string
-	done := h.doneTimes()
-	h.starts(func(e HostEvent, ref batch.Ref, j Job) {
-		if ref.Step >= len(j.Steps) {
-			return
-		}
-		for _, before := range j.Steps[ref.Step].After {
-			if task := notDone(j, before, done, e.At); task != "" {
-				out = append(out, fmt.Sprintf("task %s started on %s at %s before task %s was done", e.Task, e.Host, seconds(e.At), task))
-			}
-		}
-	})
-	return out
-}
-
-func checkCapacity(h *History) []string {
-	var out []string
-	now := newRuns()
-	for _, e := range h.Hosts {
-		now.apply(e)
-		if n := len(now.byHost[e.Host]); e.Kind == fake.RunStarted && n > fake.TasksPerHost() {
-			out = append(out, fmt.Sprintf("task %s started on %s at %s, which then runs %d tasks and has room for %d", e.Task, e.Host, seconds(e.At), n, fake.TasksPerHost()))
-		}
-	}
-	return out
-}
-
-func checkAttempts(h *History) []string {
-	var out []string
-	noted, failures := h.acknowledged(), map[string]int{}
-	for _, e := range h.Hosts {
-		if e.Kind == fake.RunEnded && e.Result == "failed" && noted[keyOf(e)] {
-			failures[e.Task]++
-		}
-		if n := failures[e.Task]; e.Kind == fake.RunStarted && n >= fake.MaxAttempts {
-			out = append(out, fmt.Sprintf("task %s started on %s at %s after %d failures", e.Task, e.Host, seconds(e.At), n))
-		}
-	}
-	return out
-}
-
 func checkCancelled(h *History) []string {
 	var out []string
 	cancelled := h.answered(Cancel, http.StatusOK)
@@ -337,8 +180,9 @@
 	return out
 }
 
-func checkRefused(h *History) []string {
-	sent, refused := map[string]int{}, map[string]int{}
+// submissions counts the submissions of each job, and those that were refused.
+func (h *History) submissions() (sent, refused map[string]int) {
+	sent, refused = map[string]int{}, map[string]int{}
 	for _, r := range h.Requests {
 		if r.Verb != Submit {
 			continue
@@ -349,6 +193,11 @@
 			refused[r.Job]++
 		}
 	}
+	return sent, refused
+}
+
+func checkRefused(h *History) []string {
+	sent, refused := h.submissions()
 	var out []string
 	h.starts(func(e HostEvent, _ batch.Ref, j Job) {
 		if n := refused[j.ID]; n > 0 && n == sent[j.ID] {
@@ -458,8 +307,13 @@
 	return out
 }
 
+// finishJudged reports whether jobs that have not ended at the end of the history are judged.
+func (h *History) finishJudged() bool {
+	return h.End-h.TrafficEnd >= finishTime && h.calm(h.End-finishTime, h.End)
+}
+
 func checkFinished(h *History) []string {
-	if h.End-h.TrafficEnd < finishTime || !h.calm(h.End-finishTime, h.End) {
+	if !h.finishJudged() {
 		return nil
 	}
 	var out []string
@@ -478,85 +332,27 @@
 	return out
 }
 
-// usage is what a pool had in use in a span of time.
-type usage struct {
-	// maxRuns is the largest number of runs, minHosts the smallest number of hosts.
-	maxRuns, minHosts int
-}
-
-// use returns the usage of each pool since a time, and when a run of each job was last under way.
-func (h *History) use(since time.Duration) (pools map[string]usage, lastRun map[string]time.Duration) {
-	pools, lastRun = map[string]usage{}, map[string]time.Duration{}
-	now, poolOfHost := newRuns(), map[string]string{}
-	count := func() {
-		current := map[string]usage{}
-		for host, pool := range poolOfHost {
-			u := current[pool]
-			current[pool] = usage{u.maxRuns + len(now.byHost[host]), u.minHosts + 1}
-		}
-		for pool, u := range current {
-			before, ok := pools[pool]
-			if !ok {
-				before = u
-			}
-			pools[pool] = usage{max(before.maxRuns, u.maxRuns), min(before.minHosts, u.minHosts)}
-		}
-	}
-	counting := false
-	for _, e := range h.Hosts {
-		if !counting && e.At >= since {
-			counting = true
-			count()
-		}
-		for k := range now.byHost[e.Host] {
-			lastRun[jobOf(k.task)] = e.At
-		}
-		now.apply(e)
-		switch e.Kind {
-		case fake.HostBooted:
-			poolOfHost[e.Host] = e.Pool
-		case fake.HostGone:
-			delete(poolOfHost, e.Host)
-		}
-		if counting {
-			count()
-		}
+// queueKnown returns whether the extra queue has to be there for a request, or has to be removed. Neither holds for
+// requests that are not judged.
+func (h *History) queueKnown(r Request) (there, removed bool) {
+	if r.Queue != extraQueue || !h.calm(r.SentAt-contactTime, r.EndAt) || !h.untouched(r.Entry, r.SentAt-contactTime, r.EndAt) {
+		return false, false
 	}
-	if !counting {
-		count()
-	}
-	for task, list := range now.byTask {
-		if len(list) > 0 {
-			lastRun[jobOf(task)] = h.End
+	// The queue counts as removed only while it has been for configTime, and as there likewise.
+	there = true
+	for _, w := range h.Windows {
+		if w.Kind == Queue {
+			removed = removed || (w.From+configTime < r.SentAt && r.EndAt < w.To)
+			there = there && (w.To+configTime < r.SentAt || r.EndAt < w.From)
 		}
 	}
-	return pools, lastRun
-}
-
-// jobOf returns the ID of a task's job.
-func jobOf(task string) string {
-	ref, err := batch.ParseRef(task)
-	if err != nil {
-		return ""
-	}
-	return ref.Job
+	return there, removed
 }
 
 func checkConfig(h *History) []string {
 	var out []string
 	for _, r := range h.Requests {
-		if r.Queue != extraQueue || !h.calm(r.SentAt-contactTime, r.EndAt) || !h.untouched(r.Entry, r.SentAt-contactTime, r.EndAt) {
-			continue
-		}
-		// The queue counts as removed only while it has been for configTime, and as there likewise.
-		removed, there := false, true
-		for _, w := range h.Windows {
-			if w.Kind == Queue {
-				removed = removed || (w.From+configTime < r.SentAt && r.EndAt < w.To)
-				there = there && (w.To+configTime < r.SentAt || r.EndAt < w.From)
-			}
-		}
-		switch {
+		switch there, removed := h.queueKnown(r); {
 		case there && r.Status == http.StatusNotFound:
 			out = append(out, fmt.Sprintf("%s of job %s at %s, sent at %s, was answered that there is no such queue", r.Verb, r.Job, r.Entry, seconds(r.SentAt)))
 		case removed && r.Status == http.StatusOK:
@@ -566,12 +362,16 @@
 	return out
 }
 
+// inTouch reports whether the entry of a probe has to be ready.
+func (h *History) inTouch(p Probe) bool {
+	return h.calm(p.At-contactTime, p.At+probeTimeout) && h.untouched(p.Entry, p.At-contactTime, p.At+probeTimeout)
+}
+
 func checkReady(h *History) []string {
 	var out []string
 	missed := map[string]int{}
 	for _, p := range h.Probes {
-		inTouch := h.calm(p.At-contactTime, p.At+probeTimeout) && h.untouched(p.Entry, p.At-contactTime, p.At+probeTimeout)
-		if p.Ready || !inTouch {
+		if p.Ready || !h.inTouch(p) {
 			missed[p.Entry] = 0
 			continue
 		}
--- a/trial/soak/conn.go
+++ b/trial/soak/conn.go
@@ -67,15 +67,16 @@
 	err      error
 }
 
-// exchange sends a request and waits for the answer. The connection is of no use after an error.
-func (c *conn) exchange(method, path string, body []byte) answer {
+// exchange sends a request and waits for the answer. The connection is of no use after an error. If drip is not zero, it
+// pauses after each byte of the body.
+func (c *conn) exchange(method, path string, body []byte, drip time.Duration) answer {
 	var a answer
 	if a.err = c.net.SetDeadline(time.Now().Add(callerDeadline)); a.err != nil {
 		return a
 	}
-	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nDeadline: %d\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+	request := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nDeadline: %d\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
 		method, path, fake.VirtualHost, callerDeadline.Milliseconds(), len(body), body)
-	if _, a.err = io.WriteString(c.net, request); a.err != nil {
+	if a.err = c.write(request, len(body), drip); a.err != nil {
 		return a
 	}
 	a.sentAt = time.Now()
@@ -91,3 +92,21 @@
 	a.status = response.StatusCode
 	return a
 }
+
+// write writes a request. If drip is not zero, it writes the last bytes one at a time.
+func (c *conn) write(request []byte, last int, drip time.Duration) error {
+	if drip == 0 {
+		_, err := c.net.Write(request)
+		return err
+	}
+	if _, err := c.net.Write(request[:len(request)-last]); err != nil {
+		return err
+	}
+	for i := len(request) - last; i < len(request); i++ {
+		if _, err := c.net.Write(request[i : i+1]); err != nil {
+			return err
+		}
+		time.Sleep(drip)
+	}
+	return nil
+}
--- a/trial/soak/event.go
+++ b/trial/soak/event.go
@@ -24,6 +24,8 @@
 	Queue string `json:"queue"`
 	Verb  Verb   `json:"verb"`
 	Entry string `json:"entry"`
+	// BeginAt is when the first byte was written.
+	BeginAt time.Duration `json:"begin-ns"`
 	// SentAt is when the last byte was written, EndAt when the answer was complete or the wait for it ended.
 	SentAt time.Duration `json:"sent-ns"`
 	EndAt  time.Duration `json:"end-ns"`
@@ -36,6 +38,13 @@
 	Error    string `json:"error,omitempty"`
 }
 
+// Change is a change of the owner of a pool, as the new owner logged it.
+type Change struct {
+	Pool  string        `json:"pool"`
+	Entry string        `json:"entry"`
+	At    time.Duration `json:"at-ns"`
+}
+
 // HostEvent is an event on a host.
 type HostEvent struct {
 	fake.Event
@@ -84,18 +93,22 @@
 
 // History is all that was seen in a run. The elements of each slice are in the order in which they were recorded.
 type History struct {
-	Jobs     []Job       `json:"jobs"`
-	Requests []Request   `json:"requests"`
-	Hosts    []HostEvent `json:"hosts"`
-	Windows  []Window    `json:"windows"`
-	Probes   []Probe     `json:"probes"`
-	Exits    []Exit      `json:"exits"`
+	Jobs     []Job     `json:"jobs"`
+	Requests []Request `json:"requests"`
+	// Partial holds the requests whose last byte could not be written. Their SentAt is zero.
+	Partial []Request   `json:"partial"`
+	Changes []Change    `json:"changes"`
+	Hosts   []HostEvent `json:"hosts"`
+	Windows []Window    `json:"windows"`
+	Probes  []Probe     `json:"probes"`
+	Exits   []Exit      `json:"exits"`
 	// StandIn are the violations that the stand-in of the platform has seen. It judges some promises also beside
 	// faults that excuse a breach, so that they are hints only.
 	StandIn []string `json:"stand-in"`
-	// TrafficEnd is when the last new job was due, End the end of the history.
-	TrafficEnd time.Duration `json:"traffic-end-ns"`
-	End        time.Duration `json:"end-ns"`
+	// TrafficStart and TrafficEnd limit the time in which new jobs were due, End is the end of the history.
+	TrafficStart time.Duration `json:"traffic-start-ns"`
+	TrafficEnd   time.Duration `json:"traffic-end-ns"`
+	End          time.Duration `json:"end-ns"`
 }
 
 // recorder is the task that owns the history of a run.
--- /dev/null
+++ b/trial/soak/open.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"carawaymux.dev/fleet/fault"
+	"carawaymux.dev/trial/fake"
+)
+
+// Open counts the requests that were open at moments of a run.
+type Open struct {
+	// Moments counts pairs of a moment and an entry.
+	Moments int `json:"moments"`
+	// Bare counts those of them at which no request was open at the entry.
+	Bare int `json:"bare"`
+	// Whole counts the requests that had been sent as a whole and had no answer, Long those of them that had been sent
+	// more than loss_slack_ms before, and Waiting the submissions among them. Uploads counts those sent in part.
+	Whole   int `json:"whole"`
+	Long    int `json:"long"`
+	Waiting int `json:"waiting"`
+	Uploads int `json:"uploads"`
+}
+
+// startTime is the time in which an entry that is started again begins to listen.
+const startTime = 300 * time.Millisecond
+
+func (o Open) String() string {
+	return fmt.Sprintf("%d moments, %d bare, %d whole, %d long, %d submissions, %d uploads", o.Moments, o.Bare, o.Whole, o.Long, o.Waiting, o.Uploads)
+}
+
+// openAt adds the requests that were open at an entry at a time.
+func (h *History) openAt(o *Open, entry string, at time.Duration) {
+	before := o.Whole + o.Uploads
+	for _, r := range h.Requests {
+		switch {
+		case r.Entry != entry || r.BeginAt > at || r.EndAt <= at:
+		case r.SentAt > at:
+			o.Uploads++
+		default:
+			o.Whole++
+			if at-r.SentAt > lossSlack {
+				o.Long++
+			}
+			if r.Verb == Submit {
+				o.Waiting++
+			}
+		}
+	}
+	for _, r := range h.Partial {
+		if r.Entry == entry && r.BeginAt <= at && r.EndAt > at {
+			o.Uploads++
+		}
+	}
+	o.Moments++
+	if o.Whole+o.Uploads == before {
+		o.Bare++
+	}
+}
+
+// openAtStops counts the requests that were open at entries when they were stopped.
+func (h *History) openAtStops() Open {
+	var o Open
+	for _, w := range h.Windows {
+		if w.Kind == Term {
+			h.openAt(&o, w.Target, w.From)
+		}
+	}
+	return o
+}
+
+// down reports whether the process of an entry was stopping, ended or just started at a time.
+func (h *History) down(entry string, at time.Duration) bool {
+	return slices.ContainsFunc(h.Windows, func(w Window) bool {
+		return w.Target == entry && (w.Kind == Term || w.Kind == Kill) && w.From <= at && at <= w.To+startTime
+	})
+}
+
+// openAtChanges counts the requests that were open at the entries that ran when a pool changed its owner during the
+// traffic.
+func (h *History) openAtChanges(entries []string) Open {
+	var o Open
+	for _, c := range h.Changes {
+		if c.At < h.TrafficStart || c.At > h.TrafficEnd {
+			continue
+		}
+		for _, e := range entries {
+			if !h.down(e, c.At) {
+				h.openAt(&o, e, c.At)
+			}
+		}
+	}
+	return o
+}
+
+// entries returns the names of the entries that were probed.
+func (h *History) entries() []string {
+	var out []string
+	for _, p := range h.Probes {
+		out = append(out, p.Entry)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// readChanges reads the changes of owners from the logs of entries.
+func readChanges(dir string, entries []*fake.Entry, startedAt time.Time) ([]Change, error) {
+	var out []Change
+	for _, e := range entries {
+		raw, err := os.ReadFile(filepath.Join(dir, e.Name+".log"))
+		if err != nil {
+			return nil, fault.At("read-log", e.Name, err)
+		}
+		for lines := bufio.NewScanner(bytes.NewReader(raw)); lines.Scan(); {
+			var line struct {
+				Time      time.Time `json:"time"`
+				Msg, Pool string
+			}
+			// Lines that are cut short by the end of a process do not count.
+			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "pool taken over" {
+				out = append(out, Change{line.Pool, e.Name, line.Time.Sub(startedAt)})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.At, b.At) })
+	return out, nil
+}
--- a/trial/soak/report.go
+++ b/trial/soak/report.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"text/tabwriter"
 
 	"carawaymux.dev/trial/fake"
@@ -38,13 +39,21 @@
 	// Unfinished counts the accepted jobs that had not ended.
 	Unfinished int `json:"unfinished"`
 	// Hints counts the violations that the stand-in of the platform has seen; see History.StandIn.
-	Hints  int      `json:"hints"`
-	Broken []Breach `json:"broken"`
+	Hints int `json:"hints"`
+	// AtStops are the requests that were open at entries when they were stopped, and AtChanges those at all entries when
+	// a pool changed its owner.
+	AtStops   Open `json:"at-stops"`
+	AtChanges Open `json:"at-changes"`
+	// Cases counts what put each promise to the test.
+	Cases  map[string]int `json:"cases"`
+	Broken []Breach       `json:"broken"`
+	// NotChecked lists the promises that nothing put to the test. They do not count as kept.
+	NotChecked []string `json:"not-checked"`
 }
 
 // judge checks all promises against a history.
 func judge(seed uint64, h *History) Row {
-	r := Row{Seed: seed, Faults: map[Kind]int{}, Jobs: len(h.Jobs), Requests: len(h.Requests), Unfinished: len(h.open()), Hints: len(h.StandIn)}
+	r := Row{Seed: seed, Faults: map[Kind]int{}, Cases: map[string]int{}, Jobs: len(h.Jobs), Requests: len(h.Requests), Unfinished: len(h.open()), Hints: len(h.StandIn)}
 	r.Accepted = len(h.answered(Submit, 200))
 	for _, q := range h.Requests {
 		if q.Status == 0 {
@@ -70,10 +79,15 @@
 	if steps > 0 {
 		r.Calm = float64(calm) / float64(steps)
 	}
+	r.AtStops, r.AtChanges = h.openAtStops(), h.openAtChanges(h.entries())
 	for _, p := range Promises() {
-		for _, what := range p.Check(h) {
+		broken := p.Check(h)
+		for _, what := range broken {
 			r.Broken = append(r.Broken, Breach{p.Name, what})
 		}
+		if r.Cases[p.Name] = p.Cases(h); r.Cases[p.Name] == 0 && len(broken) == 0 {
+			r.NotChecked = append(r.NotChecked, p.Name)
+		}
 	}
 	return r
 }
@@ -88,7 +102,12 @@
 }
 
 func (r Row) summary() string {
-	return fmt.Sprintf("%d faults, %d requests, %d runs, %d promises broken, %d jobs unfinished, %d hints", r.total(), r.Requests, r.Runs, len(r.Broken), r.Unfinished, r.Hints)
+	text := fmt.Sprintf("%d faults, %d requests, %d runs, %d promises broken, %d jobs unfinished, %d hints; open at stops: %s; at changes of owners: %s",
+		r.total(), r.Requests, r.Runs, len(r.Broken), r.Unfinished, r.Hints, r.AtStops, r.AtChanges)
+	if len(r.NotChecked) > 0 {
+		text += "; NOT CHECKED: " + strings.Join(r.NotChecked, ", ")
+	}
+	return text
 }
 
 // printRows prints the results as JSON lines or as a table.
@@ -102,15 +121,21 @@
 		}
 		return nil
 	}
+	fmt.Fprintln(o.Out, "at stops, at changes of owners: requests that had been open for long/uploads")
 	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "seed\tfaults\tstops\tcalm\tjobs\taccepted\trequests\tunanswered\truns\tunfinished\thints\tbroken\t")
+	fmt.Fprintln(w, "seed\tfaults\tstops\tcalm\tjobs\taccepted\trequests\tunanswered\truns\tunfinished\thints\tat stops\tat changes\tnot checked\tbroken\t")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%d\t%d\t%d\t%.0f%%\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", r.Seed, r.total(), r.Stops, percent*r.Calm, r.Jobs, r.Accepted,
-			r.Requests, r.Unanswered, r.Runs, r.Unfinished, r.Hints, len(r.Broken))
+		fmt.Fprintf(w, "%d\t%d\t%d\t%.0f%%\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d/%d\t%d/%d\t%d\t%d\t\n", r.Seed, r.total(), r.Stops, percent*r.Calm, r.Jobs, r.Accepted,
+			r.Requests, r.Unanswered, r.Runs, r.Unfinished, r.Hints, r.AtStops.Long, r.AtStops.Uploads, r.AtChanges.Long, r.AtChanges.Uploads, len(r.NotChecked), len(r.Broken))
 	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	for _, r := range rows {
+		if len(r.NotChecked) > 0 {
+			fmt.Fprintf(o.Out, "seed %d, NOT CHECKED: %s\n", r.Seed, strings.Join(r.NotChecked, ", "))
+		}
+	}
 	byKind := map[Kind]int{}
 	for _, r := range rows {
 		for k, n := range r.Faults {
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -231,6 +231,10 @@
 		people.run(runCtx, c)
 		return nil
 	})
+	work.Go(func() error {
+		people.hold(runCtx, c)
+		return nil
+	})
 	work.Go(func() error {
 		d := &conductor{site: s, active: map[Kind]int{}, version: 1}
 		return d.conduct(runCtx, c.Schedule, func(f Fault) { fmt.Fprintf(o.Progress, "seed %d: %s\n", c.Seed, f) })
@@ -248,6 +252,7 @@
 	if err := errors.Join(err, finishErr); err != nil {
 		return nil, err
 	}
-	h.TrafficEnd, h.StandIn = s.trafficAt+traffic, violations
-	return h, nil
+	h.TrafficStart, h.TrafficEnd, h.StandIn = s.trafficAt, s.trafficAt+traffic, violations
+	h.Changes, err = readChanges(dir, s.deployment.Entries, s.recorder.startedAt)
+	return h, err
 }
--- a/trial/soak/soak_test.go
+++ b/trial/soak/soak_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -33,22 +35,39 @@
 	os.Exit(code)
 }
 
-const (
-	// ciSeed has 27 faults of 14 kinds that overlap: two rolling restarts, a queue that is removed twice, killed and
-	// paused entries, a crashed host, a lossy and slow store, and faults of links. No job of the removed queue fails in it;
-	// the kept case of a removed queue has those.
-	ciSeed = 151
-	// plantSeed is the seed of runs with planted faults.
-	plantSeed = 26
-	// ciMinutes keeps each run below a minute.
-	ciMinutes = 0.4
-)
+// ciRun is a run of the soak in CI.
+type ciRun struct {
+	options Options
+	// notAbout lists the promises that the run need not put to the test.
+	notAbout []string
+}
+
+// ciRuns are short and have fixed seeds. Together they put all promises to the test.
+var ciRuns = map[string]ciRun{
+	// The seed has 27 faults of 14 kinds that overlap: two rolling restarts, a queue that is removed twice, killed and paused
+	// entries, a crashed host, a lossy and slow store, and faults of links. No job of the removed queue fails in it; the kept
+	// case of a removed queue has those.
+	"all faults": {
+		options:  Options{Seed: 151, Seeds: 1, Minutes: 0.4, Entries: 3, Hosts: 3},
+		notAbout: []string{"answers-in-a-stop", "stop-in-time", "config-in-time"},
+	},
+	"planned work": {
+		options:  Options{Seed: 26, Seeds: 1, Minutes: 0.4, Entries: 3, Hosts: 3, Faults: []string{string(Term), string(Reload), string(Queue)}},
+		notAbout: []string{"refused-is-not-run"},
+	},
+}
+
+// plantSeed is the seed of runs with faults of the stand-ins.
+const plantSeed = 26
 
 // runSoak runs the soak command and returns its results.
 func runSoak(t *testing.T, o Options) ([]Row, error) {
 	t.Helper()
 	var out, progress bytes.Buffer
-	o.Bin, o.JSON, o.Out, o.Progress = bin, true, &out, &progress
+	if o.Bin == "" {
+		o.Bin = bin
+	}
+	o.JSON, o.Out, o.Progress = true, &out, &progress
 	err := Run(context.Background(), &o)
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -65,16 +84,31 @@
 }
 
 func TestPromisesAreKeptUnderFaults(t *testing.T) {
-	t.Parallel()
-	dir := t.TempDir()
-	rows, err := runSoak(t, Options{Seed: ciSeed, Seeds: 1, Minutes: ciMinutes, Entries: 3, Hosts: 3, Keep: dir})
-	require.NoError(t, err)
-	require.Len(t, rows, 1)
-	require.Empty(t, rows[0].Broken)
-	require.NotZero(t, rows[0].Runs)
-	require.NotZero(t, rows[0].Stops)
-	for _, name := range []string{"case.json", "history.json", "result.json", "entry-0.log"} {
-		require.FileExists(t, filepath.Join(dir, fmt.Sprintf("seed-%d", ciSeed), name))
+	for name, run := range ciRuns {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := run.options
+			o.Keep = t.TempDir()
+			rows, err := runSoak(t, o)
+			require.NoError(t, err)
+			require.Len(t, rows, 1)
+			require.Empty(t, rows[0].Broken)
+			require.Subset(t, run.notAbout, rows[0].NotChecked, "promises that were not checked")
+			require.NotZero(t, rows[0].AtStops.Long)
+			require.NotZero(t, rows[0].AtStops.Waiting)
+			require.NotZero(t, rows[0].AtStops.Uploads)
+			require.Zero(t, rows[0].AtStops.Bare)
+			require.NotZero(t, rows[0].AtChanges.Waiting)
+			for _, name := range []string{"case.json", "history.json", "result.json", "entry-0.log"} {
+				require.FileExists(t, filepath.Join(o.Keep, fmt.Sprintf("seed-%d", o.Seed), name))
+			}
+		})
+	}
+}
+
+func TestCIRunsAreAboutAllPromises(t *testing.T) {
+	for _, p := range Promises() {
+		require.True(t, slices.ContainsFunc(slices.Collect(maps.Values(ciRuns)), func(r ciRun) bool { return !slices.Contains(r.notAbout, p.Name) }), p.Name)
 	}
 }
 
