Send starts and leases only to the instance that they are meant for

PROTOCOL.md: "Expected-Instance names the intended lifetime. Any other lifetime responds with 421", but also "A worker may start again under the id that it had", and the ID is the only name of a lifetime that the page gives; the clients have always sent it. What does tell lifetimes apart is `born`, "at the top level of all that it says of itself and of its lists of runs", and interfaces are "HTTP/1.1 over TCP": a connection ends with the process that it leads to.

Starts and extensions of leases carry the instance that the owner knows, and the client sends them only over a connection on which this instance has reported its `born`. Over a connection that no report came over yet, a heartbeat without a deadline goes ahead; if another instance answers, the start is refused as not sent (RefusedRestarted), and a heartbeat returns its report without extending a lease. Heartbeats share the connections with orders, so the question costs one call for some of the at most six connections to a host. The report that it returns lists ends, which the owner counts: they may have been listed nowhere else when a host crashes. A refusal of a copy says nothing about the first of the two, as for most refusals. Nothing waits longer than before, which a new owner that waits for ended hosts would have to.

Its hosts report no `born` in their first life, which the page rules out ("always a whole number"): they do now, as in the test of tasks that crash their hosts, which no longer sets it itself.

Of signatures, HostClient.Heartbeat takes a struct.

--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -44,17 +44,14 @@
 	shard.Order
 	Token    int64
 	Deadline int64
+	// Instance is the instance of the host that a start is meant for; 0 means any.
+	Instance int64
 	// queuedAt is when the order was passed to the agent.
 	queuedAt time.Time
 }
 
-// Heartbeat extends a host's lease to Deadline, in milliseconds on the host's clock (0 leaves
-// it), and acknowledges its ended runs up to number Acked. The host may wait up to Wait for a
-// run to end before it answers with its report.
-type Heartbeat struct {
-	Deadline, Token, Acked int64
-	Wait                   time.Duration
-}
+// Heartbeat is a heartbeat to a host.
+type Heartbeat = port.Heartbeat
 
 // HeartbeatResult is the outcome of a heartbeat.
 type HeartbeatResult struct {
@@ -82,7 +79,9 @@
 	host   string
 	client port.HostClient
 	// copies limits the calls that are sent again because their answers may have been lost.
-	copies     *hedge.Budget
+	copies *hedge.Budget
+	// onReport receives the reports that starts had to request.
+	onReport   func(context.Context, port.HostReport)
 	heartbeats *task.Task[Heartbeat]
 	queues     [orderQueues]*task.Task[Order]
 }
@@ -94,6 +93,12 @@
 // has one of its own.
 func WithCopies(b *hedge.Budget) Option { return func(a *Agent) { a.copies = b } }
 
+// WithReports sets the function that receives reports which came beside heartbeats. It may block until its receiver
+// has room.
+func WithReports(onReport func(context.Context, port.HostReport)) Option {
+	return func(a *Agent) { a.onReport = onReport }
+}
+
 // Open starts an agent for a host. It passes outcomes to onHeartbeat and onOrder, which may
 // block until their receiver has room.
 func Open(
@@ -171,7 +176,9 @@
 	result := HeartbeatResult{Host: a.host, Sent: time.Now()}
 	heartbeat := func(wait time.Duration) func(context.Context) (port.HostReport, error) {
 		return func(ctx context.Context) (port.HostReport, error) {
-			return a.client.Heartbeat(ctx, h.Deadline, h.Token, h.Acked, wait)
+			copied := h
+			copied.Wait = wait
+			return a.client.Heartbeat(ctx, copied)
 		}
 	}
 	result.Report, result.Err = hedge.Do(ctx, h.Wait+lostAfter, a.copies, isConclusive, heartbeat(h.Wait), heartbeat(0))
@@ -194,7 +201,10 @@
 	case shard.OrderStart:
 		start := port.StartOrder{
 			Unit: unit, Run: o.Run, Specification: o.Specification, Deadline: o.Deadline, Token: o.Token,
-			Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+			Checkpoint: o.Checkpoint, Ticket: o.Ticket, Instance: o.Instance,
+		}
+		if a.onReport != nil {
+			start.OnReport = func(r port.HostReport) { a.onReport(ctx, r) }
 		}
 		result.HostClock, result.Err = a.sendTwice(ctx, func(ctx context.Context) (int64, error) { return a.client.Start(ctx, start) })
 	case shard.OrderStop:
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -33,7 +33,7 @@
 
 func (h unresponsiveHost) Throttle(context.Context, string, int64, int, int64) error { return nil }
 
-func (h unresponsiveHost) Heartbeat(ctx context.Context, _, _, _ int64, _ time.Duration) (port.HostReport, error) {
+func (h unresponsiveHost) Heartbeat(ctx context.Context, _ port.Heartbeat) (port.HostReport, error) {
 	<-ctx.Done()
 	return port.HostReport{}, ctx.Err()
 }
@@ -79,7 +79,7 @@
 
 func (h lateHost) Open(port.Host) port.HostClient { return h }
 
-func (h lateHost) Heartbeat(ctx context.Context, _, _, _ int64, _ time.Duration) (port.HostReport, error) {
+func (h lateHost) Heartbeat(ctx context.Context, _ port.Heartbeat) (port.HostReport, error) {
 	<-ctx.Done()
 	time.Sleep(h.delay)
 	return port.HostReport{}, context.Cause(ctx)
@@ -124,8 +124,8 @@
 	return 8, answer(ctx, h.stops)
 }
 
-func (h lossyHost) Heartbeat(ctx context.Context, _, _, _ int64, wait time.Duration) (port.HostReport, error) {
-	return port.HostReport{Clock: int64(wait)}, answer(ctx, h.heartbeats)
+func (h lossyHost) Heartbeat(ctx context.Context, b port.Heartbeat) (port.HostReport, error) {
+	return port.HostReport{Clock: int64(b.Wait)}, answer(ctx, h.heartbeats)
 }
 
 // A lost answer to a heartbeat delayed the ends of a host's work by two seconds, and one to a start the
@@ -173,7 +173,8 @@
 func TestARefusedCopyDoesNotShowThatTheRunHasNotStarted(t *testing.T) {
 	for reason, conclusive := range map[port.Refusal]bool{
 		port.RefusedCapacity: false, port.RefusedStaleRun: false, port.RefusedDeadline: false, port.RefusedUnhealthy: false,
-		port.RefusedFence: true, port.RefusedInstance: true,
+		port.RefusedRestarted: false,
+		port.RefusedFence:     true, port.RefusedInstance: true,
 	} {
 		t.Run(string(reason), func(t *testing.T) {
 			t.Parallel()
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -33,6 +33,12 @@
 // orderResult is the outcome of an order.
 type orderResult struct{ agent.OrderResult }
 
+// extraReport is a report of a host that came beside heartbeats.
+type extraReport struct {
+	host   string
+	report port.HostReport
+}
+
 // startKey identifies the start of a run.
 type startKey struct {
 	ref batch.Ref
@@ -76,7 +82,8 @@
 	l := &hostLink{}
 	l.agent = agent.Open(h, c.deps.HostClients,
 		func(ctx context.Context, r agent.HeartbeatResult) { c.post(ctx, heartbeatResult{r, l}) },
-		func(ctx context.Context, r agent.OrderResult) { c.post(ctx, orderResult{r}) }, agent.WithCopies(c.copies))
+		func(ctx context.Context, r agent.OrderResult) { c.post(ctx, orderResult{r}) }, agent.WithCopies(c.copies),
+		agent.WithReports(func(ctx context.Context, r port.HostReport) { c.post(ctx, extraReport{h.ID, r}) }))
 	c.agents[h.ID] = l
 }
 
@@ -120,7 +127,11 @@
 		// Otherwise a new instance may answer, which numbers its ends from 1 again.
 		acked = h.StoredEnd
 	}
-	l.heartbeatInFlight = l.agent.SendHeartbeat(agent.Heartbeat{Deadline: deadline, Token: c.state.Epoch, Acked: acked, Wait: wait})
+	heartbeat := agent.Heartbeat{Deadline: deadline, Token: c.state.Epoch, Acked: acked, Wait: wait}
+	if deadline != 0 {
+		heartbeat.Instance = h.Instance
+	}
+	l.heartbeatInFlight = l.agent.SendHeartbeat(heartbeat)
 	if l.heartbeatInFlight {
 		c.state.HeartbeatSent(id, now)
 	}
@@ -172,17 +183,24 @@
 		l.failing = false
 		c.logger.Info("host regained", "host", m.Host)
 	}
-	for _, e := range c.state.HandleReport(m.Host, &m.Report, now) {
-		c.deps.Stats.Add("runs-ended", 1, "pool", c.state.Pool, "result", string(e.Result))
-		c.logger.Info("run ended", "unit", e.Ref.String(), "run", e.Run, "host", e.Host,
-			"result", string(e.Result), "took-ms", e.Took.Milliseconds())
-	}
+	c.logEnds(c.state.HandleReport(m.Host, &m.Report, now))
 	if !current {
 		// The answer over the current link is still to come.
 		c.state.HeartbeatSent(m.Host, now)
 	}
 }
 
+func (m extraReport) handle(c *core) { c.logEnds(c.state.HandleEnds(m.host, &m.report, time.Now())) }
+
+// logEnds logs and counts ends of runs.
+func (c *core) logEnds(ends []shard.RunEnd) {
+	for _, e := range ends {
+		c.deps.Stats.Add("runs-ended", 1, "pool", c.state.Pool, "result", string(e.Result))
+		c.logger.Info("run ended", "unit", e.Ref.String(), "run", e.Run, "host", e.Host,
+			"result", string(e.Result), "took-ms", e.Took.Milliseconds())
+	}
+}
+
 func (c *core) heartbeatFailed(l *hostLink, m agent.HeartbeatResult, now time.Time) {
 	id, err := m.Host, m.Err
 	l.nextHeartbeat, l.answered = now.Add(heartbeatBackoff), false
@@ -220,6 +238,7 @@
 	}
 	order := agent.Order{Order: o, Token: c.state.Epoch}
 	if o.Kind == shard.OrderStart {
+		order.Instance = h.Instance
 		if order.Deadline = c.state.StartDeadline(h, now); order.Deadline == 0 {
 			c.recordOutcome(o, 0, &port.RefusedError{Reason: port.RefusedDeadline}, now)
 			return
--- a/entry/owner/oddhost_test.go
+++ b/entry/owner/oddhost_test.go
@@ -36,7 +36,7 @@
 
 func (c silentHosts) Open(port.Host) port.HostClient { return c }
 
-func (silentHosts) Heartbeat(ctx context.Context, _, _, _ int64, _ time.Duration) (port.HostReport, error) {
+func (silentHosts) Heartbeat(ctx context.Context, _ port.Heartbeat) (port.HostReport, error) {
 	<-ctx.Done()
 	return port.HostReport{}, ctx.Err()
 }
--- a/entry/owner/overload_test.go
+++ b/entry/owner/overload_test.go
@@ -291,11 +291,11 @@
 
 func (slowClient) Throttle(context.Context, string, int64, int, int64) error { return nil }
 
-func (c slowClient) Heartbeat(ctx context.Context, deadline, _, acked int64, wait time.Duration) (port.HostReport, error) {
+func (c slowClient) Heartbeat(ctx context.Context, b port.Heartbeat) (port.HostReport, error) {
 	return reach(ctx, c, func(h *leasedHost, reply chan<- port.HostReport) {
-		h.lease = max(h.lease, deadline)
-		h.finished = slices.DeleteFunc(h.finished, func(f port.FinishedRun) bool { return f.Number <= acked })
-		h.pending = append(h.pending, pendingHeartbeat{time.Now().Add(wait), reply})
+		h.lease = max(h.lease, b.Deadline)
+		h.finished = slices.DeleteFunc(h.finished, func(f port.FinishedRun) bool { return f.Number <= b.Acked })
+		h.pending = append(h.pending, pendingHeartbeat{time.Now().Add(b.Wait), reply})
 	})
 }
 
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -31,8 +31,8 @@
 
 func (h idleHost) Open(port.Host) port.HostClient { return h }
 
-func (h idleHost) Heartbeat(ctx context.Context, _, _, acked int64, _ time.Duration) (port.HostReport, error) {
-	h.acked <- acked
+func (h idleHost) Heartbeat(ctx context.Context, b port.Heartbeat) (port.HostReport, error) {
+	h.acked <- b.Acked
 	<-ctx.Done()
 	return port.HostReport{}, ctx.Err()
 }
--- a/fleet/port/worker.go
+++ b/fleet/port/worker.go
@@ -86,6 +86,12 @@
 	// Ticket is the policy service's permission to run the step on this host; empty if none is
 	// needed.
 	Ticket string
+	// Instance is the start time of the instance of the host that the order is meant for. No other instance
+	// receives it. 0 means that instances are not told apart.
+	Instance int64
+	// OnReport receives the host's report if one had to be requested to tell which instance answers. It may be
+	// called by several goroutines, and may be nil.
+	OnReport func(HostReport)
 }
 
 // Refusal is why a host refused an order. The host did nothing.
@@ -106,6 +112,9 @@
 	RefusedTicket Refusal = "ticket"
 	// RefusedInstance means that another instance of the host, or another host, answered.
 	RefusedInstance Refusal = "life"
+	// RefusedRestarted means that another instance has answered under the ID and address of the host before the
+	// order was sent. A copy of the order may have reached the instance that it was meant for.
+	RefusedRestarted Refusal = "restarted"
 	// RefusedUnhealthy means that the host is unhealthy.
 	RefusedUnhealthy Refusal = "health"
 	// RefusedInvalid means that the host does not understand the order.
@@ -122,6 +131,21 @@
 // Error includes the reason.
 func (e *RefusedError) Error() string { return "the host refused the order: " + string(e.Reason) }
 
+// Heartbeat extends the lease of a host and asks for its report.
+type Heartbeat struct {
+	// Deadline is the end of the lease on the host's clock, in milliseconds; 0 leaves it unchanged.
+	Deadline int64
+	// Token is the fencing token of the sender.
+	Token int64
+	// Acked acknowledges the finished runs up to this number.
+	Acked int64
+	// Wait is how long the host may wait for a run to finish before it answers.
+	Wait time.Duration
+	// Instance is the start time of the instance of the host whose lease is to be extended. Another instance only
+	// reports. 0 means that instances are not told apart.
+	Instance int64
+}
+
 // HostClient sends orders to one host. After an error other than a [RefusedError], the order may
 // have been carried out or may still be carried out later.
 type HostClient interface {
@@ -131,9 +155,8 @@
 	Stop(ctx context.Context, unit string, run, token int64) (clock int64, err error)
 	// Throttle sets the percentage of its capacity that a run may use.
 	Throttle(ctx context.Context, unit string, run int64, percent int, token int64) error
-	// Heartbeat extends the lease to deadline on the host's clock (0 leaves it unchanged) and
-	// acknowledges finished runs up to number acked. It waits up to wait for a run to finish.
-	Heartbeat(ctx context.Context, deadline, token, acked int64, wait time.Duration) (HostReport, error)
+	// Heartbeat extends the lease and returns the host's report.
+	Heartbeat(ctx context.Context, h Heartbeat) (HostReport, error)
 	// Close closes the connections.
 	Close()
 }
--- a/fleet/shard/lost_test.go
+++ b/fleet/shard/lost_test.go
@@ -197,3 +197,19 @@
 	require.Equal(t, shard.OrderStop, orders[0].Kind)
 	require.Equal(t, host, orders[0].Host)
 }
+
+// Guards against a task that runs again although its host has listed its success in an answer to a start.
+func TestEndsAreCountedFromAReportThatIsOlderThanTheLastOne(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	o.submit("job", smallStep(1))
+	starts := o.start()
+	require.Len(t, starts, 1)
+	host := starts[0].Host
+	older := &port.HostReport{Clock: o.clock, Born: 1, Finished: []port.FinishedRun{doneRow(1, starts[0])}}
+	o.clock += 100
+	o.report(host, runningRow(starts[0], 50))
+	require.Empty(t, o.HandleEnds(host, &port.HostReport{Clock: 1, Born: 2, Finished: older.Finished}, o.now), "another instance")
+	require.Len(t, o.HandleEnds(host, older, o.now), 1)
+	require.Empty(t, o.HandleEnds(host, older, o.now), "counted already")
+	require.Equal(t, shard.Completed, o.Jobs["job"].Phase)
+}
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -80,7 +80,7 @@
 	for i := range 4 {
 		id := fmt.Sprintf("h%d", i)
 		w.hostIDs = append(w.hostIDs, id)
-		w.hosts[id] = &simHost{id: id, clockRate: 0.98 + 0.02*w.rand.Float64(), running: map[string]*simRun{}, highestEnded: map[string]int64{}, clock: time.Second}
+		w.hosts[id] = &simHost{id: id, instance: 1, clockRate: 0.98 + 0.02*w.rand.Float64(), running: map[string]*simRun{}, highestEnded: map[string]int64{}, clock: time.Second}
 	}
 	w.takeOver()
 	return w
@@ -187,12 +187,16 @@
 const dialTimeout = 500 * time.Millisecond
 
 // executeStart carries out a start on a host.
-func (w *simulation) executeStart(h *simHost, o *simOwner, order shard.Order, deadline time.Duration, clockOut *int64) error {
+// The client sends it only over a connection on which the instance that the owner knew has answered a heartbeat.
+func (w *simulation) executeStart(h *simHost, o *simOwner, order shard.Order, instance int64, deadline time.Duration, clockOut *int64) error {
 	*clockOut = h.clock.Milliseconds()
 	task := order.Ref.String()
 	switch {
 	case o.state.Epoch < h.token:
 		return &port.RefusedError{Reason: port.RefusedFence}
+	case instance != 0 && h.instance != instance:
+		h.token = o.state.Epoch
+		return &port.RefusedError{Reason: port.RefusedRestarted}
 	case h.clock > deadline:
 		return &port.RefusedError{Reason: port.RefusedDeadline}
 	case order.Run <= h.highestEnded[task]:
@@ -302,8 +306,9 @@
 			o.state.HandleStartResult(&order, 0, &port.RefusedError{Reason: port.RefusedDeadline}, w.now)
 			return
 		}
+		instance := h.Instance
 		w.send(o, order.Host, func(h *simHost) func() {
-			err = w.executeStart(h, o, order, deadline, &clock)
+			err = w.executeStart(h, o, order, instance, deadline, &clock)
 			return func() { checkFence(o.state.HandleStartResult(&order, clock, err, w.now)) }
 		}, func() { o.state.HandleStartResult(&order, 0, errNoAnswer, w.now) })
 	case shard.OrderStop:
@@ -338,7 +343,9 @@
 			return func() { o.stopped = true }
 		}
 		h.token = o.state.Epoch
-		h.extendLease(deadline)
+		if sentInstance == 0 || h.instance == sentInstance {
+			h.extendLease(deadline)
+		}
 		if h.instance == sentInstance {
 			w.ackEnds(h, acked)
 		}
@@ -584,10 +591,6 @@
 	for seed := range uint64(deadlySeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newSimulation(t, seed)
-			for id, h := range w.hosts {
-				h.instance = 1 // The platform tells instances apart.
-				w.current().state.UpdateHost(w.listEntry(id), w.now)
-			}
 			w.deadly = func(task string) bool { return strings.HasPrefix(task, "job") && strings.HasSuffix(task, "7.0.0.0") }
 			w.requireInvariants()
 		})
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -48,6 +48,26 @@
 	if !report.ReceivedAt.IsZero() {
 		h.ClockAt = report.ReceivedAt
 	}
+	out := s.countEnds(h, report, now)
+	s.reconcile(h, report, firstReport, now)
+	s.measureHost(h, now)
+	s.handleSlowHost(h, now)
+	s.adjustThrottle(h, now)
+	return out
+}
+
+// HandleEnds counts the ends in a report that may be older than the last one, and returns those that were new. It
+// uses nothing else of the report.
+func (s *State) HandleEnds(id string, report *port.HostReport, now time.Time) []RunEnd {
+	h := s.Hosts[id]
+	if h == nil || !h.Confirmed || !h.EndedAt.IsZero() || report.Born == 0 || report.Born != h.Instance {
+		return nil
+	}
+	return s.countEnds(h, report, now)
+}
+
+// countEnds counts the ends in a report that were not counted before, and returns them.
+func (s *State) countEnds(h *Host, report *port.HostReport, now time.Time) []RunEnd {
 	var out []RunEnd
 	for i := range report.Finished {
 		e := &report.Finished[i]
@@ -59,10 +79,6 @@
 			out = append(out, end)
 		}
 	}
-	s.reconcile(h, report, firstReport, now)
-	s.measureHost(h, now)
-	s.handleSlowHost(h, now)
-	s.adjustThrottle(h, now)
 	return out
 }
 
@@ -352,7 +368,7 @@
 		if p := s.permits[stepRef(o.Ref)]; p != nil {
 			delete(p.tickets, o.Host)
 		}
-	case port.RefusedInvalid, port.RefusedUnhealthy, port.RefusedInstance, port.RefusedDeadline:
+	case port.RefusedInvalid, port.RefusedUnhealthy, port.RefusedInstance, port.RefusedRestarted, port.RefusedDeadline:
 		h.FullUntil = now.Add(refusedBackoff)
 	}
 	return true
