Withdraw what excused a crash once its own cause has shown

fleet/shard TestTwoLongRunningTasksThatCrashTheirHostsLateAreGivenUp: two long-running tasks, each of which crashes its host a second after its start, are each started three times after the third crash; two are allowed (BUDGET).

A crash does not count for giving up a long-running task while a host without it has crashed in the two seconds before, unless that one is explained. That was decided when the crash happened: of two such tasks, the first crash of one excuses the first and second of the other, and only its second crash shows that it was its own doing. So the fourth crash that counts was the fifth or sixth.

A crash is now explained as soon as one of its suspects has crashed two hosts alone, and what a task was excused by is looked at again at its next crash. Excuses are kept in memory only; after a change of the owner those given before stand.

--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -61,13 +61,26 @@
 // pastCrash is the crash of a host, kept for settleTime.
 type pastCrash struct {
 	at time.Time
-	// runs holds the tasks of the runs that were on the host.
-	runs map[batch.Ref]struct{}
+	// runs holds the tasks of the runs that were on the host, and suspects those that are suspected.
+	runs     map[batch.Ref]struct{}
+	suspects []batch.Ref
 	// blamed reports whether the one suspect of the crash ran apart since it was suspected before. Its crashes do
 	// not show that hosts crash by themselves.
 	blamed bool
 }
 
+// proofCrashes is the number of crashes with no other suspect that show a task to crash its hosts. Earlier crashes
+// of its hosts do not show that hosts crash by themselves, either.
+const proofCrashes = 2
+
+// isExplained reports whether a task explains a crash. It may come to do so later.
+func (s *State) isExplained(c *pastCrash) bool {
+	return c.blamed || slices.ContainsFunc(c.suspects, func(ref batch.Ref) bool {
+		_, _, task := s.task(ref)
+		return task != nil && task.Crashes.Alone >= proofCrashes
+	})
+}
+
 // recordCrash records that an instance of a host has ended. An end that was announced, or that
 // follows a request to empty the host, is no crash. The tasks that may have caused the crash are
 // suspected of it: they are kept apart until they are done or given up.
@@ -80,11 +93,11 @@
 	}
 	crash := Crash{Host: h.ID, Runs: append(s.runsOn(h, next, now), s.uncountedOf(h.lapsed)...)}
 	h.lapsed = nil
-	past := pastCrash{at: now, runs: map[batch.Ref]struct{}{}}
+	past := &pastCrash{at: now, runs: map[batch.Ref]struct{}{}}
 	for _, run := range crash.Runs {
 		past.runs[run.Ref] = struct{}{}
 	}
-	s.pastCrashes = slices.DeleteFunc(s.pastCrashes, func(c pastCrash) bool { return now.Sub(c.at) > settleTime })
+	s.pastCrashes = slices.DeleteFunc(s.pastCrashes, func(c *pastCrash) bool { return now.Sub(c.at) > settleTime })
 	if len(crash.Runs) == 0 {
 		s.pastCrashes = append(s.pastCrashes, past)
 		return
@@ -98,9 +111,11 @@
 		run := &crash.Runs[i]
 		_, _, task := s.task(run.Ref)
 		task.crashedRun = run.Run
-		run.Suspected = run.Age <= max(youngest, settleTime)
-		crash.suspects += count(run.Suspected)
-		past.blamed = past.blamed || (run.Suspected && task.Crashes.Isolated)
+		if run.Suspected = run.Age <= max(youngest, settleTime); run.Suspected {
+			crash.suspects++
+			past.suspects = append(past.suspects, run.Ref)
+			past.blamed = past.blamed || task.Crashes.Isolated
+		}
 	}
 	past.blamed = past.blamed && crash.suspects == 1
 	s.pastCrashes = append(s.pastCrashes, past)
@@ -112,7 +127,7 @@
 		}
 		run.GivenUp = s.suspect(run.Ref, suspicion{
 			alone: crash.suspects == 1, first: run.Age <= max(youngest, startSpan), confirmed: run.Confirmed,
-			prompt: run.Confirmed && run.Age <= promptSpan, explained: s.hostsCrashWithout(run.Ref),
+			prompt: run.Confirmed && run.Age <= promptSpan, excuses: s.crashesWithout(run.Ref),
 		}, now)
 	}
 	s.crashes = append(s.crashes, crash)
@@ -146,18 +161,23 @@
 	// alone reports whether no other task is suspected, first whether the task is among the first to be
 	// suspected, and confirmed whether the host had confirmed its start.
 	alone, first, confirmed bool
-	// prompt reports whether the host crashed within promptSpan of a confirmed start, and explained whether hosts
-	// without the task crashed at that time, too.
-	prompt, explained bool
+	// prompt reports whether the host crashed within promptSpan of a confirmed start. excuses holds the crashes of
+	// hosts without the task at that time, and excused reports whether others may have been missed.
+	prompt  bool
+	excuses []*pastCrash
+	excused bool
 }
 
-// hostsCrashWithout reports whether a host without a task has crashed by itself within settleTime before the last
-// crash, as far as is known.
-func (s *State) hostsCrashWithout(ref batch.Ref) bool {
-	return slices.ContainsFunc(s.pastCrashes, func(c pastCrash) bool {
-		_, aboard := c.runs[ref]
-		return !aboard && !c.blamed
-	})
+// crashesWithout returns the crashes of hosts without a task within settleTime before the last crash that no other
+// task explains, as far as is known.
+func (s *State) crashesWithout(ref batch.Ref) []*pastCrash {
+	var out []*pastCrash
+	for _, c := range s.pastCrashes {
+		if _, aboard := c.runs[ref]; !aboard && !s.isExplained(c) {
+			out = append(out, c)
+		}
+	}
+	return out
 }
 
 // suspect counts a crash for a task. It reports whether the task is given up. Its job fails with it, unless the
@@ -192,7 +212,17 @@
 // once no task of it is left.
 func (s *State) suspectLongRunning(j *Job, ref batch.Ref, task *Task, why suspicion, now time.Time) bool {
 	wasGivenUp := task.Crashes.GivenUp()
-	task.Crashes.Unexplained += count(why.prompt || !why.explained)
+	if why.prompt || (len(why.excuses) == 0 && !why.excused) {
+		task.Crashes.Unexplained++
+	} else if !why.excused {
+		task.excuses = append(task.excuses, why.excuses)
+	}
+	// The tasks that other hosts crashed under may have turned out to be the cause since.
+	task.excuses = slices.DeleteFunc(task.excuses, func(crashes []*pastCrash) bool {
+		withdrawn := !slices.ContainsFunc(crashes, func(c *pastCrash) bool { return !s.isExplained(c) })
+		task.Crashes.Unexplained += count(withdrawn)
+		return withdrawn
+	})
 	if !task.Crashes.GivenUp() {
 		return false
 	}
@@ -292,7 +322,7 @@
 		_, stage, task := s.task(ref)
 		if stage != nil && !task.Done && task.startedEarlier && (task.Crashes.Hosts > 0 || s.hostEndedUnseen) {
 			// Whether the host crashed, and what else was on it, is not known.
-			s.suspect(ref, suspicion{first: task.Crashes.Hosts > 0, explained: true}, now)
+			s.suspect(ref, suspicion{first: task.Crashes.Hosts > 0, excused: true}, now)
 		}
 		if stage != nil {
 			task.startedEarlier = false
@@ -324,7 +354,7 @@
 		}
 		if j.Spec.Steps[ref.Step].LongRunning && task.settled(now) {
 			stage.givenUp -= count(task.Crashes.GivenUp())
-			task.Crashes = Crashes{}
+			task.Crashes, task.excuses = Crashes{}, nil
 			s.backlog.update(j, ref.Occurrence, ref.Step)
 			delete(s.suspects, ref)
 			s.markTaskDirty(j, ref)
--- a/fleet/shard/crash_test.go
+++ b/fleet/shard/crash_test.go
@@ -593,6 +593,40 @@
 	p.requireBounded()
 }
 
+// Guards against several tasks of which each explains the crashes of the others.
+func TestManyLongRunningTasksThatCrashTheirHostsLateAreGivenUp(t *testing.T) {
+	for _, hosts := range []int{4, 16} {
+		for guilty := 2; guilty <= 6; guilty++ {
+			for _, lateAfter := range []time.Duration{300 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%d hosts, %d tasks, after %v", hosts, guilty, lateAfter), func(t *testing.T) {
+					p := newCrashPool(t, hosts, func(batch.Ref) bool { return false })
+					p.late, p.lateAfter = func(ref batch.Ref) bool { return ref.Job == "guilty" && ref.Index < guilty }, lateAfter
+					p.submit("guilty", longRunningStep(guilty+1, 0, 1))
+					p.run(30 * time.Second)
+					p.requireBounded()
+				})
+			}
+		}
+	}
+}
+
+// Guards against long-running tasks that are given up since several of their hosts crash together, with others.
+func TestLongRunningTasksAreNotGivenUpWhileHostsCrashWithoutThem(t *testing.T) {
+	p := newCrashPool(t, 12, func(batch.Ref) bool { return false })
+	p.submit("lasting", longRunningStep(6, 0, 1))
+	p.run(3 * time.Second)
+	for range 12 {
+		p.crash(p.idleHost())
+		for i := range 4 {
+			p.crash(p.hostOf(batch.Ref{Job: "lasting", Index: i}))
+		}
+		p.run(time.Second)
+		for _, task := range p.Jobs["lasting"].Occurrences[0].Stages[0].Tasks {
+			require.Equal(t, shard.Running, task.Status)
+		}
+	}
+}
+
 // Guards against a job that is shown as running although none of its tasks is left.
 func TestAJobEndsOnceOnlyTasksThatWereGivenUpAreLeft(t *testing.T) {
 	p := newCrashPool(t, 6, func(ref batch.Ref) bool { return ref.Step == 0 })
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -123,6 +123,9 @@
 	// has crashed.
 	Crashes    Crashes
 	crashedRun int64
+	// excuses holds, for each crash that does not count as unexplained, the crashes of other hosts that explain it.
+	// It is set for long-running tasks only.
+	excuses [][]*pastCrash
 	// startedEarlier reports whether an earlier owner had ordered a run of which neither the end nor the host is
 	// known.
 	startedEarlier bool
@@ -241,7 +244,7 @@
 	orders  []Order
 	crashes []Crash
 	// pastCrashes holds the crashes of hosts, with or without tasks, within settleTime before the last one.
-	pastCrashes []pastCrash
+	pastCrashes []*pastCrash
 	// suspects holds the tasks of open jobs that are suspected of a crash. It may also hold some that are done.
 	suspects map[batch.Ref]*Task
 	// startedEarlier holds the tasks whose startedEarlier was set when they were restored.
