Let the reading of a pool's state take as long as the store answers

Cause, one of several: the claim and the reading of the state shared four seconds. A state that takes longer, at a slow link or on a busy entry, was never read to its end: each attempt started over under a newer claim.

The time limit now covers the claim.

--- a/entry/claim/claim_test.go
+++ b/entry/claim/claim_test.go
@@ -55,3 +55,24 @@
 	require.NoError(t, err)
 	require.GreaterOrEqual(t, sent.Sub(before), 200*time.Millisecond)
 }
+
+// silentStore is a store that answers no reads of the state.
+type silentStore struct{ scriptedStore }
+
+func (s *silentStore) Newest(ctx context.Context, stream port.Stream, _ string) (port.Page, error) {
+	if stream == claim.Stream {
+		return port.Page{}, nil
+	}
+	<-ctx.Done()
+	return port.Page{}, ctx.Err()
+}
+
+// Guards against a pool that is left to an entry which cannot read its state.
+func TestReadingEndsWhenTheStoreDoesNotAnswer(t *testing.T) {
+	c, err := claim.Acquire(t.Context(), &silentStore{}, "pool", "entry", 1, 4)
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.Error(t, c.Load(ctx, func(port.Record) {}))
+	require.NoError(t, ctx.Err())
+}
--- a/entry/duties/claims_test.go
+++ b/entry/duties/claims_test.go
@@ -114,3 +114,21 @@
 		t.Error("the pool has no owner")
 	}
 }
+
+// Guards against a pool that never has an owner: each entry gave the reading of a large state up after four
+// seconds, and it was started over under a newer claim.
+func TestAStateThatTakesLongToReadIsReadToItsEnd(t *testing.T) {
+	s := &fakeStore{streams: map[port.Stream][]port.Record{}}
+	ended := make(chan error, 1)
+	startEntry(t, s, "slow", 400, func(ctx context.Context, _ *claim.Claim) (duties.StartFunc, error) {
+		select {
+		case <-ctx.Done():
+			ended <- ctx.Err()
+			return nil, ctx.Err()
+		case <-time.After(5 * time.Second):
+			ended <- nil
+			return startIdle, nil
+		}
+	})
+	require.NoError(t, <-ended)
+}
--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -22,8 +22,9 @@
 	"carawaymux.dev/fleet/task"
 )
 
-// claimTimeout limits the time to claim a pool and read its state. After that the pool may be
-// claimed again, by this entry or another one.
+// claimTimeout limits the time to claim a pool. After that the pool may be claimed again, by this entry or
+// another one. The time to read its state has no limit as long as the store answers: a reader that starts
+// over never ends if the state is large.
 const claimTimeout = 4 * time.Second
 
 // handoverWait is the time for which a stronger entry must have been free before a pool is handed
@@ -49,7 +50,7 @@
 type StartFunc func(config *port.Config, hosts []port.Host) Holder
 
 // PrepareFunc prepares a holder after its claim has been acquired, and returns the function that
-// starts it. It may read from the store.
+// starts it. It may read from the store, and fails if the store does not answer for some seconds.
 type PrepareFunc func(ctx context.Context, acquired *claim.Claim) (StartFunc, error)
 
 // Settings configure [Duties].
@@ -394,7 +395,7 @@
 // claimPool claims a pool and reads its state in the background. The task receives the outcome as a
 // claimResult.
 func (c *core) claimPool(ctx context.Context, pool string) {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	c.claims[pool] = cancel
 	s, log := c.duties.settings, c.duties.log
 	prepare := s.Singletons[pool]
@@ -403,7 +404,7 @@
 	}
 	c.background.Go(func() {
 		m := claimResult{pool: pool}
-		if m.claim, m.err = claim.Acquire(ctx, log, pool, s.Entry, s.Incarnation, s.Partitions); m.err == nil {
+		if m.claim, m.err = acquire(ctx, log, pool, s); m.err == nil {
 			m.start, m.err = prepare(ctx, m.claim)
 		}
 		if err := c.duties.task.Send(context.WithoutCancel(ctx), m); err != nil {
@@ -412,6 +413,13 @@
 	})
 }
 
+// acquire claims a pool within claimTimeout.
+func acquire(ctx context.Context, log port.Log, pool string, s Settings) (*claim.Claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return claim.Acquire(ctx, log, pool, s.Entry, s.Incarnation, s.Partitions)
+}
+
 func (m claimResult) handle(ctx context.Context, c *core) {
 	c.claims[m.pool]()
 	delete(c.claims, m.pool)
