Serve a pool until the next owner has read its state

Now an entry that stops says so with its heartbeat and goes on to own and serve its pools. The entry that a pool falls to reads the state without a claim, follows what is written meanwhile, and claims the pool when little is left to be read under the claim. The former owner is fenced off as by any newer claim. The claim decides as before; a pool that got another owner meanwhile is not claimed.

--- a/entry/claim/claim.go
+++ b/entry/claim/claim.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -221,42 +220,3 @@
 		}
 	}
 }
-
-// Load reads everything that earlier owners have stored, page by page, and passes the newest
-// record of each key to take. It repeats failed reads until ctx ends, or until there was no page for stallTimeout.
-func (c *Claim) Load(ctx context.Context, take func(port.Record)) error {
-	return readNewest(ctx, c.log, c.stream, c.Name+"/", take)
-}
-
-// readNewest passes the newest record of each key that starts with prefix to take.
-func readNewest(ctx context.Context, log port.Log, stream port.Stream, prefix string, take func(port.Record)) error {
-	after, progressAt := "", time.Now()
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, pageTimeout)
-		page, err := log.Newest(callCtx, stream, after)
-		cancel()
-		if err != nil {
-			if time.Since(progressAt) > stallTimeout || !sleep(ctx, retryBackoff) {
-				return fault.At("load", prefix, err)
-			}
-			continue
-		}
-		progressAt = time.Now()
-		for _, e := range page.Records {
-			after = e.Key
-			if strings.HasPrefix(e.Key, prefix) && e.Value != nil {
-				take(e)
-			}
-		}
-		if !page.More || len(page.Records) == 0 {
-			return nil
-		}
-	}
-}
-
-const (
-	// pageTimeout bounds the read of one page.
-	pageTimeout = 3 * time.Second
-	// stallTimeout is the time without a page after which another entry may read the state instead.
-	stallTimeout = 3500 * time.Millisecond
-)
--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -53,6 +53,10 @@
 // starts it. It may read from the store, and fails if the store does not answer for some seconds.
 type PrepareFunc func(ctx context.Context, acquired *claim.Claim) (StartFunc, error)
 
+// PreloadFunc reads the state of a pool that still has an owner. It returns the function that prepares the holder
+// after the claim has been acquired, which only reads what was written meanwhile.
+type PreloadFunc func(ctx context.Context, pool string) (PrepareFunc, error)
+
 // Settings configure [Duties].
 type Settings struct {
 	// Entry is the name of this entry; Incarnation distinguishes its processes.
@@ -64,6 +68,8 @@
 	// at a time, by claim name; the names begin with singletonPrefix, and no pool's name does.
 	Pools      PrepareFunc
 	Singletons map[string]PrepareFunc
+	// Preload reads the state of a pool whose owner is about to stop. It may be nil.
+	Preload PreloadFunc
 }
 
 // Duties is the task that claims and releases pools for this entry. Use [Start] to create it.
@@ -90,8 +96,15 @@
 	claimsUpdate struct {
 		changes []feed.Change[claim.StoredClaim]
 	}
-	leaveRequest struct{ reply chan<- struct{} }
-	claimResult  struct {
+	// leaveRequest is answered once all pools have a new owner. releaseRequest releases those that have none.
+	leaveRequest   struct{ reply chan<- struct{} }
+	releaseRequest struct{ reply chan<- struct{} }
+	// poolPreloaded has the task claim a pool whose state has been read.
+	poolPreloaded struct {
+		pool    string
+		prepare PrepareFunc
+	}
+	claimResult struct {
 		pool  string
 		claim *claim.Claim
 		start StartFunc
@@ -124,6 +137,10 @@
 	holdings map[string]holding
 	claims   map[string]context.CancelFunc
 	leaving  bool
+	// left is told when the last pool has a new owner. It is nil unless the entry is leaving.
+	left chan<- struct{}
+	// view is the newest view.
+	view *roster.View
 	// rebalancer decides when a pool is handed over to a stronger entry.
 	rebalancer owners.Rebalancer[owners.WeightedLeastLoaded]
 	// background counts the goroutines that the task has started and waits for when it stops.
@@ -137,7 +154,7 @@
 	t.local.Store(&map[string]Holder{})
 	c := &core{
 		duties: t, claimed: map[string]struct{}{}, hosts: map[string]port.Host{}, hostCounts: map[string]int{},
-		holdings: map[string]holding{}, claims: map[string]context.CancelFunc{},
+		holdings: map[string]holding{}, claims: map[string]context.CancelFunc{}, view: &roster.View{},
 	}
 	c.rebalancer.Wait = handoverWait
 	t.task = task.Start(c.run, task.WithInbox(inboxSize))
@@ -170,12 +187,23 @@
 	return t.task.Send(ctx, claimsUpdate{changes})
 }
 
-// Leave releases all pools and stops claiming.
+// Leave stops claiming and waits until other entries have taken the pools over, which they do once they see that
+// this entry leaves. When ctx ends, or no other entry is alive, the remaining pools are released. Singletons are
+// released at once.
 func (t *Duties) Leave(ctx context.Context) error {
 	_, err := task.Call(ctx, t.task, func(reply chan<- struct{}) message { return leaveRequest{reply} })
+	if err == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	_, err = task.Call(ctx, t.task, func(reply chan<- struct{}) message { return releaseRequest{reply} })
 	return err
 }
 
+// releaseTimeout limits the time to release the pools that no entry has taken over.
+const releaseTimeout = time.Second
+
 // Close stops the task and all holders that run here.
 func (t *Duties) Close() { t.task.Close() }
 
@@ -204,11 +232,44 @@
 }
 
 func (m leaveRequest) handle(_ context.Context, c *core) {
-	c.leaving = true
+	c.leaving, c.left = true, m.reply
+	for _, cancel := range c.claims {
+		cancel()
+	}
+	for name := range c.duties.settings.Singletons {
+		if _, ok := c.holdings[name]; ok {
+			c.release(name)
+		}
+	}
+	c.continueLeave()
+}
+
+// continueLeave releases the pools if there is no entry that could take them over.
+func (c *core) continueLeave() {
+	alive := len(c.view.Alive)
+	if _, ok := c.view.Alive[c.duties.settings.Entry]; ok {
+		alive--
+	}
+	if alive == 0 {
+		c.releaseAll()
+	}
+	c.reportLeft()
+}
+
+func (m releaseRequest) handle(_ context.Context, c *core) {
+	c.left = nil
 	c.releaseAll()
 	m.reply <- struct{}{}
 }
 
+// reportLeft tells the caller of Leave when no pools are left.
+func (c *core) reportLeft() {
+	if c.left != nil && len(c.holdings) == 0 {
+		c.left <- struct{}{}
+		c.left = nil
+	}
+}
+
 // publish makes the owned pools visible to the rest of this entry and to the other entries.
 func (c *core) publish() {
 	local := make(map[string]Holder, len(c.holdings))
@@ -260,13 +321,18 @@
 // entry, and hands a pool over if a stronger entry is free.
 func (m viewUpdate) handle(ctx context.Context, c *core) {
 	v := m.view
+	c.view = v
 	for pool, h := range c.holdings {
 		if o, ok := v.Owners[pool]; ok && o.Epoch > h.epoch {
 			c.duties.logger.Info("pool has a newer owner", "pool", pool, "owner", o.Name, "epoch", o.Epoch)
 			c.release(pool)
 		}
 	}
-	if c.leaving || c.config == nil || !v.Settled {
+	if c.leaving {
+		c.continueLeave()
+		return
+	}
+	if c.config == nil || !v.Settled {
 		return
 	}
 	if pools := c.poolsToClaim(v); len(pools) > 0 {
@@ -287,7 +353,7 @@
 	ownerByPool := map[string]string{}
 	for _, pool := range c.allPools() {
 		owner, owned := v.Owners[pool]
-		if !owned {
+		if !owned || owner.Leaving {
 			return
 		}
 		// A change of the holder of a singleton delays its work, which takes little processor time.
@@ -316,15 +382,15 @@
 	return true
 }
 
-// poolsToClaim returns the pools and singletons without an owner that are assigned to this entry. Those that
-// an entry is about to own are left to it: a newer claim would fence it off when it has just read the state.
+// poolsToClaim returns the pools and singletons without an owner, or whose owner is leaving, that are assigned to
+// this entry. Those that an entry is about to own are left to it: a newer claim would fence it off when it has just read the state.
 // They count in the assignment, so that it does not depend on how soon a claim is known.
 func (c *core) poolsToClaim(v *roster.View) []string {
 	var unowned []string
 	for _, pool := range c.allPools() {
-		_, owned := v.Owners[pool]
+		owner, owned := v.Owners[pool]
 		_, held := c.holdings[pool]
-		if !owned && !held {
+		if (!owned || owner.Leaving) && !held {
 			unowned = append(unowned, pool)
 		}
 	}
@@ -392,27 +458,62 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
-// claimPool claims a pool and reads its state in the background. The task receives the outcome as a
-// claimResult.
+// claimPool claims a pool and reads its state in the background. If the pool still has an owner, which is leaving,
+// the state is read first, and that owner serves the pool meanwhile. The task receives the outcome as a claimResult.
 func (c *core) claimPool(ctx context.Context, pool string) {
 	ctx, cancel := context.WithCancel(ctx)
 	c.claims[pool] = cancel
-	s, log := c.duties.settings, c.duties.log
+	s := c.duties.settings
 	prepare := s.Singletons[pool]
-	if prepare == nil {
-		prepare = s.Pools
+	_, owned := c.view.Owners[pool]
+	switch {
+	case prepare != nil:
+		c.acquireInBackground(ctx, pool, prepare)
+	case !owned || s.Preload == nil:
+		c.acquireInBackground(ctx, pool, s.Pools)
+	default:
+		c.background.Go(func() {
+			prepare, err := s.Preload(ctx, pool)
+			if err != nil {
+				c.report(ctx, claimResult{pool: pool, err: err})
+				return
+			}
+			c.report(ctx, poolPreloaded{pool, prepare})
+		})
 	}
+}
+
+func (m poolPreloaded) handle(ctx context.Context, c *core) {
+	if o, ok := c.view.Owners[m.pool]; c.leaving || (ok && !o.Leaving) {
+		c.claims[m.pool]()
+		delete(c.claims, m.pool)
+		c.publish()
+		return
+	}
+	c.claims[m.pool]()
+	ctx, c.claims[m.pool] = context.WithCancel(ctx)
+	c.acquireInBackground(ctx, m.pool, m.prepare)
+}
+
+// acquireInBackground claims a pool and prepares its holder.
+func (c *core) acquireInBackground(ctx context.Context, pool string, prepare PrepareFunc) {
+	s, log := c.duties.settings, c.duties.log
 	c.background.Go(func() {
 		m := claimResult{pool: pool}
 		if m.claim, m.err = acquire(ctx, log, pool, s); m.err == nil {
 			m.start, m.err = prepare(ctx, m.claim)
 		}
-		if err := c.duties.task.Send(context.WithoutCancel(ctx), m); err != nil {
-			c.duties.logger.Debug("result of a claim dropped: the duties task has stopped", "err", err)
-		}
+		c.report(ctx, m)
 	})
 }
 
+// report sends the outcome of work in the background to the task.
+func (c *core) report(ctx context.Context, m message) {
+	if err := c.duties.task.Send(context.WithoutCancel(ctx), m); err != nil {
+		c.duties.logger.Debug("result of a claim dropped: the duties task has stopped", "err", err)
+	}
+}
+
 // acquire claims a pool within claimTimeout.
 func acquire(ctx context.Context, log port.Log, pool string, s Settings) (*claim.Claim, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
@@ -429,6 +530,7 @@
 		return
 	}
 	if c.leaving {
+		c.publish()
 		return
 	}
 	h := m.start(c.config, slices.Collect(maps.Values(c.hosts)))
@@ -455,4 +557,5 @@
 	c.holdings[pool].Close()
 	delete(c.holdings, pool)
 	c.publish()
+	c.reportLeft()
 }
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -82,6 +83,36 @@
 	}
 }
 
+// Preloader returns a function that reads the stored state of a pool before its claim is acquired. What is written
+// until then is read under the claim.
+func Preloader(s Settings, d Deps) duties.PreloadFunc {
+	return func(ctx context.Context, pool string) (duties.PrepareFunc, error) {
+		start := time.Now()
+		reader, stored := claim.NewStateReader(d.Log, pool, s.Partitions), newStoredState()
+		take := stored.taker(pool)
+		if err := reader.Load(ctx, take); err != nil {
+			return nil, err
+		}
+		// Little is left to be read under the claim, while nobody serves the pool.
+		if err := reader.Follow(ctx, take); err != nil {
+			return nil, err
+		}
+		d.Logger.Info("state of the pool read before it is claimed", "pool", pool, "took-ms", time.Since(start).Milliseconds(),
+			"waited-ms", reader.Cost.Waited.Milliseconds(), "pages", reader.Cost.Pages, "records", reader.Cost.Records, "bytes", reader.Cost.Bytes)
+		return func(ctx context.Context, acquired *claim.Claim) (duties.StartFunc, error) {
+			err := reader.Follow(ctx, take)
+			if errors.Is(err, claim.ErrNotKept) {
+				stored, err = ReadState(ctx, acquired)
+			} else {
+				stored.finish(pool)
+			}
+			return func(config *port.Config, hosts []port.Host) duties.Holder {
+				return Start(s, d, acquired, stored, config, hosts)
+			}, err
+		}, nil
+	}
+}
+
 // Settings configure an owner.
 type Settings struct {
 	// Partitions is the number of partitions of each topic of the store.
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -72,24 +72,65 @@
 // ReadState reads what earlier owners of a pool have stored.
 func ReadState(ctx context.Context, acquired *claim.Claim) (*StoredState, error) {
 	stored := newStoredState()
-	err := acquired.Load(ctx, func(e port.Record) {
-		if err := stored.add(acquired.Name, e); err != nil {
+	err := acquired.Load(ctx, stored.taker(acquired.Name))
+	stored.finish(acquired.Name)
+	return stored, err
+}
+
+// taker returns the function that takes the records of a pool.
+func (s *StoredState) taker(pool string) func(port.Record) {
+	return func(e port.Record) {
+		delete(s.Unreadable, e.Key)
+		if e.Value == nil {
+			s.remove(pool, e.Key)
+			return
+		}
+		if err := s.add(pool, e); err != nil {
 			// Without the record, the pool still needs an owner.
-			stored.Unreadable[e.Key] = err
+			s.remove(pool, e.Key)
+			s.Unreadable[e.Key] = err
 		}
-	})
-	stored.findOrphans(acquired.Name)
-	for key := range stored.Unreadable {
+	}
+}
+
+// finish drops what depends on records that could not be read. No record is added after it.
+func (s *StoredState) finish(pool string) {
+	s.findOrphans(pool)
+	for key := range s.Unreadable {
 		// Some of the job may have run, so nothing of it is started again.
-		if id, ok := strings.CutPrefix(key, acquired.Name+keyProgress); ok {
-			delete(stored.Specs, id)
+		if id, ok := strings.CutPrefix(key, pool+keyProgress); ok {
+			delete(s.Specs, id)
 		}
-		if part, ok := strings.CutPrefix(key, acquired.Name+keyPart); ok {
+		if part, ok := strings.CutPrefix(key, pool+keyPart); ok {
 			id, _, _ := strings.Cut(part, partSeparator)
-			delete(stored.Specs, id)
+			delete(s.Specs, id)
 		}
 	}
-	return stored, err
+}
+
+// remove removes what the record of a key held.
+func (s *StoredState) remove(pool, key string) {
+	key = key[len(pool):]
+	if len(key) < len(keySpec) {
+		return
+	}
+	id := key[len(keySpec):]
+	switch key[:len(keySpec)] {
+	case keySpec:
+		delete(s.Specs, id)
+	case keyProgress:
+		delete(s.Progress, id)
+	case keyPart:
+		job, part, _ := strings.Cut(id, partSeparator)
+		s.Parts[job] = slices.DeleteFunc(s.Parts[job], func(p shard.Part) bool { return p.String() == part })
+		if len(s.Parts[job]) == 0 {
+			delete(s.Parts, job)
+		}
+	case keyHost:
+		s.Hosts = slices.DeleteFunc(s.Hosts, func(h port.Host) bool { return h.ID == id })
+	case keyQueue:
+		delete(s.Queues, id)
+	}
 }
 
 // findOrphans finds the parts of jobs that are not stored any more.
@@ -129,6 +170,7 @@
 		if err != nil {
 			return err
 		}
+		s.remove(pool, e.Key)
 		id, _, _ = strings.Cut(id, partSeparator)
 		s.Parts[id] = append(s.Parts[id], v)
 	case keyHost:
@@ -136,6 +178,7 @@
 		if err != nil {
 			return err
 		}
+		s.remove(pool, e.Key)
 		s.Hosts = append(s.Hosts, v)
 	case keyQueue:
 		v, err := codec.DecodeFrame[storedQueue](e.Value)
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -57,7 +57,8 @@
 	Seq int64 `cbor:"5,keyasint"`
 	// Pools holds the epoch of each pool that the entry owns, by pool name.
 	Pools map[string]int64 `cbor:"6,keyasint,omitempty"`
-	// Leaving reports that the entry takes no pools: it is about to stop, or is no longer a member.
+	// Leaving reports that the entry takes no pools: it is about to stop, or is no longer a member. Pools then holds
+	// those that others should take over.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
 	// Capacity is the processor capacity of the entry in thousandths of a core. Zero means unknown;
 	// versions before the field write none.
@@ -73,6 +74,8 @@
 type Owner struct {
 	Name, Address string
 	Epoch         int64
+	// Leaving reports that the entry serves the pool only until another one has taken it over.
+	Leaving bool
 }
 
 // View is the known state of the entries. A published view is never modified.
@@ -114,6 +117,7 @@
 type (
 	// poolsChanged has the task write a heartbeat at once.
 	poolsChanged struct{}
+	prepareLeave struct{ reply chan<- struct{} }
 	leave        struct{ reply chan<- struct{} }
 	// refresh has the task run a round now, unless one has just ended.
 	refresh struct{ reply chan<- struct{} }
@@ -135,8 +139,8 @@
 	outranked int
 	// decided is set once the entry has decided whether it is a member.
 	decided bool
-	// leaving is set when the entry is about to stop.
-	leaving bool
+	// leaving is set when the entry is about to stop. left is set when it owns no pools any more.
+	leaving, left bool
 	// lastRound is when the last round ended.
 	lastRound time.Time
 	self      Heartbeat
@@ -194,7 +198,14 @@
 	return r.View()
 }
 
-// Leave announces that this entry is about to stop. It waits until that heartbeat has been written or
+// PrepareLeave announces that this entry is about to stop and that other entries should take its pools over. It waits
+// until that heartbeat has been written or has failed.
+func (r *Roster) PrepareLeave(ctx context.Context) error {
+	_, err := task.Call(ctx, r.task, func(reply chan<- struct{}) message { return prepareLeave{reply} })
+	return err
+}
+
+// Leave announces that this entry is about to stop and owns no pools. It waits until that heartbeat has been written or
 // has failed.
 func (r *Roster) Leave(ctx context.Context) error {
 	_, err := task.Call(ctx, r.task, func(reply chan<- struct{}) message { return leave{reply} })
@@ -245,12 +256,18 @@
 	}
 }
 
-func (m leave) handle(ctx context.Context, c *core) {
+func (m prepareLeave) handle(ctx context.Context, c *core) {
 	c.leaving = true
 	c.writeHeartbeat(ctx)
 	m.reply <- struct{}{}
 }
 
+func (m leave) handle(ctx context.Context, c *core) {
+	c.leaving, c.left = true, true
+	c.writeHeartbeat(ctx)
+	m.reply <- struct{}{}
+}
+
 func (m refresh) handle(ctx context.Context, c *core) {
 	if time.Since(c.lastRound) >= refreshInterval {
 		c.round(ctx)
@@ -337,7 +354,10 @@
 	c.self.Pools, c.self.Claims = *c.roster.pools.Load(), *c.roster.claims.Load()
 	c.self.Leaving = c.leaving || !c.member
 	if c.self.Leaving {
-		c.self.Pools, c.self.Claims = nil, nil
+		c.self.Claims = nil
+	}
+	if c.left || !c.member {
+		c.self.Pools = nil
 	}
 	value, err := codec.EncodeFrame(c.self)
 	if err != nil {
@@ -398,13 +418,15 @@
 		if silence > evictAfter {
 			delete(c.rows, name)
 		}
-		if silence > deadAfter || r.heartbeat.Leaving {
+		if silence > deadAfter {
 			continue
 		}
-		v.Alive[name] = r.heartbeat
+		if !r.heartbeat.Leaving {
+			v.Alive[name] = r.heartbeat
+		}
 		for pool, epoch := range r.heartbeat.Pools {
 			if epoch > v.Owners[pool].Epoch {
-				v.Owners[pool] = Owner{Name: name, Address: r.heartbeat.Address, Epoch: epoch}
+				v.Owners[pool] = Owner{Name: name, Address: r.heartbeat.Address, Epoch: epoch, Leaving: r.heartbeat.Leaving}
 			}
 		}
 	}
