Give pools to entries that have restarted last

In a rolling restart the pool of a stopping owner went to any of the entries with the least load, mostly to one that is stopped a few seconds later. Among equally loaded entries, those that have started last come first now, in steps of ten seconds, so that entries that start together are spread over the availability zones as before.

--- a/fleet/owners/owners.go
+++ b/fleet/owners/owners.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -13,7 +14,7 @@
 type Member struct {
 	Name string
 	Zone string
-	// Incarnation distinguishes the processes of a member.
+	// Incarnation distinguishes the processes of a member. It is the time of its start in nanoseconds.
 	Incarnation int64
 	// Load is the total weight of the pools that it owns; it is not negative.
 	Load int
@@ -53,8 +54,9 @@
 }
 
 // WeightedLeastLoaded gives a pool to the member with the lowest load relative to its capacity after
-// taking it. Among equals it prefers the zone with the lowest load, so that the loss of a zone affects
-// few pools, and then uses rendezvous hashing.
+// taking it. Among equals it prefers those that have started last: in a rolling restart, they are not stopped
+// next. Then it prefers the zone with the lowest load, so that the loss of a zone affects few pools, and
+// then uses rendezvous hashing.
 type WeightedLeastLoaded struct{}
 
 // Less implements [Policy].
@@ -63,9 +65,16 @@
 	if c := cmp.Compare(a.Load*b.Capacity, b.Load*a.Capacity); c != 0 {
 		return c < 0
 	}
+	if c := cmp.Compare(a.Incarnation/startSpan, b.Incarnation/startSpan); c != 0 {
+		return c > 0
+	}
 	return winsTie(pool, a, b, loadByZone)
 }
 
+// startSpan is the time in nanoseconds within which members count as having started together, as those of an
+// installation that is switched on do.
+const startSpan = int64(10 * time.Second)
+
 // LeastLoaded gives a pool to the member with the lowest load, whatever its capacity. Ties are
 // broken as in [WeightedLeastLoaded]. It is the baseline of that policy.
 type LeastLoaded struct{}
--- a/fleet/owners/owners_test.go
+++ b/fleet/owners/owners_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -197,3 +200,41 @@
 	m[1].Link, m[2].Link = 0, 0
 	require.Equal(t, map[string]string{"p000": "a"}, owners.Assign(owners.WeightedLeastLoaded{}, pools(1), m))
 }
+
+// Guards against a pool that changes its owner again and again in a rolling restart, because it goes to the members
+// that are stopped next.
+func TestPoolsGoToMembersThatHaveRestarted(t *testing.T) {
+	const members, second = 8, int64(time.Second)
+	for first := range 10 {
+		// Members are restarted in a random order, two seconds apart, while the owner of the pool stops each time.
+		r := rand.New(rand.NewPCG(uint64(first), 0))
+		var all []owners.Member
+		for i := range members {
+			all = append(all, owners.Member{Name: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i%4), Incarnation: 100*second + r.Int64N(second), Capacity: 800})
+		}
+		owner, changes := "m0", 0
+		for i, m := range r.Perm(members) {
+			if all[m].Name == owner {
+				rest := slices.Delete(slices.Clone(all), m, m+1)
+				owner = owners.Assign(owners.WeightedLeastLoaded{}, []string{"pool"}, rest)["pool"]
+				changes++
+			}
+			all[m].Incarnation = (200 + 2*int64(i)) * second
+		}
+		// The first owner may be stopped before any other, which then cannot go to one that has restarted.
+		require.LessOrEqual(t, changes, 2, "order %d", first)
+	}
+}
+
+// Members that start together count as equally old, whatever the order of their starts.
+func TestPoolsOfMembersThatStartTogetherAreSpreadOverZones(t *testing.T) {
+	var all []owners.Member
+	for i := range 8 {
+		all = append(all, owners.Member{Name: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i/2), Incarnation: int64(i) * int64(time.Millisecond), Capacity: 800})
+	}
+	zones := map[string]bool{}
+	for _, name := range owners.Assign(owners.WeightedLeastLoaded{}, []string{"a", "b", "c", "d"}, all) {
+		zones[all[slices.IndexFunc(all, func(m owners.Member) bool { return m.Name == name })].Zone] = true
+	}
+	require.Len(t, zones, 4)
+}
