Notice within 0.2 s that the store answers again

After an outage, silence counts anew from when an entry reads the store again.

While the store is down, a member only reads, and sends a further read beside those under way every 0.2 s. It also reads at the moment at which another entry has been silent for too long, in place of up to 0.4 s later.

--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -39,6 +39,8 @@
 	// stepDownRounds is the number of rounds in a row for which enough stronger members have to be
 	// alive before an entry stops being one.
 	stepDownRounds = 3
+	// repeatInterval is the time between the reads of a member that has no answer from the store.
+	repeatInterval = 200 * time.Millisecond
 	// evictAfter is the time without a new heartbeat after which the row of an entry is removed.
 	evictAfter = time.Minute
 )
@@ -145,8 +147,9 @@
 	lastRound time.Time
 	self      Heartbeat
 	rows      map[string]*row
-	// reader reads the heartbeats of all entries.
+	// reader reads the heartbeats of all entries, by reads.
 	reader *feed.Reader
+	reads  *repeatedReads
 	// readingSince is the time since which each read has succeeded at most readMargin after its time.
 	// lastRead is the time of the last successful read.
 	readingSince, lastRead time.Time
@@ -163,7 +166,8 @@
 	r.view.Store(&View{})
 	r.pools.Store(&self.Pools)
 	r.claims.Store(&self.Claims)
-	c := &core{roster: r, self: self, member: true, rows: map[string]*row{}, reader: feed.NewReader(log, stream, callTimeout)}
+	c := &core{roster: r, self: self, member: true, rows: map[string]*row{}, reads: &repeatedReads{Log: log}}
+	c.reader = feed.NewReader(c.reads, stream, callTimeout)
 	r.task = task.Start(c.run)
 	return r
 }
@@ -227,11 +231,26 @@
 		case <-tick.C:
 			began := time.Now()
 			c.round(ctx)
-			tick.Reset(max(c.interval()-time.Since(began), 0))
+			tick.Reset(max(min(c.interval()-time.Since(began), c.untilSilent()), 0))
 		}
 	}
 }
 
+// untilSilent returns the time until the next entry counts as dead unless it has written. A member reads then, since the
+// pools of that entry have no owner any more.
+func (c *core) untilSilent() time.Duration {
+	next := deadAfter
+	if !c.member || c.storeDown {
+		return next
+	}
+	for _, r := range c.rows {
+		if left := deadAfter - time.Since(later(r.changedAt, c.readingSince)); left >= 0 && !r.heartbeat.Leaving {
+			next = min(next, left+time.Millisecond)
+		}
+	}
+	return next
+}
+
 // interval returns the time from the start of one round to the start of the next. A slow store does
 // not add to it, unless the calls take longer than the interval.
 func (c *core) interval() time.Duration {
@@ -278,10 +297,15 @@
 func (c *core) round(ctx context.Context) {
 	began := time.Now()
 	defer func() { c.lastRound = time.Now() }()
-	written := !c.member || c.writeHeartbeat(ctx)
+	// While the store is down, only reads find out that it is back: they may be repeated.
+	written, readFirst := true, c.storeDown
+	if c.member && !readFirst {
+		written = c.writeHeartbeat(ctx)
+	}
 	if !written {
 		c.markStoreLost(began)
 	}
+	c.reads.repeat = c.member && (readFirst || !written)
 	if err := c.readHeartbeats(ctx); err != nil {
 		c.markStoreLost(began)
 		if !c.storeDown {
@@ -294,6 +318,9 @@
 		c.roster.logger.Info("entries: store regained")
 	}
 	c.storeDown = false
+	if c.member && readFirst {
+		written = c.writeHeartbeat(ctx)
+	}
 	if written {
 		c.storeLostSince = time.Time{}
 	}
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -66,6 +66,10 @@
 }
 
 func startRoster(t *testing.T, s *fakeStore, name string) *roster.Roster {
+	return startRosterOn(t, s, name)
+}
+
+func startRosterOn(t *testing.T, s port.Log, name string) *roster.Roster {
 	r := roster.Start(s, roster.Heartbeat{Name: name, Zone: "z", Address: name, Incarnation: 1},
 		slog.New(slog.NewJSONHandler(io.Discard, nil)), func(*roster.View) {})
 	t.Cleanup(r.Close)
