Read a large state in four parts side by side

In a rolling restart an entry that reads is stopped before it has finished.

Once the first page shows that there are more, the specifications and the progress of jobs are read in two parts each. That relies on pages in the order of their keys, which the store's page does not promise: if a page is not, or a part shows no key, all pages are read one after the other as before.

--- a/entry/claim/state.go
+++ b/entry/claim/state.go
@@ -19,9 +19,9 @@
 
 // Load reads everything that earlier owners have stored, page by page, and passes the newest
 // record of each key to take. It repeats failed reads until ctx ends, or until there was no page for stallTimeout.
-func (c *Claim) Load(ctx context.Context, take func(port.Record)) error {
+func (c *Claim) Load(ctx context.Context, take func(port.Record), opts ...LoadOption) error {
 	r := StateReader{log: c.log, name: c.Name, stream: c.stream}
-	return r.Load(ctx, take)
+	return r.Load(ctx, take, opts...)
 }
 
 // StateReader reads what the owners of a name have stored, before the name is claimed. Use [NewStateReader] to
@@ -38,9 +38,8 @@
 
 // ReadCost is what it took to read a state.
 type ReadCost struct {
-	// Pages is the number of calls to the store; Waited is the time in which they were awaited.
-	Pages  int
-	Waited time.Duration
+	// Pages is the number of pages that the store returned.
+	Pages int
 	// Records and Bytes count the records of the name and their values.
 	Records, Bytes int
 }
@@ -50,28 +49,31 @@
 	return &StateReader{log: log, name: name, stream: StateStream(name, partitions)}
 }
 
+// LoadOption changes how a state is read.
+type LoadOption func(*loading)
+
+// WithSplits sets the keys, in ascending order, between which the parts of a large state are read side by side. The keys
+// begin after the name and its slash.
+func WithSplits(keys ...string) LoadOption { return func(l *loading) { l.splits = keys } }
+
 // Load passes the newest record of each key to take, like [Claim.Load].
-func (r *StateReader) Load(ctx context.Context, take func(port.Record)) error {
-	after, first := "", true
-	for {
-		page, err := r.retry(ctx, func(ctx context.Context) (port.Page, error) { return r.log.Newest(ctx, r.stream, after) })
-		if err != nil {
-			return err
-		}
-		if first {
-			// The pages are no snapshot: what is written while they are read may be missing from them.
-			r.next, first = page.End, false
-		}
-		for _, e := range page.Records {
-			after = e.Key
-			if e.Value != nil {
-				r.pass(e, take)
-			}
-		}
-		if !page.More || len(page.Records) == 0 {
-			return nil
-		}
+func (r *StateReader) Load(ctx context.Context, take func(port.Record), opts ...LoadOption) error {
+	l := loading{reader: r, take: take}
+	for _, opt := range opts {
+		opt(&l)
 	}
+	first, err := r.newest(ctx, "")
+	if err != nil {
+		return err
+	}
+	// The pages are no snapshot: what is written while they are read may be missing from them.
+	r.next = first.End
+	return l.run(ctx, first)
+}
+
+// newest reads a page of the newest records.
+func (r *StateReader) newest(ctx context.Context, after string) (port.Page, error) {
+	return r.retry(ctx, func(ctx context.Context) (port.Page, error) { return r.log.Newest(ctx, r.stream, after) })
 }
 
 // ErrNotKept means that the store no longer keeps the records that a reader asks for.
@@ -91,6 +93,7 @@
 		if end < 0 {
 			end = page.End
 		}
+		r.Cost.Pages++
 		for _, e := range page.Records {
 			r.next = e.Offset + 1
 			r.pass(e, take)
@@ -111,8 +114,6 @@
 // retry reads a page. It repeats failed reads until ctx ends, or for stallTimeout.
 func (r *StateReader) retry(ctx context.Context, read func(context.Context) (port.Page, error)) (port.Page, error) {
 	start := time.Now()
-	r.Cost.Pages++
-	defer func() { r.Cost.Waited += time.Since(start) }()
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, pageTimeout)
 		page, err := read(callCtx)
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -90,7 +90,7 @@
 		start := time.Now()
 		reader, stored := claim.NewStateReader(d.Log, pool, s.Partitions), newStoredState()
 		take := stored.taker(pool)
-		if err := reader.Load(ctx, take); err != nil {
+		if err := reader.Load(ctx, take, stateSplits); err != nil {
 			return nil, err
 		}
 		// Little is left to be read under the claim, while nobody serves the pool.
@@ -98,7 +98,7 @@
 			return nil, err
 		}
 		d.Logger.Info("state of the pool read before it is claimed", "pool", pool, "took-ms", time.Since(start).Milliseconds(),
-			"waited-ms", reader.Cost.Waited.Milliseconds(), "pages", reader.Cost.Pages, "records", reader.Cost.Records, "bytes", reader.Cost.Bytes)
+			"pages", reader.Cost.Pages, "records", reader.Cost.Records, "bytes", reader.Cost.Bytes)
 		return func(ctx context.Context, acquired *claim.Claim) (duties.StartFunc, error) {
 			err := reader.Follow(ctx, take)
 			if errors.Is(err, claim.ErrNotKept) {
--- a/entry/owner/preload_test.go
+++ b/entry/owner/preload_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,8 +23,11 @@
 // changingStore holds one stream, of which pages show few records each and are no snapshot: more is written before
 // each page is read.
 type changingStore struct {
+	mu      sync.Mutex
 	records []port.Record
 	write   func()
+	// reversed is set if the keys of pages are in descending order.
+	reversed bool
 	// kept is the offset of the first record that can be read.
 	kept int64
 }
@@ -44,17 +48,20 @@
 	if stream == claim.Stream {
 		return port.Page{}, nil
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	page := port.Page{End: int64(len(s.records))}
 	newest := map[string]port.Record{}
 	for _, r := range s.records {
 		newest[r.Key] = r
 	}
+	follows := func(a, b string) bool { return b == "" || (a > b) != s.reversed }
 	for key, r := range newest {
-		if key > after && r.Value != nil {
+		if follows(key, after) && r.Value != nil {
 			page.Records = append(page.Records, r)
 		}
 	}
-	slices.SortFunc(page.Records, func(a, b port.Record) int { return map[bool]int{true: -1, false: 1}[a.Key < b.Key] })
+	slices.SortFunc(page.Records, func(a, b port.Record) int { return map[bool]int{true: 1, false: -1}[follows(a.Key, b.Key)] })
 	page.More = len(page.Records) > 5
 	page.Records = page.Records[:min(len(page.Records), 5)]
 	s.write()
@@ -74,7 +81,7 @@
 		return raw
 	}
 	pool := []string{"pool", "pool", "pool", "pools"}[r.IntN(4)]
-	id, number := fmt.Sprintf("%02d", r.IntN(9)), r.IntN(3)
+	id, number := fmt.Sprintf("%02d", r.IntN(20)*5), r.IntN(3)
 	key, value := pool+keySpec+id, encode(batch.Spec{Queue: "q", AcceptedMS: r.Int64N(1000) + 1, Steps: []batch.Step{{Count: 1, Estimate: time.Second}}})
 	switch r.IntN(5) {
 	case 0:
@@ -111,7 +118,7 @@
 func TestAStateThatIsReadBeforeTheClaimIsThatOfTheStore(t *testing.T) {
 	for seed := range uint64(200) {
 		r := rand.New(rand.NewPCG(seed, 0))
-		s := &changingStore{}
+		s := &changingStore{reversed: seed%4 == 0}
 		s.write = func() {
 			for range r.IntN(4) {
 				s.putAny(t, r)
@@ -122,7 +129,7 @@
 		}
 		reader, preloaded := claim.NewStateReader(s, "pool", 1), newStoredState()
 		take := preloaded.taker("pool")
-		require.NoError(t, reader.Load(t.Context(), take))
+		require.NoError(t, reader.Load(t.Context(), take, stateSplits))
 		require.NoError(t, reader.Follow(t.Context(), take))
 		for range r.IntN(60) {
 			s.putAny(t, r)
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -47,6 +47,10 @@
 	keyConfirm  = "/r"
 )
 
+// stateSplits divides the state of a pool with many jobs into parts of similar size: IDs of jobs are mostly random and in
+// hexadecimal.
+var stateSplits = claim.WithSplits(keySpec[1:]+"8", keyProgress[1:], keyProgress[1:]+"8")
+
 // StoredState is what earlier owners of a pool have stored. Its maps are keyed by job ID where nothing else is
 // said.
 type StoredState struct {
@@ -72,7 +76,7 @@
 // ReadState reads what earlier owners of a pool have stored.
 func ReadState(ctx context.Context, acquired *claim.Claim) (*StoredState, error) {
 	stored := newStoredState()
-	err := acquired.Load(ctx, stored.taker(acquired.Name))
+	err := acquired.Load(ctx, stored.taker(acquired.Name), stateSplits)
 	stored.finish(acquired.Name)
 	return stored, err
 }
