--- a/entry/owner/preload_test.go
+++ b/entry/owner/preload_test.go
@@ -109,6 +109,9 @@
 	for _, parts := range s.Parts {
 		slices.SortFunc(parts, func(a, b shard.Part) int { return a.Occurrence - b.Occurrence })
 	}
+	if len(s.Hosts) == 0 {
+		s.Hosts = nil
+	}
 	s.OrphanedParts = nil
 	return s
 }
