Leave the machines to a stopping holder until it has given them up

Found by reading: with the hand-over of pools, a heartbeat of a stopping entry still named the holder of the machines, and another entry could claim them before that holder had stored the ages of its last orders. entry/duties TestASingletonIsNotClaimedBeforeItsHolderHasGivenItUp fails without the change.

--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -382,7 +382,7 @@
 	return true
 }
 
-// poolsToClaim returns the pools and singletons without an owner, or whose owner is leaving, that are assigned to
+// poolsToClaim returns the pools and singletons without an owner, and the pools whose owner is leaving, that are assigned to
 // this entry. Those that an entry is about to own are left to it: a newer claim would fence it off when it has just read the state.
 // They count in the assignment, so that it does not depend on how soon a claim is known.
 func (c *core) poolsToClaim(v *roster.View) []string {
@@ -390,7 +390,9 @@
 	for _, pool := range c.allPools() {
 		owner, owned := v.Owners[pool]
 		_, held := c.holdings[pool]
-		if (!owned || owner.Leaving) && !held {
+		// A holder of a singleton stores what the next one needs before it gives it up.
+		leaving := owner.Leaving && c.duties.settings.Singletons[pool] == nil
+		if (!owned || leaving) && !held {
 			unowned = append(unowned, pool)
 		}
 	}
--- a/entry/duties/leave_test.go
+++ b/entry/duties/leave_test.go
@@ -170,3 +170,14 @@
 	time.Sleep(200 * time.Millisecond)
 	require.Nil(t, d.Holder("pool"))
 }
+
+// Guards against machines that are not ordered for a while after each stop: the holder of the machines stores what it has
+// ordered before it gives them up, which it cannot do once it is fenced off.
+func TestASingletonIsNotClaimedBeforeItsHolderHasGivenItUp(t *testing.T) {
+	d := startDuties(t, &port.Config{Version: 1})
+	showAlone(t, d, map[string]roster.Owner{"*machines": {Name: "old", Epoch: 1, Leaving: true}})
+	time.Sleep(200 * time.Millisecond)
+	require.Nil(t, d.Holder("*machines"))
+	showAlone(t, d, nil)
+	require.Eventually(t, func() bool { return d.Holder("*machines") != nil }, 5*time.Second, 5*time.Millisecond)
+}
