Ask the hosts of a pool before its new owner plans

Inherited work waits for the answer of each host, and the first heartbeats were sent at the end of the first round, which looks at all jobs that wait (0.38 s for 30,000 on a whole core). Heartbeats are sent before each round now; hosts answer while it plans.

--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -161,10 +161,14 @@
 	}
 }
 
-// act plans, sends orders and heartbeats, and starts the next request to the policy service and
-// the next write to the store.
+// act sends heartbeats, plans and sends orders, and starts the next request to the policy service and
+// the next write to the store. Hosts answer while it plans: a new owner cannot start inherited work before they have, and its
+// first round looks at all that waits.
 func (c *core) act() {
 	now := time.Now()
+	for id, l := range c.agents {
+		c.sendHeartbeat(id, l, now)
+	}
 	c.state.RetryStops(now)
 	limits := shard.Limits{Starts: c.starts.Room(now), StartsPerHost: startsPerHost}
 	ranking := shard.StarvedFirst[shard.ByLoad]{
@@ -174,9 +178,6 @@
 	for _, o := range c.state.TakeOrders() {
 		c.sendOrder(o, now)
 	}
-	for id, l := range c.agents {
-		c.sendHeartbeat(id, l, now)
-	}
 	c.askAdviser(now)
 	c.flush(now)
 	end := time.Now()
