--- a/fleet/owners/owners.go
+++ b/fleet/owners/owners.go
@@ -73,7 +73,7 @@
 
 // startSpan is the time in nanoseconds within which members count as having started together, as those of an
 // installation that is switched on do.
-const startSpan = int64(10 * time.Second)
+const startSpan = int64(2 * time.Second)
 
 // LeastLoaded gives a pool to the member with the lowest load, whatever its capacity. Ties are
 // broken as in [WeightedLeastLoaded]. It is the baseline of that policy.
