--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -39,6 +39,8 @@
 	// stepDownRounds is the number of rounds in a row for which enough stronger members have to be
 	// alive before an entry stops being one.
 	stepDownRounds = 3
+	// repeatInterval is the time between the reads of a member that has no answer from the store.
+	repeatInterval = 200 * time.Millisecond
 	// evictAfter is the time without a new heartbeat after which the row of an entry is removed.
 	evictAfter = time.Minute
 )
@@ -57,7 +59,8 @@
 	Seq int64 `cbor:"5,keyasint"`
 	// Pools holds the epoch of each pool that the entry owns, by pool name.
 	Pools map[string]int64 `cbor:"6,keyasint,omitempty"`
-	// Leaving reports that the entry takes no pools: it is about to stop, or is no longer a member.
+	// Leaving reports that the entry takes no pools: it is about to stop, or is no longer a member. Pools then holds
+	// those that others should take over.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
 	// Capacity is the processor capacity of the entry in thousandths of a core. Zero means unknown;
 	// versions before the field write none.
@@ -73,6 +76,8 @@
 type Owner struct {
 	Name, Address string
 	Epoch         int64
+	// Leaving reports that the entry serves the pool only until another one has taken it over.
+	Leaving bool
 }
 
 // View is the known state of the entries. A published view is never modified.
@@ -114,6 +119,7 @@
 type (
 	// poolsChanged has the task write a heartbeat at once.
 	poolsChanged struct{}
+	prepareLeave struct{ reply chan<- struct{} }
 	leave        struct{ reply chan<- struct{} }
 	// refresh has the task run a round now, unless one has just ended.
 	refresh struct{ reply chan<- struct{} }
@@ -135,14 +141,15 @@
 	outranked int
 	// decided is set once the entry has decided whether it is a member.
 	decided bool
-	// leaving is set when the entry is about to stop.
-	leaving bool
+	// leaving is set when the entry is about to stop. left is set when it owns no pools any more.
+	leaving, left bool
 	// lastRound is when the last round ended.
 	lastRound time.Time
 	self      Heartbeat
 	rows      map[string]*row
-	// reader reads the heartbeats of all entries.
+	// reader reads the heartbeats of all entries, by reads.
 	reader *feed.Reader
+	reads  *repeatedReads
 	// readingSince is the time since which each read has succeeded at most readMargin after its time.
 	// lastRead is the time of the last successful read.
 	readingSince, lastRead time.Time
@@ -159,7 +166,8 @@
 	r.view.Store(&View{})
 	r.pools.Store(&self.Pools)
 	r.claims.Store(&self.Claims)
-	c := &core{roster: r, self: self, member: true, rows: map[string]*row{}, reader: feed.NewReader(log, stream, callTimeout)}
+	c := &core{roster: r, self: self, member: true, rows: map[string]*row{}, reads: &repeatedReads{Log: log}}
+	c.reader = feed.NewReader(c.reads, stream, callTimeout)
 	r.task = task.Start(c.run)
 	return r
 }
@@ -194,7 +202,14 @@
 	return r.View()
 }
 
-// Leave announces that this entry is about to stop. It waits until that heartbeat has been written or
+// PrepareLeave announces that this entry is about to stop and that other entries should take its pools over. It waits
+// until that heartbeat has been written or has failed.
+func (r *Roster) PrepareLeave(ctx context.Context) error {
+	_, err := task.Call(ctx, r.task, func(reply chan<- struct{}) message { return prepareLeave{reply} })
+	return err
+}
+
+// Leave announces that this entry is about to stop and owns no pools. It waits until that heartbeat has been written or
 // has failed.
 func (r *Roster) Leave(ctx context.Context) error {
 	_, err := task.Call(ctx, r.task, func(reply chan<- struct{}) message { return leave{reply} })
@@ -216,11 +231,26 @@
 		case <-tick.C:
 			began := time.Now()
 			c.round(ctx)
-			tick.Reset(max(c.interval()-time.Since(began), 0))
+			tick.Reset(max(min(c.interval()-time.Since(began), c.untilSilent()), 0))
 		}
 	}
 }
 
+// untilSilent returns the time until the next entry counts as dead unless it has written. A member reads then, since the
+// pools of that entry have no owner any more.
+func (c *core) untilSilent() time.Duration {
+	next := deadAfter
+	if !c.member || c.storeDown {
+		return next
+	}
+	for _, r := range c.rows {
+		if left := deadAfter - time.Since(later(r.changedAt, c.readingSince)); left >= 0 && !r.heartbeat.Leaving {
+			next = min(next, left+time.Millisecond)
+		}
+	}
+	return next
+}
+
 // interval returns the time from the start of one round to the start of the next. A slow store does
 // not add to it, unless the calls take longer than the interval.
 func (c *core) interval() time.Duration {
@@ -245,12 +275,18 @@
 	}
 }
 
-func (m leave) handle(ctx context.Context, c *core) {
+func (m prepareLeave) handle(ctx context.Context, c *core) {
 	c.leaving = true
 	c.writeHeartbeat(ctx)
 	m.reply <- struct{}{}
 }
 
+func (m leave) handle(ctx context.Context, c *core) {
+	c.leaving, c.left = true, true
+	c.writeHeartbeat(ctx)
+	m.reply <- struct{}{}
+}
+
 func (m refresh) handle(ctx context.Context, c *core) {
 	if time.Since(c.lastRound) >= refreshInterval {
 		c.round(ctx)
@@ -261,10 +297,15 @@
 func (c *core) round(ctx context.Context) {
 	began := time.Now()
 	defer func() { c.lastRound = time.Now() }()
-	written := !c.member || c.writeHeartbeat(ctx)
+	// While the store is down, only reads find out that it is back: they may be repeated.
+	written, readFirst := true, c.storeDown
+	if c.member && !readFirst {
+		written = c.writeHeartbeat(ctx)
+	}
 	if !written {
 		c.markStoreLost(began)
 	}
+	c.reads.repeat = c.member && (readFirst || !written)
 	if err := c.readHeartbeats(ctx); err != nil {
 		c.markStoreLost(began)
 		if !c.storeDown {
@@ -277,6 +318,9 @@
 		c.roster.logger.Info("entries: store regained")
 	}
 	c.storeDown = false
+	if c.member && readFirst {
+		written = c.writeHeartbeat(ctx)
+	}
 	if written {
 		c.storeLostSince = time.Time{}
 	}
@@ -337,7 +381,10 @@
 	c.self.Pools, c.self.Claims = *c.roster.pools.Load(), *c.roster.claims.Load()
 	c.self.Leaving = c.leaving || !c.member
 	if c.self.Leaving {
-		c.self.Pools, c.self.Claims = nil, nil
+		c.self.Claims = nil
+	}
+	if c.left || !c.member {
+		c.self.Pools = nil
 	}
 	value, err := codec.EncodeFrame(c.self)
 	if err != nil {
@@ -398,13 +445,15 @@
 		if silence > evictAfter {
 			delete(c.rows, name)
 		}
-		if silence > deadAfter || r.heartbeat.Leaving {
+		if silence > deadAfter {
 			continue
 		}
-		v.Alive[name] = r.heartbeat
+		if !r.heartbeat.Leaving {
+			v.Alive[name] = r.heartbeat
+		}
 		for pool, epoch := range r.heartbeat.Pools {
 			if epoch > v.Owners[pool].Epoch {
-				v.Owners[pool] = Owner{Name: name, Address: r.heartbeat.Address, Epoch: epoch}
+				v.Owners[pool] = Owner{Name: name, Address: r.heartbeat.Address, Epoch: epoch, Leaving: r.heartbeat.Leaving}
 			}
 		}
 	}
