Start long-running tasks beside reservations for larger ones

What callers saw: a long-running task that does not run, with room for it (LOST).

Cause: a host is reserved for each long-running step that does not fit until work that ends has ended there, and a reserved host took no other task in that round. Where as many such steps wait as there are hosts with room, smaller long-running tasks waited for as long as the work that ends ran, beside room that the larger ones could not use yet.

Evidence: TestLongRunningTasksRunOnHostsThatAreReservedForLargerOnes failed before (no start).

Why the fix works: a long-running task is placed on a reserved host if the reservation still fits there once the work that ends has ended, so the larger step waits no longer. Work that ends still stays off reserved hosts.

--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -180,7 +180,7 @@
 	if best == nil {
 		return false
 	}
-	best.reserved = true
+	best.reserve(best.host.Capacity)
 	s.reserved++
 	s.isolatedHosts++
 	return true
--- a/fleet/shard/lasting_test.go
+++ b/fleet/shard/lasting_test.go
@@ -333,3 +333,34 @@
 		})
 	}
 }
+
+// Guards against a long-running task that does not run, with room for it (LOST): the hosts with room were reserved for
+// larger long-running tasks, for as long as work that ends ran there.
+func TestLongRunningTasksRunOnHostsThatAreReservedForLargerOnes(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	ends := smallStep(2)
+	ends.PerHost = 1
+	o.submit("ends", ends)
+	first := o.start()
+	require.Len(t, first, 2)
+	for i := range 2 {
+		large := longRunningStep(1, 0, 0)
+		large.Need.MilliCores = 3500
+		o.submit(fmt.Sprint("large", i), large)
+	}
+	require.Empty(t, o.start())
+	o.advance(time.Second)
+	small := longRunningStep(2, 1, 0)
+	small.Need.MilliCores = 500
+	o.submit("small", small)
+	starts := o.start()
+	require.Len(t, starts, 2)
+	for _, start := range starts {
+		require.Equal(t, "small", start.Ref.Job)
+	}
+	for _, end := range first {
+		i := slices.IndexFunc(starts, func(start shard.Order) bool { return start.Host == end.Host })
+		o.report(end.Host, runningRow(starts[i], 100), doneRow(1, end))
+	}
+	require.Len(t, o.start(), 2, "the larger ones fit beside them")
+}
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -120,8 +120,10 @@
 type candidate struct {
 	host *Host
 	free batch.Size
-	// reserved reports whether the free capacity is reserved for a demand that does not fit yet.
-	reserved bool
+	// reserved reports whether the free capacity is reserved for a demand that does not fit yet. Long-running tasks
+	// may be placed there if reservedFor still fits once the work that ends has ended.
+	reserved    bool
+	reservedFor batch.Size
 	// unanswered is the number of starts that the host has not answered. The host is busy if it may
 	// get no further one in this round. Both are kept for hosts with room only.
 	unanswered int
@@ -163,11 +165,29 @@
 	return out
 }
 
-// withRoom returns the hosts that are not reserved and have room for a need.
+// available returns the free capacity that tasks may take.
+func (c *candidate) available(longRunning bool) batch.Size {
+	switch {
+	case !c.reserved:
+		return c.free
+	case !longRunning:
+		return batch.Size{}
+	}
+	beside := c.host.Capacity.Sub(c.host.longRunningUsed).Sub(c.reservedFor)
+	return batch.Size{
+		MilliCores: min(c.free.MilliCores, beside.MilliCores), MemoryMB: min(c.free.MemoryMB, beside.MemoryMB),
+		Accelerators: min(c.free.Accelerators, beside.Accelerators),
+	}
+}
+
+// reserve reserves the host for a need.
+func (c *candidate) reserve(need batch.Size) { c.reserved, c.reservedFor = true, need }
+
+// withRoom returns the hosts on which a task has room for a need.
 func (c candidates) withRoom(need batch.Size) candidates {
 	var out candidates
 	for _, host := range c {
-		if !host.reserved && host.free.Fits(need) {
+		if host.available(true).Fits(need) {
 			out = append(out, host)
 		}
 	}
@@ -303,7 +323,7 @@
 	var bestCost int64
 	need := step.Reservation()
 	for _, c := range hosts {
-		if c.reserved || !c.free.Fits(need) || (permitted != nil && !permitted(c.host)) {
+		if !c.available(step.LongRunning).Fits(need) || (c.reserved && !step.LongRunning) || (permitted != nil && !permitted(c.host)) {
 			continue
 		}
 		if step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel) {
@@ -379,7 +399,7 @@
 	if best == nil {
 		return false
 	}
-	best.reserved = true
+	best.reserve(w.need)
 	s.reserved++
 	return true
 }
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -302,6 +302,7 @@
 	rack        place.Rack
 	free        batch.Size
 	reserved    bool
+	reservedFor batch.Size
 	longRunning int
 	// isolated, apart, suspects and unsettled are as in isolation. reservedToIsolate is set if the host is reserved for
 	// a task that runs apart.
@@ -435,11 +436,11 @@
 		if task.Status != Idle || task.closed() || !s.mayStart(task) {
 			continue
 		}
-		if preferred != nil && preferred.pick(step, stage, task, permitted, now) >= 0 {
+		if preferred != nil && preferred.pick(s, step, stage, task, permitted, now) >= 0 {
 			continue
 		}
 		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
-		k := hosts.pick(step, stage, task, permitted, now)
+		k := hosts.pick(s, step, stage, task, permitted, now)
 		if k < 0 && preferred != nil {
 			continue
 		}
@@ -501,7 +502,7 @@
 	if k := hosts.reserveBy(s, d, step, stage, now, func(c, best *referenceHost) bool {
 		return !c.isolated && (best == nil || c.unsettled < best.unsettled)
 	}); k >= 0 {
-		hosts[k].reservedToIsolate = true
+		hosts[k].reservedToIsolate, hosts[k].reservedFor = true, hosts[k].host.Capacity
 	}
 }
 
@@ -527,12 +528,15 @@
 	})
 }
 
-func (hosts referenceHosts) pick(step *batch.Step, stage *Stage, task *Task, permitted func(*Host) bool, now time.Time) int {
+func (hosts referenceHosts) pick(s *State, step *batch.Step, stage *Stage, task *Task, permitted func(*Host) bool, now time.Time) int {
 	best, bestCost := -1, int64(0)
 	need := step.Reservation()
 	for k := range hosts {
 		c := &hosts[k]
-		if c.reserved || !c.free.Fits(need) || (permitted != nil && !permitted(c.host)) {
+		if !c.free.Fits(need) || (permitted != nil && !permitted(c.host)) {
+			continue
+		}
+		if c.reserved && !(step.LongRunning && c.host.Capacity.Sub(referenceLongRunning(s, c.host)).Sub(need).Fits(c.reservedFor)) {
 			continue
 		}
 		if step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel) {
@@ -607,7 +611,7 @@
 		}
 	}
 	if best != nil {
-		best.reserved = true
+		best.reserved, best.reservedFor = true, need
 	}
 	return chosen
 }
--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -185,16 +185,17 @@
 	r.stale = false
 	r.answered, r.admitted, r.free, r.whole = r.answered[:0], r.admitted[:0], r.free[:0], r.whole[:0]
 	for _, c := range roomy {
-		if c.reserved || !labelAllows(c.host, r.label) {
+		if (c.reserved && !r.longRunning) || !labelAllows(c.host, r.label) {
 			continue
 		}
-		r.free.add(c.free)
+		available := c.available(r.longRunning)
+		r.free.add(available)
 		if !r.longRunning && (c.isolated || c.apart) {
 			continue
 		}
-		r.admitted.add(c.free)
+		r.admitted.add(available)
 		if !c.busy {
-			r.answered.add(c.free)
+			r.answered.add(available)
 		}
 	}
 	for _, c := range hosts {
