Stop no more long-running tasks to empty hosts than find room elsewhere

What callers saw: a long-running task that does not run, with room for it (LOST).

Cause: when a host is emptied, each of its long-running tasks is stopped if some other host has room for it. Each was looked at by itself: tasks that had just been stopped, or that waited, did not count, so several were stopped for the same room. The ones that found it taken waited, in calm, beside the hosts that were being emptied.

TestLongRunningTasksAreNotMovedIntoTheSameRoom (two stops in place of one) and TestLongRunningTasksAreNotMovedIntoRoomForWhichOthersWait (one in place of none) failed before.

Why the fix works: the tasks that wait or are being stopped take the room first, and each task that is stopped takes the room that it was stopped for.

--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -25,6 +25,7 @@
 	}
 	h.CordonedUntil = now.Add(cordon)
 	waited := now.Sub(h.CordonedAt)
+	var moves *relocation
 	for r, task := range h.Assigned {
 		j, stage, _ := s.task(r)
 		if stage == nil || task.Status != Running {
@@ -33,7 +34,13 @@
 		step := &j.Spec.Steps[r.Step]
 		switch {
 		case step.LongRunning:
-			if s.mayStop(step, stage, now) && s.fitsElsewhere(r, step, stage, task, now) {
+			if !s.mayStop(step, stage, now) {
+				break
+			}
+			if moves == nil {
+				moves = s.newRelocation(now)
+			}
+			if moves.place(r, step, stage, task) {
 				s.orderStop(r, task, "host is being emptied")
 			}
 		case step.Checkpoints && waited > checkpointStopDelay, waited > forcedStopDelay:
@@ -59,10 +66,65 @@
 	}
 }
 
-// fitsElsewhere reports whether some other host has room for a task.
-func (s *State) fitsElsewhere(r batch.Ref, step *batch.Step, stage *Stage, task *Task, now time.Time) bool {
-	hosts := s.candidates(now)
-	return s.pickHost(step, stage, task, hosts, s.permitFilter(r, now), now) != nil
+// relocation holds the room on the hosts of a pool that long-running tasks which wait, are being stopped or are to be
+// stopped will not take.
+type relocation struct {
+	state *State
+	hosts candidates
+	now   time.Time
+	// taken holds the hosts that tasks will take.
+	taken map[*Stage]map[string]int
+}
+
+// newRelocation returns the room that long-running tasks leave which wait or are being stopped.
+func (s *State) newRelocation(now time.Time) *relocation {
+	m := &relocation{state: s, hosts: s.candidates(now), now: now, taken: map[*Stage]map[string]int{}}
+	if s.backlog.longRunningTasks > 0 {
+		for _, w := range s.backlog.steps {
+			if w.step.LongRunning {
+				m.placeIdle(w)
+			}
+		}
+	}
+	for _, h := range s.sortedHosts() {
+		for r, task := range h.Assigned {
+			j, stage, _ := s.task(r)
+			if stage != nil && j.Phase == Open && j.Spec.Steps[r.Step].LongRunning && (task.Status == Stopping || task.Status == Uncertain) {
+				m.place(r, &j.Spec.Steps[r.Step], stage, task)
+			}
+		}
+	}
+	return m
+}
+
+// placeIdle places the tasks of a step that wait.
+func (m *relocation) placeIdle(w *waitingStep) {
+	w.stage.expand()
+	r := w.ref()
+	for i := range w.stage.Tasks {
+		if task := &w.stage.Tasks[i]; task.Status == Idle && !task.closed() {
+			r.Index = i
+			m.place(r, w.step, w.stage, task)
+		}
+	}
+}
+
+// place takes the room for a task on a host, and reports whether there was any.
+func (m *relocation) place(r batch.Ref, step *batch.Step, stage *Stage, task *Task) bool {
+	permitted := m.state.permitFilter(r, m.now)
+	c := m.state.pickHost(step, stage, task, m.hosts, func(h *Host) bool {
+		spread := step.PerHost == 0 || tasksOnHost(stage, h.ID)+m.taken[stage][h.ID] < step.PerHost
+		return spread && (permitted == nil || permitted(h))
+	}, m.now)
+	if c == nil {
+		return false
+	}
+	c.free = c.free.Sub(step.Reservation())
+	if m.taken[stage] == nil {
+		m.taken[stage] = map[string]int{}
+	}
+	m.taken[stage][c.host.ID]++
+	return true
 }
 
 // mayStop reports whether one more task of a long-running step may be stopped by an order. One task
--- a/fleet/shard/vacate_test.go
+++ b/fleet/shard/vacate_test.go
@@ -56,3 +56,48 @@
 	require.Zero(t, join(now.Add(100*time.Millisecond)))
 	require.Equal(t, 1, join(now.Add(cordon+time.Millisecond)), "the cordon has expired")
 }
+
+// Guards against long-running tasks that do not run (LOST): more of them were stopped to empty a host than other hosts
+// have room for.
+func TestLongRunningTasksAreNotMovedIntoTheSameRoom(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	half := longRunningStep(1, 0, 0)
+	half.Need.MilliCores = 2000
+	o.submit("first", half)
+	o.submit("second", half)
+	rows := []any{}
+	for _, start := range o.start() {
+		rows = append(rows, runningRow(start, 100))
+	}
+	require.Len(t, rows, 2)
+	o.report("a", rows...)
+	o.addHost("b")
+	o.submit("ends", batch.Step{Count: 1, Need: batch.Size{MilliCores: 2000}, Estimate: time.Minute})
+	require.Len(t, o.start(), 1)
+	for range 3 {
+		o.Vacate(o.Hosts["a"], o.now, time.Second)
+	}
+	require.Len(t, o.TakeOrders(), 1)
+}
+
+// Guards against long-running tasks that do not run (LOST): others were stopped to empty a host, although a task
+// waited for the room on the other hosts.
+func TestLongRunningTasksAreNotMovedIntoRoomForWhichOthersWait(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	spread := longRunningStep(2, 1, 0)
+	spread.Need.MilliCores = 3000
+	o.submit("runs", spread)
+	starts := o.start()
+	require.Len(t, starts, 2)
+	for _, start := range starts {
+		o.report(start.Host, runningRow(start, 100))
+	}
+	o.addHost("c")
+	large := longRunningStep(1, 0, 0)
+	large.Need.MilliCores = 4000
+	o.submit("waits", large)
+	o.open()
+	o.Vacate(o.Hosts["a"], o.now, time.Second)
+	require.Empty(t, o.TakeOrders())
+	require.Len(t, o.plan(), 1, "the room is for the task that waits")
+}
