Do not reorder a round of planning when a job's first task starts in it

While a pool has spare capacity, late jobs of which nothing runs go before other late ones. The plan looked that up again while the round was under way: once one step of a job had started a task, the other late steps of the job lost their place, whatever the order in which the steps were looked at. The round now keeps the order that it began with, like the reference.

--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -134,6 +134,10 @@
 			continue
 		}
 		g.next.updateDemand(l.age)
+		if g.starved {
+			// A start in this round does not change the order of the round.
+			g.next.demand.Idle = max(g.next.demand.Idle, starvedAfter+1)
+		}
 		if first == nil || l.before(g.next, first) {
 			first = g.next
 		}
