Let no long-running task wait for a reserved host

What callers saw: a long-running task that does not run, with room for it (LOST).

Cause: a smaller long-running task was kept off a host that is reserved for a larger one if both do not fit. With tasks that take a whole host and hosts that run work that ends, all hosts with room stayed reserved for as long as that work ran.

Evidence: TestLongRunningTasksDoNotWaitForReservedHosts failed before.

Why the fix works: reservations keep off work that ends only. A long-running task still prefers hosts where the reservation stays possible, and goes after larger ones that rank before it and fit.

--- a/fleet/shard/lasting_test.go
+++ b/fleet/shard/lasting_test.go
@@ -364,3 +364,22 @@
 	}
 	require.Len(t, o.start(), 2, "the larger ones fit beside them")
 }
+
+// Guards against a long-running task that does not run, with room for it (LOST): each host with room was reserved as a
+// whole for a larger one.
+func TestLongRunningTasksDoNotWaitForReservedHosts(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.submit("ends", smallStep(1))
+	require.Len(t, o.start(), 1)
+	large := longRunningStep(1, 0, 0)
+	large.Need.MilliCores = 4000
+	o.submit("large", large)
+	require.Empty(t, o.start())
+	o.advance(time.Second)
+	o.submit("waits", smallStep(1))
+	require.Empty(t, o.start(), "the host is reserved")
+	o.submit("small", longRunningStep(1, 0, 0))
+	starts := o.start()
+	require.NotEmpty(t, starts)
+	require.Equal(t, "small", starts[0].Ref.Job)
+}
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -120,8 +120,8 @@
 type candidate struct {
 	host *Host
 	free batch.Size
-	// reserved reports whether the free capacity is reserved for a demand that does not fit yet. Long-running tasks
-	// may be placed there if reservedFor still fits once the work that ends has ended.
+	// reserved reports whether the free capacity is reserved for a demand that does not fit yet, and reservedFor is
+	// what one task of it takes. Long-running tasks may be placed there.
 	reserved    bool
 	reservedFor batch.Size
 	// unanswered is the number of starts that the host has not answered. The host is busy if it may
@@ -165,19 +165,18 @@
 	return out
 }
 
-// available returns the free capacity that tasks may take.
+// available returns the free capacity that tasks may take. Reservations keep off work that ends.
 func (c *candidate) available(longRunning bool) batch.Size {
-	switch {
-	case !c.reserved:
-		return c.free
-	case !longRunning:
+	if c.reserved && !longRunning {
 		return batch.Size{}
 	}
-	beside := c.host.Capacity.Sub(c.host.longRunningUsed).Sub(c.reservedFor)
-	return batch.Size{
-		MilliCores: min(c.free.MilliCores, beside.MilliCores), MemoryMB: min(c.free.MemoryMB, beside.MemoryMB),
-		Accelerators: min(c.free.Accelerators, beside.Accelerators),
-	}
+	return c.free
+}
+
+// displaces reports whether the host is reserved for a demand that would not fit any more beside a need, even when all work
+// that ends has ended there.
+func (c *candidate) displaces(need batch.Size) bool {
+	return c.reserved && !c.host.Capacity.Sub(c.host.longRunningUsed).Sub(need).Fits(c.reservedFor)
 }
 
 // reserve reserves the host for a need.
@@ -304,6 +303,8 @@
 	avoidWeight = 1 << 24
 	// isolatedWeight keeps long-running work that waits no longer off hosts that are kept for suspects.
 	isolatedWeight = 1 << 25
+	// displaceWeight keeps long-running work off hosts where it takes the room that is reserved for other work.
+	displaceWeight = 1 << 26
 	// spreadWeight spreads the long-running tasks of one step over hosts.
 	spreadWeight = 1 << 16
 	// longRunningWeight keeps best-effort work off hosts with long-running tasks, and spreads
@@ -366,6 +367,9 @@
 	if c.isolated {
 		cost += isolatedWeight
 	}
+	if c.displaces(step.Reservation()) {
+		cost += displaceWeight
+	}
 	return cost
 }
 
