--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -120,8 +120,10 @@
 type candidate struct {
 	host *Host
 	free batch.Size
-	// reserved reports whether the free capacity is reserved for a demand that does not fit yet.
-	reserved bool
+	// reserved reports whether the free capacity is reserved for a demand that does not fit yet, and reservedFor is
+	// what one task of it takes. Long-running tasks may be placed there.
+	reserved    bool
+	reservedFor batch.Size
 	// unanswered is the number of starts that the host has not answered. The host is busy if it may
 	// get no further one in this round. Both are kept for hosts with room only.
 	unanswered int
@@ -163,11 +165,28 @@
 	return out
 }
 
-// withRoom returns the hosts that are not reserved and have room for a need.
+// available returns the free capacity that tasks may take. Reservations keep off work that ends.
+func (c *candidate) available(longRunning bool) batch.Size {
+	if c.reserved && !longRunning {
+		return batch.Size{}
+	}
+	return c.free
+}
+
+// displaces reports whether the host is reserved for a demand that would not fit any more beside a need, even when all work
+// that ends has ended there.
+func (c *candidate) displaces(need batch.Size) bool {
+	return c.reserved && !c.host.Capacity.Sub(c.host.longRunningUsed).Sub(need).Fits(c.reservedFor)
+}
+
+// reserve reserves the host for a need.
+func (c *candidate) reserve(need batch.Size) { c.reserved, c.reservedFor = true, need }
+
+// withRoom returns the hosts on which a task has room for a need.
 func (c candidates) withRoom(need batch.Size) candidates {
 	var out candidates
 	for _, host := range c {
-		if !host.reserved && host.free.Fits(need) {
+		if host.available(true).Fits(need) {
 			out = append(out, host)
 		}
 	}
@@ -284,6 +303,8 @@
 	avoidWeight = 1 << 24
 	// isolatedWeight keeps long-running work that waits no longer off hosts that are kept for suspects.
 	isolatedWeight = 1 << 25
+	// displaceWeight keeps long-running work off hosts where it takes the room that is reserved for other work.
+	displaceWeight = 1 << 26
 	// spreadWeight spreads the long-running tasks of one step over hosts.
 	spreadWeight = 1 << 16
 	// longRunningWeight keeps best-effort work off hosts with long-running tasks, and spreads
@@ -303,7 +324,7 @@
 	var bestCost int64
 	need := step.Reservation()
 	for _, c := range hosts {
-		if c.reserved || !c.free.Fits(need) || (permitted != nil && !permitted(c.host)) {
+		if !c.available(step.LongRunning).Fits(need) || (c.reserved && !step.LongRunning) || (permitted != nil && !permitted(c.host)) {
 			continue
 		}
 		if step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel) {
@@ -346,6 +367,9 @@
 	if c.isolated {
 		cost += isolatedWeight
 	}
+	if c.displaces(step.Reservation()) {
+		cost += displaceWeight
+	}
 	return cost
 }
 
@@ -379,7 +403,7 @@
 	if best == nil {
 		return false
 	}
-	best.reserved = true
+	best.reserve(w.need)
 	s.reserved++
 	return true
 }
