Move machines from late work to work that can still be in time

Cause: a pool reported one backlog, whether late or not, and gave only hosts that were idle. After a flood all of its hosts run work whose callers have given up, so it gave none and wanted more.

- Load has the backlog in parts: in time, late, and so late that callers hardly wait; and what runs that was late when it started.
The parts are kept with the sums of the backlog; a step moves between them when its time comes.
Earlier releases skip the new keys, and what they report counts as in time.
- A plan of moves serves, in this order: usual loads that can be in time, usual loads that are forecast, what exceeds the usual loads (evenly, so that the smallest needs are met whole), late work, and work that is hardly of use any more.
Late work is sure of an eighth of the hosts, in equal parts for the pools; within a pool it is sure of a twentieth of the capacity.
- Flooded pools give hosts that are at work: their owner names those whose tasks all end within 1.5 s, and stops filling them when they are to move.
The way back is closed for 2 s.
- The height of a pool's turns is no longer learned from a flood.

--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -167,8 +167,11 @@
 	now := time.Now()
 	c.state.RetryStops(now)
 	limits := shard.Limits{Starts: c.starts.Room(now), StartsPerHost: startsPerHost}
-	ranking := shard.StarvedFirst[shard.ByLoad]{
-		Ranking: shard.ByLoad{Overloaded: c.state.Overloaded}, Spare: c.state.HasSpareCapacity(now),
+	ranking := shard.LateShare[shard.StarvedFirst[shard.ByLoad]]{
+		Ranking: shard.StarvedFirst[shard.ByLoad]{
+			Ranking: shard.ByLoad{Overloaded: c.state.Overloaded}, Spare: c.state.HasSpareCapacity(now),
+		},
+		Due: c.state.LateWorkIsDue(now),
 	}
 	shard.PlanWithin(c.state, ranking, limits, now, now.UnixMilli())
 	for _, o := range c.state.TakeOrders() {
--- a/fleet/demand/demand.go
+++ b/fleet/demand/demand.go
@@ -93,6 +93,12 @@
 	// overlapTolerance is how long a turn may begin before the last one ends: rates follow the load with
 	// a delay.
 	overlapTolerance = 1500 * time.Millisecond
+	// maxRise is the factor by which a turn may be higher than earlier ones, or than the capacity that operators have
+	// provided, and still counts as usual.
+	maxRise = 2
+	// floodRise is the factor by which a higher one counts as higher than earlier ones, so that turns that have become
+	// higher for good are learned.
+	floodRise = 1.25
 	// minArrivals is the number of jobs from which on a rate shows a turn, and not a few large jobs.
 	minArrivals = 4
 	// maxIntervals bounds the intervals that are kept, so that old ones are forgotten.
@@ -184,6 +190,9 @@
 		return false
 	}
 	height := p.Sum / p.Count
+	if usual := p.Usual(); usual > 0 && height > usual {
+		height = clamp.Int[int64](float64(usual) / maxRise * floodRise)
+	}
 	if p.Peak > 0 {
 		height = clamp.Add(height, p.Peak) / 2
 	}
@@ -191,6 +200,16 @@
 	return true
 }
 
+// Usual returns the highest rate that counts as usual, in thousandths of a core: a flood shows little about the height
+// of later turns. It is 0 if nothing is known.
+func (p *Pool) Usual() int64 {
+	height := p.Peak
+	if height == 0 {
+		height = p.Capacity
+	}
+	return clamp.Int[int64](maxRise * float64(height))
+}
+
 // countTurn records a turn of a pool as one of the sequence.
 func (h *History) countTurn(p *Pool) {
 	if !h.LastStart.IsZero() {
--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -61,6 +61,8 @@
 	// accepted and objective are times of the job and of the occurrence, counted from when the pool
 	// was claimed.
 	accepted, objective time.Duration
+	// usefulAfter is how long after its objective the work is still of use.
+	usefulAfter time.Duration
 	// inherited is Job.Inherited.
 	inherited bool
 	// criticalPath is the longest sum of estimates along dependent steps, from this step on.
@@ -72,12 +74,27 @@
 	lateAfter time.Duration
 	remaining int64
 	slots     [sortKeys]slot
+	// lateness says whether the work counts as late. It is as of the last time that the step was in its place.
+	lateness lateness
 	// alarm is when the step has to move to another group.
 	alarm time.Duration
 	// touched reports whether the step is in backlog.touched.
 	touched bool
 }
 
+// lateness says whether a step can still meet its objective.
+type lateness uint8
+
+const (
+	inTime lateness = iota
+	// late steps can no longer meet their objective, and are still of use.
+	late
+	// expired steps are of jobs that have taken usefulFactor times their objective, which callers hardly wait for.
+	expired
+)
+
+const usefulFactor = 3
+
 // queueRules is what the waiting steps of a queue share.
 type queueRules struct {
 	priority int
@@ -89,6 +106,9 @@
 	// ones. future is that of the steps that are not ready.
 	waiting [2]int64
 	future  int64
+	// late is the part of waiting that can no longer meet its objective, and expired the part of it of jobs that have
+	// taken usefulFactor times their objective.
+	late, expired int64
 	// pending is the number of jobs of which nothing has started.
 	pending int
 }
@@ -114,14 +134,20 @@
 }
 
 func newBacklog(origin time.Time) backlog {
-	return backlog{
+	b := backlog{
 		origin: origin, queues: map[string]*queueRules{}, groups: map[groupKey]*group{}, unopened: map[string]*Job{}, spreads: map[int]int{},
 	}
+	// Steps can be placed before the first round of planning.
+	for _, isLate := range [...]bool{false, true} {
+		b.keep(isLate, BySlack{}.SortKey(isLate))
+	}
+	return b
 }
 
 // load is what a stage adds to the sums of the backlog.
 type load struct {
 	waiting, future, longRunning   int64
+	late, expired                  int64
 	tasks, longRunningTasks, hosts int
 }
 
@@ -158,6 +184,12 @@
 	if live && !step.LongRunning {
 		if ready {
 			now.waiting = estimatedWork(step, stage.idle)
+			if w := stage.waiting; w != nil && w.lateness >= late {
+				now.late = now.waiting
+				if w.lateness == expired {
+					now.expired = now.waiting
+				}
+			}
 		} else {
 			now.future = estimatedWork(step, stage.Left)
 		}
@@ -172,6 +204,8 @@
 	stage.load = now
 	q.waiting[count(j.Inherited)] += now.waiting - was.waiting
 	q.future += now.future - was.future
+	q.late += now.late - was.late
+	q.expired += now.expired - was.expired
 	b.longRunning += now.longRunning - was.longRunning
 	b.tasks += now.tasks - was.tasks
 	b.longRunningTasks += now.longRunningTasks - was.longRunningTasks
@@ -250,6 +284,7 @@
 		accepted: j.AcceptedAt.Sub(b.origin), objective: j.Objective.Sub(b.origin), inherited: j.Inherited,
 		jobPosition: len(j.waiting), alarmPosition: -1,
 	}
+	w.usefulAfter = clamp.Int[time.Duration]((usefulFactor - 1) * float64(w.objective-w.accepted))
 	if j.Spec.Repetitions > 0 {
 		w.objective = clamp.Add(w.objective, clamp.Millis(clamp.Sub(j.dueAt(occurrence), j.Spec.AcceptedMS)))
 	}
@@ -376,7 +411,18 @@
 		missed:   now > w.objective,
 		reserves: w.step.LongRunning || now-w.accepted >= reserveAfter,
 	}
+	class := inTime
 	alarm := never
+	switch useless := clamp.Add(w.objective, w.usefulAfter); {
+	case key.late && now > useless:
+		class = expired
+	case key.late:
+		class, alarm = late, clamp.Add(useless, 1)
+	}
+	if class != w.lateness {
+		w.lateness = class
+		b.sumUp(w.job, w.step, w.stage, true, true)
+	}
 	if !key.late {
 		alarm = clamp.Add(lateAfter, 1)
 	}
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -257,6 +257,9 @@
 	}
 	step := s.step(r)
 	h.used = h.used.Add(step.Reservation())
+	if task.late {
+		s.lateUsed += step.Reservation().MilliCores
+	}
 	if step.LongRunning {
 		h.longRunning++
 		h.longRunningUsed = h.longRunningUsed.Add(step.Reservation())
@@ -265,7 +268,8 @@
 
 // unassign is the inverse of assign.
 func (s *State) unassign(h *Host, r batch.Ref) {
-	if h.Assigned[r] == nil {
+	task := h.Assigned[r]
+	if task == nil {
 		return
 	}
 	delete(h.Assigned, r)
@@ -275,6 +279,9 @@
 	}
 	step := s.step(r)
 	h.used = h.used.Sub(step.Reservation())
+	if task.late {
+		s.lateUsed -= step.Reservation().MilliCores
+	}
 	if step.LongRunning {
 		h.longRunning--
 		h.longRunningUsed = h.longRunningUsed.Sub(step.Reservation())
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -45,11 +46,14 @@
 // Load sums up the work of the pool for sizing.
 func (s *State) Load(now time.Time) sizing.Load {
 	s.updateQueues()
+	s.backlog.advance(now.Sub(s.backlog.origin))
 	l := sizing.Load{LongRunning: s.backlog.longRunning}
 	s.addHostLoad(&l, now)
 	for _, q := range s.backlog.queues {
 		l.Backlog += q.work(q.waiting[0] + q.waiting[1])
 		l.FutureWork += q.work(q.future)
+		l.Late += q.work(q.late)
+		l.Expired += q.work(q.expired)
 	}
 	for hosts := range s.backlog.spreads {
 		l.SpreadHosts = max(l.SpreadHosts, hosts)
@@ -100,11 +104,26 @@
 	return need
 }
 
+const (
+	// releaseTime is the time within which the tasks of a host have to end for it to be given to another pool. Waiting
+	// for longer would leave more of its capacity unused than the other pool gains.
+	releaseTime = 1500 * time.Millisecond
+	// maxReleasable bounds the hosts that are listed as releasable, so that the message stays small.
+	maxReleasable = 128
+)
+
+// releasableHost is a host whose tasks all end within a time.
+type releasableHost struct {
+	id      string
+	busyFor time.Duration
+}
+
 // addHostLoad adds the schedulable hosts, the work that runs on them, and the hosts that could
 // leave the pool.
 func (s *State) addHostLoad(l *sizing.Load, now time.Time) {
 	var capacity int64
 	var movableHosts []string
+	var releasable []releasableHost
 	for id, h := range s.Hosts {
 		if !s.Schedulable(h, now) {
 			continue
@@ -112,21 +131,31 @@
 		l.Hosts++
 		capacity += h.Capacity.MilliCores
 		longRunningOnly := true
-		for r := range h.Assigned {
+		busyFor := time.Duration(0)
+		for r, task := range h.Assigned {
 			j := s.Jobs[r.Job]
 			if j == nil {
 				continue
 			}
-			if step := &j.Spec.Steps[r.Step]; !step.LongRunning {
-				longRunningOnly = false
-				l.Running += step.Reservation().MilliCores
+			step := &j.Spec.Steps[r.Step]
+			if step.LongRunning {
+				busyFor = never
+				continue
+			}
+			longRunningOnly = false
+			l.Running += step.Reservation().MilliCores
+			if task.late {
+				l.RunningLate += step.Reservation().MilliCores
 			}
+			busyFor = max(busyFor, s.expected(j, step)-now.Sub(task.OrderedAt))
 		}
 		switch {
 		case len(h.Assigned) == 0 && h.UnknownRuns == 0:
 			l.IdleHosts = append(l.IdleHosts, id)
 		case longRunningOnly && h.UnknownRuns == 0:
 			movableHosts = append(movableHosts, id)
+		case busyFor <= releaseTime && h.UnknownRuns == 0:
+			releasable = append(releasable, releasableHost{id, busyFor})
 		}
 	}
 	if l.Hosts > 0 {
@@ -137,4 +166,10 @@
 		return len(s.Hosts[a].Assigned) - len(s.Hosts[b].Assigned)
 	})
 	l.MovableHosts = movableHosts
+	slices.SortFunc(releasable, func(a, b releasableHost) int {
+		return cmp.Or(cmp.Compare(a.busyFor, b.busyFor), cmp.Compare(a.id, b.id))
+	})
+	for _, h := range releasable[:min(len(releasable), maxReleasable)] {
+		l.ReleasableHosts = append(l.ReleasableHosts, h.id)
+	}
 }
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -217,6 +217,7 @@
 	task.Status, task.Host, task.Run = Starting, c.host.ID, run
 	task.OrderedAt, task.StartClock, task.ThrottlePercent, task.Percent, task.Load = now, 0, 100, 0, 0
 	task.LostAt, task.Meter = time.Time{}, SpeedMeter{}
+	task.late = stage.waiting != nil && stage.waiting.lateness != inTime
 	stage.idle--
 	s.backlog.update(j, ref.Occurrence, ref.Step)
 	s.assign(c.host, ref, task)
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -132,6 +132,41 @@
 
 func (d *Demand) starved() bool { return d.Slack < 0 && d.Idle > starvedAfter }
 
+// LateShare orders like another ranking, but puts late work that ends before other such work while it has less than its
+// share of the pool. Without a share it would never run in a pool that always has more work in time than it can do.
+type LateShare[R Ranking] struct {
+	Ranking R
+	// Due reports whether late work has less than its share.
+	Due bool
+}
+
+// Compare implements [Ranking].
+func (p LateShare[R]) Compare(a, b *Demand) int {
+	lateA, lateB := a.Slack < 0, b.Slack < 0
+	if p.Due && !a.LongRunning && !b.LongRunning && lateA != lateB {
+		return firstIf(lateA)
+	}
+	return p.Ranking.Compare(a, b)
+}
+
+// SortKey implements [Ranking].
+func (p LateShare[R]) SortKey(late bool) SortKey { return p.Ranking.SortKey(late) }
+
+// lateShare is the share of a pool of which late work is sure. It is small, since callers get little for such work.
+const lateShare = 0.05
+
+// LateWorkIsDue reports whether late work runs on less than its share of the processor capacity of the hosts that may
+// get work.
+func (s *State) LateWorkIsDue(now time.Time) bool {
+	var capacity int64
+	for _, h := range s.sortedHosts() {
+		if s.Schedulable(h, now) {
+			capacity += h.Capacity.MilliCores
+		}
+	}
+	return float64(s.lateUsed) < lateShare*float64(capacity)
+}
+
 // HasSpareCapacity reports whether less than half of the processor capacity of the hosts that may get work is in
 // use. It reports false while nothing waits or is to open, when no ranking needs it.
 func (s *State) HasSpareCapacity(now time.Time) bool {
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -732,7 +732,7 @@
 func referenceLoad(s *State, now time.Time) sizing.Load {
 	var l sizing.Load
 	s.addHostLoad(&l, now)
-	backlog, future := map[string]int64{}, map[string]int64{}
+	backlog, future, lateWork, expiredWork := map[string]int64{}, map[string]int64{}, map[string]int64{}, map[string]int64{}
 	for _, j := range s.openJobs {
 		if !j.Stored {
 			continue
@@ -752,7 +752,19 @@
 						l.SpreadHosts = max(l.SpreadHosts, (step.Count-givenUp+step.PerHost-1)/step.PerHost)
 					}
 				case occ.ready(&j.Spec, si):
-					backlog[j.Spec.Queue] += estimatedWork(step, stage.idle)
+					work := estimatedWork(step, stage.idle)
+					backlog[j.Spec.Queue] += work
+					objective := j.Objective
+					if j.Spec.Repetitions > 0 {
+						objective = objective.Add(time.Duration(j.dueAt(oi)-j.Spec.AcceptedMS) * time.Millisecond)
+					}
+					path := time.Duration(float64(referenceCriticalPath(&j.Spec, si)) * s.durationRatios[j.Spec.Queue].median())
+					if now.After(objective.Add(-path)) {
+						lateWork[j.Spec.Queue] += work
+						if now.After(objective.Add((usefulFactor - 1) * j.Objective.Sub(j.AcceptedAt))) {
+							expiredWork[j.Spec.Queue] += work
+						}
+					}
 				default:
 					future[j.Spec.Queue] += estimatedWork(step, stage.Left)
 				}
@@ -768,6 +780,8 @@
 	for queue := range s.Queues {
 		l.Backlog += referenceScaled(s, queue, backlog[queue])
 		l.FutureWork += referenceScaled(s, queue, future[queue])
+		l.Late += referenceScaled(s, queue, lateWork[queue])
+		l.Expired += referenceScaled(s, queue, expiredWork[queue])
 	}
 	l.Backlog += s.isolatedWork(l.HostCapacity, now)
 	l.ArrivalRate, l.Arrivals = s.arrivals.Rate(now), s.arrivals.Count()
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -123,6 +123,8 @@
 	// has crashed.
 	Crashes    Crashes
 	crashedRun int64
+	// late reports whether the work was late when the last run was ordered.
+	late bool
 	// startedEarlier reports whether an earlier owner had ordered a run of which neither the end nor the host is
 	// known.
 	startedEarlier bool
@@ -286,6 +288,8 @@
 	reserved int
 	// hostList holds the hosts by ID. It is nil after the set of hosts has changed.
 	hostList []*Host
+	// lateUsed is the capacity that tasks take which were late when they were ordered to start, in thousandths of a core.
+	lateUsed int64
 	// arrivals measures the rate at which work arrives.
 	arrivals demand.Meter
 	// durationRatios holds the ratios of run time to estimate, by queue.
--- a/fleet/sizing/forecast.go
+++ b/fleet/sizing/forecast.go
@@ -16,6 +16,8 @@
 	fullProbability = 0.3
 	// fillProbability is the probability from which on hosts are moved to a pool ahead of its turn.
 	fillProbability = 0.4
+	// peakTolerance is the factor by which a usual load may exceed the height of earlier turns.
+	peakTolerance = 1.25
 )
 
 // Forecast sizes pools ahead of their need.
@@ -61,7 +63,7 @@
 		if e.Arriving > 0 {
 			hosts = f.Sizer.HostsFor(&l, e.Arriving)
 		}
-		x := Expected{Probability: e.Probability}
+		x := Expected{Probability: e.Probability, Normal: f.normal(name, &l)}
 		if e.Probability >= keepProbability {
 			x.Keep = int(float64(hosts) * min(e.Probability/fullProbability, 1))
 		}
@@ -72,3 +74,15 @@
 	}
 	return out
 }
+
+// normal returns the number of hosts that a pool needs for the highest load that is usual, or 0 if that is not known.
+func (f *Forecast[P]) normal(name string, l *Load) int {
+	p := f.History.Pools[name]
+	switch {
+	case p == nil || p.Usual() == 0:
+		return 0
+	case p.Peak == 0:
+		return f.Sizer.HostsFor(l, p.Usual())
+	}
+	return f.Sizer.HostsFor(l, int64(peakTolerance*float64(p.Peak)))
+}
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -38,10 +38,19 @@
 	// Oversized is what a task takes that waits and is too large for the present capacity of every host of
 	// the pool; the smallest one if there are several. It is zero if there is none.
 	Oversized batch.Size `cbor:"12,keyasint,omitzero"`
+	// Late is the part of Backlog that can no longer meet its objective, and Expired the part of Late that has taken
+	// several times its objective, so that callers hardly wait for it any more. RunningLate is the part of Running that
+	// was late when it started. Earlier releases report none of them, and all of the work then counts as work that can
+	// be in time.
+	Late        int64 `cbor:"13,keyasint,omitempty"`
+	Expired     int64 `cbor:"14,keyasint,omitempty"`
+	RunningLate int64 `cbor:"15,keyasint,omitempty"`
 	// IdleHosts lists hosts on which nothing runs. MovableHosts lists hosts that only run
 	// long-running tasks, which may be moved, those with the fewest tasks first.
 	IdleHosts    []string `cbor:"9,keyasint,omitempty"`
 	MovableHosts []string `cbor:"10,keyasint,omitempty"`
+	// ReleasableHosts lists hosts whose tasks all end soon if they get no more, those that are empty first before others.
+	ReleasableHosts []string `cbor:"16,keyasint,omitempty"`
 }
 
 // Policy says how many hosts a pool should have.
@@ -51,6 +60,11 @@
 	// Required is how many hosts the pool needs for the work that could run now, at most
 	// Desired. Its idle hosts above this number may go to pools that need them.
 	Required(l *Load) int
+	// Urgent is how many hosts the pool needs for the work that can still be in time, Late how many it could use for
+	// late work besides, and Expired the part of Late for work that callers hardly wait for any more.
+	Urgent(l *Load) int
+	Late(l *Load) int
+	Expired(l *Load) int
 }
 
 // Static keeps every pool as it is. It is a baseline.
@@ -62,6 +76,15 @@
 // Required implements [Policy].
 func (Static) Required(l *Load) int { return l.Hosts }
 
+// Urgent implements [Policy].
+func (Static) Urgent(l *Load) int { return l.Hosts }
+
+// Late implements [Policy].
+func (Static) Late(*Load) int { return 0 }
+
+// Expired implements [Policy].
+func (Static) Expired(*Load) int { return 0 }
+
 // OnDemand gives a pool the hosts for the work that it has now. It is a baseline.
 type OnDemand struct{}
 
@@ -73,6 +96,15 @@
 // Required implements [Policy].
 func (o OnDemand) Required(l *Load) int { return o.Desired(l) }
 
+// Urgent implements [Policy]. The baseline does not tell late work from other work.
+func (o OnDemand) Urgent(l *Load) int { return o.Desired(l) }
+
+// Late implements [Policy].
+func (OnDemand) Late(*Load) int { return 0 }
+
+// Expired implements [Policy].
+func (OnDemand) Expired(*Load) int { return 0 }
+
 // ClearBacklog gives a pool the hosts that it needs to start its backlog within a time, and a
 // reserve.
 type ClearBacklog struct {
@@ -98,6 +130,24 @@
 	return min(max(hostsFor(l, clamp.Int[int64](now/c.Utilization)), l.SpreadHosts)+requiredReserve, c.Desired(l))
 }
 
+// Urgent implements [Policy].
+func (c ClearBacklog) Urgent(l *Load) int {
+	now := float64(l.Running-l.RunningLate) + float64(l.Backlog-l.Late)/c.Within.Seconds()
+	urgent := clamp.Int[int64]((float64(l.LongRunning) + max(now, float64(l.ArrivalRate))) / c.Utilization)
+	return min(max(hostsFor(l, urgent), l.SpreadHosts)+requiredReserve, c.Desired(l))
+}
+
+// Late implements [Policy].
+func (c ClearBacklog) Late(l *Load) int {
+	late := float64(l.RunningLate) + float64(l.Late)/c.Within.Seconds()
+	return hostsFor(l, clamp.Int[int64](late/c.Utilization))
+}
+
+// Expired implements [Policy].
+func (c ClearBacklog) Expired(l *Load) int {
+	return hostsFor(l, clamp.Int[int64](float64(l.Expired)/c.Within.Seconds()/c.Utilization))
+}
+
 // HostsFor returns the number of hosts that a pool should have while work arrives at a rate, in
 // thousandths of a core.
 func (c ClearBacklog) HostsFor(l *Load, rate int64) int {
@@ -141,6 +191,9 @@
 type State struct {
 	// SurplusSince is the time since which each pool has had more hosts than desired.
 	SurplusSince map[string]time.Time
+	// TakenAt is when a pool was last to give a host that was at work to another one. Only From and To are set in its
+	// keys.
+	TakenAt map[Move]time.Time
 	// Refused holds the pairs of pools between which a machine could not be moved. Only From and
 	// To are set in its keys.
 	Refused map[Move]bool
@@ -148,7 +201,7 @@
 
 // NewState builds an empty state.
 func NewState() *State {
-	return &State{SurplusSince: map[string]time.Time{}, Refused: map[Move]bool{}}
+	return &State{SurplusSince: map[string]time.Time{}, TakenAt: map[Move]time.Time{}, Refused: map[Move]bool{}}
 }
 
 // Refuse records that a move between two pools is not possible.
@@ -159,6 +212,8 @@
 	// Fill is the number of hosts to move to the pool ahead of the need. Keep is the number up to which
 	// the pool keeps the hosts that it has, as long as no other pool needs them now.
 	Fill, Keep int
+	// Normal is the number of hosts that the pool needs at the height of its usual load, or 0 if that is not known.
+	Normal int
 	// Probability is how likely the need is, from 0 to 1.
 	Probability float64
 }
@@ -200,10 +255,19 @@
 	probability float64
 	// required is the part of desired for work that could run now.
 	required int
+	// normal is the number of hosts for the usual load that can still be in time, ahead that for such a load that is
+	// forecast as well, urgent that for all work that can be in time, and useful that for late work that is still of use
+	// as well. The first three contain the hosts of which late work is sure, and are in ascending order.
+	normal, ahead, urgent, useful int
+	// flooded reports whether the pool has so much work that is late, or will be whatever it gets, that its hosts do not
+	// become idle soon.
+	flooded bool
 	// removable lists the machines that may leave, the cheapest to move first. idle is the
 	// number of those on which nothing runs.
 	removable []port.Machine
 	idle      int
+	// releasable lists the machines that can leave soon once they get no more work.
+	releasable []port.Machine
 }
 
 // Plan decides which moves to begin now.
@@ -219,6 +283,7 @@
 		out = append(out, m)
 		return true
 	}
+	setShares(pools, in, policy)
 	// The pool that lacks the most hosts is served first.
 	slices.SortFunc(pools, func(a, b *pool) int {
 		return cmp.Or(cmp.Compare(b.desired-b.current, a.desired-a.current), cmp.Compare(a.name, b.name))
@@ -231,7 +296,23 @@
 		}
 	}
 	for _, p := range pools {
-		for p.current < p.desired && s.fillPool(p, pools, &standby, add) {
+		for p.current < p.normal && s.fillPool(p, pools, &standby, add) {
+			p.current++
+		}
+	}
+	for _, p := range pools {
+		for p.current < min(p.urgent, p.desired) && s.fillAhead(p, pools, &standby, add) {
+			p.current++
+		}
+	}
+	s.reclaim(pools, now, add)
+	for _, p := range pools {
+		for p.current < p.useful && s.fillLate(p, pools, &standby, add) {
+			p.current++
+		}
+	}
+	for _, p := range pools {
+		for p.current < p.desired && s.fillLate(p, pools, &standby, add) {
 			p.current++
 		}
 	}
@@ -303,6 +384,11 @@
 			}
 			p.removable = slices.Concat(p.removable, due, others)
 		}
+		for _, h := range p.load.ReleasableHosts {
+			if m, ok := byHost[h]; ok && m.Pool == p.name {
+				p.releasable = append(p.releasable, m)
+			}
+		}
 	}
 	slices.SortFunc(standby, func(a, b port.Machine) int {
 		return cmp.Or(cmp.Compare(standbyRank(in, a), standbyRank(in, b)), cmp.Compare(a.ID, b.ID))
@@ -363,6 +449,15 @@
 	return false
 }
 
+// fillLate finds a machine for the part of the present load that is late: one that fillAhead finds, or, as long as
+// nothing of the load is late, one that fillPool finds.
+func (s *State) fillLate(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
+	if p.load.Late > 0 {
+		return s.fillAhead(p, pools, standby, add)
+	}
+	return s.fillPool(p, pools, standby, add)
+}
+
 // fillOversized finds a machine that can hold the work that is too large for all hosts of a pool: one on
 // standby, or one that another pool is not expected to need.
 func (s *State) fillOversized(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
--- a/trial/model/model.go
+++ b/trial/model/model.go
@@ -60,6 +60,17 @@
 	// time that the work itself takes.
 	HostSeconds float64 `json:"host-seconds"`
 	Moves       int     `json:"moves"`
+	// Jobs holds the jobs in the order in which they arrived.
+	Jobs []Outcome `json:"-"`
+}
+
+// Outcome is what became of a job.
+type Outcome struct {
+	Kind int
+	// Arrived and Ended are times since the start. Ended is 0 if the job has not ended.
+	Arrived, Ended time.Duration
+	InTime         bool
+	Worth          float64
 }
 
 // Sizer is what a run needs of a policy: the hosts that pools may need soon.
@@ -73,6 +84,10 @@
 	planInterval = 250 * time.Millisecond
 	// moveTime is the time from the decision on a move to the first start on the host.
 	moveTime = 2100 * time.Millisecond
+	// emptyTime is the time that a busy host takes to empty, which is less than a step takes: of many hosts, those that
+	// are empty soonest are moved. releasableShare is the share of the busy hosts that take no longer.
+	emptyTime       = 1500 * time.Millisecond
+	releasableShare = 0.25
 	// leadTime is the time before the load, in which pools are at rest.
 	leadTime = 14 * time.Second
 	// hostCores is the number of cores of a host, of which usable can be filled in practice.
@@ -91,6 +106,8 @@
 	arrived   time.Duration
 	objective time.Duration
 	worth     float64
+	// outcome is the index in Result.Jobs.
+	outcome int
 	// left is the number of steps that have not ended. cores is what one step takes, of which waiting
 	// has not started and active is running.
 	left                   int
@@ -102,6 +119,8 @@
 	ends  time.Duration
 	cores float64
 	job   *job
+	// late reports whether the job was late when the part started.
+	late bool
 }
 
 type pool struct {
@@ -125,6 +144,7 @@
 	hostTime               float64
 	work                   float64
 	moves                  int
+	outcomes               []Outcome
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -166,8 +186,12 @@
 			}
 			for _, m := range sizing.Plan(state, policy, in, epoch.Add(at)) {
 				machine := r.machines[m.Machine]
+				due := at + moveTime
+				if slices.Contains(loads[m.From].ReleasableHosts, m.Host) {
+					due += emptyTime
+				}
 				machine.Pool, machine.State, machine.Host = m.To, port.MachineMoving, ""
-				r.machines[m.Machine], r.arriving[m.Machine] = machine, at+moveTime
+				r.machines[m.Machine], r.arriving[m.Machine] = machine, due
 				r.moves++
 			}
 		}
@@ -176,7 +200,7 @@
 }
 
 func (r *run) result() Result {
-	out := Result{Shape: r.shape.Name, HostSeconds: r.hostTime / r.work, Moves: r.moves, WorstKind: 1}
+	out := Result{Shape: r.shape.Name, Jobs: r.outcomes, HostSeconds: r.hostTime / r.work, Moves: r.moves, WorstKind: 1}
 	var inTime, owed float64
 	for i := range r.owed {
 		inTime, owed = inTime+r.inTime[i], owed+r.owed[i]
@@ -213,6 +237,8 @@
 			length := time.Duration(k.Steps) * k.Duration
 			j := &job{kind: i, arrived: at, objective: at + time.Duration(stretch*float64(length)) + allowance, left: k.Steps, cores: k.Cores * size}
 			j.waiting, j.worth = j.cores, k.Worth*(0.3+0.7*size)
+			j.outcome = len(r.outcomes)
+			r.outcomes = append(r.outcomes, Outcome{Kind: i, Arrived: at, Worth: j.worth})
 			r.pools[i].queue = append(r.pools[i].queue, j)
 			work := j.cores * length.Seconds()
 			r.pools[i].meter.Add(int64(work*1000), epoch.Add(at))
@@ -256,7 +282,9 @@
 			continue
 		}
 		r.unfinished--
-		if at > j.objective {
+		outcome := &r.outcomes[j.outcome]
+		outcome.Ended, outcome.InTime = at, at <= j.objective
+		if !outcome.InTime {
 			r.late++
 			continue
 		}
@@ -298,7 +326,7 @@
 		j.active += n
 		room -= n
 		p.used += n
-		p.running = append(p.running, running{at + k.Duration, n, j})
+		p.running = append(p.running, running{at + k.Duration, n, j, r.isLate(j, at)})
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.waiting <= rounding })
 }
@@ -333,7 +361,16 @@
 		p := r.pools[i]
 		l := sizing.Load{HostCapacity: hostCores * 1000, ArrivalRate: p.meter.Rate(epoch.Add(at)), Running: int64(p.used * 1000)}
 		for _, j := range p.queue {
-			l.Backlog += int64(j.waiting * k.Duration.Seconds() * 1000)
+			work := int64(j.waiting * k.Duration.Seconds() * 1000)
+			l.Backlog += work
+			if r.isLate(j, at) {
+				l.Late += work
+			}
+		}
+		for _, w := range p.running {
+			if w.late {
+				l.RunningLate += int64(w.cores * 1000)
+			}
 		}
 		var hosts []string
 		for _, m := range r.machines {
@@ -343,8 +380,9 @@
 		}
 		slices.Sort(hosts)
 		l.Hosts, l.Arrivals = len(hosts), p.meter.Count()
-		busy := int(math.Ceil(p.used / (hostCores * usable)))
-		l.IdleHosts = hosts[min(busy, len(hosts)):]
+		busy := min(int(math.Ceil(p.used/(hostCores*usable))), len(hosts))
+		l.IdleHosts = hosts[busy:]
+		l.ReleasableHosts = hosts[:int(math.Ceil(releasableShare*float64(busy)))]
 		out[k.Pool] = l
 	}
 	return out
--- a/trial/model/shapes.go
+++ b/trial/model/shapes.go
@@ -8,14 +8,14 @@
 // restFactor is the factor of a kind's mean rate outside its turns.
 const restFactor = 0.05
 
-// turnFactor returns the factor of the mean rate in a turn that takes one of n equal parts of the time.
-func turnFactor(n int) float64 { return float64(n) - restFactor*float64(n-1) }
+// TurnFactor returns the factor of the mean rate in a turn that takes one of n equal parts of the time.
+func TurnFactor(n int) float64 { return float64(n) - restFactor*float64(n-1) }
 
 // Turns lets each of a number of kinds have its turn after the other, each for a duration.
 func Turns(name string, kinds int, turn, length time.Duration) Shape {
 	return Shape{name, func(kind int, at time.Duration) float64 {
 		if int(at/turn)%kinds == kind {
-			return turnFactor(kinds)
+			return TurnFactor(kinds)
 		}
 		return restFactor
 	}, length}
@@ -41,7 +41,7 @@
 		for _, s := range spans {
 			if at < s.until {
 				if s.kind == kind {
-					return turnFactor(kinds)
+					return TurnFactor(kinds)
 				}
 				return restFactor
 			}
@@ -60,7 +60,7 @@
 	}
 	return Shape{"single-turns", func(kind int, at time.Duration) float64 {
 		if int(at/turn) == kind {
-			return turnFactor(kinds) * levels[at/time.Second]
+			return TurnFactor(kinds) * levels[at/time.Second]
 		}
 		return restFactor
 	}, length}
