Bound the hosts that are reserved for steps that do not fit yet

Long-running steps and tasks that run apart keep their own rules. The reference plan has the same bound.

Not done: short work on hosts that are reserved, until they are needed.

--- a/fleet/shard/equal_test.go
+++ b/fleet/shard/equal_test.go
@@ -69,6 +69,7 @@
 var driverTiming = Timing{
 	Lease: 5 * time.Second, Grace: 6 * time.Second, Retention: 10 * time.Second, RemoteFactor: 2,
 	AbsenceLimit: 4 * time.Second, StopTimeout: time.Second, DisruptionLimit: 4 * time.Second,
+	MaxReservedShare: 0.3,
 }
 
 func newPoolDriver(t *rapid.T) *poolDriver {
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -52,6 +52,7 @@
 	}
 	s.backlog.advance(now.Sub(s.backlog.origin))
 	hosts := s.candidates(now)
+	s.limitReservations(len(hosts))
 	unconfirmed := s.hasUnconfirmedHost(now)
 	s.updateOverloaded(hosts, unconfirmed)
 	least := s.backlog.leastNeed()
@@ -318,7 +319,7 @@
 // smaller steps do not starve it. Hosts that could not run the step even when all work that ends has ended
 // are left out, and so is a gang for which all hosts together could not. It reports whether it has reserved a host.
 func (s *State) reserveHost(w *waitingStep, hosts candidates) bool {
-	if !w.reserves() || (w.step.Gang && !s.gangCouldFit(w, hosts)) {
+	if !w.reserves() || (!w.step.LongRunning && s.reservations >= s.maxReservations) || (w.step.Gang && !s.gangCouldFit(w, hosts)) {
 		return false
 	}
 	var best *candidate
@@ -335,9 +336,18 @@
 	}
 	best.reserved = true
 	s.reserved++
+	s.reservations += count(!w.step.LongRunning)
 	return true
 }
 
+// limitReservations sets how many hosts a round of planning may reserve for steps that end.
+func (s *State) limitReservations(hosts int) {
+	s.reservations, s.maxReservations = 0, hosts
+	if share := s.Timing.MaxReservedShare; share > 0 {
+		s.maxReservations = max(int(share*float64(hosts)), 1)
+	}
+}
+
 // gangCouldFit reports whether all members of a gang would fit on some hosts if all work that ends had
 // ended there.
 func (s *State) gangCouldFit(w *waitingStep, hosts candidates) bool {
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -300,7 +300,9 @@
 	// isolated, apart, suspects and unsettled are as in isolation. reservedToIsolate is set if the host is reserved for
 	// a task that runs apart.
 	isolated, apart, reservedToIsolate bool
-	suspects, unsettled                int
+	// reservedToEnd is set if the host is reserved for a step that ends.
+	reservedToEnd       bool
+	suspects, unsettled int
 	// othersWait reports whether a task that does not have to run apart waited when this round or one of the last
 	// second began.
 	othersWait bool
@@ -541,9 +543,19 @@
 }
 
 func (hosts referenceHosts) reserve(s *State, d *referenceDemand, step *batch.Step, stage *Stage, now time.Time) {
-	hosts.reserveBy(s, d, step, stage, now, func(c, best *referenceHost) bool {
+	reserved := 0
+	for i := range hosts {
+		reserved += count(hosts[i].reservedToEnd)
+	}
+	if limit := max(int(s.Timing.MaxReservedShare*float64(len(hosts))), 1); !step.LongRunning && s.Timing.MaxReservedShare > 0 && reserved >= limit {
+		return
+	}
+	k := hosts.reserveBy(s, d, step, stage, now, func(c, best *referenceHost) bool {
 		return best == nil || c.free.MilliCores > best.free.MilliCores
 	})
+	if k >= 0 {
+		hosts[k].reservedToEnd = !step.LongRunning
+	}
 }
 
 // reserveBy reserves a host and returns its index, or -1 if there is none. The function better reports whether a host
--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -28,6 +28,8 @@
 	rooms *rooms
 	// start is the first step that fits on a host now. next is the first one on which the round has an effect.
 	start, next *waitingStep
+	// mayReserve reports whether a further host may be reserved for a step.
+	mayReserve bool
 }
 
 // roomKey is what decides which hosts have room for a step, beside its need.
@@ -107,6 +109,7 @@
 	for i := range l.groups {
 		g := &l.groups[i]
 		g.rooms.collect(l.hosts, l.roomy)
+		g.mayReserve = g.longRunning || g.exempt || l.state.reservations < l.state.maxReservations
 		if g.start != nil && (g.start.group != g.group || !g.couldStart(g.start.need, g.start.need)) {
 			g.start = nil
 		}
@@ -169,7 +172,7 @@
 // couldReserve reports whether a host could be reserved for a step whose need is within bounds. None is reserved
 // for one that waits for the answer of a host with room.
 func (g *candidateGroup) couldReserve(low, high batch.Size) bool {
-	return g.rooms.whole.fits(low) && (g.exempt || !g.rooms.admitted.fits(high))
+	return g.mayReserve && g.rooms.whole.fits(low) && (g.exempt || !g.rooms.admitted.fits(high))
 }
 
 // couldMatter reports whether the round has an effect on a step with a need.
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -37,6 +37,9 @@
 	DisruptionLimit time.Duration
 	// StopTimeout is the longest time that a host takes to end a run.
 	StopTimeout time.Duration
+	// MaxReservedShare is the share of the hosts that may be reserved at a time for steps that end and do not fit yet. One
+	// host may be reserved in any case. There is no limit if it is 0.
+	MaxReservedShare float64
 }
 
 // ClockDrift is the largest factor by which a duration is longer in true time than on a host's
@@ -284,8 +287,9 @@
 	endUnstored bool
 	// candidateBuffer is the buffer of candidates.
 	candidateBuffer candidates
-	// reserved is the number of hosts that the last round of planning reserved.
-	reserved int
+	// reserved is the number of hosts that the last round of planning reserved. reservations is the number of those that
+	// count against maxReservations.
+	reserved, reservations, maxReservations int
 	// hostList holds the hosts by ID. It is nil after the set of hosts has changed.
 	hostList []*Host
 	// lateUsed is the capacity that tasks take which were late when they were ordered to start, in thousandths of a core.
