Log the machines that were wanted and not given

One line a second at most, for the pool that lacks the most hosts for work that can be in time: its hosts and its need, the pool that holds the machines with the same figures, and how many of its hosts could leave. "machine to be moved" has the late part of both backlogs.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -150,6 +150,8 @@
 	// toAuthorize holds the machines to authorize with the next write.
 	toAuthorize []string
 	sizing      *sizing.State
+	// shortageLoggedAt is when a shortage of machines was last logged.
+	shortageLoggedAt time.Time
 	// forecast forecasts the load of the pools.
 	forecast *sizing.Forecast[demand.InOrder]
 	// orders limits the moves that begin to what the machine service accepts.
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -33,6 +33,8 @@
 	defaultOrderRate = 64
 	// loadTTL is how long the load that an owner has reported is used.
 	loadTTL = time.Second
+	// shortageLogInterval is the time between two lines about a shortage of machines, for all pools together.
+	shortageLogInterval = time.Second
 )
 
 // move is a move in progress.
@@ -155,14 +157,26 @@
 	in.Expected = c.forecast.Expected(in.Loads, now, c.settings.MoveTime+serviceDelay)
 	moves := sizing.Plan(c.sizing, c.forecast.Sizer, in, now)
 	c.orders.ReserveN(now, len(moves))
+	c.logShortage(now)
 	for _, m := range moves {
 		c.moves[m.Machine] = move{m, now}
 		to := in.Loads[m.To]
 		c.logger.Info("machine to be moved", "machine", m.Machine, "from", m.From, "to", m.To, "host", m.Host,
-			"waiting", to.Backlog, "inflow", to.ArrivalRate, "hosts", to.Hosts, "held", in.Held[m.Machine])
+			"waiting", to.Backlog, "late", to.Late, "from-late", in.Loads[m.From].Late, "inflow", to.ArrivalRate, "hosts", to.Hosts, "held", in.Held[m.Machine])
 	}
 }
 
+// logShortage logs the largest shortage that the last plan has left, at most once in shortageLogInterval.
+func (c *core) logShortage(now time.Time) {
+	s := c.sizing.Shortage
+	if s.Pool == "" || now.Sub(c.shortageLoggedAt) < shortageLogInterval {
+		return
+	}
+	c.shortageLoggedAt = now
+	c.logger.Info("machines wanted and not given", "pool", s.Pool, "hosts", s.Hosts, "needed", s.Needed,
+		"holder", s.Holder, "holder-hosts", s.HolderHosts, "holder-needed", s.HolderNeeded, "holder-could-give", s.Releasable)
+}
+
 // stepMove asks for the host of a machine to be emptied, and orders the move once it is empty.
 func (c *core) stepMove(ctx context.Context, m sizing.Move, now time.Time) {
 	if machine := c.machines[m.Machine]; !c.stepInFlight[m.Machine] && (machine.Pool != m.From || machine.Host != m.Host) {
--- a/entry/mover/size_test.go
+++ b/entry/mover/size_test.go
@@ -1,9 +1,11 @@
 package mover
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,3 +37,17 @@
 		})
 	}
 }
+
+// Guards against a line for each plan and pool while machines are short.
+func TestAShortageOfMachinesIsLoggedOnceASecond(t *testing.T) {
+	var out bytes.Buffer
+	c := &core{logger: slog.New(slog.NewJSONHandler(&out, nil)), sizing: sizing.NewState()}
+	now := time.Now()
+	c.logShortage(now)
+	require.Empty(t, out.String(), "nothing is short")
+	c.sizing.Shortage = sizing.Shortage{Pool: "p", Hosts: 1, Needed: 9, Holder: "q", HolderHosts: 40, HolderNeeded: 3}
+	for i := range 100 {
+		c.logShortage(now.Add(time.Duration(i) * 50 * time.Millisecond))
+	}
+	require.Equal(t, 5, strings.Count(out.String(), "machines wanted and not given"))
+}
--- a/fleet/sizing/reclaim.go
+++ b/fleet/sizing/reclaim.go
@@ -110,3 +110,28 @@
 	q.current--
 	return true
 }
+
+// findShortage returns the largest shortage of hosts for work that can be in time.
+func findShortage(pools []*pool) Shortage {
+	var short *pool
+	for _, p := range pools {
+		if lack := p.urgent - p.current; lack > 0 && (short == nil || lack > short.urgent-short.current) {
+			short = p
+		}
+	}
+	if short == nil {
+		return Shortage{}
+	}
+	out := Shortage{Pool: short.name, Hosts: short.current, Needed: short.urgent}
+	var holder *pool
+	for _, q := range pools {
+		if q != short && (holder == nil || cmp.Or(cmp.Compare(max(q.current-q.urgent, 0), max(holder.current-holder.urgent, 0)), cmp.Compare(q.current, holder.current)) > 0) {
+			holder = q
+		}
+	}
+	if holder != nil {
+		out.Holder, out.HolderHosts, out.HolderNeeded = holder.name, holder.current, holder.urgent
+		out.Releasable = len(holder.removable) + len(holder.releasable)
+	}
+	return out
+}
--- a/fleet/sizing/reclaim_test.go
+++ b/fleet/sizing/reclaim_test.go
@@ -103,3 +103,20 @@
 	require.Empty(t, sizing.Plan(s, clearBacklog, in, now.Add(time.Second)))
 	require.NotEmpty(t, sizing.Plan(s, clearBacklog, in, now.Add(3*time.Second)))
 }
+
+// What a plan has left names the pool that holds the machines.
+func TestAPlanNamesThePoolThatHoldsWhatIsMissing(t *testing.T) {
+	s, in, now := sizing.NewState(), floodedPools(30), time.Unix(1_700_000_000, 0)
+	in.Budget = 2
+	require.Len(t, sizing.Plan(s, clearBacklog, in, now), 2)
+	require.Equal(t, "due", s.Shortage.Pool)
+	require.Equal(t, 3, s.Shortage.Hosts)
+	require.Greater(t, s.Shortage.Needed, 30)
+	require.Equal(t, "late", s.Shortage.Holder)
+	require.Equal(t, 28, s.Shortage.HolderHosts)
+	require.Less(t, s.Shortage.HolderNeeded, 5)
+	require.Equal(t, 28, s.Shortage.Releasable)
+	delete(in.Loads, "due")
+	sizing.Plan(s, clearBacklog, in, now)
+	require.Empty(t, s.Shortage)
+}
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -194,11 +194,28 @@
 	// TakenAt is when a pool was last to give a host that was at work to another one. Only From and To are set in its
 	// keys.
 	TakenAt map[Move]time.Time
+	// Shortage is the largest shortage after the last plan.
+	Shortage Shortage
 	// Refused holds the pairs of pools between which a machine could not be moved. Only From and
 	// To are set in its keys.
 	Refused map[Move]bool
 }
 
+// Shortage is a lack of hosts for work that can be in time which a plan has left.
+type Shortage struct {
+	// Pool is the pool that lacks hosts; empty if there is none.
+	Pool string
+	// Hosts is the number of hosts of the pool and on their way there, and Needed the number for the work that can be in
+	// time.
+	Hosts, Needed int
+	// Holder is the pool with the most hosts beyond its own need for such work; if there is none, the one with the most
+	// hosts. HolderHosts and HolderNeeded are its hosts and its need.
+	Holder                    string
+	HolderHosts, HolderNeeded int
+	// Releasable is the number of hosts that the holder could still give.
+	Releasable int
+}
+
 // NewState builds an empty state.
 func NewState() *State {
 	return &State{SurplusSince: map[string]time.Time{}, TakenAt: map[Move]time.Time{}, Refused: map[Move]bool{}}
@@ -321,6 +338,7 @@
 			p.current++
 		}
 	}
+	s.Shortage = findShortage(pools)
 	out = append(out, s.parkSurplus(pools, in, now, movesLeft)...)
 	return out
 }
