--- a/trial/model/flood_test.go
+++ b/trial/model/flood_test.go
@@ -144,3 +144,10 @@
 
 // The same with two floods that follow one another.
 func TestOtherQueuesRecoverSoonAfterTwoFloods(t *testing.T) { requireRecovery(t, threePools, 0, 1) }
+
+// The same with a flood during which half of the machines fail.
+func TestOtherQueuesRecoverSoonAfterAFloodWithAnOutage(t *testing.T) {
+	f := threePools
+	f.Outage = model.Outage{From: floodStart + floodDuration/3, Length: 2 * floodDuration / 3}
+	requireRecovery(t, f, 0)
+}
--- a/trial/model/model.go
+++ b/trial/model/model.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -44,8 +45,13 @@
 	Standby int
 	// OrdersPerSecond is the number of moves that the machine service accepts per second.
 	OrdersPerSecond int
+	// Outage is a time in which machines fail.
+	Outage Outage
 }
 
+// Outage is a time in which every second machine is down. What ran there is lost. There is none if Length is 0.
+type Outage struct{ From, Length time.Duration }
+
 // Result is what callers got and what it cost.
 type Result struct {
 	Shape  string `json:"shape"`
@@ -170,6 +176,7 @@
 	budget := f.OrdersPerSecond / int(time.Second/planInterval)
 	for at := -leadTime; at < s.Length+5*time.Second; at += tick {
 		r.land(at)
+		r.failMachines(at)
 		r.submit(at)
 		for i := range r.pools {
 			r.end(i, at)
@@ -225,6 +232,50 @@
 	}
 }
 
+// failMachines has machines fail as an outage begins, and come back as it ends.
+func (r *run) failMachines(at time.Duration) {
+	o := r.fleet.Outage
+	if o.Length == 0 || (at != o.From && at != o.From+o.Length) {
+		return
+	}
+	if at == o.From {
+		for i, k := range r.fleet.Kinds {
+			r.loseWork(r.pools[i], float64(r.hosts(k.Pool)/2)/float64(max(r.hosts(k.Pool), 1)))
+		}
+	}
+	up := map[string]int{}
+	for _, id := range slices.Sorted(maps.Keys(r.machines)) {
+		m := r.machines[id]
+		switch {
+		case at == o.From && m.State == port.MachineUp:
+			if up[m.Pool]++; up[m.Pool]%2 == 0 {
+				m.State, m.Host = port.MachineDown, ""
+			}
+		case at == o.From+o.Length && m.State == port.MachineDown:
+			m.State, m.Host = port.MachineUp, "h-"+id
+		}
+		r.machines[id] = m
+	}
+}
+
+// loseWork loses a share of what runs in a pool, which has to run again.
+func (r *run) loseWork(p *pool, share float64) {
+	lost := p.used * share
+	p.running = slices.DeleteFunc(p.running, func(w running) bool {
+		if lost <= 0 {
+			return false
+		}
+		lost -= w.cores
+		p.used -= w.cores
+		w.job.active -= w.cores
+		if w.job.waiting <= rounding {
+			p.queue = append(p.queue, w.job)
+		}
+		w.job.waiting += w.cores
+		return true
+	})
+}
+
 // submit adds the jobs that arrive in a tick.
 func (r *run) submit(at time.Duration) {
 	if at < 0 || at >= r.shape.Length {
--- a/trial/model/shapes.go
+++ b/trial/model/shapes.go
@@ -122,6 +122,8 @@
 	turns := Turns("turns", kinds, turn, length)
 	floods := Flood(Flood(Single(kinds, length, seed), kinds-1, 2500*time.Millisecond, 6*time.Second, 2), 0, 13*time.Second, 4*time.Second, 1.8)
 	floods.Name = "single-turns-floods"
+	overload := Flood(Turns("", kinds, turn, 2*length), 0, turn*time.Duration(kinds), turn, 11*TurnFactor(kinds))
+	overload.Name = "turns-overload"
 	return []Shape{
 		Single(kinds, 34*time.Second, seed),
 		turns,
@@ -135,6 +137,7 @@
 		QuietThenTurns(kinds, 10*time.Second, turn, length),
 		Steady(length),
 		Shift(kinds, length),
+		overload,
 	}
 }
 
@@ -145,11 +148,11 @@
 		{"b", 9, 0.91, 4.62, 2, 8 * 1.9, 2100 * time.Millisecond},
 		{"c", 11, 9.6, 0.489, 2, 6 * 0.88 * 0.8, 800 * time.Millisecond},
 		{"d", 12, 1.12, 4.62, 2, 8 * 1.9, 2100 * time.Millisecond},
-	}, 8, 51}
+	}, 8, 51, Outage{}}
 	Large = Fleet{[]Kind{
 		{"a", 194, 42.2, 0.277, 2, 8 * 2.2 * 0.8, time.Second},
 		{"b", 218, 13.4, 0.981, 2, 8 * 4.8, 1300 * time.Millisecond},
 		{"c", 244, 52.8, 0.277, 2, 8 * 2.2 * 0.8, time.Second},
 		{"d", 268, 16.4, 0.981, 2, 8 * 4.8, 1300 * time.Millisecond},
-	}, 176, 470}
+	}, 176, 470, Outage{}}
 )
