--- a/entry/owner/first_round_test.go
+++ b/entry/owner/first_round_test.go
@@ -20,7 +20,7 @@
 
 func (h timedHost) Open(port.Host) port.HostClient { return h }
 
-func (h timedHost) Heartbeat(ctx context.Context, deadline, token, acked int64, wait time.Duration) (port.HostReport, error) {
+func (h timedHost) Heartbeat(ctx context.Context, _ port.Heartbeat) (port.HostReport, error) {
 	select {
 	case h.sentAt <- time.Now():
 	default:
