Call a host empty only under a claim that is confirmed after the request

Cause, by reading: an owner answered from its own state that a host is empty. One that was cut off and has been replaced does not know what its successor has started there, and the successor does not know of the cordon. The holder of the machines, cut off with it, still asks it.

Evidence: TestAnOwnerThatWasReplacedCallsNoHostEmpty fails before: a fenced owner calls a host empty.

Why the fix works: the answer waits until the store has confirmed the claim by a call sent after the request; a replaced owner is fenced by that call. It costs an append that requests share, for answers that a host is empty only.

--- a/entry/owner/absent.go
+++ b/entry/owner/absent.go
@@ -16,8 +16,8 @@
 	maxPendingAge = 2 * time.Second
 )
 
-// question is a request whose answer rests on what the store holds besides this owner's state: on the inbox, and
-// on the claim.
+// question is a request whose answer rests on what the store holds besides this owner's state: on the claim, and
+// unless it is about hosts only, on the inbox.
 type question interface {
 	// settle answers from the state. It is called when the state is recent enough.
 	settle(c *core)
@@ -28,34 +28,55 @@
 // openQuestion is a question that waits for the store.
 type openQuestion struct {
 	question
-	// from is the time as of which the inbox has to be read and the claim confirmed, or later. Otherwise
-	// the state may lack a job that was accepted before the request.
-	from    time.Time
-	askedAt time.Time
+	// from is the time as of which the claim has to be confirmed and, if needsInbox is set, the inbox read, or later.
+	// Otherwise the state may lack what another owner has done, or a job that was accepted before the request.
+	from       time.Time
+	askedAt    time.Time
+	needsInbox bool
 }
 
 // await answers a question once the state is as of a time.
 func (c *core) await(q question, from, now time.Time) {
-	c.questions = append(c.questions, openQuestion{q, from, now})
+	c.questions = append(c.questions, openQuestion{q, from, now, true})
 	c.settleQuestions(now)
 }
 
+// awaitClaim answers a question once the claim is confirmed as of now.
+func (c *core) awaitClaim(q question, now time.Time) {
+	c.questions = append(c.questions, openQuestion{q, now, now, false})
+	c.settleQuestions(now)
+}
+
+// isReady reports whether the state is recent enough for a question.
+func (c *core) isReady(q *openQuestion) bool {
+	inbox := c.hasReadInbox() && !c.inboxAsOf.Before(q.from)
+	return (inbox || !q.needsInbox) && !c.state.ConfirmedAt.Before(q.from)
+}
+
+// hasWaitedTooLong reports whether the store leaves a question waiting.
+func (c *core) hasWaitedTooLong(q *openQuestion, now time.Time) bool {
+	if now.Sub(q.askedAt) <= absenceTimeout {
+		return false
+	}
+	return !q.needsInbox || (c.hasReadInbox() && now.Sub(c.inboxReadAt) > absenceTimeout)
+}
+
 // settleQuestions answers the questions for which the state is recent enough, and refuses those that the store
 // leaves waiting. It has the inbox read for the others.
 func (c *core) settleQuestions(now time.Time) {
 	var newest time.Time
 	c.questions = slices.DeleteFunc(c.questions, func(q openQuestion) bool {
 		switch {
-		case c.hasReadInbox() && !c.inboxAsOf.Before(q.from) && !c.state.ConfirmedAt.Before(q.from):
+		case c.isReady(&q):
 			q.settle(c)
 			return true
-		case c.journal.unavailable || (c.hasReadInbox() && now.Sub(q.askedAt) > absenceTimeout && now.Sub(c.inboxReadAt) > absenceTimeout):
+		case c.journal.unavailable || c.hasWaitedTooLong(&q, now):
 			q.refuse(c.restingOnInbox(Answer{
 				Outcome: Refused, RetryAfter: noAnswerRetryAfter, Reason: "the store has not confirmed what the owner of the pool knows",
 			}))
 			return true
 		}
-		if q.from.After(newest) {
+		if q.needsInbox && q.from.After(newest) {
 			newest = q.from
 		}
 		return false
--- a/entry/owner/absent_test.go
+++ b/entry/owner/absent_test.go
@@ -116,6 +116,16 @@
 	require.Equal(t, owner.Refused, o.JobStatus(ctx, "elsewhere").Outcome)
 }
 
+// Guards against a machine that is moved or goes into maintenance under the work of a newer owner (AVAIL).
+func TestAnOwnerThatWasReplacedCallsNoHostEmpty(t *testing.T) {
+	ctx := t.Context()
+	store := newHangingInboxStore()
+	o := startOwner(ctx, t, store)
+	require.True(t, o.Vacate(ctx, "listed-later").Vacant)
+	store.fenced.Store(true)
+	require.False(t, o.Vacate(ctx, "listed-later").Vacant)
+}
+
 // Guards against a number of pending jobs that is older than callers are promised.
 func TestPendingJobsAreCountedAsOfTwoSecondsAgoAtMost(t *testing.T) {
 	ctx := t.Context()
