Count the memory of long-running tasks for the sizes of pools

What callers saw: long-running tasks that wait for ever for want of room while machines leave their pool (their tasks earn nothing; LOST where the hosts that are being emptied have room).

Cause: the load of a pool states the cores of its long-running tasks only. A pool whose tasks need more of the memory of its hosts than of their cores looked as if it had hosts to spare. Its hosts were emptied and moved to standby, and no machine came back for the tasks that then had no room.

Evidence: TestLoadOfLongRunningTasksCountsWhatTheyNeedMost failed before: 1 host in place of 8 for ten tasks that need three quarters of a host's memory each.

Why the fix works: the load states the capacity of the hosts that the tasks need in the dimension in which they need the most.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -38,8 +38,8 @@
 	due      indexedHeap[*opening, byDueTime]
 	// spreads counts the stages by the number of hosts over which they spread.
 	spreads map[int]int
-	// longRunning is the capacity for the long-running tasks that are not done.
-	longRunning int64
+	// longRunning is what the long-running tasks take that are not done.
+	longRunning batch.Size
 	// tasks and longRunningTasks count the tasks that wait.
 	tasks, longRunningTasks int
 }
@@ -121,7 +121,8 @@
 
 // load is what a stage adds to the sums of the backlog.
 type load struct {
-	waiting, future, longRunning   int64
+	waiting, future                int64
+	longRunning                    batch.Size
 	tasks, longRunningTasks, hosts int
 }
 
@@ -150,7 +151,7 @@
 	q := b.queue(j)
 	if live && step.LongRunning {
 		left := stage.Left - stage.givenUp
-		now.longRunning = int64(min(float64(step.Reservation().MilliCores)*float64(left), maxStepWork))
+		now.longRunning = timesSize(step.Reservation(), left)
 		if step.PerHost > 0 && left > 0 {
 			now.hosts = (step.Count-stage.givenUp-1)/step.PerHost + 1
 		}
@@ -172,7 +173,7 @@
 	stage.load = now
 	q.waiting[count(j.Inherited)] += now.waiting - was.waiting
 	q.future += now.future - was.future
-	b.longRunning += now.longRunning - was.longRunning
+	b.longRunning = b.longRunning.Add(now.longRunning).Sub(was.longRunning)
 	b.tasks += now.tasks - was.tasks
 	b.longRunningTasks += now.longRunningTasks - was.longRunningTasks
 	if now.hosts != was.hosts {
--- a/fleet/shard/capacity_test.go
+++ b/fleet/shard/capacity_test.go
@@ -231,6 +231,33 @@
 }
 
 // A step for which a host is reserved must not start there after the host has shrunk below its need.
+// Guards against long-running tasks that wait for ever for want of memory, while machines leave their pool because its
+// processors suffice.
+func TestLoadOfLongRunningTasksCountsWhatTheyNeedMost(t *testing.T) {
+	for name, c := range map[string]struct {
+		need  batch.Size
+		hosts int64
+	}{
+		"cores":    {batch.Size{MilliCores: 2000, MemoryMB: 100}, 5},
+		"memory":   {batch.Size{MilliCores: 100, MemoryMB: 3000}, 8},
+		"no cores": {batch.Size{MemoryMB: 4000}, 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newOwner(t, 1, "a", "b")
+			step := longRunningStep(10, 0, 0)
+			step.Need = c.need
+			o.submit("serves", step)
+			o.open()
+			l := o.Load(o.now)
+			require.Equal(t, c.hosts, (l.LongRunning+l.HostCapacity-1)/l.HostCapacity)
+		})
+	}
+	o := newOwner(t, 1)
+	o.submit("serves", longRunningStep(10, 0, 0))
+	o.open()
+	require.EqualValues(t, 10_000, o.Load(o.now).LongRunning, "without a host, only cores are known")
+}
+
 func TestReservationOfAHostThatShrinksGoesToAnother(t *testing.T) {
 	o := newUnguardedOwner(t, "a", "b")
 	o.submit("small", smallStep(8))
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -42,10 +42,36 @@
 	return int64(min(work, maxStepWork) * workUnits)
 }
 
+// timesSize returns a size multiplied by a number of tasks. It is bounded in each dimension.
+func timesSize(size batch.Size, tasks int) batch.Size {
+	times := func(n int64) int64 { return int64(min(float64(n)*float64(tasks), maxStepWork)) }
+	return batch.Size{MilliCores: times(size.MilliCores), MemoryMB: times(size.MemoryMB), Accelerators: times(size.Accelerators)}
+}
+
+// longRunningCores returns the capacity, in thousandths of a core, of the hosts that the long-running tasks need in the
+// dimension in which they need the most.
+func (s *State) longRunningCores(now time.Time) int64 {
+	need, whole := s.backlog.longRunning, batch.Size{}
+	for _, h := range s.sortedHosts() {
+		if s.Schedulable(h, now) {
+			whole = whole.Add(h.Capacity)
+		}
+	}
+	return max(need.MilliCores, share(need.MemoryMB, whole.MemoryMB, whole.MilliCores), share(need.Accelerators, whole.Accelerators, whole.MilliCores))
+}
+
+// share returns the part of the cores that corresponds to a need of another dimension, of which the hosts have a whole.
+func share(need, whole, cores int64) int64 {
+	if whole <= 0 {
+		return 0
+	}
+	return clamp.Int[int64](float64(need) / float64(whole) * float64(cores))
+}
+
 // Load sums up the work of the pool for sizing.
 func (s *State) Load(now time.Time) sizing.Load {
 	s.updateQueues()
-	l := sizing.Load{LongRunning: s.backlog.longRunning}
+	l := sizing.Load{LongRunning: s.longRunningCores(now)}
 	s.addHostLoad(&l, now)
 	for _, q := range s.backlog.queues {
 		l.Backlog += q.work(q.waiting[0] + q.waiting[1])
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -774,6 +774,12 @@
 func referenceLoad(s *State, now time.Time) sizing.Load {
 	var l sizing.Load
 	s.addHostLoad(&l, now)
+	var longRunning, whole batch.Size
+	for _, h := range s.Hosts {
+		if s.Schedulable(h, now) {
+			whole = whole.Add(h.Capacity)
+		}
+	}
 	backlog, future := map[string]int64{}, map[string]int64{}
 	for _, j := range s.openJobs {
 		if !j.Stored {
@@ -789,7 +795,9 @@
 					for i := range stage.Tasks {
 						givenUp += count(stage.Tasks[i].Crashes.GivenUp())
 					}
-					l.LongRunning += step.Reservation().MilliCores * int64(stage.Left-givenUp)
+					for range stage.Left - givenUp {
+						longRunning = longRunning.Add(step.Reservation())
+					}
 					if step.PerHost > 0 {
 						l.SpreadHosts = max(l.SpreadHosts, (step.Count-givenUp+step.PerHost-1)/step.PerHost)
 					}
@@ -813,6 +821,12 @@
 	}
 	l.Backlog += s.isolatedWork(l.HostCapacity, now)
 	l.ArrivalRate, l.Arrivals = s.arrivals.Rate(now), s.arrivals.Count()
+	l.LongRunning = longRunning.MilliCores
+	for _, d := range [][2]int64{{longRunning.MemoryMB, whole.MemoryMB}, {longRunning.Accelerators, whole.Accelerators}} {
+		if d[1] > 0 {
+			l.LongRunning = max(l.LongRunning, int64(float64(d[0])/float64(d[1])*float64(whole.MilliCores)))
+		}
+	}
 	return l
 }
 
