Start long-running work on hosts that cannot be emptied if no other host takes it

What callers saw: a long-running task that does not run, with room for it (LOST).

Cause: a host that is being emptied takes no work. While its own long-running tasks find no room elsewhere, it stays so, with room, and other long-running tasks wait beside it.

TestLongRunningTasksRunOnHostsThatCannotBeEmptied failed before.

Why the fix works: a host that has been emptied for two seconds and still runs something takes long-running work that no other host takes. One that was called empty runs nothing, so it never does (TestLongRunningTasksDoNotRunOnHostsThatWereCalledEmpty).

--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -21,7 +21,8 @@
 	Unconfirmed
 	// Outdated hosts have a record of an earlier instance.
 	Outdated
-	// Leaving hosts drain or are being emptied.
+	// Leaving hosts drain or are being emptied. Long-running work may be started on the latter if no other host takes it
+	// and they are not empty after emptyingPatience.
 	Leaving
 	// Unhealthy hosts failed their work, were slow or refused a start. But for the last, long-running work may be
 	// started there if no other host takes it.
@@ -38,8 +39,8 @@
 // ObstacleTo returns why a host gets no new work.
 func (s *State) ObstacleTo(h *Host, now time.Time) Obstacle { return s.obstacleTo(h, now, false) }
 
-// obstacleTo is ObstacleTo. If unhealthy is true, a host that counts as unhealthy may get work.
-func (s *State) obstacleTo(h *Host, now time.Time, unhealthy bool) Obstacle {
+// obstacleTo is ObstacleTo, or what keeps a host from long-running work that no other host takes.
+func (s *State) obstacleTo(h *Host, now time.Time, lastResort bool) Obstacle {
 	switch {
 	case !h.Listed || !h.Stored:
 		return Unlisted
@@ -47,9 +48,9 @@
 		return Unconfirmed
 	case !h.recordIsCurrent():
 		return Outdated
-	case h.Draining || !now.After(h.CordonedUntil):
+	case h.Draining || (!now.After(h.CordonedUntil) && !(lastResort && h.staysUp(now))):
 		return Leaving
-	case (!unhealthy && !now.After(h.UnhealthyUntil)) || !now.After(h.FullUntil):
+	case (!lastResort && !now.After(h.UnhealthyUntil)) || !now.After(h.FullUntil):
 		return Unhealthy
 	case now.Sub(h.LastAnswer) >= answerTimeout:
 		return Silent
@@ -118,7 +119,7 @@
 func (s *State) explainPlacement(step *batch.Step, stage *Stage, task *Task, ref batch.Ref, now time.Time) Reason {
 	hosts := s.candidates(now)
 	if step.LongRunning && !step.Gang {
-		hosts = slices.Concat(hosts, s.unhealthyCandidates(now))
+		hosts = slices.Concat(hosts, s.lastResorts(now))
 	}
 	if len(hosts) == 0 {
 		return NoHost
--- a/fleet/shard/lasting_test.go
+++ b/fleet/shard/lasting_test.go
@@ -34,6 +34,8 @@
 	mix mix
 	// failing holds the jobs whose runs all fail.
 	failing map[string]bool
+	// emptying holds the hosts that are being emptied, with the time since which.
+	emptying map[string]time.Time
 }
 
 // mix is what callers submit, drawn for each simulation.
@@ -51,6 +53,8 @@
 	labels bool
 	// crashRate is the probability in a thousand that a host crashes in a step of the simulation with faults.
 	crashRate int
+	// emptyRate is the probability in a thousand that a machine is to leave in a step of the simulation.
+	emptyRate int
 }
 
 const (
@@ -63,6 +67,8 @@
 	lastingSeeds = 200
 	// machineListInterval is the time between two reads of the list of machines.
 	machineListInterval = 500 * time.Millisecond
+	// emptyTimeout is the time after which a machine is not emptied any more that still has work.
+	emptyTimeout = 10 * time.Second
 	// unlistTime is the time after which a host that is gone is not listed any more.
 	unlistTime = 3 * time.Second
 )
@@ -72,11 +78,11 @@
 	r := w.rand
 	sizes := [][]int64{{250, 500}, {1000}, {250, 3500}, {500, 1000, 2000, 3000}, {4000, 250}}
 	w.lasting = &lasting{
-		disturbed: true, disturbedAt: w.now, waits: map[batch.Ref]time.Time{}, failing: map[string]bool{},
+		disturbed: true, disturbedAt: w.now, waits: map[batch.Ref]time.Time{}, failing: map[string]bool{}, emptying: map[string]time.Time{},
 		mix: mix{
 			cores: sizes[r.IntN(len(sizes))], longRunning: 1 + r.IntN(12), shortJobs: 100 * r.IntN(4), shortRate: []int{5, 30, 150}[r.IntN(3)],
 			shortTime: time.Duration(300+r.IntN(7000)) * time.Millisecond, badShare: []int{0, 0, 30, 90}[r.IntN(4)], gangShare: r.IntN(2) * 20,
-			labels: r.IntN(3) == 0, crashRate: []int{5, 20, 60}[r.IntN(3)],
+			labels: r.IntN(3) == 0, crashRate: []int{5, 20, 60}[r.IntN(3)], emptyRate: []int{0, 0, 5, 20}[r.IntN(4)],
 		},
 	}
 	w.limits = shard.Limits{Starts: 8, StartsPerHost: 1}
@@ -166,9 +172,34 @@
 			}
 		}
 	}
+	w.emptyHosts(o)
 	w.checkLasting(o)
 }
 
+// emptyHosts has machines emptied now and then. Each leaves once it is empty, and another one joins.
+func (w *simulation) emptyHosts(o *simOwner) {
+	if id := w.hostIDs[w.rand.IntN(len(w.hostIDs))]; w.rand.IntN(1000) < w.mix.emptyRate && len(w.emptying) < 2 && len(w.hostIDs) < 30 && !w.hosts[id].down {
+		w.emptying[id] = w.now
+	}
+	for _, id := range sortedKeys(w.emptying) {
+		h := o.state.Hosts[id]
+		if h == nil || w.hosts[id].down || w.now.Sub(w.emptying[id]) > emptyTimeout {
+			delete(w.emptying, id)
+			continue
+		}
+		if !o.state.Vacate(h, w.now, time.Second) {
+			continue
+		}
+		delete(w.emptying, id)
+		w.hosts[id].gone = true
+		w.crashHost(w.hosts[id])
+		for _, other := range w.owners {
+			other.state.UnlistHost(id)
+		}
+		w.schedule(2*time.Second, func() { w.addHost(); w.updateHosts() })
+	}
+}
+
 // disturbLasting causes one of the faults now and then.
 func (w *simulation) disturbLasting() {
 	o := w.current()
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -58,10 +58,10 @@
 	if s.backlog.longRunningTasks == 0 || limits.Starts <= 0 {
 		return
 	}
-	if unhealthy := s.unhealthyCandidates(now); len(unhealthy) > 0 {
-		// Waiting costs long-running work more than a host that fails its work now and then.
+	if others := s.lastResorts(now); len(others) > 0 {
+		// Waiting costs long-running work more than a host that fails its work now and then, or another move.
 		s.backlog.advance(now.Sub(s.backlog.origin))
-		planOn(s, ranking, hostSet{hosts: unhealthy, preferred: hosts, longRunningOnly: true}, &limits, unconfirmed, now)
+		planOn(s, ranking, hostSet{hosts: others, preferred: hosts, longRunningOnly: true}, &limits, unconfirmed, now)
 	}
 }
 
@@ -152,11 +152,11 @@
 	return out
 }
 
-// unhealthyCandidates returns the hosts that get no new work only because they count as unhealthy.
-func (s *State) unhealthyCandidates(now time.Time) candidates {
+// lastResorts returns the hosts that get no new work but for long-running work that no other host takes.
+func (s *State) lastResorts(now time.Time) candidates {
 	var out candidates
 	for _, h := range s.sortedHosts() {
-		if !now.After(h.UnhealthyUntil) && s.obstacleTo(h, now, true) == NoObstacle {
+		if s.obstacleTo(h, now, true) == NoObstacle && !s.Schedulable(h, now) {
 			c := &candidate{host: h, free: h.free()}
 			c.markIsolation(s, now)
 			out = append(out, c)
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -69,10 +69,10 @@
 	for i := range demands {
 		hosts.startTasks(s, &demands[i], now, nil)
 	}
-	unhealthy := referenceUnhealthy(s, now)
+	lastResorts := referenceLastResorts(s, now)
 	for i := range demands {
 		if step := &demands[i].Job.Spec.Steps[demands[i].Step]; step.LongRunning && !step.Gang {
-			unhealthy.startTasks(s, &demands[i], now, &hosts)
+			lastResorts.startTasks(s, &demands[i], now, &hosts)
 		}
 	}
 }
@@ -349,11 +349,15 @@
 	return out
 }
 
-// referenceUnhealthy returns the hosts that could get work if they were not unhealthy.
-func referenceUnhealthy(s *State, now time.Time) referenceHosts {
+// referenceLastResorts returns the hosts that could get work if they were not unhealthy, and not being emptied for over
+// two seconds without being empty.
+func referenceLastResorts(s *State, now time.Time) referenceHosts {
 	return referenceHostsWhere(s, now, func(h *Host) bool {
 		healthy := *h
 		healthy.UnhealthyUntil = time.Time{}
+		if len(h.Assigned) > 0 && now.Sub(h.CordonedAt) > 2*time.Second {
+			healthy.CordonedUntil = time.Time{}
+		}
 		return !s.Schedulable(h, now) && s.Schedulable(&healthy, now)
 	})
 }
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -13,8 +13,16 @@
 	checkpointStopDelay = 1500 * time.Millisecond
 	// forcedStopDelay is how long it keeps other work.
 	forcedStopDelay = 6 * time.Second
+	// emptyingPatience is the time after which a host that is being emptied, and is not empty, takes long-running work
+	// that no other host takes. It is well below the time within which such work has to be started.
+	emptyingPatience = 2 * time.Second
 )
 
+// staysUp reports whether the host is being emptied and will not be empty soon. A host that was called empty does not.
+func (h *Host) staysUp(now time.Time) bool {
+	return len(h.Assigned) > 0 && now.Sub(h.CordonedAt) > emptyingPatience
+}
+
 // Vacate cordons a host for a time, and stops the tasks there that can be moved. It stops no more
 // tasks of a long-running step than may be unavailable, and other tasks after a delay in which
 // most of them end. It reports whether the host is empty. A host that an earlier owner may have given work
--- a/fleet/shard/vacate_test.go
+++ b/fleet/shard/vacate_test.go
@@ -101,3 +101,44 @@
 	require.Empty(t, o.TakeOrders())
 	require.Len(t, o.plan(), 1, "the room is for the task that waits")
 }
+
+// Guards against a long-running task that does not run, with room for it (LOST): the hosts with room were being emptied
+// and could not become empty.
+func TestLongRunningTasksRunOnHostsThatCannotBeEmptied(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.submit("stays", longRunningStep(1, 0, 0))
+	stays := o.start()
+	require.Len(t, stays, 1)
+	o.report("a", runningRow(stays[0], 100))
+	o.addHost("b")
+	o.addHost("c")
+	o.submit("ends", smallStep(8))
+	o.Hosts["a"].CordonedUntil = o.now.Add(time.Millisecond)
+	require.Len(t, o.start(), 8)
+	o.advance(time.Second)
+	o.submit("waits", longRunningStep(1, 0, 0))
+	for range 25 {
+		require.False(t, o.Vacate(o.Hosts["a"], o.now, time.Second))
+		starts := o.start()
+		if len(starts) > 0 {
+			require.Equal(t, "a", starts[0].Host)
+			require.Equal(t, "waits", starts[0].Ref.Job)
+			return
+		}
+		o.advance(100 * time.Millisecond)
+		o.report("a", runningRow(stays[0], 100))
+	}
+	require.Fail(t, "the task has not run for 2.5 s")
+}
+
+// Guards against work that is lost with its machine: a host that was called empty got a long-running task.
+func TestLongRunningTasksDoNotRunOnHostsThatWereCalledEmpty(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	for range 30 {
+		require.True(t, o.Vacate(o.Hosts["a"], o.now, time.Second))
+		o.advance(100 * time.Millisecond)
+		o.report("a")
+	}
+	o.submit("waits", longRunningStep(1, 0, 0))
+	require.Empty(t, o.start())
+}
