Simulate long-running work that follows other work and that fills

The rule on long-running tasks also holds for steps that come after others, from when it is known that these are done, and for tasks that take what others leave.

--- a/fleet/shard/lasting_test.go
+++ b/fleet/shard/lasting_test.go
@@ -49,8 +49,9 @@
 	shortTime time.Duration
 	// badShare is the share of jobs of work that ends whose runs all fail, in a hundred. gangShare is that of gangs.
 	badShare, gangShare int
-	// labels reports whether some long-running work needs a label.
-	labels bool
+	// labels reports whether some long-running work needs a label, fills whether some only takes what other work
+	// leaves, and after whether some comes after work that ends.
+	labels, fills, after bool
 	// crashRate is the probability in a thousand that a host crashes in a step of the simulation with faults.
 	crashRate int
 	// emptyRate is the probability in a thousand that a machine is to leave in a step of the simulation.
@@ -83,6 +84,7 @@
 			cores: sizes[r.IntN(len(sizes))], longRunning: 1 + r.IntN(12), shortJobs: 100 * r.IntN(4), shortRate: []int{5, 30, 150}[r.IntN(3)],
 			shortTime: time.Duration(300+r.IntN(7000)) * time.Millisecond, badShare: []int{0, 0, 30, 90}[r.IntN(4)], gangShare: r.IntN(2) * 20,
 			labels: r.IntN(3) == 0, crashRate: []int{5, 20, 60}[r.IntN(3)], emptyRate: []int{0, 0, 5, 20}[r.IntN(4)],
+			fills: r.IntN(3) == 0, after: r.IntN(3) == 0,
 		},
 	}
 	w.limits = shard.Limits{Starts: 8, StartsPerHost: 1}
@@ -250,6 +252,13 @@
 		if w.mix.labels && w.rand.IntN(2) == 0 {
 			step.RequiredLabel = "fast"
 		}
+		step.BestEffort = w.mix.fills && w.rand.IntN(2) == 0
+		if w.mix.after && w.rand.IntN(2) == 0 {
+			first := batch.Step{Count: 1 + w.rand.IntN(3), Need: need, Estimate: w.mix.shortTime / 4}
+			step.After = []int{0}
+			w.submitJob("lasts", first, step)
+			break
+		}
 		w.submitJob("lasts", step)
 	case n < 20+w.mix.shortRate && w.mix.shortJobs > 0:
 		w.mix.shortJobs--
@@ -262,15 +271,15 @@
 	}
 }
 
-func (w *simulation) submitJob(kind string, step batch.Step) string {
+func (w *simulation) submitJob(kind string, steps ...batch.Step) string {
 	w.jobCount++
 	id := fmt.Sprintf("%s%d", kind, w.jobCount)
-	spec := batch.Spec{Queue: "q", Steps: []batch.Step{step}, AcceptedMS: w.now.UnixMilli()}
+	spec := batch.Spec{Queue: "q", Steps: steps, AcceptedMS: w.now.UnixMilli()}
 	o := w.current()
 	j, _ := o.state.Submit(id, spec, w.now)
 	w.specs[id] = spec
 	o.state.MarkStored(j)
-	w.logf("job %s: %+v", id, step)
+	w.logf("job %s: %+v", id, steps)
 	return id
 }
 
@@ -286,36 +295,56 @@
 		}
 	}
 	for id, spec := range w.specs {
-		if !spec.Steps[0].LongRunning {
+		number := len(spec.Steps) - 1
+		step := &spec.Steps[number]
+		j := o.state.Jobs[id]
+		failed := len(spec.Steps) > 1 && j != nil && j.Phase == shard.Failed // Its work that ends has failed.
+		if !step.LongRunning || failed || !w.hasTurn(id, &spec) {
 			continue
 		}
-		for i := range spec.Steps[0].Count {
-			ref := batch.Ref{Job: id, Index: i}
-			if running[ref.String()] || w.now.Sub(w.disturbedAt) < calmTime || w.roomFor(ref, &spec.Steps[0]) < 2 {
-				delete(w.waits, ref)
-				continue
-			}
-			if _, ok := w.waits[ref]; !ok {
-				w.waits[ref] = w.now
-			}
-			wait := w.now.Sub(w.waits[ref])
-			w.longest = max(w.longest, wait)
-			if wait <= maxWait {
-				continue
-			}
-			var lines []string
-			for _, hid := range w.hostIDs {
-				h := w.hosts[hid]
-				seen := "not known"
-				if s := o.state.Hosts[hid]; s != nil {
-					seen = fmt.Sprintf("obstacle %d, assigned %d", o.state.ObstacleTo(s, w.now), len(s.Assigned))
-				}
-				lines = append(lines, fmt.Sprintf("%s: down %v, free %v, %d runs, labels %v; %s", hid, h.down, h.free(), len(h.running), h.labels, seen))
+		for i := range step.Count {
+			w.checkWait(o, batch.Ref{Job: id, Step: number, Index: i}, step, running)
+		}
+	}
+}
+
+// hasTurn reports whether it is known that all steps of a job before the last one are done.
+func (w *simulation) hasTurn(id string, spec *batch.Spec) bool {
+	for number := range spec.Steps[:len(spec.Steps)-1] {
+		for i := range spec.Steps[number].Count {
+			if !w.acked[batch.Ref{Job: id, Step: number, Index: i}.String()] {
+				return false
 			}
-			require.Failf(w.t, "a long-running task waits beside room for it twice", "%s %+v: %s; %+v\n%s",
-				ref, spec.Steps[0], o.state.Explain(ref, w.now), o.state.Waiting(w.now), strings.Join(lines, "\n"))
 		}
 	}
+	return true
+}
+
+// checkWait requires that a long-running task does not wait too long beside room for it twice.
+func (w *simulation) checkWait(o *simOwner, ref batch.Ref, step *batch.Step, running map[string]bool) {
+	if running[ref.String()] || w.now.Sub(w.disturbedAt) < calmTime || w.roomFor(ref, step) < 2 {
+		delete(w.waits, ref)
+		return
+	}
+	if _, ok := w.waits[ref]; !ok {
+		w.waits[ref] = w.now
+	}
+	wait := w.now.Sub(w.waits[ref])
+	w.longest = max(w.longest, wait)
+	if wait <= maxWait {
+		return
+	}
+	var lines []string
+	for _, id := range w.hostIDs {
+		h := w.hosts[id]
+		seen := "not known"
+		if s := o.state.Hosts[id]; s != nil {
+			seen = fmt.Sprintf("obstacle %d, assigned %d", o.state.ObstacleTo(s, w.now), len(s.Assigned))
+		}
+		lines = append(lines, fmt.Sprintf("%s: down %v, free %v, %d runs, labels %v; %s", id, h.down, h.free(), len(h.running), h.labels, seen))
+	}
+	require.Failf(w.t, "a long-running task waits beside room for it twice", "%s %+v: %s; %+v\n%s",
+		ref, *step, o.state.Explain(ref, w.now), o.state.Waiting(w.now), strings.Join(lines, "\n"))
 }
 
 // roomFor returns how many runs of a task its hosts have room for.
@@ -325,7 +354,11 @@
 		if h.down || (step.RequiredLabel != "" && !shard.HasLabel(&port.Host{Labels: h.labels}, step.RequiredLabel)) {
 			continue
 		}
-		fits := int(h.free().MilliCores / step.Need.MilliCores)
+		need, free := step.Reservation(), h.free()
+		fits := int(free.MemoryMB / need.MemoryMB)
+		if need.MilliCores > 0 {
+			fits = min(fits, int(free.MilliCores/need.MilliCores))
+		}
 		if step.PerHost > 0 {
 			there := 0
 			for task := range h.running {
--- a/fleet/shard/model_test.go
+++ b/fleet/shard/model_test.go
@@ -211,11 +211,11 @@
 		return &port.RefusedError{Reason: port.RefusedStaleRun}
 	}
 	step := &w.specs[order.Ref.Job].Steps[order.Ref.Step]
-	if !h.free().Fits(step.Need) {
+	if !h.free().Fits(step.Reservation()) {
 		return &port.RefusedError{Reason: port.RefusedCapacity}
 	}
 	w.checkStart(h, order)
-	h.running[task] = &simRun{run: order.Run, left: w.runTime(step), need: step.Need, lasts: step.LongRunning}
+	h.running[task] = &simRun{run: order.Run, left: w.runTime(step), need: step.Reservation(), lasts: step.LongRunning}
 	if w.deadly != nil && w.deadly(task) {
 		if w.crashes[task] >= 3 && !o.partitioned {
 			w.startsAfter[task]++
