--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -69,10 +69,10 @@
 	for i := range demands {
 		hosts.startTasks(s, &demands[i], now, nil)
 	}
-	unhealthy := referenceUnhealthy(s, now)
+	lastResorts := referenceLastResorts(s, now)
 	for i := range demands {
 		if step := &demands[i].Job.Spec.Steps[demands[i].Step]; step.LongRunning && !step.Gang {
-			unhealthy.startTasks(s, &demands[i], now, &hosts)
+			lastResorts.startTasks(s, &demands[i], now, &hosts)
 		}
 	}
 }
@@ -351,11 +351,15 @@
 	return out
 }
 
-// referenceUnhealthy returns the hosts that could get work if they were not unhealthy.
-func referenceUnhealthy(s *State, now time.Time) referenceHosts {
+// referenceLastResorts returns the hosts that could get work if they were not unhealthy, and not being emptied for over
+// two seconds without being empty.
+func referenceLastResorts(s *State, now time.Time) referenceHosts {
 	return referenceHostsWhere(s, now, func(h *Host) bool {
 		healthy := *h
 		healthy.UnhealthyUntil = time.Time{}
+		if len(h.Assigned) > 0 && now.Sub(h.CordonedAt) > 2*time.Second {
+			healthy.CordonedUntil = time.Time{}
+		}
 		return !s.Schedulable(h, now) && s.Schedulable(&healthy, now)
 	})
 }
@@ -786,6 +790,12 @@
 func referenceLoad(s *State, now time.Time) sizing.Load {
 	var l sizing.Load
 	s.addHostLoad(&l, now)
+	var longRunning, whole batch.Size
+	for _, h := range s.Hosts {
+		if s.Schedulable(h, now) {
+			whole = whole.Add(h.Capacity)
+		}
+	}
 	backlog, future, lateWork, expiredWork := map[string]int64{}, map[string]int64{}, map[string]int64{}, map[string]int64{}
 	for _, j := range s.openJobs {
 		if !j.Stored {
@@ -801,7 +811,9 @@
 					for i := range stage.Tasks {
 						givenUp += count(stage.Tasks[i].Crashes.GivenUp())
 					}
-					l.LongRunning += step.Reservation().MilliCores * int64(stage.Left-givenUp)
+					for range stage.Left - givenUp {
+						longRunning = longRunning.Add(step.Reservation())
+					}
 					if step.PerHost > 0 {
 						l.SpreadHosts = max(l.SpreadHosts, (step.Count-givenUp+step.PerHost-1)/step.PerHost)
 					}
@@ -839,6 +851,12 @@
 	}
 	l.Backlog += s.isolatedWork(l.HostCapacity, now)
 	l.ArrivalRate, l.Arrivals = s.arrivals.Rate(now), s.arrivals.Count()
+	l.LongRunning = longRunning.MilliCores
+	for _, d := range [][2]int64{{longRunning.MemoryMB, whole.MemoryMB}, {longRunning.Accelerators, whole.Accelerators}} {
+		if d[1] > 0 {
+			l.LongRunning = max(l.LongRunning, int64(float64(d[0])/float64(d[1])*float64(whole.MilliCores)))
+		}
+	}
 	return l
 }
 
