--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -153,7 +153,7 @@
 func (p LateShare[R]) SortKey(late bool) SortKey { return p.Ranking.SortKey(late) }
 
 // lateShare is the share of a pool of which late work is sure. It is small, since callers get little for such work.
-const lateShare = 0.05
+const lateShare = 0.02
 
 // LateWorkIsDue reports whether late work runs on less than its share of the processor capacity of the hosts that may
 // get work.
