Send starts of tasks that run apart once the store shows them

Traced from the logs of a run that failed (all times in seconds): run 1 at 10.114, crash counted; run 2 ordered at 11.392, its host crashes before it answers and the entry is killed; epoch 2; run 1001 at 13.290, crash counted; run 1002 at 15.941, host and entry gone again; epoch 3; run 2001 at 17.332, crash counted, as the third of five; run 2002 at 18.387 is one too many. A new owner counts a run that has vanished if the store shows that it was ordered and the task is suspected. The flag waits for the next append with progress, up to 60 ms after the order, so runs 2 and 1002 left no trace. The limit of four crashes leaves room for one that is missed, not for two.

It waits for the append that comes anyway, so nothing is written more often; the start is later by 60 ms and the append at most. After a second it is taken back, without a pause for the host, and the store is told; a start that is not wanted any more is not sent. A task that does not run apart yet is started at once: its first crash may be missed, which the limit allows for.

All tests of fleet/shard and entry/owner passed. The reference of the planner sets the new field of orders.

--- a/entry/owner/append.go
+++ b/entry/owner/append.go
@@ -145,6 +145,7 @@
 		c.logger.Error("progress of a job cannot be stored; the job is given up", "job", ch.Job.ID, "err", err)
 		c.state.GiveUp(ch, content.startedAt)
 	}
+	c.markCollected()
 	if !c.state.HasChangeUpTo(journal.unacked.newestChange) {
 		content.ackOnWrite, journal.unacked = journal.unacked.ends, nil
 	}
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -171,9 +171,7 @@
 		Ranking: shard.ByLoad{Overloaded: c.state.Overloaded}, Spare: c.state.HasSpareCapacity(now),
 	}
 	shard.PlanWithin(c.state, ranking, limits, now, now.UnixMilli())
-	for _, o := range c.state.TakeOrders() {
-		c.sendOrder(o, now)
-	}
+	c.sendOrders(now)
 	for id, l := range c.agents {
 		c.sendHeartbeat(id, l, now)
 	}
@@ -203,6 +201,7 @@
 	}
 	c.state.SettleSuspects(now)
 	c.refuseUnwritten()
+	c.returnHeld(now)
 	c.tickPlacing(now)
 	c.settleQuestions(now)
 	c.logCrashes()
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -194,6 +194,8 @@
 	// queues holds the rules of queues that the store has, or will have once dirtyQueues are written.
 	queues      map[string]storedQueue
 	dirtyQueues map[string]struct{}
+	// held holds the starts that wait until the store shows them.
+	held []heldStart
 	// unacked holds the ends that are acknowledged next. It is nil if there are none.
 	unacked *endSnapshot
 	// waiters holds, by job ID, the callers that wait for a submission or a cancellation.
@@ -363,6 +365,7 @@
 		}
 	}
 	journal.staleParts = append(journal.staleParts, c.state.TakeStaleParts()...)
+	c.sendHeld(time.Now())
 	c.trimInbox()
 }
 
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -230,7 +230,7 @@
 	c.busy = c.unanswered >= limits.StartsPerHost
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Host: c.host.ID, Ref: ref, Run: run, Specification: j.Spec.Text, Checkpoint: task.Checkpoint,
-		Ticket: s.ticket(ref, c.host.ID), Reason: "scheduled",
+		Ticket: s.ticket(ref, c.host.ID), AfterWrite: task.Crashes.Isolated, Reason: "scheduled",
 	})
 }
 
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -492,7 +492,7 @@
 	}
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Host: c.host.ID, Ref: ref, Run: run, Specification: j.Spec.Text, Checkpoint: task.Checkpoint,
-		Ticket: s.ticket(ref, c.host.ID), Reason: "scheduled",
+		Ticket: s.ticket(ref, c.host.ID), AfterWrite: task.Crashes.Isolated, Reason: "scheduled",
 	})
 }
 
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -326,6 +326,29 @@
 	}
 }
 
+// IsStarting reports whether the start of a run is still wanted and has not been answered.
+func (s *State) IsStarting(o *Order) bool {
+	_, stage, task := s.task(o.Ref)
+	return stage != nil && task.Status == Starting && task.Host == o.Host && task.Run == o.Run
+}
+
+// ReturnStart takes back a start that was not sent.
+func (s *State) ReturnStart(o *Order) {
+	if j, stage, task := s.task(o.Ref); stage != nil && task.Host == o.Host && task.Run == o.Run {
+		s.releaseUnstarted(o, j, stage, task)
+	}
+}
+
+// releaseUnstarted makes a task idle whose run has not started.
+func (s *State) releaseUnstarted(o *Order, j *Job, stage *Stage, task *Task) {
+	s.release(stage, task, o.Ref)
+	if o.AfterWrite {
+		// The next owner would take the run for one that was lost with its host.
+		s.markTaskDirty(j, o.Ref)
+	}
+	s.stopGang(o.Ref, o.Run, "start of a gang member was refused")
+}
+
 // HandleStartResult processes the answer to a start. It returns false when the host has seen the
 // token of a newer owner.
 func (s *State) HandleStartResult(o *Order, clock int64, err error, now time.Time) bool {
@@ -354,8 +377,7 @@
 		return true
 	}
 	// The host did nothing, so a task that was to be stopped needs no stop any more.
-	s.release(stage, task, o.Ref)
-	s.stopGang(o.Ref, o.Run, "start of a gang member was refused")
+	s.releaseUnstarted(o, j, stage, task)
 	if h == nil {
 		return true
 	}
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -326,6 +326,9 @@
 	// Specification, Checkpoint and Ticket are set for a start. Percent is set for a throttle.
 	Specification, Checkpoint, Ticket string
 	Percent                           int
+	// AfterWrite reports whether a start has to wait until the store shows that the run was ordered. It is set for
+	// tasks that run apart since hosts have crashed under them.
+	AfterWrite bool
 	// Reason says why the order was given, for logs.
 	Reason string
 }
