--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -178,9 +178,7 @@
 		Due: c.state.LateWorkIsDue(now),
 	}
 	shard.PlanWithin(c.state, ranking, limits, now, now.UnixMilli())
-	for _, o := range c.state.TakeOrders() {
-		c.sendOrder(o, now)
-	}
+	c.sendOrders(now)
 	c.askAdviser(now)
 	c.flush(now)
 	end := time.Now()
@@ -207,6 +205,7 @@
 	}
 	c.state.SettleSuspects(now)
 	c.refuseUnwritten()
+	c.returnHeld(now)
 	c.tickPlacing(now)
 	c.settleQuestions(now)
 	c.logCrashes()
