Soak: late links, a full and a trimmed store; builds without fences

New kinds of faults: link-late carries out calls that nobody waits for any more, store-full refuses appends with 507, store-trim deletes all but the newest record of each key. A store that loses what it has acknowledged (rewound) is not among them: the users' platform excludes it.

--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -87,6 +87,8 @@
 	Timing     Timing
 	// AppendTime is the time that each append to the store takes at first.
 	AppendTime time.Duration
+	// NoFences makes the store accept appends of earlier owners. Tests use it to see checks fail.
+	NoFences bool
 	// Proxy sets the proxies on the connections of entries; nil for none.
 	Proxy Proxy
 	// Observe is called with each event on a host, in their order. It must not block; nil for no calls.
@@ -149,7 +151,7 @@
 	}
 	return &state{
 		observe: observe, rerunDone: layout.RerunDone,
-		startedAt: time.Now(), store: newStore(layout.AppendTime), hosts: map[string]*host{}, machines: map[string]*machine{},
+		startedAt: time.Now(), store: newStore(layout), hosts: map[string]*host{}, machines: map[string]*machine{},
 		recordExpiry: map[string]time.Time{}, unguardedPools: layout.UnguardedPools,
 		checker: newChecker(), timing: layout.Timing, advisedPool: layout.AdvisedPool,
 	}
--- a/trial/fake/store.go
+++ b/trial/fake/store.go
@@ -19,6 +19,8 @@
 // partition is one stream: an append-only log that also keeps the newest record of each key.
 type partition struct {
 	records []record
+	// first is the offset of the first record that is retained. The newest record of each key stays readable.
+	first int
 	// newest holds the offset of the newest record of each key that is not deleted.
 	newest    map[string]int
 	producers map[string]*producer
@@ -38,6 +40,8 @@
 type StoreFaults struct {
 	// Unresponsive leaves all calls without a response; Busy refuses them with status 503.
 	Unresponsive, Busy bool
+	// Full refuses appends with status 507.
+	Full bool
 	// LoseEveryNth drops the response to every n-th append although the append is applied; 0 drops
 	// none.
 	LoseEveryNth int
@@ -53,10 +57,12 @@
 	standby string
 	// appendTime is the time that each append takes.
 	appendTime time.Duration
+	// noFences is the value of Layout.NoFences.
+	noFences bool
 }
 
-func newStore(appendTime time.Duration) store {
-	return store{parts: map[string]*partition{}, appendTime: appendTime}
+func newStore(layout Layout) store {
+	return store{parts: map[string]*partition{}, appendTime: layout.AppendTime, noFences: layout.NoFences}
 }
 
 // partition returns a partition and creates it on first use.
@@ -83,6 +89,15 @@
 // SetStoreFaults replaces the faults of the store.
 func (fp *Platform) SetStoreFaults(f StoreFaults) { fp.do(func(s *state) { s.store.faults = f }) }
 
+// Trim deletes all records of the store except the newest of each key.
+func (fp *Platform) Trim() {
+	fp.do(func(s *state) {
+		for _, p := range s.store.parts {
+			p.first = len(p.records)
+		}
+	})
+}
+
 // SetAppendTime sets the time that each append to the store takes from now on.
 func (fp *Platform) SetAppendTime(d time.Duration) { fp.do(func(s *state) { s.store.appendTime = d }) }
 
@@ -145,8 +160,15 @@
 	}
 	q := r.URL.Query()
 	response := query(fp, func(s *state) appendResponse {
+		if s.store.faults.Full {
+			return appendResponse{status: http.StatusInsufficientStorage, body: struct{}{}, takes: s.store.appendTime}
+		}
 		p := s.store.partition(q.Get("topic"), q.Get("part"))
-		a := p.append(raw, q.Get("at"), q.Get("producer"), q.Get("epoch"), q.Get("sequence"))
+		producer := q.Get("producer")
+		if s.store.noFences && producer != "" {
+			producer += "@" + q.Get("epoch")
+		}
+		a := p.append(raw, q.Get("at"), producer, q.Get("epoch"), q.Get("sequence"))
 		s.store.appends++
 		n := s.store.faults.LoseEveryNth
 		a.dropped = a.status == http.StatusOK && n > 0 && s.store.appends%n == 0
@@ -219,14 +241,22 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		var changed chan struct{}
+		gone, first := false, 0
 		raw := query(fp, func(s *state) []byte {
 			p := s.store.partition(q.Get("topic"), q.Get("part"))
 			changed = p.changed
+			if gone, first = from < p.first, p.first; gone {
+				return nil
+			}
 			if len(p.records) <= from && wait > 0 {
 				return nil
 			}
 			return p.encodeFrom(from)
 		})
+		if gone {
+			writeJSON(rw, http.StatusGone, map[string]int{"first_offset": first})
+			return
+		}
 		if raw == nil {
 			select {
 			case <-changed:
@@ -247,7 +277,7 @@
 // encodeFrom encodes the records from an offset on, after the end offset.
 func (p *partition) encodeFrom(from int) []byte {
 	out := binary.BigEndian.AppendUint64(nil, uint64(len(p.records)))
-	out = binary.BigEndian.AppendUint64(out, 0)
+	out = binary.BigEndian.AppendUint64(out, uint64(p.first))
 	for _, r := range p.records[min(from, len(p.records)):] {
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(r.key)+len(r.value)))
 		out = append(out, byte(len(r.key)))
--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -120,10 +120,13 @@
 		return k.inject(ctx, f)
 	case Queue:
 		return func(context.Context) error { return c.publish(-1) }, c.publish(+1)
+	case StoreTrim:
+		c.site.platform.Trim()
+		return nothing, nil
 	case HostCrash:
 		c.site.deployment.CrashMachine(f.Target, f.For)
 		return nothing, nil
-	case LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip:
+	case LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip, LinkLate:
 		heal, err := c.site.proxies.inject(f.Target, fmt.Sprint(number), toxics(f.Kind, number))
 		return func(ctx context.Context) error {
 			ctx, cancel := context.WithTimeout(ctx, healTimeout)
@@ -141,7 +144,7 @@
 
 // applyServiceFaults sets the faults of the store and of the machines API to those that are active.
 func (c *conductor) applyServiceFaults(ctx context.Context) error {
-	store := fake.StoreFaults{Unresponsive: c.active[StoreSilent] > 0, Busy: c.active[StoreBusy] > 0}
+	store := fake.StoreFaults{Unresponsive: c.active[StoreSilent] > 0, Busy: c.active[StoreBusy] > 0, Full: c.active[StoreFull] > 0}
 	if c.active[StoreLossy] > 0 {
 		store.LoseEveryNth = loseEveryNth
 	}
--- a/trial/soak/plan.go
+++ b/trial/soak/plan.go
@@ -43,6 +43,14 @@
 	LinkCut    Kind = "link-cut"
 	LinkSilent Kind = "link-silent"
 	LinkDrip   Kind = "link-drip"
+
+	// LinkLate delays what a link carries to its service by more than calls wait, so that calls are carried out that
+	// nobody waits for any more.
+	LinkLate Kind = "link-late"
+	// StoreFull makes the store refuse appends for want of space, and StoreTrim deletes all its records except the newest
+	// of each key.
+	StoreFull Kind = "store-full"
+	StoreTrim Kind = "store-trim"
 )
 
 var (
@@ -51,10 +59,13 @@
 		Pause, Kill, StoreBusy, StoreSilent, StoreLossy, StoreSlow, MachinesDown, MachinesLossy, HostCrash,
 		LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip,
 	}
+	// addedKinds are unplanned too. Each has random numbers of its own, so that the other faults of a seed stay the same
+	// when a kind is added at the end.
+	addedKinds = []Kind{LinkLate, StoreFull, StoreTrim}
 )
 
 // Kinds returns all kinds of faults.
-func Kinds() []Kind { return slices.Concat(plannedKinds, unplannedKinds) }
+func Kinds() []Kind { return slices.Concat(plannedKinds, unplannedKinds, addedKinds) }
 
 // planned reports whether faults of the kind are planned work.
 func (k Kind) planned() bool { return slices.Contains(plannedKinds, k) }
@@ -100,6 +111,10 @@
 	// plannedShare is the share of series that consist of planned work only, and rollShare the share of the
 	// others that contain a rolling restart.
 	plannedShare, rollShare = 0.4, 0.5
+	// addedShare is the share of series with unplanned faults that contain a fault of an added kind, for each kind.
+	addedShare = 0.3
+	// addedStream distinguishes the random numbers of the first added kind from others.
+	addedStream = 1000
 )
 
 // planner draws a schedule.
@@ -113,14 +128,24 @@
 // traffic.
 func Plan(seed uint64, traffic time.Duration, layout Layout, kinds []Kind) []Fault {
 	p := &planner{random: rand.New(rand.NewPCG(seed, 0)), layout: layout}
-	var planned, unplanned []Kind
+	var planned, unplanned, added []Kind
 	for _, k := range kinds {
-		if k.planned() {
+		switch {
+		case k.planned():
 			planned = append(planned, k)
-		} else {
+		case slices.Contains(addedKinds, k):
+			added = append(added, k)
+		default:
 			unplanned = append(unplanned, k)
 		}
 	}
+	if len(unplanned) == 0 {
+		unplanned, added = added, nil
+	}
+	others := map[Kind]*planner{}
+	for _, k := range added {
+		others[k] = &planner{random: rand.New(rand.NewPCG(seed, addedStream+uint64(slices.Index(addedKinds, k)))), layout: layout}
+	}
 	for at := p.between(minRest/2, minRest); at+minRound <= traffic; {
 		end := min(at+p.between(minRound, maxRound), traffic)
 		if len(unplanned) == 0 || (len(planned) > 0 && p.random.Float64() < plannedShare) {
@@ -132,9 +157,17 @@
 			if len(planned) > 0 && p.random.Float64() < rollShare {
 				p.addPlanned(at, end, planned)
 			}
+			for _, k := range added {
+				if o := others[k]; o.random.Float64() < addedShare {
+					o.add(k, o.between(at, end))
+				}
+			}
 		}
 		at = end + p.between(minRest, maxRest)
 	}
+	for _, k := range added {
+		p.faults = append(p.faults, others[k].faults...)
+	}
 	slices.SortStableFunc(p.faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return p.faults
 }
@@ -166,13 +199,15 @@
 		f.Target, f.For = p.pick(p.layout.Entries), p.between(0, maxDowntime)
 	case Reload:
 		f.Target, f.For = p.pick(p.layout.Entries), 0
+	case StoreTrim:
+		f.For = 0
 	case Pause:
 		f.Target = p.pick(p.layout.Entries)
 	case Queue:
 		f.Target = extraQueue
 	case HostCrash:
 		f.Target = p.pick(p.layout.Machines)
-	case LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip:
+	case LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip, LinkLate:
 		f.Target = p.pick(p.layout.Links)
 	}
 	p.faults = append(p.faults, f)
--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -15,7 +16,12 @@
 type edit struct{ file, text, by string }
 
 const (
-	nodeFile = "platform/node/node.go"
+	nodeFile   = "platform/node/node.go"
+	claimFile  = "entry/claim/claim.go"
+	dutiesFile = "entry/duties/duties.go"
+	hostsFile  = "entry/owner/hosts.go"
+	readerFile = "entry/feed/reader.go"
+	storeFile  = "platform/store/store.go"
 )
 
 var (
@@ -26,6 +32,16 @@
 	skipsDrainTime    = edit{nodeFile, "time.Sleep(time.Until(start.Add(plan.Take)))", ""}
 	skipsOpenRequests = edit{nodeFile, "err := n.requests.WaitAnswered(ctx)", "var err error"}
 	skipsConnections  = edit{nodeFile, "err = n.callers.WaitClosed(ctx)", "err = nil"}
+	// skipsFence lets a new owner read what earlier owners have stored while they can still write.
+	skipsFence = edit{claimFile, "		return c, c.fenceEarlier(ctx)\n", "		c.ConfirmedAt = time.Now()\n		return c, nil\n"}
+	// ignoresHostFence, ignoresOrderFence and ignoresView take out the other ways in which an owner notices a newer one.
+	ignoresHostFence  = edit{hostsFile, "\t\tc.resign(\"host \"+id, err)\n", ""}
+	ignoresOrderFence = edit{hostsFile, "\t\tc.resign(\"host \"+o.Host, err)\n", ""}
+	ignoresView       = edit{dutiesFile, "ok && o.Epoch > h.epoch {", "ok && o.Epoch > h.epoch && false {"}
+	// takesFullForDone takes the answer of a full store for that of an append that was carried out.
+	takesFullForDone = edit{storeFile, "case http.StatusOK:\n		return out.End, nil", "case http.StatusOK, http.StatusInsufficientStorage:\n		return out.End, nil"}
+	// skipsTrimmed reads on after records that the store has deleted as if they had not been there.
+	skipsTrimmed = edit{readerFile, "if errors.As(err, &gone) {\n		return r.load(ctx)", "if errors.As(err, &gone) {\n		r.next = gone.First\n		return nil, nil"}
 )
 
 // buildWith builds the programs with edits of their sources, and returns the folder of the programs.
@@ -88,3 +104,54 @@
 	rows, err := runWith(t, "planned work", skipsDrainTime, skipsOpenRequests, skipsConnections)
 	requireBroken(t, rows, err, "answers-in-a-stop")
 }
+
+// playOn plays a schedule on programs with edits.
+func playOn(t *testing.T, c Case, planted plant, edits ...edit) ([]Row, error) {
+	t.Helper()
+	path := t.TempDir()
+	require.NoError(t, writeJSON(path, "case.json", c))
+	return runSoak(t, Options{Bin: buildWith(t, edits...), Case: filepath.Join(path, "case.json"), Seeds: 1, Minutes: minMinutes, Entries: 1, Hosts: 1, planted: planted})
+}
+
+// pausedOwners pauses each entry for so long that others take over its pools while it holds submissions.
+var pausedOwners = Case{Seed: 31, Minutes: 0.45, Entries: 3, Hosts: 3, Schedule: []Fault{
+	{Pause, "entry-0", 3 * time.Second, 4500 * time.Millisecond},
+	{Pause, "entry-1", 11 * time.Second, 4500 * time.Millisecond},
+	{Pause, "entry-2", 19 * time.Second, 4500 * time.Millisecond},
+}}
+
+// The fence of the store stops an owner that is resumed after another one has taken over, although nothing else does.
+func TestTheFenceOfTheStoreKeepsAllPromisesByItself(t *testing.T) {
+	t.Parallel()
+	rows, err := playOn(t, pausedOwners, "", skipsFence, ignoresHostFence, ignoresOrderFence, ignoresView)
+	require.NoError(t, err)
+	require.Len(t, rows, 1)
+	require.Empty(t, rows[0].Broken)
+	require.NotContains(t, rows[0].NotChecked, "never-unknown")
+}
+
+func TestAnOwnerThatNothingFencesOffIsSeen(t *testing.T) {
+	t.Parallel()
+	rows, err := playOn(t, pausedOwners, noFences, skipsFence, ignoresHostFence, ignoresOrderFence, ignoresView)
+	requireBroken(t, rows, err, "never-unknown")
+}
+
+func TestAnAppendToAFullStoreThatCountsAsDoneIsSeen(t *testing.T) {
+	t.Parallel()
+	full := Case{Seed: 41, Minutes: minMinutes, Entries: 3, Hosts: 3, Schedule: []Fault{
+		{StoreFull, "", 3 * time.Second, 3 * time.Second}, {Term, "entry-0", 5 * time.Second, 0}, {Term, "entry-1", 7 * time.Second, 0},
+		{StoreFull, "", 9 * time.Second, 3 * time.Second}, {Term, "entry-2", 11 * time.Second, 0},
+	}}
+	rows, err := playOn(t, full, "", takesFullForDone)
+	requireBroken(t, rows, err, "never-unknown")
+}
+
+func TestAnEntryThatReadsOnAfterTrimmedRecordsIsSeen(t *testing.T) {
+	t.Parallel()
+	trimmed := Case{Seed: 41, Minutes: minMinutes, Entries: 2, Hosts: 3, Schedule: []Fault{
+		{Pause, "entry-0", 2 * time.Second, 3 * time.Second}, {Queue, extraQueue, 3 * time.Second, 11 * time.Second},
+		{StoreTrim, "", 3500 * time.Millisecond, 0},
+	}}
+	rows, err := playOn(t, trimmed, "", skipsTrimmed)
+	requireBroken(t, rows, err, "config-in-time")
+}
--- a/trial/soak/proxy.go
+++ b/trial/soak/proxy.go
@@ -47,6 +47,8 @@
 	upstream, downstream = "upstream", "downstream"
 	// linkDelayMS and linkJitterMS are the delay of each direction of a slow link and its variation.
 	linkDelayMS, linkJitterMS = 120, 80
+	// linkLateMS is the delay of a late link.
+	linkLateMS = 2500
 	// dripMicroseconds is the time between two bytes.
 	dripMicroseconds = 200
 )
@@ -65,6 +67,8 @@
 	case LinkSilent:
 		drop := map[string]any{"timeout": 0}
 		return []toxic{{"up", "timeout", upstream, drop}, {"down", "timeout", downstream, drop}}
+	case LinkLate:
+		return []toxic{{"up", "latency", upstream, map[string]any{"latency": linkLateMS}}}
 	case LinkDrip:
 		drip := map[string]any{"average_size": 1, "size_variation": 0, "delay": dripMicroseconds}
 		return []toxic{{"up", "slicer", upstream, drip}, {"down", "slicer", downstream, drip}}
--- a/trial/soak/site.go
+++ b/trial/soak/site.go
@@ -29,6 +29,8 @@
 	cutAnswers plant = "cut-answers"
 	// rerunDone makes hosts start tasks again that are done.
 	rerunDone plant = "rerun-done"
+	// noFences makes the store accept appends of earlier owners.
+	noFences plant = "no-fences"
 )
 
 // site is a deployment under faults.
@@ -56,7 +58,7 @@
 	s.layout = fake.Layout{
 		Pools:       map[string]int{guardedPool: c.Hosts, unguardedPool: c.Hosts, standbyPool: standbyHosts(c.Hosts)},
 		StandbyPool: standbyPool, UnguardedPools: map[string]bool{unguardedPool: true},
-		AppendTime: c.AppendTime, Proxy: s.proxies.add, Observe: s.recorder.observe, RerunDone: o.planted == rerunDone,
+		AppendTime: c.AppendTime, Proxy: s.proxies.add, Observe: s.recorder.observe, RerunDone: o.planted == rerunDone, NoFences: o.planted == noFences,
 		Timing: fake.Timing{
 			MaxLease: maxLease, MoveDuration: moveDuration, MaintenanceDuration: moveDuration, HeartbeatInterval: heartbeatInterval,
 		},
