Soak: long-running jobs, and the promise that their tasks run

The new check lasting-runs follows RULES, LOST: a task that has not run for 6 s is late once its pool has had room for two tasks for 3 s, with 4 calm seconds before them. Seen broken by histories and by a build that starts long-running tasks only once (two hosts crash).

--- a/trial/soak/cases_test.go
+++ b/trial/soak/cases_test.go
@@ -33,6 +33,7 @@
 	"never-unknown":      func(h *History) { h.Changes = append(h.Changes, Change{guardedPool, "entry-1", at(1.5)}) },
 	"state-is-true":      func(*History) {},
 	"accepted-is-done":   func(*History) {},
+	"lasting-runs":       func(h *History) { h.lasting(start(4, lastingTask, 1)) },
 	"config-in-time": func(h *History) {
 		h.Requests = append(h.Requests, onExtra(asked(12, Look, http.StatusNotFound, "")))
 		h.Windows = append(h.Windows, window(Queue, extraQueue, 9, 14))
@@ -43,6 +44,24 @@
 	},
 }
 
+// lastingTask is the task of a long-running job.
+const lastingTask = "00000000000000cc.0.0.0"
+
+// lasting adds a long-running job that is accepted at 1.1 s, and events on hosts in the order of time.
+func (h *History) lasting(events ...HostEvent) {
+	job := Job{ID: jobOf(lastingTask), Queue: guardedPool, Pool: guardedPool, Specification: fake.SpecRunUntilStopped, Steps: []fake.StepSpec{{Count: 1, LongRunning: true}}}
+	r := asked(1, Submit, http.StatusOK, "")
+	r.Job = job.ID
+	h.Jobs, h.Requests, h.Hosts = append(h.Jobs, job), append(h.Requests, r), append(h.Hosts, events...)
+}
+
+// cancelLasting adds the cancelling of the long-running job.
+func (h *History) cancelLasting(seconds float64) {
+	r := asked(seconds, Cancel, http.StatusOK, "")
+	r.Job, r.BeginAt = jobOf(lastingTask), r.SentAt
+	h.Requests = append(h.Requests, r)
+}
+
 func fullHost() []HostEvent {
 	var out []HostEvent
 	for i := range fake.TasksPerHost() {
--- a/trial/soak/check.go
+++ b/trial/soak/check.go
@@ -39,6 +39,7 @@
 		{"never-unknown", "\"No such job\" is not answered for a job that was accepted (docs/SYSTEM.md, What is stored; RULES, LOST).", checkUnknown, countUnknown},
 		{"state-is-true", "A job is shown as completed only when all its tasks are done, and as failed only with cause (RULES, MIXED and LOST).", checkState, countState},
 		{"accepted-is-done", "A job that was accepted is done, or said to have failed, finish_s after the end of the traffic (RULES, LOST).", checkFinished, countFinished},
+		{"lasting-runs", "A long-running task whose job was accepted runs again 6 s after its last run, once there has been room for it twice over for 3 s (RULES, LOST).", checkLasting, countLasting},
 		{"config-in-time", "A request sent later than config_apply_ms after a configuration is handled as it says, by entries in touch (RULES, CONFIG).", checkConfig, countConfig},
 		{"ready-again", "An entry that is in touch is ready (RULES, In touch and Duty).", checkReady, countReady},
 	}
--- a/trial/soak/check_test.go
+++ b/trial/soak/check_test.go
@@ -305,6 +305,36 @@
 			},
 		},
 	},
+	"lasting-runs": {
+		broken: map[string]func(*History){
+			"never started": func(h *History) { h.lasting() },
+			"not started again": func(h *History) {
+				h.lasting(on("h2", start(4, lastingTask, 1)), on("h2", gone(5)))
+				h.cancelLasting(20)
+			},
+			"started late": func(h *History) {
+				h.lasting(start(4, lastingTask, 1), end(5, lastingTask, 1, "lapsed"), start(16, lastingTask, 2))
+			},
+		},
+		allowed: map[string]func(*History){
+			"started in time": func(h *History) {
+				h.lasting(start(4, lastingTask, 1), end(5, lastingTask, 1, "lapsed"), start(13, lastingTask, 2))
+			},
+			"cancelled meanwhile": func(h *History) {
+				h.lasting(start(4, lastingTask, 1), end(5, lastingTask, 1, "lapsed"))
+				h.cancelLasting(13)
+			},
+			"no room": func(h *History) { h.lasting(slices.Concat(fullHost(), []HostEvent{gone(29)})...) },
+			"faults all the time": func(h *History) {
+				h.lasting()
+				h.Windows = append(h.Windows, window(StoreSilent, "", 3, 9), window(StoreSilent, "", 15, 16), window(StoreSilent, "", 22, 29))
+			},
+			"a host that has just booted": func(h *History) {
+				h.lasting(gone(3), on("h2", boot(25)))
+				h.cancelLasting(30)
+			},
+		},
+	},
 	"config-in-time": {
 		broken: map[string]func(*History){
 			"not found though it is there": func(h *History) {
--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/trial/fake"
 )
 
 // edit replaces a text in a source file of the programs. The text must be there once.
@@ -20,6 +22,7 @@
 	claimFile  = "entry/claim/claim.go"
 	dutiesFile = "entry/duties/duties.go"
 	hostsFile  = "entry/owner/hosts.go"
+	planFile   = "fleet/shard/plan.go"
 	readerFile = "entry/feed/reader.go"
 	storeFile  = "platform/store/store.go"
 )
@@ -38,6 +41,8 @@
 	ignoresHostFence  = edit{hostsFile, "\t\tc.resign(\"host \"+id, err)\n", ""}
 	ignoresOrderFence = edit{hostsFile, "\t\tc.resign(\"host \"+o.Host, err)\n", ""}
 	ignoresView       = edit{dutiesFile, "ok && o.Epoch > h.epoch {", "ok && o.Epoch > h.epoch && false {"}
+	// losesLasting does not start long-running tasks again.
+	losesLasting = edit{planFile, "\tvar bestCost int64\n\tneed := step.Reservation()\n", "\tvar bestCost int64\n\tneed := step.Reservation()\n\tif step.LongRunning && task.Run > 0 {\n\t\treturn nil\n\t}\n"}
 	// takesFullForDone takes the answer of a full store for that of an append that was carried out.
 	takesFullForDone = edit{storeFile, "case http.StatusOK:\n		return out.End, nil", "case http.StatusOK, http.StatusInsufficientStorage:\n		return out.End, nil"}
 	// skipsTrimmed reads on after records that the store has deleted as if they had not been there.
@@ -155,3 +160,12 @@
 	rows, err := playOn(t, trimmed, "", skipsTrimmed)
 	requireBroken(t, rows, err, "config-in-time")
 }
+
+func TestLongRunningTasksThatAreNotStartedAgainAreSeen(t *testing.T) {
+	t.Parallel()
+	crashes := Case{Seed: 51, Minutes: minMinutes, Entries: 2, Hosts: 2, Schedule: []Fault{
+		{HostCrash, fake.MachineID(guardedPool, 0), 2 * time.Second, time.Second}, {HostCrash, fake.MachineID(guardedPool, 1), 3 * time.Second, time.Second},
+	}}
+	rows, err := playOn(t, crashes, "", losesLasting)
+	requireBroken(t, rows, err, "lasting-runs")
+}
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -235,6 +235,10 @@
 		people.hold(runCtx, c)
 		return nil
 	})
+	work.Go(func() error {
+		people.runLasting(runCtx, c)
+		return nil
+	})
 	work.Go(func() error {
 		d := &conductor{site: s, active: map[Kind]int{}, version: 1}
 		return d.conduct(runCtx, c.Schedule, func(f Fault) { fmt.Fprintf(o.Progress, "seed %d: %s\n", c.Seed, f) })
--- a/trial/soak/soak_test.go
+++ b/trial/soak/soak_test.go
@@ -84,6 +84,7 @@
 }
 
 func TestPromisesAreKeptUnderFaults(t *testing.T) {
+	t.Parallel()
 	for name, run := range ciRuns {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -114,6 +115,7 @@
 
 // Cases that once broke a promise keep all of them now.
 func TestKeptCasesBreakNoPromise(t *testing.T) {
+	t.Parallel()
 	paths, err := filepath.Glob("cases/*.json")
 	require.NoError(t, err)
 	for _, path := range paths {
