Soak: proxies on the paths between entries

Each entry has a proxy in front of its address for other entries. The stand-in of the store puts the proxy's address into the heartbeats that entries write, so the programs run as they are. Faults peer-delay, peer-reset, peer-cut, peer-silent and peer-drip hit all connections from other entries to one.

--- a/trial/fake/deployment.go
+++ b/trial/fake/deployment.go
@@ -19,11 +19,11 @@
 )
 
 // Entry is an entry that runs as a process. Its caller address serves jobs, its ready address
-// serves the readiness check.
+// serves the readiness check, and its peer address serves other entries.
 type Entry struct {
-	Name, CallerAddress, ReadyAddress string
-	settingsPath                      string
-	proc                              *procs.Proc
+	Name, CallerAddress, ReadyAddress, PeerAddress string
+	settingsPath                                   string
+	proc                                           *procs.Proc
 }
 
 // Deployment is a set of entry processes that run against a simulated platform.
@@ -51,7 +51,7 @@
 			return nil, err
 		}
 		e := &Entry{
-			Name: EntryName(i), CallerAddress: ports[0], ReadyAddress: ports[1],
+			Name: EntryName(i), CallerAddress: ports[0], ReadyAddress: ports[1], PeerAddress: ports[2],
 			settingsPath: filepath.Join(dir, fmt.Sprintf("entry-%d.toml", i)),
 		}
 		_, peer, err := net.SplitHostPort(ports[2])
--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -87,6 +87,8 @@
 	Timing     Timing
 	// AppendTime is the time that each append to the store takes at first.
 	AppendTime time.Duration
+	// Rewrite returns what the store keeps of a value that an entry appends under a key; nil to keep values as they are.
+	Rewrite func(topic, key string, value []byte) []byte
 	// NoFences makes the store accept appends of earlier owners. Tests use it to see checks fail.
 	NoFences bool
 	// Proxy sets the proxies on the connections of entries; nil for none.
--- a/trial/fake/store.go
+++ b/trial/fake/store.go
@@ -24,6 +24,8 @@
 	// newest holds the offset of the newest record of each key that is not deleted.
 	newest    map[string]int
 	producers map[string]*producer
+	// keep returns what is kept of a value that an entry appends under a key.
+	keep func(key string, value []byte) []byte
 	// changed is closed, and replaced, with the next append.
 	changed chan struct{}
 }
@@ -59,17 +61,23 @@
 	appendTime time.Duration
 	// noFences is the value of Layout.NoFences.
 	noFences bool
+	// rewrite is the value of Layout.Rewrite.
+	rewrite func(topic, key string, value []byte) []byte
 }
 
 func newStore(layout Layout) store {
-	return store{parts: map[string]*partition{}, appendTime: layout.AppendTime, noFences: layout.NoFences}
+	return store{parts: map[string]*partition{}, appendTime: layout.AppendTime, noFences: layout.NoFences, rewrite: layout.Rewrite}
 }
 
 // partition returns a partition and creates it on first use.
 func (s *store) partition(topic, part string) *partition {
 	key := topic + "/" + part
 	if s.parts[key] == nil {
-		s.parts[key] = &partition{newest: map[string]int{}, producers: map[string]*producer{}, changed: make(chan struct{})}
+		keep := func(_ string, value []byte) []byte { return value }
+		if s.rewrite != nil {
+			keep = func(key string, value []byte) []byte { return s.rewrite(topic, key, value) }
+		}
+		s.parts[key] = &partition{keep: keep, newest: map[string]int{}, producers: map[string]*producer{}, changed: make(chan struct{})}
 	}
 	return s.parts[key]
 }
@@ -207,7 +215,11 @@
 		if len(encoded) > 1+keyLen {
 			value = append(value, encoded[1+keyLen:]...)
 		}
-		p.put(string(encoded[1:1+keyLen]), value)
+		key := string(encoded[1 : 1+keyLen])
+		if value != nil {
+			value = p.keep(key, value)
+		}
+		p.put(key, value)
 	}
 	return appendResponse{status: http.StatusOK, body: map[string]int64{"offset": end, "end_offset": int64(len(p.records))}}
 }
--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -126,8 +126,12 @@
 	case HostCrash:
 		c.site.deployment.CrashMachine(f.Target, f.For)
 		return nothing, nil
-	case LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip, LinkLate:
-		heal, err := c.site.proxies.inject(f.Target, fmt.Sprint(number), toxics(f.Kind, number))
+	case LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip, LinkLate, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip:
+		link, kind := f.Target, f.Kind
+		if k, ok := linkFaults[kind]; ok {
+			link, kind = linkName("", f.Target), k
+		}
+		heal, err := c.site.proxies.inject(link, fmt.Sprint(number), toxics(kind, number))
 		return func(ctx context.Context) error {
 			ctx, cancel := context.WithTimeout(ctx, healTimeout)
 			defer cancel()
--- a/trial/soak/plan.go
+++ b/trial/soak/plan.go
@@ -51,8 +51,17 @@
 	// of each key.
 	StoreFull Kind = "store-full"
 	StoreTrim Kind = "store-trim"
+	// The faults of peer links hit all connections from other entries to an entry, as those of links do.
+	PeerDelay  Kind = "peer-delay"
+	PeerReset  Kind = "peer-reset"
+	PeerCut    Kind = "peer-cut"
+	PeerSilent Kind = "peer-silent"
+	PeerDrip   Kind = "peer-drip"
 )
 
+// linkFaults holds the faults of peer links, and which fault of a link each is.
+var linkFaults = map[Kind]Kind{PeerDelay: LinkDelay, PeerReset: LinkReset, PeerCut: LinkCut, PeerSilent: LinkSilent, PeerDrip: LinkDrip}
+
 var (
 	plannedKinds   = []Kind{Term, Reload, Queue}
 	unplannedKinds = []Kind{
@@ -61,7 +70,7 @@
 	}
 	// addedKinds are unplanned too. Each has random numbers of its own, so that the other faults of a seed stay the same
 	// when a kind is added at the end.
-	addedKinds = []Kind{LinkLate, StoreFull, StoreTrim}
+	addedKinds = []Kind{LinkLate, StoreFull, StoreTrim, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip}
 )
 
 // Kinds returns all kinds of faults.
@@ -201,7 +210,7 @@
 		f.Target, f.For = p.pick(p.layout.Entries), 0
 	case StoreTrim:
 		f.For = 0
-	case Pause:
+	case Pause, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip:
 		f.Target = p.pick(p.layout.Entries)
 	case Queue:
 		f.Target = extraQueue
--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -22,6 +22,7 @@
 	claimFile  = "entry/claim/claim.go"
 	dutiesFile = "entry/duties/duties.go"
 	hostsFile  = "entry/owner/hosts.go"
+	intakeFile = "entry/intake/intake.go"
 	planFile   = "fleet/shard/plan.go"
 	readerFile = "entry/feed/reader.go"
 	storeFile  = "platform/store/store.go"
@@ -43,6 +44,8 @@
 	ignoresView       = edit{dutiesFile, "ok && o.Epoch > h.epoch {", "ok && o.Epoch > h.epoch && false {"}
 	// losesLasting does not start long-running tasks again.
 	losesLasting = edit{planFile, "\tvar bestCost int64\n\tneed := step.Reservation()\n", "\tvar bestCost int64\n\tneed := step.Reservation()\n\tif step.LongRunning && task.Run > 0 {\n\t\treturn nil\n\t}\n"}
+	// forgetsSent takes requests whose answers are lost on the way between entries for ones that were not sent.
+	forgetsSent = edit{intakeFile, "\t\treturn owner.Answer{}, maybeDelivered\n", "\t\treturn owner.Answer{}, notDelivered\n"}
 	// takesFullForDone takes the answer of a full store for that of an append that was carried out.
 	takesFullForDone = edit{storeFile, "case http.StatusOK:\n		return out.End, nil", "case http.StatusOK, http.StatusInsufficientStorage:\n		return out.End, nil"}
 	// skipsTrimmed reads on after records that the store has deleted as if they had not been there.
@@ -169,3 +172,17 @@
 	rows, err := playOn(t, crashes, "", losesLasting)
 	requireBroken(t, rows, err, "lasting-runs")
 }
+
+func TestASubmissionThatIsRefusedAfterItsAnswerWasLostBetweenEntriesIsSeen(t *testing.T) {
+	t.Parallel()
+	cuts := Case{Seed: 61, Minutes: minMinutes, Entries: 3, Hosts: 3}
+	// Faults with odd numbers cut answers. Requests are kept open around reloads.
+	for i := range cuts.Entries {
+		cuts.Schedule = append(cuts.Schedule, Fault{Reload, fake.EntryName(0), 3 * time.Second, 0}, Fault{PeerCut, fake.EntryName(i), 3 * time.Second, 9 * time.Second})
+	}
+	for at := 3500 * time.Millisecond; at < 12*time.Second; at += time.Second {
+		cuts.Schedule = append(cuts.Schedule, Fault{Reload, fake.EntryName(0), at, 0}, Fault{StoreBusy, "", at, 500 * time.Millisecond})
+	}
+	rows, err := playOn(t, cuts, "", forgetsSent)
+	requireBroken(t, rows, err, "refused-is-not-run")
+}
--- a/trial/soak/site.go
+++ b/trial/soak/site.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"time"
 
+	"carawaymux.dev/entry/roster"
+	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/trial/fake"
 )
 
@@ -47,18 +49,21 @@
 	trafficAt time.Duration
 	// addresses holds the address for callers of each entry.
 	addresses map[string]string
+	// peers holds the address of the proxy in front of each entry, by the address at which other entries would reach it. It
+	// is set before entries start.
+	peers map[string]string
 }
 
 // newSite starts a deployment whose entries write their logs to a folder.
 func newSite(ctx context.Context, o *Options, c Case, dir string) (*site, error) {
 	s := &site{
 		recorder: startRecorder(time.Now()), proxies: newProxies(), keepers: map[string]*keeper{}, planted: o.planted,
-		addresses: map[string]string{},
+		addresses: map[string]string{}, peers: map[string]string{},
 	}
 	s.layout = fake.Layout{
 		Pools:       map[string]int{guardedPool: c.Hosts, unguardedPool: c.Hosts, standbyPool: standbyHosts(c.Hosts)},
 		StandbyPool: standbyPool, UnguardedPools: map[string]bool{unguardedPool: true},
-		AppendTime: c.AppendTime, Proxy: s.proxies.add, Observe: s.recorder.observe, RerunDone: o.planted == rerunDone, NoFences: o.planted == noFences,
+		AppendTime: c.AppendTime, Proxy: s.proxies.add, Rewrite: s.rewrite, Observe: s.recorder.observe, RerunDone: o.planted == rerunDone, NoFences: o.planted == noFences,
 		Timing: fake.Timing{
 			MaxLease: maxLease, MoveDuration: moveDuration, MaintenanceDuration: moveDuration, HeartbeatInterval: heartbeatInterval,
 		},
@@ -70,6 +75,9 @@
 	return s, nil
 }
 
+// heartbeatTopic is the topic of the store that holds the heartbeats of entries.
+const heartbeatTopic = "keyed.entries"
+
 const (
 	maxLease          = 10 * time.Second
 	moveDuration      = 400 * time.Millisecond
@@ -91,6 +99,11 @@
 	if s.deployment, err = fake.NewDeployment(s.platform, bin, dir, entries); err != nil {
 		return err
 	}
+	for _, e := range s.deployment.Entries {
+		if s.peers[e.PeerAddress], err = s.proxies.add("", e.Name, e.PeerAddress); err != nil {
+			return err
+		}
+	}
 	if err := s.deployment.StartAll(ctx); err != nil {
 		return err
 	}
@@ -112,6 +125,23 @@
 	return nil
 }
 
+// rewrite replaces the address of an entry in its heartbeats by that of the proxy in front of it: entries connect to the
+// addresses that the store has.
+func (s *site) rewrite(topic, _ string, value []byte) []byte {
+	if topic != heartbeatTopic {
+		return value
+	}
+	h, err := codec.DecodeFrame[roster.Heartbeat](value)
+	if err != nil || s.peers[h.Address] == "" {
+		return value
+	}
+	h.Address = s.peers[h.Address]
+	if changed, err := codec.EncodeFrame(h); err == nil {
+		return changed
+	}
+	return value
+}
+
 // publish publishes a configuration, with or without the extra queue.
 func (s *site) publish(version int, extra bool) error {
 	c := fake.Config(version, s.layout)
