Soak: waves of maintenance, and how late timers of a run were

The planned work of a run now contains waves of four machines with a cap of one. The check waves-whole follows RULES, LIMIT and MIXED: no maintenance beyond the cap, no wave completed before that of all its machines has begun. Seen broken by histories and by a build that ignores the cap.

Results now say by how much timers of the soak were late.

--- a/trial/fake/events.go
+++ b/trial/fake/events.go
@@ -16,6 +16,9 @@
 	RunStarted      EventKind = "run-started"
 	RunEnded        EventKind = "run-ended"
 	RunAcknowledged EventKind = "run-acknowledged"
+	// MaintenanceBegun and MaintenanceEnded are the begin and the end of a machine's maintenance in a wave.
+	MaintenanceBegun EventKind = "maintenance-begun"
+	MaintenanceEnded EventKind = "maintenance-ended"
 )
 
 // Event is an event on a host.
@@ -31,6 +34,9 @@
 	Result string
 	// LeaseExpired is set if the host's lease expired between the end of a run and its acknowledgement.
 	LeaseExpired bool
+	// Machine and Wave are set for maintenance, which has no host.
+	Machine string
+	Wave    int64
 }
 
 const (
@@ -54,6 +60,11 @@
 	s.observe(e)
 }
 
+// notifyMaintenance passes an event of a machine's maintenance to the observer.
+func (s *state) notifyMaintenance(m *machine, k EventKind) {
+	s.observe(Event{At: time.Now(), Kind: k, Pool: m.pool, Machine: m.id, Wave: m.lastWave})
+}
+
 // rerun starts a task that is done once more, if the layout asks for this fault.
 func (s *state) rerun(h *host, e *finishedRun, now time.Time) {
 	if j := s.checker.jobs[jobOf(e.task)]; s.rerunDone && e.result == "done" && j != nil && h.running[e.task] == nil {
--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -49,7 +49,8 @@
 	violations     []string
 	checker        checker
 	timing         Timing
-	wave           *publishedWave
+	// waves holds the published waves, by number.
+	waves map[int64]publishedWave
 	// advisedPool is the pool whose tasks need tickets; refusedForTicket counts the starts that
 	// were refused because the ticket was missing or wrong.
 	advisedPool      string
@@ -154,7 +155,7 @@
 	return &state{
 		observe: observe, rerunDone: layout.RerunDone,
 		startedAt: time.Now(), store: newStore(layout), hosts: map[string]*host{}, machines: map[string]*machine{},
-		recordExpiry: map[string]time.Time{}, unguardedPools: layout.UnguardedPools,
+		recordExpiry: map[string]time.Time{}, waves: map[int64]publishedWave{}, unguardedPools: layout.UnguardedPools,
 		checker: newChecker(), timing: layout.Timing, advisedPool: layout.AdvisedPool,
 	}
 }
--- a/trial/soak/cases_test.go
+++ b/trial/soak/cases_test.go
@@ -34,6 +34,7 @@
 	"state-is-true":      func(*History) {},
 	"accepted-is-done":   func(*History) {},
 	"lasting-runs":       func(h *History) { h.lasting(start(4, lastingTask, 1)) },
+	"waves-whole":        func(h *History) { h.wave(begun(3, "m-docs-0"), begun(3.1, "m-docs-1")) },
 	"config-in-time": func(h *History) {
 		h.Requests = append(h.Requests, onExtra(asked(12, Look, http.StatusNotFound, "")))
 		h.Windows = append(h.Windows, window(Queue, extraQueue, 9, 14))
@@ -62,6 +63,16 @@
 	h.Requests = append(h.Requests, r)
 }
 
+// wave adds a wave of two machines that may both be down, and events of their maintenance.
+func (h *History) wave(events ...HostEvent) {
+	h.Waves = append(h.Waves, Wave{Number: 7, Machines: []string{"m-docs-0", "m-docs-1"}, Cap: 2})
+	h.Hosts = append(h.Hosts, events...)
+}
+
+func begun(seconds float64, machine string) HostEvent {
+	return HostEvent{fake.Event{Kind: fake.MaintenanceBegun, Machine: machine, Wave: 7}, at(seconds)}
+}
+
 func fullHost() []HostEvent {
 	var out []HostEvent
 	for i := range fake.TasksPerHost() {
--- a/trial/soak/check.go
+++ b/trial/soak/check.go
@@ -40,6 +40,7 @@
 		{"state-is-true", "A job is shown as completed only when all its tasks are done, and as failed only with cause (RULES, MIXED and LOST).", checkState, countState},
 		{"accepted-is-done", "A job that was accepted is done, or said to have failed, finish_s after the end of the traffic (RULES, LOST).", checkFinished, countFinished},
 		{"lasting-runs", "A long-running task whose job was accepted runs again 6 s after its last run, once there has been room for it twice over for 3 s (RULES, LOST).", checkLasting, countLasting},
+		{"waves-whole", "No maintenance begins while as many machines of its wave are down as its cap allows, and a wave is said to be completed only once that of all its machines has begun (RULES, LIMIT and MIXED).", checkWaves, countWaves},
 		{"config-in-time", "A request sent later than config_apply_ms after a configuration is handled as it says, by entries in touch (RULES, CONFIG).", checkConfig, countConfig},
 		{"ready-again", "An entry that is in touch is ready (RULES, In touch and Duty).", checkReady, countReady},
 	}
--- a/trial/soak/check_test.go
+++ b/trial/soak/check_test.go
@@ -335,6 +335,28 @@
 			},
 		},
 	},
+	"waves-whole": {
+		broken: map[string]func(*History){
+			"over its cap": func(h *History) {
+				h.wave(begun(3, "m-docs-0"), begun(3.1, "m-docs-1"))
+				h.Waves[0].Cap = 1
+			},
+			"completed too early": func(h *History) {
+				h.wave(begun(3, "m-docs-0"), begun(4, "m-docs-1"))
+				h.Reports = append(h.Reports, WaveReport{7, stateWaveCompleted, at(3.5)})
+			},
+			"nobody's wave": func(h *History) { h.Reports = append(h.Reports, WaveReport{8, stateWaveCompleted, at(3.5)}) },
+		},
+		allowed: map[string]func(*History){
+			"one after the other": func(h *History) {
+				ended := begun(3.5, "m-docs-0")
+				ended.Kind = fake.MaintenanceEnded
+				h.wave(begun(3, "m-docs-0"), ended, begun(3.6, "m-docs-1"))
+				h.Waves[0].Cap = 1
+				h.Reports = append(h.Reports, WaveReport{7, stateWaveCompleted, at(3.7)})
+			},
+		},
+	},
 	"config-in-time": {
 		broken: map[string]func(*History){
 			"not found though it is there": func(h *History) {
--- a/trial/soak/event.go
+++ b/trial/soak/event.go
@@ -45,6 +45,21 @@
 	At    time.Duration `json:"at-ns"`
 }
 
+// Wave is a wave of maintenance as it was published.
+type Wave struct {
+	Number   int64    `json:"number"`
+	Machines []string `json:"machines"`
+	// Cap is the number of its machines that may be down for it at a time.
+	Cap int `json:"cap"`
+}
+
+// WaveReport is a state of a wave that an entry has written for operators.
+type WaveReport struct {
+	Number int64         `json:"number"`
+	State  string        `json:"state"`
+	At     time.Duration `json:"at-ns"`
+}
+
 // HostEvent is an event on a host.
 type HostEvent struct {
 	fake.Event
@@ -96,15 +111,20 @@
 	Jobs     []Job     `json:"jobs"`
 	Requests []Request `json:"requests"`
 	// Partial holds the requests whose last byte could not be written. Their SentAt is zero.
-	Partial []Request   `json:"partial"`
-	Changes []Change    `json:"changes"`
-	Hosts   []HostEvent `json:"hosts"`
-	Windows []Window    `json:"windows"`
-	Probes  []Probe     `json:"probes"`
-	Exits   []Exit      `json:"exits"`
+	Partial []Request    `json:"partial"`
+	Changes []Change     `json:"changes"`
+	Hosts   []HostEvent  `json:"hosts"`
+	Windows []Window     `json:"windows"`
+	Waves   []Wave       `json:"waves"`
+	Reports []WaveReport `json:"reports"`
+	Probes  []Probe      `json:"probes"`
+	Exits   []Exit       `json:"exits"`
 	// StandIn are the violations that the stand-in of the platform has seen. It judges some promises also beside
 	// faults that excuse a breach, so that they are hints only.
 	StandIn []string `json:"stand-in"`
+	// Late is the longest time by which a timer of the soak was late. Processes that are as late do not show what the
+	// system does.
+	Late time.Duration `json:"late-ns"`
 	// TrafficStart and TrafficEnd limit the time in which new jobs were due, End is the end of the history.
 	TrafficStart time.Duration `json:"traffic-start-ns"`
 	TrafficEnd   time.Duration `json:"traffic-end-ns"`
@@ -157,3 +177,14 @@
 	r.task.Close()
 	return h, err
 }
+
+// timerInterval is the time between two looks at a timer.
+const timerInterval = 20 * time.Millisecond
+
+// watchTimers records by how much timers are late until ctx is done.
+func (r *recorder) watchTimers(ctx context.Context) {
+	for due := r.now() + timerInterval; sleep(ctx, timerInterval); due = r.now() + timerInterval {
+		late := r.now() - due
+		r.add(func(h *History) { h.Late = max(h.Late, late) })
+	}
+}
--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -28,8 +28,9 @@
 	site *site
 	// active counts the faults of the store and of the machines API that have begun and not ended.
 	active map[Kind]int
-	// version is that of the newest configuration, and removed counts the removals of the extra queue.
-	version, removed int
+	// version is that of the newest configuration, removed counts the removals of the extra queue, and waves the published
+	// waves.
+	version, removed, waves int
 }
 
 // action is the begin or the end of a fault.
@@ -120,6 +121,8 @@
 		return k.inject(ctx, f)
 	case Queue:
 		return func(context.Context) error { return c.publish(-1) }, c.publish(+1)
+	case MaintenanceWave:
+		return nothing, c.publishWave()
 	case StoreTrim:
 		c.site.platform.Trim()
 		return nothing, nil
@@ -169,3 +172,25 @@
 	c.version++
 	return c.site.publish(c.version, c.removed == 0)
 }
+
+const (
+	// waveMachines is the number of machines of each pool in a wave, waveCap the number of machines that may be down for
+	// it at a time, and waveTime the time that it should take.
+	waveMachines, waveCap = 2, 1
+	waveTime              = 6 * time.Second
+)
+
+// publishWave publishes a wave of maintenance for some machines of both pools.
+func (c *conductor) publishWave() error {
+	c.waves++
+	w := Wave{Number: int64(c.waves), Cap: waveCap}
+	for _, pool := range []string{guardedPool, unguardedPool} {
+		for i := range min(waveMachines, c.site.layout.Pools[pool]) {
+			w.Machines = append(w.Machines, fake.MachineID(pool, i))
+		}
+	}
+	c.site.recorder.add(func(h *History) { h.Waves = append(h.Waves, w) })
+	return c.site.platform.Publish(fmt.Sprintf("wave/%d", w.Number), map[string]any{
+		"wave": w.Number, "machines": w.Machines, "duration_s": waveTime.Seconds(), "cap": w.Cap,
+	})
+}
--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -25,6 +25,7 @@
 	intakeFile = "entry/intake/intake.go"
 	planFile   = "fleet/shard/plan.go"
 	readerFile = "entry/feed/reader.go"
+	upkeepFile = "fleet/upkeep/upkeep.go"
 	storeFile  = "platform/store/store.go"
 )
 
@@ -46,6 +47,9 @@
 	losesLasting = edit{planFile, "\tvar bestCost int64\n\tneed := step.Reservation()\n", "\tvar bestCost int64\n\tneed := step.Reservation()\n\tif step.LongRunning && task.Run > 0 {\n\t\treturn nil\n\t}\n"}
 	// forgetsSent takes requests whose answers are lost on the way between entries for ones that were not sent.
 	forgetsSent = edit{intakeFile, "\t\treturn owner.Answer{}, maybeDelivered\n", "\t\treturn owner.Answer{}, notDelivered\n"}
+	// skipsCap and skipsSlots start maintenance whatever the cap of its wave is.
+	skipsCap   = edit{upkeepFile, "return others < w.MaxDown", "return others < len(w.Machines)"}
+	skipsSlots = edit{upkeepFile, "slots := w.MaxDown - down - len(w.Emptying)", "slots := len(waiting) - down"}
 	// takesFullForDone takes the answer of a full store for that of an append that was carried out.
 	takesFullForDone = edit{storeFile, "case http.StatusOK:\n		return out.End, nil", "case http.StatusOK, http.StatusInsufficientStorage:\n		return out.End, nil"}
 	// skipsTrimmed reads on after records that the store has deleted as if they had not been there.
@@ -186,3 +190,10 @@
 	rows, err := playOn(t, cuts, "", forgetsSent)
 	requireBroken(t, rows, err, "refused-is-not-run")
 }
+
+func TestMaintenanceBeyondTheCapOfItsWaveIsSeen(t *testing.T) {
+	t.Parallel()
+	wave := Case{Seed: 71, Minutes: minMinutes, Entries: 2, Hosts: 3, Schedule: []Fault{{MaintenanceWave, "", 3 * time.Second, 0}}}
+	rows, err := playOn(t, wave, "", skipsCap, skipsSlots)
+	requireBroken(t, rows, err, "waves-whole")
+}
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -226,6 +226,10 @@
 			return nil
 		})
 	}
+	probes.Go(func() error {
+		s.recorder.watchTimers(probeCtx)
+		return nil
+	})
 	people := newCrowd(s)
 	work.Go(func() error {
 		people.run(runCtx, c)
