Soak: a run in which the time of day is off at each read

A build of carawaymux whose reads of the time of day are off by up to two hours, by another time with each read, and whose process starts seem to go back in time, keeps all promises in the run of planned work.

--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -18,15 +18,19 @@
 type edit struct{ file, text, by string }
 
 const (
-	nodeFile   = "platform/node/node.go"
-	claimFile  = "entry/claim/claim.go"
-	dutiesFile = "entry/duties/duties.go"
-	hostsFile  = "entry/owner/hosts.go"
-	intakeFile = "entry/intake/intake.go"
-	planFile   = "fleet/shard/plan.go"
-	readerFile = "entry/feed/reader.go"
-	upkeepFile = "fleet/upkeep/upkeep.go"
-	storeFile  = "platform/store/store.go"
+	nodeFile     = "platform/node/node.go"
+	claimFile    = "entry/claim/claim.go"
+	dutiesFile   = "entry/duties/duties.go"
+	coreFile     = "entry/owner/core.go"
+	frontFile    = "platform/front/front.go"
+	storedFile   = "entry/mover/stored.go"
+	progressFile = "fleet/shard/progress.go"
+	hostsFile    = "entry/owner/hosts.go"
+	intakeFile   = "entry/intake/intake.go"
+	planFile     = "fleet/shard/plan.go"
+	readerFile   = "entry/feed/reader.go"
+	upkeepFile   = "fleet/upkeep/upkeep.go"
+	storeFile    = "platform/store/store.go"
 )
 
 var (
@@ -56,6 +60,19 @@
 	skipsTrimmed = edit{readerFile, "if errors.As(err, &gone) {\n		return r.load(ctx)", "if errors.As(err, &gone) {\n		r.next = gone.First\n		return nil, nil"}
 )
 
+// off sets a time of day off by up to two hours, by another time with each read.
+const off = ".Add(time.Duration(time.Now().UnixNano()/1000%5-2) * time.Hour)"
+
+// clocksOff sets the time of day off where programs read it, and makes it go back with each start of a process.
+var clocksOff = []edit{
+	{nodeFile, "incarnation := time.Now().UnixNano()", "incarnation := int64(1<<62) - time.Now().UnixNano()"},
+	{frontFile, "spec.AcceptedMS = q.Name, time.Now().UnixMilli()", "spec.AcceptedMS = q.Name, time.Now()" + off + ".UnixMilli()"},
+	{storedFile, "age := time.Duration(now.UnixMilli()-at)", "age := time.Duration(now" + off + ".UnixMilli()-at)"},
+	{storedFile, "strconv.FormatInt(now.UnixMilli(), 10)", "strconv.FormatInt(now" + off + ".UnixMilli(), 10)"},
+	{coreFile, "limits, now, now.UnixMilli())", "limits, now, now" + off + ".UnixMilli())"},
+	{progressFile, "clamp.Sub(now.UnixMilli(), spec.AcceptedMS)", "clamp.Sub(now" + off + ".UnixMilli(), spec.AcceptedMS)"},
+}
+
 // buildWith builds the programs with edits of their sources, and returns the folder of the programs.
 func buildWith(t *testing.T, edits ...edit) string {
 	t.Helper()
@@ -197,3 +214,11 @@
 	rows, err := playOn(t, wave, "", skipsCap, skipsSlots)
 	requireBroken(t, rows, err, "waves-whole")
 }
+
+func TestPromisesAreKeptThoughTheTimeOfDayIsOff(t *testing.T) {
+	t.Parallel()
+	rows, err := runWith(t, "planned work", clocksOff...)
+	require.NoError(t, err)
+	require.Len(t, rows, 1)
+	require.Empty(t, rows[0].Broken)
+}
