--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -49,7 +49,8 @@
 	violations     []string
 	checker        checker
 	timing         Timing
-	wave           *publishedWave
+	// waves holds the published waves, by number.
+	waves map[int64]publishedWave
 	// advisedPool is the pool whose tasks need tickets; refusedForTicket counts the starts that
 	// were refused because the ticket was missing or wrong.
 	advisedPool      string
@@ -87,6 +88,10 @@
 	Timing     Timing
 	// AppendTime is the time that each append to the store takes at first.
 	AppendTime time.Duration
+	// Rewrite returns what the store keeps of a value that an entry appends under a key; nil to keep values as they are.
+	Rewrite func(topic, key string, value []byte) []byte
+	// NoFences makes the store accept appends of earlier owners. Tests use it to see checks fail.
+	NoFences bool
 	// Proxy sets the proxies on the connections of entries; nil for none.
 	Proxy Proxy
 	// Observe is called with each event on a host, in their order. It must not block; nil for no calls.
@@ -149,8 +154,8 @@
 	}
 	return &state{
 		observe: observe, rerunDone: layout.RerunDone,
-		startedAt: time.Now(), store: newStore(layout.AppendTime), hosts: map[string]*host{}, machines: map[string]*machine{},
-		recordExpiry: map[string]time.Time{}, unguardedPools: layout.UnguardedPools,
+		startedAt: time.Now(), store: newStore(layout), hosts: map[string]*host{}, machines: map[string]*machine{},
+		recordExpiry: map[string]time.Time{}, waves: map[int64]publishedWave{}, unguardedPools: layout.UnguardedPools,
 		checker: newChecker(), timing: layout.Timing, advisedPool: layout.AdvisedPool,
 	}
 }
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -226,6 +226,10 @@
 			return nil
 		})
 	}
+	probes.Go(func() error {
+		s.recorder.watchTimers(probeCtx)
+		return nil
+	})
 	people := newCrowd(s)
 	work.Go(func() error {
 		people.run(runCtx, c)
@@ -235,6 +239,10 @@
 		people.hold(runCtx, c)
 		return nil
 	})
+	work.Go(func() error {
+		people.runLasting(runCtx, c)
+		return nil
+	})
 	work.Go(func() error {
 		d := &conductor{site: s, active: map[Kind]int{}, version: 1}
 		return d.conduct(runCtx, c.Schedule, func(f Fault) { fmt.Fprintf(o.Progress, "seed %d: %s\n", c.Seed, f) })
