--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -52,7 +52,7 @@
 	// forgetsSent takes requests whose answers are lost on the way between entries for ones that were not sent.
 	forgetsSent = edit{intakeFile, "\t\treturn owner.Answer{}, maybeDelivered\n", "\t\treturn owner.Answer{}, notDelivered\n"}
 	// skipsCap and skipsSlots start maintenance whatever the cap of its wave is.
-	skipsCap   = edit{upkeepFile, "return others < w.MaxDown", "return others < len(w.Machines)"}
+	skipsCap   = edit{upkeepFile, "return others < s.maxDown", "return others >= 0"}
 	skipsSlots = edit{upkeepFile, "slots := w.MaxDown - down - len(w.Emptying)", "slots := len(waiting) - down"}
 	// takesFullForDone takes the answer of a full store for that of an append that was carried out.
 	takesFullForDone = edit{storeFile, "case http.StatusOK:\n		return out.End, nil", "case http.StatusOK, http.StatusInsufficientStorage:\n		return out.End, nil"}
