--- a/fleet/shard/lasting_test.go
+++ b/fleet/shard/lasting_test.go
@@ -34,6 +34,8 @@
 	mix mix
 	// failing holds the jobs whose runs all fail.
 	failing map[string]bool
+	// finishing reports whether jobs of work that ends are checked, too.
+	finishing bool
 	// emptying holds the hosts that are being emptied, with the time since which.
 	emptying map[string]time.Time
 }
@@ -299,6 +301,9 @@
 		step := &spec.Steps[number]
 		j := o.state.Jobs[id]
 		failed := len(spec.Steps) > 1 && j != nil && j.Phase == shard.Failed // Its work that ends has failed.
+		if w.finishing && len(spec.Steps) == 1 && !step.LongRunning {
+			w.checkIdleJob(o, id, step, running)
+		}
 		if !step.LongRunning || failed || !w.hasTurn(id, &spec) {
 			continue
 		}
@@ -308,6 +313,65 @@
 	}
 }
 
+// checkIdleJob requires that a job of work that ends does not wait too long with nothing running, beside room for it
+// twice and while less than half of the capacity is in use.
+func (w *simulation) checkIdleJob(o *simOwner, id string, step *batch.Step, running map[string]bool) {
+	ref := batch.Ref{Job: id}
+	j := o.state.Jobs[id]
+	if j == nil || j.Phase != shard.Open || len(j.Occurrences) == 0 {
+		delete(w.waits, ref)
+		return
+	}
+	for i := range step.Count {
+		if running[batch.Ref{Job: id, Index: i}.String()] {
+			delete(w.waits, ref)
+			return
+		}
+	}
+	wanted := 2
+	if step.Gang {
+		wanted *= step.Count
+	}
+	if w.now.Sub(w.disturbedAt) < calmTime || w.roomFor(ref, step) < wanted || !w.underHalf() {
+		delete(w.waits, ref)
+		return
+	}
+	if _, ok := w.waits[ref]; !ok {
+		w.waits[ref] = w.now
+	}
+	if w.now.Sub(w.waits[ref]) <= maxWait {
+		return
+	}
+	require.Failf(w.t, "a job waits with nothing running", "%s %+v: %s; %+v\n%s",
+		ref, *step, o.state.Explain(ref, w.now), o.state.Waiting(w.now), w.describeHosts(o))
+}
+
+// describeHosts returns what runs on the hosts and what keeps them from new work.
+func (w *simulation) describeHosts(o *simOwner) string {
+	var lines []string
+	for _, id := range w.hostIDs {
+		h := w.hosts[id]
+		seen := "not known"
+		if s := o.state.Hosts[id]; s != nil {
+			seen = fmt.Sprintf("obstacle %d, assigned %d", o.state.ObstacleTo(s, w.now), len(s.Assigned))
+		}
+		lines = append(lines, fmt.Sprintf("%s: down %v, free %v, %d runs, labels %v; %s", id, h.down, h.free(), len(h.running), h.labels, seen))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// underHalf reports whether less than half of the cores of the hosts is in use.
+func (w *simulation) underHalf() bool {
+	var used, whole int64
+	for _, h := range w.hosts {
+		if !h.down {
+			whole += h.capacity.MilliCores
+			used += h.capacity.MilliCores - h.free().MilliCores
+		}
+	}
+	return 2*used < whole
+}
+
 // hasTurn reports whether it is known that all steps of a job before the last one are done.
 func (w *simulation) hasTurn(id string, spec *batch.Spec) bool {
 	for number := range spec.Steps[:len(spec.Steps)-1] {
@@ -334,17 +398,8 @@
 	if wait <= maxWait {
 		return
 	}
-	var lines []string
-	for _, id := range w.hostIDs {
-		h := w.hosts[id]
-		seen := "not known"
-		if s := o.state.Hosts[id]; s != nil {
-			seen = fmt.Sprintf("obstacle %d, assigned %d", o.state.ObstacleTo(s, w.now), len(s.Assigned))
-		}
-		lines = append(lines, fmt.Sprintf("%s: down %v, free %v, %d runs, labels %v; %s", id, h.down, h.free(), len(h.running), h.labels, seen))
-	}
 	require.Failf(w.t, "a long-running task waits beside room for it twice", "%s %+v: %s; %+v\n%s",
-		ref, *step, o.state.Explain(ref, w.now), o.state.Waiting(w.now), strings.Join(lines, "\n"))
+		ref, *step, o.state.Explain(ref, w.now), o.state.Waiting(w.now), w.describeHosts(o))
 }
 
 // roomFor returns how many runs of a task its hosts have room for.
@@ -378,26 +433,49 @@
 // Guards against a long-running task that does not run although there is room for it (LOST).
 func TestLongRunningTasksRunWhereThereIsRoom(t *testing.T) {
 	for seed := range uint64(lastingSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { newLastingSimulation(t, seed).runLasting() })
+	}
+}
+
+// Guards against jobs of which nothing runs after the traffic (LOST), although there is room for them on hosts that count
+// as unhealthy.
+func TestNoJobWaitsAfterTheTrafficBesideRoomForIt(t *testing.T) {
+	for _, seed := range waitingSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newLastingSimulation(t, seed)
-			w.t.Cleanup(func() {
-				if w.t.Failed() {
-					w.t.Logf("%+v\n%s", w.mix, strings.Join(w.trace[max(len(w.trace)-traceLines, 0):], "\n"))
-				}
-			})
-			w.run(faultSteps, true)
-			w.disturbed, w.storeSilentUntil = false, time.Time{}
-			for _, o := range w.owners {
-				o.unreachable = map[string]bool{}
-				if o != w.current() {
-					o.stopped = true
-				}
-			}
+			w.runLasting()
+			w.mix.longRunning, w.mix.shortJobs = 0, 0
+			w.run(int(finishTime/simStep), false)
+			w.finishing = true
 			w.run(calmSteps, false)
 		})
 	}
 }
 
+// finishTime is the platform's time between the end of the traffic and when jobs are asked for.
+const finishTime = 14 * time.Second
+
+// waitingSeeds are the seeds below 400 with which jobs wait after the traffic. Nine in ten jobs fail always in most of them.
+var waitingSeeds = []uint64{52, 60, 89, 118, 119, 147, 161, 168, 276, 341, 394}
+
+// runLasting runs the simulation with faults and then without.
+func (w *simulation) runLasting() {
+	w.t.Cleanup(func() {
+		if w.t.Failed() {
+			w.t.Logf("%+v\n%s", w.mix, strings.Join(w.trace[max(len(w.trace)-traceLines, 0):], "\n"))
+		}
+	})
+	w.run(faultSteps, true)
+	w.disturbed, w.storeSilentUntil = false, time.Time{}
+	for _, o := range w.owners {
+		o.unreachable = map[string]bool{}
+		if o != w.current() {
+			o.stopped = true
+		}
+	}
+	w.run(calmSteps, false)
+}
+
 // Guards against a long-running task that does not run, with room for it (LOST): the hosts with room were reserved for
 // larger long-running tasks, for as long as work that ends ran there.
 func TestLongRunningTasksRunOnHostsThatAreReservedForLargerOnes(t *testing.T) {
