--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -150,6 +150,8 @@
 	// toAuthorize holds the machines to authorize with the next write.
 	toAuthorize []string
 	sizing      *sizing.State
+	// shortageLoggedAt is when a shortage of machines was last logged.
+	shortageLoggedAt time.Time
 	// forecast forecasts the load of the pools.
 	forecast *sizing.Forecast[demand.InOrder]
 	// orders limits the moves that begin to what the machine service accepts.
@@ -323,10 +325,16 @@
 // stepMachines starts the next step of each machine that is to be moved or maintained.
 func (c *core) stepMachines(ctx context.Context, now time.Time) {
 	for _, w := range c.openWaves() {
+		var slots *upkeep.Slots
 		for id := range w.Emptying {
-			if m, listed := c.machines[id]; listed {
-				c.stepMaintenance(ctx, w, m, now)
+			m, listed := c.machines[id]
+			if !listed || c.stepInFlight[id] {
+				continue
 			}
+			if slots == nil {
+				slots = w.Slots(c.machines, c.stepInFlight)
+			}
+			c.stepMaintenance(ctx, w, slots, m, now)
 		}
 	}
 	for _, m := range c.moves {
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -161,22 +161,24 @@
 	}
 }
 
-// act plans, sends orders and heartbeats, and starts the next request to the policy service and
-// the next write to the store.
+// act sends heartbeats, plans and sends orders, and starts the next request to the policy service and
+// the next write to the store. Hosts answer while it plans: a new owner cannot start inherited work before they have, and its
+// first round looks at all that waits.
 func (c *core) act() {
 	now := time.Now()
+	for id, l := range c.agents {
+		c.sendHeartbeat(id, l, now)
+	}
 	c.state.RetryStops(now)
 	limits := shard.Limits{Starts: c.starts.Room(now), StartsPerHost: startsPerHost}
-	ranking := shard.StarvedFirst[shard.ByLoad]{
-		Ranking: shard.ByLoad{Overloaded: c.state.Overloaded}, Spare: c.state.HasSpareCapacity(now),
+	ranking := shard.LateShare[shard.StarvedFirst[shard.ByLoad]]{
+		Ranking: shard.StarvedFirst[shard.ByLoad]{
+			Ranking: shard.ByLoad{Overloaded: c.state.Overloaded}, Spare: c.state.HasSpareCapacity(now),
+		},
+		Due: c.state.LateWorkIsDue(now),
 	}
 	shard.PlanWithin(c.state, ranking, limits, now, now.UnixMilli())
-	for _, o := range c.state.TakeOrders() {
-		c.sendOrder(o, now)
-	}
-	for id, l := range c.agents {
-		c.sendHeartbeat(id, l, now)
-	}
+	c.sendOrders(now)
 	c.askAdviser(now)
 	c.flush(now)
 	end := time.Now()
@@ -203,6 +205,7 @@
 	}
 	c.state.SettleSuspects(now)
 	c.refuseUnwritten()
+	c.returnHeld(now)
 	c.tickPlacing(now)
 	c.settleQuestions(now)
 	c.logCrashes()
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -307,7 +307,9 @@
 	// isolated, apart, suspects and unsettled are as in isolation. reservedToIsolate is set if the host is reserved for
 	// a task that runs apart.
 	isolated, apart, reservedToIsolate bool
-	suspects, unsettled                int
+	// reservedToEnd is set if the host is reserved for a step that ends.
+	reservedToEnd       bool
+	suspects, unsettled int
 	// othersWait reports whether a task that does not have to run apart waited when this round or one of the last
 	// second began.
 	othersWait bool
@@ -528,7 +530,7 @@
 	}
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Host: c.host.ID, Ref: ref, Run: run, Specification: j.Spec.Text, Checkpoint: task.Checkpoint,
-		Ticket: s.ticket(ref, c.host.ID), Reason: "scheduled",
+		Ticket: s.ticket(ref, c.host.ID), AfterWrite: task.Crashes.Isolated, Reason: "scheduled",
 	})
 }
 
@@ -587,9 +589,19 @@
 }
 
 func (hosts referenceHosts) reserve(s *State, d *referenceDemand, step *batch.Step, stage *Stage, now time.Time) {
-	hosts.reserveBy(s, d, step, stage, now, func(c, best *referenceHost) bool {
+	reserved := 0
+	for i := range hosts {
+		reserved += count(hosts[i].reservedToEnd)
+	}
+	if limit := max(int(s.Timing.MaxReservedShare*float64(len(hosts))), 1); !step.LongRunning && s.Timing.MaxReservedShare > 0 && reserved >= limit {
+		return
+	}
+	k := hosts.reserveBy(s, d, step, stage, now, func(c, best *referenceHost) bool {
 		return best == nil || c.free.MilliCores > best.free.MilliCores
 	})
+	if k >= 0 {
+		hosts[k].reservedToEnd = !step.LongRunning
+	}
 }
 
 // reserveBy reserves a host and returns its index, or -1 if there is none. The function better reports whether a host
@@ -784,7 +796,7 @@
 			whole = whole.Add(h.Capacity)
 		}
 	}
-	backlog, future := map[string]int64{}, map[string]int64{}
+	backlog, future, lateWork, expiredWork := map[string]int64{}, map[string]int64{}, map[string]int64{}, map[string]int64{}
 	for _, j := range s.openJobs {
 		if !j.Stored {
 			continue
@@ -806,7 +818,19 @@
 						l.SpreadHosts = max(l.SpreadHosts, (step.Count-givenUp+step.PerHost-1)/step.PerHost)
 					}
 				case occ.ready(&j.Spec, si):
-					backlog[j.Spec.Queue] += estimatedWork(step, stage.idle)
+					work := estimatedWork(step, stage.idle)
+					backlog[j.Spec.Queue] += work
+					objective := j.Objective
+					if j.Spec.Repetitions > 0 {
+						objective = objective.Add(time.Duration(j.dueAt(oi)-j.Spec.AcceptedMS) * time.Millisecond)
+					}
+					path := time.Duration(float64(referenceCriticalPath(&j.Spec, si)) * s.durationRatios[j.Spec.Queue].median())
+					if now.After(objective.Add(-path)) {
+						lateWork[j.Spec.Queue] += work
+						if now.After(objective.Add((usefulFactor - 1) * j.Objective.Sub(j.AcceptedAt))) {
+							expiredWork[j.Spec.Queue] += work
+						}
+					}
 				default:
 					future[j.Spec.Queue] += estimatedWork(step, stage.Left)
 				}
@@ -822,6 +846,8 @@
 	for queue := range s.Queues {
 		l.Backlog += referenceScaled(s, queue, backlog[queue])
 		l.FutureWork += referenceScaled(s, queue, future[queue])
+		l.Late += referenceScaled(s, queue, lateWork[queue])
+		l.Expired += referenceScaled(s, queue, expiredWork[queue])
 	}
 	l.Backlog += s.isolatedWork(l.HostCapacity, now)
 	l.ArrivalRate, l.Arrivals = s.arrivals.Rate(now), s.arrivals.Count()
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -37,6 +37,9 @@
 	DisruptionLimit time.Duration
 	// StopTimeout is the longest time that a host takes to end a run.
 	StopTimeout time.Duration
+	// MaxReservedShare is the share of the hosts that may be reserved at a time for steps that end and do not fit yet. One
+	// host may be reserved in any case. There is no limit if it is 0.
+	MaxReservedShare float64
 }
 
 // ClockDrift is the largest factor by which a duration is longer in true time than on a host's
@@ -123,6 +126,11 @@
 	// has crashed.
 	Crashes    Crashes
 	crashedRun int64
+	// excuses holds, for each crash that does not count as unexplained, the crashes of other hosts that explain it.
+	// It is set for long-running tasks only.
+	excuses [][]*pastCrash
+	// late reports whether the work was late when the last run was ordered.
+	late bool
 	// startedEarlier reports whether an earlier owner had ordered a run of which neither the end nor the host is
 	// known.
 	startedEarlier bool
@@ -241,7 +249,7 @@
 	orders  []Order
 	crashes []Crash
 	// pastCrashes holds the crashes of hosts, with or without tasks, within settleTime before the last one.
-	pastCrashes []pastCrash
+	pastCrashes []*pastCrash
 	// suspects holds the tasks of open jobs that are suspected of a crash. It may also hold some that are done.
 	suspects map[batch.Ref]*Task
 	// startedEarlier holds the tasks whose startedEarlier was set when they were restored.
@@ -282,10 +290,13 @@
 	endUnstored bool
 	// candidateBuffer is the buffer of candidates.
 	candidateBuffer candidates
-	// reserved is the number of hosts that the last round of planning reserved.
-	reserved int
+	// reserved is the number of hosts that the last round of planning reserved. reservations is the number of those that
+	// count against maxReservations.
+	reserved, reservations, maxReservations int
 	// hostList holds the hosts by ID. It is nil after the set of hosts has changed.
 	hostList []*Host
+	// lateUsed is the capacity that tasks take which were late when they were ordered to start, in thousandths of a core.
+	lateUsed int64
 	// arrivals measures the rate at which work arrives.
 	arrivals demand.Meter
 	// durationRatios holds the ratios of run time to estimate, by queue.
@@ -323,6 +334,9 @@
 	// Specification, Checkpoint and Ticket are set for a start. Percent is set for a throttle.
 	Specification, Checkpoint, Ticket string
 	Percent                           int
+	// AfterWrite reports whether a start has to wait until the store shows that the run was ordered. It is set for
+	// tasks that run apart since hosts have crashed under them.
+	AfterWrite bool
 	// Reason says why the order was given, for logs.
 	Reason string
 }
--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -27,10 +27,9 @@
 	// the machines API and the policy service.
 	StoreAddress, MachinesAddress, AdviceAddress string
 	hosts                                        map[string]string
-	// entryCores, proxy and appendTime are the values of the fields of the layout.
+	// entryCores and proxy are the values of the fields of the layout.
 	entryCores []float64
 	proxy      Proxy
-	appendTime time.Duration
 	// machineFaults applies the faults of the machines API.
 	machineFaults *faulty.Injector
 }
@@ -50,7 +49,8 @@
 	violations     []string
 	checker        checker
 	timing         Timing
-	wave           *publishedWave
+	// waves holds the published waves, by number.
+	waves map[int64]publishedWave
 	// advisedPool is the pool whose tasks need tickets; refusedForTicket counts the starts that
 	// were refused because the ticket was missing or wrong.
 	advisedPool      string
@@ -86,8 +86,12 @@
 	// state none for the entries beyond it.
 	EntryCores []float64
 	Timing     Timing
-	// AppendTime is the time that each append to the store takes.
+	// AppendTime is the time that each append to the store takes at first.
 	AppendTime time.Duration
+	// Rewrite returns what the store keeps of a value that an entry appends under a key; nil to keep values as they are.
+	Rewrite func(topic, key string, value []byte) []byte
+	// NoFences makes the store accept appends of earlier owners. Tests use it to see checks fail.
+	NoFences bool
 	// Proxy sets the proxies on the connections of entries; nil for none.
 	Proxy Proxy
 	// Observe is called with each event on a host, in their order. It must not block; nil for no calls.
@@ -111,7 +115,7 @@
 
 // New starts a simulated platform on loopback.
 func New(layout Layout) (*Platform, error) {
-	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, proxy: layout.Proxy, appendTime: layout.AppendTime, machineFaults: faulty.New()}
+	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, proxy: layout.Proxy, machineFaults: faulty.New()}
 	if fp.proxy == nil {
 		fp.proxy = func(_, _, address string) (string, error) { return address, nil }
 	}
@@ -150,8 +154,8 @@
 	}
 	return &state{
 		observe: observe, rerunDone: layout.RerunDone,
-		startedAt: time.Now(), store: newStore(), hosts: map[string]*host{}, machines: map[string]*machine{},
-		recordExpiry: map[string]time.Time{}, unguardedPools: layout.UnguardedPools,
+		startedAt: time.Now(), store: newStore(layout), hosts: map[string]*host{}, machines: map[string]*machine{},
+		recordExpiry: map[string]time.Time{}, waves: map[int64]publishedWave{}, unguardedPools: layout.UnguardedPools,
 		checker: newChecker(), timing: layout.Timing, advisedPool: layout.AdvisedPool,
 	}
 }
--- a/trial/model/model.go
+++ b/trial/model/model.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -44,8 +45,13 @@
 	Standby int
 	// OrdersPerSecond is the number of moves that the machine service accepts per second.
 	OrdersPerSecond int
+	// Outage is a time in which machines fail.
+	Outage Outage
 }
 
+// Outage is a time in which every second machine is down. What ran there is lost. There is none if Length is 0.
+type Outage struct{ From, Length time.Duration }
+
 // Result is what callers got and what it cost.
 type Result struct {
 	Shape  string `json:"shape"`
@@ -60,6 +66,17 @@
 	// time that the work itself takes.
 	HostSeconds float64 `json:"host-seconds"`
 	Moves       int     `json:"moves"`
+	// Jobs holds the jobs in the order in which they arrived.
+	Jobs []Outcome `json:"-"`
+}
+
+// Outcome is what became of a job.
+type Outcome struct {
+	Kind int
+	// Arrived and Ended are times since the start. Ended is 0 if the job has not ended.
+	Arrived, Ended time.Duration
+	InTime         bool
+	Worth          float64
 }
 
 // Sizer is what a run needs of a policy: the hosts that pools may need soon.
@@ -73,6 +90,10 @@
 	planInterval = 250 * time.Millisecond
 	// moveTime is the time from the decision on a move to the first start on the host.
 	moveTime = 2100 * time.Millisecond
+	// emptyTime is the time that a busy host takes to empty, which is less than a step takes: of many hosts, those that
+	// are empty soonest are moved. releasableShare is the share of the busy hosts that take no longer.
+	emptyTime       = 1500 * time.Millisecond
+	releasableShare = 0.25
 	// leadTime is the time before the load, in which pools are at rest.
 	leadTime = 14 * time.Second
 	// hostCores is the number of cores of a host, of which usable can be filled in practice.
@@ -91,6 +112,8 @@
 	arrived   time.Duration
 	objective time.Duration
 	worth     float64
+	// outcome is the index in Result.Jobs.
+	outcome int
 	// left is the number of steps that have not ended. cores is what one step takes, of which waiting
 	// has not started and active is running.
 	left                   int
@@ -102,6 +125,8 @@
 	ends  time.Duration
 	cores float64
 	job   *job
+	// late reports whether the job was late when the part started.
+	late bool
 }
 
 type pool struct {
@@ -125,6 +150,7 @@
 	hostTime               float64
 	work                   float64
 	moves                  int
+	outcomes               []Outcome
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -150,6 +176,7 @@
 	budget := f.OrdersPerSecond / int(time.Second/planInterval)
 	for at := -leadTime; at < s.Length+5*time.Second; at += tick {
 		r.land(at)
+		r.failMachines(at)
 		r.submit(at)
 		for i := range r.pools {
 			r.end(i, at)
@@ -166,8 +193,12 @@
 			}
 			for _, m := range sizing.Plan(state, policy, in, epoch.Add(at)) {
 				machine := r.machines[m.Machine]
+				due := at + moveTime
+				if slices.Contains(loads[m.From].ReleasableHosts, m.Host) {
+					due += emptyTime
+				}
 				machine.Pool, machine.State, machine.Host = m.To, port.MachineMoving, ""
-				r.machines[m.Machine], r.arriving[m.Machine] = machine, at+moveTime
+				r.machines[m.Machine], r.arriving[m.Machine] = machine, due
 				r.moves++
 			}
 		}
@@ -176,7 +207,7 @@
 }
 
 func (r *run) result() Result {
-	out := Result{Shape: r.shape.Name, HostSeconds: r.hostTime / r.work, Moves: r.moves, WorstKind: 1}
+	out := Result{Shape: r.shape.Name, Jobs: r.outcomes, HostSeconds: r.hostTime / r.work, Moves: r.moves, WorstKind: 1}
 	var inTime, owed float64
 	for i := range r.owed {
 		inTime, owed = inTime+r.inTime[i], owed+r.owed[i]
@@ -201,6 +232,50 @@
 	}
 }
 
+// failMachines has machines fail as an outage begins, and come back as it ends.
+func (r *run) failMachines(at time.Duration) {
+	o := r.fleet.Outage
+	if o.Length == 0 || (at != o.From && at != o.From+o.Length) {
+		return
+	}
+	if at == o.From {
+		for i, k := range r.fleet.Kinds {
+			r.loseWork(r.pools[i], float64(r.hosts(k.Pool)/2)/float64(max(r.hosts(k.Pool), 1)))
+		}
+	}
+	up := map[string]int{}
+	for _, id := range slices.Sorted(maps.Keys(r.machines)) {
+		m := r.machines[id]
+		switch {
+		case at == o.From && m.State == port.MachineUp:
+			if up[m.Pool]++; up[m.Pool]%2 == 0 {
+				m.State, m.Host = port.MachineDown, ""
+			}
+		case at == o.From+o.Length && m.State == port.MachineDown:
+			m.State, m.Host = port.MachineUp, "h-"+id
+		}
+		r.machines[id] = m
+	}
+}
+
+// loseWork loses a share of what runs in a pool, which has to run again.
+func (r *run) loseWork(p *pool, share float64) {
+	lost := p.used * share
+	p.running = slices.DeleteFunc(p.running, func(w running) bool {
+		if lost <= 0 {
+			return false
+		}
+		lost -= w.cores
+		p.used -= w.cores
+		w.job.active -= w.cores
+		if w.job.waiting <= rounding {
+			p.queue = append(p.queue, w.job)
+		}
+		w.job.waiting += w.cores
+		return true
+	})
+}
+
 // submit adds the jobs that arrive in a tick.
 func (r *run) submit(at time.Duration) {
 	if at < 0 || at >= r.shape.Length {
@@ -213,6 +288,8 @@
 			length := time.Duration(k.Steps) * k.Duration
 			j := &job{kind: i, arrived: at, objective: at + time.Duration(stretch*float64(length)) + allowance, left: k.Steps, cores: k.Cores * size}
 			j.waiting, j.worth = j.cores, k.Worth*(0.3+0.7*size)
+			j.outcome = len(r.outcomes)
+			r.outcomes = append(r.outcomes, Outcome{Kind: i, Arrived: at, Worth: j.worth})
 			r.pools[i].queue = append(r.pools[i].queue, j)
 			work := j.cores * length.Seconds()
 			r.pools[i].meter.Add(int64(work*1000), epoch.Add(at))
@@ -256,7 +333,9 @@
 			continue
 		}
 		r.unfinished--
-		if at > j.objective {
+		outcome := &r.outcomes[j.outcome]
+		outcome.Ended, outcome.InTime = at, at <= j.objective
+		if !outcome.InTime {
 			r.late++
 			continue
 		}
@@ -298,7 +377,7 @@
 		j.active += n
 		room -= n
 		p.used += n
-		p.running = append(p.running, running{at + k.Duration, n, j})
+		p.running = append(p.running, running{at + k.Duration, n, j, r.isLate(j, at)})
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.waiting <= rounding })
 }
@@ -333,7 +412,16 @@
 		p := r.pools[i]
 		l := sizing.Load{HostCapacity: hostCores * 1000, ArrivalRate: p.meter.Rate(epoch.Add(at)), Running: int64(p.used * 1000)}
 		for _, j := range p.queue {
-			l.Backlog += int64(j.waiting * k.Duration.Seconds() * 1000)
+			work := int64(j.waiting * k.Duration.Seconds() * 1000)
+			l.Backlog += work
+			if r.isLate(j, at) {
+				l.Late += work
+			}
+		}
+		for _, w := range p.running {
+			if w.late {
+				l.RunningLate += int64(w.cores * 1000)
+			}
 		}
 		var hosts []string
 		for _, m := range r.machines {
@@ -343,8 +431,9 @@
 		}
 		slices.Sort(hosts)
 		l.Hosts, l.Arrivals = len(hosts), p.meter.Count()
-		busy := int(math.Ceil(p.used / (hostCores * usable)))
-		l.IdleHosts = hosts[min(busy, len(hosts)):]
+		busy := min(int(math.Ceil(p.used/(hostCores*usable))), len(hosts))
+		l.IdleHosts = hosts[busy:]
+		l.ReleasableHosts = hosts[:int(math.Ceil(releasableShare*float64(busy)))]
 		out[k.Pool] = l
 	}
 	return out
--- a/trial/model/shapes.go
+++ b/trial/model/shapes.go
@@ -8,14 +8,14 @@
 // restFactor is the factor of a kind's mean rate outside its turns.
 const restFactor = 0.05
 
-// turnFactor returns the factor of the mean rate in a turn that takes one of n equal parts of the time.
-func turnFactor(n int) float64 { return float64(n) - restFactor*float64(n-1) }
+// TurnFactor returns the factor of the mean rate in a turn that takes one of n equal parts of the time.
+func TurnFactor(n int) float64 { return float64(n) - restFactor*float64(n-1) }
 
 // Turns lets each of a number of kinds have its turn after the other, each for a duration.
 func Turns(name string, kinds int, turn, length time.Duration) Shape {
 	return Shape{name, func(kind int, at time.Duration) float64 {
 		if int(at/turn)%kinds == kind {
-			return turnFactor(kinds)
+			return TurnFactor(kinds)
 		}
 		return restFactor
 	}, length}
@@ -41,7 +41,7 @@
 		for _, s := range spans {
 			if at < s.until {
 				if s.kind == kind {
-					return turnFactor(kinds)
+					return TurnFactor(kinds)
 				}
 				return restFactor
 			}
@@ -60,7 +60,7 @@
 	}
 	return Shape{"single-turns", func(kind int, at time.Duration) float64 {
 		if int(at/turn) == kind {
-			return turnFactor(kinds) * levels[at/time.Second]
+			return TurnFactor(kinds) * levels[at/time.Second]
 		}
 		return restFactor
 	}, length}
@@ -122,6 +122,8 @@
 	turns := Turns("turns", kinds, turn, length)
 	floods := Flood(Flood(Single(kinds, length, seed), kinds-1, 2500*time.Millisecond, 6*time.Second, 2), 0, 13*time.Second, 4*time.Second, 1.8)
 	floods.Name = "single-turns-floods"
+	overload := Flood(Turns("", kinds, turn, 2*length), 0, turn*time.Duration(kinds), turn, 11*TurnFactor(kinds))
+	overload.Name = "turns-overload"
 	return []Shape{
 		Single(kinds, 34*time.Second, seed),
 		turns,
@@ -135,6 +137,7 @@
 		QuietThenTurns(kinds, 10*time.Second, turn, length),
 		Steady(length),
 		Shift(kinds, length),
+		overload,
 	}
 }
 
@@ -145,11 +148,11 @@
 		{"b", 9, 0.91, 4.62, 2, 8 * 1.9, 2100 * time.Millisecond},
 		{"c", 11, 9.6, 0.489, 2, 6 * 0.88 * 0.8, 800 * time.Millisecond},
 		{"d", 12, 1.12, 4.62, 2, 8 * 1.9, 2100 * time.Millisecond},
-	}, 8, 51}
+	}, 8, 51, Outage{}}
 	Large = Fleet{[]Kind{
 		{"a", 194, 42.2, 0.277, 2, 8 * 2.2 * 0.8, time.Second},
 		{"b", 218, 13.4, 0.981, 2, 8 * 4.8, 1300 * time.Millisecond},
 		{"c", 244, 52.8, 0.277, 2, 8 * 2.2 * 0.8, time.Second},
 		{"d", 268, 16.4, 0.981, 2, 8 * 4.8, 1300 * time.Millisecond},
-	}, 176, 470}
+	}, 176, 470, Outage{}}
 )
--- a/trial/soak/plan.go
+++ b/trial/soak/plan.go
@@ -43,21 +43,43 @@
 	LinkCut    Kind = "link-cut"
 	LinkSilent Kind = "link-silent"
 	LinkDrip   Kind = "link-drip"
+
+	// LinkLate delays what a link carries to its service by more than calls wait, so that calls are carried out that
+	// nobody waits for any more.
+	LinkLate Kind = "link-late"
+	// StoreFull makes the store refuse appends for want of space, and StoreTrim deletes all its records except the newest
+	// of each key.
+	StoreFull Kind = "store-full"
+	StoreTrim Kind = "store-trim"
+	// The faults of peer links hit all connections from other entries to an entry, as those of links do.
+	PeerDelay  Kind = "peer-delay"
+	PeerReset  Kind = "peer-reset"
+	PeerCut    Kind = "peer-cut"
+	PeerSilent Kind = "peer-silent"
+	PeerDrip   Kind = "peer-drip"
+	// MaintenanceWave publishes a wave of maintenance. It is planned work too.
+	MaintenanceWave Kind = "wave"
 )
 
+// linkFaults holds the faults of peer links, and which fault of a link each is.
+var linkFaults = map[Kind]Kind{PeerDelay: LinkDelay, PeerReset: LinkReset, PeerCut: LinkCut, PeerSilent: LinkSilent, PeerDrip: LinkDrip}
+
 var (
 	plannedKinds   = []Kind{Term, Reload, Queue}
 	unplannedKinds = []Kind{
 		Pause, Kill, StoreBusy, StoreSilent, StoreLossy, StoreSlow, MachinesDown, MachinesLossy, HostCrash,
 		LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip,
 	}
+	// addedKinds are unplanned too, except waves. Each has random numbers of its own, so that the other faults of a seed stay the same
+	// when a kind is added at the end.
+	addedKinds = []Kind{LinkLate, StoreFull, StoreTrim, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip, MaintenanceWave}
 )
 
 // Kinds returns all kinds of faults.
-func Kinds() []Kind { return slices.Concat(plannedKinds, unplannedKinds) }
+func Kinds() []Kind { return slices.Concat(plannedKinds, unplannedKinds, addedKinds) }
 
 // planned reports whether faults of the kind are planned work.
-func (k Kind) planned() bool { return slices.Contains(plannedKinds, k) }
+func (k Kind) planned() bool { return k == MaintenanceWave || slices.Contains(plannedKinds, k) }
 
 // Fault is a fault that the schedule injects.
 type Fault struct {
@@ -100,6 +122,10 @@
 	// plannedShare is the share of series that consist of planned work only, and rollShare the share of the
 	// others that contain a rolling restart.
 	plannedShare, rollShare = 0.4, 0.5
+	// addedShare is the share of series with unplanned faults that contain a fault of an added kind, for each kind.
+	addedShare = 0.3
+	// addedStream distinguishes the random numbers of the first added kind from others.
+	addedStream = 1000
 )
 
 // planner draws a schedule.
@@ -113,17 +139,28 @@
 // traffic.
 func Plan(seed uint64, traffic time.Duration, layout Layout, kinds []Kind) []Fault {
 	p := &planner{random: rand.New(rand.NewPCG(seed, 0)), layout: layout}
-	var planned, unplanned []Kind
+	var planned, unplanned, added []Kind
 	for _, k := range kinds {
-		if k.planned() {
+		switch {
+		case slices.Contains(addedKinds, k):
+			added = append(added, k)
+		case k.planned():
 			planned = append(planned, k)
-		} else {
+		default:
 			unplanned = append(unplanned, k)
 		}
 	}
+	if len(unplanned) == 0 && (len(planned) == 0 || slices.ContainsFunc(added, func(k Kind) bool { return !k.planned() })) {
+		unplanned, added = added, nil
+	}
+	others := map[Kind]*planner{}
+	for _, k := range added {
+		others[k] = &planner{random: rand.New(rand.NewPCG(seed, addedStream+uint64(slices.Index(addedKinds, k)))), layout: layout}
+	}
 	for at := p.between(minRest/2, minRest); at+minRound <= traffic; {
 		end := min(at+p.between(minRound, maxRound), traffic)
-		if len(unplanned) == 0 || (len(planned) > 0 && p.random.Float64() < plannedShare) {
+		calm := len(unplanned) == 0 || (len(planned) > 0 && p.random.Float64() < plannedShare)
+		if calm {
 			p.addPlanned(at, end, planned)
 		} else {
 			for range minFaults + p.random.IntN(maxFaults-minFaults+1) {
@@ -133,8 +170,16 @@
 				p.addPlanned(at, end, planned)
 			}
 		}
+		for _, k := range added {
+			if o := others[k]; (k.planned() || !calm) && o.random.Float64() < addedShare {
+				o.add(k, o.between(at, end))
+			}
+		}
 		at = end + p.between(minRest, maxRest)
 	}
+	for _, k := range added {
+		p.faults = append(p.faults, others[k].faults...)
+	}
 	slices.SortStableFunc(p.faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return p.faults
 }
@@ -166,13 +211,15 @@
 		f.Target, f.For = p.pick(p.layout.Entries), p.between(0, maxDowntime)
 	case Reload:
 		f.Target, f.For = p.pick(p.layout.Entries), 0
-	case Pause:
+	case StoreTrim, MaintenanceWave:
+		f.For = 0
+	case Pause, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip:
 		f.Target = p.pick(p.layout.Entries)
 	case Queue:
 		f.Target = extraQueue
 	case HostCrash:
 		f.Target = p.pick(p.layout.Machines)
-	case LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip:
+	case LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip, LinkLate:
 		f.Target = p.pick(p.layout.Links)
 	}
 	p.faults = append(p.faults, f)
--- a/trial/soak/site.go
+++ b/trial/soak/site.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 
+	"carawaymux.dev/entry/roster"
+	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/trial/fake"
 )
 
@@ -29,6 +34,8 @@
 	cutAnswers plant = "cut-answers"
 	// rerunDone makes hosts start tasks again that are done.
 	rerunDone plant = "rerun-done"
+	// noFences makes the store accept appends of earlier owners.
+	noFences plant = "no-fences"
 )
 
 // site is a deployment under faults.
@@ -45,20 +52,23 @@
 	trafficAt time.Duration
 	// addresses holds the address for callers of each entry.
 	addresses map[string]string
+	// peers holds the address of the proxy in front of each entry, by the address at which other entries would reach it. It
+	// is set before entries start.
+	peers map[string]string
 }
 
 // newSite starts a deployment whose entries write their logs to a folder.
 func newSite(ctx context.Context, o *Options, c Case, dir string) (*site, error) {
 	s := &site{
 		recorder: startRecorder(time.Now()), proxies: newProxies(), keepers: map[string]*keeper{}, planted: o.planted,
-		addresses: map[string]string{},
+		addresses: map[string]string{}, peers: map[string]string{},
 	}
 	s.layout = fake.Layout{
 		Pools:       map[string]int{guardedPool: c.Hosts, unguardedPool: c.Hosts, standbyPool: standbyHosts(c.Hosts)},
 		StandbyPool: standbyPool, UnguardedPools: map[string]bool{unguardedPool: true},
-		AppendTime: c.AppendTime, Proxy: s.proxies.add, Observe: s.recorder.observe, RerunDone: o.planted == rerunDone,
+		AppendTime: c.AppendTime, Proxy: s.proxies.add, Rewrite: s.rewrite, Observe: s.recorder.observe, RerunDone: o.planted == rerunDone, NoFences: o.planted == noFences,
 		Timing: fake.Timing{
-			MaxLease: maxLease, MoveDuration: moveDuration, MaintenanceDuration: moveDuration, HeartbeatInterval: heartbeatInterval,
+			MaxLease: maxLease, MoveDuration: moveDuration, MaintenanceDuration: maintenanceDuration, HeartbeatInterval: heartbeatInterval,
 		},
 	}
 	if err := s.start(ctx, o.Bin, c.Entries, dir); err != nil {
@@ -68,10 +78,15 @@
 	return s, nil
 }
 
+// heartbeatTopic is the topic of the store that holds the heartbeats of entries, and statusTopic the one for operators.
+const heartbeatTopic, statusTopic = "keyed.entries", "keyed.status"
+
 const (
-	maxLease          = 10 * time.Second
-	moveDuration      = 400 * time.Millisecond
-	heartbeatInterval = 300 * time.Millisecond
+	maxLease     = 10 * time.Second
+	moveDuration = 400 * time.Millisecond
+	// maintenanceDuration is long enough for machines of a wave to be down at the same time.
+	maintenanceDuration = 1500 * time.Millisecond
+	heartbeatInterval   = 300 * time.Millisecond
 )
 
 func (s *site) start(ctx context.Context, folder string, entries int, dir string) error {
@@ -89,6 +104,11 @@
 	if s.deployment, err = fake.NewDeployment(s.platform, bin, dir, entries); err != nil {
 		return err
 	}
+	for _, e := range s.deployment.Entries {
+		if s.peers[e.PeerAddress], err = s.proxies.add("", e.Name, e.PeerAddress); err != nil {
+			return err
+		}
+	}
 	if err := s.deployment.StartAll(ctx); err != nil {
 		return err
 	}
@@ -110,6 +130,37 @@
 	return nil
 }
 
+// recordReport records the state of a wave that an entry has written for operators.
+func (s *site) recordReport(key string, value []byte) {
+	var body struct{ State string }
+	number, err := strconv.ParseInt(strings.TrimPrefix(key, "wave/"), 10, 64)
+	if err != nil || json.Unmarshal(value, &body) != nil {
+		return
+	}
+	r := WaveReport{number, body.State, s.recorder.now()}
+	s.recorder.add(func(h *History) { h.Reports = append(h.Reports, r) })
+}
+
+// rewrite replaces the address of an entry in its heartbeats by that of the proxy in front of it: entries connect to the
+// addresses that the store has.
+func (s *site) rewrite(topic, key string, value []byte) []byte {
+	if topic == statusTopic {
+		s.recordReport(key, value)
+	}
+	if topic != heartbeatTopic {
+		return value
+	}
+	h, err := codec.DecodeFrame[roster.Heartbeat](value)
+	if err != nil || s.peers[h.Address] == "" {
+		return value
+	}
+	h.Address = s.peers[h.Address]
+	if changed, err := codec.EncodeFrame(h); err == nil {
+		return changed
+	}
+	return value
+}
+
 // publish publishes a configuration, with or without the extra queue.
 func (s *site) publish(version int, extra bool) error {
 	c := fake.Config(version, s.layout)
