--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -41,6 +41,8 @@
 	skipsDrainTime    = edit{nodeFile, "time.Sleep(time.Until(start.Add(plan.Take)))", ""}
 	skipsOpenRequests = edit{nodeFile, "err := n.requests.WaitAnswered(ctx)", "var err error"}
 	skipsConnections  = edit{nodeFile, "err = n.callers.WaitClosed(ctx)", "err = nil"}
+	// skipsHandOver takes out the wait until the pools have other owners.
+	skipsHandOver = edit{nodeFile, "\tleaving.Wait()\n", ""}
 	// skipsFence lets a new owner read what earlier owners have stored while they can still write.
 	skipsFence = edit{claimFile, "		return c, c.fenceEarlier(ctx)\n", "		c.ConfirmedAt = time.Now()\n		return c, nil\n"}
 	// ignoresHostFence, ignoresOrderFence and ignoresView take out the other ways in which an owner notices a newer one.
@@ -130,7 +132,7 @@
 
 func TestAStopThatWaitsForNothingIsSeen(t *testing.T) {
 	t.Parallel()
-	rows, err := runWith(t, "planned work", skipsDrainTime, skipsOpenRequests, skipsConnections)
+	rows, err := runWith(t, "planned work", skipsDrainTime, skipsOpenRequests, skipsConnections, skipsHandOver)
 	requireBroken(t, rows, err, "answers-in-a-stop")
 }
 
