Refill a host that is being emptied only if a long-running task holds it up

Cause: a host that had been asked to be emptied for two seconds took long-running work that waited if anything still ran there, also short work that was about to end. Work that waits then held the host, and while the pool was full it was never emptied.

Evidence: TestAHostIsEmptiedAlthoughALongRunningTaskWaits fails before: not empty within 12 s, with short work that ends at 3 s.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -75,6 +75,8 @@
 	// CordonedUntil is until when the host takes no new work because it is being emptied.
 	// CordonedAt is when that began.
 	CordonedUntil, CordonedAt time.Time
+	// blocked is set if a long-running task there could not be stopped when the host was last asked to be emptied.
+	blocked bool
 	// UnhealthyUntil is until when the host takes no new work because its runs failed or were
 	// slow.
 	UnhealthyUntil time.Time
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -18,9 +18,10 @@
 	emptyingPatience = 2 * time.Second
 )
 
-// staysUp reports whether the host is being emptied and will not be empty soon. A host that was called empty does not.
+// staysUp reports whether the host is being emptied and will not be empty soon: a long-running task there may not be
+// stopped, or finds no room elsewhere. A host that was called empty does not stay up.
 func (h *Host) staysUp(now time.Time) bool {
-	return len(h.Assigned) > 0 && now.Sub(h.CordonedAt) > emptyingPatience
+	return len(h.Assigned) > 0 && h.blocked && now.Sub(h.CordonedAt) > emptyingPatience
 }
 
 // Vacate cordons a host for a time, and stops the tasks there that can be moved. It stops no more
@@ -33,6 +34,7 @@
 	}
 	h.CordonedUntil = now.Add(cordon)
 	waited := now.Sub(h.CordonedAt)
+	h.blocked = false
 	var moves *relocation
 	for r, task := range h.Assigned {
 		j, stage, _ := s.task(r)
@@ -43,6 +45,7 @@
 		switch {
 		case step.LongRunning:
 			if !s.mayStop(step, stage, now) {
+				h.blocked = true
 				break
 			}
 			if moves == nil {
@@ -50,6 +53,8 @@
 			}
 			if moves.place(r, step, stage, task) {
 				s.orderStop(r, task, "host is being emptied")
+			} else {
+				h.blocked = true
 			}
 		case step.Checkpoints && waited > checkpointStopDelay, waited > forcedStopDelay:
 			s.orderStop(r, task, "host is being emptied")
--- a/fleet/shard/vacate_test.go
+++ b/fleet/shard/vacate_test.go
@@ -142,3 +142,36 @@
 	o.submit("waits", longRunningStep(1, 0, 0))
 	require.Empty(t, o.start())
 }
+
+// Guards against a wave that is late because waiting long-running work starts on a host that would soon have been empty.
+func TestAHostIsEmptiedAlthoughALongRunningTaskWaits(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	full := longRunningStep(1, 0, 0)
+	full.Need.MilliCores = 4000
+	o.submit("full", full)
+	f := o.start()
+	require.Len(t, f, 1)
+	other := map[string]string{"a": "b", "b": "a"}[f[0].Host]
+	o.report(f[0].Host, runningRow(f[0], 100))
+	o.submit("ends", batch.Step{Count: 1, Need: batch.Size{MilliCores: 1000}, Estimate: 3 * time.Second})
+	e := o.start()
+	require.Len(t, e, 1)
+	require.Equal(t, other, e[0].Host)
+	o.submit("lasts", longRunningStep(1, 0, 0))
+	rows := []any{runningRow(e[0], 50)}
+	began := o.now
+	empty := false
+	for range 120 {
+		o.report(f[0].Host, runningRow(f[0], 100))
+		if o.now.Sub(began) > 3*time.Second && len(rows) > 0 {
+			rows = append([]any{doneRow(1, e[0])}, rows[1:]...)
+		}
+		o.report(other, rows...)
+		empty = empty || o.Vacate(o.Hosts[other], o.now, 3*time.Second)
+		for _, s := range o.start() {
+			rows = append(rows, runningRow(s, 100))
+		}
+		o.advance(100 * time.Millisecond)
+	}
+	require.True(t, empty, "not empty within 12 s")
+}
