Keep long-running suspects of a crash apart when no loss of theirs is known

Cause: a long-running task waits for a host without other suspects for two seconds after it was lost. The time of the loss is zero for a new task, and for all tasks that a new owner restores, so these two seconds were over at once: four suspects started together on one host.

Evidence: TestLongRunningSuspectsRunApartAfterAChangeOfTheOwner and TestANewLongRunningTaskStaysOffAHostThatIsKeptForASuspect fail before.

Why the fix works: without a known loss the two seconds count from when the pool was claimed or the job accepted.

--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -131,11 +131,27 @@
 	return work
 }
 
+// hasWaited reports whether a long-running task has waited for longer than isolationPatience since its run was lost. If it
+// was not, or by an earlier owner, it waits since its job was accepted or the pool claimed.
+func (s *State) hasWaited(stage *Stage, task *Task, now time.Time) bool {
+	since := task.LostAt
+	if since.IsZero() {
+		if stage.waiting == nil {
+			return false
+		}
+		since = s.ClaimedAt
+		if accepted := stage.waiting.job.AcceptedAt; accepted.After(since) {
+			since = accepted
+		}
+	}
+	return now.Sub(since) > isolationPatience
+}
+
 // admits reports whether a task may be placed on a host beside the tasks there, as far as crashes of hosts
 // are concerned.
-func (s *State) admits(c *candidate, step *batch.Step, task *Task, now time.Time) bool {
+func (s *State) admits(c *candidate, step *batch.Step, stage *Stage, task *Task, now time.Time) bool {
 	switch {
-	case step.LongRunning && now.Sub(task.LostAt) > isolationPatience:
+	case step.LongRunning && s.hasWaited(stage, task, now):
 		return true
 	case c.isolated || (c.apart && !step.LongRunning):
 		return false
--- a/fleet/shard/isolate_test.go
+++ b/fleet/shard/isolate_test.go
@@ -139,3 +139,20 @@
 	}
 	require.Equal(t, 12, len(running["b"])+len(running["c"]), "within 3 s")
 }
+
+// Guards against a suspect of a crash that cannot be told from a new task beside it (BUDGET).
+func TestANewLongRunningTaskStaysOffAHostThatIsKeptForASuspect(t *testing.T) {
+	o := newOwner(t, 2, "a")
+	restoreIsolated(o, "suspect", longRunningStep(1, 0, 0))
+	suspect := o.start()
+	require.Len(t, suspect, 1)
+	o.submit("new", longRunningStep(1, 0, 0))
+	require.Empty(t, o.start(), "the suspect has run for no time at all")
+}
+
+// Guards against suspects that cannot be told apart after a change of the owner (BUDGET).
+func TestLongRunningSuspectsRunApartAfterAChangeOfTheOwner(t *testing.T) {
+	o := newOwner(t, 2, "a")
+	restoreIsolated(o, "suspects", longRunningStep(4, 0, 0))
+	require.Len(t, o.start(), 1)
+}
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -335,7 +335,7 @@
 		if step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost {
 			continue
 		}
-		if len(s.suspects) > 0 && !s.admits(c, step, task, now) {
+		if len(s.suspects) > 0 && !s.admits(c, step, stage, task, now) {
 			continue
 		}
 		if cost := s.placementCost(step, stage, task, c); best == nil || cost < bestCost {
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -485,8 +485,8 @@
 }
 
 // admits reports whether crashes of hosts allow a task to run beside the tasks of a host.
-func (hosts referenceHosts) admits(c *referenceHost, step *batch.Step, task *Task, now time.Time) bool {
-	if step.LongRunning && now.Sub(task.LostAt) > 2*time.Second {
+func (hosts referenceHosts) admits(s *State, c *referenceHost, step *batch.Step, stage *Stage, task *Task, now time.Time) bool {
+	if step.LongRunning && s.hasWaited(stage, task, now) {
 		return true
 	}
 	if c.isolated || (c.apart && !step.LongRunning) {
@@ -551,7 +551,7 @@
 		if step.PerHost > 0 && tasksOnHost(stage, c.host.ID) >= step.PerHost {
 			continue
 		}
-		if !hosts.admits(c, step, task, now) {
+		if !hosts.admits(s, c, step, stage, task, now) {
 			continue
 		}
 		cost := c.cost(step, stage, task)
