--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -22,11 +22,6 @@
 	"carawaymux.dev/fleet/task"
 )
 
-// claimTimeout limits the time to claim a pool. After that the pool may be claimed again, by this entry or
-// another one. The time to read its state has no limit as long as the store answers: a reader that starts
-// over never ends if the state is large.
-const claimTimeout = 4 * time.Second
-
 // handoverWait is the time for which a stronger entry must have been free before a pool is handed
 // over to it. It is long enough for the next entry to go down in a rolling restart.
 const handoverWait = 6 * time.Second
@@ -46,12 +41,6 @@
 	Close()
 }
 
-// leaver is a holder that prepares for its successor when this entry leaves.
-type leaver interface {
-	// Leave says that another entry is about to own what the holder does.
-	Leave(ctx context.Context) error
-}
-
 // StartFunc starts a holder with the current configuration and hosts.
 type StartFunc func(config *port.Config, hosts []port.Host) Holder
 
@@ -193,23 +182,6 @@
 	return t.task.Send(ctx, claimsUpdate{changes})
 }
 
-// Leave stops claiming and waits until other entries have taken the pools over, which they do once they see that
-// this entry leaves. When ctx ends, or no other entry is alive, the remaining pools are released. Singletons are
-// released at once.
-func (t *Duties) Leave(ctx context.Context) error {
-	_, err := task.Call(ctx, t.task, func(reply chan<- struct{}) message { return leaveRequest{reply} })
-	if err == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-	defer cancel()
-	_, err = task.Call(ctx, t.task, func(reply chan<- struct{}) message { return releaseRequest{reply} })
-	return err
-}
-
-// releaseTimeout limits the time to release the pools that no entry has taken over.
-const releaseTimeout = time.Second
-
 // Close stops the task and all holders that run here.
 func (t *Duties) Close() { t.task.Close() }
 
@@ -226,63 +198,6 @@
 	}
 }
 
-func (c *core) releaseAll() {
-	for _, cancel := range c.claims {
-		cancel()
-	}
-	for _, h := range c.holdings {
-		h.Close()
-	}
-	c.holdings = map[string]holding{}
-	c.publish()
-}
-
-func (m leaveRequest) handle(ctx context.Context, c *core) {
-	c.leaving, c.left = true, m.reply
-	for pool, h := range c.holdings {
-		if l, ok := h.Holder.(leaver); ok {
-			if err := l.Leave(ctx); err != nil {
-				c.duties.logger.Debug("leave not delivered to the holder", "pool", pool, "err", err)
-			}
-		}
-	}
-	for _, cancel := range c.claims {
-		cancel()
-	}
-	for name := range c.duties.settings.Singletons {
-		if _, ok := c.holdings[name]; ok {
-			c.release(name)
-		}
-	}
-	c.continueLeave()
-}
-
-// continueLeave releases the pools if there is no entry that could take them over.
-func (c *core) continueLeave() {
-	alive := len(c.view.Alive)
-	if _, ok := c.view.Alive[c.duties.settings.Entry]; ok {
-		alive--
-	}
-	if alive == 0 {
-		c.releaseAll()
-	}
-	c.reportLeft()
-}
-
-func (m releaseRequest) handle(_ context.Context, c *core) {
-	c.left = nil
-	c.releaseAll()
-	m.reply <- struct{}{}
-}
-
-// reportLeft tells the caller of Leave when no pools are left.
-func (c *core) reportLeft() {
-	if c.left != nil && len(c.holdings) == 0 {
-		c.left <- struct{}{}
-		c.left = nil
-	}
-}
-
 // publish makes the owned pools visible to the rest of this entry and to the other entries.
 func (c *core) publish() {
 	local := make(map[string]Holder, len(c.holdings))
@@ -473,95 +388,6 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
-// claimPool claims a pool and reads its state in the background. If the pool still has an owner, which is leaving,
-// the state is read first, and that owner serves the pool meanwhile. The task receives the outcome as a claimResult.
-func (c *core) claimPool(ctx context.Context, pool string) {
-	ctx, cancel := context.WithCancel(ctx)
-	c.claims[pool] = cancel
-	s := c.duties.settings
-	prepare := s.Singletons[pool]
-	_, owned := c.view.Owners[pool]
-	switch {
-	case prepare != nil:
-		c.acquireInBackground(ctx, pool, prepare)
-	case !owned || s.Preload == nil:
-		c.acquireInBackground(ctx, pool, s.Pools)
-	default:
-		c.background.Go(func() {
-			prepare, err := s.Preload(ctx, pool)
-			if err != nil {
-				c.report(ctx, claimResult{pool: pool, err: err})
-				return
-			}
-			c.report(ctx, poolPreloaded{pool, prepare})
-		})
-	}
-}
-
-func (m poolPreloaded) handle(ctx context.Context, c *core) {
-	if o, ok := c.view.Owners[m.pool]; c.leaving || (ok && !o.Leaving) {
-		c.claims[m.pool]()
-		delete(c.claims, m.pool)
-		c.publish()
-		return
-	}
-	c.claims[m.pool]()
-	ctx, c.claims[m.pool] = context.WithCancel(ctx)
-	c.acquireInBackground(ctx, m.pool, m.prepare)
-}
-
-// acquireInBackground claims a pool and prepares its holder.
-func (c *core) acquireInBackground(ctx context.Context, pool string, prepare PrepareFunc) {
-	s, log := c.duties.settings, c.duties.log
-	c.background.Go(func() {
-		m := claimResult{pool: pool}
-		if m.claim, m.err = acquire(ctx, log, pool, s); m.err == nil {
-			m.start, m.err = prepare(ctx, m.claim)
-		}
-		c.report(ctx, m)
-	})
-}
-
-// report sends the outcome of work in the background to the task.
-func (c *core) report(ctx context.Context, m message) {
-	if err := c.duties.task.Send(context.WithoutCancel(ctx), m); err != nil {
-		c.duties.logger.Debug("result of a claim dropped: the duties task has stopped", "err", err)
-	}
-}
-
-// acquire claims a pool within claimTimeout.
-func acquire(ctx context.Context, log port.Log, pool string, s Settings) (*claim.Claim, error) {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	return claim.Acquire(ctx, log, pool, s.Entry, s.Incarnation, s.Partitions)
-}
-
-func (m claimResult) handle(ctx context.Context, c *core) {
-	c.claims[m.pool]()
-	delete(c.claims, m.pool)
-	if m.err != nil {
-		c.duties.logger.Warn("taking over a pool failed; it is claimed again while it has no owner", "pool", m.pool, "err", m.err)
-		c.publish()
-		return
-	}
-	if c.leaving {
-		c.publish()
-		return
-	}
-	h := m.start(c.config, slices.Collect(maps.Values(c.hosts)))
-	c.holdings[m.pool] = holding{Holder: h, epoch: m.claim.Epoch}
-	c.publish()
-	c.background.Go(func() {
-		select {
-		case <-h.Lost():
-			if err := c.duties.task.Send(ctx, holderLost{m.pool, h}); err != nil {
-				c.duties.logger.Debug("loss of a pool not handled: the duties task has stopped", "err", err)
-			}
-		case <-ctx.Done():
-		}
-	})
-}
-
 func (m holderLost) handle(_ context.Context, c *core) {
 	if h, ok := c.holdings[m.pool]; ok && h.Holder == m.holder {
 		c.release(m.pool)
--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -82,9 +82,6 @@
 	touched bool
 }
 
-// lateness says whether a step can still meet its objective.
-type lateness uint8
-
 const (
 	inTime lateness = iota
 	// late steps can no longer meet their objective, and are still of use.
@@ -93,8 +90,6 @@
 	expired
 )
 
-const usefulFactor = 3
-
 // queueRules is what the waiting steps of a queue share.
 type queueRules struct {
 	priority int
@@ -144,14 +139,6 @@
 	return b
 }
 
-// load is what a stage adds to the sums of the backlog.
-type load struct {
-	waiting, future                int64
-	late, expired                  int64
-	longRunning                    batch.Size
-	tasks, longRunningTasks, hosts int
-}
-
 // update updates the entry of a step.
 func (b *backlog) update(j *Job, occurrence, step int) {
 	occ := &j.Occurrences[occurrence]
@@ -168,56 +155,6 @@
 	b.sumUp(j, &j.Spec.Steps[step], stage, live, ready)
 }
 
-// sumUp updates what a stage adds to the sums.
-func (b *backlog) sumUp(j *Job, step *batch.Step, stage *Stage, live, ready bool) {
-	if !live && stage.load == (load{}) {
-		return
-	}
-	var now load
-	q := b.queue(j)
-	if live && step.LongRunning {
-		left := stage.Left - stage.givenUp
-		now.longRunning = timesSize(step.Reservation(), left)
-		if step.PerHost > 0 && left > 0 {
-			now.hosts = (step.Count-stage.givenUp-1)/step.PerHost + 1
-		}
-	}
-	if live && !step.LongRunning {
-		if ready {
-			now.waiting = estimatedWork(step, stage.idle)
-			if w := stage.waiting; w != nil && w.lateness >= late {
-				now.late = now.waiting
-				if w.lateness == expired {
-					now.expired = now.waiting
-				}
-			}
-		} else {
-			now.future = estimatedWork(step, stage.Left)
-		}
-	}
-	if ready && stage.idle > 0 {
-		now.tasks = stage.idle
-		if step.LongRunning {
-			now.longRunningTasks = stage.idle
-		}
-	}
-	was := stage.load
-	stage.load = now
-	q.waiting[count(j.Inherited)] += now.waiting - was.waiting
-	q.future += now.future - was.future
-	q.late += now.late - was.late
-	q.expired += now.expired - was.expired
-	b.longRunning = b.longRunning.Add(now.longRunning).Sub(was.longRunning)
-	b.tasks += now.tasks - was.tasks
-	b.longRunningTasks += now.longRunningTasks - was.longRunningTasks
-	if now.hosts != was.hosts {
-		b.spreads[now.hosts]++
-		if b.spreads[was.hosts]--; b.spreads[was.hosts] <= 0 {
-			delete(b.spreads, was.hosts)
-		}
-	}
-}
-
 // queue returns the rules of the queue of a job.
 func (b *backlog) queue(j *Job) *queueRules {
 	if j.rules == nil {
@@ -362,11 +299,6 @@
 	}
 }
 
-// work returns the expected work in thousandths of a core-second for an estimated one.
-func (q *queueRules) work(estimated int64) int64 {
-	return clamp.Int[int64](float64(estimated) * q.scale / workUnits)
-}
-
 // advance moves the steps to the places where they belong at a time, counted from when the pool was claimed.
 func (b *backlog) advance(now time.Duration) {
 	for len(b.alarms) > 0 && b.alarms[0].alarm <= now {
