--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -82,14 +82,6 @@
 	touched bool
 }
 
-const (
-	inTime lateness = iota
-	// late steps can no longer meet their objective, and are still of use.
-	late
-	// expired steps are of jobs that have taken usefulFactor times their objective, which callers hardly wait for.
-	expired
-)
-
 // queueRules is what the waiting steps of a queue share.
 type queueRules struct {
 	priority int
--- a/fleet/shard/sums.go
+++ b/fleet/shard/sums.go
@@ -8,6 +8,15 @@
 // lateness says whether a step can still meet its objective.
 type lateness uint8
 
+const (
+	inTime lateness = iota
+	// late steps can no longer meet their objective, and are still of use.
+	late
+	// expired steps are of jobs that have taken usefulFactor times their objective, which callers hardly wait for.
+	expired
+)
+
+// usefulFactor is how many times its objective the work of a job is of use.
 const usefulFactor = 3
 
 // load is what a stage adds to the sums of the backlog.
