Count the memory of long-running tasks as hosts, not as cores

Cause: the load of a pool stated the memory of its long-running tasks as the cores of the hosts that have it, and sizing added the cores that other work needs. That work may use the cores of those hosts, so machines were wanted twice.

Why the fix works: memory and accelerators now give a number of hosts that the pool needs in any case, like the hosts over which tasks are spread; the larger of this and the need of cores counts.

--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -49,31 +50,32 @@
 	return batch.Size{MilliCores: times(size.MilliCores), MemoryMB: times(size.MemoryMB), Accelerators: times(size.Accelerators)}
 }
 
-// longRunningCores returns the capacity, in thousandths of a core, of the hosts that the long-running tasks need in the
-// dimension in which they need the most.
-func (s *State) longRunningCores(now time.Time) int64 {
-	need, whole := s.backlog.longRunning, batch.Size{}
+// longRunningHosts returns the number of hosts that the long-running tasks need for their memory or accelerators. It is 0
+// if nothing is known about hosts. Other work may use the cores there, so they are not added to those that it needs.
+func (s *State) longRunningHosts(now time.Time) int {
+	need, whole, hosts := s.backlog.longRunning, batch.Size{}, 0
 	for _, h := range s.sortedHosts() {
 		if s.Schedulable(h, now) {
 			whole = whole.Add(h.Capacity)
+			hosts++
 		}
 	}
-	return max(need.MilliCores, share(need.MemoryMB, whole.MemoryMB, whole.MilliCores), share(need.Accelerators, whole.Accelerators, whole.MilliCores))
+	return max(share(need.MemoryMB, whole.MemoryMB, hosts), share(need.Accelerators, whole.Accelerators, hosts))
 }
 
-// share returns the part of the cores that corresponds to a need of another dimension, of which the hosts have a whole.
-func share(need, whole, cores int64) int64 {
+// share returns the number of hosts that a need takes, of which some hosts have a whole.
+func share(need, whole int64, hosts int) int {
 	if whole <= 0 {
 		return 0
 	}
-	return clamp.Int[int64](float64(need) / float64(whole) * float64(cores))
+	return int(clamp.Int[int64](math.Ceil(float64(need) / float64(whole) * float64(hosts))))
 }
 
 // Load sums up the work of the pool for sizing.
 func (s *State) Load(now time.Time) sizing.Load {
 	s.updateQueues()
 	s.backlog.advance(now.Sub(s.backlog.origin))
-	l := sizing.Load{LongRunning: s.longRunningCores(now)}
+	l := sizing.Load{LongRunning: s.backlog.longRunning.MilliCores, SpreadHosts: s.longRunningHosts(now)}
 	s.addHostLoad(&l, now)
 	for _, q := range s.backlog.queues {
 		l.Backlog += q.work(q.waiting[0] + q.waiting[1])
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -20,8 +20,8 @@
 	// host.
 	Hosts        int   `cbor:"1,keyasint,omitempty"`
 	HostCapacity int64 `cbor:"2,keyasint,omitempty"`
-	// LongRunning is the capacity that long-running tasks take, and SpreadHosts the number of
-	// hosts over which they have to be spread.
+	// LongRunning is the capacity that long-running tasks take, and SpreadHosts the number of hosts that they need in
+	// any case: those over which they have to be spread, or that have the memory and accelerators for them.
 	LongRunning int64 `cbor:"3,keyasint,omitempty"`
 	SpreadHosts int   `cbor:"4,keyasint,omitempty"`
 	// Running is the capacity that other tasks take now.
