--- a/entry/duties/leave.go
+++ b/entry/duties/leave.go
@@ -9,7 +9,7 @@
 
 // leaver is a holder that prepares for its successor when this entry leaves.
 type leaver interface {
-	// Leave says that another entry is about to own what the holder does.
+	// Leave tells the holder that another entry is about to take over its work.
 	Leave(ctx context.Context) error
 }
 
--- a/fleet/shard/crash.go
+++ b/fleet/shard/crash.go
@@ -217,7 +217,7 @@
 	} else if !why.excused {
 		task.excuses = append(task.excuses, why.excuses)
 	}
-	// The tasks that other hosts crashed under may have turned out to be the cause since.
+	// A crash that excused this task may be explained by another task since.
 	task.excuses = slices.DeleteFunc(task.excuses, func(crashes []*pastCrash) bool {
 		withdrawn := !slices.ContainsFunc(crashes, func(c *pastCrash) bool { return !s.isExplained(c) })
 		task.Crashes.Unexplained += count(withdrawn)
