Serve other requests while one waits for a connected target

Cause: the pool took the next request of the queues first and then a target for it, and granted nothing more if there was none.

Change: unless a connected target has a free slot, requests that wait for one are passed over.

--- a/entry/route/grant.go
+++ b/entry/route/grant.go
@@ -12,16 +12,13 @@
 	if !s.pool.heartbeat.fresh(s.now) {
 		return
 	}
-	for {
-		q, t := s.nextTicket()
+	for s.queuedRequests() > 0 && s.hasFreeTarget(func(*target) bool { return true }) {
+		q, t := s.nextTicket(s.hasFreeTarget(s.connected))
 		if t == nil {
 			break
 		}
 		suspect := t.request.Suspect
 		chosen := s.pickTarget(suspect)
-		if chosen == nil {
-			break
-		}
 		chosen.inUse++
 		if suspect {
 			chosen.suspects++
@@ -49,19 +46,22 @@
 
 // nextTicket returns the request to be granted next and its queue, or nil. Kinds are served in rotation.
 // Within a kind the most urgent class goes first, except that every lowUrgencyInterval-th
-// grant starts with the least urgent class.
-func (s *poolState) nextTicket() (*kindQueue, *Ticket) {
+// grant starts with the least urgent class. Unless the slot is of a connected target, requests that wait
+// for one are passed over.
+func (s *poolState) nextTicket(connected bool) (*kindQueue, *Ticket) {
 	for range s.rotation {
 		s.rotationIndex = (s.rotationIndex + 1) % len(s.rotation)
 		q := s.rotation[s.rotationIndex]
-		if t := q.firstReady(); t != nil {
+		t := q.first(func(t *Ticket) bool { return t.ready && (connected || s.mayUseDisconnected(&t.request)) })
+		if t != nil {
 			return q, t
 		}
 	}
 	return nil, nil
 }
 
-func (q *kindQueue) firstReady() *Ticket {
+// first returns the first eligible request in the order in which they are granted, or nil.
+func (q *kindQueue) first(eligible func(*Ticket) bool) *Ticket {
 	if q.length == 0 {
 		return nil
 	}
@@ -71,7 +71,7 @@
 			class = len(jobs.Urgencies) - 1 - i
 		}
 		for item := q.waiting[class].First(); item != nil; item = item.Next() {
-			if item.Value.ready {
+			if eligible(item.Value) {
 				return item.Value
 			}
 		}
@@ -128,7 +128,7 @@
 
 func (m offer) handle(s *poolState) {
 	s.announcedDemand = max(0, s.announcedDemand-1)
-	q, t := s.nextTicket()
+	q, t := s.nextTicket(true)
 	if t == nil || !s.pool.heartbeat.fresh(s.now) {
 		go m.grant.owner.returnUnused(m.grant)
 		return
--- a/entry/route/lost_test.go
+++ b/entry/route/lost_test.go
@@ -85,3 +85,27 @@
 	}
 	require.Len(t, hosts, 2)
 }
+
+// disconnect makes a connection to a target of a pool with one free slot count as refused. It returns its host.
+func (r *fixture) disconnect(kind string) string {
+	r.t.Helper()
+	_, reply := r.submit(slotRequest(kind))
+	require.NotNil(r.t, reply.Grant)
+	reply.Grant.Release(route.Result{Attempted: true, Failed: true, Disconnected: true, Duration: time.Millisecond})
+	return reply.Grant.Host
+}
+
+// Guards against requests that are held up by one that waits for a connected target, while a target that
+// may be down has free slots.
+func TestARequestThatWaitsForAConnectedTargetHoldsUpNoOther(t *testing.T) {
+	r := newFixture(t, generousLimits, testPool("docs", 2, 1))
+	_, busy := r.submit(slotRequest("docs"))
+	lost := r.disconnect("docs")
+	waiting, reply := r.submit(suspectRequest("docs"))
+	require.True(t, reply.Queued)
+	_, reply = r.submit(slotRequest("docs"))
+	require.NotNil(t, reply.Grant, "the request waits behind one that may not use the slot")
+	require.Equal(t, lost, reply.Grant.Host)
+	busy.Grant.Release(route.Result{Attempted: true, Duration: time.Millisecond})
+	require.Equal(t, busy.Grant.Host, r.next(waiting).Grant.Host)
+}
--- a/entry/route/target.go
+++ b/entry/route/target.go
@@ -17,28 +17,39 @@
 
 // pickTarget returns a target with a free slot, or nil if there is none. It prefers connected targets,
 // and keeps suspect requests apart from each other and from other requests as far as there are targets,
-// since a target that crashes is lost for all of its requests. A suspect request rather waits than
-// spend an attempt on a target that is probably down.
+// since a target that crashes is lost for all of its requests.
 func (s *poolState) pickTarget(suspect bool) *target {
-	connected := func(t *target) bool { return t.health.connected(s.now) }
-	apart := func(t *target) bool { return t.suspects == 0 && connected(t) }
+	apart := func(t *target) bool { return t.suspects == 0 && s.connected(t) }
 	idle := func(t *target) bool { return t.inUse == 0 && apart(t) }
 	if suspect {
 		if chosen := s.drawTarget(idle); chosen != nil {
 			return chosen
 		}
 	}
-	for _, eligible := range []func(*target) bool{apart, connected} {
+	for _, eligible := range []func(*target) bool{apart, s.connected} {
 		if chosen := s.drawTarget(eligible); chosen != nil {
 			return chosen
 		}
 	}
-	if suspect && slices.ContainsFunc(s.tableTargets, func(t *target) bool { return s.accepts(t) && connected(t) }) {
-		return nil
-	}
 	return s.drawTarget(func(*target) bool { return true })
 }
 
+func (s *poolState) connected(t *target) bool { return t.health.connected(s.now) }
+
+// hasFreeTarget reports whether an eligible target has a free slot.
+func (s *poolState) hasFreeTarget(eligible func(*target) bool) bool {
+	return slices.ContainsFunc(s.tableTargets, func(t *target) bool {
+		return t.inUse < t.Slots && s.accepts(t) && eligible(t)
+	})
+}
+
+// mayUseDisconnected reports whether a request may get a slot of a target that is probably down.
+func (s *poolState) mayUseDisconnected(r *SlotRequest) bool {
+	return !r.needsConnected() || !slices.ContainsFunc(s.tableTargets, func(t *target) bool {
+		return s.accepts(t) && s.connected(t)
+	})
+}
+
 // drawTarget returns the less loaded of two targets drawn at random from the eligible ones with a free
 // slot. It returns nil if no eligible target has one.
 func (s *poolState) drawTarget(eligible func(*target) bool) *target {
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -25,6 +25,10 @@
 	Suspect bool
 }
 
+// needsConnected reports whether the request waits for a connected target rather than spend another attempt
+// on one that is probably down.
+func (r *SlotRequest) needsConnected() bool { return r.Suspect }
+
 // Reply answers a slot request. Exactly one of Queued, Refused and Grant is set.
 type Reply struct {
 	// Queued is set if the request waits for a slot; another reply follows.
