Lend no slots of targets that are probably down

Seen: a request that waited for a connected target, since one was lost under it, was granted a borrowed slot on a target of the spare pool whose connections had just been refused.

Cause: a pool lent any free slot, and the borrower doesn't know the state of the lender's targets.

--- a/entry/route/grant.go
+++ b/entry/route/grant.go
@@ -96,8 +96,8 @@
 	s.demands[m.borrower] = m.count
 }
 
-// lend offers the slots that are free above the guard to the pools with a demand, one slot
-// to each in turn. The caller has served the pool's own requests before.
+// lend offers the slots of connected targets that are free above the guard to the pools with a demand, one
+// slot to each in turn. The caller has served the pool's own requests before.
 func (s *poolState) lend() {
 	if !s.table.Spare || len(s.demands) == 0 {
 		return
@@ -106,7 +106,7 @@
 	for lendable > 0 && len(s.demands) > 0 {
 		for borrower, n := range s.demands {
 			chosen := s.pickTarget(false)
-			if lendable <= 0 || chosen == nil {
+			if lendable <= 0 || chosen == nil || !s.connected(chosen) {
 				return
 			}
 			g := &Grant{Host: chosen.Host, Address: chosen.Address, owner: s.pool, requester: borrower}
--- a/entry/route/lost_test.go
+++ b/entry/route/lost_test.go
@@ -109,3 +109,18 @@
 	busy.Grant.Release(route.Result{Attempted: true, Duration: time.Millisecond})
 	require.Equal(t, busy.Grant.Host, r.next(waiting).Grant.Host)
 }
+
+// Guards against a borrowed slot of the target that has just refused the request.
+func TestASlotOfADisconnectedTargetIsNotLent(t *testing.T) {
+	spare := testPool("spare", 1, 1)
+	spare.Spare = true
+	r := newFixture(t, generousLimits, testPool("docs", 1, 1), spare)
+	_, busy := r.submit(slotRequest("docs"))
+	require.NotNil(t, busy.Grant)
+	r.disconnect("spare")
+	waiting, reply := r.submit(suspectRequest("docs"))
+	require.True(t, reply.Queued)
+	r.requireNoReply(waiting)
+	busy.Grant.Release(route.Result{Attempted: true, Duration: time.Millisecond})
+	require.Equal(t, busy.Grant.Host, r.next(waiting).Grant.Host)
+}
