Try another target after a refused connection, also when it has to be waited for

One of six requests was answered not-run, refused by a target that was down, while other targets of the pool only had their slots in use.

Cause: a request whose connection a target had refused got the same target again at once if that had the only free slot. Three attempts ended within a tenth of a second there. Only requests under which a target had been lost waited for another one.

Change: a request that was refused waits as they do, for a target to which no connection was refused or lost in the last 2 s, if the pool has one. A refused connection still counts as an attempt: it bounds the time that a request takes while its pool is down.

--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -194,7 +194,7 @@
 	answer, backoff := work.NotRun("no attempt was made"), firstBackoff
 	for try := 1; ; try++ {
 		a, retry := v.attempt(ctx, r)
-		r.LostTargets = max(r.LostTargets, a.LostTargets)
+		r.LostTargets, r.Refused = max(r.LostTargets, a.LostTargets), r.Refused || a.Refused
 		answer = a.After(answer)
 		answer.LostTargets = r.LostTargets
 		safe := answer.Outcome == wire.NotRun || r.Idempotent
@@ -258,6 +258,7 @@
 	ticket, err := v.router.Submit(ctx, route.SlotRequest{
 		Kind: r.Kind, Urgency: r.Urgency, Deadline: r.Deadline, BodyBytes: max(r.BodySize, 0),
 		Hold: r.BodySize < 0 || r.BodySize > holdAboveBytes, NoWait: noWait, Suspect: r.LostTargets > 0,
+		Refused: r.Refused,
 	})
 	if err != nil {
 		return work.NotRun("submit: " + err.Error()), false
--- a/entry/invoke/invoke_test.go
+++ b/entry/invoke/invoke_test.go
@@ -57,6 +57,12 @@
 
 // newInvoker returns an invoker for a pool with one target that serves the kind docs.
 func newInvoker(t *testing.T, address string, opts ...invoke.Option) *invoke.Invoker {
+	invoker, _ := newInvokerOf(t, []route.Target{{Host: "h", Address: address, Slots: 2, Serving: true}}, opts...)
+	return invoker
+}
+
+// newInvokerOf returns an invoker for a pool that serves the kind docs, and its router.
+func newInvokerOf(t *testing.T, targets []route.Target, opts ...invoke.Option) (*invoke.Invoker, *route.Router) {
 	router := route.New(route.Limits{Queue: 10, BodyMemory: 1 << 20, RetryShare: 0.1})
 	registry := dedup.New()
 	dialer := &link.Dialer{Client: http.DefaultClient, Scheme: "ws", Token: func() string { return "" }}
@@ -72,15 +78,14 @@
 		router.Close()
 	})
 	pool := route.PoolTable{
-		Name: "docs", Kinds: []string{"docs"}, Zones: map[string]int{"z": 1},
-		Targets: []route.Target{{Host: "h", Address: address, Slots: 2, Serving: true}},
+		Name: "docs", Kinds: []string{"docs"}, Zones: map[string]int{"z": len(targets)}, Targets: targets,
 	}
 	router.Apply(&route.Table{Offset: 1, Pools: map[string]route.PoolTable{"docs": pool}, Kinds: map[string]string{"docs": "docs"}})
 	require.Eventually(t, func() bool {
 		s, err := router.Summary(context.Background())
 		return err == nil && s.Offset >= 1
 	}, 5*time.Second, 5*time.Millisecond)
-	return invoker
+	return invoker, router
 }
 
 func run(v *invoke.Invoker) work.Answer {
@@ -187,3 +192,35 @@
 	require.Contains(t, a.Reason, "the entry stopped")
 	require.EqualValues(t, 2, runs.Load())
 }
+
+// Guards against a request that spends all of its attempts on a target that is down, while the slots of
+// another one are only in use.
+func TestARequestThatATargetRefusedWaitsForAnotherTarget(t *testing.T) {
+	running, release := make(chan struct{}, 2), make(chan struct{})
+	live := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		running <- struct{}{}
+		<-release
+	}))
+	defer live.Close()
+	down, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, down.Close())
+	invoker, router := newInvokerOf(t, []route.Target{
+		{Host: "live", Address: live.Listener.Addr().String(), Slots: 1, Serving: true},
+		{Host: "down", Address: down.Addr().String(), Slots: 1, Serving: true},
+	})
+	first, second := make(chan work.Answer, 1), make(chan work.Answer, 1)
+	go func() { first <- run(invoker) }()
+	<-running
+	go func() { second <- run(invoker) }()
+	require.Eventually(t, func() bool {
+		s, err := router.Summary(t.Context())
+		return err == nil && s.Kinds[0].Queued == 1 || len(second) == 1
+	}, 5*time.Second, time.Millisecond)
+	close(release)
+	for _, answers := range []chan work.Answer{first, second} {
+		a := <-answers
+		require.Equal(t, wire.Done, a.Outcome, a.Reason)
+		require.Equal(t, "live", a.Target)
+	}
+}
--- a/entry/invoke/target.go
+++ b/entry/invoke/target.go
@@ -93,7 +93,9 @@
 	reason := fault.At(step, peer, err).Error()
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return sendResult{answer: work.NotRun(reason),
+		a := work.NotRun(reason)
+		a.Refused = true
+		return sendResult{answer: a,
 			slotResult: route.Result{Attempted: true, Failed: true, Disconnected: true}, retry: true}
 	}
 	lost := connectionLost(err)
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -23,11 +23,13 @@
 	NoWait bool
 	// Suspect is set if the connection to a target was lost while the target had the request.
 	Suspect bool
+	// Refused is set if a target refused the connection of an earlier attempt.
+	Refused bool
 }
 
 // needsConnected reports whether the request waits for a connected target rather than spend another attempt
 // on one that is probably down.
-func (r *SlotRequest) needsConnected() bool { return r.Suspect }
+func (r *SlotRequest) needsConnected() bool { return r.Suspect || r.Refused }
 
 // Reply answers a slot request. Exactly one of Queued, Refused and Grant is set.
 type Reply struct {
--- a/entry/work/work.go
+++ b/entry/work/work.go
@@ -34,6 +34,8 @@
 	Deduplicated bool
 	// LostTargets is the number of targets whose connection was lost while they had the request.
 	LostTargets int
+	// Refused is set if a target refused the connection of an earlier attempt of this entry.
+	Refused bool
 }
 
 // Answer is the result of a request.
@@ -58,6 +60,8 @@
 	// LostTargets is the number of targets whose connection was lost while they had the request, over
 	// all attempts.
 	LostTargets int
+	// Refused is set if the target refused the connection. Other entries are not told.
+	Refused bool
 }
 
 // NotRun returns the answer for a request that no target has started to run.
