Forward a request that would wait for a connected target

Seen: a request under which a target was lost, or that one refused, waited in the queue of its entry although another entry had free slots.

Cause: the router counted free slots of targets that are probably down when it decided whether the request would have to wait, and then queued it.

Change: these slots count only for requests that may get them.

--- a/entry/route/lost_test.go
+++ b/entry/route/lost_test.go
@@ -124,3 +124,15 @@
 	busy.Grant.Release(route.Result{Attempted: true, Duration: time.Millisecond})
 	require.Equal(t, busy.Grant.Host, r.next(waiting).Grant.Host)
 }
+
+// Guards against a request that waits in the queue of this entry although other entries have free slots.
+func TestARequestThatMayNotWaitIsRefusedIfOnlyADisconnectedTargetIsFree(t *testing.T) {
+	r := newFixture(t, generousLimits, testPool("docs", 2, 1))
+	r.submit(slotRequest("docs"))
+	r.disconnect("docs")
+	request := suspectRequest("docs")
+	request.NoWait = true
+	_, reply := r.submit(request)
+	require.NotEmpty(t, reply.Refused)
+	require.True(t, reply.NoCapacity)
+}
--- a/entry/route/pool.go
+++ b/entry/route/pool.go
@@ -281,7 +281,7 @@
 	if slots == 0 && len(s.lenders) == 0 {
 		return Reply{Refused: "no target of the pool takes requests", RetryAfter: time.Second, NoCapacity: true}
 	}
-	if q.length == 0 && s.freeSlots() > 0 {
+	if q.length == 0 && s.hasSlotFor(&request) {
 		return Reply{}
 	}
 	wait := s.expectedWait(q, slots)
--- a/entry/route/target.go
+++ b/entry/route/target.go
@@ -43,6 +43,11 @@
 	})
 }
 
+// hasSlotFor reports whether a request may get a slot at once.
+func (s *poolState) hasSlotFor(r *SlotRequest) bool {
+	return s.hasFreeTarget(s.connected) || s.freeSlots() > 0 && s.mayUseDisconnected(r)
+}
+
 // mayUseDisconnected reports whether a request may get a slot of a target that is probably down.
 func (s *poolState) mayUseDisconnected(r *SlotRequest) bool {
 	return !r.needsConnected() || !slices.ContainsFunc(s.tableTargets, func(t *target) bool {
