Send no order for a machine a second after its host was called empty

Seen, by a test: the order followed the owner's answer as long as the holder's own claim lasted, up to 2.35 s after the request. With a call of 0.9 s that is longer than the 3 s for which the owner, or the next one, gives the host no work. The timeout of the step does not end it for a process that did not run in between: the order is sent before the timer is handled.

Change: an order is sent within a second of the request to empty the host, whatever is left of the claim.

Evidence: TestAnOrderIsNotSentLongAfterTheHostWasCalledEmpty; before, a machine was ordered 1.5 s after the request, now none is.

--- a/entry/mover/handover.go
+++ b/entry/mover/handover.go
@@ -51,17 +51,25 @@
 
 // step is one step of a machine: the request to empty its host, and the order that may follow.
 type step struct {
-	// mayOrder reports whether the step may order the machine. sendBy is when the order has to be sent.
+	// mayOrder reports whether the step may order the machine. sendBy is the latest time at which the order may be sent.
 	mayOrder bool
 	sendBy   time.Time
 	// isEmpty asks for the host to be emptied and reports whether it is empty.
 	isEmpty func(context.Context) bool
 }
 
-// newStep returns a step that begins now. Its order is sent within Ask of the last moment at which a step may
+// emptyFor is how long after a request to empty a host its machine may be ordered. Owners give the host no work for
+// longer than that and a call together.
+const emptyFor = time.Second
+
+// newStep returns a step that begins at a time. Its order is sent within Ask of the last moment at which a step may
 // begin, as a successor of this holder expects.
-func (c *core) newStep(mayOrder bool, isEmpty func(context.Context) bool) step {
-	return step{mayOrder: mayOrder, isEmpty: isEmpty, sendBy: c.confirmedAt.Add(c.timing.BeginWithin() + c.timing.Ask)}
+func (c *core) newStep(mayOrder bool, isEmpty func(context.Context) bool, now time.Time) step {
+	sendBy := c.confirmedAt.Add(c.timing.BeginWithin() + c.timing.Ask)
+	if end := now.Add(emptyFor); end.Before(sendBy) {
+		sendBy = end
+	}
+	return step{mayOrder: mayOrder, isEmpty: isEmpty, sendBy: sendBy}
 }
 
 // run carries out a step. However late the process gets to run, no order is sent after sendBy, and each is abandoned
--- a/entry/mover/handover_test.go
+++ b/entry/mover/handover_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -213,6 +214,31 @@
 	require.Equal(t, []string{"m-standby"}, p.machines.ordered())
 }
 
+// Guards against an order for a machine whose host the owner may have given work to again (AVAIL): the process did not run
+// between the owner's answer and the order.
+func TestAnOrderIsNotSentLongAfterTheHostWasCalledEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newWavePair(t)
+		p.machines.setState("m-standby", port.MachineUp)
+		var asked atomic.Int64
+		h := startMoverWithin(t, p.store, mover.Deps{
+			Machines: p.machines, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Load: busyLoad(0), Operators: discardReports{},
+			Waves: func() []port.Wave {
+				return []port.Wave{{Number: 1, Machines: []string{"m-busy"}, TimeLimit: time.Minute, MaxDown: 1}}
+			},
+			Vacate: func(context.Context, string, string) (owner.Answer, bool) {
+				asked.Add(1)
+				time.Sleep(1500 * time.Millisecond)
+				return owner.Answer{Vacant: true}, true
+			},
+		}, mover.Settings{Holder: "h", Term: 3 * time.Second})
+		defer h.Close()
+		time.Sleep(10 * time.Second)
+		require.Empty(t, p.machines.ordered())
+		require.Greater(t, asked.Load(), int64(2))
+	})
+}
+
 // Guards against an order that leaves a holder which was stopped for a while within a step, after its successor
 // no longer expects it.
 func TestAnOrderThatIsLateIsNotSent(t *testing.T) {
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -189,7 +189,7 @@
 	if !ok {
 		return
 	}
-	s := c.newStep(mayOrder, c.emptyCheck(m.From, m.Host))
+	s := c.newStep(mayOrder, c.emptyCheck(m.From, m.Host), now)
 	c.runInBackground(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
 		result := moveResult{machine: m.Machine}
 		result.outcome, result.err = s.run(ctx, c.timing, func(ctx context.Context) (port.OrderOutcome, error) {
--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -31,7 +31,7 @@
 	if !ok {
 		return
 	}
-	s := c.newStep(mayOrder && slots.MayStart(m.ID), c.emptyCheck(m.Pool, m.Host))
+	s := c.newStep(mayOrder && slots.MayStart(m.ID), c.emptyCheck(m.Pool, m.Host), now)
 	slots.Take(m.ID)
 	c.runInBackground(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
 		result := maintenanceResult{wave: w, machine: m.ID}
