Order only machines that are up, and ask before

Cause: "no host in the list" was taken for "nothing runs there", which holds when the list is made only.

Change: a machine that is not up is not ordered. It leaves its slot in the wave to others and is chosen, emptied and ordered once it is up. The exception is a machine that is in maintenance by an order without an answer, in no other wave: a repeated order does nothing there but tell the outcome. No owner is asked about a machine that has no host.

Evidence: before, TestAMachineThatHasComeBackSinceTheListIsNotOrderedUnasked (unchanged), TestAMachineThatIsDownDoesNotHoldUpItsWave (a wave with a cap of one did not go on), TestAMachineThatStaysUpWithoutAHostIsMaintained (ordered within 3 s) and TestAMachineWhoseHostHasJustStartedIsNotOrderedUnasked failed; now all tests of entry/mover pass, among them those of waves through hand-overs. TestAMachineInMaintenanceIsNotEmptiedAgain guards the exception and passes before, too.

--- a/entry/mover/list.go
+++ b/entry/mover/list.go
@@ -55,11 +55,28 @@
 		}
 		c.machines[machine.ID] = machine
 	}
+	c.noteHostless()
 	for _, w := range c.waves {
 		c.observeWave(w, m.askedAt)
 	}
 }
 
+// noteHostless notes since which list each machine is up without a host in a pool at work.
+func (c *core) noteHostless() {
+	earlier := c.hostlessSince
+	c.hostlessSince = map[string]time.Time{}
+	for id, m := range c.machines {
+		if m.State != port.MachineUp || m.Host != "" || c.standby[m.Pool] {
+			continue
+		}
+		since, ok := earlier[id]
+		if !ok {
+			since = c.listedAt
+		}
+		c.hostlessSince[id] = since
+	}
+}
+
 // observeWave compares the machines of a wave with the list that was requested at the time asked.
 func (c *core) observeWave(w *upkeep.Wave, asked time.Time) {
 	completed := w.Completed
--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -41,6 +41,9 @@
 	// of a pool, which must not delay the other pools.
 	callTimeout = 900 * time.Millisecond
 	askTimeout  = 250 * time.Millisecond
+	// hostlessTime is how long lists have to show a machine as up without a host before it is ordered without asking an
+	// owner. A host that starts is listed well before.
+	hostlessTime = 5 * time.Second
 	// confirmInterval is the maximum time for which the claim goes without a write that
 	// confirms it.
 	confirmInterval = 800 * time.Millisecond
@@ -136,9 +139,14 @@
 	machines     map[string]port.Machine
 	listedAt     time.Time
 	listInFlight bool
+	// hostlessSince holds, for each machine that is up without a host in a pool at work, when the first of the newest lists
+	// was requested that all show it so.
+	hostlessSince map[string]time.Time
 	// orderedStateAt holds when an order last changed the state of a machine. Older lists do
 	// not show that change.
 	orderedStateAt map[string]time.Time
+	// unanswered holds the machines, by startedKey, whose maintenance was ordered last without an answer.
+	unanswered map[string]bool
 	// fenced is set when a newer holder has been seen. The task then stops.
 	fenced bool
 	// listFailed reports whether the last request for the list of machines failed. No plan is made
@@ -189,6 +197,7 @@
 		logger: d.Logger.With("holder", s.Holder, "epoch", acquired.Epoch),
 		waves:  map[int64]*upkeep.Wave{}, reportFailedAt: map[int64]time.Time{}, reportInFlight: map[int64]bool{},
 		standby: map[string]bool{}, authorized: map[string]time.Time{}, orderedStateAt: map[string]time.Time{},
+		hostlessSince: map[string]time.Time{}, unanswered: map[string]bool{},
 		sizing: sizing.NewState(), forecast: newForecast(stored.turns), orders: newOrderLimit(s.OrdersPerSecond), moves: map[string]move{}, stepInFlight: map[string]bool{},
 		loadAnswers: map[string]loadAnswer{}, loadInFlight: map[string]bool{}, orderedAt: map[string]time.Time{},
 	}
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -179,7 +179,8 @@
 
 // stepMove asks for the host of a machine to be emptied, and orders the move once it is empty.
 func (c *core) stepMove(ctx context.Context, m sizing.Move, now time.Time) {
-	if machine := c.machines[m.Machine]; !c.stepInFlight[m.Machine] && (machine.Pool != m.From || machine.Host != m.Host) {
+	machine := c.machines[m.Machine]
+	if !c.stepInFlight[m.Machine] && (machine.Pool != m.From || machine.Host != m.Host) {
 		// An earlier holder has moved the machine, or the machine has restarted.
 		delete(c.moves, m.Machine)
 		c.logger.Info("move dropped", "machine", m.Machine, "from", m.From, "to", m.To, "now-in", machine.Pool)
@@ -189,7 +190,7 @@
 	if !ok {
 		return
 	}
-	s := c.newStep(mayOrder, c.emptyCheck(m.From, m.Host), now)
+	s := c.newStep(mayOrder, c.emptyCheck(machine), now)
 	c.runInBackground(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
 		result := moveResult{machine: m.Machine}
 		result.outcome, result.err = s.run(ctx, c.timing, func(ctx context.Context) (port.OrderOutcome, error) {
--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"carawaymux.dev/fleet/port"
@@ -27,11 +28,21 @@
 // stepMaintenance asks for the host of a machine to be emptied, and orders the machine's
 // maintenance once the host is empty.
 func (c *core) stepMaintenance(ctx context.Context, w *upkeep.Wave, slots *upkeep.Slots, m port.Machine, now time.Time) {
+	isEmpty := c.emptyCheck(m)
+	switch {
+	case c.isInMaintenance(w, m):
+		isEmpty = func(context.Context) bool { return true }
+	case m.State != port.MachineUp:
+		// Its host would be ended unasked if it has come back since the list. Others may use its slot until it has.
+		delete(w.Emptying, m.ID)
+		c.logger.Info("machine of a wave is not up; it is emptied once it is", "wave", w.Number, "machine", m.ID, "state", string(m.State))
+		return
+	}
 	mayOrder, ok := c.beginStep(m.ID, now)
 	if !ok {
 		return
 	}
-	s := c.newStep(mayOrder && slots.MayStart(m.ID), c.emptyCheck(m.Pool, m.Host), now)
+	s := c.newStep(mayOrder && slots.MayStart(m.ID), isEmpty, now)
 	slots.Take(m.ID)
 	c.runInBackground(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
 		result := maintenanceResult{wave: w, machine: m.ID}
@@ -42,13 +53,31 @@
 	})
 }
 
-// emptyCheck returns a function that asks for a host to be emptied and reports whether it is
-// empty. A machine without a host, or in a pool on standby, counts as empty.
-func (c *core) emptyCheck(pool, host string) func(context.Context) bool {
-	standby := c.standby[pool]
+// isInMaintenance reports whether a machine is in the maintenance of a wave by an order whose answer this holder does not
+// have. A repeated order has no effect then and tells the outcome.
+func (c *core) isInMaintenance(w *upkeep.Wave, m port.Machine) bool {
+	_, earlier := c.earlier[m.ID]
+	if m.State != port.MachineMaintenance || !(earlier || c.unanswered[startedKey(w.Number, m.ID)]) {
+		return false
+	}
+	for _, other := range c.waves {
+		if other != w && slices.Contains(other.Machines, m.ID) {
+			return false
+		}
+	}
+	return true
+}
+
+// emptyCheck returns a function that asks for the host of a machine to be emptied and reports whether it is
+// empty. A machine in a pool on standby counts as empty, and so does one that has been up without a host for
+// hostlessTime.
+func (c *core) emptyCheck(m port.Machine) func(context.Context) bool {
+	pool, host := m.Pool, m.Host
+	since, hostless := c.hostlessSince[m.ID]
+	empty := c.standby[pool] || (hostless && c.listedAt.Sub(since) >= hostlessTime)
 	return func(ctx context.Context) bool {
-		if host == "" || standby {
-			return true
+		if host == "" || empty {
+			return empty
 		}
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
@@ -60,10 +89,15 @@
 func (r maintenanceResult) handle(c *core) {
 	delete(c.stepInFlight, r.machine)
 	w := r.wave
+	key := startedKey(w.Number, r.machine)
 	if r.err != nil {
+		c.unanswered[key] = true
 		c.logger.Warn("maintenance order not answered; it is repeated", "wave", w.Number, "machine", r.machine, "err", r.err)
 		return
 	}
+	if r.outcome != "" {
+		delete(c.unanswered, key)
+	}
 	switch r.outcome {
 	case port.OrderUnknown:
 		c.logger.Info("machine of a wave does not exist; the wave goes on without it", "wave", w.Number, "machine", r.machine)
