Order no machine while the list of machines is not available

Seen, by reading: the holder makes no plan once a request for the list has failed, but a write that lets it order further machines starts their steps at once, by a list that is as old as the service has been silent. A machine may have restarted since, and its new host be at work: the owner is asked about the earlier host.

Change: no step begins while the list is not available.

Evidence: TestNoMachineIsOrderedWhileTheListIsNotAvailable; before, the machine was ordered by a list that was 2 s old, now it is once a list has come.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -331,8 +331,12 @@
 	return out
 }
 
-// stepMachines starts the next step of each machine that is to be moved or maintained.
+// stepMachines starts the next step of each machine that is to be moved or maintained. It does nothing while the list of
+// machines is not available: a machine may have restarted since the newest one.
 func (c *core) stepMachines(ctx context.Context, now time.Time) {
+	if c.listFailed {
+		return
+	}
 	for _, w := range c.openWaves() {
 		var slots *upkeep.Slots
 		for id := range w.Emptying {
--- a/entry/mover/state_test.go
+++ b/entry/mover/state_test.go
@@ -38,10 +38,18 @@
 // startWave starts a holder with a wave that takes its machines down one at a time. asked counts the requests to empty hosts,
 // which are empty if vacant is set.
 func startWave(t *testing.T, m port.MachineService, vacant *atomic.Bool, machines ...string) (asked *atomic.Int64, reports waveReports) {
+	t.Helper()
+	return startWaveOver(t, newMemoryStore(t), m, vacant, machines...)
+}
+
+// startWaveOver is like startWave, with a store.
+func startWaveOver(
+	t *testing.T, store port.Log, m port.MachineService, vacant *atomic.Bool, machines ...string,
+) (asked *atomic.Int64, reports waveReports) {
 	t.Helper()
 	asked, reports = new(atomic.Int64), make(waveReports, 64)
 	w := port.Wave{Number: 1, Machines: machines, TimeLimit: time.Minute, MaxDown: 1}
-	h := startMoverWithin(t, newMemoryStore(t), mover.Deps{
+	h := startMoverWithin(t, store, mover.Deps{
 		Machines: m, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Load: busyLoad(0), Operators: reports,
 		Waves: func() []port.Wave { return []port.Wave{w} },
 		Vacate: func(context.Context, string, string) (owner.Answer, bool) {
@@ -146,3 +154,38 @@
 		require.Equal(t, at, asked.Load())
 	})
 }
+
+// silencedMachines stops answering requests for the list.
+type silencedMachines struct {
+	*waveMachines
+	silent *atomic.Bool
+}
+
+func (m silencedMachines) List(ctx context.Context) ([]port.Machine, error) {
+	if m.silent.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return m.waveMachines.List(ctx)
+}
+
+// Guards against the end of work on the host of a machine that has restarted since the newest list, which is old (AVAIL):
+// the store lets the holder order the machine when requests for the list have failed.
+func TestNoMachineIsOrderedWhileTheListIsNotAvailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, vacant, silent, cut := newWaveMachines("m-1"), new(atomic.Bool), new(atomic.Bool), new(atomic.Bool)
+		vacant.Store(true)
+		store := cuttableStore{newMemoryStore(t), cut}
+		startWaveOver(t, store, silencedMachines{m, silent}, vacant, "m-1")
+		cut.Store(true)
+		time.Sleep(100 * time.Millisecond)
+		silent.Store(true)
+		time.Sleep(1900 * time.Millisecond)
+		cut.Store(false)
+		time.Sleep(2 * time.Second)
+		require.Empty(t, m.ordered())
+		silent.Store(false)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, []string{"m-1"}, m.ordered())
+	})
+}
