Do not lengthen a host's backoff by failures of runs from before

Cause: after a host had become unhealthy for three failures, each failure of another run that was started before doubled the backoff, so a few runs that failed at once closed the host for 24 s. A run that succeeded there did not open it again, although it shows that the host is sound.

Change: failures on an unhealthy host no longer close it again, and a success ends the time for which failures have closed it. Hosts that are slow stay closed.

Evidence: both new tests of the failure fail on the code before.

--- a/fleet/shard/health.go
+++ b/fleet/shard/health.go
@@ -9,6 +9,7 @@
 func (s *State) recordOutcome(h *Host, job string, failed bool, now time.Time) {
 	if !failed {
 		h.failureStreak, h.lastFailedJob, h.unhealthyCount = 0, "", 0
+		h.reopen()
 		return
 	}
 	if job == h.lastFailedJob {
@@ -16,16 +17,25 @@
 	}
 	h.lastFailedJob = job
 	h.failureStreak++
-	if h.failureStreak < unhealthyFailures || !s.mayBecomeUnhealthy(now) {
+	// A run that fails on an unhealthy host was started before and shows nothing new.
+	if h.failureStreak < unhealthyFailures || now.Before(h.UnhealthyUntil) || !s.mayBecomeUnhealthy(now) {
 		return
 	}
-	h.UnhealthyUntil = now.Add(unhealthyBackoff << h.unhealthyCount)
+	h.failingUntil = now.Add(unhealthyBackoff << h.unhealthyCount)
+	h.UnhealthyUntil = h.failingUntil
 	h.unhealthyCount = min(h.unhealthyCount+1, maxBackoffDoublings)
 	// One more failure after the backoff makes the host unhealthy again.
 	h.failureStreak = unhealthyFailures - 1
 	h.lastFailedJob = ""
 }
 
+// reopen lets the host take new work again if it takes none because of failures.
+func (h *Host) reopen() {
+	if h.UnhealthyUntil.Equal(h.failingUntil) {
+		h.UnhealthyUntil = time.Time{}
+	}
+}
+
 // mayBecomeUnhealthy reports whether a further host may become unhealthy, that is, whether fewer hosts
 // are unhealthy than half of those that answer.
 func (s *State) mayBecomeUnhealthy(now time.Time) bool {
--- a/fleet/shard/health_test.go
+++ b/fleet/shard/health_test.go
@@ -9,6 +9,7 @@
 
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 )
 
 func TestHostsThatNeverAnsweredDoNotLetMoreOfTheOthersBecomeUnhealthy(t *testing.T) {
@@ -37,6 +38,76 @@
 	}
 }
 
+// Guards against hosts that get no new work for 24 s because several runs failed at once.
+func TestFailuresOfRunsThatWereStartedBeforeDoNotKeepAHostUnhealthyForLonger(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c")
+	starts := o.startJobs(8)
+	id := starts[0].Host
+	for i, start := range starts {
+		require.Equal(t, id, start.Host)
+		o.report(id, append(runningRows(starts[i+1:]), failedRow(int64(i+1), start))...)
+	}
+	require.True(t, o.now.Before(o.Hosts[id].UnhealthyUntil))
+	o.advance(3100 * time.Millisecond)
+	require.False(t, o.now.Before(o.Hosts[id].UnhealthyUntil), "after the first backoff")
+
+	o.report(id)
+	o.submit("next", smallStep(1))
+	starts = o.start()
+	require.NotEmpty(t, starts)
+	require.Equal(t, id, starts[0].Host)
+	o.report(id, append(runningRows(starts[1:]), failedRow(9, starts[0]))...)
+	o.advance(5 * time.Second)
+	require.True(t, o.now.Before(o.Hosts[id].UnhealthyUntil), "a failure after the backoff doubles it")
+}
+
+// Guards against hosts that get no new work although their runs succeed.
+func TestASuccessMakesAHostHealthyAgain(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	starts := o.startJobs(4)
+	for i, start := range starts[:3] {
+		o.report("a", append(runningRows(starts[i+1:]), failedRow(int64(i+1), start))...)
+	}
+	require.True(t, o.now.Before(o.Hosts["a"].UnhealthyUntil))
+	o.report("a", doneRow(4, starts[3]))
+	require.False(t, o.now.Before(o.Hosts["a"].UnhealthyUntil))
+}
+
+// Guards against hosts that are taken for sound in their speed because a run there has succeeded.
+func TestASuccessDoesNotMakeASlowHostHealthy(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	starts := o.startJobs(1)
+	until := o.now.Add(time.Minute)
+	o.Hosts["a"].UnhealthyUntil = until
+	o.report("a", doneRow(1, starts[0]))
+	require.Equal(t, until, o.Hosts["a"].UnhealthyUntil)
+}
+
+// startJobs submits a number of jobs with one task each and returns their starts.
+func (o *owner) startJobs(number int) []shard.Order {
+	o.t.Helper()
+	step := smallStep(1)
+	step.Need.MilliCores = 500
+	for i := range number {
+		o.submit(fmt.Sprintf("job%d", i), step)
+	}
+	starts := o.start()
+	require.Len(o.t, starts, number)
+	return starts
+}
+
+func runningRows(starts []shard.Order) []any {
+	var rows []any
+	for _, start := range starts {
+		rows = append(rows, runningRow(start, 50))
+	}
+	return rows
+}
+
+func failedRow(number int64, o shard.Order) port.FinishedRun {
+	return port.FinishedRun{Number: number, Unit: o.Ref.String(), Run: o.Run, Result: port.ResultFailed}
+}
+
 // Guards against hosts that get no new work because long-running tasks, which never end as done, have failed there by
 // themselves over time.
 func TestLongRunningTasksThatFailAfterTheyHaveWorkedDoNotMakeTheirHostUnhealthy(t *testing.T) {
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -92,10 +92,11 @@
 	slowCount int
 	// failureStreak counts failed runs of different jobs without a success in between,
 	// lastFailedJob is the job of the newest one, and unhealthyCount counts how often in a row
-	// the host was unhealthy for failures.
+	// the host was unhealthy for failures. failingUntil is what UnhealthyUntil was last set to for failures.
 	failureStreak  int
 	lastFailedJob  string
 	unhealthyCount int
+	failingUntil   time.Time
 }
 
 const (
