Stop entries only while long requests are open at them

Cause: four callers an entry each sent the next submission when the last one was answered. The store answers them all with one append of 250 ms, so that they begin together, and a stop finds them older than 200 ms only by chance. Two uploads an entry left gaps in the same way.

Change: submissions and slow uploads are sent at fixed intervals, shorter than they take, whether those before are answered or not. A planned stop waits, for a second at most, until a submission and an upload are open that cannot end before the signal: appends take at least 250 ms, and uploads 400 ms. The task `opened` knows the open requests. Spans with held requests last until the pools of a stopped entry have other owners. That a pool gets its first owner does not count as a change.

The test now requires a long request, a waiting submission and an upload at each stop, and a submission and an upload at each running entry at each change of owner. It required one of each in the sum over all stops and one submission in the sum over all changes; no stop without any request follows from the new demands.

--- a/trial/soak/caller.go
+++ b/trial/soak/caller.go
@@ -190,7 +190,12 @@
 		}
 	}
 	begin := r.now()
-	a := c.exchange(method, fake.QueuePath(p.job.Queue)+p.job.ID, body, drip)
+	open := &openRequest{entry: name, verb: verb, beginAt: begin, drips: drip > 0}
+	p.crowd.site.opened.begin(open)
+	a := c.exchange(method, fake.QueuePath(p.job.Queue)+p.job.ID, body, drip, func(at time.Time) {
+		p.crowd.site.opened.sent(open, at.Sub(r.startedAt))
+	})
+	p.crowd.site.opened.end(open)
 	if a.err != nil || !idle.put(c) {
 		c.net.Close()
 	}
--- a/trial/soak/cases_test.go
+++ b/trial/soak/cases_test.go
@@ -107,15 +107,16 @@
 	long.EndAt, upload.BeginAt, partial.BeginAt, partial.SentAt = at(11), at(10), partial.SentAt, 0
 	h.Requests, h.Partial = append(h.Requests, long, short, upload), []Request{partial}
 	h.Windows = append(h.Windows, window(Term, "entry-0", 10.5, 15), window(Term, "entry-1", 10.5, 15))
-	require.Equal(t, Open{Moments: 2, Bare: 1, Whole: 2, Long: 1, Waiting: 1, Uploads: 2}, h.openAtStops())
+	require.Equal(t, Open{Moments: 2, Bare: 1, NoLong: 1, NoWaiting: 1, NoUpload: 1, Whole: 2, Long: 1, Waiting: 1, Uploads: 2}, h.openAtStops())
 }
 
 func TestOnlyEntriesThatRunCountAtAChangeOfOwner(t *testing.T) {
 	h := kept()
 	h.TrafficEnd = at(20)
-	h.Changes = append(h.Changes, Change{guardedPool, "entry-1", at(11)}, Change{guardedPool, "entry-1", at(21)})
+	h.Changes = append(h.Changes, Change{guardedPool, "entry-0", at(9)}, Change{guardedPool, "entry-1", at(11)}, Change{guardedPool, "entry-1", at(21)},
+		Change{unguardedPool, "entry-1", at(11)})
 	h.Windows = append(h.Windows, window(Term, "entry-0", 10.5, 15))
-	require.Equal(t, Open{Moments: 1, Bare: 1}, h.openAtChanges([]string{"entry-0", "entry-1"}))
+	require.Equal(t, Open{Moments: 1, Bare: 1, NoLong: 1, NoWaiting: 1, NoUpload: 1}, h.openAtChanges([]string{"entry-0", "entry-1"}))
 }
 
 func TestChangesOfOwnersAreReadFromLogs(t *testing.T) {
@@ -133,7 +134,7 @@
 	entries := []string{"entry-0", "entry-1"}
 	spans := holdSpans([]Fault{{Term, "entry-0", at(2), at(1)}, {Reload, "entry-1", at(2.5), 0}, {Pause, "entry-1", at(10), at(5)}, {StoreBusy, "", at(20), at(1)}}, entries)
 	require.Equal(t, []span{
-		{at(2) - holdBefore, at(2.5) + holdAfter, entries},
+		{at(2) - holdBefore, at(2) + stopPatience + takeoverTime, entries},
 		{at(10) - holdBefore, at(10) + takeoverTime, entries},
 		{at(15) - holdBefore, at(15) + holdAfter, entries},
 	}, spans)
@@ -145,3 +146,30 @@
 	require.Len(t, held, maxHeldEntries)
 	require.Contains(t, held, "entry-19")
 }
+
+// A stop waits for these requests, so that whether some are open does not depend on when it comes.
+func TestOnlyRequestsThatCannotEndBeforeTheSignalHoldAStop(t *testing.T) {
+	long := openRequest{entry: "entry-0", verb: Submit, beginAt: at(9.78), sentAt: at(9.78)}
+	upload := openRequest{entry: "entry-0", verb: Submit, beginAt: at(9.65), drips: true}
+	change := func(r openRequest, f func(*openRequest)) openRequest {
+		f(&r)
+		return r
+	}
+	for name, c := range map[string]struct {
+		long, upload openRequest
+		holds        bool
+	}{
+		"both":                    {long, upload, true},
+		"a look":                  {change(long, func(r *openRequest) { r.verb = Look }), upload, false},
+		"just sent":               {change(long, func(r *openRequest) { r.sentAt = at(9.81) }), upload, false},
+		"an answer may come":      {change(long, func(r *openRequest) { r.beginAt = at(9.755) }), upload, false},
+		"the upload may end":      {long, change(upload, func(r *openRequest) { r.beginAt = at(9.605) }), false},
+		"the upload has ended":    {long, change(upload, func(r *openRequest) { r.sentAt = at(9.9) }), false},
+		"no upload":               {long, change(upload, func(r *openRequest) { r.drips = false }), false},
+		"the long one elsewhere":  {change(long, func(r *openRequest) { r.entry = "entry-1" }), upload, false},
+		"the upload is elsewhere": {long, change(upload, func(r *openRequest) { r.entry = "entry-1" }), false},
+	} {
+		core := &openedCore{map[*openRequest]struct{}{&c.long: {}, &c.upload: {}}}
+		require.Equal(t, c.holds, core.holds("entry-0", at(10)), name)
+	}
+}
--- a/trial/soak/conn.go
+++ b/trial/soak/conn.go
@@ -67,9 +67,9 @@
 	err      error
 }
 
-// exchange sends a request and waits for the answer. The connection is of no use after an error. If drip is not zero, it
-// pauses after each byte of the body.
-func (c *conn) exchange(method, path string, body []byte, drip time.Duration) answer {
+// exchange sends a request, calls sent, and waits for the answer. The connection is of no use after an error. If drip is
+// not zero, it pauses after each byte of the body.
+func (c *conn) exchange(method, path string, body []byte, drip time.Duration, sent func(time.Time)) answer {
 	var a answer
 	if a.err = c.net.SetDeadline(time.Now().Add(callerDeadline)); a.err != nil {
 		return a
@@ -80,6 +80,7 @@
 		return a
 	}
 	a.sentAt = time.Now()
+	sent(a.sentAt)
 	response, err := http.ReadResponse(c.reader, nil)
 	if err == nil {
 		a.body, err = io.ReadAll(response.Body)
--- a/trial/soak/hold.go
+++ b/trial/soak/hold.go
@@ -22,14 +22,15 @@
 	// holdAppend is the time that the store takes for an append meanwhile, at least. Submissions wait for it. It stays well
 	// below the time after which entries take the store for lost.
 	holdAppend = 250 * time.Millisecond
-	// waitersPerEntry and dripsPerEntry are the numbers of submissions and of slow uploads that are open at each entry.
-	waitersPerEntry, dripsPerEntry = 4, 2
+	// submitInterval and uploadInterval are the times between two submissions and between two slow uploads at an entry. They
+	// are shorter than what each of them takes, so that some are open all the while.
+	submitInterval, uploadInterval = 60 * time.Millisecond, 150 * time.Millisecond
+	// minUpload is the shortest time that a slow upload takes.
+	minUpload = 400 * time.Millisecond
 	// maxHeldEntries is the number of entries at which requests are kept open, in large deployments.
 	maxHeldEntries = 8
-	// minDrip and maxDrip limit the pause between two bytes of an upload.
-	minDrip, maxDrip = 4 * time.Millisecond, 12 * time.Millisecond
 	// heldTaskMS is the duration of the task of a submission that is kept open.
-	heldTaskMS = 150
+	heldTaskMS = 100
 	// giveUpShare is the share of callers that do not repeat a submission that was refused.
 	giveUpShare = 0.25
 	// holdStream distinguishes the random numbers of these callers from others.
@@ -50,7 +51,9 @@
 	}
 	for _, f := range schedule {
 		switch f.Kind {
-		case Term, Reload:
+		case Term:
+			add(f, f.At, stopPatience+takeoverTime)
+		case Reload:
 			add(f, f.At, holdAfter)
 		case Kill:
 			add(f, f.At, takeoverTime)
@@ -104,16 +107,17 @@
 			break
 		}
 		c.site.platform.SetAppendTime(max(what.AppendTime, holdAppend))
+		until := c.site.trafficAt + s.to
 		for _, name := range s.entries {
-			for i := range waitersPerEntry + dripsPerEntry {
+			for _, interval := range []time.Duration{submitInterval, uploadInterval} {
 				next := h.drawer()
 				group.Go(func() error {
-					c.keepOpen(ctx, &group, name, i >= waitersPerEntry, c.site.trafficAt+s.to, next)
+					c.keepOpen(ctx, &group, name, interval, until, next)
 					return nil
 				})
 			}
 		}
-		if !sleep(ctx, c.site.trafficAt+s.to-c.site.recorder.now()) {
+		if !sleep(ctx, until-c.site.recorder.now()) {
 			break
 		}
 		c.site.platform.SetAppendTime(what.AppendTime)
@@ -122,46 +126,46 @@
 }
 
 // jobsPerHolder is the distance between the job numbers of two holders.
-const jobsPerHolder = 256
+const jobsPerHolder = 4096
 
-// drawer returns a function that draws the callers of a holder.
+// drawer returns a function that draws the callers of a holder, in turn for both pools.
 func (h *holder) drawer() func() *caller {
 	random, first, n := rand.New(rand.NewPCG(h.random.Uint64(), 0)), h.jobs, 0
 	h.jobs += jobsPerHolder
 	return func() *caller {
 		n++
-		pool := []string{guardedPool, unguardedPool}[random.IntN(2)]
-		return &caller{crowd: h.crowd, random: random, job: Job{
+		pool := []string{guardedPool, unguardedPool}[n%2]
+		return &caller{crowd: h.crowd, random: rand.New(rand.NewPCG(random.Uint64(), 0)), job: Job{
 			ID: fmt.Sprintf("%04x%04x%08x", h.seed&0xffff, holdStream, first+n), Queue: pool, Pool: pool, Specification: strconv.Itoa(heldTaskMS),
 			Steps: []fake.StepSpec{{Count: 1, EstimatedMS: heldTaskMS}},
 		}}
 	}
 }
 
-// keepOpen submits one job after the other at an entry until a time, so that there is a submission without an answer
-// all the while. With drips, the bodies are sent slowly.
-func (c *crowd) keepOpen(ctx context.Context, group *errgroup.Group, name string, drips bool, until time.Duration, next func() *caller) {
-	for c.site.recorder.now() < until {
-		p := next()
-		drip := time.Duration(0)
-		if drips {
-			drip = minDrip + time.Duration(p.random.Int64N(int64(maxDrip-minDrip)))
+// keepOpen submits a job at an entry after each interval until a time, whether those before are answered or not. With
+// uploadInterval, the bodies are sent slowly.
+func (c *crowd) keepOpen(ctx context.Context, group *errgroup.Group, name string, interval, until time.Duration, next func() *caller) {
+	for due := c.site.recorder.now(); due < until; due += interval {
+		if !sleep(ctx, due-c.site.recorder.now()) {
+			return
 		}
+		p := next()
 		body, err := p.register()
 		if err != nil {
 			return
 		}
-		accepted := p.askAt(name, Submit, http.MethodPost, body, drip).status == http.StatusOK
-		givesUp := p.random.Float64() < giveUpShare
-		p.random, p.acceptUntil = rand.New(rand.NewPCG(p.random.Uint64(), 0)), until
+		drip := time.Duration(0)
+		if interval == uploadInterval {
+			drip = minUpload/time.Duration(len(body)) + 1
+		}
+		p.acceptUntil = until
 		group.Go(func() error {
+			accepted := p.askAt(name, Submit, http.MethodPost, body, drip).status == http.StatusOK
+			givesUp := p.random.Float64() < giveUpShare
 			if accepted || !givesUp && p.submitUntilAccepted(ctx, body) {
 				p.follow(ctx, body)
 			}
 			return nil
 		})
-		if !accepted && !sleep(ctx, retryPause) {
-			return
-		}
 	}
 }
--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -113,11 +113,6 @@
 		if k == nil {
 			return nil, fault.New("inject", f.Target, "there is no such entry")
 		}
-		if f.Kind == Term && c.site.planted == cutAnswers {
-			if _, err := c.site.proxies.inject(linkName(callers, f.Target), fmt.Sprint(number), droppedAnswers()); err != nil {
-				return nil, err
-			}
-		}
 		return k.inject(ctx, f)
 	case Queue:
 		return func(context.Context) error { return c.publish(-1) }, c.publish(+1)
--- a/trial/soak/keeper.go
+++ b/trial/soak/keeper.go
@@ -26,8 +26,11 @@
 // keeperCore is the state of the task.
 type keeperCore struct {
 	recorder *recorder
+	opened   *opened
 	start    func() error
-	entry    *fake.Entry
+	// beforeStop is called before the signal of a planned stop.
+	beforeStop func()
+	entry      *fake.Entry
 	// exited is the channel of the running process, or nil while there is none.
 	exited <-chan struct{}
 	// cause is the fault that ends the process, and signalAt when it was signalled; cause is empty while
@@ -36,18 +39,26 @@
 	signalAt time.Duration
 	overdue  bool
 	downtime time.Duration
+	// poll looks again whether requests are open at the entry, until stopBy, if a planned stop waits for that.
+	poll   <-chan time.Time
+	stopBy time.Duration
 	// pauses counts the pauses that have not ended.
 	pauses int
 	// restart starts the next process, and grace ends the grace period of a stop.
 	restart, grace <-chan time.Time
 }
 
-// crashDowntime is the time before an entry that ended by itself is started again.
-const crashDowntime = time.Second
+const (
+	// crashDowntime is the time before an entry that ended by itself is started again.
+	crashDowntime = time.Second
+	// stopPatience is the time that a planned stop waits until requests are open at the entry, pollInterval the time
+	// between two looks, and signalMargin the time that a look may take.
+	stopPatience, pollInterval, signalMargin = time.Second, 4 * time.Millisecond, 10 * time.Millisecond
+)
 
 // startKeeper takes over an entry whose process runs.
-func startKeeper(e *fake.Entry, r *recorder, start func() error) *keeper {
-	c := &keeperCore{recorder: r, start: start, entry: e, exited: e.Proc().Exited()}
+func startKeeper(e *fake.Entry, r *recorder, o *opened, start func() error, beforeStop func()) *keeper {
+	c := &keeperCore{recorder: r, opened: o, start: start, beforeStop: beforeStop, entry: e, exited: e.Proc().Exited()}
 	return &keeper{e, task.Start(c.run)}
 }
 
@@ -58,6 +69,8 @@
 			return
 		case m := <-inbox:
 			c.handle(m)
+		case <-c.poll:
+			c.stopWhenHeld(ctx)
 		case <-c.exited:
 			c.processEnded()
 		case <-c.restart:
@@ -89,19 +102,33 @@
 		c.signal(syscall.SIGSTOP)
 	case m.kind == Reload:
 		c.signal(syscall.SIGHUP)
-	case m.kind == Term && c.cause == "":
-		c.cause, c.signalAt, c.downtime = Term, c.recorder.now(), m.downtime
-		c.grace = time.After(fake.GracePeriod)
-		c.signal(syscall.SIGTERM)
+	case m.kind == Term && c.cause == "" && c.poll == nil:
+		c.downtime, c.stopBy = m.downtime, c.recorder.now()+stopPatience
+		c.poll = time.After(0)
 	case m.kind == Kill && c.cause != Kill:
 		if c.cause == "" {
 			c.signalAt = c.recorder.now()
 		}
-		c.cause, c.downtime = Kill, m.downtime
+		c.cause, c.downtime, c.poll = Kill, m.downtime, nil
 		c.signal(syscall.SIGKILL)
 	}
 }
 
+// stopWhenHeld sends the signal of a planned stop once requests are open at the entry that cannot end before it, or the
+// patience is over.
+func (c *keeperCore) stopWhenHeld(ctx context.Context) {
+	at := c.recorder.now()
+	held := c.opened.holds(ctx, c.entry.Name, at)
+	if now := c.recorder.now(); now < c.stopBy && (!held || now-at > signalMargin) {
+		c.poll = time.After(pollInterval)
+		return
+	}
+	c.cause, c.signalAt, c.poll = Term, at, nil
+	c.grace = time.After(fake.GracePeriod)
+	c.beforeStop()
+	c.signal(syscall.SIGTERM)
+}
+
 // processEnded records the end of the process and schedules the next start.
 func (c *keeperCore) processEnded() {
 	e := Exit{Entry: c.entry.Name, At: c.recorder.now(), Cause: c.cause, SignalAt: c.signalAt, Overdue: c.overdue}
@@ -112,7 +139,7 @@
 		c.downtime = crashDowntime
 	}
 	c.recorder.add(func(h *History) { h.Exits = append(h.Exits, e) })
-	c.exited, c.grace, c.pauses = nil, nil, 0
+	c.exited, c.grace, c.poll, c.pauses = nil, nil, nil, 0
 	c.restart = time.After(c.downtime)
 }
 
--- a/trial/soak/open.go
+++ b/trial/soak/open.go
@@ -19,8 +19,12 @@
 type Open struct {
 	// Moments counts pairs of a moment and an entry.
 	Moments int `json:"moments"`
-	// Bare counts those of them at which no request was open at the entry.
-	Bare int `json:"bare"`
+	// Bare counts those of them at which no request was open at the entry, NoLong, NoWaiting and NoUpload those without an
+	// open request of the kind below.
+	Bare      int `json:"bare"`
+	NoLong    int `json:"no-long"`
+	NoWaiting int `json:"no-waiting"`
+	NoUpload  int `json:"no-upload"`
 	// Whole counts the requests that had been sent as a whole and had no answer, Long those of them that had been sent
 	// more than loss_slack_ms before, and Waiting the submissions among them. Uploads counts those sent in part.
 	Whole   int `json:"whole"`
@@ -33,12 +37,13 @@
 const startTime = 300 * time.Millisecond
 
 func (o Open) String() string {
-	return fmt.Sprintf("%d moments, %d bare, %d whole, %d long, %d submissions, %d uploads", o.Moments, o.Bare, o.Whole, o.Long, o.Waiting, o.Uploads)
+	return fmt.Sprintf("%d moments, %d bare, %d whole, %d long, %d submissions, %d uploads (none at %d, %d and %d)",
+		o.Moments, o.Bare, o.Whole, o.Long, o.Waiting, o.Uploads, o.NoLong, o.NoWaiting, o.NoUpload)
 }
 
 // openAt adds the requests that were open at an entry at a time.
 func (h *History) openAt(o *Open, entry string, at time.Duration) {
-	before := o.Whole + o.Uploads
+	before := *o
 	for _, r := range h.Requests {
 		switch {
 		case r.Entry != entry || r.BeginAt > at || r.EndAt <= at:
@@ -60,9 +65,18 @@
 		}
 	}
 	o.Moments++
-	if o.Whole+o.Uploads == before {
-		o.Bare++
+	o.Bare += none(o.Whole+o.Uploads, before.Whole+before.Uploads)
+	o.NoLong += none(o.Long, before.Long)
+	o.NoWaiting += none(o.Waiting, before.Waiting)
+	o.NoUpload += none(o.Uploads, before.Uploads)
+}
+
+// none returns 1 if a count has not changed, and 0 otherwise.
+func none(now, before int) int {
+	if now == before {
+		return 1
 	}
+	return 0
 }
 
 // openAtStops counts the requests that were open at entries when they were stopped.
@@ -84,11 +98,14 @@
 }
 
 // openAtChanges counts the requests that were open at the entries that ran when a pool changed its owner during the
-// traffic.
+// traffic. That a pool gets its first owner is no change.
 func (h *History) openAtChanges(entries []string) Open {
 	var o Open
+	owned := map[string]bool{}
 	for _, c := range h.Changes {
-		if c.At < h.TrafficStart || c.At > h.TrafficEnd {
+		first := !owned[c.Pool]
+		owned[c.Pool] = true
+		if first || c.At < h.TrafficStart || c.At > h.TrafficEnd {
 			continue
 		}
 		for _, e := range entries {
--- a/trial/soak/site.go
+++ b/trial/soak/site.go
@@ -41,6 +41,7 @@
 // site is a deployment under faults.
 type site struct {
 	recorder   *recorder
+	opened     *opened
 	proxies    *proxies
 	platform   *fake.Platform
 	deployment *fake.Deployment
@@ -60,7 +61,7 @@
 // newSite starts a deployment whose entries write their logs to a folder.
 func newSite(ctx context.Context, o *Options, c Case, dir string) (*site, error) {
 	s := &site{
-		recorder: startRecorder(time.Now()), proxies: newProxies(), keepers: map[string]*keeper{}, planted: o.planted,
+		recorder: startRecorder(time.Now()), opened: startOpened(), proxies: newProxies(), keepers: map[string]*keeper{}, planted: o.planted,
 		addresses: map[string]string{}, peers: map[string]string{},
 	}
 	s.layout = fake.Layout{
@@ -114,7 +115,7 @@
 	}
 	for _, e := range s.deployment.Entries {
 		s.addresses[e.Name] = e.CallerAddress
-		startAgain := func() error { return s.deployment.Start(e) }
+		startAgain, beforeStop := func() error { return s.deployment.Start(e) }, func() {}
 		if s.planted == cutAnswers {
 			if s.addresses[e.Name], err = s.proxies.add(callers, e.Name, e.CallerAddress); err != nil {
 				return err
@@ -123,8 +124,12 @@
 				s.proxies.heal(callers, e.Name)
 				return s.deployment.Start(e)
 			}
+			beforeStop = func() {
+				// If this fails, so does the test that expects a breach.
+				_, _ = s.proxies.inject(linkName(callers, e.Name), "stop", droppedAnswers())
+			}
 		}
-		s.keepers[e.Name] = startKeeper(e, s.recorder, startAgain)
+		s.keepers[e.Name] = startKeeper(e, s.recorder, s.opened, startAgain, beforeStop)
 	}
 	s.trafficAt = s.recorder.now()
 	return nil
@@ -229,6 +234,7 @@
 	for _, k := range s.keepers {
 		k.task.Close()
 	}
+	s.opened.task.Close()
 	if s.deployment != nil {
 		s.deployment.KillAll()
 	}
--- a/trial/soak/soak_test.go
+++ b/trial/soak/soak_test.go
@@ -95,11 +95,15 @@
 			require.Len(t, rows, 1)
 			require.Empty(t, rows[0].Broken)
 			require.Subset(t, run.notAbout, rows[0].NotChecked, "promises that were not checked")
-			require.NotZero(t, rows[0].AtStops.Long)
-			require.NotZero(t, rows[0].AtStops.Waiting)
-			require.NotZero(t, rows[0].AtStops.Uploads)
-			require.Zero(t, rows[0].AtStops.Bare)
-			require.NotZero(t, rows[0].AtChanges.Waiting)
+			stops, changes := rows[0].AtStops, rows[0].AtChanges
+			require.NotZero(t, stops.Moments)
+			require.Zero(t, stops.NoLong)
+			require.Zero(t, stops.NoWaiting)
+			require.Zero(t, stops.NoUpload)
+			require.NotZero(t, changes.Moments)
+			require.NotZero(t, changes.Long)
+			require.Zero(t, changes.NoWaiting)
+			require.Zero(t, changes.NoUpload)
 			for _, name := range []string{"case.json", "history.json", "result.json", "entry-0.log"} {
 				require.FileExists(t, filepath.Join(o.Keep, fmt.Sprintf("seed-%d", o.Seed), name))
 			}
@@ -135,12 +139,9 @@
 	t.Helper()
 	require.ErrorIs(t, err, ErrBroken)
 	require.Len(t, rows, 1)
-	for _, b := range rows[0].Broken {
-		if b.Promise == promise {
-			return
-		}
-	}
-	require.Fail(t, "the promise was kept", "%s; broken: %v", promise, rows[0].Broken)
+	breaches := count(rows[0].Broken, func(b Breach) bool { return b.Promise == promise })
+	t.Logf("%d breaches of %s in %d cases", breaches, promise, rows[0].Cases[promise])
+	require.NotZero(t, breaches, "%s was kept; broken: %v", promise, rows[0].Broken)
 }
 
 func TestAnswersThatAreDroppedInAPlannedStopAreSeen(t *testing.T) {
