Proxy links of the soak without waiting for their connections

Cause: RemoveToxic and AddToxic hold the lock of a proxy while they wait for each connection's slicer. A slicer that has data left for a peer which is gone waits for the writer of its connection, and the writer has ended and waits for the lock. No context ends that.

Change: package proxy passes on connections itself. Faults are values that the goroutines of connections look up and are told to look up again; no message to the owner of a link waits for a connection. As before, a connection that may have lost data ends with the fault, and late data is passed on at once when its fault ends.

The integration tests still use toxiproxy.

--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -129,12 +129,7 @@
 		if k, ok := linkFaults[kind]; ok {
 			link, kind = linkName("", f.Target), k
 		}
-		heal, err := c.site.proxies.inject(link, fmt.Sprint(number), toxics(kind, number))
-		return func(ctx context.Context) error {
-			ctx, cancel := context.WithTimeout(ctx, healTimeout)
-			defer cancel()
-			return heal(ctx)
-		}, err
+		return c.site.proxies.inject(ctx, link, fmt.Sprint(number), toxics(kind, number))
 	default:
 		c.active[f.Kind]++
 		return func(ctx context.Context) error {
--- a/trial/soak/site.go
+++ b/trial/soak/site.go
@@ -42,7 +42,7 @@
 type site struct {
 	recorder   *recorder
 	opened     *opened
-	proxies    *proxies
+	proxies    proxies
 	platform   *fake.Platform
 	deployment *fake.Deployment
 	// keepers holds the keeper of each entry, by its name. It is set before faults begin.
@@ -61,7 +61,7 @@
 // newSite starts a deployment whose entries write their logs to a folder.
 func newSite(ctx context.Context, o *Options, c Case, dir string) (*site, error) {
 	s := &site{
-		recorder: startRecorder(time.Now()), opened: startOpened(), proxies: newProxies(), keepers: map[string]*keeper{}, planted: o.planted,
+		recorder: startRecorder(time.Now()), opened: startOpened(), proxies: proxies{}, keepers: map[string]*keeper{}, planted: o.planted,
 		addresses: map[string]string{}, peers: map[string]string{},
 	}
 	s.layout = fake.Layout{
@@ -121,12 +121,14 @@
 				return err
 			}
 			startAgain = func() error {
-				s.proxies.heal(callers, e.Name)
+				if err := s.proxies[linkName(callers, e.Name)].HealAll(context.Background()); err != nil {
+					return err
+				}
 				return s.deployment.Start(e)
 			}
 			beforeStop = func() {
 				// If this fails, so does the test that expects a breach.
-				_, _ = s.proxies.inject(linkName(callers, e.Name), "stop", droppedAnswers())
+				_, _ = s.proxies.inject(context.Background(), linkName(callers, e.Name), "stop", droppedAnswers())
 			}
 		}
 		s.keepers[e.Name] = startKeeper(e, s.recorder, s.opened, startAgain, beforeStop)
