Give the callers' connections of the soak a package of their own

Another set of entries needs the same callers: they use a connection until it fails, and know whether an answer has announced its end. No change of behaviour.

--- a/trial/soak/caller.go
+++ b/trial/soak/person.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"carawaymux.dev/trial/caller"
 	"carawaymux.dev/trial/fake"
 	"carawaymux.dev/trial/load"
 )
@@ -24,6 +25,7 @@
 	minRepeat, maxRepeat     = 200 * time.Millisecond, 3 * time.Second
 	minPoll, maxPoll         = 250 * time.Millisecond, 900 * time.Millisecond
 	retryPause               = 250 * time.Millisecond
+	callerDeadline           = 3 * time.Second
 	maxIdle                  = 512
 	tasksPerJob, taskSeconds = (1 + maxTasks) / 2.0 * 1.5, (minTaskMS + maxTaskMS) / 2000.0
 )
@@ -32,14 +34,14 @@
 type crowd struct {
 	site  *site
 	names []string
-	idle  map[string]shelf[*conn]
+	idle  map[string]caller.Shelf[*caller.Conn]
 }
 
 func newCrowd(s *site) *crowd {
-	c := &crowd{site: s, idle: map[string]shelf[*conn]{}}
+	c := &crowd{site: s, idle: map[string]caller.Shelf[*caller.Conn]{}}
 	for _, e := range s.deployment.Entries {
 		c.names = append(c.names, e.Name)
-		c.idle[e.Name] = make(shelf[*conn], maxIdle)
+		c.idle[e.Name] = make(caller.Shelf[*caller.Conn], maxIdle)
 	}
 	return c
 }
@@ -59,7 +61,7 @@
 			var jobs errgroup.Group
 			for n, due := range load.Arrivals(Traffic(seed, stream, traffic, jobsPerSecond(hosts)), traffic, random) {
 				j := drawJob(random, pool, fmt.Sprintf("%04x%04x%08x", seed&0xffff, stream, n+1))
-				p := &caller{crowd: c, job: j, random: rand.New(rand.NewPCG(random.Uint64(), 0)), acceptUntil: c.site.trafficAt + traffic}
+				p := &person{crowd: c, job: j, random: rand.New(rand.NewPCG(random.Uint64(), 0)), acceptUntil: c.site.trafficAt + traffic}
 				if !sleep(ctx, c.site.trafficAt+due-c.site.recorder.now()) {
 					break
 				}
@@ -94,8 +96,8 @@
 	return j
 }
 
-// caller submits a job and follows it.
-type caller struct {
+// person submits a job and follows it.
+type person struct {
 	crowd  *crowd
 	job    Job
 	random *rand.Rand
@@ -104,13 +106,13 @@
 }
 
 // register records the job and returns the body that submits it.
-func (p *caller) register() ([]byte, error) {
+func (p *person) register() ([]byte, error) {
 	registered := p.crowd.site.deployment.Register(p.job.ID, p.job.Specification, p.job.Steps)
 	p.crowd.site.recorder.add(func(h *History) { h.Jobs = append(h.Jobs, p.job) })
 	return json.Marshal(map[string]any{"specification": registered.Specification, "steps": p.job.Steps})
 }
 
-func (p *caller) run(ctx context.Context) {
+func (p *person) run(ctx context.Context) {
 	body, err := p.register()
 	if err != nil {
 		return
@@ -121,8 +123,8 @@
 }
 
 // submitUntilAccepted submits the job until it is accepted, which it reports, or the caller gives up.
-func (p *caller) submitUntilAccepted(ctx context.Context, body []byte) bool {
-	for p.ask(Submit, http.MethodPost, body).status != http.StatusOK {
+func (p *person) submitUntilAccepted(ctx context.Context, body []byte) bool {
+	for p.ask(Submit, http.MethodPost, body).Status != http.StatusOK {
 		if p.crowd.site.recorder.now() > p.acceptUntil || !sleep(ctx, retryPause) {
 			return false
 		}
@@ -131,23 +133,23 @@
 }
 
 // follow polls an accepted job until it has ended, and cancels or submits it again at times.
-func (p *caller) follow(ctx context.Context, body []byte) {
+func (p *person) follow(ctx context.Context, body []byte) {
 	r := p.crowd.site.recorder
 	cancel, repeat := p.random.Float64() < cancelShare, p.random.Float64() < repeatShare
 	acceptedAt, later := r.now(), minRepeat+time.Duration(p.random.Int64N(int64(maxRepeat-minRepeat)))
 	for sleep(ctx, minPoll+time.Duration(p.random.Int64N(int64(maxPoll-minPoll)))) {
 		due := r.now() > acceptedAt+later
 		if due && repeat {
-			repeat = p.ask(Submit, http.MethodPost, body).status != http.StatusOK
+			repeat = p.ask(Submit, http.MethodPost, body).Status != http.StatusOK
 			continue
 		}
 		if due && cancel {
-			status := p.ask(Cancel, http.MethodDelete, nil).status
+			status := p.ask(Cancel, http.MethodDelete, nil).Status
 			cancel = status != http.StatusOK && status != http.StatusGone
 			continue
 		}
 		a := p.ask(Look, http.MethodGet, nil)
-		if ended(stateIn(a)) || a.status == http.StatusGone {
+		if ended(stateIn(a)) || a.Status == http.StatusGone {
 			return
 		}
 	}
@@ -164,57 +166,59 @@
 )
 
 // stateIn returns the state in the answer to a look, or "".
-func stateIn(a answer) string {
+func stateIn(a caller.Answer) string {
 	var out struct {
 		State string `json:"state"`
 	}
-	if a.status != http.StatusOK || json.Unmarshal(a.body, &out) != nil {
+	if a.Status != http.StatusOK || json.Unmarshal(a.Body, &out) != nil {
 		return ""
 	}
 	return out.State
 }
 
 // ask sends a request to some entry, over an open connection if there is one, and records it.
-func (p *caller) ask(verb Verb, method string, body []byte) answer {
+func (p *person) ask(verb Verb, method string, body []byte) caller.Answer {
 	return p.askAt(p.crowd.names[p.random.IntN(len(p.crowd.names))], verb, method, body, 0)
 }
 
 // askAt sends a request to an entry. If drip is not zero, it sends the body a byte at a time with pauses between the bytes.
-func (p *caller) askAt(name string, verb Verb, method string, body []byte, drip time.Duration) answer {
+func (p *person) askAt(name string, verb Verb, method string, body []byte, drip time.Duration) caller.Answer {
 	idle, r := p.crowd.idle[name], p.crowd.site.recorder
-	c, ok := idle.take()
+	c, ok := idle.Take()
 	if !ok {
 		var err error
-		if c, err = dial(p.crowd.site.addresses[name]); err != nil {
-			return answer{err: err}
+		if c, err = caller.Dial(p.crowd.site.addresses[name]); err != nil {
+			return caller.Answer{Err: err}
 		}
 	}
 	begin := r.now()
 	open := &openRequest{entry: name, verb: verb, beginAt: begin, drips: drip > 0}
 	p.crowd.site.opened.begin(open)
-	closing := c.closing
-	a := c.exchange(method, fake.QueuePath(p.job.Queue)+p.job.ID, body, drip, func(at time.Time) {
-		p.crowd.site.opened.sent(open, at.Sub(r.startedAt))
+	closing := c.Closing
+	a := c.Exchange(caller.Request{
+		Method: method, Host: fake.VirtualHost, Path: fake.QueuePath(p.job.Queue) + p.job.ID, Body: body, Patience: callerDeadline, Drip: drip,
+		Header: http.Header{"Deadline": {strconv.FormatInt(callerDeadline.Milliseconds(), 10)}, "Content-Type": {"application/json"}},
+		Sent:   func(at time.Time) { p.crowd.site.opened.sent(open, at.Sub(r.startedAt)) },
 	})
 	p.crowd.site.opened.end(open)
-	if a.err != nil || !idle.put(c) {
-		c.net.Close()
+	if a.Err != nil || !idle.Put(c) {
+		c.Close()
 	}
 	q := Request{
 		Job: p.job.ID, Queue: p.job.Queue, Verb: verb, Entry: name, BeginAt: begin, EndAt: r.now(),
-		Status: a.status, TimedOut: a.timedOut, Closing: closing,
+		Status: a.Status, TimedOut: a.TimedOut, Closing: closing,
 	}
 	if verb == Look {
 		q.State = stateIn(a)
 	}
-	if a.err != nil {
-		q.Error = a.err.Error()
+	if a.Err != nil {
+		q.Error = a.Err.Error()
 	}
-	if a.sentAt.IsZero() {
+	if a.SentAt.IsZero() {
 		r.add(func(h *History) { h.Partial = append(h.Partial, q) })
 		return a
 	}
-	q.SentAt = a.sentAt.Sub(r.startedAt)
+	q.SentAt = a.SentAt.Sub(r.startedAt)
 	r.add(func(h *History) { h.Requests = append(h.Requests, q) })
 	return a
 }
@@ -223,11 +227,11 @@
 func (c *crowd) close() {
 	for _, idle := range c.idle {
 		for {
-			v, ok := idle.take()
+			v, ok := idle.Take()
 			if !ok {
 				break
 			}
-			v.net.Close()
+			v.Close()
 		}
 	}
 }
