--- a/trial/soak/hold.go
+++ b/trial/soak/hold.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -43,11 +44,13 @@
 	entries  []string
 }
 
-// holdSpans returns the spans around all moments at which an entry is stopped, killed, paused or resumed.
+// holdSpans returns the spans around all moments at which an entry is stopped, killed, paused or resumed, or at which owners
+// may lose their pools since calls to the store fail.
 func holdSpans(schedule []Fault, entries []string) []span {
 	var spans []span
 	add := func(f Fault, at, after time.Duration) {
-		spans = append(spans, span{max(at-holdBefore, 0), at + after, heldEntries(entries, f.Target)})
+		entry, _, _ := strings.Cut(f.Target, linkName("", ""))
+		spans = append(spans, span{max(at-holdBefore, 0), at + after, heldEntries(entries, entry)})
 	}
 	for _, f := range schedule {
 		switch f.Kind {
@@ -60,6 +63,14 @@
 		case Pause:
 			add(f, f.At, takeoverTime)
 			add(f, f.At+f.For, holdAfter)
+		case StoreBusy, StoreSilent, StoreLossy, StoreSlow, StoreFull:
+			add(f, f.At, takeoverTime)
+			add(f, f.At+f.For, takeoverTime)
+		case LinkDelay, LinkReset, LinkCut, LinkSilent, LinkLate:
+			if strings.HasSuffix(f.Target, linkName("", fake.StoreLink)) {
+				add(f, f.At, takeoverTime)
+				add(f, f.At+f.For, takeoverTime)
+			}
 		}
 	}
 	slices.SortStableFunc(spans, func(a, b span) int { return cmp.Compare(a.from, b.from) })
@@ -76,12 +87,12 @@
 	return out
 }
 
-// heldEntries returns the entry that a fault hits, and others.
+// heldEntries returns the entry that a fault hits, and others. Faults of the store hit no entry in particular.
 func heldEntries(entries []string, target string) []string {
 	if len(entries) <= maxHeldEntries {
 		return slices.Sorted(slices.Values(entries))
 	}
-	at := slices.Index(entries, target)
+	at := max(slices.Index(entries, target), 0)
 	var out []string
 	for i := range maxHeldEntries {
 		out = append(out, entries[(at+i)%len(entries)])
@@ -129,13 +140,13 @@
 const jobsPerHolder = 4096
 
 // drawer returns a function that draws the callers of a holder, in turn for both pools.
-func (h *holder) drawer() func() *caller {
+func (h *holder) drawer() func() *person {
 	random, first, n := rand.New(rand.NewPCG(h.random.Uint64(), 0)), h.jobs, 0
 	h.jobs += jobsPerHolder
-	return func() *caller {
+	return func() *person {
 		n++
 		pool := []string{guardedPool, unguardedPool}[n%2]
-		return &caller{crowd: h.crowd, random: rand.New(rand.NewPCG(random.Uint64(), 0)), job: Job{
+		return &person{crowd: h.crowd, random: rand.New(rand.NewPCG(random.Uint64(), 0)), job: Job{
 			ID: fmt.Sprintf("%04x%04x%08x", h.seed&0xffff, holdStream, first+n), Queue: pool, Pool: pool, Specification: strconv.Itoa(heldTaskMS),
 			Steps: []fake.StepSpec{{Count: 1, EstimatedMS: heldTaskMS}},
 		}}
@@ -144,7 +155,7 @@
 
 // keepOpen submits a job at an entry after each interval until a time, whether those before are answered or not. With
 // uploadInterval, the bodies are sent slowly.
-func (c *crowd) keepOpen(ctx context.Context, group *errgroup.Group, name string, interval, until time.Duration, next func() *caller) {
+func (c *crowd) keepOpen(ctx context.Context, group *errgroup.Group, name string, interval, until time.Duration, next func() *person) {
 	for due := c.site.recorder.now(); due < until; due += interval {
 		if !sleep(ctx, due-c.site.recorder.now()) {
 			return
@@ -160,7 +171,7 @@
 		}
 		p.acceptUntil = until
 		group.Go(func() error {
-			accepted := p.askAt(name, Submit, http.MethodPost, body, drip).status == http.StatusOK
+			accepted := p.askAt(name, Submit, http.MethodPost, body, drip).Status == http.StatusOK
 			givesUp := p.random.Float64() < giveUpShare
 			if accepted || !givesUp && p.submitUntilAccepted(ctx, body) {
 				p.follow(ctx, body)
