Acknowledge ends to the instance that has reported them, also without a lease

Seen, by a test: while the store is away for longer than leases are extended without it, heartbeats carry no deadline. They were sent to whichever instance answers at the address, with the number of the last end of the earlier one. The platform carries calls out seconds late at times. If the host restarts, reports, is given work again and finishes it before such a call is carried out, it forgets the end, and the owner starts the task again although it is done (TWICE).

Cause: only heartbeats that extend a lease were bound to an instance.

Change: so are those that acknowledge ends. Another instance only reports. It costs a call for each connection that is opened meanwhile.

--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -128,7 +128,8 @@
 		acked = h.StoredEnd
 	}
 	heartbeat := agent.Heartbeat{Deadline: deadline, Token: c.state.Epoch, Acked: acked, Wait: wait}
-	if deadline != 0 {
+	if deadline != 0 || acked != 0 {
+		// The next instance has another clock and numbers its ends from 1 again.
 		heartbeat.Instance = h.Instance
 	}
 	l.heartbeatInFlight = l.agent.SendHeartbeat(heartbeat)
--- a/fleet/port/worker.go
+++ b/fleet/port/worker.go
@@ -141,8 +141,8 @@
 	Acked int64
 	// Wait is how long the host may wait for a run to finish before it answers.
 	Wait time.Duration
-	// Instance is the start time of the instance of the host whose lease is to be extended. Another instance only
-	// reports. 0 means that instances are not told apart.
+	// Instance is the start time of the instance of the host whose lease is to be extended, or whose finished runs are
+	// acknowledged. Another instance only reports. 0 means that instances are not told apart.
 	Instance int64
 }
 
