--- a/trial/model/flood_test.go
+++ b/trial/model/flood_test.go
@@ -151,3 +151,31 @@
 	f.Outage = model.Outage{From: floodStart + floodDuration/3, Length: 2 * floodDuration / 3}
 	requireRecovery(t, f, 0)
 }
+
+// jobsIn returns the jobs of a kind that arrived in a span, without what became of them.
+func jobsIn(r *model.Result, kind int, from, until time.Duration) []model.Outcome {
+	var out []model.Outcome
+	for _, j := range r.Jobs {
+		if j.Kind == kind && j.Arrived >= from && j.Arrived < until {
+			out = append(out, model.Outcome{Kind: kind, Arrived: j.Arrived, Worth: j.Worth})
+		}
+	}
+	return out
+}
+
+// Guards against days that are compared although their jobs differ: the jobs of a flood changed all that were drawn after
+// them, so the day with it offered up to a tenth more or less than the day without.
+func TestAFloodChangesNoOtherJobs(t *testing.T) {
+	for seed := range uint64(3) {
+		calm, err := model.Run(threePools, turnsWithFloods(3), model.Forecast, seed)
+		require.NoError(t, err)
+		flood, err := model.Run(threePools, turnsWithFloods(3, 0), model.Forecast, seed)
+		require.NoError(t, err)
+		for k := range threePools.Kinds {
+			require.NotEmpty(t, jobsIn(&calm, k, 0, trafficEnd))
+			require.Equal(t, jobsIn(&calm, k, 0, floodStart), jobsIn(&flood, k, 0, floodStart))
+			require.Equal(t, jobsIn(&calm, k, floodStart+floodDuration, trafficEnd), jobsIn(&flood, k, floodStart+floodDuration, trafficEnd))
+		}
+		require.Greater(t, len(jobsIn(&flood, 0, 0, trafficEnd)), 2*len(jobsIn(&calm, 0, 0, trafficEnd)))
+	}
+}
--- a/trial/model/model.go
+++ b/trial/model/model.go
@@ -139,7 +139,7 @@
 type run struct {
 	fleet    Fleet
 	shape    Shape
-	random   *rand.Rand
+	seed     uint64
 	pools    []*pool
 	machines map[string]port.Machine
 	arriving map[string]time.Duration
@@ -158,7 +158,7 @@
 // Play plays a shape on a fleet with a sizing policy.
 func Play[P sizing.Policy, S Sizer](f Fleet, s Shape, policy P, sizer S, seed uint64) Result {
 	r := &run{
-		fleet: f, shape: s, random: rand.New(rand.NewPCG(seed, 1)), machines: map[string]port.Machine{},
+		fleet: f, shape: s, seed: seed, machines: map[string]port.Machine{},
 		arriving: map[string]time.Duration{}, inTime: make([]float64, len(f.Kinds)), owed: make([]float64, len(f.Kinds)),
 	}
 	add := func(name string, n int) {
@@ -283,8 +283,9 @@
 	}
 	for i, k := range r.fleet.Kinds {
 		expected := k.Rate * r.shape.Factor(i, at) * tick.Seconds()
-		for range poisson(r.random, expected) {
-			size := math.Exp(r.random.NormFloat64()*0.6 - 0.18)
+		random := r.draws(i, at)
+		for range poisson(random, expected) {
+			size := math.Exp(random.NormFloat64()*0.6 - 0.18)
 			length := time.Duration(k.Steps) * k.Duration
 			j := &job{kind: i, arrived: at, objective: at + time.Duration(stretch*float64(length)) + allowance, left: k.Steps, cores: k.Cores * size}
 			j.waiting, j.worth = j.cores, k.Worth*(0.3+0.7*size)
@@ -301,6 +302,12 @@
 	}
 }
 
+// draws returns the random numbers of the jobs of a kind in a tick. They depend on nothing else, so two shapes have the
+// same jobs wherever their factors are the same, and what they serve can be compared.
+func (r *run) draws(kind int, at time.Duration) *rand.Rand {
+	return rand.New(rand.NewPCG(r.seed, uint64(kind+1)<<32|uint64(at/tick)))
+}
+
 func poisson(random *rand.Rand, mean float64) int {
 	limit, n := math.Exp(-mean), 0
 	for product := random.Float64(); product > limit; product *= random.Float64() {
