Size the beginning of a turn by earlier turns

Cause: a pool in a turn was expected to need nothing besides what its rate shows. The rate is a mean over 2 s, and low at first.

Change: until the rate has been measured for that time, the pool is expected to need what earlier turns needed. Before the first turn has ended, their height is not known, and all is as before.

--- a/fleet/demand/demand.go
+++ b/fleet/demand/demand.go
@@ -82,7 +82,8 @@
 
 // Policy forecasts the next turn.
 type Policy interface {
-	// Expect returns what a pool that is not in a turn may need within a time from now.
+	// Expect returns what a pool may need within a time from now, in addition to what the rate of a turn that it is in
+	// shows.
 	Expect(h *History, pool string, now time.Time, within time.Duration) Expectation
 }
 
@@ -255,9 +256,16 @@
 // Expect implements [Policy].
 func (InOrder) Expect(h *History, pool string, now time.Time, within time.Duration) Expectation {
 	p := h.Pools[pool]
-	if p == nil || p.InTurn {
+	if p == nil {
 		return Expectation{}
 	}
+	if p.InTurn {
+		if p.Peak == 0 || now.Sub(p.Began) >= longWindow {
+			return Expectation{}
+		}
+		// A rate that has not been measured for the whole window yet says less about a turn than earlier turns do.
+		return Expectation{Probability: 1, Arriving: p.Peak}
+	}
 	e := Expectation{Arriving: p.Peak}
 	if p.Peak == 0 {
 		e.Hosts = p.Hosts
--- a/fleet/demand/demand_test.go
+++ b/fleet/demand/demand_test.go
@@ -161,6 +161,28 @@
 	require.Greater(t, expect(h, "a", 19*time.Second).Probability, 0.4)
 }
 
+// Guards against a pool that gives away the hosts that it got for its turn as the turn begins, since the rate of its
+// first jobs is low, and needs them again a second later.
+func TestAPoolIsExpectedToNeedItsHostsAsItsTurnBegins(t *testing.T) {
+	h := demand.NewHistory()
+	const length = 5 * time.Second
+	observe(h, 0, 4*length+step, inOrder(length))
+	require.True(t, h.Pools["a"].InTurn)
+	for at := 4*length + step; at < 4*length+2*time.Second; at += step {
+		require.Equal(t, demand.Expectation{Probability: 1, Arriving: high}, expect(h, "a", at), at)
+		observe(h, at, at+step, inOrder(length))
+	}
+	require.Zero(t, expect(h, "a", 4*length+2*time.Second), "the rate of the turn itself shows what it needs")
+}
+
+// The height of a first turn is not known.
+func TestTheBeginningOfAFirstTurnIsNotExpectedToBeHigh(t *testing.T) {
+	h := demand.NewHistory()
+	observe(h, 0, step, inOrder(5*time.Second))
+	require.True(t, h.Pools["a"].InTurn)
+	require.Zero(t, expect(h, "a", step))
+}
+
 func TestSteadyLoadHasNoTurns(t *testing.T) {
 	h := demand.NewHistory()
 	for at := time.Duration(0); at < time.Minute; at += step {
