Keep the hosts of a turn that is about to begin where they are

Cause: work that waits takes hosts that another pool holds for a forecast, however likely that is.

Change: it takes none of those that the forecast asks for while the load is more likely than not to come within the time of a move.

--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -261,6 +261,10 @@
 // standby. A move to standby and back takes about as long.
 const surplusDelay = 1500 * time.Millisecond
 
+// reserveProbability is the probability of a forecast load above which other pools get none of the hosts for it: by the
+// time that a host arrives there, it is more likely needed where it was.
+const reserveProbability = 0.5
+
 // pool is the state of a pool in a round of planning.
 type pool struct {
 	name string
@@ -270,6 +274,9 @@
 	current, desired, expected int
 	// probability is how likely the forecast load is.
 	probability float64
+	// reserved is the number of hosts for the forecast load if that is likely to come before a host that moves now
+	// arrives elsewhere, and 0 otherwise.
+	reserved int
 	// required is the part of desired for work that could run now.
 	required int
 	// normal is the number of hosts for the usual load that can still be in time, ahead that for such a load that is
@@ -386,6 +393,9 @@
 		expected := in.Expected[p.name]
 		p.expected = max(p.desired, expected.Fill, min(p.current, expected.Keep))
 		p.probability = expected.Probability
+		if p.probability > reserveProbability {
+			p.reserved = expected.Fill
+		}
 		for i, hosts := range [][]string{p.load.IdleHosts, p.load.MovableHosts} {
 			var due, others []port.Machine
 			for _, h := range hosts {
@@ -454,13 +464,13 @@
 		return cmp.Or(cmp.Compare(a.probability, b.probability), cmp.Compare(b.current-b.desired, a.current-a.desired))
 	})
 	for _, q := range keepers {
-		if q.current > q.desired && q.idle > 0 && s.takeFrom(p, q, add) {
+		if q.current > max(q.desired, q.reserved) && q.idle > 0 && s.takeFrom(p, q, add) {
 			return true
 		}
 	}
 	// Work that waits now takes precedence over work that another pool expects.
 	for _, q := range slices.Backward(pools) {
-		if p.load.Backlog > 0 && p.current < p.required && q.current > q.required && q.idle > 0 && s.takeFrom(p, q, add) {
+		if p.load.Backlog > 0 && p.current < p.required && q.current > max(q.required, q.reserved) && q.idle > 0 && s.takeFrom(p, q, add) {
 			return true
 		}
 	}
--- a/fleet/sizing/sizing_test.go
+++ b/fleet/sizing/sizing_test.go
@@ -262,6 +262,29 @@
 	require.Empty(t, sizing.Plan(sizing.NewState(), clearBacklog, in, time.Unix(1_700_000_000, 0)))
 }
 
+// Guards against a pool whose turn is about to begin and that gives the hosts for it to a pool whose turn is about to end.
+func TestHostsForATurnThatIsAboutToBeginStay(t *testing.T) {
+	for _, probability := range []float64{0.45, 0.8} {
+		in := &sizing.Input{Loads: map[string]sizing.Load{}, Machines: map[string]port.Machine{}, Standby: standby, Budget: budget}
+		next := sizing.Load{Hosts: 8, HostCapacity: hostCapacity}
+		for i := range 8 {
+			id := fmt.Sprintf("next-%d", i)
+			in.Machines[id] = port.Machine{ID: id, Pool: "next", State: port.MachineUp, Host: "h-" + id}
+			next.IdleHosts = append(next.IdleHosts, "h-"+id)
+		}
+		in.Machines["last-0"] = port.Machine{ID: "last-0", Pool: "last", State: port.MachineUp, Host: "h-last-0"}
+		in.Loads["next"] = next
+		in.Loads["last"] = sizing.Load{Hosts: 1, HostCapacity: hostCapacity, Running: hostCapacity, Backlog: 4 * hostCapacity, ArrivalRate: 4 * hostCapacity}
+		in.Expected = map[string]sizing.Expected{"next": {Fill: 6, Keep: 6, Probability: probability}}
+		planned := sizing.Plan(sizing.NewState(), clearBacklog, in, time.Unix(1_700_000_000, 0))
+		if probability > 0.5 {
+			require.Len(t, planned, 2, "those beyond the hosts for the turn")
+		} else {
+			require.Greater(t, len(planned), 2, "work that waits goes before a load that is unlikely")
+		}
+	}
+}
+
 // shrunkPool returns the input for pool "a" with four hosts, pool "b" with as many that are idle, and two
 // machines on standby, and a load of pool "a".
 func shrunkPool(l sizing.Load) *sizing.Input {
