Let no turn begin while a flood ends

The turn of b that has begun by then counts as a flood during that of a.

Cause: a turn ends at a fifth of its own height. That of a flood is above two fifths of the usual height, at which turns begin.

Change: after a turn, the next one of the pool begins once the rate has been below that at which turns begin. A holder of the machines stores it with the history; earlier releases skip the key.

--- a/fleet/demand/demand.go
+++ b/fleet/demand/demand.go
@@ -47,6 +47,9 @@
 	// Pending is set, that is not decided.
 	InTurn, Counted, Pending bool
 	Began                    time.Time
+	// Falling reports whether the rate has not been below that at which turns begin since the last one ended. A flood
+	// ends above it.
+	Falling bool
 	// Highest is the highest rate of the present turn, and Sum the sum of the Count observed rates that
 	// were at least half of the highest one until then.
 	Highest, Sum, Count int64
@@ -131,7 +134,7 @@
 	}
 	for _, name := range h.names() {
 		p := h.Pools[name]
-		if r, ok := rates[name]; ok && !p.InTurn && p.beginsTurn(r) {
+		if r, ok := rates[name]; ok && p.beginsTurn(r) {
 			p.InTurn, p.Counted, p.Pending, p.Began = true, false, true, now
 			p.Highest, p.Sum, p.Count = 0, 0, 0
 			p.addRate(r.Arriving)
@@ -157,14 +160,24 @@
 	h.countTurn(p)
 }
 
-// beginsTurn reports whether work arrives at a rate of a turn. Before the first turn, operators' provision
-// stands for its height.
+// beginsTurn records a rate of a pool that is not in a turn, and reports whether one begins.
 func (p *Pool) beginsTurn(r Rate) bool {
+	if p.InTurn {
+		return false
+	}
+	high := p.hasTurnRate(r)
+	p.Falling = p.Falling && high
+	return high && !p.Falling && r.Arrivals >= minArrivals
+}
+
+// hasTurnRate reports whether work arrives at a rate at which turns begin. Before the first turn, operators' provision
+// stands for its height.
+func (p *Pool) hasTurnRate(r Rate) bool {
 	height := p.Peak
 	if height == 0 {
 		height = p.Capacity
 	}
-	return height > 0 && r.Arrivals >= minArrivals && float64(r.Arriving) >= startShare*float64(height)
+	return height > 0 && float64(r.Arriving) >= startShare*float64(height)
 }
 
 // addRate records a rate of the present turn.
@@ -186,7 +199,7 @@
 	if float64(r.Arriving) >= endShare*float64(p.Highest) {
 		return false
 	}
-	p.InTurn, p.Pending = false, false
+	p.InTurn, p.Pending, p.Falling = false, false, true
 	if !p.Counted {
 		return false
 	}
--- a/fleet/demand/demand_test.go
+++ b/fleet/demand/demand_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -175,6 +176,37 @@
 	require.Zero(t, expect(h, "a", 4*length+2*time.Second), "the rate of the turn itself shows what it needs")
 }
 
+// Guards against a flood that counts as two turns. The rate at which it ended was above that at which turns begin, so
+// another turn began while it fell, and the next pool's turn counted as a flood during that one.
+func TestTheEndOfAFloodBeginsNoTurn(t *testing.T) {
+	h := demand.NewHistory()
+	const length, fall = 5 * time.Second, 2 * time.Second
+	for at := time.Duration(0); at < 7*length; at += step {
+		turn := int(at / length)
+		rates := map[string]demand.Rate{}
+		for i, p := range pools {
+			rates[p] = demand.Rate{Arriving: low, Arrivals: 5, Provided: 20, Capacity: 272_000}
+			if turn%len(pools) == i {
+				rates[p] = demand.Rate{Arriving: high, Arrivals: 50, Provided: 20, Capacity: 272_000}
+			}
+		}
+		// The fifth turn is a flood of pool "a", whose rate falls over the length of the meter's window.
+		flood := demand.Rate{Arriving: 12 * high, Arrivals: 600, Provided: 20, Capacity: 272_000}
+		if since := at - 5*length; since >= 0 && since < fall {
+			flood.Arriving = int64(12 * high * float64(fall-since) / float64(fall))
+			rates["a"] = flood
+		} else if turn == 4 {
+			rates["a"] = flood
+		}
+		h.WorkSince = start
+		h.Observe(rates, start.Add(at))
+		// A holder that takes over in between goes on from what is stored.
+		h = h.Snapshot().History()
+	}
+	require.Equal(t, slices.Repeat([]time.Duration{length}, 6), h.Intervals)
+	require.Greater(t, expect(h, "d", 7*length-step).Probability, 0.4)
+}
+
 // The height of a first turn is not known.
 func TestTheBeginningOfAFirstTurnIsNotExpectedToBeHigh(t *testing.T) {
 	h := demand.NewHistory()
--- a/fleet/demand/snapshot.go
+++ b/fleet/demand/snapshot.go
@@ -30,6 +30,7 @@
 	Began     int64 `cbor:"10,keyasint"`
 	Counted   bool  `cbor:"11,keyasint"`
 	Pending   bool  `cbor:"12,keyasint"`
+	Falling   bool  `cbor:"13,keyasint,omitempty"`
 }
 
 // Snapshot returns a copy of the history for the store.
@@ -41,7 +42,7 @@
 	for name, p := range h.Pools {
 		s.Pools[name] = PoolSnapshot{
 			Hosts: p.Hosts, Capacity: p.Capacity, Peak: p.Peak, InTurn: p.InTurn, Highest: p.Highest, Sum: p.Sum, Count: p.Count,
-			StartedAt: millis(p.StartedAt), Passed: p.Passed, Began: millis(p.Began), Counted: p.Counted, Pending: p.Pending,
+			StartedAt: millis(p.StartedAt), Passed: p.Passed, Began: millis(p.Began), Counted: p.Counted, Pending: p.Pending, Falling: p.Falling,
 		}
 	}
 	return s
@@ -63,7 +64,7 @@
 		// A turn has at least one rate.
 		h.Pools[name] = &Pool{
 			Hosts: p.Hosts, Capacity: p.Capacity, Peak: p.Peak, InTurn: p.InTurn && p.Count > 0, Highest: p.Highest, Sum: p.Sum, Count: p.Count,
-			StartedAt: fromMillis(p.StartedAt), Passed: p.Passed, Began: fromMillis(p.Began), Counted: p.Counted, Pending: p.Pending,
+			StartedAt: fromMillis(p.StartedAt), Passed: p.Passed, Began: fromMillis(p.Began), Counted: p.Counted, Pending: p.Pending, Falling: p.Falling,
 		}
 	}
 	return h
