Count the wait of long-running tasks from when their step is ready

Cause: a long-running task waits because of suspects for two seconds at most. The time was counted from the acceptance of its job or the claim of the pool, so tasks of a later occurrence, or of a step after another one, counted as having waited at once. A suspect beside them cannot be told from them if the host crashes, which costs both attempts.

Change: the time counts from the first round of planning that finds the step waiting. The reference is unchanged; it knows no wait of a step that becomes ready in the same round.

Evidence: the new test fails on the code before.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -78,6 +78,9 @@
 	lateness lateness
 	// alarm is when the step has to move to another group.
 	alarm time.Duration
+	// since is when a round of planning first found the step, if placed is set.
+	since  time.Duration
+	placed bool
 	// touched reports whether the step is in backlog.touched.
 	touched bool
 }
@@ -327,6 +330,9 @@
 
 // place puts a step into the group to which it belongs at a time.
 func (b *backlog) place(w *waitingStep, now time.Duration) {
+	if !w.placed {
+		w.since, w.placed = now, true
+	}
 	lateAfter := clamp.Sub(w.objective, w.expectedPath())
 	remaining := w.work.left(&w.job.Spec, w.job.Occurrences[w.demand.Occurrence].Stages)
 	key := groupKey{
--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -131,20 +131,14 @@
 	return work
 }
 
-// hasWaited reports whether a long-running task has waited for longer than isolationPatience since its run was lost. If it
-// was not, or by an earlier owner, it waits since its job was accepted or the pool claimed.
+// hasWaited reports whether a long-running task has waited for longer than isolationPatience since its run was lost, or
+// since its step could start if no run was lost.
 func (s *State) hasWaited(stage *Stage, task *Task, now time.Time) bool {
-	since := task.LostAt
-	if since.IsZero() {
-		if stage.waiting == nil {
-			return false
-		}
-		since = s.ClaimedAt
-		if accepted := stage.waiting.job.AcceptedAt; accepted.After(since) {
-			since = accepted
-		}
+	if !task.LostAt.IsZero() {
+		return now.Sub(task.LostAt) > isolationPatience
 	}
-	return now.Sub(since) > isolationPatience
+	w := stage.waiting
+	return w != nil && w.placed && now.Sub(s.backlog.origin)-w.since > isolationPatience
 }
 
 // admits reports whether a task may be placed on a host beside the tasks there, as far as crashes of hosts
--- a/fleet/shard/isolate_test.go
+++ b/fleet/shard/isolate_test.go
@@ -150,6 +150,32 @@
 	require.Empty(t, o.start(), "the suspect has run for no time at all")
 }
 
+// Guards against a suspect of a crash that cannot be told from a task beside it (BUDGET): the step of the task had just
+// become ready, and counted as having waited since its job was accepted.
+func TestALongRunningTaskThatIsJustReadyStaysOffAHostThatIsKeptForASuspect(t *testing.T) {
+	o := newOwner(t, 2, "a")
+	serves := longRunningStep(1, 0, 0)
+	serves.After = []int{0}
+	o.submit("job", smallStep(1), serves)
+	first := o.start()
+	require.Len(t, first, 1)
+	o.advance(1500 * time.Millisecond)
+	o.report("a", runningRow(first[0], 50))
+	o.advance(1500 * time.Millisecond)
+	o.report("a", runningRow(first[0], 90))
+	restoreIsolated(o, "suspect", longRunningStep(1, 0, 0))
+	suspect := o.start()
+	require.Len(t, suspect, 1)
+	require.Equal(t, "suspect", suspect[0].Ref.Job)
+	o.report("a", doneRow(1, first[0]), runningRow(suspect[0], 100))
+	require.Empty(t, o.start(), "the suspect has run for no time at all")
+	for range 21 {
+		o.advance(100 * time.Millisecond)
+		o.report("a", runningRow(suspect[0], 100))
+	}
+	require.Len(t, o.start(), 1)
+}
+
 // Guards against suspects that cannot be told apart after a change of the owner (BUDGET).
 func TestLongRunningSuspectsRunApartAfterAChangeOfTheOwner(t *testing.T) {
 	o := newOwner(t, 2, "a")
