Do not blame hosts for steps that fail on sound hosts

Cause: a host was judged by its own runs only. A failure of work that fails elsewhere, too, counted like any other.

Change: when a run succeeds on a host, the steps that failed there since the last success, and have succeeded nowhere, are to blame themselves. Their failures count against no host until they succeed, those that had counted are withdrawn, and a host that was closed by them opens again. A host that is broken shows no success, so what fails there still counts.

Evidence: the first new test fails on the code before; the second guards the closing of a broken host beside work that always fails.

--- a/fleet/shard/health.go
+++ b/fleet/shard/health.go
@@ -1,34 +1,76 @@
 package shard
 
 import (
+	"slices"
 	"time"
 )
 
+// outcomes is what the runs of a step tell about the step itself.
+type outcomes struct {
+	// succeeded reports whether a run has ended as done, or a long-running one has worked.
+	succeeded bool
+	// failsAnywhere reports whether a run has failed on a host that was sound, with no success since. Further failures
+	// do not count against hosts then.
+	failsAnywhere bool
+}
+
 // recordOutcome counts the end of a run for the health of its host. When half of the hosts that answer
 // are unhealthy already, no further host becomes unhealthy for failures.
-func (s *State) recordOutcome(h *Host, job string, failed bool, now time.Time) {
+func (s *State) recordOutcome(h *Host, job string, stage *Stage, failed bool, now time.Time) {
+	if stage.outcomes == nil {
+		stage.outcomes = &outcomes{succeeded: stage.Left < stage.count}
+	}
+	o := stage.outcomes
 	if !failed {
-		h.failureStreak, h.lastFailedJob, h.unhealthyCount = 0, "", 0
-		h.reopen()
+		o.succeeded, o.failsAnywhere = true, false
+		s.recordSuccess(h)
 		return
 	}
-	if job == h.lastFailedJob {
+	if o.failsAnywhere || job == h.lastFailedJob {
 		return
 	}
 	h.lastFailedJob = job
-	h.failureStreak++
+	h.failures = append(h.failures[max(len(h.failures)+1-unhealthyFailures, 0):], o)
 	// A run that fails on an unhealthy host was started before and shows nothing new.
-	if h.failureStreak < unhealthyFailures || now.Before(h.UnhealthyUntil) || !s.mayBecomeUnhealthy(now) {
+	if len(h.failures) < unhealthyFailures || now.Before(h.UnhealthyUntil) || !s.mayBecomeUnhealthy(now) {
 		return
 	}
 	h.failingUntil = now.Add(unhealthyBackoff << h.unhealthyCount)
 	h.UnhealthyUntil = h.failingUntil
 	h.unhealthyCount = min(h.unhealthyCount+1, maxBackoffDoublings)
 	// One more failure after the backoff makes the host unhealthy again.
-	h.failureStreak = unhealthyFailures - 1
 	h.lastFailedJob = ""
 }
 
+// recordSuccess records that a run has succeeded on the host. The steps without a success whose runs failed there
+// since the last one are to blame for that themselves.
+func (s *State) recordSuccess(h *Host) {
+	failures := h.failures
+	h.failures, h.lastFailedJob, h.unhealthyCount = nil, "", 0
+	h.reopen()
+	blamed := false
+	for _, o := range failures {
+		o.failsAnywhere = !o.succeeded
+		blamed = blamed || o.failsAnywhere
+	}
+	if !blamed {
+		return
+	}
+	for _, other := range s.sortedHosts() {
+		other.withdrawFailures()
+	}
+}
+
+// withdrawFailures drops the failures of steps that fail anywhere.
+func (h *Host) withdrawFailures() {
+	counted := len(h.failures)
+	h.failures = slices.DeleteFunc(h.failures, func(o *outcomes) bool { return o.failsAnywhere })
+	if counted >= unhealthyFailures && len(h.failures) < unhealthyFailures {
+		h.unhealthyCount = max(h.unhealthyCount-1, 0)
+		h.reopen()
+	}
+}
+
 // reopen lets the host take new work again if it takes none because of failures.
 func (h *Host) reopen() {
 	if h.UnhealthyUntil.Equal(h.failingUntil) {
--- a/fleet/shard/health_test.go
+++ b/fleet/shard/health_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,6 +75,79 @@
 	require.False(t, o.now.Before(o.Hosts["a"].UnhealthyUntil))
 }
 
+// Guards against hosts that get no new work because of jobs that fail wherever they run.
+func TestWorkThatFailsOnASoundHostDoesNotMakeHostsUnhealthy(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c")
+	ids := []string{"a", "b", "c"}
+	ends := map[string]int64{}
+	fail := func(failing map[string][]shard.Order, id string, others ...any) {
+		for i, start := range failing[id] {
+			ends[id]++
+			o.report(id, append(append(runningRows(failing[id][i+1:]), others...), failedRow(ends[id], start))...)
+		}
+	}
+	step := smallStep(3)
+	step.Need.MilliCores, step.PerHost = 500, 1
+	o.submit("good", step)
+	good := byHost(o.start())
+	for i := range 3 {
+		o.submit(fmt.Sprint("bad", i), step)
+	}
+	bad := byHost(o.start())
+	for _, id := range ids {
+		require.Len(t, good[id], 1)
+		require.Len(t, bad[id], 3)
+		fail(bad, id, runningRow(good[id][0], 50))
+	}
+	unhealthy := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return !o.now.Before(o.Hosts[id].UnhealthyUntil) })
+	require.Len(t, unhealthy, 2)
+	sound := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return slices.Contains(unhealthy, id) })[0]
+	ends[sound]++
+	o.report(sound, doneRow(ends[sound], good[sound][0]))
+	for _, id := range ids {
+		require.False(t, o.now.Before(o.Hosts[id].UnhealthyUntil), "%s: the jobs failed on a host on which another one succeeded", id)
+	}
+
+	again := byHost(o.start())
+	require.Len(t, again, len(ids))
+	for _, id := range ids {
+		fail(again, id)
+		require.False(t, o.now.Before(o.Hosts[id].UnhealthyUntil), id)
+	}
+}
+
+// byHost returns starts by their hosts.
+func byHost(starts []shard.Order) map[string][]shard.Order {
+	out := map[string][]shard.Order{}
+	for _, start := range starts {
+		if start.Kind == shard.OrderStart {
+			out[start.Host] = append(out[start.Host], start)
+		}
+	}
+	return out
+}
+
+// Guards against hosts that fail all their work and stay healthy because other work fails everywhere.
+func TestAHostThatFailsEveryRunIsUnhealthyBesideWorkThatAlwaysFails(t *testing.T) {
+	o := newOwner(t, 1, "bad", "good", "fine")
+	number := int64(0)
+	for i := 0; i < 40 && !o.now.Before(o.Hosts["bad"].UnhealthyUntil); i++ {
+		o.submit(fmt.Sprintf("fails-%d", i), smallStep(1))
+		o.submit(fmt.Sprintf("ends-%d", i), smallStep(1))
+		for host, starts := range byHost(o.start()) {
+			for k, order := range starts {
+				number++
+				row := doneRow(number, order)
+				if host == "bad" || strings.HasPrefix(order.Ref.Job, "fails") {
+					row.Result = port.ResultFailed
+				}
+				o.report(host, append(runningRows(starts[k+1:]), row)...)
+			}
+		}
+	}
+	require.True(t, o.now.Before(o.Hosts["bad"].UnhealthyUntil))
+}
+
 // Guards against hosts that are taken for sound in their speed because a run there has succeeded.
 func TestASuccessDoesNotMakeASlowHostHealthy(t *testing.T) {
 	o := newOwner(t, 1, "a")
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -90,11 +90,12 @@
 	SpeedMeasuredAt time.Time
 	// slowCount counts how often in a row the host was unhealthy for its speed.
 	slowCount int
-	// failureStreak counts failed runs of different jobs without a success in between,
-	// lastFailedJob is the job of the newest one, and unhealthyCount counts how often in a row
-	// the host was unhealthy for failures. failingUntil is what UnhealthyUntil was last set to for failures.
-	failureStreak  int
-	lastFailedJob  string
+	// failures holds the steps of the newest runs whose failures count against the host, up to unhealthyFailures. Two in
+	// a row are of different jobs, and no run has succeeded since. lastFailedJob is the job of the newest one.
+	failures      []*outcomes
+	lastFailedJob string
+	// failingUntil is what UnhealthyUntil was last set to for failures, and unhealthyCount counts how often in a row it
+	// was.
 	unhealthyCount int
 	failingUntil   time.Time
 }
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -152,6 +152,8 @@
 	load    load
 	// suspected reports whether a host has crashed under some task.
 	suspected bool
+	// outcomes is what the runs tell about the step, or nil before the first has ended.
+	outcomes *outcomes
 	// meanSpeed is the running mean of the speeds of the tasks, over speedCount measurements.
 	meanSpeed  float64
 	speedCount int
