Do not stop a run that its host has reported when its start goes unanswered

Seen, by a test: the answer to the start of a long-running task is lost. The host reports the run, and once the start has timed out, the owner orders its stop although it is at work, whatever is away of its step (AVAIL).

Cause: an unanswered start was stopped without regard to what was learned of it meanwhile.

Change: a run that the host has reported has begun; it goes on.

Evidence: TestARunThatItsHostHasReportedIsNotStoppedWhenItsStartIsNotAnswered; before, a stop was ordered.

--- a/fleet/shard/lost_test.go
+++ b/fleet/shard/lost_test.go
@@ -67,6 +67,26 @@
 	require.Len(t, o.plan(), 1, "the host has ended, so no stop has to be confirmed")
 }
 
+// Guards against a long-running task that is stopped while it works, and others of its step are away (AVAIL): the answer to its
+// start was lost, although the host had reported the run.
+func TestARunThatItsHostHasReportedIsNotStoppedWhenItsStartIsNotAnswered(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.submit("job", longRunningStep(1, 0, 1))
+	starts := o.start()
+	require.Len(t, starts, 1)
+	o.report("a", runningRow(starts[0], 100))
+	o.HandleStartResult(&starts[0], 0, errNoAnswer, o.now)
+	require.Empty(t, o.TakeOrders())
+	o.advance(time.Second)
+	o.report("a", runningRow(starts[0], 100))
+	require.Empty(t, o.plan())
+
+	o.report("a", port.FinishedRun{Number: 1, Unit: starts[0].Ref.String(), Run: starts[0].Run, Result: port.ResultFailed})
+	o.advance(time.Second)
+	o.report("a")
+	require.Len(t, o.plan(), 1, "it starts again after its end")
+}
+
 // Guards against two runs of one task at once. A host was taken for ended and ran on, or its new
 // instance carried out an order of the earlier one. The task was started elsewhere while the stop
 // of the run that the host reported was under way.
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -375,7 +375,10 @@
 		if h != nil && !h.EndedAt.IsZero() {
 			h.expectNewInstance(now)
 		}
-		s.orderStop(o.Ref, task, "start not answered")
+		// A run that the host has reported since is known to have begun.
+		if task.Status != Running {
+			s.orderStop(o.Ref, task, "start not answered")
+		}
 		return true
 	}
 	// The host did nothing, so a task that was to be stopped needs no stop any more.
