Do not count connections that are refused unexpectedly as attempts

Seen: when many targets of a pool had gone down together, a request was answered not-run although another target of the pool had a free slot.

Targets that have just gone down have the fewest requests, so they are preferred until a connection to them is refused.

Change: a connection that a target refuses which was not known to be down counts as no attempt and takes nothing from the retry budget: nothing ran, no target was loaded, and the target counts as down from then on, so that a request meets each of them once. Refusals of targets known to be down count as before: a request whose pool is down is given up after as many of them. Connections that time out count as before.

--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -189,15 +189,19 @@
 
 // run attempts a request until it has a final answer, maxAttempts, maxLostTargets or the retry budget
 // is used up, or the deadline has passed. Another attempt is made only if the request has not run or is
-// idempotent.
+// idempotent. A connection that is refused by a target not known to be down counts as no attempt: the target
+// then counts as down, so this happens once for each.
 func (v *Invoker) run(ctx context.Context, r work.Request) work.Answer {
 	answer, backoff := work.NotRun("no attempt was made"), firstBackoff
-	for try := 1; ; try++ {
+	for try := 1; ; {
 		a, retry := v.attempt(ctx, r)
 		r.LostTargets, r.Refused = max(r.LostTargets, a.LostTargets), r.Refused || a.Refused
 		answer = a.After(answer)
 		answer.LostTargets = r.LostTargets
 		safe := answer.Outcome == wire.NotRun || r.Idempotent
+		if a.NoAttempt && retry && safe {
+			continue
+		}
 		if !retry || !safe || try == maxAttempts || r.LostTargets >= maxLostTargets || !v.router.TakeRetry(ctx, r.Kind) {
 			return answer
 		}
@@ -206,6 +210,7 @@
 			return answer
 		}
 		backoff *= 2
+		try++
 	}
 }
 
--- a/entry/invoke/invoke_test.go
+++ b/entry/invoke/invoke_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -224,3 +225,23 @@
 		require.Equal(t, "live", a.Target)
 	}
 }
+
+// Guards against a request that spends all of its attempts on targets which have gone down together, while
+// another one has a free slot.
+func TestARequestIsNotGivenUpWhenManyTargetsHaveGoneDownTogether(t *testing.T) {
+	live := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer live.Close()
+	down, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, down.Close())
+	targets := []route.Target{{Host: "live", Address: live.Listener.Addr().String(), Slots: 1, Serving: true}}
+	for i := range 30 {
+		targets = append(targets, route.Target{Host: fmt.Sprintf("down-%d", i), Address: down.Addr().String(), Slots: 1, Serving: true})
+	}
+	// Targets are drawn at random.
+	for range 5 {
+		invoker, _ := newInvokerOf(t, targets)
+		a := run(invoker)
+		require.Equal(t, wire.Done, a.Outcome, a.Reason)
+	}
+}
--- a/entry/invoke/target.go
+++ b/entry/invoke/target.go
@@ -81,7 +81,9 @@
 	}
 	resp, err := t.client.Do(req)
 	if err != nil {
-		return failure("send", g.Host, err)
+		result := failure("send", g.Host, err)
+		result.answer.NoAttempt = errors.Is(err, syscall.ECONNREFUSED) && !g.Disconnected
+		return result
 	}
 	defer resp.Body.Close()
 	return t.readAnswer(g, r, resp)
--- a/entry/route/grant.go
+++ b/entry/route/grant.go
@@ -25,6 +25,7 @@
 		}
 		s.grant(q, t, &Grant{
 			Host: chosen.Host, Address: chosen.Address, owner: s.pool, requester: s.pool, suspect: suspect,
+			Disconnected: !s.connected(chosen),
 		})
 	}
 	s.lend()
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -82,6 +82,8 @@
 	Address string
 	// GrantedAt is when the slot was granted.
 	GrantedAt time.Time
+	// Disconnected is set if a connection to the target had just been refused or lost.
+	Disconnected bool
 	// owner is the pool that the slot belongs to, requester the pool of the request.
 	owner, requester *Pool
 	kind             string
--- a/entry/work/work.go
+++ b/entry/work/work.go
@@ -62,6 +62,9 @@
 	LostTargets int
 	// Refused is set if the target refused the connection. Other entries are not told.
 	Refused bool
+	// NoAttempt is set if a target that was not known to be down refused the connection, which does not
+	// count as an attempt. Other entries are not told.
+	NoAttempt bool
 }
 
 // NotRun returns the answer for a request that no target has started to run.
