Log errors in one attribute

The log lines of carawayd held the error of a failure in err or in error, by package. It is err everywhere now, as in carawaymux, so that one filter finds them. Filters on error have to be changed. The field error of answers over HTTP keeps its name: callers read it.

No other figure or behaviour changes.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -315,7 +315,7 @@
 	d.callers.End(restTime)
 	if err := d.callers.WaitClosed(ctx); err != nil {
 		t, _ := d.callers.Totals(context.Background())
-		d.logger.Error("connections of callers are still open; requests in flight are cut off", "connections", t.Open, "error", err)
+		d.logger.Error("connections of callers are still open; requests in flight are cut off", "connections", t.Open, "err", err)
 	}
 	_ = d.callerServer.Close()
 	d.callers.Close()
--- a/entry/follow/core.go
+++ b/entry/follow/core.go
@@ -140,7 +140,7 @@
 func (m snapshotNow) handle(c *core) {
 	saved, err := encodeState(c.state)
 	if err != nil {
-		c.f.logger.Error("state could not be encoded; an empty snapshot is returned", "error", err)
+		c.f.logger.Error("state could not be encoded; an empty snapshot is returned", "err", err)
 	}
 	m.reply <- saved
 }
@@ -156,7 +156,7 @@
 func (m logError) handle(c *core) {
 	if c.progress.LogError == "" {
 		c.f.logger.Warn("log could not be read; the read is retried",
-			"error", m.text, "offset", c.state.NextOffset)
+			"err", m.text, "offset", c.state.NextOffset)
 	}
 	c.progress.LogError = m.text
 }
@@ -189,7 +189,7 @@
 	e := codec.DecodeEntry(r.Offset, r.Data)
 	v, err := c.state.Apply(e)
 	if err != nil {
-		c.f.logger.Error("record could not be applied; the rest of the batch is skipped", "error", err)
+		c.f.logger.Error("record could not be applied; the rest of the batch is skipped", "err", err)
 		return false
 	}
 	if v.Result != record.Accepted {
@@ -228,7 +228,7 @@
 func (c *core) hashState() {
 	saved, err := encodeState(c.state)
 	if err != nil {
-		c.f.logger.Error("state could not be encoded; its hash is skipped", "error", err)
+		c.f.logger.Error("state could not be encoded; its hash is skipped", "err", err)
 		return
 	}
 	c.snapshot = saved
--- a/entry/follow/reader.go
+++ b/entry/follow/reader.go
@@ -128,7 +128,7 @@
 			raw, offset, err := assembler.Add(r.Data)
 			if err != nil {
 				f.logger.Warn("snapshot part skipped: it is invalid or does not match its snapshot",
-					"offset", r.Offset, "error", err)
+					"offset", r.Offset, "err", err)
 			}
 			if raw != nil && offset >= newestOffset {
 				newest, newestOffset = raw, offset
@@ -160,14 +160,14 @@
 	}
 	got, err := f.fetch(ctx, offset)
 	if err != nil {
-		f.logger.Debug("records could not be fetched from any peer; retrying", "error", err)
+		f.logger.Debug("records could not be fetched from any peer; retrying", "err", err)
 		return offset
 	}
 	if got.Snapshot != nil {
 		next, err := f.offerState(ctx, got.Snapshot,
 			adoptState{source: got.Peer, current: true, trusted: got.Trusted})
 		if err != nil {
-			f.logger.Warn("snapshot of a peer could not be used; retrying", "peer", got.Peer, "error", err)
+			f.logger.Warn("snapshot of a peer could not be used; retrying", "peer", got.Peer, "err", err)
 			return offset
 		}
 		return next
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -153,7 +153,7 @@
 func (f *Front) writeJSON(w http.ResponseWriter, status int, body any) {
 	raw, err := json.Marshal(body)
 	if err != nil {
-		f.Logger.Error("response could not be encoded as JSON; answering with status 500", "error", err)
+		f.Logger.Error("response could not be encoded as JSON; answering with status 500", "err", err)
 		status = http.StatusInternalServerError
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/entry/keys/keys.go
+++ b/entry/keys/keys.go
@@ -142,7 +142,7 @@
 			modTime = info.ModTime()
 			reloaded, err := loadKeys(s.path)
 			if err != nil {
-				s.logger.Error("key file could not be reloaded; the previous keys stay valid", "error", err)
+				s.logger.Error("key file could not be reloaded; the previous keys stay valid", "err", err)
 				continue
 			}
 			current = reloaded
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -214,7 +214,7 @@
 		level = slog.LevelWarn
 	}
 	l.Logger.Log(ctx, level, "planner proposed a record", "kind", draft.Body.Kind(), "object", draft.Object, "body", draft.Body,
-		"rule", draft.Reason.Rule, "figures", draft.Reason.Figures, "result", v.Result, "why", v.Reason, "error", err)
+		"rule", draft.Reason.Rule, "figures", draft.Reason.Figures, "result", v.Result, "why", v.Reason, "err", err)
 }
 
 // stoppedTask identifies a task that a call has stopped.
@@ -233,7 +233,7 @@
 		group.Go(func() error {
 			if err := l.callOne(ctx, c); err != nil {
 				l.Logger.Warn("platform call failed; a later round repeats it",
-					"verb", c.Verb, "host", c.Host, "fence", c.Fence, "error", err)
+					"verb", c.Verb, "host", c.Host, "fence", c.Fence, "err", err)
 			} else if c.Verb == plan.VerbStop {
 				results <- stoppedTask{c.Task, c.Fence}
 			}
--- a/entry/leader/lease.go
+++ b/entry/leader/lease.go
@@ -60,7 +60,7 @@
 		Body: lease.Claim{Holder: l.holder, TermMS: l.settings.LeaseTerm.Milliseconds()},
 	})
 	if err != nil || v.Result != record.Accepted {
-		l.Logger.Debug("claim of the planner lease not accepted", "verdict", v.Reason, "error", err)
+		l.Logger.Debug("claim of the planner lease not accepted", "verdict", v.Reason, "err", err)
 		return
 	}
 	if current.Holder != l.holder {
--- a/entry/leader/snapshots.go
+++ b/entry/leader/snapshots.go
@@ -58,13 +58,13 @@
 	}
 	parts, err := codec.SplitSnapshot(saved.Offset, saved.Raw)
 	if err != nil {
-		s.leader.Logger.Error("snapshot could not be split into parts and is not written", "error", err)
+		s.leader.Logger.Error("snapshot could not be split into parts and is not written", "err", err)
 		return
 	}
 	for _, part := range parts {
 		if _, err := s.leader.Client.Append(ctx, plat.StreamSnapshots, part); err != nil {
 			s.leader.Logger.Warn("snapshot part could not be appended; the snapshot is written again later",
-				"error", err)
+				"err", err)
 			return
 		}
 	}
@@ -86,5 +86,5 @@
 		Body: ledger.Checkpoint{AsOf: saved.Offset, Hash: saved.Hash, FirstOffset: min(bounds.First, saved.Offset)},
 	})
 	s.leader.Logger.Info("snapshot written and its checkpoint proposed", "offset", saved.Offset,
-		"hash", saved.Hash, "bytes", len(saved.Raw), "result", v.Result, "error", err)
+		"hash", saved.Hash, "bytes", len(saved.Raw), "result", v.Result, "err", err)
 }
--- a/entry/member/link.go
+++ b/entry/member/link.go
@@ -204,7 +204,7 @@
 	})
 	if err != nil {
 		s.tracker.logger.Debug("link to peer could not be opened; retrying with a later message",
-			"peer", s.config.Name, "error", err)
+			"peer", s.config.Name, "err", err)
 		return false
 	}
 	s.conn = conn
@@ -227,7 +227,7 @@
 			t.onFrame(r.Context(), c, f)
 		})
 		if err != nil {
-			t.logger.Warn("control link from peer could not be accepted", "error", err)
+			t.logger.Warn("control link from peer could not be accepted", "err", err)
 			return
 		}
 		defer conn.Close()
@@ -247,7 +247,7 @@
 	}
 	answer, err := t.answerFetch(ctx, *f.Fetch)
 	if err != nil {
-		t.logger.Debug("fetch from peer could not be answered; it times out there", "error", err)
+		t.logger.Debug("fetch from peer could not be answered; it times out there", "err", err)
 		return
 	}
 	c.TrySend(frame{Fetched: &answer})
--- a/entry/relay/server.go
+++ b/entry/relay/server.go
@@ -118,7 +118,7 @@
 		_ = st.linkTask.Send(r.Context(), serverMessage{received: &f})
 	})
 	if err != nil {
-		s.logger.Warn("link for forwarded requests could not be accepted", "error", err)
+		s.logger.Warn("link for forwarded requests could not be accepted", "err", err)
 		return
 	}
 	defer conn.Close()
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -275,7 +275,7 @@
 
 func (m confirmed) handle(s *routerState) {
 	s.router.logger.Info("confirmation of the routing table has ended; granting slots again even if it failed",
-		"error", m.err)
+		"err", m.err)
 	s.unconfirmed, s.summaryStale = false, true
 	s.lastTick = time.Now()
 	s.router.heartbeat.record(s.lastTick)
--- a/entry/watch/watch.go
+++ b/entry/watch/watch.go
@@ -104,7 +104,7 @@
 		if (err != nil) != unreachable && ctx.Err() == nil {
 			unreachable = err != nil
 			w.logger.Warn("reachability of the platform's machine list has changed",
-				"reachable", !unreachable, "error", err)
+				"reachable", !unreachable, "err", err)
 		}
 		select {
 		case <-ctx.Done():
