Answer a look at an unknown job once the pool is registered for its queue

Seen: trial/system TestInvalidRequestsAreRefusedWithAReasonAndStoreNothing, with the race detector beside a load of 50, once in four runs of the package: the state of a job that does not exist was answered 503, "the earlier pools of the queue are not known yet", where 410 is expected. The pool had been taken over 79 ms before.

Cause: an owner is registered for its queues when it takes a pool over first. Submissions wait for that; questions about the state of a job that it does not know were refused until it was done, although the store answered. 410 is to be given once the store has confirmed it, 503 only if that takes over 1 s.

Change: such a question waits for a registration under way like for what else the store has to confirm, for up to 1 s. Cancellations are still refused.

--- a/entry/owner/absent.go
+++ b/entry/owner/absent.go
@@ -50,7 +50,8 @@
 // isReady reports whether the state is recent enough for a question.
 func (c *core) isReady(q *openQuestion) bool {
 	inbox := c.hasReadInbox() && !c.inboxAsOf.Before(q.from)
-	return (inbox || !q.needsInbox) && !c.state.ConfirmedAt.Before(q.from)
+	m, isStatus := q.question.(jobStatus)
+	return (inbox || !q.needsInbox) && !c.state.ConfirmedAt.Before(q.from) && !(isStatus && m.awaitsRegistration(c))
 }
 
 // hasWaitedTooLong reports whether the store leaves a question waiting.
--- a/entry/owner/moved.go
+++ b/entry/owner/moved.go
@@ -236,6 +236,17 @@
 	m.reply <- a
 }
 
+// awaitsRegistration reports whether the answer rests on a registration under way, which tells the earlier pools of
+// the queue.
+func (m jobStatus) awaitsRegistration(c *core) bool {
+	if j := c.state.Jobs[m.id]; j != nil && !j.Unsubmitted {
+		return false
+	}
+	_, registering := c.placing.wanted[m.queue.Name]
+	_, known := c.earlierPools(m.queue.Name)
+	return registering && !known && !c.isForeign(&m.queue) && !c.mayBeElsewhere(&m.queue)
+}
+
 // settleEarlier answers a question about a job that this owner does not know, for a queue with other pools. It
 // reports false if there are none.
 func (m jobStatus) settleEarlier(c *core) bool {
--- a/entry/owner/places.go
+++ b/entry/owner/places.go
@@ -131,6 +131,7 @@
 	}
 	c.register(now)
 	c.checkInboxJobs(now)
+	c.settleQuestions(now)
 }
 
 // refuseWaiting refuses the submissions that wait for a registration. Nothing of them has been written.
