Count a flood that lasts into the pool's own turn as that turn

Cause: work that floods a pool during the turn of another one is no turn, also if it never ends before the pool's own turn. That turn is then missing in what is learned: b counts as passed over four times instead of two.

Change: such a flood counts as a turn that began as the other one ended, once no pool has had a turn since for longer than turns overlap.

--- a/fleet/demand/demand.go
+++ b/fleet/demand/demand.go
@@ -22,6 +22,8 @@
 	WorkSince time.Time
 	// LastStart is when the newest turn of any pool began, or the zero time before the first one.
 	LastStart time.Time
+	// LastEnd is when the newest end of a counted turn was observed, or the zero time before the first one.
+	LastEnd time.Time
 	// Intervals holds the times between the starts of consecutive turns, the newest last. There are
 	// at most maxIntervals.
 	Intervals []time.Duration
@@ -130,6 +132,7 @@
 		}
 		if p.endsTurn(r) {
 			h.Turns++
+			h.LastEnd = now
 		}
 	}
 	for _, name := range h.names() {
@@ -141,6 +144,8 @@
 		}
 		if p.InTurn && p.Pending {
 			h.decide(p, now)
+		} else if r, ok := rates[name]; ok && p.InTurn && !p.Counted && p.hasTurnRate(r) {
+			h.countFlood(p, now)
 		}
 	}
 }
@@ -160,6 +165,24 @@
 	h.countTurn(p)
 }
 
+// countFlood counts a flood during the turn of another pool as a turn of its own that began as that one ended, once no
+// pool has had a turn since for longer than turns overlap.
+func (h *History) countFlood(p *Pool, now time.Time) {
+	for _, q := range h.Pools {
+		if q.InTurn && q.Counted {
+			return
+		}
+	}
+	if now.Sub(h.LastEnd) <= overlapTolerance {
+		return
+	}
+	if p.Began.Before(h.LastEnd) {
+		p.Began = h.LastEnd
+	}
+	p.Counted = true
+	h.countTurn(p)
+}
+
 // beginsTurn records a rate of a pool that is not in a turn, and reports whether one begins.
 func (p *Pool) beginsTurn(r Rate) bool {
 	if p.InTurn {
--- a/fleet/demand/demand_test.go
+++ b/fleet/demand/demand_test.go
@@ -143,6 +143,27 @@
 	require.Equal(t, []time.Duration{length, length}, h.Intervals)
 }
 
+// Guards against a pool whose next turn is not expected, since its last one had begun as a flood during that of another pool.
+func TestAFloodThatLastsIntoTheOwnTurnIsThatTurn(t *testing.T) {
+	h := demand.NewHistory()
+	const length = 5 * time.Second
+	for at := time.Duration(0); at < 9*length-time.Second; at += step {
+		rates := map[string]demand.Rate{}
+		for i, p := range pools {
+			rates[p] = demand.Rate{Arriving: low, Arrivals: 5, Provided: 20, Capacity: 272_000}
+			flood := p == "b" && at >= 4*length+time.Second && at < 5*length
+			if int(at/length)%len(pools) == i || flood {
+				rates[p] = demand.Rate{Arriving: high, Arrivals: 50, Provided: 20, Capacity: 272_000}
+			}
+		}
+		h.WorkSince = start
+		h.Observe(rates, start.Add(at))
+		h = h.Snapshot().History()
+	}
+	require.Equal(t, slices.Repeat([]time.Duration{length}, 8), h.Intervals)
+	require.Greater(t, expect(h, "b", 9*length-time.Second).Probability, 0.4)
+}
+
 // The rate of the last turn falls some time after the next one has begun.
 func TestATurnThatBeginsJustBeforeTheLastOneEndsCounts(t *testing.T) {
 	h := demand.NewHistory()
--- a/fleet/demand/snapshot.go
+++ b/fleet/demand/snapshot.go
@@ -14,6 +14,7 @@
 	Intervals []time.Duration         `cbor:"4,keyasint"`
 	Returns   []float64               `cbor:"5,keyasint"`
 	Chances   []float64               `cbor:"6,keyasint"`
+	LastEnd   int64                   `cbor:"7,keyasint,omitempty"`
 }
 
 // PoolSnapshot is a [Pool] as it is stored.
@@ -36,7 +37,7 @@
 // Snapshot returns a copy of the history for the store.
 func (h *History) Snapshot() Snapshot {
 	s := Snapshot{
-		Pools: make(map[string]PoolSnapshot, len(h.Pools)), WorkSince: millis(h.WorkSince), LastStart: millis(h.LastStart),
+		Pools: make(map[string]PoolSnapshot, len(h.Pools)), WorkSince: millis(h.WorkSince), LastStart: millis(h.LastStart), LastEnd: millis(h.LastEnd),
 		Intervals: slices.Clone(h.Intervals), Returns: slices.Clone(h.Returns), Chances: slices.Clone(h.Chances),
 	}
 	for name, p := range h.Pools {
@@ -54,7 +55,7 @@
 		return NewHistory()
 	}
 	h := &History{
-		Pools: make(map[string]*Pool, len(s.Pools)), WorkSince: fromMillis(s.WorkSince), LastStart: fromMillis(s.LastStart),
+		Pools: make(map[string]*Pool, len(s.Pools)), WorkSince: fromMillis(s.WorkSince), LastStart: fromMillis(s.LastStart), LastEnd: fromMillis(s.LastEnd),
 		Intervals: slices.Clone(s.Intervals), Returns: slices.Clone(s.Returns), Chances: slices.Clone(s.Chances),
 	}
 	for name, p := range maps.All(s.Pools) {
--- a/trial/model/flood_test.go
+++ b/trial/model/flood_test.go
@@ -30,8 +30,8 @@
 	{Pool: "c", Hosts: 69, Rate: 21.4, Worth: 0.385, Steps: 2, Cores: 8 * 1.5, Duration: 800 * time.Millisecond},
 }, Standby: 56, OrdersPerSecond: 152}
 
-// turnsWithFloods returns turns of the kinds of a fleet, and floods of some kinds in their turns, which follow one
-// another. The first kind has a turn as the first flood begins.
+// turnsWithFloods returns turns of the kinds of a fleet, and floods of some kinds, which follow one another. The first kind
+// has a turn as the first flood begins, so the floods of the first kinds in their order are in their turns.
 func turnsWithFloods(kinds int, flooded ...int) model.Shape {
 	const turn = floodDuration
 	offset := time.Duration(kinds)*turn - floodStart%(time.Duration(kinds)*turn)
@@ -133,6 +133,12 @@
 	requireRecovery(t, f, 0)
 }
 
+// Guards against a queue whose turn is not expected any more, since a flood of it had begun in the turn of another queue and
+// had gone on into its own.
+func TestQueuesRecoverSoonAfterAFloodBeforeTheOwnTurn(t *testing.T) {
+	requireRecovery(t, threePools, 1)
+}
+
 // jobsIn returns the jobs of a kind that arrived in a span, without what became of them.
 func jobsIn(r *model.Result, kind int, from, until time.Duration) []model.Outcome {
 	var out []model.Outcome
