Open unhealthy hosts to waiting work if the others do no better

Cause: a host that fails its work is closed for up to 24 s so that work goes to better hosts. It stayed closed when there were none: with work left that fails everywhere, or after the other hosts had gone.

Change: after a round of planning, work that waits and has room on a closed host and on no other opens the host, one a round, if it has been closed for 2 s and no run has succeeded since on the hosts that were planned on. Its next failure closes it again, for longer. A broken host beside hosts that succeed stays closed, so the attempts that are lost there are bounded by that.

Checks: the reference has the rule, and the test compares until when hosts are unhealthy.

--- a/fleet/shard/equal_test.go
+++ b/fleet/shard/equal_test.go
@@ -289,7 +289,7 @@
 	i := p.draw(len(p.ids))
 	id := p.ids[i]
 	h := p.hosts[id]
-	switch p.draw(10) {
+	switch p.draw(11) {
 	case 0:
 		h.running, h.finished, h.ends = map[batch.Ref]int64{}, nil, 0
 		h.born++
@@ -316,6 +316,17 @@
 	case 7:
 		// No host answers for a while.
 		p.advance(time.Duration(p.draw(9000)) * time.Millisecond)
+	case 9:
+		// Some hosts have failed their work for a while, and no host has done any since.
+		for _, host := range p.state.Hosts {
+			host.lastSuccess = time.Time{}
+		}
+		for _, id := range p.ids {
+			if host := p.state.Hosts[id]; host != nil && p.chance(2) {
+				host.failingSince, host.failingUntil = p.now.Add(-time.Duration(p.draw(3000))*time.Millisecond), p.now.Add(10*time.Second)
+				host.UnhealthyUntil = host.failingUntil
+			}
+		}
 	case 8:
 		h.silentUntil = p.now.Add(time.Duration(p.draw(5000)) * time.Millisecond)
 		if p.chance(2) {
@@ -394,6 +405,9 @@
 	Plan(s, byStep[R]{ranking}, p.now, p.now.UnixMilli())
 	p.requireEqual("orders", expected.orders, s.orders)
 	p.requireEqual("overloaded", expected.Overloaded, s.Overloaded)
+	for id, h := range s.Hosts {
+		p.requireEqual("until when "+id+" is unhealthy", expected.Hosts[id].UnhealthyUntil, h.UnhealthyUntil)
+	}
 	p.checkCounters()
 	for id, j := range s.Jobs {
 		require.Len(p.t, j.Occurrences, len(expected.Jobs[id].Occurrences), id)
--- a/fleet/shard/health.go
+++ b/fleet/shard/health.go
@@ -23,7 +23,7 @@
 	o := stage.outcomes
 	if !failed {
 		o.succeeded, o.failsAnywhere = true, false
-		s.recordSuccess(h)
+		s.recordSuccess(h, now)
 		return
 	}
 	if o.failsAnywhere || job == h.lastFailedJob {
@@ -35,7 +35,7 @@
 	if len(h.failures) < unhealthyFailures || now.Before(h.UnhealthyUntil) || !s.mayBecomeUnhealthy(now) {
 		return
 	}
-	h.failingUntil = now.Add(unhealthyBackoff << h.unhealthyCount)
+	h.failingSince, h.failingUntil = now, now.Add(unhealthyBackoff<<h.unhealthyCount)
 	h.UnhealthyUntil = h.failingUntil
 	h.unhealthyCount = min(h.unhealthyCount+1, maxBackoffDoublings)
 	// One more failure after the backoff makes the host unhealthy again.
@@ -44,9 +44,9 @@
 
 // recordSuccess records that a run has succeeded on the host. The steps without a success whose runs failed there
 // since the last one are to blame for that themselves.
-func (s *State) recordSuccess(h *Host) {
+func (s *State) recordSuccess(h *Host, now time.Time) {
 	failures := h.failures
-	h.failures, h.lastFailedJob, h.unhealthyCount = nil, "", 0
+	h.failures, h.lastFailedJob, h.unhealthyCount, h.lastSuccess = nil, "", 0, now
 	h.reopen()
 	blamed := false
 	for _, o := range failures {
@@ -78,6 +78,64 @@
 	}
 }
 
+// probeDelay is how long a host that fails its work gets no new work although no other host does better.
+const probeDelay = 2 * time.Second
+
+// probe opens a host that is closed because of failures, if work waits that fits there and on none of the hosts that were
+// planned on, and if no run has succeeded on these since: the host may be as good as they are. It opens one host a round,
+// which is closed again by its next failure.
+func (s *State) probe(hosts candidates, unconfirmed bool, now time.Time) {
+	var succeeded time.Time
+	for _, c := range hosts {
+		if c.host.lastSuccess.After(succeeded) {
+			succeeded = c.host.lastSuccess
+		}
+	}
+	for _, h := range s.sortedHosts() {
+		if h.fails(now) && now.Sub(h.failingSince) >= probeDelay && !succeeded.After(h.failingSince) &&
+			s.obstacleTo(h, now, true) == NoObstacle && s.workWaitsFor(h, hosts, unconfirmed) {
+			h.reopen()
+			return
+		}
+	}
+}
+
+// workWaitsFor reports whether work waits that has room on a host and on none of some others. Gangs and steps with a
+// limit of tasks per host may need a further host anyway.
+func (s *State) workWaitsFor(h *Host, others candidates, unconfirmed bool) bool {
+	free, rooms := h.free(), map[string]*frontier{}
+	waitsFor := func(w *waitingStep) bool {
+		switch {
+		case (w.inherited && unconfirmed) || !w.hasLabel(h) || !free.Fits(w.need):
+			return false
+		case w.step.Gang || w.step.PerHost > 0:
+			return true
+		}
+		room := rooms[w.step.RequiredLabel]
+		if room == nil {
+			room = &frontier{}
+			for _, c := range others {
+				if w.hasLabel(c.host) {
+					room.add(c.free)
+				}
+			}
+			rooms[w.step.RequiredLabel] = room
+		}
+		return !room.fits(w.need)
+	}
+	for _, root := range s.backlog.needs() {
+		if root.contains(free.Fits, waitsFor) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.backlog.touched, func(w *waitingStep) bool { return w.stage.waiting == w && waitsFor(w) })
+}
+
+// fails reports whether the host takes no new work because of failures.
+func (h *Host) fails(now time.Time) bool {
+	return now.Before(h.UnhealthyUntil) && h.UnhealthyUntil.Equal(h.failingUntil)
+}
+
 // mayBecomeUnhealthy reports whether a further host may become unhealthy, that is, whether fewer hosts
 // are unhealthy than half of those that answer.
 func (s *State) mayBecomeUnhealthy(now time.Time) bool {
--- a/fleet/shard/health_test.go
+++ b/fleet/shard/health_test.go
@@ -116,6 +116,74 @@
 	}
 }
 
+// Guards against jobs that wait beside room on hosts that count as unhealthy (LOST), although the others do no better.
+func TestUnhealthyHostsTakeWorkIfTheOthersDoNoBetter(t *testing.T) {
+	for _, better := range []bool{false, true} {
+		t.Run(fmt.Sprintf("another host does better %v", better), func(t *testing.T) {
+			o := newOwner(t, 1, "a", "b", "c")
+			starts := o.startJobs(3)
+			closed := starts[0].Host
+			for i, start := range starts {
+				o.report(closed, append(runningRows(starts[i+1:]), failedRow(int64(i+1), start))...)
+				o.Cancel(start.Ref.Job, o.now)
+			}
+			require.True(t, o.now.Before(o.Hosts[closed].UnhealthyUntil))
+			step := smallStep(3)
+			step.Need.MilliCores = 4000
+			o.submit("large", step)
+			running := o.start()
+			require.Len(t, running, 2, "the other hosts")
+			o.advance(1500 * time.Millisecond)
+			report := func() {
+				o.report(closed)
+				for _, start := range running {
+					o.report(start.Host, runningRow(start, 50))
+				}
+			}
+			report()
+			if better {
+				o.submit("next", step)
+				o.report(running[0].Host, doneRow(1, running[0]))
+				running[0] = o.start()[0]
+			}
+			require.Empty(t, o.start())
+			o.advance(600 * time.Millisecond)
+			report()
+			require.Empty(t, o.start())
+			starts = o.start()
+			if better {
+				require.Empty(t, starts)
+				return
+			}
+			require.Len(t, starts, 1)
+			require.Equal(t, closed, starts[0].Host)
+			o.report(closed, failedRow(4, starts[0]))
+			o.advance(5 * time.Second)
+			require.True(t, o.now.Before(o.Hosts[closed].UnhealthyUntil), "the next failure closes the host for longer")
+		})
+	}
+}
+
+// Guards against attempts that are lost on unhealthy hosts while others have room.
+func TestUnhealthyHostsTakeNoWorkBesideRoom(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c")
+	starts := o.startJobs(3)
+	closed := starts[0].Host
+	for i, start := range starts {
+		o.report(closed, append(runningRows(starts[i+1:]), failedRow(int64(i+1), start))...)
+		o.Cancel(start.Ref.Job, o.now)
+	}
+	o.advance(2500 * time.Millisecond)
+	for _, id := range []string{"a", "b", "c"} {
+		o.report(id)
+	}
+	o.submit("small", smallStep(2))
+	for _, start := range o.start() {
+		require.NotEqual(t, closed, start.Host)
+	}
+	require.True(t, o.now.Before(o.Hosts[closed].UnhealthyUntil))
+}
+
 // byHost returns starts by their hosts.
 func byHost(starts []shard.Order) map[string][]shard.Order {
 	out := map[string][]shard.Order{}
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -94,10 +94,12 @@
 	// a row are of different jobs, and no run has succeeded since. lastFailedJob is the job of the newest one.
 	failures      []*outcomes
 	lastFailedJob string
-	// failingUntil is what UnhealthyUntil was last set to for failures, and unhealthyCount counts how often in a row it
-	// was.
-	unhealthyCount int
-	failingUntil   time.Time
+	// lastSuccess is when a run last succeeded.
+	lastSuccess time.Time
+	// failingUntil is what UnhealthyUntil was last set to for failures, at failingSince. unhealthyCount counts how often
+	// in a row it was.
+	failingSince, failingUntil time.Time
+	unhealthyCount             int
 }
 
 const (
--- a/fleet/shard/lasting_test.go
+++ b/fleet/shard/lasting_test.go
@@ -455,8 +455,8 @@
 // finishTime is the platform's time between the end of the traffic and when jobs are asked for.
 const finishTime = 14 * time.Second
 
-// waitingSeeds are the seeds below 400 with which jobs wait after the traffic. Nine in ten jobs fail always in most of them.
-var waitingSeeds = []uint64{52, 60, 89, 118, 119, 147, 161, 168, 276, 341, 394}
+// waitingSeeds are seeds below 400 with which jobs have waited after the traffic. Nine in ten jobs fail always in most of them.
+var waitingSeeds = []uint64{12, 52, 60, 89, 118, 119, 145, 147, 161, 168, 175, 276, 334, 341, 394, 396}
 
 // runLasting runs the simulation with faults and then without.
 func (w *simulation) runLasting() {
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -56,13 +56,15 @@
 	unconfirmed := s.hasUnconfirmedHost(now)
 	s.updateOverloaded(hosts, unconfirmed)
 	planOn(s, ranking, hostSet{hosts: hosts}, &limits, unconfirmed, now)
-	if s.backlog.longRunningTasks == 0 || limits.Starts <= 0 {
-		return
+	if s.backlog.longRunningTasks > 0 && limits.Starts > 0 {
+		if others := s.lastResorts(now); len(others) > 0 {
+			// Waiting costs long-running work more than a host that fails its work now and then, or another move.
+			s.backlog.advance(now.Sub(s.backlog.origin))
+			planOn(s, ranking, hostSet{hosts: others, preferred: hosts, longRunningOnly: true}, &limits, unconfirmed, now)
+		}
 	}
-	if others := s.lastResorts(now); len(others) > 0 {
-		// Waiting costs long-running work more than a host that fails its work now and then, or another move.
-		s.backlog.advance(now.Sub(s.backlog.origin))
-		planOn(s, ranking, hostSet{hosts: others, preferred: hosts, longRunningOnly: true}, &limits, unconfirmed, now)
+	if limits.Starts > 0 {
+		s.probe(hosts, unconfirmed, now)
 	}
 }
 
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -76,6 +76,45 @@
 			lastResorts.startTasks(s, &demands[i], now, &hosts)
 		}
 	}
+	referenceProbe(s, hosts, now)
+}
+
+// referenceProbe opens the first host that was closed for failures two seconds ago or more, while nothing has succeeded
+// since on the hosts that were planned on, if something waits that has room there and on none of these.
+func referenceProbe(s *State, hosts referenceHosts, now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(s.Hosts)) {
+		h := s.Hosts[id]
+		healthy := *h
+		healthy.UnhealthyUntil = time.Time{}
+		if len(h.Assigned) > 0 && h.blocked && now.Sub(h.CordonedAt) > 2*time.Second {
+			healthy.CordonedUntil = time.Time{}
+		}
+		closed := h.UnhealthyUntil == h.failingUntil && now.Before(h.UnhealthyUntil) && now.Sub(h.failingSince) >= 2*time.Second
+		if !closed || !s.Schedulable(&healthy, now) || !referenceWaitsFor(s, h, hosts, now) {
+			continue
+		}
+		if !slices.ContainsFunc(hosts, func(c referenceHost) bool { return c.host.lastSuccess.After(h.failingSince) }) {
+			h.UnhealthyUntil = time.Time{}
+			return
+		}
+	}
+}
+
+// referenceWaitsFor reports whether a step waits that has room on a host and on none of others, or that may need the host
+// beside others.
+func referenceWaitsFor(s *State, h *Host, others referenceHosts, now time.Time) bool {
+	hasRoom := func(host *Host, free batch.Size, step *batch.Step) bool {
+		return free.Fits(step.Reservation()) && (step.RequiredLabel == "" || HasLabel(&host.Host, step.RequiredLabel))
+	}
+	used, _ := referenceUsed(s, h)
+	for _, d := range referenceDemands(s, now) {
+		step := &d.Job.Spec.Steps[d.Step]
+		elsewhere := slices.ContainsFunc(others, func(c referenceHost) bool { return hasRoom(c.host, c.free, step) })
+		if hasRoom(h, h.Capacity.Sub(used), step) && (step.Gang || step.PerHost > 0 || !elsewhere) {
+			return true
+		}
+	}
+	return false
 }
 
 func referenceOpenDue(s *State, wall int64) {
