Call no host empty that may have a successor on its machine

The holder of the machines asks by a list that is older about the earlier host, the owner calls that one empty, and the order ends the work of the new one.

Cause: an ended host has no tasks, so it counted as empty; a host that the owner does not know did, too. An order is for the machine, not for its host.

Change: a host is called empty only while it answers, or once it has been silent for its lease. One that is not known is called empty once requests have gone on for 2 s, longer than the list is old by which they are sent: the list showed that host after it was cordoned. What remains: a machine that crashes after the answer, and whose new host is at work within the second or two that the order takes.

--- a/entry/mover/model_test.go
+++ b/entry/mover/model_test.go
@@ -457,6 +457,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		m.restart()
+		w.logf("%s is up", m.host())
 		w.announce(feed.Change[port.Host]{Key: m.host(), Value: w.entry(m), Present: true})
 	})
 }
@@ -544,6 +545,9 @@
 				w.mu.Unlock()
 				a := o.Vacate(ctx, host)
 				if a.Vacant {
+					w.mu.Lock()
+					w.logf("%s is called empty: %s", host, a.Outcome)
+					w.mu.Unlock()
 					select {
 					case w.vacated <- struct{}{}:
 					default:
--- a/entry/owner/vacate.go
+++ b/entry/owner/vacate.go
@@ -10,6 +10,11 @@
 // off is replaced after more than twice that time.
 const maxEmptyingAge = 500 * time.Millisecond
 
+// unlistedTime is how long requests to empty a host that is not known have to go on before the host is called empty. It is
+// longer than the list of machines is old by which the requests are sent: another host that has started on the machine
+// shows in it.
+const unlistedTime = 2 * time.Second
+
 // handle empties the host under a claim that was confirmed lately. A newer owner counts the tasks that are unavailable by
 // itself, and does not know of the cordon.
 func (m vacateHost) handle(c *core) {
@@ -38,9 +43,10 @@
 	h := c.state.Hosts[m.host]
 	if h == nil {
 		// The list of hosts may be older than the request. No owner has given work to a host that it
-		// has not stored, so the host is empty, and the cordon keeps it so.
-		c.state.CordonUnlisted(m.host, time.Now(), cordonDuration)
-		return Answer{Outcome: Missing, Vacant: true, Reason: "no such host in the pool"}
+		// has not stored, so the host is empty, and the cordon keeps it so. Or the host has ended.
+		now := time.Now()
+		since := c.state.CordonUnlisted(m.host, now, cordonDuration)
+		return Answer{Outcome: Missing, Vacant: now.Sub(since) >= unlistedTime, Reason: "no such host in the pool"}
 	}
 	return Answer{Outcome: Found, Vacant: c.state.Vacate(h, time.Now(), cordonDuration)}
 }
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -277,9 +277,8 @@
 	// ended holds the jobs that have ended, in the order of their ends, and kept those of them that could not be
 	// dropped when their retention time was over.
 	ended, kept []*Job
-	// unlistedCordons holds the hosts that are not known yet and are to be empty, with the time until
-	// which.
-	unlistedCordons map[string]time.Time
+	// unlistedCordons holds the cordons of hosts that are not known yet.
+	unlistedCordons map[string]unlistedCordon
 	// backlog holds the work of the open jobs that waits.
 	backlog backlog
 	// unansweredStops holds the tasks whose RetryStopAt may be set.
@@ -308,7 +307,7 @@
 	return &State{
 		Pool: pool, Epoch: epoch, ClaimedAt: now, ConfirmedAt: now, Timing: t,
 		Queues: map[string]port.Queue{}, Jobs: map[string]*Job{}, Hosts: map[string]*Host{},
-		openJobs: map[string]*Job{}, unlistedCordons: map[string]time.Time{}, durationRatios: map[string]*sample{}, permits: map[batch.Ref]*permit{},
+		openJobs: map[string]*Job{}, unlistedCordons: map[string]unlistedCordon{}, durationRatios: map[string]*sample{}, permits: map[batch.Ref]*permit{},
 		backlog: newBacklog(now), unansweredStops: map[batch.Ref]struct{}{},
 		suspects: map[batch.Ref]*Task{}, startedEarlier: map[batch.Ref]struct{}{},
 	}
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -61,14 +61,35 @@
 		}
 	}
 	known := h.Confirmed || !h.Stored || s.leaseExpired(h, now)
-	return known && len(h.Assigned) == 0 && h.UnknownRuns == 0
+	return known && s.isPresent(h, now) && len(h.Assigned) == 0 && h.UnknownRuns == 0
 }
 
-// CordonUnlisted cordons a host that is not known yet. A host that joins before the cordon expires takes no
-// work until then, so that one which was called empty stays empty.
-func (s *State) CordonUnlisted(host string, now time.Time, cordon time.Duration) {
-	maps.DeleteFunc(s.unlistedCordons, func(_ string, until time.Time) bool { return now.After(until) })
-	s.unlistedCordons[host] = now.Add(cordon)
+// isPresent reports whether a host is still the one on its machine, as far as is known. Otherwise another host may be at
+// work there. After a lease without an answer, the list of machines would show that one.
+func (s *State) isPresent(h *Host, now time.Time) bool {
+	switch {
+	case !h.EndedAt.IsZero():
+		return false
+	case !h.Confirmed, s.leaseExpired(h, now):
+		return true
+	}
+	return !h.Unreachable && now.Sub(h.LastAnswer) <= silentTimeout
+}
+
+// unlistedCordon is the cordon of a host that is not known yet.
+type unlistedCordon struct{ since, until time.Time }
+
+// CordonUnlisted cordons a host that is not known yet, and returns since when it has been cordoned. A host that joins before
+// the cordon expires takes no work until then, so that one which was called empty stays empty.
+func (s *State) CordonUnlisted(host string, now time.Time, cordon time.Duration) time.Time {
+	maps.DeleteFunc(s.unlistedCordons, func(_ string, c unlistedCordon) bool { return now.After(c.until) })
+	c, ok := s.unlistedCordons[host]
+	if !ok {
+		c.since = now
+	}
+	c.until = now.Add(cordon)
+	s.unlistedCordons[host] = c
+	return c.since
 }
 
 // RestoreCordon cordons a host that an earlier owner has called empty.
@@ -82,9 +103,9 @@
 
 // applyUnlistedCordon cordons a host that has joined after a request to empty it.
 func (s *State) applyUnlistedCordon(h *Host, now time.Time) {
-	if until, ok := s.unlistedCordons[h.ID]; ok {
+	if c, ok := s.unlistedCordons[h.ID]; ok {
 		delete(s.unlistedCordons, h.ID)
-		h.CordonedAt, h.CordonedUntil = now, until
+		h.CordonedAt, h.CordonedUntil = now, c.until
 	}
 }
 
--- a/fleet/shard/vacate_test.go
+++ b/fleet/shard/vacate_test.go
@@ -33,6 +33,28 @@
 	require.True(t, s.Vacate(unused, now, time.Second), "no owner has given it work")
 }
 
+// Guards against an order for a machine that ends the work of the next host there (AVAIL): the holder of the machines asked
+// by an old list about the one before, which had ended.
+func TestAHostThatMayHaveEndedIsNotCalledEmpty(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	a, b := o.Hosts["a"], o.Hosts["b"]
+	o.report("a")
+	o.report("b")
+	require.True(t, o.Vacate(a, o.now, time.Second))
+	require.True(t, o.Vacate(b, o.now, time.Second))
+	o.HostEnded("a", o.now)
+	require.False(t, o.Vacate(a, o.now, time.Second), "it has ended")
+	o.HeartbeatSent("b", o.now)
+	o.HeartbeatFailed("b", false, o.now)
+	require.False(t, o.Vacate(b, o.now, time.Second), "its connection is gone")
+	o.report("b")
+	require.True(t, o.Vacate(b, o.now, time.Second))
+	o.advance(2 * time.Second)
+	require.False(t, o.Vacate(b, o.now, time.Second), "it is silent")
+	o.advance(time.Minute)
+	require.True(t, o.Vacate(b, o.now, time.Second), "a list would show its successor by now")
+}
+
 // Guards against work that starts on a host which was called empty because the list of hosts did not
 // contain it yet (AVAIL).
 func TestAHostThatJoinsAfterARequestToEmptyItTakesNoWork(t *testing.T) {
