--- /dev/null
+++ b/trial/churn/churn_test.go
@@ -0,0 +1,91 @@
+package churn
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/trial/soak"
+)
+
+// bin is the folder of the programs under test.
+var bin string
+
+// TestMain builds the programs once for all tests.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "caraway-churn-")
+	if err != nil {
+		panic(err)
+	}
+	bin = filepath.Join(dir, "bin")
+	build := exec.Command("go", "build", "-o", bin+"/", "./entry/cmd/carawayd", "./trial/cmd/trial")
+	build.Dir = "../.."
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v: %s", err, out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// runChurn runs the churn command with one seed and returns its result.
+func runChurn(t *testing.T, o Options) (Row, error) {
+	t.Helper()
+	var out, progress bytes.Buffer
+	o.Bin, o.Seeds, o.Out, o.Progress = bin, 1, &out, &progress
+	err := Run(t.Context(), &o)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(progress.String())
+		}
+	})
+	var r Row
+	require.NoError(t, json.Unmarshal(out.Bytes(), &r))
+	return r, err
+}
+
+func TestPromisesAreKeptUnderFaults(t *testing.T) {
+	t.Parallel()
+	for name, o := range map[string]Options{
+		"planned stops": {Seed: 1, Minutes: minMinutes, Entries: 2, Hosts: 3, Faults: []string{string(soak.Term)}},
+		"all faults":    {Seed: 3, Minutes: 0.4, Entries: 2, Hosts: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, err := runChurn(t, o)
+			require.NoError(t, err)
+			require.Empty(t, r.Broken)
+			if len(o.Faults) > 0 {
+				require.Empty(t, r.NotChecked)
+				require.NotZero(t, r.LeastLong, "requests that had been open for long at each stop")
+			}
+		})
+	}
+}
+
+func TestAStopThatIsCutShortIsSeen(t *testing.T) {
+	t.Parallel()
+	r, err := runChurn(t, Options{Seed: 1, Minutes: minMinutes, Entries: 2, Hosts: 3, Faults: []string{string(soak.Term)}, cuts: true})
+	require.ErrorIs(t, err, ErrBroken)
+	broken := map[string]int{}
+	for _, b := range r.Broken {
+		broken[b.Promise]++
+	}
+	require.Equal(t, r.Stops, broken["stop-in-time"])
+	require.NotZero(t, broken["answers-in-a-stop"])
+}
+
+func TestInvalidOptionsAreRefused(t *testing.T) {
+	for want, o := range map[string]Options{
+		"have to be positive":   {Minutes: minMinutes, Entries: 0, Hosts: 1, Seeds: 1},
+		"unknown kind of fault": {Minutes: minMinutes, Entries: 1, Hosts: 1, Seeds: 1, Faults: []string{"wave"}},
+	} {
+		require.ErrorContains(t, Run(t.Context(), &o), want)
+	}
+}
--- a/trial/cmd/trial/main.go
+++ b/trial/cmd/trial/main.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"carawaymux.dev/fleet/build"
+	"carawaymux.dev/trial/churn"
 	"carawaymux.dev/trial/demo"
 	"carawaymux.dev/trial/gauge"
 	"carawaymux.dev/trial/model"
@@ -26,7 +27,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(runner.NewLogCommand(), runner.NewHostsCommand(), runner.NewTargetCommand(), demo.New(os.Stdout), gauge.New(os.Stdout, os.Stderr),
-		tour.New(os.Stdout, nil), model.New(os.Stdout, os.Stderr), soak.New(os.Stdout, os.Stderr))
+		tour.New(os.Stdout, nil), model.New(os.Stdout, os.Stderr), soak.New(os.Stdout, os.Stderr), churn.New(os.Stdout, os.Stderr))
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "trial:", err)
 		os.Exit(1)
--- a/trial/soak/hold.go
+++ b/trial/soak/hold.go
@@ -49,7 +49,7 @@
 func holdSpans(schedule []Fault, entries []string) []span {
 	var spans []span
 	add := func(f Fault, at, after time.Duration) {
-		entry, _, _ := strings.Cut(f.Target, linkName("", ""))
+		entry, _, _ := strings.Cut(f.Target, LinkName("", ""))
 		spans = append(spans, span{max(at-holdBefore, 0), at + after, heldEntries(entries, entry)})
 	}
 	for _, f := range schedule {
@@ -67,7 +67,7 @@
 			add(f, f.At, takeoverTime)
 			add(f, f.At+f.For, takeoverTime)
 		case LinkDelay, LinkReset, LinkCut, LinkSilent, LinkLate:
-			if strings.HasSuffix(f.Target, linkName("", fake.StoreLink)) {
+			if strings.HasSuffix(f.Target, LinkName("", fake.StoreLink)) {
 				add(f, f.At, takeoverTime)
 				add(f, f.At+f.For, takeoverTime)
 			}
--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -127,9 +127,9 @@
 	case LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip, LinkLate, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip:
 		link, kind := f.Target, f.Kind
 		if k, ok := linkFaults[kind]; ok {
-			link, kind = linkName("", f.Target), k
+			link, kind = LinkName("", f.Target), k
 		}
-		return c.site.proxies.inject(ctx, link, fmt.Sprint(number), toxics(kind, number))
+		return c.site.proxies.inject(ctx, link, fmt.Sprint(number), Toxics(kind, number))
 	default:
 		c.active[f.Kind]++
 		return func(ctx context.Context) error {
--- a/trial/soak/open.go
+++ b/trial/soak/open.go
@@ -115,7 +115,7 @@
 		case StoreBusy, StoreSilent, StoreLossy, StoreSlow, StoreFull, StoreTrim:
 			return true
 		}
-		return w.Target == entry || w.Target == linkName(entry, fake.StoreLink)
+		return w.Target == entry || w.Target == LinkName(entry, fake.StoreLink)
 	})
 }
 
--- a/trial/soak/proxy.go
+++ b/trial/soak/proxy.go
@@ -11,8 +11,8 @@
 // proxies are the proxies on the links of a run, by the names of the links. Links are added before the run starts.
 type proxies map[string]*proxy.Link
 
-// linkName names the link from an entry to a service or machine. Links to machines are shared by all entries.
-func linkName(from, to string) string { return from + ">" + to }
+// LinkName names the link from an entry to a service or machine. Links to machines are shared by all entries.
+func LinkName(from, to string) string { return from + ">" + to }
 
 // add starts the proxy of a link and returns its address.
 func (p proxies) add(from, to, address string) (string, error) {
@@ -20,7 +20,7 @@
 	if err != nil {
 		return "", err
 	}
-	p[linkName(from, to)] = l
+	p[LinkName(from, to)] = l
 	return l.Address, nil
 }
 
@@ -33,8 +33,8 @@
 	dripPause = 200 * time.Microsecond
 )
 
-// toxics returns what carries out a fault of a link. Only the direction of cut links depends on the number.
-func toxics(k Kind, number int) []proxy.Toxic {
+// Toxics returns what carries out a fault of a link. Only the direction of cut links depends on the number.
+func Toxics(k Kind, number int) []proxy.Toxic {
 	switch k {
 	case LinkDelay:
 		return proxy.Both(proxy.Impairment{Latency: linkDelay, Jitter: linkJitter})
--- a/trial/soak/site.go
+++ b/trial/soak/site.go
@@ -121,14 +121,14 @@
 				return err
 			}
 			startAgain = func() error {
-				if err := s.proxies[linkName(callers, e.Name)].HealAll(context.Background()); err != nil {
+				if err := s.proxies[LinkName(callers, e.Name)].HealAll(context.Background()); err != nil {
 					return err
 				}
 				return s.deployment.Start(e)
 			}
 			beforeStop = func() {
 				// If this fails, so does the test that expects a breach.
-				_, _ = s.proxies.inject(context.Background(), linkName(callers, e.Name), "stop", droppedAnswers())
+				_, _ = s.proxies.inject(context.Background(), LinkName(callers, e.Name), "stop", droppedAnswers())
 			}
 		}
 		s.keepers[e.Name] = startKeeper(e, s.recorder, s.opened, startAgain, beforeStop)
@@ -190,16 +190,16 @@
 	for i := range entries {
 		name := fake.EntryName(i)
 		l.Entries = append(l.Entries, name)
-		l.Links = append(l.Links, linkName(name, fake.StoreLink), linkName(name, fake.MachinesLink))
+		l.Links = append(l.Links, LinkName(name, fake.StoreLink), LinkName(name, fake.MachinesLink))
 	}
 	for _, pool := range []string{guardedPool, unguardedPool} {
 		for i := range hosts {
 			id := fake.MachineID(pool, i)
-			l.Machines, l.Links = append(l.Machines, id), append(l.Links, linkName("", id))
+			l.Machines, l.Links = append(l.Machines, id), append(l.Links, LinkName("", id))
 		}
 	}
 	for i := range standbyHosts(hosts) {
-		l.Links = append(l.Links, linkName("", fake.MachineID(standbyPool, i)))
+		l.Links = append(l.Links, LinkName("", fake.MachineID(standbyPool, i)))
 	}
 	return l
 }
