See connections of carawayd that are closed at SIGTERM

The tests of `trial churn` proved its checks with processes that are killed, not with a fault of the program.

Builds with edits of sources move from the tests of the soak to package edits, for both. The edits of the soak stay as they are.

--- a/trial/churn/churn_test.go
+++ b/trial/churn/churn_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"carawaymux.dev/trial/edits"
 	"carawaymux.dev/trial/soak"
 )
 
@@ -38,7 +39,10 @@
 func runChurn(t *testing.T, o Options) (Row, error) {
 	t.Helper()
 	var out, progress bytes.Buffer
-	o.Bin, o.Seeds, o.Out, o.Progress = bin, 1, &out, &progress
+	if o.Bin == "" {
+		o.Bin = bin
+	}
+	o.Seeds, o.Out, o.Progress = 1, &out, &progress
 	err := Run(t.Context(), &o)
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -81,6 +85,20 @@
 	require.NotZero(t, broken["answers-in-a-stop"])
 }
 
+// closesFirst closes the connections of callers at SIGTERM.
+var closesFirst = edits.Edit{File: "entry/daemon/daemon.go", Text: "	d.front.MarkStopping()\n", By: "	d.front.MarkStopping()\n	_ = d.callerServer.Close()\n"}
+
+func TestConnectionsThatAreClosedAtSIGTERMAreSeen(t *testing.T) {
+	t.Parallel()
+	built, err := edits.Build("../..", t.TempDir(), []string{"./entry/cmd/carawayd", "./trial/cmd/trial"}, closesFirst)
+	require.NoError(t, err)
+	r, err := runChurn(t, Options{Bin: built, Seed: 1, Minutes: minMinutes, Entries: 2, Hosts: 3, Faults: []string{string(soak.Term)}})
+	require.ErrorIs(t, err, ErrBroken)
+	breaches := count(r.Broken, func(b Breach) bool { return b.Promise == "answers-in-a-stop" })
+	t.Logf("%d breaches of answers-in-a-stop at %d stops", breaches, r.Stops)
+	require.NotZero(t, breaches)
+}
+
 func TestInvalidOptionsAreRefused(t *testing.T) {
 	for want, o := range map[string]Options{
 		"have to be positive":   {Minutes: minMinutes, Entries: 0, Hosts: 1, Seeds: 1},
--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -1,21 +1,18 @@
 package soak
 
 import (
-	"encoding/json"
-	"os"
-	"os/exec"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"carawaymux.dev/trial/edits"
 	"carawaymux.dev/trial/fake"
 )
 
-// edit replaces a text in a source file of the programs. The text must be there once.
-type edit struct{ file, text, by string }
+// edit replaces a text in a source file of the programs.
+func edit(file, text, by string) edits.Edit { return edits.Edit{File: file, Text: text, By: by} }
 
 const (
 	nodeFile     = "platform/node/node.go"
@@ -35,82 +32,59 @@
 
 var (
 	// closesFirst closes the connections of callers at SIGTERM.
-	closesFirst = edit{nodeFile, "n.requests.BeginStop(plan)\n", "n.requests.BeginStop(plan)\n\tn.callerServer.Close()\n\tn.callers.Close()\n"}
+	closesFirst = edit(nodeFile, "n.requests.BeginStop(plan)\n", "n.requests.BeginStop(plan)\n\tn.callerServer.Close()\n\tn.callers.Close()\n")
 	// skipsDrainTime and skipsOpenRequests take out what a stop waits for before it ends connections, and
 	// skipsConnections its wait for their ends.
-	skipsDrainTime    = edit{nodeFile, "time.Sleep(time.Until(start.Add(plan.Take)))", ""}
-	skipsOpenRequests = edit{nodeFile, "err := n.requests.WaitAnswered(ctx)", "var err error"}
-	skipsConnections  = edit{nodeFile, "err = n.callers.WaitClosed(ctx)", "err = nil"}
+	skipsDrainTime    = edit(nodeFile, "time.Sleep(time.Until(start.Add(plan.Take)))", "")
+	skipsOpenRequests = edit(nodeFile, "err := n.requests.WaitAnswered(ctx)", "var err error")
+	skipsConnections  = edit(nodeFile, "err = n.callers.WaitClosed(ctx)", "err = nil")
 	// skipsHandOver takes out the wait until the pools have other owners.
-	skipsHandOver = edit{nodeFile, "\tleaving.Wait()\n", ""}
+	skipsHandOver = edit(nodeFile, "\tleaving.Wait()\n", "")
 	// skipsFence lets a new owner read what earlier owners have stored while they can still write.
-	skipsFence = edit{claimFile, "		return c, c.fenceEarlier(ctx)\n", "		c.ConfirmedAt = time.Now()\n		return c, nil\n"}
+	skipsFence = edit(claimFile, "		return c, c.fenceEarlier(ctx)\n", "		c.ConfirmedAt = time.Now()\n		return c, nil\n")
 	// ignoresHostFence, ignoresOrderFence and ignoresView take out the other ways in which an owner notices a newer one.
-	ignoresHostFence  = edit{hostsFile, "\t\tc.resign(\"host \"+id, err)\n", ""}
-	ignoresOrderFence = edit{hostsFile, "\t\tc.resign(\"host \"+o.Host, err)\n", ""}
-	ignoresView       = edit{dutiesFile, "ok && o.Epoch > h.epoch {", "ok && o.Epoch > h.epoch && false {"}
+	ignoresHostFence  = edit(hostsFile, "\t\tc.resign(\"host \"+id, err)\n", "")
+	ignoresOrderFence = edit(hostsFile, "\t\tc.resign(\"host \"+o.Host, err)\n", "")
+	ignoresView       = edit(dutiesFile, "ok && o.Epoch > h.epoch {", "ok && o.Epoch > h.epoch && false {")
 	// losesLasting does not start long-running tasks again.
-	losesLasting = edit{planFile, "\tvar bestCost int64\n\tneed := step.Reservation()\n", "\tvar bestCost int64\n\tneed := step.Reservation()\n\tif step.LongRunning && task.Run > 0 {\n\t\treturn nil\n\t}\n"}
+	losesLasting = edit(planFile, "\tvar bestCost int64\n\tneed := step.Reservation()\n", "\tvar bestCost int64\n\tneed := step.Reservation()\n\tif step.LongRunning && task.Run > 0 {\n\t\treturn nil\n\t}\n")
 	// forgetsSent takes requests whose answers are lost on the way between entries for ones that were not sent.
-	forgetsSent = edit{intakeFile, "\t\treturn owner.Answer{}, maybeDelivered\n", "\t\treturn owner.Answer{}, notDelivered\n"}
+	forgetsSent = edit(intakeFile, "\t\treturn owner.Answer{}, maybeDelivered\n", "\t\treturn owner.Answer{}, notDelivered\n")
 	// skipsCap and skipsSlots start maintenance whatever the cap of its wave is.
-	skipsCap   = edit{upkeepFile, "return others < s.maxDown", "return others >= 0"}
-	skipsSlots = edit{upkeepFile, "slots := w.MaxDown - down - len(w.Emptying)", "slots := len(waiting) - down"}
+	skipsCap   = edit(upkeepFile, "return others < s.maxDown", "return others >= 0")
+	skipsSlots = edit(upkeepFile, "slots := w.MaxDown - down - len(w.Emptying)", "slots := len(waiting) - down")
 	// takesFullForDone takes the answer of a full store for that of an append that was carried out.
-	takesFullForDone = edit{storeFile, "case http.StatusOK:\n		return out.End, nil", "case http.StatusOK, http.StatusInsufficientStorage:\n		return out.End, nil"}
+	takesFullForDone = edit(storeFile, "case http.StatusOK:\n		return out.End, nil", "case http.StatusOK, http.StatusInsufficientStorage:\n		return out.End, nil")
 	// skipsTrimmed reads on after records that the store has deleted as if they had not been there.
-	skipsTrimmed = edit{readerFile, "if errors.As(err, &gone) {\n		return r.load(ctx)", "if errors.As(err, &gone) {\n		r.next = gone.First\n		return nil, nil"}
+	skipsTrimmed = edit(readerFile, "if errors.As(err, &gone) {\n		return r.load(ctx)", "if errors.As(err, &gone) {\n		r.next = gone.First\n		return nil, nil")
 )
 
 // off sets a time of day off by up to two hours, by another time with each read.
 const off = ".Add(time.Duration(time.Now().UnixNano()/1000%5-2) * time.Hour)"
 
 // clocksOff sets the time of day off where programs read it, and makes it go back with each start of a process.
-var clocksOff = []edit{
-	{nodeFile, "incarnation := time.Now().UnixNano()", "incarnation := int64(1<<62) - time.Now().UnixNano()"},
-	{frontFile, "spec.AcceptedMS = q.Name, time.Now().UnixMilli()", "spec.AcceptedMS = q.Name, time.Now()" + off + ".UnixMilli()"},
-	{storedFile, "age := time.Duration(now.UnixMilli()-at)", "age := time.Duration(now" + off + ".UnixMilli()-at)"},
-	{storedFile, "strconv.FormatInt(now.UnixMilli(), 10)", "strconv.FormatInt(now" + off + ".UnixMilli(), 10)"},
-	{coreFile, "limits, now, now.UnixMilli())", "limits, now, now" + off + ".UnixMilli())"},
-	{progressFile, "clamp.Sub(now.UnixMilli(), spec.AcceptedMS)", "clamp.Sub(now" + off + ".UnixMilli(), spec.AcceptedMS)"},
+var clocksOff = []edits.Edit{
+	edit(nodeFile, "incarnation := time.Now().UnixNano()", "incarnation := int64(1<<62) - time.Now().UnixNano()"),
+	edit(frontFile, "spec.AcceptedMS = q.Name, time.Now().UnixMilli()", "spec.AcceptedMS = q.Name, time.Now()"+off+".UnixMilli()"),
+	edit(storedFile, "age := time.Duration(now.UnixMilli()-at)", "age := time.Duration(now"+off+".UnixMilli()-at)"),
+	edit(storedFile, "strconv.FormatInt(now.UnixMilli(), 10)", "strconv.FormatInt(now"+off+".UnixMilli(), 10)"),
+	edit(coreFile, "limits, now, now.UnixMilli())", "limits, now, now"+off+".UnixMilli())"),
+	edit(progressFile, "clamp.Sub(now.UnixMilli(), spec.AcceptedMS)", "clamp.Sub(now"+off+".UnixMilli(), spec.AcceptedMS)"),
 }
 
 // buildWith builds the programs with edits of their sources, and returns the folder of the programs.
-func buildWith(t *testing.T, edits ...edit) string {
+func buildWith(t *testing.T, list ...edits.Edit) string {
 	t.Helper()
-	dir, root := t.TempDir(), "../.."
-	sources, overlay := map[string]string{}, map[string]string{}
-	for _, e := range edits {
-		path, err := filepath.Abs(filepath.Join(root, e.file))
-		require.NoError(t, err)
-		if _, ok := sources[path]; !ok {
-			raw, err := os.ReadFile(path)
-			require.NoError(t, err)
-			sources[path] = string(raw)
-		}
-		require.Equal(t, 1, strings.Count(sources[path], e.text), "%s: %q", e.file, e.text)
-		sources[path] = strings.Replace(sources[path], e.text, e.by, 1)
-	}
-	for path, source := range sources {
-		overlay[path] = filepath.Join(dir, filepath.Base(path))
-		require.NoError(t, os.WriteFile(overlay[path], []byte(source), 0o600))
-	}
-	raw, err := json.Marshal(map[string]any{"Replace": overlay})
+	out, err := edits.Build("../..", t.TempDir(), []string{"./platform/cmd/carawaymux"}, list...)
 	require.NoError(t, err)
-	overlayFile, out := filepath.Join(dir, "overlay.json"), filepath.Join(dir, "bin")
-	require.NoError(t, os.WriteFile(overlayFile, raw, 0o600))
-	build := exec.Command("go", "build", "-overlay", overlayFile, "-o", out+"/", "./platform/cmd/carawaymux")
-	build.Dir = root
-	output, err := build.CombinedOutput()
-	require.NoError(t, err, string(output))
 	return out
 }
 
 // runWith plays a run of CI on programs with edits.
-func runWith(t *testing.T, name string, edits ...edit) ([]Row, error) {
+func runWith(t *testing.T, name string, list ...edits.Edit) ([]Row, error) {
 	t.Helper()
 	o := ciRuns[name].options
-	o.Bin = buildWith(t, edits...)
+	o.Bin = buildWith(t, list...)
 	return runSoak(t, o)
 }
 
@@ -137,11 +111,11 @@
 }
 
 // playOn plays a schedule on programs with edits.
-func playOn(t *testing.T, c Case, planted plant, edits ...edit) ([]Row, error) {
+func playOn(t *testing.T, c Case, planted plant, list ...edits.Edit) ([]Row, error) {
 	t.Helper()
 	path := t.TempDir()
 	require.NoError(t, writeJSON(path, "case.json", c))
-	return runSoak(t, Options{Bin: buildWith(t, edits...), Case: filepath.Join(path, "case.json"), Seeds: 1, Minutes: minMinutes, Entries: 1, Hosts: 1, planted: planted})
+	return runSoak(t, Options{Bin: buildWith(t, list...), Case: filepath.Join(path, "case.json"), Seeds: 1, Minutes: minMinutes, Entries: 1, Hosts: 1, planted: planted})
 }
 
 // pausedOwners pauses each entry for so long that others take over its pools while it holds submissions.
