Crash the hosts of long-running tasks of the soak later

TestLongRunningTasksThatAreNotStartedAgainAreSeen crashes all hosts of a pool from 2 s on and needs tasks that run there by then. A machine without processor time may accept and start them later, and the planted fault goes unseen; no run has shown that. The hosts crash from 4 s on, which leaves the calm time that the check needs.

--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -164,7 +164,7 @@
 func TestLongRunningTasksThatAreNotStartedAgainAreSeen(t *testing.T) {
 	t.Parallel()
 	crashes := Case{Seed: 51, Minutes: minMinutes, Entries: 2, Hosts: 2, Schedule: []Fault{
-		{HostCrash, fake.MachineID(guardedPool, 0), 2 * time.Second, time.Second}, {HostCrash, fake.MachineID(guardedPool, 1), 3 * time.Second, time.Second},
+		{HostCrash, fake.MachineID(guardedPool, 0), 4 * time.Second, time.Second}, {HostCrash, fake.MachineID(guardedPool, 1), 5 * time.Second, time.Second},
 	}}
 	rows, err := playOn(t, crashes, "", losesLasting)
 	requireBroken(t, rows, err, "lasting-runs")
