--- a/fleet/shard/lasting_test.go
+++ b/fleet/shard/lasting_test.go
@@ -440,7 +440,21 @@
 // Guards against jobs of which nothing runs after the traffic (LOST), although there is room for them on hosts that count
 // as unhealthy.
 func TestNoJobWaitsAfterTheTrafficBesideRoomForIt(t *testing.T) {
-	for _, seed := range waitingSeeds {
+	requireNoWaitAfterTheTraffic(t, waitingSeeds...)
+}
+
+// Guards against jobs of which nothing runs after the traffic (LOST), since a task of them is suspected of a crash and
+// waits for a host of its own.
+func TestNoSuspectOfACrashWaitsAfterTheTrafficBesideRoomForIt(t *testing.T) {
+	requireNoWaitAfterTheTraffic(t, suspectSeed)
+}
+
+// suspectSeed is a seed with which a suspect of a crash waits after the traffic.
+const suspectSeed = 85
+
+// requireNoWaitAfterTheTraffic runs simulations and requires that no job waits too long after the traffic.
+func requireNoWaitAfterTheTraffic(t *testing.T, seeds ...uint64) {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newLastingSimulation(t, seed)
 			w.runLasting()
