Ask for advice about the hosts that only long-running work takes

Seen: a long-running task of a queue that needs advice waits beside room on hosts that count as unhealthy, or that cannot be emptied (LOST; read, and a test).

Cause: a second pass of planning offers such hosts to long-running tasks that no other host takes, but the policy service was only asked about the hosts of the first pass, so there was never a ticket.

Change: once nothing is left to be asked about the hosts of the first pass, a long-running step that waits and is no gang asks about those of the second.

Evidence: the first new test fails on the code before; the second guards against questions whose answers have no effect.

--- a/fleet/shard/permit.go
+++ b/fleet/shard/permit.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"carawaymux.dev/fleet/batch"
@@ -113,6 +114,7 @@
 	})
 	defer ranked.release()
 	var hosts candidates
+	lastResorts := sync.OnceValue(func() candidates { return s.lastResorts(now) })
 	for w := ranked.pop(); w != nil; w = ranked.pop() {
 		if hosts == nil {
 			hosts = s.candidates(now)
@@ -120,6 +122,11 @@
 		if q, ok := s.questionFor(w, hosts, now); ok {
 			return q, true
 		}
+		if w.step.LongRunning && !w.step.Gang {
+			if q, ok := s.questionFor(w, lastResorts(), now); ok {
+				return q, true
+			}
+		}
 	}
 	return Question{}, false
 }
--- a/fleet/shard/permit_test.go
+++ b/fleet/shard/permit_test.go
@@ -146,3 +146,34 @@
 		require.Equal(t, "t-"+order.Host, order.Ticket)
 	}
 }
+
+// Guards against a long-running task that does not run, with room for it on a host that counts as unhealthy (LOST): the
+// policy service was not asked about it.
+func TestLongRunningWorkThatNeedsAdviceRunsOnUnhealthyHostsIfNoOtherTakesIt(t *testing.T) {
+	o := newOwnerWithAdvice(t, "a", "b")
+	o.submit("serves", longRunningStep(1, 0, 0))
+	o.Hosts["b"].UnhealthyUntil = o.now.Add(time.Minute)
+	require.Equal(t, []string{"a"}, o.advise(nil).Hosts, "healthy hosts first")
+	o.advance(400 * time.Millisecond)
+	require.Equal(t, []string{"b"}, o.advise(map[string]string{"b": "t-b"}).Hosts)
+	starts := o.start()
+	require.Len(t, starts, 1)
+	require.Equal(t, "b", starts[0].Host)
+	require.Equal(t, "t-b", starts[0].Ticket)
+}
+
+// Guards against questions about hosts on which the answer has no effect.
+func TestNoAdviceIsAskedAboutUnhealthyHostsForWorkThatEnds(t *testing.T) {
+	o := newOwnerWithAdvice(t, "a", "b")
+	gang := longRunningStep(2, 0, 0)
+	gang.Gang = true
+	o.submit("ends", smallStep(1))
+	o.submit("gang", gang)
+	o.Hosts["b"].UnhealthyUntil = o.now.Add(time.Minute)
+	for range 2 {
+		require.Equal(t, []string{"a"}, o.advise(nil).Hosts)
+	}
+	o.advance(400 * time.Millisecond)
+	_, ok := shard.NextQuestion(o.State, shard.BySlack{}, o.now)
+	require.False(t, ok)
+}
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -801,15 +801,9 @@
 		return Question{}, false
 	}
 	step := &d.Job.Spec.Steps[d.Step]
-	var unknown referenceHosts
-	for _, c := range referenceCandidates(s, now) {
-		instance, denied := p.denied[c.host.ID]
-		if (denied && instance == c.host.Instance) || p.valid(c.host, now) || !c.host.Capacity.Fits(step.Reservation()) {
-			continue
-		}
-		if step.RequiredLabel == "" || HasLabel(&c.host.Host, step.RequiredLabel) {
-			unknown = append(unknown, c)
-		}
+	unknown := referenceUnknown(referenceCandidates(s, now), p, step, now)
+	if len(unknown) == 0 && step.LongRunning && !step.Gang {
+		unknown = referenceUnknown(referenceLastResorts(s, now), p, step, now)
 	}
 	if len(unknown) == 0 {
 		return Question{}, false
@@ -822,6 +816,21 @@
 	return q, true
 }
 
+// referenceUnknown returns the hosts that could run a step and of which it is not known whether they may.
+func referenceUnknown(hosts referenceHosts, p *permit, step *batch.Step, now time.Time) referenceHosts {
+	var unknown referenceHosts
+	for _, c := range hosts {
+		instance, denied := p.denied[c.host.ID]
+		if (denied && instance == c.host.Instance) || p.valid(c.host, now) || !c.host.Capacity.Fits(step.Reservation()) {
+			continue
+		}
+		if step.RequiredLabel == "" || HasLabel(&c.host.Host, step.RequiredLabel) {
+			unknown = append(unknown, c)
+		}
+	}
+	return unknown
+}
+
 // referenceScaled returns the expected work of a queue in thousandths of a core-second for an estimated one.
 func referenceScaled(s *State, queue string, estimated int64) int64 {
 	return int64(float64(estimated) * s.durationRatios[queue].median() / 1000)
