Keep the cordon of a host that is dropped and listed again

Seen, by reading: a host that was called empty ends and leaves the list, so the owner drops it with its cordon. If it is listed again under its ID before the order for its machine comes, it gets work.

Change: the cordon is kept as that of a host that is not known, which it is then.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -325,6 +325,10 @@
 		}
 		if !h.Listed && len(h.Assigned) == 0 && len(h.lapsed) == 0 {
 			dropped = append(dropped, id)
+			if now.Before(h.CordonedUntil) {
+				// The host may be listed again while its machine may still be ordered.
+				s.unlistedCordons[id] = unlistedCordon{now, h.CordonedUntil}
+			}
 			delete(s.Hosts, id)
 			s.hostList = nil
 		}
--- a/fleet/shard/vacate_test.go
+++ b/fleet/shard/vacate_test.go
@@ -33,6 +33,25 @@
 	require.True(t, s.Vacate(unused, now, time.Second), "no owner has given it work")
 }
 
+// Guards against work that is lost with its machine (AVAIL): a host that was called empty ended, left the list and was listed
+// again under its ID before the order came.
+func TestAHostThatIsListedAgainKeepsItsCordon(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.report("a")
+	require.True(t, o.Vacate(o.Hosts["a"], o.now, 3*time.Second))
+	o.HostEnded("a", o.now)
+	o.UnlistHost("a")
+	o.advance(100 * time.Millisecond)
+	require.Equal(t, []string{"a"}, o.ExpireLeases(o.now))
+	o.submit("waits", longRunningStep(1, 0, 0))
+	o.addHost("a")
+	require.Empty(t, o.start())
+	o.advance(3 * time.Second)
+	o.report("a")
+	o.advance(time.Millisecond)
+	require.Len(t, o.start(), 1)
+}
+
 // Guards against an order for a machine that ends the work of the next host there (AVAIL): the holder of the machines asked
 // by an old list about the one before, which had ended.
 func TestAHostThatMayHaveEndedIsNotCalledEmpty(t *testing.T) {
