--- a/trial/proxy/proxy.go
+++ b/trial/proxy/proxy.go
@@ -186,13 +186,13 @@
 	p := &pair{client, c.(*net.TCPConn)}
 	defer p.close()
 	ctx := context.Background()
-	known, err := task.Call(ctx, l.task, func(reply chan<- bool) func(*core) {
+	// The task closes the pairs that it knows when it ends.
+	if _, err := task.Call(ctx, l.task, func(reply chan<- struct{}) func(*core) {
 		return func(c *core) {
 			c.pairs[p] = struct{}{}
-			reply <- true
+			reply <- struct{}{}
 		}
-	})
-	if err != nil || !known {
+	}); err != nil {
 		return
 	}
 	var pumps sync.WaitGroup
--- a/trial/soak/opened.go
+++ b/trial/soak/opened.go
@@ -54,7 +54,7 @@
 	_ = o.task.Send(context.Background(), func(c *openedCore) { delete(c.requests, r) })
 }
 
-// holds reports whether an entry has requests open at a time which cannot end within stopMargin: a submission that was
+// holds reports whether an entry has requests open at a time which cannot end within signalMargin: a submission that was
 // sent more than loss_slack_ms before, and an upload.
 func (o *opened) holds(ctx context.Context, entry string, at time.Duration) bool {
 	held, err := task.Call(ctx, o.task, func(reply chan<- bool) func(*openedCore) {
