Reopen a host only for a run that was started since its failures

Seen, by the review: a host that fails all that it starts takes new work again each time a run from before its fault succeeds.

Cause: since failures no longer close a host for longer, any success opened it, also that of a run that was ordered before all runs that have failed there, which tells nothing of them.

Change: a failure keeps when its run was ordered. A success of a run that was ordered before all of them opens nothing, blames no step and does not end the row of failures.

Evidence: TestARunThatWasStartedBeforeDoesNotReopenAHostThatFailsAllNewWork fails on the code before.

--- a/fleet/shard/health.go
+++ b/fleet/shard/health.go
@@ -14,23 +14,30 @@
 	failsAnywhere bool
 }
 
-// recordOutcome counts the end of a run for the health of its host. When half of the hosts that answer
-// are unhealthy already, no further host becomes unhealthy for failures.
-func (s *State) recordOutcome(h *Host, job string, stage *Stage, failed bool, now time.Time) {
+// failure is a failed run that counts against its host.
+type failure struct {
+	step *outcomes
+	// startedAt is when the run was ordered.
+	startedAt time.Time
+}
+
+// recordOutcome counts the end of a run, which was ordered at startedAt, for the health of its host. When half of the
+// hosts that answer are unhealthy already, no further host becomes unhealthy for failures.
+func (s *State) recordOutcome(h *Host, job string, stage *Stage, failed bool, startedAt, now time.Time) {
 	if stage.outcomes == nil {
 		stage.outcomes = &outcomes{succeeded: stage.Left < stage.count}
 	}
 	o := stage.outcomes
 	if !failed {
 		o.succeeded, o.failsAnywhere = true, false
-		s.recordSuccess(h, now)
+		s.recordSuccess(h, startedAt, now)
 		return
 	}
 	if o.failsAnywhere || job == h.lastFailedJob {
 		return
 	}
 	h.lastFailedJob = job
-	h.failures = append(h.failures[max(len(h.failures)+1-unhealthyFailures, 0):], o)
+	h.failures = append(h.failures[max(len(h.failures)+1-unhealthyFailures, 0):], failure{o, startedAt})
 	// A run that fails on an unhealthy host was started before and shows nothing new.
 	if len(h.failures) < unhealthyFailures || now.Before(h.UnhealthyUntil) || !s.mayBecomeUnhealthy(now) {
 		return
@@ -43,15 +50,20 @@
 }
 
 // recordSuccess records that a run has succeeded on the host. The steps without a success whose runs failed there
-// since the last one are to blame for that themselves.
-func (s *State) recordSuccess(h *Host, now time.Time) {
+// since the last one are to blame for that themselves. A run that was ordered before all of those tells nothing: the host
+// may fail all that it has started since.
+func (s *State) recordSuccess(h *Host, startedAt, now time.Time) {
+	h.lastSuccess = now
 	failures := h.failures
-	h.failures, h.lastFailedJob, h.unhealthyCount, h.lastSuccess = nil, "", 0, now
+	if len(failures) > 0 && !slices.ContainsFunc(failures, func(f failure) bool { return !startedAt.Before(f.startedAt) }) {
+		return
+	}
+	h.failures, h.lastFailedJob, h.unhealthyCount = nil, "", 0
 	h.reopen()
 	blamed := false
-	for _, o := range failures {
-		o.failsAnywhere = !o.succeeded
-		blamed = blamed || o.failsAnywhere
+	for _, f := range failures {
+		f.step.failsAnywhere = !f.step.succeeded
+		blamed = blamed || f.step.failsAnywhere
 	}
 	if !blamed {
 		return
@@ -64,7 +76,7 @@
 // withdrawFailures drops the failures of steps that fail anywhere.
 func (h *Host) withdrawFailures() {
 	counted := len(h.failures)
-	h.failures = slices.DeleteFunc(h.failures, func(o *outcomes) bool { return o.failsAnywhere })
+	h.failures = slices.DeleteFunc(h.failures, func(f failure) bool { return f.step.failsAnywhere })
 	if counted >= unhealthyFailures && len(h.failures) < unhealthyFailures {
 		h.unhealthyCount = max(h.unhealthyCount-1, 0)
 		h.reopen()
--- a/fleet/shard/health_test.go
+++ b/fleet/shard/health_test.go
@@ -75,6 +75,27 @@
 	require.False(t, o.now.Before(o.Hosts["a"].UnhealthyUntil))
 }
 
+// Guards against attempts that are lost on a host that fails all that it starts, while a run from before its fault goes on to
+// succeed.
+func TestARunThatWasStartedBeforeDoesNotReopenAHostThatFailsAllNewWork(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	earlier := o.startJobs(1)
+	id := earlier[0].Host
+	o.advance(time.Second)
+	for i := range 3 {
+		o.submit(fmt.Sprint("new", i), smallStep(1))
+	}
+	failed := byHost(o.start())[id]
+	require.Len(t, failed, 3)
+	for i, start := range failed {
+		running := append(runningRows(failed[i+1:]), runningRow(earlier[0], 50))
+		o.report(id, append(running, failedRow(int64(i+1), start))...)
+	}
+	require.True(t, o.now.Before(o.Hosts[id].UnhealthyUntil))
+	o.report(id, doneRow(4, earlier[0]))
+	require.True(t, o.now.Before(o.Hosts[id].UnhealthyUntil))
+}
+
 // Guards against hosts that get no new work because of jobs that fail wherever they run.
 func TestWorkThatFailsOnASoundHostDoesNotMakeHostsUnhealthy(t *testing.T) {
 	o := newOwner(t, 1, "a", "b", "c")
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -90,9 +90,9 @@
 	SpeedMeasuredAt time.Time
 	// slowCount counts how often in a row the host was unhealthy for its speed.
 	slowCount int
-	// failures holds the steps of the newest runs whose failures count against the host, up to unhealthyFailures. Two in
+	// failures holds the newest failed runs that count against the host, up to unhealthyFailures. Two in
 	// a row are of different jobs, and no run has succeeded since. lastFailedJob is the job of the newest one.
-	failures      []*outcomes
+	failures      []failure
 	lastFailedJob string
 	// lastSuccess is when a run last succeeded.
 	lastSuccess time.Time
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -204,7 +204,7 @@
 	if e.Result == port.ResultDone || e.Result == port.ResultFailed {
 		// Long-running tasks never end as done. One that has worked for a while shows that its host is sound.
 		worked := step.LongRunning && out.Took > settleTime
-		s.recordOutcome(h, ref.Job, stage, e.Result == port.ResultFailed && !worked, now)
+		s.recordOutcome(h, ref.Job, stage, e.Result == port.ResultFailed && !worked, now.Add(-out.Took), now)
 	}
 	switch e.Result {
 	case port.ResultDone:
