Sum up the load of a pool in one walk over its hosts

The hosts that long-running tasks need were counted in a walk of their own, which asked once more for each host whether it is schedulable. addHostLoad has the same hosts; the results are the same (TestPlanDecidesLikeTheReference compares loads).

--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -231,3 +231,17 @@
 		})
 	}
 }
+
+// BenchmarkLoad measures the load of a pool whose hosts are full.
+func BenchmarkLoad(b *testing.B) {
+	const perHost = 8
+	for _, hosts := range []int{80, 1000} {
+		b.Run(fmt.Sprintf("hosts-%d", hosts), func(b *testing.B) {
+			p := newFullPool(hosts, perHost, perHost*1000, 0, 0, 1)
+			b.ResetTimer()
+			for b.Loop() {
+				p.state.Load(p.now)
+			}
+		})
+	}
+}
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -50,16 +50,11 @@
 	return batch.Size{MilliCores: times(size.MilliCores), MemoryMB: times(size.MemoryMB), Accelerators: times(size.Accelerators)}
 }
 
-// longRunningHosts returns the number of hosts that the long-running tasks need for their memory or accelerators. It is 0
-// if nothing is known about hosts. Other work may use the cores there, so they are not added to those that it needs.
-func (s *State) longRunningHosts(now time.Time) int {
-	need, whole, hosts := s.backlog.longRunning, batch.Size{}, 0
-	for _, h := range s.sortedHosts() {
-		if s.Schedulable(h, now) {
-			whole = whole.Add(h.Capacity)
-			hosts++
-		}
-	}
+// longRunningHosts returns the number of hosts that the long-running tasks need for their memory or accelerators, of which
+// some hosts have a whole. It is 0 if nothing is known about hosts. Other work may use the cores there, so they are not
+// added to those that it needs.
+func (s *State) longRunningHosts(whole batch.Size, hosts int) int {
+	need := s.backlog.longRunning
 	return max(share(need.MemoryMB, whole.MemoryMB, hosts), share(need.Accelerators, whole.Accelerators, hosts))
 }
 
@@ -75,7 +70,7 @@
 func (s *State) Load(now time.Time) sizing.Load {
 	s.updateQueues()
 	s.backlog.advance(now.Sub(s.backlog.origin))
-	l := sizing.Load{LongRunning: s.backlog.longRunning.MilliCores, SpreadHosts: s.longRunningHosts(now)}
+	l := sizing.Load{LongRunning: s.backlog.longRunning.MilliCores}
 	s.addHostLoad(&l, now)
 	for _, q := range s.backlog.queues {
 		l.Backlog += q.work(q.waiting[0] + q.waiting[1])
@@ -146,10 +141,10 @@
 	busyFor time.Duration
 }
 
-// addHostLoad adds the schedulable hosts, the work that runs on them, and the hosts that could
-// leave the pool.
+// addHostLoad adds the schedulable hosts, the work that runs on them, the hosts that long-running work needs, and those
+// that could leave the pool.
 func (s *State) addHostLoad(l *sizing.Load, now time.Time) {
-	var capacity int64
+	var capacity batch.Size
 	var movableHosts []string
 	var releasable []releasableHost
 	for id, h := range s.Hosts {
@@ -157,7 +152,7 @@
 			continue
 		}
 		l.Hosts++
-		capacity += h.Capacity.MilliCores
+		capacity = capacity.Add(h.Capacity)
 		longRunningOnly := true
 		busyFor := time.Duration(0)
 		for r, task := range h.Assigned {
@@ -187,8 +182,9 @@
 		}
 	}
 	if l.Hosts > 0 {
-		l.HostCapacity = capacity / int64(l.Hosts)
+		l.HostCapacity = capacity.MilliCores / int64(l.Hosts)
 	}
+	l.SpreadHosts = s.longRunningHosts(capacity, l.Hosts)
 	slices.Sort(l.IdleHosts)
 	slices.SortFunc(movableHosts, func(a, b string) int {
 		return len(s.Hosts[a].Assigned) - len(s.Hosts[b].Assigned)
