Return from the proxy of a link once a fault acts

Cause: Inject and Heal left a message for the owner of the link and returned, so that data could pass before the fault acted.

Change: they wait until the owner has replaced the conditions. It waits for no connection meanwhile, so that they end in any case.

--- a/trial/proxy/proxy.go
+++ b/trial/proxy/proxy.go
@@ -60,9 +60,9 @@
 	work       sync.WaitGroup
 }
 
-// Inject starts a fault, which replaces one of the same name.
+// Inject starts a fault, which replaces one of the same name. It acts on what connections carry from the return of the call on.
 func (l *Link) Inject(ctx context.Context, name string, list []Toxic) error {
-	return fault.At("inject", l.service, l.task.Send(ctx, func(c *core) {
+	return fault.At("inject", l.service, l.call(ctx, func(c *core) {
 		c.faults[name] = list
 		c.apply()
 	}))
@@ -70,12 +70,23 @@
 
 // Heal ends a fault. Connections of which it has dropped data end with it.
 func (l *Link) Heal(ctx context.Context, name string) error {
-	return fault.At("heal", l.service, l.task.Send(ctx, func(c *core) { c.heal(name) }))
+	return fault.At("heal", l.service, l.call(ctx, func(c *core) { c.heal(name) }))
 }
 
 // HealAll ends all faults.
 func (l *Link) HealAll(ctx context.Context) error {
-	return fault.At("heal", l.service, l.task.Send(ctx, (*core).healAll))
+	return fault.At("heal", l.service, l.call(ctx, (*core).healAll))
+}
+
+// call has the task change its state and waits until it has.
+func (l *Link) call(ctx context.Context, change func(*core)) error {
+	_, err := task.Call(ctx, l.task, func(reply chan<- struct{}) func(*core) {
+		return func(c *core) {
+			change(c)
+			reply <- struct{}{}
+		}
+	})
+	return err
 }
 
 // conditions are the sum of all faults of a link at a time. They do not change.
@@ -187,12 +198,7 @@
 	defer p.close()
 	ctx := context.Background()
 	// The task closes the pairs that it knows when it ends.
-	if _, err := task.Call(ctx, l.task, func(reply chan<- struct{}) func(*core) {
-		return func(c *core) {
-			c.pairs[p] = struct{}{}
-			reply <- struct{}{}
-		}
-	}); err != nil {
+	if err := l.call(ctx, func(c *core) { c.pairs[p] = struct{}{} }); err != nil {
 		return
 	}
 	var pumps sync.WaitGroup
