Do not lose a refresh that ends the read which serves it

Seen: with the race detector, entry/owner TestManyQuestionsShareTheirCallsToTheStore failed 1 of 8 beside load: looks at a job that does not exist were refused after 1 s, since the inbox had not been read, with a store that answers at once. It passed 150 of 150 alone.

Cause: a refresh sets a flag and then ends the read in progress. If the next read begins between the two, it takes the flag, reads without waiting, and is ended by that refresh. The flag is gone then, so the following read waits for a change, up to the end of its long poll. That the failure above was this one is likely by its times and not shown; the loss itself is shown by the new test.

Change: a read that a refresh has ended is followed by one that doesn't wait.

Evidence: TestARefreshThatEndsItsOwnReadIsNotLost failed 5 of 5 on the code before, and passes 5 of 5, also with the race detector (2 of 2).

--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -102,14 +102,19 @@
 
 // poll reads once, without waiting for a change if a read is due at once.
 func (f *Feed[T]) poll(ctx context.Context) ([]port.Record, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.cancelRead.Store(&cancel)
 	wait := f.wait
 	if f.refresh.Swap(false) {
 		wait = 0
 	}
-	return f.reader.Poll(ctx, wait)
+	records, err := f.reader.Poll(readCtx, wait)
+	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
+		// The refresh that has ended the read may be the one that the read served.
+		f.refresh.Store(true)
+	}
+	return records, err
 }
 
 // Close stops the task.
