--- a/fleet/shard/lasting_test.go
+++ b/fleet/shard/lasting_test.go
@@ -452,6 +452,14 @@
 // suspectSeed is a seed with which a suspect of a crash waits after the traffic.
 const suspectSeed = 85
 
+// Guards against jobs of which nothing runs after the traffic (LOST), since hosts with room are being emptied.
+func TestNoJobWaitsAfterTheTrafficBesideHostsThatAreBeingEmptied(t *testing.T) {
+	requireNoWaitAfterTheTraffic(t, emptyingSeeds...)
+}
+
+// emptyingSeeds are seeds with which jobs wait after the traffic beside hosts that are being emptied.
+var emptyingSeeds = []uint64{435, 743}
+
 // requireNoWaitAfterTheTraffic runs simulations and requires that no job waits too long after the traffic.
 func requireNoWaitAfterTheTraffic(t *testing.T, seeds ...uint64) {
 	for _, seed := range seeds {
