Keep hosts as a counted turn begins, and move none ahead

Any pool in a turn was expected to need hosts for the height of earlier ones, also when work just flooded it beside the turn of another pool, and hosts were moved to it for that height, whatever its rate was.

Change: that holds for counted turns only, and such a pool keeps the hosts that it has; it gets more for what its rate shows.

Evidence: TestAFloodBesideATurnIsExpectedToNeedNothingMore and TestAPoolWhoseTurnHasBegunKeepsHostsAndGetsNoMoreAhead fail without the change.

--- a/fleet/demand/demand.go
+++ b/fleet/demand/demand.go
@@ -78,6 +78,8 @@
 type Expectation struct {
 	// Probability is how likely it is that a turn of the pool begins in time, from 0 to 1.
 	Probability float64
+	// Begun reports whether the turn has begun, so that its rate shows what the pool needs in addition to what it has.
+	Begun bool
 	// Arriving is the rate at which work will then arrive, in thousandths of a core. It is 0 if the
 	// pool has had no turn yet; Hosts is then the number of hosts that operators have provided, and 0
 	// otherwise.
@@ -296,11 +298,11 @@
 		return Expectation{}
 	}
 	if p.InTurn {
-		if p.Peak == 0 || now.Sub(p.Began) >= longWindow {
+		if p.Peak == 0 || !p.Counted || now.Sub(p.Began) >= longWindow {
 			return Expectation{}
 		}
 		// A rate that has not been measured for the whole window yet says less about a turn than earlier turns do.
-		return Expectation{Probability: 1, Arriving: p.Peak}
+		return Expectation{Probability: 1, Arriving: p.Peak, Begun: true}
 	}
 	e := Expectation{Arriving: p.Peak}
 	if p.Peak == 0 {
--- a/fleet/demand/demand_test.go
+++ b/fleet/demand/demand_test.go
@@ -191,7 +191,7 @@
 	observe(h, 0, 4*length+step, inOrder(length))
 	require.True(t, h.Pools["a"].InTurn)
 	for at := 4*length + step; at < 4*length+2*time.Second; at += step {
-		require.Equal(t, demand.Expectation{Probability: 1, Arriving: high}, expect(h, "a", at), at)
+		require.Equal(t, demand.Expectation{Probability: 1, Arriving: high, Begun: true}, expect(h, "a", at), at)
 		observe(h, at, at+step, inOrder(length))
 	}
 	require.Zero(t, expect(h, "a", 4*length+2*time.Second), "the rate of the turn itself shows what it needs")
@@ -228,6 +228,28 @@
 	require.Greater(t, expect(h, "d", 7*length-step).Probability, 0.4)
 }
 
+// Guards against a pool that holds hosts for work that floods it beside the turn of another pool, which then lacks them.
+func TestAFloodBesideATurnIsExpectedToNeedNothingMore(t *testing.T) {
+	h := demand.NewHistory()
+	const length = 5 * time.Second
+	observe(h, 0, 5*length, inOrder(length))
+	for at := 5 * length; at < 6*length; at += step {
+		rates := map[string]demand.Rate{}
+		for _, p := range pools {
+			rates[p] = demand.Rate{Arriving: low, Arrivals: 5, Provided: 20, Capacity: 272_000}
+		}
+		rates["b"] = demand.Rate{Arriving: high, Arrivals: 50, Provided: 20, Capacity: 272_000}
+		if at >= 5*length+2*time.Second {
+			rates["d"] = rates["b"]
+		}
+		h.Observe(rates, start.Add(at))
+		if h.Pools["d"].InTurn {
+			require.Zero(t, expect(h, "d", at), at)
+		}
+	}
+	require.True(t, h.Pools["d"].InTurn)
+}
+
 // The height of a first turn is not known.
 func TestTheBeginningOfAFirstTurnIsNotExpectedToBeHigh(t *testing.T) {
 	h := demand.NewHistory()
--- a/fleet/sizing/forecast.go
+++ b/fleet/sizing/forecast.go
@@ -67,7 +67,7 @@
 		if e.Probability >= keepProbability {
 			x.Keep = int(float64(hosts) * min(e.Probability/fullProbability, 1))
 		}
-		if e.Probability >= fillProbability {
+		if e.Probability >= fillProbability && !e.Begun {
 			x.Fill = hosts
 		}
 		out[name] = x
--- a/fleet/sizing/sizing_test.go
+++ b/fleet/sizing/sizing_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/demand"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/sizing"
 )
@@ -285,6 +286,20 @@
 	}
 }
 
+// begun expects a turn that has begun.
+type begun struct{}
+
+func (begun) Expect(*demand.History, string, time.Time, time.Duration) demand.Expectation {
+	return demand.Expectation{Probability: 1, Hosts: 7, Begun: true}
+}
+
+// Guards against machines that go to a pool whose turn has begun for a load that it does not have, while others need them.
+func TestAPoolWhoseTurnHasBegunKeepsHostsAndGetsNoMoreAhead(t *testing.T) {
+	f := &sizing.Forecast[begun]{Sizer: clearBacklog, History: demand.NewHistory()}
+	e := f.Expected(map[string]sizing.Load{"a": {Hosts: 9, HostCapacity: hostCapacity}}, time.Unix(1_700_000_000, 0), time.Second)
+	require.Equal(t, sizing.Expected{Keep: 7, Probability: 1}, e["a"])
+}
+
 // shrunkPool returns the input for pool "a" with four hosts, pool "b" with as many that are idle, and two
 // machines on standby, and a load of pool "a".
 func shrunkPool(l sizing.Load) *sizing.Input {
