Use the usual names for callers and pools of connections in the soak

A client of the soak was a person, the clients of trial churn people, and a pool of idle connections a shelf. No change of behaviour; the tests of trial/soak that run the programs, trial/caller and trial/proxy pass.

--- a/trial/caller/caller.go
+++ b/trial/caller/caller.go
@@ -1,5 +1,4 @@
-// Package caller sends requests over connections as unyielding callers do: a connection is used until it fails, whatever the
-// answers say about its end.
+// Package caller sends requests over connections that are used until they fail, also after an answer with "Connection: close".
 package caller
 
 import (
@@ -15,11 +14,11 @@
 	"time"
 )
 
-// Shelf keeps things that are idle for their next use.
-type Shelf[T any] chan T
+// Pool holds idle values for their next use.
+type Pool[T any] chan T
 
-// Take returns something idle, if there is any.
-func (s Shelf[T]) Take() (T, bool) {
+// Take removes a value and reports whether there was one.
+func (s Pool[T]) Take() (T, bool) {
 	select {
 	case v := <-s:
 		return v, true
@@ -29,8 +28,8 @@
 	}
 }
 
-// Put keeps something and reports whether there was room for it.
-func (s Shelf[T]) Put(v T) bool {
+// Put adds a value and reports whether there was room for it.
+func (s Pool[T]) Put(v T) bool {
 	select {
 	case s <- v:
 		return true
--- a/trial/churn/churn.go
+++ b/trial/churn/churn.go
@@ -176,7 +176,7 @@
 	runCtx, stopRun := context.WithTimeout(ctx, traffic+drainTimeout)
 	defer stopRun()
 	var work errgroup.Group
-	p := newPeople(d, seed, traffic)
+	p := newClients(d, seed, traffic)
 	work.Go(func() error {
 		p.run(runCtx)
 		return nil
--- a/trial/churn/people.go
+++ b/trial/churn/clients.go
@@ -37,24 +37,24 @@
 	endTimeout = 10 * time.Second
 )
 
-// people are the callers of a run.
-type people struct {
+// clients are the callers of a run.
+type clients struct {
 	deployment *deployment
 	seed       uint64
 	traffic    time.Duration
-	idle       map[string]caller.Shelf[*caller.Conn]
+	idle       map[string]caller.Pool[*caller.Conn]
 }
 
-func newPeople(d *deployment, seed uint64, traffic time.Duration) *people {
-	p := &people{d, seed, traffic, map[string]caller.Shelf[*caller.Conn]{}}
+func newClients(d *deployment, seed uint64, traffic time.Duration) *clients {
+	p := &clients{d, seed, traffic, map[string]caller.Pool[*caller.Conn]{}}
 	for _, e := range d.site.Entries {
-		p.idle[e.Name] = make(caller.Shelf[*caller.Conn], maxIdle)
+		p.idle[e.Name] = make(caller.Pool[*caller.Conn], maxIdle)
 	}
 	return p
 }
 
 // run sends requests during the traffic and waits for all answers.
-func (p *people) run(ctx context.Context) {
+func (p *clients) run(ctx context.Context) {
 	until := p.deployment.now() + p.traffic
 	var group errgroup.Group
 	for i, e := range p.deployment.site.Entries {
@@ -74,7 +74,7 @@
 
 // stream sends requests of a kind to an entry at fixed intervals, whether those before are answered or not, so that some are
 // open whenever the entry is stopped. Every other brief request is idempotent.
-func (p *people) stream(ctx context.Context, group *errgroup.Group, e *site.Entry, kind string, number int, until time.Duration) {
+func (p *clients) stream(ctx context.Context, group *errgroup.Group, e *site.Entry, kind string, number int, until time.Duration) {
 	interval := map[string]time.Duration{briefKind: briefInterval, longKind: longInterval}[kind]
 	random := rand.New(rand.NewPCG(p.seed, uint64(number)))
 	for n, due := 0, p.deployment.now(); due < until; n, due = n+1, due+interval {
@@ -91,7 +91,7 @@
 
 // request sends a request to an entry, and to others as long as it is not done. Requests that may run only once get their ID from
 // an entry.
-func (p *people) request(ctx context.Context, e *site.Entry, kind, id string, idempotent bool, others []int) {
+func (p *clients) request(ctx context.Context, e *site.Entry, kind, id string, idempotent bool, others []int) {
 	if !idempotent {
 		a, _ := p.exchange(e.Name, e.HTTP, caller.Request{Method: http.MethodGet, Path: wire.PathIDs + "?" + url.Values{"kind": {kind}}.Encode()}, nil)
 		var issued wire.IssuedID
@@ -110,7 +110,7 @@
 }
 
 // exchange sends a request over an open connection if there is one. It returns false if there is no connection.
-func (p *people) exchange(name, address string, r caller.Request, q *Request) (caller.Answer, bool) {
+func (p *clients) exchange(name, address string, r caller.Request, q *Request) (caller.Answer, bool) {
 	d := p.deployment
 	c, ok := p.idle[name].Take()
 	if !ok {
@@ -135,7 +135,7 @@
 }
 
 // send sends a request once and records it, if it was sent as a whole.
-func (p *people) send(e *site.Entry, kind, id string, idempotent bool) Request {
+func (p *clients) send(e *site.Entry, kind, id string, idempotent bool) Request {
 	d, body := p.deployment, id+"/x"
 	q := &Request{ID: id, Entry: e.Name, Idempotent: idempotent}
 	a, connected := p.exchange(e.Name, e.HTTP, caller.Request{
@@ -165,7 +165,7 @@
 }
 
 // publish publishes a record at some entry at fixed intervals.
-func (p *people) publish(ctx context.Context, until time.Duration) {
+func (p *clients) publish(ctx context.Context, until time.Duration) {
 	entries, random := p.deployment.site.Entries, rand.New(rand.NewPCG(p.seed, uint64(len(p.deployment.site.Entries))))
 	for n := 0; p.deployment.now() < until; n++ {
 		e, name := entries[random.IntN(len(entries))], fmt.Sprintf("%s%d", recordPrefix, n)
@@ -182,7 +182,7 @@
 }
 
 // end asks an entry for what it knows at the end of a run.
-func (p *people) end(ctx context.Context, e *site.Entry) End {
+func (p *clients) end(ctx context.Context, e *site.Entry) End {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
 	out := End{Entry: e.Name}
--- a/trial/churn/deploy.go
+++ b/trial/churn/deploy.go
@@ -420,7 +420,7 @@
 }
 
 // finish asks all entries and targets what they know, and returns the history.
-func (d *deployment) finish(ctx context.Context, p *people) (*History, error) {
+func (d *deployment) finish(ctx context.Context, p *clients) (*History, error) {
 	h, err := task.Call(ctx, d.task, func(reply chan<- History) func(*core) {
 		return func(c *core) { reply <- c.history }
 	})
--- a/trial/proxy/proxy.go
+++ b/trial/proxy/proxy.go
@@ -237,7 +237,7 @@
 	})
 	passes := true
 	for v := range pieces {
-		// Nobody may wait for a reader of the rest, so it is read all the same.
+		// The rest is read and dropped, so that the goroutine that reads it can end.
 		if passes && !l.pass(v, p, to, d) {
 			passes = false
 			to.Close()
--- a/trial/soak/person.go
+++ b/trial/soak/client.go
@@ -36,14 +36,14 @@
 type crowd struct {
 	site  *site
 	names []string
-	idle  map[string]caller.Shelf[*caller.Conn]
+	idle  map[string]caller.Pool[*caller.Conn]
 }
 
 func newCrowd(s *site) *crowd {
-	c := &crowd{site: s, idle: map[string]caller.Shelf[*caller.Conn]{}}
+	c := &crowd{site: s, idle: map[string]caller.Pool[*caller.Conn]{}}
 	for _, e := range s.deployment.Entries {
 		c.names = append(c.names, e.Name)
-		c.idle[e.Name] = make(caller.Shelf[*caller.Conn], maxIdle)
+		c.idle[e.Name] = make(caller.Pool[*caller.Conn], maxIdle)
 	}
 	return c
 }
@@ -63,7 +63,7 @@
 			var jobs errgroup.Group
 			for n, due := range load.Arrivals(Traffic(seed, stream, traffic, jobsPerSecond(hosts)), traffic, random) {
 				j := drawJob(random, pool, fmt.Sprintf("%04x%04x%08x", seed&0xffff, stream, n+1))
-				p := &person{crowd: c, job: j, random: rand.New(rand.NewPCG(random.Uint64(), 0)), acceptUntil: c.site.trafficAt + traffic}
+				p := &client{crowd: c, job: j, random: rand.New(rand.NewPCG(random.Uint64(), 0)), acceptUntil: c.site.trafficAt + traffic}
 				if !sleep(ctx, c.site.trafficAt+due-c.site.recorder.now()) {
 					break
 				}
@@ -98,8 +98,8 @@
 	return j
 }
 
-// person submits a job and follows it.
-type person struct {
+// client submits a job and follows it.
+type client struct {
 	crowd  *crowd
 	job    Job
 	random *rand.Rand
@@ -108,13 +108,13 @@
 }
 
 // register records the job and returns the body that submits it.
-func (p *person) register() ([]byte, error) {
+func (p *client) register() ([]byte, error) {
 	registered := p.crowd.site.deployment.Register(p.job.ID, p.job.Specification, p.job.Steps)
 	p.crowd.site.recorder.add(func(h *History) { h.Jobs = append(h.Jobs, p.job) })
 	return json.Marshal(map[string]any{"specification": registered.Specification, "steps": p.job.Steps})
 }
 
-func (p *person) run(ctx context.Context) {
+func (p *client) run(ctx context.Context) {
 	body, err := p.register()
 	if err != nil {
 		return
@@ -125,7 +125,7 @@
 }
 
 // submitUntilAccepted submits the job until it is accepted, which it reports, or the caller gives up.
-func (p *person) submitUntilAccepted(ctx context.Context, body []byte) bool {
+func (p *client) submitUntilAccepted(ctx context.Context, body []byte) bool {
 	for p.ask(Submit, http.MethodPost, body).Status != http.StatusOK {
 		if p.crowd.site.recorder.now() > p.acceptUntil || !sleep(ctx, retryPause) {
 			return false
@@ -135,7 +135,7 @@
 }
 
 // follow polls an accepted job until it has ended, and cancels or submits it again at times.
-func (p *person) follow(ctx context.Context, body []byte) {
+func (p *client) follow(ctx context.Context, body []byte) {
 	r := p.crowd.site.recorder
 	cancel, repeat := p.random.Float64() < cancelShare, p.random.Float64() < repeatShare
 	acceptedAt, later := r.now(), minRepeat+time.Duration(p.random.Int64N(int64(maxRepeat-minRepeat)))
@@ -179,12 +179,12 @@
 }
 
 // ask sends a request to some entry, over an open connection if there is one, and records it.
-func (p *person) ask(verb Verb, method string, body []byte) caller.Answer {
+func (p *client) ask(verb Verb, method string, body []byte) caller.Answer {
 	return p.askAt(p.crowd.names[p.random.IntN(len(p.crowd.names))], verb, method, body, 0)
 }
 
 // askAt sends a request to an entry. If drip is not zero, it sends the body a byte at a time with pauses between the bytes.
-func (p *person) askAt(name string, verb Verb, method string, body []byte, drip time.Duration) caller.Answer {
+func (p *client) askAt(name string, verb Verb, method string, body []byte, drip time.Duration) caller.Answer {
 	idle, r := p.crowd.idle[name], p.crowd.site.recorder
 	c, ok := idle.Take()
 	if !ok {
@@ -227,7 +227,7 @@
 
 // askUntilOpen submits the job at an entry, over one connection after the other while they turn out to have ended. After an
 // entry was stopped, all connections that were open have.
-func (p *person) askUntilOpen(name string, body []byte, drip time.Duration) caller.Answer {
+func (p *client) askUntilOpen(name string, body []byte, drip time.Duration) caller.Answer {
 	for range maxIdle {
 		begin := p.crowd.site.recorder.now()
 		a := p.askAt(name, Submit, http.MethodPost, body, drip)
--- a/trial/soak/hold.go
+++ b/trial/soak/hold.go
@@ -140,13 +140,13 @@
 const jobsPerHolder = 4096
 
 // drawer returns a function that draws the callers of a holder, in turn for both pools.
-func (h *holder) drawer() func() *person {
+func (h *holder) drawer() func() *client {
 	random, first, n := rand.New(rand.NewPCG(h.random.Uint64(), 0)), h.jobs, 0
 	h.jobs += jobsPerHolder
-	return func() *person {
+	return func() *client {
 		n++
 		pool := []string{guardedPool, unguardedPool}[n%2]
-		return &person{crowd: h.crowd, random: rand.New(rand.NewPCG(random.Uint64(), 0)), job: Job{
+		return &client{crowd: h.crowd, random: rand.New(rand.NewPCG(random.Uint64(), 0)), job: Job{
 			ID: fmt.Sprintf("%04x%04x%08x", h.seed&0xffff, holdStream, first+n), Queue: pool, Pool: pool, Specification: strconv.Itoa(heldTaskMS),
 			Steps: []fake.StepSpec{{Count: 1, EstimatedMS: heldTaskMS}},
 		}}
@@ -155,7 +155,7 @@
 
 // keepOpen submits a job at an entry after each interval until a time, whether those before are answered or not. With
 // uploadInterval, the bodies are sent slowly.
-func (c *crowd) keepOpen(ctx context.Context, group *errgroup.Group, name string, interval, until time.Duration, next func() *person) {
+func (c *crowd) keepOpen(ctx context.Context, group *errgroup.Group, name string, interval, until time.Duration, next func() *client) {
 	for due := c.site.recorder.now(); due < until; due += interval {
 		if !sleep(ctx, due-c.site.recorder.now()) {
 			return
--- a/trial/soak/lasting.go
+++ b/trial/soak/lasting.go
@@ -32,7 +32,7 @@
 	for _, pool := range []string{guardedPool, unguardedPool} {
 		for _, due := range []time.Duration{0, what.traffic() / 2} {
 			number++
-			p := &person{
+			p := &client{
 				crowd: c, random: rand.New(rand.NewPCG(random.Uint64(), 0)), acceptUntil: c.site.trafficAt + what.traffic(),
 				job: Job{
 					ID: fmt.Sprintf("%04x%04x%08x", what.Seed&0xffff, lastingStream, number), Queue: pool, Pool: pool,
@@ -51,7 +51,7 @@
 }
 
 // runLasting submits the job, polls it until a time, and cancels it.
-func (p *person) runLasting(ctx context.Context, until time.Duration) {
+func (p *client) runLasting(ctx context.Context, until time.Duration) {
 	body, err := p.register()
 	if err != nil || !p.submitUntilAccepted(ctx, body) {
 		return
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -230,17 +230,17 @@
 		s.recorder.watchTimers(probeCtx)
 		return nil
 	})
-	people := newCrowd(s)
+	crowd := newCrowd(s)
 	work.Go(func() error {
-		people.run(runCtx, c)
+		crowd.run(runCtx, c)
 		return nil
 	})
 	work.Go(func() error {
-		people.hold(runCtx, c)
+		crowd.hold(runCtx, c)
 		return nil
 	})
 	work.Go(func() error {
-		people.runLasting(runCtx, c)
+		crowd.runLasting(runCtx, c)
 		return nil
 	})
 	work.Go(func() error {
@@ -254,7 +254,7 @@
 	stopProbes()
 	_ = probes.Wait()
 	h, finishErr := s.recorder.finish()
-	people.close()
+	crowd.close()
 	violations := s.platform.Violations()
 	s.close()
 	if err := errors.Join(err, finishErr); err != nil {
