Give the owner under test a writer

Reproduced: 4 of 6 runs of the package with two processors at a machine load of 30 to 40 ended after 3 s with a nil pointer in claim.(*Writer).Write, called by TestANewOwnerAsksItsHostsBeforeItPlans; 3 of 3 runs of the test alone passed.

Cause: the test. It calls a round of an owner that was built without the task that writes to the store. The round writes if the claim was confirmed over a second ago, and restoring 20,000 jobs takes that long under the race detector beside load. A real owner starts the writer before its first round.

Change: owners under test have a writer on an empty store, and a claim acquired there. The test sets the time of the confirmation back, so that its round always writes, and requires that it does. Its bound is as before.

--- a/entry/owner/first_round_test.go
+++ b/entry/owner/first_round_test.go
@@ -43,8 +43,11 @@
 	c := restoreTestCore(t, idleHost{}, &StoredState{}, &port.Config{Queues: []port.Queue{{Name: "q", Pool: "pool"}}})
 	c.deps.HostClients = host
 	c.restore(stored, &port.Config{Queues: []port.Queue{{Name: "q", Pool: "pool"}}}, []port.Host{testHost})
+	// Restoring may take so long that the first round also has to confirm the claim.
+	c.state.ConfirmedAt = c.state.ConfirmedAt.Add(-2 * confirmInterval)
 	start := time.Now()
 	c.act()
+	require.NotNil(t, c.journal.inFlight)
 	took := time.Since(start)
 	require.Less(t, (<-host.sentAt).Sub(start), took/2)
 }
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -51,12 +51,15 @@
 
 // restoreTestCore returns the state of an owner that knows what earlier owners have stored.
 func restoreTestCore(t *testing.T, host idleHost, stored *StoredState, config *port.Config) *testCore {
+	acquired, err := claim.Acquire(context.Background(), emptyLog{}, "pool", "e", 1, 1)
+	require.NoError(t, err)
 	c := newCore(&Owner{lost: make(chan struct{})},
 		Settings{Partitions: 1, Timing: shard.Timing{Lease: 5 * time.Second, Grace: 6 * time.Second}},
 		Deps{HostClients: host, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))},
-		&claim.Claim{Name: "pool", Epoch: 1, ConfirmedAt: time.Now()})
+		acquired)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.runCtx = ctx
+	c.writer = claim.NewWriter(acquired, func(ctx context.Context, w claim.WriteResult) { c.post(ctx, writeResult{w}) })
 	delivered := make(chan queued, 64)
 	c.owner.task = task.Start(func(ctx context.Context, inbox <-chan queued) {
 		for {
@@ -75,6 +78,7 @@
 			c.dropAgent(id)
 		}
 		c.background.Wait()
+		c.writer.Close()
 		c.owner.task.Close()
 	})
 	return &testCore{c, delivered}
