Ask many questions of an owner in virtual time

Seen: TestManyQuestionsShareTheirCallsToTheStore failed once in a run of the package with the race detector (two processors, machine load 38): "refused" in place of "missing".

Cause: the test. An owner refuses a question that the store has left waiting for a second, and the machine let 500 questions wait for longer.

Change: the test, and the one on the age of pending jobs beside it, run in virtual time.

--- a/entry/owner/absent_test.go
+++ b/entry/owner/absent_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -162,18 +163,20 @@
 
 // Guards against a number of pending jobs that is older than callers are promised.
 func TestPendingJobsAreCountedAsOfTwoSecondsAgoAtMost(t *testing.T) {
-	ctx := t.Context()
-	store := newHangingInboxStore()
-	o := startOwner(ctx, t, store)
-	require.Eventually(t, func() bool { return o.Pending(ctx, "q").Outcome == owner.Found }, 2*time.Second, 10*time.Millisecond)
-	store.leave(t, "left")
-	time.Sleep(2100 * time.Millisecond)
-	a := o.Pending(ctx, "q")
-	require.Equal(t, owner.Found, a.Outcome)
-	require.Equal(t, 1, a.Pending)
-	require.LessOrEqual(t, a.InboxAge, 2*time.Second+100*time.Millisecond)
-	store.hangs.Store(1)
-	require.Eventually(t, func() bool { return o.Pending(ctx, "q").Outcome == owner.Refused }, 5*time.Second, 10*time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		store := newHangingInboxStore()
+		o := startOwner(ctx, t, store)
+		require.Eventually(t, func() bool { return o.Pending(ctx, "q").Outcome == owner.Found }, 2*time.Second, 10*time.Millisecond)
+		store.leave(t, "left")
+		time.Sleep(2100 * time.Millisecond)
+		a := o.Pending(ctx, "q")
+		require.Equal(t, owner.Found, a.Outcome)
+		require.Equal(t, 1, a.Pending)
+		require.LessOrEqual(t, a.InboxAge, 2*time.Second+100*time.Millisecond)
+		store.hangs.Store(1)
+		require.Eventually(t, func() bool { return o.Pending(ctx, "q").Outcome == owner.Refused }, 5*time.Second, 10*time.Millisecond)
+	})
 }
 
 // Guards against a number of pending jobs that is too low: jobs that the owner had read from the inbox, which have been accepted, did
@@ -201,19 +204,22 @@
 
 // Guards against a call to the store for each request, when many ask for jobs that do not exist.
 func TestManyQuestionsShareTheirCallsToTheStore(t *testing.T) {
-	ctx := t.Context()
-	store := newHangingInboxStore()
-	o := startOwner(ctx, t, store)
-	require.Equal(t, owner.Missing, o.JobStatus(ctx, "unknown").Outcome)
-	reads, appends := store.reads.Load(), store.appends.Load()
-	const questions = 500
-	answers := make(chan owner.Answer, questions)
-	for range questions {
-		go func() { answers <- o.JobStatus(ctx, "unknown") }()
-	}
-	for range questions {
-		require.Equal(t, owner.Missing, (<-answers).Outcome)
-	}
-	require.Less(t, store.reads.Load()-reads, int64(questions/5))
-	require.Less(t, store.appends.Load()-appends, int64(questions/5))
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		store := newHangingInboxStore()
+		o := startOwner(ctx, t, store)
+		require.Equal(t, owner.Missing, o.JobStatus(ctx, "unknown").Outcome)
+		reads, appends := store.reads.Load(), store.appends.Load()
+		const questions, questionInterval = 500, 200 * time.Microsecond
+		answers := make(chan owner.Answer, questions)
+		for range questions {
+			go func() { answers <- o.JobStatus(ctx, "unknown") }()
+			time.Sleep(questionInterval)
+		}
+		for range questions {
+			require.Equal(t, owner.Missing, (<-answers).Outcome)
+		}
+		require.Less(t, store.reads.Load()-reads, int64(questions/5))
+		require.Less(t, store.appends.Load()-appends, int64(questions/5))
+	})
 }
