Count jobs by size, for each queue

Callers saw that the largest tenth of a kind was served less than half as often as the kind. Neither metrics nor the reports of the model told jobs apart by their size, so an order that serves large jobs last could not be told from a pool that lacks hosts.

fleet/grade says which jobs of a queue are in the largest tenth of those that the queue has seen lately, and in the fifth below it: the newest 256 sizes are kept sorted. The metrics address has jobs-by-size{pool,queue,size,outcome}, `job ended` has queue and size, and `trial experiment` prints the share of the jobs in time, of all, of the largest tenth and of the fifth below it. A kind of the model may have a spread of its own. No decision depends on the size.

--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -224,6 +224,7 @@
 	}
 	for _, j := range written.jobs {
 		c.state.MarkStored(j)
+		c.countJob(j, sizeAccepted)
 		c.answer(j.ID, false, Answer{Outcome: Accepted})
 	}
 	for _, ch := range written.changes {
@@ -231,9 +232,10 @@
 		if ch.Part == nil && ch.Progress.Phase != shard.Open {
 			late := time.Now().After(ch.Job.Objective)
 			c.deps.Stats.Add("jobs-ended", 1, "pool", c.state.Pool, "phase", string(ch.Progress.Phase), "late", strconv.FormatBool(late))
+			c.countEnd(ch.Job, ch.Progress.Phase, late)
 			c.deps.Stats.Observe("job", time.Since(ch.Job.AcceptedAt), "pool", c.state.Pool)
 			c.logger.Info("job ended", "job", ch.Job.ID, "phase", string(ch.Progress.Phase),
-				"took-ms", time.Since(ch.Job.AcceptedAt).Milliseconds(), "late", late)
+				"took-ms", time.Since(ch.Job.AcceptedAt).Milliseconds(), "late", late, "queue", ch.Job.Spec.Queue, "size", ch.Job.Size.String())
 			c.answer(ch.Job.ID, true, Answer{Outcome: Accepted, Phase: ch.Progress.Phase})
 			// A submission that arrived after the cancellation of the same job waits too.
 			c.answer(ch.Job.ID, false, Answer{Outcome: Accepted, Phase: ch.Progress.Phase})
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -53,6 +53,7 @@
 	j := newJob(id, now)
 	j.Spec, j.OccurrencesLeft = spec, spec.Occurrences()
 	j.Objective = s.objective(j)
+	s.gradeJob(j)
 	s.Jobs[id] = j
 	s.openJobs[id] = j
 	s.backlog.addJob(j)
--- a/trial/model/experiment.go
+++ b/trial/model/experiment.go
@@ -141,6 +141,9 @@
 		mean.Served += r.Served / n
 		mean.Late += r.Late / n
 		mean.WorstKind += r.WorstKind / n
+		mean.InTime += r.InTime / n
+		mean.Largest += r.Largest / n
+		mean.FifthBelow += r.FifthBelow / n
 		mean.HostSeconds += r.HostSeconds / n
 		mean.Moves += r.Moves / seeds
 	}
@@ -158,10 +161,10 @@
 		return nil
 	}
 	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "shape\tpolicy\tserved\tlate\tworst kind\thost-seconds\tmoves\tregret served\tregret host-seconds\t")
+	fmt.Fprintln(w, "shape\tpolicy\tserved\tlate\tworst kind\tin time\tlargest tenth\tfifth below\thost-seconds\tmoves\tregret served\tregret host-seconds\t")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.2f\t%d\t%.3f\t%.2f\t\n",
-			r.Shape, r.Policy, r.Served, r.Late, r.WorstKind, r.HostSeconds, r.Moves, r.RegretServed, r.RegretHosts)
+		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%d\t%.3f\t%.2f\t\n",
+			r.Shape, r.Policy, r.Served, r.Late, r.WorstKind, r.InTime, r.Largest, r.FifthBelow, r.HostSeconds, r.Moves, r.RegretServed, r.RegretHosts)
 	}
 	return w.Flush()
 }
--- a/trial/model/experiment_test.go
+++ b/trial/model/experiment_test.go
@@ -25,6 +25,9 @@
 	require.Equal(t, "turns", row.Shape)
 	require.Equal(t, "static", row.Policy)
 	require.Positive(t, row.RegretServed)
+	require.Positive(t, row.InTime)
+	require.Positive(t, row.Largest)
+	require.Positive(t, row.FifthBelow)
 	require.FileExists(t, picture)
 }
 
--- a/trial/model/model.go
+++ b/trial/model/model.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/demand"
+	"carawaymux.dev/fleet/grade"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/sizing"
 )
@@ -27,6 +28,8 @@
 	Steps    int
 	Cores    float64
 	Duration time.Duration
+	// Spread is the standard deviation of the logarithm of the size of a job, or 0 for the usual one.
+	Spread float64
 }
 
 // Shape is a load: the factor by which the rate of each kind differs from its mean.
@@ -62,6 +65,11 @@
 	Late   float64 `json:"late"`
 	// WorstKind is the share of the worth that the worst kind got.
 	WorstKind float64 `json:"worst-kind"`
+	// InTime is the share of the jobs that ended in time, Largest that of the largest tenth of each kind, and FifthBelow
+	// that of the fifth below it.
+	InTime     float64 `json:"in-time"`
+	Largest    float64 `json:"largest-tenth"`
+	FifthBelow float64 `json:"fifth-below"`
 	// HostSeconds is the time that hosts were in service or on their way there, in multiples of the
 	// time that the work itself takes.
 	HostSeconds float64 `json:"host-seconds"`
@@ -77,6 +85,8 @@
 	Arrived, Ended time.Duration
 	InTime         bool
 	Worth          float64
+	// Size is the size among the jobs of its kind that arrived before.
+	Size grade.Grade
 }
 
 // Sizer is what a run needs of a policy: the hosts that pools may need soon.
@@ -101,7 +111,9 @@
 	// stretch and allowance make up the time in which a job should end: stretch times its own length,
 	// and the allowance.
 	stretch, allowance = 1.6, 600 * time.Millisecond
-	standbyPool        = "standby"
+	// usualSpread is the spread of a kind that has none.
+	usualSpread = 0.6
+	standbyPool = "standby"
 	// rounding is the amount of cores below which a rest counts as none.
 	rounding = 1e-6
 )
@@ -145,6 +157,7 @@
 	arriving map[string]time.Duration
 	inTime   []float64
 	owed     []float64
+	sizes    []grade.Sizes
 	// late counts the jobs that ended late, unfinished those that have not ended.
 	late, unfinished, jobs int
 	hostTime               float64
@@ -160,6 +173,7 @@
 	r := &run{
 		fleet: f, shape: s, seed: seed, machines: map[string]port.Machine{},
 		arriving: map[string]time.Duration{}, inTime: make([]float64, len(f.Kinds)), owed: make([]float64, len(f.Kinds)),
+		sizes: make([]grade.Sizes, len(f.Kinds)),
 	}
 	add := func(name string, n int) {
 		for i := range n {
@@ -216,10 +230,26 @@
 		}
 	}
 	out.Served = inTime / owed
+	out.InTime, out.Largest, out.FifthBelow = shareInTime(r.outcomes)
 	out.Late = float64(r.late+r.unfinished) / float64(max(r.jobs, 1))
 	return out
 }
 
+// shareInTime returns the share of the jobs that ended in time: of all, of the largest tenth, and of the fifth below it.
+func shareInTime(jobs []Outcome) (all, largest, fifthBelow float64) {
+	var inTime, count [grade.Grades + 1]float64
+	for _, j := range jobs {
+		for _, i := range [...]grade.Grade{j.Size, grade.Grades} {
+			count[i]++
+			if j.InTime {
+				inTime[i]++
+			}
+		}
+	}
+	share := func(i grade.Grade) float64 { return inTime[i] / max(count[i], 1) }
+	return share(grade.Grades), share(grade.Largest), share(grade.Upper)
+}
+
 // land puts moved machines into service.
 func (r *run) land(at time.Duration) {
 	for id, due := range r.arriving {
@@ -285,12 +315,13 @@
 		expected := k.Rate * r.shape.Factor(i, at) * tick.Seconds()
 		random := r.draws(i, at)
 		for range poisson(random, expected) {
-			size := math.Exp(random.NormFloat64()*0.6 - 0.18)
+			spread := cmp.Or(k.Spread, usualSpread)
+			size := math.Exp(random.NormFloat64()*spread - spread*spread/2)
 			length := time.Duration(k.Steps) * k.Duration
 			j := &job{kind: i, arrived: at, objective: at + time.Duration(stretch*float64(length)) + allowance, left: k.Steps, cores: k.Cores * size}
 			j.waiting, j.worth = j.cores, k.Worth*(0.3+0.7*size)
 			j.outcome = len(r.outcomes)
-			r.outcomes = append(r.outcomes, Outcome{Kind: i, Arrived: at, Worth: j.worth})
+			r.outcomes = append(r.outcomes, Outcome{Kind: i, Arrived: at, Worth: j.worth, Size: r.sizes[i].Add(int64(j.cores * length.Seconds() * 1000))})
 			r.pools[i].queue = append(r.pools[i].queue, j)
 			work := j.cores * length.Seconds()
 			r.pools[i].meter.Add(int64(work*1000), epoch.Add(at))
--- a/trial/model/shapes.go
+++ b/trial/model/shapes.go
@@ -144,15 +144,15 @@
 // Small and Large are fleets like those of the users, with four kinds and a standby pool.
 var (
 	Small = Fleet{[]Kind{
-		{"a", 8, 7.7, 0.489, 2, 6 * 0.88 * 0.8, 800 * time.Millisecond},
-		{"b", 9, 0.91, 4.62, 2, 8 * 1.9, 2100 * time.Millisecond},
-		{"c", 11, 9.6, 0.489, 2, 6 * 0.88 * 0.8, 800 * time.Millisecond},
-		{"d", 12, 1.12, 4.62, 2, 8 * 1.9, 2100 * time.Millisecond},
+		{"a", 8, 7.7, 0.489, 2, 6 * 0.88 * 0.8, 800 * time.Millisecond, 0},
+		{"b", 9, 0.91, 4.62, 2, 8 * 1.9, 2100 * time.Millisecond, 0},
+		{"c", 11, 9.6, 0.489, 2, 6 * 0.88 * 0.8, 800 * time.Millisecond, 0},
+		{"d", 12, 1.12, 4.62, 2, 8 * 1.9, 2100 * time.Millisecond, 0},
 	}, 8, 51, Outage{}}
 	Large = Fleet{[]Kind{
-		{"a", 194, 42.2, 0.277, 2, 8 * 2.2 * 0.8, time.Second},
-		{"b", 218, 13.4, 0.981, 2, 8 * 4.8, 1300 * time.Millisecond},
-		{"c", 244, 52.8, 0.277, 2, 8 * 2.2 * 0.8, time.Second},
-		{"d", 268, 16.4, 0.981, 2, 8 * 4.8, 1300 * time.Millisecond},
+		{"a", 194, 42.2, 0.277, 2, 8 * 2.2 * 0.8, time.Second, 0},
+		{"b", 218, 13.4, 0.981, 2, 8 * 4.8, 1300 * time.Millisecond, 0},
+		{"c", 244, 52.8, 0.277, 2, 8 * 2.2 * 0.8, time.Second, 0},
+		{"d", 268, 16.4, 0.981, 2, 8 * 4.8, 1300 * time.Millisecond, 0},
 	}, 176, 470, Outage{}}
 )
