Report what keeps the hosts of a pool from work

What callers saw: for 6 s 182 hosts of a pool took no work beside a pool with 3,000 waiting tasks, and no log line said which hosts left for a wave and which for a move, nor whose order they waited for.

A request to empty a host now carries its purpose, the holder of the machines and the epoch of its claim. It is one more field of the request, which earlier releases skip and whose absence stands for an unknown order. An owner keeps gauges of its hosts that work, are unused, leave for moves, for waves or by the platform's order, are arriving, or are obstructed. While hosts leave it logs them once a second, with the four that have left for the longest time: since when, by which order, and what they wait for. The holder logs the machines on their way between pools once a second, and the age of its claim.

No decision changes.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -113,7 +113,7 @@
 	case peers.VerbPending:
 		return o.Pending(ctx, r.Queue.Name, owner.OfQueue(r.Queue))
 	case peers.VerbVacate:
-		return o.Vacate(ctx, r.Subject)
+		return o.Vacate(ctx, r.Subject, r.LeaveOrder())
 	case peers.VerbLoad:
 		return o.Load(ctx)
 	}
--- a/entry/mover/back_test.go
+++ b/entry/mover/back_test.go
@@ -13,6 +13,7 @@
 	"carawaymux.dev/entry/mover"
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 )
 
 // Guards against the end of work on a machine that has come back since the newest list, which shows it without a host (AVAIL).
@@ -24,8 +25,11 @@
 	w := port.Wave{Number: 1, Machines: []string{"m-1"}, TimeLimit: 4 * time.Second, MaxDown: 1}
 	h := startMoverWith(t, newMemoryStore(t), mover.Deps{
 		Machines: m, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Load: busyLoad(0), Operators: discardReports{},
-		Waves:  func() []port.Wave { return []port.Wave{w} },
-		Vacate: func(context.Context, string, string) (owner.Answer, bool) { asked.Add(1); return owner.Answer{}, true },
+		Waves: func() []port.Wave { return []port.Wave{w} },
+		Vacate: func(context.Context, string, string, shard.LeaveOrder) (owner.Answer, bool) {
+			asked.Add(1)
+			return owner.Answer{}, true
+		},
 	})
 	t.Cleanup(h.Close)
 	require.Eventually(t, func() bool { return asked.Load() > 0 }, 5*time.Second, 10*time.Millisecond)
--- a/entry/mover/handover_test.go
+++ b/entry/mover/handover_test.go
@@ -16,6 +16,7 @@
 	"carawaymux.dev/entry/mover"
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 )
 
 // cuttableStore is a store that can stop answering one holder.
@@ -133,7 +134,7 @@
 			return startMoverWithin(t, store, mover.Deps{
 				Machines: p.machines, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Load: busyLoad(0), Operators: p.reports,
 				Waves: func() []port.Wave { return waves },
-				Vacate: func(context.Context, string, string) (owner.Answer, bool) {
+				Vacate: func(context.Context, string, string, shard.LeaveOrder) (owner.Answer, bool) {
 					return owner.Answer{Vacant: p.vacant.Load()}, true
 				},
 			}, mover.Settings{Holder: "h", Term: 3 * time.Second})
@@ -226,7 +227,7 @@
 			Waves: func() []port.Wave {
 				return []port.Wave{{Number: 1, Machines: []string{"m-busy"}, TimeLimit: time.Minute, MaxDown: 1}}
 			},
-			Vacate: func(context.Context, string, string) (owner.Answer, bool) {
+			Vacate: func(context.Context, string, string, shard.LeaveOrder) (owner.Answer, bool) {
 				asked.Add(1)
 				time.Sleep(1500 * time.Millisecond)
 				return owner.Answer{Vacant: true}, true
@@ -250,7 +251,7 @@
 		Waves: func() []port.Wave {
 			return []port.Wave{{Number: 1, Machines: []string{"m-busy"}, TimeLimit: time.Minute, MaxDown: 1}}
 		},
-		Vacate: func(context.Context, string, string) (owner.Answer, bool) {
+		Vacate: func(context.Context, string, string, shard.LeaveOrder) (owner.Answer, bool) {
 			asked.Add(1)
 			// The answer comes after the holder's right to order has ended, as after a pause of the process.
 			time.Sleep(2500 * time.Millisecond)
--- a/entry/mover/model_test.go
+++ b/entry/mover/model_test.go
@@ -538,12 +538,12 @@
 			<-ctx.Done()
 			return owner.Answer{}, false
 		},
-		Vacate: func(ctx context.Context, _, host string) (owner.Answer, bool) {
+		Vacate: func(ctx context.Context, _, host string, order shard.LeaveOrder) (owner.Answer, bool) {
 			a, err := exchange(ctx, e.peers, func() (owner.Answer, error) {
 				w.mu.Lock()
 				o := w.owner
 				w.mu.Unlock()
-				a := o.Vacate(ctx, host)
+				a := o.Vacate(ctx, host, order)
 				if a.Vacant {
 					w.mu.Lock()
 					w.logf("%s is called empty: %s", host, a.Outcome)
--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -19,6 +19,7 @@
 	"carawaymux.dev/entry/stats"
 	"carawaymux.dev/fleet/demand"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/sizing"
 	"carawaymux.dev/fleet/task"
 	"carawaymux.dev/fleet/upkeep"
@@ -63,7 +64,7 @@
 	Waves func() []port.Wave
 	// Vacate asks the owner of a pool to empty a host. It reports false if the owner could not
 	// be asked.
-	Vacate func(ctx context.Context, pool, host string) (owner.Answer, bool)
+	Vacate func(ctx context.Context, pool, host string, o shard.LeaveOrder) (owner.Answer, bool)
 	// Load asks the owner of a pool for the pool's load. It reports false if the owner could
 	// not be asked.
 	Load func(ctx context.Context, pool string) (owner.Answer, bool)
@@ -162,6 +163,8 @@
 	shortageLoggedAt time.Time
 	// forecast forecasts the load of the pools.
 	forecast *sizing.Forecast[demand.InOrder]
+	// progressLoggedAt is when the moves in progress were last logged.
+	progressLoggedAt time.Time
 	// orders limits the moves that begin to what the machine service accepts.
 	orders *rate.Limiter
 	// moves holds the moves in progress by machine.
@@ -317,6 +320,7 @@
 		c.chooseMachines(w, now)
 	}
 	c.planMoves(now)
+	c.logProgress(now)
 	c.stepMachines(ctx, now)
 }
 
--- a/entry/mover/mover_test.go
+++ b/entry/mover/mover_test.go
@@ -17,6 +17,7 @@
 	"carawaymux.dev/entry/mover"
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/sizing"
 )
 
@@ -160,7 +161,9 @@
 func startMoverWithin(t *testing.T, m port.Log, d mover.Deps, s mover.Settings) duties.Holder {
 	t.Helper()
 	if d.Vacate == nil {
-		d.Vacate = func(context.Context, string, string) (owner.Answer, bool) { return owner.Answer{Vacant: true}, true }
+		d.Vacate = func(context.Context, string, string, shard.LeaveOrder) (owner.Answer, bool) {
+			return owner.Answer{Vacant: true}, true
+		}
 	}
 	start := mover.Starter(s, d)
 	acquired, err := claim.Acquire(t.Context(), m, mover.ClaimName, "h", time.Now().UnixNano(), 4)
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -8,6 +8,7 @@
 
 	"carawaymux.dev/fleet/demand"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/sizing"
 )
 
@@ -190,7 +191,7 @@
 	if !ok {
 		return
 	}
-	s := c.newStep(mayOrder, c.emptyCheck(machine), now)
+	s := c.newStep(mayOrder, c.emptyCheck(machine, shard.ForMove), now)
 	c.runInBackground(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
 		result := moveResult{machine: m.Machine}
 		result.outcome, result.err = s.run(ctx, c.timing, func(ctx context.Context) (port.OrderOutcome, error) {
--- a/entry/mover/state_test.go
+++ b/entry/mover/state_test.go
@@ -15,6 +15,7 @@
 	"carawaymux.dev/entry/mover"
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 )
 
 // newWaveMachines returns machines that are up and at work.
@@ -52,7 +53,7 @@
 	h := startMoverWithin(t, store, mover.Deps{
 		Machines: m, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Load: busyLoad(0), Operators: reports,
 		Waves: func() []port.Wave { return []port.Wave{w} },
-		Vacate: func(context.Context, string, string) (owner.Answer, bool) {
+		Vacate: func(context.Context, string, string, shard.LeaveOrder) (owner.Answer, bool) {
 			asked.Add(1)
 			return owner.Answer{Vacant: vacant.Load()}, true
 		},
--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/upkeep"
 )
 
@@ -28,7 +29,7 @@
 // stepMaintenance asks for the host of a machine to be emptied, and orders the machine's
 // maintenance once the host is empty.
 func (c *core) stepMaintenance(ctx context.Context, w *upkeep.Wave, slots *upkeep.Slots, m port.Machine, now time.Time) {
-	isEmpty := c.emptyCheck(m)
+	isEmpty := c.emptyCheck(m, shard.ForWave)
 	switch {
 	case c.isInMaintenance(w, m):
 		isEmpty = func(context.Context) bool { return true }
@@ -71,9 +72,10 @@
 // emptyCheck returns a function that asks for the host of a machine to be emptied and reports whether it is
 // empty. A machine in a pool on standby counts as empty, and so does one that has been up without a host for
 // hostlessTime.
-func (c *core) emptyCheck(m port.Machine) func(context.Context) bool {
+func (c *core) emptyCheck(m port.Machine, purpose shard.Purpose) func(context.Context) bool {
 	pool, host := m.Pool, m.Host
 	since, hostless := c.hostlessSince[m.ID]
+	order := shard.LeaveOrder{Purpose: purpose, Holder: c.settings.Holder, Epoch: c.claim.Epoch}
 	empty := c.standby[pool] || (hostless && c.listedAt.Sub(since) >= hostlessTime)
 	return func(ctx context.Context) bool {
 		if host == "" || empty {
@@ -81,7 +83,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
-		a, ok := c.deps.Vacate(ctx, pool, host)
+		a, ok := c.deps.Vacate(ctx, pool, host, order)
 		return ok && a.Vacant
 	}
 }
--- a/entry/owner/absent_test.go
+++ b/entry/owner/absent_test.go
@@ -13,6 +13,7 @@
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 )
 
 // hangingInboxStore is a store whose reads of the inbox hang while it is told so. Its inbox holds what was left
@@ -123,8 +124,8 @@
 	o := startOwner(ctx, t, store)
 	requireEmpty(t, o, "listed-later")
 	store.fenced.Store(true)
-	require.Eventually(t, func() bool { return !o.Vacate(ctx, "listed-later").Vacant }, silenceLimit/2, 10*time.Millisecond)
-	require.Never(t, func() bool { return o.Vacate(ctx, "listed-later").Vacant }, silenceLimit, 50*time.Millisecond)
+	require.Eventually(t, func() bool { return !o.Vacate(ctx, "listed-later", shard.LeaveOrder{}).Vacant }, silenceLimit/2, 10*time.Millisecond)
+	require.Never(t, func() bool { return o.Vacate(ctx, "listed-later", shard.LeaveOrder{}).Vacant }, silenceLimit, 50*time.Millisecond)
 }
 
 // silenceLimit is the time after which an entry that is cut off may be replaced.
@@ -136,7 +137,7 @@
 	o := startOwner(ctx, t, newHangingInboxStore())
 	requireEmpty(t, o, "listed-later")
 	require.NoError(t, o.Leave(ctx))
-	require.False(t, o.Vacate(ctx, "listed-later").Vacant)
+	require.False(t, o.Vacate(ctx, "listed-later", shard.LeaveOrder{}).Vacant)
 }
 
 // slowStore is a store whose appends take a time.
@@ -156,7 +157,7 @@
 	require.Eventually(t, func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
 		defer cancel()
-		return o.Vacate(ctx, "listed-later").Vacant
+		return o.Vacate(ctx, "listed-later", shard.LeaveOrder{}).Vacant
 	}, 3*time.Second, 10*time.Millisecond)
 }
 
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -76,6 +76,8 @@
 	nextRound time.Time
 	// nextWaitingLog is the earliest time of the next log line about work that waits.
 	nextWaitingLog time.Time
+	// nextOccupancyLog is the earliest time of the next report of what the hosts are used for.
+	nextOccupancyLog time.Time
 	// delays measures how late this owner is.
 	delays *delayMeter
 	// background counts the goroutines that the task has started and waits for when it stops.
@@ -214,6 +216,7 @@
 	c.logCrashes()
 	c.listMachines(now)
 	c.logWaiting(now)
+	c.logOccupancy(now)
 	c.delays.endInterval(now)
 }
 
--- a/entry/owner/grants_test.go
+++ b/entry/owner/grants_test.go
@@ -106,7 +106,7 @@
 
 				last := startSuccessor(t, log, clients, host)
 				time.Sleep(time.Second)
-				require.False(t, last.Vacate(t.Context(), "h").Vacant)
+				require.False(t, last.Vacate(t.Context(), "h", shard.LeaveOrder{}).Vacant)
 			})
 		})
 	}
@@ -133,7 +133,7 @@
 // requireEmpty asks for a host to be emptied until the owner calls it empty.
 func requireEmpty(t *testing.T, o *owner.Owner, host string) {
 	t.Helper()
-	require.Eventually(t, func() bool { return o.Vacate(t.Context(), host).Vacant }, 4*time.Second, 50*time.Millisecond)
+	require.Eventually(t, func() bool { return o.Vacate(t.Context(), host, shard.LeaveOrder{}).Vacant }, 4*time.Second, 50*time.Millisecond)
 }
 
 // Guards against an order for a machine that ends the work of another host (AVAIL): the host that the request names has ended
@@ -144,7 +144,7 @@
 		// A list of machines is requested every half second, at the latest after the one before was given up.
 		const oldestList = 1700 * time.Millisecond
 		for begin := time.Now(); time.Since(begin) < oldestList; time.Sleep(250 * time.Millisecond) {
-			require.False(t, o.Vacate(t.Context(), "gone").Vacant)
+			require.False(t, o.Vacate(t.Context(), "gone", shard.LeaveOrder{}).Vacant)
 		}
 		requireEmpty(t, o, "gone")
 	})
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -178,6 +178,7 @@
 	poolLoad   struct{ reply chan<- Answer }
 	vacateHost struct {
 		host  string
+		order shard.LeaveOrder
 		reply chan<- Answer
 	}
 	// leave has the owner empty no more hosts.
@@ -253,8 +254,8 @@
 
 // Vacate asks for a host to be emptied. The request expires, so the caller has to repeat it
 // until the answer reports the host as vacant.
-func (o *Owner) Vacate(ctx context.Context, host string) Answer {
-	return o.call(ctx, Refused, func(reply chan<- Answer) message { return vacateHost{host, reply} })
+func (o *Owner) Vacate(ctx context.Context, host string, order shard.LeaveOrder) Answer {
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return vacateHost{host, order, reply} })
 }
 
 // Leave has the owner empty no more hosts, since another entry is about to own the pool.
--- a/entry/owner/vacate.go
+++ b/entry/owner/vacate.go
@@ -48,6 +48,7 @@
 		since := c.state.CordonUnlisted(m.host, now, cordonDuration)
 		return Answer{Outcome: Missing, Vacant: now.Sub(since) >= unlistedTime, Reason: "no such host in the pool"}
 	}
+	c.state.NoteLeave(h, m.order)
 	return Answer{Outcome: Found, Vacant: c.state.Vacate(h, time.Now(), cordonDuration)}
 }
 
--- a/entry/owner/vacate_test.go
+++ b/entry/owner/vacate_test.go
@@ -38,6 +38,6 @@
 	c.journal.unavailable = true
 	s.ConfirmedAt = now.Add(-5 * time.Second)
 	reply := make(chan Answer, 1)
-	vacateHost{"a", reply}.handle(c)
+	vacateHost{"a", shard.LeaveOrder{}, reply}.handle(c)
 	require.Empty(t, s.TakeOrders())
 }
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -14,6 +14,7 @@
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/task"
 )
 
@@ -45,6 +46,16 @@
 	// Queue is the queue of the job, or for VerbPending the queue whose jobs are counted.
 	Queue port.Queue  `cbor:"4,keyasint"`
 	Spec  *batch.Spec `cbor:"5,keyasint,omitempty"`
+	// Leave says by whom and for what a host is emptied. Earlier releases send none.
+	Leave *shard.LeaveOrder `cbor:"6,keyasint,omitempty"`
+}
+
+// LeaveOrder returns the order of a request to empty a host, which is zero if it has none.
+func (r *Request) LeaveOrder() shard.LeaveOrder {
+	if r.Leave == nil {
+		return shard.LeaveOrder{}
+	}
+	return *r.Leave
 }
 
 // Frame is a message on a link: either a request or an answer.
--- a/entry/stats/stats.go
+++ b/entry/stats/stats.go
@@ -32,8 +32,8 @@
 	renderTimeout = time.Second
 )
 
-// Set holds the counters and histograms of one entry. Its methods may be called from any task. Add
-// and Observe do nothing on a nil set.
+// Set holds the counters and histograms of one entry. Its methods may be called from any task. Add,
+// Gauge and Observe do nothing on a nil set.
 type Set struct {
 	counts *expvar.Map
 	task   *task.Task[message]
@@ -77,6 +77,15 @@
 	}
 }
 
+// Gauge sets a value that may rise and fall. Labels are pairs of name and value.
+func (s *Set) Gauge(name string, n int64, labels ...string) {
+	if s != nil {
+		v := new(expvar.Int)
+		v.Set(n)
+		s.counts.Set(seriesName(name, labels), v)
+	}
+}
+
 // Observe records a duration in a histogram. It drops the value if the inbox is full. Labels are
 // pairs of name and value.
 func (s *Set) Observe(name string, duration time.Duration, labels ...string) {
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -76,6 +76,9 @@
 	return !h.Unreachable && now.Sub(h.LastAnswer) <= silentTimeout
 }
 
+// NoteLeave notes the order by which a host is emptied.
+func (s *State) NoteLeave(h *Host, o LeaveOrder) { h.leave = o }
+
 // unlistedCordon is the cordon of a host that is not known yet.
 type unlistedCordon struct{ since, until time.Time }
 
@@ -95,7 +98,7 @@
 // RestoreCordon cordons a host that an earlier owner has called empty.
 func (s *State) RestoreCordon(host string, now time.Time, cordon time.Duration) {
 	if h := s.Hosts[host]; h != nil {
-		h.CordonedAt, h.CordonedUntil = now, now.Add(cordon)
+		h.CordonedAt, h.CordonedUntil, h.leave = now, now.Add(cordon), LeaveOrder{}
 		return
 	}
 	s.CordonUnlisted(host, now, cordon)
@@ -105,7 +108,7 @@
 func (s *State) applyUnlistedCordon(h *Host, now time.Time) {
 	if c, ok := s.unlistedCordons[h.ID]; ok {
 		delete(s.unlistedCordons, h.ID)
-		h.CordonedAt, h.CordonedUntil = now, c.until
+		h.CordonedAt, h.CordonedUntil, h.leave = now, c.until, LeaveOrder{}
 	}
 }
 
