End the leaves of a holder of the machines that cannot order

Cause: a request to empty a host had no owner. Each request kept the host from work for 3 s, whoever sent it, nothing took it back, and a holder went on to send requests that no order could follow, four seconds for each move. The owner reserved the hosts as called empty for these requests, too.

Change: a request is bound to its holder and epoch. It keeps the host from work for 1.5 s. An owner that has heard of a newer holder refuses requests of the former one and ends its leaves; a holder makes itself known when it starts. A holder whose claim is not confirmed recently enough for orders asks for nothing, and has the owners use the hosts of its moves again at once. So do moves that time out or are refused. A request says whether an order can follow. Only then is the host called empty, in the store and for 3 s as before, and nothing but this time ends that: orders under way keep their fence. Earlier releases refuse the new request, and leaves there lapse after 3 s.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -114,6 +114,8 @@
 		return o.Pending(ctx, r.Queue.Name, owner.OfQueue(r.Queue))
 	case peers.VerbVacate:
 		return o.Vacate(ctx, r.Subject, r.LeaveOrder())
+	case peers.VerbRelease:
+		return o.Release(ctx, r.Hosts, r.LeaveOrder())
 	case peers.VerbLoad:
 		return o.Load(ctx)
 	}
--- a/entry/mover/model_test.go
+++ b/entry/mover/model_test.go
@@ -168,6 +168,7 @@
 // modelMachine is a machine with its present host.
 type modelMachine struct {
 	id    string
+	pool  string
 	life  int64
 	since time.Time
 	state port.MachineState
@@ -207,6 +208,8 @@
 	seed  uint64
 	store *modelStore
 	wave  port.Wave
+	// config is the configuration of the owners.
+	config *port.Config
 	// mu guards what follows.
 	mu       sync.Mutex
 	machines map[string]*modelMachine
@@ -238,6 +241,8 @@
 	// modelStartup is the time from the start of a long-running task until it is at work.
 	modelStartup = 200 * time.Millisecond
 	modelLease   = 5 * time.Second
+	// modelMoveTime is the time from an order to move a machine until it is up again.
+	modelMoveTime = time.Second
 )
 
 // update applies what has happened on a machine since the last call. mu is held.
@@ -408,7 +413,7 @@
 		defer v.world.mu.Unlock()
 		var out []port.Machine
 		for _, m := range v.world.machines {
-			row := port.Machine{ID: m.id, Pool: "busy", State: m.state, Capacity: modelCapacity}
+			row := port.Machine{ID: m.id, Pool: m.pool, State: m.state, Capacity: modelCapacity}
 			if m.state == port.MachineUp {
 				row.Host = m.host()
 			}
@@ -418,8 +423,30 @@
 	})
 }
 
-func (machineView) Move(context.Context, string, string, string, int64) (port.OrderOutcome, error) {
-	return port.OrderBusy, nil
+func (v machineView) Move(ctx context.Context, id, pool, _ string, epoch int64) (port.OrderOutcome, error) {
+	return exchange(ctx, v.link, func() (port.OrderOutcome, error) { return v.world.move(id, pool, epoch), nil })
+}
+
+// move begins the move of a machine, which takes modelMoveTime.
+func (w *model) move(id, pool string, epoch int64) port.OrderOutcome {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := w.machines[id]
+	switch {
+	case epoch < m.holder:
+		return port.OrderFenced
+	case m.state != port.MachineUp:
+		return port.OrderBusy
+	}
+	m.holder = epoch
+	w.update(m)
+	w.logf("move of %s from %s to %s by epoch %d", m.host(), m.pool, pool, epoch)
+	for _, unit := range sortedUnits(m.runs) {
+		w.violate("the move of %s ends %s run %d", m.host(), unit, m.runs[unit].Run)
+	}
+	w.takeDown(m, port.MachineMoving, modelMoveTime)
+	m.pool = pool
+	return port.OrderDone
 }
 
 func (v machineView) StartMaintenance(ctx context.Context, id string, _ int64, _ string, epoch int64) (port.OrderOutcome, error) {
@@ -465,7 +492,7 @@
 var modelCapacity = batch.Size{MilliCores: 4000, MemoryMB: 4000}
 
 func (w *model) entry(m *modelMachine) port.Host {
-	return port.Host{ID: m.host(), Address: m.host(), Pool: "busy", Capacity: modelCapacity, Born: m.life}
+	return port.Host{ID: m.host(), Address: m.host(), Pool: m.pool, Capacity: modelCapacity, Born: m.life}
 }
 
 // announce tells all owners of a change of the list of hosts. mu is held.
@@ -491,9 +518,9 @@
 var modelLogs = slog.New(slog.NewJSONHandler(io.Discard, nil))
 
 // claimPool has an entry claim the pool and start its owner.
-func (w *model) claimPool(ctx context.Context, e *modelEntry) (*owner.Owner, error) {
+func (w *model) claimPool(ctx context.Context, e *modelEntry, pool string) (*owner.Owner, error) {
 	log := storeView{w.store, e.store}
-	acquired, err := claim.Acquire(ctx, log, "busy", "e", time.Now().UnixNano(), 4)
+	acquired, err := claim.Acquire(ctx, log, pool, "e", time.Now().UnixNano(), 4)
 	if err != nil {
 		return nil, err
 	}
@@ -515,7 +542,7 @@
 			Lease: modelLease, MaxLease: 2 * modelLease, Grace: 3 * time.Second, StopTimeout: 900 * time.Millisecond, Retention: time.Minute,
 		}},
 		owner.Deps{Log: log, HostClients: modelClients{w, e.hosts}, Machines: machineView{w, e.machines}, Logger: modelLogs},
-		acquired, stored, modelConfig, hosts)
+		acquired, stored, w.config, hosts)
 	w.owners = append(w.owners, o)
 	return o, nil
 }
@@ -538,6 +565,15 @@
 			<-ctx.Done()
 			return owner.Answer{}, false
 		},
+		Release: func(ctx context.Context, _ string, hosts []string, order shard.LeaveOrder) bool {
+			_, err := exchange(ctx, e.peers, func() (owner.Answer, error) {
+				w.mu.Lock()
+				o := w.owner
+				w.mu.Unlock()
+				return o.Release(ctx, hosts, order), nil
+			})
+			return err == nil
+		},
 		Vacate: func(ctx context.Context, _, host string, order shard.LeaveOrder) (owner.Answer, bool) {
 			a, err := exchange(ctx, e.peers, func() (owner.Answer, error) {
 				w.mu.Lock()
@@ -598,12 +634,12 @@
 func runModel(t *testing.T, seed uint64) *model {
 	random := rand.New(rand.NewPCG(seed, 0))
 	w := &model{
-		t: t, seed: seed, store: &modelStore{records: map[port.Stream][]port.Record{}, epochs: map[string]port.Writer{}},
+		t: t, seed: seed, config: modelConfig, store: &modelStore{records: map[port.Stream][]port.Record{}, epochs: map[string]port.Writer{}},
 		machines: map[string]*modelMachine{}, away: map[string]bool{}, vacated: make(chan struct{}),
 	}
 	w.wave = port.Wave{Number: 1, TimeLimit: 30 * time.Second, MaxDown: 3}
 	for i := range modelMachines {
-		m := &modelMachine{id: fmt.Sprintf("m-%02d", i)}
+		m := &modelMachine{id: fmt.Sprintf("m-%02d", i), pool: "busy"}
 		m.restart()
 		w.machines[m.id] = m
 		w.wave.Machines = append(w.wave.Machines, m.id)
@@ -613,7 +649,7 @@
 	between := func(from, to time.Duration) time.Duration { return from + time.Duration(random.Int64N(int64(to-from))) }
 
 	first := w.newEntry(1)
-	o := repeat(t, func() (*owner.Owner, error) { return w.claimPool(ctx, first) })
+	o := repeat(t, func() (*owner.Owner, error) { return w.claimPool(ctx, first, "busy") })
 	w.owner = o
 	o.Submit(ctx, modelConfig.Queues[0], longRunning, batch.Spec{Queue: "q", Steps: []batch.Step{{
 		Count: modelLongRunning, Need: batch.Size{MilliCores: 2000, MemoryMB: 10}, Estimate: time.Second, LongRunning: true, PerHost: 1, MaxUnavailable: 1,
@@ -649,7 +685,7 @@
 			}
 			time.Sleep(between(0, 20*time.Millisecond))
 		}
-		o := repeat(t, func() (*owner.Owner, error) { return w.claimPool(ctx, next) })
+		o := repeat(t, func() (*owner.Owner, error) { return w.claimPool(ctx, next, "busy") })
 		// The holder of the machines learns of the new owner later.
 		time.AfterFunc(between(0, 1500*time.Millisecond), func() {
 			w.mu.Lock()
--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -65,6 +65,9 @@
 	// Vacate asks the owner of a pool to empty a host. It reports false if the owner could not
 	// be asked.
 	Vacate func(ctx context.Context, pool, host string, o shard.LeaveOrder) (owner.Answer, bool)
+	// Release has the owner of a pool use hosts again that an order was to have emptied, and ends what earlier holders
+	// have asked of it. It reports whether the owner has done so.
+	Release func(ctx context.Context, pool string, hosts []string, o shard.LeaveOrder) bool
 	// Load asks the owner of a pool for the pool's load. It reports false if the owner could
 	// not be asked.
 	Load func(ctx context.Context, pool string) (owner.Answer, bool)
@@ -169,6 +172,10 @@
 	orders *rate.Limiter
 	// moves holds the moves in progress by machine.
 	moves map[string]move
+	// released holds, by pool, the hosts to be used again whose owner is to be told.
+	released map[string][]string
+	// announced holds the pools whose owners know of this holder. announcing holds those that are being told.
+	announced, announcing map[string]bool
 	// stepInFlight holds the machines with a step in flight, that is, a request to empty the
 	// host and the order that may follow.
 	stepInFlight map[string]bool
@@ -202,6 +209,7 @@
 		standby: map[string]bool{}, authorized: map[string]time.Time{}, orderedStateAt: map[string]time.Time{},
 		hostlessSince: map[string]time.Time{}, unanswered: map[string]bool{},
 		sizing: sizing.NewState(), forecast: newForecast(stored.turns), orders: newOrderLimit(s.OrdersPerSecond), moves: map[string]move{}, stepInFlight: map[string]bool{},
+		released: map[string][]string{}, announced: map[string]bool{}, announcing: map[string]bool{},
 		loadAnswers: map[string]loadAnswer{}, loadInFlight: map[string]bool{}, orderedAt: map[string]time.Time{},
 	}
 	if config != nil {
@@ -258,6 +266,7 @@
 			roundTimer.Reset(roundInterval)
 			answerTimer.Reset(loadAnswerTimeout)
 		}
+		c.sendReleases(ctx)
 		c.write()
 	}
 	cancel()
@@ -305,6 +314,7 @@
 	}
 	c.listMachines(ctx)
 	c.askLoads(ctx)
+	c.announce(ctx)
 	c.planDue = true
 }
 
@@ -316,6 +326,10 @@
 		return
 	}
 	now := time.Now()
+	if !c.claimIsFresh(now) {
+		c.takeBackAll("the claim on the machines is not confirmed")
+		return
+	}
 	for _, w := range c.openWaves() {
 		c.chooseMachines(w, now)
 	}
@@ -336,9 +350,9 @@
 }
 
 // stepMachines starts the next step of each machine that is to be moved or maintained. It does nothing while the list of
-// machines is not available: a machine may have restarted since the newest one.
+// machines is not available, since a machine may have restarted since the newest one, or while the claim is not confirmed.
 func (c *core) stepMachines(ctx context.Context, now time.Time) {
-	if c.listFailed {
+	if c.listFailed || !c.claimIsFresh(now) {
 		return
 	}
 	for _, w := range c.openWaves() {
--- a/entry/mover/mover_test.go
+++ b/entry/mover/mover_test.go
@@ -160,6 +160,9 @@
 
 func startMoverWithin(t *testing.T, m port.Log, d mover.Deps, s mover.Settings) duties.Holder {
 	t.Helper()
+	if d.Release == nil {
+		d.Release = func(context.Context, string, []string, shard.LeaveOrder) bool { return true }
+	}
 	if d.Vacate == nil {
 		d.Vacate = func(context.Context, string, string, shard.LeaveOrder) (owner.Answer, bool) {
 			return owner.Answer{Vacant: true}, true
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -183,7 +183,7 @@
 	machine := c.machines[m.Machine]
 	if !c.stepInFlight[m.Machine] && (machine.Pool != m.From || machine.Host != m.Host) {
 		// An earlier holder has moved the machine, or the machine has restarted.
-		delete(c.moves, m.Machine)
+		c.endMove(c.moves[m.Machine])
 		c.logger.Info("move dropped", "machine", m.Machine, "from", m.From, "to", m.To, "now-in", machine.Pool)
 		return
 	}
@@ -191,7 +191,7 @@
 	if !ok {
 		return
 	}
-	s := c.newStep(mayOrder, c.emptyCheck(machine, shard.ForMove), now)
+	s := c.newStep(mayOrder, c.emptyCheck(machine, shard.ForMove, mayOrder), now)
 	c.runInBackground(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
 		result := moveResult{machine: m.Machine}
 		result.outcome, result.err = s.run(ctx, c.timing, func(ctx context.Context) (port.OrderOutcome, error) {
@@ -230,7 +230,7 @@
 		c.fenced = true
 	case port.OrderUnknown:
 		c.sizing.Refuse(m.Move)
-		delete(c.moves, r.machine)
+		c.endMove(m)
 		c.logger.Info("machine cannot be moved: the platform does not know the machine or the pool",
 			"machine", r.machine, "from", m.From, "to", m.To)
 	default:
@@ -244,7 +244,7 @@
 	if now.Sub(m.since) <= moveTimeout {
 		return
 	}
-	delete(c.moves, m.Machine)
+	c.endMove(m)
 	c.logger.Info("move abandoned: the machine was not emptied and moved within the time limit",
 		"machine", m.Machine, "from", m.From, "to", m.To)
 }
--- a/entry/mover/wave.go
+++ b/entry/mover/wave.go
@@ -29,10 +29,9 @@
 // stepMaintenance asks for the host of a machine to be emptied, and orders the machine's
 // maintenance once the host is empty.
 func (c *core) stepMaintenance(ctx context.Context, w *upkeep.Wave, slots *upkeep.Slots, m port.Machine, now time.Time) {
-	isEmpty := c.emptyCheck(m, shard.ForWave)
+	inMaintenance := c.isInMaintenance(w, m)
 	switch {
-	case c.isInMaintenance(w, m):
-		isEmpty = func(context.Context) bool { return true }
+	case inMaintenance:
 	case m.State != port.MachineUp:
 		// Its host would be ended unasked if it has come back since the list. Others may use its slot until it has.
 		delete(w.Emptying, m.ID)
@@ -43,7 +42,12 @@
 	if !ok {
 		return
 	}
-	s := c.newStep(mayOrder && slots.MayStart(m.ID), isEmpty, now)
+	mayOrder = mayOrder && slots.MayStart(m.ID)
+	isEmpty := c.emptyCheck(m, shard.ForWave, mayOrder)
+	if inMaintenance {
+		isEmpty = func(context.Context) bool { return true }
+	}
+	s := c.newStep(mayOrder, isEmpty, now)
 	slots.Take(m.ID)
 	c.runInBackground(ctx, askTimeout+callTimeout, func(ctx context.Context) message {
 		result := maintenanceResult{wave: w, machine: m.ID}
@@ -71,11 +75,12 @@
 
 // emptyCheck returns a function that asks for the host of a machine to be emptied and reports whether it is
 // empty. A machine in a pool on standby counts as empty, and so does one that has been up without a host for
-// hostlessTime.
-func (c *core) emptyCheck(m port.Machine, purpose shard.Purpose) func(context.Context) bool {
+// hostlessTime. The owner is told whether an order may follow.
+func (c *core) emptyCheck(m port.Machine, purpose shard.Purpose, mayOrder bool) func(context.Context) bool {
 	pool, host := m.Pool, m.Host
 	since, hostless := c.hostlessSince[m.ID]
-	order := shard.LeaveOrder{Purpose: purpose, Holder: c.settings.Holder, Epoch: c.claim.Epoch}
+	order := c.leaveOrder(purpose)
+	order.Tentative = !mayOrder
 	empty := c.standby[pool] || (hostless && c.listedAt.Sub(since) >= hostlessTime)
 	return func(ctx context.Context) bool {
 		if host == "" || empty {
--- a/entry/mover/write.go
+++ b/entry/mover/write.go
@@ -79,13 +79,18 @@
 	return taken
 }
 
+// claimIsFresh reports whether the claim has been confirmed recently enough for orders.
+func (c *core) claimIsFresh(now time.Time) bool {
+	return now.Sub(c.confirmedAt) <= c.timing.BeginWithin()
+}
+
 // mayOrder reports whether an order may be sent to a machine. Three conditions have to hold.
 // The claim has been confirmed recently enough that no other holder can have finished its wait.
 // If an earlier holder may have ordered the machine, the wait for its orders has ended, and the
 // list of machines was requested late enough to show them. The store has recorded that this
 // holder may send orders to the machine.
 func (c *core) mayOrder(machine string, now time.Time) bool {
-	if now.Sub(c.confirmedAt) > c.timing.BeginWithin() {
+	if !c.claimIsFresh(now) {
 		return false
 	}
 	if e, ok := c.earlier[machine]; ok && (now.Before(e.orderableAt) || !e.settled(c.listedAt)) {
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -181,6 +181,11 @@
 		order shard.LeaveOrder
 		reply chan<- Answer
 	}
+	releaseHosts struct {
+		hosts []string
+		order shard.LeaveOrder
+		reply chan<- Answer
+	}
 	// leave has the owner empty no more hosts.
 	leave        struct{}
 	configChange struct{ config *port.Config }
@@ -258,6 +263,12 @@
 	return o.call(ctx, Refused, func(reply chan<- Answer) message { return vacateHost{host, order, reply} })
 }
 
+// Release has hosts take work again that the same order has had emptied, except those that were called empty. It also ends
+// what earlier holders of the machines have asked for, whatever the hosts.
+func (o *Owner) Release(ctx context.Context, hosts []string, order shard.LeaveOrder) Answer {
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return releaseHosts{hosts, order, reply} })
+}
+
 // Leave has the owner empty no more hosts, since another entry is about to own the pool.
 func (o *Owner) Leave(ctx context.Context) error {
 	return o.task.Send(ctx, queued{leave{}, time.Now()})
--- a/entry/owner/vacate.go
+++ b/entry/owner/vacate.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// cordonDuration is how long a host takes no new work after a request to empty it. The request
-// has to be repeated before the cordon expires.
-const cordonDuration = 3 * time.Second
+const (
+	// leaveDuration is how long a host takes no new work after a request to empty it. The request has to be repeated
+	// before. The holder of the machines sends it several times in this time.
+	leaveDuration = 1500 * time.Millisecond
+	// cordonDuration is how long a host takes no new work after it was called empty, or is not known and may have been.
+	cordonDuration = 3 * time.Second
+)
 
 // maxEmptyingAge is the largest age of the claim under which hosts are emptied and called empty. An entry that was cut
 // off is replaced after more than twice that time.
@@ -26,12 +30,16 @@
 	c.awaitClaim(m, now.Add(-maxEmptyingAge), now)
 }
 
-// settle answers that the host is empty once the store shows that it was granted.
+// settle answers that the host is empty. If an order may follow, it does once the store shows that the host was granted.
 func (m vacateHost) settle(c *core) {
 	a, g := m.vacate(c), &c.journal.grants
-	if a.Vacant && !g.extend(m.host, time.Now().Add(cordonDuration)) {
-		g.waiting[m.host] = append(g.waiting[m.host], m)
-		return
+	if a.Vacant && !m.order.Tentative {
+		until := time.Now().Add(cordonDuration)
+		c.state.CallEmpty(m.host, until)
+		if !g.extend(m.host, until) {
+			g.waiting[m.host] = append(g.waiting[m.host], m)
+			return
+		}
 	}
 	m.reply <- a
 }
@@ -40,6 +48,9 @@
 
 // vacate cordons the host and returns whether it is empty.
 func (m vacateHost) vacate(c *core) Answer {
+	if !c.state.AdmitHolder(m.order, time.Now()) {
+		return newerHolder
+	}
 	h := c.state.Hosts[m.host]
 	if h == nil {
 		// The list of hosts may be older than the request. No owner has given work to a host that it
@@ -49,7 +60,21 @@
 		return Answer{Outcome: Missing, Vacant: now.Sub(since) >= unlistedTime, Reason: "no such host in the pool"}
 	}
 	c.state.NoteLeave(h, m.order)
-	return Answer{Outcome: Found, Vacant: c.state.Vacate(h, time.Now(), cordonDuration)}
+	return Answer{Outcome: Found, Vacant: c.state.Vacate(h, time.Now(), leaveDuration)}
+}
+
+// newerHolder refuses a request of a holder of the machines that has been replaced.
+var newerHolder = Answer{Outcome: Refused, Reason: "a newer holder of the machines has sent requests"}
+
+// handle has the hosts take work again at once. That needs no confirmed claim: hosts that were called empty stay so.
+func (m releaseHosts) handle(c *core) {
+	now := time.Now()
+	if !c.state.AdmitHolder(m.order, now) {
+		m.reply <- newerHolder
+		return
+	}
+	c.state.EndLeaves(m.hosts, m.order, now)
+	m.reply <- Answer{Outcome: Found}
 }
 
 func (leave) handle(c *core) { c.leaving = true }
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -33,6 +33,8 @@
 	VerbPending Verb = "pending"
 	// VerbVacate asks for a host to be emptied.
 	VerbVacate Verb = "vacate"
+	// VerbRelease has hosts take work again that were to be emptied. Earlier releases refuse it.
+	VerbRelease Verb = "release"
 	// VerbLoad asks for the load of the pool.
 	VerbLoad Verb = "load"
 )
@@ -46,8 +48,10 @@
 	// Queue is the queue of the job, or for VerbPending the queue whose jobs are counted.
 	Queue port.Queue  `cbor:"4,keyasint"`
 	Spec  *batch.Spec `cbor:"5,keyasint,omitempty"`
-	// Leave says by whom and for what a host is emptied. Earlier releases send none.
+	// Leave says by whom and for what hosts are emptied. Earlier releases send none.
 	Leave *shard.LeaveOrder `cbor:"6,keyasint,omitempty"`
+	// Hosts are the hosts of VerbRelease.
+	Hosts []string `cbor:"7,keyasint,omitempty"`
 }
 
 // LeaveOrder returns the order of a request to empty a host, which is zero if it has none.
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -75,6 +75,8 @@
 	// CordonedUntil is until when the host takes no new work because it is being emptied.
 	// CordonedAt is when that began.
 	CordonedUntil, CordonedAt time.Time
+	// CalledEmptyUntil is until when the machine of the host may be ordered, because the host was called empty.
+	CalledEmptyUntil time.Time
 	// leave is the order by which the host was last asked to be emptied. It is zero if that is not known.
 	leave LeaveOrder
 	// blocked is set if a long-running task there could not be stopped when the host was last asked to be emptied.
--- a/fleet/shard/leave.go
+++ b/fleet/shard/leave.go
@@ -22,6 +22,59 @@
 	// releases.
 	Holder string `cbor:"2,keyasint,omitempty"`
 	Epoch  int64  `cbor:"3,keyasint,omitempty"`
+	// Tentative reports that no order for the machine follows the answer, whatever it is.
+	Tentative bool `cbor:"4,keyasint,omitempty"`
+}
+
+// AdmitHolder reports whether a request of a holder of the machines counts: no newer holder has sent one. The first request of a newer
+// holder ends the leaves by which earlier ones had hosts emptied.
+func (s *State) AdmitHolder(o LeaveOrder, now time.Time) bool {
+	switch {
+	case o.Epoch == 0:
+		// Earlier releases send no epoch.
+		return true
+	case o.Epoch < s.holderEpoch:
+		return false
+	case o.Epoch > s.holderEpoch:
+		s.holderEpoch = o.Epoch
+		for _, h := range s.sortedHosts() {
+			if h.leave.Epoch != 0 && h.leave.Epoch < o.Epoch {
+				h.endLeave(now)
+			}
+		}
+	}
+	return true
+}
+
+// EndLeaves has hosts take work again that were emptied by the holder of an order.
+func (s *State) EndLeaves(hosts []string, o LeaveOrder, now time.Time) {
+	for _, id := range hosts {
+		if h := s.Hosts[id]; h != nil && h.leave.Holder == o.Holder && h.leave.Epoch == o.Epoch && h.leave.Purpose == o.Purpose {
+			h.endLeave(now)
+		}
+	}
+}
+
+// endLeave has the host take work again, unless it was called empty: its machine may be ordered until then.
+func (h *Host) endLeave(now time.Time) {
+	if until := h.CalledEmptyUntil; until.Before(h.CordonedUntil) {
+		h.CordonedUntil, h.blocked = until, false
+	}
+	if !now.Before(h.CordonedUntil) {
+		h.CordonedUntil, h.leave = time.Time{}, LeaveOrder{}
+	}
+}
+
+// CallEmpty records that a host was called empty, so that its machine may be ordered until a time. It takes no work until then.
+func (s *State) CallEmpty(host string, until time.Time) {
+	if h := s.Hosts[host]; h != nil {
+		h.CordonedUntil, h.CalledEmptyUntil = until, until
+		return
+	}
+	if c, ok := s.unlistedCordons[host]; ok {
+		c.until = until
+		s.unlistedCordons[host] = c
+	}
 }
 
 // Wait is what a host that is leaving waits for.
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -281,6 +281,8 @@
 	ended, kept []*Job
 	// unlistedCordons holds the cordons of hosts that are not known yet.
 	unlistedCordons map[string]unlistedCordon
+	// holderEpoch is the highest epoch of a holder of the machines that has sent a request.
+	holderEpoch int64
 	// backlog holds the work of the open jobs that waits.
 	backlog backlog
 	// unansweredStops holds the tasks whose RetryStopAt may be set.
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -32,7 +32,9 @@
 	if now.After(h.CordonedUntil) {
 		h.CordonedAt = now
 	}
-	h.CordonedUntil = now.Add(cordon)
+	if until := now.Add(cordon); until.After(h.CordonedUntil) {
+		h.CordonedUntil = until
+	}
 	waited := now.Sub(h.CordonedAt)
 	h.blocked = false
 	var moves *relocation
@@ -98,7 +100,7 @@
 // RestoreCordon cordons a host that an earlier owner has called empty.
 func (s *State) RestoreCordon(host string, now time.Time, cordon time.Duration) {
 	if h := s.Hosts[host]; h != nil {
-		h.CordonedAt, h.CordonedUntil, h.leave = now, now.Add(cordon), LeaveOrder{}
+		h.CordonedAt, h.CordonedUntil, h.CalledEmptyUntil, h.leave = now, now.Add(cordon), now.Add(cordon), LeaveOrder{}
 		return
 	}
 	s.CordonUnlisted(host, now, cordon)
@@ -108,7 +110,8 @@
 func (s *State) applyUnlistedCordon(h *Host, now time.Time) {
 	if c, ok := s.unlistedCordons[h.ID]; ok {
 		delete(s.unlistedCordons, h.ID)
-		h.CordonedAt, h.CordonedUntil, h.leave = now, c.until, LeaveOrder{}
+		// It may have been called empty.
+		h.CordonedAt, h.CordonedUntil, h.CalledEmptyUntil, h.leave = now, c.until, c.until, LeaveOrder{}
 	}
 }
 
