Leave hosts at work whose machines may not be ordered yet

After a change of the holder of the machines, hosts waited for orders of the new one, too.

Cause: for 3.9 s a new holder may not order machines that the one before may have ordered. Their hosts were planned to move all the same, so they stopped taking work at once. Just the pool that gives hosts as its turn ends is the one whose machines were ordered last.

Change: the plan takes no host of such a machine. It stays in its pool and works; standby machines go last, as before.

--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -246,7 +246,7 @@
 	// Moving holds the moves in progress, by machine.
 	Moving map[string]Move
 	// Emptying holds machines that are being emptied for maintenance and must not be moved.
-	// Held holds machines that cannot be moved immediately.
+	// Held holds machines that cannot be moved immediately. They are taken from standby last, and not from pools at work.
 	Emptying, Held map[string]bool
 	// MaintenanceDue holds machines that are due for maintenance, which costs least while they
 	// are on standby.
@@ -400,7 +400,8 @@
 			var due, others []port.Machine
 			for _, h := range hosts {
 				switch m, ok := byHost[h]; {
-				case !ok || m.Pool != p.name:
+				case !ok || m.Pool != p.name || in.Held[m.ID]:
+					// The host of a held machine would take no work until its order can be sent.
 				case in.MaintenanceDue[m.ID]:
 					due = append(due, m)
 				default:
@@ -413,7 +414,7 @@
 			p.removable = slices.Concat(p.removable, due, others)
 		}
 		for _, h := range p.load.ReleasableHosts {
-			if m, ok := byHost[h]; ok && m.Pool == p.name {
+			if m, ok := byHost[h]; ok && m.Pool == p.name && !in.Held[m.ID] {
 				p.releasable = append(p.releasable, m)
 			}
 		}
