--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -178,6 +178,12 @@
 	poolLoad   struct{ reply chan<- Answer }
 	vacateHost struct {
 		host  string
+		order shard.LeaveOrder
+		reply chan<- Answer
+	}
+	releaseHosts struct {
+		hosts []string
+		order shard.LeaveOrder
 		reply chan<- Answer
 	}
 	// leave has the owner empty no more hosts.
@@ -253,8 +259,14 @@
 
 // Vacate asks for a host to be emptied. The request expires, so the caller has to repeat it
 // until the answer reports the host as vacant.
-func (o *Owner) Vacate(ctx context.Context, host string) Answer {
-	return o.call(ctx, Refused, func(reply chan<- Answer) message { return vacateHost{host, reply} })
+func (o *Owner) Vacate(ctx context.Context, host string, order shard.LeaveOrder) Answer {
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return vacateHost{host, order, reply} })
+}
+
+// Release has hosts take work again that the same order has had emptied, except those that were called empty. It also ends
+// what earlier holders of the machines have asked for, whatever the hosts.
+func (o *Owner) Release(ctx context.Context, hosts []string, order shard.LeaveOrder) Answer {
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return releaseHosts{hosts, order, reply} })
 }
 
 // Leave has the owner empty no more hosts, since another entry is about to own the pool.
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -14,6 +14,7 @@
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/task"
 )
 
@@ -32,6 +33,8 @@
 	VerbPending Verb = "pending"
 	// VerbVacate asks for a host to be emptied.
 	VerbVacate Verb = "vacate"
+	// VerbRelease has hosts take work again that were to be emptied. Earlier releases refuse it.
+	VerbRelease Verb = "release"
 	// VerbLoad asks for the load of the pool.
 	VerbLoad Verb = "load"
 )
@@ -45,6 +48,18 @@
 	// Queue is the queue of the job, or for VerbPending the queue whose jobs are counted.
 	Queue port.Queue  `cbor:"4,keyasint"`
 	Spec  *batch.Spec `cbor:"5,keyasint,omitempty"`
+	// Leave says by whom and for what hosts are emptied. Earlier releases send none.
+	Leave *shard.LeaveOrder `cbor:"6,keyasint,omitempty"`
+	// Hosts are the hosts of VerbRelease.
+	Hosts []string `cbor:"7,keyasint,omitempty"`
+}
+
+// LeaveOrder returns the order of a request to empty a host, which is zero if it has none.
+func (r *Request) LeaveOrder() shard.LeaveOrder {
+	if r.Leave == nil {
+		return shard.LeaveOrder{}
+	}
+	return *r.Leave
 }
 
 // Frame is a message on a link: either a request or an answer.
