Start late jobs of which nothing runs on reserved and unhealthy hosts of an idle pool

Change: while less than half of the processor capacity of the schedulable and the unhealthy hosts is in use, a last pass of the round starts one task (or the whole gang) of each late job of which nothing has run for a second, on hosts that are reserved or kept for a task that crashes hosts late, then on unhealthy hosts. It reserves nothing. A larger step loses at most the room of such a task, for its time, and gets the same itself. Hosts that are kept for a suspect stay closed.

The reference of the planner has the same rule; TestPlanDecidesLikeTheReference found the trial without it.

Evidence: TestALateJobRunsOnReservedHostsWhileThePoolIsMostlyIdle and TestALateJobRunsOnAnUnhealthyHostWhileThePoolIsMostlyIdle fail without the pass.

--- a/fleet/shard/candidate.go
+++ b/fleet/shard/candidate.go
@@ -16,6 +16,8 @@
 	// what one task of it takes. Long-running tasks may be placed there.
 	reserved    bool
 	reservedFor batch.Size
+	// reservedApart reports whether it is reserved for a task that has to run apart.
+	reservedApart bool
 	// unanswered is the number of starts that the host has not answered. The host is busy if it may
 	// get no further one in this round. Both are kept for hosts with room only.
 	unanswered int
--- a/fleet/shard/gang.go
+++ b/fleet/shard/gang.go
@@ -10,9 +10,9 @@
 // startGang orders the start of all members of a gang, or of none. It reports whether it has started
 // the gang or reserved a host.
 func (s *State) startGang(
-	w *waitingStep, hosts, roomy candidates, permitted func(*Host) bool, limits *Limits, now time.Time,
+	w *waitingStep, set hostSet, roomy candidates, permitted func(*Host) bool, limits *Limits, now time.Time,
 ) bool {
-	step, stage := w.step, w.stage
+	step, stage, hosts := w.step, w.stage, set.hosts
 	for i := range stage.Tasks {
 		if stage.Tasks[i].Status != Idle || !s.mayStart(&stage.Tasks[i]) {
 			return false
@@ -23,7 +23,7 @@
 		chosen = s.placeGang(step, stage, hosts, permitted)
 	}
 	if chosen == nil {
-		return s.reserveHost(w, hosts)
+		return !set.starvedOnly && s.reserveHost(w, hosts)
 	}
 	var run int64
 	checkpoint := ""
--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -191,6 +191,7 @@
 		return false
 	}
 	best.reserve(best.host.Capacity)
+	best.reservedApart = true
 	s.reserved++
 	s.isolatedHosts++
 	return true
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -62,6 +62,9 @@
 			planOn(s, ranking, hostSet{hosts: others, preferred: hosts, longRunningOnly: true}, &limits, unconfirmed, now)
 		}
 	}
+	if limits.Starts > 0 {
+		startStarved(s, ranking, hosts, &limits, unconfirmed, now)
+	}
 	if limits.Starts > 0 {
 		s.probe(hosts, unconfirmed, now)
 	}
@@ -75,6 +78,13 @@
 	// longRunningOnly reports whether only long-running tasks that are in no gang may start. No host is reserved
 	// then, since no other work could take it.
 	longRunningOnly bool
+	// starvedOnly reports whether one task of each late job of which nothing runs may start. No host is reserved then.
+	starvedOnly bool
+}
+
+// takes reports whether tasks of a step may start on the hosts.
+func (set *hostSet) takes(w *waitingStep) bool {
+	return !(w.step.Gang && (set.longRunningOnly || len(set.preferred) > 0)) && !(set.starvedOnly && w.job.assigned > 0)
 }
 
 // planOn orders the starts that are possible on some hosts.
@@ -88,7 +98,7 @@
 	steps := newSelection(s, ranking, set, roomy, unconfirmed, now)
 	defer steps.close()
 	for w := steps.next(); w != nil; w = steps.next() {
-		if (set.longRunningOnly && w.step.Gang) || !s.startTasks(w, set, roomy, limits, now) {
+		if !set.takes(w) || !s.startTasks(w, set, roomy, limits, now) {
 			continue
 		}
 		roomy = roomy.withRoom(least)
@@ -125,7 +135,7 @@
 	stage.expand()
 	permitted := s.permitFilter(w.ref(), now)
 	if step.Gang {
-		return s.startGang(w, hosts, roomy, permitted, limits, now)
+		return s.startGang(w, set, roomy, permitted, limits, now)
 	}
 	changed, suspectWaits := false, false
 	for i := range stage.Tasks {
@@ -143,7 +153,7 @@
 		if s.mayHaveTicket(w) {
 			host = s.pickHost(step, stage, task, roomy, permitted, now)
 		}
-		if host == nil && set.longRunningOnly {
+		if host == nil && (set.longRunningOnly || set.starvedOnly) {
 			continue
 		}
 		if host == nil && task.Crashes.Hosts > 0 {
@@ -165,6 +175,9 @@
 		ref.Index = i
 		s.startTask(w.job, ref, stage, task, host, s.nextRun(task), limits, now)
 		changed = true
+		if set.starvedOnly {
+			break
+		}
 	}
 	if suspectWaits && s.reserveHost(w, hosts) {
 		changed = true
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -68,14 +68,15 @@
 	referenceUpdateOverloaded(s, demands, hosts)
 	slices.SortFunc(demands, func(a, b referenceDemand) int { return compare(&a, &b, now) })
 	for i := range demands {
-		hosts.startTasks(s, &demands[i], now, nil)
+		hosts.startTasks(s, &demands[i], now, nil, false)
 	}
 	lastResorts := referenceLastResorts(s, now)
 	for i := range demands {
 		if step := &demands[i].Job.Spec.Steps[demands[i].Step]; step.LongRunning && !step.Gang {
-			lastResorts.startTasks(s, &demands[i], now, &hosts)
+			lastResorts.startTasks(s, &demands[i], now, &hosts, false)
 		}
 	}
+	referenceStartStarved(s, demands, hosts, now)
 	referenceProbe(s, hosts, now)
 }
 
@@ -189,16 +190,9 @@
 // referenceStarvedFirst puts the late jobs of which nothing has run for a second before the other late ones while
 // there is spare capacity.
 func referenceStarvedFirst(compare compareDemands, spare bool) compareDemands {
-	starved := func(d *referenceDemand, now time.Time) bool {
-		idleSince := d.Job.AcceptedAt
-		if started := d.ClaimedAt.Add(d.Job.lastStart); started.After(idleSince) {
-			idleSince = started
-		}
-		return d.Job.assigned == 0 && now.Sub(idleSince) > time.Second
-	}
 	return func(a, b *referenceDemand, now time.Time) int {
-		if spare && a.LongRunning == b.LongRunning && a.slack(now) < 0 && b.slack(now) < 0 && starved(a, now) != starved(b, now) {
-			return firstIf(starved(a, now))
+		if spare && a.LongRunning == b.LongRunning && a.slack(now) < 0 && b.slack(now) < 0 && a.starved(now) != b.starved(now) {
+			return firstIf(a.starved(now))
 		}
 		return compare(a, b, now)
 	}
@@ -348,7 +342,13 @@
 	// a task that runs apart.
 	isolated, apart, reservedToIsolate bool
 	// reservedToEnd is set if the host is reserved for a step that ends.
-	reservedToEnd       bool
+	reservedToEnd bool
+	// newlyIsolated is set if a task that runs apart was started there. pool is nil unless other hosts bound the hosts that
+	// are kept for such tasks.
+	newlyIsolated bool
+	pool          referenceHosts
+	// closed is set while work goes to others of the hosts.
+	closed              bool
 	suspects, unsettled int
 	// othersWait reports whether a task that does not have to run apart waited when this round or one of the last
 	// second began.
@@ -466,14 +466,14 @@
 	return false
 }
 
-// startTasks starts the tasks of a step. If preferred is not nil, tasks that one of these hosts takes are left out, and no
-// host is reserved.
-func (hosts referenceHosts) startTasks(s *State, d *referenceDemand, now time.Time, preferred *referenceHosts) {
+// startTasks starts the tasks of a step, or one of them. If preferred is not nil, tasks that one of these hosts takes are left
+// out. No host is reserved then, nor for one task.
+func (hosts referenceHosts) startTasks(s *State, d *referenceDemand, now time.Time, preferred *referenceHosts, one bool) {
 	step := &d.Job.Spec.Steps[d.Step]
 	stage := &d.Job.Occurrences[d.Occurrence].Stages[d.Step]
 	permitted := s.permitFilter(batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step}, now)
 	if step.Gang {
-		hosts.startGang(s, d, step, stage, permitted, now)
+		hosts.startGang(s, d, step, stage, permitted, now, one)
 		return
 	}
 	suspectWaits := false
@@ -487,7 +487,7 @@
 		}
 		ref := batch.Ref{Job: d.Job.ID, Occurrence: d.Occurrence, Step: d.Step, Index: i}
 		k := hosts.pick(s, step, stage, task, permitted, now)
-		if k < 0 && preferred != nil {
+		if k < 0 && (preferred != nil || one) {
 			continue
 		}
 		if k < 0 && task.Crashes.Hosts > 0 {
@@ -503,6 +503,9 @@
 			return
 		}
 		hosts[k].start(s, d.Job, ref, stage, task, s.nextRun(task), now)
+		if one {
+			return
+		}
 	}
 	if suspectWaits {
 		hosts.reserve(s, d, step, stage, now)
@@ -512,6 +515,12 @@
 // mayIsolate reports whether a further host may be kept for tasks that run apart.
 func (hosts referenceHosts) mayIsolate() bool {
 	isolated := 0
+	if len(hosts) > 0 && hosts[0].pool != nil {
+		for i := range hosts {
+			isolated += count(hosts[i].newlyIsolated)
+		}
+		hosts = hosts[0].pool
+	}
 	for i := range hosts {
 		if hosts[i].isolated || hosts[i].reservedToIsolate {
 			isolated++
@@ -564,6 +573,7 @@
 	if task.Crashes.Hosts > 0 {
 		c.suspects++
 	}
+	c.newlyIsolated = c.newlyIsolated || (task.Crashes.Isolated && !c.isolated)
 	c.isolated = c.isolated || task.Crashes.Isolated
 	if step.LongRunning {
 		c.longRunning++
@@ -579,7 +589,7 @@
 	need := step.Reservation()
 	for k := range hosts {
 		c := &hosts[k]
-		if !c.free.Fits(need) || (permitted != nil && !permitted(c.host)) {
+		if c.closed || !c.free.Fits(need) || (permitted != nil && !permitted(c.host)) {
 			continue
 		}
 		if c.reserved && !step.LongRunning {
@@ -698,7 +708,7 @@
 	return emptied.placeMembers(step, stage, nil, nil) != nil
 }
 
-func (hosts referenceHosts) startGang(s *State, d *referenceDemand, step *batch.Step, stage *Stage, permitted func(*Host) bool, now time.Time) {
+func (hosts referenceHosts) startGang(s *State, d *referenceDemand, step *batch.Step, stage *Stage, permitted func(*Host) bool, now time.Time, starved bool) {
 	for i := range stage.Tasks {
 		if stage.Tasks[i].Status != Idle || !s.mayStart(&stage.Tasks[i]) {
 			return
@@ -706,7 +716,9 @@
 	}
 	chosen := hosts.placeGang(step, stage, permitted)
 	if chosen == nil {
-		hosts.reserve(s, d, step, stage, now)
+		if !starved {
+			hosts.reserve(s, d, step, stage, now)
+		}
 		return
 	}
 	var run int64
@@ -752,7 +764,7 @@
 		best := -1
 		for k := range hosts {
 			c := &hosts[k]
-			if c.reserved || c.isolated || !free[k].Fits(need) || (permitted != nil && !permitted(c.host)) || (rack != nil && c.rack != *rack) ||
+			if c.reserved || c.isolated || c.closed || !free[k].Fits(need) || (permitted != nil && !permitted(c.host)) || (rack != nil && c.rack != *rack) ||
 				(step.RequiredLabel != "" && !HasLabel(&c.host.Host, step.RequiredLabel)) ||
 				(step.PerHost > 0 && taken[k] >= step.PerHost) {
 				continue
--- a/fleet/shard/starved_test.go
+++ b/fleet/shard/starved_test.go
@@ -1,6 +1,8 @@
 package shard_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,3 +56,80 @@
 	fresh.Slack = time.Second
 	require.Positive(t, shard.StarvedFirst[shard.ByLoad]{Spare: true}.Compare(begun, fresh), "work that is not late goes first")
 }
+
+// Guards against jobs of which nothing runs (LOST), although the pool is mostly idle: all hosts with room were reserved for
+// larger steps.
+func TestALateJobRunsOnReservedHostsWhileThePoolIsMostlyIdle(t *testing.T) {
+	for name, count := range map[string]int{"mostly idle": 2, "half in use": 4} {
+		t.Run(name, func(t *testing.T) {
+			o := newOwner(t, 1, "a", "b")
+			filler := smallStep(count)
+			filler.PerHost = count / 2
+			o.submit("filler", filler)
+			running := o.start()
+			require.Len(t, running, count)
+			large := smallStep(1)
+			large.Need.MilliCores = 4000
+			o.submit("large-1", large)
+			o.submit("large-2", large)
+			o.advance(time.Second)
+			o.submit("small", smallStep(2))
+			gang := smallStep(2)
+			gang.Gang = true
+			o.submit("gang", gang)
+			o.advance(10 * time.Second)
+			o.reportRunning(running...)
+			started := map[string]int{}
+			for _, start := range o.start() {
+				started[start.Ref.Job]++
+			}
+			if count == 2 {
+				require.Equal(t, map[string]int{"small": 1, "gang": 2}, started, "one task of a job, all of a gang")
+				return
+			}
+			require.Empty(t, started, "the hosts are kept for the larger steps")
+		})
+	}
+}
+
+// Guards against jobs of which nothing runs (LOST), although the pool is mostly idle: the healthy hosts were full.
+func TestALateJobRunsOnAnUnhealthyHostWhileThePoolIsMostlyIdle(t *testing.T) {
+	for name, hosts := range map[string][]string{"mostly idle": {"a", "b", "c"}, "half in use": {"a", "b"}} {
+		t.Run(name, func(t *testing.T) {
+			o := newOwner(t, 1, hosts...)
+			for _, id := range hosts[1:] {
+				o.Hosts[id].UnhealthyUntil = o.now.Add(time.Minute)
+			}
+			o.submit("filler", smallStep(4))
+			running := o.start()
+			require.Len(t, running, 4)
+			o.submit("small", smallStep(3))
+			o.advance(10 * time.Second)
+			o.reportRunning(running...)
+			for _, id := range hosts[1:] {
+				o.report(id)
+			}
+			o.advance(time.Millisecond)
+			starts := o.start()
+			if len(hosts) == 2 {
+				require.Empty(t, starts)
+				return
+			}
+			require.Len(t, starts, 1)
+			require.NotEqual(t, "a", starts[0].Host)
+			require.Empty(t, o.start(), "a task of the job runs")
+		})
+	}
+}
+
+// reportRunning makes hosts report the runs of some starts.
+func (o *owner) reportRunning(starts ...shard.Order) {
+	rows := map[string][]any{}
+	for _, start := range starts {
+		rows[start.Host] = append(rows[start.Host], runningRow(start, 50))
+	}
+	for _, host := range slices.Sorted(maps.Keys(rows)) {
+		o.report(host, rows[host]...)
+	}
+	o.advance(time.Millisecond)
+}
