Report hosts that have ended as obstructed, not as leaving

What operators saw: blocks of 40 to 110 hosts that leave for seconds, waiting for an answer of the host.

Cause: a host whose machine was ordered stays in the list of hosts for up to 3 s, and its cordon lasts as long. It was counted as leaving.

Change: a host that is being emptied and has ended or is silent counts as obstructed.

--- a/fleet/shard/leave.go
+++ b/fleet/shard/leave.go
@@ -106,7 +106,7 @@
 	Draining int
 	// Arriving is the number of hosts that are known and may take no work yet.
 	Arriving int
-	// Obstructed is the number of the other hosts that may take no work.
+	// Obstructed is the number of the other hosts that may take no work, those that have ended or are silent included.
 	Obstructed int
 	// Longest lists the hosts that are being emptied, those that have been for the longest time first, up to the limit.
 	Longest []LeavingHost
@@ -123,9 +123,14 @@
 				o.Unused++
 			}
 		case Leaving:
-			if h.Draining {
+			switch {
+			case h.Draining:
 				o.Draining++
 				continue
+			case !s.isPresent(h, now):
+				// Its machine may have been ordered already.
+				o.Obstructed++
+				continue
 			}
 			o.Leaving[h.leave.Purpose]++
 			o.Longest = append(o.Longest, LeavingHost{Host: h.ID, Since: h.CordonedAt, Order: h.leave, Wait: s.waitOf(h, now)})
@@ -149,7 +154,7 @@
 		return ForLongRunning
 	case len(h.Assigned) > 0:
 		return ForWork
-	case h.UnknownRuns > 0 || !s.isPresent(h, now):
+	case h.UnknownRuns > 0 || !h.Confirmed:
 		return ForAnswer
 	}
 	return ForOrder
--- a/fleet/shard/leave_test.go
+++ b/fleet/shard/leave_test.go
@@ -49,6 +49,8 @@
 		{Host: busy, Since: since, Order: wave, Wait: shard.ForLongRunning}, {Host: idle[0], Since: since, Order: move, Wait: shard.ForOrder},
 	}, got.Longest)
 	require.Len(t, o.Occupancy(1, o.now).Longest, 1)
+	o.HostEnded(idle[0], o.now)
+	require.Zero(t, o.Occupancy(8, o.now).Leaving[shard.ForMove], "its machine has gone")
 }
 
 // Guards against hosts that take no work for a holder of the machines that was replaced: its requests went on, and the next one did
