Take a move back when the pool that gives needs the host again

Cause: a move once decided was carried out or given up after 4 s, whatever became of the load of both pools meanwhile.

Change: each plan compares the two pools of each move for which no order is under way. If the pool that gives lacks hosts for its usual load that can be in time, and lacks more of them than the pool that gets, or the host is to go to standby, the move is dropped and the owner uses the host again at once (sizing.Unwanted, pure). Late work calls no hosts back.

Evidence: both regression tests fail on the code before, which has no such decision; entry/mover and fleet/sizing pass.

--- a/entry/mover/release.go
+++ b/entry/mover/release.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"carawaymux.dev/fleet/shard"
+	"carawaymux.dev/fleet/sizing"
 )
 
 // announceResult is the answer of the owner of a pool that was told of this holder.
@@ -50,6 +51,18 @@
 	}
 }
 
+// takeBackUnwanted takes back the moves that are no longer wanted and for which no order is under way.
+func (c *core) takeBackUnwanted(in *sizing.Input) {
+	for _, m := range sizing.Unwanted(c.forecast.Sizer, in) {
+		if c.stepInFlight[m.Machine] {
+			continue
+		}
+		c.endMove(c.moves[m.Machine])
+		delete(in.Moving, m.Machine)
+		c.logger.Info("move taken back: the pool needs the host", "machine", m.Machine, "from", m.From, "to", m.To, "host", m.Host)
+	}
+}
+
 // endMove ends a move that is not carried out, and has the host used again.
 func (c *core) endMove(m move) {
 	delete(c.moves, m.Machine)
--- a/entry/mover/release_test.go
+++ b/entry/mover/release_test.go
@@ -70,3 +70,47 @@
 	}
 	return s.memoryStore.Append(ctx, stream, records, w, end)
 }
+
+// Guards against a host that leaves a pool whose load has come back while it was being emptied.
+func TestAMoveIsTakenBackWhenThePoolNeedsTheHostAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		machines := newWaveMachines("m-1", "m-2", "m-3")
+		var asked, back atomic.Bool
+		released := make(chan []string, 16)
+		h := startMoverWithin(t, newMemoryStore(t), mover.Deps{
+			Machines: machines, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Waves: func() []port.Wave { return nil },
+			Load: func(_ context.Context, pool string) (owner.Answer, bool) {
+				busy := sizing.Load{Hosts: 3, HostCapacity: 10_000, IdleHosts: []string{"h-m-1", "h-m-2", "h-m-3"}}
+				other := sizing.Load{Hosts: 1, HostCapacity: 10_000, Backlog: 100_000, ArrivalRate: 50_000, Arrivals: 1}
+				if back.Load() {
+					busy, other = sizing.Load{Hosts: 1, HostCapacity: 10_000, Running: 10_000, Backlog: 90_000, ArrivalRate: 90_000, Arrivals: 9},
+						sizing.Load{Hosts: 1, HostCapacity: 10_000}
+				}
+				if pool == "busy" {
+					return owner.Answer{Load: &busy}, true
+				}
+				return owner.Answer{Load: &other}, true
+			},
+			Vacate: func(context.Context, string, string, shard.LeaveOrder) (owner.Answer, bool) {
+				asked.Store(true)
+				return owner.Answer{}, true
+			},
+			Release: func(_ context.Context, pool string, hosts []string, _ shard.LeaveOrder) bool {
+				if len(hosts) > 0 {
+					released <- append([]string{pool}, hosts...)
+				}
+				return true
+			},
+		}, mover.Settings{Holder: "h", Term: 3 * time.Second})
+		defer h.Close()
+		for !asked.Load() {
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.Empty(t, released)
+		back.Store(true)
+		time.Sleep(time.Second)
+		require.Len(t, released, 1)
+		require.Equal(t, "busy", (<-released)[0])
+		require.Empty(t, machines.ordered())
+	})
+}
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -155,6 +155,7 @@
 		// Nothing is known about the load, so the pools stay as operators have provided them.
 		return
 	}
+	c.takeBackUnwanted(in)
 	in.Expected = c.forecast.Expected(in.Loads, now, c.settings.MoveTime+serviceDelay)
 	moves := sizing.Plan(c.sizing, c.forecast.Sizer, in, now)
 	c.orders.ReserveN(now, len(moves))
--- a/fleet/sizing/leaving_test.go
+++ b/fleet/sizing/leaving_test.go
@@ -28,3 +28,41 @@
 	require.Len(t, planned, 1)
 	require.Equal(t, "late-03", planned[0].Machine)
 }
+
+// busyPool returns the input for pool "late", which needs all its hosts for work in time, and pool "due", which needs many more. Hosts of
+// the first are idle for a moment.
+func busyPool(hosts int) *sizing.Input {
+	in := floodedPools(hosts)
+	l := in.Loads["late"]
+	l.RunningLate, l.Late, l.Backlog, l.Running = 0, 0, int64(hosts*hostCapacity), int64(hosts*hostCapacity/2)
+	l.IdleHosts, l.ReleasableHosts = l.ReleasableHosts, nil
+	in.Loads["late"], in.Budget = l, 3*hosts
+	d := in.Loads["due"]
+	d.Backlog, d.ArrivalRate = int64(10*hosts*hostCapacity), int64(10*hosts*hostCapacity)
+	in.Loads["due"] = d
+	return in
+}
+
+// Guards against hosts that leave a pool whose load has come back, for a pool that needs them less or for standby.
+func TestAMoveIsUnwantedOnceThePoolThatGivesNeedsTheHostMore(t *testing.T) {
+	const hosts = 20
+	in := busyPool(hosts)
+	in.Moving = map[string]sizing.Move{
+		"late-00": {Machine: "late-00", Host: "h-late-00", From: "late", To: "spare"}, "late-01": {Machine: "late-01", Host: "h-late-01", From: "late", To: "due"},
+	}
+	l := in.Loads["late"]
+	l.Running, l.Backlog = 0, 0
+	in.Loads["late"] = l
+	require.Empty(t, sizing.Unwanted(clearBacklog, in), "it needs none of them")
+	l.Running, l.Backlog, l.ArrivalRate = int64(hosts*hostCapacity), int64(hosts*hostCapacity), int64(hosts*hostCapacity)
+	in.Loads["late"] = l
+	require.Equal(t, []sizing.Move{in.Moving["late-00"]}, sizing.Unwanted(clearBacklog, in), "the other pool needs more hosts than it lacks")
+	d := in.Loads["due"]
+	d.Backlog, d.ArrivalRate, d.Running = 0, 0, 0
+	in.Loads["due"] = d
+	require.Len(t, sizing.Unwanted(clearBacklog, in), 2)
+	l.Late = l.Backlog
+	l.RunningLate, l.ArrivalRate = l.Running, 0
+	in.Loads["late"] = l
+	require.Empty(t, sizing.Unwanted(clearBacklog, in), "late work does not call hosts back")
+}
