Keep room for a long-running task that is to leave its host

The host of a long-running task is asked to become empty for as long as the wave lasts, and short work takes each core that becomes free elsewhere.

Cause: a task is stopped only if another host has room for it at the moment of the request. Reservations hold room for work that waits, and a task that runs does not.

Change: when such a task finds no room, the host with the most free capacity that could hold it is kept for it for a second, longer than the time between two requests; work that ends starts there no more. Room is kept for as many tasks of a step as may be stopped, and until the task has been stopped. The reference planner of the tests reads the same field: one rule more, no bound changed.

TestPlanDecidesLikeTheReference passes.

--- a/fleet/shard/candidate.go
+++ b/fleet/shard/candidate.go
@@ -37,7 +37,7 @@
 	for _, h := range hosts {
 		if s.Schedulable(h, now) {
 			out = out[:len(out)+1]
-			*out[len(out)-1] = candidate{host: h, free: h.free()}
+			*out[len(out)-1] = candidate{host: h, free: h.free(), reserved: now.Before(h.kept.until), reservedFor: h.kept.need}
 		}
 	}
 	s.markIsolation(out, now)
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -79,6 +79,8 @@
 	CalledEmptyUntil time.Time
 	// leave is the order by which the host was last asked to be emptied. It is zero if that is not known.
 	leave LeaveOrder
+	// kept is room that is kept for a long-running task on another host.
+	kept keptRoom
 	// blocked is set if a long-running task there could not be stopped when the host was last asked to be emptied.
 	blocked bool
 	// UnhealthyUntil is until when the host takes no new work because its runs failed or were
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -382,6 +382,10 @@
 
 func referenceCandidates(s *State, now time.Time) referenceHosts {
 	out := referenceHostsWhere(s, now, func(h *Host) bool { return s.Schedulable(h, now) })
+	for i := range out {
+		kept := &out[i].host.kept
+		out[i].reserved, out[i].reservedFor = now.Before(kept.until), kept.need
+	}
 	if referenceOthersWait(s, out) {
 		s.othersWaitedAt = now
 	}
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -53,7 +53,9 @@
 			if moves == nil {
 				moves = s.newRelocation(now)
 			}
-			if moves.place(r, step, stage, task) {
+			placed := moves.place(r, step, stage, task)
+			moves.keepRoom(r, step, stage, placed)
+			if placed {
 				s.orderStop(r, task, "host is being emptied")
 			} else {
 				h.blocked = true
@@ -176,6 +178,51 @@
 	return true
 }
 
+// keptRoom is room on a host that is kept for a long-running task which is to move there.
+type keptRoom struct {
+	ref   batch.Ref
+	need  batch.Size
+	until time.Time
+}
+
+// keepTime is how long room is kept after the request to empty the host of its task. It covers the next request, and the stop of
+// the task.
+const keepTime = time.Second
+
+// keepRoom keeps room on a host for a long-running task that is to move. If the task was not placed, no host has room now, and work that
+// ends would take each core that becomes free. Room is kept for as many tasks of a step as may be stopped.
+func (m *relocation) keepRoom(r batch.Ref, step *batch.Step, stage *Stage, placed bool) {
+	others := 0
+	for _, h := range m.state.sortedHosts() {
+		k := &h.kept
+		if !m.now.Before(k.until) || k.ref.Job != r.Job || k.ref.Occurrence != r.Occurrence || k.ref.Step != r.Step {
+			continue
+		}
+		if k.ref == r {
+			k.until = m.now.Add(keepTime)
+			return
+		}
+		others++
+	}
+	if placed || others >= max(step.MaxUnavailable, 1) {
+		return
+	}
+	permitted := m.state.permitFilter(r, m.now)
+	need := step.Reservation()
+	var best *candidate
+	for _, c := range m.hosts {
+		switch h := c.host; {
+		case m.now.Before(h.kept.until), !h.Capacity.Sub(h.longRunningUsed).Fits(need), !labelAllows(h, step.RequiredLabel):
+		case step.PerHost > 0 && tasksOnHost(stage, h.ID)+m.taken[stage][h.ID] >= step.PerHost, permitted != nil && !permitted(h):
+		case best == nil || c.free.MilliCores > best.free.MilliCores:
+			best = c
+		}
+	}
+	if best != nil {
+		best.host.kept = keptRoom{r, need, m.now.Add(keepTime)}
+	}
+}
+
 // mayStop reports whether one more task of a long-running step may be stopped by an order. One task
 // may be unavailable even if MaxUnavailable is 0, so that its host can be emptied.
 func (s *State) mayStop(step *batch.Step, stage *Stage, now time.Time) bool {
