Let hosts leave at the pace at which orders are taken

What callers saw: blocks of hosts that take no work wait for the orders of their machines: a plan was bounded by the orders of a second, but not by those that had not been carried out.

Change: the hosts that leave for moves at once are at most as many as the machine service takes orders for in a second. Each order that the service refuses for now or does not answer lowers that by an eighth, down to an eighth; each one taken raises it by one. A pool gives at most a fifth of its hosts at once, or what it has beyond the need for work that could run now and can be in time; what leaves for a wave counts. No new move is planned once the claim has not been confirmed for 1.5 s. All limits are rates or shares.

Evidence: the regression test fails without the limit (46 of 48 hosts leave at once); tested at 48 and 2,400 hosts. trial/model, fleet/sizing and the model of the holders pass.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -48,6 +48,9 @@
 	// confirmInterval is the maximum time for which the claim goes without a write that
 	// confirms it.
 	confirmInterval = 800 * time.Millisecond
+	// maxPlanAge is the largest age of the claim at which new moves are planned. A holder whose writes are answered in
+	// time stays well below it.
+	maxPlanAge = confirmInterval + 700*time.Millisecond
 	// reportBackoff is the time before a report to operators that failed is sent again.
 	reportBackoff = time.Second
 )
@@ -170,6 +173,8 @@
 	progressLoggedAt time.Time
 	// orders limits the moves that begin to what the machine service accepts.
 	orders *rate.Limiter
+	// pace limits the hosts that are leaving for moves at once.
+	pace pace
 	// moves holds the moves in progress by machine.
 	moves map[string]move
 	// released holds, by pool, the hosts to be used again whose owner is to be told.
@@ -208,7 +213,7 @@
 		waves:  map[int64]*upkeep.Wave{}, reportFailedAt: map[int64]time.Time{}, reportInFlight: map[int64]bool{},
 		standby: map[string]bool{}, authorized: map[string]time.Time{}, orderedStateAt: map[string]time.Time{},
 		hostlessSince: map[string]time.Time{}, unanswered: map[string]bool{},
-		sizing: sizing.NewState(), forecast: newForecast(stored.turns), orders: newOrderLimit(s.OrdersPerSecond), moves: map[string]move{}, stepInFlight: map[string]bool{},
+		sizing: sizing.NewState(), forecast: newForecast(stored.turns), orders: newOrderLimit(s.OrdersPerSecond), pace: newPace(movesPerSecond(s.OrdersPerSecond)), moves: map[string]move{}, stepInFlight: map[string]bool{},
 		released: map[string][]string{}, announced: map[string]bool{}, announcing: map[string]bool{},
 		loadAnswers: map[string]loadAnswer{}, loadInFlight: map[string]bool{}, orderedAt: map[string]time.Time{},
 	}
--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -74,13 +74,18 @@
 // newOrderLimit limits the moves to the share of the orders per second that the machine service accepts.
 // Moves that the plans of a second could have begun may begin at once.
 func newOrderLimit(perSecond float64) *rate.Limiter {
-	if perSecond <= 0 {
-		perSecond = defaultOrderRate
-	}
-	moves := perSecond * moveShare
+	moves := movesPerSecond(perSecond)
 	return rate.NewLimiter(rate.Limit(moves), max(int(moves), 1))
 }
 
+// movesPerSecond returns the moves per second of a service that accepts a number of orders, which is 0 if it is not known.
+func movesPerSecond(orders float64) float64 {
+	if orders <= 0 {
+		orders = defaultOrderRate
+	}
+	return orders * moveShare
+}
+
 type (
 	// loadAnswer is the load of a pool as its owner reported it when asked at the time at. The
 	// load is nil if the owner did not report one.
@@ -130,6 +135,7 @@
 		Loads: map[string]sizing.Load{}, Machines: c.machines, Standby: c.standby,
 		Moving: map[string]sizing.Move{}, Emptying: map[string]bool{}, Held: map[string]bool{},
 		MaintenanceDue: map[string]bool{}, Budget: int(c.orders.TokensAt(now)),
+		MaxLeaving: c.pace.hosts(),
 	}
 	for pool, l := range c.loadAnswers {
 		if now.Sub(l.at) < loadTTL {
@@ -156,6 +162,10 @@
 		return
 	}
 	c.takeBackUnwanted(in)
+	if now.Sub(c.confirmedAt) > maxPlanAge {
+		// Another holder may be there before the moves could be ordered.
+		return
+	}
 	in.Expected = c.forecast.Expected(in.Loads, now, c.settings.MoveTime+serviceDelay)
 	moves := sizing.Plan(c.sizing, c.forecast.Sizer, in, now)
 	c.orders.ReserveN(now, len(moves))
@@ -209,6 +219,9 @@
 		return
 	}
 	now := time.Now()
+	if r.err != nil || r.outcome == port.OrderBusy {
+		c.pace.notTaken()
+	}
 	if r.err != nil {
 		c.logger.Warn("move order not answered", "machine", r.machine, "to", m.To, "err", r.err)
 		c.abandonLateMove(m, now)
@@ -216,6 +229,7 @@
 	}
 	switch r.outcome {
 	case port.OrderDone:
+		c.pace.taken()
 		c.deps.Stats.Add("moves", 1, "from", m.From, "to", m.To)
 		c.logger.Info("machine moved", "machine", r.machine, "from", m.From, "to", m.To,
 			"after-ms", now.Sub(m.since).Milliseconds())
--- a/fleet/sizing/leaving_test.go
+++ b/fleet/sizing/leaving_test.go
@@ -43,6 +43,33 @@
 	return in
 }
 
+// Guards against a pool whose hosts leave all at once although its own work needs them.
+func TestAPoolGivesAtMostAFifthOfTheHostsThatItNeedsAtOnce(t *testing.T) {
+	for _, hosts := range []int{48, 2400} {
+		in := busyPool(hosts)
+		l := in.Loads["late"]
+		// The flood is in time, and exceeds the usual load of the pool.
+		l.Running, l.Backlog, l.ReleasableHosts, l.IdleHosts = int64(hosts*hostCapacity), int64(100*hosts*hostCapacity), l.IdleHosts, nil
+		in.Loads["late"] = l
+		in.Expected = map[string]sizing.Expected{"late": {Normal: 2}, "due": {Normal: 10 * hosts}}
+		planned := sizing.Plan(sizing.NewState(), clearBacklog, in, time.Unix(1_700_000_000, 0))
+		require.NotEmpty(t, planned)
+		require.LessOrEqual(t, len(planned), hosts/5)
+
+		l.IdleHosts, l.ReleasableHosts = l.ReleasableHosts, nil
+		l.ArrivalRate, l.Running, l.Backlog = 0, 0, 0
+		in.Loads["late"] = l
+		planned = sizing.Plan(sizing.NewState(), clearBacklog, in, time.Unix(1_700_000_000, 0))
+		require.Greater(t, len(planned), hosts/2, "it has no demand of its own")
+		in.MaxLeaving = hosts / 10
+		planned = sizing.Plan(sizing.NewState(), clearBacklog, in, time.Unix(1_700_000_000, 0))
+		require.Len(t, planned, hosts/10)
+		in.Moving = map[string]sizing.Move{planned[0].Machine: planned[0]}
+		planned = sizing.Plan(sizing.NewState(), clearBacklog, in, time.Unix(1_700_000_000, 0))
+		require.Len(t, planned, hosts/10-1, "one is on its way")
+	}
+}
+
 // Guards against hosts that leave a pool whose load has come back, for a pool that needs them less or for standby.
 func TestAMoveIsUnwantedOnceThePoolThatGivesNeedsTheHostMore(t *testing.T) {
 	const hosts = 20
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -255,6 +255,8 @@
 	Expected map[string]Expected
 	// Budget is the number of moves that may begin now. It is not negative.
 	Budget int
+	// MaxLeaving is the number of hosts that may be leaving their pools for moves at once. 0 means no limit.
+	MaxLeaving int
 }
 
 // surplusDelay is how long a pool must have more hosts than desired before it gives a machine to
@@ -298,16 +300,15 @@
 func Plan[P Policy](s *State, policy P, in *Input, now time.Time) []Move {
 	pools, standby := surveyPools(policy, in)
 	var out []Move
-	movesLeft := in.Budget
+	setShares(pools, in, policy)
+	limit := newMoveLimit(pools, in)
 	add := func(m Move) bool {
-		if movesLeft <= 0 || s.Refused[Move{From: m.From, To: m.To}] {
+		if s.Refused[Move{From: m.From, To: m.To}] || !limit.take(&m) {
 			return false
 		}
-		movesLeft--
 		out = append(out, m)
 		return true
 	}
-	setShares(pools, in, policy)
 	// The pool that lacks the most hosts is served first.
 	slices.SortFunc(pools, func(a, b *pool) int {
 		return cmp.Or(cmp.Compare(b.desired-b.current, a.desired-a.current), cmp.Compare(a.name, b.name))
@@ -346,7 +347,7 @@
 		}
 	}
 	s.Shortage = findShortage(pools)
-	out = append(out, s.parkSurplus(pools, in, now, movesLeft)...)
+	out = append(out, s.parkSurplus(pools, in, now, limit)...)
 	return out
 }
 
@@ -531,7 +532,7 @@
 }
 
 // parkSurplus moves machines to standby from pools that have had a surplus for surplusDelay.
-func (s *State) parkSurplus(pools []*pool, in *Input, now time.Time, movesLeft int) []Move {
+func (s *State) parkSurplus(pools []*pool, in *Input, now time.Time, limit *moveLimit) []Move {
 	to := ""
 	for name, standby := range in.Standby {
 		if standby && (to == "" || name < to) {
@@ -555,12 +556,14 @@
 		if now.Sub(since) < surplusDelay || s.Refused[Move{From: p.name, To: to}] {
 			continue
 		}
-		for p.current > p.expected && len(p.removable) > 0 && movesLeft > 0 {
-			m := p.removable[0]
+		for p.current > p.expected && len(p.removable) > 0 {
+			m := Move{Machine: p.removable[0].ID, Host: p.removable[0].Host, From: p.name, To: to}
+			if !limit.take(&m) {
+				break
+			}
 			p.removable = p.removable[1:]
 			p.current--
-			movesLeft--
-			out = append(out, Move{Machine: m.ID, Host: m.Host, From: p.name, To: to})
+			out = append(out, m)
 		}
 	}
 	return out
