Take idle hosts before machines on standby that may not be ordered yet

What callers saw: after a change of the holder of the machines, a quarter of a second more without hosts.

Change: held machines on standby are taken after the idle hosts of other pools. What fills pools moves to its own file, unchanged otherwise.

Evidence: the regression test fails on the code before; fleet/sizing, trial/model, entry/mover and entry/owner pass.

--- a/fleet/sizing/leaving_test.go
+++ b/fleet/sizing/leaving_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/sizing"
 )
 
@@ -29,6 +30,24 @@
 	require.Equal(t, "late-03", planned[0].Machine)
 }
 
+// Guards against a pool that waits for a machine on standby which may not be ordered yet, beside idle hosts of another pool: the former
+// holder of the machines had ordered it.
+func TestAnIdleHostGoesBeforeAHeldMachineOnStandby(t *testing.T) {
+	in := floodedPools(12)
+	l := in.Loads["late"]
+	l.Running, l.RunningLate, l.Backlog, l.Late, l.IdleHosts, l.ReleasableHosts = 0, 0, 0, 0, l.ReleasableHosts, nil
+	in.Loads["late"], in.Budget = l, 1
+	in.Machines["spare-0"] = port.Machine{ID: "spare-0", Pool: "spare", State: port.MachineUp}
+	planned := sizing.Plan(sizing.NewState(), clearBacklog, in, time.Unix(1_700_000_000, 0))
+	require.Equal(t, "spare-0", planned[0].Machine)
+	in.Held = map[string]bool{"spare-0": true}
+	planned = sizing.Plan(sizing.NewState(), clearBacklog, in, time.Unix(1_700_000_000, 0))
+	require.Equal(t, "late", planned[0].From)
+	delete(in.Loads, "late")
+	planned = sizing.Plan(sizing.NewState(), clearBacklog, in, time.Unix(1_700_000_000, 0))
+	require.Equal(t, "spare-0", planned[0].Machine, "there is no other")
+}
+
 // busyPool returns the input for pool "late", which needs all its hosts for work in time, and pool "due", which needs many more. Hosts of
 // the first are idle for a moment.
 func busyPool(hosts int) *sizing.Input {
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -353,7 +353,8 @@
 
 // surveyPools determines the current, desired and required hosts of each pool, and the machines
 // that may be moved.
-func surveyPools[P Policy](policy P, in *Input) (pools []*pool, standby []port.Machine) {
+func surveyPools[P Policy](policy P, in *Input) (pools []*pool, standby standbyMachines) {
+	standby.held = in.Held
 	byName := map[string]*pool{}
 	for name, l := range in.Loads {
 		if in.Standby[name] {
@@ -381,7 +382,7 @@
 		case m.State != port.MachineUp:
 		case in.Standby[m.Pool]:
 			if !in.Emptying[id] {
-				standby = append(standby, m)
+				standby.machines = append(standby.machines, m)
 			}
 		case p != nil && !in.Emptying[id]:
 			// A machine that is being emptied does not count, since its work needs room
@@ -420,7 +421,7 @@
 			}
 		}
 	}
-	slices.SortFunc(standby, func(a, b port.Machine) int {
+	slices.SortFunc(standby.machines, func(a, b port.Machine) int {
 		return cmp.Or(cmp.Compare(standbyRank(in, a), standbyRank(in, b)), cmp.Compare(a.ID, b.ID))
 	})
 	return pools, standby
@@ -438,99 +439,6 @@
 	return 0
 }
 
-// fillAhead finds a machine for the expected load of a pool: one on standby, or one that another pool is
-// not expected to need.
-func (s *State) fillAhead(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
-	for i, m := range *standby {
-		if add(Move{Machine: m.ID, From: m.Pool, To: p.name}) {
-			*standby = slices.Delete(*standby, i, i+1)
-			return true
-		}
-	}
-	for _, q := range slices.Backward(pools) {
-		if q.current > q.expected && s.takeFrom(p, q, add) {
-			return true
-		}
-	}
-	return false
-}
-
-// fillPool finds a machine for the present load of a pool: one that fillAhead finds, or one that
-// another pool keeps for a load that is less certain.
-func (s *State) fillPool(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
-	if s.fillAhead(p, pools, standby, add) {
-		return true
-	}
-	// The pool whose load is the least likely gives first, and of equal ones the pool that keeps the most.
-	keepers := slices.SortedFunc(slices.Values(pools), func(a, b *pool) int {
-		return cmp.Or(cmp.Compare(a.probability, b.probability), cmp.Compare(b.current-b.desired, a.current-a.desired))
-	})
-	for _, q := range keepers {
-		if q.current > max(q.desired, q.reserved) && q.idle > 0 && s.takeFrom(p, q, add) {
-			return true
-		}
-	}
-	// Work that waits now takes precedence over work that another pool expects.
-	for _, q := range slices.Backward(pools) {
-		if p.load.Backlog > 0 && p.current < p.required && q.current > max(q.required, q.reserved) && q.idle > 0 && s.takeFrom(p, q, add) {
-			return true
-		}
-	}
-	return false
-}
-
-// fillLate finds a machine for the part of the present load that is late: one that fillAhead finds, or, as long as
-// nothing of the load is late, one that fillPool finds.
-func (s *State) fillLate(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
-	if p.load.Late > 0 {
-		return s.fillAhead(p, pools, standby, add)
-	}
-	return s.fillPool(p, pools, standby, add)
-}
-
-// fillOversized finds a machine that can hold the work that is too large for all hosts of a pool: one on
-// standby, or one that another pool is not expected to need.
-func (s *State) fillOversized(p *pool, pools []*pool, standby *[]port.Machine, add func(Move) bool) bool {
-	for i, m := range *standby {
-		if m.Capacity.Fits(p.load.Oversized) && add(Move{Machine: m.ID, From: m.Pool, To: p.name}) {
-			*standby = slices.Delete(*standby, i, i+1)
-			return true
-		}
-	}
-	for _, q := range slices.Backward(pools) {
-		if q == p || q.current <= q.expected {
-			continue
-		}
-		for i, m := range q.removable {
-			if m.Capacity.Fits(p.load.Oversized) && add(Move{Machine: m.ID, Host: m.Host, From: q.name, To: p.name}) {
-				q.removable = slices.Delete(q.removable, i, i+1)
-				q.current--
-				if i < q.idle {
-					q.idle--
-				}
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// takeFrom moves the machine of q that is cheapest to move to p. It returns false when q has none
-// that may be moved.
-func (s *State) takeFrom(p, q *pool, add func(Move) bool) bool {
-	if q == p || len(q.removable) == 0 {
-		return false
-	}
-	m := q.removable[0]
-	if !add(Move{Machine: m.ID, Host: m.Host, From: q.name, To: p.name}) {
-		return false
-	}
-	q.removable = q.removable[1:]
-	q.current--
-	q.idle--
-	return true
-}
-
 // parkSurplus moves machines to standby from pools that have had a surplus for surplusDelay.
 func (s *State) parkSurplus(pools []*pool, in *Input, now time.Time, limit *moveLimit) []Move {
 	to := ""
