Start late jobs of which nothing runs on hosts that are being emptied

Change: what the last pass of a round leaves waiting for two seconds goes to hosts that have been emptied for two seconds, for six at most unless a long-running task keeps them from being empty, and to hosts that are kept for a suspect until it has settled. Work that starts on a host that is being emptied is stopped six seconds after its own start, so emptying takes twelve at most. Suspects of crashes do not start there, since the end of such a host counts as no crash. A host that was called empty takes no work whatever it reports afterwards; that was read from the tasks on it, and now also holds for the long-running work that such hosts take.

Evidence: TestALateJobRunsOnAHostThatIsBeingEmptiedWhileThePoolIsMostlyIdle fails on the commit before.

--- a/fleet/shard/candidate.go
+++ b/fleet/shard/candidate.go
@@ -46,11 +46,11 @@
 	return out
 }
 
-// lastResorts returns the hosts that get no new work but for long-running work that no other host takes.
-func (s *State) lastResorts(now time.Time) candidates {
+// lastResorts returns the hosts that get no new work but for work of a kind that no other host takes.
+func (s *State) lastResorts(kind workKind, now time.Time) candidates {
 	var out candidates
 	for _, h := range s.sortedHosts() {
-		if s.obstacleTo(h, now, true) == NoObstacle && !s.Schedulable(h, now) {
+		if s.obstacleTo(h, now, kind) == NoObstacle && !s.Schedulable(h, now) {
 			c := &candidate{host: h, free: h.free()}
 			c.markIsolation(s, now)
 			out = append(out, c)
--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -37,10 +37,20 @@
 )
 
 // ObstacleTo returns why a host gets no new work.
-func (s *State) ObstacleTo(h *Host, now time.Time) Obstacle { return s.obstacleTo(h, now, false) }
+func (s *State) ObstacleTo(h *Host, now time.Time) Obstacle { return s.obstacleTo(h, now, anyWork) }
 
-// obstacleTo is ObstacleTo, or what keeps a host from long-running work that no other host takes.
-func (s *State) obstacleTo(h *Host, now time.Time, lastResort bool) Obstacle {
+// workKind is a kind of work as far as it decides which hosts take it.
+type workKind uint8
+
+const (
+	anyWork workKind = iota
+	// lastingWork is long-running work that no other host takes, and starvedWork that of late jobs of which nothing runs.
+	lastingWork
+	starvedWork
+)
+
+// obstacleTo returns what keeps a host from work of a kind.
+func (s *State) obstacleTo(h *Host, now time.Time, kind workKind) Obstacle {
 	switch {
 	case !h.Listed || !h.Stored:
 		return Unlisted
@@ -48,9 +58,9 @@
 		return Unconfirmed
 	case !h.recordIsCurrent():
 		return Outdated
-	case h.Draining || (!now.After(h.CordonedUntil) && !(lastResort && h.staysUp(now))):
+	case h.Draining || (!now.After(h.CordonedUntil) && !h.mayTake(kind, now)):
 		return Leaving
-	case (!lastResort && !now.After(h.UnhealthyUntil)) || !now.After(h.FullUntil):
+	case (kind == anyWork && !now.After(h.UnhealthyUntil)) || !now.After(h.FullUntil):
 		return Unhealthy
 	case now.Sub(h.LastAnswer) >= answerTimeout:
 		return Silent
@@ -119,7 +129,7 @@
 func (s *State) explainPlacement(step *batch.Step, stage *Stage, task *Task, ref batch.Ref, now time.Time) Reason {
 	hosts := s.candidates(now)
 	if step.LongRunning && !step.Gang {
-		hosts = slices.Concat(hosts, s.lastResorts(now))
+		hosts = slices.Concat(hosts, s.lastResorts(lastingWork, now))
 	}
 	if len(hosts) == 0 {
 		return NoHost
--- a/fleet/shard/gang.go
+++ b/fleet/shard/gang.go
@@ -23,7 +23,7 @@
 		chosen = s.placeGang(step, stage, hosts, permitted)
 	}
 	if chosen == nil {
-		return !set.starvedOnly && s.reserveHost(w, hosts)
+		return set.starvedFor == 0 && s.reserveHost(w, hosts)
 	}
 	var run int64
 	checkpoint := ""
--- a/fleet/shard/health.go
+++ b/fleet/shard/health.go
@@ -105,7 +105,7 @@
 	}
 	for _, h := range s.sortedHosts() {
 		if h.fails(now) && now.Sub(h.failingSince) >= probeDelay && !succeeded.After(h.failingSince) &&
-			s.obstacleTo(h, now, true) == NoObstacle && s.workWaitsFor(h, hosts, unconfirmed) {
+			s.obstacleTo(h, now, lastingWork) == NoObstacle && s.workWaitsFor(h, hosts, unconfirmed) {
 			h.reopen()
 			return
 		}
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -77,6 +77,9 @@
 	CordonedUntil, CordonedAt time.Time
 	// blocked is set if a long-running task there could not be stopped when the host was last asked to be emptied.
 	blocked bool
+	// calledEmpty is set if the host may have been called empty since CordonedAt. It takes no work before CordonedUntil then,
+	// since its machine may be ordered.
+	calledEmpty bool
 	// UnhealthyUntil is until when the host takes no new work because its runs failed or were
 	// slow.
 	UnhealthyUntil time.Time
--- a/fleet/shard/isolate.go
+++ b/fleet/shard/isolate.go
@@ -149,6 +149,9 @@
 		return true
 	case c.isolated || (c.apart && !step.LongRunning):
 		return false
+	case task.Crashes.Hosts > 0 && !step.LongRunning && !now.After(c.host.CordonedUntil):
+		// The end of a host that is being emptied does not count as a crash.
+		return false
 	case task.Crashes.Hosts == 0:
 		return true
 	case !task.Crashes.Isolated:
--- a/fleet/shard/permit.go
+++ b/fleet/shard/permit.go
@@ -114,7 +114,7 @@
 	})
 	defer ranked.release()
 	var hosts candidates
-	lastResorts := sync.OnceValue(func() candidates { return s.lastResorts(now) })
+	lastResorts := sync.OnceValue(func() candidates { return s.lastResorts(lastingWork, now) })
 	for w := ranked.pop(); w != nil; w = ranked.pop() {
 		if hosts == nil {
 			hosts = s.candidates(now)
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -56,7 +56,7 @@
 	s.updateOverloaded(hosts, unconfirmed)
 	planOn(s, ranking, hostSet{hosts: hosts}, &limits, unconfirmed, now)
 	if s.backlog.longRunningTasks > 0 && limits.Starts > 0 {
-		if others := s.lastResorts(now); len(others) > 0 {
+		if others := s.lastResorts(lastingWork, now); len(others) > 0 {
 			// Waiting costs long-running work more than a host that fails its work now and then, or another move.
 			s.backlog.advance(now.Sub(s.backlog.origin))
 			planOn(s, ranking, hostSet{hosts: others, preferred: hosts, longRunningOnly: true}, &limits, unconfirmed, now)
@@ -78,13 +78,17 @@
 	// longRunningOnly reports whether only long-running tasks that are in no gang may start. No host is reserved
 	// then, since no other work could take it.
 	longRunningOnly bool
-	// starvedOnly reports whether one task of each late job of which nothing runs may start. No host is reserved then.
-	starvedOnly bool
+	// starvedFor is how long nothing of a late job has to run for one task of it to start, and 0 if any task may
+	// start. If it is set, no host is reserved.
+	starvedFor time.Duration
 }
 
 // takes reports whether tasks of a step may start on the hosts.
 func (set *hostSet) takes(w *waitingStep) bool {
-	return !(w.step.Gang && (set.longRunningOnly || len(set.preferred) > 0)) && !(set.starvedOnly && w.job.assigned > 0)
+	if w.step.Gang && (set.longRunningOnly || len(set.preferred) > 0) {
+		return false
+	}
+	return set.starvedFor == 0 || (w.job.assigned == 0 && w.demand.Idle > set.starvedFor)
 }
 
 // planOn orders the starts that are possible on some hosts.
@@ -153,7 +157,7 @@
 		if s.mayHaveTicket(w) {
 			host = s.pickHost(step, stage, task, roomy, permitted, now)
 		}
-		if host == nil && (set.longRunningOnly || set.starvedOnly) {
+		if host == nil && (set.longRunningOnly || set.starvedFor > 0) {
 			continue
 		}
 		if host == nil && task.Crashes.Hosts > 0 {
@@ -175,7 +179,7 @@
 		ref.Index = i
 		s.startTask(w.job, ref, stage, task, host, s.nextRun(task), limits, now)
 		changed = true
-		if set.starvedOnly {
+		if set.starvedFor > 0 {
 			break
 		}
 	}
--- a/fleet/shard/reference_starved_test.go
+++ b/fleet/shard/reference_starved_test.go
@@ -6,16 +6,21 @@
 )
 
 // referenceStartStarved starts a task of each late job of which nothing has run for a second, while less than half of the
-// processor capacity is in use: on hosts that are reserved or have a task that is kept apart, then on unhealthy ones.
+// processor capacity is in use, on hosts that are reserved or have a task that is kept apart. After two seconds, it does so on
+// hosts that are isolated, unhealthy, or have been emptied for two seconds.
 func referenceStartStarved(s *State, demands []referenceDemand, hosts referenceHosts, now time.Time) {
-	unhealthy := referenceHostsWhere(s, now, func(h *Host) bool {
+	closed := referenceHostsWhere(s, now, func(h *Host) bool {
 		healthy := *h
 		healthy.UnhealthyUntil = time.Time{}
+		emptyingFor := now.Sub(h.CordonedAt)
+		if len(h.Assigned) > 0 && !h.calledEmpty && emptyingFor > 2*time.Second && (h.blocked || emptyingFor <= 6*time.Second) {
+			healthy.CordonedUntil = time.Time{}
+		}
 		return !s.Schedulable(h, now) && s.Schedulable(&healthy, now)
 	})
 	var idle, capacity int64
 	kept := false
-	for _, c := range slices.Concat(hosts, unhealthy) {
+	for _, c := range slices.Concat(hosts, closed) {
 		used, _ := referenceUsed(s, c.host)
 		idle, capacity = idle+c.host.Capacity.MilliCores-used.MilliCores, capacity+c.host.Capacity.MilliCores
 	}
@@ -25,11 +30,11 @@
 	if 2*idle <= capacity {
 		return
 	}
-	start := func(on referenceHosts, preferred *referenceHosts) {
+	start := func(on referenceHosts, preferred *referenceHosts, idle time.Duration) {
 		for i := range demands {
 			d := &demands[i]
 			step, stage := &d.Job.Spec.Steps[d.Step], &d.Job.Occurrences[d.Occurrence].Stages[d.Step]
-			if !step.LongRunning && stage.idle > 0 && d.slack(now) < 0 && d.starved(now) && (!step.Gang || preferred == nil) {
+			if !step.LongRunning && stage.idle > 0 && d.slack(now) < 0 && d.idleFor(now) > idle && (!step.Gang || preferred == nil) {
 				on.startTasks(s, d, now, preferred, true)
 			}
 		}
@@ -42,22 +47,34 @@
 				c.reserved, c.apart = false, false
 			}
 		}
-		start(hosts, nil)
+		start(hosts, nil, time.Second)
 		for i := range hosts {
 			hosts[i].closed = false
 		}
 	}
-	for i := range unhealthy {
-		unhealthy[i].pool = hosts
+	for _, c := range hosts {
+		if c.isolated && !c.reservedToIsolate {
+			c.isolated, c.apart, c.reserved, c.newlyIsolated = false, false, false, false
+			closed = append(closed, c)
+		}
+	}
+	for i := range closed {
+		closed[i].pool = hosts
 	}
-	start(unhealthy, &hosts)
+	start(closed, &hosts, 2*time.Second)
 }
 
 // starved reports whether nothing of the job has run for a second.
-func (d *referenceDemand) starved(now time.Time) bool {
+func (d *referenceDemand) starved(now time.Time) bool { return d.idleFor(now) > time.Second }
+
+// idleFor returns the time since a task of the job was started, or the job was accepted, and 0 while any is on a host.
+func (d *referenceDemand) idleFor(now time.Time) time.Duration {
 	idleSince := d.Job.AcceptedAt
 	if started := d.ClaimedAt.Add(d.Job.lastStart); started.After(idleSince) {
 		idleSince = started
 	}
-	return d.Job.assigned == 0 && now.Sub(idleSince) > time.Second
+	if d.Job.assigned > 0 {
+		return 0
+	}
+	return now.Sub(idleSince)
 }
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -87,7 +87,7 @@
 		h := s.Hosts[id]
 		healthy := *h
 		healthy.UnhealthyUntil = time.Time{}
-		if len(h.Assigned) > 0 && h.blocked && now.Sub(h.CordonedAt) > 2*time.Second {
+		if len(h.Assigned) > 0 && h.blocked && !h.calledEmpty && now.Sub(h.CordonedAt) > 2*time.Second {
 			healthy.CordonedUntil = time.Time{}
 		}
 		closed := h.UnhealthyUntil == h.failingUntil && now.Before(h.UnhealthyUntil) && now.Sub(h.failingSince) >= 2*time.Second
@@ -397,7 +397,7 @@
 	return referenceHostsWhere(s, now, func(h *Host) bool {
 		healthy := *h
 		healthy.UnhealthyUntil = time.Time{}
-		if len(h.Assigned) > 0 && h.blocked && now.Sub(h.CordonedAt) > 2*time.Second {
+		if len(h.Assigned) > 0 && h.blocked && !h.calledEmpty && now.Sub(h.CordonedAt) > 2*time.Second {
 			healthy.CordonedUntil = time.Time{}
 		}
 		return !s.Schedulable(h, now) && s.Schedulable(&healthy, now)
@@ -541,6 +541,9 @@
 	if c.isolated || (c.apart && !step.LongRunning) {
 		return false
 	}
+	if task.Crashes.Hosts > 0 && !step.LongRunning && !now.After(c.host.CordonedUntil) {
+		return false
+	}
 	if task.Crashes.Isolated && step.LongRunning {
 		return c.unsettled == 0
 	}
--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -19,8 +19,8 @@
 	rooms        map[roomKey]*rooms
 	// taken holds the steps that were returned. They are in no group until the round has ended.
 	taken []*waitingStep
-	// starvedOnly is as in the set of hosts.
-	starvedOnly bool
+	// reserves reports whether hosts may be reserved.
+	reserves bool
 }
 
 // candidateGroup is a group with the steps that come next.
@@ -82,10 +82,10 @@
 func newSelection[R Ranking](s *State, ranking R, set hostSet, roomy candidates, unconfirmed bool, now time.Time) *selection[R] {
 	l := &selection[R]{
 		state: s, ranking: ranking, age: now.Sub(s.backlog.origin), hosts: set.hosts, roomy: roomy, rooms: map[roomKey]*rooms{},
-		starvedOnly: set.starvedOnly,
+		reserves: set.starvedFor == 0,
 	}
 	for _, g := range s.backlog.groups {
-		if (g.inherited && unconfirmed) || (set.longRunningOnly && !g.longRunning) || (set.starvedOnly && (!g.starved || g.longRunning)) {
+		if (g.inherited && unconfirmed) || (set.longRunningOnly && !g.longRunning) || (set.starvedFor > 0 && (!g.starved || g.longRunning)) {
 			continue
 		}
 		key := roomKey{g.label, g.longRunning}
@@ -112,7 +112,7 @@
 	for i := range l.groups {
 		g := &l.groups[i]
 		g.rooms.collect(l.hosts, l.roomy)
-		g.mayReserve = !l.starvedOnly && (g.longRunning || g.exempt || l.state.reservations < l.state.maxReservations)
+		g.mayReserve = l.reserves && (g.longRunning || g.exempt || l.state.reservations < l.state.maxReservations)
 		if g.start != nil && (g.start.group != g.group || !g.couldStart(g.start.need, g.start.need)) {
 			g.start = nil
 		}
--- a/fleet/shard/starved.go
+++ b/fleet/shard/starved.go
@@ -5,13 +5,17 @@
 	"time"
 )
 
+// starvedPatience is how long nothing of a late job has to run for it to be started on hosts that take no other new work.
+const starvedPatience = 2 * time.Second
+
 // startStarved orders the start of one task of each late job of which nothing runs, while less than half of the processor
 // capacity is in use. It uses hosts that the round has kept for other work, that is, hosts that are reserved for steps which
-// do not fit yet and hosts with a task that is kept apart since it crashes hosts late. Hosts that are kept for suspects
-// until these have settled are left out, since that is short. Work that no such host takes goes to unhealthy hosts.
+// do not fit yet and hosts with a task that is kept apart since it crashes hosts late. What no such host takes goes, after
+// starvedPatience, to hosts that are kept for a suspect until it has settled, unhealthy hosts and hosts that are being
+// emptied.
 func startStarved[R Ranking](s *State, ranking R, hosts candidates, limits *Limits, unconfirmed bool, now time.Time) {
-	kept, unhealthy := hosts.keptForOthers(), s.unhealthyHosts(now)
-	if (!kept && len(unhealthy) == 0) || !mostlyIdle(hosts, unhealthy) {
+	kept, closed := hosts.keptForOthers(), s.closedHosts(now)
+	if (!kept && len(closed) == 0 && len(s.suspects) == 0) || !mostlyIdle(hosts, closed) {
 		return
 	}
 	s.backlog.advance(now.Sub(s.backlog.origin))
@@ -19,11 +23,16 @@
 		return
 	}
 	if kept {
-		planOn(s, ranking, hostSet{hosts: hosts.releaseKept(), starvedOnly: true}, limits, unconfirmed, now)
+		planOn(s, ranking, hostSet{hosts: hosts.releaseKept(), starvedFor: starvedAfter}, limits, unconfirmed, now)
+	}
+	for _, c := range hosts {
+		if c.isolated && !c.reservedApart {
+			closed = append(closed, &candidate{host: c.host, free: c.free, isolation: isolation{suspects: c.suspects, unsettled: c.unsettled}})
+		}
 	}
-	if len(unhealthy) > 0 && limits.Starts > 0 {
+	if len(closed) > 0 && limits.Starts > 0 {
 		s.backlog.advance(now.Sub(s.backlog.origin))
-		planOn(s, ranking, hostSet{hosts: unhealthy, preferred: hosts, starvedOnly: true}, limits, unconfirmed, now)
+		planOn(s, ranking, hostSet{hosts: closed, preferred: hosts, starvedFor: starvedPatience}, limits, unconfirmed, now)
 	}
 }
 
@@ -60,13 +69,13 @@
 	return false
 }
 
-// unhealthyHosts returns the hosts that get no new work only because they are unhealthy.
-func (s *State) unhealthyHosts(now time.Time) candidates {
-	isUnhealthy := func(h *Host) bool { return !now.After(h.UnhealthyUntil) && now.After(h.CordonedUntil) }
-	if !slices.ContainsFunc(s.sortedHosts(), isUnhealthy) {
+// closedHosts returns the hosts that get no new work only because they are unhealthy or are being emptied.
+func (s *State) closedHosts(now time.Time) candidates {
+	isClosed := func(h *Host) bool { return !now.After(h.UnhealthyUntil) || !now.After(h.CordonedUntil) }
+	if !slices.ContainsFunc(s.sortedHosts(), isClosed) {
 		return nil
 	}
-	return slices.DeleteFunc(s.lastResorts(now), func(c *candidate) bool { return !isUnhealthy(c.host) })
+	return s.lastResorts(starvedWork, now)
 }
 
 // mostlyIdle reports whether less than half of the processor capacity of some hosts is in use.
--- a/fleet/shard/starved_test.go
+++ b/fleet/shard/starved_test.go
@@ -122,6 +122,48 @@
 	}
 }
 
+// Guards against jobs of which nothing runs (LOST), although the pool is mostly idle: the hosts with room were being emptied.
+func TestALateJobRunsOnAHostThatIsBeingEmptiedWhileThePoolIsMostlyIdle(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c", "d")
+	o.submit("filler", smallStep(3))
+	running := o.start()
+	spread := smallStep(2)
+	spread.PerHost = 1
+	o.submit("spread", spread)
+	o.Hosts["a"].UnhealthyUntil, o.Hosts["d"].UnhealthyUntil = o.now, o.now
+	running = append(running, o.start()...)
+	require.Len(t, running, 5)
+	small := smallStep(1)
+	small.Need.MilliCores = 2000
+	o.submit("small", small)
+	o.advance(10 * time.Second)
+	empty := func() {
+		o.reportRunning(running...)
+		o.report("d")
+		o.advance(time.Millisecond)
+		for _, id := range []string{"b", "c", "d"} {
+			require.Equal(t, id == "d", o.Vacate(o.Hosts[id], o.now, 5*time.Second))
+		}
+	}
+	empty()
+	require.Empty(t, o.start(), "most hosts are empty soon")
+	o.advance(2100 * time.Millisecond)
+	empty()
+	starts := o.start()
+	require.Len(t, starts, 1)
+	require.Contains(t, []string{"b", "c"}, starts[0].Host, "the other one was called empty")
+	// Earlier work is stopped after six seconds, this one after as long.
+	o.advance(4 * time.Second)
+	running = append(running, starts...)
+	empty()
+	stopped := o.TakeOrders()
+	require.Len(t, stopped, 2)
+	for _, order := range stopped {
+		require.Equal(t, shard.OrderStop, order.Kind)
+		require.Equal(t, "spread", order.Ref.Job)
+	}
+}
+
 // reportRunning makes hosts report the runs of some starts.
 func (o *owner) reportRunning(starts ...shard.Order) {
 	rows := map[string][]any{}
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -13,15 +13,23 @@
 	checkpointStopDelay = 1500 * time.Millisecond
 	// forcedStopDelay is how long it keeps other work.
 	forcedStopDelay = 6 * time.Second
-	// emptyingPatience is the time after which a host that is being emptied, and is not empty, takes long-running work
-	// that no other host takes. It is well below the time within which such work has to be started.
+	// emptyingPatience is the time after which a host that is being emptied, and is not empty, takes work that no other
+	// host takes: long-running work if a long-running task there may not be stopped or finds no room elsewhere, and work of
+	// late jobs of which nothing runs. It is well below the time within which such work has to be started.
 	emptyingPatience = 2 * time.Second
 )
 
-// staysUp reports whether the host is being emptied and will not be empty soon: a long-running task there may not be
-// stopped, or finds no room elsewhere. A host that was called empty does not stay up.
-func (h *Host) staysUp(now time.Time) bool {
-	return len(h.Assigned) > 0 && h.blocked && now.Sub(h.CordonedAt) > emptyingPatience
+// mayTake reports whether the host takes work of a kind although it is being emptied. A host that was called empty takes
+// none.
+func (h *Host) mayTake(kind workKind, now time.Time) bool {
+	emptyingFor := now.Sub(h.CordonedAt)
+	switch {
+	case kind == anyWork || h.calledEmpty || len(h.Assigned) == 0 || emptyingFor <= emptyingPatience:
+		return false
+	case h.blocked:
+		return true
+	}
+	return kind == starvedWork && emptyingFor <= forcedStopDelay
 }
 
 // Vacate cordons a host for a time, and stops the tasks there that can be moved. It stops no more
@@ -30,10 +38,9 @@
 // to is not known to be empty before it has answered or its lease has expired.
 func (s *State) Vacate(h *Host, now time.Time, cordon time.Duration) bool {
 	if now.After(h.CordonedUntil) {
-		h.CordonedAt = now
+		h.CordonedAt, h.calledEmpty = now, false
 	}
 	h.CordonedUntil = now.Add(cordon)
-	waited := now.Sub(h.CordonedAt)
 	h.blocked = false
 	var moves *relocation
 	for r, task := range h.Assigned {
@@ -42,6 +49,8 @@
 			continue
 		}
 		step := &j.Spec.Steps[r.Step]
+		// Work may have started there since.
+		waited := min(now.Sub(h.CordonedAt), now.Sub(task.OrderedAt))
 		switch {
 		case step.LongRunning:
 			if !s.mayStop(step, stage, now) {
@@ -61,7 +70,9 @@
 		}
 	}
 	known := h.Confirmed || !h.Stored || s.leaseExpired(h, now)
-	return known && s.isPresent(h, now) && len(h.Assigned) == 0 && h.UnknownRuns == 0
+	empty := known && s.isPresent(h, now) && len(h.Assigned) == 0 && h.UnknownRuns == 0
+	h.calledEmpty = h.calledEmpty || empty
+	return empty
 }
 
 // isPresent reports whether a host is still the one on its machine, as far as is known. Otherwise another host may be at
@@ -95,7 +106,7 @@
 // RestoreCordon cordons a host that an earlier owner has called empty.
 func (s *State) RestoreCordon(host string, now time.Time, cordon time.Duration) {
 	if h := s.Hosts[host]; h != nil {
-		h.CordonedAt, h.CordonedUntil = now, now.Add(cordon)
+		h.CordonedAt, h.CordonedUntil, h.calledEmpty = now, now.Add(cordon), true
 		return
 	}
 	s.CordonUnlisted(host, now, cordon)
@@ -105,7 +116,7 @@
 func (s *State) applyUnlistedCordon(h *Host, now time.Time) {
 	if c, ok := s.unlistedCordons[h.ID]; ok {
 		delete(s.unlistedCordons, h.ID)
-		h.CordonedAt, h.CordonedUntil = now, c.until
+		h.CordonedAt, h.CordonedUntil, h.calledEmpty = now, c.until, true
 	}
 }
 
