--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -13,15 +13,23 @@
 	checkpointStopDelay = 1500 * time.Millisecond
 	// forcedStopDelay is how long it keeps other work.
 	forcedStopDelay = 6 * time.Second
-	// emptyingPatience is the time after which a host that is being emptied, and is not empty, takes long-running work
-	// that no other host takes. It is well below the time within which such work has to be started.
+	// emptyingPatience is the time after which a host that is being emptied, and is not empty, takes work that no other
+	// host takes: long-running work if a long-running task there may not be stopped or finds no room elsewhere, and work of
+	// late jobs of which nothing runs. It is well below the time within which such work has to be started.
 	emptyingPatience = 2 * time.Second
 )
 
-// staysUp reports whether the host is being emptied and will not be empty soon: a long-running task there may not be
-// stopped, or finds no room elsewhere. A host that was called empty does not stay up.
-func (h *Host) staysUp(now time.Time) bool {
-	return len(h.Assigned) > 0 && h.blocked && now.Sub(h.CordonedAt) > emptyingPatience
+// mayTake reports whether the host takes work of a kind although it is being emptied. A host takes none while its
+// machine may be ordered because it was called empty.
+func (h *Host) mayTake(kind workKind, now time.Time) bool {
+	emptyingFor := now.Sub(h.CordonedAt)
+	switch {
+	case kind == anyWork || !now.After(h.CalledEmptyUntil) || len(h.Assigned) == 0 || emptyingFor <= emptyingPatience:
+		return false
+	case h.blocked:
+		return true
+	}
+	return kind == starvedWork && emptyingFor <= forcedStopDelay
 }
 
 // Vacate cordons a host for a time, and stops the tasks there that can be moved. It stops no more
@@ -35,7 +43,6 @@
 	if until := now.Add(cordon); until.After(h.CordonedUntil) {
 		h.CordonedUntil = until
 	}
-	waited := now.Sub(h.CordonedAt)
 	h.blocked = false
 	var moves *relocation
 	for r, task := range h.Assigned {
@@ -44,6 +51,8 @@
 			continue
 		}
 		step := &j.Spec.Steps[r.Step]
+		// Work may have started there since.
+		waited := min(now.Sub(h.CordonedAt), now.Sub(task.OrderedAt))
 		switch {
 		case step.LongRunning:
 			if !s.mayStop(step, stage, now) {
