Serve large jobs of an overloaded pool like the others

Cause: while a pool is overloaded, the work in time with the least remaining work goes first (ByRemainingWork), so large jobs wait until they are late, whatever has caused the overload.

Change: SizeShare, a ranking around ByLoad. Each queue counts its jobs by size: those that arrived, were begun in time, and were late afterwards. While those of a size that were begun and not lost are less than 0.7 of what they are of all jobs, its work goes before other work in time of the same priority, and what has begun of large jobs goes before that. Remaining work stays the order within a size; late work, its share, priority and long-running work stay as they are. It works since the counts change with each start, so a round starts no more large jobs than it needs, and since a large job that has begun is not put off by small ones until it is late. Steps are grouped by size, so a round does not look at more steps.

Tests: the reference planner picks its next step anew after each start, since a start may change the order of the others now; TestPlanWithSizeShareDecidesLikeTheReference compares both, and fails if the share in the reference is another one.

--- a/entry/owner/advice.go
+++ b/entry/owner/advice.go
@@ -49,7 +49,7 @@
 	if c.adviceInFlight || !c.state.HasPolicyService {
 		return
 	}
-	if q, ok := shard.NextQuestion(c.state, shard.ByLoad{Overloaded: c.state.Overloaded}, now); ok {
+	if q, ok := shard.NextQuestion(c.state, c.ranking(), now); ok {
 		c.adviceInFlight = c.adviser.TrySend(q)
 	}
 }
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -173,11 +173,9 @@
 	}
 	c.state.RetryStops(now)
 	limits := shard.Limits{Starts: c.starts.Room(now), StartsPerHost: startsPerHost}
-	ranking := shard.LateShare[shard.StarvedFirst[shard.ByLoad]]{
-		Ranking: shard.StarvedFirst[shard.ByLoad]{
-			Ranking: shard.ByLoad{Overloaded: c.state.Overloaded}, Spare: c.state.HasSpareCapacity(now),
-		},
-		Due: c.state.LateWorkIsDue(now),
+	ranking := shard.LateShare[shard.StarvedFirst[shard.SizeShare[shard.ByLoad]]]{
+		Ranking: shard.StarvedFirst[shard.SizeShare[shard.ByLoad]]{Ranking: c.ranking(), Spare: c.state.HasSpareCapacity(now)},
+		Due:     c.state.LateWorkIsDue(now),
 	}
 	shard.PlanWithin(c.state, ranking, limits, now, now.UnixMilli())
 	c.sendOrders(now)
@@ -188,6 +186,11 @@
 	c.nextRound = end.Add(roundPause(end.Sub(now)))
 }
 
+// ranking returns the order of work that is in time.
+func (c *core) ranking() shard.SizeShare[shard.ByLoad] {
+	return shard.SizeShare[shard.ByLoad]{Ranking: shard.ByLoad{Overloaded: c.state.Overloaded}, Overloaded: c.state.Overloaded}
+}
+
 // roundPause returns the minimum time between a round of planning and the next one. It is as long
 // as the round took, within bounds, so that time is left for messages.
 func roundPause(took time.Duration) time.Duration {
--- a/fleet/grade/grade.go
+++ b/fleet/grade/grade.go
@@ -23,7 +23,7 @@
 
 const (
 	// sizesKept is the number of newest sizes that a queue keeps, and minSizes the number that quantiles need.
-	sizesKept, minSizes = 256, 10
+	sizesKept, minSizes = 1024, 10
 	// restShare and upperShare are the quantiles up to which jobs are in Rest and in Upper.
 	restShare, upperShare = 0.7, 0.9
 )
--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -8,6 +8,7 @@
 
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/clamp"
+	"carawaymux.dev/fleet/grade"
 )
 
 // backlog indexes the steps of the open and stored jobs with tasks that wait for a host, and sums up their work.
@@ -92,6 +93,8 @@
 	needsTicket bool
 	// scale is the expected ratio of run time to estimate.
 	scale float64
+	// tally counts the jobs by their size.
+	tally *grade.Tally
 	// waiting is the estimated work that waits: of jobs that were submitted to this owner, and of inherited
 	// ones. future is that of the steps that are not ready.
 	waiting [2]int64
@@ -110,6 +113,9 @@
 	// longRunning and inherited are as in the step. exempt reports whether more than the need decides where
 	// the step may run.
 	longRunning, inherited, exempt bool
+	// size and begun are as in the job, for work in time that ends. begun is not set for jobs that are not large.
+	size  grade.Grade
+	begun bool
 	// late, starved and reserves are as in the demand. missed reports whether the objective has passed, so
 	// that the step stays late.
 	late, starved, reserves, missed bool
@@ -268,6 +274,7 @@
 	for name, q := range s.backlog.queues {
 		scale, needsTicket := s.durationRatios[name].median(), s.needsTicket(name)
 		scaled, ticketed := scale != q.scale, needsTicket != q.needsTicket
+		q.tally = &s.sizesOf(name).tally
 		q.priority, q.scale, q.needsTicket = s.Queues[name].Priority, scale, needsTicket
 		if !scaled && !ticketed {
 			continue
@@ -342,6 +349,12 @@
 		missed:   now > w.objective,
 		reserves: w.step.LongRunning || now-w.accepted >= reserveAfter,
 	}
+	if !key.longRunning && !key.late {
+		key.size, key.begun = w.job.Size, w.job.begun
+	}
+	if key.late && w.job.lose() {
+		w.queue.tally.Lose(w.job.Size, b.origin.Add(now))
+	}
 	class := inTime
 	alarm := never
 	switch useless := clamp.Add(w.objective, w.usefulAfter); {
@@ -435,6 +448,7 @@
 // when the pool was claimed.
 func (w *waitingStep) updateDemand(now time.Duration) {
 	w.demand.Priority, w.demand.Age = w.queue.priority, now-w.accepted
+	w.demand.Begun, w.demand.Tally = w.job.begun, w.queue.tally
 	w.demand.Idle = 0
 	if w.job.assigned == 0 {
 		w.demand.Idle = now - max(w.accepted, w.job.lastStart)
--- a/fleet/shard/equal_test.go
+++ b/fleet/shard/equal_test.go
@@ -95,6 +95,7 @@
 	p.state = New("pool", epoch, driverTiming, p.now)
 	p.state.HasPolicyService = true
 	p.configure()
+	p.seedSizes()
 	p.stops, p.questions, p.changes = nil, nil, nil
 	if old != nil {
 		for id, spec := range p.specs {
@@ -124,6 +125,16 @@
 	})
 }
 
+// seedSizes has the queues know sizes of jobs, so that some of the few jobs of a schedule are large.
+func (p *poolDriver) seedSizes() {
+	const sizes, unit = 20, 200_000
+	for _, queue := range []string{"fast", "slow", "advised"} {
+		for i := range int64(sizes) {
+			p.state.sizesOf(queue).sizes.Add(i * unit)
+		}
+	}
+}
+
 func (p *poolDriver) listEntry(i int) port.Host {
 	h := port.Host{
 		ID: p.ids[i], Pool: "pool", Zone: "z", Rack: fmt.Sprintf("r%d", i%3),
@@ -646,3 +657,31 @@
 	require.Greater(t, starts, 1000)
 	t.Log("starts", starts)
 }
+
+// The counts by size change within a round.
+func TestPlanWithSizeShareDecidesLikeTheReference(t *testing.T) {
+	setRapid(t, "40")
+	starts, turns := 0, map[turn]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPoolDriver(t)
+		for range 120 {
+			for range 1 + p.draw(3) {
+				p.event()
+			}
+			byLoad, compare := ByLoad{}, referenceBySlack
+			if p.chance(2) {
+				byLoad.Overloaded, compare = true, referenceByRemainingWork
+			}
+			for _, d := range referenceDemands(p.state, p.now) {
+				demand := Demand{Job: d.Job, Begun: d.Begun, Tally: d.Tally}
+				turns[demand.turn()]++
+			}
+			round(p, SizeShare[ByLoad]{byLoad, true}, referenceSizeShare(compare, true))
+		}
+		starts += p.starts
+	})
+	t.Log("starts", starts, "turns", turns)
+	for _, some := range []turn{begunLarge, behind, otherTurn} {
+		require.Greater(t, turns[some], 1000)
+	}
+}
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -184,6 +184,9 @@
 	task.OrderedAt, task.StartClock, task.ThrottlePercent, task.Percent, task.Load = now, 0, 100, 0, 0
 	task.LostAt, task.Meter = time.Time{}, SpeedMeter{}
 	task.late = stage.waiting != nil && stage.waiting.lateness != inTime
+	if !task.late && !step.LongRunning {
+		s.countBegun(j, now)
+	}
 	stage.idle--
 	s.backlog.update(j, ref.Occurrence, ref.Step)
 	s.assign(c.host, ref, task)
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"carawaymux.dev/fleet/grade"
 )
 
 // Demand is a step of an occurrence with tasks that could start now.
@@ -19,6 +21,9 @@
 	// Idle is the time since a task of the job was started, or the job was accepted; 0 while any is
 	// assigned to a host.
 	Idle time.Duration
+	// Begun reports whether work of the job was started in time. Tally counts the jobs of its queue by their size.
+	Begun bool
+	Tally *grade.Tally
 	// RemainingWork is the work of the occurrence that is not done, in millionths of a core-second.
 	RemainingWork int64
 }
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/grade"
 	"carawaymux.dev/fleet/place"
 	"carawaymux.dev/fleet/sizing"
 )
@@ -49,6 +50,9 @@
 		_, _, out.suspects[r] = out.task(r)
 	}
 	out.othersWaitedAt = s.othersWaitedAt
+	for name, q := range s.sizes {
+		out.sizes[name] = &queueSizes{tally: q.tally}
+	}
 	for r, p := range s.permits {
 		copied := *p
 		copied.denied, copied.tickets, copied.instances = maps.Clone(p.denied), maps.Clone(p.tickets), maps.Clone(p.instances)
@@ -66,8 +70,16 @@
 	}
 	hosts := referenceCandidates(s, now)
 	referenceUpdateOverloaded(s, demands, hosts)
-	slices.SortFunc(demands, func(a, b referenceDemand) int { return compare(&a, &b, now) })
+	referenceLose(s, now)
+	// A start may change the order of the others.
 	for i := range demands {
+		first := i
+		for k := i + 1; k < len(demands); k++ {
+			if compare(&demands[k], &demands[first], now) < 0 {
+				first = k
+			}
+		}
+		demands[i], demands[first] = demands[first], demands[i]
 		hosts.startTasks(s, &demands[i], now, nil)
 	}
 	lastResorts := referenceLastResorts(s, now)
@@ -151,6 +163,9 @@
 	RemainingWork int64
 	// ClaimedAt is when the pool was claimed.
 	ClaimedAt time.Time
+	// Begun reports whether work of the job that ends was started in time before this round.
+	Begun bool
+	Tally *grade.Tally
 }
 
 func (d *referenceDemand) slack(now time.Time) time.Duration {
@@ -186,6 +201,54 @@
 	return cmp.Compare(a.RemainingWork, b.RemainingWork)
 }
 
+// referenceSizeShare puts what was begun of large jobs first, and then those of a size of which less than seven tenths as
+// many as of all jobs were begun and not lost, while the pool is overloaded.
+func referenceSizeShare(compare compareDemands, overloaded bool) compareDemands {
+	turn := func(d *referenceDemand) int {
+		switch {
+		case d.Job.Size == grade.Rest:
+			return 2
+		case d.Begun:
+			return 0
+		case d.Tally.Behind(d.Job.Size, 0.7):
+			return 1
+		}
+		return 2
+	}
+	return func(a, b *referenceDemand, now time.Time) int {
+		ends := !a.LongRunning && !b.LongRunning && a.slack(now) >= 0 && b.slack(now) >= 0
+		if overloaded && ends && a.Priority == b.Priority && turn(a) != turn(b) {
+			return cmp.Compare(turn(a), turn(b))
+		}
+		return compare(a, b, now)
+	}
+}
+
+// referenceLose counts the jobs that were begun in time and of which a step that waits is late.
+func referenceLose(s *State, now time.Time) {
+	for _, j := range s.openJobs {
+		for oi := range j.Occurrences {
+			for si := range j.Occurrences[oi].Stages {
+				waits := j.Stored && j.Occurrences[oi].Stages[si].idle > 0 && j.Occurrences[oi].ready(&j.Spec, si)
+				if waits && j.begun && !j.lost && referenceIsLate(s, j, oi, si, now) {
+					j.lost = true
+					s.sizesOf(j.Spec.Queue).tally.Lose(j.Size, now)
+				}
+			}
+		}
+	}
+}
+
+// referenceIsLate reports whether a step can no longer meet its objective.
+func referenceIsLate(s *State, j *Job, occurrence, step int, now time.Time) bool {
+	objective := j.Objective
+	if j.Spec.Repetitions > 0 {
+		objective = objective.Add(time.Duration(j.dueAt(occurrence)-j.Spec.AcceptedMS) * time.Millisecond)
+	}
+	path := time.Duration(float64(referenceCriticalPath(&j.Spec, step)) * s.durationRatios[j.Spec.Queue].median())
+	return objective.Sub(now)-path < 0
+}
+
 // referenceStarvedFirst puts the late jobs of which nothing has run for a second before the other late ones while
 // there is spare capacity.
 func referenceStarvedFirst(compare compareDemands, spare bool) compareDemands {
@@ -289,6 +352,7 @@
 				d := referenceDemand{
 					Job: j, Occurrence: oi, Step: si, LongRunning: j.Spec.Steps[si].LongRunning, Priority: q.Priority,
 					Objective: j.Objective, CriticalPath: path, RemainingWork: work, ClaimedAt: s.ClaimedAt,
+					Begun: j.begun, Tally: &s.sizesOf(j.Spec.Queue).tally,
 				}
 				if j.Spec.Repetitions > 0 {
 					offset := time.Duration(j.dueAt(oi)-j.Spec.AcceptedMS) * time.Millisecond
@@ -554,6 +618,10 @@
 
 func (c *referenceHost) start(s *State, j *Job, ref batch.Ref, stage *Stage, task *Task, run int64, now time.Time) {
 	step := &j.Spec.Steps[ref.Step]
+	if !step.LongRunning && !j.begun && !referenceIsLate(s, j, ref.Occurrence, ref.Step, now) {
+		j.begun = true
+		s.sizesOf(j.Spec.Queue).tally.Begin(j.Size, now)
+	}
 	task.Status, task.Host, task.Run = Starting, c.host.ID, run
 	task.OrderedAt, task.StartClock, task.ThrottlePercent, task.Percent, task.Load = now, 0, 100, 0, 0
 	task.LostAt, task.Meter = time.Time{}, SpeedMeter{}
--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -137,8 +137,9 @@
 			continue
 		}
 		g.next.updateDemand(l.age)
+		// A start in this round does not change the order of the round, but for the counts by size.
+		g.next.demand.Begun = g.begun
 		if g.starved {
-			// A start in this round does not change the order of the round.
 			g.next.demand.Idle = max(g.next.demand.Idle, starvedAfter+1)
 		}
 		if first == nil || l.before(g.next, first) {
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -202,6 +202,8 @@
 	Objective time.Time
 	// Size is the size of the job among those that its queue had seen when it was accepted.
 	Size grade.Grade
+	// begun reports whether work that ends was started in time, and lost whether the job was late afterwards.
+	begun, lost bool
 	// assigned is the number of tasks that are assigned to hosts, and lastStart when the last one was
 	// ordered to start, counted from when the pool was claimed.
 	assigned  int
@@ -305,8 +307,8 @@
 	arrivals demand.Meter
 	// durationRatios holds the ratios of run time to estimate, by queue.
 	durationRatios map[string]*sample
-	// sizes holds the sizes of the newest jobs, by queue.
-	sizes map[string]*grade.Sizes
+	// sizes holds the sizes of the jobs, by queue.
+	sizes map[string]*queueSizes
 }
 
 // New returns the state of a pool whose claim was confirmed at time now.
@@ -314,7 +316,7 @@
 	return &State{
 		Pool: pool, Epoch: epoch, ClaimedAt: now, ConfirmedAt: now, Timing: t,
 		Queues: map[string]port.Queue{}, Jobs: map[string]*Job{}, Hosts: map[string]*Host{},
-		openJobs: map[string]*Job{}, unlistedCordons: map[string]unlistedCordon{}, durationRatios: map[string]*sample{}, sizes: map[string]*grade.Sizes{}, permits: map[batch.Ref]*permit{},
+		openJobs: map[string]*Job{}, unlistedCordons: map[string]unlistedCordon{}, durationRatios: map[string]*sample{}, sizes: map[string]*queueSizes{}, permits: map[batch.Ref]*permit{},
 		backlog: newBacklog(now), unansweredStops: map[batch.Ref]struct{}{},
 		suspects: map[batch.Ref]*Task{}, startedEarlier: map[batch.Ref]struct{}{},
 	}
--- a/fleet/shard/sizes.go
+++ b/fleet/shard/sizes.go
@@ -1,20 +1,96 @@
 package shard
 
 import (
+	"cmp"
+	"time"
+
 	"carawaymux.dev/fleet/clamp"
 	"carawaymux.dev/fleet/grade"
 )
 
-// gradeJob sets the size of a job against those that its queue has seen lately.
-func (s *State) gradeJob(j *Job) {
-	sizes := s.sizes[j.Spec.Queue]
-	if sizes == nil {
-		sizes = &grade.Sizes{}
-		s.sizes[j.Spec.Queue] = sizes
+// SizeShare orders like another ranking, but while a pool is overloaded it puts the work in time of large jobs before
+// other such work of the same priority while fewer of them than their share have been begun, and what has been begun of
+// them first of all. In the order of remaining work alone hardly any of them is in time.
+type SizeShare[R Ranking] struct {
+	Ranking    R
+	Overloaded bool
+}
+
+// Compare implements [Ranking].
+func (p SizeShare[R]) Compare(a, b *Demand) int {
+	if p.Overloaded && !a.LongRunning && !b.LongRunning && a.Slack >= 0 && b.Slack >= 0 && a.Priority == b.Priority {
+		if c := cmp.Compare(a.turn(), b.turn()); c != 0 {
+			return c
+		}
+	}
+	return p.Ranking.Compare(a, b)
+}
+
+// SortKey implements [Ranking].
+func (p SizeShare[R]) SortKey(late bool) SortKey { return p.Ranking.SortKey(late) }
+
+// turn is the order of the work of an overloaded pool by the size of its jobs.
+type turn uint8
+
+const (
+	// begunLarge is the turn of large jobs that have been begun: half of a job is of no use.
+	begunLarge turn = iota
+	// behind is the turn of jobs of a size that has less than its share.
+	behind
+	otherTurn
+)
+
+func (d *Demand) turn() turn {
+	switch {
+	case d.Job.Size == grade.Rest:
+		return otherTurn
+	case d.Begun:
+		return begunLarge
+	case d.Tally.Behind(d.Job.Size, grade.LeastShare):
+		return behind
 	}
+	return otherTurn
+}
+
+// queueSizes holds the sizes of the jobs of a queue.
+type queueSizes struct {
+	sizes grade.Sizes
+	tally grade.Tally
+}
+
+// sizesOf returns the sizes of the jobs of a queue.
+func (s *State) sizesOf(queue string) *queueSizes {
+	if s.sizes[queue] == nil {
+		s.sizes[queue] = &queueSizes{}
+	}
+	return s.sizes[queue]
+}
+
+// gradeJob sets the size of a job against those that its queue has seen lately, and counts it.
+func (s *State) gradeJob(j *Job, now time.Time) {
 	var work int64
 	for i := range j.Spec.Steps {
 		work = clamp.Add(work, estimatedWork(&j.Spec.Steps[i], j.Spec.Steps[i].Count))
 	}
-	j.Size = sizes.Add(work)
+	q := s.sizesOf(j.Spec.Queue)
+	j.Size = q.sizes.Add(work)
+	q.tally.Arrive(j.Size, now)
+}
+
+// countBegun counts a job of which work that ends is started in time, if it is the first of the job.
+func (s *State) countBegun(j *Job, now time.Time) {
+	if !j.begun {
+		j.begun = true
+		s.sizesOf(j.Spec.Queue).tally.Begin(j.Size, now)
+		s.backlog.touchJob(j)
+	}
+}
+
+// lose notes that a job is late, and reports whether that is the first time since it was begun in time.
+func (j *Job) lose() bool {
+	if !j.begun || j.lost {
+		return false
+	}
+	j.lost = true
+	return true
 }
