--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -148,7 +148,8 @@
 // round makes the calls that an owner makes after each batch of messages.
 func (p *fullPool) round() {
 	p.state.RetryStops(p.now)
-	shard.Plan(p.state, shard.ByLoad{Overloaded: p.state.Overloaded}, p.now, p.now.UnixMilli())
+	overloaded := p.state.Overloaded
+	shard.Plan(p.state, shard.SizeShare[shard.ByLoad]{Ranking: shard.ByLoad{Overloaded: overloaded}, Overloaded: overloaded}, p.now, p.now.UnixMilli())
 	p.started = append(p.started, p.state.TakeOrders()...)
 	p.state.NeedsFlush()
 	p.state.NeedsConfirmation()
