Count only jobs that end in the shares by size

A queue whose jobs are long-running, or repeat, would have distorted the share of its large jobs: long-running jobs arrived and never counted as begun, and a job that repeats counted as lost at its end, since that is after the objective of its first occurrence. Found by reading; TestLongRunningAndTimedJobsDoNotDistortTheSharesBySize fails on the code before. Large jobs that were begun have groups of their own in the backlog, and small ones have none, as the comment said.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -350,7 +350,7 @@
 		reserves: w.step.LongRunning || now-w.accepted >= reserveAfter,
 	}
 	if !key.longRunning && !key.late {
-		key.size, key.begun = w.job.Size, w.job.begun
+		key.size, key.begun = w.job.Size, w.job.begun && w.job.Size != grade.Rest
 	}
 	if key.late && w.job.lose() {
 		w.queue.tally.Lose(w.job.Size, b.origin.Add(now))
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -116,7 +116,7 @@
 // closeJob sets the final phase of a job and stops all its runs.
 func (s *State) closeJob(j *Job, p Phase, now time.Time) {
 	j.Phase, j.EndedAt = p, now
-	if p != Cancelled && now.After(j.Objective) && j.lose() {
+	if p != Cancelled && j.Spec.Repetitions == 0 && now.After(j.Objective) && j.lose() {
 		s.sizesOf(j.Spec.Queue).tally.Lose(j.Size, now)
 	}
 	s.ended = append(s.ended, j)
--- a/fleet/shard/sizes.go
+++ b/fleet/shard/sizes.go
@@ -66,15 +66,20 @@
 	return s.sizes[queue]
 }
 
-// gradeJob sets the size of a job against those that its queue has seen lately, and counts it.
+// gradeJob sets the size of a job against those that its queue has seen lately, and counts it unless all of its work is
+// long-running.
 func (s *State) gradeJob(j *Job, now time.Time) {
 	var work int64
+	ends := false
 	for i := range j.Spec.Steps {
 		work = clamp.Add(work, estimatedWork(&j.Spec.Steps[i], j.Spec.Steps[i].Count))
+		ends = ends || !j.Spec.Steps[i].LongRunning
 	}
 	q := s.sizesOf(j.Spec.Queue)
 	j.Size = q.sizes.Add(work)
-	q.tally.Arrive(j.Size, now)
+	if ends {
+		q.tally.Arrive(j.Size, now)
+	}
 }
 
 // countBegun counts a job of which work that ends is started in time, if it is the first of the job.
