Let tasks that run apart have any host of an idle pool if nothing of their job runs

What waited were steps for whole hosts, which no host can take beside the long-running work there, so six suspects took turns on one of six hosts, and 40 s went by with 20 of 24 cores idle. A job waited for 38 s.

Change: in the last pass of a round, which starts one task of each late job of which nothing runs while less than half of the processor capacity is in use, the quarter does not hold.

--- a/fleet/shard/lasting_test.go
+++ b/fleet/shard/lasting_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"strings"
@@ -460,6 +461,17 @@
 // emptyingSeeds are seeds with which jobs wait after the traffic beside hosts that are being emptied.
 var emptyingSeeds = []uint64{435, 743}
 
+// Guards against jobs of which nothing runs after the traffic (LOST), although there is room for them.
+func TestNoJobWaitsAfterTheTraffic(t *testing.T) {
+	var seeds []uint64
+	for seed := range *trafficSeeds {
+		seeds = append(seeds, seed)
+	}
+	requireNoWaitAfterTheTraffic(t, seeds...)
+}
+
+var trafficSeeds = flag.Uint64("traffic-seeds", 40, "number of seeds of the simulation of jobs after the traffic")
+
 // requireNoWaitAfterTheTraffic runs simulations and requires that no job waits too long after the traffic.
 func requireNoWaitAfterTheTraffic(t *testing.T, seeds ...uint64) {
 	for _, seed := range seeds {
--- a/fleet/shard/reference_starved_test.go
+++ b/fleet/shard/reference_starved_test.go
@@ -39,6 +39,10 @@
 			}
 		}
 	}
+	kept = kept || (len(s.suspects) > 0 && !hosts.mayIsolate())
+	for i := range hosts {
+		hosts[i].forStarved = true
+	}
 	if kept {
 		for i := range hosts {
 			c := &hosts[i]
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -347,6 +347,8 @@
 	// are kept for such tasks.
 	newlyIsolated bool
 	pool          referenceHosts
+	// forStarved is set while the hosts take work of late jobs of which nothing runs.
+	forStarved bool
 	// closed is set while work goes to others of the hosts.
 	closed              bool
 	suspects, unsettled int
@@ -527,7 +529,7 @@
 		}
 	}
 	limit := len(hosts)
-	if len(hosts) > 0 && hosts[0].othersWait {
+	if len(hosts) > 0 && hosts[0].othersWait && !hosts[0].forStarved {
 		limit = max(len(hosts)/4, 1)
 	}
 	return isolated < limit
--- a/fleet/shard/starved.go
+++ b/fleet/shard/starved.go
@@ -10,7 +10,8 @@
 
 // startStarved orders the start of one task of each late job of which nothing runs, while less than half of the processor
 // capacity is in use. It uses hosts that the round has kept for other work, that is, hosts that are reserved for steps which
-// do not fit yet and hosts with a task that is kept apart since it crashes hosts late. What no such host takes goes, after
+// do not fit yet, hosts with a task that is kept apart since it crashes hosts late, and hosts beyond the share of those which
+// tasks that run apart may have while other work waits. What no such host takes goes, after
 // starvedPatience, to hosts that are kept for a suspect until it has settled, unhealthy hosts and hosts that are being
 // emptied.
 func startStarved[R Ranking](s *State, ranking R, hosts candidates, limits *Limits, unconfirmed bool, now time.Time) {
@@ -22,6 +23,9 @@
 	if !s.hasStarved() {
 		return
 	}
+	// Tasks that run apart have any host then, though other work waits.
+	kept = kept || (len(s.suspects) > 0 && s.isolatedHosts >= s.maxIsolatedHosts)
+	s.maxIsolatedHosts = len(hosts)
 	if kept {
 		planOn(s, ranking, hostSet{hosts: hosts.releaseKept(), starvedFor: starvedAfter}, limits, unconfirmed, now)
 	}
--- a/fleet/shard/starved_test.go
+++ b/fleet/shard/starved_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -164,6 +165,24 @@
 	}
 }
 
+// Guards against jobs of which nothing runs (LOST), although the pool is mostly idle: their tasks ran apart, one host after the
+// other, since a step for whole hosts waited that no host can take beside long-running work.
+func TestTasksThatRunApartDoNotWaitForOneAnotherWhileThePoolIsMostlyIdle(t *testing.T) {
+	o := newOwner(t, 2, "a", "b", "c", "d")
+	o.submit("lasting", longRunningStep(4, 1, 0))
+	running := o.start()
+	require.Len(t, running, 4)
+	whole := smallStep(1)
+	whole.Need.MilliCores = 4000
+	o.submit("whole", whole)
+	for i := range 3 {
+		restoreIsolated(o, fmt.Sprint("suspect-", i), smallStep(1))
+	}
+	o.advance(10 * time.Second)
+	o.reportRunning(running...)
+	require.Len(t, o.start(), 3)
+}
+
 // reportRunning makes hosts report the runs of some starts.
 func (o *owner) reportRunning(starts ...shard.Order) {
 	rows := map[string][]any{}
