Empty a host for a move only once its machine may be ordered

What callers saw: hosts that stop taking work while the holder of the machines waits for the store, which has to know of a machine before it is ordered. When the store is lost to the holder, this answer never comes, and hosts were emptied for 1.5 to 2 s for nothing.

Cause: a step asked the owner to empty the host first and checked the right to order afterwards.

Change: a move asks for nothing before the holder may order the machine; an answered write starts the waiting steps at once, as before. Waves go on to empty hosts ahead of their slots.

--- a/entry/mover/size.go
+++ b/entry/mover/size.go
@@ -198,6 +198,12 @@
 		c.logger.Info("move dropped", "machine", m.Machine, "from", m.From, "to", m.To, "now-in", machine.Pool)
 		return
 	}
+	if m.Host != "" && !c.stepInFlight[m.Machine] && !c.mayOrder(m.Machine, now) {
+		// The host works until an order can follow.
+		c.authorize(m.Machine, now)
+		c.abandonLateMove(c.moves[m.Machine], now)
+		return
+	}
 	mayOrder, ok := c.beginStep(m.Machine, now)
 	if !ok {
 		return
