Restart all entries beside other series of the soak

Change: the fault "roll" stops all entries one after the other within 2 to 8 s, down for 0.3 s each, whatever else goes on.

--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -42,6 +42,11 @@
 // conduct carries out all faults and returns when the last one has ended. All faults have ended too when it returns
 // early because ctx is done.
 func (c *conductor) conduct(ctx context.Context, schedule []Fault, progress func(Fault)) error {
+	var entries []string
+	for _, e := range c.site.deployment.Entries {
+		entries = append(entries, e.Name)
+	}
+	schedule = expandRolls(schedule, entries)
 	var actions []action
 	heals := make([]func(context.Context) error, len(schedule))
 	for i, f := range schedule {
--- a/trial/soak/plan.go
+++ b/trial/soak/plan.go
@@ -59,6 +59,8 @@
 	PeerDrip   Kind = "peer-drip"
 	// MaintenanceWave publishes a wave of maintenance. It is planned work too.
 	MaintenanceWave Kind = "wave"
+	// Roll restarts all entries one after the other, beside other series. It is planned work too.
+	Roll Kind = "roll"
 )
 
 // linkFaults holds the faults of peer links, and which fault of a link each is.
@@ -70,16 +72,18 @@
 		Pause, Kill, StoreBusy, StoreSilent, StoreLossy, StoreSlow, MachinesDown, MachinesLossy, HostCrash,
 		LinkDelay, LinkReset, LinkCut, LinkSilent, LinkDrip,
 	}
-	// addedKinds are unplanned too, except waves. Each has random numbers of its own, so that the other faults of a seed stay the same
+	// addedKinds are unplanned too, except waves and rolling restarts. Each has random numbers of its own, so that the other faults of a seed stay the same
 	// when a kind is added at the end.
-	addedKinds = []Kind{LinkLate, StoreFull, StoreTrim, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip, MaintenanceWave}
+	addedKinds = []Kind{LinkLate, StoreFull, StoreTrim, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip, MaintenanceWave, Roll}
 )
 
 // Kinds returns all kinds of faults.
 func Kinds() []Kind { return slices.Concat(plannedKinds, unplannedKinds, addedKinds) }
 
 // planned reports whether faults of the kind are planned work.
-func (k Kind) planned() bool { return k == MaintenanceWave || slices.Contains(plannedKinds, k) }
+func (k Kind) planned() bool {
+	return k == MaintenanceWave || k == Roll || slices.Contains(plannedKinds, k)
+}
 
 // Fault is a fault that the schedule injects.
 type Fault struct {
@@ -122,6 +126,9 @@
 	// plannedShare is the share of series that consist of planned work only, and rollShare the share of the
 	// others that contain a rolling restart.
 	plannedShare, rollShare = 0.4, 0.5
+	// minRoll and maxRoll limit the time in which the restarts of a [Roll] begin, and rollDowntime is the time that each entry is down.
+	minRoll, maxRoll = 2 * time.Second, 8 * time.Second
+	rollDowntime     = 300 * time.Millisecond
 	// addedShare is the share of series with unplanned faults that contain a fault of an added kind, for each kind.
 	addedShare = 0.3
 	// addedStream distinguishes the random numbers of the first added kind from others.
@@ -213,6 +220,8 @@
 		f.Target, f.For = p.pick(p.layout.Entries), 0
 	case StoreTrim, MaintenanceWave:
 		f.For = 0
+	case Roll:
+		f.For = p.between(minRoll, maxRoll)
 	case Pause, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip:
 		f.Target = p.pick(p.layout.Entries)
 	case Queue:
@@ -225,6 +234,23 @@
 	p.faults = append(p.faults, f)
 }
 
+// expandRolls replaces each rolling restart by the stops of all entries.
+func expandRolls(schedule []Fault, entries []string) []Fault {
+	var out []Fault
+	for _, f := range schedule {
+		if f.Kind != Roll {
+			out = append(out, f)
+			continue
+		}
+		first := int(f.At.Milliseconds()) % len(entries)
+		for i := range entries {
+			at := f.At + f.For*time.Duration(i)/time.Duration(len(entries))
+			out = append(out, Fault{Term, entries[(first+i)%len(entries)], at, rollDowntime})
+		}
+	}
+	return out
+}
+
 func (p *planner) pick(names []string) string { return names[p.random.IntN(len(names))] }
 
 // between draws a duration between two others, in whole milliseconds.
--- a/trial/soak/plan_test.go
+++ b/trial/soak/plan_test.go
@@ -47,6 +47,23 @@
 	require.Greater(t, overlaps, 100)
 }
 
+func TestARollStopsEachEntryOnce(t *testing.T) {
+	entries := []string{"entry-0", "entry-1", "entry-2"}
+	other := Fault{Kind: Pause, Target: "entry-1", At: time.Second}
+	for at := range time.Duration(4) {
+		roll := Fault{Kind: Roll, At: time.Second + at*time.Millisecond, For: 3 * time.Second}
+		out := expandRolls([]Fault{other, roll}, entries)
+		require.Equal(t, other, out[0])
+		var stopped []string
+		for i, f := range out[1:] {
+			require.Equal(t, Term, f.Kind)
+			require.Equal(t, roll.At+time.Duration(i)*time.Second, f.At)
+			stopped = append(stopped, f.Target)
+		}
+		require.ElementsMatch(t, entries, stopped)
+	}
+}
+
 func TestTheShortestRunHasFaultsWhateverTheSeed(t *testing.T) {
 	for seed := range uint64(200) {
 		for _, k := range Kinds() {
