Do not count processes as killed that have ended in their grace period

By its log entry-3 got the signal 18 ms after it was sent and ended 5.69 s later, with exit code 0; nothing in the history falls between 18.0 and 19.7 s, and timers of the soak were up to 1.89 s late.

Cause: the soak. It had stood still when the process ended and when the grace period was over, and then took up one of the two at random; the grace period marks a process as killed, whether it still runs or not.

Change: a process counts as killed only if it has not ended when it is to be killed (soak and churn). So that no late end is missed, an end that is seen later than the grace period and a second, beside what timers were late, breaks the promise too (soak).

Evidence: a test of the keeper, which fails without the change; histories in which an entry ends late, and in which its end is seen late.

--- a/trial/churn/deploy.go
+++ b/trial/churn/deploy.go
@@ -261,7 +261,8 @@
 		limit = cutTime
 	}
 	d.later(limit, func(*core) {
-		if w.runs && w.entry.Proc == p {
+		// The end of the process may not have been handled yet.
+		if w.runs && w.entry.Proc == p && p.CheckRunning() == nil {
 			w.overdue = true
 			w.signal(syscall.SIGKILL)
 		}
--- a/trial/soak/check.go
+++ b/trial/soak/check.go
@@ -55,7 +55,7 @@
 	cancelTime  = 3 * time.Second
 	configTime  = 2 * time.Second
 	finishTime  = 14 * time.Second
-	// stopMargin is added to the grace period for requests that are cut off.
+	// stopMargin is added to the grace period for requests that are cut off, and for ends that are seen late.
 	stopMargin = time.Second
 	// stuckTime is the time without a run of a job after which it counts as stuck if hosts have room, and
 	// calmBefore the time before it that has to be calm.
@@ -133,7 +133,7 @@
 		switch {
 		case e.Cause == "":
 			out = append(out, fmt.Sprintf("%s ended by itself at %s: %s", e.Entry, seconds(e.At), e.Error))
-		case h.plannedExit(e) && (e.Overdue || e.Error != ""):
+		case h.plannedExit(e) && (e.Overdue || e.Error != "" || e.At-e.SignalAt > fake.GracePeriod+stopMargin+h.Late):
 			out = append(out, fmt.Sprintf("%s ended at %s, %s after SIGTERM: %s", e.Entry, seconds(e.At), seconds(e.At-e.SignalAt), e.Error))
 		}
 	}
--- a/trial/soak/check_test.go
+++ b/trial/soak/check_test.go
@@ -141,11 +141,18 @@
 			"killed at the end of the grace period": func(h *History) {
 				h.Exits = append(h.Exits, Exit{Entry: "entry-0", At: at(16), SignalAt: at(10), Cause: Term, Overdue: true})
 			},
+			"ended late": func(h *History) {
+				h.Exits = append(h.Exits, Exit{Entry: "entry-0", At: at(17.5), SignalAt: at(10), Cause: Term})
+			},
 			"exit code": func(h *History) {
 				h.Exits = append(h.Exits, Exit{Entry: "entry-0", At: at(13), SignalAt: at(10), Cause: Term, Error: "exit status 1"})
 			},
 		},
 		allowed: map[string]func(*History){
+			"seen late": func(h *History) {
+				h.Exits = append(h.Exits, Exit{Entry: "entry-0", At: at(17.5), SignalAt: at(10), Cause: Term})
+				h.Late = time.Second
+			},
 			"paused during the stop": func(h *History) {
 				h.Exits = append(h.Exits, Exit{Entry: "entry-0", At: at(16), SignalAt: at(10), Cause: Term, Overdue: true})
 				h.Windows = append(h.Windows, window(Pause, "entry-0", 11, 15.5))
--- a/trial/soak/keeper.go
+++ b/trial/soak/keeper.go
@@ -49,8 +49,9 @@
 	// not handle them yet.
 	listens bool
 	looks   func() bool
-	// send sends a signal to the process.
-	send func(syscall.Signal) error
+	// send sends a signal to the process, and result returns the result of one that has ended.
+	send   func(syscall.Signal) error
+	result func() error
 	// pauses counts the pauses that have not ended.
 	pauses int
 	// restart starts the next process, and grace ends the grace period of a stop.
@@ -70,6 +71,7 @@
 	c := &keeperCore{
 		recorder: r, opened: o, start: start, beforeStop: beforeStop, entry: e, exited: e.Proc().Exited(),
 		looks: func() bool { return listens(e.ReadyAddress) }, send: func(s syscall.Signal) error { return e.Proc().Signal(s) },
+		result: func() error { return e.Proc().Result() },
 	}
 	return &keeper{e, task.Start(c.run)}
 }
@@ -101,8 +103,7 @@
 		case <-c.restart:
 			c.startAgain()
 		case <-c.grace:
-			c.overdue, c.grace = true, nil
-			c.signal(syscall.SIGKILL)
+			c.graceOver()
 		}
 	}
 }
@@ -169,10 +170,22 @@
 	c.signal(syscall.SIGTERM)
 }
 
+// graceOver kills the process, unless it has ended and its end has not been handled yet.
+func (c *keeperCore) graceOver() {
+	c.grace = nil
+	select {
+	case <-c.exited:
+		c.processEnded()
+	default:
+		c.overdue = true
+		c.signal(syscall.SIGKILL)
+	}
+}
+
 // processEnded records the end of the process and schedules the next start.
 func (c *keeperCore) processEnded() {
 	e := Exit{Entry: c.entry.Name, At: c.recorder.now(), Cause: c.cause, SignalAt: c.signalAt, Overdue: c.overdue}
-	if err := c.entry.Proc().Result(); err != nil {
+	if err := c.result(); err != nil {
 		e.Error = err.Error()
 	}
 	if c.cause == "" {
--- a/trial/soak/keeper_test.go
+++ b/trial/soak/keeper_test.go
@@ -64,3 +64,31 @@
 	}, 30*time.Second, pollInterval)
 	require.Equal(t, []syscall.Signal{syscall.SIGTERM}, sent)
 }
+
+// Guards against a breach of stop-in-time that is none: the soak had stood still at the end of a process, and took the grace period
+// for over first.
+func TestAProcessThatHasEndedInItsGracePeriodIsNotKilled(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		var sent []syscall.Signal
+		exited := make(chan struct{})
+		c := &keeperCore{
+			recorder: startRecorder(time.Now()), opened: startOpened(), entry: &fake.Entry{Name: "entry-0"}, exited: exited, cause: Term,
+			send: func(s syscall.Signal) error {
+				sent = append(sent, s)
+				return nil
+			},
+			result: func() error { return nil },
+		}
+		t.Cleanup(c.recorder.task.Close)
+		t.Cleanup(c.opened.task.Close)
+		if ended {
+			close(exited)
+		}
+		c.graceOver()
+		require.Equal(t, !ended, c.overdue)
+		require.Equal(t, !ended, len(sent) == 1)
+		h, err := c.recorder.finish()
+		require.NoError(t, err)
+		require.Equal(t, ended, len(h.Exits) == 1)
+	}
+}
