Build the programs under test in one place

trial/churn, soak, system and integ each had the same TestMain. edits.Main builds the programs, runs the tests and removes the programs.

Two tests of it: tests run with the programs that were built for them, and fail if they cannot be built.

--- a/trial/churn/churn_test.go
+++ b/trial/churn/churn_test.go
@@ -3,10 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -20,19 +17,7 @@
 
 // TestMain builds the programs once for all tests.
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "caraway-churn-")
-	if err != nil {
-		panic(err)
-	}
-	bin = filepath.Join(dir, "bin")
-	build := exec.Command("go", "build", "-o", bin+"/", "./entry/cmd/carawayd", "./trial/cmd/trial")
-	build.Dir = "../.."
-	if out, err := build.CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("%v: %s", err, out))
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(edits.Main(m, &bin, "../..", "./entry/cmd/carawayd", "./trial/cmd/trial"))
 }
 
 // runChurn runs the churn command with one seed and returns its result.
--- a/trial/edits/edits_test.go
+++ b/trial/edits/edits_test.go
@@ -37,3 +37,27 @@
 	_, err := edits.Build(program(t), t.TempDir(), []string{"."}, edits.Edit{File: "main.go", Text: "something else", By: ""})
 	require.ErrorContains(t, err, "is there 0 times")
 }
+
+// runnerFunc runs tests as testing.M does.
+type runnerFunc func() int
+
+func (f runnerFunc) Run() int { return f() }
+
+func TestTestsRunWithTheProgramsThatAreBuiltForThem(t *testing.T) {
+	root, bin, said := program(t), "", ""
+	code := edits.Main(runnerFunc(func() int {
+		out, err := exec.Command(filepath.Join(bin, "said")).CombinedOutput()
+		require.NoError(t, err)
+		said = string(out)
+		return 3
+	}), &bin, root, ".")
+	require.Equal(t, 3, code)
+	require.Equal(t, "as written\n", said)
+	require.NoDirExists(t, bin)
+}
+
+func TestTestsFailIfTheirProgramsCannotBeBuilt(t *testing.T) {
+	var bin string
+	code := edits.Main(runnerFunc(func() int { return 0 }), &bin, program(t), "./none")
+	require.Equal(t, 1, code)
+}
--- a/trial/integ/main_test.go
+++ b/trial/integ/main_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -22,6 +21,7 @@
 	"carawaymux.dev/fleet/client"
 	"carawaymux.dev/fleet/record"
 	"carawaymux.dev/fleet/wire"
+	"carawaymux.dev/trial/edits"
 	"carawaymux.dev/trial/procs"
 	"carawaymux.dev/trial/site"
 )
@@ -34,24 +34,12 @@
 
 // TestMain builds the programs once.
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "caraway-integ-")
-	if err != nil {
-		panic(err)
-	}
-	bin = filepath.Join(dir, "bin")
-	build := exec.Command("go", "build", "-o", bin+"/", "./entry/cmd/carawayd", "./oper/cmd/caraway", "./trial/cmd/trial")
-	build.Dir = "../.."
-	if out, err := build.CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("%v: %s", err, out))
-	}
 	// Limits the number of deployments that run at the same time. More would wait for
 	// each other on the processors.
 	if err := flag.Set("test.parallel", "4"); err != nil {
 		panic(err)
 	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(edits.Main(m, &bin, "../..", "./entry/cmd/carawayd", "./oper/cmd/caraway", "./trial/cmd/trial"))
 }
 
 // fixture is a deployment whose links can be partitioned.
--- a/trial/soak/soak_test.go
+++ b/trial/soak/soak_test.go
@@ -7,33 +7,20 @@
 	"fmt"
 	"maps"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/trial/edits"
 )
 
 // bin is the folder of the programs under test.
 var bin string
 
 // TestMain builds the programs once for all tests.
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "caraway-soak-")
-	if err != nil {
-		panic(err)
-	}
-	bin = filepath.Join(dir, "bin")
-	build := exec.Command("go", "build", "-o", bin+"/", "./platform/cmd/carawaymux")
-	build.Dir = "../.."
-	if out, err := build.CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("%v: %s", err, out))
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(edits.Main(m, &bin, "../..", "./platform/cmd/carawaymux")) }
 
 // ciRun is a run of the soak in CI.
 type ciRun struct {
--- a/trial/system/system_test.go
+++ b/trial/system/system_test.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"carawaymux.dev/trial/edits"
 	"carawaymux.dev/trial/fake"
 	"carawaymux.dev/trial/procs"
 )
@@ -24,19 +23,7 @@
 
 // TestMain builds the programs once for all tests.
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "caraway-system-")
-	if err != nil {
-		panic(err)
-	}
-	bin = filepath.Join(dir, "bin")
-	build := exec.Command("go", "build", "-o", bin+"/", "./platform/cmd/carawaymux", "./oper/cmd/caraway")
-	build.Dir = "../.."
-	if out, err := build.CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("%v: %s", err, out))
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(edits.Main(m, &bin, "../..", "./platform/cmd/carawaymux", "./oper/cmd/caraway"))
 }
 
 // layout consists of two pools that run tasks and a standby pool.
