Share the options of both soaks

soak.Options and churn.Options had the same fields, flags, checks and folders for the files of a run. soak.Series holds them once; both embed it. Names, defaults and kinds are as before; churn says "hosts" for the targets of its pools, and gives one of two errors for invalid numbers in place of one for both.

--- a/trial/churn/churn.go
+++ b/trial/churn/churn.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -24,21 +23,7 @@
 
 // Options are the options of the churn command.
 type Options struct {
-	// Bin is the folder with the programs.
-	Bin string
-	// Seed is the first of Seeds consecutive seeds.
-	Seed  uint64
-	Seeds int
-	// Minutes is how long callers send requests with each seed.
-	Minutes float64
-	// Entries is the number of entries, Hosts the number of targets of each pool, in each availability zone.
-	Entries, Hosts int
-	// Faults are the kinds of faults; empty for all that apply.
-	Faults []string
-	// Keep is the folder for schedules, histories and logs; empty to keep none.
-	Keep string
-	// Out receives the results as JSON lines, Progress the schedules and the progress.
-	Out, Progress io.Writer
+	soak.Series
 	// cuts kills processes soon after SIGTERM, so that checks fail. Only tests set it.
 	cuts bool
 	// waveTime replaces the time in which waves have to be done, unless it is 0. Only tests set it.
@@ -56,7 +41,7 @@
 
 // New returns the churn command.
 func New(out, progress io.Writer) *cobra.Command {
-	o := &Options{Out: out, Progress: progress}
+	o := &Options{Series: soak.Series{Minutes: 0.5, Entries: 2, Hosts: 3, Out: out, Progress: progress}}
 	cmd := &cobra.Command{
 		Use:   "churn",
 		Short: "Run carawayd entries as processes under faults drawn from a seed, and check what the product promises",
@@ -70,36 +55,15 @@
 			return Run(ctx, o)
 		},
 	}
-	cmd.Flags().StringVar(&o.Bin, "bin", "bin", "`folder` with the programs")
-	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "first `seed`")
-	cmd.Flags().IntVar(&o.Seeds, "seeds", 1, "`number` of consecutive seeds")
-	cmd.Flags().Float64Var(&o.Minutes, "minutes", 0.5, "`minutes` of traffic for each seed")
-	cmd.Flags().IntVar(&o.Entries, "entries", 2, "`number` of entries in each availability zone")
-	cmd.Flags().IntVar(&o.Hosts, "hosts", 3, "`number` of targets of each pool in each availability zone")
-	cmd.Flags().StringSliceVar(&o.Faults, "faults", nil, fmt.Sprintf("`kinds` of faults, of %v (default all)", kinds))
-	cmd.Flags().StringVar(&o.Keep, "keep", "", "`folder` for schedules, histories and logs")
+	o.AddFlags(cmd, kinds, " in each availability zone")
 	return cmd
 }
 
-var errOptions = errors.New("the numbers of seeds, entries and hosts have to be positive, and the traffic has to last a quarter of a minute")
-
-// minMinutes is the shortest traffic that contains a series of faults whatever the seed.
-const minMinutes = 0.25
-
 // Run plays all seeds and prints the results. It returns [ErrBroken] if a promise was broken.
 func Run(ctx context.Context, o *Options) error {
-	if o.Seeds < 1 || o.Entries < 1 || o.Hosts < 1 || o.Minutes < minMinutes {
-		return errOptions
-	}
-	chosen := kinds
-	if len(o.Faults) > 0 {
-		chosen = nil
-	}
-	for _, name := range o.Faults {
-		if !slices.Contains(kinds, soak.Kind(name)) {
-			return fmt.Errorf("unknown kind of fault %q, expected one of %v", name, kinds)
-		}
-		chosen = append(chosen, soak.Kind(name))
+	chosen, err := o.Kinds(kinds)
+	if err != nil {
+		return err
 	}
 	broken := false
 	for i := range o.Seeds {
@@ -124,17 +88,12 @@
 
 // runSeed plays a seed and judges it.
 func runSeed(ctx context.Context, o *Options, seed uint64, chosen []soak.Kind) (Row, error) {
-	dir, err := os.MkdirTemp("", "caraway-churn-")
-	if o.Keep != "" {
-		dir = filepath.Join(o.Keep, fmt.Sprintf("seed-%d", seed))
-		err = os.MkdirAll(dir, 0o755)
-	} else {
-		defer os.RemoveAll(dir)
-	}
+	dir, remove, err := o.Folder(seed)
 	if err != nil {
 		return Row{}, err
 	}
-	traffic := time.Duration(o.Minutes * float64(time.Minute))
+	defer remove()
+	traffic := o.Traffic()
 	schedule := soak.Plan(seed, traffic, layout(o), chosen)
 	fmt.Fprintf(o.Progress, "seed %d; schedule:\n", seed)
 	for _, f := range schedule {
--- a/trial/churn/churn_test.go
+++ b/trial/churn/churn_test.go
@@ -43,7 +43,7 @@
 	t.Parallel()
 	for name, o := range map[string]Options{
 		"planned stops": waveRun,
-		"all faults":    {Seed: 3, Minutes: 0.4, Entries: 2, Hosts: 3},
+		"all faults":    {Series: soak.Series{Seed: 3, Minutes: 0.4, Entries: 2, Hosts: 3}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -60,7 +60,7 @@
 
 func TestAStopThatIsCutShortIsSeen(t *testing.T) {
 	t.Parallel()
-	r, err := runChurn(t, Options{Seed: 1, Minutes: minMinutes, Entries: 2, Hosts: 3, Faults: []string{string(soak.Term)}, cuts: true})
+	r, err := runChurn(t, Options{Series: soak.Series{Seed: 1, Minutes: soak.MinMinutes, Entries: 2, Hosts: 3, Faults: []string{string(soak.Term)}}, cuts: true})
 	require.ErrorIs(t, err, ErrBroken)
 	broken := map[string]int{}
 	for _, b := range r.Broken {
@@ -77,14 +77,14 @@
 	t.Parallel()
 	built, err := edits.Build("../..", t.TempDir(), []string{"./entry/cmd/carawayd", "./trial/cmd/trial"}, closesFirst)
 	require.NoError(t, err)
-	r, err := runChurn(t, Options{Bin: built, Seed: 1, Minutes: minMinutes, Entries: 2, Hosts: 3, Faults: []string{string(soak.Term)}})
+	r, err := runChurn(t, Options{Series: soak.Series{Bin: built, Seed: 1, Minutes: soak.MinMinutes, Entries: 2, Hosts: 3, Faults: []string{string(soak.Term)}}})
 	requireBroken(t, r, err, "answers-in-a-stop")
 }
 
 func TestInvalidOptionsAreRefused(t *testing.T) {
 	for want, o := range map[string]Options{
-		"have to be positive":   {Minutes: minMinutes, Entries: 0, Hosts: 1, Seeds: 1},
-		"unknown kind of fault": {Minutes: minMinutes, Entries: 1, Hosts: 1, Seeds: 1, Faults: []string{"queue"}},
+		"have to be positive":   {Series: soak.Series{Minutes: soak.MinMinutes, Entries: 0, Hosts: 1, Seeds: 1}},
+		"unknown kind of fault": {Series: soak.Series{Minutes: soak.MinMinutes, Entries: 1, Hosts: 1, Seeds: 1, Faults: []string{"queue"}}},
 	} {
 		require.ErrorContains(t, Run(t.Context(), &o), want)
 	}
--- a/trial/churn/plant_test.go
+++ b/trial/churn/plant_test.go
@@ -19,7 +19,7 @@
 var skipsWaves = edits.Edit{File: "fleet/plan/waves.go", Text: "			cordonNext(r, order, name, w)\n", By: "			_ = order\n"}
 
 // waveRun is a run with a wave beside planned stops.
-var waveRun = Options{Seed: 5, Minutes: minMinutes, Entries: 2, Hosts: 3, Faults: []string{string(soak.Term), string(soak.MaintenanceWave)}}
+var waveRun = Options{Series: soak.Series{Seed: 5, Minutes: soak.MinMinutes, Entries: 2, Hosts: 3, Faults: []string{string(soak.Term), string(soak.MaintenanceWave)}}}
 
 // runWith plays the run with a wave on programs with an edit.
 func runWith(t *testing.T, e edits.Edit) (Row, error) {
--- a/trial/soak/case_test.go
+++ b/trial/soak/case_test.go
@@ -18,7 +18,7 @@
 		require.NoError(t, err)
 		require.NotEmpty(t, c.Cause, path)
 		require.NotEmpty(t, c.Schedule, path)
-		require.GreaterOrEqual(t, c.Minutes, minMinutes, path)
+		require.GreaterOrEqual(t, c.Minutes, MinMinutes, path)
 		l := faultLayout(c.Entries, c.Hosts)
 		targets := slices.Concat(l.Entries, l.Machines, l.Links, []string{"", extraQueue})
 		for _, f := range c.Schedule {
--- a/trial/soak/plan_test.go
+++ b/trial/soak/plan_test.go
@@ -67,7 +67,7 @@
 func TestTheShortestRunHasFaultsWhateverTheSeed(t *testing.T) {
 	for seed := range uint64(200) {
 		for _, k := range Kinds() {
-			shortest := time.Duration(minMinutes * float64(time.Minute))
+			shortest := time.Duration(MinMinutes * float64(time.Minute))
 			require.NotEmpty(t, Plan(seed, shortest, testLayout, []Kind{k}), fmt.Sprint(seed, k))
 		}
 	}
--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -115,7 +115,7 @@
 	t.Helper()
 	path := t.TempDir()
 	require.NoError(t, writeJSON(path, "case.json", c))
-	return runSoak(t, Options{Bin: buildWith(t, list...), Case: filepath.Join(path, "case.json"), Seeds: 1, Minutes: minMinutes, Entries: 1, Hosts: 1, planted: planted})
+	return runSoak(t, Options{Series: Series{Bin: buildWith(t, list...), Seeds: 1, Minutes: MinMinutes, Entries: 1, Hosts: 1}, Case: filepath.Join(path, "case.json"), planted: planted})
 }
 
 // pausedOwners pauses each entry for so long that others take over its pools while it holds submissions.
@@ -143,7 +143,7 @@
 
 func TestAnAppendToAFullStoreThatCountsAsDoneIsSeen(t *testing.T) {
 	t.Parallel()
-	full := Case{Seed: 41, Minutes: minMinutes, Entries: 3, Hosts: 3, Schedule: []Fault{
+	full := Case{Seed: 41, Minutes: MinMinutes, Entries: 3, Hosts: 3, Schedule: []Fault{
 		{StoreFull, "", 3 * time.Second, 3 * time.Second}, {Term, "entry-0", 5 * time.Second, 0}, {Term, "entry-1", 7 * time.Second, 0},
 		{StoreFull, "", 9 * time.Second, 3 * time.Second}, {Term, "entry-2", 11 * time.Second, 0},
 	}}
@@ -153,7 +153,7 @@
 
 func TestAnEntryThatReadsOnAfterTrimmedRecordsIsSeen(t *testing.T) {
 	t.Parallel()
-	trimmed := Case{Seed: 41, Minutes: minMinutes, Entries: 2, Hosts: 3, Schedule: []Fault{
+	trimmed := Case{Seed: 41, Minutes: MinMinutes, Entries: 2, Hosts: 3, Schedule: []Fault{
 		{Pause, "entry-0", 2 * time.Second, 3 * time.Second}, {Queue, extraQueue, 3 * time.Second, 11 * time.Second},
 		{StoreTrim, "", 3500 * time.Millisecond, 0},
 	}}
@@ -163,7 +163,7 @@
 
 func TestLongRunningTasksThatAreNotStartedAgainAreSeen(t *testing.T) {
 	t.Parallel()
-	crashes := Case{Seed: 51, Minutes: minMinutes, Entries: 2, Hosts: 2, Schedule: []Fault{
+	crashes := Case{Seed: 51, Minutes: MinMinutes, Entries: 2, Hosts: 2, Schedule: []Fault{
 		{HostCrash, fake.MachineID(guardedPool, 0), 4 * time.Second, time.Second}, {HostCrash, fake.MachineID(guardedPool, 1), 5 * time.Second, time.Second},
 	}}
 	rows, err := playOn(t, crashes, "", losesLasting)
@@ -172,7 +172,7 @@
 
 func TestASubmissionThatIsRefusedAfterItsAnswerWasLostBetweenEntriesIsSeen(t *testing.T) {
 	t.Parallel()
-	cuts := Case{Seed: 61, Minutes: minMinutes, Entries: 3, Hosts: 3}
+	cuts := Case{Seed: 61, Minutes: MinMinutes, Entries: 3, Hosts: 3}
 	// Faults with odd numbers cut answers. Requests are kept open around reloads.
 	for i := range cuts.Entries {
 		cuts.Schedule = append(cuts.Schedule, Fault{Reload, fake.EntryName(0), 3 * time.Second, 0}, Fault{PeerCut, fake.EntryName(i), 3 * time.Second, 9 * time.Second})
@@ -186,7 +186,7 @@
 
 func TestMaintenanceBeyondTheCapOfItsWaveIsSeen(t *testing.T) {
 	t.Parallel()
-	wave := Case{Seed: 71, Minutes: minMinutes, Entries: 2, Hosts: 3, Schedule: []Fault{{MaintenanceWave, "", 3 * time.Second, 0}}}
+	wave := Case{Seed: 71, Minutes: MinMinutes, Entries: 2, Hosts: 3, Schedule: []Fault{{MaintenanceWave, "", 3 * time.Second, 0}}}
 	rows, err := playOn(t, wave, "", skipsCap, skipsSlots)
 	requireBroken(t, rows, err, "waves-whole")
 }
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -7,9 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"os/signal"
-	"path/filepath"
 	"slices"
 	"syscall"
 	"time"
@@ -20,27 +18,13 @@
 
 // Options are the options of the soak command.
 type Options struct {
-	// Bin is the folder with the programs.
-	Bin string
-	// Seed is the first of Seeds consecutive seeds.
-	Seed  uint64
-	Seeds int
-	// Minutes is how long callers submit jobs with each seed.
-	Minutes float64
-	// Entries is the number of entries, Hosts the number of hosts of each pool.
-	Entries, Hosts int
-	// Faults are the kinds of faults; empty for all.
-	Faults []string
-	// Keep is the folder for schedules, histories and logs; empty to keep none.
-	Keep string
+	Series
 	// Case is a file with a case to repeat, in place of seeds; empty for none.
 	Case string
 	// Minimize drops faults from schedules that break a promise, as long as they still do.
 	Minimize bool
 	// JSON selects JSON lines in place of a table.
 	JSON bool
-	// Out receives the results, Progress the schedules and the progress.
-	Out, Progress io.Writer
 	// planted lets checks fail.
 	planted plant
 }
@@ -54,7 +38,7 @@
 
 // New returns the soak command.
 func New(out, progress io.Writer) *cobra.Command {
-	o := &Options{Out: out, Progress: progress}
+	o := &Options{Series: Series{Minutes: 1, Entries: 4, Hosts: 4, Out: out, Progress: progress}}
 	cmd := &cobra.Command{
 		Use:   "soak",
 		Short: "Run entries as processes under faults drawn from a seed, and check what the system promises",
@@ -71,55 +55,19 @@
 			return Run(ctx, o)
 		},
 	}
-	cmd.Flags().StringVar(&o.Bin, "bin", "bin", "`folder` with the programs")
-	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "first `seed`")
-	cmd.Flags().IntVar(&o.Seeds, "seeds", 1, "`number` of consecutive seeds")
-	cmd.Flags().Float64Var(&o.Minutes, "minutes", 1, "`minutes` of traffic for each seed")
-	cmd.Flags().IntVar(&o.Entries, "entries", 4, "`number` of entries")
-	cmd.Flags().IntVar(&o.Hosts, "hosts", 4, "`number` of hosts of each pool")
-	cmd.Flags().StringSliceVar(&o.Faults, "faults", nil, fmt.Sprintf("`kinds` of faults, of %v (default all)", Kinds()))
-	cmd.Flags().StringVar(&o.Keep, "keep", "", "`folder` for schedules, histories and logs")
+	o.AddFlags(cmd, Kinds(), "")
 	cmd.Flags().StringVar(&o.Case, "case", "", "`file` with a case to repeat (case.json of a run with --keep), in place of seeds")
 	cmd.Flags().BoolVar(&o.Minimize, "minimize", false, "drop faults one by one from schedules that break a promise, as long as they still do")
 	cmd.Flags().BoolVar(&o.JSON, "json", false, "print JSON lines")
 	return cmd
 }
 
-var (
-	errSeeds  = errors.New("the numbers of seeds, entries and hosts have to be positive")
-	errLength = errors.New("the traffic has to last at least a quarter of a minute, for one series of faults")
-)
-
-// minMinutes is the shortest traffic that contains a series of faults whatever the seed.
-const minMinutes = 0.25
-
-// kinds returns the kinds of faults to inject.
-func (o *Options) kinds() ([]Kind, error) {
-	if len(o.Faults) == 0 {
-		return Kinds(), nil
-	}
-	var out []Kind
-	for _, name := range o.Faults {
-		if !slices.Contains(Kinds(), Kind(name)) {
-			return nil, fmt.Errorf("unknown kind of fault %q, expected one of %v", name, Kinds())
-		}
-		out = append(out, Kind(name))
-	}
-	return out, nil
-}
-
 // Run plays all seeds and prints the results. It returns [ErrBroken] if a promise was broken.
 func Run(ctx context.Context, o *Options) error {
-	kinds, err := o.kinds()
+	kinds, err := o.Kinds(Kinds())
 	if err != nil {
 		return err
 	}
-	if o.Seeds < 1 || o.Entries < 1 || o.Hosts < 1 {
-		return errSeeds
-	}
-	if o.Minutes < minMinutes {
-		return errLength
-	}
 	cases := []Case{}
 	if o.Case != "" {
 		c, err := readCase(o.Case)
@@ -167,13 +115,11 @@
 
 // runCase plays a case and judges it.
 func runCase(ctx context.Context, o *Options, c Case) (Row, error) {
-	dir, err := runFolder(o, c.Seed)
+	dir, remove, err := o.Folder(c.Seed)
 	if err != nil {
 		return Row{}, err
 	}
-	if o.Keep == "" {
-		defer os.RemoveAll(dir)
-	}
+	defer remove()
 	fmt.Fprintf(o.Progress, "seed %d: the store takes %v for an append; schedule:\n", c.Seed, c.AppendTime)
 	for _, f := range c.Schedule {
 		fmt.Fprintln(o.Progress, "  "+f.String())
@@ -197,15 +143,6 @@
 	return r, err
 }
 
-// runFolder creates the folder for the files of a run.
-func runFolder(o *Options, seed uint64) (string, error) {
-	if o.Keep == "" {
-		return os.MkdirTemp("", "caraway-soak-")
-	}
-	dir := filepath.Join(o.Keep, fmt.Sprintf("seed-%d", seed))
-	return dir, os.MkdirAll(dir, 0o755)
-}
-
 // play starts a deployment, injects the faults of a case under its load, and returns what was seen.
 func play(ctx context.Context, o *Options, c Case, dir string) (*History, error) {
 	startCtx, stopStart := context.WithTimeout(ctx, startTimeout)
--- a/trial/soak/soak_test.go
+++ b/trial/soak/soak_test.go
@@ -35,11 +35,11 @@
 	// entries, a crashed host, a lossy and slow store, and faults of links. No job of the removed queue fails in it; the kept
 	// case of a removed queue has those.
 	"all faults": {
-		options:  Options{Seed: 151, Seeds: 1, Minutes: 0.4, Entries: 3, Hosts: 3},
+		options:  Options{Series: Series{Seed: 151, Seeds: 1, Minutes: 0.4, Entries: 3, Hosts: 3}},
 		notAbout: []string{"answers-in-a-stop", "stop-in-time", "config-in-time", "waves-whole"},
 	},
 	"planned work": {
-		options:  Options{Seed: 26, Seeds: 1, Minutes: 0.4, Entries: 3, Hosts: 3, Faults: []string{string(Term), string(Reload), string(Queue), string(MaintenanceWave)}},
+		options:  Options{Series: Series{Seed: 26, Seeds: 1, Minutes: 0.4, Entries: 3, Hosts: 3, Faults: []string{string(Term), string(Reload), string(Queue), string(MaintenanceWave)}}},
 		notAbout: []string{"refused-is-not-run"},
 	},
 }
@@ -112,7 +112,7 @@
 	for _, path := range paths {
 		t.Run(filepath.Base(path), func(t *testing.T) {
 			t.Parallel()
-			rows, err := runSoak(t, Options{Case: path, Seeds: 1, Minutes: minMinutes, Entries: 1, Hosts: 1})
+			rows, err := runSoak(t, Options{Series: Series{Seeds: 1, Minutes: MinMinutes, Entries: 1, Hosts: 1}, Case: path})
 			require.NoError(t, err)
 			require.Len(t, rows, 1)
 			require.Empty(t, rows[0].Broken)
@@ -133,21 +133,21 @@
 
 func TestAnswersThatAreDroppedInAPlannedStopAreSeen(t *testing.T) {
 	t.Parallel()
-	rows, err := runSoak(t, Options{Seed: plantSeed, Seeds: 1, Minutes: minMinutes, Entries: 3, Hosts: 3, Faults: []string{string(Term)}, planted: cutAnswers})
+	rows, err := runSoak(t, Options{Series: Series{Seed: plantSeed, Seeds: 1, Minutes: MinMinutes, Entries: 3, Hosts: 3, Faults: []string{string(Term)}}, planted: cutAnswers})
 	requireBroken(t, rows, err, "answers-in-a-stop")
 }
 
 func TestTasksThatHostsRunAgainAreSeen(t *testing.T) {
 	t.Parallel()
-	rows, err := runSoak(t, Options{Seed: plantSeed, Seeds: 1, Minutes: minMinutes, Entries: 2, Hosts: 2, Faults: []string{string(Reload)}, planted: rerunDone})
+	rows, err := runSoak(t, Options{Series: Series{Seed: plantSeed, Seeds: 1, Minutes: MinMinutes, Entries: 2, Hosts: 2, Faults: []string{string(Reload)}}, planted: rerunDone})
 	requireBroken(t, rows, err, "no-run-twice")
 }
 
 func TestInvalidOptionsAreRefused(t *testing.T) {
 	for want, o := range map[string]Options{
-		"unknown kind of fault": {Seeds: 1, Minutes: 1, Entries: 1, Hosts: 1, Faults: []string{"none"}},
-		"have to be positive":   {Seeds: 0, Minutes: 1, Entries: 1, Hosts: 1},
-		"at least a quarter":    {Seeds: 1, Minutes: 0.1, Entries: 1, Hosts: 1},
+		"unknown kind of fault": {Series: Series{Seeds: 1, Minutes: 1, Entries: 1, Hosts: 1, Faults: []string{"none"}}},
+		"have to be positive":   {Series: Series{Seeds: 0, Minutes: 1, Entries: 1, Hosts: 1}},
+		"at least a quarter":    {Series: Series{Seeds: 1, Minutes: 0.1, Entries: 1, Hosts: 1}},
 	} {
 		_, err := runSoak(t, o)
 		require.ErrorContains(t, err, want)
