Send the heartbeat under test at a time after the answer before it

Seen: a run of entry/owner with the race detector (two processors, machine load 50 to 72) ended after five minutes: TestAHeartbeatWithoutADeadlineAcknowledgesNoEndOfTheNextInstance waited for a heartbeat that was never sent.

Cause: the test. It took the time at its start, handled an answer of the host and sent the next heartbeat as of 150 ms after its start. A heartbeat follows an answer by 10 ms at least, so none was sent if the test had stood still for longer between the two.

Change: the heartbeat is sent as of 150 ms after the answer, and the test requires that it is in flight, so that it fails where it waited for ever. With a sleep of 300 ms before the answer it hangs without the change and passes with it.

--- a/entry/owner/acked_test.go
+++ b/entry/owner/acked_test.go
@@ -47,7 +47,8 @@
 	heartbeatResult{agent.HeartbeatResult{Host: "h", Report: earlier}, l}.handle(c.core)
 	c.state.Hosts["h"].StoredEnd = 2
 	c.state.ConfirmedAt = now.Add(-c.settings.Timing.Grace - time.Second)
-	c.sendHeartbeat("h", l, now.Add(unackedBackoff))
+	c.sendHeartbeat("h", l, time.Now().Add(unackedBackoff))
+	require.True(t, l.heartbeatInFlight)
 	late := <-host.heartbeats
 	require.Zero(t, late.Deadline)
 
