Put begun large jobs first only while their size has less than others

Cause: a large job that had begun while the pool kept up went before all others as soon as the pool was overloaded, whatever its size had got. Now it does so while the jobs of its size that were begun and not lost are less than 0.9 of what they are of all jobs. The rule for jobs that have not begun stays at 0.7.

The reference planner and the model follow. TestSizeShareComparesOnlyWhereItMay checks that begun jobs go first at 0.7 and no more at 0.9; its earlier form asked for it at 0.9 too.

--- a/fleet/grade/tally.go
+++ b/fleet/grade/tally.go
@@ -9,6 +9,9 @@
 // jobs of their queue. Some that are begun are late.
 const LeastShare = 0.7
 
+// BegunShare is the share up to which large jobs that were begun go first.
+const BegunShare = 0.9
+
 // Tally counts what became of the jobs of a queue, by their size. The zero value is ready to use.
 type Tally struct {
 	// newer holds the counts from since on, and older those of the window before.
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -201,14 +201,15 @@
 	return cmp.Compare(a.RemainingWork, b.RemainingWork)
 }
 
-// referenceSizeShare puts what was begun of large jobs first, and then those of a size of which less than seven tenths as
+// referenceSizeShare puts what was begun of large jobs first, if less than nine tenths as many of their size as of all
+// jobs were begun and not lost, and then those of a size of which less than seven tenths as
 // many as of all jobs were begun and not lost, while the pool is overloaded.
 func referenceSizeShare(compare compareDemands, overloaded bool) compareDemands {
 	turn := func(d *referenceDemand) int {
 		switch {
 		case d.Job.Size == grade.Rest:
 			return 2
-		case d.Begun:
+		case d.Begun && d.Tally.Behind(d.Job.Size, 0.9):
 			return 0
 		case d.Tally.Behind(d.Job.Size, 0.7):
 			return 1
--- a/fleet/shard/sizes.go
+++ b/fleet/shard/sizes.go
@@ -10,7 +10,7 @@
 
 // SizeShare orders like another ranking, but while a pool is overloaded it puts the work in time of large jobs before
 // other such work of the same priority while fewer of them than their share have been begun, and what has been begun of
-// them first of all. In the order of remaining work alone hardly any of them is in time.
+// them first of all while their size has less than others. In the order of remaining work alone hardly any of them is in time.
 type SizeShare[R Ranking] struct {
 	Ranking    R
 	Overloaded bool
@@ -33,7 +33,8 @@
 type turn uint8
 
 const (
-	// begunLarge is the turn of large jobs that have been begun: half of a job is of no use.
+	// begunLarge is the turn of large jobs that have been begun, since half of a job is of no use, while those of their size
+	// have less than others.
 	begunLarge turn = iota
 	// behind is the turn of jobs of a size that has less than its share.
 	behind
@@ -44,7 +45,7 @@
 	switch {
 	case d.Job.Size == grade.Rest:
 		return otherTurn
-	case d.Begun:
+	case d.Begun && d.Tally.Behind(d.Job.Size, grade.BegunShare):
 		return begunLarge
 	case d.Tally.Behind(d.Job.Size, grade.LeastShare):
 		return behind
--- a/fleet/shard/sizes_test.go
+++ b/fleet/shard/sizes_test.go
@@ -265,9 +265,13 @@
 	begun := large
 	begun.Begun = true
 	require.Negative(t, ranking.Compare(&begun, &large))
-	for range 9 {
+	for range 7 {
 		tally.Begin(grade.Largest, now)
 	}
 	require.Negative(t, ranking.Compare(&small, &large), "they have their share")
 	require.Positive(t, ranking.Compare(&small, &begun), "what was begun goes on")
+	for range 2 {
+		tally.Begin(grade.Largest, now)
+	}
+	require.Negative(t, ranking.Compare(&small, &begun), "they have hardly less than others")
 }
--- a/trial/model/start.go
+++ b/trial/model/start.go
@@ -69,8 +69,7 @@
 type turns struct {
 	tally *grade.Tally
 	// begun holds the large jobs that were begun, and waiting the others, by size.
-	begun   []*job
-	waiting [grade.Grades][]*job
+	begun, waiting [grade.Grades][]*job
 	// position holds the place of each job in the order.
 	position map[*job]int
 }
@@ -84,7 +83,7 @@
 		case j.size == grade.Rest || !shares(j):
 			t.waiting[grade.Rest] = append(t.waiting[grade.Rest], j)
 		case j.begun:
-			t.begun = append(t.begun, j)
+			t.begun[j.size] = append(t.begun[j.size], j)
 		default:
 			t.waiting[j.size] = append(t.waiting[j.size], j)
 		}
@@ -94,30 +93,31 @@
 
 // pop removes the next job and returns it, or nil when there is none.
 func (t *turns) pop() *job {
-	if len(t.begun) > 0 {
-		j := t.begun[0]
-		t.begun = t.begun[1:]
-		return j
+	var first *[]*job
+	firstTurn := 0
+	consider := func(jobs *[]*job, turn int) {
+		if len(*jobs) == 0 {
+			return
+		}
+		if first == nil || cmp.Or(cmp.Compare(turn, firstTurn), cmp.Compare(t.position[(*jobs)[0]], t.position[(*first)[0]])) < 0 {
+			first, firstTurn = jobs, turn
+		}
 	}
-	first, firstBehind := grade.Grades, false
 	for g := range grade.Grades {
-		if len(t.waiting[g]) == 0 {
-			continue
+		begunTurn, turn := 2, 2
+		if g != grade.Rest && t.tally.Behind(g, grade.LeastShare) {
+			begunTurn, turn = 1, 1
 		}
-		behind := g != grade.Rest && t.tally.Behind(g, grade.LeastShare)
-		if first == grade.Grades || (behind && !firstBehind) || (behind == firstBehind && t.before(g, first)) {
-			first, firstBehind = g, behind
+		if g != grade.Rest && t.tally.Behind(g, grade.BegunShare) {
+			begunTurn = 0
 		}
+		consider(&t.begun[g], begunTurn)
+		consider(&t.waiting[g], turn)
 	}
-	if first == grade.Grades {
+	if first == nil {
 		return nil
 	}
-	j := t.waiting[first][0]
-	t.waiting[first] = t.waiting[first][1:]
+	j := (*first)[0]
+	*first = (*first)[1:]
 	return j
 }
-
-// before reports whether the first job of a size goes before that of another one.
-func (t *turns) before(a, b grade.Grade) bool {
-	return t.position[t.waiting[a][0]] < t.position[t.waiting[b][0]]
-}
