--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -63,8 +63,6 @@
 	adviceInFlight bool
 	// journal holds what is to be written to the store.
 	journal journal
-	// admission decides which submissions are taken.
-	admission admission
 	// placing is the registration of the pool for its queues.
 	placing placing
 	// runCtx is cancelled when the owner stops. It bounds the messages that the owner's
@@ -104,7 +102,7 @@
 		logger: d.Logger.With("pool", acquired.Name, "epoch", acquired.Epoch),
 		state:  shard.New(acquired.Name, acquired.Epoch, s.Timing, time.Now()),
 		starts: window.New[startKey](window.Adaptive{}), copies: hedge.NewBudget(),
-		placing: newPlacing(), admission: newAdmission(),
+		placing: newPlacing(),
 	}
 	c.state.ConfirmedAt = acquired.ConfirmedAt
 	c.state.HasPolicyService = d.Adviser != nil
@@ -183,7 +181,6 @@
 	}
 	shard.PlanWithin(c.state, ranking, limits, now, now.UnixMilli())
 	c.sendOrders(now)
-	c.observeLoad(now)
 	c.askAdviser(now)
 	c.flush(now)
 	end := time.Now()
@@ -207,7 +204,6 @@
 		c.nextExpiryScan = now.Add(expiryScanInterval)
 		c.journal.expiredJobs = append(c.journal.expiredJobs, c.state.DropExpired(now)...)
 		c.findEmptyQueues(now)
-		c.forgetEnded()
 	}
 	c.state.SettleSuspects(now)
 	c.refuseUnwritten()
--- a/entry/owner/held.go
+++ b/entry/owner/held.go
@@ -25,7 +25,6 @@
 // sendOrders sends the orders that were decided, and holds the starts that have to wait for the store.
 func (c *core) sendOrders(now time.Time) {
 	for _, o := range c.state.TakeOrders() {
-		c.recordStart(&o, now)
 		if o.AfterWrite {
 			c.journal.held = append(c.journal.held, heldStart{order: o, heldAt: now, change: c.state.NewestChange()})
 			continue
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -184,20 +184,18 @@
 		l.failing = false
 		c.logger.Info("host regained", "host", m.Host)
 	}
-	c.recordEnds(c.state.HandleReport(m.Host, &m.Report, now))
+	c.logEnds(c.state.HandleReport(m.Host, &m.Report, now))
 	if !current {
 		// The answer over the current link is still to come.
 		c.state.HeartbeatSent(m.Host, now)
 	}
 }
 
-func (m extraReport) handle(c *core) { c.recordEnds(c.state.HandleEnds(m.host, &m.report, time.Now())) }
+func (m extraReport) handle(c *core) { c.logEnds(c.state.HandleEnds(m.host, &m.report, time.Now())) }
 
-// recordEnds logs and counts ends of runs.
-func (c *core) recordEnds(ends []shard.RunEnd) {
-	now := time.Now()
+// logEnds logs and counts ends of runs.
+func (c *core) logEnds(ends []shard.RunEnd) {
 	for _, e := range ends {
-		c.recordWork(&e, now)
 		c.deps.Stats.Add("runs-ended", 1, "pool", c.state.Pool, "result", string(e.Result))
 		c.logger.Info("run ended", "unit", e.Ref.String(), "run", e.Run, "host", e.Host,
 			"result", string(e.Result), "took-ms", e.Took.Milliseconds())
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -289,15 +289,7 @@
 	if c.state.Jobs[m.id] == nil && !c.admits(m, checked) {
 		return
 	}
-	now, known := time.Now(), c.state.Jobs[m.id] != nil
-	firstAt := now
-	if !known {
-		var admitted bool
-		if firstAt, admitted = c.decide(m, now); !admitted {
-			return
-		}
-	}
-	j, verdict := c.state.Submit(m.id, submittedAt(m.spec, now.Sub(firstAt)), firstAt)
+	j, verdict := c.state.Submit(m.id, m.spec, time.Now())
 	if verdict == shard.Duplicate && (j.Stored || j.StoredPhase != shard.Open) {
 		m.reply <- Answer{Outcome: Accepted, Phase: j.StoredPhase}
 		return
--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -6,7 +6,6 @@
 	"math"
 	"time"
 
-	"carawaymux.dev/fleet/admit"
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/clamp"
 )
@@ -100,8 +99,6 @@
 	// late is the part of waiting that can no longer meet its objective, and expired the part of it of jobs that have
 	// taken usefulFactor times their objective.
 	late, expired int64
-	// inTime is the other part of waiting, by the size of the estimated work that is left of the occurrence.
-	inTime [admit.Sizes]int64
 	// pending is the number of jobs of which nothing has started.
 	pending int
 }
--- a/fleet/shard/sums.go
+++ b/fleet/shard/sums.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"carawaymux.dev/fleet/admit"
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/clamp"
 )
@@ -22,10 +21,8 @@
 
 // load is what a stage adds to the sums of the backlog.
 type load struct {
-	waiting, future int64
-	late, expired   int64
-	// size is that of the remaining work of the occurrence by its estimate, in thousandths of a core-second.
-	size                           admit.Size
+	waiting, future                int64
+	late, expired                  int64
 	longRunning                    batch.Size
 	tasks, longRunningTasks, hosts int
 }
@@ -47,11 +44,8 @@
 	if live && !step.LongRunning {
 		if ready {
 			now.waiting = estimatedWork(step, stage.idle)
-			if w := stage.waiting; w != nil {
-				now.size = admit.SizeOf(w.work.left(&j.Spec, j.Occurrences[w.demand.Occurrence].Stages) / workUnits)
-				if w.lateness >= late {
-					now.late = now.waiting
-				}
+			if w := stage.waiting; w != nil && w.lateness >= late {
+				now.late = now.waiting
 				if w.lateness == expired {
 					now.expired = now.waiting
 				}
@@ -72,8 +66,6 @@
 	q.future += now.future - was.future
 	q.late += now.late - was.late
 	q.expired += now.expired - was.expired
-	q.inTime[was.size] -= was.waiting - was.late
-	q.inTime[now.size] += now.waiting - now.late
 	b.longRunning = b.longRunning.Add(now.longRunning).Sub(was.longRunning)
 	b.tasks += now.tasks - was.tasks
 	b.longRunningTasks += now.longRunningTasks - was.longRunningTasks
--- a/trial/model/model.go
+++ b/trial/model/model.go
@@ -11,7 +11,6 @@
 	"slices"
 	"time"
 
-	"carawaymux.dev/fleet/admit"
 	"carawaymux.dev/fleet/demand"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/sizing"
@@ -78,10 +77,6 @@
 	Arrived, Ended time.Duration
 	InTime         bool
 	Worth          float64
-	// Refused is how often the job was refused, Taken whether it was taken in the end, and Useful whether it ended while
-	// it was of use.
-	Refused       int
-	Taken, Useful bool
 }
 
 // Sizer is what a run needs of a policy: the hosts that pools may need soon.
@@ -116,9 +111,7 @@
 	kind      int
 	arrived   time.Duration
 	objective time.Duration
-	// useful is the time up to which the job is of use.
-	useful time.Duration
-	worth  float64
+	worth     float64
 	// outcome is the index in Result.Jobs.
 	outcome int
 	// left is the number of steps that have not ended. cores is what one step takes, of which waiting
@@ -158,25 +151,16 @@
 	work                   float64
 	moves                  int
 	outcomes               []Outcome
-	// gates are the admissions of the pools, and returning the refused jobs whose callers come back.
-	gates     []Gate
-	returning []returning
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
 
 // Play plays a shape on a fleet with a sizing policy.
-func Play[P sizing.Policy, S Sizer](f Fleet, s Shape, policy P, sizer S, seed uint64, opts ...Option) Result {
+func Play[P sizing.Policy, S Sizer](f Fleet, s Shape, policy P, sizer S, seed uint64) Result {
 	r := &run{
 		fleet: f, shape: s, seed: seed, machines: map[string]port.Machine{},
 		arriving: map[string]time.Duration{}, inTime: make([]float64, len(f.Kinds)), owed: make([]float64, len(f.Kinds)),
 	}
-	for range f.Kinds {
-		r.gates = append(r.gates, admit.New(admit.All{}))
-	}
-	for _, opt := range opts {
-		opt(r)
-	}
 	add := func(name string, n int) {
 		for i := range n {
 			id := fmt.Sprintf("%s-%04d", name, i)
@@ -194,11 +178,9 @@
 		r.land(at)
 		r.failMachines(at)
 		r.submit(at)
-		r.submitAgain(at)
 		for i := range r.pools {
 			r.end(i, at)
 			r.start(i, at)
-			r.gates[i].Observe(r.observe(i, nil, at), epoch.Add(at))
 		}
 		if at >= 0 && at < s.Length {
 			r.countHosts()
@@ -305,16 +287,17 @@
 		for range poisson(random, expected) {
 			size := math.Exp(random.NormFloat64()*0.6 - 0.18)
 			length := time.Duration(k.Steps) * k.Duration
-			target := time.Duration(stretch*float64(length)) + allowance
-			j := &job{kind: i, arrived: at, objective: at + target, useful: at + usefulFactor*target, left: k.Steps, cores: k.Cores * size}
+			j := &job{kind: i, arrived: at, objective: at + time.Duration(stretch*float64(length)) + allowance, left: k.Steps, cores: k.Cores * size}
 			j.waiting, j.worth = j.cores, k.Worth*(0.3+0.7*size)
 			j.outcome = len(r.outcomes)
 			r.outcomes = append(r.outcomes, Outcome{Kind: i, Arrived: at, Worth: j.worth})
-			r.work += j.cores * length.Seconds() / hostCores
+			r.pools[i].queue = append(r.pools[i].queue, j)
+			work := j.cores * length.Seconds()
+			r.pools[i].meter.Add(int64(work*1000), epoch.Add(at))
 			r.owed[i] += j.worth
+			r.work += work / hostCores
 			r.jobs++
 			r.unfinished++
-			r.offer(j, at)
 		}
 	}
 }
@@ -343,7 +326,6 @@
 		}
 		p.used -= w.cores
 		w.job.active -= w.cores
-		r.gates[i].Done(milli(w.cores*r.fleet.Kinds[i].Duration.Seconds()), epoch.Add(at))
 		if w.job.waiting <= rounding && w.job.active <= rounding {
 			ended = append(ended, w.job)
 		}
@@ -359,7 +341,7 @@
 		}
 		r.unfinished--
 		outcome := &r.outcomes[j.outcome]
-		outcome.Ended, outcome.InTime, outcome.Useful = at, at <= j.objective, at <= j.useful
+		outcome.Ended, outcome.InTime = at, at <= j.objective
 		if !outcome.InTime {
 			r.late++
 			continue
--- a/trial/model/policy.go
+++ b/trial/model/policy.go
@@ -32,19 +32,19 @@
 const lookAhead = moveTime + planInterval
 
 // Run plays a shape on a fleet with a policy. The error names a policy that does not exist.
-func Run(f Fleet, s Shape, policy string, seed uint64, opts ...Option) (Result, error) {
+func Run(f Fleet, s Shape, policy string, seed uint64) (Result, error) {
 	var r Result
 	switch policy {
 	case Static:
-		r = Play(f, s, sizing.Static{}, nothing{}, seed, opts...)
+		r = Play(f, s, sizing.Static{}, nothing{}, seed)
 	case OnDemand:
-		r = Play(f, s, sizing.OnDemand{}, nothing{}, seed, opts...)
+		r = Play(f, s, sizing.OnDemand{}, nothing{}, seed)
 	case Reactive:
-		r = Play(f, s, sizer, newForecaster(demand.Never{}), seed, opts...)
+		r = Play(f, s, sizer, newForecaster(demand.Never{}), seed)
 	case Forecast:
-		r = Play(f, s, sizer, newForecaster(demand.InOrder{}), seed, opts...)
+		r = Play(f, s, sizer, newForecaster(demand.InOrder{}), seed)
 	case Oracle:
-		r = Play(f, s, sizer, &oracle{f, s}, seed, opts...)
+		r = Play(f, s, sizer, &oracle{f, s}, seed)
 	default:
 		return r, fmt.Errorf("unknown policy %q, expected one of %v", policy, Policies())
 	}
