Answer the open requests of an entry that stood still while its stop ended their time

What callers saw: connections closed without an answer 4.5 s after SIGTERM (LOST), under requests that waited for the owner of a pool.

Cause: the time of requests ends at 0.55 of the grace period, and connections are closed at 0.75. A process that has no processor time from before the one until after the other finds both over at once, and closes the connections before the answers are sent.

Change: requests that are open when connections are to be closed have 0.05 of the grace period more for their answers, 0.3 s of 6.

--- a/entry/drain/plan.go
+++ b/entry/drain/plan.go
@@ -13,7 +13,7 @@
 	// time gets answers out a second late, and the process still has time to end.
 	closeShare = 0.75
 	// restShare is the fraction in which a request that has arrived in part may arrive as a whole, once the
-	// others are answered.
+	// others are answered, and in which requests are answered whose time has ended too late for closeShare.
 	restShare = 0.05
 )
 
@@ -24,9 +24,10 @@
 	Take time.Duration
 	// Answer ends the time of all open requests. They are answered then, whatever they wait for.
 	Answer time.Duration
-	// Close is when connections are closed at the latest.
+	// Close is when connections are closed at the latest, or Rest later if requests are open then.
 	Close time.Duration
-	// Rest is the time for a request that has arrived in part when the others are answered.
+	// Rest is the time for a request that has arrived in part when the others are answered, and for answers that are not
+	// complete at Close: a process that stood still has ended the time of its requests just then.
 	Rest time.Duration
 }
 
