Have the reference planner leave out late jobs that a round has started

Cause: the reference. It read whether something of the job runs as of the beginning of the round, and the round had started a task of it. The planner counts that start, as the rule says.

Change: the reference leaves out jobs with a start in the round. Nothing that the test compares changes.

--- a/fleet/shard/reference_starved_test.go
+++ b/fleet/shard/reference_starved_test.go
@@ -34,7 +34,8 @@
 		for i := range demands {
 			d := &demands[i]
 			step, stage := &d.Job.Spec.Steps[d.Step], &d.Job.Occurrences[d.Occurrence].Stages[d.Step]
-			if !step.LongRunning && stage.idle > 0 && d.slack(now) < 0 && d.idleFor(now) > idle && (!step.Gang || preferred == nil) {
+			started := slices.ContainsFunc(s.orders, func(o Order) bool { return o.Ref.Job == d.Job.ID })
+			if !step.LongRunning && stage.idle > 0 && d.slack(now) < 0 && !started && d.idleFor(now) > idle && (!step.Gang || preferred == nil) {
 				on.startTasks(s, d, now, preferred, true)
 			}
 		}
