Count by size only what the load decides on

What callers saw (by review, in tests): three large jobs that were cancelled at once, that are due in an hour, or that an earlier owner had accepted made all large jobs of the queue go first; losses of jobs whose beginning was no longer counted kept them from their share.

Cause: each job counted as arrived, for good, and each loss was counted, however old the beginning of its job.

Change: jobs of an earlier owner and jobs at set times are not counted, a job that is cancelled before it is begun is taken back, and a loss counts as long as the beginning does. The reference planner and the model count alike.

--- a/fleet/grade/tally.go
+++ b/fleet/grade/tally.go
@@ -49,10 +49,23 @@
 	t.newer[g].Begun++
 }
 
-// Lose counts a job that was begun in time and is late.
-func (t *Tally) Lose(g Grade, now time.Time) {
+// Lose counts a job that was begun in time and is late, unless its beginning is no longer counted.
+func (t *Tally) Lose(g Grade, begunAt, now time.Time) {
 	t.advance(now)
-	t.newer[g].Lost++
+	if !begunAt.Before(t.since.Add(-window)) {
+		t.newer[g].Lost++
+	}
+}
+
+// Withdraw takes back the arrival of a job, as far as it is still counted.
+func (t *Tally) Withdraw(g Grade, arrivedAt, now time.Time) {
+	t.advance(now)
+	switch {
+	case !arrivedAt.Before(t.since):
+		t.newer[g].Arrived--
+	case !arrivedAt.Before(t.since.Add(-window)):
+		t.older[g].Arrived--
+	}
 }
 
 // Behind reports whether the jobs of a size were begun, and not lost, less often than a share of how often all jobs were.
--- a/fleet/grade/tally_test.go
+++ b/fleet/grade/tally_test.go
@@ -36,7 +36,27 @@
 	}
 	require.False(t, tally.Behind(grade.Largest, 0.7))
 	for range 5 {
-		tally.Lose(grade.Largest, now)
+		tally.Lose(grade.Largest, now, now)
+	}
+	require.True(t, tally.Behind(grade.Largest, 0.7))
+}
+
+// Guards against large jobs that are not served since losses lower the counts of jobs whose beginning is no longer counted.
+func TestALossCountsOnlyAsLongAsTheBeginningOfItsJob(t *testing.T) {
+	var tally grade.Tally
+	begunAt := time.Unix(1_700_000_000, 0)
+	for range 100 {
+		tally.Arrive(grade.Rest, begunAt)
+		tally.Begin(grade.Rest, begunAt)
+	}
+	now := begunAt.Add(31 * time.Second)
+	for range 30 {
+		tally.Lose(grade.Rest, begunAt, now)
+	}
+	for range 10 {
+		tally.Arrive(grade.Rest, now)
+		tally.Begin(grade.Rest, now)
+		tally.Arrive(grade.Largest, now)
 	}
 	require.True(t, tally.Behind(grade.Largest, 0.7))
 }
--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -353,7 +353,7 @@
 		key.size, key.begun = w.job.Size, w.job.begun && w.job.Size != grade.Rest
 	}
 	if key.late && w.job.lose() {
-		w.queue.tally.Lose(w.job.Size, b.origin.Add(now))
+		w.queue.tally.Lose(w.job.Size, w.job.begunAt, b.origin.Add(now))
 	}
 	class := inTime
 	alarm := never
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -53,7 +53,8 @@
 	j := newJob(id, now)
 	j.Spec, j.OccurrencesLeft = spec, spec.Occurrences()
 	j.Objective = s.objective(j)
-	s.gradeJob(j, now)
+	s.gradeJob(j)
+	s.countArrival(j, now)
 	s.Jobs[id] = j
 	s.openJobs[id] = j
 	s.backlog.addJob(j)
@@ -116,9 +117,7 @@
 // closeJob sets the final phase of a job and stops all its runs.
 func (s *State) closeJob(j *Job, p Phase, now time.Time) {
 	j.Phase, j.EndedAt = p, now
-	if p != Cancelled && j.Spec.Repetitions == 0 && now.After(j.Objective) && j.lose() {
-		s.sizesOf(j.Spec.Queue).tally.Lose(j.Size, now)
-	}
+	s.countJobEnd(j, now)
 	s.ended = append(s.ended, j)
 	delete(s.openJobs, j.ID)
 	s.backlog.dropJob(j)
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -240,7 +240,7 @@
 	j.Objective = s.objective(j)
 	s.Jobs[id] = j
 	if j.Phase == Open {
-		s.gradeJob(j, now)
+		s.gradeJob(j)
 		s.openJobs[id] = j
 		s.backlog.addJob(j)
 		s.addRestored(j)
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -232,9 +232,9 @@
 		for oi := range j.Occurrences {
 			for si := range j.Occurrences[oi].Stages {
 				waits := j.Stored && j.Occurrences[oi].Stages[si].idle > 0 && j.Occurrences[oi].ready(&j.Spec, si)
-				if waits && j.begun && !j.lost && referenceIsLate(s, j, oi, si, now) {
+				if waits && j.counted && j.begun && !j.lost && referenceIsLate(s, j, oi, si, now) {
 					j.lost = true
-					s.sizesOf(j.Spec.Queue).tally.Lose(j.Size, now)
+					s.sizesOf(j.Spec.Queue).tally.Lose(j.Size, j.begunAt, now)
 				}
 			}
 		}
@@ -639,7 +639,10 @@
 	step := &j.Spec.Steps[ref.Step]
 	if !step.LongRunning && !j.begun && !referenceIsLate(s, j, ref.Occurrence, ref.Step, now) {
 		j.begun = true
-		s.sizesOf(j.Spec.Queue).tally.Begin(j.Size, now)
+		if j.counted {
+			j.begunAt = now
+			s.sizesOf(j.Spec.Queue).tally.Begin(j.Size, now)
+		}
 	}
 	task.Status, task.Host, task.Run = Starting, c.host.ID, run
 	task.OrderedAt, task.StartClock, task.ThrottlePercent, task.Percent, task.Load = now, 0, 100, 0, 0
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -202,8 +202,10 @@
 	Objective time.Time
 	// Size is the size of the job among those that its queue had seen when it was accepted.
 	Size grade.Grade
-	// begun reports whether work that ends was started in time, and lost whether the job was late afterwards.
-	begun, lost bool
+	// counted reports whether the job is in the counts by size. begun reports whether work that ends was started in time, begunAt
+	// when that was counted, and lost whether the job was late afterwards.
+	counted, begun, lost bool
+	begunAt              time.Time
 	// assigned is the number of tasks that are assigned to hosts, and lastStart when the last one was
 	// ordered to start, counted from when the pool was claimed.
 	assigned  int
--- a/fleet/shard/sizes.go
+++ b/fleet/shard/sizes.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
+	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/clamp"
 	"carawaymux.dev/fleet/grade"
 )
@@ -67,34 +69,53 @@
 	return s.sizes[queue]
 }
 
-// gradeJob sets the size of a job against those that its queue has seen lately, and counts it unless all of its work is
-// long-running.
-func (s *State) gradeJob(j *Job, now time.Time) {
+// gradeJob sets the size of a job against those that its queue has seen lately.
+func (s *State) gradeJob(j *Job) {
 	var work int64
-	ends := false
 	for i := range j.Spec.Steps {
 		work = clamp.Add(work, estimatedWork(&j.Spec.Steps[i], j.Spec.Steps[i].Count))
-		ends = ends || !j.Spec.Steps[i].LongRunning
 	}
-	q := s.sizesOf(j.Spec.Queue)
-	j.Size = q.sizes.Add(work)
-	if ends {
-		q.tally.Arrive(j.Size, now)
+	j.Size = s.sizesOf(j.Spec.Queue).sizes.Add(work)
+}
+
+// countArrival counts a job that was submitted to this owner. Jobs that are long-running or run at set times are not counted:
+// they are begun whatever the load is, or much later.
+func (s *State) countArrival(j *Job, now time.Time) {
+	ends := slices.ContainsFunc(j.Spec.Steps, func(step batch.Step) bool { return !step.LongRunning })
+	if j.counted = ends && j.Spec.Repetitions == 0; j.counted {
+		s.sizesOf(j.Spec.Queue).tally.Arrive(j.Size, now)
 	}
 }
 
 // countBegun counts a job of which work that ends is started in time, if it is the first of the job.
 func (s *State) countBegun(j *Job, now time.Time) {
-	if !j.begun {
-		j.begun = true
+	if j.begun {
+		return
+	}
+	j.begun = true
+	s.backlog.touchJob(j)
+	if j.counted {
+		j.begunAt = now
 		s.sizesOf(j.Spec.Queue).tally.Begin(j.Size, now)
-		s.backlog.touchJob(j)
+	}
+}
+
+// countJobEnd counts the end of a job: one that was begun in time and is late is lost, and one that was cancelled before it was
+// begun needs no share.
+func (s *State) countJobEnd(j *Job, now time.Time) {
+	switch {
+	case j.Phase == Cancelled:
+		if j.counted && !j.begun {
+			s.sizesOf(j.Spec.Queue).tally.Withdraw(j.Size, j.AcceptedAt, now)
+		}
+	case now.After(j.Objective) && j.lose():
+		s.sizesOf(j.Spec.Queue).tally.Lose(j.Size, j.begunAt, now)
 	}
 }
 
 // lose notes that a job is late, and reports whether that is the first time since it was begun in time.
 func (j *Job) lose() bool {
-	if !j.begun || j.lost {
+	if !j.counted || !j.begun || j.lost {
 		return false
 	}
 	j.lost = true
--- a/trial/model/model.go
+++ b/trial/model/model.go
@@ -133,8 +133,9 @@
 	left                   int
 	cores, waiting, active float64
 	size                   grade.Grade
-	// begun reports whether the job was begun in time, and lost whether it was late afterwards.
+	// begun reports whether the job was begun in time, begunAt when, and lost whether it was late afterwards.
 	begun, lost bool
+	begunAt     time.Duration
 }
 
 // running is a part of a step that runs.
--- a/trial/model/start.go
+++ b/trial/model/start.go
@@ -45,7 +45,7 @@
 		}
 		late := r.isLate(j, at)
 		if !j.begun && !late {
-			j.begun = true
+			j.begun, j.begunAt = true, at
 			p.tally.Begin(j.size, epoch.Add(at))
 		}
 		j.waiting -= n
@@ -61,7 +61,7 @@
 func (r *run) lose(p *pool, j *job, at time.Duration) {
 	if j.begun && !j.lost {
 		j.lost = true
-		p.tally.Lose(j.size, epoch.Add(at))
+		p.tally.Lose(j.size, epoch.Add(j.begunAt), epoch.Add(at))
 	}
 }
 
