Give no share to large jobs that are late all the same

Cause: a job that was begun and lost counts like one that was not begun, without a bound.

Change: a size of which more than half of the jobs that were begun are lost is not behind until these counts are forgotten.

The regression test fails without the change.

--- a/fleet/grade/tally.go
+++ b/fleet/grade/tally.go
@@ -68,8 +68,12 @@
 	}
 }
 
-// Behind reports whether the jobs of a size were begun, and not lost, less often than a share of how often all jobs were.
+// Behind reports whether the jobs of a size were begun, and not lost, less often than a share of how often all jobs were. A
+// size of which most jobs that were begun are lost is not behind: further ones would be lost, too.
 func (t *Tally) Behind(g Grade, share float64) bool {
+	if sum := t.newer[g].plus(t.older[g]); 2*sum.Lost > sum.Begun {
+		return false
+	}
 	var all Counts
 	for i := range t.newer {
 		all.Arrived += t.newer[i].Arrived + t.older[i].Arrived
@@ -81,3 +85,7 @@
 
 // sound returns the number of jobs that were begun and not lost.
 func (c *Counts) sound() int64 { return c.Begun - c.Lost }
+
+func (c Counts) plus(o Counts) Counts {
+	return Counts{Arrived: c.Arrived + o.Arrived, Begun: c.Begun + o.Begun, Lost: c.Lost + o.Lost}
+}
--- a/fleet/grade/tally_test.go
+++ b/fleet/grade/tally_test.go
@@ -41,6 +41,30 @@
 	require.True(t, tally.Behind(grade.Largest, 0.7))
 }
 
+// Guards against capacity that goes to large jobs without a bound although these are late all the same.
+func TestASizeThatLosesMostOfItsJobsIsNotBehind(t *testing.T) {
+	var tally grade.Tally
+	now := time.Unix(1_700_000_000, 0)
+	for range 10 {
+		tally.Arrive(grade.Rest, now)
+		tally.Begin(grade.Rest, now)
+		tally.Arrive(grade.Largest, now)
+	}
+	for range 4 {
+		tally.Begin(grade.Largest, now)
+	}
+	require.True(t, tally.Behind(grade.Largest, 0.7))
+	for range 3 {
+		tally.Lose(grade.Largest, now, now)
+	}
+	require.False(t, tally.Behind(grade.Largest, 0.7))
+	later := now.Add(time.Minute)
+	tally.Arrive(grade.Largest, later)
+	tally.Arrive(grade.Rest, later)
+	tally.Begin(grade.Rest, later)
+	require.True(t, tally.Behind(grade.Largest, 0.7), "it is tried again")
+}
+
 // Guards against large jobs that are not served since losses lower the counts of jobs whose beginning is no longer counted.
 func TestALossCountsOnlyAsLongAsTheBeginningOfItsJob(t *testing.T) {
 	var tally grade.Tally
