Judge a wave that waits for a quarantine by the pools without one

The check was too lenient (by review): a host that is quarantined at the end, in any pool, excused a wave that had maintained nothing in another pool. And the entries were asked what they know only after the wait for the waves, up to a minute later than before there were waves.

Change: such a wave has to have maintained all hosts of the pools without a quarantined host. Entries are asked before the wait.

Evidence: a history of a wave that waits for a quarantine in another pool breaks the promise; the package passes.

--- a/trial/churn/check.go
+++ b/trial/churn/check.go
@@ -66,6 +66,8 @@
 	// Waves are the waves that entries have accepted.
 	Waves   []Wave   `json:"waves"`
 	Outages []Outage `json:"outages"`
+	// Pools are the hosts of each pool.
+	Pools map[string][]string `json:"pools"`
 	// Runs counts the executions of each request on all targets.
 	Runs map[string]int `json:"runs"`
 }
--- a/trial/churn/check_test.go
+++ b/trial/churn/check_test.go
@@ -35,6 +35,7 @@
 		Ends:     []End{{Entry: "e1", Records: []string{"note-1", "note-2"}}, {Entry: "e2", Records: []string{"note-1", "note-2"}}},
 		Runs:     map[string]int{"a": 1},
 		Waves:    []Wave{{Name: "wave-1", Phase: phaseDone}},
+		Pools:    map[string][]string{"brief": {"h1", "h2"}, "long": {"h3"}},
 		Outages: []Outage{
 			{"brief", "h1", at(10), at(10.3)}, {"long", "h3", at(10.1), at(10.4)}, {"brief", "h2", at(10.3), at(10.6)},
 		},
@@ -66,7 +67,10 @@
 		"entries differ":            {"records-are-kept", func(h *History) { h.Ends[1].Records = []string{"note-1"} }},
 		"two hosts are rebooted":    {"budgets-are-kept", func(h *History) { h.Outages[2].From = at(10.2) }},
 		"a wave stays paused":       {"waves-end", func(h *History) { h.Waves[0].Phase = "paused" }},
-		"a wave is lost":            {"waves-end", func(h *History) { h.Waves[0].Phase, h.Waves[0].Quarantined = "", []string{"h1"} }},
+		"a wave waits for a quarantine in another pool": {"waves-end", func(h *History) {
+			h.Waves[0].Phase, h.Waves[0].Quarantined, h.Pools["brief"] = "running", []string{"h3"}, []string{"h1", "h2", "h4"}
+		}},
+		"a wave is lost": {"waves-end", func(h *History) { h.Waves[0].Phase, h.Waves[0].Quarantined = "", []string{"h1"} }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := kept()
--- a/trial/churn/deploy.go
+++ b/trial/churn/deploy.go
@@ -430,8 +430,20 @@
 	return errors.Join(d.site.SetLogFaults(ctx, log), d.site.SetHostFaults(ctx, faulty.Faults{Outage: active[soak.MachinesDown] > 0}))
 }
 
-// finish waits for the waves, asks all entries and targets what they know, and returns the history.
+// ends returns what the entries say at the end of the faults.
+func (d *deployment) ends(ctx context.Context, p *clients) []End {
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	var out []End
+	for _, e := range d.site.Entries {
+		out = append(out, p.end(ctx, e))
+	}
+	return out
+}
+
+// finish asks all entries what they know, waits for the waves, asks all targets what they know, and returns the history.
 func (d *deployment) finish(ctx context.Context, p *clients) (*History, error) {
+	ends := d.ends(ctx, p)
 	waves := d.awaitWaves(ctx)
 	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
 	defer cancel()
@@ -441,14 +453,12 @@
 	if err != nil {
 		return nil, err
 	}
-	h.Waves = waves
+	h.Ends, h.Waves, h.Pools = ends, waves, map[string][]string{}
 	if h.Outages, err = d.outages(ctx); err != nil {
 		return nil, err
 	}
-	for _, e := range d.site.Entries {
-		h.Ends = append(h.Ends, p.end(ctx, e))
-	}
 	for _, t := range d.site.Targets {
+		h.Pools[t.Pool] = append(h.Pools[t.Pool], t.Name)
 		stats, err := d.site.TargetStats(ctx, t)
 		if err != nil {
 			return nil, err
--- a/trial/churn/wave.go
+++ b/trial/churn/wave.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,8 @@
 	Name string `json:"name"`
 	// Phase is that at the end of the run; empty if the entries do not know the wave.
 	Phase string `json:"phase"`
+	// PublishedAt is when it was first sent to an entry.
+	PublishedAt time.Duration `json:"published-ns"`
 	// Quarantined are the hosts that were quarantined at the end. Their quarantines last for longer than a run and take up the
 	// budgets of their pools, so that no other host can leave service.
 	Quarantined []string `json:"quarantined,omitempty"`
@@ -43,6 +46,7 @@
 // publishWave publishes a wave for all pools, at one entry after the other until one has given a verdict.
 func (d *deployment) publishWave(ctx context.Context, name string) {
 	r := client.NewRecord(site.Author, name, 0, wave.Spec{Pools: []string{briefKind, longKind}})
+	published := time.Since(d.startedAt)
 	for _, e := range d.site.Entries {
 		limited, cancel := context.WithTimeout(ctx, patience)
 		v, err := e.Client.Publish(limited, r)
@@ -51,7 +55,7 @@
 			continue
 		}
 		if v.Result == record.Accepted || v.Result == record.Duplicate {
-			d.send(func(c *core) { c.history.Waves = append(c.history.Waves, Wave{Name: name}) })
+			d.send(func(c *core) { c.history.Waves = append(c.history.Waves, Wave{Name: name, PublishedAt: published}) })
 		}
 		return
 	}
@@ -145,11 +149,35 @@
 	return out
 }
 
+// checkWaves requires that waves are done. One that waits for a quarantine has to have maintained the pools without one.
 func checkWaves(h *History) []string {
 	var out []string
 	for _, w := range h.Waves {
-		if w.Phase != phaseDone && (w.Phase == "" || len(w.Quarantined) == 0) {
+		switch {
+		case w.Phase == phaseDone:
+		case w.Phase == "" || len(w.Quarantined) == 0:
 			out = append(out, fmt.Sprintf("%s was accepted and is still %q at the end", w.Name, w.Phase))
+		default:
+			for _, host := range unmaintained(h, &w) {
+				out = append(out, fmt.Sprintf("%s was accepted and has not maintained host %s, in whose pool none is quarantined", w.Name, host))
+			}
+		}
+	}
+	return out
+}
+
+// unmaintained returns the hosts of pools without a quarantine that were not rebooted since a wave was published.
+func unmaintained(h *History, w *Wave) []string {
+	var out []string
+	for _, pool := range slices.Sorted(maps.Keys(h.Pools)) {
+		hosts := h.Pools[pool]
+		if slices.ContainsFunc(hosts, func(host string) bool { return slices.Contains(w.Quarantined, host) }) {
+			continue
+		}
+		for _, host := range hosts {
+			if !slices.ContainsFunc(h.Outages, func(o Outage) bool { return o.Host == host && o.From >= w.PublishedAt }) {
+				out = append(out, host)
+			}
 		}
 	}
 	return out
