--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -77,7 +77,12 @@
 // submit submits a job and marks it as stored.
 func (o *owner) submit(id string, steps ...batch.Step) {
 	o.t.Helper()
-	j, verdict := o.Submit(id, batch.Spec{Queue: "q", Steps: steps}, o.now)
+	o.submitTo("q", id, steps...)
+}
+
+func (o *owner) submitTo(queue, id string, steps ...batch.Step) {
+	o.t.Helper()
+	j, verdict := o.Submit(id, batch.Spec{Queue: queue, Steps: steps}, o.now)
 	require.Equal(o.t, shard.Accepted, verdict)
 	o.MarkStored(j)
 }
--- a/fleet/shard/sizes_test.go
+++ b/fleet/shard/sizes_test.go
@@ -30,6 +30,8 @@
 	at    time.Duration
 	steps []batch.Step
 	work  float64
+	// equal reports whether the job is of the queue of jobs that are all equal.
+	equal bool
 }
 
 // arrivals returns jobs that offer a pool a multiple of its capacity. The numbers of steps and tasks, the cores and the
@@ -75,14 +77,17 @@
 	c.fifth += other.fifth / plays
 }
 
-// playSized plays jobs on a pool and returns the shares of them that are in time.
-func playSized(t *testing.T, jobs []sizedJob, plan func(*owner)) bySizeClass {
+// playSized plays jobs on a pool and returns the shares of them that are in time, and which are.
+func playSized(t *testing.T, jobs []sizedJob, plan func(*owner)) (bySizeClass, []bool) {
 	t.Helper()
 	const tick = 20 * time.Millisecond
 	o := newOwner(t, 1)
 	o.Configure(&port.Config{
-		Queues: []port.Queue{{Name: "q", Version: 1, Pool: "pool", MaxAttempts: 3, Stretch: 1.6, Target: 600 * time.Millisecond}},
-		Pools:  []port.Pool{{Name: "pool", EnforcesCapacity: true}},
+		Queues: []port.Queue{
+			{Name: "q", Version: 1, Pool: "pool", MaxAttempts: 3, Stretch: 1.6, Target: 600 * time.Millisecond},
+			{Name: "equal", Version: 1, Pool: "pool", MaxAttempts: 3, Stretch: 1.6, Target: 600 * time.Millisecond},
+		},
+		Pools: []port.Pool{{Name: "pool", EnforcesCapacity: true}},
 	})
 	o.Timing.MaxReservedShare = 0.1
 	type run struct {
@@ -104,7 +109,11 @@
 	for n := 0; o.now.Sub(start) < sizedLength; n++ {
 		o.advance(tick)
 		for ; next < len(jobs) && jobs[next].at <= o.now.Sub(start); next++ {
-			o.submit(fmt.Sprint(next), jobs[next].steps...)
+			queue := "q"
+			if jobs[next].equal {
+				queue = "equal"
+			}
+			o.submitTo(queue, fmt.Sprint(next), jobs[next].steps...)
 		}
 		for i, h := range hosts {
 			var left []run
@@ -148,7 +157,7 @@
 			running[orders[i].Host] = append(running[orders[i].Host], run{orders[i], o.now.Add(took)})
 		}
 	}
-	return sharesInTime(jobs, inTime)
+	return sharesInTime(jobs, inTime), inTime
 }
 
 // sharesInTime returns the shares of the jobs in time by their work.
@@ -206,8 +215,10 @@
 	var o orders
 	for seed := range uint64(seeds) {
 		jobs := arrivals(load, seed)
-		o.with.add(playSized(t, jobs, planWithSizeShare), seeds)
-		o.without.add(playSized(t, jobs, planByRemainingWork), seeds)
+		with, _ := playSized(t, jobs, planWithSizeShare)
+		without, _ := playSized(t, jobs, planByRemainingWork)
+		o.with.add(with, seeds)
+		o.without.add(without, seeds)
 	}
 	t.Logf("offered %.1f of the capacity: in time %.3f of all, %.3f of the largest tenth, %.3f of the fifth below it; by remaining work alone %.3f, %.3f and %.3f",
 		load, o.with.all, o.with.largest, o.with.fifth, o.without.all, o.without.largest, o.without.fifth)
@@ -275,3 +286,34 @@
 	}
 	require.Negative(t, ranking.Compare(&small, &begun), "they have hardly less than others")
 }
+
+// Guards against a queue whose jobs are all equal that pays for the large jobs of another one in its pool.
+func TestEqualJobsAreServedLikeThoseOfAQueueWithLargeOnes(t *testing.T) {
+	const seeds = 3
+	var varied, equal float64
+	for seed := range uint64(seeds) {
+		jobs := arrivals(1.5, seed)
+		for i := range jobs {
+			if jobs[i].equal = i%2 == 1; jobs[i].equal {
+				step := smallStep(8)
+				step.Need, step.Estimate = batch.Size{MilliCores: 2000, MemoryMB: 100}, 900*time.Millisecond
+				jobs[i].steps = []batch.Step{step}
+			}
+		}
+		_, inTime := playSized(t, jobs, planWithSizeShare)
+		var served, all [2]float64
+		for i, j := range jobs {
+			queue := 0
+			if j.equal {
+				queue = 1
+			}
+			all[queue]++
+			if inTime[i] {
+				served[queue]++
+			}
+		}
+		varied += served[0] / all[0] / seeds
+		equal += served[1] / all[1] / seeds
+	}
+	require.GreaterOrEqual(t, equal, leastShare*varied)
+}
--- a/fleet/shard/starved_test.go
+++ b/fleet/shard/starved_test.go
@@ -194,3 +194,34 @@
 	}
 	o.advance(time.Millisecond)
 }
+
+// Guards against a job that is given up although it could be done: the hosts that fail their work are closed for longer after each
+// failure, and a late job of which nothing runs used up its attempts there.
+func TestALateJobKeepsAnAttemptForAHostThatDoesNotFailItsWork(t *testing.T) {
+	o := newOwner(t, 1, "a", "b", "c")
+	o.Configure(&port.Config{
+		Queues: []port.Queue{{Name: "q", Version: 1, Pool: "pool", MaxAttempts: 3, Stretch: 1.6, Target: 600 * time.Millisecond}},
+		Pools:  []port.Pool{{Name: "pool", EnforcesCapacity: true}},
+	})
+	o.Hosts["b"].UnhealthyUntil, o.Hosts["c"].UnhealthyUntil = o.now.Add(30*time.Second), o.now.Add(30*time.Second)
+	o.submit("filler", smallStep(4))
+	running := o.start()
+	require.Len(t, running, 4)
+	o.submit("small", smallStep(1))
+	o.advance(10 * time.Second)
+	number := int64(0)
+	for range 150 {
+		o.advance(100 * time.Millisecond)
+		o.reportRunning(running...)
+		o.report("b")
+		o.report("c")
+		o.advance(time.Millisecond)
+		for _, start := range o.start() {
+			number++
+			o.report(start.Host, failedRow(number, start))
+			o.Hosts[start.Host].StoredEnd = o.Hosts[start.Host].CountedEnd
+		}
+		o.TakeChanges()
+	}
+	require.Equal(t, shard.Open, o.Jobs["small"].Phase)
+}
