--- a/fleet/grade/tally_test.go
+++ b/fleet/grade/tally_test.go
@@ -41,7 +41,7 @@
 	require.True(t, tally.Behind(grade.Largest, 0.7))
 }
 
-// Guards against capacity that goes to large jobs without a bound although these are late all the same.
+// Guards against capacity that goes to large jobs without a bound although these are late anyway.
 func TestASizeThatLosesMostOfItsJobsIsNotBehind(t *testing.T) {
 	var tally grade.Tally
 	now := time.Unix(1_700_000_000, 0)
