--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -15,6 +15,7 @@
 	"rack-crashes":  rackCrashes,
 	"foreign-entry": foreignEntry,
 	"wave-changed":  waveChanged,
+	"grey-gang":     greyGang,
 }
 
 func main() {
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -32,6 +32,9 @@
 // Need returns what a work unit requests.
 type Need func(task string) Size
 
+// gangTimeout is gang_timeout_ms of the settings.
+const gangTimeout = 3 * time.Second
+
 // Pool is the workers of a service.
 type Pool struct {
 	mu      sync.Mutex
@@ -39,6 +42,8 @@
 	store   *Store
 	service string
 	need    Need
+	// GangSize is the number of work units of each step if the steps are gangs, and 0 otherwise.
+	GangSize int
 	// issued counts the ids that have been given out.
 	issued  int
 	workers []*Worker
@@ -46,7 +51,9 @@
 	// done, again the last run that was started after that, and broken the work units that were found so.
 	running     map[string]map[*Worker]int64
 	done, again map[string]int64
-	broken      map[string]bool
+	// failed holds the runs that have ended failed, by job.
+	failed map[string]map[int64]bool
+	broken map[string]bool
 }
 
 // Worker is a machine with its present lifetime.
@@ -70,13 +77,17 @@
 	up, dropped bool
 	silentFrom  time.Time
 	machine     machineState
+	// greyUntil is until when the worker fails all that it starts.
+	greyUntil time.Time
 }
 
+// run is a run under way. It works from worksFrom, which is zero while the other members of its gang are missing.
 type run struct {
-	number    int64
-	work      time.Duration
-	startedAt time.Time
-	stopAt    time.Time
+	number               int64
+	work                 time.Duration
+	startedAt, worksFrom time.Time
+	stopAt               time.Time
+	fails                bool
 }
 
 type end struct {
@@ -92,7 +103,7 @@
 func NewPool(record *Record, store *Store, service string, count int, capacity Size, need Need) (*Pool, error) {
 	p := &Pool{
 		record: record, store: store, service: service, need: need,
-		running: map[string]map[*Worker]int64{}, done: map[string]int64{}, again: map[string]int64{}, broken: map[string]bool{},
+		running: map[string]map[*Worker]int64{}, done: map[string]int64{}, again: map[string]int64{}, failed: map[string]map[int64]bool{}, broken: map[string]bool{},
 	}
 	for i := range count {
 		w := &Worker{pool: p, name: fmt.Sprintf("%s-%d", service, i), zone: zones[i%len(zones)], rack: fmt.Sprintf("r%d-%s", i/4, service), capacity: capacity}
@@ -192,6 +203,13 @@
 	return nil
 }
 
+// FailedRuns returns how many runs of a job have ended failed. The members of a gang share the number of the run.
+func (p *Pool) FailedRuns(job string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.failed[job])
+}
+
 // Workers returns the workers.
 func (p *Pool) Workers() []*Worker { return p.workers }
 
@@ -247,11 +265,20 @@
 	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
 		r := w.runs[task]
 		switch {
+		case r == nil:
+			// It has ended together with another member of its gang.
 		case !r.stopAt.IsZero() && now.After(r.stopAt):
 			w.finish(task, r, "stopped", now)
 		case lapsed:
 			w.finish(task, r, "lapsed", now)
-		case r.work > 0 && now.Sub(r.startedAt) >= r.work:
+		case r.fails:
+			w.finish(task, r, "failed", now)
+		case r.worksFrom.IsZero():
+			w.pool.join(task, r, now)
+			if r.worksFrom.IsZero() && now.Sub(r.startedAt) > gangTimeout {
+				w.finish(task, r, "alone", now)
+			}
+		case r.work > 0 && now.Sub(r.worksFrom) >= r.work:
 			w.finish(task, r, "done", now)
 		}
 	}
@@ -269,9 +296,51 @@
 	if how == "done" && w.pool.done[task] == 0 {
 		w.pool.done[task] = r.number
 	}
+	if job := task[:strings.IndexByte(task, '.')]; how == "failed" {
+		if w.pool.failed[job] == nil {
+			w.pool.failed[job] = map[int64]bool{}
+		}
+		w.pool.failed[job][r.number] = true
+	}
 	w.pool.record.Add("%s: run %d of %s ends: %s (end %d)", w.id, r.number, task, how, w.lastEnd)
 	close(w.changed)
 	w.changed = make(chan struct{})
+	if p := w.pool; p.GangSize > 0 && !r.worksFrom.IsZero() {
+		together := "broken"
+		if how == "done" {
+			together = "done"
+		}
+		p.members(task, r.number, func(w *Worker, task string, r *run) { w.finish(task, r, together, now) })
+	}
+}
+
+// members calls a function with the runs of a gang that are under way.
+func (p *Pool) members(task string, number int64, f func(w *Worker, task string, r *run)) {
+	step := task[:strings.LastIndexByte(task, '.')]
+	for _, w := range p.workers {
+		for other, r := range w.runs {
+			if r.number == number && other[:strings.LastIndexByte(other, '.')] == step {
+				f(w, other, r)
+			}
+		}
+	}
+}
+
+// join has the members of a gang work once all of them are there.
+func (p *Pool) join(task string, r *run, now time.Time) {
+	count := 0
+	p.members(task, r.number, func(*Worker, string, *run) { count++ })
+	if count == p.GangSize {
+		p.members(task, r.number, func(_ *Worker, _ string, r *run) { r.worksFrom = now })
+	}
+}
+
+// Grey has a worker fail all that it starts, for a time.
+func (p *Pool) Grey(w *Worker, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.record.Add("worker %s (%s) fails all that it starts, for %v", w.name, w.id, d)
+	w.greyUntil = time.Now().Add(d)
 }
 
 func (p *Pool) ended(w *Worker, task string, number int64) {
@@ -380,7 +449,11 @@
 	if w.runs[o.Task] != nil || used.CPU+need.CPU > w.capacity.CPU || used.Memory+need.Memory > w.capacity.Memory {
 		return refuse("room")
 	}
-	w.runs[o.Task] = &run{number: o.Run, work: workOf(o.Specification, o.Task), startedAt: now}
+	started := &run{number: o.Run, work: workOf(o.Specification, o.Task), startedAt: now, fails: now.Before(w.greyUntil)}
+	if w.pool.GangSize == 0 {
+		started.worksFrom = now
+	}
+	w.runs[o.Task] = started
 	w.pool.started(w, o)
 	return http.StatusOK, map[string]any{"clock_ms": w.clock(now)}
 }
@@ -432,8 +505,11 @@
 	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
 		r := w.runs[task]
 		percent := 100
-		if r.work > 0 {
-			percent = int(100 * now.Sub(r.startedAt) / r.work)
+		switch {
+		case r.worksFrom.IsZero():
+			percent = 0
+		case r.work > 0:
+			percent = int(100 * now.Sub(r.worksFrom) / r.work)
 		}
 		running = append(running, []any{task, r.number, "", min(percent, 100), 0})
 	}
