--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -12,7 +12,6 @@
 // cases holds the cases by name.
 var cases = map[string]func(r *Record, trouble bool) error{
 	"many-ends":     manyEnds,
-	"rack-crashes":  rackCrashes,
 	"foreign-entry": foreignEntry,
 	"wave-changed":  waveChanged,
 	"grey-gang":     greyGang,
