--- a/review/stand-2/case_grey_gang.go
+++ b/review/stand-2/case_grey_gang.go
@@ -17,7 +17,7 @@
 func greyGang(r *Record, trouble bool) error {
 	store := NewStore()
 	need := Size{CPU: 1000, Memory: 1024}
-	pool, err := NewPool(r, store, "desk", 8, Size{CPU: 16000, Memory: 32768}, func(string) Size { return need })
+	pool, err := NewPool(r, store, "desk", 12, Size{CPU: 16000, Memory: 32768}, func(string) Size { return need })
 	if err != nil {
 		return err
 	}
--- a/review/stand-2/case_many_ends.go
+++ b/review/stand-2/case_many_ends.go
@@ -60,12 +60,14 @@
 		d.Kill(owner)
 		time.AfterFunc(powerOff, func() { _ = d.Start(owner) })
 	}
-	for until := time.Now().Add(60 * time.Second); time.Now().Before(until); time.Sleep(500 * time.Millisecond) {
-		if d.State(id) == "completed" {
-			break
-		}
+	completed := false
+	for until := time.Now().Add(40 * time.Second); !completed && time.Now().Before(until); time.Sleep(500 * time.Millisecond) {
+		completed = d.State(id) == "completed"
 	}
 	time.Sleep(3 * time.Second)
 	pool.Summary()
+	if !completed && len(r.Broken()) == 0 {
+		return fmt.Errorf("job %s is not completed after 40 s", id)
+	}
 	return nil
 }
