Let the lease of a host expire that lists ends without end

Cause: inherited work waits for a host until it has listed its ends from before. One that answers and always lists as many further ends as it can would hold it up for good. A host that follows the protocol has a bounded number of them, since nobody but this owner starts runs there.

Change: past 50,000 ends the host gets no longer lease. Once its clock shows that the lease has expired, what it has not listed does not count any more, as with a silent host.

Evidence: TestInheritedWorkDoesNotWaitForGoodForAHostThatListsEndsWithoutEnd fails without the change: nothing starts in a minute.

--- a/fleet/shard/lease.go
+++ b/fleet/shard/lease.go
@@ -6,14 +6,14 @@
 
 // LeaseDeadline returns the lease deadline to grant now, on the host's clock in milliseconds, and
 // 0 when none may be granted. A host that does not answer gets no extension, so that its lease
-// expires even if messages to it arrive late.
+// expires even if messages to it arrive late, and neither does one that lists ends without end.
 func (s *State) LeaseDeadline(h *Host, now time.Time) int64 {
 	limit := answerTimeout
 	if h.AnswerPending {
 		// An owner that is late cannot tell that the host is silent.
 		limit = max(limit, s.Timing.Lease)
 	}
-	if h.Clock == 0 || now.Sub(s.ConfirmedAt) > s.Timing.Grace || now.Sub(h.LastAnswer) > limit {
+	if h.Clock == 0 || now.Sub(s.ConfirmedAt) > s.Timing.Grace || now.Sub(h.LastAnswer) > limit || h.isEndless() {
 		return 0
 	}
 	d := h.clockAt(now) + s.Timing.Lease.Milliseconds()
--- a/fleet/shard/prior.go
+++ b/fleet/shard/prior.go
@@ -37,6 +37,13 @@
 // that has ended will not be listed.
 func (h *Host) isUnread() bool { return h.Confirmed && !h.EndsListed && h.EndedAt.IsZero() }
 
+// maxEndsRead is the number of ends that a host may list before it has listed all from before.
+const maxEndsRead = 50_000
+
+// isEndless reports whether the host lists ends without end. It gets no longer lease, so that inherited work waits for it no
+// longer than for a silent host.
+func (h *Host) isEndless() bool { return h.isUnread() && h.EndsRead > maxEndsRead }
+
 func (p priorHosts) empty() bool { return len(p.unanswered)+len(p.unread) == 0 }
 
 // mayKnow returns a host that may know of a run, or of the end of a run, of inherited tasks with a label, or nil if there is
--- a/fleet/shard/prior_test.go
+++ b/fleet/shard/prior_test.go
@@ -130,6 +130,34 @@
 	require.True(t, o.Hosts["a"].EndsListed, "its ends from before do not count any more")
 }
 
+// Guards against a pool that stands still for good: each answer of a host lists as many further ends as it can.
+func TestInheritedWorkDoesNotWaitForGoodForAHostThatListsEndsWithoutEnd(t *testing.T) {
+	const endsPerAnswer = 500
+	o := newSuccessor(t, smallStep(2), "a", "b")
+	running := []port.ActiveRun{{Unit: "old.0.0.0", Run: 1, ProgressPercent: 30}}
+	number := int64(0)
+	var starts []shard.Order
+	for waited := time.Duration(0); waited < time.Minute && len(starts) < 2; waited += 100 * time.Millisecond {
+		o.report("b")
+		report := &port.HostReport{Clock: o.clock, Born: 1, Truncated: true}
+		if until := o.Hosts["a"].GrantedUntil; until > 0 && o.clock > until {
+			running = nil
+		}
+		report.Running = running
+		for range endsPerAnswer {
+			number++
+			report.Finished = append(report.Finished, port.FinishedRun{Number: number, Unit: "unknown.0.0.0", Run: 1, Result: port.ResultDone})
+		}
+		o.HandleReport("a", report, o.now)
+		o.LeaseDeadline(o.Hosts["a"], o.now)
+		o.ExpireLeases(o.now)
+		starts = append(starts, o.plan()...)
+		o.advance(100 * time.Millisecond)
+	}
+	require.Len(t, starts, 2, "what ran on the host has ended with its lease")
+	require.Less(t, number, int64(200*endsPerAnswer))
+}
+
 // Guards against a pool that waits for the ends of a host that has ended: nobody asked the machine service for it.
 func TestAHostThatIsSilentBetweenTwoAnswersMayHaveEnded(t *testing.T) {
 	o := newSuccessor(t, smallStep(2), "a", "b")
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -30,6 +30,11 @@
 		s.handleRestart(h, report, now)
 		s.setFirstAnswer(h, now)
 	}
+	if h.isEndless() && report.Clock > h.GrantedUntil {
+		// Its lease has expired, though it answers.
+		s.releaseAll(h, now)
+		h.EndsListed = true
+	}
 	firstReport := !h.Confirmed
 	if firstReport {
 		s.setFirstAnswer(h, now)
