--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -61,6 +61,8 @@
 	// unanswered.
 	adviser        *task.Task[shard.Question]
 	adviceInFlight bool
+	// inherited maps the hosts of earlier owners that inherited work waits for to when each was last logged.
+	inherited map[string]time.Time
 	// journal holds what is to be written to the store.
 	journal journal
 	// placing is the registration of the pool for its queues.
@@ -100,7 +102,7 @@
 
 func newCore(o *Owner, s Settings, d Deps, acquired *claim.Claim) *core {
 	c := &core{
-		owner: o, settings: s, deps: d, claim: acquired, agents: map[string]*hostLink{},
+		owner: o, settings: s, deps: d, claim: acquired, agents: map[string]*hostLink{}, inherited: map[string]time.Time{},
 		logger: d.Logger.With("pool", acquired.Name, "epoch", acquired.Epoch),
 		state:  shard.New(acquired.Name, acquired.Epoch, s.Timing, time.Now()),
 		starts: window.New[startKey](window.Adaptive{}), copies: hedge.NewBudget(),
@@ -217,6 +219,7 @@
 	c.tickPlacing(now)
 	c.settleQuestions(now)
 	c.logCrashes()
+	c.logInherited(now)
 	c.listMachines(now)
 	c.logWaiting(now)
 	c.logOccupancy(now)
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -151,6 +151,7 @@
 	c.journal.staleParts = append(stored.OrphanedParts, c.state.TakeStaleParts()...)
 	for _, h := range stored.Hosts {
 		c.state.RestoreHost(h)
+		c.inherited[h.ID] = now
 		c.openAgent(h)
 	}
 	for _, h := range hosts {
--- a/oper/logs/explain_test.go
+++ b/oper/logs/explain_test.go
@@ -27,6 +27,7 @@
 {"time":"2026-12-04T10:00:03.000Z","level":"INFO","msg":"run ordered","entry":"e-2","pool":"docs","epoch":2,"unit":"5c0e7a21d94b36f8.0.0.1","run":1,"host":"i-1","why":"scheduled"}
 {"time":"2026-12-04T10:00:03.500Z","level":"WARN","msg":"host lost","entry":"e-2","pool":"docs","epoch":2,"host":"i-1","err":"EOF"}
 {"time":"2026-12-04T10:00:03.600Z","level":"WARN","msg":"host lost","entry":"e-2","pool":"docs","epoch":2,"host":"i-2","err":"EOF"}
+{"time":"2026-12-04T10:00:03.700Z","level":"INFO","msg":"inherited host unread","entry":"e-2","pool":"docs","epoch":2,"host":"i-7","state":"incomplete"}
 {"time":"2026-12-04T10:00:04.000Z","level":"INFO","msg":"run ordered","entry":"e-2","pool":"docs","epoch":2,"unit":"00000000000000aa.0.0.1","run":1,"host":"i-3"}
 {"time":"2026-12-04T10:00:09.000Z","level":"INFO","msg":"job ended","entry":"e-2","pool":"docs","epoch":2,"job":"5c0e7a21d94b36f8","phase":"completed","late":true}
 not a line of an entry
@@ -65,7 +66,7 @@
 	}
 	require.Equal(t, []string{
 		"10:00:00.990 e-2 job submitted", "10:00:01.000 e-1 request answered", "10:00:02.000 e-1 machine to be moved",
-		"10:00:03.000 e-2 run ordered", "10:00:03.500 e-2 host lost", "10:00:09.000 e-2 job ended",
+		"10:00:03.000 e-2 run ordered", "10:00:03.500 e-2 host lost", "10:00:03.700 e-2 inherited host unread", "10:00:09.000 e-2 job ended",
 	}, events)
 	require.Contains(t, out, "late=true")
 	require.Contains(t, out, "host=i-1 pool=docs run=1")
--- a/oper/logs/timeline.go
+++ b/oper/logs/timeline.go
@@ -44,12 +44,13 @@
 
 // contextMessages are the messages of events that may explain what happened to a job: a change of
 // the pool's owner, an owner that is late, work that waits, the loss or return of the store, the loss,
-// return or end of a host, and machines that are moved or emptied. They must equal the messages that the
-// entries log.
+// return or end of a host, a host that inherited work waits for, and machines that are moved or emptied. They must
+// equal the messages that the entries log.
 var contextMessages = map[string]bool{
 	"pool taken over": true, "pool given up": true, "a newer owner was seen": true, "pool has a newer owner": true,
 	"store lost": true, "store regained": true, "host lost": true, "host regained": true, "host has ended": true,
 	"machine to be moved": true, "machine to be emptied": true, "owner is late": true, "work waits": true,
+	"inherited host unread": true,
 }
 
 // omittedFields are left out of [Event.Detail]: they have a column of their own or do not help to
