Have the simulated hosts list 500 ends at a time, and run small tasks

The hosts of trial/fake listed all their ends in one answer, which the platform does not do, and no task of the tests was small enough for a host to end 500 of them at a time. So neither tests nor the soak could show that ends beyond the first answer were missed.

A task that is started between the end of a run and its acknowledgement is a violation; before, it had to be running then.

--- a/trial/fake/capacity.go
+++ b/trial/fake/capacity.go
@@ -1,6 +1,10 @@
 package fake
 
-import "time"
+import (
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+)
 
 // Capacity is the room of a host for tasks.
 type Capacity struct {
@@ -11,9 +15,23 @@
 // machineCapacity is the capacity of every machine, and of every host at its boot.
 var machineCapacity = Capacity{Cores: 4000, MemoryMB: 16000}
 
-// tasksNeed returns what a number of tasks take.
-func tasksNeed(tasks int) Capacity {
-	return Capacity{Cores: tasks * taskCores, MemoryMB: tasks * taskMemory}
+// needOf returns what a task takes.
+func (c *checker) needOf(task string) Capacity {
+	if ref, err := batch.ParseRef(task); err == nil {
+		if j := c.jobs[ref.Job]; j != nil && j.Small[ref.Step] {
+			return Capacity{Cores: smallCores, MemoryMB: smallMemory}
+		}
+	}
+	return Capacity{Cores: taskCores, MemoryMB: taskMemory}
+}
+
+// needWith returns what the runs of the host take together with one more task.
+func (h *host) needWith(c *checker, task string) Capacity {
+	sum := c.needOf(task)
+	for _, r := range h.running {
+		sum.Cores, sum.MemoryMB = sum.Cores+r.need.Cores, sum.MemoryMB+r.need.MemoryMB
+	}
+	return sum
 }
 
 // fits reports whether a need is within the capacity.
@@ -59,7 +77,7 @@
 // checkCapacity checks the start of a task on a host that accepts tasks beyond its capacity. Runs
 // that are being stopped take their room until they have ended.
 func (c *checker) checkCapacity(s *state, h *host, task string, now time.Time) {
-	need := tasksNeed(len(h.running) + 1)
+	need := h.needWith(c, task)
 	if s.unguardedPools[h.pool] && !h.mayHold(need, now, s.timing.HeartbeatInterval) {
 		s.addViolation("task %s started on host %s, which then holds %+v and has a capacity of %+v", task, h.id, need, h.capacity)
 	}
--- a/trial/fake/checker.go
+++ b/trial/fake/checker.go
@@ -9,6 +9,9 @@
 // taskCores and taskMemory are what each task of the tests requests, in thousandths of a core and in MB.
 const taskCores, taskMemory = 1000, 100
 
+// smallCores and smallMemory are what small tasks request, of which a host ends more at a time than it lists in one answer.
+const smallCores, smallMemory = 1, 1
+
 // checker records the starts and ends of all tasks on all hosts and checks them against the
 // guarantees of the entries.
 type checker struct {
@@ -20,6 +23,8 @@
 	acknowledged map[string]bool
 	failures     map[string]int
 	starts       map[string]int
+	// startedAt holds when each task was last started.
+	startedAt map[string]time.Time
 	// failedRuns counts the runs of each task that have failed, acknowledged or not.
 	failedRuns map[string]int
 	// crashes counts the hosts that have crashed under each task, and startsAfterCrashes its starts
@@ -35,6 +40,8 @@
 	// After holds the steps that each step depends on, TaskCounts the number of tasks of each step.
 	After      map[int][]int
 	TaskCounts []int
+	// Small holds the steps whose tasks are small.
+	Small map[int]bool
 	// AcceptedAt and CancelledAt are when the caller received the confirmation; zero before.
 	AcceptedAt, CancelledAt time.Time
 	// Crash describes the tasks of the job that crash their hosts; nil for none.
@@ -46,7 +53,7 @@
 func newChecker() checker {
 	return checker{
 		running: map[string]map[int64]bool{}, done: map[string]bool{}, acknowledged: map[string]bool{},
-		failures: map[string]int{}, starts: map[string]int{}, failedRuns: map[string]int{},
+		failures: map[string]int{}, starts: map[string]int{}, startedAt: map[string]time.Time{}, failedRuns: map[string]int{},
 		crashes: map[string]int{}, startsAfterCrashes: map[string]int{}, jobs: map[string]*Job{},
 	}
 }
@@ -97,6 +104,7 @@
 	}
 	c.running[o.Task][o.Run] = true
 	c.starts[jobOf(o.Task)]++
+	c.startedAt[o.Task] = now
 }
 
 // runEnded records that a run is no longer under way.
@@ -114,6 +122,9 @@
 		if len(c.running[e.task]) > 0 {
 			s.addViolation("task %s is still running while an entry acknowledges its success", e.task)
 		}
+		if c.startedAt[e.task].After(e.endedAt) {
+			s.addViolation("task %s was started again before an entry acknowledged its success", e.task)
+		}
 	case "failed":
 		c.failures[e.task]++
 	}
@@ -137,6 +148,9 @@
 	})
 }
 
+// Release ends all runs of a job whose specification is [SpecRunUntilReleased].
+func (fp *Platform) Release(id string) { fp.do(func(s *state) { s.released[id] = true }) }
+
 // Running counts the runs of a job that are under way.
 func (fp *Platform) Running(id string) int {
 	return query(fp, func(s *state) int {
--- a/trial/fake/deployment.go
+++ b/trial/fake/deployment.go
@@ -251,6 +251,8 @@
 	After       []int `json:"after,omitempty"`
 	LongRunning bool  `json:"long_running,omitempty"`
 	MayMiss     int   `json:"may_miss,omitempty"`
+	// Small makes the tasks take little room, see [SmallPerTask].
+	Small bool `json:"-"`
 }
 
 // Submit registers a job with the checker and submits it at an entry. It returns the HTTP status,
@@ -274,9 +276,12 @@
 }
 
 func (d *Deployment) register(j *Job, steps []StepSpec) {
-	j.After = map[int][]int{}
+	j.After, j.Small = map[int][]int{}, map[int]bool{}
 	for i := range steps {
 		steps[i].CPU, steps[i].MemoryMB = taskCores, taskMemory
+		if j.Small[i] = steps[i].Small; j.Small[i] {
+			steps[i].CPU, steps[i].MemoryMB = smallCores, smallMemory
+		}
 		j.After[i] = steps[i].After
 		j.TaskCounts = append(j.TaskCounts, steps[i].Count)
 	}
--- a/trial/fake/events.go
+++ b/trial/fake/events.go
@@ -30,6 +30,8 @@
 	Task          string
 	Run           int64
 	Specification string
+	// Small is set for runs of tasks that take little room, see [SmallPerTask].
+	Small bool
 	// Result is how a run has ended.
 	Result string
 	// LeaseExpired is set if the host's lease expired between the end of a run and its acknowledgement.
@@ -49,7 +51,10 @@
 	StatusTime  = 120 * time.Second
 )
 
-// TasksPerHost returns the number of tasks that a host has room for.
+// SmallPerTask is the number of small tasks that take at most the room of one other task.
+const SmallPerTask = min(taskCores/smallCores, taskMemory/smallMemory)
+
+// TasksPerHost returns the number of tasks, other than small ones, that a host has room for.
 func TasksPerHost() int {
 	return min(machineCapacity.Cores/taskCores, machineCapacity.MemoryMB/taskMemory)
 }
@@ -68,7 +73,7 @@
 // rerun starts a task that is done once more, if the layout asks for this fault.
 func (s *state) rerun(h *host, e *finishedRun, now time.Time) {
 	if j := s.checker.jobs[jobOf(e.task)]; s.rerunDone && e.result == "done" && j != nil && h.running[e.task] == nil {
-		h.running[e.task] = &run{number: e.run + 1, specification: j.Specification, startedAt: now}
+		h.running[e.task] = &run{number: e.run + 1, specification: j.Specification, need: s.checker.needOf(e.task), startedAt: now}
 		s.notify(h, Event{Kind: RunStarted, Task: e.task, Run: e.run + 1, Specification: j.Specification})
 	}
 }
--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -59,6 +59,8 @@
 	observe func(Event)
 	// rerunDone is the value of Layout.RerunDone.
 	rerunDone bool
+	// released holds the jobs that were released, by ID.
+	released map[string]bool
 }
 
 // Timing holds the durations of the simulation.
@@ -155,7 +157,7 @@
 	return &state{
 		observe: observe, rerunDone: layout.RerunDone,
 		startedAt: time.Now(), store: newStore(layout), hosts: map[string]*host{}, machines: map[string]*machine{},
-		recordExpiry: map[string]time.Time{}, waves: map[int64]publishedWave{}, unguardedPools: layout.UnguardedPools,
+		recordExpiry: map[string]time.Time{}, released: map[string]bool{}, waves: map[int64]publishedWave{}, unguardedPools: layout.UnguardedPools,
 		checker: newChecker(), timing: layout.Timing, advisedPool: layout.AdvisedPool,
 	}
 }
--- a/trial/fake/host.go
+++ b/trial/fake/host.go
@@ -14,6 +14,8 @@
 	// SpecFail makes each run fail. SpecRunUntilStopped makes it run until it is stopped.
 	SpecFail            = "fail"
 	SpecRunUntilStopped = "last"
+	// SpecRunUntilReleased makes all runs of a job end as done at once, when the job is released.
+	SpecRunUntilReleased = "until-released"
 )
 
 const (
@@ -25,20 +27,29 @@
 	stopDuration = 40 * time.Millisecond
 )
 
+// EndsPerAnswer is the number of finished runs that a host lists in one answer at most.
+const EndsPerAnswer = 500
+
 // run is an execution of a task that is under way on a host.
 type run struct {
 	number        int64
 	specification string
+	need          Capacity
 	startedAt     time.Time
 	stopOrderedAt time.Time
 }
 
+// isSmall reports whether the run takes less room than most.
+func (r *run) isSmall() bool { return r.need.Cores < taskCores }
+
 // finishedRun is a finished run that the host still reports, until an entry acknowledges it.
 type finishedRun struct {
 	number int64
 	task   string
 	run    int64
 	result string
+	// endedAt is when the run finished.
+	endedAt time.Time
 	// leaseExpired is set when the host's lease has expired since the run finished.
 	leaseExpired bool
 }
@@ -129,8 +140,8 @@
 	}
 	for _, task := range sortedKeys(h.running) {
 		r := h.running[task]
-		if result := r.result(now, leaseExpired); result != "" {
-			h.endRun(s, task, result)
+		if result := r.result(now, leaseExpired, s.released[jobOf(task)]); result != "" {
+			h.endRun(s, task, result, now)
 		}
 	}
 	if !h.unreachable && now.Sub(h.lastHeartbeat) > s.timing.HeartbeatInterval {
@@ -140,14 +151,14 @@
 }
 
 // result returns the result of a run that has ended, or "" while it is under way.
-func (r *run) result(now time.Time, leaseExpired bool) string {
+func (r *run) result(now time.Time, leaseExpired, released bool) string {
 	took := now.Sub(r.startedAt)
 	switch {
 	case !r.stopOrderedAt.IsZero() && now.Sub(r.stopOrderedAt) > stopDuration:
 		return "stopped"
 	case leaseExpired:
 		return "lapsed"
-	case r.specification == SpecRunUntilStopped:
+	case r.specification == SpecRunUntilStopped, r.specification == SpecRunUntilReleased && !released:
 		return ""
 	case r.specification == SpecFail:
 		if took > failDuration {
@@ -162,14 +173,14 @@
 	return ""
 }
 
-func (h *host) endRun(s *state, task, result string) {
+func (h *host) endRun(s *state, task, result string, now time.Time) {
 	r := h.running[task]
 	delete(h.running, task)
 	h.lastFinished++
 	h.closedRuns[task] = max(h.closedRuns[task], r.number)
-	h.finished = append(h.finished, &finishedRun{number: h.lastFinished, task: task, run: r.number, result: result})
+	h.finished = append(h.finished, &finishedRun{number: h.lastFinished, task: task, run: r.number, result: result, endedAt: now})
 	s.checker.runEnded(task, r.number)
-	s.notify(h, Event{Kind: RunEnded, Task: task, Run: r.number, Result: result})
+	s.notify(h, Event{Kind: RunEnded, Task: task, Run: r.number, Result: result, Small: r.isSmall()})
 	switch result {
 	case "done":
 		s.checker.done[task] = true
@@ -326,12 +337,13 @@
 		s.refusedForTicket++
 		return refuse("ticket")
 	}
-	if !s.unguardedPools[h.pool] && !h.capacity.fits(tasksNeed(len(h.running)+1)) {
+	if !s.unguardedPools[h.pool] && !h.capacity.fits(h.needWith(&s.checker, o.Task)) {
 		return refuse("room")
 	}
 	s.checker.checkStart(s, h, o, now)
-	h.running[o.Task] = &run{number: o.Run, specification: o.Specification, startedAt: now}
-	s.notify(h, Event{Kind: RunStarted, Task: o.Task, Run: o.Run, Specification: o.Specification})
+	r := &run{number: o.Run, specification: o.Specification, need: s.checker.needOf(o.Task), startedAt: now}
+	h.running[o.Task] = r
+	s.notify(h, Event{Kind: RunStarted, Task: o.Task, Run: o.Run, Specification: o.Specification, Small: r.isSmall()})
 	if crash := h.crashDue(s, now); crash != nil && crash.Delay == 0 {
 		s.crash(h, crash.Downtime, crash.KeepID, now)
 		return reply{}
@@ -370,7 +382,7 @@
 		}
 		running = append(running, []any{task, r.number, "", percent, 0})
 	}
-	for _, e := range h.finished {
+	for _, e := range h.finished[:min(len(h.finished), EndsPerAnswer)] {
 		finished = append(finished, []any{e.number, e.task, e.run, e.result, ""})
 	}
 	return reply{http.StatusOK, map[string]any{
