Count a failed run of a gang once, however many members fail in it

Cause: the failed runs of all members were added up, so one run of a gang of four counted as four attempts. The protocol says that a job is failed once "a work unit, or a gang, has failed max_attempts times".

Change: a gang has failed in as many runs as there are run numbers in which some member failed. All members of a run share its number. If numbers are not kept any more, it is the count of the member with the most, so that no member is started beyond its attempts.

--- a/fleet/shard/place_test.go
+++ b/fleet/shard/place_test.go
@@ -68,3 +68,52 @@
 	o.submit("another", smallStep(1))
 	require.Len(t, o.plan(), 1, "work that can never run does not block other work")
 }
+
+// Guards against a job that is shown as failed without cause (LOST): each member that failed in a run of a gang counted as an
+// attempt.
+func TestAGangFailsOnceARunHoweverManyMembersFail(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	gang := smallStep(4)
+	gang.Gang = true
+	o.submit("job", gang)
+	number := int64(0)
+	for attempt := 1; attempt <= 3; attempt++ {
+		require.Equal(t, shard.Open, o.Jobs["job"].Phase, "before attempt %d of 3", attempt)
+		starts := o.start()
+		require.Len(t, starts, 4)
+		var ends []any
+		for _, start := range starts {
+			number++
+			ends = append(ends, failedRow(number, start))
+		}
+		o.report("a", ends...)
+		o.TakeOrders()
+	}
+	require.Equal(t, shard.Failed, o.Jobs["job"].Phase)
+}
+
+// Guards against a start after the last attempt of a gang (BUDGET): another member failed in each run.
+func TestAGangFailsIfAnotherMemberFailsInEachRun(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	gang := smallStep(4)
+	gang.Gang = true
+	o.submit("job", gang)
+	number := int64(0)
+	for attempt := range 3 {
+		starts := o.start()
+		require.Len(t, starts, 4)
+		var ends []any
+		for i, start := range starts {
+			number++
+			e := failedRow(number, start)
+			if i != attempt {
+				e.Result = port.ResultGangBroken
+			}
+			ends = append(ends, e)
+		}
+		o.report("a", ends...)
+		o.TakeOrders()
+	}
+	require.Equal(t, shard.Failed, o.Jobs["job"].Phase)
+	require.Empty(t, o.plan())
+}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -250,22 +250,30 @@
 	return e.Run <= task.Counted
 }
 
-// attemptsExhausted reports whether a task has failed as often as its queue allows.
+// attemptsExhausted reports whether a task, or its gang, has failed as often as its queue allows.
 func (s *State) attemptsExhausted(j *Job, ref batch.Ref, task *Task) bool {
 	limit := s.Queues[j.Spec.Queue].MaxAttempts
 	step := &j.Spec.Steps[ref.Step]
 	if limit <= 0 || step.LongRunning {
 		return false
 	}
-	if !step.Gang {
-		return task.failures() >= limit
+	if step.Gang {
+		return gangFailures(j.Occurrences[ref.Occurrence].Stages[ref.Step].Tasks) >= limit
 	}
-	// The members of a gang fail together. Each of their failures counts as one attempt.
-	failures := 0
-	for i := range j.Occurrences[ref.Occurrence].Stages[ref.Step].Tasks {
-		failures += j.Occurrences[ref.Occurrence].Stages[ref.Step].Tasks[i].failures()
+	return task.failures() >= limit
+}
+
+// gangFailures returns the number of failed runs of a gang, however many members have failed in each. It may be too low if
+// the numbers of some runs are not kept, but not below that of any member.
+func gangFailures(members []Task) int {
+	most, runs := 0, map[int64]struct{}{}
+	for i := range members {
+		most = max(most, members[i].failures())
+		for _, run := range members[i].FailedRuns {
+			runs[run] = struct{}{}
+		}
 	}
-	return failures >= limit
+	return max(most, len(runs))
 }
 
 // failures is the number of failed runs of a task.
