Start a gang where it has not failed if it fits there

Cause: tasks that have failed on a host go to others, but gangs did not. Gangs take the hosts with the least room, so one that failed on an idle host went back there until its attempts were used up.

Change: hosts on which members last failed are left out if the members fit without them. A gang rather runs on several racks than where it failed. The reference planner has the same rule.

Evidence: TestAGangIsNotStartedWhereItFailedIfItFitsElsewhere failed before: the second start was on the same host.

--- a/fleet/shard/gang.go
+++ b/fleet/shard/gang.go
@@ -44,8 +44,26 @@
 }
 
 // placeGang chooses a host for each member, on one rack if the step asks for it and it is
-// possible. It returns nil when the members do not all fit.
+// possible. Hosts on which members last failed are chosen only if the members do not all fit without them. It returns nil
+// when the members do not all fit.
 func (s *State) placeGang(step *batch.Step, stage *Stage, hosts candidates, permitted func(*Host) bool) []int {
+	avoided := map[string]bool{}
+	for i := range stage.Tasks {
+		if id := stage.Tasks[i].AvoidHost; id != "" {
+			avoided[id] = true
+		}
+	}
+	if len(avoided) > 0 {
+		chosen := s.placeOnRacks(step, stage, hosts, func(h *Host) bool { return !avoided[h.ID] && (permitted == nil || permitted(h)) })
+		if chosen != nil {
+			return chosen
+		}
+	}
+	return s.placeOnRacks(step, stage, hosts, permitted)
+}
+
+// placeOnRacks chooses a host for each member, on one rack if the step asks for it and it is possible.
+func (s *State) placeOnRacks(step *batch.Step, stage *Stage, hosts candidates, permitted func(*Host) bool) []int {
 	if step.SameRack {
 		racks := map[place.Rack]bool{}
 		for k := range hosts {
--- a/fleet/shard/place_test.go
+++ b/fleet/shard/place_test.go
@@ -117,3 +117,27 @@
 	require.Equal(t, shard.Failed, o.Jobs["job"].Phase)
 	require.Empty(t, o.plan())
 }
+
+// Guards against a gang that uses up its attempts on a host that fails all it starts.
+func TestAGangIsNotStartedWhereItFailedIfItFitsElsewhere(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	gang := smallStep(2)
+	gang.Gang = true
+	o.submit("job", gang)
+	starts := o.start()
+	require.Len(t, starts, 2)
+	failed := starts[0].Host
+	require.Equal(t, failed, starts[1].Host)
+	o.report(failed, failedRow(1, starts[0]), failedRow(2, starts[1]))
+	o.TakeOrders()
+	starts = o.start()
+	require.Len(t, starts, 2)
+	for _, start := range starts {
+		require.NotEqual(t, failed, start.Host)
+	}
+	other := starts[0].Host
+	o.report(other, failedRow(1, starts[0]), failedRow(2, starts[1]))
+	o.TakeOrders()
+	o.UnlistHost(failed)
+	require.Len(t, o.start(), 2, "there is no other host")
+}
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -827,6 +827,17 @@
 }
 
 func (hosts referenceHosts) placeGang(step *batch.Step, stage *Stage, permitted func(*Host) bool) []int {
+	avoided := map[string]bool{}
+	for i := range stage.Tasks {
+		avoided[stage.Tasks[i].AvoidHost] = true
+	}
+	if chosen := hosts.placeOnRacks(step, stage, func(h *Host) bool { return !avoided[h.ID] && (permitted == nil || permitted(h)) }); chosen != nil {
+		return chosen
+	}
+	return hosts.placeOnRacks(step, stage, permitted)
+}
+
+func (hosts referenceHosts) placeOnRacks(step *batch.Step, stage *Stage, permitted func(*Host) bool) []int {
 	if step.SameRack {
 		racks := map[place.Rack]bool{}
 		for k := range hosts {
