Take a refusal for the end of a host only if the host has answered at the address

Another writer had written a record under the ID of the host, with the address of another one.

Cause: an owner that finds another host at the address of a host took this for the proof that the host has ended. It proves that only if the host was at this address. The address in its record may come from another writer.

Change: a refusal ends a host only over a link over which the host has answered before. Otherwise the host counts as unreachable: the list of machines tells whether it has ended, or else its lease.

TestARefusalFromAnEarlierAddressDoesNotEndTheHost expected the end of a host that had never answered at its new address. It answers there first now; all else in it is unchanged.

--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -94,8 +94,9 @@
 	heartbeatInFlight bool
 	nextHeartbeat     time.Time
 	pause             time.Duration
-	// answered reports whether the last heartbeat was answered.
-	answered bool
+	// answered reports whether the last heartbeat was answered, and reached whether any was: the address is that of the host
+	// then, and not one that another writer has put into its record.
+	answered, reached bool
 	// failing reports whether the last heartbeat failed, that is, was refused or not answered.
 	failing bool
 }
--- a/entry/owner/hosts.go
+++ b/entry/owner/hosts.go
@@ -179,7 +179,7 @@
 		c.heartbeatFailed(l, m.HeartbeatResult, now)
 		return
 	}
-	l.answered = true
+	l.answered, l.reached = true, true
 	if l.failing {
 		l.failing = false
 		c.logger.Info("host regained", "host", m.Host)
@@ -211,7 +211,8 @@
 		c.resign("host "+id, err)
 		return
 	}
-	if refused != nil && refused.Reason == port.RefusedInstance {
+	if refused != nil && refused.Reason == port.RefusedInstance && l.reached {
+		// Another host has the address now. Had the host never answered there, it could be at work at another one.
 		c.state.HostEnded(id, now)
 	}
 	if !l.failing {
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -264,10 +264,35 @@
 	refused := agent.HeartbeatResult{Host: "h", Err: &port.RefusedError{Reason: port.RefusedInstance}}
 	heartbeatResult{refused, earlier}.handle(c.core)
 	require.Zero(t, c.state.Hosts["h"].EndedAt)
-	heartbeatResult{refused, c.agents["h"]}.handle(c.core)
+	current := c.agents["h"]
+	answer := agent.HeartbeatResult{Host: "h", Report: port.HostReport{Clock: 2000, Born: 1}}
+	heartbeatResult{answer, current}.handle(c.core)
+	heartbeatResult{refused, current}.handle(c.core)
 	require.NotZero(t, c.state.Hosts["h"].EndedAt)
 }
 
+// Guards against two runs of one task at once (TWICE): another writer put the address of another host into the record of one
+// that ran work, and the refusal from there was taken for the end of the host.
+func TestARefusalFromAnAddressAtWhichTheHostNeverAnsweredDoesNotEndIt(t *testing.T) {
+	c := newTestCore(t, idleHost{acked: make(chan int64, 8)})
+	c.addHost(testHost)
+	c.state.Hosts["h"].Stored = true
+	now := time.Now()
+	answer := agent.HeartbeatResult{Host: "h", Report: port.HostReport{Clock: 1000, Born: 1}}
+	heartbeatResult{answer, c.agents["h"]}.handle(c.core)
+	foreign := testHost
+	foreign.Address, foreign.Born = "other:1", 0
+	c.addHost(foreign)
+	refused := agent.HeartbeatResult{Host: "h", Err: &port.RefusedError{Reason: port.RefusedInstance}}
+	heartbeatResult{refused, c.agents["h"]}.handle(c.core)
+	h := c.state.Hosts["h"]
+	require.Zero(t, h.EndedAt)
+	require.True(t, h.Unreachable)
+	require.Empty(t, c.state.SilentHosts(now), "nothing runs there")
+	h.Assigned[batch.Ref{Job: "job"}] = &shard.Task{Status: shard.Running, Host: "h", Run: 1}
+	require.Equal(t, []string{"h"}, c.state.SilentHosts(now), "the list of machines tells whether it has ended")
+}
+
 const (
 	testRecordBytes  = 256 << 10
 	testRequestBytes = 2 << 20
