Follow a wave that operators publish again

Cause: the holder of the machines added a wave when it first saw its number, and skipped it from then on. Only the next holder would have read the newest record.

Machines are added, taken out and put in order as it says, and its limits are those of the record. What has started stays started; machines that are down, or whose order is under way, count against the limit though they are not named any more. A wave that was completed is reported as running again, with its whole time, if machines were added. A wave ends only by a list that was requested after its newest record was read.

--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -364,7 +364,14 @@
 		var slots *upkeep.Slots
 		for id := range w.Emptying {
 			m, listed := c.machines[id]
-			if !listed || c.stepInFlight[id] {
+			switch {
+			case c.stepInFlight[id]:
+				continue
+			case !w.Names(id):
+				// Operators have taken it out of the wave.
+				delete(w.Emptying, id)
+				continue
+			case !listed:
 				continue
 			}
 			if slots == nil {
@@ -394,12 +401,13 @@
 	return mayOrder, true
 }
 
-// addWaves adds waves that operators have published.
+// addWaves adds waves that operators have published, and updates those that they have published again with other contents.
 func (c *core) addWaves() {
 	published := c.deps.Waves()
 	now := time.Now()
 	for _, w := range published {
-		if c.waves[w.Number] != nil {
+		if known := c.waves[w.Number]; known != nil {
+			c.replaceWave(known, w, now)
 			continue
 		}
 		age, recorded := c.stored.waveAge(&w, now)
@@ -419,14 +427,33 @@
 	}
 }
 
+// replaceWave updates a wave that operators have published again. It is reported as running until it is completed anew.
+func (c *core) replaceWave(known *upkeep.Wave, published port.Wave, now time.Time) {
+	completed := known.Completed
+	if !known.Replace(published, now) {
+		return
+	}
+	if completed {
+		c.unwritten = append(c.unwritten, seenRecord(&published, now))
+	}
+	for _, m := range published.Machines {
+		if c.stored.started[startedKey(published.Number, m)] {
+			known.Started[m] = true
+		}
+	}
+	delete(c.reportFailedAt, published.Number)
+	c.logger.Info("wave changed by operators", "wave", published.Number, "machines", len(published.Machines), "cap", published.MaxDown,
+		"completed", completed, "remaining", len(known.Remaining()))
+}
+
 func startedKey(wave int64, machine string) string {
 	return strconv.FormatInt(wave, 10) + "/" + machine
 }
 
 // reportWave reports a wave to operators once when it runs and once when it is completed. It waits for a
-// list of machines, which shows whether an earlier holder has completed the wave.
+// list of machines, which shows whether an earlier holder has completed the wave, unless this one has.
 func (c *core) reportWave(ctx context.Context, w *upkeep.Wave, now time.Time) {
-	if !w.Listed {
+	if !w.Listed && !w.Reopened {
 		return
 	}
 	done := w.Done() && c.allWritten()
@@ -450,7 +477,8 @@
 		return
 	}
 	if m.done && !w.Done() {
-		// A machine of the wave was listed again while the report was in flight.
+		// A machine of the wave was listed again, or added by operators, while the report was in flight.
+		w.Reopened = len(w.Remaining()) > 0
 		delete(c.reportFailedAt, w.Number)
 		return
 	}
--- a/entry/mover/wave_test.go
+++ b/entry/mover/wave_test.go
@@ -129,3 +129,21 @@
 	for !receive(t, reports) {
 	}
 }
+
+// Guards against a wave that is said to be completed without a machine that operators have added to it (MIXED): the holder of
+// the machines kept to what it had read first.
+func TestWaveThatIsPublishedAgainTakesInItsNewMachines(t *testing.T) {
+	m := newChangingMachines("m-1", "m-2")
+	publish, reports := startWaveHolder(t, m)
+	w := port.Wave{Number: 1, Machines: []string{"m-1"}, TimeLimit: 4 * time.Second, MaxDown: 1}
+	publish(w)
+	require.Equal(t, "m-1", receive(t, m.maintained))
+	for !receive(t, reports) {
+	}
+	w.Machines = []string{"m-1", "m-2"}
+	publish(w)
+	require.False(t, receive(t, reports), "it runs again")
+	require.Equal(t, "m-2", receive(t, m.maintained))
+	for !receive(t, reports) {
+	}
+}
--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -3,6 +3,7 @@
 package upkeep
 
 import (
+	"slices"
 	"time"
 
 	"carawaymux.dev/fleet/port"
@@ -31,6 +32,8 @@
 	// Completed means that operators have been told that the maintenance of all machines has
 	// started. It is reset when an absent machine of the wave is listed again.
 	Completed bool
+	// Reopened reports whether the wave was completed, and operators have added machines to it since.
+	Reopened bool
 }
 
 // Option configures a [Wave].
@@ -51,6 +54,25 @@
 	return out
 }
 
+// Replace replaces what operators have requested by what they have requested under the same number since. It reports whether
+// that differs. Maintenance that has started stays so, and machines that are down count, whether or not they are still named.
+// The argument now is when this holder read the new request.
+func (w *Wave) Replace(next port.Wave, now time.Time) bool {
+	if slices.Equal(w.Machines, next.Machines) && w.MaxDown == next.MaxDown && w.TimeLimit == next.TimeLimit {
+		return false
+	}
+	completed := w.Completed
+	if completed {
+		w.FirstSeen = now
+	}
+	w.Wave, w.ReadAt, w.Listed, w.Completed = next, now, false, false
+	w.Reopened = completed && len(w.Remaining()) > 0
+	return true
+}
+
+// Names reports whether the wave names a machine.
+func (w *Wave) Names(machine string) bool { return slices.Contains(w.Machines, machine) }
+
 // ObserveMachines processes a list of machines that was requested at the time asked. Machines
 // whose maintenance started before the request are no longer down when the list shows them as
 // up or no longer contains them. It returns the machines that are absent since this list, and
@@ -219,9 +241,15 @@
 func (w *Wave) Slots(machines map[string]port.Machine, inFlight map[string]bool) *Slots {
 	s := &Slots{maxDown: w.MaxDown, taken: map[string]bool{}}
 	for _, id := range w.Machines {
-		_, down := w.Down[id]
-		_, emptying := w.Emptying[id]
-		if down || machines[id].State == port.MachineMaintenance || (emptying && inFlight[id]) {
+		if machines[id].State == port.MachineMaintenance {
+			s.taken[id] = true
+		}
+	}
+	for id := range w.Down {
+		s.taken[id] = true
+	}
+	for id := range w.Emptying {
+		if inFlight[id] {
 			s.taken[id] = true
 		}
 	}
--- a/fleet/upkeep/upkeep_test.go
+++ b/fleet/upkeep/upkeep_test.go
@@ -190,3 +190,61 @@
 	machines := fleet(map[string]int{"a": 4, "b": 4, "c": 5, "d": 6, "spare": 4})
 	require.Less(t, simulate(upkeep.StandbyFirst{}, machines, 10), 25*time.Second)
 }
+
+// Guards against a wave that is said to be completed without a machine that operators have added to it (MIXED).
+func TestAWaveThatIsPublishedAgainFollowsItsNewestContents(t *testing.T) {
+	later := start.Add(time.Minute)
+	machines := fleet(map[string]int{"a": 4})
+	first := port.Wave{Number: 1, Machines: []string{"a-0", "a-1"}, MaxDown: 2, TimeLimit: 30 * time.Second}
+	completedWave := func() *upkeep.Wave {
+		w := upkeep.NewWave(first, start)
+		w.ObserveMachines(machines, start.Add(time.Second))
+		w.Started["a-0"], w.Started["a-1"], w.Completed = true, true, true
+		return w
+	}
+	w := completedWave()
+	require.False(t, w.Replace(first, later), "published again as it was")
+	require.True(t, w.Completed)
+
+	more := first
+	more.Machines = []string{"a-0", "a-1", "a-2"}
+	require.True(t, w.Replace(more, later))
+	require.False(t, w.Completed)
+	require.True(t, w.Reopened)
+	require.Equal(t, []string{"a-2"}, w.Remaining())
+	require.Equal(t, later, w.FirstSeen, "a request after the end has its whole time")
+	w.ObserveMachines(machines, later.Add(-time.Millisecond))
+	require.False(t, w.Done())
+	w.ObserveMachines(machines, later.Add(time.Millisecond))
+	require.False(t, w.Done())
+
+	for name, change := range map[string]func(w *port.Wave){
+		"fewer machines": func(w *port.Wave) { w.Machines = []string{"a-1"} },
+		"other order":    func(w *port.Wave) { w.Machines = []string{"a-1", "a-0"} },
+		"other limit":    func(w *port.Wave) { w.MaxDown = 1 },
+		"other time":     func(w *port.Wave) { w.TimeLimit = time.Hour },
+	} {
+		w, next := completedWave(), first
+		change(&next)
+		require.True(t, w.Replace(next, later), name)
+		require.False(t, w.Done(), "%s: no list since", name)
+		w.ObserveMachines(machines, later.Add(time.Millisecond))
+		require.True(t, w.Done(), name)
+	}
+}
+
+// Guards against more machines down than the limit of a wave (LIMIT): one that is down was taken out of it.
+func TestAMachineThatIsDownCountsAfterItWasTakenOutOfItsWave(t *testing.T) {
+	machines := fleet(map[string]int{"a": 3})
+	w := upkeep.NewWave(port.Wave{Number: 1, Machines: []string{"a-0", "a-1"}, MaxDown: 1, TimeLimit: time.Minute}, start)
+	w.Started["a-0"], w.Down["a-0"] = true, start
+	require.True(t, w.Replace(port.Wave{Number: 1, Machines: []string{"a-1", "a-2"}, MaxDown: 1, TimeLimit: time.Minute}, start))
+	require.Empty(t, upkeep.Next(upkeep.InOrder{}, w, machines, nil, nil, start))
+	require.False(t, w.Slots(machines, nil).MayStart("a-1"))
+	w.ObserveMachines(machines, start.Add(time.Second))
+	require.Len(t, upkeep.Next(upkeep.InOrder{}, w, machines, nil, nil, start), 1)
+
+	w.Emptying["a-1"] = start
+	require.True(t, w.Replace(port.Wave{Number: 1, Machines: []string{"a-2"}, MaxDown: 1, TimeLimit: time.Minute}, start))
+	require.False(t, w.Slots(machines, map[string]bool{"a-1": true}).MayStart("a-2"), "the order for the other is under way")
+}
