--- a/fleet/shard/lease.go
+++ b/fleet/shard/lease.go
@@ -6,7 +6,7 @@
 
 // LeaseDeadline returns the lease deadline to grant now, on the host's clock in milliseconds, and
 // 0 when none may be granted. A host that does not answer gets no extension, so that its lease
-// expires even if messages to it arrive late, and neither does one that lists ends without end.
+// expires even if messages to it arrive late, and neither does one that keeps listing further ends.
 func (s *State) LeaseDeadline(h *Host, now time.Time) int64 {
 	limit := answerTimeout
 	if h.AnswerPending {
--- a/fleet/shard/place_test.go
+++ b/fleet/shard/place_test.go
@@ -69,13 +69,20 @@
 	require.Len(t, o.plan(), 1, "work that can never run does not block other work")
 }
 
+// newGangOwner returns an owner with a job of one gang, which waits.
+func newGangOwner(t *testing.T, members int, hosts ...string) *owner {
+	t.Helper()
+	o := newOwner(t, 1, hosts...)
+	gang := smallStep(members)
+	gang.Gang = true
+	o.submit("job", gang)
+	return o
+}
+
 // Guards against a job that is shown as failed without cause (LOST): each member that failed in a run of a gang counted as an
 // attempt.
 func TestAGangFailsOnceARunHoweverManyMembersFail(t *testing.T) {
-	o := newOwner(t, 1, "a")
-	gang := smallStep(4)
-	gang.Gang = true
-	o.submit("job", gang)
+	o := newGangOwner(t, 4, "a")
 	number := int64(0)
 	for attempt := 1; attempt <= 3; attempt++ {
 		require.Equal(t, shard.Open, o.Jobs["job"].Phase, "before attempt %d of 3", attempt)
@@ -94,10 +101,7 @@
 
 // Guards against a start after the last attempt of a gang (BUDGET): another member failed in each run.
 func TestAGangFailsIfAnotherMemberFailsInEachRun(t *testing.T) {
-	o := newOwner(t, 1, "a")
-	gang := smallStep(4)
-	gang.Gang = true
-	o.submit("job", gang)
+	o := newGangOwner(t, 4, "a")
 	number := int64(0)
 	for attempt := range 3 {
 		starts := o.start()
@@ -120,10 +124,7 @@
 
 // Guards against a gang that uses up its attempts on a host that fails all it starts.
 func TestAGangIsNotStartedWhereItFailedIfItFitsElsewhere(t *testing.T) {
-	o := newOwner(t, 1, "a", "b")
-	gang := smallStep(2)
-	gang.Gang = true
-	o.submit("job", gang)
+	o := newGangOwner(t, 2, "a", "b")
 	starts := o.start()
 	require.Len(t, starts, 2)
 	failed := starts[0].Host
--- a/fleet/shard/prior.go
+++ b/fleet/shard/prior.go
@@ -40,8 +40,8 @@
 // maxEndsRead is the number of ends that a host may list before it has listed all from before.
 const maxEndsRead = 50_000
 
-// isEndless reports whether the host lists ends without end. It gets no longer lease, so that inherited work waits for it no
-// longer than for a silent host.
+// isEndless reports whether the host keeps listing further ends. Its lease is not extended any more then, so that inherited
+// work waits for it no longer than for a silent host.
 func (h *Host) isEndless() bool { return h.isUnread() && h.EndsRead > maxEndsRead }
 
 func (p priorHosts) empty() bool { return len(p.unanswered)+len(p.unread) == 0 }
