--- a/trial/soak/small.go
+++ b/trial/soak/small.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/trial/fake"
 )
 
@@ -50,7 +51,7 @@
 				job: Job{
 					ID: fmt.Sprintf("%04x%04x%08x", what.Seed&0xffff, smallStream, number), Queue: pool, Pool: pool,
 					Specification: fake.SpecRunUntilReleased,
-					Steps:         []fake.StepSpec{{Count: what.Hosts * what.Small, EstimatedMS: int(smallLead.Milliseconds()), Small: true}},
+					Steps:         []fake.StepSpec{{Count: min(what.Hosts*what.Small, batch.MaxTasks), EstimatedMS: int(smallLead.Milliseconds()), Small: true}},
 				},
 			}
 			group.Go(func() error {
