--- a/fleet/shard/prior.go
+++ b/fleet/shard/prior.go
@@ -23,7 +23,7 @@
 	var out priorHosts
 	for _, h := range s.sortedHosts() {
 		switch {
-		case !h.Stored || (h.Confirmed && !h.isUnread()) || s.leaseExpired(h, now):
+		case !s.isPrior(h, now):
 		case !h.Confirmed:
 			out.unanswered = append(out.unanswered, h)
 		default:
@@ -33,6 +33,11 @@
 	return out
 }
 
+// isPrior reports whether the host may know of inherited runs what this owner does not know yet.
+func (s *State) isPrior(h *Host, now time.Time) bool {
+	return h.Stored && (!h.Confirmed || h.isUnread()) && !s.leaseExpired(h, now)
+}
+
 // isUnread reports whether the host has answered, and has not listed all ends of runs of earlier owners. The ends of an instance
 // that has ended will not be listed.
 func (h *Host) isUnread() bool { return h.Confirmed && !h.EndsListed && h.EndedAt.IsZero() }
--- a/fleet/shard/reading.go
+++ b/fleet/shard/reading.go
@@ -37,13 +37,12 @@
 	switch {
 	case !h.EndedAt.IsZero():
 		out.State = ReadingGone
-	case h.Confirmed && h.EndsListed:
-	case s.leaseExpired(h, now):
-		out.State = ReadingExpired
-	case h.Confirmed:
+	case s.isPrior(h, now) && h.Confirmed:
 		out.State = ReadingIncomplete
-	default:
+	case s.isPrior(h, now):
 		out.State = ReadingUnanswered
+	case !h.Confirmed || !h.EndsListed:
+		out.State = ReadingExpired
 	}
 	return out
 }
--- a/fleet/shard/vacate.go
+++ b/fleet/shard/vacate.go
@@ -73,8 +73,7 @@
 			s.orderStop(r, task, "host is being emptied")
 		}
 	}
-	known := (h.Confirmed && !h.isUnread()) || !h.Stored || s.leaseExpired(h, now)
-	return known && s.isPresent(h, now) && len(h.Assigned) == 0 && h.UnknownRuns == 0
+	return !s.isPrior(h, now) && s.isPresent(h, now) && len(h.Assigned) == 0 && h.UnknownRuns == 0
 }
 
 // isPresent reports whether a host is still the one on its machine, as far as is known. Otherwise another host may be at
