--- a/entry/mover/mover.go
+++ b/entry/mover/mover.go
@@ -416,11 +416,7 @@
 			c.unwritten = append(c.unwritten, seenRecord(&w, now))
 		}
 		added := upkeep.NewWave(w, now, upkeep.WithAge(age))
-		for _, m := range w.Machines {
-			if c.stored.started[startedKey(w.Number, m)] {
-				added.Started[m] = true
-			}
-		}
+		c.restoreStarted(added)
 		c.waves[w.Number] = added
 		c.logger.Info("wave seen", "wave", w.Number, "machines", len(w.Machines), "cap", w.MaxDown, "begun", len(added.Started),
 			"age-ms", age.Milliseconds())
@@ -436,16 +432,21 @@
 	if completed {
 		c.unwritten = append(c.unwritten, seenRecord(&published, now))
 	}
-	for _, m := range published.Machines {
-		if c.stored.started[startedKey(published.Number, m)] {
-			known.Started[m] = true
-		}
-	}
+	c.restoreStarted(known)
 	delete(c.reportFailedAt, published.Number)
 	c.logger.Info("wave changed by operators", "wave", published.Number, "machines", len(published.Machines), "cap", published.MaxDown,
 		"completed", completed, "remaining", len(known.Remaining()))
 }
 
+// restoreStarted marks the machines of a wave that need no more steps, as the store has it.
+func (c *core) restoreStarted(w *upkeep.Wave) {
+	for _, m := range w.Machines {
+		if c.stored.started[startedKey(w.Number, m)] {
+			w.Started[m] = true
+		}
+	}
+}
+
 func startedKey(wave int64, machine string) string {
 	return strconv.FormatInt(wave, 10) + "/" + machine
 }
