Share the start of an owner, and of a successor, between tests

The tests of take-overs repeated what the tests of overload and of new owners set up. Assertions are unchanged; four older tests have hosts that report when they were started, as the newer ones do.

--- a/entry/owner/overload_test.go
+++ b/entry/owner/overload_test.go
@@ -307,6 +307,37 @@
 
 func (slowClient) Close() {}
 
+// slowHostList returns the list entries of a number of hosts.
+func slowHostList(count int) []port.Host {
+	hosts := make([]port.Host, count)
+	for i := range hosts {
+		hosts[i] = port.Host{
+			ID: fmt.Sprintf("h%04d", i), Address: fmt.Sprintf("h%04d:1", i), Pool: "pool", Born: 1,
+			Capacity: batch.Size{MilliCores: 1000 * slotsPerHost, MemoryMB: 1000 * slotsPerHost},
+		}
+	}
+	return hosts
+}
+
+// slowQueue is the queue of the pool.
+var slowQueue = port.Queue{Name: "q", Pool: "pool", Stretch: 2, Target: time.Second}
+
+// startSlowOwner starts an owner of hosts from what earlier owners have stored.
+func startSlowOwner(
+	ctx context.Context, t *testing.T, fleet *slowHosts, hosts []port.Host, stored *owner.StoredState, logger *slog.Logger,
+) *owner.Owner {
+	t.Helper()
+	acquired, err := claim.Acquire(ctx, storeAtOnce{}, "pool", "e", 1, 24)
+	require.NoError(t, err)
+	return owner.Start(
+		owner.Settings{
+			Partitions: 24, HeartbeatWait: heartbeatWait,
+			Timing: shard.Timing{Lease: testLease, Grace: 3 * time.Second, Retention: time.Hour},
+		},
+		owner.Deps{Log: storeAtOnce{}, HostClients: fleet, Machines: machinesUp{hosts: hosts}, Logger: logger},
+		acquired, stored, &port.Config{Queues: []port.Queue{slowQueue}, Pools: []port.Pool{{Name: "pool", EnforcesCapacity: true}}}, hosts)
+}
+
 // overload is what a run of an overloaded owner has shown.
 type overload struct {
 	// ordered holds when each start was decided. reached holds when it reached its host, if it
@@ -320,31 +351,10 @@
 // all jobs are completed, for a minute at most.
 func runOverload(t *testing.T, hostCount, jobCount int) overload {
 	ctx, cancel := context.WithCancel(context.Background())
-	hosts := make([]port.Host, hostCount)
-	for i := range hosts {
-		hosts[i] = port.Host{
-			ID: fmt.Sprintf("h%03d", i), Address: fmt.Sprintf("h%03d:1", i), Pool: "pool", Born: 1,
-			Capacity: batch.Size{MilliCores: 1000 * slotsPerHost, MemoryMB: 1000 * slotsPerHost},
-		}
-	}
+	hosts := slowHostList(hostCount)
 	fleet := startSlowHosts(ctx, hosts)
-	acquired, err := claim.Acquire(ctx, storeAtOnce{}, "pool", "e", 1, 24)
-	require.NoError(t, err)
-	config := &port.Config{
-		Queues: []port.Queue{{Name: "q", Pool: "pool", Stretch: 2, Target: time.Second}},
-		Pools:  []port.Pool{{Name: "pool", EnforcesCapacity: true}},
-	}
 	var lines bytes.Buffer
-	o := owner.Start(
-		owner.Settings{
-			Partitions: 24, HeartbeatWait: heartbeatWait,
-			Timing: shard.Timing{Lease: testLease, Grace: 3 * time.Second, Retention: time.Hour},
-		},
-		owner.Deps{
-			Log: storeAtOnce{}, HostClients: fleet, Machines: machinesUp{hosts: hosts},
-			Logger: slog.New(slog.NewJSONHandler(&lines, nil)),
-		},
-		acquired, &owner.StoredState{}, config, hosts)
+	o := startSlowOwner(ctx, t, fleet, hosts, &owner.StoredState{}, slog.New(slog.NewJSONHandler(&lines, nil)))
 	// The hosts answer for the first time.
 	time.Sleep(3 * time.Second)
 
@@ -354,7 +364,7 @@
 	}}}
 	jobID := func(i int) string { return fmt.Sprintf("%016x", i) }
 	for i := range jobCount {
-		callers.Go(func() { o.Submit(ctx, config.Queues[0], jobID(i), spec) })
+		callers.Go(func() { o.Submit(ctx, slowQueue, jobID(i), spec) })
 	}
 	callers.Wait()
 	out := overload{ordered: map[runID]time.Time{}, reached: map[runID]time.Time{}}
--- a/entry/owner/unread_test.go
+++ b/entry/owner/unread_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
@@ -34,15 +33,9 @@
 }
 
 // runTakeOver starts an owner of hosts that have ended a number of runs each. One task of the last job has not run yet.
-func runTakeOver(t testing.TB, hostCount, ends int) takeOver {
+func runTakeOver(t *testing.T, hostCount, ends int) takeOver {
 	ctx, cancel := context.WithCancel(context.Background())
-	hosts := make([]port.Host, hostCount)
-	for i := range hosts {
-		hosts[i] = port.Host{
-			ID: fmt.Sprintf("h%04d", i), Address: fmt.Sprintf("h%04d:1", i), Pool: "pool", Born: 1,
-			Capacity: batch.Size{MilliCores: 1000 * slotsPerHost, MemoryMB: 1000 * slotsPerHost},
-		}
-	}
+	hosts := slowHostList(hostCount)
 	fleet := startSlowHosts(ctx, hosts)
 	stored := &owner.StoredState{Specs: map[string]batch.Spec{}, Hosts: hosts}
 	step := batch.Step{Need: batch.Size{MilliCores: 5, MemoryMB: 1}, Estimate: taskTime}
@@ -58,19 +51,8 @@
 		unit := batch.Ref{Job: jobID(i / endedPerJob), Index: i % endedPerJob}.String()
 		h.finished = append(h.finished, port.FinishedRun{Number: h.number, Unit: unit, Run: 1, Result: port.ResultDone})
 	}
-	acquired, err := claim.Acquire(ctx, storeAtOnce{}, "pool", "e", 1, 24)
-	require.NoError(t, err)
+	o := startSlowOwner(ctx, t, fleet, hosts, stored, slog.New(slog.DiscardHandler))
 	began := time.Now()
-	o := owner.Start(
-		owner.Settings{
-			Partitions: 24, HeartbeatWait: heartbeatWait,
-			Timing: shard.Timing{Lease: testLease, Grace: 3 * time.Second, Retention: time.Hour},
-		},
-		owner.Deps{Log: storeAtOnce{}, HostClients: fleet, Machines: machinesUp{hosts: hosts}, Logger: slog.New(slog.DiscardHandler)},
-		acquired, stored, &port.Config{
-			Queues: []port.Queue{{Name: "q", Pool: "pool", Stretch: 2, Target: time.Second}},
-			Pools:  []port.Pool{{Name: "pool", EnforcesCapacity: true}},
-		}, hosts)
 	last := batch.Ref{Job: jobID(all / endedPerJob), Index: all % endedPerJob}.String()
 	for waited := time.Duration(0); waited < time.Minute && o.JobStatus(ctx, jobID(all/endedPerJob)).Phase != shard.Completed; waited += 50 * time.Millisecond {
 		time.Sleep(50 * time.Millisecond)
--- a/fleet/shard/prior_test.go
+++ b/fleet/shard/prior_test.go
@@ -11,19 +11,6 @@
 	"carawaymux.dev/fleet/shard"
 )
 
-// newSuccessor returns the second owner of a pool, which has inherited hosts and a job "old" of one step.
-func newSuccessor(t *testing.T, step batch.Step, hosts ...string) *owner {
-	t.Helper()
-	o := newOwner(t, 2)
-	for _, id := range hosts {
-		h := port.Host{ID: id, Pool: "pool", Born: 1, Capacity: batch.Size{MilliCores: 4000, MemoryMB: 4000}}
-		o.RestoreHost(h)
-		o.UpdateHost(h, o.now)
-	}
-	o.Restore("old", batch.Spec{Queue: "q", Steps: []batch.Step{step}}, nil, o.now)
-	return o
-}
-
 // reportPart makes a host report ends that may not be all.
 func (o *owner) reportPart(id string, ends ...port.FinishedRun) {
 	o.clock++
--- a/fleet/shard/shard_test.go
+++ b/fleet/shard/shard_test.go
@@ -41,6 +41,19 @@
 	return o
 }
 
+// newSuccessor returns the second owner of a pool, which has inherited hosts and a job "old" of one step.
+func newSuccessor(t *testing.T, step batch.Step, hosts ...string) *owner {
+	t.Helper()
+	o := newOwner(t, 2)
+	for _, id := range hosts {
+		h := port.Host{ID: id, Pool: "pool", Born: 1, Capacity: batch.Size{MilliCores: 4000, MemoryMB: 4000}}
+		o.RestoreHost(h)
+		o.UpdateHost(h, o.now)
+	}
+	o.Restore("old", batch.Spec{Queue: "q", Steps: []batch.Step{step}}, nil, o.now)
+	return o
+}
+
 func (o *owner) addHost(id string) {
 	o.UpdateHost(port.Host{
 		ID: id, Address: id + ":1", Pool: "pool", Rack: "r-" + id,
@@ -322,14 +335,7 @@
 }
 
 func TestANewOwnerAsksAllHostsBeforeItStartsInheritedWork(t *testing.T) {
-	o := newOwner(t, 2)
-	for _, id := range []string{"a", "b"} {
-		h := port.Host{ID: id, Pool: "pool", Capacity: batch.Size{MilliCores: 4000, MemoryMB: 4000}}
-		o.RestoreHost(h)
-		o.UpdateHost(h, o.now)
-	}
-	spec := batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(2)}}
-	o.Restore("old", spec, nil, o.now)
+	o := newSuccessor(t, smallStep(2), "a", "b")
 	o.submit("new", smallStep(1))
 	o.report("a", port.ActiveRun{Unit: "old.0.0.1", Run: 1, ProgressPercent: 30})
 	o.advance(time.Millisecond)
@@ -345,13 +351,7 @@
 }
 
 func TestANewOwnerWaitsForTheLeaseOfAHostThatItCannotReach(t *testing.T) {
-	o := newOwner(t, 2)
-	for _, id := range []string{"a", "silent"} {
-		h := port.Host{ID: id, Pool: "pool", Capacity: batch.Size{MilliCores: 4000, MemoryMB: 4000}}
-		o.RestoreHost(h)
-		o.UpdateHost(h, o.now)
-	}
-	o.Restore("old", batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(1)}}, nil, o.now)
+	o := newSuccessor(t, smallStep(1), "a", "silent")
 	for waited := time.Duration(0); waited < timing.Grace+timing.Lease; waited += time.Second {
 		o.report("a")
 		o.ExpireLeases(o.now)
@@ -367,13 +367,7 @@
 // Guards against two runs of one task: a host fell silent right after its first answer to a new
 // owner, which counted only the lease that it had granted itself.
 func TestANewOwnerCountsTheLeaseThatAnEarlierOneGranted(t *testing.T) {
-	o := newOwner(t, 2)
-	for _, id := range []string{"a", "b"} {
-		h := port.Host{ID: id, Pool: "pool", Capacity: batch.Size{MilliCores: 4000, MemoryMB: 4000}}
-		o.RestoreHost(h)
-		o.UpdateHost(h, o.now)
-	}
-	o.Restore("old", batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(1)}}, nil, o.now)
+	o := newSuccessor(t, smallStep(1), "a", "b")
 	o.report("a", port.ActiveRun{Unit: "old.0.0.0", Run: 1, ProgressPercent: 30})
 	for waited := time.Duration(0); waited <= timing.Lease; waited += time.Second {
 		o.report("b")
@@ -387,13 +381,7 @@
 }
 
 func TestAHostThatThePlatformKnowsToHaveEndedIsNotWaitedFor(t *testing.T) {
-	o := newOwner(t, 2)
-	for _, id := range []string{"a", "silent"} {
-		h := port.Host{ID: id, Pool: "pool", Capacity: batch.Size{MilliCores: 4000, MemoryMB: 4000}}
-		o.RestoreHost(h)
-		o.UpdateHost(h, o.now)
-	}
-	o.Restore("old", batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(1)}}, nil, o.now)
+	o := newSuccessor(t, smallStep(1), "a", "silent")
 	o.report("a")
 	o.advance(time.Second + 300*time.Millisecond)
 	o.report("a")
