Add tenants to configurations, jobs and the waiting steps of a pool

Configurations name tenants with keys, weights and caps, and jobs belong to one of them. Keys are kept as digests. Waiting steps are grouped by tenant, and a pool counts what each tenant has running. Nothing decides by it yet; without tenants there is one group as before.

--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -52,6 +52,8 @@
 	Leave *shard.LeaveOrder `cbor:"6,keyasint,omitempty"`
 	// Hosts are the hosts of VerbRelease.
 	Hosts []string `cbor:"7,keyasint,omitempty"`
+	// Tenant is the tenant of the caller of a request about a job, and empty if the caller presented no key.
+	Tenant string `cbor:"8,keyasint,omitempty"`
 }
 
 // LeaveOrder returns the order of a request to empty a host, which is zero if it has none.
--- a/fleet/batch/batch.go
+++ b/fleet/batch/batch.go
@@ -113,6 +113,8 @@
 	Interval time.Duration `cbor:"6,keyasint,omitempty"`
 	// AcceptedMS is when the job was accepted, in milliseconds since 1970.
 	AcceptedMS int64 `cbor:"7,keyasint,omitempty"`
+	// Tenant is the name of the tenant that submitted the job, and empty if the caller presented no key.
+	Tenant string `cbor:"8,keyasint,omitempty"`
 }
 
 // Occurrences is the number of times that the steps run.
--- a/fleet/port/port.go
+++ b/fleet/port/port.go
@@ -4,6 +4,7 @@
 package port
 
 import (
+	"crypto/sha256"
 	"time"
 
 	"carawaymux.dev/fleet/batch"
@@ -17,12 +18,31 @@
 	Queues []Queue
 	// Pools are the pools of hosts.
 	Pools []Pool
+	// Tenants are the tenants whose keys callers present. No two have the same name or share a key.
+	Tenants []Tenant
+	// RequiresKeys reports whether callers need the key of a tenant, but for queues that allow anonymous callers.
+	RequiresKeys bool
 	// MaxBody and MaxHeader limit a caller's request, in bytes; 0 means not configured.
 	MaxBody, MaxHeader int64
 	// HeaderTimeout and IdleTimeout limit a caller's connection; 0 means not configured.
 	HeaderTimeout, IdleTimeout time.Duration
 }
 
+// KeyDigest is the SHA-256 digest of a key. The keys themselves are not kept.
+type KeyDigest [sha256.Size]byte
+
+// Tenant is a customer whose jobs share limits and a share of full pools.
+type Tenant struct {
+	// Name is unique in a configuration and not empty.
+	Name string
+	// Keys are the digests of the keys that callers of the tenant present.
+	Keys []KeyDigest
+	// Weight is the tenant's share of a full pool against that of others. It is 0 or more and finite.
+	Weight float64
+	// Cap limits what all running tasks of the tenant request. A dimension that is 0 has no limit.
+	Cap batch.Size
+}
+
 // Queue accepts jobs for one pool.
 type Queue struct {
 	// Name is unique in a configuration.
@@ -45,6 +65,8 @@
 	Timeout time.Duration
 	// Advice is set if a policy service decides which hosts may run a step.
 	Advice *Advice
+	// AllowAnonymous reports whether callers need no key.
+	AllowAnonymous bool
 }
 
 // Advice describes the policy service of a queue.
--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -27,6 +27,8 @@
 	queues map[string]*queueRules
 	// groups holds the steps that are in no other place than touched.
 	groups map[groupKey]*group
+	// tenants holds what the pool knows of the tenants whose jobs it has had, by name.
+	tenants map[string]*TenantUse
 	// keys holds the sort keys that are kept, for the steps that are not late and for those that are.
 	keys [2][sortKeys]bool
 	// touched holds steps that may have to move to another place, and steps in no group.
@@ -108,8 +110,9 @@
 
 // groupKey is what the steps of a group have in common.
 type groupKey struct {
-	queue *queueRules
-	label string
+	queue  *queueRules
+	tenant *TenantUse
+	label  string
 	// longRunning and inherited are as in the step. exempt reports whether more than the need decides where
 	// the step may run.
 	longRunning, inherited, exempt bool
@@ -131,7 +134,7 @@
 
 func newBacklog(origin time.Time) backlog {
 	b := backlog{
-		origin: origin, queues: map[string]*queueRules{}, groups: map[groupKey]*group{}, unopened: map[string]*Job{}, spreads: map[int]int{},
+		origin: origin, queues: map[string]*queueRules{}, groups: map[groupKey]*group{}, tenants: map[string]*TenantUse{}, unopened: map[string]*Job{}, spreads: map[int]int{},
 	}
 	// Steps can be placed before the first round of planning.
 	for _, isLate := range [...]bool{false, true} {
@@ -219,7 +222,7 @@
 	w := &waitingStep{
 		job: j, step: step, stage: stage, need: step.Reservation(), criticalPath: criticalPathFrom(&j.Spec, number),
 		work: j.Occurrences[occurrence].work, queue: b.queue(j),
-		demand:   Demand{Job: j, Occurrence: occurrence, Step: number, LongRunning: step.LongRunning},
+		demand:   Demand{Job: j, Tenant: b.tenant(j), Occurrence: occurrence, Step: number, LongRunning: step.LongRunning},
 		accepted: j.AcceptedAt.Sub(b.origin), objective: j.Objective.Sub(b.origin), inherited: j.Inherited,
 		jobPosition: len(j.waiting), alarmPosition: -1,
 	}
@@ -343,7 +346,7 @@
 	lateAfter := clamp.Sub(w.objective, w.expectedPath())
 	remaining := w.work.left(&w.job.Spec, w.job.Occurrences[w.demand.Occurrence].Stages)
 	key := groupKey{
-		queue: w.queue, label: w.step.RequiredLabel, longRunning: w.step.LongRunning, inherited: w.inherited,
+		queue: w.queue, tenant: b.tenant(w.job), label: w.step.RequiredLabel, longRunning: w.step.LongRunning, inherited: w.inherited,
 		exempt:   w.step.Gang || w.step.PerHost > 0 || w.queue.needsTicket || w.stage.suspected,
 		late:     now > lateAfter,
 		missed:   now > w.objective,
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -217,6 +217,8 @@
 	}
 	step := s.step(r)
 	h.used = h.used.Add(step.Reservation())
+	use := s.backlog.tenant(j)
+	use.Running = use.Running.Add(step.Need)
 	if task.late {
 		s.lateUsed += step.Reservation().MilliCores
 	}
@@ -239,6 +241,8 @@
 	}
 	step := s.step(r)
 	h.used = h.used.Sub(step.Reservation())
+	use := s.backlog.tenant(j)
+	use.Running = use.Running.Sub(step.Need)
 	if task.late {
 		s.lateUsed -= step.Reservation().MilliCores
 	}
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -10,6 +10,7 @@
 // Demand is a step of an occurrence with tasks that could start now.
 type Demand struct {
 	Job        *Job
+	Tenant     *TenantUse
 	Occurrence int
 	Step       int
 	// LongRunning, Priority, Age, Slack and RemainingWork are what rankings compare. The lowest
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -210,6 +210,8 @@
 	// ordered to start, counted from when the pool was claimed.
 	assigned  int
 	lastStart time.Duration
+	// tenant is what the pool knows of the tenant, and nil before the backlog has needed it.
+	tenant *TenantUse
 	// rules is what the backlog knows of the queue, and nil before the backlog has needed it. waiting holds the
 	// entries of the job in the backlog. pending reports whether the backlog counts the job as pending.
 	rules   *queueRules
