Serve the tenants of an overloaded pool by their shares

While a pool is overloaded, work of one priority now goes by what is owed, what was begun, and what the tenants have used lately for their weight (TenantShare). Hosts are reserved at once for owed work that does not fit, since small tasks of a flood filled each gap before larger tasks of others fit. It takes effect only if the configuration has tenants.

--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -178,8 +178,8 @@
 	}
 	c.state.RetryStops(now)
 	limits := shard.Limits{Starts: c.starts.Room(now), StartsPerHost: startsPerHost}
-	ranking := shard.LateShare[shard.StarvedFirst[shard.SizeShare[shard.ByLoad]]]{
-		Ranking: shard.StarvedFirst[shard.SizeShare[shard.ByLoad]]{Ranking: c.ranking(), Spare: c.state.HasSpareCapacity(now)},
+	ranking := shard.LateShare[shard.StarvedFirst[inTimeOrder]]{
+		Ranking: shard.StarvedFirst[inTimeOrder]{Ranking: c.ranking(), Spare: c.state.HasSpareCapacity(now)},
 		Due:     c.state.LateWorkIsDue(now),
 	}
 	shard.PlanWithin(c.state, ranking, limits, now, now.UnixMilli())
@@ -191,9 +191,16 @@
 	c.nextRound = end.Add(roundPause(end.Sub(now)))
 }
 
-// ranking returns the order of work that is in time.
-func (c *core) ranking() shard.SizeShare[shard.ByLoad] {
-	return shard.SizeShare[shard.ByLoad]{Ranking: shard.ByLoad{Overloaded: c.state.Overloaded}, Overloaded: c.state.Overloaded}
+// inTimeOrder is the order of work that is in time.
+type inTimeOrder = shard.TenantShare[shard.SizeShare[shard.ByLoad], shard.RecentUse]
+
+// ranking returns the order of work that is in time. Tenants have shares if the configuration has any.
+func (c *core) ranking() inTimeOrder {
+	overloaded := c.state.Overloaded
+	return inTimeOrder{
+		Ranking: shard.SizeShare[shard.ByLoad]{Ranking: shard.ByLoad{Overloaded: overloaded}, Overloaded: overloaded},
+		Active:  overloaded && c.state.HasTenants(),
+	}
 }
 
 // roundPause returns the minimum time between a round of planning and the next one. It is as long
--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -29,6 +29,10 @@
 	groups map[groupKey]*group
 	// tenants holds what the pool knows of the tenants whose jobs it has had, by name.
 	tenants map[string]*TenantUse
+	// weights holds the weights of the tenants in the configuration, by name; it is nil if there are none. leastWeight is the
+	// smallest of them.
+	weights     map[string]float64
+	leastWeight float64
 	// keys holds the sort keys that are kept, for the steps that are not late and for those that are.
 	keys [2][sortKeys]bool
 	// touched holds steps that may have to move to another place, and steps in no group.
@@ -119,6 +123,8 @@
 	// size and begun are as in the job, for work in time that ends. begun is not set for jobs that are not large.
 	size  grade.Grade
 	begun bool
+	// excess and finish are as in the job. finish is set for work in time that ends.
+	excess, finish bool
 	// late, starved and reserves are as in the demand. missed reports whether the objective has passed, so
 	// that the step stays late.
 	late, starved, reserves, missed bool
@@ -222,7 +228,7 @@
 	w := &waitingStep{
 		job: j, step: step, stage: stage, need: step.Reservation(), criticalPath: criticalPathFrom(&j.Spec, number),
 		work: j.Occurrences[occurrence].work, queue: b.queue(j),
-		demand:   Demand{Job: j, Tenant: b.tenant(j), Occurrence: occurrence, Step: number, LongRunning: step.LongRunning},
+		demand:   Demand{Job: j, Tenant: b.tenant(j), Occurrence: occurrence, Step: number, LongRunning: step.LongRunning, Excess: j.excess},
 		accepted: j.AcceptedAt.Sub(b.origin), objective: j.Objective.Sub(b.origin), inherited: j.Inherited,
 		jobPosition: len(j.waiting), alarmPosition: -1,
 	}
@@ -346,7 +352,7 @@
 	lateAfter := clamp.Sub(w.objective, w.expectedPath())
 	remaining := w.work.left(&w.job.Spec, w.job.Occurrences[w.demand.Occurrence].Stages)
 	key := groupKey{
-		queue: w.queue, tenant: b.tenant(w.job), label: w.step.RequiredLabel, longRunning: w.step.LongRunning, inherited: w.inherited,
+		queue: w.queue, tenant: b.tenant(w.job), label: w.step.RequiredLabel, longRunning: w.step.LongRunning, inherited: w.inherited, excess: w.job.excess,
 		exempt:   w.step.Gang || w.step.PerHost > 0 || w.queue.needsTicket || w.stage.suspected,
 		late:     now > lateAfter,
 		missed:   now > w.objective,
@@ -354,6 +360,7 @@
 	}
 	if !key.longRunning && !key.late {
 		key.size, key.begun = w.job.Size, w.job.begun && w.job.Size != grade.Rest
+		key.finish = w.job.finish && b.weights != nil
 	}
 	if key.late && w.job.lose() {
 		w.queue.tally.Lose(w.job.Size, w.job.begunAt, b.origin.Add(now))
@@ -451,7 +458,7 @@
 // when the pool was claimed.
 func (w *waitingStep) updateDemand(now time.Duration) {
 	w.demand.Priority, w.demand.Age = w.queue.priority, now-w.accepted
-	w.demand.Begun, w.demand.Tally = w.job.begun, w.queue.tally
+	w.demand.Begun, w.demand.Finish, w.demand.Tally = w.job.begun, w.job.finish, w.queue.tally
 	w.demand.Idle = 0
 	if w.job.assigned == 0 {
 		w.demand.Idle = now - max(w.accepted, w.job.lastStart)
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -22,12 +22,13 @@
 	Unplaceable
 )
 
-// Configure applies a configuration: the rules of the queues, and whether the pool's hosts enforce
+// Configure applies a configuration: the rules of the queues, the weights of the tenants, and whether the pool's hosts enforce
 // their capacity. Queues that were removed keep their rules for the jobs that they have accepted.
 func (s *State) Configure(c *port.Config) {
 	for _, q := range c.Queues {
 		s.SetQueue(q)
 	}
+	s.setTenants(c.Tenants)
 	for _, p := range c.Pools {
 		if p.Name == s.Pool {
 			s.EnforcesCapacity = p.EnforcesCapacity
@@ -55,6 +56,7 @@
 	j.Objective = s.objective(j)
 	s.gradeJob(j)
 	s.countArrival(j, now)
+	s.countTenantArrival(j, now)
 	s.Jobs[id] = j
 	s.openJobs[id] = j
 	s.backlog.addJob(j)
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -55,11 +55,11 @@
 // added to those that it needs.
 func (s *State) longRunningHosts(whole batch.Size, hosts int) int {
 	need := s.backlog.longRunning
-	return max(share(need.MemoryMB, whole.MemoryMB, hosts), share(need.Accelerators, whole.Accelerators, hosts))
+	return max(hostsFor(need.MemoryMB, whole.MemoryMB, hosts), hostsFor(need.Accelerators, whole.Accelerators, hosts))
 }
 
-// share returns the number of hosts that a need takes, of which some hosts have a whole.
-func share(need, whole int64, hosts int) int {
+// hostsFor returns the number of hosts that a need takes, of which some hosts have a whole.
+func hostsFor(need, whole int64, hosts int) int {
 	if whole <= 0 {
 		return 0
 	}
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -54,6 +54,7 @@
 	s.limitReservations(len(hosts))
 	prior := s.priorHosts(now)
 	s.updateOverloaded(hosts, prior)
+	s.limitHeld(len(hosts))
 	planOn(s, ranking, hostSet{hosts: hosts}, &limits, prior, now)
 	if s.backlog.longRunningTasks > 0 && limits.Starts > 0 {
 		if others := s.lastResorts(lastingWork, now); len(others) > 0 {
@@ -170,7 +171,7 @@
 			continue
 		}
 		if host == nil {
-			return s.reserveHost(w, hosts) || changed
+			return s.reserveHosts(w, hosts) || changed
 		}
 		if host.busy {
 			break
@@ -204,6 +205,7 @@
 	if !task.late && !step.LongRunning {
 		s.countBegun(j, now)
 	}
+	s.chargeStart(j, step, task, now)
 	stage.idle--
 	s.backlog.update(j, ref.Occurrence, ref.Step)
 	s.assign(c.host, ref, task)
@@ -314,7 +316,7 @@
 // smaller steps do not starve it. Hosts that could not run the step even when all work that ends has ended
 // are left out, and so is a gang for which all hosts together could not. It reports whether it has reserved a host.
 func (s *State) reserveHost(w *waitingStep, hosts candidates) bool {
-	if !w.reserves() || (!w.step.LongRunning && s.reservations >= s.maxReservations) || (w.step.Gang && !s.gangCouldFit(w, hosts)) {
+	if !s.reservesFor(w) || (!w.step.LongRunning && s.reservations >= s.reservationsFor(w.demand.holdsRoom())) || (w.step.Gang && !s.gangCouldFit(w, hosts)) {
 		return false
 	}
 	var best *candidate
--- a/fleet/shard/rank.go
+++ b/fleet/shard/rank.go
@@ -25,6 +25,10 @@
 	// Begun reports whether work of the job was started in time. Tally counts the jobs of its queue by their size.
 	Begun bool
 	Tally *grade.Tally
+	// Excess reports whether the job is beyond what its tenant is owed.
+	Excess bool
+	// Finish reports whether the job was begun and is small enough to be completed before other tenants have their turn.
+	Finish bool
 	// RemainingWork is the work of the occurrence that is not done, in millionths of a core-second.
 	RemainingWork int64
 }
@@ -207,6 +211,7 @@
 		}
 		waiting += q.work(estimated)
 	}
+	s.capacity = capacity
 	s.Overloaded = waiting > int64(float64(capacity)*overloadThreshold.Seconds())
 }
 
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -190,6 +190,7 @@
 	out := RunEnd{Ref: ref, Run: e.Run, Host: h.ID, Result: e.Result}
 	if task.Status != Idle && task.Host == h.ID && task.Run == e.Run {
 		out.Took = now.Sub(task.OrderedAt)
+		s.chargeEnd(j, &j.Spec.Steps[ref.Step], task, out.Took)
 		s.release(stage, task, ref)
 	}
 	step := &j.Spec.Steps[ref.Step]
@@ -356,6 +357,7 @@
 
 // releaseUnstarted makes a task idle whose run has not started.
 func (s *State) releaseUnstarted(o *Order, j *Job, stage *Stage, task *Task) {
+	s.chargeEnd(j, &j.Spec.Steps[o.Ref.Step], task, 0)
 	s.release(stage, task, o.Ref)
 	if o.AfterWrite {
 		// The next owner would take the run for one that was lost with its host.
--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -32,6 +32,8 @@
 	start, next *waitingStep
 	// mayReserve reports whether a further host may be reserved for a step.
 	mayReserve bool
+	// holds reports whether hosts are reserved for steps that have not waited for reserveAfter.
+	holds bool
 }
 
 // roomKey is what decides which hosts have room for a step, beside its need.
@@ -92,7 +94,7 @@
 		if l.rooms[key] == nil {
 			l.rooms[key] = &rooms{roomKey: key, stale: true}
 		}
-		l.groups = append(l.groups, candidateGroup{group: g, tree: g.trees[ranking.SortKey(g.late)], rooms: l.rooms[key]})
+		l.groups = append(l.groups, candidateGroup{group: g, tree: g.trees[ranking.SortKey(g.late)], rooms: l.rooms[key], holds: s.heldHosts > 0 && g.holdsRoom()})
 	}
 	return l
 }
@@ -112,7 +114,7 @@
 	for i := range l.groups {
 		g := &l.groups[i]
 		g.rooms.collect(l.hosts, l.roomy)
-		g.mayReserve = l.reserves && (g.longRunning || g.exempt || l.state.reservations < l.state.maxReservations)
+		g.mayReserve = l.reserves && (g.longRunning || g.exempt || l.state.reservations < l.state.reservationsFor(g.group.holdsRoom()))
 		if g.start != nil && (g.start.group != g.group || !g.couldStart(g.start.need, g.start.need)) {
 			g.start = nil
 		}
@@ -132,7 +134,7 @@
 		}
 		if g.next == nil {
 			g.next = g.start
-			if g.reserves {
+			if g.reserves || g.holds {
 				g.next = g.tree.find(g.start, g.couldReserve)
 			}
 		}
@@ -141,7 +143,7 @@
 		}
 		g.next.updateDemand(l.age)
 		// A start in this round does not change the order of the round, but for the counts by size.
-		g.next.demand.Begun = g.begun
+		g.next.demand.Begun, g.next.demand.Finish = g.begun, g.finish
 		if g.starved {
 			g.next.demand.Idle = max(g.next.demand.Idle, starvedAfter+1)
 		}
@@ -185,7 +187,7 @@
 
 // couldMatter reports whether the round has an effect on a step with a need.
 func (g *candidateGroup) couldMatter(low, high batch.Size) bool {
-	return g.couldStart(low, high) || (g.reserves && g.couldReserve(low, high))
+	return g.couldStart(low, high) || ((g.reserves || g.holds) && g.couldReserve(low, high))
 }
 
 // collect collects the capacities of the hosts.
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -132,6 +132,8 @@
 	excuses [][]*pastCrash
 	// late reports whether the work was late when the last run was ordered.
 	late bool
+	// charged is what the last run was charged to its tenant, in core-seconds, and 0 for none.
+	charged float64
 	// startedEarlier reports whether an earlier owner had ordered a run of which neither the end nor the host is
 	// known.
 	startedEarlier bool
@@ -212,6 +214,10 @@
 	lastStart time.Duration
 	// tenant is what the pool knows of the tenant, and nil before the backlog has needed it.
 	tenant *TenantUse
+	// excess reports whether the job was beyond what its tenant was owed when it arrived.
+	excess bool
+	// finish reports whether the job was begun in time and had at most finishTime of the pool's capacity left then.
+	finish bool
 	// rules is what the backlog knows of the queue, and nil before the backlog has needed it. waiting holds the
 	// entries of the job in the backlog. pending reports whether the backlog counts the job as pending.
 	rules   *queueRules
@@ -309,6 +315,11 @@
 	hostList []*Host
 	// lateUsed is the capacity that tasks take which were late when they were ordered to start, in thousandths of a core.
 	lateUsed int64
+	// capacity is the processor capacity of the hosts that could get work in the last round of planning.
+	capacity int64
+	// heldHosts is the number of hosts that may be reserved at once for owed work in time that does not fit. It is 0 unless
+	// the pool is overloaded and has tenants.
+	heldHosts int
 	// arrivals measures the rate at which work arrives.
 	arrivals demand.Meter
 	// durationRatios holds the ratios of run time to estimate, by queue.
--- a/fleet/shard/sizes.go
+++ b/fleet/shard/sizes.go
@@ -93,6 +93,7 @@
 		return
 	}
 	j.begun = true
+	j.finish = s.finishes(j)
 	s.backlog.touchJob(j)
 	if j.counted {
 		j.begunAt = now
--- a/fleet/shard/tenants.go
+++ b/fleet/shard/tenants.go
@@ -1,6 +1,14 @@
 package shard
 
-import "carawaymux.dev/fleet/batch"
+import (
+	"math"
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/clamp"
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/share"
+)
 
 // TenantUse is what a pool knows of a tenant. Jobs of callers without a key share the one with the empty name.
 type TenantUse struct {
@@ -9,6 +17,8 @@
 	// Running is what the tasks request that run, may run or are being stopped on hosts of the pool. Unlike a reservation
 	// it contains the processor capacity of best-effort tasks.
 	Running batch.Size
+	// Account is what the tasks that end have used lately. It is charged while the configuration has tenants.
+	Account share.Account
 }
 
 // tenant returns the use of the tenant of a job.
@@ -16,7 +26,7 @@
 	if j.tenant == nil {
 		name := j.Spec.Tenant
 		if j.tenant = b.tenants[name]; j.tenant == nil {
-			j.tenant = &TenantUse{Name: name}
+			j.tenant = &TenantUse{Name: name, Account: share.NewAccount(b.origin, b.weight(name))}
 			b.tenants[name] = j.tenant
 		}
 	}
@@ -25,3 +35,182 @@
 
 // Tenant returns what the pool knows of a tenant, or nil if it has had no job of it.
 func (s *State) Tenant(name string) *TenantUse { return s.backlog.tenants[name] }
+
+// HasTenants reports whether the configuration in force has tenants.
+func (s *State) HasTenants() bool { return s.backlog.weights != nil }
+
+// setTenants applies the weights of the tenants of a configuration. Without any, nothing is charged and no job is in excess.
+func (s *State) setTenants(tenants []port.Tenant) {
+	b := &s.backlog
+	if (b.weights != nil) != (len(tenants) > 0) {
+		for _, w := range b.steps {
+			b.touch(w)
+		}
+	}
+	b.weights, b.leastWeight = nil, math.Inf(1)
+	if len(tenants) > 0 {
+		b.weights = make(map[string]float64, len(tenants))
+	}
+	for i := range tenants {
+		b.weights[tenants[i].Name] = tenants[i].Weight
+		b.leastWeight = min(b.leastWeight, tenants[i].Weight)
+	}
+	for name, use := range b.tenants {
+		use.Account.SetWeight(b.weight(name))
+	}
+}
+
+// weight returns the weight of a tenant. Those that are not in the configuration have the smallest one.
+func (b *backlog) weight(name string) float64 {
+	if weight, known := b.weights[name]; known {
+		return weight
+	}
+	return b.leastWeight
+}
+
+// countTenantArrival sets whether a job that arrives is beyond what its tenant is owed.
+func (s *State) countTenantArrival(j *Job, now time.Time) {
+	if s.HasTenants() {
+		j.excess = !s.backlog.tenant(j).Account.Arrive(now)
+	}
+}
+
+// finishTime is the time of all hosts up to which the work that is left of a job that is begun goes before the turns of other
+// tenants, since half of a job is of no use. More than that would make their jobs late.
+const finishTime = 250 * time.Millisecond
+
+// finishes reports whether a job that is begun is to be completed before other tenants have their turn.
+func (s *State) finishes(j *Job) bool {
+	if !s.HasTenants() {
+		return false
+	}
+	var left int64
+	for i := range j.Spec.Steps {
+		if step := &j.Spec.Steps[i]; !step.LongRunning {
+			left = clamp.Add(left, stepWork(step, step.Count, s.durationRatios[j.Spec.Queue].median()))
+		}
+	}
+	return float64(left) <= float64(s.capacity)*finishTime.Seconds()
+}
+
+// chargeStart adds the expected core-time of a task that is started to the use of its tenant.
+func (s *State) chargeStart(j *Job, step *batch.Step, task *Task, now time.Time) {
+	task.charged = 0
+	if s.HasTenants() && !step.LongRunning {
+		task.charged = coreSeconds(step, s.expected(j, step))
+		s.backlog.tenant(j).Account.Charge(task.charged, now)
+	}
+}
+
+// chargeEnd replaces what was charged for a run by the time that it has taken, which is 0 for a run that did not begin.
+func (s *State) chargeEnd(j *Job, step *batch.Step, task *Task, took time.Duration) {
+	if task.charged > 0 {
+		s.backlog.tenant(j).Account.Charge(coreSeconds(step, took)-task.charged, task.OrderedAt)
+		task.charged = 0
+	}
+}
+
+// coreSeconds is the processor capacity that a task of a step takes, times a duration. A task that reserves no cores counts
+// with a thousandth of one, so that a tenant with many of them is not ahead of all others for ever.
+func coreSeconds(step *batch.Step, d time.Duration) float64 {
+	const milli = 1000
+	return float64(max(step.Reservation().MilliCores, 1)) / milli * max(d, 0).Seconds()
+}
+
+// Measure is what [TenantShare] orders tenants by. Implementations hold no state.
+type Measure interface {
+	// Of returns a number that is lower for tenants that go first.
+	Of(u *TenantUse) float64
+}
+
+// RecentUse is what a tenant has used lately, for its weight.
+type RecentUse struct{}
+
+// Of implements [Measure].
+func (RecentUse) Of(u *TenantUse) float64 { return u.Account.Key() }
+
+// RunningUse is what a tenant has running, for its weight. It is the baseline for comparisons.
+type RunningUse struct{}
+
+// Of implements [Measure].
+func (RunningUse) Of(u *TenantUse) float64 {
+	return float64(u.Running.MilliCores) / max(u.Account.Weight(), math.SmallestNonzeroFloat32)
+}
+
+// TenantShare orders like another ranking, but while a pool is overloaded it puts work of one priority in the order of its
+// tenants: jobs that are owed to their tenant before others, what was begun of either before the rest, and then the tenants with the lowest measure first. Work in
+// time stays before late work.
+type TenantShare[R Ranking, M Measure] struct {
+	Ranking R
+	Measure M
+	// Active reports whether the pool is overloaded and has tenants.
+	Active bool
+}
+
+// Compare implements [Ranking].
+func (p TenantShare[R, M]) Compare(a, b *Demand) int {
+	if p.Active && !a.LongRunning && !b.LongRunning && (a.Slack < 0) == (b.Slack < 0) && (a.Slack < 0 || a.Priority == b.Priority) {
+		if a.Excess != b.Excess {
+			return firstIf(b.Excess)
+		}
+		if a.Finish != b.Finish && a.Slack >= 0 {
+			return firstIf(a.Finish)
+		}
+		if a.Tenant != b.Tenant {
+			// What was used is hardly ever equal, but at first.
+			if useA, useB := p.Measure.Of(a.Tenant), p.Measure.Of(b.Tenant); useA < useB || useA > useB {
+				return firstIf(useA < useB)
+			}
+		}
+	}
+	return p.Ranking.Compare(a, b)
+}
+
+// SortKey implements [Ranking].
+func (p TenantShare[R, M]) SortKey(late bool) SortKey { return p.Ranking.SortKey(late) }
+
+// maxHeldShare is the share of the hosts that may be reserved at once for work that does not fit. Each of them leaves less
+// unused than one task needs.
+const maxHeldShare = 0.5
+
+// limitHeld sets how many hosts a round of planning may reserve at once. Otherwise the small tasks of a tenant that floods a
+// pool would take all room that becomes free before larger ones of other tenants fit.
+func (s *State) limitHeld(hosts int) {
+	s.heldHosts = 0
+	if s.Overloaded && s.HasTenants() {
+		s.heldHosts = max(int(maxHeldShare*float64(hosts)), 1)
+	}
+}
+
+// holdsRoom reports whether hosts may be reserved at once for the steps of a group: those in time that are owed.
+func (g *group) holdsRoom() bool { return !g.longRunning && !g.late && !g.excess }
+
+// holdsRoom is like that of a group.
+func (d *Demand) holdsRoom() bool { return !d.LongRunning && d.Slack >= 0 && !d.Excess }
+
+// reservesFor reports whether hosts are reserved for a step that does not fit.
+func (s *State) reservesFor(w *waitingStep) bool {
+	return w.reserves() || (s.heldHosts > 0 && w.demand.holdsRoom())
+}
+
+// reservationsFor returns how many hosts may be reserved, for a step that holds room or another one.
+func (s *State) reservationsFor(holdsRoom bool) int {
+	if holdsRoom {
+		return max(s.maxReservations, s.heldHosts)
+	}
+	return s.maxReservations
+}
+
+// reserveHosts reserves a host for a step that does not fit, or, if it holds room, one for each task that waits. It reports
+// whether it has reserved a host.
+func (s *State) reserveHosts(w *waitingStep, hosts candidates) bool {
+	changed := s.reserveHost(w, hosts)
+	if changed && s.heldHosts > 0 && w.demand.holdsRoom() {
+		for range w.stage.idle - 1 {
+			if !s.reserveHost(w, hosts) {
+				break
+			}
+		}
+	}
+	return changed
+}
--- a/fleet/share/share.go
+++ b/fleet/share/share.go
@@ -13,9 +13,10 @@
 	halfLife = 10 * time.Second
 	// leastWeight stands for a weight of 0, so that the work of such a tenant is done when no other wants the capacity.
 	leastWeight = 1e-6
-	// burst is the time for which a tenant may have sent less than its weight and send the rest at once. Arrivals at the rate
-	// of the weight vary by less over this time.
-	burst = 2 * time.Second
+	// burst and burstJobs are how much a tenant that was idle may send at once and be owed all of it: its weight for burst, and
+	// burstJobs. Arrivals at the rate of the weight vary by less; without burstJobs, tenants of few jobs lost a tenth of them.
+	burst     = 3 * time.Second
+	burstJobs = 4
 )
 
 // Account is what a tenant has used lately. Use [NewAccount] to build it.
@@ -79,7 +80,7 @@
 }
 
 // mostOwed returns the number of jobs that a tenant which was idle may send at once.
-func (a *Account) mostOwed() float64 { return max(a.weight*burst.Seconds(), 1) }
+func (a *Account) mostOwed() float64 { return a.weight*burst.Seconds() + burstJobs }
 
 // age returns the number of half-lives from the origin to a time.
 func (a *Account) age(at time.Time) float64 { return at.Sub(a.origin).Seconds() / halfLife.Seconds() }
--- a/trial/model/shapes.go
+++ b/trial/model/shapes.go
@@ -148,11 +148,11 @@
 		{"b", 9, 0.91, 4.62, 2, 8 * 1.9, 2100 * time.Millisecond, 0},
 		{"c", 11, 9.6, 0.489, 2, 6 * 0.88 * 0.8, 800 * time.Millisecond, 0},
 		{"d", 12, 1.12, 4.62, 2, 8 * 1.9, 2100 * time.Millisecond, 0},
-	}, 8, 51, Outage{}, false}
+	}, 8, 51, Outage{}, false, nil, false}
 	Large = Fleet{[]Kind{
 		{"a", 194, 42.2, 0.277, 2, 8 * 2.2 * 0.8, time.Second, 0},
 		{"b", 218, 13.4, 0.981, 2, 8 * 4.8, 1300 * time.Millisecond, 0},
 		{"c", 244, 52.8, 0.277, 2, 8 * 2.2 * 0.8, time.Second, 0},
 		{"d", 268, 16.4, 0.981, 2, 8 * 4.8, 1300 * time.Millisecond, 0},
-	}, 176, 470, Outage{}, false}
+	}, 176, 470, Outage{}, false, nil, false}
 )
--- a/trial/model/start.go
+++ b/trial/model/start.go
@@ -37,7 +37,16 @@
 		}
 		return cmp.Compare(a.objective-time.Duration(a.left)*k.Duration, b.objective-time.Duration(b.left)*k.Duration)
 	})
-	next := newTurns(p.queue, &p.tally, func(j *job) bool { return overloaded && !r.fleet.NoSizeShare && !r.isLate(j, at) })
+	isLate := func(j *job) bool { return r.isLate(j, at) }
+	turnsOf := func(jobs []*job) *turns {
+		return newTurns(jobs, &p.tally, func(j *job) bool { return overloaded && !r.fleet.NoSizeShare && !isLate(j) })
+	}
+	var next order
+	if overloaded && p.accounts != nil {
+		next = newByTenant(p.queue, p.accounts, isLate, turnsOf)
+	} else {
+		next = turnsOf(p.queue)
+	}
 	for j := next.pop(); j != nil; j = next.pop() {
 		n := min(j.waiting, room)
 		if n <= 0 {
@@ -46,12 +55,17 @@
 		late := r.isLate(j, at)
 		if !j.begun && !late {
 			j.begun, j.begunAt = true, at
+			left := j.cores * float64(j.left) * k.Duration.Seconds()
+			j.finish = left <= float64(r.hosts(k.Pool))*hostCores*finishTime.Seconds()
 			p.tally.Begin(j.size, epoch.Add(at))
 		}
 		j.waiting -= n
 		j.active += n
 		room -= n
 		p.used += n
+		if p.accounts != nil {
+			p.accounts[j.tenant].Charge(n*k.Duration.Seconds(), epoch.Add(at))
+		}
 		p.running = append(p.running, running{at + k.Duration, n, j, late})
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.waiting <= rounding })
