Find the first tenant of an overloaded pool without a scan

Waiting steps are now also in classes of all tenants together. A class finds its first tenant that has a step on which the round has an effect with a tree, and pools that keep up go through classes only. Without tenants there are no classes, and groups are as before.

TestPlanWithTenantShareDecidesLikeTheReference compares 60 random schedules with a plain search; it fails if the next step of a class is kept after its tenant was charged.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -27,14 +27,19 @@
 	queues map[string]*queueRules
 	// groups holds the steps that are in no other place than touched.
 	groups map[groupKey]*group
+	// classes holds the groups of all tenants together, by key without a tenant, while the configuration has tenants. A step
+	// is in a class if it is in a group.
+	classes map[groupKey]*group
+	// emptied holds groups and classes that have become empty, until the backlog advances.
+	emptied []*group
 	// tenants holds what the pool knows of the tenants whose jobs it has had, by name.
 	tenants map[string]*TenantUse
 	// weights holds the weights of the tenants in the configuration, by name; it is nil if there are none. leastWeight is the
 	// smallest of them.
 	weights     map[string]float64
 	leastWeight float64
-	// keys holds the sort keys that are kept, for the steps that are not late and for those that are.
-	keys [2][sortKeys]bool
+	// keys holds the sort keys that groups and classes keep, for the steps that are not late and for those that are.
+	keys [levels][2][sortKeys]bool
 	// touched holds steps that may have to move to another place, and steps in no group.
 	touched []*waitingStep
 	// alarms holds the steps that have to move to another group at some time.
@@ -80,7 +85,7 @@
 	group     *group
 	lateAfter time.Duration
 	remaining int64
-	slots     [sortKeys]slot
+	slots     [levels][sortKeys]slot
 	// lateness says whether the work counts as late. It is as of the last time that the step was in its place.
 	lateness lateness
 	// alarm is when the step has to move to another group.
@@ -136,16 +141,18 @@
 	size int
 	// trees holds a tree for each sort key that is kept, and nil for others.
 	trees [sortKeys]*needTree
+	// class is the class of a group, or nil without classes and for a class itself. order holds the groups of a class, and is
+	// nil for others. leaf is the place of a group there.
+	class *group
+	order *tenantOrder
+	leaf  int
 }
 
 func newBacklog(origin time.Time) backlog {
 	b := backlog{
-		origin: origin, queues: map[string]*queueRules{}, groups: map[groupKey]*group{}, tenants: map[string]*TenantUse{}, unopened: map[string]*Job{}, spreads: map[int]int{},
-	}
-	// Steps can be placed before the first round of planning.
-	for _, isLate := range [...]bool{false, true} {
-		b.keep(isLate, BySlack{}.SortKey(isLate))
+		origin: origin, queues: map[string]*queueRules{}, groups: map[groupKey]*group{}, classes: map[groupKey]*group{}, tenants: map[string]*TenantUse{}, unopened: map[string]*Job{}, spreads: map[int]int{},
 	}
+	b.resetKeys()
 	return b
 }
 
@@ -250,7 +257,7 @@
 	w.job.waiting[w.jobPosition].jobPosition = w.jobPosition
 	w.job.waiting[last] = nil
 	w.job.waiting = w.job.waiting[:last]
-	w.leaveGroup()
+	b.leaveGroup(w)
 	b.setAlarm(w, never)
 }
 
@@ -324,24 +331,40 @@
 		b.touched[i] = nil
 	}
 	b.touched = b.touched[:0]
-	for key, g := range b.groups {
-		if g.size == 0 {
-			delete(b.groups, key)
-		}
-	}
+	b.dropEmptied()
 }
 
-// keep has steps kept by a sort key.
-func (b *backlog) keep(late bool, key SortKey) {
-	if b.keys[count(late)][key] {
+// keep has steps kept by a sort key, in groups or in classes.
+func (b *backlog) keep(at level, late bool, key SortKey) {
+	if b.keys[at][count(late)][key] {
 		return
 	}
-	b.keys[count(late)][key] = true
+	b.keys[at][count(late)][key] = true
+	b.regroup()
+}
+
+// resetKeys has steps kept by the sort keys that are needed first.
+func (b *backlog) resetKeys() {
+	b.keys = [levels][2][sortKeys]bool{}
+	for at := range levels {
+		for late := range b.keys[at] {
+			var ranking Ranking = BySlack{}
+			if at == groupLevel && b.weights != nil {
+				// Groups are needed only while the pool is overloaded, and classes otherwise.
+				ranking = ByRemainingWork{}
+			}
+			b.keys[at][late][ranking.SortKey(late == 1)] = true
+		}
+	}
+}
+
+// regroup has all steps put into new groups.
+func (b *backlog) regroup() {
 	for _, w := range b.steps {
-		w.leaveGroup()
+		b.leaveGroup(w)
 		b.touch(w)
 	}
-	clear(b.groups)
+	b.dropEmptied()
 }
 
 // place puts a step into the group to which it belongs at a time.
@@ -393,26 +416,45 @@
 		}
 	}
 	b.setAlarm(w, alarm)
-	kept := b.keys[count(key.late)]
-	moves := (lateAfter != w.lateAfter && (kept[SortBySlack] || kept[SortByRemainingWork])) ||
-		(remaining != w.remaining && kept[SortByRemainingWork])
+	kept := func(k SortKey) bool {
+		return b.keys[groupLevel][count(key.late)][k] || (b.weights != nil && b.keys[classLevel][count(key.late)][k])
+	}
+	moves := (lateAfter != w.lateAfter && (kept(SortBySlack) || kept(SortByRemainingWork))) ||
+		(remaining != w.remaining && kept(SortByRemainingWork))
 	if w.group != nil && w.group.groupKey == key && !moves {
 		w.lateAfter, w.remaining = lateAfter, remaining
 		return
 	}
-	w.leaveGroup()
+	b.leaveGroup(w)
 	w.lateAfter, w.remaining = lateAfter, remaining
 	g := b.groups[key]
 	if g == nil {
-		g = &group{groupKey: key}
-		for k := range kept {
-			if kept[k] {
-				g.trees[k] = &needTree{key: SortKey(k)}
-			}
-		}
+		g = b.newGroup(key, groupLevel)
 		b.groups[key] = g
+		if b.weights != nil {
+			b.joinClass(g)
+		}
 	}
 	w.group = g
+	g.insert(w)
+	if g.class != nil {
+		g.class.insert(w)
+		g.class.order.update(g)
+	}
+}
+
+// newGroup returns an empty group or class with trees for the sort keys that are kept.
+func (b *backlog) newGroup(key groupKey, at level) *group {
+	g := &group{groupKey: key}
+	for k, kept := range b.keys[at][count(key.late)] {
+		if kept {
+			g.trees[k] = &needTree{key: SortKey(k), level: at}
+		}
+	}
+	return g
+}
+
+func (g *group) insert(w *waitingStep) {
 	g.size++
 	for _, t := range g.trees {
 		if t != nil {
@@ -421,18 +463,57 @@
 	}
 }
 
-// leaveGroup removes a step from its group.
-func (w *waitingStep) leaveGroup() {
-	if w.group == nil {
-		return
-	}
-	for _, t := range w.group.trees {
+func (g *group) remove(w *waitingStep) {
+	g.size--
+	for _, t := range g.trees {
 		if t != nil {
 			t.remove(w)
 		}
 	}
-	w.group.size--
+}
+
+// leaveGroup removes a step from its group.
+func (b *backlog) leaveGroup(w *waitingStep) {
+	g := w.group
+	if g == nil {
+		return
+	}
 	w.group = nil
+	g.remove(w)
+	if g.size == 0 {
+		b.emptied = append(b.emptied, g)
+	}
+	if g.class == nil {
+		return
+	}
+	g.class.order.update(g)
+	if g.class.remove(w); g.class.size == 0 {
+		b.emptied = append(b.emptied, g.class)
+	}
+}
+
+// dropEmptied drops the groups and classes that are empty.
+func (b *backlog) dropEmptied() {
+	for i, g := range b.emptied {
+		b.emptied[i] = nil
+		if g.size > 0 {
+			continue
+		}
+		if g.order != nil {
+			if b.classes[g.groupKey] == g {
+				delete(b.classes, g.groupKey)
+			}
+			continue
+		}
+		if b.groups[g.groupKey] == g {
+			delete(b.groups, g.groupKey)
+			if g.class != nil {
+				g.class.order.drop(g)
+				g.tenant.dropGroup(g)
+			}
+		}
+	}
+	b.emptied = b.emptied[:0]
 }
 
 // never is the alarm of a step that needs none.
--- a/fleet/shard/equal_test.go
+++ b/fleet/shard/equal_test.go
@@ -30,6 +30,8 @@
 // SortKey implements [Ranking].
 func (b byStep[R]) SortKey(late bool) SortKey { return b.ranking.SortKey(late) }
 
+func (b byStep[R]) byRecentUse() bool { return ordersByRecentUse(b.ranking) }
+
 // poolDriver drives the state of a pool with random events.
 type poolDriver struct {
 	t     *rapid.T
@@ -45,6 +47,8 @@
 	specs     map[string]batch.Spec
 	progress  map[string]Progress
 	starts    int
+	// tenants reports whether configurations have tenants, but for some.
+	tenants bool
 }
 
 // drivenHost is a host that does what it is told to.
@@ -72,9 +76,14 @@
 	MaxReservedShare: 0.3,
 }
 
-func newPoolDriver(t *rapid.T) *poolDriver {
+// drivenTenants is the largest number of tenants in a configuration. Jobs have some more.
+const drivenTenants = 4
+
+func newPoolDriver(t *rapid.T) *poolDriver { return drivePool(t, false) }
+
+func drivePool(t *rapid.T, tenants bool) *poolDriver {
 	p := &poolDriver{
-		t: t, now: time.Unix(1_700_000_000, 0), hosts: map[string]*drivenHost{}, specs: map[string]batch.Spec{}, progress: map[string]Progress{},
+		t: t, tenants: tenants, now: time.Unix(1_700_000_000, 0), hosts: map[string]*drivenHost{}, specs: map[string]batch.Spec{}, progress: map[string]Progress{},
 	}
 	for i := range 3 + p.draw(6) {
 		id := fmt.Sprintf("h%d", i)
@@ -115,7 +124,14 @@
 }
 
 func (p *poolDriver) configure() {
+	var tenants []port.Tenant
+	if p.tenants && !p.chance(5) {
+		for i := range drivenTenants - p.draw(2) {
+			tenants = append(tenants, port.Tenant{Name: fmt.Sprint("t", i), Weight: float64(p.draw(4)) / 2})
+		}
+	}
 	p.state.Configure(&port.Config{
+		Tenants: tenants,
 		Queues: []port.Queue{
 			{Name: "fast", Pool: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second, Priority: p.draw(2)},
 			{Name: "slow", Pool: "pool", MaxAttempts: 3, Stretch: 4, Target: 10 * time.Second, Priority: p.draw(2)},
@@ -179,6 +195,9 @@
 	p.jobs++
 	id := fmt.Sprintf("%04d", p.jobs)
 	spec := batch.Spec{Queue: []string{"fast", "fast", "slow", "slow", "advised"}[p.draw(5)], AcceptedMS: p.now.UnixMilli()}
+	if p.tenants {
+		spec.Tenant = []string{"", "t0", "t0", "t1", "t2", "t3", "t4"}[p.draw(7)]
+	}
 	for i := range 1 + p.draw(4)*p.draw(2) {
 		s := p.step()
 		for before := range i {
@@ -526,6 +545,7 @@
 		delete(grouped, w)
 	}
 	require.Empty(p.t, grouped, "no step is kept that does not wait")
+	p.checkClasses()
 	for _, w := range b.touched {
 		require.True(p.t, w.touched)
 	}
@@ -536,6 +556,38 @@
 	}
 }
 
+// checkClasses checks that classes hold the steps of their groups, and find the first tenant.
+func (p *poolDriver) checkClasses() {
+	b := &p.state.backlog
+	sizes := map[*group]int{}
+	firsts := map[*group]*group{}
+	for _, g := range b.groups {
+		require.Equal(p.t, b.weights != nil, g.class != nil)
+		if g.class == nil || g.size == 0 {
+			continue
+		}
+		sizes[g.class] += g.size
+		if firsts[g.class] == nil || g.goesBefore(firsts[g.class]) {
+			firsts[g.class] = g
+		}
+	}
+	for key, class := range b.classes {
+		require.Nil(p.t, key.tenant)
+		require.Equal(p.t, sizes[class], class.size)
+		delete(sizes, class)
+		if class.size == 0 {
+			continue
+		}
+		require.Same(p.t, firsts[class], class.order.nodes[1].first)
+		for _, t := range class.trees {
+			if t != nil {
+				require.Len(p.t, p.checkNode(t, t.root, nil), class.size)
+			}
+		}
+	}
+	require.Empty(p.t, sizes)
+}
+
 // checkNode checks what a node says of the steps below it, and returns them.
 func (p *poolDriver) checkNode(t *needTree, n, parent *needNode) []*waitingStep {
 	require.Same(p.t, parent, n.parent)
@@ -550,7 +602,7 @@
 		}
 	}
 	for i, w := range n.steps {
-		require.Equal(p.t, slot{n, i}, w.slots[t.key])
+		require.Equal(p.t, slot{n, i}, w.slots[t.level][t.key])
 	}
 	require.NotEmpty(p.t, steps)
 	for _, w := range steps {
@@ -689,3 +741,41 @@
 		require.Greater(t, turns[some], 1000)
 	}
 }
+
+// Uses change within a round, and classes have to find the first tenant that has a step on which the round has an effect.
+func TestPlanWithTenantShareDecidesLikeTheReference(t *testing.T) {
+	setRapid(t, "60")
+	starts, held, excess := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		p := drivePool(t, true)
+		for range 120 {
+			for range 1 + p.draw(3) {
+				p.event()
+			}
+			overloaded, active := p.state.Overloaded, p.state.HasTenants() && p.chance(2)
+			compare := referenceBySlack
+			if overloaded {
+				compare = referenceByRemainingWork
+			}
+			compare = referenceTenantShare(referenceSizeShare(compare, overloaded), active)
+			sizes := SizeShare[ByLoad]{ByLoad{overloaded}, overloaded}
+			if p.chance(3) {
+				round(p, TenantShare[SizeShare[ByLoad], RecentUse]{Ranking: sizes, Active: active}, compare)
+			} else {
+				spare := p.chance(2)
+				round(p, StarvedFirst[TenantShare[SizeShare[ByLoad], RecentUse]]{
+					TenantShare[SizeShare[ByLoad], RecentUse]{Ranking: sizes, Active: active}, spare,
+				}, referenceStarvedFirst(compare, spare))
+			}
+			held += count(p.state.heldHosts > 0 && p.state.reservations > 0)
+			for _, j := range p.state.openJobs {
+				excess += count(j.excess)
+			}
+		}
+		starts += p.starts
+	})
+	t.Log("starts", starts, "rounds with reserved hosts in an overload", held, "jobs in excess", excess)
+	require.Greater(t, starts, 1000)
+	require.Greater(t, held, 100)
+	require.Greater(t, excess, 100)
+}
--- a/fleet/shard/needs.go
+++ b/fleet/shard/needs.go
@@ -54,10 +54,20 @@
 // condition. It is a trie over the bits of the needs, highest bits first, so that the needs below a node are
 // near one another.
 type needTree struct {
-	key  SortKey
-	root *needNode
+	key   SortKey
+	level level
+	root  *needNode
 }
 
+// level tells the tree of a group from that of its class.
+type level uint8
+
+const (
+	groupLevel level = iota
+	classLevel
+	levels
+)
+
 // needNode is a node of a needTree. A leaf holds the steps of one need.
 type needNode struct {
 	parent *needNode
@@ -135,7 +145,7 @@
 
 // remove removes a step.
 func (t *needTree) remove(w *waitingStep) {
-	at := &w.slots[t.key]
+	at := &w.slots[t.level][t.key]
 	leaf, i := at.leaf, at.position
 	*at = slot{}
 	last := len(leaf.steps) - 1
@@ -217,7 +227,7 @@
 
 func (t *needTree) set(leaf *needNode, i int, w *waitingStep) {
 	leaf.steps[i] = w
-	w.slots[t.key] = slot{leaf, i}
+	w.slots[t.level][t.key] = slot{leaf, i}
 }
 
 // up moves a step of a leaf up until its parent goes before it.
--- a/fleet/shard/reference_test.go
+++ b/fleet/shard/reference_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"carawaymux.dev/fleet/batch"
@@ -22,8 +23,13 @@
 	out.ConfirmedAt, out.EnforcesCapacity, out.Overloaded = s.ConfirmedAt, s.EnforcesCapacity, s.Overloaded
 	out.HasPolicyService, out.needsAdvice, out.latestLost = s.HasPolicyService, s.needsAdvice, s.latestLost
 	out.Queues, out.durationRatios = maps.Clone(s.Queues), s.durationRatios
+	out.backlog.weights, out.backlog.leastWeight = s.backlog.weights, s.backlog.leastWeight
+	for name, use := range s.backlog.tenants {
+		out.backlog.tenants[name] = &TenantUse{Name: name, Running: use.Running, Account: use.Account, key: use.key}
+	}
 	for id, j := range s.Jobs {
 		copied := *j
+		copied.tenant = nil
 		copied.Occurrences = slices.Clone(j.Occurrences)
 		for oi := range copied.Occurrences {
 			occ := &copied.Occurrences[oi]
@@ -167,6 +173,9 @@
 	// Begun reports whether work of the job that ends was started in time before this round.
 	Begun bool
 	Tally *grade.Tally
+	// Finish is as in the job before this round.
+	Finish bool
+	Tenant *TenantUse
 }
 
 func (d *referenceDemand) slack(now time.Time) time.Duration {
@@ -226,6 +235,33 @@
 	}
 }
 
+// referenceTenantShare puts what is owed before the rest, what was begun before the rest, and then the tenants that have used
+// the least for their weight, among work of one priority that ends, or that is late.
+func referenceTenantShare(compare compareDemands, active bool) compareDemands {
+	return func(a, b *referenceDemand, now time.Time) int {
+		lateA, lateB := a.slack(now) < 0, b.slack(now) < 0
+		if !active || a.LongRunning || b.LongRunning || lateA != lateB || (!lateA && a.Priority != b.Priority) {
+			return compare(a, b, now)
+		}
+		switch {
+		case a.Job.excess != b.Job.excess:
+			return firstIf(b.Job.excess)
+		case !lateA && a.Finish != b.Finish:
+			return firstIf(a.Finish)
+		case a.Tenant.key != b.Tenant.key:
+			return firstIf(a.Tenant.key < b.Tenant.key)
+		case a.Tenant != b.Tenant:
+			return strings.Compare(a.Tenant.Name, b.Tenant.Name)
+		}
+		return compare(a, b, now)
+	}
+}
+
+// referenceHolds reports whether hosts are reserved at once for a step.
+func referenceHolds(s *State, d *referenceDemand, now time.Time) bool {
+	return s.heldHosts > 0 && !d.LongRunning && d.slack(now) >= 0 && !d.Job.excess
+}
+
 // referenceLose counts the jobs that were begun in time and of which a step that waits is late.
 func referenceLose(s *State, now time.Time) {
 	for _, j := range s.openJobs {
@@ -355,7 +391,7 @@
 				d := referenceDemand{
 					Job: j, Occurrence: oi, Step: si, LongRunning: j.Spec.Steps[si].LongRunning, Priority: q.Priority,
 					Objective: j.Objective, CriticalPath: path, RemainingWork: work, ClaimedAt: s.ClaimedAt,
-					Begun: j.begun, Tally: &s.sizesOf(j.Spec.Queue).tally,
+					Begun: j.begun, Tally: &s.sizesOf(j.Spec.Queue).tally, Finish: j.finish, Tenant: s.backlog.tenant(j),
 				}
 				if j.Spec.Repetitions > 0 {
 					offset := time.Duration(j.dueAt(oi)-j.Spec.AcceptedMS) * time.Millisecond
@@ -401,7 +437,11 @@
 	for i := range hosts {
 		capacity += hosts[i].host.Capacity.MilliCores
 	}
-	s.Overloaded = waiting > int64(float64(capacity)*overloadThreshold.Seconds())
+	s.capacity, s.Overloaded = capacity, waiting > int64(float64(capacity)*overloadThreshold.Seconds())
+	s.heldHosts = 0
+	if s.Overloaded && s.HasTenants() {
+		s.heldHosts = max(len(hosts)/2, 1)
+	}
 }
 
 type referenceHost struct {
@@ -578,7 +618,11 @@
 			continue
 		}
 		if k < 0 {
-			hosts.reserve(s, d, step, stage, now)
+			for range stage.idle {
+				if !hosts.reserve(s, d, step, stage, now) || !referenceHolds(s, d, now) {
+					break
+				}
+			}
 			return
 		}
 		hosts[k].start(s, d.Job, ref, stage, task, s.nextRun(task), now)
@@ -636,6 +680,9 @@
 	if !hosts.mayIsolate() {
 		return
 	}
+	if !d.LongRunning && now.Sub(d.Job.AcceptedAt) < reserveAfter {
+		return
+	}
 	if k := hosts.reserveBy(s, d, step, stage, now, func(c, best *referenceHost) bool {
 		return !c.isolated && (best == nil || c.unsettled < best.unsettled)
 	}); k >= 0 {
@@ -646,7 +693,7 @@
 func (c *referenceHost) start(s *State, j *Job, ref batch.Ref, stage *Stage, task *Task, run int64, now time.Time) {
 	step := &j.Spec.Steps[ref.Step]
 	if !step.LongRunning && !j.begun && !referenceIsLate(s, j, ref.Occurrence, ref.Step, now) {
-		j.begun = true
+		j.begun, j.finish = true, s.finishes(j)
 		if j.counted {
 			j.begunAt = now
 			s.sizesOf(j.Spec.Queue).tally.Begin(j.Size, now)
@@ -655,6 +702,7 @@
 	task.Status, task.Host, task.Run = Starting, c.host.ID, run
 	task.OrderedAt, task.StartClock, task.ThrottlePercent, task.Percent, task.Load = now, 0, 100, 0, 0
 	task.LostAt, task.Meter = time.Time{}, SpeedMeter{}
+	s.chargeStart(j, step, task, now)
 	stage.idle--
 	c.host.Assigned[ref] = task
 	c.free = c.free.Sub(step.Reservation())
@@ -727,13 +775,21 @@
 	return cost
 }
 
-func (hosts referenceHosts) reserve(s *State, d *referenceDemand, step *batch.Step, stage *Stage, now time.Time) {
+func (hosts referenceHosts) reserve(s *State, d *referenceDemand, step *batch.Step, stage *Stage, now time.Time) bool {
 	reserved := 0
 	for i := range hosts {
 		reserved += count(hosts[i].reservedToEnd)
 	}
-	if limit := max(int(s.Timing.MaxReservedShare*float64(len(hosts))), 1); !step.LongRunning && s.Timing.MaxReservedShare > 0 && reserved >= limit {
-		return
+	limit := max(int(s.Timing.MaxReservedShare*float64(len(hosts))), 1)
+	holds := referenceHolds(s, d, now)
+	if holds {
+		limit = max(limit, s.heldHosts)
+	}
+	if !step.LongRunning && s.Timing.MaxReservedShare > 0 && reserved >= limit {
+		return false
+	}
+	if !d.LongRunning && !holds && now.Sub(d.Job.AcceptedAt) < reserveAfter {
+		return false
 	}
 	k := hosts.reserveBy(s, d, step, stage, now, func(c, best *referenceHost) bool {
 		return best == nil || c.free.MilliCores > best.free.MilliCores
@@ -741,6 +797,7 @@
 	if k >= 0 {
 		hosts[k].reservedToEnd = !step.LongRunning
 	}
+	return k >= 0
 }
 
 // reserveBy reserves a host and returns its index, or -1 if there is none. The function better reports whether a host
@@ -748,9 +805,6 @@
 func (hosts referenceHosts) reserveBy(
 	s *State, d *referenceDemand, step *batch.Step, stage *Stage, now time.Time, better func(c, best *referenceHost) bool,
 ) int {
-	if !d.LongRunning && now.Sub(d.Job.AcceptedAt) < reserveAfter {
-		return -1
-	}
 	need := step.Reservation()
 	if step.Gang && !hosts.gangCouldFit(s, d, step, stage) {
 		return -1
--- a/fleet/shard/search.go
+++ b/fleet/shard/search.go
@@ -7,10 +7,14 @@
 	"carawaymux.dev/fleet/batch"
 )
 
-// needs returns groups of waiting steps with the lowest and highest needs of each.
+// needs returns the groups of waiting steps, or the classes if there are any, with the lowest and highest needs of each.
 func (b *backlog) needs() iter.Seq2[*group, *needNode] {
 	return func(yield func(*group, *needNode) bool) {
-		for _, g := range b.groups {
+		groups := b.groups
+		if b.weights != nil {
+			groups = b.classes
+		}
+		for _, g := range groups {
 			for _, t := range g.trees {
 				if t != nil && t.root != nil {
 					if !yield(g, t.root) {
--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -21,6 +21,8 @@
 	taken []*waitingStep
 	// reserves reports whether hosts may be reserved.
 	reserves bool
+	// reserved is the number of hosts that were reserved when the tenants of which no step mattered were last looked at.
+	reserved int
 }
 
 // candidateGroup is a group with the steps that come next.
@@ -34,6 +36,10 @@
 	mayReserve bool
 	// holds reports whether hosts are reserved for steps that have not waited for reserveAfter.
 	holds bool
+	// byTenant reports whether the group is a class whose steps go by the recent use of their tenants. nextKey is the key of
+	// the tenant of next then.
+	byTenant bool
+	nextKey  float64
 }
 
 // roomKey is what decides which hosts have room for a step, beside its need.
@@ -86,19 +92,40 @@
 		state: s, ranking: ranking, age: now.Sub(s.backlog.origin), hosts: set.hosts, roomy: roomy, rooms: map[roomKey]*rooms{},
 		reserves: set.starvedFor == 0,
 	}
-	for _, g := range s.backlog.groups {
+	byUse := ordersByRecentUse(ranking)
+	groups := s.backlog.groups
+	if s.HasTenants() {
+		groups = s.backlog.classes
+	}
+	for _, g := range groups {
 		if (g.inherited && prior.mayKnow(g.label, g.longRunning) != nil) || (set.longRunningOnly && !g.longRunning) || (set.starvedFor > 0 && (!g.starved || g.longRunning)) {
 			continue
 		}
-		key := roomKey{g.label, g.longRunning}
-		if l.rooms[key] == nil {
-			l.rooms[key] = &rooms{roomKey: key, stale: true}
+		switch {
+		case g.order == nil || !byUse:
+			l.add(g, g.trees[ranking.SortKey(g.late)], false)
+		case !g.longRunning:
+			l.add(g, g.anyTree(), true)
+		default:
+			for of := range g.order.groups() {
+				l.add(of, of.trees[ranking.SortKey(g.late)], false)
+			}
 		}
-		l.groups = append(l.groups, candidateGroup{group: g, tree: g.trees[ranking.SortKey(g.late)], rooms: l.rooms[key], holds: s.heldHosts > 0 && g.holdsRoom()})
 	}
 	return l
 }
 
+// add adds a group or class with a tree of it. The steps of a class go in the order of the tree unless byTenant is set.
+func (l *selection[R]) add(g *group, tree *needTree, byTenant bool) {
+	key := roomKey{g.label, g.longRunning}
+	if l.rooms[key] == nil {
+		l.rooms[key] = &rooms{roomKey: key, stale: true}
+	}
+	l.groups = append(l.groups, candidateGroup{
+		group: g, tree: tree, rooms: l.rooms[key], holds: l.state.heldHosts > 0 && g.holdsRoom(), byTenant: byTenant,
+	})
+}
+
 // close has the steps that were taken put back.
 func (l *selection[R]) close() {
 	for _, w := range l.taken {
@@ -106,6 +133,7 @@
 			l.state.backlog.touch(w)
 		}
 	}
+	l.restorePassed()
 }
 
 // next takes the first step on which the round has an effect. It returns nil if no step fits on a host.
@@ -115,7 +143,7 @@
 		g := &l.groups[i]
 		g.rooms.collect(l.hosts, l.roomy)
 		g.mayReserve = l.reserves && (g.longRunning || g.exempt || l.state.reservations < l.state.reservationsFor(g.group.holdsRoom()))
-		if g.start != nil && (g.start.group != g.group || !g.couldStart(g.start.need, g.start.need)) {
+		if g.start != nil && (!g.holdsStep(g.start) || !g.couldStart(g.start.need, g.start.need)) {
 			g.start = nil
 		}
 		if g.start == nil {
@@ -129,13 +157,13 @@
 	var first *waitingStep
 	for i := range l.groups {
 		g := &l.groups[i]
-		if g.next != nil && (g.next.group != g.group || !g.couldMatter(g.next.need, g.next.need)) {
+		if g.next != nil && (!g.holdsStep(g.next) || !g.couldMatter(g.next.need, g.next.need) || (g.byTenant && g.next.demand.Tenant.key != g.nextKey)) {
 			g.next = nil
 		}
 		if g.next == nil {
-			g.next = g.start
-			if g.reserves || g.holds {
-				g.next = g.tree.find(g.start, g.couldReserve)
+			g.next = g.nextOf(g.tree, g.start)
+			if g.byTenant && g.next != nil {
+				g.next = l.nextByTenant(g)
 			}
 		}
 		if g.next == nil {
@@ -151,11 +179,51 @@
 			first = g.next
 		}
 	}
-	first.leaveGroup()
+	l.state.backlog.leaveGroup(first)
 	l.taken = append(l.taken, first)
 	return first
 }
 
+// nextByTenant returns the first step of a class on which the round has an effect.
+func (l *selection[R]) nextByTenant(g *candidateGroup) *waitingStep {
+	if l.reserved != l.state.reserved {
+		// A step that waited for the answer of a host may reserve one after that host was reserved.
+		l.reserved = l.state.reserved
+		l.restorePassed()
+	}
+	key := l.ranking.SortKey(g.late)
+	w := g.order.find(g.couldMatter, func(of *group) *waitingStep {
+		tree := of.trees[key]
+		return g.nextOf(tree, tree.find(nil, g.couldStart))
+	})
+	if w != nil {
+		g.nextKey = w.demand.Tenant.key
+	}
+	return w
+}
+
+// restorePassed has the classes find all tenants again.
+func (l *selection[R]) restorePassed() {
+	for i := range l.groups {
+		if l.groups[i].byTenant {
+			l.groups[i].order.restore()
+		}
+	}
+}
+
+// nextOf returns the first step of a tree on which the round has an effect; start is the first that fits on a host now.
+func (g *candidateGroup) nextOf(tree *needTree, start *waitingStep) *waitingStep {
+	if g.reserves || g.holds {
+		return tree.find(start, g.couldReserve)
+	}
+	return start
+}
+
+// holdsStep reports whether a step is in the group or class.
+func (g *candidateGroup) holdsStep(w *waitingStep) bool {
+	return w.group != nil && (w.group == g.group || w.group.class == g.group)
+}
+
 func (l *selection[R]) before(a, b *waitingStep) bool {
 	if c := l.ranking.Compare(&a.demand, &b.demand); c != 0 {
 		return c < 0
--- a/fleet/shard/tenants.go
+++ b/fleet/shard/tenants.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"carawaymux.dev/fleet/batch"
@@ -17,8 +19,38 @@
 	// Running is what the tasks request that run, may run or are being stopped on hosts of the pool. Unlike a reservation
 	// it contains the processor capacity of best-effort tasks.
 	Running batch.Size
-	// Account is what the tasks that end have used lately. It is charged while the configuration has tenants.
+	// Account is what the tasks that end have used lately. It is charged while the configuration has tenants. Only
+	// [TenantUse.charge] and [TenantUse.setWeight] change it.
 	Account share.Account
+	// key is that of the account. groups holds the groups of the tenant that are in a class.
+	key    float64
+	groups []*group
+}
+
+// charge adds work that was used at a time.
+func (u *TenantUse) charge(work float64, at time.Time) {
+	u.Account.Charge(work, at)
+	u.updateKey()
+}
+
+// setWeight sets the weight.
+func (u *TenantUse) setWeight(weight float64) {
+	u.Account.SetWeight(weight)
+	u.updateKey()
+}
+
+func (u *TenantUse) updateKey() {
+	u.key = u.Account.Key()
+	for _, g := range u.groups {
+		g.class.order.update(g)
+	}
+}
+
+// dropGroup removes a group.
+func (u *TenantUse) dropGroup(g *group) {
+	if i := slices.Index(u.groups, g); i >= 0 {
+		u.groups = slices.Delete(u.groups, i, i+1)
+	}
 }
 
 // tenant returns the use of the tenant of a job.
@@ -27,6 +59,7 @@
 		name := j.Spec.Tenant
 		if j.tenant = b.tenants[name]; j.tenant == nil {
 			j.tenant = &TenantUse{Name: name, Account: share.NewAccount(b.origin, b.weight(name))}
+			j.tenant.updateKey()
 			b.tenants[name] = j.tenant
 		}
 	}
@@ -42,10 +75,9 @@
 // setTenants applies the weights of the tenants of a configuration. Without any, nothing is charged and no job is in excess.
 func (s *State) setTenants(tenants []port.Tenant) {
 	b := &s.backlog
-	if (b.weights != nil) != (len(tenants) > 0) {
-		for _, w := range b.steps {
-			b.touch(w)
-		}
+	had := b.weights != nil
+	if had != (len(tenants) > 0) {
+		b.regroup()
 	}
 	b.weights, b.leastWeight = nil, math.Inf(1)
 	if len(tenants) > 0 {
@@ -55,9 +87,21 @@
 		b.weights[tenants[i].Name] = tenants[i].Weight
 		b.leastWeight = min(b.leastWeight, tenants[i].Weight)
 	}
+	if had != (b.weights != nil) {
+		b.resetKeys()
+	}
 	for name, use := range b.tenants {
-		use.Account.SetWeight(b.weight(name))
+		use.setWeight(b.weight(name))
+	}
+}
+
+// levelOf returns whether rounds of planning go through groups or classes. Classes hold the same steps in fewer trees; rankings
+// that go by recent use need both.
+func (s *State) levelOf(byRecentUse bool) level {
+	if s.HasTenants() && !byRecentUse {
+		return classLevel
 	}
+	return groupLevel
 }
 
 // weight returns the weight of a tenant. Those that are not in the configuration have the smallest one.
@@ -98,14 +142,14 @@
 	task.charged = 0
 	if s.HasTenants() && !step.LongRunning {
 		task.charged = coreSeconds(step, s.expected(j, step))
-		s.backlog.tenant(j).Account.Charge(task.charged, now)
+		s.backlog.tenant(j).charge(task.charged, now)
 	}
 }
 
 // chargeEnd replaces what was charged for a run by the time that it has taken, which is 0 for a run that did not begin.
 func (s *State) chargeEnd(j *Job, step *batch.Step, task *Task, took time.Duration) {
 	if task.charged > 0 {
-		s.backlog.tenant(j).Account.Charge(coreSeconds(step, took)-task.charged, task.OrderedAt)
+		s.backlog.tenant(j).charge(coreSeconds(step, took)-task.charged, task.OrderedAt)
 		task.charged = 0
 	}
 }
@@ -127,7 +171,7 @@
 type RecentUse struct{}
 
 // Of implements [Measure].
-func (RecentUse) Of(u *TenantUse) float64 { return u.Account.Key() }
+func (RecentUse) Of(u *TenantUse) float64 { return u.key }
 
 // RunningUse is what a tenant has running, for its weight. It is the baseline for comparisons.
 type RunningUse struct{}
@@ -157,10 +201,8 @@
 			return firstIf(a.Finish)
 		}
 		if a.Tenant != b.Tenant {
-			// What was used is hardly ever equal, but at first.
-			if useA, useB := p.Measure.Of(a.Tenant), p.Measure.Of(b.Tenant); useA < useB || useA > useB {
-				return firstIf(useA < useB)
-			}
+			// Uses are hardly ever equal but at first. Then any order will do, and this one finds the first tenant soonest.
+			return cmp.Or(cmp.Compare(p.Measure.Of(a.Tenant), p.Measure.Of(b.Tenant)), cmp.Compare(a.Tenant.Name, b.Tenant.Name))
 		}
 	}
 	return p.Ranking.Compare(a, b)
@@ -169,6 +211,22 @@
 // SortKey implements [Ranking].
 func (p TenantShare[R, M]) SortKey(late bool) SortKey { return p.Ranking.SortKey(late) }
 
+// byRecentUse reports whether the ranking puts the work of a class that ends in the order of [RecentUse].
+func (p TenantShare[R, M]) byRecentUse() bool {
+	_, recent := any(p.Measure).(RecentUse)
+	return p.Active && recent
+}
+
+func (p LateShare[R]) byRecentUse() bool { return ordersByRecentUse(p.Ranking) }
+
+func (p StarvedFirst[R]) byRecentUse() bool { return ordersByRecentUse(p.Ranking) }
+
+// ordersByRecentUse reports whether a ranking puts the work of a class that ends in the order of [RecentUse].
+func ordersByRecentUse[R Ranking](ranking R) bool {
+	ordered, ok := any(ranking).(interface{ byRecentUse() bool })
+	return ok && ordered.byRecentUse()
+}
+
 // maxHeldShare is the share of the hosts that may be reserved at once for work that does not fit. Each of them leaves less
 // unused than one task needs.
 const maxHeldShare = 0.5
@@ -214,3 +272,37 @@
 	}
 	return changed
 }
+
+// TenantReport is what a pool says about a tenant, for metrics and logs.
+type TenantReport struct {
+	Name string
+	// Share is the weight as a part of that of all tenants with jobs in the pool. Use is what was used lately as a part of
+	// what all have used.
+	Share, Use float64
+}
+
+// LargestTenants returns the tenants that have used most lately, up to a number of them, the largest first. It returns none
+// while the configuration has no tenants.
+func (s *State) LargestTenants(limit int, now time.Time) []TenantReport {
+	if !s.HasTenants() {
+		return nil
+	}
+	var out []TenantReport
+	weights, uses := 0.0, 0.0
+	for name, u := range s.backlog.tenants {
+		r := TenantReport{Name: name, Share: u.Account.Weight(), Use: u.Account.Use(now)}
+		weights, uses = weights+r.Share, uses+r.Use
+		if r.Use > 0 {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b TenantReport) int { return cmp.Or(cmp.Compare(b.Use, a.Use), cmp.Compare(a.Name, b.Name)) })
+	out = out[:min(len(out), limit)]
+	for i := range out {
+		out[i].Use /= uses
+		if weights > 0 {
+			out[i].Share /= weights
+		}
+	}
+	return out
+}
--- a/fleet/shard/tenants_test.go
+++ b/fleet/shard/tenants_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 )
@@ -109,3 +110,53 @@
 		flood.share(1, tenantCount), byRunning.share(1, tenantCount), without.share(1, tenantCount))
 	require.GreaterOrEqual(t, flood.share(1, tenantCount), calm.share(1, tenantCount)-mostLost)
 }
+
+func (o *owner) configureTenants(tenants ...port.Tenant) {
+	o.Configure(&port.Config{Pools: []port.Pool{{Name: "pool", EnforcesCapacity: true}}, Tenants: tenants})
+}
+
+func (o *owner) submitFor(tenant, id string) {
+	o.t.Helper()
+	j, _ := o.Submit(id, batch.Spec{Queue: "q", Tenant: tenant, Steps: []batch.Step{smallStep(1)}}, o.now)
+	o.MarkStored(j)
+}
+
+// Guards against a tenant that has the share of a large one, or any at all beside others, after it left the configuration.
+func TestTenantsOutsideTheConfigurationHaveTheSmallestWeight(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.submitFor("gone", "0")
+	require.False(t, o.HasTenants())
+	require.NotEmpty(t, o.start())
+	require.Empty(t, o.LargestTenants(8, o.now))
+	o.configureTenants(port.Tenant{Name: "gone", Weight: 8}, port.Tenant{Name: "b", Weight: 3}, port.Tenant{Name: "c", Weight: 0.5})
+	o.submitFor("", "1")
+	require.InDelta(t, 8, o.Tenant("gone").Account.Weight(), 0)
+	require.InDelta(t, 0.5, o.Tenant("").Account.Weight(), 0)
+	o.configureTenants(port.Tenant{Name: "b", Weight: 3}, port.Tenant{Name: "c", Weight: 0.5})
+	require.InDelta(t, 0.5, o.Tenant("gone").Account.Weight(), 0)
+	o.configureTenants(port.Tenant{Name: "b"})
+	require.InDelta(t, 0, o.Tenant("gone").Account.Weight(), 0)
+	require.NotEmpty(t, o.start(), "a weight of 0 keeps no job from running")
+	o.configureTenants()
+	require.False(t, o.HasTenants())
+}
+
+// Guards against a tenant that pays for starts that hosts have refused, or for the estimate where a task took another time.
+func TestTenantsAreChargedForWhatTheyUse(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.configureTenants(port.Tenant{Name: "t", Weight: 1})
+	o.submitFor("t", "0")
+	orders := o.plan()
+	require.Len(t, orders, 1)
+	require.InDelta(t, 1, o.Tenant("t").Account.Use(o.now), 1e-9, "the estimate is a second of one core")
+	o.HandleStartResult(&orders[0], 0, &port.RefusedError{Reason: port.RefusedCapacity}, o.now)
+	require.Zero(t, o.Tenant("t").Account.Use(o.now))
+	o.advance(time.Minute)
+	o.report("a")
+	orders = o.start()
+	require.Len(t, orders, 1)
+	began := o.now
+	o.advance(3 * time.Second)
+	o.report("a", doneRow(1, orders[0]))
+	require.InDelta(t, 3, o.Tenant("t").Account.Use(began), 0.1)
+}
