--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -80,6 +80,8 @@
 	nextWaitingLog time.Time
 	// nextOccupancyLog is the earliest time of the next report of what the hosts are used for.
 	nextOccupancyLog time.Time
+	// nextTenantLog is the earliest time of the next report of what the largest tenants use.
+	nextTenantLog time.Time
 	// delays measures how late this owner is.
 	delays *delayMeter
 	// background counts the goroutines that the task has started and waits for when it stops.
@@ -231,6 +233,7 @@
 	c.listMachines(now)
 	c.logWaiting(now)
 	c.logOccupancy(now)
+	c.logTenants(now)
 	c.delays.endInterval(now)
 }
 
