Keep jobs apart by tenant

The tenant is stored with the job, and with cancellations that come before a submission; owners of pools to which a queue has moved pass it on.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -107,9 +107,9 @@
 		}
 		return o.Submit(ctx, r.Queue, r.Subject, *r.Spec)
 	case peers.VerbJobStatus:
-		return o.JobStatus(ctx, r.Subject, owner.OfQueue(r.Queue))
+		return o.JobStatus(ctx, r.Subject, owner.OfQueue(r.Queue), owner.OfTenant(r.Tenant))
 	case peers.VerbCancel:
-		return o.Cancel(ctx, r.Subject, owner.OfQueue(r.Queue))
+		return o.Cancel(ctx, r.Subject, owner.OfQueue(r.Queue), owner.OfTenant(r.Tenant))
 	case peers.VerbPending:
 		return o.Pending(ctx, r.Queue.Name, owner.OfQueue(r.Queue))
 	case peers.VerbVacate:
@@ -276,14 +276,14 @@
 	return owner.Answer{Outcome: owner.Unknown, Reason: "the owner of the pool could not be reached and writing to the inbox failed"}
 }
 
-// JobStatus returns the phase of a job.
-func (n *Intake) JobStatus(ctx context.Context, q port.Queue, id string) owner.Answer {
-	return n.askUntilAnswered(ctx, peers.Request{Pool: q.Pool, Verb: peers.VerbJobStatus, Subject: id, Queue: q})
+// JobStatus returns the phase of a job of a tenant.
+func (n *Intake) JobStatus(ctx context.Context, q port.Queue, id, tenant string) owner.Answer {
+	return n.askUntilAnswered(ctx, peers.Request{Pool: q.Pool, Verb: peers.VerbJobStatus, Subject: id, Queue: q, Tenant: tenant})
 }
 
-// Cancel cancels a job.
-func (n *Intake) Cancel(ctx context.Context, q port.Queue, id string) owner.Answer {
-	return n.askUntilAnswered(ctx, peers.Request{Pool: q.Pool, Verb: peers.VerbCancel, Subject: id, Queue: q})
+// Cancel cancels a job of a tenant.
+func (n *Intake) Cancel(ctx context.Context, q port.Queue, id, tenant string) owner.Answer {
+	return n.askUntilAnswered(ctx, peers.Request{Pool: q.Pool, Verb: peers.VerbCancel, Subject: id, Queue: q, Tenant: tenant})
 }
 
 // Pending counts the jobs of a queue that have not started any task.
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -176,7 +176,7 @@
 	cancel := func(client fakePeers) owner.Answer {
 		ctx, stop := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer stop()
-		return newIntake(fakeView{}, client, &fakeLog{}).Cancel(ctx, queue, "0123456789abcdef")
+		return newIntake(fakeView{}, client, &fakeLog{}).Cancel(ctx, queue, "0123456789abcdef", "")
 	}
 	require.Equal(t, owner.Unknown, cancel(fakePeers{err: errLinkBroken}).Outcome)
 	require.Equal(t, owner.Unknown, cancel(fakePeers{answer: owner.Answer{Outcome: owner.Unknown}}).Outcome)
--- a/entry/intake/others.go
+++ b/entry/intake/others.go
@@ -17,8 +17,8 @@
 }
 
 // Cancel implements [owner.OtherPools].
-func (o OtherPools) Cancel(ctx context.Context, pool string, q port.Queue, id string) (owner.Answer, bool) {
-	return o.Ask(ctx, peers.Request{Pool: pool, Verb: peers.VerbCancel, Subject: id, Queue: q})
+func (o OtherPools) Cancel(ctx context.Context, pool string, q port.Queue, id, tenant string) (owner.Answer, bool) {
+	return o.Ask(ctx, peers.Request{Pool: pool, Verb: peers.VerbCancel, Subject: id, Queue: q, Tenant: tenant})
 }
 
 // Pending implements [owner.OtherPools].
--- a/entry/owner/absent.go
+++ b/entry/owner/absent.go
@@ -101,7 +101,7 @@
 	if c.isForeign(&m.queue) {
 		c.closeQueue(&m.queue)
 	}
-	if j := c.state.Jobs[m.id]; j != nil && !j.Unsubmitted {
+	if c.job(&m.scope, m.id) != nil {
 		m.settle(c)
 		return
 	}
@@ -110,16 +110,16 @@
 }
 
 func (m jobStatus) settle(c *core) {
-	j := c.state.Jobs[m.id]
 	if c.isForeign(&m.queue) {
 		m.settleForeign(c)
 		return
 	}
-	if j == nil || j.Unsubmitted {
+	j := c.job(&m.scope, m.id)
+	if j == nil {
 		if m.settleEarlier(c) {
 			return
 		}
-		m.reply <- c.restingOnInbox(Answer{Outcome: Missing, Reason: "no such job"})
+		m.reply <- c.restingOnInbox(missing)
 		return
 	}
 	m.reply <- Answer{Outcome: Found, Phase: j.StoredPhase, Started: j.Started, Epoch: c.state.Epoch}
--- a/entry/owner/empty_test.go
+++ b/entry/owner/empty_test.go
@@ -18,7 +18,7 @@
 	c := restoreTestCore(t, idleHost{acked: make(chan int64, 8)}, newStoredState(), configOf(3, shortQueue))
 	ask := func() Answer {
 		reply := make(chan Answer, 1)
-		jobStatus{moved, "new", reply}.settleForeign(c.core)
+		jobStatus{scope{queue: moved}, "new", reply}.settleForeign(c.core)
 		return <-reply
 	}
 	c.submit(shortQueue, "old")
@@ -62,6 +62,6 @@
 	c.closeQueue(&unversioned)
 	c.write(time.Now())
 	reply := make(chan Answer, 1)
-	jobStatus{unversioned, "new", reply}.settleForeign(c.core)
+	jobStatus{scope{queue: unversioned}, "new", reply}.settleForeign(c.core)
 	require.False(t, (<-reply).QueueClosed)
 }
--- a/entry/owner/moved.go
+++ b/entry/owner/moved.go
@@ -32,7 +32,8 @@
 // result is false if no owner has answered.
 type OtherPools interface {
 	JobStatus(ctx context.Context, pool string, q port.Queue, id string) (Answer, bool)
-	Cancel(ctx context.Context, pool string, q port.Queue, id string) (Answer, bool)
+	// Cancel cancels a job if it is of the tenant.
+	Cancel(ctx context.Context, pool string, q port.Queue, id, tenant string) (Answer, bool)
 	Pending(ctx context.Context, pool string, q port.Queue) (Answer, bool)
 }
 
@@ -111,12 +112,14 @@
 	// cancelled reports whether the job was cancelled before it was submitted. closed reports whether none of
 	// the pools will accept it later. empty holds the pools that hold no job of the queue.
 	cancelled, closed bool
-	empty             []string
+	// cancelledFor is the tenant that has cancelled it.
+	cancelledFor string
+	empty        []string
 }
 
 // findEarlier asks the owners of earlier pools for a job.
 func (c *core) findEarlier(ctx context.Context, pools []string, q port.Queue, id string) earlierJob {
-	out := earlierJob{answer: Answer{Outcome: Missing, Reason: "no such job"}, closed: true}
+	out := earlierJob{answer: missing, closed: true}
 	for _, pool := range pools {
 		a, ok := c.deps.OtherPools.JobStatus(ctx, pool, q, id)
 		switch {
@@ -126,7 +129,9 @@
 			out.answer, out.closed = refusedUnchecked, false
 			continue
 		}
-		out.cancelled = out.cancelled || a.Phase == shard.Cancelled
+		if a.Phase == shard.Cancelled {
+			out.cancelled, out.cancelledFor = true, a.Tenant
+		}
 		out.closed = out.closed && a.QueueClosed
 		if a.QueueClosed && a.QueueEmpty {
 			out.empty = append(out.empty, pool)
@@ -146,11 +151,14 @@
 	c.forgetEmpty(s.queue.Name, m.earlier.empty)
 	switch {
 	case c.state.Jobs[s.id] != nil:
+	case m.earlier.answer.Outcome == Found && m.earlier.answer.Tenant != s.spec.Tenant:
+		s.reply <- conflicting
+		return
 	case m.earlier.answer.Outcome == Found:
 		s.reply <- Answer{Outcome: Accepted, Phase: m.earlier.answer.Phase}
 		return
 	case m.earlier.cancelled:
-		c.state.Cancel(s.id, time.Now())
+		c.cancelFor(m.earlier.cancelledFor, s.id)
 	case !m.earlier.closed:
 		s.reply <- refusedUnchecked
 		return
@@ -225,13 +233,13 @@
 	})
 	switch {
 	case j != nil && j.Unsubmitted:
-		a.Phase = j.Phase
+		a.Phase, a.Tenant = j.Phase, j.Spec.Tenant
 	case j != nil && !j.Stored && j.StoredPhase == shard.Open:
 		a = refusedUnchecked
 	case j != nil:
-		a = Answer{Outcome: Found, Phase: j.StoredPhase, Started: j.Started, Epoch: c.state.Epoch}
+		a = Answer{Outcome: Found, Phase: j.StoredPhase, Started: j.Started, Epoch: c.state.Epoch, Tenant: j.Spec.Tenant}
 	case unchecked:
-		a = Answer{Outcome: Found, Phase: shard.Open, Epoch: c.state.Epoch}
+		a = Answer{Outcome: Found, Phase: shard.Open, Epoch: c.state.Epoch, Tenant: c.placing.unchecked[m.id].Tenant}
 	}
 	m.reply <- a
 }
@@ -239,7 +247,7 @@
 // awaitsRegistration reports whether the answer rests on a registration under way, which tells the earlier pools of
 // the queue.
 func (m jobStatus) awaitsRegistration(c *core) bool {
-	if j := c.state.Jobs[m.id]; j != nil && !j.Unsubmitted {
+	if c.job(&m.scope, m.id) != nil {
 		return false
 	}
 	_, registering := c.placing.wanted[m.queue.Name]
@@ -251,7 +259,8 @@
 // reports false if there are none.
 func (m jobStatus) settleEarlier(c *core) bool {
 	earlier, known := c.earlierPools(m.queue.Name)
-	_, unchecked := c.placing.unchecked[m.id]
+	spec, unchecked := c.placing.unchecked[m.id]
+	unchecked = unchecked && spec.Tenant == m.tenant
 	switch {
 	case c.mayBeElsewhere(&m.queue) && !unchecked:
 		m.reply <- refusedMoved
@@ -268,6 +277,9 @@
 	q := c.asking(m.queue.Name)
 	c.ask(func(ctx context.Context) message {
 		found := c.findEarlier(ctx, earlier, q, m.id).answer
+		if found.Outcome == Found && found.Tenant != m.tenant {
+			found = missing
+		}
 		if found.Outcome == Missing && unchecked {
 			found = Answer{Outcome: Found, Phase: shard.Open}
 		}
@@ -280,7 +292,7 @@
 // cancelEarlier cancels a job that this owner does not know in the earlier pools of its queue first, or refuses if another
 // pool takes the jobs of the queue now. It reports false if there are no other pools.
 func (m cancelJob) cancelEarlier(c *core) bool {
-	if j := c.state.Jobs[m.id]; c.isForeign(&m.queue) || (j != nil && !j.Unsubmitted) {
+	if c.isForeign(&m.queue) || c.job(&m.scope, m.id) != nil {
 		return false
 	}
 	if c.mayBeElsewhere(&m.queue) {
@@ -298,7 +310,7 @@
 	q := c.asking(m.queue.Name)
 	c.ask(func(ctx context.Context) message {
 		for _, pool := range earlier {
-			if a, ok := c.deps.OtherPools.Cancel(ctx, pool, q, m.id); !ok || a.Outcome != Accepted {
+			if a, ok := c.deps.OtherPools.Cancel(ctx, pool, q, m.id, m.tenant); !ok || a.Outcome != Accepted {
 				m.reply <- Answer{Outcome: Unknown, Reason: "an earlier pool of the queue has not confirmed the cancellation"}
 				return nil
 			}
@@ -388,7 +400,7 @@
 		delete(c.placing.unchecked, m.id)
 		c.journal.inboxJobs = append(c.journal.inboxJobs, m.id)
 	case m.earlier.cancelled:
-		c.state.Cancel(m.id, time.Now())
+		c.cancelFor(m.earlier.cancelledFor, m.id)
 		c.takeFromInbox(m.id, spec)
 	case m.earlier.closed, m.earlier.answer.Outcome == Missing && c.isElsewhere(spec.Queue):
 		// A pool to which the queue does not belong any more cannot have others closed.
--- a/entry/owner/moved_test.go
+++ b/entry/owner/moved_test.go
@@ -127,9 +127,9 @@
 	return owner.Answer{}, false
 }
 
-func (in *installation) Cancel(ctx context.Context, pool string, q port.Queue, id string) (owner.Answer, bool) {
+func (in *installation) Cancel(ctx context.Context, pool string, q port.Queue, id, tenant string) (owner.Answer, bool) {
 	if o := in.find(pool); o != nil {
-		return o.Cancel(ctx, id, owner.OfQueue(q)), true
+		return o.Cancel(ctx, id, owner.OfQueue(q), owner.OfTenant(tenant)), true
 	}
 	return owner.Answer{}, false
 }
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -32,6 +32,8 @@
 	Unknown Outcome = "unknown"
 	// Missing means that the job or host of the request does not exist.
 	Missing Outcome = "missing"
+	// Conflict means that the request was not carried out and will not be, since its ID is in use by another tenant.
+	Conflict Outcome = "conflict"
 	// Found means that the answer contains what was asked for.
 	Found Outcome = "found"
 )
@@ -67,6 +69,8 @@
 	QueueClosed bool `cbor:"12,keyasint,omitempty"`
 	// QueueEmpty reports that the pool holds no job of the queue.
 	QueueEmpty bool `cbor:"13,keyasint,omitempty"`
+	// Tenant is the tenant of the job, in answers to the owners of other pools.
+	Tenant string `cbor:"14,keyasint,omitempty"`
 }
 
 // LocalEntry stands for the entry that logs an answer.
@@ -159,20 +163,18 @@
 		spec  batch.Spec
 		reply chan<- Answer
 	}
-	// The queue of the following requests is empty if it is unknown. If it is of another pool, that pool's owner
-	// asks.
 	jobStatus struct {
-		queue port.Queue
+		scope
 		id    string
 		reply chan<- Answer
 	}
 	cancelJob struct {
-		queue port.Queue
+		scope
 		id    string
 		reply chan<- Answer
 	}
 	pendingCount struct {
-		queue port.Queue
+		scope
 		reply chan<- Answer
 	}
 	poolLoad   struct{ reply chan<- Answer }
@@ -217,39 +219,50 @@
 	return o.call(ctx, Unknown, func(reply chan<- Answer) message { return submitJob{q, id, spec, reply} })
 }
 
+// scope says about which queue a request is, and for whom.
+type scope struct {
+	// queue is empty if it is unknown. If it is of another pool, that pool's owner asks.
+	queue port.Queue
+	// tenant is the tenant of the caller. Jobs of others do not exist for the caller.
+	tenant string
+}
+
 // RequestOption configures a request about a job or a queue.
-type RequestOption func(*port.Queue)
+type RequestOption func(*scope)
 
 // OfQueue says of which queue the request is. If the queue has had other pools, their owners are asked for a job that
 // this owner does not know. If the queue is of another pool, that pool's owner asks: this pool accepts no further job
 // of the queue then.
-func OfQueue(q port.Queue) RequestOption { return func(known *port.Queue) { *known = q } }
+func OfQueue(q port.Queue) RequestOption { return func(s *scope) { s.queue = q } }
+
+// OfTenant says for which tenant the request is.
+func OfTenant(name string) RequestOption { return func(s *scope) { s.tenant = name } }
 
-func queueOf(opts []RequestOption) port.Queue {
-	var q port.Queue
+func newScope(opts []RequestOption) scope {
+	var s scope
 	for _, opt := range opts {
-		opt(&q)
+		opt(&s)
 	}
-	return q
+	return s
 }
 
 // JobStatus returns the phase of a job.
 func (o *Owner) JobStatus(ctx context.Context, id string, opts ...RequestOption) Answer {
-	q := queueOf(opts)
-	return o.call(ctx, Refused, func(reply chan<- Answer) message { return jobStatus{q, id, reply} })
+	s := newScope(opts)
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return jobStatus{s, id, reply} })
 }
 
 // Cancel cancels a job and waits until the store has the cancellation.
 func (o *Owner) Cancel(ctx context.Context, id string, opts ...RequestOption) Answer {
-	q := queueOf(opts)
-	return o.call(ctx, Unknown, func(reply chan<- Answer) message { return cancelJob{q, id, reply} })
+	s := newScope(opts)
+	return o.call(ctx, Unknown, func(reply chan<- Answer) message { return cancelJob{s, id, reply} })
 }
 
 // Pending returns the number of jobs of a queue that have not started.
 func (o *Owner) Pending(ctx context.Context, queue string, opts ...RequestOption) Answer {
-	q := queueOf(opts)
-	q.Name = queue
-	return o.call(ctx, Refused, func(reply chan<- Answer) message { return pendingCount{q, reply} })
+	s := newScope(opts)
+	s.queue.Name = queue
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return pendingCount{s, reply} })
 }
 
 // Load returns the load of the pool.
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -145,7 +145,7 @@
 	}
 	for id := range stored.Progress {
 		if _, ok := stored.Specs[id]; !ok {
-			c.state.RestoreCancelled(id, now)
+			c.state.RestoreCancelled(id, now, shard.ForTenant(stored.Progress[id].Tenant))
 		}
 	}
 	c.journal.staleParts = append(stored.OrphanedParts, c.state.TakeStaleParts()...)
@@ -236,7 +236,7 @@
 			c.countEnd(ch.Job, ch.Progress.Phase, late)
 			c.deps.Stats.Observe("job", time.Since(ch.Job.AcceptedAt), "pool", c.state.Pool)
 			c.logger.Info("job ended", "job", ch.Job.ID, "phase", string(ch.Progress.Phase),
-				"took-ms", time.Since(ch.Job.AcceptedAt).Milliseconds(), "late", late, "queue", ch.Job.Spec.Queue, "size", ch.Job.Size.String())
+				"took-ms", time.Since(ch.Job.AcceptedAt).Milliseconds(), "late", late, "queue", ch.Job.Spec.Queue, "tenant", ch.Job.Spec.Tenant, "size", ch.Job.Size.String())
 			c.answer(ch.Job.ID, true, Answer{Outcome: Accepted, Phase: ch.Progress.Phase})
 			// A submission that arrived after the cancellation of the same job waits too.
 			c.answer(ch.Job.ID, false, Answer{Outcome: Accepted, Phase: ch.Progress.Phase})
@@ -283,6 +283,11 @@
 		c.state.SetQueue(m.queue)
 		c.noteQueue(m.queue.Name)
 	}
+	if c.isOfOther(&scope{tenant: m.spec.Tenant}, m.id) {
+		c.logger.Info("job refused", "job", m.id, "tenant", m.spec.Tenant, "why", "the ID is in use by another tenant")
+		m.reply <- conflicting
+		return
+	}
 	if c.journal.unavailable && c.state.Jobs[m.id] == nil {
 		c.deps.Stats.Add("jobs-refused", 1, "pool", c.state.Pool, "why", "store away")
 		c.logger.Info("job refused", "job", m.id, "why", "store away")
@@ -300,19 +305,24 @@
 	if verdict == shard.Accepted {
 		c.journal.newJobs = append(c.journal.newJobs, j)
 		c.deps.Stats.Add("jobs-submitted", 1, "pool", c.state.Pool, "queue", m.queue.Name)
-		c.logger.Info("job submitted", "job", m.id, "queue", m.queue.Name, "units", m.spec.TaskCount(), "open", len(c.state.Jobs))
+		c.logger.Info("job submitted", "job", m.id, "queue", m.queue.Name, "tenant", m.spec.Tenant, "units", m.spec.TaskCount(), "open", len(c.state.Jobs))
 	}
 	c.journal.waiters[m.id] = append(c.journal.waiters[m.id], waiter{reply: m.reply})
 }
 
 func (m cancelJob) handle(c *core) {
+	if c.isOfOther(&m.scope, m.id) {
+		// The answer is that for a job that does not exist.
+		m.reply <- Answer{Outcome: Accepted, Phase: shard.Cancelled}
+		return
+	}
 	if !m.cancelEarlier(c) {
 		c.cancel(m)
 	}
 }
 
 func (c *core) cancel(m cancelJob) {
-	j := c.state.Cancel(m.id, time.Now())
+	j := c.cancelFor(m.tenant, m.id)
 	if j.StoredPhase != shard.Open {
 		m.reply <- Answer{Outcome: Accepted, Phase: j.StoredPhase}
 		return
--- a/fleet/shard/jobs.go
+++ b/fleet/shard/jobs.go
@@ -18,6 +18,8 @@
 	Accepted Verdict = iota
 	// Duplicate means that the job was accepted before.
 	Duplicate
+	// Conflict means that another tenant has submitted a job with the ID.
+	Conflict
 	// Unplaceable means that no host can run the job, now or later.
 	Unplaceable
 )
@@ -46,10 +48,15 @@
 
 // Submit adds a job, unless it is known. The spec must have passed its check.
 func (s *State) Submit(id string, spec batch.Spec, now time.Time) (*Job, Verdict) {
-	if j := s.Jobs[id]; j != nil {
+	switch j := s.Jobs[id]; {
+	case j == nil:
+	case j.Spec.Tenant == spec.Tenant:
 		j.Unsubmitted = false
 		return j, Duplicate
+	case !j.Unsubmitted:
+		return j, Conflict
 	}
+	// If another tenant has cancelled a job with the ID that was not submitted, this job replaces the one cancelled.
 	j := newJob(id, now)
 	j.Spec, j.OccurrencesLeft = spec, spec.Occurrences()
 	j.Objective = s.objective(j)
@@ -99,12 +106,21 @@
 	}
 }
 
+// CancelOption configures a cancellation.
+type CancelOption func(*Job)
+
+// ForTenant says for which tenant a job is cancelled that is unknown.
+func ForTenant(name string) CancelOption { return func(j *Job) { j.Spec.Tenant = name } }
+
 // Cancel ends a job. An unknown job is kept as cancelled, because its submission may still
 // arrive.
-func (s *State) Cancel(id string, now time.Time) *Job {
+func (s *State) Cancel(id string, now time.Time, opts ...CancelOption) *Job {
 	j := s.Jobs[id]
 	if j == nil {
 		j = newJob(id, now)
+		for _, opt := range opts {
+			opt(j)
+		}
 		j.Unsubmitted = true
 		s.Jobs[id] = j
 	}
--- a/fleet/shard/progress.go
+++ b/fleet/shard/progress.go
@@ -38,6 +38,9 @@
 type Progress struct {
 	Phase       Phase                `cbor:"1,keyasint"`
 	Occurrences []OccurrenceProgress `cbor:"2,keyasint,omitempty"`
+	// Unsubmitted reports whether the job was cancelled before it was submitted, and Tenant by which tenant.
+	Unsubmitted bool   `cbor:"3,keyasint,omitempty"`
+	Tenant      string `cbor:"4,keyasint,omitempty"`
 	// Parted reports whether the tasks are stored in parts. The occurrences then only show which
 	// of them are done. It is stored as a [PartedProgress].
 	Parted bool `cbor:"-"`
@@ -152,6 +155,9 @@
 // progressOf returns the progress of a job as it is to be stored.
 func progressOf(j *Job) Progress {
 	out := Progress{Phase: j.Phase}
+	if j.Unsubmitted {
+		out.Unsubmitted, out.Tenant = true, j.Spec.Tenant
+	}
 	if j.Phase != Open {
 		// An ended job needs no details, because nothing of it starts again.
 		return out
@@ -203,8 +209,11 @@
 }
 
 // RestoreCancelled adds a job of which only the cancellation is stored.
-func (s *State) RestoreCancelled(id string, now time.Time) {
+func (s *State) RestoreCancelled(id string, now time.Time, opts ...CancelOption) {
 	j := newJob(id, now)
+	for _, opt := range opts {
+		opt(j)
+	}
 	j.Phase, j.StoredPhase, j.EndedAt, j.Unsubmitted, j.Stored = Cancelled, Cancelled, now, true, true
 	s.Jobs[id] = j
 	s.ended = append(s.ended, j)
@@ -228,6 +237,10 @@
 	age := clamp.Millis(clamp.Sub(now.UnixMilli(), spec.AcceptedMS))
 	j := newJob(id, now.Add(-max(age, 0)))
 	j.Spec, j.OccurrencesLeft, j.Stored, j.Inherited = spec, spec.Occurrences(), true, true
+	if stored != nil && stored.Unsubmitted && stored.Tenant != spec.Tenant {
+		// Another tenant has cancelled a job with the ID before this one was submitted.
+		stored = nil
+	}
 	if stored != nil {
 		j.Phase, j.parted = stored.Phase, stored.Parted
 		for oi := range stored.Occurrences {
