--- a/entry/feed/feed.go
+++ b/entry/feed/feed.go
@@ -42,6 +42,10 @@
 	// onRead is called before the changes of a call that has read all records are passed on. It may be
 	// nil.
 	onRead func(requestedAt time.Time)
+	// now and onConfirmed are nil or both set. onConfirmed is called after the changes of a call were passed on, with the time
+	// on the clock now as of which all records have been passed on.
+	now         func() time.Duration
+	onConfirmed func(asOf time.Duration)
 }
 
 // Option configures a [Feed].
@@ -57,6 +61,12 @@
 // has returned are passed on. With these, all records of that time have been passed on.
 func WithReadTime(f func(requestedAt time.Time)) Option { return func(s *settings) { s.onRead = f } }
 
+// WithConfirmation calls a function after the changes of each call that has read all records were passed on, with a time on the
+// given clock: all records that the store had then have been passed on.
+func WithConfirmation(now func() time.Duration, f func(asOf time.Duration)) Option {
+	return func(s *settings) { s.now, s.onConfirmed = now, f }
+}
+
 const (
 	// minBackoff and maxBackoff limit the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
@@ -100,8 +110,17 @@
 	f.task.TrySend(struct{}{})
 }
 
-// poll reads once, without waiting for a change if a read is due at once.
-func (f *Feed[T]) poll(ctx context.Context) ([]port.Record, error) {
+// asOf returns as of when a call has read all records that was sent at one time and answered at another. The store answers a call
+// without records once it has waited for them, and it has received the call after it was sent.
+func asOf(sent, answered, waited time.Duration, records int) time.Duration {
+	if records == 0 && answered-sent >= waited {
+		return sent + waited
+	}
+	return sent
+}
+
+// poll reads once, without waiting for a change if a read is due at once. It returns how long the store was asked to wait.
+func (f *Feed[T]) poll(ctx context.Context) (records []port.Record, waited time.Duration, err error) {
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.cancelRead.Store(&cancel)
@@ -109,12 +128,12 @@
 	if f.refresh.Swap(false) {
 		wait = 0
 	}
-	records, err := f.reader.Poll(readCtx, wait)
+	records, err = f.reader.Poll(readCtx, wait)
 	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
 		// The refresh that has ended the read may be the one that the read served.
 		f.refresh.Store(true)
 	}
-	return records, err
+	return records, wait, err
 }
 
 // Close stops the task.
@@ -134,7 +153,11 @@
 			continue
 		}
 		requestedAt := time.Now()
-		records, err := f.poll(ctx)
+		var from time.Duration
+		if f.now != nil {
+			from = f.now()
+		}
+		records, waited, err := f.poll(ctx)
 		delay := time.Duration(f.pace.Load())
 		switch {
 		case err != nil && f.refresh.Load():
@@ -155,6 +178,9 @@
 				f.onRead(requestedAt)
 			}
 			onChange(f.changes(records))
+			if f.onConfirmed != nil && !f.reader.Behind() {
+				f.onConfirmed(asOf(from, f.now(), waited, len(records)))
+			}
 		}
 		select {
 		case <-ctx.Done():
