Keep the last attempt of a late job for a host that does not fail its work

A task, or a gang, that has one attempt left is now started there only on hosts without failures since their last success; hosts that are closed for being slow still take it.

--- a/fleet/shard/gang.go
+++ b/fleet/shard/gang.go
@@ -20,7 +20,7 @@
 	}
 	var chosen []int
 	if w.fitsOn(roomy) {
-		chosen = s.placeGang(step, stage, hosts, permitted)
+		chosen = s.placeGang(step, stage, hosts, s.lastAttemptFilter(w, &stage.Tasks[0], set, permitted, now))
 	}
 	if chosen == nil {
 		return set.starvedFor == 0 && s.reserveHost(w, hosts)
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -155,7 +155,7 @@
 		}
 		var host *candidate
 		if s.mayHaveTicket(w) {
-			host = s.pickHost(step, stage, task, roomy, permitted, now)
+			host = s.pickHost(step, stage, task, roomy, s.lastAttemptFilter(w, task, set, permitted, now), now)
 		}
 		if host == nil && (set.longRunningOnly || set.starvedFor > 0) {
 			continue
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -228,7 +229,7 @@
 		}
 		task.AvoidHost = h.ID
 		s.stopGang(ref, e.Run, "gang member failed")
-		if s.attemptsExhausted(j, ref, task) {
+		if s.attemptsLeft(j, ref, task) <= 0 {
 			s.closeJob(j, Failed, now)
 		}
 	case port.ResultGangBroken, port.ResultGangIncomplete:
@@ -250,17 +251,17 @@
 	return e.Run <= task.Counted
 }
 
-// attemptsExhausted reports whether a task, or its gang, has failed as often as its queue allows.
-func (s *State) attemptsExhausted(j *Job, ref batch.Ref, task *Task) bool {
+// attemptsLeft returns how often a task, or its gang, may still fail before its job is given up.
+func (s *State) attemptsLeft(j *Job, ref batch.Ref, task *Task) int {
 	limit := s.Queues[j.Spec.Queue].MaxAttempts
 	step := &j.Spec.Steps[ref.Step]
 	if limit <= 0 || step.LongRunning {
-		return false
+		return math.MaxInt
 	}
 	if step.Gang {
-		return gangFailures(j.Occurrences[ref.Occurrence].Stages[ref.Step].Tasks) >= limit
+		return limit - gangFailures(j.Occurrences[ref.Occurrence].Stages[ref.Step].Tasks)
 	}
-	return task.failures() >= limit
+	return limit - task.failures()
 }
 
 // gangFailures returns the number of failed runs of a gang, however many members have failed in each. It may be too low if
--- a/fleet/shard/starved.go
+++ b/fleet/shard/starved.go
@@ -40,6 +40,19 @@
 	}
 }
 
+// lastAttemptFilter returns a filter for the hosts that may run a task, or its gang. The last attempt of a late job is kept for
+// a host that does not fail its work: a job that waits can still be done, and one that has failed as often as its queue allows
+// is given up.
+func (s *State) lastAttemptFilter(w *waitingStep, task *Task, set hostSet, permitted func(*Host) bool, now time.Time) func(*Host) bool {
+	if set.starvedFor == 0 || s.attemptsLeft(w.job, w.ref(), task) > 1 {
+		return permitted
+	}
+	return func(h *Host) bool {
+		failing := len(h.failures) > 0 && !now.After(h.UnhealthyUntil)
+		return !failing && (permitted == nil || permitted(h))
+	}
+}
+
 // keptForOthers reports whether a host is reserved or has a task that is kept apart.
 func (c candidates) keptForOthers() bool {
 	for _, host := range c {
