Add keys of teams and cancellations by teams to the records of the log

Callers of the product's own interface have no keys, so no team can be told from another. The record kind key holds the digest of a key and its team; the fold accepts one only if its name and its digest are new, and retire removes it. Cancellations by a team are a kind of their own that names the team, so that the fold checks to whom a job belongs: an entry's check could be overtaken by a replacement of the job.

go test ./fleet/ledger ./fleet/codec ./entry/follow pass. Nothing checks keys yet.

--- a/entry/follow/core.go
+++ b/entry/follow/core.go
@@ -256,7 +256,7 @@
 		c.progress.Configured = c.progress.Configured || m.current
 		c.progress.Trusted = c.progress.Trusted || m.trusted
 		c.f.logger.Info("state replaced by a snapshot", "source", m.source, "offset", m.state.NextOffset)
-		c.notifyObservers(ledger.Changed{Routing: true})
+		c.notifyObservers(ledger.Changed{Routing: true, Keys: true})
 		c.notify()
 	} else {
 		c.f.logger.Info("snapshot not used: it is not newer than the own state", "source", m.source,
--- a/fleet/codec/record.go
+++ b/fleet/codec/record.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 
+	"carawaymux.dev/fleet/apikey"
 	"carawaymux.dev/fleet/budget"
 	"carawaymux.dev/fleet/host"
 	"carawaymux.dev/fleet/jobs"
@@ -94,6 +95,8 @@
 	record.KindWaveChange: {currentSchema[wave.Change]()},
 	record.KindPlacement:  {olderSchema[jobs.PlacementV1, jobs.Placement](), currentSchema[jobs.Placement]()},
 	record.KindCheckpoint: {currentSchema[ledger.Checkpoint]()},
+	record.KindKey:        {currentSchema[apikey.Spec]()},
+	record.KindTeamCancel: {currentSchema[jobs.TeamCancel]()},
 }
 
 // NewestSchema returns the highest schema version of a kind that this program supports; 0 means
--- a/fleet/jobs/jobs.go
+++ b/fleet/jobs/jobs.go
@@ -154,6 +154,23 @@
 	return p
 }
 
+// TeamCancel cancels those of the jobs that belong to a team. Others are ignored like jobs that do not exist.
+type TeamCancel struct {
+	// Team is the team that cancels.
+	Team string `json:"team"`
+	Cancel
+}
+
+// Kind returns [record.KindTeamCancel].
+func (TeamCancel) Kind() record.Kind { return record.KindTeamCancel }
+
+// Check validates the fields.
+func (c TeamCancel) Check() record.Problems {
+	p := c.Cancel.Check()
+	p.CheckName("team", c.Team)
+	return p
+}
+
 // Act is the change that a placement item makes to a task.
 type Act string
 
--- a/fleet/ledger/apply.go
+++ b/fleet/ledger/apply.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"carawaymux.dev/fleet/apikey"
 	"carawaymux.dev/fleet/budget"
 	"carawaymux.dev/fleet/host"
 	"carawaymux.dev/fleet/jobs"
@@ -95,6 +96,8 @@
 		return s.applyPool(r, version, body)
 	case quota.Spec:
 		return publish(s.Quotas, r, version, body)
+	case apikey.Spec:
+		return s.applyKey(r, version, body)
 	case host.Spec:
 		return s.applyHost(r, version, body)
 	case host.Move:
@@ -109,6 +112,8 @@
 		return s.applyJob(r, version, body)
 	case jobs.Cancel:
 		return s.applyCancel(body)
+	case jobs.TeamCancel:
+		return s.applyTeamCancel(body)
 	case jobs.Placement:
 		return s.applyPlacement(r, version, body)
 	case lease.Claim:
@@ -224,6 +229,25 @@
 	return nil
 }
 
+// applyKey adds a key. Keys are not changed: to replace one, a second is created and the first one revoked.
+func (s *State) applyKey(r *record.Record, version uint64, spec apikey.Spec) *rejection {
+	if old := s.Keys[r.Object]; old != nil {
+		rejected := reject("key %q exists at version %d by %s; revoke it first, or choose another name", r.Object, old.Version, old.Author)
+		rejected.winnerVersion, rejected.winnerAuthor = old.Version, old.Author
+		return rejected
+	}
+	for name, k := range s.Keys {
+		if k.Spec.Digest == spec.Digest {
+			return reject("digest: is the one of key %q", name)
+		}
+	}
+	if rejected := publish(s.Keys, r, version, spec); rejected != nil {
+		return rejected
+	}
+	s.changed.Keys = true
+	return nil
+}
+
 func (s *State) applyLease(r *record.Record, version uint64, c lease.Claim) *rejection {
 	if r.Base != s.Lease.Version {
 		rejected := reject("the planner lease is at version %d, held by %q; this claim is based on version %d",
--- a/fleet/ledger/control.go
+++ b/fleet/ledger/control.go
@@ -99,9 +99,9 @@
 func (x Retire) Check() record.Problems {
 	var p record.Problems
 	switch x.ObjectKind {
-	case record.KindBudget, record.KindPool, record.KindHost, record.KindJob, record.KindQuota:
+	case record.KindBudget, record.KindPool, record.KindHost, record.KindJob, record.KindQuota, record.KindKey:
 	default:
-		p.Add("of", fmt.Sprintf("%q", x.ObjectKind), "budget, pool, host, job or quota")
+		p.Add("of", fmt.Sprintf("%q", x.ObjectKind), "budget, pool, host, job, quota or key")
 	}
 	return p
 }
@@ -124,6 +124,9 @@
 			}
 		}
 		return retire(s.Quotas, r, x.ObjectKind)
+	case record.KindKey:
+		s.changed.Keys = true
+		return retire(s.Keys, r, x.ObjectKind)
 	case record.KindJob:
 		return s.retireJob(r)
 	}
--- a/fleet/ledger/snapshot.go
+++ b/fleet/ledger/snapshot.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"slices"
 
+	"carawaymux.dev/fleet/apikey"
 	"carawaymux.dev/fleet/budget"
 	"carawaymux.dev/fleet/host"
 	"carawaymux.dev/fleet/jobs"
@@ -31,6 +32,8 @@
 	Lease       lease.Lease                               `json:"lease"`
 	Gates       map[record.Kind]int                       `json:"gates"`
 	Unknown     map[uint64]record.Unknown                 `json:"unread"`
+	// Keys is left out while there are none, so that versions without keys compute the same hash.
+	Keys map[string]*record.Versioned[apikey.Spec] `json:"keys,omitempty"`
 	// IDs holds packedIDBytes for each record ID, sorted by offset: the offset in big-endian order,
 	// then the ID.
 	IDs []byte `json:"ids"`
@@ -47,7 +50,7 @@
 	return Snapshot{
 		NextOffset: s.NextOffset, FirstOffset: s.FirstOffset, Budgets: s.Budgets, Pools: s.Pools,
 		Quotas: s.Quotas, Hosts: s.Hosts, Waves: s.Waves, Jobs: s.Jobs, Lease: s.Lease, Gates: s.Gates,
-		Unknown: s.Unknown, IDs: packIDs(s.IDs),
+		Unknown: s.Unknown, Keys: s.Keys, IDs: packIDs(s.IDs),
 	}
 }
 
@@ -62,6 +65,7 @@
 	replaceIfSet(&s.Budgets, snap.Budgets)
 	replaceIfSet(&s.Pools, snap.Pools)
 	replaceIfSet(&s.Quotas, snap.Quotas)
+	replaceIfSet(&s.Keys, snap.Keys)
 	replaceIfSet(&s.Hosts, snap.Hosts)
 	replaceIfSet(&s.Waves, snap.Waves)
 	replaceIfSet(&s.Jobs, snap.Jobs)
@@ -79,7 +83,7 @@
 func (s *State) checkReferences() error {
 	if err := errors.Join(
 		checkNoNil("budget", s.Budgets), checkNoNil("pool", s.Pools), checkNoNil("quota", s.Quotas),
-		checkNoNil("host", s.Hosts), checkNoNil("wave", s.Waves), checkNoNil("job", s.Jobs),
+		checkNoNil("host", s.Hosts), checkNoNil("wave", s.Waves), checkNoNil("job", s.Jobs), checkNoNil("key", s.Keys),
 	); err != nil {
 		return err
 	}
--- a/fleet/ledger/state.go
+++ b/fleet/ledger/state.go
@@ -10,6 +10,7 @@
 import (
 	"slices"
 
+	"carawaymux.dev/fleet/apikey"
 	"carawaymux.dev/fleet/budget"
 	"carawaymux.dev/fleet/host"
 	"carawaymux.dev/fleet/jobs"
@@ -34,6 +35,8 @@
 	Budgets map[string]*record.Versioned[budget.Spec]
 	Pools   map[string]*record.Versioned[pool.Spec]
 	Quotas  map[string]*record.Versioned[quota.Spec]
+	// Keys holds the keys of teams by name. No two have the same digest.
+	Keys map[string]*record.Versioned[apikey.Spec]
 	// Hosts holds the hosts by name. Each belongs to exactly one pool.
 	Hosts map[string]*host.Host
 	// Waves holds the maintenance waves by name, including ended ones.
@@ -59,6 +62,8 @@
 type Changed struct {
 	// Routing is set if the routing of requests may have changed.
 	Routing bool
+	// Keys is set if the keys of teams may have changed.
+	Keys bool
 }
 
 // index holds data derived from the exported fields of [State]. It is not encoded.
@@ -84,6 +89,7 @@
 		Budgets: make(map[string]*record.Versioned[budget.Spec]),
 		Pools:   make(map[string]*record.Versioned[pool.Spec]),
 		Quotas:  make(map[string]*record.Versioned[quota.Spec]),
+		Keys:    make(map[string]*record.Versioned[apikey.Spec]),
 		Hosts:   make(map[string]*host.Host),
 		Waves:   make(map[string]*wave.Wave),
 		Jobs:    make(map[string]*jobs.Job),
--- a/fleet/ledger/tasks.go
+++ b/fleet/ledger/tasks.go
@@ -84,6 +84,15 @@
 	return nil
 }
 
+func (s *State) applyTeamCancel(c jobs.TeamCancel) *rejection {
+	for _, name := range c.Jobs {
+		if j := s.Jobs[name]; j != nil && j.Published.Spec.Team == c.Team {
+			j.Cancelled = true
+		}
+	}
+	return nil
+}
+
 // applyPlacement applies each item on its own. The record is rejected only if no item can be
 // applied.
 func (s *State) applyPlacement(r *record.Record, version uint64, placement jobs.Placement) *rejection {
--- a/fleet/record/record.go
+++ b/fleet/record/record.go
@@ -35,6 +35,9 @@
 	KindCancel Kind = "cancel"
 	KindRetire Kind = "retire"
 	KindGate   Kind = "gate"
+	KindKey    Kind = "key"
+	// KindTeamCancel is what entries publish for a team that cancels its jobs.
+	KindTeamCancel Kind = "team-cancel"
 )
 
 // The kinds of records that the planner writes. Except for lease claims and the cancelling
