--- a/fleet/client/client.go
+++ b/fleet/client/client.go
@@ -210,6 +210,7 @@
 	if err != nil {
 		return Response{Outcome: wire.NotRun}, fault.At("request", c.base, err)
 	}
+	c.authorize(req)
 	req.Header.Set(wire.HeaderID, r.ID)
 	req.Header.Set(wire.HeaderIdempotent, strconv.FormatBool(r.Idempotent))
 	if r.Urgency != "" {
@@ -236,6 +237,12 @@
 	}, nil
 }
 
+func (c *Client) authorize(req *http.Request) {
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+}
+
 // patientHTTP returns an HTTP client whose timeout is later than the deadline of a request.
 func (c *Client) patientHTTP(deadline time.Duration) *http.Client {
 	if c.http.Timeout == 0 || deadline == 0 {
@@ -255,9 +262,7 @@
 	if err != nil {
 		return fault.At("call", c.base, err)
 	}
-	if c.key != "" {
-		req.Header.Set("Authorization", "Bearer "+c.key)
-	}
+	c.authorize(req)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return fault.At("call", c.base, err)
--- a/oper/deps/deps.go
+++ b/oper/deps/deps.go
@@ -97,6 +97,15 @@
 	return f
 }
 
+// WithOutput returns a copy of the factory whose commands write their output to w.
+func (f *Factory) WithOutput(w io.Writer) *Factory {
+	streams := *f.Streams
+	streams.Out = w
+	out := *f
+	out.Streams = &streams
+	return &out
+}
+
 func loadSettings(flags *Flags) (*Settings, error) {
 	s := &Settings{Entries: []string{"http://127.0.0.1:7000"}, Timeout: defaultTimeout, Key: os.Getenv(envKey)}
 	if u, err := user.Current(); err == nil {
--- /dev/null
+++ b/oper/key/create.go
@@ -0,0 +1,73 @@
+package key
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"carawaymux.dev/fleet/apikey"
+	"carawaymux.dev/oper/deps"
+	"carawaymux.dev/oper/exits"
+	"carawaymux.dev/oper/object"
+	"carawaymux.dev/oper/table"
+)
+
+// CreateOptions are the options of the create command.
+type CreateOptions struct {
+	object.Publisher
+	JSON *table.JSONFlag
+	Name string
+	Team string
+}
+
+// created is a key that was created.
+type created struct{ name, team, key string }
+
+var createdColumns = []table.Column[created]{
+	{Name: "name", Value: func(c created) any { return c.name }},
+	{Name: "team", Value: func(c created) any { return c.team }},
+	{Name: "key", Value: func(c created) any { return c.key }},
+}
+
+// NewCreate builds the create command.
+func NewCreate(f *deps.Factory, run func(context.Context, *CreateOptions) error) *cobra.Command {
+	o := &CreateOptions{Publisher: object.Publisher{Factory: f}}
+	cmd := &cobra.Command{
+		Use:   "create NAME",
+		Short: "Create a key of a team and show it",
+		Long: "Create a key of a team. The key is shown once, on standard output; the fleet stores its digest only.\n" +
+			"To replace a key, create a second one, hand it to the team, and revoke the first one.",
+		Example: "  caraway key create berths-2026 --team berths --wait\n  caraway key create berths-2026 --team berths --json key",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			o.Name = args[0]
+			if run != nil {
+				return run(cmd.Context(), o)
+			}
+			return Create(cmd.Context(), o)
+		},
+	}
+	o.JSON = table.Bind(cmd, createdColumns)
+	cmd.Flags().StringVar(&o.Team, "team", "", "`team` that the key belongs to")
+	cmd.Flags().BoolVar(&o.Wait, "wait", false, "wait until the key is in force on every entry")
+	_ = cmd.MarkFlagRequired("team")
+	return cmd
+}
+
+// Create publishes the digest of a new key and prints the key. A key whose record may not have been accepted is not shown, so
+// that nobody relies on it.
+func Create(ctx context.Context, o *CreateOptions) error {
+	key := apikey.New()
+	publisher := o.Publisher
+	publisher.Factory = o.WithOutput(o.Streams.Err)
+	publisher.UnknownAdvice = fmt.Sprintf("the key is not shown; if \"caraway key list\" has %s, revoke it and create another", o.Name)
+	err := publisher.Publish(ctx, o.Name, apikey.Spec{Team: o.Team, Digest: apikey.Digest(key)})
+	if err != nil && exits.Code(err) != exits.NotPropagated {
+		return err
+	}
+	if printErr := table.Print(o.Streams, o.JSON, createdColumns, []created{{o.Name, o.Team, key}}); printErr != nil {
+		return printErr
+	}
+	return err
+}
--- a/oper/object/object.go
+++ b/oper/object/object.go
@@ -31,6 +31,8 @@
 	Wait bool
 	// ID is the ID of an earlier record that is published again. If it is empty, a new ID is used.
 	ID string
+	// UnknownAdvice says what to do when the outcome is unknown. If it is empty, it is to publish again under the same ID.
+	UnknownAdvice string
 }
 
 // Bind adds the flags of the publisher to a command.
@@ -81,7 +83,11 @@
 	v, err := c.PublishRaw(ctx, raw)
 	if err != nil {
 		if exits.Code(err) == exits.Unreachable {
-			return exits.With(exits.Unreachable, fmt.Errorf("%w\noutcome unknown; retry safely with --id %s", err, id))
+			advice := "retry safely with --id " + id
+			if p.UnknownAdvice != "" {
+				advice = p.UnknownAdvice
+			}
+			return exits.With(exits.Unreachable, fmt.Errorf("%w\noutcome unknown; %s", err, advice))
 		}
 		return err
 	}
