Ask callers of carawayd for keys once teams have them

Anyone could send requests, and read and cancel any job. Once a record in the log holds the key of a team, a request without a valid key is answered with 401. A team sends requests, reads its own jobs, and cancels them; another team's job looks like one that does not exist. Operators' keys give access to everything, as before. A key that was revoked is refused on each entry as soon as the record is in force there. An entry that has not read the log to its end within auth key-max-age refuses the keys of teams with 503, is not ready, logs it, and recovers with the next read. Records from peers do not count as read, since a peer may be behind, too. The ID of another team's request neither runs nor gets the answer to it. Without keys of teams nothing changes.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"carawaymux.dev/entry/auth"
 	"carawaymux.dev/entry/dedup"
 	"carawaymux.dev/entry/follow"
 	"carawaymux.dev/entry/front"
@@ -31,6 +32,7 @@
 	"carawaymux.dev/entry/vars"
 	"carawaymux.dev/entry/watch"
 	"carawaymux.dev/entry/work"
+	"carawaymux.dev/fleet/apikey"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/ledger"
 	"carawaymux.dev/fleet/plat"
@@ -57,6 +59,7 @@
 
 	client      *plat.Client
 	keys        *keys.Store
+	gate        *auth.Gate
 	tracer      *trace.Tracer
 	router      *route.Router
 	members     *member.Tracker
@@ -148,7 +151,7 @@
 	d.relayServer = relay.NewServer(d.invoker.Do, d.incarnation, s.Limits.Body, d.logger, relay.WithBaseContext(d.requests))
 	d.front = front.New(s, d.incarnation, front.Dependencies{
 		Follower: d.follower, Members: d.members, Router: d.router, Invoker: d.invoker, Metrics: metrics,
-		Keys: d.keys, Logger: d.logger,
+		Keys: d.keys, Gate: d.gate, Logger: d.logger,
 	})
 	d.publishMetrics(metrics)
 	return nil
@@ -169,8 +172,10 @@
 	self := member.Row{Name: s.Name, Zone: s.Zone, Incarnation: d.incarnation}
 	d.members = member.New(self, peers, dialer, member.WithLogger(d.logger),
 		member.WithFollower(func() *follow.Follower { return d.follower }))
+	d.gate = auth.New(auth.Limits{FailClosed: true, Revocation: s.Auth.KeyMaxAge, Apply: s.Auth.KeyMaxAge}, d.logger)
 	d.follower = follow.New(d.client, follow.WithFetcher(d.members.Fetch), follow.WithLogger(d.logger),
-		follow.WithPoll(s.Platform.PollTimeout), follow.WithObserver(d.routingObserver(ownZone(s))))
+		follow.WithPoll(s.Platform.PollTimeout), follow.WithObserver(d.routingObserver(ownZone(s))),
+		follow.WithObserver(d.keyObserver()))
 }
 
 // ownZone returns the entry's zone with the sorted names of all entries in it.
@@ -202,6 +207,16 @@
 	}
 }
 
+// keyObserver returns the observer that passes the keys of teams to the gate, and when the log was read.
+func (d *Daemon) keyObserver() follow.Observer {
+	return func(s *ledger.State, changed ledger.Changed, p follow.Progress) {
+		if changed.Keys {
+			d.gate.Configure(apikey.Config(s.Keys, int64(s.NextOffset)))
+		}
+		d.gate.Confirm(p.LogReadAt)
+	}
+}
+
 // onSummary passes the router's summary to the member tracker, which reports it to the peers. The
 // router starts first, so the first summary may arrive before there is a member tracker.
 func (d *Daemon) onSummary(s route.Summary) {
--- a/entry/dedup/dedup.go
+++ b/entry/dedup/dedup.go
@@ -87,9 +87,9 @@
 func (r *Registry) Close() { r.task.Close() }
 
 // Do runs a request, unless a copy of it has been started before: then it waits for the answer to
-// that copy and returns it. If the outcome of a copy is [wire.NotRun], the next copy may run.
-func (r *Registry) Do(ctx context.Context, id string, run func() work.Answer) work.Answer {
-	result, err := task.Call(ctx, r.task, func(reply chan<- claimed) message { return claim{id, reply} })
+// that copy and returns it. A copy from another team than the first one is not run, and does not get its answer. If the outcome of a copy is [wire.NotRun], the next copy may run.
+func (r *Registry) Do(ctx context.Context, id, team string, run func() work.Answer) work.Answer {
+	result, err := task.Call(ctx, r.task, func(reply chan<- claimed) message { return claim{id, team, reply} })
 	if err != nil {
 		// This copy was not started, but another one may have been.
 		return work.Unknown("registry of request ids: " + err.Error())
@@ -114,8 +114,8 @@
 type (
 	// claim asks whether the caller may run the request with an ID.
 	claim struct {
-		id    string
-		reply chan<- claimed
+		id, team string
+		reply    chan<- claimed
 	}
 	// finish reports the answer to the copy that was run.
 	finish struct {
@@ -133,6 +133,8 @@
 
 // execution is the state of the request with one ID.
 type execution struct {
+	// team is the team of the caller that sent the first copy.
+	team      string
 	startedAt time.Time
 	finished  bool
 	answer    work.Answer
@@ -167,14 +169,17 @@
 func (m claim) handle(s *state) {
 	e := s.executions[m.id]
 	if e == nil {
-		s.executions[m.id] = &execution{startedAt: time.Now()}
+		s.executions[m.id] = &execution{team: m.team, startedAt: time.Now()}
 		m.reply <- claimed{first: true}
 		return
 	}
 	answer := make(chan work.Answer, 1)
-	if e.finished {
+	switch {
+	case e.team != m.team:
+		answer <- work.Unknown("the id was used by a caller of another team")
+	case e.finished:
 		answer <- e.answer
-	} else {
+	default:
 		e.waiters = append(e.waiters, answer)
 	}
 	m.reply <- claimed{answer: answer}
--- a/entry/dedup/dedup_test.go
+++ b/entry/dedup/dedup_test.go
@@ -24,7 +24,7 @@
 	var group errgroup.Group
 	for range 50 {
 		group.Go(func() error {
-			a := registry.Do(context.Background(), "id", func() work.Answer {
+			a := registry.Do(context.Background(), "id", "", func() work.Answer {
 				runs.Add(1)
 				time.Sleep(20 * time.Millisecond)
 				return work.Answer{Outcome: wire.Done, Body: []byte("paid")}
@@ -41,7 +41,7 @@
 	registry := dedup.New()
 	defer registry.Close()
 	run := func(id string, a work.Answer) work.Answer {
-		return registry.Do(context.Background(), id, func() work.Answer { return a })
+		return registry.Do(context.Background(), id, "", func() work.Answer { return a })
 	}
 	run("lost", work.Unknown("cut"))
 	require.Equal(t, wire.Unknown, run("lost", work.Answer{Outcome: wire.Done}).Outcome, "the request may have run, so no copy may run again")
@@ -54,9 +54,9 @@
 	defer registry.Close()
 	big := work.Answer{Outcome: wire.Done, Body: make([]byte, 3<<20)}
 	for _, id := range []string{"a", "b"} {
-		registry.Do(context.Background(), id, func() work.Answer { return big })
+		registry.Do(context.Background(), id, "", func() work.Answer { return big })
 	}
-	a := registry.Do(context.Background(), "a", func() work.Answer {
+	a := registry.Do(context.Background(), "a", "", func() work.Answer {
 		t.Error("the request ran twice")
 		return big
 	})
@@ -76,3 +76,22 @@
 		require.Error(t, err, bad)
 	}
 }
+
+// Guards against a team that gets the answer to another team's request, and against a request that runs twice because its caller
+// began to send a key in between.
+func TestTheIDOfAnotherTeamNeitherRunsNorGetsTheAnswer(t *testing.T) {
+	registry := dedup.New()
+	defer registry.Close()
+	send := func(team string) work.Answer {
+		return registry.Do(context.Background(), "a", team, func() work.Answer {
+			return work.Answer{Outcome: wire.Done, Body: []byte(team)}
+		})
+	}
+	require.Equal(t, "berths", string(send("berths").Body))
+	for _, team := range []string{"", "quays"} {
+		a := send(team)
+		require.Equal(t, wire.Unknown, a.Outcome)
+		require.Empty(t, a.Body)
+	}
+	require.Equal(t, "berths", string(send("berths").Body))
+}
--- a/entry/follow/core.go
+++ b/entry/follow/core.go
@@ -44,6 +44,8 @@
 		trusted bool
 		// fromLog is set if the records come from the log, which shows that it can be reached.
 		fromLog bool
+		// askedAt is when the log was asked, on the clock of [clock.SinceBoot].
+		askedAt time.Duration
 		reply   chan<- uint64
 	}
 	// adoptState offers a full state. It replaces the current one if its offset is higher, or if the
@@ -171,6 +173,9 @@
 		c.progress.ConfirmedAt = time.Now()
 		c.progress.Configured = true
 		c.progress.Trusted = c.progress.Trusted || m.trusted
+		if m.fromLog {
+			c.progress.LogReadAt = m.askedAt
+		}
 	}
 	if m.fromLog {
 		c.progress.LogError = ""
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -65,6 +65,9 @@
 	Trusted bool
 	// ConfirmedAt is when the log or a peer last confirmed that it has no newer records.
 	ConfirmedAt time.Time
+	// LogReadAt is the time as of which all records of the log are applied, on the clock of [clock.SinceBoot]; 0 if the log
+	// was never read to its end. Records from peers do not advance it, since a peer may not be able to read the log either.
+	LogReadAt time.Duration
 	// LogError is the error of the last read of the log; empty if it succeeded.
 	LogError string
 	// HashOffset and Hash are the offset and value of the newest hash of the state. Diverged is set
--- a/entry/follow/reader.go
+++ b/entry/follow/reader.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"carawaymux.dev/fleet/clock"
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/plat"
@@ -29,6 +30,7 @@
 	retry.InitialInterval, retry.MaxInterval = minBackoff, maxBackoff
 	offset := f.initialOffset(ctx)
 	for ctx.Err() == nil {
+		askedAt := clock.SinceBoot()
 		page, err := f.client.Read(ctx, plat.StreamMain, offset, plat.MaxRead, f.poll)
 		var gone *plat.GoneError
 		switch {
@@ -37,7 +39,7 @@
 				"the log ends at offset %d, below offset %d up to which records are applied", page.Next, offset))
 		case err == nil && page.First <= offset:
 			retry.Reset()
-			offset = f.applyLogRecords(ctx, page.Records, page.Next)
+			offset = f.applyLogRecords(ctx, page.Records, page.Next, askedAt)
 			continue
 		case errors.As(err, &gone) || err == nil:
 			offset = f.recoverState(ctx, offset)
@@ -80,9 +82,9 @@
 }
 
 // applyLogRecords passes records from the log to the core and returns the next offset to read.
-func (f *Follower) applyLogRecords(ctx context.Context, records []plat.Record, next uint64) uint64 {
+func (f *Follower) applyLogRecords(ctx context.Context, records []plat.Record, next uint64, askedAt time.Duration) uint64 {
 	offset, err := task.Call(ctx, f.core, func(reply chan<- uint64) message {
-		return batch{records: records, next: next, trusted: true, fromLog: true, reply: reply}
+		return batch{records: records, next: next, trusted: true, fromLog: true, askedAt: askedAt, reply: reply}
 	})
 	if err != nil {
 		return next
--- /dev/null
+++ b/entry/front/access.go
@@ -0,0 +1,134 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"carawaymux.dev/entry/keys"
+	"carawaymux.dev/entry/work"
+	"carawaymux.dev/fleet/access"
+	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/jobs"
+	"carawaymux.dev/fleet/record"
+	"carawaymux.dev/fleet/wire"
+)
+
+// unverifiedRetry is the Retry-After of a request whose key cannot be verified now, in seconds.
+const unverifiedRetry = "1"
+
+// audience is who may use a path once teams have keys. Until then, paths other than those of operators need no key.
+type audience int
+
+const (
+	// callers are teams and operators. They need a key even if the settings allow access without keys.
+	callers audience = iota
+	// readers are teams, which see what is theirs, and operators.
+	readers
+	// operators are the owners of operator keys.
+	operators
+)
+
+// teamHandler handles a request from a team. The team is empty for operators, and for everybody until teams have keys.
+type teamHandler func(w http.ResponseWriter, r *http.Request, team string)
+
+// admit returns a handler that refuses the requests of others than the audience.
+func (f *Front) admit(who audience, next teamHandler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		team, verdict := f.identify(r, who)
+		switch {
+		case verdict == access.Unverified:
+			w.Header().Set("Retry-After", unverifiedRetry)
+			f.refuse(w, who, http.StatusServiceUnavailable, verdict.String(),
+				"the key cannot be verified: the entry has not been able to read the log lately; send the request to another entry, or later")
+		case verdict == access.Unauthorized:
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			f.refuse(w, who, http.StatusUnauthorized, verdict.String(), "a valid key is required in the header Authorization: Bearer KEY")
+		case who == operators && team != "":
+			f.refuse(w, who, http.StatusForbidden, "forbidden", "the key of a team does not give access to this path")
+		default:
+			next(w, r, team)
+		}
+	})
+}
+
+// operatorsRead is [Front.admit] for paths on which operators read.
+func (f *Front) operatorsRead(next http.HandlerFunc) http.Handler {
+	return f.admit(operators, func(w http.ResponseWriter, r *http.Request, _ string) { next(w, r) })
+}
+
+// refuse answers a request that is not admitted. Callers learn that it has not run.
+func (f *Front) refuse(w http.ResponseWriter, who audience, status int, verdict, reason string) {
+	f.Metrics.WithoutAccess(verdict)
+	if who == callers {
+		setOutcomeHeaders(w, work.NotRun(reason), f.settings.Name)
+	}
+	f.writeError(w, status, wire.ErrorBody{Error: reason})
+}
+
+// identify returns the team whose key a request has, and whether the key gives access.
+func (f *Front) identify(r *http.Request, who audience) (team string, verdict access.Verdict) {
+	if f.Gate == nil {
+		return "", access.Allowed
+	}
+	key := presentedKey(r)
+	d := f.Gate.Decide(key, false)
+	if d.Verdict == access.Allowed {
+		return d.Tenant, access.Allowed
+	}
+	// Without a key, a request is an operator's only if the settings allow that.
+	if key != "" {
+		if id, known := f.Keys.Identify(r); known && id.Role == keys.Operator {
+			return "", access.Allowed
+		}
+	} else if who != callers && f.Keys.Allows(r, keys.Operator) {
+		return "", access.Allowed
+	}
+	return "", d.Verdict
+}
+
+// presentedKey returns the key of a request; empty if it has none. A value of another scheme is a key that nobody has.
+func presentedKey(r *http.Request) string {
+	value := strings.TrimSpace(r.Header.Get("Authorization"))
+	if scheme, key, found := strings.Cut(value, " "); found && strings.EqualFold(scheme, "Bearer") {
+		return strings.TrimSpace(key)
+	}
+	return value
+}
+
+// refuseForeignKind refuses to show a team objects other than jobs, and reports whether it did.
+func (f *Front) refuseForeignKind(w http.ResponseWriter, r *http.Request, team string) bool {
+	if team == "" || record.Kind(r.PathValue("kind")) == record.KindJob {
+		return false
+	}
+	f.refuse(w, readers, http.StatusForbidden, "forbidden", "the key of a team shows only the team's jobs")
+	return true
+}
+
+// publishOwn appends a record of a team. Teams may cancel their jobs, and nothing else.
+func (f *Front) publishOwn(w http.ResponseWriter, r *http.Request, team string) {
+	raw, err := readBody(r.Context(), w, r, record.MaxBytes)
+	if err != nil {
+		f.handleError(w, err)
+		return
+	}
+	rec, err := codec.DecodeRecord(raw)
+	if err != nil {
+		f.handleError(w, err)
+		return
+	}
+	cancel, ok := rec.Body.(jobs.Cancel)
+	if !ok {
+		f.refuse(w, operators, http.StatusForbidden, "forbidden", fmt.Sprintf("the key of a team may publish only records of kind %q", record.KindCancel))
+		return
+	}
+	body := jobs.TeamCancel{Team: team, Cancel: cancel}
+	own := record.Record{
+		ID: rec.ID, Schema: codec.NewestSchema(body.Kind()), Author: "team:" + team, At: rec.At, Body: body,
+	}
+	if problems := append(own.CheckEnvelope(), body.Check()...); len(problems) > 0 {
+		f.handleError(w, problems)
+		return
+	}
+	f.append(w, r, own)
+}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -18,6 +18,7 @@
 
 	"github.com/justinas/alice"
 
+	"carawaymux.dev/entry/auth"
 	"carawaymux.dev/entry/follow"
 	"carawaymux.dev/entry/invoke"
 	"carawaymux.dev/entry/keys"
@@ -39,7 +40,9 @@
 	Invoker  *invoke.Invoker
 	Metrics  *vars.Set
 	Keys     *keys.Store
-	Logger   *slog.Logger
+	// Gate decides on the keys of teams. It may be nil.
+	Gate   *auth.Gate
+	Logger *slog.Logger
 }
 
 // Front serves the HTTP API of an entry. Use [New] to build it.
@@ -62,19 +65,18 @@
 // Handler returns the handler of all paths.
 func (f *Front) Handler() http.Handler {
 	common := alice.New(f.recoverPanics, f.closeWhileStopping)
-	operators := common.Append(f.operatorsOnly)
 	mux := http.NewServeMux()
-	mux.Handle("POST "+wire.PathRequests+"{kind}", common.ThenFunc(f.runRequest))
-	mux.Handle("GET "+wire.PathIDs, common.ThenFunc(f.issueID))
-	mux.Handle("POST "+wire.PathRecords, operators.ThenFunc(f.publish))
-	mux.Handle("GET "+wire.PathRecords, common.ThenFunc(f.listRecords))
-	mux.Handle("GET "+wire.PathObjects+"{kind}", common.ThenFunc(f.objects))
-	mux.Handle("GET "+wire.PathObjects+"{kind}/{name}", common.ThenFunc(f.object))
-	mux.Handle("GET "+wire.PathExplain+"{kind}/{name}", common.ThenFunc(f.explain))
-	mux.Handle("GET "+wire.PathMembers, common.ThenFunc(f.members))
-	mux.Handle("GET "+wire.PathStatus, common.ThenFunc(f.status))
-	mux.Handle("POST "+wire.PathCarry, common.ThenFunc(f.queryCarry))
-	mux.Handle("POST "+wire.PathLeave, common.ThenFunc(f.queryLeave))
+	mux.Handle("POST "+wire.PathRequests+"{kind}", common.Then(f.admit(callers, f.runRequest)))
+	mux.Handle("GET "+wire.PathIDs, common.Then(f.admit(callers, f.issueID)))
+	mux.Handle("POST "+wire.PathRecords, common.Then(f.admit(readers, f.publish)))
+	mux.Handle("GET "+wire.PathRecords, common.Then(f.operatorsRead(f.listRecords)))
+	mux.Handle("GET "+wire.PathObjects+"{kind}", common.Then(f.admit(readers, f.objects)))
+	mux.Handle("GET "+wire.PathObjects+"{kind}/{name}", common.Then(f.admit(readers, f.object)))
+	mux.Handle("GET "+wire.PathExplain+"{kind}/{name}", common.Then(f.admit(readers, f.explain)))
+	mux.Handle("GET "+wire.PathMembers, common.Then(f.admit(readers, f.members)))
+	mux.Handle("GET "+wire.PathStatus, common.Then(f.operatorsRead(f.status)))
+	mux.Handle("POST "+wire.PathCarry, common.Then(f.operatorsRead(f.queryCarry)))
+	mux.Handle("POST "+wire.PathLeave, common.Then(f.operatorsRead(f.queryLeave)))
 	mux.Handle("GET "+wire.PathLive, common.ThenFunc(f.live))
 	mux.Handle("GET "+wire.PathReady, common.ThenFunc(f.ready))
 	mux.Handle("GET "+wire.PathMetrics, common.Then(f.Metrics.Handler()))
@@ -108,19 +110,6 @@
 	})
 }
 
-// operatorsOnly rejects requests without an operator key, unless the settings allow access without
-// keys.
-func (f *Front) operatorsOnly(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !f.Keys.Allows(r, keys.Operator) {
-			w.Header().Set("WWW-Authenticate", "Bearer")
-			f.writeError(w, http.StatusUnauthorized, wire.ErrorBody{Error: "operator key required in the header Authorization: Bearer KEY"})
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (f *Front) unknownPath(w http.ResponseWriter, r *http.Request) {
 	f.writeError(w, http.StatusNotFound, wire.ErrorBody{Error: "no such path: " + r.Method + " " + r.URL.Path})
 }
@@ -137,6 +126,8 @@
 		f.writeError(w, http.StatusServiceUnavailable, wire.ErrorBody{Error: err.Error()})
 	case !progress.Configured || !progress.Trusted:
 		f.writeError(w, http.StatusServiceUnavailable, wire.ErrorBody{Error: follow.ErrNoConfig.Error()})
+	case f.Gate != nil && f.Gate.IsClosed():
+		f.writeError(w, http.StatusServiceUnavailable, wire.ErrorBody{Error: "keys of teams cannot be verified: the entry has not been able to read the log lately"})
 	default:
 		fmt.Fprintln(w, "ready")
 	}
--- a/entry/front/objects.go
+++ b/entry/front/objects.go
@@ -31,8 +31,8 @@
 }
 
 // collectObjects returns the objects of a kind from the state, sorted by name. If name is not
-// empty, it returns only the object of that name, or errNotFound.
-func collectObjects(s *ledger.State, k record.Kind, name string) ([]objectInfo, error) {
+// empty, it returns only the object of that name, or errNotFound. For a team it returns only the team's jobs.
+func collectObjects(s *ledger.State, k record.Kind, name, team string) ([]objectInfo, error) {
 	var out []objectInfo
 	add := func(info objectInfo) {
 		if name == "" || info.object.Name == name {
@@ -40,6 +40,10 @@
 		}
 	}
 	switch k {
+	case record.KindKey:
+		for _, v := range sortedByName(s.Keys) {
+			add(objectInfo{object: objectMetadata(k, v), spec: v.Spec})
+		}
 	case record.KindBudget:
 		for _, v := range sortedByName(s.Budgets) {
 			add(objectInfo{object: objectMetadata(k, v), spec: v.Spec})
@@ -58,7 +62,9 @@
 		}
 	case record.KindJob:
 		for _, j := range sortedByName(s.Jobs) {
-			add(jobInfo(s, j))
+			if team == "" || j.Published.Spec.Team == team {
+				add(jobInfo(s, j))
+			}
 		}
 	case record.KindWave:
 		for _, w := range sortedByName(s.Waves) {
@@ -66,7 +72,7 @@
 		}
 	default:
 		return nil, record.Problems{{
-			Field: "kind", Got: fmt.Sprintf("%q", k), Allowed: "budget, pool, quota, host, job or wave"}}
+			Field: "kind", Got: fmt.Sprintf("%q", k), Allowed: "budget, pool, quota, host, job, wave or key"}}
 	}
 	if name != "" && len(out) == 0 {
 		return nil, fault.At("look-up", "", fmt.Errorf("%w: %s %q", errNotFound, k, name))
@@ -103,7 +109,7 @@
 
 // readObjects returns the objects that a request asks for, and the offset of the state that they
 // were read from. With detail, which requires a name, it adds reasons that are costly to compute.
-func readObjects(f *Front, r *http.Request, name string, detail bool) ([]objectInfo, uint64, error) {
+func readObjects(f *Front, r *http.Request, name, team string, detail bool) ([]objectInfo, uint64, error) {
 	if err := f.waitMinOffset(r); err != nil {
 		return nil, 0, err
 	}
@@ -113,7 +119,7 @@
 		err    error
 	}
 	got, err := follow.Ask(r.Context(), f.Follower, func(s *ledger.State) result {
-		list, err := collectObjects(s, record.Kind(r.PathValue("kind")), name)
+		list, err := collectObjects(s, record.Kind(r.PathValue("kind")), name, team)
 		if detail && err == nil {
 			addDetail(s, &list[0])
 		}
@@ -126,20 +132,25 @@
 }
 
 // objects lists all objects of a kind.
-func (f *Front) objects(w http.ResponseWriter, r *http.Request) { f.writeObjects(w, r, "") }
+func (f *Front) objects(w http.ResponseWriter, r *http.Request, team string) {
+	f.writeObjects(w, r, "", team)
+}
 
 // object shows one object.
-func (f *Front) object(w http.ResponseWriter, r *http.Request) {
-	f.writeObjects(w, r, r.PathValue("name"))
+func (f *Front) object(w http.ResponseWriter, r *http.Request, team string) {
+	f.writeObjects(w, r, r.PathValue("name"), team)
 }
 
-func (f *Front) writeObjects(w http.ResponseWriter, r *http.Request, name string) {
+func (f *Front) writeObjects(w http.ResponseWriter, r *http.Request, name, team string) {
+	if f.refuseForeignKind(w, r, team) {
+		return
+	}
 	schema, err := uintParam(r, "schema", 0)
 	if err != nil {
 		f.handleError(w, err)
 		return
 	}
-	list, offset, err := readObjects(f, r, name, false)
+	list, offset, err := readObjects(f, r, name, team, false)
 	if err != nil {
 		f.handleError(w, err)
 		return
@@ -158,8 +169,11 @@
 }
 
 // explain shows one object, the reasons for its present state, and its history.
-func (f *Front) explain(w http.ResponseWriter, r *http.Request) {
-	list, offset, err := readObjects(f, r, r.PathValue("name"), true)
+func (f *Front) explain(w http.ResponseWriter, r *http.Request, team string) {
+	if f.refuseForeignKind(w, r, team) {
+		return
+	}
+	list, offset, err := readObjects(f, r, r.PathValue("name"), team, true)
 	if err != nil {
 		f.handleError(w, err)
 		return
--- a/entry/front/operate.go
+++ b/entry/front/operate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carawaymux.dev/entry/follow"
+	"carawaymux.dev/entry/keys"
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/ledger"
 	"carawaymux.dev/fleet/query"
@@ -21,8 +22,17 @@
 	maxStreamRecords = 512
 )
 
-// publish appends an operator's record to the log and answers with the verdict on it.
-func (f *Front) publish(w http.ResponseWriter, r *http.Request) {
+// publish appends the record of an operator or of a team to the log and answers with the verdict on it.
+func (f *Front) publish(w http.ResponseWriter, r *http.Request, team string) {
+	if team != "" {
+		f.publishOwn(w, r, team)
+		return
+	}
+	if !f.Keys.Allows(r, keys.Operator) {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		f.writeError(w, http.StatusUnauthorized, wire.ErrorBody{Error: "operator key required in the header Authorization: Bearer KEY"})
+		return
+	}
 	raw, err := readBody(r.Context(), w, r, record.MaxBytes)
 	if err != nil {
 		f.handleError(w, err)
@@ -33,6 +43,11 @@
 		f.handleError(w, err)
 		return
 	}
+	f.append(w, r, rec)
+}
+
+// append appends a valid record to the log and answers with the verdict on it.
+func (f *Front) append(w http.ResponseWriter, r *http.Request, rec record.Record) {
 	ctx, cancel := context.WithTimeout(r.Context(), publishTimeout)
 	defer cancel()
 	verdict, err := f.Follower.Publish(ctx, rec)
@@ -104,7 +119,7 @@
 }
 
 // members lists the entries and their state as this entry sees them.
-func (f *Front) members(w http.ResponseWriter, r *http.Request) {
+func (f *Front) members(w http.ResponseWriter, r *http.Request, _ string) {
 	peers, err := f.Members.Peers(r.Context())
 	if err != nil {
 		f.handleError(w, err)
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -17,8 +17,9 @@
 
 // runRequest runs a caller's request. The body is read only when it is first needed, and kept for
 // retries.
-func (f *Front) runRequest(w http.ResponseWriter, r *http.Request) {
+func (f *Front) runRequest(w http.ResponseWriter, r *http.Request, team string) {
 	req, problems := f.parseRequest(r)
+	req.Team = team
 	if len(problems) > 0 {
 		f.Metrics.Request("", wire.NotRun)
 		setOutcomeHeaders(w, work.NotRun(problems.Error()), f.settings.Name)
@@ -122,7 +123,7 @@
 }
 
 // issueID issues the ID that a caller sends with a non-idempotent request.
-func (f *Front) issueID(w http.ResponseWriter, r *http.Request) {
+func (f *Front) issueID(w http.ResponseWriter, r *http.Request, _ string) {
 	id, err := f.Invoker.IssueID(r.Context(), r.URL.Query().Get("kind"))
 	if err != nil {
 		f.writeError(w, http.StatusBadRequest, wire.ErrorBody{
--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -158,7 +158,7 @@
 			return work.Unknown("the id was issued by an earlier incarnation of the entry")
 		}
 		r.Deduplicated = true
-		return v.registry.Do(ctx, r.ID, func() work.Answer { return v.run(ctx, r) })
+		return v.registry.Do(ctx, r.ID, r.Team, func() work.Answer { return v.run(ctx, r) })
 	}
 	return v.forwardToOwner(ctx, r, id)
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -34,6 +34,7 @@
 type requestHeader struct {
 	ID           string       `json:"id"`
 	Kind         string       `json:"kind"`
+	Team         string       `json:"team,omitempty"`
 	Urgency      jobs.Urgency `json:"urgency"`
 	RemainingMS  int64        `json:"left-ms"`
 	Idempotent   bool         `json:"idempotent,omitempty"`
@@ -64,7 +65,7 @@
 
 func newRequestHeader(r work.Request, length int, incarnation uint64, now time.Time) *requestHeader {
 	return &requestHeader{
-		ID: r.ID, Kind: r.Kind, Urgency: r.Urgency, RemainingMS: r.Deadline.Sub(now).Milliseconds(),
+		ID: r.ID, Kind: r.Kind, Team: r.Team, Urgency: r.Urgency, RemainingMS: r.Deadline.Sub(now).Milliseconds(),
 		Idempotent: r.Idempotent, Deduplicated: r.Deduplicated, ContentType: r.ContentType,
 		TraceParent: r.TraceParent, Hops: r.Hops + 1, LostTargets: r.LostTargets, Length: length, Incarnation: incarnation,
 	}
@@ -72,7 +73,7 @@
 
 func (h *requestHeader) workRequest(body []byte, now time.Time) work.Request {
 	return work.Request{
-		ID: h.ID, Kind: h.Kind, Urgency: h.Urgency,
+		ID: h.ID, Kind: h.Kind, Team: h.Team, Urgency: h.Urgency,
 		Deadline:   now.Add(time.Duration(h.RemainingMS) * time.Millisecond),
 		Idempotent: h.Idempotent, Deduplicated: h.Deduplicated, ContentType: h.ContentType,
 		TraceParent: h.TraceParent, Hops: h.Hops, LostTargets: h.LostTargets,
--- a/entry/setup/setup.go
+++ b/entry/setup/setup.go
@@ -75,6 +75,8 @@
 	// AllowAll allows all requests without a key. It is off by default, so that access without keys
 	// is a deliberate choice.
 	AllowAll bool
+	// KeyMaxAge is how long ago the entry may have read the log to its end for it to accept the keys of teams.
+	KeyMaxAge time.Duration
 }
 
 // Limits bound the resources that requests can use. Sizes are in bytes.
@@ -154,7 +156,6 @@
 		StopTimeout: f.Duration("entry", "stop-timeout", 2*time.Minute, time.Second, 15*time.Minute),
 		Listen:      readListen(f),
 		Platform:    readPlatform(f),
-		Auth:        readAuth(f),
 		Limits:      readLimits(f),
 		Planner:     readPlanner(f),
 		Trace:       readTrace(f),
@@ -163,6 +164,7 @@
 	if s.StopTimeout < 2*s.DrainDelay {
 		f.AddProblem("entry", "stop-timeout", s.StopTimeout.String(), "must be at least twice drain-delay")
 	}
+	s.Auth = readAuth(f, s.Platform)
 	s.Peers = readPeers(f, s.Name)
 	return s
 }
@@ -229,8 +231,21 @@
 	return out
 }
 
-func readAuth(f *conf.File) Auth {
+const (
+	// defaultKeyMaxAge bridges a short outage of the log. A revoked key works for at most that long on an entry that has lost
+	// the log.
+	defaultKeyMaxAge = 15 * time.Second
+	maxKeyMaxAge     = time.Hour
+)
+
+// leastKeyMaxAge returns the least age at which an entry that reads the log without errors never refuses keys: a read covers what the
+// log held when it was sent, and the next one may take a poll and the time limit of a call longer. One more poll is left for delays.
+func leastKeyMaxAge(p Platform) time.Duration { return 3*p.PollTimeout + p.Timeout }
+
+func readAuth(f *conf.File, p Platform) Auth {
 	a := Auth{KeyFile: f.Text("auth", "key-file", ""), AllowAll: f.Bool("auth", "open", false)}
+	least := leastKeyMaxAge(p)
+	a.KeyMaxAge = f.Duration("auth", "key-max-age", max(defaultKeyMaxAge, least), least, maxKeyMaxAge)
 	switch {
 	case a.AllowAll && a.KeyFile != "":
 		f.AddProblem("auth", "open", "yes", "must be no if key-file is set")
--- a/entry/vars/vars.go
+++ b/entry/vars/vars.go
@@ -17,13 +17,16 @@
 	vars     *expvar.Map
 	outcomes *expvar.Map
 	badInput *expvar.Map
+	// withoutAccess counts requests that were refused for their key.
+	withoutAccess *expvar.Map
 }
 
 // New returns an empty set.
 func New() *Set {
-	s := &Set{vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), badInput: new(expvar.Map).Init()}
+	s := &Set{vars: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), badInput: new(expvar.Map).Init(), withoutAccess: new(expvar.Map).Init()}
 	s.vars.Set("requests", s.outcomes)
 	s.vars.Set("bad-input", s.badInput)
+	s.vars.Set("requests-without-access", s.withoutAccess)
 	s.vars.Set("memory", expvar.Func(memoryStats))
 	s.vars.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	return s
@@ -55,6 +58,9 @@
 // BadInput counts an answer that rejects a client's input, by its HTTP status.
 func (s *Set) BadInput(status int) { s.badInput.Add(fmt.Sprint(status), 1) }
 
+// WithoutAccess counts a request that was refused for its key, by the verdict on it.
+func (s *Set) WithoutAccess(verdict string) { s.withoutAccess.Add(verdict, 1) }
+
 // Handler returns a handler that serves the set as JSON.
 func (s *Set) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/entry/work/work.go
+++ b/entry/work/work.go
@@ -13,8 +13,10 @@
 
 // Request is a request to run work on a target.
 type Request struct {
-	ID         string
-	Kind       string
+	ID   string
+	Kind string
+	// Team is the team of the caller; empty if callers need no keys, and for operators.
+	Team       string
 	Urgency    jobs.Urgency
 	Deadline   time.Time
 	Idempotent bool
