Check a key again after a wait, and run nothing before keys are known

A read that waits for an offset, or for records, was answered by the key that it had when it arrived, also if that key was revoked in between; an entry that starts admitted callers before it knew whether they need keys. Reads now check again before they show what they read, and an entry without a configuration runs no request, which it could not route either.

--- a/entry/auth/auth.go
+++ b/entry/auth/auth.go
@@ -70,6 +70,9 @@
 	g.unreadable.Store(false)
 }
 
+// IsConfigured reports whether a configuration has been applied.
+func (g *Gate) IsConfigured() bool { return g.table.Load() != nil }
+
 // Reject records that the newest configuration could not be read.
 func (g *Gate) Reject() { g.unreadable.Store(true) }
 
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -174,8 +174,8 @@
 		member.WithFollower(func() *follow.Follower { return d.follower }))
 	d.gate = auth.New(auth.Limits{FailClosed: true, Revocation: s.Auth.KeyMaxAge, Apply: s.Auth.KeyMaxAge}, d.logger)
 	d.follower = follow.New(d.client, follow.WithFetcher(d.members.Fetch), follow.WithLogger(d.logger),
-		follow.WithPoll(s.Platform.PollTimeout), follow.WithObserver(d.routingObserver(ownZone(s))),
-		follow.WithObserver(d.keyObserver()))
+		follow.WithPoll(s.Platform.PollTimeout), follow.WithObserver(d.keyObserver()),
+		follow.WithObserver(d.routingObserver(ownZone(s))))
 }
 
 // ownZone returns the entry's zone with the sorted names of all entries in it.
@@ -207,10 +207,11 @@
 	}
 }
 
-// keyObserver returns the observer that passes the keys of teams to the gate, and when the log was read.
+// keyObserver returns the observer that passes the keys of teams to the gate, and when the log was read. It is called before the
+// one that opens routes.
 func (d *Daemon) keyObserver() follow.Observer {
 	return func(s *ledger.State, changed ledger.Changed, p follow.Progress) {
-		if changed.Keys {
+		if changed.Keys || (p.Configured && !d.gate.IsConfigured()) {
 			d.gate.Configure(apikey.Config(s.Keys, int64(s.NextOffset)))
 		}
 		d.gate.Confirm(p.LogReadAt)
--- a/entry/front/access.go
+++ b/entry/front/access.go
@@ -1,11 +1,13 @@
 package front
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
 
 	"carawaymux.dev/entry/keys"
+	"carawaymux.dev/entry/route"
 	"carawaymux.dev/entry/work"
 	"carawaymux.dev/fleet/access"
 	"carawaymux.dev/fleet/codec"
@@ -37,6 +39,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		team, verdict := f.identify(r, who)
 		switch {
+		case who == callers && f.Gate != nil && !f.Gate.IsConfigured():
+			f.Metrics.Request("", wire.NotRun)
+			setOutcomeHeaders(w, work.NotRun(route.ErrNoTable.Error()), f.settings.Name)
+			f.writeError(w, http.StatusServiceUnavailable, wire.ErrorBody{Error: route.ErrNoTable.Error()})
 		case verdict == access.Unverified:
 			w.Header().Set("Retry-After", unverifiedRetry)
 			f.refuse(w, who, http.StatusServiceUnavailable, verdict.String(),
@@ -52,6 +58,18 @@
 	})
 }
 
+// errAccessEnded reports that a request is not admitted any more.
+var errAccessEnded = errors.New("the key of the request is not accepted any more")
+
+// checkStillAdmitted returns an error if a request that was admitted would not be now. What a request reads after a wait is shown only
+// then: a key may have been revoked, and an entry that starts learns only then that keys are needed.
+func (f *Front) checkStillAdmitted(r *http.Request, who audience, team string) error {
+	if now, verdict := f.identify(r, who); verdict != access.Allowed || now != team {
+		return errAccessEnded
+	}
+	return nil
+}
+
 // operatorsRead is [Front.admit] for paths on which operators read.
 func (f *Front) operatorsRead(next http.HandlerFunc) http.Handler {
 	return f.admit(operators, func(w http.ResponseWriter, r *http.Request, _ string) { next(w, r) })
--- a/entry/front/access_test.go
+++ b/entry/front/access_test.go
@@ -27,6 +27,12 @@
 	admitted    = http.StatusBadRequest
 )
 
+var (
+	oneKey  = map[string]*record.Versioned[apikey.Spec]{"one": {Spec: apikey.Spec{Team: "berths", Digest: apikey.Digest(teamKey)}}}
+	noKeys  = map[string]*record.Versioned[apikey.Spec]{}
+	unknown map[string]*record.Versioned[apikey.Spec]
+)
+
 // accessFixture is a front end whose requests are refused for their key, or answered with status 400 since they are malformed.
 type accessFixture struct {
 	*httptest.Server
@@ -34,7 +40,8 @@
 	now time.Duration
 }
 
-func newAccessFixture(t *testing.T, openToAll, withKeys bool) *accessFixture {
+// newAccessFixture returns a fixture of an entry that knows some keys, or that has no configuration if they are nil.
+func newAccessFixture(t *testing.T, openToAll bool, published map[string]*record.Versioned[apikey.Spec]) *accessFixture {
 	f := &accessFixture{t: t, now: time.Hour}
 	logger := slog.New(slog.DiscardHandler)
 	file := filepath.Join(t.TempDir(), "keys")
@@ -45,11 +52,9 @@
 	gate := auth.New(auth.Limits{FailClosed: true, Revocation: 10 * time.Second, Apply: 10 * time.Second}, logger,
 		auth.WithClock(func() time.Duration { return f.now }))
 	gate.Confirm(f.now)
-	published := map[string]*record.Versioned[apikey.Spec]{}
-	if withKeys {
-		published["one"] = &record.Versioned[apikey.Spec]{Spec: apikey.Spec{Team: "berths", Digest: apikey.Digest(teamKey)}}
+	if published != nil {
+		gate.Configure(apikey.Config(published, 1))
 	}
-	gate.Configure(apikey.Config(published, 1))
 	front := front.New(&setup.Settings{}, 1, front.Dependencies{Metrics: vars.New(), Keys: store, Gate: gate, Logger: logger})
 	f.Server = httptest.NewServer(front.Handler())
 	t.Cleanup(f.Close)
@@ -90,7 +95,7 @@
 
 // Guards against requests that are served without a valid key, and against teams that read or change what is not theirs.
 func TestOnceTeamsHaveKeysEachPathNeedsOne(t *testing.T) {
-	f := newAccessFixture(t, false, true)
+	f := newAccessFixture(t, false, oneKey)
 	for path := range paths {
 		f.requireStatus(http.StatusUnauthorized, "", path)
 		f.requireStatus(http.StatusUnauthorized, "an unknown key", path)
@@ -106,7 +111,7 @@
 
 // Guards against deployments without keys that behave differently than before.
 func TestWithoutKeysOfTeamsOnlyPublishingNeedsAKey(t *testing.T) {
-	f := newAccessFixture(t, false, false)
+	f := newAccessFixture(t, false, noKeys)
 	f.now += time.Hour
 	for path := range paths {
 		want := admitted
@@ -121,7 +126,7 @@
 
 // Guards against callers without a key where the settings only mean to spare operators one.
 func TestOpenSettingsSpareOperatorsAKeyButNotCallers(t *testing.T) {
-	f := newAccessFixture(t, true, true)
+	f := newAccessFixture(t, true, oneKey)
 	f.requireStatus(admitted, "", "publish", "job", "explain", "pool", "records", "carry")
 	f.requireStatus(http.StatusUnauthorized, "", "request")
 	f.requireStatus(http.StatusUnauthorized, "an unknown key", "request", "publish", "job")
@@ -130,7 +135,7 @@
 
 // Guards against a revoked key that works on an entry which cannot read the log, and against entries that stay closed.
 func TestAnEntryThatCannotReadTheLogRefusesKeysUntilItCan(t *testing.T) {
-	f := newAccessFixture(t, false, true)
+	f := newAccessFixture(t, false, oneKey)
 	f.now += 9500 * time.Millisecond
 	for _, key := range []string{teamKey, "an unknown key"} {
 		response := f.send("request", key)
@@ -149,3 +154,10 @@
 	f.requireStatus(admitted, operatorKey, "request", "publish", "pool")
 	f.requireStatus(http.StatusUnauthorized, "", "request")
 }
+
+// Guards against requests that are run without a key while an entry that starts does not know yet whether they need one.
+func TestAnEntryWithoutAConfigurationRunsNoRequest(t *testing.T) {
+	response := newAccessFixture(t, true, unknown).send("request", "")
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, string(wire.NotRun), response.Header.Get(wire.HeaderOutcome))
+}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -165,6 +165,8 @@
 		body.Error = fmt.Sprintf("body: larger than the limit of %d bytes", tooLarge.Limit)
 	case errors.As(err, &problems):
 		status, body.Problems = http.StatusBadRequest, problems
+	case errors.Is(err, errAccessEnded):
+		status = http.StatusUnauthorized
 	case errors.Is(err, errNotFound):
 		status = http.StatusNotFound
 	}
--- a/entry/front/objects.go
+++ b/entry/front/objects.go
@@ -125,6 +125,9 @@
 		}
 		return result{list, s.NextOffset, err}
 	})
+	if err == nil {
+		err = f.checkStillAdmitted(r, readers, team)
+	}
 	if err == nil {
 		err = got.err
 	}
--- a/entry/front/operate.go
+++ b/entry/front/operate.go
@@ -99,6 +99,9 @@
 	defer cancel()
 	_ = f.Follower.WaitOffset(ctx, from+1)
 	page, err := f.Follower.RecordsFrom(r.Context(), from, maxStreamRecords)
+	if err == nil {
+		err = f.checkStillAdmitted(r, operators, "")
+	}
 	if err != nil {
 		f.handleError(w, err)
 		return
@@ -232,6 +235,9 @@
 		a, err := answer(s, question)
 		return result{a, s.NextOffset, err}
 	})
+	if err == nil {
+		err = f.checkStillAdmitted(r, operators, "")
+	}
 	if err == nil {
 		err = got.err
 	}
