--- a/trial/integ/keys_test.go
+++ b/trial/integ/keys_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"carawaymux.dev/fleet/client"
 	"carawaymux.dev/fleet/host"
@@ -202,3 +203,31 @@
 		return lost.Client.Ready(ctx)
 	})
 }
+
+// Guards against callers that are refused while their key is replaced, and against entries that stop to accept keys under load.
+func TestNoRequestIsRefusedWhileKeysAreReplacedUnderLoad(t *testing.T) {
+	f := start(t, twoZones())
+	key := f.createKey("key-0", "berths")
+	const rounds, senders = 5, 4
+	for i := range rounds {
+		ctx, stop := context.WithCancel(f.ctx)
+		var group errgroup.Group
+		for s := range senders {
+			group.Go(func() error {
+				for n := 0; ctx.Err() == nil; n++ {
+					if a := f.send(f.Entries[(s+n)%len(f.Entries)], key); a.Status == http.StatusUnauthorized || a.Status == http.StatusServiceUnavailable {
+						return fmt.Errorf("status %d: %s", a.Status, a.Reason)
+					}
+				}
+				return nil
+			})
+		}
+		next := f.createKey(fmt.Sprintf("key-%d", i+1), "berths")
+		if i > 0 {
+			f.caraway(f.Entries[i%4], "key", "revoke", fmt.Sprintf("key-%d", i-1), "--wait")
+		}
+		stop()
+		require.NoError(t, group.Wait())
+		key = next
+	}
+}
