Take submissions while the store is slow, and share appends to inboxes

Owners now allow an append twice the time of the newest one, up to 1.2 s. Submissions to an inbox that come while an append to it is in flight share the next one.

Tried and left out: entries inside a zone cut report not ready and close connections, so that callers turn to other zones.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -31,8 +31,6 @@
 	// new view before the next attempt.
 	retryInterval  = 60 * time.Millisecond
 	refreshTimeout = 100 * time.Millisecond
-	// inboxTimeout limits the time to write to the inbox.
-	inboxTimeout = 900 * time.Millisecond
 	// storeFreshness is the maximum age of the last answer of the store for the store to count
 	// as reachable. It is about the time that an owner needs to detect that the store is unavailable.
 	storeFreshness = 450 * time.Millisecond
@@ -73,6 +71,8 @@
 	// MaxRecordBytes is the store's limit on a record. 0 means no limit.
 	MaxRecordBytes int
 
+	// Inbox writes submissions to the inboxes of pools, several at a time. If it is nil, each is written by itself.
+	Inbox *InboxWriter
 	// ownerUnreachableAt is the time of the last failed attempt to reach an owner, in
 	// nanoseconds since 1970.
 	ownerUnreachableAt atomic.Int64
@@ -250,7 +250,7 @@
 // unseen is true if no owner can have received the submission.
 func (n *Intake) submitToInbox(ctx context.Context, q port.Queue, id string, spec batch.Spec, unseen bool) owner.Answer {
 	drain.Waiting(ctx, drain.Inbox, "")
-	ctx, cancel := context.WithTimeout(ctx, inboxTimeout)
+	ctx, cancel := context.WithTimeout(ctx, inboxWait)
 	defer cancel()
 	value, err := codec.EncodeFrame(spec)
 	if err != nil {
@@ -262,8 +262,7 @@
 		return owner.Answer{Outcome: owner.Refused, Reason: fmt.Sprintf(
 			"the job takes %d bytes in the store, at most %d are allowed", record.StoredBytes(), n.MaxRecordBytes)}
 	}
-	_, err = n.Log.Append(ctx, owner.InboxStream(q.Pool, n.Partitions), []port.Record{record}, nil, -1)
-	if err == nil {
+	if err = n.appendToInbox(ctx, owner.InboxStream(q.Pool, n.Partitions), record); err == nil {
 		n.Logger.Info("job left in the inbox", "job", id, "pool", q.Pool)
 		return owner.Answer{Outcome: owner.Accepted}
 	}
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -18,7 +18,7 @@
 	// confirms it.
 	confirmInterval = time.Second
 	// unavailableAfter is how long an append may stay unanswered before the store counts as
-	// unavailable and submissions are refused at once.
+	// unavailable and submissions are refused at once, if earlier ones were not slow.
 	unavailableAfter = 400 * time.Millisecond
 	// unavailableRetryAfter is the retry time that callers are given while the store is
 	// unavailable. It is about as long as an outage that ends without intervention.
@@ -72,8 +72,9 @@
 	// inFlight is the append in flight. It is nil if there is none.
 	inFlight   *appendInFlight
 	lastAppend time.Time
-	// unavailable reports whether an append has been unanswered for longer than unavailableAfter.
+	// unavailable reports whether an append has been unanswered for longer than times allows.
 	unavailable bool
+	times       appendTimes
 }
 
 // addHost notes that the record of a host is to be written.
@@ -175,9 +176,9 @@
 func (c *core) flush(now time.Time) {
 	journal := &c.journal
 	if journal.inFlight != nil {
-		if !journal.unavailable && now.Sub(journal.inFlight.startedAt) > unavailableAfter {
+		if !journal.unavailable && now.Sub(journal.inFlight.startedAt) > journal.times.limit(now) {
 			journal.unavailable = true
-			c.logger.Warn("store lost", "waiting", len(journal.newJobs))
+			c.logger.Warn("store lost", "waiting", len(journal.newJobs), "limit-ms", journal.times.limit(now).Milliseconds())
 		}
 		return
 	}
@@ -210,7 +211,9 @@
 		journal.unavailable = false
 		c.logger.Info("store regained")
 	}
-	c.deps.Stats.Observe("store-append", time.Since(written.startedAt), "pool", c.state.Pool)
+	took := time.Since(written.startedAt)
+	journal.times.record(took, time.Now())
+	c.deps.Stats.Observe("store-append", took, "pool", c.state.Pool)
 	c.state.ConfirmedAt = m.Sent
 	c.settleQuestions(time.Now())
 	for _, h := range written.hosts {
