Keep images that slow each other down on different hosts where there is room

Placement packed tasks that hurt each other onto one host. A pool now observes how long runs take beside which images and the tail latency of serving tasks, and placementCost has a term for suspected pairs that is below what keeps work from waiting, near its data or off hosts where it failed. Starts beside a suspected image say so.

Without pairs the starts are the same with and without names of images.

--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -73,6 +73,8 @@
 	used            batch.Size
 	longRunning     int
 	longRunningUsed batch.Size
+	// present holds the images of the assigned tasks.
+	present presence
 	// UnknownRuns is the number of runs that the host reports but that are not assigned to it.
 	// unknownTasks holds those of their tasks that exist. Nothing of these starts elsewhere until
 	// the host no longer reports the run, or nothing can be running there.
@@ -217,6 +219,7 @@
 	}
 	step := s.step(r)
 	h.used = h.used.Add(step.Reservation())
+	h.present.change(step, 1, s.neighbors.now)
 	use := s.backlog.tenant(j)
 	use.Running = use.Running.Add(step.Need)
 	if task.late {
@@ -241,6 +244,7 @@
 	}
 	step := s.step(r)
 	h.used = h.used.Sub(step.Reservation())
+	h.present.change(step, -1, s.neighbors.now)
 	use := s.backlog.tenant(j)
 	use.Running = use.Running.Sub(step.Need)
 	if task.late {
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -206,6 +206,9 @@
 	}
 	stage.idle--
 	s.backlog.update(j, ref.Occurrence, ref.Step)
+	s.neighbors.now = now
+	reason := s.startReason(step, c.host)
+	s.observeStart(step, task, c.host, now)
 	s.assign(c.host, ref, task)
 	c.free = c.free.Sub(step.Reservation())
 	s.recordPlacement(c, task)
@@ -217,7 +220,7 @@
 	c.busy = c.unanswered >= limits.StartsPerHost
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Host: c.host.ID, Ref: ref, Run: run, Specification: j.Spec.Text, Checkpoint: task.Checkpoint,
-		Ticket: s.ticket(ref, c.host.ID), AfterWrite: task.Crashes.Isolated, Reason: "scheduled",
+		Ticket: s.ticket(ref, c.host.ID), AfterWrite: task.Crashes.Isolated, Reason: reason,
 	})
 }
 
@@ -287,6 +290,7 @@
 		cost += int64(c.host.longRunning) * longRunningWeight
 		cost -= 2 * left.MilliCores
 	}
+	cost += s.neighborCost(step, c.host)
 	if c.busy {
 		cost += busyWeight
 	}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -48,11 +48,13 @@
 	if !report.ReceivedAt.IsZero() {
 		h.ClockAt = report.ReceivedAt
 	}
+	s.neighbors.now = now
 	out := s.countEnds(h, report, now)
 	h.EndsListed = h.EndsListed || !report.Truncated
 	s.reconcile(h, report, firstReport, now)
 	s.measureHost(h, now)
 	s.handleSlowHost(h, now)
+	s.observeServing(h, now)
 	s.adjustThrottle(h, now)
 	return out
 }
@@ -217,6 +219,7 @@
 			break
 		}
 		s.recordDuration(j, step, out.Took)
+		s.observeEnd(h, ref.Job, step, task, e.Run, out.Took, now)
 		if step.Gang {
 			s.completeGang(j, ref, now)
 			break
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -11,6 +11,7 @@
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/demand"
 	"carawaymux.dev/fleet/grade"
+	"carawaymux.dev/fleet/pairs"
 	"carawaymux.dev/fleet/port"
 )
 
@@ -132,6 +133,8 @@
 	excuses [][]*pastCrash
 	// late reports whether the work was late when the last run was ordered.
 	late bool
+	// observed is what is remembered of the run to learn about its neighbors, or nil.
+	observed *observed
 	// startedEarlier reports whether an earlier owner had ordered a run of which neither the end nor the host is
 	// known.
 	startedEarlier bool
@@ -315,6 +318,8 @@
 	durationRatios map[string]*sample
 	// sizes holds the sizes of the jobs, by queue.
 	sizes map[string]*queueSizes
+	// neighbors is what was learned about tasks that slow each other down.
+	neighbors neighborhood
 }
 
 // New returns the state of a pool whose claim was confirmed at time now.
@@ -325,6 +330,7 @@
 		openJobs: map[string]*Job{}, unlistedCordons: map[string]unlistedCordon{}, durationRatios: map[string]*sample{}, sizes: map[string]*queueSizes{}, permits: map[batch.Ref]*permit{},
 		backlog: newBacklog(now), unansweredStops: map[batch.Ref]struct{}{},
 		suspects: map[batch.Ref]*Task{}, startedEarlier: map[batch.Ref]struct{}{},
+		neighbors: neighborhood{learner: pairs.New(), now: now},
 	}
 }
 
