Store, log and count the images that slow each other down

A new owner of a pool learned anew which images hurt each other, and operators could not see it. The suspected pairs are stored with the pool under a key of their own, at most every 30 s and in an append that is made anyway; what cannot be read is skipped and counted. Changes are logged at once and all suspected pairs each minute; metrics count them.

--- a/entry/owner/append.go
+++ b/entry/owner/append.go
@@ -116,6 +116,7 @@
 		}
 		content.jobs = append(content.jobs, j)
 	}
+	c.collectNeighbors(b, now)
 	c.collectChanges(b, content)
 	return b.records, content
 }
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -67,6 +67,8 @@
 	journal journal
 	// placing is the registration of the pool for its queues.
 	placing placing
+	// neighbors holds what was written and reported about images that slow each other down.
+	neighbors neighborWrites
 	// runCtx is cancelled when the owner stops. It bounds the messages that the owner's
 	// background work posts to the owner's inbox, and that work itself.
 	runCtx context.Context
@@ -224,6 +226,7 @@
 	c.listMachines(now)
 	c.logWaiting(now)
 	c.logOccupancy(now)
+	c.reportNeighbors(now)
 	c.delays.endInterval(now)
 }
 
--- a/entry/owner/state.go
+++ b/entry/owner/state.go
@@ -8,6 +8,7 @@
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/pairs"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 )
@@ -27,6 +28,8 @@
 	Queues map[string]storedQueue
 	// Granted holds the hosts whose machines may be ordered since an earlier owner has called them empty.
 	Granted map[string]struct{}
+	// Neighbors is the evidence about images that slow each other down.
+	Neighbors []pairs.Evidence
 	// OrphanedParts are parts of jobs that are not stored any more.
 	OrphanedParts []shard.StalePart
 	// Unreadable holds the errors of the records that could not be read, by key.
@@ -103,6 +106,8 @@
 		delete(s.Queues, id)
 	case keyGrant:
 		delete(s.Granted, id)
+	case keyNeighbors:
+		s.Neighbors = nil
 	}
 }
 
@@ -161,6 +166,12 @@
 		s.Queues[id] = v
 	case keyGrant:
 		s.Granted[id] = struct{}{}
+	case keyNeighbors:
+		v, err := codec.DecodeFrame[storedPairs](e.Value)
+		if err != nil {
+			return err
+		}
+		s.Neighbors = v.evidence()
 	}
 	return nil
 }
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -41,7 +41,9 @@
 	keyHost     = "/h/"
 	keyQueue    = "/q/"
 	keyGrant    = "/e/"
-	keyConfirm  = "/r"
+	// keyNeighbors has no ID either.
+	keyNeighbors = "/i/"
+	keyConfirm   = "/r"
 )
 
 // journal holds the changes that wait to be written and those of the append in flight.
@@ -136,6 +138,7 @@
 	c.journal.waiters, c.journal.grants = map[string][]waiter{}, newGrants()
 	now := time.Now()
 	c.restoreQueues(stored, config)
+	c.restoreNeighbors(stored, now)
 	for id, spec := range stored.Specs {
 		var n *shard.Progress
 		if v, ok := stored.Progress[id]; ok {
--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -21,7 +21,23 @@
 	}
 }
 
-func benchmarkRound(b *testing.B, hosts, waiting int) {
+// BenchmarkImages measures the rounds of BenchmarkRound with jobs that name one of forty images, of which each hurts some
+// others.
+func BenchmarkImages(b *testing.B) {
+	for _, suspected := range []int{0, 40, 400} {
+		for _, hosts := range []int{100, 350} {
+			b.Run(fmt.Sprintf("hosts-%d-waiting-1000-pairs-%d", hosts, suspected), func(b *testing.B) {
+				benchmarkImages(b, hosts, 1000, 40, suspected)
+			})
+		}
+	}
+}
+
+func benchmarkRound(b *testing.B, hosts, waiting int) { benchmarkImages(b, hosts, waiting, 0, 0) }
+
+// benchmarkImages measures rounds of a pool whose jobs name a number of images in turn, of which a number of pairs is
+// suspected.
+func benchmarkImages(b *testing.B, hosts, waiting, images, suspected int) {
 	now := time.Unix(1_700_000_000, 0)
 	s := shard.New("pool", 1, timing, now)
 	s.Configure(&port.Config{
@@ -34,8 +50,15 @@
 	}
 	now = now.Add(time.Millisecond)
 	s.ConfirmedAt = now
+	for i := range suspected {
+		addEvidence(s, fmt.Sprint("image-", i%images), fmt.Sprint("image-", (i+1+i/images)%images), 1, now)
+	}
 	for i := range waiting/10 + hosts {
-		j, _ := s.Submit(fmt.Sprint(i), batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(10)}}, now)
+		step := smallStep(10)
+		if images > 0 {
+			step.Image = fmt.Sprint("image-", i%images)
+		}
+		j, _ := s.Submit(fmt.Sprint(i), batch.Spec{Queue: "q", Steps: []batch.Step{step}}, now)
 		s.MarkStored(j)
 	}
 	shard.Plan(s, shard.BySlack{}, now, now.UnixMilli())
