--- a/oper/logs/explain.go
+++ b/oper/logs/explain.go
@@ -63,12 +63,12 @@
 	s := o.Factory.Streams
 	t := NewTimeline(o.Job)
 	for _, name := range o.Files {
-		if err := readFile(t, s.In, name); err != nil {
+		if err := readLog(s.In, name, t.ReadLog); err != nil {
 			return exits.With(exits.Failed, fault.At("read", name, err))
 		}
 	}
 	if t.SkippedLines > 0 {
-		fmt.Fprintf(s.Err, "skipped %d lines that are not JSON log lines with a valid time\n", t.SkippedLines)
+		fmt.Fprintf(s.Err, skippedLinesFormat, t.SkippedLines)
 	}
 	events := t.Events()
 	if len(events) == 0 {
@@ -77,14 +77,18 @@
 	return table.Print(s, o.JSON, columns, events)
 }
 
-func readFile(t *Timeline, in io.Reader, name string) error {
+// skippedLinesFormat tells how many lines were not read.
+const skippedLinesFormat = "skipped %d lines that are not JSON log lines with a valid time\n"
+
+// readLog reads the log of a name with a function; "-" stands for standard input.
+func readLog(in io.Reader, name string, read func(io.Reader) error) error {
 	if name == "-" {
-		return t.ReadLog(in)
+		return read(in)
 	}
 	f, err := os.Open(name)
 	if err != nil {
 		return err
 	}
 	defer f.Close()
-	return t.ReadLog(f)
+	return read(f)
 }
--- a/oper/logs/logs.go
+++ b/oper/logs/logs.go
@@ -10,6 +10,6 @@
 // New builds the log command and its subcommands.
 func New(f *deps.Factory) *cobra.Command {
 	cmd := &cobra.Command{Use: "log", Short: "Work with the logs of entries"}
-	cmd.AddCommand(NewExplain(f, nil))
+	cmd.AddCommand(NewExplain(f, nil), NewNeighbours(f, nil))
 	return cmd
 }
--- a/oper/logs/timeline.go
+++ b/oper/logs/timeline.go
@@ -61,32 +61,40 @@
 
 // ReadLog adds the lines of a log. Text before the first brace of a line, such as a prefix of the
 // log collector, is ignored.
-func (t *Timeline) ReadLog(r io.Reader) error {
+func (t *Timeline) ReadLog(r io.Reader) error { return scanLines(r, t.addLine, &t.SkippedLines) }
+
+// scanLines passes the JSON part of each line to add, and counts the lines that add does not accept.
+func scanLines(r io.Reader, add func([]byte) bool, skipped *int) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
 		line := lines.Bytes()
 		if brace := bytes.IndexByte(line, '{'); brace >= 0 {
-			t.addLine(line[brace:])
+			*skipped += count(!add(line[brace:]))
 		} else if len(bytes.TrimSpace(line)) > 0 {
-			t.SkippedLines++
+			*skipped++
 		}
 	}
 	return lines.Err()
 }
 
-// addLine decodes a line and keeps it if it is about the job or is a context event.
-func (t *Timeline) addLine(line []byte) {
+func count(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// addLine decodes a line and keeps it if it is about the job or is a context event. It reports whether it is a log line.
+func (t *Timeline) addLine(line []byte) bool {
 	var fields map[string]any
 	if err := json.Unmarshal(line, &fields); err != nil {
-		t.SkippedLines++
-		return
+		return false
 	}
 	text := func(name string) string { s, _ := fields[name].(string); return s }
 	at, err := time.Parse(time.RFC3339Nano, text("time"))
 	if err != nil {
-		t.SkippedLines++
-		return
+		return false
 	}
 	e := Event{Time: at, Entry: text("entry"), Message: text("msg"), pool: text("pool"), host: text("host")}
 	if e.pool == "" {
@@ -100,6 +108,7 @@
 	case contextMessages[e.Message]:
 		t.contextEvents = append(t.contextEvents, e)
 	}
+	return true
 }
 
 // formatDetail formats the fields of a line as name=value, sorted by name.
