Test pairs of images under overload, strong slowdowns, a takeover and a lost host

The load test covered a pool with room only. Added: no work waits beside room in an overloaded pool with pairs; a pair eight times slower, some of whose runs are stopped as if their host were slow, is found (12 hosts, jobs of eight tasks); a false suspicion ends in a full pool; a successor with evidence keeps the pair apart from its first round; images of lost tasks do not count; runs with other causes are left out.

--- a/fleet/pairs/pairs_test.go
+++ b/fleet/pairs/pairs_test.go
@@ -126,6 +126,22 @@
 	require.Empty(t, w.TakeEvents())
 }
 
+// Guards against a pair that is blamed because it has met on slow hosts only, which are slow without it too.
+func TestAPairThatMeetsOnSlowHostsIsNotSuspected(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed)
+		w.host[hostName(0)], w.host[hostName(1)], w.host[hostName(2)] = 2, 2, 2
+		for i := range 300 {
+			w.run("a", hostName(i%10))
+			w.run("c", hostName(i%10))
+			if i%4 == 0 {
+				w.run("a", hostName(w.rand.IntN(3)), "b")
+			}
+		}
+		require.Empty(t, w.TakeEvents(), "seed %d", seed)
+	}
+}
+
 // Guards against a pair that is blamed for the input of a large job whose tasks all ran beside one image.
 func TestAJobWithALargeInputRaisesNoSuspicion(t *testing.T) {
 	w := newWorld(1)
--- a/fleet/shard/neighbors_test.go
+++ b/fleet/shard/neighbors_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/pairs"
+	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 )
 
@@ -32,7 +34,11 @@
 	slowdown  map[[2]string]float64
 	slowHosts map[string]float64
 	ends      map[string]int64
-	jobs      int
+	// jobs counts the jobs, each of which has perJob tasks, or one if it is 0.
+	jobs, perJob int
+	// stopped holds the runs that were stopped on each host since its last report. Their number is in stops.
+	stopped map[string][]any
+	stops   int
 	// named reports whether the jobs name images.
 	named bool
 	// starts lists the starts as task and host.
@@ -51,7 +57,7 @@
 func newImageLoad(t *testing.T, seed uint64, hosts int, named bool) *imageLoad {
 	l := &imageLoad{
 		owner: newOwner(t, 1), rand: rand.New(rand.NewPCG(seed, 1)), runs: map[string][]*imageRun{}, named: named,
-		slowdown: map[[2]string]float64{}, slowHosts: map[string]float64{}, ends: map[string]int64{}, slowed: map[string]*meanRatio{},
+		slowdown: map[[2]string]float64{}, slowHosts: map[string]float64{}, stopped: map[string][]any{}, ends: map[string]int64{}, slowed: map[string]*meanRatio{},
 	}
 	for i := range hosts {
 		l.hosts = append(l.hosts, fmt.Sprintf("h%02d", i))
@@ -74,10 +80,10 @@
 	return 1 / (factor * max(l.slowHosts[host], 1))
 }
 
-// submitImage submits a job of one task. Its work differs from the estimate.
+// submitImage submits a job. The work of its tasks differs from the estimate.
 func (l *imageLoad) submitImage(image string, estimate time.Duration) {
 	l.jobs++
-	step := smallStep(1)
+	step := smallStep(max(l.perJob, 1))
 	step.Estimate = estimate
 	if l.named {
 		step.Image = image
@@ -98,7 +104,7 @@
 		for _, r := range l.runs[host] {
 			if r.done < r.work {
 				left = append(left, r)
-				rows = append(rows, runningRow(r.order, 0))
+				rows = append(rows, runningRow(r.order, 100*r.done.Seconds()/r.work.Seconds()))
 				continue
 			}
 			l.ends[host]++
@@ -111,10 +117,14 @@
 			l.slowed[r.image].n++
 		}
 		l.runs[host] = left
-		l.report(host, rows...)
+		l.report(host, append(rows, l.stopped[host]...)...)
+		delete(l.stopped, host)
 	}
 	for _, order := range l.start() {
-		require.Equal(l.t, shard.OrderStart, order.Kind, "nothing is stopped or moved")
+		if order.Kind == shard.OrderStop {
+			l.stop(order)
+			continue
+		}
 		image, _, _ := cutImage(order.Ref.Job)
 		estimate := l.Jobs[order.Ref.Job].Spec.Steps[0].Estimate
 		work := time.Duration(float64(estimate) * (0.85 + 0.3*l.rand.Float64()))
@@ -126,6 +136,17 @@
 	}
 }
 
+// stop stops a run.
+func (l *imageLoad) stop(o shard.Order) {
+	require.Equal(l.t, "host is slow", o.Reason, "nothing is stopped or moved for its neighbors")
+	l.stops++
+	l.clock++
+	l.HandleStopResult(&o, l.clock, nil, l.now)
+	l.runs[o.Host] = slices.DeleteFunc(l.runs[o.Host], func(r *imageRun) bool { return r.order.Ref == o.Ref })
+	l.ends[o.Host]++
+	l.stopped[o.Host] = append(l.stopped[o.Host], port.FinishedRun{Number: l.ends[o.Host], Unit: o.Ref.String(), Run: o.Run, Result: port.ResultStopped})
+}
+
 func cutImage(job string) (image, number string, ok bool) {
 	_, err := fmt.Sscanf(job, "%1s-%s", &image, &number)
 	return image, number, err == nil
@@ -206,6 +227,141 @@
 	}
 }
 
+// Guards against strong pairs that go on to meet: some of their runs are stopped, as if their host were slow, and show
+// nothing.
+func TestAPairWhoseHostsSeemSlowIsFound(t *testing.T) {
+	l := newImageLoad(t, 1, 12, true)
+	l.perJob = 8
+	l.slowdown[[2]string{"a", "b"}] = 8
+	l.play(3*time.Minute, 0.35, "a", "b", "c")
+	require.Equal(t, []string{"ab"}, l.suspected())
+	require.Positive(t, l.stops)
+	l.slowed = map[string]*meanRatio{}
+	l.play(2*time.Minute, 0.35, "a", "b", "c")
+	require.LessOrEqual(t, l.mean("a"), 1.1)
+}
+
+// Guards against work that waits beside room, and against work that is done more slowly, in an overloaded pool with pairs.
+func TestNoWorkWaitsBesideRoomBecauseOfAPair(t *testing.T) {
+	var ended [2]int
+	for i, named := range []bool{false, true} {
+		l := newImageLoad(t, 1, 6, named)
+		l.slowdown[[2]string{"a", "b"}], l.slowdown[[2]string{"b", "a"}] = 1.5, 1.5
+		for range 1200 {
+			l.play(imageTick, 5, "a", "b", "c")
+			for _, host := range l.hosts {
+				require.False(t, l.Waiting(l.now).Tasks > 0 && len(l.runs[host]) < 4, "%s has room and work waits", host)
+			}
+		}
+		for _, n := range l.ends {
+			ended[i] += int(n)
+		}
+		if named {
+			require.NotEmpty(t, l.suspected())
+		}
+	}
+	require.GreaterOrEqual(t, ended[1], ended[0]*98/100)
+}
+
+// Guards against a false suspicion that lasts in a pool that has no other room.
+func TestAFalseSuspicionIsDroppedInAFullPool(t *testing.T) {
+	l := newImageLoad(t, 1, 6, true)
+	l.play(30*time.Second, 5, "a", "b")
+	addEvidence(l.State, "a", "b", 1, l.now)
+	runs := 0
+	for len(l.suspected()) > 0 {
+		l.slowed = map[string]*meanRatio{}
+		l.play(imageTick, 5, "a", "b")
+		if m := l.slowed["a"]; m != nil {
+			runs += m.n
+		}
+		// Some runs of a meet no b.
+		require.Less(t, runs, 3*pairs.MaxRunsToDrop)
+	}
+}
+
+// Guards against work that is kept off a host, or said to start beside an image, for tasks that were lost with the host.
+func TestImagesOfTasksThatWereLostDoNotCount(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	addEvidence(o.State, "x", "y", 1, o.now)
+	o.submit("x", imageStep("x", 2))
+	require.Len(t, o.start(), 2)
+	o.HostEnded("a", o.now)
+	o.Cancel("x", o.now)
+	o.advance(time.Second)
+	o.Hosts["a"].Confirmed = false
+	o.report("a")
+	o.advance(time.Second)
+	o.submit("y", imageStep("y", 1))
+	starts := o.start()
+	require.Len(t, starts, 1)
+	require.Equal(t, "scheduled", starts[0].Reason)
+}
+
+// Guards against a successor whose work meets again until it has learned anew.
+func TestASuccessorKeepsPairsApartAtOnce(t *testing.T) {
+	newLoad := func() *imageLoad {
+		l := newImageLoad(t, 1, 12, true)
+		l.slowdown[[2]string{"a", "b"}], l.slowdown[[2]string{"b", "a"}] = 1.8, 1.5
+		return l
+	}
+	first := newLoad()
+	first.play(2*time.Minute, 3, "a", "b")
+	evidence := first.Neighbors().Suspected(256, first.now)
+	require.NotEmpty(t, evidence)
+	for _, stored := range []bool{false, true} {
+		next := newLoad()
+		if stored {
+			next.Neighbors().Merge(evidence, next.now)
+		}
+		next.play(15*time.Second, 3, "a", "b")
+		require.Equal(t, stored, next.mean("a") <= 1.1)
+	}
+}
+
+// Guards against evidence from runs whose duration has other causes than neighbors.
+func TestOnlyComparableRunsAreObserved(t *testing.T) {
+	for name, change := range map[string]func(o *owner, s *batch.Step){
+		"comparable":  func(*owner, *batch.Step) {},
+		"no image":    func(_ *owner, s *batch.Step) { s.Image = "" },
+		"no estimate": func(_ *owner, s *batch.Step) { s.Estimate = 0 },
+		"far data":    func(_ *owner, s *batch.Step) { s.DataRack = "elsewhere" },
+		"gang":        func(_ *owner, s *batch.Step) { s.Gang = true },
+		"best effort": func(_ *owner, s *batch.Step) { s.BestEffort = true },
+		"failing host": func(o *owner, _ *batch.Step) {
+			o.submit("other", smallStep(1))
+			o.report("a", failedRow(1, o.start()[0]))
+			o.Cancel("other", o.now)
+		},
+	} {
+		o := newOwner(t, 1, "a")
+		step := imageStep("x", 1)
+		change(o, &step)
+		o.submit("job", step)
+		starts := o.start()
+		require.Len(t, starts, 1, name)
+		o.advance(time.Second)
+		o.report("a", doneRow(2, starts[0]))
+		want := 0
+		if name == "comparable" {
+			want = 1
+		}
+		require.Equal(t, want, o.Neighbors().Size().Images, name)
+	}
+	// A run that resumes from a checkpoint has less to do.
+	o := newOwner(t, 1, "a")
+	o.submit("job", imageStep("x", 1))
+	starts := o.start()
+	stopped := doneRow(1, starts[0])
+	stopped.Result, stopped.Checkpoint = port.ResultStopped, "half"
+	o.report("a", stopped)
+	starts = o.start()
+	require.Equal(t, "half", starts[0].Checkpoint)
+	o.advance(time.Second)
+	o.report("a", doneRow(2, starts[0]))
+	require.Zero(t, o.Neighbors().Size().Images)
+}
+
 // addEvidence makes a pool suspect a pair.
 func addEvidence(s *shard.State, image, neighbor string, effect float64, now time.Time) {
 	s.Neighbors().Merge([]pairs.Evidence{
