Skip the cost of neighbors while no pair is suspected

Now a start copies up to about 16, by number, and the cost asks first whether any pair is suspected.

--- a/fleet/pairs/suspect.go
+++ b/fleet/pairs/suspect.go
@@ -108,13 +108,16 @@
 	return out
 }
 
+// Quiet reports whether no pair is suspected.
+func (l *Learner) Quiet() bool { return len(l.suspected) == 0 }
+
 // Partners maps images to the logarithm of the factor that is lost when they share a host with an image. Losses in both
 // directions are added.
 type Partners map[string]float64
 
 // Partners returns the images that an image should not share a host with, or nil if there are none. The result is shared.
 func (l *Learner) Partners(name string) Partners {
-	if len(l.suspected) == 0 {
+	if l.Quiet() {
 		return nil
 	}
 	if l.partners == nil {
--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -22,22 +22,29 @@
 }
 
 // BenchmarkImages measures the rounds of BenchmarkRound with jobs that name one of forty images, of which each hurts some
-// others.
+// others. In a roomy pool, half of the cores of each host are free on average.
 func BenchmarkImages(b *testing.B) {
-	for _, suspected := range []int{0, 40, 400} {
-		for _, hosts := range []int{100, 350} {
-			b.Run(fmt.Sprintf("hosts-%d-waiting-1000-pairs-%d", hosts, suspected), func(b *testing.B) {
-				benchmarkImages(b, hosts, 1000, 40, suspected)
-			})
+	const hosts, waiting = 350, 1000
+	for name, jobs := range map[string]int{"full": waiting/10 + hosts, "roomy": hosts * 4 / 10} {
+		for _, images := range []int{0, 40} {
+			for _, suspected := range []int{0, 40, 400} {
+				if images > 0 || suspected == 0 {
+					b.Run(fmt.Sprintf("%s-images-%d-pairs-%d", name, images, suspected), func(b *testing.B) {
+						benchmarkImages(b, hosts, jobs, images, suspected)
+					})
+				}
+			}
 		}
 	}
 }
 
-func benchmarkRound(b *testing.B, hosts, waiting int) { benchmarkImages(b, hosts, waiting, 0, 0) }
+func benchmarkRound(b *testing.B, hosts, waiting int) {
+	benchmarkImages(b, hosts, waiting/10+hosts, 0, 0)
+}
 
-// benchmarkImages measures rounds of a pool whose jobs name a number of images in turn, of which a number of pairs is
-// suspected.
-func benchmarkImages(b *testing.B, hosts, waiting, images, suspected int) {
+// benchmarkImages measures rounds of a pool whose jobs have ten tasks and name a number of images in turn, of which a
+// number of pairs is suspected.
+func benchmarkImages(b *testing.B, hosts, jobs, images, suspected int) {
 	now := time.Unix(1_700_000_000, 0)
 	s := shard.New("pool", 1, timing, now)
 	s.Configure(&port.Config{
@@ -53,7 +60,7 @@
 	for i := range suspected {
 		addEvidence(s, fmt.Sprint("image-", i%images), fmt.Sprint("image-", (i+1+i/images)%images), 1, now)
 	}
-	for i := range waiting/10 + hosts {
+	for i := range jobs {
 		step := smallStep(10)
 		if images > 0 {
 			step.Image = fmt.Sprint("image-", i%images)
--- a/fleet/shard/neighbors.go
+++ b/fleet/shard/neighbors.go
@@ -18,8 +18,9 @@
 	neighborWeight, maxNeighborWeight = 1 << 17, 3 << 17
 	// heavyLoss is the loss, the logarithm of a factor of 4, from which on the cost is the highest.
 	heavyLoss = 1.386
-	// maxPresent is the number of images of a host above which those that have left are forgotten.
-	maxPresent = 64
+	// maxPresent is the number of images of a host above which those that have left are forgotten. It bounds what a start
+	// copies.
+	maxPresent = 16
 	// servingWindow is the time over which the latency of a serving task is averaged. Best-effort work and the load of
 	// serving work change within seconds.
 	servingWindow = 5 * time.Second
@@ -48,6 +49,8 @@
 // presence holds the images on a host.
 type presence struct {
 	images []presentImage
+	// lastID is the highest ID of an image that was given out.
+	lastID int64
 	// tasks is the number of tasks that name an image, and serving that of those with a limit of their tail latency.
 	tasks, serving int
 }
@@ -61,6 +64,8 @@
 // presentImage is an image that is or was on a host.
 type presentImage struct {
 	image string
+	// id differs from that of each other image, and from that of the same image before it was forgotten.
+	id    int64
 	tasks int
 	// total is as of since, when the number of tasks last changed.
 	total present
@@ -95,7 +100,8 @@
 	at := p.find(step.Image)
 	if at < 0 {
 		p.forget()
-		p.images = append(p.images, presentImage{image: step.Image})
+		p.lastID++
+		p.images = append(p.images, presentImage{image: step.Image, id: p.lastID})
 		at = len(p.images) - 1
 	}
 	img := &p.images[at]
@@ -117,12 +123,18 @@
 // observed is what is remembered of a run until it is observed.
 type observed struct {
 	run int64
-	// images holds the images on the host when the run was ordered.
-	images []presentImage
+	// before holds for how long images had been on the host when the run was ordered.
+	before []presentBefore
 	// window is set for serving tasks.
 	window servingSums
 }
 
+// presentBefore says for how long an image had been on a host at a time.
+type presentBefore struct {
+	id int64
+	present
+}
+
 // servingSums holds the sums over the reports of a window, weighted by time.
 type servingSums struct {
 	lastReport time.Time
@@ -145,9 +157,9 @@
 	if step.LongRunning {
 		return
 	}
-	task.observed.images = make([]presentImage, len(h.present.images))
+	task.observed.before = make([]presentBefore, len(h.present.images))
 	for i := range h.present.images {
-		task.observed.images[i] = presentImage{image: h.present.images[i].image, total: h.present.images[i].at(now)}
+		task.observed.before[i] = presentBefore{h.present.images[i].id, h.present.images[i].at(now)}
 	}
 }
 
@@ -164,9 +176,9 @@
 	for i := range h.present.images {
 		img := &h.present.images[i]
 		total := img.at(now)
-		if before := slices.IndexFunc(o.images, func(b presentImage) bool { return b.image == img.image }); before >= 0 {
-			total.one -= o.images[before].total.one
-			total.two -= o.images[before].total.two
+		if at := slices.IndexFunc(o.before, func(b presentBefore) bool { return b.id == img.id }); at >= 0 {
+			total.one -= o.before[at].one
+			total.two -= o.before[at].two
 		}
 		beside := total.one
 		if img.image == step.Image {
@@ -280,7 +292,14 @@
 
 // neighborCost returns the placement cost of the images on a host that are suspected to hurt a task or to be hurt by it.
 func (s *State) neighborCost(step *batch.Step, h *Host) int64 {
-	if step.Image == "" || h.present.tasks == 0 {
+	if step.Image == "" || s.neighbors.learner.Quiet() {
+		return 0
+	}
+	return s.suspectedCost(step, h)
+}
+
+func (s *State) suspectedCost(step *batch.Step, h *Host) int64 {
+	if h.present.tasks == 0 {
 		return 0
 	}
 	_, loss := s.worstNeighbor(step, h)
@@ -311,7 +330,7 @@
 
 // startReason returns the reason of a start for logs. It counts the starts beside a suspected image.
 func (s *State) startReason(step *batch.Step, h *Host) string {
-	if step.Image == "" || h.present.tasks == 0 {
+	if step.Image == "" || s.neighbors.learner.Quiet() {
 		return scheduled
 	}
 	worst, _ := s.worstNeighbor(step, h)
