Keep long-running work off a suspected image though another host has one more task

The cost of a weak pair was below longRunningWeight, so serving work joined a suspected image rather than a host with one more long-running task. It gets the highest cost now.

--- a/entry/owner/fuzz_test.go
+++ b/entry/owner/fuzz_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/pairs"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 )
@@ -59,3 +61,29 @@
 		s.DropExpired(now)
 	})
 }
+
+// FuzzStoredPairs takes over evidence about images as an owner may find it in the store, and stores it again.
+func FuzzStoredPairs(f *testing.F) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, p := range []storedPair{{"a", "b", 1, 0.01, now.UnixMilli(), 9, 1}, {"a", "a", 1e308, 1, math.MaxInt64, -1, math.MinInt64}} {
+		raw, err := codec.EncodeFrame(storedPairs{Pairs: []storedPair{p}})
+		require.NoError(f, err)
+		f.Add(raw)
+	}
+	f.Add([]byte{0xa1, 0x01, 0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		stored := newStoredState()
+		stored.taker("pool")(port.Record{Key: "pool" + keyNeighbors, Value: raw})
+		s := shard.New("pool", 2, shard.Timing{}, now)
+		s.Neighbors().Merge(stored.Neighbors, now)
+		for _, e := range s.Neighbors().Suspected(maxStoredPairs, now) {
+			require.Positive(t, s.Neighbors().Partners(e.Image)[e.Neighbor])
+			require.False(t, math.IsInf(e.Slowdown(), 0))
+		}
+		again := storePairs(s.Neighbors().Suspected(maxStoredPairs, now))
+		next := pairs.New()
+		require.Zero(t, next.Merge(again.evidence(), now), "what is stored can be read")
+		s.Neighbors().Expire(now.Add(48 * time.Hour))
+		require.Zero(t, s.Neighbors().Size().Pairs)
+	})
+}
--- a/fleet/pairs/suspect.go
+++ b/fleet/pairs/suspect.go
@@ -23,6 +23,8 @@
 	keepEffect     = 0.0488 // the logarithm of 1.05
 	keepDeviations = 3
 	maxDoubts      = 6
+	// maxEffect bounds the effects that are taken from others, a factor of 22,000.
+	maxEffect = 10
 	// maxEvents bounds the events that wait to be taken.
 	maxEvents = 256
 )
@@ -213,8 +215,7 @@
 
 // valid reports whether evidence could have been observed.
 func (e *Evidence) valid() bool {
-	finite := !math.IsNaN(e.Effect) && !math.IsInf(e.Effect, 0)
-	return e.Image != "" && e.Neighbor != "" && finite && e.Variance > 0 && e.Variance <= 2*firstVariance && e.Runs >= 0
+	return e.Image != "" && e.Neighbor != "" && math.Abs(e.Effect) <= maxEffect && e.Variance > 0 && e.Variance <= 2*firstVariance && e.Runs >= 0
 }
 
 func (l *Learner) merge(e *Evidence, now time.Time) {
--- a/fleet/shard/neighbors.go
+++ b/fleet/shard/neighbors.go
@@ -303,8 +303,12 @@
 		return 0
 	}
 	_, loss := s.worstNeighbor(step, h)
-	if loss <= 0 {
+	switch {
+	case loss <= 0:
 		return 0
+	case step.LongRunning || step.BestEffort:
+		// These are spread by longRunningWeight: they rather take a host with one more long-running task.
+		return maxNeighborWeight
 	}
 	return neighborWeight + int64(min(loss/heavyLoss, 1)*(maxNeighborWeight-neighborWeight))
 }
--- a/fleet/shard/neighbors_test.go
+++ b/fleet/shard/neighbors_test.go
@@ -400,6 +400,25 @@
 	require.EqualValues(t, 2, o.BesideStarts())
 }
 
+// Guards against serving work that joins a suspected image since another host has one more long-running task.
+func TestLongRunningWorkIsKeptFromASuspectedImage(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	addEvidence(o.State, "x", "y", 0.2, o.now)
+	last := func(image, rack string) string {
+		step := longRunningStep(1, 0, 1)
+		step.Image, step.DataRack = image, rack
+		o.submit(image+rack, step)
+		starts := o.start()
+		require.Len(t, starts, 1)
+		return starts[0].Host
+	}
+	require.Equal(t, "a", last("x", "r-a"))
+	require.Equal(t, "b", last("z", "r-b"))
+	require.Equal(t, "b", last("u", "r-b"))
+	require.Equal(t, "b", last("y", ""))
+	require.Equal(t, "a", last("v", ""), "it has no such image")
+}
+
 // Guards against a suspicion that counts for more than what keeps work near its data, off a host where it failed or off a
 // host that has not answered a start.
 func TestASuspicionIsWeakerThanOtherReasons(t *testing.T) {
