Start work of capped tenants only within the budget of the pool

An owner holds a budget for each tenant with a cap. A start, or all starts of a gang, need room in it; groups of tenants without room take no part in a round, and Explain says so. Hosts that have not answered a new owner count with their capacity and with all best-effort work of the tenant.

--- /dev/null
+++ b/fleet/shard/budget.go
@@ -0,0 +1,365 @@
+package shard
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/caps"
+	"carawaymux.dev/fleet/clamp"
+	"carawaymux.dev/fleet/port"
+)
+
+// OverBudget is the reason of tasks whose tenant may not have more running in this pool.
+const OverBudget Reason = "the tenant's budget in this pool has no room"
+
+// budgets is what a pool knows of the caps of tenants.
+type budgets struct {
+	// version is that of the configuration with the caps.
+	version int64
+	// limited holds the tenants whose starts are limited. It is empty if no tenant has a cap.
+	limited map[string]*TenantUse
+	// countedAt is when the best-effort work was last counted that hosts without an answer may run.
+	countedAt time.Time
+}
+
+// tenantBudget is what limits the starts of a tenant.
+type tenantBudget struct {
+	// cap is that of the newest configuration. It is zero if the tenant has none.
+	cap batch.Size
+	// held is the budget that the lender has given, and the zero one before there is any. stored reports whether the store has it.
+	held   caps.Budget
+	stored bool
+	// limited reports whether limit applies, which is what may run of the tenant.
+	limited bool
+	limit   batch.Size
+	// unassigned is what hosts report of the tenant that is not assigned to them.
+	unassigned batch.Size
+	// unseen is what hosts may run of the tenant that have not answered, and bestEffort the processor capacity of that which they
+	// run beyond their own.
+	unseen     batch.Size
+	bestEffort int64
+	// waiting is what the idle tasks request that could start. unreserved is the processor capacity of the best-effort ones.
+	waiting    batch.Size
+	unreserved int64
+}
+
+// unassignedRun is a run that a host reports and that is not assigned to it.
+type unassignedRun struct {
+	use  *TenantUse
+	need batch.Size
+}
+
+// SetCaps applies the caps of a configuration. It returns the budgets that are void now, since their tenants have no cap any more.
+func (s *State) SetCaps(c *port.Config) []caps.Budget {
+	if c.Version < s.budgets.version {
+		return nil
+	}
+	s.budgets.version = c.Version
+	limits := map[string]batch.Size{}
+	for i := range c.Tenants {
+		if t := &c.Tenants[i]; caps.HasCap(t.Cap) {
+			limits[t.Name] = t.Cap
+			s.backlog.tenantNamed(t.Name)
+		}
+	}
+	var void []caps.Budget
+	for name, t := range s.backlog.tenants {
+		b := &t.budget
+		b.cap = limits[name]
+		if !caps.HasCap(b.cap) && b.held.Number > 0 && b.held.Version <= c.Version && b.held.Amount != (batch.Size{}) {
+			b.held, b.stored = b.held.Void(), false
+			void = append(void, b.held)
+		}
+		s.updateLimit(t)
+	}
+	return void
+}
+
+// SetBudget takes a budget, unless it is older than the one that is held. It reports whether it is newer, and whether it is lower in some
+// dimension than what the tenant might have had before.
+func (s *State) SetBudget(b caps.Budget) (newer, lower bool) {
+	t := s.backlog.tenantNamed(b.Tenant)
+	if !b.IsValid() || !b.IsNewer(&t.budget.held) {
+		return false, false
+	}
+	before := &t.budget.held
+	lower = before.Number == 0 || before.Cap != b.Cap || !b.Amount.Fits(before.Amount)
+	t.budget.held, t.budget.stored = b, false
+	s.updateLimit(t)
+	return true, lower
+}
+
+// RestoreBudget takes a budget that an earlier owner has stored.
+func (s *State) RestoreBudget(b caps.Budget) {
+	s.SetBudget(b)
+	s.BudgetStored(b)
+}
+
+// BudgetStored records that the store has a budget.
+func (s *State) BudgetStored(b caps.Budget) {
+	if t := s.backlog.tenants[b.Tenant]; t != nil && t.budget.held == b {
+		t.budget.stored = true
+	}
+}
+
+// HasStored reports whether the store has the budget of a tenant that is held.
+func (s *State) HasStored(tenant string) bool {
+	t := s.backlog.tenants[tenant]
+	return t == nil || t.budget.stored
+}
+
+// updateLimit updates what a tenant may have running. Once a budget has been lent, it limits the tenant as long as this owner does not know
+// that the tenant has no cap.
+func (s *State) updateLimit(t *TenantUse) {
+	b := &t.budget
+	b.limited = caps.HasCap(b.cap) || (b.held.Number > 0 && s.budgets.version < b.held.Version)
+	if !b.limited {
+		delete(s.budgets.limited, t.Name)
+		return
+	}
+	b.limit = b.held.Limit(b.cap, s.budgets.version)
+	if s.budgets.limited == nil {
+		s.budgets.limited = map[string]*TenantUse{}
+	}
+	s.budgets.limited[t.Name] = t
+}
+
+// tenantNamed returns the use of a tenant.
+func (b *backlog) tenantNamed(name string) *TenantUse {
+	t := b.tenants[name]
+	if t == nil {
+		t = &TenantUse{Name: name}
+		b.tenants[name] = t
+	}
+	return t
+}
+
+// admits reports whether the budget of a tenant has room for a task. A task needs no room in dimensions in which it requests nothing.
+func (t *TenantUse) admits(need batch.Size) bool {
+	if !t.budget.limited {
+		return true
+	}
+	used := t.mayRun()
+	return hasBudget(t.budget.limit.MilliCores, used.MilliCores, need.MilliCores) &&
+		hasBudget(t.budget.limit.MemoryMB, used.MemoryMB, need.MemoryMB) &&
+		hasBudget(t.budget.limit.Accelerators, used.Accelerators, need.Accelerators)
+}
+
+func hasBudget(limit, used, need int64) bool {
+	return need == 0 || limit == caps.Unlimited || (used <= limit && need <= limit-used)
+}
+
+// admitsGang reports whether the budget of a tenant has room for all tasks of a step.
+func (t *TenantUse) admitsGang(step *batch.Step, tasks int) bool {
+	return !t.budget.limited || t.admits(manyTimes(step.Need, tasks))
+}
+
+// manyTimes returns a size multiplied by a number of tasks.
+func manyTimes(size batch.Size, tasks int) batch.Size {
+	times := func(n int64) int64 { return clamp.Int[int64](float64(n) * float64(tasks)) }
+	return batch.Size{MilliCores: times(size.MilliCores), MemoryMB: times(size.MemoryMB), Accelerators: times(size.Accelerators)}
+}
+
+// mayRun returns what may run of the tenant in the pool.
+func (t *TenantUse) mayRun() batch.Size {
+	b := &t.budget
+	out := addSizes(addSizes(t.Running, b.unassigned), b.unseen)
+	out.MilliCores = clamp.Add(out.MilliCores, b.bestEffort)
+	return out
+}
+
+func addSizes(a, b batch.Size) batch.Size {
+	return batch.Size{
+		MilliCores: clamp.Add(a.MilliCores, b.MilliCores), MemoryMB: clamp.Add(a.MemoryMB, b.MemoryMB),
+		Accelerators: clamp.Add(a.Accelerators, b.Accelerators),
+	}
+}
+
+// addUnassigned counts a run that the host reports and that is not assigned to it. It counts until the host reports it no more.
+func (s *State) addUnassigned(h *Host, ref batch.Ref) {
+	if j, stage, _ := s.task(ref); stage != nil {
+		run := unassignedRun{s.backlog.tenant(j), s.step(ref).Need}
+		run.use.budget.unassigned = addSizes(run.use.budget.unassigned, run.need)
+		h.unassignedRuns = append(h.unassignedRuns, run)
+	}
+}
+
+// clearUnassigned forgets the runs that are not assigned to the host.
+func (h *Host) clearUnassigned() {
+	for _, run := range h.unassignedRuns {
+		run.use.budget.unassigned = run.use.budget.unassigned.Sub(run.need)
+	}
+	h.unassignedRuns = nil
+}
+
+// countInterval is the minimum time between two counts of the best-effort work that may run on hosts without an answer.
+const countInterval = 50 * time.Millisecond
+
+// updateBudgets updates what hosts that this owner does not know well may run of the tenants that are limited. A host that has not answered
+// counts with its capacity for each tenant, one that reports runs of unknown tasks with what is free there. Best-effort tasks
+// reserve no processor capacity, so while there are such hosts, all of them that are not done count.
+func (s *State) updateBudgets(now time.Time) {
+	if len(s.budgets.limited) == 0 {
+		return
+	}
+	var unseen batch.Size
+	waits := false
+	for _, h := range s.sortedHosts() {
+		switch {
+		case h.Stored && !h.Confirmed && !s.leaseExpired(h, now):
+			unseen, waits = unseen.Add(h.Capacity), true
+		case h.UnknownRuns > len(h.unassignedRuns):
+			unseen = unseen.Add(nonNegative(h.free()))
+		}
+	}
+	for _, t := range s.budgets.limited {
+		t.budget.unseen = unseen
+		if !waits {
+			t.budget.bestEffort = 0
+		}
+	}
+	if waits && now.Sub(s.budgets.countedAt) >= countInterval {
+		s.budgets.countedAt = now
+		s.countBestEffort()
+	}
+}
+
+func nonNegative(s batch.Size) batch.Size {
+	return batch.Size{MilliCores: max(s.MilliCores, 0), MemoryMB: max(s.MemoryMB, 0), Accelerators: max(s.Accelerators, 0)}
+}
+
+// countBestEffort counts the best-effort tasks that are not done.
+func (s *State) countBestEffort() {
+	for _, t := range s.budgets.limited {
+		t.budget.bestEffort = 0
+	}
+	for _, j := range s.Jobs {
+		use := s.backlog.tenants[j.Spec.Tenant]
+		if use == nil || !use.budget.limited {
+			continue
+		}
+		for si := range j.Spec.Steps {
+			step := &j.Spec.Steps[si]
+			if !step.BestEffort {
+				continue
+			}
+			tasks := (j.Spec.Occurrences() - len(j.Occurrences)) * step.Count
+			for oi := range j.Occurrences {
+				if si < len(j.Occurrences[oi].Stages) {
+					tasks += j.Occurrences[oi].Stages[si].Left
+				}
+			}
+			use.budget.bestEffort = clamp.Add(use.budget.bestEffort, manyTimes(step.Need, tasks).MilliCores)
+		}
+	}
+}
+
+// BudgetUses returns the use of the tenants whose starts are limited, in the order of their names. Those of which nothing runs or waits
+// are left out, but for those that are named, or if all is set.
+func (s *State) BudgetUses(now time.Time, all bool, named ...string) []caps.Use {
+	if len(s.budgets.limited) == 0 && len(named) == 0 {
+		return nil
+	}
+	s.updateQueues()
+	s.backlog.advance(now.Sub(s.backlog.origin))
+	s.updateBudgets(now)
+	tenants := slices.Collect(maps.Values(s.budgets.limited))
+	for _, name := range named {
+		if s.budgets.limited[name] == nil {
+			tenants = append(tenants, s.backlog.tenantNamed(name))
+		}
+	}
+	slices.SortFunc(tenants, func(a, b *TenantUse) int { return cmp.Compare(a.Name, b.Name) })
+	least, free := s.readyNeeds(now)
+	var out []caps.Use
+	for _, t := range slices.Compact(tenants) {
+		b := &t.budget
+		u := caps.Use{
+			Running: nonNegative(t.Running), MayRun: nonNegative(t.mayRun()), Waiting: nonNegative(b.waiting), Held: b.held, Stored: b.stored,
+		}
+		u.Held.Tenant = t.Name
+		if need, ready := least[t]; ready {
+			u.Least, u.Ready = need, free
+			// Best-effort tasks start without free processor capacity.
+			u.Ready.MilliCores = clamp.Add(free.MilliCores, b.unreserved)
+			u.Ready = batch.Size{
+				MilliCores: min(u.Ready.MilliCores, u.Waiting.MilliCores), MemoryMB: min(u.Ready.MemoryMB, u.Waiting.MemoryMB),
+				Accelerators: min(u.Ready.Accelerators, u.Waiting.Accelerators),
+			}
+		}
+		if all || u.IsActive() || slices.Contains(named, t.Name) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// readyNeeds returns, for each tenant that is limited and of which a task would find room on a host, the least that a task or gang
+// requests, and what is free in the pool.
+func (s *State) readyNeeds(now time.Time) (map[*TenantUse]batch.Size, batch.Size) {
+	least := map[*TenantUse]batch.Size{}
+	var free batch.Size
+	var room map[string]frontier
+	for g, root := range s.backlog.needs() {
+		if !g.tenant.budget.limited {
+			continue
+		}
+		if room == nil {
+			room = map[string]frontier{}
+			for _, c := range s.candidates(now) {
+				free = free.Add(nonNegative(c.free))
+			}
+		}
+		f, known := room[g.label]
+		if !known {
+			for _, c := range s.candidates(now) {
+				if labelAllows(c.host, g.label) {
+					f.add(c.free)
+				}
+			}
+			room[g.label] = f
+		}
+		if !f.fits(root.low) {
+			continue
+		}
+		need := root.first.request()
+		if known, ok := least[g.tenant]; !ok || need.MilliCores < known.MilliCores {
+			least[g.tenant] = need
+		}
+	}
+	return least, free
+}
+
+// request returns what one task of the step requests, or the whole gang.
+func (w *waitingStep) request() batch.Size {
+	if w.step.Gang {
+		return manyTimes(w.step.Need, w.step.Count)
+	}
+	return w.step.Need
+}
+
+// noteWaiting updates what waits of a tenant.
+func (t *TenantUse) noteWaiting(was, now *load) {
+	t.budget.waiting = t.budget.waiting.Add(now.requested).Sub(was.requested)
+	t.budget.unreserved += now.unreserved - was.unreserved
+}
+
+// request sets what the idle tasks of a stage request.
+func (l *load) request(step *batch.Step, idle int) {
+	l.requested = timesSize(step.Need, idle)
+	if step.BestEffort {
+		l.unreserved = l.requested.MilliCores
+	}
+}
+
+// isOverBudget reports whether the budget of its tenant has no room for a task, or for its gang.
+func (s *State) isOverBudget(j *Job, ref batch.Ref) bool {
+	step := &j.Spec.Steps[ref.Step]
+	if step.Gang {
+		return !s.backlog.tenant(j).admitsGang(step, step.Count)
+	}
+	return !s.backlog.tenant(j).admits(step.Need)
+}
--- /dev/null
+++ b/fleet/shard/budget_test.go
@@ -0,0 +1,166 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/caps"
+	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
+)
+
+// capOf is the cap of the tenant "t" in the tests.
+var capOf = batch.Size{MilliCores: 8000}
+
+func (o *owner) configureCap(version int64, limit batch.Size) []caps.Budget {
+	return o.SetCaps(&port.Config{Version: version, Tenants: []port.Tenant{{Name: "t", Cap: limit}}})
+}
+
+// lend has the owner take a budget of a number of thousandths of a core.
+func (o *owner) lend(number, milliCores int64) (newer, lower bool) {
+	return o.SetBudget(caps.Budget{
+		Tenant: "t", Amount: batch.Size{MilliCores: milliCores}, Cap: capOf, Version: 1, Epoch: 1, Number: number,
+	})
+}
+
+// submitAs submits a job of a tenant.
+func (o *owner) submitAs(tenant, id string, steps ...batch.Step) {
+	o.t.Helper()
+	j, verdict := o.Submit(id, batch.Spec{Queue: "q", Tenant: tenant, Steps: steps}, o.now)
+	require.Equal(o.t, shard.Accepted, verdict)
+	o.MarkStored(j)
+}
+
+// Guards against starts beyond a budget, and against other tenants that wait because of it.
+func TestATenantStartsWithinItsBudget(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	o.configureCap(1, capOf)
+	o.submitAs("t", "job", smallStep(6))
+	o.submitAs("other", "free", smallStep(2))
+	require.Len(t, o.start(), 2, "only the tenant without a cap starts")
+	require.Equal(t, shard.OverBudget, o.Explain(batch.Ref{Job: "job"}, o.now))
+
+	_, lower := o.lend(1, 3500)
+	require.True(t, lower, "the first budget has to be stored, since the store has none")
+	orders := o.start()
+	require.Len(t, orders, 3)
+	require.Empty(t, o.plan())
+	u := o.BudgetUses(o.now, false)
+	require.Len(t, u, 1)
+	require.Equal(t, batch.Size{MilliCores: 3000, MemoryMB: 300}, u[0].Running)
+	require.Equal(t, int64(3000), u[0].Waiting.MilliCores)
+	require.Equal(t, int64(3000), u[0].Ready.MilliCores)
+	require.Equal(t, int64(1000), u[0].Least.MilliCores)
+
+	newer, lower := o.lend(2, 1000)
+	require.True(t, newer && lower)
+	newer, _ = o.lend(1, 8000)
+	require.False(t, newer, "a late budget is refused")
+	rows := []any{doneRow(1, orders[0])}
+	for ref, task := range o.Hosts[orders[0].Host].Assigned {
+		if ref != orders[0].Ref {
+			rows = append(rows, port.ActiveRun{Unit: ref.String(), Run: task.Run})
+		}
+	}
+	o.report(orders[0].Host, rows...)
+	require.Empty(t, o.plan(), "more runs than the budget allows")
+}
+
+// Guards against a gang that starts beyond the budget because one of its tasks fits.
+func TestAGangNeedsRoomInTheBudgetForAllItsTasks(t *testing.T) {
+	o := newOwner(t, 1, "a", "b")
+	o.configureCap(1, capOf)
+	gang := smallStep(3)
+	gang.Gang = true
+	o.submitAs("t", "job", gang)
+	o.lend(1, 2000)
+	require.Empty(t, o.plan())
+	require.Equal(t, shard.OverBudget, o.Explain(batch.Ref{Job: "job"}, o.now))
+	require.Equal(t, int64(3000), o.BudgetUses(o.now, false)[0].Least.MilliCores)
+	o.lend(2, 3000)
+	require.Len(t, o.plan(), 3)
+}
+
+// Guards against best-effort work that counts as nothing, since it reserves no processor capacity.
+func TestTheProcessorCapacityOfBestEffortWorkCounts(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.configureCap(1, capOf)
+	step := longRunningStep(5, 0, 1)
+	step.BestEffort = true
+	o.submitAs("t", "job", step)
+	o.lend(1, 2000)
+	require.Len(t, o.start(), 2)
+	require.Equal(t, int64(2000), o.BudgetUses(o.now, false)[0].Running.MilliCores)
+}
+
+// Guards against a successor that starts work beside what runs on a host that has not answered it.
+func TestHostsThatHaveNotAnsweredCountWithTheirCapacity(t *testing.T) {
+	o := newSuccessor(t, smallStep(1), "a", "b")
+	o.configureCap(1, capOf)
+	o.RestoreBudget(caps.Budget{Tenant: "t", Amount: batch.Size{MilliCores: 4000}, Cap: capOf, Version: 1, Epoch: 1, Number: 3})
+	bestEffort := longRunningStep(2, 0, 1)
+	bestEffort.BestEffort = true
+	o.Restore("filling", batch.Spec{Queue: "q", Tenant: "t", Steps: []batch.Step{bestEffort}}, nil, o.now)
+	o.submitAs("t", "new", smallStep(3))
+	o.report("a")
+	o.advance(time.Millisecond)
+	require.Empty(t, o.plan(), "host b may run 4000, and 2000 of best-effort work")
+	require.Equal(t, int64(6000), o.BudgetUses(o.now, false)[0].MayRun.MilliCores)
+
+	o.report("b", port.ActiveRun{Unit: "filling.0.0.0", Run: 1})
+	o.advance(time.Millisecond)
+	require.Len(t, o.start(), 4, "two of the new job, one that fills, and one of the job without a tenant")
+	require.Equal(t, int64(4000), o.BudgetUses(o.now, false)[0].MayRun.MilliCores)
+
+	t.Run("a host whose lease has expired", func(t *testing.T) {
+		o := newSuccessor(t, smallStep(1), "a", "b")
+		o.configureCap(1, capOf)
+		o.RestoreBudget(caps.Budget{Tenant: "t", Amount: batch.Size{MilliCores: 4000}, Cap: capOf, Version: 1, Epoch: 1, Number: 3})
+		o.submitAs("t", "new", smallStep(3))
+		o.advance(20 * time.Second)
+		o.HeartbeatSent("b", o.now)
+		o.HeartbeatFailed("b", false, o.now)
+		o.report("a")
+		o.advance(time.Millisecond)
+		require.Len(t, o.start(), 4, "one is of the job without a tenant")
+	})
+}
+
+// Guards against starts under an earlier cap, and against a budget from before a time without a cap.
+func TestABudgetOfAHigherCapStartsNothing(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.configureCap(1, capOf)
+	o.lend(1, 4000)
+	o.configureCap(2, batch.Size{MilliCores: 6000})
+	o.submitAs("t", "job", smallStep(4))
+	require.Empty(t, o.plan(), "other pools may run more than the lower cap")
+
+	require.Equal(t, []caps.Budget{{Tenant: "t", Cap: capOf, Version: 1, Epoch: 1, Number: 1}}, o.configureCap(3, batch.Size{}))
+	require.Len(t, o.start(), 4, "no cap")
+	o.configureCap(4, capOf)
+	o.submitAs("t", "later", smallStep(1))
+	require.Empty(t, o.plan())
+	require.Zero(t, o.BudgetUses(o.now, true)[0].Held.Amount.MilliCores)
+}
+
+// Guards against an owner with an older configuration that goes on to start work when the lender divides the first cap.
+func TestABudgetOfANewerConfigurationHolds(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.submitAs("t", "job", smallStep(1))
+	o.lend(1, 0)
+	require.Empty(t, o.plan())
+	require.Equal(t, int64(0), o.BudgetUses(o.now, true)[0].Held.Amount.MilliCores)
+}
+
+// Guards against caps that change the decisions of deployments without them, and against a round that looks at all that waits of a tenant
+// without room.
+func TestTenantsWithoutCapsAreNotLimited(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	o.configureCap(1, batch.Size{})
+	o.submitAs("t", "job", smallStep(4))
+	require.Len(t, o.plan(), 4)
+	require.Empty(t, o.BudgetUses(o.now, true))
+}
--- a/fleet/shard/explain.go
+++ b/fleet/shard/explain.go
@@ -128,6 +128,9 @@
 	case !s.mayStart(task):
 		return EndUnknown
 	}
+	if s.isOverBudget(j, ref) {
+		return OverBudget
+	}
 	return s.explainPlacement(&j.Spec.Steps[ref.Step], stage, task, ref, now)
 }
 
--- a/fleet/shard/gang.go
+++ b/fleet/shard/gang.go
@@ -18,6 +18,9 @@
 			return false
 		}
 	}
+	if !w.demand.Tenant.admitsGang(step, len(stage.Tasks)) {
+		return false
+	}
 	var chosen []int
 	if w.fitsOn(roomy) {
 		chosen = s.placeGang(step, stage, hosts, permitted)
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -78,6 +78,8 @@
 	// the host no longer reports the run, or nothing can be running there.
 	UnknownRuns  int
 	unknownTasks []*Task
+	// unassignedRuns holds the requests of those runs whose task is known.
+	unassignedRuns []unassignedRun
 	// CordonedUntil is until when the host takes no new work because it is being emptied.
 	// CordonedAt is when that began.
 	CordonedUntil, CordonedAt time.Time
@@ -416,6 +418,7 @@
 		task.unknownRuns--
 	}
 	h.UnknownRuns, h.unknownTasks = 0, nil
+	h.clearUnassigned()
 }
 
 // NeedsConfirmation reports whether some host or some task whose run was lost has to wait until
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -50,6 +50,7 @@
 		s.backlog.keep(late, ranking.SortKey(late))
 	}
 	s.backlog.advance(now.Sub(s.backlog.origin))
+	s.updateBudgets(now)
 	hosts := s.candidates(now)
 	s.limitReservations(len(hosts))
 	prior := s.priorHosts(now)
@@ -150,6 +151,9 @@
 		if task.Status != Idle || task.closed() || !s.mayStart(task) {
 			continue
 		}
+		if !w.demand.Tenant.admits(step.Need) {
+			break
+		}
 		if len(set.preferred) > 0 && s.pickHost(step, stage, task, set.preferred, permitted, now) != nil {
 			continue
 		}
--- a/fleet/shard/runs.go
+++ b/fleet/shard/runs.go
@@ -103,6 +103,7 @@
 		if !s.acceptRunning(h, ref, r, now) {
 			_, _, task := s.task(ref)
 			h.addUnknown(task)
+			s.addUnassigned(h, ref)
 			s.orders = append(s.orders, Order{Kind: OrderStop, Host: h.ID, Ref: ref, Run: r.Run, Reason: "run is not assigned to this host"})
 			continue
 		}
--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -171,6 +171,9 @@
 
 // couldStart reports whether a step could start whose need is within bounds.
 func (g *candidateGroup) couldStart(low, _ batch.Size) bool {
+	if !g.tenant.admits(low) {
+		return false
+	}
 	if g.exempt {
 		return g.rooms.free.fits(low)
 	}
@@ -180,7 +183,7 @@
 // couldReserve reports whether a host could be reserved for a step whose need is within bounds. None is reserved
 // for one that waits for the answer of a host with room.
 func (g *candidateGroup) couldReserve(low, high batch.Size) bool {
-	return g.mayReserve && g.rooms.whole.fits(low) && (g.exempt || !g.rooms.admitted.fits(high))
+	return g.mayReserve && g.tenant.admits(low) && g.rooms.whole.fits(low) && (g.exempt || !g.rooms.admitted.fits(high))
 }
 
 // couldMatter reports whether the round has an effect on a step with a need.
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -292,6 +292,8 @@
 	unlistedCordons map[string]unlistedCordon
 	// holderEpoch is the highest epoch of a holder of the machines that has sent a request.
 	holderEpoch int64
+	// budgets limits the starts of tenants with a cap.
+	budgets budgets
 	// backlog holds the work of the open jobs that waits.
 	backlog backlog
 	// unansweredStops holds the tasks whose RetryStopAt may be set.
--- a/fleet/shard/sums.go
+++ b/fleet/shard/sums.go
@@ -25,6 +25,9 @@
 	late, expired                  int64
 	longRunning                    batch.Size
 	tasks, longRunningTasks, hosts int
+	// requested is what the tasks request that could start, and unreserved the processor capacity that best-effort ones request.
+	requested  batch.Size
+	unreserved int64
 }
 
 // sumUp updates what a stage adds to the sums.
@@ -56,11 +59,13 @@
 	}
 	if ready && stage.idle > 0 {
 		now.tasks = stage.idle
+		now.request(step, stage.idle)
 		if step.LongRunning {
 			now.longRunningTasks = stage.idle
 		}
 	}
 	was := stage.load
+	b.tenant(j).noteWaiting(&was, &now)
 	stage.load = now
 	q.waiting[count(j.Inherited)] += now.waiting - was.waiting
 	q.future += now.future - was.future
--- a/fleet/shard/tenants.go
+++ b/fleet/shard/tenants.go
@@ -9,16 +9,14 @@
 	// Running is what the tasks request that run, may run or are being stopped on hosts of the pool. Unlike a reservation
 	// it contains the processor capacity of best-effort tasks.
 	Running batch.Size
+	// budget limits the starts of the tenant.
+	budget tenantBudget
 }
 
 // tenant returns the use of the tenant of a job.
 func (b *backlog) tenant(j *Job) *TenantUse {
 	if j.tenant == nil {
-		name := j.Spec.Tenant
-		if j.tenant = b.tenants[name]; j.tenant == nil {
-			j.tenant = &TenantUse{Name: name}
-			b.tenants[name] = j.tenant
-		}
+		j.tenant = b.tenantNamed(j.Spec.Tenant)
 	}
 	return j.tenant
 }
