Let owners take budgets of tenants and report their use

The verb "budgets" gives budgets to the owner of a pool, which stores them in the pool's stream (key /c/) and reports what runs and waits of each tenant. The answer to a lower budget waits for the store, so that a successor knows it.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -118,6 +118,8 @@
 		return o.Release(ctx, r.Hosts, r.LeaveOrder())
 	case peers.VerbLoad:
 		return o.Load(ctx)
+	case peers.VerbBudgets:
+		return o.Budgets(ctx, r.Budgets, r.AllTenants)
 	}
 	return owner.Answer{Outcome: owner.Refused, Reason: "unknown verb in a request to a pool owner"}
 }
--- a/entry/owner/append.go
+++ b/entry/owner/append.go
@@ -101,6 +101,7 @@
 	}
 	content.granted = journal.grants.collect(pool, b)
 	c.collectQueues(b)
+	content.budgets = c.collectBudgets(b)
 	for len(journal.newJobs) > 0 && len(content.jobs) < maxJobsPerAppend {
 		j := journal.newJobs[0]
 		err := b.put(pool+keySpec+j.ID, j.Spec)
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -65,6 +65,8 @@
 	inherited map[string]time.Time
 	// journal holds what is to be written to the store.
 	journal journal
+	// budgets holds the budgets of tenants that are to be stored.
+	budgets budgets
 	// placing is the registration of the pool for its queues.
 	placing placing
 	// runCtx is cancelled when the owner stops. It bounds the messages that the owner's
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -13,6 +13,7 @@
 	"carawaymux.dev/entry/feed"
 	"carawaymux.dev/entry/stats"
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/caps"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 	"carawaymux.dev/fleet/sizing"
@@ -71,6 +72,8 @@
 	QueueEmpty bool `cbor:"13,keyasint,omitempty"`
 	// Tenant is the tenant of the job, in answers to the owners of other pools.
 	Tenant string `cbor:"14,keyasint,omitempty"`
+	// Budgets is the use of the tenants with a limit. It is set in answers to requests about budgets only.
+	Budgets []caps.Use `cbor:"20,keyasint,omitempty"`
 }
 
 // LocalEntry stands for the entry that logs an answer.
--- a/entry/owner/queues.go
+++ b/entry/owner/queues.go
@@ -110,6 +110,7 @@
 
 func (m configChange) handle(c *core) {
 	c.state.Configure(m.config)
+	c.setCaps(m.config)
 	c.noteQueues()
 	c.wantAllRegistered()
 	c.register(time.Now())
--- a/entry/owner/state.go
+++ b/entry/owner/state.go
@@ -7,6 +7,7 @@
 
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/caps"
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
@@ -27,6 +28,8 @@
 	Queues map[string]storedQueue
 	// Granted holds the hosts whose machines may be ordered since an earlier owner has called them empty.
 	Granted map[string]struct{}
+	// Budgets holds the budgets of tenants, by name.
+	Budgets map[string]caps.Budget
 	// OrphanedParts are parts of jobs that are not stored any more.
 	OrphanedParts []shard.StalePart
 	// Unreadable holds the errors of the records that could not be read, by key.
@@ -37,6 +40,7 @@
 	return &StoredState{
 		Specs: map[string]batch.Spec{}, Progress: map[string]shard.Progress{}, Parts: map[string][]shard.Part{},
 		Queues: map[string]storedQueue{}, Granted: map[string]struct{}{}, Unreadable: map[string]error{},
+		Budgets: map[string]caps.Budget{},
 	}
 }
 
@@ -103,6 +107,8 @@
 		delete(s.Queues, id)
 	case keyGrant:
 		delete(s.Granted, id)
+	case keyBudget:
+		delete(s.Budgets, id)
 	}
 }
 
@@ -161,6 +167,8 @@
 		s.Queues[id] = v
 	case keyGrant:
 		s.Granted[id] = struct{}{}
+	case keyBudget:
+		return s.addBudget(id, e.Value)
 	}
 	return nil
 }
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawaymux.dev/entry/claim"
+	"carawaymux.dev/fleet/caps"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 )
@@ -31,7 +32,7 @@
 var refusedStoreUnavailable = Answer{Outcome: Refused, RetryAfter: unavailableRetryAfter, Reason: "the store is away", StoreUnavailable: true}
 
 // The keys of a pool's records consist of the pool's name, one of these infixes, and the ID of a
-// job or host, or the name of a queue. In the key of a part of a job's progress, partSeparator and the part follow. The key
+// job or host, or the name of a queue or tenant. In the key of a part of a job's progress, partSeparator and the part follow. The key
 // with keyConfirm has no ID; it is written when a claim is to be confirmed and there is nothing else to
 // write.
 const (
@@ -41,6 +42,7 @@
 	keyHost     = "/h/"
 	keyQueue    = "/q/"
 	keyGrant    = "/e/"
+	keyBudget   = "/c/"
 	keyConfirm  = "/r"
 )
 
@@ -108,6 +110,7 @@
 	hosts     []port.Host
 	// granted holds the hosts that may be called empty once the append is written.
 	granted []string
+	budgets []caps.Budget
 	// ackOnWrite holds, by host, the ends that were counted when the append was collected. They
 	// are acknowledged once the append is written.
 	ackOnWrite map[string]countedEnds
@@ -136,6 +139,7 @@
 	c.journal.waiters, c.journal.grants = map[string][]waiter{}, newGrants()
 	now := time.Now()
 	c.restoreQueues(stored, config)
+	c.restoreBudgets(stored, config)
 	for id, spec := range stored.Specs {
 		var n *shard.Progress
 		if v, ok := stored.Progress[id]; ok {
@@ -181,10 +185,11 @@
 		}
 		return
 	}
-	urgent := len(journal.newJobs) > 0 || len(journal.newHosts) > 0 || len(journal.grants.added) > 0 || c.state.NeedsFlush() || c.state.NeedsConfirmation() || c.needsConfirmation()
+	urgent := len(journal.newJobs) > 0 || len(journal.newHosts) > 0 || len(journal.grants.added) > 0 || c.state.NeedsFlush() || c.state.NeedsConfirmation() || c.needsConfirmation() ||
+		len(c.budgets.waiting) > 0 && len(c.budgets.dirty) > 0
 	recent := now.Sub(journal.lastAppend) < groupWindow
 	confirm := now.Sub(c.state.ConfirmedAt) > confirmInterval
-	deletions := len(journal.removedHosts) + len(journal.expiredJobs) + len(journal.staleParts) + len(journal.grants.ended)
+	deletions := len(journal.removedHosts) + len(journal.expiredJobs) + len(journal.staleParts) + len(journal.grants.ended) + len(c.budgets.dirty)
 	if !urgent && !confirm && (recent || !(c.state.Dirty() || deletions > 0)) {
 		return
 	}
@@ -244,6 +249,7 @@
 	}
 	journal.staleParts = append(journal.staleParts, c.state.TakeStaleParts()...)
 	c.settleGrants(written.granted)
+	c.settleBudgets(written.budgets)
 	c.sendHeld(time.Now())
 	c.trimInbox()
 }
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -12,6 +12,7 @@
 	"carawaymux.dev/entry/link"
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/caps"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
@@ -37,6 +38,8 @@
 	VerbRelease Verb = "release"
 	// VerbLoad asks for the load of the pool.
 	VerbLoad Verb = "load"
+	// VerbBudgets gives budgets of tenants to the pool, and asks for their use. Earlier releases refuse it.
+	VerbBudgets Verb = "budgets"
 )
 
 // Request is a request to the owner of a pool.
@@ -54,6 +57,9 @@
 	Hosts []string `cbor:"7,keyasint,omitempty"`
 	// Tenant is the tenant of the caller of a request about a job, and empty if the caller presented no key.
 	Tenant string `cbor:"8,keyasint,omitempty"`
+	// Budgets are the budgets of VerbBudgets. AllTenants reports whether it asks for the use of all tenants with a limit.
+	Budgets    []caps.Budget `cbor:"20,keyasint,omitempty"`
+	AllTenants bool          `cbor:"21,keyasint,omitempty"`
 }
 
 // LeaveOrder returns the order of a request to empty a host, which is zero if it has none.
--- a/fleet/shard/budget.go
+++ b/fleet/shard/budget.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// Budget returns the budget that limits the tenant, with its name.
+func (t *TenantUse) Budget() caps.Budget {
+	b := t.budget.held
+	b.Tenant = t.Name
+	return b
+}
+
 // HasStored reports whether the store has the budget of a tenant that is held.
 func (s *State) HasStored(tenant string) bool {
 	t := s.backlog.tenants[tenant]
