--- a/entry/duties/duties.go
+++ b/entry/duties/duties.go
@@ -29,6 +29,9 @@
 // singletonPrefix begins the claim names of singletons, also of those of other releases.
 const singletonPrefix = "*"
 
+// IsSingleton reports whether a claim name is that of a singleton, and not of a pool.
+func IsSingleton(name string) bool { return strings.HasPrefix(name, singletonPrefix) }
+
 // Holder is a task that does the work of a pool, or of a singleton, that this entry owns.
 type Holder interface {
 	// Configure applies a configuration.
@@ -63,6 +66,9 @@
 	// at a time, by claim name; the names begin with singletonPrefix, and no pool's name does.
 	Pools      PrepareFunc
 	Singletons map[string]PrepareFunc
+	// Needed holds, by claim name, which configurations need a singleton. Those that are not in it are always needed. A holder that is not
+	// needed any more stays, but nobody claims it.
+	Needed map[string]func(*port.Config) bool
 	// Preload reads the state of a pool whose owner is about to stop. It may be nil.
 	Preload PreloadFunc
 }
@@ -377,7 +383,9 @@
 func (c *core) allPools() []string {
 	names := map[string]bool{}
 	for name := range c.duties.settings.Singletons {
-		names[name] = true
+		if isNeeded := c.duties.settings.Needed[name]; isNeeded == nil || isNeeded(c.config) {
+			names[name] = true
+		}
 	}
 	for _, q := range c.config.Queues {
 		names[q.Pool] = true
--- a/entry/duties/duties_test.go
+++ b/entry/duties/duties_test.go
@@ -90,3 +90,23 @@
 	require.Eventually(t, func() bool { return d.Holder("records") != nil && d.Holder("*machines") != nil }, 5*time.Second, 5*time.Millisecond)
 	require.Nil(t, d.Holder("*later"))
 }
+
+// Guards against calls for a singleton that the configuration has no use for.
+func TestASingletonIsClaimedOnceTheConfigurationNeedsIt(t *testing.T) {
+	isNeeded := func(c *port.Config) bool { return len(c.Tenants) > 0 }
+	d := duties.Start(
+		duties.Settings{
+			Entry: "e", Incarnation: 1, Partitions: 4, Pools: prepareIdle,
+			Singletons: map[string]duties.PrepareFunc{"*caps": prepareIdle, "*machines": prepareIdle},
+			Needed:     map[string]func(*port.Config) bool{"*caps": isNeeded},
+		},
+		emptyLog{}, slog.New(slog.NewJSONHandler(io.Discard, nil)), func(map[string]int64, []string) {})
+	t.Cleanup(d.Close)
+	require.NoError(t, d.Configure(t.Context(), &port.Config{Version: 1}))
+	showAlone(t, d, nil)
+	require.Eventually(t, func() bool { return d.Holder("*machines") != nil }, 5*time.Second, 5*time.Millisecond)
+	require.Nil(t, d.Holder("*caps"))
+	require.NoError(t, d.Configure(t.Context(), &port.Config{Version: 2, Tenants: []port.Tenant{{Name: "t"}}}))
+	showAlone(t, d, map[string]roster.Owner{"*machines": {Name: "e", Epoch: 1}})
+	require.Eventually(t, func() bool { return d.Holder("*caps") != nil }, 5*time.Second, 5*time.Millisecond)
+}
--- a/entry/owner/budgets.go
+++ b/entry/owner/budgets.go
@@ -48,8 +48,8 @@
 	c.budgets.waiting = nil
 	var lowered []string
 	for _, b := range m.budgets {
-		newer, lower := c.state.SetBudget(b)
-		if !newer {
+		taken, lower := c.state.SetBudget(b)
+		if !taken {
 			c.deps.Stats.Add("tenant-budgets", 1, "pool", c.state.Pool, "outcome", "refused")
 			continue
 		}
@@ -77,9 +77,9 @@
 
 // setCaps applies the caps of a configuration.
 func (c *core) setCaps(config *port.Config) {
-	for _, b := range c.state.SetCaps(config) {
-		c.logger.Info("budget of a tenant void: it has no cap any more", "tenant", b.Tenant)
-		c.budgets.dirty[b.Tenant] = struct{}{}
+	for _, tenant := range c.state.SetCaps(config) {
+		c.logger.Info("budget of a tenant void: it has no cap any more", "tenant", tenant)
+		c.budgets.dirty[tenant] = struct{}{}
 	}
 }
 
--- a/fleet/caps/caps.go
+++ b/fleet/caps/caps.go
@@ -27,6 +27,8 @@
 	// Epoch is that of the lender, and Number counts the budgets that it has sent. Both are 0 if there is no budget.
 	Epoch  int64 `cbor:"5,keyasint,omitempty"`
 	Number int64 `cbor:"6,keyasint,omitempty"`
+	// Opening reports whether the lender does not know yet what may run in each pool. The amount is nothing then.
+	Opening bool `cbor:"7,keyasint,omitempty"`
 }
 
 // IsNewer reports whether a budget replaces another one.
@@ -48,15 +50,15 @@
 // HasCap reports whether a cap limits anything.
 func HasCap(limit batch.Size) bool { return limit != batch.Size{} }
 
-// Limit returns what an owner may have running whose own configuration has a version and a cap for the tenant. The budget is
+// limit returns what an owner may have running whose own configuration has a version and a cap for the tenant. The budget is
 // the zero one if there is none.
-func (b *Budget) Limit(own batch.Size, version int64) batch.Size {
+func (b *Budget) limit(own batch.Size, version int64) batch.Size {
 	older := version < b.Version
 	return zip(own, b.Cap, b.Amount, func(own, lent, amount int64) int64 {
 		switch {
-		case older && lent == 0, !older && own == 0:
+		case older && lent == 0 && !b.IsVoid(), !older && own == 0:
 			return Unlimited
-		case lent == 0, !older && own < lent:
+		case lent == 0, own > 0 && own < lent:
 			// No part of this cap has been lent yet. What other pools run may exceed a lower one.
 			return 0
 		}
@@ -64,13 +66,16 @@
 	})
 }
 
-// Void returns the budget that remains when its tenant has had no cap: nothing, so that work that has started since counts
-// before any is lent again.
-func (b Budget) Void() Budget {
-	b.Amount = batch.Size{}
+// void returns the budget that remains when a configuration has no cap for the tenant: nothing, of no cap. It tells the lender that work has
+// started which is in no bound.
+func (b Budget) void(version int64) Budget {
+	b.Amount, b.Cap, b.Version, b.Opening = batch.Size{}, batch.Size{}, version, false
 	return b
 }
 
+// IsVoid reports whether the tenant has had no cap since the budget was lent.
+func (b *Budget) IsVoid() bool { return b.Number > 0 && !HasCap(b.Cap) }
+
 // Scale returns amount * numerator / denominator, rounded down. The denominator is positive, the numerator at most as large, and
 // no argument is negative.
 func Scale(amount, numerator, denominator int64) int64 {
@@ -92,6 +97,8 @@
 	// Held is the budget that the owner obeys, with the name of the tenant. It is stored if Stored is set.
 	Held   Budget `cbor:"6,keyasint"`
 	Stored bool   `cbor:"7,keyasint,omitempty"`
+	// Void reports whether the tenant has had no cap since a lender has asked what runs.
+	Void bool `cbor:"8,keyasint,omitempty"`
 }
 
 // IsActive reports whether something of the tenant runs or waits.
--- a/fleet/caps/ledger.go
+++ b/fleet/caps/ledger.go
@@ -25,12 +25,16 @@
 }
 
 // Ledger holds what a lender knows of the budgets. A bound is above what ever runs in its pool. The caller stores the accounts that
-// [Ledger.TakeChanged] returns, reports them with [Ledger.MarkStored], and sends the budgets that [Ledger.Take] returns.
+// [Ledger.TakeChanged] returns. Once the store has all of them, it sends the budgets that [Ledger.Take] returns.
 type Ledger struct {
 	epoch, number int64
 	accounts      map[string]*account
 	// changed holds the tenants whose accounts have to be stored.
 	changed map[string]struct{}
+	// touched holds the tenants of which a report or a bound has changed since they were last planned.
+	touched map[string]struct{}
+	// due holds the entries whose budgets have to be sent, by pool and tenant.
+	due map[string]map[string]*entry
 }
 
 type account struct {
@@ -44,13 +48,12 @@
 
 // entry is what the ledger holds of a tenant in a pool.
 type entry struct {
-	bound Bound
+	pool, tenant string
+	bound        Bound
 	// target is the budget that the pool should have. It is at most the bound, but for tenants without an opened account.
 	target batch.Size
-	// sent is the newest budget that was sent, and the zero one if this lender has sent none. due reports whether the target has to
-	// be sent.
+	// sent is the newest budget that was sent, and the zero one if this lender has sent none.
 	sent Budget
-	due  bool
 	// use is the newest report, if reported is set.
 	use      Use
 	reported bool
@@ -59,12 +62,16 @@
 
 // NewLedger returns the ledger of a lender with what earlier ones have stored.
 func NewLedger(epoch int64, stored []Account) *Ledger {
-	l := &Ledger{epoch: epoch, accounts: map[string]*account{}, changed: map[string]struct{}{}}
+	l := &Ledger{epoch: epoch, accounts: map[string]*account{}, changed: map[string]struct{}{}, touched: map[string]struct{}{}, due: map[string]map[string]*entry{}}
 	for _, s := range stored {
 		a := &account{opened: s.Opened, pools: map[string]*entry{}}
 		for pool, b := range s.Bounds {
 			b.Amount, b.Cap = Larger(b.Amount, batch.Size{}), Larger(b.Cap, batch.Size{})
-			a.pools[pool] = &entry{bound: b, target: b.Amount}
+			if !s.Opened {
+				// The tenant may have had no cap since the pool has confirmed what runs.
+				b.Cap = batch.Size{}
+			}
+			a.pools[pool] = &entry{pool: pool, tenant: s.Tenant, bound: b, target: b.Amount}
 		}
 		l.accounts[s.Tenant] = a
 	}
@@ -76,7 +83,10 @@
 
 // Drop closes the account of a tenant without a cap. When it gets one again, all pools are asked first what runs.
 func (l *Ledger) Drop(tenant string) {
-	if l.accounts[tenant] != nil {
+	if a := l.accounts[tenant]; a != nil {
+		for _, e := range a.pools {
+			l.setDue(e, false)
+		}
 		delete(l.accounts, tenant)
 		l.changed[tenant] = struct{}{}
 	}
@@ -84,8 +94,8 @@
 
 // newEntry returns the entry of a pool that the ledger does not know yet. Its owner has had no budget, so it has started nothing since the
 // account was opened.
-func (a *account) newEntry() *entry {
-	e := &entry{}
+func (a *account) newEntry(pool, tenant string) *entry {
+	e := &entry{pool: pool, tenant: tenant}
 	if a.opened {
 		e.bound.Cap = a.cap
 	}
@@ -108,9 +118,15 @@
 		e := a.pools[pool]
 		if e == nil {
 			// A pool that the ledger does not know yet. What runs there counts.
-			e = a.newEntry()
+			e = a.newEntry(pool, u.Held.Tenant)
 			a.pools[pool] = e
 		}
+		if u.Void && a.opened {
+			l.reopen(u.Held.Tenant, a)
+		} else if u.Void {
+			e.bound.Cap = batch.Size{}
+		}
+		l.touch(u.Held.Tenant, !e.reported || e.use != *u)
 		e.use, e.reported = *u, true
 		l.confirm(a, e, u.Held.Tenant)
 	}
@@ -118,13 +134,38 @@
 	for tenant, a := range l.accounts {
 		if e := a.pools[pool]; e != nil && e.reported {
 			if _, ok := reported[tenant]; !ok {
-				e.use = Use{Held: e.use.Held, Stored: e.use.Stored}
+				idle := Use{Held: e.use.Held, Stored: e.use.Stored}
+				l.touch(tenant, e.use != idle)
+				e.use = idle
 				l.confirm(a, e, tenant)
 			}
 		}
 	}
 }
 
+// reopen forgets the bounds of a tenant that has had no cap for a while without this lender having noticed.
+func (l *Ledger) reopen(tenant string, a *account) {
+	a.opened = false
+	for _, e := range a.pools {
+		e.bound.Cap = batch.Size{}
+	}
+	l.markChanged(tenant, a)
+}
+
+// touch has a tenant planned if something has changed.
+func (l *Ledger) touch(tenant string, changed bool) {
+	if changed {
+		l.touched[tenant] = struct{}{}
+	}
+}
+
+// TakeTouched returns the tenants of which something has changed since they were last planned.
+func (l *Ledger) TakeTouched() []string {
+	out := slices.Sorted(maps.Keys(l.touched))
+	clear(l.touched)
+	return out
+}
+
 // confirm adjusts the bound of a pool to its newest report. Only a report of an owner that has stored the newest budget lowers it:
 // no budget that was sent before can take effect there any more. What a new owner supposes of hosts that have not answered does not raise
 // it, but what certainly runs counts in any case.
@@ -133,7 +174,7 @@
 	if u.Stored && e.sent.Number > 0 && u.Held.Is(&e.sent) {
 		confirmed := Larger(e.sent.Amount, clampTo(u.MayRun))
 		e.bound.Amount = zip(confirmed, e.bound.Amount, e.bound.Cap, func(confirmed, bound, known int64) int64 {
-			if known == 0 {
+			if known == 0 || !a.opened {
 				return confirmed
 			}
 			return min(confirmed, bound)
@@ -148,12 +189,13 @@
 
 func (l *Ledger) markChanged(tenant string, a *account) {
 	a.unstored++
-	l.changed[tenant] = struct{}{}
+	l.changed[tenant], l.touched[tenant] = struct{}{}, struct{}{}
 }
 
 // Plan decides which part of its cap each pool should have. The argument pools holds the pools that may have work of the tenant, without
 // those that the ledger knows already.
-func (l *Ledger) Plan(p Policy, tenant string, limit batch.Size, version int64, pools []string) {
+func Plan[P Policy](l *Ledger, policy P, tenant string, limit batch.Size, version int64, pools []string) {
+	delete(l.touched, tenant)
 	a := l.accounts[tenant]
 	if a == nil {
 		a = &account{pools: map[string]*entry{}}
@@ -163,7 +205,7 @@
 	a.cap, a.version = limit, version
 	for _, pool := range pools {
 		if a.pools[pool] == nil {
-			a.pools[pool] = a.newEntry()
+			a.pools[pool] = a.newEntry(pool, tenant)
 		}
 	}
 	names := slices.Sorted(maps.Keys(a.pools))
@@ -171,7 +213,7 @@
 		// What some pool runs is not known, so a start anywhere could exceed the cap.
 		for _, name := range names {
 			e := a.pools[name]
-			e.aim(a, zip(smaller(e.target, e.bound.Amount), unknown, limit, func(amount, unknown, _ int64) int64 {
+			l.aim(a, e, zip(smaller(e.target, e.bound.Amount), unknown, limit, func(amount, unknown, _ int64) int64 {
 				if unknown > 0 || !a.opened {
 					return 0
 				}
@@ -188,7 +230,7 @@
 	for i, name := range names {
 		demands[i] = a.pools[name].demand()
 	}
-	l.apply(tenant, a, names, p.Divide(limit, demands))
+	l.apply(tenant, a, names, policy.Divide(limit, demands))
 }
 
 // unknown returns a size that is positive in the dimensions that the cap limits and in which the bound of some pool is missing.
@@ -275,7 +317,7 @@
 			e.bound.Cap = a.cap
 			l.markChanged(tenant, a)
 		}
-		e.aim(a, amounts[i])
+		l.aim(a, e, amounts[i])
 	}
 }
 
@@ -302,7 +344,7 @@
 }
 
 // aim sets the budget that the pool should have, and whether it has to be sent.
-func (e *entry) aim(a *account, amount batch.Size) {
+func (l *Ledger) aim(a *account, e *entry, amount batch.Size) {
 	for d := range dimensions {
 		if of(a.cap, d) == 0 {
 			*at(&amount, d) = 0
@@ -311,15 +353,21 @@
 	e.target = amount
 	held := &e.use.Held
 	isHeld := e.reported && held.Number > 0 && held.Amount == amount && held.Cap == a.cap
-	switch {
-	case isHeld && held.Is(&e.sent):
-		e.due = false
-	case isHeld && within(e.bound.Amount, amount, a.cap) && e.bound.Cap == a.cap:
-		// An earlier lender has lent just that.
-		e.due = false
-	default:
-		e.due = true
+	// An earlier lender may have lent just that.
+	isSettled := held.Is(&e.sent) || (within(e.bound.Amount, amount, a.cap) && e.bound.Cap == a.cap)
+	l.setDue(e, !isHeld || !isSettled)
+}
+
+// setDue sets whether the budget of a pool has to be sent.
+func (l *Ledger) setDue(e *entry, due bool) {
+	if !due {
+		delete(l.due[e.pool], e.tenant)
+		return
 	}
+	if l.due[e.pool] == nil {
+		l.due[e.pool] = map[string]*entry{}
+	}
+	l.due[e.pool][e.tenant] = e
 }
 
 // TakeChanged returns the accounts that have changed since the last call. An account without bounds is to be deleted.
@@ -340,18 +388,17 @@
 	return out
 }
 
-// Take returns the budgets that are to be sent to the owner of a pool, and counts them as sent. All accounts that have been taken have to be
-// stored, and budgets of accounts that have changed since wait. A budget that was sent and has not been reported since is sent again.
+// Take returns the budgets that are to be sent to the owner of a pool, and counts them as sent. Budgets of accounts that have changed since
+// TakeChanged wait. A budget that was sent and has not been reported since is sent again.
 func (l *Ledger) Take(pool string) []Budget {
 	var out []Budget
-	for _, tenant := range slices.Sorted(maps.Keys(l.accounts)) {
-		a := l.accounts[tenant]
-		e := a.pools[pool]
-		if e == nil || !e.due || a.unstored > 0 {
+	for _, tenant := range slices.Sorted(maps.Keys(l.due[pool])) {
+		a, e := l.accounts[tenant], l.due[pool][tenant]
+		if a.unstored > 0 {
 			continue
 		}
 		l.number++
-		e.sent = Budget{Tenant: tenant, Amount: e.target, Cap: a.cap, Version: a.version, Epoch: l.epoch, Number: l.number}
+		e.sent = Budget{Tenant: tenant, Amount: e.target, Cap: a.cap, Version: a.version, Epoch: l.epoch, Number: l.number, Opening: !a.opened}
 		out = append(out, e.sent)
 	}
 	return out
@@ -359,8 +406,8 @@
 
 // IsDue reports whether budgets wait to be sent to the owner of a pool.
 func (l *Ledger) IsDue(pool string) bool {
-	for _, a := range l.accounts {
-		if e := a.pools[pool]; e != nil && e.due && a.unstored == 0 {
+	for tenant := range l.due[pool] {
+		if l.accounts[tenant].unstored == 0 {
 			return true
 		}
 	}
--- a/fleet/caps/model_test.go
+++ b/fleet/caps/model_test.go
@@ -29,10 +29,8 @@
 
 // modelOwner is an owner. A frozen one goes on to start work while the hosts have not seen its successor.
 type modelOwner struct {
-	pool    *modelPool
-	held    caps.Budget
-	version int64
-	cap     batch.Size
+	caps.Holding
+	pool *modelPool
 	// seen is set once the hosts have answered this owner. Before that, everything that they could run counts.
 	seen bool
 }
@@ -49,8 +47,8 @@
 // start starts one task, if the budget has room for it.
 func (o *modelOwner) start(size int64) bool {
 	reaches := o.seen && (o.inForce() || !o.pool.owners[slices.Index(o.pool.owners, o)+1].seen)
-	limit := o.held.Limit(o.cap, o.version).MilliCores
-	if !reaches || o.mayRun()+size > limit || o.pool.running+size > o.pool.capacity {
+	limit, limited := o.Limit()
+	if !reaches || (limited && o.mayRun()+size > limit.MilliCores) || o.pool.running+size > o.pool.capacity {
 		return false
 	}
 	o.pool.running += size
@@ -60,17 +58,15 @@
 // handle takes budgets and returns the report. Only the owner in force can write to the store.
 func (o *modelOwner) handle(budgets []caps.Budget) (caps.Use, bool) {
 	for _, b := range budgets {
-		if b.IsNewer(&o.held) {
-			o.held = b
-		}
+		o.Take(b)
 	}
 	if !o.inForce() {
 		return caps.Use{}, false
 	}
-	o.pool.stored = o.held
+	o.pool.stored = o.Held
 	u := caps.Use{
 		Running: cores(o.pool.running), MayRun: cores(o.mayRun()), Waiting: cores(o.pool.waiting),
-		Ready: cores(min(o.pool.waiting, o.pool.capacity-o.pool.running)), Least: cores(10), Held: o.held, Stored: true,
+		Ready: cores(min(o.pool.waiting, o.pool.capacity-o.pool.running)), Least: cores(10), Held: o.Held, Stored: true, Void: o.IsVoid(),
 	}
 	u.Held.Tenant = tenant
 	return u, true
@@ -98,6 +94,8 @@
 	// lenderVersion and lenderCap are of the configuration that the lender knows.
 	lenderVersion int64
 	lenderCap     batch.Size
+	// removes reports whether the cap is removed now and then.
+	removes bool
 }
 
 func (m *model) store() {
@@ -124,32 +122,82 @@
 
 // highestCap is the highest of the caps that may be in force.
 func (m *model) highestCap() int64 {
-	most := max(m.cap.MilliCores, m.lenderCap.MilliCores)
+	known := []batch.Size{m.cap, m.lenderCap}
 	for _, p := range m.pools {
 		for _, o := range p.owners {
-			most = max(most, o.cap.MilliCores)
+			known = append(known, o.Cap)
 		}
 	}
+	var most int64
+	for _, c := range known {
+		if !caps.HasCap(c) {
+			return caps.Unlimited
+		}
+		most = max(most, c.MilliCores)
+	}
 	return most
 }
 
+// configure has an owner learn of the newest configuration.
+func (o *modelOwner) configure(m *model) {
+	if o.Configure(m.cap, m.version) && o.inForce() {
+		o.pool.stored = o.Held
+	}
+}
+
+// configureLender has the lender learn of the newest configuration.
+func (m *model) configureLender() {
+	m.lenderVersion, m.lenderCap = m.version, m.cap
+	if !caps.HasCap(m.cap) {
+		m.ledger.Drop(tenant)
+	}
+}
+
+// removeCap ends the cap for a while. All owners learn of it, but the lender may not.
+func (m *model) removeCap() {
+	m.cap = batch.Size{}
+	for _, p := range m.pools {
+		for _, o := range p.owners {
+			o.configure(m)
+		}
+	}
+}
+
+// plan divides the cap, if the lender knows of one.
+func (m *model) plan() {
+	if caps.HasCap(m.lenderCap) {
+		caps.Plan(m.ledger, caps.ByDemand{}, tenant, m.lenderCap, m.lenderVersion, m.names())
+	}
+}
+
+// pick picks a message: mostly the newest one, or any that is late.
+func (m *model) pick(messages int) int {
+	if m.IntN(3) > 0 {
+		return messages - 1
+	}
+	return m.IntN(messages)
+}
+
 func (m *model) step(t *testing.T) {
 	p := m.pools[m.IntN(len(m.pools))]
 	o := p.owners[m.IntN(len(p.owners))]
-	switch m.IntN(16) {
+	switch m.IntN(20) {
 	case 0, 1, 2, 3:
-		before := m.total()
-		if o.start(10) {
+		for range 1 + m.IntN(20) {
+			before := m.total()
+			if !o.start(10) {
+				break
+			}
 			require.LessOrEqual(t, before+10, m.highestCap(), "pool %s", p.name)
 		}
 	case 4, 5:
-		if p.running > 0 {
-			p.running -= 10
-		}
+		p.running -= min(10*m.Int64N(8), p.running)
 	case 6, 7, 8:
-		m.ledger.Plan(caps.ByDemand{}, tenant, m.lenderCap, m.lenderVersion, m.names())
-		if m.IntN(4) > 0 {
+		m.plan()
+		if m.IntN(2) == 0 {
 			m.store()
+		}
+		if m.IntN(4) > 0 {
 			m.requests = append(m.requests, message{pool: p, epoch: m.epoch, budgets: m.ledger.Take(p.name)})
 		}
 	case 9, 10, 11:
@@ -157,7 +205,7 @@
 		if len(m.requests) == 0 {
 			return
 		}
-		i := m.IntN(len(m.requests))
+		i := m.pick(len(m.requests))
 		r := m.requests[i]
 		if m.IntN(4) > 0 {
 			m.requests = slices.Delete(m.requests, i, i+1)
@@ -166,11 +214,11 @@
 		if use, ok := owner.handle(r.budgets); ok && m.IntN(4) > 0 {
 			m.answers = append(m.answers, message{pool: r.pool, epoch: r.epoch, uses: []caps.Use{use}})
 		}
-	case 12:
+	case 12, 16, 17:
 		if len(m.answers) == 0 {
 			return
 		}
-		i := m.IntN(len(m.answers))
+		i := m.pick(len(m.answers))
 		a := m.answers[i]
 		if m.IntN(4) > 0 {
 			m.answers = slices.Delete(m.answers, i, i+1)
@@ -183,31 +231,38 @@
 		if m.IntN(4) == 0 {
 			o.seen = true
 		}
-	case 14:
+	case 14, 18:
 		switch m.IntN(8) {
 		case 0:
 			// An owner is replaced, and may go on for a while.
 			last := p.owners[len(p.owners)-1]
-			p.owners = append(p.owners, &modelOwner{pool: p, held: p.stored, version: last.version, cap: last.cap})
-			if m.IntN(2) == 0 || len(p.owners) > 3 {
+			p.owners = append(p.owners, &modelOwner{pool: p, Holding: caps.Holding{Held: p.stored, Cap: last.Cap, Version: last.Version}})
+			if m.IntN(2) == 0 {
 				p.owners = p.owners[1:]
 			}
+		case 2, 3:
+			p.owners = p.owners[len(p.owners)-1:]
 		case 1:
 			// A lender is replaced. It may have been about to store something.
 			m.epoch++
 			m.ledger = caps.NewLedger(m.epoch, []caps.Account{m.stored[tenant]})
 		}
-	case 15:
+	case 15, 19:
 		switch m.IntN(4) {
 		case 0:
-			if m.IntN(4) == 0 {
+			if m.IntN(8) == 0 || !caps.HasCap(m.cap) {
 				m.version++
 				m.cap = cores(10 * (1 + m.Int64N(100)))
+				if m.removes && m.IntN(4) == 0 {
+					m.removeCap()
+				}
 			}
 		case 1:
-			m.lenderVersion, m.lenderCap = m.version, m.cap
+			m.configureLender()
 		default:
-			o.version, o.cap = m.version, m.cap
+			for _, o := range p.owners {
+				o.configure(m)
+			}
 		}
 	}
 }
@@ -219,11 +274,11 @@
 	for seed := range uint64(300) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			m := &model{Rand: rand.New(rand.NewPCG(seed, 1)), epoch: 1, cap: cores(500), version: 1, stored: map[string]caps.Account{}}
-			m.lenderVersion, m.lenderCap = m.version, m.cap
+			m.lenderVersion, m.lenderCap, m.removes = m.version, m.cap, seed%2 == 1
 			m.ledger = caps.NewLedger(m.epoch, nil)
 			for i := range 2 + m.IntN(4) {
 				p := &modelPool{name: fmt.Sprint("pool-", i), capacity: 600}
-				p.owners = []*modelOwner{{pool: p, version: 1, cap: m.cap, seen: true}}
+				p.owners = []*modelOwner{{pool: p, Holding: caps.Holding{Version: 1, Cap: m.cap}, seen: true}}
 				// What has started before the cap counts.
 				p.running = 10 * m.Int64N(20)
 				m.pools = append(m.pools, p)
@@ -249,14 +304,18 @@
 // settle has all messages delivered until nothing changes any more.
 func (m *model) settle() {
 	m.requests, m.answers = nil, nil
-	m.lenderVersion, m.lenderCap = m.version, m.cap
+	if !caps.HasCap(m.cap) {
+		m.version, m.cap = m.version+1, cores(500)
+	}
+	m.configureLender()
 	for _, p := range m.pools {
 		p.owners = p.owners[len(p.owners)-1:]
-		p.owners[0].seen, p.owners[0].version, p.owners[0].cap = true, m.version, m.cap
+		p.owners[0].seen = true
+		p.owners[0].configure(m)
 	}
 	for range 40 {
 		for _, p := range m.pools {
-			m.ledger.Plan(caps.ByDemand{}, tenant, m.cap, m.version, m.names())
+			m.plan()
 			m.store()
 			for p.waiting > 0 && p.owners[0].start(10) {
 				p.waiting -= 10
@@ -267,3 +326,30 @@
 		}
 	}
 }
+
+// Guards against a lowered cap that finds a budget of an earlier one in a pool which did not learn of the raise in between.
+func TestARaisedCapIsLentOnceEachPoolHasConfirmedIt(t *testing.T) {
+	l := caps.NewLedger(1, []caps.Account{{Tenant: tenant, Opened: true, Bounds: map[string]caps.Bound{
+		"a": {Amount: cores(50), Cap: cores(100)}, "b": {Amount: cores(50), Cap: cores(100)},
+	}}})
+	report := func(pool string, b caps.Budget, waiting int64) {
+		b.Tenant = tenant
+		u := caps.Use{Running: cores(50), MayRun: cores(50), Ready: cores(waiting), Waiting: cores(waiting), Least: cores(10), Held: b, Stored: true}
+		l.Report(pool, []caps.Use{u})
+	}
+	old := caps.Budget{Amount: cores(50), Cap: cores(100), Version: 1, Epoch: 1, Number: 1}
+	step := func(pool string) caps.Budget {
+		caps.Plan(l, caps.ByDemand{}, tenant, cores(200), 2, nil)
+		l.TakeChanged()
+		sent := l.Take(pool)
+		require.Len(t, sent, 1)
+		return sent[0]
+	}
+	report("a", old, 100)
+	report("b", old, 0)
+	first := step("a")
+	require.Equal(t, int64(50), first.Amount.MilliCores, "pool b may go on to use its part of the lower cap")
+	report("a", first, 100)
+	report("b", step("b"), 0)
+	require.Greater(t, step("a").Amount.MilliCores, int64(50))
+}
--- a/fleet/shard/budget.go
+++ b/fleet/shard/budget.go
@@ -27,10 +27,8 @@
 
 // tenantBudget is what limits the starts of a tenant.
 type tenantBudget struct {
-	// cap is that of the newest configuration. It is zero if the tenant has none.
-	cap batch.Size
-	// held is the budget that the lender has given, and the zero one before there is any. stored reports whether the store has it.
-	held   caps.Budget
+	caps.Holding
+	// stored reports whether the store has the budget.
 	stored bool
 	// limited reports whether limit applies, which is what may run of the tenant.
 	limited bool
@@ -52,11 +50,13 @@
 	need batch.Size
 }
 
-// SetCaps applies the caps of a configuration. It returns the budgets that are void now, since their tenants have no cap any more.
-func (s *State) SetCaps(c *port.Config) []caps.Budget {
+// SetCaps applies the caps of a configuration. It returns the names of the tenants whose budgets are void now, since they have no cap any
+// more.
+func (s *State) SetCaps(c *port.Config) []string {
 	if c.Version < s.budgets.version {
 		return nil
 	}
+	previous := s.budgets.version
 	s.budgets.version = c.Version
 	limits := map[string]batch.Size{}
 	for i := range c.Tenants {
@@ -65,49 +65,52 @@
 			s.backlog.tenantNamed(t.Name)
 		}
 	}
-	var void []caps.Budget
+	var void []string
 	for name, t := range s.backlog.tenants {
 		b := &t.budget
-		b.cap = limits[name]
-		if !caps.HasCap(b.cap) && b.held.Number > 0 && b.held.Version <= c.Version && b.held.Amount != (batch.Size{}) {
-			b.held, b.stored = b.held.Void(), false
-			void = append(void, b.held)
+		if b.Version < previous {
+			// A tenant that has been seen since then for the first time had no cap.
+			b.Configure(batch.Size{}, previous)
+		}
+		if b.Configure(limits[name], c.Version) {
+			b.stored = false
+			void = append(void, name)
 		}
 		s.updateLimit(t)
 	}
 	return void
 }
 
-// SetBudget takes a budget, unless it is older than the one that is held. It reports whether it is newer, and whether it is lower in some
-// dimension than what the tenant might have had before.
-func (s *State) SetBudget(b caps.Budget) (newer, lower bool) {
+// SetBudget takes a budget. It reports whether it is taken, and whether it may be lower than what was held.
+func (s *State) SetBudget(b caps.Budget) (taken, lower bool) {
 	t := s.backlog.tenantNamed(b.Tenant)
-	if !b.IsValid() || !b.IsNewer(&t.budget.held) {
-		return false, false
+	if t.budget.Version < s.budgets.version {
+		t.budget.Configure(batch.Size{}, s.budgets.version)
 	}
-	before := &t.budget.held
-	lower = before.Number == 0 || before.Cap != b.Cap || !b.Amount.Fits(before.Amount)
-	t.budget.held, t.budget.stored = b, false
-	s.updateLimit(t)
-	return true, lower
+	if taken, lower = t.budget.Take(b); taken {
+		t.budget.stored = false
+		s.updateLimit(t)
+	}
+	return taken, lower
 }
 
-// RestoreBudget takes a budget that an earlier owner has stored.
+// RestoreBudget takes a budget that an earlier owner has stored, before any configuration is known.
 func (s *State) RestoreBudget(b caps.Budget) {
-	s.SetBudget(b)
-	s.BudgetStored(b)
+	t := s.backlog.tenantNamed(b.Tenant)
+	t.budget.Held, t.budget.stored = b, true
+	s.updateLimit(t)
 }
 
 // BudgetStored records that the store has a budget.
 func (s *State) BudgetStored(b caps.Budget) {
-	if t := s.backlog.tenants[b.Tenant]; t != nil && t.budget.held == b {
+	if t := s.backlog.tenants[b.Tenant]; t != nil && t.budget.Held == b {
 		t.budget.stored = true
 	}
 }
 
 // Budget returns the budget that limits the tenant, with its name.
 func (t *TenantUse) Budget() caps.Budget {
-	b := t.budget.held
+	b := t.budget.Held
 	b.Tenant = t.Name
 	return b
 }
@@ -118,16 +121,13 @@
 	return t == nil || t.budget.stored
 }
 
-// updateLimit updates what a tenant may have running. Once a budget has been lent, it limits the tenant as long as this owner does not know
-// that the tenant has no cap.
+// updateLimit updates what a tenant may have running.
 func (s *State) updateLimit(t *TenantUse) {
 	b := &t.budget
-	b.limited = caps.HasCap(b.cap) || (b.held.Number > 0 && s.budgets.version < b.held.Version)
-	if !b.limited {
+	if b.limit, b.limited = b.Limit(); !b.limited {
 		delete(s.budgets.limited, t.Name)
 		return
 	}
-	b.limit = b.held.Limit(b.cap, s.budgets.version)
 	if s.budgets.limited == nil {
 		s.budgets.limited = map[string]*TenantUse{}
 	}
@@ -285,7 +285,8 @@
 	for _, t := range slices.Compact(tenants) {
 		b := &t.budget
 		u := caps.Use{
-			Running: nonNegative(t.Running), MayRun: nonNegative(t.mayRun()), Waiting: nonNegative(b.waiting), Held: b.held, Stored: b.stored,
+			Running: nonNegative(t.Running), MayRun: nonNegative(t.mayRun()), Waiting: nonNegative(b.waiting), Held: b.Held, Stored: b.stored,
+			Void: b.IsVoid(),
 		}
 		u.Held.Tenant = t.Name
 		if need, ready := least[t]; ready {
--- a/fleet/shard/budget_test.go
+++ b/fleet/shard/budget_test.go
@@ -15,7 +15,7 @@
 // capOf is the cap of the tenant "t" in the tests.
 var capOf = batch.Size{MilliCores: 8000}
 
-func (o *owner) configureCap(version int64, limit batch.Size) []caps.Budget {
+func (o *owner) configureCap(version int64, limit batch.Size) []string {
 	return o.SetCaps(&port.Config{Version: version, Tenants: []port.Tenant{{Name: "t", Cap: limit}}})
 }
 
@@ -138,12 +138,14 @@
 	o.submitAs("t", "job", smallStep(4))
 	require.Empty(t, o.plan(), "other pools may run more than the lower cap")
 
-	require.Equal(t, []caps.Budget{{Tenant: "t", Cap: capOf, Version: 1, Epoch: 1, Number: 1}}, o.configureCap(3, batch.Size{}))
+	require.Equal(t, []string{"t"}, o.configureCap(3, batch.Size{}))
 	require.Len(t, o.start(), 4, "no cap")
 	o.configureCap(4, capOf)
 	o.submitAs("t", "later", smallStep(1))
 	require.Empty(t, o.plan())
-	require.Zero(t, o.BudgetUses(o.now, true)[0].Held.Amount.MilliCores)
+	require.True(t, o.BudgetUses(o.now, true)[0].Void)
+	taken, _ := o.lend(2, 4000)
+	require.False(t, taken, "the lender has to ask first what has started without a cap")
 }
 
 // Guards against an owner with an older configuration that goes on to start work when the lender divides the first cap.
