--- a/fleet/caps/divide.go
+++ b/fleet/caps/divide.go
@@ -43,8 +43,9 @@
 type ByDemand struct{}
 
 const (
-	// portions is the number of steps in which the demand of a pool is granted. It bounds the time that a division takes.
-	portions = 16
+	// portions is the number of steps in which the demand of a pool is granted, while there is room, and maxSteps bounds all of them. They
+	// bound the time that a division takes.
+	portions, maxSteps = 16, 32
 	// commonPart is the inverse of the part of the rest that pools get without recent use.
 	commonPart = 4
 	// fineness is the inverse of the part of a cap below which budgets are not moved for the sake of the rest alone.
@@ -154,28 +155,46 @@
 			open = append(open, i)
 		}
 	}
+	// One request for each pool comes first: a pool may not be able to use what it is granted, since its hosts have room in pieces.
+	slices.SortStableFunc(open, d.comparePools)
+	for _, i := range open {
+		if least := smaller(d.pools[i].Least, d.missing(i, want(&d.pools[i]))); within(least, d.left, d.limit) {
+			d.add(i, least)
+		}
+	}
+	steps := make([]int, len(d.pools))
 	for len(open) > 0 {
 		k := d.poorest(open)
 		i := open[k]
-		p := &d.pools[i]
-		all := want(p)
-		missing := d.missing(i, all)
-		portion := zip(all, p.Least, missing, func(all, least, missing int64) int64 {
-			step := max(all/portions, 1)
+		portion := d.portion(i, want(&d.pools[i]))
+		if steps[i]++; portion == (batch.Size{}) || steps[i] > maxSteps {
+			open = slices.Delete(open, k, k+1)
+			continue
+		}
+		d.add(i, portion)
+	}
+}
+
+// portion returns what a pool is granted in one step, or nothing if not even the least request fits.
+func (d *division) portion(i int, all batch.Size) batch.Size {
+	p := &d.pools[i]
+	missing := d.missing(i, all)
+	for part := int64(portions); part <= portions*portions; part *= 4 {
+		portion := zip(smaller(all, d.limit), p.Least, missing, func(all, least, missing int64) int64 {
+			step := max(all/part, 1)
 			if least > 0 {
 				step = (step + least - 1) / least * least
 			}
 			return min(step, missing)
 		})
-		if !within(portion, d.left, d.limit) {
-			portion = smaller(p.Least, missing)
-		}
-		if portion == (batch.Size{}) || !within(portion, d.left, d.limit) {
-			open = slices.Delete(open, k, k+1)
-			continue
+		if within(portion, d.left, d.limit) {
+			return portion
 		}
-		d.add(i, portion)
 	}
+	if least := smaller(p.Least, missing); within(least, d.left, d.limit) {
+		return least
+	}
+	return batch.Size{}
 }
 
 // missing returns what a pool has not been granted of what it wants.
@@ -197,19 +216,23 @@
 	}
 }
 
-// poorest returns the position of the pool that has been granted the least. Of several, it is one that has the budget already, so
-// that a budget does not move on before it is used.
+// poorest returns the position of the pool that goes first.
 func (d *division) poorest(open []int) int {
 	best := 0
-	for k := 1; k < len(open); k++ {
-		a, b := open[k], open[best]
-		if c := cmp.Or(cmp.Compare(d.part(d.out[a]), d.part(d.out[b])), cmp.Compare(d.part(d.pools[b].Lent), d.part(d.pools[a].Lent))); c < 0 {
+	for k := range open {
+		if d.comparePools(open[k], open[best]) < 0 {
 			best = k
 		}
 	}
 	return best
 }
 
+// comparePools orders pools by what they have been granted. Of several with the same, the one goes first that has the budget already, so that
+// a budget does not move on before it is used.
+func (d *division) comparePools(a, b int) int {
+	return cmp.Or(cmp.Compare(d.part(d.out[a]), d.part(d.out[b])), cmp.Compare(d.part(d.pools[b].Lent), d.part(d.pools[a].Lent)))
+}
+
 // part returns the largest part that an amount is of the cap in any dimension.
 func (d *division) part(amount batch.Size) float64 {
 	var most float64
--- a/fleet/caps/ledger.go
+++ b/fleet/caps/ledger.go
@@ -126,6 +126,7 @@
 		} else if u.Void {
 			e.bound.Cap = batch.Size{}
 		}
+		u.Running, u.MayRun, u.Ready, u.Waiting, u.Least = clampTo(u.Running), clampTo(u.MayRun), clampTo(u.Ready), clampTo(u.Waiting), clampTo(u.Least)
 		l.touch(u.Held.Tenant, !e.reported || e.use != *u)
 		e.use, e.reported = *u, true
 		l.confirm(a, e, u.Held.Tenant)
@@ -269,7 +270,7 @@
 // demand returns what a pool wants.
 func (e *entry) demand() Demand {
 	u := &e.use
-	use := clampTo(u.Running).Add(clampTo(u.Ready))
+	use := u.Running.Add(clampTo(u.Ready))
 	e.recent = zip(e.recent, use, use, func(recent, use, _ int64) int64 { return max(use, recent-recent/fading-1, 0) })
 	return Demand{
 		Lent: e.target, Running: clampTo(u.Running), Ready: clampTo(u.Ready), Waiting: clampTo(u.Waiting), Least: clampTo(u.Least), Recent: e.recent,
--- a/fleet/caps/model_test.go
+++ b/fleet/caps/model_test.go
@@ -353,3 +353,47 @@
 	report("b", step("b"), 0)
 	require.Greater(t, step("a").Amount.MilliCores, int64(50))
 }
+
+// Guards against budgets that are above the cap together, that leave a pool with work below one request, or that overflow.
+func TestDivisionsServeEachPoolWithinTheCap(t *testing.T) {
+	for seed := range uint64(2000) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		size := func(most int64) batch.Size {
+			return batch.Size{MilliCores: r.Int64N(most + 1), MemoryMB: r.Int64N(most + 1), Accelerators: r.Int64N(most/100 + 1)}
+		}
+		limit := batch.Size{MilliCores: 10_000 + r.Int64N(10_000), MemoryMB: 10_000 * r.Int64N(2)}
+		if seed%10 == 0 {
+			limit = batch.Size{MilliCores: 1 << 50, MemoryMB: 1}
+		}
+		pools := make([]caps.Demand, 1+r.IntN(8))
+		var running, least batch.Size
+		for i := range pools {
+			p := &pools[i]
+			*p = caps.Demand{Lent: size(4000), Running: size(1200), Recent: size(4000)}
+			if r.IntN(2) == 0 {
+				p.Least = size(500)
+				p.Ready = p.Least.Add(size(1 << 40))
+				p.Waiting = p.Ready.Add(size(1 << 40))
+				least = least.Add(p.Least)
+			}
+			running = running.Add(p.Running)
+		}
+		out := caps.ByDemand{}.Divide(limit, pools)
+		var sum batch.Size
+		for i := range out {
+			require.True(t, out[i].Fits(batch.Size{}), "seed %d", seed)
+			sum = sum.Add(out[i])
+		}
+		fits := running.Add(least)
+		served := limit.MilliCores >= fits.MilliCores && (limit.MemoryMB == 0 || limit.MemoryMB >= fits.MemoryMB)
+		for i := range pools {
+			if p := &pools[i]; served && p.Least != (batch.Size{}) {
+				need := p.Running.Add(p.Least)
+				require.GreaterOrEqual(t, out[i].MilliCores, need.MilliCores, "seed %d pool %d", seed, i)
+				require.True(t, limit.MemoryMB == 0 || out[i].MemoryMB >= need.MemoryMB, "seed %d pool %d", seed, i)
+			}
+		}
+		require.LessOrEqual(t, sum.MilliCores, limit.MilliCores, "seed %d", seed)
+		require.True(t, limit.MemoryMB == 0 || sum.MemoryMB <= limit.MemoryMB, "seed %d: %d", seed, sum.MemoryMB)
+	}
+}
