--- a/entry/owner/state.go
+++ b/entry/owner/state.go
@@ -7,6 +7,7 @@
 
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/caps"
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/pairs"
 	"carawaymux.dev/fleet/port"
@@ -30,6 +31,8 @@
 	Granted map[string]struct{}
 	// Neighbors is the evidence about images that slow each other down.
 	Neighbors []pairs.Evidence
+	// Budgets holds the budgets of tenants, by name.
+	Budgets map[string]caps.Budget
 	// OrphanedParts are parts of jobs that are not stored any more.
 	OrphanedParts []shard.StalePart
 	// Unreadable holds the errors of the records that could not be read, by key.
@@ -40,6 +43,7 @@
 	return &StoredState{
 		Specs: map[string]batch.Spec{}, Progress: map[string]shard.Progress{}, Parts: map[string][]shard.Part{},
 		Queues: map[string]storedQueue{}, Granted: map[string]struct{}{}, Unreadable: map[string]error{},
+		Budgets: map[string]caps.Budget{},
 	}
 }
 
@@ -108,6 +112,8 @@
 		delete(s.Granted, id)
 	case keyNeighbors:
 		s.Neighbors = nil
+	case keyBudget:
+		delete(s.Budgets, id)
 	}
 }
 
@@ -172,6 +178,8 @@
 			return err
 		}
 		s.Neighbors = v.evidence()
+	case keyBudget:
+		return s.addBudget(id, e.Value)
 	}
 	return nil
 }
