Count on hosts that have not answered only what an earlier owner can have started

After a take-over, hosts that had not answered counted with all their capacity against the budget of each tenant.

An earlier owner has started only tasks of jobs that are stored. So these hosts together run at most the tasks of inherited jobs that are not done and not assigned, and those of jobs that were cancelled or have failed. A job that cannot be restored makes the whole capacity count as before.

--- a/entry/owner/budgets.go
+++ b/entry/owner/budgets.go
@@ -89,6 +89,9 @@
 	for _, b := range stored.Budgets {
 		c.state.RestoreBudget(b)
 	}
+	if len(stored.Unreadable) > 0 {
+		c.state.NoteMissingJobs()
+	}
 	if config != nil {
 		c.setCaps(config)
 	}
--- a/fleet/shard/budget.go
+++ b/fleet/shard/budget.go
@@ -21,8 +21,10 @@
 	version int64
 	// limited holds the tenants whose starts are limited. It is empty if no tenant has a cap.
 	limited map[string]*TenantUse
-	// countedAt is when the best-effort work was last counted that hosts without an answer may run.
+	// countedAt is when the work was last counted that hosts without an answer may run.
 	countedAt time.Time
+	// jobsMissing reports whether a job of an earlier owner could not be restored. Hosts may run anything of it.
+	jobsMissing bool
 }
 
 // tenantBudget is what limits the starts of a tenant.
@@ -36,9 +38,9 @@
 	// unassigned is what hosts report of the tenant that is not assigned to them.
 	unassigned batch.Size
 	// unseen is what hosts may run of the tenant that have not answered, and bestEffort the processor capacity of that which they
-	// run beyond their own.
-	unseen     batch.Size
-	bestEffort int64
+	// run beyond their own. inherited is what an earlier owner may have started of the tenant that is not assigned.
+	unseen, inherited batch.Size
+	bestEffort        int64
 	// waiting is what the idle tasks request that could start. unreserved is the processor capacity of the best-effort ones.
 	waiting    batch.Size
 	unreserved int64
@@ -202,46 +204,59 @@
 	h.unassignedRuns = nil
 }
 
-// countInterval is the minimum time between two counts of the best-effort work that may run on hosts without an answer.
+// countInterval is the minimum time between two counts of the work that may run on hosts without an answer.
 const countInterval = 50 * time.Millisecond
 
 // updateBudgets updates what hosts that this owner does not know well may run of the tenants that are limited. A host that has not answered
-// counts with its capacity for each tenant, one that reports runs of unknown tasks with what is free there. Best-effort tasks
-// reserve no processor capacity, so while there are such hosts, all of them that are not done count.
+// counts with its capacity for each tenant, one that reports runs of unknown tasks with what is free there. An earlier owner has started
+// only tasks of jobs that are stored, so the hosts together run no more than those that are not done and not assigned: else a tenant
+// with a small cap would wait for a host in a cut whose capacity is above the cap. Best-effort tasks reserve no processor capacity, so while
+// there are such hosts, all of them that are not done count.
 func (s *State) updateBudgets(now time.Time) {
 	if len(s.budgets.limited) == 0 {
 		return
 	}
-	var unseen batch.Size
+	var unseen, unknown batch.Size
 	waits := false
 	for _, h := range s.sortedHosts() {
 		switch {
 		case h.Stored && !h.Confirmed && !s.leaseExpired(h, now):
 			unseen, waits = unseen.Add(h.Capacity), true
 		case h.UnknownRuns > len(h.unassignedRuns):
-			unseen = unseen.Add(nonNegative(h.free()))
+			unknown = unknown.Add(nonNegative(h.free()))
 		}
 	}
+	if waits && now.Sub(s.budgets.countedAt) >= countInterval {
+		s.budgets.countedAt = now
+		s.countUnseen()
+	}
 	for _, t := range s.budgets.limited {
-		t.budget.unseen = unseen
+		b := &t.budget
 		if !waits {
-			t.budget.bestEffort = 0
+			b.bestEffort, b.inherited = 0, batch.Size{}
 		}
-	}
-	if waits && now.Sub(s.budgets.countedAt) >= countInterval {
-		s.budgets.countedAt = now
-		s.countBestEffort()
+		b.unseen = unseen
+		if !s.budgets.jobsMissing {
+			b.unseen = batch.Size{
+				MilliCores: min(unseen.MilliCores, b.inherited.MilliCores), MemoryMB: min(unseen.MemoryMB, b.inherited.MemoryMB),
+				Accelerators: min(unseen.Accelerators, b.inherited.Accelerators),
+			}
+		}
+		b.unseen = b.unseen.Add(unknown)
 	}
 }
 
+// NoteMissingJobs records that jobs of an earlier owner could not be restored.
+func (s *State) NoteMissingJobs() { s.budgets.jobsMissing = true }
+
 func nonNegative(s batch.Size) batch.Size {
 	return batch.Size{MilliCores: max(s.MilliCores, 0), MemoryMB: max(s.MemoryMB, 0), Accelerators: max(s.Accelerators, 0)}
 }
 
-// countBestEffort counts the best-effort tasks that are not done.
-func (s *State) countBestEffort() {
+// countUnseen counts the best-effort tasks that are not done, and the tasks that an earlier owner may have started.
+func (s *State) countUnseen() {
 	for _, t := range s.budgets.limited {
-		t.budget.bestEffort = 0
+		t.budget.bestEffort, t.budget.inherited = 0, batch.Size{}
 	}
 	for _, j := range s.Jobs {
 		use := s.backlog.tenants[j.Spec.Tenant]
@@ -250,6 +265,9 @@
 		}
 		for si := range j.Spec.Steps {
 			step := &j.Spec.Steps[si]
+			if j.Inherited {
+				use.budget.inherited = addSizes(use.budget.inherited, manyTimes(step.Reservation(), j.mayBeStarted(si)))
+			}
 			if !step.BestEffort {
 				continue
 			}
@@ -264,6 +282,31 @@
 	}
 }
 
+// mayBeStarted returns the number of tasks of a step that an earlier owner may have started and that are not assigned.
+func (j *Job) mayBeStarted(step int) int {
+	switch j.Phase {
+	case Completed:
+		return 0
+	case Cancelled, Failed:
+		// Runs that are to be stopped go on until their hosts answer, and which there were is not stored.
+		return j.Spec.Occurrences() * j.Spec.Steps[step].Count
+	}
+	tasks := 0
+	for oi := range j.Occurrences {
+		if step >= len(j.Occurrences[oi].Stages) {
+			continue
+		}
+		stage := &j.Occurrences[oi].Stages[step]
+		tasks += stage.Left
+		for i := range stage.Tasks {
+			if task := &stage.Tasks[i]; !task.Done && task.Status != Idle {
+				tasks--
+			}
+		}
+	}
+	return tasks
+}
+
 // BudgetUses returns the use of the tenants whose starts are limited, in the order of their names. Those of which nothing runs or waits
 // are left out, but for those that are named, or if all is set.
 func (s *State) BudgetUses(now time.Time, all bool, named ...string) []caps.Use {
