--- a/fleet/shard/tenants_bench_test.go
+++ b/fleet/shard/tenants_bench_test.go
@@ -14,19 +14,20 @@
 const benchRunTime = 1600 * time.Millisecond
 
 // BenchmarkTenants measures rounds of an overloaded pool with 10,000 waiting tasks of a number of tenants, or of none. In
-// each, some tasks end and as many start. Every second waiting task needs more memory than any host has left. Run times
+// each, some tasks end and as many start. In some, every second waiting task needs more memory than any host has left. Run times
 // are as estimated, since all waiting steps are placed anew when the ratio changes.
 func BenchmarkTenants(b *testing.B) {
 	const hosts, perHost, waiting = 80, 8, 10_000
 	for _, tenants := range []int{0, 1, 20, 760} {
-		for _, ends := range []int{1, 32} {
-			b.Run(fmt.Sprintf("tenants-%d-ends-%d", tenants, ends), func(b *testing.B) {
-				p := newTenantPool(tenants, hosts, perHost, waiting)
+		for i, name := range []string{"equal-needs-ends-1", "equal-needs-ends-32", "mixed-needs-ends-1", "mixed-needs-ends-32"} {
+			ends, mixed := []int{1, 32}[i%2], i >= 2
+			b.Run(fmt.Sprintf("tenants-%d-%s", tenants, name), func(b *testing.B) {
+				p := newTenantPool(tenants, hosts, perHost, waiting, mixed)
 				step := func() {
 					p.now = p.now.Add(time.Duration(ends) * benchRunTime / (hosts * perHost))
 					p.state.ConfirmedAt = p.now
 					for range ends {
-						p.replaceOldest(func() { p.submitFor(tenants, 1) })
+						p.replaceOldest(func() { p.submitFor(tenants, true) })
 					}
 					p.tenantRound()
 				}
@@ -42,7 +43,7 @@
 	}
 }
 
-func newTenantPool(tenants, hosts, perHost, waiting int) *fullPool {
+func newTenantPool(tenants, hosts, perHost, waiting int, mixed bool) *fullPool {
 	p := &fullPool{now: time.Unix(1_700_000_000, 0), perJob: 1}
 	p.state = shard.New("pool", 1, timing, p.now)
 	p.state.Timing.MaxReservedShare = 0.1
@@ -62,7 +63,7 @@
 	p.now = p.now.Add(time.Millisecond)
 	p.state.ConfirmedAt = p.now
 	for i := range waiting + hosts*perHost {
-		p.submitFor(tenants, i%2)
+		p.submitFor(tenants, !mixed || i%2 == 1)
 	}
 	for range 2 {
 		p.tenantRound()
@@ -70,12 +71,12 @@
 	return p
 }
 
-// submitFor submits a job of one of a number of tenants. It could start unless its kind is 0.
-func (p *fullPool) submitFor(tenants, kind int) {
+// submitFor submits a job of one of a number of tenants, which fits on a host with a free core or on none.
+func (p *fullPool) submitFor(tenants int, fits bool) {
 	p.jobs++
 	step := smallStep(1)
 	step.Estimate = benchRunTime
-	if kind == 0 {
+	if !fits {
 		step.Need = batch.Size{MilliCores: 400, MemoryMB: 7500}
 	}
 	spec := batch.Spec{Queue: "q", Steps: []batch.Step{step}}
