--- a/entry/owner/state.go
+++ b/entry/owner/state.go
@@ -9,6 +9,7 @@
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/caps"
 	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/pairs"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 )
@@ -30,6 +31,8 @@
 	Granted map[string]struct{}
 	// Budgets holds the budgets of tenants, by name.
 	Budgets map[string]caps.Budget
+	// Neighbors is the evidence about images that slow each other down.
+	Neighbors []pairs.Evidence
 	// OrphanedParts are parts of jobs that are not stored any more.
 	OrphanedParts []shard.StalePart
 	// Unreadable holds the errors of the records that could not be read, by key.
@@ -109,6 +112,8 @@
 		delete(s.Granted, id)
 	case keyBudget:
 		delete(s.Budgets, id)
+	case keyNeighbors:
+		s.Neighbors = nil
 	}
 }
 
@@ -169,6 +174,12 @@
 		s.Granted[id] = struct{}{}
 	case keyBudget:
 		return s.addBudget(id, e.Value)
+	case keyNeighbors:
+		v, err := codec.DecodeFrame[storedPairs](e.Value)
+		if err != nil {
+			return err
+		}
+		s.Neighbors = v.evidence()
 	}
 	return nil
 }
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -43,7 +43,9 @@
 	keyQueue    = "/q/"
 	keyGrant    = "/e/"
 	keyBudget   = "/c/"
-	keyConfirm  = "/r"
+	// keyNeighbors has no ID either.
+	keyNeighbors = "/i/"
+	keyConfirm   = "/r"
 )
 
 // journal holds the changes that wait to be written and those of the append in flight.
@@ -141,6 +143,7 @@
 	now := time.Now()
 	c.restoreQueues(stored, config)
 	c.restoreBudgets(stored, config)
+	c.restoreNeighbors(stored, now)
 	for id, spec := range stored.Specs {
 		var n *shard.Progress
 		if v, ok := stored.Progress[id]; ok {
--- a/fleet/shard/bench_test.go
+++ b/fleet/shard/bench_test.go
@@ -21,7 +21,30 @@
 	}
 }
 
+// BenchmarkImages measures the rounds of BenchmarkRound with jobs that name one of forty images, of which each hurts some
+// others. In a roomy pool, half of the cores of each host are free on average.
+func BenchmarkImages(b *testing.B) {
+	const hosts, waiting = 350, 1000
+	for name, jobs := range map[string]int{"full": waiting/10 + hosts, "roomy": hosts * 4 / 10} {
+		for _, images := range []int{0, 40} {
+			for _, suspected := range []int{0, 40, 400} {
+				if images > 0 || suspected == 0 {
+					b.Run(fmt.Sprintf("%s-images-%d-pairs-%d", name, images, suspected), func(b *testing.B) {
+						benchmarkImages(b, hosts, jobs, images, suspected)
+					})
+				}
+			}
+		}
+	}
+}
+
 func benchmarkRound(b *testing.B, hosts, waiting int) {
+	benchmarkImages(b, hosts, waiting/10+hosts, 0, 0)
+}
+
+// benchmarkImages measures rounds of a pool whose jobs have ten tasks and name a number of images in turn, of which a
+// number of pairs is suspected.
+func benchmarkImages(b *testing.B, hosts, jobs, images, suspected int) {
 	now := time.Unix(1_700_000_000, 0)
 	s := shard.New("pool", 1, timing, now)
 	s.Configure(&port.Config{
@@ -34,8 +57,15 @@
 	}
 	now = now.Add(time.Millisecond)
 	s.ConfirmedAt = now
-	for i := range waiting/10 + hosts {
-		j, _ := s.Submit(fmt.Sprint(i), batch.Spec{Queue: "q", Steps: []batch.Step{smallStep(10)}}, now)
+	for i := range suspected {
+		addEvidence(s, fmt.Sprint("image-", i%images), fmt.Sprint("image-", (i+1+i/images)%images), 1, now)
+	}
+	for i := range jobs {
+		step := smallStep(10)
+		if images > 0 {
+			step.Image = fmt.Sprint("image-", i%images)
+		}
+		j, _ := s.Submit(fmt.Sprint(i), batch.Spec{Queue: "q", Steps: []batch.Step{step}}, now)
 		s.MarkStored(j)
 	}
 	shard.Plan(s, shard.BySlack{}, now, now.UnixMilli())
