--- a/fleet/shard/budget.go
+++ b/fleet/shard/budget.go
@@ -33,6 +33,8 @@
 	// limited reports whether limit applies, which is what may run of the tenant.
 	limited bool
 	limit   batch.Size
+	// denials counts the steps of the present round that have found no room in the budget.
+	denials int
 	// unassigned is what hosts report of the tenant that is not assigned to them.
 	unassigned batch.Size
 	// unseen is what hosts may run of the tenant that have not answered, and bestEffort the processor capacity of that which they
@@ -149,12 +151,22 @@
 	if !t.budget.limited {
 		return true
 	}
+	if t.budget.denials >= maxDenials {
+		return false
+	}
 	used := t.mayRun()
 	return hasBudget(t.budget.limit.MilliCores, used.MilliCores, need.MilliCores) &&
 		hasBudget(t.budget.limit.MemoryMB, used.MemoryMB, need.MemoryMB) &&
 		hasBudget(t.budget.limit.Accelerators, used.Accelerators, need.Accelerators)
 }
 
+// maxDenials is the number of steps of a tenant that are looked at in a round and then find no room in the budget. The groups of waiting steps
+// show what tasks reserve, which is less than they request for best-effort tasks and gangs.
+const maxDenials = 64
+
+// deny counts a step that has found no room in the budget.
+func (t *TenantUse) deny() { t.budget.denials++ }
+
 func hasBudget(limit, used, need int64) bool {
 	return need == 0 || limit == caps.Unlimited || (used <= limit && need <= limit-used)
 }
@@ -223,7 +235,7 @@
 		}
 	}
 	for _, t := range s.budgets.limited {
-		t.budget.unseen = unseen
+		t.budget.unseen, t.budget.denials = unseen, 0
 		if !waits {
 			t.budget.bestEffort = 0
 		}
--- a/fleet/shard/budget_test.go
+++ b/fleet/shard/budget_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -166,3 +167,33 @@
 	require.Len(t, o.plan(), 4)
 	require.Empty(t, o.BudgetUses(o.now, true))
 }
+
+// BenchmarkRoundWithoutBudget measures a round with many steps of a tenant that has used up its budget.
+func BenchmarkRoundWithoutBudget(b *testing.B) {
+	for _, bestEffort := range []bool{false, true} {
+		for _, waiting := range []int{100, 10_000} {
+			b.Run(fmt.Sprintf("best-effort=%t/waiting=%d", bestEffort, waiting), func(b *testing.B) {
+				now := time.Unix(1_700_000_000, 0)
+				s := shard.New("pool", 1, timing, now)
+				s.SetCaps(&port.Config{Version: 1, Tenants: []port.Tenant{{Name: "t", Cap: capOf}}})
+				for i := range 100 {
+					id := fmt.Sprint("h-", i)
+					s.UpdateHost(port.Host{ID: id, Pool: "pool", Capacity: batch.Size{MilliCores: 4000, MemoryMB: 4000}}, now).Stored = true
+					s.HandleReport(id, &port.HostReport{Clock: 1000, Born: 1}, now)
+				}
+				step := smallStep(1)
+				step.BestEffort, step.LongRunning = bestEffort, bestEffort
+				for i := range waiting {
+					j, _ := s.Submit(fmt.Sprint("j-", i), batch.Spec{Queue: "q", Tenant: "t", Steps: []batch.Step{step}}, now)
+					s.MarkStored(j)
+				}
+				now = now.Add(time.Millisecond)
+				s.ConfirmedAt = now
+				for b.Loop() {
+					shard.Plan(s, shard.BySlack{}, now, now.UnixMilli())
+				}
+				require.Empty(b, s.TakeOrders())
+			})
+		}
+	}
+}
