--- a/entry/lender/show.go
+++ b/entry/lender/show.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
@@ -62,6 +63,7 @@
 			c.gauge(caps.Lending{}, "tenant", tenant)
 		}
 	}
+	c.logShort(byTenant)
 	if waiting != "" && waiting != c.shown.waiting {
 		c.logger.Warn("cap of a tenant not lent: what runs in a pool is not known", "tenant", waiting, "pool", missing)
 	}
@@ -83,3 +85,43 @@
 func add(a, b caps.Lending) caps.Lending {
 	return caps.Lending{Lent: a.Lent.Add(b.Lent), Used: a.Used.Add(b.Used), Wanted: a.Wanted.Add(b.Wanted)}
 }
+
+// logShort logs how many tenants want more than their caps allow, and the one that wants the most beyond it.
+func (c *core) logShort(byTenant map[string]caps.Lending) {
+	short, first, most := 0, "", int64(0)
+	for _, tenant := range slices.Sorted(maps.Keys(byTenant)) {
+		l, limit := byTenant[tenant], c.caps[tenant]
+		if isWithin(l.Wanted, limit) {
+			continue
+		}
+		if beyond := l.Wanted.MilliCores - limit.MilliCores; short == 0 || beyond > most {
+			first, most = tenant, beyond
+		}
+		short++
+	}
+	if short == 0 {
+		return
+	}
+	l, limit := byTenant[first], c.caps[first]
+	var pools []any
+	for name, in := range c.ledger.Lendings(first) {
+		if len(pools) < maxPoolsLogged && !isWithin(in.Wanted, in.Lent) {
+			pools = append(pools, slog.Group(name, sizeGroup("lent", in.Lent), sizeGroup("used", in.Used), sizeGroup("wanted", in.Wanted)))
+		}
+	}
+	c.logger.Info("tenants want more than their caps", "tenants", short, "tenant", first, sizeGroup("cap", limit), sizeGroup("lent", l.Lent),
+		sizeGroup("used", l.Used), sizeGroup("wanted", l.Wanted), slog.Group("pools", pools...))
+}
+
+// maxPoolsLogged bounds the pools of one line.
+const maxPoolsLogged = 4
+
+// isWithin reports whether an amount is within a limit in the dimensions that have one.
+func isWithin(amount, limit batch.Size) bool {
+	return (limit.MilliCores == 0 || amount.MilliCores <= limit.MilliCores) && (limit.MemoryMB == 0 || amount.MemoryMB <= limit.MemoryMB) &&
+		(limit.Accelerators == 0 || amount.Accelerators <= limit.Accelerators)
+}
+
+func sizeGroup(key string, s batch.Size) slog.Attr {
+	return slog.Group(key, "millicores", s.MilliCores, "memory-mb", s.MemoryMB, "accelerators", s.Accelerators)
+}
