--- a/entry/lender/lender_test.go
+++ b/entry/lender/lender_test.go
@@ -75,10 +75,12 @@
 	// the requests to owners.
 	running     map[string]map[string]port.ActiveRun
 	most, calls int
-	owners      map[string]*owner.Owner
-	hosts       []port.Host
-	config      *port.Config
-	since       time.Time
+	// cut is the pool whose owner the lender cannot reach.
+	cut    string
+	owners map[string]*owner.Owner
+	hosts  []port.Host
+	config *port.Config
+	since  time.Time
 }
 
 func newSite(t *testing.T, limit batch.Size) *site {
@@ -178,10 +180,10 @@
 
 func (s *site) ask(ctx context.Context, pool string, budgets []caps.Budget, all bool) (owner.Answer, bool) {
 	s.mu.Lock()
-	o := s.owners[pool]
+	o, isCut := s.owners[pool], s.cut == pool
 	s.calls++
 	s.mu.Unlock()
-	if o == nil {
+	if o == nil || isCut {
 		return owner.Answer{}, false
 	}
 	return o.Budgets(ctx, budgets, all), true
@@ -293,3 +295,30 @@
 	s.submit("a", "0000000000000001", 6)
 	s.requireRunning("a", 4)
 }
+
+func (s *site) setCut(pool string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = pool
+}
+
+// Guards against a budget that is lent again although its owner may go on to use it.
+func TestABudgetThatCannotBeLoweredStaysCounted(t *testing.T) {
+	s := newSite(t, batch.Size{MilliCores: 4000})
+	s.startOwner("a")
+	s.startOwner("b")
+	s.submit("a", "0000000000000001", 4)
+	s.startLender()
+	s.requireRunning("a", 4)
+	s.setCut("a")
+	s.cancel("a", "0000000000000001")
+	s.submit("b", "0000000000000002", 4)
+	s.requireRunning("a", 0)
+	time.Sleep(time.Second)
+	s.requireRunning("b", 0)
+	s.submit("a", "0000000000000003", 1)
+	s.requireRunning("a", 1)
+	s.setCut("")
+	s.requireRunning("b", 3)
+	require.LessOrEqual(t, s.most, 4)
+}
