--- a/entry/owner/state.go
+++ b/entry/owner/state.go
@@ -29,10 +29,10 @@
 	Queues map[string]storedQueue
 	// Granted holds the hosts whose machines may be ordered since an earlier owner has called them empty.
 	Granted map[string]struct{}
-	// Budgets holds the budgets of tenants, by name.
-	Budgets map[string]caps.Budget
 	// Neighbors is the evidence about images that slow each other down.
 	Neighbors []pairs.Evidence
+	// Budgets holds the budgets of tenants, by name.
+	Budgets map[string]caps.Budget
 	// OrphanedParts are parts of jobs that are not stored any more.
 	OrphanedParts []shard.StalePart
 	// Unreadable holds the errors of the records that could not be read, by key.
@@ -110,10 +110,10 @@
 		delete(s.Queues, id)
 	case keyGrant:
 		delete(s.Granted, id)
-	case keyBudget:
-		delete(s.Budgets, id)
 	case keyNeighbors:
 		s.Neighbors = nil
+	case keyBudget:
+		delete(s.Budgets, id)
 	}
 }
 
@@ -172,14 +172,14 @@
 		s.Queues[id] = v
 	case keyGrant:
 		s.Granted[id] = struct{}{}
-	case keyBudget:
-		return s.addBudget(id, e.Value)
 	case keyNeighbors:
 		v, err := codec.DecodeFrame[storedPairs](e.Value)
 		if err != nil {
 			return err
 		}
 		s.Neighbors = v.evidence()
+	case keyBudget:
+		return s.addBudget(id, e.Value)
 	}
 	return nil
 }
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -42,9 +42,9 @@
 	keyHost     = "/h/"
 	keyQueue    = "/q/"
 	keyGrant    = "/e/"
-	keyBudget   = "/c/"
 	// keyNeighbors has no ID either.
 	keyNeighbors = "/i/"
+	keyBudget    = "/c/"
 	keyConfirm   = "/r"
 )
 
@@ -142,8 +142,8 @@
 	c.journal.waiters, c.journal.grants = map[string][]waiter{}, newGrants()
 	now := time.Now()
 	c.restoreQueues(stored, config)
-	c.restoreBudgets(stored, config)
 	c.restoreNeighbors(stored, now)
+	c.restoreBudgets(stored, config)
 	for id, spec := range stored.Specs {
 		var n *shard.Progress
 		if v, ok := stored.Progress[id]; ok {
