Bound what owners report to the lender of caps

With 760 active tenants in each of 40 pools, reports of 75 KB four times a second would take 12 MB a second. Beyond 2 MB a second the lender asks for all active tenants less often, and in between for those without room in their budgets.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -119,7 +119,7 @@
 	case peers.VerbLoad:
 		return o.Load(ctx)
 	case peers.VerbBudgets:
-		return o.Budgets(ctx, r.Budgets, r.AllTenants)
+		return o.Budgets(ctx, r.Budgets, r.Scope)
 	}
 	return owner.Answer{Outcome: owner.Refused, Reason: "unknown verb in a request to a pool owner"}
 }
--- a/entry/lender/lender.go
+++ b/entry/lender/lender.go
@@ -30,6 +30,9 @@
 	roundInterval = 250 * time.Millisecond
 	// askTimeout bounds a request to an owner, which may write to the store before it answers.
 	askTimeout = 900 * time.Millisecond
+	// timePerUse bounds what owners report: a use takes about 100 bytes, so reports take 2 MB a second at most, beside those of tenants that
+	// are short. With 760 active tenants in each of 40 pools, they would take 12 MB a second.
+	timePerUse = 50 * time.Microsecond
 	// planPause is the minimum time between two plans, so that reports that arrive together share one.
 	planPause = 10 * time.Millisecond
 	// inboxSize is the maximum number of messages that wait for the lender.
@@ -49,9 +52,9 @@
 	Stats *stats.Set
 	// Pools returns the pools that have an owner.
 	Pools func() []string
-	// Ask gives budgets to the owner of a pool and asks for the use of the tenants; of all with a limit, or of those of which
-	// something runs or waits. It reports false if the owner could not be asked.
-	Ask func(ctx context.Context, pool string, budgets []caps.Budget, all bool) (owner.Answer, bool)
+	// Ask gives budgets to the owner of a pool and asks for the use of the tenants in a scope. It reports false if the owner could not be
+	// asked.
+	Ask func(ctx context.Context, pool string, budgets []caps.Budget, scope caps.Scope) (owner.Answer, bool)
 }
 
 // Settings configure the lender.
@@ -75,7 +78,7 @@
 	report struct {
 		pool   string
 		answer owner.Answer
-		all    bool
+		scope  caps.Scope
 		ok     bool
 	}
 )
@@ -94,6 +97,8 @@
 	caps    map[string]batch.Size
 	// pools holds the pools that may have work of tenants.
 	pools map[string]*pool
+	// active is the sum over the pools.
+	active int
 	// unwritten holds the records that wait for the store. No budget is sent while there are any, or while a write is in flight.
 	unwritten     []port.Record
 	writeInFlight bool
@@ -114,6 +119,9 @@
 	inFlight bool
 	// epoch is that of the owner that has last reported all tenants.
 	epoch int64
+	// active is the number of tenants in the last report of all that are active, and nextActive the earliest time of the next one.
+	active     int
+	nextActive time.Time
 	// failing reports whether the last request was not answered.
 	failing bool
 }
@@ -275,6 +283,18 @@
 // isStored reports whether the store has all that the budgets to be sent rest on.
 func (c *core) isStored() bool { return !c.writeInFlight && len(c.unwritten) == 0 }
 
+// scope returns of which tenants an owner is asked for the use: of all at first, and mostly of those that are active. Where many are, it is
+// asked of those that are short in between.
+func (c *core) scope(p *pool) caps.Scope {
+	switch {
+	case p.epoch == 0:
+		return caps.All
+	case time.Now().Before(p.nextActive):
+		return caps.Short
+	}
+	return caps.Active
+}
+
 // ask asks the owner of a pool for the use of its tenants, and gives it the budgets that wait, unless a request is in flight.
 func (c *core) ask(ctx context.Context, name string) {
 	p := c.pools[name]
@@ -289,14 +309,14 @@
 		})
 	}
 	p.inFlight = true
-	all := p.epoch == 0
+	scope := c.scope(p)
 	c.deps.Stats.Add("caps-requests", 1, "pool", name)
 	c.deps.Stats.Add("caps-budgets-sent", int64(len(budgets)), "pool", name)
 	c.background.Go(func() {
 		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
-		a, ok := c.deps.Ask(askCtx, name, budgets, all)
-		c.post(ctx, report{name, a, all, ok && a.Outcome == owner.Found})
+		a, ok := c.deps.Ask(askCtx, name, budgets, scope)
+		c.post(ctx, report{name, a, scope, ok && a.Outcome == owner.Found})
 	})
 }
 
@@ -316,11 +336,16 @@
 		return
 	}
 	switch {
-	case m.all:
+	case m.scope == caps.All:
 		p.epoch = m.answer.Epoch
 	case p.epoch != m.answer.Epoch:
 		// A new owner may hold other budgets, so it is asked for all.
 		p.epoch = 0
 	}
-	c.ledger.Report(m.pool, m.answer.Budgets)
+	if m.scope != caps.Short {
+		c.active += len(m.answer.Budgets) - p.active
+		p.active = len(m.answer.Budgets)
+		p.nextActive = time.Now().Add(time.Duration(c.active) * timePerUse)
+	}
+	c.ledger.Report(m.pool, m.answer.Budgets, m.scope)
 }
--- a/entry/lender/lender_test.go
+++ b/entry/lender/lender_test.go
@@ -178,7 +178,7 @@
 	return out
 }
 
-func (s *site) ask(ctx context.Context, pool string, budgets []caps.Budget, all bool) (owner.Answer, bool) {
+func (s *site) ask(ctx context.Context, pool string, budgets []caps.Budget, scope caps.Scope) (owner.Answer, bool) {
 	s.mu.Lock()
 	o, isCut := s.owners[pool], s.cut == pool
 	s.calls++
@@ -186,7 +186,7 @@
 	if o == nil || isCut {
 		return owner.Answer{}, false
 	}
-	return o.Budgets(ctx, budgets, all), true
+	return o.Budgets(ctx, budgets, scope), true
 }
 
 // startLender starts a holder of the claim, from what earlier ones have stored.
--- a/entry/owner/budgets.go
+++ b/entry/owner/budgets.go
@@ -26,18 +26,17 @@
 	lowered []string
 }
 
-// poolBudgets gives budgets to the pool and asks for the use of the tenants. If all is set, it asks for all tenants with a limit, otherwise
-// for those of which something runs or waits.
+// poolBudgets gives budgets to the pool and asks for the use of the tenants in a scope.
 type poolBudgets struct {
 	budgets []caps.Budget
-	all     bool
+	scope   caps.Scope
 	reply   chan<- Answer
 }
 
-// Budgets gives budgets to the pool, and returns the use of the tenants with a limit. Lower budgets hold at once; the answer waits until the
+// Budgets gives budgets to the pool, and returns the use of the tenants in a scope and of those with these budgets. Lower budgets hold at once; the answer waits until the
 // store has them.
-func (o *Owner) Budgets(ctx context.Context, budgets []caps.Budget, all bool) Answer {
-	return o.call(ctx, Refused, func(reply chan<- Answer) message { return poolBudgets{budgets, all, reply} })
+func (o *Owner) Budgets(ctx context.Context, budgets []caps.Budget, scope caps.Scope) Answer {
+	return o.call(ctx, Refused, func(reply chan<- Answer) message { return poolBudgets{budgets, scope, reply} })
 }
 
 func (m poolBudgets) handle(c *core) {
@@ -72,7 +71,7 @@
 	for i := range m.budgets {
 		named = append(named, m.budgets[i].Tenant)
 	}
-	m.reply <- Answer{Outcome: Found, Epoch: c.state.Epoch, Budgets: c.state.BudgetUses(time.Now(), m.all, named...)}
+	m.reply <- Answer{Outcome: Found, Epoch: c.state.Epoch, Budgets: c.state.BudgetUses(time.Now(), m.scope, named...)}
 }
 
 // setCaps applies the caps of a configuration.
--- a/entry/owner/budgets_test.go
+++ b/entry/owner/budgets_test.go
@@ -65,7 +65,7 @@
 	take(port.Record{Key: "pool/c/t", Value: []byte("nonsense")})
 	require.Contains(t, stored.Unreadable, "pool/c/t")
 	c := restoreTestCore(t, idleHost{acked: make(chan int64, 8)}, stored, cappedConfig(3))
-	uses := c.state.BudgetUses(time.Now(), true)
+	uses := c.state.BudgetUses(time.Now(), caps.All)
 	require.Len(t, uses, 1)
 	require.Equal(t, caps.Budget{Tenant: "t"}, uses[0].Held)
 }
@@ -79,5 +79,5 @@
 	for _, r := range records {
 		require.NotContains(t, r.Key, keyBudget)
 	}
-	require.Empty(t, c.state.BudgetUses(time.Now(), true))
+	require.Empty(t, c.state.BudgetUses(time.Now(), caps.All))
 }
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -57,9 +57,9 @@
 	Hosts []string `cbor:"7,keyasint,omitempty"`
 	// Tenant is the tenant of the caller of a request about a job, and empty if the caller presented no key.
 	Tenant string `cbor:"8,keyasint,omitempty"`
-	// Budgets are the budgets of VerbBudgets. AllTenants reports whether it asks for the use of all tenants with a limit.
-	Budgets    []caps.Budget `cbor:"20,keyasint,omitempty"`
-	AllTenants bool          `cbor:"21,keyasint,omitempty"`
+	// Budgets are the budgets of VerbBudgets. Scope is that of the tenants for whose use it asks.
+	Budgets []caps.Budget `cbor:"20,keyasint,omitempty"`
+	Scope   caps.Scope    `cbor:"21,keyasint,omitempty"`
 }
 
 // LeaveOrder returns the order of a request to empty a host, which is zero if it has none.
--- a/fleet/caps/bench_test.go
+++ b/fleet/caps/bench_test.go
@@ -113,7 +113,7 @@
 				u.Held.Tenant = names[t]
 				uses = append(uses, u)
 			}
-			ledger.Report(pool, uses)
+			ledger.Report(pool, uses, caps.Active)
 		}
 		rounds++
 	}
--- a/fleet/caps/caps.go
+++ b/fleet/caps/caps.go
@@ -101,6 +101,19 @@
 	Void bool `cbor:"8,keyasint,omitempty"`
 }
 
+// Scope says of which tenants an owner reports the use, beside those whose budgets the request contains.
+type Scope uint8
+
+// The scopes.
+const (
+	// Active tenants are those of which something runs or waits.
+	Active Scope = iota
+	// All tenants with a limit.
+	All
+	// Short tenants are active ones of which something waits that hosts have room for, and the budget has not.
+	Short
+)
+
 // IsActive reports whether something of the tenant runs or waits.
 func (u *Use) IsActive() bool {
 	return u.MayRun != batch.Size{} || u.Waiting != batch.Size{}
--- a/fleet/caps/ledger.go
+++ b/fleet/caps/ledger.go
@@ -102,8 +102,8 @@
 	return e
 }
 
-// Report takes what the owner of a pool has reported, in any order.
-func (l *Ledger) Report(pool string, uses []Use) {
+// Report takes what the owner of a pool has reported of the tenants in a scope, in any order.
+func (l *Ledger) Report(pool string, uses []Use, scope Scope) {
 	reported := map[string]struct{}{}
 	for i := range uses {
 		u := &uses[i]
@@ -131,6 +131,9 @@
 		e.use, e.reported = *u, true
 		l.confirm(a, e, u.Held.Tenant)
 	}
+	if scope == Short {
+		return
+	}
 	// Owners leave out tenants that have nothing there.
 	for tenant, a := range l.accounts {
 		if e := a.pools[pool]; e != nil && e.reported {
--- a/fleet/caps/model_test.go
+++ b/fleet/caps/model_test.go
@@ -224,7 +224,7 @@
 			m.answers = slices.Delete(m.answers, i, i+1)
 		}
 		if a.epoch == m.epoch {
-			m.ledger.Report(a.pool.name, a.uses)
+			m.ledger.Report(a.pool.name, a.uses, caps.Active)
 		}
 	case 13:
 		p.waiting = 10 * m.Int64N(200)
@@ -321,7 +321,7 @@
 				p.waiting -= 10
 			}
 			if use, ok := p.owners[0].handle(m.ledger.Take(p.name)); ok {
-				m.ledger.Report(p.name, []caps.Use{use})
+				m.ledger.Report(p.name, []caps.Use{use}, caps.Active)
 			}
 		}
 	}
@@ -335,7 +335,7 @@
 	report := func(pool string, b caps.Budget, waiting int64) {
 		b.Tenant = tenant
 		u := caps.Use{Running: cores(50), MayRun: cores(50), Ready: cores(waiting), Waiting: cores(waiting), Least: cores(10), Held: b, Stored: true}
-		l.Report(pool, []caps.Use{u})
+		l.Report(pool, []caps.Use{u}, caps.Short)
 	}
 	old := caps.Budget{Amount: cores(50), Cap: cores(100), Version: 1, Epoch: 1, Number: 1}
 	step := func(pool string) caps.Budget {
@@ -397,3 +397,13 @@
 		require.True(t, limit.MemoryMB == 0 || sum.MemoryMB <= limit.MemoryMB, "seed %d: %d", seed, sum.MemoryMB)
 	}
 }
+
+// Guards against a report of some tenants that is taken to say that nothing of the others runs.
+func TestAReportOfShortTenantsLeavesOutOthers(t *testing.T) {
+	l := caps.NewLedger(1, []caps.Account{{Tenant: tenant, Opened: true, Bounds: map[string]caps.Bound{"a": {Amount: cores(50), Cap: cores(100)}}}})
+	l.Report("a", []caps.Use{{Running: cores(30), MayRun: cores(30), Held: caps.Budget{Tenant: tenant}}}, caps.All)
+	l.Report("a", nil, caps.Short)
+	require.Equal(t, cores(30), l.Lendings(tenant)["a"].Used)
+	l.Report("a", nil, caps.Active)
+	require.Zero(t, l.Lendings(tenant)["a"].Used)
+}
--- a/fleet/shard/budget.go
+++ b/fleet/shard/budget.go
@@ -276,9 +276,9 @@
 	}
 }
 
-// BudgetUses returns the use of the tenants whose starts are limited, in the order of their names. Those of which nothing runs or waits
-// are left out, but for those that are named, or if all is set.
-func (s *State) BudgetUses(now time.Time, all bool, named ...string) []caps.Use {
+// BudgetUses returns the use of the tenants whose starts are limited, in the order of their names: of those in the scope, and those that are
+// named.
+func (s *State) BudgetUses(now time.Time, scope caps.Scope, named ...string) []caps.Use {
 	if len(s.budgets.limited) == 0 && len(named) == 0 {
 		return nil
 	}
@@ -310,7 +310,9 @@
 				Accelerators: min(u.Ready.Accelerators, u.Waiting.Accelerators),
 			}
 		}
-		if all || u.IsActive() || slices.Contains(named, t.Name) {
+		_, ready := least[t]
+		inScope := scope == caps.All || (u.IsActive() && (scope == caps.Active || (ready && !t.admits(u.Least))))
+		if inScope || slices.Contains(named, t.Name) {
 			out = append(out, u)
 		}
 	}
--- a/fleet/shard/budget_test.go
+++ b/fleet/shard/budget_test.go
@@ -46,16 +46,19 @@
 
 	_, lower := o.lend(1, 3500)
 	require.True(t, lower, "the first budget has to be stored, since the store has none")
+	require.Empty(t, o.BudgetUses(o.now, caps.Short))
 	orders := o.start()
 	require.Len(t, orders, 3)
 	require.Empty(t, o.plan())
-	u := o.BudgetUses(o.now, false)
+	u := o.BudgetUses(o.now, caps.Active)
 	require.Len(t, u, 1)
 	require.Equal(t, batch.Size{MilliCores: 3000, MemoryMB: 300}, u[0].Running)
 	require.Equal(t, int64(3000), u[0].Waiting.MilliCores)
 	require.Equal(t, int64(3000), u[0].Ready.MilliCores)
 	require.Equal(t, int64(1000), u[0].Least.MilliCores)
 
+	require.Len(t, o.BudgetUses(o.now, caps.Short), 1)
+
 	newer, lower := o.lend(2, 1000)
 	require.True(t, newer && lower)
 	newer, _ = o.lend(1, 8000)
@@ -80,7 +83,7 @@
 	o.lend(1, 2000)
 	require.Empty(t, o.plan())
 	require.Equal(t, shard.OverBudget, o.Explain(batch.Ref{Job: "job"}, o.now))
-	require.Equal(t, int64(3000), o.BudgetUses(o.now, false)[0].Least.MilliCores)
+	require.Equal(t, int64(3000), o.BudgetUses(o.now, caps.Active)[0].Least.MilliCores)
 	o.lend(2, 3000)
 	require.Len(t, o.plan(), 3)
 }
@@ -94,7 +97,7 @@
 	o.submitAs("t", "job", step)
 	o.lend(1, 2000)
 	require.Len(t, o.start(), 2)
-	require.Equal(t, int64(2000), o.BudgetUses(o.now, false)[0].Running.MilliCores)
+	require.Equal(t, int64(2000), o.BudgetUses(o.now, caps.Active)[0].Running.MilliCores)
 }
 
 // Guards against a successor that starts work beside what runs on a host that has not answered it.
@@ -109,12 +112,12 @@
 	o.report("a")
 	o.advance(time.Millisecond)
 	require.Empty(t, o.plan(), "host b may run 4000, and 2000 of best-effort work")
-	require.Equal(t, int64(6000), o.BudgetUses(o.now, false)[0].MayRun.MilliCores)
+	require.Equal(t, int64(6000), o.BudgetUses(o.now, caps.Active)[0].MayRun.MilliCores)
 
 	o.report("b", port.ActiveRun{Unit: "filling.0.0.0", Run: 1})
 	o.advance(time.Millisecond)
 	require.Len(t, o.start(), 4, "two of the new job, one that fills, and one of the job without a tenant")
-	require.Equal(t, int64(4000), o.BudgetUses(o.now, false)[0].MayRun.MilliCores)
+	require.Equal(t, int64(4000), o.BudgetUses(o.now, caps.Active)[0].MayRun.MilliCores)
 
 	t.Run("a host whose lease has expired", func(t *testing.T) {
 		o := newSuccessor(t, smallStep(1), "a", "b")
@@ -144,7 +147,7 @@
 	o.configureCap(4, capOf)
 	o.submitAs("t", "later", smallStep(1))
 	require.Empty(t, o.plan())
-	require.True(t, o.BudgetUses(o.now, true)[0].Void)
+	require.True(t, o.BudgetUses(o.now, caps.All)[0].Void)
 	taken, _ := o.lend(2, 4000)
 	require.False(t, taken, "the lender has to ask first what has started without a cap")
 }
@@ -155,7 +158,7 @@
 	o.submitAs("t", "job", smallStep(1))
 	o.lend(1, 0)
 	require.Empty(t, o.plan())
-	require.Equal(t, int64(0), o.BudgetUses(o.now, true)[0].Held.Amount.MilliCores)
+	require.Equal(t, int64(0), o.BudgetUses(o.now, caps.All)[0].Held.Amount.MilliCores)
 }
 
 // Guards against caps that change the decisions of deployments without them, and against a round that looks at all that waits of a tenant
@@ -165,7 +168,7 @@
 	o.configureCap(1, batch.Size{})
 	o.submitAs("t", "job", smallStep(4))
 	require.Len(t, o.plan(), 4)
-	require.Empty(t, o.BudgetUses(o.now, true))
+	require.Empty(t, o.BudgetUses(o.now, caps.All))
 }
 
 // BenchmarkRoundWithoutBudget measures a round with many steps of a tenant that has used up its budget.
