--- a/fleet/shard/budget.go
+++ b/fleet/shard/budget.go
@@ -10,6 +10,7 @@
 	"carawaymux.dev/fleet/caps"
 	"carawaymux.dev/fleet/clamp"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/sizing"
 )
 
 // OverBudget is the reason of tasks whose tenant may not have more running in this pool.
@@ -385,3 +386,43 @@
 	}
 	return !s.backlog.tenant(j).admits(step.Need)
 }
+
+// leaveOutBlocked takes out of the load what waits for room in budgets. Further hosts would not let it start.
+func (s *State) leaveOutBlocked(l *sizing.Load) {
+	blocked := map[*TenantUse]float64{}
+	for _, t := range s.budgets.limited {
+		if part := t.blockedPart(); part > 0 {
+			blocked[t] = part
+		}
+	}
+	if len(blocked) == 0 {
+		return
+	}
+	var backlog, late, expired float64
+	for _, w := range s.backlog.steps {
+		if part := blocked[w.demand.Tenant]; part > 0 {
+			backlog += part * float64(w.queue.work(w.stage.load.waiting))
+			late += part * float64(w.queue.work(w.stage.load.late))
+			expired += part * float64(w.queue.work(w.stage.load.expired))
+		}
+	}
+	l.Backlog = max(l.Backlog-int64(backlog), 0)
+	l.Late = max(l.Late-int64(late), 0)
+	l.Expired = max(l.Expired-int64(expired), 0)
+}
+
+// blockedPart returns the part of the tenant's waiting work for which its budget has no room.
+func (t *TenantUse) blockedPart() float64 {
+	b, used := &t.budget, t.mayRun()
+	part := 0.0
+	for _, d := range [...]struct{ limit, used, waiting int64 }{
+		{b.limit.MilliCores, used.MilliCores, b.waiting.MilliCores}, {b.limit.MemoryMB, used.MemoryMB, b.waiting.MemoryMB},
+		{b.limit.Accelerators, used.Accelerators, b.waiting.Accelerators},
+	} {
+		if d.limit == caps.Unlimited || d.waiting <= 0 {
+			continue
+		}
+		part = max(part, 1-float64(max(d.limit-d.used, 0))/float64(d.waiting))
+	}
+	return part
+}
--- a/fleet/shard/budget_test.go
+++ b/fleet/shard/budget_test.go
@@ -171,6 +171,23 @@
 	require.Empty(t, o.BudgetUses(o.now, caps.All))
 }
 
+// Guards against machines that are moved to a pool for work which its tenant's cap holds back.
+func TestTheLoadLeavesOutWhatWaitsForABudget(t *testing.T) {
+	o := newOwner(t, 1)
+	o.configureCap(1, capOf)
+	o.submitAs("other", "free", smallStep(10))
+	require.Empty(t, o.plan())
+	free := o.Load(o.now).Backlog
+	require.Positive(t, free)
+	o.submitAs("t", "job", smallStep(40))
+	require.Empty(t, o.plan())
+	require.Equal(t, free, o.Load(o.now).Backlog)
+	o.lend(1, 20_000)
+	require.Equal(t, 3*free, o.Load(o.now).Backlog, "half of the work has room")
+	o.lend(2, 40_000)
+	require.Equal(t, 5*free, o.Load(o.now).Backlog)
+}
+
 // BenchmarkRoundWithoutBudget measures a round with many steps of a tenant that has used up its budget.
 func BenchmarkRoundWithoutBudget(b *testing.B) {
 	for _, bestEffort := range []bool{false, true} {
--- a/fleet/shard/load.go
+++ b/fleet/shard/load.go
@@ -78,6 +78,7 @@
 		l.Late += q.work(q.late)
 		l.Expired += q.work(q.expired)
 	}
+	s.leaveOutBlocked(&l)
 	for hosts := range s.backlog.spreads {
 		l.SpreadHosts = max(l.SpreadHosts, hosts)
 	}
