--- a/entry/lender/lender_test.go
+++ b/entry/lender/lender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -27,6 +28,14 @@
 	mu      sync.Mutex
 	records map[port.Stream][]port.Record
 	epochs  map[string]int64
+	// unanswered is the writer whose appends get no answer.
+	unanswered string
+}
+
+func (l *memoryLog) setUnanswered(writer string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unanswered = writer
 }
 
 func (l *memoryLog) Append(_ context.Context, s port.Stream, records []port.Record, w *port.Writer, _ int64) (int64, error) {
@@ -35,6 +44,9 @@
 	if w != nil && w.Epoch < l.epochs[w.Name] {
 		return 0, port.ErrFenced
 	}
+	if w != nil && w.Name == l.unanswered {
+		return 0, errNoAnswer
+	}
 	if w != nil {
 		l.epochs[w.Name] = w.Epoch
 	}
@@ -66,6 +78,8 @@
 	return page, nil
 }
 
+var errNoAnswer = errors.New("no answer")
+
 // site is a store, pools with one host each, and the links between the lender and the owners.
 type site struct {
 	t   *testing.T
@@ -322,3 +336,21 @@
 	s.requireRunning("b", 3)
 	require.LessOrEqual(t, s.most, 4)
 }
+
+// Guards against a budget that is lent before the store has it: the next lender would lend it again.
+func TestNothingIsLentWhileTheStoreDoesNotAnswerTheLender(t *testing.T) {
+	s := newSite(t, batch.Size{MilliCores: 4000})
+	s.startOwner("a")
+	s.startOwner("b")
+	s.submit("a", "0000000000000001", 4)
+	s.startLender()
+	s.requireRunning("a", 4)
+	s.log.setUnanswered(lender.ClaimName)
+	s.cancel("a", "0000000000000001")
+	s.submit("b", "0000000000000002", 4)
+	time.Sleep(time.Second)
+	s.requireRunning("b", 0)
+	s.log.setUnanswered("")
+	s.requireRunning("b", 4)
+	require.LessOrEqual(t, s.most, 4)
+}
