Count inherited work of a tenant in the first report of a successor

Before its first round an owner has opened no occurrence of inherited jobs, and a tenant that became limited within 50 ms of a count had none. Its report then left out what hosts without an answer may run.

--- a/fleet/shard/budget.go
+++ b/fleet/shard/budget.go
@@ -129,10 +129,15 @@
 // updateLimit updates what a tenant may have running.
 func (s *State) updateLimit(t *TenantUse) {
 	b := &t.budget
+	was := b.limited
 	if b.limit, b.limited = b.Limit(); !b.limited {
 		delete(s.budgets.limited, t.Name)
 		return
 	}
+	if !was {
+		// Nothing of the tenant has been counted yet.
+		s.budgets.countedAt = time.Time{}
+	}
 	if s.budgets.limited == nil {
 		s.budgets.limited = map[string]*TenantUse{}
 	}
@@ -306,6 +311,10 @@
 		return j.Spec.Occurrences() * j.Spec.Steps[step].Count
 	}
 	tasks := 0
+	if len(j.Occurrences) == 0 {
+		// This owner has not opened the first occurrence yet.
+		tasks = j.Spec.Steps[step].Count
+	}
 	for oi := range j.Occurrences {
 		if step >= len(j.Occurrences[oi].Stages) {
 			continue
--- a/fleet/shard/budget_test.go
+++ b/fleet/shard/budget_test.go
@@ -165,6 +165,23 @@
 	})
 }
 
+// Guards against a report that leaves out what hosts may run which have not answered: the lender would lend it to other pools.
+func TestTheFirstReportOfASuccessorCountsWhatMayRun(t *testing.T) {
+	o := newSuccessor(t, smallStep(1), "a")
+	o.SetCaps(&port.Config{Version: 1, Tenants: []port.Tenant{{Name: "t", Cap: capOf}, {Name: "other", Cap: capOf}}})
+	for _, tenant := range []string{"t", "other"} {
+		o.Restore("earlier-"+tenant, batch.Spec{Queue: "q", Tenant: tenant, Steps: []batch.Step{smallStep(2)}}, nil, o.now)
+	}
+	require.Equal(t, int64(2000), o.BudgetUses(o.now, caps.Active)[0].MayRun.MilliCores)
+	o.plan()
+	// A tenant that gets its first cap now counts at once.
+	o.Restore("earlier-late", batch.Spec{Queue: "q", Tenant: "late", Steps: []batch.Step{smallStep(2)}}, nil, o.now)
+	o.SetCaps(&port.Config{Version: 2, Tenants: []port.Tenant{{Name: "late", Cap: capOf}}})
+	uses := o.BudgetUses(o.now, caps.Active)
+	require.Len(t, uses, 1)
+	require.Equal(t, int64(2000), uses[0].MayRun.MilliCores)
+}
+
 // Guards against starts under an earlier cap, and against a budget from before a time without a cap.
 func TestABudgetOfAHigherCapStartsNothing(t *testing.T) {
 	o := newOwner(t, 1, "a")
