--- a/entry/owner/budgets_test.go
+++ b/entry/owner/budgets_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -8,7 +9,9 @@
 
 	"carawaymux.dev/fleet/batch"
 	"carawaymux.dev/fleet/caps"
+	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/port"
+	"carawaymux.dev/fleet/shard"
 )
 
 var tenantCap = batch.Size{MilliCores: 1000}
@@ -81,3 +84,53 @@
 	}
 	require.Empty(t, c.state.BudgetUses(time.Now(), caps.All))
 }
+
+// FuzzBudgets restores a budget from a record as an owner may find it in the store, takes one from another entry, and has the lender take
+// the report of another owner.
+func FuzzBudgets(f *testing.F) {
+	encode := func(v any) []byte {
+		raw, err := codec.EncodeFrame(v)
+		require.NoError(f, err)
+		return raw
+	}
+	b := caps.Budget{Tenant: "t", Amount: tenantCap, Cap: tenantCap, Version: 3, Epoch: 1, Number: 2}
+	huge := batch.Size{MilliCores: math.MaxInt64, MemoryMB: math.MaxInt64, Accelerators: math.MaxInt64}
+	use := caps.Use{Running: huge, MayRun: huge, Ready: huge, Waiting: huge, Least: huge, Held: b, Stored: true}
+	f.Add(encode(b), encode(caps.Budget{Tenant: "t", Amount: huge, Cap: huge, Epoch: 9, Number: 9}), encode(use))
+	f.Add([]byte{0xff}, encode(caps.Budget{Tenant: "t", Amount: batch.Size{MilliCores: -1}, Epoch: 9, Number: 9}), encode(caps.Use{Held: caps.Budget{Tenant: "t"}, Void: true}))
+	f.Fuzz(func(t *testing.T, stored, sent, reported []byte) {
+		state := newStoredState()
+		_ = state.add("pool", port.Record{Key: "pool" + keyBudget + "t", Value: stored})
+		now := time.Unix(1_700_000_000, 0)
+		s := shard.New("pool", 2, shard.Timing{Lease: 5 * time.Second, Grace: 6 * time.Second}, now)
+		for _, b := range state.Budgets {
+			s.RestoreBudget(b)
+		}
+		s.SetCaps(cappedConfig(3))
+		if b, err := codec.DecodeFrame[caps.Budget](sent); err == nil {
+			s.SetBudget(b)
+		}
+		s.Restore("job", batch.Spec{Queue: "q", Tenant: "t", Steps: []batch.Step{{Count: 3, Need: batch.Size{MilliCores: 400}}}}, nil, now)
+		s.UpdateHost(testHost, now)
+		shard.Plan(s, shard.BySlack{}, now, now.UnixMilli())
+		s.Load(now)
+		uses := s.BudgetUses(now, caps.All, "t")
+		if u, err := codec.DecodeFrame[caps.Use](reported); err == nil {
+			uses = append(uses, u)
+		}
+		ledger := caps.NewLedger(1, nil)
+		for range 3 {
+			caps.Plan(ledger, caps.ByDemand{}, "t", tenantCap, 3, []string{"a", "b"})
+			ledger.TakeChanged()
+			ledger.Take("a")
+			ledger.Report("a", uses, caps.Active)
+			ledger.Report("b", uses, caps.Short)
+		}
+		var lent int64
+		for _, l := range ledger.Lendings("t") {
+			require.False(t, l.Lent.MilliCores < 0)
+			lent += l.Lent.MilliCores
+		}
+		require.GreaterOrEqual(t, lent, int64(0))
+	})
+}
