--- a/fleet/shard/budget.go
+++ b/fleet/shard/budget.go
@@ -11,6 +11,7 @@
 	"carawaymux.dev/fleet/clamp"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/share"
+	"carawaymux.dev/fleet/sizing"
 )
 
 // OverBudget is the reason of tasks whose tenant may not have more running in this pool.
@@ -36,6 +37,8 @@
 	// limited reports whether limit applies, which is what may run of the tenant.
 	limited bool
 	limit   batch.Size
+	// denials counts the steps of the present round that have found no room in the budget.
+	denials int
 	// unassigned is what hosts report of the tenant that is not assigned to them.
 	unassigned batch.Size
 	// unseen is what hosts may run of the tenant that have not answered, and bestEffort the processor capacity of that which they
@@ -127,10 +130,15 @@
 // updateLimit updates what a tenant may have running.
 func (s *State) updateLimit(t *TenantUse) {
 	b := &t.budget
+	was := b.limited
 	if b.limit, b.limited = b.Limit(); !b.limited {
 		delete(s.budgets.limited, t.Name)
 		return
 	}
+	if !was {
+		// Nothing of the tenant has been counted yet.
+		s.budgets.countedAt = time.Time{}
+	}
 	if s.budgets.limited == nil {
 		s.budgets.limited = map[string]*TenantUse{}
 	}
@@ -153,12 +161,22 @@
 	if !t.budget.limited {
 		return true
 	}
+	if t.budget.denials >= maxDenials {
+		return false
+	}
 	used := t.mayRun()
 	return hasBudget(t.budget.limit.MilliCores, used.MilliCores, need.MilliCores) &&
 		hasBudget(t.budget.limit.MemoryMB, used.MemoryMB, need.MemoryMB) &&
 		hasBudget(t.budget.limit.Accelerators, used.Accelerators, need.Accelerators)
 }
 
+// maxDenials is the number of steps of a tenant that are looked at in a round and then find no room in the budget. The groups of waiting steps
+// show what tasks reserve, which is less than they request for best-effort tasks and gangs.
+const maxDenials = 64
+
+// deny counts a step that has found no room in the budget.
+func (t *TenantUse) deny() { t.budget.denials++ }
+
 func hasBudget(limit, used, need int64) bool {
 	return need == 0 || limit == caps.Unlimited || (used <= limit && need <= limit-used)
 }
@@ -234,6 +252,7 @@
 	}
 	for _, t := range s.budgets.limited {
 		b := &t.budget
+		b.denials = 0
 		if !waits {
 			b.bestEffort, b.inherited = 0, batch.Size{}
 		}
@@ -294,6 +313,10 @@
 		return j.Spec.Occurrences() * j.Spec.Steps[step].Count
 	}
 	tasks := 0
+	if len(j.Occurrences) == 0 {
+		// This owner has not opened the first occurrence yet.
+		tasks = j.Spec.Steps[step].Count
+	}
 	for oi := range j.Occurrences {
 		if step >= len(j.Occurrences[oi].Stages) {
 			continue
@@ -309,9 +332,9 @@
 	return tasks
 }
 
-// BudgetUses returns the use of the tenants whose starts are limited, in the order of their names. Those of which nothing runs or waits
-// are left out, but for those that are named, or if all is set.
-func (s *State) BudgetUses(now time.Time, all bool, named ...string) []caps.Use {
+// BudgetUses returns the use of the tenants whose starts are limited, in the order of their names: of those in the scope, and those that are
+// named.
+func (s *State) BudgetUses(now time.Time, scope caps.Scope, named ...string) []caps.Use {
 	if len(s.budgets.limited) == 0 && len(named) == 0 {
 		return nil
 	}
@@ -343,7 +366,9 @@
 				Accelerators: min(u.Ready.Accelerators, u.Waiting.Accelerators),
 			}
 		}
-		if all || u.IsActive() || slices.Contains(named, t.Name) {
+		_, ready := least[t]
+		inScope := scope == caps.All || (u.IsActive() && (scope == caps.Active || (ready && !t.admits(u.Least))))
+		if inScope || slices.Contains(named, t.Name) {
 			out = append(out, u)
 		}
 	}
@@ -416,3 +441,43 @@
 	}
 	return !s.backlog.tenant(j).admits(step.Need)
 }
+
+// leaveOutBlocked takes out of the load what waits for room in budgets. Further hosts would not let it start.
+func (s *State) leaveOutBlocked(l *sizing.Load) {
+	blocked := map[*TenantUse]float64{}
+	for _, t := range s.budgets.limited {
+		if part := t.blockedPart(); part > 0 {
+			blocked[t] = part
+		}
+	}
+	if len(blocked) == 0 {
+		return
+	}
+	var backlog, late, expired float64
+	for _, w := range s.backlog.steps {
+		if part := blocked[w.demand.Tenant]; part > 0 {
+			backlog += part * float64(w.queue.work(w.stage.load.waiting))
+			late += part * float64(w.queue.work(w.stage.load.late))
+			expired += part * float64(w.queue.work(w.stage.load.expired))
+		}
+	}
+	l.Backlog = max(l.Backlog-int64(backlog), 0)
+	l.Late = max(l.Late-int64(late), 0)
+	l.Expired = max(l.Expired-int64(expired), 0)
+}
+
+// blockedPart returns the part of the tenant's waiting work for which its budget has no room.
+func (t *TenantUse) blockedPart() float64 {
+	b, used := &t.budget, t.mayRun()
+	part := 0.0
+	for _, d := range [...]struct{ limit, used, waiting int64 }{
+		{b.limit.MilliCores, used.MilliCores, b.waiting.MilliCores}, {b.limit.MemoryMB, used.MemoryMB, b.waiting.MemoryMB},
+		{b.limit.Accelerators, used.Accelerators, b.waiting.Accelerators},
+	} {
+		if d.limit == caps.Unlimited || d.waiting <= 0 {
+			continue
+		}
+		part = max(part, 1-float64(max(d.limit-d.used, 0))/float64(d.waiting))
+	}
+	return part
+}
--- a/fleet/shard/budget_test.go
+++ b/fleet/shard/budget_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,16 +46,19 @@
 
 	_, lower := o.lend(1, 3500)
 	require.True(t, lower, "the first budget has to be stored, since the store has none")
+	require.Empty(t, o.BudgetUses(o.now, caps.Short))
 	orders := o.start()
 	require.Len(t, orders, 3)
 	require.Empty(t, o.plan())
-	u := o.BudgetUses(o.now, false)
+	u := o.BudgetUses(o.now, caps.Active)
 	require.Len(t, u, 1)
 	require.Equal(t, batch.Size{MilliCores: 3000, MemoryMB: 300}, u[0].Running)
 	require.Equal(t, int64(3000), u[0].Waiting.MilliCores)
 	require.Equal(t, int64(3000), u[0].Ready.MilliCores)
 	require.Equal(t, int64(1000), u[0].Least.MilliCores)
 
+	require.Len(t, o.BudgetUses(o.now, caps.Short), 1)
+
 	newer, lower := o.lend(2, 1000)
 	require.True(t, newer && lower)
 	newer, _ = o.lend(1, 8000)
@@ -79,7 +83,7 @@
 	o.lend(1, 2000)
 	require.Empty(t, o.plan())
 	require.Equal(t, shard.OverBudget, o.Explain(batch.Ref{Job: "job"}, o.now))
-	require.Equal(t, int64(3000), o.BudgetUses(o.now, false)[0].Least.MilliCores)
+	require.Equal(t, int64(3000), o.BudgetUses(o.now, caps.Active)[0].Least.MilliCores)
 	o.lend(2, 3000)
 	require.Len(t, o.plan(), 3)
 }
@@ -93,7 +97,7 @@
 	o.submitAs("t", "job", step)
 	o.lend(1, 2000)
 	require.Len(t, o.start(), 2)
-	require.Equal(t, int64(2000), o.BudgetUses(o.now, false)[0].Running.MilliCores)
+	require.Equal(t, int64(2000), o.BudgetUses(o.now, caps.Active)[0].Running.MilliCores)
 }
 
 // Guards against a successor that starts work beside what runs on a host that has not answered it.
@@ -109,12 +113,12 @@
 	o.report("a")
 	o.advance(time.Millisecond)
 	require.Empty(t, o.plan(), "host b may run 4000, and 2000 of best-effort work")
-	require.Equal(t, int64(6000), o.BudgetUses(o.now, false)[0].MayRun.MilliCores)
+	require.Equal(t, int64(6000), o.BudgetUses(o.now, caps.Active)[0].MayRun.MilliCores)
 
 	o.report("b", port.ActiveRun{Unit: "filling.0.0.0", Run: 1}, port.ActiveRun{Unit: "earlier.0.0.4", Run: 1})
 	o.advance(time.Millisecond)
 	require.Len(t, o.start(), 3, "two tasks of the tenant, and one of the job without a tenant")
-	require.Equal(t, int64(4000), o.BudgetUses(o.now, false)[0].MayRun.MilliCores)
+	require.Equal(t, int64(4000), o.BudgetUses(o.now, caps.Active)[0].MayRun.MilliCores)
 
 	t.Run("a host that can run little of the tenant", func(t *testing.T) {
 		// Guards against a tenant that waits beside room until a host in a cut answers whose capacity is above its budget.
@@ -161,6 +165,23 @@
 	})
 }
 
+// Guards against a report that leaves out what hosts may run which have not answered: the lender would lend it to other pools.
+func TestTheFirstReportOfASuccessorCountsWhatMayRun(t *testing.T) {
+	o := newSuccessor(t, smallStep(1), "a")
+	o.SetCaps(&port.Config{Version: 1, Tenants: []port.Tenant{{Name: "t", Cap: capOf}, {Name: "other", Cap: capOf}}})
+	for _, tenant := range []string{"t", "other"} {
+		o.Restore("earlier-"+tenant, batch.Spec{Queue: "q", Tenant: tenant, Steps: []batch.Step{smallStep(2)}}, nil, o.now)
+	}
+	require.Equal(t, int64(2000), o.BudgetUses(o.now, caps.Active)[0].MayRun.MilliCores)
+	o.plan()
+	// A tenant that gets its first cap now counts at once.
+	o.Restore("earlier-late", batch.Spec{Queue: "q", Tenant: "late", Steps: []batch.Step{smallStep(2)}}, nil, o.now)
+	o.SetCaps(&port.Config{Version: 2, Tenants: []port.Tenant{{Name: "late", Cap: capOf}}})
+	uses := o.BudgetUses(o.now, caps.Active)
+	require.Len(t, uses, 1)
+	require.Equal(t, int64(2000), uses[0].MayRun.MilliCores)
+}
+
 // Guards against starts under an earlier cap, and against a budget from before a time without a cap.
 func TestABudgetOfAHigherCapStartsNothing(t *testing.T) {
 	o := newOwner(t, 1, "a")
@@ -175,7 +196,7 @@
 	o.configureCap(4, capOf)
 	o.submitAs("t", "later", smallStep(1))
 	require.Empty(t, o.plan())
-	require.True(t, o.BudgetUses(o.now, true)[0].Void)
+	require.True(t, o.BudgetUses(o.now, caps.All)[0].Void)
 	taken, _ := o.lend(2, 4000)
 	require.False(t, taken, "the lender has to ask first what has started without a cap")
 }
@@ -186,7 +207,7 @@
 	o.submitAs("t", "job", smallStep(1))
 	o.lend(1, 0)
 	require.Empty(t, o.plan())
-	require.Equal(t, int64(0), o.BudgetUses(o.now, true)[0].Held.Amount.MilliCores)
+	require.Equal(t, int64(0), o.BudgetUses(o.now, caps.All)[0].Held.Amount.MilliCores)
 }
 
 // Guards against caps that change the decisions of deployments without them, and against a round that looks at all that waits of a tenant
@@ -196,5 +217,52 @@
 	o.configureCap(1, batch.Size{})
 	o.submitAs("t", "job", smallStep(4))
 	require.Len(t, o.plan(), 4)
-	require.Empty(t, o.BudgetUses(o.now, true))
+	require.Empty(t, o.BudgetUses(o.now, caps.All))
+}
+
+// Guards against machines that are moved to a pool for work which its tenant's cap holds back.
+func TestTheLoadLeavesOutWhatWaitsForABudget(t *testing.T) {
+	o := newOwner(t, 1)
+	o.configureCap(1, capOf)
+	o.submitAs("other", "free", smallStep(10))
+	require.Empty(t, o.plan())
+	free := o.Load(o.now).Backlog
+	require.Positive(t, free)
+	o.submitAs("t", "job", smallStep(40))
+	require.Empty(t, o.plan())
+	require.Equal(t, free, o.Load(o.now).Backlog)
+	o.lend(1, 20_000)
+	require.Equal(t, 3*free, o.Load(o.now).Backlog, "half of the work has room")
+	o.lend(2, 40_000)
+	require.Equal(t, 5*free, o.Load(o.now).Backlog)
+}
+
+// BenchmarkRoundWithoutBudget measures a round with many steps of a tenant that has used up its budget.
+func BenchmarkRoundWithoutBudget(b *testing.B) {
+	for _, bestEffort := range []bool{false, true} {
+		for _, waiting := range []int{100, 10_000} {
+			b.Run(fmt.Sprintf("best-effort=%t/waiting=%d", bestEffort, waiting), func(b *testing.B) {
+				now := time.Unix(1_700_000_000, 0)
+				s := shard.New("pool", 1, timing, now)
+				s.SetCaps(&port.Config{Version: 1, Tenants: []port.Tenant{{Name: "t", Cap: capOf}}})
+				for i := range 100 {
+					id := fmt.Sprint("h-", i)
+					s.UpdateHost(port.Host{ID: id, Pool: "pool", Capacity: batch.Size{MilliCores: 4000, MemoryMB: 4000}}, now).Stored = true
+					s.HandleReport(id, &port.HostReport{Clock: 1000, Born: 1}, now)
+				}
+				step := smallStep(1)
+				step.BestEffort, step.LongRunning = bestEffort, bestEffort
+				for i := range waiting {
+					j, _ := s.Submit(fmt.Sprint("j-", i), batch.Spec{Queue: "q", Tenant: "t", Steps: []batch.Step{step}}, now)
+					s.MarkStored(j)
+				}
+				now = now.Add(time.Millisecond)
+				s.ConfirmedAt = now
+				for b.Loop() {
+					shard.Plan(s, shard.BySlack{}, now, now.UnixMilli())
+				}
+				require.Empty(b, s.TakeOrders())
+			})
+		}
+	}
 }
