--- a/entry/owner/advice.go
+++ b/entry/owner/advice.go
@@ -49,7 +49,7 @@
 	if c.adviceInFlight || !c.state.HasPolicyService {
 		return
 	}
-	if q, ok := shard.NextQuestion(c.state, c.ranking(), now); ok {
+	if q, ok := shard.NextQuestion(c.state, c.ranking(now), now); ok {
 		c.adviceInFlight = c.adviser.TrySend(q)
 	}
 }
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -185,7 +185,7 @@
 	c.state.RetryStops(now)
 	limits := shard.Limits{Starts: c.starts.Room(now), StartsPerHost: startsPerHost}
 	ranking := shard.LateShare[shard.StarvedFirst[inTimeOrder]]{
-		Ranking: shard.StarvedFirst[inTimeOrder]{Ranking: c.ranking(), Spare: c.state.HasSpareCapacity(now)},
+		Ranking: shard.StarvedFirst[inTimeOrder]{Ranking: c.ranking(now), Spare: c.state.HasSpareCapacity(now)},
 		Due:     c.state.LateWorkIsDue(now),
 	}
 	shard.PlanWithin(c.state, ranking, limits, now, now.UnixMilli())
@@ -201,11 +201,11 @@
 type inTimeOrder = shard.TenantShare[shard.SizeShare[shard.ByLoad], shard.RecentUse]
 
 // ranking returns the order of work that is in time. Tenants have shares if the configuration has any.
-func (c *core) ranking() inTimeOrder {
+func (c *core) ranking(now time.Time) inTimeOrder {
 	overloaded := c.state.Overloaded
 	return inTimeOrder{
 		Ranking: shard.SizeShare[shard.ByLoad]{Ranking: shard.ByLoad{Overloaded: overloaded}, Overloaded: overloaded},
-		Active:  overloaded && c.state.HasTenants(),
+		Active:  overloaded && c.state.TenantsHaveTurns(now),
 	}
 }
 
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -38,6 +38,7 @@
 	s.openDue(wall)
 	s.countVanished(now)
 	s.reserved = 0
+	s.updateTurns(now)
 	if len(s.backlog.steps) == 0 {
 		s.Overloaded = false
 		return
@@ -55,7 +56,7 @@
 	s.limitReservations(len(hosts))
 	prior := s.priorHosts(now)
 	s.updateOverloaded(hosts, prior)
-	s.limitHeld(len(hosts))
+	s.limitHeld(len(hosts), now)
 	planOn(s, ranking, hostSet{hosts: hosts}, &limits, prior, now)
 	if s.backlog.longRunningTasks > 0 && limits.Starts > 0 {
 		if others := s.lastResorts(lastingWork, now); len(others) > 0 {
--- a/fleet/shard/shard.go
+++ b/fleet/shard/shard.go
@@ -322,6 +322,8 @@
 	lateUsed int64
 	// capacity is the processor capacity of the hosts that could get work in the last round of planning.
 	capacity int64
+	// turns says whether tenants have turns.
+	turns turnsOfTenants
 	// heldHosts is the number of hosts that may be reserved at once for owed work in time that does not fit. It is 0 unless
 	// the pool is overloaded and has tenants.
 	heldHosts int
--- a/fleet/shard/sums.go
+++ b/fleet/shard/sums.go
@@ -69,6 +69,7 @@
 	stage.load = now
 	q.waiting[count(j.Inherited)] += now.waiting - was.waiting
 	q.future += now.future - was.future
+	b.tenant(j).waitingWork += now.waiting - was.waiting
 	q.late += now.late - was.late
 	q.expired += now.expired - was.expired
 	b.longRunning = b.longRunning.Add(now.longRunning).Sub(was.longRunning)
--- a/fleet/shard/tenants.go
+++ b/fleet/shard/tenants.go
@@ -19,6 +19,8 @@
 	// Running is what the tasks request that run, may run or are being stopped on hosts of the pool. Unlike a reservation
 	// it contains the processor capacity of best-effort tasks.
 	Running batch.Size
+	// waitingWork is the estimated work of the tasks that wait and end, in millionths of a core-second.
+	waitingWork int64
 	// Account is what the tasks that end have used lately. It is charged while the configuration has tenants. Only
 	// [TenantUse.charge] and [TenantUse.setWeight] change it.
 	Account share.Account
@@ -253,11 +255,57 @@
 // unused than one task needs.
 const maxHeldShare = 0.5
 
+const (
+	// overuse is the factor by which a tenant has to exceed its share of what all want for tenants to have turns. Without such a tenant
+	// all get about their share in any order, and turns would only make jobs late that could be in time.
+	overuse = 1.5
+	// leastOveruse is the part of what all want that such a tenant wants at least. One that wants less costs others little.
+	leastOveruse = 0.1
+	// overuseInterval is the time between two looks at what tenants want.
+	overuseInterval = 100 * time.Millisecond
+)
+
+// turnsOfTenants says whether tenants have turns, as of a time.
+type turnsOfTenants struct {
+	at  time.Time
+	due bool
+}
+
+// TenantsHaveTurns reports whether some tenant wants much more of the pool than its share.
+func (s *State) TenantsHaveTurns(now time.Time) bool {
+	s.updateTurns(now)
+	return s.HasTenants() && s.turns.due
+}
+
+// updateTurns updates whether tenants have turns, unless that was done shortly before.
+func (s *State) updateTurns(now time.Time) {
+	if !s.HasTenants() || now.Sub(s.turns.at) < overuseInterval {
+		return
+	}
+	weights, wanted := 0.0, 0.0
+	for _, u := range s.backlog.tenants {
+		if w := u.wants(now); w > 0 {
+			weights, wanted = weights+u.Account.Weight(), wanted+w
+		}
+	}
+	s.turns = turnsOfTenants{at: now}
+	for _, u := range s.backlog.tenants {
+		w := u.wants(now)
+		s.turns.due = s.turns.due || (w > leastOveruse*wanted && w*weights > overuse*wanted*u.Account.Weight())
+	}
+}
+
+// wants returns what a tenant has used lately and what waits of it, in core-seconds. A flood waits before it uses anything.
+func (u *TenantUse) wants(now time.Time) float64 {
+	const perCoreSecond = 1000 * workUnits
+	return u.Account.Use(now) + float64(u.waitingWork)/perCoreSecond
+}
+
 // limitHeld sets how many hosts a round of planning may reserve at once. Otherwise the small tasks of a tenant that floods a
 // pool would take all room that becomes free before larger ones of other tenants fit.
-func (s *State) limitHeld(hosts int) {
+func (s *State) limitHeld(hosts int, now time.Time) {
 	s.heldHosts = 0
-	if s.Overloaded && s.HasTenants() {
+	if s.Overloaded && s.TenantsHaveTurns(now) {
 		s.heldHosts = max(int(maxHeldShare*float64(hosts)), 1)
 	}
 }
