--- a/fleet/shard/budget.go
+++ b/fleet/shard/budget.go
@@ -381,7 +381,7 @@
 	least := map[*TenantUse]batch.Size{}
 	var free batch.Size
 	var room map[string]frontier
-	for g, root := range s.backlog.needs() {
+	for g, root := range needsOf(s.backlog.groups) {
 		if !g.tenant.budget.limited {
 			continue
 		}
--- a/fleet/shard/budget_test.go
+++ b/fleet/shard/budget_test.go
@@ -266,3 +266,20 @@
 		}
 	}
 }
+
+// Guards against an owner that crashes, or reports nothing, when tenants have weights and caps.
+func TestTheUseOfTenantsWithWeightsIsReported(t *testing.T) {
+	o := newOwner(t, 1, "a")
+	config := &port.Config{Version: 1, Tenants: []port.Tenant{{Name: "t", Weight: 2, Cap: capOf}, {Name: "other", Weight: 1}}}
+	o.Configure(config)
+	o.SetCaps(config)
+	o.submitAs("t", "job", smallStep(3))
+	o.submitAs("other", "free", smallStep(1))
+	o.lend(1, 1000)
+	require.Len(t, o.start(), 2)
+	u := o.BudgetUses(o.now, caps.Active)
+	require.Len(t, u, 1)
+	require.Equal(t, int64(2000), u[0].Waiting.MilliCores)
+	require.Equal(t, int64(1000), u[0].Least.MilliCores)
+	require.Equal(t, shard.OverBudget, o.Explain(batch.Ref{Job: "job", Index: 2}, o.now))
+}
--- a/fleet/shard/search.go
+++ b/fleet/shard/search.go
@@ -9,11 +9,15 @@
 
 // needs returns the groups of waiting steps, or the classes if there are any, with the lowest and highest needs of each.
 func (b *backlog) needs() iter.Seq2[*group, *needNode] {
+	if b.weights != nil {
+		return needsOf(b.classes)
+	}
+	return needsOf(b.groups)
+}
+
+// needsOf returns groups that have steps, with the lowest and highest needs of each.
+func needsOf(groups map[groupKey]*group) iter.Seq2[*group, *needNode] {
 	return func(yield func(*group, *needNode) bool) {
-		groups := b.groups
-		if b.weights != nil {
-			groups = b.classes
-		}
 		for _, g := range groups {
 			for _, t := range g.trees {
 				if t != nil && t.root != nil {
