--- a/entry/setup/setup.go
+++ b/entry/setup/setup.go
@@ -87,6 +87,9 @@
 	Queue int
 	// BodyMemory is the maximum total size of the bodies of the waiting requests of one kind.
 	BodyMemory int
+	// Memory is the memory that the process may hold, and Descriptors the number of file descriptors that it may open.
+	// Limits on what clients hold are derived from both.
+	Memory, Descriptors int
 	// DefaultDeadline is the time allowed for a request that sets no deadline.
 	DefaultDeadline time.Duration
 	// RetryShare is the average number of retries allowed per request that is done.
@@ -249,6 +252,8 @@
 		Header:          f.Bytes("limits", "header", 16<<10, 1<<10, mib),
 		Queue:           f.Int("limits", "queue", 256, 0, 100_000),
 		BodyMemory:      f.Bytes("limits", "body-memory", 16*mib, 1<<10, 1<<30),
+		Memory:          f.Bytes("limits", "memory", 512*mib, 64*mib, 1<<40),
+		Descriptors:     f.Int("limits", "descriptors", 4100, 256, 1<<20),
 		DefaultDeadline: f.Duration("limits", "deadline", 10*time.Second, time.Millisecond, 10*time.Minute),
 		RetryShare:      f.Fraction("limits", "retry-share", 0.1),
 	}
