--- a/trial/fake/deployment.go
+++ b/trial/fake/deployment.go
@@ -58,7 +58,7 @@
 		if err != nil {
 			return nil, err
 		}
-		limits := "memory_mb = 284"
+		limits := fp.entryLimits
 		if i < len(fp.entryCores) {
 			limits += fmt.Sprintf("\ncpu_share = %g\ncores = 1", fp.entryCores[i])
 		}
@@ -119,7 +119,8 @@
 
 // Start starts the process of an entry, for the first time or again.
 func (d *Deployment) Start(e *Entry) error {
-	p, err := procs.Start(d.dir, e.Name, filepath.Join(d.bin, "carawaymux"), "serve", "--settings", e.settingsPath)
+	args := append([]string{"serve", "--settings", e.settingsPath}, d.entryArgs...)
+	p, err := procs.Start(d.dir, e.Name, filepath.Join(d.bin, "carawaymux"), args...)
 	e.proc = p
 	return err
 }
--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -4,6 +4,7 @@
 package fake
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -27,9 +28,11 @@
 	// the machines API and the policy service.
 	StoreAddress, MachinesAddress, AdviceAddress string
 	hosts                                        map[string]string
-	// entryCores and proxy are the values of the fields of the layout.
-	entryCores []float64
-	proxy      Proxy
+	// entryCores, entryLimits, entryArgs and proxy are the values of the fields of the layout.
+	entryCores  []float64
+	entryLimits string
+	entryArgs   []string
+	proxy       Proxy
 	// machineFaults applies the faults of the machines API.
 	machineFaults *faulty.Injector
 }
@@ -87,7 +90,11 @@
 	// EntryCores holds the processor capacity that the settings state for each entry, in cores. They
 	// state none for the entries beyond it.
 	EntryCores []float64
-	Timing     Timing
+	// EntryLimits holds lines of the limits in the settings of entries. If it is empty, they state defaultLimits.
+	EntryLimits string
+	// EntryArgs are further arguments of the command that starts an entry.
+	EntryArgs []string
+	Timing    Timing
 	// AppendTime is the time that each append to the store takes at first.
 	AppendTime time.Duration
 	// Rewrite returns what the store keeps of a value that an entry appends under a key; nil to keep values as they are.
@@ -115,9 +122,12 @@
 // of the entry is empty for proxies that all entries share.
 type Proxy func(from, to, address string) (string, error)
 
+// defaultLimits are the limits of entries unless a layout sets others.
+const defaultLimits = "memory_mb = 284"
+
 // New starts a simulated platform on loopback.
 func New(layout Layout) (*Platform, error) {
-	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, proxy: layout.Proxy, machineFaults: faulty.New()}
+	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, entryLimits: cmp.Or(layout.EntryLimits, defaultLimits), entryArgs: layout.EntryArgs, proxy: layout.Proxy, machineFaults: faulty.New()}
 	if fp.proxy == nil {
 		fp.proxy = func(_, _, address string) (string, error) { return address, nil }
 	}
