Decide which clients lose what they hold when it runs out

Package shed derives what clients may hold together from the memory and the descriptors of a process: bytes for bodies, heads and frames, with a quarter kept for reservations of up to 16 KiB, memory for decoded forms, and connections of each listener. Its policy chooses connections that hold much and are behind the rate of the largest legal body (256 KiB in 3 s) or have been quiet for 0.5 s; the baseline chooses none. Nothing uses it yet.

--- /dev/null
+++ b/fleet/shed/shed.go
@@ -0,0 +1,194 @@
+// Package shed decides how much the clients of a process may hold together, and which clients lose what they hold when
+// that is used up. It knows neither the clock nor the network.
+package shed
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// byteShare and connectionShare are the shares of the memory of a process that bodies, heads and frames, and connections
+	// may take. With the garbage that the runtime leaves before it collects, both stay under the runtime's soft limit of 0.6.
+	byteShare, connectionShare = 0.2, 0.25
+	// smallShare is the share of the bytes that only small reservations take, so that large ones cannot use up all.
+	smallShare = 0.25
+	// SmallBytes is the size up to which a reservation is small.
+	SmallBytes = 16 << 10
+	// ReceiveBuffer is the size of the receive buffer that a connection asks the kernel for. The kernel takes up to one and
+	// a half times as much (24,576 bytes measured). A body of 256 KiB arrives within 0.3 s at a round-trip time of 20 ms.
+	ReceiveBuffer = 16 << 10
+	// connectionBytes is what a connection takes: 24 KiB unread in the kernel, and 24 KiB for stacks, buffers and
+	// the header and body of a small request.
+	connectionBytes = 48 << 10
+	// reservedDescriptors are those that the platform reserves for files.
+	reservedDescriptors = 200
+	// acceptedShare is the share of the other descriptors that accepted connections may take. The rest is for
+	// connections to hosts, peers and the store.
+	acceptedShare = 0.75
+	// defaultMemory and defaultDescriptors are the smallest that the platform states.
+	defaultMemory, defaultDescriptors = 184 << 20, 4100
+	// MinRate is the rate, in bytes a second, below which a body or a frame makes little progress: the largest legal body,
+	// 256 KiB, arrives in the 3 s of a request's deadline. The slowest link, of 10 Mbit/s, carries 14 times as much.
+	MinRate = (256 << 10) / 3
+	// StartTime is the time beyond that of [MinRate] that a body or frame may take. It is the deadline of a request.
+	StartTime = 3 * time.Second
+	// quietTime is the time without progress after which a client can lose what it holds. A link that carries anything
+	// delivers a segment in a small part of it.
+	quietTime = 500 * time.Millisecond
+)
+
+// Listener names a listener of a process.
+type Listener string
+
+// The listeners.
+const (
+	Callers   Listener = "callers"
+	Peers     Listener = "peers"
+	Readiness Listener = "readiness"
+	Metrics   Listener = "metrics"
+)
+
+// connectionShares holds the share of the accepted connections of each listener. No listener can take the places of another.
+var connectionShares = map[Listener]float64{Callers: 0.625, Peers: 0.25, Readiness: 0.0625, Metrics: 0.0625}
+
+// Limits are what clients may hold together. Sizes are in bytes.
+type Limits struct {
+	// Large and Small limit the reservations above [SmallBytes], and up to it.
+	Large, Small int64
+	// Decode limits the memory of the decoded forms that are built at a time.
+	Decode int64
+	// Connections limits the connections of each listener.
+	Connections map[Listener]int
+}
+
+// Derive returns the limits for a process with some memory, in bytes, and descriptors. What is 0 is
+// the smallest that the platform states.
+func Derive(memory int64, descriptors int) Limits {
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	if descriptors <= 0 {
+		descriptors = defaultDescriptors
+	}
+	bytes := byteShare * float64(memory)
+	places := min(connectionShare*float64(memory)/connectionBytes, acceptedShare*float64(max(descriptors-reservedDescriptors, 0)))
+	l := Limits{
+		Large: int64((1 - smallShare) * bytes), Small: int64(smallShare * bytes), Decode: int64(smallShare * bytes),
+		Connections: map[Listener]int{},
+	}
+	for name, share := range connectionShares {
+		l.Connections[name] = max(int(share*places), 1)
+	}
+	return l
+}
+
+// IsSmall reports whether a reservation takes from the share of small ones, given what its client holds already.
+func IsSmall(held, bytes int64) bool { return held+bytes <= SmallBytes }
+
+// BodyTime returns the time that a body or a frame of some size may take to arrive.
+func BodyTime(bytes int64) time.Duration {
+	return StartTime + time.Duration(float64(bytes)/MinRate*float64(time.Second))
+}
+
+// Phase is what a connection is used for.
+type Phase int
+
+// The phases.
+const (
+	// Waiting connections have sent nothing of a request.
+	Waiting Phase = iota
+	// Head and Body connections have sent a part of the head or of the body of a request.
+	Head
+	Body
+	// Running connections have sent a request that is being served.
+	Running
+	// Writing connections wait for their client to take a response.
+	Writing
+	// Link connections carry frames, of which one was received whole. NewLink connections have carried none.
+	Link
+	NewLink
+)
+
+// String returns the name of the phase in metrics.
+func (p Phase) String() string {
+	return [...]string{"waiting", "head", "body", "running", "writing", "link", "new-link"}[p]
+}
+
+// Client is a connection as it is now.
+type Client struct {
+	Phase Phase
+	// Held is the number of bytes that are reserved for it.
+	Held int64
+	// Received is the number of bytes that arrived in its phase.
+	Received int64
+	// Age is the time since the phase began, and Quiet that since it last made progress.
+	Age, Quiet time.Duration
+}
+
+// lag returns the time by which a client is behind one that sends at [MinRate], with the time since its last progress.
+func (c *Client) lag() time.Duration {
+	expected := time.Duration(float64(c.Received) / MinRate * float64(time.Second))
+	return c.Quiet + max(c.Age-expected, 0)
+}
+
+// isIdle reports whether a client makes no progress that a request depends on.
+func (c *Client) isIdle() bool {
+	switch c.Phase {
+	case Waiting, NewLink:
+		return c.Quiet >= quietTime
+	case Head, Body, Writing:
+		return c.Quiet >= quietTime || c.lag() >= 2*quietTime
+	}
+	return false
+}
+
+// Policy chooses the clients that lose what they hold. Holders returns indexes of clients that together hold at least
+// the bytes that are needed, or all that may be chosen; Connection returns the index of a client whose connection can be
+// closed for a new one, or -1.
+type Policy interface {
+	Holders(clients []Client, need int64) []int
+	Connection(clients []Client) int
+}
+
+// LeastProgress chooses the clients that hold much and make little progress.
+type LeastProgress struct{}
+
+// Holders chooses by the product of what a client holds and the time that it is behind.
+func (LeastProgress) Holders(clients []Client, need int64) []int {
+	var idle []int
+	for i := range clients {
+		if c := &clients[i]; c.Held > 0 && c.isIdle() {
+			idle = append(idle, i)
+		}
+	}
+	weight := func(i int) float64 { return float64(clients[i].Held) * clients[i].lag().Seconds() }
+	slices.SortStableFunc(idle, func(a, b int) int { return cmp.Compare(weight(b), weight(a)) })
+	for n, i := range idle {
+		if need -= clients[i].Held; need <= 0 {
+			return idle[:n+1]
+		}
+	}
+	return idle
+}
+
+// Connection chooses the client that has made no progress for longest.
+func (LeastProgress) Connection(clients []Client) int {
+	best := -1
+	for i := range clients {
+		if c := &clients[i]; c.isIdle() && (best < 0 || c.lag() > clients[best].lag()) {
+			best = i
+		}
+	}
+	return best
+}
+
+// None is the baseline: it chooses no client, so that further ones are refused until some end by themselves.
+type None struct{}
+
+// Holders chooses none.
+func (None) Holders([]Client, int64) []int { return nil }
+
+// Connection chooses none.
+func (None) Connection([]Client) int { return -1 }
--- /dev/null
+++ b/fleet/shed/shed_test.go
@@ -0,0 +1,82 @@
+package shed_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/fleet/shed"
+)
+
+// Guards against limits under which the largest legal request is never served on the smallest entry, and against
+// connections that use up descriptors.
+func TestLimitsFollowTheMemoryAndTheDescriptors(t *testing.T) {
+	const mb, body, frame = 1 << 20, 256 << 10, 8 << 20
+	for _, memory := range []int64{0, 184 * mb, 284 * mb, 536 * mb} {
+		l := shed.Derive(memory, 0)
+		require.Greater(t, l.Large, int64(frame+body))
+		require.Greater(t, l.Decode, int64(body))
+		require.Less(t, l.Large+l.Small, max(memory, 184*mb)/4)
+		require.Greater(t, l.Connections[shed.Callers], 512)
+	}
+	few := shed.Derive(536*mb, 300)
+	sum := 0
+	for _, n := range few.Connections {
+		require.Positive(t, n)
+		sum += n
+	}
+	require.LessOrEqual(t, sum, 75)
+	require.Positive(t, shed.Derive(mb, 1).Connections[shed.Callers])
+}
+
+func TestAClientThatHoldsMuchAndMakesNoProgressIsShedFirst(t *testing.T) {
+	second := time.Second
+	clients := []shed.Client{
+		{Phase: shed.Body, Held: 1 << 18, Received: 1 << 18, Age: second, Quiet: second},
+		{Phase: shed.Body, Held: 1 << 12, Received: 1, Age: second, Quiet: second},
+		{Phase: shed.Running, Held: 1 << 20, Age: 9 * second, Quiet: 9 * second},
+		{Phase: shed.Body, Held: 1 << 18, Received: 1 << 18, Age: 100 * time.Millisecond},
+		{Phase: shed.Link, Age: 99 * second, Quiet: 99 * second},
+	}
+	require.Equal(t, []int{0}, shed.LeastProgress{}.Holders(clients, 1<<18))
+	require.Equal(t, []int{0, 1}, shed.LeastProgress{}.Holders(clients, 1<<30))
+	require.Equal(t, 1, shed.LeastProgress{}.Connection(clients))
+	require.Equal(t, -1, shed.LeastProgress{}.Connection(clients[2:]))
+	require.Empty(t, shed.None{}.Holders(clients, 1))
+	require.Equal(t, -1, shed.None{}.Connection(clients))
+}
+
+// Guards against clients within the limits that are shed: 256 KiB over the slowest link, and a head over 3 s.
+func TestAClientThatMakesProgressIsNotShed(t *testing.T) {
+	const slowest = 10e6 / 8
+	for received := int64(1); received < 256<<10; received += 4096 {
+		age := time.Duration(float64(received) / slowest * float64(time.Second))
+		c := []shed.Client{{Phase: shed.Body, Held: 256 << 10, Received: received, Age: age, Quiet: 10 * time.Millisecond}}
+		require.Empty(t, shed.LeastProgress{}.Holders(c, 1))
+	}
+	require.GreaterOrEqual(t, shed.BodyTime(256<<10), 3*time.Second)
+}
+
+// Guards against a choice that panics, repeats a client or takes one that is being served.
+func FuzzHolders(f *testing.F) {
+	f.Add([]byte{1, 2, 3, 4, 5, 6, 7, 8}, int64(10))
+	f.Fuzz(func(t *testing.T, raw []byte, need int64) {
+		var clients []shed.Client
+		for ; len(raw) >= 5; raw = raw[5:] {
+			clients = append(clients, shed.Client{
+				Phase: shed.Phase(raw[0] % 7), Held: int64(raw[1]) << 12, Received: int64(raw[2]) << 10,
+				Age: time.Duration(raw[3]) * 50 * time.Millisecond, Quiet: time.Duration(raw[4]) * 50 * time.Millisecond,
+			})
+		}
+		seen := map[int]bool{}
+		for _, i := range (shed.LeastProgress{}).Holders(clients, need) {
+			require.False(t, seen[i])
+			require.NotContains(t, []shed.Phase{shed.Running, shed.Link}, clients[i].Phase)
+			seen[i] = true
+		}
+		if i := (shed.LeastProgress{}).Connection(clients); i >= 0 {
+			require.NotContains(t, []shed.Phase{shed.Running, shed.Link}, clients[i].Phase)
+		}
+	})
+}
