Limit what the clients of carawaymux hold together

Cause: each reader took what it was sent. A body of 256 KiB, a head of up to 1 MiB, a WebSocket message of 8 MiB and 87,000 decoded steps counted against nothing, and neither did connections and unread bytes in the kernel. Change: entry/limit wraps the listeners of an entry. Readers reserve bytes before they read; a request of up to 4 KiB reserves nothing beyond its connection. When bytes or places run out, a task closes connections as fleet/shed says. Waiting readers give up with their own deadline and refuse, whether the task runs or not.

--- /dev/null
+++ b/entry/limit/conn.go
@@ -0,0 +1,373 @@
+package limit
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"carawaymux.dev/fleet/shed"
+)
+
+const (
+	// freeBytes is the size of a head, and of a body, that counts with the connection, so that small requests reserve nothing.
+	freeBytes = 4 << 10
+	// headFactor is the memory that a head takes for each byte: many short lines become strings and entries of a map.
+	headFactor = 4
+	// headWait limits the wait for bytes for a head. The whole head has to arrive within 3 s.
+	headWait = time.Second
+	// writeStart is the time that a response may take beyond that of its bytes at [shed.MinRate].
+	writeStart = 10 * time.Second
+)
+
+// listener is a listener whose connections are limited.
+type listener struct {
+	net.Listener
+	limiter *Limiter
+	name    shed.Listener
+	places  int
+	open    atomic.Int64
+	// asked is set while the task has a message about this listener.
+	asked atomic.Bool
+}
+
+// Listen returns a listener whose connections are limited. Use [Limiter.Serve] for its server.
+func (l *Limiter) Listen(name shed.Listener, inner net.Listener) net.Listener {
+	return &listener{Listener: inner, limiter: l, name: name, places: l.limits.Connections[name]}
+}
+
+// LimitUnread limits the bytes that the kernel receives on the connections of a TCP listener before they are read. It must
+// be called before connections are accepted.
+func LimitUnread(inner net.Listener) {
+	s, ok := inner.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return
+	}
+	// The kernel keeps its default if the option fails.
+	_ = raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, shed.ReceiveBuffer)
+	})
+}
+
+// Accept waits for a connection. It closes those beyond the places of the listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		open := l.open.Add(1)
+		if float64(open) > crowdedShare*float64(l.places) && l.asked.CompareAndSwap(false, true) && !l.limiter.task.TrySend(message{crowded: l}) {
+			l.asked.Store(false)
+		}
+		if open <= int64(l.places) {
+			if c := l.accepted(inner); c != nil {
+				return c, nil
+			}
+		}
+		l.open.Add(-1)
+		l.limiter.refused[Full].Add(1)
+		inner.Close()
+	}
+}
+
+// accepted returns a connection, or nil if the task does not take it in time.
+func (l *listener) accepted(inner net.Conn) net.Conn {
+	c := &Conn{Conn: inner, listener: l}
+	c.begin(shed.Waiting)
+	if l.limiter.task.TrySend(message{opened: c}) {
+		return c
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	if l.limiter.task.Send(ctx, message{opened: c}) != nil {
+		return nil
+	}
+	return c
+}
+
+// Conn is a connection of a client. The goroutines of its server read and write it, and the task closes it.
+type Conn struct {
+	net.Conn
+	listener *listener
+	// phase is a shed.Phase. since is when it began and progressAt when the client last made progress in it, both as
+	// durations since the limiter was started. received is the number of bytes that arrived in it.
+	phase, since, progressAt, received atomic.Int64
+	// writingSince is 0 unless a write waits for the client.
+	writingSince atomic.Int64
+	// blocked counts the readers that wait for bytes.
+	blocked atomic.Int64
+	// smallHeld and largeHeld are the bytes that are reserved.
+	smallHeld, largeHeld atomic.Int64
+	isClosed             atomic.Bool
+	// bodyRead is set once the body of the current request has been read whole.
+	bodyRead atomic.Bool
+}
+
+// NetConn returns the connection that c wraps.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+func (c *Conn) held() int64 { return c.smallHeld.Load() + c.largeHeld.Load() }
+
+// begin begins a phase.
+func (c *Conn) begin(p shed.Phase) {
+	now := int64(c.listener.limiter.now())
+	c.received.Store(0)
+	c.since.Store(now)
+	c.progressAt.Store(now)
+	c.phase.Store(int64(p))
+}
+
+// client returns the connection as it is now.
+func (c *Conn) client(now time.Duration) shed.Client {
+	out := shed.Client{
+		Phase: shed.Phase(c.phase.Load()), Held: c.held(), Received: c.received.Load(),
+		Age: now - time.Duration(c.since.Load()), Quiet: now - time.Duration(c.progressAt.Load()),
+	}
+	if w := c.writingSince.Load(); w != 0 {
+		out.Phase, out.Age = shed.Writing, now-time.Duration(w)
+		out.Quiet = out.Age
+	}
+	if c.blocked.Load() > 0 {
+		out.Phase = shed.Running
+	}
+	return out
+}
+
+// shed closes the connection.
+func (c *Conn) shed(why Refusal) {
+	c.listener.limiter.refused[why].Add(1)
+	c.Close()
+}
+
+// Read reads what has arrived.
+func (c *Conn) Read(p []byte) (int, error) {
+	phase := shed.Phase(c.phase.Load())
+	if phase == shed.Head && c.received.Load() >= freeBytes {
+		ctx, cancel := context.WithTimeout(context.Background(), headWait)
+		_, err := c.reserve(ctx, headFactor*int64(len(p)))
+		cancel()
+		if err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		if phase == shed.Waiting && c.phase.CompareAndSwap(int64(shed.Waiting), int64(shed.Head)) {
+			c.since.Store(int64(c.listener.limiter.now()))
+			c.received.Store(0)
+		}
+		c.received.Add(int64(n))
+		c.progressAt.Store(int64(c.listener.limiter.now()))
+	}
+	return n, err
+}
+
+// Write writes a part of a response. It fails if the client does not take it in time.
+func (c *Conn) Write(p []byte) (int, error) {
+	now := c.listener.limiter.now()
+	c.writingSince.Store(int64(now))
+	limit := writeStart + shed.BodyTime(int64(len(p))) - shed.StartTime
+	// An error means that the connection is closed, which the write reports.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(limit))
+	n, err := c.Conn.Write(p)
+	c.writingSince.Store(0)
+	if err != nil && c.listener.limiter.now()-now >= limit {
+		c.listener.limiter.refused[Slow].Add(1)
+	}
+	return n, err
+}
+
+// CloseWrite closes the direction to the client.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection and releases what is reserved for it.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	if c.isClosed.CompareAndSwap(false, true) {
+		c.listener.open.Add(-1)
+		// If the inbox is full, the task finds the connection closed later.
+		c.listener.limiter.task.TrySend(message{closed: c})
+	}
+	c.releaseAll()
+	return err
+}
+
+// reservation is a number of bytes that are reserved for a connection.
+type reservation struct {
+	conn  *Conn
+	small bool
+	bytes int64
+}
+
+// reserve reserves bytes. It waits for them until ctx is done.
+func (c *Conn) reserve(ctx context.Context, n int64) (reservation, error) {
+	l := c.listener.limiter
+	r := reservation{conn: c, small: shed.IsSmall(c.held(), n), bytes: n}
+	from := l.large
+	if r.small {
+		from = l.small
+	}
+	if !from.try(n) {
+		if r.small && l.large.try(n) {
+			r.small = false
+		} else if err := c.await(ctx, from, n); err != nil {
+			return reservation{}, err
+		}
+	}
+	if r.small {
+		c.smallHeld.Add(n)
+	} else {
+		c.largeHeld.Add(n)
+	}
+	if c.isClosed.Load() {
+		// The connection may have released everything before this.
+		c.releaseAll()
+		return reservation{}, net.ErrClosed
+	}
+	return r, nil
+}
+
+// await waits for bytes, and has the task look for clients that hold them.
+func (c *Conn) await(ctx context.Context, from *share, n int64) error {
+	l := c.listener.limiter
+	if n > from.size {
+		l.refused[Exhausted].Add(1)
+		return ErrExhausted
+	}
+	c.blocked.Add(1)
+	from.waitingOn.Add(n)
+	l.task.TrySend(message{pressed: true})
+	err := from.free.Acquire(ctx, n)
+	from.waitingOn.Add(-n)
+	c.blocked.Add(-1)
+	c.progressAt.Store(int64(l.now()))
+	if err != nil {
+		l.refused[Exhausted].Add(1)
+		return ErrExhausted
+	}
+	from.used.Add(n)
+	return nil
+}
+
+// Release releases the bytes.
+func (r reservation) release() {
+	if r.conn == nil {
+		return
+	}
+	l := r.conn.listener.limiter
+	held, from := &r.conn.largeHeld, l.large
+	if r.small {
+		held, from = &r.conn.smallHeld, l.small
+	}
+	for {
+		// What is held is less than the reservation if the connection was closed in between.
+		now := held.Load()
+		n := min(now, r.bytes)
+		if n == 0 {
+			return
+		}
+		if held.CompareAndSwap(now, now-n) {
+			from.release(n)
+			return
+		}
+	}
+}
+
+func (c *Conn) releaseAll() {
+	l := c.listener.limiter
+	if n := c.smallHeld.Swap(0); n > 0 {
+		l.small.release(n)
+	}
+	if n := c.largeHeld.Swap(0); n > 0 {
+		l.large.release(n)
+	}
+}
+
+// find returns the limited connection under others, or nil.
+func find(c net.Conn) *Conn {
+	for {
+		if known, ok := c.(*Conn); ok {
+			return known
+		}
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		c = outer.NetConn()
+	}
+}
+
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// fromContext returns the connection of a request, or nil.
+func fromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
+
+// OnConnOf returns ctx with the connection of a request. ctx does not end with the request.
+func OnConnOf(ctx, request context.Context) context.Context {
+	return context.WithValue(ctx, connKey{}, fromContext(request))
+}
+
+// Serve makes a server limit the requests on connections of a listener of [Limiter.Listen]: their heads and the time of
+// bodies that nobody reads. The server's handler, hooks and time limits must be set before.
+func (l *Limiter) Serve(s *http.Server, maxHeaderBytes int) {
+	// Go adds 4096 bytes to its limit.
+	const slack = 4096
+	s.MaxHeaderBytes = max(maxHeaderBytes-slack, 1)
+	inner, hook, connContext := s.Handler, s.ConnState, s.ConnContext
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if hook != nil {
+			hook(c, state)
+		}
+		if known := find(c); known != nil && state == http.StateIdle {
+			known.releaseAll()
+			known.begin(shed.Waiting)
+		}
+	}
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, find(c))
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := fromContext(r.Context())
+		if c == nil {
+			inner.ServeHTTP(w, r)
+			return
+		}
+		hasBody := r.Body != nil && r.Body != http.NoBody
+		c.begin(shed.Running)
+		c.bodyRead.Store(!hasBody)
+		if hasBody && r.Method != http.MethodPost && r.Method != http.MethodPut {
+			c.endReadBy(w, shed.StartTime)
+		}
+		inner.ServeHTTP(w, r)
+		if !c.bodyRead.Load() {
+			// The server reads the rest of a body that the handler has not read.
+			c.endReadBy(w, shed.StartTime)
+			c.begin(shed.Body)
+		}
+	})
+}
+
+// endReadBy ends reads after some time. The server sets another deadline for the next request.
+func (c *Conn) endReadBy(w http.ResponseWriter, d time.Duration) {
+	// An error means that the connection is closed.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d))
+}
--- /dev/null
+++ b/entry/limit/read.go
@@ -0,0 +1,160 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"carawaymux.dev/fleet/shed"
+)
+
+// ErrSlow reports that a body did not arrive at the least rate. The request has not run.
+var ErrSlow = errors.New("the body did not arrive in time")
+
+// expired is a deadline that ends reads at once.
+var expired = time.Unix(1, 0)
+
+// ReadBody reads the body of a request, of at most maxBytes. It reserves bytes before it reads them; the reservation ends with
+// the request. It ends with ctx, and with [ErrSlow] when the body arrives too slowly. A body above the limit results in a
+// [http.MaxBytesError].
+func ReadBody(ctx context.Context, w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, error) {
+	if r.ContentLength > maxBytes {
+		return nil, &http.MaxBytesError{Limit: maxBytes}
+	}
+	size := maxBytes
+	if r.ContentLength >= 0 {
+		size = r.ContentLength
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, shed.BodyTime(size), ErrSlow)
+	defer cancel()
+	connection := http.NewResponseController(w)
+	stop := context.AfterFunc(ctx, func() {
+		// An error means that the connection is closed, which ends the read too.
+		_ = connection.SetReadDeadline(expired)
+	})
+	defer stop()
+	c := fromContext(r.Context())
+	if c != nil {
+		c.begin(shed.Body)
+		defer c.begin(shed.Running)
+	}
+	raw, _, err := readAll(ctx, c, http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength, maxBytes)
+	if err != nil && errors.Is(context.Cause(ctx), ErrSlow) {
+		if c != nil {
+			c.listener.limiter.refused[Slow].Add(1)
+		}
+		return nil, ErrSlow
+	}
+	if err == nil && c != nil {
+		c.bodyRead.Store(true)
+	}
+	return raw, err
+}
+
+// ReadMessage reads a message of a link, of at most maxBytes. closeLink is called if it arrives too slowly. The caller calls the
+// function that is returned once it no longer needs the message.
+func ReadMessage(ctx context.Context, r io.Reader, maxBytes int64, closeLink func()) (raw []byte, release func(), err error) {
+	c := fromContext(ctx)
+	if c == nil {
+		raw, err = io.ReadAll(r)
+		return raw, func() {}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, shed.BodyTime(maxBytes))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		c.listener.limiter.refused[Slow].Add(1)
+		closeLink()
+	})
+	defer stop()
+	c.begin(shed.Body)
+	raw, held, err := readAll(ctx, c, r, -1, maxBytes)
+	if err == nil {
+		c.begin(shed.Link)
+	}
+	return raw, func() {
+		for _, h := range held {
+			h.release()
+		}
+	}, err
+}
+
+// BeginLink tells that the connection of a request carries frames from now on.
+func BeginLink(ctx context.Context) {
+	if c := fromContext(ctx); c != nil {
+		c.begin(shed.NewLink)
+	}
+}
+
+// readAll reads a body whose length is known, or is -1.
+func readAll(ctx context.Context, c *Conn, r io.Reader, length, maxBytes int64) ([]byte, []reservation, error) {
+	capacity := int64(freeBytes)
+	if length >= 0 {
+		// One more byte lets the reader see the end without growing.
+		capacity = length + 1
+	}
+	var held []reservation
+	reserve := func(n int64) error {
+		if c == nil {
+			return nil
+		}
+		h, err := c.reserve(ctx, n)
+		held = append(held, h)
+		return err
+	}
+	if capacity > freeBytes+1 {
+		if err := reserve(capacity); err != nil {
+			return nil, held, err
+		}
+	}
+	buffer := make([]byte, 0, capacity)
+	for {
+		if len(buffer) == cap(buffer) {
+			more := min(int64(cap(buffer)), max(maxBytes+1-int64(cap(buffer)), freeBytes))
+			if err := reserve(more); err != nil {
+				return nil, held, err
+			}
+			buffer = append(make([]byte, 0, int64(cap(buffer))+more), buffer...)
+		}
+		n, err := r.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if errors.Is(err, io.EOF) {
+			return buffer, held, nil
+		}
+		if err != nil {
+			return nil, held, err
+		}
+	}
+}
+
+// Decode calls a function that decodes a message into at most some bytes of memory. It waits while the decoded forms
+// of other clients take what they may take together, until ctx is done.
+func Decode(ctx context.Context, bytes int64, decode func()) error {
+	c := fromContext(ctx)
+	if c == nil || bytes <= freeBytes {
+		decode()
+		return nil
+	}
+	l := c.listener.limiter
+	ctx, cancel := context.WithTimeout(ctx, shed.StartTime)
+	defer cancel()
+	n := min(bytes, l.limits.Decode)
+	if err := l.decode.Acquire(ctx, n); err != nil {
+		l.refused[Exhausted].Add(1)
+		return ErrExhausted
+	}
+	defer l.decode.Release(n)
+	decode()
+	return nil
+}
+
+// Hold reserves bytes for a request of a link until the function that it returns is called.
+func Hold(ctx context.Context, bytes int64) (release func(), err error) {
+	c := fromContext(ctx)
+	if c == nil {
+		return func() {}, nil
+	}
+	r, err := c.reserve(ctx, bytes)
+	return r.release, err
+}
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/coder/websocket"
 
+	"carawaymux.dev/entry/limit"
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/task"
@@ -17,6 +18,9 @@
 const (
 	// MaxFrameBytes is the largest size of an encoded frame.
 	MaxFrameBytes = 8 << 20
+	// decodedFactor is the memory that a decoded frame takes for each byte: a list of empty steps has one byte for each,
+	// which decodes into a few hundred. Most frames hold text.
+	decodedFactor = 32
 	// writeTimeout bounds the writing of one frame.
 	writeTimeout = 5 * time.Second
 	// dialTimeout bounds the opening of a link.
@@ -67,7 +71,7 @@
 	if err != nil {
 		return nil, fault.At("dial", address, err)
 	}
-	return start(ws, address, onFrame), nil
+	return start(context.Background(), ws, address, onFrame), nil
 }
 
 // Accept accepts a link from the HTTP request of a peer.
@@ -78,7 +82,8 @@
 	}
 	ready := make(chan struct{})
 	var c *Conn[F]
-	c = start(ws, peer, func(f F) {
+	limit.BeginLink(r.Context())
+	c = start(r.Context(), ws, peer, func(f F) {
 		<-ready
 		onFrame(c, f)
 	})
@@ -86,12 +91,13 @@
 	return c, nil
 }
 
-func start[F any](ws *websocket.Conn, peer string, onFrame func(F)) *Conn[F] {
+// start starts the tasks of a link. The frames that it receives are limited as those of the connection of a request.
+func start[F any](request context.Context, ws *websocket.Conn, peer string, onFrame func(F)) *Conn[F] {
 	ws.SetReadLimit(MaxFrameBytes)
 	c := &Conn[F]{peer: peer, ws: ws}
 	c.broken, c.fail = context.WithCancelCause(context.Background())
 	c.writer = task.Start(c.write, task.WithInbox(outboxFrames))
-	c.reader = task.Start(func(ctx context.Context, _ <-chan struct{}) { c.read(ctx, onFrame) })
+	c.reader = task.Start(func(ctx context.Context, _ <-chan struct{}) { c.read(limit.OnConnOf(ctx, request), onFrame) })
 	return c
 }
 
@@ -163,17 +169,32 @@
 
 func (c *Conn[F]) read(ctx context.Context, onFrame func(F)) {
 	for {
-		_, raw, err := c.ws.Read(ctx)
-		if err != nil {
+		if err := c.readFrame(ctx, onFrame); err != nil {
 			c.fail(err)
-			return
-		}
-		f, err := codec.DecodeFrame[F](raw)
-		if err != nil {
-			c.fail(fault.At("read", c.peer, err))
 			c.ws.CloseNow()
 			return
 		}
-		onFrame(f)
 	}
 }
+
+// readFrame reads a frame and calls onFrame with it.
+func (c *Conn[F]) readFrame(ctx context.Context, onFrame func(F)) error {
+	_, message, err := c.ws.Reader(ctx)
+	if err != nil {
+		return err
+	}
+	raw, release, err := limit.ReadMessage(ctx, message, MaxFrameBytes, func() { c.ws.CloseNow() })
+	defer release()
+	if err != nil {
+		return fault.At("read", c.peer, err)
+	}
+	var f F
+	if err := limit.Decode(ctx, decodedFactor*int64(len(raw)), func() { f, err = codec.DecodeFrame[F](raw) }); err != nil {
+		return fault.At("decode", c.peer, err)
+	}
+	if err != nil {
+		return fault.At("read", c.peer, err)
+	}
+	onFrame(f)
+	return nil
+}
--- a/entry/socket/socket.go
+++ b/entry/socket/socket.go
@@ -176,12 +176,17 @@
 
 // ConnState is the hook of the server that serves the connections.
 func (s *Set) ConnState(c net.Conn, state http.ConnState) {
-	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+	for {
+		if known, ok := c.(*Conn); ok {
+			known.setState(state)
+			return
+		}
+		wrapped, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
 		c = wrapped.NetConn()
 	}
-	if known, ok := c.(*Conn); ok {
-		known.setState(state)
-	}
 }
 
 func (m opened) handle(c *core) {
