Limit what the clients of carawayd hold together

The entries of carawayd use the same limits on their listeners for callers and for peers: bodies, heads, frames, decoded records and queries, connections. A connection with TLS counts double. Peers get an eighth of the places and a receive buffer of 64 KiB, callers three quarters: with the quarter before, the smallest entry had 613 places for callers, now 736.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"carawaymux.dev/entry/invoke"
 	"carawaymux.dev/entry/keys"
 	"carawaymux.dev/entry/leader"
+	"carawaymux.dev/entry/limit"
 	"carawaymux.dev/entry/link"
 	"carawaymux.dev/entry/member"
 	"carawaymux.dev/entry/relay"
@@ -34,6 +35,7 @@
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/ledger"
 	"carawaymux.dev/fleet/plat"
+	"carawaymux.dev/fleet/shed"
 )
 
 const (
@@ -74,6 +76,7 @@
 	requests       context.Context
 	cancelRequests context.CancelCauseFunc
 
+	limits                   *limit.Limiter
 	callers                  *socket.Set
 	callerServer, peerServer http.Server
 	serveGroup               errgroup.Group
@@ -103,6 +106,8 @@
 		callers.Close()
 		return nil, fault.At("listen", s.Listen.Peer, err)
 	}
+	limit.LimitUnread(shed.Callers, callers)
+	limit.LimitUnread(shed.Peers, peers)
 	if err := d.build(); err != nil {
 		callers.Close()
 		peers.Close()
@@ -134,6 +139,7 @@
 	d.client = plat.New(s.Platform.LogURL, s.Platform.HostsURL, plat.WithTimeout(s.Platform.Timeout))
 	dialer := d.dialer()
 	metrics := vars.New()
+	d.limits = startLimits(s, d.logger)
 	d.buildRouting(dialer)
 	d.watcher = watch.New(d.client, watch.WithInterval(s.Platform.ListInterval), watch.WithLogger(d.logger),
 		watch.WithObserver(d.onMachineList))
@@ -245,23 +251,30 @@
 		p, _ := d.follower.Progress(ctx)
 		return p
 	})
+	metrics.Func("clients", func() any {
+		t, _ := d.limits.Totals(ctx)
+		return t
+	})
 	metrics.Func("dropped-answers", func() any { return d.relayClient.DroppedAnswers() })
 }
 
 // serve starts the HTTP servers for callers and for peers.
 func (d *Daemon) serve(callers, peers net.Listener) {
 	d.callers = socket.Start(callers)
-	callers = d.callers.Listener()
+	callers = d.limits.Listen(shed.Callers, d.callers.Listener())
+	peers = d.limits.Listen(shed.Peers, peers)
 	d.callerServer = http.Server{
 		ConnState: d.callers.ConnState,
 		Handler:   d.front.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: d.settings.Limits.Header, BaseContext: func(net.Listener) context.Context { return d.requests },
-		ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+		BaseContext: func(net.Listener) context.Context { return d.requests },
+		ErrorLog:    slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
 	}
 	d.peerServer = http.Server{
 		Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout,
 		ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
 	}
+	d.limits.Serve(&d.callerServer, d.settings.Limits.Header)
+	d.limits.Serve(&d.peerServer, d.settings.Limits.Header)
 	if !d.settings.Listen.AllowPlaintext {
 		callers = tls.NewListener(callers, d.certs().ServerConfig(false))
 		peers = tls.NewListener(peers, d.certs().ServerConfig(true))
@@ -340,6 +353,7 @@
 	d.members.Close()
 	d.router.Close()
 	d.client.Close()
+	d.limits.Close()
 	d.tracer.Close()
 	d.keys.Close()
 }
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"os"
@@ -21,6 +20,7 @@
 	"carawaymux.dev/entry/follow"
 	"carawaymux.dev/entry/invoke"
 	"carawaymux.dev/entry/keys"
+	"carawaymux.dev/entry/limit"
 	"carawaymux.dev/entry/member"
 	"carawaymux.dev/entry/route"
 	"carawaymux.dev/entry/setup"
@@ -176,21 +176,26 @@
 		status, body.Problems = http.StatusBadRequest, problems
 	case errors.Is(err, errNotFound):
 		status = http.StatusNotFound
+	case errors.Is(err, limit.ErrExhausted):
+		w.Header().Set("Retry-After", exhaustedRetrySeconds)
 	}
 	f.writeError(w, status, body)
 }
 
+// exhaustedRetrySeconds is the Retry-After when clients hold all that they may hold together.
+const exhaustedRetrySeconds = "1"
+
 var errNotFound = errors.New("not found")
 
-// readBody reads the whole body. It fails if the body is larger than limit bytes or has not arrived
+// readBody reads the whole body. It fails if the body is larger than maxBytes or has not arrived
 // when ctx is done.
-func readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int) ([]byte, error) {
+func readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, maxBytes int) ([]byte, error) {
 	interrupted := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 		close(interrupted)
 	})
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	raw, err := limit.ReadBody(ctx, w, r, int64(maxBytes))
 	if stop() {
 		return raw, err
 	}
--- a/entry/front/operate.go
+++ b/entry/front/operate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carawaymux.dev/entry/follow"
+	"carawaymux.dev/entry/limit"
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/ledger"
 	"carawaymux.dev/fleet/query"
@@ -17,6 +18,9 @@
 const (
 	// publishTimeout bounds the wait for the verdict on a record.
 	publishTimeout = 10 * time.Second
+	// decodedFactor is the memory that a decoded record or query takes for each byte: lists of empty objects of three bytes
+	// decode into some hundred.
+	decodedFactor = 64
 	// maxStreamRecords is the maximum number of records in one page of the stream.
 	maxStreamRecords = 512
 )
@@ -52,7 +56,11 @@
 // parseRecord decodes a record and rejects it if it is invalid regardless of the state. The author
 // must be the owner of the key, if the request has a known key.
 func (f *Front) parseRecord(r *http.Request, raw []byte) (record.Record, error) {
-	rec, err := codec.DecodeRecord(raw)
+	var rec record.Record
+	var err error
+	if limited := limit.Decode(r.Context(), decodedFactor*int64(len(raw)), func() { rec, err = codec.DecodeRecord(raw) }); limited != nil {
+		return rec, limited
+	}
 	if err != nil {
 		return rec, err
 	}
@@ -189,7 +197,10 @@
 		f.handleError(w, err)
 		return
 	}
-	question, err := codec.DecodeStrict[Q](raw)
+	var question Q
+	if limited := limit.Decode(r.Context(), decodedFactor*int64(len(raw)), func() { question, err = codec.DecodeStrict[Q](raw) }); limited != nil {
+		err = limited
+	}
 	if err == nil {
 		err = question.Check().Err()
 	}
--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -39,8 +39,8 @@
 }
 
 // LimitUnread limits the bytes that the kernel receives on the connections of a TCP listener before they are read. It must
-// be called before connections are accepted.
-func LimitUnread(inner net.Listener) {
+// be called before connections are opened.
+func LimitUnread(name shed.Listener, inner net.Listener) {
 	s, ok := inner.(syscall.Conn)
 	if !ok {
 		return
@@ -51,7 +51,7 @@
 	}
 	// The kernel keeps its default if the option fails.
 	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, shed.ReceiveBuffer)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, shed.ReceiveBuffer(name))
 	})
 }
 
--- a/entry/limit/read.go
+++ b/entry/limit/read.go
@@ -45,7 +45,12 @@
 		if c != nil {
 			c.listener.limiter.refused[Slow].Add(1)
 		}
-		return nil, ErrSlow
+		err = ErrSlow
+	}
+	if errors.Is(err, ErrSlow) || errors.Is(err, ErrExhausted) {
+		// The rest of the body would be taken for the next request, or the read deadline has passed.
+		w.Header().Set("Connection", "close")
+		return nil, err
 	}
 	if err == nil && c != nil {
 		c.bodyRead.Store(true)
--- a/fleet/shed/shed.go
+++ b/fleet/shed/shed.go
@@ -16,12 +16,13 @@
 	smallShare = 0.25
 	// SmallBytes is the size up to which a reservation is small.
 	SmallBytes = 16 << 10
-	// ReceiveBuffer is the size of the receive buffer that a connection asks the kernel for. The kernel takes up to one and
-	// a half times as much (24,576 bytes measured). A body of 256 KiB arrives within 0.3 s at a round-trip time of 20 ms.
-	ReceiveBuffer = 16 << 10
+	// receiveBuffer and peerBuffer are the sizes of the receive buffers that connections of clients and of peers ask the
+	// kernel for. The kernel takes up to 1.5 and 2 times as much (24,576 and 127,576 bytes measured). A body of 256 KiB
+	// arrives within 0.3 s at a round-trip time of 20 ms; links between entries carry the requests of many callers.
+	receiveBuffer, peerBuffer = 16 << 10, 64 << 10
 	// connectionBytes is what a connection takes: 24 KiB unread in the kernel, and 24 KiB for stacks, buffers and
-	// the header and body of a small request.
-	connectionBytes = 48 << 10
+	// the header and body of a small request. TLS takes tlsBytes more: records of 16 KiB in both directions and the handshake.
+	connectionBytes, tlsBytes = 48 << 10, 48 << 10
 	// reservedDescriptors are those that the platform reserves for files.
 	reservedDescriptors = 200
 	// acceptedShare is the share of the other descriptors that accepted connections may take. The rest is for
@@ -51,7 +52,7 @@
 )
 
 // connectionShares holds the share of the accepted connections of each listener. No listener can take the places of another.
-var connectionShares = map[Listener]float64{Callers: 0.625, Peers: 0.25, Readiness: 0.0625, Metrics: 0.0625}
+var connectionShares = map[Listener]float64{Callers: 0.75, Peers: 0.125, Readiness: 0.0625, Metrics: 0.0625}
 
 // Limits are what clients may hold together. Sizes are in bytes.
 type Limits struct {
@@ -63,19 +64,42 @@
 	Connections map[Listener]int
 }
 
-// Derive returns the limits for a process with some memory, in bytes, and descriptors. What is 0 is
-// the smallest that the platform states.
-func Derive(memory int64, descriptors int) Limits {
-	if memory <= 0 {
-		memory = defaultMemory
+// ReceiveBuffer returns the size of the receive buffer of a connection of a listener.
+func ReceiveBuffer(name Listener) int {
+	if name == Peers {
+		return peerBuffer
 	}
-	if descriptors <= 0 {
-		descriptors = defaultDescriptors
+	return receiveBuffer
+}
+
+// Process is what limits are derived from. What is 0 is the smallest that the platform states.
+type Process struct {
+	// Memory is the memory that the process may hold, in bytes, and Descriptors the number of those that it may open.
+	Memory      int64
+	Descriptors int
+	// Largest is the size of the largest message that clients may send, in bytes.
+	Largest int64
+	// TLS tells whether connections use TLS.
+	TLS bool
+}
+
+// Derive returns the limits for a process.
+func Derive(p Process) Limits {
+	if p.Memory <= 0 {
+		p.Memory = defaultMemory
+	}
+	if p.Descriptors <= 0 {
+		p.Descriptors = defaultDescriptors
+	}
+	each := float64(connectionBytes)
+	if p.TLS {
+		each += tlsBytes
 	}
-	bytes := byteShare * float64(memory)
-	places := min(connectionShare*float64(memory)/connectionBytes, acceptedShare*float64(max(descriptors-reservedDescriptors, 0)))
+	bytes := byteShare * float64(p.Memory)
+	places := min(connectionShare*float64(p.Memory)/each, acceptedShare*float64(max(p.Descriptors-reservedDescriptors, 0)))
 	l := Limits{
-		Large: int64((1 - smallShare) * bytes), Small: int64(smallShare * bytes), Decode: int64(smallShare * bytes),
+		// One more byte than the message lets a reader see its end.
+		Large: max(int64((1-smallShare)*bytes), p.Largest+1), Small: int64(smallShare * bytes), Decode: int64(smallShare * bytes),
 		Connections: map[Listener]int{},
 	}
 	for name, share := range connectionShares {
--- a/fleet/shed/shed_test.go
+++ b/fleet/shed/shed_test.go
@@ -14,20 +14,23 @@
 func TestLimitsFollowTheMemoryAndTheDescriptors(t *testing.T) {
 	const mb, body, frame = 1 << 20, 256 << 10, 8 << 20
 	for _, memory := range []int64{0, 184 * mb, 284 * mb, 536 * mb} {
-		l := shed.Derive(memory, 0)
+		l := shed.Derive(shed.Process{Memory: memory})
 		require.Greater(t, l.Large, int64(frame+body))
 		require.Greater(t, l.Decode, int64(body))
 		require.Less(t, l.Large+l.Small, max(memory, 184*mb)/4)
 		require.Greater(t, l.Connections[shed.Callers], 512)
 	}
-	few := shed.Derive(536*mb, 300)
+	few := shed.Derive(shed.Process{Memory: 536 * mb, Descriptors: 300})
 	sum := 0
 	for _, n := range few.Connections {
 		require.Positive(t, n)
 		sum += n
 	}
 	require.LessOrEqual(t, sum, 75)
-	require.Positive(t, shed.Derive(mb, 1).Connections[shed.Callers])
+	require.Positive(t, shed.Derive(shed.Process{Memory: mb, Descriptors: 1}).Connections[shed.Callers])
+	require.Greater(t, shed.Derive(shed.Process{Memory: mb, Largest: 64 * mb}).Large, int64(64*mb))
+	plain, tls := shed.Derive(shed.Process{}), shed.Derive(shed.Process{TLS: true})
+	require.Less(t, tls.Connections[shed.Callers], plain.Connections[shed.Callers])
 }
 
 func TestAClientThatHoldsMuchAndMakesNoProgressIsShedFirst(t *testing.T) {
