--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -18,7 +18,8 @@
 	headFactor = 4
 	// headWait limits the wait for bytes for a head. The whole head has to arrive within 3 s.
 	headWait = time.Second
-	// writeStart is the time that a response may take beyond that of its bytes at [shed.MinRate].
+	// writeStart is the time that a response may take beyond that of its bytes at [shed.MinRate]. It may take twice as
+	// long, since a deadline serves the writes of as long a time.
 	writeStart = 10 * time.Second
 )
 
@@ -101,6 +102,8 @@
 	phase, since, progressAt, received atomic.Int64
 	// writingSince is 0 unless a write waits for the client.
 	writingSince atomic.Int64
+	// writeBy is the deadline of writes, as a duration since the limiter was started.
+	writeBy atomic.Int64
 	// blocked counts the readers that wait for bytes.
 	blocked atomic.Int64
 	// smallHeld and largeHeld are the bytes that are reserved.
@@ -174,8 +177,12 @@
 	now := c.listener.limiter.now()
 	c.writingSince.Store(int64(now))
 	limit := writeStart + shed.BodyTime(int64(len(p))) - shed.StartTime
-	// An error means that the connection is closed, which the write reports.
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(limit))
+	// A deadline is set for the writes of some time, since setting it costs more than a short write.
+	if time.Duration(c.writeBy.Load()) < now+limit {
+		c.writeBy.Store(int64(now + limit + writeStart))
+		// An error means that the connection is closed, which the write reports.
+		_ = c.Conn.SetWriteDeadline(c.listener.limiter.startedAt.Add(now + limit + writeStart))
+	}
 	n, err := c.Conn.Write(p)
 	c.writingSince.Store(0)
 	if err != nil && c.listener.limiter.now()-now >= limit {
@@ -213,23 +220,39 @@
 
 // reserve reserves bytes. It waits for them until ctx is done.
 func (c *Conn) reserve(ctx context.Context, n int64) (reservation, error) {
+	r, ok := c.tryReserve(n)
+	if !ok {
+		from := c.listener.limiter.large
+		if r.small {
+			from = c.listener.limiter.small
+		}
+		if err := c.await(ctx, from, n); err != nil {
+			return reservation{}, err
+		}
+	}
+	return c.hold(r)
+}
+
+// tryReserve takes bytes if there are some. The reservation says from which share they are to come.
+func (c *Conn) tryReserve(n int64) (reservation, bool) {
 	l := c.listener.limiter
 	r := reservation{conn: c, small: shed.IsSmall(c.held(), n), bytes: n}
-	from := l.large
-	if r.small {
-		from = l.small
+	if r.small && l.small.try(n) {
+		return r, true
 	}
-	if !from.try(n) {
-		if r.small && l.large.try(n) {
-			r.small = false
-		} else if err := c.await(ctx, from, n); err != nil {
-			return reservation{}, err
-		}
+	if l.large.try(n) {
+		r.small = false
+		return r, true
 	}
+	return r, false
+}
+
+// hold counts bytes that were taken for the connection, unless it is closed.
+func (c *Conn) hold(r reservation) (reservation, error) {
 	if r.small {
-		c.smallHeld.Add(n)
+		c.smallHeld.Add(r.bytes)
 	} else {
-		c.largeHeld.Add(n)
+		c.largeHeld.Add(r.bytes)
 	}
 	if c.isClosed.Load() {
 		// The connection may have released everything before this.
@@ -261,7 +284,7 @@
 	return nil
 }
 
-// Release releases the bytes.
+// release releases the bytes.
 func (r reservation) release() {
 	if r.conn == nil {
 		return
--- a/entry/limit/read.go
+++ b/entry/limit/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"carawaymux.dev/fleet/shed"
@@ -23,12 +24,19 @@
 	if r.ContentLength > maxBytes {
 		return nil, &http.MaxBytesError{Limit: maxBytes}
 	}
+	if r.ContentLength == 0 {
+		return []byte{}, nil
+	}
 	size := maxBytes
-	if r.ContentLength >= 0 {
+	if r.ContentLength > 0 {
 		size = r.ContentLength
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, shed.BodyTime(size), ErrSlow)
-	defer cancel()
+	limited := shed.BodyTime(size)
+	if by, ok := ctx.Deadline(); !ok || time.Until(by) > limited {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeoutCause(ctx, limited, ErrSlow)
+		defer cancel()
+	}
 	connection := http.NewResponseController(w)
 	stop := context.AfterFunc(ctx, func() {
 		// An error means that the connection is closed, which ends the read too.
@@ -154,12 +162,18 @@
 	return nil
 }
 
-// Hold reserves bytes for a request of a link until the function that it returns is called.
-func Hold(ctx context.Context, bytes int64) (release func(), err error) {
+// TryHold reserves bytes for a request of a link, until the function that it returns is called, perhaps more than once. It
+// does not wait, and returns [ErrExhausted] if there are none.
+func TryHold(ctx context.Context, bytes int64) (release func(), err error) {
 	c := fromContext(ctx)
-	if c == nil {
+	if c == nil || bytes <= 0 {
 		return func() {}, nil
 	}
-	r, err := c.reserve(ctx, bytes)
-	return r.release, err
+	r, ok := c.tryReserve(bytes)
+	if !ok {
+		c.listener.limiter.refused[Exhausted].Add(1)
+		return func() {}, ErrExhausted
+	}
+	r, err = c.hold(r)
+	return sync.OnceFunc(r.release), err
 }
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"carawaymux.dev/entry/limit"
 	"carawaymux.dev/entry/link"
 	"carawaymux.dev/entry/owner"
 	"carawaymux.dev/fleet/batch"
@@ -80,6 +81,10 @@
 	// silenceTimeout is the time without any frame, while a request waits, after which the next
 	// request closes the link: a connection can stop delivering data without being closed.
 	silenceTimeout = 800 * time.Millisecond
+	// exhaustedRetry is the Retry-After of a request that is refused since links hold all that they may hold.
+	exhaustedRetry = time.Second
+	// runningBytes and stepBytes are the memory of a request that is being answered, and of each of its steps.
+	runningBytes, stepBytes = 4 << 10, 256
 	// answerTimeout limits the work on a request of a peer.
 	answerTimeout = 5 * time.Second
 )
@@ -305,6 +310,15 @@
 	c.reply <- result{answer: *m.frame.Answer}
 }
 
+// requestBytes returns the memory that a request takes until it is answered.
+func requestBytes(r *Request) int64 {
+	n := runningBytes
+	if r.Spec != nil {
+		n += len(r.Spec.Text) + stepBytes*len(r.Spec.Steps)
+	}
+	return int64(n)
+}
+
 // Handler accepts links from other entries and answers their requests with the function answer.
 func Handler(logger *slog.Logger, answer func(context.Context, Request) owner.Answer) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -314,7 +328,16 @@
 			if f.Request == nil {
 				return
 			}
+			release, err := limit.TryHold(r.Context(), requestBytes(f.Request))
+			if err != nil {
+				a := owner.Answer{Outcome: owner.Refused, Reason: err.Error(), RetryAfter: exhaustedRetry}
+				if err := c.Send(ctx, Frame{ID: f.ID, Answer: &a}); err != nil {
+					logger.Debug("refusal to peer could not be sent", "peer", r.RemoteAddr, "err", err)
+				}
+				return
+			}
 			go func() {
+				defer release()
 				ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 				defer cancel()
 				a := answer(ctx, *f.Request)
--- a/entry/relay/server.go
+++ b/entry/relay/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"carawaymux.dev/entry/limit"
 	"carawaymux.dev/entry/link"
 	"carawaymux.dev/entry/work"
 	"carawaymux.dev/fleet/task"
@@ -15,6 +16,8 @@
 const (
 	// maxStreams is the largest number of open requests on one link.
 	maxStreams = 2048
+	// requestBytes is the memory of a request beside its body.
+	requestBytes = 4 << 10
 	// sendTimeout bounds the sending of one answer, and of all queued frames at shutdown.
 	sendTimeout = 5 * time.Second
 )
@@ -111,7 +114,7 @@
 		return
 	}
 	defer func() { _ = s.links.Send(context.Background(), linkChange{}) }()
-	st := &serverState{server: s, requests: make(map[uint64]*incomingRequest), drained: make(chan struct{})}
+	st := &serverState{server: s, connection: r.Context(), requests: make(map[uint64]*incomingRequest), drained: make(chan struct{})}
 	ready := make(chan struct{})
 	conn, err := link.Accept(w, r, r.RemoteAddr, func(_ *link.Conn[frame], f frame) {
 		<-ready
@@ -154,14 +157,18 @@
 	header *requestHeader
 	body   []byte
 	cancel context.CancelFunc
+	// release releases the bytes that are reserved for the request. It may be called again.
+	release func()
 }
 
 // serverState is the state of the task of an accepted link.
 type serverState struct {
-	server   *Server
-	conn     *link.Conn[frame]
-	linkTask *task.Task[serverMessage]
-	requests map[uint64]*incomingRequest
+	server *Server
+	conn   *link.Conn[frame]
+	// connection is the context of the request that opened the link. It holds the connection.
+	connection context.Context
+	linkTask   *task.Task[serverMessage]
+	requests   map[uint64]*incomingRequest
 	// stopping is set once new requests are refused. unanswered is the number of answers that have not
 	// been sent; drained is closed when there are none and the link is stopping.
 	stopping   bool
@@ -238,6 +245,8 @@
 	case f.Cancel:
 		if request.cancel != nil {
 			request.cancel()
+		} else {
+			request.release()
 		}
 		delete(st.requests, f.Stream)
 	case f.End:
@@ -261,7 +270,15 @@
 	case len(st.requests) >= maxStreams:
 		st.refuse(f.Stream, f.Request, "too many open requests on one link between entries")
 	default:
-		st.requests[f.Stream] = &incomingRequest{header: f.Request}
+		release, err := limit.TryHold(st.connection, int64(max(f.Request.Length, 0))+requestBytes)
+		if err != nil {
+			st.refuse(f.Stream, f.Request, err.Error())
+			return
+		}
+		if old := st.requests[f.Stream]; old != nil && old.cancel == nil {
+			old.release()
+		}
+		st.requests[f.Stream] = &incomingRequest{header: f.Request, release: release}
 	}
 }
 
@@ -269,6 +286,9 @@
 // unknown, since a copy of it may have run in this or an earlier incarnation. A deduplicated request has
 // no other copy, so it has not run; an idempotent one may run again.
 func (st *serverState) refuse(stream uint64, h *requestHeader, why string) {
+	if request := st.requests[stream]; request != nil {
+		request.release()
+	}
 	delete(st.requests, stream)
 	a := work.Unknown(why)
 	if h.Idempotent || h.Deduplicated {
@@ -297,6 +317,7 @@
 	request.cancel, request.body = cancel, nil
 	st.answer(answeredStream{stream, request}, func() {
 		defer cancel()
+		defer request.release()
 		st.sendAnswer(stream, r.ID, st.server.handler(ctx, r))
 	})
 }
