--- a/trial/crowd/meter.go
+++ b/trial/crowd/meter.go
@@ -97,6 +97,12 @@
 	return resident, highest
 }
 
+// Highest returns the most resident memory that a process has had, in bytes, or 0 if there is no such process.
+func Highest(pid int) int64 {
+	_, highest := status(pid)
+	return highest
+}
+
 // unread returns the bytes that the kernel has received on connections of the listeners and that the process has not read.
 func (m *Meter) unread() int64 {
 	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", m.pid))
--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -122,8 +122,11 @@
 // of the entry is empty for proxies that all entries share.
 type Proxy func(from, to, address string) (string, error)
 
+// EntryMemoryMB is the memory of entries unless a layout sets other limits.
+const EntryMemoryMB = 284
+
 // defaultLimits are the limits of entries unless a layout sets others.
-const defaultLimits = "memory_mb = 284"
+var defaultLimits = fmt.Sprintf("memory_mb = %d", EntryMemoryMB)
 
 // New starts a simulated platform on loopback.
 func New(layout Layout) (*Platform, error) {
--- a/trial/soak/cases_test.go
+++ b/trial/soak/cases_test.go
@@ -39,6 +39,7 @@
 		h.Requests = append(h.Requests, onExtra(asked(12, Look, http.StatusNotFound, "")))
 		h.Windows = append(h.Windows, window(Queue, extraQueue, 9, 14))
 	},
+	"within-memory": func(h *History) { h.Memory = append(h.Memory, Memory{"entry-0", at(10), 30 << 20}) },
 	"ready-again": func(h *History) {
 		h.Probes = append(h.Probes, Probe{Entry: "entry-0", At: at(20), Ready: true})
 		h.Windows = append(h.Windows, window(Pause, "entry-0", 10, 12))
--- a/trial/soak/check.go
+++ b/trial/soak/check.go
@@ -42,6 +42,7 @@
 		{"lasting-runs", "A long-running task whose job was accepted runs again 6 s after its last run, once there has been room for it twice over for 3 s (RULES, LOST).", checkLasting, countLasting},
 		{"waves-whole", "No maintenance begins while as many machines of its wave are down as its cap allows, and a wave is said to be completed only once that of all its machines has begun (RULES, LIMIT and MIXED).", checkWaves, countWaves},
 		{"config-in-time", "A request sent later than config_apply_ms after a configuration is handled as it says, by entries in touch (RULES, CONFIG).", checkConfig, countConfig},
+		{"within-memory", "No process holds more than its memory_mb, whatever clients send (docs/OPERATIONS.md, Clients that hold too much).", checkMemory, countMemory},
 		{"ready-again", "An entry that is in touch is ready (RULES, In touch and Duty).", checkReady, countReady},
 	}
 }
--- a/trial/soak/check_test.go
+++ b/trial/soak/check_test.go
@@ -396,6 +396,16 @@
 			},
 		},
 	},
+	"within-memory": {
+		broken: map[string]func(*History){
+			"more than its memory": func(h *History) {
+				h.Memory = append(h.Memory, Memory{"entry-0", at(10), fake.EntryMemoryMB << 20})
+			},
+		},
+		allowed: map[string]func(*History){
+			"less": func(h *History) { h.Memory = append(h.Memory, Memory{"entry-0", at(10), 100 << 20}) },
+		},
+	},
 	"ready-again": {
 		broken: map[string]func(*History){
 			"not ready after its start": func(h *History) {
--- a/trial/soak/event.go
+++ b/trial/soak/event.go
@@ -122,6 +122,7 @@
 	Reports []WaveReport `json:"reports"`
 	Probes  []Probe      `json:"probes"`
 	Exits   []Exit       `json:"exits"`
+	Memory  []Memory     `json:"memory"`
 	// StandIn are the violations that the stand-in of the platform has seen. It judges some promises also beside
 	// faults that excuse a breach, so that they are hints only.
 	StandIn []string `json:"stand-in"`
--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -123,6 +123,8 @@
 		return func(context.Context) error { return c.publish(-1) }, c.publish(+1)
 	case MaintenanceWave:
 		return nothing, c.publishWave()
+	case Hostile:
+		return c.site.startHostile(f.Target, number)
 	case StoreTrim:
 		c.site.platform.Trim()
 		return nothing, nil
--- a/trial/soak/keeper.go
+++ b/trial/soak/keeper.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carawaymux.dev/fleet/task"
+	hostile "carawaymux.dev/trial/crowd"
 	"carawaymux.dev/trial/fake"
 )
 
@@ -22,6 +23,8 @@
 	resume bool
 	// downtime is the time between the end of the process and its next start.
 	downtime time.Duration
+	// memory is nil unless the message asks for the most that the process has held, which is 0 if there is none.
+	memory chan<- int64
 }
 
 // keeperCore is the state of the task.
@@ -115,8 +118,18 @@
 	}
 }
 
+// memory returns the most that the process has held, or 0 if there is none.
+func (c *keeperCore) memory() int64 {
+	if c.exited == nil {
+		return 0
+	}
+	return hostile.Highest(c.entry.Proc().PID())
+}
+
 func (c *keeperCore) handle(m keeperMessage) {
 	switch {
+	case m.memory != nil:
+		m.memory <- c.memory()
 	case c.exited == nil:
 		// There is no process to harm.
 	case m.resume:
--- a/trial/soak/plan.go
+++ b/trial/soak/plan.go
@@ -61,6 +61,8 @@
 	MaintenanceWave Kind = "wave"
 	// Roll restarts all entries one after the other, beside other series. It is planned work too.
 	Roll Kind = "roll"
+	// Hostile sends a crowd of clients to an entry that misuse their connections.
+	Hostile Kind = "hostile-clients"
 )
 
 // linkFaults holds the faults of peer links, and which fault of a link each is.
@@ -74,7 +76,7 @@
 	}
 	// addedKinds are unplanned too, except waves and rolling restarts. Each has random numbers of its own, so that the other faults of a seed stay the same
 	// when a kind is added at the end.
-	addedKinds = []Kind{LinkLate, StoreFull, StoreTrim, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip, MaintenanceWave, Roll}
+	addedKinds = []Kind{LinkLate, StoreFull, StoreTrim, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip, MaintenanceWave, Roll, Hostile}
 )
 
 // Kinds returns all kinds of faults.
@@ -222,7 +224,7 @@
 		f.For = 0
 	case Roll:
 		f.For = p.between(minRoll, maxRoll)
-	case Pause, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip:
+	case Pause, Hostile, PeerDelay, PeerReset, PeerCut, PeerSilent, PeerDrip:
 		f.Target = p.pick(p.layout.Entries)
 	case Queue:
 		f.Target = extraQueue
--- a/trial/soak/soak_test.go
+++ b/trial/soak/soak_test.go
@@ -37,11 +37,20 @@
 	// case of a removed queue has those.
 	"all faults": {
 		options:  Options{Series: Series{Seed: 151, Seeds: 1, Minutes: 0.4, Entries: 3, Hosts: 3}},
-		notAbout: []string{"answers-in-a-stop", "stop-in-time", "config-in-time", "waves-whole"},
+		notAbout: []string{"answers-in-a-stop", "stop-in-time", "config-in-time", "waves-whole", "within-memory"},
 	},
 	"planned work": {
 		options:  Options{Series: Series{Seed: 26, Seeds: 1, Minutes: 0.4, Entries: 3, Hosts: 3, Faults: []string{string(Term), string(Reload), string(Queue), string(MaintenanceWave)}}},
-		notAbout: []string{"refused-is-not-run"},
+		notAbout: []string{"refused-is-not-run", "within-memory"},
+	},
+}
+
+// hostileRun has no fault but hostile clients of eight kinds, at one entry and then the other. No other run is played beside it.
+var hostileRun = ciRun{
+	options: Options{Series: Series{Seed: 7009, Seeds: 1, Minutes: 0.3, Entries: 2, Hosts: 2, Faults: []string{string(Hostile)}}},
+	notAbout: []string{
+		"answers-in-a-stop", "stop-in-time", "no-run-twice", "refused-is-not-run", "never-unknown", "waves-whole", "config-in-time", "ready-again",
+		"capacity-of-hosts", "max-attempts", "stays-cancelled", "lasting-runs",
 	},
 }
 
@@ -112,9 +121,18 @@
 	require.Greater(t, rows[0].MostUnacknowledged, fake.EndsPerAnswer)
 }
 
+// Guards against entries that hostile clients bring to their end, or that lose what was accepted under them.
+func TestHostileClientsBreakNoPromise(t *testing.T) {
+	rows, err := runSoak(t, hostileRun.options)
+	require.NoError(t, err)
+	require.Len(t, rows, 1)
+	require.Empty(t, rows[0].Broken)
+	require.Subset(t, hostileRun.notAbout, rows[0].NotChecked, "promises that were not checked")
+}
+
 func TestCIRunsAreAboutAllPromises(t *testing.T) {
 	for _, p := range Promises() {
-		require.True(t, slices.ContainsFunc(slices.Collect(maps.Values(ciRuns)), func(r ciRun) bool { return !slices.Contains(r.notAbout, p.Name) }), p.Name)
+		require.True(t, slices.ContainsFunc(append(slices.Collect(maps.Values(ciRuns)), hostileRun), func(r ciRun) bool { return !slices.Contains(r.notAbout, p.Name) }), p.Name)
 	}
 }
 
