--- a/entry/owner/append.go
+++ b/entry/owner/append.go
@@ -101,6 +101,7 @@
 	}
 	content.granted = journal.grants.collect(pool, b)
 	c.collectQueues(b)
+	content.budgets = c.collectBudgets(b)
 	for len(journal.newJobs) > 0 && len(content.jobs) < maxJobsPerAppend {
 		j := journal.newJobs[0]
 		err := b.put(pool+keySpec+j.ID, j.Spec)
@@ -116,6 +117,7 @@
 		}
 		content.jobs = append(content.jobs, j)
 	}
+	c.collectNeighbors(b, now)
 	c.collectChanges(b, content)
 	return b.records, content
 }
--- a/entry/owner/core.go
+++ b/entry/owner/core.go
@@ -65,8 +65,12 @@
 	inherited map[string]time.Time
 	// journal holds what is to be written to the store.
 	journal journal
+	// budgets holds the budgets of tenants that are to be stored.
+	budgets budgets
 	// placing is the registration of the pool for its queues.
 	placing placing
+	// neighbors holds what was written and reported about images that slow each other down.
+	neighbors neighborWrites
 	// runCtx is cancelled when the owner stops. It bounds the messages that the owner's
 	// background work posts to the owner's inbox, and that work itself.
 	runCtx context.Context
@@ -224,6 +228,7 @@
 	c.listMachines(now)
 	c.logWaiting(now)
 	c.logOccupancy(now)
+	c.reportNeighbors(now)
 	c.delays.endInterval(now)
 }
 
--- a/entry/owner/state.go
+++ b/entry/owner/state.go
@@ -7,7 +7,9 @@
 
 	"carawaymux.dev/entry/claim"
 	"carawaymux.dev/fleet/batch"
+	"carawaymux.dev/fleet/caps"
 	"carawaymux.dev/fleet/codec"
+	"carawaymux.dev/fleet/pairs"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 )
@@ -27,6 +29,10 @@
 	Queues map[string]storedQueue
 	// Granted holds the hosts whose machines may be ordered since an earlier owner has called them empty.
 	Granted map[string]struct{}
+	// Neighbors is the evidence about images that slow each other down.
+	Neighbors []pairs.Evidence
+	// Budgets holds the budgets of tenants, by name.
+	Budgets map[string]caps.Budget
 	// OrphanedParts are parts of jobs that are not stored any more.
 	OrphanedParts []shard.StalePart
 	// Unreadable holds the errors of the records that could not be read, by key.
@@ -37,6 +43,7 @@
 	return &StoredState{
 		Specs: map[string]batch.Spec{}, Progress: map[string]shard.Progress{}, Parts: map[string][]shard.Part{},
 		Queues: map[string]storedQueue{}, Granted: map[string]struct{}{}, Unreadable: map[string]error{},
+		Budgets: map[string]caps.Budget{},
 	}
 }
 
@@ -103,6 +110,10 @@
 		delete(s.Queues, id)
 	case keyGrant:
 		delete(s.Granted, id)
+	case keyNeighbors:
+		s.Neighbors = nil
+	case keyBudget:
+		delete(s.Budgets, id)
 	}
 }
 
@@ -161,6 +172,14 @@
 		s.Queues[id] = v
 	case keyGrant:
 		s.Granted[id] = struct{}{}
+	case keyNeighbors:
+		v, err := codec.DecodeFrame[storedPairs](e.Value)
+		if err != nil {
+			return err
+		}
+		s.Neighbors = v.evidence()
+	case keyBudget:
+		return s.addBudget(id, e.Value)
 	}
 	return nil
 }
--- a/fleet/shard/hosts.go
+++ b/fleet/shard/hosts.go
@@ -73,11 +73,15 @@
 	used            batch.Size
 	longRunning     int
 	longRunningUsed batch.Size
+	// present holds the images of the assigned tasks.
+	present presence
 	// UnknownRuns is the number of runs that the host reports but that are not assigned to it.
 	// unknownTasks holds those of their tasks that exist. Nothing of these starts elsewhere until
 	// the host no longer reports the run, or nothing can be running there.
 	UnknownRuns  int
 	unknownTasks []*Task
+	// unassignedRuns holds the requests of those runs whose task is known.
+	unassignedRuns []unassignedRun
 	// CordonedUntil is until when the host takes no new work because it is being emptied.
 	// CordonedAt is when that began.
 	CordonedUntil, CordonedAt time.Time
@@ -217,6 +221,7 @@
 	}
 	step := s.step(r)
 	h.used = h.used.Add(step.Reservation())
+	h.present.change(step, 1, s.neighbors.now)
 	use := s.backlog.tenant(j)
 	use.Running = use.Running.Add(step.Need)
 	if task.late {
@@ -241,6 +246,7 @@
 	}
 	step := s.step(r)
 	h.used = h.used.Sub(step.Reservation())
+	h.present.change(step, -1, s.neighbors.now)
 	use := s.backlog.tenant(j)
 	use.Running = use.Running.Sub(step.Need)
 	if task.late {
@@ -416,6 +422,7 @@
 		task.unknownRuns--
 	}
 	h.UnknownRuns, h.unknownTasks = 0, nil
+	h.clearUnassigned()
 }
 
 // NeedsConfirmation reports whether some host or some task whose run was lost has to wait until
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -50,6 +50,7 @@
 		s.backlog.keep(late, ranking.SortKey(late))
 	}
 	s.backlog.advance(now.Sub(s.backlog.origin))
+	s.updateBudgets(now)
 	hosts := s.candidates(now)
 	s.limitReservations(len(hosts))
 	prior := s.priorHosts(now)
@@ -150,12 +151,15 @@
 		if task.Status != Idle || task.closed() || !s.mayStart(task) {
 			continue
 		}
+		if !w.demand.Tenant.admits(step.Need) {
+			break
+		}
 		if len(set.preferred) > 0 && s.pickHost(step, stage, task, set.preferred, permitted, now) != nil {
 			continue
 		}
 		var host *candidate
 		if s.mayHaveTicket(w) {
-			host = s.pickHost(step, stage, task, roomy, permitted, now)
+			host = s.pickHost(step, stage, task, roomy, s.lastAttemptFilter(w, task, set, permitted, now), now)
 		}
 		if host == nil && (set.longRunningOnly || set.starvedFor > 0) {
 			continue
@@ -206,6 +210,9 @@
 	}
 	stage.idle--
 	s.backlog.update(j, ref.Occurrence, ref.Step)
+	s.neighbors.now = now
+	reason := s.startReason(step, c.host)
+	s.observeStart(step, task, c.host, now)
 	s.assign(c.host, ref, task)
 	c.free = c.free.Sub(step.Reservation())
 	s.recordPlacement(c, task)
@@ -217,7 +224,7 @@
 	c.busy = c.unanswered >= limits.StartsPerHost
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Host: c.host.ID, Ref: ref, Run: run, Specification: j.Spec.Text, Checkpoint: task.Checkpoint,
-		Ticket: s.ticket(ref, c.host.ID), AfterWrite: task.Crashes.Isolated, Reason: "scheduled",
+		Ticket: s.ticket(ref, c.host.ID), AfterWrite: task.Crashes.Isolated, Reason: reason,
 	})
 }
 
@@ -287,6 +294,7 @@
 		cost += int64(c.host.longRunning) * longRunningWeight
 		cost -= 2 * left.MilliCores
 	}
+	cost += s.neighborCost(step, c.host)
 	if c.busy {
 		cost += busyWeight
 	}
