Count answers that clients do not take, and records of teams

An answer of up to 4 MiB stayed in memory for each client that read none of it, and counted against nothing. It now reserves its size, waits up to 1 s for it, and is sent in any case. Records that teams publish are decoded within the memory for decoded forms, as those of operators.

--- a/entry/front/access.go
+++ b/entry/front/access.go
@@ -130,7 +130,7 @@
 		f.handleError(w, err)
 		return
 	}
-	rec, err := codec.DecodeRecord(raw)
+	rec, err := decodeRecord(r, raw)
 	if err != nil {
 		f.handleError(w, err)
 		return
--- a/entry/front/operate.go
+++ b/entry/front/operate.go
@@ -68,14 +68,18 @@
 	f.writeJSON(w, http.StatusOK, wire.PublishResult{Verdict: verdict})
 }
 
+// decodeRecord decodes a record once the memory for its decoded form is free.
+func decodeRecord(r *http.Request, raw []byte) (rec record.Record, err error) {
+	if limited := limit.Decode(r.Context(), decodedFactor*int64(len(raw)), func() { rec, err = codec.DecodeRecord(raw) }); limited != nil {
+		return record.Record{}, limited
+	}
+	return rec, err
+}
+
 // parseRecord decodes a record and rejects it if it is invalid regardless of the state. The author
 // must be the owner of the key, if the request has a known key.
 func (f *Front) parseRecord(r *http.Request, raw []byte) (record.Record, error) {
-	var rec record.Record
-	var err error
-	if limited := limit.Decode(r.Context(), decodedFactor*int64(len(raw)), func() { rec, err = codec.DecodeRecord(raw) }); limited != nil {
-		return rec, limited
-	}
+	rec, err := decodeRecord(r, raw)
 	if err != nil {
 		return rec, err
 	}
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"carawaymux.dev/entry/limit"
 	"carawaymux.dev/entry/trace"
 	"carawaymux.dev/entry/work"
 	"carawaymux.dev/fleet/jobs"
@@ -46,6 +47,7 @@
 	}
 	answer := f.Invoker.Do(ctx, req)
 	f.Metrics.Request(req.Kind, answer.Outcome)
+	limit.HoldAnswer(r.Context(), int64(len(answer.Body)))
 	f.writeAnswer(w, answer, bodyErr)
 }
 
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -29,7 +29,11 @@
 	Connections: map[shed.Listener]int{shed.Callers: 16},
 }
 
-// served is a server whose handler answers with the size of the body, or with the reason of a refusal.
+// largeAnswer is more than the kernel's buffers take of a response that nobody reads.
+const largeAnswer = 32 << 20
+
+// served is a server whose handler answers with the size of the body, or with the reason of a refusal, and to a GET of /large
+// with a large body that counts as one of the largest size.
 type served struct {
 	*limit.Limiter
 	address string
@@ -41,6 +45,11 @@
 	require.NoError(t, err)
 	limiter := limit.Start(limits, policy, slog.New(slog.DiscardHandler))
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			limit.HoldAnswer(r.Context(), maxBody+1)
+			_, _ = w.Write(make([]byte, largeAnswer))
+			return
+		}
 		ctx, cancel := context.WithTimeout(r.Context(), timeout)
 		defer cancel()
 		raw, err := limit.ReadBody(ctx, w, r, maxBody)
@@ -111,6 +120,22 @@
 	require.Positive(t, totals.Refused[limit.Held])
 }
 
+// Guards against responses that nobody reads and that keep others from being served.
+func TestAClientThatDoesNotTakeItsResponseIsClosedForOthers(t *testing.T) {
+	s := serve(t, small, shed.LeastProgress{}, time.Minute)
+	for range 2 {
+		s.send(t, "GET /large HTTP/1.1\r\nHost: e\r\n\r\n")
+	}
+	s.awaitBytes(t, 2*maxBody+2)
+	status, body := answer(s.send(t, post(maxBody, maxBody)))
+	require.Equal(t, http.StatusOK, status, body)
+	// A response is sent though there are no bytes for it.
+	s.send(t, post(maxBody, 1))
+	status, body = answer(s.send(t, "GET /large HTTP/1.1\r\nHost: e\r\n\r\n"))
+	require.Equal(t, http.StatusOK, status)
+	require.Len(t, body, largeAnswer)
+}
+
 // Guards against large bodies that take the share of small ones.
 func TestSmallRequestsAreServedWhileLargeOnesHoldTheirShare(t *testing.T) {
 	s := serve(t, small, shed.None{}, time.Minute)
--- a/entry/limit/read.go
+++ b/entry/limit/read.go
@@ -162,6 +162,18 @@
 	return nil
 }
 
+// HoldAnswer counts an answer that is in memory until its client has taken it. It waits a while for bytes, so that clients
+// that do not take theirs are closed. The answer is then sent in any case, since the request may have run.
+func HoldAnswer(ctx context.Context, bytes int64) {
+	c := fromContext(ctx)
+	if c == nil || bytes <= freeBytes {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, headWait)
+	defer cancel()
+	_, _ = c.reserve(ctx, bytes)
+}
+
 // TryHold reserves bytes for a request of a link, until the function that it returns is called, perhaps more than once. It
 // does not wait, and returns [ErrExhausted] if there are none.
 func TryHold(ctx context.Context, bytes int64) (release func(), err error) {
