Reserve bytes for heads by what has arrived

Cause: each read of a head beyond 4 KiB reserved four times the size of the read buffer, however few bytes it returned. A head of 16 KiB that arrived byte by byte reserved 100 MB or more, so that one legal request on a calm entry was refused, and one client could use up the bytes of all others. Change: reserve for each 4 KiB of the head once, and read no more than is reserved. Result: TestALargeHeadIsServedByteByByte got status 400 before and passes.

--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -14,6 +14,8 @@
 const (
 	// freeBytes is the size of a head, and of a body, that counts with the connection, so that small requests reserve nothing.
 	freeBytes = 4 << 10
+	// headStep is the part of a head for which bytes are reserved at a time.
+	headStep = 4 << 10
 	// headFactor is the memory that a head takes for each byte: many short lines become strings and entries of a map.
 	headFactor = 4
 	// headWait limits the wait for bytes for a head. The whole head has to arrive within 3 s.
@@ -100,6 +102,9 @@
 	// phase is a shed.Phase. since is when it began and progressAt when the client last made progress in it, both as
 	// durations since the limiter was started. received is the number of bytes that arrived in it.
 	phase, since, progressAt, received atomic.Int64
+	// headLimit is the number of bytes of the head that may be read before more memory is reserved. Only Read uses it, and
+	// only one goroutine reads at a time.
+	headLimit int64
 	// writingSince is 0 unless a write waits for the client.
 	writingSince atomic.Int64
 	// writeBy is the deadline of writes, as a duration since the limiter was started.
@@ -152,13 +157,22 @@
 // Read reads what has arrived.
 func (c *Conn) Read(p []byte) (int, error) {
 	phase := shed.Phase(c.phase.Load())
-	if phase == shed.Head && c.received.Load() >= freeBytes {
-		ctx, cancel := context.WithTimeout(context.Background(), headWait)
-		_, err := c.reserve(ctx, headFactor*int64(len(p)))
-		cancel()
-		if err != nil {
-			return 0, err
+	switch phase {
+	case shed.Waiting:
+		c.headLimit = freeBytes
+		p = p[:min(len(p), freeBytes)]
+	case shed.Head:
+		// By the bytes that arrive and not by the calls: a head may arrive byte by byte.
+		for c.received.Load() >= c.headLimit {
+			ctx, cancel := context.WithTimeout(context.Background(), headWait)
+			_, err := c.reserve(ctx, headFactor*headStep)
+			cancel()
+			if err != nil {
+				return 0, err
+			}
+			c.headLimit += headStep
 		}
+		p = p[:min(int64(len(p)), c.headLimit-c.received.Load())]
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -312,3 +312,51 @@
 		})
 	}
 }
+
+// pipes is a listener whose connections pass on each write by itself.
+type pipes struct{ conns chan net.Conn }
+
+func (p pipes) Close() error { return nil }
+
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p pipes) Accept() (net.Conn, error) {
+	c, open := <-p.conns
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+// Guards against a head of legal size that reserves all bytes since it arrives byte by byte.
+func TestALargeHeadIsServedByteByByte(t *testing.T) {
+	listener := pipes{make(chan net.Conn, 1)}
+	limiter := limit.Start(shed.Derive(shed.Process{}), shed.LeastProgress{}, slog.New(slog.DiscardHandler))
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") })}
+	limiter.Serve(server, 16<<10)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(limiter.Listen(shed.Callers, listener)) })
+	client, accepted := net.Pipe()
+	listener.conns <- accepted
+	t.Cleanup(func() {
+		client.Close()
+		close(listener.conns)
+		_ = group.Wait()
+		limiter.Close()
+	})
+	const begin, end = "GET / HTTP/1.1\r\nHost: e\r\nX: ", "\r\n\r\n"
+	head := begin + strings.Repeat("x", 16<<10-len(begin)-len(end)) + end
+	group.Go(func() error {
+		for i := range len(head) {
+			if _, err := io.WriteString(client, head[i:i+1]); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	status, body := answer(client)
+	require.Equal(t, http.StatusOK, status, body)
+	totals, err := limiter.Totals(t.Context())
+	require.NoError(t, err)
+	require.Zero(t, totals.Refused[limit.Exhausted])
+}
