Cancel no job of another tenant after asking earlier pools

Cause: a cancellation in a queue that has moved first asks the earlier pools. A job with the same ID that another tenant submitted meanwhile was then cancelled, since the tenant was compared only before. Change: cancelFor compares the tenant, also for cancellations that earlier pools report. Result: TestACancellationThatWaitedEndsNoJobOfAnotherTenant found the job cancelled before and passes; the tests of entry/owner pass.

--- a/entry/owner/moved_test.go
+++ b/entry/owner/moved_test.go
@@ -100,6 +100,8 @@
 	owners map[string]*owner.Owner
 	// questions and registrations count the calls that moved queues cost.
 	questions, registrations atomic.Int64
+	// onCancel is called before a cancellation reaches another pool, unless it is nil.
+	onCancel func()
 }
 
 func newInstallation(t *testing.T) *installation {
@@ -128,6 +130,9 @@
 }
 
 func (in *installation) Cancel(ctx context.Context, pool string, q port.Queue, id, tenant string) (owner.Answer, bool) {
+	if in.onCancel != nil {
+		in.onCancel()
+	}
 	if o := in.find(pool); o != nil {
 		return o.Cancel(ctx, id, owner.OfQueue(q), owner.OfTenant(tenant)), true
 	}
--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -324,8 +324,7 @@
 
 func (m cancelJob) handle(c *core) {
 	if c.isOfOther(&m.scope, m.id) {
-		// The answer is that for a job that does not exist.
-		m.reply <- Answer{Outcome: Accepted, Phase: shard.Cancelled}
+		m.reply <- cancelledInAdvance
 		return
 	}
 	if !m.cancelEarlier(c) {
@@ -335,6 +334,11 @@
 
 func (c *core) cancel(m cancelJob) {
 	j := c.cancelFor(m.tenant, m.id)
+	if j == nil {
+		// Another tenant has submitted it while earlier pools were asked.
+		m.reply <- cancelledInAdvance
+		return
+	}
 	if j.StoredPhase != shard.Open {
 		m.reply <- Answer{Outcome: Accepted, Phase: j.StoredPhase}
 		return
--- a/entry/owner/tenant.go
+++ b/entry/owner/tenant.go
@@ -12,6 +12,9 @@
 // conflicting is the answer to a submission whose ID another tenant uses.
 var conflicting = Answer{Outcome: Conflict, Reason: "the ID of the job is in use by another tenant"}
 
+// cancelledInAdvance is the answer to a cancellation of a job that does not exist for the caller.
+var cancelledInAdvance = Answer{Outcome: Accepted, Phase: shard.Cancelled}
+
 // job returns a submitted job that the caller of a request may know of, or nil.
 func (c *core) job(s *scope, id string) *shard.Job {
 	j := c.state.Jobs[id]
@@ -27,7 +30,10 @@
 	return j != nil && !j.Unsubmitted && j.Spec.Tenant != s.tenant
 }
 
-// cancelFor cancels a job for a tenant.
+// cancelFor cancels a job for a tenant. It returns nil if the job is of another tenant.
 func (c *core) cancelFor(tenant, id string) *shard.Job {
+	if c.isOfOther(&scope{tenant: tenant}, id) {
+		return nil
+	}
 	return c.state.Cancel(id, time.Now(), shard.ForTenant(tenant))
 }
--- a/entry/owner/tenant_test.go
+++ b/entry/owner/tenant_test.go
@@ -86,3 +86,27 @@
 	require.Equal(t, owner.Accepted, docs.Cancel(t.Context(), "job", owner.OfQueue(q), owner.OfTenant("a")).Outcome)
 	require.Equal(t, shard.Cancelled, wages.JobStatus(t.Context(), "job", owner.OfTenant("a")).Phase)
 }
+
+// Guards against a cancellation that waits for an earlier pool and then ends a job that another tenant has submitted meanwhile.
+func TestACancellationThatWaitedEndsNoJobOfAnotherTenant(t *testing.T) {
+	in := newInstallation(t)
+	wages := in.start("wages", configured(settleIn("wages", 3)))
+	require.Equal(t, owner.Accepted, wages.Submit(t.Context(), settleIn("wages", 3), "first", specOf("a")).Outcome)
+	q := settleIn("docs", 14)
+	docs := in.start("docs", configured(q))
+	require.Eventually(t, func() bool {
+		return docs.Submit(t.Context(), q, "second", specOf("a")).Outcome == owner.Accepted
+	}, 5*time.Second, 5*time.Millisecond)
+	asked, goOn := make(chan struct{}), make(chan struct{})
+	in.onCancel = func() {
+		close(asked)
+		<-goOn
+	}
+	cancelled := make(chan owner.Answer, 1)
+	go func() { cancelled <- docs.Cancel(t.Context(), "job", owner.OfQueue(q), owner.OfTenant("b")) }()
+	<-asked
+	require.Equal(t, owner.Accepted, docs.Submit(t.Context(), q, "job", specOf("a")).Outcome)
+	close(goOn)
+	require.Equal(t, owner.Accepted, (<-cancelled).Outcome)
+	require.Equal(t, shard.Open, docs.JobStatus(t.Context(), "job", owner.OfQueue(q), owner.OfTenant("a")).Phase)
+}
