Look at clients again while messages arrive

Cause: each message to the task of the limits put off the timer with which it looks again at clients that hold bytes. While connections opened and closed more often than every 100 ms, a reader waited until its deadline beside clients that made no progress. Change: start the timer only when it is not running.

--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -360,3 +360,30 @@
 	require.NoError(t, err)
 	require.Zero(t, totals.Refused[limit.Exhausted])
 }
+
+// Guards against a reader that waits beside clients which stopped short, because other messages keep the task from looking again.
+func TestHoldersAreLookedAtAgainWhileOthersConnect(t *testing.T) {
+	s := serve(t, small, shed.LeastProgress{}, time.Minute)
+	s.send(t, post(maxBody, 1))
+	s.send(t, post(maxBody, 1))
+	s.awaitBytes(t, 2*maxBody+2)
+	c := s.send(t, post(maxBody, maxBody))
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := answer(c)
+		answered <- status
+	}()
+	// A message arrives much more often than the task looks again.
+	for end := time.After(20 * time.Second); ; {
+		select {
+		case status := <-answered:
+			require.Equal(t, http.StatusOK, status)
+			return
+		case <-end:
+			require.Fail(t, "the reader still waits")
+		case <-time.After(5 * time.Millisecond):
+			_, err := s.Totals(t.Context())
+			require.NoError(t, err)
+		}
+	}
+}
--- a/entry/limit/limiter.go
+++ b/entry/limit/limiter.go
@@ -141,6 +141,8 @@
 func (c *core[P]) run(ctx context.Context, inbox <-chan message) {
 	retry := time.NewTimer(retryInterval)
 	defer retry.Stop()
+	// armed is set while the timer runs. Messages must not put it off.
+	armed := true
 	for {
 		select {
 		case <-ctx.Done():
@@ -148,10 +150,15 @@
 		case m := <-inbox:
 			c.handle(m)
 		case <-retry.C:
+			armed = false
 			c.shedBytes()
 		}
 		c.log()
+		if armed {
+			continue
+		}
 		if c.limiter.small.waitingOn.Load()+c.limiter.large.waitingOn.Load() > 0 || c.limiter.refusedCount() > c.logged {
+			armed = true
 			retry.Reset(retryInterval)
 		}
 	}
