Do not count the wait for bytes as slowness of a client

Cause: the age of a body included the time for which its reader had waited for bytes. A client that got them after 1 s was taken to be 1 s behind and could lose them at once. Change: the phase of a connection begins later by the wait.

--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -283,13 +283,17 @@
 		l.refused[Exhausted].Add(1)
 		return ErrExhausted
 	}
+	began := l.now()
 	c.blocked.Add(1)
 	from.waitingOn.Add(n)
 	l.task.TrySend(message{pressed: true})
 	err := from.free.Acquire(ctx, n)
 	from.waitingOn.Add(-n)
 	c.blocked.Add(-1)
-	c.progressAt.Store(int64(l.now()))
+	now := l.now()
+	c.progressAt.Store(int64(now))
+	// The client is not slow because it had to wait.
+	c.since.Add(int64(now - began))
 	if err != nil {
 		l.refused[Exhausted].Add(1)
 		return ErrExhausted
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -387,3 +387,46 @@
 		}
 	}
 }
+
+// recording is a policy that chooses nobody and passes on the clients that it is asked about.
+type recording struct{ asked chan<- []shed.Client }
+
+func (r recording) Holders(clients []shed.Client, _ int64) []int {
+	select {
+	case r.asked <- clients:
+	default:
+	}
+	return nil
+}
+
+func (recording) Connection([]shed.Client) int { return -1 }
+
+// Guards against a client that counts as slow since it had to wait for bytes itself.
+func TestTheWaitForBytesDoesNotCountAsSlowness(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	asked := make(chan []shed.Client)
+	s := serve(t, small, recording{asked}, time.Minute)
+	first := s.send(t, post(maxBody, 1))
+	s.send(t, post(maxBody, 1))
+	s.awaitBytes(t, 2*maxBody+2)
+	s.send(t, post(maxBody, 1))
+	<-asked
+	time.Sleep(wait)
+	_, err := io.WriteString(first, strings.Repeat("x", maxBody-1))
+	require.NoError(t, err)
+	status, body := answer(first)
+	require.Equal(t, http.StatusOK, status, body)
+	first.Close()
+	s.send(t, post(maxBody, 1))
+	for {
+		clients := <-asked
+		if len(clients) != 2 || clients[0].Phase != shed.Body || clients[1].Phase != shed.Body {
+			continue
+		}
+		for _, c := range clients {
+			require.Zero(t, c.Received)
+			require.Less(t, c.Age-c.Quiet, wait)
+		}
+		return
+	}
+}
