Do not call a legal head malformed when clients hold all bytes

Cause: a read of a head that found no bytes failed with an error for which Go's server answers 400, which tells the caller not to send the request again. Change: return an error of the network, after which the server closes the connection without a response. Result: TestAHeadWithoutBytesIsNotCalledMalformed got status 400 before and passes; go test -race of the tests of heads in entry/limit passes.

--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -168,7 +168,8 @@
 			_, err := c.reserve(ctx, headFactor*headStep)
 			cancel()
 			if err != nil {
-				return 0, err
+				// The server closes the connection after such an error. After others it calls the request malformed.
+				return 0, &net.OpError{Op: "read", Net: "tcp", Err: err}
 			}
 			c.headLimit += headStep
 		}
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -430,3 +430,14 @@
 		return
 	}
 }
+
+// Guards against a response that calls a legal head malformed when there are no bytes for it.
+func TestAHeadWithoutBytesIsNotCalledMalformed(t *testing.T) {
+	limits := small
+	limits.Large, limits.Small = maxBody+1, 1
+	s := serve(t, limits, shed.None{}, time.Minute)
+	s.send(t, post(maxBody, 1))
+	s.awaitBytes(t, maxBody+1)
+	status, _ := answer(s.send(t, "GET / HTTP/1.1\r\nHost: e\r\nX: "+strings.Repeat("x", 10<<10)+"\r\n\r\n"))
+	require.Zero(t, status, "the connection ends without a response")
+}
