Answer a cancellation of another tenant's job like one of an unknown job in moved queues

Cause: the tenant of a job was compared before the owner looked whether the queue has moved. For a job of another tenant the answer was a success, and for an unknown one a refusal. Change: compare the tenant when the job is cancelled. Result: TestACancellationInAMovedQueueTellsNothingOfOtherTenants found different answers before and passes; go test ./entry/owner -run 'Tenant|Cancel|Moved' passes.

--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -323,10 +323,6 @@
 }
 
 func (m cancelJob) handle(c *core) {
-	if c.isOfOther(&m.scope, m.id) {
-		m.reply <- cancelledInAdvance
-		return
-	}
 	if !m.cancelEarlier(c) {
 		c.cancel(m)
 	}
@@ -335,7 +331,7 @@
 func (c *core) cancel(m cancelJob) {
 	j := c.cancelFor(m.tenant, m.id)
 	if j == nil {
-		// Another tenant has submitted it while earlier pools were asked.
+		// The answer is that for a job that does not exist.
 		m.reply <- cancelledInAdvance
 		return
 	}
--- a/entry/owner/tenant_test.go
+++ b/entry/owner/tenant_test.go
@@ -110,3 +110,19 @@
 	require.Equal(t, owner.Accepted, (<-cancelled).Outcome)
 	require.Equal(t, shard.Open, docs.JobStatus(t.Context(), "job", owner.OfQueue(q), owner.OfTenant("a")).Phase)
 }
+
+// Guards against a cancellation whose answer tells that another tenant has a job with the ID, in a queue that has moved.
+func TestACancellationInAMovedQueueTellsNothingOfOtherTenants(t *testing.T) {
+	in := newInstallation(t)
+	q := settleIn("wages", 3)
+	wages := in.start("wages", configured(q))
+	require.Equal(t, owner.Accepted, wages.Submit(t.Context(), q, "job", specOf("a")).Outcome)
+	moved := settleIn("docs", 14)
+	docs := in.start("docs", configured(moved))
+	require.Eventually(t, func() bool {
+		return docs.Submit(t.Context(), moved, "second", specOf("a")).Outcome == owner.Accepted
+	}, 5*time.Second, 5*time.Millisecond)
+	unknown := wages.Cancel(t.Context(), "none", owner.OfQueue(q), owner.OfTenant("b"))
+	require.Equal(t, unknown, wages.Cancel(t.Context(), "job", owner.OfQueue(q), owner.OfTenant("b")))
+	require.Equal(t, shard.Open, wages.JobStatus(t.Context(), "job", owner.OfTenant("a")).Phase)
+}
