Count each request on a link by itself

Cause: whether a reservation is small depended on all that its connection holds. A link between entries carries the requests of many callers, so beyond 16 KiB in flight it competed with large bodies, and requests were refused at once while clients held these bytes. Change: TryHold, which only links use, counts each request by itself. Result: TestSmallRequestsOnALinkAreHeldWhileLargeOnesHoldTheirShare got status 503 before and passes; go test -race ./entry/limit passes.

--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -235,7 +235,7 @@
 
 // reserve reserves bytes. It waits for them until ctx is done.
 func (c *Conn) reserve(ctx context.Context, n int64) (reservation, error) {
-	r, ok := c.tryReserve(n)
+	r, ok := c.tryReserve(n, c.held())
 	if !ok {
 		from := c.listener.limiter.large
 		if r.small {
@@ -248,10 +248,11 @@
 	return c.hold(r)
 }
 
-// tryReserve takes bytes if there are some. The reservation says from which share they are to come.
-func (c *Conn) tryReserve(n int64) (reservation, bool) {
+// tryReserve takes bytes if there are some. held is what counts with them against the size of small reservations. The reservation says
+// from which share they are to come.
+func (c *Conn) tryReserve(n, held int64) (reservation, bool) {
 	l := c.listener.limiter
-	r := reservation{conn: c, small: shed.IsSmall(c.held(), n), bytes: n}
+	r := reservation{conn: c, small: shed.IsSmall(held, n), bytes: n}
 	if r.small && l.small.try(n) {
 		return r, true
 	}
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -441,3 +441,37 @@
 	status, _ := answer(s.send(t, "GET / HTTP/1.1\r\nHost: e\r\nX: "+strings.Repeat("x", 10<<10)+"\r\n\r\n"))
 	require.Zero(t, status, "the connection ends without a response")
 }
+
+// Guards against requests on a link that are refused since callers hold all bytes for large reservations.
+func TestSmallRequestsOnALinkAreHeldWhileLargeOnesHoldTheirShare(t *testing.T) {
+	listener := pipes{make(chan net.Conn, 1)}
+	limits := small
+	limits.Large = 1
+	limits.Connections = map[shed.Listener]int{shed.Peers: 4}
+	limiter := limit.Start(limits, shed.None{}, slog.New(slog.DiscardHandler))
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for range 10 {
+			if _, err := limit.TryHold(r.Context(), 4<<10); err != nil {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+		}
+	})}
+	limiter.Serve(server, 16<<10)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(limiter.Listen(shed.Peers, listener)) })
+	client, accepted := net.Pipe()
+	listener.conns <- accepted
+	t.Cleanup(func() {
+		client.Close()
+		close(listener.conns)
+		_ = group.Wait()
+		limiter.Close()
+	})
+	group.Go(func() error {
+		_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: e\r\n\r\n")
+		return err
+	})
+	status, body := answer(client)
+	require.Equal(t, http.StatusOK, status, body)
+}
--- a/entry/limit/read.go
+++ b/entry/limit/read.go
@@ -181,7 +181,8 @@
 	if c == nil || bytes <= 0 {
 		return func() {}, nil
 	}
-	r, ok := c.tryReserve(bytes)
+	// A link carries the requests of many callers, so each counts by itself.
+	r, ok := c.tryReserve(bytes, 0)
 	if !ok {
 		c.listener.limiter.refused[Exhausted].Add(1)
 		return func() {}, ErrExhausted
