Do not take a report out of range for an idle tenant

Cause: the ledger skipped a use with an amount out of range and then treated its tenant as one that the owner had left out, so what runs counted as nothing and the bound could fall below it. Change: a skipped use leaves the newest report of its tenant as it is. Result: TestAReportThatIsOutOfRangeLowersNoBound saw 0 running before and passes; go test ./fleet/caps ./entry/lender passes.

--- a/fleet/caps/ledger.go
+++ b/fleet/caps/ledger.go
@@ -107,10 +107,10 @@
 	reported := map[string]struct{}{}
 	for i := range uses {
 		u := &uses[i]
+		reported[u.Held.Tenant] = struct{}{}
 		if !u.isValid() {
 			continue
 		}
-		reported[u.Held.Tenant] = struct{}{}
 		a := l.accounts[u.Held.Tenant]
 		if a == nil {
 			continue
--- a/fleet/caps/model_test.go
+++ b/fleet/caps/model_test.go
@@ -407,3 +407,17 @@
 	l.Report("a", nil, caps.Active)
 	require.Zero(t, l.Lendings(tenant)["a"].Used)
 }
+
+// Guards against a report that cannot be used and is taken to say that nothing runs.
+func TestAReportThatIsOutOfRangeLowersNoBound(t *testing.T) {
+	l := caps.NewLedger(1, []caps.Account{{Tenant: tenant, Opened: true, Bounds: map[string]caps.Bound{"a": {Amount: cores(50), Cap: cores(100)}}}})
+	caps.Plan(l, caps.ByDemand{}, tenant, cores(100), 1, nil)
+	l.TakeChanged()
+	sent := l.Take("a")
+	require.Len(t, sent, 1)
+	use := caps.Use{Running: cores(30), MayRun: cores(30), Held: sent[0], Stored: true}
+	l.Report("a", []caps.Use{use}, caps.Active)
+	use.Waiting = cores(-1)
+	l.Report("a", []caps.Use{use}, caps.Active)
+	require.Equal(t, cores(30), l.Lendings(tenant)["a"].Used)
+}
