Look at smaller work of a tenant behind work above its budget

Cause: after 64 steps that found no room in the budget of their tenant, a round looked at no further step of it. Gangs and best-effort tasks reserve less than they request from the budget, so they are looked at each time, and what came behind 64 of them never started. Change: count these steps for each group, and put gangs and best-effort steps of tenants into groups by the magnitude of what they request. Up to 64 steps of one magnitude can still hide smaller ones of it.

--- a/fleet/shard/backlog.go
+++ b/fleet/shard/backlog.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"iter"
 	"math"
+	"math/bits"
 	"time"
 
 	"carawaymux.dev/fleet/batch"
@@ -119,9 +120,12 @@
 
 // groupKey is what the steps of a group have in common.
 type groupKey struct {
-	queue  *queueRules
-	tenant *TenantUse
-	label  string
+	// request is the binary logarithm of the processor capacity that a gang or best-effort step of a tenant requests, which is more than
+	// its tasks reserve. Steps whose request exceeds a budget then do not keep smaller ones from being looked at.
+	request int
+	queue   *queueRules
+	tenant  *TenantUse
+	label   string
 	// longRunning and inherited are as in the step. exempt reports whether more than the need decides where
 	// the step may run.
 	longRunning, inherited, exempt bool
@@ -146,6 +150,9 @@
 	class *group
 	order *tenantOrder
 	leaf  int
+	// denials counts the steps that have found no room in the budget of the tenant in the round deniedIn.
+	denials  int
+	deniedIn int64
 }
 
 func newBacklog(origin time.Time) backlog {
@@ -381,6 +388,9 @@
 		missed:   now > w.objective,
 		reserves: w.step.LongRunning || now-w.accepted >= reserveAfter,
 	}
+	if key.tenant.Name != "" && (w.step.Gang || w.step.BestEffort) {
+		key.request = bits.Len64(uint64(max(w.request().MilliCores, 0)))
+	}
 	if !key.longRunning && !key.late {
 		key.size, key.begun = w.job.Size, w.job.begun && w.job.Size != grade.Rest
 		key.finish = w.job.finish && b.weights != nil
--- a/fleet/shard/budget.go
+++ b/fleet/shard/budget.go
@@ -37,8 +37,8 @@
 	// limited reports whether limit applies, which is what may run of the tenant.
 	limited bool
 	limit   batch.Size
-	// denials counts the steps of the present round that have found no room in the budget.
-	denials int
+	// round counts the rounds of planning.
+	round int64
 	// unassigned is what hosts report of the tenant that is not assigned to them.
 	unassigned batch.Size
 	// unseen is what hosts may run of the tenant that have not answered, and bestEffort the processor capacity of that which they
@@ -161,21 +161,32 @@
 	if !t.budget.limited {
 		return true
 	}
-	if t.budget.denials >= maxDenials {
-		return false
-	}
 	used := t.mayRun()
 	return hasBudget(t.budget.limit.MilliCores, used.MilliCores, need.MilliCores) &&
 		hasBudget(t.budget.limit.MemoryMB, used.MemoryMB, need.MemoryMB) &&
 		hasBudget(t.budget.limit.Accelerators, used.Accelerators, need.Accelerators)
 }
 
-// maxDenials is the number of steps of a tenant that are looked at in a round and then find no room in the budget. The groups of waiting steps
+// maxDenials is the number of steps of a group that are looked at in a round and then find no room in the budget. The groups of waiting steps
 // show what tasks reserve, which is less than they request for best-effort tasks and gangs.
 const maxDenials = 64
 
 // deny counts a step that has found no room in the budget.
-func (t *TenantUse) deny() { t.budget.denials++ }
+func (w *waitingStep) deny() {
+	g := w.group
+	if g == nil {
+		return
+	}
+	if round := g.tenant.budget.round; g.deniedIn != round {
+		g.denials, g.deniedIn = 0, round
+	}
+	g.denials++
+}
+
+// isDenied reports whether no further step of the group is to be looked at in this round.
+func (g *group) isDenied() bool {
+	return g.denials >= maxDenials && g.deniedIn == g.tenant.budget.round
+}
 
 func hasBudget(limit, used, need int64) bool {
 	return need == 0 || limit == caps.Unlimited || (used <= limit && need <= limit-used)
@@ -252,7 +263,7 @@
 	}
 	for _, t := range s.budgets.limited {
 		b := &t.budget
-		b.denials = 0
+		b.round++
 		if !waits {
 			b.bestEffort, b.inherited = 0, batch.Size{}
 		}
--- a/fleet/shard/budget_test.go
+++ b/fleet/shard/budget_test.go
@@ -283,3 +283,30 @@
 	require.Equal(t, int64(1000), u[0].Least.MilliCores)
 	require.Equal(t, shard.OverBudget, o.Explain(batch.Ref{Job: "job", Index: 2}, o.now))
 }
+
+// Guards against work that fits the budget and waits for ever behind work that does not: gangs and best-effort tasks reserve less than
+// they request from a budget.
+func TestWorkAboveTheBudgetKeepsNoSmallerWorkWaiting(t *testing.T) {
+	bestEffort := func(milliCores int64) batch.Step {
+		step := longRunningStep(1, 0, 1)
+		step.BestEffort, step.Need.MilliCores = true, milliCores
+		return step
+	}
+	gang := smallStep(3)
+	gang.Gang = true
+	for name, steps := range map[string][2]batch.Step{"best effort": {bestEffort(3000), bestEffort(500)}, "gangs": {gang, smallStep(1)}} {
+		t.Run(name, func(t *testing.T) {
+			o := newOwner(t, 1, "a")
+			o.configureCap(1, capOf)
+			o.lend(1, 2000)
+			// More than a round looks at.
+			for i := range 100 {
+				o.submitAs("t", fmt.Sprintf("large-%03d", i), steps[0])
+			}
+			o.submitAs("t", "small", steps[1])
+			orders := o.start()
+			require.Len(t, orders, 1)
+			require.Equal(t, "small", orders[0].Ref.Job)
+		})
+	}
+}
--- a/fleet/shard/gang.go
+++ b/fleet/shard/gang.go
@@ -19,7 +19,7 @@
 		}
 	}
 	if !w.demand.Tenant.admitsGang(step, len(stage.Tasks)) {
-		w.demand.Tenant.deny()
+		w.deny()
 		return false
 	}
 	var chosen []int
--- a/fleet/shard/plan.go
+++ b/fleet/shard/plan.go
@@ -154,7 +154,7 @@
 			continue
 		}
 		if !w.demand.Tenant.admits(step.Need) {
-			w.demand.Tenant.deny()
+			w.deny()
 			break
 		}
 		if len(set.preferred) > 0 && s.pickHost(step, stage, task, set.preferred, permitted, now) != nil {
--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -209,7 +209,7 @@
 // stillNext reports whether the next step of a class is still that.
 func (g *candidateGroup) stillNext() bool {
 	t := g.next.demand.Tenant
-	return t.rank == g.nextRank && t.admits(g.next.need)
+	return t.rank == g.nextRank && t.admits(g.next.need) && !g.next.group.isDenied()
 }
 
 // restorePassed has the classes find all tenants again.
@@ -252,7 +252,7 @@
 // admits reports whether the budget of the tenant has room for a task. That of a class may have room for any: the tenants of its
 // groups are asked.
 func (g *candidateGroup) admits(need batch.Size) bool {
-	return g.tenant == nil || g.tenant.admits(need)
+	return g.tenant == nil || (g.tenant.admits(need) && !g.isDenied())
 }
 
 // couldStart reports whether a step could start whose need is within bounds.
