--- a/fleet/shard/tenants.go
+++ b/fleet/shard/tenants.go
@@ -296,9 +296,9 @@
 }
 
 // wants returns what a tenant has used lately and what waits of it, in core-seconds. A flood waits before it uses anything.
-func (u *TenantUse) wants(now time.Time) float64 {
+func (t *TenantUse) wants(now time.Time) float64 {
 	const perCoreSecond = 1000 * workUnits
-	return u.Account.Use(now) + float64(u.waitingWork)/perCoreSecond
+	return t.Account.Use(now) + float64(t.waitingWork)/perCoreSecond
 }
 
 // limitHeld sets how many hosts a round of planning may reserve at once. Otherwise the small tasks of a tenant that floods a
