Let the soak publish tenants with keys, weights and caps

Checked are keys that are refused and valid, jobs of other tenants, caps over all hosts, and jobs of tenants under half their cap beside room.

--- a/trial/fake/events.go
+++ b/trial/fake/events.go
@@ -49,6 +49,9 @@
 	GracePeriod = 6 * time.Second
 	StopTime    = 900 * time.Millisecond
 	StatusTime  = 120 * time.Second
+	// TenantConfigTime and RevocationTime are config_apply_ms and revocation_ms of the settings with [Layout.FailClosed].
+	TenantConfigTime = 3 * time.Second
+	RevocationTime   = 5 * time.Second
 )
 
 // SmallPerTask is the number of small tasks that take the cores of one other task. Hosts have memory for more.
--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -29,6 +29,7 @@
 	hosts                                        map[string]string
 	// entryCores and proxy are the values of the fields of the layout.
 	entryCores []float64
+	failClosed bool
 	proxy      Proxy
 	// machineFaults applies the faults of the machines API.
 	machineFaults *faulty.Injector
@@ -84,6 +85,8 @@
 	AdvisedPool string
 	// UnguardedPools holds the pools whose hosts accept tasks beyond their capacity.
 	UnguardedPools map[string]bool
+	// FailClosed adds the settings by which entries refuse keys that they cannot verify.
+	FailClosed bool
 	// EntryCores holds the processor capacity that the settings state for each entry, in cores. They
 	// state none for the entries beyond it.
 	EntryCores []float64
@@ -117,7 +120,7 @@
 
 // New starts a simulated platform on loopback.
 func New(layout Layout) (*Platform, error) {
-	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, proxy: layout.Proxy, machineFaults: faulty.New()}
+	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, failClosed: layout.FailClosed, proxy: layout.Proxy, machineFaults: faulty.New()}
 	if fp.proxy == nil {
 		fp.proxy = func(_, _, address string) (string, error) { return address, nil }
 	}
--- a/trial/soak/check.go
+++ b/trial/soak/check.go
@@ -43,6 +43,11 @@
 		{"waves-whole", "No maintenance begins while as many machines of its wave are down as its cap allows, and a wave is said to be completed only once that of all its machines has begun (RULES, LIMIT and MIXED).", checkWaves, countWaves},
 		{"config-in-time", "A request sent later than config_apply_ms after a configuration is handled as it says, by entries in touch (RULES, CONFIG).", checkConfig, countConfig},
 		{"ready-again", "An entry that is in touch is ready (RULES, In touch and Duty).", checkReady, countReady},
+		{"keys-refused", "No request with an unknown key, or with one that was removed longer than revocation_ms ago, is accepted (overview, part K).", checkKeysRefused, countKeysRefused},
+		{"keys-valid", "A valid key is not refused with 401 later than config_apply_ms after its version was acknowledged (overview, part K).", checkKeysValid, countKeysValid},
+		{"own-jobs-only", "A tenant neither sees nor cancels jobs of others (overview, part K).", checkOwnJobs, countOwnJobs},
+		{"caps-of-tenants", "No start brings what a tenant has running above its cap times 1.1 and one task (overview, part Q).", checkCaps, countCaps},
+		{"room-under-half-cap", "A job of a tenant under half its cap does not stay without anything running beside room (overview, part Q).", checkRoom, countRoom},
 	}
 }
 
--- a/trial/soak/client.go
+++ b/trial/soak/client.go
@@ -63,6 +63,9 @@
 			var jobs errgroup.Group
 			for n, due := range load.Arrivals(Traffic(seed, stream, traffic, jobsPerSecond(hosts)), traffic, random) {
 				j := drawJob(random, pool, fmt.Sprintf("%04x%04x%08x", seed&0xffff, stream, n+1))
+				if c.site.tenants {
+					j.Tenant = tenantOf(j, true)
+				}
 				p := &client{crowd: c, job: j, random: rand.New(rand.NewPCG(random.Uint64(), 0)), acceptUntil: c.site.trafficAt + traffic}
 				if !sleep(ctx, c.site.trafficAt+due-c.site.recorder.now()) {
 					break
@@ -109,6 +112,9 @@
 
 // register records the job and returns the body that submits it.
 func (p *client) register() ([]byte, error) {
+	if p.crowd.site.tenants && p.job.Tenant == "" {
+		p.job.Tenant = tenantOf(p.job, false)
+	}
 	registered := p.crowd.site.deployment.Register(p.job.ID, p.job.Specification, p.job.Steps)
 	p.crowd.site.recorder.add(func(h *History) { h.Jobs = append(h.Jobs, p.job) })
 	return json.Marshal(map[string]any{"specification": registered.Specification, "steps": p.job.Steps})
@@ -140,6 +146,9 @@
 	cancel, repeat := p.random.Float64() < cancelShare, p.random.Float64() < repeatShare
 	acceptedAt, later := r.now(), minRepeat+time.Duration(p.random.Int64N(int64(maxRepeat-minRepeat)))
 	for sleep(ctx, minPoll+time.Duration(p.random.Int64N(int64(maxPoll-minPoll)))) {
+		if p.crowd.site.tenants && p.random.Float64() < intrusionShare {
+			p.intrude()
+		}
 		due := r.now() > acceptedAt+later
 		if due && repeat {
 			repeat = p.ask(Submit, http.MethodPost, body).Status != http.StatusOK
@@ -185,6 +194,11 @@
 
 // askAt sends a request to an entry. If drip is not zero, it sends the body a byte at a time with pauses between the bytes.
 func (p *client) askAt(name string, verb Verb, method string, body []byte, drip time.Duration) caller.Answer {
+	return p.exchange(name, verb, method, body, drip, nil)
+}
+
+// exchange sends a request to an entry, with the key of the job's tenant or of a stranger.
+func (p *client) exchange(name string, verb Verb, method string, body []byte, drip time.Duration, by *stranger) caller.Answer {
 	idle, r := p.crowd.idle[name], p.crowd.site.recorder
 	c, ok := idle.Take()
 	if !ok {
@@ -197,9 +211,19 @@
 	open := &openRequest{entry: name, verb: verb, beginAt: begin, drips: drip > 0}
 	p.crowd.site.opened.begin(open)
 	closing := c.Closing
+	from := stranger{tenant: p.job.Tenant}
+	if by != nil {
+		from = *by
+	} else if from.tenant != "" {
+		from.key, _ = p.crowd.site.keyAt(from.tenant)
+	}
+	header := http.Header{"Deadline": {strconv.FormatInt(callerDeadline.Milliseconds(), 10)}, "Content-Type": {"application/json"}}
+	if from.key != "" {
+		header.Set("Authorization", "Token "+from.key)
+	}
 	a := c.Exchange(caller.Request{
 		Method: method, Host: fake.VirtualHost, Path: fake.QueuePath(p.job.Queue) + p.job.ID, Body: body, Patience: callerDeadline, Drip: drip,
-		Header: http.Header{"Deadline": {strconv.FormatInt(callerDeadline.Milliseconds(), 10)}, "Content-Type": {"application/json"}},
+		Header: header,
 		Sent:   func(at time.Time) { p.crowd.site.opened.sent(open, at.Sub(r.startedAt)) },
 	})
 	p.crowd.site.opened.end(open)
@@ -208,7 +232,7 @@
 	}
 	q := Request{
 		Job: p.job.ID, Queue: p.job.Queue, Verb: verb, Entry: name, BeginAt: begin, EndAt: r.now(),
-		Status: a.Status, TimedOut: a.TimedOut, Closing: closing,
+		Status: a.Status, TimedOut: a.TimedOut, Closing: closing, Key: from.key, Tenant: from.tenant,
 	}
 	if verb == Look {
 		q.State = stateIn(a)
@@ -216,12 +240,21 @@
 	if a.Err != nil {
 		q.Error = a.Err.Error()
 	}
+	if a.SentAt.IsZero() && by != nil {
+		return a
+	}
 	if a.SentAt.IsZero() {
 		r.add(func(h *History) { h.Partial = append(h.Partial, q) })
 		return a
 	}
 	q.SentAt = a.SentAt.Sub(r.startedAt)
-	r.add(func(h *History) { h.Requests = append(h.Requests, q) })
+	r.add(func(h *History) {
+		if by != nil {
+			h.Foreign = append(h.Foreign, q)
+			return
+		}
+		h.Requests = append(h.Requests, q)
+	})
 	return a
 }
 
--- a/trial/soak/event.go
+++ b/trial/soak/event.go
@@ -39,6 +39,9 @@
 	// no request after such an answer (RFC 9112, 9.6).
 	Closing bool   `json:"closing,omitempty"`
 	Error   string `json:"error,omitempty"`
+	// Key is the key that the request had, and Tenant the tenant of the key.
+	Key    string `json:"key,omitempty"`
+	Tenant string `json:"tenant,omitempty"`
 }
 
 // Change is a change of the owner of a pool, as the new owner logged it.
@@ -76,6 +79,8 @@
 	Pool          string          `json:"pool"`
 	Specification string          `json:"specification"`
 	Steps         []fake.StepSpec `json:"steps"`
+	// Tenant is the tenant of its caller; empty for none.
+	Tenant string `json:"tenant,omitempty"`
 }
 
 // Window is a fault as it was carried out, with its effects until all processes run again.
@@ -114,14 +119,17 @@
 	Jobs     []Job     `json:"jobs"`
 	Requests []Request `json:"requests"`
 	// Partial holds the requests whose last byte could not be written. Their SentAt is zero.
-	Partial []Request    `json:"partial"`
-	Changes []Change     `json:"changes"`
-	Hosts   []HostEvent  `json:"hosts"`
-	Windows []Window     `json:"windows"`
-	Waves   []Wave       `json:"waves"`
-	Reports []WaveReport `json:"reports"`
-	Probes  []Probe      `json:"probes"`
-	Exits   []Exit       `json:"exits"`
+	Partial []Request `json:"partial"`
+	// Foreign holds requests about jobs of other tenants and with keys that are not valid. Configs are the configurations with tenants.
+	Foreign []Request      `json:"foreign,omitempty"`
+	Configs []TenantConfig `json:"configs,omitempty"`
+	Changes []Change       `json:"changes"`
+	Hosts   []HostEvent    `json:"hosts"`
+	Windows []Window       `json:"windows"`
+	Waves   []Wave         `json:"waves"`
+	Reports []WaveReport   `json:"reports"`
+	Probes  []Probe        `json:"probes"`
+	Exits   []Exit         `json:"exits"`
 	// StandIn are the violations that the stand-in of the platform has seen. It judges some promises also beside
 	// faults that excuse a breach, so that they are hints only.
 	StandIn []string `json:"stand-in"`
--- a/trial/soak/inject.go
+++ b/trial/soak/inject.go
@@ -31,6 +31,8 @@
 	// version is that of the newest configuration, removed counts the removals of the extra queue, and waves the published
 	// waves.
 	version, removed, waves int
+	// stage is the number of the newest configuration of tenants.
+	stage int
 }
 
 // action is the begin or the end of a fault.
@@ -121,6 +123,9 @@
 		return k.inject(ctx, f)
 	case Queue:
 		return func(context.Context) error { return c.publish(-1) }, c.publish(+1)
+	case Tenants:
+		c.stage++
+		return nothing, c.publish(0)
 	case MaintenanceWave:
 		return nothing, c.publishWave()
 	case StoreTrim:
@@ -165,7 +170,7 @@
 func (c *conductor) publish(change int) error {
 	c.removed += change
 	c.version++
-	return c.site.publish(c.version, c.removed == 0)
+	return c.site.publish(c.version, c.removed == 0, c.stage)
 }
 
 const (
