--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -28,6 +28,9 @@
 	readerFile   = "entry/feed/reader.go"
 	upkeepFile   = "fleet/upkeep/upkeep.go"
 	storeFile    = "platform/store/store.go"
+	accessFile   = "fleet/access/access.go"
+	budgetFile   = "fleet/shard/budget.go"
+	tenantFile   = "entry/owner/tenant.go"
 )
 
 var (
@@ -57,6 +60,12 @@
 	takesFullForDone = edit(storeFile, "case http.StatusOK:\n		return out.End, nil", "case http.StatusOK, http.StatusInsufficientStorage:\n		return out.End, nil")
 	// skipsTrimmed reads on after records that the store has deleted as if they had not been there.
 	skipsTrimmed = edit(readerFile, "if errors.As(err, &gone) {\n		return r.load(ctx)", "if errors.As(err, &gone) {\n		r.next = gone.First\n		return nil, nil")
+	// skipsKeys serves requests with unknown keys, and skipsTenant those about jobs of other tenants.
+	skipsKeys   = edit(accessFile, "\ttenant, known := t.tenants[digest]\n", "\ttenant, known := t.tenants[digest]\n\tif !known {\n\t\treturn Decision{}\n\t}\n")
+	skipsTenant = edit(tenantFile, "j.Spec.Tenant != s.tenant\n", "j.Spec.Tenant != s.tenant && false\n")
+	// skipsTenantCaps starts work whatever the budget of its tenant is, and skipsBudgets finds no room in any.
+	skipsTenantCaps = edit(budgetFile, "return need == 0 || limit == caps.Unlimited || (", "return need >= 0 || (")
+	skipsBudgets    = edit(budgetFile, "return need == 0 || limit == caps.Unlimited || (", "return need == 0 || (false && ")
 )
 
 // off sets a time of day off by up to two hours, by another time with each read.
@@ -198,3 +207,16 @@
 	require.Len(t, rows, 1)
 	require.Empty(t, rows[0].Broken)
 }
+
+func TestFaultsOfTenantsAreSeen(t *testing.T) {
+	t.Parallel()
+	for promise, planted := range map[string]edits.Edit{
+		"keys-refused": skipsKeys, "own-jobs-only": skipsTenant, "caps-of-tenants": skipsTenantCaps, "room-under-half-cap": skipsBudgets,
+	} {
+		t.Run(promise, func(t *testing.T) {
+			t.Parallel()
+			rows, err := runWith(t, "tenants", planted)
+			requireBroken(t, rows, err, promise)
+		})
+	}
+}
