Count an answer about a job as accepting the key of the request

A request whose key must be refused and that is answered that there is no such job (410) was handled all the same.

--- a/trial/soak/tenants.go
+++ b/trial/soak/tenants.go
@@ -240,7 +240,7 @@
 func checkKeysRefused(h *History) []string {
 	var out []string
 	for _, r := range h.keyed() {
-		if _, refused := h.keyState(r); refused && r.Status == http.StatusOK {
+		if _, refused := h.keyState(r); refused && (r.Status == http.StatusOK || r.Status == http.StatusGone) {
 			out = append(out, h.describe(r))
 		}
 	}
