--- a/trial/fake/fake.go
+++ b/trial/fake/fake.go
@@ -28,10 +28,11 @@
 	// the machines API and the policy service.
 	StoreAddress, MachinesAddress, AdviceAddress string
 	hosts                                        map[string]string
-	// entryCores, entryLimits, entryArgs and proxy are the values of the fields of the layout.
+	// entryCores, entryLimits, entryArgs, failClosed and proxy are the values of the fields of the layout.
 	entryCores  []float64
 	entryLimits string
 	entryArgs   []string
+	failClosed  bool
 	proxy       Proxy
 	// machineFaults applies the faults of the machines API.
 	machineFaults *faulty.Injector
@@ -87,6 +88,8 @@
 	AdvisedPool string
 	// UnguardedPools holds the pools whose hosts accept tasks beyond their capacity.
 	UnguardedPools map[string]bool
+	// FailClosed adds the settings by which entries refuse keys that they cannot verify.
+	FailClosed bool
 	// EntryCores holds the processor capacity that the settings state for each entry, in cores. They
 	// state none for the entries beyond it.
 	EntryCores []float64
@@ -130,7 +133,7 @@
 
 // New starts a simulated platform on loopback.
 func New(layout Layout) (*Platform, error) {
-	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, entryLimits: cmp.Or(layout.EntryLimits, defaultLimits), entryArgs: layout.EntryArgs, proxy: layout.Proxy, machineFaults: faulty.New()}
+	fp := &Platform{hosts: map[string]string{}, entryCores: layout.EntryCores, entryLimits: cmp.Or(layout.EntryLimits, defaultLimits), entryArgs: layout.EntryArgs, failClosed: layout.FailClosed, proxy: layout.Proxy, machineFaults: faulty.New()}
 	if fp.proxy == nil {
 		fp.proxy = func(_, _, address string) (string, error) { return address, nil }
 	}
