Show the checks of the soak about tenants with histories, and follow the line for the wrong time of day

The merge of the soak with tenants left two tests without histories of the new promises, and the plant for a wrong time of day named a line that had changed since: three tests of trial/soak failed.

--- a/trial/soak/cases_test.go
+++ b/trial/soak/cases_test.go
@@ -44,6 +44,21 @@
 		h.Probes = append(h.Probes, Probe{Entry: "entry-0", At: at(20), Ready: true})
 		h.Windows = append(h.Windows, window(Pause, "entry-0", 10, 12))
 	},
+	"keys-refused": func(h *History) {
+		h.withTenant(0)
+		h.Foreign = append(h.Foreign, withKey(asked(10, Look, http.StatusUnauthorized, ""), "", "key-unknown"))
+	},
+	"keys-valid": func(h *History) { h.withTenant(0) },
+	"own-jobs-only": func(h *History) {
+		h.withTenant(0)
+		h.foreign(asked(2, Look, http.StatusGone, ""))
+	},
+	"caps-of-tenants": func(h *History) { h.withTenant(2 * taskCPU) },
+	"room-under-half-cap": func(h *History) {
+		h.waiting(8 * taskCPU)
+		// The job ends after it has been looked at, so that nothing is stuck.
+		h.Hosts = append(h.Hosts, start(6, laterTask, 1))
+	},
 }
 
 // lastingTask is the task of a long-running job.
--- a/trial/soak/check_test.go
+++ b/trial/soak/check_test.go
@@ -422,6 +422,90 @@
 			"a fault elsewhere": func(h *History) { h.Probes, h.Windows = missed(15, 16), []Window{window(StoreSilent, "", 10, 14)} },
 		},
 	},
+	"keys-refused": {
+		broken: map[string]func(*History){
+			"an unknown key": func(h *History) {
+				h.withTenant(0)
+				h.Foreign = append(h.Foreign, withKey(asked(10, Look, http.StatusOK, "running"), "", "key-unknown"))
+			},
+			"a key that was removed": func(h *History) {
+				h.withTenant(0)
+				h.removeKey(10)
+				h.Requests = append(h.Requests, withKey(asked(15.5, Look, http.StatusOK, stateCompleted), testTenant, testKey))
+			},
+			"no key": func(h *History) {
+				h.withTenant(0)
+				h.Foreign = append(h.Foreign, withKey(asked(10, Look, http.StatusGone, ""), "", ""))
+			},
+		},
+		allowed: map[string]func(*History){
+			"a key that was removed shortly before": func(h *History) {
+				h.withTenant(0)
+				h.removeKey(10)
+				h.Requests = append(h.Requests, withKey(asked(14.5, Look, http.StatusOK, stateCompleted), testTenant, testKey))
+			},
+		},
+	},
+	"keys-valid": {
+		broken: map[string]func(*History){
+			"a valid key": func(h *History) {
+				h.withTenant(0)
+				h.Requests = append(h.Requests, withKey(asked(10, Look, http.StatusUnauthorized, ""), testTenant, testKey))
+			},
+		},
+		allowed: map[string]func(*History){
+			"a key that is new": func(h *History) {
+				h.withTenant(0)
+				h.Requests = append(h.Requests, withKey(asked(2.5, Look, http.StatusUnauthorized, ""), testTenant, testKey))
+			},
+			"a key that is being removed": func(h *History) {
+				h.withTenant(0)
+				h.removeKey(10)
+				h.Requests = append(h.Requests, withKey(asked(10.1, Look, http.StatusUnauthorized, ""), testTenant, testKey))
+			},
+		},
+	},
+	"own-jobs-only": {
+		broken: map[string]func(*History){
+			"another tenant sees the job": func(h *History) {
+				h.withTenant(0)
+				h.foreign(asked(2, Look, http.StatusOK, "running"))
+			},
+			"another tenant cancels the job": func(h *History) {
+				h.withTenant(0)
+				h.foreign(asked(2, Cancel, http.StatusOK, ""))
+				h.Requests = append(h.Requests, withKey(asked(6, Look, http.StatusOK, stateCancelled), testTenant, testKey))
+			},
+		},
+		allowed: map[string]func(*History){
+			"the answer for a job that does not exist": func(h *History) {
+				h.withTenant(0)
+				h.foreign(asked(2, Look, http.StatusGone, ""))
+				h.foreign(asked(2, Cancel, http.StatusOK, ""))
+			},
+		},
+	},
+	"caps-of-tenants": {
+		broken: map[string]func(*History){
+			"two tasks with a cap of half a task": func(h *History) { h.withTenant(taskCPU / 2) },
+		},
+		allowed: map[string]func(*History){
+			"one task above the cap": func(h *History) { h.withTenant(taskCPU) },
+			"no cap":                 func(h *History) { h.withTenant(0) },
+		},
+	},
+	"room-under-half-cap": {
+		broken: map[string]func(*History){
+			"nothing runs beside idle hosts": func(h *History) { h.waiting(8 * taskCPU) },
+		},
+		allowed: map[string]func(*History){
+			"no cap": func(h *History) { h.waiting(0) },
+			"a fault shortly before": func(h *History) {
+				h.waiting(8 * taskCPU)
+				h.Windows = append(h.Windows, window(Pause, "entry-0", 3, 30))
+			},
+		},
+	},
 }
 
 // failures returns failed runs of a task that have been taken note of.
--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -74,7 +74,7 @@
 // clocksOff sets the time of day off where programs read it, and makes it go back with each start of a process.
 var clocksOff = []edits.Edit{
 	edit(nodeFile, "incarnation := time.Now().UnixNano()", "incarnation := int64(1<<62) - time.Now().UnixNano()"),
-	edit(frontFile, "spec.Tenant, spec.AcceptedMS = q.Name, tenant, time.Now().UnixMilli()", "spec.Tenant, spec.AcceptedMS = q.Name, tenant, time.Now()"+off+".UnixMilli()"),
+	edit(frontFile, "spec.Tenant, spec.AcceptedMS = q.Name, access.Tenant, time.Now().UnixMilli()", "spec.Tenant, spec.AcceptedMS = q.Name, access.Tenant, time.Now()"+off+".UnixMilli()"),
 	edit(storedFile, "age := time.Duration(now.UnixMilli()-at)", "age := time.Duration(now"+off+".UnixMilli()-at)"),
 	edit(storedFile, "strconv.FormatInt(now.UnixMilli(), 10)", "strconv.FormatInt(now"+off+".UnixMilli(), 10)"),
 	edit(coreFile, "limits, now, now.UnixMilli())", "limits, now, now"+off+".UnixMilli())"),
