--- a/entry/lender/lender.go
+++ b/entry/lender/lender.go
@@ -187,6 +187,8 @@
 			continue
 		case m := <-inbox:
 			m.handle(c)
+			// Budgets that the store has are sent before the next plan may change them and start another write.
+			c.sendDue(ctx)
 		case <-plan.C:
 		case now := <-round.C:
 			round.Reset(roundTime(len(c.pools)))
--- a/fleet/caps/ledger.go
+++ b/fleet/caps/ledger.go
@@ -171,12 +171,16 @@
 }
 
 // confirm adjusts the bound of a pool to its newest report. Only a report of an owner that has stored the newest budget lowers it:
-// no budget that was sent before can take effect there any more. What a new owner supposes of hosts that have not answered does not raise
-// it, but what certainly runs counts in any case.
+// no budget that was sent before can take effect there any more. A budget that waits to be sent stays within the bound: taking back a raise
+// whenever a report arrives before the store has it would have a slow store write raise after raise and no budget be sent. What a new owner
+// supposes of hosts that have not answered does not raise it, but what certainly runs counts in any case.
 func (l *Ledger) confirm(a *account, e *entry, tenant string) {
 	u, was := &e.use, e.bound
 	if u.Stored && e.sent.Number > 0 && u.Held.Is(&e.sent) {
 		confirmed := Larger(e.sent.Amount, clampTo(u.MayRun))
+		if a.opened {
+			confirmed = Larger(confirmed, e.target)
+		}
 		e.bound.Amount = zip(confirmed, e.bound.Amount, e.bound.Cap, func(confirmed, bound, known int64) int64 {
 			if known == 0 || !a.opened {
 				return confirmed
--- a/fleet/caps/model_test.go
+++ b/fleet/caps/model_test.go
@@ -421,3 +421,30 @@
 	l.Report("a", []caps.Use{use}, caps.Active)
 	require.Equal(t, cores(30), l.Lendings(tenant)["a"].Used)
 }
+
+// Guards against raises that a report takes back before the store has them, so that the next plan makes and writes them again: with a store
+// slower than the reports, no budget was ever sent.
+func TestAReportTakesBackNoRaiseThatWaitsToBeSent(t *testing.T) {
+	bounds := map[string]caps.Bound{"a": {Cap: cores(100)}, "b": {Cap: cores(100)}}
+	l := caps.NewLedger(1, []caps.Account{{Tenant: tenant, Opened: true, Bounds: bounds}})
+	plan := func() { caps.Plan(l, caps.ByDemand{}, tenant, cores(100), 1, nil) }
+	report := func(pool string, u caps.Use) { l.Report(pool, []caps.Use{u}, caps.Active) }
+	plan()
+	l.TakeChanged()
+	a, b := caps.Use{Held: l.Take("a")[0], Stored: true}, caps.Use{Held: l.Take("b")[0], Stored: true}
+	report("b", b)
+	a.Ready, a.Waiting, a.Least = cores(100), cores(100), cores(1)
+	report("a", a)
+	plan()
+	l.TakeChanged()
+	b.Held = l.Take("b")[0]
+	report("b", b)
+	plan()
+	require.NotEmpty(t, l.TakeChanged())
+	require.Equal(t, cores(100), l.Lendings(tenant)["a"].Lent)
+	report("a", a)
+	plan()
+	require.Equal(t, cores(100), l.Lendings(tenant)["a"].Lent)
+	require.Empty(t, l.TakeChanged())
+	require.Equal(t, cores(100), l.Take("a")[0].Amount)
+}
