--- a/trial/soak/check_test.go
+++ b/trial/soak/check_test.go
@@ -483,6 +483,11 @@
 				h.foreign(asked(2, Look, http.StatusGone, ""))
 				h.foreign(asked(2, Cancel, http.StatusOK, ""))
 			},
+			"an old key of the same tenant": func(h *History) {
+				h.withTenant(0)
+				h.removeKey(10)
+				h.Foreign = append(h.Foreign, withKey(asked(10.1, Look, http.StatusOK, stateCompleted), "", testKey))
+			},
 		},
 	},
 	"caps-of-tenants": {
--- a/trial/soak/tenants.go
+++ b/trial/soak/tenants.go
@@ -290,8 +290,9 @@
 			out = append(out, fmt.Sprintf("job %s of %s is cancelled at %s, but only other tenants have cancelled it", r.Job, r.Tenant, seconds(r.EndAt)))
 		}
 	}
+	jobs := h.jobsByID()
 	for _, r := range h.Foreign {
-		if r.Verb == Cancel && r.Status == http.StatusOK {
+		if (r.Verb == Cancel && r.Status == http.StatusOK) || h.hasKeyOf(jobs[r.Job].Tenant, r.Key) {
 			continue
 		}
 		switch r.Status {
@@ -304,6 +305,13 @@
 	return out
 }
 
+// hasKeyOf reports whether a key is or was one of a tenant. Whether such a key may still be used is for checkKeysRefused to judge.
+func (h *History) hasKeyOf(tenant, key string) bool {
+	return slices.ContainsFunc(h.Configs, func(c TenantConfig) bool {
+		return slices.ContainsFunc(c.Tenants, func(t TenantState) bool { return t.Name == tenant && slices.Contains(t.Keys, key) })
+	})
+}
+
 func countOwnJobs(h *History) int {
 	return count(h.Foreign, func(r Request) bool {
 		return r.Tenant != "" && (r.Status == http.StatusGone || r.Status == http.StatusOK)
