--- a/entry/dedup/dedup.go
+++ b/entry/dedup/dedup.go
@@ -87,7 +87,8 @@
 func (r *Registry) Close() { r.task.Close() }
 
 // Do runs a request, unless a copy of it has been started before: then it waits for the answer to
-// that copy and returns it. A copy from another team than the first one is not run, and does not get its answer. If the outcome of a copy is [wire.NotRun], the next copy may run.
+// that copy and returns it. A copy from another team than the first one is not run, and does not get its answer. If the outcome of a
+// copy is [wire.NotRun], the next copy may run.
 func (r *Registry) Do(ctx context.Context, id, team string, run func() work.Answer) work.Answer {
 	result, err := task.Call(ctx, r.task, func(reply chan<- claimed) message { return claim{id, team, reply} })
 	if err != nil {
--- a/entry/owner/budgets.go
+++ b/entry/owner/budgets.go
@@ -33,8 +33,8 @@
 	reply   chan<- Answer
 }
 
-// Budgets gives budgets to the pool, and returns the use of the tenants in a scope and of those with these budgets. Lower budgets hold at once; the answer waits until the
-// store has them.
+// Budgets gives budgets to the pool, and returns the use of the tenants in a scope and of those with these budgets. Lower budgets hold at
+// once; the answer waits until the store has them.
 func (o *Owner) Budgets(ctx context.Context, budgets []caps.Budget, scope caps.Scope) Answer {
 	return o.call(ctx, Refused, func(reply chan<- Answer) message { return poolBudgets{budgets, scope, reply} })
 }
