Combine sizes by dimension in one place

The smaller and the larger of two sizes in each dimension were written out seven times: in the trees of needs and of tenants, in budgets, and as functions of package caps, which also wrapped Size.Fits. They are Size.Min and Size.Max now. What hosts without an answer may run is told by isPrior, which had the same condition.

--- a/fleet/batch/batch.go
+++ b/fleet/batch/batch.go
@@ -45,6 +45,16 @@
 	return Size{s.MilliCores - o.MilliCores, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
+// Min returns the smaller of two sizes in each dimension.
+func (s Size) Min(o Size) Size {
+	return Size{min(s.MilliCores, o.MilliCores), min(s.MemoryMB, o.MemoryMB), min(s.Accelerators, o.Accelerators)}
+}
+
+// Max returns the larger of two sizes in each dimension.
+func (s Size) Max(o Size) Size {
+	return Size{max(s.MilliCores, o.MilliCores), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether o fits into s.
 func (s Size) Fits(o Size) bool {
 	return o.MilliCores <= s.MilliCores && o.MemoryMB <= s.MemoryMB && o.Accelerators <= s.Accelerators
--- a/fleet/caps/caps.go
+++ b/fleet/caps/caps.go
@@ -41,12 +41,9 @@
 
 // IsValid reports whether a budget that was received or read may be used.
 func (b *Budget) IsValid() bool {
-	return Fits(b.Amount, batch.Size{}) && Fits(b.Cap, batch.Size{}) && b.Epoch > 0 && b.Number > 0
+	return b.Amount.Fits(batch.Size{}) && b.Cap.Fits(batch.Size{}) && b.Epoch > 0 && b.Number > 0
 }
 
-// Fits reports whether a size fits into another one.
-func Fits(size, need batch.Size) bool { return size.Fits(need) }
-
 // HasCap reports whether a cap limits anything.
 func HasCap(limit batch.Size) bool { return limit != batch.Size{} }
 
@@ -122,7 +119,7 @@
 // isValid reports whether no amount is out of range.
 func (u *Use) isValid() bool {
 	for _, size := range [...]batch.Size{u.Running, u.MayRun, u.Ready, u.Waiting, u.Least} {
-		if !Fits(size, batch.Size{}) {
+		if !size.Fits(batch.Size{}) {
 			return false
 		}
 	}
@@ -137,18 +134,9 @@
 	}
 }
 
-// Larger returns the larger of two amounts in each dimension.
-func Larger(a, b batch.Size) batch.Size {
-	return zip(a, b, b, func(a, b, _ int64) int64 { return max(a, b) })
-}
-
-func smaller(a, b batch.Size) batch.Size {
-	return zip(a, b, b, func(a, b, _ int64) int64 { return min(a, b) })
-}
-
 // clampTo limits each dimension to the range of amounts that sums of pools do not overflow.
 func clampTo(s batch.Size) batch.Size {
-	return smaller(s, batch.Size{MilliCores: maxAmount, MemoryMB: maxAmount, Accelerators: maxAmount})
+	return s.Min(batch.Size{MilliCores: maxAmount, MemoryMB: maxAmount, Accelerators: maxAmount})
 }
 
 // maxAmount is above every cap, and small enough that the sum over all pools does not overflow.
--- a/fleet/caps/divide.go
+++ b/fleet/caps/divide.go
@@ -60,7 +60,7 @@
 	d := newDivision(limit, pools)
 	d.grant(func(p *Demand) batch.Size { return p.Ready })
 	served := slices.Clone(d.out)
-	d.grant(func(p *Demand) batch.Size { return Larger(p.Waiting, p.Ready) })
+	d.grant(func(p *Demand) batch.Size { return p.Waiting.Max(p.Ready) })
 	d.share()
 	if d.changesLittle(served) {
 		return lentOf(pools)
@@ -158,7 +158,7 @@
 	// One request for each pool comes first: a pool may not be able to use what it is granted, since its hosts have room in pieces.
 	slices.SortStableFunc(open, d.comparePools)
 	for _, i := range open {
-		if least := smaller(d.pools[i].Least, d.missing(i, want(&d.pools[i]))); within(least, d.left, d.limit) {
+		if least := d.pools[i].Least.Min(d.missing(i, want(&d.pools[i]))); within(least, d.left, d.limit) {
 			d.add(i, least)
 		}
 	}
@@ -180,7 +180,7 @@
 	p := &d.pools[i]
 	missing := d.missing(i, all)
 	for part := int64(portions); part <= portions*portions; part *= 4 {
-		portion := zip(smaller(all, d.limit), p.Least, missing, func(all, least, missing int64) int64 {
+		portion := zip(all.Min(d.limit), p.Least, missing, func(all, least, missing int64) int64 {
 			step := max(all/part, 1)
 			if least > 0 {
 				step = (step + least - 1) / least * least
@@ -191,7 +191,7 @@
 			return portion
 		}
 	}
-	if least := smaller(p.Least, missing); within(least, d.left, d.limit) {
+	if least := p.Least.Min(missing); within(least, d.left, d.limit) {
 		return least
 	}
 	return batch.Size{}
--- a/fleet/caps/ledger.go
+++ b/fleet/caps/ledger.go
@@ -66,7 +66,7 @@
 	for _, s := range stored {
 		a := &account{opened: s.Opened, pools: map[string]*entry{}}
 		for pool, b := range s.Bounds {
-			b.Amount, b.Cap = Larger(b.Amount, batch.Size{}), Larger(b.Cap, batch.Size{})
+			b.Amount, b.Cap = b.Amount.Max(batch.Size{}), b.Cap.Max(batch.Size{})
 			if !s.Opened {
 				// The tenant may have had no cap since the pool has confirmed what runs.
 				b.Cap = batch.Size{}
@@ -177,9 +177,9 @@
 func (l *Ledger) confirm(a *account, e *entry, tenant string) {
 	u, was := &e.use, e.bound
 	if u.Stored && e.sent.Number > 0 && u.Held.Is(&e.sent) {
-		confirmed := Larger(e.sent.Amount, clampTo(u.MayRun))
+		confirmed := e.sent.Amount.Max(clampTo(u.MayRun))
 		if a.opened {
-			confirmed = Larger(confirmed, e.target)
+			confirmed = confirmed.Max(e.target)
 		}
 		e.bound.Amount = zip(confirmed, e.bound.Amount, e.bound.Cap, func(confirmed, bound, known int64) int64 {
 			if known == 0 || !a.opened {
@@ -189,7 +189,7 @@
 		})
 		e.bound.Cap = e.sent.Cap
 	}
-	e.bound.Amount = Larger(e.bound.Amount, clampTo(u.Running))
+	e.bound.Amount = e.bound.Amount.Max(clampTo(u.Running))
 	if e.bound != was {
 		l.markChanged(tenant, a)
 	}
@@ -221,7 +221,7 @@
 		// What some pool runs is not known, so a start anywhere could exceed the cap.
 		for _, name := range names {
 			e := a.pools[name]
-			l.aim(a, e, zip(smaller(e.target, e.bound.Amount), unknown, limit, func(amount, unknown, _ int64) int64 {
+			l.aim(a, e, zip(e.target.Min(e.bound.Amount), unknown, limit, func(amount, unknown, _ int64) int64 {
 				if unknown > 0 || !a.opened {
 					return 0
 				}
@@ -245,7 +245,7 @@
 func (a *account) unknown() batch.Size {
 	var out batch.Size
 	for _, e := range a.pools {
-		out = Larger(out, e.unknown(a.cap))
+		out = out.Max(e.unknown(a.cap))
 	}
 	return out
 }
--- a/fleet/shard/budget.go
+++ b/fleet/shard/budget.go
@@ -251,10 +251,10 @@
 	waits := false
 	for _, h := range s.sortedHosts() {
 		switch {
-		case h.Stored && !h.Confirmed && !s.leaseExpired(h, now):
+		case !h.Confirmed && s.isPrior(h, now):
 			unseen, waits = unseen.Add(h.Capacity), true
 		case h.UnknownRuns > len(h.unassignedRuns):
-			unknown = unknown.Add(nonNegative(h.free()))
+			unknown = unknown.Add(h.free().Max(batch.Size{}))
 		}
 	}
 	if waits && now.Sub(s.budgets.countedAt) >= countInterval {
@@ -269,10 +269,7 @@
 		}
 		b.unseen = unseen
 		if !s.budgets.jobsMissing {
-			b.unseen = batch.Size{
-				MilliCores: min(unseen.MilliCores, b.inherited.MilliCores), MemoryMB: min(unseen.MemoryMB, b.inherited.MemoryMB),
-				Accelerators: min(unseen.Accelerators, b.inherited.Accelerators),
-			}
+			b.unseen = unseen.Min(b.inherited)
 		}
 		b.unseen = b.unseen.Add(unknown)
 	}
@@ -281,10 +278,6 @@
 // NoteMissingJobs records that jobs of an earlier owner could not be restored.
 func (s *State) NoteMissingJobs() { s.budgets.jobsMissing = true }
 
-func nonNegative(s batch.Size) batch.Size {
-	return batch.Size{MilliCores: max(s.MilliCores, 0), MemoryMB: max(s.MemoryMB, 0), Accelerators: max(s.Accelerators, 0)}
-}
-
 // countUnseen counts the best-effort tasks that are not done, and the tasks that an earlier owner may have started.
 func (s *State) countUnseen() {
 	for _, t := range s.budgets.limited {
@@ -364,7 +357,7 @@
 	for _, t := range slices.Compact(tenants) {
 		b := &t.budget
 		u := caps.Use{
-			Running: nonNegative(t.Running), MayRun: nonNegative(t.mayRun()), Waiting: nonNegative(b.waiting), Held: b.Held, Stored: b.stored,
+			Running: t.Running.Max(batch.Size{}), MayRun: t.mayRun().Max(batch.Size{}), Waiting: b.waiting.Max(batch.Size{}), Held: b.Held, Stored: b.stored,
 			Void: b.IsVoid(),
 		}
 		u.Held.Tenant = t.Name
@@ -372,10 +365,7 @@
 			u.Least, u.Ready = need, free
 			// Best-effort tasks start without free processor capacity.
 			u.Ready.MilliCores = clamp.Add(free.MilliCores, b.unreserved)
-			u.Ready = batch.Size{
-				MilliCores: min(u.Ready.MilliCores, u.Waiting.MilliCores), MemoryMB: min(u.Ready.MemoryMB, u.Waiting.MemoryMB),
-				Accelerators: min(u.Ready.Accelerators, u.Waiting.Accelerators),
-			}
+			u.Ready = u.Ready.Min(u.Waiting)
 		}
 		_, ready := least[t]
 		inScope := scope == caps.All || (u.IsActive() && (scope == caps.Active || (ready && !t.admits(u.Least))))
@@ -399,7 +389,7 @@
 		if room == nil {
 			room = map[string]frontier{}
 			for _, c := range s.candidates(now) {
-				free = free.Add(nonNegative(c.free))
+				free = free.Add(c.free.Max(batch.Size{}))
 			}
 		}
 		f, known := room[g.label]
--- a/fleet/shard/classes.go
+++ b/fleet/shard/classes.go
@@ -144,14 +144,7 @@
 		if o.goesBefore(b.first, a.first) {
 			n.first = b.first
 		}
-		n.low = batch.Size{
-			MilliCores: min(a.low.MilliCores, b.low.MilliCores), MemoryMB: min(a.low.MemoryMB, b.low.MemoryMB),
-			Accelerators: min(a.low.Accelerators, b.low.Accelerators),
-		}
-		n.high = batch.Size{
-			MilliCores: max(a.high.MilliCores, b.high.MilliCores), MemoryMB: max(a.high.MemoryMB, b.high.MemoryMB),
-			Accelerators: max(a.high.Accelerators, b.high.Accelerators),
-		}
+		n.low, n.high = a.low.Min(b.low), a.high.Max(b.high)
 	}
 }
 
--- a/fleet/shard/needs.go
+++ b/fleet/shard/needs.go
@@ -207,14 +207,7 @@
 		if t.key.compare(b.first, a.first) < 0 {
 			n.first = b.first
 		}
-		n.low = batch.Size{
-			MilliCores: min(a.low.MilliCores, b.low.MilliCores), MemoryMB: min(a.low.MemoryMB, b.low.MemoryMB),
-			Accelerators: min(a.low.Accelerators, b.low.Accelerators),
-		}
-		n.high = batch.Size{
-			MilliCores: max(a.high.MilliCores, b.high.MilliCores), MemoryMB: max(a.high.MemoryMB, b.high.MemoryMB),
-			Accelerators: max(a.high.Accelerators, b.high.Accelerators),
-		}
+		n.low, n.high = a.low.Min(b.low), a.high.Max(b.high)
 	}
 }
 
--- a/fleet/shard/search.go
+++ b/fleet/shard/search.go
@@ -34,17 +34,12 @@
 // leastNeed returns the least need of any waiting step in each dimension.
 func (b *backlog) leastNeed() batch.Size {
 	least := batch.Size{MilliCores: math.MaxInt64, MemoryMB: math.MaxInt64, Accelerators: math.MaxInt64}
-	lower := func(need batch.Size) {
-		least.MilliCores = min(least.MilliCores, need.MilliCores)
-		least.MemoryMB = min(least.MemoryMB, need.MemoryMB)
-		least.Accelerators = min(least.Accelerators, need.Accelerators)
-	}
 	for _, n := range b.needs() {
-		lower(n.low)
+		least = least.Min(n.low)
 	}
 	for _, w := range b.touched {
 		if w.stage.waiting == w {
-			lower(w.need)
+			least = least.Min(w.need)
 		}
 	}
 	return least
