--- a/entry/auth/auth.go
+++ b/entry/auth/auth.go
@@ -4,6 +4,8 @@
 
 import (
 	"log/slog"
+	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +19,16 @@
 // for the time between the decision on a request and the request's effect.
 const revocationShare = 0.9
 
+// PresentedKey returns the key that a request presents after a scheme in the header Authorization, and an empty string if it presents
+// none. Of another scheme it returns all, which is no key of any tenant.
+func PresentedKey(r *http.Request, scheme string) string {
+	value := strings.TrimSpace(r.Header.Get("Authorization"))
+	if found, key, ok := strings.Cut(value, " "); ok && strings.EqualFold(found, scheme) {
+		return strings.TrimSpace(key)
+	}
+	return value
+}
+
 // Limits are the time limits for changes of keys.
 type Limits struct {
 	// FailClosed reports whether keys are refused once they may have been revoked for longer than Revocation.
--- a/entry/front/access.go
+++ b/entry/front/access.go
@@ -4,8 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 
+	"carawaymux.dev/entry/auth"
 	"carawaymux.dev/entry/keys"
 	"carawaymux.dev/entry/route"
 	"carawaymux.dev/entry/work"
@@ -16,6 +16,9 @@
 	"carawaymux.dev/fleet/wire"
 )
 
+// authorizationScheme precedes a key in the header Authorization.
+const authorizationScheme = "Bearer"
+
 // unverifiedRetry is the Retry-After of a request whose key cannot be verified now, in seconds.
 const unverifiedRetry = "1"
 
@@ -48,7 +51,7 @@
 			f.refuse(w, who, http.StatusServiceUnavailable, verdict.String(),
 				"the key cannot be verified: the entry has not been able to read the log lately; send the request to another entry, or later")
 		case verdict == access.Unauthorized:
-			w.Header().Set("WWW-Authenticate", "Bearer")
+			w.Header().Set("WWW-Authenticate", authorizationScheme)
 			f.refuse(w, who, http.StatusUnauthorized, verdict.String(), "a valid key is required in the header Authorization: Bearer KEY")
 		case who == operators && team != "":
 			f.refuse(w, who, http.StatusForbidden, "forbidden", "the key of a team does not give access to this path")
@@ -89,7 +92,7 @@
 	if f.Gate == nil {
 		return "", access.Allowed
 	}
-	key := presentedKey(r)
+	key := auth.PresentedKey(r, authorizationScheme)
 	d := f.Gate.Decide(key, false)
 	if d.Verdict == access.Allowed {
 		return d.Tenant, access.Allowed
@@ -105,15 +108,6 @@
 	return "", d.Verdict
 }
 
-// presentedKey returns the key of a request; empty if it has none. A value of another scheme is a key that nobody has.
-func presentedKey(r *http.Request) string {
-	value := strings.TrimSpace(r.Header.Get("Authorization"))
-	if scheme, key, found := strings.Cut(value, " "); found && strings.EqualFold(scheme, "Bearer") {
-		return strings.TrimSpace(key)
-	}
-	return value
-}
-
 // refuseForeignKind refuses to show a team objects other than jobs, and reports whether it did.
 func (f *Front) refuseForeignKind(w http.ResponseWriter, r *http.Request, team string) bool {
 	if team == "" || record.Kind(r.PathValue("kind")) == record.KindJob {
--- a/fleet/access/access.go
+++ b/fleet/access/access.go
@@ -2,11 +2,7 @@
 // reads no clock and does no I/O.
 package access
 
-import (
-	"crypto/sha256"
-
-	"carawaymux.dev/fleet/port"
-)
+import "carawaymux.dev/fleet/port"
 
 // Verdict is the decision on a request.
 type Verdict uint8
@@ -76,8 +72,7 @@
 		}
 		return Decision{Verdict: Unauthorized}
 	}
-	digest := port.KeyDigest(sha256.Sum256([]byte(key)))
-	tenant, known := t.tenants[digest]
+	tenant, known := t.tenants[port.DigestOf(key)]
 	switch {
 	case known && f.Unrevoked:
 		return Decision{Tenant: tenant}
--- a/fleet/apikey/apikey.go
+++ b/fleet/apikey/apikey.go
@@ -52,8 +52,8 @@
 
 // Digest returns the digest of a key as in [Spec.Digest].
 func Digest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
+	digest := port.DigestOf(key)
+	return hex.EncodeToString(digest[:])
 }
 
 // Config returns the configuration that decides on requests: callers need a key if there is any, and each team is a tenant. The
--- a/fleet/port/port.go
+++ b/fleet/port/port.go
@@ -31,6 +31,9 @@
 // KeyDigest is the SHA-256 digest of a key. The keys themselves are not kept.
 type KeyDigest [sha256.Size]byte
 
+// DigestOf returns the digest of a key.
+func DigestOf(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
 // Tenant is a customer whose jobs share limits and a share of full pools.
 type Tenant struct {
 	// Name is unique in a configuration and not empty.
