--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -295,7 +295,7 @@
 		c.state.SetQueue(m.queue)
 		c.noteQueue(m.queue.Name)
 	}
-	if c.isOfOther(&scope{tenant: m.spec.Tenant}, m.id) {
+	if c.isOfOther(m.spec.Tenant, m.id) {
 		c.logger.Info("job refused", "job", m.id, "tenant", m.spec.Tenant, "why", "the ID is in use by another tenant")
 		m.reply <- conflicting
 		return
--- a/entry/owner/tenant.go
+++ b/entry/owner/tenant.go
@@ -24,15 +24,15 @@
 	return j
 }
 
-// isOfOther reports whether a job is submitted by another tenant than that of a request.
-func (c *core) isOfOther(s *scope, id string) bool {
+// isOfOther reports whether a job is submitted by another tenant.
+func (c *core) isOfOther(tenant, id string) bool {
 	j := c.state.Jobs[id]
-	return j != nil && !j.Unsubmitted && j.Spec.Tenant != s.tenant
+	return j != nil && !j.Unsubmitted && j.Spec.Tenant != tenant
 }
 
 // cancelFor cancels a job for a tenant. It returns nil if the job is of another tenant.
 func (c *core) cancelFor(tenant, id string) *shard.Job {
-	if c.isOfOther(&scope{tenant: tenant}, id) {
+	if c.isOfOther(tenant, id) {
 		return nil
 	}
 	return c.state.Cancel(id, time.Now(), shard.ForTenant(tenant))
