--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -328,14 +328,12 @@
 	return c, nil
 }
 
-// Guards against a head of legal size that reserves all bytes since it arrives byte by byte.
-func TestALargeHeadIsServedByteByByte(t *testing.T) {
-	listener := pipes{make(chan net.Conn, 1)}
-	limiter := limit.Start(shed.Derive(shed.Process{}), shed.LeastProgress{}, slog.New(slog.DiscardHandler))
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") })}
+// servePipe serves one client over a pipe. It returns the client and the group of the goroutines that end with it.
+func servePipe(t *testing.T, limiter *limit.Limiter, name shed.Listener, handler http.HandlerFunc) (net.Conn, *errgroup.Group) {
+	t.Helper()
+	listener, server, group := pipes{make(chan net.Conn, 1)}, &http.Server{Handler: handler}, new(errgroup.Group)
 	limiter.Serve(server, 16<<10)
-	var group errgroup.Group
-	group.Go(func() error { return server.Serve(limiter.Listen(shed.Callers, listener)) })
+	group.Go(func() error { return server.Serve(limiter.Listen(name, listener)) })
 	client, accepted := net.Pipe()
 	listener.conns <- accepted
 	t.Cleanup(func() {
@@ -344,6 +342,13 @@
 		_ = group.Wait()
 		limiter.Close()
 	})
+	return client, group
+}
+
+// Guards against a head of legal size that reserves all bytes since it arrives byte by byte.
+func TestALargeHeadIsServedByteByByte(t *testing.T) {
+	limiter := limit.Start(shed.Derive(shed.Process{}), shed.LeastProgress{}, slog.New(slog.DiscardHandler))
+	client, group := servePipe(t, limiter, shed.Callers, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") })
 	const begin, end = "GET / HTTP/1.1\r\nHost: e\r\nX: ", "\r\n\r\n"
 	head := begin + strings.Repeat("x", 16<<10-len(begin)-len(end)) + end
 	group.Go(func() error {
@@ -444,29 +449,17 @@
 
 // Guards against requests on a link that are refused since callers hold all bytes for large reservations.
 func TestSmallRequestsOnALinkAreHeldWhileLargeOnesHoldTheirShare(t *testing.T) {
-	listener := pipes{make(chan net.Conn, 1)}
 	limits := small
 	limits.Large = 1
 	limits.Connections = map[shed.Listener]int{shed.Peers: 4}
 	limiter := limit.Start(limits, shed.None{}, slog.New(slog.DiscardHandler))
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	client, group := servePipe(t, limiter, shed.Peers, func(w http.ResponseWriter, r *http.Request) {
 		for range 10 {
 			if _, err := limit.TryHold(r.Context(), 4<<10); err != nil {
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
 		}
-	})}
-	limiter.Serve(server, 16<<10)
-	var group errgroup.Group
-	group.Go(func() error { return server.Serve(limiter.Listen(shed.Peers, listener)) })
-	client, accepted := net.Pipe()
-	listener.conns <- accepted
-	t.Cleanup(func() {
-		client.Close()
-		close(listener.conns)
-		_ = group.Wait()
-		limiter.Close()
 	})
 	group.Go(func() error {
 		_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: e\r\n\r\n")
