--- a/trial/soak/plant_test.go
+++ b/trial/soak/plant_test.go
@@ -61,8 +61,8 @@
 	// skipsTrimmed reads on after records that the store has deleted as if they had not been there.
 	skipsTrimmed = edit(readerFile, "if errors.As(err, &gone) {\n		return r.load(ctx)", "if errors.As(err, &gone) {\n		r.next = gone.First\n		return nil, nil")
 	// skipsKeys serves requests with unknown keys, and skipsTenant those about jobs of other tenants.
-	skipsKeys   = edit(accessFile, "\ttenant, known := t.tenants[digest]\n", "\ttenant, known := t.tenants[digest]\n\tif !known {\n\t\treturn Decision{}\n\t}\n")
-	skipsTenant = edit(tenantFile, "j.Spec.Tenant != s.tenant\n", "j.Spec.Tenant != s.tenant && false\n")
+	skipsKeys   = edit(accessFile, "\ttenant, known := t.tenants[port.DigestOf(key)]\n", "\ttenant, known := t.tenants[port.DigestOf(key)]\n\tif !known {\n\t\treturn Decision{}\n\t}\n")
+	skipsTenant = edit(tenantFile, "j.Spec.Tenant != tenant\n", "j.Spec.Tenant != tenant && false\n")
 	// skipsTenantCaps starts work whatever the budget of its tenant is, and skipsBudgets finds no room in any.
 	skipsTenantCaps = edit(budgetFile, "return need == 0 || limit == caps.Unlimited || (", "return need >= 0 || (")
 	skipsBudgets    = edit(budgetFile, "return need == 0 || limit == caps.Unlimited || (", "return need == 0 || (false && ")
