--- a/oper/root/root.go
+++ b/oper/root/root.go
@@ -11,6 +11,7 @@
 	"carawaymux.dev/fleet/build"
 	"carawaymux.dev/oper/budget"
 	"carawaymux.dev/oper/call"
+	"carawaymux.dev/oper/config"
 	"carawaymux.dev/oper/deps"
 	"carawaymux.dev/oper/entry"
 	"carawaymux.dev/oper/exits"
@@ -53,7 +54,7 @@
 	cmd.PersistentFlags().StringVar(&flags.Author, "author", "", "`name` of the author of published records")
 	cmd.AddCommand(
 		budget.New(f), pool.New(f), host.New(f), jobs.New(f), quota.New(f), key.New(f), wave.New(f), logs.New(f),
-		record.New(f), query.New(f), call.New(f), entry.New(f), status.New(f, nil),
+		record.New(f), query.New(f), call.New(f), entry.New(f), status.New(f, nil), config.New(f),
 	)
 	return cmd
 }
@@ -77,7 +78,7 @@
 // for them, so the texts are compared.
 func isUsageError(err error) bool {
 	text := err.Error()
-	for _, phrase := range []string{"unknown command", "required flag", "accepts ", "requires at least", "at least one of the flags"} {
+	for _, phrase := range []string{"unknown command", "required flag", "accepts ", "requires at least", "at least one of the flags", "none of the others can be"} {
 		if strings.Contains(text, phrase) {
 			return true
 		}
