--- a/oper/key/key.go
+++ b/oper/keys/keys.go
@@ -1,5 +1,5 @@
-// Package key implements the key command, which creates, lists and revokes the keys of teams.
-package key
+// Package keys implements the key command, which creates, lists and revokes the keys of teams.
+package keys
 
 import (
 	"github.com/spf13/cobra"
--- a/oper/key/revoke.go
+++ b/oper/keys/revoke.go
@@ -1,4 +1,4 @@
-package key
+package keys
 
 import (
 	"context"
--- a/oper/root/root.go
+++ b/oper/root/root.go
@@ -17,7 +17,7 @@
 	"carawaymux.dev/oper/exits"
 	"carawaymux.dev/oper/host"
 	"carawaymux.dev/oper/jobs"
-	"carawaymux.dev/oper/key"
+	"carawaymux.dev/oper/keys"
 	"carawaymux.dev/oper/logs"
 	"carawaymux.dev/oper/pool"
 	"carawaymux.dev/oper/query"
@@ -53,7 +53,7 @@
 	cmd.PersistentFlags().StringVar(&flags.Entry, "entry", "", "base `URLs` of entries, separated by commas; the first that answers is used")
 	cmd.PersistentFlags().StringVar(&flags.Author, "author", "", "`name` of the author of published records")
 	cmd.AddCommand(
-		budget.New(f), pool.New(f), host.New(f), jobs.New(f), quota.New(f), key.New(f), wave.New(f), logs.New(f),
+		budget.New(f), pool.New(f), host.New(f), jobs.New(f), quota.New(f), keys.New(f), wave.New(f), logs.New(f),
 		record.New(f), query.New(f), call.New(f), entry.New(f), status.New(f, nil), config.New(f),
 	)
 	return cmd
