--- a/entry/owner/store.go
+++ b/entry/owner/store.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawaymux.dev/entry/claim"
+	"carawaymux.dev/fleet/caps"
 	"carawaymux.dev/fleet/port"
 	"carawaymux.dev/fleet/shard"
 )
@@ -18,7 +19,7 @@
 	// confirms it.
 	confirmInterval = time.Second
 	// unavailableAfter is how long an append may stay unanswered before the store counts as
-	// unavailable and submissions are refused at once.
+	// unavailable and submissions are refused at once, if earlier ones were not slow.
 	unavailableAfter = 400 * time.Millisecond
 	// unavailableRetryAfter is the retry time that callers are given while the store is
 	// unavailable. It is about as long as an outage that ends without intervention.
@@ -31,7 +32,7 @@
 var refusedStoreUnavailable = Answer{Outcome: Refused, RetryAfter: unavailableRetryAfter, Reason: "the store is away", StoreUnavailable: true}
 
 // The keys of a pool's records consist of the pool's name, one of these infixes, and the ID of a
-// job or host, or the name of a queue. In the key of a part of a job's progress, partSeparator and the part follow. The key
+// job or host, or the name of a queue or tenant. In the key of a part of a job's progress, partSeparator and the part follow. The key
 // with keyConfirm has no ID; it is written when a claim is to be confirmed and there is nothing else to
 // write.
 const (
@@ -41,7 +42,10 @@
 	keyHost     = "/h/"
 	keyQueue    = "/q/"
 	keyGrant    = "/e/"
-	keyConfirm  = "/r"
+	// keyNeighbors has no ID either.
+	keyNeighbors = "/i/"
+	keyBudget    = "/c/"
+	keyConfirm   = "/r"
 )
 
 // journal holds the changes that wait to be written and those of the append in flight.
@@ -72,8 +76,9 @@
 	// inFlight is the append in flight. It is nil if there is none.
 	inFlight   *appendInFlight
 	lastAppend time.Time
-	// unavailable reports whether an append has been unanswered for longer than unavailableAfter.
+	// unavailable reports whether an append has been unanswered for longer than times allows.
 	unavailable bool
+	times       appendTimes
 }
 
 // addHost notes that the record of a host is to be written.
@@ -108,6 +113,7 @@
 	hosts     []port.Host
 	// granted holds the hosts that may be called empty once the append is written.
 	granted []string
+	budgets []caps.Budget
 	// ackOnWrite holds, by host, the ends that were counted when the append was collected. They
 	// are acknowledged once the append is written.
 	ackOnWrite map[string]countedEnds
@@ -136,6 +142,8 @@
 	c.journal.waiters, c.journal.grants = map[string][]waiter{}, newGrants()
 	now := time.Now()
 	c.restoreQueues(stored, config)
+	c.restoreNeighbors(stored, now)
+	c.restoreBudgets(stored, config)
 	for id, spec := range stored.Specs {
 		var n *shard.Progress
 		if v, ok := stored.Progress[id]; ok {
@@ -145,7 +153,7 @@
 	}
 	for id := range stored.Progress {
 		if _, ok := stored.Specs[id]; !ok {
-			c.state.RestoreCancelled(id, now)
+			c.state.RestoreCancelled(id, now, shard.ForTenant(stored.Progress[id].Tenant))
 		}
 	}
 	c.journal.staleParts = append(stored.OrphanedParts, c.state.TakeStaleParts()...)
@@ -175,16 +183,17 @@
 func (c *core) flush(now time.Time) {
 	journal := &c.journal
 	if journal.inFlight != nil {
-		if !journal.unavailable && now.Sub(journal.inFlight.startedAt) > unavailableAfter {
+		if !journal.unavailable && now.Sub(journal.inFlight.startedAt) > journal.times.limit(now) {
 			journal.unavailable = true
-			c.logger.Warn("store lost", "waiting", len(journal.newJobs))
+			c.logger.Warn("store lost", "waiting", len(journal.newJobs), "limit-ms", journal.times.limit(now).Milliseconds())
 		}
 		return
 	}
-	urgent := len(journal.newJobs) > 0 || len(journal.newHosts) > 0 || len(journal.grants.added) > 0 || c.state.NeedsFlush() || c.state.NeedsConfirmation() || c.needsConfirmation()
+	urgent := len(journal.newJobs) > 0 || len(journal.newHosts) > 0 || len(journal.grants.added) > 0 || c.state.NeedsFlush() || c.state.NeedsConfirmation() || c.needsConfirmation() ||
+		len(c.budgets.waiting) > 0 && len(c.budgets.dirty) > 0
 	recent := now.Sub(journal.lastAppend) < groupWindow
 	confirm := now.Sub(c.state.ConfirmedAt) > confirmInterval
-	deletions := len(journal.removedHosts) + len(journal.expiredJobs) + len(journal.staleParts) + len(journal.grants.ended)
+	deletions := len(journal.removedHosts) + len(journal.expiredJobs) + len(journal.staleParts) + len(journal.grants.ended) + len(c.budgets.dirty)
 	if !urgent && !confirm && (recent || !(c.state.Dirty() || deletions > 0)) {
 		return
 	}
@@ -210,7 +219,9 @@
 		journal.unavailable = false
 		c.logger.Info("store regained")
 	}
-	c.deps.Stats.Observe("store-append", time.Since(written.startedAt), "pool", c.state.Pool)
+	took := time.Since(written.startedAt)
+	journal.times.record(took, time.Now())
+	c.deps.Stats.Observe("store-append", took, "pool", c.state.Pool)
 	c.state.ConfirmedAt = m.Sent
 	c.settleQuestions(time.Now())
 	for _, h := range written.hosts {
@@ -236,7 +247,7 @@
 			c.countEnd(ch.Job, ch.Progress.Phase, late)
 			c.deps.Stats.Observe("job", time.Since(ch.Job.AcceptedAt), "pool", c.state.Pool)
 			c.logger.Info("job ended", "job", ch.Job.ID, "phase", string(ch.Progress.Phase),
-				"took-ms", time.Since(ch.Job.AcceptedAt).Milliseconds(), "late", late, "queue", ch.Job.Spec.Queue, "size", ch.Job.Size.String())
+				"took-ms", time.Since(ch.Job.AcceptedAt).Milliseconds(), "late", late, "queue", ch.Job.Spec.Queue, "tenant", ch.Job.Spec.Tenant, "size", ch.Job.Size.String())
 			c.answer(ch.Job.ID, true, Answer{Outcome: Accepted, Phase: ch.Progress.Phase})
 			// A submission that arrived after the cancellation of the same job waits too.
 			c.answer(ch.Job.ID, false, Answer{Outcome: Accepted, Phase: ch.Progress.Phase})
@@ -244,6 +255,7 @@
 	}
 	journal.staleParts = append(journal.staleParts, c.state.TakeStaleParts()...)
 	c.settleGrants(written.granted)
+	c.settleBudgets(written.budgets)
 	c.sendHeld(time.Now())
 	c.trimInbox()
 }
@@ -283,6 +295,11 @@
 		c.state.SetQueue(m.queue)
 		c.noteQueue(m.queue.Name)
 	}
+	if c.isOfOther(&scope{tenant: m.spec.Tenant}, m.id) {
+		c.logger.Info("job refused", "job", m.id, "tenant", m.spec.Tenant, "why", "the ID is in use by another tenant")
+		m.reply <- conflicting
+		return
+	}
 	if c.journal.unavailable && c.state.Jobs[m.id] == nil {
 		c.deps.Stats.Add("jobs-refused", 1, "pool", c.state.Pool, "why", "store away")
 		c.logger.Info("job refused", "job", m.id, "why", "store away")
@@ -300,19 +317,24 @@
 	if verdict == shard.Accepted {
 		c.journal.newJobs = append(c.journal.newJobs, j)
 		c.deps.Stats.Add("jobs-submitted", 1, "pool", c.state.Pool, "queue", m.queue.Name)
-		c.logger.Info("job submitted", "job", m.id, "queue", m.queue.Name, "units", m.spec.TaskCount(), "open", len(c.state.Jobs))
+		c.logger.Info("job submitted", "job", m.id, "queue", m.queue.Name, "tenant", m.spec.Tenant, "units", m.spec.TaskCount(), "open", len(c.state.Jobs))
 	}
 	c.journal.waiters[m.id] = append(c.journal.waiters[m.id], waiter{reply: m.reply})
 }
 
 func (m cancelJob) handle(c *core) {
+	if c.isOfOther(&m.scope, m.id) {
+		// The answer is that for a job that does not exist.
+		m.reply <- Answer{Outcome: Accepted, Phase: shard.Cancelled}
+		return
+	}
 	if !m.cancelEarlier(c) {
 		c.cancel(m)
 	}
 }
 
 func (c *core) cancel(m cancelJob) {
-	j := c.state.Cancel(m.id, time.Now())
+	j := c.cancelFor(m.tenant, m.id)
 	if j.StoredPhase != shard.Open {
 		m.reply <- Answer{Outcome: Accepted, Phase: j.StoredPhase}
 		return
--- a/fleet/shard/select.go
+++ b/fleet/shard/select.go
@@ -94,7 +94,7 @@
 	}
 	ordering := orderingOf(ranking)
 	groups := s.backlog.groups
-	if s.HasTenants() && ordering != byMeasure {
+	if (ordering == byRecentUse && s.HasTenants()) || s.levelOf(ordering) == classLevel {
 		groups = s.backlog.classes
 	}
 	for _, g := range groups {
@@ -157,7 +157,7 @@
 	var first *waitingStep
 	for i := range l.groups {
 		g := &l.groups[i]
-		if g.next != nil && (!g.holdsStep(g.next) || !g.couldMatter(g.next.need, g.next.need) || (g.byTenant && g.next.demand.Tenant.rank != g.nextRank)) {
+		if g.next != nil && (!g.holdsStep(g.next) || !g.couldMatter(g.next.need, g.next.need) || (g.byTenant && !g.stillNext())) {
 			g.next = nil
 		}
 		if g.next == nil {
@@ -179,6 +179,10 @@
 			first = g.next
 		}
 	}
+	if first == nil {
+		// The tenants of all steps for which hosts have room are at their budgets.
+		return nil
+	}
 	l.state.backlog.leaveGroup(first)
 	l.taken = append(l.taken, first)
 	return first
@@ -193,8 +197,8 @@
 	}
 	key := l.ranking.SortKey(g.late)
 	w := g.order.find(g.couldMatter, func(of *group) *waitingStep {
-		tree := of.trees[key]
-		return g.nextOf(tree, tree.find(nil, g.couldStart))
+		one := candidateGroup{group: of, rooms: g.rooms, mayReserve: g.mayReserve, holds: g.holds}
+		return one.nextOf(of.trees[key], of.trees[key].find(nil, one.couldStart))
 	})
 	if w != nil {
 		g.nextRank = w.demand.Tenant.rank
@@ -202,6 +206,12 @@
 	return w
 }
 
+// stillNext reports whether the next step of a class is still that.
+func (g *candidateGroup) stillNext() bool {
+	t := g.next.demand.Tenant
+	return t.rank == g.nextRank && t.admits(g.next.need)
+}
+
 // restorePassed has the classes find all tenants again.
 func (l *selection[R]) restorePassed() {
 	for i := range l.groups {
@@ -239,8 +249,17 @@
 	}
 }
 
+// admits reports whether the budget of the tenant has room for a task. That of a class may have room for any: the tenants of its
+// groups are asked.
+func (g *candidateGroup) admits(need batch.Size) bool {
+	return g.tenant == nil || g.tenant.admits(need)
+}
+
 // couldStart reports whether a step could start whose need is within bounds.
 func (g *candidateGroup) couldStart(low, _ batch.Size) bool {
+	if !g.admits(low) {
+		return false
+	}
 	if g.exempt {
 		return g.rooms.free.fits(low)
 	}
@@ -250,7 +269,7 @@
 // couldReserve reports whether a host could be reserved for a step whose need is within bounds. None is reserved
 // for one that waits for the answer of a host with room.
 func (g *candidateGroup) couldReserve(low, high batch.Size) bool {
-	return g.mayReserve && g.rooms.whole.fits(low) && (g.exempt || !g.rooms.admitted.fits(high))
+	return g.mayReserve && g.admits(low) && g.rooms.whole.fits(low) && (g.exempt || !g.rooms.admitted.fits(high))
 }
 
 // couldMatter reports whether the round has an effect on a step with a need.
--- a/fleet/shard/tenants.go
+++ b/fleet/shard/tenants.go
@@ -25,47 +25,44 @@
 	// rank is that of the account. groups holds the groups of the tenant that are in a class.
 	rank   float64
 	groups []*group
+	// budget limits the starts of the tenant.
+	budget tenantBudget
 }
 
 // charge adds work that was used at a time.
-func (u *TenantUse) charge(work float64, at time.Time) {
-	u.Account.Charge(work, at)
-	u.updateRank()
+func (t *TenantUse) charge(work float64, at time.Time) {
+	t.Account.Charge(work, at)
+	t.updateRank()
 }
 
 // setWeight sets the weight.
-func (u *TenantUse) setWeight(weight float64) {
-	u.Account.SetWeight(weight)
-	u.updateRank()
+func (t *TenantUse) setWeight(weight float64) {
+	t.Account.SetWeight(weight)
+	t.updateRank()
 }
 
-func (u *TenantUse) updateRank() {
-	rank := u.Account.Rank()
-	if rank == u.rank {
+func (t *TenantUse) updateRank() {
+	rank := t.Account.Rank()
+	if rank == t.rank {
 		return
 	}
-	u.rank = rank
-	for _, g := range u.groups {
+	t.rank = rank
+	for _, g := range t.groups {
 		g.class.order.update(g)
 	}
 }
 
 // dropGroup removes a group.
-func (u *TenantUse) dropGroup(g *group) {
-	if i := slices.Index(u.groups, g); i >= 0 {
-		u.groups = slices.Delete(u.groups, i, i+1)
+func (t *TenantUse) dropGroup(g *group) {
+	if i := slices.Index(t.groups, g); i >= 0 {
+		t.groups = slices.Delete(t.groups, i, i+1)
 	}
 }
 
 // tenant returns the use of the tenant of a job.
 func (b *backlog) tenant(j *Job) *TenantUse {
 	if j.tenant == nil {
-		name := j.Spec.Tenant
-		if j.tenant = b.tenants[name]; j.tenant == nil {
-			j.tenant = &TenantUse{Name: name, Account: share.NewAccount(b.origin, b.weight(name))}
-			j.tenant.updateRank()
-			b.tenants[name] = j.tenant
-		}
+		j.tenant = b.tenantNamed(j.Spec.Tenant)
 	}
 	return j.tenant
 }
@@ -100,9 +97,9 @@
 }
 
 // levelOf returns whether rounds of planning go through groups or classes. Classes hold the same steps in fewer trees; rankings
-// that order tenants need groups, and those by recent use both.
+// that order tenants need groups, and those by recent use both. Groups are needed, too, where budgets limit tenants.
 func (s *State) levelOf(o tenantOrdering) level {
-	if s.HasTenants() && o == anyTenant {
+	if s.HasTenants() && o == anyTenant && len(s.budgets.limited) == 0 {
 		return classLevel
 	}
 	return groupLevel
@@ -301,7 +298,7 @@
 // TenantReport is what a pool says about a tenant, for metrics and logs.
 type TenantReport struct {
 	Name string
-	// Share is the weight as a part of that of all tenants with jobs in the pool. Use is what was used lately as a part of
+	// Share is the weight as a part of that of all tenants that the pool knows. Use is what was used lately as a part of
 	// what all have used.
 	Share, Use float64
 }
--- a/fleet/shard/tenants_test.go
+++ b/fleet/shard/tenants_test.go
@@ -160,3 +160,21 @@
 	o.report("a", doneRow(1, orders[0]))
 	require.InDelta(t, 3, o.Tenant("t").Account.Use(began), 0.1)
 }
+
+// Guards against a tenant at its budget that keeps others from starting since its turn comes first.
+func TestTenantsAtTheirBudgetHoldUpNoOthers(t *testing.T) {
+	for _, overloaded := range []bool{false, true} {
+		o := newOwner(t, 1, "a", "b")
+		o.configureTenants(port.Tenant{Name: "t", Weight: 9}, port.Tenant{Name: "other", Weight: 1})
+		o.configureCap(1, capOf)
+		o.submitAs("t", "0", smallStep(10))
+		o.submitAs("other", "1", smallStep(10))
+		o.Overloaded = overloaded
+		planWithTenants[shard.RecentUse](o)
+		orders := o.TakeOrders()
+		require.Len(t, orders, 8)
+		for i := range orders {
+			require.Equal(t, "1", orders[i].Ref.Job)
+		}
+	}
+}
--- a/oper/root/root.go
+++ b/oper/root/root.go
@@ -11,11 +11,13 @@
 	"carawaymux.dev/fleet/build"
 	"carawaymux.dev/oper/budget"
 	"carawaymux.dev/oper/call"
+	"carawaymux.dev/oper/config"
 	"carawaymux.dev/oper/deps"
 	"carawaymux.dev/oper/entry"
 	"carawaymux.dev/oper/exits"
 	"carawaymux.dev/oper/host"
 	"carawaymux.dev/oper/jobs"
+	"carawaymux.dev/oper/keys"
 	"carawaymux.dev/oper/logs"
 	"carawaymux.dev/oper/pool"
 	"carawaymux.dev/oper/query"
@@ -51,8 +53,8 @@
 	cmd.PersistentFlags().StringVar(&flags.Entry, "entry", "", "base `URLs` of entries, separated by commas; the first that answers is used")
 	cmd.PersistentFlags().StringVar(&flags.Author, "author", "", "`name` of the author of published records")
 	cmd.AddCommand(
-		budget.New(f), pool.New(f), host.New(f), jobs.New(f), quota.New(f), wave.New(f), logs.New(f),
-		record.New(f), query.New(f), call.New(f), entry.New(f), status.New(f, nil),
+		budget.New(f), pool.New(f), host.New(f), jobs.New(f), quota.New(f), keys.New(f), wave.New(f), logs.New(f),
+		record.New(f), query.New(f), call.New(f), entry.New(f), status.New(f, nil), config.New(f),
 	)
 	return cmd
 }
@@ -76,7 +78,7 @@
 // for them, so the texts are compared.
 func isUsageError(err error) bool {
 	text := err.Error()
-	for _, phrase := range []string{"unknown command", "required flag", "accepts ", "requires at least", "at least one of the flags"} {
+	for _, phrase := range []string{"unknown command", "required flag", "accepts ", "requires at least", "at least one of the flags", "none of the others can be"} {
 		if strings.Contains(text, phrase) {
 			return true
 		}
