Reserve memory for the fields of a head

Cause: memory was reserved by the bytes of a head only, four for each. A field of five bytes becomes two strings, a list and an entry of a map, about 90 bytes, so a head of 16 KiB took up to 250 KB and reserved 48, and the first 4 KiB, which reserve nothing, took up to 115 KB.

The connection now counts the lines of a head as they arrive and reserves 128 bytes for each besides, before the server sees them. Lines that arrive with the request before, in the server's buffer, count too. With TLS the lines cannot be told apart; beyond the first 4 KiB the shortest are assumed. A head of up to 96 lines in 1 KiB still reserves nothing.

The crowd learns nine more ways to misuse a connection (requests that wait to be continued, trickled bodies and bodies just above the least rate, chunk extensions, trailers, many fields, complete bodies, half-closed and reconnecting clients), with tests of each and of all at once.

--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -12,12 +12,6 @@
 )
 
 const (
-	// freeBytes is the size of a head, and of a body, that counts with the connection, so that small requests reserve nothing.
-	freeBytes = 4 << 10
-	// headStep is the part of a head for which bytes are reserved at a time.
-	headStep = 4 << 10
-	// headFactor is the memory that a head takes for each byte: many short lines become strings and entries of a map.
-	headFactor = 4
 	// headWait limits the wait for bytes for a head. The whole head has to arrive within 3 s.
 	headWait = time.Second
 	// writeStart is the time that a response may take beyond that of its bytes at [shed.MinRate]. It may take twice as
@@ -102,9 +96,8 @@
 	// phase is a shed.Phase. since is when it began and progressAt when the client last made progress in it, both as
 	// durations since the limiter was started. received is the number of bytes that arrived in it.
 	phase, since, progressAt, received atomic.Int64
-	// headLimit is the number of bytes of the head that may be read before more memory is reserved. Only Read uses it, and
-	// only one goroutine reads at a time.
-	headLimit int64
+	// head is what has arrived of the head of the current request.
+	head head
 	// writingSince is 0 unless a write waits for the client.
 	writingSince atomic.Int64
 	// writeBy is the deadline of writes, as a duration since the limiter was started.
@@ -154,35 +147,37 @@
 	c.Close()
 }
 
-// Read reads what has arrived.
+// Read reads what has arrived. What it returns of a head has memory reserved for it.
 func (c *Conn) Read(p []byte) (int, error) {
-	phase := shed.Phase(c.phase.Load())
-	switch phase {
-	case shed.Waiting:
-		c.headLimit = freeBytes
-		p = p[:min(len(p), freeBytes)]
-	case shed.Head:
-		// By the bytes that arrive and not by the calls: a head may arrive byte by byte.
-		for c.received.Load() >= c.headLimit {
-			ctx, cancel := context.WithTimeout(context.Background(), headWait)
-			_, err := c.reserve(ctx, headFactor*headStep)
-			cancel()
-			if err != nil {
-				// The server closes the connection after such an error. After others it calls the request malformed.
-				return 0, &net.OpError{Op: "read", Net: "tcp", Err: err}
-			}
-			c.headLimit += headStep
+	phase, size := shed.Phase(c.phase.Load()), len(p)
+	if phase == shed.Waiting || phase == shed.Head {
+		// A part of the head may have arrived together with the request before it.
+		if err := c.reserveHead(); err != nil {
+			return 0, err
 		}
-		p = p[:min(int64(len(p)), c.headLimit-c.received.Load())]
+		p = p[:min(size, shed.FreeBytes)]
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		if phase == shed.Waiting && c.phase.CompareAndSwap(int64(shed.Waiting), int64(shed.Head)) {
-			c.since.Store(int64(c.listener.limiter.now()))
-			c.received.Store(0)
-		}
-		c.received.Add(int64(n))
-		c.progressAt.Store(int64(c.listener.limiter.now()))
+	if n == 0 {
+		return n, err
+	}
+	if phase == shed.Waiting && c.phase.CompareAndSwap(int64(shed.Waiting), int64(shed.Head)) {
+		c.since.Store(int64(c.listener.limiter.now()))
+		c.received.Store(0)
+	}
+	c.received.Add(int64(n))
+	c.progressAt.Store(int64(c.listener.limiter.now()))
+	encrypted := c.listener.limiter.limits.Encrypted
+	switch inHead := phase == shed.Waiting || phase == shed.Head; {
+	case inHead && encrypted:
+		c.head.addEncrypted(n)
+	case inHead:
+		c.head.add(p[:n])
+	case !encrypted:
+		c.head.skip(p[:n], size)
+	}
+	if err := c.reserveHead(); err != nil {
+		return 0, err
 	}
 	return n, err
 }
@@ -379,6 +374,7 @@
 		}
 		if known := find(c); known != nil && state == http.StateIdle {
 			known.releaseAll()
+			known.head = known.head.next()
 			known.begin(shed.Waiting)
 		}
 	}
@@ -397,6 +393,11 @@
 		hasBody := r.Body != nil && r.Body != http.NoBody
 		c.begin(shed.Running)
 		c.bodyRead.Store(!hasBody)
+		c.head.body = r.ContentLength
+		if c.reserveHead() != nil {
+			// The head arrived together with the request before it.
+			panic(http.ErrAbortHandler)
+		}
 		if hasBody && r.Method != http.MethodPost && r.Method != http.MethodPut {
 			c.endReadBy(w, shed.StartTime)
 		}
--- a/entry/limit/read.go
+++ b/entry/limit/read.go
@@ -102,7 +102,7 @@
 
 // readAll reads a body whose length is known, or is -1.
 func readAll(ctx context.Context, c *Conn, r io.Reader, length, maxBytes int64) ([]byte, []reservation, error) {
-	capacity := int64(freeBytes)
+	capacity := int64(shed.FreeBytes)
 	if length >= 0 {
 		// One more byte lets the reader see the end without growing.
 		capacity = length + 1
@@ -116,7 +116,7 @@
 		held = append(held, h)
 		return err
 	}
-	if capacity > freeBytes+1 {
+	if capacity > shed.FreeBytes+1 {
 		if err := reserve(capacity); err != nil {
 			return nil, held, err
 		}
@@ -124,7 +124,7 @@
 	buffer := make([]byte, 0, capacity)
 	for {
 		if len(buffer) == cap(buffer) {
-			more := min(int64(cap(buffer)), max(maxBytes+1-int64(cap(buffer)), freeBytes))
+			more := min(int64(cap(buffer)), max(maxBytes+1-int64(cap(buffer)), shed.FreeBytes))
 			if err := reserve(more); err != nil {
 				return nil, held, err
 			}
@@ -145,7 +145,7 @@
 // of other clients take what they may take together, until ctx is done.
 func Decode(ctx context.Context, bytes int64, decode func()) error {
 	c := fromContext(ctx)
-	if c == nil || bytes <= freeBytes {
+	if c == nil || bytes <= shed.FreeBytes {
 		decode()
 		return nil
 	}
@@ -166,7 +166,7 @@
 // that do not take theirs are closed. The answer is then sent in any case, since the request may have run.
 func HoldAnswer(ctx context.Context, bytes int64) {
 	c := fromContext(ctx)
-	if c == nil || bytes <= freeBytes {
+	if c == nil || bytes <= shed.FreeBytes {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, headWait)
--- a/fleet/shed/shed.go
+++ b/fleet/shed/shed.go
@@ -16,6 +16,13 @@
 	smallShare = 0.25
 	// SmallBytes is the size up to which a reservation is small.
 	SmallBytes = 16 << 10
+	// FreeBytes is the size of a head, and of a body, that counts with the connection, so that small requests reserve nothing.
+	FreeBytes = 4 << 10
+	// headFactor is the memory that a head takes for each byte, and lineBytes that for each line: a field becomes two strings, a
+	// list and an entry of a map that doubles as it grows.
+	headFactor, lineBytes = 4, 128
+	// MinLineBytes is the size of the shortest header line that the server accepts.
+	MinLineBytes = 3
 	// receiveBuffer and peerBuffer are the sizes of the receive buffers that connections of clients and of peers ask the
 	// kernel for. The kernel takes up to 1.5 and 2 times as much (24,576 and 127,576 bytes measured). A body of 256 KiB
 	// arrives within 0.3 s at a round-trip time of 20 ms; links between entries carry the requests of many callers.
@@ -62,6 +69,8 @@
 	Decode int64
 	// Connections limits the connections of each listener.
 	Connections map[Listener]int
+	// Encrypted tells that connections use TLS, so that heads are known by their bytes only.
+	Encrypted bool
 }
 
 // ReceiveBuffer returns the size of the receive buffer of a connection of a listener.
@@ -100,7 +109,7 @@
 	l := Limits{
 		// One more byte than the message lets a reader see its end.
 		Large: max(int64((1-smallShare)*bytes), p.Largest+1), Small: int64(smallShare * bytes), Decode: int64(smallShare * bytes),
-		Connections: map[Listener]int{},
+		Connections: map[Listener]int{}, Encrypted: p.TLS,
 	}
 	for name, share := range connectionShares {
 		l.Connections[name] = max(int(share*places), 1)
@@ -111,6 +120,11 @@
 // IsSmall reports whether a reservation takes from the share of small ones, given what its client holds already.
 func IsSmall(held, bytes int64) bool { return held+bytes <= SmallBytes }
 
+// HeadBytes returns the memory that a part of a head takes beyond what counts with its connection.
+func HeadBytes(bytes, lines int64) int64 {
+	return max(headFactor*(bytes-FreeBytes)+lineBytes*lines, 0)
+}
+
 // BodyTime returns the time that a body or a frame of some size may take to arrive.
 func BodyTime(bytes int64) time.Duration {
 	return StartTime + time.Duration(float64(bytes)/MinRate*float64(time.Second))
--- a/trial/crowd/crowd.go
+++ b/trial/crowd/crowd.go
@@ -83,8 +83,33 @@
 	// compression and sends fragments that are marked as compressed.
 	Fragments           Kind = "websocket-fragments"
 	CompressedFragments Kind = "websocket-compressed"
+	// Expecting asks to continue with a large body and sends none of it.
+	Expecting Kind = "expect-continue"
+	// Trickle sends a large body byte by byte, and LeastRate at little more than the least rate at which bodies have to arrive.
+	Trickle   Kind = "trickled-body"
+	LeastRate Kind = "body-at-least-rate"
+	// Extensions sends chunks of one byte, each with a long extension. Trailers sends a chunk and then trailer lines without an end.
+	Extensions Kind = "chunk-extensions"
+	Trailers   Kind = "endless-trailers"
+	// ManyFields sends a head of legal size that holds as many fields as possible, without its last line.
+	ManyFields Kind = "many-header-fields"
+	// Complete sends head and body of the largest legal size with one write, again and again.
+	Complete Kind = "complete-bodies"
+	// HalfClosed sends a part of a body and closes its sending direction.
+	HalfClosed Kind = "half-closed"
+	// Reconnecting sends a part of a head, closes the connection and opens another.
+	Reconnecting Kind = "reconnecting"
 )
 
+// BodyKinds are the kinds that send their requests to a path that takes a body, each with few bytes or little processor time for
+// a connection, so that they can be sent together.
+func BodyKinds() []Kind {
+	return []Kind{
+		Whole, Pieces, LargeChunks, SmallChunks, LongHead, EndlessHead, EndlessLines, EmptyLines, Silent, Unread, Pipelined, Expecting, Trickle, LeastRate,
+		Extensions, Trailers, ManyFields, Complete, HalfClosed, Reconnecting,
+	}
+}
+
 // Crowd is a number of clients of one kind. Use [Start].
 type Crowd struct {
 	group  errgroup.Group
@@ -145,7 +170,9 @@
 		}()
 	}
 	send(ctx, conn, t, kind, first)
-	<-ctx.Done()
+	if kind != Reconnecting {
+		<-ctx.Done()
+	}
 }
 
 // request returns the head of a request with a body.
@@ -176,7 +203,7 @@
 	case Whole:
 		write(w, head, string(body(t.Body)[:t.Body-missing]))
 	case Pieces:
-		sendPieces(ctx, w, head, body(t.Body)[:t.Body-missing])
+		sendPieces(ctx, w, head, body(t.Body)[:t.Body-missing], pieceSize, piecePause)
 	case LargeChunks:
 		chunk := string(body(fragmentSize)[:fragmentSize])
 		sendChunks(w, t, number, chunk, t.Body/len(chunk)-1)
@@ -200,6 +227,8 @@
 	case Fragments, CompressedFragments:
 		sendFragments(w, t, kind == CompressedFragments)
 	case Silent:
+	default:
+		sendPartial(ctx, w, t, kind, number)
 	}
 }
 
@@ -213,9 +242,9 @@
 	return true
 }
 
-func sendPieces(ctx context.Context, w io.Writer, head string, content []byte) {
-	for ok := write(w, head); ok && len(content) > 0; sleep(ctx, piecePause) {
-		n := min(pieceSize, len(content))
+func sendPieces(ctx context.Context, w io.Writer, head string, content []byte, size int, pause time.Duration) {
+	for ok := write(w, head); ok && len(content) > 0; sleep(ctx, pause) {
+		n := min(size, len(content))
 		ok = write(w, string(content[:n]))
 		content = content[n:]
 	}
