Keep a share of the memory for links between entries

Callers at one entry saw jobs above 16 KiB refused with 503 for as long as hostile clients held bodies at the entry that owns the pool; a refusal a minute later was the same.

Cause: what an owner holds for the requests of other entries came from the bytes that callers may hold too. Clients that stop short of the end of their bodies keep these used up, and requests on a link are refused at once, since a link must not wait for one of its callers. Frames also waited for the decoded forms of callers' bodies.

Links now have a fifth of the bytes to themselves (7.7 MB on 184 MB) and may take from the other shares as before, and a quarter of the memory of decoded forms. What all clients hold together is unchanged. When a share runs out, the clients chosen are those that hold bytes of that share.

--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -104,9 +104,9 @@
 	writeBy atomic.Int64
 	// blocked counts the readers that wait for bytes.
 	blocked atomic.Int64
-	// smallHeld and largeHeld are the bytes that are reserved.
-	smallHeld, largeHeld atomic.Int64
-	isClosed             atomic.Bool
+	// held are the bytes that are reserved, of each share.
+	held     [shed.Shares]atomic.Int64
+	isClosed atomic.Bool
 	// bodyRead is set once the body of the current request has been read whole.
 	bodyRead atomic.Bool
 }
@@ -114,7 +114,13 @@
 // NetConn returns the connection that c wraps.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-func (c *Conn) held() int64 { return c.smallHeld.Load() + c.largeHeld.Load() }
+func (c *Conn) allHeld() int64 {
+	var sum int64
+	for i := range c.held {
+		sum += c.held[i].Load()
+	}
+	return sum
+}
 
 // begin begins a phase.
 func (c *Conn) begin(p shed.Phase) {
@@ -128,7 +134,7 @@
 // client returns the connection as it is now.
 func (c *Conn) client(now time.Duration) shed.Client {
 	out := shed.Client{
-		Phase: shed.Phase(c.phase.Load()), Held: c.held(), Received: c.received.Load(),
+		Phase: shed.Phase(c.phase.Load()), Held: c.allHeld(), Received: c.received.Load(),
 		Age: now - time.Duration(c.since.Load()), Quiet: now - time.Duration(c.progressAt.Load()),
 	}
 	if w := c.writingSince.Load(); w != 0 {
@@ -224,19 +230,15 @@
 // reservation is a number of bytes that are reserved for a connection.
 type reservation struct {
 	conn  *Conn
-	small bool
+	share shed.Share
 	bytes int64
 }
 
 // reserve reserves bytes. It waits for them until ctx is done.
 func (c *Conn) reserve(ctx context.Context, n int64) (reservation, error) {
-	r, ok := c.tryReserve(n, c.held())
+	r, ok := c.tryReserve(n, c.allHeld())
 	if !ok {
-		from := c.listener.limiter.large
-		if r.small {
-			from = c.listener.limiter.small
-		}
-		if err := c.await(ctx, from, n); err != nil {
+		if err := c.await(ctx, c.listener.limiter.shares[r.share], n); err != nil {
 			return reservation{}, err
 		}
 	}
@@ -247,24 +249,24 @@
 // from which share they are to come.
 func (c *Conn) tryReserve(n, held int64) (reservation, bool) {
 	l := c.listener.limiter
-	r := reservation{conn: c, small: shed.IsSmall(held, n), bytes: n}
-	if r.small && l.small.try(n) {
-		return r, true
+	shares := shed.SharesOf(c.listener.name, held, n)
+	for _, s := range shares {
+		if l.shares[s].try(n) {
+			return reservation{c, s, n}, true
+		}
 	}
-	if l.large.try(n) {
-		r.small = false
-		return r, true
+	// The first share that could have so many.
+	for _, s := range shares {
+		if n <= l.shares[s].size {
+			return reservation{c, s, n}, false
+		}
 	}
-	return r, false
+	return reservation{c, shares[0], n}, false
 }
 
 // hold counts bytes that were taken for the connection, unless it is closed.
 func (c *Conn) hold(r reservation) (reservation, error) {
-	if r.small {
-		c.smallHeld.Add(r.bytes)
-	} else {
-		c.largeHeld.Add(r.bytes)
-	}
+	c.held[r.share].Add(r.bytes)
 	if c.isClosed.Load() {
 		// The connection may have released everything before this.
 		c.releaseAll()
@@ -304,11 +306,7 @@
 	if r.conn == nil {
 		return
 	}
-	l := r.conn.listener.limiter
-	held, from := &r.conn.largeHeld, l.large
-	if r.small {
-		held, from = &r.conn.smallHeld, l.small
-	}
+	held := &r.conn.held[r.share]
 	for {
 		// What is held is less than the reservation if the connection was closed in between.
 		now := held.Load()
@@ -317,19 +315,17 @@
 			return
 		}
 		if held.CompareAndSwap(now, now-n) {
-			from.release(n)
+			r.conn.listener.limiter.shares[r.share].release(n)
 			return
 		}
 	}
 }
 
 func (c *Conn) releaseAll() {
-	l := c.listener.limiter
-	if n := c.smallHeld.Swap(0); n > 0 {
-		l.small.release(n)
-	}
-	if n := c.largeHeld.Swap(0); n > 0 {
-		l.large.release(n)
+	for i := range c.held {
+		if n := c.held[i].Swap(0); n > 0 {
+			c.listener.limiter.shares[i].release(n)
+		}
 	}
 }
 
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -468,3 +468,34 @@
 	status, body := answer(client)
 	require.Equal(t, http.StatusOK, status, body)
 }
+
+// Guards against requests of other entries that are refused since callers hold all bytes.
+func TestRequestsOnALinkAreHeldWhileCallersHoldAllBytes(t *testing.T) {
+	limits := small
+	limits.Links, limits.DecodeLinks = 2*maxBody, maxBody
+	limits.Connections = map[shed.Listener]int{shed.Callers: 16, shed.Peers: 4}
+	s := serve(t, limits, shed.None{}, time.Minute)
+	s.send(t, post(maxBody, 1))
+	s.send(t, post(maxBody, 1))
+	s.awaitBytes(t, 2*maxBody+2)
+	for _, size := range []int64{4 << 10, maxBody} {
+		client, group := servePipe(t, s.Limiter, shed.Peers, func(w http.ResponseWriter, r *http.Request) {
+			release, err := limit.TryHold(r.Context(), size)
+			defer release()
+			if err == nil {
+				err = limit.Decode(r.Context(), maxBody, func() {})
+			}
+			if err != nil {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		})
+		group.Go(func() error {
+			_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: e\r\n\r\n")
+			return err
+		})
+		status, body := answer(client)
+		require.Equal(t, http.StatusOK, status, body)
+	}
+	status, body := answer(s.send(t, post(maxBody, maxBody)))
+	require.Equal(t, http.StatusServiceUnavailable, status, "callers take none of the bytes of links: "+body)
+}
--- a/entry/limit/limiter.go
+++ b/entry/limit/limiter.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -75,19 +76,21 @@
 
 // Limiter holds the limits of a process.
 type Limiter struct {
-	limits       shed.Limits
-	logger       *slog.Logger
-	startedAt    time.Time
-	small, large *share
-	decode       *semaphore.Weighted
-	refused      map[Refusal]*atomic.Int64
-	task         *task.Task[message]
+	limits    shed.Limits
+	logger    *slog.Logger
+	startedAt time.Time
+	shares    [shed.Shares]*share
+	// decode limits the decoded forms of callers' messages, decodeLinks those of frames of links.
+	decode, decodeLinks *semaphore.Weighted
+	refused             map[Refusal]*atomic.Int64
+	task                *task.Task[message]
 }
 
 // Totals are what clients hold, and those refused so far.
 type Totals struct {
 	Small       int64                            `json:"small-bytes"`
 	Large       int64                            `json:"large-bytes"`
+	Links       int64                            `json:"link-bytes"`
 	Connections map[shed.Listener]map[string]int `json:"connections"`
 	Refused     map[Refusal]int64                `json:"refused"`
 	Limits      map[shed.Listener]int            `json:"connection-limits"`
@@ -116,8 +119,11 @@
 // Start starts the limits of a process.
 func Start[P shed.Policy](limits shed.Limits, policy P, logger *slog.Logger) *Limiter {
 	l := &Limiter{
-		limits: limits, logger: logger, startedAt: time.Now(), small: newShare(limits.Small), large: newShare(limits.Large),
-		decode: semaphore.NewWeighted(limits.Decode), refused: map[Refusal]*atomic.Int64{},
+		limits: limits, logger: logger, startedAt: time.Now(), refused: map[Refusal]*atomic.Int64{},
+		decode: semaphore.NewWeighted(limits.Decode), decodeLinks: semaphore.NewWeighted(limits.DecodeLinks),
+	}
+	for i := range l.shares {
+		l.shares[i] = newShare(limits.Size(shed.Share(i)))
 	}
 	for _, why := range refusals {
 		l.refused[why] = new(atomic.Int64)
@@ -157,7 +163,7 @@
 		if armed {
 			continue
 		}
-		if c.limiter.small.waitingOn.Load()+c.limiter.large.waitingOn.Load() > 0 || c.limiter.refusedCount() > c.logged {
+		if c.limiter.isShort() || c.limiter.refusedCount() > c.logged {
 			armed = true
 			retry.Reset(retryInterval)
 		}
@@ -196,16 +202,25 @@
 	return conns, clients
 }
 
-// shedBytes closes connections that hold bytes for which readers wait.
+// isShort reports whether a reader waits for bytes.
+func (l *Limiter) isShort() bool {
+	return slices.ContainsFunc(l.shares[:], func(s *share) bool { return s.waitingOn.Load() > 0 })
+}
+
+// shedBytes closes connections that hold bytes of shares for which readers wait.
 func (c *core[P]) shedBytes() {
-	l := c.limiter
-	need := l.small.waitingOn.Load() + l.large.waitingOn.Load()
-	if need <= 0 {
-		return
-	}
-	conns, clients := c.clients(func(conn *Conn) bool { return conn.held() > 0 })
-	for _, i := range c.policy.Holders(clients, need) {
-		conns[i].shed(Held)
+	for i, s := range c.limiter.shares {
+		need := s.waitingOn.Load()
+		if need <= 0 {
+			continue
+		}
+		conns, clients := c.clients(func(conn *Conn) bool { return conn.held[i].Load() > 0 })
+		for n, conn := range conns {
+			clients[n].Held = conn.held[i].Load()
+		}
+		for _, n := range c.policy.Holders(clients, need) {
+			conns[n].shed(Held)
+		}
 	}
 }
 
@@ -229,6 +244,8 @@
 	}
 }
 
+func (l *Limiter) used(s shed.Share) int64 { return l.shares[s].used.Load() }
+
 func (l *Limiter) refusedCount() int64 {
 	var sum int64
 	for _, n := range l.refused {
@@ -245,7 +262,7 @@
 	if sum == c.logged || now-c.loggedAt < logInterval {
 		return
 	}
-	attrs := []any{"since-last", sum - c.logged, "connections", len(c.open), "small-bytes", l.small.used.Load(), "large-bytes", l.large.used.Load()}
+	attrs := []any{"since-last", sum - c.logged, "connections", len(c.open), "small-bytes", l.used(shed.SmallShare), "large-bytes", l.used(shed.LargeShare), "link-bytes", l.used(shed.LinkShare)}
 	for _, why := range refusals {
 		attrs = append(attrs, string(why), l.refused[why].Load())
 	}
@@ -256,7 +273,7 @@
 func (c *core[P]) totals() Totals {
 	l := c.limiter
 	t := Totals{
-		Small: l.small.used.Load(), Large: l.large.used.Load(), Connections: map[shed.Listener]map[string]int{}, Refused: map[Refusal]int64{},
+		Small: l.used(shed.SmallShare), Large: l.used(shed.LargeShare), Links: l.used(shed.LinkShare), Connections: map[shed.Listener]map[string]int{}, Refused: map[Refusal]int64{},
 		Limits: l.limits.Connections,
 	}
 	conns, clients := c.clients(func(*Conn) bool { return true })
--- a/entry/limit/read.go
+++ b/entry/limit/read.go
@@ -150,14 +150,18 @@
 		return nil
 	}
 	l := c.listener.limiter
+	free, size := l.decode, l.limits.Decode
+	if c.listener.name == shed.Peers {
+		free, size = l.decodeLinks, l.limits.DecodeLinks
+	}
 	ctx, cancel := context.WithTimeout(ctx, shed.StartTime)
 	defer cancel()
-	n := min(bytes, l.limits.Decode)
-	if err := l.decode.Acquire(ctx, n); err != nil {
+	n := min(bytes, size)
+	if err := free.Acquire(ctx, n); err != nil {
 		l.refused[Exhausted].Add(1)
 		return ErrExhausted
 	}
-	defer l.decode.Release(n)
+	defer free.Release(n)
 	decode()
 	return nil
 }
--- a/fleet/shed/shed.go
+++ b/fleet/shed/shed.go
@@ -14,6 +14,11 @@
 	byteShare, connectionShare = 0.2, 0.25
 	// smallShare is the share of the bytes that only small reservations take, so that large ones cannot use up all.
 	smallShare = 0.25
+	// linkShare is the share of the bytes that only links between entries take, so that callers cannot use up what other
+	// entries send.
+	linkShare = 0.2
+	// decodeShare is the memory of decoded forms against the bytes. Links have smallShare of it.
+	decodeShare = 0.25
 	// SmallBytes is the size up to which a reservation is small.
 	SmallBytes = 16 << 10
 	// FreeBytes is the size of a head, and of a body, that counts with the connection, so that small requests reserve nothing.
@@ -61,12 +66,27 @@
 // connectionShares holds the share of the accepted connections of each listener. No listener can take the places of another.
 var connectionShares = map[Listener]float64{Callers: 0.75, Peers: 0.125, Readiness: 0.0625, Metrics: 0.0625}
 
+// Share is a part of the bytes that clients may hold together.
+type Share int
+
+// The shares.
+const (
+	SmallShare Share = iota
+	LargeShare
+	LinkShare
+	// Shares is the number of shares.
+	Shares
+)
+
 // Limits are what clients may hold together. Sizes are in bytes.
 type Limits struct {
 	// Large and Small limit the reservations above [SmallBytes], and up to it.
 	Large, Small int64
-	// Decode limits the memory of the decoded forms that are built at a time.
-	Decode int64
+	// Links limits what only links between entries take. They may take from the other shares too.
+	Links int64
+	// Decode limits the memory of the decoded forms of callers' messages that are built at a time, and DecodeLinks those of
+	// frames of links.
+	Decode, DecodeLinks int64
 	// Connections limits the connections of each listener.
 	Connections map[Listener]int
 	// Encrypted tells that connections use TLS, so that heads are known by their bytes only.
@@ -108,7 +128,8 @@
 	places := min(connectionShare*float64(p.Memory)/each, acceptedShare*float64(max(p.Descriptors-reservedDescriptors, 0)))
 	l := Limits{
 		// One more byte than the message lets a reader see its end.
-		Large: max(int64((1-smallShare)*bytes), p.Largest+1), Small: int64(smallShare * bytes), Decode: int64(smallShare * bytes),
+		Large: max(int64((1-smallShare-linkShare)*bytes), p.Largest+1), Small: int64(smallShare * bytes), Links: int64(linkShare * bytes),
+		Decode: int64((1 - smallShare) * decodeShare * bytes), DecodeLinks: int64(smallShare * decodeShare * bytes),
 		Connections: map[Listener]int{}, Encrypted: p.TLS,
 	}
 	for name, share := range connectionShares {
@@ -117,8 +138,29 @@
 	return l
 }
 
-// IsSmall reports whether a reservation takes from the share of small ones, given what its client holds already.
-func IsSmall(held, bytes int64) bool { return held+bytes <= SmallBytes }
+// The shares of reservations, in the order in which they are tried.
+var (
+	smallShares, largeShares         = []Share{SmallShare, LargeShare}, []Share{LargeShare}
+	smallLinkShares, largeLinkShares = []Share{LinkShare, SmallShare, LargeShare}, []Share{LinkShare, LargeShare}
+)
+
+// SharesOf returns the shares from which a client of a listener may reserve bytes, in the order in which they are tried, given
+// what it holds already. The result must not be modified.
+func SharesOf(name Listener, held, bytes int64) []Share {
+	isSmall := held+bytes <= SmallBytes
+	switch {
+	case name == Peers && isSmall:
+		return smallLinkShares
+	case name == Peers:
+		return largeLinkShares
+	case isSmall:
+		return smallShares
+	}
+	return largeShares
+}
+
+// Size returns the number of bytes of a share.
+func (l *Limits) Size(s Share) int64 { return [...]int64{l.Small, l.Large, l.Links}[s] }
 
 // HeadBytes returns the memory that a part of a head takes beyond what counts with its connection.
 func HeadBytes(bytes, lines int64) int64 {
@@ -157,7 +199,7 @@
 // Client is a connection as it is now.
 type Client struct {
 	Phase Phase
-	// Held is the number of bytes that are reserved for it.
+	// Held is the number of bytes that are reserved for it, of the share that has run out.
 	Held int64
 	// Received is the number of bytes that arrived in its phase.
 	Received int64
--- a/fleet/shed/shed_test.go
+++ b/fleet/shed/shed_test.go
@@ -12,12 +12,15 @@
 // Guards against limits under which the largest legal request is never served on the smallest entry, and against
 // connections that use up descriptors.
 func TestLimitsFollowTheMemoryAndTheDescriptors(t *testing.T) {
-	const mb, body, frame = 1 << 20, 256 << 10, 8 << 20
+	const mb, body, frame, largestJob = 1 << 20, 256 << 10, 8 << 20, 4<<10 + 256*256
 	for _, memory := range []int64{0, 184 * mb, 284 * mb, 536 * mb} {
 		l := shed.Derive(shed.Process{Memory: memory})
 		require.Greater(t, l.Large, int64(frame+body))
 		require.Greater(t, l.Decode, int64(body))
 		require.Less(t, l.Large+l.Small, max(memory, 184*mb)/4)
+		require.Less(t, l.Large+l.Small+l.Links, max(memory, 184*mb)/4)
+		require.LessOrEqual(t, l.Decode+l.DecodeLinks, max(memory, 184*mb)/20)
+		require.Greater(t, l.Links, int64(16*largestJob))
 		require.Greater(t, l.Connections[shed.Callers], 512)
 	}
 	few := shed.Derive(shed.Process{Memory: 536 * mb, Descriptors: 300})
@@ -61,6 +64,16 @@
 	require.GreaterOrEqual(t, shed.BodyTime(256<<10), 3*time.Second)
 }
 
+// Guards against callers that use up what links between entries need, and links that are refused though there is room.
+func TestLinksHaveAShareOfTheirOwn(t *testing.T) {
+	for _, bytes := range []int64{shed.SmallBytes, shed.SmallBytes + 1} {
+		require.NotContains(t, shed.SharesOf(shed.Callers, 0, bytes), shed.LinkShare)
+		links := shed.SharesOf(shed.Peers, 0, bytes)
+		require.Equal(t, shed.LinkShare, links[0])
+		require.Equal(t, shed.SharesOf(shed.Callers, 0, bytes), links[1:])
+	}
+}
+
 // Guards against a choice that panics, repeats a client or takes one that is being served.
 func FuzzHolders(f *testing.F) {
 	f.Add([]byte{1, 2, 3, 4, 5, 6, 7, 8}, int64(10))
--- a/trial/crowd/crowd_test.go
+++ b/trial/crowd/crowd_test.go
@@ -68,31 +68,41 @@
 // startEntry starts an entry of carawaymux with limits of its settings.
 func startEntry(t *testing.T, limits string) *victim {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), answerTime)
-	t.Cleanup(cancel)
 	ports, err := procs.FreePorts(1)
 	require.NoError(t, err)
 	metrics := ports[0]
-	layout := fake.Layout{
-		Pools: map[string]int{pool: 2}, EntryLimits: limits, EntryArgs: []string{"--metrics", strings.Split(metrics, ":")[1]},
-		Timing: fake.Timing{MaxLease: 10 * time.Second, MoveDuration: time.Second, MaintenanceDuration: time.Second, HeartbeatInterval: 300 * time.Millisecond},
-	}
+	d := startEntries(t, 1, fake.Layout{EntryLimits: limits, EntryArgs: []string{"--metrics", strings.Split(metrics, ":")[1]}})
+	v := newVictim(d, d.Entries[0])
+	v.metrics = crowd.Target{Address: metrics, Host: "e", Path: "/metrics", Body: maxBody}
+	return v
+}
+
+// startEntries starts entries of carawaymux on a platform with a pool of two hosts.
+func startEntries(t *testing.T, count int, layout fake.Layout) *fake.Deployment {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), answerTime)
+	t.Cleanup(cancel)
+	layout.Pools = map[string]int{pool: 2}
+	layout.Timing = fake.Timing{MaxLease: 10 * time.Second, MoveDuration: time.Second, MaintenanceDuration: time.Second, HeartbeatInterval: 300 * time.Millisecond}
 	platform, err := fake.New(layout)
 	require.NoError(t, err)
 	t.Cleanup(platform.Close)
 	require.NoError(t, platform.Publish("config", fake.Config(1, layout)))
-	d, err := fake.NewDeployment(platform, bin, t.TempDir(), 1)
+	d, err := fake.NewDeployment(platform, bin, t.TempDir(), count)
 	require.NoError(t, err)
 	t.Cleanup(d.KillAll)
 	require.NoError(t, d.StartAll(ctx))
-	e := d.Entries[0]
+	return d
+}
+
+// newVictim returns an entry of a deployment as one to send crowds to.
+func newVictim(d *fake.Deployment, e *fake.Entry) *victim {
 	last := 0
-	v := &victim{
+	return &victim{
 		proc:    e.Proc(),
 		callers: crowd.Target{Address: e.CallerAddress, Host: fake.VirtualHost, Path: fake.QueuePath(pool) + "%016x", Body: maxBody},
 		ready:   crowd.Target{Address: e.ReadyAddress, Host: "e", Path: "/v1/readiness", Body: maxBody},
 		peer:    crowd.Target{Address: e.PeerAddress, Host: "e", Path: "/v1/peer", Body: maxBody, Message: maxFrame},
-		metrics: crowd.Target{Address: metrics, Host: "e", Path: "/metrics", Body: maxBody},
 		ask: func(ctx context.Context) error {
 			last++
 			status, _ := d.Submit(ctx, e, pool, fmt.Sprintf("ffffffff%08x", last), "10", fake.StepSpec{Count: 1, EstimatedMS: 10})
@@ -102,7 +112,6 @@
 			return nil
 		},
 	}
-	return v
 }
 
 // startDaemon starts an entry of carawayd with limits of its settings.
--- /dev/null
+++ b/trial/crowd/others_test.go
@@ -0,0 +1,62 @@
+package crowd_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"carawaymux.dev/trial/crowd"
+	"carawaymux.dev/trial/fake"
+	"carawaymux.dev/trial/procs"
+)
+
+// manySteps is the number of steps of a job that takes more than a small reservation on a link.
+const manySteps = 200
+
+// startPair starts two entries and returns the one that owns the pool, and the other.
+func startPair(t *testing.T, layout fake.Layout) (d *fake.Deployment, owner, other *fake.Entry) {
+	t.Helper()
+	d = startEntries(t, 2, layout)
+	ctx, cancel := context.WithTimeout(t.Context(), answerTime)
+	defer cancel()
+	require.NoError(t, procs.WaitFor(ctx, "an owner", func(ctx context.Context) error {
+		if owner = d.Owner(pool); owner == nil {
+			return fmt.Errorf("pool %s has no owner", pool)
+		}
+		return newVictim(d, owner).ask(ctx)
+	}))
+	other = d.Entries[0]
+	if other == owner {
+		other = d.Entries[1]
+	}
+	return d, owner, other
+}
+
+// Guards against an owner that refuses the large requests of other entries for as long as callers hold all memory there.
+func TestLargeRequestsOfOtherEntriesAreServedUnderACrowd(t *testing.T) {
+	d, owner, other := startPair(t, fake.Layout{EntryLimits: limits(memoryMB, descriptors)})
+	c := crowd.Start(newVictim(d, owner).callers, crowd.Whole, clients)
+	defer c.Close()
+	time.Sleep(hold)
+	steps := make([]fake.StepSpec, manySteps)
+	for i := range steps {
+		steps[i] = fake.StepSpec{Count: 1, EstimatedMS: 1}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), answerTime)
+	defer cancel()
+	number := 0
+	require.NoError(t, procs.WaitFor(ctx, "a large job", func(ctx context.Context) error {
+		number++
+		status, _ := d.Submit(ctx, other, pool, fmt.Sprintf("eeeeeeee%08x", number), "1", steps...)
+		if status != http.StatusOK {
+			return fmt.Errorf("status %d", status)
+		}
+		return nil
+	}))
+	require.NoError(t, owner.Proc().CheckRunning())
+	require.Equal(t, owner, d.Owner(pool), "the pool has another owner")
+}
