--- a/trial/crowd/crowd_test.go
+++ b/trial/crowd/crowd_test.go
@@ -59,6 +59,8 @@
 	callers, ready, peer, metrics, operators crowd.Target
 	// ask sends an ordinary request and returns an error unless it was served.
 	ask func(context.Context) error
+	// runs returns how often requests ran, by their IDs. It is nil for an entry of carawaymux.
+	runs func(context.Context) map[string]int
 }
 
 func limits(memory, files int) string {
@@ -143,6 +145,7 @@
 			}
 			return err
 		},
+		runs: func(ctx context.Context) map[string]int { return s.Totals(ctx).Runs },
 	}
 }
 
