Bound the log lines that clients cause

Operators lost log lines during an attack: 400 clients caused 2,000 lines a second, and what the entry had to say about its store, its hosts and its pools was dropped with them.

Cause: each job specification that was rejected, each refused request and each connection to the peer listener that is no link had a line of its own, and a process writes 2,000 lines a second of all kinds together.

Evidence: crowd.TestACrowdDropsNoLogLines sees dropped lines on the code before and none after.

--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/coder/websocket"
 
 	"carawaymux.dev/entry/limit"
+	"carawaymux.dev/entry/sink"
 	"carawaymux.dev/fleet/codec"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/task"
@@ -25,6 +27,8 @@
 	writeTimeout = 5 * time.Second
 	// dialTimeout bounds the opening of a link.
 	dialTimeout = 2 * time.Second
+	// maxFailures is the number of log lines in a second about links that could not be accepted.
+	maxFailures = 5
 	// outboxFrames is the largest number of frames waiting to be written.
 	outboxFrames = 256
 )
@@ -91,6 +95,17 @@
 	return c, nil
 }
 
+// FailureLog returns a function that logs that links from peers could not be accepted, in a limited number of lines, since
+// whoever reaches the listener can cause them.
+func FailureLog(logger *slog.Logger, message string) func(peer string, err error) {
+	quota := sink.NewQuota(maxFailures)
+	return func(peer string, err error) {
+		if skipped, ok := quota.Take(time.Now()); ok {
+			logger.Warn(message, "peer", peer, "err", err, "skipped", skipped)
+		}
+	}
+}
+
 // start starts the tasks of a link. The frames that it receives are limited as those of the connection of a request.
 func start[F any](request context.Context, ws *websocket.Conn, peer string, onFrame func(F)) *Conn[F] {
 	ws.SetReadLimit(MaxFrameBytes)
--- a/entry/member/link.go
+++ b/entry/member/link.go
@@ -222,12 +222,13 @@
 
 // Handler accepts control links from peers. Each request ends when its link ends.
 func (t *Tracker) Handler() http.Handler {
+	logFailure := link.FailureLog(t.logger, "control link from peer could not be accepted")
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, err := link.Accept(w, r, r.RemoteAddr, func(c *link.Conn[frame], f frame) {
 			t.onFrame(r.Context(), c, f)
 		})
 		if err != nil {
-			t.logger.Warn("control link from peer could not be accepted", "err", err)
+			logFailure(r.RemoteAddr, err)
 			return
 		}
 		defer conn.Close()
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -327,6 +327,7 @@
 
 // Handler accepts links from other entries and answers their requests with the function answer.
 func Handler(logger *slog.Logger, answer func(context.Context, Request) owner.Answer) http.Handler {
+	logFailure := link.FailureLog(logger, "link from peer could not be accepted")
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -353,7 +354,7 @@
 			}()
 		})
 		if err != nil {
-			logger.Warn("link from peer could not be accepted", "peer", r.RemoteAddr, "err", err)
+			logFailure(r.RemoteAddr, err)
 			return
 		}
 		<-conn.Broken()
--- a/entry/relay/server.go
+++ b/entry/relay/server.go
@@ -28,6 +28,8 @@
 	incarnation  uint64
 	maxBodyBytes int
 	logger       *slog.Logger
+	// logFailure logs that a link could not be accepted.
+	logFailure func(peer string, err error)
 	// requests is the parent of the contexts of all requests.
 	requests context.Context
 	// links counts the links, so that Close can wait for their ends.
@@ -47,7 +49,8 @@
 func NewServer(handler work.Handler, incarnation uint64, maxBodyBytes int, logger *slog.Logger, opts ...ServerOption) *Server {
 	s := &Server{
 		handler: handler, incarnation: incarnation, maxBodyBytes: maxBodyBytes, logger: logger,
-		requests: context.Background(), stopping: make(chan struct{}),
+		logFailure: link.FailureLog(logger, "link for forwarded requests could not be accepted"),
+		requests:   context.Background(), stopping: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -121,7 +124,7 @@
 		_ = st.linkTask.Send(r.Context(), serverMessage{received: &f})
 	})
 	if err != nil {
-		s.logger.Warn("link for forwarded requests could not be accepted", "err", err)
+		s.logFailure(r.RemoteAddr, err)
 		return
 	}
 	defer conn.Close()
--- a/trial/crowd/others_test.go
+++ b/trial/crowd/others_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,3 +62,23 @@
 	require.NoError(t, owner.Proc().CheckRunning())
 	require.Equal(t, owner, d.Owner(pool), "the pool has another owner")
 }
+
+// Guards against clients that fill the log, so that the lines that an operator needs are dropped.
+func TestACrowdDropsNoLogLines(t *testing.T) {
+	v := startEntry(t, limits(memoryMB, descriptors))
+	ctx, cancel := context.WithTimeout(t.Context(), answerTime)
+	defer cancel()
+	require.NoError(t, procs.WaitFor(ctx, "first request", v.ask))
+	for _, target := range []crowd.Target{v.callers, v.peer} {
+		for _, kind := range []crowd.Kind{crowd.Pipelined, crowd.Unread} {
+			c := crowd.Start(target, kind, clients/4)
+			defer c.Close()
+		}
+	}
+	time.Sleep(hold)
+	log, err := os.ReadFile(v.proc.Log)
+	require.NoError(t, err)
+	t.Logf("%d lines", strings.Count(string(log), "\n"))
+	require.True(t, strings.Contains(string(log), "job specification rejected"), "the crowd caused no line")
+	require.False(t, strings.Contains(string(log), "log lines dropped"), "log lines were dropped")
+}
