Let no reader of a part of a frame keep what others need

Callers saw bodies above 16 KiB refused for as long as 40 clients held the peer listener of an entry with WebSocket messages that never end, and with other entries the same for the jobs that they forwarded.

Cause: a message is reserved in doubling steps. Readers that hold some bytes and wait for more count as waiting and are not closed, so once all wait for each other nobody is.

A reader that holds bytes now waits for more for at most half a second. Frames while they arrive, and requests of other entries while they run, have a tenth of the bytes each (on 184 MB 3.9 MB, 16 jobs of the largest size at a time and more); both may take from callers' shares too, but not the first frame of a link, which whoever reaches the listener can begin.

--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -107,6 +107,8 @@
 	// held are the bytes that are reserved, of each share.
 	held     [shed.Shares]atomic.Int64
 	isClosed atomic.Bool
+	// served is set once a request was answered, or a frame received whole.
+	served atomic.Bool
 	// bodyRead is set once the body of the current request has been read whole.
 	bodyRead atomic.Bool
 }
@@ -235,8 +237,8 @@
 }
 
 // reserve reserves bytes. It waits for them until ctx is done.
-func (c *Conn) reserve(ctx context.Context, n int64) (reservation, error) {
-	r, ok := c.tryReserve(n, c.allHeld())
+func (c *Conn) reserve(ctx context.Context, use shed.Use, n int64) (reservation, error) {
+	r, ok := c.tryReserve(n, shed.SharesOf(use, c.allHeld(), n))
 	if !ok {
 		if err := c.await(ctx, c.listener.limiter.shares[r.share], n); err != nil {
 			return reservation{}, err
@@ -245,11 +247,9 @@
 	return c.hold(r)
 }
 
-// tryReserve takes bytes if there are some. held is what counts with them against the size of small reservations. The reservation says
-// from which share they are to come.
-func (c *Conn) tryReserve(n, held int64) (reservation, bool) {
+// tryReserve takes bytes of the first share that has some. Otherwise, the reservation says from which share they are to come.
+func (c *Conn) tryReserve(n int64, shares []shed.Share) (reservation, bool) {
 	l := c.listener.limiter
-	shares := shed.SharesOf(c.listener.name, held, n)
 	for _, s := range shares {
 		if l.shares[s].try(n) {
 			return reservation{c, s, n}, true
@@ -370,6 +370,7 @@
 		}
 		if known := find(c); known != nil && state == http.StateIdle {
 			known.releaseAll()
+			known.served.Store(true)
 			known.head = known.head.next()
 			known.begin(shed.Waiting)
 		}
--- a/entry/limit/head.go
+++ b/entry/limit/head.go
@@ -84,7 +84,7 @@
 	missing += headStep - 1 - (missing-1)%headStep
 	ctx, cancel := context.WithTimeout(context.Background(), headWait)
 	defer cancel()
-	if _, err := c.reserve(ctx, missing); err != nil {
+	if _, err := c.reserve(ctx, shed.Request, missing); err != nil {
 		// The server closes the connection after such an error. After others it calls the request malformed.
 		return &net.OpError{Op: "read", Net: "tcp", Err: err}
 	}
--- a/entry/limit/limiter.go
+++ b/entry/limit/limiter.go
@@ -90,7 +90,8 @@
 type Totals struct {
 	Small       int64                            `json:"small-bytes"`
 	Large       int64                            `json:"large-bytes"`
-	Links       int64                            `json:"link-bytes"`
+	Frames      int64                            `json:"frame-bytes"`
+	Forwarded   int64                            `json:"forwarded-bytes"`
 	Connections map[shed.Listener]map[string]int `json:"connections"`
 	Refused     map[Refusal]int64                `json:"refused"`
 	Limits      map[shed.Listener]int            `json:"connection-limits"`
@@ -262,7 +263,8 @@
 	if sum == c.logged || now-c.loggedAt < logInterval {
 		return
 	}
-	attrs := []any{"since-last", sum - c.logged, "connections", len(c.open), "small-bytes", l.used(shed.SmallShare), "large-bytes", l.used(shed.LargeShare), "link-bytes", l.used(shed.LinkShare)}
+	attrs := []any{"since-last", sum - c.logged, "connections", len(c.open), "small-bytes", l.used(shed.SmallShare), "large-bytes", l.used(shed.LargeShare),
+		"frame-bytes", l.used(shed.FrameShare), "forwarded-bytes", l.used(shed.ForwardShare)}
 	for _, why := range refusals {
 		attrs = append(attrs, string(why), l.refused[why].Load())
 	}
@@ -273,7 +275,8 @@
 func (c *core[P]) totals() Totals {
 	l := c.limiter
 	t := Totals{
-		Small: l.used(shed.SmallShare), Large: l.used(shed.LargeShare), Links: l.used(shed.LinkShare), Connections: map[shed.Listener]map[string]int{}, Refused: map[Refusal]int64{},
+		Small: l.used(shed.SmallShare), Large: l.used(shed.LargeShare), Frames: l.used(shed.FrameShare), Forwarded: l.used(shed.ForwardShare),
+		Connections: map[shed.Listener]map[string]int{}, Refused: map[Refusal]int64{},
 		Limits: l.limits.Connections,
 	}
 	conns, clients := c.clients(func(*Conn) bool { return true })
--- a/entry/limit/read.go
+++ b/entry/limit/read.go
@@ -14,6 +14,9 @@
 // ErrSlow reports that a body did not arrive at the least rate. The request has not run.
 var ErrSlow = errors.New("the body did not arrive in time")
 
+// growTimeout limits the wait of a reader for more bytes than it holds, since readers that hold some can wait for each other.
+const growTimeout = 500 * time.Millisecond
+
 // expired is a deadline that ends reads at once.
 var expired = time.Unix(1, 0)
 
@@ -48,7 +51,7 @@
 		c.begin(shed.Body)
 		defer c.begin(shed.Running)
 	}
-	raw, _, err := readAll(ctx, c, http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength, maxBytes)
+	raw, _, err := readAll(ctx, c, shed.Request, http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength, maxBytes)
 	if err != nil && errors.Is(context.Cause(ctx), ErrSlow) {
 		if c != nil {
 			c.listener.limiter.refused[Slow].Add(1)
@@ -81,9 +84,14 @@
 		closeLink()
 	})
 	defer stop()
+	use := shed.Frame
+	if !c.served.Load() {
+		use = shed.FirstFrame
+	}
 	c.begin(shed.Body)
-	raw, held, err := readAll(ctx, c, r, -1, maxBytes)
+	raw, held, err := readAll(ctx, c, use, r, -1, maxBytes)
 	if err == nil {
+		c.served.Store(true)
 		c.begin(shed.Link)
 	}
 	return raw, func() {
@@ -101,7 +109,7 @@
 }
 
 // readAll reads a body whose length is known, or is -1.
-func readAll(ctx context.Context, c *Conn, r io.Reader, length, maxBytes int64) ([]byte, []reservation, error) {
+func readAll(ctx context.Context, c *Conn, use shed.Use, r io.Reader, length, maxBytes int64) ([]byte, []reservation, error) {
 	capacity := int64(shed.FreeBytes)
 	if length >= 0 {
 		// One more byte lets the reader see the end without growing.
@@ -112,7 +120,13 @@
 		if c == nil {
 			return nil
 		}
-		h, err := c.reserve(ctx, n)
+		ctx := ctx
+		if len(held) > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, growTimeout)
+			defer cancel()
+		}
+		h, err := c.reserve(ctx, use, n)
 		held = append(held, h)
 		return err
 	}
@@ -175,7 +189,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, headWait)
 	defer cancel()
-	_, _ = c.reserve(ctx, bytes)
+	_, _ = c.reserve(ctx, shed.Request, bytes)
 }
 
 // TryHold reserves bytes for a request of a link, until the function that it returns is called, perhaps more than once. It
@@ -186,7 +200,7 @@
 		return func() {}, nil
 	}
 	// A link carries the requests of many callers, so each counts by itself.
-	r, ok := c.tryReserve(bytes, 0)
+	r, ok := c.tryReserve(bytes, shed.SharesOf(shed.Forwarded, 0, bytes))
 	if !ok {
 		c.listener.limiter.refused[Exhausted].Add(1)
 		return func() {}, ErrExhausted
--- a/fleet/shed/shed.go
+++ b/fleet/shed/shed.go
@@ -14,9 +14,9 @@
 	byteShare, connectionShare = 0.2, 0.25
 	// smallShare is the share of the bytes that only small reservations take, so that large ones cannot use up all.
 	smallShare = 0.25
-	// linkShare is the share of the bytes that only links between entries take, so that callers cannot use up what other
-	// entries send.
-	linkShare = 0.2
+	// frameShare and forwardShare are the shares of the bytes that frames of links take while they arrive, and requests of
+	// other entries while they run. Neither callers nor those who send parts of frames can use up the latter.
+	frameShare, forwardShare = 0.1, 0.1
 	// decodeShare is the memory of decoded forms against the bytes. Links have smallShare of it.
 	decodeShare = 0.25
 	// SmallBytes is the size up to which a reservation is small.
@@ -73,7 +73,8 @@
 const (
 	SmallShare Share = iota
 	LargeShare
-	LinkShare
+	FrameShare
+	ForwardShare
 	// Shares is the number of shares.
 	Shares
 )
@@ -82,8 +83,9 @@
 type Limits struct {
 	// Large and Small limit the reservations above [SmallBytes], and up to it.
 	Large, Small int64
-	// Links limits what only links between entries take. They may take from the other shares too.
-	Links int64
+	// Frames limits frames of links while they arrive, and Forwarded the requests of other entries. Both may take from the
+	// other two shares too, but for the first frame of a link.
+	Frames, Forwarded int64
 	// Decode limits the memory of the decoded forms of callers' messages that are built at a time, and DecodeLinks those of
 	// frames of links.
 	Decode, DecodeLinks int64
@@ -128,7 +130,8 @@
 	places := min(connectionShare*float64(p.Memory)/each, acceptedShare*float64(max(p.Descriptors-reservedDescriptors, 0)))
 	l := Limits{
 		// One more byte than the message lets a reader see its end.
-		Large: max(int64((1-smallShare-linkShare)*bytes), p.Largest+1), Small: int64(smallShare * bytes), Links: int64(linkShare * bytes),
+		Large: max(int64((1-smallShare-frameShare-forwardShare)*bytes), p.Largest+1), Small: int64(smallShare * bytes),
+		Frames: int64(frameShare * bytes), Forwarded: int64(forwardShare * bytes),
 		Decode: int64((1 - smallShare) * decodeShare * bytes), DecodeLinks: int64(smallShare * decodeShare * bytes),
 		Connections: map[Listener]int{}, Encrypted: p.TLS,
 	}
@@ -138,29 +141,40 @@
 	return l
 }
 
-// The shares of reservations, in the order in which they are tried.
-var (
-	smallShares, largeShares         = []Share{SmallShare, LargeShare}, []Share{LargeShare}
-	smallLinkShares, largeLinkShares = []Share{LinkShare, SmallShare, LargeShare}, []Share{LinkShare, LargeShare}
+// Use is what bytes are reserved for.
+type Use int
+
+// The uses.
+const (
+	// Request is a head, a body or a response of a client.
+	Request Use = iota
+	// FirstFrame is a frame of a link that has carried none, and Frame one of a link that has. Whoever reaches the listener can
+	// send a part of a first frame.
+	FirstFrame
+	Frame
+	// Forwarded is a request of another entry.
+	Forwarded
 )
 
-// SharesOf returns the shares from which a client of a listener may reserve bytes, in the order in which they are tried, given
-// what it holds already. The result must not be modified.
-func SharesOf(name Listener, held, bytes int64) []Share {
-	isSmall := held+bytes <= SmallBytes
-	switch {
-	case name == Peers && isSmall:
-		return smallLinkShares
-	case name == Peers:
-		return largeLinkShares
-	case isSmall:
-		return smallShares
+// shares holds the shares of each use, in the order in which they are tried: for large reservations, and for small ones.
+var shares = map[Use][2][]Share{
+	Request:    {{LargeShare}, {SmallShare, LargeShare}},
+	FirstFrame: {{FrameShare}, {FrameShare}},
+	Frame:      {{FrameShare, LargeShare}, {FrameShare, SmallShare, LargeShare}},
+	Forwarded:  {{ForwardShare, LargeShare}, {ForwardShare, SmallShare, LargeShare}},
+}
+
+// SharesOf returns the shares from which bytes may be reserved, in the order in which they are tried, given what the client holds
+// already. The result must not be modified.
+func SharesOf(u Use, held, bytes int64) []Share {
+	if held+bytes <= SmallBytes {
+		return shares[u][1]
 	}
-	return largeShares
+	return shares[u][0]
 }
 
 // Size returns the number of bytes of a share.
-func (l *Limits) Size(s Share) int64 { return [...]int64{l.Small, l.Large, l.Links}[s] }
+func (l *Limits) Size(s Share) int64 { return [...]int64{l.Small, l.Large, l.Frames, l.Forwarded}[s] }
 
 // HeadBytes returns the memory that a part of a head takes beyond what counts with its connection.
 func HeadBytes(bytes, lines int64) int64 {
--- a/fleet/shed/shed_test.go
+++ b/fleet/shed/shed_test.go
@@ -18,9 +18,10 @@
 		require.Greater(t, l.Large, int64(frame+body))
 		require.Greater(t, l.Decode, int64(body))
 		require.Less(t, l.Large+l.Small, max(memory, 184*mb)/4)
-		require.Less(t, l.Large+l.Small+l.Links, max(memory, 184*mb)/4)
+		require.Less(t, l.Large+l.Small+l.Frames+l.Forwarded, max(memory, 184*mb)/4)
 		require.LessOrEqual(t, l.Decode+l.DecodeLinks, max(memory, 184*mb)/20)
-		require.Greater(t, l.Links, int64(16*largestJob))
+		require.Greater(t, l.Frames, int64(16*largestJob))
+		require.Greater(t, l.Forwarded, int64(16*largestJob))
 		require.Greater(t, l.Connections[shed.Callers], 512)
 	}
 	few := shed.Derive(shed.Process{Memory: 536 * mb, Descriptors: 300})
@@ -64,13 +65,19 @@
 	require.GreaterOrEqual(t, shed.BodyTime(256<<10), 3*time.Second)
 }
 
-// Guards against callers that use up what links between entries need, and links that are refused though there is room.
-func TestLinksHaveAShareOfTheirOwn(t *testing.T) {
+// Guards against callers, and senders of parts of frames, that use up what requests of other entries need, and against the
+// reverse.
+func TestRequestsOfOtherEntriesHaveAShareOfTheirOwn(t *testing.T) {
 	for _, bytes := range []int64{shed.SmallBytes, shed.SmallBytes + 1} {
-		require.NotContains(t, shed.SharesOf(shed.Callers, 0, bytes), shed.LinkShare)
-		links := shed.SharesOf(shed.Peers, 0, bytes)
-		require.Equal(t, shed.LinkShare, links[0])
-		require.Equal(t, shed.SharesOf(shed.Callers, 0, bytes), links[1:])
+		for _, use := range []shed.Use{shed.Request, shed.FirstFrame, shed.Frame} {
+			require.NotContains(t, shed.SharesOf(use, 0, bytes), shed.ForwardShare)
+		}
+		require.Equal(t, []shed.Share{shed.FrameShare}, shed.SharesOf(shed.FirstFrame, 0, bytes))
+		for use, own := range map[shed.Use]shed.Share{shed.Frame: shed.FrameShare, shed.Forwarded: shed.ForwardShare} {
+			tried := shed.SharesOf(use, 0, bytes)
+			require.Equal(t, own, tried[0])
+			require.Equal(t, shed.SharesOf(shed.Request, 0, bytes), tried[1:])
+		}
 	}
 }
 
