Close connections that carried nothing first, and answer probes under a crowd

Causes: a connection on which nothing was sent kept its place for half a second; one that was refused because of its body or its head kept it while the server read the rest, up to 3 s, or gave the client time to take the response; and the connection of a caller that waits between two requests was as likely to be closed as one that never sent any.

Connections that carried no request yet can now be closed after 25 ms without progress, and go first. Listeners that take no bodies read none, and connections that only wait to be closed count as such. A connection whose bytes the server has not read yet is not closed: the server is late, not the client.

Evidence: shed.TestConnectionsThatCarriedNothingAreClosedFirst, limit.TestAClientWhoseBytesWereNotReadIsNotClosedForOthers (fails without the look at unread bytes).

--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -136,7 +136,7 @@
 // client returns the connection as it is now.
 func (c *Conn) client(now time.Duration) shed.Client {
 	out := shed.Client{
-		Phase: shed.Phase(c.phase.Load()), Held: c.allHeld(), Received: c.received.Load(),
+		Phase: shed.Phase(c.phase.Load()), IsFresh: !c.served.Load(), Held: c.allHeld(), Received: c.received.Load(),
 		Age: now - time.Duration(c.since.Load()), Quiet: now - time.Duration(c.progressAt.Load()),
 	}
 	if w := c.writingSince.Load(); w != 0 {
@@ -149,10 +149,42 @@
 	return out
 }
 
-// shed closes the connection.
-func (c *Conn) shed(why Refusal) {
+// shed closes the connection, unless something has arrived that was not read yet: then the server is late and not the client.
+// It reports whether it has closed the connection.
+func (c *Conn) shed(why Refusal) bool {
+	isRead := c.writingSince.Load() == 0 && shed.Phase(c.phase.Load()) != shed.Closing
+	if isRead && hasUnread(c.Conn) {
+		return false
+	}
 	c.listener.limiter.refused[why].Add(1)
 	c.Close()
+	return true
+}
+
+// hasUnread reports whether the kernel has received something on a connection that was not read yet.
+func hasUnread(c net.Conn) bool {
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = outer.NetConn()
+	}
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var n int
+	var peeked [1]byte
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
 }
 
 // Read reads what has arrived. What it returns of a head has memory reserved for it.
@@ -209,8 +241,9 @@
 	return n, err
 }
 
-// CloseWrite closes the direction to the client.
+// CloseWrite closes the direction to the client. The server then closes the connection after a while.
 func (c *Conn) CloseWrite() error {
+	c.begin(shed.Closing)
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
@@ -395,11 +428,15 @@
 			// The head arrived together with the request before it.
 			panic(http.ErrAbortHandler)
 		}
-		if hasBody && r.Method != http.MethodPost && r.Method != http.MethodPut {
+		switch {
+		case hasBody && !shed.TakesBodies(c.listener.name):
+			w.Header().Set("Connection", "close")
+			c.endReadBy(w, 0)
+		case hasBody && r.Method != http.MethodPost && r.Method != http.MethodPut:
 			c.endReadBy(w, shed.StartTime)
 		}
 		inner.ServeHTTP(w, r)
-		if !c.bodyRead.Load() {
+		if !c.bodyRead.Load() && shed.TakesBodies(c.listener.name) {
 			// The server reads the rest of a body that the handler has not read.
 			c.endReadBy(w, shed.StartTime)
 			c.begin(shed.Body)
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -544,3 +545,44 @@
 	status, body = answer(c)
 	require.Equal(t, http.StatusOK, status, body)
 }
+
+// Guards against a client that is closed since the server is late to read what it has sent.
+func TestAClientWhoseBytesWereNotReadIsNotClosedForOthers(t *testing.T) {
+	const places, others = 8, 40
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	limiter := limit.Start(shed.Limits{Connections: map[shed.Listener]int{shed.Readiness: places}}, shed.LeastProgress{}, slog.New(slog.DiscardHandler))
+	t.Cleanup(limiter.Close)
+	l := limiter.Listen(shed.Readiness, inner)
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			if _, err := l.Accept(); err != nil {
+				return nil
+			}
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		_ = group.Wait()
+	})
+	open := func() net.Conn {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	first := open()
+	_, err = io.WriteString(first, "GET ")
+	require.NoError(t, err)
+	for range others {
+		open()
+		time.Sleep(10 * time.Millisecond)
+	}
+	totals, err := limiter.Totals(t.Context())
+	require.NoError(t, err)
+	require.Positive(t, totals.Refused[limit.Crowded])
+	require.NoError(t, first.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = first.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the connection is open")
+}
--- a/entry/limit/limiter.go
+++ b/entry/limit/limiter.go
@@ -233,12 +233,14 @@
 		return
 	}
 	conns, clients := c.clients(func(conn *Conn) bool { return conn.listener == l })
-	for ; excess > 0; excess-- {
+	for excess > 0 {
 		i := c.policy.Connection(clients)
 		if i < 0 {
 			return
 		}
-		conns[i].shed(Crowded)
+		if conns[i].shed(Crowded) {
+			excess--
+		}
 		last := len(clients) - 1
 		conns[i], clients[i] = conns[last], clients[last]
 		conns, clients = conns[:last], clients[:last]
--- a/entry/socket/conn.go
+++ b/entry/socket/conn.go
@@ -37,6 +37,9 @@
 	arrived, isClosed atomic.Bool
 }
 
+// NetConn returns the connection that c wraps.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // end tells the connection to end. It wakes a read, which then looks at what has arrived.
 func (c *Conn) end(requestBy time.Time) {
 	c.requestBy.Store(&requestBy)
--- a/fleet/shed/shed.go
+++ b/fleet/shed/shed.go
@@ -50,6 +50,9 @@
 	// quietTime is the time without progress after which a client can lose what it holds. A link that carries anything
 	// delivers a segment in a small part of it.
 	quietTime = 500 * time.Millisecond
+	// freshTime is the time without progress after which a connection can be closed for others that has carried no request
+	// yet. Clients send one as soon as they have connected.
+	freshTime = 25 * time.Millisecond
 )
 
 // Listener names a listener of a process.
@@ -63,8 +66,11 @@
 	Metrics   Listener = "metrics"
 )
 
+// TakesBodies reports whether requests at a listener have bodies.
+func TakesBodies(name Listener) bool { return name == Callers }
+
 // connectionShares holds the share of the accepted connections of each listener. No listener can take the places of another.
-var connectionShares = map[Listener]float64{Callers: 0.75, Peers: 0.125, Readiness: 0.0625, Metrics: 0.0625}
+var connectionShares = map[Listener]float64{Callers: 0.6875, Peers: 0.1875, Readiness: 0.0625, Metrics: 0.0625}
 
 // Share is a part of the bytes that clients may hold together.
 type Share int
@@ -203,16 +209,20 @@
 	// Link connections carry frames, of which one was received whole. NewLink connections have carried none.
 	Link
 	NewLink
+	// Closing connections were answered and will be closed; the server gives their clients time to take the response.
+	Closing
 )
 
 // String returns the name of the phase in metrics.
 func (p Phase) String() string {
-	return [...]string{"waiting", "head", "body", "running", "writing", "link", "new-link"}[p]
+	return [...]string{"waiting", "head", "body", "running", "writing", "link", "new-link", "closing"}[p]
 }
 
 // Client is a connection as it is now.
 type Client struct {
 	Phase Phase
+	// IsFresh is set until a request on the connection was answered, or a frame received whole.
+	IsFresh bool
 	// Held is the number of bytes that are reserved for it, of the share that has run out.
 	Held int64
 	// Received is the number of bytes that arrived in its phase.
@@ -232,6 +242,8 @@
 	switch c.Phase {
 	case Waiting, NewLink:
 		return c.Quiet >= quietTime
+	case Closing:
+		return c.Quiet >= freshTime
 	case Head, Body, Writing:
 		return c.Quiet >= quietTime || c.lag() >= 2*quietTime
 	}
@@ -267,12 +279,34 @@
 	return idle
 }
 
-// Connection chooses the client that has made no progress for longest.
+// rank orders the clients whose connections can be closed for others, the first to be closed first. Clients of rank keep are
+// not closed.
+type rank int
+
+const (
+	fresh rank = iota
+	idle
+	keep
+)
+
+func (c *Client) rank() rank {
+	switch {
+	case c.IsFresh && c.Phase != Body && c.Phase != Writing && c.Phase != Running && c.Quiet >= freshTime:
+		return fresh
+	case c.isIdle():
+		return idle
+	}
+	return keep
+}
+
+// Connection chooses the client that has made no progress for longest, of those that carried no request if there are some.
 func (LeastProgress) Connection(clients []Client) int {
-	best := -1
+	best, bestRank := -1, keep
 	for i := range clients {
-		if c := &clients[i]; c.isIdle() && (best < 0 || c.lag() > clients[best].lag()) {
-			best = i
+		c := &clients[i]
+		r := c.rank()
+		if r < bestRank || (r == bestRank && r < keep && c.lag() > clients[best].lag()) {
+			best, bestRank = i, r
 		}
 	}
 	return best
--- a/fleet/shed/shed_test.go
+++ b/fleet/shed/shed_test.go
@@ -1,6 +1,7 @@
 package shed_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -54,6 +55,34 @@
 	require.Equal(t, -1, shed.None{}.Connection(clients))
 }
 
+// Guards against silent clients that keep the places of a listener, and against callers that lose open connections to them.
+func TestConnectionsThatCarriedNothingAreClosedFirst(t *testing.T) {
+	ms, second := time.Millisecond, time.Second
+	clients := []shed.Client{
+		{Phase: shed.Waiting, Age: 30 * second, Quiet: 30 * second},
+		{Phase: shed.Waiting, IsFresh: true, Age: 20 * ms, Quiet: 20 * ms},
+		{Phase: shed.Waiting, IsFresh: true, Age: 30 * ms, Quiet: 30 * ms},
+		{Phase: shed.Head, IsFresh: true, Received: 10, Age: 40 * ms, Quiet: 40 * ms},
+		{Phase: shed.Body, IsFresh: true, Received: 10, Age: 400 * ms, Quiet: 400 * ms},
+		{Phase: shed.Link, Age: 20 * second, Quiet: 20 * second},
+	}
+	var closed []shed.Client
+	for {
+		i := shed.LeastProgress{}.Connection(clients)
+		if i < 0 {
+			break
+		}
+		closed = append(closed, clients[i])
+		clients = slices.Delete(clients, i, i+1)
+	}
+	require.Equal(t, []shed.Client{
+		{Phase: shed.Head, IsFresh: true, Received: 10, Age: 40 * ms, Quiet: 40 * ms},
+		{Phase: shed.Waiting, IsFresh: true, Age: 30 * ms, Quiet: 30 * ms},
+		{Phase: shed.Waiting, Age: 30 * second, Quiet: 30 * second},
+	}, closed)
+	require.Len(t, clients, 3)
+}
+
 // Guards against clients within the limits that are shed: 256 KiB over the slowest link, and a head over 3 s.
 func TestAClientThatMakesProgressIsNotShed(t *testing.T) {
 	const slowest = 10e6 / 8
