--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -96,8 +97,10 @@
 	// phase is a shed.Phase. since is when it began and progressAt when the client last made progress in it, both as
 	// durations since the limiter was started. received is the number of bytes that arrived in it.
 	phase, since, progressAt, received atomic.Int64
-	// head is what has arrived of the head of the current request.
-	head head
+	// head is what has arrived of the head of the current request, and headLimit limits it. It is nil until a server serves the
+	// connection, and with TLS.
+	head      head
+	headLimit *HeadLimit
 	// writingSince is 0 unless a write waits for the client.
 	writingSince atomic.Int64
 	// writeBy is the deadline of writes, as a duration since the limiter was started.
@@ -216,6 +219,9 @@
 	case !encrypted:
 		c.head.skip(p[:n], size)
 	}
+	if c.headLimit != nil && c.head.bytes > c.headLimit.bytes.Load() {
+		return 0, c.refuseHead()
+	}
 	if err := c.reserveHead(); err != nil {
 		return 0, err
 	}
@@ -393,9 +399,19 @@
 // Serve makes a server limit the requests on connections of a listener of [Limiter.Listen]: their heads and the time of
 // bodies that nobody reads. The server's handler, hooks and time limits must be set before.
 func (l *Limiter) Serve(s *http.Server, maxHeaderBytes int) {
-	// Go adds 4096 bytes to its limit.
-	const slack = 4096
-	s.MaxHeaderBytes = max(maxHeaderBytes-slack, 1)
+	l.ServeHeads(s, l.NewHeadLimit(maxHeaderBytes))
+}
+
+// ServeHeads is like Serve, with a limit of heads that can be changed.
+func (l *Limiter) ServeHeads(s *http.Server, heads *HeadLimit) {
+	if l.limits.Encrypted {
+		// Go adds 4096 bytes to its limit.
+		const slack = 4096
+		s.MaxHeaderBytes = max(int(heads.bytes.Load())-slack, 1)
+	} else {
+		// The server reads its own limit without a lock, so that it cannot be changed.
+		s.MaxHeaderBytes = math.MaxInt32
+	}
 	inner, hook, connContext := s.Handler, s.ConnState, s.ConnContext
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if hook != nil {
@@ -412,7 +428,11 @@
 		if connContext != nil {
 			ctx = connContext(ctx, c)
 		}
-		return context.WithValue(ctx, connKey{}, find(c))
+		known := find(c)
+		if known != nil && !l.limits.Encrypted {
+			known.headLimit = heads
+		}
+		return context.WithValue(ctx, connKey{}, known)
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := fromContext(r.Context())
--- a/entry/limit/head.go
+++ b/entry/limit/head.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
+	"sync/atomic"
+	"time"
 
 	"carawaymux.dev/fleet/shed"
 )
@@ -13,8 +16,34 @@
 	headStep = 4 << 10
 	// bufferSize is the size of the buffer with which the server reads. It can read as much of the next request.
 	bufferSize = 4 << 10
+	// closeDelay is the time that a client has to take the response to a head that is too large, before the connection is closed
+	// with what it has sent since. Go's server waits as long.
+	closeDelay = 500 * time.Millisecond
+	// headTooLarge is the response to such a head, that of Go's server.
+	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n" +
+		"431 Request Header Fields Too Large"
 )
 
+// HeadLimit limits the heads of the requests of a server. It can be changed while the server runs, unless connections use TLS.
+type HeadLimit struct {
+	bytes   atomic.Int64
+	largest int64
+}
+
+// NewHeadLimit returns a limit that allows heads of some size. Larger ones can be allowed as far as there is memory for them.
+func (l *Limiter) NewHeadLimit(bytes int) *HeadLimit {
+	h := &HeadLimit{largest: max(l.limits.LargestHead(), int64(bytes))}
+	h.bytes.Store(int64(bytes))
+	return h
+}
+
+// Set sets the size of the largest head. It returns the size that is in force, which is smaller if such a head could not be held.
+func (h *HeadLimit) Set(bytes int64) int64 {
+	bytes = min(bytes, h.largest)
+	h.bytes.Store(bytes)
+	return bytes
+}
+
 // head counts what has arrived of the head of a request. One goroutine reads a connection at a time, and only it uses the head.
 type head struct {
 	// bytes and lines count up to the end of the head.
@@ -75,6 +104,17 @@
 
 func countLines(p []byte) int64 { return int64(bytes.Count(p, []byte{'\n'})) }
 
+// refuseHead answers a head that is too large and gives the client time to take the response. The request has not run.
+func (c *Conn) refuseHead() error {
+	c.listener.limiter.refused[LargeHead].Add(1)
+	// Errors mean that the client is gone.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(closeDelay))
+	if _, err := io.WriteString(c.Conn, headTooLarge); err == nil && c.CloseWrite() == nil {
+		time.Sleep(closeDelay)
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Err: errLargeHead}
+}
+
 // reserveHead reserves the memory that the head takes which has arrived so far.
 func (c *Conn) reserveHead() error {
 	missing := shed.HeadBytes(c.head.bytes, c.head.lines) - c.head.held
--- a/entry/limit/limiter.go
+++ b/entry/limit/limiter.go
@@ -44,9 +44,13 @@
 	Exhausted Refusal = "exhausted"
 	// Slow connections were closed since a body, a frame or a response took too long.
 	Slow Refusal = "slow"
+	// LargeHead requests were answered 431, since their head is above the limit. With TLS they are not counted.
+	LargeHead Refusal = "large-head"
 )
 
-var refusals = [...]Refusal{Crowded, Full, Held, Exhausted, Slow}
+var refusals = [...]Refusal{Crowded, Full, Held, Exhausted, Slow, LargeHead}
+
+var errLargeHead = errors.New("the head of the request is too large")
 
 // ErrExhausted reports that other clients hold all bytes that clients may hold. The request has not run.
 var ErrExhausted = errors.New("clients hold all the memory that they may hold together")
@@ -134,6 +138,9 @@
 	return l
 }
 
+// Limits returns the limits. They must not be modified.
+func (l *Limiter) Limits() shed.Limits { return l.limits }
+
 // Close stops the task. Connections stay open.
 func (l *Limiter) Close() { l.task.Close() }
 
--- a/fleet/shed/shed.go
+++ b/fleet/shed/shed.go
@@ -26,8 +26,8 @@
 	// headFactor is the memory that a head takes for each byte, and lineBytes that for each line: a field becomes two strings, a
 	// list and an entry of a map that doubles as it grows.
 	headFactor, lineBytes = 4, 128
-	// MinLineBytes is the size of the shortest header line that the server accepts.
-	MinLineBytes = 3
+	// MinLineBytes is the size of the shortest header line that the server accepts, and usualLineBytes one below that of most.
+	MinLineBytes, usualLineBytes = 3, 16
 	// receiveBuffer and peerBuffer are the sizes of the receive buffers that connections of clients and of peers ask the
 	// kernel for. The kernel takes up to 1.5 and 2 times as much (24,576 and 127,576 bytes measured). A body of 256 KiB
 	// arrives within 0.3 s at a round-trip time of 20 ms; links between entries carry the requests of many callers.
@@ -180,13 +180,19 @@
 }
 
 // Size returns the number of bytes of a share.
-func (l *Limits) Size(s Share) int64 { return [...]int64{l.Small, l.Large, l.Frames, l.Forwarded}[s] }
+func (l Limits) Size(s Share) int64 { return [...]int64{l.Small, l.Large, l.Frames, l.Forwarded}[s] }
 
 // HeadBytes returns the memory that a part of a head takes beyond what counts with its connection.
 func HeadBytes(bytes, lines int64) int64 {
 	return max(headFactor*(bytes-FreeBytes)+lineBytes*lines, 0)
 }
 
+// LargestHead returns the size of the largest head of a request that can be served.
+func (l Limits) LargestHead() int64 { return l.Large / (headFactor + lineBytes/usualLineBytes) }
+
+// LargestBody returns the size of the largest body of a request that can be served.
+func (l Limits) LargestBody() int64 { return l.Large - 1 }
+
 // BodyTime returns the time that a body or a frame of some size may take to arrive.
 func BodyTime(bytes int64) time.Duration {
 	return StartTime + time.Duration(float64(bytes)/MinRate*float64(time.Second))
