--- a/trial/soak/case.go
+++ b/trial/soak/case.go
@@ -26,12 +26,14 @@
 	Small int `json:"small,omitempty"`
 	// Tenants is the value of Options.Tenants.
 	Tenants bool `json:"tenants,omitempty"`
+	// Mixed is the value of Options.Mixed.
+	Mixed bool `json:"mixed,omitempty"`
 }
 
 // drawCase draws the case of a seed.
 func drawCase(o *Options, seed uint64, kinds []Kind) Case {
 	c := Case{
-		Seed: seed, Minutes: o.Minutes, Entries: o.Entries, Hosts: o.Hosts, AppendTime: AppendTime(seed), Small: o.Small, Tenants: o.Tenants,
+		Seed: seed, Minutes: o.Minutes, Entries: o.Entries, Hosts: o.Hosts, AppendTime: AppendTime(seed), Small: o.Small, Tenants: o.Tenants, Mixed: o.Mixed,
 		Schedule: Plan(seed, trafficTime(o.Minutes), faultLayout(o.Entries, o.Hosts), kinds),
 	}
 	if o.Tenants {
--- a/trial/soak/hostile.go
+++ b/trial/soak/hostile.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"carawaymux.dev/entry/link"
+	"carawaymux.dev/entry/peers"
 	"carawaymux.dev/fleet/fault"
 	"carawaymux.dev/fleet/task"
 	hostile "carawaymux.dev/trial/crowd"
@@ -14,6 +16,9 @@
 const (
 	// hostileClients is the number of clients of a [Hostile] fault. More make the timers of the soak late.
 	hostileClients = 100
+	// mixedClients is the number of clients of each kind, and otherClients that at each of the other listeners, where all kinds
+	// come together.
+	mixedClients, otherClients = 4, 1
 	// hostileBody is the size of the largest legal body.
 	hostileBody = 256 << 10
 )
@@ -38,13 +43,33 @@
 		return nil, fault.New("inject", entry, "there is no such entry")
 	}
 	target := hostile.Target{Address: s.addresses[entry], Host: fake.VirtualHost, Path: fake.QueuePath(guardedPool) + "%016x", Body: hostileBody}
-	c := hostile.Start(target, hostileKinds[number%len(hostileKinds)], hostileClients)
+	var crowds []*hostile.Crowd
+	if s.mixed {
+		crowds = startMixed(k.entry, target)
+	} else {
+		crowds = append(crowds, hostile.Start(target, hostileKinds[number%len(hostileKinds)], hostileClients))
+	}
 	return func(ctx context.Context) error {
-		c.Close()
+		for _, c := range crowds {
+			c.Close()
+		}
 		return s.recordMemory(ctx, k)
 	}, nil
 }
 
+// startMixed starts clients of all kinds at all listeners of an entry.
+func startMixed(e *fake.Entry, callers hostile.Target) []*hostile.Crowd {
+	var out []*hostile.Crowd
+	for _, kind := range hostile.BodyKinds() {
+		out = append(out,
+			hostile.Start(callers, kind, mixedClients),
+			hostile.Start(hostile.Target{Address: e.ReadyAddress, Host: "e", Path: "/v1/readiness", Body: hostileBody}, kind, otherClients),
+			hostile.Start(hostile.Target{Address: e.PeerAddress, Host: "e", Path: peers.Path, Body: hostileBody}, kind, otherClients))
+	}
+	fragments := hostile.Target{Address: e.PeerAddress, Host: "e", Path: peers.Path, Message: link.MaxFrameBytes}
+	return append(out, hostile.Start(callers, hostile.Steps, mixedClients), hostile.Start(fragments, hostile.Fragments, mixedClients))
+}
+
 // recordMemory records the most that the process of an entry has held, if it runs.
 func (s *site) recordMemory(ctx context.Context, k *keeper) error {
 	bytes, err := task.Call(ctx, k.task, func(reply chan<- int64) keeperMessage { return keeperMessage{memory: reply} })
--- a/trial/soak/site.go
+++ b/trial/soak/site.go
@@ -51,6 +51,8 @@
 	planted plant
 	// tenants reports whether configurations have tenants.
 	tenants bool
+	// mixed reports whether hostile clients of all kinds come together.
+	mixed bool
 	// traffic is how long callers submit jobs.
 	traffic time.Duration
 	// trafficAt is when the traffic and the schedule start, from the start of the history.
@@ -65,7 +67,7 @@
 // newSite starts a deployment whose entries write their logs to a folder.
 func newSite(ctx context.Context, o *Options, c Case, dir string) (*site, error) {
 	s := &site{
-		recorder: startRecorder(time.Now()), opened: startOpened(), proxies: proxies{}, keepers: map[string]*keeper{}, planted: o.planted, tenants: c.Tenants, traffic: c.traffic(),
+		recorder: startRecorder(time.Now()), opened: startOpened(), proxies: proxies{}, keepers: map[string]*keeper{}, planted: o.planted, tenants: c.Tenants, mixed: c.Mixed, traffic: c.traffic(),
 		addresses: map[string]string{}, peers: map[string]string{},
 	}
 	s.layout = fake.Layout{
--- a/trial/soak/soak.go
+++ b/trial/soak/soak.go
@@ -26,6 +26,8 @@
 	Small int
 	// Tenants publishes tenants, whose callers send keys.
 	Tenants bool
+	// Mixed makes hostile clients of all kinds come together, to all listeners of an entry.
+	Mixed bool
 	// Minimize drops faults from schedules that break a promise, as long as they still do.
 	Minimize bool
 	// JSON selects JSON lines in place of a table.
@@ -63,6 +65,7 @@
 	o.AddFlags(cmd, Kinds(), "")
 	cmd.Flags().StringVar(&o.Case, "case", "", "`file` with a case to repeat (case.json of a run with --keep), in place of seeds")
 	cmd.Flags().IntVar(&o.Small, "small", 600, "`number` of small tasks for each host in jobs whose tasks end all at once (0 for no such jobs)")
+	cmd.Flags().BoolVar(&o.Mixed, "mixed", false, "let hostile clients of all kinds come together, to all listeners of an entry")
 	cmd.Flags().BoolVar(&o.Tenants, "tenants", false, "publish tenants with keys, weights and caps, and change them")
 	cmd.Flags().BoolVar(&o.Minimize, "minimize", false, "drop faults one by one from schedules that break a promise, as long as they still do")
 	cmd.Flags().BoolVar(&o.JSON, "json", false, "print JSON lines")
