Test that crowds at two entries cost others nothing, and a stop under a crowd

Two entries under clients of all kinds on all listeners: accepted jobs are done, tasks that last are not started again, both entries report ready, and stay under their memory; an entry that is told to stop under such a crowd ends by itself and loses no accepted job.

--- a/trial/crowd/others_test.go
+++ b/trial/crowd/others_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -82,3 +83,108 @@
 	require.True(t, strings.Contains(string(log), "job specification rejected"), "the crowd caused no line")
 	require.False(t, strings.Contains(string(log), "log lines dropped"), "log lines were dropped")
 }
+
+// Guards against an entry under a crowd at whose cost others suffer: accepted jobs that are lost, tasks that last and are started
+// again, and an entry that never says that it is ready.
+func TestCrowdsAtTwoEntriesLoseNothingOfOthers(t *testing.T) {
+	const memory, jobs = 184, 20
+	d, owner, other := startPair(t, fake.Layout{EntryLimits: limits(memory, descriptors)})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*answerTime)
+	defer cancel()
+	number := 0
+	submit := func(e *fake.Entry, specification string, step fake.StepSpec) *fake.Job {
+		var j *fake.Job
+		require.NoError(t, procs.WaitFor(ctx, "submission", func(ctx context.Context) error {
+			var status int
+			number++
+			if status, j = d.Submit(ctx, e, pool, fmt.Sprintf("dddddddd%08x", number), specification, step); status != http.StatusOK {
+				return fmt.Errorf("status %d", status)
+			}
+			return nil
+		}))
+		return j
+	}
+	lasting := submit(other, "3600000", fake.StepSpec{Count: 2, LongRunning: true, EstimatedMS: 100})
+	require.NoError(t, procs.WaitFor(ctx, "lasting tasks", func(context.Context) error {
+		if n := d.Running(lasting.ID); n != 2 {
+			return fmt.Errorf("%d of 2 tasks run", n)
+		}
+		return nil
+	}))
+	var crowds []*crowd.Crowd
+	var accepted []*fake.Job
+	for _, e := range []*fake.Entry{owner, other} {
+		v := newVictim(d, e)
+		meter := crowd.Watch(e.Proc().PID(), e.CallerAddress, e.ReadyAddress, e.PeerAddress)
+		defer func() {
+			peak := meter.Close()
+			t.Logf("%s: %v", e.Name, peak)
+			require.Less(t, peak.Memory, int64(memory)<<20, "memory in bytes")
+			require.Less(t, peak.Descriptors, descriptors, "open descriptors")
+		}()
+		crowds = append(crowds, v.startAll()...)
+	}
+	time.Sleep(hold)
+	for range jobs {
+		for _, e := range []*fake.Entry{owner, other} {
+			accepted = append(accepted, submit(e, "10", fake.StepSpec{Count: 2, EstimatedMS: 10}))
+		}
+	}
+	for _, e := range []*fake.Entry{owner, other} {
+		require.NoError(t, d.WaitReady(ctx, e))
+	}
+	for _, c := range crowds {
+		c.Close()
+	}
+	for _, j := range accepted {
+		require.NoError(t, procs.WaitFor(ctx, "job "+j.ID, func(ctx context.Context) error {
+			state, err := d.JobState(ctx, other, pool, j.ID)
+			if err == nil && state != "completed" {
+				err = fmt.Errorf("state %s", state)
+			}
+			return err
+		}))
+	}
+	require.Equal(t, 2, d.Started(lasting.ID), "starts of the two tasks that last")
+	require.Empty(t, d.Violations())
+	for _, e := range d.Entries {
+		require.NoError(t, e.Proc().CheckRunning())
+	}
+}
+
+// Guards against an entry that does not stop under a crowd, and against accepted jobs that are lost with it.
+func TestAnEntryStopsUnderACrowd(t *testing.T) {
+	const memory, jobs = 184, 20
+	d, owner, other := startPair(t, fake.Layout{EntryLimits: limits(memory, descriptors)})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*answerTime)
+	defer cancel()
+	crowds := newVictim(d, owner).startAll()
+	time.Sleep(hold)
+	var accepted []*fake.Job
+	for i := range jobs {
+		if i == jobs/2 {
+			require.NoError(t, owner.Proc().Signal(syscall.SIGTERM))
+		}
+		status, j := d.Submit(ctx, owner, pool, fmt.Sprintf("cccccccc%08x", i), "300", fake.StepSpec{Count: 2, EstimatedMS: 300})
+		if status == http.StatusOK {
+			accepted = append(accepted, j)
+		}
+	}
+	began := time.Now()
+	require.NoError(t, owner.Proc().Result(), "result of the process")
+	t.Logf("stopped %v after the last submission, %d of %d jobs accepted", time.Since(began), len(accepted), jobs)
+	for _, c := range crowds {
+		c.Close()
+	}
+	for _, j := range accepted {
+		require.NoError(t, procs.WaitFor(ctx, "job "+j.ID, func(ctx context.Context) error {
+			state, err := d.JobState(ctx, other, pool, j.ID)
+			if err == nil && state != "completed" {
+				err = fmt.Errorf("state %s", state)
+			}
+			return err
+		}))
+	}
+	require.Empty(t, d.Violations())
+	require.NoError(t, newVictim(d, other).ask(ctx))
+}
--- a/trial/crowd/partial_test.go
+++ b/trial/crowd/partial_test.go
@@ -47,13 +47,8 @@
 	}
 }
 
-// requireHoldsAll sends crowds of all kinds to all listeners of an entry at once.
-func (v *victim) requireHoldsAll(t *testing.T, memory, files int) {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), 2*answerTime)
-	defer cancel()
-	require.NoError(t, procs.WaitFor(ctx, "first request", v.ask))
-	meter := crowd.Watch(v.proc.PID(), v.callers.Address, v.ready.Address, v.peer.Address, v.metrics.Address)
+// startAll sends crowds of all kinds to all listeners of an entry.
+func (v *victim) startAll() []*crowd.Crowd {
 	var all []*crowd.Crowd
 	for _, kind := range crowd.BodyKinds() {
 		all = append(all, crowd.Start(v.callers, kind, mixedClients))
@@ -63,7 +58,17 @@
 			}
 		}
 	}
-	all = append(all, crowd.Start(v.callers, crowd.Steps, stepsClients), crowd.Start(v.peer, crowd.Fragments, linkClients))
+	return append(all, crowd.Start(v.callers, crowd.Steps, stepsClients), crowd.Start(v.peer, crowd.Fragments, linkClients))
+}
+
+// requireHoldsAll sends crowds of all kinds to all listeners of an entry at once.
+func (v *victim) requireHoldsAll(t *testing.T, memory, files int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*answerTime)
+	defer cancel()
+	require.NoError(t, procs.WaitFor(ctx, "first request", v.ask))
+	meter := crowd.Watch(v.proc.PID(), v.callers.Address, v.ready.Address, v.peer.Address, v.metrics.Address)
+	all := v.startAll()
 	time.Sleep(mixedHold)
 	var opened int64
 	for _, c := range all {
