Read a body before a request takes a slot or a place in the queue

Callers of carawayd saw all requests of a kind refused, 40 of 40, while 320 clients kept requests of that kind open whose bodies did not arrive, whole but for the last bytes, byte by byte, or not at all.

Cause: a request took the slot of a target, or a place in the queue of its kind, before its body was read. The client decides when that arrives; up to the deadline of 10 s a slot did nothing. Bodies above 64 KiB took no slot, but a place.

The body now comes first. For bodies above 4 KiB the router is asked before whether the request would be refused, so that one is told at once and not after its body. The queue counts the bytes that arrived, also of bodies whose length is not announced.

The test of held requests goes with them: TestAProbeTakesNeitherASlotNorAPlaceInTheQueue requires the same of slots, and of places and refusals besides.

Evidence: invoke.TestRequestsWhoseBodiesDoNotArriveTakeNoSlots does not end on the code before.

--- a/entry/invoke/invoke.go
+++ b/entry/invoke/invoke.go
@@ -27,9 +27,8 @@
 	// firstBackoff is the mean delay before the second attempt. It doubles with each
 	// further attempt.
 	firstBackoff = 10 * time.Millisecond
-	// holdAboveBytes is the size of a body above which a queued request cannot get a slot
-	// until its body has been read.
-	holdAboveBytes = 64 << 10
+	// probeAboveBytes is the size of a body above which it is not read if the request would be refused.
+	probeAboveBytes = 4 << 10
 )
 
 // Invoker runs requests for callers and peers. Use [New] to build it.
@@ -258,33 +257,30 @@
 }
 
 // runLocally runs a request on a slot of this entry. With noWait, the request is refused if it would
-// have to wait for a slot.
+// have to wait for a slot. The body is read first: while it arrives, which the caller decides, the request
+// takes neither a slot nor a place in the queue.
 func (v *Invoker) runLocally(ctx context.Context, r work.Request, noWait bool) (work.Answer, bool) {
-	ticket, err := v.router.Submit(ctx, route.SlotRequest{
-		Kind: r.Kind, Urgency: r.Urgency, Deadline: r.Deadline, BodyBytes: max(r.BodySize, 0),
-		Hold: r.BodySize < 0 || r.BodySize > holdAboveBytes, NoWait: noWait, Suspect: r.LostTargets > 0,
-		Refused: r.Refused,
-	})
-	if err != nil {
-		return work.NotRun("submit: " + err.Error()), false
-	}
-	reply, err := ticket.Next(ctx)
-	if err != nil {
-		ticket.Cancel()
-		return work.NotRun(work.EndReason(ctx, "before the router answered")), false
-	}
-	if reply.Refused != "" {
-		return refusal(reply), false
+	slot := route.SlotRequest{
+		Kind: r.Kind, Urgency: r.Urgency, Deadline: r.Deadline, BodyBytes: max(r.BodySize, 0), NoWait: noWait,
+		Suspect: r.LostTargets > 0, Refused: r.Refused,
+	}
+	if r.BodySize < 0 || r.BodySize > probeAboveBytes {
+		slot.Probe = true
+		if _, _, refused := v.askForSlot(ctx, slot); refused != nil {
+			return *refused, false
+		}
+		slot.Probe = false
 	}
 	body, err := r.ReadBody()
 	if err != nil {
-		v.releaseTicket(ticket, reply)
 		return bodyNotRead(err), false
 	}
+	slot.BodyBytes = len(body)
+	ticket, reply, refused := v.askForSlot(ctx, slot)
+	if refused != nil {
+		return *refused, false
+	}
 	if reply.Queued {
-		if r.BodySize < 0 || r.BodySize > holdAboveBytes {
-			_ = ticket.Ready(ctx)
-		}
 		if reply, err = ticket.Next(ctx); err != nil {
 			ticket.Cancel()
 			return work.NotRun(work.EndReason(ctx, "while the request waited for a slot")), false
@@ -296,12 +292,24 @@
 	return v.sendToTarget(ctx, r, reply.Grant, body)
 }
 
-func (v *Invoker) releaseTicket(t *route.Ticket, reply route.Reply) {
-	if reply.Grant != nil {
-		reply.Grant.Release(route.Result{})
-		return
+// askForSlot asks the router for a slot and returns its first reply, or the answer to a request that is refused.
+func (v *Invoker) askForSlot(ctx context.Context, slot route.SlotRequest) (*route.Ticket, route.Reply, *work.Answer) {
+	ticket, err := v.router.Submit(ctx, slot)
+	if err != nil {
+		a := work.NotRun("submit: " + err.Error())
+		return nil, route.Reply{}, &a
+	}
+	reply, err := ticket.Next(ctx)
+	if err != nil {
+		ticket.Cancel()
+		a := work.NotRun(work.EndReason(ctx, "before the router answered"))
+		return nil, route.Reply{}, &a
+	}
+	if reply.Refused != "" {
+		a := refusal(reply)
+		return nil, route.Reply{}, &a
 	}
-	t.Cancel()
+	return ticket, reply, nil
 }
 
 func refusal(reply route.Reply) work.Answer {
--- a/entry/invoke/invoke_test.go
+++ b/entry/invoke/invoke_test.go
@@ -245,3 +245,37 @@
 		require.Equal(t, wire.Done, a.Outcome, a.Reason)
 	}
 }
+
+// Guards against requests whose bodies do not arrive and that keep the slots of targets, or the places in the queue, from others.
+func TestRequestsWhoseBodiesDoNotArriveTakeNoSlots(t *testing.T) {
+	const stalled = 20
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(target.Close)
+	invoker := newInvoker(t, target.Listener.Addr().String())
+	deadline := time.Now().Add(time.Minute)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	arrive, reading := make(chan struct{}), make(chan struct{}, 2*stalled)
+	answers := make(chan work.Answer, 2*stalled)
+	for _, size := range []int{100, 100 << 10} {
+		for range stalled {
+			r := work.Request{ID: "x", Kind: "docs", Urgency: jobs.Normal, Deadline: deadline, Idempotent: true, BodySize: size}
+			r.ReadBody = func() ([]byte, error) {
+				reading <- struct{}{}
+				<-arrive
+				return nil, errors.New("the client has gone")
+			}
+			go func() { answers <- invoker.Do(ctx, r) }()
+		}
+	}
+	for range 2 * stalled {
+		<-reading
+	}
+	a := run(invoker)
+	require.Equal(t, wire.Done, a.Outcome, a.Reason)
+	close(arrive)
+	for range 2 * stalled {
+		a := <-answers
+		require.Equal(t, wire.NotRun, a.Outcome, a.Reason)
+	}
+}
--- a/entry/route/grant.go
+++ b/entry/route/grant.go
@@ -53,7 +53,7 @@
 	for range s.rotation {
 		s.rotationIndex = (s.rotationIndex + 1) % len(s.rotation)
 		q := s.rotation[s.rotationIndex]
-		t := q.first(func(t *Ticket) bool { return t.ready && (connected || s.mayUseDisconnected(&t.request)) })
+		t := q.first(func(t *Ticket) bool { return connected || s.mayUseDisconnected(&t.request) })
 		if t != nil {
 			return q, t
 		}
--- a/entry/route/pool.go
+++ b/entry/route/pool.go
@@ -58,7 +58,6 @@
 
 type (
 	submit struct{ ticket *Ticket }
-	ready  struct{ ticket *Ticket }
 	cancel struct{ ticket *Ticket }
 	// release gives back a slot of this pool. ownRequest is set if the slot was used by a
 	// request of this pool and not lent.
@@ -262,8 +261,11 @@
 		t.reply <- refusal
 		return
 	}
+	if t.request.Probe {
+		t.reply <- Reply{}
+		return
+	}
 	t.queuedAt = s.now
-	t.ready = !t.request.Hold
 	t.item = q.waiting[t.request.Urgency.Rank()].Push(t)
 	q.length++
 	q.bodyBytes += t.request.BodyBytes
@@ -321,8 +323,6 @@
 	return q.averageRunTime * time.Duration(waiting) / time.Duration(slots)
 }
 
-func (m ready) handle(_ *poolState) { m.ticket.ready = true }
-
 func (m cancel) handle(s *poolState) {
 	t := m.ticket
 	if t.item != nil && t.item.Remove() {
--- a/entry/route/route_test.go
+++ b/entry/route/route_test.go
@@ -235,17 +235,29 @@
 	require.NotNil(t, reply.Grant, "the cancelled ticket must release its slot")
 }
 
-func TestHeldRequestTakesNoSlotUntilReady(t *testing.T) {
-	r := newFixture(t, generousLimits, testPool("docs", 1, 1))
-	held := slotRequest("docs")
-	held.Hold = true
-	slow, reply := r.submit(held)
-	require.True(t, reply.Queued)
+// Guards against requests whose bodies have not arrived and that take a slot or a place in the queue.
+func TestAProbeTakesNeitherASlotNorAPlaceInTheQueue(t *testing.T) {
+	limits := generousLimits
+	limits.Queue = 1
+	r := newFixture(t, limits, testPool("docs", 1, 1))
+	probe := slotRequest("docs")
+	probe.Probe = true
+	for range 3 {
+		_, reply := r.submit(probe)
+		require.Equal(t, route.Reply{}, reply)
+	}
 	_, quick := r.submit(slotRequest("docs"))
 	require.NotNil(t, quick.Grant, "a request whose body has not arrived yet must not take a slot")
-	require.NoError(t, slow.Ready(context.Background()))
+	for range 3 {
+		_, reply := r.submit(probe)
+		require.Equal(t, route.Reply{}, reply)
+	}
+	waiting, reply := r.submit(slotRequest("docs"))
+	require.True(t, reply.Queued, "a request whose body has not arrived yet must not take a place in the queue")
+	_, reply = r.submit(probe)
+	require.NotEmpty(t, reply.Refused, "a request that would be refused must be told before its body arrives")
 	quick.Grant.Release(route.Result{})
-	require.NotNil(t, r.next(slow).Grant)
+	require.NotNil(t, r.next(waiting).Grant)
 }
 
 // sparePool returns a pool that lends its free slots above the guard.
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -15,9 +15,8 @@
 	Deadline time.Time
 	// BodyBytes is the size of the body in bytes.
 	BodyBytes int
-	// Hold makes a queued request wait until [Ticket.Ready] before it can be granted a
-	// slot.
-	Hold bool
+	// Probe asks only whether the request would be refused. It takes neither a slot nor a place in the queue.
+	Probe bool
 	// NoWait refuses the request if it would have to wait, so that the caller can try
 	// another entry first.
 	NoWait bool
@@ -31,7 +30,7 @@
 // on one that is probably down.
 func (r *SlotRequest) needsConnected() bool { return r.Suspect || r.Refused }
 
-// Reply answers a slot request. Exactly one of Queued, Refused and Grant is set.
+// Reply answers a slot request. Exactly one of Queued, Refused and Grant is set, and none if a probe is not refused.
 type Reply struct {
 	// Queued is set if the request waits for a slot; another reply follows.
 	Queued bool
@@ -53,7 +52,6 @@
 	reply   chan Reply
 	// Only the pool's task uses the fields below.
 	item     *queue.Item[*Ticket]
-	ready    bool
 	granted  *Grant
 	queuedAt time.Time
 }
@@ -70,9 +68,6 @@
 	}
 }
 
-// Ready allows a held request to be granted a slot.
-func (t *Ticket) Ready(ctx context.Context) error { return t.pool.task.Send(ctx, ready{t}) }
-
 // Cancel withdraws the request. A slot that was granted meanwhile is released.
 func (t *Ticket) Cancel() { _ = t.pool.task.Send(context.Background(), cancel{t}) }
 
--- a/trial/crowd/others_test.go
+++ b/trial/crowd/others_test.go
@@ -188,3 +188,35 @@
 	require.Empty(t, d.Violations())
 	require.NoError(t, newVictim(d, other).ask(ctx))
 }
+
+// bodiesThatWait are kinds whose requests wait for bodies that do not arrive.
+var bodiesThatWait = []crowd.Kind{crowd.Whole, crowd.Trickle, crowd.Expecting}
+
+// requireServes requires that an ordinary request is served while a crowd is there.
+func (v *victim) requireServes(t *testing.T, kind crowd.Kind) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), answerTime)
+	defer cancel()
+	require.NoError(t, procs.WaitFor(ctx, "first request", v.ask))
+	c := crowd.Start(v.callers, kind, clients)
+	defer c.Close()
+	time.Sleep(hold / 4)
+	require.NoError(t, procs.WaitFor(ctx, "request beside the crowd", v.ask))
+	require.NoError(t, v.proc.CheckRunning())
+}
+
+// Guards against ordinary requests that are refused for as long as a crowd is there.
+func TestAnEntryServesOthersUnderACrowd(t *testing.T) {
+	for _, kind := range bodiesThatWait {
+		t.Run(string(kind), func(t *testing.T) { startEntry(t, limits(memoryMB, descriptors)).requireServes(t, kind) })
+	}
+}
+
+// Guards against the same of carawayd, where such requests took the slots of targets and the places in the queue.
+func TestADaemonServesOthersUnderACrowd(t *testing.T) {
+	for _, kind := range bodiesThatWait {
+		t.Run(string(kind), func(t *testing.T) {
+			startDaemon(t, fmt.Sprintf("memory = %dMiB", memoryMB), fmt.Sprintf("descriptors = %d", descriptors)).requireServes(t, kind)
+		})
+	}
+}
