Limit what the kernel holds for clients that take no responses

Operators saw nothing of it: 320 clients that send requests and read no response held 117 MB in the send buffers of the kernel at the metrics listener of an entry, on 45 connections, and 93 MB at the callers' listener of carawayd, of 96 MB that the settings state. The tests counted the process and what it had not read.

Cause: the kernel grows a send buffer to 4 MB. Receive buffers were limited, send buffers not.

Send buffers are now 32 KiB (64 KiB for links), of which the kernel takes twice as much. An answer of 4 MiB takes 1.3 s at a round-trip time of 20 ms.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -109,8 +109,8 @@
 		callers.Close()
 		return nil, fault.At("listen", s.Listen.Peer, err)
 	}
-	limit.LimitUnread(shed.Callers, callers)
-	limit.LimitUnread(shed.Peers, peers)
+	limit.LimitBuffers(shed.Callers, callers)
+	limit.LimitBuffers(shed.Peers, peers)
 	if err := d.build(); err != nil {
 		callers.Close()
 		peers.Close()
--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -36,9 +36,9 @@
 	return &listener{Listener: inner, limiter: l, name: name, places: l.limits.Connections[name]}
 }
 
-// LimitUnread limits the bytes that the kernel receives on the connections of a TCP listener before they are read. It must
-// be called before connections are opened.
-func LimitUnread(name shed.Listener, inner net.Listener) {
+// LimitBuffers limits the bytes that the kernel holds for the connections of a TCP listener: what it has received and was not read,
+// and what clients have not taken yet. It must be called before connections are opened.
+func LimitBuffers(name shed.Listener, inner net.Listener) {
 	s, ok := inner.(syscall.Conn)
 	if !ok {
 		return
@@ -47,9 +47,10 @@
 	if err != nil {
 		return
 	}
-	// The kernel keeps its default if the option fails.
+	// The kernel keeps its defaults if the options fail.
 	_ = raw.Control(func(fd uintptr) {
 		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, shed.ReceiveBuffer(name))
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, shed.SendBuffer(name))
 	})
 }
 
--- a/fleet/shed/shed.go
+++ b/fleet/shed/shed.go
@@ -32,6 +32,9 @@
 	// kernel for. The kernel takes up to 1.5 and 2 times as much (24,576 and 127,576 bytes measured). A body of 256 KiB
 	// arrives within 0.3 s at a round-trip time of 20 ms; links between entries carry the requests of many callers.
 	receiveBuffer, peerBuffer = 16 << 10, 64 << 10
+	// sendBuffer is the size of the send buffers of connections of clients, of which the kernel takes twice as much for
+	// responses that a client does not take. 4 MiB are sent within 1.3 s at a round-trip time of 20 ms. Links have peerBuffer.
+	sendBuffer = 32 << 10
 	// connectionBytes is what a connection takes: 24 KiB unread in the kernel, and 24 KiB for stacks, buffers and
 	// the header and body of a small request. TLS takes tlsBytes more: records of 16 KiB in both directions and the handshake.
 	connectionBytes, tlsBytes = 48 << 10, 48 << 10
@@ -109,6 +112,14 @@
 	return receiveBuffer
 }
 
+// SendBuffer returns the size of the send buffer of a connection of a listener.
+func SendBuffer(name Listener) int {
+	if name == Peers {
+		return peerBuffer
+	}
+	return sendBuffer
+}
+
 // Process is what limits are derived from. What is 0 is the smallest that the platform states.
 type Process struct {
 	// Memory is the memory that the process may hold, in bytes, and Descriptors the number of those that it may open.
--- a/trial/crowd/crowd_test.go
+++ b/trial/crowd/crowd_test.go
@@ -150,8 +150,8 @@
 }
 
 // requireHolds sends a crowd to an entry and requires that the entry stays alive and under its limits, and that it answers
-// an ordinary request afterwards.
-func (v *victim) requireHolds(t *testing.T, target crowd.Target, kind crowd.Kind, count, memory, files int) {
+// an ordinary request afterwards. It returns the most that the entry held.
+func (v *victim) requireHolds(t *testing.T, target crowd.Target, kind crowd.Kind, count, memory, files int) crowd.Peak {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*answerTime)
 	defer cancel()
@@ -167,6 +167,7 @@
 	require.NoError(t, answer)
 	require.Less(t, peak.Memory, int64(memory)<<20, "memory in bytes")
 	require.Less(t, peak.Descriptors, files, "open descriptors")
+	return peak
 }
 
 // Guards against an entry of carawaymux that clients bring to its end, each case in one way, and each listener.
--- a/trial/crowd/meter.go
+++ b/trial/crowd/meter.go
@@ -22,6 +22,9 @@
 	// Memory is resident memory together with the bytes that the kernel had received and the process had not read yet,
 	// Resident the resident memory and Unread those bytes. The three peaks need not coincide.
 	Memory, Resident, Unread int64
+	// Unsent is the number of bytes that the kernel held for clients that had not taken them, and Total the sum of resident
+	// memory, unread and unsent bytes.
+	Unsent, Total int64
 	// Descriptors is the number of open file descriptors.
 	Descriptors int
 }
@@ -29,7 +32,7 @@
 // String returns the figures in MB.
 func (p Peak) String() string {
 	const mb = 1 << 20
-	return fmt.Sprintf("%d MB (resident %d, unread %d), %d descriptors", p.Memory/mb, p.Resident/mb, p.Unread/mb, p.Descriptors)
+	return fmt.Sprintf("%d MB (resident %d, unread %d, unsent %d), %d descriptors", p.Memory/mb, p.Resident/mb, p.Unread/mb, p.Unsent/mb, p.Descriptors)
 }
 
 // Meter samples what a process holds until it is closed.
@@ -73,10 +76,12 @@
 // sample takes a sample. After the process has ended there is nothing to read.
 func (m *Meter) sample() {
 	resident, highest := status(m.pid)
-	unread := m.unread()
+	unread, unsent := m.queued()
 	m.peak.Resident = max(m.peak.Resident, resident, highest)
 	m.peak.Unread = max(m.peak.Unread, unread)
+	m.peak.Unsent = max(m.peak.Unsent, unsent)
 	m.peak.Memory = max(m.peak.Memory, resident+unread, highest)
+	m.peak.Total = max(m.peak.Total, resident+unread+unsent, highest)
 	if open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", m.pid)); err == nil {
 		m.peak.Descriptors = max(m.peak.Descriptors, len(open))
 	}
@@ -103,24 +108,25 @@
 	return highest
 }
 
-// unread returns the bytes that the kernel has received on connections of the listeners and that the process has not read.
-func (m *Meter) unread() int64 {
+// queued returns the bytes that the kernel has received on connections of the listeners and that the process has not read, and
+// those that it holds for clients that have not taken them.
+func (m *Meter) queued() (unread, unsent int64) {
 	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", m.pid))
 	const listening = "0A"
-	var sum int64
 	for lines := bufio.NewScanner(bytes.NewReader(raw)); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
 		if len(fields) < 5 || fields[3] == listening {
 			continue
 		}
 		_, port, _ := strings.Cut(fields[1], ":")
-		_, queue, _ := strings.Cut(fields[4], ":")
+		sending, receiving, _ := strings.Cut(fields[4], ":")
 		n, err := strconv.ParseUint(port, 16, 16)
 		if err != nil || !m.ports[n] {
 			continue
 		}
-		bytes, _ := strconv.ParseInt(queue, 16, 64)
-		sum += bytes
+		in, _ := strconv.ParseInt(receiving, 16, 64)
+		out, _ := strconv.ParseInt(sending, 16, 64)
+		unread, unsent = unread+in, unsent+out
 	}
-	return sum
+	return unread, unsent
 }
--- a/trial/crowd/partial_test.go
+++ b/trial/crowd/partial_test.go
@@ -104,3 +104,17 @@
 	v := startDaemon(t, fmt.Sprintf("memory = %dMiB", memory), fmt.Sprintf("descriptors = %d", descriptors))
 	v.requireHoldsAll(t, memory, descriptors)
 }
+
+// Guards against responses that nobody takes and that fill the memory of the kernel.
+func TestResponsesThatAreNotTakenStayWithinTheMemory(t *testing.T) {
+	t.Run("entry", func(t *testing.T) {
+		v := startEntry(t, limits(memoryMB, descriptors))
+		peak := v.requireHolds(t, v.metrics, crowd.Unread, clients, memoryMB, descriptors)
+		require.Less(t, peak.Total, int64(memoryMB)<<20, "memory and unsent bytes")
+	})
+	t.Run("daemon", func(t *testing.T) {
+		v := startDaemon(t, fmt.Sprintf("memory = %dMiB", memoryMB), fmt.Sprintf("descriptors = %d", descriptors))
+		peak := v.requireHolds(t, v.callers, crowd.Unread, clients, memoryMB, descriptors)
+		require.Less(t, peak.Total, int64(memoryMB)<<20, "memory and unsent bytes")
+	})
+}
