--- a/fleet/shed/shed_test.go
+++ b/fleet/shed/shed_test.go
@@ -1,6 +1,7 @@
 package shed_test
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -38,6 +39,24 @@
 	require.Less(t, tls.Connections[shed.Callers], plain.Connections[shed.Callers])
 }
 
+// Guards against settings that are tiny or huge and lead to limits that refuse everything, or that are negative.
+func TestLimitsOfTinyAndHugeSettings(t *testing.T) {
+	for _, memory := range []int64{math.MinInt64, 1, 1 << 20, 1 << 40, math.MaxInt64} {
+		for _, files := range []int{math.MinInt, 1, 200, 1 << 20, math.MaxInt} {
+			l := shed.Derive(shed.Process{Memory: memory, Descriptors: files, Largest: 256 << 10})
+			require.GreaterOrEqual(t, l.Large, int64(256<<10+1), "a body of the largest size")
+			require.GreaterOrEqual(t, l.LargestHead(), int64(16<<10), "a head of the usual limit")
+			for s := range shed.Shares {
+				require.GreaterOrEqual(t, l.Size(s), int64(0))
+			}
+			require.GreaterOrEqual(t, min(l.Decode, l.DecodeLinks), int64(0))
+			for name, places := range l.Connections {
+				require.Positive(t, places, name)
+			}
+		}
+	}
+}
+
 func TestAClientThatHoldsMuchAndMakesNoProgressIsShedFirst(t *testing.T) {
 	second := time.Second
 	clients := []shed.Client{
