--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -158,8 +158,8 @@
 // shed closes the connection, unless something has arrived that was not read yet: then the server is late and not the client.
 // It reports whether it has closed the connection.
 func (c *Conn) shed(why Refusal) bool {
-	isRead := c.writingSince.Load() == 0 && shed.Phase(c.phase.Load()) != shed.Closing
-	if isRead && hasUnread(c.Conn) {
+	serverReads := c.writingSince.Load() == 0 && shed.Phase(c.phase.Load()) != shed.Closing
+	if serverReads && hasUnread(c.Conn) {
 		return false
 	}
 	c.listener.limiter.refused[why].Add(1)
@@ -196,7 +196,8 @@
 // Read reads what has arrived. What it returns of a head has memory reserved for it.
 func (c *Conn) Read(p []byte) (int, error) {
 	phase, size := shed.Phase(c.phase.Load()), len(p)
-	if phase == shed.Waiting || phase == shed.Head {
+	inHead := phase == shed.Waiting || phase == shed.Head
+	if inHead {
 		// A part of the head may have arrived together with the request before it.
 		if err := c.reserveHead(); err != nil {
 			return 0, err
@@ -213,8 +214,7 @@
 	}
 	c.received.Add(int64(n))
 	c.progressAt.Store(int64(c.listener.limiter.now()))
-	encrypted := c.listener.limiter.limits.Encrypted
-	switch inHead := phase == shed.Waiting || phase == shed.Head; {
+	switch encrypted := c.listener.limiter.limits.Encrypted; {
 	case inHead && encrypted:
 		c.head.addEncrypted(n)
 	case inHead:
--- a/entry/limit/head.go
+++ b/entry/limit/head.go
@@ -26,6 +26,7 @@
 
 // HeadLimit limits the heads of the requests of a server. It can be changed while the server runs, unless connections use TLS.
 type HeadLimit struct {
+	// bytes is the size of the largest head that is served. It is at most largest, the size of the largest one that can be held.
 	bytes   atomic.Int64
 	largest int64
 }
--- a/trial/crowd/config_test.go
+++ b/trial/crowd/config_test.go
@@ -29,81 +29,74 @@
 	return response.StatusCode, response.Body.Close()
 }
 
+// publish publishes a configuration with limits of requests.
+func publish(t *testing.T, d *fake.Deployment, version, body, head int) {
+	t.Helper()
+	config := fake.Config(version, fake.Layout{Pools: map[string]int{pool: 2}})
+	config["limits"] = map[string]int{"max_body_bytes": body, "max_header_bytes": head}
+	require.NoError(t, d.Publish("config", config))
+}
+
+// requireHead waits until an entry answers a head of some size with a status.
+func requireHead(ctx context.Context, t *testing.T, target crowd.Target, size, want int) {
+	t.Helper()
+	require.NoError(t, procs.WaitFor(ctx, "head", func(ctx context.Context) error {
+		c, err := new(net.Dialer).DialContext(ctx, "tcp", target.Address)
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		status, err := headStatus(c, target, size)
+		if err == nil && status != want {
+			err = fmt.Errorf("status %d to a head of %d bytes", status, size)
+		}
+		return err
+	}))
+}
+
 // Guards against heads that the configuration allows and an entry refuses, and the reverse, also on a connection that is open
 // while the configuration changes.
 func TestTheLimitOfHeadsIsThatOfTheConfiguration(t *testing.T) {
-	layout := fake.Layout{EntryLimits: limits(memoryMB, descriptors)}
-	d := startEntries(t, 1, layout)
+	d := startEntries(t, 1, fake.Layout{EntryLimits: limits(memoryMB, descriptors)})
 	v := newVictim(d, d.Entries[0])
 	ctx, cancel := context.WithTimeout(t.Context(), answerTime)
 	defer cancel()
 	require.NoError(t, procs.WaitFor(ctx, "first request", v.ask))
-	dial := func() net.Conn {
-		c, err := net.Dial("tcp", v.callers.Address)
-		require.NoError(t, err)
-		t.Cleanup(func() { c.Close() })
-		return c
-	}
-	requireStatus := func(c net.Conn, size, want int) {
-		require.NoError(t, procs.WaitFor(ctx, "head", func(context.Context) error {
-			status, err := headStatus(dial(), v.callers, size)
-			if err == nil && status != want {
-				err = fmt.Errorf("status %d to a head of %d bytes", status, size)
-			}
-			return err
-		}))
-		if want == http.StatusOK {
-			status, err := headStatus(c, v.callers, size)
-			require.NoError(t, err)
-			require.Equal(t, want, status)
-		}
-	}
-	open := dial()
-	requireStatus(open, 16<<10, http.StatusOK)
-	layout.Pools = map[string]int{pool: 2}
+	open, err := net.Dial("tcp", v.callers.Address)
+	require.NoError(t, err)
+	defer open.Close()
+	requireHead(ctx, t, v.callers, 16<<10, http.StatusOK)
 	for i, test := range []struct{ configured, legal, illegal int }{
 		{64 << 10, 64 << 10, 64<<10 + 1},
 		{8 << 10, 8 << 10, 8<<10 + 1},
 		// More than the entry can hold.
 		{1 << 40, 256 << 10, 4 << 20},
 		{0, 16 << 10, 16<<10 + 1},
-		{1, 1, 100},
+		// No request has so small a head.
+		{1, 0, 100},
 	} {
-		config := fake.Config(2+i, layout)
-		config["limits"] = map[string]int{"max_body_bytes": 1 << 40, "max_header_bytes": test.configured}
-		require.NoError(t, d.Publish("config", config))
-		requireStatus(open, test.illegal, http.StatusRequestHeaderFieldsTooLarge)
-		if test.legal > 1 {
-			requireStatus(open, test.legal, http.StatusOK)
+		publish(t, d, 2+i, maxBody, test.configured)
+		requireHead(ctx, t, v.callers, test.illegal, http.StatusRequestHeaderFieldsTooLarge)
+		if test.legal == 0 {
+			continue
 		}
+		requireHead(ctx, t, v.callers, test.legal, http.StatusOK)
+		status, err := headStatus(open, v.callers, test.legal)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status, "on a connection that was open before")
 	}
 	require.NoError(t, v.proc.CheckRunning())
 }
 
 // Guards against bodies that are refused for a while, although the entry can never hold them.
 func TestBodiesThatNoEntryCanHoldAreTooLarge(t *testing.T) {
-	layout := fake.Layout{EntryLimits: limits(memoryMB, descriptors)}
-	d := startEntries(t, 1, layout)
+	d := startEntries(t, 1, fake.Layout{EntryLimits: limits(memoryMB, descriptors)})
 	v := newVictim(d, d.Entries[0])
 	ctx, cancel := context.WithTimeout(t.Context(), answerTime)
 	defer cancel()
 	require.NoError(t, procs.WaitFor(ctx, "first request", v.ask))
-	layout.Pools = map[string]int{pool: 2}
-	config := fake.Config(2, layout)
-	config["limits"] = map[string]int{"max_body_bytes": 1 << 40, "max_header_bytes": 32 << 10}
-	require.NoError(t, d.Publish("config", config))
-	require.NoError(t, procs.WaitFor(ctx, "configuration", func(context.Context) error {
-		c, err := net.Dial("tcp", v.callers.Address)
-		if err != nil {
-			return err
-		}
-		defer c.Close()
-		status, err := headStatus(c, v.callers, 32<<10)
-		if err == nil && status != http.StatusOK {
-			err = fmt.Errorf("status %d", status)
-		}
-		return err
-	}))
+	publish(t, d, 2, 1<<40, 32<<10)
+	requireHead(ctx, t, v.callers, 32<<10, http.StatusOK)
 	c, err := net.Dial("tcp", v.callers.Address)
 	require.NoError(t, err)
 	defer c.Close()
--- a/trial/crowd/others_test.go
+++ b/trial/crowd/others_test.go
@@ -84,6 +84,20 @@
 	require.False(t, strings.Contains(string(log), "log lines dropped"), "log lines were dropped")
 }
 
+// requireCompleted waits until jobs are shown as completed at an entry.
+func requireCompleted(ctx context.Context, t *testing.T, d *fake.Deployment, e *fake.Entry, jobs []*fake.Job) {
+	t.Helper()
+	for _, j := range jobs {
+		require.NoError(t, procs.WaitFor(ctx, "job "+j.ID, func(ctx context.Context) error {
+			state, err := d.JobState(ctx, e, pool, j.ID)
+			if err == nil && state != "completed" {
+				err = fmt.Errorf("state %s", state)
+			}
+			return err
+		}))
+	}
+}
+
 // Guards against an entry under a crowd at whose cost others suffer: accepted jobs that are lost, tasks that last and are started
 // again, and an entry that never says that it is ready.
 func TestCrowdsAtTwoEntriesLoseNothingOfOthers(t *testing.T) {
@@ -136,15 +150,7 @@
 	for _, c := range crowds {
 		c.Close()
 	}
-	for _, j := range accepted {
-		require.NoError(t, procs.WaitFor(ctx, "job "+j.ID, func(ctx context.Context) error {
-			state, err := d.JobState(ctx, other, pool, j.ID)
-			if err == nil && state != "completed" {
-				err = fmt.Errorf("state %s", state)
-			}
-			return err
-		}))
-	}
+	requireCompleted(ctx, t, d, other, accepted)
 	require.Equal(t, 2, d.Started(lasting.ID), "starts of the two tasks that last")
 	require.Empty(t, d.Violations())
 	for _, e := range d.Entries {
@@ -176,15 +182,7 @@
 	for _, c := range crowds {
 		c.Close()
 	}
-	for _, j := range accepted {
-		require.NoError(t, procs.WaitFor(ctx, "job "+j.ID, func(ctx context.Context) error {
-			state, err := d.JobState(ctx, other, pool, j.ID)
-			if err == nil && state != "completed" {
-				err = fmt.Errorf("state %s", state)
-			}
-			return err
-		}))
-	}
+	requireCompleted(ctx, t, d, other, accepted)
 	require.Empty(t, d.Violations())
 	require.NoError(t, newVictim(d, other).ask(ctx))
 }
