--- a/trial/soak/soak_test.go
+++ b/trial/soak/soak_test.go
@@ -63,6 +63,15 @@
 	}, aboutTenants...),
 }
 
+// mixedRun has hostile clients of all kinds at all listeners, nine times, and three stops. No other run is played beside it.
+var mixedRun = ciRun{
+	options: Options{
+		Series: Series{Seed: 9008, Seeds: 1, Minutes: 0.3, Entries: 3, Hosts: 3, Faults: []string{string(Hostile), string(Term)}},
+		Mixed:  true,
+	},
+	notAbout: append([]string{"refused-is-not-run", "stop-in-time", "max-attempts", "waves-whole", "config-in-time"}, aboutTenants...),
+}
+
 // plantSeed is the seed of runs with faults of the stand-ins.
 const plantSeed = 26
 
@@ -147,6 +156,15 @@
 	require.Subset(t, hostileRun.notAbout, rows[0].NotChecked, "promises that were not checked")
 }
 
+// Guards against the same of clients of all kinds at all listeners, while entries stop and come back.
+func TestHostileClientsOfAllKindsBreakNoPromise(t *testing.T) {
+	rows, err := runSoak(t, mixedRun.options)
+	require.NoError(t, err)
+	require.Len(t, rows, 1)
+	require.Empty(t, rows[0].Broken)
+	require.Subset(t, mixedRun.notAbout, rows[0].NotChecked, "promises that were not checked")
+}
+
 func TestCIRunsAreAboutAllPromises(t *testing.T) {
 	for _, p := range Promises() {
 		require.True(t, slices.ContainsFunc(append(slices.Collect(maps.Values(ciRuns)), hostileRun), func(r ciRun) bool { return !slices.Contains(r.notAbout, p.Name) }), p.Name)
