Apply the limit of heads to heads only

A request could be answered 431 although it ran: if a configuration lowered max_header_bytes while a request with a larger head was served, the next bytes that arrived, of its body or of a request after it, were taken for its head.

Cause: the read compared the size of the last head in each phase of the connection. It now does so while a head arrives.

Evidence: limit.TestALoweredLimitDoesNotApplyToARequestThatIsServed: 431 before, 200 after.

--- a/entry/limit/conn.go
+++ b/entry/limit/conn.go
@@ -222,7 +222,7 @@
 	case !encrypted:
 		c.head.skip(p[:n], size)
 	}
-	if c.headLimit != nil && c.head.bytes > c.headLimit.bytes.Load() {
+	if inHead && c.headLimit != nil && c.head.bytes > c.headLimit.bytes.Load() {
 		return 0, c.refuseHead()
 	}
 	if err := c.reserveHead(); err != nil {
--- a/entry/limit/head_test.go
+++ b/entry/limit/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"runtime"
@@ -11,7 +12,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
+	"carawaymux.dev/entry/limit"
 	"carawaymux.dev/fleet/shed"
 )
 
@@ -106,6 +109,52 @@
 	require.Equal(t, http.StatusOK, status, body)
 }
 
+// Guards against a limit that is lowered while a request is served, and that is then applied to its head: what arrives of the
+// body, or of the next request, must not be answered 431 in place of the request.
+func TestALoweredLimitDoesNotApplyToARequestThatIsServed(t *testing.T) {
+	limiter := limit.Start(small, shed.LeastProgress{}, slog.New(slog.DiscardHandler))
+	heads := limiter.NewHeadLimit(16 << 10)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	started, finish := make(chan struct{}), make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		raw, err := limit.ReadBody(r.Context(), w, r, maxBody)
+		if err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		<-finish
+		fmt.Fprint(w, len(raw))
+	})}
+	limiter.ServeHeads(server, heads)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(limiter.Listen(shed.Callers, inner)) })
+	t.Cleanup(func() {
+		server.Close()
+		_ = group.Wait()
+		limiter.Close()
+	})
+	c, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "%sX: %s\r\nContent-Length: 8000\r\n\r\n", begin, strings.Repeat("x", 10<<10))
+	require.NoError(t, err)
+	<-started
+	heads.Set(1 << 10)
+	_, err = c.Write([]byte(strings.Repeat("x", 8000)))
+	require.NoError(t, err)
+	// A byte of the next request arrives while the request runs.
+	time.Sleep(50 * time.Millisecond)
+	_, err = c.Write([]byte("G"))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	close(finish)
+	status, body := answer(c)
+	require.Equal(t, http.StatusOK, status, body)
+	require.Equal(t, "8000", body)
+}
+
 // Guards against a head that is cut into reads at any place and is counted differently.
 func TestAHeadIsCountedHoweverItArrives(t *testing.T) {
 	text := begin + fields(3<<10) + "Content-Length: 100\r\n\r\n" + strings.Repeat("\r\n", 40)
